Lay out the workspace: ids, units, lints, interfaces

Cause: an empty repository. Change: five crates, the lint set, identifier and unit types, and the page of shapes spoken at each edge.

--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,265 @@
+//! Identifiers. Each kind has its own type, so that one cannot be passed for another.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Longest accepted name in bytes. Names travel in every peer message; the bound keeps those small.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// Longest accepted idempotency key in bytes.
+pub const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
+
+/// An identifier that could not be read.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum ParseIdError {
+    /// The text is empty.
+    #[error("{kind} is empty")]
+    Empty {
+        /// What was being read.
+        kind: &'static str,
+    },
+    /// The text is longer than the kind allows.
+    #[error("{kind} has {length_bytes} bytes, at most {limit_bytes} are allowed")]
+    TooLong {
+        /// What was being read.
+        kind: &'static str,
+        /// Length found.
+        length_bytes: usize,
+        /// Length allowed.
+        limit_bytes: usize,
+    },
+    /// The text holds a character that the kind does not allow.
+    #[error("{kind} holds the character {found:?}, which is not allowed")]
+    Character {
+        /// What was being read.
+        kind: &'static str,
+        /// The first offending character.
+        found: char,
+    },
+    /// The text is not a number in the expected form.
+    #[error("{kind} is not a number in the expected form")]
+    Number {
+        /// What was being read.
+        kind: &'static str,
+    },
+}
+
+fn check_text(
+    kind: &'static str,
+    text: &str,
+    limit_bytes: usize,
+    allowed: fn(char) -> bool,
+) -> Result<(), ParseIdError> {
+    if text.is_empty() {
+        return Err(ParseIdError::Empty { kind });
+    }
+    if text.len() > limit_bytes {
+        return Err(ParseIdError::TooLong {
+            kind,
+            length_bytes: text.len(),
+            limit_bytes,
+        });
+    }
+    if let Some(found) = text.chars().find(|&c| !allowed(c)) {
+        return Err(ParseIdError::Character { kind, found });
+    }
+    Ok(())
+}
+
+fn is_name_character(c: char) -> bool {
+    c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':' | '/')
+}
+
+fn is_key_character(c: char) -> bool {
+    c.is_ascii_graphic()
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $limit:expr, $allowed:expr) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_text($kind, text, $limit, $allowed)?;
+                Ok(Self(Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseIdError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> Self {
+                id.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+text_id!(
+    /// An entry host: one daemon runs on it.
+    HostId, "host", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// A data centre, with entry hosts and backend servers of its own.
+    DataCentreId, "data_centre", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// A region: data centres a few milliseconds apart.
+    RegionId, "region", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// An organisation that sends requests and publishes classes.
+    PartnerId, "partner", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// A class of work of one partner.
+    ClassName, "class", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// A model that engines load.
+    ModelId, "model", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// A backend server: a model engine or a plain service instance.
+    BackendServerId, "backend_server", MAX_NAME_BYTES, is_name_character
+);
+text_id!(
+    /// A caller's name for a request that must not run twice. Unique per partner.
+    IdempotencyKey, "idempotency key", MAX_IDEMPOTENCY_KEY_BYTES, is_key_character
+);
+
+macro_rules! hex_id {
+    ($(#[$doc:meta])* $name:ident($inner:ty), $kind:literal, $width:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $width, "x}"), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                <$inner>::from_str_radix(text, 16).map(Self).map_err(|_| ParseIdError::Number { kind: $kind })
+            }
+        }
+    };
+}
+
+hex_id!(
+    /// One life of a daemon: wall-clock milliseconds at its start in the upper 44 bits, random bits below.
+    /// A later life of the same host compares greater.
+    Incarnation(u64), "incarnation", "16"
+);
+hex_id!(
+    /// Names one configuration change over all its appends, so that a lost reply can be resolved.
+    ChangeId(u128), "change id", "32"
+);
+
+const INCARNATION_RANDOM_BITS: u32 = 20;
+
+impl Incarnation {
+    /// Makes the incarnation of a daemon that starts at `unix_ms`; `random` tells apart two starts in the
+    /// same millisecond.
+    pub fn new(unix_ms: u64, random: u32) -> Self {
+        let low = u64::from(random) & ((1 << INCARNATION_RANDOM_BITS) - 1);
+        Self((unix_ms << INCARNATION_RANDOM_BITS) | low)
+    }
+}
+
+/// A request, for ever: the daemon's life and a counter in it. Never reused, because incarnations are not.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct RequestId {
+    /// The life of the daemon that took the request in.
+    pub incarnation: Incarnation,
+    /// Counter in that life.
+    pub sequence: u64,
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:x}", self.incarnation, self.sequence)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = ParseIdError::Number { kind: "request id" };
+        let (incarnation, sequence) = text.split_once('-').ok_or_else(|| error.clone())?;
+        Ok(Self {
+            incarnation: incarnation.parse().map_err(|_| error.clone())?,
+            sequence: u64::from_str_radix(sequence, 16).map_err(|_| error)?,
+        })
+    }
+}
+
+/// Position of a record in a stream of the platform's log.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// The position after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Offset {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse()
+            .map(Self)
+            .map_err(|_| ParseIdError::Number { kind: "offset" })
+    }
+}
+
+/// Number that orders the holders of a lease: the log offset of the lease's record.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct FencingNumber(pub u64);
+
+impl fmt::Display for FencingNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,9 @@
+//! Decision logic of hibiscusvale.
+//!
+//! Everything here is a state machine without input or output: it takes the present time, an event and
+//! its own state, and returns typed actions. The edges that carry the actions out live in the
+//! `hibiscusvale` crate. The crate's dependency list keeps it so: there is no runtime, socket or file
+//! library to reach for.
+
+pub mod ids;
+pub mod units;
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
