Name the seams: kernel, platform and peer edges, settings

Cause: parts written side by side need the same types between them. Change: traits at the process edges, the registry of services, the settings of a daemon. Measured: formatter, lints and tests pass; no behaviour yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,5 +5,9 @@
 //! `hibiscusvale` crate. The crate's dependency list keeps it so: there is no runtime, socket or file
 //! library to reach for.
 
+pub mod claim;
 pub mod ids;
+pub mod membership;
+pub mod slots;
+pub mod spread;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,7 @@
+//! Heartbeats and digests between daemons.
+
+use serde::{Deserialize, Serialize};
+
+/// What daemons say to each other about it.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub enum MembershipMessage {}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Router for separate prefill and decode pools.
+//!
+//! This crate carries out what `hibiscusvale-core` decides: the edges towards callers, backend servers, the
+//! platform, operators and the other daemons, and the services around the decision logic.
+
+pub mod kernel;
+pub mod peer;
+pub mod platform;
+pub mod settings;
