Check settings as they are loaded

A slip in a settings file (a misspelt key, seconds for milliseconds) used to show up under load or not at all. Settings::load now refuses it with key, value, allowed range and line. The parser's own error text quotes the line, which may hold a key, so it was ruled out; keys and hashes have types that print as their kind only. Sections for configuration reading and for observation are added with defaults.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,12 +1,23 @@
-//! Settings of a daemon, read from TOML.
+//! Settings of a daemon, read from TOML and checked before anything starts.
+//!
+//! [`Settings::load`] refuses unknown keys and values out of range with the key, the value, what is allowed
+//! and the line, so that a mistake stops one start instead of showing up under load.
+
+mod check;
+mod error;
+mod secret;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use hibiscusvale_core::ids::{DataCentreId, HostId, PartnerId, RegionId};
 use hibiscusvale_core::units::{Bytes, Millis};
 use serde::Deserialize;
 
+pub use crate::settings::error::{SettingsError, SettingsProblem};
+pub use crate::settings::secret::{MacKey, PublishKey, TokenHash};
+
 /// All settings of one daemon.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -31,6 +42,52 @@
     /// Traffic threads.
     #[serde(default)]
     pub traffic: TrafficSettings,
+    /// How configuration is read from the log and kept in it.
+    #[serde(default)]
+    pub config: ConfigSettings,
+    /// What the daemon tells about itself.
+    #[serde(default)]
+    pub observe: ObserveSettings,
+}
+
+impl Settings {
+    /// Reads and checks the settings in the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] when the file cannot be read or says something that cannot stand.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Checks settings given as TOML text.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Invalid`] with every problem found.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(text)
+            .map_err(|error| SettingsError::Invalid(vec![error::syntax(text, &error)]))?;
+        let problems = check::problems(&settings, text);
+        if problems.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError::Invalid(problems))
+        }
+    }
+}
+
+/// Checks the settings file at `path` and does nothing else: `hibiscusvaled check FILE`.
+///
+/// # Errors
+///
+/// As [`Settings::load`].
+pub fn check(path: &Path) -> Result<(), SettingsError> {
+    Settings::load(path).map(drop)
 }
 
 /// Who a daemon is.
@@ -67,6 +124,20 @@
     pub hosts: SocketAddr,
     /// The weight store.
     pub weights: SocketAddr,
+    /// Time for a connection to one of them to open.
+    #[serde(default = "default_connect_timeout_ms")]
+    pub connect_timeout_ms: Millis,
+    /// Time for an answer, beyond the time that a call asks the service to wait for news.
+    #[serde(default = "default_call_timeout_ms")]
+    pub call_timeout_ms: Millis,
+}
+
+const fn default_connect_timeout_ms() -> Millis {
+    Millis(1_000)
+}
+
+const fn default_call_timeout_ms() -> Millis {
+    Millis(3_000)
 }
 
 /// How to find and trust other daemons.
@@ -77,7 +148,7 @@
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
     /// Key of the message authentication code, 64 hex digits, the same on all daemons.
-    pub key: String,
+    pub key: MacKey,
 }
 
 /// What is known of a partner without the log.
@@ -85,9 +156,9 @@
 #[serde(deny_unknown_fields)]
 pub struct PartnerSettings {
     /// BLAKE3 hashes of its bearer tokens, 64 hex digits each.
-    pub token_hashes: Vec<String>,
+    pub token_hashes: Vec<TokenHash>,
     /// Ed25519 key that its configuration records are signed with, 64 hex digits.
-    pub publish_key: String,
+    pub publish_key: PublishKey,
 }
 
 /// Sends requests whose path starts with `prefix` to a plain service.
@@ -138,3 +209,63 @@
         Self { threads: 2 }
     }
 }
+
+/// How configuration is read from the log and kept in it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConfigSettings {
+    /// Daemons in each data centre that read the log themselves; the others get records from peers.
+    pub readers: usize,
+    /// Longest time that one read waits at the log for news.
+    pub poll_wait_ms: Millis,
+    /// Time after which the state is written to the log again, if records were appended since. Keep it under
+    /// a quarter of the time for which the log keeps records.
+    pub checkpoint_interval_ms: Millis,
+    /// Time that each further daemon waits before it writes the checkpoint that an earlier one should have.
+    pub checkpoint_step_ms: Millis,
+}
+
+impl Default for ConfigSettings {
+    fn default() -> Self {
+        Self {
+            readers: 3,
+            poll_wait_ms: Millis(2_000),
+            checkpoint_interval_ms: Millis(600_000),
+            checkpoint_step_ms: Millis(2_000),
+        }
+    }
+}
+
+/// What the daemon tells about itself.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ObserveSettings {
+    /// Least severe level that is logged.
+    pub log_level: LogLevel,
+    /// Finished requests that `hibiscusvale why` can still explain.
+    pub recent_requests: usize,
+}
+
+impl Default for ObserveSettings {
+    fn default() -> Self {
+        Self {
+            log_level: LogLevel::Info,
+            recent_requests: 4_096,
+        }
+    }
+}
+
+/// Severity of a log line.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// Everything, each request's steps included.
+    Debug,
+    /// Each finished request, and what changes in the daemon.
+    #[default]
+    Info,
+    /// What an operator may want to look into.
+    Warn,
+    /// What an operator has to look into.
+    Error,
+}
--- /dev/null
+++ b/crates/router/src/settings/check.rs
@@ -0,0 +1,173 @@
+//! Ranges of the settings.
+//!
+//! Each bound is there because a value outside it is a slip of the keyboard (seconds for milliseconds, a zero
+//! too many) whose effect would show only under load.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+use toml::de::{DeTable, DeValue};
+
+use crate::settings::error::{SettingsFault, SettingsProblem, line_at};
+use crate::settings::{PartnerSettings, Settings, TokenHash};
+
+const BODY_BYTES: RangeInclusive<u64> = 1_024..=256 << 20;
+const HEAD_BYTES: RangeInclusive<u64> = 1_024..=1 << 20;
+const CALLER_TIMEOUT_MS: RangeInclusive<u64> = 100..=600_000;
+const PLATFORM_TIMEOUT_MS: RangeInclusive<u64> = 50..=60_000;
+const THREADS: RangeInclusive<u64> = 1..=64;
+const READERS: RangeInclusive<u64> = 1..=64;
+const POLL_WAIT_MS: RangeInclusive<u64> = 100..=60_000;
+const CHECKPOINT_INTERVAL_MS: RangeInclusive<u64> = 1_000..=86_400_000;
+const CHECKPOINT_STEP_MS: RangeInclusive<u64> = 100..=60_000;
+const RECENT_REQUESTS: RangeInclusive<u64> = 16..=65_536;
+
+/// Everything in `settings` that is out of range. `text` is where they were read from.
+pub(super) fn problems(settings: &Settings, text: &str) -> Vec<SettingsProblem> {
+    let mut problems = Vec::new();
+    check_numbers(settings, text, &mut problems);
+    check_routes(settings, text, &mut problems);
+    check_partners(settings, text, &mut problems);
+    problems
+}
+
+fn check_numbers(settings: &Settings, text: &str, problems: &mut Vec<SettingsProblem>) {
+    let Settings {
+        platform,
+        limits,
+        traffic,
+        config,
+        observe,
+        ..
+    } = settings;
+    let numbers = [
+        (
+            "platform.connect_timeout_ms",
+            platform.connect_timeout_ms.0,
+            PLATFORM_TIMEOUT_MS,
+        ),
+        (
+            "platform.call_timeout_ms",
+            platform.call_timeout_ms.0,
+            PLATFORM_TIMEOUT_MS,
+        ),
+        ("limits.body_bytes", limits.body_bytes.0, BODY_BYTES),
+        ("limits.head_bytes", limits.head_bytes.0, HEAD_BYTES),
+        (
+            "limits.head_timeout_ms",
+            limits.head_timeout_ms.0,
+            CALLER_TIMEOUT_MS,
+        ),
+        (
+            "limits.body_timeout_ms",
+            limits.body_timeout_ms.0,
+            CALLER_TIMEOUT_MS,
+        ),
+        ("traffic.threads", traffic.threads as u64, THREADS),
+        ("config.readers", config.readers as u64, READERS),
+        ("config.poll_wait_ms", config.poll_wait_ms.0, POLL_WAIT_MS),
+        (
+            "config.checkpoint_interval_ms",
+            config.checkpoint_interval_ms.0,
+            CHECKPOINT_INTERVAL_MS,
+        ),
+        (
+            "config.checkpoint_step_ms",
+            config.checkpoint_step_ms.0,
+            CHECKPOINT_STEP_MS,
+        ),
+        (
+            "observe.recent_requests",
+            observe.recent_requests as u64,
+            RECENT_REQUESTS,
+        ),
+    ];
+    for (key, value, range) in numbers {
+        if !range.contains(&value) {
+            let (least, most) = range.into_inner();
+            problems.push(SettingsProblem {
+                line: line_of(text, key),
+                key: key.to_owned(),
+                fault: SettingsFault::OutOfRange { value, least, most },
+            });
+        }
+    }
+}
+
+fn check_routes(settings: &Settings, text: &str, problems: &mut Vec<SettingsProblem>) {
+    for (index, route) in settings.routes.iter().enumerate() {
+        if !route.prefix.starts_with('/') {
+            problems.push(form(
+                text,
+                format!("routes.{index}.prefix"),
+                &route.prefix,
+                "a path that starts with /",
+            ));
+        }
+        if route.service.is_empty() {
+            problems.push(form(
+                text,
+                format!("routes.{index}.service"),
+                "",
+                "the name of a service",
+            ));
+        }
+    }
+}
+
+fn check_partners(settings: &Settings, text: &str, problems: &mut Vec<SettingsProblem>) {
+    let mut holders = BTreeMap::<TokenHash, &str>::new();
+    for (partner, PartnerSettings { token_hashes, .. }) in &settings.partners {
+        let key = format!("partners.{partner}.token_hashes");
+        if token_hashes.is_empty() {
+            problems.push(form(text, key.clone(), "[]", "at least one hash"));
+        }
+        for hash in token_hashes {
+            let Some(other) = holders.insert(*hash, partner.as_str()) else {
+                continue;
+            };
+            if other != partner.as_str() {
+                problems.push(SettingsProblem {
+                    line: line_of(text, &key),
+                    key: key.clone(),
+                    fault: SettingsFault::SharedToken {
+                        other: other.to_owned(),
+                    },
+                });
+            }
+        }
+    }
+}
+
+fn form(text: &str, key: String, value: &str, allowed: &'static str) -> SettingsProblem {
+    SettingsProblem {
+        line: line_of(text, &key),
+        fault: SettingsFault::Form {
+            value: value.to_owned(),
+            allowed,
+        },
+        key,
+    }
+}
+
+/// Line of the value with the dotted `key`, or 0 when the file leaves it to the default.
+fn line_of(text: &str, key: &str) -> usize {
+    let Ok(root) = DeTable::parse(text) else {
+        return 0;
+    };
+    let mut position = 0;
+    let mut value = &DeValue::Table(root.into_inner());
+    for part in key.split('.') {
+        let next = match value {
+            DeValue::Table(table) => table.get(part),
+            DeValue::Array(array) => part.parse::<usize>().ok().and_then(|index| array.get(index)),
+            _ => None,
+        };
+        let Some(next) = next else {
+            return 0;
+        };
+        position = next.span().start;
+        value = next.get_ref();
+    }
+    line_at(text, position)
+}
--- /dev/null
+++ b/crates/router/tests/ops/main.rs
@@ -0,0 +1,3 @@
+//! Tests of settings, logs, metrics and the edges towards the platform and operators.
+
+mod settings;
