Log as JSON lines and count every reason

Nothing could be seen of a running daemon. Log lines have typed methods, so a secret cannot slip into one.

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,8 @@
 //! platform, operators and the other daemons, and the services around the decision logic.
 
 pub mod kernel;
+pub mod logging;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
 pub mod settings;
--- /dev/null
+++ b/crates/router/src/logging.rs
@@ -0,0 +1,192 @@
+//! Logs as JSON lines, by spdlog-rs.
+//!
+//! What matters has a method with typed arguments, so that a line cannot carry a token, a key or a body by
+//! accident, and the same event has the same fields everywhere. Each line is one JSON object: `level`,
+//! `timestamp` (ms since 1970), `payload` (the event) and `kv` (its fields).
+
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hibiscusvale_core::ids::{ClassName, HostId, Offset, PartnerId, RequestId};
+use hibiscusvale_core::units::Millis;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::WriteSink;
+use spdlog::{Level, LevelFilter, Logger};
+
+use crate::metrics::Label;
+use crate::settings::LogLevel;
+
+/// Lines are kept for this long before they are written, so that a line per request costs no system call each.
+const FLUSH_PERIOD: Duration = Duration::from_millis(250);
+
+/// Bytes that wait at most before they are written.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// Logging could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("could not set up logging")]
+pub struct LoggingError(#[from] spdlog::Error);
+
+/// The daemon's log.
+#[derive(Clone)]
+pub struct Log {
+    logger: Arc<Logger>,
+}
+
+/// A finished request, as the log shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestLine<'a, Outcome> {
+    /// Its id.
+    pub request_id: RequestId,
+    /// Whose it is; absent when no token matched.
+    pub partner: Option<&'a PartnerId>,
+    /// Its class; absent when none was understood.
+    pub class: Option<&'a ClassName>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time from its arrival to its end.
+    pub took_ms: Millis,
+    /// Tries at backend servers.
+    pub attempts: u32,
+}
+
+impl Log {
+    /// A log that writes to standard output.
+    ///
+    /// # Errors
+    ///
+    /// [`LoggingError`] when the library refuses.
+    pub fn stdout(level: LogLevel) -> Result<Self, LoggingError> {
+        Self::to_writer(level, io::stdout())
+    }
+
+    /// A log that writes to `target`.
+    ///
+    /// # Errors
+    ///
+    /// [`LoggingError`] when the library refuses.
+    pub fn to_writer<Target>(level: LogLevel, target: Target) -> Result<Self, LoggingError>
+    where
+        Target: Write + Send + 'static,
+    {
+        let buffered = io::BufWriter::with_capacity(BUFFER_BYTES, target);
+        let sink = WriteSink::builder()
+            .formatter(JsonFormatter::new())
+            .target(buffered)
+            .build_arc()?;
+        let logger = Logger::builder()
+            .sink(sink)
+            .level_filter(LevelFilter::MoreSevereEqual(spdlog_level(level)))
+            .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
+            .build_arc()?;
+        logger.set_flush_period(Some(FLUSH_PERIOD));
+        Ok(Self { logger })
+    }
+
+    /// Writes what waits. Called before the process ends.
+    pub fn flush(&self) {
+        self.logger.flush();
+    }
+
+    /// A request ended with an answer or an unknown outcome.
+    pub fn request_finished<Outcome>(&self, line: RequestLine<'_, Outcome>)
+    where
+        Outcome: Label,
+    {
+        spdlog::info!(logger: self.logger, "request finished", kv: {
+            request_id: = line.request_id,
+            partner = text(line.partner.map(PartnerId::as_str)),
+            class = text(line.class.map(ClassName::as_str)),
+            outcome = line.outcome.label(),
+            took_ms = line.took_ms.0,
+            attempts = line.attempts,
+        });
+    }
+
+    /// A request was refused.
+    pub fn request_refused<Outcome, Reason>(&self, line: RequestLine<'_, Outcome>, reason: Reason)
+    where
+        Outcome: Label,
+        Reason: Label,
+    {
+        spdlog::info!(logger: self.logger, "request refused", kv: {
+            request_id: = line.request_id,
+            partner = text(line.partner.map(PartnerId::as_str)),
+            class = text(line.class.map(ClassName::as_str)),
+            outcome = line.outcome.label(),
+            reason = reason.label(),
+            took_ms = line.took_ms.0,
+            attempts = line.attempts,
+        });
+    }
+
+    /// A further try of a request begins.
+    pub fn request_retried<Reason>(&self, request_id: RequestId, reason: Reason)
+    where
+        Reason: Label,
+    {
+        spdlog::debug!(logger: self.logger, "request retried", kv: {
+            request_id: = request_id,
+            reason = reason.label(),
+        });
+    }
+
+    /// Configuration up to `version` came into force here.
+    pub fn config_in_force(&self, version: Offset) {
+        spdlog::info!(logger: self.logger, "configuration in force", kv: { version = version.0 });
+    }
+
+    /// A configuration record changed nothing.
+    pub fn config_rejected(&self, offset: Offset, partner: Option<&PartnerId>, reason: &dyn fmt::Display) {
+        spdlog::warn!(logger: self.logger, "configuration record rejected", kv: {
+            offset = offset.0,
+            partner = text(partner.map(PartnerId::as_str)),
+            reason: = reason,
+        });
+    }
+
+    /// Another daemon was found, lost or replaced.
+    pub fn member_changed<State>(&self, host: &HostId, state: State)
+    where
+        State: Label,
+    {
+        spdlog::info!(logger: self.logger, "member changed", kv: {
+            host: = host,
+            state = state.label(),
+        });
+    }
+
+    /// Something that changes how the daemon works: a start, a stop, a lost platform service.
+    pub fn control<Event>(&self, event: Event)
+    where
+        Event: Label,
+    {
+        spdlog::info!(logger: self.logger, "control", kv: { event = event.label() });
+    }
+
+    /// Something went wrong that an operator may have to look into.
+    pub fn fault(&self, what: &'static str, error: &dyn fmt::Display) {
+        spdlog::warn!(logger: self.logger, "fault", kv: { what = what, error: = error });
+    }
+}
+
+impl fmt::Debug for Log {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Log").finish_non_exhaustive()
+    }
+}
+
+fn text(value: Option<&str>) -> &str {
+    value.unwrap_or("")
+}
+
+fn spdlog_level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warn => Level::Warn,
+        LogLevel::Error => Level::Error,
+    }
+}
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -1,3 +1,4 @@
 //! Tests of settings, logs, metrics and the edges towards the platform and operators.
 
+mod observe;
 mod settings;
--- /dev/null
+++ b/crates/router/tests/ops/observe.rs
@@ -0,0 +1,136 @@
+//! Logs and metrics.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+
+use hibiscusvale::logging::{Log, RequestLine};
+use hibiscusvale::metrics::{Gauge, Label, MAX_CLASS_SERIES, Metrics};
+use hibiscusvale::settings::LogLevel;
+use hibiscusvale_core::ids::{ClassName, Incarnation, PartnerId, RequestId};
+use hibiscusvale_core::units::{Micros, Millis, Tokens};
+use parking_lot::Mutex;
+
+#[derive(Clone, Copy)]
+enum Mark {
+    Answered,
+    Evicted,
+    QueueFull,
+}
+
+impl Label for Mark {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Evicted => "evicted",
+            Self::QueueFull => "queue-full",
+        }
+    }
+}
+
+#[derive(Clone, Default)]
+struct Memory(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Memory {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn partner(name: &str) -> PartnerId {
+    name.parse().expect("a partner")
+}
+
+fn class(name: &str) -> ClassName {
+    name.parse().expect("a class")
+}
+
+#[test]
+fn a_finished_request_is_one_json_line_with_its_fields() {
+    let memory = Memory::default();
+    let log = Log::to_writer(LogLevel::Info, memory.clone()).expect("a log");
+    let request_id = RequestId {
+        incarnation: Incarnation(7),
+        sequence: 9,
+    };
+    let line = RequestLine {
+        request_id,
+        partner: Some(&partner("nadifa")),
+        class: Some(&class("summary")),
+        outcome: Mark::Answered,
+        took_ms: Millis(12),
+        attempts: 1,
+    };
+    log.request_finished(line);
+    log.request_refused(line, Mark::QueueFull);
+    log.request_retried(request_id, Mark::Evicted);
+    log.flush();
+    let text = String::from_utf8(memory.0.lock().clone()).expect("text");
+    let lines: Vec<serde_json::Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("one JSON object a line"))
+        .collect();
+    assert_eq!(lines.len(), 2, "the debug line is below the level: {text}");
+    assert_eq!(lines[0]["payload"], "request finished");
+    assert_eq!(lines[0]["kv"]["request_id"], request_id.to_string());
+    assert_eq!(lines[0]["kv"]["partner"], "nadifa");
+    assert_eq!(lines[0]["kv"]["class"], "summary");
+    assert_eq!(lines[0]["kv"]["outcome"], "answered");
+    assert_eq!(lines[1]["kv"]["reason"], "queue-full");
+}
+
+#[test]
+fn every_counter_is_scraped_with_its_labels() {
+    let metrics = Metrics::new().expect("metrics");
+    let summary = metrics.class(&partner("nadifa"), &class("summary"));
+    summary.finished(Mark::Answered);
+    summary.finished(Mark::Answered);
+    summary.refused(Mark::QueueFull);
+    summary.retried(Mark::Evicted);
+    summary.met_targets();
+    summary.prefilled(Tokens(500));
+    summary.wasted_prefill(Mark::Evicted, Tokens(40));
+    summary.first_token(Micros(30_000));
+    summary.per_token(Micros(12_000));
+    metrics.peer_dropped(Mark::Evicted);
+    metrics.set(Gauge::ControlSentBytesPerS, 77);
+    let text = metrics.render();
+    for expected in [
+        r#"hibiscusvale_requests_total{class="summary",outcome="answered",partner="nadifa"} 2"#,
+        r#"hibiscusvale_refusals_total{class="summary",partner="nadifa",reason="queue-full"} 1"#,
+        r#"hibiscusvale_retries_total{class="summary",partner="nadifa",reason="evicted"} 1"#,
+        r#"hibiscusvale_goodput_requests_total{class="summary",partner="nadifa"} 1"#,
+        r#"hibiscusvale_prefill_tokens_total{class="summary",partner="nadifa"} 500"#,
+        r#"hibiscusvale_wasted_prefill_tokens_total{cause="evicted",class="summary",partner="nadifa"} 40"#,
+        r#"hibiscusvale_first_token_ms_bucket{partner="nadifa",le="50"} 1"#,
+        r#"hibiscusvale_per_token_ms_count{partner="nadifa"} 1"#,
+        r#"hibiscusvale_peer_messages_dropped_total{cause="evicted"} 1"#,
+        "hibiscusvale_control_sent_bytes_per_s 77",
+    ] {
+        assert!(text.contains(expected), "{expected} is missing in\n{text}");
+    }
+    assert_eq!(metrics.totals()[0].goodput, 1);
+}
+
+/// A partner publishes class after class, by mistake or not. Each would be a series for ever; the scrape would
+/// outgrow the daemon's memory. Beyond the bound all are counted together, and nothing is lost from the sum.
+#[test]
+fn a_flood_of_classes_stays_bounded() {
+    let metrics = Metrics::new().expect("metrics");
+    for index in 0..MAX_CLASS_SERIES + 50 {
+        metrics
+            .class(&partner("nadifa"), &class(&format!("c{index}")))
+            .finished(Mark::Answered);
+    }
+    let totals = metrics.totals();
+    assert_eq!(totals.len(), MAX_CLASS_SERIES + 1);
+    let sum: u64 = totals
+        .iter()
+        .flat_map(|class| &class.outcomes)
+        .map(|count| count.count)
+        .sum();
+    assert_eq!(sum, MAX_CLASS_SERIES as u64 + 50);
+}
