Add stand-ins for engines, plain services and the platform

The edges of the router need something that answers docs/INTERFACES.md and that can be brought into each failure they must survive. One process runs a plan of them; tests start them on port 0 and steer them through handles. The text of an answer is a function of the text so far, so that a reader can recompute it and an engine given prompt and tokens so far goes on as the first would have.

Ruled out: a shared control port (each stand-in steers at its own address, so a test needs one address only); timers that tick while idle (a thousand idle engines would load the machine that is being measured).

--- /dev/null
+++ b/crates/standins/src/engine_memory.rs
@@ -0,0 +1,462 @@
+//! What an engine holds for whom, and its account of work done, thrown away and done again.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::engine_cache::PrefixCache;
+use crate::text::{BLOCK_BYTES, TOKEN_BYTES, Writer, prefix_blocks, token_count};
+
+/// Finished answers that can still be read again.
+const KEPT_FINISHED: usize = 1_000;
+
+/// How long a result on its way to another engine is kept if that engine never says that it has it.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The daemon's life that a request belongs to.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct Owner {
+    /// The daemon's host.
+    pub host: String,
+    /// Its incarnation, hex text.
+    pub incarnation: String,
+}
+
+/// How far a held request is.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Stage {
+    /// Waits for its prefill.
+    Queued,
+    /// Its prompt is being read.
+    Prefilling,
+    /// Its KV cache waits to be imported elsewhere, and is evicted soon.
+    Prefilled,
+    /// Its KV cache is being copied to another engine.
+    Exporting,
+    /// It has a slot and its KV cache is being copied in.
+    Importing,
+    /// It has a slot and its KV cache.
+    Imported,
+    /// It has a slot and writes tokens.
+    Decoding,
+}
+
+impl Stage {
+    /// Whether a request in this stage takes a decode slot.
+    pub fn has_slot(self) -> bool {
+        matches!(self, Self::Importing | Self::Imported | Self::Decoding)
+    }
+}
+
+/// A held request as reports show it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Holding {
+    /// The request.
+    pub request_id: String,
+    /// For whom.
+    pub owner: Owner,
+    /// How far it is.
+    pub stage: Stage,
+}
+
+/// An engine's account, in tokens and counts since its start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct EngineCounters {
+    /// Prompt tokens read (not found in the prefix cache).
+    pub prefill_tokens: u64,
+    /// Prompt tokens found in the prefix cache.
+    pub cached_tokens: u64,
+    /// Prefilled tokens evicted before they were imported.
+    pub evicted_tokens: u64,
+    /// Prefilled tokens cancelled before they were imported, or in the middle of their prefill.
+    pub cancelled_tokens: u64,
+    /// Imported tokens released before any token was written from them.
+    pub unused_tokens: u64,
+    /// Prompt tokens read again for a request that this engine had prefilled before.
+    pub redone_tokens: u64,
+    /// Tokens written.
+    pub decoded_tokens: u64,
+    /// Tokens written for requests released before their last token was read.
+    pub unread_tokens: u64,
+    /// Imports refused because no slot was free: each would have over-committed the engine.
+    pub slot_refusals: u64,
+    /// Imports whose source no longer held the result.
+    pub gone_imports: u64,
+    /// Most slots ever taken at once.
+    pub most_slots_used: u64,
+    /// Streams taken over by a newer connection.
+    pub resumes: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub(crate) owner: Owner,
+    pub(crate) stage: Stage,
+    pub(crate) prompt: String,
+    pub(crate) priority: i64,
+    pub(crate) arrival: u64,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) cached_tokens: u64,
+    pub(crate) evict_at: Option<Instant>,
+    pub(crate) max_tokens: u64,
+    pub(crate) reader: u64,
+    text: String,
+    writer: Option<Writer>,
+}
+
+/// An answer whose slot is free again and whose text can still be read.
+#[derive(Debug)]
+struct Finished {
+    owner: Owner,
+    text: String,
+    reader: u64,
+    arrival: u64,
+}
+
+/// What a stream may send next.
+#[derive(Debug, Eq, PartialEq)]
+pub(crate) enum Next {
+    Tokens { texts: Vec<String>, done: Option<u64> },
+    Wait,
+    TakenOver,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ImportStart {
+    Begin,
+    Wait,
+    Done,
+    NoSlot,
+}
+
+#[derive(Debug)]
+pub(crate) struct Memory {
+    pub(crate) slots_total: usize,
+    pub(crate) cache: PrefixCache,
+    pub(crate) counters: EngineCounters,
+    held: BTreeMap<String, Held>,
+    finished: HashMap<String, Finished>,
+    prefilled: BTreeMap<String, u64>,
+    arrivals: u64,
+}
+
+impl Memory {
+    pub(crate) fn new(slots_total: usize, cache: PrefixCache) -> Self {
+        Self {
+            slots_total,
+            cache,
+            counters: EngineCounters::default(),
+            held: BTreeMap::new(),
+            finished: HashMap::new(),
+            prefilled: BTreeMap::new(),
+            arrivals: 0,
+        }
+    }
+
+    pub(crate) fn get(&self, id: &str) -> Option<&Held> {
+        self.held.get(id)
+    }
+
+    pub(crate) fn holdings(&self) -> Vec<Holding> {
+        let holdings = self.held.iter().map(|(id, held)| Holding {
+            request_id: id.clone(),
+            owner: held.owner.clone(),
+            stage: held.stage,
+        });
+        holdings.collect()
+    }
+
+    pub(crate) fn prefilled(&self) -> &BTreeMap<String, u64> {
+        &self.prefilled
+    }
+
+    pub(crate) fn slots_used(&self) -> usize {
+        self.held.values().filter(|held| held.stage.has_slot()).count()
+    }
+
+    pub(crate) fn queued_tokens(&self) -> u64 {
+        let waiting = self.held.values();
+        let waiting = waiting.filter(|held| matches!(held.stage, Stage::Queued | Stage::Prefilling));
+        waiting.map(|held| held.prompt_tokens).sum()
+    }
+
+    pub(crate) fn tokens_held(&self) -> u64 {
+        let held = self.held.values().filter(|held| held.stage != Stage::Queued);
+        held.map(|held| held.prompt_tokens + token_count(&held.text))
+            .sum()
+    }
+
+    pub(crate) fn ids_of_owner(&self, owner: &Owner) -> Vec<String> {
+        let of_owner = self.held.iter().filter(|(_, held)| held.owner == *owner);
+        of_owner.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn insert(&mut self, id: &str, owner: Owner, prompt: String, priority: i64, stage: Stage) {
+        self.arrivals += 1;
+        let prompt_tokens = token_count(&prompt);
+        self.finished.remove(id);
+        self.held.insert(
+            id.to_owned(),
+            Held {
+                owner,
+                stage,
+                prompt,
+                priority,
+                arrival: self.arrivals,
+                prompt_tokens,
+                cached_tokens: 0,
+                evict_at: None,
+                max_tokens: 0,
+                reader: 0,
+                text: String::new(),
+                writer: None,
+            },
+        );
+    }
+
+    /// Queues a prefill unless the request is held already.
+    pub(crate) fn queue_prefill(&mut self, id: &str, owner: Owner, prompt: String, priority: i64) {
+        if !self.held.contains_key(id) {
+            self.insert(id, owner, prompt, priority, Stage::Queued);
+        }
+    }
+
+    /// The queued prefill with the lowest priority number, the oldest among equals; looks its prefix up.
+    pub(crate) fn start_prefill(&mut self) -> Option<(String, u64)> {
+        let queued = self
+            .held
+            .iter_mut()
+            .filter(|(_, held)| held.stage == Stage::Queued);
+        let (id, held) = queued.min_by_key(|(_, held)| (held.priority, held.arrival))?;
+        let hits = self.cache.hit(&prefix_blocks(&held.prompt));
+        held.stage = Stage::Prefilling;
+        held.cached_tokens = ((hits * BLOCK_BYTES / TOKEN_BYTES) as u64).min(held.prompt_tokens);
+        Some((id.clone(), held.prompt_tokens - held.cached_tokens))
+    }
+
+    pub(crate) fn finish_prefill(&mut self, id: &str, now: Instant, evict_after: Duration) {
+        let Some(held) = self.held.get_mut(id) else {
+            return;
+        };
+        let tokens = held.prompt_tokens - held.cached_tokens;
+        held.stage = Stage::Prefilled;
+        held.evict_at = Some(now + evict_after);
+        self.counters.prefill_tokens += tokens;
+        self.counters.cached_tokens += held.cached_tokens;
+        self.cache.store(&prefix_blocks(&held.prompt), now);
+        let before = self.prefilled.entry(id.to_owned()).or_default();
+        if *before > 0 {
+            self.counters.redone_tokens += tokens;
+        }
+        *before += held.prompt_tokens;
+    }
+
+    /// Tokens read in the part of a prefill that was done before its request was cancelled.
+    pub(crate) fn abandon_prefill(&mut self, tokens: u64) {
+        self.counters.prefill_tokens += tokens;
+        self.counters.cancelled_tokens += tokens;
+    }
+
+    /// Throws away results that nobody imported in time; returns when the next one is due.
+    pub(crate) fn evict_due(&mut self, now: Instant) -> Option<Instant> {
+        let due = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.evict_at.is_some_and(|at| at <= now));
+        let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
+        for id in due {
+            if let Some(held) = self.held.remove(&id) {
+                self.counters.evicted_tokens += held.prompt_tokens;
+            }
+        }
+        self.held.values().filter_map(|held| held.evict_at).min()
+    }
+
+    /// Marks a result as being copied to another engine; returns its prompt.
+    pub(crate) fn start_export(&mut self, id: &str, now: Instant) -> Option<String> {
+        let held = self.held.get_mut(id)?;
+        if !matches!(held.stage, Stage::Prefilled | Stage::Exporting) {
+            return None;
+        }
+        held.stage = Stage::Exporting;
+        held.evict_at = Some(now + EXPORT_TIMEOUT);
+        Some(held.prompt.clone())
+    }
+
+    /// Forgets a result that the other engine has; false if it was gone.
+    pub(crate) fn finish_export(&mut self, id: &str) -> bool {
+        let exporting = self
+            .held
+            .get(id)
+            .is_some_and(|held| held.stage == Stage::Exporting);
+        if exporting {
+            self.held.remove(id);
+        }
+        exporting
+    }
+
+    pub(crate) fn start_import(&mut self, id: &str, owner: Owner, priority: i64) -> ImportStart {
+        match self.held.get(id).map(|held| held.stage) {
+            Some(Stage::Importing) => return ImportStart::Wait,
+            Some(stage) if stage.has_slot() => return ImportStart::Done,
+            _ => {}
+        }
+        if self.slots_used() >= self.slots_total {
+            self.counters.slot_refusals += 1;
+            return ImportStart::NoSlot;
+        }
+        self.insert(id, owner, String::new(), priority, Stage::Importing);
+        self.counters.most_slots_used = self.counters.most_slots_used.max(self.slots_used() as u64);
+        ImportStart::Begin
+    }
+
+    /// Gives an importing request its prompt; false if it was cancelled meanwhile.
+    pub(crate) fn finish_import(&mut self, id: &str, prompt: String) -> bool {
+        let Some(held) = self.held.get_mut(id) else {
+            return false;
+        };
+        held.stage = Stage::Imported;
+        held.prompt_tokens = token_count(&prompt);
+        held.prompt = prompt;
+        true
+    }
+
+    pub(crate) fn abandon_import(&mut self, id: &str) {
+        let importing = self
+            .held
+            .get(id)
+            .is_some_and(|held| held.stage == Stage::Importing);
+        if importing {
+            self.held.remove(id);
+        }
+        self.counters.gone_imports += 1;
+    }
+
+    /// Makes the caller the one reader of the request's tokens; returns the reader's number.
+    pub(crate) fn start_stream(&mut self, id: &str, owner: &Owner, max_tokens: u64) -> Option<u64> {
+        if let Some(finished) = self
+            .finished
+            .get_mut(id)
+            .filter(|finished| finished.owner == *owner)
+        {
+            finished.reader += 1;
+            self.counters.resumes += 1;
+            return Some(finished.reader);
+        }
+        let held = self.held.get_mut(id).filter(|held| held.owner == *owner)?;
+        if !matches!(held.stage, Stage::Imported | Stage::Decoding) {
+            return None;
+        }
+        if held.stage == Stage::Imported {
+            held.stage = Stage::Decoding;
+            held.max_tokens = max_tokens;
+            held.writer = Some(Writer::new(&held.prompt));
+        } else {
+            self.counters.resumes += 1;
+        }
+        held.reader += 1;
+        Some(held.reader)
+    }
+
+    pub(crate) fn decoding(&self) -> usize {
+        let decoding = self.held.values().filter(|held| held.stage == Stage::Decoding);
+        decoding.count()
+    }
+
+    /// Every decoding request writes one token; those at their last one give their slot back.
+    pub(crate) fn decode_step(&mut self) {
+        let mut ended = Vec::new();
+        for (id, held) in &mut self.held {
+            if held.stage != Stage::Decoding {
+                continue;
+            }
+            if let Some(writer) = &mut held.writer
+                && token_count(&held.text) < held.max_tokens
+            {
+                held.text.push_str(&writer.next_token());
+                self.counters.decoded_tokens += 1;
+            }
+            if token_count(&held.text) >= held.max_tokens {
+                ended.push(id.clone());
+            }
+        }
+        for id in ended {
+            self.finish(id);
+        }
+    }
+
+    fn finish(&mut self, id: String) {
+        let Some(held) = self.held.remove(&id) else {
+            return;
+        };
+        self.finished.insert(
+            id,
+            Finished {
+                owner: held.owner,
+                text: held.text,
+                reader: held.reader,
+                arrival: held.arrival,
+            },
+        );
+        if self.finished.len() > KEPT_FINISHED {
+            let oldest = self.finished.iter().min_by_key(|(_, finished)| finished.arrival);
+            let oldest = oldest.map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.finished.remove(&id));
+        }
+    }
+
+    pub(crate) fn next_tokens(&self, id: &str, reader: u64, index: u64) -> Next {
+        if let Some(finished) = self.finished.get(id) {
+            if finished.reader != reader {
+                return Next::TakenOver;
+            }
+            return Next::Tokens {
+                texts: tokens_from(&finished.text, index),
+                done: Some(token_count(&finished.text)),
+            };
+        }
+        let Some(held) = self.held.get(id) else {
+            return Next::Gone;
+        };
+        if held.reader != reader {
+            return Next::TakenOver;
+        }
+        let texts = tokens_from(&held.text, index);
+        if texts.is_empty() {
+            return Next::Wait;
+        }
+        Next::Tokens { texts, done: None }
+    }
+
+    /// Releases what is held for a request; false if nothing was, or for another owner.
+    pub(crate) fn cancel(&mut self, id: &str, owner: &Owner) -> bool {
+        if self.held.get(id).is_none_or(|held| held.owner != *owner) {
+            return false;
+        }
+        let Some(held) = self.held.remove(id) else {
+            return false;
+        };
+        match held.stage {
+            Stage::Prefilled | Stage::Exporting => self.counters.cancelled_tokens += held.prompt_tokens,
+            Stage::Imported => self.counters.unused_tokens += held.prompt_tokens,
+            Stage::Decoding => self.counters.unread_tokens += token_count(&held.text),
+            Stage::Queued | Stage::Prefilling | Stage::Importing => {}
+        }
+        true
+    }
+}
+
+fn tokens_from(text: &str, index: u64) -> Vec<String> {
+    let from = usize::try_from(index)
+        .unwrap_or(usize::MAX)
+        .saturating_mul(TOKEN_BYTES);
+    let rest = text.get(from..).unwrap_or_default();
+    (0..rest.len())
+        .step_by(TOKEN_BYTES)
+        .map(|at| rest[at..at + TOKEN_BYTES].to_owned())
+        .collect()
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,2 +1,57 @@
-//! Placeholder.
-fn main() {}
+//! Runs a plan of stand-ins in one process until it is told to stop.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::Context;
+use gumdrop::Options;
+use hibiscusvale_standins::plan::Plan;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[derive(Debug, Options)]
+struct Arguments {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "TOML file that says what to run", required)]
+    plan: PathBuf,
+    #[options(help = "JSON file to write the addresses to")]
+    addresses: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match run(&Arguments::parse_args_default_or_exit()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hibiscusvale-standins: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> anyhow::Result<()> {
+    let text = std::fs::read_to_string(&arguments.plan)
+        .with_context(|| format!("could not read {}", arguments.plan.display()))?;
+    let plan: Plan = toml::from_str(&text).context("could not understand the plan")?;
+    let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
+    runtime.block_on(serve(plan, arguments.addresses.as_deref()))
+}
+
+async fn serve(plan: Plan, addresses: Option<&Path>) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("could not wait for signals")?;
+    let running = plan.start().await.context("could not start the stand-ins")?;
+    if let Some(path) = addresses {
+        write_whole(path, &serde_json::to_vec_pretty(&running.addresses)?)?;
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    Ok(())
+}
+
+/// Writes the file under another name first, so that a reader who waits for it never sees half of it.
+fn write_whole(path: &Path, bytes: &[u8]) -> anyhow::Result<()> {
+    let partial = path.with_extension("partial");
+    std::fs::write(&partial, bytes).with_context(|| format!("could not write {}", partial.display()))?;
+    std::fs::rename(&partial, path).with_context(|| format!("could not write {}", path.display()))
+}
--- /dev/null
+++ b/crates/standins/tests/standins/engine.rs
@@ -0,0 +1,174 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hibiscusvale_standins::client::{call, post_json};
+use hibiscusvale_standins::engine::Role;
+use hibiscusvale_standins::text::expected_answer;
+use hibiscusvale_standins::{Engine, EngineHandle, EngineSettings, Steer};
+use http::{Method, StatusCode};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+const PROMPT: &str = "the dog is in the kitchen, the key under the third stone";
+
+async fn engine(role: Role, evict_after_ms: u64) -> EngineHandle {
+    let settings = EngineSettings {
+        role,
+        slots: 1,
+        evict_after_ms,
+        ..EngineSettings::default()
+    };
+    Engine::start(settings).await.unwrap()
+}
+
+fn named(id: &str) -> Value {
+    json!({"request_id": id, "owner": {"host": "entry-1", "incarnation": "0a"}})
+}
+
+fn with(mut base: Value, more: &Value) -> Value {
+    let fields = base.as_object_mut().unwrap();
+    fields.extend(more.as_object().unwrap().clone());
+    base
+}
+
+async fn post(address: SocketAddr, path: &str, body: &Value) -> (StatusCode, Bytes) {
+    let bytes = Bytes::from(body.to_string());
+    call(address, Method::POST, path, bytes).await.unwrap()
+}
+
+async fn prefill(engine: &EngineHandle, id: &str) -> Value {
+    let body = with(named(id), &json!({"model": "small", "prompt": PROMPT}));
+    post_json(engine.address, "/engine/prefill", &body).await.unwrap()
+}
+
+async fn import(to: &EngineHandle, from: &EngineHandle, id: &str) -> StatusCode {
+    let body = with(named(id), &json!({"model": "small", "source": from.address}));
+    post(to.address, "/engine/import", &body).await.0
+}
+
+async fn decode(engine: &EngineHandle, id: &str, from_index: u64) -> String {
+    let body = with(named(id), &json!({"max_tokens": 8, "from_index": from_index}));
+    let (status, lines) = post(engine.address, "/engine/decode", &body).await;
+    assert_eq!(status, StatusCode::OK);
+    let lines = String::from_utf8(lines.to_vec()).unwrap();
+    let values = lines
+        .lines()
+        .map(|line| serde_json::from_str::<Value>(line).unwrap());
+    values
+        .filter_map(|value| value["text"].as_str().map(str::to_owned))
+        .collect()
+}
+
+#[tokio::test]
+async fn whole_path_writes_the_expected_answer_and_holds_nothing_after() {
+    let source = engine(Role::Prefill, 10_000).await;
+    let target = engine(Role::Decode, 10_000).await;
+    let answer = prefill(&source, "r1").await;
+    assert_eq!(answer["prompt_tokens"], 14);
+    assert_eq!(import(&target, &source, "r1").await, StatusCode::OK);
+    source.wait_empty().await;
+    assert_eq!(decode(&target, "r1", 0).await, expected_answer(PROMPT, 8));
+    target.wait_empty().await;
+    assert_eq!(decode(&target, "r1", 3).await, expected_answer(PROMPT, 8)[12..]);
+}
+
+#[tokio::test]
+async fn prompt_with_tokens_so_far_is_continued_as_before() {
+    let whole = expected_answer(PROMPT, 8);
+    let so_far = format!("{PROMPT}{}", &whole[..12]);
+    assert_eq!(expected_answer(&so_far, 5), whole[12..]);
+}
+
+/// A prefill result is evicted before anybody imports it. The import is refused, and the work counts as
+/// thrown away.
+#[tokio::test]
+async fn late_import_finds_the_result_gone() {
+    let source = engine(Role::Prefill, 1).await;
+    let target = engine(Role::Decode, 1).await;
+    prefill(&source, "r1").await;
+    source.wait_empty().await;
+    assert_eq!(import(&target, &source, "r1").await, StatusCode::GONE);
+    assert_eq!(source.state().counters.evicted_tokens, 14);
+    assert!(target.state().held.is_empty());
+}
+
+#[tokio::test]
+async fn second_import_is_refused_while_the_one_slot_is_taken() {
+    let source = engine(Role::Prefill, 10_000).await;
+    let target = engine(Role::Decode, 10_000).await;
+    prefill(&source, "r1").await;
+    prefill(&source, "r2").await;
+    assert_eq!(import(&target, &source, "r1").await, StatusCode::OK);
+    assert_eq!(
+        import(&target, &source, "r2").await,
+        StatusCode::TOO_MANY_REQUESTS
+    );
+    assert_eq!(target.state().counters.slot_refusals, 1);
+}
+
+#[tokio::test]
+async fn cancel_by_owner_releases_only_that_owner() {
+    let source = engine(Role::Prefill, 10_000).await;
+    prefill(&source, "r1").await;
+    let other = json!({"owner": {"host": "entry-2", "incarnation": "0b"}});
+    let owner = json!({"owner": {"host": "entry-1", "incarnation": "0a"}});
+    let none: Value = post_json(source.address, "/engine/cancel_owner", &other)
+        .await
+        .unwrap();
+    assert_eq!(none["released"], 0);
+    let one: Value = post_json(source.address, "/engine/cancel_owner", &owner)
+        .await
+        .unwrap();
+    assert_eq!(one["released"], 1);
+    assert_eq!(source.state().counters.cancelled_tokens, 14);
+}
+
+/// The reply to a prefill is lost after the work was done. The caller asks again and gets the same result,
+/// without a second prefill.
+#[tokio::test]
+async fn lost_reply_can_be_asked_again() {
+    let source = engine(Role::Prefill, 10_000).await;
+    source.steer(&Steer {
+        lose_replies: Some(1),
+        ..Steer::default()
+    });
+    let body = with(named("r1"), &json!({"model": "small", "prompt": PROMPT}));
+    let lost = call(
+        source.address,
+        Method::POST,
+        "/engine/prefill",
+        body.to_string().into(),
+    )
+    .await;
+    assert!(lost.is_err(), "the reply came although it was to be lost");
+    prefill(&source, "r1").await;
+    assert_eq!(source.state().counters.prefill_tokens, 14);
+}
+
+#[rstest]
+#[case::checks(true, StatusCode::CONFLICT)]
+#[case::ignores(false, StatusCode::OK)]
+#[tokio::test]
+async fn old_fencing_number_is_refused_only_by_engines_that_check(
+    #[case] checks_fencing: bool,
+    #[case] expected: StatusCode,
+) {
+    let settings = EngineSettings {
+        checks_fencing,
+        ..EngineSettings::default()
+    };
+    let engine = Engine::start(settings).await.unwrap();
+    let order = |id: &str, fencing: u64| json!({"order_id": id, "fencing": fencing, "expires_in_ms": 1000, "kind": {"unload": "small"}});
+    assert_eq!(
+        post(engine.address, "/engine/order", &order("a", 7)).await.0,
+        StatusCode::OK
+    );
+    assert_eq!(
+        post(engine.address, "/engine/order", &order("b", 6)).await.0,
+        expected
+    );
+    assert_eq!(
+        post(engine.address, "/engine/order", &order("a", 7)).await.0,
+        StatusCode::OK
+    );
+}
--- /dev/null
+++ b/crates/standins/tests/standins/main.rs
@@ -0,0 +1,4 @@
+//! The stand-ins keep to `docs/INTERFACES.md` and to the failures that they are steered into.
+
+mod engine;
+mod platform;
