Claim keys on the log before a request that must not repeat runs

Cause: callers retry at any host, hosts are replaced, and daemons differ on membership, so no daemon's memory alone can say that a key is new.

Change: a key belongs to one of 32 partitions, each a stream of the log. The first record for a key in the stream's order wins, whoever appended it; the usual appender of a partition, chosen by rendezvous hashing, only groups. A group is decided when the fold has passed its own offset; where the group lands right behind the fold nothing has to be read back. A lost append reply is read back, never guessed. A refused caller's key is freed on the log.

Ruled out: an owner in memory alone (two owners run a key twice when they differ on membership); one stream (one daemon would read every claim); a record for each end of a request (doubles the appends, and the daemon that ran the request knows the end anyway).

--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,8 @@
 //! This crate carries out what `hibiscusvale-core` decides: the edges towards callers, backend servers, the
 //! platform, operators and the other daemons, and the services around the decision logic.
 
+pub mod claims;
+pub mod clock;
 pub mod kernel;
 pub mod logging;
 pub mod metrics;
