Serve one request of each kind from start to finish

Cause: nothing was served yet. Change: the callers' edge (HTTP/1.1 and 2), calls to engines and plain services, the directory of backend servers, a dispatcher that resumes broken streams by index and repeats releases until confirmed, and the daemon around them. Placement is random for now and classes are not yet checked.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -226,6 +226,35 @@
     }
 }
 
+/// One try at a request on backend servers. Engines know requests by it, so that a cancellation or an answer
+/// that belongs to an abandoned try cannot touch a later one.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct AttemptId {
+    /// The request.
+    pub request_id: RequestId,
+    /// Counts the tries from zero.
+    pub attempt: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.request_id, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = ParseIdError::Number { kind: "attempt id" };
+        let (request_id, attempt) = text.split_once('.').ok_or_else(|| error.clone())?;
+        Ok(Self {
+            request_id: request_id.parse()?,
+            attempt: attempt.parse().map_err(|_| error)?,
+        })
+    }
+}
+
 /// Position of a record in a stream of the platform's log.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct Offset(pub u64);
--- /dev/null
+++ b/crates/daemon/src/cmd/run.rs
@@ -0,0 +1,34 @@
+//! `hibiscusvaled run FILE`.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use hibiscusvale::daemon::{Daemon, Edges, new_incarnation};
+use hibiscusvale::settings::Settings;
+
+use crate::signals::{self, Stop};
+
+/// Runs the daemon until it is told to stop.
+#[derive(Debug, Options)]
+pub struct Run {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "settings file")]
+    file: PathBuf,
+}
+
+impl Run {
+    /// Returns after a graceful stop; a second signal ends the process at once.
+    pub fn run(self) -> anyhow::Result<()> {
+        let settings = Settings::load(&self.file)?;
+        let incarnation = new_incarnation();
+        let edges = Edges::new(&settings, incarnation);
+        let signals = signals::watch()?;
+        let daemon = Daemon::start(&settings, edges, incarnation)?;
+        println!("{{\"callers\":\"{}\"}}", daemon.callers_address());
+        let Stop::Graceful = signals.wait();
+        signals.end_at_once_on_the_next();
+        daemon.stop();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/backend/http.rs
@@ -0,0 +1,133 @@
+//! HTTP calls to backend servers, and what a failed call proves.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// A host that does not answer a connection attempt within this is as good as gone: the slowest link inside
+/// a region takes 3 ms, between regions some 300 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A pooled connection idle for longer is closed. What sits between two ends forgets idle connections
+/// silently, and a request written into such a one is never answered; a short life makes that rare.
+const POOL_IDLE: Duration = Duration::from_secs(2);
+
+/// Why a call failed, sorted by what is known of its effect.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, thiserror::Error)]
+pub enum CallFailure {
+    /// No connection came about, so no byte was written: the request did not run.
+    #[error("no connection")]
+    NotSent,
+    /// The connection broke after the request may have been written.
+    #[error("connection broken")]
+    Broken,
+    /// No answer in time.
+    #[error("no answer in time")]
+    Timeout,
+    /// An answer that does not fit the interface.
+    #[error("answer not understood")]
+    Malformed,
+}
+
+/// Which connection a call may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trust {
+    /// Any idle connection. For calls that may be asked again.
+    Pooled,
+    /// A connection of its own. For calls that may not be repeated, and for asking again when a pooled
+    /// connection may have gone silent.
+    Fresh,
+}
+
+/// HTTP client towards backend servers.
+#[derive(Clone, Debug)]
+pub struct BackendHttp {
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    fresh: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for BackendHttp {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl BackendHttp {
+    /// Makes a client with an empty pool.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let build = |idle_connections: usize| {
+            Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(POOL_IDLE)
+                .pool_max_idle_per_host(idle_connections)
+                // The library would send a request again that a closing connection may have carried.
+                // Only this project's own rules may repeat a request.
+                .retry_canceled_requests(false)
+                .build(connector.clone())
+        };
+        Self {
+            pooled: build(usize::MAX),
+            fresh: build(0),
+        }
+    }
+
+    /// Sends `request` and waits up to `timeout` for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// A [`CallFailure`]; only [`CallFailure::NotSent`] proves that the request did not run.
+    pub async fn send(
+        &self,
+        trust: Trust,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<Incoming>, CallFailure> {
+        let client = match trust {
+            Trust::Pooled => &self.pooled,
+            Trust::Fresh => &self.fresh,
+        };
+        match tokio::time::timeout(timeout, client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(CallFailure::NotSent),
+            Ok(Err(_)) => Err(CallFailure::Broken),
+            Err(_) => Err(CallFailure::Timeout),
+        }
+    }
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+///
+/// [`CallFailure::Timeout`], or [`CallFailure::Broken`] when it ends early or is larger.
+pub async fn read_body(body: Incoming, limit_bytes: usize, timeout: Duration) -> Result<Bytes, CallFailure> {
+    match tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(_)) => Err(CallFailure::Broken),
+        Err(_) => Err(CallFailure::Timeout),
+    }
+}
+
+/// The address of a call as the library wants it.
+///
+/// # Errors
+///
+/// [`CallFailure::Malformed`] when the path is not one.
+pub fn uri(to: SocketAddr, path: &str) -> Result<Uri, CallFailure> {
+    Uri::builder()
+        .scheme("http")
+        .authority(to.to_string())
+        .path_and_query(path)
+        .build()
+        .map_err(|_| CallFailure::Malformed)
+}
--- /dev/null
+++ b/crates/router/src/backend/mod.rs
@@ -0,0 +1,12 @@
+//! The edges towards backend servers: model engines and plain services.
+
+mod engine;
+mod http;
+mod plain;
+
+pub use engine::{
+    DecodeCall, EngineEdge, EngineFailure, EngineLoad, HeldRequest, HeldStage, HttpEngines, ImportCall,
+    Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
+};
+pub use http::{BackendHttp, CallFailure, Trust, read_body, uri};
+pub use plain::{HttpPlain, PlainCall, PlainEdge, PlainFailure, PlainReply};
--- /dev/null
+++ b/crates/router/src/callers/head.rs
@@ -0,0 +1,75 @@
+//! What the router reads from a request's head.
+
+use hibiscusvale_core::ids::{ClassName, IdempotencyKey, PartnerId};
+use http::HeaderMap;
+
+use super::refusal::{Refusal, RefusalReason};
+
+const CLASS_HEADER: &str = "x-class";
+const KEY_HEADER: &str = "idempotency-key";
+const ORGANISATION_HEADER: &str = "x-organisation";
+const REPEATABLE_HEADER: &str = "x-repeatable";
+const TICKET_HEADER: &str = "x-ticket";
+
+/// Headers of the router's own, read once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Head {
+    /// Class of work.
+    pub class: ClassName,
+    /// Organisation the work is for, where it is not the partner itself.
+    pub organisation: Option<PartnerId>,
+    /// The caller's key.
+    pub key: Option<IdempotencyKey>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// A ticket given before, as text.
+    pub ticket: Option<String>,
+}
+
+impl Head {
+    /// Reads the headers.
+    ///
+    /// # Errors
+    ///
+    /// A refusal when a header is there and not understood, or there is no class. A header that is ignored
+    /// because it is misspelt could make a request that must run once run twice.
+    pub fn read(headers: &HeaderMap) -> Result<Self, Refusal> {
+        let class = parse(headers, CLASS_HEADER)?.ok_or(Refusal::not_run(RefusalReason::UnknownClass))?;
+        let key = parse(headers, KEY_HEADER)?;
+        let marked = match text(headers, REPEATABLE_HEADER)? {
+            None => None,
+            Some("true") => Some(true),
+            Some("false") => Some(false),
+            Some(_) => return Err(Refusal::not_run(RefusalReason::BadHeader)),
+        };
+        Ok(Self {
+            class,
+            organisation: parse(headers, ORGANISATION_HEADER)?,
+            repeatable: marked.unwrap_or(key.is_none()),
+            key,
+            ticket: text(headers, TICKET_HEADER)?.map(str::to_owned),
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let bad = Refusal::not_run(RefusalReason::BadHeader);
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad);
+    }
+    value.to_str().map(Some).map_err(|_| bad)
+}
+
+fn parse<Value>(headers: &HeaderMap, name: &str) -> Result<Option<Value>, Refusal>
+where
+    Value: std::str::FromStr,
+{
+    text(headers, name)?
+        .map(str::parse)
+        .transpose()
+        .map_err(|_| Refusal::not_run(RefusalReason::BadHeader))
+}
--- /dev/null
+++ b/crates/router/src/callers/listener.rs
@@ -0,0 +1,180 @@
+//! Accepts callers' connections and lets them end in their own time.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdTcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hibiscusvale_core::units::{Bytes, Millis};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tower::{BoxError, ServiceBuilder, ServiceExt};
+
+use super::refusal::{Refusal, RefusalReason};
+use super::response::AnswerBody;
+use super::service::{CallerService, CallerState};
+
+/// Streams that one HTTP/2 connection may have open. The balancer in front opens few connections with many
+/// requests each; beyond this a single connection could hold all that a host can do.
+const STREAMS_PER_CONNECTION: u32 = 512;
+
+/// Streams that a connection may reset before they were accepted. A caller that opens and resets streams in a
+/// flood costs work that nobody sees; past this its connection is closed and no other is touched.
+const PENDING_RESETS: usize = 32;
+
+/// Pause after the system refused a new connection, mostly for want of descriptors: trying again at once
+/// would take the thread from those who are being served.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long an idle HTTP/2 connection may leave a ping unanswered. Connections go silent for good when
+/// something in between loses track of them; they would hold their memory for ever.
+const PING_INTERVAL: Duration = Duration::from_secs(15);
+
+/// Bounds of the listener.
+#[derive(Clone, Debug)]
+pub struct ListenerSettings {
+    /// Requests in work at a time; more are refused as overloaded.
+    pub in_flight: usize,
+    /// Largest request head.
+    pub head_bytes: Bytes,
+    /// Time for a request head to arrive.
+    pub head_timeout_ms: Millis,
+}
+
+impl Default for ListenerSettings {
+    fn default() -> Self {
+        Self {
+            in_flight: 4_096,
+            head_bytes: Bytes(32 << 10),
+            head_timeout_ms: Millis(5_000),
+        }
+    }
+}
+
+/// A bound socket that is not yet served.
+#[derive(Debug)]
+pub struct Listener {
+    socket: StdTcpListener,
+    settings: ListenerSettings,
+}
+
+impl Listener {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    pub fn bind(address: SocketAddr, settings: ListenerSettings) -> io::Result<Self> {
+        let socket = StdTcpListener::bind(address)?;
+        socket.set_nonblocking(true)?;
+        Ok(Self { socket, settings })
+    }
+
+    /// The address that was bound.
+    ///
+    /// # Errors
+    ///
+    /// The system's error.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Serves until `stop` fires, then takes no new connection, asks callers to go elsewhere with their next
+    /// request, and returns when the last answer has ended.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when the socket cannot be handed to the runtime.
+    pub async fn serve(self, state: Arc<CallerState>, stop: CancellationToken) -> io::Result<()> {
+        let socket = TcpListener::from_std(self.socket.try_clone()?)?;
+        let builder = self.connection_builder();
+        let graceful = GracefulShutdown::new();
+        let overloaded = Arc::clone(&state);
+        let service = ServiceBuilder::new()
+            .map_result(move |result| Ok::<_, BoxError>(shed(&overloaded, result)))
+            .load_shed()
+            .layer(tower::limit::GlobalConcurrencyLimitLayer::new(
+                self.settings.in_flight,
+            ))
+            .service(CallerService::new(state));
+        loop {
+            let accepted = tokio::select! {
+                accepted = socket.accept() => accepted,
+                () = stop.cancelled() => break,
+            };
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let service = TowerToHyperService::new(service.clone().boxed_clone());
+            spawn_connection(&builder, &graceful, stream, service);
+        }
+        // Both handles go, so that a connection attempt is refused at once and the caller asks another host.
+        drop(socket);
+        drop(self.socket);
+        graceful.shutdown().await;
+        Ok(())
+    }
+
+    fn connection_builder(&self) -> auto::Builder<TokioExecutor> {
+        let head_bytes = usize::try_from(self.settings.head_bytes.0).unwrap_or(usize::MAX);
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from(self.settings.head_timeout_ms))
+            .max_buf_size(head_bytes.max(MIN_HTTP1_BUFFER_BYTES));
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .keep_alive_interval(PING_INTERVAL)
+            .max_concurrent_streams(STREAMS_PER_CONNECTION)
+            .max_pending_accept_reset_streams(PENDING_RESETS)
+            .max_header_list_size(u32::try_from(head_bytes).unwrap_or(u32::MAX));
+        builder
+    }
+}
+
+/// The library panics below this.
+const MIN_HTTP1_BUFFER_BYTES: usize = 8_192;
+
+type CallerResult = Result<Response<AnswerBody>, BoxError>;
+
+/// Turns the limiter's error into an ordinary refusal: the request did not run.
+fn shed(state: &CallerState, result: CallerResult) -> Response<AnswerBody> {
+    result.unwrap_or_else(|_| {
+        Refusal::not_run(RefusalReason::Overloaded)
+            .retry_after(Millis(1_000))
+            .into_response(state.next_id())
+    })
+}
+
+fn spawn_connection<Inner>(
+    builder: &auto::Builder<TokioExecutor>,
+    graceful: &GracefulShutdown,
+    stream: TcpStream,
+    service: TowerToHyperService<Inner>,
+) where
+    Inner: tower::Service<Request<Incoming>, Response = Response<AnswerBody>, Error = BoxError>
+        + Clone
+        + Send
+        + 'static,
+    Inner::Future: Send,
+{
+    // Tokens are small and must not wait for a full segment.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let connection = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .into_owned();
+    let watched = graceful.watch(connection);
+    // An error here is the caller's connection breaking; what it was owed is released by the request's task.
+    tokio::spawn(watched);
+}
--- /dev/null
+++ b/crates/router/src/callers/mod.rs
@@ -0,0 +1,18 @@
+//! The edge towards callers: HTTP/1.1 and HTTP/2 on one port.
+
+mod auth;
+mod head;
+mod language;
+mod listener;
+mod plain;
+mod refusal;
+mod response;
+mod service;
+
+pub use auth::Tokens as PartnerTokens;
+pub use language::{LanguageRequest, Shape};
+pub use listener::{Listener, ListenerSettings};
+pub use plain::PlainRequest;
+pub use refusal::{Outcome, Refusal, RefusalReason};
+pub use response::{AnswerBody, BodyBroken};
+pub use service::{CallerService, CallerState};
--- /dev/null
+++ b/crates/router/src/directory.rs
@@ -0,0 +1,217 @@
+//! Which backend servers there are: the platform's list, and the signs that servers themselves gave since.
+//!
+//! The list lags by some seconds. A server that refuses work because it is leaving is believed at once, here
+//! and on the daemons that are told, so that no new work reaches it while the list still calls it live.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, ModelId, RegionId};
+use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::platform::{EngineRole, HostList, HostListPage, ListedHost, ListedKind, ListedState};
+
+/// How long the list may hold back its answer when nothing changed.
+const LIST_WAIT_MS: Millis = Millis(5_000);
+
+/// Pause after a failed read of the list; the list changes some thousand times a day at most.
+const LIST_RETRY: Duration = Duration::from_secs(1);
+
+/// How long a leaving sign is believed over a list that still says live. The list lags by seconds; a server
+/// that was restarted under the same name within this time waits for its first work that much longer.
+const LEAVING_SIGN_MS: Millis = Millis(30_000);
+
+/// What a backend server is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BackendKind {
+    /// A model engine.
+    Engine {
+        /// What it does.
+        role: EngineRole,
+        /// Models loaded.
+        models: Vec<ModelId>,
+        /// Decode slots.
+        slots_total: u32,
+        /// Rate of its transfer link.
+        link_bytes_per_s: BytesPerSecond,
+        /// Whether it refuses old fencing numbers.
+        checks_fencing: bool,
+    },
+    /// An instance of a plain service.
+    Plain {
+        /// The service.
+        service: String,
+        /// Requests that it takes at a time.
+        capacity: u32,
+    },
+}
+
+/// A backend server as the list has it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BackendServer {
+    /// Its name.
+    pub id: BackendServerId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its region.
+    pub region: RegionId,
+    /// Whether the list calls it live.
+    pub listed: ListedState,
+    /// What it is.
+    pub kind: BackendKind,
+}
+
+/// An entry host as the list has it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntryHost {
+    /// Its name.
+    pub id: HostId,
+    /// Where its daemon takes messages of others.
+    pub peer_address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Its region.
+    pub region: RegionId,
+    /// Whether the list calls it live.
+    pub listed: ListedState,
+}
+
+/// The list at one version.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// Version of the list; zero before the first read.
+    pub version: u64,
+    /// Backend servers by name.
+    pub servers: HashMap<BackendServerId, Arc<BackendServer>>,
+    /// Entry hosts.
+    pub entry_hosts: Vec<EntryHost>,
+}
+
+impl Listing {
+    /// Builds the listing from what the platform answered.
+    pub fn new(version: u64, entries: Vec<ListedHost>) -> Self {
+        let mut listing = Self {
+            version,
+            ..Self::default()
+        };
+        for entry in entries {
+            listing.add(entry);
+        }
+        listing
+    }
+
+    fn add(&mut self, entry: ListedHost) {
+        let kind = match entry.kind {
+            ListedKind::Entry => return self.add_entry_host(entry),
+            ListedKind::Engine => BackendKind::Engine {
+                role: entry.role.unwrap_or(EngineRole::Decode),
+                models: entry.models,
+                slots_total: entry.slots_total,
+                link_bytes_per_s: entry.link_bytes_per_s,
+                checks_fencing: entry.checks_fencing,
+            },
+            ListedKind::Plain => BackendKind::Plain {
+                service: entry.service.unwrap_or_default(),
+                capacity: entry.slots_total,
+            },
+        };
+        let server = BackendServer {
+            id: entry.id,
+            address: entry.address,
+            data_centre: entry.data_centre,
+            region: entry.region,
+            listed: entry.state,
+            kind,
+        };
+        self.servers.insert(server.id.clone(), Arc::new(server));
+    }
+
+    fn add_entry_host(&mut self, entry: ListedHost) {
+        let (Some(peer_address), Ok(id)) = (entry.peer_address, entry.id.as_str().parse()) else {
+            return;
+        };
+        self.entry_hosts.push(EntryHost {
+            id,
+            peer_address,
+            data_centre: entry.data_centre,
+            region: entry.region,
+            listed: entry.state,
+        });
+    }
+}
+
+/// The listing and the signs, shared by control and traffic.
+#[derive(Debug, Default)]
+pub struct Directory {
+    listing: ArcSwap<Listing>,
+    version: watch::Sender<u64>,
+    signs_until_us: Mutex<HashMap<BackendServerId, MonoTime>>,
+}
+
+impl Directory {
+    /// The listing of this moment.
+    pub fn listing(&self) -> Arc<Listing> {
+        self.listing.load_full()
+    }
+
+    /// Puts a new listing in force, unless an older one arrives late.
+    pub fn adopt(&self, listing: Listing) {
+        if listing.version >= self.listing.load().version {
+            let version = listing.version;
+            self.listing.store(Arc::new(listing));
+            self.version.send_replace(version);
+        }
+    }
+
+    /// Waits for the first listing. Until then the daemon knows no backend server and is not ready.
+    pub async fn known(&self) {
+        // The sender lives as long as `self`, so the wait ends with a listing only.
+        let _ = self.version.subscribe().wait_for(|version| *version > 0).await;
+    }
+
+    /// Notes that a server said, or was seen, to be leaving. Returns whether that was news.
+    pub fn note_leaving(&self, now_us: MonoTime, server: &BackendServerId) -> bool {
+        let mut signs = self.signs_until_us.lock();
+        signs.retain(|_, until_us| *until_us > now_us);
+        signs.insert(server.clone(), now_us + LEAVING_SIGN_MS).is_none()
+    }
+
+    /// Whether a server may get new work.
+    pub fn takes_work(&self, now_us: MonoTime, server: &BackendServer) -> bool {
+        if server.listed == ListedState::Leaving {
+            return false;
+        }
+        self.signs_until_us
+            .lock()
+            .get(&server.id)
+            .is_none_or(|until_us| *until_us <= now_us)
+    }
+}
+
+/// Follows the platform's list for as long as the daemon runs. While the list cannot be read the last one
+/// stays in force: a data centre cut off from the platform goes on with the servers it knows.
+pub async fn follow<List>(list: Arc<List>, directory: Arc<Directory>)
+where
+    List: HostList + ?Sized,
+{
+    loop {
+        let known = directory.listing().version;
+        match list.read(known, LIST_WAIT_MS).await {
+            Ok(HostListPage {
+                version,
+                entries: Some(entries),
+            }) => {
+                directory.adopt(Listing::new(version, entries));
+            }
+            Ok(HostListPage { entries: None, .. }) => {}
+            Err(_) => tokio::time::sleep(LIST_RETRY).await,
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,8 +3,12 @@
 //! This crate carries out what `hibiscusvale-core` decides: the edges towards callers, backend servers, the
 //! platform, operators and the other daemons, and the services around the decision logic.
 
-pub mod claims;
+pub mod backend;
+pub mod callers;
 pub mod clock;
+pub mod daemon;
+pub mod directory;
+pub mod dispatch;
 pub mod kernel;
 pub mod logging;
 pub mod metrics;
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -1,5 +1,7 @@
 //! The platform's services, each behind one trait: the append-only log, the host list, the weight store.
 
+mod host_list;
+
 use std::fmt::Debug;
 use std::net::SocketAddr;
 
@@ -9,6 +11,8 @@
 use hibiscusvale_core::units::{Bytes as ByteCount, BytesPerSecond, Millis};
 use serde::{Deserialize, Serialize};
 
+pub use host_list::HttpHostList;
+
 /// A stream of the platform's log. The set is closed: each user of the log is named here, and so is counted
 /// in `docs/CAPACITY.md`.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -202,11 +202,16 @@
 pub struct TrafficSettings {
     /// Number of threads.
     pub threads: usize,
+    /// Time between readiness failing and the listener closing, for the balancer to notice.
+    pub ready_grace_ms: Millis,
 }
 
 impl Default for TrafficSettings {
     fn default() -> Self {
-        Self { threads: 2 }
+        Self {
+            threads: 2,
+            ready_grace_ms: Millis(3_000),
+        }
     }
 }
 
--- a/crates/router/tests/claims/main.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! The claims service over a log in memory.
-
-mod fake;
-mod service;
--- /dev/null
+++ b/crates/standins/tests/e2e/main.rs
@@ -0,0 +1,4 @@
+//! The whole path over sockets: daemons in front of stand-ins, all in this process, ports from the kernel.
+
+mod path;
+mod world;
--- /dev/null
+++ b/crates/standins/tests/e2e/path.rs
@@ -0,0 +1,139 @@
+//! One request of each kind from start to finish.
+
+use bytes::Bytes;
+use hibiscusvale_standins::Steer;
+use hibiscusvale_standins::text;
+use http_body_util::Full;
+
+use crate::world::{Caller, SMALL_PLAN, World, stop, streamed_text};
+
+const PROMPT: &str = "The client keeps a large dog and is allergic to bleach.";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_completion_is_answered_whole_and_streamed() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+
+    let whole = caller.complete(PROMPT, 12, false).await;
+    assert_eq!(
+        (whole.status.as_u16(), whole.outcome()),
+        (200, "answered"),
+        "{}",
+        whole.body
+    );
+    let json: serde_json::Value = serde_json::from_str(&whole.body).expect("json");
+    assert_eq!(json["choices"][0]["text"], text::expected_answer(PROMPT, 12));
+
+    let streamed = caller.complete(PROMPT, 12, true).await;
+    assert_eq!(
+        streamed_text(&streamed.body).as_deref(),
+        Some(text::expected_answer(PROMPT, 12).as_str())
+    );
+
+    world.engines_empty().await;
+    stop(daemon).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_reaches_the_service_as_it_was_sent() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+
+    let request = caller
+        .request("POST", "/booking/new?flat=7")
+        .header("idempotency-key", "flat-7")
+        .body(Full::new(Bytes::from_static(b"{\"cleaner\":\"Amal\"}")))
+        .expect("request");
+    let answer = caller.ask(request).await;
+    assert_eq!(
+        (answer.status.as_u16(), answer.outcome()),
+        (200, "answered"),
+        "{}",
+        answer.body
+    );
+
+    let ledger: Vec<_> = world
+        .standins
+        .plain
+        .iter()
+        .flat_map(|(_, plain)| plain.ledger())
+        .collect();
+    assert_eq!(ledger.len(), 1);
+    assert_eq!(ledger[0].path, "/booking/new?flat=7");
+    assert_eq!(ledger[0].idempotency_key.as_deref(), Some("flat-7"));
+    stop(daemon).await;
+}
+
+/// Something between router and engine forgets the connection in the middle of an answer. The caller notices a
+/// pause; its bytes are the same as without the failure.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_connection_went_silent_is_resumed_by_index() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+
+    let asked = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.complete(PROMPT, 40, true).await }
+    });
+    for (name, engine) in &world.standins.engines {
+        if name.starts_with("decode") {
+            let engine = engine.clone();
+            tokio::spawn(async move {
+                engine.wait_until(|state| !state.held.is_empty()).await;
+                engine.steer(&Steer {
+                    silence: true,
+                    ..Steer::default()
+                });
+            });
+        }
+    }
+    let answer = asked.await.expect("answer");
+    assert_eq!(
+        streamed_text(&answer.body).as_deref(),
+        Some(text::expected_answer(PROMPT, 40).as_str())
+    );
+    world.engines_empty().await;
+    stop(daemon).await;
+}
+
+/// A family closes the page while its answer is being written. Unless the engine is told, it goes on holding a
+/// slot for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_memory_is_released_when_the_caller_leaves() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+
+    let body = serde_json::json!({"model": "small", "prompt": PROMPT, "max_tokens": 4000, "stream": true});
+    let response = caller.send(caller.completion(&body)).await;
+    assert_eq!(response.status().as_u16(), 200);
+    drop(response);
+    drop(caller);
+    world.engines_empty().await;
+    stop(daemon).await;
+}
+
+/// The host is told to stop while an answer is being written. The caller still gets all of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_stop_cuts_off_no_stream() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+
+    let asked = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.complete(PROMPT, 40, true).await }
+    });
+    world.decoding().await;
+    stop(daemon).await;
+    let answer = asked.await.expect("answer");
+    assert!(answer.whole);
+    assert_eq!(
+        streamed_text(&answer.body).as_deref(),
+        Some(text::expected_answer(PROMPT, 40).as_str())
+    );
+    world.engines_empty().await;
+}
--- /dev/null
+++ b/crates/standins/tests/e2e/world.rs
@@ -0,0 +1,193 @@
+//! Stand-ins, daemons and a caller for the tests.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hibiscusvale::daemon::{Daemon, Edges, new_incarnation};
+use hibiscusvale::settings::{Settings, TokenHash};
+use hibiscusvale_standins::plan::{Plan, Running};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+/// Bearer token of the partner `nadifa`.
+pub const TOKEN: &str = "nadifa-token";
+
+/// One data centre with two engines of each role and two instances of a plain service.
+pub const SMALL_PLAN: &str = r#"
+    [[engines]]
+    place = {name = "prefill", data_centre = "casa-1", region = "ma-north", partner = "nadifa", count = 2}
+    settings = {role = "prefill"}
+    [[engines]]
+    place = {name = "decode", data_centre = "casa-1", region = "ma-north", partner = "nadifa", count = 2}
+    settings = {role = "decode"}
+    [[plain]]
+    place = {name = "booking", data_centre = "casa-1", region = "ma-north", partner = "nadifa", count = 2}
+    settings = {service = "booking"}
+"#;
+
+/// Stand-ins and the settings that point daemons at them.
+pub struct World {
+    pub standins: Running,
+}
+
+impl World {
+    pub async fn start(plan: &str) -> Self {
+        let plan: Plan = toml::from_str(plan).expect("plan");
+        Self {
+            standins: plan.start().await.expect("stand-ins"),
+        }
+    }
+
+    pub fn settings(&self, host: &str) -> Settings {
+        let addresses = &self.standins.addresses;
+        let text = format!(
+            r#"
+            host = {{id = "{host}", data_centre = "casa-1", region = "ma-north"}}
+            listen = {{callers = "127.0.0.1:0", peers = "127.0.0.1:0", operators = "127.0.0.1:0"}}
+            platform = {{log = "{}", hosts = "{}", weights = "{}"}}
+            peers = {{key = "{}"}}
+            traffic = {{threads = 2, ready_grace_ms = 0}}
+            [partners.nadifa]
+            token_hashes = ["{}"]
+            publish_key = "{}"
+            [[routes]]
+            prefix = "/booking"
+            service = "booking"
+            "#,
+            addresses.log,
+            addresses.hosts,
+            addresses.weights,
+            "ab".repeat(32),
+            blake3::Hash::from_bytes(*TokenHash::of(TOKEN).bytes()).to_hex(),
+            "cd".repeat(32),
+        );
+        Settings::parse(&text).expect("settings")
+    }
+
+    /// Starts a daemon and waits until it knows the backend servers.
+    pub async fn daemon(&self, host: &str) -> Daemon {
+        let settings = self.settings(host);
+        let incarnation = new_incarnation();
+        let daemon =
+            Daemon::start(&settings, Edges::new(&settings, incarnation), incarnation).expect("daemon");
+        daemon.ready().await;
+        daemon
+    }
+
+    /// Waits until an engine writes an answer.
+    pub async fn decoding(&self) {
+        let decoders = self
+            .standins
+            .engines
+            .iter()
+            .filter(|(name, _)| name.starts_with("decode"));
+        let waits = decoders.map(|(_, engine)| Box::pin(engine.wait_until(|state| !state.held.is_empty())));
+        futures_util::future::select_all(waits).await;
+    }
+
+    /// Waits until no engine holds anything.
+    pub async fn engines_empty(&self) {
+        for (_, engine) in &self.standins.engines {
+            engine.wait_empty().await;
+        }
+    }
+}
+
+/// Stops a daemon gracefully from inside a runtime.
+pub async fn stop(daemon: Daemon) {
+    tokio::task::spawn_blocking(move || daemon.stop())
+        .await
+        .expect("stopped");
+}
+
+/// A caller of one partner.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    to: SocketAddr,
+}
+
+/// An answer, read to its end or to where it broke off.
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn outcome(&self) -> &str {
+        self.headers
+            .get("x-outcome")
+            .map_or("", |value| value.to_str().expect("text"))
+    }
+}
+
+impl Caller {
+    pub fn new(to: SocketAddr) -> Self {
+        Self {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            to,
+        }
+    }
+
+    pub fn request(&self, method: &str, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.to))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .header("x-class", "default")
+    }
+
+    pub async fn send(&self, request: Request<Full<Bytes>>) -> Response<Incoming> {
+        self.client.request(request).await.expect("answer")
+    }
+
+    pub async fn ask(&self, request: Request<Full<Bytes>>) -> Answer {
+        let (parts, mut body) = self.send(request).await.into_parts();
+        let mut text = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame.map(hyper::body::Frame::into_data) {
+                Ok(Ok(data)) => text.extend_from_slice(&data),
+                Ok(Err(_trailers)) => {}
+                Err(_) => whole = false,
+            }
+        }
+        let body = String::from_utf8(text).expect("text");
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            whole,
+        }
+    }
+
+    pub async fn complete(&self, prompt: &str, max_tokens: u64, stream: bool) -> Answer {
+        let body = serde_json::json!({"model": "small", "prompt": prompt, "max_tokens": max_tokens, "stream": stream});
+        self.ask(self.completion(&body)).await
+    }
+
+    pub fn completion(&self, body: &serde_json::Value) -> Request<Full<Bytes>> {
+        self.request("POST", "/v1/completions")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .expect("request")
+    }
+}
+
+/// The text of a streamed answer, if it ended as a whole one.
+pub fn streamed_text(body: &str) -> Option<String> {
+    let mut text = String::new();
+    for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if line == "[DONE]" {
+            return Some(text);
+        }
+        let chunk: serde_json::Value = serde_json::from_str(line).expect("chunk");
+        text.push_str(chunk["choices"][0]["text"].as_str()?);
+    }
+    None
+}
