--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim;
 pub mod ids;
 pub mod membership;
+pub mod sched;
 pub mod slots;
 pub mod spread;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/sched/mod.rs
@@ -0,0 +1,24 @@
+//! Decisions under load for language requests: admitting, queueing, placing, retrying, refusing.
+//!
+//! One [`Scheduler`] runs in each daemon and decides for the requests that arrived there. It takes the
+//! present time and an [`Event`] and pushes [`Action`]s into a list of the caller. What several daemons
+//! share is decided by the watchers of the servers, see [`crate::slots`].
+
+mod affinity;
+mod counters;
+mod directory;
+mod events;
+mod placing;
+mod request;
+mod retry;
+mod running;
+mod scheduler;
+mod settings;
+
+pub use affinity::{AffinityIndex, CacheEvent, CacheEventKind};
+pub use counters::{Counters, FailReason, RedoCause, RefusalReason};
+pub use directory::{Directory, ServerRecord, ServerState, Sign};
+pub use events::{Action, Arrival, Attempt, Event, FailureCause, WorkStage};
+pub use retry::RetryBudget;
+pub use scheduler::Scheduler;
+pub use settings::{PrefillStart, SchedulerSettings};
--- /dev/null
+++ b/crates/core/src/sched/request.rs
@@ -0,0 +1,145 @@
+//! State of one open request.
+
+use crate::slots::{AskId, GrantPhase};
+use crate::units::{Bytes, BytesPerSecond, Millis, MonoTime, Tokens};
+
+use super::counters::RedoCause;
+use super::directory::ServerIndex;
+use super::events::{Arrival, Attempt};
+
+/// What a request is waiting for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// Its back-off to end.
+    Backoff,
+    /// A turn at a prefill server.
+    AwaitTurn,
+    /// A slot at a decode server, holding a turn.
+    AwaitSlot,
+    /// Its prompt to be read.
+    Prefilling,
+    /// Its likely slot to become free, or, if prefill started at once, any slot.
+    AwaitRoom,
+    /// Its KV cache to arrive.
+    Importing,
+    /// The rest of its answer.
+    Decoding,
+}
+
+/// An ask that was sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OpenAsk {
+    pub(super) server: ServerIndex,
+    pub(super) ask: AskId,
+    pub(super) sent_us: MonoTime,
+    pub(super) queued: bool,
+    pub(super) copies: u8,
+}
+
+/// A grant in use.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    pub(super) server: ServerIndex,
+    pub(super) ask: AskId,
+    pub(super) rate_bytes_per_s: BytesPerSecond,
+    pub(super) phase: GrantPhase,
+    pub(super) sure: bool,
+}
+
+/// Servers asked at once.
+pub(super) const COPIES_MAX: usize = 2;
+
+/// Servers that a request remembers as tried.
+pub(super) const TRIED_MAX: usize = 8;
+
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) arrival: Arrival,
+    pub(super) partner: usize,
+    pub(super) deadline_us: MonoTime,
+    pub(super) stage: Stage,
+    pub(super) stage_since_us: MonoTime,
+    pub(super) attempt: Attempt,
+    pub(super) asks: [Option<OpenAsk>; COPIES_MAX],
+    pub(super) rounds: u8,
+    pub(super) tried: [Option<ServerIndex>; TRIED_MAX],
+    pub(super) failed_at: Option<ServerIndex>,
+    pub(super) retry_after_ms: Option<Millis>,
+    pub(super) turn: Option<Hold>,
+    pub(super) slot: Option<Hold>,
+    pub(super) timer_us: Option<MonoTime>,
+    pub(super) uncached_tokens: Tokens,
+    pub(super) kv_bytes: Bytes,
+    pub(super) redo: Option<RedoCause>,
+    pub(super) prefilled: Tokens,
+    pub(super) resumed: bool,
+    pub(super) tokens: Tokens,
+    pub(super) first_token_us: Option<MonoTime>,
+    pub(super) progress: (MonoTime, Tokens),
+}
+
+impl Request {
+    pub(super) fn new(now_us: MonoTime, arrival: Arrival, partner: usize) -> Self {
+        Self {
+            partner,
+            deadline_us: now_us + arrival.first_token_target_ms,
+            stage: Stage::AwaitTurn,
+            stage_since_us: now_us,
+            attempt: Attempt(0),
+            asks: [None; COPIES_MAX],
+            rounds: 0,
+            tried: [None; TRIED_MAX],
+            failed_at: None,
+            retry_after_ms: None,
+            turn: None,
+            slot: None,
+            timer_us: None,
+            uncached_tokens: arrival.prompt_tokens,
+            kv_bytes: Bytes::ZERO,
+            redo: None,
+            prefilled: Tokens::ZERO,
+            resumed: false,
+            tokens: Tokens::ZERO,
+            first_token_us: None,
+            progress: (now_us, Tokens::ZERO),
+            arrival,
+        }
+    }
+
+    pub(super) fn enter(&mut self, now_us: MonoTime, stage: Stage) {
+        self.stage = stage;
+        self.stage_since_us = now_us;
+    }
+
+    /// Whether work on it ever began.
+    pub(super) fn has_run(&self) -> bool {
+        self.attempt > Attempt(0)
+    }
+
+    /// Tokens that a prefill has to read: the prompt, and what was answered already.
+    pub(super) fn prefill_tokens(&self) -> Tokens {
+        self.arrival.prompt_tokens + self.tokens
+    }
+
+    pub(super) fn ask_of(&mut self, ask: AskId) -> Option<&mut OpenAsk> {
+        self.asks.iter_mut().flatten().find(|open| open.ask == ask)
+    }
+
+    pub(super) fn take_ask(&mut self, ask: AskId) -> Option<OpenAsk> {
+        let place = self
+            .asks
+            .iter_mut()
+            .find(|open| open.is_some_and(|open| open.ask == ask))?;
+        place.take()
+    }
+
+    pub(super) fn has_asks(&self) -> bool {
+        self.asks.iter().any(Option::is_some)
+    }
+
+    pub(super) fn note_tried(&mut self, server: ServerIndex) {
+        if let Some(place) = self.tried.iter_mut().find(|place| place.is_none()) {
+            *place = Some(server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/retry.rs
@@ -0,0 +1,42 @@
+//! Budget of one partner's retries.
+
+/// Retries are paid for by arrivals.
+///
+/// Load: a server that fails what it is given, or a data centre that is cut off. Harm prevented: each failed
+/// request comes back as new work, the servers that remain get more of it, time out in turn, and the storm
+/// outlives its cause. With a budget, retries add a fixed part to the load and no more. One budget for each
+/// partner, so that one partner's failures do not use up the other's retries.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    hundredths: u64,
+    burst_hundredths: u64,
+    percent: u64,
+}
+
+const WHOLE: u64 = 100;
+
+impl RetryBudget {
+    /// A full budget that each arrival fills by `percent` of a retry, up to `burst` retries.
+    pub fn new(percent: u64, burst: u64) -> Self {
+        let burst_hundredths = burst * WHOLE;
+        Self {
+            hundredths: burst_hundredths,
+            burst_hundredths,
+            percent,
+        }
+    }
+
+    /// A request arrived.
+    pub fn deposit(&mut self) {
+        self.hundredths = (self.hundredths + self.percent).min(self.burst_hundredths);
+    }
+
+    /// Takes one retry; false when the budget is spent.
+    pub fn withdraw(&mut self) -> bool {
+        let enough = self.hundredths >= WHOLE;
+        if enough {
+            self.hundredths -= WHOLE;
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/running.rs
@@ -0,0 +1,535 @@
+//! A request on its way through the engines: started, moved, answered, or failed.
+
+use rand::RngExt;
+
+use crate::ids::RequestId;
+use crate::slots::{GrantOutcome, GrantPhase, SlotMessage};
+use crate::units::{Bytes, Micros, Millis, MonoTime, Tokens};
+
+use super::counters::{FailReason, RedoCause};
+use super::directory::Sign;
+use super::events::{Action, Attempt, FailureCause, WorkStage};
+use super::placing::transfer_us;
+use super::request::{Hold, Request, Stage};
+use super::scheduler::Scheduler;
+use super::settings::PrefillStart;
+
+/// Engine priorities: work in time, and work past its target.
+const PRIORITY_IN_TIME: u8 = 1;
+const PRIORITY_LATE: u8 = 2;
+
+/// Weight of a new observation of the KV cache's size.
+const KV_WEIGHT: f64 = 0.05;
+
+impl Scheduler {
+    /// Starts the prefill: a turn is held and, except in the baseline, a slot.
+    pub(super) fn start_prefill(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        let Some(turn) = request.turn else {
+            return;
+        };
+        request.attempt = Attempt(request.attempt.0 + 1);
+        request.enter(now_us, Stage::Prefilling);
+        request.prefilled = Tokens::ZERO;
+        actions.push(Action::StartPrefill {
+            request_id,
+            attempt: request.attempt,
+            server: self.directory.name(turn.server).clone(),
+            from_index: request.tokens,
+            priority: priority(now_us, request),
+            redo: request.redo.take(),
+        });
+        let tokens = request.prefill_tokens();
+        let work_us = self
+            .directory
+            .work_us(turn.server, tokens, self.settings.prefill_token_us);
+        self.set_timer(request_id, now_us + self.patience(work_us));
+    }
+
+    /// Time after which a call is taken for lost. A multiple of what it should take, so that a server ten
+    /// times slower is found out and a merely busy one is not.
+    fn patience(&self, expected_us: Micros) -> Micros {
+        let floor_us = Micros::from(self.settings.timeout_floor_ms);
+        Micros(expected_us.0 * self.settings.timeout_factor).max(floor_us)
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
+    pub(super) fn prefill_done(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        attempt: Attempt,
+        kv_bytes: Bytes,
+        cached_tokens: Tokens,
+        evict_after_ms: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.current(request_id, attempt, Stage::Prefilling) else {
+            return;
+        };
+        let whole = request.prefill_tokens();
+        let worked = whole.saturating_sub(cached_tokens);
+        request.prefilled = worked;
+        request.kv_bytes = kv_bytes;
+        let work_us = now_us.since(request.stage_since_us);
+        let blocks = request.arrival.blocks.clone();
+        let Some(turn) = request.turn.as_mut() else {
+            return;
+        };
+        turn.phase = GrantPhase::Moved;
+        let index = turn.server;
+        self.counters.prefill_tokens += worked;
+        let per_token = kv_bytes.0 as f64 / whole.0.max(1) as f64;
+        self.kv_bytes_per_token += KV_WEIGHT * (per_token - self.kv_bytes_per_token);
+        // The prompt is in that server's cache now; its own event to say so comes late.
+        for block in blocks {
+            self.affinity.store(index, block);
+        }
+        let server = self.directory.name(index).clone();
+        actions.push(Action::Send(SlotMessage::Moved {
+            server,
+            request_id,
+            work_us,
+            work_tokens: worked,
+        }));
+        self.enter(now_us, request_id, Stage::AwaitRoom);
+        let slot = self.requests.get(&request_id).and_then(|request| request.slot);
+        if slot.is_some_and(|slot| slot.sure) {
+            self.start_import(now_us, request_id, actions);
+            return;
+        }
+        if self.settings.start == PrefillStart::AtOnce {
+            self.ask_slot(now_us, request_id, actions);
+            return;
+        }
+        self.set_timer(request_id, now_us + evict_after_ms);
+    }
+
+    /// Waiting for room with a prefill result in hand: until the engine evicts it there is hope.
+    pub(super) fn room_timer(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&request_id) else {
+            return;
+        };
+        let until_us = request.stage_since_us + self.settings.evict_after_ms;
+        if now_us >= until_us {
+            self.redo(
+                now_us,
+                request_id,
+                RedoCause::Evicted,
+                GrantOutcome::Abandoned,
+                actions,
+            );
+            return;
+        }
+        if request.slot.is_none() && !request.has_asks() {
+            self.ask_slot(now_us, request_id, actions);
+            return;
+        }
+        self.set_timer(request_id, until_us);
+    }
+
+    pub(super) fn start_import(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        let (Some(turn), Some(slot)) = (request.turn, request.slot) else {
+            return;
+        };
+        request.enter(now_us, Stage::Importing);
+        let rate_bytes_per_s = turn.rate_bytes_per_s.min(slot.rate_bytes_per_s);
+        actions.push(Action::Import {
+            request_id,
+            attempt: request.attempt,
+            source: self.directory.name(turn.server).clone(),
+            server: self.directory.name(slot.server).clone(),
+            priority: priority(now_us, request),
+            rate_bytes_per_s,
+        });
+        let move_us = transfer_us(request.kv_bytes, rate_bytes_per_s);
+        self.set_timer(request_id, now_us + self.patience(move_us));
+    }
+
+    pub(super) fn imported(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        attempt: Attempt,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.current(request_id, attempt, Stage::Importing) else {
+            return;
+        };
+        request.enter(now_us, Stage::Decoding);
+        request.timer_us = None;
+        request.resumed = false;
+        request.progress = (now_us, request.tokens);
+        let turn = request.turn.take();
+        let Some(slot) = request.slot.as_mut() else {
+            return;
+        };
+        slot.phase = GrantPhase::Moved;
+        let (index, attempt, from_index) = (slot.server, request.attempt, request.tokens);
+        let server = self.directory.name(index).clone();
+        self.release_hold(request_id, turn, GrantOutcome::Done, actions);
+        let moved = SlotMessage::Moved {
+            server: server.clone(),
+            request_id,
+            work_us: Micros::ZERO,
+            work_tokens: Tokens::ZERO,
+        };
+        actions.push(Action::Send(moved));
+        actions.push(Action::Decode {
+            request_id,
+            attempt,
+            server,
+            from_index,
+            resume: false,
+            silence_ms: self.settings.stream_silence_ms,
+        });
+    }
+
+    pub(super) fn first_token(&mut self, now_us: MonoTime, request_id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&request_id)
+            && request.first_token_us.is_none()
+        {
+            request.first_token_us = Some(now_us);
+            request.tokens = request.tokens.max(Tokens(1));
+            request.progress = (now_us, request.tokens);
+        }
+    }
+
+    pub(super) fn progress(&mut self, request_id: RequestId, tokens: Tokens) {
+        if let Some(request) = self.requests.get_mut(&request_id) {
+            request.tokens = request.tokens.max(tokens);
+        }
+    }
+
+    pub(super) fn finished(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        tokens: Tokens,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.close(request_id, GrantOutcome::Done, actions) else {
+            return;
+        };
+        self.counters.answered += 1;
+        self.counters.good += u64::from(is_good(now_us, &request, tokens));
+        self.learn_answer(request.partner, &request.arrival.class, tokens);
+    }
+
+    /// The caller went away: everything is given back at once, wherever the request is.
+    pub(super) fn caller_left(&mut self, request_id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.close(request_id, GrantOutcome::Abandoned, actions) else {
+            return;
+        };
+        self.cancel_holds(&request, actions);
+        if request.stage != Stage::Decoding {
+            self.counters
+                .count_waste(RedoCause::CallerLeft, request.prefilled);
+        }
+    }
+
+    fn cancel_holds(&self, request: &Request, actions: &mut Vec<Action>) {
+        if !request.has_run() {
+            return;
+        }
+        let request_id = request.arrival.request_id;
+        for hold in [request.turn, request.slot].into_iter().flatten() {
+            let server = self.directory.name(hold.server).clone();
+            actions.push(Action::Cancel { request_id, server });
+        }
+    }
+
+    fn current(&mut self, request_id: RequestId, attempt: Attempt, stage: Stage) -> Option<&mut Request> {
+        self.requests
+            .get_mut(&request_id)
+            .filter(|request| request.attempt == attempt && request.stage == stage)
+    }
+
+    pub(super) fn step_timeout(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get(&request_id) else {
+            return;
+        };
+        let (attempt, tokens) = (request.attempt, request.tokens);
+        let stage = if request.stage == Stage::Prefilling {
+            WorkStage::Prefill
+        } else {
+            WorkStage::Import
+        };
+        self.step_failed(
+            now_us,
+            request_id,
+            attempt,
+            stage,
+            FailureCause::Timeout,
+            tokens,
+            actions,
+        );
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
+    pub(super) fn step_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        attempt: Attempt,
+        stage: WorkStage,
+        cause: FailureCause,
+        tokens: Tokens,
+        actions: &mut Vec<Action>,
+    ) {
+        let expected = match stage {
+            WorkStage::Prefill => Stage::Prefilling,
+            WorkStage::Import => Stage::Importing,
+            WorkStage::Decode => Stage::Decoding,
+        };
+        let Some(request) = self.current(request_id, attempt, expected) else {
+            return;
+        };
+        request.tokens = request.tokens.max(tokens);
+        match stage {
+            WorkStage::Prefill => self.prefill_failed(now_us, request_id, cause, actions),
+            WorkStage::Import => self.import_failed(now_us, request_id, cause, actions),
+            WorkStage::Decode => self.decode_failed(now_us, request_id, cause, actions),
+        }
+    }
+
+    fn prefill_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        request.failed_at = request.turn.map(|turn| turn.server);
+        // What may have been read by now is lost work; a refusal read nothing.
+        if matches!(cause, FailureCause::Timeout | FailureCause::Broken) {
+            request.prefilled = request.uncached_tokens;
+        }
+        self.note_leaving(now_us, request_id, cause);
+        self.redo(
+            now_us,
+            request_id,
+            RedoCause::PrefillFailed,
+            outcome_of(cause),
+            actions,
+        );
+    }
+
+    fn note_leaving(&mut self, now_us: MonoTime, request_id: RequestId, cause: FailureCause) {
+        let server = self
+            .requests
+            .get(&request_id)
+            .and_then(|request| request.failed_at);
+        if let (Some(server), FailureCause::Leaving) = (server, cause) {
+            self.directory.sign(server, Sign::Leaving, now_us);
+        }
+    }
+
+    /// The transfer failed. If the decode server had no room or could not be reached the result is still at
+    /// its source and another slot may do; otherwise the prompt is read again.
+    fn import_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        let slot = request.slot.take();
+        request.failed_at = slot.map(|slot| slot.server);
+        self.cancel_slot(request_id, slot, outcome_of(cause), actions);
+        let elsewhere = matches!(
+            cause,
+            FailureCause::NoRoom | FailureCause::NotSent | FailureCause::Leaving
+        );
+        if elsewhere {
+            request.enter(now_us, Stage::AwaitRoom);
+        }
+        self.requests.insert(request_id, request);
+        self.note_leaving(now_us, request_id, cause);
+        if elsewhere {
+            self.ask_slot(now_us, request_id, actions);
+            return;
+        }
+        let redo = if cause == FailureCause::Gone {
+            RedoCause::Evicted
+        } else {
+            RedoCause::Transfer
+        };
+        self.redo(now_us, request_id, redo, GrantOutcome::Abandoned, actions);
+    }
+
+    fn cancel_slot(
+        &self,
+        request_id: RequestId,
+        slot: Option<Hold>,
+        outcome: GrantOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(hold) = slot {
+            let server = self.directory.name(hold.server).clone();
+            actions.push(Action::Cancel { request_id, server });
+        }
+        self.release_hold(request_id, slot, outcome, actions);
+    }
+
+    /// A broken stream: the connection is suspected first and the stream resumed at the same server by
+    /// index, on a new connection; that costs nothing. Only when this fails too is the prompt, with the
+    /// tokens so far, read again elsewhere.
+    fn decode_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        let resumable = matches!(cause, FailureCause::Broken | FailureCause::Timeout);
+        if let Some(slot) = request.slot.filter(|_| resumable && !request.resumed) {
+            request.resumed = true;
+            self.counters.resumed += 1;
+            actions.push(Action::Decode {
+                request_id,
+                attempt: request.attempt,
+                server: self.directory.name(slot.server).clone(),
+                from_index: request.tokens,
+                resume: true,
+                silence_ms: self.settings.stream_silence_ms,
+            });
+            return;
+        }
+        request.failed_at = request.slot.map(|slot| slot.server);
+        self.redo(
+            now_us,
+            request_id,
+            RedoCause::DecodeFailed,
+            outcome_of(cause),
+            actions,
+        );
+    }
+
+    /// Gives up an attempt and starts another, if the partner's budget allows. What the engines hold is
+    /// cancelled first: an attempt given up must not keep memory, nor answer.
+    fn redo(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: RedoCause,
+        outcome: GrantOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        self.withdraw_asks(&mut request, actions);
+        self.cancel_holds(&request, actions);
+        let at_prefill = cause == RedoCause::PrefillFailed;
+        let (turn_outcome, slot_outcome) = if at_prefill {
+            (outcome, GrantOutcome::Unused)
+        } else {
+            (GrantOutcome::Abandoned, outcome)
+        };
+        self.release_hold(request_id, request.turn.take(), turn_outcome, actions);
+        self.release_hold(request_id, request.slot.take(), slot_outcome, actions);
+        self.counters
+            .count_waste(cause, std::mem::take(&mut request.prefilled));
+        request.redo = Some(cause);
+        self.requests.insert(request_id, request);
+        self.retry_later(now_us, request_id, actions);
+    }
+
+    /// Retries after a back-off, or fails the request.
+    ///
+    /// The back-off is drawn at random below a bound that doubles, so that requests failed by one fault do
+    /// not come back in step. Attempts are bounded, because a request that fails everywhere is more likely
+    /// the cause than the victim.
+    pub(super) fn retry_later(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        if request.attempt.0 >= self.settings.attempts_max {
+            self.fail(request_id, FailReason::Attempts, actions);
+            return;
+        }
+        if !self.partners[request.partner].budget.withdraw() {
+            self.counters.retries_denied += 1;
+            self.fail(request_id, FailReason::RetryBudget, actions);
+            return;
+        }
+        self.counters.retries += 1;
+        request.enter(now_us, Stage::Backoff);
+        request.rounds = 0;
+        request.tried = Default::default();
+        let doubled = request.attempt.0.min(MAX_DOUBLINGS);
+        let longest_us = Micros::from(self.settings.backoff_ms).0 << doubled;
+        let pause_us = self.rng.random_range(0..=longest_us);
+        self.set_timer(request_id, now_us + Micros(pause_us));
+    }
+
+    fn fail(&mut self, request_id: RequestId, reason: FailReason, actions: &mut Vec<Action>) {
+        self.close(request_id, GrantOutcome::Abandoned, actions);
+        self.counters.failed += 1;
+        actions.push(Action::Fail { request_id, reason });
+    }
+}
+
+/// Bound of the shift in the back-off.
+const MAX_DOUBLINGS: u32 = 6;
+
+fn priority(now_us: MonoTime, request: &Request) -> u8 {
+    if now_us <= request.deadline_us {
+        PRIORITY_IN_TIME
+    } else {
+        PRIORITY_LATE
+    }
+}
+
+/// What a failure says about the server. Only silence and broken connections count against it: a refusal
+/// for want of room is the ledger's error, and a leaving server is not ill.
+fn outcome_of(cause: FailureCause) -> GrantOutcome {
+    match cause {
+        FailureCause::Timeout => GrantOutcome::TimedOut,
+        FailureCause::Broken | FailureCause::NotSent => GrantOutcome::Failed,
+        FailureCause::NoRoom | FailureCause::Leaving | FailureCause::Gone | FailureCause::Refused => {
+            GrantOutcome::Abandoned
+        }
+    }
+}
+
+/// Whether both targets were met: the first token's, and the mean of the others.
+fn is_good(now_us: MonoTime, request: &Request, tokens: Tokens) -> bool {
+    let Some(first_us) = request.first_token_us else {
+        return false;
+    };
+    let per_token_us = Micros::from(request.arrival.per_token_target_ms).0;
+    let further = tokens.0.saturating_sub(1);
+    let in_pace = per_token_us == 0 || now_us.since(first_us).0 <= per_token_us * further;
+    first_us <= request.deadline_us && in_pace
+}
--- /dev/null
+++ b/crates/core/src/sched/scheduler.rs
@@ -0,0 +1,444 @@
+//! The scheduler of one daemon: events in, actions out.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::ids::{BackendServerId, ClassName, PartnerId, RequestId};
+use crate::slots::{AskId, GrantOutcome, HeldGrant, SlotMessage};
+use crate::units::{Bytes, Micros, Millis, MonoTime, Tokens};
+
+use super::affinity::AffinityIndex;
+use super::counters::{Counters, RefusalReason, clamp_retry_after};
+use super::directory::{Directory, ServerIndex};
+use super::events::{Action, Arrival, Event};
+use super::request::{Hold, Request, Stage};
+use super::retry::RetryBudget;
+use super::settings::SchedulerSettings;
+
+#[derive(Debug)]
+pub(super) struct Partner {
+    pub(super) id: PartnerId,
+    pub(super) budget: RetryBudget,
+    pub(super) open: usize,
+    /// Usual length of an answer, by class: a class that asks for 500 tokens and gets 40 must not be
+    /// charged, nor reckoned, for 500.
+    answer_tokens: HashMap<ClassName, f64>,
+}
+
+/// Decides for the requests of one daemon.
+///
+/// Load: anything from idle to several times the capacity, with partners that surge or publish absurd
+/// targets. It holds no queue of its own: requests wait at the watchers of the servers they want, where
+/// all daemons' requests meet, and here only their number is bounded.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(super) settings: SchedulerSettings,
+    pub(super) rng: StdRng,
+    pub(super) directory: Directory,
+    pub(super) affinity: AffinityIndex,
+    pub(super) requests: HashMap<RequestId, Request>,
+    pub(super) partners: Vec<Partner>,
+    partner_names: HashMap<PartnerId, usize>,
+    pub(super) counters: Counters,
+    pub(super) kv_bytes_per_token: f64,
+    timers: BinaryHeap<Reverse<(MonoTime, RequestId)>>,
+    next_ask: u64,
+    renew_at_us: MonoTime,
+    wake_us: Option<MonoTime>,
+}
+
+/// Weight of a new answer length.
+const ANSWER_WEIGHT: f64 = 0.05;
+
+impl Scheduler {
+    /// A scheduler that knows no servers yet. The seed decides all its random choices.
+    pub fn new(settings: SchedulerSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            rng: StdRng::seed_from_u64(seed),
+            directory: Directory::default(),
+            affinity: AffinityIndex::new(settings.affinity_blocks_max),
+            requests: HashMap::new(),
+            partners: Vec::new(),
+            partner_names: HashMap::new(),
+            counters: Counters::default(),
+            kv_bytes_per_token: settings.kv_bytes_per_token.0 as f64,
+            timers: BinaryHeap::new(),
+            next_ask: 0,
+            renew_at_us: MonoTime(0),
+            wake_us: None,
+        }
+    }
+
+    /// What it decided so far.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Requests not yet ended.
+    pub fn open_len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Takes an event and pushes what is to be done.
+    pub fn handle(&mut self, now_us: MonoTime, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(arrival) => self.arrive(now_us, arrival, actions),
+            Event::Slot(message) => self.slot_message(now_us, &message, actions),
+            Event::PrefillDone {
+                request_id,
+                attempt,
+                kv_bytes,
+                cached_tokens,
+                evict_after_ms,
+            } => {
+                self.prefill_done(
+                    now_us,
+                    request_id,
+                    attempt,
+                    kv_bytes,
+                    cached_tokens,
+                    evict_after_ms,
+                    actions,
+                );
+            }
+            Event::Imported { request_id, attempt } => self.imported(now_us, request_id, attempt, actions),
+            Event::FirstToken { request_id } => self.first_token(now_us, request_id),
+            Event::Progress { request_id, tokens } => self.progress(request_id, tokens),
+            Event::Finished { request_id, tokens } => self.finished(now_us, request_id, tokens, actions),
+            Event::Failed {
+                request_id,
+                attempt,
+                stage,
+                cause,
+                tokens,
+            } => {
+                self.step_failed(now_us, request_id, attempt, stage, cause, tokens, actions);
+            }
+            Event::CallerLeft { request_id } => self.caller_left(request_id, actions),
+            Event::Load { server, load, age_us } => {
+                if let Some(index) = self.directory.index(&server) {
+                    self.directory.learn(now_us, index, load, age_us);
+                }
+            }
+            Event::Cache { server, events } => {
+                if let Some(index) = self.directory.index(&server) {
+                    for event in events {
+                        self.affinity.apply(index, event);
+                    }
+                }
+            }
+            Event::Sign { server, sign } => {
+                let until_us = now_us + self.settings.silence_ms;
+                if let Some(index) = self.directory.index(&server) {
+                    self.directory.sign(index, sign, until_us);
+                }
+            }
+            Event::Servers(records) => self.directory.replace(records),
+            Event::WatcherChanged { server } => self.watcher_changed(now_us, &server, actions),
+            Event::Tick => {}
+        }
+        self.run_timers(now_us, actions);
+        self.renew_due(now_us, actions);
+        self.wake(now_us, actions);
+    }
+
+    /// Takes a request in, or refuses it.
+    ///
+    /// Load: a surge, far above what all servers can do. Harm prevented: the daemon's memory filling with
+    /// requests that nobody can serve in time, and the other partner's requests finding no room. When the
+    /// daemon is full only partners below an equal part of the room are still taken in.
+    fn arrive(&mut self, now_us: MonoTime, arrival: Arrival, actions: &mut Vec<Action>) {
+        self.counters.arrivals += 1;
+        let partner = self.partner_index(&arrival.partner);
+        self.partners[partner].budget.deposit();
+        let request_id = arrival.request_id;
+        if self.requests.contains_key(&request_id) {
+            return;
+        }
+        let full = self.requests.len() >= self.settings.open_max;
+        let fair_part = self.settings.open_max / (self.partners.len().max(1) * 2);
+        let hard_full = self.requests.len() >= self.settings.open_max * 2;
+        self.partners[partner].open += 1;
+        let request = Request::new(now_us, arrival, partner);
+        self.requests.insert(request_id, request);
+        if hard_full || (full && self.partners[partner].open > fair_part) {
+            self.refuse(request_id, RefusalReason::DaemonFull, Millis::ZERO, actions);
+            return;
+        }
+        self.ask_turn(now_us, request_id, actions);
+    }
+
+    fn partner_index(&mut self, id: &PartnerId) -> usize {
+        if let Some(&index) = self.partner_names.get(id) {
+            return index;
+        }
+        let budget = RetryBudget::new(self.settings.retry_percent, self.settings.retry_burst);
+        self.partners.push(Partner {
+            id: id.clone(),
+            budget,
+            open: 0,
+            answer_tokens: HashMap::new(),
+        });
+        let index = self.partners.len() - 1;
+        self.partner_names.insert(id.clone(), index);
+        index
+    }
+
+    pub(super) fn expected_answer(&self, request: &Request) -> Tokens {
+        let usual = self.partners[request.partner]
+            .answer_tokens
+            .get(&request.arrival.class);
+        let longest = request.arrival.max_tokens.saturating_sub(request.tokens);
+        usual.map_or(longest, |&tokens| whole(tokens).min(longest))
+    }
+
+    pub(super) fn learn_answer(&mut self, partner: usize, class: &ClassName, tokens: Tokens) {
+        let seen = tokens.0 as f64;
+        let usual = self.partners[partner]
+            .answer_tokens
+            .entry(class.clone())
+            .or_insert(seen);
+        *usual += ANSWER_WEIGHT * (seen - *usual);
+    }
+
+    pub(super) fn kv_estimate(&self, tokens: Tokens) -> Bytes {
+        Bytes(whole(self.kv_bytes_per_token * tokens.0 as f64).0)
+    }
+
+    pub(super) fn new_ask(&mut self) -> AskId {
+        self.next_ask += 1;
+        AskId(self.next_ask)
+    }
+
+    /// Ends a request of which nothing ran.
+    pub(super) fn refuse(
+        &mut self,
+        request_id: RequestId,
+        reason: RefusalReason,
+        retry_after_ms: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        self.close(request_id, GrantOutcome::Unused, actions);
+        self.counters.count_refusal(reason);
+        let retry_after_ms = clamp_retry_after(retry_after_ms);
+        actions.push(Action::Refuse {
+            request_id,
+            reason,
+            retry_after_ms,
+        });
+    }
+
+    /// Takes a request off the books and gives back all it holds.
+    pub(super) fn close(
+        &mut self,
+        request_id: RequestId,
+        outcome: GrantOutcome,
+        actions: &mut Vec<Action>,
+    ) -> Option<Request> {
+        let mut request = self.requests.remove(&request_id)?;
+        self.partners[request.partner].open -= 1;
+        self.withdraw_asks(&mut request, actions);
+        self.release_hold(request_id, request.turn, outcome, actions);
+        self.release_hold(request_id, request.slot, outcome, actions);
+        Some(request)
+    }
+
+    pub(super) fn withdraw_asks(&self, request: &mut Request, actions: &mut Vec<Action>) {
+        let request_id = request.arrival.request_id;
+        for open in request.asks.iter_mut().filter_map(Option::take) {
+            let server = self.directory.name(open.server).clone();
+            actions.push(Action::Send(SlotMessage::Withdraw {
+                server,
+                request_id,
+                ask: open.ask,
+            }));
+        }
+    }
+
+    pub(super) fn release_hold(
+        &self,
+        request_id: RequestId,
+        hold: Option<Hold>,
+        outcome: GrantOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(hold) = hold {
+            let server = self.directory.name(hold.server).clone();
+            actions.push(Action::Send(SlotMessage::Release {
+                server,
+                request_id,
+                ask: hold.ask,
+                outcome,
+            }));
+        }
+    }
+
+    pub(super) fn set_timer(&mut self, request_id: RequestId, at_us: MonoTime) {
+        if let Some(request) = self.requests.get_mut(&request_id) {
+            request.timer_us = Some(at_us);
+            self.timers.push(Reverse((at_us, request_id)));
+        }
+    }
+
+    fn run_timers(&mut self, now_us: MonoTime, actions: &mut Vec<Action>) {
+        while let Some(&Reverse((at_us, request_id))) = self.timers.peek() {
+            if at_us > now_us {
+                return;
+            }
+            self.timers.pop();
+            let Some(request) = self.requests.get_mut(&request_id) else {
+                continue;
+            };
+            if request.timer_us != Some(at_us) {
+                continue;
+            }
+            request.timer_us = None;
+            self.timer(now_us, request_id, actions);
+        }
+    }
+
+    fn timer(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&request_id) else {
+            return;
+        };
+        match request.stage {
+            Stage::Backoff => self.ask_turn(now_us, request_id, actions),
+            Stage::AwaitTurn | Stage::AwaitSlot => self.ask_timer(now_us, request_id, actions),
+            Stage::AwaitRoom => self.room_timer(now_us, request_id, actions),
+            Stage::Prefilling | Stage::Importing => self.step_timeout(now_us, request_id, actions),
+            Stage::Decoding => {}
+        }
+    }
+
+    fn wake(&mut self, now_us: MonoTime, actions: &mut Vec<Action>) {
+        let timer_us = self.timers.peek().map(|&Reverse((at_us, _))| at_us);
+        let renew_us = (!self.requests.is_empty()).then_some(self.renew_at_us);
+        let next_us = timer_us.into_iter().chain(renew_us).min();
+        let Some(at_us) = next_us else {
+            return;
+        };
+        if self
+            .wake_us
+            .is_none_or(|known_us| known_us <= now_us || at_us < known_us)
+        {
+            self.wake_us = Some(at_us);
+            actions.push(Action::Wake { at_us });
+        }
+    }
+
+    /// Tells each watcher which of its grants are still in use, and repeats asks that wait.
+    ///
+    /// Harm prevented: a lost release would keep a slot idle for ever, a lost grant would leave a request
+    /// waiting; the list mends both within a period, and a new watcher learns from it what it did not grant.
+    fn renew_due(&mut self, now_us: MonoTime, actions: &mut Vec<Action>) {
+        if now_us < self.renew_at_us {
+            return;
+        }
+        self.renew_at_us = now_us + self.settings.renew_ms;
+        let mut lists: HashMap<ServerIndex, Vec<HeldGrant>> = HashMap::new();
+        let mut waiting = Vec::new();
+        for request in self.requests.values_mut() {
+            if request.asks.iter().flatten().any(|open| open.queued) {
+                waiting.push(request.arrival.request_id);
+            }
+            collect_held(now_us, request, &self.partners, &mut lists);
+        }
+        waiting.sort_unstable();
+        let mut lists = lists.into_iter().collect::<Vec<_>>();
+        lists.sort_unstable_by_key(|(server, _)| *server);
+        for (server, held) in lists {
+            let server = self.directory.name(server).clone();
+            actions.push(Action::Send(SlotMessage::Renew { server, held }));
+        }
+        for request_id in waiting {
+            self.repeat_asks(now_us, request_id, None, actions);
+        }
+    }
+
+    /// Registers at a new watcher: the grants in use, also when there are none, and the asks that wait.
+    fn watcher_changed(&mut self, now_us: MonoTime, server: &BackendServerId, actions: &mut Vec<Action>) {
+        let Some(index) = self.directory.index(server) else {
+            return;
+        };
+        let mut lists: HashMap<ServerIndex, Vec<HeldGrant>> = HashMap::new();
+        let mut waiting = Vec::new();
+        for request in self.requests.values_mut() {
+            if request.asks.iter().flatten().any(|open| open.server == index) {
+                waiting.push(request.arrival.request_id);
+            }
+            collect_held(now_us, request, &self.partners, &mut lists);
+        }
+        let held = lists.remove(&index).unwrap_or_default();
+        actions.push(Action::Send(SlotMessage::Renew {
+            server: server.clone(),
+            held,
+        }));
+        waiting.sort_unstable();
+        for request_id in waiting {
+            self.repeat_asks(now_us, request_id, Some(index), actions);
+        }
+    }
+}
+
+fn collect_held(
+    now_us: MonoTime,
+    request: &mut Request,
+    partners: &[Partner],
+    lists: &mut HashMap<ServerIndex, Vec<HeldGrant>>,
+) {
+    let partner = &partners[request.partner].id;
+    let token_us = observed_token_us(now_us, request);
+    let grant = |hold: &Hold, work_tokens: Tokens, token_us: Micros| HeldGrant {
+        request_id: request.arrival.request_id,
+        ask: hold.ask,
+        partner: partner.clone(),
+        phase: hold.phase,
+        rate_bytes_per_s: hold.rate_bytes_per_s,
+        work_tokens,
+        token_us,
+    };
+    if let Some(hold) = &request.turn {
+        let held = grant(hold, request.uncached_tokens, Micros::ZERO);
+        lists.entry(hold.server).or_default().push(held);
+    }
+    if let Some(hold) = &request.slot {
+        let left = request.arrival.max_tokens.saturating_sub(request.tokens);
+        lists
+            .entry(hold.server)
+            .or_default()
+            .push(grant(hold, left, token_us));
+    }
+    if token_us > Micros::ZERO {
+        request.progress = (now_us, request.tokens);
+    }
+}
+
+/// Time for one token of the answer since the last look; zero when no token came and little time passed.
+fn observed_token_us(now_us: MonoTime, request: &Request) -> Micros {
+    if request.stage != Stage::Decoding || request.first_token_us.is_none() {
+        return Micros::ZERO;
+    }
+    let (since_us, tokens) = request.progress;
+    let written = request.tokens.saturating_sub(tokens).0;
+    let span_us = now_us.since(since_us).0;
+    if written == 0 || span_us < MIN_PROGRESS_US {
+        return Micros::ZERO;
+    }
+    Micros(span_us / written)
+}
+
+/// Shorter spans hold too few tokens for a speed.
+const MIN_PROGRESS_US: u64 = 200_000;
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a count that is never negative"
+)]
+fn whole(count: f64) -> Tokens {
+    Tokens(count.max(0.0).ceil() as u64)
+}
--- /dev/null
+++ b/crates/core/src/slots/fair_queue.rs
@@ -0,0 +1,395 @@
+//! The queue before one server: max-min between partners, deadline order inside a partner.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::ids::{HostId, PartnerId, RequestId};
+use crate::units::{Micros, Millis, MonoTime};
+
+use super::Ask;
+
+/// In which order asks are granted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum QueueOrder {
+    /// Max-min between partners by charged time; inside a partner by deadline, late ones behind.
+    #[default]
+    FairDeadline,
+    /// By arrival, whoever sent it. Kept as the baseline that the outcome table compares with.
+    Fifo,
+}
+
+/// Bounds of the queue.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueSettings {
+    /// Order of grants.
+    pub order: QueueOrder,
+    /// Asks of one partner that may wait. Memory bound against a surge: the estimate of the wait refuses far
+    /// earlier whenever targets are sane, so this only catches absurdly loose ones.
+    pub per_partner_max: usize,
+    /// Asks past their target of one partner that may wait. Smaller, because they earn nothing any more.
+    pub late_max: usize,
+    /// Longest wait that an ask past its target is taken in for; a caller has gone by then.
+    pub late_patience_ms: Millis,
+    /// Age from which a late ask goes before those in time, so that it does not starve.
+    pub ageing_ms: Millis,
+    /// Of so many grants to a partner, one may go to an aged late ask: answers owed are given, while at
+    /// least the other grants still earn goodput.
+    pub ageing_every: u32,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            order: QueueOrder::FairDeadline,
+            per_partner_max: 256,
+            late_max: 64,
+            late_patience_ms: Millis(15_000),
+            ageing_ms: Millis(3_000),
+            ageing_every: 8,
+        }
+    }
+}
+
+/// An ask that waits.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// What was asked.
+    pub ask: Ask,
+    /// Who asked.
+    pub home: HostId,
+    /// Since when.
+    pub since_us: MonoTime,
+    /// Latest useful grant; `None` once the target is missed.
+    pub latest_us: Option<MonoTime>,
+    /// Time that the work takes at this server.
+    pub work_us: Micros,
+}
+
+impl Waiting {
+    /// Work that this ask stands for here: the daemon asked several servers, and one of them will do it.
+    fn share_us(&self) -> u64 {
+        self.work_us.0 / u64::from(self.ask.copies.max(1))
+    }
+}
+
+type Key = (MonoTime, u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    partner: usize,
+    key: Key,
+    late: bool,
+}
+
+#[derive(Debug, Default)]
+struct PartnerQueue {
+    in_time: BTreeMap<Key, Waiting>,
+    late: BTreeMap<Key, Waiting>,
+    work_us: u64,
+    /// Time charged so far, on a clock on which idle partners are moved up to the busy ones.
+    charged_us: u64,
+    grants: u32,
+}
+
+impl PartnerQueue {
+    fn is_empty(&self) -> bool {
+        self.in_time.is_empty() && self.late.is_empty()
+    }
+
+    fn len(&self) -> usize {
+        self.in_time.len() + self.late.len()
+    }
+}
+
+/// Expected fate of an ask, if it were taken in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Forecast {
+    /// Expected wait.
+    pub wait_us: Micros,
+    /// Whether an ask taken in earlier would miss its target for this one.
+    pub harms_earlier: bool,
+}
+
+/// Asks waiting for one server.
+///
+/// Load: one partner surging tenfold, marking everything as its tightest class, or publishing a target of
+/// one millisecond. Harm prevented: with one deadline order over all, that partner would always come first
+/// and the other's requests would miss their targets although it asks for less than its share. So the
+/// partner that was charged least comes first, and deadlines only order the work inside a partner.
+/// A partner without waiting asks collects no credit (its clock is moved up when it comes back): otherwise
+/// a quiet hour would buy a burst that shuts the other out.
+#[derive(Debug)]
+pub struct FairQueue {
+    settings: QueueSettings,
+    partners: Vec<PartnerQueue>,
+    names: HashMap<PartnerId, usize>,
+    places: HashMap<RequestId, Place>,
+    active: BTreeSet<(u64, usize)>,
+    clock_us: u64,
+    sequence: u64,
+}
+
+impl FairQueue {
+    /// An empty queue.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            partners: Vec::new(),
+            names: HashMap::new(),
+            places: HashMap::new(),
+            active: BTreeSet::new(),
+            clock_us: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Number of asks waiting.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Work waiting, of all partners.
+    pub fn work_us(&self) -> Micros {
+        let total = self
+            .active
+            .iter()
+            .map(|&(_, index)| self.partners[index].work_us)
+            .sum();
+        Micros(total)
+    }
+
+    /// Whether an ask of `request_id` waits.
+    pub fn contains(&self, request_id: RequestId) -> bool {
+        self.places.contains_key(&request_id)
+    }
+
+    /// Whether the partner has no room for one more ask.
+    pub fn is_full(&self, partner: &PartnerId, late: bool) -> bool {
+        let Some(queue) = self.names.get(partner).map(|&index| &self.partners[index]) else {
+            return false;
+        };
+        queue.len() >= self.settings.per_partner_max || (late && queue.late.len() >= self.settings.late_max)
+    }
+
+    /// Foretells the wait of an ask.
+    ///
+    /// Under max-min a partner that needs `own` time for its asks in front has got it when each other
+    /// partner has got as much or has nothing left; so the wait is the sum over partners of the smaller of
+    /// the two. `pace` stretches it by what the server really takes for a unit of expected work.
+    pub fn forecast(&self, now_us: MonoTime, entry: &Waiting, pace: f64) -> Forecast {
+        if self.settings.order == QueueOrder::Fifo {
+            let wait_us = stretch(self.work_us().0, pace);
+            return Forecast {
+                wait_us: Micros(wait_us),
+                harms_earlier: false,
+            };
+        }
+        let own_index = self.names.get(&entry.ask.partner).copied();
+        let own = own_index.map(|index| &self.partners[index]);
+        let ahead_us = own.map_or(0, |queue| work_ahead(queue, entry));
+        let wait_us = stretch(self.wait_for(own_index, ahead_us), pace);
+        let harms_earlier = entry.latest_us.is_some()
+            && own.is_some_and(|queue| self.harms(now_us, own_index, queue, entry, ahead_us, pace));
+        Forecast {
+            wait_us: Micros(wait_us),
+            harms_earlier,
+        }
+    }
+
+    fn wait_for(&self, own_index: Option<usize>, own_us: u64) -> u64 {
+        let reach_us = own_us + 1;
+        let others = self.active.iter().filter(|&&(_, index)| Some(index) != own_index);
+        let others_us = others
+            .map(|&(_, index)| self.partners[index].work_us.min(reach_us))
+            .sum::<u64>();
+        own_us + others_us
+    }
+
+    /// An ask that goes in front of others of its partner may make them late although they were taken in
+    /// with a promise. The newcomer is denied then: it has lost nothing yet.
+    fn harms(
+        &self,
+        now_us: MonoTime,
+        own_index: Option<usize>,
+        queue: &PartnerQueue,
+        entry: &Waiting,
+        ahead_us: u64,
+        pace: f64,
+    ) -> bool {
+        let Some(latest_us) = entry.latest_us else {
+            return false;
+        };
+        let mut before_us = ahead_us;
+        for (key, later) in queue.in_time.range((latest_us, u64::MAX)..) {
+            let without = now_us + Micros(stretch(self.wait_for(own_index, before_us), pace));
+            let with_us = before_us + entry.share_us();
+            let with = now_us + Micros(stretch(self.wait_for(own_index, with_us), pace));
+            if without <= key.0 && with > key.0 {
+                return true;
+            }
+            before_us += later.share_us();
+        }
+        false
+    }
+
+    /// Takes an ask in. The caller has checked the bounds.
+    pub fn push(&mut self, entry: Waiting) {
+        let index = self.partner_index(&entry.ask.partner);
+        self.sequence += 1;
+        let late = entry.latest_us.is_none();
+        let order_us = match self.settings.order {
+            QueueOrder::FairDeadline => entry.latest_us.unwrap_or(entry.since_us),
+            QueueOrder::Fifo => entry.since_us,
+        };
+        let key = (order_us, self.sequence);
+        self.places.insert(
+            entry.ask.request_id,
+            Place {
+                partner: index,
+                key,
+                late,
+            },
+        );
+        let clock_us = self.clock_us;
+        let queue = &mut self.partners[index];
+        if queue.is_empty() {
+            queue.charged_us = queue.charged_us.max(clock_us);
+            self.active.insert((queue.charged_us, index));
+        }
+        queue.work_us += entry.share_us();
+        let side = if late { &mut queue.late } else { &mut queue.in_time };
+        side.insert(key, entry);
+    }
+
+    fn partner_index(&mut self, partner: &PartnerId) -> usize {
+        if let Some(&index) = self.names.get(partner) {
+            return index;
+        }
+        // All asks share one queue in arrival order: the baseline knows no partners.
+        if self.settings.order == QueueOrder::Fifo && !self.partners.is_empty() {
+            self.names.insert(partner.clone(), 0);
+            return 0;
+        }
+        self.partners.push(PartnerQueue::default());
+        let index = self.partners.len() - 1;
+        self.names.insert(partner.clone(), index);
+        index
+    }
+
+    /// Takes the ask of `request_id` out, if it waits.
+    pub fn remove(&mut self, request_id: RequestId) -> Option<Waiting> {
+        let place = self.places.remove(&request_id)?;
+        let queue = &mut self.partners[place.partner];
+        let side = if place.late {
+            &mut queue.late
+        } else {
+            &mut queue.in_time
+        };
+        let entry = side.remove(&place.key)?;
+        queue.work_us = queue.work_us.saturating_sub(entry.share_us());
+        if queue.is_empty() {
+            self.active.remove(&(queue.charged_us, place.partner));
+        }
+        Some(entry)
+    }
+
+    /// The ask to grant next, taken out and charged to its partner.
+    pub fn pop(&mut self, now_us: MonoTime) -> Option<Waiting> {
+        let &(_, index) = self.active.first()?;
+        self.demote(now_us, index);
+        let request_id = self.choose(now_us, index)?;
+        let before_us = self.partners[index].charged_us;
+        self.clock_us = before_us;
+        let entry = self.remove(request_id)?;
+        self.active.remove(&(before_us, index));
+        let queue = &mut self.partners[index];
+        queue.charged_us = before_us + entry.ask.charge_us.0.max(1);
+        queue.grants += 1;
+        if !queue.is_empty() {
+            self.active.insert((queue.charged_us, index));
+        }
+        Some(entry)
+    }
+
+    /// Gives back the charge of a grant that was not used.
+    pub fn refund(&mut self, partner: &PartnerId, charge_us: Micros) {
+        let Some(&index) = self.names.get(partner) else {
+            return;
+        };
+        let queue = &mut self.partners[index];
+        let was_active = self.active.remove(&(queue.charged_us, index));
+        queue.charged_us = queue.charged_us.saturating_sub(charge_us.0);
+        if was_active {
+            self.active.insert((queue.charged_us, index));
+        }
+    }
+
+    /// Puts asks whose target can no longer be met behind the others of their partner: they earn nothing,
+    /// and each grant to them would make another one late.
+    fn demote(&mut self, now_us: MonoTime, index: usize) {
+        if self.settings.order == QueueOrder::Fifo {
+            return;
+        }
+        let queue = &mut self.partners[index];
+        while let Some(first) = queue.in_time.first_entry() {
+            if first.key().0 >= now_us {
+                break;
+            }
+            let mut entry = first.remove();
+            entry.latest_us = None;
+            self.sequence += 1;
+            let key = (entry.since_us, self.sequence);
+            let place = Place {
+                partner: index,
+                key,
+                late: true,
+            };
+            self.places.insert(entry.ask.request_id, place);
+            queue.late.insert(key, entry);
+        }
+    }
+
+    fn choose(&self, now_us: MonoTime, index: usize) -> Option<RequestId> {
+        let queue = &self.partners[index];
+        let in_time = queue.in_time.first_key_value().map(|(_, entry)| entry);
+        let late = queue.late.first_key_value().map(|(_, entry)| entry);
+        let aged = late.is_some_and(|entry| now_us >= entry.since_us + self.settings.ageing_ms);
+        let turn_of_aged = aged && queue.grants.is_multiple_of(self.settings.ageing_every.max(1));
+        let chosen = match (in_time, late) {
+            (Some(_), Some(late)) if turn_of_aged => late,
+            (Some(entry), _) | (None, Some(entry)) => entry,
+            (None, None) => return None,
+        };
+        Some(chosen.ask.request_id)
+    }
+
+    /// Empties the queue, for a server that cannot serve.
+    pub fn drain(&mut self) -> Vec<Waiting> {
+        let ids = self.places.keys().copied().collect::<Vec<_>>();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+}
+
+fn work_ahead(queue: &PartnerQueue, entry: &Waiting) -> u64 {
+    match entry.latest_us {
+        Some(latest_us) => queue
+            .in_time
+            .range(..=(latest_us, u64::MAX))
+            .map(|(_, ahead)| ahead.share_us())
+            .sum(),
+        None => queue.work_us,
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a span of microseconds times a clamped positive factor"
+)]
+fn stretch(span_us: u64, pace: f64) -> u64 {
+    (span_us as f64 * pace) as u64
+}
