Add a seeded load tool that checks every answer

A daemon's own counters cannot show that a caller got the whole of its answer, or that a booking ran once. The tool sends a planned load, recomputes each answer, and asks the stand-ins' ledgers and engine accounts what ran.

Ruled out: retries inside the HTTP client, which would hide what a daemon does to its caller.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -17,7 +17,7 @@
 
 use crate::control::{Faults, Steer};
 use crate::engine_cache::PrefixCache;
-use crate::engine_memory::{EngineCounters, Holding, Memory, Owner};
+use crate::engine_memory::{EngineCounters, Holding, Memory, Owner, RequestWork};
 use crate::http::{Body, Handler, json, not_found, query_number, serve};
 
 mod orders;
@@ -106,8 +106,8 @@
     pub held: Vec<Holding>,
     /// The account.
     pub counters: EngineCounters,
-    /// Prompt tokens prefilled by request, cached ones included, over all times it was prefilled here.
-    pub prefilled: BTreeMap<String, u64>,
+    /// Prefill work by request.
+    pub work: BTreeMap<String, RequestWork>,
     /// Orders carried out, with their fencing numbers, in order.
     pub orders: Vec<AppliedOrder>,
     /// Models loaded.
@@ -255,7 +255,7 @@
         EngineState {
             held: memory.holdings(),
             counters: memory.counters,
-            prefilled: memory.prefilled().clone(),
+            work: memory.work().clone(),
             orders: orders.applied.clone(),
             models: orders.models.clone(),
             decodes: orders.role == Role::Decode,
--- a/crates/standins/src/engine/work.rs
+++ b/crates/standins/src/engine/work.rs
@@ -176,7 +176,7 @@
             () = cancelled => {
                 let part = started.elapsed().as_micros() * u128::from(tokens) / work.as_micros().max(1);
                 let part = u64::try_from(part).unwrap_or(tokens).min(tokens);
-                self.change(|memory| memory.abandon_prefill(part));
+                self.change(|memory| memory.abandon_prefill(id, part));
             }
         }
     }
--- a/crates/standins/src/engine_memory.rs
+++ b/crates/standins/src/engine_memory.rs
@@ -91,6 +91,17 @@
     pub resumes: u64,
 }
 
+/// Prefill work done for one request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct RequestWork {
+    /// Prompt tokens read for it over all times, cached ones left out.
+    pub work_tokens: u64,
+    /// The part of it in the last result that another engine imported.
+    pub exported_tokens: u64,
+    /// Times it was prefilled whole.
+    pub prefills: u64,
+}
+
 #[derive(Debug)]
 pub(crate) struct Held {
     pub(crate) owner: Owner,
@@ -140,7 +151,7 @@
     pub(crate) counters: EngineCounters,
     held: BTreeMap<String, Held>,
     finished: HashMap<String, Finished>,
-    prefilled: BTreeMap<String, u64>,
+    work: BTreeMap<String, RequestWork>,
     arrivals: u64,
 }
 
@@ -152,7 +163,7 @@
             counters: EngineCounters::default(),
             held: BTreeMap::new(),
             finished: HashMap::new(),
-            prefilled: BTreeMap::new(),
+            work: BTreeMap::new(),
             arrivals: 0,
         }
     }
@@ -170,8 +181,8 @@
         holdings.collect()
     }
 
-    pub(crate) fn prefilled(&self) -> &BTreeMap<String, u64> {
-        &self.prefilled
+    pub(crate) fn work(&self) -> &BTreeMap<String, RequestWork> {
+        &self.work
     }
 
     pub(crate) fn slots_used(&self) -> usize {
@@ -248,15 +259,17 @@
         self.counters.prefill_tokens += tokens;
         self.counters.cached_tokens += held.cached_tokens;
         self.cache.store(&prefix_blocks(&held.prompt), now);
-        let before = self.prefilled.entry(id.to_owned()).or_default();
-        if *before > 0 {
+        let work = self.work.entry(id.to_owned()).or_default();
+        if work.prefills > 0 {
             self.counters.redone_tokens += tokens;
         }
-        *before += held.prompt_tokens;
+        work.prefills += 1;
+        work.work_tokens += tokens;
     }
 
     /// Tokens read in the part of a prefill that was done before its request was cancelled.
-    pub(crate) fn abandon_prefill(&mut self, tokens: u64) {
+    pub(crate) fn abandon_prefill(&mut self, id: &str, tokens: u64) {
+        self.work.entry(id.to_owned()).or_default().work_tokens += tokens;
         self.counters.prefill_tokens += tokens;
         self.counters.cancelled_tokens += tokens;
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine_memory;
 pub mod hosts;
 pub mod http;
+pub mod load;
 pub mod log;
 pub mod plain;
 pub mod plan;
--- /dev/null
+++ b/crates/standins/src/load/cmd/mod.rs
@@ -0,0 +1,35 @@
+//! Subcommands of the load tool.
+
+use anyhow::Context;
+use gumdrop::Options;
+
+pub mod mixed;
+
+/// Arguments of the load tool.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(command, required)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "send a mixed load and audit its outcomes")]
+    Mixed(mixed::Mixed),
+}
+
+/// Runs the subcommand; false if its findings are not clean.
+///
+/// # Errors
+/// The run could not be made.
+pub fn run(arguments: Arguments) -> anyhow::Result<bool> {
+    let Some(command) = arguments.command else {
+        anyhow::bail!("no subcommand; see --help");
+    };
+    let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
+    match command {
+        Command::Mixed(options) => runtime.block_on(options.run()),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/mod.rs
@@ -0,0 +1,11 @@
+//! A small seeded load tool: sends a mixed load, checks each answer, and asks the stand-ins' own accounts
+//! whether what the callers were told is true.
+
+pub mod answer;
+pub mod audit;
+pub mod caller;
+pub mod cmd;
+pub mod report;
+pub mod schedule;
+pub mod settings;
+pub mod tally;
