--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod callers;
+pub mod claims;
 pub mod clock;
 pub mod daemon;
 pub mod directory;
--- /dev/null
+++ b/crates/router/tests/claims/main.rs
@@ -0,0 +1,4 @@
+//! The claims service over a log in memory.
+
+mod fake;
+mod service;
