Decide who lives and how news travels between daemons

Cause: services need to know which daemons live, who does a job that one daemon has to do, and how a message reaches another daemon.

Ruled out: verdicts of death that are passed on (one wrong verdict would spread), full heartbeats across data centres (do not fit 4 KB/s).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod claim;
 pub mod ids;
 pub mod membership;
+pub mod meter;
 pub mod sched;
 pub mod slots;
 pub mod spread;
 pub mod units;
+pub mod watch;
--- a/crates/core/src/membership.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! Heartbeats and digests between daemons.
-
-use serde::{Deserialize, Serialize};
-
-/// What daemons say to each other about it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub enum MembershipMessage {}
--- /dev/null
+++ b/crates/core/src/meter.rs
@@ -0,0 +1,108 @@
+//! What control costs on this host: processor time, memory and bytes sent, against the budget.
+
+use crate::units::{Bytes, BytesPerSecond, Micros, MonoTime};
+
+/// Millionths of one core.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize,
+)]
+pub struct CoreShare(pub u64);
+
+impl std::fmt::Display for CoreShare {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:.2} % of a core", self.0 as f64 / 10_000.0)
+    }
+}
+
+/// What control may cost on one host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ControlBudget {
+    /// Processor time.
+    pub core_share: CoreShare,
+    /// Memory.
+    pub memory_bytes: Bytes,
+    /// Bytes sent to other daemons.
+    pub sent_bytes_per_s: BytesPerSecond,
+}
+
+impl Default for ControlBudget {
+    fn default() -> Self {
+        Self {
+            core_share: CoreShare(28_000),
+            memory_bytes: Bytes(32 << 20),
+            sent_bytes_per_s: BytesPerSecond(4_096),
+        }
+    }
+}
+
+/// Totals since the start of the process, as read at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ControlTotals {
+    /// Processor time of the control threads.
+    pub cpu_us: Micros,
+    /// Memory of the process that control accounts for.
+    pub memory_bytes: Bytes,
+    /// Bytes sent to other daemons for control; what requests cause is counted apart.
+    pub sent_bytes: Bytes,
+}
+
+/// What control costs at present.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct ControlUsage {
+    /// Processor time over the window.
+    pub core_share: CoreShare,
+    /// Memory at the end of the window.
+    pub memory_bytes: Bytes,
+    /// Bytes sent over the window.
+    pub sent_bytes_per_s: BytesPerSecond,
+}
+
+impl ControlUsage {
+    /// Whether any part is above `budget`.
+    pub fn is_over(&self, budget: &ControlBudget) -> bool {
+        self.core_share > budget.core_share
+            || self.memory_bytes > budget.memory_bytes
+            || self.sent_bytes_per_s > budget.sent_bytes_per_s
+    }
+}
+
+/// Turns totals into rates.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ControlMeter {
+    last: Option<(MonoTime, ControlTotals)>,
+    usage: ControlUsage,
+}
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+fn per_second(amount: u64, span_us: Micros) -> u64 {
+    let scaled = u128::from(amount) * u128::from(MICROS_PER_SECOND) / u128::from(span_us.0.max(1));
+    u64::try_from(scaled).unwrap_or(u64::MAX)
+}
+
+impl ControlMeter {
+    /// Takes totals in and returns the usage since those before.
+    pub fn sample(&mut self, now_us: MonoTime, totals: ControlTotals) -> ControlUsage {
+        if let Some((last_us, last)) = self.last {
+            let span_us = now_us.since(last_us);
+            if span_us == Micros::ZERO {
+                return self.usage;
+            }
+            self.usage = ControlUsage {
+                core_share: CoreShare(per_second((totals.cpu_us - last.cpu_us).0, span_us)),
+                memory_bytes: totals.memory_bytes,
+                sent_bytes_per_s: BytesPerSecond(per_second(
+                    (totals.sent_bytes - last.sent_bytes).0,
+                    span_us,
+                )),
+            };
+        }
+        self.last = Some((now_us, totals));
+        self.usage
+    }
+
+    /// The usage as last sampled.
+    pub fn usage(&self) -> ControlUsage {
+        self.usage
+    }
+}
--- a/crates/core/src/spread.rs
+++ /dev/null
@@ -1,7 +0,0 @@
-//! Relaying of configuration and load between daemons.
-
-use serde::{Deserialize, Serialize};
-
-/// What daemons say to each other about it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
-pub enum SpreadMessage {}
--- /dev/null
+++ b/crates/core/src/spread/loads.rs
@@ -0,0 +1,78 @@
+//! Load of data centres: parts summed up by one daemon of each, summaries passed on to all.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::message::{LoadSummary, ModelLoad, ModelTag};
+use super::settings::SpreadSettings;
+use crate::ids::{DataCentreId, HostId};
+use crate::units::{Micros, MonoTime};
+
+/// Loads as known here.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Loads {
+    parts: HashMap<HostId, (MonoTime, Vec<ModelLoad>)>,
+    summaries: BTreeMap<DataCentreId, (MonoTime, LoadSummary)>,
+}
+
+impl Loads {
+    pub(crate) fn take_part(&mut self, now_us: MonoTime, from: HostId, models: Vec<ModelLoad>) {
+        self.parts.insert(from, (now_us, models));
+    }
+
+    /// The next summary of the own data centre.
+    pub(crate) fn sum_up(
+        &mut self,
+        now_us: MonoTime,
+        data_centre: &DataCentreId,
+        settings: &SpreadSettings,
+    ) -> LoadSummary {
+        let expires_us = Micros::from(settings.load_expires_ms);
+        self.parts
+            .retain(|_, (since_us, _)| now_us.since(*since_us) <= expires_us);
+        let mut models: BTreeMap<ModelTag, ModelLoad> = BTreeMap::new();
+        for load in self.parts.values().flat_map(|(_, models)| models) {
+            let sum = models.entry(load.model).or_insert(ModelLoad {
+                model: load.model,
+                ..ModelLoad::default()
+            });
+            sum.slots_free = sum.slots_free.saturating_add(load.slots_free);
+            sum.prefill_queue_tokens = sum.prefill_queue_tokens.saturating_add(load.prefill_queue_tokens);
+        }
+        let version = self
+            .summaries
+            .get(data_centre)
+            .map_or(0, |(_, summary)| summary.version);
+        LoadSummary {
+            data_centre: data_centre.clone(),
+            version: version + 1,
+            models: models.into_values().collect(),
+        }
+    }
+
+    /// Takes a summary in; true when it is news.
+    pub(crate) fn adopt(&mut self, now_us: MonoTime, summary: LoadSummary) -> bool {
+        let known = self.summaries.get(&summary.data_centre);
+        if known.is_some_and(|(_, known)| known.version >= summary.version) {
+            return false;
+        }
+        self.summaries
+            .insert(summary.data_centre.clone(), (now_us, summary));
+        true
+    }
+
+    /// Forgets what says nothing any more; true when something went.
+    pub(crate) fn expire(&mut self, now_us: MonoTime, settings: &SpreadSettings) -> bool {
+        let before = self.summaries.len();
+        let expires_us = Micros::from(settings.load_expires_ms);
+        self.summaries
+            .retain(|_, (since_us, _)| now_us.since(*since_us) <= expires_us);
+        self.summaries.len() != before
+    }
+
+    pub(crate) fn current(&self) -> BTreeMap<DataCentreId, LoadSummary> {
+        self.summaries
+            .iter()
+            .map(|(name, (_, summary))| (name.clone(), summary.clone()))
+            .collect()
+    }
+}
--- a/crates/router/src/kernel.rs
+++ b/crates/router/src/kernel.rs
@@ -28,6 +28,8 @@
     Leases,
     /// Which daemons live.
     Membership,
+    /// Spreading of configuration, signs and load.
+    Spread,
     /// Slot ledgers of the backend servers that this daemon watches.
     Watcher,
 }
--- /dev/null
+++ b/crates/router/src/membership.rs
@@ -0,0 +1,195 @@
+//! The membership service: carries out on the control thread what `hibiscusvale_core::membership` decides.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use hibiscusvale_core::ids::{HostId, Incarnation};
+use hibiscusvale_core::membership::{
+    Contact, MemberRecord, MembersView, Membership, MembershipAction, MembershipCounts, MembershipEvent,
+    MembershipMessage, MembershipSettings,
+};
+use hibiscusvale_core::units::{Micros, MonoTime};
+use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
+
+use crate::peer::{PeerBody, PeerLink};
+use crate::platform::{ListedHost, ListedKind};
+
+/// What the membership service takes in its inbox.
+#[derive(Clone, Debug)]
+pub enum MembershipRequest {
+    /// A message of another daemon.
+    Peer {
+        /// Its host.
+        from: HostId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// What it says.
+        message: MembershipMessage,
+    },
+    /// The platform's list changed.
+    Listed(Arc<Vec<ListedHost>>),
+    /// This daemon begins to stop: its work is to move.
+    Leave,
+}
+
+/// What the membership service publishes. All of it can be read from any thread without waiting.
+#[derive(Clone, Debug)]
+pub struct MembershipHandle {
+    /// Who lives.
+    pub view: Arc<ArcSwap<MembersView>>,
+    /// Changes with the view, for services that act on a change.
+    pub changes: watch::Receiver<u64>,
+    /// Counts for metrics.
+    pub counts: Arc<ArcSwap<MembershipCounts>>,
+    /// Becomes the newer life when this process was replaced under its own name, and has to stop.
+    pub superseded: watch::Receiver<Option<Incarnation>>,
+}
+
+/// The membership service.
+#[derive(Debug)]
+pub struct MembershipService {
+    machine: Membership,
+    settings: MembershipSettings,
+    link: Arc<dyn PeerLink>,
+    view: Arc<ArcSwap<MembersView>>,
+    counts: Arc<ArcSwap<MembershipCounts>>,
+    changes: watch::Sender<u64>,
+    superseded: watch::Sender<Option<Incarnation>>,
+    actions: Vec<MembershipAction>,
+    epoch: Instant,
+}
+
+/// Contacts from addresses in the settings, whose hosts are not known.
+pub fn contacts_of_seeds(seeds: &[SocketAddr]) -> Vec<Contact> {
+    seeds
+        .iter()
+        .map(|seed| Contact {
+            host: None,
+            peer_address: *seed,
+            data_centre: None,
+        })
+        .collect()
+}
+
+/// Contacts from the entry hosts of the platform's list.
+pub fn contacts_of_list(listed: &[ListedHost]) -> Vec<Contact> {
+    listed
+        .iter()
+        .filter(|host| host.kind == ListedKind::Entry)
+        .filter_map(|host| {
+            Some(Contact {
+                host: host.id.as_str().parse().ok(),
+                peer_address: host.peer_address?,
+                data_centre: Some(host.data_centre.clone()),
+            })
+        })
+        .collect()
+}
+
+impl MembershipService {
+    /// The service of the daemon that `own` describes. `epoch` is the zero of its clock.
+    pub fn new(
+        settings: MembershipSettings,
+        own: MemberRecord,
+        seeds: &[SocketAddr],
+        link: Arc<dyn PeerLink>,
+        epoch: Instant,
+    ) -> (Self, MembershipHandle) {
+        let random_seed = own.incarnation.0;
+        let machine = Membership::new(settings, own, contacts_of_seeds(seeds), random_seed);
+        let view = Arc::new(ArcSwap::from_pointee(machine.view().clone()));
+        let counts = Arc::new(ArcSwap::from_pointee(MembershipCounts::default()));
+        let (changes, changes_seen) = watch::channel(0);
+        let (superseded, superseded_seen) = watch::channel(None);
+        let handle = MembershipHandle {
+            view: Arc::clone(&view),
+            changes: changes_seen,
+            counts: Arc::clone(&counts),
+            superseded: superseded_seen,
+        };
+        let service = Self {
+            machine,
+            settings,
+            link,
+            view,
+            counts,
+            changes,
+            superseded,
+            actions: Vec::new(),
+            epoch,
+        };
+        (service, handle)
+    }
+
+    /// Runs until the inbox closes.
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<MembershipRequest>) {
+        let mut ticks = tokio::time::interval(self.settings.tick_ms.into());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.handle(MembershipEvent::Tick),
+                request = inbox.recv() => {
+                    let Some(request) = request else { return };
+                    self.handle(event_of(request));
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: MembershipEvent) {
+        let now_us = since(self.epoch);
+        let mut actions = std::mem::take(&mut self.actions);
+        self.machine.handle(now_us, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(action);
+        }
+        self.actions = actions;
+        let counts = self.machine.counts();
+        if **self.counts.load() != counts {
+            self.counts.store(Arc::new(counts));
+        }
+    }
+
+    fn carry_out(&self, action: MembershipAction) {
+        match action {
+            MembershipAction::Send { to, address, message } => {
+                self.link
+                    .send_at(to.as_ref(), address, PeerBody::Membership(message));
+            }
+            MembershipAction::Publish(view) => {
+                self.link.set_members(&view);
+                let version = view.version;
+                self.view.store(Arc::new(view));
+                self.changes.send_replace(version);
+            }
+            MembershipAction::Superseded { by } => {
+                self.superseded.send_replace(Some(by));
+            }
+        }
+    }
+}
+
+fn event_of(request: MembershipRequest) -> MembershipEvent {
+    match request {
+        MembershipRequest::Peer {
+            from,
+            incarnation,
+            message,
+        } => MembershipEvent::Message {
+            from,
+            incarnation,
+            message,
+        },
+        MembershipRequest::Listed(listed) => MembershipEvent::Listed(contacts_of_list(&listed)),
+        MembershipRequest::Leave => MembershipEvent::Leave,
+    }
+}
+
+/// Time on the clock that starts at `epoch`.
+pub(crate) fn since(epoch: Instant) -> MonoTime {
+    let span = epoch.elapsed();
+    MonoTime::default() + Micros(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+}
