Take the daemon's one clock in the node services

Cause: the services carried a zero of time of their own beside clock::now. Change: they read the clock module. Ruled out: nothing.

--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::{HostId, Incarnation};
@@ -10,10 +9,10 @@
     Contact, MemberRecord, MembersView, Membership, MembershipAction, MembershipCounts, MembershipEvent,
     MembershipMessage, MembershipSettings,
 };
-use hibiscusvale_core::units::{Micros, MonoTime};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
+use crate::clock;
 use crate::peer::{PeerBody, PeerLink};
 use crate::platform::{ListedHost, ListedKind};
 
@@ -59,7 +58,6 @@
     changes: watch::Sender<u64>,
     superseded: watch::Sender<Option<Incarnation>>,
     actions: Vec<MembershipAction>,
-    epoch: Instant,
 }
 
 /// Contacts from addresses in the settings, whose hosts are not known.
@@ -90,13 +88,12 @@
 }
 
 impl MembershipService {
-    /// The service of the daemon that `own` describes. `epoch` is the zero of its clock.
+    /// The service of the daemon that `own` describes.
     pub fn new(
         settings: MembershipSettings,
         own: MemberRecord,
         seeds: &[SocketAddr],
         link: Arc<dyn PeerLink>,
-        epoch: Instant,
     ) -> (Self, MembershipHandle) {
         let random_seed = own.incarnation.0;
         let machine = Membership::new(settings, own, contacts_of_seeds(seeds), random_seed);
@@ -119,7 +116,6 @@
             changes,
             superseded,
             actions: Vec::new(),
-            epoch,
         };
         (service, handle)
     }
@@ -140,7 +136,7 @@
     }
 
     fn handle(&mut self, event: MembershipEvent) {
-        let now_us = since(self.epoch);
+        let now_us = clock::now();
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now_us, event, &mut actions);
         for action in actions.drain(..) {
@@ -187,9 +183,3 @@
         MembershipRequest::Leave => MembershipEvent::Leave,
     }
 }
-
-/// Time on the clock that starts at `epoch`.
-pub(crate) fn since(epoch: Instant) -> MonoTime {
-    let span = epoch.elapsed();
-    MonoTime::default() + Micros(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
-}
--- a/crates/router/src/meter.rs
+++ b/crates/router/src/meter.rs
@@ -12,7 +12,7 @@
 use hibiscusvale_core::meter::{ControlMeter, ControlTotals, ControlUsage};
 use hibiscusvale_core::units::{Bytes, Micros, Millis};
 
-use crate::membership::since;
+use crate::clock;
 use crate::peer::{NngLink, RECEIVE_THREAD};
 
 /// Name of the thread that runs the control services.
@@ -68,7 +68,6 @@
     link: Arc<NngLink>,
     meter: ControlMeter,
     usage: Arc<ArcSwap<ControlUsage>>,
-    epoch: Instant,
 }
 
 /// Time between two looks at the link's connections.
@@ -76,13 +75,12 @@
 
 impl MeterService {
     /// The service, and where it publishes the usage.
-    pub fn new(link: Arc<NngLink>, epoch: Instant) -> (Self, Arc<ArcSwap<ControlUsage>>) {
+    pub fn new(link: Arc<NngLink>) -> (Self, Arc<ArcSwap<ControlUsage>>) {
         let usage = Arc::new(ArcSwap::from_pointee(ControlUsage::default()));
         let service = Self {
             link,
             meter: ControlMeter::default(),
             usage: Arc::clone(&usage),
-            epoch,
         };
         (service, usage)
     }
@@ -105,7 +103,7 @@
             memory_bytes: process_memory_bytes(),
             sent_bytes: Bytes(self.link.counts().control_bytes),
         };
-        let usage = self.meter.sample(since(self.epoch), totals);
+        let usage = self.meter.sample(clock::now(), totals);
         self.usage.store(Arc::new(usage));
     }
 }
--- a/crates/router/src/spread.rs
+++ b/crates/router/src/spread.rs
@@ -1,7 +1,6 @@
 //! The spreading service: carries out on the control thread what `hibiscusvale_core::spread` decides.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Offset};
@@ -13,7 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
-use crate::membership::since;
+use crate::clock;
 use crate::peer::{PeerBody, PeerLink};
 
 /// What the spreading service takes in its inbox.
@@ -94,7 +93,6 @@
     counts: Arc<ArcSwap<SpreadCounts>>,
     is_reader: watch::Sender<bool>,
     actions: Vec<SpreadAction>,
-    epoch: Instant,
 }
 
 /// The daemon that a spreading service belongs to, and where it finds the other services.
@@ -112,8 +110,6 @@
     pub members: Arc<ArcSwap<MembersView>>,
     /// The service that folds the configuration.
     pub feed: mpsc::Sender<ConfigFeed>,
-    /// The zero of the clock.
-    pub epoch: Instant,
 }
 
 impl SpreadService {
@@ -138,7 +134,6 @@
             counts,
             is_reader,
             actions: Vec::new(),
-            epoch: parts.epoch,
         };
         (service, handle)
     }
@@ -159,7 +154,7 @@
     }
 
     async fn handle(&mut self, event: SpreadEvent) {
-        let now_us = since(self.epoch);
+        let now_us = clock::now();
         let members = self.members.load_full();
         let mut actions = std::mem::take(&mut self.actions);
         self.machine.handle(now_us, &members, event, &mut actions);
