Let the engine stand-in go on behind text of an earlier try

The router sends the text that a broken try produced along with the prompt, and asks for the tokens behind it with their old index. The stand-in read only the prompt and would have begun again at index 0. Stages are reported by the names that the router's engine edge knows.

--- a/crates/standins/src/engine/transfer.rs
+++ b/crates/standins/src/engine/transfer.rs
@@ -12,9 +12,8 @@
 use super::work::Refusal;
 use super::{Engine, Role};
 use crate::client::post_json;
-use crate::engine_memory::{ImportStart, Owner, Stage};
+use crate::engine_memory::{ImportStart, Owner, Prompt, Stage};
 use crate::http::{Body, bad_request, json, read_json};
-use crate::text::token_count;
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
@@ -42,11 +41,6 @@
     request_id: String,
 }
 
-#[derive(Debug, Deserialize, Serialize)]
-struct Exported {
-    prompt: String,
-}
-
 #[derive(Debug, Deserialize, Serialize)]
 struct Released {
     released: bool,
@@ -110,10 +104,10 @@
         let export = ExportCall {
             request_id: call.request_id.clone(),
         };
-        let exported: Exported = post_json(call.source, "/standin/export", &export)
+        let prompt: Prompt = post_json(call.source, "/standin/export", &export)
             .await
             .map_err(|_| SourceGone)?;
-        let kv_bytes = token_count(&exported.prompt) * self.settings.kv_bytes_per_token;
+        let kv_bytes = prompt.tokens() * self.settings.kv_bytes_per_token;
         *self.transfers.lock() += 1;
         sleep(
             self.faults
@@ -127,7 +121,7 @@
         if !released.released {
             return Err(SourceGone);
         }
-        self.change(|memory| memory.finish_import(&call.request_id, exported.prompt));
+        self.change(|memory| memory.finish_import(&call.request_id, prompt));
         Ok(())
     }
 
@@ -148,7 +142,7 @@
         };
         let prompt = self.change(|memory| memory.start_export(&call.request_id, Instant::now()));
         match prompt {
-            Some(prompt) => json(StatusCode::OK, &Exported { prompt }),
+            Some(prompt) => json(StatusCode::OK, &prompt),
             None => Refusal::Gone(true).response(),
         }
     }
--- a/crates/standins/src/engine/work.rs
+++ b/crates/standins/src/engine/work.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{Engine, Named, Role};
-use crate::engine_memory::{Next, Owner, Stage};
+use crate::engine_memory::{Next, Owner, Prompt, Stage};
 use crate::http::{Body, bad_request, json, read_json};
 
 #[derive(Debug, Deserialize)]
@@ -21,7 +21,8 @@
     request_id: String,
     owner: Owner,
     model: String,
-    prompt: String,
+    #[serde(flatten)]
+    prompt: Prompt,
     #[serde(default)]
     priority: i64,
 }
--- a/crates/standins/src/engine_memory.rs
+++ b/crates/standins/src/engine_memory.rs
@@ -24,10 +24,23 @@
     pub incarnation: String,
 }
 
-/// How far a held request is.
+/// How far a held request is, as reports tell it.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Stage {
+pub enum ReportedStage {
+    /// Its prompt is read or waits for that.
+    Prefill,
+    /// Its KV cache waits for export.
+    Exported,
+    /// Its KV cache is being copied.
+    Transfer,
+    /// It has a slot and its KV cache.
+    Decode,
+}
+
+/// How far a held request is.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Stage {
     /// Waits for its prefill.
     Queued,
     /// Its prompt is being read.
@@ -46,9 +59,18 @@
 
 impl Stage {
     /// Whether a request in this stage takes a decode slot.
-    pub fn has_slot(self) -> bool {
+    pub(crate) fn has_slot(self) -> bool {
         matches!(self, Self::Importing | Self::Imported | Self::Decoding)
     }
+
+    fn reported(self) -> ReportedStage {
+        match self {
+            Self::Queued | Self::Prefilling => ReportedStage::Prefill,
+            Self::Prefilled => ReportedStage::Exported,
+            Self::Exporting | Self::Importing => ReportedStage::Transfer,
+            Self::Imported | Self::Decoding => ReportedStage::Decode,
+        }
+    }
 }
 
 /// A held request as reports show it.
@@ -59,7 +81,7 @@
     /// For whom.
     pub owner: Owner,
     /// How far it is.
-    pub stage: Stage,
+    pub stage: ReportedStage,
 }
 
 /// An engine's account, in tokens and counts since its start.
@@ -102,11 +124,31 @@
     pub prefills: u64,
 }
 
+/// What an engine reads before it writes.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub(crate) struct Prompt {
+    /// The caller's prompt.
+    pub(crate) prompt: String,
+    /// What an earlier try wrote behind it; it counts as the first tokens of the answer.
+    #[serde(default)]
+    pub(crate) generated: String,
+}
+
+impl Prompt {
+    fn text(&self) -> String {
+        format!("{}{}", self.prompt, self.generated)
+    }
+
+    pub(crate) fn tokens(&self) -> u64 {
+        token_count(&self.text())
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Held {
     pub(crate) owner: Owner,
     pub(crate) stage: Stage,
-    pub(crate) prompt: String,
+    pub(crate) prompt: Prompt,
     pub(crate) priority: i64,
     pub(crate) arrival: u64,
     pub(crate) prompt_tokens: u64,
@@ -176,7 +218,7 @@
         let holdings = self.held.iter().map(|(id, held)| Holding {
             request_id: id.clone(),
             owner: held.owner.clone(),
-            stage: held.stage,
+            stage: held.stage.reported(),
         });
         holdings.collect()
     }
@@ -206,9 +248,9 @@
         of_owner.map(|(id, _)| id.clone()).collect()
     }
 
-    fn insert(&mut self, id: &str, owner: Owner, prompt: String, priority: i64, stage: Stage) {
+    fn insert(&mut self, id: &str, owner: Owner, prompt: Prompt, priority: i64, stage: Stage) {
         self.arrivals += 1;
-        let prompt_tokens = token_count(&prompt);
+        let prompt_tokens = prompt.tokens();
         self.finished.remove(id);
         self.held.insert(
             id.to_owned(),
@@ -230,7 +272,7 @@
     }
 
     /// Queues a prefill unless the request is held already.
-    pub(crate) fn queue_prefill(&mut self, id: &str, owner: Owner, prompt: String, priority: i64) {
+    pub(crate) fn queue_prefill(&mut self, id: &str, owner: Owner, prompt: Prompt, priority: i64) {
         if !self.held.contains_key(id) {
             self.insert(id, owner, prompt, priority, Stage::Queued);
         }
@@ -243,7 +285,7 @@
             .iter_mut()
             .filter(|(_, held)| held.stage == Stage::Queued);
         let (id, held) = queued.min_by_key(|(_, held)| (held.priority, held.arrival))?;
-        let hits = self.cache.hit(&prefix_blocks(&held.prompt));
+        let hits = self.cache.hit(&prefix_blocks(&held.prompt.text()));
         held.stage = Stage::Prefilling;
         held.cached_tokens = ((hits * BLOCK_BYTES / TOKEN_BYTES) as u64).min(held.prompt_tokens);
         Some((id.clone(), held.prompt_tokens - held.cached_tokens))
@@ -258,7 +300,7 @@
         held.evict_at = Some(now + evict_after);
         self.counters.prefill_tokens += tokens;
         self.counters.cached_tokens += held.cached_tokens;
-        self.cache.store(&prefix_blocks(&held.prompt), now);
+        self.cache.store(&prefix_blocks(&held.prompt.text()), now);
         let work = self.work.entry(id.to_owned()).or_default();
         if work.prefills > 0 {
             self.counters.redone_tokens += tokens;
@@ -290,7 +332,7 @@
     }
 
     /// Marks a result as being copied to another engine; returns its prompt.
-    pub(crate) fn start_export(&mut self, id: &str, now: Instant) -> Option<String> {
+    pub(crate) fn start_export(&mut self, id: &str, now: Instant) -> Option<Prompt> {
         let held = self.held.get_mut(id)?;
         if !matches!(held.stage, Stage::Prefilled | Stage::Exporting) {
             return None;
@@ -322,18 +364,18 @@
             self.counters.slot_refusals += 1;
             return ImportStart::NoSlot;
         }
-        self.insert(id, owner, String::new(), priority, Stage::Importing);
+        self.insert(id, owner, Prompt::default(), priority, Stage::Importing);
         self.counters.most_slots_used = self.counters.most_slots_used.max(self.slots_used() as u64);
         ImportStart::Begin
     }
 
     /// Gives an importing request its prompt; false if it was cancelled meanwhile.
-    pub(crate) fn finish_import(&mut self, id: &str, prompt: String) -> bool {
+    pub(crate) fn finish_import(&mut self, id: &str, prompt: Prompt) -> bool {
         let Some(held) = self.held.get_mut(id) else {
             return false;
         };
         held.stage = Stage::Imported;
-        held.prompt_tokens = token_count(&prompt);
+        held.prompt_tokens = prompt.tokens();
         held.prompt = prompt;
         true
     }
@@ -367,7 +409,8 @@
         if held.stage == Stage::Imported {
             held.stage = Stage::Decoding;
             held.max_tokens = max_tokens;
-            held.writer = Some(Writer::new(&held.prompt));
+            held.writer = Some(Writer::new(&held.prompt.text()));
+            held.text.clone_from(&held.prompt.generated);
         } else {
             self.counters.resumes += 1;
         }
--- a/crates/standins/src/load/answer.rs
+++ b/crates/standins/src/load/answer.rs
@@ -97,6 +97,8 @@
 struct Problem {
     #[serde(rename = "type")]
     kind: String,
+    #[serde(default)]
+    outcome: String,
 }
 
 #[derive(Debug, Deserialize)]
@@ -174,6 +176,7 @@
     text: String,
     done: bool,
     failed: bool,
+    denied: bool,
 }
 
 impl Events {
@@ -200,6 +203,7 @@
         if let Some(problem) = event.error {
             call.refusal = Some(problem.kind);
             self.failed = true;
+            self.denied = problem.outcome == "not-run";
         }
         let text = event.choices.first().map_or("", |choice| &choice.text);
         if !text.is_empty() {
@@ -212,7 +216,11 @@
 
     fn outcome(&self, planned: &Planned) -> Outcome {
         if !self.done {
-            return Outcome::Unknown;
+            return if self.denied {
+                Outcome::NotRun
+            } else {
+                Outcome::Unknown
+            };
         }
         if self.failed || self.text != expected_answer(&planned.text, planned.answer_tokens) {
             return Outcome::Lost(Flaw::Wrong);
--- a/crates/standins/tests/standins/engine.rs
+++ b/crates/standins/tests/standins/engine.rs
@@ -72,11 +72,20 @@
     assert_eq!(decode(&target, "r1", 3).await, expected_answer(PROMPT, 8)[12..]);
 }
 
+/// An engine dies after three tokens. Another one is given the prompt and these, and goes on with the fourth:
+/// the caller sees one answer.
 #[tokio::test]
 async fn prompt_with_tokens_so_far_is_continued_as_before() {
+    let source = engine(Role::Prefill, 10_000).await;
+    let target = engine(Role::Decode, 10_000).await;
     let whole = expected_answer(PROMPT, 8);
-    let so_far = format!("{PROMPT}{}", &whole[..12]);
-    assert_eq!(expected_answer(&so_far, 5), whole[12..]);
+    let more = json!({"model": "small", "prompt": PROMPT, "generated": &whole[..12]});
+    let answer: Value = post_json(source.address, "/engine/prefill", &with(named("r1"), &more))
+        .await
+        .unwrap();
+    assert_eq!(answer["prompt_tokens"], 17);
+    assert_eq!(import(&target, &source, "r1").await, StatusCode::OK);
+    assert_eq!(decode(&target, "r1", 3).await, whole[12..]);
 }
 
 /// A prefill result is evicted before anybody imports it. The import is refused, and the work counts as
