Say an outcome on proof only, and guard orders by leases on the log

Cause: "not run" is a promise that callers repeat a booking on; a caller must be served while the log is down; engine memory must not outlive its caller or its daemon; some engines ignore fencing numbers.

Change: attempts end in answered, not run or unknown, and another is made only on proof. Tickets name the daemon's life that alone may run a request and need no agreement.

--- a/crates/core/src/claim/machine.rs
+++ b/crates/core/src/claim/machine.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use super::answers::StoredAnswer;
 use super::partition::{AppendEnd, Asker, ClaimPage, Effect, Partition, Pending};
-use super::runs::{FinishedAs, HeldState, Runs, StoredAnswer};
+use super::runs::{FinishedAs, HeldState, NewRun, RunState, Runs};
 use super::{BodyDigest, Claim, ClaimAction, ClaimKey, ClaimMessage, ClaimSettings, UnixMillis, Verdict};
 use crate::ids::{HostId, Incarnation, RequestId};
 use crate::units::{Millis, MonoTime};
@@ -358,7 +359,15 @@
         };
         let Claim { key, digest, .. } = waiting.claim;
         let start_by_us = waiting.deadline_us;
-        self.runs.insert(now_us, request, key, digest, HeldState::Running);
+        self.runs.insert(
+            now_us,
+            request,
+            NewRun {
+                key,
+                digest,
+                state: RunState::Running,
+            },
+        );
         self.settle(now_us, request, Decision::Run { start_by_us });
     }
 
@@ -507,7 +516,15 @@
             let Claim { key, digest, .. } = waiting.claim;
             self.waiting_keys.remove(&key);
             if waiting.may_stand && !matches!(decision, Decision::Run { .. }) {
-                self.runs.insert(now_us, request, key, digest, HeldState::NotRun);
+                self.runs.insert(
+                    now_us,
+                    request,
+                    NewRun {
+                        key,
+                        digest,
+                        state: RunState::NotRun,
+                    },
+                );
                 self.free(now_us, key, request);
             }
         }
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -6,6 +6,7 @@
 //! only saves appends by grouping them: daemons that disagree on the owner may both append, and the order of
 //! the log decides between them. `docs/FAILURES.md` holds the reasons and `spec/claim.pml` the model.
 
+mod answers;
 mod fold;
 mod machine;
 mod partition;
@@ -13,10 +14,11 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use answers::{AnswerMemory, StoredAnswer, StoredHeader};
 pub use fold::{ClaimFold, FoldError};
 pub use machine::{Claims, Decision};
 pub use partition::{AppendEnd, ClaimPage, ClaimRecord};
-pub use runs::{FinishedAs, HeldState, StoredAnswer, StoredHeader};
+pub use runs::{FinishedAs, HeldState};
 
 use crate::ids::{HostId, IdempotencyKey, Offset, PartnerId, RequestId};
 use crate::units::{Bytes, Millis};
--- a/crates/core/src/claim/runs.rs
+++ b/crates/core/src/claim/runs.rs
@@ -5,41 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::answers::{AnswerMemory, StoredAnswer};
 use super::{BodyDigest, ClaimKey, ClaimSettings};
 use crate::ids::RequestId;
-use crate::units::{Bytes, Millis, MonoTime};
-
-/// One header of a kept answer.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct StoredHeader {
-    /// Its name.
-    pub name: String,
-    /// Its value.
-    pub value: Vec<u8>,
-}
-
-/// An answer kept for second callers.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct StoredAnswer {
-    /// Status code.
-    pub status: u16,
-    /// Headers that the caller was given.
-    pub headers: Vec<StoredHeader>,
-    /// The whole body.
-    pub body: Vec<u8>,
-}
-
-impl StoredAnswer {
-    /// Memory that the answer takes.
-    pub fn size(&self) -> Bytes {
-        let headers: usize = self
-            .headers
-            .iter()
-            .map(|header| header.name.len() + header.value.len())
-            .sum();
-        Bytes((headers + self.body.len()) as u64)
-    }
-}
+use crate::units::{Millis, MonoTime};
 
 /// How a request that held its key ended.
 #[derive(Clone, Debug, PartialEq)]
@@ -67,12 +36,20 @@
     Unknown,
 }
 
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RunState {
+    Running,
+    Answered,
+    NotRun,
+    Unknown,
+}
+
 #[derive(Clone, Debug)]
 struct Run {
     key: ClaimKey,
     digest: BodyDigest,
     since_us: MonoTime,
-    state: HeldState,
+    state: RunState,
 }
 
 /// The requests of this daemon that won their claim, or gave it up, for as long as their keys are held.
@@ -82,8 +59,7 @@
     by_request: HashMap<RequestId, Run>,
     by_key: HashMap<ClaimKey, RequestId>,
     by_age: VecDeque<RequestId>,
-    answers: VecDeque<RequestId>,
-    answers_bytes: Bytes,
+    answers: AnswerMemory<RequestId>,
 }
 
 impl Runs {
@@ -93,8 +69,7 @@
             by_request: HashMap::new(),
             by_key: HashMap::new(),
             by_age: VecDeque::new(),
-            answers: VecDeque::new(),
-            answers_bytes: Bytes::ZERO,
+            answers: AnswerMemory::new(settings.answer_bytes, settings.answers_bytes),
         }
     }
 
@@ -104,15 +79,9 @@
         self.by_request.len() >= self.settings.runs
     }
 
-    pub(super) fn insert(
-        &mut self,
-        now_us: MonoTime,
-        request: RequestId,
-        key: ClaimKey,
-        digest: BodyDigest,
-        state: HeldState,
-    ) {
-        if !matches!(state, HeldState::NotRun) {
+    pub(super) fn insert(&mut self, now_us: MonoTime, request: RequestId, run: NewRun) {
+        let NewRun { key, digest, state } = run;
+        if state != RunState::NotRun {
             self.by_key.insert(key, request);
         }
         self.by_age.push_back(request);
@@ -129,9 +98,20 @@
 
     /// The state of one of this daemon's requests; what is not remembered may have run.
     pub(super) fn state(&self, request: RequestId) -> HeldState {
-        self.by_request
-            .get(&request)
-            .map_or(HeldState::Unknown, |run| run.state.clone())
+        let Some(run) = self.by_request.get(&request) else {
+            return HeldState::Unknown;
+        };
+        match run.state {
+            RunState::Running => HeldState::Running,
+            RunState::NotRun => HeldState::NotRun,
+            RunState::Unknown => HeldState::Unknown,
+            RunState::Answered => self
+                .answers
+                .get(&request)
+                .map_or(HeldState::AnswerGone, |answer| {
+                    HeldState::Answered(Arc::clone(answer))
+                }),
+        }
     }
 
     /// The key of a request that did not run, if it is to be freed. An old one is left to expire: readers may
@@ -140,7 +120,7 @@
         let run = self.by_request.get(&request)?;
         let hold_ms = self.settings.hold_ms();
         let fresh = run.since_us + Millis(hold_ms.0 / 2) > now_us;
-        (run.state == HeldState::NotRun && fresh).then_some(run.key)
+        (run.state == RunState::NotRun && fresh).then_some(run.key)
     }
 
     /// The request of this daemon that holds `key`, with the digest of what it asked for.
@@ -149,54 +129,33 @@
         self.by_request.get(request).map(|run| (*request, run.digest))
     }
 
-    /// Writes down how a running request ended. Only the first end
-    /// counts: a late one of a task that lost a race must not turn an unknown outcome into another.
+    /// Writes down how a running request ended. Only the first end counts: a late one of a task that lost a
+    /// race must not turn an unknown outcome into another.
     pub(super) fn finish(&mut self, request: RequestId, finished: FinishedAs) {
         let Some(run) = self.by_request.get_mut(&request) else {
             return;
         };
-        if run.state != HeldState::Running {
+        if run.state != RunState::Running {
             return;
         }
-        let key = run.key;
         match finished {
-            FinishedAs::Answered(Some(answer)) if answer.size() <= self.settings.answer_bytes => {
-                self.answers_bytes += answer.size();
-                run.state = HeldState::Answered(answer);
-                self.answers.push_back(request);
+            FinishedAs::Answered(answer) => {
+                run.state = RunState::Answered;
+                if let Some(answer) = answer {
+                    self.answers.keep(request, answer);
+                }
             }
-            FinishedAs::Answered(_) => run.state = HeldState::AnswerGone,
-            FinishedAs::Unknown => run.state = HeldState::Unknown,
+            FinishedAs::Unknown => run.state = RunState::Unknown,
             FinishedAs::NotRun => {
-                run.state = HeldState::NotRun;
-                self.by_key.remove(&key);
+                run.state = RunState::NotRun;
+                self.by_key.remove(&run.key);
             }
         }
-        self.drop_answers();
-    }
-
-    fn drop_answers(&mut self) {
-        while self.answers_bytes > self.settings.answers_bytes {
-            let Some(oldest) = self.answers.pop_front() else {
-                return;
-            };
-            self.drop_answer(oldest);
-        }
-    }
-
-    fn drop_answer(&mut self, request: RequestId) {
-        let Some(run) = self.by_request.get_mut(&request) else {
-            return;
-        };
-        if let HeldState::Answered(answer) = &run.state {
-            self.answers_bytes -= answer.size();
-            run.state = HeldState::AnswerGone;
-        }
     }
 
     /// Forgets requests whose keys are no longer held. One that still runs is kept, however old.
     pub(super) fn expire(&mut self, now_us: MonoTime) {
-        let hold = self.settings.hold_ms();
+        let hold_ms = self.settings.hold_ms();
         for _ in 0..self.by_age.len() {
             let Some(&oldest) = self.by_age.front() else {
                 return;
@@ -205,20 +164,20 @@
                 self.by_age.pop_front();
                 continue;
             };
-            if run.since_us + hold > now_us {
+            if run.since_us + hold_ms > now_us {
                 return;
             }
             self.by_age.pop_front();
-            if run.state == HeldState::Running {
+            if run.state == RunState::Running {
                 self.by_age.push_back(oldest);
-                continue;
+            } else {
+                self.forget(oldest);
             }
-            self.forget(oldest);
         }
     }
 
     fn forget(&mut self, request: RequestId) {
-        self.drop_answer(request);
+        self.answers.forget(&request);
         let Some(run) = self.by_request.remove(&request) else {
             return;
         };
@@ -227,3 +186,11 @@
         }
     }
 }
+
+/// A request that is to be remembered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NewRun {
+    pub(super) key: ClaimKey,
+    pub(super) digest: BodyDigest,
+    pub(super) state: RunState,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,10 +7,15 @@
 
 pub mod claim;
 pub mod ids;
+pub mod lease;
 pub mod membership;
 pub mod meter;
+pub mod order;
+pub mod orphan;
+pub mod outcome;
 pub mod sched;
 pub mod slots;
 pub mod spread;
+pub mod ticket;
 pub mod units;
 pub mod watch;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod peer;
 pub mod platform;
 pub mod settings;
+pub mod tickets;
 pub mod spread;
--- /dev/null
+++ b/crates/router/src/tickets.rs
@@ -0,0 +1,86 @@
+//! Tickets of this daemon's life. They need neither the log nor other daemons, so they work through any cut.
+
+use std::sync::Arc;
+
+use hibiscusvale_core::claim::{BodyDigest, FinishedAs, StoredAnswer};
+use hibiscusvale_core::ids::{HostId, Incarnation, PartnerId};
+use hibiscusvale_core::ticket::{Ticket, TicketDecision, TicketDesk, TicketSettings, TooManyTickets};
+use parking_lot::Mutex;
+
+use crate::clock;
+
+/// The daemon's tickets, shared by the traffic threads. The lock is held for a look-up only.
+#[derive(Clone, Debug)]
+pub struct Tickets {
+    desk: Arc<Mutex<TicketDesk>>,
+}
+
+/// What a caller's task is to do with a request that came with a ticket.
+#[derive(Debug)]
+pub enum TicketUse {
+    /// Run it and report on the guard how it ended.
+    Run(TicketGuard),
+    /// Do not run it here; never [`TicketDecision::Run`].
+    Settled(TicketDecision),
+}
+
+/// The right to run the request of a ticket. Dropping it without a word says that the request may have run.
+#[derive(Debug)]
+pub struct TicketGuard {
+    tickets: Tickets,
+    ticket: Ticket,
+}
+
+impl Tickets {
+    /// The tickets of the daemon `incarnation` on `host`.
+    pub fn new(host: HostId, incarnation: Incarnation, settings: TicketSettings) -> Self {
+        Self { desk: Arc::new(Mutex::new(TicketDesk::new(host, incarnation, settings))) }
+    }
+
+    /// Gives a ticket.
+    ///
+    /// # Errors
+    ///
+    /// [`TooManyTickets`] of this partner.
+    pub fn give(&self, partner: &PartnerId) -> Result<Ticket, TooManyTickets> {
+        self.desk.lock().give(clock::now(), partner)
+    }
+
+    /// A request came with a ticket.
+    pub fn begin(&self, ticket: &Ticket, partner: &PartnerId, digest: BodyDigest) -> TicketUse {
+        match self.desk.lock().begin(clock::now(), ticket, partner, digest) {
+            TicketDecision::Run => {
+                TicketUse::Run(TicketGuard { tickets: self.clone(), ticket: ticket.clone() })
+            }
+            settled => TicketUse::Settled(settled),
+        }
+    }
+}
+
+impl TicketGuard {
+    /// The server answered; `None` when the answer is not to be kept.
+    pub fn answered(self, answer: Option<StoredAnswer>) {
+        self.finish(FinishedAs::Answered(answer.map(Arc::new)));
+    }
+
+    /// It is proven that the request did not run. The ticket can be used again.
+    pub fn not_run(self) {
+        self.finish(FinishedAs::NotRun);
+    }
+
+    /// The request may have run.
+    pub fn unknown(self) {
+        self.finish(FinishedAs::Unknown);
+    }
+
+    fn finish(&self, finished: FinishedAs) {
+        self.tickets.desk.lock().finish(&self.ticket, finished);
+    }
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        // Only the first end counts, so this says nothing when the end was reported.
+        self.finish(FinishedAs::Unknown);
+    }
+}
