Fold configuration from the log

Configuration had no state yet. Records (publish, delete, checkpoint) fold in the order of their offsets: of two changes made from one version the first counts and the second is rejected with both versions; a record that its publisher did not sign touches neither its classes nor its history; a mistaken one changes nothing and stands in its publisher's history. Checkpoints are sealed with a key that only daemons have, since the log is shared with the partners. Only a higher offset is adopted, and an empty, shortened or fresh log takes nothing back.

Ruled out: a version over all partners (one partner's change would make the other's a conflict), and trusting a checkpoint by its place in the log (any partner may append one).

--- /dev/null
+++ b/crates/core/src/config/fold.rs
@@ -0,0 +1,386 @@
+//! Folds the records of the configuration stream into a state.
+//!
+//! The state at an offset depends on the records before it and on nothing else. So records may come from the
+//! log or from peers, twice, in any order and in pieces, and a checkpoint may take the place of records that
+//! have expired; two daemons at the same offset always hold the same.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ed25519_dalek::VerifyingKey;
+
+use crate::config::checkpoint::{CheckpointError, CheckpointKey, SealedCheckpoint};
+use crate::config::history::{CHANGES_SHOWN, HistoryEntry, UnattributedRecord, Verdict};
+use crate::config::record::{ChangeBody, MAX_RECORD_BYTES, Record, SignedChange};
+use crate::config::reject::RejectReason;
+use crate::config::state::ConfigState;
+use crate::ids::{Offset, PartnerId};
+
+/// Keys that partners sign their changes with. They come from the settings and must be the same on all daemons:
+/// give a new partner's key to every daemon before the partner publishes.
+pub type PublisherKeys = BTreeMap<PartnerId, VerifyingKey>;
+
+/// Records held at most while earlier ones are missing: three hours of the busiest day to come.
+const MAX_PENDING_RECORDS: usize = 8_192;
+
+/// Bytes of records held at most while earlier ones are missing; a quarter of what control may use.
+const MAX_PENDING_BYTES: usize = 8 << 20;
+
+/// What the log said of itself at a read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LogBounds {
+    /// Oldest offset that the log still keeps.
+    pub start_offset: Offset,
+    /// Offset of the next append.
+    pub next_offset: Offset,
+}
+
+/// What the log looks like from the state that is in force.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogView {
+    /// Not read yet.
+    #[default]
+    Unread,
+    /// Everything that the log holds is folded in.
+    CaughtUp,
+    /// The log holds more, and it is being read.
+    Behind,
+    /// Records expired before they were read here; only a checkpoint or a peer can help.
+    Gap,
+    /// The log ends before the state in force: it was emptied or shortened. The state stays in force.
+    Shorter,
+}
+
+/// What taking records in did.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Intake {
+    /// Whether a newer state is in force now.
+    pub advanced: bool,
+    /// Accepted changes.
+    pub accepted: u32,
+    /// Records that changed nothing, for logs and counters.
+    pub rejected: Vec<RejectedRecord>,
+}
+
+/// A record that changed nothing.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RejectedRecord {
+    /// Where it stands.
+    pub offset: Offset,
+    /// The partner that it names.
+    pub publisher: Option<PartnerId>,
+    /// Why.
+    pub reason: RejectReason,
+}
+
+/// What offering a checkpoint did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Adopted {
+    /// It is newer and in force now.
+    Newer,
+    /// It is not newer, and nothing changed.
+    NotNewer,
+}
+
+/// A checkpoint that was not adopted.
+pub type AdoptError = CheckpointError;
+
+/// The newest checkpoint seen in the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SeenCheckpoint {
+    /// Where it stands.
+    pub offset: Offset,
+    /// What it stands for.
+    pub next_offset: Offset,
+}
+
+/// A daemon's fold over the configuration stream.
+#[derive(Clone, Debug)]
+pub struct ConfigFold {
+    keys: PublisherKeys,
+    checkpoint_key: CheckpointKey,
+    state: Arc<ConfigState>,
+    pending: BTreeMap<Offset, Arc<[u8]>>,
+    pending_bytes: usize,
+    dropped_to: Offset,
+    genesis_allowed: bool,
+    bounds: Option<LogBounds>,
+    checkpoint: Option<SeenCheckpoint>,
+}
+
+impl ConfigFold {
+    /// A fold that knows nothing yet.
+    pub fn new(keys: PublisherKeys, checkpoint_key: CheckpointKey) -> Self {
+        Self {
+            keys,
+            checkpoint_key,
+            state: Arc::default(),
+            pending: BTreeMap::new(),
+            pending_bytes: 0,
+            dropped_to: Offset(0),
+            genesis_allowed: false,
+            bounds: None,
+            checkpoint: None,
+        }
+    }
+
+    /// The state in force.
+    pub fn state(&self) -> &Arc<ConfigState> {
+        &self.state
+    }
+
+    /// The newest checkpoint seen in the log.
+    pub fn checkpoint(&self) -> Option<SeenCheckpoint> {
+        self.checkpoint
+    }
+
+    /// Allows a state to begin at offset 0. Until then a log that begins there is held back: if the platform
+    /// lost the log and started it afresh, a new daemon would take the few records in it for everything, and
+    /// callers would find their classes gone. The daemon allows it once its peers were asked for theirs.
+    pub fn allow_genesis(&mut self) -> Intake {
+        self.genesis_allowed = true;
+        let mut intake = Intake::default();
+        self.drain(&mut intake);
+        intake
+    }
+
+    /// The offset to read next. Records before it are of no use here, are held already, or had to be dropped
+    /// and are left to the checkpoint that will stand for them.
+    pub fn wanted(&self) -> Offset {
+        let start_offset = self.bounds.map_or(Offset(0), |bounds| bounds.start_offset);
+        let mut wanted = self.state.next_offset.max(start_offset).max(self.dropped_to);
+        for &offset in self.pending.range(wanted..).map(|(offset, _)| offset) {
+            if offset != wanted {
+                break;
+            }
+            wanted = wanted.next();
+        }
+        wanted
+    }
+
+    /// Notes what the log said of itself.
+    pub fn observe_log(&mut self, bounds: LogBounds) {
+        self.bounds = Some(bounds);
+    }
+
+    /// How the log and the state in force stand to each other.
+    pub fn log_view(&self) -> LogView {
+        let Some(bounds) = self.bounds else {
+            return LogView::Unread;
+        };
+        let in_force = self.state.next_offset;
+        if bounds.next_offset < in_force {
+            LogView::Shorter
+        } else if bounds.next_offset == in_force && self.state.is_known() {
+            LogView::CaughtUp
+        } else if bounds.start_offset > in_force {
+            LogView::Gap
+        } else {
+            LogView::Behind
+        }
+    }
+
+    /// Takes a record in. Records already folded in are ignored, and those ahead of a hole are held until the
+    /// hole is filled or a checkpoint bridges it.
+    pub fn take(&mut self, offset: Offset, bytes: &[u8]) -> Intake {
+        let mut intake = Intake::default();
+        if offset < self.state.next_offset || self.pending.contains_key(&offset) {
+            return intake;
+        }
+        if offset > self.state.next_offset {
+            self.bridge(bytes, &mut intake);
+        }
+        if offset >= self.state.next_offset {
+            self.hold(offset, bytes);
+        }
+        self.drain(&mut intake);
+        intake
+    }
+
+    /// Takes a state that a peer holds, if it is newer.
+    ///
+    /// # Errors
+    ///
+    /// [`AdoptError`] when no daemon sealed it.
+    pub fn adopt(&mut self, checkpoint: &SealedCheckpoint) -> Result<Adopted, AdoptError> {
+        // Only a higher offset is adopted. A peer that lags, or an old checkpoint that is read again, would
+        // otherwise take back what callers were already served by.
+        if checkpoint.next_offset <= self.state.next_offset {
+            return Ok(Adopted::NotNewer);
+        }
+        let state = checkpoint.open(&self.checkpoint_key)?;
+        self.state = Arc::new(state);
+        self.forget_folded();
+        self.drain(&mut Intake::default());
+        Ok(Adopted::Newer)
+    }
+
+    /// The state in force, sealed for peers and the log.
+    pub fn seal(&self) -> SealedCheckpoint {
+        SealedCheckpoint::seal(&self.state, &self.checkpoint_key)
+    }
+
+    /// A checkpoint behind a hole takes the place of the records that are missing before it.
+    fn bridge(&mut self, bytes: &[u8], intake: &mut Intake) {
+        if let Ok(Record::Checkpoint(checkpoint)) = Record::decode(bytes)
+            && self.adopt(&checkpoint) == Ok(Adopted::Newer)
+        {
+            intake.advanced = true;
+        }
+    }
+
+    fn hold(&mut self, offset: Offset, bytes: &[u8]) {
+        self.pending_bytes += bytes.len();
+        self.pending.insert(offset, Arc::from(bytes));
+        // Which records are dropped decides only how late a checkpoint can still bridge the hole: the oldest
+        // are the ones that a later checkpoint stands for.
+        while self.pending.len() > MAX_PENDING_RECORDS || self.pending_bytes > MAX_PENDING_BYTES {
+            let Some((dropped, bytes)) = self.pending.pop_first() else {
+                break;
+            };
+            self.pending_bytes -= bytes.len();
+            self.dropped_to = dropped.next();
+        }
+    }
+
+    fn forget_folded(&mut self) {
+        let kept = self.pending.split_off(&self.state.next_offset);
+        self.pending = kept;
+        self.dropped_to = Offset(0);
+        self.pending_bytes = self.pending.values().map(|bytes| bytes.len()).sum();
+    }
+
+    fn drain(&mut self, intake: &mut Intake) {
+        if !self.state.is_known() && !self.genesis_allowed {
+            return;
+        }
+        while let Some(entry) = self.pending.first_entry() {
+            if *entry.key() != self.state.next_offset {
+                break;
+            }
+            let (offset, bytes) = entry.remove_entry();
+            self.pending_bytes -= bytes.len();
+            self.apply(offset, &bytes, intake);
+        }
+    }
+
+    fn apply(&mut self, offset: Offset, bytes: &[u8], intake: &mut Intake) {
+        intake.advanced = true;
+        let state = Arc::make_mut(&mut self.state);
+        state.next_offset = offset.next();
+        let refusal = match Record::decode(bytes) {
+            Ok(Record::Change(change)) => {
+                match apply_change(state, &self.keys, offset, bytes.len(), &change) {
+                    Ok(()) => {
+                        intake.accepted += 1;
+                        return;
+                    }
+                    Err(reason) => (Some(change.publisher), reason),
+                }
+            }
+            Ok(Record::Checkpoint(checkpoint)) => {
+                if checkpoint.open(&self.checkpoint_key) != Err(CheckpointError::Forged) {
+                    self.checkpoint = Some(SeenCheckpoint {
+                        offset,
+                        next_offset: checkpoint.next_offset,
+                    });
+                    return;
+                }
+                state.note_unattributed(unattributed(offset, None, RejectReason::ForgedCheckpoint));
+                (None, RejectReason::ForgedCheckpoint)
+            }
+            Err(_) => {
+                state.note_unattributed(unattributed(offset, None, RejectReason::Malformed));
+                (None, RejectReason::Malformed)
+            }
+        };
+        let (publisher, reason) = refusal;
+        intake.rejected.push(RejectedRecord {
+            offset,
+            publisher,
+            reason,
+        });
+    }
+}
+
+/// Applies a change and remembers it, with what came of it, where its publisher will find it.
+fn apply_change(
+    state: &mut ConfigState,
+    keys: &PublisherKeys,
+    offset: Offset,
+    record_bytes: usize,
+    change: &SignedChange,
+) -> Result<(), RejectReason> {
+    // A record that only claims to be a partner's must not touch that partner's classes, version or history.
+    if let Err(reason) = check_origin(keys, record_bytes, change) {
+        state.note_unattributed(unattributed(offset, Some(change), reason.clone()));
+        return Err(reason);
+    }
+    let partner = state.partner_mut(&change.publisher);
+    let body = change.open();
+    let checked = match &body {
+        Ok(body) => partner.check(change.change_id, body),
+        Err(_) => Err(RejectReason::MalformedChange),
+    };
+    if let (Ok(()), Ok(body)) = (&checked, &body) {
+        partner.accept(offset, &body.changes);
+    }
+    partner.note(history_entry(offset, change, body.ok(), &checked));
+    checked
+}
+
+fn check_origin(
+    keys: &PublisherKeys,
+    record_bytes: usize,
+    change: &SignedChange,
+) -> Result<(), RejectReason> {
+    if record_bytes > MAX_RECORD_BYTES {
+        return Err(RejectReason::TooLarge);
+    }
+    let key = keys
+        .get(&change.publisher)
+        .ok_or(RejectReason::UnknownPublisher)?;
+    if change.is_signed_by(key) {
+        Ok(())
+    } else {
+        Err(RejectReason::BadSignature)
+    }
+}
+
+fn unattributed(offset: Offset, change: Option<&SignedChange>, reason: RejectReason) -> UnattributedRecord {
+    UnattributedRecord {
+        offset,
+        claimed_publisher: change.map(|change| change.publisher.clone()),
+        change_id: change.map(|change| change.change_id),
+        reason,
+    }
+}
+
+fn history_entry(
+    offset: Offset,
+    change: &SignedChange,
+    body: Option<ChangeBody>,
+    checked: &Result<(), RejectReason>,
+) -> HistoryEntry {
+    let verdict = match checked {
+        Ok(()) => Verdict::Accepted,
+        Err(reason) => Verdict::Rejected(reason.clone()),
+    };
+    let mut entry = HistoryEntry {
+        offset,
+        change_id: change.change_id,
+        author: None,
+        made_at_unix_ms: 0,
+        verdict,
+        changes: Vec::new(),
+        changes_total: 0,
+    };
+    if let Some(mut body) = body {
+        entry.changes_total = u32::try_from(body.changes.len()).unwrap_or(u32::MAX);
+        body.changes.truncate(CHANGES_SHOWN);
+        entry.author = Some(body.author);
+        entry.made_at_unix_ms = body.made_at_unix_ms;
+        entry.changes = body.changes;
+    }
+    entry
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! library to reach for.
 
 pub mod claim;
+pub mod config;
 pub mod ids;
 pub mod lease;
 pub mod membership;
