Choose among instances of a plain service, with the queue of the ledgers

The fair queue becomes generic, so that plain services share it. Each daemon judges instances by its own calls: slow against the median of all, mute by timeouts in a row, never more than half set aside.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -8,7 +8,9 @@
 mod counters;
 mod directory;
 mod events;
+mod instance;
 mod placing;
+mod plain;
 mod request;
 mod retry;
 mod running;
@@ -19,6 +21,11 @@
 pub use counters::{Counters, FailReason, RedoCause, RefusalReason};
 pub use directory::{Directory, ServerRecord, ServerState, Sign};
 pub use events::{Action, Arrival, Attempt, Event, FailureCause, WorkStage};
+pub use instance::InstanceSettings;
+pub use plain::{
+    PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainRefusal, PlainScheduler,
+    PlainSettings,
+};
 pub use retry::RetryBudget;
 pub use scheduler::Scheduler;
 pub use settings::{PrefillStart, SchedulerSettings};
--- /dev/null
+++ b/crates/core/src/sched/plain.rs
@@ -0,0 +1,639 @@
+//! Choosing among the instances of one plain service.
+//!
+//! Plain services share the rules for outcomes, fairness and retries with language requests, but there is
+//! nothing to reserve: a call takes milliseconds, and asking a watcher first would double it. So each daemon
+//! decides by itself from what its own calls showed, and from the instances' load reports.
+
+use std::collections::HashMap;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::ids::{BackendServerId, PartnerId, RequestId};
+use crate::slots::{FairQueue, QueueSettings, Waiting};
+use crate::units::{Micros, Millis, MonoTime};
+
+use super::counters::clamp_retry_after;
+use super::directory::Sign;
+use super::events::FailureCause;
+use super::instance::{Instance, InstanceSettings};
+use super::retry::RetryBudget;
+
+/// Limits of a [`PlainScheduler`].
+#[derive(Clone, Copy, Debug)]
+pub struct PlainSettings {
+    /// Order and bounds of the queue.
+    pub queue: QueueSettings,
+    /// How instances are judged.
+    pub instance: InstanceSettings,
+    /// Retries that one arrival pays for, in percent.
+    pub retry_percent: u64,
+    /// Retries saved up at most.
+    pub retry_burst: u64,
+    /// Attempts of one request at most.
+    pub attempts_max: u32,
+    /// Longest first back-off of a retry; doubled with each.
+    pub backoff_ms: Millis,
+}
+
+impl Default for PlainSettings {
+    fn default() -> Self {
+        Self {
+            queue: QueueSettings::default(),
+            instance: InstanceSettings::default(),
+            retry_percent: 10,
+            retry_burst: 20,
+            attempts_max: 3,
+            backoff_ms: Millis(5),
+        }
+    }
+}
+
+/// A call for a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainArrival {
+    /// Its id.
+    pub request_id: RequestId,
+    /// Who sent it.
+    pub partner: PartnerId,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// Longest time that it may wait for an instance.
+    pub patience_ms: Millis,
+}
+
+/// An instance as the platform lists it.
+#[derive(Clone, Debug)]
+pub struct PlainInstance {
+    /// Its name.
+    pub server: BackendServerId,
+    /// Calls that it runs at once.
+    pub capacity: u32,
+    /// Whether the list shows it as leaving.
+    pub leaving: bool,
+}
+
+/// Something the scheduler of a plain service has to know.
+#[derive(Clone, Debug)]
+pub enum PlainEvent {
+    /// A call came in.
+    Arrive(PlainArrival),
+    /// An instance answered.
+    Done {
+        /// Which call.
+        request_id: RequestId,
+    },
+    /// A call failed.
+    Failed {
+        /// Which call.
+        request_id: RequestId,
+        /// Why. `NotSent`, `NoRoom` and `Leaving` prove that it did not run.
+        cause: FailureCause,
+    },
+    /// The caller closed its connection.
+    CallerLeft {
+        /// Which call.
+        request_id: RequestId,
+    },
+    /// The instances, all of them.
+    Instances(Vec<PlainInstance>),
+    /// A sign of an instance's state, quicker than the list.
+    Sign {
+        /// Which instance.
+        server: BackendServerId,
+        /// What it shows.
+        sign: Sign,
+    },
+    /// A load report.
+    Load {
+        /// Which instance.
+        server: BackendServerId,
+        /// Calls that it runs, of all daemons.
+        in_flight: u32,
+        /// Calls that it runs at once.
+        capacity: u32,
+        /// Age of the report.
+        age_us: Micros,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// Why a call was refused; it did not run.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum PlainRefusal {
+    /// It would wait longer than its patience.
+    WouldWaitTooLong,
+    /// Its partner's queue is full.
+    QueueFull,
+    /// No instance takes calls.
+    NoInstance,
+    /// Its attempts or its partner's retries are used up; no attempt ran.
+    RetriesSpent,
+}
+
+/// Something the scheduler of a plain service wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum PlainAction {
+    /// Send the call.
+    Dispatch {
+        /// Which call.
+        request_id: RequestId,
+        /// Where.
+        server: BackendServerId,
+        /// Report `Failed` with `Timeout` after this.
+        timeout_ms: Millis,
+        /// Whether an idle pooled connection may carry it: one gone silent would leave it unknown whether
+        /// a call that may not be repeated ran.
+        fresh_connection: bool,
+    },
+    /// Tell the caller that it did not run.
+    Refuse {
+        /// Which call.
+        request_id: RequestId,
+        /// Why.
+        reason: PlainRefusal,
+        /// When another try is worth making.
+        retry_after_ms: Millis,
+    },
+    /// Tell the caller that it is not known whether it ran.
+    Unknown {
+        /// Which call.
+        request_id: RequestId,
+    },
+    /// Send `PlainEvent::Tick` at this time.
+    Wake {
+        /// When.
+        at_us: MonoTime,
+    },
+}
+
+/// Counters of one plain service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PlainCounters {
+    /// Calls that came in.
+    pub arrivals: u64,
+    /// Calls answered.
+    pub answered: u64,
+    /// Calls refused.
+    pub refused: u64,
+    /// Calls of which it is not known whether they ran.
+    pub unknown: u64,
+    /// Retries made.
+    pub retries: u64,
+    /// Retries denied by the budget.
+    pub retries_denied: u64,
+    /// Times that an instance was set aside as slow.
+    pub ejected_slow: u64,
+    /// Times that an instance was set aside as mute.
+    pub ejected_mute: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    arrival: PlainArrival,
+    arrived_us: MonoTime,
+    attempts: u32,
+    /// Whether an attempt may have run.
+    may_have_run: bool,
+    at: Option<(usize, MonoTime)>,
+    failed_at: Option<usize>,
+    retry_at_us: Option<MonoTime>,
+}
+
+/// Decides for the calls of one daemon to one plain service.
+#[derive(Debug)]
+pub struct PlainScheduler {
+    settings: PlainSettings,
+    rng: StdRng,
+    instances: Vec<Instance>,
+    names: HashMap<BackendServerId, usize>,
+    calls: HashMap<RequestId, Call>,
+    queue: FairQueue<()>,
+    budgets: HashMap<PartnerId, RetryBudget>,
+    retries: Vec<(MonoTime, RequestId)>,
+    counters: PlainCounters,
+}
+
+impl PlainScheduler {
+    /// A scheduler that knows no instances yet.
+    pub fn new(settings: PlainSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            rng: StdRng::seed_from_u64(seed),
+            instances: Vec::new(),
+            names: HashMap::new(),
+            calls: HashMap::new(),
+            queue: FairQueue::new(settings.queue),
+            budgets: HashMap::new(),
+            retries: Vec::new(),
+            counters: PlainCounters::default(),
+        }
+    }
+
+    /// What it decided so far.
+    pub fn counters(&self) -> &PlainCounters {
+        &self.counters
+    }
+
+    /// Takes an event and pushes what is to be done.
+    pub fn handle(&mut self, now_us: MonoTime, event: PlainEvent, actions: &mut Vec<PlainAction>) {
+        match event {
+            PlainEvent::Arrive(arrival) => self.arrive(now_us, arrival, actions),
+            PlainEvent::Done { request_id } => self.done(now_us, request_id),
+            PlainEvent::Failed { request_id, cause } => self.failed(now_us, request_id, cause, actions),
+            PlainEvent::CallerLeft { request_id } => self.caller_left(now_us, request_id),
+            PlainEvent::Instances(list) => self.adopt(list),
+            PlainEvent::Sign { server, sign } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.instances[index].sign(now_us, sign);
+                }
+            }
+            PlainEvent::Load {
+                server,
+                in_flight,
+                capacity,
+                age_us,
+            } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.instances[index].report(now_us, in_flight, capacity, age_us);
+                }
+            }
+            PlainEvent::Tick => {}
+        }
+        self.requeue_due(now_us);
+        self.expire(now_us, actions);
+        self.serve(now_us, actions);
+        self.wake(now_us, actions);
+    }
+
+    fn adopt(&mut self, list: Vec<PlainInstance>) {
+        for instance in &mut self.instances {
+            instance.unlist();
+        }
+        for listed in list {
+            let Some(&index) = self.names.get(&listed.server) else {
+                self.names.insert(listed.server.clone(), self.instances.len());
+                let settings = self.settings.instance;
+                self.instances.push(Instance::new(
+                    settings,
+                    listed.server,
+                    listed.capacity,
+                    listed.leaving,
+                ));
+                continue;
+            };
+            self.instances[index].relist(listed.capacity, listed.leaving);
+        }
+    }
+
+    /// Takes a call in, or refuses it.
+    ///
+    /// Load: a surge of one partner, or instances that became slow. Harm prevented: callers waiting longer
+    /// than they would ever stay, and a burst of launch entries stuck behind somebody's page loads.
+    fn arrive(&mut self, now_us: MonoTime, arrival: PlainArrival, actions: &mut Vec<PlainAction>) {
+        self.counters.arrivals += 1;
+        let (percent, burst) = (self.settings.retry_percent, self.settings.retry_burst);
+        let budget = self.budgets.entry(arrival.partner.clone());
+        budget
+            .or_insert_with(|| RetryBudget::new(percent, burst))
+            .deposit();
+        let request_id = arrival.request_id;
+        if self.calls.contains_key(&request_id) {
+            return;
+        }
+        let patience_us = Micros::from(arrival.patience_ms);
+        let entry = self.waiting(now_us, &arrival);
+        let call = Call {
+            arrival,
+            arrived_us: now_us,
+            attempts: 0,
+            may_have_run: false,
+            at: None,
+            failed_at: None,
+            retry_at_us: None,
+        };
+        let wait_us = self.queue.forecast(now_us, &entry, self.pace()).wait_us;
+        let full = self.queue.is_full(&entry.partner, false);
+        self.calls.insert(request_id, call);
+        if full {
+            self.refuse(request_id, PlainRefusal::QueueFull, wait_us, actions);
+        } else if !self.instances.iter().any(Instance::is_listed_live) {
+            self.refuse(request_id, PlainRefusal::NoInstance, patience_us, actions);
+        } else if wait_us > patience_us {
+            let after_us = wait_us.saturating_sub(patience_us);
+            self.refuse(request_id, PlainRefusal::WouldWaitTooLong, after_us, actions);
+        } else {
+            self.queue.push(entry);
+        }
+    }
+
+    fn waiting(&self, now_us: MonoTime, arrival: &PlainArrival) -> Waiting<()> {
+        let work_us = Micros(self.usual_latency_us());
+        Waiting {
+            request_id: arrival.request_id,
+            partner: arrival.partner.clone(),
+            since_us: now_us,
+            latest_us: Some(now_us + arrival.patience_ms),
+            work_us,
+            charge_us: work_us,
+            copies: 1,
+            item: (),
+        }
+    }
+
+    /// Calls run side by side, so a queue's time is its work over the room of all instances.
+    fn pace(&self) -> f64 {
+        let room = self
+            .instances
+            .iter()
+            .map(|instance| u64::from(instance.limit()))
+            .sum::<u64>();
+        1.0 / room.max(1) as f64
+    }
+
+    /// Median of the instances' latencies: one slow instance does not move it.
+    fn usual_latency_us(&self) -> u64 {
+        let mut seen = [0_u64; MEDIAN_OF];
+        let mut len = 0;
+        for latency_us in self
+            .instances
+            .iter()
+            .filter_map(Instance::latency_us)
+            .take(MEDIAN_OF)
+        {
+            seen[len] = latency_us;
+            len += 1;
+        }
+        if len == 0 {
+            return self.settings.instance.first_latency_us.0;
+        }
+        let seen = &mut seen[..len];
+        seen.sort_unstable();
+        seen[(len - 1) / 2]
+    }
+
+    fn serve(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
+        while !self.queue.is_empty() {
+            if !self.instances.iter().any(|instance| instance.has_room(now_us)) {
+                return;
+            }
+            let Some(entry) = self.queue.pop(now_us) else {
+                return;
+            };
+            if !self.dispatch(now_us, entry.request_id, actions) {
+                // Room only at an instance on trial, which this call may not be risked on.
+                self.queue.refund(&entry.partner, entry.charge_us);
+                self.queue.push(entry);
+                return;
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<PlainAction>) -> bool {
+        let Some(call) = self.calls.get(&request_id) else {
+            return true;
+        };
+        let (repeatable, failed_at) = (call.arrival.repeatable, call.failed_at);
+        let Some(index) = self.choose(now_us, repeatable, failed_at) else {
+            return false;
+        };
+        let timeout_us = self.instances[index].timeout_us(self.usual_latency_us());
+        let Some(call) = self.calls.get_mut(&request_id) else {
+            return true;
+        };
+        call.attempts += 1;
+        call.at = Some((index, now_us));
+        let fresh_connection = !call.arrival.repeatable;
+        self.instances[index].start(now_us);
+        actions.push(PlainAction::Dispatch {
+            request_id,
+            server: self.instances[index].server().clone(),
+            timeout_ms: timeout_us.to_millis_ceil(),
+            fresh_connection,
+        });
+        true
+    }
+
+    /// Chooses the instance with the shortest expected time among a few drawn at random.
+    ///
+    /// Load: instances of uneven speed. Harm prevented: least-connections alone favours an instance that
+    /// fails fast, lowest-latency alone sends everybody to one; calls in flight times latency weighs both.
+    /// An instance set aside gets a single call on trial; at a mute one that call is likely to be lost, so
+    /// one that may run twice is taken for it.
+    fn choose(&mut self, now_us: MonoTime, repeatable: bool, failed_at: Option<usize>) -> Option<usize> {
+        let usual_us = self.usual_latency_us();
+        let count = self.instances.len();
+        let start = if count > 0 {
+            self.rng.random_range(0..count)
+        } else {
+            return None;
+        };
+        let drawn = (0..count.min(SAMPLE)).map(|step| (start + step) % count);
+        let fit = |&index: &usize| {
+            let instance = &self.instances[index];
+            Some(index) != failed_at && instance.has_room(now_us)
+        };
+        let trial = |&index: &usize| self.instances[index].wants_trial(now_us, repeatable);
+        if let Some(index) = drawn.clone().filter(fit).find(trial) {
+            return Some(index);
+        }
+        let healthy = |&index: &usize| fit(&index) && !self.instances[index].is_set_aside();
+        let best = |index: &usize| self.instances[*index].score(usual_us);
+        drawn
+            .filter(healthy)
+            .min_by_key(best)
+            .or_else(|| (0..count).filter(healthy).min_by_key(best))
+    }
+
+    fn done(&mut self, now_us: MonoTime, request_id: RequestId) {
+        let Some(call) = self.calls.remove(&request_id) else {
+            return;
+        };
+        self.counters.answered += 1;
+        if let Some((index, since_us)) = call.at {
+            self.instances[index].finish(now_us.since(since_us));
+            self.judge(now_us, index);
+        }
+    }
+
+    /// Sets an instance aside that is far slower than the others.
+    ///
+    /// Harm prevented: an instance ten times slower that answers its health check holds its callers for ten
+    /// times as long. Bound: after the fifth slow answer. At most half of the instances are set aside: if
+    /// most are slow the cause is the load, and taking instances away would make it worse.
+    fn judge(&mut self, now_us: MonoTime, index: usize) {
+        let usual_us = self.usual_latency_us();
+        if !self.may_set_aside() {
+            return;
+        }
+        if self.instances[index].judge_speed(now_us, usual_us) {
+            self.counters.ejected_slow += 1;
+        }
+    }
+
+    fn may_set_aside(&self) -> bool {
+        let aside = self
+            .instances
+            .iter()
+            .filter(|instance| instance.is_set_aside())
+            .count();
+        let live = self
+            .instances
+            .iter()
+            .filter(|instance| instance.is_listed_live())
+            .count();
+        (aside + 1) * 2 <= live
+    }
+
+    fn failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<PlainAction>,
+    ) {
+        let may_set_aside = self.may_set_aside();
+        let Some(call) = self.calls.get_mut(&request_id) else {
+            return;
+        };
+        let Some((index, _)) = call.at.take() else {
+            return;
+        };
+        call.failed_at = Some(index);
+        let proven_not_run = matches!(
+            cause,
+            FailureCause::NotSent | FailureCause::NoRoom | FailureCause::Leaving
+        );
+        call.may_have_run |= !proven_not_run;
+        if self.instances[index].fail(now_us, cause, may_set_aside) {
+            self.counters.ejected_mute += 1;
+        }
+        self.retry(now_us, request_id, actions);
+    }
+
+    /// Retries, or ends the call. A call that may have run and may not be repeated is never sent again:
+    /// nobody knows whether it ran, and the caller is told so.
+    fn retry(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<PlainAction>) {
+        let Some(call) = self.calls.get_mut(&request_id) else {
+            return;
+        };
+        if call.may_have_run && !call.arrival.repeatable {
+            self.unknown(request_id, actions);
+            return;
+        }
+        let budget = self.budgets.get_mut(&call.arrival.partner);
+        let paid = call.attempts < self.settings.attempts_max && budget.is_some_and(RetryBudget::withdraw);
+        if paid {
+            let doubled = call.attempts.min(self.settings.attempts_max);
+            let longest_us = Micros::from(self.settings.backoff_ms).0 << doubled;
+            let at_us = now_us + Micros(self.rng.random_range(0..=longest_us));
+            call.retry_at_us = Some(at_us);
+            self.retries.push((at_us, request_id));
+            self.counters.retries += 1;
+            return;
+        }
+        self.counters.retries_denied += 1;
+        if call.may_have_run {
+            self.unknown(request_id, actions);
+        } else {
+            self.refuse(request_id, PlainRefusal::RetriesSpent, Micros::ZERO, actions);
+        }
+    }
+
+    fn requeue_due(&mut self, now_us: MonoTime) {
+        let mut due = Vec::new();
+        self.retries.retain(|&(at_us, request_id)| {
+            let is_due = at_us <= now_us;
+            if is_due {
+                due.push(request_id);
+            }
+            !is_due
+        });
+        for request_id in due {
+            let Some(call) = self.calls.get_mut(&request_id) else {
+                continue;
+            };
+            call.retry_at_us = None;
+            let arrival = call.arrival.clone();
+            let since_us = call.arrived_us;
+            let mut entry = self.waiting(now_us, &arrival);
+            entry.latest_us = Some(since_us + arrival.patience_ms);
+            self.queue.push(entry);
+        }
+    }
+
+    /// Refuses calls whose patience ended in the queue.
+    fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
+        while let Some(entry) = self.queue.take_expired(now_us) {
+            let may_have_run = self
+                .calls
+                .get(&entry.request_id)
+                .is_some_and(|call| call.may_have_run);
+            if may_have_run {
+                self.unknown(entry.request_id, actions);
+            } else {
+                self.refuse(
+                    entry.request_id,
+                    PlainRefusal::WouldWaitTooLong,
+                    entry.work_us,
+                    actions,
+                );
+            }
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        request_id: RequestId,
+        reason: PlainRefusal,
+        wait_us: Micros,
+        actions: &mut Vec<PlainAction>,
+    ) {
+        self.calls.remove(&request_id);
+        self.counters.refused += 1;
+        let retry_after_ms = clamp_retry_after(wait_us.to_millis_ceil());
+        actions.push(PlainAction::Refuse {
+            request_id,
+            reason,
+            retry_after_ms,
+        });
+    }
+
+    fn unknown(&mut self, request_id: RequestId, actions: &mut Vec<PlainAction>) {
+        self.calls.remove(&request_id);
+        self.counters.unknown += 1;
+        actions.push(PlainAction::Unknown { request_id });
+    }
+
+    fn caller_left(&mut self, now_us: MonoTime, request_id: RequestId) {
+        self.queue.remove(request_id);
+        if let Some(call) = self.calls.remove(&request_id)
+            && let Some((index, _)) = call.at
+        {
+            self.instances[index].abandon(now_us);
+        }
+    }
+
+    fn wake(&self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
+        let retry_us = self.retries.iter().map(|&(at_us, _)| at_us).min();
+        let expiry_us = self.queue.first_expiry();
+        let reopen_us = (!self.queue.is_empty())
+            .then(|| {
+                self.instances
+                    .iter()
+                    .filter_map(|instance| instance.opens_at(now_us))
+                    .min()
+            })
+            .flatten();
+        if let Some(at_us) = [retry_us, expiry_us, reopen_us].into_iter().flatten().min() {
+            actions.push(PlainAction::Wake { at_us });
+        }
+    }
+}
+
+/// Instances looked at for one call.
+const SAMPLE: usize = 4;
+
+/// Instances whose latency is looked at for the usual one.
+const MEDIAN_OF: usize = 16;
--- a/crates/core/src/slots/fair_queue.rs
+++ b/crates/core/src/slots/fair_queue.rs
@@ -1,12 +1,10 @@
-//! The queue before one server: max-min between partners, deadline order inside a partner.
+//! The queue before one server or service: max-min between partners, deadline order inside a partner.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::ids::{HostId, PartnerId, RequestId};
+use crate::ids::{PartnerId, RequestId};
 use crate::units::{Micros, Millis, MonoTime};
 
-use super::Ask;
-
 /// In which order asks are granted.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum QueueOrder {
@@ -49,25 +47,31 @@
     }
 }
 
-/// An ask that waits.
+/// A request that waits, with what its owner needs to know of it.
 #[derive(Clone, Debug)]
-pub struct Waiting {
-    /// What was asked.
-    pub ask: Ask,
-    /// Who asked.
-    pub home: HostId,
+pub struct Waiting<Item> {
+    /// Which request.
+    pub request_id: RequestId,
+    /// On whose account.
+    pub partner: PartnerId,
     /// Since when.
     pub since_us: MonoTime,
     /// Latest useful grant; `None` once the target is missed.
     pub latest_us: Option<MonoTime>,
     /// Time that the work takes at this server.
     pub work_us: Micros,
+    /// What the partner is charged.
+    pub charge_us: Micros,
+    /// Number of queues that the request waits in at once; it will be served from one of them.
+    pub copies: u8,
+    /// Whatever belongs to it.
+    pub item: Item,
 }
 
-impl Waiting {
-    /// Work that this ask stands for here: the daemon asked several servers, and one of them will do it.
+impl<Item> Waiting<Item> {
+    /// Work that this request stands for in this queue.
     fn share_us(&self) -> u64 {
-        self.work_us.0 / u64::from(self.ask.copies.max(1))
+        self.work_us.0 / u64::from(self.copies.max(1))
     }
 }
 
@@ -80,17 +84,27 @@
     late: bool,
 }
 
-#[derive(Debug, Default)]
-struct PartnerQueue {
-    in_time: BTreeMap<Key, Waiting>,
-    late: BTreeMap<Key, Waiting>,
+#[derive(Debug)]
+struct PartnerQueue<Item> {
+    in_time: BTreeMap<Key, Waiting<Item>>,
+    late: BTreeMap<Key, Waiting<Item>>,
     work_us: u64,
     /// Time charged so far, on a clock on which idle partners are moved up to the busy ones.
     charged_us: u64,
     grants: u32,
 }
 
-impl PartnerQueue {
+impl<Item> PartnerQueue<Item> {
+    fn new() -> Self {
+        Self {
+            in_time: BTreeMap::new(),
+            late: BTreeMap::new(),
+            work_us: 0,
+            charged_us: 0,
+            grants: 0,
+        }
+    }
+
     fn is_empty(&self) -> bool {
         self.in_time.is_empty() && self.late.is_empty()
     }
@@ -109,7 +123,7 @@
     pub harms_earlier: bool,
 }
 
-/// Asks waiting for one server.
+/// Requests waiting for one server or service.
 ///
 /// Load: one partner surging tenfold, marking everything as its tightest class, or publishing a target of
 /// one millisecond. Harm prevented: with one deadline order over all, that partner would always come first
@@ -118,9 +132,9 @@
 /// A partner without waiting asks collects no credit (its clock is moved up when it comes back): otherwise
 /// a quiet hour would buy a burst that shuts the other out.
 #[derive(Debug)]
-pub struct FairQueue {
+pub struct FairQueue<Item> {
     settings: QueueSettings,
-    partners: Vec<PartnerQueue>,
+    partners: Vec<PartnerQueue<Item>>,
     names: HashMap<PartnerId, usize>,
     places: HashMap<RequestId, Place>,
     active: BTreeSet<(u64, usize)>,
@@ -128,7 +142,7 @@
     sequence: u64,
 }
 
-impl FairQueue {
+impl<Item> FairQueue<Item> {
     /// An empty queue.
     pub fn new(settings: QueueSettings) -> Self {
         Self {
@@ -180,7 +194,7 @@
     /// Under max-min a partner that needs `own` time for its asks in front has got it when each other
     /// partner has got as much or has nothing left; so the wait is the sum over partners of the smaller of
     /// the two. `pace` stretches it by what the server really takes for a unit of expected work.
-    pub fn forecast(&self, now_us: MonoTime, entry: &Waiting, pace: f64) -> Forecast {
+    pub fn forecast(&self, now_us: MonoTime, entry: &Waiting<Item>, pace: f64) -> Forecast {
         if self.settings.order == QueueOrder::Fifo {
             let wait_us = stretch(self.work_us().0, pace);
             return Forecast {
@@ -188,7 +202,7 @@
                 harms_earlier: false,
             };
         }
-        let own_index = self.names.get(&entry.ask.partner).copied();
+        let own_index = self.names.get(&entry.partner).copied();
         let own = own_index.map(|index| &self.partners[index]);
         let ahead_us = own.map_or(0, |queue| work_ahead(queue, entry));
         let wait_us = stretch(self.wait_for(own_index, ahead_us), pace);
@@ -215,8 +229,8 @@
         &self,
         now_us: MonoTime,
         own_index: Option<usize>,
-        queue: &PartnerQueue,
-        entry: &Waiting,
+        queue: &PartnerQueue<Item>,
+        entry: &Waiting<Item>,
         ahead_us: u64,
         pace: f64,
     ) -> bool {
@@ -237,8 +251,8 @@
     }
 
     /// Takes an ask in. The caller has checked the bounds.
-    pub fn push(&mut self, entry: Waiting) {
-        let index = self.partner_index(&entry.ask.partner);
+    pub fn push(&mut self, entry: Waiting<Item>) {
+        let index = self.partner_index(&entry.partner);
         self.sequence += 1;
         let late = entry.latest_us.is_none();
         let order_us = match self.settings.order {
@@ -247,7 +261,7 @@
         };
         let key = (order_us, self.sequence);
         self.places.insert(
-            entry.ask.request_id,
+            entry.request_id,
             Place {
                 partner: index,
                 key,
@@ -274,14 +288,14 @@
             self.names.insert(partner.clone(), 0);
             return 0;
         }
-        self.partners.push(PartnerQueue::default());
+        self.partners.push(PartnerQueue::new());
         let index = self.partners.len() - 1;
         self.names.insert(partner.clone(), index);
         index
     }
 
     /// Takes the ask of `request_id` out, if it waits.
-    pub fn remove(&mut self, request_id: RequestId) -> Option<Waiting> {
+    pub fn remove(&mut self, request_id: RequestId) -> Option<Waiting<Item>> {
         let place = self.places.remove(&request_id)?;
         let queue = &mut self.partners[place.partner];
         let side = if place.late {
@@ -298,7 +312,7 @@
     }
 
     /// The ask to grant next, taken out and charged to its partner.
-    pub fn pop(&mut self, now_us: MonoTime) -> Option<Waiting> {
+    pub fn pop(&mut self, now_us: MonoTime) -> Option<Waiting<Item>> {
         let &(_, index) = self.active.first()?;
         self.demote(now_us, index);
         let request_id = self.choose(now_us, index)?;
@@ -307,7 +321,7 @@
         let entry = self.remove(request_id)?;
         self.active.remove(&(before_us, index));
         let queue = &mut self.partners[index];
-        queue.charged_us = before_us + entry.ask.charge_us.0.max(1);
+        queue.charged_us = before_us + entry.charge_us.0.max(1);
         queue.grants += 1;
         if !queue.is_empty() {
             self.active.insert((queue.charged_us, index));
@@ -348,7 +362,7 @@
                 key,
                 late: true,
             };
-            self.places.insert(entry.ask.request_id, place);
+            self.places.insert(entry.request_id, place);
             queue.late.insert(key, entry);
         }
     }
@@ -364,17 +378,36 @@
             (Some(entry), _) | (None, Some(entry)) => entry,
             (None, None) => return None,
         };
-        Some(chosen.ask.request_id)
+        Some(chosen.request_id)
+    }
+
+    /// Takes out a request whose latest useful time has passed, for a queue that does not serve late ones.
+    pub fn take_expired(&mut self, now_us: MonoTime) -> Option<Waiting<Item>> {
+        let expired = self.first_in_queues().filter(|(at_us, _)| *at_us < now_us);
+        expired.and_then(|(_, request_id)| self.remove(request_id))
+    }
+
+    /// When the first waiting request passes its latest useful time.
+    pub fn first_expiry(&self) -> Option<MonoTime> {
+        self.first_in_queues().map(|(at_us, _)| at_us)
+    }
+
+    fn first_in_queues(&self) -> Option<(MonoTime, RequestId)> {
+        let queues = self.active.iter().map(|&(_, index)| &self.partners[index]);
+        let firsts = queues.filter_map(|queue| queue.in_time.first_key_value());
+        firsts
+            .map(|(key, entry)| (key.0 + Micros(1), entry.request_id))
+            .min()
     }
 
     /// Empties the queue, for a server that cannot serve.
-    pub fn drain(&mut self) -> Vec<Waiting> {
+    pub fn drain(&mut self) -> Vec<Waiting<Item>> {
         let ids = self.places.keys().copied().collect::<Vec<_>>();
         ids.into_iter().filter_map(|id| self.remove(id)).collect()
     }
 }
 
-fn work_ahead(queue: &PartnerQueue, entry: &Waiting) -> u64 {
+fn work_ahead<Item>(queue: &PartnerQueue<Item>, entry: &Waiting<Item>) -> u64 {
     match entry.latest_us {
         Some(latest_us) => queue
             .in_time
--- a/crates/core/src/slots/ledger.rs
+++ b/crates/core/src/slots/ledger.rs
@@ -113,6 +113,13 @@
     pub held: Vec<RequestId>,
 }
 
+/// Who waits.
+#[derive(Clone, Debug)]
+struct Asker {
+    home: HostId,
+    ask: AskId,
+}
+
 #[derive(Clone, Debug)]
 struct Held {
     home: HostId,
@@ -141,7 +148,7 @@
     role: Role,
     slots_total: u32,
     link_bytes_per_s: BytesPerSecond,
-    queue: FairQueue,
+    queue: FairQueue<Asker>,
     held: HashMap<RequestId, Held>,
     foreign: HashSet<RequestId>,
     released: HashMap<RequestId, MonoTime>,
@@ -369,7 +376,7 @@
             self.deny(now_us, &entry, reason, wait_us, actions);
             return;
         }
-        let ask_id = entry.ask.ask;
+        let ask_id = entry.item.ask;
         self.queue.push(entry);
         self.serve(now_us, actions);
         if self.queue.contains(request_id) {
@@ -387,13 +394,19 @@
         }
     }
 
-    fn waiting(&self, now_us: MonoTime, from: &HostId, ask: Ask) -> Waiting {
+    fn waiting(&self, now_us: MonoTime, from: &HostId, ask: Ask) -> Waiting<Asker> {
         Waiting {
-            home: from.clone(),
+            request_id: ask.request_id,
+            partner: ask.partner,
             since_us: now_us,
             latest_us: ask.slack_us.map(|slack_us| now_us + slack_us),
             work_us: self.work_us(ask.work_tokens),
-            ask,
+            charge_us: ask.charge_us,
+            copies: ask.copies,
+            item: Asker {
+                home: from.clone(),
+                ask: ask.ask,
+            },
         }
     }
 
@@ -403,7 +416,7 @@
     /// target, so that all work is late work. An ask that its partner's share cannot serve in time is denied
     /// at once, before any prefill; one whose target is missed already is owed an answer and taken in up to
     /// the patience of a caller.
-    fn refusal(&self, now_us: MonoTime, entry: &Waiting) -> Option<(DenyReason, Micros)> {
+    fn refusal(&self, now_us: MonoTime, entry: &Waiting<Asker>) -> Option<(DenyReason, Micros)> {
         if self.leaving {
             return Some((DenyReason::Leaving, Micros::ZERO));
         }
@@ -412,7 +425,7 @@
         }
         let late = entry.latest_us.is_none();
         let forecast = self.queue.forecast(now_us, entry, self.pace);
-        if self.queue.is_full(&entry.ask.partner, late) {
+        if self.queue.is_full(&entry.partner, late) {
             return Some((DenyReason::QueueFull, forecast.wait_us));
         }
         if self.role == Role::Decode {
@@ -432,7 +445,7 @@
     fn deny(
         &mut self,
         now_us: MonoTime,
-        entry: &Waiting,
+        entry: &Waiting<Asker>,
         reason: DenyReason,
         retry_after_us: Micros,
         actions: &mut Vec<LedgerAction>,
@@ -444,14 +457,14 @@
         }
         let message = SlotMessage::Deny {
             server: self.server.clone(),
-            request_id: entry.ask.request_id,
-            ask: entry.ask.ask,
+            request_id: entry.request_id,
+            ask: entry.item.ask,
             load: self.load(now_us),
             reason,
             retry_after_ms: retry_after_us.to_millis_ceil(),
         };
         actions.push(LedgerAction::Send {
-            to: entry.home.clone(),
+            to: entry.item.home.clone(),
             message,
         });
     }
@@ -500,17 +513,17 @@
     fn grant(
         &mut self,
         now_us: MonoTime,
-        entry: Waiting,
+        entry: Waiting<Asker>,
         rate_bytes_per_s: BytesPerSecond,
         actions: &mut Vec<LedgerAction>,
     ) {
         self.observe_pace(now_us, entry.work_us);
-        let request_id = entry.ask.request_id;
+        let request_id = entry.request_id;
         let held = Held {
-            home: entry.home.clone(),
-            ask: entry.ask.ask,
-            partner: entry.ask.partner,
-            charge_us: entry.ask.charge_us,
+            home: entry.item.home.clone(),
+            ask: entry.item.ask,
+            partner: entry.partner,
+            charge_us: entry.charge_us,
             granted_us: now_us,
             expires_us: now_us + self.settings.grant_ttl_ms,
             work_us: entry.work_us,
@@ -523,7 +536,7 @@
         let message = self.grant_message(now_us, request_id, &held);
         self.held.insert(request_id, held);
         actions.push(LedgerAction::Send {
-            to: entry.home,
+            to: entry.item.home,
             message,
         });
     }
