--- /dev/null
+++ b/crates/core/benches/outcomes.rs
@@ -0,0 +1,116 @@
+//! Prints what callers see under each load, for the scheduler and for the ways that lost, in one run:
+//! `cargo bench -p hibiscusvale-core --bench outcomes`. Virtual time and fixed seeds: the figures are the
+//! same on any machine.
+#![allow(clippy::pedantic, reason = "a bench over test fakes")]
+#![allow(dead_code, reason = "the tests use the rest of the fakes")]
+
+#[path = "../tests/sched/baseline.rs"]
+mod baseline;
+#[path = "../tests/sched/engines.rs"]
+mod engines;
+#[path = "../tests/sched/load.rs"]
+mod load;
+#[path = "../tests/sched/outcome.rs"]
+mod outcome;
+#[path = "../tests/sched/world.rs"]
+mod world;
+
+use hibiscusvale_core::sched::PrefillStart;
+use hibiscusvale_core::slots::QueueOrder;
+use load::{Placement, Scenario, two};
+use world::World;
+
+type Way = (&'static str, fn(Scenario) -> Scenario);
+
+const WAYS: [Way; 5] = [
+    ("stale", |base| Scenario {
+        placement: Placement::StaleReports,
+        ..base
+    }),
+    ("two", |base| Scenario {
+        placement: Placement::RandomTwo,
+        ..base
+    }),
+    ("fifo", |base| Scenario {
+        order: QueueOrder::Fifo,
+        ..base
+    }),
+    ("at-once", |base| Scenario {
+        start: PrefillStart::AtOnce,
+        ..base
+    }),
+    ("ledger", |base| base),
+];
+
+fn main() {
+    println!(
+        "{:<22}{:<9}{:>9}{:>9}{:>9}{:>9}{:>8}{:>8}{:>8}{:>7}{:>8}{:>6}",
+        "load",
+        "way",
+        "goodput%",
+        "good/s",
+        "refused%",
+        "wasted%",
+        "failed",
+        "left",
+        "no-room",
+        "over",
+        "msg/req",
+        "turns"
+    );
+    for (name, scenario) in scenarios() {
+        for (way, apply) in WAYS {
+            let seconds = scenario.seconds;
+            let outcome = World::run(apply(scenario.clone()));
+            let arrivals = outcome.arrivals().max(1) as f64;
+            print!(
+                "{name:<22}{way:<9}{:>9.1}{:>9.2}{:>9.1}{:>9.2}{:>8}{:>8}{:>8}{:>7}{:>8.1}{:>6}",
+                outcome.goodput(),
+                outcome.good() as f64 / seconds as f64,
+                100.0 * outcome.refused() as f64 / arrivals,
+                outcome.wasted(),
+                outcome.failed(),
+                outcome.unanswered,
+                outcome.engine_refusals,
+                outcome.over_committed,
+                outcome.messages as f64 / arrivals,
+                outcome.turns_returned,
+            );
+            if outcome.partners.len() == 2 {
+                print!(
+                    "  a {:.1} b {:.1}",
+                    outcome.partners[0].goodput(),
+                    outcome.partners[1].goodput()
+                );
+            }
+            if std::env::var_os("CAUSES").is_some() {
+                print!(
+                    "  late {:?} slow {} {:?}",
+                    outcome.late, outcome.slow, outcome.wasted_by
+                );
+            }
+            println!();
+        }
+    }
+}
+
+fn scenarios() -> Vec<(&'static str, Scenario)> {
+    let loads = [
+        ("0.7", 0.7),
+        ("0.9", 0.9),
+        ("1.0", 1.0),
+        ("1.2", 1.2),
+        ("1.5", 1.5),
+        ("3", 3.0),
+    ];
+    let even = loads.map(|(name, load)| {
+        (
+            name,
+            Scenario {
+                sources: two(load / 2.0, load / 2.0),
+                ..Scenario::default()
+            },
+        )
+    });
+    even.to_vec()
+}
--- a/crates/core/src/sched/placing.rs
+++ b/crates/core/src/sched/placing.rs
@@ -341,21 +341,25 @@
                 request_id,
                 ask,
                 load,
-                rate_bytes_per_s,
-                sure,
                 ..
             } => {
                 self.directory.learn(now_us, index, load, Micros::ZERO);
                 let hold = Hold {
                     server: index,
                     ask,
-                    rate_bytes_per_s,
+                    rate_bytes_per_s: BytesPerSecond::ZERO,
                     phase: GrantPhase::Reserved,
-                    sure,
                 };
                 self.granted(now_us, request_id, hold, actions);
             }
-            SlotMessage::Confirm { request_id, ask, .. } => self.confirmed(now_us, request_id, ask, actions),
+            SlotMessage::Confirm {
+                request_id,
+                ask,
+                rate_bytes_per_s,
+                ..
+            } => {
+                self.confirmed(now_us, request_id, ask, rate_bytes_per_s, actions);
+            }
             SlotMessage::Deny {
                 request_id,
                 ask,
@@ -374,6 +378,8 @@
             }
             SlotMessage::Ask(_)
             | SlotMessage::Withdraw { .. }
+            | SlotMessage::Started { .. }
+            | SlotMessage::Ready { .. }
             | SlotMessage::Moved { .. }
             | SlotMessage::Release { .. }
             | SlotMessage::Renew { .. } => {}
@@ -426,7 +432,7 @@
             (Stage::AwaitTurn, PrefillStart::AtOnce) | (Stage::AwaitSlot, _) => {
                 self.start_prefill(now_us, request_id, actions);
             }
-            _ => self.start_import(now_us, request_id, actions),
+            _ => self.make_ready(now_us, request_id, actions),
         }
     }
 
@@ -436,15 +442,25 @@
         }
     }
 
-    fn confirmed(&mut self, now_us: MonoTime, request_id: RequestId, ask: AskId, actions: &mut Vec<Action>) {
+    fn confirmed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        ask: AskId,
+        rate_bytes_per_s: BytesPerSecond,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(request) = self.requests.get_mut(&request_id) else {
             return;
         };
-        let Some(slot) = request.slot.as_mut().filter(|slot| slot.ask == ask) else {
-            return;
-        };
-        slot.sure = true;
-        if request.stage == Stage::AwaitRoom {
+        for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
+            if hold.ask == ask && hold.phase == GrantPhase::Ready {
+                hold.phase = GrantPhase::Moving;
+                hold.rate_bytes_per_s = rate_bytes_per_s;
+            }
+        }
+        let moving = |hold: Option<Hold>| hold.is_some_and(|hold| hold.phase == GrantPhase::Moving);
+        if request.stage == Stage::AwaitRoom && moving(request.turn) && moving(request.slot) {
             self.start_import(now_us, request_id, actions);
         }
     }
@@ -566,7 +582,12 @@
         let Some(request) = self.requests.get(&request_id) else {
             return;
         };
-        let until_us = request.stage_since_us + self.settings.turn_hold_ms;
+        let is_read = request.stage == Stage::AwaitRoom;
+        let until_us = if is_read {
+            request.evict_at_us
+        } else {
+            request.stage_since_us + self.settings.turn_hold_ms
+        };
         if now_us < until_us {
             if waits {
                 self.set_timer(request_id, until_us);
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -337,7 +337,6 @@
             latest_us: Some(now_us + arrival.patience_ms),
             work_us,
             charge_us: work_us,
-            copies: 1,
             item: (),
         }
     }
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -18,7 +18,7 @@
     AwaitSlot,
     /// Its prompt to be read.
     Prefilling,
-    /// Its likely slot to become free, or, if prefill started at once, any slot.
+    /// Both ends to let the transfer start.
     AwaitRoom,
     /// Its KV cache to arrive.
     Importing,
@@ -43,7 +43,6 @@
     pub(super) ask: AskId,
     pub(super) rate_bytes_per_s: BytesPerSecond,
     pub(super) phase: GrantPhase,
-    pub(super) sure: bool,
 }
 
 /// Servers asked at once.
@@ -60,6 +59,8 @@
     pub(super) stage: Stage,
     pub(super) stage_since_us: MonoTime,
     pub(super) attempt: Attempt,
+    pub(super) attempt_since_us: MonoTime,
+    pub(super) evict_at_us: MonoTime,
     pub(super) asks: [Option<OpenAsk>; COPIES_MAX],
     pub(super) rounds: u8,
     pub(super) tried: [Option<ServerIndex>; TRIED_MAX],
@@ -86,6 +87,8 @@
             stage: Stage::AwaitTurn,
             stage_since_us: now_us,
             attempt: Attempt(0),
+            attempt_since_us: now_us,
+            evict_at_us: now_us,
             asks: [None; COPIES_MAX],
             rounds: 0,
             tried: [None; TRIED_MAX],
--- a/crates/core/src/sched/running.rs
+++ b/crates/core/src/sched/running.rs
@@ -32,11 +32,16 @@
         let Some(request) = self.requests.get_mut(&request_id) else {
             return;
         };
-        let Some(turn) = request.turn else {
+        let Some(turn) = request.turn.as_mut() else {
             return;
         };
+        turn.phase = GrantPhase::Running;
+        let turn = *turn;
+        let server = self.directory.name(turn.server).clone();
+        actions.push(Action::Send(SlotMessage::Started { server, request_id }));
         request.attempt = Attempt(request.attempt.0 + 1);
         request.enter(now_us, Stage::Prefilling);
+        request.attempt_since_us = now_us;
         request.prefilled = Tokens::ZERO;
         actions.push(Action::StartPrefill {
             request_id,
@@ -78,38 +83,51 @@
         let worked = whole.saturating_sub(cached_tokens);
         request.prefilled = worked;
         request.kv_bytes = kv_bytes;
-        let work_us = now_us.since(request.stage_since_us);
-        let blocks = request.arrival.blocks.clone();
-        let Some(turn) = request.turn.as_mut() else {
+        let blocks = std::mem::take(&mut request.arrival.blocks);
+        let Some(index) = request.turn.map(|turn| turn.server) else {
             return;
         };
-        turn.phase = GrantPhase::Moved;
-        let index = turn.server;
         self.counters.prefill_tokens += worked;
         let per_token = kv_bytes.0 as f64 / whole.0.max(1) as f64;
         self.kv_bytes_per_token += KV_WEIGHT * (per_token - self.kv_bytes_per_token);
         // The prompt is in that server's cache now; its own event to say so comes late.
-        for block in blocks {
+        for &block in &blocks {
             self.affinity.store(index, block);
         }
-        let server = self.directory.name(index).clone();
-        actions.push(Action::Send(SlotMessage::Moved {
-            server,
-            request_id,
-            work_us,
-            work_tokens: worked,
-        }));
-        self.enter(now_us, request_id, Stage::AwaitRoom);
-        let slot = self.requests.get(&request_id).and_then(|request| request.slot);
-        if slot.is_some_and(|slot| slot.sure) {
-            self.start_import(now_us, request_id, actions);
-            return;
+        if let Some(request) = self.requests.get_mut(&request_id) {
+            request.arrival.blocks = blocks;
+            request.evict_at_us = now_us + evict_after_ms;
+            request.enter(now_us, Stage::AwaitRoom);
         }
+        self.make_ready(now_us, request_id, actions);
         if self.settings.start == PrefillStart::AtOnce {
             self.ask_slot(now_us, request_id, actions);
+        }
+    }
+
+    /// Tells both ends that the result can be moved, again if they were told before: their answer may be
+    /// lost.
+    pub(super) fn make_ready(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
             return;
+        };
+        let work_us = now_us.since(request.attempt_since_us);
+        for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
+            if hold.phase > GrantPhase::Ready {
+                continue;
+            }
+            hold.phase = GrantPhase::Ready;
+            actions.push(Action::Send(SlotMessage::Ready {
+                server: self.directory.name(hold.server).clone(),
+                request_id,
+                ask: hold.ask,
+                work_us,
+                work_tokens: request.prefilled,
+            }));
         }
-        self.set_timer(request_id, now_us + evict_after_ms);
+        let again_us = now_us + self.settings.ask_timeout_us;
+        let at_us = again_us.min(request.evict_at_us);
+        self.set_timer(request_id, at_us);
     }
 
     /// Waiting for room with a prefill result in hand: until the engine evicts it there is hope.
@@ -117,8 +135,7 @@
         let Some(request) = self.requests.get(&request_id) else {
             return;
         };
-        let until_us = request.stage_since_us + self.settings.evict_after_ms;
-        if now_us >= until_us {
+        if now_us >= request.evict_at_us {
             self.redo(
                 now_us,
                 request_id,
@@ -128,11 +145,11 @@
             );
             return;
         }
-        if request.slot.is_none() && !request.has_asks() {
-            self.ask_slot(now_us, request_id, actions);
+        if request.slot.is_none() {
+            self.ask_timer(now_us, request_id, actions);
             return;
         }
-        self.set_timer(request_id, until_us);
+        self.make_ready(now_us, request_id, actions);
     }
 
     pub(super) fn start_import(
@@ -186,8 +203,6 @@
         let moved = SlotMessage::Moved {
             server: server.clone(),
             request_id,
-            work_us: Micros::ZERO,
-            work_tokens: Tokens::ZERO,
         };
         actions.push(Action::Send(moved));
         actions.push(Action::Decode {
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -350,7 +350,8 @@
         waiting.sort_unstable();
         let mut lists = lists.into_iter().collect::<Vec<_>>();
         lists.sort_unstable_by_key(|(server, _)| *server);
-        for (server, held) in lists {
+        for (server, mut held) in lists {
+            held.sort_unstable_by_key(|grant| grant.request_id);
             let server = self.directory.name(server).clone();
             actions.push(Action::Send(SlotMessage::Renew { server, held }));
         }
@@ -372,7 +373,8 @@
             }
             collect_held(now_us, request, &self.partners, &mut lists);
         }
-        let held = lists.remove(&index).unwrap_or_default();
+        let mut held = lists.remove(&index).unwrap_or_default();
+        held.sort_unstable_by_key(|grant| grant.request_id);
         actions.push(Action::Send(SlotMessage::Renew {
             server: server.clone(),
             held,
--- a/crates/core/src/slots.rs
+++ b/crates/core/src/slots.rs
@@ -12,6 +12,7 @@
 
 mod fair_queue;
 mod ledger;
+mod pace;
 mod watcher;
 
 use serde::{Deserialize, Serialize};
@@ -108,9 +109,15 @@
 /// How far a granted request has come.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub enum GrantPhase {
-    /// Granted; at a prefill server the prompt is waiting or being read.
+    /// Granted.
     Reserved,
-    /// At a prefill server the result waits for export; at a decode server the transfer is done.
+    /// At a prefill server the prompt is being read, or waits there for the one before.
+    Running,
+    /// The prompt is read, and the transfer waits for its share of the link.
+    Ready,
+    /// The transfer is under way.
+    Moving,
+    /// The transfer is done; at a decode server the answer is being written.
     Moved,
 }
 
@@ -169,14 +176,10 @@
         ask: AskId,
         /// Load as known now.
         load: ServerLoad,
-        /// Share of the server's link.
-        rate_bytes_per_s: BytesPerSecond,
         /// How long it holds without being renewed.
         ttl_ms: Millis,
-        /// False while the slot is only likely: a `Confirm` follows, and nothing may be imported before it.
-        sure: bool,
     },
-    /// From the watcher: a likely slot has become free.
+    /// From the watcher: the transfer may start. Nothing is imported before both ends have said so.
     Confirm {
         /// Which server.
         server: BackendServerId,
@@ -184,6 +187,8 @@
         request_id: RequestId,
         /// Which ask.
         ask: AskId,
+        /// Its share of the server's link.
+        rate_bytes_per_s: BytesPerSecond,
     },
     /// From the watcher: no.
     Deny {
@@ -200,17 +205,34 @@
         /// When another try is worth making.
         retry_after_ms: Millis,
     },
-    /// To the watcher: the prompt is read, or the transfer is done.
-    Moved {
+    /// To the watcher of a prefill server: the prompt was sent to it.
+    Started {
+        /// Which server.
+        server: BackendServerId,
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// To the watcher, of a prefill server as well as of a decode server: the prompt is read and its result
+    /// can be moved.
+    Ready {
         /// Which server.
         server: BackendServerId,
         /// Which request.
         request_id: RequestId,
-        /// Time from the start of the call to its answer.
+        /// Which ask.
+        ask: AskId,
+        /// Time from the start of the prefill to its end; zero for a decode server.
         work_us: Micros,
-        /// Tokens worked on; zero for a transfer.
+        /// Tokens that were read.
         work_tokens: Tokens,
     },
+    /// To the watcher of a decode server: the transfer is done.
+    Moved {
+        /// Which server.
+        server: BackendServerId,
+        /// Which request.
+        request_id: RequestId,
+    },
     /// To the watcher: the grant is no longer used.
     Release {
         /// Which server.
@@ -242,6 +264,8 @@
             | Self::Grant { server, .. }
             | Self::Confirm { server, .. }
             | Self::Deny { server, .. }
+            | Self::Started { server, .. }
+            | Self::Ready { server, .. }
             | Self::Moved { server, .. }
             | Self::Release { server, .. }
             | Self::Renew { server, .. } => server,
@@ -254,6 +278,8 @@
             self,
             Self::Ask(_)
                 | Self::Withdraw { .. }
+                | Self::Started { .. }
+                | Self::Ready { .. }
                 | Self::Moved { .. }
                 | Self::Release { .. }
                 | Self::Renew { .. }
--- a/crates/core/src/slots/fair_queue.rs
+++ b/crates/core/src/slots/fair_queue.rs
@@ -62,19 +62,10 @@
     pub work_us: Micros,
     /// What the partner is charged.
     pub charge_us: Micros,
-    /// Number of queues that the request waits in at once; it will be served from one of them.
-    pub copies: u8,
     /// Whatever belongs to it.
     pub item: Item,
 }
 
-impl<Item> Waiting<Item> {
-    /// Work that this request stands for in this queue.
-    fn share_us(&self) -> u64 {
-        self.work_us.0 / u64::from(self.copies.max(1))
-    }
-}
-
 type Key = (MonoTime, u64);
 
 #[derive(Clone, Copy, Debug)]
@@ -205,7 +196,7 @@
         let own_index = self.names.get(&entry.partner).copied();
         let own = own_index.map(|index| &self.partners[index]);
         let ahead_us = own.map_or(0, |queue| work_ahead(queue, entry));
-        let wait_us = stretch(self.wait_for(own_index, ahead_us), pace);
+        let wait_us = stretch(self.wait_for(own_index, ahead_us, entry.work_us.0), pace);
         let harms_earlier = entry.latest_us.is_some()
             && own.is_some_and(|queue| self.harms(now_us, own_index, queue, entry, ahead_us, pace));
         Forecast {
@@ -214,8 +205,8 @@
         }
     }
 
-    fn wait_for(&self, own_index: Option<usize>, own_us: u64) -> u64 {
-        let reach_us = own_us + 1;
+    fn wait_for(&self, own_index: Option<usize>, own_us: u64, work_us: u64) -> u64 {
+        let reach_us = own_us + work_us;
         let others = self.active.iter().filter(|&&(_, index)| Some(index) != own_index);
         let others_us = others
             .map(|&(_, index)| self.partners[index].work_us.min(reach_us))
@@ -239,13 +230,17 @@
         };
         let mut before_us = ahead_us;
         for (key, later) in queue.in_time.range((latest_us, u64::MAX)..) {
-            let without = now_us + Micros(stretch(self.wait_for(own_index, before_us), pace));
-            let with_us = before_us + entry.share_us();
-            let with = now_us + Micros(stretch(self.wait_for(own_index, with_us), pace));
+            let without = now_us
+                + Micros(stretch(
+                    self.wait_for(own_index, before_us, later.work_us.0),
+                    pace,
+                ));
+            let with_us = before_us + entry.work_us.0;
+            let with = now_us + Micros(stretch(self.wait_for(own_index, with_us, later.work_us.0), pace));
             if without <= key.0 && with > key.0 {
                 return true;
             }
-            before_us += later.share_us();
+            before_us += later.work_us.0;
         }
         false
     }
@@ -274,7 +269,7 @@
             queue.charged_us = queue.charged_us.max(clock_us);
             self.active.insert((queue.charged_us, index));
         }
-        queue.work_us += entry.share_us();
+        queue.work_us += entry.work_us.0;
         let side = if late { &mut queue.late } else { &mut queue.in_time };
         side.insert(key, entry);
     }
@@ -304,14 +299,25 @@
             &mut queue.in_time
         };
         let entry = side.remove(&place.key)?;
-        queue.work_us = queue.work_us.saturating_sub(entry.share_us());
+        queue.work_us = queue.work_us.saturating_sub(entry.work_us.0);
         if queue.is_empty() {
             self.active.remove(&(queue.charged_us, place.partner));
         }
         Some(entry)
     }
 
-    /// The ask to grant next, taken out and charged to its partner.
+    /// The request to grant next.
+    pub fn peek(&mut self, now_us: MonoTime) -> Option<&Waiting<Item>> {
+        let &(_, index) = self.active.first()?;
+        self.demote(now_us, index);
+        let request_id = self.choose(now_us, index)?;
+        let place = self.places.get(&request_id)?;
+        let queue = &self.partners[index];
+        let side = if place.late { &queue.late } else { &queue.in_time };
+        side.get(&place.key)
+    }
+
+    /// The request to grant next, taken out and charged to its partner.
     pub fn pop(&mut self, now_us: MonoTime) -> Option<Waiting<Item>> {
         let &(_, index) = self.active.first()?;
         self.demote(now_us, index);
@@ -402,7 +408,8 @@
 
     /// Empties the queue, for a server that cannot serve.
     pub fn drain(&mut self) -> Vec<Waiting<Item>> {
-        let ids = self.places.keys().copied().collect::<Vec<_>>();
+        let mut ids = self.places.keys().copied().collect::<Vec<_>>();
+        ids.sort_unstable();
         ids.into_iter().filter_map(|id| self.remove(id)).collect()
     }
 }
@@ -412,7 +419,7 @@
         Some(latest_us) => queue
             .in_time
             .range(..=(latest_us, u64::MAX))
-            .map(|(_, ahead)| ahead.share_us())
+            .map(|(_, ahead)| ahead.work_us.0)
             .sum(),
         None => queue.work_us,
     }
--- a/crates/core/src/slots/ledger.rs
+++ b/crates/core/src/slots/ledger.rs
@@ -1,11 +1,12 @@
 //! The exact account of one server's grants, kept by the daemon that watches it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::ids::{BackendServerId, HostId, Incarnation, PartnerId, RequestId};
 use crate::units::{BytesPerSecond, Micros, Millis, MonoTime, Tokens};
 
 use super::fair_queue::{FairQueue, QueueSettings, Waiting};
+use super::pace::Pace;
 use super::{Ask, AskId, DenyReason, GrantOutcome, GrantPhase, HeldGrant, Role, ServerLoad, SlotMessage};
 
 /// Limits of a ledger.
@@ -23,6 +24,9 @@
     /// Grants outstanding at a prefill server, whatever their estimated work: an estimate that is too low
     /// must not send a whole queue to the engine.
     pub prefill_turns_max: usize,
+    /// Results at a prefill server that wait for the link. With more, prompts are read faster than results
+    /// leave, and the last ones would be evicted.
+    pub ready_max: usize,
     /// A new transfer gets this part of the link's free rate, so that a first transfer is fast and a later
     /// one still finds some.
     pub link_divisor: u64,
@@ -49,8 +53,9 @@
             grant_ttl_ms: Millis(3_000),
             prefill_ahead_us: Micros(15_000),
             prefill_turns_max: 4,
+            ready_max: 3,
             link_divisor: 2,
-            link_parts_max: 8,
+            link_parts_max: 4,
             prefill_token_us: Micros(125),
             decode_token_us: Micros(30_000),
             strikes_max: 2,
@@ -118,6 +123,7 @@
 struct Asker {
     home: HostId,
     ask: AskId,
+    needed_in_us: Option<Micros>,
 }
 
 #[derive(Clone, Debug)]
@@ -131,7 +137,7 @@
     work_us: Micros,
     rate_bytes_per_s: BytesPerSecond,
     phase: GrantPhase,
-    sure: bool,
+    phase_us: MonoTime,
     orphan: bool,
 }
 
@@ -149,13 +155,13 @@
     slots_total: u32,
     link_bytes_per_s: BytesPerSecond,
     queue: FairQueue<Asker>,
-    held: HashMap<RequestId, Held>,
+    held: BTreeMap<RequestId, Held>,
     foreign: HashSet<RequestId>,
     released: HashMap<RequestId, MonoTime>,
     token_us: f64,
     observed: bool,
-    pace: f64,
-    last_grant: Option<(MonoTime, Micros)>,
+    pace: Pace,
+    wake_us: Option<MonoTime>,
     last_moved_us: MonoTime,
     since_us: MonoTime,
     quiet_until_us: MonoTime,
@@ -170,12 +176,8 @@
 
 /// Weight of a new observation of a speed. Four or so observations move the figure, one outlier does not.
 const SPEED_WEIGHT: f64 = 0.3;
-/// Weight of a new observation of the pace, which is noisier.
-const PACE_WEIGHT: f64 = 0.1;
-/// The pace stays within these factors, so that one odd gap cannot shut a queue or open it to everything.
-const PACE_RANGE: (f64, f64) = (0.7, 20.0);
-/// Charged time is not observed below this; guards a division.
-const MIN_WORK_US: u64 = 1_000;
+/// Shortest wait for room at a prefill server; guards against waking all the time.
+const MIN_WAIT_US: u64 = 1_000;
 /// Shorter prompts are mostly fixed cost, and say little about the speed.
 const MIN_OBSERVED_TOKENS: u64 = 64;
 /// A grant is younger than the list of a `Renew` that crosses it on the way.
@@ -209,13 +211,13 @@
             slots_total,
             link_bytes_per_s,
             queue: FairQueue::new(settings.queue),
-            held: HashMap::new(),
+            held: BTreeMap::new(),
             foreign: HashSet::new(),
             released: HashMap::new(),
             token_us: token_us.0 as f64,
             observed: false,
-            pace: 1.0,
-            last_grant: None,
+            pace: Pace::new(),
+            wake_us: None,
             last_moved_us: now_us,
             since_us: now_us,
             quiet_until_us: now_us + quiet_ms,
@@ -266,17 +268,22 @@
         match message {
             SlotMessage::Ask(ask) => self.ask(now_us, from, ask, actions),
             SlotMessage::Withdraw { request_id, ask, .. } => {
-                self.queue.remove(request_id);
+                if let Some(entry) = self.queue.remove(request_id) {
+                    self.drained(now_us, &entry);
+                }
                 self.release(now_us, request_id, ask, GrantOutcome::Unused);
             }
-            SlotMessage::Moved {
+            SlotMessage::Started { request_id, .. } => self.started(now_us, request_id),
+            SlotMessage::Ready {
                 request_id,
+                ask,
                 work_us,
                 work_tokens,
                 ..
             } => {
-                self.moved(now_us, request_id, work_us, work_tokens);
+                self.ready(now_us, request_id, ask, work_us, work_tokens, actions);
             }
+            SlotMessage::Moved { request_id, .. } => self.moved(now_us, request_id),
             SlotMessage::Release {
                 request_id,
                 ask,
@@ -381,6 +388,7 @@
         self.serve(now_us, actions);
         if self.queue.contains(request_id) {
             let load = self.load(now_us);
+            self.pace.begin(now_us);
             let message = SlotMessage::Queued {
                 server: self.server.clone(),
                 request_id,
@@ -402,10 +410,10 @@
             latest_us: ask.slack_us.map(|slack_us| now_us + slack_us),
             work_us: self.work_us(ask.work_tokens),
             charge_us: ask.charge_us,
-            copies: ask.copies,
             item: Asker {
                 home: from.clone(),
                 ask: ask.ask,
+                needed_in_us: ask.needed_in_us,
             },
         }
     }
@@ -424,7 +432,7 @@
             return Some((DenyReason::Unhealthy, until_us.since(now_us))).filter(|_| now_us < until_us);
         }
         let late = entry.latest_us.is_none();
-        let forecast = self.queue.forecast(now_us, entry, self.pace);
+        let forecast = self.queue.forecast(now_us, entry, self.pace.value());
         if self.queue.is_full(&entry.partner, late) {
             return Some((DenyReason::QueueFull, forecast.wait_us));
         }
@@ -478,28 +486,43 @@
     /// Grants as long as there is room and somebody waits.
     fn serve(&mut self, now_us: MonoTime, actions: &mut Vec<LedgerAction>) {
         self.confirm(now_us, actions);
-        while !self.queue.is_empty() {
+        while let Some(needed_in_us) = self.queue.peek(now_us).map(|entry| entry.item.needed_in_us) {
             if let Some(at_us) = self.no_grant_until(now_us) {
-                actions.push(LedgerAction::Wake { at_us });
-                return;
-            }
-            let Some(rate) = self.free_rate() else {
-                return;
-            };
-            let room = self.has_room(now_us);
-            if !room && self.role == Role::Prefill {
-                actions.push(LedgerAction::Wake {
-                    at_us: self.room_at(now_us),
-                });
+                self.wake_at(now_us, at_us, actions);
                 return;
             }
-            if !room {
+            if !self.has_room(now_us, needed_in_us) {
+                self.wake_for_room(now_us, actions);
                 return;
             }
             let Some(entry) = self.queue.pop(now_us) else {
                 return;
             };
-            self.grant(now_us, entry, rate, actions);
+            self.grant(now_us, entry, actions);
+        }
+    }
+
+    /// A turn becomes free with time alone, a slot only with a message.
+    fn wake_for_room(&mut self, now_us: MonoTime, actions: &mut Vec<LedgerAction>) {
+        if self.role == Role::Prefill {
+            let at_us = self.room_at(now_us);
+            self.wake_at(now_us, at_us, actions);
+        }
+    }
+
+    fn drained(&mut self, now_us: MonoTime, entry: &Waiting<Asker>) {
+        if entry.since_us < now_us {
+            self.pace.drain(now_us, entry.work_us, !self.queue.is_empty());
+        }
+    }
+
+    fn wake_at(&mut self, now_us: MonoTime, at_us: MonoTime, actions: &mut Vec<LedgerAction>) {
+        if self
+            .wake_us
+            .is_none_or(|known_us| known_us <= now_us || at_us < known_us)
+        {
+            self.wake_us = Some(at_us);
+            actions.push(LedgerAction::Wake { at_us });
         }
     }
 
@@ -510,14 +533,8 @@
         self.closed_until_us.filter(|&until_us| now_us < until_us)
     }
 
-    fn grant(
-        &mut self,
-        now_us: MonoTime,
-        entry: Waiting<Asker>,
-        rate_bytes_per_s: BytesPerSecond,
-        actions: &mut Vec<LedgerAction>,
-    ) {
-        self.observe_pace(now_us, entry.work_us);
+    fn grant(&mut self, now_us: MonoTime, entry: Waiting<Asker>, actions: &mut Vec<LedgerAction>) {
+        self.drained(now_us, &entry);
         let request_id = entry.request_id;
         let held = Held {
             home: entry.item.home.clone(),
@@ -527,9 +544,9 @@
             granted_us: now_us,
             expires_us: now_us + self.settings.grant_ttl_ms,
             work_us: entry.work_us,
-            rate_bytes_per_s,
+            rate_bytes_per_s: BytesPerSecond::ZERO,
             phase: GrantPhase::Reserved,
-            sure: true,
+            phase_us: now_us,
             orphan: false,
         };
         self.counters.grants += 1;
@@ -547,78 +564,113 @@
             request_id,
             ask: held.ask,
             load: self.load(now_us),
-            rate_bytes_per_s: held.rate_bytes_per_s,
             ttl_ms: self.settings.grant_ttl_ms,
-            sure: held.sure,
         }
     }
 
-    /// Tells holders of likely slots that theirs is free now.
-    fn confirm(&mut self, _now_us: MonoTime, actions: &mut Vec<LedgerAction>) {
-        let sure = self.held.values().filter(|held| held.sure).count() + self.foreign.len();
-        let mut free = (self.slots_total as usize).saturating_sub(sure);
-        while free > 0 {
-            let likely = self.held.iter_mut().filter(|(_, held)| !held.sure);
-            let Some((&request_id, held)) = likely.min_by_key(|(id, held)| (held.granted_us, **id)) else {
+    /// Starts transfers that are ready, in the order in which they became so.
+    ///
+    /// Harm prevented: a transfer without a slot is refused by the engine, and one that shares the link with
+    /// too many crawls until the prefill result is evicted at its source. So the slot is counted as taken
+    /// and the share of the link is given here, at the last moment: promised earlier, with the turn, both
+    /// would lie idle for as long as the prompt is read.
+    fn confirm(&mut self, now_us: MonoTime, actions: &mut Vec<LedgerAction>) {
+        while let Some(rate_bytes_per_s) = self.free_rate().filter(|_| self.has_free_slot()) {
+            let ready = self
+                .held
+                .iter_mut()
+                .filter(|(_, held)| held.phase == GrantPhase::Ready);
+            let Some((&request_id, held)) = ready.min_by_key(|(id, held)| (held.phase_us, **id)) else {
                 return;
             };
-            held.sure = true;
-            free -= 1;
-            let message = SlotMessage::Confirm {
-                server: self.server.clone(),
-                request_id,
-                ask: held.ask,
-            };
-            actions.push(LedgerAction::Send {
-                to: held.home.clone(),
-                message,
-            });
+            held.phase = GrantPhase::Moving;
+            held.phase_us = now_us;
+            held.rate_bytes_per_s = rate_bytes_per_s;
+            let to = held.home.clone();
+            let message = confirm_message(&self.server, request_id, held);
+            actions.push(LedgerAction::Send { to, message });
         }
     }
 
-    fn has_room(&self, now_us: MonoTime) -> bool {
+    /// Whether a slot is free at this moment; at a prefill server results need none.
+    fn has_free_slot(&self) -> bool {
+        self.role == Role::Prefill || self.occupied_len() < self.slots_total as usize
+    }
+
+    /// Slots that the engine holds or may hold.
+    fn occupied_len(&self) -> usize {
+        let taken = |held: &&Held| matches!(held.phase, GrantPhase::Moving | GrantPhase::Moved);
+        self.held.values().filter(taken).count() + self.foreign.len()
+    }
+
+    /// Whether one more grant may be given.
+    ///
+    /// A slot is sure when there are fewer grants than slots. A request so tight that it says when it needs
+    /// its slot may also have one that is likely: held now, but expected to be free by then. The engine
+    /// is never over-committed by it, because the transfer still waits for the slot; what is risked is the
+    /// prefill, and a class with slack does not take that risk.
+    fn has_room(&self, now_us: MonoTime, needed_in_us: Option<Micros>) -> bool {
         match self.role {
-            Role::Decode => self.held_len() < self.slots_total as usize,
+            Role::Decode => {
+                let likely = needed_in_us.map_or(0, |needed_in_us| self.ending_by(now_us + needed_in_us));
+                self.held_len() < self.slots_total as usize + likely
+            }
             Role::Prefill => {
                 let turns = self.turns().count();
-                turns == 0
-                    || (turns < self.settings.prefill_turns_max
-                        && self.backlog_us(now_us) < self.settings.prefill_ahead_us)
+                let ready = self
+                    .held
+                    .values()
+                    .filter(|held| held.phase == GrantPhase::Ready)
+                    .count();
+                ready < self.settings.ready_max
+                    && (turns == 0
+                        || (turns < self.settings.prefill_turns_max
+                            && self.backlog_us(now_us) < self.settings.prefill_ahead_us))
             }
         }
     }
 
+    fn ending_by(&self, at_us: MonoTime) -> usize {
+        let ending = |held: &&Held| held.phase == GrantPhase::Moved && held.phase_us + held.work_us <= at_us;
+        self.held.values().filter(ending).count()
+    }
+
     fn turns(&self) -> impl Iterator<Item = &Held> {
         self.held
             .values()
-            .filter(|held| held.phase == GrantPhase::Reserved)
+            .filter(|held| held.phase <= GrantPhase::Running)
     }
 
-    /// Work granted and not yet done at a prefill server. Work that overran its estimate is expected to
-    /// take as long again: a server that hangs would look idle otherwise, and draw the whole queue.
+    /// Work granted and not yet done at a prefill server: that of turns not started, which wait for their
+    /// slots, and what is left of the others. Work that overran its estimate is expected to take as long
+    /// again: a server that hangs would look idle otherwise, and draw the whole queue.
     fn backlog_us(&self, now_us: MonoTime) -> Micros {
         if self.role == Role::Decode {
             return Micros::ZERO;
         }
-        let Some(first_us) = self.turns().map(|held| held.granted_us).min() else {
-            return Micros::ZERO;
-        };
-        let total_us = self.turns().map(|held| held.work_us.0).sum::<u64>();
-        let spent_us = now_us.since(first_us).0;
-        Micros(spent_us.abs_diff(total_us))
+        let running = self.turns().filter(|held| held.phase == GrantPhase::Running);
+        let (mut running_us, mut first_us) = (0, None);
+        for held in running {
+            running_us += held.work_us.0;
+            first_us = Some(first_us.map_or(held.phase_us, |first: MonoTime| first.min(held.phase_us)));
+        }
+        let reserved = self.turns().filter(|held| held.phase == GrantPhase::Reserved);
+        let reserved_us = reserved.map(|held| held.work_us.0).sum::<u64>();
+        let spent_us = first_us.map_or(0, |first_us| now_us.since(first_us.max(self.last_moved_us)).0);
+        Micros(reserved_us + running_us.abs_diff(spent_us))
     }
 
     fn room_at(&self, now_us: MonoTime) -> MonoTime {
         let left_us = self
             .backlog_us(now_us)
             .saturating_sub(self.settings.prefill_ahead_us);
-        now_us + Micros(left_us.0.max(MIN_WORK_US))
+        now_us + Micros(left_us.0.max(MIN_WAIT_US))
     }
 
     /// Share of the link for one more transfer, or `None` while too many share it: a transfer that crawls
     /// outlasts the prefill result at its source.
     fn free_rate(&self) -> Option<BytesPerSecond> {
-        let moving = self.held.values().filter(|held| self.uses_link(held));
+        let moving = self.held.values().filter(|held| held.phase == GrantPhase::Moving);
         let used = moving.map(|held| held.rate_bytes_per_s.0).sum::<u64>();
         let free = self.link_bytes_per_s.0.saturating_sub(used);
         let smallest = self.link_bytes_per_s.0 / self.settings.link_parts_max.max(1);
@@ -626,23 +678,47 @@
         (self.link_bytes_per_s.0 == 0 || rate <= free).then_some(BytesPerSecond(rate))
     }
 
-    fn uses_link(&self, held: &Held) -> bool {
-        match self.role {
-            // The result leaves after the prompt is read, but its share is promised from the grant on.
-            Role::Prefill => true,
-            Role::Decode => held.phase == GrantPhase::Reserved,
+    fn started(&mut self, now_us: MonoTime, request_id: RequestId) {
+        if let Some(held) = self
+            .held
+            .get_mut(&request_id)
+            .filter(|held| held.phase == GrantPhase::Reserved)
+        {
+            held.phase = GrantPhase::Running;
+            held.phase_us = now_us;
         }
     }
 
-    fn moved(&mut self, now_us: MonoTime, request_id: RequestId, work_us: Micros, work_tokens: Tokens) {
-        let Some(held) = self.held.get_mut(&request_id) else {
+    fn ready(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        ask: AskId,
+        work_us: Micros,
+        work_tokens: Tokens,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let Some(held) = self.held.get_mut(&request_id).filter(|held| held.ask == ask) else {
             return;
         };
-        held.phase = GrantPhase::Moved;
         held.expires_us = now_us + self.settings.grant_ttl_ms;
-        if self.role == Role::Decode {
+        if held.phase == GrantPhase::Moving {
+            // The confirmation was lost on the way and the daemon asks again.
+            let to = held.home.clone();
+            let message = confirm_message(&self.server, request_id, held);
+            actions.push(LedgerAction::Send { to, message });
+        }
+        if held.phase > GrantPhase::Running {
             return;
         }
+        held.phase = GrantPhase::Ready;
+        held.phase_us = now_us;
+        if self.role == Role::Prefill {
+            self.prefill_ended(now_us, work_us, work_tokens);
+        }
+    }
+
+    fn prefill_ended(&mut self, now_us: MonoTime, work_us: Micros, work_tokens: Tokens) {
         self.healthy();
         // The server reads one prompt after the other: the time since the one before bounds what this one
         // took, and leaves out its wait behind it.
@@ -653,6 +729,14 @@
         }
     }
 
+    fn moved(&mut self, now_us: MonoTime, request_id: RequestId) {
+        if let Some(held) = self.held.get_mut(&request_id) {
+            held.phase = GrantPhase::Moved;
+            held.phase_us = now_us;
+            held.expires_us = now_us + self.settings.grant_ttl_ms;
+        }
+    }
+
     fn observe_speed(&mut self, token_us: Micros) {
         if token_us == Micros::ZERO {
             return;
@@ -666,24 +750,6 @@
         self.observed = true;
     }
 
-    /// Learns how much longer than expected the server takes for granted work while others wait: the cause
-    /// may be a slow server or a wait for slots elsewhere, and the forecast has to know it in either case.
-    fn observe_pace(&mut self, now_us: MonoTime, work_us: Micros) {
-        let previous = self.last_grant.replace((now_us, work_us));
-        let Some((at_us, granted_us)) = previous else {
-            return;
-        };
-        // The gap counts only when the queue was not empty during it: one entry was popped just now, and
-        // another still waits.
-        if self.queue.is_empty() || self.role == Role::Decode {
-            return;
-        }
-        let gap_us = now_us.since(at_us).0 as f64;
-        let seen = gap_us / granted_us.0.max(MIN_WORK_US) as f64;
-        let (low, high) = PACE_RANGE;
-        self.pace = (self.pace + PACE_WEIGHT * (seen - self.pace)).clamp(low, high);
-    }
-
     fn release(&mut self, now_us: MonoTime, request_id: RequestId, ask: AskId, outcome: GrantOutcome) {
         let Some(held) = self.held.remove_entry(&request_id) else {
             return;
@@ -736,6 +802,7 @@
             self.foreign.remove(&grant.request_id);
             if let Some(held) = self.held.get_mut(&grant.request_id) {
                 held.expires_us = expires_us;
+                held.phase = held.phase.max(grant.phase);
                 continue;
             }
             self.take_over(now_us, from, grant);
@@ -764,7 +831,7 @@
             work_us: self.work_us(grant.work_tokens),
             rate_bytes_per_s: grant.rate_bytes_per_s,
             phase: grant.phase,
-            sure: true,
+            phase_us: now_us,
             orphan: false,
         };
         self.held.insert(grant.request_id, held);
@@ -798,12 +865,12 @@
         let closed = self.no_grant_until(now_us).is_some();
         let wait_us = match self.role {
             Role::Prefill => {
-                Micros(round_us(self.queue.work_us().0 as f64 * self.pace)) + self.backlog_us(now_us)
+                Micros(round_us(self.queue.work_us().0 as f64 * self.pace.value())) + self.backlog_us(now_us)
             }
             Role::Decode => Micros(self.queue.len() as u64 * round_us(self.token_us)),
         };
         let free = match self.role {
-            Role::Prefill => u32::from(self.has_room(now_us)),
+            Role::Prefill => u32::from(self.has_room(now_us, None)),
             Role::Decode => self
                 .slots_total
                 .saturating_sub(u32::try_from(self.held_len()).unwrap_or(u32::MAX)),
@@ -822,6 +889,15 @@
     }
 }
 
+fn confirm_message(server: &BackendServerId, request_id: RequestId, held: &Held) -> SlotMessage {
+    SlotMessage::Confirm {
+        server: server.clone(),
+        request_id,
+        ask: held.ask,
+        rate_bytes_per_s: held.rate_bytes_per_s,
+    }
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/core/src/slots/watcher.rs
+++ b/crates/core/src/slots/watcher.rs
@@ -1,6 +1,6 @@
 //! The ledgers of the servers that one daemon watches.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use crate::ids::{BackendServerId, HostId, Incarnation};
 use crate::units::{Millis, MonoTime};
@@ -13,7 +13,7 @@
 #[derive(Debug)]
 pub struct Watcher {
     settings: LedgerSettings,
-    ledgers: HashMap<BackendServerId, Ledger>,
+    ledgers: BTreeMap<BackendServerId, Ledger>,
 }
 
 impl Watcher {
@@ -21,7 +21,7 @@
     pub fn new(settings: LedgerSettings) -> Self {
         Self {
             settings,
-            ledgers: HashMap::new(),
+            ledgers: BTreeMap::new(),
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/sched/outcome.rs
@@ -0,0 +1,88 @@
+//! What came of a run, as its callers saw it.
+
+/// One partner's requests.
+#[derive(Clone, Debug, Default)]
+pub struct PartnerOutcome {
+    pub name: String,
+    pub arrivals: u64,
+    pub answered: u64,
+    pub good: u64,
+    pub refused: u64,
+    pub failed: u64,
+    /// Good answers by second of arrival.
+    pub good_by_second: Vec<u64>,
+}
+
+impl PartnerOutcome {
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    pub fn note_second(&mut self, second: usize, good: bool) {
+        if self.good_by_second.len() <= second {
+            self.good_by_second.resize(second + 1, 0);
+        }
+        self.good_by_second[second] += u64::from(good);
+    }
+
+    /// Part of its requests that met both targets, in percent.
+    pub fn goodput(&self) -> f64 {
+        100.0 * self.good as f64 / self.arrivals.max(1) as f64
+    }
+}
+
+/// A run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub partners: Vec<PartnerOutcome>,
+    pub prefill_tokens: u64,
+    pub wasted_tokens: u64,
+    pub refused_after_prefill: u64,
+    pub engine_refusals: u64,
+    pub over_committed: u64,
+    pub most_link: u64,
+    pub link: u64,
+    pub unanswered: u64,
+    pub held_at_end: u64,
+    pub lost_with_daemon: u64,
+    pub retries: u64,
+    pub turns_returned: u64,
+    pub closed: u64,
+    pub messages: u64,
+    /// Wasted prefill tokens by cause, as the counters name it.
+    pub wasted_by: Vec<(&'static str, u64)>,
+    /// Answers that missed the first-token target: tight and loose; and those that only missed the pace.
+    pub late: [u64; 2],
+    pub slow: u64,
+}
+
+impl Outcome {
+    pub fn arrivals(&self) -> u64 {
+        self.partners.iter().map(|partner| partner.arrivals).sum()
+    }
+
+    pub fn good(&self) -> u64 {
+        self.partners.iter().map(|partner| partner.good).sum()
+    }
+
+    pub fn refused(&self) -> u64 {
+        self.partners.iter().map(|partner| partner.refused).sum()
+    }
+
+    pub fn failed(&self) -> u64 {
+        self.partners.iter().map(|partner| partner.failed).sum()
+    }
+
+    /// Part of all requests that met both targets, in percent.
+    pub fn goodput(&self) -> f64 {
+        100.0 * self.good() as f64 / self.arrivals().max(1) as f64
+    }
+
+    /// Part of the prefill work that was thrown away or done again, in percent.
+    pub fn wasted(&self) -> f64 {
+        100.0 * self.wasted_tokens as f64 / self.prefill_tokens.max(1) as f64
+    }
+}
