--- a/crates/router/src/backend/engine.rs
+++ b/crates/router/src/backend/engine.rs
@@ -58,6 +58,25 @@
     }
 }
 
+/// Memory that is to be released.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// The try that holds it.
+    pub attempt_id: AttemptId,
+    /// The daemon's life on whose behalf, where it is not the present one.
+    pub owner: Option<Owner>,
+}
+
+impl Held {
+    /// Memory held on behalf of the present life.
+    pub fn own(attempt_id: AttemptId) -> Self {
+        Self {
+            attempt_id,
+            owner: None,
+        }
+    }
+}
+
 /// Reads a prompt and holds its KV cache for export.
 #[derive(Clone, Debug)]
 pub struct PrefillCall {
@@ -247,7 +266,7 @@
     ) -> BoxFuture<'_, Result<TokenStream, EngineFailure>>;
 
     /// Releases what is held for one request; `Ok` is the engine's confirmation.
-    fn cancel(&self, to: SocketAddr, attempt_id: AttemptId) -> BoxFuture<'_, Result<(), EngineFailure>>;
+    fn cancel(&self, to: SocketAddr, held: Held) -> BoxFuture<'_, Result<(), EngineFailure>>;
 
     /// Releases all that a daemon's life holds; `Ok` is the engine's confirmation.
     fn cancel_owner(&self, to: SocketAddr, owner: Owner) -> BoxFuture<'_, Result<(), EngineFailure>>;
@@ -431,11 +450,12 @@
         })
     }
 
-    fn cancel(&self, to: SocketAddr, attempt_id: AttemptId) -> BoxFuture<'_, Result<(), EngineFailure>> {
+    fn cancel(&self, to: SocketAddr, held: Held) -> BoxFuture<'_, Result<(), EngineFailure>> {
         Box::pin(async move {
+            let owner = held.owner.as_ref().unwrap_or(&self.owner);
             let body = CancelBody {
-                request_id: attempt_id.to_string(),
-                owner: &self.owner,
+                request_id: held.attempt_id.to_string(),
+                owner,
             };
             // That it answered is the confirmation; how much it released is of no consequence.
             let IgnoredAny = self
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -5,7 +5,7 @@
 mod plain;
 
 pub use engine::{
-    DecodeCall, EngineEdge, EngineFailure, EngineLoad, HeldRequest, HeldStage, HttpEngines, ImportCall,
+    DecodeCall, EngineEdge, EngineFailure, EngineLoad, Held, HeldRequest, HeldStage, HttpEngines, ImportCall,
     Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
 };
 pub use http::{BackendHttp, CallFailure, Trust, read_body, uri};
--- /dev/null
+++ b/crates/router/src/control.rs
@@ -0,0 +1,355 @@
+//! The control side of a daemon: its services, their inboxes, and the thread that they share.
+//!
+//! Control state lives on one thread of its own: a burst of traffic cannot delay a heartbeat, and control
+//! needs no locks among its services.
+
+use std::sync::{Arc, OnceLock};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hibiscusvale_core::ids::{BackendServerId, Incarnation};
+use hibiscusvale_core::membership::{MemberRecord, MembershipSettings};
+use hibiscusvale_core::sched::{Event, Sign};
+use hibiscusvale_core::spread::{ServerSign, SpreadSettings, SpreadView};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::claims::ClaimsCommand;
+use crate::clock;
+use crate::daemon::{Edges, StartError};
+use crate::directory::{self, Directory};
+use crate::dispatch::Hub;
+use crate::kernel::{INBOX_CAPACITY, Kernel, KernelError, ServiceName};
+use crate::membership::{MembershipHandle, MembershipRequest, MembershipService};
+use crate::meter::MeterService;
+use crate::peer::{Inbound, LinkSettings, NngLink, PeerBody, PeerMessage};
+use crate::settings::Settings;
+use crate::spread::{ConfigFeed, SpreadHandle, SpreadParts, SpreadRequest, SpreadService};
+use crate::watcher::{WatcherCommand, WatcherParts, WatcherService};
+
+/// Name of the control thread; the meter counts its processor time as control.
+pub const CONTROL_THREAD: &str = "control";
+
+/// The running control side.
+#[derive(Debug)]
+pub struct Control {
+    /// Finds services by name.
+    pub kernel: Kernel,
+    /// The way to other daemons.
+    pub link: Arc<NngLink>,
+    /// Who lives.
+    pub members: MembershipHandle,
+    /// Signs and loads.
+    pub spread: SpreadHandle,
+    /// Ends the services.
+    pub stop: CancellationToken,
+    runtime: Runtime,
+    hub: Arc<OnceLock<Arc<Hub>>>,
+}
+
+impl Control {
+    /// Starts the services that need no scheduler.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when an address cannot be listened on or a thread cannot be had.
+    pub fn start(
+        settings: &Settings,
+        edges: &Edges,
+        incarnation: Incarnation,
+        directory: &Arc<Directory>,
+    ) -> Result<Self, StartError> {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(StartError::Thread)?;
+        let kernel = Kernel::default();
+        let hub = Arc::new(OnceLock::new());
+        let inbound = inbound(kernel.clone(), Arc::clone(&hub));
+        let link_settings = LinkSettings::new(
+            settings.host.id.clone(),
+            settings.listen.peers,
+            settings.peers.key.into(),
+        );
+        let link = NngLink::start(link_settings, incarnation, inbound)?;
+        let entered = runtime.enter();
+        let members = start_membership(&kernel, settings, incarnation, &link)?;
+        let spread = start_spread(&kernel, settings, incarnation, &link, &members)?;
+        let (meter, _usage) = MeterService::new(Arc::clone(&link));
+        tokio::spawn(meter.run());
+        tokio::spawn(directory::follow(Arc::clone(&edges.hosts), Arc::clone(directory)));
+        tokio::spawn(tell_membership(
+            kernel.find(ServiceName::Membership)?,
+            Arc::clone(directory),
+        ));
+        drop(entered);
+        Ok(Self {
+            kernel,
+            link,
+            members,
+            spread,
+            stop: CancellationToken::new(),
+            runtime,
+            hub,
+        })
+    }
+
+    /// Starts the service that watches engines, and gives the control thread to the services.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`] when the thread cannot be had.
+    pub fn run(self, parts: WatcherParts) -> Result<RunningControl, StartError> {
+        let Self {
+            kernel,
+            link,
+            members,
+            spread,
+            stop,
+            runtime,
+            hub,
+        } = self;
+        let inbox = kernel.register::<WatcherCommand>(ServiceName::Watcher)?;
+        let _ = hub.set(Arc::clone(&parts.hub));
+        let directory = Arc::clone(&parts.directory);
+        let (ready, is_ready) = watch::channel(false);
+        runtime.spawn(WatcherService::run(parts, inbox, members.changes.clone(), ready));
+        runtime.spawn(follow_signs(
+            kernel.clone(),
+            Arc::clone(&spread.view),
+            directory,
+            hub,
+        ));
+        let stopped = stop.clone();
+        let thread = std::thread::Builder::new()
+            .name(CONTROL_THREAD.to_owned())
+            .spawn(move || runtime.block_on(stopped.cancelled()))
+            .map_err(StartError::Thread)?;
+        Ok(RunningControl {
+            kernel,
+            link,
+            members,
+            is_ready,
+            stop,
+            thread,
+        })
+    }
+}
+
+/// The control side with its thread.
+#[derive(Debug)]
+pub struct RunningControl {
+    /// Finds services by name.
+    pub kernel: Kernel,
+    /// The way to other daemons.
+    pub link: Arc<NngLink>,
+    /// Who lives.
+    pub members: MembershipHandle,
+    /// Whether the daemon knows the backend servers and has found its place among the daemons.
+    pub is_ready: watch::Receiver<bool>,
+    stop: CancellationToken,
+    thread: JoinHandle<()>,
+}
+
+impl RunningControl {
+    /// Tells the other daemons that this one stops, so that its work moves before it goes.
+    pub fn leave(&self) {
+        if let Ok(inbox) = self.kernel.find(ServiceName::Membership) {
+            // A leave that is lost is noticed as a death, a few seconds later.
+            let _ = inbox.try_send(MembershipRequest::Leave);
+        }
+    }
+
+    /// Ends the services and their thread.
+    pub fn stop(self) {
+        self.stop.cancel();
+        let _ = self.thread.join();
+        self.link.stop();
+    }
+}
+
+/// Takes messages of other daemons to the services that they are for.
+fn inbound(kernel: Kernel, hub: Arc<OnceLock<Arc<Hub>>>) -> Inbound {
+    Arc::new(move |message| {
+        // A service that is behind sheds: whoever needs an answer asks again.
+        let _ = deliver(&kernel, &hub, message);
+    })
+}
+
+/// A message of another daemon found no inbox.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+enum DeliverError {
+    #[error(transparent)]
+    Kernel(#[from] KernelError),
+    #[error("inbox is full or closed")]
+    Full,
+}
+
+impl<Message> From<mpsc::error::TrySendError<Message>> for DeliverError {
+    fn from(_: mpsc::error::TrySendError<Message>) -> Self {
+        Self::Full
+    }
+}
+
+fn deliver(kernel: &Kernel, hub: &OnceLock<Arc<Hub>>, message: PeerMessage) -> Result<(), DeliverError> {
+    let PeerMessage {
+        from,
+        incarnation,
+        body,
+    } = message;
+    match body {
+        PeerBody::Claims(message) => {
+            kernel
+                .find(ServiceName::Claims)?
+                .try_send(ClaimsCommand::Peer { from, message })?;
+        }
+        PeerBody::Membership(message) => {
+            let request = MembershipRequest::Peer {
+                from,
+                incarnation,
+                message,
+            };
+            kernel.find(ServiceName::Membership)?.try_send(request)?;
+        }
+        PeerBody::Slots(message) if message.is_for_watcher() => {
+            let command = WatcherCommand::Slot {
+                from,
+                incarnation,
+                message,
+            };
+            kernel.find(ServiceName::Watcher)?.try_send(command)?;
+        }
+        PeerBody::Slots(message) => {
+            if let Some(hub) = hub.get() {
+                hub.feed(Event::Slot(message));
+            }
+        }
+        PeerBody::Spread(message) => {
+            kernel
+                .find(ServiceName::Spread)?
+                .try_send(SpreadRequest::Peer { from, message })?;
+        }
+    }
+    Ok(())
+}
+
+fn start_membership(
+    kernel: &Kernel,
+    settings: &Settings,
+    incarnation: Incarnation,
+    link: &Arc<NngLink>,
+) -> Result<MembershipHandle, StartError> {
+    let inbox = kernel.register(ServiceName::Membership)?;
+    let own = MemberRecord {
+        host: settings.host.id.clone(),
+        incarnation,
+        peer_address: link.local_address(),
+        data_centre: settings.host.data_centre.clone(),
+        region: settings.host.region.clone(),
+        leaving: false,
+    };
+    let membership = MembershipSettings {
+        settle_ms: settings.peers.settle_ms,
+        ..MembershipSettings::default()
+    };
+    let (service, handle) = MembershipService::new(
+        membership,
+        own,
+        &settings.peers.seeds,
+        Arc::<NngLink>::clone(link),
+    );
+    tokio::spawn(service.run(inbox));
+    Ok(handle)
+}
+
+fn start_spread(
+    kernel: &Kernel,
+    settings: &Settings,
+    incarnation: Incarnation,
+    link: &Arc<NngLink>,
+    members: &MembershipHandle,
+) -> Result<SpreadHandle, StartError> {
+    let inbox = kernel.register(ServiceName::Spread)?;
+    let (feed, _config_inbox) = mpsc::channel::<ConfigFeed>(INBOX_CAPACITY);
+    let parts = SpreadParts {
+        host: settings.host.id.clone(),
+        data_centre: settings.host.data_centre.clone(),
+        random_seed: incarnation.0,
+        link: Arc::<NngLink>::clone(link),
+        members: Arc::clone(&members.view),
+        feed,
+    };
+    let (service, handle) = SpreadService::new(SpreadSettings::default(), parts);
+    tokio::spawn(service.run(inbox));
+    Ok(handle)
+}
+
+/// Tells membership of the entry hosts that the platform lists, one source of it among several.
+async fn tell_membership(inbox: mpsc::Sender<MembershipRequest>, directory: Arc<Directory>) {
+    let mut changes = directory.changes();
+    while changes.changed().await.is_ok() {
+        let listed = directory.listing().entry_hosts.clone();
+        if inbox.send(MembershipRequest::Listed(listed)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Time between looks at the signs that other daemons spread. A leaving server gets no new work from any
+/// daemon within the time that spreading takes and this.
+const SIGN_PERIOD: Duration = Duration::from_millis(200);
+
+/// Acts on what other daemons saw of servers: a leaving server gets no new work here either.
+async fn follow_signs(
+    kernel: Kernel,
+    view: Arc<ArcSwap<SpreadView>>,
+    directory: Arc<Directory>,
+    hub: Arc<OnceLock<Arc<Hub>>>,
+) {
+    let mut seen = Arc::new(SpreadView::default());
+    let mut period = tokio::time::interval(SIGN_PERIOD);
+    loop {
+        period.tick().await;
+        let now = view.load_full();
+        if Arc::ptr_eq(&seen, &now) {
+            continue;
+        }
+        for (server, sign) in now
+            .signs
+            .iter()
+            .filter(|(server, sign)| seen.signs.get(*server) != Some(*sign))
+        {
+            act_on_sign(&kernel, &directory, &hub, server, *sign);
+        }
+        seen = now;
+    }
+}
+
+fn act_on_sign(
+    kernel: &Kernel,
+    directory: &Directory,
+    hub: &OnceLock<Arc<Hub>>,
+    server: &BackendServerId,
+    sign: ServerSign,
+) {
+    let sign = match sign {
+        ServerSign::Leaving => Sign::Leaving,
+        ServerSign::Taking => Sign::Live,
+        // No room for the moment is the ledger's business.
+        ServerSign::Refusing => return,
+    };
+    if sign == Sign::Leaving {
+        directory.note_leaving(clock::now(), server);
+        if let Ok(inbox) = kernel.find(ServiceName::Watcher) {
+            let _ = inbox.try_send(WatcherCommand::Leaving(server.clone()));
+        }
+    }
+    if let Some(hub) = hub.get() {
+        hub.feed(Event::Sign {
+            server: server.clone(),
+            sign,
+        });
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -5,12 +5,13 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Deref;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use hibiscusvale_core::ids::Incarnation;
+use hibiscusvale_core::sched::SchedulerSettings;
 use hibiscusvale_core::units::Millis;
 use rand::RngExt;
 use tokio::runtime::{Builder, Runtime};
@@ -19,10 +20,17 @@
 use crate::backend::{BackendHttp, EngineEdge, HttpEngines, HttpPlain, Owner, PlainEdge};
 use crate::callers::{CallerState, Listener, ListenerSettings, PartnerTokens};
 use crate::clock;
-use crate::directory::{self, Directory};
-use crate::dispatch::{Dispatcher, Releases};
+use crate::control::{Control, RunningControl};
+use crate::directory::Directory;
+use crate::dispatch::{Dispatcher, Hub, Observer, Releases};
+use crate::kernel::{KernelError, ServiceName};
+use crate::logging::{Log, LoggingError};
+use crate::metrics::{Metrics, MetricsError};
+use crate::peer::{LinkError, NngLink};
 use crate::platform::{HostList, HttpHostList};
 use crate::settings::Settings;
+use crate::slot_route::SlotRoute;
+use crate::watcher::WatcherParts;
 
 /// A daemon could not be started.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +47,18 @@
         #[source]
         source: io::Error,
     },
+    /// The link to other daemons could not be started.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// The services could not be put together.
+    #[error("could not put the services together")]
+    Kernel(#[from] KernelError),
+    /// Logging could not be set up.
+    #[error(transparent)]
+    Logging(#[from] LoggingError),
+    /// Metrics could not be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
 }
 
 /// The systems around a daemon.
@@ -78,11 +98,9 @@
 pub struct Daemon {
     callers_address: SocketAddr,
     stop_listening: CancellationToken,
-    stop_control: CancellationToken,
-    traffic: Runtime,
+    traffic: TrafficRuntime,
     serving: tokio::task::JoinHandle<io::Result<()>>,
-    control: JoinHandle<()>,
-    directory: Arc<Directory>,
+    control: RunningControl,
     releases: Arc<Releases>,
     grace_ms: Millis,
 }
@@ -94,16 +112,50 @@
     ///
     /// [`StartError`].
     pub fn start(settings: &Settings, edges: Edges, incarnation: Incarnation) -> Result<Self, StartError> {
-        let traffic = traffic_runtime(settings.traffic.threads).map_err(StartError::Thread)?;
+        let metrics = Metrics::new()?;
+        let log = Log::stdout(settings.observe.log_level)?;
+        let traffic = TrafficRuntime::new(settings.traffic.threads).map_err(StartError::Thread)?;
         let directory = Arc::new(Directory::default());
-        let stop_control = CancellationToken::new();
-        let control = start_control(&edges, &directory, stop_control.clone()).map_err(StartError::Thread)?;
-        let releases = Arc::new(Releases::default());
+        let releases = Releases::new(
+            Arc::clone(&edges.engines),
+            Arc::clone(&directory),
+            traffic.handle().clone(),
+        );
+        let releases = Arc::new(releases);
+        let control = Control::start(settings, &edges, incarnation, &directory)?;
+        let route = SlotRoute {
+            host: settings.host.id.clone(),
+            incarnation,
+            members: Arc::clone(&control.members.view),
+            directory: Arc::clone(&directory),
+            link: Arc::<NngLink>::clone(&control.link),
+            kernel: control.kernel.clone(),
+        };
+        let scheduler = SchedulerSettings::default();
+        let hub = Arc::new(Hub::new(scheduler, incarnation.0, route, Arc::clone(&releases)));
+        let watcher = WatcherParts {
+            host: settings.host.id.clone(),
+            region: settings.host.region.clone(),
+            members: Arc::clone(&control.members.view),
+            directory: Arc::clone(&directory),
+            engines: Arc::clone(&edges.engines),
+            link: Arc::<NngLink>::clone(&control.link),
+            hub: Arc::clone(&hub),
+            releases: Arc::clone(&releases),
+        };
+        let control = control.run(watcher)?;
+        let stop_listening = CancellationToken::new();
+        traffic.spawn({
+            let hub = Arc::clone(&hub);
+            async move { hub.run_timers().await }
+        });
         let dispatcher = Arc::new(Dispatcher {
             engines: edges.engines,
             plain_services: edges.plain_services,
             directory: Arc::clone(&directory),
-            releases: Arc::clone(&releases),
+            hub,
+            observer: Observer::new(metrics, log),
+            spread: control.kernel.find(ServiceName::Spread)?,
         });
         let state = Arc::new(CallerState {
             tokens: PartnerTokens::new(&settings.partners),
@@ -118,16 +170,13 @@
         let callers_address = listener
             .address()
             .map_err(|source| StartError::Listen { address, source })?;
-        let stop_listening = CancellationToken::new();
         let serving = traffic.spawn(listener.serve(state, stop_listening.clone()));
         Ok(Self {
             callers_address,
             stop_listening,
-            stop_control,
             traffic,
             serving,
             control,
-            directory,
             releases,
             grace_ms: settings.traffic.ready_grace_ms,
         })
@@ -138,9 +187,15 @@
         self.callers_address
     }
 
+    /// Where other daemons reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.control.link.local_address()
+    }
+
     /// Waits until the daemon can serve.
     pub async fn ready(&self) {
-        self.directory.known().await;
+        // The sender ends with the control thread only, and then nobody waits.
+        let _ = self.control.is_ready.clone().wait_for(|ready| *ready).await;
     }
 
     /// Stops gracefully: no request in flight is cut off. Returns when the last answer has ended and engine
@@ -148,7 +203,6 @@
     pub fn stop(self) {
         let Self {
             stop_listening,
-            stop_control,
             traffic,
             serving,
             control,
@@ -156,6 +210,7 @@
             grace_ms,
             ..
         } = self;
+        control.leave();
         traffic.block_on(async {
             // New work still arrives until the balancer has noticed that readiness fails.
             tokio::time::sleep(Duration::from(grace_ms)).await;
@@ -165,30 +220,52 @@
                 tokio::time::sleep(RELEASE_POLL).await;
             }
         });
-        stop_control.cancel();
-        let _ = control.join();
-        traffic.shutdown_background();
+        control.stop();
+        drop(traffic);
     }
 
     /// Ends at once, as a killed process would: connections break, nothing is released.
     pub fn kill(self) {
-        self.stop_control.cancel();
-        self.traffic.shutdown_background();
-        let _ = self.control.join();
+        drop(self.traffic);
+        self.control.stop();
     }
 }
 
-/// Pause between looks at the releases under way while stopping.
-const RELEASE_POLL: Duration = Duration::from_millis(20);
+/// The traffic threads. Dropped, they end in the background: a daemon may be dropped where waiting is not
+/// allowed.
+#[derive(Debug)]
+struct TrafficRuntime(Option<Runtime>);
+
+impl TrafficRuntime {
+    fn new(threads: usize) -> io::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads.max(1))
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        Ok(Self(Some(runtime)))
+    }
+}
+
+impl Deref for TrafficRuntime {
+    type Target = Runtime;
+
+    fn deref(&self) -> &Runtime {
+        self.0.as_ref().expect("the runtime is there until the drop")
+    }
+}
 
-fn traffic_runtime(threads: usize) -> io::Result<Runtime> {
-    Builder::new_multi_thread()
-        .worker_threads(threads.max(1))
-        .thread_name("traffic")
-        .enable_all()
-        .build()
+impl Drop for TrafficRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
+/// Pause between looks at the releases under way while stopping.
+const RELEASE_POLL: Duration = Duration::from_millis(20);
+
 fn listen(settings: &Settings) -> Result<Listener, StartError> {
     let listener_settings = ListenerSettings {
         head_bytes: settings.limits.head_bytes,
@@ -198,23 +275,3 @@
     let address = settings.listen.callers;
     Listener::bind(address, listener_settings).map_err(|source| StartError::Listen { address, source })
 }
-
-/// Control state lives on one thread of its own: a burst of traffic cannot delay a heartbeat, and control
-/// needs no locks among its services.
-fn start_control(
-    edges: &Edges,
-    directory: &Arc<Directory>,
-    stop: CancellationToken,
-) -> io::Result<JoinHandle<()>> {
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    let hosts = Arc::clone(&edges.hosts);
-    let directory = Arc::clone(directory);
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || {
-            runtime.block_on(async {
-                tokio::spawn(directory::follow(hosts, directory));
-                stop.cancelled().await;
-            });
-        })
-}
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -170,10 +170,9 @@
         }
     }
 
-    /// Waits for the first listing. Until then the daemon knows no backend server and is not ready.
-    pub async fn known(&self) {
-        // The sender lives as long as `self`, so the wait ends with a listing only.
-        let _ = self.version.subscribe().wait_for(|version| *version > 0).await;
+    /// Changes with the listing's version.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
     }
 
     /// Notes that a server said, or was seen, to be leaving. Returns whether that was news.
--- a/crates/router/src/dispatch/language.rs
+++ b/crates/router/src/dispatch/language.rs
@@ -1,205 +1,340 @@
-//! One request for a model, from prefill to the last token.
+//! One request for a model: carries out the scheduler's steps, from prefill to the last token.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hibiscusvale_core::ids::AttemptId;
-use hibiscusvale_core::units::{BytesPerSecond, Millis};
+use hibiscusvale_core::ids::{AttemptId, BackendServerId};
+use hibiscusvale_core::sched::{Action, Arrival, Attempt, Event, FailureCause, WorkStage};
+use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime, Tokens};
 use tokio::sync::mpsc;
 
-use super::{AnswerPart, Dispatcher};
+use super::observe::Observed;
+use super::{AnswerPart, Dispatcher, LanguageTarget, prefix};
 use crate::backend::{
-    CallFailure, DecodeCall, EngineFailure, ImportCall, PrefillCall, StreamPart, TokenStream, Trust,
+    CallFailure, DecodeCall, EngineFailure, ImportCall, Imported, PrefillCall, Prefilled, StreamPart,
+    TokenStream, Trust,
 };
 use crate::callers::{LanguageRequest, Refusal, RefusalReason};
 use crate::clock;
-use crate::directory::BackendServer;
-use crate::platform::EngineRole;
 
-/// Tries on different servers before a request is given up.
-const MAX_ATTEMPTS: u32 = 4;
+/// Wait for an engine's answer to a prefill or import on a pooled connection before it is asked again on a new
+/// one as well. A connection that was forgotten in between stays silent; the engine joins the second call to
+/// the same work, so asking again costs one round trip. Below the scheduler's shortest patience, which would
+/// do the whole work again elsewhere.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(250);
 
-/// Wait for a prompt to be read before the call is asked again on a new connection.
-const PREFILL_PATIENCE_MS: Millis = Millis(10_000);
+/// The longest that any call may take. The scheduler's own timeouts, which know the work, come first; this
+/// bound only keeps a lost task from living for ever.
+const CALL_LIMIT_MS: Millis = Millis(120_000);
 
-/// Wait for a KV cache to be copied, likewise.
-const IMPORT_PATIENCE_MS: Millis = Millis(3_000);
+/// Time between two notes to the scheduler of how far an answer has come.
+const PROGRESS_PERIOD_MS: Millis = Millis(250);
 
-/// Silence in a token stream after which the connection is given up and the stream resumed on a new one.
-/// Engines send a token every few tens of milliseconds; a connection that was forgotten in between stays
-/// silent for good.
-const TOKEN_PATIENCE: Duration = Duration::from_millis(1_500);
-
-/// Resumptions without a token in between before the engine is given up.
-const FRUITLESS_RESUMES: u32 = 2;
-
-/// How a try ended.
-enum Attempt {
-    Finished,
-    Failed,
-    Refused(Refusal),
+/// What the task of a request waits for.
+enum Next {
+    Step(Action),
+    Done(Event),
+    /// The caller has the whole answer, or was told that there is none.
+    Ended,
+    /// The caller has left.
+    Left,
 }
 
 struct Drive {
     dispatcher: Arc<Dispatcher>,
     request: LanguageRequest,
     parts: mpsc::Sender<AnswerPart>,
+    observed: Observed,
     /// Text sent so far.
     generated: String,
     /// Tokens sent so far.
     sent_tokens: u64,
-    /// Servers that may hold memory for the present try.
-    holders: Vec<Arc<BackendServer>>,
 }
 
 /// Runs a request until its answer is whole, it is refused, or its caller has left.
-pub async fn drive(dispatcher: Arc<Dispatcher>, request: LanguageRequest, parts: mpsc::Sender<AnswerPart>) {
+pub async fn drive(
+    dispatcher: Arc<Dispatcher>,
+    request: LanguageRequest,
+    target: LanguageTarget,
+    parts: mpsc::Sender<AnswerPart>,
+) {
+    let request_id = request.request_id;
+    let observed = dispatcher.observer.language(&request, target, clock::now());
+    let mut steps = dispatcher.hub.arrive(arrival_of(&request, target));
     let departure = parts.clone();
     let mut drive = Drive {
-        dispatcher,
+        dispatcher: Arc::clone(&dispatcher),
         request,
         parts,
+        observed,
         generated: String::new(),
         sent_tokens: 0,
-        holders: Vec::new(),
     };
-    for attempt in 0..MAX_ATTEMPTS {
-        let attempt_id = AttemptId {
-            request_id: drive.request.request_id,
-            attempt,
-        };
-        let ended = tokio::select! {
-            ended = drive.attempt(attempt_id) => Some(ended),
-            () = departure.closed() => None,
+    let mut next = next_step(&mut steps, &departure).await;
+    while let Next::Step(action) = next {
+        next = {
+            let mut work = pin!(drive.step(action));
+            tokio::select! {
+                biased;
+                // A newer step, or the caller's departure, puts an end to the present one.
+                newer = next_step(&mut steps, &departure) => newer,
+                done = &mut work => done,
+            }
         };
-        if !matches!(ended, Some(Attempt::Finished)) {
-            drive.release(attempt_id);
-        }
-        match ended {
-            Some(Attempt::Failed) => {}
-            Some(Attempt::Refused(refusal)) => return drive.refuse(refusal).await,
-            Some(Attempt::Finished) | None => return,
+        if let Next::Done(event) = next {
+            let finished = match event {
+                Event::Finished { tokens, .. } => Some(tokens),
+                _ => None,
+            };
+            dispatcher.hub.feed(event);
+            next = match finished {
+                Some(tokens) => {
+                    drive.observed.answered(clock::now(), tokens);
+                    Next::Ended
+                }
+                None => next_step(&mut steps, &departure).await,
+            };
         }
     }
-    drive
-        .refuse(Refusal::not_run(RefusalReason::RetriesExhausted).retry_after(Millis(1_000)))
-        .await;
+    if matches!(next, Next::Left) {
+        dispatcher.hub.feed(Event::CallerLeft { request_id });
+        drive.observed.left(clock::now());
+    }
+    dispatcher.hub.close(request_id);
+}
+
+/// The scheduler's next step, or the caller's departure.
+async fn next_step(
+    steps: &mut mpsc::UnboundedReceiver<Action>,
+    departure: &mpsc::Sender<AnswerPart>,
+) -> Next {
+    tokio::select! {
+        biased;
+        () = departure.closed() => Next::Left,
+        action = steps.recv() => action.map_or(Next::Left, Next::Step),
+    }
+}
+
+fn arrival_of(request: &LanguageRequest, target: LanguageTarget) -> Arrival {
+    Arrival {
+        request_id: request.request_id,
+        partner: request.partner.clone(),
+        class: request.head.class.clone(),
+        model: request.model.clone(),
+        prompt_tokens: prefix::estimate_tokens(&request.prompt),
+        max_tokens: request.max_tokens,
+        blocks: prefix::blocks(&request.prompt),
+        first_token_target_ms: target.first_token_ms,
+        per_token_target_ms: target.per_token_ms,
+    }
 }
 
 impl Drive {
-    async fn attempt(&mut self, attempt_id: AttemptId) -> Attempt {
-        let model = self.request.model.clone();
-        let Some(prefill) = self.dispatcher.pick_engine(EngineRole::Prefill, &model) else {
-            return Attempt::Refused(no_server());
-        };
-        let Some(decode) = self.dispatcher.pick_engine(EngineRole::Decode, &model) else {
-            return Attempt::Refused(no_server());
-        };
-        match self.run(attempt_id, &prefill, &decode).await {
-            Ok(()) => Attempt::Finished,
-            Err(_) => Attempt::Failed,
+    /// Carries out one step.
+    async fn step(&mut self, action: Action) -> Next {
+        match action {
+            Action::StartPrefill {
+                attempt,
+                server,
+                priority,
+                redo,
+                ..
+            } => {
+                self.observed.prefill_starts(attempt.0, redo);
+                Next::Done(self.prefill(attempt, &server, priority).await)
+            }
+            Action::Import {
+                attempt,
+                source,
+                server,
+                priority,
+                rate_bytes_per_s,
+                ..
+            } => {
+                let route = ImportRoute {
+                    source,
+                    server,
+                    priority,
+                    rate_bytes_per_s,
+                };
+                Next::Done(self.import(attempt, route).await)
+            }
+            Action::Decode {
+                attempt,
+                server,
+                resume,
+                silence_ms,
+                ..
+            } => {
+                if resume {
+                    self.observed.resumed();
+                }
+                Next::Done(self.decode(attempt, &server, resume, silence_ms).await)
+            }
+            Action::Refuse {
+                reason,
+                retry_after_ms,
+                ..
+            } => {
+                self.refuse(Refusal::not_run(reason.into()).retry_after(retry_after_ms))
+                    .await
+            }
+            // Work had begun, so nobody may say that the request did not run.
+            Action::Fail { .. } => {
+                self.refuse(Refusal::unknown(RefusalReason::RetriesExhausted).retry_after(RETRY_AFTER_MS))
+                    .await
+            }
+            Action::Send(_) | Action::Cancel { .. } | Action::Wake { .. } => {
+                // The hub carries these out itself.
+                std::future::pending().await
+            }
         }
     }
 
-    async fn run(
-        &mut self,
-        attempt_id: AttemptId,
-        prefill: &Arc<BackendServer>,
-        decode: &Arc<BackendServer>,
-    ) -> Result<(), EngineFailure> {
-        self.holders.push(Arc::clone(prefill));
-        self.prefill(attempt_id, prefill).await?;
-        self.holders.push(Arc::clone(decode));
-        self.import(attempt_id, prefill, decode).await?;
-        // The copy is confirmed, so the source has let go of its own.
-        self.holders.retain(|server| server.id == decode.id);
-        self.decode(attempt_id, decode).await
+    fn attempt_id(&self, attempt: Attempt) -> AttemptId {
+        AttemptId {
+            request_id: self.request.request_id,
+            attempt: attempt.0,
+        }
     }
 
-    async fn prefill(&self, attempt_id: AttemptId, server: &BackendServer) -> Result<(), EngineFailure> {
+    fn failed(
+        &self,
+        attempt: Attempt,
+        stage: WorkStage,
+        server: &BackendServerId,
+        failure: EngineFailure,
+    ) -> Event {
+        let cause = cause_of(failure);
+        self.observed.step_failed(cause);
+        if cause == FailureCause::Leaving {
+            self.dispatcher.note_leaving(server);
+        }
+        Event::Failed {
+            request_id: self.request.request_id,
+            attempt,
+            stage,
+            cause,
+            tokens: Tokens(self.sent_tokens),
+        }
+    }
+
+    async fn prefill(&mut self, attempt: Attempt, server: &BackendServerId, priority: u8) -> Event {
         let call = PrefillCall {
-            attempt_id,
+            attempt_id: self.attempt_id(attempt),
             prompt: self.request.prompt.clone(),
             generated: self.generated.clone(),
             model: self.request.model.clone(),
-            priority: 0,
-            timeout_ms: PREFILL_PATIENCE_MS,
+            priority,
+            timeout_ms: CALL_LIMIT_MS,
         };
-        let engines = &self.dispatcher.engines;
-        let result = match engines.prefill(server.address, call.clone(), Trust::Pooled).await {
-            Err(failure) if may_be_silent(failure) => {
-                engines.prefill(server.address, call, Trust::Fresh).await
+        match self.ask_prefill(server, call).await {
+            Ok(done) => {
+                self.observed
+                    .prefilled(done.prompt_tokens.saturating_sub(done.cached_tokens));
+                Event::PrefillDone {
+                    request_id: self.request.request_id,
+                    attempt,
+                    kv_bytes: done.kv_bytes,
+                    cached_tokens: done.cached_tokens,
+                    evict_after_ms: done.evict_after_ms,
+                }
             }
-            other => other,
-        };
-        self.note(server, result.as_ref().err());
-        result.map(|_| ())
+            Err(failure) => self.failed(attempt, WorkStage::Prefill, server, failure),
+        }
     }
 
-    async fn import(
+    async fn ask_prefill(
         &self,
-        attempt_id: AttemptId,
-        source: &BackendServer,
-        server: &BackendServer,
-    ) -> Result<(), EngineFailure> {
+        server: &BackendServerId,
+        call: PrefillCall,
+    ) -> Result<Prefilled, EngineFailure> {
+        let to = self.dispatcher.address_of(server).ok_or(CallFailure::NotSent)?;
+        let engines = &self.dispatcher.engines;
+        let first = engines.prefill(to, call.clone(), Trust::Pooled);
+        on_second_connection(first, || engines.prefill(to, call, Trust::Fresh)).await
+    }
+
+    async fn import(&self, attempt: Attempt, route: ImportRoute) -> Event {
+        match self.ask_import(attempt, &route).await {
+            Ok(_) => Event::Imported {
+                request_id: self.request.request_id,
+                attempt,
+            },
+            Err(failure) => self.failed(attempt, WorkStage::Import, &route.server, failure),
+        }
+    }
+
+    async fn ask_import(&self, attempt: Attempt, route: &ImportRoute) -> Result<Imported, EngineFailure> {
+        let to = self
+            .dispatcher
+            .address_of(&route.server)
+            .ok_or(CallFailure::NotSent)?;
         let call = ImportCall {
-            attempt_id,
+            attempt_id: self.attempt_id(attempt),
             model: self.request.model.clone(),
-            source: source.address,
-            priority: 0,
-            rate_bytes_per_s: BytesPerSecond(0),
-            timeout_ms: IMPORT_PATIENCE_MS,
+            source: self
+                .dispatcher
+                .address_of(&route.source)
+                .ok_or(EngineFailure::Gone)?,
+            priority: route.priority,
+            rate_bytes_per_s: route.rate_bytes_per_s,
+            timeout_ms: CALL_LIMIT_MS,
         };
         let engines = &self.dispatcher.engines;
-        let result = match engines.import(server.address, call.clone(), Trust::Pooled).await {
-            Err(failure) if may_be_silent(failure) => {
-                engines.import(server.address, call, Trust::Fresh).await
-            }
-            other => other,
-        };
-        self.note(server, result.as_ref().err());
-        result.map(|_| ())
+        let first = engines.import(to, call.clone(), Trust::Pooled);
+        on_second_connection(first, || engines.import(to, call, Trust::Fresh)).await
     }
 
-    /// Streams tokens to the caller, resuming by index on a new connection when the present one breaks or
-    /// goes silent: nothing is missing and nothing is sent twice.
-    async fn decode(&mut self, attempt_id: AttemptId, server: &BackendServer) -> Result<(), EngineFailure> {
-        let mut fruitless = 0;
-        let mut trust = Trust::Pooled;
-        loop {
-            let before = self.sent_tokens;
-            let call = DecodeCall {
-                attempt_id,
-                max_tokens: self.request.max_tokens,
-                from_index: before,
-            };
-            let failure = match self.dispatcher.engines.decode(server.address, call, trust).await {
-                Ok(mut stream) => match self.forward(&mut stream).await {
-                    Ok(()) => return Ok(()),
-                    Err(failure) => EngineFailure::Call(failure),
-                },
-                Err(failure) => failure,
-            };
-            fruitless = if self.sent_tokens > before {
-                0
-            } else {
-                fruitless + 1
-            };
-            if !may_be_silent(failure) || fruitless > FRUITLESS_RESUMES {
-                return Err(failure);
-            }
-            trust = Trust::Fresh;
+    /// Streams tokens to the caller. After a failure the scheduler has the stream resumed by index, here on a
+    /// new connection or elsewhere behind a new prefill: nothing is missing and nothing is sent twice.
+    async fn decode(
+        &mut self,
+        attempt: Attempt,
+        server: &BackendServerId,
+        resume: bool,
+        silence_ms: Millis,
+    ) -> Event {
+        match self.stream(attempt, server, resume, silence_ms).await {
+            Ok(()) => Event::Finished {
+                request_id: self.request.request_id,
+                tokens: Tokens(self.sent_tokens),
+            },
+            Err(failure) => self.failed(attempt, WorkStage::Decode, server, failure),
         }
     }
 
-    async fn forward(&mut self, stream: &mut TokenStream) -> Result<(), CallFailure> {
+    async fn stream(
+        &mut self,
+        attempt: Attempt,
+        server: &BackendServerId,
+        resume: bool,
+        silence_ms: Millis,
+    ) -> Result<(), EngineFailure> {
+        let to = self.dispatcher.address_of(server).ok_or(CallFailure::NotSent)?;
+        let call = DecodeCall {
+            attempt_id: self.attempt_id(attempt),
+            max_tokens: self.request.max_tokens,
+            from_index: self.sent_tokens,
+        };
+        let trust = if resume { Trust::Fresh } else { Trust::Pooled };
+        let silence = Duration::from(silence_ms);
+        let opened = tokio::time::timeout(silence, self.dispatcher.engines.decode(to, call, trust)).await;
+        let mut stream = opened.map_err(|_elapsed| CallFailure::Timeout)??;
+        Ok(self.forward(&mut stream, silence).await?)
+    }
+
+    async fn forward(&mut self, stream: &mut TokenStream, silence: Duration) -> Result<(), CallFailure> {
+        let mut noted_us = clock::now();
         loop {
-            match stream.next(TOKEN_PATIENCE).await? {
+            match stream.next(silence).await? {
                 // A resumed stream may begin before the index asked for.
                 StreamPart::Token { index, .. } if index < self.sent_tokens => {}
                 StreamPart::Token { index, text } if index == self.sent_tokens => {
                     self.generated.push_str(&text);
                     self.sent_tokens += 1;
+                    self.note_progress(&mut noted_us);
                     self.send(AnswerPart::Token { text }).await;
                 }
                 StreamPart::Done { tokens, .. } if tokens == self.sent_tokens => {
@@ -211,43 +346,90 @@
         }
     }
 
-    /// Passes a part on; waits while the caller is slow. A caller who has left is noticed by the driver.
+    fn note_progress(&mut self, noted_us: &mut MonoTime) {
+        let now_us = clock::now();
+        let request_id = self.request.request_id;
+        if self.sent_tokens == 1 {
+            self.observed.first_token(now_us);
+            self.dispatcher.hub.feed(Event::FirstToken { request_id });
+        } else if now_us >= *noted_us + PROGRESS_PERIOD_MS {
+            *noted_us = now_us;
+            self.dispatcher.hub.feed(Event::Progress {
+                request_id,
+                tokens: Tokens(self.sent_tokens),
+            });
+        }
+    }
+
+    /// Passes a part on; waits while the caller is slow. A caller who has left is noticed by the task.
     async fn send(&self, part: AnswerPart) {
         if self.parts.send(part).await.is_err() {
             std::future::pending::<()>().await;
         }
     }
 
-    async fn refuse(&self, refusal: Refusal) {
+    async fn refuse(&mut self, refusal: Refusal) -> Next {
         let refusal = if self.sent_tokens > 0 {
             Refusal::unknown(refusal.reason)
         } else {
             refusal
         };
+        self.observed.refused(clock::now(), refusal);
         self.send(AnswerPart::Refused(refusal)).await;
+        Next::Ended
     }
+}
 
-    fn note(&self, server: &BackendServer, failure: Option<&EngineFailure>) {
-        if let Some(EngineFailure::Leaving) = failure {
-            self.dispatcher.directory.note_leaving(clock::now(), &server.id);
-        }
-    }
+/// The way of a KV cache.
+struct ImportRoute {
+    source: BackendServerId,
+    server: BackendServerId,
+    priority: u8,
+    rate_bytes_per_s: BytesPerSecond,
+}
+
+/// Told to a caller whose request failed on several servers: by then the scheduler has closed the bad ones.
+const RETRY_AFTER_MS: Millis = Millis(1_000);
 
-    fn release(&mut self, attempt_id: AttemptId) {
-        for server in self.holders.drain(..) {
-            self.dispatcher.release(&server, attempt_id);
+/// Waits for `first`, and when it takes long or its connection breaks also for a second call on a new
+/// connection; the first answer counts.
+async fn on_second_connection<Reply, First, Second, Make>(
+    first: First,
+    second: Make,
+) -> Result<Reply, EngineFailure>
+where
+    First: Future<Output = Result<Reply, EngineFailure>>,
+    Second: Future<Output = Result<Reply, EngineFailure>>,
+    Make: FnOnce() -> Second,
+{
+    let mut first = pin!(first);
+    match tokio::time::timeout(ASK_AGAIN_AFTER, &mut first).await {
+        Ok(Err(EngineFailure::Call(CallFailure::Broken))) => second().await,
+        Ok(answered) => answered,
+        Err(_elapsed) => {
+            let mut second = pin!(second());
+            tokio::select! {
+                answered = &mut first => match answered {
+                    Err(EngineFailure::Call(_)) => second.await,
+                    answered => answered,
+                },
+                answered = &mut second => match answered {
+                    Err(EngineFailure::Call(_)) => first.await,
+                    answered => answered,
+                },
+            }
         }
     }
 }
 
-fn no_server() -> Refusal {
-    Refusal::not_run(RefusalReason::NoBackendServer).retry_after(Millis(1_000))
-}
-
-/// Whether a new connection may help where this one failed.
-fn may_be_silent(failure: EngineFailure) -> bool {
-    matches!(
-        failure,
-        EngineFailure::Call(CallFailure::Broken | CallFailure::Timeout)
-    )
+fn cause_of(failure: EngineFailure) -> FailureCause {
+    match failure {
+        EngineFailure::Call(CallFailure::NotSent) => FailureCause::NotSent,
+        EngineFailure::Call(CallFailure::Timeout) => FailureCause::Timeout,
+        EngineFailure::Call(CallFailure::Broken | CallFailure::Malformed) => FailureCause::Broken,
+        EngineFailure::NoRoom => FailureCause::NoRoom,
+        EngineFailure::Leaving => FailureCause::Leaving,
+        EngineFailure::Gone => FailureCause::Gone,
+        EngineFailure::NoModel | EngineFailure::Refused(_) => FailureCause::Refused,
+    }
 }
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,21 +1,28 @@
 //! Carries requests through backend servers and sees to it that each ends in one of three outcomes.
 
+mod hub;
 mod language;
+mod observe;
 mod plain;
+mod prefix;
 mod release;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{AttemptId, ModelId};
-use rand::seq::IndexedRandom;
+use hibiscusvale_core::ids::{BackendServerId, ModelId};
+use hibiscusvale_core::spread::ServerSign;
+use hibiscusvale_core::units::Millis;
 use tokio::sync::mpsc;
 
 use crate::backend::{EngineEdge, PlainEdge};
 use crate::callers::{LanguageRequest, Refusal, RefusalReason};
 use crate::clock;
-use crate::directory::{BackendKind, BackendServer, Directory};
-use crate::platform::EngineRole;
+use crate::directory::{BackendKind, Directory};
+use crate::spread::SpreadRequest;
 
+pub use hub::Hub;
+pub use observe::{Observed, Observer};
 pub use release::Releases;
 
 /// Tokens that wait for a slow caller. Past this the engine's stream is not read, and the engine stops
@@ -39,6 +46,15 @@
     Refused(Refusal),
 }
 
+/// Targets of a class of language requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LanguageTarget {
+    /// From arrival to the first token.
+    pub first_token_ms: Millis,
+    /// Between tokens, on average.
+    pub per_token_ms: Millis,
+}
+
 /// Carries requests out.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -48,8 +64,12 @@
     pub plain_services: Arc<dyn PlainEdge>,
     /// The backend servers.
     pub directory: Arc<Directory>,
-    /// Engine memory to be released.
-    pub releases: Arc<Releases>,
+    /// The scheduler.
+    pub hub: Arc<Hub>,
+    /// What is noted of requests.
+    pub observer: Observer,
+    /// Learns which servers are leaving, to tell the other daemons.
+    pub spread: mpsc::Sender<SpreadRequest>,
 }
 
 impl Dispatcher {
@@ -66,8 +86,12 @@
         if !self.serves(&request.model) {
             return Err(Refusal::not_run(RefusalReason::UnknownModel));
         }
+        let target = LanguageTarget {
+            first_token_ms: Millis(5_000),
+            per_token_ms: Millis(100),
+        };
         let (sender, receiver) = mpsc::channel(PARTS_IN_FLIGHT);
-        tokio::spawn(language::drive(Arc::clone(self), request, sender));
+        tokio::spawn(language::drive(Arc::clone(self), request, target, sender));
         Ok(receiver)
     }
 
@@ -82,27 +106,23 @@
             })
     }
 
-    fn pick_engine(&self, wanted: EngineRole, wanted_model: &ModelId) -> Option<Arc<BackendServer>> {
-        let now_us = clock::now();
-        let listing = self.directory.listing();
-        let fit: Vec<_> = listing
+    fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
+        self.directory
+            .listing()
             .servers
-            .values()
-            .filter(|server| self.directory.takes_work(now_us, server))
-            .filter(|server| match &server.kind {
-                BackendKind::Engine { role, models, .. } => *role == wanted && models.contains(wanted_model),
-                BackendKind::Plain { .. } => false,
-            })
-            .collect();
-        fit.choose(&mut rand::rng()).map(|server| Arc::clone(server))
+            .get(server)
+            .map(|server| server.address)
     }
 
-    fn release(&self, server: &BackendServer, attempt_id: AttemptId) {
-        self.releases.release(
-            Arc::clone(&self.engines),
-            Arc::clone(&self.directory),
-            server.clone(),
-            attempt_id,
-        );
+    /// Believes a server that it is leaving, and tells the other daemons: the platform's list lags.
+    fn note_leaving(&self, server: &BackendServerId) {
+        if self.directory.note_leaving(clock::now(), server) {
+            let saw = SpreadRequest::Saw {
+                server: server.clone(),
+                sign: ServerSign::Leaving,
+            };
+            // A sign that does not get through is seen again with the next refusal.
+            let _ = self.spread.try_send(saw);
+        }
     }
 }
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use rand::seq::IndexedRandom;
 
-use super::Dispatcher;
+use super::{Dispatcher, Observed};
 use crate::backend::{PlainCall, PlainFailure, PlainReply};
 use crate::callers::{AnswerBody, BodyBroken, Outcome, PlainRequest, Refusal, RefusalReason};
 use crate::clock;
@@ -20,6 +20,8 @@
 /// Wait for an answer.
 const ANSWER_PATIENCE_MS: Millis = Millis(5_000);
 
+const RESPONSE_TARGET_MS: Millis = Millis(1_000);
+
 impl Dispatcher {
     /// Runs a request for a plain service.
     ///
@@ -27,19 +29,34 @@
     ///
     /// A refusal that says whether the request may have run.
     pub async fn plain(&self, request: PlainRequest) -> Result<Response<AnswerBody>, Refusal> {
+        let mut observed = self.observer.plain(&request, RESPONSE_TARGET_MS, clock::now());
+        let result = self.call_plain(&request, &mut observed).await;
+        match &result {
+            Ok(_) => observed.answered(clock::now(), Tokens::ZERO),
+            Err(refusal) => observed.refused(clock::now(), *refusal),
+        }
+        result
+    }
+
+    async fn call_plain(
+        &self,
+        request: &PlainRequest,
+        observed: &mut Observed,
+    ) -> Result<Response<AnswerBody>, Refusal> {
         let none = Refusal::not_run(RefusalReason::NoBackendServer).retry_after(Millis(1_000));
         let mut tried = Vec::new();
         for _ in 0..MAX_ATTEMPTS {
             let Some(server) = self.pick_instance(&request.service, &tried) else {
                 return Err(none);
             };
-            match self.plain_services.call(server.address, call_of(&request)).await {
-                Ok(reply) => return Ok(response_of(&request, reply)),
+            observed.tried();
+            match self.plain_services.call(server.address, call_of(request)).await {
+                Ok(reply) => return Ok(response_of(request, reply)),
                 Err(PlainFailure::Unknown(_)) if request.runs_at_most_once() => {
                     return Err(Refusal::unknown(RefusalReason::NoAnswer));
                 }
                 Err(PlainFailure::Leaving) => {
-                    self.directory.note_leaving(clock::now(), &server.id);
+                    self.note_leaving(&server.id);
                 }
                 Err(PlainFailure::NotSent | PlainFailure::Unknown(_)) => {}
             }
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -13,8 +13,8 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::clock;
+use crate::directory::EntryHost;
 use crate::peer::{PeerBody, PeerLink};
-use crate::platform::{ListedHost, ListedKind};
 
 /// What the membership service takes in its inbox.
 #[derive(Clone, Debug)]
@@ -28,8 +28,8 @@
         /// What it says.
         message: MembershipMessage,
     },
-    /// The platform's list changed.
-    Listed(Arc<Vec<ListedHost>>),
+    /// The entry hosts of the platform's list, after a change of it.
+    Listed(Vec<EntryHost>),
     /// This daemon begins to stop: its work is to move.
     Leave,
 }
@@ -73,16 +73,13 @@
 }
 
 /// Contacts from the entry hosts of the platform's list.
-pub fn contacts_of_list(listed: &[ListedHost]) -> Vec<Contact> {
+pub fn contacts_of_list(listed: &[EntryHost]) -> Vec<Contact> {
     listed
         .iter()
-        .filter(|host| host.kind == ListedKind::Entry)
-        .filter_map(|host| {
-            Some(Contact {
-                host: host.id.as_str().parse().ok(),
-                peer_address: host.peer_address?,
-                data_centre: Some(host.data_centre.clone()),
-            })
+        .map(|entry| Contact {
+            host: Some(entry.id.clone()),
+            peer_address: entry.peer_address,
+            data_centre: Some(entry.data_centre.clone()),
         })
         .collect()
 }
--- a/crates/router/src/peer/codec.rs
+++ b/crates/router/src/peer/codec.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::PeerBody;
+use crate::settings::MacKey;
 
 /// Version of the frame. A daemon drops frames of versions that it does not know.
 const FRAME_VERSION: u8 = 1;
@@ -33,6 +34,12 @@
     }
 }
 
+impl From<MacKey> for PeerKey {
+    fn from(key: MacKey) -> Self {
+        Self(*key.bytes())
+    }
+}
+
 /// A key that could not be read. It does not show the key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("peer key is not 64 hex digits")]
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -149,6 +149,13 @@
     pub seeds: Vec<SocketAddr>,
     /// Key of the message authentication code, 64 hex digits, the same on all daemons.
     pub key: MacKey,
+    /// Time that a daemon gives itself after its start to meet others before it takes itself for the only one.
+    #[serde(default = "default_settle_ms")]
+    pub settle_ms: Millis,
+}
+
+const fn default_settle_ms() -> Millis {
+    Millis(3_000)
 }
 
 /// What is known of a partner without the log.
--- /dev/null
+++ b/crates/router/src/watcher.rs
@@ -0,0 +1,360 @@
+//! The watcher service: keeps the ledgers of the engines that this daemon watches, and tells the scheduler
+//! which engines there are and who watches them.
+//!
+//! It lives on the control thread. Which daemon watches an engine follows from the membership view alone, so
+//! work moves by itself when a daemon goes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hibiscusvale_core::ids::{AttemptId, BackendServerId, HostId, Incarnation, RegionId, RequestId};
+use hibiscusvale_core::membership::MembersView;
+use hibiscusvale_core::sched::{Event, ServerRecord, ServerState};
+use hibiscusvale_core::slots::{HeldReport, LedgerAction, LedgerSettings, Role, SlotMessage, Watcher};
+use hibiscusvale_core::units::{Micros, MonoTime};
+use hibiscusvale_core::watch::{is_watched_here, watcher_of};
+use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
+
+use crate::backend::{EngineEdge, EngineLoad, Held, HeldRequest};
+use crate::clock;
+use crate::directory::{BackendKind, BackendServer, Directory, Listing};
+use crate::dispatch::{Hub, Releases};
+use crate::peer::{PeerBody, PeerLink};
+use crate::platform::{EngineRole, ListedState};
+
+/// Time between two load reports of a watched engine. Grants are counted exactly; reports only find what no
+/// ledger knows, such as the holdings of a daemon that died, so a second is soon enough. At the target a
+/// daemon watches some thirty engines: thirty small calls a second.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between looks at grants that expire and servers that open again.
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the watcher service takes in its inbox.
+#[derive(Clone, Debug)]
+pub enum WatcherCommand {
+    /// A slot message for a server that this daemon watches, or is believed to.
+    Slot {
+        /// The daemon that sent it.
+        from: HostId,
+        /// Its life.
+        incarnation: Incarnation,
+        /// What it says.
+        message: SlotMessage,
+    },
+    /// Some daemon saw that a server is leaving.
+    Leaving(BackendServerId),
+}
+
+/// What the service needs of the daemon around it.
+#[derive(Clone, Debug)]
+pub struct WatcherParts {
+    /// This daemon's host.
+    pub host: HostId,
+    /// Its region.
+    pub region: RegionId,
+    /// Who lives.
+    pub members: Arc<ArcSwap<MembersView>>,
+    /// The backend servers.
+    pub directory: Arc<Directory>,
+    /// The engines.
+    pub engines: Arc<dyn EngineEdge>,
+    /// The way to other daemons.
+    pub link: Arc<dyn PeerLink>,
+    /// This daemon's scheduler.
+    pub hub: Arc<Hub>,
+    /// Releases of engine memory.
+    pub releases: Arc<Releases>,
+}
+
+/// A load report as it came back.
+#[derive(Debug)]
+struct Reported {
+    server: BackendServerId,
+    asked_us: MonoTime,
+    load: EngineLoad,
+}
+
+/// The watcher service.
+#[derive(Debug)]
+pub struct WatcherService {
+    parts: WatcherParts,
+    ledgers: Watcher,
+    /// Who watches each engine of the region, as last told to the scheduler.
+    watchers: HashMap<BackendServerId, Option<HostId>>,
+    /// What each watched engine last reported to hold.
+    held: HashMap<BackendServerId, Vec<HeldRequest>>,
+    reports: mpsc::UnboundedSender<Reported>,
+    ready: watch::Sender<bool>,
+    actions: Vec<LedgerAction>,
+}
+
+impl WatcherService {
+    /// Runs until the inbox closes.
+    pub async fn run(
+        parts: WatcherParts,
+        mut inbox: mpsc::Receiver<WatcherCommand>,
+        mut member_changes: watch::Receiver<u64>,
+        ready: watch::Sender<bool>,
+    ) {
+        let (reports, mut reported) = mpsc::unbounded_channel();
+        let mut listing_changes = parts.directory.changes();
+        let mut service = Self {
+            parts,
+            ledgers: Watcher::new(LedgerSettings::default()),
+            watchers: HashMap::new(),
+            held: HashMap::new(),
+            reports,
+            ready,
+            actions: Vec::new(),
+        };
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut report_tick = tokio::time::interval(REPORT_PERIOD);
+        report_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = inbox.recv() => {
+                    let Some(command) = command else { return };
+                    service.command(command);
+                }
+                Some(report) = reported.recv() => service.report(report),
+                Ok(()) = member_changes.changed() => service.rearrange(),
+                Ok(()) = listing_changes.changed() => service.rearrange(),
+                _ = tick.tick() => service.ledgers.tick(clock::now(), &mut service.actions),
+                _ = report_tick.tick() => service.ask_reports(),
+            }
+            service.carry_out();
+        }
+    }
+
+    fn command(&mut self, command: WatcherCommand) {
+        let now_us = clock::now();
+        match command {
+            WatcherCommand::Slot {
+                from,
+                incarnation,
+                message,
+            } => {
+                self.ledgers
+                    .handle(now_us, &from, incarnation, message, &mut self.actions);
+            }
+            WatcherCommand::Leaving(server) => {
+                if let Some(ledger) = self.ledgers.ledger_mut(&server) {
+                    ledger.set_leaving(now_us, true, &mut self.actions);
+                }
+            }
+        }
+    }
+
+    /// Follows a change of the members or of the servers: ledgers are opened and closed, and the scheduler
+    /// learns of servers and of new watchers, with whom it registers what it holds.
+    fn rearrange(&mut self) {
+        let now_us = clock::now();
+        let view = self.parts.members.load_full();
+        let listing = self.parts.directory.listing();
+        let engines = engines_for(&self.parts.region, &listing);
+        let records = engines.iter().filter_map(|server| record_of(server)).collect();
+        self.parts.hub.feed(Event::Servers(records));
+        let others = lives_of_region(&self.parts, &view);
+        let mut watchers = HashMap::with_capacity(engines.len());
+        for server in &engines {
+            self.arrange(now_us, server, &view, &others);
+            watchers.insert(
+                server.id.clone(),
+                watcher_of(&server.id, &server.data_centre, &view),
+            );
+        }
+        self.close_unlisted(now_us, &watchers);
+        for (server, watcher) in &watchers {
+            if self.watchers.get(server) != Some(watcher) {
+                self.parts.hub.feed(Event::WatcherChanged {
+                    server: server.clone(),
+                });
+            }
+        }
+        self.watchers = watchers;
+        if view.is_heard && listing.version > 0 {
+            self.ready.send_replace(true);
+        }
+    }
+
+    fn arrange(
+        &mut self,
+        now_us: MonoTime,
+        server: &BackendServer,
+        view: &MembersView,
+        others: &[Incarnation],
+    ) {
+        let BackendKind::Engine {
+            role,
+            slots_total,
+            link_bytes_per_s,
+            ..
+        } = &server.kind
+        else {
+            return;
+        };
+        if !is_watched_here(&server.id, &server.data_centre, view) {
+            self.ledgers.disown(now_us, &server.id, &mut self.actions);
+            self.held.remove(&server.id);
+            return;
+        }
+        self.ledgers.own(
+            now_us,
+            &server.id,
+            role_of(*role),
+            *slots_total,
+            *link_bytes_per_s,
+            others,
+        );
+        let leaving = !self.parts.directory.takes_work(now_us, server);
+        if let Some(ledger) = self.ledgers.ledger_mut(&server.id) {
+            ledger.set_leaving(now_us, leaving, &mut self.actions);
+        }
+    }
+
+    fn close_unlisted(&mut self, now_us: MonoTime, listed: &HashMap<BackendServerId, Option<HostId>>) {
+        let gone: Vec<_> = self
+            .ledgers
+            .servers()
+            .filter(|server| !listed.contains_key(*server))
+            .cloned()
+            .collect();
+        for server in gone {
+            self.ledgers.disown(now_us, &server, &mut self.actions);
+            self.held.remove(&server);
+        }
+    }
+
+    fn ask_reports(&self) {
+        let listing = self.parts.directory.listing();
+        for server in self
+            .ledgers
+            .servers()
+            .filter_map(|server| listing.servers.get(server))
+        {
+            let engines = Arc::clone(&self.parts.engines);
+            let reports = self.reports.clone();
+            let (server, address) = (server.id.clone(), server.address);
+            tokio::spawn(async move {
+                let asked_us = clock::now();
+                // A report that does not come is nothing to act on: the ledger counts its own grants, and
+                // whether the server is mute shows in the calls of requests.
+                if let Ok(load) = engines.load(address).await {
+                    // The service ends with its daemon.
+                    let _ = reports.send(Reported {
+                        server,
+                        asked_us,
+                        load,
+                    });
+                }
+            });
+        }
+    }
+
+    fn report(&mut self, reported: Reported) {
+        let now_us = clock::now();
+        let Reported {
+            server,
+            asked_us,
+            load,
+        } = reported;
+        // The answer may describe the engine as it was when the question arrived.
+        let as_of_us = Micros::from(load.as_of_ms_ago) + now_us.since(asked_us);
+        let held = load
+            .held
+            .iter()
+            .filter_map(|held| request_of(&held.request_id))
+            .collect();
+        self.ledgers
+            .report(now_us, &server, &HeldReport { as_of_us, held }, &mut self.actions);
+        self.held.insert(server, load.held);
+    }
+
+    fn carry_out(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                LedgerAction::Send { to, message } if to == self.parts.host => {
+                    self.parts.hub.feed(Event::Slot(message));
+                }
+                LedgerAction::Send { to, message } => self.parts.link.send(&to, PeerBody::Slots(message)),
+                LedgerAction::Cancel { server, request_id } => self.cancel(&server, request_id),
+                // The regular tick is soon enough for what a ledger waits for.
+                LedgerAction::Wake { .. } => {}
+            }
+        }
+    }
+
+    /// Releases what a request holds at a watched engine whose daemon no longer renews it. The tries are those
+    /// that the engine itself reported.
+    fn cancel(&self, server: &BackendServerId, request_id: RequestId) {
+        let held = self.held.get(server).into_iter().flatten();
+        for held in held.filter(|held| request_of(&held.request_id) == Some(request_id)) {
+            if let Ok(attempt_id) = held.request_id.parse() {
+                let held = Held {
+                    attempt_id,
+                    owner: Some(held.owner.clone()),
+                };
+                self.parts.releases.release_held(server, held);
+            }
+        }
+    }
+}
+
+fn request_of(text: &str) -> Option<RequestId> {
+    text.parse().ok().map(|attempt: AttemptId| attempt.request_id)
+}
+
+fn role_of(role: EngineRole) -> Role {
+    match role {
+        EngineRole::Prefill => Role::Prefill,
+        EngineRole::Decode => Role::Decode,
+    }
+}
+
+/// The engines that this daemon places work on: those of its region. Between regions a KV cache would cross
+/// links that are slower than reading the prompt again.
+fn engines_for(region: &RegionId, listing: &Listing) -> Vec<Arc<BackendServer>> {
+    let engines = listing.servers.values().filter(|server| server.region == *region);
+    engines
+        .filter(|server| matches!(server.kind, BackendKind::Engine { .. }))
+        .cloned()
+        .collect()
+}
+
+fn record_of(server: &BackendServer) -> Option<ServerRecord> {
+    let BackendKind::Engine {
+        role,
+        models,
+        slots_total,
+        link_bytes_per_s,
+        ..
+    } = &server.kind
+    else {
+        return None;
+    };
+    Some(ServerRecord {
+        server: server.id.clone(),
+        data_centre: server.data_centre.clone(),
+        role: role_of(*role),
+        models: models.clone(),
+        slots_total: *slots_total,
+        link_bytes_per_s: *link_bytes_per_s,
+        state: match server.listed {
+            ListedState::Live => ServerState::Live,
+            ListedState::Leaving => ServerState::Leaving,
+        },
+    })
+}
+
+/// The lives of the other daemons of the region, any of which may hold grants of an earlier watcher.
+fn lives_of_region(parts: &WatcherParts, view: &MembersView) -> Vec<Incarnation> {
+    view.all()
+        .filter(|member| member.region == parts.region && member.host != parts.host)
+        .map(|member| member.incarnation)
+        .collect()
+}
--- a/crates/standins/tests/e2e/world.rs
+++ b/crates/standins/tests/e2e/world.rs
@@ -49,7 +49,7 @@
             host = {{id = "{host}", data_centre = "casa-1", region = "ma-north"}}
             listen = {{callers = "127.0.0.1:0", peers = "127.0.0.1:0", operators = "127.0.0.1:0"}}
             platform = {{log = "{}", hosts = "{}", weights = "{}"}}
-            peers = {{key = "{}"}}
+            peers = {{key = "{}", settle_ms = 100}}
             traffic = {{threads = 2, ready_grace_ms = 0}}
             [partners.nadifa]
             token_hashes = ["{}"]
