Leave no trace of records that relays leave out

Relays pass a record above 8 KB on without its content, and a fold that kept a note of such a forged or mistaken record differed from one that got it relayed. Changes are now bounded to 8 KB, and a larger record changes nothing but the offset.

--- a/crates/core/src/config/fold.rs
+++ b/crates/core/src/config/fold.rs
@@ -94,13 +94,29 @@
     pub next_offset: Offset,
 }
 
+/// A record that waits for earlier ones.
+#[derive(Clone, Debug)]
+enum Held {
+    Whole(Arc<[u8]>),
+    Elided,
+}
+
+impl Held {
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Whole(bytes) => bytes.len(),
+            Self::Elided => 0,
+        }
+    }
+}
+
 /// A daemon's fold over the configuration stream.
 #[derive(Clone, Debug)]
 pub struct ConfigFold {
     keys: PublisherKeys,
     checkpoint_key: CheckpointKey,
     state: Arc<ConfigState>,
-    pending: BTreeMap<Offset, Arc<[u8]>>,
+    pending: BTreeMap<Offset, Held>,
     pending_bytes: usize,
     dropped_to: Offset,
     genesis_allowed: bool,
@@ -184,19 +200,31 @@
     /// hole is filled or a checkpoint bridges it.
     pub fn take(&mut self, offset: Offset, bytes: &[u8]) -> Intake {
         let mut intake = Intake::default();
-        if offset < self.state.next_offset || self.pending.contains_key(&offset) {
-            return intake;
-        }
-        if offset > self.state.next_offset {
-            self.bridge(bytes, &mut intake);
+        if self.is_new(offset) {
+            if offset > self.state.next_offset {
+                self.bridge(bytes, &mut intake);
+            }
+            self.hold(offset, Held::Whole(Arc::from(bytes)));
+            self.drain(&mut intake);
         }
-        if offset >= self.state.next_offset {
-            self.hold(offset, bytes);
+        intake
+    }
+
+    /// Takes in that a record stands at `offset` which a peer did not relay because it is larger than
+    /// [`MAX_RECORD_BYTES`]. Such a record changes nothing but the offset.
+    pub fn take_elided(&mut self, offset: Offset) -> Intake {
+        let mut intake = Intake::default();
+        if self.is_new(offset) {
+            self.hold(offset, Held::Elided);
+            self.drain(&mut intake);
         }
-        self.drain(&mut intake);
         intake
     }
 
+    fn is_new(&self, offset: Offset) -> bool {
+        offset >= self.state.next_offset && !self.pending.contains_key(&offset)
+    }
+
     /// Takes a state that a peer holds, if it is newer.
     ///
     /// # Errors
@@ -229,16 +257,19 @@
         }
     }
 
-    fn hold(&mut self, offset: Offset, bytes: &[u8]) {
-        self.pending_bytes += bytes.len();
-        self.pending.insert(offset, Arc::from(bytes));
+    fn hold(&mut self, offset: Offset, held: Held) {
+        if offset < self.state.next_offset {
+            return;
+        }
+        self.pending_bytes += held.bytes();
+        self.pending.insert(offset, held);
         // Which records are dropped decides only how late a checkpoint can still bridge the hole: the oldest
         // are the ones that a later checkpoint stands for.
         while self.pending.len() > MAX_PENDING_RECORDS || self.pending_bytes > MAX_PENDING_BYTES {
-            let Some((dropped, bytes)) = self.pending.pop_first() else {
+            let Some((dropped, held)) = self.pending.pop_first() else {
                 break;
             };
-            self.pending_bytes -= bytes.len();
+            self.pending_bytes -= held.bytes();
             self.dropped_to = dropped.next();
         }
     }
@@ -247,7 +278,7 @@
         let kept = self.pending.split_off(&self.state.next_offset);
         self.pending = kept;
         self.dropped_to = Offset(0);
-        self.pending_bytes = self.pending.values().map(|bytes| bytes.len()).sum();
+        self.pending_bytes = self.pending.values().map(Held::bytes).sum();
     }
 
     fn drain(&mut self, intake: &mut Intake) {
@@ -258,26 +289,19 @@
             if *entry.key() != self.state.next_offset {
                 break;
             }
-            let (offset, bytes) = entry.remove_entry();
-            self.pending_bytes -= bytes.len();
-            self.apply(offset, &bytes, intake);
+            let (offset, held) = entry.remove_entry();
+            self.pending_bytes -= held.bytes();
+            intake.advanced = true;
+            Arc::make_mut(&mut self.state).next_offset = offset.next();
+            if let Held::Whole(bytes) = held {
+                self.apply(offset, &bytes, intake);
+            }
         }
     }
 
     fn apply(&mut self, offset: Offset, bytes: &[u8], intake: &mut Intake) {
-        intake.advanced = true;
         let state = Arc::make_mut(&mut self.state);
-        state.next_offset = offset.next();
-        let refusal = match Record::decode(bytes) {
-            Ok(Record::Change(change)) => {
-                match apply_change(state, &self.keys, offset, bytes.len(), &change) {
-                    Ok(()) => {
-                        intake.accepted += 1;
-                        return;
-                    }
-                    Err(reason) => (Some(change.publisher), reason),
-                }
-            }
+        let refused = match Record::decode(bytes) {
             Ok(Record::Checkpoint(checkpoint)) => {
                 if checkpoint.open(&self.checkpoint_key) != Err(CheckpointError::Forged) {
                     self.checkpoint = Some(SeenCheckpoint {
@@ -286,35 +310,79 @@
                     });
                     return;
                 }
-                state.note_unattributed(unattributed(offset, None, RejectReason::ForgedCheckpoint));
-                (None, RejectReason::ForgedCheckpoint)
+                Refused::unattributed(offset, RejectReason::ForgedCheckpoint)
             }
-            Err(_) => {
-                state.note_unattributed(unattributed(offset, None, RejectReason::Malformed));
-                (None, RejectReason::Malformed)
+            _ if bytes.len() > MAX_RECORD_BYTES => Refused::unattributed(offset, RejectReason::TooLarge),
+            Ok(Record::Change(change)) => {
+                let Some(refused) = apply_change(state, &self.keys, offset, &change) else {
+                    intake.accepted += 1;
+                    return;
+                };
+                refused
             }
+            Err(_) => Refused::unattributed(offset, RejectReason::Malformed),
         };
-        let (publisher, reason) = refusal;
-        intake.rejected.push(RejectedRecord {
-            offset,
-            publisher,
-            reason,
-        });
+        intake.rejected.push(refused.record);
+        // What is relayed without its content must leave the same state behind as here.
+        if let Some(unattributed) = refused.unattributed
+            && bytes.len() <= MAX_RECORD_BYTES
+        {
+            state.note_unattributed(unattributed);
+        }
+    }
+}
+
+/// A record that changed nothing, and the note of it where no partner's history holds it.
+struct Refused {
+    record: RejectedRecord,
+    unattributed: Option<UnattributedRecord>,
+}
+
+impl Refused {
+    fn unattributed(offset: Offset, reason: RejectReason) -> Self {
+        Self {
+            record: RejectedRecord {
+                offset,
+                publisher: None,
+                reason: reason.clone(),
+            },
+            unattributed: Some(UnattributedRecord {
+                offset,
+                claimed_publisher: None,
+                change_id: None,
+                reason,
+            }),
+        }
+    }
+
+    fn forged(offset: Offset, change: &SignedChange, reason: RejectReason) -> Self {
+        Self {
+            record: RejectedRecord {
+                offset,
+                publisher: Some(change.publisher.clone()),
+                reason: reason.clone(),
+            },
+            unattributed: Some(UnattributedRecord {
+                offset,
+                claimed_publisher: Some(change.publisher.clone()),
+                change_id: Some(change.change_id),
+                reason,
+            }),
+        }
     }
 }
 
-/// Applies a change and remembers it, with what came of it, where its publisher will find it.
+/// Applies a change and remembers it, with what came of it, where its publisher will find it. Returns nothing
+/// when it is accepted.
 fn apply_change(
     state: &mut ConfigState,
     keys: &PublisherKeys,
     offset: Offset,
-    record_bytes: usize,
     change: &SignedChange,
-) -> Result<(), RejectReason> {
+) -> Option<Refused> {
     // A record that only claims to be a partner's must not touch that partner's classes, version or history.
-    if let Err(reason) = check_origin(keys, record_bytes, change) {
-        state.note_unattributed(unattributed(offset, Some(change), reason.clone()));
-        return Err(reason);
+    if let Err(reason) = check_origin(keys, change) {
+        return Some(Refused::forged(offset, change, reason));
     }
     let partner = state.partner_mut(&change.publisher);
     let body = change.open();
@@ -326,17 +394,18 @@
         partner.accept(offset, &body.changes);
     }
     partner.note(history_entry(offset, change, body.ok(), &checked));
-    checked
+    let reason = checked.err()?;
+    Some(Refused {
+        record: RejectedRecord {
+            offset,
+            publisher: Some(change.publisher.clone()),
+            reason,
+        },
+        unattributed: None,
+    })
 }
 
-fn check_origin(
-    keys: &PublisherKeys,
-    record_bytes: usize,
-    change: &SignedChange,
-) -> Result<(), RejectReason> {
-    if record_bytes > MAX_RECORD_BYTES {
-        return Err(RejectReason::TooLarge);
-    }
+fn check_origin(keys: &PublisherKeys, change: &SignedChange) -> Result<(), RejectReason> {
     let key = keys
         .get(&change.publisher)
         .ok_or(RejectReason::UnknownPublisher)?;
@@ -347,15 +416,6 @@
     }
 }
 
-fn unattributed(offset: Offset, change: Option<&SignedChange>, reason: RejectReason) -> UnattributedRecord {
-    UnattributedRecord {
-        offset,
-        claimed_publisher: change.map(|change| change.publisher.clone()),
-        change_id: change.map(|change| change.change_id),
-        reason,
-    }
-}
-
 fn history_entry(
     offset: Offset,
     change: &SignedChange,
--- a/crates/core/src/config/record.rs
+++ b/crates/core/src/config/record.rs
@@ -10,8 +10,10 @@
 use crate::config::target::ClassTarget;
 use crate::ids::{ChangeId, ClassName, Offset, PartnerId};
 
-/// Largest change record. All classes that a partner may have fit ten times over.
-pub const MAX_RECORD_BYTES: usize = 64 << 10;
+/// Largest change record: all classes that a partner may have, with the longest names. Daemons relay nothing
+/// larger to each other, so a larger record must not change the state, or daemons that read the log themselves
+/// would come to another state than those that do not.
+pub const MAX_RECORD_BYTES: usize = 8 << 10;
 
 /// Classes that one change may touch.
 pub const MAX_CHANGES_PER_RECORD: usize = 64;
--- a/crates/core/tests/config/checkpoints.rs
+++ b/crates/core/tests/config/checkpoints.rs
@@ -2,7 +2,7 @@
 
 use hibiscusvale_core::config::{
     Adopted, CheckpointDuty, CheckpointDutySettings, CheckpointError, CheckpointKey, ConfigFold, LogBounds,
-    LogView, Record, RejectReason, SealedCheckpoint,
+    LogView, MAX_RECORD_BYTES, Record, RejectReason, SealedCheckpoint,
 };
 use hibiscusvale_core::ids::Offset;
 use hibiscusvale_core::units::{Millis, MonoTime};
@@ -205,6 +205,32 @@
     assert_eq!(target_ms(fold.state(), &nadifa(), "summary"), Some(6));
 }
 
+/// One host reads the log itself and meets a huge record, a forged checkpoint or plain garbage; another gets it
+/// from a relay that leaves such content out. If either kept anything of it the two would differ for good.
+#[test]
+fn a_record_that_is_not_relayed_leaves_the_same_state_behind() {
+    let mut huge = daemon();
+    let mut classes = FakeLog::default();
+    classes.append(registry().publish(1, None, "launch", 1));
+    classes.read_all(&mut huge);
+    let forged = Record::Checkpoint(SealedCheckpoint::seal(
+        huge.state(),
+        &CheckpointKey::derive(b"a guess"),
+    ));
+    let mut padded = forged.encode();
+    padded.resize(MAX_RECORD_BYTES + 1, 7);
+    for content in [padded, vec![1; MAX_RECORD_BYTES + 1]] {
+        let (mut reader, mut relayed) = (daemon(), daemon());
+        let class = nadifa().publish(2, None, "summary", 9_000);
+        assert_eq!(reader.take(Offset(0), &content).rejected.len(), 1);
+        relayed.take(Offset(1), &class);
+        relayed.take_elided(Offset(0));
+        reader.take(Offset(1), &class);
+        assert_eq!(reader.state().digest(), relayed.state().digest());
+        assert_eq!(target_ms(relayed.state(), &nadifa(), "summary"), Some(9_000));
+    }
+}
+
 /// A log of many records begins after what a new host can use and no checkpoint has come yet. What is held for
 /// it must stay bounded, and reading must go on to the checkpoint instead of turning in a circle.
 #[test]
--- a/crates/core/tests/config/schedules.rs
+++ b/crates/core/tests/config/schedules.rs
@@ -130,7 +130,12 @@
         if self.log.start < self.log.next() {
             let offset = Offset(self.rng.random_range(self.log.start..self.log.next()));
             let bytes = self.log.get(offset).expect("kept").to_vec();
-            self.hosts[host].take(offset, &bytes);
+            let is_checkpoint = matches!(Record::decode(&bytes), Ok(Record::Checkpoint(_)));
+            if is_checkpoint && self.rng.random_bool(0.5) {
+                self.hosts[host].take_elided(offset);
+            } else {
+                self.hosts[host].take(offset, &bytes);
+            }
         }
     }
 
