Reach the log and the weight store by HTTP

The traits had no client. An append goes over a connection of its own and counts as not appended only when no connection opened or the log itself refused; a lost answer, a time-out or a strange status is unknown. Reads share a connection until one gets no answer; the next then opens a new one. Pooled connections for appends were ruled out: a silent one would make the outcome unknown for nothing.

--- /dev/null
+++ b/crates/router/src/platform/log.rs
@@ -0,0 +1,270 @@
+//! The append-only log by HTTP.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use hibiscusvale_core::ids::Offset;
+use hibiscusvale_core::units::Millis;
+use http::{HeaderMap, Request, StatusCode, header};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+
+use super::{AppendError, Log, LogFailure, LogPage, LogRecord, Stream};
+use crate::backend::{BackendHttp, CallFailure, Trust, read_body, uri};
+
+/// Header in which the log says when to come back.
+const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// Largest answer that is read: 1,000 records of 8 KB, or a few checkpoints.
+const ANSWER_LIMIT_BYTES: usize = 32 << 20;
+
+/// How long the log may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HttpLogSettings {
+    /// For an append. Beyond it the outcome is unknown.
+    pub append_timeout_ms: Millis,
+    /// For a read, beyond the time that it asks the log to wait. Short, because a connection that went silent
+    /// is noticed by nothing else and news must arrive within seconds all the same.
+    pub read_slack_ms: Millis,
+}
+
+impl Default for HttpLogSettings {
+    fn default() -> Self {
+        Self {
+            append_timeout_ms: Millis(3_000),
+            read_slack_ms: Millis(1_000),
+        }
+    }
+}
+
+/// [`Log`] by HTTP.
+#[derive(Debug)]
+pub struct HttpLog {
+    http: BackendHttp,
+    address: SocketAddr,
+    settings: HttpLogSettings,
+    /// Set by a read that got no answer: pooled connections may have gone silent with it, so the next read
+    /// opens one of its own.
+    distrusts_pool: AtomicBool,
+}
+
+#[derive(Serialize)]
+struct AppendCall {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    first_offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    start_offset: Offset,
+    next_offset: Offset,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Deserialize)]
+struct ReadRecord {
+    offset: Offset,
+    data: String,
+}
+
+impl HttpLog {
+    /// Makes a client of the log at `address`.
+    pub fn new(address: SocketAddr, settings: HttpLogSettings) -> Self {
+        Self {
+            http: BackendHttp::new(),
+            address,
+            settings,
+            distrusts_pool: AtomicBool::new(false),
+        }
+    }
+
+    /// Appends over a connection of its own. An append may not be repeated blindly, and an idle connection
+    /// that has gone silent would make its outcome unknown for nothing.
+    async fn append_records(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset, AppendError> {
+        let call = AppendCall {
+            records: records.iter().map(|data| STANDARD.encode(data)).collect(),
+        };
+        let request = append_request(self.address, stream, &call).ok_or(NOT_SENT)?;
+        let timeout = Duration::from(self.settings.append_timeout_ms);
+        let response = self
+            .http
+            .send(Trust::Fresh, request, timeout)
+            .await
+            .map_err(append_failure)?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(append_refusal(status, response.headers()));
+        }
+        let body = read_body(response.into_body(), ANSWER_LIMIT_BYTES, timeout)
+            .await
+            .map_err(append_failure)?;
+        let answer: AppendAnswer = serde_json::from_slice(&body).map_err(|_| AppendError::Unknown {
+            cause: LogFailure::Malformed,
+        })?;
+        Ok(answer.first_offset)
+    }
+
+    async fn read_page(
+        &self,
+        stream: Stream,
+        from: Offset,
+        limit: u32,
+        wait_ms: Millis,
+    ) -> Result<LogPage, LogFailure> {
+        let trust = if self.distrusts_pool.load(Ordering::Relaxed) {
+            Trust::Fresh
+        } else {
+            Trust::Pooled
+        };
+        let page = self.try_read(trust, stream, from, limit, wait_ms).await;
+        let is_silent = matches!(page, Err(LogFailure::Timeout | LogFailure::Unreachable));
+        self.distrusts_pool.store(is_silent, Ordering::Relaxed);
+        page
+    }
+
+    async fn try_read(
+        &self,
+        trust: Trust,
+        stream: Stream,
+        from: Offset,
+        limit: u32,
+        wait_ms: Millis,
+    ) -> Result<LogPage, LogFailure> {
+        let name = stream_name(stream);
+        let path = format!("/log/{name}?from={from}&limit={limit}&wait_ms={}", wait_ms.0);
+        let request = Request::builder()
+            .uri(uri(self.address, &path).map_err(read_failure)?)
+            .body(Full::default())
+            .map_err(|_| LogFailure::Malformed)?;
+        let timeout = Duration::from(wait_ms + self.settings.read_slack_ms);
+        let response = self
+            .http
+            .send(trust, request, timeout)
+            .await
+            .map_err(read_failure)?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE => return Err(LogFailure::Down),
+            StatusCode::TOO_MANY_REQUESTS => return Err(LogFailure::OverRate),
+            _ => return Err(LogFailure::Malformed),
+        }
+        let body = read_body(response.into_body(), ANSWER_LIMIT_BYTES, timeout)
+            .await
+            .map_err(read_failure)?;
+        let answer: ReadAnswer = serde_json::from_slice(&body).map_err(|_| LogFailure::Malformed)?;
+        page_of(answer)
+    }
+}
+
+impl Log for HttpLog {
+    fn append(&self, stream: Stream, records: Vec<Bytes>) -> BoxFuture<'_, Result<Offset, AppendError>> {
+        Box::pin(self.append_records(stream, records))
+    }
+
+    fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        limit: u32,
+        wait_ms: Millis,
+    ) -> BoxFuture<'_, Result<LogPage, LogFailure>> {
+        Box::pin(self.read_page(stream, from, limit, wait_ms))
+    }
+}
+
+const NOT_SENT: AppendError = AppendError::NotAppended {
+    cause: LogFailure::Malformed,
+    retry_after_ms: None,
+};
+
+/// Name of a stream in the log's addresses.
+fn stream_name(stream: Stream) -> String {
+    match stream {
+        Stream::Config => "config".to_owned(),
+        Stream::Claims(partition) => format!("claims-{partition}"),
+        Stream::Leases => "leases".to_owned(),
+    }
+}
+
+fn append_request(address: SocketAddr, stream: Stream, call: &AppendCall) -> Option<Request<Full<Bytes>>> {
+    let path = format!("/log/{}/append", stream_name(stream));
+    let body = serde_json::to_vec(call).ok()?;
+    Request::post(uri(address, &path).ok()?)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(body))
+        .ok()
+}
+
+/// Only a connection that never opened proves that nothing was appended. After that the log may have acted
+/// although its answer did not come.
+fn append_failure(failure: CallFailure) -> AppendError {
+    match failure {
+        CallFailure::NotSent => AppendError::NotAppended {
+            cause: LogFailure::Unreachable,
+            retry_after_ms: None,
+        },
+        CallFailure::Timeout => AppendError::Unknown {
+            cause: LogFailure::Timeout,
+        },
+        CallFailure::Broken => AppendError::Unknown {
+            cause: LogFailure::Unreachable,
+        },
+        CallFailure::Malformed => AppendError::Unknown {
+            cause: LogFailure::Malformed,
+        },
+    }
+}
+
+/// The log's own refusals prove that it did not append. Other statuses may come from anything on the way,
+/// behind which the log may have acted.
+fn append_refusal(status: StatusCode, headers: &HeaderMap) -> AppendError {
+    let cause = match status {
+        StatusCode::SERVICE_UNAVAILABLE => LogFailure::Down,
+        StatusCode::TOO_MANY_REQUESTS => LogFailure::OverRate,
+        status if status.is_client_error() => LogFailure::Malformed,
+        _ => {
+            return AppendError::Unknown {
+                cause: LogFailure::Malformed,
+            };
+        }
+    };
+    let retry_after_ms = headers
+        .get(RETRY_AFTER_MS)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    AppendError::NotAppended {
+        cause,
+        retry_after_ms: retry_after_ms.map(Millis),
+    }
+}
+
+fn read_failure(failure: CallFailure) -> LogFailure {
+    match failure {
+        CallFailure::NotSent | CallFailure::Broken => LogFailure::Unreachable,
+        CallFailure::Timeout => LogFailure::Timeout,
+        CallFailure::Malformed => LogFailure::Malformed,
+    }
+}
+
+fn page_of(answer: ReadAnswer) -> Result<LogPage, LogFailure> {
+    let records = answer.records.into_iter().map(|record| {
+        let data = STANDARD.decode(&record.data).map_err(|_| LogFailure::Malformed)?;
+        Ok(LogRecord {
+            offset: record.offset,
+            data: Bytes::from(data),
+        })
+    });
+    Ok(LogPage {
+        start_offset: answer.start_offset,
+        next_offset: answer.next_offset,
+        records: records.collect::<Result<_, LogFailure>>()?,
+    })
+}
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -1,6 +1,8 @@
 //! The platform's services, each behind one trait: the append-only log, the host list, the weight store.
 
 mod host_list;
+mod log;
+mod weight_store;
 
 use std::fmt::Debug;
 use std::net::SocketAddr;
@@ -12,6 +14,8 @@
 use serde::{Deserialize, Serialize};
 
 pub use host_list::HttpHostList;
+pub use log::{HttpLog, HttpLogSettings};
+pub use weight_store::HttpWeightStore;
 
 /// A stream of the platform's log. The set is closed: each user of the log is named here, and so is counted
 /// in `docs/CAPACITY.md`.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -124,18 +124,11 @@
     pub hosts: SocketAddr,
     /// The weight store.
     pub weights: SocketAddr,
-    /// Time for a connection to one of them to open.
-    #[serde(default = "default_connect_timeout_ms")]
-    pub connect_timeout_ms: Millis,
     /// Time for an answer, beyond the time that a call asks the service to wait for news.
     #[serde(default = "default_call_timeout_ms")]
     pub call_timeout_ms: Millis,
 }
 
-const fn default_connect_timeout_ms() -> Millis {
-    Millis(1_000)
-}
-
 const fn default_call_timeout_ms() -> Millis {
     Millis(3_000)
 }
@@ -230,8 +223,11 @@
     pub readers: usize,
     /// Longest time that one read waits at the log for news.
     pub poll_wait_ms: Millis,
-    /// Time after which the state is written to the log again, if records were appended since. Keep it under
-    /// a quarter of the time for which the log keeps records.
+    /// Time that a new daemon waits for a peer's state before it believes that a log beginning at offset 0 is
+    /// all there is.
+    pub genesis_wait_ms: Millis,
+    /// Time after which the state is written to the log again. Keep it under a quarter of the time for which
+    /// the log keeps records.
     pub checkpoint_interval_ms: Millis,
     /// Time that each further daemon waits before it writes the checkpoint that an earlier one should have.
     pub checkpoint_step_ms: Millis,
@@ -242,6 +238,7 @@
         Self {
             readers: 3,
             poll_wait_ms: Millis(2_000),
+            genesis_wait_ms: Millis(2_000),
             checkpoint_interval_ms: Millis(600_000),
             checkpoint_step_ms: Millis(2_000),
         }
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -17,6 +17,7 @@
 const PLATFORM_TIMEOUT_MS: RangeInclusive<u64> = 50..=60_000;
 const THREADS: RangeInclusive<u64> = 1..=64;
 const READERS: RangeInclusive<u64> = 1..=64;
+const GENESIS_WAIT_MS: RangeInclusive<u64> = 0..=60_000;
 const POLL_WAIT_MS: RangeInclusive<u64> = 100..=60_000;
 const CHECKPOINT_INTERVAL_MS: RangeInclusive<u64> = 1_000..=86_400_000;
 const CHECKPOINT_STEP_MS: RangeInclusive<u64> = 100..=60_000;
@@ -41,11 +42,6 @@
         ..
     } = settings;
     let numbers = [
-        (
-            "platform.connect_timeout_ms",
-            platform.connect_timeout_ms.0,
-            PLATFORM_TIMEOUT_MS,
-        ),
         (
             "platform.call_timeout_ms",
             platform.call_timeout_ms.0,
@@ -66,6 +62,11 @@
         ("traffic.threads", traffic.threads as u64, THREADS),
         ("config.readers", config.readers as u64, READERS),
         ("config.poll_wait_ms", config.poll_wait_ms.0, POLL_WAIT_MS),
+        (
+            "config.genesis_wait_ms",
+            config.genesis_wait_ms.0,
+            GENESIS_WAIT_MS,
+        ),
         (
             "config.checkpoint_interval_ms",
             config.checkpoint_interval_ms.0,
