--- a/crates/core/src/membership/data_centres.rs
+++ b/crates/core/src/membership/data_centres.rs
@@ -39,6 +39,8 @@
     by_tag: BTreeMap<DataCentreTag, DataCentre>,
     records: HashMap<MemberTag, MemberRecord>,
     hosts: HashMap<HostId, MemberTag>,
+    /// Raised whenever records or statements change.
+    changes: u64,
 }
 
 impl DataCentres {
@@ -79,6 +81,7 @@
         {
             return;
         }
+        self.changes += 1;
         let hash = hash_tags(&state.tags);
         let data_centre = DataCentre {
             state,
@@ -89,8 +92,16 @@
         self.prune(tag);
     }
 
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
     pub(crate) fn learn(&mut self, record: MemberRecord) {
         let tag = record.tag();
+        if self.records.contains_key(&tag) {
+            return;
+        }
+        self.changes += 1;
         if let Some(old) = self.hosts.insert(record.host.clone(), tag)
             && old != tag
         {
@@ -154,6 +165,10 @@
         self.records.get(tag).map(|record| record.peer_address)
     }
 
+    pub(crate) fn is_known(&self, address: SocketAddr) -> bool {
+        self.records.values().any(|record| record.peer_address == address)
+    }
+
     /// Records of one data centre, whether its newest statement names them or not.
     pub(crate) fn records_in<'a>(
         &'a self,
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -33,6 +33,8 @@
 pub use self::settings::MembershipSettings;
 pub use self::view::{Member, MemberState, MembersView};
 
+/// Time between two pulls.
+const PULL_GAP: Millis = Millis(100);
 /// Tags asked for in one pull at most.
 const PULLED_TAGS: usize = 24;
 /// Statements asked for in one pull at most.
@@ -105,6 +107,15 @@
     pub paused: u64,
 }
 
+#[derive(Debug, Default, PartialEq)]
+struct Fingerprint {
+    own_tag: MemberTag,
+    is_heard: bool,
+    here: Vec<(MemberTag, MemberState)>,
+    remote_changes: u64,
+    reachable: Vec<bool>,
+}
+
 /// The membership of one daemon.
 #[derive(Debug)]
 pub struct Membership {
@@ -125,10 +136,12 @@
     ticked_us: Option<MonoTime>,
     bridged_us: Option<MonoTime>,
     contacted_us: Option<MonoTime>,
+    pulled_us: Option<MonoTime>,
     stated_us: Option<MonoTime>,
     started_us: Option<MonoTime>,
     introduced_us: Option<MonoTime>,
     view: MembersView,
+    fingerprint: Fingerprint,
     counts: MembershipCounts,
     rng: StdRng,
 }
@@ -156,10 +169,12 @@
             ticked_us: None,
             bridged_us: None,
             contacted_us: None,
+            pulled_us: None,
             stated_us: None,
             started_us: None,
             introduced_us: None,
             view: MembersView::default(),
+            fingerprint: Fingerprint::default(),
             counts: MembershipCounts::default(),
             rng: StdRng::seed_from_u64(seed),
         };
@@ -265,7 +280,7 @@
         let Some((host, address)) = self.next_in_round() else {
             return;
         };
-        let message = self.make_gossip(now_us, true);
+        let message = self.make_gossip(now_us, true, false);
         actions.push(MembershipAction::Send {
             to: Some(host),
             address,
@@ -292,7 +307,7 @@
         None
     }
 
-    fn make_gossip(&self, now_us: MonoTime, inside: bool) -> MembershipMessage {
+    fn make_gossip(&self, now_us: MonoTime, inside: bool, introduce: bool) -> MembershipMessage {
         let mut heartbeats = Vec::new();
         if inside {
             heartbeats = self.table.heartbeats(now_us, &self.settings);
@@ -302,7 +317,7 @@
             });
         }
         MembershipMessage::Gossip {
-            sender: self.introduction(now_us, inside),
+            sender: self.introduction(now_us, introduce),
             heartbeats,
             data_centres: self.data_centres.digests(),
         }
@@ -310,12 +325,12 @@
 
     /// The own record, while others may lack it: soon after the start, and always across data centres, where
     /// few messages pass.
-    fn introduction(&self, now_us: MonoTime, inside: bool) -> Option<MemberRecord> {
+    fn introduction(&self, now_us: MonoTime, is_needed: bool) -> Option<MemberRecord> {
         let introduce_us = Micros::from(self.settings.dead_after_ms);
         let is_new = self
             .introduced_us
             .is_none_or(|since_us| now_us.since(since_us) <= introduce_us);
-        (is_new || !inside).then(|| self.own.clone())
+        (is_new || is_needed).then(|| self.own.clone())
     }
 
     /// Tags of the live daemons of the own data centre.
@@ -374,7 +389,7 @@
         let Some((to, address)) = self.pick_remote() else {
             return;
         };
-        let message = self.make_gossip(now_us, false);
+        let message = self.make_gossip(now_us, false, true);
         actions.push(MembershipAction::Send { to, address, message });
     }
 
@@ -413,19 +428,7 @@
         let Some((to, address)) = self.pick_missing() else {
             return;
         };
-        let MembershipMessage::Gossip {
-            heartbeats,
-            data_centres,
-            ..
-        } = self.make_gossip(now_us, true)
-        else {
-            return;
-        };
-        let message = MembershipMessage::Gossip {
-            sender: Some(self.own.clone()),
-            heartbeats,
-            data_centres,
-        };
+        let message = self.make_gossip(now_us, true, true);
         actions.push(MembershipAction::Send { to, address, message });
     }
 
@@ -438,6 +441,7 @@
             .seeds
             .iter()
             .chain(&self.listed)
+            .filter(|contact| self.may_be_here(contact))
             .map(|contact| (contact.host.clone(), contact.peer_address));
         let missing: Vec<(Option<HostId>, SocketAddr)> = dead
             .chain(named)
@@ -446,6 +450,14 @@
         missing.choose(&mut self.rng).cloned()
     }
 
+    /// Whether a contact may be of the own data centre. The others are for the bridges to reach.
+    fn may_be_here(&self, contact: &Contact) -> bool {
+        contact
+            .data_centre
+            .as_ref()
+            .is_none_or(|data_centre| *data_centre == self.own.data_centre)
+    }
+
     fn is_in_touch(&self, host: Option<&HostId>, address: SocketAddr) -> bool {
         if address == self.own.peer_address || host == Some(&self.own.host) {
             return true;
@@ -454,10 +466,15 @@
             .table
             .living()
             .any(|known| known.record.peer_address == address || Some(&known.record.host) == host);
-        is_here || host.is_some_and(|host| self.data_centres.address(host).is_some())
+        is_here || self.data_centres.is_known(address)
     }
 
+    /// Fetches what is wanted from one daemon, not more often than [`PULL_GAP`]: a daemon that was just
+    /// started has hundreds of records to fetch, and whoever answers has a budget.
     fn pull(&mut self, now_us: MonoTime, actions: &mut Vec<MembershipAction>) {
+        if !is_due(self.pulled_us, now_us, PULL_GAP) {
+            return;
+        }
         let Some(source) = self
             .wanted_data_centres
             .values()
@@ -467,6 +484,7 @@
         else {
             return;
         };
+        self.pulled_us = Some(now_us);
         let tags = take_from(&mut self.wanted_tags, &source, PULLED_TAGS);
         let data_centres = take_from(&mut self.wanted_data_centres, &source, PULLED_CENTRES);
         let Some(address) = self.address(&source) else {
@@ -475,7 +493,7 @@
         let message = MembershipMessage::Pull {
             tags,
             data_centres,
-            sender: self.introduction(now_us, false),
+            sender: self.introduction(now_us, true),
         };
         actions.push(MembershipAction::Send {
             to: Some(source),
@@ -514,6 +532,8 @@
                 self.learn_sender(now_us, from, incarnation, sender, actions);
                 self.hear(now_us, from, &heartbeats);
                 self.hear_data_centres(now_us, from, &data_centres);
+                self.meet(now_us, from, &heartbeats, actions);
+                self.pull(now_us, actions);
             }
             MembershipMessage::Pull {
                 tags,
@@ -614,6 +634,27 @@
         }
     }
 
+    /// Answers a daemon of the own data centre that does not name this one: it is new, or has not heard of
+    /// this one for long. Without the record it could not even ask.
+    fn meet(
+        &self,
+        now_us: MonoTime,
+        from: &HostId,
+        heartbeats: &[Heartbeat],
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let is_whole = !heartbeats.is_empty() && heartbeats.len() < self.settings.heartbeats_per_message;
+        let is_named = heartbeats.iter().any(|heartbeat| heartbeat.tag == self.own_tag);
+        let Some(address) = self.table.address(from).filter(|_| is_whole && !is_named) else {
+            return;
+        };
+        actions.push(MembershipAction::Send {
+            to: Some(from.clone()),
+            address,
+            message: self.make_gossip(now_us, true, true),
+        });
+    }
+
     fn answer(
         &self,
         from: &HostId,
@@ -672,6 +713,7 @@
             self.data_centres.adopt(now_us, state);
         }
         self.want_missing(from);
+        self.pull(now_us, actions);
     }
 
     fn pong(&self, from: &HostId, actions: &mut Vec<MembershipAction>) {
@@ -689,6 +731,11 @@
     }
 
     fn publish(&mut self, now_us: MonoTime, actions: &mut Vec<MembershipAction>) {
+        let fingerprint = self.fingerprint(now_us);
+        if fingerprint == self.fingerprint {
+            return;
+        }
+        self.fingerprint = fingerprint;
         let mut view = self.look(now_us);
         if view == self.view {
             return;
@@ -698,6 +745,26 @@
         actions.push(MembershipAction::Publish(view));
     }
 
+    /// What the view depends on, without the view: hundreds of records need not be copied at each tick to
+    /// find that nothing changed.
+    fn fingerprint(&self, now_us: MonoTime) -> Fingerprint {
+        let here = self
+            .table
+            .living()
+            .map(|known| (known.tag, self.local_state(now_us, known)));
+        let reachable = self
+            .data_centres
+            .all()
+            .map(|(_, data_centre)| data_centre.is_reachable(now_us, &self.settings));
+        Fingerprint {
+            own_tag: self.own_tag,
+            is_heard: self.is_heard(now_us),
+            here: here.collect(),
+            remote_changes: self.data_centres.changes(),
+            reachable: reachable.collect(),
+        }
+    }
+
     fn look(&self, now_us: MonoTime) -> MembersView {
         let mut members: BTreeMap<DataCentreId, Vec<Member>> = BTreeMap::new();
         for (tag, data_centre) in self.data_centres.all() {
--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -37,9 +37,9 @@
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
-            tick_ms: Millis(500),
-            suspect_after_ms: Millis(5_000),
-            dead_after_ms: Millis(10_000),
+            tick_ms: Millis(400),
+            suspect_after_ms: Millis(4_000),
+            dead_after_ms: Millis(8_000),
             statement_ms: Millis(5_000),
             unreachable_after_ms: Millis(30_000),
             bridge_ms: Millis(1_000),
--- a/crates/core/src/spread/settings.rs
+++ b/crates/core/src/spread/settings.rs
@@ -40,7 +40,7 @@
 impl Default for SpreadSettings {
     fn default() -> Self {
         Self {
-            tick_ms: Millis(500),
+            tick_ms: Millis(400),
             fanout: 2,
             readers: 3,
             bridges: 3,
--- /dev/null
+++ b/crates/core/tests/nodes/main.rs
@@ -0,0 +1,6 @@
+//! How daemons act together: membership and spreading, as state machines without sockets.
+
+mod harness;
+mod membership;
+mod spread;
+mod watch;
--- /dev/null
+++ b/crates/core/tests/nodes/watch.rs
@@ -0,0 +1,132 @@
+//! Rendezvous hashing: who does what, and what moves when a host goes.
+
+use std::collections::HashMap;
+
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Incarnation};
+use hibiscusvale_core::membership::{Member, MemberState, MembersView};
+use hibiscusvale_core::watch::{JobHash, hash_name, is_watched_here, owner_of, watcher_of};
+
+fn member(data_centre: &str, index: usize) -> Member {
+    let host: HostId = format!("{data_centre}-entry-{index:02}").parse().unwrap();
+    Member {
+        host_hash: hash_name(host.as_str()),
+        host,
+        incarnation: Incarnation(1),
+        peer_address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        region: "region".parse().unwrap(),
+        state: MemberState::Live,
+    }
+}
+
+fn view(hosts: usize) -> MembersView {
+    let mut view = MembersView {
+        is_heard: true,
+        ..MembersView::default()
+    };
+    for name in ["dc1", "dc2"] {
+        let members = (0..hosts).map(|index| member(name, index)).collect();
+        view.members.insert(name.parse().unwrap(), members);
+    }
+    view
+}
+
+fn servers() -> Vec<BackendServerId> {
+    (0..1_000)
+        .map(|number| format!("replica-{number}").parse().unwrap())
+        .collect()
+}
+
+fn data_centre() -> DataCentreId {
+    "dc1".parse().unwrap()
+}
+
+fn watchers(view: &MembersView) -> HashMap<BackendServerId, HostId> {
+    servers()
+        .into_iter()
+        .filter_map(|server| {
+            let watcher = watcher_of(&server, &data_centre(), view)?;
+            Some((server, watcher))
+        })
+        .collect()
+}
+
+/// One host goes. Were more than its own servers to move, each failure would make the whole data centre wait
+/// out old grants.
+#[test]
+fn only_the_work_of_the_host_that_went_moves() {
+    let before = view(34);
+    let mut after = before.clone();
+    let gone = after.members.get_mut(&data_centre()).unwrap().remove(7);
+    let (old, new) = (watchers(&before), watchers(&after));
+    for (server, watcher) in &old {
+        if *watcher != gone.host {
+            assert_eq!(new.get(server), Some(watcher));
+        }
+    }
+    let moved: Vec<&HostId> = old
+        .iter()
+        .filter(|(_, watcher)| **watcher == gone.host)
+        .filter_map(|(server, _)| new.get(server))
+        .collect();
+    let mut takers = moved.clone();
+    takers.sort_unstable();
+    takers.dedup();
+    assert!(
+        takers.len() > moved.len() / 3,
+        "the work spreads over those that remain"
+    );
+}
+
+/// A host that watched twice its share would be the first to exceed the budget of control.
+#[test]
+fn servers_are_spread_evenly() {
+    let mut counts: HashMap<HostId, usize> = HashMap::new();
+    for watcher in watchers(&view(34)).into_values() {
+        *counts.entry(watcher).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 34);
+    assert!(
+        counts.values().all(|count| (10..=50).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// A server is watched in its own data centre, so that a cut between data centres leaves it a watcher.
+#[test]
+fn the_watcher_is_of_the_servers_data_centre() {
+    let all = watchers(&view(5));
+    assert!(all.values().all(|watcher| watcher.as_str().starts_with("dc1-")));
+}
+
+/// A suspected host keeps its work, a leaving or unreachable one does not.
+#[test]
+fn only_eligible_hosts_own_jobs() {
+    let mut view = view(3);
+    let job = JobHash::of("claims/17");
+    let owner = owner_of(job, &view).unwrap();
+    let state = |view: &mut MembersView, state| {
+        for member in view.members.values_mut().flatten() {
+            if member.host == owner {
+                member.state = state;
+            }
+        }
+    };
+    state(&mut view, MemberState::Suspect);
+    assert_eq!(owner_of(job, &view).as_ref(), Some(&owner));
+    state(&mut view, MemberState::Leaving);
+    assert_ne!(owner_of(job, &view).as_ref(), Some(&owner));
+    state(&mut view, MemberState::Unreachable);
+    assert_ne!(owner_of(job, &view).as_ref(), Some(&owner));
+}
+
+/// A daemon that the others do not hear has lost its servers to them, whatever its own view says.
+#[test]
+fn a_daemon_that_is_not_heard_watches_nothing() {
+    let mut view = view(3);
+    let server = servers().remove(0);
+    view.own_host = watcher_of(&server, &data_centre(), &view);
+    assert!(is_watched_here(&server, &data_centre(), &view));
+    view.is_heard = false;
+    assert!(!is_watched_here(&server, &data_centre(), &view));
+}
