--- a/crates/core/src/config/duty.rs
+++ b/crates/core/src/config/duty.rs
@@ -53,9 +53,9 @@
         }
     }
 
-    /// A checkpoint that stands for the records before `next_offset` was read from the log.
+    /// Another checkpoint, one that stands for the records before `next_offset`, was read from the log.
     pub fn seen(&mut self, next_offset: Offset, now_us: MonoTime) {
-        if next_offset <= self.newest {
+        if next_offset < self.newest {
             return;
         }
         self.newest = next_offset;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod claims;
 pub mod clock;
+pub mod config;
 pub mod control;
 pub mod daemon;
 pub mod directory;
