--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod meter;
 pub mod metrics;
+pub mod operators;
 pub mod peer;
 pub mod platform;
 pub mod settings;
--- a/crates/router/tests/ops/config.rs
+++ b/crates/router/tests/ops/config.rs
@@ -18,11 +18,11 @@
 
 use crate::memory_log::MemoryLog;
 
-fn nadifa() -> PartnerId {
+pub fn nadifa() -> PartnerId {
     "nadifa".parse().expect("a partner")
 }
 
-fn summary() -> ClassName {
+pub fn summary() -> ClassName {
     "summary".parse().expect("a class")
 }
 
@@ -30,7 +30,7 @@
     SigningKey::from_bytes(&[7; 32])
 }
 
-fn change(change_id: u128, made_from: Option<u64>, first_token_ms: u64) -> Vec<u8> {
+pub fn change(change_id: u128, made_from: Option<u64>, first_token_ms: u64) -> Vec<u8> {
     let body = ChangeBody {
         made_from: made_from.map(Offset),
         author: "salma".parse().expect("an author"),
@@ -44,13 +44,13 @@
 }
 
 /// A daemon's configuration service with the ends that others hold.
-struct Host {
-    handle: ConfigHandle,
-    feed: mpsc::Sender<ConfigFeed>,
-    spread: Option<mpsc::Receiver<SpreadRequest>>,
+pub struct Host {
+    pub handle: ConfigHandle,
+    pub feed: mpsc::Sender<ConfigFeed>,
+    pub spread: Option<mpsc::Receiver<SpreadRequest>>,
 }
 
-fn only_member() -> MembersView {
+pub fn only_member() -> MembersView {
     let data_centre: DataCentreId = "casablanca-1".parse().expect("a data centre");
     let member = Member {
         host: host_id(),
@@ -67,11 +67,11 @@
     }
 }
 
-fn host_id() -> HostId {
+pub fn host_id() -> HostId {
     "entry-1".parse().expect("a host")
 }
 
-fn start(log: &MemoryLog, has_peers: bool) -> Host {
+pub fn start(log: &MemoryLog, has_peers: bool) -> Host {
     let settings = ConfigSettings {
         checkpoint_interval_ms: Millis(60_000),
         ..ConfigSettings::default()
@@ -98,7 +98,7 @@
 }
 
 impl Host {
-    async fn reached(&mut self, next_offset: u64) {
+    pub async fn reached(&mut self, next_offset: u64) {
         let reached = self
             .handle
             .version
@@ -107,7 +107,7 @@
         reached.expect("the service runs");
     }
 
-    async fn ready(&mut self) {
+    pub async fn ready(&mut self) {
         self.handle
             .is_ready
             .wait_for(|is_ready| *is_ready)
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -3,5 +3,6 @@
 mod config;
 mod memory_log;
 mod observe;
+mod operators;
 mod platform;
 mod settings;
