Release what dead daemons held on engines

Cause: the ledger released only what a living daemon stopped renewing; what a daemon held when it died stayed on the engine. Change: with each load report the watcher of an engine looks at the lives that hold memory there; one that was replaced is cancelled at once, a silent one after the orphan watch's patience, each report that still shows it asks again. Ruled out: releasing at the end of a grant, for a daemon that is cut off from the watcher may still read its streams.

--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -4,13 +4,15 @@
 //! It lives on the control thread. Which daemon watches an engine follows from the membership view alone, so
 //! work moves by itself when a daemon goes.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::{AttemptId, BackendServerId, HostId, Incarnation, RegionId, RequestId};
 use hibiscusvale_core::membership::MembersView;
+use hibiscusvale_core::orphan::{MemoryOwner, OrphanSettings, OrphanWatch, OwnerState, SeenOwner};
 use hibiscusvale_core::sched::{Event, ServerRecord, ServerState};
 use hibiscusvale_core::slots::{HeldReport, LedgerAction, LedgerSettings, Role, SlotMessage, Watcher};
 use hibiscusvale_core::units::{Micros, MonoTime};
@@ -18,7 +20,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
-use crate::backend::{EngineEdge, EngineLoad, Held, HeldRequest};
+use crate::backend::{EngineEdge, EngineLoad, Held, HeldRequest, Owner};
 use crate::clock;
 use crate::directory::{BackendKind, BackendServer, Directory, Listing};
 use crate::dispatch::{Hub, PlainHub, Releases};
@@ -89,6 +91,8 @@
     watchers: HashMap<BackendServerId, Option<HostId>>,
     /// What each watched engine last reported to hold.
     held: HashMap<BackendServerId, Vec<HeldRequest>>,
+    /// Which owners of that memory may be dead.
+    orphans: HashMap<BackendServerId, OrphanWatch>,
     reports: mpsc::UnboundedSender<Reported>,
     ready: watch::Sender<bool>,
     actions: Vec<LedgerAction>,
@@ -109,6 +113,7 @@
             ledgers: Watcher::new(LedgerSettings::default()),
             watchers: HashMap::new(),
             held: HashMap::new(),
+            orphans: HashMap::new(),
             reports,
             ready,
             actions: Vec::new(),
@@ -203,7 +208,7 @@
         };
         if !is_watched_here(&server.id, &server.data_centre, view) {
             self.ledgers.disown(now_us, &server.id, &mut self.actions);
-            self.held.remove(&server.id);
+            self.forget(&server.id);
             return;
         }
         self.ledgers.own(
@@ -229,10 +234,15 @@
             .collect();
         for server in gone {
             self.ledgers.disown(now_us, &server, &mut self.actions);
-            self.held.remove(&server);
+            self.forget(&server);
         }
     }
 
+    fn forget(&mut self, server: &BackendServerId) {
+        self.held.remove(server);
+        self.orphans.remove(server);
+    }
+
     fn ask_reports(&self) {
         let listing = self.parts.directory.listing();
         for server in self
@@ -275,9 +285,47 @@
             .collect();
         self.ledgers
             .report(now_us, &server, &HeldReport { as_of_us, held }, &mut self.actions);
+        self.release_orphans(now_us, &server, &load);
         self.held.insert(server, load.held);
     }
 
+    /// Has an engine release what daemons that died left behind. Each report that still shows it has it asked
+    /// again, so a lost cancellation costs one period.
+    fn release_orphans(&mut self, now_us: MonoTime, server: &BackendServerId, load: &EngineLoad) {
+        let view = self.parts.members.load();
+        let owners: HashSet<&Owner> = load.held.iter().map(|held| &held.owner).collect();
+        let seen = owners.into_iter().map(|owner| SeenOwner {
+            owner: MemoryOwner {
+                host: owner.host.clone(),
+                incarnation: owner.incarnation,
+            },
+            state: owner_state(owner, &view),
+        });
+        let watch = self
+            .orphans
+            .entry(server.clone())
+            .or_insert_with(|| OrphanWatch::new(OrphanSettings::default()));
+        let full = load.slots_total > 0 && load.slots_used >= load.slots_total;
+        let orphans = watch.orphans(now_us, full, seen);
+        let Some(address) = self.address_of(server) else {
+            return;
+        };
+        for MemoryOwner { host, incarnation } in orphans {
+            let engines = Arc::clone(&self.parts.engines);
+            let owner = Owner { host, incarnation };
+            tokio::spawn(async move { engines.cancel_owner(address, owner).await });
+        }
+    }
+
+    fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
+        self.parts
+            .directory
+            .listing()
+            .servers
+            .get(server)
+            .map(|server| server.address)
+    }
+
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
@@ -292,11 +340,14 @@
         }
     }
 
-    /// Releases what a request holds at a watched engine whose daemon no longer renews it. The tries are those
-    /// that the engine itself reported.
+    /// Releases what a request holds at a watched engine although its daemon, which lives, no longer renews it.
+    /// The tries are those that the engine itself reported. Whether a daemon that is not heard is dead or only
+    /// cut off from here is for the orphan watch to decide, with more patience: it may be reading its streams.
     fn cancel(&self, server: &BackendServerId, request_id: RequestId) {
+        let view = self.parts.members.load();
         let held = self.held.get(server).into_iter().flatten();
-        for held in held.filter(|held| request_of(&held.request_id) == Some(request_id)) {
+        let of_request = held.filter(|held| request_of(&held.request_id) == Some(request_id));
+        for held in of_request.filter(|held| owner_state(&held.owner, &view) == OwnerState::Live) {
             if let Ok(attempt_id) = held.request_id.parse() {
                 let held = Held {
                     attempt_id,
@@ -312,6 +363,15 @@
     text.parse().ok().map(|attempt: AttemptId| attempt.request_id)
 }
 
+/// What the view says of a life that holds memory. One that is newer than the view's is not yet known here.
+fn owner_state(owner: &Owner, view: &MembersView) -> OwnerState {
+    match view.find(&owner.host) {
+        Some(member) if member.incarnation > owner.incarnation => OwnerState::Replaced,
+        Some(_) => OwnerState::Live,
+        None => OwnerState::Silent,
+    }
+}
+
 fn role_of(role: EngineRole) -> Role {
     match role {
         EngineRole::Prefill => Role::Prefill,
--- /dev/null
+++ b/crates/standins/tests/e2e/hosts.rs
@@ -0,0 +1,36 @@
+//! Entry hosts that die, are replaced, or stop.
+
+use crate::world::{Caller, SMALL_PLAN, World, stop, streamed_text};
+
+const PROMPT: &str = "The client keeps a large dog and is allergic to bleach.";
+
+/// A host dies while engines write answers for its callers, and is replaced under the same name. Unless
+/// somebody else tells the engines they hold slots for callers who have long been disconnected, and the pool
+/// shrinks with each host that fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_dead_daemon_held_is_released_when_its_host_is_replaced() {
+    let world = World::start(SMALL_PLAN).await;
+    let first = world.daemon("entry-1").await;
+    let second = world.daemon_beside("entry-2", &[&first]).await;
+    let caller = Caller::new(second.callers_address());
+    let body = serde_json::json!({"model": "small", "prompt": PROMPT, "max_tokens": 30_000, "stream": true});
+    let asked = tokio::spawn({
+        let caller = caller.clone();
+        let request = caller.completion(&body);
+        async move { caller.send(request).await }
+    });
+    world.decoding().await;
+    tokio::task::spawn_blocking(move || second.kill())
+        .await
+        .expect("killed");
+    asked.abort();
+
+    let replaced = world.daemon_beside("entry-2", &[&first]).await;
+    world.engines_empty().await;
+    let answer = Caller::new(replaced.callers_address())
+        .complete(PROMPT, 12, true)
+        .await;
+    assert!(streamed_text(&answer.body).is_some(), "{}", answer.body);
+    stop(first).await;
+    stop(replaced).await;
+}
--- a/crates/standins/tests/e2e/main.rs
+++ b/crates/standins/tests/e2e/main.rs
@@ -1,5 +1,6 @@
 //! The whole path over sockets: daemons in front of stand-ins, all in this process, ports from the kernel.
 
+mod hosts;
 mod once;
 mod path;
 mod world;
