Measure the slopes of control on a virtual clock

Cause: the cost of control at 410 daemons must be known from slopes.

Change: hibiscusvale-slopes runs the state machines of all daemons on one virtual clock under the target's load and writes CSV and a plot. A message carries up to 128 heartbeats instead of 64.

Ruled out: 64 heartbeats a message: in one data centre of 96 daemons that start at once 11 were wrongly taken for dead during the start, with 128 one.

--- a/crates/core/src/membership/settings.rs
+++ b/crates/core/src/membership/settings.rs
@@ -48,7 +48,7 @@
             forget_after_ms: Millis(3_600_000),
             old_life_after_ms: Millis(60_000),
             settle_ms: Millis(3_000),
-            heartbeats_per_message: 64,
+            heartbeats_per_message: 128,
             records_per_message: 24,
         }
     }
--- /dev/null
+++ b/crates/standins/src/slopes/main.rs
@@ -0,0 +1,27 @@
+//! Measures how the cost of control grows with the number of daemons: as state machines on a virtual clock,
+//! and as real processes that `scripts/bench-slopes` starts.
+
+mod cmd;
+mod fit;
+#[path = "../../../core/tests/nodes/harness.rs"]
+#[expect(dead_code, reason = "the tests of the state machines use the rest")]
+mod harness;
+mod plot;
+mod procs;
+mod virtual_time;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::cmd::Arguments;
+
+fn main() -> ExitCode {
+    match Arguments::parse_args_default_or_exit().run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hibiscusvale-slopes: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/slopes/plot.rs
@@ -0,0 +1,99 @@
+//! Plots of what was measured.
+
+use std::path::Path;
+
+use anyhow::anyhow;
+use plotters::prelude::*;
+
+use crate::virtual_time::Row;
+
+const SIZE: (u32, u32) = (760, 480);
+/// Bytes a second that control may send.
+const BUDGET: f64 = 4_096.0;
+
+/// A line of a plot.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// Its name in the legend.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Bytes a second against daemons.
+pub fn virtual_rows(rows: &[Row], path: &Path) -> anyhow::Result<()> {
+    let points = |filter: fn(&Row) -> bool, value: fn(&Row) -> f64| {
+        rows.iter()
+            .filter(|row| filter(row))
+            .map(|row| ((row.data_centres * row.hosts) as f64, value(row)))
+            .collect::<Vec<_>>()
+    };
+    let series = [
+        Series {
+            name: "one data centre, mean".to_owned(),
+            points: points(|row| row.data_centres == 1, |row| row.mean_bytes_per_s),
+        },
+        Series {
+            name: "data centres of 35, mean".to_owned(),
+            points: points(|row| row.hosts == 35, |row| row.mean_bytes_per_s),
+        },
+        Series {
+            name: "data centres of 35, most".to_owned(),
+            points: points(|row| row.hosts == 35, |row| row.max_bytes_per_s),
+        },
+    ];
+    draw(
+        "bytes/s sent for control by one daemon",
+        &series,
+        Some(BUDGET),
+        path,
+    )
+}
+
+/// Draws lines against the number of daemons.
+pub fn draw(title: &str, series: &[Series], budget: Option<f64>, path: &Path) -> anyhow::Result<()> {
+    draw_with(title, series, budget, path).map_err(|error| anyhow!("could not draw {title:?}: {error}"))
+}
+
+fn draw_with(
+    title: &str,
+    series: &[Series],
+    budget: Option<f64>,
+    path: &Path,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let all = || series.iter().flat_map(|series| &series.points);
+    let max_x = all().map(|(x, _)| *x).fold(1.0, f64::max);
+    let max_y = all().map(|(_, y)| *y).chain(budget).fold(1.0, f64::max) * 1.1;
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..max_x, 0.0..max_y)?;
+    chart.configure_mesh().x_desc("daemons").draw()?;
+    for (index, line) in series.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        let mut points = line.points.clone();
+        points.sort_by(|a, b| a.0.total_cmp(&b.0));
+        chart
+            .draw_series(LineSeries::new(points, colour.stroke_width(2)).point_size(3))?
+            .label(line.name.clone())
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+    }
+    if let Some(budget) = budget {
+        chart
+            .draw_series(LineSeries::new([(0.0, budget), (max_x, budget)], BLACK))?
+            .label("budget")
+            .legend(|(x, y)| PathElement::new([(x, y), (x + 16, y)], BLACK));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .position(SeriesLabelPosition::LowerRight)
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/slopes/virtual_time.rs
@@ -0,0 +1,228 @@
+//! Daemons as state machines on a virtual clock: bytes, messages, processor time, time to act together.
+//!
+//! The load is that of the target: 65,000 changes a day of 300 bytes, a load report of 28 models from each
+//! daemon, and a server that starts or stops leaving every ten seconds.
+
+use std::fmt::Write as _;
+use std::fs;
+
+use hibiscusvale_core::ids::Offset;
+use hibiscusvale_core::spread::{ModelLoad, ModelTag, ServerSign, SpreadEvent};
+use hibiscusvale_core::units::Millis;
+
+use crate::fit::Line;
+use crate::harness::Net;
+
+const CHANGE_BYTES: usize = 300;
+/// 65,000 changes a day are one every 1.33 s.
+const CHANGE_EVERY_MS: u64 = 1_330;
+const CHANGES: u64 = 45;
+const MODELS: u8 = 28;
+const SIGN_EVERY_CHANGES: u64 = 7;
+const SETTLE: Millis = Millis(120_000);
+const IN_FORCE_LIMIT: Millis = Millis(20_000);
+const DEATH_LIMIT: Millis = Millis(60_000);
+/// Data centres by hosts in each.
+const SIZES: [(usize, usize); 13] = [
+    (1, 3),
+    (1, 6),
+    (1, 12),
+    (1, 24),
+    (1, 35),
+    (1, 48),
+    (1, 96),
+    (2, 35),
+    (4, 35),
+    (8, 35),
+    (12, 3),
+    (12, 12),
+    (12, 35),
+];
+const SMALL_SIZES: [(usize, usize); 3] = [(1, 3), (1, 6), (2, 3)];
+
+/// One measured size.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Number of data centres.
+    pub data_centres: usize,
+    /// Daemons in each.
+    pub hosts: usize,
+    /// Time from the start of all at once until all agree, or the limit.
+    pub cold_start_ms: u64,
+    /// Bytes sent by a daemon, mean.
+    pub mean_bytes_per_s: f64,
+    /// Bytes sent by the daemon that sends most.
+    pub max_bytes_per_s: f64,
+    /// Messages sent by a daemon, mean.
+    pub messages_per_s: f64,
+    /// Processor time of one daemon's decisions in a second, the harness around them included.
+    pub cpu_us_per_s: f64,
+    /// Memory of one daemon's state, the harness around it included.
+    pub memory_bytes: f64,
+    /// Time until a change was in force everywhere, the median of all changes.
+    pub in_force_median_ms: u64,
+    /// The longest such time.
+    pub in_force_max_ms: u64,
+    /// Time until a dead daemon was gone from all views.
+    pub death_noticed_ms: u64,
+    /// Daemons wrongly taken for dead.
+    pub wrong_deaths: u64,
+}
+
+/// Measures all sizes.
+pub fn measure(is_small: bool) -> Vec<Row> {
+    let sizes = if is_small { &SMALL_SIZES[..] } else { &SIZES[..] };
+    sizes
+        .iter()
+        .map(|(data_centres, hosts)| measure_one(*data_centres, *hosts))
+        .collect()
+}
+
+fn processor_us() -> f64 {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos: f64 = text
+        .split_whitespace()
+        .next()
+        .and_then(|field| field.parse().ok())
+        .unwrap_or_default();
+    nanos / 1_000.0
+}
+
+fn measure_one(data_centres: usize, hosts: usize) -> Row {
+    let memory_before = crate::procs::memory_bytes("self");
+    let mut net = Net::new(data_centres, hosts, 1);
+    net.start_all();
+    let cold_start = net.run_until(SETTLE, Net::agrees).unwrap_or(SETTLE);
+    // A steady state has no newcomers that introduce themselves.
+    net.run(Millis(20_000));
+
+    let daemons = data_centres * hosts;
+    let start_us = net.now_us;
+    let sent_before: Vec<u64> = net.daemons.iter().map(|daemon| daemon.sent_bytes).collect();
+    let messages_before = net.total(|daemon| daemon.sent_messages);
+    let cpu_before = processor_us();
+    let mut in_force_ms = publish(&mut net, daemons);
+    let cpu_us = processor_us() - cpu_before;
+    let span_s = (net.now_us - start_us) as f64 / 1e6;
+    let rates: Vec<f64> = net
+        .daemons
+        .iter()
+        .zip(&sent_before)
+        .map(|(daemon, before)| (daemon.sent_bytes - before) as f64 / span_s)
+        .collect();
+    let messages = net.total(|daemon| daemon.sent_messages) - messages_before;
+    let memory = crate::procs::memory_bytes("self").saturating_sub(memory_before);
+    let wrong_deaths = net.total(|daemon| daemon.membership.counts().died);
+    net.kill(hosts - 1);
+    let death = net.run_until(DEATH_LIMIT, Net::agrees).unwrap_or(DEATH_LIMIT);
+    in_force_ms.sort_unstable();
+    Row {
+        data_centres,
+        hosts,
+        cold_start_ms: cold_start.0,
+        mean_bytes_per_s: rates.iter().sum::<f64>() / daemons as f64,
+        max_bytes_per_s: rates.iter().copied().fold(0.0, f64::max),
+        messages_per_s: messages as f64 / span_s / daemons as f64,
+        cpu_us_per_s: cpu_us / span_s / daemons as f64,
+        memory_bytes: memory as f64 / daemons as f64,
+        in_force_median_ms: in_force_ms
+            .get(in_force_ms.len() / 2)
+            .copied()
+            .unwrap_or_default(),
+        in_force_max_ms: in_force_ms.last().copied().unwrap_or_default(),
+        death_noticed_ms: death.0,
+        wrong_deaths,
+    }
+}
+
+/// Publishes changes at the target's rate and returns how long each took to be in force everywhere.
+fn publish(net: &mut Net, daemons: usize) -> Vec<u64> {
+    for number in 0..daemons {
+        let models = (0..MODELS).map(|model| ModelLoad {
+            model: ModelTag([model; 4]),
+            slots_free: 200,
+            prefill_queue_tokens: 20_000,
+        });
+        net.spread_event(number, SpreadEvent::Load(models.collect()));
+    }
+    let mut times = Vec::new();
+    for change in 0..CHANGES {
+        if change % SIGN_EVERY_CHANGES == 0 {
+            see_sign(net, change, daemons);
+        }
+        let offset = net.append(CHANGE_BYTES);
+        times.push(time_in_force(net, offset));
+    }
+    times
+}
+
+fn see_sign(net: &mut Net, change: u64, daemons: usize) {
+    let server = format!("replica-{change}").parse();
+    let number = usize::try_from(change).unwrap_or_default() % daemons;
+    if let Ok(server) = server {
+        let sign = ServerSign::Leaving;
+        net.spread_event(number, SpreadEvent::Saw { server, sign });
+    }
+}
+
+/// Waits until the change is in force everywhere, and out the time to the next one.
+fn time_in_force(net: &mut Net, offset: Offset) -> u64 {
+    let start_us = net.now_us;
+    let took = net.run_until(IN_FORCE_LIMIT, |net| net.has_in_force(offset));
+    let passed_ms = (net.now_us - start_us) / 1_000;
+    net.run(Millis(CHANGE_EVERY_MS.saturating_sub(passed_ms)));
+    took.unwrap_or(IN_FORCE_LIMIT).0
+}
+
+/// The rows as CSV.
+pub fn csv(rows: &[Row]) -> String {
+    let mut text = String::from(
+        "data_centres,hosts,daemons,cold_start_ms,mean_bytes_per_s,max_bytes_per_s,messages_per_s,cpu_us_per_s,\
+         memory_bytes,in_force_median_ms,in_force_max_ms,death_noticed_ms,wrong_deaths\n",
+    );
+    for row in rows {
+        let line = format!(
+            "{},{},{},{},{:.0},{:.0},{:.1},{:.0},{:.0},{},{},{},{}",
+            row.data_centres,
+            row.hosts,
+            row.data_centres * row.hosts,
+            row.cold_start_ms,
+            row.mean_bytes_per_s,
+            row.max_bytes_per_s,
+            row.messages_per_s,
+            row.cpu_us_per_s,
+            row.memory_bytes,
+            row.in_force_median_ms,
+            row.in_force_max_ms,
+            row.death_noticed_ms,
+            row.wrong_deaths,
+        );
+        let _ = writeln!(text, "{line}");
+    }
+    text
+}
+
+/// Prints the rows and the slopes over hosts in one data centre and over data centres of 35 hosts.
+pub fn print_slopes(rows: &[Row]) {
+    print!("{}", csv(rows));
+    let by_hosts: Vec<(f64, f64)> = rows
+        .iter()
+        .filter(|row| row.data_centres == 1)
+        .map(|row| (row.hosts as f64, row.mean_bytes_per_s))
+        .collect();
+    let by_data_centres: Vec<(f64, f64)> = rows
+        .iter()
+        .filter(|row| row.hosts == 35)
+        .map(|row| (row.data_centres as f64, row.mean_bytes_per_s))
+        .collect();
+    let line = Line::through(&by_hosts);
+    println!(
+        "bytes/s = {:.0} + {:.2} x hosts in one data centre",
+        line.base, line.slope
+    );
+    let line = Line::through(&by_data_centres);
+    println!(
+        "bytes/s = {:.0} + {:.2} x data centres of 35 hosts",
+        line.base, line.slope
+    );
+}
