--- a/crates/standins/src/slopes/virtual_time.rs
+++ b/crates/standins/src/slopes/virtual_time.rs
@@ -215,14 +215,14 @@
         .filter(|row| row.hosts == 35)
         .map(|row| (row.data_centres as f64, row.mean_bytes_per_s))
         .collect();
-    let line = Line::through(&by_hosts);
-    println!(
-        "bytes/s = {:.0} + {:.2} x hosts in one data centre",
-        line.base, line.slope
-    );
-    let line = Line::through(&by_data_centres);
+    print_line(Line::through(&by_hosts), 35, "hosts in one data centre");
+    print_line(Line::through(&by_data_centres), 12, "data centres of 35 hosts");
+}
+
+fn print_line(line: Line, target: u32, of: &str) {
+    let at_target = line.at(f64::from(target));
     println!(
-        "bytes/s = {:.0} + {:.2} x data centres of 35 hosts",
+        "bytes/s = {:.0} + {:.2} x {of}; {at_target:.0} at {target}",
         line.base, line.slope
     );
 }
