--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -16,6 +16,7 @@
 mod running;
 mod scheduler;
 mod settings;
+mod shift;
 
 pub use affinity::{AffinityIndex, CacheEvent, CacheEventKind};
 pub use counters::{Counters, FailReason, RedoCause, RefusalReason};
@@ -29,3 +30,4 @@
 pub use retry::RetryBudget;
 pub use scheduler::Scheduler;
 pub use settings::{PrefillStart, SchedulerSettings};
+pub use shift::{EngineView, ModelDemand, ShiftOrder, ShiftPlanner, ShiftSettings};
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -213,6 +213,7 @@
     budgets: HashMap<PartnerId, RetryBudget>,
     retries: Vec<(MonoTime, RequestId)>,
     counters: PlainCounters,
+    wake_us: Option<MonoTime>,
 }
 
 impl PlainScheduler {
@@ -228,6 +229,7 @@
             budgets: HashMap::new(),
             retries: Vec::new(),
             counters: PlainCounters::default(),
+            wake_us: None,
         }
     }
 
@@ -614,7 +616,7 @@
         }
     }
 
-    fn wake(&self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
+    fn wake(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
         let retry_us = self.retries.iter().map(|&(at_us, _)| at_us).min();
         let expiry_us = self.queue.first_expiry();
         let reopen_us = (!self.queue.is_empty())
@@ -625,7 +627,14 @@
                     .min()
             })
             .flatten();
-        if let Some(at_us) = [retry_us, expiry_us, reopen_us].into_iter().flatten().min() {
+        let Some(at_us) = [retry_us, expiry_us, reopen_us].into_iter().flatten().min() else {
+            return;
+        };
+        if self
+            .wake_us
+            .is_none_or(|known_us| known_us <= now_us || at_us < known_us)
+        {
+            self.wake_us = Some(at_us);
             actions.push(PlainAction::Wake { at_us });
         }
     }
--- a/crates/core/src/slots/fair_queue.rs
+++ b/crates/core/src/slots/fair_queue.rs
@@ -150,6 +150,7 @@
     active: BTreeSet<Rank>,
     clock_us: u64,
     sequence: u64,
+    work_us: u64,
 }
 
 impl<Item> FairQueue<Item> {
@@ -163,6 +164,7 @@
             active: BTreeSet::new(),
             clock_us: 0,
             sequence: 0,
+            work_us: 0,
         }
     }
 
@@ -178,13 +180,7 @@
 
     /// Work waiting, of all partners.
     pub fn work_us(&self) -> Micros {
-        let total = self
-            .active
-            .iter()
-            .map(|rank| rank.index)
-            .map(|index| self.partners[index].work_us)
-            .sum();
-        Micros(total)
+        Micros(self.work_us)
     }
 
     /// Whether an ask of `request_id` waits.
@@ -254,7 +250,13 @@
             return false;
         };
         let mut before_us = ahead_us;
-        for (key, later) in queue.in_time.range((latest_us, u64::MAX)..) {
+        // Who has time until the whole queue is done cannot be harmed.
+        let all_done_us = now_us + Micros(stretch(self.work_us + entry.work_us.0, pace));
+        if all_done_us <= latest_us {
+            return false;
+        }
+        let span = (latest_us, u64::MAX)..(all_done_us, 0);
+        for (key, later) in queue.in_time.range(span).take(HARM_LOOKAHEAD) {
             let without = now_us
                 + Micros(stretch(
                     self.wait_for(own_index, before_us, later.work_us.0),
@@ -296,6 +298,7 @@
             self.active.insert(queue.rank(index));
         }
         queue.work_us += entry.work_us.0;
+        self.work_us += entry.work_us.0;
         let side = if late { &mut queue.late } else { &mut queue.in_time };
         side.insert(key, entry);
     }
@@ -326,6 +329,7 @@
         };
         let entry = side.remove(&place.key)?;
         queue.work_us = queue.work_us.saturating_sub(entry.work_us.0);
+        self.work_us = self.work_us.saturating_sub(entry.work_us.0);
         if queue.is_empty() {
             self.active.remove(&queue.rank(place.partner));
         }
@@ -446,6 +450,10 @@
     }
 }
 
+/// Requests looked at for harm done by a newcomer; bounds the cost of one decision. Who stands further back
+/// is hurt by many newcomers, and each of them sees those in front.
+const HARM_LOOKAHEAD: usize = 32;
+
 fn work_ahead<Item>(queue: &PartnerQueue<Item>, entry: &Waiting<Item>) -> u64 {
     match entry.latest_us {
         Some(latest_us) => queue
--- a/crates/core/tests/sched/outcome.rs
+++ b/crates/core/tests/sched/outcome.rs
@@ -40,6 +40,8 @@
     pub partners: Vec<PartnerOutcome>,
     pub prefill_tokens: u64,
     pub wasted_tokens: u64,
+    /// Tokens of prompts read by second, cached ones included.
+    pub read_by_second: Vec<u64>,
     pub refused_after_prefill: u64,
     pub engine_refusals: u64,
     pub over_committed: u64,
@@ -52,6 +54,8 @@
     pub turns_returned: u64,
     pub closed: u64,
     pub messages: u64,
+    /// When a ledger first closed its server.
+    pub closed_at_us: Option<u64>,
     /// Wasted prefill tokens by cause, as the counters name it.
     pub wasted_by: Vec<(&'static str, u64)>,
     /// Answers that missed the first-token target: tight and loose; and those that only missed the pace.
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -515,9 +515,14 @@
         }
         let mut actions = Vec::new();
         let host = self.daemons[from].host.clone();
+        let server = message.server().clone();
         self.daemons[to]
             .watcher
             .handle(MonoTime(self.now_us), &host, incarnation, message, &mut actions);
+        let ledger = self.daemons[to].watcher.ledger(&server);
+        if ledger.is_some_and(|ledger| ledger.counters().closed > 0) {
+            self.outcome.closed_at_us.get_or_insert(self.now_us);
+        }
         self.ledger_actions(to, actions);
     }
 
@@ -631,6 +636,11 @@
             return;
         };
         engine.store(&job.blocks);
+        let second = (self.now_us / SECOND_US) as usize;
+        self.outcome
+            .read_by_second
+            .resize(self.outcome.read_by_second.len().max(second + 1), 0);
+        self.outcome.read_by_second[second] += job.tokens;
         engine.results.insert(job.request_id, job.tokens);
         let request_id = job.request_id;
         let event = Event::PrefillDone {
