--- a/crates/core/tests/sched/shift.rs
+++ b/crates/core/tests/sched/shift.rs
@@ -98,7 +98,7 @@
 fn swinging_load_moves_nothing() {
     let mut planner = ShiftPlanner::new(ShiftSettings::default());
     let swing = |second: u64| {
-        if second / 20 % 2 == 0 {
+        if (second / 20).is_multiple_of(2) {
             engines(99, 20, 0)
         } else {
             engines(30, 80, 0)
