Show operators what a daemon does: views, gauges, steps of each request

Cause: the operators' listener was not served, refusals before the dispatcher were not counted, and nothing told why a request went as it did. Change: the listener runs on the control thread; figures of control, members and link become gauges and counters once a second; each request keeps its steps for the view why; early refusals are counted by reason. The daemon prints the addresses that it got.

--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -83,6 +83,15 @@
         self.requests.len()
     }
 
+    /// Requests that wait for a server.
+    pub fn waiting_len(&self) -> usize {
+        let waits = |stage| matches!(stage, Stage::Backoff | Stage::AwaitTurn | Stage::AwaitSlot);
+        self.requests
+            .values()
+            .filter(|request| waits(request.stage))
+            .count()
+    }
+
     /// Takes an event and pushes what is to be done.
     pub fn handle(&mut self, now_us: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
--- a/crates/daemon/src/cmd/run.rs
+++ b/crates/daemon/src/cmd/run.rs
@@ -25,7 +25,13 @@
         let edges = Edges::new(&settings, incarnation);
         let signals = signals::watch()?;
         let daemon = Daemon::start(&settings, edges, incarnation)?;
-        println!("{{\"callers\":\"{}\"}}", daemon.callers_address());
+        // Where the settings leave the port to the system, this is how one learns it.
+        println!(
+            "{{\"callers\":\"{}\",\"operators\":\"{}\",\"peers\":\"{}\"}}",
+            daemon.callers_address(),
+            daemon.operators_address(),
+            daemon.peer_address()
+        );
         let Stop::Graceful = signals.wait();
         signals.end_at_once_on_the_next();
         daemon.stop();
--- a/crates/router/src/callers/service.rs
+++ b/crates/router/src/callers/service.rs
@@ -69,10 +69,15 @@
         let request_id = self.next_id();
         match self.try_serve(request_id, request).await {
             Ok(response) => response,
-            Err(refusal) => refusal.into_response(request_id),
+            Err(refusal) => {
+                self.dispatcher.observer.refused_early(request_id, refusal);
+                refusal.into_response(request_id)
+            }
         }
     }
 
+    /// Refusals that come back from here were met before the dispatcher took the request, so nobody has
+    /// counted them yet.
     async fn try_serve(
         &self,
         request_id: RequestId,
@@ -166,7 +171,10 @@
             body,
         };
         let response_ms = self.plain_target(&request)?;
-        self.dispatcher.plain(request, response_ms).await
+        Ok(match self.dispatcher.plain(request, response_ms).await {
+            Ok(response) => response,
+            Err(refusal) => refusal.into_response(request_id),
+        })
     }
 
     /// The target of a language request's class.
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -3,6 +3,7 @@
 //! Control state lives on one thread of its own: a burst of traffic cannot delay a heartbeat, and control
 //! needs no locks among its services.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use hibiscusvale_core::meter::ControlUsage;
 use hibiscusvale_core::sched::{Event, Sign};
 use hibiscusvale_core::spread::{ServerSign, SpreadSettings, SpreadView};
-use tokio::runtime::{Builder, Runtime};
+use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -25,11 +26,13 @@
 use crate::daemon::{Edges, StartError};
 use crate::directory::{self, Directory};
 use crate::dispatch::{Hub, PlainHub};
+use crate::figures::Figures;
 use crate::kernel::{INBOX_CAPACITY, Kernel, KernelError, ServiceName};
 use crate::logging::Log;
 use crate::membership::{MembershipHandle, MembershipRequest, MembershipService};
 use crate::meter::MeterService;
 use crate::metrics::Metrics;
+use crate::operators::{OperatorListener, OperatorsParts};
 use crate::peer::{Inbound, LinkSettings, NngLink, PeerBody, PeerMessage};
 use crate::settings::Settings;
 use crate::spread::{ConfigFeed, SpreadHandle, SpreadParts, SpreadRequest, SpreadService};
@@ -196,6 +199,7 @@
             hub,
         ));
         let stopped = stop.clone();
+        let handle = runtime.handle().clone();
         let thread = std::thread::Builder::new()
             .name(CONTROL_THREAD.to_owned())
             .spawn(move || runtime.block_on(stopped.cancelled()))
@@ -209,6 +213,7 @@
             claims,
             usage,
             is_ready,
+            runtime: handle,
             stop,
             thread,
         })
@@ -234,6 +239,7 @@
     pub usage: Arc<ArcSwap<ControlUsage>>,
     /// Whether the daemon knows the backend servers and has found its place among the daemons.
     pub is_ready: watch::Receiver<bool>,
+    runtime: Handle,
     stop: CancellationToken,
     thread: JoinHandle<()>,
 }
@@ -247,6 +253,36 @@
         }
     }
 
+    /// Serves operators on `address`, on the control thread: a burst of callers does not hide what it does.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError::Listen`].
+    pub fn serve_operators(
+        &self,
+        address: SocketAddr,
+        parts: OperatorsParts,
+    ) -> Result<SocketAddr, StartError> {
+        let failed = |source| StartError::Listen { address, source };
+        let listener = OperatorListener::bind(address).map_err(failed)?;
+        let bound = listener.address().map_err(failed)?;
+        let readiness = Arc::clone(&parts.readiness);
+        let mut is_ready = self.is_ready.clone();
+        self.runtime.spawn(async move {
+            // The sender ends with the control thread, and this task with it.
+            if is_ready.wait_for(|ready| *ready).await.is_ok() {
+                readiness.host_list_known();
+            }
+        });
+        self.runtime.spawn(listener.serve(parts, self.stop.clone()));
+        Ok(bound)
+    }
+
+    /// Publishes figures of this daemon as metrics.
+    pub fn publish_figures(&self, figures: Figures) {
+        self.runtime.spawn(figures.run());
+    }
+
     /// Ends the services and their thread.
     pub fn stop(self) {
         self.stop.cancel();
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -26,9 +26,11 @@
 use crate::control::{Control, ControlParts, RunningControl};
 use crate::directory::Directory;
 use crate::dispatch::{Dispatcher, Hub, Observer, PlainHub, Releases};
+use crate::figures::Figures;
 use crate::kernel::{KernelError, ServiceName};
 use crate::logging::{self, LoggingError};
 use crate::metrics::{Metrics, MetricsError};
+use crate::operators::{OperatorsParts, Readiness, RecentRequests};
 use crate::peer::{LinkError, NngLink};
 use crate::platform::{HostList, HttpHostList, HttpLog, HttpLogSettings, Log};
 use crate::settings::Settings;
@@ -42,8 +44,8 @@
     /// The system gave no thread.
     #[error("could not start a thread")]
     Thread(#[source] io::Error),
-    /// The address for callers could not be bound.
-    #[error("could not listen for callers on {address}")]
+    /// An address for callers or operators could not be bound.
+    #[error("could not listen on {address}")]
     Listen {
         /// The address.
         address: SocketAddr,
@@ -107,6 +109,8 @@
 #[derive(Debug)]
 pub struct Daemon {
     callers_address: SocketAddr,
+    operators_address: SocketAddr,
+    readiness: Arc<Readiness>,
     stop_listening: CancellationToken,
     traffic: TrafficRuntime,
     serving: tokio::task::JoinHandle<io::Result<()>>,
@@ -141,67 +145,57 @@
             metrics: &metrics,
             logging: &log,
         })?;
-        let route = SlotRoute {
-            host: settings.host.id.clone(),
-            incarnation,
-            members: Arc::clone(&control.members.view),
-            directory: Arc::clone(&directory),
-            link: Arc::<NngLink>::clone(&control.link),
-            kernel: control.kernel.clone(),
-        };
-        let scheduler = SchedulerSettings::default();
-        let hub = Arc::new(Hub::new(scheduler, incarnation.0, route, Arc::clone(&releases)));
-        let plain_hub = Arc::new(PlainHub::new(incarnation.0));
-        let watcher = WatcherParts {
-            host: settings.host.id.clone(),
-            region: settings.host.region.clone(),
-            members: Arc::clone(&control.members.view),
-            directory: Arc::clone(&directory),
-            engines: Arc::clone(&edges.engines),
-            link: Arc::<NngLink>::clone(&control.link),
-            hub: Arc::clone(&hub),
-            plain_hub: Arc::clone(&plain_hub),
-            releases: Arc::clone(&releases),
-        };
+        let schedulers = Schedulers::new(settings, incarnation, &control, &directory, &releases);
+        let watcher = schedulers.watcher(settings, &edges, &control, &directory, &releases);
         let control = control.run(watcher)?;
-        let stop_listening = CancellationToken::new();
+        traffic.spawn(schedulers.clone().run_timers());
+        let observed = Observed::new(settings, &control, metrics, log);
+        let operators_address = observed.serve(settings, incarnation, &control)?;
         let tasks = TaskTracker::new();
-        traffic.spawn({
-            let (hub, plain_hub) = (Arc::clone(&hub), Arc::clone(&plain_hub));
-            async move { tokio::join!(hub.run_timers(), plain_hub.run_timers()) }
+        control.publish_figures(Figures {
+            usage: Arc::clone(&control.usage),
+            members: Arc::clone(&control.members.view),
+            directory: Arc::clone(&directory),
+            hub: Arc::clone(&schedulers.hub),
+            tasks: tasks.clone(),
+            link: Arc::clone(&control.link),
+            metrics: observed.metrics.clone(),
         });
-        let dispatcher = Arc::new(Dispatcher {
+        let dispatcher = Dispatcher {
             engines: edges.engines,
             plain_services: edges.plain_services,
-            directory: Arc::clone(&directory),
-            hub,
+            directory,
             host: settings.host.id.clone(),
             http: BackendHttp::new(),
-            plain_hub: Arc::clone(&plain_hub),
+            hub: schedulers.hub,
+            plain_hub: schedulers.plain_hub,
             claims: control.claims.clone(),
             tickets: Tickets::new(settings.host.id.clone(), incarnation, TicketSettings::default()),
             tasks: tasks.clone(),
             runtime: traffic.handle().clone(),
-            observer: Observer::new(metrics, log),
+            observer: Observer::new(observed.metrics, observed.log, observed.recent),
             spread: control.kernel.find(ServiceName::Spread)?,
-        });
-        let state = Arc::new(CallerState {
+        };
+        let state = CallerState {
             tokens: PartnerTokens::new(&settings.partners),
             routes: settings.routes.clone(),
             limits: settings.limits.clone(),
-            dispatcher,
+            dispatcher: Arc::new(dispatcher),
             config: Arc::clone(&control.config.state),
             incarnation,
             sequence: AtomicU64::new(0),
-        });
+        };
         let listener = listen(settings)?;
         let address = settings.listen.callers;
         let callers_address = listener
             .address()
             .map_err(|source| StartError::Listen { address, source })?;
-        let serving = traffic.spawn(listener.serve(state, stop_listening.clone()));
+        let stop_listening = CancellationToken::new();
+        let serving = traffic.spawn(listener.serve(Arc::new(state), stop_listening.clone()));
         Ok(Self {
             callers_address,
+            operators_address,
+            readiness: observed.readiness,
             stop_listening,
             traffic,
             serving,
@@ -217,6 +211,11 @@
         self.callers_address
     }
 
+    /// Where operators are served.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators_address
+    }
+
     /// Where other daemons reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         self.control.link.local_address()
@@ -239,6 +238,7 @@
     /// memory is released.
     pub fn stop(self) {
         let Self {
+            readiness,
             stop_listening,
             traffic,
             serving,
@@ -248,6 +248,7 @@
             grace_ms,
             ..
         } = self;
+        readiness.drain();
         control.leave();
         traffic.block_on(async {
             // New work still arrives until the balancer has noticed that readiness fails.
@@ -272,6 +273,102 @@
     }
 }
 
+/// The schedulers of this daemon.
+#[derive(Clone, Debug)]
+struct Schedulers {
+    hub: Arc<Hub>,
+    plain_hub: Arc<PlainHub>,
+}
+
+impl Schedulers {
+    fn new(
+        settings: &Settings,
+        incarnation: Incarnation,
+        control: &Control,
+        directory: &Arc<Directory>,
+        releases: &Arc<Releases>,
+    ) -> Self {
+        let route = SlotRoute {
+            host: settings.host.id.clone(),
+            incarnation,
+            members: Arc::clone(&control.members.view),
+            directory: Arc::clone(directory),
+            link: Arc::<NngLink>::clone(&control.link),
+            kernel: control.kernel.clone(),
+        };
+        // The incarnation is as good a seed as any, and it is in the log when a decision is to be replayed.
+        let seed = incarnation.0;
+        let hub = Hub::new(SchedulerSettings::default(), seed, route, Arc::clone(releases));
+        Self {
+            hub: Arc::new(hub),
+            plain_hub: Arc::new(PlainHub::new(seed)),
+        }
+    }
+
+    fn watcher(
+        &self,
+        settings: &Settings,
+        edges: &Edges,
+        control: &Control,
+        directory: &Arc<Directory>,
+        releases: &Arc<Releases>,
+    ) -> WatcherParts {
+        WatcherParts {
+            host: settings.host.id.clone(),
+            region: settings.host.region.clone(),
+            members: Arc::clone(&control.members.view),
+            directory: Arc::clone(directory),
+            engines: Arc::clone(&edges.engines),
+            link: Arc::<NngLink>::clone(&control.link),
+            hub: Arc::clone(&self.hub),
+            plain_hub: Arc::clone(&self.plain_hub),
+            releases: Arc::clone(releases),
+        }
+    }
+
+    async fn run_timers(self) {
+        tokio::join!(self.hub.run_timers(), self.plain_hub.run_timers());
+    }
+}
+
+/// What a daemon shows of itself.
+#[derive(Debug)]
+struct Observed {
+    metrics: Metrics,
+    log: logging::Log,
+    recent: Arc<RecentRequests>,
+    readiness: Arc<Readiness>,
+}
+
+impl Observed {
+    fn new(settings: &Settings, control: &RunningControl, metrics: Metrics, log: logging::Log) -> Self {
+        Self {
+            metrics,
+            log,
+            recent: Arc::new(RecentRequests::new(settings.observe.recent_requests)),
+            readiness: Arc::new(Readiness::new(control.config.is_ready.clone())),
+        }
+    }
+
+    fn serve(
+        &self,
+        settings: &Settings,
+        incarnation: Incarnation,
+        control: &RunningControl,
+    ) -> Result<SocketAddr, StartError> {
+        let parts = OperatorsParts {
+            host: settings.host.clone(),
+            incarnation,
+            config: control.config.clone(),
+            metrics: self.metrics.clone(),
+            members: Arc::clone(&control.members.view),
+            recent: Arc::clone(&self.recent),
+            readiness: Arc::clone(&self.readiness),
+        };
+        control.serve_operators(settings.listen.operators, parts)
+    }
+}
+
 /// The traffic threads. Dropped, they end in the background: a daemon may be dropped where waiting is not
 /// allowed.
 #[derive(Debug)]
--- a/crates/router/src/dispatch/hub.rs
+++ b/crates/router/src/dispatch/hub.rs
@@ -112,9 +112,9 @@
         *self.state.lock().scheduler.counters()
     }
 
-    /// Requests not yet ended.
-    pub fn open_requests(&self) -> usize {
-        self.state.lock().scheduler.open_len()
+    /// Requests that wait for a server.
+    pub fn waiting_requests(&self) -> usize {
+        self.state.lock().scheduler.waiting_len()
     }
 
     /// Lets time pass for the scheduler, for as long as the daemon runs.
--- a/crates/router/src/dispatch/language.rs
+++ b/crates/router/src/dispatch/language.rs
@@ -208,7 +208,7 @@
                 redo,
                 ..
             } => {
-                self.observed.prefill_starts(attempt.0, redo);
+                self.observed.prefill_starts(attempt.0, &server, redo);
                 Next::Done(self.prefill(attempt, &server, priority).await)
             }
             Action::Import {
@@ -219,6 +219,7 @@
                 rate_bytes_per_s,
                 ..
             } => {
+                self.observed.import_starts(&server);
                 let route = ImportRoute {
                     source,
                     server,
@@ -234,9 +235,7 @@
                 silence_ms,
                 ..
             } => {
-                if resume {
-                    self.observed.resumed();
-                }
+                self.observed.decode_starts(&server, resume);
                 Next::Done(self.decode(attempt, &server, resume, silence_ms).await)
             }
             Action::Refuse {
@@ -267,14 +266,14 @@
     }
 
     fn failed(
-        &self,
+        &mut self,
         attempt: Attempt,
         stage: WorkStage,
         server: &BackendServerId,
         failure: EngineFailure,
     ) -> Event {
         let cause = cause_of(failure);
-        self.observed.step_failed(cause);
+        self.observed.step_failed(server, cause);
         if cause == FailureCause::Leaving {
             self.dispatcher.note_leaving(server);
         }
@@ -323,7 +322,7 @@
         on_second_connection(first, || engines.prefill(to, call, Trust::Fresh)).await
     }
 
-    async fn import(&self, attempt: Attempt, route: ImportRoute) -> Event {
+    async fn import(&mut self, attempt: Attempt, route: ImportRoute) -> Event {
         match self.ask_import(attempt, &route).await {
             Ok(_) => Event::Imported {
                 request_id: self.request.request_id,
--- a/crates/router/src/dispatch/observe.rs
+++ b/crates/router/src/dispatch/observe.rs
@@ -2,14 +2,16 @@
 
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{ClassName, PartnerId, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, ClassName, PartnerId, RequestId};
 use hibiscusvale_core::sched::{FailureCause, RedoCause, RefusalReason as Refused};
 use hibiscusvale_core::units::{Micros, Millis, MonoTime, Tokens};
 
 use crate::callers::{LanguageRequest, Outcome, PlainRequest, Refusal, RefusalReason};
+use crate::clock;
 use crate::dispatch::LanguageTarget;
 use crate::logging::{Log, RequestLine};
 use crate::metrics::{ClassMetrics, Label, Metrics};
+use crate::operators::{RecentRequests, RequestRecord, RequestStep};
 
 impl Label for Outcome {
     fn label(self) -> &'static str {
@@ -59,12 +61,13 @@
 pub struct Observer {
     metrics: Metrics,
     log: Log,
+    recent: Arc<RecentRequests>,
 }
 
 impl Observer {
-    /// An observer that counts in `metrics` and writes to `log`.
-    pub fn new(metrics: Metrics, log: Log) -> Self {
-        Self { metrics, log }
+    /// An observer that counts in `metrics`, writes to `log` and keeps the latest requests in `recent`.
+    pub fn new(metrics: Metrics, log: Log, recent: Arc<RecentRequests>) -> Self {
+        Self { metrics, log, recent }
     }
 
     /// Starts to observe a language request.
@@ -89,6 +92,20 @@
         )
     }
 
+    /// A request was refused before its partner's class was looked at.
+    pub fn refused_early(&self, request_id: RequestId, refusal: Refusal) {
+        self.metrics.event(refusal.reason);
+        let line = RequestLine {
+            request_id,
+            partner: None,
+            class: None,
+            outcome: refusal.outcome,
+            took_ms: Millis::ZERO,
+            attempts: 0,
+        };
+        self.log.request_refused(line, refusal.reason);
+    }
+
     fn begin(
         &self,
         request_id: RequestId,
@@ -100,6 +117,9 @@
         Observed {
             metrics: self.metrics.class(partner, class),
             log: self.log.clone(),
+            recent: Arc::clone(&self.recent),
+            came_at_unix_ms: clock::unix_ms(),
+            steps: Vec::new(),
             request_id,
             partner: partner.clone(),
             class: class.clone(),
@@ -112,6 +132,9 @@
     }
 }
 
+/// Steps remembered of one request. A request with more has told its story by then.
+const STEPS_MAX: usize = 24;
+
 /// The target that a request is measured by.
 #[derive(Clone, Copy, Debug)]
 enum Subject {
@@ -125,6 +148,9 @@
 pub struct Observed {
     metrics: Arc<ClassMetrics>,
     log: Log,
+    recent: Arc<RecentRequests>,
+    came_at_unix_ms: u64,
+    steps: Vec<RequestStep>,
     request_id: RequestId,
     partner: PartnerId,
     class: ClassName,
@@ -138,13 +164,14 @@
 
 impl Observed {
     /// A try begins; `redo` says why there was one before.
-    pub fn prefill_starts(&mut self, attempt: u32, redo: Option<RedoCause>) {
+    pub fn prefill_starts(&mut self, attempt: u32, server: &BackendServerId, redo: Option<RedoCause>) {
         self.attempts = attempt;
         if let Some(cause) = redo {
             self.metrics.retried(cause);
             self.log.request_retried(self.request_id, cause);
             self.waste(cause);
         }
+        self.step("prefill", Some(server));
     }
 
     /// A prompt was read.
@@ -153,19 +180,29 @@
         self.prefilled_tokens = tokens;
     }
 
+    /// A KV cache begins to move.
+    pub fn import_starts(&mut self, server: &BackendServerId) {
+        self.step("import", Some(server));
+    }
+
+    /// A token stream begins, or is resumed by index on a new connection.
+    pub fn decode_starts(&mut self, server: &BackendServerId, resume: bool) {
+        if resume {
+            self.metrics.retried(Resumed);
+        }
+        self.step(if resume { Resumed.label() } else { "decode" }, Some(server));
+    }
+
     /// A step at a backend server failed.
-    pub fn step_failed(&self, cause: FailureCause) {
+    pub fn step_failed(&mut self, server: &BackendServerId, cause: FailureCause) {
         self.metrics.retried(cause);
+        self.step(cause.label(), Some(server));
     }
 
     /// A try at a plain service begins.
-    pub fn tried(&mut self) {
+    pub fn tried(&mut self, server: &BackendServerId) {
         self.attempts += 1;
-    }
-
-    /// A broken stream is resumed by index.
-    pub fn resumed(&self) {
-        self.metrics.retried(Resumed);
+        self.step("call", Some(server));
     }
 
     /// The first token goes to the caller.
@@ -173,6 +210,18 @@
         self.first_token_us = Some(now_us);
         self.prefilled_tokens = Tokens::ZERO;
         self.metrics.first_token(now_us.since(self.arrived_us));
+        self.step("first-token", None);
+    }
+
+    fn step(&mut self, what: &'static str, server: Option<&BackendServerId>) {
+        if self.steps.len() < STEPS_MAX {
+            let after_ms = clock::now().since(self.arrived_us).to_millis_ceil();
+            self.steps.push(RequestStep {
+                after_ms,
+                what,
+                server: server.cloned(),
+            });
+        }
     }
 
     /// The request was answered; `tokens` is zero for a plain one.
@@ -186,6 +235,7 @@
         }
         self.metrics.finished(Outcome::Answered);
         self.log.request_finished(self.line(now_us, Outcome::Answered));
+        self.remember(now_us, Outcome::Answered.label(), None);
     }
 
     fn language_targets_met(&self, target: LanguageTarget, now_us: MonoTime, tokens: Tokens) -> bool {
@@ -213,6 +263,20 @@
         self.waste(RedoCause::CallerLeft);
         self.metrics.finished(CallerLeft);
         self.log.request_finished(self.line(now_us, CallerLeft));
+        self.remember(now_us, CallerLeft.label(), None);
+    }
+
+    fn remember(&mut self, now_us: MonoTime, outcome: &'static str, refusal: Option<&'static str>) {
+        self.recent.note(RequestRecord {
+            request_id: self.request_id,
+            partner: Some(self.partner.clone()),
+            class: Some(self.class.clone()),
+            outcome,
+            refusal,
+            came_at_unix_ms: self.came_at_unix_ms,
+            took_ms: now_us.since(self.arrived_us).to_millis_ceil(),
+            steps: std::mem::take(&mut self.steps),
+        });
     }
 
     fn waste(&mut self, cause: RedoCause) {
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -113,7 +113,7 @@
                     // The process was paused for so long that the key may be another's by now.
                     return Err(Refusal::not_run(RefusalReason::ClaimsUnavailable));
                 }
-                observed.tried();
+                observed.tried(&server);
                 let trust = if fresh_connection {
                     Trust::Fresh
                 } else {
@@ -135,7 +135,7 @@
                     None => PlainFailure::NotSent,
                 };
                 let cause = cause_of(failure);
-                observed.step_failed(cause);
+                observed.step_failed(&server, cause);
                 if cause == FailureCause::Leaving {
                     dispatcher.note_leaving(&server);
                 }
--- /dev/null
+++ b/crates/router/src/figures.rs
@@ -0,0 +1,99 @@
+//! Once a second, what the services know in their own terms becomes gauges and counters.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hibiscusvale_core::membership::MembersView;
+use hibiscusvale_core::meter::ControlUsage;
+use tokio::time::MissedTickBehavior;
+use tokio_util::task::TaskTracker;
+
+use crate::clock;
+use crate::directory::Directory;
+use crate::dispatch::Hub;
+use crate::metrics::{Gauge, Label, Metrics};
+use crate::peer::{LinkCounts, NngLink};
+
+/// Scrapers ask every few seconds; finer figures would be read by nobody.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Where the figures come from and go to.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// What control costs.
+    pub usage: Arc<ArcSwap<ControlUsage>>,
+    /// Who lives.
+    pub members: Arc<ArcSwap<MembersView>>,
+    /// The backend servers.
+    pub directory: Arc<Directory>,
+    /// The scheduler of language requests.
+    pub hub: Arc<Hub>,
+    /// Requests under way.
+    pub tasks: TaskTracker,
+    /// The link to other daemons.
+    pub link: Arc<NngLink>,
+    /// Where the figures go.
+    pub metrics: Metrics,
+}
+
+/// A count of the link by its name. The names are those of the fields of [`LinkCounts`], a closed set.
+#[derive(Clone, Copy, Debug)]
+struct LinkCount(&'static str);
+
+impl Label for LinkCount {
+    fn label(self) -> &'static str {
+        self.0
+    }
+}
+
+impl Figures {
+    /// Runs for as long as the daemon does.
+    pub async fn run(self) {
+        let mut period = tokio::time::interval(PERIOD);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut counted = LinkCounts::default();
+        loop {
+            period.tick().await;
+            self.set_gauges();
+            counted = self.count_link(counted);
+        }
+    }
+
+    fn set_gauges(&self) {
+        let usage = self.usage.load();
+        let now_us = clock::now();
+        let listing = self.directory.listing();
+        let live = listing
+            .servers
+            .values()
+            .filter(|server| self.directory.takes_work(now_us, server))
+            .count();
+        let set = |gauge, value: u64| self.metrics.set(gauge, value);
+        set(Gauge::ControlCpuPpm, usage.core_share.0);
+        set(Gauge::ControlMemoryBytes, usage.memory_bytes.0);
+        set(Gauge::ControlSentBytesPerS, usage.sent_bytes_per_s.0);
+        set(Gauge::RequestsInFlight, self.tasks.len() as u64);
+        set(Gauge::RequestsQueued, self.hub.waiting_requests() as u64);
+        set(
+            Gauge::HostsLive,
+            self.members
+                .load()
+                .all()
+                .filter(|member| member.is_eligible())
+                .count() as u64,
+        );
+        set(Gauge::BackendServersLive, live as u64);
+    }
+
+    /// Counts what the link refused and dropped since `counted`.
+    fn count_link(&self, counted: LinkCounts) -> LinkCounts {
+        let now = self.link.counts();
+        for ((name, before), (_, after)) in counted.by_name().zip(now.by_name()) {
+            if name.starts_with("dropped") || name.starts_with("refused") {
+                self.metrics.peer_dropped(LinkCount(name), after - before);
+            }
+        }
+        now
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod directory;
 pub mod dispatch;
+pub mod figures;
 pub mod kernel;
 pub mod logging;
 pub mod membership;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -113,12 +113,12 @@
         Arc::clone(entry)
     }
 
-    /// Counts a peer message that was dropped.
-    pub fn peer_dropped<Cause>(&self, cause: Cause)
+    /// Counts peer messages that were dropped.
+    pub fn peer_dropped<Cause>(&self, cause: Cause, messages: u64)
     where
         Cause: Label,
     {
-        self.counts.peer_drops.add(cause, 1);
+        self.counts.peer_drops.add(cause, messages);
     }
 
     /// Counts something that happened to the daemon rather than to a class of requests.
--- a/crates/router/tests/ops/observe.rs
+++ b/crates/router/tests/ops/observe.rs
@@ -95,7 +95,7 @@
     summary.wasted_prefill(Mark::Evicted, Tokens(40));
     summary.first_token(Micros(30_000));
     summary.per_token(Micros(12_000));
-    metrics.peer_dropped(Mark::Evicted);
+    metrics.peer_dropped(Mark::Evicted, 1);
     metrics.set(Gauge::ControlSentBytesPerS, 77);
     let text = metrics.render();
     for expected in [
