Watch engines whose data centre lost all its daemons, and read cache events

Cause: with all entry hosts of a data centre dead nobody granted the slots of its engines, and cache events were never asked for. Change: the region's daemons take such engines over, unless the data centre is merely not heard of; the watcher of a prefill server reads its cache events with its load. Ruled out: telling cache events to all daemons, which would not fit their bytes.

--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -5,8 +5,8 @@
 //! spread over all that remain. Two daemons with different views may both think the job theirs, or neither:
 //! what may not be done twice is guarded by the platform's log or by the server's own check, never by this.
 
-use crate::ids::{BackendServerId, DataCentreId, HostId};
-use crate::membership::{Member, MembersView};
+use crate::ids::{BackendServerId, DataCentreId, HostId, RegionId};
+use crate::membership::{Member, MemberState, MembersView};
 
 /// Hash of a job's name, for [`owner_of`].
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -64,6 +64,26 @@
         .map(|member| member.host.clone())
 }
 
+/// The daemon that watches a backend server, also when its data centre has lost all its daemons: then one of
+/// the region does, for the server's slots would otherwise be granted to nobody. Not while the data centre is
+/// merely not heard of: its own daemons go on with their servers, and two watchers would overfill them.
+pub fn watcher_in(
+    server: &BackendServerId,
+    data_centre: &DataCentreId,
+    region: &RegionId,
+    view: &MembersView,
+) -> Option<HostId> {
+    let own = view.in_data_centre(data_centre);
+    if own
+        .iter()
+        .any(|member| member.is_eligible() || member.state == MemberState::Unreachable)
+    {
+        return watcher_of(server, data_centre, view);
+    }
+    let region = view.all().filter(|member| member.region == *region);
+    highest(JobHash::watching(server), region).map(|member| member.host.clone())
+}
+
 /// The daemon that does a job which exists once in the whole system.
 pub fn owner_of(job: JobHash, view: &MembersView) -> Option<HostId> {
     highest(job, view.all()).map(|member| member.host.clone())
@@ -85,8 +105,13 @@
         .collect()
 }
 
-/// Whether this daemon itself watches `server`. A daemon that the others no longer hear does not: they have
-/// given the server to another by then.
-pub fn is_watched_here(server: &BackendServerId, data_centre: &DataCentreId, view: &MembersView) -> bool {
-    view.is_heard && watcher_of(server, data_centre, view) == view.own_host
+/// Whether this daemon itself watches `server`, by [`watcher_in`]. A daemon that the others no longer hear does
+/// not: they have given the server to another by then.
+pub fn is_watched_here(
+    server: &BackendServerId,
+    data_centre: &DataCentreId,
+    region: &RegionId,
+    view: &MembersView,
+) -> bool {
+    view.is_heard && watcher_in(server, data_centre, region, view) == view.own_host
 }
--- a/crates/core/tests/nodes/watch.rs
+++ b/crates/core/tests/nodes/watch.rs
@@ -2,9 +2,9 @@
 
 use std::collections::HashMap;
 
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Incarnation};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Incarnation, RegionId};
 use hibiscusvale_core::membership::{Member, MemberState, MembersView};
-use hibiscusvale_core::watch::{JobHash, hash_name, is_watched_here, owner_of, watcher_of};
+use hibiscusvale_core::watch::{JobHash, hash_name, is_watched_here, owner_of, watcher_in, watcher_of};
 
 fn member(data_centre: &str, index: usize) -> Member {
     let host: HostId = format!("{data_centre}-entry-{index:02}").parse().unwrap();
@@ -41,6 +41,10 @@
     "dc1".parse().unwrap()
 }
 
+fn region() -> RegionId {
+    "region".parse().unwrap()
+}
+
 fn watchers(view: &MembersView) -> HashMap<BackendServerId, HostId> {
     servers()
         .into_iter()
@@ -126,7 +130,30 @@
     let mut view = view(3);
     let server = servers().remove(0);
     view.own_host = watcher_of(&server, &data_centre(), &view);
-    assert!(is_watched_here(&server, &data_centre(), &view));
+    assert!(is_watched_here(&server, &data_centre(), &region(), &view));
     view.is_heard = false;
-    assert!(!is_watched_here(&server, &data_centre(), &view));
+    assert!(!is_watched_here(&server, &data_centre(), &region(), &view));
+}
+
+/// All entry hosts of a data centre die with their rack while its engines run on. Were nobody to watch the
+/// engines, callers of the whole region would be refused although a third of the capacity stands idle. While the
+/// data centre is only cut off its own daemons go on, and a second watcher would overfill the engines.
+#[test]
+fn a_data_centre_without_daemons_is_watched_from_its_region() {
+    let mut view = view(3);
+    let server = servers().remove(0);
+    let everyone = |view: &mut MembersView, state| {
+        for member in view.members.get_mut(&data_centre()).unwrap() {
+            member.state = state;
+        }
+    };
+    everyone(&mut view, MemberState::Unreachable);
+    assert_eq!(watcher_in(&server, &data_centre(), &region(), &view), None);
+    view.members.remove(&data_centre());
+    let substitute = watcher_in(&server, &data_centre(), &region(), &view).unwrap();
+    assert!(substitute.as_str().starts_with("dc2"));
+    assert_eq!(
+        watcher_in(&server, &data_centre(), &"elsewhere".parse().unwrap(), &view),
+        None
+    );
 }
--- a/crates/router/src/backend/engine.rs
+++ b/crates/router/src/backend/engine.rs
@@ -196,6 +196,48 @@
     Other,
 }
 
+/// News of an engine's prefix cache; late and with gaps.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct CachePage {
+    /// The events, oldest first.
+    pub events: Vec<CacheChange>,
+    /// Where to go on.
+    pub next_seq: u64,
+}
+
+/// One event of a prefix cache.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct CacheChange {
+    /// Its number; a gap means that events are lost.
+    pub seq: u64,
+    /// What happened to the block.
+    pub kind: CacheChangeKind,
+    /// The block, named by the hash of the prompt up to its end.
+    #[serde(with = "block_text")]
+    pub block: u64,
+}
+
+/// What happened to a block.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CacheChangeKind {
+    /// It can be used from now on.
+    Stored,
+    /// It is gone.
+    Evicted,
+}
+
+mod block_text {
+    use serde::{Deserialize, Deserializer, de::Error};
+
+    pub fn deserialize<'de, D>(deserializer: D) -> Result<u64, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        u64::from_str_radix(&String::deserialize(deserializer)?, 16).map_err(D::Error::custom)
+    }
+}
+
 /// Why a call to an engine failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, thiserror::Error)]
 pub enum EngineFailure {
@@ -273,6 +315,9 @@
 
     /// Asks for the load report.
     fn load(&self, to: SocketAddr) -> BoxFuture<'_, Result<EngineLoad, EngineFailure>>;
+
+    /// Asks for the events of the prefix cache behind `after`.
+    fn cache_events(&self, to: SocketAddr, after: u64) -> BoxFuture<'_, Result<CachePage, EngineFailure>>;
 }
 
 /// [`EngineEdge`] by HTTP.
@@ -330,6 +375,23 @@
     }
 }
 
+impl HttpEngines {
+    async fn read<Reply>(&self, to: SocketAddr, path: String) -> Result<Reply, EngineFailure>
+    where
+        Reply: DeserializeOwned,
+    {
+        let request = Request::builder()
+            .uri(uri(to, &path)?)
+            .body(Full::default())
+            .map_err(|_| CallFailure::Malformed)?;
+        let response = self.http.send(Trust::Pooled, request, SHORT_CALL).await?;
+        if let Some(failure) = failure_of(response.status()) {
+            return Err(failure);
+        }
+        parse(&read_body(response.into_body(), REPLY_LIMIT_BYTES, SHORT_CALL).await?)
+    }
+}
+
 fn parse<Reply>(bytes: &[u8]) -> Result<Reply, EngineFailure>
 where
     Reply: DeserializeOwned,
@@ -477,17 +539,11 @@
     }
 
     fn load(&self, to: SocketAddr) -> BoxFuture<'_, Result<EngineLoad, EngineFailure>> {
-        Box::pin(async move {
-            let request = Request::builder()
-                .uri(uri(to, "/engine/load")?)
-                .body(Full::default())
-                .map_err(|_| CallFailure::Malformed)?;
-            let response = self.http.send(Trust::Pooled, request, SHORT_CALL).await?;
-            if let Some(failure) = failure_of(response.status()) {
-                return Err(failure);
-            }
-            parse(&read_body(response.into_body(), REPLY_LIMIT_BYTES, SHORT_CALL).await?)
-        })
+        Box::pin(self.read(to, "/engine/load".to_owned()))
+    }
+
+    fn cache_events(&self, to: SocketAddr, after: u64) -> BoxFuture<'_, Result<CachePage, EngineFailure>> {
+        Box::pin(self.read(to, format!("/engine/cache_events?after={after}")))
     }
 }
 
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -5,8 +5,9 @@
 mod plain;
 
 pub use engine::{
-    DecodeCall, EngineEdge, EngineFailure, EngineLoad, Held, HeldRequest, HeldStage, HttpEngines, ImportCall,
-    Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
+    CacheChange, CacheChangeKind, CachePage, DecodeCall, EngineEdge, EngineFailure, EngineLoad, Held,
+    HeldRequest, HeldStage, HttpEngines, ImportCall, Imported, Owner, PrefillCall, Prefilled, StreamPart,
+    TokenStream,
 };
 pub use http::{BackendHttp, CallFailure, Trust, read_body, uri};
 pub use plain::{HttpPlain, PlainCall, PlainEdge, PlainFailure, PlainReply, strip_connection_headers};
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -13,14 +13,16 @@
 use hibiscusvale_core::ids::{AttemptId, BackendServerId, HostId, Incarnation, RegionId, RequestId};
 use hibiscusvale_core::membership::MembersView;
 use hibiscusvale_core::orphan::{MemoryOwner, OrphanSettings, OrphanWatch, OwnerState, SeenOwner};
-use hibiscusvale_core::sched::{Event, ServerRecord, ServerState};
+use hibiscusvale_core::sched::{CacheEvent, CacheEventKind, Event, ServerRecord, ServerState};
 use hibiscusvale_core::slots::{HeldReport, LedgerAction, LedgerSettings, Role, SlotMessage, Watcher};
 use hibiscusvale_core::units::{Micros, MonoTime};
-use hibiscusvale_core::watch::{is_watched_here, watcher_of};
+use hibiscusvale_core::watch::{is_watched_here, watcher_in};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
-use crate::backend::{EngineEdge, EngineLoad, Held, HeldRequest, Owner};
+use crate::backend::{
+    CacheChange, CacheChangeKind, CachePage, EngineEdge, EngineLoad, Held, HeldRequest, Owner,
+};
 use crate::clock;
 use crate::directory::{BackendKind, BackendServer, Directory, Listing};
 use crate::dispatch::{Hub, PlainHub, Releases};
@@ -74,12 +76,18 @@
     pub releases: Arc<Releases>,
 }
 
-/// A load report as it came back.
+/// What a watched engine answered.
 #[derive(Debug)]
 struct Reported {
     server: BackendServerId,
     asked_us: MonoTime,
-    load: EngineLoad,
+    news: News,
+}
+
+#[derive(Debug)]
+enum News {
+    Load(EngineLoad),
+    Cache(CachePage),
 }
 
 /// The watcher service.
@@ -91,6 +99,8 @@
     watchers: HashMap<BackendServerId, Option<HostId>>,
     /// What each watched engine last reported to hold.
     held: HashMap<BackendServerId, Vec<HeldRequest>>,
+    /// Up to where the cache events of each watched prefill server are known.
+    cache_seq: HashMap<BackendServerId, u64>,
     /// Which owners of that memory may be dead.
     orphans: HashMap<BackendServerId, OrphanWatch>,
     reports: mpsc::UnboundedSender<Reported>,
@@ -113,6 +123,7 @@
             ledgers: Watcher::new(LedgerSettings::default()),
             watchers: HashMap::new(),
             held: HashMap::new(),
+            cache_seq: HashMap::new(),
             orphans: HashMap::new(),
             reports,
             ready,
@@ -173,7 +184,7 @@
             self.arrange(now_us, server, &view, &others);
             watchers.insert(
                 server.id.clone(),
-                watcher_of(&server.id, &server.data_centre, &view),
+                watcher_in(&server.id, &server.data_centre, &server.region, &view),
             );
         }
         self.close_unlisted(now_us, &watchers);
@@ -206,7 +217,7 @@
         else {
             return;
         };
-        if !is_watched_here(&server.id, &server.data_centre, view) {
+        if !is_watched_here(&server.id, &server.data_centre, &server.region, view) {
             self.ledgers.disown(now_us, &server.id, &mut self.actions);
             self.forget(&server.id);
             return;
@@ -241,6 +252,7 @@
     fn forget(&mut self, server: &BackendServerId) {
         self.held.remove(server);
         self.orphans.remove(server);
+        self.cache_seq.remove(server);
     }
 
     fn ask_reports(&self) {
@@ -253,16 +265,29 @@
             let engines = Arc::clone(&self.parts.engines);
             let reports = self.reports.clone();
             let (server, address) = (server.id.clone(), server.address);
+            let reads = self
+                .ledgers
+                .ledger(&server)
+                .is_some_and(|ledger| ledger.role() == Role::Prefill);
+            let after = reads.then(|| self.cache_seq.get(&server).copied().unwrap_or_default());
             tokio::spawn(async move {
                 let asked_us = clock::now();
                 // A report that does not come is nothing to act on: the ledger counts its own grants, and
                 // whether the server is mute shows in the calls of requests.
                 if let Ok(load) = engines.load(address).await {
                     // The service ends with its daemon.
+                    let _ = reports.send(Reported {
+                        server: server.clone(),
+                        asked_us,
+                        news: News::Load(load),
+                    });
+                }
+                let Some(after) = after else { return };
+                if let Ok(page) = engines.cache_events(address, after).await {
                     let _ = reports.send(Reported {
                         server,
                         asked_us,
-                        load,
+                        news: News::Cache(page),
                     });
                 }
             });
@@ -270,12 +295,19 @@
     }
 
     fn report(&mut self, reported: Reported) {
-        let now_us = clock::now();
         let Reported {
             server,
             asked_us,
-            load,
+            news,
         } = reported;
+        match news {
+            News::Load(load) => self.load_report(server, asked_us, load),
+            News::Cache(page) => self.cache_report(server, &page),
+        }
+    }
+
+    fn load_report(&mut self, server: BackendServerId, asked_us: MonoTime, load: EngineLoad) {
+        let now_us = clock::now();
         // The answer may describe the engine as it was when the question arrived.
         let as_of_us = Micros::from(load.as_of_ms_ago) + now_us.since(asked_us);
         let held = load
@@ -289,6 +321,17 @@
         self.held.insert(server, load.held);
     }
 
+    /// Events tell of prompts that other daemons sent and of evictions; of its own prompts the scheduler knows
+    /// before any event comes. They are a hint: one that is lost costs a prefill, never an answer.
+    fn cache_report(&mut self, server: BackendServerId, page: &CachePage) {
+        self.cache_seq
+            .insert(server.clone(), page.next_seq.saturating_sub(1));
+        if !page.events.is_empty() {
+            let events = page.events.iter().map(cache_event).collect();
+            self.parts.hub.feed(Event::Cache { server, events });
+        }
+    }
+
     /// Has an engine release what daemons that died left behind. Each report that still shows it has it asked
     /// again, so a lost cancellation costs one period.
     fn release_orphans(&mut self, now_us: MonoTime, server: &BackendServerId, load: &EngineLoad) {
@@ -359,6 +402,18 @@
     }
 }
 
+fn cache_event(change: &CacheChange) -> CacheEvent {
+    let kind = match change.kind {
+        CacheChangeKind::Stored => CacheEventKind::Stored,
+        CacheChangeKind::Evicted => CacheEventKind::Evicted,
+    };
+    CacheEvent {
+        seq: change.seq,
+        kind,
+        block: change.block,
+    }
+}
+
 fn request_of(text: &str) -> Option<RequestId> {
     text.parse().ok().map(|attempt: AttemptId| attempt.request_id)
 }
