--- /dev/null
+++ b/crates/client/src/cmd/validate.rs
@@ -0,0 +1,32 @@
+//! `hibiscusvale validate FILE`.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use serde::Serialize;
+
+use crate::classes;
+use crate::error::ClientError;
+use crate::report::Report;
+
+/// Checks a class file.
+#[derive(Debug, Options)]
+pub struct Validate {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "class file")]
+    file: PathBuf,
+}
+
+#[derive(Serialize)]
+struct View {
+    classes: usize,
+}
+
+impl Validate {
+    pub(super) fn run(&self) -> Result<Report, ClientError> {
+        let classes = classes::load(&self.file)?.len();
+        let human = format!("{} is in order: {classes} classes", self.file.display());
+        Ok(Report::new(&View { classes }, human))
+    }
+}
--- /dev/null
+++ b/crates/client/src/cmd/why.rs
@@ -0,0 +1,67 @@
+//! `hibiscusvale why REQUEST_ID`.
+
+use gumdrop::Options;
+use hibiscusvale::operators::views::RequestView;
+use hibiscusvale::operators::{OperatorsClient, OperatorsFailure};
+use hibiscusvale_core::ids::RequestId;
+
+use crate::context::Context;
+use crate::error::ClientError;
+use crate::hosts::{HostAnswer, answered, ask_all};
+use crate::report::{Report, or_dash};
+
+/// Explains what became of a request.
+#[derive(Debug, Options)]
+pub struct Why {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the x-request-id of the answer")]
+    request_id: Option<RequestId>,
+}
+
+impl Why {
+    pub(super) async fn run(&self, context: &Context) -> Result<Report, ClientError> {
+        let request_id = or_dash(self.request_id);
+        let client = OperatorsClient::default();
+        let path = format!("/control/why/{request_id}");
+        let answers = ask_all::<RequestView>(&client, context.hosts()?, &path).await;
+        let is_known_nowhere = answers.iter().any(has_answered_no);
+        match answered(answers) {
+            Ok(views) => views
+                .first()
+                .map(|view| Report::new(view, human(view)))
+                .ok_or(ClientError::NotFound { request_id }),
+            Err(_) if is_known_nowhere => Err(ClientError::NotFound { request_id }),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+fn has_answered_no(answer: &HostAnswer<RequestView>) -> bool {
+    matches!(answer.view, Err(OperatorsFailure::NotFound))
+}
+
+fn human(view: &RequestView) -> String {
+    let mut lines = vec![format!(
+        "request {} of {} in class {}, taken in by {}\noutcome: {}{} after {}",
+        view.request_id,
+        or_dash(view.partner.as_ref()),
+        or_dash(view.class.as_ref()),
+        view.host,
+        view.outcome,
+        view.refusal
+            .as_ref()
+            .map(|reason| format!(" ({reason})"))
+            .unwrap_or_default(),
+        view.took_ms
+    )];
+    for step in &view.steps {
+        let server = step
+            .server
+            .as_ref()
+            .map(|server| format!(" at {server}"))
+            .unwrap_or_default();
+        lines.push(format!("{:>8} {}{server}", step.after_ms.to_string(), step.what));
+    }
+    lines.join("\n")
+}
