Commit man pages and completions, and test the client's failures

Two operators at once, a lost answer, an outage, a wrong key, a host that lags, a log that was started afresh: each ends with its own exit code and says what to do. The man pages and completions are written by the program from its own help; a test fails when they are out of date.

--- /dev/null
+++ b/completions/hibiscusvaled.fish
@@ -0,0 +1,6 @@
+complete -c hibiscusvaled -n __fish_use_subcommand -l help -d 'print this help'
+complete -c hibiscusvaled -n __fish_use_subcommand -l version -d 'print the version'
+complete -c hibiscusvaled -n __fish_use_subcommand -f -a check -d 'check a settings file and say what is wrong with it'
+complete -c hibiscusvaled -n '__fish_seen_subcommand_from check' -l help -d 'print this help'
+complete -c hibiscusvaled -n __fish_use_subcommand -f -a run -d 'run the daemon'
+complete -c hibiscusvaled -n '__fish_seen_subcommand_from run' -l help -d 'print this help'
--- /dev/null
+++ b/crates/client/tests/client/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the operators' client against a stand-in log and the daemons' own services.
+
+mod files;
+mod keys;
+mod publishing;
+mod watching;
+mod world;
--- /dev/null
+++ b/crates/client/tests/client/world.rs
@@ -0,0 +1,190 @@
+//! A log and the parts of daemons that the client meets.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use ed25519_dalek::SigningKey;
+use gumdrop::Options;
+use hibiscusvale::config::{ConfigHandle, ConfigParts, ConfigService};
+use hibiscusvale::logging::Log;
+use hibiscusvale::metrics::Metrics;
+use hibiscusvale::operators::{OperatorListener, OperatorsParts, Readiness, RecentRequests};
+use hibiscusvale::platform::{HttpLog, HttpLogSettings};
+use hibiscusvale::settings::{ConfigSettings, HostSettings, LogLevel};
+use hibiscusvale::spread::ConfigFeed;
+use hibiscusvale_cli::cmd::Args;
+use hibiscusvale_cli::error::exit_code;
+use hibiscusvale_cli::report::Report;
+use hibiscusvale_core::config::CheckpointKey;
+use hibiscusvale_core::ids::Incarnation;
+use hibiscusvale_core::membership::MembersView;
+use hibiscusvale_standins::log::{LogHandle, LogService, LogSettings};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+/// Secret key of the partner `nadifa`.
+pub const KEY: [u8; 32] = [7; 32];
+
+/// One daemon, as far as the client meets it.
+pub struct Daemon {
+    pub address: SocketAddr,
+    pub config: ConfigHandle,
+    pub metrics: Metrics,
+    pub recent: Arc<RecentRequests>,
+    pub stop: CancellationToken,
+    _feed: mpsc::Sender<ConfigFeed>,
+}
+
+/// A log with daemons that follow it.
+pub struct World {
+    pub log: LogHandle,
+    /// The same log at the address where the daemons read it.
+    pub reads: LogHandle,
+    pub daemons: Vec<Daemon>,
+    directory: PathBuf,
+}
+
+/// How a command ended.
+#[derive(Debug)]
+pub struct Ended {
+    pub code: u8,
+    pub text: String,
+    pub json: serde_json::Value,
+}
+
+impl World {
+    /// `name` keeps the files of tests apart.
+    pub async fn new(name: &str, daemons: usize) -> Self {
+        let log = LogService::start(LogSettings::default()).await.expect("a log");
+        let reads = log
+            .share("127.0.0.1:0".parse().expect("an address"))
+            .await
+            .expect("a log");
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&directory).expect("a directory");
+        let mut world = Self {
+            log,
+            reads,
+            daemons: Vec::new(),
+            directory,
+        };
+        world.write("nadifa.key", blake3::Hash::from_bytes(KEY).to_hex().as_str());
+        for index in 0..daemons {
+            world.daemons.push(daemon(index, world.reads.address));
+        }
+        world
+    }
+
+    /// Writes a file and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.directory.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.to_str().expect("a path of letters").to_owned()
+    }
+
+    pub fn path(&self, name: &str) -> String {
+        self.directory
+            .join(name)
+            .to_str()
+            .expect("a path of letters")
+            .to_owned()
+    }
+
+    /// Runs the client as the operator `author` of `nadifa`, with all daemons as its hosts.
+    pub async fn run_as(&self, author: &str, command: &[&str]) -> Ended {
+        let log = self.log.address.to_string();
+        let key_file = self.path("nadifa.key");
+        let hosts: Vec<String> = self
+            .daemons
+            .iter()
+            .map(|daemon| daemon.address.to_string())
+            .collect();
+        let mut arguments = vec![
+            "--author",
+            author,
+            "--partner",
+            "nadifa",
+            "--log",
+            &log,
+            "--key-file",
+            &key_file,
+        ];
+        for host in &hosts {
+            arguments.extend(["--host", host.as_str()]);
+        }
+        arguments.extend(command);
+        run(&arguments).await
+    }
+
+    pub async fn run(&self, command: &[&str]) -> Ended {
+        self.run_as("salma", command).await
+    }
+}
+
+/// Runs the client with a command line.
+pub async fn run(arguments: &[&str]) -> Ended {
+    let args = Args::parse_args_default(arguments).expect("a command line that is understood");
+    match args.execute().await {
+        Ok(Report { human, json }) => Ended {
+            code: 0,
+            text: human,
+            json: serde_json::from_str(&json).unwrap_or_default(),
+        },
+        Err(error) => Ended {
+            code: exit_code(&error),
+            text: format!("{error:#}"),
+            json: serde_json::Value::Null,
+        },
+    }
+}
+
+fn daemon(index: usize, log: SocketAddr) -> Daemon {
+    let host = HostSettings {
+        id: format!("entry-{index}").parse().expect("a host"),
+        data_centre: "casablanca-1".parse().expect("a data centre"),
+        region: "ma-north".parse().expect("a region"),
+    };
+    let metrics = Metrics::new().expect("metrics");
+    let members = Arc::new(ArcSwap::from_pointee(MembersView::default()));
+    let (service, config) = ConfigService::new(ConfigParts {
+        settings: ConfigSettings::default(),
+        host: host.id.clone(),
+        keys: [(
+            "nadifa".parse().expect("a partner"),
+            SigningKey::from_bytes(&KEY).verifying_key(),
+        )]
+        .into(),
+        checkpoint_key: CheckpointKey::derive(b"shared"),
+        log: Arc::new(HttpLog::new(log, HttpLogSettings::default())),
+        members: Arc::clone(&members),
+        spread: None,
+        logging: Log::to_writer(LogLevel::Error, std::io::sink()).expect("a log"),
+        metrics: metrics.clone(),
+    });
+    let (feed, inbox) = mpsc::channel(8);
+    tokio::spawn(service.run(inbox));
+    let recent = Arc::new(RecentRequests::new(16));
+    let listener = OperatorListener::bind("127.0.0.1:0".parse().expect("an address")).expect("a socket");
+    let address = listener.address().expect("an address");
+    let stop = CancellationToken::new();
+    let parts = OperatorsParts {
+        host,
+        incarnation: Incarnation(index as u64 + 1),
+        config: config.clone(),
+        metrics: metrics.clone(),
+        members,
+        recent: Arc::clone(&recent),
+        readiness: Arc::new(Readiness::new(config.is_ready.clone())),
+    };
+    tokio::spawn(listener.serve(parts, stop.clone()));
+    Daemon {
+        address,
+        config,
+        metrics,
+        recent,
+        stop,
+        _feed: feed,
+    }
+}
