Order engines to change role and load models under a lease

Cause: the planner and the lease existed but nothing carried them out, and the leaving sign of a server never ran out. Change: one daemon of each data centre holds a lease on the log, reads load reports of its engines 33 at a time, and sends the planner's orders with the lease's fencing number; engines that are being emptied are told to all daemons as leaving, and signs end when they run out or the server takes work again. Ruled out: asking every engine each second, a thousand calls at the target. Measured: a test over sockets sees a wanted model loaded under the offset of the lease's record.

--- a/crates/router/src/backend/engine.rs
+++ b/crates/router/src/backend/engine.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::future::BoxFuture;
 use hibiscusvale_core::ids::{AttemptId, HostId, Incarnation, ModelId};
+use hibiscusvale_core::order::{Order, OrderEnd, OrderKind};
 use hibiscusvale_core::units::{Bytes as ByteCount, BytesPerSecond, Millis, Tokens};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -23,6 +24,9 @@
 /// Longest line of a token stream.
 const LINE_LIMIT_BYTES: usize = 64 << 10;
 
+/// Status with which an engine refuses an old fencing number.
+const CONFLICT: u16 = 409;
+
 /// An engine asked to cancel, or for its load, answers at once or is in trouble.
 const SHORT_CALL: Duration = Duration::from_millis(1_500);
 
@@ -318,6 +322,9 @@
 
     /// Asks for the events of the prefix cache behind `after`.
     fn cache_events(&self, to: SocketAddr, after: u64) -> BoxFuture<'_, Result<CachePage, EngineFailure>>;
+
+    /// Orders an engine to load a model or to change role; carried out once under the order's id.
+    fn order(&self, to: SocketAddr, order: Order) -> BoxFuture<'_, Result<OrderEnd, EngineFailure>>;
 }
 
 /// [`EngineEdge`] by HTTP.
@@ -444,6 +451,22 @@
     owner: &'a Owner,
 }
 
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    order_id: String,
+    fencing: u64,
+    expires_in_ms: Millis,
+    kind: OrderKindBody<'a>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "lowercase")]
+enum OrderKindBody<'a> {
+    Load(&'a ModelId),
+    Role(&'static str),
+    Unload(&'a ModelId),
+}
+
 #[derive(Serialize)]
 struct CancelOwnerBody<'a> {
     owner: &'a Owner,
@@ -545,6 +568,31 @@
     fn cache_events(&self, to: SocketAddr, after: u64) -> BoxFuture<'_, Result<CachePage, EngineFailure>> {
         Box::pin(self.read(to, format!("/engine/cache_events?after={after}")))
     }
+
+    fn order(&self, to: SocketAddr, order: Order) -> BoxFuture<'_, Result<OrderEnd, EngineFailure>> {
+        Box::pin(async move {
+            let body = OrderBody {
+                order_id: order.id.to_string(),
+                fencing: order.fencing.0,
+                expires_in_ms: order.expires_in_ms,
+                kind: match &order.kind {
+                    OrderKind::Load(model) => OrderKindBody::Load(model),
+                    OrderKind::Unload(model) => OrderKindBody::Unload(model),
+                    OrderKind::BecomePrefill => OrderKindBody::Role("prefill"),
+                    OrderKind::BecomeDecode => OrderKindBody::Role("decode"),
+                },
+            };
+            match self
+                .post(to, "/engine/order", &body, Trust::Fresh, SHORT_CALL)
+                .await
+            {
+                Ok(_) => Ok(OrderEnd::Applied),
+                Err(EngineFailure::Refused(CONFLICT)) => Ok(OrderEnd::Fenced),
+                Err(EngineFailure::Gone) => Ok(OrderEnd::Expired),
+                Err(failure) => Err(failure),
+            }
+        })
+    }
 }
 
 /// Tokens as the engine sends them. Dropping it closes the connection; reading slowly slows the engine down.
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -28,6 +28,7 @@
 use crate::dispatch::{Hub, PlainHub};
 use crate::figures::Figures;
 use crate::kernel::{INBOX_CAPACITY, Kernel, KernelError, ServiceName};
+use crate::leases::{LeaseParts, LeaseService};
 use crate::logging::Log;
 use crate::membership::{MembershipHandle, MembershipRequest, MembershipService};
 use crate::meter::MeterService;
@@ -278,6 +279,12 @@
         Ok(bound)
     }
 
+    /// Starts the service that orders engines to change role and to load models.
+    pub fn order_engines(&self, parts: LeaseParts) {
+        self.runtime
+            .spawn(LeaseService::new(parts).run(self.stop.clone()));
+    }
+
     /// Publishes figures of this daemon as metrics.
     pub fn publish_figures(&self, figures: Figures) {
         self.runtime.spawn(figures.run());
@@ -440,12 +447,13 @@
 /// daemon within the time that spreading takes and this.
 const SIGN_PERIOD: Duration = Duration::from_millis(200);
 
-/// Acts on what other daemons saw of servers: a leaving server gets no new work here either.
+/// Acts on what daemons, this one among them, saw of servers: a leaving server gets no new work here either,
+/// until its sign runs out or it is seen taking work again.
 async fn follow_signs(
     kernel: Kernel,
     view: Arc<ArcSwap<SpreadView>>,
     directory: Arc<Directory>,
-    hub: Arc<OnceLock<Hubs>>,
+    hubs: Arc<OnceLock<Hubs>>,
 ) {
     let mut seen = Arc::new(SpreadView::default());
     let mut period = tokio::time::interval(SIGN_PERIOD);
@@ -455,12 +463,19 @@
         if Arc::ptr_eq(&seen, &now) {
             continue;
         }
-        for (server, sign) in now
+        let changed = now
             .signs
             .iter()
-            .filter(|(server, sign)| seen.signs.get(*server) != Some(*sign))
+            .filter(|(server, sign)| seen.signs.get(*server) != Some(*sign));
+        for (server, sign) in changed {
+            act_on_sign(&kernel, &directory, &hubs, server, *sign);
+        }
+        for server in seen
+            .signs
+            .keys()
+            .filter(|server| !now.signs.contains_key(*server))
         {
-            act_on_sign(&kernel, &directory, &hub, server, *sign);
+            act_on_sign(&kernel, &directory, &hubs, server, ServerSign::Taking);
         }
         seen = now;
     }
@@ -469,27 +484,30 @@
 fn act_on_sign(
     kernel: &Kernel,
     directory: &Directory,
-    hub: &OnceLock<Hubs>,
+    hubs: &OnceLock<Hubs>,
     server: &BackendServerId,
     sign: ServerSign,
 ) {
     let sign = match sign {
-        ServerSign::Leaving => Sign::Leaving,
-        ServerSign::Taking => Sign::Live,
+        ServerSign::Leaving => {
+            directory.note_leaving(clock::now(), server);
+            Sign::Leaving
+        }
+        ServerSign::Taking => {
+            directory.note_taking(server);
+            Sign::Live
+        }
         // No room for the moment is the ledger's business.
         ServerSign::Refusing => return,
     };
-    if sign == Sign::Leaving {
-        directory.note_leaving(clock::now(), server);
-        if let Ok(inbox) = kernel.find(ServiceName::Watcher) {
-            let _ = inbox.try_send(WatcherCommand::Leaving(server.clone()));
-        }
+    if let Ok(inbox) = kernel.find(ServiceName::Watcher) {
+        let _ = inbox.try_send(WatcherCommand::Sign(server.clone()));
     }
-    if let Some(hub) = hub.get() {
-        hub.language.feed(Event::Sign {
+    if let Some(hubs) = hubs.get() {
+        hubs.language.feed(Event::Sign {
             server: server.clone(),
             sign,
         });
-        hub.plain.sign(server, sign);
+        hubs.plain.sign(server, sign);
     }
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::Incarnation;
-use hibiscusvale_core::sched::SchedulerSettings;
+use hibiscusvale_core::sched::{SchedulerSettings, ShiftSettings};
 use hibiscusvale_core::ticket::TicketSettings;
 use hibiscusvale_core::units::Millis;
 use rand::RngExt;
@@ -25,14 +25,15 @@
 use crate::config::PublishKeyError;
 use crate::control::{Control, ControlParts, RunningControl};
 use crate::directory::Directory;
-use crate::dispatch::{Dispatcher, Hub, Observer, PlainHub, Releases};
+use crate::dispatch::{Demand, Dispatcher, Hub, Observer, PlainHub, Releases};
 use crate::figures::Figures;
 use crate::kernel::{KernelError, ServiceName};
+use crate::leases::LeaseParts;
 use crate::logging::{self, LoggingError};
 use crate::metrics::{Metrics, MetricsError};
 use crate::operators::{OperatorsParts, Readiness, RecentRequests};
 use crate::peer::{LinkError, NngLink};
-use crate::platform::{HostList, HttpHostList, HttpLog, HttpLogSettings, Log};
+use crate::platform::{HostList, HttpHostList, HttpLog, HttpLogSettings, HttpWeightStore, Log, WeightStore};
 use crate::settings::Settings;
 use crate::slot_route::SlotRoute;
 use crate::tickets::Tickets;
@@ -81,6 +82,8 @@
     pub hosts: Arc<dyn HostList>,
     /// The platform's log.
     pub log: Arc<dyn Log>,
+    /// The platform's weight store.
+    pub weights: Arc<dyn WeightStore>,
 }
 
 impl Edges {
@@ -96,6 +99,7 @@
             plain_services: Arc::new(HttpPlain::new(http)),
             hosts: Arc::new(HttpHostList::new(settings.platform.hosts)),
             log: Arc::new(HttpLog::new(settings.platform.log, HttpLogSettings::default())),
+            weights: Arc::new(HttpWeightStore::new(settings.platform.weights)),
         }
     }
 }
@@ -161,6 +165,24 @@
             link: Arc::clone(&control.link),
             metrics: observed.metrics.clone(),
         });
+        let demand = Arc::new(Demand::default());
+        control.order_engines(LeaseParts {
+            host: settings.host.id.clone(),
+            incarnation,
+            data_centre: settings.host.data_centre.clone(),
+            members: Arc::clone(&control.members.view),
+            directory: Arc::clone(&directory),
+            engines: Arc::clone(&edges.engines),
+            log: edges.log,
+            weights: edges.weights,
+            demand: Arc::clone(&demand),
+            spread: control.kernel.find(ServiceName::Spread)?,
+            shift: ShiftSettings {
+                hold_ms: settings.shift.hold_ms,
+                cooldown_ms: settings.shift.cooldown_ms,
+                ..ShiftSettings::default()
+            },
+        });
         let dispatcher = Dispatcher {
             engines: edges.engines,
             plain_services: edges.plain_services,
@@ -169,6 +191,7 @@
             http: BackendHttp::new(),
             hub: schedulers.hub,
             plain_hub: schedulers.plain_hub,
+            demand,
             claims: control.claims.clone(),
             tickets: Tickets::new(settings.host.id.clone(), incarnation, TicketSettings::default()),
             tasks: tasks.clone(),
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -185,6 +185,11 @@
         signs.insert(server.clone(), now_us + LEAVING_SIGN_MS).is_none()
     }
 
+    /// Notes that a server takes work again.
+    pub fn note_taking(&self, server: &BackendServerId) {
+        self.signs_until_us.lock().remove(server);
+    }
+
     /// Whether a server may get new work.
     pub fn takes_work(&self, now_us: MonoTime, server: &BackendServer) -> bool {
         if server.listed == ListedState::Leaving {
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Carries requests through backend servers and sees to it that each ends in one of three outcomes.
 
+mod demand;
 mod forward;
 mod hub;
 mod language;
@@ -28,6 +29,7 @@
 use crate::spread::SpreadRequest;
 use crate::tickets::Tickets;
 
+pub use demand::Demand;
 pub use hub::Hub;
 pub use observe::{Observed, Observer};
 pub use plain_hub::PlainHub;
@@ -80,6 +82,8 @@
     pub hub: Arc<Hub>,
     /// The schedulers of plain services.
     pub plain_hub: Arc<PlainHub>,
+    /// Which models are asked for.
+    pub demand: Arc<Demand>,
     /// Claims of idempotency keys.
     pub claims: ClaimsHandle,
     /// Tickets of this daemon.
@@ -106,6 +110,7 @@
         request: LanguageRequest,
         target: LanguageTarget,
     ) -> Result<mpsc::Receiver<AnswerPart>, Refusal> {
+        self.demand.note(&request.model);
         if !self.serves(&request.model) {
             return Err(Refusal::not_run(RefusalReason::UnknownModel));
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dispatch;
 pub mod figures;
 pub mod kernel;
+pub mod leases;
 pub mod logging;
 pub mod membership;
 pub mod meter;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -45,6 +45,9 @@
     /// How configuration is read from the log and kept in it.
     #[serde(default)]
     pub config: ConfigSettings,
+    /// When engines change role and load models.
+    #[serde(default)]
+    pub shift: ShiftSettings,
     /// What the daemon tells about itself.
     #[serde(default)]
     pub observe: ObserveSettings,
@@ -245,6 +248,26 @@
     }
 }
 
+/// When engines change role and load models. The other limits of the planner are not for operators: they keep it
+/// from undoing its own work.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ShiftSettings {
+    /// How long an imbalance must last before anything is done about it.
+    pub hold_ms: Millis,
+    /// Pause after a shift, for its effect to show.
+    pub cooldown_ms: Millis,
+}
+
+impl Default for ShiftSettings {
+    fn default() -> Self {
+        Self {
+            hold_ms: Millis(30_000),
+            cooldown_ms: Millis(120_000),
+        }
+    }
+}
+
 /// What the daemon tells about itself.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -15,6 +15,9 @@
 const HEAD_BYTES: RangeInclusive<u64> = 1_024..=1 << 20;
 const CALLER_TIMEOUT_MS: RangeInclusive<u64> = 100..=600_000;
 const PLATFORM_TIMEOUT_MS: RangeInclusive<u64> = 50..=60_000;
+const SETTLE_MS: RangeInclusive<u64> = 0..=60_000;
+const READY_GRACE_MS: RangeInclusive<u64> = 0..=120_000;
+const SHIFT_MS: RangeInclusive<u64> = 100..=3_600_000;
 const THREADS: RangeInclusive<u64> = 1..=64;
 const READERS: RangeInclusive<u64> = 1..=64;
 const GENESIS_WAIT_MS: RangeInclusive<u64> = 0..=60_000;
@@ -39,6 +42,8 @@
         traffic,
         config,
         observe,
+        peers,
+        shift,
         ..
     } = settings;
     let numbers = [
@@ -77,6 +82,10 @@
             config.checkpoint_step_ms.0,
             CHECKPOINT_STEP_MS,
         ),
+        ("peers.settle_ms", peers.settle_ms.0, SETTLE_MS),
+        ("traffic.ready_grace_ms", traffic.ready_grace_ms.0, READY_GRACE_MS),
+        ("shift.hold_ms", shift.hold_ms.0, SHIFT_MS),
+        ("shift.cooldown_ms", shift.cooldown_ms.0, SHIFT_MS),
         (
             "observe.recent_requests",
             observe.recent_requests as u64,
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -49,8 +49,8 @@
         /// What it says.
         message: SlotMessage,
     },
-    /// Some daemon saw that a server is leaving.
-    Leaving(BackendServerId),
+    /// Some daemon saw that a server is leaving, or takes work again.
+    Sign(BackendServerId),
 }
 
 /// What the service needs of the daemon around it.
@@ -160,11 +160,18 @@
                 self.ledgers
                     .handle(now_us, &from, incarnation, message, &mut self.actions);
             }
-            WatcherCommand::Leaving(server) => {
-                if let Some(ledger) = self.ledgers.ledger_mut(&server) {
-                    ledger.set_leaving(now_us, true, &mut self.actions);
-                }
-            }
+            WatcherCommand::Sign(server) => self.follow_sign(now_us, &server),
+        }
+    }
+
+    fn follow_sign(&mut self, now_us: MonoTime, server: &BackendServerId) {
+        let listing = self.parts.directory.listing();
+        let Some(listed) = listing.servers.get(server) else {
+            return;
+        };
+        let leaving = !self.parts.directory.takes_work(now_us, listed);
+        if let Some(ledger) = self.ledgers.ledger_mut(server) {
+            ledger.set_leaving(now_us, leaving, &mut self.actions);
         }
     }
 
--- /dev/null
+++ b/crates/standins/tests/e2e/models.rs
@@ -0,0 +1,51 @@
+//! Models that come into use.
+
+use std::time::Duration;
+
+use crate::world::{Caller, SMALL_PLAN, World, stop};
+
+const WEIGHTS: &str = r#"
+    [weights]
+    rate_bytes_per_s = 1000000000
+    models = [{model = "large", bytes = 1000000}]
+"#;
+
+/// A partner begins to ask for a model that is stored but loaded nowhere. Without anyone on shift its callers
+/// would be refused for ever; the holder of the lease has it loaded, under the lease's fencing number.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_model_that_is_asked_for_is_loaded_by_the_holder_of_the_lease() {
+    let world = World::start(&format!("{WEIGHTS}{SMALL_PLAN}")).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+
+    let body = serde_json::json!({"model": "large", "prompt": "a", "max_tokens": 1});
+    let asking = tokio::spawn(async move {
+        loop {
+            let answer = caller.ask(caller.completion(&body)).await;
+            assert_eq!(
+                (answer.status.as_u16(), answer.outcome()),
+                (404, "not-run"),
+                "{}",
+                answer.body
+            );
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let loaded = |state: &hibiscusvale_standins::engine::EngineState| state.models.contains("large");
+    let waits = world
+        .standins
+        .engines
+        .iter()
+        .map(|(_, engine)| Box::pin(engine.wait_until(loaded)));
+    let ((), index, _) = futures_util::future::select_all(waits).await;
+    asking.abort();
+
+    let orders = world.standins.engines[index].1.state().orders;
+    let leases = world.standins.log.records("leases");
+    assert_eq!(orders.len(), 1);
+    assert!(
+        leases.iter().any(|(offset, _)| *offset == orders[0].fencing),
+        "{orders:?}"
+    );
+    stop(daemon).await;
+}
--- a/crates/standins/tests/e2e/world.rs
+++ b/crates/standins/tests/e2e/world.rs
@@ -98,6 +98,7 @@
             peers = {{key = "{}", settle_ms = 100, seeds = {seeds}}}
             traffic = {{threads = 2, ready_grace_ms = 0}}
             config = {{genesis_wait_ms = 100}}
+            shift = {{hold_ms = 500, cooldown_ms = 1000}}
             [partners.nadifa]
             token_hashes = ["{}"]
             publish_key = "{}"
