Test callers who leave and engines that fail at each step

Cause: only a departure during decode and one silent stream were tested. Change: departure while the prompt waits, moves and is answered; an engine that dies or goes mute under a stream; connections that go silent under a prefill and under a transfer.

--- a/crates/standins/tests/e2e/main.rs
+++ b/crates/standins/tests/e2e/main.rs
@@ -4,4 +4,5 @@
 mod models;
 mod once;
 mod path;
+mod streams;
 mod world;
