--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -92,14 +93,19 @@
 where
     H: Handler,
 {
+    let steers = Arc::new(AtomicBool::new(false));
     let gated = GatedStream {
         born: faults.generation(),
         faults: Arc::clone(&faults),
+        steers: Arc::clone(&steers),
         inner: stream,
     };
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         let faults = Arc::clone(&faults);
+        if request.uri().path().starts_with("/standin/") {
+            steers.store(true, Ordering::SeqCst);
+        }
         async move { answer(request, handler, faults).await }
     });
     // A broken connection is the peer's business; the stand-in's account shows what was done.
@@ -144,16 +150,18 @@
     }
 }
 
-/// A connection that stops moving bytes once it is silenced, without closing.
+/// A connection that stops moving bytes once it is silenced, without closing. One that steers is spared:
+/// whoever gave the order has to get its answer.
 struct GatedStream {
     inner: TcpStream,
     born: u64,
+    steers: Arc<AtomicBool>,
     faults: Arc<Faults>,
 }
 
 impl GatedStream {
     fn silenced(&self) -> bool {
-        self.faults.generation() > self.born
+        self.faults.generation() > self.born && !self.steers.load(Ordering::SeqCst)
     }
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod log;
 pub mod plain;
 pub mod plan;
+pub mod ports;
 pub mod text;
 pub mod weights;
 
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -16,6 +16,8 @@
     plan: PathBuf,
     #[options(help = "JSON file to write the addresses to")]
     addresses: Option<PathBuf>,
+    #[options(help = "file to write the addresses to as NAME=ADDRESS lines")]
+    env: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -33,15 +35,18 @@
         .with_context(|| format!("could not read {}", arguments.plan.display()))?;
     let plan: Plan = toml::from_str(&text).context("could not understand the plan")?;
     let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
-    runtime.block_on(serve(plan, arguments.addresses.as_deref()))
+    runtime.block_on(serve(plan, arguments))
 }
 
-async fn serve(plan: Plan, addresses: Option<&Path>) -> anyhow::Result<()> {
+async fn serve(plan: Plan, arguments: &Arguments) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("could not wait for signals")?;
     let running = plan.start().await.context("could not start the stand-ins")?;
-    if let Some(path) = addresses {
+    if let Some(path) = &arguments.addresses {
         write_whole(path, &serde_json::to_vec_pretty(&running.addresses)?)?;
     }
+    if let Some(path) = &arguments.env {
+        write_whole(path, running.addresses.to_shell().as_bytes())?;
+    }
     tokio::select! {
         _ = terminate.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
--- a/crates/standins/src/plan.rs
+++ b/crates/standins/src/plan.rs
@@ -9,6 +9,7 @@
 use crate::hosts::{HostEntry, HostList, HostListHandle, HostListSettings, Kind, ListedState};
 use crate::log::{LogHandle, LogService, LogSettings};
 use crate::plain::{PlainHandle, PlainService, PlainSettings};
+use crate::ports;
 use crate::weights::{WeightHandle, WeightSettings, WeightStore};
 
 /// What one process runs.
@@ -25,6 +26,8 @@
     pub engines: Vec<EngineGroup>,
     /// Groups of plain service instances.
     pub plain: Vec<PlainGroup>,
+    /// Entry hosts whose daemons are started by others on ports that are chosen here.
+    pub entry_hosts: Vec<Place>,
 }
 
 /// Where a group stands and whose it is.
@@ -38,6 +41,7 @@
     /// The region.
     pub region: String,
     /// The partner who brings it.
+    #[serde(default)]
     pub partner: String,
     /// How many of them.
     #[serde(default = "one")]
@@ -81,6 +85,26 @@
     pub weights: SocketAddr,
     /// Engines and plain instances, as the host list shows them.
     pub backend_servers: Vec<HostEntry>,
+    /// Addresses set aside for daemons.
+    #[serde(default)]
+    pub entry_hosts: Vec<EntryHost>,
+}
+
+/// Addresses set aside for one daemon.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EntryHost {
+    /// Name of the host.
+    pub id: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its region.
+    pub region: String,
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
 }
 
 /// Everything that runs.
@@ -131,12 +155,15 @@
         }
         let mut list = self.hosts;
         list.entries.extend(entries.iter().cloned());
+        let entry_hosts = reserve_entry_hosts(&self.entry_hosts)?;
+        list.entries.extend(entry_hosts.iter().map(EntryHost::entry));
         let hosts = HostList::start(list).await?;
         let addresses = Addresses {
             log: log.address,
             hosts: hosts.address,
             weights: weights.address,
             backend_servers: entries,
+            entry_hosts,
         };
         Ok(Running {
             log,
@@ -149,6 +176,70 @@
     }
 }
 
+fn reserve_entry_hosts(places: &[Place]) -> io::Result<Vec<EntryHost>> {
+    let mut hosts = Vec::new();
+    for place in places {
+        for number in 0..place.count {
+            hosts.push(EntryHost {
+                id: format!("{}-{number}", place.name),
+                data_centre: place.data_centre.clone(),
+                region: place.region.clone(),
+                callers: ports::free_address()?,
+                peers: ports::free_address()?,
+                operators: ports::free_address()?,
+            });
+        }
+    }
+    Ok(hosts)
+}
+
+impl EntryHost {
+    fn entry(&self) -> HostEntry {
+        HostEntry {
+            id: self.id.clone(),
+            kind: Kind::Entry,
+            address: self.callers,
+            peer_address: Some(self.peers),
+            data_centre: self.data_centre.clone(),
+            region: self.region.clone(),
+            partner: None,
+            state: ListedState::Live,
+            service: None,
+            models: Vec::new(),
+            role: None,
+            slots_total: 0,
+            checks_fencing: false,
+            link_bytes_per_s: 0,
+        }
+    }
+}
+
+impl Addresses {
+    /// The addresses as `NAME=ADDRESS` lines for a shell; names in upper case with underscores.
+    pub fn to_shell(&self) -> String {
+        let mut lines = vec![
+            shell_line("log", self.log),
+            shell_line("hosts", self.hosts),
+            shell_line("weights", self.weights),
+        ];
+        lines.extend(
+            self.backend_servers
+                .iter()
+                .map(|server| shell_line(&server.id, server.address)),
+        );
+        for host in &self.entry_hosts {
+            lines.push(shell_line(&format!("{}_callers", host.id), host.callers));
+            lines.push(shell_line(&format!("{}_peers", host.id), host.peers));
+            lines.push(shell_line(&format!("{}_operators", host.id), host.operators));
+        }
+        lines.concat()
+    }
+}
+
+fn shell_line(name: &str, address: SocketAddr) -> String {
+    format!("{}={address}\n", name.to_uppercase().replace('-', "_"))
+}
+
 impl Place {
     fn entry(&self, number: usize, kind: Kind, address: SocketAddr) -> HostEntry {
         HostEntry {
--- a/crates/standins/tests/standins/engine.rs
+++ b/crates/standins/tests/standins/engine.rs
@@ -8,6 +8,8 @@
 use http::{Method, StatusCode};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 const PROMPT: &str = "the dog is in the kitchen, the key under the third stone";
 
@@ -181,3 +183,22 @@
         StatusCode::OK
     );
 }
+
+/// Something between two ends loses track of a connection: it stays open and nothing moves on it any more,
+/// while new connections work. The one that gave the order still gets its answer.
+#[tokio::test]
+async fn silenced_connection_stays_open_and_new_ones_work() {
+    let source = engine(Role::Prefill, 10_000).await;
+    let mut old = TcpStream::connect(source.address).await.unwrap();
+    let ask = format!("GET /engine/load HTTP/1.1\r\nhost: {}\r\n\r\n", source.address);
+    old.write_all(ask.as_bytes()).await.unwrap();
+    let mut buffer = vec![0; 4_096];
+    assert!(old.read(&mut buffer).await.unwrap() > 0);
+    let order = json!({"silence": true});
+    let answer: Value = post_json(source.address, "/standin/steer", &order).await.unwrap();
+    assert_eq!(answer["silence"], true);
+    old.write_all(ask.as_bytes()).await.unwrap();
+    prefill(&source, "r1").await;
+    let silent = old.try_read(&mut buffer).unwrap_err();
+    assert_eq!(silent.kind(), std::io::ErrorKind::WouldBlock);
+}
