--- a/crates/standins/src/load/cmd/mod.rs
+++ b/crates/standins/src/load/cmd/mod.rs
@@ -3,7 +3,6 @@
 use anyhow::Context;
 use gumdrop::Options;
 
-pub mod hash;
 pub mod mixed;
 
 /// Arguments of the load tool.
@@ -17,8 +16,6 @@
 
 #[derive(Debug, Options)]
 enum Command {
-    #[options(help = "print the BLAKE3 hash of a text")]
-    Hash(hash::Hash),
     #[options(help = "send a mixed load and audit its outcomes")]
     Mixed(mixed::Mixed),
 }
@@ -33,10 +30,6 @@
     };
     let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
     match command {
-        Command::Hash(options) => {
-            options.run();
-            Ok(true)
-        }
         Command::Mixed(options) => runtime.block_on(options.run()),
     }
 }
