Stop when another process runs under the host's name

Cause: membership notices a newer life of this host and nobody acted on it; two daemons of one name would answer each other's messages. Change: the daemon then stops gracefully. Measured: builds and lints; the notice itself is tested with membership.

--- a/crates/daemon/src/cmd/run.rs
+++ b/crates/daemon/src/cmd/run.rs
@@ -32,7 +32,17 @@
             daemon.operators_address(),
             daemon.peer_address()
         );
-        let Stop::Graceful = signals.wait();
+        let sender = signals.sender();
+        // Whoever does not listen any more has been told to stop already.
+        daemon.when_superseded(move || {
+            let _ = sender.send(Stop::Superseded);
+        });
+        match signals.wait() {
+            Stop::Graceful => {}
+            Stop::Superseded => {
+                eprintln!("hibiscusvaled: stopping, another process runs under this host's name");
+            }
+        }
         signals.end_at_once_on_the_next();
         daemon.stop();
         Ok(())
--- a/crates/daemon/src/signals.rs
+++ b/crates/daemon/src/signals.rs
@@ -16,12 +16,15 @@
 pub enum Stop {
     /// Let every request in flight end.
     Graceful,
+    /// The same: another process runs under this host's name, and the other daemons listen to that one.
+    Superseded,
 }
 
 /// The signals as they arrive.
 #[derive(Debug)]
 pub struct Signals {
     arrivals: mpsc::Receiver<Stop>,
+    sender: mpsc::Sender<Stop>,
 }
 
 /// Starts to watch SIGTERM and SIGINT.
@@ -35,6 +38,7 @@
         Ok::<_, io::Error>((signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?))
     })?;
     let (sender, arrivals) = mpsc::channel();
+    let signalled = sender.clone();
     thread::Builder::new().name("signals".to_owned()).spawn(move || {
         runtime.block_on(async {
             loop {
@@ -42,16 +46,21 @@
                     arrived = terminate.recv() => arrived,
                     arrived = interrupt.recv() => arrived,
                 };
-                if arrived.is_none() || sender.send(Stop::Graceful).is_err() {
+                if arrived.is_none() || signalled.send(Stop::Graceful).is_err() {
                     return;
                 }
             }
         });
     })?;
-    Ok(Signals { arrivals })
+    Ok(Signals { arrivals, sender })
 }
 
 impl Signals {
+    /// A way to ask for a stop from within.
+    pub fn sender(&self) -> mpsc::Sender<Stop> {
+        self.sender.clone()
+    }
+
     /// Waits for a signal.
     pub fn wait(&self) -> Stop {
         self.arrivals.recv().unwrap_or(Stop::Graceful)
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -257,6 +257,20 @@
             .await;
     }
 
+    /// Calls `act` when another process is seen to run under this host's name. Two daemons of one name would
+    /// answer each other's messages; the newer one stays.
+    pub fn when_superseded<Act>(&self, act: Act)
+    where
+        Act: FnOnce() + Send + 'static,
+    {
+        let mut superseded = self.control.members.superseded.clone();
+        self.traffic.spawn(async move {
+            if superseded.wait_for(Option::is_some).await.is_ok() {
+                act();
+            }
+        });
+    }
+
     /// Stops gracefully: no request in flight is cut off. Returns when the last answer has ended and engine
     /// memory is released.
     pub fn stop(self) {
