--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -127,13 +127,6 @@
     pub hosts: SocketAddr,
     /// The weight store.
     pub weights: SocketAddr,
-    /// Time for an answer, beyond the time that a call asks the service to wait for news.
-    #[serde(default = "default_call_timeout_ms")]
-    pub call_timeout_ms: Millis,
-}
-
-const fn default_call_timeout_ms() -> Millis {
-    Millis(3_000)
 }
 
 /// How to find and trust other daemons.
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -14,7 +14,6 @@
 const BODY_BYTES: RangeInclusive<u64> = 1_024..=256 << 20;
 const HEAD_BYTES: RangeInclusive<u64> = 1_024..=1 << 20;
 const CALLER_TIMEOUT_MS: RangeInclusive<u64> = 100..=600_000;
-const PLATFORM_TIMEOUT_MS: RangeInclusive<u64> = 50..=60_000;
 const SETTLE_MS: RangeInclusive<u64> = 0..=60_000;
 const READY_GRACE_MS: RangeInclusive<u64> = 0..=120_000;
 const SHIFT_MS: RangeInclusive<u64> = 100..=3_600_000;
@@ -37,7 +36,6 @@
 
 fn check_numbers(settings: &Settings, text: &str, problems: &mut Vec<SettingsProblem>) {
     let Settings {
-        platform,
         limits,
         traffic,
         config,
@@ -47,11 +45,6 @@
         ..
     } = settings;
     let numbers = [
-        (
-            "platform.call_timeout_ms",
-            platform.call_timeout_ms.0,
-            PLATFORM_TIMEOUT_MS,
-        ),
         ("limits.body_bytes", limits.body_bytes.0, BODY_BYTES),
         ("limits.head_bytes", limits.head_bytes.0, HEAD_BYTES),
         (
