--- a/crates/core/tests/outcomes/main.rs
+++ b/crates/core/tests/outcomes/main.rs
@@ -1,8 +1,9 @@
 //! Outcomes: claims, tickets, attempts, leases, orders and releases, under failures.
 
 mod attempts;
-mod claims;
+mod counterexamples;
 mod leases;
+mod model;
 mod orders;
 mod orphans;
 mod schedule;
--- a/crates/router/src/tickets.rs
+++ b/crates/router/src/tickets.rs
@@ -28,7 +28,8 @@
 #[derive(Debug)]
 pub struct TicketGuard {
     tickets: Tickets,
-    ticket: Ticket,
+    /// `None` once the end was reported: a ticket that did not run may be another request's by then.
+    ticket: Option<Ticket>,
 }
 
 impl Tickets {
@@ -53,7 +54,7 @@
         match self.desk.lock().begin(clock::now(), ticket, partner, digest) {
             TicketDecision::Run => TicketUse::Run(TicketGuard {
                 tickets: self.clone(),
-                ticket: ticket.clone(),
+                ticket: Some(ticket.clone()),
             }),
             settled => TicketUse::Settled(settled),
         }
@@ -62,28 +63,29 @@
 
 impl TicketGuard {
     /// The server answered; `None` when the answer is not to be kept.
-    pub fn answered(self, answer: Option<StoredAnswer>) {
+    pub fn answered(mut self, answer: Option<StoredAnswer>) {
         self.finish(FinishedAs::Answered(answer.map(Arc::new)));
     }
 
     /// It is proven that the request did not run. The ticket can be used again.
-    pub fn not_run(self) {
+    pub fn not_run(mut self) {
         self.finish(FinishedAs::NotRun);
     }
 
     /// The request may have run.
-    pub fn unknown(self) {
+    pub fn unknown(mut self) {
         self.finish(FinishedAs::Unknown);
     }
 
-    fn finish(&self, finished: FinishedAs) {
-        self.tickets.desk.lock().finish(&self.ticket, finished);
+    fn finish(&mut self, finished: FinishedAs) {
+        if let Some(ticket) = self.ticket.take() {
+            self.tickets.desk.lock().finish(&ticket, finished);
+        }
     }
 }
 
 impl Drop for TicketGuard {
     fn drop(&mut self) {
-        // Only the first end counts, so this says nothing when the end was reported.
         self.finish(FinishedAs::Unknown);
     }
 }
