--- /dev/null
+++ b/crates/core/examples/decision_cost.rs
@@ -0,0 +1,21 @@
+//! Makes decisions in a loop so that a tool can count what one costs; see `scripts/decision-cost`.
+//! Arguments: `place REPLICAS PARTNERS COUNT` or `grant PARTNERS COUNT`.
+#![allow(clippy::pedantic, reason = "shares the fakes of the tests")]
+
+#[path = "../tests/sched/cost.rs"]
+mod cost;
+
+fn main() {
+    let words = std::env::args().skip(1).collect::<Vec<_>>();
+    let number = |index: usize| words[index].parse::<u32>().expect("a number");
+    match words[0].as_str() {
+        "place" => {
+            let mut placing = cost::Placing::new(number(1), number(2) as usize);
+            (0..number(3)).for_each(|_| placing.step());
+        }
+        _ => {
+            let mut granting = cost::Granting::new(number(1) as usize);
+            (0..number(2)).for_each(|_| granting.step());
+        }
+    }
+}
