Let turns pass others that wait for a slot, and let late requests age for real

Cause: a turn whose slot was not to be had kept its prefill server idle, and requests of other partners behind it; repeated asks lost their age, so that late ones never aged; a drain sign could not be undone; speeds never seen were taken for known; a request whose answer had begun was denied for a short wait; two asks of one request shared one estimate. Change: each of these; a request too slow for one server is not taken in there as late; the quiet time of a new watcher is told as ill health, not as load; patience with a step is at least 800 ms.

--- a/crates/core/benches/outcomes.rs
+++ b/crates/core/benches/outcomes.rs
@@ -89,6 +89,13 @@
             );
             if std::env::var_os("CAUSES").is_some() {
                 let first = &outcome.partners[0];
+                let sum = |of: fn(&outcome::PartnerOutcome) -> u64| rest.iter().map(of).sum::<u64>();
+                let late = sum(|one| one.answered - one.good);
+                print!(
+                    "  b refused {} failed {} late {late}",
+                    sum(|one| one.refused),
+                    sum(|one| one.failed)
+                );
                 print!(
                     "  a refused {} failed {} late {}",
                     first.refused,
--- a/crates/core/src/sched/directory.rs
+++ b/crates/core/src/sched/directory.rs
@@ -55,7 +55,7 @@
 pub(super) struct Known {
     pub(super) record: ServerRecord,
     listed: bool,
-    leaving_sign: bool,
+    leaving_until_us: MonoTime,
     silent_until_us: MonoTime,
     load: ServerLoad,
     as_of_us: MonoTime,
@@ -93,7 +93,7 @@
     fn usable(&self, now_us: MonoTime) -> bool {
         self.listed
             && self.record.state == ServerState::Live
-            && !self.leaving_sign
+            && now_us >= self.leaving_until_us
             && now_us >= self.silent_until_us
             && (self.load.open || !self.seen || now_us >= self.as_of_us + CLOSED_MEMORY_MS)
     }
@@ -181,10 +181,6 @@
             known.load = ServerLoad::default();
             known.seen = false;
         }
-        // The list has caught up with the sign once it says the same.
-        if record.state == ServerState::Leaving {
-            known.leaving_sign = false;
-        }
         known.record = record;
         known.listed = true;
     }
@@ -198,7 +194,7 @@
         self.servers.push(Known {
             record: record.clone(),
             listed: true,
-            leaving_sign: false,
+            leaving_until_us: MonoTime(0),
             silent_until_us: MonoTime(0),
             load: ServerLoad::default(),
             as_of_us: MonoTime(0),
@@ -306,20 +302,27 @@
         }
     }
 
-    pub(super) fn sign(&mut self, index: ServerIndex, sign: Sign, silent_until_us: MonoTime) {
+    /// Takes a sign that holds until `until_us`, unless another comes.
+    pub(super) fn sign(&mut self, index: ServerIndex, sign: Sign, until_us: MonoTime) {
         let Some(known) = self.servers.get_mut(index as usize) else {
             return;
         };
         match sign {
-            Sign::Leaving => known.leaving_sign = true,
+            Sign::Leaving => known.leaving_until_us = until_us,
             Sign::Live => {
-                known.leaving_sign = false;
+                known.leaving_until_us = MonoTime(0);
                 known.silent_until_us = MonoTime(0);
             }
-            Sign::Silent => known.silent_until_us = silent_until_us,
+            Sign::Silent => known.silent_until_us = until_us,
         }
     }
 
+    /// Whether the server's speed was ever seen.
+    pub(super) fn speed_is_known(&self, index: ServerIndex) -> bool {
+        self.get(index)
+            .is_some_and(|known| known.load.token_us > Micros::ZERO)
+    }
+
     /// Whether a decode server keeps the class's pace. One that does not still gets a request now and then,
     /// or nobody would see that it recovered.
     pub(super) fn keeps_pace(
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -27,6 +27,8 @@
     pub timeout_floor_ms: Millis,
     /// And not after.
     pub timeout_ceiling_ms: Millis,
+    /// Life of a drain sign; see [`super::SchedulerSettings::sign_life_ms`].
+    pub sign_life_ms: Millis,
 }
 
 impl Default for InstanceSettings {
@@ -41,6 +43,7 @@
             timeout_factor: 20,
             timeout_floor_ms: Millis(500),
             timeout_ceiling_ms: Millis(10_000),
+            sign_life_ms: Millis(30_000),
         }
     }
 }
@@ -58,6 +61,7 @@
     capacity: u32,
     listed: bool,
     leaving: bool,
+    leaving_until_us: MonoTime,
     in_flight: u32,
     others: Option<(MonoTime, u32)>,
     latency_us: Option<f64>,
@@ -91,6 +95,7 @@
             capacity,
             listed: true,
             leaving,
+            leaving_until_us: MonoTime(0),
             in_flight: 0,
             others: None,
             latency_us: None,
@@ -109,17 +114,17 @@
         self.listed = false;
     }
 
-    /// The list lags behind a drain sign, so it cannot take a sign back by still saying live.
+    /// Adopts the list's view. A drain sign stands beside it, because the list lags.
     pub(super) fn relist(&mut self, capacity: u32, leaving: bool) {
         self.listed = true;
         self.capacity = capacity;
-        self.leaving |= leaving;
+        self.leaving = leaving;
     }
 
     pub(super) fn sign(&mut self, now_us: MonoTime, sign: Sign) {
         match sign {
-            Sign::Leaving => self.leaving = true,
-            Sign::Live => self.leaving = false,
+            Sign::Leaving => self.leaving_until_us = now_us + self.settings.sign_life_ms,
+            Sign::Live => self.leaving_until_us = MonoTime(0),
             Sign::Silent => self.set_aside(now_us, true),
         }
     }
@@ -130,13 +135,13 @@
         self.others = Some((as_of_us, in_flight.saturating_sub(self.in_flight)));
     }
 
-    pub(super) fn is_listed_live(&self) -> bool {
-        self.listed && !self.leaving
+    pub(super) fn is_listed_live(&self, now_us: MonoTime) -> bool {
+        self.listed && !self.leaving && now_us >= self.leaving_until_us
     }
 
     /// Calls that this daemon may have in flight.
-    pub(super) fn limit(&self) -> u32 {
-        if self.is_listed_live() {
+    pub(super) fn limit(&self, now_us: MonoTime) -> u32 {
+        if self.is_listed_live(now_us) {
             self.capacity.max(1)
         } else {
             0
@@ -153,7 +158,7 @@
             .others
             .filter(|&(as_of_us, _)| now_us < as_of_us + REPORT_LIFE_MS);
         let others = others.map_or(0, |(_, others)| others);
-        self.in_flight + others.min(self.capacity.saturating_sub(1)) < self.limit()
+        self.in_flight + others.min(self.capacity.saturating_sub(1)) < self.limit(now_us)
     }
 
     pub(super) fn latency_us(&self) -> Option<u64> {
@@ -258,7 +263,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         let was_trial = self.end_trial();
         match cause {
-            FailureCause::Leaving => self.leaving = true,
+            FailureCause::Leaving => self.leaving_until_us = now_us + self.settings.sign_life_ms,
             FailureCause::Timeout | FailureCause::Broken | FailureCause::NotSent => self.strikes += 1,
             FailureCause::NoRoom | FailureCause::Gone | FailureCause::Refused => {}
         }
--- a/crates/core/src/sched/placing.rs
+++ b/crates/core/src/sched/placing.rs
@@ -38,9 +38,9 @@
         };
         request.enter(now_us, Stage::AwaitTurn);
         let best = self.turn_candidates(now_us, &request);
+        let best = self.in_time_first(now_us, &request, best);
         let copies = copies_for(&best);
         for scored in best.into_iter().flatten().take(usize::from(copies)) {
-            request.uncached_tokens = scored.uncached_tokens;
             self.send_turn_ask(now_us, &mut request, scored, copies, actions);
         }
         let asked = request.has_asks();
@@ -88,6 +88,30 @@
         best_two(scored)
     }
 
+    /// Leaves out servers too slow to meet the target if another could, or could a moment ago: as a late
+    /// request it would be taken in there, behind everybody, although it is not lost yet.
+    fn in_time_first(
+        &self,
+        now_us: MonoTime,
+        request: &Request,
+        best: [Option<Scored>; 2],
+    ) -> [Option<Scored>; 2] {
+        let in_time = |scored: &Scored| {
+            let default_us = self.settings.prefill_token_us;
+            let work_us = self
+                .directory
+                .work_us(scored.server, scored.uncached_tokens, default_us);
+            self.turn_slack(now_us, request, scored.server, work_us).is_some()
+        };
+        let kept = best.map(|scored| scored.filter(in_time));
+        let was_denied = request.retry_after_ms.is_some() && !request.has_run();
+        match kept {
+            [None, None] if !was_denied => best,
+            [None, second] => [second, None],
+            _ => kept,
+        }
+    }
+
     /// Expected time to the end of the prefill. The wait is part of it, so that a hot prefix does not
     /// overload the server that holds it: once the wait there exceeds what the cache spares, the request
     /// goes elsewhere, and the prefix lives in two places from then on.
@@ -115,49 +139,37 @@
         copies: u8,
         actions: &mut Vec<Action>,
     ) {
-        let ask = self.new_ask();
-        let message = self.turn_ask(now_us, request, scored.server, ask, copies);
-        let work_us = self.directory.work_us(
-            scored.server,
-            scored.uncached_tokens,
-            self.settings.prefill_token_us,
-        );
-        self.directory.note_ask(scored.server, work_us, copies);
-        place_ask(
-            request,
-            OpenAsk {
-                server: scored.server,
-                ask,
-                sent_us: now_us,
-                queued: false,
-                copies,
-            },
-        );
+        let open = OpenAsk {
+            server: scored.server,
+            ask: self.new_ask(),
+            sent_us: now_us,
+            queued: false,
+            copies,
+            work_tokens: scored.uncached_tokens,
+        };
+        let message = self.turn_ask(now_us, request, &open);
+        let work_us = self
+            .directory
+            .work_us(open.server, open.work_tokens, self.settings.prefill_token_us);
+        self.directory.note_ask(open.server, work_us, copies);
+        place_ask(request, open);
         actions.push(Action::Send(SlotMessage::Ask(message)));
     }
 
-    fn turn_ask(
-        &self,
-        now_us: MonoTime,
-        request: &Request,
-        server: ServerIndex,
-        ask: AskId,
-        copies: u8,
-    ) -> Ask {
+    fn turn_ask(&self, now_us: MonoTime, request: &Request, open: &OpenAsk) -> Ask {
         let work_us = self
             .directory
-            .work_us(server, request.uncached_tokens, self.settings.prefill_token_us);
-        let kv_bytes = self.kv_estimate(request.prefill_tokens());
+            .work_us(open.server, open.work_tokens, self.settings.prefill_token_us);
         Ask {
             request_id: request.arrival.request_id,
-            ask,
-            server: self.directory.name(server).clone(),
+            ask: open.ask,
+            server: self.directory.name(open.server).clone(),
             partner: request.arrival.partner.clone(),
-            work_tokens: request.uncached_tokens,
-            kv_bytes,
+            work_tokens: open.work_tokens,
+            kv_bytes: self.kv_estimate(request.prefill_tokens()),
             charge_us: self.charge_us(request, work_us),
-            slack_us: self.turn_slack(now_us, request, server, work_us, kv_bytes),
-            copies,
+            slack_us: self.turn_slack(now_us, request, open.server, work_us),
+            copies: open.copies,
             needed_in_us: None,
         }
     }
@@ -186,12 +198,13 @@
         request: &Request,
         server: ServerIndex,
         work_us: Micros,
-        kv_bytes: Bytes,
     ) -> Option<Micros> {
         if request.first_token_us.is_some() {
-            // The caller reads already: each further wait is a gap in its answer.
-            return Some(Micros::ZERO);
+            // The caller reads already, and each further wait is a gap in its answer: it goes before most,
+            // but must not be denied for a short wait.
+            return Some(self.settings.gap_ms.into());
         }
+        let kv_bytes = self.kv_estimate(request.prefill_tokens());
         let link = self
             .directory
             .get(server)
@@ -230,6 +243,7 @@
                     sent_us: now_us,
                     queued: false,
                     copies,
+                    work_tokens: Tokens::ZERO,
                 },
             );
             actions.push(Action::Send(SlotMessage::Ask(message)));
@@ -432,7 +446,10 @@
         self.withdraw_asks(&mut request, actions);
         let stage = request.stage;
         match stage {
-            Stage::AwaitTurn => request.turn = Some(hold),
+            Stage::AwaitTurn => {
+                request.turn = Some(hold);
+                request.uncached_tokens = wanted.map_or(request.uncached_tokens, |open| open.work_tokens);
+            }
             _ => request.slot = Some(hold),
         }
         self.requests.insert(request_id, request);
@@ -657,7 +674,7 @@
             .filter(|open| only.is_none_or(|index| index == open.server))
         {
             let message = if for_turn {
-                self.turn_ask(now_us, request, open.server, open.ask, open.copies)
+                self.turn_ask(now_us, request, open)
             } else {
                 self.slot_ask(now_us, request, open.server, open.ask, open.copies)
             };
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -315,12 +315,16 @@
             failed_at: None,
             retry_at_us: None,
         };
-        let wait_us = self.queue.forecast(now_us, &entry, self.pace()).wait_us;
+        let wait_us = self.queue.forecast(now_us, &entry, self.pace(now_us)).wait_us;
         let full = self.queue.is_full(&entry.partner, false);
         self.calls.insert(request_id, call);
         if full {
             self.refuse(request_id, PlainRefusal::QueueFull, wait_us, actions);
-        } else if !self.instances.iter().any(Instance::is_listed_live) {
+        } else if !self
+            .instances
+            .iter()
+            .any(|instance| instance.is_listed_live(now_us))
+        {
             self.refuse(request_id, PlainRefusal::NoInstance, patience_us, actions);
         } else if wait_us > patience_us {
             let after_us = wait_us.saturating_sub(patience_us);
@@ -344,11 +348,11 @@
     }
 
     /// Calls run side by side, so a queue's time is its work over the room of all instances.
-    fn pace(&self) -> f64 {
+    fn pace(&self, now_us: MonoTime) -> f64 {
         let room = self
             .instances
             .iter()
-            .map(|instance| u64::from(instance.limit()))
+            .map(|instance| u64::from(instance.limit(now_us)))
             .sum::<u64>();
         1.0 / room.max(1) as f64
     }
@@ -465,7 +469,7 @@
     /// most are slow the cause is the load, and taking instances away would make it worse.
     fn judge(&mut self, now_us: MonoTime, index: usize) {
         let usual_us = self.usual_latency_us();
-        if !self.may_set_aside() {
+        if !self.may_set_aside(now_us) {
             return;
         }
         if self.instances[index].judge_speed(now_us, usual_us) {
@@ -473,7 +477,7 @@
         }
     }
 
-    fn may_set_aside(&self) -> bool {
+    fn may_set_aside(&self, now_us: MonoTime) -> bool {
         let aside = self
             .instances
             .iter()
@@ -482,7 +486,7 @@
         let live = self
             .instances
             .iter()
-            .filter(|instance| instance.is_listed_live())
+            .filter(|instance| instance.is_listed_live(now_us))
             .count();
         (aside + 1) * 2 <= live
     }
@@ -494,7 +498,7 @@
         cause: FailureCause,
         actions: &mut Vec<PlainAction>,
     ) {
-        let may_set_aside = self.may_set_aside();
+        let may_set_aside = self.may_set_aside(now_us);
         let Some(call) = self.calls.get_mut(&request_id) else {
             return;
         };
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -34,6 +34,8 @@
     pub(super) sent_us: MonoTime,
     pub(super) queued: bool,
     pub(super) copies: u8,
+    /// Prompt tokens that this server has to read; zero for a slot.
+    pub(super) work_tokens: Tokens,
 }
 
 /// A grant in use.
--- a/crates/core/src/sched/running.rs
+++ b/crates/core/src/sched/running.rs
@@ -7,7 +7,7 @@
 use crate::units::{Bytes, Micros, Millis, MonoTime, Tokens};
 
 use super::counters::{FailReason, RedoCause};
-use super::directory::Sign;
+use super::directory::{ServerIndex, Sign};
 use super::events::{Action, Attempt, FailureCause, WorkStage};
 use super::placing::transfer_us;
 use super::request::{Hold, Request, Stage};
@@ -55,7 +55,13 @@
         let work_us = self
             .directory
             .work_us(turn.server, tokens, self.settings.prefill_token_us);
-        self.set_timer(request_id, now_us + self.patience(work_us));
+        let patience_us = self.patience(work_us);
+        let factor = if self.directory.speed_is_known(turn.server) {
+            1
+        } else {
+            self.settings.unknown_factor
+        };
+        self.set_timer(request_id, now_us + Micros(patience_us.0 * factor));
     }
 
     /// Time after which a call is taken for lost. A multiple of what it should take, so that a server ten
@@ -211,10 +217,18 @@
             server,
             from_index,
             resume: false,
-            silence_ms: self.settings.stream_silence_ms,
+            silence_ms: self.silence_ms(index),
         });
     }
 
+    fn silence_ms(&self, server: ServerIndex) -> Millis {
+        let tokens = Tokens(self.settings.silence_tokens);
+        let usual_us = self
+            .directory
+            .work_us(server, tokens, self.settings.decode_token_us);
+        usual_us.to_millis_ceil().max(self.settings.stream_silence_ms)
+    }
+
     pub(super) fn first_token(&mut self, now_us: MonoTime, request_id: RequestId) {
         if let Some(request) = self.requests.get_mut(&request_id)
             && request.first_token_us.is_none()
@@ -359,7 +373,8 @@
             .get(&request_id)
             .and_then(|request| request.failed_at);
         if let (Some(server), FailureCause::Leaving) = (server, cause) {
-            self.directory.sign(server, Sign::Leaving, now_us);
+            let until_us = self.sign_until(now_us, Sign::Leaving);
+            self.directory.sign(server, Sign::Leaving, until_us);
         }
     }
 
@@ -429,14 +444,16 @@
         let resumable = matches!(cause, FailureCause::Broken | FailureCause::Timeout);
         if let Some(slot) = request.slot.filter(|_| resumable && !request.resumed) {
             request.resumed = true;
+            let (attempt, from_index) = (request.attempt, request.tokens);
+            let silence_ms = self.silence_ms(slot.server);
             self.counters.resumed += 1;
             actions.push(Action::Decode {
                 request_id,
-                attempt: request.attempt,
+                attempt,
                 server: self.directory.name(slot.server).clone(),
-                from_index: request.tokens,
+                from_index,
                 resume: true,
-                silence_ms: self.settings.stream_silence_ms,
+                silence_ms,
             });
             return;
         }
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -12,7 +12,7 @@
 
 use super::affinity::AffinityIndex;
 use super::counters::{Counters, RefusalReason, clamp_retry_after};
-use super::directory::{Directory, ServerIndex};
+use super::directory::{Directory, ServerIndex, Sign};
 use super::events::{Action, Arrival, Event};
 use super::request::{Hold, Request, Stage};
 use super::retry::RetryBudget;
@@ -141,7 +141,7 @@
                 }
             }
             Event::Sign { server, sign } => {
-                let until_us = now_us + self.settings.silence_ms;
+                let until_us = self.sign_until(now_us, sign);
                 if let Some(index) = self.directory.index(&server) {
                     self.directory.sign(index, sign, until_us);
                 }
@@ -155,6 +155,13 @@
         self.wake(now_us, actions);
     }
 
+    pub(super) fn sign_until(&self, now_us: MonoTime, sign: Sign) -> MonoTime {
+        match sign {
+            Sign::Leaving => now_us + self.settings.sign_life_ms,
+            Sign::Live | Sign::Silent => now_us + self.settings.silence_ms,
+        }
+    }
+
     /// Takes a request in, or refuses it.
     ///
     /// Load: a surge, far above what all servers can do. Harm prevented: the daemon's memory filling with
--- a/crates/core/src/sched/settings.rs
+++ b/crates/core/src/sched/settings.rs
@@ -40,16 +40,22 @@
     pub slot_retry_ms: Millis,
     /// Period in which held grants are renewed: a third of a grant's life.
     pub renew_ms: Millis,
+    /// Wait that is taken in for a request whose answer has begun and broke off.
+    pub gap_ms: Millis,
     /// Part of the first-token target kept back for what estimates miss, in percent.
     pub margin_percent: u64,
     /// Messages and connection set-up between grant and first token.
     pub overhead_us: Micros,
     /// A call is given up after so many times its expected time.
     pub timeout_factor: u64,
+    /// At a server whose speed was never seen, so many times longer still: the expected time is a guess.
+    pub unknown_factor: u64,
     /// And never before this, so that a pause of the scheduler's host is not taken for a mute server.
     pub timeout_floor_ms: Millis,
     /// Time without a token after which a decode stream counts as silent.
     pub stream_silence_ms: Millis,
+    /// And the time of so many tokens at that server's speed, if that is longer.
+    pub silence_tokens: u64,
     /// Time for which a prefill result is kept when the engine did not say.
     pub evict_after_ms: Millis,
     /// KV cache of one token until it was observed.
@@ -73,6 +79,9 @@
     pub attempts_max: u32,
     /// Time for which a server is passed over after its watcher gave no answer.
     pub silence_ms: Millis,
+    /// Life of a drain sign. The list shows the same within it, or the sign was of a short-lived state, as of
+    /// an engine that was restarted between two versions of the list.
+    pub sign_life_ms: Millis,
     /// A decode server slower than the class allows gets one request in this time, to see whether it
     /// recovered.
     pub slow_trial_ms: Millis,
@@ -91,11 +100,14 @@
             bold_below_ms: Millis(400),
             slot_retry_ms: Millis(10),
             renew_ms: Millis(1_000),
+            gap_ms: Millis(3_000),
             margin_percent: 5,
             overhead_us: Micros(15_000),
             timeout_factor: 3,
-            timeout_floor_ms: Millis(400),
+            unknown_factor: 5,
+            timeout_floor_ms: Millis(800),
             stream_silence_ms: Millis(1_000),
+            silence_tokens: 20,
             evict_after_ms: Millis(800),
             kv_bytes_per_token: Bytes(128 << 10),
             block_tokens: 64,
@@ -107,6 +119,7 @@
             backoff_ms: Millis(20),
             attempts_max: 4,
             silence_ms: Millis(500),
+            sign_life_ms: Millis(30_000),
             slow_trial_ms: Millis(5_000),
         }
     }
--- a/crates/core/src/slots/fair_queue.rs
+++ b/crates/core/src/slots/fair_queue.rs
@@ -41,7 +41,7 @@
             per_partner_max: 256,
             late_max: 64,
             late_patience_ms: Millis(15_000),
-            ageing_ms: Millis(3_000),
+            ageing_ms: Millis(8_000),
             ageing_every: 8,
         }
     }
@@ -183,9 +183,12 @@
         Micros(self.work_us)
     }
 
-    /// Whether an ask of `request_id` waits.
-    pub fn contains(&self, request_id: RequestId) -> bool {
-        self.places.contains_key(&request_id)
+    /// The request, if it waits.
+    pub fn get(&self, request_id: RequestId) -> Option<&Waiting<Item>> {
+        let place = self.places.get(&request_id)?;
+        let queue = &self.partners[place.partner];
+        let side = if place.late { &queue.late } else { &queue.in_time };
+        side.get(&place.key)
     }
 
     /// Whether the partner has no room for one more ask.
@@ -341,10 +344,7 @@
         let index = self.active.first()?.index;
         self.demote(now_us, index);
         let request_id = self.choose(now_us, index)?;
-        let place = self.places.get(&request_id)?;
-        let queue = &self.partners[index];
-        let side = if place.late { &queue.late } else { &queue.in_time };
-        side.get(&place.key)
+        self.get(request_id)
     }
 
     /// The request to grant next, taken out and charged to its partner.
--- a/crates/core/src/slots/ledger.rs
+++ b/crates/core/src/slots/ledger.rs
@@ -21,6 +21,8 @@
     /// the server never idles; more would put short prompts behind long ones already granted, and hold
     /// slots for prompts that are not being read.
     pub prefill_ahead_us: Micros,
+    /// Time in which a turn usually gets its slot: two round trips and a queue of messages.
+    pub slot_grace_us: Micros,
     /// Grants outstanding at a prefill server, whatever their estimated work: an estimate that is too low
     /// must not send a whole queue to the engine.
     pub prefill_turns_max: usize,
@@ -52,7 +54,8 @@
             queue: QueueSettings::default(),
             grant_ttl_ms: Millis(3_000),
             prefill_ahead_us: Micros(15_000),
-            prefill_turns_max: 4,
+            slot_grace_us: Micros(15_000),
+            prefill_turns_max: 2,
             ready_max: 3,
             link_divisor: 2,
             link_parts_max: 4,
@@ -379,8 +382,12 @@
             }
             return;
         }
-        let entry = self.waiting(now_us, from, ask);
-        self.queue.remove(request_id);
+        // An ask that waits is repeated from time to time and judged again: if it can no longer be served in
+        // time, its caller had better know now than get a late answer. Its age stays.
+        let mut entry = self.waiting(now_us, from, ask);
+        if let Some(earlier) = self.queue.remove(request_id) {
+            entry.since_us = earlier.since_us;
+        }
         if let Some((reason, wait_us)) = self.refusal(now_us, &entry) {
             self.deny(now_us, &entry, reason, wait_us, actions);
             return;
@@ -388,22 +395,33 @@
         let ask_id = entry.item.ask;
         self.queue.push(entry);
         self.serve(now_us, actions);
-        if self.queue.contains(request_id) {
-            let load = self.load(now_us);
+        if self.queue.get(request_id).is_some() {
             self.pace.begin(now_us);
-            let message = SlotMessage::Queued {
-                server: self.server.clone(),
-                request_id,
-                ask: ask_id,
-                load,
-            };
-            actions.push(LedgerAction::Send {
-                to: from.clone(),
-                message,
-            });
+            self.queued(now_us, from, request_id, ask_id, actions);
         }
     }
 
+    fn queued(
+        &self,
+        now_us: MonoTime,
+        from: &HostId,
+        request_id: RequestId,
+        ask: AskId,
+        actions: &mut Vec<LedgerAction>,
+    ) {
+        let (server, load) = (self.server.clone(), self.load(now_us));
+        let message = SlotMessage::Queued {
+            server,
+            request_id,
+            ask,
+            load,
+        };
+        actions.push(LedgerAction::Send {
+            to: from.clone(),
+            message,
+        });
+    }
+
     fn waiting(&self, now_us: MonoTime, from: &HostId, ask: Ask) -> Waiting<Asker> {
         Waiting {
             request_id: ask.request_id,
@@ -435,8 +453,8 @@
             return Some((DenyReason::Unhealthy, until_us.since(now_us))).filter(|_| busy);
         }
         let quiet_us = self.quiet_until_us.since(now_us);
-        if self.role == Role::Decode && quiet_us > Micros::ZERO {
-            // Whoever asks for a slot holds a turn, and had better look elsewhere.
+        if quiet_us > Micros::ZERO {
+            // Says nothing of the load: whoever asks had better look elsewhere, and come back if all are so.
             return Some((DenyReason::Unhealthy, quiet_us));
         }
         let late = entry.latest_us.is_none();
@@ -447,7 +465,8 @@
         if self.role == Role::Decode {
             return None;
         }
-        let wait_us = forecast.wait_us + self.backlog_us(now_us) + quiet_us;
+        let backlog_us = self.backlog_us(now_us) + self.reserved_us(now_us, false);
+        let wait_us = forecast.wait_us + backlog_us;
         let limit_us = match entry.latest_us {
             Some(latest_us) => latest_us.since(now_us),
             None => self.settings.queue.late_patience_ms.into(),
@@ -639,7 +658,7 @@
                 ready < self.settings.ready_max
                     && (turns == 0
                         || (turns < self.settings.prefill_turns_max
-                            && self.backlog_us(now_us) < self.settings.prefill_ahead_us))
+                            && self.ahead_us(now_us) < self.settings.prefill_ahead_us))
             }
         }
     }
@@ -655,8 +674,7 @@
             .filter(|held| held.phase <= GrantPhase::Running)
     }
 
-    /// Work granted and not yet done at a prefill server: that of turns not started, which wait for their
-    /// slots, and what is left of the others. Work that overran its estimate is expected to take as long
+    /// Work sent to a prefill server and not yet done. Work that overran its estimate is expected to take as long
     /// again: a server that hangs would look idle otherwise, and draw the whole queue.
     fn backlog_us(&self, now_us: MonoTime) -> Micros {
         if self.role == Role::Decode {
@@ -668,15 +686,29 @@
             running_us += held.work_us.0;
             first_us = Some(first_us.map_or(held.phase_us, |first: MonoTime| first.min(held.phase_us)));
         }
-        let reserved = self.turns().filter(|held| held.phase == GrantPhase::Reserved);
-        let reserved_us = reserved.map(|held| held.work_us.0).sum::<u64>();
         let spent_us = first_us.map_or(0, |first_us| now_us.since(first_us.max(self.last_moved_us)).0);
-        Micros(reserved_us + running_us.abs_diff(spent_us))
+        Micros(running_us.abs_diff(spent_us))
+    }
+
+    /// Work of turns that still wait for their slots: of all, or only of those granted a moment ago, which
+    /// will start at once if their slot is free.
+    fn reserved_us(&self, now_us: MonoTime, only_fresh: bool) -> Micros {
+        let grace_us = self.settings.slot_grace_us;
+        let reserved = self.turns().filter(|held| {
+            held.phase == GrantPhase::Reserved && (!only_fresh || now_us < held.granted_us + grace_us)
+        });
+        Micros(reserved.map(|held| held.work_us.0).sum())
+    }
+
+    /// Work that the server has or will have in a moment. A turn whose slot is not to be had at once does not
+    /// count: the server would idle beside it, and a request of another partner wait for nothing.
+    fn ahead_us(&self, now_us: MonoTime) -> Micros {
+        self.backlog_us(now_us) + self.reserved_us(now_us, true)
     }
 
     fn room_at(&self, now_us: MonoTime) -> MonoTime {
         let left_us = self
-            .backlog_us(now_us)
+            .ahead_us(now_us)
             .saturating_sub(self.settings.prefill_ahead_us);
         now_us + Micros(left_us.0.max(MIN_WAIT_US))
     }
