--- a/crates/core/src/claim/machine.rs
+++ b/crates/core/src/claim/machine.rs
@@ -358,7 +358,7 @@
             return;
         };
         let Claim { key, digest, .. } = waiting.claim;
-        let start_by_us = waiting.deadline_us;
+        let start_by_us = now_us + self.settings.start_within_ms;
         self.runs.insert(
             now_us,
             request,
