--- a/crates/standins/src/slopes/procs.rs
+++ b/crates/standins/src/slopes/procs.rs
@@ -202,7 +202,7 @@
                  [platform]\nlog = \"{log}\"\nhosts = \"{}\"\nweights = \"{}\"\n\n\
                  [peers]\nseeds = [{}]\nkey = \"{PEER_KEY}\"\n\n\
                  [traffic]\nthreads = 1\n\n\
-                 [partners.{PARTNER}]\ntoken_hashes = []\npublish_key = \"{publish_key}\"\n",
+                 [partners.{PARTNER}]\ntoken_hashes = [\"{}\"]\npublish_key = \"{publish_key}\"\n",
                 daemon.host,
                 daemon.data_centre,
                 daemon.callers,
@@ -211,6 +211,7 @@
                 addresses.hosts,
                 addresses.weights,
                 seeds.join(", "),
+                blake3::hash(b"bench").to_hex(),
             );
             fs::write(self.dir.join(format!("{}.toml", daemon.host)), text)
                 .context("could not write settings")?;
