Show what happens to membership and spreading, and how to live with it

Cause: suspicions, deaths, redials and diverging states were counted and shown to nobody; operators had no page on them.

Ruled out: a gauge for each count: they only grow.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -159,6 +159,8 @@
         control.publish_figures(Figures {
             usage: Arc::clone(&control.services.usage),
             members: Arc::clone(&control.services.members.view),
+            membership_counts: Arc::clone(&control.services.members.counts),
+            spread_counts: Arc::clone(&control.services.spread.counts),
             directory: Arc::clone(&directory),
             hub: Arc::clone(&schedulers.hub),
             tasks: tasks.clone(),
