Start a transfer for a watcher that is silent, and keep likely slots apart from sure ones

Cause: when a daemon died its watcher's word to start a transfer never came, and the prefill result was evicted; a likely slot could be confirmed before one that was promised for certain. Change: a watcher answers a repeated message that a transfer is ready, so that silence is known from waiting; after 300 ms of silence a transfer into a sure slot starts; likely slots become sure in order as others become free.

--- a/crates/core/src/sched/counters.rs
+++ b/crates/core/src/sched/counters.rs
@@ -71,6 +71,8 @@
     pub resumed: u64,
     /// Asks whose watcher gave no answer.
     pub ask_timeouts: u64,
+    /// Transfers started although a watcher was silent.
+    pub unconfirmed: u64,
     /// Turns given back for want of a slot.
     pub turns_returned: u64,
 }
--- a/crates/core/src/sched/placing.rs
+++ b/crates/core/src/sched/placing.rs
@@ -145,6 +145,7 @@
             sent_us: now_us,
             queued: false,
             copies,
+            bold: false,
             work_tokens: scored.uncached_tokens,
         };
         let message = self.turn_ask(now_us, request, &open);
@@ -232,20 +233,18 @@
         let copies = if roomy { 1 } else { best.iter().flatten().count() };
         let copies = u8::try_from(copies).unwrap_or(1);
         for scored in best.into_iter().flatten().take(usize::from(copies)) {
-            let ask = self.new_ask();
-            let message = self.slot_ask(now_us, &request, scored.server, ask, copies);
+            let open = OpenAsk {
+                server: scored.server,
+                ask: self.new_ask(),
+                sent_us: now_us,
+                queued: false,
+                copies,
+                bold: self.is_bold(now_us, &request),
+                work_tokens: Tokens::ZERO,
+            };
+            let message = self.slot_ask(now_us, &request, &open);
             self.directory.note_ask(scored.server, Micros::ZERO, copies);
-            place_ask(
-                &mut request,
-                OpenAsk {
-                    server: scored.server,
-                    ask,
-                    sent_us: now_us,
-                    queued: false,
-                    copies,
-                    work_tokens: Tokens::ZERO,
-                },
-            );
+            place_ask(&mut request, open);
             actions.push(Action::Send(SlotMessage::Ask(message)));
         }
         let asked = request.has_asks();
@@ -308,39 +307,40 @@
         }
     }
 
-    fn slot_ask(
-        &self,
-        now_us: MonoTime,
-        request: &Request,
-        server: ServerIndex,
-        ask: AskId,
-        copies: u8,
-    ) -> Ask {
+    fn slot_ask(&self, now_us: MonoTime, request: &Request, open: &OpenAsk) -> Ask {
         let left_us = request.deadline_us.since(now_us);
         Ask {
             request_id: request.arrival.request_id,
-            ask,
-            server: self.directory.name(server).clone(),
+            ask: open.ask,
+            server: self.directory.name(open.server).clone(),
             partner: request.arrival.partner.clone(),
             work_tokens: self.expected_answer(request),
             kv_bytes: self.kv_estimate(request.prefill_tokens()),
             charge_us: Micros(self.settings.decode_token_us.0 * self.expected_answer(request).0),
             slack_us: Some(left_us).filter(|&left_us| left_us > Micros::ZERO),
-            copies,
-            needed_in_us: self.needed_in(request, left_us),
+            copies: open.copies,
+            needed_in_us: open.bold.then(|| self.prefill_us(request)),
         }
     }
 
-    /// Time until the slot is needed, for a request that may start on a likely one. Slack decides how bold to
-    /// be: a request that can wait takes a sure slot, and its prefill is never in danger; a tight one would
-    /// be late by then, and risks its prefill on a slot whose holder should end first.
-    fn needed_in(&self, request: &Request, left_us: Micros) -> Option<Micros> {
-        let server = request.turn.map(|turn| turn.server)?;
-        let work_us = self
-            .directory
-            .work_us(server, request.uncached_tokens, self.settings.prefill_token_us);
-        let patient_us = work_us + self.settings.bold_below_ms.into();
-        (left_us < patient_us).then_some(work_us)
+    /// Whether a request may start on a slot that is only likely. Slack decides: a request that can wait
+    /// takes a sure slot, and its prefill is never in danger; a tight one would be late by then, and risks
+    /// its prefill on a slot whose holder should end first.
+    fn is_bold(&self, now_us: MonoTime, request: &Request) -> bool {
+        let left_us = request.deadline_us.since(now_us);
+        let prefill_us = self.prefill_us(request);
+        let bold_us = prefill_us + self.settings.bold_below_ms.into();
+        (prefill_us..bold_us).contains(&left_us)
+    }
+
+    /// Time that the prefill of a request with a turn takes.
+    fn prefill_us(&self, request: &Request) -> Micros {
+        let default_us = self.settings.prefill_token_us;
+        let work_us = |turn: Hold| {
+            self.directory
+                .work_us(turn.server, request.uncached_tokens, default_us)
+        };
+        request.turn.map_or(Micros::ZERO, work_us)
     }
 
     /// Takes an answer of a watcher.
@@ -361,7 +361,7 @@
                 ..
             } => {
                 self.directory.learn(now_us, index, load, Micros::ZERO);
-                self.queued(request_id, ask);
+                self.queued(now_us, request_id, ask);
             }
             SlotMessage::Grant {
                 request_id,
@@ -375,6 +375,8 @@
                     ask,
                     rate_bytes_per_s: BytesPerSecond::ZERO,
                     phase: GrantPhase::Reserved,
+                    sure: true,
+                    heard_us: now_us,
                 };
                 self.granted(now_us, request_id, hold, actions);
             }
@@ -412,12 +414,17 @@
         }
     }
 
-    fn queued(&mut self, request_id: RequestId, ask: AskId) {
-        if let Some(open) = self
-            .requests
-            .get_mut(&request_id)
-            .and_then(|request| request.ask_of(ask))
-        {
+    /// The watcher has heard an ask, or that a transfer is ready, and lets it wait.
+    fn queued(&mut self, now_us: MonoTime, request_id: RequestId, ask: AskId) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
+            if hold.ask == ask {
+                hold.heard_us = now_us;
+            }
+        }
+        if let Some(open) = request.ask_of(ask) {
             open.queued = true;
         }
     }
@@ -445,6 +452,10 @@
         };
         self.withdraw_asks(&mut request, actions);
         let stage = request.stage;
+        let hold = Hold {
+            sure: wanted.is_some_and(|open| !open.bold),
+            ..hold
+        };
         match stage {
             Stage::AwaitTurn => {
                 request.turn = Some(hold);
@@ -676,7 +687,7 @@
             let message = if for_turn {
                 self.turn_ask(now_us, request, open)
             } else {
-                self.slot_ask(now_us, request, open.server, open.ask, open.copies)
+                self.slot_ask(now_us, request, open)
             };
             actions.push(Action::Send(SlotMessage::Ask(message)));
         }
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -34,6 +34,8 @@
     pub(super) sent_us: MonoTime,
     pub(super) queued: bool,
     pub(super) copies: u8,
+    /// Whether a likely slot was asked for.
+    pub(super) bold: bool,
     /// Prompt tokens that this server has to read; zero for a slot.
     pub(super) work_tokens: Tokens,
 }
@@ -45,6 +47,10 @@
     pub(super) ask: AskId,
     pub(super) rate_bytes_per_s: BytesPerSecond,
     pub(super) phase: GrantPhase,
+    /// Whether it was granted for certain, and not only as likely.
+    pub(super) sure: bool,
+    /// When its watcher was last heard, from the time on when the transfer was ready.
+    pub(super) heard_us: MonoTime,
 }
 
 /// Servers asked at once.
--- a/crates/core/src/sched/running.rs
+++ b/crates/core/src/sched/running.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::RequestId;
 use crate::slots::{GrantOutcome, GrantPhase, SlotMessage};
-use crate::units::{Bytes, Micros, Millis, MonoTime, Tokens};
+use crate::units::{Bytes, BytesPerSecond, Micros, Millis, MonoTime, Tokens};
 
 use super::counters::{FailReason, RedoCause};
 use super::directory::{ServerIndex, Sign};
@@ -18,6 +18,10 @@
 const PRIORITY_IN_TIME: u8 = 1;
 const PRIORITY_LATE: u8 = 2;
 
+/// Part of the link that a transfer without confirmation takes, as a divisor: the smallest that a watcher
+/// would give.
+const UNCONFIRMED_LINK_PART: u64 = 4;
+
 /// Weight of a new observation of the KV cache's size.
 const KV_WEIGHT: f64 = 0.05;
 
@@ -122,7 +126,10 @@
             if hold.phase > GrantPhase::Ready {
                 continue;
             }
-            hold.phase = GrantPhase::Ready;
+            if hold.phase < GrantPhase::Ready {
+                hold.phase = GrantPhase::Ready;
+                hold.heard_us = now_us;
+            }
             actions.push(Action::Send(SlotMessage::Ready {
                 server: self.directory.name(hold.server).clone(),
                 request_id,
@@ -155,7 +162,38 @@
             self.ask_timer(now_us, request_id, actions);
             return;
         }
-        self.make_ready(now_us, request_id, actions);
+        self.confirm_for_silent(now_us, request_id);
+        let moving = |hold: Option<Hold>| hold.is_some_and(|hold| hold.phase == GrantPhase::Moving);
+        let is_confirmed = self
+            .requests
+            .get(&request_id)
+            .is_some_and(|request| moving(request.turn) && moving(request.slot));
+        if is_confirmed {
+            self.start_import(now_us, request_id, actions);
+        } else {
+            self.make_ready(now_us, request_id, actions);
+        }
+    }
+
+    /// Lets a transfer start for a watcher that is silent.
+    ///
+    /// A daemon dies, and with it the watcher that should let the transfer start; its successor comes when
+    /// the prefill result is already evicted. A slot granted for certain is there, so the engine has room;
+    /// what may happen is that the link is shared once too often for the time of one transfer.
+    fn confirm_for_silent(&mut self, now_us: MonoTime, request_id: RequestId) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
+            let silent = now_us >= hold.heard_us + self.settings.confirm_silence_ms;
+            if hold.phase == GrantPhase::Ready && hold.sure && silent {
+                let known = self.directory.get(hold.server);
+                let link = known.map_or(0, |known| known.record.link_bytes_per_s.0);
+                hold.phase = GrantPhase::Moving;
+                hold.rate_bytes_per_s = BytesPerSecond(link / UNCONFIRMED_LINK_PART);
+                self.counters.unconfirmed += 1;
+            }
+        }
     }
 
     pub(super) fn start_import(
--- a/crates/core/src/sched/settings.rs
+++ b/crates/core/src/sched/settings.rs
@@ -33,8 +33,9 @@
     /// Time for which a turn waits for a slot. The prefill server may be idle meanwhile, but without a slot
     /// its result would be thrown away.
     pub turn_hold_ms: Millis,
-    /// A request with less time left than its prefill and this may start on a likely slot. About the time in
-    /// which a full server frees a few slots.
+    /// A request with time left for its prefill and less than this besides may start on a likely slot. Zero:
+    /// no request does. Measured, it brought no goodput that the seeds' luck did not outweigh, and with
+    /// everything marked tightest it wasted more than the bound of 1 % of the prefill work.
     pub bold_below_ms: Millis,
     /// Pause before slots are asked for again after all were denied.
     pub slot_retry_ms: Millis,
@@ -56,6 +57,9 @@
     pub stream_silence_ms: Millis,
     /// And the time of so many tokens at that server's speed, if that is longer.
     pub silence_tokens: u64,
+    /// Silence of a watcher after which a transfer starts without it. Many repeats of the message, and short
+    /// enough that the result is not yet evicted.
+    pub confirm_silence_ms: Millis,
     /// Time for which a prefill result is kept when the engine did not say.
     pub evict_after_ms: Millis,
     /// KV cache of one token until it was observed.
@@ -96,8 +100,8 @@
             ask_timeout_us: Micros(25_000),
             ask_rounds: 2,
             unknown_pause_ms: Millis(100),
-            turn_hold_ms: Millis(400),
-            bold_below_ms: Millis(400),
+            turn_hold_ms: Millis(250),
+            bold_below_ms: Millis(0),
             slot_retry_ms: Millis(10),
             renew_ms: Millis(1_000),
             gap_ms: Millis(3_000),
@@ -108,6 +112,7 @@
             timeout_floor_ms: Millis(800),
             stream_silence_ms: Millis(1_000),
             silence_tokens: 20,
+            confirm_silence_ms: Millis(300),
             evict_after_ms: Millis(800),
             kv_bytes_per_token: Bytes(128 << 10),
             block_tokens: 64,
--- a/crates/core/src/slots/ledger.rs
+++ b/crates/core/src/slots/ledger.rs
@@ -141,6 +141,8 @@
     rate_bytes_per_s: BytesPerSecond,
     phase: GrantPhase,
     phase_us: MonoTime,
+    /// Whether the slot is this request's for certain; otherwise it is once another ends.
+    sure: bool,
     orphan: bool,
 }
 
@@ -577,6 +579,7 @@
             rate_bytes_per_s: BytesPerSecond::ZERO,
             phase: GrantPhase::Reserved,
             phase_us: now_us,
+            sure: self.role == Role::Prefill || self.sure_len() < self.slots_total as usize,
             orphan: false,
         };
         if self.closed_until_us.is_some() {
@@ -604,15 +607,16 @@
     /// Starts transfers that are ready, in the order in which they became so.
     ///
     /// Harm prevented: a transfer without a slot is refused by the engine, and one that shares the link with
-    /// too many crawls until the prefill result is evicted at its source. So the slot is counted as taken
-    /// and the share of the link is given here, at the last moment: promised earlier, with the turn, both
-    /// would lie idle for as long as the prompt is read.
+    /// too many crawls until the prefill result is evicted at its source. So the share of the link is given
+    /// here, at the last moment: promised earlier, with the turn, it would lie idle for as long as the prompt
+    /// is read.
     fn confirm(&mut self, now_us: MonoTime, actions: &mut Vec<LedgerAction>) {
-        while let Some(rate_bytes_per_s) = self.free_rate().filter(|_| self.has_free_slot()) {
+        self.promote();
+        while let Some(rate_bytes_per_s) = self.free_rate() {
             let ready = self
                 .held
                 .iter_mut()
-                .filter(|(_, held)| held.phase == GrantPhase::Ready);
+                .filter(|(_, held)| held.phase == GrantPhase::Ready && held.sure);
             let Some((&request_id, held)) = ready.min_by_key(|(id, held)| (held.phase_us, **id)) else {
                 return;
             };
@@ -625,15 +629,22 @@
         }
     }
 
-    /// Whether a slot is free at this moment; at a prefill server results need none.
-    fn has_free_slot(&self) -> bool {
-        self.role == Role::Prefill || self.occupied_len() < self.slots_total as usize
+    /// Makes likely slots sure as others become free, the one whose prompt was read first before others:
+    /// its result is evicted first.
+    fn promote(&mut self) {
+        while self.sure_len() < self.slots_total as usize {
+            let likely = self.held.iter_mut().filter(|(_, held)| !held.sure);
+            let order = |held: &Held| (held.phase != GrantPhase::Ready, held.phase_us);
+            let Some((_, held)) = likely.min_by_key(|(id, held)| (order(held), **id)) else {
+                return;
+            };
+            held.sure = true;
+        }
     }
 
-    /// Slots that the engine holds or may hold.
-    fn occupied_len(&self) -> usize {
-        let taken = |held: &&Held| matches!(held.phase, GrantPhase::Moving | GrantPhase::Moved);
-        self.held.values().filter(taken).count() + self.foreign.len()
+    /// Slots that are somebody's for certain; never more than there are, but for a change of watcher.
+    fn sure_len(&self) -> usize {
+        self.held.values().filter(|held| held.sure).count() + self.foreign.len()
     }
 
     /// Whether one more grant may be given.
@@ -754,6 +765,12 @@
             let message = confirm_message(&self.server, request_id, held);
             actions.push(LedgerAction::Send { to, message });
         }
+        if held.phase == GrantPhase::Ready {
+            // It waits for the link or its slot. To hear so tells the daemon that its watcher lives.
+            let home = held.home.clone();
+            self.queued(now_us, &home, request_id, ask, actions);
+            return;
+        }
         if held.phase > GrantPhase::Running {
             return;
         }
@@ -891,6 +908,7 @@
             rate_bytes_per_s: grant.rate_bytes_per_s,
             phase: grant.phase,
             phase_us: now_us,
+            sure: true,
             orphan: false,
         };
         self.held.insert(grant.request_id, held);
--- a/crates/core/tests/sched/cost.rs
+++ b/crates/core/tests/sched/cost.rs
@@ -199,6 +199,7 @@
         let now_us = MonoTime(self.next * 100);
         self.ledger
             .handle(now_us, &self.home, Incarnation(1), message, &mut self.actions);
+        let mut started = None;
         for action in &self.actions {
             if let LedgerAction::Send {
                 message: SlotMessage::Grant { request_id, ask, .. },
@@ -206,7 +207,16 @@
             } = action
             {
                 self.held.push((*request_id, *ask));
+                started = Some(*request_id);
             }
         }
+        if let Some(request_id) = started {
+            let message = SlotMessage::Started {
+                server: "s0".parse().unwrap(),
+                request_id,
+            };
+            self.ledger
+                .handle(now_us, &self.home, Incarnation(1), message, &mut self.actions);
+        }
     }
 }
