--- a/crates/core/src/claim/machine.rs
+++ b/crates/core/src/claim/machine.rs
@@ -265,7 +265,7 @@
     pub fn page(&mut self, now_us: MonoTime, unix_ms: UnixMillis, partition: u16, page: Option<ClaimPage>) {
         self.unix_ms = unix_ms;
         self.with_partition(now_us, partition, |partition, effects| {
-            partition.page(now_us, page, effects);
+            partition.page(now_us, unix_ms, page, effects);
         });
     }
 
--- a/crates/core/src/claim/partition.rs
+++ b/crates/core/src/claim/partition.rs
@@ -11,6 +11,10 @@
 /// Time after which a read that failed is tried again.
 const READ_RETRY_MS: Millis = Millis(100);
 
+/// Clocks that come in between when a reader judges the age of the records before one: those of the reader, of the
+/// record's writer, and of two writers before it. Each may be off by as much as two hosts' may differ.
+const CLOCKS_COMPARED: u64 = 4;
+
 /// How an append ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendEnd {
@@ -44,6 +48,25 @@
     pub records: Vec<ClaimRecord>,
 }
 
+/// Where the fold of a newly opened partition begins. The log may keep days of records, while keys are held for
+/// minutes: a daemon that becomes the owner finds the first record that still matters by halving, at the cost
+/// of some twenty reads of one record, instead of reading days of them at 4 KB/s.
+#[derive(Clone, Copy, Debug)]
+enum Opening {
+    /// The bounds of the stream are not known.
+    Unread,
+    /// Records before `low` are too old to matter, those from `high` on may matter.
+    Search { low: Offset, high: Offset },
+    /// The fold has begun.
+    Done,
+}
+
+impl Opening {
+    fn middle(low: Offset, high: Offset) -> Offset {
+        Offset(low.0 + (high.0 - low.0) / 2)
+    }
+}
+
 /// Who wants a verdict.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Asker {
@@ -74,6 +97,7 @@
 #[derive(Debug)]
 pub(super) struct Partition {
     settings: ClaimSettings,
+    opening: Opening,
     fold: ClaimFold,
     /// The fold has reached the end of the stream since it was opened, or since it last had to.
     caught_up: bool,
@@ -100,6 +124,7 @@
     pub(super) fn new(settings: ClaimSettings, now_us: MonoTime) -> Self {
         Self {
             settings,
+            opening: Opening::Unread,
             fold: ClaimFold::new(settings.hold_ms(), Offset(0)),
             caught_up: false,
             reading: false,
@@ -223,7 +248,13 @@
         }
     }
 
-    pub(super) fn page(&mut self, now_us: MonoTime, page: Option<ClaimPage>, effects: &mut Vec<Effect>) {
+    pub(super) fn page(
+        &mut self,
+        now_us: MonoTime,
+        unix_ms: UnixMillis,
+        page: Option<ClaimPage>,
+        effects: &mut Vec<Effect>,
+    ) {
         self.reading = false;
         let Some(page) = page else {
             self.read_at_us = now_us + READ_RETRY_MS;
@@ -236,6 +267,10 @@
             self.break_off(now_us, effects);
             return;
         }
+        self.open(unix_ms, &page);
+        if matches!(self.opening, Opening::Search { .. }) {
+            return;
+        }
         if page.start > self.fold.next() {
             self.fold = ClaimFold::new(self.settings.hold_ms(), page.start);
         }
@@ -249,6 +284,41 @@
         self.caught_up = self.fold.next() >= page.next;
     }
 
+    /// Narrows down where the fold begins.
+    fn open(&mut self, unix_ms: UnixMillis, page: &ClaimPage) {
+        let (low, high) = match self.opening {
+            Opening::Done => return,
+            Opening::Unread => (page.start, page.next),
+            Opening::Search { low, high } => {
+                let middle = Opening::middle(low, high);
+                let probed = page.records.first().filter(|record| record.offset == middle);
+                match probed {
+                    Some(record) if self.is_stale(unix_ms, record) => (middle, high),
+                    Some(_) => (low, middle),
+                    // The record has expired meanwhile, and those before it.
+                    None => (page.start.max(low), high.max(page.start)),
+                }
+            }
+        };
+        let few = high.0.saturating_sub(low.0) <= u64::from(self.settings.read_limit);
+        self.opening = if few {
+            Opening::Done
+        } else {
+            Opening::Search { low, high }
+        };
+        if few {
+            self.fold = ClaimFold::new(self.settings.hold_ms(), low);
+        }
+    }
+
+    /// Whether a record is so old that no key is held by it or by one before it, whichever host's clock wrote it.
+    /// A record that cannot be read is not.
+    fn is_stale(&self, unix_ms: UnixMillis, record: &ClaimRecord) -> bool {
+        let stale_ms = self.settings.hold_ms().0 + CLOCKS_COMPARED * self.settings.clock_skew_ms.0;
+        let written = record.group.as_ref().map(|group| group.appended_unix_ms.0);
+        written.is_some_and(|written| written + stale_ms < unix_ms.0)
+    }
+
     /// The log has fewer records than were read from it before: claims may have been lost with them. Nothing
     /// is claimed until every key that could have been among them is no longer remembered anyway.
     fn break_off(&mut self, now_us: MonoTime, effects: &mut Vec<Effect>) {
@@ -356,10 +426,13 @@
             return;
         }
         self.reading = true;
-        effects.push(Effect::Read {
-            from: self.fold.next(),
-            limit: self.settings.read_limit,
-        });
+        let read_limit = self.settings.read_limit;
+        let (from, limit) = match self.opening {
+            Opening::Unread => (Offset(0), read_limit),
+            Opening::Search { low, high } => (Opening::middle(low, high), 1),
+            Opening::Done => (self.fold.next(), read_limit),
+        };
+        effects.push(Effect::Read { from, limit });
     }
 
     fn append(&mut self, now_us: MonoTime, unix_ms: UnixMillis, effects: &mut Vec<Effect>) {
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -224,8 +224,10 @@
     }
 
     /// The record to append now, if any: to take the lease, or to renew it in time. The fold must have read
-    /// the stream to its end.
+    /// the stream to its end. An append whose end could not be read back when it was made, because the log had
+    /// gone down, is settled first: it would keep this daemon from the lease for ever.
     pub fn want(&mut self, now_us: MonoTime, fold: &LeaseFold) -> Option<LeaseRecord> {
+        self.read_back(now_us, fold);
         if self.sending != Sending::Idle || now_us < self.retry_at_us {
             return None;
         }
--- a/crates/core/tests/outcomes/counterexamples.rs
+++ b/crates/core/tests/outcomes/counterexamples.rs
@@ -1,8 +1,8 @@
 //! Counterexamples that the checker found to mutants of `spec/claim.pml`, played on the real state machine.
 
 use hibiscusvale_core::claim::{
-    AppendEnd, BodyDigest, ClaimAction, ClaimGroup, ClaimKey, ClaimPage, ClaimRecord, ClaimSettings, Claims,
-    Decision, FinishedAs, UnixMillis,
+    AppendEnd, BodyDigest, Claim, ClaimAction, ClaimEntry, ClaimGroup, ClaimKey, ClaimMessage, ClaimPage,
+    ClaimRecord, ClaimSettings, Claims, Decision, FinishedAs, UnixMillis,
 };
 use hibiscusvale_core::ids::{HostId, Incarnation, Offset, RequestId};
 use hibiscusvale_core::units::{Millis, MonoTime};
@@ -231,3 +231,77 @@
     successor.claim(1, &mut log);
     assert_eq!(successor.decisions, [Decision::Unknown]);
 }
+
+/// A daemon becomes the owner of a partition of which the log keeps days. It does not read days of records before it
+/// answers a caller, and yet it finds the claim of ten minutes ago.
+#[test]
+fn a_new_owner_reads_only_what_still_matters() {
+    const HOUR_MS: u64 = 3_600_000;
+    const MINUTE_MS: u64 = 60_000;
+    let group = |minutes_ago: u64, entries| ClaimGroup {
+        appended_unix_ms: UnixMillis(48 * HOUR_MS - minutes_ago * MINUTE_MS),
+        entries,
+    };
+    let held = Claim {
+        key: KEY,
+        digest: BODY,
+        request: RequestId {
+            incarnation: Incarnation(7),
+            sequence: 1,
+        },
+        host: "elsewhere".parse().expect("name"),
+    };
+    let log: Vec<ClaimGroup> = (0..40_000)
+        .map(|offset| {
+            let minutes_ago = (40_000 - offset) / 20;
+            let entries = if offset == 39_800 {
+                vec![ClaimEntry::Claim(held.clone())]
+            } else {
+                Vec::new()
+            };
+            group(minutes_ago, entries)
+        })
+        .collect();
+    let mut daemon = Daemon::new("a", 1);
+    let now_unix = UnixMillis(48 * HOUR_MS);
+    let partition = daemon.partition;
+    daemon.claims.begin(NOW, now_unix, daemon.request(1), KEY, BODY);
+    let (mut reads, mut records_read) = (0, 0);
+    let mut asked_holder = false;
+    while !asked_holder {
+        let mut actions = daemon.claims.take_actions();
+        match actions.pop().expect("something to do") {
+            ClaimAction::Read { from, limit, .. } => {
+                let records: Vec<ClaimRecord> = (0..)
+                    .zip(&log)
+                    .skip(usize::try_from(from.0).expect("small"))
+                    .take(limit as usize)
+                    .map(|(offset, group)| ClaimRecord {
+                        offset: Offset(offset),
+                        group: Some(group.clone()),
+                    })
+                    .collect();
+                reads += 1;
+                records_read += records.len();
+                let page = ClaimPage {
+                    start: Offset(0),
+                    next: Offset(40_000),
+                    records,
+                };
+                daemon.claims.page(NOW, now_unix, partition, Some(page));
+            }
+            ClaimAction::Send {
+                message: ClaimMessage::Query { holder, .. },
+                ..
+            } => {
+                assert_eq!(holder, held.request);
+                asked_holder = true;
+            }
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    assert!(
+        reads < 12 && records_read < 1_600,
+        "{records_read} records in {reads} reads of 40,000"
+    );
+}
--- a/crates/core/tests/outcomes/leases.rs
+++ b/crates/core/tests/outcomes/leases.rs
@@ -135,6 +135,25 @@
     assert_eq!(a.lease.held(later_us), None);
 }
 
+/// The log takes a renewal and goes down before it can be read back. Once it is up again the daemon finds its
+/// record, and renews or takes the lease as ever.
+#[test]
+fn a_renewal_that_could_not_be_read_back_is_settled_later() {
+    let mut stream = Vec::new();
+    let mut a = Candidate::new(1);
+    stream.push(a.lease.want(START, &a.fold).expect("free"));
+    a.lease.maybe_appended();
+    let later_us = START + settings().takeover_ms();
+    a.fold.apply(later_us, Offset(0), Some(&stream[0]));
+    assert_eq!(
+        a.lease.want(later_us, &a.fold),
+        None,
+        "it pauses after an append that was in doubt"
+    );
+    assert_eq!(a.lease.held(later_us), None, "the time of the old record is over");
+    assert!(a.take(later_us + settings().retry_ms, &mut stream).is_some());
+}
+
 /// An order under way: sent while the lease was held, it takes effect before it expires.
 struct Sent {
     fencing: FencingNumber,
--- /dev/null
+++ b/crates/standins/benches/claims.rs
@@ -0,0 +1,135 @@
+//! What a call that must run at most once costs against a plain one, over sockets with three daemons:
+//! `cargo bench -p hibiscusvale-standins --bench claims`.
+#![allow(clippy::pedantic, reason = "a bench over test helpers")]
+#![allow(dead_code, reason = "the tests use the rest of the helpers")]
+
+#[path = "../tests/e2e/world.rs"]
+mod world;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use world::{Caller, World, stop};
+
+const PLAN: &str = r#"
+    [[plain]]
+    place = {name = "booking", data_centre = "casa-1", region = "ma-north", partner = "nadifa", count = 4}
+    settings = {service = "booking", capacity = 256}
+"#;
+
+/// Calls one after another.
+const ALONE: usize = 200;
+
+/// Calls in the burst, one each millisecond.
+const BURST: usize = 5_000;
+const GAP: Duration = Duration::from_millis(1);
+
+#[derive(Clone, Copy)]
+enum Kind {
+    Plain,
+    Keyed,
+}
+
+async fn call(caller: Caller, kind: Kind, key: String) -> (bool, u64) {
+    let request = match kind {
+        Kind::Plain => caller.request("GET", "/booking/list"),
+        Kind::Keyed => caller
+            .request("POST", "/booking/new")
+            .header("idempotency-key", key),
+    };
+    let begun = Instant::now();
+    let answer = caller
+        .ask(
+            request
+                .body(Full::new(Bytes::from_static(b"{}")))
+                .expect("request"),
+        )
+        .await;
+    (answer.outcome() == "answered", begun.elapsed().as_micros() as u64)
+}
+
+fn appends(world: &World) -> u64 {
+    let streams = world.standins.log.appends();
+    streams
+        .iter()
+        .filter(|(stream, _)| stream.starts_with("claims"))
+        .map(|(_, count)| count)
+        .sum()
+}
+
+async fn alone(callers: &[Caller], kind: Kind) -> (Histogram<u64>, usize) {
+    let mut times = Histogram::new(3).expect("histogram");
+    let mut answered = 0;
+    for number in 0..ALONE {
+        let caller = callers[number % callers.len()].clone();
+        let (whole, took_us) = call(caller, kind, format!("alone-{number}")).await;
+        answered += usize::from(whole);
+        times.record(took_us).expect("in range");
+    }
+    (times, answered)
+}
+
+async fn burst(callers: &[Caller], kind: Kind) -> (Histogram<u64>, usize) {
+    let mut ticks = tokio::time::interval(GAP);
+    let mut calls = Vec::new();
+    for number in 0..BURST {
+        ticks.tick().await;
+        let caller = callers[number % callers.len()].clone();
+        calls.push(tokio::spawn(call(caller, kind, format!("burst-{number}"))));
+    }
+    let mut times = Histogram::new(3).expect("histogram");
+    let mut answered = 0;
+    for call in calls {
+        let (whole, took_us) = call.await.expect("caller");
+        answered += usize::from(whole);
+        times.record(took_us).expect("in range");
+    }
+    (times, answered)
+}
+
+fn print(name: &str, calls: usize, answered: usize, times: &Histogram<u64>, appended: u64) {
+    println!(
+        "{name}: {answered} of {calls} answered, p50 {} us, p99 {} us, {appended} appends, {:.3} a call",
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        appended as f64 / calls as f64
+    );
+}
+
+#[tokio::main]
+async fn main() {
+    let world = World::start(PLAN).await;
+    let first = world.daemon("entry-1").await;
+    let second = world.daemon_beside("entry-2", &[&first]).await;
+    let third = world.daemon_beside("entry-3", &[&first, &second]).await;
+    let callers: Vec<Caller> = [&first, &second, &third]
+        .iter()
+        .map(|daemon| Caller::new(daemon.callers_address()))
+        .collect();
+    alone(&callers, Kind::Plain).await;
+    for (name, kind) in [("plain", Kind::Plain), ("at most once", Kind::Keyed)] {
+        let before = appends(&world);
+        let (times, answered) = alone(&callers, kind).await;
+        print(
+            &format!("{name}, alone"),
+            ALONE,
+            answered,
+            &times,
+            appends(&world) - before,
+        );
+        let before = appends(&world);
+        let (times, answered) = burst(&callers, kind).await;
+        print(
+            &format!("{name}, 1,000/s"),
+            BURST,
+            answered,
+            &times,
+            appends(&world) - before,
+        );
+    }
+    for daemon in [first, second, third] {
+        stop(daemon).await;
+    }
+}
