--- a/crates/core/src/claim/machine.rs
+++ b/crates/core/src/claim/machine.rs
@@ -63,6 +63,8 @@
     settings: ClaimSettings,
     /// The usual appender of each partition; empty while no member is known.
     owners: Vec<HostId>,
+    /// Owners that gave no answer, and until when they are passed over.
+    silent: HashMap<HostId, MonoTime>,
     partitions: BTreeMap<u16, Partition>,
     waiting: BTreeMap<RequestId, Waiting>,
     waiting_keys: HashMap<ClaimKey, RequestId>,
@@ -79,6 +81,7 @@
             incarnation,
             settings,
             owners: Vec::new(),
+            silent: HashMap::new(),
             partitions: BTreeMap::new(),
             waiting: BTreeMap::new(),
             waiting_keys: HashMap::new(),
@@ -180,7 +183,10 @@
             return;
         };
         let partition = waiting.claim.key.partition(self.settings.partitions);
-        let Some(to) = self.other_owner(partition) else {
+        let Some(to) = self
+            .other_owner(partition)
+            .filter(|to| !self.is_silent(now_us, to))
+        else {
             self.claim_through_log(now_us, request);
             return;
         };
@@ -194,6 +200,24 @@
         self.actions.push(ClaimAction::Send { to, message });
     }
 
+    /// Whether an owner gave no answer of late. Membership takes a host for dead after ten seconds; until then
+    /// each claim of its partitions would wait for it first, and a launch entry miss its target.
+    fn is_silent(&self, now_us: MonoTime, owner: &HostId) -> bool {
+        self.silent.get(owner).is_some_and(|until_us| now_us < *until_us)
+    }
+
+    /// The owner that was asked gave no answer in time: the log is asked without it, and for a while so are
+    /// the claims that come after. Only the grouping of appends is lost by that.
+    fn owner_silent(&mut self, now_us: MonoTime, request: RequestId) {
+        if let Some(waiting) = self.waiting.get(&request) {
+            let partition = waiting.claim.key.partition(self.settings.partitions);
+            if let Some(owner) = self.other_owner(partition) {
+                self.silent.insert(owner, now_us + self.settings.silent_ms);
+            }
+        }
+        self.claim_through_log(now_us, request);
+    }
+
     fn claim_through_log(&mut self, now_us: MonoTime, request: RequestId) {
         let Some(waiting) = self.waiting.get_mut(&request) else {
             return;
@@ -358,7 +382,7 @@
             return;
         };
         let Claim { key, digest, .. } = waiting.claim;
-        let start_by_us = waiting.deadline_us;
+        let start_by_us = now_us + self.settings.start_within_ms;
         self.runs.insert(
             now_us,
             request,
@@ -504,7 +528,7 @@
                 waiting.may_stand = true;
                 self.refuse(now_us, request, self.settings.retry_after_ms);
             }
-            Stage::Owner { until_us } if *until_us <= now_us => self.claim_through_log(now_us, request),
+            Stage::Owner { until_us } if *until_us <= now_us => self.owner_silent(now_us, request),
             Stage::Owner { .. } | Stage::Log => {}
         }
     }
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -208,8 +208,14 @@
     pub clock_skew_ms: Millis,
     /// Time in which a claim is decided, or the caller is refused.
     pub begin_timeout_ms: Millis,
+    /// Time from the claim in which the request must be sent to a server: it may queue for one. The key is held
+    /// for longer by far, so a process that was paused cannot send it when the key is another's.
+    pub start_within_ms: Millis,
     /// Time for an owner or a holder to answer.
     pub peer_timeout_ms: Millis,
+    /// Time for which an owner that gave no answer is passed over. Short, so that a lost message costs the
+    /// grouping of appends for no longer.
+    pub silent_ms: Millis,
     /// Least time between two appends to one partition. With `partitions` it bounds what claims take of the
     /// log's rate: 32 partitions every 100 ms are 320 appends a second.
     pub append_interval_ms: Millis,
@@ -239,7 +245,9 @@
             retention_ms: Millis(600_000),
             clock_skew_ms: Millis(30_000),
             begin_timeout_ms: Millis(2_000),
+            start_within_ms: Millis(60_000),
             peer_timeout_ms: Millis(300),
+            silent_ms: Millis(2_000),
             append_interval_ms: Millis(100),
             group_entries: 256,
             read_limit: 512,
--- a/crates/core/src/config/fold.rs
+++ b/crates/core/src/config/fold.rs
@@ -9,9 +9,10 @@
 
 use ed25519_dalek::VerifyingKey;
 
+use crate::config::apply::{Refused, apply_change};
 use crate::config::checkpoint::{CheckpointError, CheckpointKey, SealedCheckpoint};
-use crate::config::history::{CHANGES_SHOWN, HistoryEntry, UnattributedRecord, Verdict};
-use crate::config::record::{ChangeBody, MAX_RECORD_BYTES, Record, SignedChange};
+use crate::config::intake::{AdoptError, Adopted, Intake, LogBounds, LogView, SeenCheckpoint};
+use crate::config::record::{MAX_RECORD_BYTES, Record};
 use crate::config::reject::RejectReason;
 use crate::config::state::ConfigState;
 use crate::ids::{Offset, PartnerId};
@@ -26,74 +27,6 @@
 /// Bytes of records held at most while earlier ones are missing; a quarter of what control may use.
 const MAX_PENDING_BYTES: usize = 8 << 20;
 
-/// What the log said of itself at a read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LogBounds {
-    /// Oldest offset that the log still keeps.
-    pub start_offset: Offset,
-    /// Offset of the next append.
-    pub next_offset: Offset,
-}
-
-/// What the log looks like from the state that is in force.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum LogView {
-    /// Not read yet.
-    #[default]
-    Unread,
-    /// Everything that the log holds is folded in.
-    CaughtUp,
-    /// The log holds more, and it is being read.
-    Behind,
-    /// Records expired before they were read here; only a checkpoint or a peer can help.
-    Gap,
-    /// The log ends before the state in force: it was emptied or shortened. The state stays in force.
-    Shorter,
-}
-
-/// What taking records in did.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Intake {
-    /// Whether a newer state is in force now.
-    pub advanced: bool,
-    /// Accepted changes.
-    pub accepted: u32,
-    /// Records that changed nothing, for logs and counters.
-    pub rejected: Vec<RejectedRecord>,
-}
-
-/// A record that changed nothing.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RejectedRecord {
-    /// Where it stands.
-    pub offset: Offset,
-    /// The partner that it names.
-    pub publisher: Option<PartnerId>,
-    /// Why.
-    pub reason: RejectReason,
-}
-
-/// What offering a checkpoint did.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Adopted {
-    /// It is newer and in force now.
-    Newer,
-    /// It is not newer, and nothing changed.
-    NotNewer,
-}
-
-/// A checkpoint that was not adopted.
-pub type AdoptError = CheckpointError;
-
-/// The newest checkpoint seen in the log.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SeenCheckpoint {
-    /// Where it stands.
-    pub offset: Offset,
-    /// What it stands for.
-    pub next_offset: Offset,
-}
-
 /// A record that waits for earlier ones.
 #[derive(Clone, Debug)]
 enum Held {
@@ -331,116 +264,3 @@
         }
     }
 }
-
-/// A record that changed nothing, and the note of it where no partner's history holds it.
-struct Refused {
-    record: RejectedRecord,
-    unattributed: Option<UnattributedRecord>,
-}
-
-impl Refused {
-    fn unattributed(offset: Offset, reason: RejectReason) -> Self {
-        Self {
-            record: RejectedRecord {
-                offset,
-                publisher: None,
-                reason: reason.clone(),
-            },
-            unattributed: Some(UnattributedRecord {
-                offset,
-                claimed_publisher: None,
-                change_id: None,
-                reason,
-            }),
-        }
-    }
-
-    fn forged(offset: Offset, change: &SignedChange, reason: RejectReason) -> Self {
-        Self {
-            record: RejectedRecord {
-                offset,
-                publisher: Some(change.publisher.clone()),
-                reason: reason.clone(),
-            },
-            unattributed: Some(UnattributedRecord {
-                offset,
-                claimed_publisher: Some(change.publisher.clone()),
-                change_id: Some(change.change_id),
-                reason,
-            }),
-        }
-    }
-}
-
-/// Applies a change and remembers it, with what came of it, where its publisher will find it. Returns nothing
-/// when it is accepted.
-fn apply_change(
-    state: &mut ConfigState,
-    keys: &PublisherKeys,
-    offset: Offset,
-    change: &SignedChange,
-) -> Option<Refused> {
-    // A record that only claims to be a partner's must not touch that partner's classes, version or history.
-    if let Err(reason) = check_origin(keys, change) {
-        return Some(Refused::forged(offset, change, reason));
-    }
-    let partner = state.partner_mut(&change.publisher);
-    let body = change.open();
-    let checked = match &body {
-        Ok(body) => partner.check(change.change_id, body),
-        Err(_) => Err(RejectReason::MalformedChange),
-    };
-    if let (Ok(()), Ok(body)) = (&checked, &body) {
-        partner.accept(offset, &body.changes);
-    }
-    partner.note(history_entry(offset, change, body.ok(), &checked));
-    let reason = checked.err()?;
-    Some(Refused {
-        record: RejectedRecord {
-            offset,
-            publisher: Some(change.publisher.clone()),
-            reason,
-        },
-        unattributed: None,
-    })
-}
-
-fn check_origin(keys: &PublisherKeys, change: &SignedChange) -> Result<(), RejectReason> {
-    let key = keys
-        .get(&change.publisher)
-        .ok_or(RejectReason::UnknownPublisher)?;
-    if change.is_signed_by(key) {
-        Ok(())
-    } else {
-        Err(RejectReason::BadSignature)
-    }
-}
-
-fn history_entry(
-    offset: Offset,
-    change: &SignedChange,
-    body: Option<ChangeBody>,
-    checked: &Result<(), RejectReason>,
-) -> HistoryEntry {
-    let verdict = match checked {
-        Ok(()) => Verdict::Accepted,
-        Err(reason) => Verdict::Rejected(reason.clone()),
-    };
-    let mut entry = HistoryEntry {
-        offset,
-        change_id: change.change_id,
-        author: None,
-        made_at_unix_ms: 0,
-        verdict,
-        changes: Vec::new(),
-        changes_total: 0,
-    };
-    if let Some(mut body) = body {
-        entry.changes_total = u32::try_from(body.changes.len()).unwrap_or(u32::MAX);
-        body.changes.truncate(CHANGES_SHOWN);
-        entry.author = Some(body.author);
-        entry.made_at_unix_ms = body.made_at_unix_ms;
-        entry.changes = body.changes;
-    }
-    entry
-}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -4,10 +4,12 @@
 //! any agreement of their own. The fold only moves forward: nothing at a lower offset, and no log that has
 //! become shorter, takes back what was accepted.
 
+mod apply;
 mod checkpoint;
 mod duty;
 mod fold;
 mod history;
+mod intake;
 mod record;
 mod reject;
 mod state;
@@ -15,11 +17,9 @@
 
 pub use checkpoint::{CheckpointError, CheckpointKey, SealedCheckpoint};
 pub use duty::{CheckpointDuty, CheckpointDutySettings};
-pub use fold::{
-    AdoptError, Adopted, ConfigFold, Intake, LogBounds, LogView, PublisherKeys, RejectedRecord,
-    SeenCheckpoint,
-};
+pub use fold::{ConfigFold, PublisherKeys};
 pub use history::{HISTORY_PER_PARTNER, HistoryEntry, UNATTRIBUTED_KEPT, UnattributedRecord, Verdict};
+pub use intake::{AdoptError, Adopted, Intake, LogBounds, LogView, RejectedRecord, SeenCheckpoint};
 pub use record::{
     Author, ChangeBody, ClassChange, MAX_CHANGES_PER_RECORD, MAX_RECORD_BYTES, ParseAuthorError, Record,
     RecordError, SignedChange,
--- a/crates/core/src/membership/data_centres.rs
+++ b/crates/core/src/membership/data_centres.rs
@@ -1,6 +1,6 @@
 //! The other data centres, by statements of their daemons.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use super::message::{DataCentreDigest, DataCentreState, DataCentreTag, MemberRecord, MemberTag};
@@ -37,8 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DataCentres {
     by_tag: BTreeMap<DataCentreTag, DataCentre>,
-    records: HashMap<MemberTag, MemberRecord>,
-    hosts: HashMap<HostId, MemberTag>,
+    records: BTreeMap<MemberTag, MemberRecord>,
+    hosts: BTreeMap<HostId, MemberTag>,
     /// Raised whenever records or statements change.
     changes: u64,
 }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -107,6 +107,18 @@
     pub paused: u64,
 }
 
+impl MembershipCounts {
+    /// The counts by name, for metrics.
+    pub fn by_name(&self) -> [(&'static str, u64); 4] {
+        [
+            ("member-suspected", self.suspected),
+            ("member-died", self.died),
+            ("member-revived", self.revived),
+            ("paused", self.paused),
+        ]
+    }
+}
+
 #[derive(Debug, Default, PartialEq)]
 struct Fingerprint {
     own_tag: MemberTag,
--- a/crates/core/src/spread/loads.rs
+++ b/crates/core/src/spread/loads.rs
@@ -1,6 +1,6 @@
 //! Load of data centres: parts summed up by one daemon of each, summaries passed on to all.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use super::message::{LoadSummary, ModelLoad, ModelTag};
 use super::settings::SpreadSettings;
@@ -10,7 +10,7 @@
 /// Loads as known here.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Loads {
-    parts: HashMap<HostId, (MonoTime, Vec<ModelLoad>)>,
+    parts: BTreeMap<HostId, (MonoTime, Vec<ModelLoad>)>,
     summaries: BTreeMap<DataCentreId, (MonoTime, LoadSummary)>,
 }
 
--- a/crates/core/src/spread/mod.rs
+++ b/crates/core/src/spread/mod.rs
@@ -139,6 +139,21 @@
     pub signs: u64,
 }
 
+impl SpreadCounts {
+    /// The counts by name, for metrics.
+    pub fn by_name(&self) -> [(&'static str, u64); 7] {
+        [
+            ("spread-read", self.records_read),
+            ("spread-relayed", self.records_relayed),
+            ("spread-again", self.records_again),
+            ("spread-pulled", self.pulls),
+            ("spread-state-adopted", self.states_adopted),
+            ("spread-diverged", self.diverged),
+            ("spread-sign", self.signs),
+        ]
+    }
+}
+
 /// A state on its way to this daemon, part by part.
 #[derive(Clone, Debug)]
 struct Fetch {
--- a/crates/core/src/spread/settings.rs
+++ b/crates/core/src/spread/settings.rs
@@ -52,9 +52,9 @@
             sign_ms: Millis(120_000),
             signs: 4_096,
             signs_per_message: 16,
-            partial_load_ms: Millis(5_000),
-            load_ms: Millis(10_000),
-            load_expires_ms: Millis(35_000),
+            partial_load_ms: Millis(7_500),
+            load_ms: Millis(15_000),
+            load_expires_ms: Millis(50_000),
         }
     }
 }
--- a/crates/core/src/spread/signs.rs
+++ b/crates/core/src/spread/signs.rs
@@ -1,6 +1,6 @@
 //! Signs of servers: what each daemon saw, until it is old.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::message::{ServerSign, SignRecord};
 use super::settings::SpreadSettings;
@@ -16,7 +16,7 @@
 /// Signs by server.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Signs {
-    by_server: HashMap<BackendServerId, Held>,
+    by_server: BTreeMap<BackendServerId, Held>,
 }
 
 impl Signs {
--- a/crates/core/tests/nodes/main.rs
+++ b/crates/core/tests/nodes/main.rs
@@ -2,5 +2,6 @@
 
 mod harness;
 mod membership;
+mod meter;
 mod spread;
 mod watch;
--- a/crates/core/tests/outcomes/main.rs
+++ b/crates/core/tests/outcomes/main.rs
@@ -6,6 +6,7 @@
 mod model;
 mod orders;
 mod orphans;
+mod owners;
 mod schedule;
 mod tickets;
 mod world;
--- a/crates/core/tests/outcomes/world.rs
+++ b/crates/core/tests/outcomes/world.rs
@@ -20,6 +20,7 @@
         retention_ms: Millis(8_000),
         clock_skew_ms: Millis(200),
         begin_timeout_ms: Millis(500),
+        start_within_ms: Millis(400),
         peer_timeout_ms: Millis(60),
         append_interval_ms: Millis(10),
         idle_ms: Millis(1_500),
@@ -461,7 +462,8 @@
 
     /// The invariants that hold at every moment.
     fn check(&self) {
-        let apart = Micros::from(settings().retention_ms) - Micros::from(settings().begin_timeout_ms);
+        let started_late = settings().begin_timeout_ms + settings().start_within_ms;
+        let apart = Micros::from(settings().retention_ms) - Micros::from(started_late);
         for runs in self.ledger.values() {
             for pair in runs.windows(2) {
                 assert!(
--- a/crates/router/src/backend/engine.rs
+++ b/crates/router/src/backend/engine.rs
@@ -1,34 +1,19 @@
-//! Calls to model engines. The shapes are stated in `docs/INTERFACES.md`.
+//! The edge towards model engines: what is asked of them, what they answer, and how a call can fail.
 
+use std::fmt;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
+use futures_util::stream::{BoxStream, Stream, StreamExt};
 use hibiscusvale_core::ids::{AttemptId, HostId, Incarnation, ModelId};
-use hibiscusvale_core::order::{Order, OrderEnd, OrderKind};
+use hibiscusvale_core::order::{Order, OrderEnd};
 use hibiscusvale_core::units::{Bytes as ByteCount, BytesPerSecond, Millis, Tokens};
-use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 
-use super::http::{BackendHttp, CallFailure, Trust, read_body, uri};
-
-/// Largest answer of an engine that is not a stream: the load report of an engine that holds some hundreds of
-/// requests is a few ten thousand bytes.
-const REPLY_LIMIT_BYTES: usize = 1 << 20;
-
-/// Longest line of a token stream.
-const LINE_LIMIT_BYTES: usize = 64 << 10;
-
-/// Status with which an engine refuses an old fencing number.
-const CONFLICT: u16 = 409;
-
-/// An engine asked to cancel, or for its load, answers at once or is in trouble.
-const SHORT_CALL: Duration = Duration::from_millis(1_500);
+use super::http::{CallFailure, Trust};
 
 /// The daemon's life on whose behalf an engine holds memory.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
@@ -327,305 +312,37 @@
     fn order(&self, to: SocketAddr, order: Order) -> BoxFuture<'_, Result<OrderEnd, EngineFailure>>;
 }
 
-/// [`EngineEdge`] by HTTP.
-#[derive(Clone, Debug)]
-pub struct HttpEngines {
-    http: BackendHttp,
-    owner: Owner,
-}
-
-impl HttpEngines {
-    /// Makes the edge of the daemon life `owner`.
-    pub fn new(http: BackendHttp, owner: Owner) -> Self {
-        Self { http, owner }
-    }
-
-    async fn post<Body>(
-        &self,
-        to: SocketAddr,
-        path: &str,
-        body: &Body,
-        trust: Trust,
-        timeout: Duration,
-    ) -> Result<Incoming, EngineFailure>
-    where
-        Body: Serialize + Sync,
-    {
-        let encoded = serde_json::to_vec(body).map_err(|_| CallFailure::Malformed)?;
-        let request = Request::builder()
-            .method(Method::POST)
-            .uri(uri(to, path)?)
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(encoded)))
-            .map_err(|_| CallFailure::Malformed)?;
-        let response = self.http.send(trust, request, timeout).await?;
-        match failure_of(response.status()) {
-            None => Ok(response.into_body()),
-            Some(failure) => Err(failure),
-        }
-    }
-
-    async fn ask<Body, Reply>(
-        &self,
-        to: SocketAddr,
-        path: &str,
-        body: &Body,
-        trust: Trust,
-        timeout: Duration,
-    ) -> Result<Reply, EngineFailure>
-    where
-        Body: Serialize + Sync,
-        Reply: DeserializeOwned,
-    {
-        let incoming = self.post(to, path, body, trust, timeout).await?;
-        parse(&read_body(incoming, REPLY_LIMIT_BYTES, SHORT_CALL).await?)
-    }
+/// Tokens as the engine sends them. Dropping it ends the call; reading slowly slows the engine down.
+pub struct TokenStream {
+    parts: BoxStream<'static, Result<StreamPart, CallFailure>>,
 }
 
-impl HttpEngines {
-    async fn read<Reply>(&self, to: SocketAddr, path: String) -> Result<Reply, EngineFailure>
+impl TokenStream {
+    /// Wraps the parts of a stream; its end without [`StreamPart::Done`] counts as broken.
+    pub fn new<Parts>(parts: Parts) -> Self
     where
-        Reply: DeserializeOwned,
+        Parts: Stream<Item = Result<StreamPart, CallFailure>> + Send + 'static,
     {
-        let request = Request::builder()
-            .uri(uri(to, &path)?)
-            .body(Full::default())
-            .map_err(|_| CallFailure::Malformed)?;
-        let response = self.http.send(Trust::Pooled, request, SHORT_CALL).await?;
-        if let Some(failure) = failure_of(response.status()) {
-            return Err(failure);
-        }
-        parse(&read_body(response.into_body(), REPLY_LIMIT_BYTES, SHORT_CALL).await?)
-    }
-}
-
-fn parse<Reply>(bytes: &[u8]) -> Result<Reply, EngineFailure>
-where
-    Reply: DeserializeOwned,
-{
-    serde_json::from_slice(bytes).map_err(|_| CallFailure::Malformed.into())
-}
-
-fn failure_of(status: StatusCode) -> Option<EngineFailure> {
-    match status {
-        StatusCode::OK => None,
-        StatusCode::TOO_MANY_REQUESTS => Some(EngineFailure::NoRoom),
-        StatusCode::SERVICE_UNAVAILABLE => Some(EngineFailure::Leaving),
-        StatusCode::GONE => Some(EngineFailure::Gone),
-        StatusCode::NOT_FOUND => Some(EngineFailure::NoModel),
-        other => Some(EngineFailure::Refused(other.as_u16())),
-    }
-}
-
-#[derive(Serialize)]
-struct PrefillBody<'a> {
-    request_id: String,
-    owner: &'a Owner,
-    model: &'a ModelId,
-    prompt: &'a str,
-    generated: &'a str,
-    priority: u8,
-}
-
-#[derive(Serialize)]
-struct ImportBody<'a> {
-    request_id: String,
-    owner: &'a Owner,
-    model: &'a ModelId,
-    source: SocketAddr,
-    priority: u8,
-    rate_bytes_per_s: BytesPerSecond,
-}
-
-#[derive(Serialize)]
-struct DecodeBody<'a> {
-    request_id: String,
-    owner: &'a Owner,
-    max_tokens: Tokens,
-    from_index: u64,
-}
-
-#[derive(Serialize)]
-struct CancelBody<'a> {
-    request_id: String,
-    owner: &'a Owner,
-}
-
-#[derive(Serialize)]
-struct OrderBody<'a> {
-    order_id: String,
-    fencing: u64,
-    expires_in_ms: Millis,
-    kind: OrderKindBody<'a>,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "lowercase")]
-enum OrderKindBody<'a> {
-    Load(&'a ModelId),
-    Role(&'static str),
-    Unload(&'a ModelId),
-}
-
-#[derive(Serialize)]
-struct CancelOwnerBody<'a> {
-    owner: &'a Owner,
-}
-
-impl EngineEdge for HttpEngines {
-    fn prefill(
-        &self,
-        to: SocketAddr,
-        call: PrefillCall,
-        trust: Trust,
-    ) -> BoxFuture<'_, Result<Prefilled, EngineFailure>> {
-        Box::pin(async move {
-            let prompt = std::str::from_utf8(&call.prompt).map_err(|_| CallFailure::Malformed)?;
-            let body = PrefillBody {
-                request_id: call.attempt_id.to_string(),
-                owner: &self.owner,
-                model: &call.model,
-                prompt,
-                generated: &call.generated,
-                priority: call.priority,
-            };
-            self.ask(to, "/engine/prefill", &body, trust, call.timeout_ms.into())
-                .await
-        })
+        Self { parts: parts.boxed() }
     }
 
-    fn import(
-        &self,
-        to: SocketAddr,
-        call: ImportCall,
-        trust: Trust,
-    ) -> BoxFuture<'_, Result<Imported, EngineFailure>> {
-        Box::pin(async move {
-            let body = ImportBody {
-                request_id: call.attempt_id.to_string(),
-                owner: &self.owner,
-                model: &call.model,
-                source: call.source,
-                priority: call.priority,
-                rate_bytes_per_s: call.rate_bytes_per_s,
-            };
-            self.ask(to, "/engine/import", &body, trust, call.timeout_ms.into())
-                .await
-        })
-    }
-
-    fn decode(
-        &self,
-        to: SocketAddr,
-        call: DecodeCall,
-        trust: Trust,
-    ) -> BoxFuture<'_, Result<TokenStream, EngineFailure>> {
-        Box::pin(async move {
-            let body = DecodeBody {
-                request_id: call.attempt_id.to_string(),
-                owner: &self.owner,
-                max_tokens: call.max_tokens,
-                from_index: call.from_index,
-            };
-            let incoming = self.post(to, "/engine/decode", &body, trust, SHORT_CALL).await?;
-            Ok(TokenStream {
-                incoming,
-                buffer: BytesMut::new(),
-            })
-        })
-    }
-
-    fn cancel(&self, to: SocketAddr, held: Held) -> BoxFuture<'_, Result<(), EngineFailure>> {
-        Box::pin(async move {
-            let owner = held.owner.as_ref().unwrap_or(&self.owner);
-            let body = CancelBody {
-                request_id: held.attempt_id.to_string(),
-                owner,
-            };
-            // That it answered is the confirmation; how much it released is of no consequence.
-            let IgnoredAny = self
-                .ask(to, "/engine/cancel", &body, Trust::Fresh, SHORT_CALL)
-                .await?;
-            Ok(())
-        })
-    }
-
-    fn cancel_owner(&self, to: SocketAddr, owner: Owner) -> BoxFuture<'_, Result<(), EngineFailure>> {
-        Box::pin(async move {
-            let body = CancelOwnerBody { owner: &owner };
-            // That it answered is the confirmation; how much it released is of no consequence.
-            let IgnoredAny = self
-                .ask(to, "/engine/cancel_owner", &body, Trust::Fresh, SHORT_CALL)
-                .await?;
-            Ok(())
-        })
-    }
-
-    fn load(&self, to: SocketAddr) -> BoxFuture<'_, Result<EngineLoad, EngineFailure>> {
-        Box::pin(self.read(to, "/engine/load".to_owned()))
-    }
-
-    fn cache_events(&self, to: SocketAddr, after: u64) -> BoxFuture<'_, Result<CachePage, EngineFailure>> {
-        Box::pin(self.read(to, format!("/engine/cache_events?after={after}")))
-    }
-
-    fn order(&self, to: SocketAddr, order: Order) -> BoxFuture<'_, Result<OrderEnd, EngineFailure>> {
-        Box::pin(async move {
-            let body = OrderBody {
-                order_id: order.id.to_string(),
-                fencing: order.fencing.0,
-                expires_in_ms: order.expires_in_ms,
-                kind: match &order.kind {
-                    OrderKind::Load(model) => OrderKindBody::Load(model),
-                    OrderKind::Unload(model) => OrderKindBody::Unload(model),
-                    OrderKind::BecomePrefill => OrderKindBody::Role("prefill"),
-                    OrderKind::BecomeDecode => OrderKindBody::Role("decode"),
-                },
-            };
-            match self
-                .post(to, "/engine/order", &body, Trust::Fresh, SHORT_CALL)
-                .await
-            {
-                Ok(_) => Ok(OrderEnd::Applied),
-                Err(EngineFailure::Refused(CONFLICT)) => Ok(OrderEnd::Fenced),
-                Err(EngineFailure::Gone) => Ok(OrderEnd::Expired),
-                Err(failure) => Err(failure),
-            }
-        })
-    }
-}
-
-/// Tokens as the engine sends them. Dropping it closes the connection; reading slowly slows the engine down.
-#[derive(Debug)]
-pub struct TokenStream {
-    incoming: Incoming,
-    buffer: BytesMut,
-}
-
-impl TokenStream {
     /// Waits up to `patience` for the next part.
     ///
     /// # Errors
     ///
     /// [`CallFailure::Timeout`] when nothing came, [`CallFailure::Broken`] when the stream ended without its
-    /// closing part, [`CallFailure::Malformed`] when a line is not a part.
+    /// closing part, or what the edge met.
     pub async fn next(&mut self, patience: Duration) -> Result<StreamPart, CallFailure> {
-        loop {
-            if let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
-                let line = self.buffer.split_to(end + 1);
-                return serde_json::from_slice(&line).map_err(|_| CallFailure::Malformed);
-            }
-            if self.buffer.len() > LINE_LIMIT_BYTES {
-                return Err(CallFailure::Malformed);
-            }
-            let frame = match tokio::time::timeout(patience, self.incoming.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_)) | None) => return Err(CallFailure::Broken),
-                Err(_) => return Err(CallFailure::Timeout),
-            };
-            if let Ok(data) = frame.into_data() {
-                self.buffer.extend_from_slice(&data);
-            }
+        match tokio::time::timeout(patience, self.parts.next()).await {
+            Ok(Some(part)) => part,
+            Ok(None) => Err(CallFailure::Broken),
+            Err(_elapsed) => Err(CallFailure::Timeout),
         }
     }
 }
+
+impl Debug for TokenStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("TokenStream").finish_non_exhaustive()
+    }
+}
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -6,37 +6,36 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::claim::ClaimSettings;
 use hibiscusvale_core::config::CheckpointKey;
-use hibiscusvale_core::ids::{BackendServerId, Incarnation};
+use hibiscusvale_core::ids::Incarnation;
 use hibiscusvale_core::membership::{MemberRecord, MembershipSettings};
 use hibiscusvale_core::meter::ControlUsage;
-use hibiscusvale_core::sched::{Event, Sign};
-use hibiscusvale_core::spread::{ServerSign, SpreadSettings, SpreadView};
+use hibiscusvale_core::spread::SpreadSettings;
 use tokio::runtime::{Builder, Handle, Runtime};
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::claims::{self, ClaimsCommand, ClaimsHandle};
-use crate::clock;
 use crate::config::{ConfigHandle, ConfigParts, ConfigService, publisher_keys};
 use crate::daemon::{Edges, StartError};
 use crate::directory::{self, Directory};
 use crate::dispatch::{Hub, PlainHub};
 use crate::figures::Figures;
-use crate::kernel::{INBOX_CAPACITY, Kernel, KernelError, ServiceName};
+use crate::inbound;
+use crate::kernel::{INBOX_CAPACITY, Kernel, ServiceName};
 use crate::leases::{LeaseParts, LeaseService};
 use crate::logging::Log;
 use crate::membership::{MembershipHandle, MembershipRequest, MembershipService};
 use crate::meter::MeterService;
 use crate::metrics::Metrics;
 use crate::operators::{OperatorListener, OperatorsParts};
-use crate::peer::{Inbound, LinkSettings, NngLink, PeerBody, PeerMessage};
+use crate::peer::{LinkSettings, NngLink};
 use crate::settings::Settings;
-use crate::spread::{ConfigFeed, SpreadHandle, SpreadParts, SpreadRequest, SpreadService};
+use crate::signs;
+use crate::spread::{ConfigFeed, SpreadHandle, SpreadParts, SpreadService};
 use crate::watcher::{WatcherCommand, WatcherParts, WatcherService};
 
 /// Name of the control thread; the meter counts its processor time as control.
@@ -61,14 +60,16 @@
 
 /// The schedulers, which are put together after the control side.
 #[derive(Debug)]
-struct Hubs {
-    language: Arc<Hub>,
-    plain: Arc<PlainHub>,
+pub struct Hubs {
+    /// Of language requests.
+    pub language: Arc<Hub>,
+    /// Of plain services.
+    pub plain: Arc<PlainHub>,
 }
 
-/// The running control side.
-#[derive(Debug)]
-pub struct Control {
+/// What the services publish, and the ways to them.
+#[derive(Clone, Debug)]
+pub struct Services {
     /// Finds services by name.
     pub kernel: Kernel,
     /// The way to other daemons.
@@ -83,10 +84,16 @@
     pub claims: ClaimsHandle,
     /// What control costs.
     pub usage: Arc<ArcSwap<ControlUsage>>,
-    /// Ends the services.
-    pub stop: CancellationToken,
+}
+
+/// The control side before its thread runs.
+#[derive(Debug)]
+pub struct Control {
+    /// The services.
+    pub services: Services,
+    stop: CancellationToken,
     runtime: Runtime,
-    hub: Arc<OnceLock<Hubs>>,
+    hubs: Arc<OnceLock<Hubs>>,
 }
 
 impl Control {
@@ -109,9 +116,9 @@
             .build()
             .map_err(StartError::Thread)?;
         let kernel = Kernel::default();
-        let hub = Arc::new(OnceLock::new());
+        let hubs = Arc::new(OnceLock::new());
         let stop = CancellationToken::new();
-        let inbound = inbound(kernel.clone(), Arc::clone(&hub));
+        let inbound = inbound::to_services(kernel.clone(), Arc::clone(&hubs));
         let link_settings = LinkSettings::new(
             settings.host.id.clone(),
             settings.listen.peers,
@@ -153,7 +160,7 @@
             Arc::clone(directory),
         ));
         drop(entered);
-        Ok(Self {
+        let services = Services {
             kernel,
             link,
             members,
@@ -161,9 +168,12 @@
             config,
             claims,
             usage,
+        };
+        Ok(Self {
+            services,
             stop,
             runtime,
-            hub,
+            hubs,
         })
     }
 
@@ -174,31 +184,26 @@
     /// [`StartError`] when the thread cannot be had.
     pub fn run(self, parts: WatcherParts) -> Result<RunningControl, StartError> {
         let Self {
-            kernel,
-            link,
-            members,
-            spread,
-            config,
-            claims,
-            usage,
+            services,
             stop,
             runtime,
-            hub,
+            hubs,
         } = self;
-        let inbox = kernel.register::<WatcherCommand>(ServiceName::Watcher)?;
-        let _ = hub.set(Hubs {
+        let inbox = services.kernel.register::<WatcherCommand>(ServiceName::Watcher)?;
+        let _ = hubs.set(Hubs {
             language: Arc::clone(&parts.hub),
             plain: Arc::clone(&parts.plain_hub),
         });
         let directory = Arc::clone(&parts.directory);
         let (ready, is_ready) = watch::channel(false);
-        runtime.spawn(WatcherService::run(parts, inbox, members.changes.clone(), ready));
-        runtime.spawn(follow_signs(
-            kernel.clone(),
-            Arc::clone(&spread.view),
-            directory,
-            hub,
+        runtime.spawn(WatcherService::run(
+            parts,
+            inbox,
+            services.members.changes.clone(),
+            ready,
         ));
+        let view = Arc::clone(&services.spread.view);
+        runtime.spawn(signs::follow(services.kernel.clone(), view, directory, hubs));
         let stopped = stop.clone();
         let handle = runtime.handle().clone();
         let thread = std::thread::Builder::new()
@@ -206,13 +211,7 @@
             .spawn(move || runtime.block_on(stopped.cancelled()))
             .map_err(StartError::Thread)?;
         Ok(RunningControl {
-            kernel,
-            link,
-            members,
-            spread,
-            config,
-            claims,
-            usage,
+            services,
             is_ready,
             runtime: handle,
             stop,
@@ -224,20 +223,8 @@
 /// The control side with its thread.
 #[derive(Debug)]
 pub struct RunningControl {
-    /// Finds services by name.
-    pub kernel: Kernel,
-    /// The way to other daemons.
-    pub link: Arc<NngLink>,
-    /// Who lives.
-    pub members: MembershipHandle,
-    /// Signs and loads.
-    pub spread: SpreadHandle,
-    /// The configuration in force.
-    pub config: ConfigHandle,
-    /// Claims of idempotency keys.
-    pub claims: ClaimsHandle,
-    /// What control costs.
-    pub usage: Arc<ArcSwap<ControlUsage>>,
+    /// The services.
+    pub services: Services,
     /// Whether the daemon knows the backend servers and has found its place among the daemons.
     pub is_ready: watch::Receiver<bool>,
     runtime: Handle,
@@ -248,7 +235,7 @@
 impl RunningControl {
     /// Tells the other daemons that this one stops, so that its work moves before it goes.
     pub fn leave(&self) {
-        if let Ok(inbox) = self.kernel.find(ServiceName::Membership) {
+        if let Ok(inbox) = self.services.kernel.find(ServiceName::Membership) {
             // A leave that is lost is noticed as a death, a few seconds later.
             let _ = inbox.try_send(MembershipRequest::Leave);
         }
@@ -294,73 +281,8 @@
     pub fn stop(self) {
         self.stop.cancel();
         let _ = self.thread.join();
-        self.link.stop();
-    }
-}
-
-/// Takes messages of other daemons to the services that they are for.
-fn inbound(kernel: Kernel, hub: Arc<OnceLock<Hubs>>) -> Inbound {
-    Arc::new(move |message| {
-        // A service that is behind sheds: whoever needs an answer asks again.
-        let _ = deliver(&kernel, &hub, message);
-    })
-}
-
-/// A message of another daemon found no inbox.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-enum DeliverError {
-    #[error(transparent)]
-    Kernel(#[from] KernelError),
-    #[error("inbox is full or closed")]
-    Full,
-}
-
-impl<Message> From<mpsc::error::TrySendError<Message>> for DeliverError {
-    fn from(_: mpsc::error::TrySendError<Message>) -> Self {
-        Self::Full
-    }
-}
-
-fn deliver(kernel: &Kernel, hub: &OnceLock<Hubs>, message: PeerMessage) -> Result<(), DeliverError> {
-    let PeerMessage {
-        from,
-        incarnation,
-        body,
-    } = message;
-    match body {
-        PeerBody::Claims(message) => {
-            kernel
-                .find(ServiceName::Claims)?
-                .try_send(ClaimsCommand::Peer { from, message })?;
-        }
-        PeerBody::Membership(message) => {
-            let request = MembershipRequest::Peer {
-                from,
-                incarnation,
-                message,
-            };
-            kernel.find(ServiceName::Membership)?.try_send(request)?;
-        }
-        PeerBody::Slots(message) if message.is_for_watcher() => {
-            let command = WatcherCommand::Slot {
-                from,
-                incarnation,
-                message,
-            };
-            kernel.find(ServiceName::Watcher)?.try_send(command)?;
-        }
-        PeerBody::Slots(message) => {
-            if let Some(hub) = hub.get() {
-                hub.language.feed(Event::Slot(message));
-            }
-        }
-        PeerBody::Spread(message) => {
-            kernel
-                .find(ServiceName::Spread)?
-                .try_send(SpreadRequest::Peer { from, message })?;
-        }
+        self.services.link.stop();
     }
-    Ok(())
 }
 
 fn start_membership(
@@ -442,72 +364,3 @@
         }
     }
 }
-
-/// Time between looks at the signs that other daemons spread. A leaving server gets no new work from any
-/// daemon within the time that spreading takes and this.
-const SIGN_PERIOD: Duration = Duration::from_millis(200);
-
-/// Acts on what daemons, this one among them, saw of servers: a leaving server gets no new work here either,
-/// until its sign runs out or it is seen taking work again.
-async fn follow_signs(
-    kernel: Kernel,
-    view: Arc<ArcSwap<SpreadView>>,
-    directory: Arc<Directory>,
-    hubs: Arc<OnceLock<Hubs>>,
-) {
-    let mut seen = Arc::new(SpreadView::default());
-    let mut period = tokio::time::interval(SIGN_PERIOD);
-    loop {
-        period.tick().await;
-        let now = view.load_full();
-        if Arc::ptr_eq(&seen, &now) {
-            continue;
-        }
-        let changed = now
-            .signs
-            .iter()
-            .filter(|(server, sign)| seen.signs.get(*server) != Some(*sign));
-        for (server, sign) in changed {
-            act_on_sign(&kernel, &directory, &hubs, server, *sign);
-        }
-        for server in seen
-            .signs
-            .keys()
-            .filter(|server| !now.signs.contains_key(*server))
-        {
-            act_on_sign(&kernel, &directory, &hubs, server, ServerSign::Taking);
-        }
-        seen = now;
-    }
-}
-
-fn act_on_sign(
-    kernel: &Kernel,
-    directory: &Directory,
-    hubs: &OnceLock<Hubs>,
-    server: &BackendServerId,
-    sign: ServerSign,
-) {
-    let sign = match sign {
-        ServerSign::Leaving => {
-            directory.note_leaving(clock::now(), server);
-            Sign::Leaving
-        }
-        ServerSign::Taking => {
-            directory.note_taking(server);
-            Sign::Live
-        }
-        // No room for the moment is the ledger's business.
-        ServerSign::Refusing => return,
-    };
-    if let Ok(inbox) = kernel.find(ServiceName::Watcher) {
-        let _ = inbox.try_send(WatcherCommand::Sign(server.clone()));
-    }
-    if let Some(hubs) = hubs.get() {
-        hubs.language.feed(Event::Sign {
-            server: server.clone(),
-            sign,
-        });
-        hubs.plain.sign(server, sign);
-    }
-}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -157,12 +157,14 @@
         let operators_address = observed.serve(settings, incarnation, &control)?;
         let tasks = TaskTracker::new();
         control.publish_figures(Figures {
-            usage: Arc::clone(&control.usage),
-            members: Arc::clone(&control.members.view),
+            usage: Arc::clone(&control.services.usage),
+            members: Arc::clone(&control.services.members.view),
+            membership_counts: Arc::clone(&control.services.members.counts),
+            spread_counts: Arc::clone(&control.services.spread.counts),
             directory: Arc::clone(&directory),
             hub: Arc::clone(&schedulers.hub),
             tasks: tasks.clone(),
-            link: Arc::clone(&control.link),
+            link: Arc::clone(&control.services.link),
             metrics: observed.metrics.clone(),
         });
         let demand = Arc::new(Demand::default());
@@ -170,13 +172,13 @@
             host: settings.host.id.clone(),
             incarnation,
             data_centre: settings.host.data_centre.clone(),
-            members: Arc::clone(&control.members.view),
+            members: Arc::clone(&control.services.members.view),
             directory: Arc::clone(&directory),
             engines: Arc::clone(&edges.engines),
             log: edges.log,
             weights: edges.weights,
             demand: Arc::clone(&demand),
-            spread: control.kernel.find(ServiceName::Spread)?,
+            spread: control.services.kernel.find(ServiceName::Spread)?,
             shift: ShiftSettings {
                 hold_ms: settings.shift.hold_ms,
                 cooldown_ms: settings.shift.cooldown_ms,
@@ -192,19 +194,19 @@
             hub: schedulers.hub,
             plain_hub: schedulers.plain_hub,
             demand,
-            claims: control.claims.clone(),
+            claims: control.services.claims.clone(),
             tickets: Tickets::new(settings.host.id.clone(), incarnation, TicketSettings::default()),
             tasks: tasks.clone(),
             runtime: traffic.handle().clone(),
             observer: Observer::new(observed.metrics, observed.log, observed.recent),
-            spread: control.kernel.find(ServiceName::Spread)?,
+            spread: control.services.kernel.find(ServiceName::Spread)?,
         };
         let state = CallerState {
             tokens: PartnerTokens::new(&settings.partners),
             routes: settings.routes.clone(),
             limits: settings.limits.clone(),
             dispatcher: Arc::new(dispatcher),
-            config: Arc::clone(&control.config.state),
+            config: Arc::clone(&control.services.config.state),
             incarnation,
             sequence: AtomicU64::new(0),
         };
@@ -241,7 +243,7 @@
 
     /// Where other daemons reach this one.
     pub fn peer_address(&self) -> SocketAddr {
-        self.control.link.local_address()
+        self.control.services.link.local_address()
     }
 
     /// Waits until the daemon can serve.
@@ -250,6 +252,7 @@
         let _ = self.control.is_ready.clone().wait_for(|ready| *ready).await;
         let _ = self
             .control
+            .services
             .config
             .is_ready
             .clone()
@@ -263,7 +266,7 @@
     where
         Act: FnOnce() + Send + 'static,
     {
-        let mut superseded = self.control.members.superseded.clone();
+        let mut superseded = self.control.services.members.superseded.clone();
         self.traffic.spawn(async move {
             if superseded.wait_for(Option::is_some).await.is_ok() {
                 act();
@@ -328,10 +331,10 @@
         let route = SlotRoute {
             host: settings.host.id.clone(),
             incarnation,
-            members: Arc::clone(&control.members.view),
+            members: Arc::clone(&control.services.members.view),
             directory: Arc::clone(directory),
-            link: Arc::<NngLink>::clone(&control.link),
-            kernel: control.kernel.clone(),
+            link: Arc::<NngLink>::clone(&control.services.link),
+            kernel: control.services.kernel.clone(),
         };
         // The incarnation is as good a seed as any, and it is in the log when a decision is to be replayed.
         let seed = incarnation.0;
@@ -353,10 +356,10 @@
         WatcherParts {
             host: settings.host.id.clone(),
             region: settings.host.region.clone(),
-            members: Arc::clone(&control.members.view),
+            members: Arc::clone(&control.services.members.view),
             directory: Arc::clone(directory),
             engines: Arc::clone(&edges.engines),
-            link: Arc::<NngLink>::clone(&control.link),
+            link: Arc::<NngLink>::clone(&control.services.link),
             hub: Arc::clone(&self.hub),
             plain_hub: Arc::clone(&self.plain_hub),
             releases: Arc::clone(releases),
@@ -383,7 +386,7 @@
             metrics,
             log,
             recent: Arc::new(RecentRequests::new(settings.observe.recent_requests)),
-            readiness: Arc::new(Readiness::new(control.config.is_ready.clone())),
+            readiness: Arc::new(Readiness::new(control.services.config.is_ready.clone())),
         }
     }
 
@@ -396,9 +399,9 @@
         let parts = OperatorsParts {
             host: settings.host.clone(),
             incarnation,
-            config: control.config.clone(),
+            config: control.services.config.clone(),
             metrics: self.metrics.clone(),
-            members: Arc::clone(&control.members.view),
+            members: Arc::clone(&control.services.members.view),
             recent: Arc::clone(&self.recent),
             readiness: Arc::clone(&self.readiness),
         };
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hibiscusvale_core::membership::MembersView;
+use hibiscusvale_core::membership::{MembersView, MembershipCounts};
 use hibiscusvale_core::meter::ControlUsage;
+use hibiscusvale_core::spread::SpreadCounts;
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::TaskTracker;
 
@@ -25,6 +26,10 @@
     pub usage: Arc<ArcSwap<ControlUsage>>,
     /// Who lives.
     pub members: Arc<ArcSwap<MembersView>>,
+    /// What happened to membership.
+    pub membership_counts: Arc<ArcSwap<MembershipCounts>>,
+    /// What happened to spreading.
+    pub spread_counts: Arc<ArcSwap<SpreadCounts>>,
     /// The backend servers.
     pub directory: Arc<Directory>,
     /// The scheduler of language requests.
@@ -37,11 +42,12 @@
     pub metrics: Metrics,
 }
 
-/// A count of the link by its name. The names are those of the fields of [`LinkCounts`], a closed set.
+/// A count by its name. The names are those of [`LinkCounts`], [`MembershipCounts`] and [`SpreadCounts`], closed
+/// sets.
 #[derive(Clone, Copy, Debug)]
-struct LinkCount(&'static str);
+struct Named(&'static str);
 
-impl Label for LinkCount {
+impl Label for Named {
     fn label(self) -> &'static str {
         self.0
     }
@@ -53,10 +59,18 @@
         let mut period = tokio::time::interval(PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut counted = LinkCounts::default();
+        let mut membership = MembershipCounts::default();
+        let mut spread = SpreadCounts::default();
         loop {
             period.tick().await;
             self.set_gauges();
             counted = self.count_link(counted);
+            let now = **self.membership_counts.load();
+            self.count_events(&membership.by_name(), &now.by_name());
+            membership = now;
+            let now = **self.spread_counts.load();
+            self.count_events(&spread.by_name(), &now.by_name());
+            spread = now;
         }
     }
 
@@ -91,9 +105,17 @@
         let now = self.link.counts();
         for ((name, before), (_, after)) in counted.by_name().zip(now.by_name()) {
             if name.starts_with("dropped") || name.starts_with("refused") {
-                self.metrics.peer_dropped(LinkCount(name), after - before);
+                self.metrics.peer_dropped(Named(name), after - before);
+            } else if matches!(name, "probes" | "redialled") {
+                self.metrics.events(Named(name), after - before);
             }
         }
         now
     }
+
+    fn count_events(&self, before: &[(&'static str, u64)], now: &[(&'static str, u64)]) {
+        for ((name, before), (_, now)) in before.iter().zip(now) {
+            self.metrics.events(Named(name), now - before);
+        }
+    }
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -127,7 +127,15 @@
     where
         Event: Label,
     {
-        self.counts.events.add(event, 1);
+        self.events(event, 1);
+    }
+
+    /// Counts what happened `times` times to the daemon.
+    pub fn events<Event>(&self, event: Event, times: u64)
+    where
+        Event: Label,
+    {
+        self.counts.events.add(event, times);
     }
 
     /// Sets a gauge.
--- a/crates/router/tests/ops/config.rs
+++ b/crates/router/tests/ops/config.rs
@@ -292,6 +292,26 @@
     );
 }
 
+/// The platform restores its log from an older copy, and the last change is no longer in it. The daemon keeps it in
+/// force and shows what it sees of the log; going back would take a class from callers that use it.
+#[tokio::test(start_paused = true)]
+async fn a_shortened_log_is_shown_and_takes_nothing_back() {
+    let log = MemoryLog::new();
+    let mut host = start(&log, false);
+    log.push(change(1, None, 9_000));
+    log.push(change(2, Some(0), 5_000));
+    host.reached(2).await;
+    log.shorten(1);
+    let shown = async {
+        while host.handle.status.load().log_view != LogView::Shorter {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        }
+    };
+    let shown = tokio::time::timeout(std::time::Duration::from_mins(1), shown).await;
+    assert_eq!(shown, Ok(()));
+    assert_eq!(host.first_token_ms(), Some(5_000));
+}
+
 /// A peer, or somebody who pretends to be one, offers a state that no daemon sealed.
 #[tokio::test(start_paused = true)]
 async fn a_state_of_nobody_is_not_adopted() {
--- a/crates/router/tests/ops/memory_log.rs
+++ b/crates/router/tests/ops/memory_log.rs
@@ -54,6 +54,15 @@
         inner.start += expired as u64;
     }
 
+    /// Takes the last `count` records back, as a log does that is restored from an older copy.
+    pub fn shorten(&self, count: usize) {
+        let mut inner = self.inner.lock();
+        let kept = inner.records.len() - count;
+        inner.records.truncate(kept);
+        drop(inner);
+        self.appended.send_modify(|_| ());
+    }
+
     /// Waits until `count` records were appended over all time.
     pub async fn reached(&self, count: u64) {
         let mut appended = self.appended.subscribe();
--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::load::answer::{Call, Flaw, Outcome, read_plain, read_stream};
+use crate::load::balancer::Balancer;
 use crate::load::schedule::{Planned, schedule};
 use crate::load::settings::{Flow, FlowKind, LoadPlan};
 
@@ -27,7 +28,10 @@
 const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Calls that find no daemon listening cost a caller nothing; the balancer picks another this often.
-const REFUSED_CONNECTIONS: u32 = 50;
+const REFUSED_CONNECTIONS: u32 = 500;
+
+/// Time until the balancer tries another daemon.
+const NEXT_CONNECTION: Duration = Duration::from_millis(5);
 
 /// A request with all that its caller saw.
 #[derive(Clone, Debug)]
@@ -64,11 +68,7 @@
 }
 
 impl Next {
-    /// Without a call, no daemon listened there.
-    fn after(call: Option<&Call>) -> Self {
-        let Some(call) = call else {
-            return Self::Again { asked_wait: None };
-        };
+    fn after(call: &Call) -> Self {
         let asked_wait = call.retry_after;
         match call.outcome {
             Outcome::Unknown => Self::Again { asked_wait },
@@ -83,7 +83,7 @@
 
 struct Caller {
     client: HttpClient,
-    daemons: Vec<SocketAddr>,
+    balancer: Balancer,
     flow: Flow,
 }
 
@@ -103,10 +103,11 @@
     let client = Client::builder(TokioExecutor::new())
         .retry_canceled_requests(false)
         .build(connector);
+    let balancer = Balancer::start(&plan.daemons);
     let callers = plan.flows.iter().map(|flow| {
         Arc::new(Caller {
             client: client.clone(),
-            daemons: plan.daemons.clone(),
+            balancer: balancer.clone(),
             flow: flow.clone(),
         })
     });
@@ -150,20 +151,25 @@
 
     async fn call_until_settled(&self, record: &mut Record) {
         let mut rng = StdRng::seed_from_u64(record.planned.seed);
-        let mut daemon = rng.random_range(0..self.daemons.len());
+        let mut daemon = self.balancer.pick(&mut rng, None);
         let mut refused = 0;
         while record.calls.len() < self.flow.attempts && refused < REFUSED_CONNECTIONS {
-            let call = self.call(&record.planned, self.daemons[daemon]).await;
-            refused += u32::from(call.is_none());
-            let next = Next::after(call.as_ref());
-            record.calls.extend(call);
+            let call = self.call(&record.planned, daemon).await;
+            let Some(call) = call else {
+                refused += 1;
+                sleep(NEXT_CONNECTION).await;
+                daemon = self.balancer.pick(&mut rng, Some(daemon));
+                continue;
+            };
+            let next = Next::after(&call);
+            record.calls.push(call);
             let Next::Again { asked_wait } = next else {
                 return;
             };
             let (least, greatest) = BACK_OFF_MS;
             let own_wait = Duration::from_millis(rng.random_range(least..greatest));
             sleep(asked_wait.map_or(own_wait, |asked| asked.min(LONGEST_RETRY_AFTER))).await;
-            daemon = (daemon + rng.random_range(1..=self.daemons.len().max(2) - 1)) % self.daemons.len();
+            daemon = self.balancer.pick(&mut rng, Some(daemon));
         }
         if record.calls.is_empty() {
             record.calls.push(Call::without_head(Outcome::NotRun));
--- a/crates/standins/src/load/cmd/mod.rs
+++ b/crates/standins/src/load/cmd/mod.rs
@@ -3,6 +3,7 @@
 use anyhow::Context;
 use gumdrop::Options;
 
+pub mod latency;
 pub mod mixed;
 
 /// Arguments of the load tool.
@@ -16,6 +17,8 @@
 
 #[derive(Debug, Options)]
 enum Command {
+    #[options(help = "compare the times of the same call on several ways")]
+    Latency(latency::Latency),
     #[options(help = "send a mixed load and audit its outcomes")]
     Mixed(mixed::Mixed),
 }
@@ -30,6 +33,7 @@
     };
     let runtime = tokio::runtime::Runtime::new().context("could not start the runtime")?;
     match command {
+        Command::Latency(options) => runtime.block_on(options.run()),
         Command::Mixed(options) => runtime.block_on(options.run()),
     }
 }
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -3,8 +3,11 @@
 
 pub mod answer;
 pub mod audit;
+pub mod balancer;
 pub mod caller;
 pub mod cmd;
+pub mod cpu;
+pub mod latency;
 pub mod report;
 pub mod schedule;
 pub mod settings;
--- a/crates/standins/src/load/settings.rs
+++ b/crates/standins/src/load/settings.rs
@@ -10,12 +10,22 @@
 pub struct LoadPlan {
     /// Seed of everything that is drawn.
     pub seed: u64,
-    /// Callers' addresses of the daemons; a caller picks any, as the platform's balancer does.
-    pub daemons: Vec<SocketAddr>,
+    /// The daemons; a caller is sent to any of them.
+    pub daemons: Vec<Entry>,
     /// Flows of requests that are alike.
     pub flows: Vec<Flow>,
 }
 
+/// A daemon as the balancer knows it.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where readiness is told; without it the daemon counts as ready.
+    pub operators: Option<SocketAddr>,
+}
+
 /// Requests of one class.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/standins/src/slopes/cmd.rs
+++ b/crates/standins/src/slopes/cmd.rs
@@ -5,7 +5,7 @@
 use anyhow::Context;
 use gumdrop::Options;
 
-use crate::{plot, virtual_time};
+use crate::{plot, procs, virtual_time, watch};
 
 /// What to measure.
 #[derive(Debug, Options)]
@@ -20,6 +20,16 @@
 enum Command {
     #[options(help = "measure state machines on a virtual clock")]
     Virtual(Virtual),
+    #[options(help = "choose addresses and write the plan of the stand-ins")]
+    Plan(procs::Plan),
+    #[options(help = "write the settings of the daemons")]
+    Settings(procs::Settings),
+    #[options(help = "measure running daemons")]
+    Steady(watch::Steady),
+    #[options(help = "wait until a killed daemon is gone from all views")]
+    Death(watch::Death),
+    #[options(help = "draw the CSV of real daemons and fit its slopes")]
+    Draw(plot::Draw),
 }
 
 #[derive(Debug, Options)]
@@ -37,6 +47,11 @@
     pub fn run(self) -> anyhow::Result<()> {
         match self.command {
             Some(Command::Virtual(arguments)) => arguments.run(),
+            Some(Command::Plan(arguments)) => arguments.run(),
+            Some(Command::Settings(arguments)) => arguments.run(),
+            Some(Command::Steady(arguments)) => arguments.run(),
+            Some(Command::Death(arguments)) => arguments.run(),
+            Some(Command::Draw(arguments)) => arguments.run(),
             None => anyhow::bail!("no subcommand given, see --help"),
         }
     }
--- a/crates/standins/src/slopes/main.rs
+++ b/crates/standins/src/slopes/main.rs
@@ -9,6 +9,7 @@
 mod plot;
 mod procs;
 mod virtual_time;
+mod watch;
 
 use std::process::ExitCode;
 
--- a/crates/standins/src/slopes/plot.rs
+++ b/crates/standins/src/slopes/plot.rs
@@ -1,10 +1,12 @@
 //! Plots of what was measured.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-use anyhow::anyhow;
+use anyhow::{Context, anyhow};
+use gumdrop::Options;
 use plotters::prelude::*;
 
+use crate::fit::Line;
 use crate::virtual_time::Row;
 
 const SIZE: (u32, u32) = (760, 480);
@@ -97,3 +99,61 @@
     root.present()?;
     Ok(())
 }
+
+/// Draws the CSV of real daemons and fits its slopes.
+#[derive(Debug, Options)]
+pub struct Draw {
+    #[options(help = "show this text")]
+    help: bool,
+    #[options(help = "CSV of real daemons", required)]
+    csv: PathBuf,
+    #[options(help = "SVG to write", required)]
+    out: PathBuf,
+}
+
+/// Columns of the CSV that are drawn and fitted, by their names.
+const COLUMNS: [&str; 4] = [
+    "sent_mean_bytes_per_s",
+    "control_ppm",
+    "memory_bytes",
+    "in_force_max_ms",
+];
+/// Daemons of the target in one data centre.
+const TARGET_HOSTS: f64 = 35.0;
+
+impl Draw {
+    /// Writes the plot of bytes sent and prints a line for each column.
+    pub fn run(self) -> anyhow::Result<()> {
+        let text = std::fs::read_to_string(&self.csv).context("could not read the CSV")?;
+        let mut lines = text.lines();
+        let names: Vec<&str> = lines.next().unwrap_or_default().split(',').collect();
+        let rows: Vec<Vec<&str>> = lines.map(|line| line.split(',').collect()).collect();
+        let column = |name: &str| -> Vec<(f64, f64)> {
+            let index = names.iter().position(|found| *found == name);
+            let at = |row: &Vec<&str>, index: usize| row.get(index).and_then(|field| field.parse().ok());
+            rows.iter()
+                .filter(|row| at(row, 1) == Some(1.0))
+                .filter_map(|row| Some((at(row, 0)?, at(row, index?)?)))
+                .collect()
+        };
+        for name in COLUMNS {
+            let line = Line::through(&column(name));
+            println!(
+                "{name} = {:.1} + {:.3} x daemons; {:.0} at {TARGET_HOSTS}",
+                line.base,
+                line.slope,
+                line.at(TARGET_HOSTS)
+            );
+        }
+        let series = [Series {
+            name: "one data centre, mean".to_owned(),
+            points: column("sent_mean_bytes_per_s"),
+        }];
+        draw(
+            "bytes/s sent for control by one real daemon",
+            &series,
+            Some(BUDGET),
+            &self.out,
+        )
+    }
+}
--- a/crates/standins/tests/e2e/bad_input.rs
+++ b/crates/standins/tests/e2e/bad_input.rs
@@ -33,8 +33,18 @@
     daemon
 }
 
-/// The daemon's counter of one kind of event.
+/// The daemon's counter of one kind of event, once it counts any: an event of a connection is counted after the
+/// connection has ended, which the caller sees first.
 async fn events(daemon: &Daemon, event: &str) -> u64 {
+    loop {
+        match counted(daemon, event).await {
+            0 => tokio::task::yield_now().await,
+            count => return count,
+        }
+    }
+}
+
+async fn counted(daemon: &Daemon, event: &str) -> u64 {
     let (_, text) = call(daemon.operators_address(), Method::GET, "/metrics", Bytes::new())
         .await
         .expect("metrics");
--- a/crates/standins/tests/standins/load.rs
+++ b/crates/standins/tests/standins/load.rs
@@ -9,7 +9,7 @@
 use hibiscusvale_standins::load::audit::Audit;
 use hibiscusvale_standins::load::caller::send_all;
 use hibiscusvale_standins::load::report::Report;
-use hibiscusvale_standins::load::settings::{Flow, FlowKind, LoadPlan};
+use hibiscusvale_standins::load::settings::{Entry, Flow, FlowKind, LoadPlan};
 use hibiscusvale_standins::text::expected_answer;
 use hibiscusvale_standins::{Faults, PlainHandle, PlainService, PlainSettings};
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -139,7 +139,10 @@
     };
     let plan = LoadPlan {
         seed: 1,
-        daemons: vec![daemon],
+        daemons: vec![Entry {
+            callers: daemon,
+            operators: None,
+        }],
         flows: vec![flow(FlowKind::Once), flow(FlowKind::Completion)],
     };
     let records = send_all(&plan).await;
