Read the host list by what changed, and believe no empty one

Change: a reader gets what changed since its version, about 300 bytes a host or 7 B/s; an empty list is not adopted; a version below the last one is one of a service that was set up anew. Ruled out: a few readers that relay the list, for the list is each data centre's own way to the platform.

--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -14,7 +14,9 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use crate::platform::{EngineRole, HostList, HostListPage, ListedHost, ListedKind, ListedState};
+use crate::platform::{
+    EngineRole, HostList, HostListChange, HostListPage, ListedHost, ListedKind, ListedState,
+};
 
 /// How long the list may hold back its answer when nothing changed.
 const LIST_WAIT_MS: Millis = Millis(5_000);
@@ -22,6 +24,9 @@
 /// Pause after a failed read of the list; the list changes some thousand times a day at most.
 const LIST_RETRY: Duration = Duration::from_secs(1);
 
+/// Pause after an answer without news, most of which were held back for seconds.
+const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a leaving sign is believed over a list that still says live. The list lags by seconds; a server
 /// that was restarted under the same name within this time waits for its first work that much longer.
 const LEAVING_SIGN_MS: Millis = Millis(30_000);
@@ -97,7 +102,7 @@
 }
 
 impl Listing {
-    /// Builds the listing from what the platform answered.
+    /// Builds the listing from the whole list.
     pub fn new(version: u64, entries: Vec<ListedHost>) -> Self {
         let mut listing = Self {
             version,
@@ -109,6 +114,25 @@
         listing
     }
 
+    /// The listing after a change. Servers that did not change are shared with this one.
+    #[must_use]
+    pub fn changed(&self, version: u64, set: Vec<ListedHost>, remove: &[BackendServerId]) -> Self {
+        let mut listing = Self {
+            version,
+            ..self.clone()
+        };
+        for id in remove.iter().chain(set.iter().map(|entry| &entry.id)) {
+            listing.servers.remove(id);
+            listing
+                .entry_hosts
+                .retain(|entry| entry.id.as_str() != id.as_str());
+        }
+        for entry in set {
+            listing.add(entry);
+        }
+        listing
+    }
+
     fn add(&mut self, entry: ListedHost) {
         let kind = match entry.kind {
             ListedKind::Entry => return self.add_entry_host(entry),
@@ -164,12 +188,26 @@
         self.listing.load_full()
     }
 
-    /// Puts a new listing in force, unless an older one arrives late.
+    /// Puts a new listing in force. There is one reader, so none arrives late; a version below the last one says
+    /// that the platform's service was set up anew.
     pub fn adopt(&self, listing: Listing) {
-        if listing.version >= self.listing.load().version {
-            let version = listing.version;
-            self.listing.store(Arc::new(listing));
-            self.version.send_replace(version);
+        let version = listing.version;
+        self.listing.store(Arc::new(listing));
+        self.version.send_replace(version);
+    }
+
+    /// Takes what a read of the list brought. An empty list is not believed: a service that has lost its contents
+    /// would otherwise take every server out of use at once, and what is really gone shows in the calls to it.
+    pub fn take(&self, page: HostListPage) {
+        let known = self.listing();
+        match page.change {
+            HostListChange::Whole(entries) if entries.is_empty() && known.version > 0 => {}
+            HostListChange::Whole(entries) => self.adopt(Listing::new(page.version, entries)),
+            HostListChange::Some { set, remove } => {
+                if !(set.is_empty() && remove.is_empty()) {
+                    self.adopt(known.changed(page.version, set, &remove));
+                }
+            }
         }
     }
 
@@ -211,13 +249,13 @@
     loop {
         let known = directory.listing().version;
         match list.read(known, LIST_WAIT_MS).await {
-            Ok(HostListPage {
-                version,
-                entries: Some(entries),
-            }) => {
-                directory.adopt(Listing::new(version, entries));
+            Ok(page) => {
+                directory.take(page);
+                // A service that answers at once without news must not be asked in a circle.
+                if directory.listing().version == known {
+                    tokio::time::sleep(EMPTY_PAUSE).await;
+                }
             }
-            Ok(HostListPage { entries: None, .. }) => {}
             Err(_) => tokio::time::sleep(LIST_RETRY).await,
         }
     }
--- a/crates/router/src/platform/host_list.rs
+++ b/crates/router/src/platform/host_list.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::units::Millis;
 use http::Request;
 use http_body_util::Full;
 use serde::Deserialize;
 
-use super::{HostList, HostListPage, ListedHost, PlatformFailure};
+use super::{HostList, HostListChange, HostListPage, ListedHost, PlatformFailure};
 use crate::backend::{BackendHttp, CallFailure, Trust, read_body, uri};
 
 /// Beyond the time that the list may hold its answer back.
@@ -29,6 +30,10 @@
 struct Page {
     version: u64,
     entries: Option<Vec<ListedHost>>,
+    #[serde(default)]
+    set: Vec<ListedHost>,
+    #[serde(default)]
+    remove: Vec<BackendServerId>,
 }
 
 impl HttpHostList {
@@ -50,9 +55,16 @@
         let response = self.http.send(Trust::Fresh, request, timeout).await?;
         let body = read_body(response.into_body(), LIST_LIMIT_BYTES, timeout).await?;
         let page: Page = serde_json::from_slice(&body).map_err(|_| CallFailure::Malformed)?;
+        let change = match page.entries {
+            Some(entries) => HostListChange::Whole(entries),
+            None => HostListChange::Some {
+                set: page.set,
+                remove: page.remove,
+            },
+        };
         Ok(HostListPage {
             version: page.version,
-            entries: page.entries,
+            change,
         })
     }
 }
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -176,13 +176,27 @@
     Plain,
 }
 
-/// The whole host list at one version.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// What a read of the host list brought.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HostListPage {
-    /// Version of the list.
+    /// Version that the list has now.
     pub version: u64,
-    /// The entries; `None` when nothing changed since the version asked for.
-    pub entries: Option<Vec<ListedHost>>,
+    /// What changed since the version asked for.
+    pub change: HostListChange,
+}
+
+/// A change of the host list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum HostListChange {
+    /// Some entries changed, or none.
+    Some {
+        /// Entries that are new or different.
+        set: Vec<ListedHost>,
+        /// Names that are no longer listed.
+        remove: Vec<BackendServerId>,
+    },
+    /// The whole list.
+    Whole(Vec<ListedHost>),
 }
 
 /// Why a call to the host list or the weight store failed.
@@ -201,7 +215,8 @@
 
 /// The lagging list of live and leaving hosts.
 pub trait HostList: Debug + Send + Sync + 'static {
-    /// Returns the list if it is newer than `after`, waiting up to `wait_ms` for that.
+    /// Returns what changed since `after`, waiting up to `wait_ms` for something; the whole list to a reader too
+    /// far behind.
     fn read(&self, after: u64, wait_ms: Millis) -> BoxFuture<'_, Result<HostListPage, PlatformFailure>>;
 }
 
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -1,6 +1,7 @@
 //! Tests of settings, logs, metrics and the edges towards the platform and operators.
 
 mod config;
+mod directory;
 mod memory_log;
 mod observe;
 mod operators;
