Choose readers by the settings and name their job once

The setting config.readers gave the ranks of those who write checkpoints but not the number of those who read: the spreading service kept its own default. Both take it from the settings now, and the name of the job stands once.

--- a/crates/core/src/spread/mod.rs
+++ b/crates/core/src/spread/mod.rs
@@ -35,6 +35,9 @@
 };
 pub use self::settings::SpreadSettings;
 
+/// The job, in each data centre, of reading the configuration stream from the log.
+pub const LOG_READER_JOB: &str = "log-reader";
+
 /// What is spread and not configuration, as one daemon knows it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SpreadView {
@@ -288,7 +291,7 @@
     }
 
     fn choose_reader(&mut self, view: &MembersView, actions: &mut Vec<SpreadAction>) {
-        let is_reader = self.rank("log-reader", self.settings.readers, view).is_some();
+        let is_reader = self.rank(LOG_READER_JOB, self.settings.readers, view).is_some();
         if is_reader != self.is_reader {
             self.is_reader = is_reader;
             actions.push(SpreadAction::ReadLog(is_reader));
--- a/crates/router/src/config/duty.rs
+++ b/crates/router/src/config/duty.rs
@@ -11,15 +11,13 @@
 };
 use hibiscusvale_core::ids::{HostId, Offset};
 use hibiscusvale_core::membership::MembersView;
+use hibiscusvale_core::spread::LOG_READER_JOB;
 use hibiscusvale_core::units::MonoTime;
 use hibiscusvale_core::watch::{JobHash, owners_in};
 
 use crate::platform::{AppendError, Log, LogPage, Stream};
 use crate::settings::ConfigSettings;
 
-/// The job by which the readers of a data centre are chosen, as the spreading service names it.
-const READER_JOB: &str = "log-reader";
-
 /// Writes checkpoints.
 pub(super) struct CheckpointWriter {
     duty: CheckpointDuty,
@@ -117,7 +115,7 @@
         let mut place = Place::default();
         let mut is_found = false;
         for data_centre in members.members.keys() {
-            for reader in owners_in(JobHash::of(READER_JOB), data_centre, self.readers, &members) {
+            for reader in owners_in(JobHash::of(LOG_READER_JOB), data_centre, self.readers, &members) {
                 is_found |= reader == self.host;
                 place.rank += u32::from(!is_found);
                 place.readers_total += 1;
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -331,7 +331,11 @@
         members: Arc::clone(&members.view),
         feed,
     };
-    let (service, handle) = SpreadService::new(SpreadSettings::default(), parts);
+    let spread_settings = SpreadSettings {
+        readers: settings.config.readers,
+        ..SpreadSettings::default()
+    };
+    let (service, handle) = SpreadService::new(spread_settings, parts);
     tokio::spawn(service.run(inbox));
     Ok(handle)
 }
