--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -8,25 +8,27 @@
 mod counters;
 mod directory;
 mod events;
+mod failing;
 mod instance;
 mod placing;
 mod plain;
+mod plain_events;
+mod replies;
 mod request;
 mod retry;
 mod running;
 mod scheduler;
 mod settings;
 mod shift;
+mod slot;
 
 pub use affinity::{AffinityIndex, CacheEvent, CacheEventKind};
 pub use counters::{Counters, FailReason, RedoCause, RefusalReason};
 pub use directory::{Directory, ServerRecord, ServerState, Sign};
 pub use events::{Action, Arrival, Attempt, Event, FailureCause, WorkStage};
 pub use instance::InstanceSettings;
-pub use plain::{
-    PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainRefusal, PlainScheduler,
-    PlainSettings,
-};
+pub use plain::{PlainScheduler, PlainSettings};
+pub use plain_events::{PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainRefusal};
 pub use retry::RetryBudget;
 pub use scheduler::Scheduler;
 pub use settings::{PrefillStart, SchedulerSettings};
--- /dev/null
+++ b/crates/core/src/sched/replies.rs
@@ -0,0 +1,312 @@
+//! What a request does with the answers of the watchers, and without them.
+
+use crate::ids::RequestId;
+use crate::slots::{AskId, DenyReason, GrantOutcome, GrantPhase, SlotMessage};
+use crate::units::{BytesPerSecond, Micros, Millis, MonoTime};
+
+use super::directory::ServerIndex;
+use super::events::Action;
+use super::request::{Hold, Request, Stage};
+use super::scheduler::Scheduler;
+use super::settings::PrefillStart;
+
+impl Scheduler {
+    /// Takes an answer of a watcher.
+    pub(super) fn slot_message(
+        &mut self,
+        now_us: MonoTime,
+        message: &SlotMessage,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(index) = self.directory.index(message.server()) else {
+            return;
+        };
+        match *message {
+            SlotMessage::Queued {
+                request_id,
+                ask,
+                load,
+                ..
+            } => {
+                self.directory.learn(now_us, index, load, Micros::ZERO);
+                self.queued(now_us, request_id, ask);
+            }
+            SlotMessage::Grant {
+                request_id,
+                ask,
+                load,
+                ..
+            } => {
+                self.directory.learn(now_us, index, load, Micros::ZERO);
+                let hold = Hold {
+                    server: index,
+                    ask,
+                    rate_bytes_per_s: BytesPerSecond::ZERO,
+                    phase: GrantPhase::Reserved,
+                    sure: true,
+                    heard_us: now_us,
+                };
+                self.granted(now_us, request_id, hold, actions);
+            }
+            SlotMessage::Confirm {
+                request_id,
+                ask,
+                rate_bytes_per_s,
+                ..
+            } => {
+                self.confirmed(now_us, request_id, ask, rate_bytes_per_s, actions);
+            }
+            SlotMessage::Deny {
+                request_id,
+                ask,
+                load,
+                reason,
+                retry_after_ms,
+                ..
+            } => {
+                if reason == DenyReason::NotWatching {
+                    self.directory
+                        .silence(index, now_us + self.settings.ask_timeout_us);
+                } else {
+                    self.directory.learn(now_us, index, load, Micros::ZERO);
+                }
+                self.denied(now_us, request_id, ask, reason, retry_after_ms, actions);
+            }
+            SlotMessage::Ask(_)
+            | SlotMessage::Withdraw { .. }
+            | SlotMessage::Started { .. }
+            | SlotMessage::Ready { .. }
+            | SlotMessage::Moved { .. }
+            | SlotMessage::Release { .. }
+            | SlotMessage::Renew { .. } => {}
+        }
+    }
+
+    /// The watcher has heard an ask, or that a transfer is ready, and lets it wait.
+    pub(super) fn queued(&mut self, now_us: MonoTime, request_id: RequestId, ask: AskId) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
+            if hold.ask == ask {
+                hold.heard_us = now_us;
+            }
+        }
+        if let Some(open) = request.ask_of(ask) {
+            open.queued = true;
+        }
+    }
+
+    pub(super) fn granted(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        hold: Hold,
+        actions: &mut Vec<Action>,
+    ) {
+        let wanted = self
+            .requests
+            .get_mut(&request_id)
+            .and_then(|request| request.take_ask(hold.ask));
+        if wanted.is_none() {
+            // A repeated grant of what is held already is no news.
+            let repeated = self.requests.get(&request_id).is_some_and(|request| {
+                [request.turn, request.slot]
+                    .into_iter()
+                    .flatten()
+                    .any(|held| held.ask == hold.ask)
+            });
+            if !repeated {
+                self.release_hold(request_id, Some(hold), GrantOutcome::Unused, actions);
+            }
+            return;
+        }
+        let Some(mut request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        self.withdraw_asks(&mut request, actions);
+        let stage = request.stage;
+        let hold = Hold {
+            sure: wanted.is_some_and(|open| !open.bold),
+            ..hold
+        };
+        match stage {
+            Stage::AwaitTurn => {
+                request.turn = Some(hold);
+                request.uncached_tokens = wanted.map_or(request.uncached_tokens, |open| open.work_tokens);
+            }
+            _ => request.slot = Some(hold),
+        }
+        self.requests.insert(request_id, request);
+        match (stage, self.settings.start) {
+            (Stage::AwaitTurn, PrefillStart::AfterReservation) => {
+                self.enter(now_us, request_id, Stage::AwaitSlot);
+                self.ask_slot(now_us, request_id, actions);
+            }
+            (Stage::AwaitTurn, PrefillStart::AtOnce) | (Stage::AwaitSlot, _) => {
+                self.start_prefill(now_us, request_id, actions);
+            }
+            _ => self.make_ready(now_us, request_id, actions),
+        }
+    }
+
+    pub(super) fn enter(&mut self, now_us: MonoTime, request_id: RequestId, stage: Stage) {
+        if let Some(request) = self.requests.get_mut(&request_id) {
+            request.enter(now_us, stage);
+        }
+    }
+
+    pub(super) fn confirmed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        ask: AskId,
+        rate_bytes_per_s: BytesPerSecond,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
+            if hold.ask == ask && hold.phase == GrantPhase::Ready {
+                hold.phase = GrantPhase::Moving;
+                hold.rate_bytes_per_s = rate_bytes_per_s;
+            }
+        }
+        let moving = |hold: Option<Hold>| hold.is_some_and(|hold| hold.phase == GrantPhase::Moving);
+        if request.stage == Stage::AwaitRoom && moving(request.turn) && moving(request.slot) {
+            self.start_import(now_us, request_id, actions);
+        }
+    }
+
+    pub(super) fn denied(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        ask: AskId,
+        reason: DenyReason,
+        retry_after_ms: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        let Some(open) = request.take_ask(ask) else {
+            return;
+        };
+        let for_turn = request.stage == Stage::AwaitTurn;
+        if for_turn {
+            request.note_tried(open.server);
+        }
+        if reason == DenyReason::WouldMissTarget || reason == DenyReason::QueueFull {
+            let known_ms = request.retry_after_ms.unwrap_or(retry_after_ms);
+            request.retry_after_ms = Some(known_ms.min(retry_after_ms));
+        }
+        if request.has_asks() {
+            return;
+        }
+        if for_turn {
+            self.turn_unavailable(now_us, request_id, actions);
+        } else {
+            self.set_timer(request_id, now_us + self.settings.slot_retry_ms);
+        }
+    }
+
+    /// Looks after asks: one without any answer was lost, or its watcher is gone.
+    pub(super) fn ask_timer(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&request_id) else {
+            return;
+        };
+        let timeout_us = self.settings.ask_timeout_us;
+        let mut lost = [None; super::request::COPIES_MAX];
+        for (open, lost) in request.asks.iter_mut().zip(&mut lost) {
+            if open.is_some_and(|open| !open.queued && now_us >= open.sent_us + timeout_us) {
+                *lost = open.take();
+            }
+        }
+        let for_turn = request.stage == Stage::AwaitTurn;
+        for open in lost.iter().flatten() {
+            request.note_tried(open.server);
+            self.counters.ask_timeouts += 1;
+            self.directory
+                .silence(open.server, now_us + self.settings.silence_ms);
+            let server = self.directory.name(open.server).clone();
+            actions.push(Action::Send(SlotMessage::Withdraw {
+                server,
+                request_id,
+                ask: open.ask,
+            }));
+        }
+        let waits = self.requests.get(&request_id).is_some_and(Request::has_asks);
+        match (for_turn, waits) {
+            (true, true) => {}
+            (true, false) => self.turn_unavailable(now_us, request_id, actions),
+            (false, _) => self.slot_timer(now_us, request_id, waits, actions),
+        }
+    }
+
+    /// A turn must not be held for ever while no slot is to be had: it is given back, and the request waits
+    /// in the queue again, with its old deadline.
+    pub(super) fn slot_timer(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        waits: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get(&request_id) else {
+            return;
+        };
+        let is_read = request.stage == Stage::AwaitRoom;
+        let until_us = if is_read {
+            request.evict_at_us
+        } else {
+            request.stage_since_us + self.settings.turn_hold_ms
+        };
+        if now_us < until_us {
+            if waits {
+                self.set_timer(request_id, until_us);
+            } else {
+                self.ask_slot(now_us, request_id, actions);
+            }
+            return;
+        }
+        let Some(mut request) = self.requests.remove(&request_id) else {
+            return;
+        };
+        self.counters.turns_returned += 1;
+        self.withdraw_asks(&mut request, actions);
+        self.release_hold(request_id, request.turn.take(), GrantOutcome::Unused, actions);
+        request.rounds = 0;
+        request.tried = Default::default();
+        self.requests.insert(request_id, request);
+        self.ask_turn(now_us, request_id, actions);
+    }
+
+    /// Sends asks again that wait at a watcher: it may have lost them, or be a new one.
+    pub(super) fn repeat_asks(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        only: Option<ServerIndex>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get(&request_id) else {
+            return;
+        };
+        let for_turn = request.stage == Stage::AwaitTurn;
+        for open in request
+            .asks
+            .iter()
+            .flatten()
+            .filter(|open| only.is_none_or(|index| index == open.server))
+        {
+            let message = if for_turn {
+                self.turn_ask(now_us, request, open)
+            } else {
+                self.slot_ask(now_us, request, open)
+            };
+            actions.push(Action::Send(SlotMessage::Ask(message)));
+        }
+    }
+}
