Let a host replaced while the platform is away take the listing from a neighbour

Cause: a new daemon learnt servers from the platform's list alone, so each host replaced during an outage was one less to serve callers, although configuration came from its peers. Change: the directory service asks a daemon of its data centre, else of its region, for the listing page by page when the list has not answered within a second.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -21,12 +21,13 @@
 use crate::claims::{self, ClaimsCommand, ClaimsHandle};
 use crate::config::{ConfigHandle, ConfigParts, ConfigService, publisher_keys};
 use crate::daemon::{Edges, StartError};
-use crate::directory::{self, Directory};
+use crate::directory::Directory;
 use crate::dispatch::{Hub, PlainHub};
 use crate::figures::Figures;
 use crate::inbound;
 use crate::kernel::{INBOX_CAPACITY, Kernel, ServiceName};
 use crate::leases::{LeaseParts, LeaseService};
+use crate::listing_service::{ListingParts, ListingRequest, ListingService};
 use crate::logging::Log;
 use crate::membership::{MembershipHandle, MembershipRequest, MembershipService};
 use crate::meter::MeterService;
@@ -154,7 +155,17 @@
         tokio::spawn(tell_claims(kernel.find(ServiceName::Claims)?, members.clone()));
         let (meter, usage) = MeterService::new(Arc::clone(&link));
         tokio::spawn(meter.run());
-        tokio::spawn(directory::follow(Arc::clone(&edges.hosts), Arc::clone(directory)));
+        let listing = ListingParts {
+            host: settings.host.id.clone(),
+            data_centre: settings.host.data_centre.clone(),
+            region: settings.host.region.clone(),
+            hosts: Arc::clone(&edges.hosts),
+            directory: Arc::clone(directory),
+            members: Arc::clone(&members.view),
+            link: Arc::<NngLink>::clone(&link),
+        };
+        let listing_inbox = kernel.register::<ListingRequest>(ServiceName::Directory)?;
+        tokio::spawn(ListingService::run(listing, listing_inbox));
         tokio::spawn(tell_membership(
             kernel.find(ServiceName::Membership)?,
             Arc::clone(directory),
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -12,6 +12,7 @@
 use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, ModelId, RegionId};
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use crate::platform::{
@@ -32,7 +33,7 @@
 const LEAVING_SIGN_MS: Millis = Millis(30_000);
 
 /// What a backend server is.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum BackendKind {
     /// A model engine.
     Engine {
@@ -57,7 +58,7 @@
 }
 
 /// A backend server as the list has it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct BackendServer {
     /// Its name.
     pub id: BackendServerId,
@@ -74,7 +75,7 @@
 }
 
 /// An entry host as the list has it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EntryHost {
     /// Its name.
     pub id: HostId,
--- a/crates/router/src/inbound.rs
+++ b/crates/router/src/inbound.rs
@@ -8,6 +8,7 @@
 use crate::claims::ClaimsCommand;
 use crate::control::Hubs;
 use crate::kernel::{Kernel, KernelError, ServiceName};
+use crate::listing_service::ListingRequest;
 use crate::membership::MembershipRequest;
 use crate::peer::{Inbound, PeerBody, PeerMessage};
 use crate::spread::SpreadRequest;
@@ -48,6 +49,10 @@
                 .find(ServiceName::Claims)?
                 .try_send(ClaimsCommand::Peer { from, message })?;
         }
+        PeerBody::Listing(message) => {
+            let request = ListingRequest::Peer { from, message };
+            kernel.find(ServiceName::Directory)?.try_send(request)?;
+        }
         PeerBody::Membership(message) => {
             let request = MembershipRequest::Peer {
                 from,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod inbound;
 pub mod kernel;
 pub mod leases;
+pub mod listing_service;
 pub mod logging;
 pub mod membership;
 pub mod meter;
--- a/crates/router/src/peer/mod.rs
+++ b/crates/router/src/peer/mod.rs
@@ -16,6 +16,8 @@
 use hibiscusvale_core::spread::SpreadMessage;
 use serde::{Deserialize, Serialize};
 
+use crate::listing_service::ListingMessage;
+
 pub use self::codec::{FrameError, MAX_FRAME_BYTES, ParsePeerKeyError, PeerKey};
 pub use self::link::{LinkCounts, LinkError, LinkSettings, NngLink, RECEIVE_THREAD};
 
@@ -24,6 +26,8 @@
 pub enum PeerBody {
     /// Claims and answers of idempotent requests.
     Claims(ClaimMessage),
+    /// The listing of backend servers, for a daemon that cannot reach the platform.
+    Listing(ListingMessage),
     /// Heartbeats and digests.
     Membership(MembershipMessage),
     /// Slots of backend servers.
--- a/crates/standins/tests/e2e/hosts.rs
+++ b/crates/standins/tests/e2e/hosts.rs
@@ -1,5 +1,7 @@
 //! Entry hosts that die, are replaced, or stop.
 
+use hibiscusvale_standins::{Steer, text};
+
 use crate::world::{Caller, SMALL_PLAN, World, stop, streamed_text};
 
 const PROMPT: &str = "The client keeps a large dog and is allergic to bleach.";
@@ -34,3 +36,28 @@
     stop(first).await;
     stop(replaced).await;
 }
+
+/// Log and host list are away for hours, and a host is replaced meanwhile. Without its neighbours the new daemon
+/// would know neither classes nor servers, and each replaced host would be one less to serve callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_replaced_while_the_platform_is_away_serves_from_what_its_neighbours_know() {
+    let world = World::start(SMALL_PLAN).await;
+    let first = world.daemon("entry-1").await;
+    let away = Steer {
+        outage: Some(true),
+        ..Steer::default()
+    };
+    world.standins.log.steer(&away);
+    world.standins.hosts.steer(&away);
+
+    let replaced = world.daemon_beside("entry-2", &[&first]).await;
+    let answer = Caller::new(replaced.callers_address())
+        .complete(PROMPT, 12, true)
+        .await;
+    assert_eq!(
+        streamed_text(&answer.body).as_deref(),
+        Some(text::expected_answer(PROMPT, 12).as_str())
+    );
+    stop(first).await;
+    stop(replaced).await;
+}
