Tell a slow log from a silent owner, and split the claims machine

Cause: an owner is passed over when it gave no answer for 300 ms. When the log itself takes that long all daemons would append for all partitions, which gives a slow log more to do than it can take.

Change: an owner says that it took a claim in, and is then given 1.2 s of the 2 s in which a claim is decided. Owners, the search for the begin of a fold and decisions are modules of their own.

Ruled out: a longer wait for every owner, which a dead one would cost each caller until membership knows of it.

--- a/crates/core/src/claim/machine.rs
+++ b/crates/core/src/claim/machine.rs
@@ -1,41 +1,15 @@
 //! The claims protocol at one daemon.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
 
-use super::answers::StoredAnswer;
+use super::decision::{Decision, held_decision};
+use super::owners::Owners;
 use super::partition::{AppendEnd, Asker, ClaimPage, Effect, Partition, Pending};
 use super::runs::{FinishedAs, HeldState, NewRun, RunState, Runs};
 use super::{BodyDigest, Claim, ClaimAction, ClaimKey, ClaimMessage, ClaimSettings, UnixMillis, Verdict};
 use crate::ids::{HostId, Incarnation, RequestId};
 use crate::units::{Millis, MonoTime};
 
-/// What a caller's task is to do with its request.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Decision {
-    /// Run it, once, and report how it ended. It must be started before `start_by_us`: after a longer pause
-    /// the key may have expired and be held by another.
-    Run {
-        /// Latest time to send the first byte to a server.
-        start_by_us: MonoTime,
-    },
-    /// An earlier request with the key was answered so.
-    Answered(Arc<StoredAnswer>),
-    /// An earlier request with the key still runs.
-    InProgress,
-    /// An earlier request with the key was answered; the answer is no longer kept.
-    AnswerGone,
-    /// An earlier request with the key may have run; the daemon that knew is gone or out of reach.
-    Unknown,
-    /// The key was used for another request.
-    OtherBody,
-    /// It could not be claimed; this request did not run and never will.
-    Unavailable {
-        /// When another try may help.
-        retry_after_ms: Millis,
-    },
-}
-
 #[derive(Clone, Debug)]
 enum Stage {
     /// The owner of the partition was asked.
@@ -61,10 +35,7 @@
     host: HostId,
     incarnation: Incarnation,
     settings: ClaimSettings,
-    /// The usual appender of each partition; empty while no member is known.
-    owners: Vec<HostId>,
-    /// Owners that gave no answer, and until when they are passed over.
-    silent: HashMap<HostId, MonoTime>,
+    owners: Owners,
     partitions: BTreeMap<u16, Partition>,
     waiting: BTreeMap<RequestId, Waiting>,
     waiting_keys: HashMap<ClaimKey, RequestId>,
@@ -76,12 +47,12 @@
 impl Claims {
     /// The machine of the daemon `incarnation` on `host`.
     pub fn new(host: HostId, incarnation: Incarnation, settings: ClaimSettings) -> Self {
+        let owners = Owners::new(host.clone(), settings);
         Self {
             host,
             incarnation,
             settings,
-            owners: Vec::new(),
-            silent: HashMap::new(),
+            owners,
             partitions: BTreeMap::new(),
             waiting: BTreeMap::new(),
             waiting_keys: HashMap::new(),
@@ -94,19 +65,7 @@
     /// Names the daemons that are believed to live, this one among them or not. They only decide who usually
     /// appends for a partition.
     pub fn set_members(&mut self, members: &[HostId]) {
-        let partitions = 0..self.settings.partitions;
-        self.owners = partitions
-            .filter_map(|partition| owner(members, partition))
-            .cloned()
-            .collect();
-    }
-
-    /// The daemon to ask about a partition, if that is another one.
-    fn other_owner(&self, partition: u16) -> Option<HostId> {
-        self.owners
-            .get(usize::from(partition))
-            .filter(|owner| **owner != self.host)
-            .cloned()
+        self.owners.set_members(members);
     }
 
     /// The actions wanted since the last call, in order.
@@ -183,10 +142,7 @@
             return;
         };
         let partition = waiting.claim.key.partition(self.settings.partitions);
-        let Some(to) = self
-            .other_owner(partition)
-            .filter(|to| !self.is_silent(now_us, to))
-        else {
+        let Some(to) = self.owners.to_ask(now_us, partition).cloned() else {
             self.claim_through_log(now_us, request);
             return;
         };
@@ -200,24 +156,50 @@
         self.actions.push(ClaimAction::Send { to, message });
     }
 
-    /// Whether an owner gave no answer of late. Membership takes a host for dead after ten seconds; until then
-    /// each claim of its partitions would wait for it first, and a launch entry miss its target.
-    fn is_silent(&self, now_us: MonoTime, owner: &HostId) -> bool {
-        self.silent.get(owner).is_some_and(|until_us| now_us < *until_us)
-    }
-
-    /// The owner that was asked gave no answer in time: the log is asked without it, and for a while so are
-    /// the claims that come after. Only the grouping of appends is lost by that.
+    /// The owner that was asked gave no answer in time: the log is asked without it.
     fn owner_silent(&mut self, now_us: MonoTime, request: RequestId) {
         if let Some(waiting) = self.waiting.get(&request) {
             let partition = waiting.claim.key.partition(self.settings.partitions);
-            if let Some(owner) = self.other_owner(partition) {
-                self.silent.insert(owner, now_us + self.settings.silent_ms);
-            }
+            self.owners.note_silent(now_us, partition);
         }
         self.claim_through_log(now_us, request);
     }
 
+    /// The owner took the claim in. It is given the time that the log may need: were a slow log taken for a silent
+    /// owner, all daemons would append at once, and a log that is slow would get more to do for it.
+    fn taken(&mut self, now_us: MonoTime, request: RequestId) {
+        let taken_ms = self.settings.taken_timeout_ms;
+        let Some(waiting) = self.waiting.get_mut(&request) else {
+            return;
+        };
+        if let Stage::Owner { until_us } = &mut waiting.stage {
+            *until_us = now_us + taken_ms;
+        }
+    }
+
+    fn asked(&mut self, now_us: MonoTime, from: &HostId, claim: Claim) {
+        let request = claim.request;
+        let id = claim.key.partition(self.settings.partitions);
+        let pending = Pending {
+            claim,
+            asker: Asker::Peer(from.clone()),
+            deadline_us: now_us + self.settings.begin_timeout_ms,
+            may_stand: false,
+        };
+        self.submit(now_us, pending);
+        if self
+            .partitions
+            .get(&id)
+            .is_some_and(|partition| partition.has(request))
+        {
+            let message = ClaimMessage::Taken { request };
+            self.actions.push(ClaimAction::Send {
+                to: from.clone(),
+                message,
+            });
+        }
+    }
+
     fn claim_through_log(&mut self, now_us: MonoTime, request: RequestId) {
         let Some(waiting) = self.waiting.get_mut(&request) else {
             return;
@@ -297,19 +279,8 @@
     pub fn peer(&mut self, now_us: MonoTime, unix_ms: UnixMillis, from: &HostId, message: ClaimMessage) {
         self.unix_ms = unix_ms;
         match message {
-            ClaimMessage::Ask(claim) => {
-                let deadline_us = now_us + self.settings.begin_timeout_ms;
-                let asker = Asker::Peer(from.clone());
-                self.submit(
-                    now_us,
-                    Pending {
-                        claim,
-                        asker,
-                        deadline_us,
-                        may_stand: false,
-                    },
-                );
-            }
+            ClaimMessage::Ask(claim) => self.asked(now_us, from, claim),
+            ClaimMessage::Taken { request } => self.taken(now_us, request),
             ClaimMessage::Verdict { request, verdict } => self.peer_verdict(now_us, request, verdict),
             ClaimMessage::Query { request, holder } => self.answer_query(now_us, from, request, holder),
             ClaimMessage::State {
@@ -401,7 +372,7 @@
 
     fn free(&mut self, now_us: MonoTime, key: ClaimKey, request: RequestId) {
         let id = key.partition(self.settings.partitions);
-        if let Some(to) = self.other_owner(id) {
+        if let Some(to) = self.owners.other(id).cloned() {
             let message = ClaimMessage::Release { key, request };
             self.actions.push(ClaimAction::Send { to, message });
         } else {
@@ -506,12 +477,8 @@
             self.tick_waiting(now_us, request);
         }
         let owners = &self.owners;
-        self.partitions.retain(|&id, partition| {
-            let owned = owners
-                .get(usize::from(id))
-                .is_none_or(|owner| *owner == self.host);
-            owned || !partition.is_idle(now_us)
-        });
+        self.partitions
+            .retain(|&id, partition| owners.other(id).is_none() || !partition.is_idle(now_us));
         self.runs.expire(now_us);
     }
 
@@ -559,26 +526,3 @@
         self.actions.push(ClaimAction::Decide { request, decision });
     }
 }
-
-fn held_decision(same_body: bool, state: HeldState, retry_after_ms: Millis) -> Decision {
-    if !same_body {
-        return Decision::OtherBody;
-    }
-    match state {
-        HeldState::Running => Decision::InProgress,
-        HeldState::Answered(answer) => Decision::Answered(answer),
-        HeldState::AnswerGone => Decision::AnswerGone,
-        HeldState::NotRun => Decision::Unavailable { retry_after_ms },
-        HeldState::Unknown => Decision::Unknown,
-    }
-}
-
-/// The daemon that usually appends for a partition: the one with the greatest hash over host and partition.
-fn owner(members: &[HostId], partition: u16) -> Option<&HostId> {
-    members.iter().max_by_key(|host| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(host.as_str().as_bytes());
-        hasher.update(&partition.to_le_bytes());
-        *hasher.finalize().as_bytes()
-    })
-}
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -7,16 +7,20 @@
 //! the log decides between them. `docs/FAILURES.md` holds the reasons and `spec/claim.pml` the model.
 
 mod answers;
+mod decision;
 mod fold;
 mod machine;
+mod opening;
+mod owners;
 mod partition;
 mod runs;
 
 use serde::{Deserialize, Serialize};
 
 pub use answers::{AnswerMemory, StoredAnswer, StoredHeader};
+pub use decision::Decision;
 pub use fold::{ClaimFold, FoldError};
-pub use machine::{Claims, Decision};
+pub use machine::Claims;
 pub use partition::{AppendEnd, ClaimPage, ClaimRecord};
 pub use runs::{FinishedAs, HeldState};
 
@@ -130,6 +134,11 @@
 pub enum ClaimMessage {
     /// To the owner of a partition: claim this.
     Ask(Claim),
+    /// From the owner: the claim is on its way to the log.
+    Taken {
+        /// The request that asked.
+        request: RequestId,
+    },
     /// From the owner.
     Verdict {
         /// The request that asked.
@@ -211,6 +220,8 @@
     /// Time from the claim in which the request must be sent to a server: it may queue for one. The key is held
     /// for longer by far, so a process that was paused cannot send it when the key is another's.
     pub start_within_ms: Millis,
+    /// Time for an owner that took a claim in to decide it.
+    pub taken_timeout_ms: Millis,
     /// Time for an owner or a holder to answer.
     pub peer_timeout_ms: Millis,
     /// Time for which an owner that gave no answer is passed over. Short, so that a lost message costs the
@@ -246,6 +257,7 @@
             clock_skew_ms: Millis(30_000),
             begin_timeout_ms: Millis(2_000),
             start_within_ms: Millis(60_000),
+            taken_timeout_ms: Millis(1_200),
             peer_timeout_ms: Millis(300),
             silent_ms: Millis(2_000),
             append_interval_ms: Millis(100),
--- a/crates/core/src/claim/partition.rs
+++ b/crates/core/src/claim/partition.rs
@@ -4,6 +4,7 @@
 use std::mem;
 
 use super::fold::ClaimFold;
+use super::opening::Opening;
 use super::{Claim, ClaimEntry, ClaimGroup, ClaimKey, ClaimSettings, UnixMillis, Verdict};
 use crate::ids::{HostId, Offset, RequestId};
 use crate::units::{Millis, MonoTime};
@@ -11,10 +12,6 @@
 /// Time after which a read that failed is tried again.
 const READ_RETRY_MS: Millis = Millis(100);
 
-/// Clocks that come in between when a reader judges the age of the records before one: those of the reader, of the
-/// record's writer, and of two writers before it. Each may be off by as much as two hosts' may differ.
-const CLOCKS_COMPARED: u64 = 4;
-
 /// How an append ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AppendEnd {
@@ -48,25 +45,6 @@
     pub records: Vec<ClaimRecord>,
 }
 
-/// Where the fold of a newly opened partition begins. The log may keep days of records, while keys are held for
-/// minutes: a daemon that becomes the owner finds the first record that still matters by halving, at the cost
-/// of some twenty reads of one record, instead of reading days of them at 4 KB/s.
-#[derive(Clone, Copy, Debug)]
-enum Opening {
-    /// The bounds of the stream are not known.
-    Unread,
-    /// Records before `low` are too old to matter, those from `high` on may matter.
-    Search { low: Offset, high: Offset },
-    /// The fold has begun.
-    Done,
-}
-
-impl Opening {
-    fn middle(low: Offset, high: Offset) -> Offset {
-        Offset(low.0 + (high.0 - low.0) / 2)
-    }
-}
-
 /// Who wants a verdict.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) enum Asker {
@@ -124,7 +102,7 @@
     pub(super) fn new(settings: ClaimSettings, now_us: MonoTime) -> Self {
         Self {
             settings,
-            opening: Opening::Unread,
+            opening: Opening::default(),
             fold: ClaimFold::new(settings.hold_ms(), Offset(0)),
             caught_up: false,
             reading: false,
@@ -151,15 +129,16 @@
             || !(self.queue.is_empty() && self.awaiting.is_empty() && self.releases.is_empty())
     }
 
+    /// Whether a claim of the request is on its way to a verdict.
+    pub(super) fn has(&self, request: RequestId) -> bool {
+        let sent = self.sent.iter().flat_map(|sent| &sent.pending);
+        let mut pending = self.queue.iter().chain(&self.awaiting).chain(sent);
+        pending.any(|pending| pending.claim.request == request)
+    }
+
     pub(super) fn submit(&mut self, now_us: MonoTime, pending: Pending, effects: &mut Vec<Effect>) {
         self.used_us = now_us;
-        let request = pending.claim.request;
-        let known = self
-            .queue
-            .iter()
-            .chain(&self.awaiting)
-            .chain(self.sent.iter().flat_map(|s| &s.pending));
-        if known.into_iter().any(|other| other.claim.request == request) {
+        if self.has(pending.claim.request) {
             return;
         }
         if self.refuses(now_us) {
@@ -267,8 +246,10 @@
             self.break_off(now_us, effects);
             return;
         }
-        self.open(unix_ms, &page);
-        if matches!(self.opening, Opening::Search { .. }) {
+        if let Some(begin) = self.opening.narrow(&self.settings, unix_ms, &page) {
+            self.fold = ClaimFold::new(self.settings.hold_ms(), begin);
+        }
+        if self.opening.is_searching() {
             return;
         }
         if page.start > self.fold.next() {
@@ -284,41 +265,6 @@
         self.caught_up = self.fold.next() >= page.next;
     }
 
-    /// Narrows down where the fold begins.
-    fn open(&mut self, unix_ms: UnixMillis, page: &ClaimPage) {
-        let (low, high) = match self.opening {
-            Opening::Done => return,
-            Opening::Unread => (page.start, page.next),
-            Opening::Search { low, high } => {
-                let middle = Opening::middle(low, high);
-                let probed = page.records.first().filter(|record| record.offset == middle);
-                match probed {
-                    Some(record) if self.is_stale(unix_ms, record) => (middle, high),
-                    Some(_) => (low, middle),
-                    // The record has expired meanwhile, and those before it.
-                    None => (page.start.max(low), high.max(page.start)),
-                }
-            }
-        };
-        let few = high.0.saturating_sub(low.0) <= u64::from(self.settings.read_limit);
-        self.opening = if few {
-            Opening::Done
-        } else {
-            Opening::Search { low, high }
-        };
-        if few {
-            self.fold = ClaimFold::new(self.settings.hold_ms(), low);
-        }
-    }
-
-    /// Whether a record is so old that no key is held by it or by one before it, whichever host's clock wrote it.
-    /// A record that cannot be read is not.
-    fn is_stale(&self, unix_ms: UnixMillis, record: &ClaimRecord) -> bool {
-        let stale_ms = self.settings.hold_ms().0 + CLOCKS_COMPARED * self.settings.clock_skew_ms.0;
-        let written = record.group.as_ref().map(|group| group.appended_unix_ms.0);
-        written.is_some_and(|written| written + stale_ms < unix_ms.0)
-    }
-
     /// The log has fewer records than were read from it before: claims may have been lost with them. Nothing
     /// is claimed until every key that could have been among them is no longer remembered anyway.
     fn break_off(&mut self, now_us: MonoTime, effects: &mut Vec<Effect>) {
@@ -426,11 +372,9 @@
             return;
         }
         self.reading = true;
-        let read_limit = self.settings.read_limit;
-        let (from, limit) = match self.opening {
-            Opening::Unread => (Offset(0), read_limit),
-            Opening::Search { low, high } => (Opening::middle(low, high), 1),
-            Opening::Done => (self.fold.next(), read_limit),
+        let (from, limit) = match self.opening.probe() {
+            Some(probe) => (probe, 1),
+            None => (self.fold.next(), self.settings.read_limit),
         };
         effects.push(Effect::Read { from, limit });
     }
--- a/crates/core/tests/outcomes/model.rs
+++ b/crates/core/tests/outcomes/model.rs
@@ -75,6 +75,10 @@
                 } => {
                     verdict = Some(said);
                 }
+                ClaimAction::Send {
+                    message: ClaimMessage::Taken { .. },
+                    ..
+                } => {}
                 other => panic!("unexpected {other:?}"),
             }
         }
--- a/crates/core/tests/outcomes/owners.rs
+++ b/crates/core/tests/outcomes/owners.rs
@@ -47,3 +47,49 @@
     assert_eq!(begin(&mut claims, timed_out + Millis(10), 100..164), 0);
     assert!(begin(&mut claims, timed_out + settings.silent_ms, 200..264) > 0);
 }
+
+/// The log answers each append after a second. The owner has said that it took the claims in, so the other daemons
+/// leave them to it: if all of them appended as well, a slow log would get the more to do.
+#[test]
+fn a_slow_log_is_not_taken_for_a_silent_owner() {
+    let settings = ClaimSettings::default();
+    let (own, other): (HostId, HostId) = ("entry-a".parse().expect("host"), "entry-b".parse().expect("host"));
+    let mut asker = Claims::new(own.clone(), Incarnation(1), settings);
+    let mut owner = Claims::new(other.clone(), Incarnation(2), settings);
+    for claims in [&mut asker, &mut owner] {
+        claims.set_members(std::slice::from_ref(&other));
+    }
+    let start = MonoTime(1_000_000);
+    let request = RequestId {
+        incarnation: Incarnation(1),
+        sequence: 1,
+    };
+    asker.begin(
+        start,
+        NOW_UNIX_MS,
+        request,
+        ClaimKey([3; 16]),
+        BodyDigest([3; 16]),
+    );
+    for action in asker.take_actions() {
+        let ClaimAction::Send { message, .. } = action else {
+            panic!("unexpected {action:?}")
+        };
+        owner.peer(start, NOW_UNIX_MS, &own, message);
+    }
+    let mut taken = 0;
+    for action in owner.take_actions() {
+        if let ClaimAction::Send { message, .. } = action {
+            asker.peer(start, NOW_UNIX_MS, &other, message);
+            taken += 1;
+        }
+    }
+    assert_eq!(taken, 1);
+    asker.tick(start + settings.peer_timeout_ms + Millis(1), NOW_UNIX_MS);
+    assert_eq!(asker.take_actions(), [], "it leaves the claim to the owner");
+    asker.tick(start + settings.taken_timeout_ms, NOW_UNIX_MS);
+    assert!(
+        matches!(asker.take_actions()[..], [ClaimAction::Read { .. }]),
+        "it claims through the log itself"
+    );
+}
--- a/crates/core/tests/outcomes/world.rs
+++ b/crates/core/tests/outcomes/world.rs
@@ -21,6 +21,7 @@
         clock_skew_ms: Millis(200),
         begin_timeout_ms: Millis(500),
         start_within_ms: Millis(400),
+        taken_timeout_ms: Millis(200),
         peer_timeout_ms: Millis(60),
         append_interval_ms: Millis(10),
         idle_ms: Millis(1_500),
