Give up callers whose connection takes nothing

Cause: a caller whose connection was forgotten on the way looks like a slow one; the stream waited for it without end and held a decode slot as long. Change: after limits.stall_timeout_ms, 30 s unless set, without taking anything it counts as gone and the engines are told. Ruled out: a bound on the whole answer, which would cut off long ones that are read.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -193,6 +193,7 @@
             http: BackendHttp::new(),
             hub: schedulers.hub,
             plain_hub: schedulers.plain_hub,
+            stall_timeout_ms: settings.limits.stall_timeout_ms,
             demand,
             claims: control.services.claims.clone(),
             tickets: Tickets::new(settings.host.id.clone(), incarnation, TicketSettings::default()),
--- a/crates/router/src/dispatch/language.rs
+++ b/crates/router/src/dispatch/language.rs
@@ -9,6 +9,7 @@
 use hibiscusvale_core::sched::{Action, Arrival, Attempt, Event, FailureCause, WorkStage};
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime, Tokens};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use super::observe::Observed;
 use super::once::{Gate, Permit};
@@ -59,6 +60,8 @@
     request: LanguageRequest,
     parts: mpsc::Sender<AnswerPart>,
     observed: Observed,
+    /// Fires when the caller takes nothing any more.
+    gone: CancellationToken,
     /// Text sent so far.
     generated: String,
     /// Tokens sent so far.
@@ -79,6 +82,7 @@
         request,
         parts,
         observed,
+        gone: CancellationToken::new(),
         generated: String::new(),
         sent_tokens: 0,
     };
@@ -98,9 +102,11 @@
 async fn next_step(
     steps: &mut mpsc::UnboundedReceiver<Action>,
     departure: &mpsc::Sender<AnswerPart>,
+    gone: &CancellationToken,
 ) -> Next {
     tokio::select! {
         biased;
+        () = gone.cancelled() => Next::Left,
         () = departure.closed() => Next::Left,
         action = steps.recv() => action.map_or(Next::Left, Next::Step),
     }
@@ -124,16 +130,16 @@
     async fn run(&mut self, target: LanguageTarget) -> Ended {
         let hub = Arc::clone(&self.dispatcher.hub);
         let request_id = self.request.request_id;
-        let departure = self.parts.clone();
+        let (departure, gone) = (self.parts.clone(), self.gone.clone());
         let mut steps = hub.arrive(arrival_of(&self.request, target));
-        let mut next = next_step(&mut steps, &departure).await;
+        let mut next = next_step(&mut steps, &departure, &gone).await;
         while let Next::Step(action) = next {
             next = {
                 let mut work = pin!(self.step(action));
                 tokio::select! {
                     biased;
                     // A newer step, or the caller's departure, puts an end to the present one.
-                    newer = next_step(&mut steps, &departure) => newer,
+                    newer = next_step(&mut steps, &departure, &gone) => newer,
                     done = &mut work => done,
                 }
             };
@@ -143,7 +149,7 @@
                 next = if finished {
                     Next::Ended(Ended::Answered)
                 } else {
-                    next_step(&mut steps, &departure).await
+                    next_step(&mut steps, &departure, &gone).await
                 };
             }
         }
@@ -427,9 +433,13 @@
         }
     }
 
-    /// Passes a part on; waits while the caller is slow. A caller who has left is noticed by the task.
+    /// Passes a part on; waits while the caller is slow, and the engine with it. A caller whose connection was
+    /// forgotten on the way looks like a slow one for ever and would hold a decode slot as long; after a while
+    /// without taking anything it counts as gone.
     async fn send(&self, part: AnswerPart) {
-        if self.parts.send(part).await.is_err() {
+        let patience = Duration::from(self.dispatcher.stall_timeout_ms);
+        if tokio::time::timeout(patience, self.parts.send(part)).await != Ok(Ok(())) {
+            self.gone.cancel();
             std::future::pending::<()>().await;
         }
     }
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -82,6 +82,8 @@
     pub hub: Arc<Hub>,
     /// The schedulers of plain services.
     pub plain_hub: Arc<PlainHub>,
+    /// Time for which a caller may take nothing of its answer before it counts as gone.
+    pub stall_timeout_ms: Millis,
     /// Which models are asked for.
     pub demand: Arc<Demand>,
     /// Claims of idempotency keys.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -179,6 +179,8 @@
     pub head_timeout_ms: Millis,
     /// Time for a request body to arrive.
     pub body_timeout_ms: Millis,
+    /// Time for which a caller may take nothing of a streamed answer before it counts as gone.
+    pub stall_timeout_ms: Millis,
 }
 
 impl Default for LimitSettings {
@@ -188,6 +190,7 @@
             head_bytes: Bytes(32 << 10),
             head_timeout_ms: Millis(5_000),
             body_timeout_ms: Millis(15_000),
+            stall_timeout_ms: Millis(30_000),
         }
     }
 }
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -57,6 +57,11 @@
             limits.body_timeout_ms.0,
             CALLER_TIMEOUT_MS,
         ),
+        (
+            "limits.stall_timeout_ms",
+            limits.stall_timeout_ms.0,
+            CALLER_TIMEOUT_MS,
+        ),
         ("traffic.threads", traffic.threads as u64, THREADS),
         ("config.readers", config.readers as u64, READERS),
         ("config.poll_wait_ms", config.poll_wait_ms.0, POLL_WAIT_MS),
--- a/crates/standins/tests/e2e/main.rs
+++ b/crates/standins/tests/e2e/main.rs
@@ -7,5 +7,6 @@
 mod models;
 mod once;
 mod path;
+mod stalled;
 mod streams;
 mod world;
--- /dev/null
+++ b/crates/standins/tests/e2e/stalled.rs
@@ -0,0 +1,122 @@
+//! Callers whose connection stays open and takes nothing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::future::BoxFuture;
+use futures_util::stream;
+use hibiscusvale::backend::{
+    CachePage, DecodeCall, EngineEdge, EngineFailure, EngineLoad, Held, ImportCall, Imported, Owner,
+    PrefillCall, Prefilled, StreamPart, TokenStream, Trust,
+};
+use hibiscusvale::daemon::{Daemon, Edges, new_incarnation};
+use hibiscusvale_core::order::{Order, OrderEnd};
+use hibiscusvale_core::units::Millis;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
+use tokio::sync::watch;
+
+use crate::world::{SMALL_PLAN, TOKEN, World, stop};
+
+/// Engines that write as fast as they are read, and note when they are told to stop.
+#[derive(Debug)]
+struct Eager {
+    engines: Arc<dyn EngineEdge>,
+    cancelled: watch::Sender<bool>,
+}
+
+impl EngineEdge for Eager {
+    fn prefill(
+        &self,
+        to: SocketAddr,
+        call: PrefillCall,
+        trust: Trust,
+    ) -> BoxFuture<'_, Result<Prefilled, EngineFailure>> {
+        self.engines.prefill(to, call, trust)
+    }
+
+    fn import(
+        &self,
+        to: SocketAddr,
+        call: ImportCall,
+        trust: Trust,
+    ) -> BoxFuture<'_, Result<Imported, EngineFailure>> {
+        self.engines.import(to, call, trust)
+    }
+
+    fn decode(
+        &self,
+        _to: SocketAddr,
+        call: DecodeCall,
+        _trust: Trust,
+    ) -> BoxFuture<'_, Result<TokenStream, EngineFailure>> {
+        let token = |index| {
+            Ok(StreamPart::Token {
+                index,
+                text: "word ".repeat(200),
+            })
+        };
+        Box::pin(async move { Ok(TokenStream::new(stream::iter((call.from_index..).map(token)))) })
+    }
+
+    fn cancel(&self, to: SocketAddr, held: Held) -> BoxFuture<'_, Result<(), EngineFailure>> {
+        self.cancelled.send_replace(true);
+        self.engines.cancel(to, held)
+    }
+
+    fn cancel_owner(&self, to: SocketAddr, owner: Owner) -> BoxFuture<'_, Result<(), EngineFailure>> {
+        self.engines.cancel_owner(to, owner)
+    }
+
+    fn load(&self, to: SocketAddr) -> BoxFuture<'_, Result<EngineLoad, EngineFailure>> {
+        self.engines.load(to)
+    }
+
+    fn cache_events(&self, to: SocketAddr, after: u64) -> BoxFuture<'_, Result<CachePage, EngineFailure>> {
+        self.engines.cache_events(to, after)
+    }
+
+    fn order(&self, to: SocketAddr, order: Order) -> BoxFuture<'_, Result<OrderEnd, EngineFailure>> {
+        self.engines.order(to, order)
+    }
+}
+
+/// Something between caller and host has forgotten the caller's connection: it is never closed, and nothing sent
+/// into it arrives. Were it taken for a slow caller it would hold a decode slot until the host is replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_takes_nothing_is_given_up_and_its_slot_released() {
+    let world = World::start(SMALL_PLAN).await;
+    let mut settings = world.settings("entry-1", &[]);
+    settings.limits.stall_timeout_ms = Millis(200);
+    let incarnation = new_incarnation();
+    let edges = Edges::new(&settings, incarnation);
+    let (cancelled, mut is_cancelled) = watch::channel(false);
+    let engines = Arc::new(Eager {
+        engines: Arc::clone(&edges.engines),
+        cancelled,
+    });
+    let daemon = Daemon::start(&settings, Edges { engines, ..edges }, incarnation).expect("daemon");
+    daemon.ready().await;
+
+    let socket = TcpSocket::new_v4().expect("socket");
+    socket.set_recv_buffer_size(4_096).expect("small buffer");
+    let mut caller = socket
+        .connect(daemon.callers_address())
+        .await
+        .expect("connection");
+    let body = r#"{"model": "small", "prompt": "a", "max_tokens": 32000, "stream": true}"#;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {TOKEN}\r\nx-class: default\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    caller.write_all(head.as_bytes()).await.expect("sent");
+
+    is_cancelled
+        .wait_for(|cancelled| *cancelled)
+        .await
+        .expect("told to stop");
+    world.engines_empty().await;
+    drop(caller);
+    stop(daemon).await;
+}
