--- a/crates/standins/src/load/cmd/latency.rs
+++ b/crates/standins/src/load/cmd/latency.rs
@@ -1,6 +1,7 @@
 //! `hibiscusvale-load latency`: times on several ways in one run, and what they cost a daemon.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use anyhow::Context;
 use gumdrop::Options;
@@ -28,6 +29,23 @@
     seconds: f64,
     ways: Vec<WayTimes>,
     daemon_cpu_seconds: Option<f64>,
+    /// Only where every call goes through the daemon.
+    calls_per_cpu_second: Option<f64>,
+}
+
+impl Report {
+    fn new(plan: &LatencyPlan, ways: Vec<WayTimes>, seconds: f64, daemon_cpu: Option<Duration>) -> Self {
+        let daemon_cpu_seconds = daemon_cpu.map(|cpu| cpu.as_secs_f64());
+        let calls = (plan.streams * (plan.warm_up + plan.calls)) as f64;
+        let is_one_way = plan.ways.len() == 1;
+        Self {
+            streams: plan.streams,
+            seconds,
+            ways,
+            daemon_cpu_seconds,
+            calls_per_cpu_second: daemon_cpu_seconds.filter(|_| is_one_way).map(|cpu| calls / cpu),
+        }
+    }
 }
 
 impl Latency {
@@ -40,14 +58,10 @@
         let before = clock.as_ref().map(CpuClock::read).transpose()?;
         let ways = measure(&plan).await;
         let after = clock.as_ref().map(CpuClock::read).transpose()?;
-        let report = Report {
-            streams: plan.streams,
-            seconds: started.elapsed().as_secs_f64(),
-            ways,
-            daemon_cpu_seconds: before
-                .zip(after)
-                .map(|(before, after)| after.saturating_sub(before).as_secs_f64()),
-        };
+        let daemon_cpu = before
+            .zip(after)
+            .map(|(before, after)| after.saturating_sub(before));
+        let report = Report::new(&plan, ways, started.elapsed().as_secs_f64(), daemon_cpu);
         print_report(&report);
         if let Some(path) = &self.json {
             std::fs::write(path, serde_json::to_vec_pretty(&report)?)
@@ -78,4 +92,7 @@
     if let Some(cpu) = report.daemon_cpu_seconds {
         println!("the daemon used {cpu:.2} s of processor time");
     }
+    if let Some(rate) = report.calls_per_cpu_second {
+        println!("{rate:.0} calls per second and core of the daemon, those of the warm-up included");
+    }
 }
