Move a result just before its eviction although the link seems taken

Cause: transfers of daemons that died hold their share of the link in the ledger until their grants run out after 3 s, and results that wait behind them are evicted after 0.8 s. Change: 100 ms before the eviction a transfer into a sure slot starts without the watchers' word. Both faults now stand in the test of a quarter of the best baseline's waste.

--- a/crates/core/src/sched/running.rs
+++ b/crates/core/src/sched/running.rs
@@ -176,15 +176,18 @@
     /// Lets a transfer start for a watcher that is silent.
     ///
     /// A daemon dies, and with it the watcher that should let the transfer start; its successor comes when
-    /// the prefill result is already evicted. A slot granted for certain is there, so the engine has room;
-    /// what may happen is that the link is shared once too often for the time of one transfer.
+    /// the prefill result is already evicted. Or transfers of a dead daemon seem to hold the link until their
+    /// grants run out; then, too, a transfer starts just before its result would be evicted. A slot granted
+    /// for certain is there, so the engine has room; what may happen is that the link is shared once too
+    /// often for the time of one transfer.
     fn confirm_for_silent(&mut self, now_us: MonoTime, request_id: RequestId) {
         let Some(request) = self.requests.get_mut(&request_id) else {
             return;
         };
+        let last_call = now_us + self.settings.last_call_ms >= request.evict_at_us;
         for hold in [&mut request.turn, &mut request.slot].into_iter().flatten() {
             let silent = now_us >= hold.heard_us + self.settings.confirm_silence_ms;
-            if hold.phase == GrantPhase::Ready && hold.sure && silent {
+            if hold.phase == GrantPhase::Ready && hold.sure && (silent || last_call) {
                 let known = self.directory.get(hold.server);
                 let link = known.map_or(0, |known| known.record.link_bytes_per_s.0);
                 hold.phase = GrantPhase::Moving;
--- a/crates/core/src/sched/settings.rs
+++ b/crates/core/src/sched/settings.rs
@@ -60,6 +60,9 @@
     /// Silence of a watcher after which a transfer starts without it. Many repeats of the message, and short
     /// enough that the result is not yet evicted.
     pub confirm_silence_ms: Millis,
+    /// Time before its eviction at which a result is moved without the watchers' word: four repeats of the
+    /// message, so that a lost one does not decide.
+    pub last_call_ms: Millis,
     /// Time for which a prefill result is kept when the engine did not say.
     pub evict_after_ms: Millis,
     /// KV cache of one token until it was observed.
@@ -113,6 +116,7 @@
             stream_silence_ms: Millis(1_000),
             silence_tokens: 20,
             confirm_silence_ms: Millis(300),
+            last_call_ms: Millis(100),
             evict_after_ms: Millis(800),
             kv_bytes_per_token: Bytes(128 << 10),
             block_tokens: 64,
--- a/crates/core/tests/sched/outcomes.rs
+++ b/crates/core/tests/sched/outcomes.rs
@@ -201,6 +201,8 @@
 #[case::mute_prefill(Faults { mute_prefill_at: Some(20), ..Faults::default() })]
 #[case::mute_decode(Faults { mute_decode_at: Some(20), ..Faults::default() })]
 #[case::cut(Faults { cut: Some((20, 40)), ..Faults::default() })]
+#[case::replaced(Faults { replace_at: Some(20), ..Faults::default() })]
+#[case::blackout(Faults { blackout: Some((20, 30)), ..Faults::default() })]
 fn faults_waste_a_quarter_of_the_best_baseline(#[case] faults: Faults) {
     let scenario = faulty(0.7, faults);
     let baseline = |placement| {
