Log which daemons come, go and change

The log had a line for a changed member that nothing wrote, and one for control events that nobody needed.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -29,6 +29,7 @@
 use crate::leases::{LeaseParts, LeaseService};
 use crate::listing_service::{ListingParts, ListingRequest, ListingService};
 use crate::logging::Log;
+use crate::member_log;
 use crate::membership::{MembershipHandle, MembershipRequest, MembershipService};
 use crate::meter::MeterService;
 use crate::metrics::Metrics;
@@ -152,6 +153,7 @@
             Arc::<NngLink>::clone(&link),
             stop.clone(),
         )?;
+        tokio::spawn(member_log::follow(members.clone(), logging.clone()));
         tokio::spawn(tell_claims(kernel.find(ServiceName::Claims)?, members.clone()));
         let (meter, usage) = MeterService::new(Arc::clone(&link));
         tokio::spawn(meter.run());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod leases;
 pub mod listing_service;
 pub mod logging;
+pub mod member_log;
 pub mod membership;
 pub mod meter;
 pub mod metrics;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -158,14 +158,6 @@
         });
     }
 
-    /// Something that changes how the daemon works: a start, a stop, a lost platform service.
-    pub fn control<Event>(&self, event: Event)
-    where
-        Event: Label,
-    {
-        spdlog::info!(logger: self.logger, "control", kv: { event = event.label() });
-    }
-
     /// Something went wrong that an operator may have to look into.
     pub fn fault(&self, what: &'static str, error: &dyn fmt::Display) {
         spdlog::warn!(logger: self.logger, "fault", kv: { what = what, error: = error });
--- a/crates/router/tests/ops/observe.rs
+++ b/crates/router/tests/ops/observe.rs
@@ -4,12 +4,16 @@
 use std::sync::Arc;
 
 use hibiscusvale::logging::{Log, RequestLine};
+use hibiscusvale::member_log::{MemberChange, MemberEvent, changes};
 use hibiscusvale::metrics::{Gauge, Label, MAX_CLASS_SERIES, Metrics};
 use hibiscusvale::settings::LogLevel;
 use hibiscusvale_core::ids::{ClassName, Incarnation, PartnerId, RequestId};
+use hibiscusvale_core::membership::{MemberState, MembersView};
 use hibiscusvale_core::units::{Micros, Millis, Tokens};
 use parking_lot::Mutex;
 
+use crate::config::{host_id, only_member};
+
 #[derive(Clone, Copy)]
 enum Mark {
     Answered,
@@ -134,3 +138,32 @@
         .sum();
     assert_eq!(sum, MAX_CLASS_SERIES as u64 + 50);
 }
+
+/// A host dies and is replaced while nobody looks. Afterwards the log must tell when it was suspected, given up and
+/// replaced, or nobody can say what a request of that minute met.
+#[test]
+fn each_change_of_a_member_is_told_once() {
+    let (none, live) = (MembersView::default(), only_member());
+    let altered = |alter: fn(&mut hibiscusvale_core::membership::Member)| {
+        let mut view = only_member();
+        view.members.values_mut().flatten().for_each(alter);
+        view
+    };
+    let suspect = altered(|member| member.state = MemberState::Suspect);
+    let replaced = altered(|member| member.incarnation = Incarnation(9));
+    let told = |before, after| changes(before, after);
+    let one = |event| {
+        vec![MemberChange {
+            host: host_id(),
+            event,
+        }]
+    };
+    assert_eq!(told(&none, &live), one(MemberEvent::Joined));
+    assert_eq!(
+        told(&live, &suspect),
+        one(MemberEvent::Became(MemberState::Suspect))
+    );
+    assert_eq!(told(&live, &replaced), one(MemberEvent::Replaced));
+    assert_eq!(told(&suspect, &none), one(MemberEvent::Gone));
+    assert_eq!(told(&live, &live), vec![]);
+}
