Part a call to a plain service into its steps

Cause: one function of seventy lines held arrival, tries and refusals. Change: one job each; behaviour as before.

--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::sched::{FailureCause, PlainAction, PlainArrival, PlainEvent, PlainRefusal};
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
@@ -84,23 +85,13 @@
     response_ms: Millis,
     observed: &mut Observed,
 ) -> Result<PlainReply, Refusal> {
-    let (shortest, longest) = PATIENCE_RANGE_MS;
-    let arrival = PlainArrival {
-        request_id: request.request_id,
-        partner: request.partner.clone(),
-        repeatable: !request.runs_at_most_once(),
-        patience_ms: Millis(
-            response_ms
-                .0
-                .saturating_mul(PATIENCE_FACTOR)
-                .clamp(shortest, longest),
-        ),
-    };
+    let arrival = arrival_of(request, response_ms);
     let no_route = Refusal::not_run(RefusalReason::NoRoute);
     let mut open = dispatcher
         .plain_hub
         .arrive(&request.service, arrival)
         .ok_or(no_route)?;
+    let request_id = request.request_id;
     while let Some(action) = open.step().await {
         match action {
             PlainAction::Dispatch {
@@ -119,30 +110,17 @@
                 } else {
                     Trust::Pooled
                 };
-                let failure = match dispatcher.address_of(&server) {
-                    Some(address) => {
-                        let call = call_of(request, timeout_ms, trust);
-                        match dispatcher.plain_services.call(address, call).await {
-                            Ok(reply) => {
-                                open.feed(PlainEvent::Done {
-                                    request_id: request.request_id,
-                                });
-                                return Ok(reply);
-                            }
-                            Err(failure) => failure,
-                        }
+                match send(dispatcher, &server, call_of(request, timeout_ms, trust)).await {
+                    Ok(reply) => {
+                        open.feed(PlainEvent::Done { request_id });
+                        return Ok(reply);
+                    }
+                    Err(failure) => {
+                        let cause = cause_of(failure);
+                        observed.step_failed(&server, cause);
+                        open.feed(PlainEvent::Failed { request_id, cause });
                     }
-                    None => PlainFailure::NotSent,
-                };
-                let cause = cause_of(failure);
-                observed.step_failed(&server, cause);
-                if cause == FailureCause::Leaving {
-                    dispatcher.note_leaving(&server);
                 }
-                open.feed(PlainEvent::Failed {
-                    request_id: request.request_id,
-                    cause,
-                });
             }
             PlainAction::Refuse {
                 reason,
@@ -158,6 +136,34 @@
     Err(Refusal::unknown(RefusalReason::NoAnswer))
 }
 
+/// One try. An instance that is no longer listed has no address, and nothing is sent to it.
+async fn send(
+    dispatcher: &Dispatcher,
+    server: &BackendServerId,
+    call: PlainCall,
+) -> Result<PlainReply, PlainFailure> {
+    let address = dispatcher.address_of(server).ok_or(PlainFailure::NotSent)?;
+    let result = dispatcher.plain_services.call(address, call).await;
+    if let Err(PlainFailure::Leaving) = result {
+        dispatcher.note_leaving(server);
+    }
+    result
+}
+
+fn arrival_of(request: &PlainRequest, response_ms: Millis) -> PlainArrival {
+    let (shortest, longest) = PATIENCE_RANGE_MS;
+    let patience = response_ms
+        .0
+        .saturating_mul(PATIENCE_FACTOR)
+        .clamp(shortest, longest);
+    PlainArrival {
+        request_id: request.request_id,
+        partner: request.partner.clone(),
+        repeatable: !request.runs_at_most_once(),
+        patience_ms: Millis(patience),
+    }
+}
+
 fn reason_of(reason: PlainRefusal) -> RefusalReason {
     match reason {
         PlainRefusal::WouldWaitTooLong => RefusalReason::TargetUnreachable,
