--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 mod engine_cache;
 pub mod engine_memory;
+mod engine_types;
 pub mod hosts;
 pub mod http;
 pub mod load;
