Count what ledgers and scheduler decide, and forget lives that ended

Cause: closed engines, grants that ran out or were taken over, asks without an answer and retries denied were counted in the core and shown to nobody; a quiet time waited for daemons that had gone. Change: they become events of the metrics once a second; the watcher service tells its ledgers of lives that left the view.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -150,7 +150,7 @@
             logging: &log,
         })?;
         let schedulers = Schedulers::new(settings, incarnation, &control, &directory, &releases);
-        let watcher = schedulers.watcher(settings, &edges, &control, &directory, &releases);
+        let watcher = schedulers.watcher(settings, &edges, &control, &directory, &releases, &metrics);
         let control = control.run(watcher)?;
         traffic.spawn(schedulers.clone().run_timers());
         let observed = Observed::new(settings, &control, metrics, log);
@@ -353,6 +353,7 @@
         control: &Control,
         directory: &Arc<Directory>,
         releases: &Arc<Releases>,
+        metrics: &Metrics,
     ) -> WatcherParts {
         WatcherParts {
             host: settings.host.id.clone(),
@@ -364,6 +365,7 @@
             hub: Arc::clone(&self.hub),
             plain_hub: Arc::clone(&self.plain_hub),
             releases: Arc::clone(releases),
+            metrics: metrics.clone(),
         }
     }
 
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -6,6 +6,8 @@
 use arc_swap::ArcSwap;
 use hibiscusvale_core::membership::{MembersView, MembershipCounts};
 use hibiscusvale_core::meter::ControlUsage;
+use hibiscusvale_core::sched::Counters;
+use hibiscusvale_core::slots::LedgerCounters;
 use hibiscusvale_core::spread::SpreadCounts;
 use tokio::time::MissedTickBehavior;
 use tokio_util::task::TaskTracker;
@@ -53,18 +55,101 @@
     }
 }
 
+/// What happened in the ledgers of watched engines, or in the scheduler, as counters name it.
+#[derive(Clone, Copy, Debug)]
+enum Happened {
+    GrantExpired,
+    GrantTakenOver,
+    EngineOverCommitted,
+    EngineClosedAsMute,
+    AskTimedOut,
+    TurnReturned,
+    RetryDenied,
+    SlotUnconfirmed,
+}
+
+impl Label for Happened {
+    fn label(self) -> &'static str {
+        match self {
+            Self::GrantExpired => "grant-expired",
+            Self::GrantTakenOver => "grant-taken-over",
+            Self::EngineOverCommitted => "engine-over-committed",
+            Self::EngineClosedAsMute => "engine-closed-as-mute",
+            Self::AskTimedOut => "ask-timed-out",
+            Self::TurnReturned => "turn-returned",
+            Self::RetryDenied => "retry-denied",
+            Self::SlotUnconfirmed => "slot-unconfirmed",
+        }
+    }
+}
+
+/// Counts what a ledger has counted since `before`.
+pub fn count_ledger(metrics: &Metrics, before: LedgerCounters, after: LedgerCounters) {
+    count(metrics, Happened::GrantExpired, before.expired, after.expired);
+    count(
+        metrics,
+        Happened::GrantTakenOver,
+        before.taken_over,
+        after.taken_over,
+    );
+    count(
+        metrics,
+        Happened::EngineOverCommitted,
+        before.over_committed,
+        after.over_committed,
+    );
+    count(metrics, Happened::EngineClosedAsMute, before.closed, after.closed);
+}
+
+fn count_scheduler(metrics: &Metrics, before: &Counters, after: &Counters) {
+    count(
+        metrics,
+        Happened::AskTimedOut,
+        before.ask_timeouts,
+        after.ask_timeouts,
+    );
+    count(
+        metrics,
+        Happened::TurnReturned,
+        before.turns_returned,
+        after.turns_returned,
+    );
+    count(
+        metrics,
+        Happened::RetryDenied,
+        before.retries_denied,
+        after.retries_denied,
+    );
+    count(
+        metrics,
+        Happened::SlotUnconfirmed,
+        before.unconfirmed,
+        after.unconfirmed,
+    );
+}
+
+fn count(metrics: &Metrics, what: Happened, before: u64, after: u64) {
+    if after > before {
+        metrics.events(what, after - before);
+    }
+}
+
 impl Figures {
     /// Runs for as long as the daemon does.
     pub async fn run(self) {
         let mut period = tokio::time::interval(PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut counted = LinkCounts::default();
+        let mut decided = Counters::default();
         let mut membership = MembershipCounts::default();
         let mut spread = SpreadCounts::default();
         loop {
             period.tick().await;
             self.set_gauges();
             counted = self.count_link(counted);
+            let now = self.hub.counters();
+            count_scheduler(&self.metrics, &decided, &now);
+            decided = now;
             let now = **self.membership_counts.load();
             self.count_events(&membership.by_name(), &now.by_name());
             membership = now;
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -14,7 +14,9 @@
 use hibiscusvale_core::membership::MembersView;
 use hibiscusvale_core::orphan::{MemoryOwner, OrphanSettings, OrphanWatch, OwnerState, SeenOwner};
 use hibiscusvale_core::sched::{CacheEvent, CacheEventKind, Event, ServerRecord, ServerState};
-use hibiscusvale_core::slots::{HeldReport, LedgerAction, LedgerSettings, Role, SlotMessage, Watcher};
+use hibiscusvale_core::slots::{
+    HeldReport, LedgerAction, LedgerCounters, LedgerSettings, Role, SlotMessage, Watcher,
+};
 use hibiscusvale_core::units::{Micros, MonoTime};
 use hibiscusvale_core::watch::{is_watched_here, watcher_in};
 use tokio::sync::{mpsc, watch};
@@ -26,6 +28,8 @@
 use crate::clock;
 use crate::directory::{BackendKind, BackendServer, Directory, Listing};
 use crate::dispatch::{Hub, PlainHub, Releases};
+use crate::figures;
+use crate::metrics::Metrics;
 use crate::peer::{PeerBody, PeerLink};
 use crate::platform::{EngineRole, ListedState};
 
@@ -74,6 +78,8 @@
     pub plain_hub: Arc<PlainHub>,
     /// Releases of engine memory.
     pub releases: Arc<Releases>,
+    /// Where it counts.
+    pub metrics: Metrics,
 }
 
 /// What a watched engine answered.
@@ -95,6 +101,10 @@
 pub struct WatcherService {
     parts: WatcherParts,
     ledgers: Watcher,
+    /// What each ledger had counted when it was last looked at.
+    counted: HashMap<BackendServerId, LedgerCounters>,
+    /// The lives of the region's daemons, as last seen.
+    lives: Vec<Incarnation>,
     /// Who watches each engine of the region, as last told to the scheduler.
     watchers: HashMap<BackendServerId, Option<HostId>>,
     /// What each watched engine last reported to hold.
@@ -121,6 +131,8 @@
         let mut service = Self {
             parts,
             ledgers: Watcher::new(LedgerSettings::default()),
+            counted: HashMap::new(),
+            lives: Vec::new(),
             watchers: HashMap::new(),
             held: HashMap::new(),
             cache_seq: HashMap::new(),
@@ -143,7 +155,10 @@
                 Ok(()) = member_changes.changed() => service.rearrange(),
                 Ok(()) = listing_changes.changed() => service.rearrange(),
                 _ = tick.tick() => service.ledgers.tick(clock::now(), &mut service.actions),
-                _ = report_tick.tick() => service.ask_reports(),
+                _ = report_tick.tick() => {
+                    service.ask_reports();
+                    service.count();
+                }
             }
             service.carry_out();
         }
@@ -186,6 +201,7 @@
         let records = engines.iter().filter_map(|server| record_of(server)).collect();
         self.parts.hub.feed(Event::Servers(records));
         let others = lives_of_region(&self.parts, &view);
+        self.forget_lives(now_us, &others);
         let mut watchers = HashMap::with_capacity(engines.len());
         for server in &engines {
             self.arrange(now_us, server, &view, &others);
@@ -243,6 +259,28 @@
         }
     }
 
+    /// A life that has ended registers no grants any more; a new watcher need not wait for it.
+    fn forget_lives(&mut self, now_us: MonoTime, lives: &[Incarnation]) {
+        for ended in self.lives.iter().filter(|life| !lives.contains(life)) {
+            self.ledgers.forget_home(now_us, *ended);
+        }
+        self.lives = lives.to_vec();
+    }
+
+    fn count(&mut self) {
+        let mut counted = HashMap::with_capacity(self.counted.len());
+        for (server, ledger) in self
+            .ledgers
+            .servers()
+            .filter_map(|id| Some((id, self.ledgers.ledger(id)?)))
+        {
+            let (before, now) = (self.counted.remove(server).unwrap_or_default(), ledger.counters());
+            figures::count_ledger(&self.parts.metrics, before, now);
+            counted.insert(server.clone(), now);
+        }
+        self.counted = counted;
+    }
+
     fn close_unlisted(&mut self, now_us: MonoTime, listed: &HashMap<BackendServerId, Option<HostId>>) {
         let gone: Vec<_> = self
             .ledgers
