Count requests whose task went with its caller

Cause: a repeatable call to a plain service ends with its caller's connection, and nothing noted that; the figures showed fewer requests than were sent. Change: an observation that is dropped before its end says that the caller left. Measured: a test over sockets that waits for the count; without the change it does not end.

--- a/crates/router/src/dispatch/observe.rs
+++ b/crates/router/src/dispatch/observe.rs
@@ -136,6 +136,7 @@
             first_token_us: None,
             attempts: 0,
             prefilled_tokens: Tokens::ZERO,
+            has_ended: false,
         }
     }
 }
@@ -151,7 +152,7 @@
 }
 
 /// One request under observation. Ends with exactly one of [`Observed::answered`], [`Observed::refused`] and
-/// [`Observed::left`].
+/// [`Observed::left`]; dropped before that, its caller left: its task goes with the connection.
 #[derive(Debug)]
 pub struct Observed {
     metrics: Arc<ClassMetrics>,
@@ -168,6 +169,15 @@
     attempts: u32,
     /// Prefill work of the present try that has not become tokens yet.
     prefilled_tokens: Tokens,
+    has_ended: bool,
+}
+
+impl Drop for Observed {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.left(clock::now());
+        }
+    }
 }
 
 impl Observed {
@@ -275,6 +285,7 @@
     }
 
     fn remember(&mut self, now_us: MonoTime, outcome: &'static str, refusal: Option<&'static str>) {
+        self.has_ended = true;
         self.recent.note(RequestRecord {
             request_id: self.request_id,
             partner: Some(self.partner.clone()),
--- a/crates/standins/tests/e2e/path.rs
+++ b/crates/standins/tests/e2e/path.rs
@@ -1,6 +1,8 @@
 //! One request of each kind from start to finish.
 
 use bytes::Bytes;
+use hibiscusvale::operators::OperatorsClient;
+use hibiscusvale::operators::views::OutcomesView;
 use hibiscusvale_standins::Steer;
 use hibiscusvale_standins::text;
 use http_body_util::Full;
@@ -137,3 +139,41 @@
     );
     world.engines_empty().await;
 }
+
+/// A family closes the booking page before it has loaded. Its request ends with the connection; were it not counted,
+/// the operators' figures would show fewer requests than callers sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_page_whose_caller_leaves_is_counted() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    for (_, service) in &world.standins.plain {
+        service.steer(&Steer {
+            mute: Some(true),
+            ..Steer::default()
+        });
+    }
+    let caller = Caller::new(daemon.callers_address());
+    let request = caller
+        .request("GET", "/booking/week")
+        .body(Full::new(Bytes::new()))
+        .expect("request");
+    let asked = tokio::spawn(async move { caller.ask(request).await.status });
+    let left = |view: &OutcomesView| {
+        let outcomes = view.classes.iter().flat_map(|class| &class.outcomes);
+        outcomes
+            .filter(|count| count.label == "caller-left")
+            .map(|count| count.count)
+            .sum::<u64>()
+    };
+    let client = OperatorsClient::default();
+    let view = || client.view::<OutcomesView>(daemon.operators_address(), "/control/outcomes");
+    while view().await.expect("view").classes.is_empty() {
+        tokio::task::yield_now().await;
+    }
+    asked.abort();
+    while left(&view().await.expect("view")) == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(left(&view().await.expect("view")), 1);
+    stop(daemon).await;
+}
