--- a/crates/router/src/leases.rs
+++ b/crates/router/src/leases.rs
@@ -106,7 +106,8 @@
         }
     }
 
-    /// Runs until `stop` fires, and gives the lease up then: a successor need not wait it out.
+    /// Runs until `stop` fires. A daemon that leaves is no candidate any more and gives the lease up with its next
+    /// look, well before that: a successor need not wait it out.
     pub async fn run(mut self, stop: CancellationToken) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
