--- a/crates/standins/src/slopes/virtual_time.rs
+++ b/crates/standins/src/slopes/virtual_time.rs
@@ -215,11 +215,15 @@
         .filter(|row| row.hosts == 35)
         .map(|row| (row.data_centres as f64, row.mean_bytes_per_s))
         .collect();
-    print_line(Line::through(&by_hosts), 35, "hosts in one data centre");
-    print_line(Line::through(&by_data_centres), 12, "data centres of 35 hosts");
+    print_line(&by_hosts, 35, "hosts in one data centre");
+    print_line(&by_data_centres, 12, "data centres of 35 hosts");
 }
 
-fn print_line(line: Line, target: u32, of: &str) {
+fn print_line(points: &[(f64, f64)], target: u32, of: &str) {
+    if points.len() < 2 {
+        return;
+    }
+    let line = Line::through(points);
     let at_target = line.at(f64::from(target));
     println!(
         "bytes/s = {:.0} + {:.2} x {of}; {at_target:.0} at {target}",
--- a/crates/standins/src/slopes/watch.rs
+++ b/crates/standins/src/slopes/watch.rs
@@ -18,14 +18,17 @@
 
 use crate::procs::{PARTNER, PUBLISH_SEED, Planned, memory_bytes, planned, processor_us, stand_ins};
 
-/// Time between two looks while waiting for something.
+/// Time between two looks while waiting for a change to be in force.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
+/// Time between two looks at whom all daemons see: with many daemons these are megabytes.
+const LOOK_AT_MEMBERS_EVERY: Duration = Duration::from_millis(250);
 /// Time for the daemons to find each other.
 const AGREE_LIMIT: Duration = Duration::from_mins(2);
-/// Time for a change to be in force everywhere.
-const IN_FORCE_LIMIT: Duration = Duration::from_secs(30);
-/// Time for a dead daemon to be gone from all views.
-const DEATH_LIMIT: Duration = Duration::from_mins(1);
+/// Time for a change to be in force everywhere: the users' bound.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time for a dead daemon to be gone from all views: the bound in `docs/MEMBERSHIP.md` without the time of a
+/// grant.
+const DEATH_LIMIT: Duration = Duration::from_secs(14);
 const CHANGES: u64 = 10;
 /// Time between two changes: 65,000 a day.
 const CHANGE_EVERY: Duration = Duration::from_millis(1_330);
@@ -102,8 +105,10 @@
     async fn measure(self) -> anyhow::Result<()> {
         let daemons = planned(&self.dir)?;
         let pids = pids(&self.dir, &daemons)?;
-        let agreed = wait_until(AGREE_LIMIT, || agrees(&daemons)).await;
-        let agreed = agreed.context("the daemons did not find each other")?;
+        let agreed = wait_until(AGREE_LIMIT, LOOK_AT_MEMBERS_EVERY, || agrees(&daemons)).await;
+        let Some(agreed) = agreed else {
+            bail!("the daemons did not find each other: {}", sights(&daemons).await);
+        };
         let cost = self.cost(&daemons, &pids).await?;
         let mut times = publish(&self.dir, &daemons, cost.version).await?;
         times.sort_unstable();
@@ -171,7 +176,10 @@
                 .into_iter()
                 .filter(|daemon| daemon.host != self.host)
                 .collect();
-            let gone = wait_until(DEATH_LIMIT, || is_gone(&daemons, &self.host)).await;
+            let gone = wait_until(DEATH_LIMIT, LOOK_AT_MEMBERS_EVERY, || {
+                is_gone(&daemons, &self.host)
+            })
+            .await;
             gone.context("the death was not noticed everywhere")?;
             let now_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
             println!("{}", now_ms.saturating_sub(u128::from(self.since_ms)));
@@ -189,7 +197,7 @@
 }
 
 /// Looks until something is so; returns how long it took.
-async fn wait_until<Look, Looking>(limit: Duration, look: Look) -> Option<Duration>
+async fn wait_until<Look, Looking>(limit: Duration, every: Duration, look: Look) -> Option<Duration>
 where
     Look: Fn() -> Looking,
     Looking: Future<Output = bool>,
@@ -199,7 +207,7 @@
         if look().await {
             return Some(start.elapsed());
         }
-        tokio::time::sleep(LOOK_EVERY).await;
+        tokio::time::sleep(every).await;
     }
     None
 }
@@ -230,6 +238,19 @@
     })
 }
 
+/// How many daemons each sees, for the message of a failure.
+async fn sights(daemons: &[Planned]) -> String {
+    let seen = members(daemons).await.into_iter().map(|members| match members {
+        Some(members) => format!(
+            "{}{}",
+            members.members.len(),
+            if members.is_heard { "" } else { "!" }
+        ),
+        None => "-".to_owned(),
+    });
+    seen.collect::<Vec<_>>().join(" ")
+}
+
 async fn is_gone(daemons: &[Planned], host: &str) -> bool {
     members(daemons).await.iter().all(|members| {
         members
@@ -244,7 +265,7 @@
     for _ in 0..CHANGES {
         let start = Instant::now();
         let offset = append(dir, version).await?;
-        let took = wait_until(IN_FORCE_LIMIT, async || {
+        let took = wait_until(IN_FORCE_LIMIT, LOOK_EVERY, async || {
             let all = statuses(daemons).await;
             all.iter()
                 .all(|status| status.as_ref().is_some_and(|status| status.next_offset > offset))
