--- a/crates/standins/src/slopes/procs.rs
+++ b/crates/standins/src/slopes/procs.rs
@@ -14,6 +14,8 @@
 const BYTES_PER_KIB: u64 = 1_024;
 /// Listeners of one daemon: callers, peers, operators.
 const LISTENERS: usize = 3;
+/// Ports that the kernel does not give to outgoing connections on an ordinary Linux host.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
 const PEER_KEY: &str = "0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f";
 /// Seed of the key that the published changes are signed with; worth nothing outside this bench.
 pub const PUBLISH_SEED: [u8; 32] = [7; 32];
@@ -102,12 +104,18 @@
         .context("could not write the daemons")
     }
 
-    /// Lets the kernel choose free ports. All are held until all are chosen, so that none is given twice.
+    /// Chooses free ports below those that the kernel gives to outgoing connections: one of those could be taken
+    /// by a daemon that starts earlier. All are held until all are chosen, so that none is given twice.
     fn choose_addresses(&self) -> anyhow::Result<Vec<Planned>> {
-        let held: Vec<TcpListener> = (0..self.daemons * LISTENERS)
-            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-            .collect::<Result<_, _>>()
-            .context("could not get a free port")?;
+        let wanted = self.daemons * LISTENERS;
+        let start =
+            u16::try_from(std::process::id() % u32::from(PORTS.end - PORTS.start)).unwrap_or_default();
+        let ports = (PORTS.start + start..PORTS.end).chain(PORTS.start..PORTS.start + start);
+        let held: Vec<TcpListener> = ports
+            .filter_map(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)).ok())
+            .take(wanted)
+            .collect();
+        ensure!(held.len() == wanted, "too few free ports");
         let addresses: Vec<SocketAddr> = held
             .iter()
             .map(TcpListener::local_addr)
