Say rightly what a digest mends over a one-way link

Cause: the comment promised more than the code does: the daemon behind asks, and over a link of one direction its request is lost. Change: the comment says so. Ruled out: sending records unasked across data centres, a third of a bridge's budget.

--- a/crates/core/src/spread/mod.rs
+++ b/crates/core/src/spread/mod.rs
@@ -389,8 +389,8 @@
         }
     }
 
-    /// Compares what another daemon has with what is here. Whoever is ahead gives; so a digest in either
-    /// direction mends, also where only one direction of a link works.
+    /// Compares what another daemon has with what is here. Whoever is ahead gives; whoever is behind asks. Over a
+    /// link that works in one direction only the request is lost, and a third daemon has to mend.
     fn compare(
         &mut self,
         now_us: MonoTime,
