Hash claim partitions to hosts as everything else

Cause: the claims machine held a rendezvous hash of its own beside that of watch.rs. Measured: the tests of core and of the claims service pass.

--- a/crates/core/src/claim/owners.rs
+++ b/crates/core/src/claim/owners.rs
@@ -5,6 +5,7 @@
 use super::ClaimSettings;
 use crate::ids::HostId;
 use crate::units::MonoTime;
+use crate::watch::{JobHash, owner_among};
 
 /// The usual appender of each partition, as one daemon believes.
 #[derive(Debug)]
@@ -59,12 +60,7 @@
     }
 }
 
-/// The daemon that usually appends for a partition: the one with the greatest hash over host and partition.
+/// The daemon that usually appends for a partition.
 fn owner(members: &[HostId], partition: u16) -> Option<&HostId> {
-    members.iter().max_by_key(|host| {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(host.as_str().as_bytes());
-        hasher.update(&partition.to_le_bytes());
-        *hasher.finalize().as_bytes()
-    })
+    owner_among(JobHash::of(&format!("claims/{partition}")), members)
 }
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -40,8 +40,16 @@
     mixed ^ (mixed >> 31)
 }
 
-fn score(job: JobHash, member: &Member) -> u64 {
-    mix(mix(job.0) ^ member.host_hash)
+fn score(job: JobHash, host_hash: u64) -> u64 {
+    mix(mix(job.0) ^ host_hash)
+}
+
+/// The host among `hosts` that does a job; of no use for what may not be done twice.
+pub fn owner_among(job: JobHash, hosts: &[HostId]) -> Option<&HostId> {
+    hosts.iter().max_by_key(|host| {
+        let host_hash = hash_name(host.as_str());
+        (score(job, host_hash), host_hash)
+    })
 }
 
 fn highest<'view, Members>(job: JobHash, members: Members) -> Option<&'view Member>
@@ -50,7 +58,7 @@
 {
     members
         .filter(|member| member.is_eligible())
-        .max_by_key(|member| (score(job, member), member.host_hash))
+        .max_by_key(|member| (score(job, member.host_hash), member.host_hash))
 }
 
 /// The daemon that watches a backend server: one of the server's data centre, so that a cut between data
@@ -95,7 +103,7 @@
         .in_data_centre(data_centre)
         .iter()
         .filter(|member| member.is_eligible())
-        .map(|member| (score(job, member), member))
+        .map(|member| (score(job, member.host_hash), member))
         .collect();
     scored.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
     scored
