--- a/crates/client/src/classes.rs
+++ b/crates/client/src/classes.rs
@@ -61,10 +61,7 @@
         return Err(bad_file(
             path,
             None,
-            format!(
-                "has {} classes, at most {MAX_CHANGES_PER_RECORD} are taken at once",
-                file.classes.len()
-            ),
+            format!("has {} classes, at most {MAX_CHANGES_PER_RECORD} are taken at once", file.classes.len()),
         ));
     }
     let classes = file.classes.into_iter().map(|(class, entry)| {
@@ -79,12 +76,7 @@
 
 fn target(entry: &ClassEntry) -> Result<ClassTarget, String> {
     use hibiscusvale_core::units::Millis;
-    let target = match (
-        entry.kind,
-        entry.first_token_ms,
-        entry.per_token_ms,
-        entry.response_ms,
-    ) {
+    let target = match (entry.kind, entry.first_token_ms, entry.per_token_ms, entry.response_ms) {
         (Kind::Language, Some(first), Some(per), None) => ClassTarget::language(Millis(first), Millis(per)),
         (Kind::Plain, None, None, Some(response)) => ClassTarget::plain(Millis(response)),
         (Kind::Language, ..) => return Err("kind language takes first_token_ms and per_token_ms".to_owned()),
@@ -94,11 +86,7 @@
 }
 
 fn bad_file(path: &Path, line: Option<usize>, message: String) -> ClientError {
-    ClientError::BadFile {
-        path: path.to_owned(),
-        line,
-        message,
-    }
+    ClientError::BadFile { path: path.to_owned(), line, message }
 }
 
 /// Writes classes as a class file.
@@ -110,10 +98,7 @@
     for (class, target) in classes {
         // Writing to a text cannot fail.
         let _ = match target {
-            TargetView::Language {
-                first_token_ms,
-                per_token_ms,
-            } => writeln!(
+            TargetView::Language { first_token_ms, per_token_ms } => writeln!(
                 text,
                 "[classes.{:?}]\nkind = \"language\"\nfirst_token_ms = {}\nper_token_ms = {}\n",
                 class.as_str(),
--- a/crates/client/src/cmd/completions.rs
+++ b/crates/client/src/cmd/completions.rs
@@ -19,16 +19,11 @@
 
 impl Completions {
     pub(super) fn run(&self) -> Result<Report, ClientError> {
-        let shell: Shell = self.shell.parse().map_err(|_| {
-            ClientError::Usage(UsageError::Shell {
-                found: self.shell.clone(),
-            })
-        })?;
-        let program = if self.daemon {
-            manual::daemon()
-        } else {
-            manual::client()
-        };
+        let shell: Shell = self
+            .shell
+            .parse()
+            .map_err(|_| ClientError::Usage(UsageError::Shell { found: self.shell.clone() }))?;
+        let program = if self.daemon { manual::daemon() } else { manual::client() };
         Ok(Report::raw(program.completions(shell)))
     }
 }
--- a/crates/client/src/cmd/delete.rs
+++ b/crates/client/src/cmd/delete.rs
@@ -28,14 +28,9 @@
         if self.classes.is_empty() {
             return Err(ClientError::Usage(UsageError::NothingToDelete));
         }
-        let changes = self
-            .classes
-            .iter()
-            .map(|class| ClassChange::Delete { class: class.clone() });
+        let changes = self.classes.iter().map(|class| ClassChange::Delete { class: class.clone() });
         let options = publish::options(self.no_wait, self.timeout_ms);
-        let published = Publisher::new(context)?
-            .publish(changes.collect(), options)
-            .await?;
+        let published = Publisher::new(context)?.publish(changes.collect(), options).await?;
         Ok(publish::report(&published))
     }
 }
--- a/crates/client/src/cmd/history.rs
+++ b/crates/client/src/cmd/history.rs
@@ -41,10 +41,7 @@
             ]);
         }
     }
-    let mut lines = vec![table(
-        ["OFFSET", "PARTNER", "AUTHOR", "MADE", "VERDICT", "CHANGES"],
-        &rows,
-    )];
+    let mut lines = vec![table(["OFFSET", "PARTNER", "AUTHOR", "MADE", "VERDICT", "CHANGES"], &rows)];
     for record in &view.unattributed {
         let claimed = or_dash(record.claimed_publisher.as_ref());
         lines.push(format!(
--- a/crates/client/src/cmd/keygen.rs
+++ b/crates/client/src/cmd/keygen.rs
@@ -24,10 +24,7 @@
     help: bool,
     #[options(free, required, help = "publish, token or peers")]
     kind: String,
-    #[options(
-        meta = "FILE",
-        help = "write the secret here instead of printing it; must not exist"
-    )]
+    #[options(meta = "FILE", help = "write the secret here instead of printing it; must not exist")]
     out: Option<PathBuf>,
 }
 
@@ -63,10 +60,7 @@
         if let Some(path) = &self.out {
             write_secret(path, &secret)?;
         }
-        let view = View {
-            secret: self.out.is_none().then_some(secret),
-            settings: public,
-        };
+        let view = View { secret: self.out.is_none().then_some(secret), settings: public };
         let human = human(kind, &view, self.out.as_deref());
         Ok(Report::new(&view, human))
     }
@@ -77,9 +71,7 @@
         "publish" => Ok(Kind::Publish),
         "token" => Ok(Kind::Token),
         "peers" => Ok(Kind::Peers),
-        other => Err(ClientError::Usage(UsageError::KeyKind {
-            found: other.to_owned(),
-        })),
+        other => Err(ClientError::Usage(UsageError::KeyKind { found: other.to_owned() })),
     }
 }
 
--- a/crates/client/src/cmd/man.rs
+++ b/crates/client/src/cmd/man.rs
@@ -16,11 +16,7 @@
 
 impl Man {
     pub(super) fn run(&self) -> Report {
-        let program = if self.daemon {
-            manual::daemon()
-        } else {
-            manual::client()
-        };
+        let program = if self.daemon { manual::daemon() } else { manual::client() };
         Report::raw(program.man())
     }
 }
--- a/crates/client/src/cmd/members.rs
+++ b/crates/client/src/cmd/members.rs
@@ -39,11 +39,7 @@
         let hosts: Vec<_> = same.iter().map(|view| view.host.to_string()).collect();
         let rows: Vec<_> = view.members.iter().map(row).collect();
         let headers = ["HOST", "DATA CENTRE", "REGION", "INCARNATION", "STATE"];
-        parts.push(format!(
-            "as seen by {}\n{}",
-            hosts.join(", "),
-            table(headers, &rows)
-        ));
+        parts.push(format!("as seen by {}\n{}", hosts.join(", "), table(headers, &rows)));
     }
     parts.join("\n\n")
 }
--- a/crates/client/src/cmd/mod.rs
+++ b/crates/client/src/cmd/mod.rs
@@ -44,11 +44,7 @@
     #[options(no_short, meta = "IP:PORT", help = "address of the platform's log")]
     pub log: Option<SocketAddr>,
     /// Daemons.
-    #[options(
-        no_short,
-        meta = "IP:PORT",
-        help = "operator address of a daemon; may be given again"
-    )]
+    #[options(no_short, meta = "IP:PORT", help = "operator address of a daemon; may be given again")]
     pub host: Vec<SocketAddr>,
     /// The partner.
     #[options(no_short, meta = "NAME", help = "the partner whose classes are managed")]
@@ -120,9 +116,7 @@
     ///
     /// Whatever went wrong, for [`exit_code`](crate::error::exit_code).
     pub fn run(self) -> anyhow::Result<Report> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         runtime.block_on(self.execute())
     }
 
@@ -145,14 +139,8 @@
             key_file: self.key_file,
             author: self.author,
         };
-        let file = self
-            .config
-            .or_else(|| std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from));
-        let context = file
-            .as_deref()
-            .map(Context::load)
-            .transpose()?
-            .unwrap_or_default();
+        let file = self.config.or_else(|| std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from));
+        let context = file.as_deref().map(Context::load).transpose()?.unwrap_or_default();
         command.execute(&context.overridden_by(flags)).await
     }
 }
@@ -184,11 +172,7 @@
     let docs = names.lines().filter_map(|line| {
         let (name, help) = line.trim().split_once(' ')?;
         let usage = Command::command_usage(name)?;
-        Some(CommandDoc {
-            name: name.to_owned(),
-            help: help.trim().to_owned(),
-            usage: usage.to_owned(),
-        })
+        Some(CommandDoc { name: name.to_owned(), help: help.trim().to_owned(), usage: usage.to_owned() })
     });
     docs.collect()
 }
--- a/crates/client/src/cmd/outcomes.rs
+++ b/crates/client/src/cmd/outcomes.rs
@@ -34,10 +34,7 @@
         let answers = ask_all::<OutcomesView>(&client, context.hosts()?, "/control/outcomes").await;
         let views = answered(answers)?;
         let only = context.partner.as_ref().filter(|_| !self.all);
-        let view = View {
-            hosts: views.len(),
-            classes: sum(views, only),
-        };
+        let view = View { hosts: views.len(), classes: sum(views, only) };
         let human = human(&view);
         Ok(Report::new(&view, human))
     }
@@ -88,11 +85,7 @@
         "REFUSALS",
         "RETRIES",
     ];
-    format!(
-        "{}\nsince each of {} host(s) started",
-        table(headers, &rows),
-        view.hosts
-    )
+    format!("{}\nsince each of {} host(s) started", table(headers, &rows), view.hosts)
 }
 
 fn row(class: &ClassOutcomes) -> [String; 9] {
@@ -126,8 +119,6 @@
     if counts.is_empty() {
         return "-".to_owned();
     }
-    let words = counts
-        .iter()
-        .map(|count| format!("{} {}", count.label, count.count));
+    let words = counts.iter().map(|count| format!("{} {}", count.label, count.count));
     words.collect::<Vec<_>>().join(", ")
 }
--- a/crates/client/src/cmd/publish.rs
+++ b/crates/client/src/cmd/publish.rs
@@ -24,17 +24,9 @@
     class: Option<ClassName>,
     #[options(no_short, meta = "MS", help = "target for the first token")]
     first_token_ms: Option<u64>,
-    #[options(
-        no_short,
-        meta = "MS",
-        help = "target between tokens, on average over a request"
-    )]
+    #[options(no_short, meta = "MS", help = "target between tokens, on average over a request")]
     per_token_ms: Option<u64>,
-    #[options(
-        no_short,
-        meta = "MS",
-        help = "target for the whole answer of a plain service"
-    )]
+    #[options(no_short, meta = "MS", help = "target for the whole answer of a plain service")]
     response_ms: Option<u64>,
     #[options(no_short, help = "return when one host has it in force")]
     no_wait: bool,
@@ -54,14 +46,11 @@
         match (&self.file, &self.class) {
             (Some(file), None) => {
                 let classes = classes::load(file)?.into_iter();
-                Ok(classes
-                    .map(|(class, target)| ClassChange::Publish { class, target })
-                    .collect())
+                Ok(classes.map(|(class, target)| ClassChange::Publish { class, target }).collect())
+            }
+            (None, Some(class)) => {
+                Ok(vec![ClassChange::Publish { class: class.clone(), target: self.target(class)? }])
             }
-            (None, Some(class)) => Ok(vec![ClassChange::Publish {
-                class: class.clone(),
-                target: self.target(class)?,
-            }]),
             _ => Err(ClientError::Usage(UsageError::NothingToPublish)),
         }
     }
@@ -70,9 +59,7 @@
         match (self.first_token_ms, self.per_token_ms, self.response_ms) {
             (Some(first), Some(per), None) => Ok(ClassTarget::language(Millis(first), Millis(per))),
             (None, None, Some(response)) => Ok(ClassTarget::plain(Millis(response))),
-            _ => Err(ClientError::Usage(UsageError::NoTarget {
-                class: class.to_string(),
-            })),
+            _ => Err(ClientError::Usage(UsageError::NoTarget { class: class.to_string() })),
         }
     }
 }
@@ -80,22 +67,14 @@
 /// How to publish, from the options that publishing commands share.
 pub(super) fn options(no_wait: bool, timeout_ms: Option<u64>) -> PublishOptions {
     let defaults = PublishOptions::default();
-    PublishOptions {
-        waits: !no_wait,
-        timeout_ms: timeout_ms.map_or(defaults.timeout_ms, Millis),
-    }
+    PublishOptions { waits: !no_wait, timeout_ms: timeout_ms.map_or(defaults.timeout_ms, Millis) }
 }
 
 /// What publishing did, in words.
 pub(super) fn report(published: &Published) -> Report {
     let human = match published {
         Published::Unchanged => "nothing to do: all of it is in force already".to_owned(),
-        Published::Accepted {
-            change_id,
-            offset,
-            changes,
-            hosts_in_force,
-        } => format!(
+        Published::Accepted { change_id, offset, changes, hosts_in_force } => format!(
             "{}\nchange {change_id} stands at offset {offset}, in force on {hosts_in_force} host(s)",
             changes.join("\n")
         ),
--- a/crates/client/src/cmd/status.rs
+++ b/crates/client/src/cmd/status.rs
@@ -47,19 +47,12 @@
     let mut silent = Vec::new();
     for answer in &answers {
         if let Err(failure) = &answer.view {
-            silent.push(SilentHost {
-                address: answer.host.to_string(),
-                failure: failure.to_string(),
-            });
+            silent.push(SilentHost { address: answer.host.to_string(), failure: failure.to_string() });
         }
     }
     let hosts = crate::hosts::answered(answers)?;
     let warnings = warnings(&hosts);
-    Ok(View {
-        hosts,
-        silent,
-        warnings,
-    })
+    Ok(View { hosts, silent, warnings })
 }
 
 /// What an operator has to look into.
@@ -75,10 +68,8 @@
             ));
         }
         match host.log {
-            LogStateView::Gap => warnings.push(format!(
-                "{} misses records that expired; it needs a peer or a checkpoint",
-                host.host
-            )),
+            LogStateView::Gap => warnings
+                .push(format!("{} misses records that expired; it needs a peer or a checkpoint", host.host)),
             LogStateView::Shorter => warnings.push(format!(
                 "{} has more in force than the log holds: the log was shortened or emptied",
                 host.host
--- a/crates/client/src/cmd/wait.rs
+++ b/crates/client/src/cmd/wait.rs
@@ -44,9 +44,7 @@
             Some(offset) => offset,
             None => newest(&client, context).await?,
         };
-        let timeout_ms = self
-            .timeout_ms
-            .map_or(PublishOptions::default().timeout_ms, Millis);
+        let timeout_ms = self.timeout_ms.map_or(PublishOptions::default().timeout_ms, Millis);
         let until = Instant::now() + Duration::from(timeout_ms);
         let hosts = wait_in_force(&client, context, offset, until).await?;
         let human = format!("offset {offset} is in force on {hosts} host(s)");
@@ -57,9 +55,6 @@
 /// The newest record that any host has in force.
 async fn newest(client: &OperatorsClient, context: &Context) -> Result<Offset, ClientError> {
     let answers = ask_all::<StatusView>(client, context.hosts()?, "/control/status").await;
-    let newest = answered(answers)?
-        .into_iter()
-        .map(|status| status.next_offset)
-        .max();
+    let newest = answered(answers)?.into_iter().map(|status| status.next_offset).max();
     Ok(Offset(newest.unwrap_or_default().0.saturating_sub(1)))
 }
--- a/crates/client/src/cmd/why.rs
+++ b/crates/client/src/cmd/why.rs
@@ -49,18 +49,11 @@
         or_dash(view.class.as_ref()),
         view.host,
         view.outcome,
-        view.refusal
-            .as_ref()
-            .map(|reason| format!(" ({reason})"))
-            .unwrap_or_default(),
+        view.refusal.as_ref().map(|reason| format!(" ({reason})")).unwrap_or_default(),
         view.took_ms
     )];
     for step in &view.steps {
-        let server = step
-            .server
-            .as_ref()
-            .map(|server| format!(" at {server}"))
-            .unwrap_or_default();
+        let server = step.server.as_ref().map(|server| format!(" at {server}")).unwrap_or_default();
         lines.push(format!("{:>8} {}{server}", step.after_ms.to_string(), step.what));
     }
     lines.join("\n")
--- a/crates/client/src/context.rs
+++ b/crates/client/src/context.rs
@@ -44,10 +44,9 @@
     pub fn load(path: &Path) -> Result<Self, ClientError> {
         let text = read(path)?;
         let mut context: Self = toml::from_str(&text).map_err(|error| bad_toml(path, &text, &error))?;
-        context.key_file = context.key_file.map(|file| {
-            path.parent()
-                .map_or_else(|| file.clone(), |parent| parent.join(&file))
-        });
+        context.key_file = context
+            .key_file
+            .map(|file| path.parent().map_or_else(|| file.clone(), |parent| parent.join(&file)));
         Ok(context)
     }
 
@@ -56,11 +55,7 @@
     pub fn overridden_by(self, flags: Self) -> Self {
         Self {
             log: flags.log.or(self.log),
-            hosts: if flags.hosts.is_empty() {
-                self.hosts
-            } else {
-                flags.hosts
-            },
+            hosts: if flags.hosts.is_empty() { self.hosts } else { flags.hosts },
             partner: flags.partner.or(self.partner),
             key_file: flags.key_file.or(self.key_file),
             author: flags.author.or(self.author),
@@ -73,10 +68,7 @@
     ///
     /// [`ClientError::Missing`].
     pub fn log(&self) -> Result<SocketAddr, ClientError> {
-        self.log.ok_or(ClientError::Missing {
-            setting: "log",
-            option: "log",
-        })
+        self.log.ok_or(ClientError::Missing { setting: "log", option: "log" })
     }
 
     /// The daemons' operator addresses.
@@ -86,10 +78,7 @@
     /// [`ClientError::Missing`].
     pub fn hosts(&self) -> Result<&[SocketAddr], ClientError> {
         if self.hosts.is_empty() {
-            return Err(ClientError::Missing {
-                setting: "hosts",
-                option: "host",
-            });
+            return Err(ClientError::Missing { setting: "hosts", option: "host" });
         }
         Ok(&self.hosts)
     }
@@ -100,10 +89,7 @@
     ///
     /// [`ClientError::Missing`].
     pub fn partner(&self) -> Result<&PartnerId, ClientError> {
-        self.partner.as_ref().ok_or(ClientError::Missing {
-            setting: "partner",
-            option: "partner",
-        })
+        self.partner.as_ref().ok_or(ClientError::Missing { setting: "partner", option: "partner" })
     }
 
     /// The partner's secret key.
@@ -112,10 +98,10 @@
     ///
     /// [`ClientError`] when no file is named or it holds no key.
     pub fn key(&self) -> Result<SigningKey, ClientError> {
-        let path = self.key_file.as_deref().ok_or(ClientError::Missing {
-            setting: "key_file",
-            option: "key-file",
-        })?;
+        let path = self
+            .key_file
+            .as_deref()
+            .ok_or(ClientError::Missing { setting: "key_file", option: "key-file" })?;
         let text = read(path)?;
         let bytes = blake3::Hash::from_hex(text.trim()).map_err(|_| ClientError::BadFile {
             path: path.to_owned(),
@@ -133,33 +119,22 @@
     /// [`ClientError::Usage`] when the name cannot stand.
     pub fn author(&self) -> Result<Author, ClientError> {
         let named = self.author.clone();
-        let name = named.or_else(|| {
-            AUTHOR_VARIABLES
-                .iter()
-                .find_map(|variable| std::env::var(variable).ok())
-        });
+        let name =
+            named.or_else(|| AUTHOR_VARIABLES.iter().find_map(|variable| std::env::var(variable).ok()));
         let name = name.unwrap_or_else(|| UNKNOWN_AUTHOR.to_owned());
-        name.parse()
-            .map_err(|error| ClientError::Usage(UsageError::Author(error)))
+        name.parse().map_err(|error| ClientError::Usage(UsageError::Author(error)))
     }
 }
 
 /// Reads a text file.
 pub(crate) fn read(path: &Path) -> Result<String, ClientError> {
-    std::fs::read_to_string(path).map_err(|source| ClientError::Read {
-        path: path.to_owned(),
-        source,
-    })
+    std::fs::read_to_string(path).map_err(|source| ClientError::Read { path: path.to_owned(), source })
 }
 
 /// What is wrong with a TOML file, and where.
 pub(crate) fn bad_toml(path: &Path, text: &str, error: &toml::de::Error) -> ClientError {
     let line = error.span().map(|span| line_at(text, span.start));
-    ClientError::BadFile {
-        path: path.to_owned(),
-        line,
-        message: error.message().to_owned(),
-    }
+    ClientError::BadFile { path: path.to_owned(), line, message: error.message().to_owned() }
 }
 
 /// The line, from 1, of a position in a text.
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -221,7 +221,5 @@
 
 /// The exit code for whatever a command returned.
 pub fn exit_code(error: &anyhow::Error) -> u8 {
-    error
-        .downcast_ref::<ClientError>()
-        .map_or(EXIT_OTHER, ClientError::exit_code)
+    error.downcast_ref::<ClientError>().map_or(EXIT_OTHER, ClientError::exit_code)
 }
--- a/crates/client/src/hosts.rs
+++ b/crates/client/src/hosts.rs
@@ -34,10 +34,7 @@
         let path = path.to_owned();
         asked.spawn(async move {
             let view = client.view(host, &path).await;
-            Placed {
-                place,
-                answer: HostAnswer { host, view },
-            }
+            Placed { place, answer: HostAnswer { host, view } }
         });
     }
     let mut answers = asked.join_all().await;
@@ -64,11 +61,7 @@
             Err(failure) => failures.push(HostFailure { host, failure }),
         }
     }
-    if views.is_empty() {
-        Err(ClientError::NoHost(failures))
-    } else {
-        Ok(views)
-    }
+    if views.is_empty() { Err(ClientError::NoHost(failures)) } else { Ok(views) }
 }
 
 /// The newest configuration that any host has in force, of all partners or of one.
--- a/crates/client/src/manual.rs
+++ b/crates/client/src/manual.rs
@@ -108,10 +108,7 @@
     let described = usage.lines().filter(|line| line.starts_with("  "));
     let split = described.filter_map(|line| {
         let (term, help) = line.trim().split_once("  ")?;
-        Some(UsageLine {
-            term: term.trim().to_owned(),
-            help: help.trim().to_owned(),
-        })
+        Some(UsageLine { term: term.trim().to_owned(), help: help.trim().to_owned() })
     });
     split.collect()
 }
--- a/crates/client/src/manual/complete.rs
+++ b/crates/client/src/manual/complete.rs
@@ -18,11 +18,7 @@
 
     fn bash(&self) -> String {
         let name = self.name;
-        let commands: Vec<_> = self
-            .commands
-            .iter()
-            .map(|command| command.name.as_str())
-            .collect();
+        let commands: Vec<_> = self.commands.iter().map(|command| command.name.as_str()).collect();
         let cases = self.commands.iter().map(|command| {
             let words = longs(&options(&command.usage));
             format!("    {}) words=\"{words}\" ;;\n", command.name)
@@ -43,16 +39,9 @@
         for option in self.options() {
             text.push_str(&fish_option(name, "__fish_use_subcommand", &option));
         }
-        for CommandDoc {
-            name: command,
-            help,
-            usage,
-        } in &self.commands
-        {
-            let line = format!(
-                "complete -c {name} -n __fish_use_subcommand -f -a {command} -d '{}'\n",
-                quote(help)
-            );
+        for CommandDoc { name: command, help, usage } in &self.commands {
+            let line =
+                format!("complete -c {name} -n __fish_use_subcommand -f -a {command} -d '{}'\n", quote(help));
             text.push_str(&line);
             for option in options(usage) {
                 let condition = format!("'__fish_seen_subcommand_from {command}'");
@@ -64,10 +53,8 @@
 
     fn zsh(&self) -> String {
         let name = self.name;
-        let commands = self
-            .commands
-            .iter()
-            .map(|command| format!("    '{}:{}'\n", command.name, quote(&command.help)));
+        let commands =
+            self.commands.iter().map(|command| format!("    '{}:{}'\n", command.name, quote(&command.help)));
         let cases = self.commands.iter().map(|command| {
             format!(
                 "    {}) _arguments {} '*:file:_files' ;;\n",
@@ -87,26 +74,16 @@
 }
 
 fn options(usage: &str) -> Vec<UsageLine> {
-    usage_lines(usage)
-        .into_iter()
-        .filter(|line| line.long().is_some())
-        .collect()
+    usage_lines(usage).into_iter().filter(|line| line.long().is_some()).collect()
 }
 
 fn longs(options: &[UsageLine]) -> String {
-    options
-        .iter()
-        .filter_map(UsageLine::long)
-        .collect::<Vec<_>>()
-        .join(" ")
+    options.iter().filter_map(UsageLine::long).collect::<Vec<_>>().join(" ")
 }
 
 fn fish_option(name: &str, condition: &str, option: &UsageLine) -> String {
     let long = option.long().unwrap_or_default().trim_start_matches("--");
-    format!(
-        "complete -c {name} -n {condition} -l {long} -d '{}'\n",
-        quote(&option.help)
-    )
+    format!("complete -c {name} -n {condition} -l {long} -d '{}'\n", quote(&option.help))
 }
 
 fn zsh_options(options: &[UsageLine]) -> String {
--- a/crates/client/src/manual/page.rs
+++ b/crates/client/src/manual/page.rs
@@ -63,10 +63,7 @@
 
     fn usage(&mut self, usage: &str) {
         for line in usage_lines(usage) {
-            self.entry(&EntryDoc {
-                term: line.term,
-                text: line.help,
-            });
+            self.entry(&EntryDoc { term: line.term, text: line.help });
         }
     }
 }
--- a/crates/client/src/manual/programs.rs
+++ b/crates/client/src/manual/programs.rs
@@ -7,9 +7,7 @@
 
 /// The operators' client.
 pub fn client() -> Program {
-    let codes = EXIT_CODES
-        .iter()
-        .map(|code| entry(&code.code.to_string(), code.meaning));
+    let codes = EXIT_CODES.iter().map(|code| entry(&code.code.to_string(), code.meaning));
     Program {
         name: "hibiscusvale",
         section: 1,
@@ -25,16 +23,10 @@
         usage: cmd::global_usage().to_owned(),
         commands: cmd::command_docs(),
         sections: vec![
-            SectionDoc {
-                heading: "EXIT STATUS",
-                entries: codes.collect(),
-            },
+            SectionDoc { heading: "EXIT STATUS", entries: codes.collect() },
             SectionDoc {
                 heading: "ENVIRONMENT",
-                entries: vec![entry(
-                    CONFIG_VARIABLE,
-                    "client settings, when --config is not given",
-                )],
+                entries: vec![entry(CONFIG_VARIABLE, "client settings, when --config is not given")],
             },
             SectionDoc {
                 heading: "FILES",
@@ -50,10 +42,7 @@
                     ),
                 ],
             },
-            SectionDoc {
-                heading: "SEE ALSO",
-                entries: vec![entry("hibiscusvaled(8)", "the daemon")],
-            },
+            SectionDoc { heading: "SEE ALSO", entries: vec![entry("hibiscusvaled(8)", "the daemon")] },
         ],
     }
 }
@@ -79,11 +68,7 @@
                 help: "check a settings file and say what is wrong with it".to_owned(),
                 usage: file.to_owned(),
             },
-            CommandDoc {
-                name: "run".to_owned(),
-                help: "run the daemon".to_owned(),
-                usage: file.to_owned(),
-            },
+            CommandDoc { name: "run".to_owned(), help: "run the daemon".to_owned(), usage: file.to_owned() },
         ],
         sections: vec![
             SectionDoc {
@@ -110,8 +95,5 @@
 }
 
 fn entry(term: &str, text: &str) -> EntryDoc {
-    EntryDoc {
-        term: term.to_owned(),
-        text: text.to_owned(),
-    }
+    EntryDoc { term: term.to_owned(), text: text.to_owned() }
 }
--- a/crates/client/src/publisher.rs
+++ b/crates/client/src/publisher.rs
@@ -47,10 +47,7 @@
 
 impl Default for PublishOptions {
     fn default() -> Self {
-        Self {
-            waits: true,
-            timeout_ms: Millis(10_000),
-        }
+        Self { waits: true, timeout_ms: Millis(10_000) }
     }
 }
 
@@ -116,10 +113,7 @@
         let partner = self.context.partner()?;
         let view = newest_config(&self.client, self.context.hosts()?, Some(partner)).await?;
         let in_force = view.partners.first();
-        let changes: Vec<_> = changes
-            .into_iter()
-            .filter(|change| is_news(in_force, change))
-            .collect();
+        let changes: Vec<_> = changes.into_iter().filter(|change| is_news(in_force, change)).collect();
         if changes.is_empty() {
             return Ok(Published::Unchanged);
         }
@@ -128,11 +122,7 @@
         let offset = self.append(&signed).await?;
         let until = Instant::now() + Duration::from(options.timeout_ms);
         let offset = self.verdict(signed.change_id, offset, until).await?;
-        let hosts_in_force = if options.waits {
-            self.in_force(offset, until).await?
-        } else {
-            1
-        };
+        let hosts_in_force = if options.waits { self.in_force(offset, until).await? } else { 1 };
         Ok(Published::Accepted {
             change_id: signed.change_id.to_string(),
             offset,
@@ -157,11 +147,7 @@
                 limit_bytes: MAX_RECORD_BYTES,
             }));
         }
-        Ok(Signed {
-            change_id,
-            record,
-            from: view.next_offset,
-        })
+        Ok(Signed { change_id, record, from: view.next_offset })
     }
 
     /// Appends the change and returns where it stands. After an append whose answer was lost the change may
@@ -177,14 +163,9 @@
             }
             let pause = match self.log.append(Stream::Config, vec![signed.record.clone()]).await {
                 Ok(offset) => return Ok(offset),
-                Err(AppendError::NotAppended {
-                    cause,
-                    retry_after_ms,
-                }) => {
+                Err(AppendError::NotAppended { cause, retry_after_ms }) => {
                     refused = cause;
-                    retry_after_ms
-                        .map_or(APPEND_PAUSE, Duration::from)
-                        .min(LONGEST_PAUSE)
+                    retry_after_ms.map_or(APPEND_PAUSE, Duration::from).min(LONGEST_PAUSE)
                 }
                 Err(AppendError::Unknown { cause }) => {
                     lost = Some(cause);
@@ -206,11 +187,7 @@
     async fn look_up(&self, signed: &Signed) -> Option<Offset> {
         let mut from = signed.from;
         loop {
-            let page = self
-                .log
-                .read(Stream::Config, from, PAGE_RECORDS, Millis::ZERO)
-                .await
-                .ok()?;
+            let page = self.log.read(Stream::Config, from, PAGE_RECORDS, Millis::ZERO).await.ok()?;
             if let Some(found) = page.records.iter().find(|record| record.data == signed.record) {
                 return Some(found.offset);
             }
@@ -274,10 +251,7 @@
             return Ok(hosts.len());
         }
         if Instant::now() >= until {
-            return Err(ClientError::NotInForce {
-                offset,
-                hosts: behind,
-            });
+            return Err(ClientError::NotInForce { offset, hosts: behind });
         }
         tokio::time::sleep(LOOK_PAUSE).await;
     }
@@ -317,11 +291,8 @@
             VerdictView::Rejected { .. } => {}
         }
     }
-    if let Some(ChangeView {
-        offset,
-        verdict: VerdictView::Rejected { reason, detail },
-        ..
-    }) = entries().next_back()
+    if let Some(ChangeView { offset, verdict: VerdictView::Rejected { reason, detail }, .. }) =
+        entries().next_back()
     {
         return Err(ClientError::Rejected {
             change_id,
@@ -330,10 +301,7 @@
             next: advice(reason, history),
         });
     }
-    let claimed = view
-        .unattributed
-        .iter()
-        .find(|record| record.change_id.as_deref() == Some(id));
+    let claimed = view.unattributed.iter().find(|record| record.change_id.as_deref() == Some(id));
     Err(match claimed {
         Some(record) => ClientError::Rejected {
             change_id,
@@ -351,13 +319,8 @@
     if reason != "conflict" {
         return "correct the change and publish it again".to_owned();
     }
-    let winner = history
-        .iter()
-        .rev()
-        .find(|entry| entry.verdict == VerdictView::Accepted);
-    let author = winner
-        .and_then(|entry| entry.author.as_deref())
-        .unwrap_or("somebody");
+    let winner = history.iter().rev().find(|entry| entry.verdict == VerdictView::Accepted);
+    let author = winner.and_then(|entry| entry.author.as_deref()).unwrap_or("somebody");
     let changes = winner.map(|entry| entry.changes.join("; ")).unwrap_or_default();
     format!(
         "{author} came first with ({changes}); look at 'hibiscusvale list' and publish again if it is still wanted"
--- a/crates/client/src/report.rs
+++ b/crates/client/src/report.rs
@@ -30,10 +30,7 @@
 
     /// A text that is the same for people and scripts, such as a generated file.
     pub fn raw(text: String) -> Self {
-        Self {
-            json: text.clone(),
-            human: text,
-        }
+        Self { json: text.clone(), human: text }
     }
 
     /// Prints one of the forms.
@@ -54,10 +51,7 @@
 pub fn print_error(error: &anyhow::Error, is_json: bool) {
     let message = format!("{error:#}");
     if is_json {
-        let view = ErrorView {
-            error: message,
-            exit_code: error::exit_code(error),
-        };
+        let view = ErrorView { error: message, exit_code: error::exit_code(error) };
         eprintln!("{}", serde_json::to_string(&view).unwrap_or_default());
     } else {
         eprintln!("hibiscusvale: {message}");
@@ -78,10 +72,7 @@
 }
 
 fn line(cells: &[String], widths: &[usize]) -> String {
-    let padded = cells
-        .iter()
-        .zip(widths)
-        .map(|(cell, &width)| format!("{cell:width$}"));
+    let padded = cells.iter().zip(widths).map(|(cell, &width)| format!("{cell:width$}"));
     padded.collect::<Vec<_>>().join("  ").trim_end().to_owned()
 }
 
--- a/crates/client/tests/client/files.rs
+++ b/crates/client/tests/client/files.rs
@@ -20,9 +20,7 @@
 #[case::name("[classes.\"a b\"]\nkind = \"plain\"\nresponse_ms = 1\n", &["classes.toml", "' '"])]
 #[case::negative("[classes.a]\nkind = \"plain\"\nresponse_ms = -1\n", &["classes.toml:3"])]
 fn a_mistaken_class_file_is_refused_with_its_line(#[case] text: &str, #[case] expected: &[&str]) {
-    let message = classes::parse(Path::new("classes.toml"), text)
-        .expect_err("a mistake")
-        .to_string();
+    let message = classes::parse(Path::new("classes.toml"), text).expect_err("a mistake").to_string();
     for part in expected {
         assert!(message.contains(part), "{part:?} is missing in {message:?}");
     }
@@ -41,33 +39,17 @@
 #[tokio::test]
 async fn the_command_line_overrides_the_settings_file() {
     let world = World::new("context", 0).await;
-    let file = world.write(
-        "client.toml",
-        "log = \"127.0.0.1:1\"\npartner = \"nadifa\"\nkey_file = \"nadifa.key\"\n",
-    );
+    let file = world
+        .write("client.toml", "log = \"127.0.0.1:1\"\npartner = \"nadifa\"\nkey_file = \"nadifa.key\"\n");
     let context = Context::load(Path::new(&file)).expect("settings");
-    assert_eq!(
-        context.key_file.as_deref(),
-        Some(Path::new(&world.path("nadifa.key")))
-    );
-    let flags = Context {
-        partner: Some("registry".parse().expect("a partner")),
-        ..Context::default()
-    };
+    assert_eq!(context.key_file.as_deref(), Some(Path::new(&world.path("nadifa.key"))));
+    let flags = Context { partner: Some("registry".parse().expect("a partner")), ..Context::default() };
     let both = context.overridden_by(flags);
     assert_eq!(both.partner().expect("a partner").as_str(), "registry");
     assert_eq!(both.key().expect("a key").to_bytes(), KEY);
-    let mistake = world.write(
-        "mistake.toml",
-        "log = \"127.0.0.1:1\"\nhost = [\"127.0.0.1:2\"]\n",
-    );
-    let message = Context::load(Path::new(&mistake))
-        .expect_err("a mistake")
-        .to_string();
-    assert!(
-        message.contains("mistake.toml:2") && message.contains("hosts"),
-        "{message}"
-    );
+    let mistake = world.write("mistake.toml", "log = \"127.0.0.1:1\"\nhost = [\"127.0.0.1:2\"]\n");
+    let message = Context::load(Path::new(&mistake)).expect_err("a mistake").to_string();
+    assert!(message.contains("mistake.toml:2") && message.contains("hosts"), "{message}");
 }
 
 #[test]
@@ -93,10 +75,6 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
     for (file, expected) in generated {
         let committed = std::fs::read_to_string(root.join(file)).unwrap_or_default();
-        assert_eq!(
-            committed.trim_end(),
-            expected.trim_end(),
-            "{file} is out of date: run scripts/manual"
-        );
+        assert_eq!(committed.trim_end(), expected.trim_end(), "{file} is out of date: run scripts/manual");
     }
 }
--- a/crates/client/tests/client/keys.rs
+++ b/crates/client/tests/client/keys.rs
@@ -32,10 +32,7 @@
     let _ = std::fs::remove_file(&file);
     let made = run(&["keygen", "publish", "--out", &file]).await;
     assert_eq!(made.code, 0, "{}", made.text);
-    assert!(
-        made.json.get("secret").is_none(),
-        "the secret is in the file only"
-    );
+    assert!(made.json.get("secret").is_none(), "the secret is in the file only");
     let permissions = std::fs::metadata(&file).expect("a file").permissions();
     assert_eq!(permissions.mode() & 0o777, 0o600);
     let again = run(&["keygen", "publish", "--out", &file]).await;
--- a/crates/client/tests/client/watching.rs
+++ b/crates/client/tests/client/watching.rs
@@ -29,16 +29,9 @@
 #[tokio::test]
 async fn status_and_wait_show_what_is_in_force_where() {
     let world = World::new("status", 2).await;
-    world
-        .run(&["publish", "--class", "booking", "--response-ms", "300"])
-        .await;
+    world.run(&["publish", "--class", "booking", "--response-ms", "300"]).await;
     let waited = world.run(&["wait"]).await;
-    assert_eq!(
-        (waited.code, &waited.json["hosts"]),
-        (0, &2.into()),
-        "{}",
-        waited.text
-    );
+    assert_eq!((waited.code, &waited.json["hosts"]), (0, &2.into()), "{}", waited.text);
     let status = world.run(&["status"]).await;
     assert_eq!(status.json["hosts"][1]["next_offset"], 1);
     assert_eq!(status.json["hosts"][0]["state"], status.json["hosts"][1]["state"]);
@@ -52,10 +45,7 @@
 #[tokio::test]
 async fn outcomes_are_summed_over_the_hosts() {
     let world = World::new("outcomes", 2).await;
-    let (partner, class) = (
-        "nadifa".parse().expect("a partner"),
-        "summary".parse().expect("a class"),
-    );
+    let (partner, class) = ("nadifa".parse().expect("a partner"), "summary".parse().expect("a class"));
     for daemon in &world.daemons {
         let counted = daemon.metrics.class(&partner, &class);
         counted.finished(Mark::Answered);
@@ -66,10 +56,7 @@
     }
     let outcomes = world.run(&["outcomes"]).await;
     let class = &outcomes.json["classes"][0];
-    assert_eq!(
-        (&class["goodput"], &class["prefill_tokens"]),
-        (&2.into(), &200.into())
-    );
+    assert_eq!((&class["goodput"], &class["prefill_tokens"]), (&2.into(), &200.into()));
     let refusals: HashMap<&str, u64> = class["refusals"]
         .as_array()
         .expect("a list")
@@ -83,10 +70,7 @@
 #[tokio::test]
 async fn why_finds_the_host_that_took_the_request_in() {
     let world = World::new("why", 2).await;
-    let request_id = RequestId {
-        incarnation: Incarnation(2),
-        sequence: 31,
-    };
+    let request_id = RequestId { incarnation: Incarnation(2), sequence: 31 };
     world.daemons[1].recent.note(RequestRecord {
         request_id,
         partner: Some("nadifa".parse().expect("a partner")),
@@ -95,19 +79,11 @@
         refusal: Some("queue-full"),
         came_at_unix_ms: 1,
         took_ms: Millis(4),
-        steps: vec![RequestStep {
-            after_ms: Millis(1),
-            what: "queued",
-            server: None,
-        }],
+        steps: vec![RequestStep { after_ms: Millis(1), what: "queued", server: None }],
     });
     let explained = world.run(&["why", &request_id.to_string()]).await;
     assert_eq!(explained.code, 0, "{}", explained.text);
-    assert!(
-        explained.text.contains("not-run (queue-full)"),
-        "{}",
-        explained.text
-    );
+    assert!(explained.text.contains("not-run (queue-full)"), "{}", explained.text);
     assert_eq!(explained.json["host"], "entry-1");
     let other = world.run(&["why", "1-1"]).await;
     assert_eq!(other.code, 8, "{}", other.text);
@@ -118,11 +94,7 @@
     let world = World::new("members", 2).await;
     let members = world.run(&["members"]).await;
     assert_eq!(members.json.as_array().map(Vec::len), Some(2));
-    assert!(
-        members.text.starts_with("as seen by entry-0, entry-1"),
-        "{}",
-        members.text
-    );
+    assert!(members.text.starts_with("as seen by entry-0, entry-1"), "{}", members.text);
 }
 
 /// The addresses are wrong or every daemon is down.
--- a/crates/client/tests/client/world.rs
+++ b/crates/client/tests/client/world.rs
@@ -58,18 +58,10 @@
     /// `name` keeps the files of tests apart.
     pub async fn new(name: &str, daemons: usize) -> Self {
         let log = LogService::start(LogSettings::default()).await.expect("a log");
-        let reads = log
-            .share("127.0.0.1:0".parse().expect("an address"))
-            .await
-            .expect("a log");
+        let reads = log.share("127.0.0.1:0".parse().expect("an address")).await.expect("a log");
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&directory).expect("a directory");
-        let mut world = Self {
-            log,
-            reads,
-            daemons: Vec::new(),
-            directory,
-        };
+        let mut world = Self { log, reads, daemons: Vec::new(), directory };
         world.write("nadifa.key", blake3::Hash::from_bytes(KEY).to_hex().as_str());
         for index in 0..daemons {
             world.daemons.push(daemon(index, world.reads.address));
@@ -85,32 +77,16 @@
     }
 
     pub fn path(&self, name: &str) -> String {
-        self.directory
-            .join(name)
-            .to_str()
-            .expect("a path of letters")
-            .to_owned()
+        self.directory.join(name).to_str().expect("a path of letters").to_owned()
     }
 
     /// Runs the client as the operator `author` of `nadifa`, with all daemons as its hosts.
     pub async fn run_as(&self, author: &str, command: &[&str]) -> Ended {
         let log = self.log.address.to_string();
         let key_file = self.path("nadifa.key");
-        let hosts: Vec<String> = self
-            .daemons
-            .iter()
-            .map(|daemon| daemon.address.to_string())
-            .collect();
-        let mut arguments = vec![
-            "--author",
-            author,
-            "--partner",
-            "nadifa",
-            "--log",
-            &log,
-            "--key-file",
-            &key_file,
-        ];
+        let hosts: Vec<String> = self.daemons.iter().map(|daemon| daemon.address.to_string()).collect();
+        let mut arguments =
+            vec!["--author", author, "--partner", "nadifa", "--log", &log, "--key-file", &key_file];
         for host in &hosts {
             arguments.extend(["--host", host.as_str()]);
         }
@@ -127,16 +103,12 @@
 pub async fn run(arguments: &[&str]) -> Ended {
     let args = Args::parse_args_default(arguments).expect("a command line that is understood");
     match args.execute().await {
-        Ok(Report { human, json }) => Ended {
-            code: 0,
-            text: human,
-            json: serde_json::from_str(&json).unwrap_or_default(),
-        },
-        Err(error) => Ended {
-            code: exit_code(&error),
-            text: format!("{error:#}"),
-            json: serde_json::Value::Null,
-        },
+        Ok(Report { human, json }) => {
+            Ended { code: 0, text: human, json: serde_json::from_str(&json).unwrap_or_default() }
+        }
+        Err(error) => {
+            Ended { code: exit_code(&error), text: format!("{error:#}"), json: serde_json::Value::Null }
+        }
     }
 }
 
@@ -151,11 +123,7 @@
     let (service, config) = ConfigService::new(ConfigParts {
         settings: ConfigSettings::default(),
         host: host.id.clone(),
-        keys: [(
-            "nadifa".parse().expect("a partner"),
-            SigningKey::from_bytes(&KEY).verifying_key(),
-        )]
-        .into(),
+        keys: [("nadifa".parse().expect("a partner"), SigningKey::from_bytes(&KEY).verifying_key())].into(),
         checkpoint_key: CheckpointKey::derive(b"shared"),
         log: Arc::new(HttpLog::new(log, HttpLogSettings::default())),
         members: Arc::clone(&members),
@@ -179,12 +147,5 @@
         readiness: Arc::new(Readiness::new(config.is_ready.clone())),
     };
     tokio::spawn(listener.serve(parts, stop.clone()));
-    Daemon {
-        address,
-        config,
-        metrics,
-        recent,
-        stop,
-        _feed: feed,
-    }
+    Daemon { address, config, metrics, recent, stop, _feed: feed }
 }
--- a/crates/core/benches/config.rs
+++ b/crates/core/benches/config.rs
@@ -32,10 +32,7 @@
 }
 
 fn publish(index: usize, target_ms: u64) -> ClassChange {
-    ClassChange::Publish {
-        class: class(index),
-        target: ClassTarget::language(Millis(target_ms), Millis(31)),
-    }
+    ClassChange::Publish { class: class(index), target: ClassTarget::language(Millis(target_ms), Millis(31)) }
 }
 
 struct Bench {
@@ -49,10 +46,7 @@
         let keys = (0..partners).map(|partner| (partner_id(partner), key(partner).verifying_key()));
         let mut fold = ConfigFold::new(keys.collect(), checkpoint_key());
         fold.allow_genesis();
-        let mut bench = Self {
-            fold,
-            versions: vec![None; partners],
-        };
+        let mut bench = Self { fold, versions: vec![None; partners] };
         for partner in 0..partners {
             let all = (0..CLASSES).map(|index| publish(index, 800)).collect();
             bench.apply(partner, all);
@@ -90,8 +84,7 @@
 fn resident_kib() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
-    line.and_then(|rest| rest.trim().trim_end_matches("kB").trim().parse().ok())
-        .unwrap_or_default()
+    line.and_then(|rest| rest.trim().trim_end_matches("kB").trim().parse().ok()).unwrap_or_default()
 }
 
 fn fold(criterion: &mut Criterion) {
--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -10,15 +10,11 @@
     let mut group = criterion.benchmark_group("decision");
     for replicas in [10, 100, 1_000] {
         let mut placing = cost::Placing::new(replicas, 2);
-        group.bench_function(BenchmarkId::new("place", replicas), |bencher| {
-            bencher.iter(|| placing.step())
-        });
+        group.bench_function(BenchmarkId::new("place", replicas), |bencher| bencher.iter(|| placing.step()));
     }
     for partners in [2, 28, 280] {
         let mut granting = cost::Granting::new(partners);
-        group.bench_function(BenchmarkId::new("grant", partners), |bencher| {
-            bencher.iter(|| granting.step())
-        });
+        group.bench_function(BenchmarkId::new("grant", partners), |bencher| bencher.iter(|| granting.step()));
     }
     group.finish();
 }
--- a/crates/core/benches/outcomes.rs
+++ b/crates/core/benches/outcomes.rs
@@ -25,22 +25,10 @@
 type Way = (&'static str, fn(Scenario) -> Scenario);
 
 const WAYS: [Way; 5] = [
-    ("stale", |base| Scenario {
-        placement: Placement::StaleReports,
-        ..base
-    }),
-    ("two", |base| Scenario {
-        placement: Placement::RandomTwo,
-        ..base
-    }),
-    ("fifo", |base| Scenario {
-        order: QueueOrder::Fifo,
-        ..base
-    }),
-    ("at-once", |base| Scenario {
-        start: PrefillStart::AtOnce,
-        ..base
-    }),
+    ("stale", |base| Scenario { placement: Placement::StaleReports, ..base }),
+    ("two", |base| Scenario { placement: Placement::RandomTwo, ..base }),
+    ("fifo", |base| Scenario { order: QueueOrder::Fifo, ..base }),
+    ("at-once", |base| Scenario { start: PrefillStart::AtOnce, ..base }),
     ("ledger", |base| base),
 ];
 
@@ -79,9 +67,8 @@
                 outcome.turns_returned,
             );
             let rest = &outcome.partners[1..];
-            let (good, asked) = rest.iter().fold((0, 0), |(good, asked), one| {
-                (good + one.good, asked + one.arrivals)
-            });
+            let (good, asked) =
+                rest.iter().fold((0, 0), |(good, asked), one| (good + one.good, asked + one.arrivals));
             print!(
                 "  a {:.1} b {:.1}",
                 outcome.partners[0].goodput(),
--- a/crates/core/src/claim/answers.rs
+++ b/crates/core/src/claim/answers.rs
@@ -31,11 +31,7 @@
 impl StoredAnswer {
     /// Memory that the answer takes.
     pub fn size(&self) -> Bytes {
-        let headers: usize = self
-            .headers
-            .iter()
-            .map(|header| header.name.len() + header.value.len())
-            .sum();
+        let headers: usize = self.headers.iter().map(|header| header.name.len() + header.value.len()).sum();
         Bytes((headers + self.body.len()) as u64)
     }
 }
--- a/crates/core/src/claim/fold.rs
+++ b/crates/core/src/claim/fold.rs
@@ -40,13 +40,7 @@
 impl ClaimFold {
     /// An empty fold that expects the record at `next`.
     pub fn new(hold_ms: Millis, next: Offset) -> Self {
-        Self {
-            hold_ms,
-            next,
-            clock_unix_ms: UnixMillis(0),
-            holders: HashMap::new(),
-            by_age: VecDeque::new(),
-        }
+        Self { hold_ms, next, clock_unix_ms: UnixMillis(0), holders: HashMap::new(), by_age: VecDeque::new() }
     }
 
     /// Offset of the record expected next.
@@ -76,9 +70,7 @@
 
     /// Whether `key` is held and would still be by a record that is written now.
     pub fn holds_at(&self, key: &ClaimKey, unix_ms: UnixMillis) -> bool {
-        self.holders
-            .get(key)
-            .is_some_and(|holder| holder.since_unix_ms.0 + self.hold_ms.0 > unix_ms.0)
+        self.holders.get(key).is_some_and(|holder| holder.since_unix_ms.0 + self.hold_ms.0 > unix_ms.0)
     }
 
     /// Takes the record at `offset`. A record that could not be decoded is passed as `None`: it counts as an
@@ -89,10 +81,7 @@
     /// [`FoldError`] when the record is not the next one; nothing is changed then.
     pub fn apply(&mut self, offset: Offset, group: Option<&ClaimGroup>) -> Result<(), FoldError> {
         if offset != self.next {
-            return Err(FoldError {
-                expected: self.next,
-                found: offset,
-            });
+            return Err(FoldError { expected: self.next, found: offset });
         }
         self.next = offset.next();
         let Some(group) = group else { return Ok(()) };
@@ -113,10 +102,7 @@
         self.holders
             .entry(claim.key)
             .and_modify(|holder| holder.since_unix_ms = since_unix_ms)
-            .or_insert_with(|| Holder {
-                claim: claim.clone(),
-                since_unix_ms,
-            });
+            .or_insert_with(|| Holder { claim: claim.clone(), since_unix_ms });
     }
 
     fn release(&mut self, key: &ClaimKey, request: RequestId) {
@@ -134,11 +120,7 @@
                 break;
             }
             self.by_age.pop_front();
-            if self
-                .holders
-                .get(&key)
-                .is_some_and(|holder| holder.since_unix_ms.0 <= limit)
-            {
+            if self.holders.get(&key).is_some_and(|holder| holder.since_unix_ms.0 <= limit) {
                 self.holders.remove(&key);
             }
         }
--- a/crates/core/src/claim/machine.rs
+++ b/crates/core/src/claim/machine.rs
@@ -90,26 +90,12 @@
         self.unix_ms = unix_ms;
         if let Some((held, held_digest)) = self.runs.by_key(&key) {
             let state = self.runs.state(held);
-            self.decide(
-                request,
-                held_decision(held_digest == digest, state, self.settings.retry_after_ms),
-            );
+            self.decide(request, held_decision(held_digest == digest, state, self.settings.retry_after_ms));
             return;
         }
-        if let Some(first) = self
-            .waiting_keys
-            .get(&key)
-            .and_then(|first| self.waiting.get(first))
-        {
+        if let Some(first) = self.waiting_keys.get(&key).and_then(|first| self.waiting.get(first)) {
             let same = first.claim.digest == digest;
-            self.decide(
-                request,
-                if same {
-                    Decision::InProgress
-                } else {
-                    Decision::OtherBody
-                },
-            );
+            self.decide(request, if same { Decision::InProgress } else { Decision::OtherBody });
             return;
         }
         if self.runs.is_full() {
@@ -117,23 +103,10 @@
             self.decide(request, Decision::Unavailable { retry_after_ms });
             return;
         }
-        let claim = Claim {
-            key,
-            digest,
-            request,
-            host: self.host.clone(),
-        };
+        let claim = Claim { key, digest, request, host: self.host.clone() };
         let deadline_us = now_us + self.settings.begin_timeout_ms;
         self.waiting_keys.insert(key, request);
-        self.waiting.insert(
-            request,
-            Waiting {
-                claim,
-                deadline_us,
-                stage: Stage::Log,
-                may_stand: false,
-            },
-        );
+        self.waiting.insert(request, Waiting { claim, deadline_us, stage: Stage::Log, may_stand: false });
         self.ask(now_us, request);
     }
 
@@ -187,16 +160,9 @@
             may_stand: false,
         };
         self.submit(now_us, pending);
-        if self
-            .partitions
-            .get(&id)
-            .is_some_and(|partition| partition.has(request))
-        {
+        if self.partitions.get(&id).is_some_and(|partition| partition.has(request)) {
             let message = ClaimMessage::Taken { request };
-            self.actions.push(ClaimAction::Send {
-                to: from.clone(),
-                message,
-            });
+            self.actions.push(ClaimAction::Send { to: from.clone(), message });
         }
     }
 
@@ -227,10 +193,7 @@
     {
         let settings = self.settings;
         let mut effects = Vec::new();
-        let partition = self
-            .partitions
-            .entry(id)
-            .or_insert_with(|| Partition::new(settings, now_us));
+        let partition = self.partitions.entry(id).or_insert_with(|| Partition::new(settings, now_us));
         act(partition, &mut effects);
         partition.step(now_us, self.unix_ms, &mut effects);
         for effect in effects {
@@ -241,18 +204,11 @@
     fn carry(&mut self, now_us: MonoTime, partition: u16, effect: Effect) {
         match effect {
             Effect::Append(group) => self.actions.push(ClaimAction::Append { partition, group }),
-            Effect::Read { from, limit } => self.actions.push(ClaimAction::Read {
-                partition,
-                from,
-                limit,
-            }),
+            Effect::Read { from, limit } => self.actions.push(ClaimAction::Read { partition, from, limit }),
             Effect::Verdict { pending, verdict } => match pending.asker {
                 Asker::Local => self.verdict(now_us, pending.claim.request, verdict),
                 Asker::Peer(to) => {
-                    let message = ClaimMessage::Verdict {
-                        request: pending.claim.request,
-                        verdict,
-                    };
+                    let message = ClaimMessage::Verdict { request: pending.claim.request, verdict };
                     self.actions.push(ClaimAction::Send { to, message });
                 }
             },
@@ -283,11 +239,9 @@
             ClaimMessage::Taken { request } => self.taken(now_us, request),
             ClaimMessage::Verdict { request, verdict } => self.peer_verdict(now_us, request, verdict),
             ClaimMessage::Query { request, holder } => self.answer_query(now_us, from, request, holder),
-            ClaimMessage::State {
-                request,
-                holder,
-                state,
-            } => self.holder_state(now_us, request, holder, state),
+            ClaimMessage::State { request, holder, state } => {
+                self.holder_state(now_us, request, holder, state);
+            }
             ClaimMessage::Release { key, request } => {
                 let id = key.partition(self.settings.partitions);
                 self.with_partition(now_us, id, |partition, _| partition.release(now_us, key, request));
@@ -354,15 +308,7 @@
         };
         let Claim { key, digest, .. } = waiting.claim;
         let start_by_us = now_us + self.settings.start_within_ms;
-        self.runs.insert(
-            now_us,
-            request,
-            NewRun {
-                key,
-                digest,
-                state: RunState::Running,
-            },
-        );
+        self.runs.insert(now_us, request, NewRun { key, digest, state: RunState::Running });
         self.settle(now_us, request, Decision::Run { start_by_us });
     }
 
@@ -388,11 +334,7 @@
             if let Some(key) = self.runs.freeable(now_us, claim.request) {
                 self.free(now_us, key, claim.request);
             }
-            self.settle(
-                now_us,
-                request,
-                held_decision(true, state, self.settings.retry_after_ms),
-            );
+            self.settle(now_us, request, held_decision(true, state, self.settings.retry_after_ms));
             return;
         }
         if claim.host == self.host {
@@ -405,10 +347,7 @@
         };
         let until_us = now_us + self.settings.peer_timeout_ms;
         let to = claim.host.clone();
-        let message = ClaimMessage::Query {
-            request,
-            holder: claim.request,
-        };
+        let message = ClaimMessage::Query { request, holder: claim.request };
         waiting.stage = Stage::Holder { claim, until_us };
         self.actions.push(ClaimAction::Send { to, message });
     }
@@ -423,15 +362,8 @@
         if let Some(key) = self.runs.freeable(now_us, holder) {
             self.free(now_us, key, holder);
         }
-        let message = ClaimMessage::State {
-            request,
-            holder,
-            state,
-        };
-        self.actions.push(ClaimAction::Send {
-            to: to.clone(),
-            message,
-        });
+        let message = ClaimMessage::State { request, holder, state };
+        self.actions.push(ClaimAction::Send { to: to.clone(), message });
     }
 
     fn holder_state(&mut self, now_us: MonoTime, request: RequestId, holder: RequestId, state: HeldState) {
@@ -442,11 +374,7 @@
             return;
         };
         if claim.request == holder {
-            self.settle(
-                now_us,
-                request,
-                held_decision(true, state, self.settings.retry_after_ms),
-            );
+            self.settle(now_us, request, held_decision(true, state, self.settings.retry_after_ms));
         }
     }
 
@@ -477,8 +405,7 @@
             self.tick_waiting(now_us, request);
         }
         let owners = &self.owners;
-        self.partitions
-            .retain(|&id, partition| owners.other(id).is_none() || !partition.is_idle(now_us));
+        self.partitions.retain(|&id, partition| owners.other(id).is_none() || !partition.is_idle(now_us));
         self.runs.expire(now_us);
     }
 
@@ -507,15 +434,7 @@
             let Claim { key, digest, .. } = waiting.claim;
             self.waiting_keys.remove(&key);
             if waiting.may_stand && !matches!(decision, Decision::Run { .. }) {
-                self.runs.insert(
-                    now_us,
-                    request,
-                    NewRun {
-                        key,
-                        digest,
-                        state: RunState::NotRun,
-                    },
-                );
+                self.runs.insert(now_us, request, NewRun { key, digest, state: RunState::NotRun });
                 self.free(now_us, key, request);
             }
         }
--- a/crates/core/src/claim/opening.rs
+++ b/crates/core/src/claim/opening.rs
@@ -56,11 +56,7 @@
             }
         };
         let few = high.0.saturating_sub(low.0) <= u64::from(settings.read_limit);
-        *self = if few {
-            Self::Done
-        } else {
-            Self::Search { low, high }
-        };
+        *self = if few { Self::Done } else { Self::Search { low, high } };
         few.then_some(low)
     }
 }
--- a/crates/core/src/claim/owners.rs
+++ b/crates/core/src/claim/owners.rs
@@ -20,20 +20,12 @@
 
 impl Owners {
     pub(super) fn new(own: HostId, settings: ClaimSettings) -> Self {
-        Self {
-            own,
-            settings,
-            by_partition: Vec::new(),
-            silent: HashMap::new(),
-        }
+        Self { own, settings, by_partition: Vec::new(), silent: HashMap::new() }
     }
 
     pub(super) fn set_members(&mut self, members: &[HostId]) {
         let partitions = 0..self.settings.partitions;
-        self.by_partition = partitions
-            .filter_map(|partition| owner(members, partition))
-            .cloned()
-            .collect();
+        self.by_partition = partitions.filter_map(|partition| owner(members, partition)).cloned().collect();
     }
 
     /// The owner of a partition, if that is another daemon.
--- a/crates/core/src/claim/partition.rs
+++ b/crates/core/src/claim/partition.rs
@@ -210,11 +210,8 @@
     }
 
     fn requeue(&mut self, sent: Sent) {
-        let releases = sent
-            .group
-            .entries
-            .into_iter()
-            .filter(|entry| matches!(entry, ClaimEntry::Release { .. }));
+        let releases =
+            sent.group.entries.into_iter().filter(|entry| matches!(entry, ClaimEntry::Release { .. }));
         self.releases.extend(releases);
         let later = mem::replace(&mut self.queue, sent.pending);
         self.queue.extend(later);
@@ -271,11 +268,7 @@
         self.broken_until_us = Some(now_us + self.settings.hold_ms());
         self.await_through = None;
         let mut pending = mem::take(&mut self.queue);
-        pending.extend(
-            mem::take(&mut self.awaiting)
-                .into_iter()
-                .map(|p| Pending { may_stand: true, ..p }),
-        );
+        pending.extend(mem::take(&mut self.awaiting).into_iter().map(|p| Pending { may_stand: true, ..p }));
         for pending in pending {
             effects.push(self.give_up(pending));
         }
@@ -301,10 +294,7 @@
 
     /// Decides claims whose own record the fold has passed: only then is it known what stands before it.
     fn decide_appended(&mut self, effects: &mut Vec<Effect>) {
-        if self
-            .await_through
-            .is_none_or(|through| self.fold.next() <= through)
-        {
+        if self.await_through.is_none_or(|through| self.fold.next() <= through) {
             return;
         }
         self.await_through = None;
@@ -319,11 +309,7 @@
 
     fn verdict(&self, claim: &Claim) -> Option<Verdict> {
         let holder = self.fold.holder(&claim.key)?;
-        Some(if holder.request == claim.request {
-            Verdict::Won
-        } else {
-            Verdict::Held(holder.clone())
-        })
+        Some(if holder.request == claim.request { Verdict::Won } else { Verdict::Held(holder.clone()) })
     }
 
     /// Decides claims that the fold already answers, without an append. A stale fold may know too little, and
@@ -386,26 +372,12 @@
             return;
         }
         let mut entries = mem::take(&mut self.releases);
-        let room = self
-            .settings
-            .group_entries
-            .saturating_sub(entries.len())
-            .min(self.queue.len());
+        let room = self.settings.group_entries.saturating_sub(entries.len()).min(self.queue.len());
         let pending: Vec<Pending> = self.queue.drain(..room).collect();
-        entries.extend(
-            pending
-                .iter()
-                .map(|pending| ClaimEntry::Claim(pending.claim.clone())),
-        );
-        let group = ClaimGroup {
-            appended_unix_ms: unix_ms,
-            entries,
-        };
+        entries.extend(pending.iter().map(|pending| ClaimEntry::Claim(pending.claim.clone())));
+        let group = ClaimGroup { appended_unix_ms: unix_ms, entries };
         self.append_at_us = now_us + self.settings.append_interval_ms;
-        self.sent = Some(Sent {
-            group: group.clone(),
-            pending,
-        });
+        self.sent = Some(Sent { group: group.clone(), pending });
         effects.push(Effect::Append(group));
     }
 }
--- a/crates/core/src/claim/runs.rs
+++ b/crates/core/src/claim/runs.rs
@@ -85,15 +85,7 @@
             self.by_key.insert(key, request);
         }
         self.by_age.push_back(request);
-        self.by_request.insert(
-            request,
-            Run {
-                key,
-                digest,
-                since_us: now_us,
-                state,
-            },
-        );
+        self.by_request.insert(request, Run { key, digest, since_us: now_us, state });
     }
 
     /// The state of one of this daemon's requests; what is not remembered may have run.
@@ -108,9 +100,7 @@
             RunState::Answered => self
                 .answers
                 .get(&request)
-                .map_or(HeldState::AnswerGone, |answer| {
-                    HeldState::Answered(Arc::clone(answer))
-                }),
+                .map_or(HeldState::AnswerGone, |answer| HeldState::Answered(Arc::clone(answer))),
         }
     }
 
--- a/crates/core/src/config/apply.rs
+++ b/crates/core/src/config/apply.rs
@@ -17,11 +17,7 @@
 impl Refused {
     pub(super) fn unattributed(offset: Offset, reason: RejectReason) -> Self {
         Self {
-            record: RejectedRecord {
-                offset,
-                publisher: None,
-                reason: reason.clone(),
-            },
+            record: RejectedRecord { offset, publisher: None, reason: reason.clone() },
             unattributed: Some(UnattributedRecord {
                 offset,
                 claimed_publisher: None,
@@ -70,24 +66,14 @@
     partner.settle(entry, body.as_ref().map_or(&[], |body| &body.changes));
     let reason = checked.err()?;
     Some(Refused {
-        record: RejectedRecord {
-            offset,
-            publisher: Some(change.publisher.clone()),
-            reason,
-        },
+        record: RejectedRecord { offset, publisher: Some(change.publisher.clone()), reason },
         unattributed: None,
     })
 }
 
 fn check_origin(keys: &PublisherKeys, change: &SignedChange) -> Result<(), RejectReason> {
-    let key = keys
-        .get(&change.publisher)
-        .ok_or(RejectReason::UnknownPublisher)?;
-    if change.is_signed_by(key) {
-        Ok(())
-    } else {
-        Err(RejectReason::BadSignature)
-    }
+    let key = keys.get(&change.publisher).ok_or(RejectReason::UnknownPublisher)?;
+    if change.is_signed_by(key) { Ok(()) } else { Err(RejectReason::BadSignature) }
 }
 
 fn history_entry(
--- a/crates/core/src/config/duty.rs
+++ b/crates/core/src/config/duty.rs
@@ -24,11 +24,7 @@
 
 impl Default for CheckpointDutySettings {
     fn default() -> Self {
-        Self {
-            interval_ms: Millis(600_000),
-            step_ms: Millis(2_000),
-            max_records: 4_096,
-        }
+        Self { interval_ms: Millis(600_000), step_ms: Millis(2_000), max_records: 4_096 }
     }
 }
 
@@ -45,12 +41,7 @@
     /// A daemon that starts takes the newest checkpoint to be fresh: a host that is replaced often must not
     /// write one at each start.
     pub fn new(settings: CheckpointDutySettings, now_us: MonoTime) -> Self {
-        Self {
-            settings,
-            newest: Offset(0),
-            newest_since_us: now_us,
-            due_since_us: None,
-        }
+        Self { settings, newest: Offset(0), newest_since_us: now_us, due_since_us: None }
     }
 
     /// Another checkpoint, one that stands for the records before `next_offset`, was read from the log.
@@ -87,12 +78,7 @@
     /// An append was tried. If it does not show up in the log, this daemon tries again after the others had
     /// their turn; the log may be down, and hammering it would not bring it back.
     pub fn tried(&mut self, live_hosts: u32, now_us: MonoTime) {
-        let round = Millis(
-            self.settings
-                .step_ms
-                .0
-                .saturating_mul(u64::from(live_hosts.max(1))),
-        );
+        let round = Millis(self.settings.step_ms.0.saturating_mul(u64::from(live_hosts.max(1))));
         self.due_since_us = Some(now_us + round);
     }
 }
--- a/crates/core/src/config/fold.rs
+++ b/crates/core/src/config/fold.rs
@@ -237,10 +237,7 @@
         let refused = match Record::decode(bytes) {
             Ok(Record::Checkpoint(checkpoint)) => {
                 if checkpoint.open(&self.checkpoint_key) != Err(CheckpointError::Forged) {
-                    self.checkpoint = Some(SeenCheckpoint {
-                        offset,
-                        next_offset: checkpoint.next_offset,
-                    });
+                    self.checkpoint = Some(SeenCheckpoint { offset, next_offset: checkpoint.next_offset });
                     return;
                 }
                 Refused::unattributed(offset, RejectReason::ForgedCheckpoint)
--- a/crates/core/src/config/partner.rs
+++ b/crates/core/src/config/partner.rs
@@ -46,10 +46,7 @@
 
 impl From<Content> for PartnerConfig {
     fn from(content: Content) -> Self {
-        Self {
-            digest: content.digest(),
-            content,
-        }
+        Self { digest: content.digest(), content }
     }
 }
 
@@ -121,10 +118,7 @@
             return Err(RejectReason::Duplicate { first });
         }
         if body.made_from != self.version {
-            return Err(RejectReason::Conflict {
-                made_from: body.made_from,
-                in_force: self.version,
-            });
+            return Err(RejectReason::Conflict { made_from: body.made_from, in_force: self.version });
         }
         if body.changes.is_empty() {
             return Err(RejectReason::Empty);
@@ -154,10 +148,9 @@
             let exists = self.classes.contains_key(class);
             match change {
                 ClassChange::Publish { target, .. } => {
-                    target.check().map_err(|error| RejectReason::BadTarget {
-                        class: class.clone(),
-                        error,
-                    })?;
+                    target
+                        .check()
+                        .map_err(|error| RejectReason::BadTarget { class: class.clone(), error })?;
                     classes_total += usize::from(!exists);
                 }
                 ClassChange::Delete { .. } if !exists => {
@@ -181,10 +174,7 @@
         for change in changes {
             match change {
                 ClassChange::Publish { class, target } => {
-                    let published = PublishedClass {
-                        target: *target,
-                        changed_at: offset,
-                    };
+                    let published = PublishedClass { target: *target, changed_at: offset };
                     self.classes.insert(class.clone(), published);
                 }
                 ClassChange::Delete { class } => {
--- a/crates/core/src/config/record.rs
+++ b/crates/core/src/config/record.rs
@@ -126,9 +126,7 @@
     /// [`RecordError`] when the bytes are not one record and nothing else.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
         let Some((&FORMAT, encoded)) = bytes.split_first() else {
-            return Err(RecordError::Format {
-                found: bytes.first().copied(),
-            });
+            return Err(RecordError::Format { found: bytes.first().copied() });
         };
         match postcard::take_from_bytes(encoded) {
             Ok((record, [])) => Ok(record),
@@ -141,16 +139,8 @@
     /// Signs the change for `publisher`.
     pub fn sign(&self, publisher: &PartnerId, change_id: ChangeId, key: &SigningKey) -> SignedChange {
         let body = postcard::to_allocvec(self).unwrap_or_default();
-        let signature = key
-            .sign(&signed_bytes(publisher, change_id, &body))
-            .to_bytes()
-            .to_vec();
-        SignedChange {
-            publisher: publisher.clone(),
-            change_id,
-            body,
-            signature,
-        }
+        let signature = key.sign(&signed_bytes(publisher, change_id, &body)).to_bytes().to_vec();
+        SignedChange { publisher: publisher.clone(), change_id, body, signature }
     }
 }
 
--- a/crates/core/src/config/state.rs
+++ b/crates/core/src/config/state.rs
@@ -43,9 +43,7 @@
 
     /// All partners that have published or tried to.
     pub fn partners(&self) -> impl Iterator<Item = (&PartnerId, &PartnerConfig)> {
-        self.partners
-            .iter()
-            .map(|(partner, config)| (partner, config.as_ref()))
+        self.partners.iter().map(|(partner, config)| (partner, config.as_ref()))
     }
 
     /// Number of classes in force over all partners.
--- a/crates/core/src/config/target.rs
+++ b/crates/core/src/config/target.rs
@@ -45,19 +45,12 @@
 impl ClassTarget {
     /// A target of language work.
     pub fn language(first_token_ms: Millis, per_token_ms: Millis) -> Self {
-        Self {
-            kind: TargetKind::Language {
-                first_token_ms,
-                per_token_ms,
-            },
-        }
+        Self { kind: TargetKind::Language { first_token_ms, per_token_ms } }
     }
 
     /// A target of calls to plain services.
     pub fn plain(response_ms: Millis) -> Self {
-        Self {
-            kind: TargetKind::Plain { response_ms },
-        }
+        Self { kind: TargetKind::Plain { response_ms } }
     }
 
     /// Checks that each span is from 1 ms to [`MAX_TARGET_MS`]. A target that no engine can meet is allowed: it
@@ -68,27 +61,20 @@
     /// [`TargetError`] with the first span outside.
     pub fn check(&self) -> Result<(), TargetError> {
         let spans = match self.kind {
-            TargetKind::Language {
-                first_token_ms,
-                per_token_ms,
-            } => [first_token_ms, per_token_ms],
+            TargetKind::Language { first_token_ms, per_token_ms } => [first_token_ms, per_token_ms],
             TargetKind::Plain { response_ms } => [response_ms, response_ms],
         };
         let outside = |span_ms: &Millis| *span_ms < Millis(1) || *span_ms > MAX_TARGET_MS;
-        spans
-            .into_iter()
-            .find(outside)
-            .map_or(Ok(()), |found_ms| Err(TargetError { found_ms }))
+        spans.into_iter().find(outside).map_or(Ok(()), |found_ms| Err(TargetError { found_ms }))
     }
 }
 
 impl fmt::Display for ClassTarget {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.kind {
-            TargetKind::Language {
-                first_token_ms,
-                per_token_ms,
-            } => write!(f, "first token {first_token_ms}, per token {per_token_ms}"),
+            TargetKind::Language { first_token_ms, per_token_ms } => {
+                write!(f, "first token {first_token_ms}, per token {per_token_ms}")
+            }
             TargetKind::Plain { response_ms } => write!(f, "response {response_ms}"),
         }
     }
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -57,11 +57,7 @@
         return Err(ParseIdError::Empty { kind });
     }
     if text.len() > limit_bytes {
-        return Err(ParseIdError::TooLong {
-            kind,
-            length_bytes: text.len(),
-            limit_bytes,
-        });
+        return Err(ParseIdError::TooLong { kind, length_bytes: text.len(), limit_bytes });
     }
     if let Some(found) = text.chars().find(|&c| !allowed(c)) {
         return Err(ParseIdError::Character { kind, found });
@@ -248,10 +244,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let error = ParseIdError::Number { kind: "attempt id" };
         let (request_id, attempt) = text.split_once('.').ok_or_else(|| error.clone())?;
-        Ok(Self {
-            request_id: request_id.parse()?,
-            attempt: attempt.parse().map_err(|_| error)?,
-        })
+        Ok(Self { request_id: request_id.parse()?, attempt: attempt.parse().map_err(|_| error)? })
     }
 }
 
@@ -277,9 +270,7 @@
     type Err = ParseIdError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse()
-            .map(Self)
-            .map_err(|_| ParseIdError::Number { kind: "offset" })
+        text.parse().map(Self).map_err(|_| ParseIdError::Number { kind: "offset" })
     }
 }
 
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -161,11 +161,7 @@
         let Some(standing) = self.standing.get(data_centre) else {
             return true;
         };
-        let wait_ms = if standing.given_up {
-            settings.last_order_ms()
-        } else {
-            settings.takeover_ms()
-        };
+        let wait_ms = if standing.given_up { settings.last_order_ms() } else { settings.takeover_ms() };
         standing.holder == *candidate || standing.read_us + wait_ms <= now_us
     }
 }
@@ -284,10 +280,9 @@
         let counted = fold.attempt(&self.data_centre) == Some(self.attempt);
         let fencing = fold.fencing(&self.data_centre, &self.me);
         self.held = match fencing {
-            Some(fencing) if counted => Some(HeldLease {
-                fencing,
-                until_us: sent_us + self.settings.lease_ms,
-            }),
+            Some(fencing) if counted => {
+                Some(HeldLease { fencing, until_us: sent_us + self.settings.lease_ms })
+            }
             Some(_) => self.held,
             None => None,
         };
--- a/crates/core/src/membership/data_centres.rs
+++ b/crates/core/src/membership/data_centres.rs
@@ -74,20 +74,12 @@
     /// Takes a statement in, if it is newer than the one known.
     pub(crate) fn adopt(&mut self, now_us: MonoTime, state: DataCentreState) {
         let tag = DataCentreTag::of(&state.data_centre);
-        if self
-            .by_tag
-            .get(&tag)
-            .is_some_and(|data_centre| data_centre.state.version >= state.version)
-        {
+        if self.by_tag.get(&tag).is_some_and(|data_centre| data_centre.state.version >= state.version) {
             return;
         }
         self.changes += 1;
         let hash = hash_tags(&state.tags);
-        let data_centre = DataCentre {
-            state,
-            hash,
-            heard_us: now_us,
-        };
+        let data_centre = DataCentre { state, hash, heard_us: now_us };
         self.by_tag.insert(tag, data_centre);
         self.prune(tag);
     }
@@ -106,10 +98,7 @@
             && old != tag
         {
             // An older life that a statement still names stays known until the statement changes.
-            let named = self
-                .by_tag
-                .values()
-                .any(|data_centre| data_centre.state.tags.contains(&old));
+            let named = self.by_tag.values().any(|data_centre| data_centre.state.tags.contains(&old));
             if !named {
                 self.records.remove(&old);
             }
@@ -174,18 +163,13 @@
         &'a self,
         data_centre: &'a DataCentreId,
     ) -> impl Iterator<Item = &'a MemberRecord> {
-        self.records
-            .values()
-            .filter(move |record| &record.data_centre == data_centre)
+        self.records.values().filter(move |record| &record.data_centre == data_centre)
     }
 
     /// Names of the other data centres of which a daemon is known.
     pub(crate) fn names(&self) -> Vec<DataCentreId> {
-        let mut names: Vec<DataCentreId> = self
-            .records
-            .values()
-            .map(|record| record.data_centre.clone())
-            .collect();
+        let mut names: Vec<DataCentreId> =
+            self.records.values().map(|record| record.data_centre.clone()).collect();
         names.sort_unstable();
         names.dedup();
         names
--- a/crates/core/src/membership/message.rs
+++ b/crates/core/src/membership/message.rs
@@ -44,11 +44,7 @@
     /// The record's tag.
     pub fn tag(&self) -> MemberTag {
         let mut hasher = blake3::Hasher::new();
-        for part in [
-            self.host.as_str(),
-            self.data_centre.as_str(),
-            self.region.as_str(),
-        ] {
+        for part in [self.host.as_str(), self.data_centre.as_str(), self.region.as_str()] {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -213,11 +213,9 @@
     pub fn handle(&mut self, now_us: MonoTime, event: MembershipEvent, actions: &mut Vec<MembershipAction>) {
         match event {
             MembershipEvent::Tick => self.tick(now_us, actions),
-            MembershipEvent::Message {
-                from,
-                incarnation,
-                message,
-            } => self.receive(now_us, &from, incarnation, message, actions),
+            MembershipEvent::Message { from, incarnation, message } => {
+                self.receive(now_us, &from, incarnation, message, actions);
+            }
             MembershipEvent::Listed(contacts) => self.listed = contacts,
             MembershipEvent::Leave => self.leave(),
         }
@@ -249,9 +247,7 @@
     /// jumps by the pause, which makes the last echo old: until somebody echoes a new one it knows that the
     /// others may have given its work away.
     fn notice_pause(&mut self, now_us: MonoTime) {
-        let gap_us = self
-            .ticked_us
-            .map_or(Micros::ZERO, |ticked_us| now_us.since(ticked_us));
+        let gap_us = self.ticked_us.map_or(Micros::ZERO, |ticked_us| now_us.since(ticked_us));
         self.ticked_us = Some(now_us);
         if gap_us <= self.settings.pause_us() {
             return;
@@ -281,9 +277,7 @@
             actions.push(MembershipAction::Send {
                 to: Some(known.record.host.clone()),
                 address: known.record.peer_address,
-                message: MembershipMessage::Ping {
-                    counter: self.counter,
-                },
+                message: MembershipMessage::Ping { counter: self.counter },
             });
         }
     }
@@ -293,11 +287,7 @@
             return;
         };
         let message = self.make_gossip(now_us, true, false);
-        actions.push(MembershipAction::Send {
-            to: Some(host),
-            address,
-            message,
-        });
+        actions.push(MembershipAction::Send { to: Some(host), address, message });
     }
 
     /// The next daemon of the own data centre in a shuffled round, so that each is spoken to once in each
@@ -309,11 +299,7 @@
                     return Some((host, known.record.peer_address));
                 }
             }
-            self.round = self
-                .table
-                .living()
-                .map(|known| known.record.host.clone())
-                .collect();
+            self.round = self.table.living().map(|known| known.record.host.clone()).collect();
             self.round.shuffle(&mut self.rng);
         }
         None
@@ -323,10 +309,7 @@
         let mut heartbeats = Vec::new();
         if inside {
             heartbeats = self.table.heartbeats(now_us, &self.settings);
-            heartbeats.push(Heartbeat {
-                tag: self.own_tag,
-                counter: self.counter,
-            });
+            heartbeats.push(Heartbeat { tag: self.own_tag, counter: self.counter });
         }
         MembershipMessage::Gossip {
             sender: self.introduction(now_us, introduce),
@@ -339,9 +322,7 @@
     /// few messages pass.
     fn introduction(&self, now_us: MonoTime, is_needed: bool) -> Option<MemberRecord> {
         let introduce_us = Micros::from(self.settings.dead_after_ms);
-        let is_new = self
-            .introduced_us
-            .is_none_or(|since_us| now_us.since(since_us) <= introduce_us);
+        let is_new = self.introduced_us.is_none_or(|since_us| now_us.since(since_us) <= introduce_us);
         (is_new || is_needed).then(|| self.own.clone())
     }
 
@@ -354,12 +335,7 @@
     }
 
     fn rank(&self, job: &str) -> Option<usize> {
-        let hosts = owners_in(
-            JobHash::of(job),
-            &self.own.data_centre,
-            self.settings.bridges,
-            &self.view,
-        );
+        let hosts = owners_in(JobHash::of(job), &self.own.data_centre, self.settings.bridges, &self.view);
         hosts.iter().position(|host| *host == self.own.host)
     }
 
@@ -375,21 +351,13 @@
         let known = self.data_centres.find(self.own_data_centre);
         let stated_ago_us = self.stated_us.map(|stated_us| now_us.since(stated_us));
         let is_changed = known.is_none_or(|data_centre| data_centre.hash != hash);
-        let wait_ms = if is_changed {
-            self.settings.bridge_ms
-        } else {
-            self.settings.statement_ms
-        };
+        let wait_ms = if is_changed { self.settings.bridge_ms } else { self.settings.statement_ms };
         if stated_ago_us.is_some_and(|ago_us| ago_us < Micros::from(wait_ms)) {
             return;
         }
         let version = known.map_or(0, |data_centre| data_centre.state.version) + 1;
         self.stated_us = Some(now_us);
-        let state = DataCentreState {
-            data_centre: self.own.data_centre.clone(),
-            version,
-            tags,
-        };
+        let state = DataCentreState { data_centre: self.own.data_centre.clone(), version, tags };
         self.data_centres.adopt(now_us, state);
     }
 
@@ -409,10 +377,7 @@
     /// data centres are tried as well: that is how the end of a cut is noticed.
     fn pick_remote(&mut self) -> Option<(Option<HostId>, SocketAddr)> {
         let mut names = self.data_centres.names();
-        let listed = self
-            .listed
-            .iter()
-            .filter_map(|contact| contact.data_centre.clone());
+        let listed = self.listed.iter().filter_map(|contact| contact.data_centre.clone());
         names.extend(listed);
         names.sort_unstable();
         names.dedup();
@@ -421,10 +386,7 @@
         if let Some(record) = self.data_centres.records_in(name).choose(&mut self.rng) {
             return Some((Some(record.host.clone()), record.peer_address));
         }
-        let listed = self
-            .listed
-            .iter()
-            .filter(|contact| contact.data_centre.as_ref() == Some(name));
+        let listed = self.listed.iter().filter(|contact| contact.data_centre.as_ref() == Some(name));
         let contact = listed.choose(&mut self.rng)?;
         Some((contact.host.clone(), contact.peer_address))
     }
@@ -455,19 +417,14 @@
             .chain(&self.listed)
             .filter(|contact| self.may_be_here(contact))
             .map(|contact| (contact.host.clone(), contact.peer_address));
-        let missing: Vec<(Option<HostId>, SocketAddr)> = dead
-            .chain(named)
-            .filter(|(host, address)| !self.is_in_touch(host.as_ref(), *address))
-            .collect();
+        let missing: Vec<(Option<HostId>, SocketAddr)> =
+            dead.chain(named).filter(|(host, address)| !self.is_in_touch(host.as_ref(), *address)).collect();
         missing.choose(&mut self.rng).cloned()
     }
 
     /// Whether a contact may be of the own data centre. The others are for the bridges to reach.
     fn may_be_here(&self, contact: &Contact) -> bool {
-        contact
-            .data_centre
-            .as_ref()
-            .is_none_or(|data_centre| *data_centre == self.own.data_centre)
+        contact.data_centre.as_ref().is_none_or(|data_centre| *data_centre == self.own.data_centre)
     }
 
     fn is_in_touch(&self, host: Option<&HostId>, address: SocketAddr) -> bool {
@@ -487,12 +444,7 @@
         if !is_due(self.pulled_us, now_us, PULL_GAP) {
             return;
         }
-        let Some(source) = self
-            .wanted_data_centres
-            .values()
-            .chain(self.wanted_tags.values())
-            .next()
-            .cloned()
+        let Some(source) = self.wanted_data_centres.values().chain(self.wanted_tags.values()).next().cloned()
         else {
             return;
         };
@@ -502,22 +454,12 @@
         let Some(address) = self.address(&source) else {
             return;
         };
-        let message = MembershipMessage::Pull {
-            tags,
-            data_centres,
-            sender: self.introduction(now_us, true),
-        };
-        actions.push(MembershipAction::Send {
-            to: Some(source),
-            address,
-            message,
-        });
+        let message = MembershipMessage::Pull { tags, data_centres, sender: self.introduction(now_us, true) };
+        actions.push(MembershipAction::Send { to: Some(source), address, message });
     }
 
     fn address(&self, host: &HostId) -> Option<SocketAddr> {
-        self.table
-            .address(host)
-            .or_else(|| self.data_centres.address(host))
+        self.table.address(host).or_else(|| self.data_centres.address(host))
     }
 
     fn receive(
@@ -536,29 +478,18 @@
             return;
         }
         match message {
-            MembershipMessage::Gossip {
-                sender,
-                heartbeats,
-                data_centres,
-            } => {
+            MembershipMessage::Gossip { sender, heartbeats, data_centres } => {
                 self.learn_sender(now_us, from, incarnation, sender, actions);
                 self.hear(now_us, from, &heartbeats);
                 self.hear_data_centres(now_us, from, &data_centres);
                 self.meet(now_us, from, &heartbeats, actions);
                 self.pull(now_us, actions);
             }
-            MembershipMessage::Pull {
-                tags,
-                data_centres,
-                sender,
-            } => {
+            MembershipMessage::Pull { tags, data_centres, sender } => {
                 self.learn_sender(now_us, from, incarnation, sender, actions);
                 self.answer(from, &tags, &data_centres, actions);
             }
-            MembershipMessage::Push {
-                records,
-                data_centres,
-            } => {
+            MembershipMessage::Push { records, data_centres } => {
                 self.take(now_us, from, records, data_centres, actions);
             }
             MembershipMessage::Ping { .. } => self.pong(from, actions),
@@ -636,11 +567,7 @@
 
     fn want_missing(&mut self, from: &HostId) {
         let room = WANTED_TAGS.saturating_sub(self.wanted_tags.len());
-        let missing: Vec<MemberTag> = self
-            .data_centres
-            .missing(self.own_data_centre)
-            .take(room)
-            .collect();
+        let missing: Vec<MemberTag> = self.data_centres.missing(self.own_data_centre).take(room).collect();
         for tag in missing {
             self.wanted_tags.insert(tag, from.clone());
         }
@@ -693,10 +620,7 @@
         actions.push(MembershipAction::Send {
             to: Some(from.clone()),
             address,
-            message: MembershipMessage::Push {
-                records,
-                data_centres,
-            },
+            message: MembershipMessage::Push { records, data_centres },
         });
     }
 
@@ -720,8 +644,7 @@
             self.learn(now_us, record, actions);
         }
         for state in data_centres {
-            self.wanted_data_centres
-                .remove(&DataCentreTag::of(&state.data_centre));
+            self.wanted_data_centres.remove(&DataCentreTag::of(&state.data_centre));
             self.data_centres.adopt(now_us, state);
         }
         self.want_missing(from);
@@ -734,10 +657,7 @@
             to: Some(from.clone()),
             address,
             message: MembershipMessage::Pong {
-                heartbeat: Heartbeat {
-                    tag: self.own_tag,
-                    counter: self.counter,
-                },
+                heartbeat: Heartbeat { tag: self.own_tag, counter: self.counter },
             },
         });
     }
@@ -760,14 +680,9 @@
     /// What the view depends on, without the view: hundreds of records need not be copied at each tick to
     /// find that nothing changed.
     fn fingerprint(&self, now_us: MonoTime) -> Fingerprint {
-        let here = self
-            .table
-            .living()
-            .map(|known| (known.tag, self.local_state(now_us, known)));
-        let reachable = self
-            .data_centres
-            .all()
-            .map(|(_, data_centre)| data_centre.is_reachable(now_us, &self.settings));
+        let here = self.table.living().map(|known| (known.tag, self.local_state(now_us, known)));
+        let reachable =
+            self.data_centres.all().map(|(_, data_centre)| data_centre.is_reachable(now_us, &self.settings));
         Fingerprint {
             own_tag: self.own_tag,
             is_heard: self.is_heard(now_us),
@@ -784,11 +699,7 @@
                 continue;
             }
             let is_reachable = data_centre.is_reachable(now_us, &self.settings);
-            let known = data_centre
-                .state
-                .tags
-                .iter()
-                .filter_map(|tag| self.data_centres.record(*tag));
+            let known = data_centre.state.tags.iter().filter_map(|tag| self.data_centres.record(*tag));
             let listed = known.map(|record| make_member(record, remote_state(record, is_reachable)));
             members.insert(data_centre.state.data_centre.clone(), sorted(listed.collect()));
         }
@@ -837,9 +748,7 @@
             .iter()
             .chain(&self.listed)
             .any(|contact| contact.peer_address != self.own.peer_address);
-        let since_start_us = self
-            .started_us
-            .map_or(Micros::ZERO, |started_us| now_us.since(started_us));
+        let since_start_us = self.started_us.map_or(Micros::ZERO, |started_us| now_us.since(started_us));
         !has_others || since_start_us >= Micros::from(self.settings.settle_ms)
     }
 }
@@ -879,12 +788,8 @@
 where
     Key: Copy + Ord,
 {
-    let keys: Vec<Key> = wanted
-        .iter()
-        .filter(|(_, host)| *host == source)
-        .take(limit)
-        .map(|(key, _)| *key)
-        .collect();
+    let keys: Vec<Key> =
+        wanted.iter().filter(|(_, host)| *host == source).take(limit).map(|(key, _)| *key).collect();
     for key in &keys {
         wanted.remove(key);
     }
--- a/crates/core/src/membership/table.rs
+++ b/crates/core/src/membership/table.rs
@@ -84,13 +84,7 @@
         let tag = record.tag();
         self.retired.remove(&tag);
         self.by_tag.insert(tag, record.host.clone());
-        let known = Known {
-            tag,
-            counter: 0,
-            heard_us: now_us,
-            is_dead: false,
-            record,
-        };
+        let known = Known { tag, counter: 0, heard_us: now_us, is_dead: false, record };
         self.by_host.insert(known.record.host.clone(), known);
         Learned::New
     }
@@ -103,12 +97,10 @@
         for known in self.by_host.values_mut() {
             known.is_dead = known.is_dead || now_us.since(known.heard_us) > dead_after_us;
         }
-        self.by_host
-            .retain(|_, known| now_us.since(known.heard_us) <= forget_after_us);
+        self.by_host.retain(|_, known| now_us.since(known.heard_us) <= forget_after_us);
         let by_host = &self.by_host;
         self.by_tag.retain(|_, host| by_host.contains_key(host));
-        self.retired
-            .retain(|_, since_us| now_us.since(*since_us) <= retire_after_us);
+        self.retired.retain(|_, since_us| now_us.since(*since_us) <= retire_after_us);
     }
 
     /// Moves all times forward by a pause of this daemon, in which it could not hear.
@@ -140,9 +132,7 @@
     }
 
     pub(crate) fn has_newer_life(&self, host: &HostId, incarnation: Incarnation) -> bool {
-        self.by_host
-            .get(host)
-            .is_some_and(|known| known.record.incarnation > incarnation && !known.is_dead)
+        self.by_host.get(host).is_some_and(|known| known.record.incarnation > incarnation && !known.is_dead)
     }
 
     /// Heartbeats worth passing on: the freshest, and none so old that they say nothing.
@@ -151,10 +141,7 @@
         let mut fresh: Vec<(Micros, Heartbeat)> = self
             .living()
             .map(|known| {
-                let heartbeat = Heartbeat {
-                    tag: known.tag,
-                    counter: known.counter,
-                };
+                let heartbeat = Heartbeat { tag: known.tag, counter: known.counter };
                 (now_us.since(known.heard_us), heartbeat)
             })
             .filter(|(age_us, _)| *age_us <= suspect_after_us)
--- a/crates/core/src/membership/view.rs
+++ b/crates/core/src/membership/view.rs
@@ -83,7 +83,6 @@
     /// or is not yet known here: whoever acts on the difference has to wait out
     /// [`MembershipSettings::dead_after_ms`](crate::membership::MembershipSettings::dead_after_ms) first.
     pub fn has_life(&self, host: &HostId, incarnation: Incarnation) -> bool {
-        self.find(host)
-            .is_some_and(|member| member.incarnation == incarnation)
+        self.find(host).is_some_and(|member| member.incarnation == incarnation)
     }
 }
--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -87,14 +87,7 @@
 impl PendingOrder {
     /// An order that was not sent yet.
     pub fn new(id: RequestId, kind: OrderKind) -> Self {
-        Self {
-            id,
-            kind,
-            state: OrderState::Send,
-            fencing: None,
-            tries_left: ORDER_TRIES,
-            lost: false,
-        }
+        Self { id, kind, state: OrderState::Send, fencing: None, tries_left: ORDER_TRIES, lost: false }
     }
 
     /// What is known of it.
@@ -120,9 +113,7 @@
         settings: &LeaseSettings,
         lease: Option<HeldLease>,
     ) -> Result<Order, OrderRefusal> {
-        let held = lease
-            .filter(|lease| now_us < lease.until_us)
-            .ok_or(OrderRefusal::NoLease)?;
+        let held = lease.filter(|lease| now_us < lease.until_us).ok_or(OrderRefusal::NoLease)?;
         // The same id under another number could be one order to an engine that forgot it, and two holders.
         if self.fencing.is_some_and(|fencing| fencing != held.fencing) {
             self.state = OrderState::ReadBack;
@@ -169,10 +160,6 @@
     ///
     /// [`OrderRefusal::Busy`].
     pub fn admit(&self, under_way: usize) -> Result<(), OrderRefusal> {
-        if under_way < self.limit {
-            Ok(())
-        } else {
-            Err(OrderRefusal::Busy)
-        }
+        if under_way < self.limit { Ok(()) } else { Err(OrderRefusal::Busy) }
     }
 }
--- a/crates/core/src/orphan.rs
+++ b/crates/core/src/orphan.rs
@@ -17,10 +17,7 @@
 
 impl Default for ReleaseSettings {
     fn default() -> Self {
-        Self {
-            first_retry_ms: Millis(100),
-            longest_retry_ms: Millis(2_000),
-        }
+        Self { first_retry_ms: Millis(100), longest_retry_ms: Millis(2_000) }
     }
 }
 
@@ -45,23 +42,13 @@
 {
     /// Nothing to release yet.
     pub fn new(settings: ReleaseSettings) -> Self {
-        Self {
-            settings,
-            pending: BTreeMap::new(),
-        }
+        Self { settings, pending: BTreeMap::new() }
     }
 
     /// Wants `item` released at `server`; the first try is due now.
     pub fn want(&mut self, now_us: MonoTime, server: &BackendServerId, item: Item) {
-        let first = Try {
-            at_us: now_us,
-            wait_ms: self.settings.first_retry_ms,
-        };
-        self.pending
-            .entry(server.clone())
-            .or_default()
-            .entry(item)
-            .or_insert(first);
+        let first = Try { at_us: now_us, wait_ms: self.settings.first_retry_ms };
+        self.pending.entry(server.clone()).or_default().entry(item).or_insert(first);
     }
 
     /// The releases to send now. Each comes again, later and later, until it is confirmed.
@@ -72,10 +59,7 @@
             for (item, next) in items.iter_mut().filter(|(_, next)| next.at_us <= now_us) {
                 next.at_us = now_us + next.wait_ms;
                 next.wait_ms = Millis(next.wait_ms.0.saturating_mul(2)).min(longest_ms);
-                due.push(DueRelease {
-                    server: server.clone(),
-                    item: item.clone(),
-                });
+                due.push(DueRelease { server: server.clone(), item: item.clone() });
             }
         }
         due
@@ -148,10 +132,7 @@
 
 impl Default for OrphanSettings {
     fn default() -> Self {
-        Self {
-            patience_ms: Millis(120_000),
-            full_patience_ms: Millis(10_000),
-        }
+        Self { patience_ms: Millis(120_000), full_patience_ms: Millis(10_000) }
     }
 }
 
@@ -165,10 +146,7 @@
 impl OrphanWatch {
     /// A watch that has seen nothing.
     pub fn new(settings: OrphanSettings) -> Self {
-        Self {
-            settings,
-            silent_since: BTreeMap::new(),
-        }
+        Self { settings, silent_since: BTreeMap::new() }
     }
 
     /// The owners to cancel, from one load report. `owners` are those that hold memory by that report, with
@@ -182,11 +160,7 @@
     where
         Owners: IntoIterator<Item = SeenOwner>,
     {
-        let patience_ms = if full {
-            self.settings.full_patience_ms
-        } else {
-            self.settings.patience_ms
-        };
+        let patience_ms = if full { self.settings.full_patience_ms } else { self.settings.patience_ms };
         let mut orphans = BTreeSet::new();
         let mut silent = BTreeMap::new();
         for SeenOwner { owner, state } in owners {
--- a/crates/core/src/sched/affinity.rs
+++ b/crates/core/src/sched/affinity.rs
@@ -57,12 +57,7 @@
 impl AffinityIndex {
     /// An empty index of at most `blocks_max` blocks.
     pub fn new(blocks_max: usize) -> Self {
-        Self {
-            blocks: HashMap::new(),
-            order: VecDeque::new(),
-            epochs: HashMap::new(),
-            blocks_max,
-        }
+        Self { blocks: HashMap::new(), order: VecDeque::new(), epochs: HashMap::new(), blocks_max }
     }
 
     /// Takes one event of `server`'s cache.
@@ -87,10 +82,7 @@
             self.order.push_back(block);
         }
         let copies = self.blocks.entry(block).or_default();
-        let known = copies
-            .servers
-            .iter()
-            .position(|copy| copy.is_some_and(|(holder, _)| holder == server));
+        let known = copies.servers.iter().position(|copy| copy.is_some_and(|(holder, _)| holder == server));
         if let Some(index) = known {
             copies.servers[index] = Some((server, epoch));
             return;
--- a/crates/core/src/sched/counters.rs
+++ b/crates/core/src/sched/counters.rs
@@ -79,13 +79,8 @@
 
 impl RefusalReason {
     /// All reasons, for whoever exports the counters.
-    pub const ALL: [Self; REFUSAL_REASONS] = [
-        Self::WouldMissTarget,
-        Self::QueueFull,
-        Self::DaemonFull,
-        Self::NoServer,
-        Self::Unreachable,
-    ];
+    pub const ALL: [Self; REFUSAL_REASONS] =
+        [Self::WouldMissTarget, Self::QueueFull, Self::DaemonFull, Self::NoServer, Self::Unreachable];
 
     /// Name in metrics and refusals.
     pub fn as_str(self) -> &'static str {
@@ -101,13 +96,8 @@
 
 impl RedoCause {
     /// All causes, for whoever exports the counters.
-    pub const ALL: [Self; REDO_CAUSES] = [
-        Self::Evicted,
-        Self::Transfer,
-        Self::PrefillFailed,
-        Self::DecodeFailed,
-        Self::CallerLeft,
-    ];
+    pub const ALL: [Self; REDO_CAUSES] =
+        [Self::Evicted, Self::Transfer, Self::PrefillFailed, Self::DecodeFailed, Self::CallerLeft];
 
     /// Name in metrics.
     pub fn as_str(self) -> &'static str {
--- a/crates/core/src/sched/directory.rs
+++ b/crates/core/src/sched/directory.rs
@@ -73,20 +73,12 @@
 
     /// Slots that are probably free.
     pub(super) fn free(&self) -> u32 {
-        let told = if self.seen {
-            self.load.free
-        } else {
-            self.record.slots_total
-        };
+        let told = if self.seen { self.load.free } else { self.record.slots_total };
         told.saturating_sub(self.asked)
     }
 
     pub(super) fn token_us(&self, default_us: Micros) -> u64 {
-        if self.load.token_us == Micros::ZERO {
-            default_us.0
-        } else {
-            self.load.token_us.0
-        }
+        if self.load.token_us == Micros::ZERO { default_us.0 } else { self.load.token_us.0 }
     }
 
     /// Whether the server may get work. The list lags, so a drain sign counts before the list shows it.
@@ -232,22 +224,13 @@
     /// does not grow with the pool. When the draws find none although some may be there, the pool is
     /// walked once: with most of a pool cut off, the rest must still be found.
     pub(super) fn sample(&self, now_us: MonoTime, draw: Draw<'_>, rng: &mut StdRng, found: &mut Candidates) {
-        let Draw {
-            model,
-            role,
-            count,
-            without,
-        } = draw;
+        let Draw { model, role, count, without } = draw;
         let Some(pool) = self.pools.get(&(model.clone(), role)) else {
             return;
         };
         let usable = |index: ServerIndex| !without.contains(&index) && self.is_usable(now_us, index);
         if pool.servers.len() <= count {
-            pool.servers
-                .iter()
-                .copied()
-                .filter(|&index| usable(index))
-                .for_each(|index| found.push(index));
+            pool.servers.iter().copied().filter(|&index| usable(index)).for_each(|index| found.push(index));
             return;
         }
         for _ in 0..count * 2 {
@@ -262,11 +245,7 @@
         if found.len == 0 {
             let start = rng.random_range(0..pool.servers.len());
             let rotated = pool.servers[start..].iter().chain(&pool.servers[..start]);
-            rotated
-                .copied()
-                .filter(|&index| usable(index))
-                .take(count)
-                .for_each(|index| found.push(index));
+            rotated.copied().filter(|&index| usable(index)).take(count).for_each(|index| found.push(index));
         }
     }
 
@@ -319,8 +298,7 @@
 
     /// Whether the server's speed was ever seen.
     pub(super) fn speed_is_known(&self, index: ServerIndex) -> bool {
-        self.get(index)
-            .is_some_and(|known| known.load.token_us > Micros::ZERO)
+        self.get(index).is_some_and(|known| known.load.token_us > Micros::ZERO)
     }
 
     /// Whether a decode server keeps the class's pace. One that does not still gets a request now and then,
@@ -348,9 +326,7 @@
 
     /// Time that `tokens` take at the server.
     pub(super) fn work_us(&self, index: ServerIndex, tokens: Tokens, default_us: Micros) -> Micros {
-        let token_us = self
-            .get(index)
-            .map_or(default_us.0, |known| known.token_us(default_us));
+        let token_us = self.get(index).map_or(default_us.0, |known| known.token_us(default_us));
         Micros(token_us * tokens.0)
     }
 }
--- a/crates/core/src/sched/failing.rs
+++ b/crates/core/src/sched/failing.rs
@@ -20,8 +20,7 @@
         };
         self.cancel_holds(&request, actions);
         if request.stage != Stage::Decoding {
-            self.counters
-                .count_waste(RedoCause::CallerLeft, request.prefilled);
+            self.counters.count_waste(RedoCause::CallerLeft, request.prefilled);
         }
     }
 
@@ -46,20 +45,8 @@
             return;
         };
         let (attempt, tokens) = (request.attempt, request.tokens);
-        let stage = if request.stage == Stage::Prefilling {
-            WorkStage::Prefill
-        } else {
-            WorkStage::Import
-        };
-        self.step_failed(
-            now_us,
-            request_id,
-            attempt,
-            stage,
-            FailureCause::Timeout,
-            tokens,
-            actions,
-        );
+        let stage = if request.stage == Stage::Prefilling { WorkStage::Prefill } else { WorkStage::Import };
+        self.step_failed(now_us, request_id, attempt, stage, FailureCause::Timeout, tokens, actions);
     }
 
     #[expect(clippy::too_many_arguments, reason = "the fields of one event")]
@@ -105,20 +92,11 @@
             request.prefilled = request.uncached_tokens;
         }
         self.note_leaving(now_us, request_id, cause);
-        self.redo(
-            now_us,
-            request_id,
-            RedoCause::PrefillFailed,
-            outcome_of(cause),
-            actions,
-        );
+        self.redo(now_us, request_id, RedoCause::PrefillFailed, outcome_of(cause), actions);
     }
 
     pub(super) fn note_leaving(&mut self, now_us: MonoTime, request_id: RequestId, cause: FailureCause) {
-        let server = self
-            .requests
-            .get(&request_id)
-            .and_then(|request| request.failed_at);
+        let server = self.requests.get(&request_id).and_then(|request| request.failed_at);
         if let (Some(server), FailureCause::Leaving) = (server, cause) {
             let until_us = self.sign_until(now_us, Sign::Leaving);
             self.directory.sign(server, Sign::Leaving, until_us);
@@ -140,10 +118,7 @@
         let slot = request.slot.take();
         request.failed_at = slot.map(|slot| slot.server);
         self.cancel_slot(request_id, slot, outcome_of(cause), actions);
-        let elsewhere = matches!(
-            cause,
-            FailureCause::NoRoom | FailureCause::NotSent | FailureCause::Leaving
-        );
+        let elsewhere = matches!(cause, FailureCause::NoRoom | FailureCause::NotSent | FailureCause::Leaving);
         if elsewhere {
             request.enter(now_us, Stage::AwaitRoom);
         }
@@ -153,11 +128,7 @@
             self.ask_slot(now_us, request_id, actions);
             return;
         }
-        let redo = if cause == FailureCause::Gone {
-            RedoCause::Evicted
-        } else {
-            RedoCause::Transfer
-        };
+        let redo = if cause == FailureCause::Gone { RedoCause::Evicted } else { RedoCause::Transfer };
         self.redo(now_us, request_id, redo, GrantOutcome::Abandoned, actions);
     }
 
@@ -205,13 +176,7 @@
             return;
         }
         request.failed_at = request.slot.map(|slot| slot.server);
-        self.redo(
-            now_us,
-            request_id,
-            RedoCause::DecodeFailed,
-            outcome_of(cause),
-            actions,
-        );
+        self.redo(now_us, request_id, RedoCause::DecodeFailed, outcome_of(cause), actions);
     }
 
     /// Gives up an attempt and starts another, if the partner's budget allows. What the engines hold is
@@ -230,15 +195,11 @@
         self.withdraw_asks(&mut request, actions);
         self.cancel_holds(&request, actions);
         let at_prefill = cause == RedoCause::PrefillFailed;
-        let (turn_outcome, slot_outcome) = if at_prefill {
-            (outcome, GrantOutcome::Unused)
-        } else {
-            (GrantOutcome::Abandoned, outcome)
-        };
+        let (turn_outcome, slot_outcome) =
+            if at_prefill { (outcome, GrantOutcome::Unused) } else { (GrantOutcome::Abandoned, outcome) };
         self.release_hold(request_id, request.turn.take(), turn_outcome, actions);
         self.release_hold(request_id, request.slot.take(), slot_outcome, actions);
-        self.counters
-            .count_waste(cause, std::mem::take(&mut request.prefilled));
+        self.counters.count_waste(cause, std::mem::take(&mut request.prefilled));
         request.redo = Some(cause);
         self.requests.insert(request_id, request);
         self.retry_later(now_us, request_id, actions);
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -141,11 +141,7 @@
 
     /// Calls that this daemon may have in flight.
     pub(super) fn limit(&self, now_us: MonoTime) -> u32 {
-        if self.is_listed_live(now_us) {
-            self.capacity.max(1)
-        } else {
-            0
-        }
+        if self.is_listed_live(now_us) { self.capacity.max(1) } else { 0 }
     }
 
     /// Room for one more call. The other daemons' calls are known from the report, which lags; the
@@ -154,9 +150,7 @@
         if self.is_set_aside() && !self.wants_trial(now_us, true) {
             return false;
         }
-        let others = self
-            .others
-            .filter(|&(as_of_us, _)| now_us < as_of_us + REPORT_LIFE_MS);
+        let others = self.others.filter(|&(as_of_us, _)| now_us < as_of_us + REPORT_LIFE_MS);
         let others = others.map_or(0, |(_, others)| others);
         self.in_flight + others.min(self.capacity.saturating_sub(1)) < self.limit(now_us)
     }
@@ -189,11 +183,7 @@
         let Standing::Aside { until_us, mute } = self.standing else {
             return false;
         };
-        let wait_ms = if mute && !repeatable {
-            self.settings.aside_max_ms
-        } else {
-            Millis::ZERO
-        };
+        let wait_ms = if mute && !repeatable { self.settings.aside_max_ms } else { Millis::ZERO };
         now_us >= until_us + wait_ms
     }
 
@@ -215,10 +205,7 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.end_trial() {
             // Nothing was learned: the next call may try again.
-            self.standing = Standing::Aside {
-                until_us: now_us,
-                mute: true,
-            };
+            self.standing = Standing::Aside { until_us: now_us, mute: true };
         }
     }
 
@@ -276,19 +263,12 @@
     }
 
     fn set_aside(&mut self, now_us: MonoTime, mute: bool) {
-        self.standing = Standing::Aside {
-            until_us: now_us + self.aside_ms,
-            mute,
-        };
+        self.standing = Standing::Aside { until_us: now_us + self.aside_ms, mute };
         self.aside_ms = Millis((self.aside_ms.0 * 2).min(self.settings.aside_max_ms.0));
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a positive span"
-)]
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
 fn whole(span_us: f64) -> u64 {
     span_us.max(0.0) as u64
 }
--- a/crates/core/src/sched/placing.rs
+++ b/crates/core/src/sched/placing.rs
@@ -67,21 +67,14 @@
         self.directory.sample(now_us, draw, &mut self.rng, &mut found);
         let (length, holders) = self.affinity.longest(&request.arrival.blocks);
         for holder in holders.into_iter().flatten() {
-            let prefill = self
-                .directory
-                .get(holder)
-                .is_some_and(|known| known.record.role == Role::Prefill);
+            let prefill = self.directory.get(holder).is_some_and(|known| known.record.role == Role::Prefill);
             if prefill && !without.contains(&holder) && self.directory.is_usable(now_us, holder) {
                 found.push(holder);
             }
         }
         let cached = Tokens(length as u64 * self.settings.block_tokens);
         let scored = found.as_slice().iter().map(|&server| {
-            let spared = if holders.contains(&Some(server)) {
-                cached
-            } else {
-                Tokens::ZERO
-            };
+            let spared = if holders.contains(&Some(server)) { cached } else { Tokens::ZERO };
             self.score_turn(now_us, request, server, spared)
         });
         best_two(scored)
@@ -97,9 +90,7 @@
     ) -> [Option<Scored>; 2] {
         let in_time = |scored: &Scored| {
             let default_us = self.settings.prefill_token_us;
-            let work_us = self
-                .directory
-                .work_us(scored.server, scored.uncached_tokens, default_us);
+            let work_us = self.directory.work_us(scored.server, scored.uncached_tokens, default_us);
             self.turn_slack(now_us, request, scored.server, work_us).is_some()
         };
         let kept = best.map(|scored| scored.filter(in_time));
@@ -116,18 +107,9 @@
     /// goes elsewhere, and the prefix lives in two places from then on.
     fn score_turn(&self, now_us: MonoTime, request: &Request, server: ServerIndex, spared: Tokens) -> Scored {
         let uncached_tokens = request.prefill_tokens().saturating_sub(spared).max(Tokens(1));
-        let work_us = self
-            .directory
-            .work_us(server, uncached_tokens, self.settings.prefill_token_us);
-        let wait_us = self
-            .directory
-            .get(server)
-            .map_or(0, |known| known.wait_us(now_us));
-        Scored {
-            server,
-            score_us: wait_us + work_us.0,
-            uncached_tokens,
-        }
+        let work_us = self.directory.work_us(server, uncached_tokens, self.settings.prefill_token_us);
+        let wait_us = self.directory.get(server).map_or(0, |known| known.wait_us(now_us));
+        Scored { server, score_us: wait_us + work_us.0, uncached_tokens }
     }
 
     fn send_turn_ask(
@@ -148,18 +130,14 @@
             work_tokens: scored.uncached_tokens,
         };
         let message = self.turn_ask(now_us, request, &open);
-        let work_us = self
-            .directory
-            .work_us(open.server, open.work_tokens, self.settings.prefill_token_us);
+        let work_us = self.directory.work_us(open.server, open.work_tokens, self.settings.prefill_token_us);
         self.directory.note_ask(open.server, work_us, copies);
         place_ask(request, open);
         actions.push(Action::Send(SlotMessage::Ask(message)));
     }
 
     pub(super) fn turn_ask(&self, now_us: MonoTime, request: &Request, open: &OpenAsk) -> Ask {
-        let work_us = self
-            .directory
-            .work_us(open.server, open.work_tokens, self.settings.prefill_token_us);
+        let work_us = self.directory.work_us(open.server, open.work_tokens, self.settings.prefill_token_us);
         Ask {
             request_id: request.arrival.request_id,
             ask: open.ask,
@@ -181,11 +159,7 @@
         let answer = self.expected_answer(request);
         let slot_us = (self.settings.decode_token_us.0 * answer.0 + prefill_us.0) as f64;
         let in_prefill_us = slot_us * self.directory.slot_weight();
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a positive span"
-        )]
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
         let dominant_us = (prefill_us.0 as f64).max(in_prefill_us) as u64;
         Micros(dominant_us)
     }
@@ -205,10 +179,7 @@
             return Some(self.settings.gap_ms.into());
         }
         let kv_bytes = self.kv_estimate(request.prefill_tokens());
-        let link = self
-            .directory
-            .get(server)
-            .map_or(0, |known| known.record.link_bytes_per_s.0);
+        let link = self.directory.get(server).map_or(0, |known| known.record.link_bytes_per_s.0);
         let move_us = transfer_us(kv_bytes, BytesPerSecond(link / LINK_PART));
         let target_us = Micros::from(request.arrival.first_token_target_ms).0;
         let margin_us = target_us * self.settings.margin_percent / PERCENT;
@@ -257,12 +228,7 @@
             None if served => RefusalReason::Unreachable,
             None => RefusalReason::NoServer,
         };
-        self.refuse(
-            request_id,
-            reason,
-            denied.unwrap_or(self.settings.silence_ms),
-            actions,
-        );
+        self.refuse(request_id, reason, denied.unwrap_or(self.settings.silence_ms), actions);
     }
 
     fn pause(&mut self, now_us: MonoTime, request_id: RequestId) {
@@ -286,11 +252,7 @@
     match best {
         [Some(first), Some(second)] => {
             let spares = first.uncached_tokens < second.uncached_tokens;
-            if spares && first.score_us * 2 < second.score_us {
-                1
-            } else {
-                2
-            }
+            if spares && first.score_us * 2 < second.score_us { 1 } else { 2 }
         }
         _ => 1,
     }
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -113,12 +113,7 @@
                     self.instances[index].sign(now_us, sign);
                 }
             }
-            PlainEvent::Load {
-                server,
-                in_flight,
-                capacity,
-                age_us,
-            } => {
+            PlainEvent::Load { server, in_flight, capacity, age_us } => {
                 if let Some(&index) = self.names.get(&server) {
                     self.instances[index].report(now_us, in_flight, capacity, age_us);
                 }
@@ -139,12 +134,7 @@
             let Some(&index) = self.names.get(&listed.server) else {
                 self.names.insert(listed.server.clone(), self.instances.len());
                 let settings = self.settings.instance;
-                self.instances.push(Instance::new(
-                    settings,
-                    listed.server,
-                    listed.capacity,
-                    listed.leaving,
-                ));
+                self.instances.push(Instance::new(settings, listed.server, listed.capacity, listed.leaving));
                 continue;
             };
             self.instances[index].relist(listed.capacity, listed.leaving);
@@ -159,9 +149,7 @@
         self.counters.arrivals += 1;
         let (percent, burst) = (self.settings.retry_percent, self.settings.retry_burst);
         let budget = self.budgets.entry(arrival.partner.clone());
-        budget
-            .or_insert_with(|| RetryBudget::new(percent, burst))
-            .deposit();
+        budget.or_insert_with(|| RetryBudget::new(percent, burst)).deposit();
         let request_id = arrival.request_id;
         if self.calls.contains_key(&request_id) {
             return;
@@ -182,11 +170,7 @@
         self.calls.insert(request_id, call);
         if full {
             self.refuse(request_id, PlainRefusal::QueueFull, wait_us, actions);
-        } else if !self
-            .instances
-            .iter()
-            .any(|instance| instance.is_listed_live(now_us))
-        {
+        } else if !self.instances.iter().any(|instance| instance.is_listed_live(now_us)) {
             self.refuse(request_id, PlainRefusal::NoInstance, patience_us, actions);
         } else if wait_us > patience_us {
             let after_us = wait_us.saturating_sub(patience_us);
@@ -211,11 +195,7 @@
 
     /// Calls run side by side, so a queue's time is its work over the room of all instances.
     fn pace(&self, now_us: MonoTime) -> f64 {
-        let room = self
-            .instances
-            .iter()
-            .map(|instance| u64::from(instance.limit(now_us)))
-            .sum::<u64>();
+        let room = self.instances.iter().map(|instance| u64::from(instance.limit(now_us))).sum::<u64>();
         1.0 / room.max(1) as f64
     }
 
@@ -223,12 +203,7 @@
     fn usual_latency_us(&self) -> u64 {
         let mut seen = [0_u64; MEDIAN_OF];
         let mut len = 0;
-        for latency_us in self
-            .instances
-            .iter()
-            .filter_map(Instance::latency_us)
-            .take(MEDIAN_OF)
-        {
+        for latency_us in self.instances.iter().filter_map(Instance::latency_us).take(MEDIAN_OF) {
             seen[len] = latency_us;
             len += 1;
         }
@@ -307,10 +282,7 @@
         }
         let healthy = |&index: &usize| fit(&index) && !self.instances[index].is_set_aside();
         let best = |index: &usize| self.instances[*index].score(usual_us);
-        drawn
-            .filter(healthy)
-            .min_by_key(best)
-            .or_else(|| (0..count).filter(healthy).min_by_key(best))
+        drawn.filter(healthy).min_by_key(best).or_else(|| (0..count).filter(healthy).min_by_key(best))
     }
 
     fn done(&mut self, now_us: MonoTime, request_id: RequestId) {
@@ -340,16 +312,8 @@
     }
 
     fn may_set_aside(&self, now_us: MonoTime) -> bool {
-        let aside = self
-            .instances
-            .iter()
-            .filter(|instance| instance.is_set_aside())
-            .count();
-        let live = self
-            .instances
-            .iter()
-            .filter(|instance| instance.is_listed_live(now_us))
-            .count();
+        let aside = self.instances.iter().filter(|instance| instance.is_set_aside()).count();
+        let live = self.instances.iter().filter(|instance| instance.is_listed_live(now_us)).count();
         (aside + 1) * 2 <= live
     }
 
@@ -368,10 +332,8 @@
             return;
         };
         call.failed_at = Some(index);
-        let proven_not_run = matches!(
-            cause,
-            FailureCause::NotSent | FailureCause::NoRoom | FailureCause::Leaving
-        );
+        let proven_not_run =
+            matches!(cause, FailureCause::NotSent | FailureCause::NoRoom | FailureCause::Leaving);
         call.may_have_run |= !proven_not_run;
         if self.instances[index].fail(now_us, cause, may_set_aside) {
             self.counters.ejected_mute += 1;
@@ -433,19 +395,11 @@
     /// Refuses calls whose patience ended in the queue.
     fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
         while let Some(entry) = self.queue.take_expired(now_us) {
-            let may_have_run = self
-                .calls
-                .get(&entry.request_id)
-                .is_some_and(|call| call.may_have_run);
+            let may_have_run = self.calls.get(&entry.request_id).is_some_and(|call| call.may_have_run);
             if may_have_run {
                 self.unknown(entry.request_id, actions);
             } else {
-                self.refuse(
-                    entry.request_id,
-                    PlainRefusal::WouldWaitTooLong,
-                    entry.work_us,
-                    actions,
-                );
+                self.refuse(entry.request_id, PlainRefusal::WouldWaitTooLong, entry.work_us, actions);
             }
         }
     }
@@ -460,11 +414,7 @@
         self.calls.remove(&request_id);
         self.counters.refused += 1;
         let retry_after_ms = clamp_retry_after(wait_us.to_millis_ceil());
-        actions.push(PlainAction::Refuse {
-            request_id,
-            reason,
-            retry_after_ms,
-        });
+        actions.push(PlainAction::Refuse { request_id, reason, retry_after_ms });
     }
 
     fn unknown(&mut self, request_id: RequestId, actions: &mut Vec<PlainAction>) {
@@ -486,20 +436,12 @@
         let retry_us = self.retries.iter().map(|&(at_us, _)| at_us).min();
         let expiry_us = self.queue.first_expiry();
         let reopen_us = (!self.queue.is_empty())
-            .then(|| {
-                self.instances
-                    .iter()
-                    .filter_map(|instance| instance.opens_at(now_us))
-                    .min()
-            })
+            .then(|| self.instances.iter().filter_map(|instance| instance.opens_at(now_us)).min())
             .flatten();
         let Some(at_us) = [retry_us, expiry_us, reopen_us].into_iter().flatten().min() else {
             return;
         };
-        if self
-            .wake_us
-            .is_none_or(|known_us| known_us <= now_us || at_us < known_us)
-        {
+        if self.wake_us.is_none_or(|known_us| known_us <= now_us || at_us < known_us) {
             self.wake_us = Some(at_us);
             actions.push(PlainAction::Wake { at_us });
         }
--- a/crates/core/src/sched/replies.rs
+++ b/crates/core/src/sched/replies.rs
@@ -22,21 +22,11 @@
             return;
         };
         match *message {
-            SlotMessage::Queued {
-                request_id,
-                ask,
-                load,
-                ..
-            } => {
+            SlotMessage::Queued { request_id, ask, load, .. } => {
                 self.directory.learn(now_us, index, load, Micros::ZERO);
                 self.queued(now_us, request_id, ask);
             }
-            SlotMessage::Grant {
-                request_id,
-                ask,
-                load,
-                ..
-            } => {
+            SlotMessage::Grant { request_id, ask, load, .. } => {
                 self.directory.learn(now_us, index, load, Micros::ZERO);
                 let hold = Hold {
                     server: index,
@@ -48,25 +38,12 @@
                 };
                 self.granted(now_us, request_id, hold, actions);
             }
-            SlotMessage::Confirm {
-                request_id,
-                ask,
-                rate_bytes_per_s,
-                ..
-            } => {
+            SlotMessage::Confirm { request_id, ask, rate_bytes_per_s, .. } => {
                 self.confirmed(now_us, request_id, ask, rate_bytes_per_s, actions);
             }
-            SlotMessage::Deny {
-                request_id,
-                ask,
-                load,
-                reason,
-                retry_after_ms,
-                ..
-            } => {
+            SlotMessage::Deny { request_id, ask, load, reason, retry_after_ms, .. } => {
                 if reason == DenyReason::NotWatching {
-                    self.directory
-                        .silence(index, now_us + self.settings.ask_timeout_us);
+                    self.directory.silence(index, now_us + self.settings.ask_timeout_us);
                 } else {
                     self.directory.learn(now_us, index, load, Micros::ZERO);
                 }
@@ -104,17 +81,11 @@
         hold: Hold,
         actions: &mut Vec<Action>,
     ) {
-        let wanted = self
-            .requests
-            .get_mut(&request_id)
-            .and_then(|request| request.take_ask(hold.ask));
+        let wanted = self.requests.get_mut(&request_id).and_then(|request| request.take_ask(hold.ask));
         if wanted.is_none() {
             // A repeated grant of what is held already is no news.
             let repeated = self.requests.get(&request_id).is_some_and(|request| {
-                [request.turn, request.slot]
-                    .into_iter()
-                    .flatten()
-                    .any(|held| held.ask == hold.ask)
+                [request.turn, request.slot].into_iter().flatten().any(|held| held.ask == hold.ask)
             });
             if !repeated {
                 self.release_hold(request_id, Some(hold), GrantOutcome::Unused, actions);
@@ -126,10 +97,7 @@
         };
         self.withdraw_asks(&mut request, actions);
         let stage = request.stage;
-        let hold = Hold {
-            sure: wanted.is_some_and(|open| !open.bold),
-            ..hold
-        };
+        let hold = Hold { sure: wanted.is_some_and(|open| !open.bold), ..hold };
         match stage {
             Stage::AwaitTurn => {
                 request.turn = Some(hold);
@@ -228,14 +196,9 @@
         for open in lost.iter().flatten() {
             request.note_tried(open.server);
             self.counters.ask_timeouts += 1;
-            self.directory
-                .silence(open.server, now_us + self.settings.silence_ms);
+            self.directory.silence(open.server, now_us + self.settings.silence_ms);
             let server = self.directory.name(open.server).clone();
-            actions.push(Action::Send(SlotMessage::Withdraw {
-                server,
-                request_id,
-                ask: open.ask,
-            }));
+            actions.push(Action::Send(SlotMessage::Withdraw { server, request_id, ask: open.ask }));
         }
         let waits = self.requests.get(&request_id).is_some_and(Request::has_asks);
         match (for_turn, waits) {
@@ -258,11 +221,8 @@
             return;
         };
         let is_read = request.stage == Stage::AwaitRoom;
-        let until_us = if is_read {
-            request.evict_at_us
-        } else {
-            request.stage_since_us + self.settings.turn_hold_ms
-        };
+        let until_us =
+            if is_read { request.evict_at_us } else { request.stage_since_us + self.settings.turn_hold_ms };
         if now_us < until_us {
             if waits {
                 self.set_timer(request_id, until_us);
@@ -295,11 +255,7 @@
             return;
         };
         let for_turn = request.stage == Stage::AwaitTurn;
-        for open in request
-            .asks
-            .iter()
-            .flatten()
-            .filter(|open| only.is_none_or(|index| index == open.server))
+        for open in request.asks.iter().flatten().filter(|open| only.is_none_or(|index| index == open.server))
         {
             let message = if for_turn {
                 self.turn_ask(now_us, request, open)
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -137,10 +137,7 @@
     }
 
     pub(super) fn take_ask(&mut self, ask: AskId) -> Option<OpenAsk> {
-        let place = self
-            .asks
-            .iter_mut()
-            .find(|open| open.is_some_and(|open| open.ask == ask))?;
+        let place = self.asks.iter_mut().find(|open| open.is_some_and(|open| open.ask == ask))?;
         place.take()
     }
 
--- a/crates/core/src/sched/retry.rs
+++ b/crates/core/src/sched/retry.rs
@@ -19,11 +19,7 @@
     /// A full budget that each arrival fills by `percent` of a retry, up to `burst` retries.
     pub fn new(percent: u64, burst: u64) -> Self {
         let burst_hundredths = burst * WHOLE;
-        Self {
-            hundredths: burst_hundredths,
-            burst_hundredths,
-            percent,
-        }
+        Self { hundredths: burst_hundredths, burst_hundredths, percent }
     }
 
     /// A request arrived.
--- a/crates/core/src/sched/running.rs
+++ b/crates/core/src/sched/running.rs
@@ -54,15 +54,10 @@
             redo: request.redo.take(),
         });
         let tokens = request.prefill_tokens();
-        let work_us = self
-            .directory
-            .work_us(turn.server, tokens, self.settings.prefill_token_us);
+        let work_us = self.directory.work_us(turn.server, tokens, self.settings.prefill_token_us);
         let patience_us = self.patience(work_us);
-        let factor = if self.directory.speed_is_known(turn.server) {
-            1
-        } else {
-            self.settings.unknown_factor
-        };
+        let factor =
+            if self.directory.speed_is_known(turn.server) { 1 } else { self.settings.unknown_factor };
         self.set_timer(request_id, now_us + Micros(patience_us.0 * factor));
     }
 
@@ -147,13 +142,7 @@
             return;
         };
         if now_us >= request.evict_at_us {
-            self.redo(
-                now_us,
-                request_id,
-                RedoCause::Evicted,
-                GrantOutcome::Abandoned,
-                actions,
-            );
+            self.redo(now_us, request_id, RedoCause::Evicted, GrantOutcome::Abandoned, actions);
             return;
         }
         if request.slot.is_none() {
@@ -245,10 +234,7 @@
         let (index, attempt, from_index) = (slot.server, request.attempt, request.tokens);
         let server = self.directory.name(index).clone();
         self.release_hold(request_id, turn, GrantOutcome::Done, actions);
-        let moved = SlotMessage::Moved {
-            server: server.clone(),
-            request_id,
-        };
+        let moved = SlotMessage::Moved { server: server.clone(), request_id };
         actions.push(Action::Send(moved));
         actions.push(Action::Decode {
             request_id,
@@ -262,9 +248,7 @@
 
     pub(super) fn silence_ms(&self, server: ServerIndex) -> Millis {
         let tokens = Tokens(self.settings.silence_tokens);
-        let usual_us = self
-            .directory
-            .work_us(server, tokens, self.settings.decode_token_us);
+        let usual_us = self.directory.work_us(server, tokens, self.settings.decode_token_us);
         usual_us.to_millis_ceil().max(self.settings.stream_silence_ms)
     }
 
@@ -312,11 +296,7 @@
 }
 
 fn priority(now_us: MonoTime, request: &Request) -> u8 {
-    if now_us <= request.deadline_us {
-        PRIORITY_IN_TIME
-    } else {
-        PRIORITY_LATE
-    }
+    if now_us <= request.deadline_us { PRIORITY_IN_TIME } else { PRIORITY_LATE }
 }
 
 /// Whether both targets were met: the first token's, and the mean of the others.
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -86,10 +86,7 @@
     /// Requests that wait for a server.
     pub fn waiting_len(&self) -> usize {
         let waits = |stage| matches!(stage, Stage::Backoff | Stage::AwaitTurn | Stage::AwaitSlot);
-        self.requests
-            .values()
-            .filter(|request| waits(request.stage))
-            .count()
+        self.requests.values().filter(|request| waits(request.stage)).count()
     }
 
     /// Takes an event and pushes what is to be done.
@@ -97,13 +94,7 @@
         match event {
             Event::Arrive(arrival) => self.arrive(now_us, arrival, actions),
             Event::Slot(message) => self.slot_message(now_us, &message, actions),
-            Event::PrefillDone {
-                request_id,
-                attempt,
-                kv_bytes,
-                cached_tokens,
-                evict_after_ms,
-            } => {
+            Event::PrefillDone { request_id, attempt, kv_bytes, cached_tokens, evict_after_ms } => {
                 self.prefill_done(
                     now_us,
                     request_id,
@@ -118,13 +109,7 @@
             Event::FirstToken { request_id } => self.first_token(now_us, request_id),
             Event::Progress { request_id, tokens } => self.progress(request_id, tokens),
             Event::Finished { request_id, tokens } => self.finished(now_us, request_id, tokens, actions),
-            Event::Failed {
-                request_id,
-                attempt,
-                stage,
-                cause,
-                tokens,
-            } => {
+            Event::Failed { request_id, attempt, stage, cause, tokens } => {
                 self.step_failed(now_us, request_id, attempt, stage, cause, tokens, actions);
             }
             Event::CallerLeft { request_id } => self.caller_left(request_id, actions),
@@ -193,31 +178,21 @@
             return index;
         }
         let budget = RetryBudget::new(self.settings.retry_percent, self.settings.retry_burst);
-        self.partners.push(Partner {
-            id: id.clone(),
-            budget,
-            open: 0,
-            answer_tokens: HashMap::new(),
-        });
+        self.partners.push(Partner { id: id.clone(), budget, open: 0, answer_tokens: HashMap::new() });
         let index = self.partners.len() - 1;
         self.partner_names.insert(id.clone(), index);
         index
     }
 
     pub(super) fn expected_answer(&self, request: &Request) -> Tokens {
-        let usual = self.partners[request.partner]
-            .answer_tokens
-            .get(&request.arrival.class);
+        let usual = self.partners[request.partner].answer_tokens.get(&request.arrival.class);
         let longest = request.arrival.max_tokens.saturating_sub(request.tokens);
         usual.map_or(longest, |&tokens| whole(tokens).min(longest))
     }
 
     pub(super) fn learn_answer(&mut self, partner: usize, class: &ClassName, tokens: Tokens) {
         let seen = tokens.0 as f64;
-        let usual = self.partners[partner]
-            .answer_tokens
-            .entry(class.clone())
-            .or_insert(seen);
+        let usual = self.partners[partner].answer_tokens.entry(class.clone()).or_insert(seen);
         *usual += ANSWER_WEIGHT * (seen - *usual);
     }
 
@@ -241,11 +216,7 @@
         self.close(request_id, GrantOutcome::Unused, actions);
         self.counters.count_refusal(reason);
         let retry_after_ms = clamp_retry_after(retry_after_ms);
-        actions.push(Action::Refuse {
-            request_id,
-            reason,
-            retry_after_ms,
-        });
+        actions.push(Action::Refuse { request_id, reason, retry_after_ms });
     }
 
     /// Takes a request off the books and gives back all it holds.
@@ -267,11 +238,7 @@
         let request_id = request.arrival.request_id;
         for open in request.asks.iter_mut().filter_map(Option::take) {
             let server = self.directory.name(open.server).clone();
-            actions.push(Action::Send(SlotMessage::Withdraw {
-                server,
-                request_id,
-                ask: open.ask,
-            }));
+            actions.push(Action::Send(SlotMessage::Withdraw { server, request_id, ask: open.ask }));
         }
     }
 
@@ -284,12 +251,7 @@
     ) {
         if let Some(hold) = hold {
             let server = self.directory.name(hold.server).clone();
-            actions.push(Action::Send(SlotMessage::Release {
-                server,
-                request_id,
-                ask: hold.ask,
-                outcome,
-            }));
+            actions.push(Action::Send(SlotMessage::Release { server, request_id, ask: hold.ask, outcome }));
         }
     }
 
@@ -337,10 +299,7 @@
         let Some(at_us) = next_us else {
             return;
         };
-        if self
-            .wake_us
-            .is_none_or(|known_us| known_us <= now_us || at_us < known_us)
-        {
+        if self.wake_us.is_none_or(|known_us| known_us <= now_us || at_us < known_us) {
             self.wake_us = Some(at_us);
             actions.push(Action::Wake { at_us });
         }
@@ -391,10 +350,7 @@
         }
         let mut held = lists.remove(&index).unwrap_or_default();
         held.sort_unstable_by_key(|grant| grant.request_id);
-        actions.push(Action::Send(SlotMessage::Renew {
-            server: server.clone(),
-            held,
-        }));
+        actions.push(Action::Send(SlotMessage::Renew { server: server.clone(), held }));
         waiting.sort_unstable();
         for request_id in waiting {
             self.repeat_asks(now_us, request_id, Some(index), actions);
@@ -425,10 +381,7 @@
     }
     if let Some(hold) = &request.slot {
         let left = request.arrival.max_tokens.saturating_sub(request.tokens);
-        lists
-            .entry(hold.server)
-            .or_default()
-            .push(grant(hold, left, token_us));
+        lists.entry(hold.server).or_default().push(grant(hold, left, token_us));
     }
     if token_us > Micros::ZERO {
         request.progress = (now_us, request.tokens);
@@ -452,11 +405,7 @@
 /// Shorter spans hold too few tokens for a speed.
 const MIN_PROGRESS_US: u64 = 200_000;
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a count that is never negative"
-)]
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a count that is never negative")]
 fn whole(count: f64) -> Tokens {
     Tokens(count.max(0.0).ceil() as u64)
 }
--- a/crates/core/src/sched/shift.rs
+++ b/crates/core/src/sched/shift.rs
@@ -176,12 +176,7 @@
     /// A planner that has seen nothing. A new holder of the lease starts so: it waits a full `hold_ms`
     /// before its first order, which also covers what the holder before it may have ordered last.
     pub fn new(settings: ShiftSettings) -> Self {
-        Self {
-            settings,
-            pools: HashMap::new(),
-            draining: Vec::new(),
-            loading: Vec::new(),
-        }
+        Self { settings, pools: HashMap::new(), draining: Vec::new(), loading: Vec::new() }
     }
 
     /// Looks at the engines and pushes what is to be done. To be called every second or so.
@@ -240,10 +235,7 @@
                 return false;
             };
             if engine.in_use == 0 {
-                orders.push(ShiftOrder::SetRole {
-                    server: draining.server.clone(),
-                    role: draining.to,
-                });
+                orders.push(ShiftOrder::SetRole { server: draining.server.clone(), role: draining.to });
                 if let Some(pool) = pools.get_mut(&draining.model) {
                     pool.quiet_until_us = now_us + cooldown_ms;
                     pool.lopsided_since_us = None;
@@ -252,9 +244,7 @@
             }
             let late = now_us >= draining.since_us + drain_max_ms;
             if late {
-                orders.push(ShiftOrder::Undrain {
-                    server: draining.server.clone(),
-                });
+                orders.push(ShiftOrder::Undrain { server: draining.server.clone() });
             }
             !late
         });
@@ -311,15 +301,8 @@
             return;
         };
         let server = engine.server.clone();
-        orders.push(ShiftOrder::Drain {
-            server: server.clone(),
-        });
-        self.draining.push(Draining {
-            server,
-            to,
-            model: model.clone(),
-            since_us: now_us,
-        });
+        orders.push(ShiftOrder::Drain { server: server.clone() });
+        self.draining.push(Draining { server, to, model: model.clone(), since_us: now_us });
     }
 
     /// Loads the model on an idle engine of the role that serves other models. Loads go one at a time: the
@@ -340,26 +323,14 @@
                 && engine.busy_percent < cold
                 && !engine.models.contains(&wanted.model)
         };
-        let Some(engine) = engines
-            .iter()
-            .filter(fit)
-            .min_by_key(|engine| engine.busy_percent)
-        else {
+        let Some(engine) = engines.iter().filter(fit).min_by_key(|engine| engine.busy_percent) else {
             return;
         };
         let expected_us = Micros(wanted.bytes.0.saturating_mul(MICROS_PER_SECOND) / store_rate.0.max(1));
         let until_us = now_us + Micros(expected_us.0.saturating_mul(LOAD_PATIENCE));
         let (server, model) = (engine.server.clone(), wanted.model.clone());
-        orders.push(ShiftOrder::Load {
-            server: server.clone(),
-            model: model.clone(),
-            expected_us,
-        });
-        self.loading.push(Loading {
-            server,
-            model,
-            until_us,
-        });
+        orders.push(ShiftOrder::Load { server: server.clone(), model: model.clone(), expected_us });
+        self.loading.push(Loading { server, model, until_us });
         if let Some(pool) = self.pools.get_mut(&wanted.model) {
             pool.quiet_until_us = now_us + self.settings.cooldown_ms;
         }
@@ -386,15 +357,11 @@
             if engines.iter().filter(holds).count() <= self.settings.keep_min {
                 continue;
             }
-            let spare = engines
-                .iter()
-                .filter(holds)
-                .find(|engine| engine.models.len() > 1 && engine.in_use == 0);
+            let spare =
+                engines.iter().filter(holds).find(|engine| engine.models.len() > 1 && engine.in_use == 0);
             if let Some(engine) = spare {
-                orders.push(ShiftOrder::Unload {
-                    server: engine.server.clone(),
-                    model: wanted.model.clone(),
-                });
+                orders
+                    .push(ShiftOrder::Unload { server: engine.server.clone(), model: wanted.model.clone() });
                 pool.quiet_until_us = now_us + self.settings.cooldown_ms;
                 return;
             }
@@ -410,21 +377,12 @@
 }
 
 fn role_load(engines: &[EngineView], model: &ModelId, role: Role) -> RoleLoad {
-    let of_role = engines
-        .iter()
-        .filter(|engine| engine.live && engine.role == role && engine.models.contains(model));
-    let (servers, busy) = of_role.fold((0_usize, 0.0), |(servers, busy), engine| {
-        (servers + 1, busy + f64::from(engine.busy_percent))
-    });
-    let busy_percent = if servers == 0 {
-        PERCENT
-    } else {
-        busy / servers as f64
-    };
-    RoleLoad {
-        servers,
-        busy_percent,
-    }
+    let of_role =
+        engines.iter().filter(|engine| engine.live && engine.role == role && engine.models.contains(model));
+    let (servers, busy) = of_role
+        .fold((0_usize, 0.0), |(servers, busy), engine| (servers + 1, busy + f64::from(engine.busy_percent)));
+    let busy_percent = if servers == 0 { PERCENT } else { busy / servers as f64 };
+    RoleLoad { servers, busy_percent }
 }
 
 fn hot_role(settings: &ShiftSettings, pool: &PoolState) -> Option<Role> {
--- a/crates/core/src/sched/slot.rs
+++ b/crates/core/src/sched/slot.rs
@@ -41,11 +41,7 @@
         }
         let asked = request.has_asks();
         self.requests.insert(request_id, request);
-        let pause = if asked {
-            self.settings.ask_timeout_us
-        } else {
-            self.settings.slot_retry_ms.into()
-        };
+        let pause = if asked { self.settings.ask_timeout_us } else { self.settings.slot_retry_ms.into() };
         self.set_timer(request_id, now_us + pause);
     }
 
@@ -82,11 +78,7 @@
     /// by its speed.
     pub(super) fn score_slot(&self, server: ServerIndex) -> Scored {
         let Some(known) = self.directory.get(server) else {
-            return Scored {
-                server,
-                score_us: u64::MAX,
-                uncached_tokens: Tokens::ZERO,
-            };
+            return Scored { server, score_us: u64::MAX, uncached_tokens: Tokens::ZERO };
         };
         let total = u64::from(known.record.slots_total.max(1));
         let used = total.saturating_sub(u64::from(known.free()));
@@ -128,10 +120,7 @@
     /// Time that the prefill of a request with a turn takes.
     pub(super) fn prefill_us(&self, request: &Request) -> Micros {
         let default_us = self.settings.prefill_token_us;
-        let work_us = |turn: Hold| {
-            self.directory
-                .work_us(turn.server, request.uncached_tokens, default_us)
-        };
+        let work_us = |turn: Hold| self.directory.work_us(turn.server, request.uncached_tokens, default_us);
         request.turn.map_or(Micros::ZERO, work_us)
     }
 }
--- a/crates/core/src/slots/fair_queue.rs
+++ b/crates/core/src/slots/fair_queue.rs
@@ -100,11 +100,7 @@
     }
 
     fn rank(&self, index: usize) -> Rank {
-        Rank {
-            charged_us: self.charged_us,
-            since: self.since,
-            index,
-        }
+        Rank { charged_us: self.charged_us, since: self.since, index }
     }
 
     fn is_empty(&self) -> bool {
@@ -208,10 +204,7 @@
     pub fn forecast(&self, now_us: MonoTime, entry: &Waiting<Item>, pace: f64) -> Forecast {
         if self.settings.order == QueueOrder::Fifo {
             let wait_us = stretch(self.work_us().0, pace);
-            return Forecast {
-                wait_us: Micros(wait_us),
-                harms_earlier: false,
-            };
+            return Forecast { wait_us: Micros(wait_us), harms_earlier: false };
         }
         let own_index = self.names.get(&entry.partner).copied();
         let own = own_index.map(|index| &self.partners[index]);
@@ -219,10 +212,7 @@
         let wait_us = stretch(self.wait_for(own_index, ahead_us, entry.work_us.0), pace);
         let harms_earlier = entry.latest_us.is_some()
             && own.is_some_and(|queue| self.harms(now_us, own_index, queue, entry, ahead_us, pace));
-        Forecast {
-            wait_us: Micros(wait_us),
-            harms_earlier,
-        }
+        Forecast { wait_us: Micros(wait_us), harms_earlier }
     }
 
     fn wait_for(&self, own_index: Option<usize>, own_us: u64, work_us: u64) -> u64 {
@@ -260,11 +250,8 @@
         }
         let span = (latest_us, u64::MAX)..(all_done_us, 0);
         for (key, later) in queue.in_time.range(span).take(HARM_LOOKAHEAD) {
-            let without = now_us
-                + Micros(stretch(
-                    self.wait_for(own_index, before_us, later.work_us.0),
-                    pace,
-                ));
+            let without =
+                now_us + Micros(stretch(self.wait_for(own_index, before_us, later.work_us.0), pace));
             let with_us = before_us + entry.work_us.0;
             let with = now_us + Micros(stretch(self.wait_for(own_index, with_us, later.work_us.0), pace));
             if without <= key.0 && with > key.0 {
@@ -285,14 +272,7 @@
             QueueOrder::Fifo => entry.since_us,
         };
         let key = (order_us, self.sequence);
-        self.places.insert(
-            entry.request_id,
-            Place {
-                partner: index,
-                key,
-                late,
-            },
-        );
+        self.places.insert(entry.request_id, Place { partner: index, key, late });
         let clock_us = self.clock_us;
         let queue = &mut self.partners[index];
         if queue.is_empty() {
@@ -325,11 +305,7 @@
     pub fn remove(&mut self, request_id: RequestId) -> Option<Waiting<Item>> {
         let place = self.places.remove(&request_id)?;
         let queue = &mut self.partners[place.partner];
-        let side = if place.late {
-            &mut queue.late
-        } else {
-            &mut queue.in_time
-        };
+        let side = if place.late { &mut queue.late } else { &mut queue.in_time };
         let entry = side.remove(&place.key)?;
         queue.work_us = queue.work_us.saturating_sub(entry.work_us.0);
         self.work_us = self.work_us.saturating_sub(entry.work_us.0);
@@ -395,11 +371,7 @@
             entry.latest_us = None;
             self.sequence += 1;
             let key = (entry.since_us, self.sequence);
-            let place = Place {
-                partner: index,
-                key,
-                late: true,
-            };
+            let place = Place { partner: index, key, late: true };
             self.places.insert(entry.request_id, place);
             queue.late.insert(key, entry);
         }
@@ -431,15 +403,9 @@
     }
 
     fn first_in_queues(&self) -> Option<(MonoTime, RequestId)> {
-        let queues = self
-            .active
-            .iter()
-            .map(|rank| rank.index)
-            .map(|index| &self.partners[index]);
+        let queues = self.active.iter().map(|rank| rank.index).map(|index| &self.partners[index]);
         let firsts = queues.filter_map(|queue| queue.in_time.first_key_value());
-        firsts
-            .map(|(key, entry)| (key.0 + Micros(1), entry.request_id))
-            .min()
+        firsts.map(|(key, entry)| (key.0 + Micros(1), entry.request_id)).min()
     }
 
     /// Empties the queue, for a server that cannot serve.
@@ -456,11 +422,9 @@
 
 fn work_ahead<Item>(queue: &PartnerQueue<Item>, entry: &Waiting<Item>) -> u64 {
     match entry.latest_us {
-        Some(latest_us) => queue
-            .in_time
-            .range(..=(latest_us, u64::MAX))
-            .map(|(_, ahead)| ahead.work_us.0)
-            .sum(),
+        Some(latest_us) => {
+            queue.in_time.range(..=(latest_us, u64::MAX)).map(|(_, ahead)| ahead.work_us.0).sum()
+        }
         None => queue.work_us,
     }
 }
--- a/crates/core/src/slots/ledger.rs
+++ b/crates/core/src/slots/ledger.rs
@@ -209,11 +209,7 @@
             Role::Prefill => settings.prefill_token_us,
             Role::Decode => settings.decode_token_us,
         };
-        let quiet_ms = if others.is_empty() {
-            Millis(0)
-        } else {
-            settings.grant_ttl_ms
-        };
+        let quiet_ms = if others.is_empty() { Millis(0) } else { settings.grant_ttl_ms };
         Self {
             settings,
             server,
@@ -285,22 +281,11 @@
                 self.release(now_us, request_id, ask, GrantOutcome::Unused, actions);
             }
             SlotMessage::Started { request_id, .. } => self.started(now_us, request_id),
-            SlotMessage::Ready {
-                request_id,
-                ask,
-                work_us,
-                work_tokens,
-                ..
-            } => {
+            SlotMessage::Ready { request_id, ask, work_us, work_tokens, .. } => {
                 self.ready(now_us, request_id, ask, work_us, work_tokens, actions);
             }
             SlotMessage::Moved { request_id, .. } => self.moved(now_us, request_id),
-            SlotMessage::Release {
-                request_id,
-                ask,
-                outcome,
-                ..
-            } => {
+            SlotMessage::Release { request_id, ask, outcome, .. } => {
                 self.release(now_us, request_id, ask, outcome, actions);
             }
             SlotMessage::Renew { held, .. } => self.renew(now_us, from, incarnation, held),
@@ -338,10 +323,7 @@
             // The grant was lost on the way and the daemon asks again.
             if held.ask == ask.ask {
                 let message = self.grant_message(now_us, request_id, held);
-                actions.push(LedgerAction::Send {
-                    to: from.clone(),
-                    message,
-                });
+                actions.push(LedgerAction::Send { to: from.clone(), message });
             }
             return;
         }
@@ -373,16 +355,8 @@
         actions: &mut Vec<LedgerAction>,
     ) {
         let (server, load) = (self.server.clone(), self.load(now_us));
-        let message = SlotMessage::Queued {
-            server,
-            request_id,
-            ask,
-            load,
-        };
-        actions.push(LedgerAction::Send {
-            to: from.clone(),
-            message,
-        });
+        let message = SlotMessage::Queued { server, request_id, ask, load };
+        actions.push(LedgerAction::Send { to: from.clone(), message });
     }
 
     fn waiting(&self, now_us: MonoTime, from: &HostId, ask: Ask) -> Waiting<Asker> {
@@ -393,11 +367,7 @@
             latest_us: ask.slack_us.map(|slack_us| now_us + slack_us),
             work_us: self.work_us(ask.work_tokens),
             charge_us: ask.charge_us,
-            item: Asker {
-                home: from.clone(),
-                ask: ask.ask,
-                needed_in_us: ask.needed_in_us,
-            },
+            item: Asker { home: from.clone(), ask: ask.ask, needed_in_us: ask.needed_in_us },
         }
     }
 
@@ -461,10 +431,7 @@
             reason,
             retry_after_ms: retry_after_us.to_millis_ceil(),
         };
-        actions.push(LedgerAction::Send {
-            to: entry.item.home.clone(),
-            message,
-        });
+        actions.push(LedgerAction::Send { to: entry.item.home.clone(), message });
     }
 
     pub(super) fn deny_all(&mut self, now_us: MonoTime, reason: DenyReason, actions: &mut Vec<LedgerAction>) {
@@ -488,21 +455,12 @@
         };
         let free = match self.role {
             Role::Prefill => u32::from(self.has_room(now_us, None)),
-            Role::Decode => self
-                .slots_total
-                .saturating_sub(u32::try_from(self.held_len()).unwrap_or(u32::MAX)),
-        };
-        let token_us = if self.observed {
-            Micros(round_us(self.token_us))
-        } else {
-            Micros::ZERO
+            Role::Decode => {
+                self.slots_total.saturating_sub(u32::try_from(self.held_len()).unwrap_or(u32::MAX))
+            }
         };
-        ServerLoad {
-            wait_us,
-            free,
-            token_us,
-            open: !closed && !self.leaving,
-        }
+        let token_us = if self.observed { Micros(round_us(self.token_us)) } else { Micros::ZERO };
+        ServerLoad { wait_us, free, token_us, open: !closed && !self.leaving }
     }
 }
 
--- a/crates/core/src/slots/ledger/grants.rs
+++ b/crates/core/src/slots/ledger/grants.rs
@@ -44,10 +44,7 @@
     }
 
     pub(super) fn wake_at(&mut self, now_us: MonoTime, at_us: MonoTime, actions: &mut Vec<LedgerAction>) {
-        if self
-            .wake_us
-            .is_none_or(|known_us| known_us <= now_us || at_us < known_us)
-        {
+        if self.wake_us.is_none_or(|known_us| known_us <= now_us || at_us < known_us) {
             self.wake_us = Some(at_us);
             actions.push(LedgerAction::Wake { at_us });
         }
@@ -83,10 +80,7 @@
         self.counters.grants += 1;
         let message = self.grant_message(now_us, request_id, &held);
         self.held.insert(request_id, held);
-        actions.push(LedgerAction::Send {
-            to: entry.item.home,
-            message,
-        });
+        actions.push(LedgerAction::Send { to: entry.item.home, message });
     }
 
     pub(super) fn grant_message(&self, now_us: MonoTime, request_id: RequestId, held: &Held) -> SlotMessage {
@@ -108,10 +102,7 @@
     pub(super) fn confirm(&mut self, now_us: MonoTime, actions: &mut Vec<LedgerAction>) {
         self.promote();
         while let Some(rate_bytes_per_s) = self.free_rate() {
-            let ready = self
-                .held
-                .iter_mut()
-                .filter(|(_, held)| held.phase == GrantPhase::Ready && held.sure);
+            let ready = self.held.iter_mut().filter(|(_, held)| held.phase == GrantPhase::Ready && held.sure);
             let Some((&request_id, held)) = ready.min_by_key(|(id, held)| (held.phase_us, **id)) else {
                 return;
             };
@@ -156,11 +147,7 @@
             }
             Role::Prefill => {
                 let turns = self.turns().count();
-                let ready = self
-                    .held
-                    .values()
-                    .filter(|held| held.phase == GrantPhase::Ready)
-                    .count();
+                let ready = self.held.values().filter(|held| held.phase == GrantPhase::Ready).count();
                 ready < self.settings.ready_max
                     && (turns == 0
                         || (turns < self.settings.prefill_turns_max
@@ -175,9 +162,7 @@
     }
 
     pub(super) fn turns(&self) -> impl Iterator<Item = &Held> {
-        self.held
-            .values()
-            .filter(|held| held.phase <= GrantPhase::Running)
+        self.held.values().filter(|held| held.phase <= GrantPhase::Running)
     }
 
     /// Work sent to a prefill server and not yet done. Work that overran its estimate is expected to take as long
@@ -213,9 +198,7 @@
     }
 
     pub(super) fn room_at(&self, now_us: MonoTime) -> MonoTime {
-        let left_us = self
-            .ahead_us(now_us)
-            .saturating_sub(self.settings.prefill_ahead_us);
+        let left_us = self.ahead_us(now_us).saturating_sub(self.settings.prefill_ahead_us);
         now_us + Micros(left_us.0.max(MIN_WAIT_US))
     }
 
--- a/crates/core/src/slots/ledger/progress.rs
+++ b/crates/core/src/slots/ledger/progress.rs
@@ -8,11 +8,7 @@
 
 impl Ledger {
     pub(super) fn started(&mut self, now_us: MonoTime, request_id: RequestId) {
-        if let Some(held) = self
-            .held
-            .get_mut(&request_id)
-            .filter(|held| held.phase == GrantPhase::Reserved)
-        {
+        if let Some(held) = self.held.get_mut(&request_id).filter(|held| held.phase == GrantPhase::Reserved) {
             held.phase = GrantPhase::Running;
             held.phase_us = now_us;
         }
@@ -77,11 +73,8 @@
             return;
         }
         let seen = token_us.0 as f64;
-        self.token_us = if self.observed {
-            self.token_us + SPEED_WEIGHT * (seen - self.token_us)
-        } else {
-            seen
-        };
+        self.token_us =
+            if self.observed { self.token_us + SPEED_WEIGHT * (seen - self.token_us) } else { seen };
         self.observed = true;
     }
 
--- a/crates/core/src/slots/ledger/renewal.rs
+++ b/crates/core/src/slots/ledger/renewal.rs
@@ -20,13 +20,11 @@
         let lag_ms = self.settings.report_lag_ms;
         self.released.retain(|_, at_us| now_us < *at_us + lag_ms);
         let reported = report.held.iter().copied().collect::<HashSet<_>>();
-        self.held
-            .retain(|id, held| !held.orphan || held.expires_us >= as_of_us || reported.contains(id));
+        self.held.retain(|id, held| !held.orphan || held.expires_us >= as_of_us || reported.contains(id));
         if self.role == Role::Decode {
             let unknown = reported.into_iter();
-            self.foreign = unknown
-                .filter(|id| !self.held.contains_key(id) && !self.released.contains_key(id))
-                .collect();
+            self.foreign =
+                unknown.filter(|id| !self.held.contains_key(id) && !self.released.contains_key(id)).collect();
         }
         if as_of_us >= self.since_us {
             self.report_seen = true;
@@ -120,10 +118,7 @@
             }
             held.orphan = true;
             counters.expired += 1;
-            actions.push(LedgerAction::Cancel {
-                server: server.clone(),
-                request_id,
-            });
+            actions.push(LedgerAction::Cancel { server: server.clone(), request_id });
         }
         if self.role == Role::Prefill {
             self.held.retain(|_, held| !held.orphan);
--- a/crates/core/src/slots/pace.rs
+++ b/crates/core/src/slots/pace.rs
@@ -24,12 +24,7 @@
 
 impl Pace {
     pub(super) fn new() -> Self {
-        Self {
-            value: 1.0,
-            busy_from_us: None,
-            busy_us: 0,
-            drained_us: 0,
-        }
+        Self { value: 1.0, busy_from_us: None, busy_us: 0, drained_us: 0 }
     }
 
     pub(super) fn value(&self) -> f64 {
--- a/crates/core/src/slots/watcher.rs
+++ b/crates/core/src/slots/watcher.rs
@@ -19,10 +19,7 @@
 impl Watcher {
     /// Watches nothing yet.
     pub fn new(settings: LedgerSettings) -> Self {
-        Self {
-            settings,
-            ledgers: BTreeMap::new(),
-        }
+        Self { settings, ledgers: BTreeMap::new() }
     }
 
     /// Watches `server` from now on, or adopts its new size. `others` are the lives of the living daemons of
@@ -43,15 +40,8 @@
             return;
         }
         let settings = self.settings;
-        let ledger = Ledger::new(
-            now_us,
-            settings,
-            server.clone(),
-            role,
-            slots_total,
-            link_bytes_per_s,
-            others,
-        );
+        let ledger =
+            Ledger::new(now_us, settings, server.clone(), role, slots_total, link_bytes_per_s, others);
         self.ledgers.insert(server.clone(), ledger);
     }
 
@@ -102,10 +92,7 @@
             reason: DenyReason::NotWatching,
             retry_after_ms: Millis::ZERO,
         };
-        actions.push(LedgerAction::Send {
-            to: from.clone(),
-            message,
-        });
+        actions.push(LedgerAction::Send { to: from.clone(), message });
     }
 
     /// Takes a load report of `server`.
--- a/crates/core/src/spread/loads.rs
+++ b/crates/core/src/spread/loads.rs
@@ -27,21 +27,15 @@
         settings: &SpreadSettings,
     ) -> LoadSummary {
         let expires_us = Micros::from(settings.load_expires_ms);
-        self.parts
-            .retain(|_, (since_us, _)| now_us.since(*since_us) <= expires_us);
+        self.parts.retain(|_, (since_us, _)| now_us.since(*since_us) <= expires_us);
         let mut models: BTreeMap<ModelTag, ModelLoad> = BTreeMap::new();
         for load in self.parts.values().flat_map(|(_, models)| models) {
-            let sum = models.entry(load.model).or_insert(ModelLoad {
-                model: load.model,
-                ..ModelLoad::default()
-            });
+            let sum =
+                models.entry(load.model).or_insert(ModelLoad { model: load.model, ..ModelLoad::default() });
             sum.slots_free = sum.slots_free.saturating_add(load.slots_free);
             sum.prefill_queue_tokens = sum.prefill_queue_tokens.saturating_add(load.prefill_queue_tokens);
         }
-        let version = self
-            .summaries
-            .get(data_centre)
-            .map_or(0, |(_, summary)| summary.version);
+        let version = self.summaries.get(data_centre).map_or(0, |(_, summary)| summary.version);
         LoadSummary {
             data_centre: data_centre.clone(),
             version: version + 1,
@@ -55,8 +49,7 @@
         if known.is_some_and(|(_, known)| known.version >= summary.version) {
             return false;
         }
-        self.summaries
-            .insert(summary.data_centre.clone(), (now_us, summary));
+        self.summaries.insert(summary.data_centre.clone(), (now_us, summary));
         true
     }
 
@@ -64,15 +57,11 @@
     pub(crate) fn expire(&mut self, now_us: MonoTime, settings: &SpreadSettings) -> bool {
         let before = self.summaries.len();
         let expires_us = Micros::from(settings.load_expires_ms);
-        self.summaries
-            .retain(|_, (since_us, _)| now_us.since(*since_us) <= expires_us);
+        self.summaries.retain(|_, (since_us, _)| now_us.since(*since_us) <= expires_us);
         self.summaries.len() != before
     }
 
     pub(crate) fn current(&self) -> BTreeMap<DataCentreId, LoadSummary> {
-        self.summaries
-            .iter()
-            .map(|(name, (_, summary))| (name.clone(), summary.clone()))
-            .collect()
+        self.summaries.iter().map(|(name, (_, summary))| (name.clone(), summary.clone())).collect()
     }
 }
--- a/crates/core/src/spread/mod.rs
+++ b/crates/core/src/spread/mod.rs
@@ -50,10 +50,7 @@
 impl SpreadView {
     /// Whether new work may go to `server` as far as signs tell.
     pub fn may_take(&self, server: &BackendServerId) -> bool {
-        !matches!(
-            self.signs.get(server),
-            Some(ServerSign::Leaving | ServerSign::Refusing)
-        )
+        !matches!(self.signs.get(server), Some(ServerSign::Leaving | ServerSign::Refusing))
     }
 }
 
@@ -237,10 +234,7 @@
 
     /// What is spread and not configuration.
     pub fn view(&self) -> SpreadView {
-        SpreadView {
-            signs: self.signs.current(),
-            loads: self.loads.current(),
-        }
+        SpreadView { signs: self.signs.current(), loads: self.loads.current() }
     }
 
     /// Takes an event in and adds to `actions` what is to be done.
@@ -285,9 +279,7 @@
     }
 
     fn rank(&self, job: &str, count: usize, view: &MembersView) -> Option<usize> {
-        self.ranks(job, count, view)
-            .iter()
-            .position(|host| *host == self.host)
+        self.ranks(job, count, view).iter().position(|host| *host == self.host)
     }
 
     fn choose_reader(&mut self, view: &MembersView, actions: &mut Vec<SpreadAction>) {
@@ -302,28 +294,19 @@
         let is_settled = self.state_offset == self.records.next();
         SpreadMessage::Digest {
             next_offset: self.records.next(),
-            state: if is_settled {
-                self.state
-            } else {
-                StateHash::default()
-            },
+            state: if is_settled { self.state } else { StateHash::default() },
             signs: self.signs.hash(),
         }
     }
 
     fn neighbours_here<'view>(&self, view: &'view MembersView) -> impl Iterator<Item = &'view Member> {
         let own = self.host.clone();
-        view.in_data_centre(&self.data_centre)
-            .iter()
-            .filter(move |member| member.host != own)
+        view.in_data_centre(&self.data_centre).iter().filter(move |member| member.host != own)
     }
 
     fn tell_neighbour(&mut self, view: &MembersView, actions: &mut Vec<SpreadAction>) {
         if self.round.is_empty() {
-            self.round = self
-                .neighbours_here(view)
-                .map(|member| member.host.clone())
-                .collect();
+            self.round = self.neighbours_here(view).map(|member| member.host.clone()).collect();
             self.round.shuffle(&mut self.rng);
         }
         if let Some(to) = self.round.pop() {
@@ -353,9 +336,7 @@
         view: &'view MembersView,
     ) -> impl Iterator<Item = &'view DataCentreId> {
         let own = self.data_centre.clone();
-        view.members
-            .keys()
-            .filter(move |data_centre| **data_centre != own)
+        view.members.keys().filter(move |data_centre| **data_centre != own)
     }
 
     fn receive(
@@ -367,22 +348,17 @@
         actions: &mut Vec<SpreadAction>,
     ) {
         match message {
-            SpreadMessage::Digest {
-                next_offset,
-                state,
-                signs,
-            } => self.compare(now_us, from, next_offset, state, signs, actions),
+            SpreadMessage::Digest { next_offset, state, signs } => {
+                self.compare(now_us, from, next_offset, state, signs, actions);
+            }
             SpreadMessage::Records(records) => self.take_relayed(now_us, view, from, records, actions),
             SpreadMessage::Pull { from: offset } => self.answer_pull(from, offset, actions),
             SpreadMessage::PullState { next_offset, part } => {
                 self.answer_state(from, next_offset, part, actions);
             }
-            SpreadMessage::StatePart {
-                next_offset,
-                part,
-                parts,
-                data,
-            } => self.take_part(now_us, &from, next_offset, part, parts, data, actions),
+            SpreadMessage::StatePart { next_offset, part, parts, data } => {
+                self.take_part(now_us, &from, next_offset, part, parts, data, actions);
+            }
             SpreadMessage::Signs(signs) => self.take_signs(now_us, view, signs, actions),
             SpreadMessage::PartialLoad(models) => self.loads.take_part(now_us, from, models),
             SpreadMessage::Load(summary) => self.take_load(now_us, view, summary, actions),
@@ -428,9 +404,7 @@
         self.counts.pulls += 1;
         actions.push(SpreadAction::Send {
             to: from,
-            message: SpreadMessage::Pull {
-                from: self.records.next(),
-            },
+            message: SpreadMessage::Pull { from: self.records.next() },
         });
     }
 
@@ -525,10 +499,7 @@
         if fetch.parts.len() < parts as usize {
             actions.push(SpreadAction::Send {
                 to: from.clone(),
-                message: SpreadMessage::PullState {
-                    next_offset: Some(next_offset),
-                    part: part + 1,
-                },
+                message: SpreadMessage::PullState { next_offset: Some(next_offset), part: part + 1 },
             });
             return;
         }
@@ -542,11 +513,7 @@
 
     fn expire_fetch(&mut self, now_us: MonoTime) {
         let wait_us = Micros::from(Millis(self.settings.retry_ms.0 * 2));
-        if self
-            .fetch
-            .as_ref()
-            .is_some_and(|fetch| now_us.since(fetch.asked_us) > wait_us)
-        {
+        if self.fetch.as_ref().is_some_and(|fetch| now_us.since(fetch.asked_us) > wait_us) {
             self.fetch = None;
         }
     }
@@ -587,10 +554,8 @@
         actions: &mut Vec<SpreadAction>,
     ) -> u64 {
         let total = records.len();
-        let new: Vec<ConfigRecord> = records
-            .into_iter()
-            .filter(|record| self.records.is_new(record.offset))
-            .collect();
+        let new: Vec<ConfigRecord> =
+            records.into_iter().filter(|record| self.records.is_new(record.offset)).collect();
         self.counts.records_again += (total - new.len()) as u64;
         if new.is_empty() {
             return 0;
@@ -616,10 +581,9 @@
 
     fn elide(&self, record: &ConfigRecord) -> ConfigRecord {
         match &record.data {
-            RecordData::Whole(data) if data.len() > self.settings.elided_above_bytes => ConfigRecord {
-                offset: record.offset,
-                data: RecordData::Elided,
-            },
+            RecordData::Whole(data) if data.len() > self.settings.elided_above_bytes => {
+                ConfigRecord { offset: record.offset, data: RecordData::Elided }
+            }
             _ => record.clone(),
         }
     }
@@ -627,10 +591,7 @@
     /// Hands news to the neighbours of this daemon in its data centre.
     fn pass_on(&self, view: &MembersView, message: &SpreadMessage, actions: &mut Vec<SpreadAction>) {
         for to in self.successors(view) {
-            actions.push(SpreadAction::Send {
-                to,
-                message: message.clone(),
-            });
+            actions.push(SpreadAction::Send { to, message: message.clone() });
         }
     }
 
@@ -700,10 +661,8 @@
     /// Passes a sign on inside the data centre, and to the others if it was seen here.
     fn spread_sign(&mut self, view: &MembersView, record: SignRecord, actions: &mut Vec<SpreadAction>) {
         self.counts.signs += 1;
-        let seen_here = view
-            .in_data_centre(&self.data_centre)
-            .iter()
-            .any(|member| member.host == record.seen_by);
+        let seen_here =
+            view.in_data_centre(&self.data_centre).iter().any(|member| member.host == record.seen_by);
         let message = SpreadMessage::Signs(vec![record]);
         self.pass_on(view, &message, actions);
         if seen_here {
@@ -725,10 +684,7 @@
             .collect();
         for data_centre in targets {
             if let Some(to) = pick(view, data_centre, &mut self.rng) {
-                actions.push(SpreadAction::Send {
-                    to,
-                    message: message.clone(),
-                });
+                actions.push(SpreadAction::Send { to, message: message.clone() });
             }
         }
     }
@@ -752,8 +708,7 @@
             return;
         };
         if to == self.host {
-            self.loads
-                .take_part(now_us, self.host.clone(), self.own_load.clone());
+            self.loads.take_part(now_us, self.host.clone(), self.own_load.clone());
             return;
         }
         let message = SpreadMessage::PartialLoad(self.own_load.clone());
@@ -775,10 +730,7 @@
         let targets: Vec<&DataCentreId> = self.other_data_centres(view).collect();
         for data_centre in targets {
             if let Some(to) = pick(view, data_centre, &mut self.rng) {
-                actions.push(SpreadAction::Send {
-                    to,
-                    message: message.clone(),
-                });
+                actions.push(SpreadAction::Send { to, message: message.clone() });
             }
         }
         self.take_load(now_us, view, summary, actions);
@@ -806,8 +758,7 @@
 fn pick(view: &MembersView, data_centre: &DataCentreId, rng: &mut StdRng) -> Option<HostId> {
     let members = view.in_data_centre(data_centre);
     let live = members.iter().filter(|member| member.is_eligible()).choose(rng);
-    live.or_else(|| members.choose(rng))
-        .map(|member| member.host.clone())
+    live.or_else(|| members.choose(rng)).map(|member| member.host.clone())
 }
 
 fn state_part(next_offset: Offset, data: &[u8], part: u32, part_bytes: usize) -> Option<SpreadMessage> {
@@ -817,12 +768,7 @@
     }
     let start = part as usize * part_bytes;
     let end = data.len().min(start + part_bytes);
-    Some(SpreadMessage::StatePart {
-        next_offset,
-        part,
-        parts,
-        data: data.get(start..end)?.into(),
-    })
+    Some(SpreadMessage::StatePart { next_offset, part, parts, data: data.get(start..end)?.into() })
 }
 
 /// Splits records into messages of about `limit_bytes`.
--- a/crates/core/src/spread/records.rs
+++ b/crates/core/src/spread/records.rs
@@ -92,15 +92,11 @@
             return None;
         }
         let mut bytes = 0;
-        let records = self
-            .kept
-            .range(from..)
-            .map(|(_, record)| record)
-            .take_while(|record| {
-                let fits = bytes == 0 || bytes + size(record) <= limit_bytes;
-                bytes += size(record);
-                fits
-            });
+        let records = self.kept.range(from..).map(|(_, record)| record).take_while(|record| {
+            let fits = bytes == 0 || bytes + size(record) <= limit_bytes;
+            bytes += size(record);
+            fits
+        });
         Some(records.cloned().collect())
     }
 }
--- a/crates/core/src/spread/signs.rs
+++ b/crates/core/src/spread/signs.rs
@@ -64,8 +64,7 @@
             return false;
         }
         let expires_us = now_us + left_ms;
-        self.by_server
-            .insert(record.server.clone(), Held { record, expires_us });
+        self.by_server.insert(record.server.clone(), Held { record, expires_us });
         true
     }
 
@@ -78,10 +77,7 @@
 
     /// Servers with the sign that holds for each.
     pub(crate) fn current(&self) -> HashMap<BackendServerId, ServerSign> {
-        self.by_server
-            .iter()
-            .map(|(server, held)| (server.clone(), held.record.sign))
-            .collect()
+        self.by_server.iter().map(|(server, held)| (server.clone(), held.record.sign)).collect()
     }
 
     /// Hash over all signs, independent of their order.
--- a/crates/core/src/ticket.rs
+++ b/crates/core/src/ticket.rs
@@ -28,11 +28,7 @@
 
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}{SEPARATOR}{}{SEPARATOR}{:x}",
-            self.host, self.incarnation, self.sequence
-        )
+        write!(f, "{}{SEPARATOR}{}{SEPARATOR}{:x}", self.host, self.incarnation, self.sequence)
     }
 }
 
@@ -166,20 +162,9 @@
         self.last_sequence += 1;
         let sequence = self.last_sequence;
         let start_by_us = now_us + self.settings.start_within_ms;
-        self.given.insert(
-            sequence,
-            Given {
-                partner: partner.clone(),
-                start_by_us,
-                used: Use::Unused,
-            },
-        );
+        self.given.insert(sequence, Given { partner: partner.clone(), start_by_us, used: Use::Unused });
         self.by_age.push_back(sequence);
-        Ok(Ticket {
-            host: self.host.clone(),
-            incarnation: self.incarnation,
-            sequence,
-        })
+        Ok(Ticket { host: self.host.clone(), incarnation: self.incarnation, sequence })
     }
 
     /// A request came with a ticket. `Run` is said once, until the request is proven not to have run.
@@ -220,9 +205,7 @@
             Use::Answered(_) => self
                 .answers
                 .get(&ticket.sequence)
-                .map_or(TicketDecision::AnswerGone, |answer| {
-                    TicketDecision::Answered(Arc::clone(answer))
-                }),
+                .map_or(TicketDecision::AnswerGone, |answer| TicketDecision::Answered(Arc::clone(answer))),
         }
     }
 
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -15,9 +15,7 @@
 /// Hashes a name of a job or host.
 pub fn hash_name(name: &str) -> u64 {
     let hash = blake3::hash(name.as_bytes());
-    hash.as_bytes()
-        .first_chunk()
-        .map_or(0, |bytes| u64::from_le_bytes(*bytes))
+    hash.as_bytes().first_chunk().map_or(0, |bytes| u64::from_le_bytes(*bytes))
 }
 
 impl JobHash {
@@ -82,10 +80,7 @@
     view: &MembersView,
 ) -> Option<HostId> {
     let own = view.in_data_centre(data_centre);
-    if own
-        .iter()
-        .any(|member| member.is_eligible() || member.state == MemberState::Unreachable)
-    {
+    if own.iter().any(|member| member.is_eligible() || member.state == MemberState::Unreachable) {
         return watcher_of(server, data_centre, view);
     }
     let region = view.all().filter(|member| member.region == *region);
@@ -106,11 +101,7 @@
         .map(|member| (score(job, member.host_hash), member))
         .collect();
     scored.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-    scored
-        .into_iter()
-        .take(count)
-        .map(|(_, member)| member.host.clone())
-        .collect()
+    scored.into_iter().take(count).map(|(_, member)| member.host.clone()).collect()
 }
 
 /// Whether this daemon itself watches `server`, by [`watcher_in`]. A daemon that the others no longer hear does
--- a/crates/core/tests/config/checkpoints.rs
+++ b/crates/core/tests/config/checkpoints.rs
@@ -213,10 +213,7 @@
     let mut classes = FakeLog::default();
     classes.append(registry().publish(1, None, "launch", 1));
     classes.read_all(&mut huge);
-    let forged = Record::Checkpoint(SealedCheckpoint::seal(
-        huge.state(),
-        &CheckpointKey::derive(b"a guess"),
-    ));
+    let forged = Record::Checkpoint(SealedCheckpoint::seal(huge.state(), &CheckpointKey::derive(b"a guess")));
     let mut padded = forged.encode();
     padded.resize(MAX_RECORD_BYTES + 1, 7);
     for content in [padded, vec![1; MAX_RECORD_BYTES + 1]] {
@@ -252,11 +249,8 @@
 }
 
 fn duty() -> (CheckpointDuty, CheckpointDutySettings) {
-    let settings = CheckpointDutySettings {
-        interval_ms: Millis(60_000),
-        step_ms: Millis(2_000),
-        max_records: 100,
-    };
+    let settings =
+        CheckpointDutySettings { interval_ms: Millis(60_000), step_ms: Millis(2_000), max_records: 100 };
     (CheckpointDuty::new(settings, MonoTime(0)), settings)
 }
 
@@ -282,10 +276,7 @@
     assert!(!second.is_due(Offset(5), 1, due));
     assert!(second.is_due(Offset(5), 1, due + settings.step_ms));
     second.tried(2, due + settings.step_ms);
-    assert!(
-        !second.is_due(Offset(5), 1, due + Millis(2_100)),
-        "a failed append is not repeated at once"
-    );
+    assert!(!second.is_due(Offset(5), 1, due + Millis(2_100)), "a failed append is not repeated at once");
     assert!(second.is_due(Offset(5), 1, due + Millis(60_000)));
 }
 
@@ -312,13 +303,6 @@
 fn bounds_before_the_first_read_are_unread() {
     let mut fold = daemon();
     assert_eq!(fold.log_view(), LogView::Unread);
-    fold.observe_log(LogBounds {
-        start_offset: Offset(0),
-        next_offset: Offset(0),
-    });
-    assert_eq!(
-        fold.log_view(),
-        LogView::Behind,
-        "an empty log proves nothing to a host that knows nothing"
-    );
+    fold.observe_log(LogBounds { start_offset: Offset(0), next_offset: Offset(0) });
+    assert_eq!(fold.log_view(), LogView::Behind, "an empty log proves nothing to a host that knows nothing");
 }
--- a/crates/core/tests/config/model.rs
+++ b/crates/core/tests/config/model.rs
@@ -11,9 +11,7 @@
 /// The version in force, as the model counts it: the offset of the accepted change plus one, or none.
 fn version(fold: &ConfigFold) -> u64 {
     let partner = fold.state().partner(&nadifa().id);
-    partner
-        .and_then(PartnerConfig::version)
-        .map_or(0, |offset| offset.0 + 1)
+    partner.and_then(PartnerConfig::version).map_or(0, |offset| offset.0 + 1)
 }
 
 /// A fold over all records that were ever appended before `position`.
--- a/crates/core/tests/config/publishing.rs
+++ b/crates/core/tests/config/publishing.rs
@@ -20,11 +20,7 @@
     assert_eq!(intakes[0].accepted, 1);
     assert!(fold.state().is_known());
     assert_eq!(target_ms(fold.state(), &nadifa(), "summary"), Some(9_000));
-    assert_eq!(
-        target_ms(fold.state(), &registry(), "summary"),
-        None,
-        "a class belongs to one partner"
-    );
+    assert_eq!(target_ms(fold.state(), &registry(), "summary"), None, "a class belongs to one partner");
 }
 
 /// Two operators of one partner change a class at the same moment, each from the version that they see. The
@@ -39,18 +35,12 @@
     log.append(nadifa().publish(3, Some(0), "summary", 7_000));
     let intakes = log.read_all(&mut fold);
     assert_eq!(target_ms(fold.state(), &nadifa(), "summary"), Some(5_000));
-    let conflict = RejectReason::Conflict {
-        made_from: Some(Offset(0)),
-        in_force: Some(Offset(1)),
-    };
+    let conflict = RejectReason::Conflict { made_from: Some(Offset(0)), in_force: Some(Offset(1)) };
     assert_eq!(intakes[2].rejected[0].reason, conflict);
     let partner = fold.state().partner(&nadifa().id).expect("nadifa");
     let last = partner.history().last().expect("a history");
     assert_eq!(last.verdict, Verdict::Rejected(conflict));
-    assert_eq!(
-        last.author.as_ref().map(ToString::to_string).as_deref(),
-        Some("salma")
-    );
+    assert_eq!(last.author.as_ref().map(ToString::to_string).as_deref(), Some("salma"));
 }
 
 /// The reply to an append is lost and the client appends the change again, or an old record is copied back
@@ -65,14 +55,8 @@
     log.append(nadifa().publish(2, Some(0), "summary", 5_000));
     log.append(first);
     let intakes = log.read_all(&mut fold);
-    assert_eq!(
-        intakes[1].rejected[0].reason,
-        RejectReason::Duplicate { first: Offset(0) }
-    );
-    assert_eq!(
-        intakes[3].rejected[0].reason,
-        RejectReason::Duplicate { first: Offset(0) }
-    );
+    assert_eq!(intakes[1].rejected[0].reason, RejectReason::Duplicate { first: Offset(0) });
+    assert_eq!(intakes[3].rejected[0].reason, RejectReason::Duplicate { first: Offset(0) });
     assert_eq!(target_ms(fold.state(), &nadifa(), "summary"), Some(5_000));
 }
 
@@ -96,10 +80,7 @@
     let mut log = FakeLog::default();
     let mut fold = daemon();
     log.append(nadifa().publish(1, None, "summary", 9_000));
-    let thief = Publisher {
-        id: nadifa().id,
-        key: registry().key,
-    };
+    let thief = Publisher { id: nadifa().id, key: registry().key };
     log.append(thief.publish(2, Some(0), "summary", 1));
     let before = fold.state().partner(&nadifa().id).cloned();
     let intakes = log.read_all(&mut fold);
@@ -157,15 +138,8 @@
     let partner = fold.state().partner(&nadifa().id).expect("nadifa's history");
     assert_eq!(partner.classes().count(), 0);
     assert_eq!(partner.version(), None);
-    assert_eq!(
-        partner.history().last().map(|entry| &entry.verdict),
-        Some(&Verdict::Rejected(reason))
-    );
-    assert_eq!(
-        target_ms(fold.state(), &registry(), "launch"),
-        Some(300),
-        "the other's stands"
-    );
+    assert_eq!(partner.history().last().map(|entry| &entry.verdict), Some(&Verdict::Rejected(reason)));
+    assert_eq!(target_ms(fold.state(), &registry(), "launch"), Some(300), "the other's stands");
 }
 
 /// A script of one partner publishes class after class. Without a bound it would fill the memory of every
@@ -174,18 +148,13 @@
 fn a_partner_cannot_have_classes_without_end() {
     let mut log = FakeLog::default();
     let mut fold = daemon();
-    let first = (0..MAX_CLASSES_PER_PARTNER)
-        .map(|index| set(&format!("c{index}"), 1))
-        .collect();
+    let first = (0..MAX_CLASSES_PER_PARTNER).map(|index| set(&format!("c{index}"), 1)).collect();
     log.append(Record::Change(nadifa().change(1, None, first)).encode());
     log.append(nadifa().publish(2, Some(0), "one-more", 1));
     log.append(nadifa().publish(3, Some(0), "c0", 2));
     let intakes = log.read_all(&mut fold);
     assert_eq!(intakes[0].accepted, 1);
-    assert_eq!(
-        intakes[1].rejected[0].reason,
-        RejectReason::TooManyClasses { found: 65, limit: 64 }
-    );
+    assert_eq!(intakes[1].rejected[0].reason, RejectReason::TooManyClasses { found: 65, limit: 64 });
     assert_eq!(intakes[2].accepted, 1, "those that exist can still be changed");
 }
 
--- a/crates/core/tests/config/schedules.rs
+++ b/crates/core/tests/config/schedules.rs
@@ -17,10 +17,7 @@
 const DEFAULT_SEEDS: u64 = 400;
 
 fn seeds() -> u64 {
-    std::env::var("HIBISCUSVALE_SEEDS")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(DEFAULT_SEEDS)
+    std::env::var("HIBISCUSVALE_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SEEDS)
 }
 
 /// A log, the hosts, and a host outside that read every record as it was appended.
@@ -51,30 +48,19 @@
         let offset = Offset(self.log.append(record.to_owned()));
         self.reference.take(offset, record);
         assert_eq!(self.reference.state().next_offset(), offset.next());
-        self.digests
-            .insert(offset.next(), self.reference.state().digest());
+        self.digests.insert(offset.next(), self.reference.state().digest());
     }
 
     fn publish(&mut self) {
         let publisher = [nadifa(), registry()].choose(&mut self.rng).expect("two").clone();
-        let in_force = self
-            .reference
-            .state()
-            .partner(&publisher.id)
-            .and_then(PartnerConfig::version);
+        let in_force = self.reference.state().partner(&publisher.id).and_then(PartnerConfig::version);
         let is_stale = self.rng.random_bool(0.3);
-        let made_from = if is_stale {
-            Some(self.rng.random_range(0..5))
-        } else {
-            in_force.map(|offset| offset.0)
-        };
+        let made_from =
+            if is_stale { Some(self.rng.random_range(0..5)) } else { in_force.map(|offset| offset.0) };
         self.change_ids += 1;
         let name = ["a", "b", "c"].choose(&mut self.rng).expect("three");
         let signer = if self.rng.random_bool(0.2) {
-            Publisher {
-                id: publisher.id,
-                key: Publisher::new("x", 9).key,
-            }
+            Publisher { id: publisher.id, key: Publisher::new("x", 9).key }
         } else {
             publisher
         };
@@ -108,9 +94,7 @@
         let peer = self.rng.random_range(0..HOSTS);
         let mut replacement = ConfigFold::new(keys(), checkpoint_key());
         if host != peer && self.hosts[peer].state().is_known() {
-            replacement
-                .adopt(&self.hosts[peer].seal())
-                .expect("a sealed state");
+            replacement.adopt(&self.hosts[peer].seal()).expect("a sealed state");
         }
         replacement.allow_genesis();
         self.hosts[host] = replacement;
@@ -168,12 +152,7 @@
                 continue;
             }
             if let Some(expected) = self.digests.get(&state.next_offset()) {
-                assert_eq!(
-                    state.digest(),
-                    *expected,
-                    "hosts differ at {}",
-                    state.next_offset()
-                );
+                assert_eq!(state.digest(), *expected, "hosts differ at {}", state.next_offset());
             }
         }
     }
--- a/crates/core/tests/config/support.rs
+++ b/crates/core/tests/config/support.rs
@@ -17,10 +17,7 @@
 
 impl Publisher {
     pub fn new(name: &str, seed: u8) -> Self {
-        Self {
-            id: name.parse().expect("a partner"),
-            key: SigningKey::from_bytes(&[seed; 32]),
-        }
+        Self { id: name.parse().expect("a partner"), key: SigningKey::from_bytes(&[seed; 32]) }
     }
 
     /// A signed change made from `made_from`.
@@ -53,10 +50,7 @@
 }
 
 pub fn set(name: &str, target_ms: u64) -> ClassChange {
-    ClassChange::Publish {
-        class: class(name),
-        target: ClassTarget::plain(Millis(target_ms)),
-    }
+    ClassChange::Publish { class: class(name), target: ClassTarget::plain(Millis(target_ms)) }
 }
 
 pub fn checkpoint_key() -> CheckpointKey {
@@ -64,9 +58,7 @@
 }
 
 pub fn keys() -> PublisherKeys {
-    [nadifa(), registry()]
-        .map(|publisher| (publisher.id, publisher.key.verifying_key()))
-        .into()
+    [nadifa(), registry()].map(|publisher| (publisher.id, publisher.key.verifying_key())).into()
 }
 
 /// A daemon that asked its peers already and found none.
@@ -116,10 +108,7 @@
     }
 
     pub fn bounds(&self) -> LogBounds {
-        LogBounds {
-            start_offset: Offset(self.start),
-            next_offset: Offset(self.next()),
-        }
+        LogBounds { start_offset: Offset(self.start), next_offset: Offset(self.next()) }
     }
 
     /// Reads at most `limit` records from where `fold` wants them, as a daemon does.
