--- a/crates/core/tests/nodes/harness.rs
+++ b/crates/core/tests/nodes/harness.rs
@@ -32,17 +32,9 @@
 
 #[derive(Debug)]
 enum Happening {
-    Tick {
-        life: Incarnation,
-    },
-    Poll {
-        life: Incarnation,
-    },
-    Message {
-        from: HostId,
-        incarnation: Incarnation,
-        body: Body,
-    },
+    Tick { life: Incarnation },
+    Poll { life: Incarnation },
+    Message { from: HostId, incarnation: Incarnation, body: Body },
 }
 
 #[derive(Debug)]
@@ -188,19 +180,11 @@
         let listed: Vec<Contact> = self.contacts();
         let seeds: Vec<Contact> = [0, 1]
             .into_iter()
-            .map(|seed| Contact {
-                host: None,
-                peer_address: address(seed),
-                data_centre: None,
-            })
+            .map(|seed| Contact { host: None, peer_address: address(seed), data_centre: None })
             .collect();
         let random = number as u64 ^ record.incarnation.0;
         let mut membership = Membership::new(self.membership, record.clone(), seeds, random);
-        membership.handle(
-            MonoTime(self.now_us),
-            MembershipEvent::Listed(listed),
-            &mut Vec::new(),
-        );
+        membership.handle(MonoTime(self.now_us), MembershipEvent::Listed(listed), &mut Vec::new());
         Daemon {
             membership,
             spread: Spread::new(self.spread, record.host.clone(), record.data_centre, random),
@@ -236,9 +220,7 @@
         for number in 0..self.daemons.len() {
             let event = MembershipEvent::Listed(listed.clone());
             let now_us = MonoTime(self.now_us);
-            self.daemons[number]
-                .membership
-                .handle(now_us, event, &mut Vec::new());
+            self.daemons[number].membership.handle(now_us, event, &mut Vec::new());
             self.start(number);
         }
     }
@@ -266,10 +248,7 @@
             ..old
         };
         let sent_bytes = self.daemons[number].sent_bytes;
-        self.daemons[number] = Daemon {
-            sent_bytes,
-            ..self.make_daemon(record, number)
-        };
+        self.daemons[number] = Daemon { sent_bytes, ..self.make_daemon(record, number) };
         self.start(number);
     }
 
@@ -289,12 +268,7 @@
     fn schedule(&mut self, at_us: u64, daemon: usize, happening: Happening) {
         self.order += 1;
         let order = self.order;
-        self.queue.push(Reverse(Scheduled {
-            at_us,
-            order,
-            daemon,
-            happening,
-        }));
+        self.queue.push(Reverse(Scheduled { at_us, order, daemon, happening }));
     }
 
     /// Runs for a while.
@@ -329,11 +303,7 @@
     }
 
     fn happen(&mut self, scheduled: Scheduled) {
-        let Scheduled {
-            daemon: number,
-            happening,
-            ..
-        } = scheduled;
+        let Scheduled { daemon: number, happening, .. } = scheduled;
         let daemon = &self.daemons[number];
         if !daemon.is_up {
             return;
@@ -359,21 +329,15 @@
                 self.poll(number);
             }
             Happening::Tick { .. } | Happening::Poll { .. } => {}
-            Happening::Message {
-                from,
-                incarnation,
-                body,
-            } => {
+            Happening::Message { from, incarnation, body } => {
                 self.arrived += 1;
                 match body {
-                    Body::Membership(message) => self.membership_event(
-                        number,
-                        MembershipEvent::Message {
-                            from,
-                            incarnation,
-                            message,
-                        },
-                    ),
+                    Body::Membership(message) => {
+                        self.membership_event(
+                            number,
+                            MembershipEvent::Message { from, incarnation, message },
+                        );
+                    }
                     Body::Spread(message) => {
                         self.spread_event(number, SpreadEvent::Message { from, message });
                     }
@@ -408,9 +372,7 @@
     pub fn membership_event(&mut self, number: usize, event: MembershipEvent) {
         let mut actions = Vec::new();
         let now_us = MonoTime(self.now_us);
-        self.daemons[number]
-            .membership
-            .handle(now_us, event, &mut actions);
+        self.daemons[number].membership.handle(now_us, event, &mut actions);
         for action in actions {
             match action {
                 MembershipAction::Send { address, message, .. } => {
@@ -427,9 +389,7 @@
         let mut actions = Vec::new();
         let now_us = MonoTime(self.now_us);
         let daemon = &mut self.daemons[number];
-        daemon
-            .spread
-            .handle(now_us, daemon.membership.view(), event, &mut actions);
+        daemon.spread.handle(now_us, daemon.membership.view(), event, &mut actions);
         for action in actions {
             match action {
                 SpreadAction::Send { to, message } => {
@@ -501,11 +461,7 @@
             return;
         }
         let delay_us = self.rng.random_range(self.delay_us.0..=self.delay_us.1);
-        let happening = Happening::Message {
-            from: own.host,
-            incarnation: own.incarnation,
-            body,
-        };
+        let happening = Happening::Message { from: own.host, incarnation: own.incarnation, body };
         self.schedule(self.now_us + delay_us, to, happening);
     }
 
@@ -521,17 +477,13 @@
 
     /// Whether each running daemon sees exactly the running daemons, in their present lives.
     pub fn agrees(&self) -> bool {
-        let running: Vec<MemberRecord> = self
-            .up()
-            .map(|number| self.daemons[number].membership.own().clone())
-            .collect();
+        let running: Vec<MemberRecord> =
+            self.up().map(|number| self.daemons[number].membership.own().clone()).collect();
         self.up().all(|number| {
             let view = self.view(number);
             view.is_heard
                 && view.all().count() == running.len()
-                && running
-                    .iter()
-                    .all(|record| view.has_life(&record.host, record.incarnation))
+                && running.iter().all(|record| view.has_life(&record.host, record.incarnation))
         })
     }
 
--- a/crates/core/tests/nodes/membership.rs
+++ b/crates/core/tests/nodes/membership.rs
@@ -43,10 +43,7 @@
     net.kill(hosts - 1);
     let took = net.run_until(rounds(34), Net::agrees);
     assert!(took.is_some(), "death not noticed everywhere");
-    assert_eq!(
-        net.total(|daemon| daemon.membership.counts().died),
-        hosts as u64 - 1
-    );
+    assert_eq!(net.total(|daemon| daemon.membership.counts().died), hosts as u64 - 1);
 }
 
 /// A fifth of all messages is lost for ten minutes. Were a daemon taken for dead by that, its servers would
@@ -101,10 +98,7 @@
     net.run(Millis(20_600));
     assert_eq!(net.daemons[2].membership.counts().died, 0);
     assert_eq!(net.daemons[2].membership.counts().paused, 1);
-    assert!(
-        !net.view(2).is_heard,
-        "its work has moved, it waits until it is heard again"
-    );
+    assert!(!net.view(2).is_heard, "its work has moved, it waits until it is heard again");
     assert!(net.run_until(rounds(12), Net::agrees).is_some());
 }
 
@@ -133,12 +127,9 @@
     let mut zombie = hibiscusvale_core::membership::Membership::new(net.membership, old, Vec::new(), 9);
     let mut actions = Vec::new();
     zombie.handle(hibiscusvale_core::units::MonoTime(1), event, &mut actions);
-    let is_told = actions.iter().any(|action| {
-        matches!(
-            action,
-            hibiscusvale_core::membership::MembershipAction::Superseded { .. }
-        )
-    });
+    let is_told = actions
+        .iter()
+        .any(|action| matches!(action, hibiscusvale_core::membership::MembershipAction::Superseded { .. }));
     assert!(is_told);
 }
 
@@ -170,11 +161,7 @@
         net.replace(number);
     }
     assert!(net.run_until(rounds(60), Net::agrees).is_some());
-    assert_eq!(
-        net.total(|daemon| daemon.membership.counts().died),
-        0,
-        "nobody was missed for long"
-    );
+    assert_eq!(net.total(|daemon| daemon.membership.counts().died), 0, "nobody was missed for long");
 }
 
 /// Two halves of a data centre lose each other for a minute. Each serves what it can; afterwards they have to
--- a/crates/core/tests/nodes/meter.rs
+++ b/crates/core/tests/nodes/meter.rs
@@ -5,11 +5,7 @@
 use rstest::rstest;
 
 fn totals(cpu_us: u64, sent_bytes: u64, memory_bytes: u64) -> ControlTotals {
-    ControlTotals {
-        cpu_us: Micros(cpu_us),
-        memory_bytes: Bytes(memory_bytes),
-        sent_bytes: Bytes(sent_bytes),
-    }
+    ControlTotals { cpu_us: Micros(cpu_us), memory_bytes: Bytes(memory_bytes), sent_bytes: Bytes(sent_bytes) }
 }
 
 #[test]
--- a/crates/core/tests/nodes/spread.rs
+++ b/crates/core/tests/nodes/spread.rs
@@ -26,16 +26,10 @@
     for _ in 0..count {
         let offset = net.append(RECORD_BYTES);
         let took = net.run_until(BOUND, |net| net.has_in_force(offset));
-        assert!(
-            took.is_some(),
-            "record {offset} was not in force everywhere in 5 s"
-        );
+        assert!(took.is_some(), "record {offset} was not in force everywhere in 5 s");
     }
     let states: Vec<_> = net.up().map(|number| net.daemons[number].in_force.1).collect();
-    assert!(
-        states.iter().all(|state| Some(state) == states.first()),
-        "all fold the same"
-    );
+    assert!(states.iter().all(|state| Some(state) == states.first()), "all fold the same");
     assert_eq!(net.total(|daemon| daemon.spread.counts().diverged), 0);
 }
 
@@ -71,10 +65,7 @@
 #[test]
 fn readers_that_die_are_replaced() {
     let mut net = started(1, 10, 24);
-    let readers: Vec<usize> = net
-        .up()
-        .filter(|number| net.daemons[*number].spread.is_reader())
-        .collect();
+    let readers: Vec<usize> = net.up().filter(|number| net.daemons[*number].spread.is_reader()).collect();
     assert_eq!(readers.len(), 3);
     for number in readers {
         net.kill(number);
@@ -120,10 +111,7 @@
     for _ in 0..10 {
         let offset = net.append(RECORD_BYTES);
         let took = net.run_until(BOUND, |net| net.has_in_force(offset));
-        assert!(
-            took.is_some(),
-            "record {offset} was not in force everywhere in 5 s"
-        );
+        assert!(took.is_some(), "record {offset} was not in force everywhere in 5 s");
     }
 }
 
@@ -194,26 +182,14 @@
     let mut net = started(3, 8, 31);
     net.loss = loss;
     let server: BackendServerId = "replica-1".parse().unwrap();
-    let event = SpreadEvent::Saw {
-        server: server.clone(),
-        sign: ServerSign::Leaving,
-    };
+    let event = SpreadEvent::Saw { server: server.clone(), sign: ServerSign::Leaving };
     net.spread_event(5, event);
-    let is_known = |net: &Net| {
-        net.up()
-            .all(|number| !net.daemons[number].spread.view().may_take(&server))
-    };
+    let is_known = |net: &Net| net.up().all(|number| !net.daemons[number].spread.view().may_take(&server));
     assert!(net.run_until(BOUND, is_known).is_some());
 
-    let event = SpreadEvent::Saw {
-        server: server.clone(),
-        sign: ServerSign::Taking,
-    };
+    let event = SpreadEvent::Saw { server: server.clone(), sign: ServerSign::Taking };
     net.spread_event(20, event);
-    let is_known = |net: &Net| {
-        net.up()
-            .all(|number| net.daemons[number].spread.view().may_take(&server))
-    };
+    let is_known = |net: &Net| net.up().all(|number| net.daemons[number].spread.view().may_take(&server));
     assert!(net.run_until(BOUND, is_known).is_some(), "and that it came back");
 }
 
@@ -222,11 +198,7 @@
 fn loads_of_all_data_centres_are_known() {
     let mut net = started(3, 4, 32);
     for number in 0..12 {
-        let load = ModelLoad {
-            model: ModelTag([1; 4]),
-            slots_free: 5,
-            prefill_queue_tokens: 100,
-        };
+        let load = ModelLoad { model: ModelTag([1; 4]), slots_free: 5, prefill_queue_tokens: 100 };
         net.spread_event(number, SpreadEvent::Load(vec![load]));
     }
     let is_known = |net: &Net| {
--- a/crates/core/tests/nodes/watch.rs
+++ b/crates/core/tests/nodes/watch.rs
@@ -20,10 +20,7 @@
 }
 
 fn view(hosts: usize) -> MembersView {
-    let mut view = MembersView {
-        is_heard: true,
-        ..MembersView::default()
-    };
+    let mut view = MembersView { is_heard: true, ..MembersView::default() };
     for name in ["dc1", "dc2"] {
         let members = (0..hosts).map(|index| member(name, index)).collect();
         view.members.insert(name.parse().unwrap(), members);
@@ -32,9 +29,7 @@
 }
 
 fn servers() -> Vec<BackendServerId> {
-    (0..1_000)
-        .map(|number| format!("replica-{number}").parse().unwrap())
-        .collect()
+    (0..1_000).map(|number| format!("replica-{number}").parse().unwrap()).collect()
 }
 
 fn data_centre() -> DataCentreId {
@@ -76,10 +71,7 @@
     let mut takers = moved.clone();
     takers.sort_unstable();
     takers.dedup();
-    assert!(
-        takers.len() > moved.len() / 3,
-        "the work spreads over those that remain"
-    );
+    assert!(takers.len() > moved.len() / 3, "the work spreads over those that remain");
 }
 
 /// A host that watched twice its share would be the first to exceed the budget of control.
@@ -90,10 +82,7 @@
         *counts.entry(watcher).or_default() += 1;
     }
     assert_eq!(counts.len(), 34);
-    assert!(
-        counts.values().all(|count| (10..=50).contains(count)),
-        "{counts:?}"
-    );
+    assert!(counts.values().all(|count| (10..=50).contains(count)), "{counts:?}");
 }
 
 /// A server is watched in its own data centre, so that a cut between data centres leaves it a watcher.
@@ -152,8 +141,5 @@
     view.members.remove(&data_centre());
     let substitute = watcher_in(&server, &data_centre(), &region(), &view).unwrap();
     assert!(substitute.as_str().starts_with("dc2"));
-    assert_eq!(
-        watcher_in(&server, &data_centre(), &"elsewhere".parse().unwrap(), &view),
-        None
-    );
+    assert_eq!(watcher_in(&server, &data_centre(), &"elsewhere".parse().unwrap(), &view), None);
 }
--- a/crates/core/tests/outcomes/attempts.rs
+++ b/crates/core/tests/outcomes/attempts.rs
@@ -76,8 +76,5 @@
 
 #[test]
 fn nothing_sent_did_not_run() {
-    assert_eq!(
-        Attempts::new(Repeatability::AtMostOnce, 1).report(),
-        Outcome::NotRun
-    );
+    assert_eq!(Attempts::new(Repeatability::AtMostOnce, 1).report(), Outcome::NotRun);
 }
--- a/crates/core/tests/outcomes/counterexamples.rs
+++ b/crates/core/tests/outcomes/counterexamples.rs
@@ -38,10 +38,7 @@
     }
 
     fn request(&self, sequence: u64) -> RequestId {
-        RequestId {
-            incarnation: self.incarnation,
-            sequence,
-        }
+        RequestId { incarnation: self.incarnation, sequence }
     }
 
     fn begin(&mut self, sequence: u64) {
@@ -64,15 +61,9 @@
     fn read(&mut self, log: &[ClaimGroup]) {
         let Some(from) = self.reads.take() else { return };
         let records = (0..).zip(log).skip(usize::try_from(from.0).expect("small"));
-        let records = records.map(|(offset, group)| ClaimRecord {
-            offset: Offset(offset),
-            group: Some(group.clone()),
-        });
-        let page = ClaimPage {
-            start: Offset(0),
-            next: Offset(log.len() as u64),
-            records: records.collect(),
-        };
+        let records =
+            records.map(|(offset, group)| ClaimRecord { offset: Offset(offset), group: Some(group.clone()) });
+        let page = ClaimPage { start: Offset(0), next: Offset(log.len() as u64), records: records.collect() };
         self.claims.page(NOW, UNIX, self.partition, Some(page));
         self.look();
     }
@@ -89,9 +80,7 @@
     }
 
     fn may_run(&self) -> bool {
-        self.decisions
-            .iter()
-            .any(|decision| matches!(decision, Decision::Run { .. }))
+        self.decisions.iter().any(|decision| matches!(decision, Decision::Run { .. }))
     }
 
     /// Begins a request and claims for it without a failure.
@@ -117,10 +106,7 @@
     a.append(&mut log);
     b.append(&mut log);
     assert!(a.may_run());
-    assert!(
-        !b.may_run(),
-        "not before it has read what stands before its record"
-    );
+    assert!(!b.may_run(), "not before it has read what stands before its record");
     b.read(&log);
     assert!(!b.may_run());
 }
@@ -162,14 +148,9 @@
     let late = NOW + ClaimSettings::default().begin_timeout_ms + Millis(1);
     a.claims.tick(late, UNIX);
     a.look();
-    assert!(
-        matches!(a.decisions[..], [Decision::Unavailable { .. }]),
-        "{:?}",
-        a.decisions
-    );
+    assert!(matches!(a.decisions[..], [Decision::Unavailable { .. }]), "{:?}", a.decisions);
     log.push(a.append.take().expect("under way"));
-    a.claims
-        .appended(late, UNIX, a.partition, AppendEnd::At(Offset(0)));
+    a.claims.appended(late, UNIX, a.partition, AppendEnd::At(Offset(0)));
     a.look();
     assert!(!a.may_run());
 }
@@ -181,8 +162,7 @@
     a.begin(1);
     a.read(&[]);
     let late = NOW + ClaimSettings::default().begin_timeout_ms;
-    a.claims
-        .appended(late, UNIX, a.partition, AppendEnd::At(Offset(0)));
+    a.claims.appended(late, UNIX, a.partition, AppendEnd::At(Offset(0)));
     a.look();
     assert!(!a.may_run());
 }
@@ -245,20 +225,13 @@
     let held = Claim {
         key: KEY,
         digest: BODY,
-        request: RequestId {
-            incarnation: Incarnation(7),
-            sequence: 1,
-        },
+        request: RequestId { incarnation: Incarnation(7), sequence: 1 },
         host: "elsewhere".parse().expect("name"),
     };
     let log: Vec<ClaimGroup> = (0..40_000)
         .map(|offset| {
             let minutes_ago = (40_000 - offset) / 20;
-            let entries = if offset == 39_800 {
-                vec![ClaimEntry::Claim(held.clone())]
-            } else {
-                Vec::new()
-            };
+            let entries = if offset == 39_800 { vec![ClaimEntry::Claim(held.clone())] } else { Vec::new() };
             group(minutes_ago, entries)
         })
         .collect();
@@ -276,32 +249,19 @@
                     .zip(&log)
                     .skip(usize::try_from(from.0).expect("small"))
                     .take(limit as usize)
-                    .map(|(offset, group)| ClaimRecord {
-                        offset: Offset(offset),
-                        group: Some(group.clone()),
-                    })
+                    .map(|(offset, group)| ClaimRecord { offset: Offset(offset), group: Some(group.clone()) })
                     .collect();
                 reads += 1;
                 records_read += records.len();
-                let page = ClaimPage {
-                    start: Offset(0),
-                    next: Offset(40_000),
-                    records,
-                };
+                let page = ClaimPage { start: Offset(0), next: Offset(40_000), records };
                 daemon.claims.page(NOW, now_unix, partition, Some(page));
             }
-            ClaimAction::Send {
-                message: ClaimMessage::Query { holder, .. },
-                ..
-            } => {
+            ClaimAction::Send { message: ClaimMessage::Query { holder, .. }, .. } => {
                 assert_eq!(holder, held.request);
                 asked_holder = true;
             }
             other => panic!("unexpected {other:?}"),
         }
     }
-    assert!(
-        reads < 12 && records_read < 1_600,
-        "{records_read} records in {reads} reads of 40,000"
-    );
+    assert!(reads < 12 && records_read < 1_600, "{records_read} records in {reads} reads of 40,000");
 }
--- a/crates/core/tests/outcomes/leases.rs
+++ b/crates/core/tests/outcomes/leases.rs
@@ -26,10 +26,7 @@
 }
 
 fn holder(life: u64) -> LeaseHolder {
-    LeaseHolder {
-        host: format!("host-{}", life % 2).parse().expect("name"),
-        incarnation: Incarnation(life),
-    }
+    LeaseHolder { host: format!("host-{}", life % 2).parse().expect("name"), incarnation: Incarnation(life) }
 }
 
 struct Candidate {
@@ -41,11 +38,7 @@
 impl Candidate {
     fn new(life: u64) -> Self {
         let lease = Lease::new(settings(), data_centre(), holder(life));
-        Self {
-            lease,
-            fold: LeaseFold::default(),
-            life,
-        }
+        Self { lease, fold: LeaseFold::default(), life }
     }
 
     fn read(&mut self, now_us: MonoTime, stream: &[LeaseRecord]) {
@@ -68,9 +61,8 @@
 #[test]
 fn of_two_that_take_at_once_one_holds() {
     let (mut a, mut b) = (Candidate::new(1), Candidate::new(2));
-    let stream: Vec<LeaseRecord> = [&mut a, &mut b]
-        .map(|one| one.lease.want(START, &one.fold).expect("free"))
-        .into();
+    let stream: Vec<LeaseRecord> =
+        [&mut a, &mut b].map(|one| one.lease.want(START, &one.fold).expect("free")).into();
     for one in [&mut a, &mut b] {
         one.lease.maybe_appended();
         one.read(START, &stream);
@@ -97,9 +89,7 @@
     assert_eq!(b.take(START, &mut stream), None);
     let almost = START + settings().lease_ms + settings().longest_order_ms;
     assert_eq!(b.take(almost, &mut stream), None);
-    let second = b
-        .take(START + settings().takeover_ms(), &mut stream)
-        .expect("waited out");
+    let second = b.take(START + settings().takeover_ms(), &mut stream).expect("waited out");
     assert!(second > first);
 }
 
@@ -145,11 +135,7 @@
     a.lease.maybe_appended();
     let later_us = START + settings().takeover_ms();
     a.fold.apply(later_us, Offset(0), Some(&stream[0]));
-    assert_eq!(
-        a.lease.want(later_us, &a.fold),
-        None,
-        "it pauses after an append that was in doubt"
-    );
+    assert_eq!(a.lease.want(later_us, &a.fold), None, "it pauses after an append that was in doubt");
     assert_eq!(a.lease.held(later_us), None, "the time of the old record is over");
     assert!(a.take(later_us + settings().retry_ms, &mut stream).is_some());
 }
@@ -170,10 +156,7 @@
 impl Engines {
     fn order(&mut self, sent: &Sent) {
         self.last_checked = self.last_checked.max(sent.fencing);
-        assert!(
-            sent.fencing >= self.last_unchecked,
-            "an old holder's order came after a newer one's"
-        );
+        assert!(sent.fencing >= self.last_unchecked, "an old holder's order came after a newer one's");
         self.last_unchecked = sent.fencing;
     }
 }
@@ -189,10 +172,7 @@
         orders += ordered;
         takeovers += taken;
     }
-    assert!(
-        orders > SCHEDULES && takeovers > SCHEDULES / 2,
-        "{orders} orders, {takeovers} takeovers"
-    );
+    assert!(orders > SCHEDULES && takeovers > SCHEDULES / 2, "{orders} orders, {takeovers} takeovers");
 }
 
 fn schedule(rng: &mut StdRng) -> (u64, u64) {
@@ -243,21 +223,11 @@
                 };
                 orders += 1;
                 let arrives_by_us = now_us + settings().longest_order_ms;
-                sent.push(Sent {
-                    fencing: held.fencing,
-                    arrives_by_us,
-                });
+                sent.push(Sent { fencing: held.fencing, arrives_by_us });
             }
         }
-        let holding = candidates
-            .iter()
-            .filter(|one| one.lease.held(now_us).is_some())
-            .count();
-        assert!(
-            holding <= 1,
-            "two hold the lease, lives {:?}",
-            candidates.each_ref().map(|one| one.life)
-        );
+        let holding = candidates.iter().filter(|one| one.lease.held(now_us).is_some()).count();
+        assert!(holding <= 1, "two hold the lease, lives {:?}", candidates.each_ref().map(|one| one.life));
     }
     (orders, lives - 2)
 }
--- a/crates/core/tests/outcomes/model.rs
+++ b/crates/core/tests/outcomes/model.rs
@@ -22,19 +22,13 @@
     Claim {
         key: ClaimKey([7; 16]),
         digest: BodyDigest([7; 16]),
-        request: RequestId {
-            incarnation: Incarnation(daemon + 1),
-            sequence: call + 1,
-        },
+        request: RequestId { incarnation: Incarnation(daemon + 1), sequence: call + 1 },
         host: host(&format!("daemon-{daemon}")),
     }
 }
 
 fn group(entry: ClaimEntry) -> ClaimGroup {
-    ClaimGroup {
-        appended_unix_ms: UNIX,
-        entries: vec![entry],
-    }
+    ClaimGroup { appended_unix_ms: UNIX, entries: vec![entry] }
 }
 
 fn page(log: &[ClaimGroup], next: usize) -> ClaimPage {
@@ -43,10 +37,7 @@
         start: Offset(0),
         next: Offset(next as u64),
         records: records
-            .map(|(offset, group)| ClaimRecord {
-                offset: Offset(offset),
-                group: Some(group.clone()),
-            })
+            .map(|(offset, group)| ClaimRecord { offset: Offset(offset), group: Some(group.clone()) })
             .collect(),
     }
 }
@@ -69,16 +60,10 @@
                     assert_eq!(appended, log[prefix - 1]);
                     daemon.appended(NOW, UNIX, partition, AppendEnd::At(Offset(known as u64)));
                 }
-                ClaimAction::Send {
-                    message: ClaimMessage::Verdict { verdict: said, .. },
-                    ..
-                } => {
+                ClaimAction::Send { message: ClaimMessage::Verdict { verdict: said, .. }, .. } => {
                     verdict = Some(said);
                 }
-                ClaimAction::Send {
-                    message: ClaimMessage::Taken { .. },
-                    ..
-                } => {}
+                ClaimAction::Send { message: ClaimMessage::Taken { .. }, .. } => {}
                 other => panic!("unexpected {other:?}"),
             }
         }
@@ -110,11 +95,8 @@
                     fold.apply(Offset(offset), Some(group)).expect("in order");
                 }
                 assert_eq!(fold.holder(&holder.key), Some(&holder), "{line}");
-                let expected = if holder == claim(call) {
-                    Verdict::Won
-                } else {
-                    Verdict::Held(holder.clone())
-                };
+                let expected =
+                    if holder == claim(call) { Verdict::Won } else { Verdict::Held(holder.clone()) };
                 assert_eq!(verdict(&log, prefix, call), expected, "{line}");
                 verdicts += 1;
             }
--- a/crates/core/tests/outcomes/orders.rs
+++ b/crates/core/tests/outcomes/orders.rs
@@ -7,16 +7,10 @@
 use rstest::rstest;
 
 const NOW: MonoTime = MonoTime(1_000);
-const ID: RequestId = RequestId {
-    incarnation: Incarnation(1),
-    sequence: 1,
-};
+const ID: RequestId = RequestId { incarnation: Incarnation(1), sequence: 1 };
 
 fn lease(fencing: u64) -> HeldLease {
-    HeldLease {
-        fencing: FencingNumber(fencing),
-        until_us: MonoTime(2_000),
-    }
+    HeldLease { fencing: FencingNumber(fencing), until_us: MonoTime(2_000) }
 }
 
 fn order() -> PendingOrder {
@@ -36,9 +30,7 @@
 fn a_lost_answer_is_asked_for_again_under_the_same_id() {
     let mut order = order();
     for _ in 0..ORDER_TRIES {
-        let sent = order
-            .send(NOW, &LeaseSettings::default(), Some(lease(5)))
-            .expect("held");
+        let sent = order.send(NOW, &LeaseSettings::default(), Some(lease(5))).expect("held");
         assert_eq!((sent.id, sent.fencing), (ID, FencingNumber(5)));
         assert!(sent.expires_in_ms <= LeaseSettings::default().longest_order_ms);
         order.end(OrderEnd::Lost);
@@ -56,9 +48,7 @@
 fn an_order_ends_as_its_answers_prove(#[case] ends: &[OrderEnd], #[case] state: OrderState) {
     let mut order = order();
     for end in ends {
-        order
-            .send(NOW, &LeaseSettings::default(), Some(lease(5)))
-            .expect("held");
+        order.send(NOW, &LeaseSettings::default(), Some(lease(5))).expect("held");
         order.end(*end);
     }
     assert_eq!(order.state(), state);
@@ -69,22 +59,14 @@
 #[test]
 fn an_order_does_not_outlive_its_lease() {
     let mut order = order();
-    order
-        .send(NOW, &LeaseSettings::default(), Some(lease(5)))
-        .expect("held");
+    order.send(NOW, &LeaseSettings::default(), Some(lease(5))).expect("held");
     order.end(OrderEnd::Lost);
-    assert_eq!(
-        order.send(NOW, &LeaseSettings::default(), Some(lease(9))),
-        Err(OrderRefusal::NoLease)
-    );
+    assert_eq!(order.send(NOW, &LeaseSettings::default(), Some(lease(9))), Err(OrderRefusal::NoLease));
     assert_eq!(order.state(), OrderState::ReadBack);
 }
 
 #[test]
 fn loads_share_the_weight_store_few_at_a_time() {
     let budget = LoadBudget { limit: 2 };
-    assert_eq!(
-        [0, 1, 2].map(|under_way| budget.admit(under_way).is_ok()),
-        [true, true, false]
-    );
+    assert_eq!([0, 1, 2].map(|under_way| budget.admit(under_way).is_ok()), [true, true, false]);
 }
--- a/crates/core/tests/outcomes/orphans.rs
+++ b/crates/core/tests/outcomes/orphans.rs
@@ -11,17 +11,11 @@
 }
 
 fn owner(life: u64) -> MemoryOwner {
-    MemoryOwner {
-        host: "a".parse().expect("name"),
-        incarnation: Incarnation(life),
-    }
+    MemoryOwner { host: "a".parse().expect("name"), incarnation: Incarnation(life) }
 }
 
 fn seen(life: u64, state: OwnerState) -> [SeenOwner; 1] {
-    [SeenOwner {
-        owner: owner(life),
-        state,
-    }]
+    [SeenOwner { owner: owner(life), state }]
 }
 
 /// A caller leaves while the engine does not answer. The release is asked for again and again, each time
@@ -33,19 +27,11 @@
     releases.want(START, &engine(), 7);
     releases.want(START, &engine(), 7);
     assert_eq!(releases.due(START).len(), 1);
-    assert_eq!(
-        releases.due(START + Micros(1)).len(),
-        0,
-        "no sooner than the first retry"
-    );
+    assert_eq!(releases.due(START + Micros(1)).len(), 0, "no sooner than the first retry");
     let mut now_us = START;
     for _ in 0..20 {
         now_us = now_us + settings.longest_retry_ms;
-        assert_eq!(
-            releases.due(now_us).len(),
-            1,
-            "an engine that comes back is asked in time"
-        );
+        assert_eq!(releases.due(now_us).len(), 1, "an engine that comes back is asked in time");
     }
     releases.confirmed(&engine(), &7);
     assert!(releases.is_empty());
@@ -64,10 +50,7 @@
 #[test]
 fn memory_of_a_replaced_daemon_is_released_at_once() {
     let mut watch = OrphanWatch::new(OrphanSettings::default());
-    assert_eq!(
-        watch.orphans(START, false, seen(1, OwnerState::Replaced)),
-        [owner(1)]
-    );
+    assert_eq!(watch.orphans(START, false, seen(1, OwnerState::Replaced)), [owner(1)]);
 }
 
 /// A daemon falls silent: it died, or is cut off and still streams to its callers. It is given time while the
@@ -81,14 +64,7 @@
     assert_eq!(watch.orphans(full, false, seen(1, OwnerState::Silent)), []);
     assert_eq!(watch.orphans(full, true, seen(1, OwnerState::Silent)), [owner(1)]);
     assert_eq!(watch.orphans(full, true, seen(1, OwnerState::Live)), []);
-    assert_eq!(
-        watch.orphans(full, true, seen(1, OwnerState::Silent)),
-        [],
-        "counted anew"
-    );
+    assert_eq!(watch.orphans(full, true, seen(1, OwnerState::Silent)), [], "counted anew");
     let late = full + settings.patience_ms;
-    assert_eq!(
-        watch.orphans(late, false, seen(1, OwnerState::Silent)),
-        [owner(1)]
-    );
+    assert_eq!(watch.orphans(late, false, seen(1, OwnerState::Silent)), [owner(1)]);
 }
--- a/crates/core/tests/outcomes/owners.rs
+++ b/crates/core/tests/outcomes/owners.rs
@@ -7,19 +7,13 @@
 const NOW_UNIX_MS: UnixMillis = UnixMillis(1_000_000_000);
 
 fn asks(actions: &[ClaimAction]) -> usize {
-    actions
-        .iter()
-        .filter(|action| matches!(action, ClaimAction::Send { .. }))
-        .count()
+    actions.iter().filter(|action| matches!(action, ClaimAction::Send { .. })).count()
 }
 
 /// Begins requests under keys of their own; returns how many of them the other daemon was asked about.
 fn begin(claims: &mut Claims, at: MonoTime, names: std::ops::Range<u64>) -> usize {
     for name in names {
-        let request = RequestId {
-            incarnation: Incarnation(1),
-            sequence: name,
-        };
+        let request = RequestId { incarnation: Incarnation(1), sequence: name };
         let partner = "nadifa".parse().expect("partner");
         let key = ClaimKey::new(&partner, &format!("key-{name}").parse().expect("key"));
         claims.begin(at, NOW_UNIX_MS, request, key, BodyDigest::new("POST", "/", b""));
@@ -60,21 +54,10 @@
         claims.set_members(std::slice::from_ref(&other));
     }
     let start = MonoTime(1_000_000);
-    let request = RequestId {
-        incarnation: Incarnation(1),
-        sequence: 1,
-    };
-    asker.begin(
-        start,
-        NOW_UNIX_MS,
-        request,
-        ClaimKey([3; 16]),
-        BodyDigest([3; 16]),
-    );
+    let request = RequestId { incarnation: Incarnation(1), sequence: 1 };
+    asker.begin(start, NOW_UNIX_MS, request, ClaimKey([3; 16]), BodyDigest([3; 16]));
     for action in asker.take_actions() {
-        let ClaimAction::Send { message, .. } = action else {
-            panic!("unexpected {action:?}")
-        };
+        let ClaimAction::Send { message, .. } = action else { panic!("unexpected {action:?}") };
         owner.peer(start, NOW_UNIX_MS, &own, message);
     }
     let mut taken = 0;
--- a/crates/core/tests/outcomes/schedule.rs
+++ b/crates/core/tests/outcomes/schedule.rs
@@ -19,20 +19,10 @@
 fn steps(faults: Vec<Fault>) -> impl Strategy<Value = Vec<Step>> {
     let fault = move |pick: u8, which: u8| {
         let fault = faults.get(which as usize % faults.len().max(1));
-        fault.map_or(
-            Step::Tick {
-                host: pick,
-                millis: 1,
-            },
-            |fault| Step::Fault(*fault, pick),
-        )
+        fault.map_or(Step::Tick { host: pick, millis: 1 }, |fault| Step::Fault(*fault, pick))
     };
     let step = (0..32_u8, any::<u8>(), any::<u8>()).prop_map(move |(kind, a, b)| match kind {
-        0..=4 => Step::Begin {
-            host: a,
-            key: b,
-            body: a / 3,
-        },
+        0..=4 => Step::Begin { host: a, key: b, body: a / 3 },
         5..=11 => Step::Deliver { pick: a },
         12..=18 => Step::Log { pick: a },
         19..=22 => Step::Run { pick: a, how: b },
@@ -44,11 +34,7 @@
 }
 
 fn run(seed: u8, faults: &[Fault]) {
-    let config = Config {
-        cases: schedules_per_set(),
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = Config { cases: schedules_per_set(), failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let result = runner.run(&steps(faults.to_vec()), |steps| {
--- a/crates/core/tests/outcomes/tickets.rs
+++ b/crates/core/tests/outcomes/tickets.rs
@@ -13,11 +13,7 @@
 }
 
 fn desk(life: u64) -> TicketDesk {
-    let settings = TicketSettings {
-        partner_tickets: 3,
-        answer_bytes: Bytes(8),
-        ..TicketSettings::default()
-    };
+    let settings = TicketSettings { partner_tickets: 3, answer_bytes: Bytes(8), ..TicketSettings::default() };
     TicketDesk::new(host("a"), Incarnation(life), settings)
 }
 
@@ -30,11 +26,7 @@
 }
 
 fn answer(text: &str) -> Arc<StoredAnswer> {
-    Arc::new(StoredAnswer {
-        status: 200,
-        headers: Vec::new(),
-        body: text.as_bytes().to_vec(),
-    })
+    Arc::new(StoredAnswer { status: 200, headers: Vec::new(), body: text.as_bytes().to_vec() })
 }
 
 fn begin(desk: &mut TicketDesk, ticket: &Ticket, text: &str) -> TicketDecision {
@@ -42,14 +34,8 @@
 }
 
 #[rstest]
-#[case(
-    FinishedAs::Answered(Some(answer("ok"))),
-    TicketDecision::Answered(answer("ok"))
-)]
-#[case(
-    FinishedAs::Answered(Some(answer("longer than 8"))),
-    TicketDecision::AnswerGone
-)]
+#[case(FinishedAs::Answered(Some(answer("ok"))), TicketDecision::Answered(answer("ok")))]
+#[case(FinishedAs::Answered(Some(answer("longer than 8"))), TicketDecision::AnswerGone)]
 #[case(FinishedAs::Answered(None), TicketDecision::AnswerGone)]
 #[case(FinishedAs::Unknown, TicketDecision::Unknown)]
 #[case(FinishedAs::NotRun, TicketDecision::Run)]
@@ -85,14 +71,8 @@
     let mut desk = desk(1);
     let ticket = desk.give(START, &nadifa()).expect("room");
     let registry: PartnerId = "registry".parse().expect("partner");
-    assert_eq!(
-        desk.begin(START, &ticket, &registry, body("x")),
-        TicketDecision::NotGiven
-    );
-    let made_up = Ticket {
-        sequence: 9,
-        ..ticket
-    };
+    assert_eq!(desk.begin(START, &ticket, &registry, body("x")), TicketDecision::NotGiven);
+    let made_up = Ticket { sequence: 9, ..ticket };
     assert_eq!(begin(&mut desk, &made_up, "x"), TicketDecision::NotGiven);
 }
 
@@ -104,8 +84,7 @@
         desk.give(START, &nadifa()).expect("room");
     }
     assert_eq!(desk.give(START, &nadifa()), Err(TooManyTickets));
-    desk.give(START, &"registry".parse().expect("partner"))
-        .expect("room of its own");
+    desk.give(START, &"registry".parse().expect("partner")).expect("room of its own");
     let settings = TicketSettings::default();
     let later = START + settings.start_within_ms + settings.remember_ms + Millis(1);
     desk.give(later, &nadifa()).expect("the old ones are forgotten");
@@ -119,16 +98,10 @@
     let ticket = desk.give(START, &nadifa()).expect("room");
     let settings = TicketSettings::default();
     let late = START + settings.start_within_ms;
-    assert_eq!(
-        desk.begin(late, &ticket, &nadifa(), body("x")),
-        TicketDecision::Expired
-    );
+    assert_eq!(desk.begin(late, &ticket, &nadifa(), body("x")), TicketDecision::Expired);
     let forgotten = late + settings.remember_ms;
     desk.give(forgotten, &nadifa()).expect("room");
-    assert_eq!(
-        desk.begin(forgotten, &ticket, &nadifa(), body("x")),
-        TicketDecision::Unknown
-    );
+    assert_eq!(desk.begin(forgotten, &ticket, &nadifa(), body("x")), TicketDecision::Unknown);
 }
 
 #[test]
--- a/crates/core/tests/outcomes/world.rs
+++ b/crates/core/tests/outcomes/world.rs
@@ -183,12 +183,7 @@
         let mut claims = Claims::new(host(index), incarnation, settings());
         let everyone: Vec<HostId> = (0..HOSTS).map(host).collect();
         claims.set_members(&everyone);
-        Daemon {
-            claims,
-            incarnation,
-            sequence: 0,
-            paused: false,
-        }
+        Daemon { claims, incarnation, sequence: 0, paused: false }
     }
 
     fn unix(&self, index: usize) -> UnixMillis {
@@ -203,11 +198,7 @@
             Step::Run { pick, how } => self.run(pick as usize, how),
             Step::Tick { host, millis } => {
                 // Now and then enough time passes for keys to expire.
-                let millis = if millis == u8::MAX {
-                    9_000
-                } else {
-                    u64::from(millis)
-                };
+                let millis = if millis == u8::MAX { 9_000 } else { u64::from(millis) };
                 self.now_us = self.now_us + Micros(millis * 1_000);
                 self.tick(host as usize % HOSTS);
             }
@@ -262,20 +253,10 @@
         let (now_us, unix_ms) = (self.now_us, self.unix(index));
         let daemon = &mut self.daemons[index];
         daemon.sequence += 1;
-        let request = RequestId {
-            incarnation: daemon.incarnation,
-            sequence: daemon.sequence,
-        };
-        let call = Call {
-            key: key_number,
-            body: body_number,
-            host: index,
-            decision: None,
-        };
+        let request = RequestId { incarnation: daemon.incarnation, sequence: daemon.sequence };
+        let call = Call { key: key_number, body: body_number, host: index, decision: None };
         self.calls.insert(request, call);
-        daemon
-            .claims
-            .begin(now_us, unix_ms, request, key(key_number), body(body_number));
+        daemon.claims.begin(now_us, unix_ms, request, key(key_number), body(body_number));
         self.carry_out(index);
     }
 
@@ -322,11 +303,7 @@
                     claims.appended(now_us, unix_ms, partition, end);
                 });
             }
-            ClaimAction::Read {
-                partition,
-                from,
-                limit,
-            } => {
+            ClaimAction::Read { partition, from, limit } => {
                 let page = self.page(partition, from, limit);
                 self.answer(call.host, call.incarnation, |claims, now_us, unix_ms| {
                     claims.page(now_us, unix_ms, partition, page);
@@ -359,19 +336,10 @@
         }
         let stream = self.streams.get(&partition).cloned().unwrap_or_default();
         let next = Offset(stream.len() as u64);
-        let records = (0..)
-            .zip(stream)
-            .skip_while(|(offset, _)| *offset < from.0)
-            .take(limit as usize);
-        let records = records.map(|(offset, group)| ClaimRecord {
-            offset: Offset(offset),
-            group: Some(group),
-        });
-        Some(ClaimPage {
-            start: Offset(0),
-            next,
-            records: records.collect(),
-        })
+        let records = (0..).zip(stream).skip_while(|(offset, _)| *offset < from.0).take(limit as usize);
+        let records =
+            records.map(|(offset, group)| ClaimRecord { offset: Offset(offset), group: Some(group) });
+        Some(ClaimPage { start: Offset(0), next, records: records.collect() })
     }
 
     /// Hands a log answer to its daemon; one that is paused gets it late, one that died never.
@@ -392,30 +360,17 @@
         for action in self.daemons[index].claims.take_actions() {
             match action {
                 ClaimAction::Send { to, message } => {
-                    self.messages.push(Message {
-                        from: index,
-                        to: host_index(&to),
-                        says: message,
-                    });
+                    self.messages.push(Message { from: index, to: host_index(&to), says: message });
                 }
                 ClaimAction::Decide { request, decision } => self.decide(index, request, decision),
-                action => self.log_calls.push(LogCall {
-                    host: index,
-                    incarnation,
-                    action,
-                }),
+                action => self.log_calls.push(LogCall { host: index, incarnation, action }),
             }
         }
     }
 
     fn decide(&mut self, index: usize, request: RequestId, decision: Decision) {
         if let Decision::Run { start_by_us } = decision {
-            self.jobs.push(Job {
-                host: index,
-                request,
-                start_by_us,
-                started: false,
-            });
+            self.jobs.push(Job { host: index, request, start_by_us, started: false });
         }
         let call = self.calls.get_mut(&request).expect("a call that began");
         assert_eq!(call.decision, None, "{request} was decided twice");
@@ -428,23 +383,14 @@
             return;
         }
         let at = pick % self.jobs.len();
-        let Job {
-            host: index,
-            request,
-            start_by_us,
-            started,
-        } = self.jobs[at].clone();
+        let Job { host: index, request, start_by_us, started } = self.jobs[at].clone();
         if self.daemons[index].paused {
             return;
         }
         if !started && self.now_us < start_by_us && !how.is_multiple_of(8) {
             self.jobs[at].started = true;
             let Call { key, body, .. } = self.calls[&request];
-            self.ledger.entry(key).or_default().push(Run {
-                request,
-                body,
-                at_us: self.now_us,
-            });
+            self.ledger.entry(key).or_default().push(Run { request, body, at_us: self.now_us });
             return;
         }
         self.jobs.remove(at);
@@ -455,9 +401,7 @@
             (true, _) => FinishedAs::Answered(Some(Arc::new(answer_of(request)))),
         };
         let (now_us, unix_ms) = (self.now_us, self.unix(index));
-        self.daemons[index]
-            .claims
-            .finish(now_us, unix_ms, request, finished);
+        self.daemons[index].claims.finish(now_us, unix_ms, request, finished);
         self.carry_out(index);
     }
 
@@ -467,20 +411,14 @@
         let apart = Micros::from(settings().retention_ms) - Micros::from(started_late);
         for runs in self.ledger.values() {
             for pair in runs.windows(2) {
-                assert!(
-                    pair[1].at_us.since(pair[0].at_us) >= apart,
-                    "a key ran twice: {pair:?}"
-                );
+                assert!(pair[1].at_us.since(pair[0].at_us) >= apart, "a key ran twice: {pair:?}");
             }
         }
         for (request, call) in &self.calls {
             let Some(decision) = &call.decision else { continue };
             let runs = self.ledger.get(&call.key).map_or(&[][..], Vec::as_slice);
             if !matches!(decision, Decision::Run { .. }) {
-                assert!(
-                    runs.iter().all(|run| run.request != *request),
-                    "{request} ran after {decision:?}"
-                );
+                assert!(runs.iter().all(|run| run.request != *request), "{request} ran after {decision:?}");
             }
             if let Decision::Answered(answer) = decision {
                 let first = runs.iter().find(|run| **answer == answer_of(run.request));
@@ -544,10 +482,7 @@
         for _ in 0..14 {
             self.begin(0, key_number, 0);
             self.settle(1_500);
-            let mut here = self
-                .calls
-                .iter()
-                .filter(|(_, call)| call.key == key_number && call.host == 0);
+            let mut here = self.calls.iter().filter(|(_, call)| call.key == key_number && call.host == 0);
             last = here.next_back().and_then(|(_, call)| call.decision.clone());
             if matches!(last, Some(Decision::Run { .. })) {
                 return;
@@ -558,9 +493,5 @@
 }
 
 fn answer_of(request: RequestId) -> StoredAnswer {
-    StoredAnswer {
-        status: 200,
-        headers: Vec::new(),
-        body: request.to_string().into_bytes(),
-    }
+    StoredAnswer { status: 200, headers: Vec::new(), body: request.to_string().into_bytes() }
 }
--- a/crates/core/tests/sched/affinity.rs
+++ b/crates/core/tests/sched/affinity.rs
@@ -3,11 +3,7 @@
 use hibiscusvale_core::sched::{AffinityIndex, CacheEvent, CacheEventKind, RetryBudget};
 
 fn stored(seq: u64, block: u64) -> CacheEvent {
-    CacheEvent {
-        seq,
-        kind: CacheEventKind::Stored,
-        block,
-    }
+    CacheEvent { seq, kind: CacheEventKind::Stored, block }
 }
 
 // The longest stored prefix counts, and a block that was evicted no longer does.
@@ -16,14 +12,7 @@
     let mut index = AffinityIndex::new(100);
     (0..3).for_each(|block| index.apply(7, stored(block, 10 + block)));
     assert_eq!(index.longest(&[10, 11, 12, 13]), (3, [Some(7), None, None]));
-    index.apply(
-        7,
-        CacheEvent {
-            seq: 3,
-            kind: CacheEventKind::Evicted,
-            block: 12,
-        },
-    );
+    index.apply(7, CacheEvent { seq: 3, kind: CacheEventKind::Evicted, block: 12 });
     assert_eq!(index.longest(&[10, 11, 12, 13]).0, 2);
 }
 
--- a/crates/core/tests/sched/baseline.rs
+++ b/crates/core/tests/sched/baseline.rs
@@ -106,17 +106,8 @@
                 self.open.insert(request_id, open);
                 self.place(now_us, request_id, wishes);
             }
-            Event::PrefillDone {
-                request_id,
-                attempt,
-                cached_tokens,
-                ..
-            } => {
-                let Some(open) = self
-                    .open
-                    .get_mut(&request_id)
-                    .filter(|open| open.attempt == attempt)
-                else {
+            Event::PrefillDone { request_id, attempt, cached_tokens, .. } => {
+                let Some(open) = self.open.get_mut(&request_id).filter(|open| open.attempt == attempt) else {
                     return;
                 };
                 open.done_us = Some(now_us.0);
@@ -133,22 +124,13 @@
                 open.give_up_us = None;
                 let server = server_name(self.prefills, open.decode);
                 let (from_index, silence_ms) = (Tokens(0), Millis(60_000));
-                let decode = Action::Decode {
-                    request_id,
-                    attempt,
-                    server,
-                    from_index,
-                    resume: false,
-                    silence_ms,
-                };
+                let decode =
+                    Action::Decode { request_id, attempt, server, from_index, resume: false, silence_ms };
                 wishes.push(Wish::Do(decode));
             }
-            Event::Failed {
-                request_id,
-                stage,
-                cause,
-                ..
-            } => self.failed(now_us, request_id, stage, cause, wishes),
+            Event::Failed { request_id, stage, cause, .. } => {
+                self.failed(now_us, request_id, stage, cause, wishes)
+            }
             Event::Finished { request_id, .. } => {
                 self.open.remove(&request_id);
             }
@@ -206,19 +188,11 @@
             }
             let server = server_name(self.prefills, server);
             wishes.push(Wish::Do(Action::Cancel { request_id, server }));
-            let stage = if reading {
-                WorkStage::Prefill
-            } else {
-                WorkStage::Import
-            };
+            let stage = if reading { WorkStage::Prefill } else { WorkStage::Import };
             self.failed(now_us, request_id, stage, FailureCause::Timeout, wishes);
             return;
         }
-        if self
-            .open
-            .get(&request_id)
-            .is_some_and(|open| !open.moving && open.done_us.is_some())
-        {
+        if self.open.get(&request_id).is_some_and(|open| !open.moving && open.done_us.is_some()) {
             self.place(now_us, request_id, wishes);
         }
     }
@@ -228,30 +202,21 @@
             return;
         };
         let for_prefill = open.done_us.is_none();
-        let (start, len) = if for_prefill {
-            (0, self.prefills)
-        } else {
-            (self.prefills, self.seen.len() - self.prefills)
-        };
+        let (start, len) =
+            if for_prefill { (0, self.prefills) } else { (self.prefills, self.seen.len() - self.prefills) };
         if self.placement == Placement::RandomTwo {
             let first = self.draw(len);
             let second = (first + 1 + self.draw(len - 1)) % len;
             wishes.push(Wish::Probe(request_id, [start + first, start + second]));
             return;
         }
-        let best = (start..start + len)
-            .min_by_key(|&server| self.cost(server, for_prefill))
-            .unwrap();
+        let best = (start..start + len).min_by_key(|&server| self.cost(server, for_prefill)).unwrap();
         self.go(now_us, request_id, best, wishes);
     }
 
     fn cost(&self, server: usize, for_prefill: bool) -> i64 {
         let seen = self.seen[server];
-        if for_prefill {
-            seen.wait_us as i64
-        } else {
-            -seen.free
-        }
+        if for_prefill { seen.wait_us as i64 } else { -seen.free }
     }
 
     /// The answer of a probe.
@@ -271,10 +236,8 @@
             return;
         }
         loads.iter().for_each(|&(server, seen)| self.seen[server] = seen);
-        let best = loads
-            .iter()
-            .map(|&(server, _)| server)
-            .min_by_key(|&server| self.cost(server, for_prefill));
+        let best =
+            loads.iter().map(|&(server, _)| server).min_by_key(|&server| self.cost(server, for_prefill));
         self.go(now_us, request_id, best.unwrap(), wishes);
     }
 
@@ -291,11 +254,7 @@
             if open.attempt.0 == 0 && spent_us + seen.wait_us + work_us * 2 > target_us {
                 self.open.remove(&request_id);
                 let reason = RefusalReason::WouldMissTarget;
-                wishes.push(Wish::Do(Action::Refuse {
-                    request_id,
-                    reason,
-                    retry_after_ms: Millis(1_000),
-                }));
+                wishes.push(Wish::Do(Action::Refuse { request_id, reason, retry_after_ms: Millis(1_000) }));
                 return;
             }
             seen.wait_us += work_us;
@@ -303,14 +262,8 @@
             open.prefill = server;
             let (attempt, from_index, priority) = (open.attempt, Tokens(0), 1);
             let redo = (attempt.0 > 1).then_some(RedoCause::Evicted);
-            let start = Action::StartPrefill {
-                request_id,
-                attempt,
-                server: name,
-                from_index,
-                priority,
-                redo,
-            };
+            let start =
+                Action::StartPrefill { request_id, attempt, server: name, from_index, priority, redo };
             wishes.push(Wish::Do(start));
             let give_up_us = now_us.0 + seen.wait_us + (work_us * 3).max(400_000);
             open.give_up_us = Some(give_up_us);
@@ -322,14 +275,8 @@
         open.moving = true;
         let (attempt, source) = (open.attempt, server_name(self.prefills, open.prefill));
         let rate_bytes_per_s = BytesPerSecond(LINK_PART);
-        let import = Action::Import {
-            request_id,
-            attempt,
-            source,
-            server: name,
-            priority: 1,
-            rate_bytes_per_s,
-        };
+        let import =
+            Action::Import { request_id, attempt, source, server: name, priority: 1, rate_bytes_per_s };
         wishes.push(Wish::Do(import));
         let move_us = open.arrival.prompt_tokens.0 * (128 << 10) * 1_000 / (LINK_PART / 1_000);
         let give_up_us = now_us.0 + (move_us * 3).max(400_000);
@@ -340,10 +287,6 @@
 
 /// Name of a server by its number.
 pub fn server_name(prefills: usize, server: usize) -> hibiscusvale_core::ids::BackendServerId {
-    let name = if server < prefills {
-        format!("p{server}")
-    } else {
-        format!("d{}", server - prefills)
-    };
+    let name = if server < prefills { format!("p{server}") } else { format!("d{}", server - prefills) };
     name.parse().unwrap()
 }
--- a/crates/core/tests/sched/cost.rs
+++ b/crates/core/tests/sched/cost.rs
@@ -25,11 +25,7 @@
         let record = |number: u32| ServerRecord {
             server: format!("s{number}").parse().unwrap(),
             data_centre: format!("dc{}", number % 4).parse().unwrap(),
-            role: if number.is_multiple_of(2) {
-                Role::Prefill
-            } else {
-                Role::Decode
-            },
+            role: if number.is_multiple_of(2) { Role::Prefill } else { Role::Decode },
             models: vec!["m".parse().unwrap()],
             slots_total: 20,
             link_bytes_per_s: LINK,
@@ -46,25 +42,10 @@
                 ..ServerLoad::default()
             };
             let server = format!("s{number}").parse().unwrap();
-            scheduler.handle(
-                MonoTime(0),
-                Event::Load {
-                    server,
-                    load,
-                    age_us: Micros::ZERO,
-                },
-                &mut actions,
-            );
-        }
-        let partners = (0..partners)
-            .map(|number| format!("org{number}").parse().unwrap())
-            .collect();
-        Self {
-            scheduler,
-            partners,
-            next: 0,
-            actions,
+            scheduler.handle(MonoTime(0), Event::Load { server, load, age_us: Micros::ZERO }, &mut actions);
         }
+        let partners = (0..partners).map(|number| format!("org{number}").parse().unwrap()).collect();
+        Self { scheduler, partners, next: 0, actions }
     }
 
     /// One request from its arrival over its turn and its slot to the start of its prefill; then its caller
@@ -72,10 +53,7 @@
     pub fn step(&mut self) {
         self.next += 1;
         let now_us = MonoTime(self.next * 100);
-        let request_id = RequestId {
-            incarnation: Incarnation(1),
-            sequence: self.next,
-        };
+        let request_id = RequestId { incarnation: Incarnation(1), sequence: self.next };
         let arrival = Arrival {
             request_id,
             partner: self.partners[self.next as usize % self.partners.len()].clone(),
@@ -90,11 +68,7 @@
         self.tell(now_us, Event::Arrive(arrival));
         self.grant_first(now_us);
         self.grant_first(now_us);
-        assert!(
-            self.actions
-                .iter()
-                .any(|action| matches!(action, Action::StartPrefill { .. }))
-        );
+        assert!(self.actions.iter().any(|action| matches!(action, Action::StartPrefill { .. })));
         self.tell(now_us, Event::CallerLeft { request_id });
     }
 
@@ -108,24 +82,9 @@
             Action::Send(SlotMessage::Ask(ask)) => Some(ask.clone()),
             _ => None,
         });
-        let Ask {
-            request_id,
-            ask,
-            server,
-            ..
-        } = ask.unwrap();
-        let load = ServerLoad {
-            free: 5,
-            open: true,
-            ..ServerLoad::default()
-        };
-        let grant = SlotMessage::Grant {
-            server,
-            request_id,
-            ask,
-            load,
-            ttl_ms: Millis(3_000),
-        };
+        let Ask { request_id, ask, server, .. } = ask.unwrap();
+        let load = ServerLoad { free: 5, open: true, ..ServerLoad::default() };
+        let grant = SlotMessage::Grant { server, request_id, ask, load, ttl_ms: Millis(3_000) };
         self.tell(now_us, Event::Slot(grant));
     }
 }
@@ -163,12 +122,7 @@
         self.ask();
         let (request_id, ask) = self.held.pop().unwrap();
         let server = "s0".parse().unwrap();
-        let release = SlotMessage::Release {
-            server,
-            request_id,
-            ask,
-            outcome: GrantOutcome::Done,
-        };
+        let release = SlotMessage::Release { server, request_id, ask, outcome: GrantOutcome::Done };
         self.say(release);
         assert_eq!(self.held.len(), 1);
     }
@@ -177,10 +131,7 @@
         self.next += 1;
         let partner = self.partners[self.next as usize % self.partners.len()].clone();
         let ask = Ask {
-            request_id: RequestId {
-                incarnation: Incarnation(1),
-                sequence: self.next,
-            },
+            request_id: RequestId { incarnation: Incarnation(1), sequence: self.next },
             ask: AskId(self.next),
             server: "s0".parse().unwrap(),
             partner,
@@ -197,26 +148,17 @@
     fn say(&mut self, message: SlotMessage) {
         self.actions.clear();
         let now_us = MonoTime(self.next * 100);
-        self.ledger
-            .handle(now_us, &self.home, Incarnation(1), message, &mut self.actions);
+        self.ledger.handle(now_us, &self.home, Incarnation(1), message, &mut self.actions);
         let mut started = None;
         for action in &self.actions {
-            if let LedgerAction::Send {
-                message: SlotMessage::Grant { request_id, ask, .. },
-                ..
-            } = action
-            {
+            if let LedgerAction::Send { message: SlotMessage::Grant { request_id, ask, .. }, .. } = action {
                 self.held.push((*request_id, *ask));
                 started = Some(*request_id);
             }
         }
         if let Some(request_id) = started {
-            let message = SlotMessage::Started {
-                server: "s0".parse().unwrap(),
-                request_id,
-            };
-            self.ledger
-                .handle(now_us, &self.home, Incarnation(1), message, &mut self.actions);
+            let message = SlotMessage::Started { server: "s0".parse().unwrap(), request_id };
+            self.ledger.handle(now_us, &self.home, Incarnation(1), message, &mut self.actions);
         }
     }
 }
--- a/crates/core/tests/sched/engines.rs
+++ b/crates/core/tests/sched/engines.rs
@@ -36,11 +36,7 @@
 impl PrefillEngine {
     /// Tokens of the prompt that the cache spares.
     pub fn cached(&self, job: &Job) -> u64 {
-        let blocks = job
-            .blocks
-            .iter()
-            .take_while(|block| self.cache.contains(block))
-            .count() as u64;
+        let blocks = job.blocks.iter().take_while(|block| self.cache.contains(block)).count() as u64;
         (blocks * BLOCK_TOKENS).min(job.tokens.saturating_sub(1))
     }
 
@@ -76,11 +72,7 @@
         self.queue.retain(|job| job.request_id != request_id);
         self.results.remove(&request_id);
         self.pinned.remove(&request_id);
-        if self
-            .running
-            .as_ref()
-            .is_some_and(|(job, _)| job.request_id == request_id)
-        {
+        if self.running.as_ref().is_some_and(|(job, _)| job.request_id == request_id) {
             self.running = None;
             self.generation += 1;
         }
@@ -88,23 +80,15 @@
 
     pub fn cancel_owner(&mut self, owner: Incarnation) {
         let running = self.running.iter().map(|(job, _)| job.request_id);
-        let ids = self
-            .queue
-            .iter()
-            .map(|job| job.request_id)
-            .chain(running)
-            .chain(self.results.keys().copied());
+        let ids =
+            self.queue.iter().map(|job| job.request_id).chain(running).chain(self.results.keys().copied());
         let gone = ids.filter(|id| id.incarnation == owner).collect::<Vec<_>>();
         gone.into_iter().for_each(|id| self.cancel(id));
     }
 
     /// Tokens waiting or running, as a load report would say.
     pub fn backlog_tokens(&self) -> u64 {
-        let running = self
-            .running
-            .iter()
-            .map(|(job, cached)| job.tokens - cached)
-            .sum::<u64>();
+        let running = self.running.iter().map(|(job, cached)| job.tokens - cached).sum::<u64>();
         running + self.queue.iter().map(|job| job.tokens).sum::<u64>()
     }
 }
@@ -148,12 +132,7 @@
             return false;
         }
         self.seats.insert(request_id, seat);
-        let link = self
-            .seats
-            .values()
-            .filter(|seat| !seat.decoding)
-            .map(|seat| seat.rate)
-            .sum::<u64>();
+        let link = self.seats.values().filter(|seat| !seat.decoding).map(|seat| seat.rate).sum::<u64>();
         self.most_link = self.most_link.max(link);
         true
     }
--- a/crates/core/tests/sched/ledger.rs
+++ b/crates/core/tests/sched/ledger.rs
@@ -12,10 +12,7 @@
 const TTL_US: u64 = 3_000_000;
 
 fn id(life: u64, sequence: u64) -> RequestId {
-    RequestId {
-        incarnation: Incarnation(life),
-        sequence,
-    }
+    RequestId { incarnation: Incarnation(life), sequence }
 }
 
 fn ask(request_id: RequestId) -> SlotMessage {
@@ -35,23 +32,12 @@
 
 fn release(request_id: RequestId, outcome: GrantOutcome) -> SlotMessage {
     let (server, ask) = ("d0".parse().unwrap(), AskId(request_id.sequence));
-    SlotMessage::Release {
-        server,
-        request_id,
-        ask,
-        outcome,
-    }
+    SlotMessage::Release { server, request_id, ask, outcome }
 }
 
 fn ready(request_id: RequestId) -> SlotMessage {
     let (server, ask) = ("d0".parse().unwrap(), AskId(request_id.sequence));
-    SlotMessage::Ready {
-        server,
-        request_id,
-        ask,
-        work_us: Micros(0),
-        work_tokens: Tokens(0),
-    }
+    SlotMessage::Ready { server, request_id, ask, work_us: Micros(0), work_tokens: Tokens(0) }
 }
 
 fn held(request_id: RequestId) -> HeldGrant {
@@ -67,10 +53,7 @@
 }
 
 fn renew(held: Vec<HeldGrant>) -> SlotMessage {
-    SlotMessage::Renew {
-        server: "d0".parse().unwrap(),
-        held,
-    }
+    SlotMessage::Renew { server: "d0".parse().unwrap(), held }
 }
 
 struct Bench {
@@ -81,37 +64,20 @@
 impl Bench {
     fn new(role: Role, others: &[Incarnation]) -> Self {
         let server = "d0".parse().unwrap();
-        let ledger = Ledger::new(
-            MonoTime(0),
-            LedgerSettings::default(),
-            server,
-            role,
-            2,
-            LINK,
-            others,
-        );
+        let ledger = Ledger::new(MonoTime(0), LedgerSettings::default(), server, role, 2, LINK, others);
         Self { ledger, now_us: 0 }
     }
 
     fn say(&mut self, life: u64, message: SlotMessage) -> Vec<LedgerAction> {
         let mut actions = Vec::new();
         let host = format!("h{life}").parse::<HostId>().unwrap();
-        self.ledger.handle(
-            MonoTime(self.now_us),
-            &host,
-            Incarnation(life),
-            message,
-            &mut actions,
-        );
+        self.ledger.handle(MonoTime(self.now_us), &host, Incarnation(life), message, &mut actions);
         actions
     }
 
     fn report(&mut self, held: &[RequestId]) -> Vec<LedgerAction> {
         let mut actions = Vec::new();
-        let report = HeldReport {
-            as_of_us: Micros(0),
-            held: held.to_vec(),
-        };
+        let report = HeldReport { as_of_us: Micros(0), held: held.to_vec() };
         self.ledger.report(MonoTime(self.now_us), &report, &mut actions);
         actions
     }
@@ -125,10 +91,9 @@
 
 fn granted(actions: &[LedgerAction]) -> Vec<u64> {
     let grant = |action: &LedgerAction| match action {
-        LedgerAction::Send {
-            message: SlotMessage::Grant { request_id, .. },
-            ..
-        } => Some(request_id.sequence),
+        LedgerAction::Send { message: SlotMessage::Grant { request_id, .. }, .. } => {
+            Some(request_id.sequence)
+        }
         _ => None,
     };
     actions.iter().filter_map(grant).collect()
@@ -136,10 +101,7 @@
 
 fn denied(actions: &[LedgerAction]) -> Vec<DenyReason> {
     let deny = |action: &LedgerAction| match action {
-        LedgerAction::Send {
-            message: SlotMessage::Deny { reason, .. },
-            ..
-        } => Some(*reason),
+        LedgerAction::Send { message: SlotMessage::Deny { reason, .. }, .. } => Some(*reason),
         _ => None,
     };
     actions.iter().filter_map(deny).collect()
@@ -186,10 +148,7 @@
     bench.say(1, ask(id(1, 2)));
     bench.say(2, ask(id(2, 3)));
     bench.now_us = TTL_US + 1;
-    let cancelled = bench
-        .tick()
-        .into_iter()
-        .filter(|action| matches!(action, LedgerAction::Cancel { .. }));
+    let cancelled = bench.tick().into_iter().filter(|action| matches!(action, LedgerAction::Cancel { .. }));
     assert_eq!(cancelled.count(), 2);
     bench.now_us += 1_000;
     assert_eq!(granted(&bench.report(&[id(1, 1), id(1, 2)])), [] as [u64; 0]);
@@ -237,10 +196,9 @@
         bench.say(1, ask(id(1, sequence)));
         let actions = bench.say(1, ready(id(1, sequence)));
         let confirm = |action: &LedgerAction| match action {
-            LedgerAction::Send {
-                message: SlotMessage::Confirm { rate_bytes_per_s, .. },
-                ..
-            } => Some(rate_bytes_per_s.0),
+            LedgerAction::Send { message: SlotMessage::Confirm { rate_bytes_per_s, .. }, .. } => {
+                Some(rate_bytes_per_s.0)
+            }
             _ => None,
         };
         actions.iter().find_map(confirm).unwrap()
@@ -283,19 +241,10 @@
 fn prefill_ask_that_would_be_late_is_denied() {
     let mut bench = Bench::new(Role::Prefill, &[]);
     let long = |sequence, tokens, slack_us| {
-        let SlotMessage::Ask(ask) = ask(id(1, sequence)) else {
-            unreachable!()
-        };
-        SlotMessage::Ask(Ask {
-            work_tokens: Tokens(tokens),
-            slack_us: Some(Micros(slack_us)),
-            ..ask
-        })
+        let SlotMessage::Ask(ask) = ask(id(1, sequence)) else { unreachable!() };
+        SlotMessage::Ask(Ask { work_tokens: Tokens(tokens), slack_us: Some(Micros(slack_us)), ..ask })
     };
     assert_eq!(granted(&bench.say(1, long(1, 8_000, 0))), [1]);
-    assert_eq!(
-        denied(&bench.say(1, long(2, 8_000, 900_000))),
-        [DenyReason::WouldMissTarget]
-    );
+    assert_eq!(denied(&bench.say(1, long(2, 8_000, 900_000))), [DenyReason::WouldMissTarget]);
     assert!(denied(&bench.say(1, long(3, 8_000, 1_100_000))).is_empty());
 }
--- a/crates/core/tests/sched/load.rs
+++ b/crates/core/tests/sched/load.rs
@@ -113,15 +113,8 @@
 
 /// Two partners with these parts of the capacity.
 pub fn two(a: f64, b: f64) -> Vec<Source> {
-    let first = Source {
-        load: a,
-        ..Source::default()
-    };
-    let second = Source {
-        name: "b".to_owned(),
-        load: b,
-        ..Source::default()
-    };
+    let first = Source { load: a, ..Source::default() };
+    let second = Source { name: "b".to_owned(), load: b, ..Source::default() };
     vec![first, second]
 }
 
@@ -161,9 +154,7 @@
         let end_us = scenario.seconds as f64 * MICROS;
         loop {
             let now_s = (at_us / MICROS) as u64;
-            let surge = source
-                .surge
-                .filter(|&(from, until, _)| (from..until).contains(&now_s));
+            let surge = source.surge.filter(|&(from, until, _)| (from..until).contains(&now_s));
             let rate = source.load * capacity * surge.map_or(1.0, |(_, _, factor)| factor);
             at_us += -(1.0 - rng.random::<f64>()).ln() / rate * MICROS;
             if at_us >= end_us {
@@ -188,11 +179,7 @@
     let own = rng.random::<u64>() | 1;
     let block = |number: u64| {
         let shared = hot && number < 32;
-        if shared {
-            0xabcd_0000 + number
-        } else {
-            own.wrapping_add(number.wrapping_mul(0x9e37_79b9))
-        }
+        if shared { 0xabcd_0000 + number } else { own.wrapping_add(number.wrapping_mul(0x9e37_79b9)) }
     };
     let blocks = (0..prompt / super::engines::BLOCK_TOKENS).map(block).collect();
     let leaves = rng.random::<f64>() < scenario.faults.leavers;
@@ -211,11 +198,8 @@
 
 /// What a daemon sees of a planned arrival.
 pub fn arrival(source: &Source, planned: &Planned, request_id: hibiscusvale_core::ids::RequestId) -> Arrival {
-    let (class, target_ms) = if planned.tight {
-        ("tight", source.tight_ms)
-    } else {
-        ("loose", source.loose_ms)
-    };
+    let (class, target_ms) =
+        if planned.tight { ("tight", source.tight_ms) } else { ("loose", source.loose_ms) };
     Arrival {
         request_id,
         partner: source.name.parse().unwrap(),
--- a/crates/core/tests/sched/outcome.rs
+++ b/crates/core/tests/sched/outcome.rs
@@ -15,10 +15,7 @@
 
 impl PartnerOutcome {
     pub fn new(name: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            ..Self::default()
-        }
+        Self { name: name.to_owned(), ..Self::default() }
     }
 
     pub fn note_second(&mut self, second: usize, good: bool) {
--- a/crates/core/tests/sched/outcomes.rs
+++ b/crates/core/tests/sched/outcomes.rs
@@ -12,23 +12,13 @@
 
 /// What holds in each run without faults.
 fn expect_exact(outcome: &Outcome) {
-    assert_eq!(
-        outcome.refused_after_prefill, 0,
-        "refused after its prefill began"
-    );
-    assert_eq!(
-        outcome.engine_refusals, 0,
-        "an engine had no room for a granted slot"
-    );
+    assert_eq!(outcome.refused_after_prefill, 0, "refused after its prefill began");
+    assert_eq!(outcome.engine_refusals, 0, "an engine had no room for a granted slot");
     assert_eq!(outcome.over_committed, 0, "a ledger was over-committed");
     assert!(outcome.most_link <= outcome.link, "a link was over-committed");
     assert_eq!(outcome.unanswered, 0, "a caller got neither answer nor refusal");
     assert_eq!(outcome.held_at_end, 0, "engine memory stayed held");
-    assert!(
-        outcome.wasted() <= 1.0,
-        "wasted {} % of the prefill work",
-        outcome.wasted()
-    );
+    assert!(outcome.wasted() <= 1.0, "wasted {} % of the prefill work", outcome.wasted());
 }
 
 /// Mean of a figure over three seeds: a partner inside its share sends about 400 requests in a run, and the
@@ -38,15 +28,8 @@
     Figure: Fn(&Outcome) -> f64,
 {
     let seeds = [7, 8, 9];
-    let sum = seeds
-        .map(|seed| {
-            figure(&World::run(Scenario {
-                seed,
-                ..scenario.clone()
-            }))
-        })
-        .iter()
-        .sum::<f64>();
+    let sum =
+        seeds.map(|seed| figure(&World::run(Scenario { seed, ..scenario.clone() }))).iter().sum::<f64>();
     sum / seeds.len() as f64
 }
 
@@ -70,10 +53,7 @@
     });
     let best = rates.into_iter().max().unwrap() as f64;
     for (load, good) in SATURATED.into_iter().zip(rates).filter(|(load, _)| *load >= 1.5) {
-        assert!(
-            good as f64 >= 0.9 * best,
-            "{good} good answers at {load}, {best} at best"
-        );
+        assert!(good as f64 >= 0.9 * best, "{good} good answers at {load}, {best} at best");
     }
 }
 
@@ -83,24 +63,12 @@
 fn burst_leaves_no_trace() {
     let outcome = World::run(burst());
     expect_exact(&outcome);
-    let after = |second: usize| {
-        outcome
-            .partners
-            .iter()
-            .map(|one| one.good_by_second[second])
-            .sum::<u64>()
-    };
-    let calm = World::run(Scenario {
-        sources: super::load::two(0.25, 0.25),
-        ..Scenario::default()
-    });
+    let after = |second: usize| outcome.partners.iter().map(|one| one.good_by_second[second]).sum::<u64>();
+    let calm = World::run(Scenario { sources: super::load::two(0.25, 0.25), ..Scenario::default() });
     assert!(calm.goodput() >= 99.0);
     let late = (30..60).map(after).sum::<u64>() as f64 / 30.0;
     let before = (0..20).map(after).sum::<u64>() as f64 / 20.0;
-    assert!(
-        late >= 0.85 * before,
-        "{late} good answers a second after the burst, {before} before"
-    );
+    assert!(late >= 0.85 * before, "{late} good answers a second after the burst, {before} before");
 }
 
 // Half of all prompts begin alike, or few long prompts stand among many short ones. A hot prefix must not
@@ -137,10 +105,7 @@
     let read = |outcome: Outcome| outcome.read_by_second[20..45].iter().sum::<u64>() as f64;
     let one = read(World::run(beside(surging())));
     let both = read(World::run(even(3.85)));
-    assert!(
-        one >= 0.95 * both,
-        "{one} tokens beside a quiet partner, {both} when both surge"
-    );
+    assert!(one >= 0.95 * both, "{one} tokens beside a quiet partner, {both} when both surge");
 }
 
 // Of 280 partners one asks for twice the capacity, the others together for half of it. If fairness were
@@ -172,11 +137,7 @@
     let outcome = World::run(faulty(0.7, faults));
     assert_eq!(outcome.refused_after_prefill, 0);
     assert_eq!(outcome.unanswered, 0);
-    assert!(
-        calm - outcome.goodput() <= 10.0,
-        "goodput {}, {calm} without the fault",
-        outcome.goodput()
-    );
+    assert!(calm - outcome.goodput() <= 10.0, "goodput {}, {calm} without the fault", outcome.goodput());
 }
 
 // An engine goes mute in the middle of the run. Until it is found out each request that it is given is
@@ -187,11 +148,7 @@
 fn mute_engine_is_found_within_four_seconds(#[case] faults: Faults) {
     let outcome = World::run(faulty(0.7, faults));
     let found_us = outcome.closed_at_us.expect("never found");
-    assert!(
-        found_us <= 24 * SECOND_US,
-        "found after {} us",
-        found_us - 20 * SECOND_US
-    );
+    assert!(found_us <= 24 * SECOND_US, "found after {} us", found_us - 20 * SECOND_US);
 }
 
 // The same faults with the same patience, but placed by probing two servers: work thrown away there comes
@@ -205,41 +162,22 @@
 #[case::blackout(Faults { blackout: Some((20, 30)), ..Faults::default() })]
 fn faults_waste_a_quarter_of_the_best_baseline(#[case] faults: Faults) {
     let scenario = faulty(0.7, faults);
-    let baseline = |placement| {
-        World::run(Scenario {
-            placement,
-            ..scenario.clone()
-        })
-        .wasted()
-    };
+    let baseline = |placement| World::run(Scenario { placement, ..scenario.clone() }).wasted();
     let best = baseline(Placement::StaleReports).min(baseline(Placement::RandomTwo));
     let wasted = World::run(scenario.clone()).wasted();
-    assert!(
-        wasted <= best / 4.0,
-        "wasted {wasted} %, the best baseline {best} %"
-    );
+    assert!(wasted <= best / 4.0, "wasted {wasted} %, the best baseline {best} %");
 }
 
 // Half of the daemons die one after the other and come back empty. Their callers are lost with them; all
 // others get an answer or a refusal, and no slot stays taken by the dead.
 #[test]
 fn replaced_daemons_leave_no_slots_taken() {
-    let outcome = World::run(faulty(
-        0.7,
-        Faults {
-            replace_at: Some(20),
-            ..Faults::default()
-        },
-    ));
+    let outcome = World::run(faulty(0.7, Faults { replace_at: Some(20), ..Faults::default() }));
     assert_eq!(outcome.unanswered, outcome.lost_with_daemon);
     assert_eq!(outcome.held_at_end, 0);
     assert_eq!(outcome.refused_after_prefill, 0);
     let over = outcome.engine_refusals;
-    assert!(
-        over <= outcome.over_committed,
-        "{over} refusals, {} counted",
-        outcome.over_committed
-    );
+    assert!(over <= outcome.over_committed, "{over} refusals, {} counted", outcome.over_committed);
     let survivors = outcome.arrivals() - outcome.lost_with_daemon;
     let goodput = 100.0 * outcome.good() as f64 / survivors as f64;
     assert!(goodput >= 90.0, "goodput {goodput} of those whose daemon lived");
@@ -248,13 +186,7 @@
 // For ten seconds no load report arrives. The ledgers count their own grants and need none.
 #[test]
 fn report_blackout_goes_unnoticed() {
-    let outcome = World::run(faulty(
-        0.7,
-        Faults {
-            blackout: Some((20, 30)),
-            ..Faults::default()
-        },
-    ));
+    let outcome = World::run(faulty(0.7, Faults { blackout: Some((20, 30)), ..Faults::default() }));
     expect_exact(&outcome);
     assert!(outcome.goodput() >= 99.0, "goodput {}", outcome.goodput());
 }
@@ -263,13 +195,7 @@
 // callers. The rest of the region has to carry the work that it can.
 #[test]
 fn data_centre_cut_off_is_worked_around() {
-    let outcome = World::run(faulty(
-        0.7,
-        Faults {
-            cut: Some((20, 40)),
-            ..Faults::default()
-        },
-    ));
+    let outcome = World::run(faulty(0.7, Faults { cut: Some((20, 40)), ..Faults::default() }));
     assert_eq!(outcome.refused_after_prefill, 0);
     assert_eq!(outcome.unanswered, 0);
     assert!(outcome.goodput() >= 90.0, "goodput {}", outcome.goodput());
@@ -279,13 +205,7 @@
 // engines fill with answers that nobody reads.
 #[test]
 fn callers_who_leave_hold_nothing() {
-    let outcome = World::run(faulty(
-        0.9,
-        Faults {
-            leavers: 0.2,
-            ..Faults::default()
-        },
-    ));
+    let outcome = World::run(faulty(0.9, Faults { leavers: 0.2, ..Faults::default() }));
     assert_eq!(outcome.held_at_end, 0);
     assert_eq!(outcome.engine_refusals, 0);
     assert!(outcome.goodput() >= 97.0, "goodput {}", outcome.goodput());
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -77,18 +77,10 @@
         repeatable: bool,
     ) {
         for (sequence, at_us) in (from_us..until_us).step_by(gap_us as usize).enumerate() {
-            let request_id = RequestId {
-                incarnation: Incarnation(life),
-                sequence: sequence as u64,
-            };
+            let request_id = RequestId { incarnation: Incarnation(life), sequence: sequence as u64 };
             self.partner_of.insert(request_id, (partner.to_owned(), at_us));
             let (partner, patience_ms) = (partner.parse().unwrap(), Millis(100));
-            let arrival = PlainArrival {
-                request_id,
-                partner,
-                repeatable,
-                patience_ms,
-            };
+            let arrival = PlainArrival { request_id, partner, repeatable, patience_ms };
             self.at(at_us, PlainEvent::Arrive(arrival));
         }
     }
@@ -111,12 +103,7 @@
 
     fn act(&mut self, now_us: u64, action: PlainAction) {
         match action {
-            PlainAction::Dispatch {
-                request_id,
-                server,
-                timeout_ms,
-                ..
-            } => {
+            PlainAction::Dispatch { request_id, server, timeout_ms, .. } => {
                 let number = server.as_str()[1..].parse::<usize>().unwrap();
                 let second = now_us / 1_000_000;
                 *self.tally.sent.entry((server.to_string(), second)).or_default() += 1;
@@ -132,9 +119,7 @@
                     Kind::Leaving => self.at(now_us + 1_000, fail(FailureCause::Leaving)),
                 }
             }
-            PlainAction::Refuse {
-                request_id, reason, ..
-            } => {
+            PlainAction::Refuse { request_id, reason, .. } => {
                 assert_ne!(reason, PlainRefusal::NoInstance);
                 let partner = self.partner_of[&request_id].0.clone();
                 *self.tally.refused.entry(partner).or_default() += 1;
@@ -159,16 +144,8 @@
     fake.calls("a", 1, 0, 10_000_000, 2_000, true);
     let tally = fake.run();
     let later = (2..10).map(|second| tally.sent.get(&("s0".to_owned(), second)).copied().unwrap_or(0));
-    assert!(
-        later.sum::<u64>() <= 8,
-        "the bad instance still gets calls: {:?}",
-        tally.sent
-    );
-    assert!(
-        tally.in_time["a"] >= 4_875,
-        "{} of 5000 in time",
-        tally.in_time["a"]
-    );
+    assert!(later.sum::<u64>() <= 8, "the bad instance still gets calls: {:?}", tally.sent);
+    assert!(tally.in_time["a"] >= 4_875, "{} of 5000 in time", tally.in_time["a"]);
 }
 
 // A launch entry is sent to an instance that never answers. It may have run there, so it is not sent
@@ -191,12 +168,8 @@
     fake.calls("a", 1, 0, 2_000_000, 5_000, false);
     let tally = fake.run();
     assert_eq!(tally.answered["a"], 400);
-    let to_leaving = tally
-        .sent
-        .iter()
-        .filter(|((server, _), _)| server == "s0")
-        .map(|(_, sent)| sent)
-        .sum::<u64>();
+    let to_leaving =
+        tally.sent.iter().filter(|((server, _), _)| server == "s0").map(|(_, sent)| sent).sum::<u64>();
     assert!(to_leaving <= 2, "{to_leaving} calls");
 }
 
@@ -208,17 +181,9 @@
     fake.calls("a", 1, 0, 4_000_000, 2_000, true);
     fake.calls("b", 2, 0, 4_000_000, 52, true);
     let tally = fake.run();
-    assert!(
-        tally.in_time["a"] >= 1_960,
-        "{} of 2000 in time",
-        tally.in_time["a"]
-    );
+    assert!(tally.in_time["a"] >= 1_960, "{} of 2000 in time", tally.in_time["a"]);
     assert!(tally.refused["b"] > 10_000);
-    assert!(
-        tally.answered["a"] + tally.answered["b"] >= 12_000,
-        "capacity left idle: {:?}",
-        tally.answered
-    );
+    assert!(tally.answered["a"] + tally.answered["b"] >= 12_000, "capacity left idle: {:?}", tally.answered);
 }
 
 // All instances are slow at once: the load is the cause, and taking instances away would make it worse.
--- a/crates/core/tests/sched/queue.rs
+++ b/crates/core/tests/sched/queue.rs
@@ -7,10 +7,7 @@
 
 fn entry(sequence: u64, partner: &str, latest_us: Option<u64>) -> Waiting<()> {
     Waiting {
-        request_id: RequestId {
-            incarnation: Incarnation(1),
-            sequence,
-        },
+        request_id: RequestId { incarnation: Incarnation(1), sequence },
         partner: partner.parse().unwrap(),
         since_us: MonoTime(0),
         latest_us: latest_us.map(MonoTime),
@@ -21,9 +18,7 @@
 }
 
 fn pops(queue: &mut FairQueue<()>, now_us: u64) -> Vec<u64> {
-    std::iter::from_fn(|| queue.pop(MonoTime(now_us)))
-        .map(|entry| entry.request_id.sequence)
-        .collect()
+    std::iter::from_fn(|| queue.pop(MonoTime(now_us))).map(|entry| entry.request_id.sequence).collect()
 }
 
 fn filled(entries: &[(u64, &str, Option<u64>)]) -> FairQueue<()> {
@@ -38,12 +33,8 @@
 // would serve the other last.
 #[test]
 fn partners_take_turns_whatever_their_deadlines() {
-    let mut queue = filled(&[
-        (1, "a", Some(10)),
-        (2, "a", Some(11)),
-        (3, "a", Some(12)),
-        (4, "b", Some(9_000)),
-    ]);
+    let mut queue =
+        filled(&[(1, "a", Some(10)), (2, "a", Some(11)), (3, "a", Some(12)), (4, "b", Some(9_000))]);
     assert_eq!(pops(&mut queue, 0), [1, 4, 2, 3]);
 }
 
--- a/crates/core/tests/sched/scenarios.rs
+++ b/crates/core/tests/sched/scenarios.rs
@@ -4,34 +4,20 @@
 
 /// Both partners together ask for this part of the capacity.
 pub fn even(load: f64) -> Scenario {
-    Scenario {
-        sources: two(load / 2.0, load / 2.0),
-        ..Scenario::default()
-    }
+    Scenario { sources: two(load / 2.0, load / 2.0), ..Scenario::default() }
 }
 
 /// Both partners at once send ten times as much for five seconds.
 pub fn burst() -> Scenario {
     let surge = Some((20, 25, 10.0));
-    let sources = two(0.25, 0.25)
-        .into_iter()
-        .map(|source| Source { surge, ..source });
-    Scenario {
-        sources: sources.collect(),
-        ..Scenario::default()
-    }
+    let sources = two(0.25, 0.25).into_iter().map(|source| Source { surge, ..source });
+    Scenario { sources: sources.collect(), ..Scenario::default() }
 }
 
 /// Prompts of one kind.
 pub fn prompts(kind: Prompts, load: f64) -> Scenario {
-    let sources = two(load / 2.0, load / 2.0).into_iter().map(|source| Source {
-        prompts: kind,
-        ..source
-    });
-    Scenario {
-        sources: sources.collect(),
-        ..Scenario::default()
-    }
+    let sources = two(load / 2.0, load / 2.0).into_iter().map(|source| Source { prompts: kind, ..source });
+    Scenario { sources: sources.collect(), ..Scenario::default() }
 }
 
 /// A fault at this load.
@@ -41,53 +27,25 @@
 
 /// Partner `a` stays inside its share; partner `b` does something.
 pub fn beside(b: Source) -> Scenario {
-    let a = Source {
-        load: 0.35,
-        ..Source::default()
-    };
-    Scenario {
-        sources: vec![
-            a,
-            Source {
-                name: "b".to_owned(),
-                ..b
-            },
-        ],
-        ..Scenario::default()
-    }
+    let a = Source { load: 0.35, ..Source::default() };
+    Scenario { sources: vec![a, Source { name: "b".to_owned(), ..b }], ..Scenario::default() }
 }
 
 /// What `b` can do to `a`.
 pub fn quiet() -> Source {
-    Source {
-        load: 0.35,
-        ..Source::default()
-    }
+    Source { load: 0.35, ..Source::default() }
 }
 
 pub fn surging() -> Source {
-    Source {
-        surge: Some((15, 45, 10.0)),
-        ..quiet()
-    }
+    Source { surge: Some((15, 45, 10.0)), ..quiet() }
 }
 
 pub fn absurd() -> Source {
-    Source {
-        load: 1.5,
-        tight_ms: 1,
-        loose_ms: 1,
-        ..Source::default()
-    }
+    Source { load: 1.5, tight_ms: 1, loose_ms: 1, ..Source::default() }
 }
 
 pub fn all_tight() -> Source {
-    Source {
-        load: 1.5,
-        tight: 1.0,
-        tight_ms: 700,
-        ..Source::default()
-    }
+    Source { load: 1.5, tight: 1.0, tight_ms: 700, ..Source::default() }
 }
 
 /// 280 partners: one of them asks for most of the capacity, the others for little each.
@@ -97,15 +55,8 @@
         load: others / 279.0,
         ..Source::default()
     });
-    let hog = Source {
-        name: "org0".to_owned(),
-        load: hog,
-        ..Source::default()
-    };
-    Scenario {
-        sources: std::iter::once(hog).chain(small).collect(),
-        ..Scenario::default()
-    }
+    let hog = Source { name: "org0".to_owned(), load: hog, ..Source::default() };
+    Scenario { sources: std::iter::once(hog).chain(small).collect(), ..Scenario::default() }
 }
 
 /// All of them, for the table.
@@ -126,61 +77,13 @@
         ("b absurd target", beside(absurd())),
         ("b all tightest", beside(all_tight())),
         ("280, one hogs", many(2.0, 0.5)),
-        (
-            "slow prefill",
-            fault(Faults {
-                slow_prefill: true,
-                ..Faults::default()
-            }),
-        ),
-        (
-            "slow decode",
-            fault(Faults {
-                slow_decode: true,
-                ..Faults::default()
-            }),
-        ),
-        (
-            "mute prefill",
-            fault(Faults {
-                mute_prefill_at: Some(20),
-                ..Faults::default()
-            }),
-        ),
-        (
-            "mute decode",
-            fault(Faults {
-                mute_decode_at: Some(20),
-                ..Faults::default()
-            }),
-        ),
-        (
-            "half replaced",
-            fault(Faults {
-                replace_at: Some(20),
-                ..Faults::default()
-            }),
-        ),
-        (
-            "report blackout",
-            fault(Faults {
-                blackout: Some((20, 30)),
-                ..Faults::default()
-            }),
-        ),
-        (
-            "data centre cut",
-            fault(Faults {
-                cut: Some((20, 40)),
-                ..Faults::default()
-            }),
-        ),
-        (
-            "callers leave 20 %",
-            fault(Faults {
-                leavers: 0.2,
-                ..Faults::default()
-            }),
-        ),
+        ("slow prefill", fault(Faults { slow_prefill: true, ..Faults::default() })),
+        ("slow decode", fault(Faults { slow_decode: true, ..Faults::default() })),
+        ("mute prefill", fault(Faults { mute_prefill_at: Some(20), ..Faults::default() })),
+        ("mute decode", fault(Faults { mute_decode_at: Some(20), ..Faults::default() })),
+        ("half replaced", fault(Faults { replace_at: Some(20), ..Faults::default() })),
+        ("report blackout", fault(Faults { blackout: Some((20, 30)), ..Faults::default() })),
+        ("data centre cut", fault(Faults { cut: Some((20, 40)), ..Faults::default() })),
+        ("callers leave 20 %", fault(Faults { leavers: 0.2, ..Faults::default() })),
     ]
 }
--- a/crates/core/tests/sched/shift.rs
+++ b/crates/core/tests/sched/shift.rs
@@ -9,14 +9,7 @@
 
 fn engine(server: &str, role: Role, model: &str, busy_percent: u32, in_use: u32) -> EngineView {
     let models = vec![model.parse().unwrap()];
-    EngineView {
-        server: server.parse().unwrap(),
-        role,
-        models,
-        in_use,
-        busy_percent,
-        live: true,
-    }
+    EngineView { server: server.parse().unwrap(), role, models, in_use, busy_percent, live: true }
 }
 
 fn engines(prefill: u32, decode: u32, in_use: u32) -> Vec<EngineView> {
@@ -26,11 +19,7 @@
 }
 
 fn demand(model: &str, arrivals: u64) -> ModelDemand {
-    ModelDemand {
-        model: model.parse::<ModelId>().unwrap(),
-        bytes: Bytes(1_000),
-        arrivals,
-    }
+    ModelDemand { model: model.parse::<ModelId>().unwrap(), bytes: Bytes(1_000), arrivals }
 }
 
 fn run<Engines>(planner: &mut ShiftPlanner, from: u64, until: u64, engines: Engines) -> Vec<ShiftOrder>
@@ -40,13 +29,7 @@
     let mut orders = Vec::new();
     for second in from..until {
         let now_us = MonoTime(second * SECOND_US);
-        planner.plan(
-            now_us,
-            &engines(second),
-            &[demand("m", 5)],
-            BytesPerSecond(100),
-            &mut orders,
-        );
+        planner.plan(now_us, &engines(second), &[demand("m", 5)], BytesPerSecond(100), &mut orders);
     }
     orders
 }
@@ -56,23 +39,10 @@
 #[test]
 fn lasting_imbalance_moves_one_idle_engine() {
     let mut planner = ShiftPlanner::new(ShiftSettings::default());
-    let orders = run(&mut planner, 0, 40, |second| {
-        engines(99, 20, u32::from(second < 35))
-    });
+    let orders = run(&mut planner, 0, 40, |second| engines(99, 20, u32::from(second < 35)));
     let server = "d0".parse().unwrap();
-    let to_prefill = ShiftOrder::SetRole {
-        server,
-        role: Role::Prefill,
-    };
-    assert_eq!(
-        orders,
-        [
-            ShiftOrder::Drain {
-                server: "d0".parse().unwrap()
-            },
-            to_prefill
-        ]
-    );
+    let to_prefill = ShiftOrder::SetRole { server, role: Role::Prefill };
+    assert_eq!(orders, [ShiftOrder::Drain { server: "d0".parse().unwrap() }, to_prefill]);
 }
 
 // An engine never becomes idle. It goes back to work instead of standing half empty for ever.
@@ -80,17 +50,8 @@
 fn drain_that_takes_too_long_is_taken_back() {
     let mut planner = ShiftPlanner::new(ShiftSettings::default());
     let orders = run(&mut planner, 0, 92, |_| engines(99, 20, 1));
-    assert_eq!(
-        orders[1],
-        ShiftOrder::Undrain {
-            server: "d0".parse().unwrap()
-        }
-    );
-    assert!(
-        !orders
-            .iter()
-            .any(|order| matches!(order, ShiftOrder::SetRole { .. }))
-    );
+    assert_eq!(orders[1], ShiftOrder::Undrain { server: "d0".parse().unwrap() });
+    assert!(!orders.iter().any(|order| matches!(order, ShiftOrder::SetRole { .. })));
 }
 
 // The load swings every twenty seconds. Engines that followed each swing would lose their caches all day.
@@ -98,11 +59,7 @@
 fn swinging_load_moves_nothing() {
     let mut planner = ShiftPlanner::new(ShiftSettings::default());
     let swing = |second: u64| {
-        if (second / 20).is_multiple_of(2) {
-            engines(99, 20, 0)
-        } else {
-            engines(30, 80, 0)
-        }
+        if (second / 20).is_multiple_of(2) { engines(99, 20, 0) } else { engines(30, 80, 0) }
     };
     assert_eq!(run(&mut planner, 0, 600, swing), []);
 }
@@ -127,13 +84,7 @@
     for second in 0..35 {
         let now_us = MonoTime(second * SECOND_US);
         let wanted = [demand("m", 5), demand("new", 3)];
-        planner.plan(
-            now_us,
-            &engines(20, 20, 0),
-            &wanted,
-            BytesPerSecond(100),
-            &mut orders,
-        );
+        planner.plan(now_us, &engines(20, 20, 0), &wanted, BytesPerSecond(100), &mut orders);
     }
     assert_eq!(orders.len(), 1);
     let is_load =
@@ -148,13 +99,7 @@
     let mut orders = Vec::new();
     for second in 0..120 {
         let now_us = MonoTime(second * SECOND_US);
-        planner.plan(
-            now_us,
-            &engines(20, 20, 0),
-            &[demand("old", 0)],
-            BytesPerSecond(100),
-            &mut orders,
-        );
+        planner.plan(now_us, &engines(20, 20, 0), &[demand("old", 0)], BytesPerSecond(100), &mut orders);
     }
     assert_eq!(orders, []);
 }
--- a/crates/core/tests/sched/world.rs
+++ b/crates/core/tests/sched/world.rs
@@ -107,28 +107,13 @@
     }
 
     fn new(scenario: Scenario, plan: Vec<Planned>) -> Self {
-        let partners = scenario
-            .sources
-            .iter()
-            .map(|source| PartnerOutcome::new(&source.name))
-            .collect();
-        let outcome = Outcome {
-            partners,
-            ..Outcome::default()
-        };
-        let daemons = (0..scenario.daemons)
-            .map(|index| new_daemon(&scenario, index, 1))
-            .collect();
+        let partners = scenario.sources.iter().map(|source| PartnerOutcome::new(&source.name)).collect();
+        let outcome = Outcome { partners, ..Outcome::default() };
+        let daemons = (0..scenario.daemons).map(|index| new_daemon(&scenario, index, 1)).collect();
         let slots = 20;
-        let prefill = (0..scenario.prefills).map(|_| PrefillEngine {
-            slow: 1,
-            ..PrefillEngine::default()
-        });
-        let decode = (0..scenario.decodes).map(|_| DecodeEngine {
-            slots,
-            slow: 1,
-            ..DecodeEngine::default()
-        });
+        let prefill = (0..scenario.prefills).map(|_| PrefillEngine { slow: 1, ..PrefillEngine::default() });
+        let decode =
+            (0..scenario.decodes).map(|_| DecodeEngine { slots, slow: 1, ..DecodeEngine::default() });
         Self {
             now_us: 0,
             heap: BinaryHeap::new(),
@@ -190,19 +175,11 @@
     fn number(&self, server: &BackendServerId) -> usize {
         let text = server.as_str();
         let number = text[1..].parse::<usize>().unwrap();
-        if text.starts_with('p') {
-            number
-        } else {
-            self.prefill.len() + number
-        }
+        if text.starts_with('p') { number } else { self.prefill.len() + number }
     }
 
     fn role(&self, server: usize) -> Role {
-        if server < self.prefill.len() {
-            Role::Prefill
-        } else {
-            Role::Decode
-        }
+        if server < self.prefill.len() { Role::Prefill } else { Role::Decode }
     }
 
     fn decode_at(&mut self, server: usize) -> &mut DecodeEngine {
@@ -222,13 +199,8 @@
 
     /// Gives each server to a living daemon; servers that change hands go through the quiet time.
     fn assign_watchers(&mut self, first: bool) {
-        let live = (0..self.daemons.len())
-            .filter(|&index| self.daemons[index].listed)
-            .collect::<Vec<_>>();
-        let others = live
-            .iter()
-            .map(|&index| self.daemons[index].incarnation)
-            .collect::<Vec<_>>();
+        let live = (0..self.daemons.len()).filter(|&index| self.daemons[index].listed).collect::<Vec<_>>();
+        let others = live.iter().map(|&index| self.daemons[index].incarnation).collect::<Vec<_>>();
         let now_us = MonoTime(self.now_us);
         for server in 0..self.prefill.len() + self.decode.len() {
             let rank = |index: &usize| mix(server as u64 * 1_000 + *index as u64);
@@ -246,9 +218,7 @@
             }
             let others = if first { Vec::new() } else { others.clone() };
             let (role, link) = (self.role(server), BytesPerSecond(LINK));
-            self.daemons[owner]
-                .watcher
-                .own(now_us, &name, role, 20, link, &others);
+            self.daemons[owner].watcher.own(now_us, &name, role, 20, link, &others);
             if first {
                 self.watchers.push(owner);
                 continue;
@@ -354,9 +324,7 @@
             Ev::Tick(index, incarnation) => {
                 if self.is_alive(index, incarnation) {
                     let mut actions = Vec::new();
-                    self.daemons[index]
-                        .watcher
-                        .tick(MonoTime(self.now_us), &mut actions);
+                    self.daemons[index].watcher.tick(MonoTime(self.now_us), &mut actions);
                     self.ledger_actions(index, actions);
                     self.tell(index, Event::Tick);
                 }
@@ -368,16 +336,12 @@
             Ev::Probed(index, request_id, loads) => {
                 let mut wishes = Vec::new();
                 let now_us = MonoTime(self.now_us);
-                self.daemons[index]
-                    .baseline
-                    .probed(now_us, request_id, loads, &mut wishes);
+                self.daemons[index].baseline.probed(now_us, request_id, loads, &mut wishes);
                 self.wishes(index, wishes);
             }
             Ev::Later(index, request_id) => {
                 let mut wishes = Vec::new();
-                self.daemons[index]
-                    .baseline
-                    .retry(MonoTime(self.now_us), request_id, &mut wishes);
+                self.daemons[index].baseline.retry(MonoTime(self.now_us), request_id, &mut wishes);
                 self.wishes(index, wishes);
             }
             Ev::Engine(index, incarnation, action) => self.engine(index, incarnation, *action),
@@ -404,12 +368,8 @@
                     daemon.watcher.forget_home(MonoTime(self.now_us), gone);
                 }
                 self.assign_watchers(false);
-                self.prefill
-                    .iter_mut()
-                    .for_each(|engine| engine.cancel_owner(gone));
-                self.decode
-                    .iter_mut()
-                    .for_each(|engine| engine.seats.retain(|id, _| id.incarnation != gone));
+                self.prefill.iter_mut().for_each(|engine| engine.cancel_owner(gone));
+                self.decode.iter_mut().for_each(|engine| engine.seats.retain(|id, _| id.incarnation != gone));
             }
             Ev::Back(index) => {
                 let life = self.daemons[index].incarnation.0 + 1;
@@ -425,25 +385,15 @@
         // The balancer sends to a daemon that lives.
         let count = self.daemons.len();
         let first = self.plan[planned].daemon;
-        let index = (first..first + count)
-            .map(|index| index % count)
-            .find(|&index| self.daemons[index].alive);
+        let index =
+            (first..first + count).map(|index| index % count).find(|&index| self.daemons[index].alive);
         let index = index.unwrap();
         let daemon = &mut self.daemons[index];
         daemon.sequence += 1;
-        let request_id = RequestId {
-            incarnation: daemon.incarnation,
-            sequence: daemon.sequence,
-        };
+        let request_id = RequestId { incarnation: daemon.incarnation, sequence: daemon.sequence };
         let source = &self.scenario.sources[self.plan[planned].source];
         let event = Event::Arrive(arrival(source, &self.plan[planned], request_id));
-        let track = Track {
-            planned,
-            first_us: None,
-            tokens: 0,
-            last_us: self.now_us,
-            prefilled: false,
-        };
+        let track = Track { planned, first_us: None, tokens: 0, last_us: self.now_us, prefilled: false };
         self.tracks.insert(request_id, track);
         if let Some(after_us) = self.plan[planned].leaves_after_us {
             self.soon(after_us, Ev::Leave(request_id));
@@ -454,9 +404,7 @@
     }
 
     fn home_of(&self, request_id: RequestId) -> Option<usize> {
-        self.daemons
-            .iter()
-            .position(|daemon| daemon.alive && daemon.incarnation == request_id.incarnation)
+        self.daemons.iter().position(|daemon| daemon.alive && daemon.incarnation == request_id.incarnation)
     }
 
     fn leave(&mut self, request_id: RequestId) {
@@ -484,11 +432,7 @@
                 }
                 let planned = &self.plan[track.planned];
                 let source = &self.scenario.sources[planned.source];
-                let target_ms = if planned.tight {
-                    source.tight_ms
-                } else {
-                    source.loose_ms
-                };
+                let target_ms = if planned.tight { source.tight_ms } else { source.loose_ms };
                 let first_us = track.first_us.unwrap_or(self.now_us);
                 let in_time = first_us <= planned.at_us + target_ms * 1_000;
                 let pace_us = (self.now_us - first_us) / tokens.0.max(2).saturating_sub(1);
@@ -516,9 +460,7 @@
         let mut actions = Vec::new();
         let host = self.daemons[from].host.clone();
         let server = message.server().clone();
-        self.daemons[to]
-            .watcher
-            .handle(MonoTime(self.now_us), &host, incarnation, message, &mut actions);
+        self.daemons[to].watcher.handle(MonoTime(self.now_us), &host, incarnation, message, &mut actions);
         let ledger = self.daemons[to].watcher.ledger(&server);
         if ledger.is_some_and(|ledger| ledger.counters().closed > 0) {
             self.outcome.closed_at_us.get_or_insert(self.now_us);
@@ -536,28 +478,14 @@
 
     fn engine(&mut self, index: usize, incarnation: Incarnation, action: Action) {
         match action {
-            Action::StartPrefill {
-                request_id,
-                attempt,
-                server,
-                from_index,
-                priority,
-                ..
-            } => {
+            Action::StartPrefill { request_id, attempt, server, from_index, priority, .. } => {
                 let server = self.number(&server);
                 if let Some(track) = self.tracks.get_mut(&request_id) {
                     track.prefilled = true;
                     let planned = &self.plan[track.planned];
                     let tokens = planned.prompt + from_index.0;
                     let blocks = planned.blocks.clone();
-                    let job = Job {
-                        request_id,
-                        attempt,
-                        home: index,
-                        tokens,
-                        blocks,
-                        priority,
-                    };
+                    let job = Job { request_id, attempt, home: index, tokens, blocks, priority };
                     if self.is_cut(server) {
                         return;
                     }
@@ -565,41 +493,18 @@
                     self.start_prefill(server);
                 }
             }
-            Action::Import {
-                request_id,
-                attempt,
-                source,
-                server,
-                rate_bytes_per_s,
-                ..
-            } => {
+            Action::Import { request_id, attempt, source, server, rate_bytes_per_s, .. } => {
                 let (source, server) = (self.number(&source), self.number(&server));
-                self.import(
-                    index,
-                    incarnation,
-                    request_id,
-                    attempt,
-                    (source, server),
-                    rate_bytes_per_s.0,
-                );
+                self.import(index, incarnation, request_id, attempt, (source, server), rate_bytes_per_s.0);
             }
-            Action::Decode {
-                request_id,
-                attempt,
-                server,
-                silence_ms,
-                ..
-            } => {
+            Action::Decode { request_id, attempt, server, silence_ms, .. } => {
                 let server = self.number(&server);
                 let since_us = self.now_us;
                 if let Some(track) = self.tracks.get_mut(&request_id) {
                     track.last_us = since_us;
                 }
                 let limit_us = silence_ms.0 * 1_000;
-                self.soon(
-                    limit_us,
-                    Ev::Silence(index, request_id, attempt, since_us, limit_us),
-                );
+                self.soon(limit_us, Ev::Silence(index, request_id, attempt, since_us, limit_us));
                 if let Some(seat) = self.decode_at(server).seats.get_mut(&request_id) {
                     seat.decoding = true;
                     self.wake_decode(server);
@@ -637,9 +542,7 @@
         };
         engine.store(&job.blocks);
         let second = (self.now_us / SECOND_US) as usize;
-        self.outcome
-            .read_by_second
-            .resize(self.outcome.read_by_second.len().max(second + 1), 0);
+        self.outcome.read_by_second.resize(self.outcome.read_by_second.len().max(second + 1), 0);
         self.outcome.read_by_second[second] += job.tokens;
         engine.results.insert(job.request_id, job.tokens);
         let request_id = job.request_id;
@@ -666,13 +569,7 @@
     ) {
         let fail = |cause| {
             let stage = WorkStage::Import;
-            Event::Failed {
-                request_id,
-                attempt,
-                stage,
-                cause,
-                tokens: Tokens(0),
-            }
+            Event::Failed { request_id, attempt, stage, cause, tokens: Tokens(0) }
         };
         if self.is_cut(server) {
             return;
@@ -685,14 +582,7 @@
             return;
         };
         let answer = self.plan[track.planned].answer;
-        let seat = Seat {
-            home: index,
-            attempt,
-            decoding: false,
-            answer,
-            written: track.tokens,
-            rate,
-        };
+        let seat = Seat { home: index, attempt, decoding: false, answer, written: track.tokens, rate };
         if !self.decode_at(server).take(request_id, seat) {
             self.answer(index, incarnation, fail(FailureCause::NoRoom));
             return;
@@ -708,19 +598,10 @@
         }
         self.prefill[source].results.remove(&request_id);
         self.prefill[source].pinned.remove(&request_id);
-        let Some(home) = self
-            .decode_at(server)
-            .seats
-            .get(&request_id)
-            .map(|seat| seat.home)
-        else {
+        let Some(home) = self.decode_at(server).seats.get(&request_id).map(|seat| seat.home) else {
             return;
         };
-        self.answer(
-            home,
-            request_id.incarnation,
-            Event::Imported { request_id, attempt },
-        );
+        self.answer(home, request_id.incarnation, Event::Imported { request_id, attempt });
     }
 
     fn wake_decode(&mut self, server: usize) {
@@ -744,9 +625,7 @@
             seat.written += 1;
             told.push_back((request_id, seat.home, seat.written, seat.written >= seat.answer));
         }
-        engine
-            .seats
-            .retain(|_, seat| !seat.decoding || seat.written < seat.answer);
+        engine.seats.retain(|_, seat| !seat.decoding || seat.written < seat.answer);
         told.make_contiguous().sort_unstable();
         for (request_id, home, written, done) in told {
             if let Some(track) = self.tracks.get_mut(&request_id) {
@@ -758,23 +637,9 @@
                 self.answer(home, incarnation, Event::FirstToken { request_id });
             }
             if done {
-                self.answer(
-                    home,
-                    incarnation,
-                    Event::Finished {
-                        request_id,
-                        tokens: Tokens(written),
-                    },
-                );
+                self.answer(home, incarnation, Event::Finished { request_id, tokens: Tokens(written) });
             } else if written % PROGRESS_EVERY == 0 {
-                self.answer(
-                    home,
-                    incarnation,
-                    Event::Progress {
-                        request_id,
-                        tokens: Tokens(written),
-                    },
-                );
+                self.answer(home, incarnation, Event::Progress { request_id, tokens: Tokens(written) });
             }
         }
         self.wake_decode(server);
@@ -803,33 +668,20 @@
             return;
         }
         let at_us = track.last_us + limit_us;
-        self.at(
-            at_us,
-            Ev::Silence(index, request_id, attempt, track.last_us, limit_us),
-        );
+        self.at(at_us, Ev::Silence(index, request_id, attempt, track.last_us, limit_us));
     }
 
     fn load_of(&self, server: usize) -> Seen {
         let Some(engine) = self.prefill.get(server) else {
             let engine = &self.decode[server - self.prefill.len()];
-            return Seen {
-                wait_us: 0,
-                free: engine.slots as i64 - engine.seats.len() as i64,
-            };
+            return Seen { wait_us: 0, free: engine.slots as i64 - engine.seats.len() as i64 };
         };
-        Seen {
-            wait_us: engine.backlog_tokens() * PREFILL_TOKEN_US,
-            free: 0,
-        }
+        Seen { wait_us: engine.backlog_tokens() * PREFILL_TOKEN_US, free: 0 }
     }
 
     fn report(&mut self) {
         let second = self.now_us / SECOND_US;
-        let dark = self
-            .scenario
-            .faults
-            .blackout
-            .is_some_and(|(from, until)| (from..until).contains(&second));
+        let dark = self.scenario.faults.blackout.is_some_and(|(from, until)| (from..until).contains(&second));
         for server in (0..self.prefill.len() + self.decode.len()).filter(|_| !dark) {
             let seen = self.load_of(server);
             let held = match server.checked_sub(self.prefill.len()) {
@@ -842,26 +694,17 @@
     }
 
     fn reported(&mut self, server: usize, held: Vec<RequestId>, seen: Seen) {
-        self.daemons
-            .iter_mut()
-            .for_each(|daemon| daemon.baseline.report(server, seen));
+        self.daemons.iter_mut().for_each(|daemon| daemon.baseline.report(server, seen));
         let owner = self.watchers[server];
-        let report = HeldReport {
-            as_of_us: Micros(REPORT_LAG_US),
-            held,
-        };
+        let report = HeldReport { as_of_us: Micros(REPORT_LAG_US), held };
         let (name, mut actions) = (self.name(server), Vec::new());
-        self.daemons[owner]
-            .watcher
-            .report(MonoTime(self.now_us), &name, &report, &mut actions);
+        self.daemons[owner].watcher.report(MonoTime(self.now_us), &name, &report, &mut actions);
         self.ledger_actions(owner, actions);
     }
 
     fn second(&mut self, second: u64) {
         let faults = &self.scenario.faults;
-        self.cut = faults
-            .cut
-            .is_some_and(|(from, until)| (from..until).contains(&second));
+        self.cut = faults.cut.is_some_and(|(from, until)| (from..until).contains(&second));
         if faults.mute_prefill_at == Some(second) {
             self.prefill[0].mute = true;
         }
@@ -883,12 +726,7 @@
 
     fn finish(mut self) -> Outcome {
         self.outcome.engine_refusals = self.decode.iter().map(|engine| engine.refused).sum();
-        self.outcome.most_link = self
-            .decode
-            .iter()
-            .map(|engine| engine.most_link)
-            .max()
-            .unwrap_or(0);
+        self.outcome.most_link = self.decode.iter().map(|engine| engine.most_link).max().unwrap_or(0);
         self.outcome.link = LINK;
         self.outcome.unanswered = self.tracks.len() as u64;
         self.outcome.held_at_end = self.decode.iter().map(|engine| engine.seats.len() as u64).sum();
@@ -916,18 +754,9 @@
 
 fn new_daemon(scenario: &Scenario, index: usize, life: u64) -> Daemon {
     let seed = scenario.seed * 1_000 + index as u64;
-    let queue = QueueSettings {
-        order: scenario.order,
-        ..QueueSettings::default()
-    };
-    let ledger = LedgerSettings {
-        queue,
-        ..LedgerSettings::default()
-    };
-    let settings = SchedulerSettings {
-        start: scenario.start,
-        ..SchedulerSettings::default()
-    };
+    let queue = QueueSettings { order: scenario.order, ..QueueSettings::default() };
+    let ledger = LedgerSettings { queue, ..LedgerSettings::default() };
+    let settings = SchedulerSettings { start: scenario.start, ..SchedulerSettings::default() };
     Daemon {
         host: format!("h{index}").parse().unwrap(),
         incarnation: Incarnation((index as u64 + 1) * 1_000 + life),
--- a/crates/daemon/src/cmd/mod.rs
+++ b/crates/daemon/src/cmd/mod.rs
@@ -63,9 +63,5 @@
 
 /// The exit code for an error.
 pub fn exit_code(error: &anyhow::Error) -> ExitCode {
-    if error.is::<SettingsError>() {
-        ExitCode::from(EXIT_SETTINGS)
-    } else {
-        ExitCode::from(EXIT_FAILURE)
-    }
+    if error.is::<SettingsError>() { ExitCode::from(EXIT_SETTINGS) } else { ExitCode::from(EXIT_FAILURE) }
 }
--- a/crates/router/src/backend/engine.rs
+++ b/crates/router/src/backend/engine.rs
@@ -41,9 +41,7 @@
     where
         D: Deserializer<'de>,
     {
-        String::deserialize(deserializer)?
-            .parse()
-            .map_err(D::Error::custom)
+        String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
     }
 }
 
@@ -59,10 +57,7 @@
 impl Held {
     /// Memory held on behalf of the present life.
     pub fn own(attempt_id: AttemptId) -> Self {
-        Self {
-            attempt_id,
-            owner: None,
-        }
+        Self { attempt_id, owner: None }
     }
 }
 
--- a/crates/router/src/backend/engine_http.rs
+++ b/crates/router/src/backend/engine_http.rs
@@ -196,8 +196,7 @@
                 generated: &call.generated,
                 priority: call.priority,
             };
-            self.ask(to, "/engine/prefill", &body, trust, call.timeout_ms.into())
-                .await
+            self.ask(to, "/engine/prefill", &body, trust, call.timeout_ms.into()).await
         })
     }
 
@@ -216,8 +215,7 @@
                 priority: call.priority,
                 rate_bytes_per_s: call.rate_bytes_per_s,
             };
-            self.ask(to, "/engine/import", &body, trust, call.timeout_ms.into())
-                .await
+            self.ask(to, "/engine/import", &body, trust, call.timeout_ms.into()).await
         })
     }
 
@@ -242,14 +240,9 @@
     fn cancel(&self, to: SocketAddr, held: Held) -> BoxFuture<'_, Result<(), EngineFailure>> {
         Box::pin(async move {
             let owner = held.owner.as_ref().unwrap_or(&self.owner);
-            let body = CancelBody {
-                request_id: held.attempt_id.to_string(),
-                owner,
-            };
+            let body = CancelBody { request_id: held.attempt_id.to_string(), owner };
             // That it answered is the confirmation; how much it released is of no consequence.
-            let IgnoredAny = self
-                .ask(to, "/engine/cancel", &body, Trust::Fresh, SHORT_CALL)
-                .await?;
+            let IgnoredAny = self.ask(to, "/engine/cancel", &body, Trust::Fresh, SHORT_CALL).await?;
             Ok(())
         })
     }
@@ -258,9 +251,7 @@
         Box::pin(async move {
             let body = CancelOwnerBody { owner: &owner };
             // That it answered is the confirmation; how much it released is of no consequence.
-            let IgnoredAny = self
-                .ask(to, "/engine/cancel_owner", &body, Trust::Fresh, SHORT_CALL)
-                .await?;
+            let IgnoredAny = self.ask(to, "/engine/cancel_owner", &body, Trust::Fresh, SHORT_CALL).await?;
             Ok(())
         })
     }
@@ -286,10 +277,7 @@
                     OrderKind::BecomeDecode => OrderKindBody::Role("decode"),
                 },
             };
-            match self
-                .post(to, "/engine/order", &body, Trust::Fresh, SHORT_CALL)
-                .await
-            {
+            match self.post(to, "/engine/order", &body, Trust::Fresh, SHORT_CALL).await {
                 Ok(_) => Ok(OrderEnd::Applied),
                 Err(EngineFailure::Refused(CONFLICT)) => Ok(OrderEnd::Fenced),
                 Err(EngineFailure::Gone) => Ok(OrderEnd::Expired),
@@ -301,14 +289,9 @@
 
 /// The parts of a stream, one line of JSON each.
 fn parts(incoming: Incoming) -> impl Stream<Item = Result<StreamPart, CallFailure>> {
-    stream::try_unfold(
-        (incoming, BytesMut::new()),
-        |(mut incoming, mut buffer)| async move {
-            Ok(next_part(&mut incoming, &mut buffer)
-                .await?
-                .map(|part| (part, (incoming, buffer))))
-        },
-    )
+    stream::try_unfold((incoming, BytesMut::new()), |(mut incoming, mut buffer)| async move {
+        Ok(next_part(&mut incoming, &mut buffer).await?.map(|part| (part, (incoming, buffer))))
+    })
 }
 
 async fn next_part(
@@ -318,9 +301,7 @@
     loop {
         if let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
             let line = buffer.split_to(end + 1);
-            return serde_json::from_slice(&line)
-                .map(Some)
-                .map_err(|_| CallFailure::Malformed);
+            return serde_json::from_slice(&line).map(Some).map_err(|_| CallFailure::Malformed);
         }
         if buffer.len() > LINE_LIMIT_BYTES {
             return Err(CallFailure::Malformed);
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -75,10 +75,7 @@
                 .retry_canceled_requests(false)
                 .build(connector.clone())
         };
-        Self {
-            pooled: build(usize::MAX),
-            fresh: build(0),
-        }
+        Self { pooled: build(usize::MAX), fresh: build(0) }
     }
 
     /// Sends `request` and waits up to `timeout` for the head of the answer.
--- a/crates/router/src/backend/plain.rs
+++ b/crates/router/src/backend/plain.rs
@@ -115,35 +115,17 @@
             let timeout = Duration::from(call.timeout_ms);
             let trust = call.trust;
             let request = request_of(to, call).map_err(|_| PlainFailure::NotSent)?;
-            let response = self
-                .http
-                .send(trust, request, timeout)
-                .await
-                .map_err(failure_of)?;
+            let response = self.http.send(trust, request, timeout).await.map_err(failure_of)?;
             let (mut parts, body) = response.into_parts();
             if parts.status == StatusCode::SERVICE_UNAVAILABLE && parts.headers.contains_key(LEAVING_HEADER) {
                 return Err(PlainFailure::Leaving);
             }
             strip_connection_headers(&mut parts.headers);
-            if body
-                .size_hint()
-                .exact()
-                .is_none_or(|size| size > WHOLE_ANSWER_BYTES as u64)
-            {
-                return Ok(PlainReply::Streamed {
-                    status: parts.status,
-                    headers: parts.headers,
-                    body,
-                });
+            if body.size_hint().exact().is_none_or(|size| size > WHOLE_ANSWER_BYTES as u64) {
+                return Ok(PlainReply::Streamed { status: parts.status, headers: parts.headers, body });
             }
-            let body = read_body(body, WHOLE_ANSWER_BYTES, timeout)
-                .await
-                .map_err(PlainFailure::Unknown)?;
-            Ok(PlainReply::Whole {
-                status: parts.status,
-                headers: parts.headers,
-                body,
-            })
+            let body = read_body(body, WHOLE_ANSWER_BYTES, timeout).await.map_err(PlainFailure::Unknown)?;
+            Ok(PlainReply::Whole { status: parts.status, headers: parts.headers, body })
         })
     }
 }
@@ -164,17 +146,10 @@
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::HOST);
-    let id = call
-        .request_id
-        .to_string()
-        .parse()
-        .map_err(|_| CallFailure::Malformed)?;
+    let id = call.request_id.to_string().parse().map_err(|_| CallFailure::Malformed)?;
     headers.insert("x-request-id", id);
     if let Some(key) = call.key {
-        headers.insert(
-            "idempotency-key",
-            key.as_str().parse().map_err(|_| CallFailure::Malformed)?,
-        );
+        headers.insert("idempotency-key", key.as_str().parse().map_err(|_| CallFailure::Malformed)?);
     }
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method;
--- a/crates/router/src/callers/auth.rs
+++ b/crates/router/src/callers/auth.rs
@@ -22,9 +22,7 @@
         let hashes = partners.iter().flat_map(|(partner, settings)| {
             settings.token_hashes.iter().map(|hash| (*hash, partner.clone()))
         });
-        Self {
-            partners: hashes.collect(),
-        }
+        Self { partners: hashes.collect() }
     }
 
     /// The partner whose token the request carries.
--- a/crates/router/src/callers/head.rs
+++ b/crates/router/src/callers/head.rs
@@ -74,8 +74,5 @@
 where
     Value: std::str::FromStr,
 {
-    text(headers, name)?
-        .map(str::parse)
-        .transpose()
-        .map_err(|_| Refusal::not_run(RefusalReason::BadHeader))
+    text(headers, name)?.map(str::parse).transpose().map_err(|_| Refusal::not_run(RefusalReason::BadHeader))
 }
--- a/crates/router/src/callers/language.rs
+++ b/crates/router/src/callers/language.rs
@@ -138,18 +138,12 @@
 impl AnswerStyle {
     /// The style in which `request` is answered.
     pub fn of(request: &LanguageRequest) -> Self {
-        Self {
-            request_id: request.request_id,
-            model: request.model.clone(),
-            shape: request.shape,
-        }
+        Self { request_id: request.request_id, model: request.model.clone(), shape: request.shape }
     }
 
     fn chunk(&self, text: &str, finish_reason: Option<&'static str>) -> Vec<u8> {
         let content = match self.shape {
-            Shape::Chat => ChoiceContent::Delta {
-                delta: Delta { content: text },
-            },
+            Shape::Chat => ChoiceContent::Delta { delta: Delta { content: text } },
             Shape::Completions => ChoiceContent::Text { text },
         };
         let answer = Answer {
@@ -159,11 +153,7 @@
                 Shape::Completions => "text_completion",
             },
             model: &self.model,
-            choices: [Choice {
-                index: 0,
-                content,
-                finish_reason,
-            }],
+            choices: [Choice { index: 0, content, finish_reason }],
             usage: None,
         };
         serde_json::to_vec(&answer).unwrap_or_default()
@@ -171,12 +161,7 @@
 
     fn whole(&self, text: &str, tokens: u64) -> Vec<u8> {
         let content = match self.shape {
-            Shape::Chat => ChoiceContent::Message {
-                message: Reply {
-                    role: "assistant",
-                    content: text,
-                },
-            },
+            Shape::Chat => ChoiceContent::Message { message: Reply { role: "assistant", content: text } },
             Shape::Completions => ChoiceContent::Text { text },
         };
         let answer = Answer {
@@ -186,14 +171,8 @@
                 Shape::Completions => "text_completion",
             },
             model: &self.model,
-            choices: [Choice {
-                index: 0,
-                content,
-                finish_reason: Some("stop"),
-            }],
-            usage: Some(Usage {
-                completion_tokens: tokens,
-            }),
+            choices: [Choice { index: 0, content, finish_reason: Some("stop") }],
+            usage: Some(Usage { completion_tokens: tokens }),
         };
         serde_json::to_vec(&answer).unwrap_or_default()
     }
@@ -266,10 +245,9 @@
                 let body = Full::new(Bytes::from(style.whole(&text, tokens)));
                 let mut response = Response::new(body.map_err(|never| match never {}).boxed_unsync());
                 put_head(&mut response, &style, "application/json");
-                response.headers_mut().insert(
-                    OUTCOME_HEADER,
-                    HeaderValue::from_static(Outcome::Answered.as_str()),
-                );
+                response
+                    .headers_mut()
+                    .insert(OUTCOME_HEADER, HeaderValue::from_static(Outcome::Answered.as_str()));
                 return response;
             }
             Some(AnswerPart::Refused(refusal)) => return refusal.into_response(style.request_id),
@@ -285,18 +263,14 @@
     parts: mpsc::Receiver<AnswerPart>,
 ) -> Response<AnswerBody> {
     let head_style = style.clone();
-    let rest = futures_util::stream::unfold(
-        parts,
-        |mut parts| async move { Some((parts.recv().await?, parts)) },
-    );
+    let rest =
+        futures_util::stream::unfold(parts, |mut parts| async move { Some((parts.recv().await?, parts)) });
     let frames = futures_util::stream::once(std::future::ready(first))
         .chain(rest)
         .map(move |part| Ok(Frame::data(event(&style, &part))));
     let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
     put_head(&mut response, &head_style, "text/event-stream");
-    response
-        .headers_mut()
-        .insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
     response
 }
 
@@ -318,10 +292,7 @@
         }
         AnswerPart::Refused(refusal) => {
             let error = StreamError {
-                error: StreamErrorBody {
-                    kind: refusal.reason.as_str(),
-                    outcome: refusal.outcome.as_str(),
-                },
+                error: StreamErrorBody { kind: refusal.reason.as_str(), outcome: refusal.outcome.as_str() },
             };
             event.extend(serde_json::to_vec(&error).unwrap_or_default());
         }
--- a/crates/router/src/callers/listener.rs
+++ b/crates/router/src/callers/listener.rs
@@ -52,11 +52,7 @@
 
 impl Default for ListenerSettings {
     fn default() -> Self {
-        Self {
-            in_flight: 4_096,
-            head_bytes: Bytes(32 << 10),
-            head_timeout_ms: Millis(5_000),
-        }
+        Self { in_flight: 4_096, head_bytes: Bytes(32 << 10), head_timeout_ms: Millis(5_000) }
     }
 }
 
@@ -106,9 +102,7 @@
         let service = ServiceBuilder::new()
             .map_result(move |result| Ok::<_, BoxError>(shed(&overloaded, result)))
             .load_shed()
-            .layer(tower::limit::GlobalConcurrencyLimitLayer::new(
-                self.settings.in_flight,
-            ))
+            .layer(tower::limit::GlobalConcurrencyLimitLayer::new(self.settings.in_flight))
             .service(CallerService::new(state));
         loop {
             let accepted = tokio::select! {
--- a/crates/router/src/callers/refusal.rs
+++ b/crates/router/src/callers/refusal.rs
@@ -148,29 +148,18 @@
 impl Refusal {
     /// A request that did not run.
     pub fn not_run(reason: RefusalReason) -> Self {
-        Self {
-            reason,
-            outcome: Outcome::NotRun,
-            retry_after_ms: None,
-        }
+        Self { reason, outcome: Outcome::NotRun, retry_after_ms: None }
     }
 
     /// A request that may have run.
     pub fn unknown(reason: RefusalReason) -> Self {
-        Self {
-            reason,
-            outcome: Outcome::Unknown,
-            retry_after_ms: None,
-        }
+        Self { reason, outcome: Outcome::Unknown, retry_after_ms: None }
     }
 
     /// The same with a time to come back.
     #[must_use]
     pub fn retry_after(self, retry_after_ms: Millis) -> Self {
-        Self {
-            retry_after_ms: Some(retry_after_ms),
-            ..self
-        }
+        Self { retry_after_ms: Some(retry_after_ms), ..self }
     }
 
     /// The answer that tells the caller.
@@ -185,26 +174,18 @@
             request_id: request_id.to_string(),
         };
         let encoded = serde_json::to_vec(&problem).unwrap_or_default();
-        let mut response = Response::new(
-            Full::new(Bytes::from(encoded))
-                .map_err(|never| match never {})
-                .boxed_unsync(),
-        );
+        let mut response =
+            Response::new(Full::new(Bytes::from(encoded)).map_err(|never| match never {}).boxed_unsync());
         *response.status_mut() = status;
         let headers = response.headers_mut();
-        headers.insert(
-            header::CONTENT_TYPE,
-            HeaderValue::from_static("application/problem+json"),
-        );
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
         headers.insert(OUTCOME_HEADER, HeaderValue::from_static(self.outcome.as_str()));
         if let Ok(id) = HeaderValue::from_str(&problem.request_id) {
             headers.insert(REQUEST_ID_HEADER, id);
         }
         if let Some(wait_ms) = self.retry_after_ms {
-            headers.insert(
-                header::RETRY_AFTER,
-                HeaderValue::from(wait_ms.0.div_ceil(MILLIS_PER_SECOND).max(1)),
-            );
+            headers
+                .insert(header::RETRY_AFTER, HeaderValue::from(wait_ms.0.div_ceil(MILLIS_PER_SECOND).max(1)));
         }
         response
     }
--- a/crates/router/src/callers/response.rs
+++ b/crates/router/src/callers/response.rs
@@ -24,18 +24,12 @@
 /// Answer to a request for a ticket.
 pub fn ticket(request_id: RequestId, ticket: &Ticket) -> Response<AnswerBody> {
     let body = serde_json::json!({ "ticket": ticket.to_string() }).to_string();
-    let mut response = Response::new(
-        Full::new(Bytes::from(body))
-            .map_err(|never| match never {})
-            .boxed_unsync(),
-    );
+    let mut response =
+        Response::new(Full::new(Bytes::from(body)).map_err(|never| match never {}).boxed_unsync());
     *response.status_mut() = StatusCode::CREATED;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    headers.insert(
-        OUTCOME_HEADER,
-        HeaderValue::from_static(Outcome::Answered.as_str()),
-    );
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(Outcome::Answered.as_str()));
     if let Ok(id) = HeaderValue::from_str(&request_id.to_string()) {
         headers.insert(REQUEST_ID_HEADER, id);
     }
--- a/crates/router/src/callers/service.rs
+++ b/crates/router/src/callers/service.rs
@@ -59,10 +59,7 @@
 impl CallerState {
     /// An id that no request had before.
     pub fn next_id(&self) -> RequestId {
-        RequestId {
-            incarnation: self.incarnation,
-            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
-        }
+        RequestId { incarnation: self.incarnation, sequence: self.sequence.fetch_add(1, Ordering::Relaxed) }
     }
 
     async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -73,9 +70,7 @@
             // believed the length: what follows on the connection would then be a request that nobody made.
             // The library goes by the encoding and hides the length, so that nothing behind a chunked body is
             // read at all (RFC 9112, section 6.1).
-            response
-                .headers_mut()
-                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
@@ -99,11 +94,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let unauthenticated = Refusal::not_run(RefusalReason::Unauthenticated);
-        let partner = self
-            .tokens
-            .partner(request.headers())
-            .ok_or(unauthenticated)?
-            .clone();
+        let partner = self.tokens.partner(request.headers()).ok_or(unauthenticated)?.clone();
         if (request.method(), request.uri().path()) == (&Method::POST, TICKETS_PATH) {
             return self.give_ticket(request_id, &partner);
         }
@@ -117,12 +108,10 @@
         let head = Head::read(request.headers())?;
         match (request.method(), request.uri().path()) {
             (&Method::POST, path) if path == Shape::Completions.path() => {
-                self.language(request_id, partner, head, Shape::Completions, request)
-                    .await
+                self.language(request_id, partner, head, Shape::Completions, request).await
             }
             (&Method::POST, path) if path == Shape::Chat.path() => {
-                self.language(request_id, partner, head, Shape::Chat, request)
-                    .await
+                self.language(request_id, partner, head, Shape::Chat, request).await
             }
             _ => self.plain(request_id, partner, head, request).await,
         }
@@ -165,16 +154,10 @@
         head: Head,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let service = self
-            .service_of(&request)
-            .ok_or(Refusal::not_run(RefusalReason::NoRoute))?;
+        let service = self.service_of(&request).ok_or(Refusal::not_run(RefusalReason::NoRoute))?;
         let (parts, body) = request.into_parts();
         let body = self.read_body(body).await?;
-        let path = parts
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str())
-            .to_owned();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let request = PlainRequest {
             request_id,
             partner,
@@ -195,13 +178,9 @@
     /// The target of a language request's class.
     fn language_target(&self, request: &LanguageRequest) -> Result<LanguageTarget, Refusal> {
         match self.class_target(&request.partner, &request.head.class)?.kind {
-            TargetKind::Language {
-                first_token_ms,
-                per_token_ms,
-            } => Ok(LanguageTarget {
-                first_token_ms,
-                per_token_ms,
-            }),
+            TargetKind::Language { first_token_ms, per_token_ms } => {
+                Ok(LanguageTarget { first_token_ms, per_token_ms })
+            }
             TargetKind::Plain { .. } => Err(Refusal::not_run(RefusalReason::WrongClass)),
         }
     }
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -125,10 +125,7 @@
     fn report(&mut self, finished: FinishedAs) {
         if let Some(sender) = self.finished.take() {
             // The service ends with its daemon; then nobody asks any more.
-            let _ = sender.send(Finished {
-                request: self.request,
-                finished,
-            });
+            let _ = sender.send(Finished { request: self.request, finished });
         }
     }
 }
@@ -163,21 +160,10 @@
         key: &IdempotencyKey,
         digest: BodyDigest,
     ) -> ClaimDecision {
-        let unavailable = ClaimDecision::Unavailable {
-            retry_after_ms: self.retry_after_ms,
-        };
+        let unavailable = ClaimDecision::Unavailable { retry_after_ms: self.retry_after_ms };
         let (reply, decision) = oneshot::channel();
         let key = ClaimKey::new(partner, key);
-        if self
-            .inbox
-            .try_send(ClaimsCommand::Begin {
-                request,
-                key,
-                digest,
-                reply,
-            })
-            .is_err()
-        {
+        if self.inbox.try_send(ClaimsCommand::Begin { request, key, digest, reply }).is_err() {
             return unavailable;
         }
         // Without a service there is no guard, so the request cannot run.
@@ -189,11 +175,9 @@
 
     fn with_guard(&self, request: RequestId, decision: Decision) -> ClaimDecision {
         match decision {
-            Decision::Run { start_by_us } => ClaimDecision::Run(ClaimGuard {
-                request,
-                start_by_us,
-                finished: Some(self.finished.clone()),
-            }),
+            Decision::Run { start_by_us } => {
+                ClaimDecision::Run(ClaimGuard { request, start_by_us, finished: Some(self.finished.clone()) })
+            }
             Decision::Answered(answer) => ClaimDecision::Answered(answer),
             Decision::InProgress => ClaimDecision::InProgress,
             Decision::AnswerGone => ClaimDecision::AnswerGone,
@@ -288,12 +272,7 @@
 
     fn command(&mut self, command: ClaimsCommand) {
         match command {
-            ClaimsCommand::Begin {
-                request,
-                key,
-                digest,
-                reply,
-            } => {
+            ClaimsCommand::Begin { request, key, digest, reply } => {
                 self.replies.insert(request, reply);
                 self.machine.begin(clock::now(), unix_now(), request, key, digest);
             }
@@ -319,11 +298,7 @@
         for action in self.machine.take_actions() {
             match action {
                 ClaimAction::Append { partition, group } => self.append(partition, &group),
-                ClaimAction::Read {
-                    partition,
-                    from,
-                    limit,
-                } => self.read(partition, from, limit),
+                ClaimAction::Read { partition, from, limit } => self.read(partition, from, limit),
                 ClaimAction::Send { to, message } => self.link.send(&to, PeerBody::Claims(message)),
                 ClaimAction::Decide { request, decision } => self.decide(request, decision),
             }
@@ -339,18 +314,14 @@
         };
         if matches!(undelivered, Decision::Run { .. }) {
             // The caller left before the decision, so the request never runs and its key is freed.
-            self.machine
-                .finish(clock::now(), unix_now(), request, FinishedAs::NotRun);
+            self.machine.finish(clock::now(), unix_now(), request, FinishedAs::NotRun);
         }
     }
 
     fn append(&self, partition: u16, group: &ClaimGroup) {
         let Ok(record) = postcard::to_stdvec(group) else {
             // Encoding to memory cannot fail for these types; were it to, nothing was sent.
-            let _ = self.log_ends.send(LogEnd::Append {
-                partition,
-                end: AppendEnd::Down,
-            });
+            let _ = self.log_ends.send(LogEnd::Append { partition, end: AppendEnd::Down });
             return;
         };
         let log = Arc::clone(&self.log);
@@ -386,10 +357,9 @@
 fn append_end(result: &Result<Offset, AppendError>) -> AppendEnd {
     match result {
         Ok(offset) => AppendEnd::At(*offset),
-        Err(AppendError::NotAppended {
-            cause: LogFailure::OverRate,
-            retry_after_ms,
-        }) => AppendEnd::OverRate(retry_after_ms.unwrap_or(OVER_RATE_MS)),
+        Err(AppendError::NotAppended { cause: LogFailure::OverRate, retry_after_ms }) => {
+            AppendEnd::OverRate(retry_after_ms.unwrap_or(OVER_RATE_MS))
+        }
         Err(AppendError::NotAppended { .. }) => AppendEnd::Down,
         Err(AppendError::Unknown { .. }) => AppendEnd::Unknown,
     }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -170,13 +170,11 @@
             Ok(Ok(Adopted::NotNewer)) => self.has_peer_state = true,
             Ok(Err(error)) => {
                 self.metrics.event(ConfigEvent::StateForged);
-                self.logging
-                    .fault("could not adopt a peer's configuration", &error);
+                self.logging.fault("could not adopt a peer's configuration", &error);
             }
             Err(error) => {
                 self.metrics.event(ConfigEvent::StateForged);
-                self.logging
-                    .fault("could not read a peer's configuration", &error);
+                self.logging.fault("could not read a peer's configuration", &error);
             }
         }
     }
@@ -189,10 +187,7 @@
         let Ok(data) = postcard::to_allocvec(&checkpoint) else {
             return;
         };
-        self.tell_spread(SpreadRequest::State {
-            next_offset: checkpoint.next_offset,
-            data: Arc::from(data),
-        });
+        self.tell_spread(SpreadRequest::State { next_offset: checkpoint.next_offset, data: Arc::from(data) });
     }
 
     fn take_read(&mut self, outcome: ReadOutcome, now_us: MonoTime) {
@@ -200,8 +195,7 @@
             Ok(page) => self.take_page(&page, now_us),
             Err(failure) => {
                 if self.current.log_failure != Some(failure) {
-                    self.logging
-                        .fault("could not read the configuration stream", &failure);
+                    self.logging.fault("could not read the configuration stream", &failure);
                 }
                 self.metrics.event(ConfigEvent::ReadFailed);
                 self.current.log_failure = Some(failure);
@@ -213,10 +207,7 @@
     fn take_page(&mut self, page: &LogPage, now_us: MonoTime) {
         self.heard_us = now_us;
         self.current.log_failure = None;
-        self.fold.observe_log(LogBounds {
-            start_offset: page.start_offset,
-            next_offset: page.next_offset,
-        });
+        self.fold.observe_log(LogBounds { start_offset: page.start_offset, next_offset: page.next_offset });
         let mut relayed = Vec::with_capacity(page.records.len());
         for record in &page.records {
             let intake = self.fold.take(record.offset, &record.data);
@@ -239,8 +230,7 @@
         for rejected in &intake.rejected {
             self.metrics.event(ConfigEvent::Rejected);
             let publisher = rejected.publisher.as_ref();
-            self.logging
-                .config_rejected(rejected.offset, publisher, &rejected.reason);
+            self.logging.config_rejected(rejected.offset, publisher, &rejected.reason);
         }
     }
 
@@ -249,8 +239,7 @@
             Ok(_) => self.metrics.event(ConfigEvent::CheckpointWritten),
             Err(error) => {
                 self.metrics.event(ConfigEvent::CheckpointFailed);
-                self.logging
-                    .fault("could not write a configuration checkpoint", &error);
+                self.logging.fault("could not write a configuration checkpoint", &error);
             }
         }
     }
--- a/crates/router/src/config/duty.rs
+++ b/crates/router/src/config/duty.rs
@@ -31,9 +31,7 @@
 
 impl fmt::Debug for CheckpointWriter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("CheckpointWriter")
-            .field("duty", &self.duty)
-            .finish_non_exhaustive()
+        f.debug_struct("CheckpointWriter").field("duty", &self.duty).finish_non_exhaustive()
     }
 }
 
@@ -94,9 +92,7 @@
         self.duty.tried(place.readers_total, now_us);
         let record = Bytes::from(Record::Checkpoint(fold.seal()).encode());
         let log = Arc::clone(&self.log);
-        self.pending = Some(Box::pin(
-            async move { log.append(Stream::Config, vec![record]).await },
-        ));
+        self.pending = Some(Box::pin(async move { log.append(Stream::Config, vec![record]).await }));
     }
 
     /// What came of the write under way. May be dropped and called again.
--- a/crates/router/src/config/parts.rs
+++ b/crates/router/src/config/parts.rs
@@ -120,9 +120,8 @@
 /// [`PublishKeyError`] for the first that is none.
 pub fn publisher_keys(settings: &Settings) -> Result<PublisherKeys, PublishKeyError> {
     let keys = settings.partners.iter().map(|(partner, known)| {
-        let key = VerifyingKey::from_bytes(known.publish_key.bytes()).map_err(|_| PublishKeyError {
-            partner: partner.clone(),
-        })?;
+        let key = VerifyingKey::from_bytes(known.publish_key.bytes())
+            .map_err(|_| PublishKeyError { partner: partner.clone() })?;
         Ok((partner.clone(), key))
     });
     keys.collect()
--- a/crates/router/src/config/reader.rs
+++ b/crates/router/src/config/reader.rs
@@ -31,21 +31,13 @@
 
 impl fmt::Debug for LogReader {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("LogReader")
-            .field("is_active", &self.is_active)
-            .finish_non_exhaustive()
+        f.debug_struct("LogReader").field("is_active", &self.is_active).finish_non_exhaustive()
     }
 }
 
 impl LogReader {
     pub(super) fn new(log: Arc<dyn Log>, poll_wait_ms: Millis, is_active: bool) -> Self {
-        Self {
-            log,
-            poll_wait_ms,
-            is_active,
-            pending: None,
-            has_failed: false,
-        }
+        Self { log, poll_wait_ms, is_active, pending: None, has_failed: false }
     }
 
     pub(super) fn is_active(&self) -> bool {
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -105,27 +105,14 @@
     ///
     /// [`StartError`] when an address cannot be listened on, a key is none, or a thread cannot be had.
     pub fn start(parts: ControlParts<'_>) -> Result<Self, StartError> {
-        let ControlParts {
-            settings,
-            edges,
-            incarnation,
-            directory,
-            metrics,
-            logging,
-        } = parts;
-        let runtime = Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .map_err(StartError::Thread)?;
+        let ControlParts { settings, edges, incarnation, directory, metrics, logging } = parts;
+        let runtime = Builder::new_current_thread().enable_all().build().map_err(StartError::Thread)?;
         let kernel = Kernel::default();
         let hubs = Arc::new(OnceLock::new());
         let stop = CancellationToken::new();
         let inbound = inbound::to_services(kernel.clone(), Arc::clone(&hubs));
-        let link_settings = LinkSettings::new(
-            settings.host.id.clone(),
-            settings.listen.peers,
-            settings.peers.key.into(),
-        );
+        let link_settings =
+            LinkSettings::new(settings.host.id.clone(), settings.listen.peers, settings.peers.key.into());
         let link = NngLink::start(link_settings, incarnation, inbound)?;
         let entered = runtime.enter();
         let members = start_membership(&kernel, settings, incarnation, &link)?;
@@ -168,26 +155,10 @@
         };
         let listing_inbox = kernel.register::<ListingRequest>(ServiceName::Directory)?;
         tokio::spawn(ListingService::run(listing, listing_inbox));
-        tokio::spawn(tell_membership(
-            kernel.find(ServiceName::Membership)?,
-            Arc::clone(directory),
-        ));
+        tokio::spawn(tell_membership(kernel.find(ServiceName::Membership)?, Arc::clone(directory)));
         drop(entered);
-        let services = Services {
-            kernel,
-            link,
-            members,
-            spread,
-            config,
-            claims,
-            usage,
-        };
-        Ok(Self {
-            services,
-            stop,
-            runtime,
-            hubs,
-        })
+        let services = Services { kernel, link, members, spread, config, claims, usage };
+        Ok(Self { services, stop, runtime, hubs })
     }
 
     /// Starts the service that watches engines, and gives the control thread to the services.
@@ -196,25 +167,12 @@
     ///
     /// [`StartError`] when the thread cannot be had.
     pub fn run(self, parts: WatcherParts) -> Result<RunningControl, StartError> {
-        let Self {
-            services,
-            stop,
-            runtime,
-            hubs,
-        } = self;
+        let Self { services, stop, runtime, hubs } = self;
         let inbox = services.kernel.register::<WatcherCommand>(ServiceName::Watcher)?;
-        let _ = hubs.set(Hubs {
-            language: Arc::clone(&parts.hub),
-            plain: Arc::clone(&parts.plain_hub),
-        });
+        let _ = hubs.set(Hubs { language: Arc::clone(&parts.hub), plain: Arc::clone(&parts.plain_hub) });
         let directory = Arc::clone(&parts.directory);
         let (ready, is_ready) = watch::channel(false);
-        runtime.spawn(WatcherService::run(
-            parts,
-            inbox,
-            services.members.changes.clone(),
-            ready,
-        ));
+        runtime.spawn(WatcherService::run(parts, inbox, services.members.changes.clone(), ready));
         let view = Arc::clone(&services.spread.view);
         runtime.spawn(signs::follow(services.kernel.clone(), view, directory, hubs));
         let stopped = stop.clone();
@@ -223,13 +181,7 @@
             .name(CONTROL_THREAD.to_owned())
             .spawn(move || runtime.block_on(stopped.cancelled()))
             .map_err(StartError::Thread)?;
-        Ok(RunningControl {
-            services,
-            is_ready,
-            runtime: handle,
-            stop,
-            thread,
-        })
+        Ok(RunningControl { services, is_ready, runtime: handle, stop, thread })
     }
 }
 
@@ -281,8 +233,7 @@
 
     /// Starts the service that orders engines to change role and to load models.
     pub fn order_engines(&self, parts: LeaseParts) {
-        self.runtime
-            .spawn(LeaseService::new(parts).run(self.stop.clone()));
+        self.runtime.spawn(LeaseService::new(parts).run(self.stop.clone()));
     }
 
     /// Publishes figures of this daemon as metrics.
@@ -313,16 +264,10 @@
         region: settings.host.region.clone(),
         leaving: false,
     };
-    let membership = MembershipSettings {
-        settle_ms: settings.peers.settle_ms,
-        ..MembershipSettings::default()
-    };
-    let (service, handle) = MembershipService::new(
-        membership,
-        own,
-        &settings.peers.seeds,
-        Arc::<NngLink>::clone(link),
-    );
+    let membership =
+        MembershipSettings { settle_ms: settings.peers.settle_ms, ..MembershipSettings::default() };
+    let (service, handle) =
+        MembershipService::new(membership, own, &settings.peers.seeds, Arc::<NngLink>::clone(link));
     tokio::spawn(service.run(inbox));
     Ok(handle)
 }
@@ -344,10 +289,7 @@
         members: Arc::clone(&members.view),
         feed,
     };
-    let spread_settings = SpreadSettings {
-        readers: settings.config.readers,
-        ..SpreadSettings::default()
-    };
+    let spread_settings = SpreadSettings { readers: settings.config.readers, ..SpreadSettings::default() };
     let (service, handle) = SpreadService::new(spread_settings, parts);
     tokio::spawn(service.run(inbox));
     Ok(handle)
@@ -369,10 +311,7 @@
     loop {
         let hosts = {
             let view = members.view.load();
-            view.all()
-                .filter(|member| member.is_eligible())
-                .map(|member| member.host.clone())
-                .collect()
+            view.all().filter(|member| member.is_eligible()).map(|member| member.host.clone()).collect()
         };
         if inbox.send(ClaimsCommand::Members(hosts)).await.is_err()
             || members.changes.changed().await.is_err()
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -90,10 +90,7 @@
     /// The edges that the settings name, for the daemon life `incarnation`.
     pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
         let http = BackendHttp::new();
-        let owner = Owner {
-            host: settings.host.id.clone(),
-            incarnation,
-        };
+        let owner = Owner { host: settings.host.id.clone(), incarnation };
         Self {
             engines: Arc::new(HttpEngines::new(http.clone(), owner)),
             plain_services: Arc::new(HttpPlain::new(http)),
@@ -135,11 +132,8 @@
         let log = logging::Log::stdout(settings.observe.log_level)?;
         let traffic = TrafficRuntime::new(settings.traffic.threads).map_err(StartError::Thread)?;
         let directory = Arc::new(Directory::default());
-        let releases = Releases::new(
-            Arc::clone(&edges.engines),
-            Arc::clone(&directory),
-            traffic.handle().clone(),
-        );
+        let releases =
+            Releases::new(Arc::clone(&edges.engines), Arc::clone(&directory), traffic.handle().clone());
         let releases = Arc::new(releases);
         let control = Control::start(ControlParts {
             settings,
@@ -213,9 +207,7 @@
         };
         let listener = listen(settings)?;
         let address = settings.listen.callers;
-        let callers_address = listener
-            .address()
-            .map_err(|source| StartError::Listen { address, source })?;
+        let callers_address = listener.address().map_err(|source| StartError::Listen { address, source })?;
         let stop_listening = CancellationToken::new();
         let serving = traffic.spawn(listener.serve(Arc::new(state), stop_listening.clone()));
         Ok(Self {
@@ -251,14 +243,7 @@
     pub async fn ready(&self) {
         // The sender ends with the control thread only, and then nobody waits.
         let _ = self.control.is_ready.clone().wait_for(|ready| *ready).await;
-        let _ = self
-            .control
-            .services
-            .config
-            .is_ready
-            .clone()
-            .wait_for(|ready| *ready)
-            .await;
+        let _ = self.control.services.config.is_ready.clone().wait_for(|ready| *ready).await;
     }
 
     /// Calls `act` when another process is seen to run under this host's name. Two daemons of one name would
@@ -278,17 +263,8 @@
     /// Stops gracefully: no request in flight is cut off. Returns when the last answer has ended and engine
     /// memory is released.
     pub fn stop(self) {
-        let Self {
-            readiness,
-            stop_listening,
-            traffic,
-            serving,
-            control,
-            tasks,
-            releases,
-            grace_ms,
-            ..
-        } = self;
+        let Self { readiness, stop_listening, traffic, serving, control, tasks, releases, grace_ms, .. } =
+            self;
         readiness.drain();
         control.leave();
         traffic.block_on(async {
@@ -340,10 +316,7 @@
         // The incarnation is as good a seed as any, and it is in the log when a decision is to be replayed.
         let seed = incarnation.0;
         let hub = Hub::new(SchedulerSettings::default(), seed, route, Arc::clone(releases));
-        Self {
-            hub: Arc::new(hub),
-            plain_hub: Arc::new(PlainHub::new(seed)),
-        }
+        Self { hub: Arc::new(hub), plain_hub: Arc::new(PlainHub::new(seed)) }
     }
 
     fn watcher(
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -105,10 +105,7 @@
 impl Listing {
     /// Builds the listing from the whole list.
     pub fn new(version: u64, entries: Vec<ListedHost>) -> Self {
-        let mut listing = Self {
-            version,
-            ..Self::default()
-        };
+        let mut listing = Self { version, ..Self::default() };
         for entry in entries {
             listing.add(entry);
         }
@@ -118,15 +115,10 @@
     /// The listing after a change. Servers that did not change are shared with this one.
     #[must_use]
     pub fn changed(&self, version: u64, set: Vec<ListedHost>, remove: &[BackendServerId]) -> Self {
-        let mut listing = Self {
-            version,
-            ..self.clone()
-        };
+        let mut listing = Self { version, ..self.clone() };
         for id in remove.iter().chain(set.iter().map(|entry| &entry.id)) {
             listing.servers.remove(id);
-            listing
-                .entry_hosts
-                .retain(|entry| entry.id.as_str() != id.as_str());
+            listing.entry_hosts.retain(|entry| entry.id.as_str() != id.as_str());
         }
         for entry in set {
             listing.add(entry);
@@ -144,10 +136,9 @@
                 link_bytes_per_s: entry.link_bytes_per_s,
                 checks_fencing: entry.checks_fencing,
             },
-            ListedKind::Plain => BackendKind::Plain {
-                service: entry.service.unwrap_or_default(),
-                capacity: entry.slots_total,
-            },
+            ListedKind::Plain => {
+                BackendKind::Plain { service: entry.service.unwrap_or_default(), capacity: entry.slots_total }
+            }
         };
         let server = BackendServer {
             id: entry.id,
@@ -234,10 +225,7 @@
         if server.listed == ListedState::Leaving {
             return false;
         }
-        self.signs_until_us
-            .lock()
-            .get(&server.id)
-            .is_none_or(|until_us| *until_us <= now_us)
+        self.signs_until_us.lock().get(&server.id).is_none_or(|until_us| *until_us <= now_us)
     }
 }
 
--- a/crates/router/src/dispatch/forward.rs
+++ b/crates/router/src/dispatch/forward.rs
@@ -42,34 +42,20 @@
             return Err(void);
         }
         let listing = self.directory.listing();
-        let holder = listing
-            .entry_hosts
-            .iter()
-            .find(|entry| entry.id == ticket.host)
-            .ok_or(void)?;
+        let holder = listing.entry_hosts.iter().find(|entry| entry.id == ticket.host).ok_or(void)?;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut headers = parts.headers;
         strip_connection_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::HOST);
-        headers.insert(
-            FORWARDED_HEADER,
-            HeaderValue::try_from(self.host.as_str()).map_err(|_| void)?,
-        );
+        headers.insert(FORWARDED_HEADER, HeaderValue::try_from(self.host.as_str()).map_err(|_| void)?);
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = parts.method;
         *request.uri_mut() = uri(holder.callers_address, path).map_err(|_| void)?;
         *request.headers_mut() = headers;
-        let answer = self
-            .http
-            .send(Trust::Fresh, request, HOLDER_TIMEOUT)
-            .await
-            .map_err(|_| void)?;
+        let answer = self.http.send(Trust::Fresh, request, HOLDER_TIMEOUT).await.map_err(|_| void)?;
         let (mut parts, body) = answer.into_parts();
         strip_connection_headers(&mut parts.headers);
-        Ok(Response::from_parts(
-            parts,
-            body.map_err(|_| BodyBroken).boxed_unsync(),
-        ))
+        Ok(Response::from_parts(parts, body.map_err(|_| BodyBroken).boxed_unsync()))
     }
 }
--- a/crates/router/src/dispatch/hub.rs
+++ b/crates/router/src/dispatch/hub.rs
@@ -58,26 +58,15 @@
 impl Hub {
     /// Makes a hub whose scheduler draws its random choices from `seed`.
     pub fn new(settings: SchedulerSettings, seed: u64, route: SlotRoute, releases: Arc<Releases>) -> Self {
-        let state = State {
-            scheduler: Scheduler::new(settings, seed),
-            open: HashMap::new(),
-            actions: Vec::new(),
-        };
-        Self {
-            state: Mutex::new(state),
-            route,
-            releases,
-            wake_at_us: watch::Sender::new(MonoTime(u64::MAX)),
-        }
+        let state =
+            State { scheduler: Scheduler::new(settings, seed), open: HashMap::new(), actions: Vec::new() };
+        Self { state: Mutex::new(state), route, releases, wake_at_us: watch::Sender::new(MonoTime(u64::MAX)) }
     }
 
     /// Takes a request in. Its actions arrive on the returned inbox, which closes when it has ended.
     pub fn arrive(&self, arrival: Arrival) -> mpsc::UnboundedReceiver<Action> {
         let (steps, inbox) = mpsc::unbounded_channel();
-        let open = Open {
-            steps,
-            attempt: Attempt::default(),
-        };
+        let open = Open { steps, attempt: Attempt::default() };
         self.state.lock().open.insert(arrival.request_id, open);
         self.feed(Event::Arrive(arrival));
         inbox
@@ -150,10 +139,7 @@
         Action::Send(message) => effects.messages.push(message),
         Action::Cancel { request_id, server } => {
             if let Some(open) = open.get(&request_id) {
-                let attempt_id = AttemptId {
-                    request_id,
-                    attempt: open.attempt.0,
-                };
+                let attempt_id = AttemptId { request_id, attempt: open.attempt.0 };
                 effects.releases.push(Release { server, attempt_id });
             }
         }
@@ -164,9 +150,7 @@
                 sooner
             });
         }
-        Action::StartPrefill {
-            request_id, attempt, ..
-        } => {
+        Action::StartPrefill { request_id, attempt, .. } => {
             if let Some(open) = open.get_mut(&request_id) {
                 open.attempt = attempt;
             }
--- a/crates/router/src/dispatch/language.rs
+++ b/crates/router/src/dispatch/language.rs
@@ -170,11 +170,7 @@
             Ended::Answered => {
                 self.observed.answered(clock::now(), Tokens(self.sent_tokens));
                 let body = std::mem::take(&mut self.generated).into_bytes();
-                permit.answered(Some(StoredAnswer {
-                    status: 200,
-                    headers: Vec::new(),
-                    body,
-                }));
+                permit.answered(Some(StoredAnswer { status: 200, headers: Vec::new(), body }));
             }
             Ended::Refused(outcome) if outcome == Outcome::NotRun || !self.at_most_once() => permit.not_run(),
             Ended::Refused(_) => permit.unknown(),
@@ -207,50 +203,21 @@
     /// Carries out one step.
     async fn step(&mut self, action: Action) -> Next {
         match action {
-            Action::StartPrefill {
-                attempt,
-                server,
-                priority,
-                redo,
-                ..
-            } => {
+            Action::StartPrefill { attempt, server, priority, redo, .. } => {
                 self.observed.prefill_starts(attempt.0, &server, redo);
                 Next::Done(self.prefill(attempt, &server, priority).await)
             }
-            Action::Import {
-                attempt,
-                source,
-                server,
-                priority,
-                rate_bytes_per_s,
-                ..
-            } => {
+            Action::Import { attempt, source, server, priority, rate_bytes_per_s, .. } => {
                 self.observed.import_starts(&server);
-                let route = ImportRoute {
-                    source,
-                    server,
-                    priority,
-                    rate_bytes_per_s,
-                };
+                let route = ImportRoute { source, server, priority, rate_bytes_per_s };
                 Next::Done(self.import(attempt, route).await)
             }
-            Action::Decode {
-                attempt,
-                server,
-                resume,
-                silence_ms,
-                ..
-            } => {
+            Action::Decode { attempt, server, resume, silence_ms, .. } => {
                 self.observed.decode_starts(&server, resume);
                 Next::Done(self.decode(attempt, &server, resume, silence_ms).await)
             }
-            Action::Refuse {
-                reason,
-                retry_after_ms,
-                ..
-            } => {
-                self.refuse(Refusal::not_run(reason.into()).retry_after(retry_after_ms))
-                    .await
+            Action::Refuse { reason, retry_after_ms, .. } => {
+                self.refuse(Refusal::not_run(reason.into()).retry_after(retry_after_ms)).await
             }
             // Work had begun, so nobody may say that the request did not run.
             Action::Fail { .. } => {
@@ -265,10 +232,7 @@
     }
 
     fn attempt_id(&self, attempt: Attempt) -> AttemptId {
-        AttemptId {
-            request_id: self.request.request_id,
-            attempt: attempt.0,
-        }
+        AttemptId { request_id: self.request.request_id, attempt: attempt.0 }
     }
 
     fn failed(
@@ -303,8 +267,7 @@
         };
         match self.ask_prefill(server, call).await {
             Ok(done) => {
-                self.observed
-                    .prefilled(done.prompt_tokens.saturating_sub(done.cached_tokens));
+                self.observed.prefilled(done.prompt_tokens.saturating_sub(done.cached_tokens));
                 Event::PrefillDone {
                     request_id: self.request.request_id,
                     attempt,
@@ -330,26 +293,17 @@
 
     async fn import(&mut self, attempt: Attempt, route: ImportRoute) -> Event {
         match self.ask_import(attempt, &route).await {
-            Ok(_) => Event::Imported {
-                request_id: self.request.request_id,
-                attempt,
-            },
+            Ok(_) => Event::Imported { request_id: self.request.request_id, attempt },
             Err(failure) => self.failed(attempt, WorkStage::Import, &route.server, failure),
         }
     }
 
     async fn ask_import(&self, attempt: Attempt, route: &ImportRoute) -> Result<Imported, EngineFailure> {
-        let to = self
-            .dispatcher
-            .address_of(&route.server)
-            .ok_or(CallFailure::NotSent)?;
+        let to = self.dispatcher.address_of(&route.server).ok_or(CallFailure::NotSent)?;
         let call = ImportCall {
             attempt_id: self.attempt_id(attempt),
             model: self.request.model.clone(),
-            source: self
-                .dispatcher
-                .address_of(&route.source)
-                .ok_or(EngineFailure::Gone)?,
+            source: self.dispatcher.address_of(&route.source).ok_or(EngineFailure::Gone)?,
             priority: route.priority,
             rate_bytes_per_s: route.rate_bytes_per_s,
             timeout_ms: CALL_LIMIT_MS,
@@ -369,10 +323,9 @@
         silence_ms: Millis,
     ) -> Event {
         match self.stream(attempt, server, resume, silence_ms).await {
-            Ok(()) => Event::Finished {
-                request_id: self.request.request_id,
-                tokens: Tokens(self.sent_tokens),
-            },
+            Ok(()) => {
+                Event::Finished { request_id: self.request.request_id, tokens: Tokens(self.sent_tokens) }
+            }
             Err(failure) => self.failed(attempt, WorkStage::Decode, server, failure),
         }
     }
@@ -426,10 +379,7 @@
             self.dispatcher.hub.feed(Event::FirstToken { request_id });
         } else if now_us >= *noted_us + PROGRESS_PERIOD_MS {
             *noted_us = now_us;
-            self.dispatcher.hub.feed(Event::Progress {
-                request_id,
-                tokens: Tokens(self.sent_tokens),
-            });
+            self.dispatcher.hub.feed(Event::Progress { request_id, tokens: Tokens(self.sent_tokens) });
         }
     }
 
@@ -445,11 +395,7 @@
     }
 
     async fn refuse(&mut self, refusal: Refusal) -> Next {
-        let refusal = if self.sent_tokens > 0 {
-            Refusal::unknown(refusal.reason)
-        } else {
-            refusal
-        };
+        let refusal = if self.sent_tokens > 0 { Refusal::unknown(refusal.reason) } else { refusal };
         self.observed.refused(clock::now(), refusal);
         self.send(AnswerPart::Refused(refusal)).await;
         Next::Ended(Ended::Refused(refusal.outcome))
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -117,39 +117,25 @@
             return Err(Refusal::not_run(RefusalReason::UnknownModel));
         }
         let (sender, receiver) = mpsc::channel(PARTS_IN_FLIGHT);
-        self.tasks.spawn_on(
-            language::drive(Arc::clone(self), request, target, sender),
-            &self.runtime,
-        );
+        self.tasks.spawn_on(language::drive(Arc::clone(self), request, target, sender), &self.runtime);
         Ok(receiver)
     }
 
     fn serves(&self, model: &ModelId) -> bool {
-        self.directory
-            .listing()
-            .servers
-            .values()
-            .any(|server| match &server.kind {
-                BackendKind::Engine { models, .. } => models.contains(model),
-                BackendKind::Plain { .. } => false,
-            })
+        self.directory.listing().servers.values().any(|server| match &server.kind {
+            BackendKind::Engine { models, .. } => models.contains(model),
+            BackendKind::Plain { .. } => false,
+        })
     }
 
     fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
-        self.directory
-            .listing()
-            .servers
-            .get(server)
-            .map(|server| server.address)
+        self.directory.listing().servers.get(server).map(|server| server.address)
     }
 
     /// Believes a server that it is leaving, and tells the other daemons: the platform's list lags.
     fn note_leaving(&self, server: &BackendServerId) {
         if self.directory.note_leaving(clock::now(), server) {
-            let saw = SpreadRequest::Saw {
-                server: server.clone(),
-                sign: ServerSign::Leaving,
-            };
+            let saw = SpreadRequest::Saw { server: server.clone(), sign: ServerSign::Leaving };
             // A sign that does not get through is seen again with the next refusal.
             let _ = self.spread.try_send(saw);
         }
--- a/crates/router/src/dispatch/observe.rs
+++ b/crates/router/src/dispatch/observe.rs
@@ -234,11 +234,7 @@
     fn step(&mut self, what: &'static str, server: Option<&BackendServerId>) {
         if self.steps.len() < STEPS_MAX {
             let after_ms = clock::now().since(self.arrived_us).to_millis_ceil();
-            self.steps.push(RequestStep {
-                after_ms,
-                what,
-                server: server.cloned(),
-            });
+            self.steps.push(RequestStep { after_ms, what, server: server.cloned() });
         }
     }
 
@@ -272,8 +268,7 @@
     pub fn refused(&mut self, now_us: MonoTime, refusal: Refusal) {
         self.metrics.refused(refusal.reason);
         self.metrics.finished(refusal.outcome);
-        self.log
-            .request_refused(self.line(now_us, refusal.outcome), refusal.reason);
+        self.log.request_refused(self.line(now_us, refusal.outcome), refusal.reason);
     }
 
     /// The caller left before the end.
--- a/crates/router/src/dispatch/once.rs
+++ b/crates/router/src/dispatch/once.rs
@@ -84,11 +84,7 @@
     /// Notes how a call to a plain service ended.
     pub fn settle_plain(self, result: &Result<PlainReply, Refusal>) {
         match result {
-            Ok(PlainReply::Whole {
-                status,
-                headers,
-                body,
-            }) => {
+            Ok(PlainReply::Whole { status, headers, body }) => {
                 self.answered(Some(stored(*status, headers, body)));
             }
             Ok(PlainReply::Streamed { .. }) => self.answered(None),
@@ -108,8 +104,7 @@
     /// A refusal with the outcome that the caller may rely on.
     pub(super) async fn gate_plain(&self, request: &PlainRequest) -> Result<Gate, Refusal> {
         let digest = BodyDigest::new(request.method.as_str(), &request.path, &request.body);
-        self.gate(request.request_id, &request.partner, &request.head, digest)
-            .await
+        self.gate(request.request_id, &request.partner, &request.head, digest).await
     }
 
     /// Asks whether a language request may run.
@@ -118,13 +113,7 @@
     ///
     /// A refusal with the outcome that the caller may rely on.
     pub(super) async fn gate_language(&self, request: &LanguageRequest) -> Result<Gate, Refusal> {
-        self.gate(
-            request.request_id,
-            &request.partner,
-            &request.head,
-            request.digest,
-        )
-        .await
+        self.gate(request.request_id, &request.partner, &request.head, request.digest).await
     }
 
     /// For how long the key of a request is remembered; `None` without a key.
@@ -187,10 +176,7 @@
 }
 
 fn answer_gone() -> Refusal {
-    Refusal {
-        outcome: Outcome::Answered,
-        ..Refusal::unknown(RefusalReason::AnswerGone)
-    }
+    Refusal { outcome: Outcome::Answered, ..Refusal::unknown(RefusalReason::AnswerGone) }
 }
 
 fn stored(status: StatusCode, headers: &HeaderMap, body: &Bytes) -> StoredAnswer {
@@ -198,11 +184,7 @@
         name: name.as_str().to_owned(),
         value: value.as_bytes().to_vec(),
     });
-    StoredAnswer {
-        status: status.as_u16(),
-        headers: headers.collect(),
-        body: body.to_vec(),
-    }
+    StoredAnswer { status: status.as_u16(), headers: headers.collect(), body: body.to_vec() }
 }
 
 /// The answer that an earlier caller got, for a later one.
@@ -212,17 +194,13 @@
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
     let headers = response.headers_mut();
     for header in &answer.headers {
-        if let (Ok(name), Ok(value)) = (
-            HeaderName::try_from(header.name.as_str()),
-            HeaderValue::from_bytes(&header.value),
-        ) {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::try_from(header.name.as_str()), HeaderValue::from_bytes(&header.value))
+        {
             headers.append(name, value);
         }
     }
-    headers.insert(
-        OUTCOME_HEADER,
-        HeaderValue::from_static(Outcome::Answered.as_str()),
-    );
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(Outcome::Answered.as_str()));
     headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
     if let Ok(id) = HeaderValue::from_str(&request_id.to_string()) {
         headers.insert(REQUEST_ID_HEADER, id);
@@ -232,8 +210,5 @@
 
 /// Tells a caller for how long its key is remembered.
 pub fn put_retention(headers: &mut HeaderMap, retention_ms: Millis) {
-    headers.insert(
-        RETENTION_HEADER,
-        HeaderValue::from(retention_ms.0 / MILLIS_PER_SECOND),
-    );
+    headers.insert(RETENTION_HEADER, HeaderValue::from(retention_ms.0 / MILLIS_PER_SECOND));
 }
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -37,9 +37,7 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let lost = Refusal::unknown(RefusalReason::NoAnswer);
         let detached = request.runs_at_most_once();
-        let task = self
-            .tasks
-            .spawn_on(run(Arc::clone(self), request, response_ms), &self.runtime);
+        let task = self.tasks.spawn_on(run(Arc::clone(self), request, response_ms), &self.runtime);
         if detached {
             // A call that may not be repeated runs to its end although its caller has left: the answer is
             // kept for the caller's next try with the same key.
@@ -87,29 +85,17 @@
 ) -> Result<PlainReply, Refusal> {
     let arrival = arrival_of(request, response_ms);
     let no_route = Refusal::not_run(RefusalReason::NoRoute);
-    let mut open = dispatcher
-        .plain_hub
-        .arrive(&request.service, arrival)
-        .ok_or(no_route)?;
+    let mut open = dispatcher.plain_hub.arrive(&request.service, arrival).ok_or(no_route)?;
     let request_id = request.request_id;
     while let Some(action) = open.step().await {
         match action {
-            PlainAction::Dispatch {
-                server,
-                timeout_ms,
-                fresh_connection,
-                ..
-            } => {
+            PlainAction::Dispatch { server, timeout_ms, fresh_connection, .. } => {
                 if !permit.may_start(clock::now()) {
                     // The process was paused for so long that the key may be another's by now.
                     return Err(Refusal::not_run(RefusalReason::ClaimsUnavailable));
                 }
                 observed.tried(&server);
-                let trust = if fresh_connection {
-                    Trust::Fresh
-                } else {
-                    Trust::Pooled
-                };
+                let trust = if fresh_connection { Trust::Fresh } else { Trust::Pooled };
                 match send(dispatcher, &server, call_of(request, timeout_ms, trust)).await {
                     Ok(reply) => {
                         open.feed(PlainEvent::Done { request_id });
@@ -122,11 +108,7 @@
                     }
                 }
             }
-            PlainAction::Refuse {
-                reason,
-                retry_after_ms,
-                ..
-            } => {
+            PlainAction::Refuse { reason, retry_after_ms, .. } => {
                 return Err(Refusal::not_run(reason_of(reason)).retry_after(retry_after_ms));
             }
             PlainAction::Unknown { .. } => return Err(Refusal::unknown(RefusalReason::NoAnswer)),
@@ -152,10 +134,7 @@
 
 fn arrival_of(request: &PlainRequest, response_ms: Millis) -> PlainArrival {
     let (shortest, longest) = PATIENCE_RANGE_MS;
-    let patience = response_ms
-        .0
-        .saturating_mul(PATIENCE_FACTOR)
-        .clamp(shortest, longest);
+    let patience = response_ms.0.saturating_mul(PATIENCE_FACTOR).clamp(shortest, longest);
     PlainArrival {
         request_id: request.request_id,
         partner: request.partner.clone(),
@@ -201,21 +180,10 @@
     retention_ms: Option<Millis>,
 ) -> Response<AnswerBody> {
     let mut response = match reply {
-        PlainReply::Whole {
-            status,
-            headers,
-            body,
-        } => whole(request, status, headers, body),
-        PlainReply::Streamed {
-            status,
-            headers,
-            body,
-        } => finish(
-            request,
-            status,
-            headers,
-            body.map_err(|_| BodyBroken).boxed_unsync(),
-        ),
+        PlainReply::Whole { status, headers, body } => whole(request, status, headers, body),
+        PlainReply::Streamed { status, headers, body } => {
+            finish(request, status, headers, body.map_err(|_| BodyBroken).boxed_unsync())
+        }
     };
     if let Some(retention_ms) = retention_ms {
         super::once::put_retention(response.headers_mut(), retention_ms);
@@ -229,12 +197,7 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response<AnswerBody> {
-    finish(
-        request,
-        status,
-        headers,
-        Full::new(body).map_err(|never| match never {}).boxed_unsync(),
-    )
+    finish(request, status, headers, Full::new(body).map_err(|never| match never {}).boxed_unsync())
 }
 
 fn finish(
@@ -243,10 +206,7 @@
     mut headers: HeaderMap,
     body: AnswerBody,
 ) -> Response<AnswerBody> {
-    headers.insert(
-        OUTCOME_HEADER,
-        HeaderValue::from_static(Outcome::Answered.as_str()),
-    );
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(Outcome::Answered.as_str()));
     if let Ok(id) = HeaderValue::from_str(&request.request_id.to_string()) {
         headers.insert(REQUEST_ID_HEADER, id);
     }
--- a/crates/router/src/dispatch/plain_hub.rs
+++ b/crates/router/src/dispatch/plain_hub.rs
@@ -56,12 +56,7 @@
 
 impl Drop for OpenCall<'_> {
     fn drop(&mut self) {
-        self.hub.feed(
-            &self.service,
-            PlainEvent::CallerLeft {
-                request_id: self.request_id,
-            },
-        );
+        self.hub.feed(&self.service, PlainEvent::CallerLeft { request_id: self.request_id });
         if let Some(service) = self.hub.services.lock().get_mut(&self.service) {
             service.open.remove(&self.request_id);
         }
@@ -71,29 +66,16 @@
 impl PlainHub {
     /// A hub that knows no services; its schedulers draw their random choices from `seed`.
     pub fn new(seed: u64) -> Self {
-        Self {
-            services: Mutex::default(),
-            wake_at_us: watch::Sender::new(MonoTime(u64::MAX)),
-            seed,
-        }
+        Self { services: Mutex::default(), wake_at_us: watch::Sender::new(MonoTime(u64::MAX)), seed }
     }
 
     /// Takes a call in. `None` when no such service is listed.
     pub fn arrive(&self, service: &str, arrival: PlainArrival) -> Option<OpenCall<'_>> {
         let (sender, steps) = mpsc::unbounded_channel();
         let request_id = arrival.request_id;
-        self.services
-            .lock()
-            .get_mut(service)?
-            .open
-            .insert(request_id, sender);
+        self.services.lock().get_mut(service)?.open.insert(request_id, sender);
         self.feed(service, PlainEvent::Arrive(arrival));
-        Some(OpenCall {
-            hub: self,
-            service: service.to_owned(),
-            request_id,
-            steps,
-        })
+        Some(OpenCall { hub: self, service: service.to_owned(), request_id, steps })
     }
 
     /// Adopts the listing. A service stays known when its last instance goes, so that its callers are told
@@ -127,23 +109,13 @@
     /// Tells the schedulers of a sign of a server.
     pub fn sign(&self, server: &BackendServerId, sign: Sign) {
         for service in self.names() {
-            self.feed(
-                &service,
-                PlainEvent::Sign {
-                    server: server.clone(),
-                    sign,
-                },
-            );
+            self.feed(&service, PlainEvent::Sign { server: server.clone(), sign });
         }
     }
 
     /// What the scheduler of each service counted.
     pub fn counters(&self) -> Vec<PlainCounters> {
-        self.services
-            .lock()
-            .values()
-            .map(|service| *service.scheduler.counters())
-            .collect()
+        self.services.lock().values().map(|service| *service.scheduler.counters()).collect()
     }
 
     fn names(&self) -> Vec<String> {
--- a/crates/router/src/dispatch/prefix.rs
+++ b/crates/router/src/dispatch/prefix.rs
@@ -20,11 +20,7 @@
         .chunks_exact(BLOCK_BYTES)
         .map(|block| {
             hasher.update(block);
-            hasher
-                .finalize()
-                .as_bytes()
-                .first_chunk()
-                .map_or(0, |first| u64::from_le_bytes(*first))
+            hasher.finalize().as_bytes().first_chunk().map_or(0, |first| u64::from_le_bytes(*first))
         })
         .collect()
 }
--- a/crates/router/src/dispatch/release.rs
+++ b/crates/router/src/dispatch/release.rs
@@ -33,12 +33,7 @@
 impl Releases {
     /// Makes releases that run on `runtime`.
     pub fn new(engines: Arc<dyn EngineEdge>, directory: Arc<Directory>, runtime: Handle) -> Self {
-        Self {
-            engines,
-            directory,
-            runtime,
-            under_way: AtomicUsize::new(0),
-        }
+        Self { engines, directory, runtime, under_way: AtomicUsize::new(0) }
     }
 
     /// Releases not yet confirmed.
@@ -65,12 +60,7 @@
     async fn until_confirmed(&self, server: &BackendServerId, held: &Held) {
         let mut pause = FIRST_PAUSE;
         loop {
-            let Some(address) = self
-                .directory
-                .listing()
-                .servers
-                .get(server)
-                .map(|server| server.address)
+            let Some(address) = self.directory.listing().servers.get(server).map(|server| server.address)
             else {
                 return;
             };
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -86,46 +86,16 @@
 /// Counts what a ledger has counted since `before`.
 pub fn count_ledger(metrics: &Metrics, before: LedgerCounters, after: LedgerCounters) {
     count(metrics, Happened::GrantExpired, before.expired, after.expired);
-    count(
-        metrics,
-        Happened::GrantTakenOver,
-        before.taken_over,
-        after.taken_over,
-    );
-    count(
-        metrics,
-        Happened::EngineOverCommitted,
-        before.over_committed,
-        after.over_committed,
-    );
+    count(metrics, Happened::GrantTakenOver, before.taken_over, after.taken_over);
+    count(metrics, Happened::EngineOverCommitted, before.over_committed, after.over_committed);
     count(metrics, Happened::EngineClosedAsMute, before.closed, after.closed);
 }
 
 fn count_scheduler(metrics: &Metrics, before: &Counters, after: &Counters) {
-    count(
-        metrics,
-        Happened::AskTimedOut,
-        before.ask_timeouts,
-        after.ask_timeouts,
-    );
-    count(
-        metrics,
-        Happened::TurnReturned,
-        before.turns_returned,
-        after.turns_returned,
-    );
-    count(
-        metrics,
-        Happened::RetryDenied,
-        before.retries_denied,
-        after.retries_denied,
-    );
-    count(
-        metrics,
-        Happened::SlotUnconfirmed,
-        before.unconfirmed,
-        after.unconfirmed,
-    );
+    count(metrics, Happened::AskTimedOut, before.ask_timeouts, after.ask_timeouts);
+    count(metrics, Happened::TurnReturned, before.turns_returned, after.turns_returned);
+    count(metrics, Happened::RetryDenied, before.retries_denied, after.retries_denied);
+    count(metrics, Happened::SlotUnconfirmed, before.unconfirmed, after.unconfirmed);
 }
 
 fn count(metrics: &Metrics, what: Happened, before: u64, after: u64) {
@@ -163,25 +133,15 @@
         let usage = self.usage.load();
         let now_us = clock::now();
         let listing = self.directory.listing();
-        let live = listing
-            .servers
-            .values()
-            .filter(|server| self.directory.takes_work(now_us, server))
-            .count();
+        let live =
+            listing.servers.values().filter(|server| self.directory.takes_work(now_us, server)).count();
         let set = |gauge, value: u64| self.metrics.set(gauge, value);
         set(Gauge::ControlCpuPpm, usage.core_share.0);
         set(Gauge::ControlMemoryBytes, usage.memory_bytes.0);
         set(Gauge::ControlSentBytesPerS, usage.sent_bytes_per_s.0);
         set(Gauge::RequestsInFlight, self.tasks.len() as u64);
         set(Gauge::RequestsQueued, self.hub.waiting_requests() as u64);
-        set(
-            Gauge::HostsLive,
-            self.members
-                .load()
-                .all()
-                .filter(|member| member.is_eligible())
-                .count() as u64,
-        );
+        set(Gauge::HostsLive, self.members.load().all().filter(|member| member.is_eligible()).count() as u64);
         set(Gauge::BackendServersLive, live as u64);
     }
 
--- a/crates/router/src/inbound.rs
+++ b/crates/router/src/inbound.rs
@@ -39,35 +39,21 @@
 }
 
 fn deliver(kernel: &Kernel, hubs: &OnceLock<Hubs>, message: PeerMessage) -> Result<(), DeliverError> {
-    let PeerMessage {
-        from,
-        incarnation,
-        body,
-    } = message;
+    let PeerMessage { from, incarnation, body } = message;
     match body {
         PeerBody::Claims(message) => {
-            kernel
-                .find(ServiceName::Claims)?
-                .try_send(ClaimsCommand::Peer { from, message })?;
+            kernel.find(ServiceName::Claims)?.try_send(ClaimsCommand::Peer { from, message })?;
         }
         PeerBody::Listing(message) => {
             let request = ListingRequest::Peer { from, message };
             kernel.find(ServiceName::Directory)?.try_send(request)?;
         }
         PeerBody::Membership(message) => {
-            let request = MembershipRequest::Peer {
-                from,
-                incarnation,
-                message,
-            };
+            let request = MembershipRequest::Peer { from, incarnation, message };
             kernel.find(ServiceName::Membership)?.try_send(request)?;
         }
         PeerBody::Slots(message) if message.is_for_watcher() => {
-            let command = WatcherCommand::Slot {
-                from,
-                incarnation,
-                message,
-            };
+            let command = WatcherCommand::Slot { from, incarnation, message };
             kernel.find(ServiceName::Watcher)?.try_send(command)?;
         }
         PeerBody::Slots(message) => {
@@ -76,9 +62,7 @@
             }
         }
         PeerBody::Spread(message) => {
-            kernel
-                .find(ServiceName::Spread)?
-                .try_send(SpreadRequest::Peer { from, message })?;
+            kernel.find(ServiceName::Spread)?.try_send(SpreadRequest::Peer { from, message })?;
         }
         PeerBody::Watching(servers) => register(hubs, servers),
     }
--- a/crates/router/src/kernel.rs
+++ b/crates/router/src/kernel.rs
@@ -84,9 +84,6 @@
     {
         let inboxes = self.inboxes.read();
         let inbox = inboxes.get(&name).ok_or(KernelError::Missing(name))?;
-        inbox
-            .downcast_ref::<mpsc::Sender<Message>>()
-            .cloned()
-            .ok_or(KernelError::OtherMessage(name))
+        inbox.downcast_ref::<mpsc::Sender<Message>>().cloned().ok_or(KernelError::OtherMessage(name))
     }
 }
--- a/crates/router/src/leases.rs
+++ b/crates/router/src/leases.rs
@@ -88,10 +88,7 @@
     /// The service of one daemon.
     pub fn new(parts: LeaseParts) -> Self {
         let settings = LeaseSettings::default();
-        let me = LeaseHolder {
-            host: parts.host.clone(),
-            incarnation: parts.incarnation,
-        };
+        let me = LeaseHolder { host: parts.host.clone(), incarnation: parts.incarnation };
         Self {
             lease: Lease::new(settings, parts.data_centre.clone(), me),
             fold: LeaseFold::default(),
@@ -174,20 +171,13 @@
     async fn append(&self, record: &LeaseRecord) -> Result<Offset, AppendError> {
         // Writing plain data to memory has no way to fail; an empty record is passed over by every reader.
         let bytes = postcard::to_allocvec(record).unwrap_or_default();
-        self.parts
-            .log
-            .append(Stream::Leases, vec![Bytes::from(bytes)])
-            .await
+        self.parts.log.append(Stream::Leases, vec![Bytes::from(bytes)]).await
     }
 
     async fn read_log(&mut self) -> Result<(), LogFailure> {
         loop {
             let from = self.fold.next();
-            let page = self
-                .parts
-                .log
-                .read(Stream::Leases, from, READ_LIMIT, Millis::ZERO)
-                .await?;
+            let page = self.parts.log.read(Stream::Leases, from, READ_LIMIT, Millis::ZERO).await?;
             self.fold.skip_to(page.start_offset);
             for record in &page.records {
                 let read = postcard::from_bytes(&record.data).ok();
@@ -202,29 +192,18 @@
     async fn shift(&mut self) {
         self.read_store().await;
         let listing = self.parts.directory.listing();
-        self.engines
-            .refresh(&listing, &self.parts.data_centre, &self.parts.engines)
-            .await;
+        self.engines.refresh(&listing, &self.parts.data_centre, &self.parts.engines).await;
         let demand = self.parts.demand.take(&self.store.models);
         let views = self.engines.views(&listing);
         let mut wanted = Vec::new();
-        self.planner.plan(
-            clock::now(),
-            &views,
-            &demand,
-            self.store.rate_bytes_per_s,
-            &mut wanted,
-        );
+        self.planner.plan(clock::now(), &views, &demand, self.store.rate_bytes_per_s, &mut wanted);
         for order in wanted {
             self.carry_out(order);
         }
         for server in &self.draining {
             self.say(server, ServerSign::Leaving);
         }
-        let done = self
-            .orders
-            .send_due(&self.settings, &self.lease, &listing, &self.parts.engines)
-            .await;
+        let done = self.orders.send_due(&self.settings, &self.lease, &listing, &self.parts.engines).await;
         for server in done {
             self.end_drain(&server);
         }
@@ -249,18 +228,12 @@
 
     fn say(&self, server: &BackendServerId, sign: ServerSign) {
         // Said again with the next look while the drain lasts; a lost end of it runs out by itself.
-        let _ = self.parts.spread.try_send(SpreadRequest::Saw {
-            server: server.clone(),
-            sign,
-        });
+        let _ = self.parts.spread.try_send(SpreadRequest::Saw { server: server.clone(), sign });
     }
 
     async fn read_store(&mut self) {
         let now_us = clock::now();
-        if self
-            .store_read_us
-            .is_some_and(|read_us| now_us < read_us + STORE_PERIOD_MS)
-        {
+        if self.store_read_us.is_some_and(|read_us| now_us < read_us + STORE_PERIOD_MS) {
             return;
         }
         self.store_read_us = Some(now_us);
--- a/crates/router/src/leases/engines.rs
+++ b/crates/router/src/leases/engines.rs
@@ -41,8 +41,7 @@
             .filter(|server| matches!(server.kind, BackendKind::Engine { .. }))
             .collect();
         servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        self.loads
-            .retain(|id, _| servers.binary_search_by(|server| server.id.cmp(id)).is_ok());
+        self.loads.retain(|id, _| servers.binary_search_by(|server| server.id.cmp(id)).is_ok());
         if servers.is_empty() {
             return;
         }
@@ -66,10 +65,7 @@
 
     /// The engines as the planner sees them: those that have reported.
     pub(super) fn views(&self, listing: &Listing) -> Vec<EngineView> {
-        let known = self
-            .loads
-            .iter()
-            .filter_map(|(id, load)| Some((listing.servers.get(id)?, load)));
+        let known = self.loads.iter().filter_map(|(id, load)| Some((listing.servers.get(id)?, load)));
         known.filter_map(|(server, load)| view_of(server, load)).collect()
     }
 }
--- a/crates/router/src/leases/orders.rs
+++ b/crates/router/src/leases/orders.rs
@@ -30,11 +30,7 @@
 
 impl Orders {
     pub(super) fn new(incarnation: Incarnation) -> Self {
-        Self {
-            incarnation,
-            next: FIRST_ORDER,
-            pending: Vec::new(),
-        }
+        Self { incarnation, next: FIRST_ORDER, pending: Vec::new() }
     }
 
     pub(super) fn set_role(&mut self, server: BackendServerId, role: Role) {
@@ -54,15 +50,9 @@
     }
 
     fn add(&mut self, server: BackendServerId, kind: OrderKind) {
-        let id = RequestId {
-            incarnation: self.incarnation,
-            sequence: self.next,
-        };
+        let id = RequestId { incarnation: self.incarnation, sequence: self.next };
         self.next += 1;
-        self.pending.push(Addressed {
-            server,
-            order: PendingOrder::new(id, kind),
-        });
+        self.pending.push(Addressed { server, order: PendingOrder::new(id, kind) });
     }
 
     /// Sends what is to be sent and returns the servers whose order has ended, one way or another. Whether an
@@ -89,11 +79,9 @@
             order.end(end);
         }
         let (ended, left): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.pending)
-                .into_iter()
-                .partition(|addressed| {
-                    is_ended(&addressed.order) || !listing.servers.contains_key(&addressed.server)
-                });
+            std::mem::take(&mut self.pending).into_iter().partition(|addressed| {
+                is_ended(&addressed.order) || !listing.servers.contains_key(&addressed.server)
+            });
         self.pending = left;
         ended.into_iter().map(|addressed| addressed.server).collect()
     }
