--- a/crates/router/src/listing_service.rs
+++ b/crates/router/src/listing_service.rs
@@ -90,14 +90,8 @@
 impl ListingService {
     /// Runs until the inbox closes.
     pub async fn run(parts: ListingParts, mut inbox: mpsc::Receiver<ListingRequest>) {
-        tokio::spawn(directory::follow(
-            Arc::clone(&parts.hosts),
-            Arc::clone(&parts.directory),
-        ));
-        let mut service = Self {
-            parts,
-            collected: Listing::default(),
-        };
+        tokio::spawn(directory::follow(Arc::clone(&parts.hosts), Arc::clone(&parts.directory)));
+        let mut service = Self { parts, collected: Listing::default() };
         let first_ask = tokio::time::Instant::now() + ASK_PERIOD;
         let mut ask = tokio::time::interval_at(first_ask, ASK_PERIOD);
         ask.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -123,9 +117,7 @@
         self.collected = Listing::default();
         let view = self.parts.members.load();
         if let Some(to) = neighbour(&self.parts, &view) {
-            self.parts
-                .link
-                .send(&to, PeerBody::Listing(ListingMessage::Ask { after: None }));
+            self.parts.link.send(&to, PeerBody::Listing(ListingMessage::Ask { after: None }));
         }
     }
 
@@ -133,25 +125,16 @@
         match message {
             ListingMessage::Ask { after } => self.answer(from, after.as_ref()),
             ListingMessage::Page { .. } if self.knows() => {}
-            ListingMessage::Page {
-                version,
-                servers,
-                entry_hosts,
-                is_last,
-            } => {
+            ListingMessage::Page { version, servers, entry_hosts, is_last } => {
                 let last = servers.last().map(|server| server.id.clone());
-                let pairs = servers
-                    .into_iter()
-                    .map(|server| (server.id.clone(), Arc::new(server)));
+                let pairs = servers.into_iter().map(|server| (server.id.clone(), Arc::new(server)));
                 self.collected.servers.extend(pairs);
                 if is_last {
                     self.collected.version = version;
                     self.collected.entry_hosts = entry_hosts;
                     self.parts.directory.adopt(std::mem::take(&mut self.collected));
                 } else {
-                    self.parts
-                        .link
-                        .send(from, PeerBody::Listing(ListingMessage::Ask { after: last }));
+                    self.parts.link.send(from, PeerBody::Listing(ListingMessage::Ask { after: last }));
                 }
             }
         }
@@ -170,41 +153,22 @@
 /// A daemon to ask: one of the own data centre, else one of the region.
 fn neighbour(parts: &ListingParts, view: &MembersView) -> Option<HostId> {
     let is_other = |member: &&Member| member.is_eligible() && member.host != parts.host;
-    let near: Vec<&Member> = view
-        .in_data_centre(&parts.data_centre)
-        .iter()
-        .filter(is_other)
-        .collect();
-    let of_region = view
-        .all()
-        .filter(|member| member.region == parts.region)
-        .filter(is_other);
-    let from = if near.is_empty() {
-        of_region.collect()
-    } else {
-        near
-    };
+    let near: Vec<&Member> = view.in_data_centre(&parts.data_centre).iter().filter(is_other).collect();
+    let of_region = view.all().filter(|member| member.region == parts.region).filter(is_other);
+    let from = if near.is_empty() { of_region.collect() } else { near };
     from.choose(&mut rand::rng()).map(|member| member.host.clone())
 }
 
 fn page_of(listing: &Listing, region: &RegionId, after: Option<&BackendServerId>) -> ListingMessage {
     let of_region = listing.servers.values().filter(|server| server.region == *region);
-    let mut servers: Vec<_> = of_region
-        .filter(|server| after.is_none_or(|after| server.id > *after))
-        .collect();
+    let mut servers: Vec<_> =
+        of_region.filter(|server| after.is_none_or(|after| server.id > *after)).collect();
     servers.sort_unstable_by(|a, b| a.id.cmp(&b.id));
     let is_last = servers.len() <= PAGE_SERVERS;
-    let entry_hosts = listing
-        .entry_hosts
-        .iter()
-        .filter(|entry| is_last && entry.region == *region);
+    let entry_hosts = listing.entry_hosts.iter().filter(|entry| is_last && entry.region == *region);
     ListingMessage::Page {
         version: listing.version,
-        servers: servers
-            .into_iter()
-            .take(PAGE_SERVERS)
-            .map(|server| BackendServer::clone(server))
-            .collect(),
+        servers: servers.into_iter().take(PAGE_SERVERS).map(|server| BackendServer::clone(server)).collect(),
         entry_hosts: entry_hosts.cloned().collect(),
         is_last,
     }
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -72,10 +72,7 @@
         Target: Write + Send + 'static,
     {
         let buffered = io::BufWriter::with_capacity(BUFFER_BYTES, target);
-        let sink = WriteSink::builder()
-            .formatter(JsonFormatter::new())
-            .target(buffered)
-            .build_arc()?;
+        let sink = WriteSink::builder().formatter(JsonFormatter::new()).target(buffered).build_arc()?;
         let logger = Logger::builder()
             .sink(sink)
             .level_filter(LevelFilter::MoreSevereEqual(spdlog_level(level)))
--- a/crates/router/src/member_log.rs
+++ b/crates/router/src/member_log.rs
@@ -55,16 +55,10 @@
             Some(known) if known.state != member.state => MemberEvent::Became(member.state),
             Some(_) => continue,
         };
-        changes.push(MemberChange {
-            host: member.host.clone(),
-            event,
-        });
+        changes.push(MemberChange { host: member.host.clone(), event });
     }
     let gone = before.all().filter(|member| after.find(&member.host).is_none());
-    changes.extend(gone.map(|member| MemberChange {
-        host: member.host.clone(),
-        event: MemberEvent::Gone,
-    }));
+    changes.extend(gone.map(|member| MemberChange { host: member.host.clone(), event: MemberEvent::Gone }));
     changes
 }
 
--- a/crates/router/src/membership.rs
+++ b/crates/router/src/membership.rs
@@ -62,14 +62,7 @@
 
 /// Contacts from addresses in the settings, whose hosts are not known.
 pub fn contacts_of_seeds(seeds: &[SocketAddr]) -> Vec<Contact> {
-    seeds
-        .iter()
-        .map(|seed| Contact {
-            host: None,
-            peer_address: *seed,
-            data_centre: None,
-        })
-        .collect()
+    seeds.iter().map(|seed| Contact { host: None, peer_address: *seed, data_centre: None }).collect()
 }
 
 /// Contacts from the entry hosts of the platform's list.
@@ -104,16 +97,8 @@
             counts: Arc::clone(&counts),
             superseded: superseded_seen,
         };
-        let service = Self {
-            machine,
-            settings,
-            link,
-            view,
-            counts,
-            changes,
-            superseded,
-            actions: Vec::new(),
-        };
+        let service =
+            Self { machine, settings, link, view, counts, changes, superseded, actions: Vec::new() };
         (service, handle)
     }
 
@@ -149,8 +134,7 @@
     fn carry_out(&self, action: MembershipAction) {
         match action {
             MembershipAction::Send { to, address, message } => {
-                self.link
-                    .send_at(to.as_ref(), address, PeerBody::Membership(message));
+                self.link.send_at(to.as_ref(), address, PeerBody::Membership(message));
             }
             MembershipAction::Publish(view) => {
                 self.link.set_members(&view);
@@ -167,15 +151,9 @@
 
 fn event_of(request: MembershipRequest) -> MembershipEvent {
     match request {
-        MembershipRequest::Peer {
-            from,
-            incarnation,
-            message,
-        } => MembershipEvent::Message {
-            from,
-            incarnation,
-            message,
-        },
+        MembershipRequest::Peer { from, incarnation, message } => {
+            MembershipEvent::Message { from, incarnation, message }
+        }
         MembershipRequest::Listed(listed) => MembershipEvent::Listed(contacts_of_list(&listed)),
         MembershipRequest::Leave => MembershipEvent::Leave,
     }
--- a/crates/router/src/meter.rs
+++ b/crates/router/src/meter.rs
@@ -77,11 +77,7 @@
     /// The service, and where it publishes the usage.
     pub fn new(link: Arc<NngLink>) -> (Self, Arc<ArcSwap<ControlUsage>>) {
         let usage = Arc::new(ArcSwap::from_pointee(ControlUsage::default()));
-        let service = Self {
-            link,
-            meter: ControlMeter::default(),
-            usage: Arc::clone(&usage),
-        };
+        let service = Self { link, meter: ControlMeter::default(), usage: Arc::clone(&usage) };
         (service, usage)
     }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -78,22 +78,14 @@
         let provider = SdkMeterProvider::builder()
             .with_reader(exporter)
             .with_view(|_: &Instrument| {
-                Stream::builder()
-                    .with_cardinality_limit(CARDINALITY_LIMIT)
-                    .build()
-                    .ok()
+                Stream::builder().with_cardinality_limit(CARDINALITY_LIMIT).build().ok()
             })
             .build();
         let meter = provider.meter("hibiscusvale");
         let counts = Arc::new(Counts::default());
         observe_classes(&meter, &counts);
         observe_daemon(&meter, &counts);
-        Ok(Self {
-            registry,
-            histograms: Histograms::new(&meter),
-            _provider: provider,
-            counts,
-        })
+        Ok(Self { registry, histograms: Histograms::new(&meter), _provider: provider, counts })
     }
 
     /// The counters of one class. Callers keep the handle; finding it takes a lock.
@@ -103,11 +95,7 @@
             return Arc::clone(found);
         }
         let mut classes = self.counts.classes.write();
-        let key = if classes.len() < MAX_CLASS_SERIES {
-            key
-        } else {
-            overflow_key(key)
-        };
+        let key = if classes.len() < MAX_CLASS_SERIES { key } else { overflow_key(key) };
         let entry = classes.entry(key).or_insert_with_key(|(partner, class)| {
             Arc::new(ClassMetrics::new(partner, class, &self.histograms))
         });
@@ -150,13 +138,7 @@
 
     /// Totals per partner and class, in their order.
     pub fn totals(&self) -> Vec<ClassTotals> {
-        let mut totals: Vec<_> = self
-            .counts
-            .classes
-            .read()
-            .values()
-            .map(|class| class.totals())
-            .collect();
+        let mut totals: Vec<_> = self.counts.classes.read().values().map(|class| class.totals()).collect();
         totals.sort_by(|a, b| (&a.partner, &a.class).cmp(&(&b.partner, &b.class)));
         totals
     }
@@ -208,22 +190,10 @@
 }
 
 fn observe_classes(meter: &Meter, counts: &Arc<Counts>) {
-    observe_labels(meter, counts, "hibiscusvale_requests", "outcome", |class| {
-        &class.outcomes
-    });
-    observe_labels(meter, counts, "hibiscusvale_refusals", "reason", |class| {
-        &class.refusals
-    });
-    observe_labels(meter, counts, "hibiscusvale_retries", "reason", |class| {
-        &class.retries
-    });
-    observe_labels(
-        meter,
-        counts,
-        "hibiscusvale_wasted_prefill_tokens",
-        "cause",
-        |class| &class.wasted,
-    );
+    observe_labels(meter, counts, "hibiscusvale_requests", "outcome", |class| &class.outcomes);
+    observe_labels(meter, counts, "hibiscusvale_refusals", "reason", |class| &class.refusals);
+    observe_labels(meter, counts, "hibiscusvale_retries", "reason", |class| &class.retries);
+    observe_labels(meter, counts, "hibiscusvale_wasted_prefill_tokens", "cause", |class| &class.wasted);
     let sums: [(&'static str, Sum); 2] = [
         ("hibiscusvale_goodput_requests", |totals| totals.goodput),
         ("hibiscusvale_prefill_tokens", |totals| totals.prefill_tokens.0),
@@ -243,9 +213,7 @@
 
 fn observe_daemon(meter: &Meter, counts: &Arc<Counts>) {
     let tallies: [(&'static str, &'static str, Source); 2] = [
-        ("hibiscusvale_peer_messages_dropped", "cause", |counts| {
-            &counts.peer_drops
-        }),
+        ("hibiscusvale_peer_messages_dropped", "cause", |counts| &counts.peer_drops),
         ("hibiscusvale_events", "event", |counts| &counts.events),
     ];
     for (name, label, tally) in tallies {
--- a/crates/router/src/metrics/class.rs
+++ b/crates/router/src/metrics/class.rs
@@ -19,9 +19,8 @@
 ];
 
 /// Bounds in ms around the 31 ms between tokens that the system is made for.
-const PER_TOKEN_BOUNDS_MS: [f64; 12] = [
-    2.0, 5.0, 10.0, 15.0, 20.0, 25.0, 31.0, 40.0, 60.0, 100.0, 250.0, 1_000.0,
-];
+const PER_TOKEN_BOUNDS_MS: [f64; 12] =
+    [2.0, 5.0, 10.0, 15.0, 20.0, 25.0, 31.0, 40.0, 60.0, 100.0, 250.0, 1_000.0];
 
 /// Histograms of latencies. They are split by partner, not by class: 15 buckets for each of thousands of
 /// classes would make a scrape of megabytes.
@@ -151,18 +150,14 @@
     pub fn first_token(&self, span_us: Micros) {
         let [partner, _] = &self.attributes;
         let millis = span_us.0 as f64 / MICROS_PER_MILLI;
-        self.histograms
-            .first_token_ms
-            .record(millis, std::slice::from_ref(partner));
+        self.histograms.first_token_ms.record(millis, std::slice::from_ref(partner));
     }
 
     /// Records the mean time between a request's tokens.
     pub fn per_token(&self, span_us: Micros) {
         let [partner, _] = &self.attributes;
         let millis = span_us.0 as f64 / MICROS_PER_MILLI;
-        self.histograms
-            .per_token_ms
-            .record(millis, std::slice::from_ref(partner));
+        self.histograms.per_token_ms.record(millis, std::slice::from_ref(partner));
     }
 
     /// The counters at this moment.
--- a/crates/router/src/metrics/tally.rs
+++ b/crates/router/src/metrics/tally.rs
@@ -47,10 +47,7 @@
         let mut slots = self.slots.write();
         // Another thread may have added the slot between the two locks.
         if !add_existing(&slots, label, amount) {
-            slots.push(Slot {
-                label,
-                count: AtomicU64::new(amount),
-            });
+            slots.push(Slot { label, count: AtomicU64::new(amount) });
         }
     }
 
@@ -59,10 +56,7 @@
         let slots = self.slots.read();
         slots
             .iter()
-            .map(|slot| LabelCount {
-                label: slot.label,
-                count: slot.count.load(Ordering::Relaxed),
-            })
+            .map(|slot| LabelCount { label: slot.label, count: slot.count.load(Ordering::Relaxed) })
             .collect()
     }
 }
--- a/crates/router/src/operators/listener.rs
+++ b/crates/router/src/operators/listener.rs
@@ -148,23 +148,14 @@
     let Ok(only) = named.map(str::parse::<PartnerId>).transpose() else {
         return text(StatusCode::BAD_REQUEST, "partner is not a name\n");
     };
-    json(&ConfigView::new(
-        &parts.host.id,
-        &parts.config.state.load(),
-        only.as_ref(),
-    ))
+    json(&ConfigView::new(&parts.host.id, &parts.config.state.load(), only.as_ref()))
 }
 
 fn outcomes(parts: &OperatorsParts) -> OutcomesView {
     OutcomesView {
         host: parts.host.id.clone(),
         incarnation: parts.incarnation.to_string(),
-        classes: parts
-            .metrics
-            .totals()
-            .into_iter()
-            .map(ClassOutcomes::from)
-            .collect(),
+        classes: parts.metrics.totals().into_iter().map(ClassOutcomes::from).collect(),
     }
 }
 
@@ -204,8 +195,6 @@
 fn respond(status: StatusCode, content_type: &'static str, body: Bytes) -> Answer {
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
--- a/crates/router/src/operators/ready.rs
+++ b/crates/router/src/operators/ready.rs
@@ -40,11 +40,7 @@
 impl Readiness {
     /// Not ready until `config` says so and the host list was read.
     pub fn new(config: watch::Receiver<bool>) -> Self {
-        Self {
-            config,
-            has_host_list: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
-        }
+        Self { config, has_host_list: AtomicBool::new(false), is_draining: AtomicBool::new(false) }
     }
 
     /// The host list was read.
--- a/crates/router/src/operators/recent.rs
+++ b/crates/router/src/operators/recent.rs
@@ -48,10 +48,7 @@
 impl RecentRequests {
     /// A ring of `capacity` requests.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            records: Mutex::new(VecDeque::with_capacity(capacity)),
-        }
+        Self { capacity, records: Mutex::new(VecDeque::with_capacity(capacity)) }
     }
 
     /// Remembers a request, in place of the oldest.
@@ -66,10 +63,6 @@
     /// What happened to a request, if it is still remembered.
     pub fn find(&self, request_id: RequestId) -> Option<RequestRecord> {
         let records = self.records.lock();
-        records
-            .iter()
-            .rev()
-            .find(|record| record.request_id == request_id)
-            .cloned()
+        records.iter().rev().find(|record| record.request_id == request_id).cloned()
     }
 }
--- a/crates/router/src/operators/views/convert.rs
+++ b/crates/router/src/operators/views/convert.rs
@@ -18,13 +18,9 @@
 impl From<ClassTarget> for TargetView {
     fn from(target: ClassTarget) -> Self {
         match target.kind {
-            TargetKind::Language {
-                first_token_ms,
-                per_token_ms,
-            } => Self::Language {
-                first_token_ms,
-                per_token_ms,
-            },
+            TargetKind::Language { first_token_ms, per_token_ms } => {
+                Self::Language { first_token_ms, per_token_ms }
+            }
             TargetKind::Plain { response_ms } => Self::Plain { response_ms },
         }
     }
@@ -33,10 +29,9 @@
 impl From<TargetView> for ClassTarget {
     fn from(view: TargetView) -> Self {
         match view {
-            TargetView::Language {
-                first_token_ms,
-                per_token_ms,
-            } => Self::language(first_token_ms, per_token_ms),
+            TargetView::Language { first_token_ms, per_token_ms } => {
+                Self::language(first_token_ms, per_token_ms)
+            }
             TargetView::Plain { response_ms } => Self::plain(response_ms),
         }
     }
@@ -47,10 +42,9 @@
         match verdict {
             Verdict::Accepted => Self::Accepted,
             Verdict::Rejected(RejectReason::Duplicate { first }) => Self::Duplicate { first: *first },
-            Verdict::Rejected(reason) => Self::Rejected {
-                reason: reason.as_str().to_owned(),
-                detail: reason.to_string(),
-            },
+            Verdict::Rejected(reason) => {
+                Self::Rejected { reason: reason.as_str().to_owned(), detail: reason.to_string() }
+            }
         }
     }
 }
@@ -99,16 +93,12 @@
 impl ConfigView {
     /// What `state` holds, of all partners or of one.
     pub fn new(host: &HostId, state: &ConfigState, only: Option<&PartnerId>) -> Self {
-        let partners = state
-            .partners()
-            .filter(|(partner, _)| only.is_none_or(|only| only == *partner));
+        let partners = state.partners().filter(|(partner, _)| only.is_none_or(|only| only == *partner));
         Self {
             host: host.clone(),
             is_known: state.is_known(),
             next_offset: state.next_offset(),
-            partners: partners
-                .map(|(partner, config)| PartnerView::new(partner, config))
-                .collect(),
+            partners: partners.map(|(partner, config)| PartnerView::new(partner, config)).collect(),
             unattributed: state.unattributed().map(UnattributedView::from).collect(),
         }
     }
@@ -145,12 +135,7 @@
             is_reader: status.is_reader,
             config_age_ms: Millis(gauge(Gauge::ConfigAgeMs)),
             checkpoint: status.checkpoint.map(|checkpoint| checkpoint.offset),
-            hosts_live: parts
-                .members
-                .load()
-                .all()
-                .filter(|member| member.is_eligible())
-                .count() as u64,
+            hosts_live: parts.members.load().all().filter(|member| member.is_eligible()).count() as u64,
             requests_in_flight: gauge(Gauge::RequestsInFlight),
             requests_queued: gauge(Gauge::RequestsQueued),
             control: ControlView {
@@ -163,10 +148,7 @@
 }
 
 fn counts(counts: Vec<LabelCount>) -> Vec<CountView> {
-    let view = |count: LabelCount| CountView {
-        label: count.label.to_owned(),
-        count: count.count,
-    };
+    let view = |count: LabelCount| CountView { label: count.label.to_owned(), count: count.count };
     counts.into_iter().map(view).collect()
 }
 
--- a/crates/router/src/peer/codec.rs
+++ b/crates/router/src/peer/codec.rs
@@ -49,9 +49,7 @@
     type Err = ParsePeerKeyError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        blake3::Hash::from_hex(text)
-            .map(|hash| Self(hash.into()))
-            .map_err(|_| ParsePeerKeyError)
+        blake3::Hash::from_hex(text).map(|hash| Self(hash.into())).map_err(|_| ParsePeerKeyError)
     }
 }
 
@@ -134,10 +132,7 @@
     let receiver = (*addressed == TO_HOST).then_some(own);
     let expected = code(key, covered, receiver);
     // The comparison takes the same time wherever the codes differ.
-    let difference = expected
-        .iter()
-        .zip(presented)
-        .fold(0, |difference, (a, b)| difference | (a ^ b));
+    let difference = expected.iter().zip(presented).fold(0, |difference, (a, b)| difference | (a ^ b));
     if difference != 0 {
         return Err(FrameError::Forged);
     }
--- a/crates/router/src/peer/guard.rs
+++ b/crates/router/src/peer/guard.rs
@@ -49,11 +49,9 @@
     ) -> Result<(), Stale> {
         let Some(sender) = self.senders.get_mut(from) else {
             if self.senders.len() >= MAX_HOSTS {
-                self.senders
-                    .retain(|_, sender| now.duration_since(sender.heard) < OLD_LIFE_AFTER);
+                self.senders.retain(|_, sender| now.duration_since(sender.heard) < OLD_LIFE_AFTER);
             }
-            self.senders
-                .insert(from.clone(), Sender::new(now, incarnation, sequence));
+            self.senders.insert(from.clone(), Sender::new(now, incarnation, sequence));
             return Ok(());
         };
         let is_silent = now.duration_since(sender.heard) > OLD_LIFE_AFTER;
@@ -70,12 +68,7 @@
 
 impl Sender {
     fn new(now: Instant, incarnation: Incarnation, sequence: u64) -> Self {
-        Self {
-            incarnation,
-            highest: sequence,
-            seen: 1,
-            heard: now,
-        }
+        Self { incarnation, highest: sequence, seen: 1, heard: now }
     }
 
     fn take(&mut self, now: Instant, sequence: u64) -> Result<(), Stale> {
--- a/crates/router/src/peer/link.rs
+++ b/crates/router/src/peer/link.rs
@@ -185,9 +185,7 @@
 
 impl fmt::Debug for NngLink {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("NngLink")
-            .field("local_address", &self.local_address)
-            .finish_non_exhaustive()
+        f.debug_struct("NngLink").field("local_address", &self.local_address).finish_non_exhaustive()
     }
 }
 
@@ -218,11 +216,7 @@
             .name(RECEIVE_THREAD.to_owned())
             .spawn(move || receive(&receiver.0, &receiver.1))
             .map_err(|_| LinkError::Thread)?;
-        Ok(Arc::new(Self {
-            shared,
-            socket,
-            local_address,
-        }))
+        Ok(Arc::new(Self { shared, socket, local_address }))
     }
 
     /// Where this daemon listens; the port is the real one where the settings said 0.
@@ -240,9 +234,7 @@
     pub fn maintain(&self, now: Instant) {
         let mut state = self.shared.state.lock();
         let idle = self.shared.settings.idle;
-        state
-            .connections
-            .retain(|_, connection| now.duration_since(connection.used) < idle);
+        state.connections.retain(|_, connection| now.duration_since(connection.used) < idle);
         let silent: Vec<SocketAddr> = state
             .connections
             .iter()
@@ -287,10 +279,7 @@
 
     fn set_members(&self, view: &MembersView) {
         let mut state = self.shared.state.lock();
-        state.addresses = view
-            .all()
-            .map(|member| (member.host.clone(), member.peer_address))
-            .collect();
+        state.addresses = view.all().map(|member| (member.host.clone(), member.peer_address)).collect();
     }
 }
 
@@ -319,13 +308,7 @@
 
 impl Connection {
     fn open(now: Instant, address: SocketAddr) -> Result<Self, nng::Error> {
-        Ok(Self {
-            socket: dial(address)?,
-            used: now,
-            unanswered: None,
-            probed: None,
-            redials: 0,
-        })
+        Ok(Self { socket: dial(address)?, used: now, unanswered: None, probed: None, redials: 0 })
     }
 
     fn is_silent(&self, now: Instant) -> bool {
@@ -350,11 +333,7 @@
         payload: Payload,
     ) {
         let is_request = is_request(&payload);
-        let patience = if is_request {
-            self.settings.reply_silence
-        } else {
-            self.settings.gossip_silence
-        };
+        let patience = if is_request { self.settings.reply_silence } else { self.settings.gossip_silence };
         let frame = Frame {
             from: self.settings.host.clone(),
             incarnation: self.incarnation,
@@ -402,14 +381,7 @@
                 let (used, redials) = (connection.used, connection.redials + 1);
                 state.connections.remove(&address);
                 if let Ok(connection) = Connection::open(now, address) {
-                    state.connections.insert(
-                        address,
-                        Connection {
-                            used,
-                            redials,
-                            ..connection
-                        },
-                    );
+                    state.connections.insert(address, Connection { used, redials, ..connection });
                 }
             }
             Some(_) => {}
@@ -417,10 +389,7 @@
     }
 
     fn take(&self, bytes: &[u8]) {
-        add(
-            &self.counters.received_bytes,
-            bytes.len() as u64 + TRANSPORT_BYTES,
-        );
+        add(&self.counters.received_bytes, bytes.len() as u64 + TRANSPORT_BYTES);
         add(&self.counters.received_frames, 1);
         let frame = match decode(bytes, &self.settings.key, &self.settings.host) {
             Ok(frame) => frame,
@@ -431,11 +400,7 @@
         };
         let Some(frame) = self.admit(frame) else { return };
         if let Payload::Body(body) = frame.payload {
-            (self.inbound)(PeerMessage {
-                from: frame.from,
-                incarnation: frame.incarnation,
-                body,
-            });
+            (self.inbound)(PeerMessage { from: frame.from, incarnation: frame.incarnation, body });
         }
     }
 
@@ -443,10 +408,7 @@
     fn admit(&self, frame: Frame) -> Option<Frame> {
         let now = Instant::now();
         let mut state = self.state.lock();
-        match state
-            .guard
-            .check(now, &frame.from, frame.incarnation, frame.sequence)
-        {
+        match state.guard.check(now, &frame.from, frame.incarnation, frame.sequence) {
             Ok(()) => {}
             Err(Stale::Replayed) => {
                 add(&self.counters.refused_replayed, 1);
@@ -485,10 +447,7 @@
     }
 
     fn close_oldest(&mut self) {
-        let oldest = self
-            .connections
-            .iter()
-            .min_by_key(|(_, connection)| connection.used);
+        let oldest = self.connections.iter().min_by_key(|(_, connection)| connection.used);
         if let Some(address) = oldest.map(|(address, _)| *address) {
             self.connections.remove(&address);
         }
--- a/crates/router/src/peer/memory.rs
+++ b/crates/router/src/peer/memory.rs
@@ -31,11 +31,7 @@
     /// Joins a daemon; what is sent to it is given to `inbound`. A host that joins again replaces itself.
     pub fn join(&self, host: HostId, incarnation: Incarnation, inbound: Inbound) -> Arc<MemoryLink> {
         self.wires.lock().ends.insert(host.clone(), inbound);
-        Arc::new(MemoryLink {
-            host,
-            incarnation,
-            network: self.clone(),
-        })
+        Arc::new(MemoryLink { host, incarnation, network: self.clone() })
     }
 
     /// Takes a daemon away.
@@ -72,11 +68,7 @@
             wires.ends.get(to).cloned()
         };
         if let Some(inbound) = inbound {
-            inbound(PeerMessage {
-                from: self.host.clone(),
-                incarnation: self.incarnation,
-                body,
-            });
+            inbound(PeerMessage { from: self.host.clone(), incarnation: self.incarnation, body });
         }
     }
 }
--- a/crates/router/src/platform/host_list.rs
+++ b/crates/router/src/platform/host_list.rs
@@ -39,10 +39,7 @@
 impl HttpHostList {
     /// Makes a client of the list at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            http: BackendHttp::new(),
-            address,
-        }
+        Self { http: BackendHttp::new(), address }
     }
 
     async fn fetch(&self, after: u64, wait_ms: Millis) -> Result<HostListPage, CallFailure> {
@@ -57,15 +54,9 @@
         let page: Page = serde_json::from_slice(&body).map_err(|_| CallFailure::Malformed)?;
         let change = match page.entries {
             Some(entries) => HostListChange::Whole(entries),
-            None => HostListChange::Some {
-                set: page.set,
-                remove: page.remove,
-            },
+            None => HostListChange::Some { set: page.set, remove: page.remove },
         };
-        Ok(HostListPage {
-            version: page.version,
-            change,
-        })
+        Ok(HostListPage { version: page.version, change })
     }
 }
 
--- a/crates/router/src/platform/log.rs
+++ b/crates/router/src/platform/log.rs
@@ -35,10 +35,7 @@
 
 impl Default for HttpLogSettings {
     fn default() -> Self {
-        Self {
-            append_timeout_ms: Millis(3_000),
-            read_slack_ms: Millis(1_000),
-        }
+        Self { append_timeout_ms: Millis(3_000), read_slack_ms: Millis(1_000) }
     }
 }
 
@@ -79,37 +76,24 @@
 impl HttpLog {
     /// Makes a client of the log at `address`.
     pub fn new(address: SocketAddr, settings: HttpLogSettings) -> Self {
-        Self {
-            http: BackendHttp::new(),
-            address,
-            settings,
-            distrusts_pool: AtomicBool::new(false),
-        }
+        Self { http: BackendHttp::new(), address, settings, distrusts_pool: AtomicBool::new(false) }
     }
 
     /// Appends over a connection of its own. An append may not be repeated blindly, and an idle connection
     /// that has gone silent would make its outcome unknown for nothing.
     async fn append_records(&self, stream: Stream, records: Vec<Bytes>) -> Result<Offset, AppendError> {
-        let call = AppendCall {
-            records: records.iter().map(|data| STANDARD.encode(data)).collect(),
-        };
+        let call = AppendCall { records: records.iter().map(|data| STANDARD.encode(data)).collect() };
         let request = append_request(self.address, stream, &call).ok_or(NOT_SENT)?;
         let timeout = Duration::from(self.settings.append_timeout_ms);
-        let response = self
-            .http
-            .send(Trust::Fresh, request, timeout)
-            .await
-            .map_err(append_failure)?;
+        let response = self.http.send(Trust::Fresh, request, timeout).await.map_err(append_failure)?;
         let status = response.status();
         if status != StatusCode::OK {
             return Err(append_refusal(status, response.headers()));
         }
-        let body = read_body(response.into_body(), ANSWER_LIMIT_BYTES, timeout)
-            .await
-            .map_err(append_failure)?;
-        let answer: AppendAnswer = serde_json::from_slice(&body).map_err(|_| AppendError::Unknown {
-            cause: LogFailure::Malformed,
-        })?;
+        let body =
+            read_body(response.into_body(), ANSWER_LIMIT_BYTES, timeout).await.map_err(append_failure)?;
+        let answer: AppendAnswer = serde_json::from_slice(&body)
+            .map_err(|_| AppendError::Unknown { cause: LogFailure::Malformed })?;
         Ok(answer.first_offset)
     }
 
@@ -120,11 +104,7 @@
         limit: u32,
         wait_ms: Millis,
     ) -> Result<LogPage, LogFailure> {
-        let trust = if self.distrusts_pool.load(Ordering::Relaxed) {
-            Trust::Fresh
-        } else {
-            Trust::Pooled
-        };
+        let trust = if self.distrusts_pool.load(Ordering::Relaxed) { Trust::Fresh } else { Trust::Pooled };
         let page = self.try_read(trust, stream, from, limit, wait_ms).await;
         let is_silent = matches!(page, Err(LogFailure::Timeout | LogFailure::Unreachable));
         self.distrusts_pool.store(is_silent, Ordering::Relaxed);
@@ -146,20 +126,15 @@
             .body(Full::default())
             .map_err(|_| LogFailure::Malformed)?;
         let timeout = Duration::from(wait_ms + self.settings.read_slack_ms);
-        let response = self
-            .http
-            .send(trust, request, timeout)
-            .await
-            .map_err(read_failure)?;
+        let response = self.http.send(trust, request, timeout).await.map_err(read_failure)?;
         match response.status() {
             StatusCode::OK => {}
             StatusCode::SERVICE_UNAVAILABLE => return Err(LogFailure::Down),
             StatusCode::TOO_MANY_REQUESTS => return Err(LogFailure::OverRate),
             _ => return Err(LogFailure::Malformed),
         }
-        let body = read_body(response.into_body(), ANSWER_LIMIT_BYTES, timeout)
-            .await
-            .map_err(read_failure)?;
+        let body =
+            read_body(response.into_body(), ANSWER_LIMIT_BYTES, timeout).await.map_err(read_failure)?;
         let answer: ReadAnswer = serde_json::from_slice(&body).map_err(|_| LogFailure::Malformed)?;
         page_of(answer)
     }
@@ -181,10 +156,7 @@
     }
 }
 
-const NOT_SENT: AppendError = AppendError::NotAppended {
-    cause: LogFailure::Malformed,
-    retry_after_ms: None,
-};
+const NOT_SENT: AppendError = AppendError::NotAppended { cause: LogFailure::Malformed, retry_after_ms: None };
 
 /// Name of a stream in the log's addresses.
 fn stream_name(stream: Stream) -> String {
@@ -208,19 +180,12 @@
 /// although its answer did not come.
 fn append_failure(failure: CallFailure) -> AppendError {
     match failure {
-        CallFailure::NotSent => AppendError::NotAppended {
-            cause: LogFailure::Unreachable,
-            retry_after_ms: None,
-        },
-        CallFailure::Timeout => AppendError::Unknown {
-            cause: LogFailure::Timeout,
-        },
-        CallFailure::Broken => AppendError::Unknown {
-            cause: LogFailure::Unreachable,
-        },
-        CallFailure::Malformed => AppendError::Unknown {
-            cause: LogFailure::Malformed,
-        },
+        CallFailure::NotSent => {
+            AppendError::NotAppended { cause: LogFailure::Unreachable, retry_after_ms: None }
+        }
+        CallFailure::Timeout => AppendError::Unknown { cause: LogFailure::Timeout },
+        CallFailure::Broken => AppendError::Unknown { cause: LogFailure::Unreachable },
+        CallFailure::Malformed => AppendError::Unknown { cause: LogFailure::Malformed },
     }
 }
 
@@ -232,18 +197,11 @@
         StatusCode::TOO_MANY_REQUESTS => LogFailure::OverRate,
         status if status.is_client_error() => LogFailure::Malformed,
         _ => {
-            return AppendError::Unknown {
-                cause: LogFailure::Malformed,
-            };
+            return AppendError::Unknown { cause: LogFailure::Malformed };
         }
     };
-    let retry_after_ms = headers
-        .get(RETRY_AFTER_MS)
-        .and_then(|value| value.to_str().ok()?.parse().ok());
-    AppendError::NotAppended {
-        cause,
-        retry_after_ms: retry_after_ms.map(Millis),
-    }
+    let retry_after_ms = headers.get(RETRY_AFTER_MS).and_then(|value| value.to_str().ok()?.parse().ok());
+    AppendError::NotAppended { cause, retry_after_ms: retry_after_ms.map(Millis) }
 }
 
 fn read_failure(failure: CallFailure) -> LogFailure {
@@ -257,10 +215,7 @@
 fn page_of(answer: ReadAnswer) -> Result<LogPage, LogFailure> {
     let records = answer.records.into_iter().map(|record| {
         let data = STANDARD.decode(&record.data).map_err(|_| LogFailure::Malformed)?;
-        Ok(LogRecord {
-            offset: record.offset,
-            data: Bytes::from(data),
-        })
+        Ok(LogRecord { offset: record.offset, data: Bytes::from(data) })
     });
     Ok(LogPage {
         start_offset: answer.start_offset,
--- a/crates/router/src/platform/weight_store.rs
+++ b/crates/router/src/platform/weight_store.rs
@@ -34,10 +34,7 @@
 impl HttpWeightStore {
     /// Makes a client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            http: BackendHttp::new(),
-            address,
-        }
+        Self { http: BackendHttp::new(), address }
     }
 
     async fn fetch(&self) -> Result<WeightStoreInfo, CallFailure> {
@@ -51,10 +48,7 @@
         }
         let body = read_body(response.into_body(), LIST_LIMIT_BYTES, ANSWER_TIMEOUT).await?;
         let answer: Answer = serde_json::from_slice(&body).map_err(|_| CallFailure::Malformed)?;
-        Ok(WeightStoreInfo {
-            rate_bytes_per_s: answer.rate_bytes_per_s,
-            models: answer.models,
-        })
+        Ok(WeightStoreInfo { rate_bytes_per_s: answer.rate_bytes_per_s, models: answer.models })
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -60,10 +60,8 @@
     ///
     /// [`SettingsError`] when the file cannot be read or says something that cannot stand.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.to_owned(),
-            source,
-        })?;
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
         Self::parse(&text)
     }
 
@@ -76,11 +74,7 @@
         let settings: Self = toml::from_str(text)
             .map_err(|error| SettingsError::Invalid(vec![error::syntax(text, &error)]))?;
         let problems = check::problems(&settings, text);
-        if problems.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError::Invalid(problems))
-        }
+        if problems.is_empty() { Ok(settings) } else { Err(SettingsError::Invalid(problems)) }
     }
 }
 
@@ -207,10 +201,7 @@
 
 impl Default for TrafficSettings {
     fn default() -> Self {
-        Self {
-            threads: 2,
-            ready_grace_ms: Millis(3_000),
-        }
+        Self { threads: 2, ready_grace_ms: Millis(3_000) }
     }
 }
 
@@ -257,10 +248,7 @@
 
 impl Default for ShiftSettings {
     fn default() -> Self {
-        Self {
-            hold_ms: Millis(30_000),
-            cooldown_ms: Millis(120_000),
-        }
+        Self { hold_ms: Millis(30_000), cooldown_ms: Millis(120_000) }
     }
 }
 
@@ -276,10 +264,7 @@
 
 impl Default for ObserveSettings {
     fn default() -> Self {
-        Self {
-            log_level: LogLevel::Info,
-            recent_requests: 4_096,
-        }
+        Self { log_level: LogLevel::Info, recent_requests: 4_096 }
     }
 }
 
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -35,60 +35,24 @@
 }
 
 fn check_numbers(settings: &Settings, text: &str, problems: &mut Vec<SettingsProblem>) {
-    let Settings {
-        limits,
-        traffic,
-        config,
-        observe,
-        peers,
-        shift,
-        ..
-    } = settings;
+    let Settings { limits, traffic, config, observe, peers, shift, .. } = settings;
     let numbers = [
         ("limits.body_bytes", limits.body_bytes.0, BODY_BYTES),
         ("limits.head_bytes", limits.head_bytes.0, HEAD_BYTES),
-        (
-            "limits.head_timeout_ms",
-            limits.head_timeout_ms.0,
-            CALLER_TIMEOUT_MS,
-        ),
-        (
-            "limits.body_timeout_ms",
-            limits.body_timeout_ms.0,
-            CALLER_TIMEOUT_MS,
-        ),
-        (
-            "limits.stall_timeout_ms",
-            limits.stall_timeout_ms.0,
-            CALLER_TIMEOUT_MS,
-        ),
+        ("limits.head_timeout_ms", limits.head_timeout_ms.0, CALLER_TIMEOUT_MS),
+        ("limits.body_timeout_ms", limits.body_timeout_ms.0, CALLER_TIMEOUT_MS),
+        ("limits.stall_timeout_ms", limits.stall_timeout_ms.0, CALLER_TIMEOUT_MS),
         ("traffic.threads", traffic.threads as u64, THREADS),
         ("config.readers", config.readers as u64, READERS),
         ("config.poll_wait_ms", config.poll_wait_ms.0, POLL_WAIT_MS),
-        (
-            "config.genesis_wait_ms",
-            config.genesis_wait_ms.0,
-            GENESIS_WAIT_MS,
-        ),
-        (
-            "config.checkpoint_interval_ms",
-            config.checkpoint_interval_ms.0,
-            CHECKPOINT_INTERVAL_MS,
-        ),
-        (
-            "config.checkpoint_step_ms",
-            config.checkpoint_step_ms.0,
-            CHECKPOINT_STEP_MS,
-        ),
+        ("config.genesis_wait_ms", config.genesis_wait_ms.0, GENESIS_WAIT_MS),
+        ("config.checkpoint_interval_ms", config.checkpoint_interval_ms.0, CHECKPOINT_INTERVAL_MS),
+        ("config.checkpoint_step_ms", config.checkpoint_step_ms.0, CHECKPOINT_STEP_MS),
         ("peers.settle_ms", peers.settle_ms.0, SETTLE_MS),
         ("traffic.ready_grace_ms", traffic.ready_grace_ms.0, READY_GRACE_MS),
         ("shift.hold_ms", shift.hold_ms.0, SHIFT_MS),
         ("shift.cooldown_ms", shift.cooldown_ms.0, SHIFT_MS),
-        (
-            "observe.recent_requests",
-            observe.recent_requests as u64,
-            RECENT_REQUESTS,
-        ),
+        ("observe.recent_requests", observe.recent_requests as u64, RECENT_REQUESTS),
     ];
     for (key, value, range) in numbers {
         if !range.contains(&value) {
@@ -113,12 +77,7 @@
             ));
         }
         if route.service.is_empty() {
-            problems.push(form(
-                text,
-                format!("routes.{index}.service"),
-                "",
-                "the name of a service",
-            ));
+            problems.push(form(text, format!("routes.{index}.service"), "", "the name of a service"));
         }
     }
 }
@@ -138,9 +97,7 @@
                 problems.push(SettingsProblem {
                     line: line_of(text, &key),
                     key: key.clone(),
-                    fault: SettingsFault::SharedToken {
-                        other: other.to_owned(),
-                    },
+                    fault: SettingsFault::SharedToken { other: other.to_owned() },
                 });
             }
         }
@@ -150,10 +107,7 @@
 fn form(text: &str, key: String, value: &str, allowed: &'static str) -> SettingsProblem {
     SettingsProblem {
         line: line_of(text, &key),
-        fault: SettingsFault::Form {
-            value: value.to_owned(),
-            allowed,
-        },
+        fault: SettingsFault::Form { value: value.to_owned(), allowed },
         key,
     }
 }
--- a/crates/router/src/settings/error.rs
+++ b/crates/router/src/settings/error.rs
@@ -96,16 +96,11 @@
 /// so only its message and place are kept, and the key read from the left of the line.
 pub(super) fn syntax(text: &str, error: &toml::de::Error) -> SettingsProblem {
     let line = error.span().map_or(0, |span| line_at(text, span.start));
-    let source_line = line
-        .checked_sub(1)
-        .and_then(|index| text.lines().nth(index))
-        .unwrap_or_default();
+    let source_line = line.checked_sub(1).and_then(|index| text.lines().nth(index)).unwrap_or_default();
     let key = source_line.split_once('=').map_or("", |(key, _)| key.trim());
     SettingsProblem {
         line,
         key: key.to_owned(),
-        fault: SettingsFault::Syntax {
-            message: error.message().to_owned(),
-        },
+        fault: SettingsFault::Syntax { message: error.message().to_owned() },
     }
 }
--- a/crates/router/src/settings/secret.rs
+++ b/crates/router/src/settings/secret.rs
@@ -14,9 +14,7 @@
 pub struct ParseKeyError;
 
 fn parse_hex(text: &str) -> Result<[u8; KEY_BYTES], ParseKeyError> {
-    blake3::Hash::from_hex(text)
-        .map(|hash| *hash.as_bytes())
-        .map_err(|_| ParseKeyError)
+    blake3::Hash::from_hex(text).map(|hash| *hash.as_bytes()).map_err(|_| ParseKeyError)
 }
 
 macro_rules! hex_key {
--- a/crates/router/src/signs.rs
+++ b/crates/router/src/signs.rs
@@ -34,18 +34,11 @@
         if Arc::ptr_eq(&seen, &now) {
             continue;
         }
-        let changed = now
-            .signs
-            .iter()
-            .filter(|(server, sign)| seen.signs.get(*server) != Some(*sign));
+        let changed = now.signs.iter().filter(|(server, sign)| seen.signs.get(*server) != Some(*sign));
         for (server, sign) in changed {
             act_on(&kernel, &directory, &hubs, server, *sign);
         }
-        for server in seen
-            .signs
-            .keys()
-            .filter(|server| !now.signs.contains_key(*server))
-        {
+        for server in seen.signs.keys().filter(|server| !now.signs.contains_key(*server)) {
             act_on(&kernel, &directory, &hubs, server, ServerSign::Taking);
         }
         seen = now;
@@ -75,10 +68,7 @@
         let _ = inbox.try_send(WatcherCommand::Sign(server.clone()));
     }
     if let Some(hubs) = hubs.get() {
-        hubs.language.feed(Event::Sign {
-            server: server.clone(),
-            sign,
-        });
+        hubs.language.feed(Event::Sign { server: server.clone(), sign });
         hubs.plain.sign(server, sign);
     }
 }
--- a/crates/router/src/slot_route.rs
+++ b/crates/router/src/slot_route.rs
@@ -35,12 +35,7 @@
     pub fn watcher_of(&self, server: &BackendServerId) -> Option<HostId> {
         let listing = self.directory.listing();
         let server = listing.servers.get(server)?;
-        watch::watcher_in(
-            &server.id,
-            &server.data_centre,
-            &server.region,
-            &self.members.load(),
-        )
+        watch::watcher_in(&server.id, &server.data_centre, &server.region, &self.members.load())
     }
 
     /// Sends a message to the watcher of its server. Where there is none, or its inbox is full, the message
@@ -53,11 +48,8 @@
             self.link.send(&watcher, PeerBody::Slots(message));
             return;
         }
-        let command = WatcherCommand::Slot {
-            from: self.host.clone(),
-            incarnation: self.incarnation,
-            message,
-        };
+        let command =
+            WatcherCommand::Slot { from: self.host.clone(), incarnation: self.incarnation, message };
         // A lost ask is repeated, a lost release expires.
         if let Ok(watcher) = self.kernel.find(ServiceName::Watcher) {
             let _ = watcher.try_send(command);
--- a/crates/router/src/spread.rs
+++ b/crates/router/src/spread.rs
@@ -119,11 +119,8 @@
         let view = Arc::new(ArcSwap::from_pointee(SpreadView::default()));
         let counts = Arc::new(ArcSwap::from_pointee(SpreadCounts::default()));
         let (is_reader, is_reader_seen) = watch::channel(false);
-        let handle = SpreadHandle {
-            view: Arc::clone(&view),
-            counts: Arc::clone(&counts),
-            is_reader: is_reader_seen,
-        };
+        let handle =
+            SpreadHandle { view: Arc::clone(&view), counts: Arc::clone(&counts), is_reader: is_reader_seen };
         let service = Self {
             machine,
             settings,
--- a/crates/router/src/tickets.rs
+++ b/crates/router/src/tickets.rs
@@ -35,9 +35,7 @@
 impl Tickets {
     /// The tickets of the daemon `incarnation` on `host`.
     pub fn new(host: HostId, incarnation: Incarnation, settings: TicketSettings) -> Self {
-        Self {
-            desk: Arc::new(Mutex::new(TicketDesk::new(host, incarnation, settings))),
-        }
+        Self { desk: Arc::new(Mutex::new(TicketDesk::new(host, incarnation, settings))) }
     }
 
     /// Gives a ticket.
@@ -52,10 +50,9 @@
     /// A request came with a ticket.
     pub fn begin(&self, ticket: &Ticket, partner: &PartnerId, digest: BodyDigest) -> TicketUse {
         match self.desk.lock().begin(clock::now(), ticket, partner, digest) {
-            TicketDecision::Run => TicketUse::Run(TicketGuard {
-                tickets: self.clone(),
-                ticket: Some(ticket.clone()),
-            }),
+            TicketDecision::Run => {
+                TicketUse::Run(TicketGuard { tickets: self.clone(), ticket: Some(ticket.clone()) })
+            }
             settled => TicketUse::Settled(settled),
         }
     }
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -181,13 +181,8 @@
     fn command(&mut self, command: WatcherCommand) {
         let now_us = clock::now();
         match command {
-            WatcherCommand::Slot {
-                from,
-                incarnation,
-                message,
-            } => {
-                self.ledgers
-                    .handle(now_us, &from, incarnation, message, &mut self.actions);
+            WatcherCommand::Slot { from, incarnation, message } => {
+                self.ledgers.handle(now_us, &from, incarnation, message, &mut self.actions);
             }
             WatcherCommand::Sign(server) => self.follow_sign(now_us, &server),
         }
@@ -229,9 +224,7 @@
         self.announce(&view, &known);
         for (server, watcher) in &watchers {
             if self.watchers.get(server) != Some(watcher) {
-                self.parts.hub.feed(Event::WatcherChanged {
-                    server: server.clone(),
-                });
+                self.parts.hub.feed(Event::WatcherChanged { server: server.clone() });
             }
         }
         self.watchers = watchers;
@@ -247,13 +240,7 @@
         view: &MembersView,
         others: &[Incarnation],
     ) {
-        let BackendKind::Engine {
-            role,
-            slots_total,
-            link_bytes_per_s,
-            ..
-        } = &server.kind
-        else {
+        let BackendKind::Engine { role, slots_total, link_bytes_per_s, .. } = &server.kind else {
             return;
         };
         if !is_watched_here(&server.id, &server.data_centre, &server.region, view) {
@@ -261,14 +248,7 @@
             self.forget(&server.id);
             return;
         }
-        self.ledgers.own(
-            now_us,
-            &server.id,
-            role_of(*role),
-            *slots_total,
-            *link_bytes_per_s,
-            others,
-        );
+        self.ledgers.own(now_us, &server.id, role_of(*role), *slots_total, *link_bytes_per_s, others);
         let leaving = !self.parts.directory.takes_work(now_us, server);
         if let Some(ledger) = self.ledgers.ledger_mut(&server.id) {
             ledger.set_leaving(now_us, leaving, &mut self.actions);
@@ -278,20 +258,12 @@
     /// Asks the other daemons of the region to register what they hold at the engines that this one watches
     /// since now.
     fn announce(&self, view: &MembersView, known: &HashSet<BackendServerId>) {
-        let new: Vec<_> = self
-            .ledgers
-            .servers()
-            .filter(|server| !known.contains(*server))
-            .cloned()
-            .collect();
-        let others = view
-            .all()
-            .filter(|member| member.region == self.parts.region && member.host != self.parts.host);
+        let new: Vec<_> = self.ledgers.servers().filter(|server| !known.contains(*server)).cloned().collect();
+        let others =
+            view.all().filter(|member| member.region == self.parts.region && member.host != self.parts.host);
         for member in others {
             for servers in new.chunks(ANNOUNCED_AT_ONCE) {
-                self.parts
-                    .link
-                    .send(&member.host, PeerBody::Watching(servers.to_vec()));
+                self.parts.link.send(&member.host, PeerBody::Watching(servers.to_vec()));
             }
         }
     }
@@ -306,11 +278,7 @@
 
     fn count(&mut self) {
         let mut counted = HashMap::with_capacity(self.counted.len());
-        for (server, ledger) in self
-            .ledgers
-            .servers()
-            .filter_map(|id| Some((id, self.ledgers.ledger(id)?)))
-        {
+        for (server, ledger) in self.ledgers.servers().filter_map(|id| Some((id, self.ledgers.ledger(id)?))) {
             let (before, now) = (self.counted.remove(server).unwrap_or_default(), ledger.counters());
             figures::count_ledger(&self.parts.metrics, before, now);
             counted.insert(server.clone(), now);
@@ -319,12 +287,8 @@
     }
 
     fn close_unlisted(&mut self, now_us: MonoTime, listed: &HashMap<BackendServerId, Option<HostId>>) {
-        let gone: Vec<_> = self
-            .ledgers
-            .servers()
-            .filter(|server| !listed.contains_key(*server))
-            .cloned()
-            .collect();
+        let gone: Vec<_> =
+            self.ledgers.servers().filter(|server| !listed.contains_key(*server)).cloned().collect();
         for server in gone {
             self.ledgers.disown(now_us, &server, &mut self.actions);
             self.forget(&server);
@@ -342,46 +306,25 @@
     fn read_next(&mut self) {
         let now_us = clock::now();
         let last_read = |server: &BackendServerId| self.read_us.get(server).copied().unwrap_or_default();
-        let Some(server) = self
-            .ledgers
-            .servers()
-            .min_by_key(|server| (last_read(server), *server))
-            .cloned()
+        let Some(server) = self.ledgers.servers().min_by_key(|server| (last_read(server), *server)).cloned()
         else {
             return;
         };
-        if self
-            .read_us
-            .get(&server)
-            .is_some_and(|read_us| now_us < *read_us + REPORT_PERIOD_MS)
-        {
+        if self.read_us.get(&server).is_some_and(|read_us| now_us < *read_us + REPORT_PERIOD_MS) {
             return;
         }
         self.read_us.insert(server.clone(), now_us);
         let Some(address) = self.address_of(&server) else {
             return;
         };
-        let reads = self
-            .ledgers
-            .ledger(&server)
-            .is_some_and(|ledger| ledger.role() == Role::Prefill);
+        let reads = self.ledgers.ledger(&server).is_some_and(|ledger| ledger.role() == Role::Prefill);
         let cache_after = reads.then(|| self.cache_seq.get(&server).copied().unwrap_or_default());
         let engines = Arc::clone(&self.parts.engines);
-        tokio::spawn(read_engine(
-            engines,
-            self.reports.clone(),
-            server,
-            address,
-            cache_after,
-        ));
+        tokio::spawn(read_engine(engines, self.reports.clone(), server, address, cache_after));
     }
 
     fn report(&mut self, reported: Reported) {
-        let Reported {
-            server,
-            asked_us,
-            news,
-        } = reported;
+        let Reported { server, asked_us, news } = reported;
         match news {
             News::Load(load) => self.load_report(server, asked_us, load),
             News::Cache(page) => self.cache_report(server, &page),
@@ -392,13 +335,8 @@
         let now_us = clock::now();
         // The answer may describe the engine as it was when the question arrived.
         let as_of_us = Micros::from(load.as_of_ms_ago) + now_us.since(asked_us);
-        let held = load
-            .held
-            .iter()
-            .filter_map(|held| request_of(&held.request_id))
-            .collect();
-        self.ledgers
-            .report(now_us, &server, &HeldReport { as_of_us, held }, &mut self.actions);
+        let held = load.held.iter().filter_map(|held| request_of(&held.request_id)).collect();
+        self.ledgers.report(now_us, &server, &HeldReport { as_of_us, held }, &mut self.actions);
         self.release_orphans(now_us, &server, &load);
         self.held.insert(server, load.held);
     }
@@ -406,8 +344,7 @@
     /// Events tell of prompts that other daemons sent and of evictions; of its own prompts the scheduler knows
     /// before any event comes. They are a hint: one that is lost costs a prefill, never an answer.
     fn cache_report(&mut self, server: BackendServerId, page: &CachePage) {
-        self.cache_seq
-            .insert(server.clone(), page.next_seq.saturating_sub(1));
+        self.cache_seq.insert(server.clone(), page.next_seq.saturating_sub(1));
         if !page.events.is_empty() {
             let events = page.events.iter().map(cache_event).collect();
             self.parts.hub.feed(Event::Cache { server, events });
@@ -420,16 +357,11 @@
         let view = self.parts.members.load();
         let owners: HashSet<&Owner> = load.held.iter().map(|held| &held.owner).collect();
         let seen = owners.into_iter().map(|owner| SeenOwner {
-            owner: MemoryOwner {
-                host: owner.host.clone(),
-                incarnation: owner.incarnation,
-            },
+            owner: MemoryOwner { host: owner.host.clone(), incarnation: owner.incarnation },
             state: owner_state(owner, &view),
         });
-        let watch = self
-            .orphans
-            .entry(server.clone())
-            .or_insert_with(|| OrphanWatch::new(OrphanSettings::default()));
+        let watch =
+            self.orphans.entry(server.clone()).or_insert_with(|| OrphanWatch::new(OrphanSettings::default()));
         let full = load.slots_total > 0 && load.slots_used >= load.slots_total;
         let orphans = watch.orphans(now_us, full, seen);
         let Some(address) = self.address_of(server) else {
@@ -443,12 +375,7 @@
     }
 
     fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
-        self.parts
-            .directory
-            .listing()
-            .servers
-            .get(server)
-            .map(|server| server.address)
+        self.parts.directory.listing().servers.get(server).map(|server| server.address)
     }
 
     fn carry_out(&mut self) {
@@ -474,10 +401,7 @@
         let of_request = held.filter(|held| request_of(&held.request_id) == Some(request_id));
         for held in of_request.filter(|held| owner_state(&held.owner, &view) == OwnerState::Live) {
             if let Ok(attempt_id) = held.request_id.parse() {
-                let held = Held {
-                    attempt_id,
-                    owner: Some(held.owner.clone()),
-                };
+                let held = Held { attempt_id, owner: Some(held.owner.clone()) };
                 self.parts.releases.release_held(server, held);
             }
         }
@@ -496,19 +420,11 @@
     let asked_us = clock::now();
     // The service ends with its daemon, and its reads with it.
     if let Ok(load) = engines.load(address).await {
-        let _ = reports.send(Reported {
-            server: server.clone(),
-            asked_us,
-            news: News::Load(load),
-        });
+        let _ = reports.send(Reported { server: server.clone(), asked_us, news: News::Load(load) });
     }
     let Some(after) = cache_after else { return };
     if let Ok(page) = engines.cache_events(address, after).await {
-        let _ = reports.send(Reported {
-            server,
-            asked_us,
-            news: News::Cache(page),
-        });
+        let _ = reports.send(Reported { server, asked_us, news: News::Cache(page) });
     }
 }
 
@@ -517,11 +433,7 @@
         CacheChangeKind::Stored => CacheEventKind::Stored,
         CacheChangeKind::Evicted => CacheEventKind::Evicted,
     };
-    CacheEvent {
-        seq: change.seq,
-        kind,
-        block: change.block,
-    }
+    CacheEvent { seq: change.seq, kind, block: change.block }
 }
 
 fn request_of(text: &str) -> Option<RequestId> {
@@ -548,21 +460,11 @@
 /// links that are slower than reading the prompt again.
 fn engines_for(region: &RegionId, listing: &Listing) -> Vec<Arc<BackendServer>> {
     let engines = listing.servers.values().filter(|server| server.region == *region);
-    engines
-        .filter(|server| matches!(server.kind, BackendKind::Engine { .. }))
-        .cloned()
-        .collect()
+    engines.filter(|server| matches!(server.kind, BackendKind::Engine { .. })).cloned().collect()
 }
 
 fn record_of(server: &BackendServer) -> Option<ServerRecord> {
-    let BackendKind::Engine {
-        role,
-        models,
-        slots_total,
-        link_bytes_per_s,
-        ..
-    } = &server.kind
-    else {
+    let BackendKind::Engine { role, models, slots_total, link_bytes_per_s, .. } = &server.kind else {
         return None;
     };
     Some(ServerRecord {
--- a/crates/router/tests/claims/fake.rs
+++ b/crates/router/tests/claims/fake.rs
@@ -69,10 +69,7 @@
         match inner.fault {
             Fault::Down => {
                 let cause = LogFailure::Down;
-                return Err(AppendError::NotAppended {
-                    cause,
-                    retry_after_ms: None,
-                });
+                return Err(AppendError::NotAppended { cause, retry_after_ms: None });
             }
             Fault::LosesAppends => return Err(AppendError::Unknown { cause }),
             Fault::None | Fault::LosesAnswers => {}
@@ -100,10 +97,7 @@
                 .zip(records)
                 .skip(usize::try_from(from.0).expect("small"))
                 .take(limit as usize)
-                .map(|(offset, data)| LogRecord {
-                    offset: Offset(offset),
-                    data,
-                })
+                .map(|(offset, data)| LogRecord { offset: Offset(offset), data })
                 .collect(),
         })
     }
@@ -143,10 +137,7 @@
 impl Network {
     pub fn join(&self, host: &HostId, kernel: Kernel) -> Arc<dyn PeerLink> {
         self.kernels.lock().insert(host.clone(), kernel);
-        Arc::new(FakeLink {
-            network: self.clone(),
-            from: host.clone(),
-        })
+        Arc::new(FakeLink { network: self.clone(), from: host.clone() })
     }
 
     pub fn cut(&self, host: &HostId) {
@@ -170,14 +161,7 @@
         let PeerBody::Claims(message) = body else { return };
         let kernels = self.network.kernels.lock();
         let Some(kernel) = kernels.get(to) else { return };
-        let inbox = kernel
-            .find::<ClaimsCommand>(ServiceName::Claims)
-            .expect("service runs");
-        inbox
-            .try_send(ClaimsCommand::Peer {
-                from: self.from.clone(),
-                message,
-            })
-            .expect("room");
+        let inbox = kernel.find::<ClaimsCommand>(ServiceName::Claims).expect("service runs");
+        inbox.try_send(ClaimsCommand::Peer { from: self.from.clone(), message }).expect("room");
     }
 }
--- a/crates/router/tests/claims/service.rs
+++ b/crates/router/tests/claims/service.rs
@@ -43,59 +43,30 @@
             stop.clone(),
         )
         .expect("first of its name");
-        Self {
-            host,
-            incarnation,
-            handle,
-            kernel,
-            stop,
-            sequence: std::cell::Cell::new(0),
-        }
+        Self { host, incarnation, handle, kernel, stop, sequence: std::cell::Cell::new(0) }
     }
 
     async fn know(&self, members: &[&Self]) {
         let members = members.iter().map(|node| node.host.clone()).collect();
-        let inbox = self
-            .kernel
-            .find::<ClaimsCommand>(ServiceName::Claims)
-            .expect("service runs");
-        inbox
-            .send(ClaimsCommand::Members(members))
-            .await
-            .expect("service runs");
+        let inbox = self.kernel.find::<ClaimsCommand>(ServiceName::Claims).expect("service runs");
+        inbox.send(ClaimsCommand::Members(members)).await.expect("service runs");
     }
 
     async fn begin(&self, partner: &str, key: &str, body: &str) -> ClaimDecision {
         self.sequence.set(self.sequence.get() + 1);
-        let request = RequestId {
-            incarnation: self.incarnation,
-            sequence: self.sequence.get(),
-        };
+        let request = RequestId { incarnation: self.incarnation, sequence: self.sequence.get() };
         let partner: PartnerId = partner.parse().expect("partner");
         let key: IdempotencyKey = key.parse().expect("key");
-        self.handle
-            .begin(
-                request,
-                &partner,
-                &key,
-                BodyDigest::new("POST", "/book", body.as_bytes()),
-            )
-            .await
+        self.handle.begin(request, &partner, &key, BodyDigest::new("POST", "/book", body.as_bytes())).await
     }
 }
 
 fn answer(text: &str) -> StoredAnswer {
-    StoredAnswer {
-        status: 201,
-        headers: Vec::new(),
-        body: text.as_bytes().to_vec(),
-    }
+    StoredAnswer { status: 201, headers: Vec::new(), body: text.as_bytes().to_vec() }
 }
 
 fn run(decision: ClaimDecision) -> claims::ClaimGuard {
-    let ClaimDecision::Run(guard) = decision else {
-        panic!("expected to run, got {decision:?}")
-    };
+    let ClaimDecision::Run(guard) = decision else { panic!("expected to run, got {decision:?}") };
     assert!(guard.may_start(clock::now()));
     guard
 }
@@ -109,10 +80,7 @@
     assert!(matches!(second, ClaimDecision::InProgress), "{second:?}");
     guard.answered(Some(answer("booked")));
     let third = node.begin("nadifa", "k", "flat 3").await;
-    assert!(
-        matches!(&third, ClaimDecision::Answered(kept) if **kept == answer("booked")),
-        "{third:?}"
-    );
+    assert!(matches!(&third, ClaimDecision::Answered(kept) if **kept == answer("booked")), "{third:?}");
     assert_eq!(log.appends(), 1);
 }
 
@@ -141,9 +109,7 @@
     let node = Node::start("a", 1, &log, &Network::default());
     log.set_fault(Fault::Down);
     let refused = node.begin("nadifa", "k", "flat 3").await;
-    let ClaimDecision::Unavailable { retry_after_ms } = refused else {
-        panic!("{refused:?}")
-    };
+    let ClaimDecision::Unavailable { retry_after_ms } = refused else { panic!("{refused:?}") };
     log.set_fault(Fault::None);
     tokio::time::sleep(Duration::from(retry_after_ms)).await;
     run(node.begin("nadifa", "k", "flat 3").await).not_run();
@@ -167,10 +133,7 @@
     let node = Node::start("a", 1, &log, &Network::default());
     log.set_fault(Fault::LosesAppends);
     let refused = node.begin("nadifa", "k", "flat 3").await;
-    assert!(
-        matches!(refused, ClaimDecision::Unavailable { .. }),
-        "{refused:?}"
-    );
+    assert!(matches!(refused, ClaimDecision::Unavailable { .. }), "{refused:?}");
     log.set_fault(Fault::None);
     run(node.begin("nadifa", "k", "flat 3").await).answered(None);
 }
@@ -202,10 +165,7 @@
 async fn retry_at_another_host_never_runs_again() {
     let log = FakeLog::default();
     let network = Network::default();
-    let (a, b) = (
-        Node::start("a", 1, &log, &network),
-        Node::start("b", 2, &log, &network),
-    );
+    let (a, b) = (Node::start("a", 1, &log, &network), Node::start("b", 2, &log, &network));
     for node in [&a, &b] {
         node.know(&[&a, &b]).await;
     }
@@ -215,10 +175,7 @@
     guard.answered(Some(answer("booked")));
     tokio::task::yield_now().await;
     let after = b.begin("nadifa", "k", "flat 3").await;
-    assert!(
-        matches!(&after, ClaimDecision::Answered(kept) if **kept == answer("booked")),
-        "{after:?}"
-    );
+    assert!(matches!(&after, ClaimDecision::Answered(kept) if **kept == answer("booked")), "{after:?}");
     a.stop.cancel();
     let replaced = Node::start("a", 3, &log, &network);
     let late = b.begin("nadifa", "k", "flat 3").await;
@@ -233,10 +190,7 @@
 async fn cut_between_hosts_is_decided_by_the_log() {
     let log = FakeLog::default();
     let network = Network::default();
-    let (a, b) = (
-        Node::start("a", 1, &log, &network),
-        Node::start("b", 2, &log, &network),
-    );
+    let (a, b) = (Node::start("a", 1, &log, &network), Node::start("b", 2, &log, &network));
     for node in [&a, &b] {
         node.know(&[&a, &b]).await;
     }
@@ -245,14 +199,8 @@
     for key in 0..20 {
         let key = format!("k{key}");
         let (first, second) = tokio::join!(a.begin("nadifa", &key, "x"), b.begin("nadifa", &key, "x"));
-        let ran = [&first, &second]
-            .into_iter()
-            .filter(|d| matches!(d, ClaimDecision::Run(_)))
-            .count();
-        let unknown = [&first, &second]
-            .into_iter()
-            .filter(|d| matches!(d, ClaimDecision::Unknown))
-            .count();
+        let ran = [&first, &second].into_iter().filter(|d| matches!(d, ClaimDecision::Run(_))).count();
+        let unknown = [&first, &second].into_iter().filter(|d| matches!(d, ClaimDecision::Unknown)).count();
         assert_eq!((ran, unknown), (1, 1), "{first:?} {second:?}");
     }
 }
@@ -265,10 +213,6 @@
     let node = Node::start("a", 1, &log, &Network::default());
     let keys: Vec<String> = (0..500).map(|key| format!("k{key}")).collect();
     let begun = futures_util::future::join_all(keys.iter().map(|key| node.begin("nadifa", key, "x"))).await;
-    assert!(
-        begun
-            .iter()
-            .all(|decision| matches!(decision, ClaimDecision::Run(_)))
-    );
+    assert!(begun.iter().all(|decision| matches!(decision, ClaimDecision::Run(_))));
     assert!(log.appends() <= 100, "{} appends for 500 claims", log.appends());
 }
--- a/crates/router/tests/ops/config.rs
+++ b/crates/router/tests/ops/config.rs
@@ -61,10 +61,7 @@
         state: MemberState::Live,
         host_hash: 1,
     };
-    MembersView {
-        members: [(data_centre, vec![member])].into(),
-        ..MembersView::default()
-    }
+    MembersView { members: [(data_centre, vec![member])].into(), ..MembersView::default() }
 }
 
 pub fn host_id() -> HostId {
@@ -72,10 +69,7 @@
 }
 
 pub fn start(log: &MemoryLog, has_peers: bool) -> Host {
-    let settings = ConfigSettings {
-        checkpoint_interval_ms: Millis(60_000),
-        ..ConfigSettings::default()
-    };
+    let settings = ConfigSettings { checkpoint_interval_ms: Millis(60_000), ..ConfigSettings::default() };
     let (spread, requests) = mpsc::channel(64);
     let (service, handle) = ConfigService::new(ConfigParts {
         settings,
@@ -90,29 +84,17 @@
     });
     let (feed, inbox) = mpsc::channel(64);
     tokio::spawn(service.run(inbox));
-    Host {
-        handle,
-        feed,
-        spread: has_peers.then_some(requests),
-    }
+    Host { handle, feed, spread: has_peers.then_some(requests) }
 }
 
 impl Host {
     pub async fn reached(&mut self, next_offset: u64) {
-        let reached = self
-            .handle
-            .version
-            .wait_for(|version| version.0 >= next_offset)
-            .await;
+        let reached = self.handle.version.wait_for(|version| version.0 >= next_offset).await;
         reached.expect("the service runs");
     }
 
     pub async fn ready(&mut self) {
-        self.handle
-            .is_ready
-            .wait_for(|is_ready| *is_ready)
-            .await
-            .expect("the service runs");
+        self.handle.is_ready.wait_for(|is_ready| *is_ready).await.expect("the service runs");
     }
 
     fn first_token_ms(&self) -> Option<u64> {
@@ -125,10 +107,7 @@
 
     /// The next state that the service hands to its peers.
     async fn provided_state(&mut self) -> ConfigFeed {
-        self.feed
-            .send(ConfigFeed::ProvideState)
-            .await
-            .expect("the service runs");
+        self.feed.send(ConfigFeed::ProvideState).await.expect("the service runs");
         let requests = self.spread.as_mut().expect("a host with peers");
         loop {
             if let SpreadRequest::State { next_offset, data } =
@@ -183,10 +162,7 @@
 async fn a_host_that_starts_without_the_log_takes_a_peers_state() {
     let log = MemoryLog::new();
     let mut old = start(&log, true);
-    old.feed
-        .send(ConfigFeed::ReadLog(true))
-        .await
-        .expect("the service runs");
+    old.feed.send(ConfigFeed::ReadLog(true)).await.expect("the service runs");
     log.push(change(1, None, 9_000));
     old.reached(1).await;
     log.set_down(true);
@@ -205,14 +181,8 @@
     log.set_down(true);
     let mut host = start(&log, true);
     let second = change(2, Some(0), 5_000);
-    host.feed
-        .send(relayed(1, &second))
-        .await
-        .expect("the service runs");
-    host.feed
-        .send(relayed(0, &change(1, None, 9_000)))
-        .await
-        .expect("the service runs");
+    host.feed.send(relayed(1, &second)).await.expect("the service runs");
+    host.feed.send(relayed(0, &change(1, None, 9_000))).await.expect("the service runs");
     host.reached(2).await;
     assert_eq!(host.first_token_ms(), Some(5_000));
     host.ready().await;
@@ -225,30 +195,15 @@
 async fn a_reader_hands_records_to_its_peers() {
     let log = MemoryLog::new();
     let mut host = start(&log, true);
-    host.feed
-        .send(ConfigFeed::ReadLog(true))
-        .await
-        .expect("the service runs");
+    host.feed.send(ConfigFeed::ReadLog(true)).await.expect("the service runs");
     let record = change(1, None, 9_000);
     log.push(record.clone());
     host.reached(1).await;
-    let first = host
-        .spread
-        .as_mut()
-        .expect("peers")
-        .recv()
-        .await
-        .expect("a request");
+    let first = host.spread.as_mut().expect("peers").recv().await.expect("a request");
     let SpreadRequest::LogRecords(records) = first else {
         panic!("expected the record, got {first:?}");
     };
-    assert_eq!(
-        records,
-        [ConfigRecord {
-            offset: Offset(0),
-            data: RecordData::Whole(Arc::from(record))
-        }]
-    );
+    assert_eq!(records, [ConfigRecord { offset: Offset(0), data: RecordData::Whole(Arc::from(record)) }]);
 }
 
 /// Records expire after a while. If nobody wrote the state again, a new host would find an empty log.
@@ -256,10 +211,7 @@
 async fn a_checkpoint_is_written_before_records_expire() {
     let log = MemoryLog::new();
     let mut host = start(&log, true);
-    host.feed
-        .send(ConfigFeed::ReadLog(true))
-        .await
-        .expect("the service runs");
+    host.feed.send(ConfigFeed::ReadLog(true)).await.expect("the service runs");
     log.push(change(1, None, 9_000));
     host.reached(1).await;
     log.reached(2).await;
@@ -276,20 +228,13 @@
 async fn an_emptied_log_gets_a_checkpoint_at_once() {
     let log = MemoryLog::new();
     let mut host = start(&log, true);
-    host.feed
-        .send(ConfigFeed::ReadLog(true))
-        .await
-        .expect("the service runs");
+    host.feed.send(ConfigFeed::ReadLog(true)).await.expect("the service runs");
     log.push(change(1, None, 9_000));
     host.reached(1).await;
     log.expire_all_but(0);
     let before = tokio::time::Instant::now();
     log.reached(2).await;
-    assert!(
-        before.elapsed() < std::time::Duration::from_secs(10),
-        "took {:?}",
-        before.elapsed()
-    );
+    assert!(before.elapsed() < std::time::Duration::from_secs(10), "took {:?}", before.elapsed());
 }
 
 /// The platform restores its log from an older copy, and the last change is no longer in it. The daemon keeps it in
@@ -319,10 +264,7 @@
     let mut host = start(&log, false);
     log.push(change(1, None, 9_000));
     host.reached(1).await;
-    let forged = ConfigFeed::State {
-        next_offset: Offset(99),
-        data: Arc::from(vec![7_u8; 200]),
-    };
+    let forged = ConfigFeed::State { next_offset: Offset(99), data: Arc::from(vec![7_u8; 200]) };
     host.feed.send(forged).await.expect("the service runs");
     log.push(change(2, Some(0), 5_000));
     host.reached(2).await;
--- a/crates/router/tests/ops/directory.rs
+++ b/crates/router/tests/ops/directory.rs
@@ -40,12 +40,7 @@
 }
 
 fn names(directory: &Directory) -> Vec<String> {
-    let mut names: Vec<_> = directory
-        .listing()
-        .servers
-        .keys()
-        .map(ToString::to_string)
-        .collect();
+    let mut names: Vec<_> = directory.listing().servers.keys().map(ToString::to_string).collect();
     names.sort();
     names
 }
@@ -53,10 +48,7 @@
 #[test]
 fn a_change_touches_only_what_it_names() {
     let directory = known();
-    let change = HostListChange::Some {
-        set: vec![plain("c", ListedState::Live)],
-        remove: vec![id("a")],
-    };
+    let change = HostListChange::Some { set: vec![plain("c", ListedState::Live)], remove: vec![id("a")] };
     directory.take(page(2, change));
     assert_eq!(names(&directory), ["b", "c"]);
     assert_eq!(directory.listing().version, 2);
@@ -69,10 +61,7 @@
     let directory = known();
     directory.take(page(9, HostListChange::Whole(Vec::new())));
     assert_eq!(names(&directory), ["a", "b"]);
-    directory.take(page(
-        1,
-        HostListChange::Whole(vec![plain("b", ListedState::Live)]),
-    ));
+    directory.take(page(1, HostListChange::Whole(vec![plain("b", ListedState::Live)])));
     assert_eq!(names(&directory), ["b"]);
 }
 
@@ -86,10 +75,7 @@
     let seen_us = MonoTime(1_000_000);
     assert!(directory.takes_work(seen_us, server));
     assert!(directory.note_leaving(seen_us, &server.id));
-    assert!(
-        !directory.note_leaving(seen_us, &server.id),
-        "seen twice, news once"
-    );
+    assert!(!directory.note_leaving(seen_us, &server.id), "seen twice, news once");
     assert!(!directory.takes_work(seen_us + Millis(5_000), server));
     assert!(directory.takes_work(seen_us + Millis(60_000), server));
 
--- a/crates/router/tests/ops/memory_log.rs
+++ b/crates/router/tests/ops/memory_log.rs
@@ -26,10 +26,7 @@
 
 impl MemoryLog {
     pub fn new() -> Self {
-        Self {
-            inner: Arc::default(),
-            appended: Arc::new(watch::Sender::new(0)),
-        }
+        Self { inner: Arc::default(), appended: Arc::new(watch::Sender::new(0)) }
     }
 
     pub fn push(&self, record: Vec<u8>) -> Offset {
@@ -66,10 +63,7 @@
     /// Waits until `count` records were appended over all time.
     pub async fn reached(&self, count: u64) {
         let mut appended = self.appended.subscribe();
-        appended
-            .wait_for(|next| *next >= count)
-            .await
-            .expect("the log lives as long as the test");
+        appended.wait_for(|next| *next >= count).await.expect("the log lives as long as the test");
     }
 
     pub fn all(&self) -> Vec<Bytes> {
@@ -87,10 +81,7 @@
             next_offset: Offset(inner.start + inner.records.len() as u64),
             records: records
                 .filter(|(_, offset)| *offset >= from.0)
-                .map(|(data, offset)| LogRecord {
-                    offset: Offset(offset),
-                    data: data.clone(),
-                })
+                .map(|(data, offset)| LogRecord { offset: Offset(offset), data: data.clone() })
                 .collect(),
         })
     }
@@ -100,10 +91,7 @@
     fn append(&self, _stream: Stream, records: Vec<Bytes>) -> BoxFuture<'_, Result<Offset, AppendError>> {
         Box::pin(async move {
             if self.inner.lock().is_down {
-                return Err(AppendError::NotAppended {
-                    cause: LogFailure::Down,
-                    retry_after_ms: None,
-                });
+                return Err(AppendError::NotAppended { cause: LogFailure::Down, retry_after_ms: None });
             }
             let mut offsets = records.into_iter().map(|record| self.push(record.to_vec()));
             Ok(offsets.next().expect("a record"))
--- a/crates/router/tests/ops/observe.rs
+++ b/crates/router/tests/ops/observe.rs
@@ -56,10 +56,7 @@
 fn a_finished_request_is_one_json_line_with_its_fields() {
     let memory = Memory::default();
     let log = Log::to_writer(LogLevel::Info, memory.clone()).expect("a log");
-    let request_id = RequestId {
-        incarnation: Incarnation(7),
-        sequence: 9,
-    };
+    let request_id = RequestId { incarnation: Incarnation(7), sequence: 9 };
     let line = RequestLine {
         request_id,
         partner: Some(&partner("nadifa")),
@@ -73,10 +70,8 @@
     log.request_retried(request_id, Mark::Evicted);
     log.flush();
     let text = String::from_utf8(memory.0.lock().clone()).expect("text");
-    let lines: Vec<serde_json::Value> = text
-        .lines()
-        .map(|line| serde_json::from_str(line).expect("one JSON object a line"))
-        .collect();
+    let lines: Vec<serde_json::Value> =
+        text.lines().map(|line| serde_json::from_str(line).expect("one JSON object a line")).collect();
     assert_eq!(lines.len(), 2, "the debug line is below the level: {text}");
     assert_eq!(lines[0]["payload"], "request finished");
     assert_eq!(lines[0]["kv"]["request_id"], request_id.to_string());
@@ -125,17 +120,11 @@
 fn a_flood_of_classes_stays_bounded() {
     let metrics = Metrics::new().expect("metrics");
     for index in 0..MAX_CLASS_SERIES + 50 {
-        metrics
-            .class(&partner("nadifa"), &class(&format!("c{index}")))
-            .finished(Mark::Answered);
+        metrics.class(&partner("nadifa"), &class(&format!("c{index}"))).finished(Mark::Answered);
     }
     let totals = metrics.totals();
     assert_eq!(totals.len(), MAX_CLASS_SERIES + 1);
-    let sum: u64 = totals
-        .iter()
-        .flat_map(|class| &class.outcomes)
-        .map(|count| count.count)
-        .sum();
+    let sum: u64 = totals.iter().flat_map(|class| &class.outcomes).map(|count| count.count).sum();
     assert_eq!(sum, MAX_CLASS_SERIES as u64 + 50);
 }
 
@@ -152,17 +141,9 @@
     let suspect = altered(|member| member.state = MemberState::Suspect);
     let replaced = altered(|member| member.incarnation = Incarnation(9));
     let told = |before, after| changes(before, after);
-    let one = |event| {
-        vec![MemberChange {
-            host: host_id(),
-            event,
-        }]
-    };
+    let one = |event| vec![MemberChange { host: host_id(), event }];
     assert_eq!(told(&none, &live), one(MemberEvent::Joined));
-    assert_eq!(
-        told(&live, &suspect),
-        one(MemberEvent::Became(MemberState::Suspect))
-    );
+    assert_eq!(told(&live, &suspect), one(MemberEvent::Became(MemberState::Suspect)));
     assert_eq!(told(&live, &replaced), one(MemberEvent::Replaced));
     assert_eq!(told(&suspect, &none), one(MemberEvent::Gone));
     assert_eq!(told(&live, &live), vec![]);
--- a/crates/router/tests/ops/settings.rs
+++ b/crates/router/tests/ops/settings.rs
@@ -34,11 +34,9 @@
 
 fn message_of(text: &str) -> String {
     match Settings::parse(text) {
-        Err(SettingsError::Invalid(problems)) => problems
-            .iter()
-            .map(ToString::to_string)
-            .collect::<Vec<_>>()
-            .join("\n"),
+        Err(SettingsError::Invalid(problems)) => {
+            problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
+        }
         other => panic!("expected a refusal, got {other:?}"),
     }
 }
@@ -84,10 +82,10 @@
 #[test]
 fn a_refused_secret_is_not_printed() {
     let short = &KEY[..62];
-    let message = message_of(&file_with("").replace(
-        &format!("key = \"{KEY}\"\n\n[partners"),
-        &format!("key = \"{short}\"\n\n[partners"),
-    ));
+    let message = message_of(
+        &file_with("")
+            .replace(&format!("key = \"{KEY}\"\n\n[partners"), &format!("key = \"{short}\"\n\n[partners")),
+    );
     assert!(message.contains("line 17"), "{message}");
     assert!(message.contains("64 hexadecimal digits"), "{message}");
     assert!(!message.contains(short), "{message}");
--- a/crates/router/tests/peer/main.rs
+++ b/crates/router/tests/peer/main.rs
@@ -94,10 +94,7 @@
     let (two, of_two) = start("two", KEY, 1);
     forger.send_at(Some(&host("two")), two.local_address(), ping(1));
     wait_until(|| two.counts().refused_forged == 1);
-    assert_eq!(
-        of_two.recv_timeout(Duration::ZERO),
-        Err(RecvTimeoutError::Timeout)
-    );
+    assert_eq!(of_two.recv_timeout(Duration::ZERO), Err(RecvTimeoutError::Timeout));
 }
 
 /// A frame is recorded and sent again, also to another daemon.
--- a/crates/standins/benches/claims.rs
+++ b/crates/standins/benches/claims.rs
@@ -35,28 +35,16 @@
 async fn call(caller: Caller, kind: Kind, key: String) -> (bool, u64) {
     let request = match kind {
         Kind::Plain => caller.request("GET", "/booking/list"),
-        Kind::Keyed => caller
-            .request("POST", "/booking/new")
-            .header("idempotency-key", key),
+        Kind::Keyed => caller.request("POST", "/booking/new").header("idempotency-key", key),
     };
     let begun = Instant::now();
-    let answer = caller
-        .ask(
-            request
-                .body(Full::new(Bytes::from_static(b"{}")))
-                .expect("request"),
-        )
-        .await;
+    let answer = caller.ask(request.body(Full::new(Bytes::from_static(b"{}"))).expect("request")).await;
     (answer.outcome() == "answered", begun.elapsed().as_micros() as u64)
 }
 
 fn appends(world: &World) -> u64 {
     let streams = world.standins.log.appends();
-    streams
-        .iter()
-        .filter(|(stream, _)| stream.starts_with("claims"))
-        .map(|(_, count)| count)
-        .sum()
+    streams.iter().filter(|(stream, _)| stream.starts_with("claims")).map(|(_, count)| count).sum()
 }
 
 async fn alone(callers: &[Caller], kind: Kind) -> (Histogram<u64>, usize) {
@@ -104,30 +92,16 @@
     let first = world.daemon("entry-1").await;
     let second = world.daemon_beside("entry-2", &[&first]).await;
     let third = world.daemon_beside("entry-3", &[&first, &second]).await;
-    let callers: Vec<Caller> = [&first, &second, &third]
-        .iter()
-        .map(|daemon| Caller::new(daemon.callers_address()))
-        .collect();
+    let callers: Vec<Caller> =
+        [&first, &second, &third].iter().map(|daemon| Caller::new(daemon.callers_address())).collect();
     alone(&callers, Kind::Plain).await;
     for (name, kind) in [("plain", Kind::Plain), ("at most once", Kind::Keyed)] {
         let before = appends(&world);
         let (times, answered) = alone(&callers, kind).await;
-        print(
-            &format!("{name}, alone"),
-            ALONE,
-            answered,
-            &times,
-            appends(&world) - before,
-        );
+        print(&format!("{name}, alone"), ALONE, answered, &times, appends(&world) - before);
         let before = appends(&world);
         let (times, answered) = burst(&callers, kind).await;
-        print(
-            &format!("{name}, 1,000/s"),
-            BURST,
-            answered,
-            &times,
-            appends(&world) - before,
-        );
+        print(&format!("{name}, 1,000/s"), BURST, answered, &times, appends(&world) - before);
     }
     for daemon in [first, second, third] {
         stop(daemon).await;
--- a/crates/standins/src/control.rs
+++ b/crates/standins/src/control.rs
@@ -82,10 +82,7 @@
             self.silenced_before.fetch_add(1, Ordering::SeqCst);
         }
         if let Some(count) = order.lose_replies {
-            *self.lost_replies.lock() = LostReplies {
-                left: count,
-                path: order.lose_path.clone(),
-            };
+            *self.lost_replies.lock() = LostReplies { left: count, path: order.lose_path.clone() };
         }
         if order.die {
             self.dead.cancel();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -273,10 +273,7 @@
         };
         *last = Some(report.clone());
         let age_ms = u64::try_from((now - report.taken_at).as_millis()).unwrap_or(u64::MAX);
-        LoadReport {
-            as_of_ms_ago: age_ms,
-            ..report
-        }
+        LoadReport { as_of_ms_ago: age_ms, ..report }
     }
 
     fn take_report(&self, now: Instant) -> LoadReport {
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -58,10 +58,7 @@
             return json(StatusCode::CONFLICT, &OldFencing { last_fencing });
         }
         orders.last_fencing = call.fencing;
-        orders.applied.push(AppliedOrder {
-            order_id: call.order_id,
-            fencing: call.fencing,
-        });
+        orders.applied.push(AppliedOrder { order_id: call.order_id, fencing: call.fencing });
         match call.kind {
             OrderKind::Load(model) => self.spawn(|engine| async move { engine.load_model(model).await }),
             OrderKind::Unload(model) => {
--- a/crates/standins/src/engine/transfer.rs
+++ b/crates/standins/src/engine/transfer.rs
@@ -101,23 +101,15 @@
     }
 
     async fn copy(&self, call: &ImportCall) -> Result<(), SourceGone> {
-        let export = ExportCall {
-            request_id: call.request_id.clone(),
-        };
-        let prompt: Prompt = post_json(call.source, "/standin/export", &export)
-            .await
-            .map_err(|_| SourceGone)?;
+        let export = ExportCall { request_id: call.request_id.clone() };
+        let prompt: Prompt =
+            post_json(call.source, "/standin/export", &export).await.map_err(|_| SourceGone)?;
         let kv_bytes = prompt.tokens() * self.settings.kv_bytes_per_token;
         *self.transfers.lock() += 1;
-        sleep(
-            self.faults
-                .stretch(self.transfer_time(kv_bytes, call.rate_bytes_per_s)),
-        )
-        .await;
+        sleep(self.faults.stretch(self.transfer_time(kv_bytes, call.rate_bytes_per_s))).await;
         *self.transfers.lock() -= 1;
-        let released: Released = post_json(call.source, "/standin/exported", &export)
-            .await
-            .map_err(|_| SourceGone)?;
+        let released: Released =
+            post_json(call.source, "/standin/exported", &export).await.map_err(|_| SourceGone)?;
         if !released.released {
             return Err(SourceGone);
         }
@@ -129,9 +121,7 @@
     fn transfer_time(&self, kv_bytes: u64, asked: Option<u64>) -> Duration {
         let sharing = (*self.transfers.lock()).max(1) as u64;
         let share = (self.settings.link_bytes_per_s / sharing).max(1);
-        let rate = asked
-            .filter(|&asked| asked > 0)
-            .map_or(share, |asked| asked.min(share));
+        let rate = asked.filter(|&asked| asked > 0).map_or(share, |asked| asked.min(share));
         Duration::from_micros(kv_bytes.saturating_mul(MICROS_PER_SECOND) / rate)
     }
 
--- a/crates/standins/src/engine/work.rs
+++ b/crates/standins/src/engine/work.rs
@@ -261,11 +261,7 @@
         }
         let mut changes = self.engine.changes.subscribe();
         loop {
-            let next = self
-                .engine
-                .memory
-                .lock()
-                .next_tokens(&self.id, self.reader, self.index);
+            let next = self.engine.memory.lock().next_tokens(&self.id, self.reader, self.index);
             match next {
                 Next::Tokens { texts, done } => return Some((self.lines(&texts, done), self)),
                 Next::TakenOver | Next::Gone => return None,
@@ -280,13 +276,7 @@
     fn lines(&mut self, texts: &[String], done: Option<u64>) -> Bytes {
         let mut lines = Vec::new();
         for text in texts {
-            write_line(
-                &mut lines,
-                &TokenLine {
-                    index: self.index,
-                    text,
-                },
-            );
+            write_line(&mut lines, &TokenLine { index: self.index, text });
             self.index += 1;
         }
         if let Some(tokens) = done {
--- a/crates/standins/src/engine_cache.rs
+++ b/crates/standins/src/engine_cache.rs
@@ -84,10 +84,7 @@
     }
 
     fn evict_oldest(&mut self, now: Instant) {
-        let oldest = self
-            .last_use
-            .iter()
-            .min_by_key(|(block, last)| (**last, (*block).clone()));
+        let oldest = self.last_use.iter().min_by_key(|(block, last)| (**last, (*block).clone()));
         let Some(block) = oldest.map(|(block, _)| block.clone()) else {
             return;
         };
@@ -101,12 +98,7 @@
         if self.gap_every > 0 && seq.is_multiple_of(self.gap_every) {
             return;
         }
-        self.events.push_back(CacheEvent {
-            seq,
-            kind,
-            block,
-            visible_at: now + self.event_lag,
-        });
+        self.events.push_back(CacheEvent { seq, kind, block, visible_at: now + self.event_lag });
         if self.events.len() > KEPT_EVENTS {
             self.events.pop_front();
         }
--- a/crates/standins/src/engine_memory.rs
+++ b/crates/standins/src/engine_memory.rs
@@ -94,8 +94,7 @@
 
     pub(crate) fn tokens_held(&self) -> u64 {
         let held = self.held.values().filter(|held| held.stage != Stage::Queued);
-        held.map(|held| held.prompt_tokens + token_count(&held.text))
-            .sum()
+        held.map(|held| held.prompt_tokens + token_count(&held.text)).sum()
     }
 
     pub(crate) fn ids_of_owner(&self, owner: &Owner) -> Vec<String> {
@@ -135,10 +134,7 @@
 
     /// The queued prefill with the lowest priority number, the oldest among equals; looks its prefix up.
     pub(crate) fn start_prefill(&mut self) -> Option<(String, u64)> {
-        let queued = self
-            .held
-            .iter_mut()
-            .filter(|(_, held)| held.stage == Stage::Queued);
+        let queued = self.held.iter_mut().filter(|(_, held)| held.stage == Stage::Queued);
         let (id, held) = queued.min_by_key(|(_, held)| (held.priority, held.arrival))?;
         let hits = self.cache.hit(&prefix_blocks(&held.prompt.text()));
         held.stage = Stage::Prefilling;
@@ -173,10 +169,7 @@
 
     /// Throws away results that nobody imported in time; returns when the next one is due.
     pub(crate) fn evict_due(&mut self, now: Instant) -> Option<Instant> {
-        let due = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.evict_at.is_some_and(|at| at <= now));
+        let due = self.held.iter().filter(|(_, held)| held.evict_at.is_some_and(|at| at <= now));
         let due: Vec<_> = due.map(|(id, _)| id.clone()).collect();
         for id in due {
             if let Some(held) = self.held.remove(&id) {
@@ -236,10 +229,7 @@
     }
 
     pub(crate) fn abandon_import(&mut self, id: &str) {
-        let importing = self
-            .held
-            .get(id)
-            .is_some_and(|held| held.stage == Stage::Importing);
+        let importing = self.held.get(id).is_some_and(|held| held.stage == Stage::Importing);
         if importing {
             self.held.remove(id);
         }
@@ -248,11 +238,7 @@
 
     /// Makes the caller the one reader of the request's tokens; returns the reader's number.
     pub(crate) fn start_stream(&mut self, id: &str, owner: &Owner, max_tokens: u64) -> Option<u64> {
-        if let Some(finished) = self
-            .finished
-            .get_mut(id)
-            .filter(|finished| finished.owner == *owner)
-        {
+        if let Some(finished) = self.finished.get_mut(id).filter(|finished| finished.owner == *owner) {
             finished.reader += 1;
             self.counters.resumes += 1;
             return Some(finished.reader);
@@ -306,12 +292,7 @@
         };
         self.finished.insert(
             id,
-            Finished {
-                owner: held.owner,
-                text: held.text,
-                reader: held.reader,
-                arrival: held.arrival,
-            },
+            Finished { owner: held.owner, text: held.text, reader: held.reader, arrival: held.arrival },
         );
         if self.finished.len() > KEPT_FINISHED {
             let oldest = self.finished.iter().min_by_key(|(_, finished)| finished.arrival);
@@ -362,12 +343,7 @@
 }
 
 fn tokens_from(text: &str, index: u64) -> Vec<String> {
-    let from = usize::try_from(index)
-        .unwrap_or(usize::MAX)
-        .saturating_mul(TOKEN_BYTES);
+    let from = usize::try_from(index).unwrap_or(usize::MAX).saturating_mul(TOKEN_BYTES);
     let rest = text.get(from..).unwrap_or_default();
-    (0..rest.len())
-        .step_by(TOKEN_BYTES)
-        .map(|at| rest[at..at + TOKEN_BYTES].to_owned())
-        .collect()
+    (0..rest.len()).step_by(TOKEN_BYTES).map(|at| rest[at..at + TOKEN_BYTES].to_owned()).collect()
 }
--- a/crates/standins/src/hosts.rs
+++ b/crates/standins/src/hosts.rs
@@ -107,11 +107,7 @@
 
 impl Default for HostListSettings {
     fn default() -> Self {
-        Self {
-            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            lag_ms: 500,
-            entries: Vec::new(),
-        }
+        Self { address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), lag_ms: 500, entries: Vec::new() }
     }
 }
 
@@ -142,9 +138,7 @@
         let mut whole = HostChange::default();
         for (_, change) in self.changes.iter().skip(first) {
             whole.set.retain(|entry| !change.remove.contains(&entry.id));
-            whole
-                .remove
-                .retain(|id| !change.set.iter().any(|entry| entry.id == *id));
+            whole.remove.retain(|id| !change.set.iter().any(|entry| entry.id == *id));
             whole.set.extend(change.set.iter().cloned());
             whole.remove.extend(change.remove.iter().cloned());
         }
@@ -187,15 +181,9 @@
     /// # Errors
     /// The address cannot be bound.
     pub async fn start(settings: HostListSettings) -> io::Result<HostListHandle> {
-        let entries = settings
-            .entries
-            .iter()
-            .map(|entry| (entry.id.clone(), entry.clone()));
+        let entries = settings.entries.iter().map(|entry| (entry.id.clone(), entry.clone()));
         let list = Arc::new(Self {
-            listed: Mutex::new(Listed {
-                entries: entries.collect(),
-                ..Listed::default()
-            }),
+            listed: Mutex::new(Listed { entries: entries.collect(), ..Listed::default() }),
             faults: Arc::default(),
             version: watch::Sender::new(1),
             settings,
@@ -214,9 +202,7 @@
             for id in &change.remove {
                 listed.entries.remove(id);
             }
-            listed
-                .entries
-                .extend(change.set.iter().map(|entry| (entry.id.clone(), entry.clone())));
+            listed.entries.extend(change.set.iter().map(|entry| (entry.id.clone(), entry.clone())));
             list.version.send_modify(|version| *version += 1);
             listed.changes.push_back((*list.version.borrow(), change));
             if listed.changes.len() > KEPT_CHANGES {
@@ -237,16 +223,10 @@
         let listed = self.listed.lock();
         let version = *self.version.borrow();
         let page = match listed.since(after, version).filter(|_| after > 0) {
-            Some(change) => Page {
-                version,
-                change,
-                ..Page::default()
-            },
-            None => Page {
-                version,
-                entries: Some(listed.entries.values().cloned().collect()),
-                ..Page::default()
-            },
+            Some(change) => Page { version, change, ..Page::default() },
+            None => {
+                Page { version, entries: Some(listed.entries.values().cloned().collect()), ..Page::default() }
+            }
         };
         json(StatusCode::OK, &page)
     }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -64,8 +64,7 @@
     let bound = listener.local_addr()?;
     tokio::spawn(async move {
         let dead = faults.dead().clone();
-        dead.run_until_cancelled(accept_all(listener, handler, faults))
-            .await;
+        dead.run_until_cancelled(accept_all(listener, handler, faults)).await;
     });
     Ok(bound)
 }
@@ -83,8 +82,7 @@
         let faults = Arc::clone(&faults);
         tokio::spawn(async move {
             let dead = faults.dead().clone();
-            dead.run_until_cancelled(serve_connection(stream, handler, faults))
-                .await;
+            dead.run_until_cancelled(serve_connection(stream, handler, faults)).await;
         });
     }
 }
@@ -109,9 +107,7 @@
         async move { answer(request, handler, faults).await }
     });
     // A broken connection is the peer's business; the stand-in's account shows what was done.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(gated), service)
-        .await;
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(gated), service).await;
 }
 
 async fn answer<H>(
@@ -241,10 +237,9 @@
 {
     let bytes = serde_json::to_vec(value).expect("types of this crate serialize");
     let mut response = whole(status, bytes.into());
-    response.headers_mut().insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static("application/json"),
-    );
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, http::HeaderValue::from_static("application/json"));
     response
 }
 
@@ -262,12 +257,7 @@
 
 /// The answer to a request that could not be read.
 pub fn bad_request(error: &ReadError) -> Response<Body> {
-    json(
-        StatusCode::BAD_REQUEST,
-        &ErrorBody {
-            error: error.to_string(),
-        },
-    )
+    json(StatusCode::BAD_REQUEST, &ErrorBody { error: error.to_string() })
 }
 
 /// The answer to a path that the stand-in does not have.
--- a/crates/standins/src/load/answer.rs
+++ b/crates/standins/src/load/answer.rs
@@ -216,11 +216,7 @@
 
     fn outcome(&self, planned: &Planned) -> Outcome {
         if !self.done {
-            return if self.denied {
-                Outcome::NotRun
-            } else {
-                Outcome::Unknown
-            };
+            return if self.denied { Outcome::NotRun } else { Outcome::Unknown };
         }
         if self.failed || self.text != expected_answer(&planned.text, planned.answer_tokens) {
             return Outcome::Lost(Flaw::Wrong);
--- a/crates/standins/src/load/audit.rs
+++ b/crates/standins/src/load/audit.rs
@@ -80,11 +80,7 @@
             }
             sleep(LOOK_EVERY).await;
         }
-        for entry in addresses
-            .backend_servers
-            .iter()
-            .filter(|entry| entry.kind == Kind::Plain)
-        {
+        for entry in addresses.backend_servers.iter().filter(|entry| entry.kind == Kind::Plain) {
             let ledger: Vec<Execution> = get_json(entry.address, "/standin/ledger").await?;
             audit.add_ledger(ledger);
         }
@@ -136,16 +132,8 @@
 
 async fn engine_states(addresses: &Addresses) -> Vec<EngineState> {
     let mut states = Vec::new();
-    for entry in addresses
-        .backend_servers
-        .iter()
-        .filter(|entry| entry.kind == Kind::Engine)
-    {
-        states.extend(
-            get_json::<EngineState>(entry.address, "/standin/state")
-                .await
-                .ok(),
-        );
+    for entry in addresses.backend_servers.iter().filter(|entry| entry.kind == Kind::Engine) {
+        states.extend(get_json::<EngineState>(entry.address, "/standin/state").await.ok());
     }
     states
 }
--- a/crates/standins/src/load/balancer.rs
+++ b/crates/standins/src/load/balancer.rs
@@ -31,10 +31,7 @@
     /// Starts to look at `entries`. Those that name no operator address count as ready.
     pub fn start(entries: &[Entry]) -> Self {
         let all: Vec<_> = entries.iter().map(|entry| entry.callers).collect();
-        let balancer = Self {
-            ready: Arc::new(RwLock::new(all.clone())),
-            all,
-        };
+        let balancer = Self { ready: Arc::new(RwLock::new(all.clone())), all };
         for entry in entries {
             if let Some(operators) = entry.operators {
                 tokio::spawn(balancer.clone().look(entry.callers, operators));
@@ -45,11 +42,7 @@
 
     async fn look(self, callers: SocketAddr, operators: SocketAddr) {
         loop {
-            let looked = timeout(
-                LOOK_TIMEOUT,
-                call(operators, Method::GET, "/readyz", Bytes::new()),
-            )
-            .await;
+            let looked = timeout(LOOK_TIMEOUT, call(operators, Method::GET, "/readyz", Bytes::new())).await;
             let is_ready = matches!(looked, Ok(Ok((StatusCode::OK, _))));
             self.note(callers, is_ready);
             sleep(LOOK_EVERY).await;
@@ -71,11 +64,8 @@
     pub fn pick(&self, rng: &mut StdRng, last: Option<SocketAddr>) -> SocketAddr {
         let ready = self.ready.read();
         let others: Vec<_> = ready.iter().filter(|address| Some(**address) != last).collect();
-        let picked = others
-            .choose(rng)
-            .copied()
-            .or_else(|| ready.choose(rng))
-            .or_else(|| self.all.choose(rng));
+        let picked =
+            others.choose(rng).copied().or_else(|| ready.choose(rng)).or_else(|| self.all.choose(rng));
         *picked.expect("a plan names at least one daemon")
     }
 }
--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -100,16 +100,10 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     // A retry below the caller would hide what the daemons do.
-    let client = Client::builder(TokioExecutor::new())
-        .retry_canceled_requests(false)
-        .build(connector);
+    let client = Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
     let balancer = Balancer::start(&plan.daemons);
     let callers = plan.flows.iter().map(|flow| {
-        Arc::new(Caller {
-            client: client.clone(),
-            balancer: balancer.clone(),
-            flow: flow.clone(),
-        })
+        Arc::new(Caller { client: client.clone(), balancer: balancer.clone(), flow: flow.clone() })
     });
     let callers: Vec<_> = callers.collect();
     let start = Instant::now();
@@ -131,19 +125,12 @@
         sleep_until(start + planned.at).await;
         let sent_at = Instant::now();
         let leaves_after = planned.leaves_after;
-        let mut record = Record {
-            planned,
-            sent_at,
-            calls: Vec::new(),
-        };
+        let mut record = Record { planned, sent_at, calls: Vec::new() };
         let Some(stays) = leaves_after else {
             self.call_until_settled(&mut record).await;
             return record;
         };
-        if timeout(stays, self.call_until_settled(&mut record))
-            .await
-            .is_err()
-        {
+        if timeout(stays, self.call_until_settled(&mut record)).await.is_err() {
             record.calls.push(Call::without_head(Outcome::Left));
         }
         record
@@ -219,9 +206,7 @@
             request = request.header("x-service", &flow.service);
         }
         if flow.kind == FlowKind::Once {
-            request = request
-                .header("idempotency-key", &planned.name)
-                .header("x-repeatable", "false");
+            request = request.header("idempotency-key", &planned.name).header("x-repeatable", "false");
         }
         let (method, body) = match flow.kind {
             FlowKind::Completion => (Method::POST, self.completion(planned)),
@@ -239,8 +224,6 @@
             max_tokens: planned.answer_tokens,
             stream: true,
         };
-        serde_json::to_vec(&completion)
-            .expect("a completion serializes")
-            .into()
+        serde_json::to_vec(&completion).expect("a completion serializes").into()
     }
 }
--- a/crates/standins/src/load/cmd/latency.rs
+++ b/crates/standins/src/load/cmd/latency.rs
@@ -58,9 +58,7 @@
         let before = clock.as_ref().map(CpuClock::read).transpose()?;
         let ways = measure(&plan).await;
         let after = clock.as_ref().map(CpuClock::read).transpose()?;
-        let daemon_cpu = before
-            .zip(after)
-            .map(|(before, after)| after.saturating_sub(before));
+        let daemon_cpu = before.zip(after).map(|(before, after)| after.saturating_sub(before));
         let report = Report::new(&plan, ways, started.elapsed().as_secs_f64(), daemon_cpu);
         print_report(&report);
         if let Some(path) = &self.json {
--- a/crates/standins/src/load/cpu.rs
+++ b/crates/standins/src/load/cpu.rs
@@ -30,9 +30,7 @@
 impl CpuClock {
     /// The clock of the process `pid`.
     pub fn new(pid: u32) -> Self {
-        Self {
-            path: PathBuf::from(format!("/proc/{pid}/stat")),
-        }
+        Self { path: PathBuf::from(format!("/proc/{pid}/stat")) }
     }
 
     /// User and system time so far.
@@ -45,8 +43,6 @@
         let times = fields.split(' ').skip(USER_TIME_FIELD).take(2);
         let ticks: Result<Vec<u64>, _> = times.map(str::parse).collect();
         let ticks: u64 = ticks.map_err(|_| CpuError::Format)?.iter().sum();
-        Ok(Duration::from_millis(
-            ticks * MILLIS_PER_SECOND / TICKS_PER_SECOND,
-        ))
+        Ok(Duration::from_millis(ticks * MILLIS_PER_SECOND / TICKS_PER_SECOND))
     }
 }
--- a/crates/standins/src/load/latency.rs
+++ b/crates/standins/src/load/latency.rs
@@ -123,11 +123,7 @@
         let client = client.clone();
         tokio::spawn(async move { run_stream(&plan, &client, stream).await })
     });
-    let results: Vec<_> = join_all(streams.collect::<Vec<_>>())
-        .await
-        .into_iter()
-        .flatten()
-        .collect();
+    let results: Vec<_> = join_all(streams.collect::<Vec<_>>()).await.into_iter().flatten().collect();
     let ways = plan.ways.iter().enumerate();
     ways.map(|(index, way)| summarize(way, index, &results)).collect()
 }
@@ -143,11 +139,7 @@
             let called = call(client, &plan.ways[way], &format!("{:016x}", rng.random::<u64>())).await;
             match called {
                 _ if round < plan.warm_up => {}
-                Ok((first_byte, whole)) => result.samples.push(Sample {
-                    way,
-                    first_byte,
-                    whole,
-                }),
+                Ok((first_byte, whole)) => result.samples.push(Sample { way, first_byte, whole }),
                 Err(Failed) => result.failed.push(way),
             }
         }
@@ -159,9 +151,7 @@
     let started = Instant::now();
     for step in &way.before {
         let uri = format!("http://{}{}", step.address, step.path);
-        let request = Request::post(uri)
-            .body(Full::new(fill(&step.body, number)))
-            .map_err(|_| Failed)?;
+        let request = Request::post(uri).body(Full::new(fill(&step.body, number))).map_err(|_| Failed)?;
         let response = client.request(request).await.map_err(|_| Failed)?;
         if !response.status().is_success() {
             return Err(Failed);
@@ -174,9 +164,7 @@
     for (name, value) in &way.headers {
         request = request.header(name, value.replace("{n}", number));
     }
-    let request = request
-        .body(Full::new(fill(&way.body, number)))
-        .map_err(|_| Failed)?;
+    let request = request.body(Full::new(fill(&way.body, number))).map_err(|_| Failed)?;
     let response = client.request(request).await.map_err(|_| Failed)?;
     if !response.status().is_success() {
         return Err(Failed);
@@ -198,18 +186,11 @@
 fn summarize(way: &Way, index: usize, results: &[StreamResult]) -> WayTimes {
     let new = || Histogram::<u64>::new(SIGNIFICANT_DIGITS).expect("a constant that the library allows");
     let (mut first_byte, mut whole) = (new(), new());
-    for sample in results
-        .iter()
-        .flat_map(|result| &result.samples)
-        .filter(|sample| sample.way == index)
-    {
+    for sample in results.iter().flat_map(|result| &result.samples).filter(|sample| sample.way == index) {
         record(&mut first_byte, sample.first_byte);
         record(&mut whole, sample.whole);
     }
-    let failed = results
-        .iter()
-        .flat_map(|result| &result.failed)
-        .filter(|&&failed| failed == index);
+    let failed = results.iter().flat_map(|result| &result.failed).filter(|&&failed| failed == index);
     WayTimes {
         name: way.name.clone(),
         calls: whole.len(),
@@ -223,9 +204,7 @@
 
 fn record(histogram: &mut Histogram<u64>, span: Duration) {
     let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-    histogram
-        .record(micros)
-        .expect("the histogram grows with what it records");
+    histogram.record(micros).expect("the histogram grows with what it records");
 }
 
 fn at(histogram: &Histogram<u64>, quantile: f64) -> f64 {
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -47,11 +47,7 @@
 }
 
 fn percent(part: f64, whole: f64) -> String {
-    if whole > 0.0 {
-        format!("{:.1}%", PERCENT * part / whole)
-    } else {
-        "-".to_owned()
-    }
+    if whole > 0.0 { format!("{:.1}%", PERCENT * part / whole) } else { "-".to_owned() }
 }
 
 impl fmt::Display for Report {
@@ -107,16 +103,8 @@
             engines.slot_refusals,
             engines.resumes,
         )?;
-        for row in self
-            .rows
-            .iter()
-            .filter(|row| !row.refusals.is_empty() || !row.flaws.is_empty())
-        {
-            writeln!(
-                f,
-                "{} {}: refusals {:?}, flaws {:?}",
-                row.partner, row.class, row.refusals, row.flaws
-            )?;
+        for row in self.rows.iter().filter(|row| !row.refusals.is_empty() || !row.flaws.is_empty()) {
+            writeln!(f, "{} {}: refusals {:?}, flaws {:?}", row.partner, row.class, row.refusals, row.flaws)?;
         }
         Ok(())
     }
--- a/crates/standins/src/load/schedule.rs
+++ b/crates/standins/src/load/schedule.rs
@@ -72,12 +72,7 @@
     let prefix = rng.random_range(0..settings.prefixes.max(1));
     let mut text = String::new();
     while text.len() < settings.prefix_bytes {
-        let _ = write!(
-            text,
-            "notes of household {prefix} at {} {}; ",
-            settings.partner,
-            text.len()
-        );
+        let _ = write!(text, "notes of household {prefix} at {} {}; ", settings.partner, text.len());
     }
     text.truncate(settings.prefix_bytes);
     let (least, greatest) = settings.prompt_bytes;
--- a/crates/standins/src/load/tally.rs
+++ b/crates/standins/src/load/tally.rs
@@ -73,17 +73,12 @@
 
     fn record(&mut self, span: Duration) {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-        self.0
-            .record(micros)
-            .expect("the histogram grows with what it records");
+        self.0.record(micros).expect("the histogram grows with what it records");
     }
 
     fn times(&self) -> Times {
         let at = |quantile| self.0.value_at_quantile(quantile) as f64 / MICROS_PER_MILLI;
-        Times {
-            p50_ms: at(0.5),
-            p95_ms: at(0.95),
-        }
+        Times { p50_ms: at(0.5), p95_ms: at(0.95) }
     }
 }
 
@@ -93,11 +88,7 @@
     where
         R: Iterator<Item = &'a Record>,
     {
-        let mut tally = Self {
-            partner: flow.partner.clone(),
-            class: flow.class.clone(),
-            ..Self::default()
-        };
+        let mut tally = Self { partner: flow.partner.clone(), class: flow.class.clone(), ..Self::default() };
         let mut first_token = Spans::new();
         let mut per_token = Spans::new();
         for record in records {
@@ -140,11 +131,7 @@
 
     /// The ledgers decide what really ran. An answer without an execution is not true either.
     fn check_ledger(&mut self, record: &Record, outcome: Outcome, audit: &Audit) -> Outcome {
-        let runs = audit
-            .runs_by_key
-            .get(&record.planned.name)
-            .copied()
-            .unwrap_or_default();
+        let runs = audit.runs_by_key.get(&record.planned.name).copied().unwrap_or_default();
         let not_run = record.calls.iter().filter(|call| call.outcome == Outcome::NotRun);
         let mut denied = not_run.filter_map(|call| call.request_id.as_ref());
         let denied_but_ran = denied.any(|id| audit.ran_requests.contains(id));
@@ -162,11 +149,7 @@
                 continue;
             };
             let work = audit.work_of(request_id);
-            let used = if call.outcome == Outcome::Answered {
-                work.used_tokens
-            } else {
-                0
-            };
+            let used = if call.outcome == Outcome::Answered { work.used_tokens } else { 0 };
             self.prefill_tokens += work.tokens;
             self.wasted_prefill_tokens += work.tokens - used;
         }
@@ -185,13 +168,8 @@
         let answered = record.calls.iter().find(|call| call.outcome == Outcome::Answered);
         let first_at = answered.and_then(|call| call.first_at).unwrap_or(record.sent_at);
         let last_at = answered.and_then(|call| call.last_at).unwrap_or(first_at);
-        let gaps = u32::try_from(record.planned.answer_tokens)
-            .unwrap_or(u32::MAX)
-            .saturating_sub(1);
-        Self {
-            first: first_at - record.sent_at,
-            per_token: (last_at - first_at) / gaps.max(1),
-        }
+        let gaps = u32::try_from(record.planned.answer_tokens).unwrap_or(u32::MAX).saturating_sub(1);
+        Self { first: first_at - record.sent_at, per_token: (last_at - first_at) / gaps.max(1) }
     }
 
     fn within_targets(&self, flow: &Flow) -> bool {
--- a/crates/standins/src/log.rs
+++ b/crates/standins/src/log.rs
@@ -177,10 +177,7 @@
     }
 
     async fn serve(store: Arc<Store>, address: SocketAddr) -> io::Result<LogHandle> {
-        let service = Arc::new(Self {
-            store,
-            faults: Arc::default(),
-        });
+        let service = Arc::new(Self { store, faults: Arc::default() });
         let faults = Arc::clone(&service.faults);
         let address = serve(address, Arc::clone(&service), faults).await?;
         Ok(LogHandle { address, service })
@@ -239,9 +236,7 @@
         let mut streams = self.streams.lock();
         let stream = streams.entry(name.to_owned()).or_default();
         let first_offset = stream.next_offset();
-        stream
-            .records
-            .extend(records.into_iter().map(|data| Stored { data, at }));
+        stream.records.extend(records.into_iter().map(|data| Stored { data, at }));
         drop(streams);
         *self.taken.lock().entry(name.to_owned()).or_default() += 1;
         self.changes.send_modify(|count| *count += 1);
@@ -260,10 +255,7 @@
             start_offset: stream.start_offset,
             next_offset: stream.next_offset(),
             records: records
-                .map(|(offset, stored)| PageRecord {
-                    offset,
-                    data: stored.data.clone(),
-                })
+                .map(|(offset, stored)| PageRecord { offset, data: stored.data.clone() })
                 .collect(),
         }
     }
@@ -276,11 +268,7 @@
         if retention.is_zero() {
             return;
         }
-        while stream
-            .records
-            .front()
-            .is_some_and(|oldest| oldest.at.elapsed() >= retention)
-        {
+        while stream.records.front().is_some_and(|oldest| oldest.at.elapsed() >= retention) {
             stream.drop_oldest();
         }
     }
@@ -293,9 +281,7 @@
 fn over_rate(wait: Duration) -> Response<Body> {
     let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(MILLIS_PER_SECOND) + 1;
     let mut response = json(StatusCode::TOO_MANY_REQUESTS, &());
-    response
-        .headers_mut()
-        .insert("retry-after-ms", HeaderValue::from(wait_ms));
+    response.headers_mut().insert("retry-after-ms", HeaderValue::from(wait_ms));
     response
 }
 
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -141,11 +141,7 @@
         let idempotency_key = text("idempotency-key");
         let request_id = text("x-request-id");
         let method = request.method().to_string();
-        let path = request
-            .uri()
-            .path_and_query()
-            .map_or("/", |path| path.as_str())
-            .to_owned();
+        let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let body = match read_body(request).await {
             Ok(body) => body,
             Err(error) => return bad_request(&error),
@@ -160,11 +156,7 @@
         let number = self.record(execution.clone());
         let time = Duration::from_micros(self.settings.service_time_us);
         sleep(self.faults.stretch(time)).await;
-        let answer = PlainAnswer {
-            service: self.settings.service.clone(),
-            execution,
-            number,
-        };
+        let answer = PlainAnswer { service: self.settings.service.clone(), execution, number };
         json(StatusCode::OK, &answer)
     }
 
@@ -189,9 +181,7 @@
 
 fn leaving() -> Response<Body> {
     let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-    response
-        .headers_mut()
-        .insert("x-leaving", HeaderValue::from_static("true"));
+    response.headers_mut().insert("x-leaving", HeaderValue::from_static("true"));
     response
 }
 
--- a/crates/standins/src/plan.rs
+++ b/crates/standins/src/plan.rs
@@ -165,14 +165,7 @@
             backend_servers: entries,
             entry_hosts,
         };
-        Ok(Running {
-            log,
-            hosts,
-            weights,
-            engines,
-            plain,
-            addresses,
-        })
+        Ok(Running { log, hosts, weights, engines, plain, addresses })
     }
 }
 
@@ -222,11 +215,7 @@
             shell_line("hosts", self.hosts),
             shell_line("weights", self.weights),
         ];
-        lines.extend(
-            self.backend_servers
-                .iter()
-                .map(|server| shell_line(&server.id, server.address)),
-        );
+        lines.extend(self.backend_servers.iter().map(|server| shell_line(&server.id, server.address)));
         for host in &self.entry_hosts {
             lines.push(shell_line(&format!("{}_callers", host.id), host.callers));
             lines.push(shell_line(&format!("{}_peers", host.id), host.peers));
--- a/crates/standins/src/ports.rs
+++ b/crates/standins/src/ports.rs
@@ -21,6 +21,5 @@
     let addresses = (0..TRIES).map(|_| SocketAddr::from((Ipv4Addr::LOCALHOST, rng.random_range(PORTS))));
     let mut free =
         addresses.filter(|address| TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok());
-    free.next()
-        .ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))
+    free.next().ok_or_else(|| io::Error::from(io::ErrorKind::AddrInUse))
 }
--- a/crates/standins/src/slopes/fit.rs
+++ b/crates/standins/src/slopes/fit.rs
@@ -18,10 +18,7 @@
         let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
         let joint: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
         let slope = if spread > 0.0 { joint / spread } else { 0.0 };
-        Self {
-            base: mean_y - slope * mean_x,
-            slope,
-        }
+        Self { base: mean_y - slope * mean_x, slope }
     }
 
     /// The value at `x`.
--- a/crates/standins/src/slopes/plot.rs
+++ b/crates/standins/src/slopes/plot.rs
@@ -44,12 +44,7 @@
             points: points(|row| row.hosts == 35, |row| row.max_bytes_per_s),
         },
     ];
-    draw(
-        "bytes/s sent for control by one daemon",
-        &series,
-        Some(BUDGET),
-        path,
-    )
+    draw("bytes/s sent for control by one daemon", &series, Some(BUDGET), path)
 }
 
 /// Draws lines against the number of daemons.
@@ -112,12 +107,7 @@
 }
 
 /// Columns of the CSV that are drawn and fitted, by their names.
-const COLUMNS: [&str; 4] = [
-    "sent_mean_bytes_per_s",
-    "control_ppm",
-    "memory_bytes",
-    "in_force_max_ms",
-];
+const COLUMNS: [&str; 4] = ["sent_mean_bytes_per_s", "control_ppm", "memory_bytes", "in_force_max_ms"];
 /// Daemons of the target in one data centre.
 const TARGET_HOSTS: f64 = 35.0;
 
@@ -145,15 +135,8 @@
                 line.at(TARGET_HOSTS)
             );
         }
-        let series = [Series {
-            name: "one data centre, mean".to_owned(),
-            points: column("sent_mean_bytes_per_s"),
-        }];
-        draw(
-            "bytes/s sent for control by one real daemon",
-            &series,
-            Some(BUDGET),
-            &self.out,
-        )
+        let series =
+            [Series { name: "one data centre, mean".to_owned(), points: column("sent_mean_bytes_per_s") }];
+        draw("bytes/s sent for control by one real daemon", &series, Some(BUDGET), &self.out)
     }
 }
--- a/crates/standins/src/slopes/procs.rs
+++ b/crates/standins/src/slopes/procs.rs
@@ -97,11 +97,8 @@
         let daemons = self.choose_addresses()?;
         fs::write(self.dir.join("plan.toml"), self.stand_ins(&daemons))
             .context("could not write the plan")?;
-        fs::write(
-            self.dir.join("daemons.json"),
-            serde_json::to_vec_pretty(&daemons)?,
-        )
-        .context("could not write the daemons")
+        fs::write(self.dir.join("daemons.json"), serde_json::to_vec_pretty(&daemons)?)
+            .context("could not write the daemons")
     }
 
     /// Chooses free ports below those that the kernel gives to outgoing connections: one of those could be taken
@@ -121,22 +118,19 @@
             .map(TcpListener::local_addr)
             .collect::<Result<_, _>>()
             .context("could not read a port")?;
-        let planned = addresses
-            .chunks(LISTENERS)
-            .enumerate()
-            .filter_map(|(number, chunk)| {
-                let [callers, peers, operators] = *chunk else {
-                    return None;
-                };
-                Some(Planned {
-                    host: format!("entry-{number:03}"),
-                    data_centre: format!("dc{:02}", number % self.data_centres),
-                    callers,
-                    peers,
-                    operators,
-                    reaches_log: !(self.half_without_log && number % 2 == 1),
-                })
-            });
+        let planned = addresses.chunks(LISTENERS).enumerate().filter_map(|(number, chunk)| {
+            let [callers, peers, operators] = *chunk else {
+                return None;
+            };
+            Some(Planned {
+                host: format!("entry-{number:03}"),
+                data_centre: format!("dc{:02}", number % self.data_centres),
+                callers,
+                peers,
+                operators,
+                reaches_log: !(self.half_without_log && number % 2 == 1),
+            })
+        });
         Ok(planned.collect())
     }
 
@@ -193,17 +187,10 @@
         // Nothing listens there: a connection is refused as by a platform that is out of reach.
         let nowhere = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?;
         ensure!(!daemons.is_empty(), "no daemon is planned");
-        let seeds: Vec<String> = daemons
-            .iter()
-            .take(2)
-            .map(|daemon| format!("\"{}\"", daemon.peers))
-            .collect();
+        let seeds: Vec<String> =
+            daemons.iter().take(2).map(|daemon| format!("\"{}\"", daemon.peers)).collect();
         for daemon in &daemons {
-            let log = if daemon.reaches_log {
-                addresses.log
-            } else {
-                nowhere
-            };
+            let log = if daemon.reaches_log { addresses.log } else { nowhere };
             let text = format!(
                 "[host]\nid = \"{}\"\ndata_centre = \"{}\"\nregion = \"region\"\n\n\
                  [listen]\ncallers = \"{}\"\npeers = \"{}\"\noperators = \"{}\"\n\n\
--- a/crates/standins/src/slopes/virtual_time.rs
+++ b/crates/standins/src/slopes/virtual_time.rs
@@ -72,19 +72,12 @@
 /// Measures all sizes.
 pub fn measure(is_small: bool) -> Vec<Row> {
     let sizes = if is_small { &SMALL_SIZES[..] } else { &SIZES[..] };
-    sizes
-        .iter()
-        .map(|(data_centres, hosts)| measure_one(*data_centres, *hosts))
-        .collect()
+    sizes.iter().map(|(data_centres, hosts)| measure_one(*data_centres, *hosts)).collect()
 }
 
 fn processor_us() -> f64 {
     let text = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
-    let nanos: f64 = text
-        .split_whitespace()
-        .next()
-        .and_then(|field| field.parse().ok())
-        .unwrap_or_default();
+    let nanos: f64 = text.split_whitespace().next().and_then(|field| field.parse().ok()).unwrap_or_default();
     nanos / 1_000.0
 }
 
@@ -125,10 +118,7 @@
         messages_per_s: messages as f64 / span_s / daemons as f64,
         cpu_us_per_s: cpu_us / span_s / daemons as f64,
         memory_bytes: memory as f64 / daemons as f64,
-        in_force_median_ms: in_force_ms
-            .get(in_force_ms.len() / 2)
-            .copied()
-            .unwrap_or_default(),
+        in_force_median_ms: in_force_ms.get(in_force_ms.len() / 2).copied().unwrap_or_default(),
         in_force_max_ms: in_force_ms.last().copied().unwrap_or_default(),
         death_noticed_ms: death.0,
         wrong_deaths,
@@ -225,8 +215,5 @@
     }
     let line = Line::through(points);
     let at_target = line.at(f64::from(target));
-    println!(
-        "bytes/s = {:.0} + {:.2} x {of}; {at_target:.0} at {target}",
-        line.base, line.slope
-    );
+    println!("bytes/s = {:.0} + {:.2} x {of}; {at_target:.0} at {target}", line.base, line.slope);
 }
--- a/crates/standins/src/slopes/watch.rs
+++ b/crates/standins/src/slopes/watch.rs
@@ -66,10 +66,7 @@
 }
 
 fn runtime() -> anyhow::Result<tokio::runtime::Runtime> {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context("could not start the runtime")
+    tokio::runtime::Builder::new_current_thread().enable_all().build().context("could not start the runtime")
 }
 
 /// Measures daemons that run and publishes changes to them.
@@ -172,14 +169,9 @@
     /// Prints the last field of a CSV row: the time until nobody sees the daemon.
     pub fn run(self) -> anyhow::Result<()> {
         runtime()?.block_on(async {
-            let daemons: Vec<Planned> = planned(&self.dir)?
-                .into_iter()
-                .filter(|daemon| daemon.host != self.host)
-                .collect();
-            let gone = wait_until(DEATH_LIMIT, LOOK_AT_MEMBERS_EVERY, || {
-                is_gone(&daemons, &self.host)
-            })
-            .await;
+            let daemons: Vec<Planned> =
+                planned(&self.dir)?.into_iter().filter(|daemon| daemon.host != self.host).collect();
+            let gone = wait_until(DEATH_LIMIT, LOOK_AT_MEMBERS_EVERY, || is_gone(&daemons, &self.host)).await;
             gone.context("the death was not noticed everywhere")?;
             let now_ms = SystemTime::now().duration_since(UNIX_EPOCH)?.as_millis();
             println!("{}", now_ms.saturating_sub(u128::from(self.since_ms)));
@@ -213,39 +205,25 @@
 }
 
 async fn members(daemons: &[Planned]) -> Vec<Option<Members>> {
-    join_all(
-        daemons
-            .iter()
-            .map(async |daemon| get_json(daemon.operators, "/control/members").await.ok()),
-    )
-    .await
+    join_all(daemons.iter().map(async |daemon| get_json(daemon.operators, "/control/members").await.ok()))
+        .await
 }
 
 async fn statuses(daemons: &[Planned]) -> Vec<Option<Status>> {
-    join_all(
-        daemons
-            .iter()
-            .map(async |daemon| get_json(daemon.operators, "/control/status").await.ok()),
-    )
-    .await
+    join_all(daemons.iter().map(async |daemon| get_json(daemon.operators, "/control/status").await.ok()))
+        .await
 }
 
 async fn agrees(daemons: &[Planned]) -> bool {
     members(daemons).await.iter().all(|members| {
-        members
-            .as_ref()
-            .is_some_and(|members| members.is_heard && members.members.len() == daemons.len())
+        members.as_ref().is_some_and(|members| members.is_heard && members.members.len() == daemons.len())
     })
 }
 
 /// How many daemons each sees, for the message of a failure.
 async fn sights(daemons: &[Planned]) -> String {
     let seen = members(daemons).await.into_iter().map(|members| match members {
-        Some(members) => format!(
-            "{}{}",
-            members.members.len(),
-            if members.is_heard { "" } else { "!" }
-        ),
+        Some(members) => format!("{}{}", members.members.len(), if members.is_heard { "" } else { "!" }),
         None => "-".to_owned(),
     });
     seen.collect::<Vec<_>>().join(" ")
@@ -253,9 +231,7 @@
 
 async fn is_gone(daemons: &[Planned], host: &str) -> bool {
     members(daemons).await.iter().all(|members| {
-        members
-            .as_ref()
-            .is_some_and(|members| members.members.iter().all(|member| member.host != host))
+        members.as_ref().is_some_and(|members| members.members.iter().all(|member| member.host != host))
     })
 }
 
@@ -267,8 +243,7 @@
         let offset = append(dir, version).await?;
         let took = wait_until(IN_FORCE_LIMIT, LOOK_EVERY, async || {
             let all = statuses(daemons).await;
-            all.iter()
-                .all(|status| status.as_ref().is_some_and(|status| status.next_offset > offset))
+            all.iter().all(|status| status.as_ref().is_some_and(|status| status.next_offset > offset))
         });
         let Some(_) = took.await else {
             bail!("change {offset} was not in force everywhere in {IN_FORCE_LIMIT:?}");
--- a/crates/standins/src/weights.rs
+++ b/crates/standins/src/weights.rs
@@ -90,11 +90,7 @@
     /// # Errors
     /// The address cannot be bound.
     pub async fn start(settings: WeightSettings) -> io::Result<WeightHandle> {
-        let store = Arc::new(Self {
-            settings,
-            faults: Arc::default(),
-            reads_until: Mutex::default(),
-        });
+        let store = Arc::new(Self { settings, faults: Arc::default(), reads_until: Mutex::default() });
         let faults = Arc::clone(&store.faults);
         let address = serve(store.settings.address, Arc::clone(&store), faults).await?;
         Ok(WeightHandle { address, store })
@@ -111,10 +107,7 @@
         let rate_bytes_per_s = (self.settings.rate_bytes_per_s / readers).max(1);
         let millis = stored.bytes.saturating_mul(1_000) / rate_bytes_per_s;
         reads_until.push(now + Duration::from_millis(millis));
-        let answer = WeightAnswer {
-            bytes: stored.bytes,
-            rate_bytes_per_s,
-        };
+        let answer = WeightAnswer { bytes: stored.bytes, rate_bytes_per_s };
         json(StatusCode::OK, &answer)
     }
 }
@@ -130,8 +123,7 @@
                 };
                 return json(StatusCode::OK, &list);
             }
-            path.strip_prefix("/weights/")
-                .map_or_else(not_found, |model| self.read(model))
+            path.strip_prefix("/weights/").map_or_else(not_found, |model| self.read(model))
         })
     }
 }
--- a/crates/standins/tests/e2e/bad_input.rs
+++ b/crates/standins/tests/e2e/bad_input.rs
@@ -45,14 +45,11 @@
 }
 
 async fn counted(daemon: &Daemon, event: &str) -> u64 {
-    let (_, text) = call(daemon.operators_address(), Method::GET, "/metrics", Bytes::new())
-        .await
-        .expect("metrics");
+    let (_, text) =
+        call(daemon.operators_address(), Method::GET, "/metrics", Bytes::new()).await.expect("metrics");
     let text = String::from_utf8(text.to_vec()).expect("text");
     let label = format!("event=\"{event}\"");
-    let line = text
-        .lines()
-        .find(|line| line.starts_with("hibiscusvale_events") && line.contains(&label));
+    let line = text.lines().find(|line| line.starts_with("hibiscusvale_events") && line.contains(&label));
     let value = line.and_then(|line| line.rsplit(' ').next());
     value.map_or(0, |value| value.parse().expect("count"))
 }
@@ -101,12 +98,7 @@
 }
 
 fn completion(body: &str) -> Bad {
-    Bad {
-        token: TOKEN,
-        class: "default",
-        header: ("accept", "*/*"),
-        body: body.to_owned(),
-    }
+    Bad { token: TOKEN, class: "default", header: ("accept", "*/*"), body: body.to_owned() }
 }
 
 fn fine() -> Bad {
@@ -116,11 +108,7 @@
 #[rstest]
 #[case::bad_json(completion("{\"model\":\"small\",\"prompt\":"), 400, "bad-body")]
 #[case::no_prompt(completion("{\"model\":\"small\"}"), 400, "bad-body")]
-#[case::absurd_length(
-    completion(r#"{"model":"small","prompt":"a","max_tokens":99999999}"#),
-    400,
-    "bad-body"
-)]
+#[case::absurd_length(completion(r#"{"model":"small","prompt":"a","max_tokens":99999999}"#), 400, "bad-body")]
 #[case::unknown_class(Bad { class: "tightest", ..fine() }, 403, "unknown-class")]
 #[case::class_of_other_work(Bad { class: "booking", ..fine() }, 400, "wrong-class")]
 #[case::wrong_token(Bad { token: "guessed", ..fine() }, 401, "unauthenticated")]
@@ -144,16 +132,9 @@
         .expect("request");
     let answer = Caller::new(daemon.callers_address()).ask(request).await;
     let problem: Value = serde_json::from_str(&answer.body).expect("problem");
-    assert_eq!(
-        (answer.status.as_u16(), answer.outcome()),
-        (status, "not-run"),
-        "{problem}"
-    );
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (status, "not-run"), "{problem}");
     assert_eq!(problem["type"], format!("urn:hibiscusvale:refusal:{reason}"));
-    assert_eq!(
-        problem["request_id"],
-        answer.headers["x-request-id"].to_str().expect("text")
-    );
+    assert_eq!(problem["request_id"], answer.headers["x-request-id"].to_str().expect("text"));
     assert_eq!(events(&daemon, reason).await, 1);
     assert_undisturbed(&world, &daemon).await;
     stop(daemon).await;
@@ -166,14 +147,7 @@
     let world = World::start(SMALL_PLAN).await;
     let daemon = strict_daemon(&world).await;
     let mut bytes = head("/booking/new", "transfer-encoding: chunked\r\n").into_bytes();
-    bytes.extend(
-        format!(
-            "{:x}\r\n{}\r\n0\r\n\r\n",
-            2 * BODY_LIMIT,
-            "x".repeat(2 * BODY_LIMIT)
-        )
-        .bytes(),
-    );
+    bytes.extend(format!("{:x}\r\n{}\r\n0\r\n\r\n", 2 * BODY_LIMIT, "x".repeat(2 * BODY_LIMIT)).bytes());
     let answer = exchange(daemon.callers_address(), &bytes).await;
     assert!(answer.contains("body-too-large"), "{answer}");
     assert_eq!(events(&daemon, "body-too-large").await, 1);
@@ -187,9 +161,7 @@
 async fn truncated_body_reaches_no_service() {
     let world = World::start(SMALL_PLAN).await;
     let daemon = strict_daemon(&world).await;
-    let mut stream = TcpStream::connect(daemon.callers_address())
-        .await
-        .expect("connection");
+    let mut stream = TcpStream::connect(daemon.callers_address()).await.expect("connection");
     let half = head("/booking/new", "content-length: 100\r\n") + "{\"flat\": 7,";
     stream.write_all(half.as_bytes()).await.expect("sent");
     stream.shutdown().await.expect("half closed");
@@ -229,10 +201,8 @@
     let world = World::start(SMALL_PLAN).await;
     let daemon = strict_daemon(&world).await;
     let hidden = head("/booking/hidden", "content-length: 0\r\n");
-    let sent = format!(
-        "{}0\r\n\r\n{hidden}",
-        head("/booking/new", lengths).replace("connection: close\r\n", "")
-    );
+    let sent =
+        format!("{}0\r\n\r\n{hidden}", head("/booking/new", lengths).replace("connection: close\r\n", ""));
     let answer = exchange(daemon.callers_address(), sent.as_bytes()).await;
     assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
     assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
@@ -252,17 +222,9 @@
     let daemon = strict_daemon(&world).await;
     let hidden = head("/booking/hidden", "content-length: 0\r\n");
     let open = head("/booking/new", lengths).replace("connection: close\r\n", "");
-    let answer = exchange(
-        daemon.callers_address(),
-        format!("{open}0\r\n\r\n{hidden}").as_bytes(),
-    )
-    .await;
+    let answer = exchange(daemon.callers_address(), format!("{open}0\r\n\r\n{hidden}").as_bytes()).await;
     assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
-    let ledgers = world
-        .standins
-        .plain
-        .iter()
-        .flat_map(|(_, service)| service.ledger());
+    let ledgers = world.standins.plain.iter().flat_map(|(_, service)| service.ledger());
     let paths: Vec<_> = ledgers.map(|execution| execution.path).collect();
     assert_eq!(paths, ["/booking/new"]);
     stop(daemon).await;
@@ -317,18 +279,11 @@
     let mut flood = [http2::PREFACE, &http2::frame(http2::SETTINGS, 0, 0, &[])].concat();
     let head = http2::head(&format!("Bearer {TOKEN}"));
     for stream in (1..).step_by(2).take(STREAMS as usize) {
-        flood.extend(http2::frame(
-            http2::HEADERS,
-            http2::END_OF_HEAD_AND_STREAM,
-            stream,
-            &head,
-        ));
+        flood.extend(http2::frame(http2::HEADERS, http2::END_OF_HEAD_AND_STREAM, stream, &head));
         flood.extend(http2::frame(http2::RST_STREAM, 0, stream, &http2::CANCEL));
     }
-    let (mut reads, mut writes) = TcpStream::connect(daemon.callers_address())
-        .await
-        .expect("connection")
-        .into_split();
+    let (mut reads, mut writes) =
+        TcpStream::connect(daemon.callers_address()).await.expect("connection").into_split();
     let flooding = tokio::spawn(async move {
         // The daemon closes the connection in the middle of it.
         let _ = writes.write_all(&flood).await;
@@ -342,21 +297,9 @@
     drop(flooding.await.expect("flooded"));
     let calm = answer.windows(4).any(|window| window == http2::ENHANCE_YOUR_CALM);
     let goaway = answer.windows(4).any(|window| window[3] == http2::GOAWAY);
-    assert!(
-        calm && goaway,
-        "no GOAWAY with ENHANCE_YOUR_CALM came in {} bytes",
-        answer.len()
-    );
+    assert!(calm && goaway, "no GOAWAY with ENHANCE_YOUR_CALM came in {} bytes", answer.len());
     assert_eq!(events(&daemon, "reset-flood").await, 1);
-    let pages: usize = world
-        .standins
-        .plain
-        .iter()
-        .map(|(_, service)| service.ledger().len())
-        .sum();
-    assert!(
-        pages < STREAMS as usize / 10,
-        "{pages} of {STREAMS} reset requests were run"
-    );
+    let pages: usize = world.standins.plain.iter().map(|(_, service)| service.ledger().len()).sum();
+    assert!(pages < STREAMS as usize / 10, "{pages} of {STREAMS} reset requests were run");
     stop(daemon).await;
 }
--- a/crates/standins/tests/e2e/config.rs
+++ b/crates/standins/tests/e2e/config.rs
@@ -21,18 +21,13 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 fn outage(is_down: bool) -> Steer {
-    Steer {
-        outage: Some(is_down),
-        ..Steer::default()
-    }
+    Steer { outage: Some(is_down), ..Steer::default() }
 }
 
 /// Waits until the class `booking` has this target on the daemon.
 async fn in_force(daemon: &Daemon, response_ms: u64) {
     let client = OperatorsClient::default();
-    let wanted = TargetView::Plain {
-        response_ms: Millis(response_ms),
-    };
+    let wanted = TargetView::Plain { response_ms: Millis(response_ms) };
     let seen = async {
         loop {
             let view: ConfigView = client
@@ -51,22 +46,12 @@
 }
 
 async fn status(address: SocketAddr) -> StatusView {
-    OperatorsClient::default()
-        .view(address, "/control/status")
-        .await
-        .expect("a view")
+    OperatorsClient::default().view(address, "/control/status").await.expect("a view")
 }
 
 async fn assert_serves(daemon: &Daemon) {
-    let answer = Caller::new(daemon.callers_address())
-        .complete(PROMPT, 8, true)
-        .await;
-    assert!(
-        streamed_text(&answer.body).is_some(),
-        "{} {}",
-        answer.status,
-        answer.body
-    );
+    let answer = Caller::new(daemon.callers_address()).complete(PROMPT, 8, true).await;
+    assert!(streamed_text(&answer.body).is_some(), "{} {}", answer.status, answer.body);
 }
 
 /// The log is down, and all hosts are replaced one after another meanwhile, as happens within any day. Each new
@@ -92,11 +77,7 @@
             tokio::time::sleep(PAUSE).await;
         }
     };
-    assert_eq!(
-        tokio::time::timeout(PATIENCE, written).await,
-        Ok(()),
-        "no checkpoint in time"
-    );
+    assert_eq!(tokio::time::timeout(PATIENCE, written).await, Ok(()), "no checkpoint in time");
     stop(eldest).await;
 
     let alone = world.daemon("entry-4").await;
@@ -116,16 +97,8 @@
 async fn a_change_reaches_a_daemon_that_is_cut_off_from_the_log() {
     let world = World::start(SMALL_PLAN).await;
     let first = world.daemon("entry-1").await;
-    let cut = world
-        .standins
-        .log
-        .share("127.0.0.1:0".parse().expect("an address"))
-        .await
-        .expect("a log");
-    cut.steer(&Steer {
-        mute: Some(true),
-        ..Steer::default()
-    });
+    let cut = world.standins.log.share("127.0.0.1:0".parse().expect("an address")).await.expect("a log");
+    cut.steer(&Steer { mute: Some(true), ..Steer::default() });
     let mut settings = world.settings("entry-2", &[first.peer_address()]);
     settings.platform.log = cut.address;
     let incarnation = new_incarnation();
@@ -134,14 +107,9 @@
     world.publish("booking", ClassTarget::plain(Millis(777))).await;
     in_force(&first, 777).await;
     in_force(&second, 777).await;
-    let (first_status, second_status) = (
-        status(first.operators_address()).await,
-        status(second.operators_address()).await,
-    );
-    assert_eq!(
-        first_status.state, second_status.state,
-        "the same classes at the same offset"
-    );
+    let (first_status, second_status) =
+        (status(first.operators_address()).await, status(second.operators_address()).await);
+    assert_eq!(first_status.state, second_status.state, "the same classes at the same offset");
     stop(second).await;
     stop(first).await;
 }
--- a/crates/standins/tests/e2e/crash.rs
+++ b/crates/standins/tests/e2e/crash.rs
@@ -65,10 +65,7 @@
     match parts.headers.get("x-outcome").map(http::HeaderValue::as_bytes) {
         // That the answer is gone is an outcome, too; only an answer names its execution.
         Some(b"answered") if parts.status.is_success() => {
-            assert!(
-                body.contains(&format!("\"{key}\"")),
-                "the answer to another request: {body}"
-            );
+            assert!(body.contains(&format!("\"{key}\"")), "the answer to another request: {body}");
             Told::Answered
         }
         Some(b"answered") => Told::Answered,
@@ -97,9 +94,7 @@
     let mut counts = BTreeMap::new();
     for (_, plain) in &world.standins.plain {
         for execution in plain.ledger() {
-            *counts
-                .entry(execution.idempotency_key.expect("a key"))
-                .or_default() += 1;
+            *counts.entry(execution.idempotency_key.expect("a key")).or_default() += 1;
         }
     }
     counts
@@ -107,15 +102,9 @@
 
 fn log_fails(muted: bool, failing: bool) -> Steer {
     if muted {
-        Steer {
-            mute: Some(failing),
-            ..Steer::default()
-        }
+        Steer { mute: Some(failing), ..Steer::default() }
     } else {
-        Steer {
-            outage: Some(failing),
-            ..Steer::default()
-        }
+        Steer { outage: Some(failing), ..Steer::default() }
     }
 }
 
@@ -132,21 +121,16 @@
     let hosts = [&first, &second, &third].map(Daemon::callers_address);
 
     // A booking that ended well before is still known to all hosts afterwards.
-    let early = Caller::new(hosts[1])
-        .book("early", ("idempotency-key", "early"))
-        .await;
+    let early = Caller::new(hosts[1]).book("early", ("idempotency-key", "early")).await;
     assert_eq!(early.outcome(), "answered", "{}", early.body);
 
     let phase = Arc::new(Barrier::new(CALLERS + 1));
-    let calls: Vec<_> = (0..CALLERS)
-        .map(|number| tokio::spawn(call(number, hosts, Arc::clone(&phase))))
-        .collect();
+    let calls: Vec<_> =
+        (0..CALLERS).map(|number| tokio::spawn(call(number, hosts, Arc::clone(&phase)))).collect();
     let (_, plain) = &world.standins.plain[0];
     plain.wait_executed(4).await;
     world.standins.log.steer(&log_fails(muted, true));
-    tokio::task::spawn_blocking(move || first.kill())
-        .await
-        .expect("killed");
+    tokio::task::spawn_blocking(move || first.kill()).await.expect("killed");
     phase.wait().await;
     world.standins.log.steer(&log_fails(muted, false));
 
@@ -155,9 +139,7 @@
         let (key, outcomes) = call.await.expect("caller");
         told.insert(key, outcomes);
     }
-    let again = Caller::new(hosts[2])
-        .book("early", ("idempotency-key", "early"))
-        .await;
+    let again = Caller::new(hosts[2]).book("early", ("idempotency-key", "early")).await;
     assert_eq!((again.outcome(), &again.body), ("answered", &early.body));
 
     let ran = executions(&world);
@@ -176,10 +158,7 @@
         };
         *kinds.entry(kind).or_default() += 1;
     }
-    assert!(
-        kinds.get("answered").copied().unwrap_or_default() >= CALLERS / 4,
-        "{kinds:?}"
-    );
+    assert!(kinds.get("answered").copied().unwrap_or_default() >= CALLERS / 4, "{kinds:?}");
     println!("callers were told {kinds:?}");
     stop(second).await;
     stop(third).await;
--- a/crates/standins/tests/e2e/hosts.rs
+++ b/crates/standins/tests/e2e/hosts.rs
@@ -22,16 +22,12 @@
         async move { caller.send(request).await }
     });
     world.decoding().await;
-    tokio::task::spawn_blocking(move || second.kill())
-        .await
-        .expect("killed");
+    tokio::task::spawn_blocking(move || second.kill()).await.expect("killed");
     asked.abort();
 
     let replaced = world.daemon_beside("entry-2", &[&first]).await;
     world.engines_empty().await;
-    let answer = Caller::new(replaced.callers_address())
-        .complete(PROMPT, 12, true)
-        .await;
+    let answer = Caller::new(replaced.callers_address()).complete(PROMPT, 12, true).await;
     assert!(streamed_text(&answer.body).is_some(), "{}", answer.body);
     stop(first).await;
     stop(replaced).await;
@@ -43,21 +39,13 @@
 async fn a_host_replaced_while_the_platform_is_away_serves_from_what_its_neighbours_know() {
     let world = World::start(SMALL_PLAN).await;
     let first = world.daemon("entry-1").await;
-    let away = Steer {
-        outage: Some(true),
-        ..Steer::default()
-    };
+    let away = Steer { outage: Some(true), ..Steer::default() };
     world.standins.log.steer(&away);
     world.standins.hosts.steer(&away);
 
     let replaced = world.daemon_beside("entry-2", &[&first]).await;
-    let answer = Caller::new(replaced.callers_address())
-        .complete(PROMPT, 12, true)
-        .await;
-    assert_eq!(
-        streamed_text(&answer.body).as_deref(),
-        Some(text::expected_answer(PROMPT, 12).as_str())
-    );
+    let answer = Caller::new(replaced.callers_address()).complete(PROMPT, 12, true).await;
+    assert_eq!(streamed_text(&answer.body).as_deref(), Some(text::expected_answer(PROMPT, 12).as_str()));
     stop(first).await;
     stop(replaced).await;
 }
--- a/crates/standins/tests/e2e/models.rs
+++ b/crates/standins/tests/e2e/models.rs
@@ -22,30 +22,18 @@
     let asking = tokio::spawn(async move {
         loop {
             let answer = caller.ask(caller.completion(&body)).await;
-            assert_eq!(
-                (answer.status.as_u16(), answer.outcome()),
-                (404, "not-run"),
-                "{}",
-                answer.body
-            );
+            assert_eq!((answer.status.as_u16(), answer.outcome()), (404, "not-run"), "{}", answer.body);
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
     });
     let loaded = |state: &hibiscusvale_standins::engine::EngineState| state.models.contains("large");
-    let waits = world
-        .standins
-        .engines
-        .iter()
-        .map(|(_, engine)| Box::pin(engine.wait_until(loaded)));
+    let waits = world.standins.engines.iter().map(|(_, engine)| Box::pin(engine.wait_until(loaded)));
     let ((), index, _) = futures_util::future::select_all(waits).await;
     asking.abort();
 
     let orders = world.standins.engines[index].1.state().orders;
     let leases = world.standins.log.records("leases");
     assert_eq!(orders.len(), 1);
-    assert!(
-        leases.iter().any(|(offset, _)| *offset == orders[0].fencing),
-        "{orders:?}"
-    );
+    assert!(leases.iter().any(|(offset, _)| *offset == orders[0].fencing), "{orders:?}");
     stop(daemon).await;
 }
--- a/crates/standins/tests/e2e/once.rs
+++ b/crates/standins/tests/e2e/once.rs
@@ -6,12 +6,7 @@
 use crate::world::{Caller, SMALL_PLAN, World, stop};
 
 fn executions(world: &World) -> usize {
-    world
-        .standins
-        .plain
-        .iter()
-        .map(|(_, plain)| plain.ledger().len())
-        .sum()
+    world.standins.plain.iter().map(|(_, plain)| plain.ledger().len()).sum()
 }
 
 /// A caller's connection breaks before the answer arrives, and the balancer takes its second try to another
@@ -22,24 +17,10 @@
     let first = world.daemon("entry-1").await;
     let second = world.daemon_beside("entry-2", &[&first]).await;
 
-    let booked = Caller::new(first.callers_address())
-        .book("7", ("idempotency-key", "flat-7"))
-        .await;
-    assert_eq!(
-        (booked.status.as_u16(), booked.outcome()),
-        (200, "answered"),
-        "{}",
-        booked.body
-    );
-    let again = Caller::new(second.callers_address())
-        .book("7", ("idempotency-key", "flat-7"))
-        .await;
-    assert_eq!(
-        (again.status.as_u16(), again.outcome()),
-        (200, "answered"),
-        "{}",
-        again.body
-    );
+    let booked = Caller::new(first.callers_address()).book("7", ("idempotency-key", "flat-7")).await;
+    assert_eq!((booked.status.as_u16(), booked.outcome()), (200, "answered"), "{}", booked.body);
+    let again = Caller::new(second.callers_address()).book("7", ("idempotency-key", "flat-7")).await;
+    assert_eq!((again.status.as_u16(), again.outcome()), (200, "answered"), "{}", again.body);
     assert_eq!(again.body, booked.body);
     assert_eq!(executions(&world), 1);
     stop(first).await;
@@ -56,12 +37,7 @@
 
     caller.book("7", ("idempotency-key", "one")).await;
     let other = caller.book("8", ("idempotency-key", "one")).await;
-    assert_eq!(
-        (other.status.as_u16(), other.outcome()),
-        (422, "not-run"),
-        "{}",
-        other.body
-    );
+    assert_eq!((other.status.as_u16(), other.outcome()), (422, "not-run"), "{}", other.body);
     assert_eq!(executions(&world), 1);
     stop(daemon).await;
 }
@@ -74,36 +50,20 @@
     let first = world.daemon("entry-1").await;
     let second = world.daemon_beside("entry-2", &[&first]).await;
     let caller = Caller::new(first.callers_address());
-    world.standins.log.steer(&hibiscusvale_standins::Steer {
-        outage: Some(true),
-        ..Default::default()
-    });
+    world.standins.log.steer(&hibiscusvale_standins::Steer { outage: Some(true), ..Default::default() });
 
-    let request = caller
-        .request("POST", "/v1/tickets")
-        .body(Full::new(Bytes::new()))
-        .expect("request");
+    let request = caller.request("POST", "/v1/tickets").body(Full::new(Bytes::new())).expect("request");
     let given: serde_json::Value = serde_json::from_str(&caller.ask(request).await.body).expect("ticket");
     let ticket = given["ticket"].as_str().expect("ticket").to_owned();
     let elsewhere = Caller::new(second.callers_address());
     let booked = elsewhere.book("7", ("x-ticket", &ticket)).await;
-    assert_eq!(
-        (booked.status.as_u16(), booked.outcome()),
-        (200, "answered"),
-        "{}",
-        booked.body
-    );
+    assert_eq!((booked.status.as_u16(), booked.outcome()), (200, "answered"), "{}", booked.body);
     let again = caller.book("7", ("x-ticket", &ticket)).await;
     assert_eq!(again.body, booked.body);
     assert_eq!(executions(&world), 1);
 
     let keyed = caller.book("8", ("idempotency-key", "flat-8")).await;
-    assert_eq!(
-        (keyed.status.as_u16(), keyed.outcome()),
-        (503, "not-run"),
-        "{}",
-        keyed.body
-    );
+    assert_eq!((keyed.status.as_u16(), keyed.outcome()), (503, "not-run"), "{}", keyed.body);
     assert!(keyed.headers.contains_key("retry-after"));
     assert_eq!(executions(&world), 1);
     stop(first).await;
--- a/crates/standins/tests/e2e/path.rs
+++ b/crates/standins/tests/e2e/path.rs
@@ -18,20 +18,12 @@
     let caller = Caller::new(daemon.callers_address());
 
     let whole = caller.complete(PROMPT, 12, false).await;
-    assert_eq!(
-        (whole.status.as_u16(), whole.outcome()),
-        (200, "answered"),
-        "{}",
-        whole.body
-    );
+    assert_eq!((whole.status.as_u16(), whole.outcome()), (200, "answered"), "{}", whole.body);
     let json: serde_json::Value = serde_json::from_str(&whole.body).expect("json");
     assert_eq!(json["choices"][0]["text"], text::expected_answer(PROMPT, 12));
 
     let streamed = caller.complete(PROMPT, 12, true).await;
-    assert_eq!(
-        streamed_text(&streamed.body).as_deref(),
-        Some(text::expected_answer(PROMPT, 12).as_str())
-    );
+    assert_eq!(streamed_text(&streamed.body).as_deref(), Some(text::expected_answer(PROMPT, 12).as_str()));
 
     world.engines_empty().await;
     stop(daemon).await;
@@ -49,19 +41,9 @@
         .body(Full::new(Bytes::from_static(b"{\"cleaner\":\"Amal\"}")))
         .expect("request");
     let answer = caller.ask(request).await;
-    assert_eq!(
-        (answer.status.as_u16(), answer.outcome()),
-        (200, "answered"),
-        "{}",
-        answer.body
-    );
-
-    let ledger: Vec<_> = world
-        .standins
-        .plain
-        .iter()
-        .flat_map(|(_, plain)| plain.ledger())
-        .collect();
+    assert_eq!((answer.status.as_u16(), answer.outcome()), (200, "answered"), "{}", answer.body);
+
+    let ledger: Vec<_> = world.standins.plain.iter().flat_map(|(_, plain)| plain.ledger()).collect();
     assert_eq!(ledger.len(), 1);
     assert_eq!(ledger[0].path, "/booking/new?flat=7");
     assert_eq!(ledger[0].idempotency_key.as_deref(), Some("flat-7"));
@@ -85,18 +67,12 @@
             let engine = engine.clone();
             tokio::spawn(async move {
                 engine.wait_until(|state| !state.held.is_empty()).await;
-                engine.steer(&Steer {
-                    silence: true,
-                    ..Steer::default()
-                });
+                engine.steer(&Steer { silence: true, ..Steer::default() });
             });
         }
     }
     let answer = asked.await.expect("answer");
-    assert_eq!(
-        streamed_text(&answer.body).as_deref(),
-        Some(text::expected_answer(PROMPT, 40).as_str())
-    );
+    assert_eq!(streamed_text(&answer.body).as_deref(), Some(text::expected_answer(PROMPT, 40).as_str()));
     world.engines_empty().await;
     stop(daemon).await;
 }
@@ -133,10 +109,7 @@
     stop(daemon).await;
     let answer = asked.await.expect("answer");
     assert!(answer.whole);
-    assert_eq!(
-        streamed_text(&answer.body).as_deref(),
-        Some(text::expected_answer(PROMPT, 40).as_str())
-    );
+    assert_eq!(streamed_text(&answer.body).as_deref(), Some(text::expected_answer(PROMPT, 40).as_str()));
     world.engines_empty().await;
 }
 
@@ -147,23 +120,14 @@
     let world = World::start(SMALL_PLAN).await;
     let daemon = world.daemon("entry-1").await;
     for (_, service) in &world.standins.plain {
-        service.steer(&Steer {
-            mute: Some(true),
-            ..Steer::default()
-        });
+        service.steer(&Steer { mute: Some(true), ..Steer::default() });
     }
     let caller = Caller::new(daemon.callers_address());
-    let request = caller
-        .request("GET", "/booking/week")
-        .body(Full::new(Bytes::new()))
-        .expect("request");
+    let request = caller.request("GET", "/booking/week").body(Full::new(Bytes::new())).expect("request");
     let asked = tokio::spawn(async move { caller.ask(request).await.status });
     let left = |view: &OutcomesView| {
         let outcomes = view.classes.iter().flat_map(|class| &class.outcomes);
-        outcomes
-            .filter(|count| count.label == "caller-left")
-            .map(|count| count.count)
-            .sum::<u64>()
+        outcomes.filter(|count| count.label == "caller-left").map(|count| count.count).sum::<u64>()
     };
     let client = OperatorsClient::default();
     let view = || client.view::<OutcomesView>(daemon.operators_address(), "/control/outcomes");
--- a/crates/standins/tests/e2e/stalled.rs
+++ b/crates/standins/tests/e2e/stalled.rs
@@ -50,12 +50,7 @@
         call: DecodeCall,
         _trust: Trust,
     ) -> BoxFuture<'_, Result<TokenStream, EngineFailure>> {
-        let token = |index| {
-            Ok(StreamPart::Token {
-                index,
-                text: "word ".repeat(200),
-            })
-        };
+        let token = |index| Ok(StreamPart::Token { index, text: "word ".repeat(200) });
         Box::pin(async move { Ok(TokenStream::new(stream::iter((call.from_index..).map(token)))) })
     }
 
@@ -91,19 +86,13 @@
     let incarnation = new_incarnation();
     let edges = Edges::new(&settings, incarnation);
     let (cancelled, mut is_cancelled) = watch::channel(false);
-    let engines = Arc::new(Eager {
-        engines: Arc::clone(&edges.engines),
-        cancelled,
-    });
+    let engines = Arc::new(Eager { engines: Arc::clone(&edges.engines), cancelled });
     let daemon = Daemon::start(&settings, Edges { engines, ..edges }, incarnation).expect("daemon");
     daemon.ready().await;
 
     let socket = TcpSocket::new_v4().expect("socket");
     socket.set_recv_buffer_size(4_096).expect("small buffer");
-    let mut caller = socket
-        .connect(daemon.callers_address())
-        .await
-        .expect("connection");
+    let mut caller = socket.connect(daemon.callers_address()).await.expect("connection");
     let body = r#"{"model": "small", "prompt": "a", "max_tokens": 32000, "stream": true}"#;
     let head = format!(
         "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {TOKEN}\r\nx-class: default\r\n\
@@ -112,10 +101,7 @@
     );
     caller.write_all(head.as_bytes()).await.expect("sent");
 
-    is_cancelled
-        .wait_for(|cancelled| *cancelled)
-        .await
-        .expect("told to stop");
+    is_cancelled.wait_for(|cancelled| *cancelled).await.expect("told to stop");
     world.engines_empty().await;
     drop(caller);
     stop(daemon).await;
--- a/crates/standins/tests/e2e/streams.rs
+++ b/crates/standins/tests/e2e/streams.rs
@@ -45,13 +45,7 @@
 async fn a_caller_who_leaves_frees_the_engines_at_each_step(#[case] stage: ReportedStage) {
     let world = World::start(SMALL_PLAN).await;
     let daemon = world.daemon("entry-1").await;
-    steer_all(
-        &world,
-        &Steer {
-            slow_factor: Some(20.0),
-            ..Steer::default()
-        },
-    );
+    steer_all(&world, &Steer { slow_factor: Some(20.0), ..Steer::default() });
     let caller = Caller::new(daemon.callers_address());
     let asked = tokio::spawn(async move { caller.complete(&long_prompt(), 20_000, false).await.status });
     reached(&world, stage).await;
@@ -88,40 +82,18 @@
 async fn a_silent_connection_costs_no_second_prefill(#[case] stage: ReportedStage) {
     let world = World::start(SMALL_PLAN).await;
     let daemon = world.daemon("entry-1").await;
-    steer_all(
-        &world,
-        &Steer {
-            slow_factor: Some(5.0),
-            ..Steer::default()
-        },
-    );
+    steer_all(&world, &Steer { slow_factor: Some(5.0), ..Steer::default() });
     let caller = Caller::new(daemon.callers_address());
     let asked = tokio::spawn(async move { caller.complete(&long_prompt(), 5, true).await });
     reached(&world, stage).await;
-    steer_all(
-        &world,
-        &Steer {
-            silence: true,
-            ..Steer::default()
-        },
-    );
+    steer_all(&world, &Steer { silence: true, ..Steer::default() });
     let answer = asked.await.expect("answer");
-    assert_eq!(
-        streamed_text(&answer.body),
-        Some(text::expected_answer(&long_prompt(), 5))
-    );
+    assert_eq!(streamed_text(&answer.body), Some(text::expected_answer(&long_prompt(), 5)));
     let prefills: usize = world
         .standins
         .engines
         .iter()
-        .map(|(_, engine)| {
-            engine
-                .state()
-                .work
-                .values()
-                .filter(|work| work.prefills > 0)
-                .count()
-        })
+        .map(|(_, engine)| engine.state().work.values().filter(|work| work.prefills > 0).count())
         .sum();
     assert_eq!(prefills, 1, "the prompt was read again");
     world.engines_empty().await;
--- a/crates/standins/tests/e2e/world.rs
+++ b/crates/standins/tests/e2e/world.rs
@@ -47,12 +47,8 @@
     /// Starts the stand-ins and publishes the classes `default`, for language, and `booking`.
     pub async fn start(plan: &str) -> Self {
         let plan: Plan = toml::from_str(plan).expect("plan");
-        let world = Self {
-            standins: plan.start().await.expect("stand-ins"),
-        };
-        world
-            .publish("default", ClassTarget::language(Millis(5_000), Millis(200)))
-            .await;
+        let world = Self { standins: plan.start().await.expect("stand-ins") };
+        world.publish("default", ClassTarget::language(Millis(5_000), Millis(200))).await;
         world.publish("booking", ClassTarget::plain(Millis(2_000))).await;
         world
     }
@@ -65,25 +61,17 @@
             made_from,
             author: "test".parse().expect("author"),
             made_at_unix_ms: 0,
-            changes: vec![ClassChange::Publish {
-                class: class.parse().expect("class"),
-                target,
-            }],
+            changes: vec![ClassChange::Publish { class: class.parse().expect("class"), target }],
         };
         let id = made_from.map_or(1, |offset| u128::from(offset.0) + 2);
         let partner = "nadifa".parse().expect("partner");
         let change = body.sign(&partner, ChangeId(id), &SigningKey::from_bytes(&PUBLISH_SEED));
         let record = Record::Change(change).encode();
-        log.append(Stream::Config, vec![Bytes::from(record)])
-            .await
-            .expect("append");
+        log.append(Stream::Config, vec![Bytes::from(record)]).await.expect("append");
     }
 
     async fn last_change(&self, log: &HttpLog) -> Option<Offset> {
-        let page = log
-            .read(Stream::Config, Offset(0), 1_000, Millis(0))
-            .await
-            .expect("page");
+        let page = log.read(Stream::Config, Offset(0), 1_000, Millis(0)).await.expect("page");
         page.records.last().map(|record| record.offset)
     }
 
@@ -129,21 +117,14 @@
         let incarnation = new_incarnation();
         let daemon =
             Daemon::start(&settings, Edges::new(&settings, incarnation), incarnation).expect("daemon");
-        self.standins.hosts.change(HostChange {
-            set: vec![entry(host, &daemon)],
-            remove: Vec::new(),
-        });
+        self.standins.hosts.change(HostChange { set: vec![entry(host, &daemon)], remove: Vec::new() });
         daemon.ready().await;
         daemon
     }
 
     /// Waits until an engine writes an answer.
     pub async fn decoding(&self) {
-        let decoders = self
-            .standins
-            .engines
-            .iter()
-            .filter(|(name, _)| name.starts_with("decode"));
+        let decoders = self.standins.engines.iter().filter(|(name, _)| name.starts_with("decode"));
         let waits = decoders.map(|(_, engine)| Box::pin(engine.wait_until(|state| !state.held.is_empty())));
         futures_util::future::select_all(waits).await;
     }
@@ -177,9 +158,7 @@
 
 /// Stops a daemon gracefully from inside a runtime.
 pub async fn stop(daemon: Daemon) {
-    tokio::task::spawn_blocking(move || daemon.stop())
-        .await
-        .expect("stopped");
+    tokio::task::spawn_blocking(move || daemon.stop()).await.expect("stopped");
 }
 
 /// A caller of one partner.
@@ -199,18 +178,13 @@
 
 impl Answer {
     pub fn outcome(&self) -> &str {
-        self.headers
-            .get("x-outcome")
-            .map_or("", |value| value.to_str().expect("text"))
+        self.headers.get("x-outcome").map_or("", |value| value.to_str().expect("text"))
     }
 }
 
 impl Caller {
     pub fn new(to: SocketAddr) -> Self {
-        Self {
-            client: Client::builder(TokioExecutor::new()).build_http(),
-            to,
-        }
+        Self { client: Client::builder(TokioExecutor::new()).build_http(), to }
     }
 
     pub fn request(&self, method: &str, path: &str) -> http::request::Builder {
@@ -218,14 +192,7 @@
             .method(method)
             .uri(format!("http://{}{path}", self.to))
             .header("authorization", format!("Bearer {TOKEN}"))
-            .header(
-                "x-class",
-                if path.starts_with("/booking") {
-                    "booking"
-                } else {
-                    "default"
-                },
-            )
+            .header("x-class", if path.starts_with("/booking") { "booking" } else { "default" })
     }
 
     pub async fn send(&self, request: Request<Full<Bytes>>) -> Response<Incoming> {
@@ -244,25 +211,13 @@
             }
         }
         let body = String::from_utf8(text).expect("text");
-        Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body,
-            whole,
-        }
+        Answer { status: parts.status, headers: parts.headers, body, whole }
     }
 
     /// Books a flat under an idempotency key or with a ticket, as `named` says.
     pub async fn book(&self, flat: &str, named: (&str, &str)) -> Answer {
-        let request = self
-            .request("POST", &format!("/booking/new?flat={flat}"))
-            .header(named.0, named.1);
-        self.ask(
-            request
-                .body(Full::new(Bytes::from_static(b"{}")))
-                .expect("request"),
-        )
-        .await
+        let request = self.request("POST", &format!("/booking/new?flat={flat}")).header(named.0, named.1);
+        self.ask(request.body(Full::new(Bytes::from_static(b"{}"))).expect("request")).await
     }
 
     pub async fn complete(&self, prompt: &str, max_tokens: u64, stream: bool) -> Answer {
--- a/crates/standins/tests/standins/engine.rs
+++ b/crates/standins/tests/standins/engine.rs
@@ -14,12 +14,7 @@
 const PROMPT: &str = "the dog is in the kitchen, the key under the third stone";
 
 async fn engine(role: Role, evict_after_ms: u64) -> EngineHandle {
-    let settings = EngineSettings {
-        role,
-        slots: 1,
-        evict_after_ms,
-        ..EngineSettings::default()
-    };
+    let settings = EngineSettings { role, slots: 1, evict_after_ms, ..EngineSettings::default() };
     Engine::start(settings).await.unwrap()
 }
 
@@ -53,12 +48,8 @@
     let (status, lines) = post(engine.address, "/engine/decode", &body).await;
     assert_eq!(status, StatusCode::OK);
     let lines = String::from_utf8(lines.to_vec()).unwrap();
-    let values = lines
-        .lines()
-        .map(|line| serde_json::from_str::<Value>(line).unwrap());
-    values
-        .filter_map(|value| value["text"].as_str().map(str::to_owned))
-        .collect()
+    let values = lines.lines().map(|line| serde_json::from_str::<Value>(line).unwrap());
+    values.filter_map(|value| value["text"].as_str().map(str::to_owned)).collect()
 }
 
 #[tokio::test]
@@ -84,9 +75,8 @@
     let target = engine(Role::Decode, 10_000).await;
     let whole = expected_answer(PROMPT, 8);
     let more = json!({"model": "small", "prompt": PROMPT, "generated": &whole[..12]});
-    let answer: Value = post_json(source.address, "/engine/prefill", &with(named("r1"), &more))
-        .await
-        .unwrap();
+    let answer: Value =
+        post_json(source.address, "/engine/prefill", &with(named("r1"), &more)).await.unwrap();
     assert_eq!(answer["prompt_tokens"], 17);
     assert_eq!(import(&target, &source, "r1").await, StatusCode::OK);
     assert_eq!(decode(&target, "r1", 3).await, whole[12..]);
@@ -112,10 +102,7 @@
     prefill(&source, "r1").await;
     prefill(&source, "r2").await;
     assert_eq!(import(&target, &source, "r1").await, StatusCode::OK);
-    assert_eq!(
-        import(&target, &source, "r2").await,
-        StatusCode::TOO_MANY_REQUESTS
-    );
+    assert_eq!(import(&target, &source, "r2").await, StatusCode::TOO_MANY_REQUESTS);
     assert_eq!(target.state().counters.slot_refusals, 1);
 }
 
@@ -125,13 +112,9 @@
     prefill(&source, "r1").await;
     let other = json!({"owner": {"host": "entry-2", "incarnation": "0b"}});
     let owner = json!({"owner": {"host": "entry-1", "incarnation": "0a"}});
-    let none: Value = post_json(source.address, "/engine/cancel_owner", &other)
-        .await
-        .unwrap();
+    let none: Value = post_json(source.address, "/engine/cancel_owner", &other).await.unwrap();
     assert_eq!(none["released"], 0);
-    let one: Value = post_json(source.address, "/engine/cancel_owner", &owner)
-        .await
-        .unwrap();
+    let one: Value = post_json(source.address, "/engine/cancel_owner", &owner).await.unwrap();
     assert_eq!(one["released"], 1);
     assert_eq!(source.state().counters.cancelled_tokens, 14);
 }
@@ -141,18 +124,9 @@
 #[tokio::test]
 async fn lost_reply_can_be_asked_again() {
     let source = engine(Role::Prefill, 10_000).await;
-    source.steer(&Steer {
-        lose_replies: Some(1),
-        ..Steer::default()
-    });
+    source.steer(&Steer { lose_replies: Some(1), ..Steer::default() });
     let body = with(named("r1"), &json!({"model": "small", "prompt": PROMPT}));
-    let lost = call(
-        source.address,
-        Method::POST,
-        "/engine/prefill",
-        body.to_string().into(),
-    )
-    .await;
+    let lost = call(source.address, Method::POST, "/engine/prefill", body.to_string().into()).await;
     assert!(lost.is_err(), "the reply came although it was to be lost");
     prefill(&source, "r1").await;
     assert_eq!(source.state().counters.prefill_tokens, 14);
@@ -166,24 +140,12 @@
     #[case] checks_fencing: bool,
     #[case] expected: StatusCode,
 ) {
-    let settings = EngineSettings {
-        checks_fencing,
-        ..EngineSettings::default()
-    };
+    let settings = EngineSettings { checks_fencing, ..EngineSettings::default() };
     let engine = Engine::start(settings).await.unwrap();
     let order = |id: &str, fencing: u64| json!({"order_id": id, "fencing": fencing, "expires_in_ms": 1000, "kind": {"unload": "small"}});
-    assert_eq!(
-        post(engine.address, "/engine/order", &order("a", 7)).await.0,
-        StatusCode::OK
-    );
-    assert_eq!(
-        post(engine.address, "/engine/order", &order("b", 6)).await.0,
-        expected
-    );
-    assert_eq!(
-        post(engine.address, "/engine/order", &order("a", 7)).await.0,
-        StatusCode::OK
-    );
+    assert_eq!(post(engine.address, "/engine/order", &order("a", 7)).await.0, StatusCode::OK);
+    assert_eq!(post(engine.address, "/engine/order", &order("b", 6)).await.0, expected);
+    assert_eq!(post(engine.address, "/engine/order", &order("a", 7)).await.0, StatusCode::OK);
 }
 
 /// Something between two ends loses track of a connection: it stays open and nothing moves on it any more,
--- a/crates/standins/tests/standins/load.rs
+++ b/crates/standins/tests/standins/load.rs
@@ -38,12 +38,8 @@
 
 fn answer(outcome: &'static str, body: Bytes) -> Response<Body> {
     let mut response = whole(StatusCode::OK, body);
-    response
-        .headers_mut()
-        .insert("x-outcome", HeaderValue::from_static(outcome));
-    response
-        .headers_mut()
-        .insert("x-request-id", HeaderValue::from_static("1-1"));
+    response.headers_mut().insert("x-outcome", HeaderValue::from_static(outcome));
+    response.headers_mut().insert("x-request-id", HeaderValue::from_static("1-1"));
     response
 }
 
@@ -51,29 +47,14 @@
     async fn forward(&self, request: Request<Incoming>) -> Bytes {
         let (mut parts, body) = request.into_parts();
         let body = body.collect().await.unwrap().to_bytes();
-        parts.uri = format!("http://{}{}", self.service, parts.uri.path())
-            .parse()
-            .unwrap();
-        parts
-            .headers
-            .insert("x-request-id", HeaderValue::from_static("1-1"));
+        parts.uri = format!("http://{}{}", self.service, parts.uri.path()).parse().unwrap();
+        parts.headers.insert("x-request-id", HeaderValue::from_static("1-1"));
         let client = Client::builder(TokioExecutor::new()).build_http();
-        let times = if matches!(self.front, Front::RunsTwice) {
-            2
-        } else {
-            1
-        };
+        let times = if matches!(self.front, Front::RunsTwice) { 2 } else { 1 };
         let mut last = Bytes::new();
         for _ in 0..times {
             let request = Request::from_parts(parts.clone(), Full::new(body.clone()));
-            last = client
-                .request(request)
-                .await
-                .unwrap()
-                .collect()
-                .await
-                .unwrap()
-                .to_bytes();
+            last = client.request(request).await.unwrap().collect().await.unwrap().to_bytes();
         }
         last
     }
@@ -122,10 +103,7 @@
 
 async fn report(front: Front) -> (Report, PlainHandle) {
     let service = PlainService::start(PlainSettings::default()).await.unwrap();
-    let server = Arc::new(Server {
-        front,
-        service: service.address,
-    });
+    let server = Arc::new(Server { front, service: service.address });
     let address = "127.0.0.1:0".parse().unwrap();
     let daemon = serve(address, server, Arc::new(Faults::default())).await.unwrap();
     let flow = |kind| Flow {
@@ -139,10 +117,7 @@
     };
     let plan = LoadPlan {
         seed: 1,
-        daemons: vec![Entry {
-            callers: daemon,
-            operators: None,
-        }],
+        daemons: vec![Entry { callers: daemon, operators: None }],
         flows: vec![flow(FlowKind::Once), flow(FlowKind::Completion)],
     };
     let records = send_all(&plan).await;
--- a/crates/standins/tests/standins/platform.rs
+++ b/crates/standins/tests/standins/platform.rs
@@ -15,10 +15,7 @@
 
 async fn append(address: SocketAddr) -> StatusCode {
     let body = Bytes::from(json!({"records": ["aGk="]}).to_string());
-    call(address, Method::POST, "/log/config/append", body)
-        .await
-        .unwrap()
-        .0
+    call(address, Method::POST, "/log/config/append", body).await.unwrap().0
 }
 
 #[tokio::test]
@@ -27,40 +24,23 @@
     let two = json!({"records": ["aGk=", "aG8="]});
     let first: Value = post_json(log.address, "/log/config/append", &two).await.unwrap();
     let second: Value = post_json(log.address, "/log/config/append", &two).await.unwrap();
-    assert_eq!(
-        (first["first_offset"].as_u64(), second["first_offset"].as_u64()),
-        (Some(0), Some(2))
-    );
+    assert_eq!((first["first_offset"].as_u64(), second["first_offset"].as_u64()), (Some(0), Some(2)));
     log.expire("config", 1);
-    let page: Value = get_json(log.address, "/log/config?from=0&limit=2&wait_ms=0")
-        .await
-        .unwrap();
+    let page: Value = get_json(log.address, "/log/config?from=0&limit=2&wait_ms=0").await.unwrap();
     assert_eq!(page["start_offset"], 1);
     assert_eq!(page["next_offset"], 4);
-    assert_eq!(
-        page["records"],
-        json!([{"offset": 1, "data": "aG8="}, {"offset": 2, "data": "aGk="}])
-    );
+    assert_eq!(page["records"], json!([{"offset": 1, "data": "aG8="}, {"offset": 2, "data": "aGk="}]));
 }
 
 /// The log takes only so many appends a second and has outages. Whoever writes too fast or too early is
 /// told so, and nothing is stored.
 #[tokio::test]
 async fn log_refuses_over_its_rate_and_in_an_outage() {
-    let settings = LogSettings {
-        appends_per_s: 0,
-        ..LogSettings::default()
-    };
+    let settings = LogSettings { appends_per_s: 0, ..LogSettings::default() };
     let log = LogService::start(settings).await.unwrap();
-    log.steer(&Steer {
-        outage: Some(true),
-        ..Steer::default()
-    });
+    log.steer(&Steer { outage: Some(true), ..Steer::default() });
     assert_eq!(append(log.address).await, StatusCode::SERVICE_UNAVAILABLE);
-    log.steer(&Steer {
-        outage: Some(false),
-        ..Steer::default()
-    });
+    log.steer(&Steer { outage: Some(false), ..Steer::default() });
     assert_eq!(append(log.address).await, StatusCode::TOO_MANY_REQUESTS);
     assert!(log.records("config").is_empty());
 }
@@ -71,16 +51,10 @@
 async fn shared_log_fails_at_one_address_only() {
     let log = LogService::start(LogSettings::default()).await.unwrap();
     let other = log.share(kernel_chooses()).await.unwrap();
-    other.steer(&Steer {
-        outage: Some(true),
-        ..Steer::default()
-    });
+    other.steer(&Steer { outage: Some(true), ..Steer::default() });
     assert_eq!(append(other.address).await, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(append(log.address).await, StatusCode::OK);
-    other.steer(&Steer {
-        outage: Some(false),
-        ..Steer::default()
-    });
+    other.steer(&Steer { outage: Some(false), ..Steer::default() });
     assert_eq!(append(other.address).await, StatusCode::OK);
     assert_eq!(log.records("config").len(), 2);
 }
@@ -89,41 +63,29 @@
 async fn reader_that_waits_sees_the_append() {
     let log = LogService::start(LogSettings::default()).await.unwrap();
     let address = log.address;
-    let reader = tokio::spawn(async move {
-        get_json::<Value>(address, "/log/config?from=0&wait_ms=60000")
-            .await
-            .unwrap()
-    });
+    let reader =
+        tokio::spawn(
+            async move { get_json::<Value>(address, "/log/config?from=0&wait_ms=60000").await.unwrap() },
+        );
     assert_eq!(append(address).await, StatusCode::OK);
     assert_eq!(reader.await.unwrap()["next_offset"], 1);
 }
 
 #[tokio::test]
 async fn host_list_shows_a_change_once() {
-    let settings = HostListSettings {
-        lag_ms: 1,
-        ..HostListSettings::default()
-    };
+    let settings = HostListSettings { lag_ms: 1, ..HostListSettings::default() };
     let list = HostList::start(settings).await.unwrap();
     let before: Value = get_json(list.address, "/hosts?after=0&wait_ms=0").await.unwrap();
-    assert_eq!(
-        before,
-        json!({"version": 1, "entries": [], "set": [], "remove": []})
-    );
+    assert_eq!(before, json!({"version": 1, "entries": [], "set": [], "remove": []}));
     let entry =
         json!({"id": "e", "kind": "entry", "address": "127.0.0.1:1", "data_centre": "d", "region": "r"});
     let change: HostChange = serde_json::from_value(json!({"set": [entry]})).unwrap();
     list.change(change);
-    let after: Value = get_json(list.address, "/hosts?after=1&wait_ms=60000")
-        .await
-        .unwrap();
+    let after: Value = get_json(list.address, "/hosts?after=1&wait_ms=60000").await.unwrap();
     assert_eq!(after["entries"], Value::Null);
     assert_eq!(after["set"][0]["id"], "e");
     let same: Value = get_json(list.address, "/hosts?after=2&wait_ms=0").await.unwrap();
-    assert_eq!(
-        same,
-        json!({"version": 2, "entries": null, "set": [], "remove": []})
-    );
+    assert_eq!(same, json!({"version": 2, "entries": null, "set": [], "remove": []}));
     let whole: Value = get_json(list.address, "/hosts?after=0&wait_ms=0").await.unwrap();
     assert_eq!(whole["entries"][0]["id"], "e");
 }
@@ -132,25 +94,11 @@
 #[tokio::test]
 async fn ledger_shows_what_ran() {
     let service = PlainService::start(PlainSettings::default()).await.unwrap();
-    let book = || {
-        call(
-            service.address,
-            Method::POST,
-            "/book",
-            Bytes::from_static(b"flat 3"),
-        )
-    };
-    service.steer(&Steer {
-        leaving: Some(true),
-        ..Steer::default()
-    });
+    let book = || call(service.address, Method::POST, "/book", Bytes::from_static(b"flat 3"));
+    service.steer(&Steer { leaving: Some(true), ..Steer::default() });
     assert_eq!(book().await.unwrap().0, StatusCode::SERVICE_UNAVAILABLE);
     assert!(service.ledger().is_empty());
-    service.steer(&Steer {
-        leaving: Some(false),
-        lose_replies: Some(1),
-        ..Steer::default()
-    });
+    service.steer(&Steer { leaving: Some(false), lose_replies: Some(1), ..Steer::default() });
     assert!(book().await.is_err(), "the reply came although it was to be lost");
     assert_eq!(book().await.unwrap().0, StatusCode::OK);
     assert_eq!(service.ledger().len(), 2);
