Show that the engines of dead watchers are watched again

Change: a test over sockets kills two of three daemons of a data centre and asks until it is answered; every refusal meanwhile says not-run and when to come back.

--- a/crates/standins/tests/e2e/hosts.rs
+++ b/crates/standins/tests/e2e/hosts.rs
@@ -1,5 +1,7 @@
 //! Entry hosts that die, are replaced, or stop.
 
+use std::time::{Duration, Instant};
+
 use hibiscusvale_standins::{Steer, text};
 
 use crate::world::{Caller, SMALL_PLAN, World, stop, streamed_text};
@@ -49,3 +51,29 @@
     stop(first).await;
     stop(replaced).await;
 }
+
+/// Two of the three hosts that watch a data centre's engines die at once. Until others watch those engines in their
+/// place nobody may use them, and callers are told to come back; it must not last.
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_of_dead_watchers_are_watched_again() {
+    let world = World::start(SMALL_PLAN).await;
+    let first = world.daemon("entry-1").await;
+    let second = world.daemon_beside("entry-2", &[&first]).await;
+    let third = world.daemon_beside("entry-3", &[&first, &second]).await;
+    let killed = Instant::now();
+    for daemon in [second, third] {
+        tokio::task::spawn_blocking(move || daemon.kill()).await.expect("killed");
+    }
+    let caller = Caller::new(first.callers_address());
+    loop {
+        let answer = caller.complete(PROMPT, 12, false).await;
+        if answer.status.is_success() {
+            break;
+        }
+        assert_eq!(answer.outcome(), "not-run", "{}", answer.body);
+        assert!(answer.headers.contains_key("retry-after"), "{}", answer.body);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    println!("watched again after {:?}", killed.elapsed());
+    stop(first).await;
+}
