Count a refused request once, keep it for why, and count calls to the log

The users of the log's appends were counted nowhere. Change: a refusal ends its observation; the log's calls are events by user and ending.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::clock;
 use crate::config::PublishKeyError;
 use crate::control::{Control, ControlParts, RunningControl};
+use crate::counted_log::CountedLog;
 use crate::directory::Directory;
 use crate::dispatch::{Demand, Dispatcher, Hub, Observer, PlainHub, Releases};
 use crate::figures::Figures;
@@ -129,6 +130,8 @@
     /// [`StartError`].
     pub fn start(settings: &Settings, edges: Edges, incarnation: Incarnation) -> Result<Self, StartError> {
         let metrics = Metrics::new()?;
+        let log = Arc::new(CountedLog::new(edges.log, metrics.clone()));
+        let edges = Edges { log, ..edges };
         let log = logging::Log::stdout(settings.observe.log_level)?;
         let traffic = TrafficRuntime::new(settings.traffic.threads).map_err(StartError::Thread)?;
         let directory = Arc::new(Directory::default());
--- a/crates/router/src/dispatch/observe.rs
+++ b/crates/router/src/dispatch/observe.rs
@@ -269,6 +269,7 @@
         self.metrics.refused(refusal.reason);
         self.metrics.finished(refusal.outcome);
         self.log.request_refused(self.line(now_us, refusal.outcome), refusal.reason);
+        self.remember(now_us, refusal.outcome.label(), Some(refusal.reason.label()));
     }
 
     /// The caller left before the end.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod counted_log;
 pub mod daemon;
 pub mod directory;
 pub mod dispatch;
--- a/crates/standins/tests/e2e/once.rs
+++ b/crates/standins/tests/e2e/once.rs
@@ -1,6 +1,9 @@
 //! Requests that run at most once, over keys, tickets and several daemons.
 
 use bytes::Bytes;
+use hibiscusvale::daemon::Daemon;
+use hibiscusvale_standins::client::call;
+use http::Method;
 use http_body_util::Full;
 
 use crate::world::{Caller, SMALL_PLAN, World, stop};
@@ -23,10 +26,24 @@
     assert_eq!((again.status.as_u16(), again.outcome()), (200, "answered"), "{}", again.body);
     assert_eq!(again.body, booked.body);
     assert_eq!(executions(&world), 1);
+    let counted = appends_of_claims(&first).await + appends_of_claims(&second).await;
+    let log = &world.standins.log;
+    let taken: u64 =
+        log.appends().iter().filter(|(name, _)| name.starts_with("claims")).map(|(_, n)| n).sum();
+    assert_eq!((counted, taken), (1, 1), "the second call found the key without an append of its own");
     stop(first).await;
     stop(second).await;
 }
 
+/// Appends of claims that a daemon has counted.
+async fn appends_of_claims(daemon: &Daemon) -> u64 {
+    let (_, text) =
+        call(daemon.operators_address(), Method::GET, "/metrics", Bytes::new()).await.expect("metrics");
+    let text = String::from_utf8(text.to_vec()).expect("text");
+    let line = text.lines().find(|line| line.contains("event=\"log-append-claims\""));
+    line.and_then(|line| line.rsplit(' ').next()).map_or(0, |count| count.parse().expect("count"))
+}
+
 /// Two different bookings carry the same key by a mistake of the caller's program. The second is refused, and
 /// its caller is told that it did not run.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/standins/tests/e2e/path.rs
+++ b/crates/standins/tests/e2e/path.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hibiscusvale::operators::OperatorsClient;
-use hibiscusvale::operators::views::OutcomesView;
+use hibiscusvale::operators::views::{OutcomesView, RequestView};
 use hibiscusvale_standins::Steer;
 use hibiscusvale_standins::text;
 use http_body_util::Full;
@@ -141,3 +141,30 @@
     assert_eq!(left(&view().await.expect("view")), 1);
     stop(daemon).await;
 }
+
+/// A booking is refused because no instance takes work. Its operator asks why by the id that the caller was given;
+/// were the refusal not kept, or counted a second time as a caller who left, the figures would mislead whoever looks.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_request_is_counted_once_and_explained() {
+    let world = World::start(SMALL_PLAN).await;
+    let daemon = world.daemon("entry-1").await;
+    let caller = Caller::new(daemon.callers_address());
+    for (_, service) in &world.standins.plain {
+        service.steer(&Steer { leaving: Some(true), ..Steer::default() });
+    }
+    let request = caller.request("GET", "/booking/week").body(Full::new(Bytes::new())).expect("request");
+    let answer = caller.ask(request).await;
+    assert_eq!(answer.outcome(), "not-run", "{}", answer.body);
+
+    let id = answer.headers["x-request-id"].to_str().expect("text");
+    let client = OperatorsClient::default();
+    let why: RequestView =
+        client.view(daemon.operators_address(), &format!("/control/why/{id}")).await.expect("view");
+    assert_eq!(why.outcome, "not-run");
+    assert!(why.refusal.is_some(), "{why:?}");
+    let outcomes: OutcomesView =
+        client.view(daemon.operators_address(), "/control/outcomes").await.expect("view");
+    let counts = outcomes.classes.iter().flat_map(|class| &class.outcomes);
+    assert_eq!(counts.map(|count| count.count).sum::<u64>(), 1, "{outcomes:?}");
+    stop(daemon).await;
+}
