Set up one served daemon in one place, and keep tests quiet

Cause: eight tests began with the same three lines, and the daemons' logs hid what the tests say. Change: one set-up; tests log errors only.

--- a/crates/standins/tests/e2e/once.rs
+++ b/crates/standins/tests/e2e/once.rs
@@ -6,7 +6,7 @@
 use http::Method;
 use http_body_util::Full;
 
-use crate::world::{Caller, SMALL_PLAN, World, stop};
+use crate::world::{Caller, SMALL_PLAN, Served, World, stop};
 
 fn executions(world: &World) -> usize {
     world.standins.plain.iter().map(|(_, plain)| plain.ledger().len()).sum()
@@ -48,9 +48,7 @@
 /// its caller is told that it did not run.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_used_for_another_request_is_refused() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
 
     caller.book("7", ("idempotency-key", "one")).await;
     let other = caller.book("8", ("idempotency-key", "one")).await;
--- a/crates/standins/tests/e2e/path.rs
+++ b/crates/standins/tests/e2e/path.rs
@@ -7,15 +7,13 @@
 use hibiscusvale_standins::text;
 use http_body_util::Full;
 
-use crate::world::{Caller, SMALL_PLAN, World, stop, streamed_text};
+use crate::world::{Caller, SMALL_PLAN, Served, World, stop, streamed_text};
 
 const PROMPT: &str = "The client keeps a large dog and is allergic to bleach.";
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_completion_is_answered_whole_and_streamed() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
 
     let whole = caller.complete(PROMPT, 12, false).await;
     assert_eq!((whole.status.as_u16(), whole.outcome()), (200, "answered"), "{}", whole.body);
@@ -31,9 +29,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_reaches_the_service_as_it_was_sent() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
 
     let request = caller
         .request("POST", "/booking/new?flat=7")
@@ -54,9 +50,7 @@
 /// pause; its bytes are the same as without the failure.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_connection_went_silent_is_resumed_by_index() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
 
     let asked = tokio::spawn({
         let caller = caller.clone();
@@ -81,9 +75,7 @@
 /// slot for nobody.
 #[tokio::test(flavor = "multi_thread")]
 async fn engine_memory_is_released_when_the_caller_leaves() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
 
     let body = serde_json::json!({"model": "small", "prompt": PROMPT, "max_tokens": 4000, "stream": true});
     let response = caller.send(caller.completion(&body)).await;
@@ -97,9 +89,7 @@
 /// The host is told to stop while an answer is being written. The caller still gets all of it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_graceful_stop_cuts_off_no_stream() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
 
     let asked = tokio::spawn({
         let caller = caller.clone();
@@ -146,9 +136,7 @@
 /// were the refusal not kept, or counted a second time as a caller who left, the figures would mislead whoever looks.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_is_counted_once_and_explained() {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
     for (_, service) in &world.standins.plain {
         service.steer(&Steer { leaving: Some(true), ..Steer::default() });
     }
--- a/crates/standins/tests/e2e/streams.rs
+++ b/crates/standins/tests/e2e/streams.rs
@@ -5,7 +5,7 @@
 use hibiscusvale_standins::{EngineHandle, Steer, text};
 use rstest::rstest;
 
-use crate::world::{Caller, SMALL_PLAN, World, stop, streamed_text};
+use crate::world::{Caller, SMALL_PLAN, Served, World, stop, streamed_text};
 
 const TOKENS: u64 = 60;
 
@@ -62,9 +62,7 @@
 #[case::mute(Steer { mute: Some(true), silence: true, ..Steer::default() })]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_answer_goes_on_elsewhere_when_its_engine_fails(#[case] failure: Steer) {
-    let world = World::start(SMALL_PLAN).await;
-    let daemon = world.daemon("entry-1").await;
-    let caller = Caller::new(daemon.callers_address());
+    let Served { world, daemon, caller } = Served::start().await;
     let asked = tokio::spawn(async move { caller.complete(&long_prompt(), TOKENS, true).await });
     reached(&world, ReportedStage::Decode).await.steer(&failure);
     let answer = asked.await.expect("answer");
--- a/crates/standins/tests/e2e/world.rs
+++ b/crates/standins/tests/e2e/world.rs
@@ -87,6 +87,7 @@
             traffic = {{threads = 2, ready_grace_ms = 0}}
             config = {{genesis_wait_ms = 100}}
             shift = {{hold_ms = 500, cooldown_ms = 1000}}
+            observe = {{log_level = "error"}}
             [partners.nadifa]
             token_hashes = ["{}"]
             publish_key = "{}"
@@ -168,6 +169,22 @@
     to: SocketAddr,
 }
 
+/// One daemon in front of the small plan, and a caller of it.
+pub struct Served {
+    pub world: World,
+    pub daemon: Daemon,
+    pub caller: Caller,
+}
+
+impl Served {
+    pub async fn start() -> Self {
+        let world = World::start(SMALL_PLAN).await;
+        let daemon = world.daemon("entry-1").await;
+        let caller = Caller::new(daemon.callers_address());
+        Self { world, daemon, caller }
+    }
+}
+
 /// An answer, read to its end or to where it broke off.
 pub struct Answer {
     pub status: StatusCode,
