Bound the bodies that are held together, and each partner's part of them

Cause: a body is bounded by itself, but 4,096 requests with 4 MB each would take 16 GB of a small host, and with it every other request. Change: a body gets its room before it is read, 128 MB unless set, half of it for one partner at most; beyond, the caller is told to come back. Ruled out: waiting for room, which would hold connections instead.

--- a/crates/router/src/callers/language.rs
+++ b/crates/router/src/callers/language.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use super::body::HeldBody;
 use super::head::Head;
 use super::refusal::{OUTCOME_HEADER, Outcome, Refusal, RefusalReason};
 use super::response::{AnswerBody, REQUEST_ID_HEADER};
@@ -101,10 +102,10 @@
         partner: PartnerId,
         head: Head,
         shape: Shape,
-        body: &[u8],
+        body: HeldBody,
     ) -> Result<Self, Refusal> {
         let bad = Refusal::not_run(RefusalReason::BadBody);
-        let asked: Asked = serde_json::from_slice(body).map_err(|_| bad)?;
+        let asked: Asked = serde_json::from_slice(body.as_ref()).map_err(|_| bad)?;
         let prompt = match shape {
             Shape::Completions => asked.prompt.unwrap_or_default(),
             Shape::Chat => asked.messages.iter().flat_map(Message::lines).collect(),
@@ -118,11 +119,11 @@
             partner,
             head,
             model: asked.model,
-            prompt: Bytes::from(prompt),
+            digest: BodyDigest::new("POST", shape.path(), body.as_ref()),
+            prompt: body.become_bytes(Bytes::from(prompt)),
             max_tokens: Tokens(max_tokens),
             stream: asked.stream,
             shape,
-            digest: BodyDigest::new("POST", shape.path(), body),
         })
     }
 }
--- a/crates/router/src/callers/mod.rs
+++ b/crates/router/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The edge towards callers: HTTP/1.1 and HTTP/2 on one port.
 
 mod auth;
+mod body;
 mod connection;
 mod head;
 mod language;
@@ -11,6 +12,7 @@
 mod service;
 
 pub use auth::Tokens as PartnerTokens;
+pub use body::{Bodies, HeldBody};
 pub use head::Head;
 pub use language::{LanguageRequest, Shape};
 pub use listener::{Listener, ListenerSettings};
--- a/crates/router/src/callers/service.rs
+++ b/crates/router/src/callers/service.rs
@@ -5,26 +5,24 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use hibiscusvale_core::config::{ClassTarget, ConfigState, TargetKind};
 use hibiscusvale_core::ids::{ClassName, Incarnation, PartnerId, RequestId};
 use hibiscusvale_core::units::Millis;
 use http::{HeaderValue, Method, Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use tower::Service;
 
 use super::auth::Tokens;
+use super::body::Bodies;
 use super::head::{self, Head};
 use super::language::{self, AnswerStyle, LanguageRequest, Shape};
 use super::plain::PlainRequest;
 use super::refusal::{Refusal, RefusalReason};
 use super::response::{self, AnswerBody};
 use crate::dispatch::{Dispatcher, LanguageTarget};
-use crate::settings::{LimitSettings, RouteSettings};
+use crate::settings::RouteSettings;
 
 const SERVICE_HEADER: &str = "x-service";
 
@@ -44,8 +42,8 @@
     pub tokens: Tokens,
     /// Paths of plain services.
     pub routes: Vec<RouteSettings>,
-    /// Bounds on what callers send.
-    pub limits: LimitSettings,
+    /// Reads what callers send.
+    pub bodies: Bodies,
     /// Carries requests out.
     pub dispatcher: Arc<Dispatcher>,
     /// The configuration in force.
@@ -102,7 +100,7 @@
             head::ticket(request.headers())?.filter(|ticket| self.dispatcher.is_elsewhere(ticket))
         {
             let (parts, body) = request.into_parts();
-            let body = self.read_body(body).await?;
+            let body = self.bodies.read(&partner, body).await?.into_bytes();
             return self.dispatcher.forward(&ticket, parts, body).await;
         }
         let head = Head::read(request.headers())?;
@@ -138,8 +136,8 @@
         shape: Shape,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, Refusal> {
-        let body = self.read_body(request.into_body()).await?;
-        let request = LanguageRequest::read(request_id, partner, head, shape, &body)?;
+        let body = self.bodies.read(&partner, request.into_body()).await?;
+        let request = LanguageRequest::read(request_id, partner, head, shape, body)?;
         let style = AnswerStyle::of(&request);
         let stream = request.stream;
         let target = self.language_target(&request)?;
@@ -156,7 +154,7 @@
     ) -> Result<Response<AnswerBody>, Refusal> {
         let service = self.service_of(&request).ok_or(Refusal::not_run(RefusalReason::NoRoute))?;
         let (parts, body) = request.into_parts();
-        let body = self.read_body(body).await?;
+        let body = self.bodies.read(&partner, body).await?.into_bytes();
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
         let request = PlainRequest {
             request_id,
@@ -218,23 +216,6 @@
             .max_by_key(|route| route.prefix.len())
             .map(|route| route.service.clone())
     }
-
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
-        let limit_bytes = usize::try_from(self.limits.body_bytes.0).unwrap_or(usize::MAX);
-        // A length announced as too large is refused before a byte of it is read.
-        if body.size_hint().lower() > self.limits.body_bytes.0 {
-            return Err(Refusal::not_run(RefusalReason::BodyTooLarge));
-        }
-        let timeout = Duration::from(self.limits.body_timeout_ms);
-        match tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                Err(Refusal::not_run(RefusalReason::BodyTooLarge))
-            }
-            Ok(Err(_)) => Err(Refusal::not_run(RefusalReason::BodyTruncated)),
-            Err(_) => Err(Refusal::not_run(RefusalReason::BodyTooSlow)),
-        }
-    }
 }
 
 /// The service behind each caller's connection.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -20,7 +20,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::backend::{BackendHttp, EngineEdge, HttpEngines, HttpPlain, Owner, PlainEdge};
-use crate::callers::{CallerState, Listener, ListenerSettings, PartnerTokens};
+use crate::callers::{Bodies, CallerState, Listener, ListenerSettings, PartnerTokens};
 use crate::clock;
 use crate::config::PublishKeyError;
 use crate::control::{Control, ControlParts, RunningControl};
@@ -202,7 +202,7 @@
         let state = CallerState {
             tokens: PartnerTokens::new(&settings.partners),
             routes: settings.routes.clone(),
-            limits: settings.limits.clone(),
+            bodies: Bodies::new(settings.limits.clone(), settings.partners.keys()),
             dispatcher: Arc::new(dispatcher),
             config: Arc::clone(&control.services.config.state),
             incarnation,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -167,6 +167,8 @@
 pub struct LimitSettings {
     /// Largest request body.
     pub body_bytes: Bytes,
+    /// All request bodies held at a time; half of it is for one partner at most.
+    pub held_body_bytes: Bytes,
     /// Largest request head.
     pub head_bytes: Bytes,
     /// Time for a request head to arrive.
@@ -181,6 +183,7 @@
     fn default() -> Self {
         Self {
             body_bytes: Bytes(4 << 20),
+            held_body_bytes: Bytes(128 << 20),
             head_bytes: Bytes(32 << 10),
             head_timeout_ms: Millis(5_000),
             body_timeout_ms: Millis(15_000),
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -12,6 +12,7 @@
 use crate::settings::{PartnerSettings, Settings, TokenHash};
 
 const BODY_BYTES: RangeInclusive<u64> = 1_024..=256 << 20;
+const HELD_BODY_BYTES: RangeInclusive<u64> = 4_096..=64 << 30;
 const HEAD_BYTES: RangeInclusive<u64> = 1_024..=1 << 20;
 const CALLER_TIMEOUT_MS: RangeInclusive<u64> = 100..=600_000;
 const SETTLE_MS: RangeInclusive<u64> = 0..=60_000;
@@ -38,6 +39,7 @@
     let Settings { limits, traffic, config, observe, peers, shift, .. } = settings;
     let numbers = [
         ("limits.body_bytes", limits.body_bytes.0, BODY_BYTES),
+        ("limits.held_body_bytes", limits.held_body_bytes.0, HELD_BODY_BYTES),
         ("limits.head_bytes", limits.head_bytes.0, HEAD_BYTES),
         ("limits.head_timeout_ms", limits.head_timeout_ms.0, CALLER_TIMEOUT_MS),
         ("limits.body_timeout_ms", limits.body_timeout_ms.0, CALLER_TIMEOUT_MS),
--- a/crates/standins/tests/e2e/bad_input.rs
+++ b/crates/standins/tests/e2e/bad_input.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hibiscusvale::daemon::{Daemon, Edges, new_incarnation};
 use hibiscusvale_core::units::{Bytes as ByteCount, Millis};
+use hibiscusvale_standins::Steer;
 use hibiscusvale_standins::client::call;
 use hibiscusvale_standins::text::expected_answer;
 use http::{Method, Request};
@@ -303,3 +304,36 @@
     assert!(pages < STREAMS as usize / 10, "{pages} of {STREAMS} reset requests were run");
     stop(daemon).await;
 }
+
+/// A partner sends many large bodies at once to a service that has become slow. Were all of them held the host would
+/// run out of memory and take every request in flight with it; past the bound a caller is told to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_beyond_the_room_for_them_are_refused_until_there_is_room() {
+    let world = World::start(SMALL_PLAN).await;
+    let mut settings = world.settings("entry-1", &[]);
+    settings.limits.body_bytes = ByteCount(4_096);
+    settings.limits.held_body_bytes = ByteCount(8_192);
+    let incarnation = new_incarnation();
+    let daemon = Daemon::start(&settings, Edges::new(&settings, incarnation), incarnation).expect("daemon");
+    daemon.ready().await;
+    let caller = Caller::new(daemon.callers_address());
+    let book = || {
+        let body = Full::new(Bytes::from(vec![b' '; 3_000]));
+        caller.request("POST", "/booking/new").body(body).expect("request")
+    };
+    for (_, service) in &world.standins.plain {
+        service.steer(&Steer { mute: Some(true), ..Steer::default() });
+    }
+    let (one, other) = tokio::join!(caller.ask(book()), caller.ask(book()));
+    let (held, refused) = if one.outcome() == "unknown" { (one, other) } else { (other, one) };
+    assert_eq!(held.outcome(), "unknown", "{}", held.body);
+    assert_eq!((refused.status.as_u16(), refused.outcome()), (503, "not-run"), "{}", refused.body);
+    assert!(refused.body.contains("overloaded") && refused.headers.contains_key("retry-after"));
+
+    for (_, service) in &world.standins.plain {
+        service.steer(&Steer { mute: Some(false), ..Steer::default() });
+    }
+    let answered = caller.ask(book()).await;
+    assert_eq!(answered.outcome(), "answered", "{}", answered.body);
+    stop(daemon).await;
+}
