Show that a leaving server is known to all daemons over sockets

Cause: it was shown for the state machines and for one daemon. Change: a test with two daemons; the one that was not refused sends nothing there any more.

--- /dev/null
+++ b/crates/standins/tests/e2e/leaving.rs
@@ -0,0 +1,64 @@
+//! Servers that leave while the platform's list still calls them live.
+
+use bytes::Bytes;
+use hibiscusvale::daemon::Daemon;
+use hibiscusvale::operators::OperatorsClient;
+use hibiscusvale::operators::views::OutcomesView;
+use hibiscusvale_standins::Steer;
+use hibiscusvale_standins::client::call;
+use http::Method;
+use http_body_util::Full;
+
+use crate::world::{Answer, Caller, SMALL_PLAN, World, stop};
+
+const CALLS: usize = 40;
+
+async fn page(caller: &Caller) -> Answer {
+    let request = caller.request("GET", "/booking/week").body(Full::new(Bytes::new())).expect("request");
+    caller.ask(request).await
+}
+
+/// Further tries that the daemon made because a server said that it leaves.
+async fn retries_for_leaving(daemon: &Daemon) -> u64 {
+    let client = OperatorsClient::default();
+    let view: OutcomesView =
+        client.view(daemon.operators_address(), "/control/outcomes").await.expect("view");
+    let retries = view.classes.iter().flat_map(|class| &class.retries);
+    retries.filter(|count| count.label == "leaving").map(|count| count.count).sum()
+}
+
+/// Backend servers that the daemon would give work to.
+async fn servers_live(daemon: &Daemon) -> u64 {
+    let (_, text) =
+        call(daemon.operators_address(), Method::GET, "/metrics", Bytes::new()).await.expect("metrics");
+    let text = String::from_utf8(text.to_vec()).expect("text");
+    let line = text.lines().find(|line| line.starts_with("hibiscusvale_backend_servers_live"));
+    line.and_then(|line| line.rsplit(' ').next()).map_or(0, |value| value.parse().expect("value"))
+}
+
+/// An instance begins to drain, and the list will say so only later. One host is refused there and tells the others;
+/// were each to find out by itself, the instance would go on being called for as long as the list lags.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_one_daemon_found_leaving_gets_no_work_from_another() {
+    let world = World::start(SMALL_PLAN).await;
+    let first = world.daemon("entry-1").await;
+    let second = world.daemon_beside("entry-2", &[&first]).await;
+    world.standins.plain[0].1.steer(&Steer { leaving: Some(true), ..Steer::default() });
+
+    let caller = Caller::new(first.callers_address());
+    while retries_for_leaving(&first).await == 0 {
+        assert_eq!(page(&caller).await.outcome(), "answered");
+    }
+    let all = world.standins.addresses.backend_servers.iter().filter(|entry| entry.peer_address.is_none());
+    let left = all.count() as u64 - 1;
+    while servers_live(&second).await != left {
+        tokio::task::yield_now().await;
+    }
+    let caller = Caller::new(second.callers_address());
+    for _ in 0..CALLS {
+        assert_eq!(page(&caller).await.outcome(), "answered");
+    }
+    assert_eq!(retries_for_leaving(&second).await, 0, "the leaving server was called");
+    stop(first).await;
+    stop(second).await;
+}
--- a/crates/standins/tests/e2e/main.rs
+++ b/crates/standins/tests/e2e/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod crash;
 mod hosts;
+mod leaving;
 mod models;
 mod once;
 mod path;
