Bound callers' connections

Cause: nothing bounded them, and a host out of descriptors reaches no backend server either. Change: 8,192 at a time unless set; more wait to be accepted, and those that say nothing lose their place after the head's time. Ruled out: accepting and closing, which the balancer would take for a failing host.

--- a/crates/router/src/callers/listener.rs
+++ b/crates/router/src/callers/listener.rs
@@ -14,6 +14,7 @@
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use tower::util::BoxCloneService;
 use tower::{BoxError, ServiceBuilder, ServiceExt};
@@ -44,6 +45,9 @@
 pub struct ListenerSettings {
     /// Requests in work at a time; more are refused as overloaded.
     pub in_flight: usize,
+    /// Connections at a time; more wait to be accepted. Each takes a descriptor and some ten KB, and a host that
+    /// runs out of descriptors can reach no backend server either.
+    pub connections: usize,
     /// Largest request head.
     pub head_bytes: Bytes,
     /// Time for a request head to arrive.
@@ -52,7 +56,12 @@
 
 impl Default for ListenerSettings {
     fn default() -> Self {
-        Self { in_flight: 4_096, head_bytes: Bytes(32 << 10), head_timeout_ms: Millis(5_000) }
+        Self {
+            in_flight: 4_096,
+            connections: 8_192,
+            head_bytes: Bytes(32 << 10),
+            head_timeout_ms: Millis(5_000),
+        }
     }
 }
 
@@ -104,19 +113,23 @@
             .load_shed()
             .layer(tower::limit::GlobalConcurrencyLimitLayer::new(self.settings.in_flight))
             .service(CallerService::new(state));
+        let room = Arc::new(Semaphore::new(self.settings.connections));
         loop {
             let accepted = tokio::select! {
-                accepted = socket.accept() => accepted,
+                accepted = accept(&socket, &room) => accepted,
                 () = stop.cancelled() => break,
             };
-            let Ok((stream, _)) = accepted else {
+            let Ok(Accepted { stream, room: place }) = accepted else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
             let service = service.clone().boxed_clone();
             let connections = Arc::clone(&connections);
             let watcher = graceful.watcher();
-            tokio::spawn(async move { connections.serve(stream, service, watcher).await });
+            tokio::spawn(async move {
+                connections.serve(stream, service, watcher).await;
+                drop(place);
+            });
         }
         // Both handles go, so that a connection attempt is refused at once and the caller asks another host.
         drop(socket);
@@ -144,6 +157,18 @@
     }
 }
 
+/// A connection with its place among those that are served.
+struct Accepted {
+    stream: TcpStream,
+    room: OwnedSemaphorePermit,
+}
+
+async fn accept(socket: &TcpListener, room: &Arc<Semaphore>) -> io::Result<Accepted> {
+    let room = Arc::clone(room).acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, _) = socket.accept().await?;
+    Ok(Accepted { stream, room })
+}
+
 /// The library panics below this.
 const MIN_HTTP1_BUFFER_BYTES: usize = 8_192;
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -425,6 +425,7 @@
 
 fn listen(settings: &Settings) -> Result<Listener, StartError> {
     let listener_settings = ListenerSettings {
+        connections: settings.limits.connections,
         head_bytes: settings.limits.head_bytes,
         head_timeout_ms: settings.limits.head_timeout_ms,
         ..ListenerSettings::default()
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -165,6 +165,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LimitSettings {
+    /// Callers' connections at a time; more wait to be accepted.
+    pub connections: usize,
     /// Largest request body.
     pub body_bytes: Bytes,
     /// All request bodies held at a time; half of it is for one partner at most.
@@ -182,6 +184,7 @@
 impl Default for LimitSettings {
     fn default() -> Self {
         Self {
+            connections: 8_192,
             body_bytes: Bytes(4 << 20),
             held_body_bytes: Bytes(128 << 20),
             head_bytes: Bytes(32 << 10),
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -12,6 +12,7 @@
 use crate::settings::{PartnerSettings, Settings, TokenHash};
 
 const BODY_BYTES: RangeInclusive<u64> = 1_024..=256 << 20;
+const CONNECTIONS: RangeInclusive<u64> = 16..=1_000_000;
 const HELD_BODY_BYTES: RangeInclusive<u64> = 4_096..=64 << 30;
 const HEAD_BYTES: RangeInclusive<u64> = 1_024..=1 << 20;
 const CALLER_TIMEOUT_MS: RangeInclusive<u64> = 100..=600_000;
@@ -38,6 +39,7 @@
 fn check_numbers(settings: &Settings, text: &str, problems: &mut Vec<SettingsProblem>) {
     let Settings { limits, traffic, config, observe, peers, shift, .. } = settings;
     let numbers = [
+        ("limits.connections", limits.connections as u64, CONNECTIONS),
         ("limits.body_bytes", limits.body_bytes.0, BODY_BYTES),
         ("limits.held_body_bytes", limits.held_body_bytes.0, HELD_BODY_BYTES),
         ("limits.head_bytes", limits.head_bytes.0, HEAD_BYTES),
--- a/crates/standins/tests/e2e/bad_input.rs
+++ b/crates/standins/tests/e2e/bad_input.rs
@@ -337,3 +337,23 @@
     assert_eq!(answered.outcome(), "answered", "{}", answered.body);
     stop(daemon).await;
 }
+
+/// Somebody opens all the connections that a host serves and says nothing on them. Callers wait for a moment; were
+/// such connections kept, nobody would get in again.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_take_all_places_for_a_moment_only() {
+    let world = World::start(SMALL_PLAN).await;
+    let mut settings = world.settings("entry-1", &[]);
+    settings.limits.connections = 2;
+    settings.limits.head_timeout_ms = Millis(200);
+    let incarnation = new_incarnation();
+    let daemon = Daemon::start(&settings, Edges::new(&settings, incarnation), incarnation).expect("daemon");
+    daemon.ready().await;
+    let mut silent = Vec::new();
+    for _ in 0..4 {
+        silent.push(TcpStream::connect(daemon.callers_address()).await.expect("connection"));
+    }
+    assert_undisturbed(&world, &daemon).await;
+    drop(silent);
+    stop(daemon).await;
+}
