--- a/crates/router/tests/claims/fake.rs
+++ b/crates/router/tests/claims/fake.rs
@@ -157,7 +157,6 @@
         if cut.contains(to) || cut.contains(&self.from) {
             return;
         }
-        #[allow(irrefutable_let_patterns, reason = "other services have no messages yet")]
         let PeerBody::Claims(message) = body else { return };
         let kernels = self.network.kernels.lock();
         let Some(kernel) = kernels.get(to) else { return };
