--- a/crates/router/src/callers/head.rs
+++ b/crates/router/src/callers/head.rs
@@ -1,6 +1,6 @@
 //! What the router reads from a request's head.
 
-use hibiscusvale_core::ids::{ClassName, IdempotencyKey, PartnerId};
+use hibiscusvale_core::ids::{ClassName, IdempotencyKey};
 use hibiscusvale_core::ticket::Ticket;
 use http::HeaderMap;
 
@@ -8,7 +8,6 @@
 
 const CLASS_HEADER: &str = "x-class";
 const KEY_HEADER: &str = "idempotency-key";
-const ORGANISATION_HEADER: &str = "x-organisation";
 const REPEATABLE_HEADER: &str = "x-repeatable";
 const TICKET_HEADER: &str = "x-ticket";
 
@@ -17,8 +16,6 @@
 pub struct Head {
     /// Class of work.
     pub class: ClassName,
-    /// Organisation the work is for, where it is not the partner itself.
-    pub organisation: Option<PartnerId>,
     /// The caller's key.
     pub key: Option<IdempotencyKey>,
     /// What the caller said of running the request more than once.
@@ -43,13 +40,7 @@
             Some("false") => Some(false),
             Some(_) => return Err(Refusal::not_run(RefusalReason::BadHeader)),
         };
-        Ok(Self {
-            class,
-            organisation: parse(headers, ORGANISATION_HEADER)?,
-            marked_repeatable: marked,
-            key,
-            ticket: parse(headers, TICKET_HEADER)?,
-        })
+        Ok(Self { class, marked_repeatable: marked, key, ticket: parse(headers, TICKET_HEADER)? })
     }
 }
 
