Repeat releases by the core's own account of them

Cause: the daemon repeated cancellations by a loop of its own, while the core had a tested account of releases that are not confirmed and nobody used it. Change: one of them; a task sends what is due again.

--- a/crates/router/src/backend/engine.rs
+++ b/crates/router/src/backend/engine.rs
@@ -16,7 +16,7 @@
 use super::http::{CallFailure, Trust};
 
 /// The daemon's life on whose behalf an engine holds memory.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct Owner {
     /// The daemon's host.
     pub host: HostId,
@@ -46,7 +46,7 @@
 }
 
 /// Memory that is to be released.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Held {
     /// The try that holds it.
     pub attempt_id: AttemptId,
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -150,6 +150,7 @@
         let watcher = schedulers.watcher(settings, &edges, &control, &directory, &releases, &metrics);
         let control = control.run(watcher)?;
         traffic.spawn(schedulers.clone().run_timers());
+        traffic.spawn(Arc::clone(&releases).run());
         let observed = Observed::new(settings, &control, metrics, log);
         let operators_address = observed.serve(settings, incarnation, &control)?;
         let tasks = TaskTracker::new();
--- a/crates/router/src/dispatch/release.rs
+++ b/crates/router/src/dispatch/release.rs
@@ -5,40 +5,40 @@
 //! confirmation, or when the server is no longer listed: whatever comes back under its name starts empty.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{AttemptId, BackendServerId};
-use rand::RngExt;
+use hibiscusvale_core::orphan::{DueRelease, PendingReleases, ReleaseSettings};
+use parking_lot::Mutex;
 use tokio::runtime::Handle;
+use tokio::time::MissedTickBehavior;
 
 use crate::backend::{EngineEdge, Held};
+use crate::clock;
 use crate::directory::Directory;
 
-/// First pause between tries: several round trips inside a region.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// Time between looks at releases that are due again; below the first wait of any.
+const TICK: Duration = Duration::from_millis(50);
 
-/// Longest pause: an engine that comes back is relieved within about this time.
-const LONGEST_PAUSE: Duration = Duration::from_secs(2);
-
-/// Starts releases and counts those under way.
+/// Sends releases and counts those not confirmed.
 #[derive(Debug)]
 pub struct Releases {
     engines: Arc<dyn EngineEdge>,
     directory: Arc<Directory>,
     runtime: Handle,
-    under_way: AtomicUsize,
+    pending: Mutex<PendingReleases<Held>>,
 }
 
 impl Releases {
-    /// Makes releases that run on `runtime`.
+    /// Makes releases that are sent on `runtime`.
     pub fn new(engines: Arc<dyn EngineEdge>, directory: Arc<Directory>, runtime: Handle) -> Self {
-        Self { engines, directory, runtime, under_way: AtomicUsize::new(0) }
+        let pending = Mutex::new(PendingReleases::new(ReleaseSettings::default()));
+        Self { engines, directory, runtime, pending }
     }
 
     /// Releases not yet confirmed.
     pub fn under_way(&self) -> usize {
-        self.under_way.load(Ordering::Relaxed)
+        self.pending.lock().len()
     }
 
     /// Releases what this daemon's try holds at `server`.
@@ -48,32 +48,37 @@
 
     /// Releases what any daemon's try holds at `server`.
     pub fn release_held(self: &Arc<Self>, server: &BackendServerId, held: Held) {
-        self.under_way.fetch_add(1, Ordering::Relaxed);
-        let releases = Arc::clone(self);
-        let server = server.clone();
-        self.runtime.spawn(async move {
-            releases.until_confirmed(&server, &held).await;
-            releases.under_way.fetch_sub(1, Ordering::Relaxed);
-        });
+        self.pending.lock().want(clock::now(), server, held);
+        self.send_due();
     }
 
-    async fn until_confirmed(&self, server: &BackendServerId, held: &Held) {
-        let mut pause = FIRST_PAUSE;
+    /// Sends again what is not confirmed, for as long as the daemon runs.
+    pub async fn run(self: Arc<Self>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let Some(address) = self.directory.listing().servers.get(server).map(|server| server.address)
-            else {
-                return;
-            };
-            if self.engines.cancel(address, held.clone()).await.is_ok() {
-                return;
-            }
-            // Jitter keeps many releases towards an engine that comes back from arriving in one burst.
-            tokio::time::sleep(jittered(pause)).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
+            tick.tick().await;
+            self.send_due();
         }
     }
-}
 
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+    fn send_due(self: &Arc<Self>) {
+        let due = self.pending.lock().due(clock::now());
+        if due.is_empty() {
+            return;
+        }
+        let listing = self.directory.listing();
+        for DueRelease { server, item } in due {
+            let Some(address) = listing.servers.get(&server).map(|server| server.address) else {
+                self.pending.lock().server_gone(&server);
+                continue;
+            };
+            let releases = Arc::clone(self);
+            self.runtime.spawn(async move {
+                if releases.engines.cancel(address, item.clone()).await.is_ok() {
+                    releases.pending.lock().confirmed(&server, &item);
+                }
+            });
+        }
+    }
 }
