--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -77,7 +77,8 @@
 #[derive(Clone, Debug)]
 pub struct Attempts {
     repeatability: Repeatability,
-    left: u32,
+    limit: u32,
+    made: u32,
     under_way: u32,
     may_have_run: bool,
     answered: bool,
@@ -89,7 +90,8 @@
     pub fn new(repeatability: Repeatability, limit: u32) -> Self {
         Self {
             repeatability,
-            left: limit,
+            limit,
+            made: 0,
             under_way: 0,
             may_have_run: false,
             answered: false,
@@ -103,6 +105,18 @@
     ///
     /// [`NoRetry`].
     pub fn begin(&mut self) -> Result<(), NoRetry> {
+        self.may_begin()?;
+        self.made += 1;
+        self.under_way += 1;
+        Ok(())
+    }
+
+    /// Whether another attempt may begin.
+    ///
+    /// # Errors
+    ///
+    /// [`NoRetry`].
+    pub fn may_begin(&self) -> Result<(), NoRetry> {
         if self.reported.is_some() {
             return Err(NoRetry::Reported);
         }
@@ -110,9 +124,12 @@
         if self.repeatability == Repeatability::AtMostOnce && may_have_run {
             return Err(NoRetry::MayHaveRun);
         }
-        self.left = self.left.checked_sub(1).ok_or(NoRetry::Exhausted)?;
-        self.under_way += 1;
-        Ok(())
+        if self.made >= self.limit { Err(NoRetry::Exhausted) } else { Ok(()) }
+    }
+
+    /// Attempts begun so far.
+    pub fn made(&self) -> u32 {
+        self.made
     }
 
     /// Ends an attempt. Returns whether its answer, if it brought one, is the one for the caller: that of a
@@ -139,7 +156,8 @@
         *self.reported.get_or_insert(outcome)
     }
 
-    fn outcome(&self) -> Outcome {
+    /// The outcome as it stands, should the caller be told now.
+    pub fn outcome(&self) -> Outcome {
         if self.answered {
             Outcome::Answered
         } else if self.may_have_run || self.under_way > 0 {
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::ids::{BackendServerId, PartnerId, RequestId};
+use crate::outcome::{AttemptEnd, Attempts, NoRetry, Outcome, Repeatability};
 use crate::slots::{FairQueue, QueueSettings, Waiting};
 use crate::units::{Micros, Millis, MonoTime};
 
@@ -55,9 +56,8 @@
 struct Call {
     arrival: PlainArrival,
     arrived_us: MonoTime,
-    attempts: u32,
-    /// Whether an attempt may have run.
-    may_have_run: bool,
+    /// Its tries, and what they prove.
+    tries: Attempts,
     at: Option<(usize, MonoTime)>,
     failed_at: Option<usize>,
     retry_at_us: Option<MonoTime>,
@@ -156,15 +156,10 @@
         }
         let patience_us = Micros::from(arrival.patience_ms);
         let entry = self.waiting(now_us, &arrival);
-        let call = Call {
-            arrival,
-            arrived_us: now_us,
-            attempts: 0,
-            may_have_run: false,
-            at: None,
-            failed_at: None,
-            retry_at_us: None,
-        };
+        let repeatability =
+            if arrival.repeatable { Repeatability::Repeatable } else { Repeatability::AtMostOnce };
+        let tries = Attempts::new(repeatability, self.settings.attempts_max);
+        let call = Call { arrival, arrived_us: now_us, tries, at: None, failed_at: None, retry_at_us: None };
         let wait_us = self.queue.forecast(now_us, &entry, self.pace(now_us)).wait_us;
         let full = self.queue.is_full(&entry.partner, false);
         self.calls.insert(request_id, call);
@@ -244,7 +239,10 @@
         let Some(call) = self.calls.get_mut(&request_id) else {
             return true;
         };
-        call.attempts += 1;
+        if call.tries.begin().is_err() {
+            self.give_up(request_id, actions);
+            return true;
+        }
         call.at = Some((index, now_us));
         let fresh_connection = !call.arrival.repeatable;
         self.instances[index].start(now_us);
@@ -332,9 +330,8 @@
             return;
         };
         call.failed_at = Some(index);
-        let proven_not_run =
-            matches!(cause, FailureCause::NotSent | FailureCause::NoRoom | FailureCause::Leaving);
-        call.may_have_run |= !proven_not_run;
+        // What a failed try brought is never an answer for the caller.
+        let _ = call.tries.end(end_of(cause));
         if self.instances[index].fail(now_us, cause, may_set_aside) {
             self.counters.ejected_mute += 1;
         }
@@ -347,14 +344,14 @@
         let Some(call) = self.calls.get_mut(&request_id) else {
             return;
         };
-        if call.may_have_run && !call.arrival.repeatable {
+        if call.tries.may_begin() == Err(NoRetry::MayHaveRun) {
             self.unknown(request_id, actions);
             return;
         }
         let budget = self.budgets.get_mut(&call.arrival.partner);
-        let paid = call.attempts < self.settings.attempts_max && budget.is_some_and(RetryBudget::withdraw);
+        let paid = call.tries.may_begin().is_ok() && budget.is_some_and(RetryBudget::withdraw);
         if paid {
-            let doubled = call.attempts.min(self.settings.attempts_max);
+            let doubled = call.tries.made();
             let longest_us = Micros::from(self.settings.backoff_ms).0 << doubled;
             let at_us = now_us + Micros(self.rng.random_range(0..=longest_us));
             call.retry_at_us = Some(at_us);
@@ -363,13 +360,22 @@
             return;
         }
         self.counters.retries_denied += 1;
-        if call.may_have_run {
+        self.give_up(request_id, actions);
+    }
+
+    /// Ends a call that is not tried again, by what its tries prove.
+    fn give_up(&mut self, request_id: RequestId, actions: &mut Vec<PlainAction>) {
+        if self.may_have_run(request_id) {
             self.unknown(request_id, actions);
         } else {
             self.refuse(request_id, PlainRefusal::RetriesSpent, Micros::ZERO, actions);
         }
     }
 
+    fn may_have_run(&self, request_id: RequestId) -> bool {
+        self.calls.get(&request_id).is_some_and(|call| call.tries.outcome() == Outcome::Unknown)
+    }
+
     fn requeue_due(&mut self, now_us: MonoTime) {
         let mut due = Vec::new();
         self.retries.retain(|&(at_us, request_id)| {
@@ -395,8 +401,7 @@
     /// Refuses calls whose patience ended in the queue.
     fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
         while let Some(entry) = self.queue.take_expired(now_us) {
-            let may_have_run = self.calls.get(&entry.request_id).is_some_and(|call| call.may_have_run);
-            if may_have_run {
+            if self.may_have_run(entry.request_id) {
                 self.unknown(entry.request_id, actions);
             } else {
                 self.refuse(entry.request_id, PlainRefusal::WouldWaitTooLong, entry.work_us, actions);
@@ -453,3 +458,14 @@
 
 /// Instances whose latency is looked at for the usual one.
 const MEDIAN_OF: usize = 16;
+
+/// What a failed try proves.
+fn end_of(cause: FailureCause) -> AttemptEnd {
+    match cause {
+        FailureCause::NotSent => AttemptEnd::NotSent,
+        FailureCause::NoRoom | FailureCause::Leaving => AttemptEnd::Declined,
+        FailureCause::Timeout | FailureCause::Broken | FailureCause::Gone | FailureCause::Refused => {
+            AttemptEnd::MayHaveRun
+        }
+    }
+}
