Use the load budget and tell when control is over its own

Cause: two small rules were tested and used by nobody: how many loads may run, which the planner compared by itself, and whether control takes more than a host may spend. Change: the planner asks the one; each second over the other is an event, control-over-budget.

--- a/crates/core/src/sched/shift.rs
+++ b/crates/core/src/sched/shift.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use crate::ids::{BackendServerId, ModelId};
+use crate::order::LoadBudget;
 use crate::slots::Role;
 use crate::units::{Bytes, BytesPerSecond, Micros, Millis, MonoTime};
 
@@ -258,7 +259,8 @@
         store_rate: BytesPerSecond,
         orders: &mut Vec<ShiftOrder>,
     ) {
-        let busy = self.draining.len() + self.loading.len() >= self.settings.at_once;
+        let under_way = self.draining.len() + self.loading.len();
+        let busy = LoadBudget { limit: self.settings.at_once }.admit(under_way).is_err();
         let Some(pool) = self.pools.get_mut(&wanted.model) else {
             return;
         };
--- a/crates/router/src/figures.rs
+++ b/crates/router/src/figures.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::membership::{MembersView, MembershipCounts};
-use hibiscusvale_core::meter::ControlUsage;
+use hibiscusvale_core::meter::{ControlBudget, ControlUsage};
 use hibiscusvale_core::sched::Counters;
 use hibiscusvale_core::slots::LedgerCounters;
 use hibiscusvale_core::spread::SpreadCounts;
@@ -66,6 +66,7 @@
     TurnReturned,
     RetryDenied,
     SlotUnconfirmed,
+    ControlOverBudget,
 }
 
 impl Label for Happened {
@@ -79,6 +80,7 @@
             Self::TurnReturned => "turn-returned",
             Self::RetryDenied => "retry-denied",
             Self::SlotUnconfirmed => "slot-unconfirmed",
+            Self::ControlOverBudget => "control-over-budget",
         }
     }
 }
@@ -131,6 +133,10 @@
 
     fn set_gauges(&self) {
         let usage = self.usage.load();
+        if usage.is_over(&ControlBudget::default()) {
+            // A second in which control took more than a host may spend on it.
+            self.metrics.event(Happened::ControlOverBudget);
+        }
         let now_us = clock::now();
         let listing = self.directory.listing();
         let live =
