Wake schedulers by one alarm, and look servers up in one place

Change: one alarm, one look-up in the directory, and the set of served models made once for each change of the list. Behaviour is as before.

--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -3,7 +3,7 @@
 //! The list lags by some seconds. A server that refuses work because it is leaving is believed at once, here
 //! and on the daemons that are told, so that no new work reaches it while the list still calls it live.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -100,6 +100,8 @@
     pub servers: HashMap<BackendServerId, Arc<BackendServer>>,
     /// Entry hosts.
     pub entry_hosts: Vec<EntryHost>,
+    /// Models that any listed engine serves. Each request asks for one, and the list has thousands of engines.
+    pub models: HashSet<ModelId>,
 }
 
 impl Listing {
@@ -182,7 +184,8 @@
 
     /// Puts a new listing in force. There is one reader, so none arrives late; a version below the last one says
     /// that the platform's service was set up anew.
-    pub fn adopt(&self, listing: Listing) {
+    pub fn adopt(&self, mut listing: Listing) {
+        listing.models = models_of(&listing.servers);
         let version = listing.version;
         self.listing.store(Arc::new(listing));
         self.version.send_replace(version);
@@ -203,6 +206,11 @@
         }
     }
 
+    /// Where a server takes requests, if it is listed.
+    pub fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
+        self.listing().servers.get(server).map(|server| server.address)
+    }
+
     /// Changes with the listing's version.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
@@ -229,6 +237,14 @@
     }
 }
 
+fn models_of(servers: &HashMap<BackendServerId, Arc<BackendServer>>) -> HashSet<ModelId> {
+    let models = servers.values().flat_map(|server| match &server.kind {
+        BackendKind::Engine { models, .. } => models.as_slice(),
+        BackendKind::Plain { .. } => &[],
+    });
+    models.cloned().collect()
+}
+
 /// Follows the platform's list for as long as the daemon runs. While the list cannot be read the last one
 /// stays in force: a data centre cut off from the platform goes on with the servers it knows.
 pub async fn follow<List>(list: Arc<List>, directory: Arc<Directory>)
--- a/crates/router/src/dispatch/hub.rs
+++ b/crates/router/src/dispatch/hub.rs
@@ -6,16 +6,15 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hibiscusvale_core::ids::{AttemptId, BackendServerId, RequestId};
 use hibiscusvale_core::sched::{Action, Arrival, Attempt, Counters, Event, Scheduler, SchedulerSettings};
 use hibiscusvale_core::slots::SlotMessage;
-use hibiscusvale_core::units::MonoTime;
 use parking_lot::Mutex;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::Releases;
+use super::alarm::Alarm;
 use crate::clock;
 use crate::slot_route::SlotRoute;
 
@@ -39,7 +38,7 @@
     state: Mutex<State>,
     route: SlotRoute,
     releases: Arc<Releases>,
-    wake_at_us: watch::Sender<MonoTime>,
+    alarm: Alarm,
 }
 
 /// What is left to do after a decision, outside the lock.
@@ -60,7 +59,7 @@
     pub fn new(settings: SchedulerSettings, seed: u64, route: SlotRoute, releases: Arc<Releases>) -> Self {
         let state =
             State { scheduler: Scheduler::new(settings, seed), open: HashMap::new(), actions: Vec::new() };
-        Self { state: Mutex::new(state), route, releases, wake_at_us: watch::Sender::new(MonoTime(u64::MAX)) }
+        Self { state: Mutex::new(state), route, releases, alarm: Alarm::new() }
     }
 
     /// Takes a request in. Its actions arrive on the returned inbox, which closes when it has ended.
@@ -85,7 +84,7 @@
             let state = &mut *state;
             state.scheduler.handle(clock::now(), event, &mut state.actions);
             for action in state.actions.drain(..) {
-                route(&mut state.open, action, &mut effects, &self.wake_at_us);
+                route(&mut state.open, action, &mut effects, &self.alarm);
             }
         }
         for message in effects.messages {
@@ -108,33 +107,11 @@
 
     /// Lets time pass for the scheduler, for as long as the daemon runs.
     pub async fn run_timers(&self) {
-        let mut wake_at_us = self.wake_at_us.subscribe();
-        loop {
-            let at_us = *wake_at_us.borrow_and_update();
-            tokio::select! {
-                () = tokio::time::sleep(until(at_us)) => {
-                    self.wake_at_us.send_replace(MonoTime(u64::MAX));
-                    self.feed(Event::Tick);
-                }
-                changed = wake_at_us.changed() => if changed.is_err() { return },
-            }
-        }
+        self.alarm.run(|| self.feed(Event::Tick)).await;
     }
 }
 
-/// The longest sleep; a tick without need is harmless.
-const LONGEST_SLEEP: Duration = Duration::from_secs(1);
-
-fn until(at_us: MonoTime) -> Duration {
-    Duration::from(at_us.since(clock::now())).min(LONGEST_SLEEP)
-}
-
-fn route(
-    open: &mut HashMap<RequestId, Open>,
-    action: Action,
-    effects: &mut Effects,
-    wake_at_us: &watch::Sender<MonoTime>,
-) {
+fn route(open: &mut HashMap<RequestId, Open>, action: Action, effects: &mut Effects, alarm: &Alarm) {
     match action {
         Action::Send(message) => effects.messages.push(message),
         Action::Cancel { request_id, server } => {
@@ -143,13 +120,7 @@
                 effects.releases.push(Release { server, attempt_id });
             }
         }
-        Action::Wake { at_us } => {
-            wake_at_us.send_if_modified(|known_us| {
-                let sooner = at_us < *known_us;
-                *known_us = at_us.min(*known_us);
-                sooner
-            });
-        }
+        Action::Wake { at_us } => alarm.set(at_us),
         Action::StartPrefill { request_id, attempt, .. } => {
             if let Some(open) = open.get_mut(&request_id) {
                 open.attempt = attempt;
--- a/crates/router/src/dispatch/language.rs
+++ b/crates/router/src/dispatch/language.rs
@@ -285,7 +285,7 @@
         server: &BackendServerId,
         call: PrefillCall,
     ) -> Result<Prefilled, EngineFailure> {
-        let to = self.dispatcher.address_of(server).ok_or(CallFailure::NotSent)?;
+        let to = self.dispatcher.directory.address_of(server).ok_or(CallFailure::NotSent)?;
         let engines = &self.dispatcher.engines;
         let first = engines.prefill(to, call.clone(), Trust::Pooled);
         on_second_connection(first, || engines.prefill(to, call, Trust::Fresh)).await
@@ -299,11 +299,11 @@
     }
 
     async fn ask_import(&self, attempt: Attempt, route: &ImportRoute) -> Result<Imported, EngineFailure> {
-        let to = self.dispatcher.address_of(&route.server).ok_or(CallFailure::NotSent)?;
+        let to = self.dispatcher.directory.address_of(&route.server).ok_or(CallFailure::NotSent)?;
         let call = ImportCall {
             attempt_id: self.attempt_id(attempt),
             model: self.request.model.clone(),
-            source: self.dispatcher.address_of(&route.source).ok_or(EngineFailure::Gone)?,
+            source: self.dispatcher.directory.address_of(&route.source).ok_or(EngineFailure::Gone)?,
             priority: route.priority,
             rate_bytes_per_s: route.rate_bytes_per_s,
             timeout_ms: CALL_LIMIT_MS,
@@ -337,7 +337,7 @@
         resume: bool,
         silence_ms: Millis,
     ) -> Result<(), EngineFailure> {
-        let to = self.dispatcher.address_of(server).ok_or(CallFailure::NotSent)?;
+        let to = self.dispatcher.directory.address_of(server).ok_or(CallFailure::NotSent)?;
         let call = DecodeCall {
             attempt_id: self.attempt_id(attempt),
             max_tokens: self.request.max_tokens,
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Carries requests through backend servers and sees to it that each ends in one of three outcomes.
 
+mod alarm;
 mod demand;
 mod forward;
 mod hub;
@@ -11,10 +12,9 @@
 mod prefix;
 mod release;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{BackendServerId, HostId, ModelId};
+use hibiscusvale_core::ids::{BackendServerId, HostId};
 use hibiscusvale_core::spread::ServerSign;
 use hibiscusvale_core::units::Millis;
 use tokio::runtime::Handle;
@@ -25,7 +25,7 @@
 use crate::callers::{LanguageRequest, Refusal, RefusalReason};
 use crate::claims::ClaimsHandle;
 use crate::clock;
-use crate::directory::{BackendKind, Directory};
+use crate::directory::Directory;
 use crate::spread::SpreadRequest;
 use crate::tickets::Tickets;
 
@@ -113,7 +113,7 @@
         target: LanguageTarget,
     ) -> Result<mpsc::Receiver<AnswerPart>, Refusal> {
         self.demand.note(&request.model);
-        if !self.serves(&request.model) {
+        if !self.directory.listing().models.contains(&request.model) {
             return Err(Refusal::not_run(RefusalReason::UnknownModel));
         }
         let (sender, receiver) = mpsc::channel(PARTS_IN_FLIGHT);
@@ -121,17 +121,6 @@
         Ok(receiver)
     }
 
-    fn serves(&self, model: &ModelId) -> bool {
-        self.directory.listing().servers.values().any(|server| match &server.kind {
-            BackendKind::Engine { models, .. } => models.contains(model),
-            BackendKind::Plain { .. } => false,
-        })
-    }
-
-    fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
-        self.directory.listing().servers.get(server).map(|server| server.address)
-    }
-
     /// Believes a server that it is leaving, and tells the other daemons: the platform's list lags.
     fn note_leaving(&self, server: &BackendServerId) {
         if self.directory.note_leaving(clock::now(), server) {
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -124,7 +124,7 @@
     server: &BackendServerId,
     call: PlainCall,
 ) -> Result<PlainReply, PlainFailure> {
-    let address = dispatcher.address_of(server).ok_or(PlainFailure::NotSent)?;
+    let address = dispatcher.directory.address_of(server).ok_or(PlainFailure::NotSent)?;
     let result = dispatcher.plain_services.call(address, call).await;
     if let Err(PlainFailure::Leaving) = result {
         dispatcher.note_leaving(server);
--- a/crates/router/src/dispatch/plain_hub.rs
+++ b/crates/router/src/dispatch/plain_hub.rs
@@ -2,23 +2,19 @@
 //! each service; see [`super::Hub`] for the shape.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use hibiscusvale_core::ids::{BackendServerId, RequestId};
 use hibiscusvale_core::sched::{
     PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler, PlainSettings, Sign,
 };
-use hibiscusvale_core::units::MonoTime;
 use parking_lot::Mutex;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
+use super::alarm::Alarm;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
 use crate::platform::ListedState;
 
-/// The longest sleep; a tick without need is harmless.
-const LONGEST_SLEEP: Duration = Duration::from_secs(1);
-
 #[derive(Debug)]
 struct Service {
     scheduler: PlainScheduler,
@@ -29,7 +25,7 @@
 #[derive(Debug)]
 pub struct PlainHub {
     services: Mutex<HashMap<String, Service>>,
-    wake_at_us: watch::Sender<MonoTime>,
+    alarm: Alarm,
     seed: u64,
 }
 
@@ -66,7 +62,7 @@
 impl PlainHub {
     /// A hub that knows no services; its schedulers draw their random choices from `seed`.
     pub fn new(seed: u64) -> Self {
-        Self { services: Mutex::default(), wake_at_us: watch::Sender::new(MonoTime(u64::MAX)), seed }
+        Self { services: Mutex::default(), alarm: Alarm::new(), seed }
     }
 
     /// Takes a call in. `None` when no such service is listed.
@@ -108,8 +104,12 @@
 
     /// Tells the schedulers of a sign of a server.
     pub fn sign(&self, server: &BackendServerId, sign: Sign) {
+        self.feed_all(&PlainEvent::Sign { server: server.clone(), sign });
+    }
+
+    fn feed_all(&self, event: &PlainEvent) {
         for service in self.names() {
-            self.feed(&service, PlainEvent::Sign { server: server.clone(), sign });
+            self.feed(&service, event.clone());
         }
     }
 
@@ -131,7 +131,7 @@
         service.scheduler.handle(clock::now(), event, &mut actions);
         for action in actions {
             match &action {
-                PlainAction::Wake { at_us } => self.wake(*at_us),
+                PlainAction::Wake { at_us } => self.alarm.set(*at_us),
                 PlainAction::Dispatch { request_id, .. }
                 | PlainAction::Refuse { request_id, .. }
                 | PlainAction::Unknown { request_id } => {
@@ -144,28 +144,8 @@
         }
     }
 
-    fn wake(&self, at_us: MonoTime) {
-        self.wake_at_us.send_if_modified(|known_us| {
-            let sooner = at_us < *known_us;
-            *known_us = at_us.min(*known_us);
-            sooner
-        });
-    }
-
     /// Lets time pass for the schedulers, for as long as the daemon runs.
     pub async fn run_timers(&self) {
-        let mut wake_at_us = self.wake_at_us.subscribe();
-        loop {
-            let wait = Duration::from(wake_at_us.borrow_and_update().since(clock::now())).min(LONGEST_SLEEP);
-            tokio::select! {
-                () = tokio::time::sleep(wait) => {
-                    self.wake_at_us.send_replace(MonoTime(u64::MAX));
-                    for service in self.names() {
-                        self.feed(&service, PlainEvent::Tick);
-                    }
-                }
-                changed = wake_at_us.changed() => if changed.is_err() { return },
-            }
-        }
+        self.alarm.run(|| self.feed_all(&PlainEvent::Tick)).await;
     }
 }
--- a/crates/router/src/dispatch/release.rs
+++ b/crates/router/src/dispatch/release.rs
@@ -67,9 +67,8 @@
         if due.is_empty() {
             return;
         }
-        let listing = self.directory.listing();
         for DueRelease { server, item } in due {
-            let Some(address) = listing.servers.get(&server).map(|server| server.address) else {
+            let Some(address) = self.directory.address_of(&server) else {
                 self.pending.lock().server_gone(&server);
                 continue;
             };
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -314,7 +314,7 @@
             return;
         }
         self.read_us.insert(server.clone(), now_us);
-        let Some(address) = self.address_of(&server) else {
+        let Some(address) = self.parts.directory.address_of(&server) else {
             return;
         };
         let reads = self.ledgers.ledger(&server).is_some_and(|ledger| ledger.role() == Role::Prefill);
@@ -364,7 +364,7 @@
             self.orphans.entry(server.clone()).or_insert_with(|| OrphanWatch::new(OrphanSettings::default()));
         let full = load.slots_total > 0 && load.slots_used >= load.slots_total;
         let orphans = watch.orphans(now_us, full, seen);
-        let Some(address) = self.address_of(server) else {
+        let Some(address) = self.parts.directory.address_of(server) else {
             return;
         };
         for MemoryOwner { host, incarnation } in orphans {
@@ -374,10 +374,6 @@
         }
     }
 
-    fn address_of(&self, server: &BackendServerId) -> Option<SocketAddr> {
-        self.parts.directory.listing().servers.get(server).map(|server| server.address)
-    }
-
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
