Give the spreading service the machine's own events

Cause: its inbox took a second enum that named the machine's events once more and was translated line by line. Change: the inbox takes the events.

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -14,7 +14,7 @@
     Adopted, ConfigFold, ConfigState, Intake, LogBounds, LogView, SealedCheckpoint,
 };
 use hibiscusvale_core::ids::Offset;
-use hibiscusvale_core::spread::{ConfigRecord, RecordData, StateHash};
+use hibiscusvale_core::spread::{ConfigRecord, RecordData, SpreadEvent, StateHash};
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior};
@@ -28,7 +28,7 @@
 use crate::metrics::{Gauge, Metrics};
 use crate::platform::LogPage;
 use crate::settings::ConfigSettings;
-use crate::spread::{ConfigFeed, SpreadRequest};
+use crate::spread::ConfigFeed;
 
 /// Time between two looks at what is due.
 const TICK_MS: Millis = Millis(250);
@@ -40,7 +40,7 @@
     fold: ConfigFold,
     reader: LogReader,
     writer: CheckpointWriter,
-    spread: Option<mpsc::Sender<SpreadRequest>>,
+    spread: Option<mpsc::Sender<SpreadEvent>>,
     logging: logging::Log,
     metrics: Metrics,
     state: Arc<ArcSwap<ConfigState>>,
@@ -187,7 +187,7 @@
         let Ok(data) = postcard::to_allocvec(&checkpoint) else {
             return;
         };
-        self.tell_spread(SpreadRequest::State { next_offset: checkpoint.next_offset, data: Arc::from(data) });
+        self.tell_spread(SpreadEvent::State { next_offset: checkpoint.next_offset, data: Arc::from(data) });
     }
 
     fn take_read(&mut self, outcome: ReadOutcome, now_us: MonoTime) {
@@ -218,7 +218,7 @@
             });
         }
         if !relayed.is_empty() {
-            self.tell_spread(SpreadRequest::LogRecords(relayed));
+            self.tell_spread(SpreadEvent::LogRecords(relayed));
         }
         self.writer.observe(&self.fold, page, now_us);
     }
@@ -254,7 +254,7 @@
             self.version.send_replace(state.next_offset());
             self.metrics.set(Gauge::ConfigVersion, state.next_offset().0);
             self.logging.config_in_force(state.next_offset());
-            self.tell_spread(SpreadRequest::Applied {
+            self.tell_spread(SpreadEvent::Applied {
                 next_offset: self.current.next_offset,
                 state: self.current.state,
             });
@@ -282,7 +282,7 @@
 
     /// Control never waits for control: the spreading service may be waiting for room here. What it misses is
     /// mended by its digests.
-    fn tell_spread(&self, request: SpreadRequest) {
+    fn tell_spread(&self, request: SpreadEvent) {
         let Some(spread) = &self.spread else {
             return;
         };
--- a/crates/router/src/config/parts.rs
+++ b/crates/router/src/config/parts.rs
@@ -7,14 +7,13 @@
 use hibiscusvale_core::config::{CheckpointKey, ConfigState, LogView, PublisherKeys, SeenCheckpoint};
 use hibiscusvale_core::ids::{HostId, Offset, PartnerId};
 use hibiscusvale_core::membership::MembersView;
-use hibiscusvale_core::spread::StateHash;
+use hibiscusvale_core::spread::{SpreadEvent, StateHash};
 use tokio::sync::{mpsc, watch};
 
 use crate::logging;
 use crate::metrics::{Label, Metrics};
 use crate::platform::{Log, LogFailure};
 use crate::settings::{ConfigSettings, Settings};
-use crate::spread::SpreadRequest;
 
 /// What the configuration service of one daemon works with.
 #[derive(Debug)]
@@ -32,7 +31,7 @@
     /// Who lives.
     pub members: Arc<ArcSwap<MembersView>>,
     /// The spreading service. Without one the daemon reads the log itself, always.
-    pub spread: Option<mpsc::Sender<SpreadRequest>>,
+    pub spread: Option<mpsc::Sender<SpreadEvent>>,
     /// Where it logs.
     pub logging: logging::Log,
     /// Where it counts.
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 use hibiscusvale_core::ids::{BackendServerId, HostId};
-use hibiscusvale_core::spread::ServerSign;
+use hibiscusvale_core::spread::{ServerSign, SpreadEvent};
 use hibiscusvale_core::units::Millis;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
@@ -26,7 +26,6 @@
 use crate::claims::ClaimsHandle;
 use crate::clock;
 use crate::directory::Directory;
-use crate::spread::SpreadRequest;
 use crate::tickets::Tickets;
 
 pub use demand::Demand;
@@ -97,7 +96,7 @@
     /// What is noted of requests.
     pub observer: Observer,
     /// Learns which servers are leaving, to tell the other daemons.
-    pub spread: mpsc::Sender<SpreadRequest>,
+    pub spread: mpsc::Sender<SpreadEvent>,
 }
 
 impl Dispatcher {
@@ -124,7 +123,7 @@
     /// Believes a server that it is leaving, and tells the other daemons: the platform's list lags.
     fn note_leaving(&self, server: &BackendServerId) {
         if self.directory.note_leaving(clock::now(), server) {
-            let saw = SpreadRequest::Saw { server: server.clone(), sign: ServerSign::Leaving };
+            let saw = SpreadEvent::Saw { server: server.clone(), sign: ServerSign::Leaving };
             // A sign that does not get through is seen again with the next refusal.
             let _ = self.spread.try_send(saw);
         }
--- a/crates/router/src/inbound.rs
+++ b/crates/router/src/inbound.rs
@@ -4,6 +4,7 @@
 
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::sched::Event;
+use hibiscusvale_core::spread::SpreadEvent;
 use tokio::sync::mpsc;
 
 use crate::claims::ClaimsCommand;
@@ -12,7 +13,6 @@
 use crate::listing_service::ListingRequest;
 use crate::membership::MembershipRequest;
 use crate::peer::{Inbound, PeerBody, PeerMessage};
-use crate::spread::SpreadRequest;
 use crate::watcher::WatcherCommand;
 
 /// The way of a message from the link to an inbox.
@@ -62,7 +62,7 @@
             }
         }
         PeerBody::Spread(message) => {
-            kernel.find(ServiceName::Spread)?.try_send(SpreadRequest::Peer { from, message })?;
+            kernel.find(ServiceName::Spread)?.try_send(SpreadEvent::Message { from, message })?;
         }
         PeerBody::Watching(servers) => register(hubs, servers),
     }
--- a/crates/router/src/leases.rs
+++ b/crates/router/src/leases.rs
@@ -17,7 +17,7 @@
 use hibiscusvale_core::lease::{Lease, LeaseFold, LeaseHolder, LeaseRecord, LeaseSettings};
 use hibiscusvale_core::membership::MembersView;
 use hibiscusvale_core::sched::{ShiftOrder, ShiftPlanner, ShiftSettings};
-use hibiscusvale_core::spread::ServerSign;
+use hibiscusvale_core::spread::{ServerSign, SpreadEvent};
 use hibiscusvale_core::units::{Millis, MonoTime};
 use hibiscusvale_core::watch::{JobHash, owners_in};
 use tokio::sync::mpsc;
@@ -31,7 +31,6 @@
 use crate::directory::Directory;
 use crate::dispatch::Demand;
 use crate::platform::{AppendError, Log, LogFailure, Stream, WeightStore, WeightStoreInfo};
-use crate::spread::SpreadRequest;
 
 /// Time between two looks at lease and engines.
 const TICK: Duration = Duration::from_secs(1);
@@ -64,7 +63,7 @@
     /// Which models are asked for here.
     pub demand: Arc<Demand>,
     /// Tells all daemons which engines are to get no new work.
-    pub spread: mpsc::Sender<SpreadRequest>,
+    pub spread: mpsc::Sender<SpreadEvent>,
     /// When to shift.
     pub shift: ShiftSettings,
 }
@@ -228,7 +227,7 @@
 
     fn say(&self, server: &BackendServerId, sign: ServerSign) {
         // Said again with the next look while the drain lasts; a lost end of it runs out by itself.
-        let _ = self.parts.spread.try_send(SpreadRequest::Saw { server: server.clone(), sign });
+        let _ = self.parts.spread.try_send(SpreadEvent::Saw { server: server.clone(), sign });
     }
 
     async fn read_store(&mut self) {
--- a/crates/router/src/spread.rs
+++ b/crates/router/src/spread.rs
@@ -3,11 +3,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Offset};
+use hibiscusvale_core::ids::{DataCentreId, HostId, Offset};
 use hibiscusvale_core::membership::MembersView;
 use hibiscusvale_core::spread::{
-    ConfigRecord, ModelLoad, ServerSign, Spread, SpreadAction, SpreadCounts, SpreadEvent, SpreadMessage,
-    SpreadSettings, SpreadView, StateHash,
+    ConfigRecord, Spread, SpreadAction, SpreadCounts, SpreadEvent, SpreadSettings, SpreadView,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
@@ -15,43 +14,6 @@
 use crate::clock;
 use crate::peer::{PeerBody, PeerLink};
 
-/// What the spreading service takes in its inbox.
-#[derive(Clone, Debug)]
-pub enum SpreadRequest {
-    /// A message of another daemon.
-    Peer {
-        /// Its host.
-        from: HostId,
-        /// What it says.
-        message: SpreadMessage,
-    },
-    /// Records read from the log, or appended to it by this daemon.
-    LogRecords(Vec<ConfigRecord>),
-    /// The configuration in force.
-    Applied {
-        /// The first offset it lacks.
-        next_offset: Offset,
-        /// Its hash.
-        state: StateHash,
-    },
-    /// The encoded state, after [`ConfigFeed::ProvideState`].
-    State {
-        /// The first offset it lacks.
-        next_offset: Offset,
-        /// Its encoding.
-        data: Arc<[u8]>,
-    },
-    /// This daemon saw a server refusing, leaving, or taking work again.
-    Saw {
-        /// The server.
-        server: BackendServerId,
-        /// What it did.
-        sign: ServerSign,
-    },
-    /// Load of the servers that this daemon watches.
-    Load(Vec<ModelLoad>),
-}
-
 /// What the spreading service tells the service that folds the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigFeed {
@@ -64,7 +26,7 @@
         /// Its encoding.
         data: Arc<[u8]>,
     },
-    /// Another daemon needs the encoded state: answer with [`SpreadRequest::State`].
+    /// Another daemon needs the encoded state: answer with [`SpreadEvent::State`].
     ProvideState,
     /// Whether this daemon is to read the configuration stream from the log.
     ReadLog(bool),
@@ -136,7 +98,7 @@
     }
 
     /// Runs until the inbox closes.
-    pub async fn run(mut self, mut inbox: mpsc::Receiver<SpreadRequest>) {
+    pub async fn run(mut self, mut inbox: mpsc::Receiver<SpreadEvent>) {
         let mut ticks = tokio::time::interval(self.settings.tick_ms.into());
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -144,7 +106,7 @@
                 _ = ticks.tick() => self.handle(SpreadEvent::Tick).await,
                 request = inbox.recv() => {
                     let Some(request) = request else { return };
-                    self.handle(event_of(request)).await;
+                    self.handle(request).await;
                 }
             }
         }
@@ -188,14 +150,3 @@
         let _ = self.feed.send(feed).await;
     }
 }
-
-fn event_of(request: SpreadRequest) -> SpreadEvent {
-    match request {
-        SpreadRequest::Peer { from, message } => SpreadEvent::Message { from, message },
-        SpreadRequest::LogRecords(records) => SpreadEvent::LogRecords(records),
-        SpreadRequest::Applied { next_offset, state } => SpreadEvent::Applied { next_offset, state },
-        SpreadRequest::State { next_offset, data } => SpreadEvent::State { next_offset, data },
-        SpreadRequest::Saw { server, sign } => SpreadEvent::Saw { server, sign },
-        SpreadRequest::Load(models) => SpreadEvent::Load(models),
-    }
-}
--- a/crates/router/tests/ops/config.rs
+++ b/crates/router/tests/ops/config.rs
@@ -8,11 +8,11 @@
 use hibiscusvale::logging::Log;
 use hibiscusvale::metrics::Metrics;
 use hibiscusvale::settings::{ConfigSettings, LogLevel};
-use hibiscusvale::spread::{ConfigFeed, SpreadRequest};
+use hibiscusvale::spread::ConfigFeed;
 use hibiscusvale_core::config::{ChangeBody, CheckpointKey, ClassChange, ClassTarget, LogView, Record};
 use hibiscusvale_core::ids::{ChangeId, ClassName, DataCentreId, HostId, Incarnation, Offset, PartnerId};
 use hibiscusvale_core::membership::{Member, MemberState, MembersView};
-use hibiscusvale_core::spread::{ConfigRecord, RecordData};
+use hibiscusvale_core::spread::{ConfigRecord, RecordData, SpreadEvent};
 use hibiscusvale_core::units::Millis;
 use tokio::sync::mpsc;
 
@@ -47,7 +47,7 @@
 pub struct Host {
     pub handle: ConfigHandle,
     pub feed: mpsc::Sender<ConfigFeed>,
-    pub spread: Option<mpsc::Receiver<SpreadRequest>>,
+    pub spread: Option<mpsc::Receiver<SpreadEvent>>,
 }
 
 pub fn only_member() -> MembersView {
@@ -110,8 +110,7 @@
         self.feed.send(ConfigFeed::ProvideState).await.expect("the service runs");
         let requests = self.spread.as_mut().expect("a host with peers");
         loop {
-            if let SpreadRequest::State { next_offset, data } =
-                requests.recv().await.expect("the service runs")
+            if let SpreadEvent::State { next_offset, data } = requests.recv().await.expect("the service runs")
             {
                 return ConfigFeed::State { next_offset, data };
             }
@@ -200,7 +199,7 @@
     log.push(record.clone());
     host.reached(1).await;
     let first = host.spread.as_mut().expect("peers").recv().await.expect("a request");
-    let SpreadRequest::LogRecords(records) = first else {
+    let SpreadEvent::LogRecords(records) = first else {
         panic!("expected the record, got {first:?}");
     };
     assert_eq!(records, [ConfigRecord { offset: Offset(0), data: RecordData::Whole(Arc::from(record)) }]);
