--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use hibiscusvale::operators::OperatorsFailure;
-use hibiscusvale::platform::LogFailure;
+use hibiscusvale::external::LogFailure;
 use hibiscusvale_core::ids::{ChangeId, Offset};
 
 /// Exit codes and what they mean. They are part of the interface; scripts rely on them.
--- a/crates/client/tests/client/world.rs
+++ b/crates/client/tests/client/world.rs
@@ -11,7 +11,7 @@
 use hibiscusvale::logging::Log;
 use hibiscusvale::metrics::Metrics;
 use hibiscusvale::operators::{OperatorListener, OperatorsParts, Readiness, RecentRequests};
-use hibiscusvale::platform::{HttpLog, HttpLogSettings};
+use hibiscusvale::external::{HttpLog, HttpLogSettings};
 use hibiscusvale::settings::{ConfigSettings, HostSettings, LogLevel};
 use hibiscusvale::spread::ConfigFeed;
 use hibiscusvale_cli::cmd::Args;
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -146,6 +146,10 @@
     /// A backend server: a model engine or a plain service instance.
     BackendServerId, "backend_server", MAX_NAME_BYTES, is_name_character
 );
+text_id!(
+    /// A service that routes lead to: engines of one kind, or instances of one plain service.
+    ServiceId, "service", MAX_NAME_BYTES, is_name_character
+);
 text_id!(
     /// A caller's name for a request that must not run twice. Unique per partner.
     IdempotencyKey, "idempotency key", MAX_IDEMPOTENCY_KEY_BYTES, is_key_character
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod order;
 pub mod orphan;
 pub mod outcome;
+pub mod relay;
 pub mod sched;
 pub mod slots;
 pub mod spread;
--- /dev/null
+++ b/crates/core/src/relay/engines/events.rs
@@ -0,0 +1,193 @@
+//! What the pool of engines is told and what it wants done.
+
+use crate::ids::{BackendServerId, DataCentreId, RequestId};
+use crate::outcome::Repeatability;
+use crate::sched::{FailureCause, Sign};
+use crate::units::{Micros, Millis, MonoTime, Tokens};
+
+/// What an engine does.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Role {
+    /// Reads prompts.
+    Prefill,
+    /// Writes answers; can read prompts as well, slowly.
+    Decode,
+}
+
+/// An engine as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedEngine {
+    /// Its name.
+    pub server: BackendServerId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// What it does.
+    pub role: Role,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Whether the list shows it as leaving.
+    pub leaving: bool,
+}
+
+/// A request for a model.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// Its id.
+    pub request_id: RequestId,
+    /// Length of its prompt, as its caller says.
+    pub prompt_tokens: Tokens,
+    /// Expected length of its answer.
+    pub answer_tokens: Tokens,
+    /// Whether it may run more than once.
+    pub repeatability: Repeatability,
+    /// Servers that may run it at most.
+    pub attempts_max: u32,
+    /// Time within which its first event is in time.
+    pub target_ms: Millis,
+    /// Longest time that it may wait for an engine.
+    pub patience_ms: Millis,
+    /// Rank; smaller goes first.
+    pub priority: u8,
+}
+
+/// Load that an engine told in an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ToldLoad {
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that run at once.
+    pub slots: u32,
+}
+
+/// Something the pool has to know.
+#[derive(Clone, Debug)]
+pub enum EngineEvent {
+    /// A request came in.
+    Arrive(Demand),
+    /// The prompt was read; the KV cache waits to be fetched.
+    PromptRead {
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// Reading the prompt failed.
+    ReadFailed {
+        /// Which request.
+        request_id: RequestId,
+        /// Why.
+        cause: FailureCause,
+    },
+    /// The first event of the answer arrived.
+    Started {
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// Writing the answer failed.
+    WriteFailed {
+        /// Which request.
+        request_id: RequestId,
+        /// Why. `NotSent`, `NoRoom`, `Leaving` and `Gone` prove that it did not run.
+        cause: FailureCause,
+    },
+    /// The answer is complete.
+    Finished {
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// The caller closed its connection, or its time is over.
+    CallerLeft {
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// The engines, all of them.
+    Engines(Vec<ListedEngine>),
+    /// A sign of an engine's state, quicker than the list.
+    Sign {
+        /// Which engine.
+        server: BackendServerId,
+        /// What it shows.
+        sign: Sign,
+    },
+    /// An engine told its load.
+    Load {
+        /// Which engine.
+        server: BackendServerId,
+        /// What it told.
+        load: ToldLoad,
+        /// Age of it.
+        age_us: Micros,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// Why a request was refused; it did not run.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum EngineRefusal {
+    /// It would wait longer than its patience.
+    WouldWaitTooLong,
+    /// No engine takes requests.
+    NoEngine,
+    /// Its attempts or the service's retries are used up; no attempt ran.
+    RetriesSpent,
+}
+
+/// Something the pool wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EngineAction {
+    /// Have the prompt read, for `writer` to fetch.
+    Read {
+        /// Which request.
+        request_id: RequestId,
+        /// Where.
+        reader: BackendServerId,
+        /// Report `ReadFailed` with `Timeout` after this.
+        timeout_ms: Millis,
+    },
+    /// Have the answer written.
+    Write {
+        /// Which request.
+        request_id: RequestId,
+        /// Where.
+        writer: BackendServerId,
+        /// The engine whose KV cache it fetches; absent where it reads the prompt itself.
+        reader: Option<BackendServerId>,
+    },
+    /// Tell the caller that it did not run.
+    Refuse {
+        /// Which request.
+        request_id: RequestId,
+        /// Why.
+        reason: EngineRefusal,
+        /// When another try is worth making.
+        retry_after_ms: Millis,
+    },
+    /// Tell the caller that it is not known whether it ran.
+    Unknown {
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// Send `EngineEvent::Tick` at this time.
+    Wake {
+        /// When.
+        at_us: MonoTime,
+    },
+}
+
+/// Counters of one pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct EngineCounters {
+    /// Requests that came in.
+    pub arrivals: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests of which it is not known whether they ran.
+    pub unknown: u64,
+    /// Further prompts read and further tries at writing.
+    pub retries: u64,
+    /// Further tries denied by the budget.
+    pub retries_denied: u64,
+}
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -55,7 +55,7 @@
 const REPORT_LIFE_MS: Millis = Millis(2_000);
 
 #[derive(Clone, Debug)]
-pub(super) struct Instance {
+pub(crate) struct Instance {
     settings: InstanceSettings,
     server: BackendServerId,
     capacity: u32,
@@ -83,7 +83,7 @@
 }
 
 impl Instance {
-    pub(super) fn new(
+    pub(crate) fn new(
         settings: InstanceSettings,
         server: BackendServerId,
         capacity: u32,
@@ -106,22 +106,22 @@
         }
     }
 
-    pub(super) fn server(&self) -> &BackendServerId {
+    pub(crate) fn server(&self) -> &BackendServerId {
         &self.server
     }
 
-    pub(super) fn unlist(&mut self) {
+    pub(crate) fn unlist(&mut self) {
         self.listed = false;
     }
 
     /// Adopts the list's view. A drain sign stands beside it, because the list lags.
-    pub(super) fn relist(&mut self, capacity: u32, leaving: bool) {
+    pub(crate) fn relist(&mut self, capacity: u32, leaving: bool) {
         self.listed = true;
         self.capacity = capacity;
         self.leaving = leaving;
     }
 
-    pub(super) fn sign(&mut self, now_us: MonoTime, sign: Sign) {
+    pub(crate) fn sign(&mut self, now_us: MonoTime, sign: Sign) {
         match sign {
             Sign::Leaving => self.leaving_until_us = now_us + self.settings.sign_life_ms,
             Sign::Live => self.leaving_until_us = MonoTime(0),
@@ -129,24 +129,24 @@
         }
     }
 
-    pub(super) fn report(&mut self, now_us: MonoTime, in_flight: u32, capacity: u32, age_us: Micros) {
+    pub(crate) fn report(&mut self, now_us: MonoTime, in_flight: u32, capacity: u32, age_us: Micros) {
         let as_of_us = MonoTime(now_us.0.saturating_sub(age_us.0));
         self.capacity = capacity;
         self.others = Some((as_of_us, in_flight.saturating_sub(self.in_flight)));
     }
 
-    pub(super) fn is_listed_live(&self, now_us: MonoTime) -> bool {
+    pub(crate) fn is_listed_live(&self, now_us: MonoTime) -> bool {
         self.listed && !self.leaving && now_us >= self.leaving_until_us
     }
 
     /// Calls that this daemon may have in flight.
-    pub(super) fn limit(&self, now_us: MonoTime) -> u32 {
+    pub(crate) fn limit(&self, now_us: MonoTime) -> u32 {
         if self.is_listed_live(now_us) { self.capacity.max(1) } else { 0 }
     }
 
     /// Room for one more call. The other daemons' calls are known from the report, which lags; the
     /// instance refuses what is too much, and such a refusal proves that nothing ran.
-    pub(super) fn has_room(&self, now_us: MonoTime) -> bool {
+    pub(crate) fn has_room(&self, now_us: MonoTime) -> bool {
         if self.is_set_aside() && !self.wants_trial(now_us, true) {
             return false;
         }
@@ -155,31 +155,37 @@
         self.in_flight + others.min(self.capacity.saturating_sub(1)) < self.limit(now_us)
     }
 
-    pub(super) fn latency_us(&self) -> Option<u64> {
+    /// Requests of all daemons, as far as known.
+    pub(crate) fn load(&self, now_us: MonoTime) -> u32 {
+        let others = self.others.filter(|&(as_of_us, _)| now_us < as_of_us + REPORT_LIFE_MS);
+        self.in_flight + others.map_or(0, |(_, others)| others)
+    }
+
+    pub(crate) fn latency_us(&self) -> Option<u64> {
         self.latency_us.map(whole)
     }
 
     /// Expected time of one more call, in an arbitrary unit; smaller is better.
-    pub(super) fn score(&self, usual_us: u64) -> u64 {
+    pub(crate) fn score(&self, usual_us: u64) -> u64 {
         let latency_us = self.latency_us().unwrap_or(usual_us).max(1);
         latency_us * u64::from(self.in_flight + 1)
     }
 
     /// Time after which a call is given up.
-    pub(super) fn timeout_us(&self, usual_us: u64) -> Micros {
+    pub(crate) fn timeout_us(&self, usual_us: u64) -> Micros {
         let floor_us = Micros::from(self.settings.timeout_floor_ms).0;
         let ceiling_us = Micros::from(self.settings.timeout_ceiling_ms).0;
         Micros((usual_us * self.settings.timeout_factor).clamp(floor_us, ceiling_us))
     }
 
-    pub(super) fn is_set_aside(&self) -> bool {
+    pub(crate) fn is_set_aside(&self) -> bool {
         !matches!(self.standing, Standing::Good)
     }
 
     /// Whether its time aside is over and one call may show how it does. Where only calls come that may not
     /// be repeated, a mute instance is tried with one after the longest time aside, or it would never be
     /// seen to have recovered.
-    pub(super) fn wants_trial(&self, now_us: MonoTime, repeatable: bool) -> bool {
+    pub(crate) fn wants_trial(&self, now_us: MonoTime, repeatable: bool) -> bool {
         let Standing::Aside { until_us, mute } = self.standing else {
             return false;
         };
@@ -187,21 +193,21 @@
         now_us >= until_us + wait_ms
     }
 
-    pub(super) fn opens_at(&self, now_us: MonoTime) -> Option<MonoTime> {
+    pub(crate) fn opens_at(&self, now_us: MonoTime) -> Option<MonoTime> {
         let Standing::Aside { until_us, .. } = self.standing else {
             return None;
         };
         Some(until_us).filter(|&until_us| until_us > now_us)
     }
 
-    pub(super) fn start(&mut self, now_us: MonoTime) {
+    pub(crate) fn start(&mut self, now_us: MonoTime) {
         if self.wants_trial(now_us, true) {
             self.standing = Standing::Trial;
         }
         self.in_flight += 1;
     }
 
-    pub(super) fn abandon(&mut self, now_us: MonoTime) {
+    pub(crate) fn abandon(&mut self, now_us: MonoTime) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.end_trial() {
             // Nothing was learned: the next call may try again.
@@ -217,7 +223,7 @@
         was_trial
     }
 
-    pub(super) fn finish(&mut self, latency_us: Micros) {
+    pub(crate) fn finish(&mut self, latency_us: Micros) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.strikes = 0;
         let seen = latency_us.0 as f64;
@@ -228,7 +234,7 @@
     }
 
     /// Judges the latest answer against the usual latency; true when the instance was set aside for it.
-    pub(super) fn judge_speed(&mut self, now_us: MonoTime, usual_us: u64) -> bool {
+    pub(crate) fn judge_speed(&mut self, now_us: MonoTime, usual_us: u64) -> bool {
         let limit_us = usual_us.saturating_mul(self.settings.slow_factor);
         let slow = self.latency_us().is_some_and(|latency_us| latency_us > limit_us);
         if !slow {
@@ -246,7 +252,7 @@
     }
 
     /// A call failed; true when the instance was set aside for it.
-    pub(super) fn fail(&mut self, now_us: MonoTime, cause: FailureCause, may_set_aside: bool) -> bool {
+    pub(crate) fn fail(&mut self, now_us: MonoTime, cause: FailureCause, may_set_aside: bool) -> bool {
         self.in_flight = self.in_flight.saturating_sub(1);
         let was_trial = self.end_trial();
         match cause {
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -9,7 +9,7 @@
 mod directory;
 mod events;
 mod failing;
-mod instance;
+pub(crate) mod instance;
 mod placing;
 mod plain;
 mod plain_events;
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -33,8 +33,9 @@
     pub retry_percent: u64,
     /// Retries saved up at most.
     pub retry_burst: u64,
-    /// Attempts of one request at most.
-    pub attempts_max: u32,
+    /// Whether the budget is full at the start. One that several daemons share begins empty: each restart would
+    /// otherwise bring a full one.
+    pub retry_full_at_start: bool,
     /// Longest first back-off of a retry; doubled with each.
     pub backoff_ms: Millis,
 }
@@ -46,7 +47,7 @@
             instance: InstanceSettings::default(),
             retry_percent: 10,
             retry_burst: 20,
-            attempts_max: 3,
+            retry_full_at_start: true,
             backoff_ms: Millis(5),
         }
     }
@@ -147,9 +148,12 @@
     /// than they would ever stay, and a burst of launch entries stuck behind somebody's page loads.
     fn arrive(&mut self, now_us: MonoTime, arrival: PlainArrival, actions: &mut Vec<PlainAction>) {
         self.counters.arrivals += 1;
-        let (percent, burst) = (self.settings.retry_percent, self.settings.retry_burst);
+        let settings = &self.settings;
         let budget = self.budgets.entry(arrival.partner.clone());
-        budget.or_insert_with(|| RetryBudget::new(percent, burst)).deposit();
+        let (percent, burst) = (settings.retry_percent, settings.retry_burst);
+        let new_budget =
+            if settings.retry_full_at_start { RetryBudget::new } else { RetryBudget::empty };
+        budget.or_insert_with(|| new_budget(percent, burst)).deposit();
         let request_id = arrival.request_id;
         if self.calls.contains_key(&request_id) {
             return;
@@ -158,7 +162,7 @@
         let entry = self.waiting(now_us, &arrival);
         let repeatability =
             if arrival.repeatable { Repeatability::Repeatable } else { Repeatability::AtMostOnce };
-        let tries = Attempts::new(repeatability, self.settings.attempts_max);
+        let tries = Attempts::new(repeatability, arrival.attempts_max);
         let call = Call { arrival, arrived_us: now_us, tries, at: None, failed_at: None, retry_at_us: None };
         let wait_us = self.queue.forecast(now_us, &entry, self.pace(now_us)).wait_us;
         let full = self.queue.is_full(&entry.partner, false);
--- a/crates/core/src/sched/plain_events.rs
+++ b/crates/core/src/sched/plain_events.rs
@@ -15,6 +15,8 @@
     pub partner: PartnerId,
     /// Whether it may run twice.
     pub repeatable: bool,
+    /// Attempts at most.
+    pub attempts_max: u32,
     /// Longest time that it may wait for an instance.
     pub patience_ms: Millis,
 }
--- a/crates/core/src/sched/retry.rs
+++ b/crates/core/src/sched/retry.rs
@@ -22,6 +22,12 @@
         Self { hundredths: burst_hundredths, burst_hundredths, percent }
     }
 
+    /// An empty budget, filled in the same way. For budgets that several daemons share: a daemon that starts
+    /// again and again would otherwise spend a full one each time.
+    pub fn empty(percent: u64, burst: u64) -> Self {
+        Self { hundredths: 0, ..Self::new(percent, burst) }
+    }
+
     /// A request arrived.
     pub fn deposit(&mut self) {
         self.hundredths = (self.hundredths + self.percent).min(self.burst_hundredths);
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -80,7 +80,7 @@
             let request_id = RequestId { incarnation: Incarnation(life), sequence: sequence as u64 };
             self.partner_of.insert(request_id, (partner.to_owned(), at_us));
             let (partner, patience_ms) = (partner.parse().unwrap(), Millis(100));
-            let arrival = PlainArrival { request_id, partner, repeatable, patience_ms };
+            let arrival = PlainArrival { request_id, partner, repeatable, attempts_max: 3, patience_ms };
             self.at(at_us, PlainEvent::Arrive(arrival));
         }
     }
--- a/crates/daemon/src/cmd/mod.rs
+++ b/crates/daemon/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The command line of the daemon.
 
 mod check;
+mod relay;
 mod run;
 
 use std::process::ExitCode;
@@ -32,6 +33,9 @@
     /// Checks a settings file.
     #[options(help = "check a settings file and say what is wrong with it")]
     Check(check::Check),
+    /// Runs the daemon on the users' platform.
+    #[options(help = "relay by the routes in the platform's store")]
+    Relay(relay::Relay),
     /// Runs the daemon.
     #[options(help = "run the daemon")]
     Run(run::Run),
@@ -55,6 +59,7 @@
         }
         match self.command {
             Some(Command::Check(check)) => check.run(),
+            Some(Command::Relay(relay)) => relay.run(),
             Some(Command::Run(run)) => run.run(),
             None => anyhow::bail!("no command given; try --help"),
         }
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 /// A host that does not answer a connection attempt within this is as good as gone: the slowest link inside
@@ -19,6 +19,13 @@
 /// silently, and a request written into such a one is never answered; a short life makes that rare.
 const POOL_IDLE: Duration = Duration::from_secs(2);
 
+/// Silence on a connection after which the system probes it, and between probes.
+const SILENCE_PROBE: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which the connection counts as broken: three lost packets in a row are rare on
+/// a link that loses three in a hundred.
+const SILENCE_PROBES: u32 = 3;
+
 /// Why a call failed, sorted by what is known of its effect.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, thiserror::Error)]
 pub enum CallFailure {
@@ -65,6 +72,12 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
+        // A connection that went silent for good while its host lives shows in nothing else: a request or a
+        // stream on it would wait until the caller's patience is over.
+        connector.set_keepalive(Some(SILENCE_PROBE));
+        connector.set_keepalive_interval(Some(SILENCE_PROBE));
+        connector.set_keepalive_retries(Some(SILENCE_PROBES));
+        connector.set_tcp_user_timeout(Some(SILENCE_PROBE * SILENCE_PROBES));
         let build = |idle_connections: usize| {
             Client::builder(TokioExecutor::new())
                 .pool_timer(TokioTimer::new())
@@ -100,6 +113,39 @@
             Err(_) => Err(CallFailure::Timeout),
         }
     }
+
+    /// As [`Self::send`], and tells which connection carried it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_known(
+        &self,
+        trust: Trust,
+        mut request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<KnownReply, CallFailure> {
+        let connection = capture_connection(&mut request);
+        let response = self.send(trust, request, timeout).await?;
+        Ok(KnownReply { response, connection })
+    }
+}
+
+/// An answer, and the connection that it came on.
+#[derive(Debug)]
+pub struct KnownReply {
+    /// The answer's head; its body is yet to be read.
+    pub response: Response<Incoming>,
+    connection: CaptureConnection,
+}
+
+impl KnownReply {
+    /// Keeps the connection from being used again: what comes on it may belong to another request.
+    pub fn distrust(&self) {
+        if let Some(connection) = self.connection.connection_metadata().as_ref() {
+            connection.poison();
+        }
+    }
 }
 
 /// Reads a whole body of at most `limit_bytes`.
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -10,5 +10,5 @@
     HeldRequest, HeldStage, ImportCall, Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
 };
 pub use engine_http::HttpEngines;
-pub use http::{BackendHttp, CallFailure, Trust, read_body, uri};
+pub use http::{BackendHttp, CallFailure, KnownReply, Trust, read_body, uri};
 pub use plain::{HttpPlain, PlainCall, PlainEdge, PlainFailure, PlainReply, strip_connection_headers};
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -21,7 +21,7 @@
 use crate::clock;
 use crate::kernel::{Kernel, KernelError, ServiceName};
 use crate::peer::{PeerBody, PeerLink};
-use crate::platform::{AppendError, Log, LogFailure, LogPage, Stream};
+use crate::external::{AppendError, Log, LogFailure, LogPage, Stream};
 
 /// Time between looks at deadlines while something waits.
 const TICK: Duration = Duration::from_millis(10);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -26,7 +26,7 @@
 use crate::config::reader::{LogReader, ReadOutcome};
 use crate::logging;
 use crate::metrics::{Gauge, Metrics};
-use crate::platform::LogPage;
+use crate::external::LogPage;
 use crate::settings::ConfigSettings;
 use crate::spread::ConfigFeed;
 
@@ -234,7 +234,7 @@
         }
     }
 
-    fn note_written(&self, written: Result<Offset, crate::platform::AppendError>) {
+    fn note_written(&self, written: Result<Offset, crate::external::AppendError>) {
         match written {
             Ok(_) => self.metrics.event(ConfigEvent::CheckpointWritten),
             Err(error) => {
--- a/crates/router/src/config/duty.rs
+++ b/crates/router/src/config/duty.rs
@@ -15,7 +15,7 @@
 use hibiscusvale_core::units::MonoTime;
 use hibiscusvale_core::watch::{JobHash, owners_in};
 
-use crate::platform::{AppendError, Log, LogPage, Stream};
+use crate::external::{AppendError, Log, LogPage, Stream};
 use crate::settings::ConfigSettings;
 
 /// Writes checkpoints.
--- a/crates/router/src/config/parts.rs
+++ b/crates/router/src/config/parts.rs
@@ -12,7 +12,7 @@
 
 use crate::logging;
 use crate::metrics::{Label, Metrics};
-use crate::platform::{Log, LogFailure};
+use crate::external::{Log, LogFailure};
 use crate::settings::{ConfigSettings, Settings};
 
 /// What the configuration service of one daemon works with.
--- a/crates/router/src/config/reader.rs
+++ b/crates/router/src/config/reader.rs
@@ -8,7 +8,7 @@
 use hibiscusvale_core::ids::Offset;
 use hibiscusvale_core::units::Millis;
 
-use crate::platform::{Log, LogFailure, LogPage, Stream};
+use crate::external::{Log, LogFailure, LogPage, Stream};
 
 /// Records in one page: a quarter of a megabyte of the usual ones.
 const PAGE_RECORDS: u32 = 256;
--- a/crates/router/src/counted_log.rs
+++ b/crates/router/src/counted_log.rs
@@ -11,7 +11,7 @@
 use hibiscusvale_core::units::Millis;
 
 use crate::metrics::{Label, Metrics};
-use crate::platform::{AppendError, Log, LogFailure, LogPage, Stream};
+use crate::external::{AppendError, Log, LogFailure, LogPage, Stream};
 
 /// What a call to the log came to.
 #[derive(Clone, Copy, Debug)]
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::Incarnation;
-use hibiscusvale_core::sched::{SchedulerSettings, ShiftSettings};
+use hibiscusvale_core::sched::{PlainSettings, SchedulerSettings, ShiftSettings};
 use hibiscusvale_core::ticket::TicketSettings;
 use hibiscusvale_core::units::Millis;
 use rand::RngExt;
@@ -34,7 +34,7 @@
 use crate::metrics::{Metrics, MetricsError};
 use crate::operators::{OperatorsParts, Readiness, RecentRequests};
 use crate::peer::{LinkError, NngLink};
-use crate::platform::{HostList, HttpHostList, HttpLog, HttpLogSettings, HttpWeightStore, Log, WeightStore};
+use crate::external::{HostList, HttpHostList, HttpLog, HttpLogSettings, HttpWeightStore, Log, WeightStore};
 use crate::settings::Settings;
 use crate::slot_route::SlotRoute;
 use crate::tickets::Tickets;
@@ -320,7 +320,7 @@
         // The incarnation is as good a seed as any, and it is in the log when a decision is to be replayed.
         let seed = incarnation.0;
         let hub = Hub::new(SchedulerSettings::default(), seed, route, Arc::clone(releases));
-        Self { hub: Arc::new(hub), plain_hub: Arc::new(PlainHub::new(seed)) }
+        Self { hub: Arc::new(hub), plain_hub: Arc::new(PlainHub::new(PlainSettings::default(), seed)) }
     }
 
     fn watcher(
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
-use crate::platform::{
+use crate::external::{
     EngineRole, HostList, HostListChange, HostListPage, ListedHost, ListedKind, ListedState,
 };
 
@@ -37,6 +37,8 @@
 pub enum BackendKind {
     /// A model engine.
     Engine {
+        /// The service that it belongs to, where requests are routed by service.
+        service: Option<String>,
         /// What it does.
         role: EngineRole,
         /// Models loaded.
@@ -132,6 +134,7 @@
         let kind = match entry.kind {
             ListedKind::Entry => return self.add_entry_host(entry),
             ListedKind::Engine => BackendKind::Engine {
+                service: entry.service,
                 role: entry.role.unwrap_or(EngineRole::Decode),
                 models: entry.models,
                 slots_total: entry.slots_total,
--- a/crates/router/src/dispatch/alarm.rs
+++ b/crates/router/src/dispatch/alarm.rs
@@ -15,17 +15,17 @@
 
 /// Set from any thread, waited for by one task.
 #[derive(Debug)]
-pub(super) struct Alarm {
+pub(crate) struct Alarm {
     at_us: watch::Sender<MonoTime>,
 }
 
 impl Alarm {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self { at_us: watch::Sender::new(NEVER) }
     }
 
     /// Goes off at `at_us`, or earlier if that was wanted before.
-    pub(super) fn set(&self, at_us: MonoTime) {
+    pub(crate) fn set(&self, at_us: MonoTime) {
         self.at_us.send_if_modified(|known_us| {
             let sooner = at_us < *known_us;
             *known_us = at_us.min(*known_us);
@@ -34,7 +34,7 @@
     }
 
     /// Calls `tick` whenever the time has come, for as long as the daemon runs.
-    pub(super) async fn run<Tick>(&self, tick: Tick)
+    pub(crate) async fn run<Tick>(&self, tick: Tick)
     where
         Tick: Fn(),
     {
--- a/crates/router/src/dispatch/demand.rs
+++ b/crates/router/src/dispatch/demand.rs
@@ -6,7 +6,7 @@
 use hibiscusvale_core::sched::ModelDemand;
 use parking_lot::Mutex;
 
-use crate::platform::StoredModel;
+use crate::external::StoredModel;
 
 /// Names counted between two looks. Callers choose the names, and a flood of them must not take memory; the
 /// models in use are some tens.
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,6 +1,6 @@
 //! Carries requests through backend servers and sees to it that each ends in one of three outcomes.
 
-mod alarm;
+pub(crate) mod alarm;
 mod demand;
 mod forward;
 mod hub;
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -21,6 +21,9 @@
 /// A call waits this many times its target for an instance; beyond, its caller has better come back.
 const PATIENCE_FACTOR: u64 = 4;
 
+/// Instances that one call is sent to at most.
+const ATTEMPTS_MAX: u32 = 3;
+
 /// Bounds of that wait: a target of 1 ms must not refuse everything, one of an hour must not hold memory.
 const PATIENCE_RANGE_MS: (u64, u64) = (1_000, 30_000);
 
@@ -139,6 +142,7 @@
         request_id: request.request_id,
         partner: request.partner.clone(),
         repeatable: !request.runs_at_most_once(),
+        attempts_max: ATTEMPTS_MAX,
         patience_ms: Millis(patience),
     }
 }
--- a/crates/router/src/dispatch/plain_hub.rs
+++ b/crates/router/src/dispatch/plain_hub.rs
@@ -7,13 +7,14 @@
 use hibiscusvale_core::sched::{
     PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler, PlainSettings, Sign,
 };
+use hibiscusvale_core::units::Micros;
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
 use super::alarm::Alarm;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
-use crate::platform::ListedState;
+use crate::external::ListedState;
 
 #[derive(Debug)]
 struct Service {
@@ -26,6 +27,7 @@
 pub struct PlainHub {
     services: Mutex<HashMap<String, Service>>,
     alarm: Alarm,
+    settings: PlainSettings,
     seed: u64,
 }
 
@@ -61,8 +63,8 @@
 
 impl PlainHub {
     /// A hub that knows no services; its schedulers draw their random choices from `seed`.
-    pub fn new(seed: u64) -> Self {
-        Self { services: Mutex::default(), alarm: Alarm::new(), seed }
+    pub fn new(settings: PlainSettings, seed: u64) -> Self {
+        Self { services: Mutex::default(), alarm: Alarm::new(), settings, seed }
     }
 
     /// Takes a call in. `None` when no such service is listed.
@@ -91,7 +93,7 @@
             let mut services = self.services.lock();
             for service in lists.keys() {
                 services.entry(service.clone()).or_insert_with(|| Service {
-                    scheduler: PlainScheduler::new(PlainSettings::default(), self.seed),
+                    scheduler: PlainScheduler::new(self.settings, self.seed),
                     open: HashMap::new(),
                 });
             }
@@ -107,6 +109,12 @@
         self.feed_all(&PlainEvent::Sign { server: server.clone(), sign });
     }
 
+    /// Tells the schedulers of a load that an instance told just now.
+    pub fn load(&self, server: &BackendServerId, in_flight: u32, capacity: u32) {
+        let age_us = Micros::ZERO;
+        self.feed_all(&PlainEvent::Load { server: server.clone(), in_flight, capacity, age_us });
+    }
+
     fn feed_all(&self, event: &PlainEvent) {
         for service in self.names() {
             self.feed(&service, event.clone());
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -1,4 +1,5 @@
-//! The platform's services, each behind one trait: the append-only log, the host list, the weight store.
+//! The services outside that the router uses, each behind one trait: the append-only log, the host list, the
+//! weight store.
 
 mod host_list;
 mod log;
--- a/crates/router/src/leases.rs
+++ b/crates/router/src/leases.rs
@@ -30,7 +30,7 @@
 use crate::clock;
 use crate::directory::Directory;
 use crate::dispatch::Demand;
-use crate::platform::{AppendError, Log, LogFailure, Stream, WeightStore, WeightStoreInfo};
+use crate::external::{AppendError, Log, LogFailure, Stream, WeightStore, WeightStoreInfo};
 
 /// Time between two looks at lease and engines.
 const TICK: Duration = Duration::from_secs(1);
--- a/crates/router/src/leases/engines.rs
+++ b/crates/router/src/leases/engines.rs
@@ -10,7 +10,7 @@
 
 use crate::backend::{EngineEdge, EngineLoad};
 use crate::directory::{BackendKind, BackendServer, Listing};
-use crate::platform::{EngineRole, ListedState};
+use crate::external::{EngineRole, ListedState};
 
 /// Engines asked with each look, a second apart. Control may send 4 KB a second and a holder does all that other
 /// daemons do besides; ten reads take some 750 B. A data centre of 1,000 engines is gone through in 100 s, so
--- a/crates/router/src/listing_service.rs
+++ b/crates/router/src/listing_service.rs
@@ -18,7 +18,7 @@
 
 use crate::directory::{self, BackendServer, Directory, EntryHost, Listing};
 use crate::peer::{PeerBody, PeerLink};
-use crate::platform::HostList;
+use crate::external::HostList;
 
 /// Servers in one page. One takes some 120 bytes, 2 KB with thirty models of the longest names, and a page has to
 /// stay inside a frame of 64 KB. A region of 3,000 servers is 125 pages, each a round trip inside it.
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -52,6 +52,27 @@
     pub attempts: u32,
 }
 
+/// A relayed request that has ended, as the log shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct RelayLine<'a> {
+    /// The relay's name for it.
+    pub request_id: RequestId,
+    /// Its caller's name for it.
+    pub call: &'a str,
+    /// Its route.
+    pub route: &'a str,
+    /// Version of the routes.
+    pub version: u64,
+    /// How it ended.
+    pub outcome: &'a str,
+    /// What was tried.
+    pub steps: &'a str,
+    /// Time from its arrival to the first event of a stream.
+    pub first_event_ms: Option<u64>,
+    /// Time from its arrival to its end.
+    pub took_ms: Millis,
+}
+
 impl Log {
     /// A log that writes to standard output.
     ///
@@ -119,6 +140,30 @@
         });
     }
 
+    /// A relayed request ended.
+    pub fn relayed(&self, line: RelayLine<'_>) {
+        spdlog::info!(logger: self.logger, "request relayed", kv: {
+            request_id: = line.request_id,
+            call = line.call,
+            route = line.route,
+            version = line.version,
+            outcome = line.outcome,
+            steps = line.steps,
+            first_event_ms = line.first_event_ms.unwrap_or_default(),
+            took_ms = line.took_ms.0,
+        });
+    }
+
+    /// A table of routes came into force.
+    pub fn table_in_force(&self, version: u64) {
+        spdlog::info!(logger: self.logger, "routes in force", kv: { version = version });
+    }
+
+    /// Something around the daemon or in its life changed: start, stop, a dependency lost or regained.
+    pub fn changed(&self, what: &'static str, detail: &dyn fmt::Display) {
+        spdlog::info!(logger: self.logger, "changed", kv: { what = what, detail: = detail });
+    }
+
     /// A further try of a request begins.
     pub fn request_retried<Reason>(&self, request_id: RequestId, reason: Reason)
     where
--- /dev/null
+++ b/crates/router/src/relay/callers.rs
@@ -0,0 +1,196 @@
+//! The relay's edge towards callers.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hibiscusvale_core::units::Millis;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming as CallerBody};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use parking_lot::Mutex;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::edge::Call;
+use super::plain;
+use super::refusal::{Reason, Refusal};
+use super::state::{Incoming, RelayState};
+use super::story::Story;
+use super::stream;
+use crate::callers::AnswerBody;
+use crate::metrics::Label;
+
+/// Told to a caller of a daemon that has just started: it learns the routes within a second.
+const NO_TABLE_RETRY_MS: Millis = Millis(500);
+
+/// Pause after the system refused a new connection, mostly for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The library takes no smaller buffer for a head.
+const MIN_HEAD_BYTES: usize = 8_192;
+
+/// Time that a request may take whose caller states none.
+const DEFAULT_WAIT_MS: Millis = Millis(30_000);
+
+/// Serves callers at `address` until `stop` fires, then lets the open connections end.
+///
+/// # Errors
+///
+/// The system's error when the socket cannot be used.
+pub async fn serve(state: Arc<RelayState>, socket: std::net::TcpListener, stop: CancellationToken) -> io::Result<()> {
+    let socket = TcpListener::from_std(socket)?;
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = socket.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        serve_connection(&state, stream, &graceful);
+    }
+    drop(socket);
+    graceful.shutdown().await;
+    Ok(())
+}
+
+/// Binds the callers' address.
+///
+/// # Errors
+///
+/// The system's error.
+pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = std::net::TcpListener::bind(address)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+fn serve_connection(state: &Arc<RelayState>, stream: TcpStream, graceful: &GracefulShutdown) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let limits = state.table.load().limits();
+    let head_bytes = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
+    let service_state = Arc::clone(state);
+    let service = service_fn(move |request| {
+        let state = Arc::clone(&service_state);
+        async move { Ok::<_, Infallible>(answer(&state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from(limits.idle_timeout_ms))
+        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        // A connection that its caller broke off owes nobody anything.
+        let _ = watched.await;
+    });
+}
+
+async fn answer(state: &Arc<RelayState>, request: Request<CallerBody>) -> Response<AnswerBody> {
+    let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = match relay(state, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.into_response(&*state.wire),
+    };
+    // A request may carry both an encoding and a length, and what is in front may have believed the length: what
+    // follows on the connection would then be a request that nobody made. The library goes by the encoding and
+    // hides the length, so nothing behind a chunked body is read at all (RFC 9112, section 6.1).
+    if is_chunked || state.stopping.load(Ordering::Relaxed) {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn relay(
+    state: &Arc<RelayState>,
+    request: Request<CallerBody>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let incoming = Arc::new(read(state, request).await?);
+    let service = incoming.route.destination(draw(&incoming)).ok_or(Refusal::new(Reason::NoServer));
+    let service = service.inspect_err(|refusal| incoming.note_end(refusal.reason.label()))?.clone();
+    let is_stream = incoming.route.kind.is_stream();
+    let answered = if is_stream {
+        stream::relay(state, &incoming, service.as_str()).await
+    } else {
+        let answered = plain::relay(state, &incoming, service.as_str());
+        tokio::time::timeout_at(incoming.deadline, answered)
+            .await
+            .unwrap_or(Err(Refusal::new(Reason::NoAnswerInTime)))
+    };
+    match &answered {
+        Ok(response) if !is_stream || !response.status().is_success() => incoming.note_end("answered"),
+        Ok(_) => {}
+        Err(refusal) => incoming.note_end(refusal.reason.label()),
+    }
+    answered
+}
+
+/// What decides among the destinations of a split route: a caller's next try may go elsewhere.
+fn draw(incoming: &Incoming) -> u64 {
+    incoming.request_id.sequence.wrapping_mul(GOLDEN) >> DRAW_SHIFT
+}
+
+/// Spreads consecutive numbers evenly (Knuth's multiplicative hashing).
+const GOLDEN: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// The upper bits are the even ones.
+const DRAW_SHIFT: u32 = 32;
+
+async fn read(state: &Arc<RelayState>, request: Request<CallerBody>) -> Result<Incoming, Refusal> {
+    let arrived = Instant::now();
+    let (parts, body) = request.into_parts();
+    let call = state.wire.read_call(&parts).map_err(|_| Refusal::new(Reason::BadRequest))?;
+    let table = state.table.load_full();
+    if !table.is_known() {
+        return Err(Refusal::retry_after(Reason::NoTable, NO_TABLE_RETRY_MS));
+    }
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = table.find(host, parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
+    let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
+    let limit_bytes = table.limits().body_bytes.0;
+    let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
+    state.open.fetch_add(1, Ordering::Relaxed);
+    Ok(Incoming {
+        request_id: state.next_id(),
+        call,
+        route,
+        path: parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
+        method: parts.method,
+        headers: parts.headers,
+        body,
+        arrived,
+        deadline,
+        story: Mutex::new(Story::default()),
+        state: Arc::clone(state),
+    })
+}
+
+fn wait_ms(call: &Call, route_ms: Millis) -> Millis {
+    call.wait_ms.unwrap_or(DEFAULT_WAIT_MS).min(route_ms)
+}
+
+async fn read_body(body: CallerBody, limit_bytes: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    // A length announced as too large is refused before a byte of it is read.
+    if body.size_hint().lower() > limit_bytes as u64 {
+        return Err(Refusal::new(Reason::BodyTooLarge));
+    }
+    match tokio::time::timeout_at(deadline, Limited::new(body, limit_bytes).collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::BodyTooLarge)),
+        Ok(Err(_)) | Err(_) => Err(Refusal::new(Reason::BodyIncomplete)),
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/daemon.rs
@@ -0,0 +1,150 @@
+//! Puts a relaying daemon together and takes it down again.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use hibiscusvale_core::ids::Incarnation;
+use hibiscusvale_core::relay::engines::EnginePoolSettings;
+use hibiscusvale_core::relay::routes::RouteTable;
+use hibiscusvale_core::sched::PlainSettings;
+use hibiscusvale_core::units::Millis;
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use super::edge::{TableSource, Wire};
+use super::engine_hub::EngineHub;
+use super::settings::{BoundSettings, RelaySettings};
+use super::state::RelayState;
+use super::{callers, readiness, watch};
+use crate::backend::BackendHttp;
+use crate::daemon::StartError;
+use crate::directory::Directory;
+use crate::dispatch::PlainHub;
+use crate::external::HostList;
+use crate::logging::Log;
+
+/// Time between readiness failing and the listener closing: the balancer asks once a second and believes the second
+/// miss.
+const BALANCER_MS: Millis = Millis(2_500);
+
+/// Kept back of the grace period: the process has to be gone before it is killed.
+const END_RESERVE_MS: Millis = Millis(400);
+
+/// Pause between looks at what is still open while stopping.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// The systems around a relaying daemon.
+#[derive(Clone, Debug)]
+pub struct RelayEdges {
+    /// How callers and servers speak.
+    pub wire: Arc<dyn Wire>,
+    /// Where routes are published.
+    pub tables: Arc<dyn TableSource>,
+    /// Where servers are listed.
+    pub servers: Arc<dyn HostList>,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct RelayDaemon {
+    state: Arc<RelayState>,
+    traffic: Runtime,
+    stop_listening: CancellationToken,
+    serving: JoinHandle<io::Result<()>>,
+    grace_ms: Millis,
+}
+
+impl RelayDaemon {
+    /// Starts a daemon on `settings`, meeting the world through `edges`.
+    ///
+    /// # Errors
+    ///
+    /// [`StartError`].
+    pub fn start(
+        settings: &RelaySettings,
+        edges: RelayEdges,
+        incarnation: Incarnation,
+    ) -> Result<Self, StartError> {
+        let log = Log::stdout(settings.observe.log_level)?;
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .map_err(StartError::Thread)?;
+        let state = Arc::new(RelayState {
+            wire: edges.wire,
+            table: ArcSwap::from_pointee(RouteTable::default()),
+            directory: Arc::new(Directory::default()),
+            http: BackendHttp::new(),
+            plain_hub: PlainHub::new(plain_settings(&settings.bounds), incarnation.0),
+            engine_hub: EngineHub::new(engine_settings(&settings.bounds), incarnation.0),
+            incarnation,
+            sequence: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+            log,
+        });
+        state.log.changed("started", &incarnation);
+        let address = settings.listen.callers;
+        let socket = callers::bind(address).map_err(|source| StartError::Listen { address, source })?;
+        let stop_listening = CancellationToken::new();
+        let serving = traffic.spawn(callers::serve(Arc::clone(&state), socket, stop_listening.clone()));
+        traffic.spawn(readiness::serve(Arc::clone(&state), settings.listen.readiness));
+        traffic.spawn(watch::follow_table(edges.tables, Arc::clone(&state)));
+        traffic.spawn(watch::follow_servers(edges.servers, Arc::clone(&state)));
+        let timers = Arc::clone(&state);
+        traffic.spawn(async move { tokio::join!(timers.plain_hub.run_timers(), timers.engine_hub.run_timers()) });
+        Ok(Self { state, traffic, stop_listening, serving, grace_ms: settings.bounds.grace_ms })
+    }
+
+    /// Stops gracefully: readiness fails first, new callers are served until the balancer has noticed, then what is
+    /// open ends in its own time, within the grace period.
+    pub fn stop(self) {
+        let Self { state, traffic, stop_listening, serving, grace_ms } = self;
+        state.log.changed("stopping", &state.open.load(Ordering::Relaxed));
+        state.stopping.store(true, Ordering::Relaxed);
+        let grace = Duration::from(grace_ms.saturating_sub(END_RESERVE_MS));
+        let ended = traffic.block_on(async {
+            tokio::time::timeout(grace, async {
+                tokio::time::sleep(Duration::from(BALANCER_MS)).await;
+                stop_listening.cancel();
+                let _ = serving.await;
+                while state.open.load(Ordering::Relaxed) > 0 {
+                    tokio::time::sleep(STOP_POLL).await;
+                }
+            })
+            .await
+        });
+        let left = state.open.load(Ordering::Relaxed);
+        state.log.changed(if ended.is_ok() { "stopped" } else { "stopped with open requests" }, &left);
+        state.log.flush();
+        traffic.shutdown_background();
+    }
+}
+
+fn plain_settings(bounds: &BoundSettings) -> PlainSettings {
+    PlainSettings {
+        retry_percent: percent(bounds.retry_ratio),
+        retry_burst: bounds.retry_slack / bounds.daemons_max.max(1),
+        retry_full_at_start: false,
+        ..PlainSettings::default()
+    }
+}
+
+fn engine_settings(bounds: &BoundSettings) -> EnginePoolSettings {
+    EnginePoolSettings {
+        retry_percent: percent(bounds.retry_ratio),
+        retry_burst: bounds.retry_slack / bounds.daemons_max.max(1),
+        ..EnginePoolSettings::default()
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a ratio of at most a few")]
+fn percent(ratio: f64) -> u64 {
+    (ratio.max(0.0) * 100.0) as u64
+}
--- /dev/null
+++ b/crates/router/src/relay/engine_hub.rs
@@ -0,0 +1,189 @@
+//! Where the pools of engines meet the tasks that carry their decisions out. One pool for each service; see
+//! [`crate::dispatch::Hub`] for the shape.
+
+use std::collections::HashMap;
+
+use hibiscusvale_core::ids::{BackendServerId, RequestId};
+use hibiscusvale_core::relay::engines::{
+    Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, Role,
+};
+use hibiscusvale_core::relay::routes::RouteTable;
+use hibiscusvale_core::sched::Sign;
+use hibiscusvale_core::units::Tokens;
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+use crate::clock;
+use crate::directory::{BackendKind, Listing};
+use crate::dispatch::alarm::Alarm;
+use crate::external::{EngineRole, ListedState};
+
+#[derive(Debug)]
+struct Service {
+    pool: EnginePool,
+    open: HashMap<RequestId, mpsc::UnboundedSender<EngineAction>>,
+}
+
+/// The pools by service.
+#[derive(Debug)]
+pub struct EngineHub {
+    services: Mutex<HashMap<String, Service>>,
+    alarm: Alarm,
+    settings: EnginePoolSettings,
+    seed: u64,
+}
+
+/// An open request; dropped, it tells the pool that its caller left unless it had ended.
+#[derive(Debug)]
+pub struct OpenRequest {
+    service: String,
+    request_id: RequestId,
+    steps: mpsc::UnboundedReceiver<EngineAction>,
+    hub: std::sync::Arc<super::state::RelayState>,
+}
+
+impl OpenRequest {
+    /// The pool's next step.
+    pub async fn step(&mut self) -> Option<EngineAction> {
+        self.steps.recv().await
+    }
+
+    /// Tells the pool how a step went.
+    pub fn feed(&self, event: EngineEvent) {
+        self.hub.engine_hub.feed(&self.service, event);
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let hub = &self.hub.engine_hub;
+        hub.feed(&self.service, EngineEvent::CallerLeft { request_id: self.request_id });
+        if let Some(service) = hub.services.lock().get_mut(&self.service) {
+            service.open.remove(&self.request_id);
+        }
+    }
+}
+
+impl EngineHub {
+    /// A hub that knows no services.
+    pub fn new(settings: EnginePoolSettings, seed: u64) -> Self {
+        Self { services: Mutex::default(), alarm: Alarm::new(), settings, seed }
+    }
+
+    /// Takes a request in. `None` when the service has no engines.
+    pub fn arrive(
+        state: &std::sync::Arc<super::state::RelayState>,
+        service: &str,
+        demand: Demand,
+    ) -> Option<OpenRequest> {
+        let (sender, steps) = mpsc::unbounded_channel();
+        let request_id = demand.request_id;
+        let hub = &state.engine_hub;
+        hub.services.lock().get_mut(service)?.open.insert(request_id, sender);
+        hub.feed(service, EngineEvent::Arrive(demand));
+        Some(OpenRequest {
+            service: service.to_owned(),
+            request_id,
+            steps,
+            hub: std::sync::Arc::clone(state),
+        })
+    }
+
+    /// Adopts the listing.
+    pub fn adopt(&self, listing: &Listing) {
+        let mut lists: HashMap<String, Vec<ListedEngine>> = HashMap::new();
+        for server in listing.servers.values() {
+            let BackendKind::Engine { service: Some(service), role, slots_total, .. } = &server.kind else {
+                continue;
+            };
+            lists.entry(service.clone()).or_default().push(ListedEngine {
+                server: server.id.clone(),
+                data_centre: server.data_centre.clone(),
+                role: match role {
+                    EngineRole::Prefill => Role::Prefill,
+                    EngineRole::Decode => Role::Decode,
+                },
+                slots: *slots_total,
+                leaving: server.listed == ListedState::Leaving,
+            });
+        }
+        let names = {
+            let mut services = self.services.lock();
+            for name in lists.keys() {
+                let turn = usize::try_from(self.seed % TURNS).unwrap_or_default();
+                services.entry(name.clone()).or_insert_with(|| Service {
+                    pool: EnginePool::new(self.settings, turn),
+                    open: HashMap::new(),
+                });
+            }
+            services.keys().cloned().collect::<Vec<_>>()
+        };
+        for name in names {
+            let engines = lists.remove(&name).unwrap_or_default();
+            self.feed(&name, EngineEvent::Engines(engines));
+        }
+    }
+
+    /// Takes what the configuration says of the engines.
+    pub fn configure(&self, table: &RouteTable) {
+        let mut services = self.services.lock();
+        for (name, spec) in table.services() {
+            let (Some(service), Some(engine)) = (services.get_mut(name.as_str()), spec.engine) else {
+                continue;
+            };
+            service.pool.configure(EnginePoolSettings {
+                memory_tokens: Tokens(engine.memory_tokens),
+                hold_ms: engine.hold_ms,
+                ..self.settings
+            });
+        }
+    }
+
+    /// Tells the pools of a sign of a server.
+    pub fn sign(&self, server: &BackendServerId, sign: Sign) {
+        self.feed_all(&EngineEvent::Sign { server: server.clone(), sign });
+    }
+
+    /// What the pools counted.
+    pub fn counters(&self) -> Vec<EngineCounters> {
+        self.services.lock().values().map(|service| *service.pool.counters()).collect()
+    }
+
+    /// Lets time pass for the pools, for as long as the daemon runs.
+    pub async fn run_timers(&self) {
+        self.alarm.run(|| self.feed_all(&EngineEvent::Tick)).await;
+    }
+
+    fn feed_all(&self, event: &EngineEvent) {
+        let names: Vec<String> = self.services.lock().keys().cloned().collect();
+        for name in names {
+            self.feed(&name, event.clone());
+        }
+    }
+
+    fn feed(&self, service: &str, event: EngineEvent) {
+        let mut services = self.services.lock();
+        let Some(service) = services.get_mut(service) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        service.pool.handle(clock::now(), event, &mut actions);
+        for action in actions {
+            match &action {
+                EngineAction::Wake { at_us } => self.alarm.set(*at_us),
+                EngineAction::Read { request_id, .. }
+                | EngineAction::Write { request_id, .. }
+                | EngineAction::Refuse { request_id, .. }
+                | EngineAction::Unknown { request_id } => {
+                    if let Some(open) = service.open.get(request_id) {
+                        // A task that has ended needs no more steps.
+                        let _ = open.send(action);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Different first choices of the daemons; any number above the engines of a service does.
+const TURNS: u64 = 1_024;
--- /dev/null
+++ b/crates/router/src/relay/mod.rs
@@ -0,0 +1,22 @@
+//! The relay: opaque requests, routed by host and path, passed on unchanged to the backend servers of a service.
+//!
+//! Decisions are those of `hibiscusvale-core`: [`hibiscusvale_core::relay`] and, for plain services, the same
+//! scheduler that serves partners' classes. What the systems around speak stands behind the traits of [`edge`].
+
+mod callers;
+mod daemon;
+pub mod edge;
+mod engine_hub;
+mod events;
+mod hop;
+mod plain;
+mod readiness;
+mod refusal;
+mod settings;
+mod state;
+mod story;
+mod stream;
+mod watch;
+
+pub use daemon::{RelayDaemon, RelayEdges};
+pub use settings::RelaySettings;
--- /dev/null
+++ b/crates/router/src/relay/plain.rs
@@ -0,0 +1,139 @@
+//! One request for a plain service.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hibiscusvale_core::ids::{BackendServerId, PartnerId};
+use hibiscusvale_core::outcome::Repeatability;
+use hibiscusvale_core::sched::{FailureCause, PlainAction, PlainArrival, PlainEvent, Sign};
+use hibiscusvale_core::units::Millis;
+use http::Response;
+use http_body_util::{BodyExt, Full};
+
+use super::edge::{Hop, Task};
+use super::hop::{self, WholeReply};
+use super::refusal::{Reason, Refusal};
+use super::state::{Incoming, RelayState};
+use super::story::Step;
+use crate::backend::Trust;
+use crate::callers::AnswerBody;
+
+/// Part of its time that a request may wait for an instance: the rest is for its answer.
+const PATIENCE_DIVISOR: u64 = 4;
+
+/// Runs a request; its caller gets the server's answer or a refusal.
+///
+/// # Errors
+///
+/// The refusal.
+pub async fn relay(
+    state: &Arc<RelayState>,
+    incoming: &Arc<Incoming>,
+    service: &str,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let arrival = arrival_of(incoming);
+    let mut open = state.plain_hub.arrive(service, arrival).ok_or(Refusal::new(Reason::NoServer))?;
+    let request_id = incoming.request_id;
+    // The answer of a server that failed, which the caller gets when there is no better one.
+    let mut failed: Option<WholeReply> = None;
+    while let Some(action) = open.step().await {
+        match action {
+            PlainAction::Dispatch { server, timeout_ms, fresh_connection, .. } => {
+                let trust = if fresh_connection { Trust::Fresh } else { Trust::Pooled };
+                let tried = attempt(state, incoming, server.clone(), timeout_ms, trust).await;
+                match &tried {
+                    Ok(_) => incoming.note(Step::Answered, &server),
+                    Err(cause) => incoming.note(Step::Failed(*cause), &server),
+                }
+                match tried {
+                    Ok(reply) if reply.status.is_server_error() && is_repeatable(incoming) => {
+                        failed = Some(reply);
+                        open.feed(PlainEvent::Failed { request_id, cause: FailureCause::Refused });
+                    }
+                    Ok(reply) => {
+                        open.feed(PlainEvent::Done { request_id });
+                        return Ok(response_of(state, reply));
+                    }
+                    Err(cause) => open.feed(PlainEvent::Failed { request_id, cause }),
+                }
+            }
+            PlainAction::Refuse { reason, retry_after_ms, .. } => {
+                return Err(Refusal::retry_after(reason.into(), retry_after_ms));
+            }
+            PlainAction::Unknown { .. } => break,
+            PlainAction::Wake { .. } => {}
+        }
+    }
+    failed.map(|reply| response_of(state, reply)).ok_or(Refusal::new(Reason::NoAnswer))
+}
+
+fn is_repeatable(incoming: &Incoming) -> bool {
+    incoming.route.kind.repeatability() == Repeatability::Repeatable
+}
+
+fn arrival_of(incoming: &Incoming) -> PlainArrival {
+    PlainArrival {
+        request_id: incoming.request_id,
+        partner: callers(),
+        repeatable: is_repeatable(incoming),
+        attempts_max: incoming.route.attempts_max,
+        patience_ms: Millis(incoming.left_ms().0 / PATIENCE_DIVISOR),
+    }
+}
+
+/// All callers of routes share queues and budgets: routes know no partners.
+fn callers() -> PartnerId {
+    "callers".parse().expect("the name is in order")
+}
+
+/// One try. What may not be repeated runs to its end although its caller has left: broken off, nobody could tell
+/// whether it ran.
+async fn attempt(
+    state: &Arc<RelayState>,
+    incoming: &Arc<Incoming>,
+    server: BackendServerId,
+    timeout_ms: Millis,
+    trust: Trust,
+) -> Result<WholeReply, FailureCause> {
+    let left = incoming.left();
+    if is_repeatable(incoming) {
+        return exchange(state, incoming, &server, trust, left.min(Duration::from(timeout_ms))).await;
+    }
+    let (state, incoming) = (Arc::clone(state), Arc::clone(incoming));
+    let task = tokio::spawn(async move { exchange(&state, &incoming, &server, trust, left).await });
+    task.await.unwrap_or(Err(FailureCause::Broken))
+}
+
+async fn exchange(
+    state: &RelayState,
+    incoming: &Incoming,
+    server: &BackendServerId,
+    trust: Trust,
+    timeout: Duration,
+) -> Result<WholeReply, FailureCause> {
+    let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
+    let hop = Hop { server, left_ms: incoming.left_ms(), task: Task::Run, after_event: None };
+    let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, trust, timeout).await;
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(cause) => {
+            if cause == FailureCause::Leaving {
+                state.plain_hub.sign(server, Sign::Leaving);
+            }
+            return Err(cause);
+        }
+    };
+    if let Some(load) = reply.head.load {
+        state.plain_hub.load(server, load.running + load.waiting, load.slots);
+    }
+    reply.whole(timeout).await
+}
+
+fn response_of(state: &RelayState, reply: WholeReply) -> Response<AnswerBody> {
+    let body = Full::new(reply.body).map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = state.wire.answer_headers(&reply.headers);
+    response
+}
+
--- /dev/null
+++ b/crates/router/src/relay/refusal.rs
@@ -0,0 +1,134 @@
+//! Answers of the relay's own: refusals and failures.
+
+use bytes::Bytes;
+use hibiscusvale_core::relay::engines::EngineRefusal;
+use hibiscusvale_core::sched::PlainRefusal;
+use hibiscusvale_core::units::Millis;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+
+use super::edge::Wire;
+use crate::callers::AnswerBody;
+use crate::metrics::Label;
+
+/// Why the relay answers itself.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Reason {
+    /// The request cannot be understood.
+    BadRequest,
+    /// Its body is larger than allowed.
+    BodyTooLarge,
+    /// Its body did not arrive in time, or broke off.
+    BodyIncomplete,
+    /// No route has this host and path.
+    NoRoute,
+    /// This daemon knows no routes yet.
+    NoTable,
+    /// No server of the service takes requests.
+    NoServer,
+    /// It would wait longer than it is worth.
+    WouldWaitTooLong,
+    /// Every server that was asked refused.
+    ServersFull,
+    /// Its time was over before a server was found.
+    OutOfTime,
+    /// A server had it and gave no answer in time.
+    NoAnswerInTime,
+    /// A server had it and gave no usable answer.
+    NoAnswer,
+}
+
+impl Label for Reason {
+    fn label(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::BodyTooLarge => "body-too-large",
+            Self::BodyIncomplete => "body-incomplete",
+            Self::NoRoute => "no-route",
+            Self::NoTable => "no-table",
+            Self::NoServer => "no-server",
+            Self::WouldWaitTooLong => "would-wait-too-long",
+            Self::ServersFull => "servers-full",
+            Self::OutOfTime => "out-of-time",
+            Self::NoAnswerInTime => "no-answer-in-time",
+            Self::NoAnswer => "no-answer",
+        }
+    }
+}
+
+impl Reason {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            // These say that the request has not run and never will.
+            Self::NoTable
+            | Self::NoServer
+            | Self::WouldWaitTooLong
+            | Self::ServersFull
+            | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
+            // These promise nothing.
+            Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
+            Self::NoAnswer => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+impl From<PlainRefusal> for Reason {
+    fn from(refusal: PlainRefusal) -> Self {
+        match refusal {
+            PlainRefusal::WouldWaitTooLong | PlainRefusal::QueueFull => Self::WouldWaitTooLong,
+            PlainRefusal::NoInstance => Self::NoServer,
+            PlainRefusal::RetriesSpent => Self::ServersFull,
+        }
+    }
+}
+
+impl From<EngineRefusal> for Reason {
+    fn from(refusal: EngineRefusal) -> Self {
+        match refusal {
+            EngineRefusal::WouldWaitTooLong => Self::WouldWaitTooLong,
+            EngineRefusal::NoEngine => Self::NoServer,
+            EngineRefusal::RetriesSpent => Self::ServersFull,
+        }
+    }
+}
+
+/// An answer of the relay's own.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When another try is worth making.
+    pub retry_after_ms: Option<Millis>,
+}
+
+impl Refusal {
+    /// A refusal without a time to come back.
+    pub fn new(reason: Reason) -> Self {
+        Self { reason, retry_after_ms: None }
+    }
+
+    /// A refusal with a time to come back.
+    pub fn retry_after(reason: Reason, retry_after_ms: Millis) -> Self {
+        Self { reason, retry_after_ms: Some(retry_after_ms) }
+    }
+
+    /// The answer that tells the caller.
+    pub fn into_response(self, wire: &dyn Wire) -> Response<AnswerBody> {
+        let text = Bytes::from_static(self.reason.label().as_bytes());
+        let mut response = Response::new(Full::new(text).map_err(|never| match never {}).boxed_unsync());
+        *response.status_mut() = self.reason.status();
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(wait_ms) = self.retry_after_ms {
+            headers.insert(header::RETRY_AFTER, wire.retry_after(wait_ms));
+        }
+        if self.reason == Reason::BodyIncomplete {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/state.rs
@@ -0,0 +1,136 @@
+//! What all requests of a relaying daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use hibiscusvale_core::ids::{BackendServerId, Incarnation, RequestId};
+use hibiscusvale_core::relay::routes::{Route, RouteTable};
+use hibiscusvale_core::units::Millis;
+use http::{HeaderMap, Method};
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use super::edge::{Call, Wire};
+use super::engine_hub::EngineHub;
+use super::story::{Step, Story};
+use crate::backend::BackendHttp;
+use crate::directory::Directory;
+use crate::dispatch::PlainHub;
+use crate::logging::{Log, RelayLine};
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The relay's own name for it.
+    pub request_id: RequestId,
+    /// What its caller says.
+    pub call: Call,
+    /// Its route.
+    pub route: Route,
+    /// Method as sent.
+    pub method: Method,
+    /// Path and query as sent.
+    pub path: String,
+    /// Headers as sent.
+    pub headers: HeaderMap,
+    /// Body as sent.
+    pub body: Bytes,
+    /// When its first byte was understood.
+    pub arrived: Instant,
+    /// When its caller gets its final answer at the latest.
+    pub deadline: Instant,
+    /// What happened to it.
+    pub story: Mutex<Story>,
+    /// The daemon.
+    pub state: Arc<RelayState>,
+}
+
+/// One line for each request, when nothing is left of it: with its answer, or with the detached end of a call that
+/// may not be broken off.
+impl Drop for Incoming {
+    fn drop(&mut self) {
+        self.state.open.fetch_sub(1, Ordering::Relaxed);
+        let story = self.story.get_mut();
+        self.state.log.relayed(RelayLine {
+            request_id: self.request_id,
+            call: self.call.id.as_str(),
+            route: &self.route.name,
+            version: self.state.table.load().version().0,
+            outcome: story.how(),
+            steps: story.steps(),
+            first_event_ms: story.first_event_ms(),
+            took_ms: Millis(u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)),
+        });
+    }
+}
+
+impl Incoming {
+    /// Notes a step that has just ended.
+    pub fn note(&self, step: Step, server: &BackendServerId) {
+        self.story.lock().note(self.arrived.elapsed(), step, server);
+    }
+
+    /// Notes that the first event went to the caller.
+    pub fn note_first_event(&self) {
+        self.story.lock().first_event(self.arrived.elapsed());
+    }
+
+    /// Notes how it ended.
+    pub fn note_end(&self, how: &'static str) {
+        self.story.lock().end(how);
+    }
+
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time that is left, as it is handed on: never more than there is.
+    pub fn left_ms(&self) -> Millis {
+        Millis(u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// What all requests of a daemon share.
+#[derive(Debug)]
+pub struct RelayState {
+    /// How callers and servers speak.
+    pub wire: Arc<dyn Wire>,
+    /// The routes in force.
+    pub table: ArcSwap<RouteTable>,
+    /// The backend servers.
+    pub directory: Arc<Directory>,
+    /// Calls to backend servers.
+    pub http: BackendHttp,
+    /// Schedulers of plain services.
+    pub plain_hub: PlainHub,
+    /// Pools of engines.
+    pub engine_hub: EngineHub,
+    /// This daemon's life.
+    pub incarnation: Incarnation,
+    /// Requests taken in by this life.
+    pub sequence: AtomicU64,
+    /// Requests and streams under way.
+    pub open: AtomicU64,
+    /// Whether the daemon is about to stop.
+    pub stopping: AtomicBool,
+    /// Where it tells.
+    pub log: Log,
+}
+
+impl RelayState {
+    /// An id that no request had before.
+    pub fn next_id(&self) -> RequestId {
+        RequestId { incarnation: self.incarnation, sequence: self.sequence.fetch_add(1, Ordering::Relaxed) }
+    }
+
+    /// Whether the daemon can serve callers.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed)
+            && self.table.load().is_known()
+            && self.directory.listing().version > 0
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/story.rs
@@ -0,0 +1,96 @@
+//! What happened to one request, told in one log line when it has ended.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::sched::FailureCause;
+
+/// A step of a request at a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// An instance answered.
+    Answered,
+    /// An instance gave no answer that can be passed on.
+    Failed(FailureCause),
+    /// An engine read the prompt.
+    Read,
+    /// It did not.
+    ReadFailed(FailureCause),
+    /// An engine began its answer.
+    Written,
+    /// It did not.
+    WriteFailed(FailureCause),
+}
+
+/// Steps of one request that are told at most; more come only from a fault.
+const STEPS_MAX: usize = 12;
+
+/// The steps so far, and how it ended.
+#[derive(Debug, Default)]
+pub struct Story {
+    steps: usize,
+    text: String,
+    end: Option<&'static str>,
+    first_event: Option<Duration>,
+}
+
+impl Story {
+    /// Adds a step that ended `at` after the request's arrival.
+    pub fn note(&mut self, at: Duration, step: Step, server: &BackendServerId) {
+        self.steps += 1;
+        if self.steps > STEPS_MAX {
+            return;
+        }
+        let (what, cause) = match step {
+            Step::Answered => ("answered", None),
+            Step::Failed(cause) => ("failed", Some(cause)),
+            Step::Read => ("read", None),
+            Step::ReadFailed(cause) => ("read", Some(cause)),
+            Step::Written => ("written", None),
+            Step::WriteFailed(cause) => ("write", Some(cause)),
+        };
+        let gap = if self.text.is_empty() { "" } else { " " };
+        let cause = cause.map_or("", cause_label);
+        // Writing to a string does not fail.
+        let _ = write!(self.text, "{gap}{what}:{server}:{cause}@{}", at.as_millis());
+    }
+
+    /// The first event went to the caller.
+    pub fn first_event(&mut self, at: Duration) {
+        self.first_event.get_or_insert(at);
+    }
+
+    /// Notes how it ended; the first word counts.
+    pub fn end(&mut self, how: &'static str) {
+        self.end.get_or_insert(how);
+    }
+
+    /// How it ended; a request that nobody ended was left by its caller.
+    pub fn how(&self) -> &'static str {
+        self.end.unwrap_or("caller-left")
+    }
+
+    /// The steps as text: what, where, why it failed, and milliseconds since the request's arrival.
+    pub fn steps(&self) -> &str {
+        &self.text
+    }
+
+    /// Time from arrival to the first event.
+    pub fn first_event_ms(&self) -> Option<u64> {
+        self.first_event.map(|at| u64::try_from(at.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// Name of a cause in logs.
+pub fn cause_label(cause: FailureCause) -> &'static str {
+    match cause {
+        FailureCause::NotSent => "not-sent",
+        FailureCause::Timeout => "timeout",
+        FailureCause::Broken => "broken",
+        FailureCause::NoRoom => "no-room",
+        FailureCause::Leaving => "leaving",
+        FailureCause::Gone => "gone",
+        FailureCause::Refused => "refused",
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/stream.rs
@@ -0,0 +1,300 @@
+//! One request for a model: its prompt read by one engine, its answer written by another and passed on event by
+//! event.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::outcome::Repeatability;
+use hibiscusvale_core::relay::engines::{Demand, EngineAction, EngineEvent};
+use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::{Millis, Tokens};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming as ServerBody};
+
+use super::edge::{EventId, Generation, Hop, PromptRead, Task};
+use super::engine_hub::{EngineHub, OpenRequest};
+use super::events::EventCutter;
+use super::hop::{self, Reply, WholeReply};
+use super::refusal::{Reason, Refusal};
+use super::state::{Incoming, RelayState};
+use super::story::Step;
+use crate::backend::Trust;
+use crate::callers::{AnswerBody, BodyBroken};
+
+/// Silence of an engine after which a resumable stream goes on at another one: several times the longest pause that
+/// is in time, and well below the two seconds after which callers leave.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Part of its time that a request may wait for an engine. Beyond, its answer would not end in time.
+const PATIENCE_DIVISOR: u64 = 4;
+
+/// Answer length reckoned with when the caller gives no hint: part of the longest that it allows.
+const UNHINTED_DIVISOR: u64 = 2;
+
+/// Runs a request; its caller gets the stream, or a refusal.
+///
+/// # Errors
+///
+/// The refusal.
+pub async fn relay(
+    state: &Arc<RelayState>,
+    incoming: &Arc<Incoming>,
+    service: &str,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let generation = incoming.call.generation.as_ref().ok_or(Refusal::new(Reason::BadRequest))?;
+    let demand = demand_of(incoming, generation);
+    let open = EngineHub::arrive(state, service, demand).ok_or(Refusal::new(Reason::NoServer))?;
+    let mut run = Run {
+        state: Arc::clone(state),
+        incoming: Arc::clone(incoming),
+        open,
+        read: None,
+        last: incoming.call.after_event,
+        failed: None,
+    };
+    let reply = match tokio::time::timeout_at(incoming.deadline, run.opened()).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(refusal)) => {
+            return run.failed.take().map(|reply| whole_response(state, reply)).ok_or(refusal);
+        }
+        Err(_elapsed) => return Err(Refusal::new(Reason::NoAnswerInTime)),
+    };
+    if !reply.status.is_success() {
+        let reply = reply.whole(incoming.left()).await.map_err(|_| Refusal::new(Reason::NoAnswer))?;
+        return Ok(whole_response(state, reply));
+    }
+    let (status, headers) = (reply.status, state.wire.answer_headers(&reply.headers));
+    Ok(streamed(status, headers, Passing { run, body: Some(reply.into_body()), cutter: EventCutter::default() }))
+}
+
+fn demand_of(incoming: &Incoming, generation: &Generation) -> Demand {
+    let unhinted = Tokens(generation.answer_tokens_max.0 / UNHINTED_DIVISOR);
+    Demand {
+        request_id: incoming.request_id,
+        prompt_tokens: generation.prompt_tokens,
+        answer_tokens: generation.answer_tokens_hint.unwrap_or(unhinted),
+        repeatability: incoming.route.kind.repeatability(),
+        attempts_max: incoming.route.attempts_max,
+        target_ms: incoming.route.target_ms,
+        patience_ms: Millis(incoming.left_ms().0 / PATIENCE_DIVISOR),
+        priority: incoming.route.priority,
+    }
+}
+
+/// A prompt that was read, and where.
+struct Kept {
+    at: SocketAddr,
+    prompt: PromptRead,
+}
+
+/// A request between its engines.
+struct Run {
+    state: Arc<RelayState>,
+    incoming: Arc<Incoming>,
+    open: OpenRequest,
+    read: Option<Kept>,
+    /// The last event that the caller has.
+    last: Option<EventId>,
+    /// The answer of an engine that failed, which the caller gets when there is no better one.
+    failed: Option<WholeReply>,
+}
+
+impl Run {
+    /// Follows the pool's steps until an engine answers.
+    async fn opened(&mut self) -> Result<Reply, Refusal> {
+        let request_id = self.incoming.request_id;
+        while let Some(action) = self.open.step().await {
+            match action {
+                EngineAction::Read { reader, timeout_ms, .. } => {
+                    let event = match self.read(&reader, timeout_ms).await {
+                        Ok(kept) => {
+                            self.incoming.note(Step::Read, &reader);
+                            self.read = Some(kept);
+                            EngineEvent::PromptRead { request_id }
+                        }
+                        Err(cause) => {
+                            self.incoming.note(Step::ReadFailed(cause), &reader);
+                            EngineEvent::ReadFailed { request_id, cause }
+                        }
+                    };
+                    self.open.feed(event);
+                }
+                EngineAction::Write { writer, reader, .. } => {
+                    let source = reader.and_then(|_| self.read.take());
+                    match self.write(&writer, source).await {
+                        Ok(reply) => {
+                            self.incoming.note(Step::Written, &writer);
+                            return Ok(reply);
+                        }
+                        Err(cause) => {
+                            self.incoming.note(Step::WriteFailed(cause), &writer);
+                            self.open.feed(EngineEvent::WriteFailed { request_id, cause });
+                        }
+                    }
+                }
+                EngineAction::Refuse { reason, retry_after_ms, .. } => {
+                    return Err(Refusal::retry_after(reason.into(), retry_after_ms));
+                }
+                EngineAction::Unknown { .. } => break,
+                EngineAction::Wake { .. } => {}
+            }
+        }
+        Err(Refusal::new(Reason::NoAnswer))
+    }
+
+    async fn read(&self, reader: &BackendServerId, timeout_ms: Millis) -> Result<Kept, FailureCause> {
+        let Self { state, incoming, .. } = self;
+        let at = state.directory.address_of(reader).ok_or(FailureCause::NotSent)?;
+        let hop = Hop { server: reader, left_ms: incoming.left_ms(), task: Task::ReadPrompt, after_event: None };
+        let timeout = incoming.left().min(Duration::from(timeout_ms));
+        // Reading a prompt twice does no harm, so any connection will do.
+        let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
+        let whole = reply.whole(timeout).await?;
+        let prompt = state.wire.read_prompt(&whole.body).ok_or(FailureCause::Broken)?;
+        Ok(Kept { at, prompt })
+    }
+
+    async fn write(&mut self, writer: &BackendServerId, source: Option<Kept>) -> Result<Reply, FailureCause> {
+        let Self { state, incoming, .. } = &*self;
+        let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
+        let task = match source {
+            Some(Kept { at, prompt }) => Task::Write { source: at, handle: prompt.handle },
+            None => Task::Run,
+        };
+        let hop = Hop { server: writer, left_ms: incoming.left_ms(), task, after_event: self.last };
+        let trust = if self.may_repeat() { Trust::Pooled } else { Trust::Fresh };
+        let reply = hop::send(&state.http, &*state.wire, incoming, at, &hop, trust, incoming.left()).await?;
+        if reply.status.is_server_error() && self.may_repeat() {
+            self.failed = Some(reply.whole(incoming.left()).await?);
+            return Err(FailureCause::Refused);
+        }
+        Ok(reply)
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.incoming.route.kind.repeatability() == Repeatability::Repeatable
+    }
+
+    /// Goes on behind the last event at another engine.
+    async fn resumed(&mut self, cause: FailureCause) -> Result<ServerBody, BodyBroken> {
+        let request_id = self.incoming.request_id;
+        self.open.feed(EngineEvent::WriteFailed { request_id, cause });
+        let deadline = self.incoming.deadline;
+        let reply = match tokio::time::timeout_at(deadline, self.opened()).await {
+            Ok(Ok(reply)) if reply.status.is_success() => reply,
+            Ok(_) | Err(_) => return Err(BodyBroken),
+        };
+        Ok(reply.into_body())
+    }
+}
+
+/// A stream on its way to its caller. It is driven by whoever takes its events, so a caller who leaves drops it and
+/// the engine's connection with it.
+struct Passing {
+    run: Run,
+    body: Option<ServerBody>,
+    cutter: EventCutter,
+}
+
+impl Passing {
+    /// The next whole events; `None` at the end of the answer.
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
+        while let Some(body) = &mut self.body {
+            match next_chunk(body, &self.run).await {
+                Ok(Some(bytes)) => {
+                    let Ok(events) = self.cutter.push(&bytes) else {
+                        return Err(self.broken(FailureCause::Broken));
+                    };
+                    if let Some(events) = events {
+                        self.note_progress(events.last);
+                        return Ok(Some(events.bytes));
+                    }
+                }
+                Ok(None) => {
+                    self.body = None;
+                    self.run.incoming.note_end("answered");
+                    self.run.open.feed(EngineEvent::Finished { request_id: self.run.incoming.request_id });
+                    let rest = self.cutter.rest();
+                    return Ok((!rest.is_empty()).then_some(rest));
+                }
+                Err(cause) => self.go_on(cause).await?,
+            }
+        }
+        Ok(None)
+    }
+
+    async fn go_on(&mut self, cause: FailureCause) -> Result<(), BodyBroken> {
+        // The connection goes first: two engines must not write for one request.
+        self.body = None;
+        if !self.run.may_repeat() || self.run.incoming.left().is_zero() {
+            return Err(self.broken(cause));
+        }
+        self.cutter = EventCutter::default();
+        match self.run.resumed(cause).await {
+            Ok(body) => {
+                self.body = Some(body);
+                Ok(())
+            }
+            Err(BodyBroken) => Err(self.broken(cause)),
+        }
+    }
+
+    fn broken(&self, cause: FailureCause) -> BodyBroken {
+        self.run.incoming.note_end(super::story::cause_label(cause));
+        let request_id = self.run.incoming.request_id;
+        self.run.open.feed(EngineEvent::WriteFailed { request_id, cause });
+        BodyBroken
+    }
+
+    fn note_progress(&mut self, last: Option<EventId>) {
+        if last.is_some() {
+            if self.run.last == self.run.incoming.call.after_event {
+                let request_id = self.run.incoming.request_id;
+                self.run.open.feed(EngineEvent::Started { request_id });
+                self.run.incoming.note_first_event();
+            }
+            self.run.last = last;
+        }
+    }
+}
+
+async fn next_chunk(body: &mut ServerBody, run: &Run) -> Result<Option<Bytes>, FailureCause> {
+    let left = run.incoming.left();
+    let silence = if run.may_repeat() { SILENCE.min(left) } else { left };
+    loop {
+        match tokio::time::timeout(silence, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Ok(Some(bytes));
+                }
+            }
+            Ok(Some(Err(_))) => return Err(FailureCause::Broken),
+            Ok(None) => return Ok(None),
+            Err(_elapsed) => return Err(FailureCause::Timeout),
+        }
+    }
+}
+
+fn streamed(status: StatusCode, headers: HeaderMap, passing: Passing) -> Response<AnswerBody> {
+    let events = stream::try_unfold(passing, |mut passing| async move {
+        let next = passing.next().await?;
+        Ok::<_, BodyBroken>(next.map(|bytes| (Frame::data(bytes), passing)))
+    });
+    let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+fn whole_response(state: &RelayState, reply: WholeReply) -> Response<AnswerBody> {
+    let body = Full::new(reply.body).map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = state.wire.answer_headers(&reply.headers);
+    response
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -14,6 +14,7 @@
 use hibiscusvale_core::ids::{DataCentreId, HostId, PartnerId, RegionId};
 use hibiscusvale_core::units::{Bytes, Millis};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
 pub use crate::settings::error::{SettingsError, SettingsProblem};
 pub use crate::settings::secret::{MacKey, PublishKey, TokenHash};
@@ -71,13 +72,24 @@
     ///
     /// [`SettingsError::Invalid`] with every problem found.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text)
-            .map_err(|error| SettingsError::Invalid(vec![error::syntax(text, &error)]))?;
+        let settings: Self = parse_toml(text)?;
         let problems = check::problems(&settings, text);
         if problems.is_empty() { Ok(settings) } else { Err(SettingsError::Invalid(problems)) }
     }
 }
 
+/// Reads settings of one type from TOML text.
+///
+/// # Errors
+///
+/// [`SettingsError::Invalid`] with the line of what is not understood.
+pub fn parse_toml<Type>(text: &str) -> Result<Type, SettingsError>
+where
+    Type: DeserializeOwned,
+{
+    toml::from_str(text).map_err(|error| SettingsError::Invalid(vec![error::syntax(text, &error)]))
+}
+
 /// Checks the settings file at `path` and does nothing else: `hibiscusvaled check FILE`.
 ///
 /// # Errors
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -31,7 +31,7 @@
 use crate::figures;
 use crate::metrics::Metrics;
 use crate::peer::{PeerBody, PeerLink};
-use crate::platform::{EngineRole, ListedState};
+use crate::external::{EngineRole, ListedState};
 
 /// Least time between two load reports of a watched engine. Grants are counted exactly; reports only find what no
 /// ledger knows, such as the holdings of a daemon that died, so a second is soon enough.
--- a/crates/router/tests/claims/fake.rs
+++ b/crates/router/tests/claims/fake.rs
@@ -10,7 +10,7 @@
 use hibiscusvale::claims::ClaimsCommand;
 use hibiscusvale::kernel::{Kernel, ServiceName};
 use hibiscusvale::peer::{PeerBody, PeerLink};
-use hibiscusvale::platform::{AppendError, Log, LogFailure, LogPage, LogRecord, Stream};
+use hibiscusvale::external::{AppendError, Log, LogFailure, LogPage, LogRecord, Stream};
 use hibiscusvale_core::ids::{HostId, Offset};
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
--- a/crates/router/tests/ops/directory.rs
+++ b/crates/router/tests/ops/directory.rs
@@ -1,7 +1,7 @@
 //! The directory of backend servers follows a list that lags, changes in parts, and may lose its contents.
 
 use hibiscusvale::directory::Directory;
-use hibiscusvale::platform::{HostListChange, HostListPage, ListedHost, ListedKind, ListedState};
+use hibiscusvale::external::{HostListChange, HostListPage, ListedHost, ListedKind, ListedState};
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
 
--- a/crates/router/tests/ops/memory_log.rs
+++ b/crates/router/tests/ops/memory_log.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale::platform::{AppendError, Log, LogFailure, LogPage, LogRecord, Stream};
+use hibiscusvale::external::{AppendError, Log, LogFailure, LogPage, LogRecord, Stream};
 use hibiscusvale_core::ids::Offset;
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
--- a/crates/router/tests/ops/platform.rs
+++ b/crates/router/tests/ops/platform.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use hibiscusvale::platform::{
+use hibiscusvale::external::{
     AppendError, HttpLog, HttpLogSettings, HttpWeightStore, Log, LogFailure, Stream, WeightStore,
 };
 use hibiscusvale_core::ids::Offset;
--- a/crates/standins/tests/e2e/world.rs
+++ b/crates/standins/tests/e2e/world.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use ed25519_dalek::SigningKey;
 use hibiscusvale::daemon::{Daemon, Edges, new_incarnation};
-use hibiscusvale::platform::{HttpLog, HttpLogSettings, Log, Stream};
+use hibiscusvale::external::{HttpLog, HttpLogSettings, Log, Stream};
 use hibiscusvale::settings::{Settings, TokenHash};
 use hibiscusvale_core::config::{ChangeBody, ClassChange, ClassTarget, Record};
 use hibiscusvale_core::ids::{ChangeId, Offset};
