--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -71,8 +71,13 @@
         self.full_until_us = now_us + FULL_MS;
     }
 
-    /// How full it is: who has refused last, then requests of all daemons, then memory of this one's.
-    pub(super) fn fullness(&self, now_us: MonoTime) -> (bool, u32, Tokens) {
-        (now_us < self.full_until_us, self.instance.load(now_us), self.held)
+    /// Whether it has refused for want of room just now.
+    pub(super) fn is_full(&self, now_us: MonoTime) -> bool {
+        now_us < self.full_until_us
+    }
+
+    /// How full it is: requests of all daemons, then memory of this one's.
+    pub(super) fn fullness(&self, now_us: MonoTime) -> (u32, Tokens) {
+        (self.instance.load(now_us), self.held)
     }
 }
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -36,8 +36,10 @@
     pub request_id: RequestId,
     /// Length of its prompt, as its caller says.
     pub prompt_tokens: Tokens,
-    /// Expected length of its answer.
-    pub answer_tokens: Tokens,
+    /// Longest answer that its caller allows.
+    pub answer_tokens_max: Tokens,
+    /// Length of the answer that its caller expects.
+    pub answer_tokens_hint: Option<Tokens>,
     /// Whether it may run more than once.
     pub repeatability: Repeatability,
     /// Servers that may run it at most.
@@ -66,6 +68,18 @@
 pub enum EngineEvent {
     /// A request came in.
     Arrive(Demand),
+    /// An engine keeps a slot and memory for the request.
+    Reserved {
+        /// Which request.
+        request_id: RequestId,
+    },
+    /// It does not.
+    ReserveFailed {
+        /// Which request.
+        request_id: RequestId,
+        /// Why.
+        cause: FailureCause,
+    },
     /// The prompt was read; the KV cache waits to be fetched.
     PromptRead {
         /// Which request.
@@ -94,6 +108,8 @@
     Finished {
         /// Which request.
         request_id: RequestId,
+        /// Events that it took.
+        events: u64,
     },
     /// The caller closed its connection, or its time is over.
     CallerLeft {
@@ -136,6 +152,19 @@
 /// Something the pool wants done.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EngineAction {
+    /// Have a slot and memory kept for the request.
+    Reserve {
+        /// Which request.
+        request_id: RequestId,
+        /// Where.
+        writer: BackendServerId,
+        /// Memory for prompt and answer.
+        tokens: Tokens,
+        /// For how long.
+        keep_ms: Millis,
+        /// Report `ReserveFailed` with `Timeout` after this.
+        timeout_ms: Millis,
+    },
     /// Have the prompt read, for `writer` to fetch.
     Read {
         /// Which request.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -28,6 +28,10 @@
     /// Part of the memory that is filled at most, in percent. Answers grow beyond what was expected, and an
     /// engine without memory throws a running request out.
     pub fill_percent: u64,
+    /// Tokens that one event of a stream stands for.
+    pub event_tokens: u64,
+    /// For how long an engine keeps a slot and memory; zero where engines keep none.
+    pub reserve_ms_max: Millis,
     /// For how long a read prompt waits to be fetched.
     pub hold_ms: Millis,
     /// Requests that wait for an engine at most. Beyond, the oldest would have been refused before the newest
@@ -49,6 +53,8 @@
             instance: InstanceSettings::default(),
             memory_tokens: Tokens(80_000),
             fill_percent: 95,
+            event_tokens: 1,
+            reserve_ms_max: Millis::ZERO,
             hold_ms: Millis(500),
             waiting_max: 256,
             read_tokens_per_ms: 50.0,
@@ -63,6 +69,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
     Waiting,
+    /// A writer is asked to keep room.
+    Reserving { writer: usize },
     Reading { reader: usize, writer: usize },
     Writing { writer: usize, since_us: MonoTime },
 }
@@ -70,6 +78,8 @@
 #[derive(Clone, Debug)]
 struct Open {
     demand: Demand,
+    /// Memory for its prompt and its answer, as expected.
+    room: Tokens,
     arrived_us: MonoTime,
     stage: Stage,
     tries: Attempts,
@@ -90,6 +100,8 @@
     budget: RetryBudget,
     counters: EngineCounters,
     wake_us: Option<MonoTime>,
+    /// Length of an answer, over those that have ended.
+    usual_answer: Option<f64>,
     /// Where the look for an engine begins, so that equals are taken in turn.
     turn: usize,
 }
@@ -106,6 +118,7 @@
             budget: RetryBudget::empty(settings.retry_percent, settings.retry_burst),
             counters: EngineCounters::default(),
             wake_us: None,
+            usual_answer: None,
             turn,
         }
     }
@@ -124,6 +137,10 @@
     pub fn handle(&mut self, now_us: MonoTime, event: EngineEvent, actions: &mut Vec<EngineAction>) {
         match event {
             EngineEvent::Arrive(demand) => self.arrive(now_us, demand, actions),
+            EngineEvent::Reserved { request_id } => self.reserved(now_us, request_id, actions),
+            EngineEvent::ReserveFailed { request_id, cause } => {
+                self.reserve_failed(now_us, request_id, cause, actions);
+            }
             EngineEvent::PromptRead { request_id } => self.prompt_read(now_us, request_id, actions),
             EngineEvent::ReadFailed { request_id, cause } => {
                 self.read_failed(now_us, request_id, cause, actions);
@@ -132,7 +149,9 @@
             EngineEvent::WriteFailed { request_id, cause } => {
                 self.write_failed(now_us, request_id, cause, actions);
             }
-            EngineEvent::Finished { request_id } => self.finished(now_us, request_id),
+            EngineEvent::Finished { request_id, events } => {
+                self.finished(now_us, request_id, events);
+            }
             EngineEvent::CallerLeft { request_id } => self.caller_left(now_us, request_id),
             EngineEvent::Engines(list) => self.adopt(list),
             EngineEvent::Sign { server, sign } => {
@@ -178,8 +197,10 @@
             return;
         }
         let tries = Attempts::new(demand.repeatability, demand.attempts_max);
+        let room = demand.prompt_tokens + self.expected_answer(&demand);
         let open = Open {
             demand,
+            room,
             arrived_us: now_us,
             stage: Stage::Waiting,
             tries,
@@ -197,6 +218,17 @@
         }
     }
 
+    /// Callers' hints are right in the middle and often far off; what answers usually are is known better the more
+    /// of them have ended. The geometric mean weighs both alike, as both scatter by factors.
+    fn expected_answer(&self, demand: &Demand) -> Tokens {
+        let longest = demand.answer_tokens_max.0 as f64;
+        let usual = self.usual_answer.unwrap_or(longest / 2.0);
+        let hinted = demand.answer_tokens_hint.map_or(usual, |hint| hint.0 as f64);
+        let expected = (usual * hinted).sqrt() * ANSWER_MARGIN;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive count")]
+        Tokens(expected.min(longest) as u64)
+    }
+
     fn has_writer(&self, now_us: MonoTime) -> bool {
         self.engines.iter().any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
     }
@@ -226,31 +258,96 @@
     /// Chooses engines for a request; false when there is no room for it.
     fn place(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<EngineAction>) -> bool {
         let open = &self.open[&request_id];
-        let held = open.demand.prompt_tokens + open.demand.answer_tokens;
-        let (prompt_tokens, failed_at, read) = (open.demand.prompt_tokens, open.failed_at, open.read);
-        let Some(writer) = self.choose_writer(now_us, held, failed_at) else {
+        let (room, failed_at) = (open.room, open.failed_at);
+        let Some(writer) = self.choose_writer(now_us, room, failed_at) else {
             return false;
         };
+        self.engines[writer].hold(room);
+        self.engines[writer].instance.start(now_us);
+        if self.settings.reserve_ms_max == Millis::ZERO {
+            self.read(now_us, request_id, writer, actions);
+            return true;
+        }
+        if let Some(open) = self.open.get_mut(&request_id) {
+            open.stage = Stage::Reserving { writer };
+        }
+        actions.push(EngineAction::Reserve {
+            request_id,
+            writer: self.engines[writer].instance.server().clone(),
+            tokens: room,
+            keep_ms: self.settings.reserve_ms_max,
+            timeout_ms: RESERVE_TIMEOUT_MS,
+        });
+        true
+    }
+
+    fn reserved(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<EngineAction>) {
+        if let Some(Stage::Reserving { writer }) = self.open.get(&request_id).map(|open| open.stage) {
+            self.read(now_us, request_id, writer, actions);
+        }
+    }
+
+    /// Nothing was sent that could run, so another engine is asked without any cost to the budget.
+    fn reserve_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let Stage::Reserving { writer } = open.stage else {
+            return;
+        };
+        open.stage = Stage::Waiting;
+        let room = open.room;
+        self.give_back(now_us, writer, room, cause);
+        self.wait_again(now_us, request_id, actions);
+    }
+
+    /// A writer did not take a request.
+    fn give_back(&mut self, now_us: MonoTime, writer: usize, room: Tokens, cause: FailureCause) {
+        let engine = &mut self.engines[writer];
+        engine.release(room);
+        engine.instance.fail(now_us, cause, true);
+        if cause == FailureCause::NoRoom {
+            engine.refused(now_us);
+        }
+    }
+
+    /// Has the prompt read for `writer`, or lets it go on from a KV cache that is still kept.
+    fn read(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        writer: usize,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get(&request_id) else {
+            return;
+        };
+        let (prompt_tokens, failed_at, read) = (open.demand.prompt_tokens, open.failed_at, open.read);
         let kept = read.filter(|&(_, read_us)| now_us < read_us + self.settings.hold_ms);
         let reader = match kept {
             Some(_) => None,
             None => self.choose_reader(now_us, failed_at),
         };
         let Some(open) = self.open.get_mut(&request_id) else {
-            return true;
+            return;
         };
         if let Some(reader) = reader {
             let is_further = open.reads > 0;
+            open.stage = Stage::Writing { writer, since_us: now_us };
             if is_further && !self.budget.withdraw() {
                 self.counters.retries_denied += 1;
                 self.give_up(request_id, actions);
-                return true;
+                return;
             }
             open.reads += 1;
             open.stage = Stage::Reading { reader, writer };
             self.counters.retries += u64::from(is_further);
-            self.engines[writer].hold(held);
-            self.engines[writer].instance.start(now_us);
             self.engines[reader].start_reading(now_us, prompt_tokens);
             let expected_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
             actions.push(EngineAction::Read {
@@ -258,12 +355,9 @@
                 reader: self.engines[reader].instance.server().clone(),
                 timeout_ms: expected_ms + self.settings.read_slack_ms,
             });
-            return true;
+            return;
         }
-        self.engines[writer].hold(held);
-        self.engines[writer].instance.start(now_us);
         self.write(now_us, request_id, writer, kept.map(|(reader, _)| reader), actions);
-        true
     }
 
     /// Sends a request to the engine that writes its answer.
@@ -302,6 +396,7 @@
             let engine = &self.engines[*index];
             engine.role == Role::Decode
                 && Some(*index) != failed_at
+                && !engine.is_full(now_us)
                 && engine.instance.has_room(now_us)
                 && (engine.held.0 == 0 || engine.held + held <= limit)
         };
@@ -351,10 +446,10 @@
         };
         open.stage = Stage::Waiting;
         open.failed_at = Some(reader);
-        let demand = open.demand.clone();
-        self.engines[reader].end_reading(demand.prompt_tokens);
+        let (prompt_tokens, room) = (open.demand.prompt_tokens, open.room);
+        self.engines[reader].end_reading(prompt_tokens);
         self.engines[reader].instance.fail(now_us, cause, true);
-        self.engines[writer].release(demand.prompt_tokens + demand.answer_tokens);
+        self.engines[writer].release(room);
         self.engines[writer].instance.abandon(now_us);
         self.wait_again(now_us, request_id, actions);
     }
@@ -387,12 +482,8 @@
         } else {
             open.failed_at = Some(writer);
         }
-        let held = open.demand.prompt_tokens + open.demand.answer_tokens;
-        self.engines[writer].release(held);
-        self.engines[writer].instance.fail(now_us, cause, true);
-        if cause == FailureCause::NoRoom {
-            self.engines[writer].refused(now_us);
-        }
+        let room = open.room;
+        self.give_back(now_us, writer, room, cause);
         self.wait_again(now_us, request_id, actions);
     }
 
@@ -432,9 +523,13 @@
     fn close(&mut self, request_id: RequestId) -> Option<Open> {
         self.waiting.retain(|&waiting| waiting != request_id);
         let open = self.open.remove(&request_id)?;
-        let held = open.demand.prompt_tokens + open.demand.answer_tokens;
+        let held = open.room;
         match open.stage {
             Stage::Waiting => {}
+            Stage::Reserving { writer } => {
+                self.engines[writer].release(held);
+                self.engines[writer].instance.abandon(MonoTime::default());
+            }
             Stage::Reading { reader, writer } => {
                 self.engines[reader].end_reading(open.demand.prompt_tokens);
                 self.engines[reader].instance.abandon(MonoTime::default());
@@ -449,13 +544,16 @@
         Some(open)
     }
 
-    fn finished(&mut self, now_us: MonoTime, request_id: RequestId) {
+    fn finished(&mut self, now_us: MonoTime, request_id: RequestId, events: u64) {
         let Some(open) = self.open.remove(&request_id) else {
             return;
         };
         self.counters.answered += 1;
         if let Stage::Writing { writer, since_us } = open.stage {
-            self.engines[writer].release(open.demand.prompt_tokens + open.demand.answer_tokens);
+            let seen = (events * self.settings.event_tokens) as f64;
+            let usual = self.usual_answer.unwrap_or(seen);
+            self.usual_answer = Some(usual + ANSWER_WEIGHT * (seen - usual));
+            self.engines[writer].release(open.room);
             self.engines[writer].instance.finish(now_us.since(since_us));
         }
     }
@@ -502,6 +600,16 @@
     }
 }
 
+/// Room for answers that grow longer than expected: an engine that runs out of memory throws a request out, and
+/// reading its prompt again costs more than the room.
+const ANSWER_MARGIN: f64 = 1.25;
+
+/// Weight of the latest answer's length.
+const ANSWER_WEIGHT: f64 = 0.05;
+
+/// An engine answers a reservation within two round trips; a silent one must not cost a request its target.
+const RESERVE_TIMEOUT_MS: Millis = Millis(150);
+
 /// Told to a caller who is refused: the burst that filled the engines lasts some seconds, and an answer takes
 /// one or two to be written.
 const RETRY_AFTER_MS: Millis = Millis(1_500);
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -123,6 +123,10 @@
     pub memory_tokens: u64,
     /// How long a KV cache waits to be fetched.
     pub hold_ms: Millis,
+    /// Tokens that one event of a stream stands for.
+    pub event_tokens: u64,
+    /// For how long a slot and memory can be reserved; zero where they cannot.
+    pub reserve_ms_max: Millis,
     /// How long a change of role takes.
     pub role_change_ms: Millis,
 }
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{ClassName, HostId, Offset, PartnerId, RequestId};
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
@@ -67,6 +67,8 @@
     pub outcome: &'a str,
     /// What was tried.
     pub steps: &'a str,
+    /// Tokens of its prompt, of the longest answer, of the likely one, and events that its caller got.
+    pub generation: Option<[Tokens; 4]>,
     /// Time from its arrival to the first event of a stream.
     pub first_event_ms: Option<u64>,
     /// Time from its arrival to its end.
@@ -149,6 +151,7 @@
             version = line.version,
             outcome = line.outcome,
             steps = line.steps,
+            generation:? = line.generation.map(|counts| counts.map(|count| count.0)).unwrap_or_default(),
             first_event_ms = line.first_event_ms.unwrap_or_default(),
             took_ms = line.took_ms.0,
         });
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use hibiscusvale_core::ids::{BackendServerId, ModelId};
 use hibiscusvale_core::relay::engines::ToldLoad;
@@ -128,6 +129,29 @@
     },
 }
 
+/// Name of a slot and memory that an engine keeps for a request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Reservation(pub Arc<str>);
+
+impl fmt::Display for Reservation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A call of the relay's own to an engine.
+#[derive(Clone, Debug)]
+pub struct EngineCall {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub path: String,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// One sending of a request to a backend server.
 #[derive(Clone, Debug)]
 pub struct Hop<'a> {
@@ -137,6 +161,8 @@
     pub left_ms: Millis,
     /// What to do.
     pub task: Task,
+    /// What is kept there for the request.
+    pub reservation: Option<&'a Reservation>,
     /// The last event that the caller has.
     pub after_event: Option<EventId>,
 }
@@ -178,7 +204,16 @@
     fn read_prompt(&self, body: &[u8]) -> Option<PromptRead>;
 
     /// The call that has an engine drop a KV cache.
-    fn drop_kv(&self, handle: &KvHandle) -> (Method, String);
+    fn drop_kv(&self, handle: &KvHandle) -> EngineCall;
+
+    /// The call that has the engine `server` keep a slot and memory for `keep_ms`.
+    fn reserve(&self, server: &BackendServerId, tokens: Tokens, keep_ms: Millis) -> EngineCall;
+
+    /// Reads what an engine says that keeps something.
+    fn read_reservation(&self, body: &[u8]) -> Option<Reservation>;
+
+    /// The call that gives a reservation back.
+    fn drop_reservation(&self, reservation: &Reservation) -> EngineCall;
 
     /// A time to come back, as callers read it.
     fn retry_after(&self, wait_ms: Millis) -> HeaderValue;
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -133,6 +133,8 @@
             };
             service.pool.configure(EnginePoolSettings {
                 memory_tokens: Tokens(engine.memory_tokens),
+                event_tokens: engine.event_tokens,
+                reserve_ms_max: engine.reserve_ms_max,
                 hold_ms: engine.hold_ms,
                 ..self.settings
             });
@@ -171,7 +173,8 @@
         for action in actions {
             match &action {
                 EngineAction::Wake { at_us } => self.alarm.set(*at_us),
-                EngineAction::Read { request_id, .. }
+                EngineAction::Reserve { request_id, .. }
+                | EngineAction::Read { request_id, .. }
                 | EngineAction::Write { request_id, .. }
                 | EngineAction::Refuse { request_id, .. }
                 | EngineAction::Unknown { request_id } => {
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::edge::{Hop, ReplyHead, Wire};
+use super::edge::{EngineCall, Hop, ReplyHead, Wire};
 use super::state::Incoming as Arrived;
 use crate::backend::{BackendHttp, CallFailure, KnownReply, Trust, read_body, uri};
 
@@ -126,6 +126,30 @@
     Ok(Reply { status, headers, head, known })
 }
 
+/// Sends a call of the relay's own to an engine and reads the answer.
+///
+/// # Errors
+///
+/// [`FailureCause`]; `NoRoom` where the engine refuses.
+pub async fn call(
+    http: &BackendHttp,
+    to: SocketAddr,
+    call: EngineCall,
+    timeout: Duration,
+) -> Result<Bytes, FailureCause> {
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = uri(to, &call.path).map_err(|_| FailureCause::NotSent)?;
+    *request.headers_mut() = call.headers;
+    let response = http.send(Trust::Pooled, request, timeout).await.map_err(cause_of)?;
+    match response.status() {
+        StatusCode::OK => read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await.map_err(cause_of),
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FailureCause::NoRoom),
+        StatusCode::MISDIRECTED_REQUEST => Err(FailureCause::Leaving),
+        _ => Err(FailureCause::Refused),
+    }
+}
+
 fn request_of(
     wire: &dyn Wire,
     arrived: &Arrived,
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -112,7 +112,7 @@
     timeout: Duration,
 ) -> Result<WholeReply, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
-    let hop = Hop { server, left_ms: incoming.left_ms(), task: Task::Run, after_event: None };
+    let hop = Hop { server, left_ms: incoming.left_ms(), task: Task::Run, reservation: None, after_event: None };
     let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, trust, timeout).await;
     let reply = match reply {
         Ok(reply) => reply,
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hibiscusvale_core::ids::{BackendServerId, Incarnation, RequestId};
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, Method};
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -61,6 +61,10 @@
             version: self.state.table.load().version().0,
             outcome: story.how(),
             steps: story.steps(),
+            generation: self.call.generation.as_ref().map(|generation| {
+                let hint = generation.answer_tokens_hint.unwrap_or_default();
+                [generation.prompt_tokens, generation.answer_tokens_max, hint, Tokens(story.last_event())]
+            }),
             first_event_ms: story.first_event_ms(),
             took_ms: Millis(u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)),
         });
@@ -78,6 +82,11 @@
         self.story.lock().first_event(self.arrived.elapsed());
     }
 
+    /// Notes the number of the last event that its caller got.
+    pub fn note_last_event(&self, last: u64) {
+        self.story.lock().events(last);
+    }
+
     /// Notes how it ended.
     pub fn note_end(&self, how: &'static str) {
         self.story.lock().end(how);
--- a/crates/router/src/relay/story.rs
+++ b/crates/router/src/relay/story.rs
@@ -13,6 +13,8 @@
     Answered,
     /// An instance gave no answer that can be passed on.
     Failed(FailureCause),
+    /// An engine kept no room.
+    ReserveFailed(FailureCause),
     /// An engine read the prompt.
     Read,
     /// It did not.
@@ -33,6 +35,7 @@
     text: String,
     end: Option<&'static str>,
     first_event: Option<Duration>,
+    last_event: u64,
 }
 
 impl Story {
@@ -45,6 +48,7 @@
         let (what, cause) = match step {
             Step::Answered => ("answered", None),
             Step::Failed(cause) => ("failed", Some(cause)),
+            Step::ReserveFailed(cause) => ("reserve", Some(cause)),
             Step::Read => ("read", None),
             Step::ReadFailed(cause) => ("read", Some(cause)),
             Step::Written => ("written", None),
@@ -61,6 +65,16 @@
         self.first_event.get_or_insert(at);
     }
 
+    /// Notes the number of the last event that went to the caller.
+    pub fn events(&mut self, last: u64) {
+        self.last_event = last;
+    }
+
+    /// Number of the last event that went to the caller.
+    pub fn last_event(&self) -> u64 {
+        self.last_event
+    }
+
     /// Notes how it ended; the first word counts.
     pub fn end(&mut self, how: &'static str) {
         self.end.get_or_insert(how);
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -1,6 +1,7 @@
 //! One request for a model: its prompt read by one engine, its answer written by another and passed on event by
 //! event.
 
+use std::mem::ManuallyDrop;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming as ServerBody};
 
-use super::edge::{EventId, Generation, Hop, PromptRead, Task};
+use super::edge::{EventId, Generation, Hop, PromptRead, Reservation, Task};
 use super::engine_hub::{EngineHub, OpenRequest};
 use super::events::EventCutter;
 use super::hop::{self, Reply, WholeReply};
@@ -30,12 +31,12 @@
 /// is in time, and well below the two seconds after which callers leave.
 const SILENCE: Duration = Duration::from_millis(1_200);
 
+/// Time for giving a reservation back.
+const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Part of its time that a request may wait for an engine. Beyond, its answer would not end in time.
 const PATIENCE_DIVISOR: u64 = 4;
 
-/// Answer length reckoned with when the caller gives no hint: part of the longest that it allows.
-const UNHINTED_DIVISOR: u64 = 2;
-
 /// Runs a request; its caller gets the stream, or a refusal.
 ///
 /// # Errors
@@ -54,6 +55,7 @@
         incoming: Arc::clone(incoming),
         open,
         read: None,
+        reserved: None,
         last: incoming.call.after_event,
         failed: None,
     };
@@ -73,11 +75,11 @@
 }
 
 fn demand_of(incoming: &Incoming, generation: &Generation) -> Demand {
-    let unhinted = Tokens(generation.answer_tokens_max.0 / UNHINTED_DIVISOR);
     Demand {
         request_id: incoming.request_id,
         prompt_tokens: generation.prompt_tokens,
-        answer_tokens: generation.answer_tokens_hint.unwrap_or(unhinted),
+        answer_tokens_max: generation.answer_tokens_max,
+        answer_tokens_hint: generation.answer_tokens_hint,
         repeatability: incoming.route.kind.repeatability(),
         attempts_max: incoming.route.attempts_max,
         target_ms: incoming.route.target_ms,
@@ -92,12 +94,38 @@
     prompt: PromptRead,
 }
 
+/// What an engine keeps for a request; dropped unused, it is given back.
+struct Reserved {
+    at: SocketAddr,
+    name: Reservation,
+    state: Arc<RelayState>,
+}
+
+impl Reserved {
+    fn into_name(self) -> Reservation {
+        let this = ManuallyDrop::new(self);
+        this.name.clone()
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        let (state, at) = (Arc::clone(&self.state), self.at);
+        let call = state.wire.drop_reservation(&self.name);
+        tokio::spawn(async move {
+            // One that is not given back ends by itself within the time that it was asked for.
+            let _ = hop::call(&state.http, at, call, GIVE_BACK_TIMEOUT).await;
+        });
+    }
+}
+
 /// A request between its engines.
 struct Run {
     state: Arc<RelayState>,
     incoming: Arc<Incoming>,
     open: OpenRequest,
     read: Option<Kept>,
+    reserved: Option<Reserved>,
     /// The last event that the caller has.
     last: Option<EventId>,
     /// The answer of an engine that failed, which the caller gets when there is no better one.
@@ -110,6 +138,19 @@
         let request_id = self.incoming.request_id;
         while let Some(action) = self.open.step().await {
             match action {
+                EngineAction::Reserve { writer, tokens, keep_ms, timeout_ms, .. } => {
+                    let event = match self.reserve(&writer, tokens, keep_ms, timeout_ms).await {
+                        Ok(reserved) => {
+                            self.reserved = Some(reserved);
+                            EngineEvent::Reserved { request_id }
+                        }
+                        Err(cause) => {
+                            self.incoming.note(Step::ReserveFailed(cause), &writer);
+                            EngineEvent::ReserveFailed { request_id, cause }
+                        }
+                    };
+                    self.open.feed(event);
+                }
                 EngineAction::Read { reader, timeout_ms, .. } => {
                     let event = match self.read(&reader, timeout_ms).await {
                         Ok(kept) => {
@@ -119,6 +160,7 @@
                         }
                         Err(cause) => {
                             self.incoming.note(Step::ReadFailed(cause), &reader);
+                            self.reserved = None;
                             EngineEvent::ReadFailed { request_id, cause }
                         }
                     };
@@ -147,10 +189,25 @@
         Err(Refusal::new(Reason::NoAnswer))
     }
 
+    async fn reserve(
+        &self,
+        writer: &BackendServerId,
+        tokens: Tokens,
+        keep_ms: Millis,
+        timeout_ms: Millis,
+    ) -> Result<Reserved, FailureCause> {
+        let Self { state, .. } = self;
+        let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
+        let call = state.wire.reserve(writer, tokens, keep_ms);
+        let body = hop::call(&state.http, at, call, Duration::from(timeout_ms)).await?;
+        let name = state.wire.read_reservation(&body).ok_or(FailureCause::Refused)?;
+        Ok(Reserved { at, name, state: Arc::clone(state) })
+    }
+
     async fn read(&self, reader: &BackendServerId, timeout_ms: Millis) -> Result<Kept, FailureCause> {
         let Self { state, incoming, .. } = self;
         let at = state.directory.address_of(reader).ok_or(FailureCause::NotSent)?;
-        let hop = Hop { server: reader, left_ms: incoming.left_ms(), task: Task::ReadPrompt, after_event: None };
+        let hop = Hop { server: reader, left_ms: incoming.left_ms(), task: Task::ReadPrompt, reservation: None, after_event: None };
         let timeout = incoming.left().min(Duration::from(timeout_ms));
         // Reading a prompt twice does no harm, so any connection will do.
         let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
@@ -160,13 +217,21 @@
     }
 
     async fn write(&mut self, writer: &BackendServerId, source: Option<Kept>) -> Result<Reply, FailureCause> {
+        // Sent with the request it is used up, whatever becomes of that.
+        let reserved = self.reserved.take().map(Reserved::into_name);
         let Self { state, incoming, .. } = &*self;
         let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         let task = match source {
             Some(Kept { at, prompt }) => Task::Write { source: at, handle: prompt.handle },
             None => Task::Run,
         };
-        let hop = Hop { server: writer, left_ms: incoming.left_ms(), task, after_event: self.last };
+        let hop = Hop {
+            server: writer,
+            left_ms: incoming.left_ms(),
+            task,
+            reservation: reserved.as_ref(),
+            after_event: self.last,
+        };
         let trust = if self.may_repeat() { Trust::Pooled } else { Trust::Fresh };
         let reply = hop::send(&state.http, &*state.wire, incoming, at, &hop, trust, incoming.left()).await?;
         if reply.status.is_server_error() && self.may_repeat() {
@@ -176,6 +241,13 @@
         Ok(reply)
     }
 
+    fn finished(&self) -> EngineEvent {
+        let request_id = self.incoming.request_id;
+        let begun = self.incoming.call.after_event.unwrap_or_default().0;
+        let events = self.last.unwrap_or_default().0.saturating_sub(begun);
+        EngineEvent::Finished { request_id, events }
+    }
+
     fn may_repeat(&self) -> bool {
         self.incoming.route.kind.repeatability() == Repeatability::Repeatable
     }
@@ -218,7 +290,7 @@
                 Ok(None) => {
                     self.body = None;
                     self.run.incoming.note_end("answered");
-                    self.run.open.feed(EngineEvent::Finished { request_id: self.run.incoming.request_id });
+                    self.run.open.feed(self.run.finished());
                     let rest = self.cutter.rest();
                     return Ok((!rest.is_empty()).then_some(rest));
                 }
@@ -252,7 +324,8 @@
     }
 
     fn note_progress(&mut self, last: Option<EventId>) {
-        if last.is_some() {
+        if let Some(EventId(number)) = last {
+            self.run.incoming.note_last_event(number);
             if self.run.last == self.run.incoming.call.after_event {
                 let request_id = self.run.incoming.request_id;
                 self.run.open.feed(EngineEvent::Started { request_id });
