Tell the other daemons what each has at the engines

Cause: a daemon knew only its own requests, so writers were over-filled together (48 requests preempted, 326k tokens read for nothing) and reservations were refused by the dozen.

--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -1,6 +1,9 @@
 //! What one daemon knows of one engine.
 
-use super::events::{ListedEngine, Role, ToldLoad};
+use std::collections::HashMap;
+
+use super::events::{Holding, ListedEngine, Role, ToldLoad};
+use crate::ids::HostId;
 use crate::sched::InstanceSettings;
 use crate::sched::instance::Instance;
 use crate::units::{Micros, Millis, MonoTime, Tokens};
@@ -18,7 +21,8 @@
     pub(super) reading: Tokens,
     /// Memory that requests of this daemon take, or will.
     pub(super) held: Tokens,
-    told: Option<(MonoTime, ToldLoad)>,
+    /// What the other daemons have there.
+    peers: HashMap<HostId, Holding>,
     full_until_us: MonoTime,
 }
 
@@ -29,7 +33,7 @@
             instance: Instance::new(settings, listed.server, listed.slots, listed.leaving),
             reading: Tokens::ZERO,
             held: Tokens::ZERO,
-            told: None,
+            peers: HashMap::new(),
             full_until_us: MonoTime::default(),
         }
     }
@@ -40,8 +44,56 @@
     }
 
     pub(super) fn told(&mut self, now_us: MonoTime, load: ToldLoad, age_us: Micros) {
-        self.told = Some((now_us, load));
-        self.instance.report(now_us, load.running + load.waiting, load.slots, age_us);
+        // What the other daemons say is newer than what the engine says of them.
+        if self.peers.is_empty() {
+            self.instance.report(now_us, load.running + load.waiting, load.slots, age_us);
+        }
+    }
+
+    /// Takes what another daemon has here; nothing when `holding` is absent.
+    pub(super) fn peer(&mut self, host: &HostId, holding: Option<&Holding>) {
+        match holding {
+            Some(holding) => {
+                self.peers.insert(host.clone(), holding.clone());
+            }
+            None => {
+                self.peers.remove(host);
+            }
+        }
+    }
+
+    /// Memory that requests of all daemons take, or will.
+    pub(super) fn room(&self) -> Tokens {
+        self.peers.values().fold(self.held, |sum, peer| sum + peer.room)
+    }
+
+    /// Prompt tokens that it reads for all daemons.
+    pub(super) fn reading_all(&self) -> Tokens {
+        self.peers.values().fold(self.reading, |sum, peer| sum + peer.reading)
+    }
+
+    /// Requests of all daemons.
+    pub(super) fn running(&self, now_us: MonoTime) -> u32 {
+        if self.peers.is_empty() {
+            return self.instance.load(now_us);
+        }
+        self.peers.values().fold(self.instance.in_flight(), |sum, peer| sum + peer.running)
+    }
+
+    /// Whether it takes work and has a slot free.
+    pub(super) fn has_slot(&self, now_us: MonoTime) -> bool {
+        self.instance.has_room(now_us) && self.running(now_us) < self.instance.limit(now_us)
+    }
+
+    /// What this daemon has here, if anything.
+    pub(super) fn holding(&self) -> Option<Holding> {
+        let running = self.instance.in_flight();
+        (running > 0 || self.held > Tokens::ZERO || self.reading > Tokens::ZERO).then(|| Holding {
+            server: self.instance.server().clone(),
+            room: self.held,
+            reading: self.reading,
+            running,
+        })
     }
 
     pub(super) fn hold(&mut self, tokens: Tokens) {
@@ -64,7 +116,7 @@
     /// Time for what it has to read.
     pub(super) fn reading_ms(&self, tokens_per_ms: f64) -> Millis {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
-        Millis((self.reading.0 as f64 / tokens_per_ms.max(1.0)) as u64)
+        Millis((self.reading_all().0 as f64 / tokens_per_ms.max(1.0)) as u64)
     }
 
     pub(super) fn refused(&mut self, now_us: MonoTime) {
@@ -76,8 +128,8 @@
         now_us < self.full_until_us
     }
 
-    /// How full it is: requests of all daemons, then memory of this one's.
-    pub(super) fn fullness(&self, now_us: MonoTime) -> (u32, Tokens) {
-        (self.instance.load(now_us), self.held)
+    /// How full it is: memory, then requests.
+    pub(super) fn fullness(&self, now_us: MonoTime) -> (Tokens, u32) {
+        (self.room(), self.running(now_us))
     }
 }
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -1,6 +1,8 @@
 //! What the pool of engines is told and what it wants done.
 
-use crate::ids::{BackendServerId, DataCentreId, RequestId};
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{BackendServerId, DataCentreId, HostId, RequestId};
 use crate::outcome::Repeatability;
 use crate::sched::{FailureCause, Sign};
 use crate::units::{Micros, Millis, MonoTime, Tokens};
@@ -63,6 +65,19 @@
     pub slots: u32,
 }
 
+/// What one daemon has at one engine.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Holding {
+    /// The engine.
+    pub server: BackendServerId,
+    /// Memory that its requests take there, or will.
+    pub room: Tokens,
+    /// Prompt tokens that are read there for it.
+    pub reading: Tokens,
+    /// Requests that it has there.
+    pub running: u32,
+}
+
 /// Something the pool has to know.
 #[derive(Clone, Debug)]
 pub enum EngineEvent {
@@ -134,6 +149,13 @@
         /// Age of it.
         age_us: Micros,
     },
+    /// What another daemon has at the engines, all of it; nothing once it is gone.
+    Peer {
+        /// The daemon's host.
+        host: HostId,
+        /// What it has.
+        holdings: Vec<Holding>,
+    },
     /// Time passed.
     Tick,
 }
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -15,7 +15,7 @@
 
 use engine::Engine;
 pub use events::{
-    Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, ListedEngine, Role, ToldLoad,
+    Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, Holding, ListedEngine, Role, ToldLoad,
 };
 
 /// Limits of an [`EnginePool`].
@@ -128,6 +128,11 @@
         &self.counters
     }
 
+    /// What this daemon has at the engines, for the other daemons to know.
+    pub fn holdings(&self) -> impl Iterator<Item = Holding> {
+        self.engines.iter().filter_map(Engine::holding)
+    }
+
     /// Changes the limits; what was decided stays.
     pub fn configure(&mut self, settings: EnginePoolSettings) {
         self.settings = settings;
@@ -164,6 +169,12 @@
                     self.engines[index].told(now_us, load, age_us);
                 }
             }
+            EngineEvent::Peer { host, holdings } => {
+                for engine in &mut self.engines {
+                    let at_engine = |holding: &&Holding| holding.server == *engine.instance.server();
+                    engine.peer(&host, holdings.iter().find(at_engine));
+                }
+            }
             EngineEvent::Tick => {}
         }
         self.expire(now_us, actions);
@@ -397,8 +408,8 @@
             engine.role == Role::Decode
                 && Some(*index) != failed_at
                 && !engine.is_full(now_us)
-                && engine.instance.has_room(now_us)
-                && (engine.held.0 == 0 || engine.held + held <= limit)
+                && engine.has_slot(now_us)
+                && (engine.room() == Tokens::ZERO || engine.room() + held <= limit)
         };
         self.turn = self.turn.wrapping_add(1);
         let count = self.engines.len().max(1);
@@ -410,11 +421,11 @@
     fn choose_reader(&mut self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
         let fits = |index: &usize| {
             let engine = &self.engines[*index];
-            engine.role == Role::Prefill && Some(*index) != failed_at && engine.instance.has_room(now_us)
+            engine.role == Role::Prefill && Some(*index) != failed_at && engine.has_slot(now_us)
         };
         let count = self.engines.len().max(1);
         let order = (0..self.engines.len()).map(|step| (step + self.turn) % count);
-        order.filter(fits).min_by_key(|&index| self.engines[index].reading)
+        order.filter(fits).min_by_key(|&index| self.engines[index].reading_all())
     }
 
     fn prompt_read(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<EngineAction>) {
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -155,6 +155,11 @@
         self.in_flight + others.min(self.capacity.saturating_sub(1)) < self.limit(now_us)
     }
 
+    /// Requests of this daemon.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
     /// Requests of all daemons, as far as known.
     pub(crate) fn load(&self, now_us: MonoTime) -> u32 {
         let others = self.others.filter(|&(as_of_us, _)| now_us < as_of_us + REPORT_LIFE_MS);
--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 use hibiscusvale::daemon::new_incarnation;
 use hibiscusvale::relay::{RelayDaemon, RelayEdges, RelaySettings};
-use hibiscusvale_platform::{PlatformWire, Store, StoreServers, StoreTables};
+use hibiscusvale_platform::{PlatformWire, Store, StoreRegister, StoreServers, StoreTables};
 
 use crate::signals;
 
@@ -28,6 +28,7 @@
         let edges = RelayEdges {
             wire: Arc::new(PlatformWire),
             tables: Arc::new(StoreTables::new(store.clone())),
+            register: Arc::new(StoreRegister::new(store.clone())),
             servers: Arc::new(StoreServers::new(store, settings.host.region.clone())),
         };
         let daemon = RelayDaemon::start(&settings, edges, new_incarnation())?;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -71,6 +71,8 @@
     pub generation: Option<[Tokens; 4]>,
     /// Time from its arrival to the first event of a stream.
     pub first_event_ms: Option<u64>,
+    /// Longest time between two events of a stream.
+    pub longest_pause_ms: u64,
     /// Time from its arrival to its end.
     pub took_ms: Millis,
 }
@@ -153,6 +155,7 @@
             steps = line.steps,
             generation:? = line.generation.map(|counts| counts.map(|count| count.0)).unwrap_or_default(),
             first_event_ms = line.first_event_ms.unwrap_or_default(),
+            longest_pause_ms = line.longest_pause_ms,
             took_ms = line.took_ms.0,
         });
     }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -15,10 +15,11 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use super::edge::{TableSource, Wire};
+use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::settings::{BoundSettings, RelaySettings};
 use super::state::RelayState;
+use super::peers::{self, Peers};
 use super::{callers, readiness, watch};
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
@@ -44,6 +45,8 @@
     pub wire: Arc<dyn Wire>,
     /// Where routes are published.
     pub tables: Arc<dyn TableSource>,
+    /// Where the daemons find each other.
+    pub register: Arc<dyn Register>,
     /// Where servers are listed.
     pub servers: Arc<dyn HostList>,
 }
@@ -83,6 +86,7 @@
             http: BackendHttp::new(),
             plain_hub: PlainHub::new(plain_settings(&settings.bounds), incarnation.0),
             engine_hub: EngineHub::new(engine_settings(&settings.bounds), incarnation.0),
+            peers: Peers::default(),
             incarnation,
             sequence: AtomicU64::new(0),
             open: AtomicU64::new(0),
@@ -97,6 +101,9 @@
         traffic.spawn(readiness::serve(Arc::clone(&state), settings.listen.readiness));
         traffic.spawn(watch::follow_table(edges.tables, Arc::clone(&state)));
         traffic.spawn(watch::follow_servers(edges.servers, Arc::clone(&state)));
+        let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
+        traffic.spawn(peers::run(own.peer_address, own.host.clone(), Arc::clone(&state)));
+        traffic.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
         let timers = Arc::clone(&state);
         traffic.spawn(async move { tokio::join!(timers.plain_hub.run_timers(), timers.engine_hub.run_timers()) });
         Ok(Self { state, traffic, stop_listening, serving, grace_ms: settings.bounds.grace_ms })
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -8,11 +8,12 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, ModelId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, ModelId};
 use hibiscusvale_core::relay::engines::ToldLoad;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, request};
+use serde::{Deserialize, Serialize};
 
 /// The caller's name for one try of its own; backend servers echo it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -236,6 +237,24 @@
     Malformed(String),
 }
 
+/// A daemon as it registers itself.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct DaemonEntry {
+    /// Its host.
+    pub host: HostId,
+    /// Where it takes messages of other daemons.
+    pub peer_address: SocketAddr,
+}
+
+/// Where the daemons register themselves, to find each other.
+pub trait Register: Debug + Send + Sync + 'static {
+    /// Registers this daemon.
+    fn announce(&self, entry: DaemonEntry) -> BoxFuture<'_, Result<(), TableFailure>>;
+
+    /// All entries, waiting up to `wait_ms` for a change; `None` when there was none.
+    fn entries(&self, wait_ms: Millis) -> BoxFuture<'_, Result<Option<Vec<DaemonEntry>>, TableFailure>>;
+}
+
 /// Where operators publish the table of routes.
 pub trait TableSource: Debug + Send + Sync + 'static {
     /// The newest table, waiting up to `wait_ms` for one that this source has not returned before; `None` when there
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -3,9 +3,10 @@
 
 use std::collections::HashMap;
 
-use hibiscusvale_core::ids::{BackendServerId, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, Role,
+    Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holding,
+    ListedEngine, Role,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::sched::Sign;
@@ -51,6 +52,7 @@
     /// Tells the pool how a step went.
     pub fn feed(&self, event: EngineEvent) {
         self.hub.engine_hub.feed(&self.service, event);
+        self.hub.peers.touch();
     }
 }
 
@@ -58,6 +60,7 @@
     fn drop(&mut self) {
         let hub = &self.hub.engine_hub;
         hub.feed(&self.service, EngineEvent::CallerLeft { request_id: self.request_id });
+        self.hub.peers.touch();
         if let Some(service) = hub.services.lock().get_mut(&self.service) {
             service.open.remove(&self.request_id);
         }
@@ -81,6 +84,7 @@
         let hub = &state.engine_hub;
         hub.services.lock().get_mut(service)?.open.insert(request_id, sender);
         hub.feed(service, EngineEvent::Arrive(demand));
+        state.peers.touch();
         Some(OpenRequest {
             service: service.to_owned(),
             request_id,
@@ -141,6 +145,22 @@
         }
     }
 
+    /// What this daemon has at the engines, by service.
+    pub fn holdings(&self) -> Vec<(String, Vec<Holding>)> {
+        let services = self.services.lock();
+        services.iter().map(|(name, service)| (name.clone(), service.pool.holdings().collect())).collect()
+    }
+
+    /// Takes what another daemon has at the engines.
+    pub fn peer(&self, host: &HostId, holdings: Vec<(String, Vec<Holding>)>) {
+        let mut holdings: HashMap<String, Vec<Holding>> = holdings.into_iter().collect();
+        let names: Vec<String> = self.services.lock().keys().cloned().collect();
+        for name in names {
+            let holdings = holdings.remove(&name).unwrap_or_default();
+            self.feed(&name, EngineEvent::Peer { host: host.clone(), holdings });
+        }
+    }
+
     /// Tells the pools of a sign of a server.
     pub fn sign(&self, server: &BackendServerId, sign: Sign) {
         self.feed_all(&EngineEvent::Sign { server: server.clone(), sign });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod engine_hub;
 mod events;
 mod hop;
+mod peers;
 mod plain;
 mod readiness;
 mod refusal;
--- /dev/null
+++ b/crates/router/src/relay/peers.rs
@@ -0,0 +1,223 @@
+//! What the daemons tell each other: what each has at the engines.
+//!
+//! Each daemon places its own requests. Without knowing the others' it would fill engines that they have filled
+//! already. Every message holds all that its sender has, so that a lost one is mended by the next; that is why they
+//! are datagrams: a stream that went silent would hold back what is new behind what is old.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hibiscusvale_core::ids::{HostId, Incarnation};
+use hibiscusvale_core::relay::engines::Holding;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::edge::{DaemonEntry, Register};
+use super::state::RelayState;
+
+/// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
+const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
+
+/// Changes within this time go out together. It is short beside the time that a prompt takes to be read, in which a
+/// wrong choice could still be mended.
+const GATHER: Duration = Duration::from_millis(3);
+
+/// Longest time between two messages: three lost ones in a row are rare.
+const REPEAT: Duration = Duration::from_millis(700);
+
+/// A daemon that was not heard of for so long has no requests any more, or cannot tell: engines say themselves when
+/// they are full.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Pause between messages to a daemon that was not heard of: hosts that are gone for good stay registered.
+const CALL_AGAIN: Duration = Duration::from_secs(3);
+
+/// How long the register may hold its answer back; datagrams tell of new daemons sooner.
+const REGISTER_WAIT: hibiscusvale_core::units::Millis = hibiscusvale_core::units::Millis(10_000);
+
+/// Pause after a failed call to the register.
+const REGISTER_RETRY: Duration = Duration::from_secs(1);
+
+/// What a daemon says.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Message {
+    host: HostId,
+    incarnation: Incarnation,
+    /// Counts its messages: an older one that comes late is passed over.
+    sequence: u64,
+    /// What it has at the engines, by service.
+    holdings: Vec<(String, Vec<Holding>)>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    address: SocketAddr,
+    heard: Option<Heard>,
+    called: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    incarnation: Incarnation,
+    sequence: u64,
+}
+
+/// The other daemons.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: Mutex<HashMap<HostId, Peer>>,
+    changed: Notify,
+}
+
+impl Peers {
+    /// Something that the others should know has changed.
+    pub fn touch(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Daemons that were heard of lately.
+    pub fn live(&self) -> usize {
+        let now = Instant::now();
+        self.known.lock().values().filter(|peer| is_live(peer, now)).count()
+    }
+
+    fn learn(&self, own: &HostId, entries: Vec<DaemonEntry>) {
+        let mut known = self.known.lock();
+        for DaemonEntry { host, peer_address } in entries {
+            if host == *own {
+                continue;
+            }
+            let peer = known.entry(host).or_insert(Peer { address: peer_address, heard: None, called: None });
+            if peer.address != peer_address && peer.heard.is_none() {
+                peer.address = peer_address;
+                peer.called = None;
+            }
+        }
+    }
+
+    /// Whom to send a message now.
+    fn targets(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut known = self.known.lock();
+        let due = |peer: &&mut Peer| {
+            is_live(peer, now) || peer.called.is_none_or(|called| now >= called + CALL_AGAIN)
+        };
+        known
+            .values_mut()
+            .filter(due)
+            .map(|peer| {
+                peer.called = Some(now);
+                peer.address
+            })
+            .collect()
+    }
+
+    /// Takes note of a message; false when it is an old one.
+    fn hear(&self, now: Instant, from: SocketAddr, message: &Message) -> bool {
+        let mut known = self.known.lock();
+        let new = Peer { address: from, heard: None, called: None };
+        let peer = known.entry(message.host.clone()).or_insert(new);
+        let next = (message.incarnation, message.sequence);
+        if peer.heard.is_some_and(|heard| next <= (heard.incarnation, heard.sequence)) {
+            return false;
+        }
+        let Message { incarnation, sequence, .. } = *message;
+        *peer = Peer { address: from, heard: Some(Heard { at: now, incarnation, sequence }), called: peer.called };
+        true
+    }
+
+    /// Hosts that fell silent since the last look.
+    fn fallen_silent(&self, now: Instant) -> Vec<HostId> {
+        let mut known = self.known.lock();
+        let silent = known.iter_mut().filter(|(_, peer)| peer.heard.is_some() && !is_live(peer, now));
+        silent
+            .map(|(host, peer)| {
+                peer.heard = None;
+                host.clone()
+            })
+            .collect()
+    }
+}
+
+fn is_live(peer: &Peer, now: Instant) -> bool {
+    peer.heard.is_some_and(|heard| now < heard.at + SILENCE)
+}
+
+/// Registers this daemon and learns of the others, for as long as it runs.
+pub async fn follow_register(register: Arc<dyn Register>, own: DaemonEntry, state: Arc<RelayState>) {
+    while let Err(failure) = register.announce(own.clone()).await {
+        state.log.changed("could not register", &failure);
+        tokio::time::sleep(REGISTER_RETRY).await;
+    }
+    loop {
+        match register.entries(REGISTER_WAIT).await {
+            Ok(Some(entries)) => {
+                state.peers.learn(&own.host, entries);
+                state.peers.touch();
+            }
+            Ok(None) => {}
+            Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
+        }
+    }
+}
+
+/// Tells the others what this daemon has, and hears them, for as long as it runs.
+///
+/// # Errors
+///
+/// The system's error when the address cannot be bound.
+pub async fn run(address: SocketAddr, host: HostId, state: Arc<RelayState>) -> io::Result<()> {
+    let socket = Arc::new(UdpSocket::bind(address).await?);
+    tokio::join!(tell(&socket, &host, &state), hear(&socket, &host, &state));
+    Ok(())
+}
+
+async fn tell(socket: &UdpSocket, host: &HostId, state: &RelayState) {
+    let mut sequence = 0;
+    loop {
+        if tokio::time::timeout(REPEAT, state.peers.changed.notified()).await.is_ok() {
+            tokio::time::sleep(GATHER).await;
+        }
+        sequence += 1;
+        let message = Message {
+            host: host.clone(),
+            incarnation: state.incarnation,
+            sequence,
+            holdings: state.engine_hub.holdings(),
+        };
+        let Ok(bytes) = postcard::to_stdvec(&message) else {
+            continue;
+        };
+        for target in state.peers.targets(Instant::now()) {
+            // What is lost is said again.
+            let _ = socket.send_to(&bytes, target).await;
+        }
+        for silent in state.peers.fallen_silent(Instant::now()) {
+            state.log.changed("daemon silent", &silent);
+            state.engine_hub.peer(&silent, Vec::new());
+        }
+    }
+}
+
+async fn hear(socket: &UdpSocket, own: &HostId, state: &RelayState) {
+    let mut bytes = vec![0; MESSAGE_LIMIT_BYTES];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut bytes).await else {
+            // A host that is gone shows as an error of the socket; the others are still heard.
+            continue;
+        };
+        let Ok(message) = postcard::from_bytes::<Message>(&bytes[..length]) else {
+            continue;
+        };
+        if message.host == *own || !state.peers.hear(Instant::now(), from, &message) {
+            continue;
+        }
+        state.engine_hub.peer(&message.host, message.holdings);
+    }
+}
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -15,6 +15,7 @@
 
 use super::edge::{Call, Wire};
 use super::engine_hub::EngineHub;
+use super::peers::Peers;
 use super::story::{Step, Story};
 use crate::backend::BackendHttp;
 use crate::directory::Directory;
@@ -65,6 +66,7 @@
                 let hint = generation.answer_tokens_hint.unwrap_or_default();
                 [generation.prompt_tokens, generation.answer_tokens_max, hint, Tokens(story.last_event())]
             }),
+            longest_pause_ms: story.longest_pause_ms(),
             first_event_ms: story.first_event_ms(),
             took_ms: Millis(u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)),
         });
@@ -84,7 +86,7 @@
 
     /// Notes the number of the last event that its caller got.
     pub fn note_last_event(&self, last: u64) {
-        self.story.lock().events(last);
+        self.story.lock().events(self.arrived.elapsed(), last);
     }
 
     /// Notes how it ended.
@@ -118,6 +120,8 @@
     pub plain_hub: PlainHub,
     /// Pools of engines.
     pub engine_hub: EngineHub,
+    /// The other daemons.
+    pub peers: Peers,
     /// This daemon's life.
     pub incarnation: Incarnation,
     /// Requests taken in by this life.
--- a/crates/router/src/relay/story.rs
+++ b/crates/router/src/relay/story.rs
@@ -36,6 +36,8 @@
     end: Option<&'static str>,
     first_event: Option<Duration>,
     last_event: u64,
+    last_event_at: Option<Duration>,
+    longest_pause: Duration,
 }
 
 impl Story {
@@ -66,10 +68,18 @@
     }
 
     /// Notes the number of the last event that went to the caller.
-    pub fn events(&mut self, last: u64) {
+    pub fn events(&mut self, at: Duration, last: u64) {
+        let pause = self.last_event_at.map_or(Duration::ZERO, |before| at.saturating_sub(before));
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last_event_at = Some(at);
         self.last_event = last;
     }
 
+    /// Longest time between two events.
+    pub fn longest_pause_ms(&self) -> u64 {
+        u64::try_from(self.longest_pause.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Number of the last event that went to the caller.
     pub fn last_event(&self) -> u64 {
         self.last_event
