Refuse at once what would wait for a writer beyond its target

Cause: in bursts every request waited some seconds; callers leave after four targets without an event, so waiting long lost them (140 left) and the others were late.

--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -80,6 +80,11 @@
         self.peers.values().fold(self.instance.in_flight(), |sum, peer| sum + peer.running)
     }
 
+    /// Whether it can be given answers to write.
+    pub(super) fn is_writer(&self, now_us: MonoTime) -> bool {
+        self.role == Role::Decode && self.instance.is_listed_live(now_us) && !self.instance.is_set_aside()
+    }
+
     /// Whether it takes work and has a slot free.
     pub(super) fn has_slot(&self, now_us: MonoTime) -> bool {
         self.instance.has_room(now_us) && self.running(now_us) < self.instance.limit(now_us)
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -78,6 +78,15 @@
     pub running: u32,
 }
 
+/// What one daemon has at the engines of a service.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Holdings {
+    /// Memory that its waiting requests will take.
+    pub waiting: Tokens,
+    /// What it has, engine by engine.
+    pub engines: Vec<Holding>,
+}
+
 /// Something the pool has to know.
 #[derive(Clone, Debug)]
 pub enum EngineEvent {
@@ -154,7 +163,7 @@
         /// The daemon's host.
         host: HostId,
         /// What it has.
-        holdings: Vec<Holding>,
+        holdings: Holdings,
     },
     /// Time passed.
     Tick,
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -8,14 +8,14 @@
 
 use std::collections::HashMap;
 
-use crate::ids::{BackendServerId, RequestId};
+use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::outcome::{AttemptEnd, Attempts, NoRetry, Outcome};
 use crate::sched::{FailureCause, InstanceSettings, RetryBudget};
 use crate::units::{Micros, Millis, MonoTime, Tokens};
 
 use engine::Engine;
 pub use events::{
-    Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, Holding, ListedEngine, Role, ToldLoad,
+    Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, Holding, Holdings, ListedEngine, Role, ToldLoad,
 };
 
 /// Limits of an [`EnginePool`].
@@ -102,6 +102,10 @@
     wake_us: Option<MonoTime>,
     /// Length of an answer, over those that have ended.
     usual_answer: Option<f64>,
+    /// Time for which a request keeps its memory, over those that have ended.
+    usual_hold_us: f64,
+    /// Memory that the other daemons' waiting requests will take.
+    peers_waiting: HashMap<HostId, Tokens>,
     /// Where the look for an engine begins, so that equals are taken in turn.
     turn: usize,
 }
@@ -119,6 +123,8 @@
             counters: EngineCounters::default(),
             wake_us: None,
             usual_answer: None,
+            usual_hold_us: FIRST_HOLD_US,
+            peers_waiting: HashMap::new(),
             turn,
         }
     }
@@ -129,8 +135,12 @@
     }
 
     /// What this daemon has at the engines, for the other daemons to know.
-    pub fn holdings(&self) -> impl Iterator<Item = Holding> {
-        self.engines.iter().filter_map(Engine::holding)
+    pub fn holdings(&self) -> Holdings {
+        let rooms = self.waiting.iter().map(|request_id| self.open[request_id].room);
+        Holdings {
+            waiting: rooms.fold(Tokens::ZERO, |sum, room| sum + room),
+            engines: self.engines.iter().filter_map(Engine::holding).collect(),
+        }
     }
 
     /// Changes the limits; what was decided stays.
@@ -172,8 +182,9 @@
             EngineEvent::Peer { host, holdings } => {
                 for engine in &mut self.engines {
                     let at_engine = |holding: &&Holding| holding.server == *engine.instance.server();
-                    engine.peer(&host, holdings.iter().find(at_engine));
+                    engine.peer(&host, holdings.engines.iter().find(at_engine));
                 }
+                self.peers_waiting.insert(host, holdings.waiting);
             }
             EngineEvent::Tick => {}
         }
@@ -222,13 +233,41 @@
         self.open.insert(request_id, open);
         if !self.has_writer(now_us) {
             self.refuse(request_id, EngineRefusal::NoEngine, actions);
-        } else if self.waiting.len() >= self.settings.waiting_max {
+        } else if self.waiting.len() >= self.settings.waiting_max || self.would_be_late(now_us, request_id) {
             self.refuse(request_id, EngineRefusal::WouldWaitTooLong, actions);
         } else {
             self.waiting.push(request_id);
         }
     }
 
+    /// Whether a request would wait for a writer beyond its target.
+    ///
+    /// Load: bursts of some seconds above what the writers can hold. Harm prevented: every request waits a little
+    /// too long, and all of them are late; told at once, a part of the callers comes back when the burst is over,
+    /// and the others are in time.
+    fn would_be_late(&self, now_us: MonoTime, request_id: RequestId) -> bool {
+        let demand = &self.open[&request_id].demand;
+        let reading_ms = Millis(demand.prompt_tokens.0 / self.settings.read_tokens_per_ms.max(1.0) as u64);
+        let limit_us = Micros::from(demand.target_ms.saturating_sub(reading_ms + START_MARGIN_MS));
+        self.expected_wait_us(now_us, self.open[&request_id].room) > limit_us
+    }
+
+    /// Time until there is room for one more request behind all that wait at all daemons.
+    fn expected_wait_us(&self, now_us: MonoTime, room: Tokens) -> Micros {
+        let limit = self.memory_limit();
+        let writers = || self.engines.iter().filter(|engine| engine.is_writer(now_us));
+        let free = writers().fold(Tokens::ZERO, |sum, writer| sum + limit.saturating_sub(writer.room()));
+        let ahead = self.holdings().waiting + self.peers_waiting.values().fold(room, |sum, waiting| sum + *waiting);
+        let missing = ahead.saturating_sub(free);
+        let freed_per_us = (writers().count() as u64 * limit.0) as f64 / self.usual_hold_us;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
+        Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64)
+    }
+
+    fn memory_limit(&self) -> Tokens {
+        Tokens(self.settings.memory_tokens.0 * self.settings.fill_percent / 100)
+    }
+
     /// Callers' hints are right in the middle and often far off; what answers usually are is known better the more
     /// of them have ended. The geometric mean weighs both alike, as both scatter by factors.
     fn expected_answer(&self, demand: &Demand) -> Tokens {
@@ -402,7 +441,7 @@
     /// The writer whose memory is least filled. Memory binds before slots: an engine that runs out of it throws
     /// a running request out, and the pause makes that answer late.
     fn choose_writer(&mut self, now_us: MonoTime, held: Tokens, failed_at: Option<usize>) -> Option<usize> {
-        let limit = Tokens(self.settings.memory_tokens.0 * self.settings.fill_percent / 100);
+        let limit = self.memory_limit();
         let fits = |index: &usize| {
             let engine = &self.engines[*index];
             engine.role == Role::Decode
@@ -564,6 +603,8 @@
             let seen = (events * self.settings.event_tokens) as f64;
             let usual = self.usual_answer.unwrap_or(seen);
             self.usual_answer = Some(usual + ANSWER_WEIGHT * (seen - usual));
+            let held_us = now_us.since(since_us).0 as f64;
+            self.usual_hold_us += ANSWER_WEIGHT * (held_us - self.usual_hold_us);
             self.engines[writer].release(open.room);
             self.engines[writer].instance.finish(now_us.since(since_us));
         }
@@ -615,6 +656,12 @@
 /// reading its prompt again costs more than the room.
 const ANSWER_MARGIN: f64 = 1.25;
 
+/// Time for which a request keeps its memory, until it was observed: some thousand tokens at the usual pace.
+const FIRST_HOLD_US: f64 = 3_000_000.0;
+
+/// Kept back of the target for messages and for the first step of the writer.
+const START_MARGIN_MS: Millis = Millis(100);
+
 /// Weight of the latest answer's length.
 const ANSWER_WEIGHT: f64 = 0.05;
 
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -5,7 +5,7 @@
 
 use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holding,
+    Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holdings,
     ListedEngine, Role,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
@@ -146,14 +146,14 @@
     }
 
     /// What this daemon has at the engines, by service.
-    pub fn holdings(&self) -> Vec<(String, Vec<Holding>)> {
+    pub fn holdings(&self) -> Vec<(String, Holdings)> {
         let services = self.services.lock();
-        services.iter().map(|(name, service)| (name.clone(), service.pool.holdings().collect())).collect()
+        services.iter().map(|(name, service)| (name.clone(), service.pool.holdings())).collect()
     }
 
     /// Takes what another daemon has at the engines.
-    pub fn peer(&self, host: &HostId, holdings: Vec<(String, Vec<Holding>)>) {
-        let mut holdings: HashMap<String, Vec<Holding>> = holdings.into_iter().collect();
+    pub fn peer(&self, host: &HostId, holdings: Vec<(String, Holdings)>) {
+        let mut holdings: HashMap<String, Holdings> = holdings.into_iter().collect();
         let names: Vec<String> = self.services.lock().keys().cloned().collect();
         for name in names {
             let holdings = holdings.remove(&name).unwrap_or_default();
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
-use hibiscusvale_core::relay::engines::Holding;
+use hibiscusvale_core::relay::engines::Holdings;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -52,7 +52,7 @@
     /// Counts its messages: an older one that comes late is passed over.
     sequence: u64,
     /// What it has at the engines, by service.
-    holdings: Vec<(String, Vec<Holding>)>,
+    holdings: Vec<(String, Holdings)>,
 }
 
 #[derive(Debug)]
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -34,8 +34,9 @@
 /// Time for giving a reservation back.
 const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Part of its time that a request may wait for an engine. Beyond, its answer would not end in time.
-const PATIENCE_DIVISOR: u64 = 4;
+/// Times its target that a request waits for an engine at most. Callers leave after four times the target without
+/// an event.
+const PATIENCE_FACTOR: u64 = 3;
 
 /// Runs a request; its caller gets the stream, or a refusal.
 ///
@@ -83,7 +84,7 @@
         repeatability: incoming.route.kind.repeatability(),
         attempts_max: incoming.route.attempts_max,
         target_ms: incoming.route.target_ms,
-        patience_ms: Millis(incoming.left_ms().0 / PATIENCE_DIVISOR),
+        patience_ms: Millis(incoming.route.target_ms.0 * PATIENCE_FACTOR).min(incoming.left_ms()),
         priority: incoming.route.priority,
     }
 }
