Take SIGHUP as a wish to read the settings again, and end no stream for mere silence

Change: settings are read again; a silent engine is first asked for another connection, streams that broke off are placed first and wait anew.

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use hibiscusvale::operators::OperatorsFailure;
 use hibiscusvale::external::LogFailure;
+use hibiscusvale::operators::OperatorsFailure;
 use hibiscusvale_core::ids::{ChangeId, Offset};
 
 /// Exit codes and what they mean. They are part of the interface; scripts rely on them.
--- a/crates/client/src/publisher.rs
+++ b/crates/client/src/publisher.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hibiscusvale::external::{AppendError, HttpLog, HttpLogSettings, Log, LogFailure, Stream};
 use hibiscusvale::operators::OperatorsClient;
 use hibiscusvale::operators::views::{ChangeView, ConfigView, PartnerView, VerdictView};
-use hibiscusvale::external::{AppendError, HttpLog, HttpLogSettings, Log, LogFailure, Stream};
 use hibiscusvale_core::config::{ChangeBody, ClassChange, ClassTarget, MAX_RECORD_BYTES, Record};
 use hibiscusvale_core::ids::{ChangeId, Offset};
 use hibiscusvale_core::units::Millis;
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -15,7 +15,8 @@
 
 use engine::Engine;
 pub use events::{
-    Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, Holding, Holdings, ListedEngine, Role, ToldLoad,
+    Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, Holding, Holdings, ListedEngine, Role,
+    ToldLoad,
 };
 
 /// Limits of an [`EnginePool`].
@@ -70,9 +71,17 @@
 enum Stage {
     Waiting,
     /// A writer is asked to keep room.
-    Reserving { writer: usize },
-    Reading { reader: usize, writer: usize },
-    Writing { writer: usize, since_us: MonoTime },
+    Reserving {
+        writer: usize,
+    },
+    Reading {
+        reader: usize,
+        writer: usize,
+    },
+    Writing {
+        writer: usize,
+        since_us: MonoTime,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -81,6 +90,10 @@
     /// Memory for its prompt and its answer, as expected.
     room: Tokens,
     arrived_us: MonoTime,
+    /// Since when it waits for an engine, the last time.
+    waits_since_us: MonoTime,
+    /// Whether its caller has got a part of the answer.
+    begun: bool,
     stage: Stage,
     tries: Attempts,
     reads: u32,
@@ -145,6 +158,7 @@
 
     /// Changes the limits; what was decided stays.
     pub fn configure(&mut self, settings: EnginePoolSettings) {
+        self.budget.configure(settings.retry_percent, settings.retry_burst);
         self.settings = settings;
     }
 
@@ -224,6 +238,8 @@
             demand,
             room,
             arrived_us: now_us,
+            waits_since_us: now_us,
+            begun: false,
             stage: Stage::Waiting,
             tries,
             reads: 0,
@@ -257,7 +273,8 @@
         let limit = self.memory_limit();
         let writers = || self.engines.iter().filter(|engine| engine.is_writer(now_us));
         let free = writers().fold(Tokens::ZERO, |sum, writer| sum + limit.saturating_sub(writer.room()));
-        let ahead = self.holdings().waiting + self.peers_waiting.values().fold(room, |sum, waiting| sum + *waiting);
+        let ahead =
+            self.holdings().waiting + self.peers_waiting.values().fold(room, |sum, waiting| sum + *waiting);
         let missing = ahead.saturating_sub(free);
         let freed_per_us = (writers().count() as u64 * limit.0) as f64 / self.usual_hold_us;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
@@ -280,7 +297,9 @@
     }
 
     fn has_writer(&self, now_us: MonoTime) -> bool {
-        self.engines.iter().any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
+        self.engines
+            .iter()
+            .any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
     }
 
     /// Places waiting requests, the most urgent first, for as long as there is room.
@@ -294,13 +313,14 @@
         }
     }
 
-    /// Requests that can still be in time go before those that cannot: a place given to a late one makes the
-    /// next one late as well. Among equals the smaller rank, then the one that came first.
+    /// Answers that broke off go on first: half an answer is worth nothing. Then, requests that can still be in time
+    /// go before those that cannot: a place given to a late one makes the next one late as well. Among equals the
+    /// smaller rank, then the one that came first.
     fn most_urgent(&self, now_us: MonoTime) -> Option<usize> {
         let key = |request_id: &RequestId| {
             let open = &self.open[request_id];
             let late = now_us >= open.arrived_us + open.demand.target_ms;
-            (late, open.demand.priority, open.arrived_us, *request_id)
+            (!open.begun, late, open.demand.priority, open.arrived_us, *request_id)
         };
         (0..self.waiting.len()).min_by_key(|&position| key(&self.waiting[position]))
     }
@@ -507,6 +527,7 @@
     fn started(&mut self, request_id: RequestId) {
         if let Some(open) = self.open.get_mut(&request_id) {
             open.read = None;
+            open.begun = true;
         }
     }
 
@@ -539,9 +560,12 @@
 
     /// Has a request wait for other engines, or ends it by what its tries prove.
     fn wait_again(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<EngineAction>) {
-        let Some(open) = self.open.get(&request_id) else {
+        let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
+        if open.begun {
+            open.waits_since_us = now_us;
+        }
         match open.tries.may_begin() {
             Ok(()) if self.has_writer(now_us) => self.waiting.push(request_id),
             Ok(()) | Err(NoRetry::Exhausted | NoRetry::MayHaveRun | NoRetry::Reported) => {
@@ -621,7 +645,7 @@
             .iter()
             .filter(|request_id| {
                 let open = &self.open[*request_id];
-                now_us >= open.arrived_us + open.demand.patience_ms
+                now_us >= open.waits_since_us + open.demand.patience_ms
             })
             .copied()
             .collect();
@@ -638,7 +662,7 @@
     fn wake(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
         let expiry = |request_id: &RequestId| {
             let open = &self.open[request_id];
-            open.arrived_us + open.demand.patience_ms
+            open.waits_since_us + open.demand.patience_ms
         };
         let expiry_us = self.waiting.iter().map(expiry).min();
         let retry_us = (!self.waiting.is_empty()).then(|| now_us + LOOK_AGAIN_MS);
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -96,6 +96,14 @@
         }
     }
 
+    /// Changes the limits; what was decided and saved up stays.
+    pub fn configure(&mut self, settings: PlainSettings) {
+        for budget in self.budgets.values_mut() {
+            budget.configure(settings.retry_percent, settings.retry_burst);
+        }
+        self.settings = settings;
+    }
+
     /// What it decided so far.
     pub fn counters(&self) -> &PlainCounters {
         &self.counters
@@ -151,8 +159,7 @@
         let settings = &self.settings;
         let budget = self.budgets.entry(arrival.partner.clone());
         let (percent, burst) = (settings.retry_percent, settings.retry_burst);
-        let new_budget =
-            if settings.retry_full_at_start { RetryBudget::new } else { RetryBudget::empty };
+        let new_budget = if settings.retry_full_at_start { RetryBudget::new } else { RetryBudget::empty };
         budget.or_insert_with(|| new_budget(percent, burst)).deposit();
         let request_id = arrival.request_id;
         if self.calls.contains_key(&request_id) {
--- a/crates/core/src/sched/retry.rs
+++ b/crates/core/src/sched/retry.rs
@@ -28,6 +28,13 @@
         Self { hundredths: 0, ..Self::new(percent, burst) }
     }
 
+    /// Changes what arrivals pay for and what is saved up at most.
+    pub fn configure(&mut self, percent: u64, burst: u64) {
+        self.percent = percent;
+        self.burst_hundredths = burst * WHOLE;
+        self.hundredths = self.hundredths.min(self.burst_hundredths);
+    }
+
     /// A request arrived.
     pub fn deposit(&mut self) {
         self.hundredths = (self.hundredths + self.percent).min(self.burst_hundredths);
--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -2,13 +2,17 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gumdrop::Options;
 use hibiscusvale::daemon::new_incarnation;
 use hibiscusvale::relay::{RelayDaemon, RelayEdges, RelaySettings};
 use hibiscusvale_platform::{PlatformWire, Store, StoreRegister, StoreServers, StoreTables};
 
-use crate::signals;
+use crate::signals::{self, Asked};
+
+/// Pause between looks at the settings file, which may change without a signal.
+const LOOK: Duration = Duration::from_secs(5);
 
 /// Runs the daemon on the users' platform until it is told to stop.
 #[derive(Debug, Options)]
@@ -20,7 +24,7 @@
 }
 
 impl Relay {
-    /// Returns after a graceful stop; a second signal ends the process at once.
+    /// Returns after a graceful stop. Further signals change nothing: the grace period bounds the stop.
     pub fn run(self) -> anyhow::Result<()> {
         let settings = RelaySettings::load(&self.file)?;
         let signals = signals::watch()?;
@@ -29,10 +33,18 @@
             wire: Arc::new(PlatformWire),
             tables: Arc::new(StoreTables::new(store.clone())),
             register: Arc::new(StoreRegister::new(store.clone())),
-            servers: Arc::new(StoreServers::new(store, settings.host.region.clone())),
+            servers: Arc::new(StoreServers::new(store.clone(), settings.host.region.clone())),
         };
-        let daemon = RelayDaemon::start(&settings, edges, new_incarnation())?;
-        signals.wait();
+        let mut daemon = RelayDaemon::start(settings, edges, new_incarnation())?;
+        loop {
+            match signals.wait_for(LOOK) {
+                Some(Asked::Stop | Asked::Superseded) => break,
+                Some(Asked::Reload) | None => {
+                    daemon.reload(RelaySettings::load(&self.file));
+                    store.move_to(daemon.settings().store.address);
+                }
+            }
+        }
         daemon.stop();
         Ok(())
     }
--- a/crates/daemon/src/cmd/run.rs
+++ b/crates/daemon/src/cmd/run.rs
@@ -6,7 +6,7 @@
 use hibiscusvale::daemon::{Daemon, Edges, new_incarnation};
 use hibiscusvale::settings::Settings;
 
-use crate::signals::{self, Stop};
+use crate::signals::{self, Asked};
 
 /// Runs the daemon until it is told to stop.
 #[derive(Debug, Options)]
@@ -35,12 +35,16 @@
         let sender = signals.sender();
         // Whoever does not listen any more has been told to stop already.
         daemon.when_superseded(move || {
-            let _ = sender.send(Stop::Superseded);
+            let _ = sender.send(Asked::Superseded);
         });
-        match signals.wait() {
-            Stop::Graceful => {}
-            Stop::Superseded => {
-                eprintln!("hibiscusvaled: stopping, another process runs under this host's name");
+        loop {
+            match signals.wait() {
+                Asked::Stop => break,
+                Asked::Superseded => {
+                    eprintln!("hibiscusvaled: stopping, another process runs under this host's name");
+                    break;
+                }
+                Asked::Reload => eprintln!("hibiscusvaled: settings are read at the start only"),
             }
         }
         signals.end_at_once_on_the_next();
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -19,9 +19,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock;
+use crate::external::{AppendError, Log, LogFailure, LogPage, Stream};
 use crate::kernel::{Kernel, KernelError, ServiceName};
 use crate::peer::{PeerBody, PeerLink};
-use crate::external::{AppendError, Log, LogFailure, LogPage, Stream};
 
 /// Time between looks at deadlines while something waits.
 const TICK: Duration = Duration::from_millis(10);
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -24,9 +24,9 @@
     ConfigEvent, ConfigHandle, ConfigParts, ConfigStatus, PublishKeyError, publisher_keys,
 };
 use crate::config::reader::{LogReader, ReadOutcome};
+use crate::external::LogPage;
 use crate::logging;
 use crate::metrics::{Gauge, Metrics};
-use crate::external::LogPage;
 use crate::settings::ConfigSettings;
 use crate::spread::ConfigFeed;
 
--- a/crates/router/src/config/parts.rs
+++ b/crates/router/src/config/parts.rs
@@ -10,9 +10,9 @@
 use hibiscusvale_core::spread::{SpreadEvent, StateHash};
 use tokio::sync::{mpsc, watch};
 
+use crate::external::{Log, LogFailure};
 use crate::logging;
 use crate::metrics::{Label, Metrics};
-use crate::external::{Log, LogFailure};
 use crate::settings::{ConfigSettings, Settings};
 
 /// What the configuration service of one daemon works with.
--- a/crates/router/src/counted_log.rs
+++ b/crates/router/src/counted_log.rs
@@ -10,8 +10,8 @@
 use hibiscusvale_core::ids::Offset;
 use hibiscusvale_core::units::Millis;
 
-use crate::metrics::{Label, Metrics};
 use crate::external::{AppendError, Log, LogFailure, LogPage, Stream};
+use crate::metrics::{Label, Metrics};
 
 /// What a call to the log came to.
 #[derive(Clone, Copy, Debug)]
--- a/crates/router/src/dispatch/plain_hub.rs
+++ b/crates/router/src/dispatch/plain_hub.rs
@@ -27,7 +27,7 @@
 pub struct PlainHub {
     services: Mutex<HashMap<String, Service>>,
     alarm: Alarm,
-    settings: PlainSettings,
+    settings: Mutex<PlainSettings>,
     seed: u64,
 }
 
@@ -64,7 +64,7 @@
 impl PlainHub {
     /// A hub that knows no services; its schedulers draw their random choices from `seed`.
     pub fn new(settings: PlainSettings, seed: u64) -> Self {
-        Self { services: Mutex::default(), alarm: Alarm::new(), settings, seed }
+        Self { services: Mutex::default(), alarm: Alarm::new(), settings: Mutex::new(settings), seed }
     }
 
     /// Takes a call in. `None` when no such service is listed.
@@ -90,10 +90,11 @@
             }
         }
         {
+            let settings = *self.settings.lock();
             let mut services = self.services.lock();
             for service in lists.keys() {
                 services.entry(service.clone()).or_insert_with(|| Service {
-                    scheduler: PlainScheduler::new(self.settings, self.seed),
+                    scheduler: PlainScheduler::new(settings, self.seed),
                     open: HashMap::new(),
                 });
             }
@@ -104,6 +105,14 @@
         }
     }
 
+    /// Changes the limits of all schedulers.
+    pub fn configure(&self, settings: PlainSettings) {
+        *self.settings.lock() = settings;
+        for service in self.services.lock().values_mut() {
+            service.scheduler.configure(settings);
+        }
+    }
+
     /// Tells the schedulers of a sign of a server.
     pub fn sign(&self, server: &BackendServerId, sign: Sign) {
         self.feed_all(&PlainEvent::Sign { server: server.clone(), sign });
--- a/crates/router/src/listing_service.rs
+++ b/crates/router/src/listing_service.rs
@@ -17,8 +17,8 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::directory::{self, BackendServer, Directory, EntryHost, Listing};
-use crate::peer::{PeerBody, PeerLink};
 use crate::external::HostList;
+use crate::peer::{PeerBody, PeerLink};
 
 /// Servers in one page. One takes some 120 bytes, 2 KB with thirty models of the longest names, and a page has to
 /// stay inside a frame of 64 KB. A region of 3,000 servers is 125 pages, each a round trip inside it.
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -47,7 +47,11 @@
 /// # Errors
 ///
 /// The system's error when the socket cannot be used.
-pub async fn serve(state: Arc<RelayState>, socket: std::net::TcpListener, stop: CancellationToken) -> io::Result<()> {
+pub async fn serve(
+    state: Arc<RelayState>,
+    socket: std::net::TcpListener,
+    stop: CancellationToken,
+) -> io::Result<()> {
     let socket = TcpListener::from_std(socket)?;
     let graceful = GracefulShutdown::new();
     loop {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -17,9 +17,9 @@
 
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
+use super::peers::{self, Peers};
 use super::settings::{BoundSettings, RelaySettings};
 use super::state::RelayState;
-use super::peers::{self, Peers};
 use super::{callers, readiness, watch};
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
@@ -27,6 +27,7 @@
 use crate::dispatch::PlainHub;
 use crate::external::HostList;
 use crate::logging::Log;
+use crate::settings::SettingsError;
 
 /// Time between readiness failing and the listener closing: the balancer asks once a second and believes the second
 /// miss.
@@ -58,7 +59,7 @@
     traffic: Runtime,
     stop_listening: CancellationToken,
     serving: JoinHandle<io::Result<()>>,
-    grace_ms: Millis,
+    settings: RelaySettings,
 }
 
 impl RelayDaemon {
@@ -68,7 +69,7 @@
     ///
     /// [`StartError`].
     pub fn start(
-        settings: &RelaySettings,
+        settings: RelaySettings,
         edges: RelayEdges,
         incarnation: Incarnation,
     ) -> Result<Self, StartError> {
@@ -105,17 +106,39 @@
         traffic.spawn(peers::run(own.peer_address, own.host.clone(), Arc::clone(&state)));
         traffic.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
         let timers = Arc::clone(&state);
-        traffic.spawn(async move { tokio::join!(timers.plain_hub.run_timers(), timers.engine_hub.run_timers()) });
-        Ok(Self { state, traffic, stop_listening, serving, grace_ms: settings.bounds.grace_ms })
+        traffic.spawn(
+            async move { tokio::join!(timers.plain_hub.run_timers(), timers.engine_hub.run_timers()) },
+        );
+        Ok(Self { state, traffic, stop_listening, serving, settings })
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> &RelaySettings {
+        &self.settings
+    }
+
+    /// Takes settings that were read again. Bounds come into force at once, addresses of this daemon's own with its
+    /// next start. A file that cannot be used, or read half written, changes nothing.
+    pub fn reload(&mut self, read: Result<RelaySettings, SettingsError>) {
+        match read {
+            Ok(settings) if settings == self.settings => {}
+            Ok(settings) => {
+                self.state.plain_hub.configure(plain_settings(&settings.bounds));
+                self.state.engine_hub.set_budget(engine_settings(&settings.bounds));
+                self.state.log.changed("settings reloaded", &settings.host.id);
+                self.settings = settings;
+            }
+            Err(error) => self.state.log.fault("settings not reloaded", &error),
+        }
     }
 
     /// Stops gracefully: readiness fails first, new callers are served until the balancer has noticed, then what is
     /// open ends in its own time, within the grace period.
     pub fn stop(self) {
-        let Self { state, traffic, stop_listening, serving, grace_ms } = self;
+        let Self { state, traffic, stop_listening, serving, settings } = self;
         state.log.changed("stopping", &state.open.load(Ordering::Relaxed));
         state.stopping.store(true, Ordering::Relaxed);
-        let grace = Duration::from(grace_ms.saturating_sub(END_RESERVE_MS));
+        let grace = Duration::from(settings.bounds.grace_ms.saturating_sub(END_RESERVE_MS));
         let ended = traffic.block_on(async {
             tokio::time::timeout(grace, async {
                 tokio::time::sleep(Duration::from(BALANCER_MS)).await;
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -30,7 +30,7 @@
 pub struct EngineHub {
     services: Mutex<HashMap<String, Service>>,
     alarm: Alarm,
-    settings: EnginePoolSettings,
+    settings: Mutex<EnginePoolSettings>,
     seed: u64,
 }
 
@@ -70,7 +70,7 @@
 impl EngineHub {
     /// A hub that knows no services.
     pub fn new(settings: EnginePoolSettings, seed: u64) -> Self {
-        Self { services: Mutex::default(), alarm: Alarm::new(), settings, seed }
+        Self { services: Mutex::default(), alarm: Alarm::new(), settings: Mutex::new(settings), seed }
     }
 
     /// Takes a request in. `None` when the service has no engines.
@@ -112,11 +112,12 @@
             });
         }
         let names = {
+            let settings = *self.settings.lock();
             let mut services = self.services.lock();
             for name in lists.keys() {
                 let turn = usize::try_from(self.seed % TURNS).unwrap_or_default();
                 services.entry(name.clone()).or_insert_with(|| Service {
-                    pool: EnginePool::new(self.settings, turn),
+                    pool: EnginePool::new(settings, turn),
                     open: HashMap::new(),
                 });
             }
@@ -130,6 +131,7 @@
 
     /// Takes what the configuration says of the engines.
     pub fn configure(&self, table: &RouteTable) {
+        let settings = *self.settings.lock();
         let mut services = self.services.lock();
         for (name, spec) in table.services() {
             let (Some(service), Some(engine)) = (services.get_mut(name.as_str()), spec.engine) else {
@@ -140,11 +142,17 @@
                 event_tokens: engine.event_tokens,
                 reserve_ms_max: engine.reserve_ms_max,
                 hold_ms: engine.hold_ms,
-                ..self.settings
+                ..settings
             });
         }
     }
 
+    /// Changes the limits that do not come with the routes; those in force take them with the next look at the
+    /// routes.
+    pub fn set_budget(&self, settings: EnginePoolSettings) {
+        *self.settings.lock() = settings;
+    }
+
     /// What this daemon has at the engines, by service.
     pub fn holdings(&self) -> Vec<(String, Holdings)> {
         let services = self.services.lock();
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -143,7 +143,9 @@
     *request.headers_mut() = call.headers;
     let response = http.send(Trust::Pooled, request, timeout).await.map_err(cause_of)?;
     match response.status() {
-        StatusCode::OK => read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await.map_err(cause_of),
+        StatusCode::OK => {
+            read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await.map_err(cause_of)
+        }
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FailureCause::NoRoom),
         StatusCode::MISDIRECTED_REQUEST => Err(FailureCause::Leaving),
         _ => Err(FailureCause::Refused),
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -128,7 +128,11 @@
             return false;
         }
         let Message { incarnation, sequence, .. } = *message;
-        *peer = Peer { address: from, heard: Some(Heard { at: now, incarnation, sequence }), called: peer.called };
+        *peer = Peer {
+            address: from,
+            heard: Some(Heard { at: now, incarnation, sequence }),
+            called: peer.called,
+        };
         true
     }
 
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -112,7 +112,8 @@
     timeout: Duration,
 ) -> Result<WholeReply, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
-    let hop = Hop { server, left_ms: incoming.left_ms(), task: Task::Run, reservation: None, after_event: None };
+    let hop =
+        Hop { server, left_ms: incoming.left_ms(), task: Task::Run, reservation: None, after_event: None };
     let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, trust, timeout).await;
     let reply = match reply {
         Ok(reply) => reply,
@@ -136,4 +137,3 @@
     *response.headers_mut() = state.wire.answer_headers(&reply.headers);
     response
 }
-
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -64,11 +64,9 @@
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             // These say that the request has not run and never will.
-            Self::NoTable
-            | Self::NoServer
-            | Self::WouldWaitTooLong
-            | Self::ServersFull
-            | Self::OutOfTime => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoTable | Self::NoServer | Self::WouldWaitTooLong | Self::ServersFull | Self::OutOfTime => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             // These promise nothing.
             Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
             Self::NoAnswer => StatusCode::BAD_GATEWAY,
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -9,7 +9,7 @@
 use crate::settings::{HostSettings, ObserveSettings, SettingsError, parse_toml};
 
 /// All settings of one daemon.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RelaySettings {
     /// Who this daemon is.
@@ -52,7 +52,7 @@
 }
 
 /// Addresses that a relaying daemon listens on.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RelayListenSettings {
     /// For callers, behind the balancer.
@@ -67,7 +67,7 @@
 }
 
 /// Where routes and servers are learned.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StoreSettings {
     /// Its address.
@@ -75,7 +75,7 @@
 }
 
 /// What the installation allows.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct BoundSettings {
     /// Time between SIGTERM and SIGKILL.
@@ -103,7 +103,7 @@
 }
 
 /// What the host gives to the process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CapacitySettings {
     /// Memory; the process is killed beyond.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -16,6 +16,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming as ServerBody};
+use tokio::net::TcpStream;
 
 use super::edge::{EventId, Generation, Hop, PromptRead, Reservation, Task};
 use super::engine_hub::{EngineHub, OpenRequest};
@@ -27,9 +28,16 @@
 use crate::backend::Trust;
 use crate::callers::{AnswerBody, BodyBroken};
 
-/// Silence of an engine after which a resumable stream goes on at another one: several times the longest pause that
-/// is in time, and well below the two seconds after which callers leave.
-const SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence of an engine after which it is asked for another connection. Several times the longest pause that is in
+/// time; an engine that takes one lives, and its answer is owed however slowly it comes.
+const SUSPICION: Duration = Duration::from_millis(1_000);
+
+/// Further silence of an engine that lives after which a resumable stream goes on at another one: the open connection
+/// may be forgotten on its way, and callers leave after two seconds at the earliest.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// Time for that other connection: many round trips inside a region.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time for giving a reservation back.
 const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -57,6 +65,7 @@
         open,
         read: None,
         reserved: None,
+        writing_at: None,
         last: incoming.call.after_event,
         failed: None,
     };
@@ -72,7 +81,11 @@
         return Ok(whole_response(state, reply));
     }
     let (status, headers) = (reply.status, state.wire.answer_headers(&reply.headers));
-    Ok(streamed(status, headers, Passing { run, body: Some(reply.into_body()), cutter: EventCutter::default() }))
+    Ok(streamed(
+        status,
+        headers,
+        Passing { run, body: Some(reply.into_body()), cutter: EventCutter::default() },
+    ))
 }
 
 fn demand_of(incoming: &Incoming, generation: &Generation) -> Demand {
@@ -127,6 +140,8 @@
     open: OpenRequest,
     read: Option<Kept>,
     reserved: Option<Reserved>,
+    /// The engine that writes.
+    writing_at: Option<SocketAddr>,
     /// The last event that the caller has.
     last: Option<EventId>,
     /// The answer of an engine that failed, which the caller gets when there is no better one.
@@ -208,7 +223,13 @@
     async fn read(&self, reader: &BackendServerId, timeout_ms: Millis) -> Result<Kept, FailureCause> {
         let Self { state, incoming, .. } = self;
         let at = state.directory.address_of(reader).ok_or(FailureCause::NotSent)?;
-        let hop = Hop { server: reader, left_ms: incoming.left_ms(), task: Task::ReadPrompt, reservation: None, after_event: None };
+        let hop = Hop {
+            server: reader,
+            left_ms: incoming.left_ms(),
+            task: Task::ReadPrompt,
+            reservation: None,
+            after_event: None,
+        };
         let timeout = incoming.left().min(Duration::from(timeout_ms));
         // Reading a prompt twice does no harm, so any connection will do.
         let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
@@ -218,10 +239,11 @@
     }
 
     async fn write(&mut self, writer: &BackendServerId, source: Option<Kept>) -> Result<Reply, FailureCause> {
+        let at = self.state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         // Sent with the request it is used up, whatever becomes of that.
         let reserved = self.reserved.take().map(Reserved::into_name);
+        self.writing_at = Some(at);
         let Self { state, incoming, .. } = &*self;
-        let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         let task = match source {
             Some(Kept { at, prompt }) => Task::Write { source: at, handle: prompt.handle },
             None => Task::Run,
@@ -242,6 +264,14 @@
         Ok(reply)
     }
 
+    /// Whether the engine that writes takes another connection.
+    async fn engine_lives(&self) -> bool {
+        let Some(at) = self.writing_at else {
+            return false;
+        };
+        matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(at)).await, Ok(Ok(_)))
+    }
+
     fn finished(&self) -> EngineEvent {
         let request_id = self.incoming.request_id;
         let begun = self.incoming.call.after_event.unwrap_or_default().0;
@@ -337,11 +367,22 @@
     }
 }
 
+/// The next bytes of an answer. Silence ends only a stream that can go on elsewhere, and at once only where the engine
+/// cannot be reached any more.
 async fn next_chunk(body: &mut ServerBody, run: &Run) -> Result<Option<Bytes>, FailureCause> {
-    let left = run.incoming.left();
-    let silence = if run.may_repeat() { SILENCE.min(left) } else { left };
+    if !run.may_repeat() {
+        return chunk_within(body, run.incoming.left()).await;
+    }
+    let first = chunk_within(body, SUSPICION.min(run.incoming.left())).await;
+    if first != Err(FailureCause::Timeout) || !run.engine_lives().await {
+        return first;
+    }
+    chunk_within(body, SILENCE.min(run.incoming.left())).await
+}
+
+async fn chunk_within(body: &mut ServerBody, limit: Duration) -> Result<Option<Bytes>, FailureCause> {
     loop {
-        match tokio::time::timeout(silence, body.frame()).await {
+        match tokio::time::timeout(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(bytes) = frame.into_data() {
                     return Ok(Some(bytes));
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -100,7 +100,7 @@
 }
 
 /// Who a daemon is.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HostSettings {
     /// Name of the host; stays the same when the host is replaced under the same address.
@@ -271,7 +271,7 @@
 }
 
 /// What the daemon tells about itself.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ObserveSettings {
     /// Least severe level that is logged.
--- a/crates/router/src/watcher.rs
+++ b/crates/router/src/watcher.rs
@@ -28,10 +28,10 @@
 use crate::clock;
 use crate::directory::{BackendKind, BackendServer, Directory, Listing};
 use crate::dispatch::{Hub, PlainHub, Releases};
+use crate::external::{EngineRole, ListedState};
 use crate::figures;
 use crate::metrics::Metrics;
 use crate::peer::{PeerBody, PeerLink};
-use crate::external::{EngineRole, ListedState};
 
 /// Least time between two load reports of a watched engine. Grants are counted exactly; reports only find what no
 /// ledger knows, such as the holdings of a daemon that died, so a second is soon enough.
