Tell refused callers when room is likely, count what the relay does, part the pool into files

Cause: a fixed 1.5 s brought callers back into the same burst, where they were refused again. Change: the time to come back follows what waits and how long answers take, spread out; metrics; one file for admitting, placing and ending each.

--- /dev/null
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -0,0 +1,138 @@
+//! Which requests are taken in, and how long they may wait.
+
+use super::EnginePool;
+use super::events::{Demand, EngineAction, EngineRefusal, Role};
+use super::open::{Open, Stage};
+use crate::ids::RequestId;
+use crate::outcome::{Attempts, Outcome};
+use crate::units::{Micros, Millis, MonoTime, Tokens};
+
+impl EnginePool {
+    /// Takes a request in, or refuses it.
+    ///
+    /// Load: bursts of several times the mean for some seconds. Harm prevented: callers who wait for an engine
+    /// that cannot come free for them in time.
+    pub(super) fn arrive(&mut self, now_us: MonoTime, demand: Demand, actions: &mut Vec<EngineAction>) {
+        self.counters.arrivals += 1;
+        self.budget.deposit();
+        let request_id = demand.request_id;
+        if self.open.contains_key(&request_id) {
+            return;
+        }
+        let tries = Attempts::new(demand.repeatability, demand.attempts_max);
+        let room = demand.prompt_tokens + self.expected_answer(&demand);
+        let open = Open {
+            demand,
+            room,
+            arrived_us: now_us,
+            waits_since_us: now_us,
+            begun: false,
+            stage: Stage::Waiting,
+            tries,
+            reads: 0,
+            read: None,
+            failed_at: None,
+        };
+        self.open.insert(request_id, open);
+        if !self.has_writer(now_us) {
+            self.refuse(now_us, request_id, EngineRefusal::NoEngine, actions);
+        } else if self.waiting.len() >= self.settings.waiting_max || self.would_be_late(now_us, request_id) {
+            self.refuse(now_us, request_id, EngineRefusal::WouldWaitTooLong, actions);
+        } else {
+            self.waiting.push(request_id);
+        }
+    }
+
+    /// Whether a request would wait for a writer beyond its target.
+    ///
+    /// Load: bursts of some seconds above what the writers can hold. Harm prevented: every request waits a little
+    /// too long, and all of them are late; told at once, a part of the callers comes back when the burst is over,
+    /// and the others are in time.
+    fn would_be_late(&self, now_us: MonoTime, request_id: RequestId) -> bool {
+        let demand = &self.open[&request_id].demand;
+        let reading_ms = Millis(demand.prompt_tokens.0 / self.settings.read_tokens_per_ms.max(1));
+        let limit_us = Micros::from(demand.target_ms.saturating_sub(reading_ms + START_MARGIN_MS));
+        self.expected_wait_us(now_us, self.open[&request_id].room) > limit_us
+    }
+
+    /// Time until there is room for one more request behind all that wait at all daemons.
+    pub(super) fn expected_wait_us(&self, now_us: MonoTime, room: Tokens) -> Micros {
+        let limit = self.memory_limit();
+        let writers = || self.engines.iter().filter(|engine| engine.is_writer(now_us));
+        let free = writers().fold(Tokens::ZERO, |sum, writer| sum + limit.saturating_sub(writer.room()));
+        let ahead =
+            self.holdings().waiting + self.peers_waiting.values().fold(room, |sum, waiting| sum + *waiting);
+        let missing = ahead.saturating_sub(free);
+        let freed_per_us = (writers().count() as u64 * limit.0) as f64 / self.usual_hold_us;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
+        Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64)
+    }
+
+    pub(super) fn memory_limit(&self) -> Tokens {
+        Tokens(self.settings.memory_tokens.0 * self.settings.fill_percent / 100)
+    }
+
+    /// Callers' hints are right in the middle and often far off; what answers usually are is known better the more
+    /// of them have ended. The geometric mean weighs both alike, as both scatter by factors.
+    fn expected_answer(&self, demand: &Demand) -> Tokens {
+        let longest = demand.answer_tokens_max.0 as f64;
+        let usual = self.usual_answer.unwrap_or(longest / 2.0);
+        let hinted = demand.answer_tokens_hint.map_or(usual, |hint| hint.0 as f64);
+        let expected = (usual * hinted).sqrt() * ANSWER_MARGIN;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive count")]
+        Tokens(expected.min(longest) as u64)
+    }
+
+    pub(super) fn has_writer(&self, now_us: MonoTime) -> bool {
+        self.engines
+            .iter()
+            .any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
+    }
+
+    /// Refuses requests whose patience ended while they waited.
+    pub(super) fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
+        let expired: Vec<RequestId> = self
+            .waiting
+            .iter()
+            .filter(|request_id| {
+                let open = &self.open[*request_id];
+                now_us >= open.waits_since_us + open.demand.patience_ms
+            })
+            .copied()
+            .collect();
+        for request_id in expired {
+            let ran = self.open[&request_id].tries.outcome() != Outcome::NotRun;
+            if ran {
+                self.give_up(now_us, request_id, actions);
+            } else {
+                self.refuse(now_us, request_id, EngineRefusal::WouldWaitTooLong, actions);
+            }
+        }
+    }
+
+    pub(super) fn wake(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
+        let expiry = |request_id: &RequestId| {
+            let open = &self.open[request_id];
+            open.waits_since_us + open.demand.patience_ms
+        };
+        let expiry_us = self.waiting.iter().map(expiry).min();
+        let retry_us = (!self.waiting.is_empty()).then(|| now_us + LOOK_AGAIN_MS);
+        let Some(at_us) = [expiry_us, retry_us].into_iter().flatten().min() else {
+            return;
+        };
+        if self.wake_us.is_none_or(|known_us| known_us <= now_us || at_us < known_us) {
+            self.wake_us = Some(at_us);
+            actions.push(EngineAction::Wake { at_us });
+        }
+    }
+}
+
+/// Room for answers that grow longer than expected: an engine that runs out of memory throws a request out, and
+/// reading its prompt again costs more than the room.
+const ANSWER_MARGIN: f64 = 1.25;
+
+/// Kept back of the target for messages and for the first step of the writer.
+const START_MARGIN_MS: Millis = Millis(100);
+
+/// Pause between looks at engines that were full by what they told: that knowledge becomes old by itself.
+const LOOK_AGAIN_MS: Millis = Millis(50);
--- /dev/null
+++ b/crates/core/src/relay/engines/ending.rs
@@ -0,0 +1,223 @@
+//! How steps end, and what becomes of a request then.
+
+use super::EnginePool;
+use super::events::{EngineAction, EngineRefusal};
+use super::open::{Open, Stage};
+use crate::ids::RequestId;
+use crate::outcome::{AttemptEnd, NoRetry, Outcome};
+use crate::sched::FailureCause;
+use crate::units::{Micros, Millis, MonoTime};
+
+impl EnginePool {
+    pub(super) fn prompt_read(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let Stage::Reading { reader, writer } = open.stage else {
+            return;
+        };
+        open.read = Some((reader, now_us));
+        let prompt_tokens = open.demand.prompt_tokens;
+        self.engines[reader].end_reading(prompt_tokens);
+        self.engines[reader].instance.finish(Micros::ZERO);
+        self.write(now_us, request_id, writer, Some(reader), actions);
+    }
+
+    pub(super) fn read_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let Stage::Reading { reader, writer } = open.stage else {
+            return;
+        };
+        open.stage = Stage::Waiting;
+        open.failed_at = Some(reader);
+        let (prompt_tokens, room) = (open.demand.prompt_tokens, open.room);
+        self.engines[reader].end_reading(prompt_tokens);
+        self.engines[reader].instance.fail(now_us, cause, true);
+        self.engines[writer].release(room);
+        self.engines[writer].instance.abandon(now_us);
+        self.wait_again(now_us, request_id, actions);
+    }
+
+    pub(super) fn started(&mut self, request_id: RequestId) {
+        if let Some(open) = self.open.get_mut(&request_id) {
+            open.read = None;
+            open.begun = true;
+        }
+    }
+
+    pub(super) fn write_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let Stage::Writing { writer, .. } = open.stage else {
+            return;
+        };
+        open.stage = Stage::Waiting;
+        // What a failed try brought is never a whole answer.
+        let _ = open.tries.end(end_of(cause));
+        if cause == FailureCause::Gone {
+            // The KV cache is lost, not the writer.
+            open.read = None;
+        } else {
+            open.failed_at = Some(writer);
+        }
+        let room = open.room;
+        self.give_back(now_us, writer, room, cause);
+        self.wait_again(now_us, request_id, actions);
+    }
+
+    /// Has a request wait for other engines, or ends it by what its tries prove.
+    pub(super) fn wait_again(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        if open.begun {
+            open.waits_since_us = now_us;
+        }
+        match open.tries.may_begin() {
+            Ok(()) if self.has_writer(now_us) => self.waiting.push(request_id),
+            Ok(()) | Err(NoRetry::Exhausted | NoRetry::MayHaveRun | NoRetry::Reported) => {
+                self.give_up(now_us, request_id, actions);
+            }
+        }
+    }
+
+    /// Ends a request that is not tried again.
+    pub(super) fn give_up(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let may_have_run =
+            self.open.get(&request_id).is_some_and(|open| open.tries.outcome() != Outcome::NotRun);
+        if may_have_run {
+            self.close(now_us, request_id);
+            self.counters.unknown += 1;
+            actions.push(EngineAction::Unknown { request_id });
+        } else {
+            self.refuse(now_us, request_id, EngineRefusal::RetriesSpent, actions);
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        reason: EngineRefusal,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let retry_after_ms = self.come_back_ms(now_us, request_id);
+        self.close(now_us, request_id);
+        self.counters.refused += 1;
+        actions.push(EngineAction::Refuse { request_id, reason, retry_after_ms });
+    }
+
+    /// When another try is worth making: when what waits has been placed, and about half to one and a half times as
+    /// long again as an answer takes. Spread out, so that callers who were refused together do not return together.
+    fn come_back_ms(&self, now_us: MonoTime, request_id: RequestId) -> Millis {
+        let Some(open) = self.open.get(&request_id) else {
+            return RETRY_AFTER_MS;
+        };
+        if !self.has_writer(now_us) {
+            return RETRY_AFTER_MS;
+        }
+        let wait_us = self.expected_wait_us(now_us, open.room);
+        let hundredths = SPREAD_FROM + request_id.sequence.wrapping_mul(SPREAD_STEP) % SPREAD_WIDTH;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
+        let answer_us = self.usual_hold_us as u64 * hundredths / WHOLE;
+        (wait_us + Micros(answer_us)).to_millis_ceil()
+    }
+
+    /// Forgets a request and gives back what was reserved for it.
+    fn close(&mut self, now_us: MonoTime, request_id: RequestId) -> Option<Open> {
+        self.waiting.retain(|&waiting| waiting != request_id);
+        let open = self.open.remove(&request_id)?;
+        let held = open.room;
+        match open.stage {
+            Stage::Waiting => {}
+            Stage::Reading { reader, writer } => {
+                self.engines[reader].end_reading(open.demand.prompt_tokens);
+                self.engines[reader].instance.abandon(now_us);
+                self.engines[writer].release(held);
+                self.engines[writer].instance.abandon(now_us);
+            }
+            Stage::Reserving { writer } | Stage::Writing { writer, .. } => {
+                self.engines[writer].release(held);
+                self.engines[writer].instance.abandon(now_us);
+            }
+        }
+        Some(open)
+    }
+
+    pub(super) fn finished(&mut self, now_us: MonoTime, request_id: RequestId, events: u64) {
+        let Some(open) = self.open.remove(&request_id) else {
+            return;
+        };
+        self.counters.answered += 1;
+        if let Stage::Writing { writer, since_us } = open.stage {
+            let seen = (events * self.settings.event_tokens) as f64;
+            let usual = self.usual_answer.unwrap_or(seen);
+            self.usual_answer = Some(usual + ANSWER_WEIGHT * (seen - usual));
+            let held_us = now_us.since(since_us).0 as f64;
+            self.usual_hold_us += ANSWER_WEIGHT * (held_us - self.usual_hold_us);
+            self.engines[writer].release(open.room);
+            self.engines[writer].instance.finish(now_us.since(since_us));
+        }
+    }
+
+    pub(super) fn caller_left(&mut self, now_us: MonoTime, request_id: RequestId) {
+        self.close(now_us, request_id);
+    }
+}
+
+/// Weight of the latest answer's length.
+const ANSWER_WEIGHT: f64 = 0.05;
+
+/// Told to a caller who is refused for want of any engine: one that restarts is back within seconds.
+const RETRY_AFTER_MS: Millis = Millis(1_500);
+
+/// Spread of the time to come back, in hundredths of the time that an answer takes.
+const SPREAD_FROM: u64 = 50;
+
+/// Width of that spread.
+const SPREAD_WIDTH: u64 = 100;
+
+/// Steps through the spread; without a common divisor with its width.
+const SPREAD_STEP: u64 = 37;
+
+/// A whole, in hundredths.
+const WHOLE: u64 = 100;
+
+/// What a failed try proves.
+fn end_of(cause: FailureCause) -> AttemptEnd {
+    match cause {
+        FailureCause::NotSent => AttemptEnd::NotSent,
+        FailureCause::NoRoom | FailureCause::Leaving | FailureCause::Gone => AttemptEnd::Declined,
+        FailureCause::Timeout | FailureCause::Broken | FailureCause::Refused => AttemptEnd::MayHaveRun,
+    }
+}
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -119,9 +119,8 @@
     }
 
     /// Time for what it has to read.
-    pub(super) fn reading_ms(&self, tokens_per_ms: f64) -> Millis {
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
-        Millis((self.reading_all().0 as f64 / tokens_per_ms.max(1.0)) as u64)
+    pub(super) fn reading_ms(&self, tokens_per_ms: u64) -> Millis {
+        Millis(self.reading_all().0 / tokens_per_ms.max(1))
     }
 
     pub(super) fn refused(&mut self, now_us: MonoTime) {
--- /dev/null
+++ b/crates/core/src/relay/engines/placing.rs
@@ -0,0 +1,203 @@
+//! Which engines a request goes to.
+
+use super::EnginePool;
+use super::events::{EngineAction, Role};
+use super::open::Stage;
+use crate::ids::RequestId;
+use crate::sched::FailureCause;
+use crate::units::{Millis, MonoTime, Tokens};
+
+impl EnginePool {
+    /// Places waiting requests, the most urgent first, for as long as there is room.
+    pub(super) fn serve(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
+        while let Some(position) = self.most_urgent(now_us) {
+            let request_id = self.waiting[position];
+            if !self.place(now_us, request_id, actions) {
+                return;
+            }
+            self.waiting.retain(|&waiting| waiting != request_id);
+        }
+    }
+
+    /// Answers that broke off go on first: half an answer is worth nothing. Then, requests that can still be in time
+    /// go before those that cannot: a place given to a late one makes the next one late as well. Among equals the
+    /// smaller rank, then the one that came first.
+    fn most_urgent(&self, now_us: MonoTime) -> Option<usize> {
+        let key = |request_id: &RequestId| {
+            let open = &self.open[request_id];
+            let late = now_us >= open.arrived_us + open.demand.target_ms;
+            (!open.begun, late, open.demand.priority, open.arrived_us, *request_id)
+        };
+        (0..self.waiting.len()).min_by_key(|&position| key(&self.waiting[position]))
+    }
+
+    /// Chooses engines for a request; false when there is no room for it.
+    fn place(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<EngineAction>) -> bool {
+        let open = &self.open[&request_id];
+        let (room, failed_at) = (open.room, open.failed_at);
+        let Some(writer) = self.choose_writer(now_us, room, failed_at) else {
+            return false;
+        };
+        self.engines[writer].hold(room);
+        self.engines[writer].instance.start(now_us);
+        if self.settings.reserve_ms_max == Millis::ZERO {
+            self.read(now_us, request_id, writer, actions);
+            return true;
+        }
+        if let Some(open) = self.open.get_mut(&request_id) {
+            open.stage = Stage::Reserving { writer };
+        }
+        actions.push(EngineAction::Reserve {
+            request_id,
+            writer: self.engines[writer].instance.server().clone(),
+            tokens: room,
+            keep_ms: self.settings.reserve_ms_max,
+            timeout_ms: RESERVE_TIMEOUT_MS,
+        });
+        true
+    }
+
+    pub(super) fn reserved(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        if let Some(Stage::Reserving { writer }) = self.open.get(&request_id).map(|open| open.stage) {
+            self.read(now_us, request_id, writer, actions);
+        }
+    }
+
+    /// Nothing was sent that could run, so another engine is asked without any cost to the budget.
+    pub(super) fn reserve_failed(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        cause: FailureCause,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let Stage::Reserving { writer } = open.stage else {
+            return;
+        };
+        open.stage = Stage::Waiting;
+        let room = open.room;
+        self.give_back(now_us, writer, room, cause);
+        self.wait_again(now_us, request_id, actions);
+    }
+
+    /// A writer did not take a request.
+    pub(super) fn give_back(&mut self, now_us: MonoTime, writer: usize, room: Tokens, cause: FailureCause) {
+        let engine = &mut self.engines[writer];
+        engine.release(room);
+        engine.instance.fail(now_us, cause, true);
+        if cause == FailureCause::NoRoom {
+            engine.refused(now_us);
+        }
+    }
+
+    /// Has the prompt read for `writer`, or lets it go on from a KV cache that is still kept.
+    fn read(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        writer: usize,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get(&request_id) else {
+            return;
+        };
+        let (prompt_tokens, failed_at, read) = (open.demand.prompt_tokens, open.failed_at, open.read);
+        let kept = read.filter(|&(_, read_us)| now_us < read_us + self.settings.hold_ms);
+        let reader = match kept {
+            Some(_) => None,
+            None => self.choose_reader(now_us, failed_at),
+        };
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        if let Some(reader) = reader {
+            let is_further = open.reads > 0;
+            open.stage = Stage::Reserving { writer };
+            if is_further && !self.budget.withdraw() {
+                self.counters.retries_denied += 1;
+                self.give_up(now_us, request_id, actions);
+                return;
+            }
+            open.reads += 1;
+            open.stage = Stage::Reading { reader, writer };
+            self.counters.retries += u64::from(is_further);
+            self.engines[reader].start_reading(now_us, prompt_tokens);
+            let expected_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
+            actions.push(EngineAction::Read {
+                request_id,
+                reader: self.engines[reader].instance.server().clone(),
+                timeout_ms: expected_ms + self.settings.read_slack_ms,
+            });
+            return;
+        }
+        self.write(now_us, request_id, writer, kept.map(|(reader, _)| reader), actions);
+    }
+
+    /// Sends a request to the engine that writes its answer.
+    pub(super) fn write(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        writer: usize,
+        reader: Option<usize>,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        open.stage = Stage::Writing { writer, since_us: now_us };
+        let is_further = open.tries.made() > 0;
+        let allowed = open.tries.may_begin().is_ok() && (!is_further || self.budget.withdraw());
+        if !allowed || open.tries.begin().is_err() {
+            self.counters.retries_denied += 1;
+            self.give_up(now_us, request_id, actions);
+            return;
+        }
+        self.counters.retries += u64::from(is_further);
+        actions.push(EngineAction::Write {
+            request_id,
+            writer: self.engines[writer].instance.server().clone(),
+            reader: reader.map(|reader| self.engines[reader].instance.server().clone()),
+        });
+    }
+
+    /// The writer whose memory is least filled. Memory binds before slots: an engine that runs out of it throws
+    /// a running request out, and the pause makes that answer late.
+    fn choose_writer(&mut self, now_us: MonoTime, held: Tokens, failed_at: Option<usize>) -> Option<usize> {
+        let limit = self.memory_limit();
+        let fits = |index: &usize| {
+            let engine = &self.engines[*index];
+            engine.role == Role::Decode
+                && Some(*index) != failed_at
+                && !engine.is_full(now_us)
+                && engine.has_slot(now_us)
+                && (engine.room() == Tokens::ZERO || engine.room() + held <= limit)
+        };
+        self.turn = self.turn.wrapping_add(1);
+        let count = self.engines.len().max(1);
+        let order = (0..self.engines.len()).map(|step| (step + self.turn) % count);
+        order.filter(fits).min_by_key(|&index| self.engines[index].fullness(now_us))
+    }
+
+    /// The reader with the least to read.
+    fn choose_reader(&mut self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
+        let fits = |index: &usize| {
+            let engine = &self.engines[*index];
+            engine.role == Role::Prefill && Some(*index) != failed_at && engine.has_slot(now_us)
+        };
+        let count = self.engines.len().max(1);
+        let order = (0..self.engines.len()).map(|step| (step + self.turn) % count);
+        order.filter(fits).min_by_key(|&index| self.engines[index].reading_all())
+    }
+}
+
+/// An engine answers a reservation within two round trips; a silent one must not cost a request its target.
+const RESERVE_TIMEOUT_MS: Millis = Millis(150);
--- /dev/null
+++ b/crates/core/src/relay/engines/settings.rs
@@ -0,0 +1,51 @@
+//! Limits of the pool, each with its reason.
+
+use crate::sched::InstanceSettings;
+use crate::units::{Millis, Tokens};
+
+/// Limits of an [`EnginePool`].
+#[derive(Clone, Copy, Debug)]
+pub struct EnginePoolSettings {
+    /// How engines are judged.
+    pub instance: InstanceSettings,
+    /// Tokens that an engine's memory holds.
+    pub memory_tokens: Tokens,
+    /// Part of the memory that is filled at most, in percent. Answers grow beyond what was expected, and an
+    /// engine without memory throws a running request out.
+    pub fill_percent: u64,
+    /// Tokens that one event of a stream stands for.
+    pub event_tokens: u64,
+    /// For how long an engine keeps a slot and memory; zero where engines keep none.
+    pub reserve_ms_max: Millis,
+    /// For how long a read prompt waits to be fetched.
+    pub hold_ms: Millis,
+    /// Requests that wait for an engine at most. Beyond, the oldest would have been refused before the newest
+    /// had its turn.
+    pub waiting_max: usize,
+    /// Tokens that a reading engine takes in a millisecond until it was observed.
+    pub read_tokens_per_ms: u64,
+    /// Time that reading may take beyond what is expected before it counts as failed.
+    pub read_slack_ms: Millis,
+    /// Retries that one arrival pays for, in percent.
+    pub retry_percent: u64,
+    /// Retries saved up at most.
+    pub retry_burst: u64,
+}
+
+impl Default for EnginePoolSettings {
+    fn default() -> Self {
+        Self {
+            instance: InstanceSettings::default(),
+            memory_tokens: Tokens(80_000),
+            fill_percent: 95,
+            event_tokens: 1,
+            reserve_ms_max: Millis::ZERO,
+            hold_ms: Millis(500),
+            waiting_max: 256,
+            read_tokens_per_ms: 50,
+            read_slack_ms: Millis(1_000),
+            retry_percent: 20,
+            retry_burst: 8,
+        }
+    }
+}
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -1,5 +1,6 @@
 //! The routing table: which service a request goes to, and what may be done with it.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::str::FromStr;
@@ -178,7 +179,7 @@
             by_host.entry(route.host.to_ascii_lowercase()).or_default().push(route);
         }
         for routes in by_host.values_mut() {
-            routes.sort_by(|a, b| b.prefix.len().cmp(&a.prefix.len()));
+            routes.sort_by_key(|route| Reverse(route.prefix.len()));
         }
         Self { version, routes: by_host, services, limits }
     }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug)]
 pub struct Metrics {
     registry: Registry,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     histograms: Histograms,
     counts: Arc<Counts>,
 }
@@ -85,7 +85,12 @@
         let counts = Arc::new(Counts::default());
         observe_classes(&meter, &counts);
         observe_daemon(&meter, &counts);
-        Ok(Self { registry, histograms: Histograms::new(&meter), _provider: provider, counts })
+        Ok(Self { registry, histograms: Histograms::new(&meter), provider, counts })
+    }
+
+    /// Where instruments of other parts of the daemon are made.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("hibiscusvale")
     }
 
     /// The counters of one class. Callers keep the handle; finding it takes a lock.
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hibiscusvale_core::ids::RequestId;
 use hibiscusvale_core::units::Millis;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -124,13 +125,11 @@
     request: Request<CallerBody>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let incoming = Arc::new(read(state, request).await?);
-    let service = incoming.route.destination(draw(&incoming)).ok_or(Refusal::new(Reason::NoServer));
-    let service = service.inspect_err(|refusal| incoming.note_end(refusal.reason.label()))?.clone();
     let is_stream = incoming.route.kind.is_stream();
     let answered = if is_stream {
-        stream::relay(state, &incoming, service.as_str()).await
+        stream::relay(state, &incoming).await
     } else {
-        let answered = plain::relay(state, &incoming, service.as_str());
+        let answered = plain::relay(state, &incoming);
         tokio::time::timeout_at(incoming.deadline, answered)
             .await
             .unwrap_or(Err(Refusal::new(Reason::NoAnswerInTime)))
@@ -144,8 +143,8 @@
 }
 
 /// What decides among the destinations of a split route: a caller's next try may go elsewhere.
-fn draw(incoming: &Incoming) -> u64 {
-    incoming.request_id.sequence.wrapping_mul(GOLDEN) >> DRAW_SHIFT
+fn draw(request_id: RequestId) -> u64 {
+    request_id.sequence.wrapping_mul(GOLDEN) >> DRAW_SHIFT
 }
 
 /// Spreads consecutive numbers evenly (Knuth's multiplicative hashing).
@@ -164,14 +163,17 @@
     }
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let route = table.find(host, parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
+    let request_id = state.next_id();
+    let service = route.destination(draw(request_id)).ok_or(Refusal::new(Reason::NoServer))?.clone();
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
     let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
     state.open.fetch_add(1, Ordering::Relaxed);
     Ok(Incoming {
-        request_id: state.next_id(),
+        request_id,
         call,
         route,
+        service,
         path: parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
         method: parts.method,
         headers: parts.headers,
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -17,10 +17,12 @@
 
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
+use super::metrics::RelayMetrics;
 use super::peers::{self, Peers};
 use super::settings::{BoundSettings, RelaySettings};
 use super::state::RelayState;
-use super::{callers, readiness, watch};
+use super::status::{self, Purpose};
+use super::{callers, watch};
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
 use crate::directory::Directory;
@@ -93,13 +95,18 @@
             open: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
             log,
+            metrics: RelayMetrics::new()?,
         });
         state.log.changed("started", &incarnation);
         let address = settings.listen.callers;
         let socket = callers::bind(address).map_err(|source| StartError::Listen { address, source })?;
         let stop_listening = CancellationToken::new();
         let serving = traffic.spawn(callers::serve(Arc::clone(&state), socket, stop_listening.clone()));
-        traffic.spawn(readiness::serve(Arc::clone(&state), settings.listen.readiness));
+        state.metrics.observe(&state);
+        traffic.spawn(status::serve(Arc::clone(&state), settings.listen.readiness, Purpose::Readiness));
+        if let Some(address) = settings.listen.metrics {
+            traffic.spawn(status::serve(Arc::clone(&state), address, Purpose::Metrics));
+        }
         traffic.spawn(watch::follow_table(edges.tables, Arc::clone(&state)));
         traffic.spawn(watch::follow_servers(edges.servers, Arc::clone(&state)));
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -2,18 +2,19 @@
 //! [`crate::dispatch::Hub`] for the shape.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
-use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
+use hibiscusvale_core::ids::{HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
     Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holdings,
     ListedEngine, Role,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::sched::Sign;
 use hibiscusvale_core::units::Tokens;
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
+use super::state::RelayState;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
 use crate::dispatch::alarm::Alarm;
@@ -40,7 +41,7 @@
     service: String,
     request_id: RequestId,
     steps: mpsc::UnboundedReceiver<EngineAction>,
-    hub: std::sync::Arc<super::state::RelayState>,
+    hub: Arc<RelayState>,
 }
 
 impl OpenRequest {
@@ -74,23 +75,14 @@
     }
 
     /// Takes a request in. `None` when the service has no engines.
-    pub fn arrive(
-        state: &std::sync::Arc<super::state::RelayState>,
-        service: &str,
-        demand: Demand,
-    ) -> Option<OpenRequest> {
+    pub fn arrive(state: &Arc<RelayState>, service: &str, demand: Demand) -> Option<OpenRequest> {
         let (sender, steps) = mpsc::unbounded_channel();
         let request_id = demand.request_id;
         let hub = &state.engine_hub;
         hub.services.lock().get_mut(service)?.open.insert(request_id, sender);
         hub.feed(service, EngineEvent::Arrive(demand));
         state.peers.touch();
-        Some(OpenRequest {
-            service: service.to_owned(),
-            request_id,
-            steps,
-            hub: std::sync::Arc::clone(state),
-        })
+        Some(OpenRequest { service: service.to_owned(), request_id, steps, hub: Arc::clone(state) })
     }
 
     /// Adopts the listing.
@@ -169,11 +161,6 @@
         }
     }
 
-    /// Tells the pools of a sign of a server.
-    pub fn sign(&self, server: &BackendServerId, sign: Sign) {
-        self.feed_all(&EngineEvent::Sign { server: server.clone(), sign });
-    }
-
     /// What the pools counted.
     pub fn counters(&self) -> Vec<EngineCounters> {
         self.services.lock().values().map(|service| *service.pool.counters()).collect()
--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -67,6 +67,6 @@
 
 fn last_id(bytes: &[u8]) -> Option<EventId> {
     let lines = bytes.rsplit(|&byte| byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok()).next()
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
--- /dev/null
+++ b/crates/router/src/relay/metrics.rs
@@ -0,0 +1,126 @@
+//! What the relay counts, by service and by a closed set of labels: routes come and go by the hundred.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+use super::state::RelayState;
+use crate::metrics::{Metrics, MetricsError};
+
+/// Bounds in ms around targets of 0.15 to 0.9 s and time limits of some seconds.
+const WAIT_BOUNDS_MS: [f64; 12] =
+    [10.0, 25.0, 50.0, 100.0, 150.0, 300.0, 600.0, 900.0, 1_500.0, 3_000.0, 6_000.0, 14_000.0];
+
+/// Counters and histograms of the relay.
+#[derive(Clone, Debug)]
+pub struct RelayMetrics {
+    metrics: Metrics,
+    requests: Counter<u64>,
+    steps: Counter<u64>,
+    answer_ms: Histogram<f64>,
+    first_event_ms: Histogram<f64>,
+    pause_ms: Histogram<f64>,
+}
+
+/// What is counted of a request when it has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended<'a> {
+    /// Its service.
+    pub service: &'a str,
+    /// How it ended.
+    pub outcome: &'static str,
+    /// Time from its arrival to its end.
+    pub took: Duration,
+    /// Time from its arrival to the first event of a stream.
+    pub first_event_ms: Option<u64>,
+    /// Longest time between two events of a stream.
+    pub longest_pause_ms: u64,
+}
+
+impl RelayMetrics {
+    /// Sets the instruments up.
+    ///
+    /// # Errors
+    ///
+    /// [`MetricsError`] when the exporter cannot be built.
+    pub fn new() -> Result<Self, MetricsError> {
+        let metrics = Metrics::new()?;
+        let meter = metrics.meter();
+        let histogram =
+            |name: &'static str| meter.f64_histogram(name).with_boundaries(WAIT_BOUNDS_MS.to_vec()).build();
+        Ok(Self {
+            requests: meter.u64_counter("hibiscusvale_relay_requests").build(),
+            steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
+            answer_ms: histogram("hibiscusvale_relay_answer_ms"),
+            first_event_ms: histogram("hibiscusvale_relay_first_event_ms"),
+            pause_ms: histogram("hibiscusvale_relay_longest_pause_ms"),
+            metrics,
+        })
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&self, ended: Ended<'_>) {
+        let service = KeyValue::new("service", ended.service.to_owned());
+        self.requests.add(1, &[service.clone(), KeyValue::new("outcome", ended.outcome)]);
+        self.answer_ms.record(millis(ended.took), std::slice::from_ref(&service));
+        if let Some(first_ms) = ended.first_event_ms {
+            self.first_event_ms.record(first_ms as f64, std::slice::from_ref(&service));
+            self.pause_ms.record(ended.longest_pause_ms as f64, &[service]);
+        }
+    }
+
+    /// Counts a step of a request at a backend server.
+    pub fn step(&self, what: &'static str, cause: &'static str) {
+        self.steps.add(1, &[KeyValue::new("step", what), KeyValue::new("cause", cause)]);
+    }
+
+    /// Has the state of the daemon read whenever somebody scrapes.
+    pub fn observe(&self, state: &Arc<RelayState>) {
+        let meter = self.metrics.meter();
+        observe_gauge(&meter, "hibiscusvale_relay_routes_version", state, |state| {
+            state.table.load().version().0
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_open_requests", state, |state| {
+            state.open.load(std::sync::atomic::Ordering::Relaxed)
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_servers", state, |state| {
+            state.directory.listing().servers.len() as u64
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_daemons_live", state, |state| state.peers.live() as u64);
+        observe_gauge(&meter, "hibiscusvale_relay_engine_retries", state, |state| {
+            state.engine_hub.counters().iter().map(|counters| counters.retries).sum()
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_engine_retries_denied", state, |state| {
+            state.engine_hub.counters().iter().map(|counters| counters.retries_denied).sum()
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_plain_retries", state, |state| {
+            state.plain_hub.counters().iter().map(|counters| counters.retries).sum()
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_plain_retries_denied", state, |state| {
+            state.plain_hub.counters().iter().map(|counters| counters.retries_denied).sum()
+        });
+    }
+
+    /// All metrics as text for scraping.
+    pub fn render(&self) -> String {
+        self.metrics.render()
+    }
+}
+
+fn observe_gauge(meter: &Meter, name: &'static str, state: &Arc<RelayState>, read: fn(&RelayState) -> u64) {
+    let state = Arc::downgrade(state);
+    meter
+        .u64_observable_gauge(name)
+        .with_callback(move |observer| {
+            if let Some(state) = state.upgrade() {
+                observer.observe(read(&state), &[]);
+            }
+        })
+        .build();
+}
+
+fn millis(span: Duration) -> f64 {
+    span.as_secs_f64() * 1_000.0
+}
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -29,10 +29,10 @@
 pub async fn relay(
     state: &Arc<RelayState>,
     incoming: &Arc<Incoming>,
-    service: &str,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let arrival = arrival_of(incoming);
-    let mut open = state.plain_hub.arrive(service, arrival).ok_or(Refusal::new(Reason::NoServer))?;
+    let mut open =
+        state.plain_hub.arrive(incoming.service.as_str(), arrival).ok_or(Refusal::new(Reason::NoServer))?;
     let request_id = incoming.request_id;
     // The answer of a server that failed, which the caller gets when there is no better one.
     let mut failed: Option<WholeReply> = None;
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -30,8 +30,6 @@
     WouldWaitTooLong,
     /// Every server that was asked refused.
     ServersFull,
-    /// Its time was over before a server was found.
-    OutOfTime,
     /// A server had it and gave no answer in time.
     NoAnswerInTime,
     /// A server had it and gave no usable answer.
@@ -49,7 +47,6 @@
             Self::NoServer => "no-server",
             Self::WouldWaitTooLong => "would-wait-too-long",
             Self::ServersFull => "servers-full",
-            Self::OutOfTime => "out-of-time",
             Self::NoAnswerInTime => "no-answer-in-time",
             Self::NoAnswer => "no-answer",
         }
@@ -64,7 +61,7 @@
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             // These say that the request has not run and never will.
-            Self::NoTable | Self::NoServer | Self::WouldWaitTooLong | Self::ServersFull | Self::OutOfTime => {
+            Self::NoTable | Self::NoServer | Self::WouldWaitTooLong | Self::ServersFull => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             // These promise nothing.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use hibiscusvale_core::ids::{BackendServerId, Incarnation, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, Incarnation, RequestId, ServiceId};
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, Method};
@@ -15,6 +15,7 @@
 
 use super::edge::{Call, Wire};
 use super::engine_hub::EngineHub;
+use super::metrics::{Ended, RelayMetrics};
 use super::peers::Peers;
 use super::story::{Step, Story};
 use crate::backend::BackendHttp;
@@ -31,6 +32,8 @@
     pub call: Call,
     /// Its route.
     pub route: Route,
+    /// The service that it goes to.
+    pub service: ServiceId,
     /// Method as sent.
     pub method: Method,
     /// Path and query as sent.
@@ -55,6 +58,14 @@
     fn drop(&mut self) {
         self.state.open.fetch_sub(1, Ordering::Relaxed);
         let story = self.story.get_mut();
+        let took = self.arrived.elapsed();
+        self.state.metrics.ended(Ended {
+            service: self.service.as_str(),
+            outcome: story.how(),
+            took,
+            first_event_ms: story.first_event_ms(),
+            longest_pause_ms: story.longest_pause_ms(),
+        });
         self.state.log.relayed(RelayLine {
             request_id: self.request_id,
             call: self.call.id.as_str(),
@@ -68,7 +79,7 @@
             }),
             longest_pause_ms: story.longest_pause_ms(),
             first_event_ms: story.first_event_ms(),
-            took_ms: Millis(u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX)),
+            took_ms: Millis(u64::try_from(took.as_millis()).unwrap_or(u64::MAX)),
         });
     }
 }
@@ -76,6 +87,7 @@
 impl Incoming {
     /// Notes a step that has just ended.
     pub fn note(&self, step: Step, server: &BackendServerId) {
+        self.state.metrics.step(step.label(), step.cause());
         self.story.lock().note(self.arrived.elapsed(), step, server);
     }
 
@@ -132,6 +144,8 @@
     pub stopping: AtomicBool,
     /// Where it tells.
     pub log: Log,
+    /// Where it counts.
+    pub metrics: RelayMetrics,
 }
 
 impl RelayState {
--- a/crates/router/src/relay/readiness.rs
+++ b/crates/router/src/relay/status.rs
@@ -1,4 +1,4 @@
-//! Tells the balancer whether this daemon takes new callers.
+//! Tells the balancer whether this daemon takes new callers, and whoever scrapes what it has counted.
 
 use std::convert::Infallible;
 use std::io;
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -20,6 +20,20 @@
 /// Where the balancer asks.
 const READY_PATH: &str = "/readyz";
 
+/// Where metrics are scraped.
+const METRICS_PATH: &str = "/metrics";
+
+const METRICS_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+
+/// What an address is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// The balancer's question.
+    Readiness,
+    /// Scraping.
+    Metrics,
+}
+
 /// A balancer that says nothing for so long has forgotten the connection; it asks once a second.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -28,7 +42,7 @@
 /// # Errors
 ///
 /// The system's error when the address cannot be bound.
-pub async fn serve(state: Arc<RelayState>, address: SocketAddr) -> io::Result<()> {
+pub async fn serve(state: Arc<RelayState>, address: SocketAddr, purpose: Purpose) -> io::Result<()> {
     let socket = TcpListener::bind(address).await?;
     loop {
         let Ok((stream, _)) = socket.accept().await else {
@@ -37,8 +51,8 @@
         };
         let state = Arc::clone(&state);
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let response = answer(&state, &request);
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = answer(&state, purpose, request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
             });
             // A balancer that breaks off asks again.
@@ -54,12 +68,20 @@
 /// Pause after the system refused a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-fn answer(state: &RelayState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let status = match request.uri().path() {
-        READY_PATH if state.is_ready() => StatusCode::OK,
-        READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
-        _ => StatusCode::NOT_FOUND,
-    };
+fn answer(state: &RelayState, purpose: Purpose, path: &str) -> Response<Full<Bytes>> {
+    match (purpose, path) {
+        (Purpose::Readiness, READY_PATH) if state.is_ready() => empty(StatusCode::OK),
+        (Purpose::Readiness, READY_PATH) => empty(StatusCode::SERVICE_UNAVAILABLE),
+        (Purpose::Metrics, METRICS_PATH) => {
+            let mut response = Response::new(Full::new(Bytes::from(state.metrics.render())));
+            response.headers_mut().insert(header::CONTENT_TYPE, METRICS_TYPE);
+            response
+        }
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
     response
--- a/crates/router/src/relay/story.rs
+++ b/crates/router/src/relay/story.rs
@@ -25,6 +25,29 @@
     WriteFailed(FailureCause),
 }
 
+impl Step {
+    /// Its name in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Answered | Self::Failed(_) => "answer",
+            Self::ReserveFailed(_) => "reserve",
+            Self::Read | Self::ReadFailed(_) => "read",
+            Self::Written | Self::WriteFailed(_) => "write",
+        }
+    }
+
+    /// Why it failed; nothing where it did not.
+    pub fn cause(self) -> &'static str {
+        match self {
+            Self::Answered | Self::Read | Self::Written => "",
+            Self::Failed(cause)
+            | Self::ReserveFailed(cause)
+            | Self::ReadFailed(cause)
+            | Self::WriteFailed(cause) => cause_label(cause),
+        }
+    }
+}
+
 /// Steps of one request that are told at most; more come only from a fault.
 const STEPS_MAX: usize = 12;
 
@@ -47,17 +70,8 @@
         if self.steps > STEPS_MAX {
             return;
         }
-        let (what, cause) = match step {
-            Step::Answered => ("answered", None),
-            Step::Failed(cause) => ("failed", Some(cause)),
-            Step::ReserveFailed(cause) => ("reserve", Some(cause)),
-            Step::Read => ("read", None),
-            Step::ReadFailed(cause) => ("read", Some(cause)),
-            Step::Written => ("written", None),
-            Step::WriteFailed(cause) => ("write", Some(cause)),
-        };
+        let (what, cause) = (step.label(), step.cause());
         let gap = if self.text.is_empty() { "" } else { " " };
-        let cause = cause.map_or("", cause_label);
         // Writing to a string does not fail.
         let _ = write!(self.text, "{gap}{what}:{server}:{cause}@{}", at.as_millis());
     }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -30,7 +30,7 @@
 
 /// Silence of an engine after which it is asked for another connection. Several times the longest pause that is in
 /// time; an engine that takes one lives, and its answer is owed however slowly it comes.
-const SUSPICION: Duration = Duration::from_millis(1_000);
+const SUSPICION: Duration = Duration::from_secs(1);
 
 /// Further silence of an engine that lives after which a resumable stream goes on at another one: the open connection
 /// may be forgotten on its way, and callers leave after two seconds at the earliest.
@@ -54,11 +54,11 @@
 pub async fn relay(
     state: &Arc<RelayState>,
     incoming: &Arc<Incoming>,
-    service: &str,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let generation = incoming.call.generation.as_ref().ok_or(Refusal::new(Reason::BadRequest))?;
     let demand = demand_of(incoming, generation);
-    let open = EngineHub::arrive(state, service, demand).ok_or(Refusal::new(Reason::NoServer))?;
+    let open =
+        EngineHub::arrive(state, incoming.service.as_str(), demand).ok_or(Refusal::new(Reason::NoServer))?;
     let mut run = Run {
         state: Arc::clone(state),
         incoming: Arc::clone(incoming),
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -26,11 +26,11 @@
 
 /// Keeps the newest routes in force for as long as the daemon runs. While the source is away the last ones stay.
 pub async fn follow_table(source: Arc<dyn TableSource>, state: Arc<RelayState>) {
-    let mut lost = false;
+    let mut is_lost = false;
     loop {
         match source.next(TABLE_WAIT_MS).await {
             Ok(table) => {
-                if std::mem::take(&mut lost) {
+                if std::mem::take(&mut is_lost) {
                     state.log.changed("routes regained", &"");
                 }
                 if let Some(table) = table {
@@ -38,7 +38,7 @@
                 }
             }
             Err(failure) => {
-                if !std::mem::replace(&mut lost, true) {
+                if !std::mem::replace(&mut is_lost, true) {
                     state.log.changed("routes lost", &failure);
                 }
                 tokio::time::sleep(RETRY).await;
@@ -58,12 +58,12 @@
 
 /// Keeps the list of servers for as long as the daemon runs.
 pub async fn follow_servers(list: Arc<dyn HostList>, state: Arc<RelayState>) {
-    let mut lost = false;
+    let mut is_lost = false;
     loop {
         let known = state.directory.listing().version;
         match list.read(known, LIST_WAIT_MS).await {
             Ok(page) => {
-                if std::mem::take(&mut lost) {
+                if std::mem::take(&mut is_lost) {
                     state.log.changed("servers regained", &"");
                 }
                 state.directory.take(page);
@@ -76,7 +76,7 @@
                 tokio::time::sleep(LIST_PERIOD).await;
             }
             Err(failure) => {
-                if !std::mem::replace(&mut lost, true) {
+                if !std::mem::replace(&mut is_lost, true) {
                     state.log.changed("servers lost", &failure);
                 }
                 tokio::time::sleep(RETRY).await;
