--- /dev/null
+++ b/crates/core/tests/relay/engines.rs
@@ -0,0 +1,236 @@
+//! The pool of engines, step by step.
+
+use hibiscusvale_core::outcome::Repeatability;
+use hibiscusvale_core::relay::engines::{
+    Demand, EngineAction, EngineEvent, EngineRefusal, Holding, Holdings, Role,
+};
+use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::{Millis, Tokens};
+use rstest::rstest;
+
+use crate::world::{Bench, demand, listed, request_id, server, settings};
+
+const ENGINES: [(&str, Role); 4] =
+    [("r-1", Role::Prefill), ("r-2", Role::Prefill), ("w-1", Role::Decode), ("w-2", Role::Decode)];
+
+fn writer_of(actions: &[EngineAction]) -> String {
+    match actions {
+        [EngineAction::Reserve { writer, .. } | EngineAction::Write { writer, .. }] => writer.to_string(),
+        other => panic!("no writer in {other:?}"),
+    }
+}
+
+fn at_most_once(sequence: u64) -> Demand {
+    Demand { repeatability: Repeatability::AtMostOnce, attempts_max: 1, ..demand(sequence, 4_000, 4_000) }
+}
+
+/// Brings a request to the point where an engine writes its answer.
+fn begin(bench: &mut Bench, demand: Demand) -> String {
+    let sequence = demand.request_id.sequence;
+    let writer = writer_of(&bench.arrive(demand));
+    assert!(matches!(bench.reserved(sequence)[..], [EngineAction::Read { .. }]));
+    assert_eq!(writer_of(&bench.prompt_read(sequence)), writer);
+    writer
+}
+
+#[test]
+fn room_is_reserved_before_the_prompt_is_read() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let arrived = bench.arrive(demand(1, 5_000, 6_000));
+    let [EngineAction::Reserve { tokens, keep_ms, .. }] = &arrived[..] else {
+        panic!("{arrived:?}");
+    };
+    assert!(*tokens > Tokens(5_000 + 5_000), "{tokens} for prompt and answer");
+    assert_eq!(*keep_ms, Millis(2_000));
+    let reserved = bench.reserved(1);
+    assert!(matches!(reserved[..], [EngineAction::Read { .. }]), "{reserved:?}");
+    let read = bench.prompt_read(1);
+    let [EngineAction::Write { reader: Some(reader), .. }] = &read[..] else {
+        panic!("{read:?}");
+    };
+    assert!(reader.as_str().starts_with("r-"));
+}
+
+#[test]
+fn the_writer_with_most_memory_left_is_taken() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let first = begin(&mut bench, demand(1, 9_000, 9_000));
+    let second = writer_of(&bench.arrive(demand(2, 1_000, 1_000)));
+    assert_ne!(first, second);
+    let third = writer_of(&bench.arrive(demand(3, 1_000, 1_000)));
+    assert_eq!(second, third);
+}
+
+/// Another daemon has filled a writer; this one has sent nothing there and would take it for empty.
+#[test]
+fn what_other_daemons_have_counts() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let holding = Holding { server: server("w-1"), room: Tokens(70_000), reading: Tokens::ZERO, running: 7 };
+    let holdings = Holdings { waiting: Tokens::ZERO, engines: vec![holding] };
+    bench.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), holdings });
+    for sequence in 1..5 {
+        assert_eq!(writer_of(&bench.arrive(demand(sequence, 4_000, 4_000))), "w-2");
+    }
+}
+
+/// The other daemon is gone, and what it had is gone with it: its engines noticed its connections close.
+#[test]
+fn what_a_silent_daemon_had_counts_no_more() {
+    let mut bench = Bench::new(settings(), &[("w-1", Role::Decode)]);
+    let host = "entry-2".parse().unwrap();
+    let holding = Holding { server: server("w-1"), room: Tokens(76_000), reading: Tokens::ZERO, running: 7 };
+    let holdings = Holdings { waiting: Tokens::ZERO, engines: vec![holding] };
+    bench.feed(EngineEvent::Peer { host, holdings });
+    assert!(bench.arrive(demand(1, 4_000, 4_000)).iter().all(|action| !is_reserve(action)));
+    let host = "entry-2".parse().unwrap();
+    let freed = bench.feed(EngineEvent::Peer { host, holdings: Holdings::default() });
+    assert!(freed.iter().any(is_reserve), "{freed:?}");
+}
+
+fn is_reserve(action: &EngineAction) -> bool {
+    matches!(action, EngineAction::Reserve { .. })
+}
+
+/// The engine that was to keep room refuses: another daemon was quicker. The caller loses one round trip, and nothing
+/// of the retry budget, for nothing was sent that could run.
+#[test]
+fn a_refused_reservation_is_asked_for_elsewhere() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let first = writer_of(&bench.arrive(demand(1, 4_000, 4_000)));
+    let refused = EngineEvent::ReserveFailed { request_id: request_id(1), cause: FailureCause::NoRoom };
+    let second = writer_of(&bench.feed(refused));
+    assert_ne!(first, second);
+    assert_eq!(bench.pool.counters().retries, 0);
+}
+
+/// The connection breaks after the request was written, and the request must not run twice. The caller is told that
+/// nobody knows; a second engine never sees it.
+#[test]
+fn what_may_have_run_once_is_not_sent_again() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    begin(&mut bench, at_most_once(1));
+    let failed = bench.write_failed(1, FailureCause::Broken);
+    assert_eq!(failed, [EngineAction::Unknown { request_id: request_id(1) }]);
+}
+
+/// The engine says that it has not run the request. With one attempt allowed the caller is refused, and the refusal
+/// is true.
+#[rstest]
+#[case(FailureCause::NoRoom)]
+#[case(FailureCause::NotSent)]
+#[case(FailureCause::Leaving)]
+fn a_request_that_did_not_run_is_refused_truthfully(#[case] cause: FailureCause) {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    begin(&mut bench, at_most_once(1));
+    let failed = bench.write_failed(1, cause);
+    assert!(
+        matches!(failed[..], [EngineAction::Refuse { reason: EngineRefusal::RetriesSpent, .. }]),
+        "{failed:?}"
+    );
+}
+
+/// A writer crashes in the middle of an answer that may be resumed: another writer goes on, and the one that failed
+/// gets nothing of this request again.
+#[test]
+fn a_broken_stream_goes_on_at_another_writer() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    for sequence in 100..120 {
+        bench.arrive(demand(sequence, 10, 10));
+        bench.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    let first = begin(&mut bench, demand(1, 4_000, 4_000));
+    bench.feed(EngineEvent::Started { request_id: request_id(1) });
+    let again = bench.write_failed(1, FailureCause::Broken);
+    assert_ne!(writer_of(&again), first);
+}
+
+/// Servers fail in numbers and each broken request wants another try. Beyond the budget they are not tried again: the
+/// engines that are left would be overrun.
+#[test]
+fn further_tries_end_with_the_budget() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let mut unknown = 0;
+    for sequence in 0..30 {
+        bench.after(2_000);
+        begin(&mut bench, demand(sequence, 100, 100));
+        bench.feed(EngineEvent::Started { request_id: request_id(sequence) });
+        let failed = bench.write_failed(sequence, FailureCause::Refused);
+        unknown += usize::from(matches!(failed[..], [EngineAction::Unknown { .. }]));
+        if let [EngineAction::Reserve { .. }] = failed[..] {
+            bench.reserved(sequence);
+            bench.prompt_read(sequence);
+        }
+        bench.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    let retries = bench.pool.counters().retries;
+    assert!(retries <= 30 * 20 / 100 + 1, "{retries} further tries");
+}
+
+/// Nothing reads prompts any more: writers read them themselves rather than refuse everybody.
+#[test]
+fn writers_read_when_no_reader_is_left() {
+    let mut bench = Bench::new(settings(), &[("w-1", Role::Decode)]);
+    bench.arrive(demand(1, 4_000, 4_000));
+    let reserved = bench.reserved(1);
+    assert!(matches!(reserved[..], [EngineAction::Write { reader: None, .. }]), "{reserved:?}");
+}
+
+#[test]
+fn with_no_writer_the_caller_is_told_at_once() {
+    let mut bench = Bench::new(settings(), &[("r-1", Role::Prefill)]);
+    let refused = bench.arrive(demand(1, 4_000, 4_000));
+    assert!(
+        matches!(refused[..], [EngineAction::Refuse { reason: EngineRefusal::NoEngine, .. }]),
+        "{refused:?}"
+    );
+}
+
+/// A draining writer still serves what it has; a new request there would be cut when it goes.
+#[test]
+fn a_leaving_writer_gets_nothing_new() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let mut leaving = listed("w-1", Role::Decode);
+    leaving.leaving = true;
+    bench.feed(EngineEvent::Engines(vec![
+        listed("r-1", Role::Prefill),
+        leaving,
+        listed("w-2", Role::Decode),
+    ]));
+    for sequence in 1..4 {
+        assert_eq!(writer_of(&bench.arrive(demand(sequence, 1_000, 1_000))), "w-2");
+    }
+}
+
+/// Callers leave at every stage. Whatever was counted for them is free again, or the pool would fill up with nobody.
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+fn a_caller_who_leaves_frees_what_was_reserved(#[case] steps: u32) {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    bench.arrive(demand(1, 4_000, 4_000));
+    if steps >= 1 {
+        bench.reserved(1);
+    }
+    if steps >= 2 {
+        bench.prompt_read(1);
+    }
+    bench.feed(EngineEvent::CallerLeft { request_id: request_id(1) });
+    assert_eq!(bench.pool.holdings(), Holdings::default());
+}
+
+/// Refused callers come back; all at the same moment they would make the next burst.
+#[test]
+fn refused_callers_are_spread_over_time() {
+    let mut bench = Bench::new(settings(), &[("w-1", Role::Decode)]);
+    let mut waits = Vec::new();
+    for sequence in 0..40 {
+        for action in bench.arrive(demand(sequence, 9_000, 9_000)) {
+            if let EngineAction::Refuse { retry_after_ms, .. } = action {
+                waits.push(retry_after_ms.0);
+            }
+        }
+    }
+    let (least, most) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
+    assert!(waits.len() > 20 && most - least > 1_000, "{waits:?}");
+}
--- /dev/null
+++ b/crates/core/tests/relay/main.rs
@@ -0,0 +1,6 @@
+//! Decisions for opaque requests.
+
+mod engines;
+mod load;
+mod routes;
+mod world;
--- /dev/null
+++ b/crates/core/tests/relay/world.rs
@@ -0,0 +1,262 @@
+//! A pool of engines in virtual time, with one or several daemons in front.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, RequestId};
+use hibiscusvale_core::outcome::Repeatability;
+use hibiscusvale_core::relay::engines::{
+    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, Role,
+};
+use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
+
+/// Tokens that a reading engine takes in a millisecond.
+const READ_TOKENS_PER_MS: u64 = 55;
+
+/// Tokens that a writing engine makes for one request in a millisecond.
+const WRITE_TOKENS_PER_MS_HUNDREDTHS: u64 = 172;
+
+/// Time of a message between a daemon and an engine.
+const MESSAGE_MS: u64 = 1;
+
+pub fn server(name: &str) -> BackendServerId {
+    name.parse().unwrap()
+}
+
+pub fn request_id(sequence: u64) -> RequestId {
+    RequestId { incarnation: Incarnation::new(1, 1), sequence }
+}
+
+pub fn listed(name: &str, role: Role) -> ListedEngine {
+    ListedEngine {
+        server: server(name),
+        data_centre: "dc-1".parse().unwrap(),
+        role,
+        slots: 12,
+        leaving: false,
+    }
+}
+
+pub fn settings() -> EnginePoolSettings {
+    EnginePoolSettings {
+        memory_tokens: Tokens(81_432),
+        event_tokens: 86,
+        reserve_ms_max: Millis(2_000),
+        ..EnginePoolSettings::default()
+    }
+}
+
+pub fn demand(sequence: u64, prompt_tokens: u64, answer_tokens: u64) -> Demand {
+    Demand {
+        request_id: request_id(sequence),
+        prompt_tokens: Tokens(prompt_tokens),
+        answer_tokens_max: Tokens(11_180),
+        answer_tokens_hint: Some(Tokens(answer_tokens)),
+        repeatability: Repeatability::Repeatable,
+        attempts_max: 2,
+        target_ms: Millis(900),
+        patience_ms: Millis(2_700),
+        priority: 1,
+    }
+}
+
+/// A pool with its clock and the actions that it has wanted so far.
+pub struct Bench {
+    pub pool: EnginePool,
+    pub now_us: MonoTime,
+    pub actions: Vec<EngineAction>,
+}
+
+impl Bench {
+    pub fn new(settings: EnginePoolSettings, engines: &[(&str, Role)]) -> Self {
+        let mut bench =
+            Self { pool: EnginePool::new(settings, 0), now_us: MonoTime::default(), actions: Vec::new() };
+        bench.feed(EngineEvent::Engines(engines.iter().map(|&(name, role)| listed(name, role)).collect()));
+        bench
+    }
+
+    pub fn after(&mut self, wait_ms: u64) -> &mut Self {
+        self.now_us = self.now_us + Millis(wait_ms);
+        self
+    }
+
+    /// Feeds an event and returns what is to be done, without wishes to be woken.
+    pub fn feed(&mut self, event: EngineEvent) -> Vec<EngineAction> {
+        let mut actions = Vec::new();
+        self.pool.handle(self.now_us, event, &mut actions);
+        actions.retain(|action| !matches!(action, EngineAction::Wake { .. }));
+        self.actions.extend(actions.clone());
+        actions
+    }
+
+    pub fn arrive(&mut self, demand: Demand) -> Vec<EngineAction> {
+        self.feed(EngineEvent::Arrive(demand))
+    }
+
+    pub fn reserved(&mut self, sequence: u64) -> Vec<EngineAction> {
+        self.feed(EngineEvent::Reserved { request_id: request_id(sequence) })
+    }
+
+    pub fn prompt_read(&mut self, sequence: u64) -> Vec<EngineAction> {
+        self.feed(EngineEvent::PromptRead { request_id: request_id(sequence) })
+    }
+
+    pub fn write_failed(&mut self, sequence: u64, cause: FailureCause) -> Vec<EngineAction> {
+        self.feed(EngineEvent::WriteFailed { request_id: request_id(sequence), cause })
+    }
+}
+
+/// How a caller fared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    InTime,
+    Late,
+    Refused { at_ms: u64 },
+}
+
+/// What the engines have, as they know it themselves.
+#[derive(Default)]
+struct Engine {
+    reading_until_ms: u64,
+    held: HashMap<RequestId, u64>,
+}
+
+enum Event {
+    Arrive { daemon: usize, demand: Demand, answer_tokens: u64 },
+    Feed { daemon: usize, event: EngineEvent },
+    Finish { daemon: usize, writer: BackendServerId, request_id: RequestId, events: u64 },
+}
+
+/// Several daemons before the same engines.
+pub struct World {
+    daemons: Vec<EnginePool>,
+    engines: HashMap<BackendServerId, Engine>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    next_event: u64,
+    answers: HashMap<RequestId, (u64, u64)>,
+    tells_peers: bool,
+    memory_tokens: u64,
+    /// How each caller fared.
+    pub fates: HashMap<RequestId, Fate>,
+    /// Most memory that any writer was given, in tokens.
+    pub peak_tokens: u64,
+    /// Reservations that engines refused.
+    pub refused_reservations: u64,
+}
+
+impl World {
+    pub fn new(daemons: usize, engines: &[(&str, Role)], tells_peers: bool) -> Self {
+        let list: Vec<ListedEngine> = engines.iter().map(|&(name, role)| listed(name, role)).collect();
+        let pool = |index| {
+            let mut pool = EnginePool::new(settings(), index);
+            pool.handle(MonoTime::default(), EngineEvent::Engines(list.clone()), &mut Vec::new());
+            pool
+        };
+        Self {
+            daemons: (0..daemons).map(pool).collect(),
+            engines: engines.iter().map(|&(name, _)| (server(name), Engine::default())).collect(),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next_event: 0,
+            answers: HashMap::new(),
+            tells_peers,
+            memory_tokens: settings().memory_tokens.0,
+            fates: HashMap::new(),
+            peak_tokens: 0,
+            refused_reservations: 0,
+        }
+    }
+
+    fn schedule(&mut self, at_ms: u64, event: Event) {
+        self.next_event += 1;
+        self.events.insert(self.next_event, event);
+        self.queue.push(Reverse((at_ms, self.next_event)));
+    }
+
+    pub fn arrive_at(&mut self, at_ms: u64, daemon: usize, demand: Demand, answer_tokens: u64) {
+        self.schedule(at_ms, Event::Arrive { daemon, demand, answer_tokens });
+    }
+
+    pub fn run(&mut self) {
+        while let Some(Reverse((at_ms, number))) = self.queue.pop() {
+            match self.events.remove(&number) {
+                Some(Event::Arrive { daemon, demand, answer_tokens }) => {
+                    self.answers.insert(demand.request_id, (at_ms, answer_tokens));
+                    self.feed(at_ms, daemon, EngineEvent::Arrive(demand));
+                }
+                Some(Event::Feed { daemon, event }) => self.feed(at_ms, daemon, event),
+                Some(Event::Finish { daemon, writer, request_id, events }) => {
+                    self.engines.get_mut(&writer).unwrap().held.remove(&request_id);
+                    self.feed(at_ms, daemon, EngineEvent::Finished { request_id, events });
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn feed(&mut self, at_ms: u64, daemon: usize, event: EngineEvent) {
+        let now_us = MonoTime::default() + Millis(at_ms);
+        let is_news = !matches!(event, EngineEvent::Peer { .. } | EngineEvent::Tick);
+        let mut actions = Vec::new();
+        self.daemons[daemon].handle(now_us, event, &mut actions);
+        for action in actions {
+            self.carry_out(at_ms, daemon, action);
+        }
+        if is_news && self.tells_peers {
+            self.tell(at_ms, daemon);
+        }
+    }
+
+    fn tell(&mut self, at_ms: u64, daemon: usize) {
+        let holdings = self.daemons[daemon].holdings();
+        let host: HostId = format!("entry-{daemon}").parse().unwrap();
+        for other in (0..self.daemons.len()).filter(|&other| other != daemon) {
+            let event = EngineEvent::Peer { host: host.clone(), holdings: holdings.clone() };
+            self.schedule(at_ms + MESSAGE_MS, Event::Feed { daemon: other, event });
+        }
+    }
+
+    fn carry_out(&mut self, at_ms: u64, daemon: usize, action: EngineAction) {
+        match action {
+            EngineAction::Wake { at_us } => {
+                self.schedule(at_us.0.div_ceil(1_000), Event::Feed { daemon, event: EngineEvent::Tick });
+            }
+            EngineAction::Reserve { request_id, writer, tokens, .. } => {
+                let engine = self.engines.get_mut(&writer).unwrap();
+                let taken: u64 = engine.held.values().sum();
+                let event = if taken + tokens.0 <= self.memory_tokens && engine.held.len() < 12 {
+                    engine.held.insert(request_id, tokens.0);
+                    self.peak_tokens = self.peak_tokens.max(taken + tokens.0);
+                    EngineEvent::Reserved { request_id }
+                } else {
+                    self.refused_reservations += 1;
+                    EngineEvent::ReserveFailed { request_id, cause: FailureCause::NoRoom }
+                };
+                self.schedule(at_ms + 2 * MESSAGE_MS, Event::Feed { daemon, event });
+            }
+            EngineAction::Read { request_id, reader, .. } => {
+                let engine = self.engines.get_mut(&reader).unwrap();
+                let begins_ms = engine.reading_until_ms.max(at_ms + MESSAGE_MS);
+                engine.reading_until_ms = begins_ms + 5_200 / READ_TOKENS_PER_MS;
+                let at_ms = engine.reading_until_ms + MESSAGE_MS;
+                self.schedule(at_ms, Event::Feed { daemon, event: EngineEvent::PromptRead { request_id } });
+            }
+            EngineAction::Write { request_id, writer, .. } => {
+                let (arrived_ms, answer_tokens) = self.answers[&request_id];
+                let first_ms = at_ms + 2 * MESSAGE_MS;
+                let fate = if first_ms <= arrived_ms + 900 { Fate::InTime } else { Fate::Late };
+                self.fates.insert(request_id, fate);
+                self.schedule(first_ms, Event::Feed { daemon, event: EngineEvent::Started { request_id } });
+                let ends_ms = first_ms + answer_tokens * 100 / WRITE_TOKENS_PER_MS_HUNDREDTHS;
+                let finish = Event::Finish { daemon, writer, request_id, events: answer_tokens / 86 };
+                self.schedule(ends_ms, finish);
+            }
+            EngineAction::Refuse { request_id, .. } | EngineAction::Unknown { request_id } => {
+                let (arrived_ms, _) = self.answers[&request_id];
+                self.fates.insert(request_id, Fate::Refused { at_ms: at_ms - arrived_ms });
+            }
+        }
+    }
+}
