Let two daemons read the store for all, and doubt entries that vanish around an outage

Change: daemons tell how old their knowledge is and what it comes to; whoever hears nothing fresh reads itself.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -5,4 +5,6 @@
 //! size of prompt and answer that the caller states.
 
 pub mod engines;
+pub mod lapses;
+pub mod reading;
 pub mod routes;
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -209,7 +209,10 @@
     /// No answer in time.
     #[error("no answer in time")]
     Timeout,
-    /// A refusal, or an answer that does not fit the interface.
+    /// A refusal.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// An answer that does not fit the interface.
     #[error("answer not understood")]
     Malformed,
 }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::callers;
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::metrics::RelayMetrics;
@@ -23,7 +24,7 @@
 use super::settings::{BoundSettings, RelaySettings};
 use super::state::RelayState;
 use super::status::{self, Purpose};
-use super::{callers, watch};
+use super::watch::{self, Freshness};
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
 use crate::directory::Directory;
@@ -91,6 +92,7 @@
             http: BackendHttp::new(),
             plain_hub: PlainHub::new(plain_settings(&settings.bounds), incarnation.0),
             engine_hub: EngineHub::new(engine_settings(&settings.bounds), incarnation.0),
+            freshness: Freshness::default(),
             peers: Peers::default(),
             incarnation,
             sequence: AtomicU64::new(0),
@@ -110,8 +112,9 @@
         if let Some(address) = settings.listen.metrics {
             traffic.spawn(status::serve(Arc::clone(&state), address, Purpose::Metrics));
         }
-        traffic.spawn(watch::follow_table(edges.tables, Arc::clone(&state)));
-        traffic.spawn(watch::follow_servers(edges.servers, Arc::clone(&state)));
+        let host = settings.host.id.clone();
+        traffic.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
+        traffic.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
         traffic.spawn(peers::run(own.peer_address, own.host.clone(), Arc::clone(&state)));
         traffic.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -20,6 +20,8 @@
 
 use super::edge::{DaemonEntry, Register};
 use super::state::RelayState;
+use super::watch::Stamp;
+use crate::clock;
 
 /// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
 const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
@@ -51,6 +53,8 @@
     incarnation: Incarnation,
     /// Counts its messages: an older one that comes late is passed over.
     sequence: u64,
+    /// What it knows of routes and servers.
+    stamp: Stamp,
     /// What it has at the engines, by service.
     holdings: Vec<(String, Holdings)>,
 }
@@ -82,10 +86,16 @@
         self.changed.notify_one();
     }
 
-    /// Daemons that were heard of lately.
-    pub fn live(&self) -> usize {
+    /// Hosts of the daemons that were heard of lately.
+    pub fn live_hosts(&self) -> Vec<HostId> {
         let now = Instant::now();
-        self.known.lock().values().filter(|peer| is_live(peer, now)).count()
+        let known = self.known.lock();
+        known.iter().filter(|(_, peer)| is_live(peer, now)).map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Daemons that are registered or were heard of, this one among them.
+    pub fn registered(&self) -> u64 {
+        self.known.lock().len() as u64 + 1
     }
 
     fn learn(&self, own: &HostId, entries: Vec<DaemonEntry>) {
@@ -193,6 +203,7 @@
             host: host.clone(),
             incarnation: state.incarnation,
             sequence,
+            stamp: state.freshness.stamp(clock::now(), state.table.load().version()),
             holdings: state.engine_hub.holdings(),
         };
         let Ok(bytes) = postcard::to_stdvec(&message) else {
@@ -222,6 +233,7 @@
         if message.host == *own || !state.peers.hear(Instant::now(), from, &message) {
             continue;
         }
+        state.freshness.heard(clock::now(), state.table.load().version(), message.stamp);
         state.engine_hub.peer(&message.host, message.holdings);
     }
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -18,6 +18,7 @@
 use super::metrics::{Ended, RelayMetrics};
 use super::peers::Peers;
 use super::story::{Step, Story};
+use super::watch::Freshness;
 use crate::backend::BackendHttp;
 use crate::directory::Directory;
 use crate::dispatch::PlainHub;
@@ -132,6 +133,8 @@
     pub plain_hub: PlainHub,
     /// Pools of engines.
     pub engine_hub: EngineHub,
+    /// How old its knowledge of routes and servers is.
+    pub freshness: Freshness,
     /// The other daemons.
     pub peers: Peers,
     /// This daemon's life.
