--- /dev/null
+++ b/crates/core/tests/relay/knowledge.rs
@@ -0,0 +1,152 @@
+//! Who reads the store, and what a vanished entry proves.
+
+use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::relay::lapses::Lapses;
+use hibiscusvale_core::relay::reading::{Reading, ReadingSettings, Told, is_reader};
+use hibiscusvale_core::units::{Micros, Millis, MonoTime};
+
+use crate::world::server;
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::default() + Millis(ms)
+}
+
+fn told(is_same: bool, age_ms: u64) -> Told {
+    Told { is_same, age_us: Micros::from(Millis(age_ms)) }
+}
+
+fn host(number: u32) -> HostId {
+    format!("entry-{number}").parse().unwrap()
+}
+
+fn read(reading: &mut Reading, at_ms: u64) {
+    reading.begin(at(at_ms));
+    reading.done(at(at_ms));
+}
+
+#[test]
+fn a_new_daemon_reads_at_once() {
+    assert_eq!(Reading::new(ReadingSettings::default()).next_us(false), at(0));
+}
+
+#[test]
+fn a_reader_reads_again_and_again() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    read(&mut reading, 1_000);
+    assert_eq!(reading.next_us(true), at(1_500));
+}
+
+#[test]
+fn whoever_hears_of_fresh_and_equal_knowledge_does_not_read() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    read(&mut reading, 1_000);
+    for now_ms in (1_500..20_000).step_by(500) {
+        assert!(!reading.heard(at(now_ms), told(true, 3)));
+        assert!(reading.next_us(false) > at(now_ms + 500));
+    }
+}
+
+/// Both readers were cut off with their data centre. The others hear nothing any more and read themselves before their
+/// knowledge is two seconds old: a leaving server must be known by then.
+#[test]
+fn whoever_hears_nothing_reads_in_time() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    read(&mut reading, 1_000);
+    reading.heard(at(5_000), told(true, 500));
+    assert!(reading.next_us(false) <= at(4_500 + 1_500));
+    assert!(reading.next_us(false) > at(5_500));
+}
+
+/// A reader knows of a change. Waiting for its own turn a daemon would send requests to a server that is leaving.
+#[test]
+fn whoever_hears_of_something_newer_reads_at_once() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    read(&mut reading, 1_000);
+    assert!(reading.heard(at(1_200), told(false, 10)));
+    assert!(reading.next_us(false) <= at(1_200));
+}
+
+/// A daemon that is behind itself says something else than this one. Believing it would make everybody read for as long
+/// as it is cut off.
+#[test]
+fn older_knowledge_of_others_is_no_reason_to_read() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    read(&mut reading, 9_000);
+    assert!(!reading.heard(at(9_100), told(false, 4_000)));
+    assert!(reading.next_us(false) > at(10_000));
+}
+
+/// The store is down and each read fails. Daemons ask again at the readers' pace, not in a circle.
+#[test]
+fn failed_reads_are_not_repeated_in_a_circle() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    reading.begin(at(100));
+    assert_eq!(reading.next_us(false), at(600));
+    read(&mut reading, 600);
+    reading.begin(at(5_000));
+    assert_eq!(reading.next_us(false), at(5_500));
+}
+
+#[test]
+fn two_of_all_daemons_read_and_all_agree_on_them() {
+    let settings = ReadingSettings::default();
+    for count in [1, 2, 6, 90] {
+        let hosts: Vec<HostId> = (0..count).map(host).collect();
+        let readers = hosts
+            .iter()
+            .filter(|own| is_reader(&settings, own, hosts.iter().filter(|other| other != own)))
+            .count();
+        assert_eq!(readers, 2.min(count as usize));
+    }
+}
+
+#[test]
+fn the_duty_moves_when_a_reader_is_gone() {
+    let settings = ReadingSettings::default();
+    let mut hosts: Vec<HostId> = (0..6).map(host).collect();
+    let reads = |own: &HostId, hosts: &[HostId]| {
+        is_reader(&settings, own, hosts.iter().filter(|other| *other != own))
+    };
+    let first = hosts.iter().position(|own| reads(own, &hosts)).unwrap();
+    hosts.remove(first);
+    assert_eq!(hosts.iter().filter(|own| reads(own, &hosts)).count(), 2);
+}
+
+fn gone(lapses: &mut Lapses, at_ms: u64, vanished: &[&str], listed: &[&str]) -> Vec<String> {
+    let listed: Vec<BackendServerId> = listed.iter().map(|name| server(name)).collect();
+    let vanished = vanished.iter().map(|name| server(name)).collect();
+    lapses.filter(at(at_ms), vanished, listed.iter()).iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn an_entry_that_vanishes_in_quiet_times_is_gone() {
+    let mut lapses = Lapses::default();
+    lapses.read(at(1_000));
+    assert_eq!(gone(&mut lapses, 1_000, &["w-1"], &[]), ["w-1"]);
+}
+
+/// The store was down for longer than entries live. Every server lapsed, and all are back within two seconds of its
+/// return; callers would have been refused meanwhile.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_their_servers_had_time_to_return() {
+    let mut lapses = Lapses::default();
+    lapses.lost();
+    lapses.read(at(10_000));
+    assert!(gone(&mut lapses, 10_000, &["w-1", "w-2"], &[]).is_empty());
+    lapses.read(at(11_000));
+    assert!(gone(&mut lapses, 11_000, &[], &["w-1"]).is_empty());
+    assert!(gone(&mut lapses, 11_900, &[], &[]).is_empty());
+    assert_eq!(gone(&mut lapses, 12_000, &[], &[]), ["w-2"]);
+}
+
+/// A server died while the store was down. Kept longer than the two seconds it would get requests that nobody answers.
+#[test]
+fn an_entry_still_missing_after_that_is_gone_for_good() {
+    let mut lapses = Lapses::default();
+    lapses.lost();
+    lapses.read(at(10_000));
+    gone(&mut lapses, 10_000, &["w-1"], &[]);
+    assert_eq!(gone(&mut lapses, 12_500, &[], &[]), ["w-1"]);
+    assert!(gone(&mut lapses, 13_000, &[], &[]).is_empty());
+    assert_eq!(gone(&mut lapses, 13_000, &["w-2"], &[]), ["w-2"], "the doubt is over");
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::pedantic, reason = "fakes and expectations in short form")]
 
 mod engines;
+mod knowledge;
 mod load;
 mod routes;
 mod world;
