Charge the retry budget for refused reads

Change: a refused read is charged, also into debt; in debt writers read prompts themselves; full readers are left alone for a moment.

--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -22,6 +22,11 @@
             return;
         };
         open.read = Some((reader, now_us));
+        open.reads += 1;
+        if open.reads > 1 {
+            self.budget.charge();
+            self.counters.retries += 1;
+        }
         let prompt_tokens = open.demand.prompt_tokens;
         self.engines[reader].end_reading(prompt_tokens);
         self.engines[reader].instance.finish(Micros::ZERO);
@@ -46,6 +51,14 @@
         let (prompt_tokens, room) = (open.demand.prompt_tokens, open.room);
         self.engines[reader].end_reading(prompt_tokens);
         self.engines[reader].instance.fail(now_us, cause, true);
+        // It has reached the engine, or may have: that counts although it was not accepted.
+        if cause != FailureCause::NotSent {
+            self.budget.charge();
+            self.counters.retries += 1;
+        }
+        if cause == FailureCause::NoRoom {
+            self.engines[reader].refused(now_us);
+        }
         self.engines[writer].release(room);
         self.engines[writer].instance.abandon(now_us);
         self.wait_again(now_us, request_id, actions);
--- a/crates/core/src/relay/engines/open.rs
+++ b/crates/core/src/relay/engines/open.rs
@@ -34,6 +34,7 @@
     pub(super) begun: bool,
     pub(super) stage: Stage,
     pub(super) tries: Attempts,
+    /// Prompts that engines have read for it; the first is free of the budget, further ones are not.
     pub(super) reads: u32,
     /// The engine that read the prompt, and when, while the KV cache may still be there.
     pub(super) read: Option<(usize, MonoTime)>,
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -111,9 +111,10 @@
         };
         let (prompt_tokens, failed_at, read) = (open.demand.prompt_tokens, open.failed_at, open.read);
         let kept = read.filter(|&(_, read_us)| now_us < read_us + self.settings.hold_ms);
-        // Reading again and writing again are paid for each. Where only one of them can be paid, the writer reads.
+        // Reading again and writing again are paid for each, and so is a read that is refused. Where the budget does
+        // not bear that, the writer reads: slower, and free.
         let price = u64::from(open.reads > 0) + u64::from(open.tries.made() > 0);
-        let can_pay = open.reads == 0 || self.budget.has(price);
+        let can_pay = self.budget.has(price);
         let reader = match kept {
             None if can_pay => self.choose_reader(now_us, failed_at),
             Some(_) | None => None,
@@ -122,16 +123,7 @@
             return;
         };
         if let Some(reader) = reader {
-            let is_further = open.reads > 0;
-            open.stage = Stage::Reserving { writer };
-            if is_further && !self.budget.withdraw() {
-                self.counters.retries_denied += 1;
-                self.give_up(now_us, request_id, actions);
-                return;
-            }
-            open.reads += 1;
             open.stage = Stage::Reading { reader, writer };
-            self.counters.retries += u64::from(is_further);
             self.engines[reader].start_reading(now_us, prompt_tokens);
             let expected_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
             actions.push(EngineAction::Read {
@@ -194,7 +186,10 @@
     fn choose_reader(&mut self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
         let fits = |index: &usize| {
             let engine = &self.engines[*index];
-            engine.role == Role::Prefill && Some(*index) != failed_at && engine.has_slot(now_us)
+            engine.role == Role::Prefill
+                && Some(*index) != failed_at
+                && !engine.is_full(now_us)
+                && engine.has_slot(now_us)
         };
         let count = self.engines.len().max(1);
         let order = (0..self.engines.len()).map(|step| (step + self.turn) % count);
--- a/crates/core/src/sched/retry.rs
+++ b/crates/core/src/sched/retry.rs
@@ -8,18 +8,19 @@
 /// partner, so that one partner's failures do not use up the other's retries.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
-    hundredths: u64,
-    burst_hundredths: u64,
-    percent: u64,
+    /// Below zero after a charge that could not be refused.
+    hundredths: i64,
+    burst_hundredths: i64,
+    percent: i64,
 }
 
-const WHOLE: u64 = 100;
+const WHOLE: i64 = 100;
 
 impl RetryBudget {
     /// A full budget that each arrival fills by `percent` of a retry, up to `burst` retries.
     pub fn new(percent: u64, burst: u64) -> Self {
-        let burst_hundredths = burst * WHOLE;
-        Self { hundredths: burst_hundredths, burst_hundredths, percent }
+        let burst_hundredths = whole(burst);
+        Self { hundredths: burst_hundredths, burst_hundredths, percent: signed(percent) }
     }
 
     /// An empty budget, filled in the same way. For budgets that several daemons share: a daemon that starts
@@ -30,8 +31,8 @@
 
     /// Changes what arrivals pay for and what is saved up at most.
     pub fn configure(&mut self, percent: u64, burst: u64) {
-        self.percent = percent;
-        self.burst_hundredths = burst * WHOLE;
+        self.percent = signed(percent);
+        self.burst_hundredths = whole(burst);
         self.hundredths = self.hundredths.min(self.burst_hundredths);
     }
 
@@ -42,7 +43,13 @@
 
     /// Whether so many retries could be taken.
     pub fn has(&self, retries: u64) -> bool {
-        self.hundredths >= retries * WHOLE
+        self.hundredths >= whole(retries)
+    }
+
+    /// Takes one retry that was made already: something that was free by itself came to count. What is owed is paid
+    /// off by the next arrivals.
+    pub fn charge(&mut self) {
+        self.hundredths -= WHOLE;
     }
 
     /// Takes one retry; false when the budget is spent.
@@ -54,3 +61,11 @@
         enough
     }
 }
+
+fn whole(retries: u64) -> i64 {
+    signed(retries).saturating_mul(WHOLE)
+}
+
+fn signed(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -235,3 +235,28 @@
     let (least, most) = (waits.iter().min().unwrap(), waits.iter().max().unwrap());
     assert!(waits.len() > 20 && most - least > 1_000, "{waits:?}");
 }
+
+/// All readers are full and refuse. Each refusal counts against the budget that all daemons share, the first one of a
+/// request as well; with it spent, writers read the prompts themselves and nobody is refused for it.
+#[test]
+fn refused_reads_are_paid_for() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    let mut refusals = 0;
+    for sequence in 0..100 {
+        bench.after(2_000);
+        bench.arrive(demand(sequence, 100, 100));
+        let mut actions = bench.reserved(sequence);
+        while let [EngineAction::Read { .. }] = actions[..] {
+            refusals += 1;
+            bench.after(200);
+            let cause = FailureCause::NoRoom;
+            actions = bench.feed(EngineEvent::ReadFailed { request_id: request_id(sequence), cause });
+            if let [EngineAction::Reserve { .. }] = actions[..] {
+                actions = bench.reserved(sequence);
+            }
+        }
+        assert!(matches!(actions[..], [EngineAction::Write { reader: None, .. }]), "{actions:?}");
+        bench.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    assert!(refusals <= 100 * 20 / 100 + 1, "{refusals} refused reads");
+}
