Let writers read short prompts while readers are busy

Cause: with few readers, short prompts wait behind long ones, although a writer could read them within the pause that answers may have. Change: the choice of the reader; one prompt at a time at a writer, none that pauses its answers too long.

--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -68,6 +68,9 @@
         if let Some(open) = self.open.get_mut(&request_id) {
             open.read = None;
             open.begun = true;
+            if let Stage::Writing { writer, reads, .. } = &mut open.stage {
+                self.engines[*writer].end_reading(std::mem::take(reads));
+            }
         }
     }
 
@@ -81,9 +84,10 @@
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
-        let Stage::Writing { writer, .. } = open.stage else {
+        let Stage::Writing { writer, reads, .. } = open.stage else {
             return;
         };
+        self.engines[writer].end_reading(reads);
         open.stage = Stage::Waiting;
         // What a failed try brought is never a whole answer.
         let _ = open.tries.end(end_of(cause));
@@ -179,7 +183,12 @@
                 self.engines[writer].release(held);
                 self.engines[writer].instance.abandon(now_us);
             }
-            Stage::Reserving { writer } | Stage::Writing { writer, .. } => {
+            Stage::Reserving { writer } => {
+                self.engines[writer].release(held);
+                self.engines[writer].instance.abandon(now_us);
+            }
+            Stage::Writing { writer, reads, .. } => {
+                self.engines[writer].end_reading(reads);
                 self.engines[writer].release(held);
                 self.engines[writer].instance.abandon(now_us);
             }
@@ -192,7 +201,8 @@
             return;
         };
         self.counters.answered += 1;
-        if let Stage::Writing { writer, since_us } = open.stage {
+        if let Stage::Writing { writer, since_us, reads } = open.stage {
+            self.engines[writer].end_reading(reads);
             let seen = (events * self.settings.event_tokens) as f64;
             let usual = self.usual_answer.unwrap_or(seen);
             self.usual_answer = Some(usual + ANSWER_WEIGHT * (seen - usual));
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -109,9 +109,8 @@
         self.held = self.held.saturating_sub(tokens);
     }
 
-    pub(super) fn start_reading(&mut self, now_us: MonoTime, tokens: Tokens) {
+    pub(super) fn begin_reading(&mut self, tokens: Tokens) {
         self.reading += tokens;
-        self.instance.start(now_us);
     }
 
     pub(super) fn end_reading(&mut self, tokens: Tokens) {
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -48,6 +48,8 @@
     pub attempts_max: u32,
     /// Time within which its first event is in time.
     pub target_ms: Millis,
+    /// Longest pause between events with which its answer is in time.
+    pub gap_target_ms: Option<Millis>,
     /// Longest time that it may wait for an engine.
     pub patience_ms: Millis,
     /// Rank; smaller goes first.
--- a/crates/core/src/relay/engines/open.rs
+++ b/crates/core/src/relay/engines/open.rs
@@ -19,6 +19,8 @@
     Writing {
         writer: usize,
         since_us: MonoTime,
+        /// Prompt tokens that the writer reads itself before it begins.
+        reads: Tokens,
     },
 }
 
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -1,7 +1,7 @@
 //! Which engines a request goes to.
 
 use super::EnginePool;
-use super::events::{EngineAction, Role};
+use super::events::{Demand, EngineAction, Role};
 use super::open::Stage;
 use crate::ids::RequestId;
 use crate::sched::FailureCause;
@@ -116,7 +116,9 @@
         let price = u64::from(open.reads > 0) + u64::from(open.tries.made() > 0);
         let can_pay = self.budget.has(price);
         let reader = match kept {
-            None if can_pay => self.choose_reader(now_us, failed_at),
+            None if can_pay => self
+                .choose_reader(now_us, failed_at)
+                .filter(|&reader| !self.had_better_read_itself(writer, reader, &open.demand)),
             Some(_) | None => None,
         };
         let Some(open) = self.open.get_mut(&request_id) else {
@@ -124,7 +126,8 @@
         };
         if let Some(reader) = reader {
             open.stage = Stage::Reading { reader, writer };
-            self.engines[reader].start_reading(now_us, prompt_tokens);
+            self.engines[reader].begin_reading(prompt_tokens);
+            self.engines[reader].instance.start(now_us);
             let expected_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
             actions.push(EngineAction::Read {
                 request_id,
@@ -148,7 +151,9 @@
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
-        open.stage = Stage::Writing { writer, since_us: now_us };
+        let reads = if reader.is_some() { Tokens::ZERO } else { open.demand.prompt_tokens };
+        open.stage = Stage::Writing { writer, since_us: now_us, reads };
+        self.engines[writer].begin_reading(reads);
         let is_further = open.tries.made() > 0;
         let allowed = open.tries.may_begin().is_ok() && (!is_further || self.budget.withdraw());
         if !allowed || open.tries.begin().is_err() {
@@ -182,8 +187,24 @@
         order.filter(fits).min_by_key(|&index| self.engines[index].fullness(now_us))
     }
 
+    /// Whether a writer had better read a prompt itself than have it wait for a reader.
+    ///
+    /// Load: bursts of short prompts while readers are busy. Harm prevented: they would wait behind long ones. Limits:
+    /// a writer reads at half the speed and all its answers pause meanwhile, so it takes one prompt at a time, and
+    /// none that would make that pause longer than answers may have.
+    fn had_better_read_itself(&self, writer: usize, reader: usize, demand: &Demand) -> bool {
+        let Some(gap_ms) = demand.gap_target_ms else {
+            return false;
+        };
+        let rate = self.settings.read_tokens_per_ms;
+        let pause_ms = Millis(demand.prompt_tokens.0 * SLOWER_AT_WRITERS / rate.max(1));
+        self.engines[reader].reading_ms(rate) > BUSY_READER_MS
+            && self.engines[writer].reading_all() == Tokens::ZERO
+            && pause_ms + USUAL_PAUSE_MS <= gap_ms
+    }
+
     /// The reader with the least to read.
-    fn choose_reader(&mut self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
+    fn choose_reader(&self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
         let fits = |index: &usize| {
             let engine = &self.engines[*index];
             engine.role == Role::Prefill
@@ -197,5 +218,14 @@
     }
 }
 
+/// Times that a writer takes longer to read a prompt than a reader.
+const SLOWER_AT_WRITERS: u64 = 2;
+
+/// Pause between two events of an answer at a full writer that reads nothing, with a margin for the network.
+const USUAL_PAUSE_MS: Millis = Millis(110);
+
+/// What a reader has before it is worth while to disturb a writer: about two prompts of usual length.
+const BUSY_READER_MS: Millis = Millis(180);
+
 /// An engine answers a reservation within two round trips; a silent one must not cost a request its target.
 const RESERVE_TIMEOUT_MS: Millis = Millis(150);
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -56,6 +56,7 @@
         repeatability: Repeatability::Repeatable,
         attempts_max: 2,
         target_ms: Millis(900),
+        gap_target_ms: Some(Millis(300)),
         patience_ms: Millis(2_700),
         priority: 1,
     }
