Let the split of readers and writers follow the load, under a lease in the store

Cause: a third of the engines read prompts, but one in five is enough; in bursts callers were refused for want of writers while readers were idle. With the readers' backlog left out of the admission, one reader made first events late by a tenth of a second.

--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -213,6 +213,12 @@
         }
     }
 
+    /// The same lease, not held: a receiver has seen a later holder, so this one's number is worth nothing any more.
+    #[must_use]
+    pub fn fresh(&self) -> Self {
+        Self { held: None, sending: Sending::Idle, ..self.clone() }
+    }
+
     /// The lease, if it is held now. The clock is looked at here, so that a holder that was paused past its
     /// lease sees that it has lost it before it orders anything.
     pub fn held(&self, now_us: MonoTime) -> Option<HeldLease> {
--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -15,6 +15,7 @@
     pub(super) fn arrive(&mut self, now_us: MonoTime, demand: Demand, actions: &mut Vec<EngineAction>) {
         self.counters.arrivals += 1;
         self.budget.deposit();
+        self.split.note_prompt(demand.prompt_tokens.0);
         let request_id = demand.request_id;
         if self.open.contains_key(&request_id) {
             return;
@@ -50,7 +51,7 @@
     /// and the others are in time.
     fn would_be_late(&self, now_us: MonoTime, request_id: RequestId) -> bool {
         let demand = &self.open[&request_id].demand;
-        let reading_ms = Millis(demand.prompt_tokens.0 / self.settings.read_tokens_per_ms.max(1));
+        let reading_ms = self.expected_reading_ms(now_us, demand);
         let limit_us = Micros::from(demand.target_ms.saturating_sub(reading_ms + START_MARGIN_MS));
         self.expected_wait_us(now_us, self.open[&request_id].room) > limit_us
     }
@@ -61,13 +62,19 @@
         let writers = || self.engines.iter().filter(|engine| engine.is_writer(now_us));
         let free = writers().fold(Tokens::ZERO, |sum, writer| sum + limit.saturating_sub(writer.room()));
         let ahead =
-            self.holdings().waiting + self.peers_waiting.values().fold(room, |sum, waiting| sum + *waiting);
+            self.waiting_room() + self.peers_waiting.values().fold(room, |sum, waiting| sum + *waiting);
         let missing = ahead.saturating_sub(free);
         let freed_per_us = (writers().count() as u64 * limit.0) as f64 / self.usual_hold_us;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
         Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64)
     }
 
+    /// Memory that the requests which wait here will take.
+    pub(super) fn waiting_room(&self) -> Tokens {
+        let rooms = self.waiting.iter().map(|request_id| self.open[request_id].room);
+        rooms.fold(Tokens::ZERO, |sum, room| sum + room)
+    }
+
     pub(super) fn memory_limit(&self) -> Tokens {
         Tokens(self.settings.memory_tokens.0 * self.settings.fill_percent / 100)
     }
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -24,6 +24,10 @@
     /// What the other daemons have there.
     peers: HashMap<HostId, Holding>,
     full_until_us: MonoTime,
+    /// Until when it changes its role and takes nothing.
+    pub(super) changing_until_us: MonoTime,
+    /// When this daemon ordered it last.
+    pub(super) ordered_us: Option<MonoTime>,
 }
 
 impl Engine {
@@ -35,11 +39,16 @@
             held: Tokens::ZERO,
             peers: HashMap::new(),
             full_until_us: MonoTime::default(),
+            changing_until_us: MonoTime::default(),
+            ordered_us: None,
         }
     }
 
-    pub(super) fn relist(&mut self, listed: &ListedEngine) {
-        self.role = listed.role;
+    /// Adopts the list's view; of an engine that changes its role the list lags.
+    pub(super) fn relist(&mut self, now_us: MonoTime, listed: &ListedEngine) {
+        if !self.is_changing(now_us) {
+            self.role = listed.role;
+        }
         self.instance.relist(listed.slots, listed.leaving);
     }
 
@@ -82,12 +91,17 @@
 
     /// Whether it can be given answers to write.
     pub(super) fn is_writer(&self, now_us: MonoTime) -> bool {
-        self.role == Role::Decode && self.instance.is_listed_live(now_us) && !self.instance.is_set_aside()
+        self.role == Role::Decode
+            && self.instance.is_listed_live(now_us)
+            && !self.is_changing(now_us)
+            && !self.instance.is_set_aside()
     }
 
     /// Whether it takes work and has a slot free.
     pub(super) fn has_slot(&self, now_us: MonoTime) -> bool {
-        self.instance.has_room(now_us) && self.running(now_us) < self.instance.limit(now_us)
+        !self.is_changing(now_us)
+            && self.instance.has_room(now_us)
+            && self.running(now_us) < self.instance.limit(now_us)
     }
 
     /// What this daemon has here, if anything.
@@ -126,6 +140,17 @@
         self.full_until_us = now_us + FULL_MS;
     }
 
+    /// It changes its role.
+    pub(super) fn changes(&mut self, until_us: MonoTime, role: Role) {
+        self.changing_until_us = until_us;
+        self.role = role;
+    }
+
+    /// Whether it changes its role.
+    pub(super) fn is_changing(&self, now_us: MonoTime) -> bool {
+        now_us < self.changing_until_us
+    }
+
     /// Whether it has refused for want of room just now.
     pub(super) fn is_full(&self, now_us: MonoTime) -> bool {
         now_us < self.full_until_us
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -8,7 +8,7 @@
 use crate::units::{Micros, Millis, MonoTime, Tokens};
 
 /// What an engine does.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub enum Role {
     /// Reads prompts.
     Prefill,
@@ -85,6 +85,8 @@
 pub struct Holdings {
     /// Memory that its waiting requests will take.
     pub waiting: Tokens,
+    /// Engines that it has ordered to change their role, to which, and for how much longer they change.
+    pub changing: Vec<(BackendServerId, Role, Micros)>,
     /// What it has, engine by engine.
     pub engines: Vec<Holding>,
 }
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -11,6 +11,7 @@
 mod open;
 mod placing;
 mod settings;
+mod splitting;
 
 use std::collections::HashMap;
 
@@ -25,6 +26,8 @@
 };
 use open::Open;
 pub use settings::EnginePoolSettings;
+pub use splitting::Shift;
+use splitting::SplitState;
 
 /// Places the requests of one daemon for one service of engines.
 #[derive(Debug)]
@@ -43,6 +46,8 @@
     usual_hold_us: f64,
     /// Memory that the other daemons' waiting requests will take.
     peers_waiting: HashMap<HostId, Tokens>,
+    /// What is known for judging how many engines read and write.
+    split: SplitState,
     /// Where the look for an engine begins, so that equals are taken in turn.
     turn: usize,
 }
@@ -62,6 +67,7 @@
             usual_answer: None,
             usual_hold_us: FIRST_HOLD_US,
             peers_waiting: HashMap::new(),
+            split: SplitState::default(),
             turn,
         }
     }
@@ -72,10 +78,10 @@
     }
 
     /// What this daemon has at the engines, for the other daemons to know.
-    pub fn holdings(&self) -> Holdings {
-        let rooms = self.waiting.iter().map(|request_id| self.open[request_id].room);
+    pub fn holdings(&self, now_us: MonoTime) -> Holdings {
         Holdings {
-            waiting: rooms.fold(Tokens::ZERO, |sum, room| sum + room),
+            waiting: self.waiting_room(),
+            changing: self.changing(now_us),
             engines: self.engines.iter().filter_map(Engine::holding).collect(),
         }
     }
@@ -106,7 +112,7 @@
                 self.finished(now_us, request_id, events);
             }
             EngineEvent::CallerLeft { request_id } => self.caller_left(now_us, request_id),
-            EngineEvent::Engines(list) => self.adopt(list),
+            EngineEvent::Engines(list) => self.adopt(now_us, list),
             EngineEvent::Sign { server, sign } => {
                 if let Some(&index) = self.names.get(&server) {
                     self.engines[index].instance.sign(now_us, sign);
@@ -122,6 +128,11 @@
                     let at_engine = |holding: &&Holding| holding.server == *engine.instance.server();
                     engine.peer(&host, holdings.engines.iter().find(at_engine));
                 }
+                for (server, role, left_us) in holdings.changing {
+                    if let Some(&index) = self.names.get(&server) {
+                        self.engines[index].changes(now_us + left_us, role);
+                    }
+                }
                 self.peers_waiting.insert(host, holdings.waiting);
             }
             EngineEvent::Tick => {}
@@ -131,13 +142,13 @@
         self.wake(now_us, actions);
     }
 
-    fn adopt(&mut self, list: Vec<ListedEngine>) {
+    fn adopt(&mut self, now_us: MonoTime, list: Vec<ListedEngine>) {
         for engine in &mut self.engines {
             engine.instance.unlist();
         }
         for listed in list {
             if let Some(&index) = self.names.get(&listed.server) {
-                self.engines[index].relist(&listed);
+                self.engines[index].relist(now_us, &listed);
             } else {
                 self.names.insert(listed.server.clone(), self.engines.len());
                 self.engines.push(Engine::new(self.settings.instance, listed));
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -189,18 +189,35 @@
 
     /// Whether a writer had better read a prompt itself than have it wait for a reader.
     ///
-    /// Load: bursts of short prompts while readers are busy. Harm prevented: they would wait behind long ones. Limits:
-    /// a writer reads at half the speed and all its answers pause meanwhile, so it takes one prompt at a time, and
-    /// none that would make that pause longer than answers may have.
+    /// Load: bursts of short prompts while readers are busy. Harm prevented: they would wait behind long ones. Limit: a
+    /// writer takes one prompt at a time, for all its answers pause meanwhile.
     fn had_better_read_itself(&self, writer: usize, reader: usize, demand: &Demand) -> bool {
-        let Some(gap_ms) = demand.gap_target_ms else {
-            return false;
-        };
-        let rate = self.settings.read_tokens_per_ms;
-        let pause_ms = Millis(demand.prompt_tokens.0 * SLOWER_AT_WRITERS / rate.max(1));
-        self.engines[reader].reading_ms(rate) > BUSY_READER_MS
+        let backlog_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
+        backlog_ms > BUSY_READER_MS
             && self.engines[writer].reading_all() == Tokens::ZERO
-            && pause_ms + USUAL_PAUSE_MS <= gap_ms
+            && self.may_be_read_by_writers(demand)
+    }
+
+    /// Whether the pause of a writer's answers while it reads a prompt stays within what answers may have.
+    fn may_be_read_by_writers(&self, demand: &Demand) -> bool {
+        let pause_ms = self.reading_at_writer_ms(demand) + USUAL_PAUSE_MS;
+        demand.gap_target_ms.is_some_and(|gap_ms| pause_ms <= gap_ms)
+    }
+
+    fn reading_at_writer_ms(&self, demand: &Demand) -> Millis {
+        Millis(demand.prompt_tokens.0 * SLOWER_AT_WRITERS / self.settings.read_tokens_per_ms.max(1))
+    }
+
+    /// Time until a prompt that came now would be read: by the reader with the least to do, or by a writer.
+    pub(super) fn expected_reading_ms(&self, now_us: MonoTime, demand: &Demand) -> Millis {
+        let rate = self.settings.read_tokens_per_ms;
+        let at_writer_ms = self.reading_at_writer_ms(demand);
+        let Some(reader) = self.choose_reader(now_us, None) else {
+            return at_writer_ms;
+        };
+        let own_ms = Millis(demand.prompt_tokens.0 / rate.max(1));
+        let at_reader_ms = self.engines[reader].reading_ms(rate) + own_ms;
+        if self.may_be_read_by_writers(demand) { at_reader_ms.min(at_writer_ms) } else { at_reader_ms }
     }
 
     /// The reader with the least to read.
--- a/crates/core/src/relay/engines/settings.rs
+++ b/crates/core/src/relay/engines/settings.rs
@@ -17,6 +17,8 @@
     pub event_tokens: u64,
     /// For how long an engine keeps a slot and memory; zero where engines keep none.
     pub reserve_ms_max: Millis,
+    /// How long a change of role takes.
+    pub role_change_ms: Millis,
     /// For how long a read prompt waits to be fetched.
     pub hold_ms: Millis,
     /// Requests that wait for an engine at most. Beyond, the oldest would have been refused before the newest
@@ -40,6 +42,7 @@
             fill_percent: 95,
             event_tokens: 1,
             reserve_ms_max: Millis::ZERO,
+            role_change_ms: Millis(6_000),
             hold_ms: Millis(500),
             waiting_max: 256,
             read_tokens_per_ms: 50,
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -66,7 +66,7 @@
 fn what_other_daemons_have_counts() {
     let mut bench = Bench::new(settings(), &ENGINES);
     let holding = Holding { server: server("w-1"), room: Tokens(70_000), reading: Tokens::ZERO, running: 7 };
-    let holdings = Holdings { waiting: Tokens::ZERO, engines: vec![holding] };
+    let holdings = Holdings { engines: vec![holding], ..Holdings::default() };
     bench.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), holdings });
     for sequence in 1..5 {
         assert_eq!(writer_of(&bench.arrive(demand(sequence, 4_000, 4_000))), "w-2");
@@ -79,7 +79,7 @@
     let mut bench = Bench::new(settings(), &[("w-1", Role::Decode)]);
     let host = "entry-2".parse().unwrap();
     let holding = Holding { server: server("w-1"), room: Tokens(76_000), reading: Tokens::ZERO, running: 7 };
-    let holdings = Holdings { waiting: Tokens::ZERO, engines: vec![holding] };
+    let holdings = Holdings { engines: vec![holding], ..Holdings::default() };
     bench.feed(EngineEvent::Peer { host, holdings });
     assert!(bench.arrive(demand(1, 4_000, 4_000)).iter().all(|action| !is_reserve(action)));
     let host = "entry-2".parse().unwrap();
@@ -217,7 +217,7 @@
         bench.prompt_read(1);
     }
     bench.feed(EngineEvent::CallerLeft { request_id: request_id(1) });
-    assert_eq!(bench.pool.holdings(), Holdings::default());
+    assert_eq!(bench.pool.holdings(bench.now_us), Holdings::default());
 }
 
 /// Refused callers come back; all at the same moment they would make the next burst.
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -211,7 +211,7 @@
     }
 
     fn tell(&mut self, at_ms: u64, daemon: usize) {
-        let holdings = self.daemons[daemon].holdings();
+        let holdings = self.daemons[daemon].holdings(MonoTime::default() + Millis(at_ms));
         let host: HostId = format!("entry-{daemon}").parse().unwrap();
         for other in (0..self.daemons.len()).filter(|&other| other != daemon) {
             let event = EngineEvent::Peer { host: host.clone(), holdings: holdings.clone() };
--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -7,7 +7,7 @@
 use gumdrop::Options;
 use hibiscusvale::daemon::new_incarnation;
 use hibiscusvale::relay::{RelayDaemon, RelayEdges, RelaySettings};
-use hibiscusvale_platform::{PlatformWire, Store, StoreRegister, StoreServers, StoreTables};
+use hibiscusvale_platform::{PlatformWire, Store, StoreLog, StoreRegister, StoreServers, StoreTables};
 
 use crate::signals::{self, Asked};
 
@@ -33,6 +33,7 @@
             wire: Arc::new(PlatformWire),
             tables: Arc::new(StoreTables::new(store.clone())),
             register: Arc::new(StoreRegister::new(store.clone())),
+            log: Arc::new(StoreLog::new(store.clone())),
             servers: Arc::new(StoreServers::new(store.clone(), settings.host.region.clone())),
         };
         let mut daemon = RelayDaemon::start(settings, edges, new_incarnation())?;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -9,7 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hibiscusvale_core::ids::{ClassName, HostId, Offset, PartnerId, RequestId};
+use hibiscusvale_core::ids::{
+    BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
+};
 use hibiscusvale_core::units::{Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
@@ -170,6 +172,22 @@
         spdlog::info!(logger: self.logger, "changed", kv: { what = what, detail: = detail });
     }
 
+    /// An engine was ordered to change its role.
+    pub fn ordered(
+        &self,
+        server: &BackendServerId,
+        role: &'static str,
+        fencing: FencingNumber,
+        answer: &str,
+    ) {
+        spdlog::info!(logger: self.logger, "engine ordered", kv: {
+            server: = server,
+            role = role,
+            fencing = fencing.0,
+            answer = answer,
+        });
+    }
+
     /// A further try of a request begins.
     pub fn request_retried<Reason>(&self, request_id: RequestId, reason: Reason)
     where
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -20,6 +20,7 @@
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::metrics::RelayMetrics;
+use super::orders::Orders;
 use super::peers::{self, Peers};
 use super::settings::{BoundSettings, RelaySettings};
 use super::state::RelayState;
@@ -29,7 +30,7 @@
 use crate::daemon::StartError;
 use crate::directory::Directory;
 use crate::dispatch::PlainHub;
-use crate::external::HostList;
+use crate::external::{HostList, Log as RecordLog};
 use crate::logging::Log;
 use crate::settings::SettingsError;
 
@@ -52,6 +53,8 @@
     pub tables: Arc<dyn TableSource>,
     /// Where the daemons find each other.
     pub register: Arc<dyn Register>,
+    /// Where the lease over orders is kept.
+    pub log: Arc<dyn RecordLog>,
     /// Where servers are listed.
     pub servers: Arc<dyn HostList>,
 }
@@ -118,6 +121,16 @@
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
         traffic.spawn(peers::run(own.peer_address, own.host.clone(), Arc::clone(&state)));
         traffic.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
+        // One lease for all engines of the region.
+        match settings.host.region.as_str().parse() {
+            Ok(scope) => {
+                let host = settings.host.id.clone();
+                traffic.spawn(Orders::new(edges.log, Arc::clone(&state), host, scope).run());
+            }
+            Err(error) => {
+                state.log.fault("no orders are given: the region's name is none of a lease", &error)
+            }
+        }
         let timers = Arc::clone(&state);
         traffic.spawn(
             async move { tokio::join!(timers.plain_hub.run_timers(), timers.engine_hub.run_timers()) },
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, HostId, ModelId};
-use hibiscusvale_core::relay::engines::ToldLoad;
+use hibiscusvale_core::ids::{BackendServerId, FencingNumber, HostId, ModelId};
+use hibiscusvale_core::relay::engines::{Role, ToldLoad};
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, request};
@@ -153,6 +153,30 @@
     pub body: Bytes,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineReport {
+    /// What it does, as far as it says.
+    pub role: Option<Role>,
+    /// Whether it carries an order out.
+    pub is_busy: bool,
+    /// Orders that it has accepted since its start.
+    pub orders: u64,
+}
+
+/// An order to change role.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineOrder {
+    /// What the engine is to do.
+    pub role: Role,
+    /// Who orders it.
+    pub holder: HostId,
+    /// Engines that check refuse a smaller number than they have seen.
+    pub fencing: FencingNumber,
+    /// The order holds only while the engine has accepted so many.
+    pub after_orders: u64,
+}
+
 /// One sending of a request to a backend server.
 #[derive(Clone, Debug)]
 pub struct Hop<'a> {
@@ -213,6 +237,15 @@
     /// Reads what an engine says that keeps something.
     fn read_reservation(&self, body: &[u8]) -> Option<Reservation>;
 
+    /// The call for what the engine `server` says of itself.
+    fn report(&self, server: &BackendServerId) -> EngineCall;
+
+    /// Reads what an engine says of itself.
+    fn read_report(&self, body: &[u8]) -> Option<EngineReport>;
+
+    /// The call that orders the engine `server`.
+    fn order(&self, server: &BackendServerId, order: &EngineOrder) -> EngineCall;
+
     /// The call that gives a reservation back.
     fn drop_reservation(&self, reservation: &Reservation) -> EngineCall;
 
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -7,7 +7,7 @@
 use hibiscusvale_core::ids::{HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
     Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holdings,
-    ListedEngine, Role,
+    ListedEngine, Role, Shift,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::Tokens;
@@ -133,6 +133,7 @@
                 memory_tokens: Tokens(engine.memory_tokens),
                 event_tokens: engine.event_tokens,
                 reserve_ms_max: engine.reserve_ms_max,
+                role_change_ms: engine.role_change_ms,
                 hold_ms: engine.hold_ms,
                 ..settings
             });
@@ -148,7 +149,7 @@
     /// What this daemon has at the engines, by service.
     pub fn holdings(&self) -> Vec<(String, Holdings)> {
         let services = self.services.lock();
-        services.iter().map(|(name, service)| (name.clone(), service.pool.holdings())).collect()
+        services.iter().map(|(name, service)| (name.clone(), service.pool.holdings(clock::now()))).collect()
     }
 
     /// Takes what another daemon has at the engines.
@@ -161,6 +162,21 @@
         }
     }
 
+    /// The engines that should change their role next, by service.
+    pub fn next_shifts(&self) -> Vec<(String, Shift)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let shifts = services.iter_mut();
+        shifts.filter_map(|(name, service)| Some((name.clone(), service.pool.next_shift(now_us)?))).collect()
+    }
+
+    /// An engine was ordered to change its role, or may have been.
+    pub fn shifted(&self, service: &str, shift: &Shift) {
+        if let Some(service) = self.services.lock().get_mut(service) {
+            service.pool.shifted(clock::now(), shift);
+        }
+    }
+
     /// What the pools counted.
     pub fn counters(&self) -> Vec<EngineCounters> {
         self.services.lock().values().map(|service| *service.pool.counters()).collect()
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -126,6 +126,26 @@
     Ok(Reply { status, headers, head, known })
 }
 
+/// Sends a call of the relay's own to an engine and reads the answer, whatever its status.
+///
+/// # Errors
+///
+/// [`CallFailure`]; only `NotSent` proves that it had no effect.
+pub async fn exchange_call(
+    http: &BackendHttp,
+    to: SocketAddr,
+    call: EngineCall,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallFailure> {
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = uri(to, &call.path)?;
+    *request.headers_mut() = call.headers;
+    let response = http.send(Trust::Pooled, request, timeout).await?;
+    let status = response.status();
+    Ok((status, read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await?))
+}
+
 /// Sends a call of the relay's own to an engine and reads the answer.
 ///
 /// # Errors
@@ -137,15 +157,9 @@
     call: EngineCall,
     timeout: Duration,
 ) -> Result<Bytes, FailureCause> {
-    let mut request = Request::new(Full::new(call.body));
-    *request.method_mut() = call.method;
-    *request.uri_mut() = uri(to, &call.path).map_err(|_| FailureCause::NotSent)?;
-    *request.headers_mut() = call.headers;
-    let response = http.send(Trust::Pooled, request, timeout).await.map_err(cause_of)?;
-    match response.status() {
-        StatusCode::OK => {
-            read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await.map_err(cause_of)
-        }
+    let (status, body) = exchange_call(http, to, call, timeout).await.map_err(cause_of)?;
+    match status {
+        StatusCode::OK => Ok(body),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FailureCause::NoRoom),
         StatusCode::MISDIRECTED_REQUEST => Err(FailureCause::Leaving),
         _ => Err(FailureCause::Refused),
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod hop;
 mod metrics;
+mod orders;
 mod peers;
 mod plain;
 mod refusal;
