Hand on routes and servers to daemons that start while the store is away

Cause: a process that starts in an outage knows nothing and refuses everybody until the store is back; the register of daemons cannot be read either. Change: daemons answer over TCP, beside their datagrams, with what they know; the platform's seeds tell a newcomer whom to ask. The budget's parts follow the number of registered daemons.

--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -5,12 +5,14 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::ServiceId;
 use crate::outcome::Repeatability;
 use crate::units::{Bytes, Millis};
 
 /// Version of a routing table. A later one is greater; numbers may be left out.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct TableVersion(pub u64);
 
 impl fmt::Display for TableVersion {
@@ -28,7 +30,7 @@
 }
 
 /// What kind of answer a route gives, and what may be repeated.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub enum RouteKind {
     /// One answer; running it again does no harm.
     Idempotent,
@@ -57,7 +59,7 @@
 }
 
 /// A service that a route leads to, and its part of the route's requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Destination {
     /// The service.
     pub service: ServiceId,
@@ -66,7 +68,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct Route {
     /// Its name, for people.
     pub name: String,
@@ -107,7 +109,7 @@
 }
 
 /// What a service is, as configured.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ServiceSpec {
     /// Connections that one of its servers takes of all callers together.
     pub connections_max: u32,
@@ -116,7 +118,7 @@
 }
 
 /// What the engines of a service have in common.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EngineSpec {
     /// Requests that run at once.
     pub slots: u32,
@@ -133,7 +135,7 @@
 }
 
 /// Bounds on what callers may send and how long they may take.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct CallerLimits {
     /// Largest head.
     pub head_bytes: Bytes,
@@ -157,7 +159,7 @@
 }
 
 /// All routes and services of one version.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct RouteTable {
     version: TableVersion,
     /// By host, the longest prefix first.
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -260,3 +260,92 @@
     }
     assert!(refusals <= 100 * 20 / 100 + 1, "{refusals} refused reads");
 }
+
+/// Seven writers and four readers, with enough requests seen to judge the split.
+fn judged(readers: usize, writers: usize) -> Bench {
+    let names: Vec<(String, Role)> = (0..readers)
+        .map(|number| (format!("r-{number}"), Role::Prefill))
+        .chain((0..writers).map(|number| (format!("w-{number}"), Role::Decode)))
+        .collect();
+    let engines: Vec<(&str, Role)> = names.iter().map(|(name, role)| (name.as_str(), *role)).collect();
+    let mut bench = Bench::new(settings(), &engines);
+    for sequence in 0..20 {
+        begin(&mut bench, demand(sequence, 5_000, 6_000));
+        bench.feed(EngineEvent::Started { request_id: request_id(sequence) });
+        bench.after(3_200);
+        bench.feed(EngineEvent::Finished { request_id: request_id(sequence), events: 70 });
+    }
+    bench
+}
+
+/// A third of the engines read and are mostly idle, while bursts are refused for want of writers.
+#[test]
+fn idle_readers_become_writers_one_at_a_time() {
+    let mut bench = judged(4, 7);
+    assert_eq!(bench.pool.next_shift(bench.now_us), None, "it may be a restart that shows late");
+    bench.after(2_500);
+    let mut shifted = Vec::new();
+    for _ in 0..6 {
+        if let Some(shift) = bench.pool.next_shift(bench.now_us) {
+            assert_eq!(shift.role, Role::Decode);
+            bench.pool.shifted(bench.now_us, &shift);
+            shifted.push(shift.server);
+        }
+        bench.after(1_000);
+    }
+    assert_eq!(shifted.len(), 2, "two readers are enough for eleven engines: {shifted:?}");
+}
+
+/// Readers were lost for good. The writers that are left would read every long prompt themselves, and their answers
+/// would pause.
+#[test]
+fn a_writer_becomes_a_reader_when_readers_are_gone() {
+    let mut bench = judged(2, 9);
+    bench.after(2_500);
+    assert_eq!(bench.pool.next_shift(bench.now_us), None);
+    let left = (0..9).map(|number| listed(&format!("w-{number}"), Role::Decode)).collect();
+    bench.feed(EngineEvent::Engines(left));
+    bench.pool.next_shift(bench.now_us);
+    bench.after(2_500);
+    let shift = bench.pool.next_shift(bench.now_us).unwrap();
+    assert_eq!(shift.role, Role::Prefill);
+}
+
+/// The order's answer was lost. Whether it is carried out shows only later; until then the engine gets no work and no
+/// second order.
+#[test]
+fn an_engine_that_changes_gets_neither_work_nor_orders() {
+    let mut bench = judged(4, 7);
+    bench.pool.next_shift(bench.now_us);
+    bench.after(2_500);
+    let first = bench.pool.next_shift(bench.now_us).unwrap();
+    bench.pool.shifted(bench.now_us, &first);
+    assert_ne!(bench.pool.next_shift(bench.now_us).unwrap().server, first.server);
+    for sequence in 100..130 {
+        for action in bench.arrive(demand(sequence, 500, 500)) {
+            assert!(!format!("{action:?}").contains(first.server.as_str()), "{action:?}");
+        }
+        for action in bench.reserved(sequence) {
+            assert!(!format!("{action:?}").contains(first.server.as_str()), "{action:?}");
+        }
+        bench.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    let told = bench.pool.holdings(bench.now_us).changing;
+    assert!(told.iter().any(|(server, _, _)| *server == first.server), "the other daemons are told");
+}
+
+/// While readers are busy a short prompt goes to a writer at once, and a long one waits: read by a writer it would make
+/// all answers there pause for too long.
+#[test]
+fn writers_read_short_prompts_only() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    for sequence in 0..4 {
+        bench.arrive(demand(sequence, 9_000, 500));
+        bench.reserved(sequence);
+    }
+    bench.arrive(demand(10, 2_000, 500));
+    assert!(matches!(bench.reserved(10)[..], [EngineAction::Write { reader: None, .. }]));
+    bench.arrive(demand(11, 9_000, 500));
+    let long = bench.reserved(11);
+    assert!(matches!(long[..], [EngineAction::Read { .. }]), "{long:?}");
+}
--- /dev/null
+++ b/crates/router/src/relay/budget.rs
@@ -0,0 +1,56 @@
+//! This daemon's part of the further tries that all daemons may make together.
+//!
+//! The allowance is one for the installation, and daemons that cannot reach each other cannot agree on its use. So each
+//! spends a fixed part of what is allowed at all times, and of what the requests that it took itself allow. Parts are
+//! counted against all daemons that ever registered, not those that are seen: one that is cut off goes on spending.
+
+use hibiscusvale_core::relay::engines::EnginePoolSettings;
+use hibiscusvale_core::sched::PlainSettings;
+
+use super::settings::BoundSettings;
+use super::state::RelayState;
+
+/// Daemons reckoned with before the register was read.
+pub const UNKNOWN_DAEMONS: u64 = 16;
+
+/// Part of the allowance that is handed out, in percent: a daemon that has just registered spends its part before the
+/// others have made theirs smaller.
+const HANDED_OUT_PERCENT: u64 = 80;
+
+/// Limits of the schedulers of plain services.
+pub fn plain(bounds: &BoundSettings, daemons: u64) -> PlainSettings {
+    PlainSettings {
+        retry_percent: percent(bounds.retry_ratio),
+        retry_burst: part(bounds.retry_slack, daemons),
+        retry_full_at_start: false,
+        ..PlainSettings::default()
+    }
+}
+
+/// Limits of the pools of engines.
+pub fn engines(bounds: &BoundSettings, daemons: u64) -> EnginePoolSettings {
+    EnginePoolSettings {
+        retry_percent: percent(bounds.retry_ratio),
+        retry_burst: part(bounds.retry_slack, daemons),
+        ..EnginePoolSettings::default()
+    }
+}
+
+impl RelayState {
+    /// Divides the allowance among the daemons that are registered now.
+    pub fn share_budget(&self) {
+        let (bounds, daemons) = (self.bounds.lock().clone(), self.peers.registered());
+        self.plain_hub.configure(plain(&bounds, daemons));
+        self.engine_hub.set_budget(engines(&bounds, daemons));
+        self.engine_hub.configure(&self.table.load());
+    }
+}
+
+fn part(slack: u64, daemons: u64) -> u64 {
+    slack * HANDED_OUT_PERCENT / 100 / daemons.max(1)
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a ratio of at most a few")]
+fn percent(ratio: f64) -> u64 {
+    (ratio.max(0.0) * 100.0) as u64
+}
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -8,21 +8,21 @@
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::Incarnation;
-use hibiscusvale_core::relay::engines::EnginePoolSettings;
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::sched::PlainSettings;
 use hibiscusvale_core::units::Millis;
+use parking_lot::Mutex;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use super::budget::{self, UNKNOWN_DAEMONS};
 use super::callers;
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::metrics::RelayMetrics;
 use super::orders::Orders;
 use super::peers::{self, Peers};
-use super::settings::{BoundSettings, RelaySettings};
+use super::settings::RelaySettings;
 use super::state::RelayState;
 use super::status::{self, Purpose};
 use super::watch::{self, Freshness};
@@ -93,10 +93,11 @@
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
             http: BackendHttp::new(),
-            plain_hub: PlainHub::new(plain_settings(&settings.bounds), incarnation.0),
-            engine_hub: EngineHub::new(engine_settings(&settings.bounds), incarnation.0),
+            plain_hub: PlainHub::new(budget::plain(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
+            engine_hub: EngineHub::new(budget::engines(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
             freshness: Freshness::default(),
-            peers: Peers::default(),
+            peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
+            bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
             sequence: AtomicU64::new(0),
             open: AtomicU64::new(0),
@@ -119,7 +120,13 @@
         traffic.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
         traffic.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
-        traffic.spawn(peers::run(own.peer_address, own.host.clone(), Arc::clone(&state)));
+        let telling = peers::run(own.peer_address, own.host.clone(), Arc::clone(&state));
+        let log = state.log.clone();
+        traffic.spawn(async move {
+            if let Err(error) = telling.await {
+                log.fault("daemons are not told anything: the address for them cannot be bound", &error);
+            }
+        });
         traffic.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
         // One lease for all engines of the region.
         match settings.host.region.as_str().parse() {
@@ -128,7 +135,7 @@
                 traffic.spawn(Orders::new(edges.log, Arc::clone(&state), host, scope).run());
             }
             Err(error) => {
-                state.log.fault("no orders are given: the region's name is none of a lease", &error)
+                state.log.fault("no orders are given: the region's name is none of a lease", &error);
             }
         }
         let timers = Arc::clone(&state);
@@ -159,8 +166,8 @@
         match read {
             Ok(settings) if settings == self.settings => {}
             Ok(settings) => {
-                self.state.plain_hub.configure(plain_settings(&settings.bounds));
-                self.state.engine_hub.set_budget(engine_settings(&settings.bounds));
+                *self.state.bounds.lock() = settings.bounds.clone();
+                self.state.share_budget();
                 self.state.log.changed("settings reloaded", &settings.host.id);
                 self.settings = settings;
             }
@@ -192,25 +199,3 @@
         traffic.shutdown_background();
     }
 }
-
-fn plain_settings(bounds: &BoundSettings) -> PlainSettings {
-    PlainSettings {
-        retry_percent: percent(bounds.retry_ratio),
-        retry_burst: bounds.retry_slack / bounds.daemons_max.max(1),
-        retry_full_at_start: false,
-        ..PlainSettings::default()
-    }
-}
-
-fn engine_settings(bounds: &BoundSettings) -> EnginePoolSettings {
-    EnginePoolSettings {
-        retry_percent: percent(bounds.retry_ratio),
-        retry_burst: bounds.retry_slack / bounds.daemons_max.max(1),
-        ..EnginePoolSettings::default()
-    }
-}
-
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a ratio of at most a few")]
-fn percent(ratio: f64) -> u64 {
-    (ratio.max(0.0) * 100.0) as u64
-}
--- /dev/null
+++ b/crates/router/src/relay/handover.rs
@@ -0,0 +1,155 @@
+//! What a daemon that starts while the store is away learns from the others.
+//!
+//! Hosts are replaced also in an outage, and a new one knows neither routes nor servers. Without this it would refuse
+//! every caller until the store is back, and a long outage would take one host after the other out of use.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::relay::routes::RouteTable;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use super::state::RelayState;
+use super::watch;
+use crate::backend::{Trust, read_body, uri};
+use crate::directory::{BackendServer, Listing};
+
+/// Where a daemon asks another one.
+const PATH: &str = "/v1/knowledge";
+
+/// Time for the whole answer, inside a region.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Largest answer that is read: some thousand routes and servers.
+const LIMIT_BYTES: usize = 16 << 20;
+
+/// Pause between two questions, to another daemon each time. The store is asked all the while, and usually answers
+/// before this has passed once.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// Time for a request's head; daemons send theirs at once.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause after the system refused a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Deserialize, Serialize)]
+struct Knowledge {
+    table: RouteTable,
+    /// Version of the list of servers, in the store's count.
+    version: u64,
+    servers: Vec<BackendServer>,
+}
+
+/// Answers other daemons for as long as this one runs.
+pub async fn serve(state: Arc<RelayState>, socket: TcpListener) {
+    loop {
+        let Ok((stream, _)) = socket.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = answer(&state, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // Whoever breaks off asks another daemon.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(state: &RelayState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let is_known = state.table.load().is_known() && state.directory.listing().version > 0;
+    let (status, body) = match (request.method(), request.uri().path()) {
+        (&Method::GET, PATH) if is_known => encode(state),
+        (&Method::GET, PATH) => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        _ => (StatusCode::NOT_FOUND, Vec::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
+
+fn encode(state: &RelayState) -> (StatusCode, Vec<u8>) {
+    let listing = state.directory.listing();
+    let knowledge = Knowledge {
+        table: state.table.load().as_ref().clone(),
+        version: listing.version,
+        servers: listing.servers.values().map(|server| server.as_ref().clone()).collect(),
+    };
+    match postcard::to_stdvec(&knowledge) {
+        Ok(body) => (StatusCode::OK, body),
+        Err(error) => {
+            state.log.fault("knowledge not encoded", &error);
+            (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
+        }
+    }
+}
+
+/// Asks others until this daemon knows routes and servers, from the store or from them.
+pub async fn learn(state: Arc<RelayState>) {
+    let mut turn = 0_usize;
+    while !state.is_ready() {
+        tokio::time::sleep(PAUSE).await;
+        let addresses = state.peers.addresses();
+        if state.is_ready() || addresses.is_empty() {
+            continue;
+        }
+        let address = addresses[turn % addresses.len()];
+        turn += 1;
+        if let Some(knowledge) = ask(&state, address).await {
+            adopt(&state, knowledge, address);
+        }
+    }
+}
+
+async fn ask(state: &RelayState, address: SocketAddr) -> Option<Knowledge> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = uri(address, PATH).ok()?;
+    let response = state.http.send(Trust::Fresh, request, TIMEOUT).await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let body = read_body(response.into_body(), LIMIT_BYTES, TIMEOUT).await.ok()?;
+    match postcard::from_bytes(&body) {
+        Ok(knowledge) => Some(knowledge),
+        Err(error) => {
+            state.log.fault("knowledge of another daemon not understood", &error);
+            None
+        }
+    }
+}
+
+/// Takes what is not known here yet: what the store has said meanwhile is newer.
+fn adopt(state: &RelayState, knowledge: Knowledge, from: SocketAddr) {
+    state.log.changed("learned from another daemon", &from);
+    if !state.table.load().is_known() {
+        watch::adopt_table(state, knowledge.table);
+    }
+    if state.directory.listing().version == 0 {
+        let named = |server: BackendServer| -> (BackendServerId, Arc<BackendServer>) {
+            (server.id.clone(), Arc::new(server))
+        };
+        let servers = knowledge.servers.into_iter().map(named).collect();
+        state.directory.adopt(Listing { version: knowledge.version, servers, ..Listing::default() });
+        watch::adopt_servers(state);
+    }
+}
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -3,11 +3,13 @@
 //! Decisions are those of `hibiscusvale-core`: [`hibiscusvale_core::relay`] and, for plain services, the same
 //! scheduler that serves partners' classes. What the systems around speak stands behind the traits of [`edge`].
 
+mod budget;
 mod callers;
 mod daemon;
 pub mod edge;
 mod engine_hub;
 mod events;
+mod handover;
 mod hop;
 mod metrics;
 mod orders;
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -23,7 +23,7 @@
 use crate::external::{AppendError, Log, LogFailure, Stream};
 
 /// Time between two looks at the split.
-const TICK: Duration = Duration::from_millis(1_000);
+const TICK: Duration = Duration::from_secs(1);
 
 /// Time for an engine's report, and for its answer to an order.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -14,11 +14,12 @@
 use hibiscusvale_core::relay::engines::Holdings;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::edge::{DaemonEntry, Register};
+use super::handover;
 use super::state::RelayState;
 use super::watch::Stamp;
 use crate::clock;
@@ -77,10 +78,18 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: Mutex<HashMap<HostId, Peer>>,
+    /// Where to ask when nobody else is known.
+    seeds: Vec<SocketAddr>,
     changed: Notify,
 }
 
 impl Peers {
+    /// No daemon is known yet; this one is on `own`.
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
+        Self { seeds: seeds.filter(|seed| *seed != own).collect(), ..Self::default() }
+    }
+
     /// Something that the others should know has changed.
     pub fn touch(&self) {
         self.changed.notify_one();
@@ -93,6 +102,15 @@
         known.iter().filter(|(_, peer)| is_live(peer, now)).map(|(host, _)| host.clone()).collect()
     }
 
+    /// Addresses of the daemons that were heard of lately, and of all others behind them.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let mut peers: Vec<&Peer> = known.values().collect();
+        peers.sort_by_key(|peer| (!is_live(peer, now), peer.address));
+        peers.iter().map(|peer| peer.address).chain(self.seeds.iter().copied()).collect()
+    }
+
     /// Daemons that are registered or were heard of, this one among them.
     pub fn registered(&self) -> u64 {
         self.known.lock().len() as u64 + 1
@@ -118,14 +136,15 @@
         let due = |peer: &&mut Peer| {
             is_live(peer, now) || peer.called.is_none_or(|called| now >= called + CALL_AGAIN)
         };
-        known
-            .values_mut()
-            .filter(due)
-            .map(|peer| {
-                peer.called = Some(now);
-                peer.address
-            })
-            .collect()
+        let called = known.values_mut().filter(due).map(|peer| {
+            peer.called = Some(now);
+            peer.address
+        });
+        let called: Vec<SocketAddr> = called.collect();
+        if known.values().any(|peer| is_live(peer, now)) {
+            return called;
+        }
+        called.into_iter().chain(self.seeds.iter().copied()).collect()
     }
 
     /// Takes note of a message; false when it is an old one.
@@ -165,14 +184,20 @@
 
 /// Registers this daemon and learns of the others, for as long as it runs.
 pub async fn follow_register(register: Arc<dyn Register>, own: DaemonEntry, state: Arc<RelayState>) {
+    let mut tries = 0_u32;
     while let Err(failure) = register.announce(own.clone()).await {
-        state.log.changed("could not register", &failure);
+        tries += 1;
+        if tries == 1 {
+            state.log.changed("could not register", &failure);
+        }
         tokio::time::sleep(REGISTER_RETRY).await;
     }
+    state.log.changed("registered, failed tries before", &tries);
     loop {
         match register.entries(REGISTER_WAIT).await {
             Ok(Some(entries)) => {
                 state.peers.learn(&own.host, entries);
+                state.share_budget();
                 state.peers.touch();
             }
             Ok(None) => {}
@@ -181,14 +206,21 @@
     }
 }
 
-/// Tells the others what this daemon has, and hears them, for as long as it runs.
+/// Tells the others what this daemon has, and hears them, for as long as it runs. Over TCP on the same port it hands
+/// on what it knows.
 ///
 /// # Errors
 ///
 /// The system's error when the address cannot be bound.
 pub async fn run(address: SocketAddr, host: HostId, state: Arc<RelayState>) -> io::Result<()> {
-    let socket = Arc::new(UdpSocket::bind(address).await?);
-    tokio::join!(tell(&socket, &host, &state), hear(&socket, &host, &state));
+    let socket = UdpSocket::bind(address).await?;
+    let handing_on = TcpListener::bind(socket.local_addr()?).await?;
+    tokio::join!(
+        tell(&socket, &host, &state),
+        hear(&socket, &host, &state),
+        handover::serve(Arc::clone(&state), handing_on),
+        handover::learn(Arc::clone(&state)),
+    );
     Ok(())
 }
 
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -18,6 +18,9 @@
     pub listen: RelayListenSettings,
     /// Where it learns routes and servers.
     pub store: StoreSettings,
+    /// The other daemons.
+    #[serde(default)]
+    pub peers: RelayPeerSettings,
     /// What the installation allows.
     #[serde(default)]
     pub bounds: BoundSettings,
@@ -74,6 +77,15 @@
     pub address: SocketAddr,
 }
 
+/// How to find other daemons where the store does not tell.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayPeerSettings {
+    /// Some hosts with daemons; they may be gone by now. The port does not count: daemons listen to each other on the
+    /// same port everywhere.
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// What the installation allows.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -86,19 +98,11 @@
     pub retry_ratio: f64,
     /// Further tries that all daemons together may make beyond that, in a window of some seconds.
     pub retry_slack: u64,
-    /// Other daemons that share that allowance at most.
-    pub daemons_max: u64,
 }
 
 impl Default for BoundSettings {
     fn default() -> Self {
-        Self {
-            grace_ms: Millis(8_000),
-            drain_ms: Millis(2_000),
-            retry_ratio: 0.1,
-            retry_slack: 20,
-            daemons_max: 16,
-        }
+        Self { grace_ms: Millis(8_000), drain_ms: Millis(2_000), retry_ratio: 0.1, retry_slack: 20 }
     }
 }
 
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -17,6 +17,7 @@
 use super::engine_hub::EngineHub;
 use super::metrics::{Ended, RelayMetrics};
 use super::peers::Peers;
+use super::settings::BoundSettings;
 use super::story::{Step, Story};
 use super::watch::Freshness;
 use crate::backend::BackendHttp;
@@ -137,6 +138,8 @@
     pub freshness: Freshness,
     /// The other daemons.
     pub peers: Peers,
+    /// What the installation allows.
+    pub bounds: Mutex<BoundSettings>,
     /// This daemon's life.
     pub incarnation: Incarnation,
     /// Requests taken in by this life.
