--- a/completions/hibiscusvaled.bash
+++ b/completions/hibiscusvaled.bash
@@ -1,8 +1,9 @@
 _hibiscusvaled() {
-  local word words="--help --version check run"
+  local word words="--help --version check relay run"
   for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
     case "$word" in
-    check) words="--help" ;;
+    check) words="--help --relay" ;;
+    relay) words="--help" ;;
     run) words="--help" ;;
     esac
   done
--- a/crates/client/src/manual/programs.rs
+++ b/crates/client/src/manual/programs.rs
@@ -60,12 +60,22 @@
             "The first SIGTERM or SIGINT stops gracefully: readiness fails, the balancer looks elsewhere, and requests \
              in flight end in their own time. A second one ends the process at once; callers then lose the answers \
              that were on their way, and the other daemons release what the engines held for them.",
+            "With `relay` the daemon reads routes and servers from the platform's store and passes requests on \
+             unchanged. There SIGHUP has the settings read again, and a further SIGTERM changes nothing: the grace \
+             period of the settings bounds the stop.",
         ],
         usage: "  -h, --help  print this help\n  --version  print the version\n".to_owned(),
         commands: vec![
             CommandDoc {
                 name: "check".to_owned(),
                 help: "check a settings file and say what is wrong with it".to_owned(),
+                usage: "  file  settings file\n  -h, --help  print this help\n  --relay  the file is for \
+                        `hibiscusvaled relay`\n"
+                    .to_owned(),
+            },
+            CommandDoc {
+                name: "relay".to_owned(),
+                help: "relay by the routes in the platform's store".to_owned(),
                 usage: file.to_owned(),
             },
             CommandDoc { name: "run".to_owned(), help: "run the daemon".to_owned(), usage: file.to_owned() },
--- a/crates/daemon/src/cmd/check.rs
+++ b/crates/daemon/src/cmd/check.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use gumdrop::Options;
+use hibiscusvale::relay::RelaySettings;
 use hibiscusvale::settings;
 
 /// Checks a settings file.
@@ -10,6 +11,8 @@
 pub struct Check {
     #[options(help = "print this help")]
     help: bool,
+    #[options(no_short, help = "the file is for `hibiscusvaled relay`")]
+    relay: bool,
     #[options(free, required, help = "settings file")]
     file: PathBuf,
 }
@@ -17,6 +20,11 @@
 impl Check {
     /// Says nothing when the file is in order.
     pub fn run(self) -> anyhow::Result<()> {
-        Ok(settings::check(&self.file)?)
+        if self.relay {
+            RelaySettings::load(&self.file)?;
+        } else {
+            settings::check(&self.file)?;
+        }
+        Ok(())
     }
 }
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -19,6 +19,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -43,7 +44,7 @@
 /// Time that a request may take whose caller states none.
 const DEFAULT_WAIT_MS: Millis = Millis(30_000);
 
-/// Serves callers at `address` until `stop` fires, then lets the open connections end.
+/// Serves callers, on so many connections at a time, until `stop` fires; then lets the open connections end.
 ///
 /// # Errors
 ///
@@ -51,20 +52,22 @@
 pub async fn serve(
     state: Arc<RelayState>,
     socket: std::net::TcpListener,
+    connections: usize,
     stop: CancellationToken,
 ) -> io::Result<()> {
     let socket = TcpListener::from_std(socket)?;
     let graceful = GracefulShutdown::new();
+    let room = Arc::new(Semaphore::new(connections));
     loop {
         let accepted = tokio::select! {
-            accepted = socket.accept() => accepted,
+            accepted = accept(&socket, &room) => accepted,
             () = stop.cancelled() => break,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, place)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        serve_connection(&state, stream, &graceful);
+        serve_connection(&state, stream, place, &graceful);
     }
     drop(socket);
     graceful.shutdown().await;
@@ -82,7 +85,23 @@
     Ok(socket)
 }
 
-fn serve_connection(state: &Arc<RelayState>, stream: TcpStream, graceful: &GracefulShutdown) {
+/// A connection and its place. A host that runs out of descriptors can reach no server either, so callers beyond the
+/// bound wait to be accepted.
+async fn accept(
+    socket: &TcpListener,
+    room: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let place = Arc::clone(room).acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, _) = socket.accept().await?;
+    Ok((stream, place))
+}
+
+fn serve_connection(
+    state: &Arc<RelayState>,
+    stream: TcpStream,
+    place: OwnedSemaphorePermit,
+    graceful: &GracefulShutdown,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -102,6 +121,7 @@
     tokio::spawn(async move {
         // A connection that its caller broke off owes nobody anything.
         let _ = watched.await;
+        drop(place);
     });
 }
 
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -41,6 +41,9 @@
 /// Kept back of the grace period: the process has to be gone before it is killed.
 const END_RESERVE_MS: Millis = Millis(400);
 
+/// Part of the descriptors that callers may take, in percent.
+const CALLERS_SHARE_PERCENT: usize = 75;
+
 /// Pause between looks at what is still open while stopping.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -109,8 +112,10 @@
         let address = settings.listen.callers;
         let socket = callers::bind(address).map_err(|source| StartError::Listen { address, source })?;
         let callers_address = socket.local_addr().map_err(|source| StartError::Listen { address, source })?;
+        let connections = settings.capacity.descriptors * CALLERS_SHARE_PERCENT / 100;
         let stop_listening = CancellationToken::new();
-        let serving = traffic.spawn(callers::serve(Arc::clone(&state), socket, stop_listening.clone()));
+        let serving =
+            traffic.spawn(callers::serve(Arc::clone(&state), socket, connections, stop_listening.clone()));
         state.metrics.observe(&state);
         traffic.spawn(status::serve(Arc::clone(&state), settings.listen.readiness, Purpose::Readiness));
         if let Some(address) = settings.listen.metrics {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,7 +3,7 @@
 //! [`Settings::load`] refuses unknown keys and values out of range with the key, the value, what is allowed
 //! and the line, so that a mistake stops one start instead of showing up under load.
 
-mod check;
+pub(crate) mod check;
 mod error;
 mod secret;
 
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -59,14 +59,25 @@
         ("observe.recent_requests", observe.recent_requests as u64, RECENT_REQUESTS),
     ];
     for (key, value, range) in numbers {
-        if !range.contains(&value) {
-            let (least, most) = range.into_inner();
-            problems.push(SettingsProblem {
-                line: line_of(text, key),
-                key: key.to_owned(),
-                fault: SettingsFault::OutOfRange { value, least, most },
-            });
-        }
+        check_number(text, key, value, range, problems);
+    }
+}
+
+/// Notes a number outside its range.
+pub(crate) fn check_number(
+    text: &str,
+    key: &str,
+    value: u64,
+    range: RangeInclusive<u64>,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    if !range.contains(&value) {
+        let (least, most) = range.into_inner();
+        problems.push(SettingsProblem {
+            line: line_of(text, key),
+            key: key.to_owned(),
+            fault: SettingsFault::OutOfRange { value, least, most },
+        });
     }
 }
 
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -6,4 +6,5 @@
 mod observe;
 mod operators;
 mod platform;
+mod relay_settings;
 mod settings;
--- /dev/null
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -0,0 +1,31 @@
+//! Settings of a relaying daemon.
+
+use hibiscusvale::relay::RelaySettings;
+use rstest::rstest;
+
+const WHOLE: &str = r#"
+host = { id = "entry-1", data_centre = "dc-1", region = "r" }
+listen = { callers = "10.0.0.1:80", readiness = "10.0.0.1:81", peers = "10.0.0.1:82" }
+store = { address = "10.0.0.9:90" }
+"#;
+
+#[test]
+fn defaults_fill_what_is_left_out() {
+    let settings = RelaySettings::parse(WHOLE).unwrap();
+    assert_eq!(settings.bounds.grace_ms.0, 8_000);
+    assert!(settings.peers.seeds.is_empty());
+    assert_eq!(settings.listen.metrics, None);
+}
+
+/// A slip of the keyboard would show only when something fails; it stops the start instead, with key, line and what is
+/// allowed.
+#[rstest]
+#[case("[bounds]\ngrace_ms = 8", "line 6: bounds.grace_ms is 8, allowed is 1000 to 600000")]
+#[case("[bounds]\nretry_ratio = -0.2", "bounds.retry_ratio")]
+#[case("[bounds]\nretry_ratio = 20.0", "bounds.retry_ratio is 2000, allowed is 0 to 1000")]
+#[case("[capacity]\ndescriptors = 12", "capacity.descriptors is 12")]
+#[case("[bounds]\ngrace = 8", "unknown field")]
+fn what_is_out_of_range_is_refused(#[case] more: &str, #[case] said: &str) {
+    let error = RelaySettings::parse(&format!("{WHOLE}{more}\n")).unwrap_err().to_string();
+    assert!(error.contains(said), "{error}");
+}
