--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -74,6 +74,17 @@
     sequence: u64,
 }
 
+/// What a message is among those of its sender.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Hearing {
+    /// It is older than one that was heard.
+    Old,
+    /// The first of a daemon that was not heard of, or not for a while.
+    First,
+    /// A further one.
+    Next,
+}
+
 /// The other daemons.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -147,22 +158,23 @@
         called.into_iter().chain(self.seeds.iter().copied()).collect()
     }
 
-    /// Takes note of a message; false when it is an old one.
-    fn hear(&self, now: Instant, from: SocketAddr, message: &Message) -> bool {
+    /// Takes note of a message.
+    fn hear(&self, now: Instant, from: SocketAddr, message: &Message) -> Hearing {
         let mut known = self.known.lock();
         let new = Peer { address: from, heard: None, called: None };
         let peer = known.entry(message.host.clone()).or_insert(new);
         let next = (message.incarnation, message.sequence);
         if peer.heard.is_some_and(|heard| next <= (heard.incarnation, heard.sequence)) {
-            return false;
+            return Hearing::Old;
         }
+        let hearing = if peer.heard.is_some() { Hearing::Next } else { Hearing::First };
         let Message { incarnation, sequence, .. } = *message;
         *peer = Peer {
             address: from,
             heard: Some(Heard { at: now, incarnation, sequence }),
             called: peer.called,
         };
-        true
+        hearing
     }
 
     /// Hosts that fell silent since the last look.
@@ -262,9 +274,14 @@
         let Ok(message) = postcard::from_bytes::<Message>(&bytes[..length]) else {
             continue;
         };
-        if message.host == *own || !state.peers.hear(Instant::now(), from, &message) {
+        if message.host == *own {
             continue;
         }
+        match state.peers.hear(Instant::now(), from, &message) {
+            Hearing::Old => continue,
+            Hearing::First => state.log.changed("daemon heard", &message.host),
+            Hearing::Next => {}
+        }
         state.freshness.heard(clock::now(), state.table.load().version(), message.stamp);
         state.engine_hub.peer(&message.host, message.holdings);
     }
