Let calls that reached nobody go on, and tell callers at once when nobody can be reached

Change: an attempt that reached nobody counts for none; all instances may be set aside for want of a connection, and then callers are refused at once; on the platform connections are given up after 0.3 s and servers tried again after 0.5 to 2 s.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -137,7 +137,12 @@
     pub fn end(&mut self, end: AttemptEnd) -> bool {
         self.under_way = self.under_way.saturating_sub(1);
         match end {
-            AttemptEnd::NotSent | AttemptEnd::Declined => false,
+            AttemptEnd::NotSent => {
+                // It reached no server, so it does not count among those that the request may be sent to.
+                self.made = self.made.saturating_sub(1);
+                false
+            }
+            AttemptEnd::Declined => false,
             AttemptEnd::MayHaveRun => {
                 self.may_have_run = true;
                 false
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -31,20 +31,25 @@
     pub sign_life_ms: Millis,
 }
 
+impl InstanceSettings {
+    /// The usual limits.
+    pub const DEFAULT: Self = Self {
+        first_latency_us: Micros(20_000),
+        slow_factor: 4,
+        slow_answers: 5,
+        strikes_max: 2,
+        aside_ms: Millis(1_000),
+        aside_max_ms: Millis(30_000),
+        timeout_factor: 20,
+        timeout_floor_ms: Millis(500),
+        timeout_ceiling_ms: Millis(10_000),
+        sign_life_ms: Millis(30_000),
+    };
+}
+
 impl Default for InstanceSettings {
     fn default() -> Self {
-        Self {
-            first_latency_us: Micros(20_000),
-            slow_factor: 4,
-            slow_answers: 5,
-            strikes_max: 2,
-            aside_ms: Millis(1_000),
-            aside_max_ms: Millis(30_000),
-            timeout_factor: 20,
-            timeout_floor_ms: Millis(500),
-            timeout_ceiling_ms: Millis(10_000),
-            sign_life_ms: Millis(30_000),
-        }
+        Self::DEFAULT
     }
 }
 
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -178,6 +178,8 @@
             self.refuse(request_id, PlainRefusal::QueueFull, wait_us, actions);
         } else if !self.instances.iter().any(|instance| instance.is_listed_live(now_us)) {
             self.refuse(request_id, PlainRefusal::NoInstance, patience_us, actions);
+        } else if let Some(opens_us) = self.nobody_until(now_us) {
+            self.refuse(request_id, PlainRefusal::NoInstance, opens_us.since(now_us), actions);
         } else if wait_us > patience_us {
             let after_us = wait_us.saturating_sub(patience_us);
             self.refuse(request_id, PlainRefusal::WouldWaitTooLong, after_us, actions);
@@ -326,6 +328,16 @@
         (aside + 1) * 2 <= live
     }
 
+    /// When the first instance may be tried again, where all are set aside now.
+    fn nobody_until(&self, now_us: MonoTime) -> Option<MonoTime> {
+        let live = || self.instances.iter().filter(|instance| instance.is_listed_live(now_us));
+        let is_aside = |instance: &Instance| instance.is_set_aside() && !instance.wants_trial(now_us, true);
+        if !live().all(is_aside) {
+            return None;
+        }
+        live().filter_map(|instance| instance.opens_at(now_us)).min()
+    }
+
     fn failed(
         &mut self,
         now_us: MonoTime,
@@ -333,7 +345,10 @@
         cause: FailureCause,
         actions: &mut Vec<PlainAction>,
     ) {
-        let may_set_aside = self.may_set_aside(now_us);
+        // An instance that takes no connection is not slow with load: it is down, or on the other side of a cut. All
+        // of them may be set aside for that: with half of them kept, a daemon that is cut off would go on trying those,
+        // and each call would wait for a connection that cannot come about.
+        let may_set_aside = cause == FailureCause::NotSent || self.may_set_aside(now_us);
         let Some(call) = self.calls.get_mut(&request_id) else {
             return;
         };
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -14,12 +14,17 @@
 const CALL_US: u64 = 10_000;
 const CAPACITY: u32 = 8;
 
+/// Time after which a connection attempt is given up.
+const CONNECT_US: u64 = 300_000;
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Kind {
     Good,
     Slow,
     Mute,
     Leaving,
+    /// No connection comes about, which shows only after a while.
+    Unreachable,
 }
 
 #[derive(Default)]
@@ -116,6 +121,7 @@
                         self.at(now_us + CALL_US * 10, PlainEvent::Done { request_id });
                     }
                     Kind::Slow | Kind::Mute => self.at(now_us + timeout_us, fail(FailureCause::Timeout)),
+                    Kind::Unreachable => self.at(now_us + CONNECT_US, fail(FailureCause::NotSent)),
                     Kind::Leaving => self.at(now_us + 1_000, fail(FailureCause::Leaving)),
                 }
             }
@@ -194,3 +200,69 @@
     let tally = fake.run();
     assert_eq!(tally.answered["a"], 400);
 }
+
+// A data centre is cut off from the others: three of four instances stand on the other side, and connection attempts to
+// them hang until they are given up. Bookings may be sent to one instance only; those that reached none may go to the
+// one on this side, and that has room for all of them.
+#[test]
+fn a_daemon_that_is_cut_off_uses_the_instance_that_it_reaches() {
+    let kinds = [Kind::Unreachable, Kind::Unreachable, Kind::Good, Kind::Unreachable];
+    let mut fake = Fake::new(&kinds);
+    let sent = 6_u64 * 20;
+    for sequence in 0..sent {
+        let request_id = RequestId { incarnation: Incarnation(7), sequence };
+        let at_us = sequence * 50_000;
+        fake.partner_of.insert(request_id, ("nadifa".to_owned(), at_us));
+        let arrival = PlainArrival {
+            request_id,
+            partner: "nadifa".parse().unwrap(),
+            repeatable: sequence % 3 == 0,
+            attempts_max: 1,
+            patience_ms: Millis(800),
+        };
+        fake.at(at_us, PlainEvent::Arrive(arrival));
+    }
+    let tally = fake.run();
+    assert_eq!(tally.unknown, 0);
+    let answered = tally.answered["nadifa"];
+    assert!(answered * 100 >= sent * 95, "{answered} of {sent} answered");
+    let in_time = tally.in_time["nadifa"];
+    assert!(in_time * 100 >= sent * 85, "{in_time} of {sent} in time");
+}
+
+// No instance can be reached at all. Held until their patience is over, callers would lose the time in which another
+// host could have served them; so once that is known they are told at once, and a call now and then looks again.
+#[test]
+fn with_nobody_to_reach_callers_are_told_at_once() {
+    let mut scheduler = PlainScheduler::new(PlainSettings::default(), 3);
+    let mut actions = Vec::new();
+    let instances = (0..2).map(|number| PlainInstance {
+        server: format!("s{number}").parse().unwrap(),
+        capacity: CAPACITY,
+        leaving: false,
+    });
+    scheduler.handle(MonoTime(0), PlainEvent::Instances(instances.collect()), &mut actions);
+    let (mut at_once, mut later) = (0, 0);
+    for sequence in 0..40 {
+        let now_us = MonoTime(sequence * 20_000);
+        let request_id = RequestId { incarnation: Incarnation(7), sequence };
+        let arrival = PlainArrival {
+            request_id,
+            partner: "nadifa".parse().unwrap(),
+            repeatable: true,
+            attempts_max: 2,
+            patience_ms: Millis(500),
+        };
+        actions.clear();
+        scheduler.handle(now_us, PlainEvent::Arrive(arrival), &mut actions);
+        let is_refused = actions.iter().any(|action| matches!(action, PlainAction::Refuse { .. }));
+        at_once += u32::from(is_refused);
+        later += u32::from(!is_refused);
+        if actions.iter().any(|action| matches!(action, PlainAction::Dispatch { .. })) {
+            let cause = FailureCause::NotSent;
+            scheduler.handle(now_us, PlainEvent::Failed { request_id, cause }, &mut Vec::new());
+            scheduler.handle(now_us, PlainEvent::CallerLeft { request_id }, &mut Vec::new());
+        }
+    }
+    assert!(at_once >= 30, "{at_once} told at once, {later} held");
+}
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -69,8 +69,13 @@
 impl BackendHttp {
     /// Makes a client with an empty pool.
     pub fn new() -> Self {
+        Self::with_connect_timeout(CONNECT_TIMEOUT)
+    }
+
+    /// Makes a client that gives a connection attempt up after `limit`.
+    pub fn with_connect_timeout(limit: Duration) -> Self {
         let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_connect_timeout(Some(limit));
         connector.set_nodelay(true);
         // A connection that went silent for good while its host lives shows in nothing else: a request or a
         // stream on it would wait until the caller's patience is over.
--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -5,7 +5,8 @@
 //! counted against all daemons that ever registered, not those that are seen: one that is cut off goes on spending.
 
 use hibiscusvale_core::relay::engines::EnginePoolSettings;
-use hibiscusvale_core::sched::PlainSettings;
+use hibiscusvale_core::sched::{InstanceSettings, PlainSettings};
+use hibiscusvale_core::units::Millis;
 
 use super::settings::BoundSettings;
 use super::state::RelayState;
@@ -17,12 +18,19 @@
 /// others have made theirs smaller.
 const HANDED_OUT_PERCENT: u64 = 80;
 
+/// How servers are judged: as everywhere, but tried again sooner. The list of servers is seconds old here, not minutes,
+/// and cuts and restarts last for seconds; set aside for half a minute a server would miss most of the time in which it
+/// is back.
+const INSTANCES: InstanceSettings =
+    InstanceSettings { aside_ms: Millis(500), aside_max_ms: Millis(2_000), ..InstanceSettings::DEFAULT };
+
 /// Limits of the schedulers of plain services.
 pub fn plain(bounds: &BoundSettings, daemons: u64) -> PlainSettings {
     PlainSettings {
         retry_percent: percent(bounds.retry_ratio),
         retry_burst: part(bounds.retry_slack, daemons),
         retry_full_at_start: false,
+        instance: INSTANCES,
         ..PlainSettings::default()
     }
 }
@@ -32,6 +40,7 @@
     EnginePoolSettings {
         retry_percent: percent(bounds.retry_ratio),
         retry_burst: part(bounds.retry_slack, daemons),
+        instance: INSTANCES,
         ..EnginePoolSettings::default()
     }
 }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -41,6 +41,10 @@
 /// Kept back of the grace period: the process has to be gone before it is killed.
 const END_RESERVE_MS: Millis = Millis(400);
 
+/// A server of the region takes a connection within some milliseconds. An opening packet that was lost is sent again
+/// after a second, too late for the targets of pages; another server is tried before that.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Part of the descriptors that callers may take, in percent.
 const CALLERS_SHARE_PERCENT: usize = 75;
 
@@ -95,7 +99,7 @@
             wire: edges.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
-            http: BackendHttp::new(),
+            http: BackendHttp::with_connect_timeout(CONNECT_TIMEOUT),
             plain_hub: PlainHub::new(budget::plain(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
             engine_hub: EngineHub::new(budget::engines(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
             freshness: Freshness::default(),
