--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -4,6 +4,9 @@
 //! accident, and the same event has the same fields everywhere. Each line is one JSON object: `level`,
 //! `timestamp` (ms since 1970), `payload` (the event) and `kv` (its fields).
 
+mod background;
+mod budget;
+
 use std::fmt;
 use std::io::{self, Write};
 use std::sync::Arc;
@@ -17,6 +20,9 @@
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
 
+use crate::clock;
+use crate::logging::background::BackgroundWriter;
+use crate::logging::budget::{Line, LineBudget};
 use crate::metrics::Label;
 use crate::settings::LogLevel;
 
@@ -28,13 +34,20 @@
 
 /// Logging could not be set up.
 #[derive(Debug, thiserror::Error)]
-#[error("could not set up logging")]
-pub struct LoggingError(#[from] spdlog::Error);
+pub enum LoggingError {
+    /// The library refused.
+    #[error("could not set up logging")]
+    Library(#[from] spdlog::Error),
+    /// The system gave no thread to write in.
+    #[error("could not start the thread that writes the log")]
+    Thread(#[from] io::Error),
+}
 
 /// The daemon's log.
 #[derive(Clone)]
 pub struct Log {
     logger: Arc<Logger>,
+    lines: Arc<LineBudget>,
 }
 
 /// A finished request, as the log shows it.
@@ -86,7 +99,7 @@
     ///
     /// [`LoggingError`] when the library refuses.
     pub fn stdout(level: LogLevel) -> Result<Self, LoggingError> {
-        Self::to_writer(level, io::stdout())
+        Self::to_writer(level, BackgroundWriter::start(io::stdout())?)
     }
 
     /// A log that writes to `target`.
@@ -98,6 +111,7 @@
     where
         Target: Write + Send + 'static,
     {
+        let lines = Arc::new(LineBudget::default());
         let buffered = io::BufWriter::with_capacity(BUFFER_BYTES, target);
         let sink = WriteSink::builder().formatter(JsonFormatter::new()).target(buffered).build_arc()?;
         let logger = Logger::builder()
@@ -106,7 +120,7 @@
             .flush_level_filter(LevelFilter::MoreSevereEqual(Level::Warn))
             .build_arc()?;
         logger.set_flush_period(Some(FLUSH_PERIOD));
-        Ok(Self { logger })
+        Ok(Self { logger, lines })
     }
 
     /// Writes what waits. Called before the process ends.
@@ -148,6 +162,11 @@
 
     /// A relayed request ended.
     pub fn relayed(&self, line: RelayLine<'_>) {
+        match self.lines.take(clock::now()) {
+            Line::Write { left_out: 0 } => {}
+            Line::Write { left_out } => self.changed("request lines left out", &left_out),
+            Line::LeaveOut => return,
+        }
         spdlog::info!(logger: self.logger, "request relayed", kv: {
             request_id: = line.request_id,
             call = line.call,
