--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -41,7 +41,7 @@
     service: String,
     request_id: RequestId,
     steps: mpsc::UnboundedReceiver<EngineAction>,
-    hub: Arc<RelayState>,
+    state: Arc<RelayState>,
 }
 
 impl OpenRequest {
@@ -52,16 +52,16 @@
 
     /// Tells the pool how a step went.
     pub fn feed(&self, event: EngineEvent) {
-        self.hub.engine_hub.feed(&self.service, event);
-        self.hub.peers.touch();
+        self.state.engine_hub.feed(&self.service, event);
+        self.state.peers.touch();
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        let hub = &self.hub.engine_hub;
+        let hub = &self.state.engine_hub;
         hub.feed(&self.service, EngineEvent::CallerLeft { request_id: self.request_id });
-        self.hub.peers.touch();
+        self.state.peers.touch();
         if let Some(service) = hub.services.lock().get_mut(&self.service) {
             service.open.remove(&self.request_id);
         }
@@ -82,7 +82,7 @@
         hub.services.lock().get_mut(service)?.open.insert(request_id, sender);
         hub.feed(service, EngineEvent::Arrive(demand));
         state.peers.touch();
-        Some(OpenRequest { service: service.to_owned(), request_id, steps, hub: Arc::clone(state) })
+        Some(OpenRequest { service: service.to_owned(), request_id, steps, state: Arc::clone(state) })
     }
 
     /// Adopts the listing.
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -3,7 +3,6 @@
 //! Hosts are replaced also in an outage, and a new one knows neither routes nor servers. Without this it would refuse
 //! every caller until the store is back, and a long outage would take one host after the other out of use.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,14 +13,11 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
 use super::state::RelayState;
-use super::watch;
+use super::{status, watch};
 use crate::backend::{Trust, read_body, uri};
 use crate::directory::{BackendServer, Listing};
 
@@ -38,12 +34,6 @@
 /// before this has passed once.
 const PAUSE: Duration = Duration::from_millis(700);
 
-/// Time for a request's head; daemons send theirs at once.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Pause after the system refused a connection.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 #[derive(Debug, Deserialize, Serialize)]
 struct Knowledge {
     table: RouteTable,
@@ -54,26 +44,7 @@
 
 /// Answers other daemons for as long as this one runs.
 pub async fn serve(state: Arc<RelayState>, socket: TcpListener) {
-    loop {
-        let Ok((stream, _)) = socket.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let state = Arc::clone(&state);
-        tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = answer(&state, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // Whoever breaks off asks another daemon.
-            let _ = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
-                .keep_alive(false)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-        });
-    }
+    status::answer_all(socket, move |request| answer(&state, request)).await;
 }
 
 fn answer(state: &RelayState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -5,13 +5,14 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::sched::FailureCause;
-use http::{HeaderMap, Request, StatusCode};
-use http_body_util::Full;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
 use super::edge::{EngineCall, Hop, ReplyHead, Wire};
 use super::state::Incoming as Arrived;
 use crate::backend::{BackendHttp, CallFailure, KnownReply, Trust, read_body, uri};
+use crate::callers::AnswerBody;
 
 /// Answers up to this size are read whole before the caller's answer starts, so that one that breaks off can be
 /// asked for again, or be told as a failure.
@@ -40,6 +41,17 @@
     pub body: Bytes,
 }
 
+impl WholeReply {
+    /// The answer that gives it to the caller.
+    pub fn into_response(self, wire: &dyn Wire) -> Response<AnswerBody> {
+        let body = Full::new(self.body).map_err(|never| match never {}).boxed_unsync();
+        let mut response = Response::new(body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = wire.answer_headers(&self.headers);
+        response
+    }
+}
+
 impl Reply {
     /// Its body, for an answer that is passed on as it comes.
     pub fn into_body(self) -> Incoming {
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod hop;
 mod metrics;
 mod orders;
+mod passing;
 mod peers;
 mod plain;
 mod refusal;
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -8,7 +8,6 @@
 use hibiscusvale_core::sched::{FailureCause, PlainAction, PlainArrival, PlainEvent, Sign};
 use hibiscusvale_core::units::Millis;
 use http::Response;
-use http_body_util::{BodyExt, Full};
 
 use super::edge::{Hop, Task};
 use super::hop::{self, WholeReply};
@@ -52,7 +51,7 @@
                     }
                     Ok(reply) => {
                         open.feed(PlainEvent::Done { request_id });
-                        return Ok(response_of(state, reply));
+                        return Ok(reply.into_response(&*state.wire));
                     }
                     Err(cause) => open.feed(PlainEvent::Failed { request_id, cause }),
                 }
@@ -64,7 +63,7 @@
             PlainAction::Wake { .. } => {}
         }
     }
-    failed.map(|reply| response_of(state, reply)).ok_or(Refusal::new(Reason::NoAnswer))
+    failed.map(|reply| reply.into_response(&*state.wire)).ok_or(Refusal::new(Reason::NoAnswer))
 }
 
 fn is_repeatable(incoming: &Incoming) -> bool {
@@ -129,11 +128,3 @@
     }
     reply.whole(timeout).await
 }
-
-fn response_of(state: &RelayState, reply: WholeReply) -> Response<AnswerBody> {
-    let body = Full::new(reply.body).map_err(|never| match never {}).boxed_unsync();
-    let mut response = Response::new(body);
-    *response.status_mut() = reply.status;
-    *response.headers_mut() = state.wire.answer_headers(&reply.headers);
-    response
-}
--- a/crates/router/src/relay/status.rs
+++ b/crates/router/src/relay/status.rs
@@ -44,18 +44,28 @@
 /// The system's error when the address cannot be bound.
 pub async fn serve(state: Arc<RelayState>, address: SocketAddr, purpose: Purpose) -> io::Result<()> {
     let socket = TcpListener::bind(address).await?;
+    answer_all(socket, move |request| answer(&state, purpose, request.uri().path())).await;
+    Ok(())
+}
+
+/// Answers short questions on `socket`, without bodies and at once, for as long as the daemon runs.
+pub async fn answer_all<Answer>(socket: TcpListener, answer: Answer)
+where
+    Answer: Fn(&Request<Incoming>) -> Response<Full<Bytes>> + Send + Sync + 'static,
+{
+    let answer = Arc::new(answer);
     loop {
         let Ok((stream, _)) = socket.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let state = Arc::clone(&state);
+        let answer = Arc::clone(&answer);
         tokio::spawn(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = answer(&state, purpose, request.uri().path());
+            let service = service_fn(move |request| {
+                let response = answer(&request);
                 async move { Ok::<_, Infallible>(response) }
             });
-            // A balancer that breaks off asks again.
+            // Whoever breaks off asks again.
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE)
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -6,36 +6,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::stream;
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{Demand, EngineAction, EngineEvent};
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, Tokens};
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::{Frame, Incoming as ServerBody};
+use http::Response;
+use hyper::body::Incoming as ServerBody;
 use tokio::net::TcpStream;
 
 use super::edge::{EventId, Generation, Hop, PromptRead, Reservation, Task};
 use super::engine_hub::{EngineHub, OpenRequest};
-use super::events::EventCutter;
 use super::hop::{self, Reply, WholeReply};
+use super::passing;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
 use super::story::Step;
 use crate::backend::Trust;
 use crate::callers::{AnswerBody, BodyBroken};
 
-/// Silence of an engine after which it is asked for another connection. Several times the longest pause that is in
-/// time; an engine that takes one lives, and its answer is owed however slowly it comes.
-const SUSPICION: Duration = Duration::from_secs(1);
-
-/// Further silence of an engine that lives after which a resumable stream goes on at another one: the open connection
-/// may be forgotten on its way, and callers leave after two seconds at the earliest.
-const SILENCE: Duration = Duration::from_millis(900);
-
 /// Time for that other connection: many round trips inside a region.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -72,20 +61,16 @@
     let reply = match tokio::time::timeout_at(incoming.deadline, run.opened()).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(refusal)) => {
-            return run.failed.take().map(|reply| whole_response(state, reply)).ok_or(refusal);
+            return run.failed.take().map(|reply| reply.into_response(&*state.wire)).ok_or(refusal);
         }
         Err(_elapsed) => return Err(Refusal::new(Reason::NoAnswerInTime)),
     };
     if !reply.status.is_success() {
         let reply = reply.whole(incoming.left()).await.map_err(|_| Refusal::new(Reason::NoAnswer))?;
-        return Ok(whole_response(state, reply));
+        return Ok(reply.into_response(&*state.wire));
     }
     let (status, headers) = (reply.status, state.wire.answer_headers(&reply.headers));
-    Ok(streamed(
-        status,
-        headers,
-        Passing { run, body: Some(reply.into_body()), cutter: EventCutter::default() },
-    ))
+    Ok(passing::streamed(status, headers, run, reply.into_body()))
 }
 
 fn demand_of(incoming: &Incoming, generation: &Generation) -> Demand {
@@ -135,16 +120,16 @@
 }
 
 /// A request between its engines.
-struct Run {
+pub(super) struct Run {
     state: Arc<RelayState>,
-    incoming: Arc<Incoming>,
-    open: OpenRequest,
+    pub(super) incoming: Arc<Incoming>,
+    pub(super) open: OpenRequest,
     read: Option<Kept>,
     reserved: Option<Reserved>,
     /// The engine that writes.
     writing_at: Option<SocketAddr>,
     /// The last event that the caller has.
-    last: Option<EventId>,
+    pub(super) last: Option<EventId>,
     /// The answer of an engine that failed, which the caller gets when there is no better one.
     failed: Option<WholeReply>,
 }
@@ -266,26 +251,26 @@
     }
 
     /// Whether the engine that writes takes another connection.
-    async fn engine_lives(&self) -> bool {
+    pub(super) async fn engine_lives(&self) -> bool {
         let Some(at) = self.writing_at else {
             return false;
         };
         matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(at)).await, Ok(Ok(_)))
     }
 
-    fn finished(&self) -> EngineEvent {
+    pub(super) fn finished(&self) -> EngineEvent {
         let request_id = self.incoming.request_id;
         let begun = self.incoming.call.after_event.unwrap_or_default().0;
         let events = self.last.unwrap_or_default().0.saturating_sub(begun);
         EngineEvent::Finished { request_id, events }
     }
 
-    fn may_repeat(&self) -> bool {
+    pub(super) fn may_repeat(&self) -> bool {
         self.incoming.route.kind.repeatability() == Repeatability::Repeatable
     }
 
     /// Goes on behind the last event at another engine.
-    async fn resumed(&mut self, cause: FailureCause) -> Result<ServerBody, BodyBroken> {
+    pub(super) async fn resumed(&mut self, cause: FailureCause) -> Result<ServerBody, BodyBroken> {
         let request_id = self.incoming.request_id;
         self.open.feed(EngineEvent::WriteFailed { request_id, cause });
         let deadline = self.incoming.deadline;
@@ -296,121 +281,3 @@
         Ok(reply.into_body())
     }
 }
-
-/// A stream on its way to its caller. It is driven by whoever takes its events, so a caller who leaves drops it and
-/// the engine's connection with it.
-struct Passing {
-    run: Run,
-    body: Option<ServerBody>,
-    cutter: EventCutter,
-}
-
-impl Passing {
-    /// The next whole events; `None` at the end of the answer.
-    async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
-        while let Some(body) = &mut self.body {
-            match next_chunk(body, &self.run).await {
-                Ok(Some(bytes)) => {
-                    let Ok(events) = self.cutter.push(&bytes) else {
-                        return Err(self.broken(FailureCause::Broken));
-                    };
-                    if let Some(events) = events {
-                        self.note_progress(events.last);
-                        return Ok(Some(events.bytes));
-                    }
-                }
-                Ok(None) => {
-                    self.body = None;
-                    self.run.incoming.note_end("answered");
-                    self.run.open.feed(self.run.finished());
-                    let rest = self.cutter.rest();
-                    return Ok((!rest.is_empty()).then_some(rest));
-                }
-                Err(cause) => self.go_on(cause).await?,
-            }
-        }
-        Ok(None)
-    }
-
-    async fn go_on(&mut self, cause: FailureCause) -> Result<(), BodyBroken> {
-        // The connection goes first: two engines must not write for one request.
-        self.body = None;
-        if !self.run.may_repeat() || self.run.incoming.left().is_zero() {
-            return Err(self.broken(cause));
-        }
-        self.cutter = EventCutter::default();
-        match self.run.resumed(cause).await {
-            Ok(body) => {
-                self.body = Some(body);
-                Ok(())
-            }
-            Err(BodyBroken) => Err(self.broken(cause)),
-        }
-    }
-
-    fn broken(&self, cause: FailureCause) -> BodyBroken {
-        self.run.incoming.note_end(super::story::cause_label(cause));
-        let request_id = self.run.incoming.request_id;
-        self.run.open.feed(EngineEvent::WriteFailed { request_id, cause });
-        BodyBroken
-    }
-
-    fn note_progress(&mut self, last: Option<EventId>) {
-        if let Some(EventId(number)) = last {
-            self.run.incoming.note_last_event(number);
-            if self.run.last == self.run.incoming.call.after_event {
-                let request_id = self.run.incoming.request_id;
-                self.run.open.feed(EngineEvent::Started { request_id });
-                self.run.incoming.note_first_event();
-            }
-            self.run.last = last;
-        }
-    }
-}
-
-/// The next bytes of an answer. Silence ends only a stream that can go on elsewhere, and at once only where the engine
-/// cannot be reached any more.
-async fn next_chunk(body: &mut ServerBody, run: &Run) -> Result<Option<Bytes>, FailureCause> {
-    if !run.may_repeat() {
-        return chunk_within(body, run.incoming.left()).await;
-    }
-    let first = chunk_within(body, SUSPICION.min(run.incoming.left())).await;
-    if first != Err(FailureCause::Timeout) || !run.engine_lives().await {
-        return first;
-    }
-    chunk_within(body, SILENCE.min(run.incoming.left())).await
-}
-
-async fn chunk_within(body: &mut ServerBody, limit: Duration) -> Result<Option<Bytes>, FailureCause> {
-    loop {
-        match tokio::time::timeout(limit, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                if let Ok(bytes) = frame.into_data() {
-                    return Ok(Some(bytes));
-                }
-            }
-            Ok(Some(Err(_))) => return Err(FailureCause::Broken),
-            Ok(None) => return Ok(None),
-            Err(_elapsed) => return Err(FailureCause::Timeout),
-        }
-    }
-}
-
-fn streamed(status: StatusCode, headers: HeaderMap, passing: Passing) -> Response<AnswerBody> {
-    let events = stream::try_unfold(passing, |mut passing| async move {
-        let next = passing.next().await?;
-        Ok::<_, BodyBroken>(next.map(|bytes| (Frame::data(bytes), passing)))
-    });
-    let mut response = Response::new(StreamBody::new(events).boxed_unsync());
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
-fn whole_response(state: &RelayState, reply: WholeReply) -> Response<AnswerBody> {
-    let body = Full::new(reply.body).map_err(|never| match never {}).boxed_unsync();
-    let mut response = Response::new(body);
-    *response.status_mut() = reply.status;
-    *response.headers_mut() = state.wire.answer_headers(&reply.headers);
-    response
-}
