--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -70,7 +70,10 @@
 #[derive(Debug)]
 pub struct RelayDaemon {
     state: Arc<RelayState>,
+    /// Callers, servers, and the schedulers' timers.
     traffic: Runtime,
+    /// Routes, servers, other daemons, orders: a burst of callers cannot delay them.
+    control: Runtime,
     stop_listening: CancellationToken,
     serving: JoinHandle<io::Result<()>>,
     settings: RelaySettings,
@@ -89,12 +92,8 @@
         incarnation: Incarnation,
     ) -> Result<Self, StartError> {
         let log = Log::stdout(settings.observe.log_level)?;
-        let traffic = Builder::new_multi_thread()
-            .worker_threads(1)
-            .thread_name("traffic")
-            .enable_all()
-            .build()
-            .map_err(StartError::Thread)?;
+        let traffic = runtime("traffic")?;
+        let control = runtime("control")?;
         let state = Arc::new(RelayState {
             wire: edges.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
@@ -126,22 +125,22 @@
             traffic.spawn(status::serve(Arc::clone(&state), address, Purpose::Metrics));
         }
         let host = settings.host.id.clone();
-        traffic.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
-        traffic.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
+        control.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
+        control.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
         let telling = peers::run(own.peer_address, own.host.clone(), Arc::clone(&state));
         let log = state.log.clone();
-        traffic.spawn(async move {
+        control.spawn(async move {
             if let Err(error) = telling.await {
                 log.fault("daemons are not told anything: the address for them cannot be bound", &error);
             }
         });
-        traffic.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
+        control.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
         // One lease for all engines of the region.
         match settings.host.region.as_str().parse() {
             Ok(scope) => {
                 let host = settings.host.id.clone();
-                traffic.spawn(Orders::new(edges.log, Arc::clone(&state), host, scope).run());
+                control.spawn(Orders::new(edges.log, Arc::clone(&state), host, scope).run());
             }
             Err(error) => {
                 state.log.fault("no orders are given: the region's name is none of a lease", &error);
@@ -151,7 +150,7 @@
         traffic.spawn(
             async move { tokio::join!(timers.plain_hub.run_timers(), timers.engine_hub.run_timers()) },
         );
-        Ok(Self { state, traffic, stop_listening, serving, settings, callers_address })
+        Ok(Self { state, traffic, control, stop_listening, serving, settings, callers_address })
     }
 
     /// Where callers are served.
@@ -187,7 +186,7 @@
     /// Stops gracefully: readiness fails first, new callers are served until the balancer has noticed, then what is
     /// open ends in its own time, within the grace period.
     pub fn stop(self) {
-        let Self { state, traffic, stop_listening, serving, settings, .. } = self;
+        let Self { state, traffic, control, stop_listening, serving, settings, .. } = self;
         state.log.changed("stopping", &state.open.load(Ordering::Relaxed));
         state.stopping.store(true, Ordering::Relaxed);
         let grace = Duration::from(settings.bounds.grace_ms.saturating_sub(END_RESERVE_MS));
@@ -205,6 +204,12 @@
         let left = state.open.load(Ordering::Relaxed);
         state.log.changed(if ended.is_ok() { "stopped" } else { "stopped with open requests" }, &left);
         state.log.flush();
+        control.shutdown_background();
         traffic.shutdown_background();
     }
 }
+
+fn runtime(name: &str) -> Result<Runtime, StartError> {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(1).thread_name(name).enable_all().build().map_err(StartError::Thread)
+}
