Drop what nobody calls in the pool of engines, and say in one place what a failed try proves

Cause: read once more, the pool had events that nothing feeds (signs, told loads), an engine's data centre and the call that drops a KV cache that nothing uses, a branch for a cause that no edge of the relay gives, and a second table of what a failed try proves beside that of plain services; both settings read their file by the same lines. Change: those are gone; the table is a method of the cause, one function reads the file, closing a request frees its writer in one place. What is decided stays as it is.

--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -2,9 +2,9 @@
 
 use super::EnginePool;
 use super::events::{EngineAction, EngineRefusal};
-use super::open::{Open, Stage};
+use super::open::Stage;
 use crate::ids::RequestId;
-use crate::outcome::{AttemptEnd, NoRetry, Outcome};
+use crate::outcome::{NoRetry, Outcome};
 use crate::sched::FailureCause;
 use crate::units::{Micros, Millis, MonoTime};
 
@@ -90,13 +90,8 @@
         self.engines[writer].end_reading(reads);
         open.stage = Stage::Waiting;
         // What a failed try brought is never a whole answer.
-        let _ = open.tries.end(end_of(cause));
-        if cause == FailureCause::Gone {
-            // The KV cache is lost, not the writer.
-            open.read = None;
-        } else {
-            open.failed_at = Some(writer);
-        }
+        let _ = open.tries.end(cause.proves());
+        open.failed_at = Some(writer);
         let room = open.room;
         self.give_back(now_us, writer, room, cause);
         self.wait_again(now_us, request_id, actions);
@@ -171,29 +166,26 @@
     }
 
     /// Forgets a request and gives back what was reserved for it.
-    fn close(&mut self, now_us: MonoTime, request_id: RequestId) -> Option<Open> {
+    pub(super) fn close(&mut self, now_us: MonoTime, request_id: RequestId) {
         self.waiting.retain(|&waiting| waiting != request_id);
-        let open = self.open.remove(&request_id)?;
-        let held = open.room;
-        match open.stage {
-            Stage::Waiting => {}
+        let Some(open) = self.open.remove(&request_id) else {
+            return;
+        };
+        let writer = match open.stage {
+            Stage::Waiting => return,
+            Stage::Reserving { writer } => writer,
             Stage::Reading { reader, writer } => {
                 self.engines[reader].end_reading(open.demand.prompt_tokens);
                 self.engines[reader].instance.abandon(now_us);
-                self.engines[writer].release(held);
-                self.engines[writer].instance.abandon(now_us);
-            }
-            Stage::Reserving { writer } => {
-                self.engines[writer].release(held);
-                self.engines[writer].instance.abandon(now_us);
+                writer
             }
             Stage::Writing { writer, reads, .. } => {
                 self.engines[writer].end_reading(reads);
-                self.engines[writer].release(held);
-                self.engines[writer].instance.abandon(now_us);
+                writer
             }
-        }
-        Some(open)
+        };
+        self.engines[writer].release(open.room);
+        self.engines[writer].instance.abandon(now_us);
     }
 
     pub(super) fn finished(&mut self, now_us: MonoTime, request_id: RequestId, events: u64) {
@@ -212,10 +204,6 @@
             self.engines[writer].instance.finish(now_us.since(since_us));
         }
     }
-
-    pub(super) fn caller_left(&mut self, now_us: MonoTime, request_id: RequestId) {
-        self.close(now_us, request_id);
-    }
 }
 
 /// Weight of the latest answer's length.
@@ -235,12 +223,3 @@
 
 /// A whole, in hundredths.
 const WHOLE: u64 = 100;
-
-/// What a failed try proves.
-fn end_of(cause: FailureCause) -> AttemptEnd {
-    match cause {
-        FailureCause::NotSent => AttemptEnd::NotSent,
-        FailureCause::NoRoom | FailureCause::Leaving | FailureCause::Gone => AttemptEnd::Declined,
-        FailureCause::Timeout | FailureCause::Broken | FailureCause::Refused => AttemptEnd::MayHaveRun,
-    }
-}
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 
-use super::events::{Holding, ListedEngine, Role, ToldLoad};
+use super::events::{Holding, ListedEngine, Role};
 use crate::ids::HostId;
 use crate::sched::InstanceSettings;
 use crate::sched::instance::Instance;
-use crate::units::{Micros, Millis, MonoTime, Tokens};
+use crate::units::{Millis, MonoTime, Tokens};
 
 /// For how long an engine that refused for want of room gets nothing more. An answer takes longer than this to
 /// be written, and each refusal is paid for out of the retry budget.
@@ -52,13 +52,6 @@
         self.instance.relist(listed.slots, listed.leaving);
     }
 
-    pub(super) fn told(&mut self, now_us: MonoTime, load: ToldLoad, age_us: Micros) {
-        // What the other daemons say is newer than what the engine says of them.
-        if self.peers.is_empty() {
-            self.instance.report(now_us, load.running + load.waiting, load.slots, age_us);
-        }
-    }
-
     /// Takes what another daemon has here; nothing when `holding` is absent.
     pub(super) fn peer(&mut self, host: &HostId, holding: Option<&Holding>) {
         match holding {
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -2,9 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{BackendServerId, DataCentreId, HostId, RequestId};
+use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::outcome::Repeatability;
-use crate::sched::{FailureCause, Sign};
+use crate::sched::FailureCause;
 use crate::units::{Micros, Millis, MonoTime, Tokens};
 
 /// What an engine does.
@@ -21,8 +21,6 @@
 pub struct ListedEngine {
     /// Its name.
     pub server: BackendServerId,
-    /// Its data centre.
-    pub data_centre: DataCentreId,
     /// What it does.
     pub role: Role,
     /// Requests that run at once.
@@ -129,7 +127,7 @@
     WriteFailed {
         /// Which request.
         request_id: RequestId,
-        /// Why. `NotSent`, `NoRoom`, `Leaving` and `Gone` prove that it did not run.
+        /// Why. `NotSent`, `NoRoom` and `Leaving` prove that it did not run.
         cause: FailureCause,
     },
     /// The answer is complete.
@@ -146,22 +144,6 @@
     },
     /// The engines, all of them.
     Engines(Vec<ListedEngine>),
-    /// A sign of an engine's state, quicker than the list.
-    Sign {
-        /// Which engine.
-        server: BackendServerId,
-        /// What it shows.
-        sign: Sign,
-    },
-    /// An engine told its load.
-    Load {
-        /// Which engine.
-        server: BackendServerId,
-        /// What it told.
-        load: ToldLoad,
-        /// Age of it.
-        age_us: Micros,
-    },
     /// What another daemon has at the engines, all of it; nothing once it is gone.
     Peer {
         /// The daemon's host.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -111,18 +111,8 @@
             EngineEvent::Finished { request_id, events } => {
                 self.finished(now_us, request_id, events);
             }
-            EngineEvent::CallerLeft { request_id } => self.caller_left(now_us, request_id),
+            EngineEvent::CallerLeft { request_id } => self.close(now_us, request_id),
             EngineEvent::Engines(list) => self.adopt(now_us, list),
-            EngineEvent::Sign { server, sign } => {
-                if let Some(&index) = self.names.get(&server) {
-                    self.engines[index].instance.sign(now_us, sign);
-                }
-            }
-            EngineEvent::Load { server, load, age_us } => {
-                if let Some(&index) = self.names.get(&server) {
-                    self.engines[index].told(now_us, load, age_us);
-                }
-            }
             EngineEvent::Peer { host, holdings } => {
                 for engine in &mut self.engines {
                     let at_engine = |holding: &&Holding| holding.server == *engine.instance.server();
--- a/crates/core/src/sched/events.rs
+++ b/crates/core/src/sched/events.rs
@@ -1,6 +1,7 @@
 //! What the scheduler is told and what it wants done.
 
 use crate::ids::{BackendServerId, ClassName, ModelId, PartnerId, RequestId};
+use crate::outcome::AttemptEnd;
 use crate::slots::{ServerLoad, SlotMessage};
 use crate::units::{Bytes, BytesPerSecond, Micros, Millis, MonoTime, Tokens};
 
@@ -66,6 +67,17 @@
     Refused,
 }
 
+impl FailureCause {
+    /// What it proves of a try at a request that is sent whole to one server.
+    pub(crate) fn proves(self) -> AttemptEnd {
+        match self {
+            Self::NotSent => AttemptEnd::NotSent,
+            Self::NoRoom | Self::Leaving => AttemptEnd::Declined,
+            Self::Timeout | Self::Broken | Self::Gone | Self::Refused => AttemptEnd::MayHaveRun,
+        }
+    }
+}
+
 /// Something the scheduler has to know.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::ids::{BackendServerId, PartnerId, RequestId};
-use crate::outcome::{AttemptEnd, Attempts, NoRetry, Outcome, Repeatability};
+use crate::outcome::{Attempts, NoRetry, Outcome, Repeatability};
 use crate::slots::{FairQueue, QueueSettings, Waiting};
 use crate::units::{Micros, Millis, MonoTime};
 
@@ -357,7 +357,7 @@
         };
         call.failed_at = Some(index);
         // What a failed try brought is never an answer for the caller.
-        let _ = call.tries.end(end_of(cause));
+        let _ = call.tries.end(cause.proves());
         if self.instances[index].fail(now_us, cause, may_set_aside) {
             self.counters.ejected_mute += 1;
         }
@@ -484,14 +484,3 @@
 
 /// Instances whose latency is looked at for the usual one.
 const MEDIAN_OF: usize = 16;
-
-/// What a failed try proves.
-fn end_of(cause: FailureCause) -> AttemptEnd {
-    match cause {
-        FailureCause::NotSent => AttemptEnd::NotSent,
-        FailureCause::NoRoom | FailureCause::Leaving => AttemptEnd::Declined,
-        FailureCause::Timeout | FailureCause::Broken | FailureCause::Gone | FailureCause::Refused => {
-            AttemptEnd::MayHaveRun
-        }
-    }
-}
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -29,13 +29,7 @@
 }
 
 pub fn listed(name: &str, role: Role) -> ListedEngine {
-    ListedEngine {
-        server: server(name),
-        data_centre: "dc-1".parse().unwrap(),
-        role,
-        slots: 12,
-        leaving: false,
-    }
+    ListedEngine { server: server(name), role, slots: 12, leaving: false }
 }
 
 pub fn settings() -> EnginePoolSettings {
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -228,9 +228,6 @@
     /// Reads what an engine says after it has read a prompt.
     fn read_prompt(&self, body: &[u8]) -> Option<PromptRead>;
 
-    /// The call that has an engine drop a KV cache.
-    fn drop_kv(&self, handle: &KvHandle) -> EngineCall;
-
     /// The call that has the engine `server` keep a slot and memory for `keep_ms`.
     fn reserve(&self, server: &BackendServerId, tokens: Tokens, keep_ms: Millis) -> EngineCall;
 
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -94,7 +94,6 @@
             };
             lists.entry(service.clone()).or_default().push(ListedEngine {
                 server: server.id.clone(),
-                data_centre: server.data_centre.clone(),
                 role: match role {
                     EngineRole::Prefill => Role::Prefill,
                     EngineRole::Decode => Role::Decode,
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 
 use crate::settings::check::check_number;
-use crate::settings::{HostSettings, ObserveSettings, SettingsError, SettingsProblem, parse_toml};
+use crate::settings::{HostSettings, ObserveSettings, SettingsError, SettingsProblem, parse_toml, read_text};
 
 /// All settings of one daemon.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -41,9 +41,7 @@
     ///
     /// [`SettingsError`] when the file cannot be read or says something that cannot stand.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-        Self::parse(&text)
+        Self::parse(&read_text(path)?)
     }
 
     /// Checks settings given as TOML text.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -61,9 +61,7 @@
     ///
     /// [`SettingsError`] when the file cannot be read or says something that cannot stand.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
-        Self::parse(&text)
+        Self::parse(&read_text(path)?)
     }
 
     /// Checks settings given as TOML text.
@@ -78,6 +76,15 @@
     }
 }
 
+/// Reads the text of a settings file.
+///
+/// # Errors
+///
+/// [`SettingsError::Read`].
+pub fn read_text(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).map_err(|source| SettingsError::Read { path: path.to_owned(), source })
+}
+
 /// Reads settings of one type from TOML text.
 ///
 /// # Errors
