--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -107,6 +107,7 @@
             incarnation,
             sequence: AtomicU64::new(0),
             open: AtomicU64::new(0),
+            servers_adopted: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             log,
             metrics: RelayMetrics::new()?,
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -146,6 +146,8 @@
     pub sequence: AtomicU64,
     /// Requests and streams under way.
     pub open: AtomicU64,
+    /// Whether the schedulers know any list of servers: before that they would refuse whoever comes.
+    pub servers_adopted: AtomicBool,
     /// Whether the daemon is about to stop.
     pub stopping: AtomicBool,
     /// Where it tells.
@@ -164,6 +166,6 @@
     pub fn is_ready(&self) -> bool {
         !self.stopping.load(Ordering::Relaxed)
             && self.table.load().is_known()
-            && self.directory.listing().version > 0
+            && self.servers_adopted.load(Ordering::Relaxed)
     }
 }
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -4,6 +4,7 @@
 use std::fmt::Display;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{BackendServerId, HostId};
@@ -226,6 +227,7 @@
     state.plain_hub.adopt(&listing);
     state.engine_hub.adopt(&listing);
     state.engine_hub.configure(&state.table.load());
+    state.servers_adopted.store(true, Ordering::Relaxed);
 }
 
 /// What the servers come to: the same for the same servers, whatever was read when.
