Tell changes of the servers from daemon to daemon

Change: whoever read a change puts it into its next three messages, with what the servers came to before and after; whoever knew the same before takes it, any other one reads. What changed of the servers is a log line now. What a daemon knows of its knowledge's age moved from watch.rs into freshness.rs. Tests: crates/router/tests/ops/relay_news.rs.

--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -82,6 +82,11 @@
         self.is_behind = false;
     }
 
+    /// Another daemon told the very change that this one was behind by.
+    pub fn caught_up(&mut self) {
+        self.is_behind = false;
+    }
+
     /// Whether knowledge of this age is newer than what is known here.
     pub fn is_older(&self, now_us: MonoTime, age_us: Micros) -> bool {
         self.as_of_us < Some(MonoTime(now_us.0.saturating_sub(age_us.0)))
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -76,6 +76,21 @@
     pub kind: BackendKind,
 }
 
+impl BackendServer {
+    /// What it does or that it leaves, for logs.
+    pub fn state_label(&self) -> &'static str {
+        match (&self.kind, self.listed) {
+            (_, ListedState::Leaving) => "leaving",
+            (BackendKind::Engine { role: EngineRole::Prefill, .. }, _) => "prefill",
+            (BackendKind::Engine { role: EngineRole::Decode, .. }, _) => "decode",
+            (BackendKind::Plain { .. }, _) => "plain",
+        }
+    }
+}
+
+/// Backend servers by name.
+pub type Servers = HashMap<BackendServerId, Arc<BackendServer>>;
+
 /// An entry host as the list has it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EntryHost {
@@ -99,7 +114,7 @@
     /// Version of the list; zero before the first read.
     pub version: u64,
     /// Backend servers by name.
-    pub servers: HashMap<BackendServerId, Arc<BackendServer>>,
+    pub servers: Servers,
     /// Entry hosts.
     pub entry_hosts: Vec<EntryHost>,
     /// Models that any listed engine serves. Each request asks for one, and the list has thousands of engines.
@@ -240,7 +255,7 @@
     }
 }
 
-fn models_of(servers: &HashMap<BackendServerId, Arc<BackendServer>>) -> HashSet<ModelId> {
+fn models_of(servers: &Servers) -> HashSet<ModelId> {
     let models = servers.values().flat_map(|server| match &server.kind {
         BackendKind::Engine { models, .. } => models.as_slice(),
         BackendKind::Plain { .. } => &[],
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -21,6 +21,7 @@
 use spdlog::{Level, LevelFilter, Logger};
 
 use crate::clock;
+use crate::directory::Servers;
 use crate::logging::background::BackgroundWriter;
 use crate::logging::budget::{Line, LineBudget};
 use crate::metrics::Label;
@@ -186,6 +187,24 @@
         spdlog::info!(logger: self.logger, "routes in force", kv: { version = version });
     }
 
+    /// Writes what changed of the servers: those that came, that changed (as leaving, or in their role), that are gone.
+    pub fn servers_changed(&self, before: &Servers, after: &Servers) {
+        let names = |mut ids: Vec<&str>| {
+            ids.sort_unstable();
+            ids.join(" ")
+        };
+        let came = after.keys().filter(|id| !before.contains_key(*id)).map(BackendServerId::as_str);
+        let gone = before.keys().filter(|id| !after.contains_key(*id)).map(BackendServerId::as_str);
+        let changed = after.values().filter(|now| before.get(&now.id).is_some_and(|was| was != *now));
+        let changed = changed.map(|now| format!("{}:{}", now.id, now.state_label()));
+        let changed: Vec<String> = changed.collect();
+        spdlog::info!(logger: self.logger, "servers changed", kv: {
+            came = names(came.collect()),
+            changed = names(changed.iter().map(String::as_str).collect()),
+            gone = names(gone.collect()),
+        });
+    }
+
     /// Something around the daemon or in its life changed: start, stop, a dependency lost or regained.
     pub fn changed(&self, what: &'static str, detail: &dyn fmt::Display) {
         spdlog::info!(logger: self.logger, "changed", kv: { what = what, detail: = detail });
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -19,13 +19,15 @@
 use super::callers;
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
+use super::freshness::Freshness;
 use super::metrics::RelayMetrics;
+use super::news::News;
 use super::orders::Orders;
 use super::peers::{self, Peers};
 use super::settings::RelaySettings;
 use super::state::RelayState;
 use super::status::{self, Purpose};
-use super::watch::{self, Freshness};
+use super::watch;
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
 use crate::directory::Directory;
@@ -102,6 +104,7 @@
             plain_hub: PlainHub::new(budget::plain(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
             engine_hub: EngineHub::new(budget::engines(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
             freshness: Freshness::default(),
+            news: News::default(),
             peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
+use super::news::digest;
 use super::state::RelayState;
 use super::{status, watch};
 use crate::backend::{Trust, read_body, uri};
@@ -125,19 +126,19 @@
 /// younger than it is.
 fn adopt(state: &RelayState, asked_us: MonoTime, knowledge: Knowledge, from: SocketAddr) {
     let is_news = watch::adopt_table(state, knowledge.table);
-    let known = state.directory.listing().version;
+    let before = state.directory.listing();
     let named = |server: BackendServer| -> (BackendServerId, Arc<BackendServer>) {
         (server.id.clone(), Arc::new(server))
     };
     let servers = knowledge.servers.into_iter().map(named).collect();
     let listing = Listing { version: knowledge.version, servers, ..Listing::default() };
     let age_us = knowledge.servers_age_us.unwrap_or(Micros(u64::MAX));
-    let is_newer = known == 0
-        || (listing.version >= known
-            && state.freshness.handed_servers(asked_us, age_us, watch::digest(&listing)));
+    let is_newer = before.version == 0
+        || (listing.version >= before.version
+            && state.freshness.handed_servers(asked_us, age_us, digest(&listing)));
     if is_newer {
         state.directory.adopt(listing);
-        watch::adopt_servers(state);
+        watch::servers_changed(state, &before);
     }
     if is_news || is_newer {
         state.log.changed("learned from another daemon", &from);
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -19,9 +19,11 @@
 use tokio::time::Instant;
 
 use super::edge::{DaemonEntry, Register};
+use super::freshness::Stamp;
 use super::handover;
+use super::news::ServerChange;
 use super::state::RelayState;
-use super::watch::Stamp;
+use super::watch;
 use crate::clock;
 
 /// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
@@ -58,6 +60,8 @@
     sequence: u64,
     /// What it knows of routes and servers.
     stamp: Stamp,
+    /// Changes of the servers that it read just now.
+    changes: Vec<ServerChange>,
     /// What it has at the engines, by service.
     holdings: Vec<(String, Holdings)>,
 }
@@ -251,6 +255,7 @@
             incarnation: state.incarnation,
             sequence,
             stamp: state.freshness.stamp(clock::now(), state.table.load().version()),
+            changes: state.news.next(),
             holdings: state.engine_hub.holdings(),
         };
         let Ok(bytes) = postcard::to_stdvec(&message) else {
@@ -288,6 +293,8 @@
             }
             Hearing::Next => {}
         }
+        // Before its stamp: with the changes taken this daemon is as far as that one.
+        watch::adopt_changes(state, message.changes);
         state.freshness.heard(clock::now(), state.table.load().version(), message.stamp, from);
         state.engine_hub.peer(&message.host, message.holdings);
     }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -15,11 +15,12 @@
 
 use super::edge::{Call, Wire};
 use super::engine_hub::EngineHub;
+use super::freshness::Freshness;
 use super::metrics::{Ended, RelayMetrics};
+use super::news::News;
 use super::peers::Peers;
 use super::settings::BoundSettings;
 use super::story::{Step, Story};
-use super::watch::Freshness;
 use crate::backend::BackendHttp;
 use crate::directory::Directory;
 use crate::dispatch::PlainHub;
@@ -136,6 +137,8 @@
     pub engine_hub: EngineHub,
     /// How old its knowledge of routes and servers is.
     pub freshness: Freshness,
+    /// Changes of the servers that the other daemons are to be told.
+    pub news: News,
     /// The other daemons.
     pub peers: Peers,
     /// What the installation allows.
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -6,5 +6,6 @@
 mod observe;
 mod operators;
 mod platform;
+mod relay_news;
 mod relay_settings;
 mod settings;
--- /dev/null
+++ b/crates/router/tests/ops/relay_news.rs
@@ -0,0 +1,89 @@
+//! Changes of the servers, told from daemon to daemon.
+
+use hibiscusvale::directory::Listing;
+use hibiscusvale::external::{ListedHost, ListedKind, ListedState};
+use hibiscusvale::relay::news::{News, ServerChange};
+use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::units::BytesPerSecond;
+
+fn plain(name: &str, state: ListedState) -> ListedHost {
+    ListedHost {
+        id: name.parse().unwrap(),
+        kind: ListedKind::Plain,
+        address: "10.1.0.9:80".parse().unwrap(),
+        peer_address: None,
+        data_centre: "z-1".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        partner: None,
+        state,
+        service: Some("app".to_owned()),
+        models: Vec::new(),
+        role: None,
+        slots_total: 6,
+        checks_fencing: false,
+        link_bytes_per_s: BytesPerSecond::ZERO,
+    }
+}
+
+fn listing(version: u64, names: &[&str]) -> Listing {
+    Listing::new(version, names.iter().map(|name| plain(name, ListedState::Live)).collect())
+}
+
+fn names(listing: &Listing) -> Vec<&str> {
+    let mut names: Vec<&str> = listing.servers.keys().map(BackendServerId::as_str).collect();
+    names.sort_unstable();
+    names
+}
+
+/// One server came and one is gone. A daemon that knew what the reader knew before is told both, and needs no call.
+#[test]
+fn a_change_brings_the_others_as_far_as_the_reader() {
+    let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-2", "i-3"]));
+    let change = ServerChange::between(&before, &after).unwrap();
+    // The same servers, read at another time.
+    let other = change.applied(&listing(7, &["i-1", "i-2"])).unwrap();
+    assert_eq!((names(&other), other.version), (vec!["i-2", "i-3"], 9));
+}
+
+/// A server begins to leave: its entry stays, and whoever does not hear of it goes on sending requests there.
+#[test]
+fn a_server_that_leaves_is_told() {
+    let before = listing(5, &["i-1", "i-2"]);
+    let leaving = before.changed(6, vec![plain("i-1", ListedState::Leaving)], &[]);
+    let told = ServerChange::between(&before, &leaving).unwrap().applied(&before).unwrap();
+    assert_eq!(told.servers[&"i-1".parse().unwrap()].listed, ListedState::Leaving);
+}
+
+/// The message before was lost. Taken on its own the next change would leave a server in use that is gone; the daemon
+/// takes nothing, stays behind and reads the store.
+#[test]
+fn a_change_of_something_else_is_not_taken() {
+    let (first, second, third) = (listing(1, &["i-1"]), listing(2, &["i-2"]), listing(3, &["i-2", "i-3"]));
+    let change = ServerChange::between(&second, &third).unwrap();
+    assert!(change.applied(&first).is_none());
+    let nothing_known = Listing::default();
+    let first_of_all = ServerChange::between(&nothing_known, &first).unwrap();
+    assert!(first_of_all.applied(&nothing_known).is_none(), "a daemon that knows nothing reads");
+}
+
+/// A whole list is news. In messages to every daemon it would fill the links of small hosts for seconds.
+#[test]
+fn what_is_too_much_for_a_message_is_read_by_all() {
+    let many: Vec<String> = (0..40).map(|number| format!("i-{number}")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    assert!(ServerChange::between(&listing(1, &["i-0"]), &listing(2, &many)).is_none());
+    assert!(
+        ServerChange::between(&listing(1, &["i-0"]), &listing(2, &["i-0"])).is_none(),
+        "nothing is no news"
+    );
+}
+
+/// Messages get lost one by one. A change is told in three of them, and no more: hosts have ten megabits.
+#[test]
+fn a_change_is_told_three_times() {
+    let news = News::default();
+    let change = ServerChange::between(&listing(1, &["i-1"]), &listing(2, &["i-2"])).unwrap();
+    news.note(change.clone());
+    let told: Vec<usize> = (0..5).map(|_| news.next().len()).collect();
+    assert_eq!(told, [1, 1, 1, 0, 0]);
+}
