--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -155,7 +155,8 @@
         let Some(open) = self.open.get(&request_id) else {
             return RETRY_AFTER_MS;
         };
-        if !self.has_writer(now_us) {
+        // With all writers set aside the wait has no end that could be told; they are tried again soon.
+        if !self.engines.iter().any(|engine| engine.is_writer(now_us)) {
             return RETRY_AFTER_MS;
         }
         let wait_us = self.expected_wait_us(now_us, open.room);
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -98,12 +98,13 @@
         self.peers.values().fold(self.instance.in_flight(), |sum, (_, peer)| sum + peer.running)
     }
 
-    /// Whether it can be given answers to write.
+    /// Whether it can be given answers to write. One that was set aside can as soon as it may be tried again: with all
+    /// of them set aside nobody would be let in who could show that they are back.
     pub(super) fn is_writer(&self, now_us: MonoTime) -> bool {
         self.role == Role::Decode
             && self.instance.is_listed_live(now_us)
             && !self.is_changing(now_us)
-            && !self.instance.is_set_aside()
+            && (!self.instance.is_set_aside() || self.instance.wants_trial(now_us, true))
     }
 
     /// Whether it takes work and has a slot free.
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -189,6 +189,31 @@
     assert!(unknown >= 20, "{unknown} were not tried again");
 }
 
+/// A link is cut for some seconds and every writer fails until all are set aside. Nobody is sent there then; if callers
+/// were refused for that alone, no request would ever show that the writers are back, and the daemon would refuse
+/// everybody for good.
+#[test]
+fn writers_that_were_all_set_aside_are_tried_again() {
+    let mut bench = Bench::new(settings(), &ENGINES);
+    for sequence in 0..40 {
+        bench.arrive(at_most_once(sequence));
+        let failed =
+            EngineEvent::ReserveFailed { request_id: request_id(sequence), cause: FailureCause::Timeout };
+        for _ in 0..4 {
+            bench.feed(failed.clone());
+        }
+        bench.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    let refused = bench.arrive(demand(100, 4_000, 4_000));
+    let [EngineAction::Refuse { retry_after_ms, .. }] = refused[..] else {
+        panic!("all are set aside: {refused:?}");
+    };
+    assert!(retry_after_ms <= Millis(5_000), "come back after {retry_after_ms}");
+    bench.after(31_000);
+    let tried = bench.arrive(demand(101, 4_000, 4_000));
+    assert!(matches!(tried[..], [EngineAction::Reserve { .. }]), "{tried:?}");
+}
+
 /// Nothing reads prompts any more: writers read them themselves rather than refuse everybody.
 #[test]
 fn writers_read_when_no_reader_is_left() {
--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -26,8 +26,9 @@
 impl Relay {
     /// Returns after a graceful stop. Further signals change nothing: the grace period bounds the stop.
     pub fn run(self) -> anyhow::Result<()> {
-        let settings = RelaySettings::load(&self.file)?;
+        // First of all: without a handler SIGHUP ends the process, and settings may change while it starts.
         let signals = signals::watch()?;
+        let settings = RelaySettings::load(&self.file)?;
         let store = Store::new(settings.store.address);
         let edges = RelayEdges {
             wire: Arc::new(PlatformWire),
--- a/crates/daemon/src/cmd/run.rs
+++ b/crates/daemon/src/cmd/run.rs
@@ -20,10 +20,11 @@
 impl Run {
     /// Returns after a graceful stop; a second signal ends the process at once.
     pub fn run(self) -> anyhow::Result<()> {
+        // First of all: without a handler SIGHUP ends the process, and settings may change while it starts.
+        let signals = signals::watch()?;
         let settings = Settings::load(&self.file)?;
         let incarnation = new_incarnation();
         let edges = Edges::new(&settings, incarnation);
-        let signals = signals::watch()?;
         let daemon = Daemon::start(&settings, edges, incarnation)?;
         // Where the settings leave the port to the system, this is how one learns it.
         println!(
