Leave reading and orders to others while the store turns this daemon away

Change: a daemon whose read or lease failed says so in its messages, and does nothing for all for 5 s; the next in rank does.

--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -21,6 +21,10 @@
 /// in force.
 const TABLE_STALE_MS: Millis = Millis(1_600);
 
+/// How long a daemon leaves duties to others after the store failed it; then it tries again, for it cannot hear that it
+/// would be answered.
+const STEP_ASIDE_MS: Millis = Millis(5_000);
+
 /// The longest sleep between looks at what is due.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -46,6 +50,8 @@
     table: Reading,
     servers: Reading,
     servers_digest: u64,
+    /// When the store last failed this daemon, until it answers again.
+    failed_us: Option<MonoTime>,
     /// Who told last of newer routes, and of newer servers.
     table_teller: Option<SocketAddr>,
     servers_teller: Option<SocketAddr>,
@@ -59,8 +65,14 @@
             ReadingSettings { period_ms: TABLE_PERIOD_MS, stale_ms: TABLE_STALE_MS, ..settings };
         let table = Reading::new(table_settings);
         let servers = Reading::new(settings);
-        let readings =
-            Readings { table, servers, servers_digest: 0, table_teller: None, servers_teller: None };
+        let readings = Readings {
+            table,
+            servers,
+            servers_digest: 0,
+            failed_us: None,
+            table_teller: None,
+            servers_teller: None,
+        };
         Self { readings: Mutex::new(readings), table_due: Notify::new(), servers_due: Notify::new() }
     }
 }
@@ -77,19 +89,35 @@
 
     /// The daemon's own read of the routes came through, as of `as_of_us`.
     pub fn table_read(&self, as_of_us: MonoTime) {
-        self.readings.lock().table.done(as_of_us);
+        let mut readings = self.readings.lock();
+        readings.table.done(as_of_us);
+        readings.failed_us = None;
     }
 
     /// The daemon's own read of the servers came through; they come to `digest`. Returns whether that is news.
     pub fn servers_read(&self, begun_us: MonoTime, digest: u64) -> bool {
         let mut readings = self.readings.lock();
         readings.servers.done(begun_us);
+        readings.failed_us = None;
         std::mem::replace(&mut readings.servers_digest, digest) != digest
     }
 
     /// A read did not come through.
-    pub fn failed(&self, followed: Followed) {
+    pub fn failed(&self, now_us: MonoTime, followed: Followed) {
         reading(&mut self.readings.lock(), followed).failed();
+        self.store_failed(now_us);
+    }
+
+    /// The store did not answer this daemon.
+    pub fn store_failed(&self, now_us: MonoTime) {
+        self.readings.lock().failed_us = Some(now_us);
+    }
+
+    /// Whether this daemon can do for all what needs the store, as far as it knows: read, and give orders. The store may
+    /// turn one daemon away and answer the others; one that kept its turn then would have the split stay wrong for as
+    /// long as that lasts, 29 s in an incident.
+    pub fn reaches_store(&self, now_us: MonoTime) -> bool {
+        self.readings.lock().failed_us.is_none_or(|failed_us| now_us >= failed_us + STEP_ASIDE_MS)
     }
 
     /// Another daemon's word has brought the servers to `digest`.
@@ -168,8 +196,9 @@
 /// Waits until a read is due and returns when it began.
 pub async fn due(state: &RelayState, own: &HostId, followed: Followed) -> MonoTime {
     loop {
-        let live = state.peers.live_hosts();
-        let is_reader = is_reader(&ReadingSettings::default(), own, live.iter());
+        let live = state.peers.hosts_at_store();
+        let reaches_store = state.freshness.reaches_store(clock::now());
+        let is_reader = reaches_store && is_reader(&ReadingSettings::default(), own, live.iter());
         let next_us = reading(&mut state.freshness.readings.lock(), followed).next_us(is_reader);
         let now_us = clock::now();
         if now_us >= next_us {
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -74,9 +74,10 @@
     }
 
     async fn look(&mut self) {
-        let live = self.state.peers.live_hosts();
+        let live = self.state.peers.hosts_at_store();
+        let is_turn = self.state.freshness.reaches_store(clock::now());
         let one = ReadingSettings { readers: 1, ..ReadingSettings::default() };
-        if !is_reader(&one, &self.host, live.iter()) || !self.state.is_ready() {
+        if !is_turn || !is_reader(&one, &self.host, live.iter()) || !self.state.is_ready() {
             return;
         }
         for _ in 0..ORDERS_AT_ONCE {
@@ -100,6 +101,8 @@
         }
         if let Err(failure) = self.read_log().await {
             self.state.log.changed("lease not read", &failure);
+            self.state.freshness.store_failed(clock::now());
+            self.state.peers.touch();
             return None;
         }
         // Records are kept for a while only. Where there have been any, an earlier holder may still act whose record
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -60,6 +60,8 @@
     sequence: u64,
     /// What it knows of routes and servers.
     stamp: Stamp,
+    /// Whether it can do for all what needs the store.
+    reaches_store: bool,
     /// Changes of the servers that it read just now.
     changes: Vec<ServerChange>,
     /// What it has at the engines, by service.
@@ -78,6 +80,7 @@
     at: Instant,
     incarnation: Incarnation,
     sequence: u64,
+    reaches_store: bool,
 }
 
 /// What a message is among those of its sender.
@@ -119,6 +122,15 @@
         known.iter().filter(|(_, peer)| is_live(peer, now)).map(|(host, _)| host.clone()).collect()
     }
 
+    /// Hosts of those among them that can do for all what needs the store.
+    pub fn hosts_at_store(&self) -> Vec<HostId> {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let is_at_store =
+            |peer: &Peer| is_live(peer, now) && peer.heard.is_some_and(|heard| heard.reaches_store);
+        known.iter().filter(|(_, peer)| is_at_store(peer)).map(|(host, _)| host.clone()).collect()
+    }
+
     /// Addresses of the daemons that were heard of lately, and of all others behind them.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let now = Instant::now();
@@ -174,10 +186,10 @@
             return Hearing::Old;
         }
         let hearing = if peer.heard.is_some() { Hearing::Next } else { Hearing::First };
-        let Message { incarnation, sequence, .. } = *message;
+        let Message { incarnation, sequence, reaches_store, .. } = *message;
         *peer = Peer {
             address: from,
-            heard: Some(Heard { at: now, incarnation, sequence }),
+            heard: Some(Heard { at: now, incarnation, sequence, reaches_store }),
             called: peer.called,
         };
         hearing
@@ -255,6 +267,7 @@
             incarnation: state.incarnation,
             sequence,
             stamp: state.freshness.stamp(clock::now(), state.table.load().version()),
+            reaches_store: state.freshness.reaches_store(clock::now()),
             changes: state.news.next(),
             holdings: state.engine_hub.holdings(),
         };
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -44,7 +44,7 @@
             }
             Err(failure) => {
                 link.lost(&state, &failure);
-                state.freshness.failed(Followed::Table);
+                state.freshness.failed(clock::now(), Followed::Table);
                 catch_up(&state).await;
             }
         }
@@ -98,7 +98,7 @@
             Err(failure) => {
                 lapses.lost();
                 link.lost(&state, &failure);
-                state.freshness.failed(Followed::Servers);
+                state.freshness.failed(clock::now(), Followed::Servers);
                 catch_up(&state).await;
             }
         }
