--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -8,7 +8,7 @@
 mod daemon;
 pub mod edge;
 mod engine_hub;
-mod events;
+pub mod events;
 mod freshness;
 mod handover;
 mod hop;
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -6,6 +6,7 @@
 mod observe;
 mod operators;
 mod platform;
+mod relay_events;
 mod relay_news;
 mod relay_settings;
 mod settings;
