Tell a request's story from the logs of several hosts

Cause: an engineer had to grep for the request, read its steps and look by hand for what its host knew at the time. Change: hibiscusvale story ID FILE... prints the steps, what the host learned in the ten seconds before, and how many lines were left out. Hosts' clocks differ, so lines of others are not merged by time. Test: crates/client/tests/client/story.rs.

--- a/completions/hibiscusvale.bash
+++ b/completions/hibiscusvale.bash
@@ -1,5 +1,5 @@
 _hibiscusvale() {
-  local word words="--help --version --json --config --log --host --partner --key-file --author completions delete history keygen list man members outcomes publish status validate wait why"
+  local word words="--help --version --json --config --log --host --partner --key-file --author completions delete history keygen list man members outcomes publish status story validate wait why"
   for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
     case "$word" in
     completions) words="--help --daemon" ;;
@@ -12,6 +12,7 @@
     outcomes) words="--help --all" ;;
     publish) words="--help --class --first-token-ms --per-token-ms --response-ms --no-wait --timeout-ms" ;;
     status) words="--help" ;;
+    story) words="--help" ;;
     validate) words="--help" ;;
     wait) words="--help --offset --timeout-ms" ;;
     why) words="--help" ;;
--- a/completions/hibiscusvale.fish
+++ b/completions/hibiscusvale.fish
@@ -42,6 +42,8 @@
 complete -c hibiscusvale -n '__fish_seen_subcommand_from publish' -l timeout-ms -d 'how long to wait; default 10000'
 complete -c hibiscusvale -n __fish_use_subcommand -f -a status -d 'show what is in force on which host'
 complete -c hibiscusvale -n '__fish_seen_subcommand_from status' -l help -d 'print this help'
+complete -c hibiscusvale -n __fish_use_subcommand -f -a story -d 'tell what became of a request, from log files'
+complete -c hibiscusvale -n '__fish_seen_subcommand_from story' -l help -d 'print this help'
 complete -c hibiscusvale -n __fish_use_subcommand -f -a validate -d 'check a class file'
 complete -c hibiscusvale -n '__fish_seen_subcommand_from validate' -l help -d 'print this help'
 complete -c hibiscusvale -n __fish_use_subcommand -f -a wait -d 'wait until a version is in force on every host'
--- a/crates/client/src/cmd/mod.rs
+++ b/crates/client/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 mod outcomes;
 mod publish;
 mod status;
+mod story;
 mod validate;
 mod wait;
 mod why;
@@ -93,6 +94,9 @@
     /// What is in force where.
     #[options(help = "show what is in force on which host")]
     Status(status::Status),
+    /// Tells a request's story.
+    #[options(help = "tell what became of a request, from log files")]
+    Story(story::Story),
     /// Checks a class file.
     #[options(help = "check a class file")]
     Validate(validate::Validate),
@@ -158,6 +162,7 @@
             Self::Outcomes(command) => command.run(context).await?,
             Self::Publish(command) => command.run(context).await?,
             Self::Status(command) => command.run(context).await?,
+            Self::Story(command) => command.run()?,
             Self::Validate(command) => command.run()?,
             Self::Wait(command) => command.run(context).await?,
             Self::Why(command) => command.run(context).await?,
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -137,6 +137,16 @@
         /// The request.
         request_id: String,
     },
+    /// No log has a line of the request.
+    #[error(
+        "no line of {id} in {files} log files; lines are left out under load, so ask for its metrics and its retries"
+    )]
+    NotLogged {
+        /// The request's name.
+        id: String,
+        /// Files that were read.
+        files: usize,
+    },
 }
 
 /// A command line that does not go together.
@@ -214,7 +224,7 @@
             Self::NotAppended { .. } => 5,
             Self::Unknown { .. } | Self::LogShorter { .. } => 6,
             Self::NotInForce { .. } => 7,
-            Self::NotFound { .. } => 8,
+            Self::NotFound { .. } | Self::NotLogged { .. } => 8,
         }
     }
 }
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod manual;
 pub mod publisher;
 pub mod report;
+pub mod story;
 
 use std::process::ExitCode;
 
--- a/crates/client/tests/client/main.rs
+++ b/crates/client/tests/client/main.rs
@@ -3,5 +3,6 @@
 mod files;
 mod keys;
 mod publishing;
+mod story;
 mod watching;
 mod world;
