--- a/crates/client/tests/client/story.rs
+++ b/crates/client/tests/client/story.rs
@@ -23,7 +23,7 @@
 /// lines were left out, and the last one was cut off in the middle.
 #[test]
 fn a_refused_request_is_told_step_by_step() {
-    let [told] = &find("c-1", &logs())[..] else {
+    let [told] = &*find("c-1", &logs()) else {
         panic!("one try");
     };
     assert_eq!((told.host.as_str(), told.request_id.as_str()), ("front-1", "19c3-b"));
