Say in one place that a wait has no end that is known, and drop a count that was never set

Cause: read again, the mend for writers that were all set aside stood beside the forecast: the caller of the forecast asked first whether there is any writer, and the forecast itself still divided by almost nothing. The load that a pool's engine reported was looked at as well, though nothing reports to the pool. Change: the forecast returns nothing while no writer takes any, and both its callers go by that. Engine::running is the sum of what the daemons hold; Instance::load, which only it called, is gone. Result: behaviour as before but for requests of no size at all, which are now refused too while every writer is set aside. Tests of the core pass unchanged, writers_that_were_all_set_aside_are_tried_again among them.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -56,21 +56,26 @@
         let reading_ms = self.expected_reading_ms(now_us, &open.demand);
         let within_ms = if open.is_late(now_us) { open.patience_ms() } else { open.demand.target_ms };
         let limit_us = Micros::from(within_ms.saturating_sub(reading_ms + START_MARGIN_MS));
-        self.expected_wait_us(now_us, open.room) > limit_us
+        self.expected_wait_us(now_us, open.room).is_none_or(|wait_us| wait_us > limit_us)
     }
 
-    /// Time until there is room for one more request behind all that wait at all daemons.
-    pub(super) fn expected_wait_us(&self, now_us: MonoTime, room: Tokens) -> Micros {
+    /// Time until there is room for one more request behind all that wait at all daemons; `None` while no writer takes
+    /// any, for then nothing that is known says when.
+    pub(super) fn expected_wait_us(&self, now_us: MonoTime, room: Tokens) -> Option<Micros> {
         let limit = self.memory_limit();
         let writers = || self.engines.iter().filter(|engine| engine.is_writer(now_us));
         let peak = |writer: &Engine| writer.peak(now_us, self.usual.pace(), None);
+        let count = writers().count();
+        if count == 0 {
+            return None;
+        }
         let free = writers().fold(Tokens::ZERO, |sum, writer| sum + limit.saturating_sub(peak(writer)));
         let ahead =
             self.waiting_room(now_us) + self.peers.values().fold(room, |sum, (waiting, _)| sum + *waiting);
         let missing = ahead.saturating_sub(free);
-        let freed_per_us = (writers().count() as u64 * limit.0) as f64 / self.usual_hold_us();
+        let freed_per_us = (count as u64 * limit.0) as f64 / self.usual_hold_us();
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
-        Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64)
+        Some(Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64))
     }
 
     /// Memory that the requests which wait here will take. Those that are late already wait behind all others.
--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -155,11 +155,9 @@
         let Some(open) = self.open.get(&request_id) else {
             return RETRY_AFTER_MS;
         };
-        // With all writers set aside the wait has no end that could be told; they are tried again soon.
-        if !self.engines.iter().any(|engine| engine.is_writer(now_us)) {
+        let Some(wait_us) = self.expected_wait_us(now_us, open.room) else {
             return RETRY_AFTER_MS;
-        }
-        let wait_us = self.expected_wait_us(now_us, open.room);
+        };
         let hundredths = SPREAD_FROM + request_id.sequence.wrapping_mul(SPREAD_STEP) % SPREAD_WIDTH;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
         let answer_us = self.usual_hold_us() as u64 * hundredths / WHOLE;
@@ -204,7 +202,8 @@
     }
 }
 
-/// Told to a caller who is refused for want of any engine: one that restarts is back within seconds.
+/// Told to a caller who is refused for want of any engine: one that restarts is back within seconds, and one that was set
+/// aside is tried again within two.
 const RETRY_AFTER_MS: Millis = Millis(1_500);
 
 /// Spread of the time to come back, in hundredths of the time that an answer takes.
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -91,10 +91,7 @@
     }
 
     /// Requests of all daemons.
-    pub(super) fn running(&self, now_us: MonoTime) -> u32 {
-        if self.peers.is_empty() {
-            return self.instance.load(now_us);
-        }
+    pub(super) fn running(&self) -> u32 {
         self.peers.values().fold(self.instance.in_flight(), |sum, (_, peer)| sum + peer.running)
     }
 
@@ -111,7 +108,7 @@
     pub(super) fn has_slot(&self, now_us: MonoTime) -> bool {
         !self.is_changing(now_us)
             && self.instance.has_room(now_us)
-            && self.running(now_us) < self.instance.limit(now_us)
+            && self.running() < self.instance.limit(now_us)
     }
 
     /// What this daemon has here, if anything.
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -165,12 +165,6 @@
         self.in_flight
     }
 
-    /// Requests of all daemons, as far as known.
-    pub(crate) fn load(&self, now_us: MonoTime) -> u32 {
-        let others = self.others.filter(|&(as_of_us, _)| now_us < as_of_us + REPORT_LIFE_MS);
-        self.in_flight + others.map_or(0, |(_, others)| others)
-    }
-
     pub(crate) fn latency_us(&self) -> Option<u64> {
         self.latency_us.map(whole)
     }
