Take servers from another daemon in one way, and hash them once

Cause: read again, a daemon that knew no servers took them on a path of its own, which left what they come to at nothing: it then took every daemon's word for news and asked once more. What a told change comes to was worked out twice, and the hosts heard of lately were collected only to be counted. Change: the first servers go through the same check as later ones. The change says itself what the servers come to. Peers::live counts. Result: one question less of a daemon that starts in an outage; else as before.

--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -133,9 +133,8 @@
     let servers = knowledge.servers.into_iter().map(named).collect();
     let listing = Listing { version: knowledge.version, servers, ..Listing::default() };
     let age_us = knowledge.servers_age_us.unwrap_or(Micros(u64::MAX));
-    let is_newer = before.version == 0
-        || (listing.version >= before.version
-            && state.freshness.handed_servers(asked_us, age_us, digest(&listing)));
+    let is_newer = listing.version >= before.version
+        && state.freshness.handed_servers(asked_us, age_us, digest(&listing));
     if is_newer {
         state.directory.adopt(listing);
         watch::servers_changed(state, &before);
--- a/crates/router/src/relay/news.rs
+++ b/crates/router/src/relay/news.rs
@@ -54,6 +54,11 @@
         })
     }
 
+    /// What the servers come to after this change.
+    pub fn digest(&self) -> u64 {
+        self.to
+    }
+
     /// The listing after this change; `None` when it is not a change of `known`.
     pub fn applied(self, known: &Listing) -> Option<Listing> {
         if known.version == 0 || digest(known) != self.from {
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -115,11 +115,10 @@
         self.changed.notify_one();
     }
 
-    /// Hosts of the daemons that were heard of lately.
-    pub fn live_hosts(&self) -> Vec<HostId> {
+    /// Daemons that were heard of lately.
+    pub fn live(&self) -> u64 {
         let now = Instant::now();
-        let known = self.known.lock();
-        known.iter().filter(|(_, peer)| is_live(peer, now)).map(|(host, _)| host.clone()).collect()
+        self.known.lock().values().filter(|peer| is_live(peer, now)).count() as u64
     }
 
     /// Hosts of those among them that can do for all what needs the store.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -130,8 +130,9 @@
 pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>) {
     for change in changes {
         let before = state.directory.listing();
+        let digest = change.digest();
         if let Some(listing) = change.applied(&before) {
-            state.freshness.servers_told(digest(&listing));
+            state.freshness.servers_told(digest);
             state.directory.adopt(listing);
             servers_changed(state, &before);
         }
