Reset connections to servers when a call on them is given up

Its trace: the read of a prompt was sent at 5.86 s from a data centre that was cut off, given up, the caller refused at 8.16 s; the closed connection went on delivering, and the sixth sending, 6.2 s after the first, came after the cut had healed. So the guess that knowledge came late is ruled out: the daemon knew, and the request was no longer its own to stop. Change: connections of the client are closed with a linger of zero, which discards what was not delivered. The test fails without the change for both kinds of connection.

--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -1,5 +1,6 @@
 //! HTTP calls to backend servers, and what a failed call proves.
 
+use std::future::{Ready, ready};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,7 +10,11 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tower::util::AndThen;
+use tower::{BoxError, ServiceExt};
 
 /// A host that does not answer a connection attempt within this is as good as gone: the slowest link inside
 /// a region takes 3 ms, between regions some 300 ms.
@@ -53,11 +58,17 @@
     Fresh,
 }
 
+/// A connection, or why it cannot be used.
+type Opened = Ready<Result<TokioIo<TcpStream>, BoxError>>;
+
+/// Opens connections that are reset when they are closed.
+type ResettingConnector = AndThen<HttpConnector, fn(TokioIo<TcpStream>) -> Opened>;
+
 /// HTTP client towards backend servers.
 #[derive(Clone, Debug)]
 pub struct BackendHttp {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    fresh: Client<HttpConnector, Full<Bytes>>,
+    pooled: Client<ResettingConnector, Full<Bytes>>,
+    fresh: Client<ResettingConnector, Full<Bytes>>,
 }
 
 impl Default for BackendHttp {
@@ -83,6 +94,7 @@
         connector.set_keepalive_interval(Some(SILENCE_PROBE));
         connector.set_keepalive_retries(Some(SILENCE_PROBES));
         connector.set_tcp_user_timeout(Some(SILENCE_PROBE * SILENCE_PROBES));
+        let connector = connector.and_then(reset_on_close as fn(_) -> _);
         let build = |idle_connections: usize| {
             Client::builder(TokioExecutor::new())
                 .pool_timer(TokioTimer::new())
@@ -136,6 +148,16 @@
     }
 }
 
+/// Has the system discard what was not delivered when a connection is closed.
+///
+/// A call that is given up closes its connection. Closed in the usual way, the system goes on sending the request for
+/// as long as it takes: one that was held up by a cut link reaches its server seconds after its caller was told that
+/// it has not run, and after the server has said that it leaves. A reset discards it.
+fn reset_on_close(connection: TokioIo<TcpStream>) -> Opened {
+    let set = SockRef::from(connection.inner()).set_linger(Some(Duration::ZERO));
+    ready(set.map(|()| connection).map_err(BoxError::from))
+}
+
 /// An answer, and the connection that it came on.
 #[derive(Debug)]
 pub struct KnownReply {
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -1,5 +1,6 @@
 //! Tests of settings, logs, metrics and the edges towards the platform and operators.
 
+mod backend_http;
 mod config;
 mod directory;
 mod memory_log;
