Keep memory free at writers by how far answers miss their expected length

Cause: a fixed 15 % of a writer's memory stood empty, also where answers are a tenth of their prompts and nothing was ever thrown out. Change: 2 % for what no daemon knows, and two standard deviations of what the running answers may still grow beyond what is expected, learned from the answers that ended.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -64,7 +64,7 @@
     pub(super) fn expected_wait_us(&self, now_us: MonoTime, room: Tokens) -> Option<Micros> {
         let limit = self.memory_limit();
         let writers = || self.engines.iter().filter(|engine| engine.is_writer(now_us));
-        let peak = |writer: &Engine| writer.peak(now_us, self.usual.pace(), None);
+        let peak = |writer: &Engine| writer.peak(now_us, &self.usual, None);
         let count = writers().count();
         if count == 0 {
             return None;
--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -195,7 +195,8 @@
         if let Stage::Writing { writer, since_us, reads } = open.stage {
             self.engines[writer].end_reading(reads);
             let answer = Tokens(events * self.settings.event_tokens);
-            self.fading.seen.note_answer(answer, now_us.since(since_us));
+            let expected = open.room.saturating_sub(open.demand.prompt_tokens);
+            self.fading.seen.note_answer(answer, expected, now_us.since(since_us));
             self.engines[writer].release(request_id);
             self.engines[writer].instance.finish(now_us.since(since_us));
         }
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -3,7 +3,8 @@
 use std::collections::HashMap;
 
 use super::events::{Holding, ListedEngine, Role};
-use super::packing::{Growth, peak};
+use super::packing::{Growth, peak, reserve};
+use super::seen::Seen;
 use crate::ids::{HostId, RequestId};
 use crate::sched::InstanceSettings;
 use crate::sched::instance::Instance;
@@ -73,9 +74,11 @@
         own.chain(others).map(move |(as_of_us, growth)| growth.after(now_us.since(as_of_us), tokens_per_ms))
     }
 
-    /// Most memory that the requests of all daemons will take, with one more if there is one.
-    pub(super) fn peak(&self, now_us: MonoTime, tokens_per_ms: f64, more: Option<Growth>) -> Tokens {
-        peak(self.growths(now_us, tokens_per_ms).chain(more))
+    /// Most memory that the requests of all daemons may take, with one more if there is one: what is expected, and what is
+    /// kept free for answers that grow longer.
+    pub(super) fn peak(&self, now_us: MonoTime, usual: &Seen, more: Option<Growth>) -> Tokens {
+        let growths: Vec<Growth> = self.growths(now_us, usual.pace()).chain(more).collect();
+        peak(growths.iter().copied()) + reserve(growths.into_iter(), usual.spread())
     }
 
     /// Memory that the requests of all daemons will have taken when they end.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -27,7 +27,7 @@
     ToldLoad,
 };
 use open::Open;
-pub use packing::{Growth, peak};
+pub use packing::{Growth, peak, reserve};
 use seen::Fading;
 pub use seen::Seen;
 pub use settings::EnginePoolSettings;
--- a/crates/core/src/relay/engines/packing.rs
+++ b/crates/core/src/relay/engines/packing.rs
@@ -43,6 +43,26 @@
 /// scatter by half of their mean, and most of them lie close behind the expectation.
 const OVERDUE_DIVISOR: u64 = 8;
 
+/// Standard deviations that are kept free: one answer in some forty batches outgrows that.
+const DEVIATIONS: f64 = 2.0;
+
+/// Memory that the requests may take beyond their peak, for answers that grow longer than expected.
+///
+/// Load: writers filled to the brim in a burst. Harm prevented: one whose answers grow beyond what was expected throws a
+/// running request out; its caller sees a pause, and its prompt is read again. How far answers may miss their expected
+/// length follows from how far they did lately (`spread`, a part of the length), and lengths are independent of each
+/// other. A fixed part of the memory in its place is too much where prompts are long and answers short, and too little the
+/// other way round: 0.029 of worth less than this on a deployment whose answers are a tenth of their prompts.
+pub fn reserve<Growths>(growths: Growths, spread: f64) -> Tokens
+where
+    Growths: Iterator<Item = Growth>,
+{
+    let square = |growth: Growth| (growth.rest().0 as f64).powi(2);
+    let deviation = spread * growths.map(square).sum::<f64>().sqrt();
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive count")]
+    Tokens((DEVIATIONS * deviation) as u64)
+}
+
 /// Most memory that the requests take together from now on, if each writes at the same pace.
 pub fn peak<Growths>(growths: Growths) -> Tokens
 where
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -196,7 +196,7 @@
         };
         let filled = (0..self.engines.len()).filter(takes).filter_map(|index| {
             let engine = &self.engines[index];
-            let peak = engine.peak(now_us, self.usual.pace(), Some(growth));
+            let peak = engine.peak(now_us, &self.usual, Some(growth));
             let running = engine.running();
             // Alone it may take all there is, whatever was expected of it.
             (running == 0 || peak <= limit).then_some((peak, running, index))
--- a/crates/core/src/relay/engines/seen.rs
+++ b/crates/core/src/relay/engines/seen.rs
@@ -17,6 +17,15 @@
 /// Tokens that an engine writes for one request in a millisecond, until it was observed.
 const FIRST_PACE: f64 = 1.7;
 
+/// Answers that the first guess at their spread counts for: as many as end at one writer in some seconds.
+const FIRST_ANSWERS: f32 = 8.0;
+
+/// That guess: answers miss their expected length by half of it.
+const FIRST_MISSES: f32 = FIRST_ANSWERS * 0.25;
+
+/// Largest square that one answer counts for: one that is ten times longer than expected tells little of the others.
+const MISS_MAX: f32 = 4.0;
+
 /// Sums over the requests of the last seconds, older ones counting less.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Seen {
@@ -28,6 +37,8 @@
     answer_tokens: f32,
     /// Time for which the requests that ended had memory at a writer.
     held_ms: f32,
+    /// Squares of how far the answers that ended missed their expected length, as a part of it.
+    misses: f32,
 }
 
 impl Seen {
@@ -37,10 +48,13 @@
         self.hinted_tokens += hinted.0 as f32;
     }
 
-    pub(super) fn note_answer(&mut self, answer: Tokens, held_us: Micros) {
+    /// Notes an answer that ended, beside the length that was expected of it.
+    pub(super) fn note_answer(&mut self, answer: Tokens, expected: Tokens, held_us: Micros) {
         self.answers += 1.0;
         self.answer_tokens += answer.0 as f32;
         self.held_ms += held_us.0 as f32 / 1_000.0;
+        let miss = (answer.0 as f32 - expected.0 as f32) / (expected.0 as f32).max(1.0);
+        self.misses += miss.powi(2).min(MISS_MAX);
     }
 
     /// Both together.
@@ -53,6 +67,7 @@
             answers: self.answers + other.answers,
             answer_tokens: self.answer_tokens + other.answer_tokens,
             held_ms: self.held_ms + other.held_ms,
+            misses: self.misses + other.misses,
         }
     }
 
@@ -64,6 +79,7 @@
             answers: self.answers / 2.0,
             answer_tokens: self.answer_tokens / 2.0,
             held_ms: self.held_ms / 2.0,
+            misses: self.misses / 2.0,
         }
     }
 
@@ -87,6 +103,11 @@
         mean(self.answer_tokens, self.held_ms).unwrap_or(FIRST_PACE)
     }
 
+    /// How far answers miss their expected length, as a part of it: a standard deviation.
+    pub(super) fn spread(&self) -> f64 {
+        f64::from((self.misses + FIRST_MISSES) / (self.answers + FIRST_ANSWERS)).sqrt()
+    }
+
     /// Time for which a request has memory at a writer.
     pub(super) fn held_us(&self) -> Option<f64> {
         let held_ms = mean(self.held_ms, self.answers);
--- a/crates/core/src/relay/engines/settings.rs
+++ b/crates/core/src/relay/engines/settings.rs
@@ -10,8 +10,8 @@
     pub instance: InstanceSettings,
     /// Tokens that an engine's memory holds.
     pub memory_tokens: Tokens,
-    /// Part of the memory that is filled at most, in percent. Answers grow beyond what was expected, and an
-    /// engine without memory throws a running request out.
+    /// Part of the memory that is filled at most, in percent. The rest is for what no daemon knows: memory goes by
+    /// blocks, and word of the other daemons' requests is some milliseconds old.
     pub fill_percent: u64,
     /// Tokens that one event of a stream stands for.
     pub event_tokens: u64,
@@ -39,7 +39,7 @@
         Self {
             instance: InstanceSettings::default(),
             memory_tokens: Tokens(80_000),
-            fill_percent: 85,
+            fill_percent: 98,
             event_tokens: 1,
             reserve_ms_max: Millis::ZERO,
             role_change_ms: Millis(6_000),
