Follow what running answers take by their events

Change: the pool is told of the first event and each doubling; pace and memory follow from that. The sums that daemons tell each other become ratios of one type.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -35,6 +35,7 @@
             reads: 0,
             read: None,
             failed_at: None,
+            progress: None,
         };
         self.open.insert(request_id, open);
         if !self.has_writer(now_us) {
--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -75,6 +75,26 @@
         }
     }
 
+    /// Follows what a running answer takes.
+    ///
+    /// Load: the first seconds of a deployment, and engines that turn slow or fast. Harm prevented: until answers have
+    /// ended, seconds later, their pace would be a guess; ten times off, it has writers refused as full that are half
+    /// empty, and the split of engines judged wrong.
+    pub(super) fn progress(&mut self, now_us: MonoTime, request_id: RequestId, events: u64) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let Stage::Writing { writer, .. } = open.stage else {
+            return;
+        };
+        let written = Tokens(events * self.settings.event_tokens);
+        self.engines[writer].written(now_us, request_id, open.demand.prompt_tokens + written);
+        if let Some((before_us, before)) = open.progress.replace((now_us, events)) {
+            let tokens = Tokens(events.saturating_sub(before) * self.settings.event_tokens);
+            self.fading.seen.note_written(tokens, now_us.since(before_us));
+        }
+    }
+
     pub(super) fn write_failed(
         &mut self,
         now_us: MonoTime,
@@ -90,6 +110,7 @@
         };
         self.engines[writer].end_reading(reads);
         open.stage = Stage::Waiting;
+        open.progress = None;
         // What a failed try brought is never a whole answer.
         let _ = open.tries.end(cause.proves());
         open.failed_at = Some(writer);
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// An answer has grown to this.
+    pub(super) fn written(&mut self, now_us: MonoTime, request_id: RequestId, now: Tokens) {
+        if let Some((as_of_us, growth)) = self.held.get_mut(&request_id) {
+            *as_of_us = now_us;
+            *growth = Growth { now, grows: true, ..*growth };
+        }
+    }
+
     pub(super) fn begin_reading(&mut self, tokens: Tokens) {
         self.reading += tokens;
     }
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -129,6 +129,13 @@
         /// Which request.
         request_id: RequestId,
     },
+    /// More events of the answer arrived.
+    Progress {
+        /// Which request.
+        request_id: RequestId,
+        /// Events that its answer has by now.
+        events: u64,
+    },
     /// Writing the answer failed.
     WriteFailed {
         /// Which request.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -11,6 +11,7 @@
 mod open;
 mod packing;
 mod placing;
+mod ratio;
 mod seen;
 mod settings;
 mod splitting;
@@ -119,6 +120,7 @@
                 self.read_failed(now_us, request_id, cause, actions);
             }
             EngineEvent::Started { request_id } => self.started(now_us, request_id),
+            EngineEvent::Progress { request_id, events } => self.progress(now_us, request_id, events),
             EngineEvent::WriteFailed { request_id, cause } => {
                 self.write_failed(now_us, request_id, cause, actions);
             }
--- a/crates/core/src/relay/engines/open.rs
+++ b/crates/core/src/relay/engines/open.rs
@@ -62,4 +62,6 @@
     /// The engine that read the prompt, and when, while the KV cache may still be there.
     pub(super) read: Option<(usize, MonoTime)>,
     pub(super) failed_at: Option<usize>,
+    /// How many events its answer had when that was last told, and when.
+    pub(super) progress: Option<(MonoTime, u64)>,
 }
--- /dev/null
+++ b/crates/core/src/relay/engines/ratio.rs
@@ -0,0 +1,49 @@
+//! A mean that is kept as two sums, so that those of several daemons add up and old ones fade.
+
+use serde::{Deserialize, Serialize};
+
+/// A sum over another: tokens over requests, tokens over milliseconds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Ratio {
+    sum: f32,
+    weight: f32,
+}
+
+impl Ratio {
+    /// What is believed before anything was seen: `value`, as if it had been seen with `weight`.
+    pub(super) const fn prior(value: f32, weight: f32) -> Self {
+        Self { sum: value * weight, weight }
+    }
+
+    pub(super) fn note(&mut self, sum: f64, weight: f64) {
+        #[expect(clippy::cast_possible_truncation, reason = "seven digits are plenty for a mean")]
+        let (sum, weight) = (sum as f32, weight as f32);
+        self.sum += sum;
+        self.weight += weight;
+    }
+
+    #[must_use]
+    pub(super) fn and(self, other: Self) -> Self {
+        Self { sum: self.sum + other.sum, weight: self.weight + other.weight }
+    }
+
+    #[must_use]
+    pub(super) fn halved(self) -> Self {
+        Self { sum: self.sum / 2.0, weight: self.weight / 2.0 }
+    }
+
+    pub(super) fn weight(self) -> f64 {
+        f64::from(self.weight)
+    }
+
+    /// The mean; nothing until something was seen.
+    pub(super) fn mean(self) -> Option<f64> {
+        (self.sum > 0.0 && self.weight > 0.0).then(|| f64::from(self.sum) / f64::from(self.weight))
+    }
+
+    /// The mean together with what was believed before.
+    pub(super) fn mean_with(self, prior: Self) -> f64 {
+        let Self { sum, weight } = self.and(prior);
+        f64::from(sum) / f64::from(weight).max(f64::MIN_POSITIVE)
+    }
+}
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -51,6 +51,11 @@
         self.steps.recv().await
     }
 
+    /// Tells the pool what the other daemons need not hear at once.
+    pub fn feed_quietly(&self, event: EngineEvent) {
+        self.state.engine_hub.feed(&self.service, event);
+    }
+
     /// Tells the pool how a step went.
     pub fn feed(&self, event: EngineEvent) {
         self.state.engine_hub.feed(&self.service, event);
--- a/crates/router/src/relay/passing.rs
+++ b/crates/router/src/relay/passing.rs
@@ -24,12 +24,18 @@
 /// may be forgotten on its way, and callers leave after two seconds at the earliest.
 const SILENCE: Duration = Duration::from_millis(900);
 
+/// The pool is told of the first event and of each doubling after it: soon, when a pace is not known yet, and seven times
+/// for an answer of a hundred events.
+const TELL_FACTOR: u64 = 2;
+
 /// A stream on its way to its caller. It is driven by whoever takes its events, so a caller who leaves drops it and
 /// the engine's connection with it.
 struct Passing {
     run: Run,
     body: Option<ServerBody>,
     cutter: EventCutter,
+    /// Number of the event at which the pool is told of the progress again.
+    tell_at: u64,
 }
 
 impl Passing {
@@ -85,11 +91,15 @@
     fn note_progress(&mut self, last: Option<EventId>) {
         if let Some(EventId(number)) = last {
             self.run.incoming.note_last_event(number);
+            let request_id = self.run.incoming.request_id;
             if self.run.last == self.run.incoming.call.after_event {
-                let request_id = self.run.incoming.request_id;
                 self.run.open.feed(EngineEvent::Started { request_id });
                 self.run.incoming.note_first_event();
             }
+            if number >= self.tell_at {
+                self.tell_at = number * TELL_FACTOR;
+                self.run.open.feed_quietly(EngineEvent::Progress { request_id, events: number });
+            }
             self.run.last = last;
         }
     }
@@ -130,7 +140,7 @@
     run: Run,
     body: ServerBody,
 ) -> Response<AnswerBody> {
-    let passing = Passing { run, body: Some(body), cutter: EventCutter::default() };
+    let passing = Passing { run, body: Some(body), cutter: EventCutter::default(), tell_at: 1 };
     let events = stream::try_unfold(passing, |mut passing| async move {
         let next = passing.next().await?;
         Ok::<_, BodyBroken>(next.map(|bytes| (Frame::data(bytes), passing)))
