Learn how fast engines read, and have writers read only what would be late

Cause: reading speed, slowness of writers, usual pause and the point at which a reader is busy were constants of one engine. Prompts above 4,750 tokens were never read by writers, though answers go on between pieces of a prompt. Change: speeds and the part of the reading for which answers stand still are learned from requests of all daemons; a writer reads where that makes an answer in time.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -4,6 +4,7 @@
 use super::engine::Engine;
 use super::events::{Demand, EngineAction, EngineRefusal, Role};
 use super::open::{Open, Stage};
+use super::reading::START_MARGIN_MS;
 use crate::ids::RequestId;
 use crate::outcome::{Attempts, Outcome};
 use crate::units::{Micros, Millis, MonoTime, Tokens};
@@ -155,9 +156,6 @@
 /// reading its prompt again costs more than the room.
 const ANSWER_MARGIN: f64 = 1.25;
 
-/// Kept back of the target for messages and for the first step of the writer.
-const START_MARGIN_MS: Millis = Millis(100);
-
 /// Pause between looks at engines that were full by what they told: that knowledge becomes old by itself.
 const LOOK_AGAIN_MS: Millis = Millis(50);
 
--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -18,7 +18,7 @@
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
-        let Stage::Reading { reader, writer } = open.stage else {
+        let Stage::Reading { reader, writer, since_us, ahead } = open.stage else {
             return;
         };
         open.read = Some((reader, now_us));
@@ -30,6 +30,7 @@
         let prompt_tokens = open.demand.prompt_tokens;
         self.engines[reader].end_reading(prompt_tokens);
         self.engines[reader].instance.finish(Micros::ZERO);
+        self.note_reading(prompt_tokens, ahead, now_us.since(since_us));
         self.write(now_us, request_id, writer, Some(reader), actions);
     }
 
@@ -43,7 +44,7 @@
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
-        let Stage::Reading { reader, writer } = open.stage else {
+        let Stage::Reading { reader, writer, .. } = open.stage else {
             return;
         };
         open.stage = Stage::Waiting;
@@ -65,14 +66,20 @@
     }
 
     pub(super) fn started(&mut self, now_us: MonoTime, request_id: RequestId) {
-        if let Some(open) = self.open.get_mut(&request_id) {
-            open.read = None;
-            open.begun = true;
-            if let Stage::Writing { writer, reads, .. } = &mut open.stage {
-                self.engines[*writer].end_reading(std::mem::take(reads));
-                self.engines[*writer].grows(now_us, request_id);
-            }
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        open.read = None;
+        open.begun = true;
+        let Stage::Writing { writer, since_us, reads } = &mut open.stage else {
+            return;
+        };
+        let (writer, since_us, reads) = (*writer, *since_us, std::mem::take(reads));
+        if reads > Tokens::ZERO {
+            self.note_own_reading(now_us, writer, reads, since_us);
         }
+        self.engines[writer].end_reading(reads);
+        self.engines[writer].grows(now_us, request_id);
     }
 
     /// Follows what a running answer takes.
@@ -80,7 +87,13 @@
     /// Load: the first seconds of a deployment, and engines that turn slow or fast. Harm prevented: until answers have
     /// ended, seconds later, their pace would be a guess; ten times off, it has writers refused as full that are half
     /// empty, and the split of engines judged wrong.
-    pub(super) fn progress(&mut self, now_us: MonoTime, request_id: RequestId, events: u64) {
+    pub(super) fn progress(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        events: u64,
+        longest_pause_ms: Millis,
+    ) {
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
@@ -92,6 +105,7 @@
         if let Some((before_us, before)) = open.progress.replace((now_us, events)) {
             let tokens = Tokens(events.saturating_sub(before) * self.settings.event_tokens);
             self.fading.seen.note_written(tokens, now_us.since(before_us));
+            self.note_pause(now_us, writer, before_us, longest_pause_ms);
         }
     }
 
@@ -194,7 +208,7 @@
         let writer = match open.stage {
             Stage::Waiting => return,
             Stage::Reserving { writer } => writer,
-            Stage::Reading { reader, writer } => {
+            Stage::Reading { reader, writer, .. } => {
                 self.engines[reader].end_reading(open.demand.prompt_tokens);
                 self.engines[reader].instance.abandon(now_us);
                 writer
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -26,6 +26,8 @@
     /// What the other daemons have there, and when they told.
     peers: HashMap<HostId, (MonoTime, Holding)>,
     full_until_us: MonoTime,
+    /// When a writer last read a prompt itself for this daemon: from and to.
+    pub(super) own_reading_us: Option<(MonoTime, MonoTime)>,
     /// Until when it changes its role and takes nothing.
     pub(super) changing_until_us: MonoTime,
     /// When this daemon ordered it last.
@@ -41,6 +43,7 @@
             held: HashMap::new(),
             peers: HashMap::new(),
             full_until_us: MonoTime::default(),
+            own_reading_us: None,
             changing_until_us: MonoTime::default(),
             ordered_us: None,
         }
@@ -159,11 +162,6 @@
         self.reading = self.reading.saturating_sub(tokens);
     }
 
-    /// Time for what it has to read.
-    pub(super) fn reading_ms(&self, tokens_per_ms: u64) -> Millis {
-        Millis(self.reading_all().0 / tokens_per_ms.max(1))
-    }
-
     pub(super) fn refused(&mut self, now_us: MonoTime) {
         self.full_until_us = now_us + FULL_MS;
     }
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -135,6 +135,8 @@
         request_id: RequestId,
         /// Events that its answer has by now.
         events: u64,
+        /// Longest pause between them since this was told last.
+        longest_pause_ms: Millis,
     },
     /// Writing the answer failed.
     WriteFailed {
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -12,6 +12,7 @@
 mod packing;
 mod placing;
 mod ratio;
+mod reading;
 mod seen;
 mod settings;
 mod splitting;
@@ -120,7 +121,9 @@
                 self.read_failed(now_us, request_id, cause, actions);
             }
             EngineEvent::Started { request_id } => self.started(now_us, request_id),
-            EngineEvent::Progress { request_id, events } => self.progress(now_us, request_id, events),
+            EngineEvent::Progress { request_id, events, longest_pause_ms } => {
+                self.progress(now_us, request_id, events, longest_pause_ms);
+            }
             EngineEvent::WriteFailed { request_id, cause } => {
                 self.write_failed(now_us, request_id, cause, actions);
             }
--- a/crates/core/src/relay/engines/open.rs
+++ b/crates/core/src/relay/engines/open.rs
@@ -16,6 +16,9 @@
     Reading {
         reader: usize,
         writer: usize,
+        since_us: MonoTime,
+        /// Prompt tokens that the reader had to read by then, with its own.
+        ahead: Tokens,
     },
     Writing {
         writer: usize,
@@ -31,6 +34,11 @@
         now_us + self.demand.waited_ms >= self.arrived_us + self.demand.target_ms
     }
 
+    /// How long its caller has waited, with earlier tries.
+    pub(super) fn age_ms(&self, now_us: MonoTime) -> Millis {
+        now_us.since(self.arrived_us).to_millis_ceil() + self.demand.waited_ms
+    }
+
     /// How long it waits for an engine. One whose caller has waited too long before, with earlier tries, is served if
     /// there is room soon; for holding it longer its caller gets too little.
     pub(super) fn patience_ms(&self) -> Millis {
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -3,7 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::EnginePool;
-use super::events::{Demand, EngineAction, Role};
+use super::events::{EngineAction, Role};
 use super::open::Stage;
 use super::packing::Growth;
 use crate::ids::{BackendServerId, HostId, RequestId};
@@ -127,17 +127,18 @@
         let reader = match kept {
             None if can_pay => self
                 .choose_reader(now_us, failed_at)
-                .filter(|&reader| !self.had_better_read_itself(writer, reader, &open.demand)),
+                .filter(|&reader| !self.had_better_read_itself(now_us, writer, reader, open)),
             Some(_) | None => None,
         };
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
         if let Some(reader) = reader {
-            open.stage = Stage::Reading { reader, writer };
             self.engines[reader].begin_reading(prompt_tokens);
             self.engines[reader].instance.start(now_us);
-            let expected_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
+            let ahead = self.engines[reader].reading_all();
+            open.stage = Stage::Reading { reader, writer, since_us: now_us, ahead };
+            let expected_ms = self.reading_ms(ahead);
             actions.push(EngineAction::Read {
                 request_id,
                 reader: self.engines[reader].instance.server().clone(),
@@ -231,53 +232,6 @@
         };
         fitting.iter().find(is_own).copied()
     }
-
-    /// Whether a writer had better read a prompt itself than have it wait for a reader.
-    ///
-    /// Load: bursts of short prompts while readers are busy. Harm prevented: they would wait behind long ones. Limit: a
-    /// writer takes one prompt at a time, for all its answers pause meanwhile.
-    fn had_better_read_itself(&self, writer: usize, reader: usize, demand: &Demand) -> bool {
-        let backlog_ms = self.engines[reader].reading_ms(self.settings.read_tokens_per_ms);
-        backlog_ms > BUSY_READER_MS
-            && self.engines[writer].reading_all() == Tokens::ZERO
-            && self.may_be_read_by_writers(demand)
-    }
-
-    /// Whether the pause of a writer's answers while it reads a prompt stays within what answers may have.
-    fn may_be_read_by_writers(&self, demand: &Demand) -> bool {
-        let pause_ms = self.reading_at_writer_ms(demand) + USUAL_PAUSE_MS;
-        demand.gap_target_ms.is_some_and(|gap_ms| pause_ms <= gap_ms)
-    }
-
-    fn reading_at_writer_ms(&self, demand: &Demand) -> Millis {
-        Millis(demand.prompt_tokens.0 * SLOWER_AT_WRITERS / self.settings.read_tokens_per_ms.max(1))
-    }
-
-    /// Time until a prompt that came now would be read: by the reader with the least to do, or by a writer.
-    pub(super) fn expected_reading_ms(&self, now_us: MonoTime, demand: &Demand) -> Millis {
-        let rate = self.settings.read_tokens_per_ms;
-        let at_writer_ms = self.reading_at_writer_ms(demand);
-        let Some(reader) = self.choose_reader(now_us, None) else {
-            return at_writer_ms;
-        };
-        let own_ms = Millis(demand.prompt_tokens.0 / rate.max(1));
-        let at_reader_ms = self.engines[reader].reading_ms(rate) + own_ms;
-        if self.may_be_read_by_writers(demand) { at_reader_ms.min(at_writer_ms) } else { at_reader_ms }
-    }
-
-    /// The reader with the least to read.
-    fn choose_reader(&self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
-        let fits = |index: &usize| {
-            let engine = &self.engines[*index];
-            engine.role == Role::Prefill
-                && Some(*index) != failed_at
-                && !engine.is_full(now_us)
-                && engine.has_slot(now_us)
-        };
-        let count = self.engines.len().max(1);
-        let order = (0..self.engines.len()).map(|step| (step + self.turn) % count);
-        order.filter(fits).min_by_key(|&index| self.engines[index].reading_all())
-    }
 }
 
 /// A daemon's claim on a writer; the least one has it.
@@ -290,15 +244,6 @@
 /// The first quarter of the writers that have room are about equally empty.
 const EMPTIER_DIVISOR: usize = 4;
 
-/// Times that a writer takes longer to read a prompt than a reader.
-const SLOWER_AT_WRITERS: u64 = 2;
-
-/// Pause between two events of an answer at a full writer that reads nothing, with a margin for the network.
-const USUAL_PAUSE_MS: Millis = Millis(110);
-
-/// What a reader has before it is worth while to disturb a writer: about two prompts of usual length.
-const BUSY_READER_MS: Millis = Millis(180);
-
 /// An engine answers a reservation within two round trips; a silent one must not cost a request its target.
 const RESERVE_TIMEOUT_MS: Millis = Millis(150);
 
--- a/crates/core/src/relay/engines/seen.rs
+++ b/crates/core/src/relay/engines/seen.rs
@@ -23,6 +23,17 @@
 /// as end at one writer in some seconds.
 const FIRST_MISS: Ratio = Ratio::prior(0.25, 8.0);
 
+/// Prompt tokens that a reader takes in a millisecond, until that was observed. Counts for four prompts of 100 ms.
+const FIRST_READING: Ratio = Ratio::prior(50.0, 400.0);
+
+/// Prompt tokens that a writer takes in a millisecond, until that was observed: half of what a reader does. Counts for four
+/// prompts of 200 ms.
+const FIRST_OWN_READING: Ratio = Ratio::prior(25.0, 800.0);
+
+/// Until it was observed, answers stand still all the while that their writer reads. Counts for four prompts of 200 ms, by
+/// their squares.
+const FIRST_STALL: Ratio = Ratio::prior(1.0, 160_000.0);
+
 /// Largest square that one answer counts for: one that is ten times longer than expected tells little of the others.
 const MISS_MAX: f64 = 4.0;
 
@@ -41,6 +52,12 @@
     miss: Ratio,
     /// Tokens that a running answer grows by in a millisecond.
     pace: Ratio,
+    /// Prompt tokens that a reader takes in a millisecond.
+    reading: Ratio,
+    /// Prompt tokens that a writer takes in a millisecond, between the steps of its answers.
+    own_reading: Ratio,
+    /// Part of the time in which a writer reads a prompt for which one of its answers stands still.
+    stall: Ratio,
 }
 
 impl Seen {
@@ -62,6 +79,22 @@
         self.pace.note(tokens.0 as f64, millis(span_us));
     }
 
+    /// Notes how long a reader took that had nothing else to read.
+    pub(super) fn note_reading(&mut self, prompt: Tokens, span_us: Micros) {
+        self.reading.note(prompt.0 as f64, millis(span_us));
+    }
+
+    /// Notes how long a writer took that had nothing else to read.
+    pub(super) fn note_own_reading(&mut self, prompt: Tokens, span_us: Micros) {
+        self.own_reading.note(prompt.0 as f64, millis(span_us));
+    }
+
+    /// Notes for how long an answer stood still while its writer read a prompt. Long prompts weigh more: short ones are
+    /// read within one pause in any case.
+    pub(super) fn note_stall(&mut self, stalled_ms: f64, reading_ms: f64) {
+        self.stall.note(stalled_ms * reading_ms, reading_ms * reading_ms);
+    }
+
     /// Both together.
     #[must_use]
     pub(super) fn and(self, other: Self) -> Self {
@@ -72,6 +105,9 @@
             held_ms: self.held_ms.and(other.held_ms),
             miss: self.miss.and(other.miss),
             pace: self.pace.and(other.pace),
+            reading: self.reading.and(other.reading),
+            own_reading: self.own_reading.and(other.own_reading),
+            stall: self.stall.and(other.stall),
         }
     }
 
@@ -83,6 +119,9 @@
             held_ms: self.held_ms.halved(),
             miss: self.miss.halved(),
             pace: self.pace.halved(),
+            reading: self.reading.halved(),
+            own_reading: self.own_reading.halved(),
+            stall: self.stall.halved(),
         }
     }
 
@@ -106,6 +145,21 @@
         self.pace.mean().unwrap_or(FIRST_PACE)
     }
 
+    /// Prompt tokens that a reader takes in a millisecond.
+    pub(super) fn reading_per_ms(&self) -> f64 {
+        self.reading.mean_with(FIRST_READING)
+    }
+
+    /// Prompt tokens that a writer takes in a millisecond.
+    pub(super) fn own_reading_per_ms(&self) -> f64 {
+        self.own_reading.mean_with(FIRST_OWN_READING)
+    }
+
+    /// Part of the time in which a writer reads a prompt for which an answer stands still.
+    pub(super) fn stall(&self) -> f64 {
+        self.stall.mean_with(FIRST_STALL)
+    }
+
     /// How far answers miss their expected length, as a part of it: a standard deviation.
     pub(super) fn spread(&self) -> f64 {
         self.miss.mean_with(FIRST_MISS).sqrt()
--- a/crates/router/src/relay/passing.rs
+++ b/crates/router/src/relay/passing.rs
@@ -6,9 +6,11 @@
 use futures_util::stream;
 use hibiscusvale_core::relay::engines::EngineEvent;
 use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::Millis;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming as ServerBody};
+use tokio::time::Instant;
 
 use super::edge::EventId;
 use super::events::EventCutter;
@@ -34,8 +36,35 @@
     run: Run,
     body: Option<ServerBody>,
     cutter: EventCutter,
-    /// Number of the event at which the pool is told of the progress again.
+    progress: Progress,
+}
+
+/// What the pool is told of an answer while it runs.
+struct Progress {
+    /// Number of the event at which it is told again.
     tell_at: u64,
+    last_event_at: Option<Instant>,
+    /// Longest pause since it was told.
+    longest_pause: Duration,
+}
+
+impl Progress {
+    fn new() -> Self {
+        Self { tell_at: 1, last_event_at: None, longest_pause: Duration::ZERO }
+    }
+
+    /// Takes an event; says the longest pause when it is time to tell.
+    fn note(&mut self, at: Instant, number: u64) -> Option<Millis> {
+        if let Some(before) = self.last_event_at.replace(at) {
+            self.longest_pause = self.longest_pause.max(at - before);
+        }
+        if number < self.tell_at {
+            return None;
+        }
+        self.tell_at = number * TELL_FACTOR;
+        let pause = std::mem::take(&mut self.longest_pause);
+        Some(Millis(u64::try_from(pause.as_millis()).unwrap_or(u64::MAX)))
+    }
 }
 
 impl Passing {
@@ -96,9 +125,9 @@
                 self.run.open.feed(EngineEvent::Started { request_id });
                 self.run.incoming.note_first_event();
             }
-            if number >= self.tell_at {
-                self.tell_at = number * TELL_FACTOR;
-                self.run.open.feed_quietly(EngineEvent::Progress { request_id, events: number });
+            if let Some(longest_pause_ms) = self.progress.note(Instant::now(), number) {
+                let progress = EngineEvent::Progress { request_id, events: number, longest_pause_ms };
+                self.run.open.feed_quietly(progress);
             }
             self.run.last = last;
         }
@@ -140,7 +169,7 @@
     run: Run,
     body: ServerBody,
 ) -> Response<AnswerBody> {
-    let passing = Passing { run, body: Some(body), cutter: EventCutter::default(), tell_at: 1 };
+    let passing = Passing { run, body: Some(body), cutter: EventCutter::default(), progress: Progress::new() };
     let events = stream::try_unfold(passing, |mut passing| async move {
         let next = passing.next().await?;
         Ok::<_, BodyBroken>(next.map(|bytes| (Frame::data(bytes), passing)))
