Judge the split by what engines would serve over the time to come

Cause: the split wanted readers for a fixed part of what writers take in theory, with a reading speed that engines do not reach, and ordered engines away for eight seconds for little. Change: the number of readers with which most is served over 30 s, with learned speeds, less what is missed while engines change.

--- a/crates/core/src/relay/engines/splitting.rs
+++ b/crates/core/src/relay/engines/splitting.rs
@@ -9,9 +9,9 @@
 use crate::ids::BackendServerId;
 use crate::units::{Micros, Millis, MonoTime};
 
-/// Part of what the writers can take, at full load, that readers must be able to read. The rest is read by writers:
-/// short prompts, while readers are busy. Long ones must not be refused for want of readers.
-const READ_SHARE: f64 = 0.6;
+/// Time for which the load is taken to stay as it is: an engine that changes its role must earn more in this time than it
+/// misses while it changes. Traffic turns from long prompts to long answers within some tens of seconds.
+const HORIZON_MS: Millis = Millis(30_000);
 
 /// Readers that there are at least: without any, long prompts pause the answers of whoever reads them.
 const READERS_MIN: usize = 1;
@@ -45,12 +45,39 @@
     wrong_since_us: Option<MonoTime>,
 }
 
+/// What one engine does.
+#[derive(Clone, Copy, Debug)]
+struct EnginePace {
+    /// Prompts that a reader reads.
+    read_per_ms: f64,
+    /// Requests for which a writer has memory.
+    at_once: f64,
+    /// Time for which each has it.
+    held_ms: f64,
+    /// The same time, of all its requests together, that a writer loses when it reads a prompt itself.
+    own_reading_held_ms: f64,
+}
+
+impl EnginePace {
+    /// Requests that so many engines serve: as many as readers read and writers hold, and beyond what readers read as many
+    /// as writers can both read and hold.
+    fn served_per_ms(&self, readers: usize, writers: usize) -> f64 {
+        let (readers, held) = (readers as f64, writers as f64 * self.at_once);
+        let read = readers * self.read_per_ms;
+        let written = held / self.held_ms;
+        if read >= written {
+            return written;
+        }
+        (held + read * self.own_reading_held_ms) / (self.held_ms + self.own_reading_held_ms)
+    }
+}
+
 impl EnginePool {
     /// The engine to order next, if the split has been wrong for long enough.
     pub fn next_shift(&mut self, now_us: MonoTime) -> Option<Shift> {
         self.look_back(now_us);
         let (readers, live) = self.count(now_us);
-        let wanted = self.readers_wanted(now_us, live)?;
+        let wanted = self.readers_wanted(now_us, readers, live)?;
         if readers == wanted {
             self.split.wrong_since_us = None;
             return None;
@@ -90,25 +117,43 @@
         (live().filter(|engine| engine.role == Role::Prefill).count(), live().count())
     }
 
-    /// The least number of readers that reads its part of what the writers can take.
-    fn readers_wanted(&self, now_us: MonoTime, live: usize) -> Option<usize> {
+    /// The number of readers with which most requests are served over the time to come, with what is missed while engines
+    /// change their roles.
+    fn readers_wanted(&self, now_us: MonoTime, readers: usize, live: usize) -> Option<usize> {
         if live <= READERS_MIN || self.usual.prompts() < PROMPTS_MIN {
             return None;
         }
+        let pace = self.engine_pace(now_us)?;
+        let change_ms = (self.settings.role_change_ms + LIST_LAG_MS).0 as f64;
+        let served_now = pace.served_per_ms(readers, live - readers);
+        let missed_a_change = served_now / live as f64 * change_ms;
+        let earned = |wanted: usize| {
+            let served = pace.served_per_ms(wanted, live - wanted) * HORIZON_MS.0 as f64;
+            served - missed_a_change * wanted.abs_diff(readers) as f64
+        };
+        (READERS_MIN..live).max_by(|&one, &other| {
+            let nearer = other.abs_diff(readers).cmp(&one.abs_diff(readers));
+            earned(one).total_cmp(&earned(other)).then(nearer)
+        })
+    }
+
+    /// What one engine does with requests like those of late.
+    fn engine_pace(&self, now_us: MonoTime) -> Option<EnginePace> {
         let slots = self.engines.iter().map(|engine| engine.instance.limit(now_us)).max().unwrap_or(1).into();
         let longest = self.settings.memory_tokens.0 as f64;
         let (prompt, answer) = (self.usual.prompt()?, self.usual.answer()?);
         // Over its life a request takes its prompt and half of its answer.
         let room = (prompt + answer / 2.0).clamp(1.0, longest);
         let at_once = (self.memory_limit().0 as f64 / room).min(slots);
-        let prompt_ms = prompt / self.settings.read_tokens_per_ms.max(1) as f64;
-        let written_per_ms = at_once / (self.usual_hold_us() / 1_000.0).max(1.0);
-        let read_per_ms = 1.0 / prompt_ms.max(f64::MIN_POSITIVE);
-        let is_enough = |readers: &usize| {
-            let writers = live - *readers;
-            *readers as f64 * read_per_ms >= READ_SHARE * writers as f64 * written_per_ms
-        };
-        (READERS_MIN..live).find(is_enough)
+        let reading_ms = prompt / self.usual.reading_per_ms();
+        let own_reading_ms = prompt / self.usual.own_reading_per_ms();
+        Some(EnginePace {
+            read_per_ms: 1.0 / reading_ms.max(1.0),
+            at_once,
+            // Its memory is kept while its prompt is read.
+            held_ms: (reading_ms + answer / self.usual.pace()).max(1.0),
+            own_reading_held_ms: at_once * own_reading_ms,
+        })
     }
 
     /// Engines that change their role by this daemon's order, and for how much longer.
