Yield as soon as an answer cannot be in time any more

Cause: in a burst requests were placed when up to their whole target was gone, and became late while they were read. Change: a request counts as late when what is still to come takes longer than is left.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -55,8 +55,9 @@
     /// and the others are in time.
     fn would_be_late(&self, now_us: MonoTime, request_id: RequestId) -> bool {
         let open = &self.open[&request_id];
-        let reading_ms = self.expected_reading_ms(now_us, &open.demand);
-        let within_ms = if open.is_late(now_us) { open.patience_ms() } else { open.demand.target_ms };
+        let backlog = self.least_backlog(now_us);
+        let reading_ms = self.expected_reading_ms(&open.demand, backlog);
+        let within_ms = if self.is_late(now_us, open, backlog) { open.patience_ms() } else { open.demand.target_ms };
         let limit_us = Micros::from(within_ms.saturating_sub(reading_ms + START_MARGIN_MS));
         self.expected_wait_us(now_us, open.room).is_none_or(|wait_us| wait_us > limit_us)
     }
@@ -83,7 +84,8 @@
     /// Memory that the requests which wait here will take. Those that are late already wait behind all others.
     pub(super) fn waiting_room(&self, now_us: MonoTime) -> Tokens {
         let waiting = self.waiting.iter().map(|request_id| &self.open[request_id]);
-        let rooms = waiting.filter(|open| !open.is_late(now_us)).map(|open| open.room);
+        let backlog = self.least_backlog(now_us);
+        let rooms = waiting.filter(|open| !self.is_late(now_us, open, backlog)).map(|open| open.room);
         rooms.fold(Tokens::ZERO, |sum, room| sum + room)
     }
 
--- a/crates/core/src/relay/engines/open.rs
+++ b/crates/core/src/relay/engines/open.rs
@@ -29,9 +29,9 @@
 }
 
 impl Open {
-    /// Whether its answer cannot be in time for its caller any more.
-    pub(super) fn is_late(&self, now_us: MonoTime) -> bool {
-        now_us + self.demand.waited_ms >= self.arrived_us + self.demand.target_ms
+    /// Whether its answer cannot be in time for its caller any more, with what is still to come before its first event.
+    pub(super) fn is_late(&self, now_us: MonoTime, ahead_ms: Millis) -> bool {
+        self.age_ms(now_us) + ahead_ms >= self.demand.target_ms
     }
 
     /// How long its caller has waited, with earlier tries.
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -26,9 +26,10 @@
     /// here go before those that have: a place given to a late one makes the next one late as well. Among equals the
     /// smaller rank, then the one that came first.
     fn most_urgent(&self, now_us: MonoTime) -> Option<usize> {
+        let backlog = self.least_backlog(now_us);
         let key = |request_id: &RequestId| {
             let open = &self.open[request_id];
-            (!open.begun, open.is_late(now_us), open.demand.priority, open.arrived_us, *request_id)
+            (!open.begun, self.is_late(now_us, open, backlog), open.demand.priority, open.arrived_us, *request_id)
         };
         (0..self.waiting.len()).min_by_key(|&position| key(&self.waiting[position]))
     }
@@ -37,7 +38,8 @@
     fn place(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<EngineAction>) -> bool {
         let open = &self.open[&request_id];
         let (growth, failed_at) = (open.growth(), open.failed_at);
-        let limit = if open.is_late(now_us) && !open.begun { self.late_limit() } else { self.memory_limit() };
+        let is_late = !open.begun && self.is_late(now_us, open, self.least_backlog(now_us));
+        let limit = if is_late { self.late_limit() } else { self.memory_limit() };
         let fitting = self.fitting_writers(now_us, growth, limit, failed_at);
         let Some(writer) = self.choose_writer(&fitting) else {
             return false;
--- a/crates/core/src/relay/engines/reading.rs
+++ b/crates/core/src/relay/engines/reading.rs
@@ -53,13 +53,28 @@
         span_ms(tokens, self.usual.own_reading_per_ms())
     }
 
-    /// Time until a prompt that came now would be read: by the reader with the least to do, or by a writer.
-    pub(super) fn expected_reading_ms(&self, now_us: MonoTime, demand: &Demand) -> Millis {
+    /// What the reader with the least to do has to read; nothing where there is no reader.
+    pub(super) fn least_backlog(&self, now_us: MonoTime) -> Option<Tokens> {
+        self.choose_reader(now_us, None).map(|reader| self.engines[reader].reading_all())
+    }
+
+    /// Whether a request that is placed now is late: what is still to come before its first event takes longer than is left
+    /// of its target.
+    ///
+    /// Load: bursts of some seconds beyond what engines can do. Harm prevented: requests are placed in their order when
+    /// two thirds of their target are gone, all of them become late while they are read, and none of those behind them is
+    /// in time either.
+    pub(super) fn is_late(&self, now_us: MonoTime, open: &Open, backlog: Option<Tokens>) -> bool {
+        open.is_late(now_us, self.expected_reading_ms(&open.demand, backlog) + START_MARGIN_MS)
+    }
+
+    /// Time until a prompt that came now would be read: by a reader with this `backlog`, or by a writer.
+    pub(super) fn expected_reading_ms(&self, demand: &Demand, backlog: Option<Tokens>) -> Millis {
         let at_writer_ms = self.own_reading_ms(demand.prompt_tokens);
-        let Some(reader) = self.choose_reader(now_us, None) else {
+        let Some(backlog) = backlog else {
             return at_writer_ms;
         };
-        let at_reader_ms = self.reading_ms(self.engines[reader].reading_all() + demand.prompt_tokens);
+        let at_reader_ms = self.reading_ms(backlog + demand.prompt_tokens);
         if self.may_be_read_by_writers(demand, Tokens::ZERO) {
             at_reader_ms.min(at_writer_ms)
         } else {
