--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -56,7 +56,7 @@
         actions.push(EngineAction::Reserve {
             request_id,
             writer: self.engines[writer].instance.server().clone(),
-            tokens: growth.now + RESERVE_AHEAD,
+            tokens: growth.now + Tokens(growth.answer.0 / AHEAD_DIVISOR),
             keep_ms: self.settings.reserve_ms_max,
             timeout_ms: RESERVE_TIMEOUT_MS,
         });
@@ -249,6 +249,6 @@
 /// An engine answers a reservation within two round trips; a silent one must not cost a request its target.
 const RESERVE_TIMEOUT_MS: Millis = Millis(150);
 
-/// Memory that is reserved beyond a prompt: the first events of the answer. What comes later is followed here; reserved
-/// at once, it would stand empty for seconds.
-const RESERVE_AHEAD: Tokens = Tokens(1_024);
+/// Part of the expected answer that is reserved beyond the prompt: its first events. What comes later is followed here;
+/// reserved at once, it would stand empty for seconds, and engines would refuse what fits.
+const AHEAD_DIVISOR: u64 = 6;
