Refuse at once who is late while others can be in time

Cause: a late request yields to those in time and waited in vain, up to three targets, until it was refused. Change: it is refused as soon as others wait who can be in time; nobody waits longer than a target; only whole places count as free; two and a half deviations are kept free.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -72,7 +72,9 @@
         if count == 0 {
             return None;
         }
-        let free = writers().fold(Tokens::ZERO, |sum, writer| sum + limit.saturating_sub(peak(writer)));
+        let usual = self.usual_room().max(1);
+        let whole = |free: Tokens| Tokens(free.0 / usual * usual);
+        let free = writers().fold(Tokens::ZERO, |sum, writer| sum + whole(limit.saturating_sub(peak(writer))));
         let ahead =
             self.waiting_room(now_us) + self.peers.values().fold(room, |sum, (waiting, _)| sum + *waiting);
         let missing = ahead.saturating_sub(free);
@@ -81,6 +83,14 @@
         Some(Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64))
     }
 
+    /// Memory that a request of usual size takes when it ends, in tokens.
+    fn usual_room(&self) -> u64 {
+        let (prompt, answer) = (self.usual.prompt(), self.usual.answer());
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive count")]
+        let room = (prompt.unwrap_or_default() + answer.unwrap_or_default()) as u64;
+        room
+    }
+
     /// Memory that the requests which wait here will take. Those that are late already wait behind all others.
     pub(super) fn waiting_room(&self, now_us: MonoTime) -> Tokens {
         let waiting = self.waiting.iter().map(|request_id| &self.open[request_id]);
@@ -118,12 +128,15 @@
 
     /// Refuses requests whose patience ended while they waited.
     pub(super) fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
+        let backlog = self.least_backlog(now_us);
+        let others = self.peers.values().fold(self.waiting_room(now_us), |sum, (waiting, _)| sum + *waiting);
         let expired: Vec<RequestId> = self
             .waiting
             .iter()
             .filter(|request_id| {
                 let open = &self.open[*request_id];
-                now_us >= open.waits_since_us + open.patience_ms()
+                let yields = others > Tokens::ZERO && !open.begun && self.is_late(now_us, open, backlog);
+                yields || now_us >= open.waits_since_us + open.patience_ms()
             })
             .copied()
             .collect();
--- a/crates/core/src/relay/engines/packing.rs
+++ b/crates/core/src/relay/engines/packing.rs
@@ -47,7 +47,7 @@
 const OVERDUE_DIVISOR: u64 = 4;
 
 /// Standard deviations that are kept free: one answer in some forty batches outgrows that.
-const DEVIATIONS: f64 = 2.0;
+const DEVIATIONS: f64 = 2.5;
 
 /// Memory that the requests may take beyond their peak, for answers that grow longer than expected.
 ///
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -33,7 +33,7 @@
 
 /// Times its target that a request waits for an engine at most. Callers leave after four times the target without
 /// an event.
-const PATIENCE_FACTOR: u64 = 3;
+const PATIENCE_FACTOR: u64 = 1;
 
 /// Runs a request; its caller gets the stream, or a refusal.
 ///
