--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -57,7 +57,8 @@
         let open = &self.open[&request_id];
         let backlog = self.least_backlog(now_us);
         let reading_ms = self.expected_reading_ms(&open.demand, backlog);
-        let within_ms = if self.is_late(now_us, open, backlog) { open.patience_ms() } else { open.demand.target_ms };
+        let within_ms =
+            if self.is_late(now_us, open, backlog) { open.patience_ms() } else { open.demand.target_ms };
         let limit_us = Micros::from(within_ms.saturating_sub(reading_ms + START_MARGIN_MS));
         self.expected_wait_us(now_us, open.room).is_none_or(|wait_us| wait_us > limit_us)
     }
@@ -74,7 +75,8 @@
         }
         let usual = self.usual_room().max(1);
         let whole = |free: Tokens| Tokens(free.0 / usual * usual);
-        let free = writers().fold(Tokens::ZERO, |sum, writer| sum + whole(limit.saturating_sub(peak(writer))));
+        let free =
+            writers().fold(Tokens::ZERO, |sum, writer| sum + whole(limit.saturating_sub(peak(writer))));
         let ahead =
             self.waiting_room(now_us) + self.peers.values().fold(room, |sum, (waiting, _)| sum + *waiting);
         let missing = ahead.saturating_sub(free);
@@ -126,7 +128,10 @@
             .any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
     }
 
-    /// Refuses requests whose patience ended while they waited.
+    /// Refuses requests whose patience ended while they waited, and those that are late while others can still be in time.
+    ///
+    /// Load: bursts of some seconds beyond what engines can do. Harm prevented: whoever is late yields to those who are not,
+    /// and gets no place before the burst is over; told at once, its caller comes back when it is.
     pub(super) fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
         let backlog = self.least_backlog(now_us);
         let others = self.peers.values().fold(self.waiting_room(now_us), |sum, (waiting, _)| sum + *waiting);
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -146,8 +146,8 @@
             }
             EngineEvent::Tick => {}
         }
-        self.expire(now_us, actions);
         self.serve(now_us, actions);
+        self.expire(now_us, actions);
         self.wake(now_us, actions);
     }
 
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -29,7 +29,13 @@
         let backlog = self.least_backlog(now_us);
         let key = |request_id: &RequestId| {
             let open = &self.open[request_id];
-            (!open.begun, self.is_late(now_us, open, backlog), open.demand.priority, open.arrived_us, *request_id)
+            (
+                !open.begun,
+                self.is_late(now_us, open, backlog),
+                open.demand.priority,
+                open.arrived_us,
+                *request_id,
+            )
         };
         (0..self.waiting.len()).min_by_key(|&position| key(&self.waiting[position]))
     }
--- a/crates/core/src/relay/engines/reading.rs
+++ b/crates/core/src/relay/engines/reading.rs
@@ -27,8 +27,7 @@
         let left_ms = target_ms.saturating_sub(open.age_ms(now_us) + START_MARGIN_MS);
         let saves = at_writer_ms <= left_ms && at_reader_ms > left_ms;
         let relieves = at_writer_ms < at_reader_ms && at_reader_ms > target_ms;
-        (saves || relieves)
-            && self.may_be_read_by_writers(&open.demand, self.engines[writer].reading_all())
+        (saves || relieves) && self.may_be_read_by_writers(&open.demand, self.engines[writer].reading_all())
     }
 
     /// Whether the pauses of a writer's answers stay in aim while it reads a prompt behind what it has to read already.
@@ -121,7 +120,13 @@
 
     /// An answer had this pause since `before_us`: what its writer read meanwhile was the reason for what is beyond the
     /// usual.
-    pub(super) fn note_pause(&mut self, now_us: MonoTime, writer: usize, before_us: MonoTime, pause_ms: Millis) {
+    pub(super) fn note_pause(
+        &mut self,
+        now_us: MonoTime,
+        writer: usize,
+        before_us: MonoTime,
+        pause_ms: Millis,
+    ) {
         let Some((from_us, to_us)) = self.engines[writer].own_reading_us else {
             return;
         };
--- a/crates/core/src/relay/engines/splitting.rs
+++ b/crates/core/src/relay/engines/splitting.rs
@@ -13,6 +13,12 @@
 /// misses while it changes. Traffic turns from long prompts to long answers within some tens of seconds.
 const HORIZON_MS: Millis = Millis(30_000);
 
+/// Part of their memory that writers fill while callers wait for room: what is reserved stands empty until a prompt is read,
+/// no request fits into the last gap, and room is kept for answers that grow. By the daemons' logs of bursts their requests
+/// took 0.59 to 0.70 of it. Without it a twentieth more of the engines read than are needed: 0.03 of worth on two
+/// deployments.
+const WRITERS_LOAD: f64 = 0.6;
+
 /// Readers that there are at least: without any, long prompts pause the answers of whoever reads them.
 const READERS_MIN: usize = 1;
 
@@ -62,7 +68,7 @@
     /// Requests that so many engines serve: as many as readers read and writers hold, and beyond what readers read as many
     /// as writers can both read and hold.
     fn served_per_ms(&self, readers: usize, writers: usize) -> f64 {
-        let (readers, held) = (readers as f64, writers as f64 * self.at_once);
+        let (readers, held) = (readers as f64, writers as f64 * self.at_once * WRITERS_LOAD);
         let read = readers * self.read_per_ms;
         let written = held / self.held_ms;
         if read >= written {
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -17,6 +17,9 @@
 /// Tokens that a writing engine makes for one request in a millisecond.
 const WRITE_TOKENS_PER_MS_HUNDREDTHS: u64 = 172;
 
+/// Time between two events of an answer.
+const EVENT_MS: Millis = Millis(50);
+
 /// Time of a message between a daemon and an engine.
 const MESSAGE_MS: u64 = 1;
 
@@ -101,6 +104,11 @@
         self.feed(EngineEvent::PromptRead { request_id: request_id(sequence) })
     }
 
+    pub fn progress(&mut self, sequence: u64, events: u64) {
+        let longest_pause_ms = EVENT_MS;
+        self.feed(EngineEvent::Progress { request_id: request_id(sequence), events, longest_pause_ms });
+    }
+
     pub fn write_failed(&mut self, sequence: u64, cause: FailureCause) -> Vec<EngineAction> {
         self.feed(EngineEvent::WriteFailed { request_id: request_id(sequence), cause })
     }
@@ -291,6 +299,13 @@
                 self.fates.insert(request_id, fate);
                 self.schedule(first_ms, Event::Feed { daemon, event: EngineEvent::Started { request_id } });
                 let ends_ms = first_ms + answer * 100 / WRITE_TOKENS_PER_MS_HUNDREDTHS;
+                let mut events = 1;
+                while events < answer / 86 {
+                    let at_ms = first_ms + events * 86 * 100 / WRITE_TOKENS_PER_MS_HUNDREDTHS;
+                    let event = EngineEvent::Progress { request_id, events, longest_pause_ms: EVENT_MS };
+                    self.schedule(at_ms, Event::Feed { daemon, event });
+                    events *= 2;
+                }
                 let finish = Event::Finish { daemon, writer, request_id, events: answer / 86 };
                 self.schedule(ends_ms, finish);
             }
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -29,8 +29,8 @@
 use super::state::{Incoming, RelayState};
 use super::story::Story;
 use super::stream;
-use crate::clock;
 use crate::callers::AnswerBody;
+use crate::clock;
 use crate::metrics::Label;
 
 /// Told to a caller of a daemon that has just started: it learns the routes within a second.
--- a/crates/router/src/relay/passing.rs
+++ b/crates/router/src/relay/passing.rs
@@ -169,7 +169,8 @@
     run: Run,
     body: ServerBody,
 ) -> Response<AnswerBody> {
-    let passing = Passing { run, body: Some(body), cutter: EventCutter::default(), progress: Progress::new() };
+    let passing =
+        Passing { run, body: Some(body), cutter: EventCutter::default(), progress: Progress::new() };
     let events = stream::try_unfold(passing, |mut passing| async move {
         let next = passing.next().await?;
         Ok::<_, BodyBroken>(next.map(|bytes| (Frame::data(bytes), passing)))
