--- a/crates/core/src/relay/engines/splitting.rs
+++ b/crates/core/src/relay/engines/splitting.rs
@@ -15,8 +15,8 @@
 
 /// Part of their memory that writers fill while callers wait for room: what is reserved stands empty until a prompt is read,
 /// no request fits into the last gap, and room is kept for answers that grow. By the daemons' logs of bursts their requests
-/// took 0.59 to 0.70 of it. Without it a twentieth more of the engines read than are needed: 0.03 of worth on two
-/// deployments.
+/// took 0.59 to 0.70 of it. Without it more engines read than are needed: 0.03 of worth, in paired plays of one
+/// deployment.
 const WRITERS_LOAD: f64 = 0.6;
 
 /// Readers that there are at least: without any, long prompts pause the answers of whoever reads them.
