--- a/completions/hibiscusvale.bash
+++ b/completions/hibiscusvale.bash
@@ -1,5 +1,5 @@
 _hibiscusvale() {
-  local word words="--help --version --json --config --log --host --partner --key-file --author completions delete history keygen list man members outcomes publish status story validate wait why"
+  local word words="--help --version --json --config --log --host --partner --key-file --author completions delete history keygen list losses man members outcomes publish status story validate wait why"
   for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
     case "$word" in
     completions) words="--help --daemon" ;;
@@ -7,6 +7,7 @@
     history) words="--help --all" ;;
     keygen) words="--help --out" ;;
     list) words="--help --all --toml" ;;
+    losses) words="--help --first-event-ms --pause-ms" ;;
     man) words="--help --daemon" ;;
     members) words="--help" ;;
     outcomes) words="--help --all" ;;
--- a/crates/client/src/cmd/mod.rs
+++ b/crates/client/src/cmd/mod.rs
@@ -5,6 +5,8 @@
 mod history;
 mod keygen;
 mod list;
+mod logs;
+mod losses;
 mod man;
 mod members;
 mod outcomes;
@@ -79,6 +81,9 @@
     /// Lists classes.
     #[options(help = "list the classes in force")]
     List(list::List),
+    /// Counts what streams came to.
+    #[options(help = "count what streams came to, from log files")]
+    Losses(losses::Losses),
     /// Man pages.
     #[options(help = "print a man page")]
     Man(man::Man),
@@ -157,6 +162,7 @@
             Self::History(command) => command.run(context).await?,
             Self::Keygen(command) => return command.run(),
             Self::List(command) => command.run(context).await?,
+            Self::Losses(command) => command.run()?,
             Self::Man(command) => command.run(),
             Self::Members(command) => command.run(context).await?,
             Self::Outcomes(command) => command.run(context).await?,
--- a/crates/client/src/cmd/story.rs
+++ b/crates/client/src/cmd/story.rs
@@ -1,7 +1,6 @@
 //! `hibiscusvale story ID FILE...`.
 
-use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use gumdrop::Options;
 
@@ -22,8 +21,9 @@
 
 impl Story {
     pub(super) fn run(&self) -> Result<Report, ClientError> {
-        let texts = self.files.iter().map(|path| read(path)).collect::<Result<Vec<_>, _>>()?;
-        let logs: Vec<HostLog<'_>> = texts.iter().map(|(host, text)| HostLog { host, text }).collect();
+        let files = super::logs::read_all(&self.files)?;
+        let logs: Vec<HostLog<'_>> =
+            files.iter().map(|log| HostLog { host: &log.host, text: &log.text }).collect();
         let stories = story::find(&self.id, &logs);
         if stories.is_empty() {
             return Err(ClientError::NotLogged { id: self.id.clone(), files: self.files.len() });
@@ -33,14 +33,6 @@
     }
 }
 
-/// A log and the host that its file is named after. Bytes that are no text come from a disk that failed or a line that
-/// was cut; the other lines still count.
-fn read(path: &Path) -> Result<(String, String), ClientError> {
-    let bytes = fs::read(path).map_err(|source| ClientError::Read { path: path.to_owned(), source })?;
-    let host = path.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
-    Ok((host, String::from_utf8_lossy(&bytes).into_owned()))
-}
-
 fn human(story: &story::Story) -> String {
     let mut lines = vec![format!(
         "try {} ({}) on route {}, taken in by {}: {} after {} ms",
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod context;
 pub mod error;
 pub mod hosts;
+mod log_line;
+pub mod losses;
 pub mod manual;
 pub mod publisher;
 pub mod report;
--- a/crates/client/src/story.rs
+++ b/crates/client/src/story.rs
@@ -4,18 +4,13 @@
 //! its steps in order, and what a host believed at the time is taken from that host's lines alone.
 
 use serde::Serialize;
-use serde_json::{Map, Value};
+
+use crate::log_line::{LEFT_OUT, Line};
 
 /// How long before the request's arrival a host's news still matter to it, in ms: lists and routes are seconds old at
 /// most, and an engine changes its role in six to eight.
 const BEFORE_MS: u64 = 10_000;
 
-/// Lines with this event tell of requests.
-const RELAYED: &str = "request relayed";
-
-/// What `changed` lines say when lines of requests had to be left out.
-const LEFT_OUT: &str = "request lines left out";
-
 /// One host's log.
 #[derive(Clone, Copy, Debug)]
 pub struct HostLog<'a> {
@@ -70,55 +65,6 @@
     pub what: String,
 }
 
-struct Line {
-    at_ms: u64,
-    payload: String,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    /// The line's event, or nothing for lines that are none of ours or were cut off.
-    fn parse(text: &str) -> Option<Self> {
-        // What collects logs may put a time and a host before each line.
-        let start = text.find('{')?;
-        let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
-        let at_ms = fields.get("timestamp")?.as_u64()?;
-        let payload = fields.get("payload")?.as_str()?.to_owned();
-        match fields.remove("kv") {
-            Some(Value::Object(fields)) => Some(Self { at_ms, payload, fields }),
-            _ => Some(Self { at_ms, payload, fields: Map::new() }),
-        }
-    }
-
-    fn text(&self, name: &str) -> String {
-        match self.fields.get(name) {
-            Some(Value::String(text)) => text.clone(),
-            Some(value) => value.to_string(),
-            None => String::new(),
-        }
-    }
-
-    fn number(&self, name: &str) -> u64 {
-        self.fields.get(name).and_then(Value::as_u64).unwrap_or_default()
-    }
-
-    fn is_of(&self, id: &str) -> bool {
-        self.payload == RELAYED && (self.text("call") == id || self.text("request_id") == id)
-    }
-
-    /// What this line says that the host learned, if it does.
-    fn news(&self) -> Option<String> {
-        let fields = match self.payload.as_str() {
-            RELAYED => return None,
-            "changed" if self.text("what") == LEFT_OUT => return None,
-            "changed" => return Some(format!("{} {}", self.text("what"), self.text("detail"))),
-            _ => self.fields.iter().filter(|(_, value)| value.as_str() != Some("")),
-        };
-        let fields: Vec<String> = fields.map(|(name, _)| format!("{name} {}", self.text(name))).collect();
-        Some(format!("{}: {}", self.payload, fields.join(", ")))
-    }
-}
-
 /// The tries that go by `id`, the caller's name or the relay's, with what their hosts knew.
 pub fn find(id: &str, logs: &[HostLog<'_>]) -> Vec<Story> {
     logs.iter().flat_map(|log| find_in(id, *log)).collect()
--- a/crates/client/tests/client/main.rs
+++ b/crates/client/tests/client/main.rs
@@ -2,6 +2,7 @@
 
 mod files;
 mod keys;
+mod losses;
 mod publishing;
 mod story;
 mod watching;
