--- a/crates/client/tests/client/losses.rs
+++ b/crates/client/tests/client/losses.rs
@@ -1,6 +1,6 @@
 //! What streams came to, from log lines.
 
-use hibiscusvale_cli::losses::{Ending, Targets, count};
+use hibiscusvale_cli::losses::{Ending, Losses, Targets, count};
 
 const TARGETS: Targets = Targets { first_event_ms: 900, pause_ms: 300 };
 
@@ -37,5 +37,5 @@
 
 #[test]
 fn logs_without_streams_have_nothing_to_count() {
-    assert_eq!(count(std::iter::once("no line of ours"), TARGETS), Default::default());
+    assert_eq!(count(std::iter::once("no line of ours"), TARGETS), Losses::default());
 }
