--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use super::events::{Holding, ListedEngine, Role};
-use super::packing::{Growth, peak, reserve};
+use super::packing::{Growth, headroom, peak};
 use super::seen::Seen;
 use crate::ids::{HostId, RequestId};
 use crate::sched::InstanceSettings;
@@ -81,7 +81,7 @@
     /// kept free for answers that grow longer.
     pub(super) fn peak(&self, now_us: MonoTime, usual: &Seen, more: Option<Growth>) -> Tokens {
         let growths: Vec<Growth> = self.growths(now_us, usual.pace()).chain(more).collect();
-        peak(growths.iter().copied()) + reserve(growths.into_iter(), usual.spread())
+        peak(growths.iter().copied()) + headroom(growths.into_iter(), usual.spread())
     }
 
     /// Memory that the requests of all daemons will have taken when they end.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -29,7 +29,7 @@
     ToldLoad,
 };
 use open::Open;
-pub use packing::{Growth, peak, reserve};
+pub use packing::{Growth, headroom, peak};
 use seen::Fading;
 pub use seen::Seen;
 pub use settings::EnginePoolSettings;
--- a/crates/core/src/relay/engines/packing.rs
+++ b/crates/core/src/relay/engines/packing.rs
@@ -56,7 +56,7 @@
 /// length follows from how far they did lately (`spread`, a part of the length), and lengths are independent of each
 /// other. A fixed part of the memory in its place is too much where prompts are long and answers short, and too little the
 /// other way round: 0.015 of worth less than this, in paired plays of a deployment whose answers are a tenth of their prompts.
-pub fn reserve<Growths>(growths: Growths, spread: f64) -> Tokens
+pub fn headroom<Growths>(growths: Growths, spread: f64) -> Tokens
 where
     Growths: Iterator<Item = Growth>,
 {
--- a/crates/core/tests/relay/packing.rs
+++ b/crates/core/tests/relay/packing.rs
@@ -1,6 +1,6 @@
 //! Memory of requests that grow and end.
 
-use hibiscusvale_core::relay::engines::{Growth, peak};
+use hibiscusvale_core::relay::engines::{Growth, headroom, peak};
 use hibiscusvale_core::units::{Micros, Tokens};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -60,3 +60,16 @@
     assert_eq!(waiting.after(Micros(2_000_000), 1.7), waiting);
     assert_eq!(growth(5_000, 11_000).after(Micros(2_000_000), 1.7).now, Tokens(8_400));
 }
+
+/// Two writers are as full as can be, one with long prompts and short answers, one the other way round. Answers that miss
+/// their expected length by half take little more at the first and much at the second, which throws a request out unless
+/// room is kept there; kept at the first as well, it stands empty while callers are refused.
+#[test]
+fn room_is_kept_by_what_answers_may_still_grow() {
+    let short_answers = std::iter::repeat_n(growth(5_000, 5_500), 9);
+    let long_answers = std::iter::repeat_n(growth(5_000, 11_000), 9);
+    let (short, long) = (headroom(short_answers, 0.5).0, headroom(long_answers, 0.5).0);
+    assert!(short < 2_500, "{short} tokens beside answers of 500");
+    assert!(long > 2 * 6_000, "{long} tokens beside answers of 6,000: two of nine may be twice as long");
+    assert_eq!(headroom([growth(5_000, 11_000)].into_iter(), 0.0), Tokens::ZERO, "answers as expected");
+}
