--- a/crates/core/src/relay/engines/packing.rs
+++ b/crates/core/src/relay/engines/packing.rs
@@ -46,7 +46,7 @@
 /// takes, an eighth of the memory stood empty where answers are a tenth of their prompts.
 const OVERDUE_DIVISOR: u64 = 4;
 
-/// Standard deviations that are kept free: one answer in some forty batches outgrows that.
+/// Standard deviations that are kept free: one batch in a hundred and sixty outgrows that.
 const DEVIATIONS: f64 = 2.5;
 
 /// Memory that the requests may take beyond their peak, for answers that grow longer than expected.
