Take figures that are fractions, as scaled installations have them

Cause: retry_slack was a whole number, and grace_s was put together as text with three zeros behind it, so 7.5 seconds would have been 7.5 ms.

Each number of the template is now decided: grace, ratio, slack and window may be fractions, descriptors are rounded down with the callers' share, and what is no number, endless or out of range is refused by name.

--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -14,9 +14,9 @@
 /// Daemons reckoned with before the register was read.
 pub const UNKNOWN_DAEMONS: u64 = 16;
 
-/// Part of the allowance that is handed out, in percent: a daemon that has just registered spends its part before the
-/// others have made theirs smaller.
-const HANDED_OUT_PERCENT: u64 = 80;
+/// Part of the allowance that is handed out: a daemon that has just registered spends its part before the others have made
+/// theirs smaller.
+const HANDED_OUT: f64 = 0.8;
 
 /// How servers are judged: as everywhere, but tried again sooner. The list of servers is seconds old here, not minutes,
 /// and cuts and restarts last for seconds; set aside for half a minute a server would miss most of the time in which it
@@ -55,8 +55,9 @@
     }
 }
 
-fn part(slack: u64, daemons: u64) -> u64 {
-    slack * HANDED_OUT_PERCENT / 100 / daemons.max(1)
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
+fn part(slack: f64, daemons: u64) -> u64 {
+    (slack * HANDED_OUT / daemons.max(1) as f64) as u64
 }
 
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a ratio of at most a few")]
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -41,15 +41,12 @@
 const BALANCER_MS: Millis = Millis(2_500);
 
 /// Kept back of the grace period: the process has to be gone before it is killed.
-const END_RESERVE_MS: Millis = Millis(400);
+const END_RESERVE: Duration = Duration::from_millis(400);
 
 /// A server of the region takes a connection within some milliseconds. An opening packet that was lost is sent again
 /// after a second, too late for the targets of pages; another server is tried before that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Part of the descriptors that callers may take, in percent.
-const CALLERS_SHARE_PERCENT: usize = 75;
-
 /// Pause between looks at what is still open while stopping.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -124,7 +121,7 @@
         let address = settings.listen.callers;
         let socket = callers::bind(address).map_err(|source| StartError::Listen { address, source })?;
         let callers_address = socket.local_addr().map_err(|source| StartError::Listen { address, source })?;
-        let connections = settings.capacity.descriptors * CALLERS_SHARE_PERCENT / 100;
+        let connections = settings.capacity.caller_connections();
         let stop_listening = CancellationToken::new();
         let serving =
             traffic.spawn(callers::serve(Arc::clone(&state), socket, connections, stop_listening.clone()));
@@ -198,7 +195,7 @@
         let Self { state, traffic, control, stop_listening, serving, settings, .. } = self;
         state.log.changed("stopping", &state.open.load(Ordering::Relaxed));
         state.stopping.store(true, Ordering::Relaxed);
-        let grace = Duration::from(settings.bounds.grace_ms.saturating_sub(END_RESERVE_MS));
+        let grace = settings.bounds.grace().saturating_sub(END_RESERVE);
         let ended = traffic.block_on(async {
             tokio::time::timeout(grace, async {
                 tokio::time::sleep(Duration::from(BALANCER_MS)).await;
--- a/crates/router/src/settings/check.rs
+++ b/crates/router/src/settings/check.rs
@@ -59,16 +59,17 @@
         ("observe.recent_requests", observe.recent_requests as u64, RECENT_REQUESTS),
     ];
     for (key, value, range) in numbers {
-        check_number(text, key, value, range, problems);
+        let (least, most) = range.into_inner();
+        check_number(text, key, value as f64, least as f64..=most as f64, problems);
     }
 }
 
-/// Notes a number outside its range.
+/// Notes a number outside its range, or that is none.
 pub(crate) fn check_number(
     text: &str,
     key: &str,
-    value: u64,
-    range: RangeInclusive<u64>,
+    value: f64,
+    range: RangeInclusive<f64>,
     problems: &mut Vec<SettingsProblem>,
 ) {
     if !range.contains(&value) {
--- a/crates/router/src/settings/error.rs
+++ b/crates/router/src/settings/error.rs
@@ -21,7 +21,7 @@
 }
 
 /// One thing that is wrong, and where. Values of secret keys never appear in it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SettingsProblem {
     /// Line in the file, from 1; 0 when the key is missing altogether.
     pub line: usize,
@@ -32,7 +32,7 @@
 }
 
 /// What is wrong with one key.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum SettingsFault {
     /// Not TOML, an unknown key, a missing key or a value of another type.
     #[error("{message}")]
@@ -44,11 +44,11 @@
     #[error("is {value}, allowed is {least} to {most}")]
     OutOfRange {
         /// What the file says.
-        value: u64,
+        value: f64,
         /// Smallest allowed value.
-        least: u64,
+        least: f64,
         /// Largest allowed value.
-        most: u64,
+        most: f64,
     },
     /// A text of another form.
     #[error("is {value:?}, allowed is {allowed}")]
