Have a daemon hear others at the cost of what they say, and tell less often

Cause: a message of another daemon was looked up at every engine by its name, and the sums over all daemons were made anew for every event; each step of each request was told to all at once.

Change: the pool keeps what a daemon has by position, touches the engines that a message names, and keeps sums. What changes within a moment goes out together, steps that nobody chooses by go with the next message, the pause between messages grows with the number of daemons, and a look at the socket takes all that has come.

--- a/crates/core/examples/decision_cost.rs
+++ b/crates/core/examples/decision_cost.rs
@@ -1,9 +1,11 @@
 //! Makes decisions in a loop so that a tool can count what one costs; see `scripts/decision-cost`.
-//! Arguments: `place REPLICAS PARTNERS COUNT` or `grant PARTNERS COUNT`.
+//! Arguments: `place REPLICAS PARTNERS COUNT`, `grant PARTNERS COUNT` or `hear DAEMONS ENGINES COUNT`.
 #![allow(clippy::pedantic, reason = "shares the fakes of the tests")]
 
 #[path = "../tests/sched/cost.rs"]
 mod cost;
+#[path = "../tests/relay/cost.rs"]
+mod relay_cost;
 
 fn main() {
     let words = std::env::args().skip(1).collect::<Vec<_>>();
@@ -13,6 +15,10 @@
             let mut placing = cost::Placing::new(number(1), number(2) as usize);
             (0..number(3)).for_each(|_| placing.step());
         }
+        "hear" => {
+            let mut hearing = relay_cost::Hearing::new(number(1) as usize, number(2) as usize);
+            (0..number(3)).for_each(|_| hearing.step());
+        }
         _ => {
             let mut granting = cost::Granting::new(number(1) as usize);
             (0..number(2)).for_each(|_| granting.step());
--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -77,8 +77,7 @@
         let whole = |free: Tokens| Tokens(free.0 / usual * usual);
         let free =
             writers().fold(Tokens::ZERO, |sum, writer| sum + whole(limit.saturating_sub(peak(writer))));
-        let ahead =
-            self.waiting_room(now_us) + self.peers.values().fold(room, |sum, (waiting, _)| sum + *waiting);
+        let ahead = self.waiting_room(now_us) + self.peers.waiting() + room;
         let missing = ahead.saturating_sub(free);
         let freed_per_us = (count as u64 * limit.0) as f64 / self.usual_hold_us();
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
@@ -136,19 +135,15 @@
     /// Load: bursts of some seconds beyond what engines can do. Harm prevented: whoever is late yields to those who are not,
     /// and gets no place before the burst is over; told at once, its caller comes back when it is.
     pub(super) fn expire(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
-        // Mostly nobody waits, and a look at all engines at each event would be in vain.
-        if self.waiting.is_empty() {
-            return;
-        }
         let backlog = self.least_backlog(now_us);
-        let others = self.peers.values().fold(self.waiting_room(now_us), |sum, (waiting, _)| sum + *waiting);
+        let in_time = self.waiting_room(now_us) + self.peers.waiting();
         let expired: Vec<RequestId> = self
             .waiting
             .iter()
             .filter(|request_id| {
                 let open = &self.open[*request_id];
                 let not_run = open.tries.outcome() == Outcome::NotRun;
-                let yields = not_run && others > Tokens::ZERO && self.is_late(now_us, open, backlog);
+                let yields = not_run && in_time > Tokens::ZERO && self.is_late(now_us, open, backlog);
                 yields || now_us >= open.waits_since_us + open.patience_ms()
             })
             .copied()
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -4,8 +4,9 @@
 
 use super::events::{Holding, ListedEngine, Role};
 use super::packing::{Growth, headroom, peak};
+use super::peers::{PeerIndex, Rank};
 use super::seen::Seen;
-use crate::ids::{HostId, RequestId};
+use crate::ids::RequestId;
 use crate::sched::InstanceSettings;
 use crate::sched::instance::Instance;
 use crate::units::{Millis, MonoTime, Tokens};
@@ -23,8 +24,10 @@
     pub(super) reading: Tokens,
     /// Memory that requests of this daemon take, and as of when.
     held: HashMap<RequestId, (MonoTime, Growth)>,
-    /// What the other daemons have there, and when they told.
-    peers: HashMap<HostId, (MonoTime, Holding)>,
+    /// What the other daemons have there.
+    others: Others,
+    /// For telling whose it is when several daemons want it.
+    pub(super) rank: Rank,
     full_until_us: MonoTime,
     /// When a writer last read a prompt itself for this daemon: from and to.
     pub(super) own_reading_us: Option<(MonoTime, MonoTime)>,
@@ -38,10 +41,11 @@
     pub(super) fn new(settings: InstanceSettings, listed: ListedEngine) -> Self {
         Self {
             role: listed.role,
+            rank: Rank::of_engine(&listed.server),
             instance: Instance::new(settings, listed.server, listed.slots, listed.leaving),
             reading: Tokens::ZERO,
             held: HashMap::new(),
-            peers: HashMap::new(),
+            others: Others::default(),
             full_until_us: MonoTime::default(),
             own_reading_us: None,
             changing_until_us: MonoTime::default(),
@@ -57,24 +61,16 @@
         self.instance.relist(listed.slots, listed.leaving);
     }
 
-    /// Takes what another daemon has here; nothing when `holding` is absent.
-    pub(super) fn peer(&mut self, now_us: MonoTime, host: &HostId, holding: Option<&Holding>) {
-        match holding {
-            Some(holding) => {
-                self.peers.insert(host.clone(), (now_us, holding.clone()));
-            }
-            None => {
-                self.peers.remove(host);
-            }
-        }
+    /// Takes what another daemon has here, in place of what it had; nothing when `holding` is absent.
+    pub(super) fn peer(&mut self, now_us: MonoTime, peer: PeerIndex, holding: Option<Holding>) {
+        self.others.replace(peer, holding.map(|holding| (now_us, holding)));
     }
 
     /// Memory of the requests of all daemons, one by one.
     pub(super) fn growths(&self, now_us: MonoTime, tokens_per_ms: f64) -> impl Iterator<Item = Growth> {
         let own = self.held.values().copied();
-        let peers = self.peers.values();
-        let others = peers.flat_map(|(told_us, peer)| peer.growths.iter().map(|growth| (*told_us, *growth)));
-        own.chain(others).map(move |(as_of_us, growth)| growth.after(now_us.since(as_of_us), tokens_per_ms))
+        own.chain(self.others.growths())
+            .map(move |(as_of_us, growth)| growth.after(now_us.since(as_of_us), tokens_per_ms))
     }
 
     /// Most memory that the requests of all daemons may take, with one more if there is one: what is expected, and what is
@@ -86,19 +82,17 @@
 
     /// Memory that the requests of all daemons will have taken when they end.
     pub(super) fn room(&self) -> Tokens {
-        let own = self.held.values().map(|(_, growth)| growth);
-        let others = self.peers.values().flat_map(|(_, peer)| &peer.growths);
-        own.chain(others).fold(Tokens::ZERO, |sum, growth| sum + growth.end)
+        self.held.values().fold(self.others.load.room, |sum, (_, growth)| sum + growth.end)
     }
 
     /// Prompt tokens that it reads for all daemons.
     pub(super) fn reading_all(&self) -> Tokens {
-        self.peers.values().fold(self.reading, |sum, (_, peer)| sum + peer.reading)
+        self.reading + self.others.load.reading
     }
 
     /// Requests of all daemons.
     pub(super) fn running(&self) -> u32 {
-        self.peers.values().fold(self.instance.in_flight(), |sum, (_, peer)| sum + peer.running)
+        self.instance.in_flight() + self.others.load.running
     }
 
     /// Whether it can be given answers to write. One that was set aside can as soon as it may be tried again: with all
@@ -182,3 +176,53 @@
         now_us < self.full_until_us
     }
 }
+
+/// Sums over what the other daemons have at an engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// Memory when their requests end.
+    room: Tokens,
+    /// Prompt tokens that are read.
+    reading: Tokens,
+    running: u32,
+}
+
+impl Load {
+    fn add(&mut self, holding: &Holding) {
+        self.room += holding.room();
+        self.reading += holding.reading;
+        self.running += holding.running;
+    }
+
+    fn remove(&mut self, holding: &Holding) {
+        self.room -= holding.room();
+        self.reading -= holding.reading;
+        self.running = self.running.saturating_sub(holding.running);
+    }
+}
+
+/// What the other daemons have at one engine, and when they told.
+#[derive(Clone, Debug, Default)]
+struct Others {
+    list: Vec<(PeerIndex, MonoTime, Holding)>,
+    load: Load,
+}
+
+impl Others {
+    fn replace(&mut self, peer: PeerIndex, told: Option<(MonoTime, Holding)>) {
+        if let Some(position) = self.list.iter().position(|(known, ..)| *known == peer) {
+            let (_, _, before) = self.list.swap_remove(position);
+            self.load.remove(&before);
+        }
+        if let Some((told_us, holding)) = told {
+            self.load.add(&holding);
+            self.list.push((peer, told_us, holding));
+        }
+    }
+
+    fn growths(&self) -> impl Iterator<Item = (MonoTime, Growth)> {
+        self.list
+            .iter()
+            .flat_map(|(_, told_us, holding)| holding.growths.iter().map(|growth| (*told_us, *growth)))
+    }
+}
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -82,6 +82,13 @@
     pub running: u32,
 }
 
+impl Holding {
+    /// Memory that its requests take there when they end.
+    pub(super) fn room(&self) -> Tokens {
+        self.growths.iter().fold(Tokens::ZERO, |sum, growth| sum + growth.end)
+    }
+}
+
 /// What one daemon has at the engines of a service.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Holdings {
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod open;
 mod packing;
+mod peers;
 mod placing;
 mod ratio;
 mod reading;
@@ -21,7 +22,7 @@
 
 use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::sched::RetryBudget;
-use crate::units::{MonoTime, Tokens};
+use crate::units::MonoTime;
 
 use engine::Engine;
 pub use events::{
@@ -30,6 +31,7 @@
 };
 use open::Open;
 pub use packing::{Growth, headroom, peak};
+use peers::{Peers, Rank};
 use seen::Fading;
 pub use seen::Seen;
 pub use settings::EnginePoolSettings;
@@ -40,8 +42,8 @@
 #[derive(Debug)]
 pub struct EnginePool {
     settings: EnginePoolSettings,
-    /// Where this daemon runs.
-    host: HostId,
+    /// This daemon's, for telling whose an engine is when several want it.
+    rank: Rank,
     engines: Vec<Engine>,
     names: HashMap<BackendServerId, usize>,
     open: HashMap<RequestId, Open>,
@@ -53,8 +55,8 @@
     fading: Fading,
     /// The same at all daemons.
     usual: Seen,
-    /// Memory that the other daemons' waiting requests will take, and what their requests were like.
-    peers: HashMap<HostId, (Tokens, Seen)>,
+    /// The other daemons.
+    peers: Peers,
     /// What is known for judging how many engines read and write.
     split: SplitState,
     /// Where the look for an engine begins, so that equals are taken in turn.
@@ -63,10 +65,10 @@
 
 impl EnginePool {
     /// A pool that knows no engines yet.
-    pub fn new(settings: EnginePoolSettings, host: HostId, turn: usize) -> Self {
+    pub fn new(settings: EnginePoolSettings, host: &HostId, turn: usize) -> Self {
         Self {
             settings,
-            host,
+            rank: Rank::of(host),
             engines: Vec::new(),
             names: HashMap::new(),
             open: HashMap::new(),
@@ -76,7 +78,7 @@
             wake_us: None,
             fading: Fading::default(),
             usual: Seen::default(),
-            peers: HashMap::new(),
+            peers: Peers::default(),
             split: SplitState::default(),
             turn,
         }
@@ -109,7 +111,9 @@
 
     /// Takes an event and pushes what is to be done.
     pub fn handle(&mut self, now_us: MonoTime, event: EngineEvent, actions: &mut Vec<EngineAction>) {
-        self.look_back(now_us);
+        if !matches!(event, EngineEvent::Peer { .. }) {
+            self.look_back(now_us);
+        }
         match event {
             EngineEvent::Arrive(demand) => self.arrive(now_us, demand, actions),
             EngineEvent::Reserved { request_id } => self.reserved(now_us, request_id, actions),
@@ -132,29 +136,46 @@
             }
             EngineEvent::CallerLeft { request_id } => self.close(now_us, request_id),
             EngineEvent::Engines(list) => self.adopt(now_us, list),
-            EngineEvent::Peer { host, holdings } => {
-                for engine in &mut self.engines {
-                    let at_engine = |holding: &&Holding| holding.server == *engine.instance.server();
-                    engine.peer(now_us, &host, holdings.engines.iter().find(at_engine));
-                }
-                for (server, role, left_us) in holdings.changing {
-                    if let Some(&index) = self.names.get(&server) {
-                        self.engines[index].changes(now_us + left_us, role);
-                    }
-                }
-                self.peers.insert(host, (holdings.waiting, holdings.seen));
-            }
+            EngineEvent::Peer { host, holdings } => self.hear(now_us, host, holdings),
             EngineEvent::Tick => {}
         }
+        if self.waiting.is_empty() {
+            return;
+        }
+        self.look_back(now_us);
         self.serve(now_us, actions);
         self.expire(now_us, actions);
         self.wake(now_us, actions);
     }
 
+    /// Takes what another daemon has at the engines.
+    fn hear(&mut self, now_us: MonoTime, host: HostId, holdings: Holdings) {
+        let peer = self.peers.index_of(host);
+        self.peers.tell(peer, holdings.waiting, holdings.seen);
+        let mut at = Vec::with_capacity(holdings.engines.len());
+        for holding in holdings.engines {
+            if let Some(&index) = self.names.get(&holding.server) {
+                self.engines[index].peer(now_us, peer, Some(holding));
+                at.push(index);
+            }
+        }
+        for &index in self.peers.engines(peer) {
+            if !at.contains(&index) {
+                self.engines[index].peer(now_us, peer, None);
+            }
+        }
+        self.peers.set_engines(peer, at);
+        for (server, role, left_us) in holdings.changing {
+            if let Some(&index) = self.names.get(&server) {
+                self.engines[index].changes(now_us + left_us, role);
+            }
+        }
+    }
+
     /// Takes stock of what requests were like lately, here and at the other daemons.
     fn look_back(&mut self, now_us: MonoTime) {
         self.fading.pass(now_us);
-        self.usual = self.peers.values().fold(self.fading.seen, |sum, (_, seen)| sum.and(*seen));
+        self.usual = self.fading.seen.and(self.peers.seen());
     }
 
     /// Time for which a request usually has memory at a writer.
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -1,12 +1,10 @@
 //! Which engines a request goes to.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use super::EnginePool;
 use super::events::{EngineAction, Role};
 use super::open::Stage;
 use super::packing::Growth;
-use crate::ids::{BackendServerId, HostId, RequestId};
+use crate::ids::RequestId;
 use crate::sched::FailureCause;
 use crate::units::{Millis, MonoTime, Tokens};
 
@@ -226,32 +224,20 @@
     /// emptier ones are taken in turn.
     fn choose_writer(&mut self, fitting: &[usize]) -> Option<usize> {
         self.turn = self.turn.wrapping_add(1);
-        let rivals: Vec<&HostId> = self
-            .peers
-            .iter()
-            .filter(|(_, (waiting, _))| *waiting > Tokens::ZERO)
-            .map(|(host, _)| host)
-            .collect();
+        let rivals = self.peers.rivals();
         if rivals.is_empty() {
             let emptier = fitting.len().div_ceil(EMPTIER_DIVISOR).max(1);
             return fitting.get(self.turn % emptier).copied();
         }
         let is_own = |index: &&usize| {
-            let server = self.engines[**index].instance.server();
-            let own = claim(&self.host, server);
-            rivals.iter().all(|rival| own < claim(rival, server))
+            let engine = self.engines[**index].rank;
+            let own = self.rank.claim(engine);
+            rivals.iter().all(|rival| own < rival.claim(engine))
         };
         fitting.iter().find(is_own).copied()
     }
 }
 
-/// A daemon's claim on a writer; the least one has it.
-fn claim(host: &HostId, server: &BackendServerId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (host.as_str(), server.as_str()).hash(&mut hasher);
-    hasher.finish()
-}
-
 /// The first quarter of the writers that have room are about equally empty.
 const EMPTIER_DIVISOR: usize = 4;
 
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -70,7 +70,7 @@
 impl Bench {
     pub fn new(settings: EnginePoolSettings, engines: &[(&str, Role)]) -> Self {
         let mut bench = Self {
-            pool: EnginePool::new(settings, "entry-0".parse().unwrap(), 0),
+            pool: EnginePool::new(settings, &"entry-0".parse().unwrap(), 0),
             now_us: MonoTime::default(),
             actions: Vec::new(),
         };
@@ -188,7 +188,7 @@
     pub fn new(daemons: usize, engines: &[(&str, Role)], tells_peers: bool) -> Self {
         let list: Vec<ListedEngine> = engines.iter().map(|&(name, role)| listed(name, role)).collect();
         let pool = |index| {
-            let mut pool = EnginePool::new(settings(), format!("entry-{index}").parse().unwrap(), index);
+            let mut pool = EnginePool::new(settings(), &format!("entry-{index}").parse().unwrap(), index);
             pool.handle(MonoTime::default(), EngineEvent::Engines(list.clone()), &mut Vec::new());
             pool
         };
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
+use super::pace::Urgency;
 use super::state::RelayState;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
@@ -58,8 +59,28 @@
 
     /// Tells the pool how a step went.
     pub fn feed(&self, event: EngineEvent) {
+        let urgency = urgency_of(&event);
         self.state.engine_hub.feed(&self.service, event);
-        self.state.peers.touch();
+        self.state.peers.touch(urgency);
+    }
+}
+
+/// How soon the other daemons should know of what an event changes.
+fn urgency_of(event: &EngineEvent) -> Urgency {
+    match event {
+        EngineEvent::PromptRead { .. } | EngineEvent::Started { .. } | EngineEvent::Progress { .. } => {
+            Urgency::Later
+        }
+        EngineEvent::Arrive(_)
+        | EngineEvent::Reserved { .. }
+        | EngineEvent::ReserveFailed { .. }
+        | EngineEvent::ReadFailed { .. }
+        | EngineEvent::WriteFailed { .. }
+        | EngineEvent::Finished { .. }
+        | EngineEvent::CallerLeft { .. }
+        | EngineEvent::Engines(_)
+        | EngineEvent::Peer { .. }
+        | EngineEvent::Tick => Urgency::Soon,
     }
 }
 
@@ -67,7 +88,7 @@
     fn drop(&mut self) {
         let hub = &self.state.engine_hub;
         hub.feed(&self.service, EngineEvent::CallerLeft { request_id: self.request_id });
-        self.state.peers.touch();
+        self.state.peers.touch(Urgency::Soon);
         if let Some(service) = hub.services.lock().get_mut(&self.service) {
             service.open.remove(&self.request_id);
         }
@@ -87,7 +108,7 @@
         let hub = &state.engine_hub;
         hub.services.lock().get_mut(service)?.open.insert(request_id, sender);
         hub.feed(service, EngineEvent::Arrive(demand));
-        state.peers.touch();
+        state.peers.touch(Urgency::Soon);
         Some(OpenRequest { service: service.to_owned(), request_id, steps, state: Arc::clone(state) })
     }
 
@@ -114,7 +135,7 @@
             for name in lists.keys() {
                 let turn = usize::try_from(self.seed % TURNS).unwrap_or_default();
                 services.entry(name.clone()).or_insert_with(|| Service {
-                    pool: EnginePool::new(settings, self.host.clone(), turn),
+                    pool: EnginePool::new(settings, &self.host, turn),
                     open: HashMap::new(),
                 });
             }
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -88,7 +88,7 @@
         observe_gauge(&meter, "hibiscusvale_relay_servers", state, |state| {
             state.directory.listing().servers.len() as u64
         });
-        observe_gauge(&meter, "hibiscusvale_relay_daemons_live", state, |state| state.peers.live());
+        observe_gauge(&meter, "hibiscusvale_relay_daemons_live", state, |state| state.peers.live().into());
         observe_gauge(&meter, "hibiscusvale_relay_engine_retries", state, |state| {
             state.engine_hub.counters().iter().map(|counters| counters.retries).sum()
         });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod metrics;
 pub mod news;
 mod orders;
+pub mod pace;
 mod passing;
 mod peers;
 mod plain;
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -18,6 +18,7 @@
 
 use super::edge::EngineOrder;
 use super::hop;
+use super::pace::Urgency;
 use super::state::RelayState;
 use crate::clock;
 use crate::external::{AppendError, Log, LogFailure, Stream};
@@ -102,7 +103,7 @@
         if let Err(failure) = self.read_log().await {
             self.state.log.changed("lease not read", &failure);
             self.state.freshness.store_failed(clock::now());
-            self.state.peers.touch();
+            self.state.peers.touch(Urgency::Soon);
             return None;
         }
         // Records are kept for a while only. Where there have been any, an earlier holder may still act whose record
@@ -184,7 +185,7 @@
             // A conflict means that something else is under way there; no answer, that it may be.
             Ok(StatusCode::ACCEPTED | StatusCode::OK | StatusCode::CONFLICT) | Err(_) => {
                 state.engine_hub.shifted(service, shift);
-                state.peers.touch();
+                state.peers.touch(Urgency::Soon);
             }
             Ok(_) => {}
         }
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -15,13 +15,13 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::edge::{DaemonEntry, Register};
 use super::freshness::Stamp;
 use super::handover;
 use super::news::ServerChange;
+use super::pace::{Pace, Urgency, listen_pause};
 use super::state::RelayState;
 use super::watch;
 use crate::clock;
@@ -29,13 +29,6 @@
 /// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
 const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
 
-/// Changes within this time go out together. It is short beside the time that a prompt takes to be read, in which a
-/// wrong choice could still be mended.
-const GATHER: Duration = Duration::from_millis(3);
-
-/// Longest time between two messages: three lost ones in a row are rare.
-const REPEAT: Duration = Duration::from_millis(700);
-
 /// A daemon that was not heard of for so long has no requests any more, or cannot tell: engines say themselves when
 /// they are full.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -100,7 +93,7 @@
     known: Mutex<HashMap<HostId, Peer>>,
     /// Where to ask when nobody else is known.
     seeds: Vec<SocketAddr>,
-    changed: Notify,
+    pace: Pace,
 }
 
 impl Peers {
@@ -111,14 +104,15 @@
     }
 
     /// Something that the others should know has changed.
-    pub fn touch(&self) {
-        self.changed.notify_one();
+    pub fn touch(&self, urgency: Urgency) {
+        self.pace.touch(Instant::now(), urgency);
     }
 
     /// Daemons that were heard of lately.
-    pub fn live(&self) -> u64 {
+    pub fn live(&self) -> u32 {
         let now = Instant::now();
-        self.known.lock().values().filter(|peer| is_live(peer, now)).count() as u64
+        let live = self.known.lock().values().filter(|peer| is_live(peer, now)).count();
+        u32::try_from(live).unwrap_or(u32::MAX)
     }
 
     /// Hosts of those among them that can do for all what needs the store.
@@ -227,7 +221,7 @@
             Ok(entries) => {
                 state.peers.learn(&own.host, entries);
                 state.share_budget();
-                state.peers.touch();
+                state.peers.touch(Urgency::Soon);
                 REGISTER_PERIOD
             }
             Err(_) => REGISTER_RETRY,
@@ -256,10 +250,10 @@
 
 async fn tell(socket: &UdpSocket, host: &HostId, state: &RelayState) {
     let mut sequence = 0;
+    let mut last = Instant::now();
     loop {
-        if tokio::time::timeout(REPEAT, state.peers.changed.notified()).await.is_ok() {
-            tokio::time::sleep(GATHER).await;
-        }
+        state.peers.pace.due(last, state.peers.live()).await;
+        last = Instant::now();
         sequence += 1;
         let message = Message {
             host: host.clone(),
@@ -287,27 +281,38 @@
 async fn hear(socket: &UdpSocket, own: &HostId, state: &RelayState) {
     let mut bytes = vec![0; MESSAGE_LIMIT_BYTES];
     loop {
-        let Ok((length, from)) = socket.recv_from(&mut bytes).await else {
-            // A host that is gone shows as an error of the socket; the others are still heard.
-            continue;
-        };
-        let Ok(message) = postcard::from_bytes::<Message>(&bytes[..length]) else {
-            continue;
-        };
-        if message.host == *own {
-            continue;
-        }
-        match state.peers.hear(Instant::now(), from, &message) {
-            Hearing::Old => continue,
-            Hearing::First => {
-                state.log.changed("daemon heard", &message.host);
-                state.share_budget();
+        // A host that is gone shows as an error of the socket; the others are still heard.
+        let _ = socket.readable().await;
+        loop {
+            match socket.try_recv_from(&mut bytes) {
+                Ok((length, from)) => hear_one(&bytes[..length], from, own, state),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {}
             }
-            Hearing::Next => {}
         }
-        // Before its stamp: with the changes taken this daemon is as far as that one.
-        watch::adopt_changes(state, message.changes);
-        state.freshness.heard(clock::now(), state.table.load().version(), message.stamp, from);
-        state.engine_hub.peer(&message.host, message.holdings);
+        if let Some(pause) = listen_pause(state.peers.live()) {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+fn hear_one(bytes: &[u8], from: SocketAddr, own: &HostId, state: &RelayState) {
+    let Ok(message) = postcard::from_bytes::<Message>(bytes) else {
+        return;
+    };
+    if message.host == *own {
+        return;
+    }
+    match state.peers.hear(Instant::now(), from, &message) {
+        Hearing::Old => return,
+        Hearing::First => {
+            state.log.changed("daemon heard", &message.host);
+            state.share_budget();
+        }
+        Hearing::Next => {}
     }
+    // Before its stamp: with the changes taken this daemon is as far as that one.
+    watch::adopt_changes(state, message.changes);
+    state.freshness.heard(clock::now(), state.table.load().version(), message.stamp, from);
+    state.engine_hub.peer(&message.host, message.holdings);
 }
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -14,6 +14,7 @@
 use super::freshness::{Followed, due};
 use super::handover;
 use super::news::{ServerChange, digest};
+use super::pace::Urgency;
 use super::state::RelayState;
 use crate::clock;
 use crate::directory::Listing;
@@ -40,7 +41,7 @@
                     adopt_table(&state, table);
                 }
                 state.freshness.table_read(as_of_us);
-                state.peers.touch();
+                state.peers.touch(Urgency::Soon);
             }
             Err(failure) => {
                 link.lost(&state, &failure);
@@ -93,7 +94,7 @@
                     }
                     servers_changed(&state, &before);
                 }
-                state.peers.touch();
+                state.peers.touch(Urgency::Soon);
             }
             Err(failure) => {
                 lapses.lost();
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -9,5 +9,6 @@
 mod platform;
 mod relay_events;
 mod relay_news;
+mod relay_pace;
 mod relay_settings;
 mod settings;
