Share further tries among daemons in exact fractions, lent where they are needed

A 421 or a refusal with nothing run ended a request with 503 while the allowance of all was hardly touched.

Change: a part is counted in thousandths, its slack comes back a window after it was spent, and a daemon that cannot pay asks another one that has told that it has some left. What is lent is out of use at its owner until nobody can spend it any more, so no window is overspent whatever becomes of messages and processes; a daemon that starts has no slack for a window.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! `hibiscusvale` crate. The crate's dependency list keeps it so: there is no runtime, socket or file
 //! library to reach for.
 
+pub mod allowance;
 pub mod claim;
 pub mod config;
 pub mod ids;
--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -3,8 +3,9 @@
 use super::EnginePool;
 use super::engine::Engine;
 use super::events::{Demand, EngineAction, EngineRefusal, Role};
-use super::open::{Open, Stage};
+use super::open::{Open, Payment, Stage};
 use super::reading::START_MARGIN_MS;
+use crate::allowance::ASK_AGAIN_MS;
 use crate::ids::RequestId;
 use crate::outcome::{Attempts, Outcome};
 use crate::units::{Micros, Millis, MonoTime, Tokens};
@@ -16,7 +17,7 @@
     /// that cannot come free for them in time.
     pub(super) fn arrive(&mut self, now_us: MonoTime, demand: Demand, actions: &mut Vec<EngineAction>) {
         self.counters.arrivals += 1;
-        self.budget.deposit();
+        self.budget.arrived();
         let hinted = demand.answer_tokens_hint.unwrap_or(Tokens(demand.answer_tokens_max.0 / 2));
         self.fading.seen.note_prompt(demand.prompt_tokens, hinted);
         let request_id = demand.request_id;
@@ -36,6 +37,7 @@
             reads: 0,
             read: None,
             failed_at: None,
+            payment: Payment::None,
             progress: None,
         };
         self.open.insert(request_id, open);
@@ -164,7 +166,9 @@
             open.waits_since_us + open.patience_ms()
         };
         let expiry_us = self.waiting.iter().map(expiry).min();
-        let retry_us = (!self.waiting.is_empty()).then(|| now_us + LOOK_AGAIN_MS);
+        let owes = self.waiting.iter().any(|request_id| self.open[request_id].owes());
+        let look_ms = if owes { ASK_AGAIN_MS } else { LOOK_AGAIN_MS };
+        let retry_us = (!self.waiting.is_empty()).then(|| now_us + look_ms);
         let Some(at_us) = [expiry_us, retry_us].into_iter().flatten().min() else {
             return;
         };
--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -24,7 +24,7 @@
         open.read = Some((reader, now_us));
         open.reads += 1;
         if open.reads > 1 {
-            self.budget.charge();
+            self.budget.charge(now_us);
             self.counters.retries += 1;
         }
         let prompt_tokens = open.demand.prompt_tokens;
@@ -54,7 +54,7 @@
         self.engines[reader].instance.fail(now_us, cause, true);
         // It has reached the engine, or may have: that counts although it was not accepted.
         if cause != FailureCause::NotSent {
-            self.budget.charge();
+            self.budget.charge(now_us);
             self.counters.retries += 1;
         }
         if cause == FailureCause::NoRoom {
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -4,10 +4,11 @@
 
 use super::packing::Growth;
 use super::seen::Seen;
+use crate::allowance::Ask;
 use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::outcome::Repeatability;
 use crate::sched::FailureCause;
-use crate::units::{Micros, Millis, MonoTime, Tokens};
+use crate::units::{Credit, Micros, Millis, MonoTime, Tokens};
 
 /// What an engine does.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
@@ -173,6 +174,15 @@
         /// What it has.
         holdings: Holdings,
     },
+    /// Another daemon answered a question for a loan.
+    Lent {
+        /// The question.
+        number: u64,
+        /// What it lends.
+        credit: Credit,
+        /// What it has left.
+        spare: Credit,
+    },
     /// Time passed.
     Tick,
 }
@@ -236,6 +246,8 @@
         /// Which request.
         request_id: RequestId,
     },
+    /// Ask another daemon for a loan.
+    Borrow(Ask),
     /// Send `EngineEvent::Tick` at this time.
     Wake {
         /// When.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod open;
 mod packing;
+mod paying;
 mod peers;
 mod placing;
 mod ratio;
@@ -20,8 +21,8 @@
 
 use std::collections::HashMap;
 
+use crate::allowance::Allowance;
 use crate::ids::{BackendServerId, HostId, RequestId};
-use crate::sched::RetryBudget;
 use crate::units::MonoTime;
 
 use engine::Engine;
@@ -48,7 +49,7 @@
     names: HashMap<BackendServerId, usize>,
     open: HashMap<RequestId, Open>,
     waiting: Vec<RequestId>,
-    budget: RetryBudget,
+    budget: Allowance,
     counters: EngineCounters,
     wake_us: Option<MonoTime>,
     /// What requests were like lately, here.
@@ -73,7 +74,7 @@
             names: HashMap::new(),
             open: HashMap::new(),
             waiting: Vec::new(),
-            budget: RetryBudget::empty(settings.retry_percent, settings.retry_burst),
+            budget: Allowance::new(settings.retries, turn as u64),
             counters: EngineCounters::default(),
             wake_us: None,
             fading: Fading::default(),
@@ -105,10 +106,15 @@
 
     /// Changes the limits; what was decided stays.
     pub fn configure(&mut self, settings: EnginePoolSettings) {
-        self.budget.configure(settings.retry_percent, settings.retry_burst);
+        self.budget.configure(settings.retries);
         self.settings = settings;
     }
 
+    /// What this daemon may spend on further tries.
+    pub fn allowance(&mut self) -> &mut Allowance {
+        &mut self.budget
+    }
+
     /// Takes an event and pushes what is to be done.
     pub fn handle(&mut self, now_us: MonoTime, event: EngineEvent, actions: &mut Vec<EngineAction>) {
         if !matches!(event, EngineEvent::Peer { .. }) {
@@ -137,12 +143,14 @@
             EngineEvent::CallerLeft { request_id } => self.close(now_us, request_id),
             EngineEvent::Engines(list) => self.adopt(now_us, list),
             EngineEvent::Peer { host, holdings } => self.hear(now_us, host, holdings),
+            EngineEvent::Lent { number, credit, spare } => self.budget.lent(now_us, number, credit, spare),
             EngineEvent::Tick => {}
         }
         if self.waiting.is_empty() {
             return;
         }
         self.look_back(now_us);
+        self.pay(now_us, actions);
         self.serve(now_us, actions);
         self.expire(now_us, actions);
         self.wake(now_us, actions);
--- a/crates/core/src/relay/engines/open.rs
+++ b/crates/core/src/relay/engines/open.rs
@@ -28,7 +28,24 @@
     },
 }
 
+/// Whether a request's next try was paid for. The first is free.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Payment {
+    /// It need not be, or has not been asked for.
+    None,
+    /// It waits for a loan.
+    Awaited {
+        until_us: MonoTime,
+    },
+    Paid,
+}
+
 impl Open {
+    /// Whether its next try has to be paid for.
+    pub(super) fn owes(&self) -> bool {
+        self.tries.made() > 0 && self.payment != Payment::Paid
+    }
+
     /// Whether its answer cannot be in time for its caller any more, with what is still to come before its first event.
     pub(super) fn is_late(&self, now_us: MonoTime, ahead_ms: Millis) -> bool {
         self.age_ms(now_us) + ahead_ms >= self.demand.target_ms
@@ -71,6 +88,8 @@
     /// The engine that read the prompt, and when, while the KV cache may still be there.
     pub(super) read: Option<(usize, MonoTime)>,
     pub(super) failed_at: Option<usize>,
+    /// Whether its next try was paid for, and until when it waits for that.
+    pub(super) payment: Payment,
     /// How many events its answer had when that was last told, and when.
     pub(super) progress: Option<(MonoTime, u64)>,
 }
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -2,7 +2,7 @@
 
 use super::EnginePool;
 use super::events::{EngineAction, Role};
-use super::open::Stage;
+use super::open::{Payment, Stage};
 use super::packing::Growth;
 use crate::ids::RequestId;
 use crate::sched::FailureCause;
@@ -24,7 +24,8 @@
     /// here go before those that have: a place given to a late one makes the next one late as well. Among equals the
     /// smaller rank, then the one that came first.
     fn most_urgent(&self, now_us: MonoTime) -> Option<usize> {
-        if self.waiting.is_empty() {
+        let placeable = |position: &usize| !self.open[&self.waiting[*position]].owes();
+        if !(0..self.waiting.len()).any(|position| placeable(&position)) {
             return None;
         }
         let backlog = self.least_backlog(now_us);
@@ -38,7 +39,7 @@
                 *request_id,
             )
         };
-        (0..self.waiting.len()).min_by_key(|&position| key(&self.waiting[position]))
+        (0..self.waiting.len()).filter(placeable).min_by_key(|&position| key(&self.waiting[position]))
     }
 
     /// Chooses engines for a request; false when there is no room for it.
@@ -131,8 +132,8 @@
         let kept = read.filter(|&(_, read_us)| now_us < read_us + self.settings.hold_ms);
         // Reading again and writing again are paid for each, and so is a read that is refused. Where the budget does
         // not bear that, the writer reads: slower, and free.
-        let price = u64::from(open.reads > 0) + u64::from(open.tries.made() > 0);
-        let can_pay = self.budget.has(price);
+        let price = u64::from(open.reads > 0) + u64::from(open.owes());
+        let can_pay = self.budget.has(now_us, price);
         let reader = match kept {
             None if can_pay => self
                 .choose_reader(now_us, failed_at)
@@ -174,8 +175,9 @@
         open.stage = Stage::Writing { writer, since_us: now_us, reads };
         self.engines[writer].begin_reading(reads);
         let is_further = open.tries.made() > 0;
-        let allowed = open.tries.may_begin().is_ok() && (!is_further || self.budget.withdraw());
-        if !allowed || open.tries.begin().is_err() {
+        let is_paid = !open.owes() || self.budget.withdraw(now_us);
+        open.payment = Payment::None;
+        if !is_paid || open.tries.begin().is_err() {
             self.counters.retries_denied += 1;
             self.give_up(now_us, request_id, actions);
             return;
--- a/crates/core/src/relay/engines/settings.rs
+++ b/crates/core/src/relay/engines/settings.rs
@@ -1,5 +1,6 @@
 //! Limits of the pool, each with its reason.
 
+use crate::allowance::AllowanceSettings;
 use crate::sched::InstanceSettings;
 use crate::units::{Millis, Tokens};
 
@@ -26,10 +27,8 @@
     pub waiting_max: usize,
     /// Time that reading may take beyond what is expected before it counts as failed.
     pub read_slack_ms: Millis,
-    /// Retries that one arrival pays for, in percent.
-    pub retry_percent: u64,
-    /// Retries saved up at most.
-    pub retry_burst: u64,
+    /// What this daemon may spend on further tries.
+    pub retries: AllowanceSettings,
 }
 
 impl Default for EnginePoolSettings {
@@ -44,8 +43,7 @@
             hold_ms: Millis(500),
             waiting_max: 256,
             read_slack_ms: Millis(1_000),
-            retry_percent: 20,
-            retry_burst: 8,
+            retries: AllowanceSettings::default(),
         }
     }
 }
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -9,6 +9,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::allowance::{ASK_AGAIN_MS, Allowance, AllowanceSettings, LOAN_WAIT_MS};
 use crate::ids::{BackendServerId, PartnerId, RequestId};
 use crate::outcome::{Attempts, NoRetry, Outcome, Repeatability};
 use crate::slots::{FairQueue, QueueSettings, Waiting};
@@ -33,9 +34,9 @@
     pub retry_percent: u64,
     /// Retries saved up at most.
     pub retry_burst: u64,
-    /// Whether the budget is full at the start. One that several daemons share begins empty: each restart would
-    /// otherwise bring a full one.
-    pub retry_full_at_start: bool,
+    /// This daemon's part of an allowance that all daemons share, where there is one: it takes the place of the partners'
+    /// budgets.
+    pub shared_retries: Option<AllowanceSettings>,
     /// Longest first back-off of a retry; doubled with each.
     pub backoff_ms: Millis,
 }
@@ -47,7 +48,7 @@
             instance: InstanceSettings::default(),
             retry_percent: 10,
             retry_burst: 20,
-            retry_full_at_start: true,
+            shared_retries: None,
             backoff_ms: Millis(5),
         }
     }
@@ -64,6 +65,22 @@
     retry_at_us: Option<MonoTime>,
 }
 
+/// A call that is to be tried again and cannot be paid for yet.
+#[derive(Clone, Copy, Debug)]
+struct Unpaid {
+    request_id: RequestId,
+    until_us: MonoTime,
+}
+
+/// What pays for further tries.
+#[derive(Debug)]
+enum Retries {
+    /// What each partner's own arrivals earned.
+    ByPartner(HashMap<PartnerId, RetryBudget>),
+    /// This daemon's part of an allowance of all daemons.
+    Shared(Allowance),
+}
+
 /// Decides for the calls of one daemon to one plain service.
 #[derive(Debug)]
 pub struct PlainScheduler {
@@ -73,8 +90,9 @@
     names: HashMap<BackendServerId, usize>,
     calls: HashMap<RequestId, Call>,
     queue: FairQueue<()>,
-    budgets: HashMap<PartnerId, RetryBudget>,
+    paid_by: Retries,
     retries: Vec<(MonoTime, RequestId)>,
+    unpaid: Vec<Unpaid>,
     counters: PlainCounters,
     wake_us: Option<MonoTime>,
 }
@@ -89,8 +107,12 @@
             names: HashMap::new(),
             calls: HashMap::new(),
             queue: FairQueue::new(settings.queue),
-            budgets: HashMap::new(),
+            paid_by: match settings.shared_retries {
+                Some(shared) => Retries::Shared(Allowance::new(shared, seed)),
+                None => Retries::ByPartner(HashMap::new()),
+            },
             retries: Vec::new(),
+            unpaid: Vec::new(),
             counters: PlainCounters::default(),
             wake_us: None,
         }
@@ -98,12 +120,29 @@
 
     /// Changes the limits; what was decided and saved up stays.
     pub fn configure(&mut self, settings: PlainSettings) {
-        for budget in self.budgets.values_mut() {
-            budget.configure(settings.retry_percent, settings.retry_burst);
+        match &mut self.paid_by {
+            Retries::ByPartner(budgets) => {
+                for budget in budgets.values_mut() {
+                    budget.configure(settings.retry_percent, settings.retry_burst);
+                }
+            }
+            Retries::Shared(allowance) => {
+                if let Some(shared) = settings.shared_retries {
+                    allowance.configure(shared);
+                }
+            }
         }
         self.settings = settings;
     }
 
+    /// This daemon's part of the allowance, where there is one.
+    pub fn allowance(&mut self) -> Option<&mut Allowance> {
+        match &mut self.paid_by {
+            Retries::ByPartner(_) => None,
+            Retries::Shared(allowance) => Some(allowance),
+        }
+    }
+
     /// What it decided so far.
     pub fn counters(&self) -> &PlainCounters {
         &self.counters
@@ -127,8 +166,14 @@
                     self.instances[index].report(now_us, in_flight, capacity, age_us);
                 }
             }
+            PlainEvent::Lent { number, credit, spare } => {
+                if let Some(allowance) = self.allowance() {
+                    allowance.lent(now_us, number, credit, spare);
+                }
+            }
             PlainEvent::Tick => {}
         }
+        self.pay(now_us, actions);
         self.requeue_due(now_us);
         self.expire(now_us, actions);
         self.serve(now_us, actions);
@@ -156,11 +201,14 @@
     /// than they would ever stay, and a burst of launch entries stuck behind somebody's page loads.
     fn arrive(&mut self, now_us: MonoTime, arrival: PlainArrival, actions: &mut Vec<PlainAction>) {
         self.counters.arrivals += 1;
-        let settings = &self.settings;
-        let budget = self.budgets.entry(arrival.partner.clone());
-        let (percent, burst) = (settings.retry_percent, settings.retry_burst);
-        let new_budget = if settings.retry_full_at_start { RetryBudget::new } else { RetryBudget::empty };
-        budget.or_insert_with(|| new_budget(percent, burst)).deposit();
+        let PlainSettings { retry_percent, retry_burst, .. } = self.settings;
+        match &mut self.paid_by {
+            Retries::ByPartner(budgets) => budgets
+                .entry(arrival.partner.clone())
+                .or_insert_with(|| RetryBudget::new(retry_percent, retry_burst))
+                .deposit(),
+            Retries::Shared(allowance) => allowance.arrived(),
+        }
         let request_id = arrival.request_id;
         if self.calls.contains_key(&request_id) {
             return;
@@ -374,19 +422,61 @@
             self.unknown(request_id, actions);
             return;
         }
-        let budget = self.budgets.get_mut(&call.arrival.partner);
-        let paid = call.tries.may_begin().is_ok() && budget.is_some_and(RetryBudget::withdraw);
+        if call.tries.may_begin().is_err() {
+            self.counters.retries_denied += 1;
+            self.give_up(request_id, actions);
+            return;
+        }
+        let (paid, may_be_lent) = match &mut self.paid_by {
+            Retries::ByPartner(budgets) => {
+                (budgets.get_mut(&call.arrival.partner).is_some_and(RetryBudget::withdraw), false)
+            }
+            Retries::Shared(allowance) => (allowance.withdraw(now_us), allowance.may_borrow()),
+        };
         if paid {
-            let doubled = call.tries.made();
-            let longest_us = Micros::from(self.settings.backoff_ms).0 << doubled;
-            let at_us = now_us + Micros(self.rng.random_range(0..=longest_us));
-            call.retry_at_us = Some(at_us);
-            self.retries.push((at_us, request_id));
-            self.counters.retries += 1;
+            self.retry_soon(now_us, request_id);
+        } else if may_be_lent {
+            self.unpaid.push(Unpaid { request_id, until_us: now_us + LOAN_WAIT_MS });
+        } else {
+            self.counters.retries_denied += 1;
+            self.give_up(request_id, actions);
+        }
+    }
+
+    fn retry_soon(&mut self, now_us: MonoTime, request_id: RequestId) {
+        let Some(call) = self.calls.get_mut(&request_id) else {
             return;
+        };
+        let doubled = call.tries.made();
+        let longest_us = Micros::from(self.settings.backoff_ms).0 << doubled;
+        let at_us = now_us + Micros(self.rng.random_range(0..=longest_us));
+        call.retry_at_us = Some(at_us);
+        self.retries.push((at_us, request_id));
+        self.counters.retries += 1;
+    }
+
+    /// Tries those again that can be paid for now, asks for loans for the others, and ends those for which none came.
+    fn pay(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
+        let calls = &self.calls;
+        self.unpaid.retain(|unpaid| calls.contains_key(&unpaid.request_id));
+        let Retries::Shared(allowance) = &mut self.paid_by else {
+            return;
+        };
+        let payable = self.unpaid.iter().take_while(|_| allowance.withdraw(now_us)).count();
+        let paid: Vec<Unpaid> = self.unpaid.drain(..payable).collect();
+        if let Some(ask) = allowance.ask(now_us, self.unpaid.len() as u64) {
+            actions.push(PlainAction::Borrow(ask));
+        }
+        let may_be_lent = allowance.may_borrow();
+        let is_over = |unpaid: &Unpaid| now_us >= unpaid.until_us || !may_be_lent;
+        let denied: Vec<Unpaid> = self.unpaid.extract_if(.., |unpaid| is_over(unpaid)).collect();
+        for Unpaid { request_id, .. } in paid {
+            self.retry_soon(now_us, request_id);
+        }
+        for Unpaid { request_id, .. } in denied {
+            self.counters.retries_denied += 1;
+            self.give_up(request_id, actions);
         }
-        self.counters.retries_denied += 1;
-        self.give_up(request_id, actions);
     }
 
     /// Ends a call that is not tried again, by what its tries prove.
@@ -469,7 +559,8 @@
         let reopen_us = (!self.queue.is_empty())
             .then(|| self.instances.iter().filter_map(|instance| instance.opens_at(now_us)).min())
             .flatten();
-        let Some(at_us) = [retry_us, expiry_us, reopen_us].into_iter().flatten().min() else {
+        let ask_us = (!self.unpaid.is_empty()).then(|| now_us + ASK_AGAIN_MS);
+        let Some(at_us) = [retry_us, expiry_us, reopen_us, ask_us].into_iter().flatten().min() else {
             return;
         };
         if self.wake_us.is_none_or(|known_us| known_us <= now_us || at_us < known_us) {
--- a/crates/core/src/sched/plain_events.rs
+++ b/crates/core/src/sched/plain_events.rs
@@ -1,7 +1,8 @@
 //! What the scheduler of a plain service is told and what it wants done.
 
+use crate::allowance::Ask;
 use crate::ids::{BackendServerId, PartnerId, RequestId};
-use crate::units::{Micros, Millis, MonoTime};
+use crate::units::{Credit, Micros, Millis, MonoTime};
 
 use super::directory::Sign;
 use super::events::FailureCause;
@@ -74,6 +75,15 @@
         /// Age of the report.
         age_us: Micros,
     },
+    /// Another daemon answered a question for a loan.
+    Lent {
+        /// The question.
+        number: u64,
+        /// What it lends.
+        credit: Credit,
+        /// What it has left.
+        spare: Credit,
+    },
     /// Time passed.
     Tick,
 }
@@ -120,6 +130,8 @@
         /// Which call.
         request_id: RequestId,
     },
+    /// Ask another daemon for a loan.
+    Borrow(Ask),
     /// Send `PlainEvent::Tick` at this time.
     Wake {
         /// When.
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -99,6 +99,10 @@
     /// A rate of tokens.
     TokensPerSecond, "tokens/s"
 );
+quantity!(
+    /// A part of a further try, in thousandths.
+    Credit, "thousandths"
+);
 quantity!(
     /// A span of time in milliseconds, as settings and targets state it.
     Millis, "ms"
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -309,6 +309,8 @@
                 let finish = Event::Finish { daemon, writer, request_id, events: answer / 86 };
                 self.schedule(ends_ms, finish);
             }
+            // Nobody here says that it could lend.
+            EngineAction::Borrow(_) => {}
             EngineAction::Refuse { request_id, .. } | EngineAction::Unknown { request_id } => {
                 let arrived_ms = self.answers[&request_id].arrived_ms;
                 self.fates.insert(request_id, Fate::Refused { at_ms: at_ms - arrived_ms });
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -130,6 +130,7 @@
                 let partner = self.partner_of[&request_id].0.clone();
                 *self.tally.refused.entry(partner).or_default() += 1;
             }
+            PlainAction::Borrow(ask) => panic!("partners' budgets are not lent: {ask:?}"),
             PlainAction::Unknown { .. } => self.tally.unknown += 1,
             PlainAction::Wake { at_us } => {
                 if self.heap.len() < 100_000 {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::control::{Control, ControlParts, RunningControl};
 use crate::counted_log::CountedLog;
 use crate::directory::Directory;
-use crate::dispatch::{Demand, Dispatcher, Hub, Observer, PlainHub, Releases};
+use crate::dispatch::{Asks, Demand, Dispatcher, Hub, Observer, PlainHub, Releases};
 use crate::external::{HostList, HttpHostList, HttpLog, HttpLogSettings, HttpWeightStore, Log, WeightStore};
 use crate::figures::Figures;
 use crate::kernel::{KernelError, ServiceName};
@@ -320,7 +320,10 @@
         // The incarnation is as good a seed as any, and it is in the log when a decision is to be replayed.
         let seed = incarnation.0;
         let hub = Hub::new(SchedulerSettings::default(), seed, route, Arc::clone(releases));
-        Self { hub: Arc::new(hub), plain_hub: Arc::new(PlainHub::new(PlainSettings::default(), seed)) }
+        Self {
+            hub: Arc::new(hub),
+            plain_hub: Arc::new(PlainHub::new(PlainSettings::default(), seed, Asks::default())),
+        }
     }
 
     fn watcher(
--- a/crates/router/src/dispatch/mod.rs
+++ b/crates/router/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Carries requests through backend servers and sees to it that each ends in one of three outcomes.
 
 pub(crate) mod alarm;
+pub(crate) mod ask;
 mod demand;
 mod forward;
 mod hub;
@@ -28,6 +29,7 @@
 use crate::directory::Directory;
 use crate::tickets::Tickets;
 
+pub use ask::{Asks, ServiceAsk};
 pub use demand::Demand;
 pub use hub::Hub;
 pub use observe::{Observed, Observer};
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -115,7 +115,7 @@
                 return Err(Refusal::not_run(reason_of(reason)).retry_after(retry_after_ms));
             }
             PlainAction::Unknown { .. } => return Err(Refusal::unknown(RefusalReason::NoAnswer)),
-            PlainAction::Wake { .. } => {}
+            PlainAction::Borrow(_) | PlainAction::Wake { .. } => {}
         }
     }
     Err(Refusal::unknown(RefusalReason::NoAnswer))
--- a/crates/router/src/dispatch/plain_hub.rs
+++ b/crates/router/src/dispatch/plain_hub.rs
@@ -3,15 +3,16 @@
 
 use std::collections::HashMap;
 
-use hibiscusvale_core::ids::{BackendServerId, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
 use hibiscusvale_core::sched::{
     PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler, PlainSettings, Sign,
 };
-use hibiscusvale_core::units::Micros;
+use hibiscusvale_core::units::{Credit, Micros};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
 use super::alarm::Alarm;
+use super::ask::{Asks, spare_of};
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
 use crate::external::ListedState;
@@ -29,6 +30,7 @@
     alarm: Alarm,
     settings: Mutex<PlainSettings>,
     seed: u64,
+    asks: Asks,
 }
 
 /// An open call; dropped, it tells the scheduler that its caller left unless it had ended.
@@ -63,8 +65,8 @@
 
 impl PlainHub {
     /// A hub that knows no services; its schedulers draw their random choices from `seed`.
-    pub fn new(settings: PlainSettings, seed: u64) -> Self {
-        Self { services: Mutex::default(), alarm: Alarm::new(), settings: Mutex::new(settings), seed }
+    pub fn new(settings: PlainSettings, seed: u64, asks: Asks) -> Self {
+        Self { services: Mutex::default(), alarm: Alarm::new(), settings: Mutex::new(settings), seed, asks }
     }
 
     /// Takes a call in. `None` when no such service is listed.
@@ -124,6 +126,39 @@
         self.feed_all(&PlainEvent::Load { server: server.clone(), in_flight, capacity, age_us });
     }
 
+    /// What this daemon could lend of its further tries, by service.
+    pub fn spares(&self) -> Vec<(String, Credit)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let spares = services.iter_mut().filter_map(|(name, service)| {
+            let spare = service.scheduler.allowance()?.spare(now_us);
+            (spare > Credit::ZERO).then(|| (name.clone(), spare))
+        });
+        spares.collect()
+    }
+
+    /// Takes what another daemon could lend.
+    pub fn told_spares(&self, host: &HostId, spares: &[(String, Credit)]) {
+        for (name, service) in self.services.lock().iter_mut() {
+            if let Some(allowance) = service.scheduler.allowance() {
+                allowance.told(host, spare_of(spares, name));
+            }
+        }
+    }
+
+    /// Lends to another daemon; says what, and what is left. `None` when there is no such service.
+    pub fn lend(&self, name: &str, wants: Credit) -> Option<(Credit, Credit)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let allowance = services.get_mut(name)?.scheduler.allowance()?;
+        Some((allowance.lend(now_us, wants), allowance.spare(now_us)))
+    }
+
+    /// Another daemon answered a question for a loan.
+    pub fn lent(&self, name: &str, number: u64, credit: Credit, spare: Credit) {
+        self.feed(name, PlainEvent::Lent { number, credit, spare });
+    }
+
     fn feed_all(&self, event: &PlainEvent) {
         for service in self.names() {
             self.feed(&service, event.clone());
@@ -139,9 +174,9 @@
         self.services.lock().keys().cloned().collect()
     }
 
-    fn feed(&self, service: &str, event: PlainEvent) {
+    fn feed(&self, name: &str, event: PlainEvent) {
         let mut services = self.services.lock();
-        let Some(service) = services.get_mut(service) else {
+        let Some(service) = services.get_mut(name) else {
             return;
         };
         let mut actions = Vec::new();
@@ -149,6 +184,7 @@
         for action in actions {
             match &action {
                 PlainAction::Wake { at_us } => self.alarm.set(*at_us),
+                PlainAction::Borrow(ask) => self.asks.send(name, ask.clone()),
                 PlainAction::Dispatch { request_id, .. }
                 | PlainAction::Refuse { request_id, .. }
                 | PlainAction::Unknown { request_id } => {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -31,7 +31,7 @@
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
 use crate::directory::Directory;
-use crate::dispatch::PlainHub;
+use crate::dispatch::{Asks, PlainHub};
 use crate::external::{HostList, Log as RecordLog};
 use crate::logging::Log;
 use crate::settings::SettingsError;
@@ -93,16 +93,22 @@
         let log = Log::stdout(settings.observe.log_level)?;
         let traffic = runtime("traffic")?;
         let control = runtime("control")?;
+        let (asks, asked) = Asks::channel();
         let state = Arc::new(RelayState {
             wire: edges.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
             http: BackendHttp::with_connect_timeout(CONNECT_TIMEOUT),
-            plain_hub: PlainHub::new(budget::plain(&settings.bounds, UNKNOWN_DAEMONS), incarnation.0),
+            plain_hub: PlainHub::new(
+                budget::plain(&settings.bounds, UNKNOWN_DAEMONS),
+                incarnation.0,
+                asks.clone(),
+            ),
             engine_hub: EngineHub::new(
                 budget::engines(&settings.bounds, UNKNOWN_DAEMONS),
                 settings.host.id.clone(),
                 incarnation.0,
+                asks,
             ),
             freshness: Freshness::default(),
             patience: Mutex::default(),
@@ -134,7 +140,7 @@
         control.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
         control.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
-        let telling = peers::run(own.peer_address, own.host.clone(), Arc::clone(&state));
+        let telling = peers::run(own.peer_address, own.host.clone(), asked, Arc::clone(&state));
         let log = state.log.clone();
         control.spawn(async move {
             if let Err(error) = telling.await {
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -10,7 +10,7 @@
     ListedEngine, Role, Shift,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::units::Tokens;
+use hibiscusvale_core::units::{Credit, Tokens};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
@@ -18,7 +18,9 @@
 use super::state::RelayState;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
+use crate::dispatch::Asks;
 use crate::dispatch::alarm::Alarm;
+use crate::dispatch::ask::spare_of;
 use crate::external::{EngineRole, ListedState};
 
 #[derive(Debug)]
@@ -35,6 +37,7 @@
     settings: Mutex<EnginePoolSettings>,
     host: HostId,
     seed: u64,
+    asks: Asks,
 }
 
 /// An open request; dropped, it tells the pool that its caller left unless it had ended.
@@ -80,6 +83,7 @@
         | EngineEvent::CallerLeft { .. }
         | EngineEvent::Engines(_)
         | EngineEvent::Peer { .. }
+        | EngineEvent::Lent { .. }
         | EngineEvent::Tick => Urgency::Soon,
     }
 }
@@ -97,8 +101,9 @@
 
 impl EngineHub {
     /// A hub that knows no services.
-    pub fn new(settings: EnginePoolSettings, host: HostId, seed: u64) -> Self {
-        Self { services: Mutex::default(), alarm: Alarm::new(), settings: Mutex::new(settings), host, seed }
+    pub fn new(settings: EnginePoolSettings, host: HostId, seed: u64, asks: Asks) -> Self {
+        let (services, settings) = (Mutex::default(), Mutex::new(settings));
+        Self { services, alarm: Alarm::new(), settings, host, seed, asks }
     }
 
     /// Takes a request in. `None` when the service has no engines.
@@ -203,6 +208,35 @@
         }
     }
 
+    /// What this daemon could lend of its further tries, by service.
+    pub fn spares(&self) -> Vec<(String, Credit)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let spares =
+            services.iter_mut().map(|(name, service)| (name.clone(), service.pool.allowance().spare(now_us)));
+        spares.filter(|(_, spare)| *spare > Credit::ZERO).collect()
+    }
+
+    /// Takes what another daemon could lend.
+    pub fn told_spares(&self, host: &HostId, spares: &[(String, Credit)]) {
+        for (name, service) in self.services.lock().iter_mut() {
+            service.pool.allowance().told(host, spare_of(spares, name));
+        }
+    }
+
+    /// Lends to another daemon; says what, and what is left. `None` when there is no such service.
+    pub fn lend(&self, name: &str, wants: Credit) -> Option<(Credit, Credit)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let allowance = services.get_mut(name)?.pool.allowance();
+        Some((allowance.lend(now_us, wants), allowance.spare(now_us)))
+    }
+
+    /// Another daemon answered a question for a loan.
+    pub fn lent(&self, name: &str, number: u64, credit: Credit, spare: Credit) {
+        self.feed(name, EngineEvent::Lent { number, credit, spare });
+    }
+
     /// What the pools counted.
     pub fn counters(&self) -> Vec<EngineCounters> {
         self.services.lock().values().map(|service| *service.pool.counters()).collect()
@@ -220,9 +254,9 @@
         }
     }
 
-    fn feed(&self, service: &str, event: EngineEvent) {
+    fn feed(&self, name: &str, event: EngineEvent) {
         let mut services = self.services.lock();
-        let Some(service) = services.get_mut(service) else {
+        let Some(service) = services.get_mut(name) else {
             return;
         };
         let mut actions = Vec::new();
@@ -230,6 +264,7 @@
         for action in actions {
             match &action {
                 EngineAction::Wake { at_us } => self.alarm.set(*at_us),
+                EngineAction::Borrow(ask) => self.asks.send(name, ask.clone()),
                 EngineAction::Reserve { request_id, .. }
                 | EngineAction::Read { request_id, .. }
                 | EngineAction::Write { request_id, .. }
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod freshness;
 mod handover;
 mod hop;
+mod loans;
 mod metrics;
 pub mod news;
 mod orders;
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -15,16 +15,19 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::edge::{DaemonEntry, Register};
 use super::freshness::Stamp;
 use super::handover;
+use super::loans::{self, LoanAnswer, LoanQuestion, Spares};
 use super::news::ServerChange;
 use super::pace::{Pace, Urgency, listen_pause};
 use super::state::RelayState;
 use super::watch;
 use crate::clock;
+use crate::dispatch::ServiceAsk;
 
 /// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
 const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
@@ -44,9 +47,20 @@
 /// Pause after a failed call to the register.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
-/// What a daemon says.
+/// What daemons send each other.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-struct Message {
+pub enum Datagram {
+    /// What the sender knows and has.
+    Word(Box<Message>),
+    /// It asks for a loan of further tries.
+    LoanQuestion(LoanQuestion),
+    /// It gives one.
+    LoanAnswer(LoanAnswer),
+}
+
+/// What a daemon says of itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Message {
     host: HostId,
     incarnation: Incarnation,
     /// Counts its messages: an older one that comes late is passed over.
@@ -59,6 +73,8 @@
     changes: Vec<ServerChange>,
     /// What it has at the engines, by service.
     holdings: Vec<(String, Holdings)>,
+    /// What it could lend of its further tries, by service.
+    spares: Spares,
 }
 
 #[derive(Debug)]
@@ -133,6 +149,11 @@
         peers.iter().map(|peer| peer.address).chain(self.seeds.iter().copied()).collect()
     }
 
+    /// Where the daemon on `host` listens.
+    pub fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
+        Some(self.known.lock().get(host)?.address)
+    }
+
     /// Daemons that are registered or were heard of, this one among them.
     pub fn registered(&self) -> u64 {
         self.known.lock().len() as u64 + 1
@@ -236,12 +257,18 @@
 /// # Errors
 ///
 /// The system's error when the address cannot be bound.
-pub async fn run(address: SocketAddr, host: HostId, state: Arc<RelayState>) -> io::Result<()> {
+pub async fn run(
+    address: SocketAddr,
+    host: HostId,
+    asks: mpsc::UnboundedReceiver<ServiceAsk>,
+    state: Arc<RelayState>,
+) -> io::Result<()> {
     let socket = UdpSocket::bind(address).await?;
     let handing_on = TcpListener::bind(socket.local_addr()?).await?;
     tokio::join!(
         tell(&socket, &host, &state),
         hear(&socket, &host, &state),
+        loans::ask(&socket, asks, &state),
         handover::serve(Arc::clone(&state), handing_on),
         handover::learn(Arc::clone(&state)),
     );
@@ -263,8 +290,9 @@
             reaches_store: state.freshness.reaches_store(clock::now()),
             changes: state.news.next(),
             holdings: state.engine_hub.holdings(),
+            spares: loans::spares(state),
         };
-        let Ok(bytes) = postcard::to_stdvec(&message) else {
+        let Ok(bytes) = postcard::to_stdvec(&Datagram::Word(Box::new(message))) else {
             continue;
         };
         for target in state.peers.targets(Instant::now()) {
@@ -273,6 +301,7 @@
         }
         for silent in state.peers.fallen_silent(Instant::now()) {
             state.log.changed("daemon silent", &silent);
+            loans::told(&silent, &Spares::new(), state);
             state.engine_hub.peer(&silent, Vec::new());
         }
     }
@@ -285,7 +314,7 @@
         let _ = socket.readable().await;
         loop {
             match socket.try_recv_from(&mut bytes) {
-                Ok((length, from)) => hear_one(&bytes[..length], from, own, state),
+                Ok((length, from)) => take(socket, &bytes[..length], from, own, state).await,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(_) => {}
             }
@@ -296,13 +325,17 @@
     }
 }
 
-fn hear_one(bytes: &[u8], from: SocketAddr, own: &HostId, state: &RelayState) {
-    let Ok(message) = postcard::from_bytes::<Message>(bytes) else {
-        return;
-    };
-    if message.host == *own {
-        return;
+async fn take(socket: &UdpSocket, bytes: &[u8], from: SocketAddr, own: &HostId, state: &RelayState) {
+    match postcard::from_bytes(bytes) {
+        Ok(Datagram::Word(message)) if message.host != *own => heard(*message, from, state),
+        Ok(Datagram::LoanQuestion(question)) => loans::answer(socket, from, question, state).await,
+        Ok(Datagram::LoanAnswer(answer)) => loans::take(&answer, state),
+        // Its own word, through a seed; or bytes of somebody else.
+        Ok(Datagram::Word(_)) | Err(_) => {}
     }
+}
+
+fn heard(message: Message, from: SocketAddr, state: &RelayState) {
     match state.peers.hear(Instant::now(), from, &message) {
         Hearing::Old => return,
         Hearing::First => {
@@ -314,5 +347,6 @@
     // Before its stamp: with the changes taken this daemon is as far as that one.
     watch::adopt_changes(state, message.changes);
     state.freshness.heard(clock::now(), state.table.load().version(), message.stamp, from);
+    loans::told(&message.host, &message.spares, state);
     state.engine_hub.peer(&message.host, message.holdings);
 }
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -60,7 +60,7 @@
                 return Err(Refusal::retry_after(reason.into(), retry_after_ms));
             }
             PlainAction::Unknown { .. } => break,
-            PlainAction::Wake { .. } => {}
+            PlainAction::Borrow(_) | PlainAction::Wake { .. } => {}
         }
     }
     failed.map(|reply| reply.into_response(&*state.wire)).ok_or(Refusal::new(Reason::NoAnswer))
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -185,7 +185,7 @@
                     return Err(Refusal::retry_after(reason.into(), retry_after_ms));
                 }
                 EngineAction::Unknown { .. } => break,
-                EngineAction::Wake { .. } => {}
+                EngineAction::Borrow(_) | EngineAction::Wake { .. } => {}
             }
         }
         Err(Refusal::new(Reason::NoAnswer))
