Do not pay for tries of plain calls that reached nobody

Change: a try whose connection did not come about costs the servers nothing and is not paid for; strikes and patience bound them. The test with an empty budget fails without it.

--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -427,6 +427,12 @@
             self.give_up(request_id, actions);
             return;
         }
+        // A try that reached nobody has cost the servers nothing. Refused for want of budget, callers beside a cut would be
+        // turned away with servers free.
+        if call.tries.made() == 0 {
+            self.retry_soon(now_us, request_id);
+            return;
+        }
         let (paid, may_be_lent) = match &mut self.paid_by {
             Retries::ByPartner(budgets) => {
                 (budgets.get_mut(&call.arrival.partner).is_some_and(RetryBudget::withdraw), false)
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -3,12 +3,13 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
+use hibiscusvale_core::allowance::AllowanceSettings;
 use hibiscusvale_core::ids::{Incarnation, RequestId};
 use hibiscusvale_core::sched::{
     FailureCause, PlainAction, PlainArrival, PlainEvent, PlainInstance, PlainRefusal, PlainScheduler,
     PlainSettings,
 };
-use hibiscusvale_core::units::{Micros, Millis, MonoTime};
+use hibiscusvale_core::units::{Credit, Micros, Millis, MonoTime};
 use rstest::rstest;
 
 const CALL_US: u64 = 10_000;
@@ -48,13 +49,17 @@
 
 impl Fake {
     fn new(kinds: &[Kind]) -> Self {
+        Self::with_settings(PlainSettings::default(), kinds)
+    }
+
+    fn with_settings(settings: PlainSettings, kinds: &[Kind]) -> Self {
         let instances = (0..kinds.len()).map(|number| PlainInstance {
             server: format!("s{number}").parse().unwrap(),
             capacity: CAPACITY,
             leaving: false,
         });
         let mut fake = Self {
-            scheduler: PlainScheduler::new(PlainSettings::default(), 3),
+            scheduler: PlainScheduler::new(settings, 3),
             kinds: kinds.to_vec(),
             heap: BinaryHeap::new(),
             events: Vec::new(),
@@ -204,11 +209,16 @@
 
 // A data centre is cut off from the others: three of four instances stand on the other side, and connection attempts to
 // them hang until they are given up. Bookings may be sent to one instance only; those that reached none may go to the
-// one on this side, and that has room for all of them.
-#[test]
-fn a_daemon_that_is_cut_off_uses_the_instance_that_it_reaches() {
+// one on this side, and that has room for all of them. A connection that did not come about costs no server anything, so
+// that holds with no further try left to pay for as well.
+#[rstest]
+#[case::own_budget(None)]
+#[case::nothing_left_of_the_shared_one(Some(AllowanceSettings { earned: Credit(0), part: Credit(0), ..Default::default() }))]
+fn a_daemon_that_is_cut_off_uses_the_instance_that_it_reaches(
+    #[case] shared_retries: Option<AllowanceSettings>,
+) {
     let kinds = [Kind::Unreachable, Kind::Unreachable, Kind::Good, Kind::Unreachable];
-    let mut fake = Fake::new(&kinds);
+    let mut fake = Fake::with_settings(PlainSettings { shared_retries, ..PlainSettings::default() }, &kinds);
     let sent = 6_u64 * 20;
     for sequence in 0..sent {
         let request_id = RequestId { incarnation: Incarnation(7), sequence };
