Leave out of a message what the one before told, and look at the register less among hundreds

Cause: among 195 daemons most bytes between data centres are messages said only to be heard of, and nine numbers about requests are half of each.

Change: what requests were like and what could be lent goes into a message when it has changed, and into each fourth; a daemon that is gone takes its figures with it. Looks at the register come to three a second at most for all daemons together.

--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -95,14 +95,21 @@
 pub struct Holdings {
     /// Memory that its waiting requests will take.
     pub waiting: Tokens,
-    /// What its requests were like lately.
-    pub seen: Seen,
+    /// What its requests were like lately; absent where that is what it told before.
+    pub seen: Option<Seen>,
     /// Engines that it has ordered to change their role, to which, and for how much longer they change.
     pub changing: Vec<(BackendServerId, Role, Micros)>,
     /// What it has, engine by engine.
     pub engines: Vec<Holding>,
 }
 
+impl Holdings {
+    /// Of a daemon that is gone.
+    pub fn of_nobody() -> Self {
+        Self { seen: Some(Seen::default()), ..Self::default() }
+    }
+}
+
 /// Something the pool has to know.
 #[derive(Clone, Debug)]
 pub enum EngineEvent {
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -94,7 +94,7 @@
     pub fn holdings(&self, now_us: MonoTime) -> Holdings {
         Holdings {
             waiting: self.waiting_room(now_us),
-            seen: self.fading.seen,
+            seen: Some(self.fading.seen),
             changing: self.changing(now_us),
             engines: self
                 .engines
--- a/crates/core/src/relay/engines/peers.rs
+++ b/crates/core/src/relay/engines/peers.rs
@@ -49,8 +49,9 @@
     }
 
     /// Takes what a daemon tells of its requests.
-    pub(super) fn tell(&mut self, index: PeerIndex, waiting: Tokens, seen: Seen) {
+    pub(super) fn tell(&mut self, index: PeerIndex, waiting: Tokens, seen: Option<Seen>) {
         let peer = &mut self.list[index.0];
+        let seen = seen.unwrap_or(peer.seen);
         self.waiting = self.waiting.saturating_sub(peer.waiting) + waiting;
         self.seen_is_old |= peer.seen != seen;
         (peer.waiting, peer.seen) = (waiting, seen);
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -368,10 +368,15 @@
     bench.pool.next_shift(bench.now_us);
     bench.after(2_500);
     assert_eq!(bench.pool.next_shift(bench.now_us), None, "one prompt says nothing");
-    bench.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), holdings });
+    let tell = |holdings| EngineEvent::Peer { host: "entry-2".parse().unwrap(), holdings };
+    bench.feed(tell(holdings));
     bench.pool.next_shift(bench.now_us);
     bench.after(2_500);
     assert!(bench.pool.next_shift(bench.now_us).is_some());
+    bench.feed(tell(Holdings::default()));
+    assert!(bench.pool.next_shift(bench.now_us).is_some(), "a message that says nothing new of it");
+    bench.feed(tell(Holdings::of_nobody()));
+    assert_eq!(bench.pool.next_shift(bench.now_us), None, "the daemon is gone");
 }
 
 /// Readers were lost for good. The writers that are left would read every long prompt themselves, and their answers
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Another daemon is gone, and what it had with it.
+    pub fn peer_gone(&self, host: &HostId) {
+        let names: Vec<String> = self.services.lock().keys().cloned().collect();
+        for name in names {
+            let holdings = Holdings::of_nobody();
+            self.feed(&name, EngineEvent::Peer { host: host.clone(), holdings });
+        }
+    }
+
     /// The engines that should change their role next, by service.
     pub fn next_shifts(&self) -> Vec<(String, Shift)> {
         let now_us = clock::now();
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
-use hibiscusvale_core::relay::engines::Holdings;
+use hibiscusvale_core::relay::engines::{Holdings, Seen};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
@@ -39,11 +39,15 @@
 /// Pause between messages to a daemon that was not heard of: hosts that are gone for good stay registered.
 const CALL_AGAIN: Duration = Duration::from_secs(3);
 
-/// Pause between looks at the register. A daemon that starts reads it and calls all others, who know it from then on;
+/// Shortest pause between looks at the register. A daemon that starts reads it and calls all others, who know it from then on;
 /// the look only mends what lost datagrams left. Waiting for news instead would have each of 87 daemons call the store
 /// again whenever one of the others starts: 19,000 calls in a day on which all were restarted in turn.
 const REGISTER_PERIOD: Duration = Duration::from_secs(30);
 
+/// Looks of all daemons together in a second, at most. With hundreds of them a look each half minute is a quarter of all
+/// calls to the store on a day without trouble.
+const REGISTER_LOOKS_PER_S: u64 = 3;
+
 /// Pause after a failed call to the register.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
@@ -73,8 +77,8 @@
     changes: Vec<ServerChange>,
     /// What it has at the engines, by service.
     holdings: Vec<(String, Holdings)>,
-    /// What it could lend of its further tries, by service.
-    spares: Spares,
+    /// What it could lend of its further tries, by service; absent where that is what it told before.
+    spares: Option<Spares>,
 }
 
 #[derive(Debug)]
@@ -243,7 +247,7 @@
                 state.peers.learn(&own.host, entries);
                 state.share_budget();
                 state.peers.touch(Urgency::Soon);
-                REGISTER_PERIOD
+                REGISTER_PERIOD.max(Duration::from_secs(state.peers.registered() / REGISTER_LOOKS_PER_S))
             }
             Err(_) => REGISTER_RETRY,
         };
@@ -251,6 +255,38 @@
     }
 }
 
+/// One message in so many is whole: whoever missed one that was not learns the rest within some seconds.
+const WHOLE_EVERY: u64 = 4;
+
+/// What the last messages told.
+#[derive(Default)]
+struct Told {
+    seen: HashMap<String, Seen>,
+    spares: Spares,
+}
+
+impl Told {
+    /// What the message with this number says. Most messages of hundreds of daemons are said only to be heard of; what has
+    /// not changed since the one before is left out of them.
+    fn news(
+        &mut self,
+        sequence: u64,
+        mut holdings: Vec<(String, Holdings)>,
+        spares: Spares,
+    ) -> (Vec<(String, Holdings)>, Option<Spares>) {
+        let is_whole = sequence % WHOLE_EVERY == 1;
+        for (service, holdings) in &mut holdings {
+            let seen = holdings.seen.unwrap_or_default();
+            if self.seen.insert(service.clone(), seen) == Some(seen) && !is_whole {
+                holdings.seen = None;
+            }
+        }
+        let is_news = is_whole || spares != self.spares;
+        self.spares.clone_from(&spares);
+        (holdings, is_news.then_some(spares))
+    }
+}
+
 /// Tells the others what this daemon has, and hears them, for as long as it runs. Over TCP on the same port it hands
 /// on what it knows.
 ///
@@ -278,10 +314,12 @@
 async fn tell(socket: &UdpSocket, host: &HostId, state: &RelayState) {
     let mut sequence = 0;
     let mut last = Instant::now();
+    let mut told = Told::default();
     loop {
         state.peers.pace.due(last, state.peers.live()).await;
         last = Instant::now();
         sequence += 1;
+        let (holdings, spares) = told.news(sequence, state.engine_hub.holdings(), loans::spares(state));
         let message = Message {
             host: host.clone(),
             incarnation: state.incarnation,
@@ -289,8 +327,8 @@
             stamp: state.freshness.stamp(clock::now(), state.table.load().version()),
             reaches_store: state.freshness.reaches_store(clock::now()),
             changes: state.news.next(),
-            holdings: state.engine_hub.holdings(),
-            spares: loans::spares(state),
+            holdings,
+            spares,
         };
         let Ok(bytes) = postcard::to_stdvec(&Datagram::Word(Box::new(message))) else {
             continue;
@@ -302,7 +340,7 @@
         for silent in state.peers.fallen_silent(Instant::now()) {
             state.log.changed("daemon silent", &silent);
             loans::told(&silent, &Spares::new(), state);
-            state.engine_hub.peer(&silent, Vec::new());
+            state.engine_hub.peer_gone(&silent);
         }
     }
 }
@@ -347,6 +385,8 @@
     // Before its stamp: with the changes taken this daemon is as far as that one.
     watch::adopt_changes(state, message.changes);
     state.freshness.heard(clock::now(), state.table.load().version(), message.stamp, from);
-    loans::told(&message.host, &message.spares, state);
+    if let Some(spares) = message.spares {
+        loans::told(&message.host, &spares, state);
+    }
     state.engine_hub.peer(&message.host, message.holdings);
 }
