--- a/crates/router/src/relay/loans.rs
+++ b/crates/router/src/relay/loans.rs
@@ -8,8 +8,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::message::Datagram;
 use super::pace::Urgency;
-use super::peers::Datagram;
 use super::state::RelayState;
 use crate::dispatch::ServiceAsk;
 
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod handover;
 mod hop;
 mod loans;
+mod message;
 mod metrics;
 pub mod news;
 mod orders;
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -1,8 +1,4 @@
-//! What the daemons tell each other: what each has at the engines.
-//!
-//! Each daemon places its own requests. Without knowing the others' it would fill engines that they have filled
-//! already. Every message holds all that its sender has, so that a lost one is mended by the next; that is why they
-//! are datagrams: a stream that went silent would hold back what is new behind what is old.
+//! The other daemons: which there are, which were heard of lately, and the talk with them.
 
 use std::collections::HashMap;
 use std::io;
@@ -11,27 +7,21 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
-use hibiscusvale_core::relay::engines::{Holdings, Seen};
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::edge::{DaemonEntry, Register};
-use super::freshness::Stamp;
 use super::handover;
-use super::loans::{self, LoanAnswer, LoanQuestion, Spares};
-use super::news::ServerChange;
+use super::loans::{self, Spares};
+use super::message::{Datagram, MESSAGE_LIMIT_BYTES, Message, Told};
 use super::pace::{Pace, Urgency, listen_pause};
 use super::state::RelayState;
 use super::watch;
 use crate::clock;
 use crate::dispatch::ServiceAsk;
 
-/// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
-const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
-
 /// A daemon that was not heard of for so long has no requests any more, or cannot tell: engines say themselves when
 /// they are full.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -44,43 +34,13 @@
 /// again whenever one of the others starts: 19,000 calls in a day on which all were restarted in turn.
 const REGISTER_PERIOD: Duration = Duration::from_secs(30);
 
-/// Looks of all daemons together in a second, at most. With hundreds of them a look each half minute is a quarter of all
-/// calls to the store on a day without trouble.
+/// Looks of all daemons together in a second, at most. With hundreds of them a look of each every half minute would
+/// be more calls to the store than all that the readers make.
 const REGISTER_LOOKS_PER_S: u64 = 3;
 
 /// Pause after a failed call to the register.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
-/// What daemons send each other.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub enum Datagram {
-    /// What the sender knows and has.
-    Word(Box<Message>),
-    /// It asks for a loan of further tries.
-    LoanQuestion(LoanQuestion),
-    /// It gives one.
-    LoanAnswer(LoanAnswer),
-}
-
-/// What a daemon says of itself.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Message {
-    host: HostId,
-    incarnation: Incarnation,
-    /// Counts its messages: an older one that comes late is passed over.
-    sequence: u64,
-    /// What it knows of routes and servers.
-    stamp: Stamp,
-    /// Whether it can do for all what needs the store.
-    reaches_store: bool,
-    /// Changes of the servers that it read just now.
-    changes: Vec<ServerChange>,
-    /// What it has at the engines, by service.
-    holdings: Vec<(String, Holdings)>,
-    /// What it could lend of its further tries, by service; absent where that is what it told before.
-    spares: Option<Spares>,
-}
-
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
@@ -255,38 +215,6 @@
     }
 }
 
-/// One message in so many is whole: whoever missed one that was not learns the rest within some seconds.
-const WHOLE_EVERY: u64 = 4;
-
-/// What the last messages told.
-#[derive(Default)]
-struct Told {
-    seen: HashMap<String, Seen>,
-    spares: Spares,
-}
-
-impl Told {
-    /// What the message with this number says. Most messages of hundreds of daemons are said only to be heard of; what has
-    /// not changed since the one before is left out of them.
-    fn news(
-        &mut self,
-        sequence: u64,
-        mut holdings: Vec<(String, Holdings)>,
-        spares: Spares,
-    ) -> (Vec<(String, Holdings)>, Option<Spares>) {
-        let is_whole = sequence % WHOLE_EVERY == 1;
-        for (service, holdings) in &mut holdings {
-            let seen = holdings.seen.unwrap_or_default();
-            if self.seen.insert(service.clone(), seen) == Some(seen) && !is_whole {
-                holdings.seen = None;
-            }
-        }
-        let is_news = is_whole || spares != self.spares;
-        self.spares.clone_from(&spares);
-        (holdings, is_news.then_some(spares))
-    }
-}
-
 /// Tells the others what this daemon has, and hears them, for as long as it runs. Over TCP on the same port it hands
 /// on what it knows.
 ///
@@ -330,7 +258,7 @@
             holdings,
             spares,
         };
-        let Ok(bytes) = postcard::to_stdvec(&Datagram::Word(Box::new(message))) else {
+        let Ok(bytes) = postcard::to_stdvec(&Datagram::Message(Box::new(message))) else {
             continue;
         };
         for target in state.peers.targets(Instant::now()) {
@@ -365,11 +293,11 @@
 
 async fn take(socket: &UdpSocket, bytes: &[u8], from: SocketAddr, own: &HostId, state: &RelayState) {
     match postcard::from_bytes(bytes) {
-        Ok(Datagram::Word(message)) if message.host != *own => heard(*message, from, state),
+        Ok(Datagram::Message(message)) if message.host != *own => heard(*message, from, state),
         Ok(Datagram::LoanQuestion(question)) => loans::answer(socket, from, question, state).await,
         Ok(Datagram::LoanAnswer(answer)) => loans::take(&answer, state),
         // Its own word, through a seed; or bytes of somebody else.
-        Ok(Datagram::Word(_)) | Err(_) => {}
+        Ok(Datagram::Message(_)) | Err(_) => {}
     }
 }
 
