Match requests to organisations by their keys at the edge

Cause: the relay knew nothing of organisations. Callers' keys went on to backend servers, and requests with a key that was taken away, or that no organisation ever held, ran.

Change: the table of routes carries the organisations, with hashes of their keys only. A request is matched before its body is read; the Authorization header is dropped there, so that nothing behind it can pass a key on or log it, and each sending of the request (reading a prompt, writing, further tries) names the organisation that the router found. An unknown key is refused with 401; a daemon whose table may be out of date says 503 with a time to come back, because callers do not come back after 401. The rank of an organisation goes before that of the route.

--- /dev/null
+++ b/crates/core/src/quota/ledger.rs
@@ -0,0 +1,178 @@
+//! Granting credit of one organisation's quota.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::ids::{HostId, PartnerId};
+use crate::units::{Credit, CreditPerSecond, Millis, MonoTime};
+
+use super::bucket::Bucket;
+use super::limit::{Quota, QuotaBounds};
+
+/// Part of the tolerance that a daemon hands out at once when it takes charge.
+const TAKEOVER_PART: f64 = 0.1;
+
+/// Part of the tolerance of a window that a daemon may grant while another one is in charge.
+const STAND_IN_RATE_PART: f64 = 0.2;
+
+/// Part of the tolerance that such a daemon may grant at once.
+const STAND_IN_BURST_PART: f64 = 0.1;
+
+/// Wait stated where the quota says nothing of when there will be credit again.
+const NO_RATE_WAIT_MS: Millis = Millis(1_000);
+
+/// Daemons that this one can reach, itself among them, of those that there are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Coverage {
+    /// Daemons that live, as far as is known here.
+    pub live: u64,
+    /// Daemons that may be spending.
+    pub all: u64,
+}
+
+impl Coverage {
+    /// The part of a quota that is granted on this side of a cut.
+    fn part(self) -> f64 {
+        (self.live as f64 / self.all.max(1) as f64).min(1.0)
+    }
+}
+
+/// Why a daemon grants credit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Duty {
+    /// It is the first of the daemons that live.
+    InCharge,
+    /// The one in charge does not answer somebody.
+    StandIn,
+}
+
+/// The answer to a question for credit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Grant {
+    /// So much may be spent.
+    Granted(Credit),
+    /// The quota is used up; there may be enough after so long.
+    Denied {
+        /// Time until then.
+        retry_after_ms: Millis,
+    },
+}
+
+/// Limits of a [`Ledger`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LedgerSettings {
+    /// The organisation's quota.
+    pub quota: Quota,
+    /// How exactly it has to be kept.
+    pub bounds: QuotaBounds,
+}
+
+/// Grants credit of one organisation's quota, on one daemon.
+///
+/// Load: an organisation sends several times its quota through many daemons, some of which die, freeze or are cut off
+/// from the others. Harm prevented: each side of a cut, or each new life of a daemon, would grant the whole quota
+/// again. So a side grants the part of the daemons that it can reach, a daemon that takes charge begins with next to
+/// nothing, and one that only stands in lives on a part of the tolerance.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    settings: LedgerSettings,
+    in_charge: Option<Bucket>,
+    stand_in: Option<Bucket>,
+}
+
+impl Ledger {
+    /// A ledger of a daemon that is not in charge yet.
+    pub fn new(settings: LedgerSettings) -> Self {
+        Self { settings, in_charge: None, stand_in: None }
+    }
+
+    /// Changes the limits; what was granted stays so.
+    pub fn configure(&mut self, settings: LedgerSettings) {
+        self.settings = settings;
+    }
+
+    /// Another daemon is in charge now.
+    pub fn yield_charge(&mut self) {
+        self.in_charge = None;
+    }
+
+    /// Answers a question for `needs`, and for `likely` beyond that if there is plenty.
+    pub fn grant(
+        &mut self,
+        now_us: MonoTime,
+        duty: Duty,
+        coverage: Coverage,
+        needs: Credit,
+        likely: Credit,
+    ) -> Grant {
+        let half_burst = self.settings.quota.burst.0 / 2;
+        let bucket = match duty {
+            Duty::InCharge => self.charged(now_us, coverage),
+            Duty::StandIn => self.standing_in(now_us, coverage),
+        };
+        if !bucket.take(now_us, needs) {
+            let retry_after_ms = bucket.wait_ms(now_us, needs).unwrap_or(NO_RATE_WAIT_MS);
+            return Grant::Denied { retry_after_ms };
+        }
+        let plenty = match duty {
+            Duty::InCharge => Credit(bucket.level(now_us).0.saturating_sub(half_burst) / 2),
+            Duty::StandIn => Credit::ZERO,
+        };
+        let extra = likely.min(plenty);
+        bucket.take(now_us, extra);
+        Grant::Granted(needs + extra)
+    }
+
+    /// Takes back what was granted and not spent.
+    pub fn put_back(&mut self, now_us: MonoTime, credit: Credit) {
+        if let Some(bucket) = &mut self.in_charge {
+            bucket.put_back(now_us, credit);
+        }
+    }
+
+    fn charged(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
+        self.stand_in = None;
+        let LedgerSettings { quota, bounds } = self.settings;
+        let (rate, burst) = (scaled_rate(quota.rate, coverage.part()), scaled(quota.burst, coverage.part()));
+        let begins_with = scaled(bounds.tolerance(&quota), TAKEOVER_PART * coverage.part());
+        let bucket = self.in_charge.get_or_insert_with(|| Bucket::new(now_us, rate, burst, begins_with));
+        bucket.configure(now_us, rate, burst);
+        bucket
+    }
+
+    fn standing_in(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
+        self.in_charge = None;
+        let LedgerSettings { quota, bounds } = self.settings;
+        let tolerance = bounds.tolerance(&quota);
+        let burst = scaled(tolerance, STAND_IN_BURST_PART * coverage.part());
+        let window_s = bounds.window_ms.0.max(1) as f64 / 1_000.0;
+        let rate = CreditPerSecond(scaled(tolerance, STAND_IN_RATE_PART * coverage.part() / window_s).0);
+        let bucket = self.stand_in.get_or_insert_with(|| Bucket::new(now_us, rate, burst, burst));
+        bucket.configure(now_us, rate, burst);
+        bucket
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "not negative, and saturating")]
+fn scaled(credit: Credit, part: f64) -> Credit {
+    Credit((credit.0 as f64 * part) as u64)
+}
+
+fn scaled_rate(rate: CreditPerSecond, part: f64) -> CreditPerSecond {
+    CreditPerSecond(scaled(Credit(rate.0), part).0)
+}
+
+/// The daemons to ask for credit of `partner`, the one in charge first: rendezvous hashing, so that all agree without a
+/// word, and only what a lost daemon kept moves.
+pub fn candidates<'a, Hosts>(partner: &PartnerId, hosts: Hosts) -> Vec<&'a HostId>
+where
+    Hosts: Iterator<Item = &'a HostId>,
+{
+    let rank = |host: &&HostId| {
+        let mut hasher = DefaultHasher::new();
+        (partner.as_str(), host.as_str()).hash(&mut hasher);
+        hasher.finish()
+    };
+    let mut ranked: Vec<&HostId> = hosts.collect();
+    ranked.sort_by_cached_key(|host| (rank(host), host.as_str().to_owned()));
+    ranked
+}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -1,11 +1,12 @@
 //! Decisions for opaque requests: those that are routed by host and path, passed on unchanged, and answered with
 //! whatever bytes the backend server gives.
 //!
-//! Classes and partners know what a request says; here only its route is known, and for a model's requests the
+//! Classes know what a request says; here only its route and its organisation are known, and for a model's requests the
 //! size of prompt and answer that the caller states.
 
 pub mod engines;
 pub mod lapses;
+pub mod partners;
 pub mod patience;
 pub mod reading;
 pub mod routes;
--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -104,6 +104,11 @@
         self.is_behind
     }
 
+    /// Whether somebody else knows something newer.
+    pub fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
     /// Age of what is known here; `None` before anything was.
     pub fn age_us(&self, now_us: MonoTime) -> Option<Micros> {
         Some(now_us.since(self.as_of_us?))
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -11,6 +11,8 @@
 use crate::outcome::Repeatability;
 use crate::units::{Bytes, Millis};
 
+use super::partners::{Partner, Partners};
+
 /// Version of a routing table. A later one is greater; numbers may be left out.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 pub struct TableVersion(pub u64);
@@ -90,6 +92,8 @@
     pub gap_target_ms: Option<Millis>,
     /// Rank; smaller goes first.
     pub priority: u8,
+    /// Whether callers without a key are served.
+    pub allows_anonymous: bool,
 }
 
 impl Route {
@@ -166,6 +170,7 @@
     routes: HashMap<String, Vec<Route>>,
     services: BTreeMap<ServiceId, ServiceSpec>,
     limits: CallerLimits,
+    partners: Partners,
 }
 
 impl RouteTable {
@@ -183,7 +188,13 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| Reverse(route.prefix.len()));
         }
-        Self { version, routes: by_host, services, limits }
+        Self { version, routes: by_host, services, limits, partners: Partners::default() }
+    }
+
+    /// The same table for callers of these organisations only.
+    #[must_use]
+    pub fn with_partners(self, partners: Vec<Partner>) -> Self {
+        Self { partners: Partners::new(partners), ..self }
     }
 
     /// Its version; zero before the first one was learned.
@@ -227,6 +238,11 @@
         self.services.iter()
     }
 
+    /// The organisations that may send requests; none where callers need no key.
+    pub fn partners(&self) -> &Partners {
+        &self.partners
+    }
+
     /// Bounds on callers.
     pub fn limits(&self) -> CallerLimits {
         self.limits
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -100,9 +100,13 @@
     TokensPerSecond, "tokens/s"
 );
 quantity!(
-    /// A part of a further try, in thousandths.
+    /// What limits are paid in: thousandths of a further try, of a request or of a token.
     Credit, "thousandths"
 );
+quantity!(
+    /// A rate of credit.
+    CreditPerSecond, "thousandths/s"
+);
 quantity!(
     /// A span of time in milliseconds, as settings and targets state it.
     Millis, "ms"
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod knowledge;
 mod load;
 mod packing;
+mod partners;
 mod patience;
 mod routes;
 mod world;
--- a/crates/core/tests/relay/routes.rs
+++ b/crates/core/tests/relay/routes.rs
@@ -21,6 +21,7 @@
         target_ms: Millis(300),
         gap_target_ms: None,
         priority: 1,
+        allows_anonymous: false,
     }
 }
 
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -77,6 +77,8 @@
     pub call: &'a str,
     /// Its route.
     pub route: &'a str,
+    /// The organisation that sent it, where callers need a key.
+    pub partner: Option<&'a PartnerId>,
     /// Version of the routes.
     pub version: u64,
     /// How it ended.
@@ -176,6 +178,7 @@
             request_id: = line.request_id,
             call = line.call,
             route = line.route,
+            partner = text(line.partner.map(PartnerId::as_str)),
             version = line.version,
             outcome = line.outcome,
             steps = line.steps,
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::RequestId;
+use hibiscusvale_core::relay::partners::UnknownCaller;
 use hibiscusvale_core::units::Millis;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -179,14 +180,21 @@
 
 async fn read(state: &Arc<RelayState>, request: Request<CallerBody>) -> Result<Incoming, Refusal> {
     let arrived = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let call = state.wire.read_call(&parts).map_err(|_| Refusal::new(Reason::BadRequest))?;
     let table = state.table.load_full();
     if !table.is_known() {
         return Err(Refusal::retry_after(Reason::NoTable, NO_TABLE_RETRY_MS));
     }
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = table.find(host, parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
+    let mut route = table.find(host, parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
+    let partner = table.partners().authenticate(call.credentials, route.allows_anonymous);
+    let partner = partner.map_err(|unknown| unknown_caller(state, unknown))?;
+    route.priority = partner.and_then(|partner| partner.priority).unwrap_or(route.priority);
+    if !table.partners().is_empty() {
+        // From here on nothing can pass a caller's key on, or write it down.
+        parts.headers.remove(header::AUTHORIZATION);
+    }
     let request_id = state.next_id();
     let service = route.destination(draw(request_id)).ok_or(Refusal::new(Reason::NoServer))?.clone();
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
@@ -197,6 +205,7 @@
     Ok(Incoming {
         request_id,
         call,
+        partner: partner.map(|partner| partner.id.clone()),
         route,
         service,
         path: parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
@@ -211,6 +220,15 @@
     })
 }
 
+/// A key that this daemon does not know may be newer than its table. While it cannot tell, the caller is asked to come
+/// back: after 401 it would not.
+fn unknown_caller(state: &RelayState, unknown: UnknownCaller) -> Refusal {
+    if state.freshness.table_may_be_old(clock::now()) {
+        return Refusal::retry_after(Reason::NoTable, NO_TABLE_RETRY_MS);
+    }
+    Refusal::new(unknown.into())
+}
+
 fn wait_ms(call: &Call, route_ms: Millis) -> Millis {
     call.wait_ms.unwrap_or(DEFAULT_WAIT_MS).min(route_ms)
 }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::Incarnation;
-use hibiscusvale_core::relay::routes::RouteTable;
+use hibiscusvale_core::relay::routes::{RouteTable, TableVersion};
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
 use tokio::runtime::{Builder, Runtime};
@@ -175,6 +175,11 @@
         self.state.is_ready()
     }
 
+    /// Version of the routes in force.
+    pub fn routes_version(&self) -> TableVersion {
+        self.state.table.load().version()
+    }
+
     /// The settings in force.
     pub fn settings(&self) -> &RelaySettings {
         &self.settings
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -8,8 +8,9 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, FencingNumber, HostId, ModelId};
+use hibiscusvale_core::ids::{BackendServerId, FencingNumber, HostId, ModelId, PartnerId};
 use hibiscusvale_core::relay::engines::{Role, ToldLoad};
+use hibiscusvale_core::relay::partners::Credentials;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, request};
@@ -67,6 +68,8 @@
     pub wait_ms: Option<Millis>,
     /// Where the request is for a model.
     pub generation: Option<Generation>,
+    /// Who it says that it is.
+    pub credentials: Credentials,
     /// The last event that it has, when it goes on with a stream.
     pub after_event: Option<EventId>,
 }
@@ -188,6 +191,8 @@
     pub task: Task,
     /// What is kept there for the request.
     pub reservation: Option<&'a Reservation>,
+    /// The organisation whose caller sent the request.
+    pub partner: Option<&'a PartnerId>,
     /// The last event that the caller has.
     pub after_event: Option<EventId>,
 }
@@ -246,6 +251,9 @@
     /// The call that gives a reservation back.
     fn drop_reservation(&self, reservation: &Reservation) -> EngineCall;
 
+    /// The scheme in which callers are to show their key.
+    fn credentials_scheme(&self) -> HeaderValue;
+
     /// A time to come back, as callers read it.
     fn retry_after(&self, wait_ms: Millis) -> HeaderValue;
 }
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -21,6 +21,10 @@
 /// in force.
 const TABLE_STALE_MS: Millis = Millis(1_600);
 
+/// Age of the routes beyond which a key that they do not hold may be one of a newer version: the daemon has tried to read
+/// them for a second without success.
+const TABLE_DOUBTED_MS: Millis = Millis(2_600);
+
 /// How long a daemon leaves duties to others after the store failed it; then it tries again, for it cannot hear that it
 /// would be answered.
 const STEP_ASIDE_MS: Millis = Millis(5_000);
@@ -134,6 +138,14 @@
         readings.table_teller.take().or(servers)
     }
 
+    /// Whether there may be newer routes than those that are known here: another daemon has some, or nobody has
+    /// confirmed these for longer than it takes to put new ones in force.
+    pub fn table_may_be_old(&self, now_us: MonoTime) -> bool {
+        let readings = self.readings.lock();
+        readings.table.is_behind()
+            || readings.table.age_us(now_us).is_none_or(|age_us| age_us > Micros::from(TABLE_DOUBTED_MS))
+    }
+
     /// Age of the servers that are known.
     pub fn servers_age_us(&self, now_us: MonoTime) -> Option<Micros> {
         self.readings.lock().servers.age_us(now_us)
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -9,7 +9,7 @@
 use hibiscusvale_core::units::Millis;
 use http::Response;
 
-use super::edge::{Hop, Task};
+use super::edge::Task;
 use super::hop::{self, WholeReply};
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
@@ -111,8 +111,7 @@
     timeout: Duration,
 ) -> Result<WholeReply, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
-    let hop =
-        Hop { server, left_ms: incoming.left_ms(), task: Task::Run, reservation: None, after_event: None };
+    let hop = incoming.hop(server, Task::Run);
     let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, trust, timeout).await;
     let reply = match reply {
         Ok(reply) => reply,
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::relay::engines::EngineRefusal;
+use hibiscusvale_core::relay::partners::UnknownCaller;
 use hibiscusvale_core::sched::PlainRefusal;
 use hibiscusvale_core::units::Millis;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -22,7 +23,11 @@
     BodyIncomplete,
     /// No route has this host and path.
     NoRoute,
-    /// This daemon knows no routes yet.
+    /// The request carries no key, and its route asks for one.
+    NoKey,
+    /// No organisation holds the request's key.
+    UnknownKey,
+    /// This daemon knows no routes yet, or cannot know whether the ones that it knows are still in force.
     NoTable,
     /// No server of the service takes requests.
     NoServer,
@@ -43,6 +48,8 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
             Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::UnknownKey => "unknown-key",
             Self::NoTable => "no-table",
             Self::NoServer => "no-server",
             Self::WouldWaitTooLong => "would-wait-too-long",
@@ -60,6 +67,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             // These say that the request has not run and never will.
             Self::NoTable | Self::NoServer | Self::WouldWaitTooLong | Self::ServersFull => {
                 StatusCode::SERVICE_UNAVAILABLE
@@ -71,6 +79,15 @@
     }
 }
 
+impl From<UnknownCaller> for Reason {
+    fn from(unknown: UnknownCaller) -> Self {
+        match unknown {
+            UnknownCaller::NoKey => Self::NoKey,
+            UnknownCaller::UnknownKey => Self::UnknownKey,
+        }
+    }
+}
+
 impl From<PlainRefusal> for Reason {
     fn from(refusal: PlainRefusal) -> Self {
         match refusal {
@@ -121,6 +138,9 @@
         if let Some(wait_ms) = self.retry_after_ms {
             headers.insert(header::RETRY_AFTER, wire.retry_after(wait_ms));
         }
+        if matches!(self.reason, Reason::NoKey | Reason::UnknownKey) {
+            headers.insert(header::WWW_AUTHENTICATE, wire.credentials_scheme());
+        }
         if self.reason == Reason::BodyIncomplete {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use hibiscusvale_core::ids::{BackendServerId, Incarnation, RequestId, ServiceId};
+use hibiscusvale_core::ids::{BackendServerId, Incarnation, PartnerId, RequestId, ServiceId};
 use hibiscusvale_core::relay::patience::Patience;
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
 use hibiscusvale_core::units::{Millis, Tokens};
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use super::edge::{Call, Wire};
+use super::edge::{Call, Hop, Task, Wire};
 use super::engine_hub::EngineHub;
 use super::freshness::Freshness;
 use super::metrics::{Ended, RelayMetrics};
@@ -34,7 +34,9 @@
     pub request_id: RequestId,
     /// What its caller says.
     pub call: Call,
-    /// Its route.
+    /// The organisation whose caller sent it; `None` where callers need no key.
+    pub partner: Option<PartnerId>,
+    /// Its route, with the organisation's rank.
     pub route: Route,
     /// The service that it goes to.
     pub service: ServiceId,
@@ -42,7 +44,7 @@
     pub method: Method,
     /// Path and query as sent.
     pub path: String,
-    /// Headers as sent.
+    /// Headers as sent, without a key that is meant for the router alone.
     pub headers: HeaderMap,
     /// Body as sent.
     pub body: Bytes,
@@ -76,6 +78,7 @@
             request_id: self.request_id,
             call: self.call.id.as_str(),
             route: &self.route.name,
+            partner: self.partner.as_ref(),
             version: self.state.table.load().version().0,
             outcome: story.how(),
             steps: story.steps(),
@@ -114,6 +117,18 @@
         self.story.lock().end(how);
     }
 
+    /// One sending of it to `server`.
+    pub fn hop<'a>(&'a self, server: &'a BackendServerId, task: Task) -> Hop<'a> {
+        Hop {
+            server,
+            left_ms: self.left_ms(),
+            task,
+            reservation: None,
+            partner: self.partner.as_ref(),
+            after_event: None,
+        }
+    }
+
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -209,13 +209,7 @@
     async fn read(&self, reader: &BackendServerId, timeout_ms: Millis) -> Result<Kept, FailureCause> {
         let Self { state, incoming, .. } = self;
         let at = state.directory.address_of(reader).ok_or(FailureCause::NotSent)?;
-        let hop = Hop {
-            server: reader,
-            left_ms: incoming.left_ms(),
-            task: Task::ReadPrompt,
-            reservation: None,
-            after_event: None,
-        };
+        let hop = incoming.hop(reader, Task::ReadPrompt);
         let timeout = incoming.left().min(Duration::from(timeout_ms));
         // Reading a prompt twice does no harm, so any connection will do.
         let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
@@ -234,13 +228,8 @@
             Some(Kept { at, prompt }) => Task::Write { source: at, handle: prompt.handle },
             None => Task::Run,
         };
-        let hop = Hop {
-            server: writer,
-            left_ms: incoming.left_ms(),
-            task,
-            reservation: reserved.as_ref(),
-            after_event: self.last,
-        };
+        let hop =
+            Hop { reservation: reserved.as_ref(), after_event: self.last, ..incoming.hop(writer, task) };
         let trust = if self.may_repeat() { Trust::Pooled } else { Trust::Fresh };
         let reply = hop::send(&state.http, &*state.wire, incoming, at, &hop, trust, incoming.left()).await?;
         if reply.status.is_server_error() && self.may_repeat() {
