Keep the quotas of organisations over all daemons

Cause: quotas were read and not enforced.

Change: for each organisation one daemon, by rendezvous hash, keeps the token bucket; the others lease credit from it in datagrams, ahead of what they will spend while there is plenty. A side of a cut grants the part of the daemons that it reaches; a daemon that takes charge begins with next to nothing; one that stands in for a silent one lives on a part of what is tolerated. What a request was charged goes back when it is refused as not run. Four tenths of the tolerance serve as burst. Beyond the quota: 429 with the time at which there is credit again.

Ruled out in virtual time: even parts for each daemon (four times as much and more refused within the quota).

--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -2,20 +2,25 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{HostId, PartnerId};
 use crate::units::{Credit, CreditPerSecond, Millis, MonoTime};
 
 use super::bucket::Bucket;
 use super::limit::{Quota, QuotaBounds};
 
+/// Part of the tolerance that is added to the burst: a request within the tolerance is not refused for a short peak.
+const BURST_PART: f64 = 0.4;
+
 /// Part of the tolerance that a daemon hands out at once when it takes charge.
 const TAKEOVER_PART: f64 = 0.1;
 
 /// Part of the tolerance of a window that a daemon may grant while another one is in charge.
-const STAND_IN_RATE_PART: f64 = 0.2;
+const STAND_IN_RATE_PART: f64 = 0.3;
 
 /// Part of the tolerance that such a daemon may grant at once.
-const STAND_IN_BURST_PART: f64 = 0.1;
+const STAND_IN_BURST_PART: f64 = 0.2;
 
 /// Wait stated where the quota says nothing of when there will be credit again.
 const NO_RATE_WAIT_MS: Millis = Millis(1_000);
@@ -46,7 +51,7 @@
 }
 
 /// The answer to a question for credit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub enum Grant {
     /// So much may be spent.
     Granted(Credit),
@@ -132,8 +137,10 @@
     fn charged(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
         self.stand_in = None;
         let LedgerSettings { quota, bounds } = self.settings;
-        let (rate, burst) = (scaled_rate(quota.rate, coverage.part()), scaled(quota.burst, coverage.part()));
-        let begins_with = scaled(bounds.tolerance(&quota), TAKEOVER_PART * coverage.part());
+        let tolerance = bounds.tolerance(&quota);
+        let rate = CreditPerSecond(scaled(Credit(quota.rate.0), coverage.part()).0);
+        let burst = scaled(quota.burst + scaled(tolerance, BURST_PART), coverage.part());
+        let begins_with = scaled(tolerance, TAKEOVER_PART * coverage.part());
         let bucket = self.in_charge.get_or_insert_with(|| Bucket::new(now_us, rate, burst, begins_with));
         bucket.configure(now_us, rate, burst);
         bucket
@@ -157,22 +164,20 @@
     Credit((credit.0 as f64 * part) as u64)
 }
 
-fn scaled_rate(rate: CreditPerSecond, part: f64) -> CreditPerSecond {
-    CreditPerSecond(scaled(Credit(rate.0), part).0)
-}
-
 /// The daemons to ask for credit of `partner`, the one in charge first: rendezvous hashing, so that all agree without a
 /// word, and only what a lost daemon kept moves.
-pub fn candidates<'a, Hosts>(partner: &PartnerId, hosts: Hosts) -> Vec<&'a HostId>
-where
-    Hosts: Iterator<Item = &'a HostId>,
-{
-    let rank = |host: &&HostId| {
-        let mut hasher = DefaultHasher::new();
-        (partner.as_str(), host.as_str()).hash(&mut hasher);
-        hasher.finish()
-    };
-    let mut ranked: Vec<&HostId> = hosts.collect();
-    ranked.sort_by_cached_key(|host| (rank(host), host.as_str().to_owned()));
-    ranked
+pub fn candidates(partner: &PartnerId, mut hosts: Vec<HostId>) -> Vec<HostId> {
+    hosts.sort_by_cached_key(|host| (weight(partner, host), host.clone()));
+    hosts
+}
+
+/// Whether `host` is asked for credit of `partner` before `other` is.
+pub fn outranks(partner: &PartnerId, host: &HostId, other: &HostId) -> bool {
+    (weight(partner, host), host) < (weight(partner, other), other)
+}
+
+fn weight(partner: &PartnerId, host: &HostId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (partner.as_str(), host.as_str()).hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -7,14 +7,16 @@
 //! - [`Bucket`] is the token bucket itself.
 //! - [`Ledger`] decides what is granted, on the daemon that is in charge and on one that stands in for it.
 //! - [`LeasedCredit`] is what a daemon has leased and not used.
-//! - [`candidates`] tells whom to ask.
+//! - [`candidates`] tells whom to ask, and [`Silence`] whom to pass over.
 
 mod bucket;
 mod lease;
 mod ledger;
 mod limit;
+mod silence;
 
 pub use bucket::Bucket;
 pub use lease::{LEASE_LIFE_MS, LeasedCredit};
-pub use ledger::{Coverage, Duty, Grant, Ledger, LedgerSettings, candidates};
+pub use ledger::{Coverage, Duty, Grant, Ledger, LedgerSettings, candidates, outranks};
 pub use limit::{Quota, QuotaBounds, QuotaUnit};
+pub use silence::Silence;
--- /dev/null
+++ b/crates/core/tests/quota/world.rs
@@ -0,0 +1,286 @@
+//! Daemons that spend one organisation's quota, with what the network and the hosts do to them.
+
+use hibiscusvale_core::ids::{HostId, PartnerId};
+use hibiscusvale_core::quota::{
+    Bucket, Coverage, Duty, Grant, LeasedCredit, Ledger, LedgerSettings, Quota, QuotaBounds, QuotaUnit,
+    Silence, candidates, outranks,
+};
+use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, MonoTime, Tokens};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+pub const WINDOW_MS: u64 = 8_000;
+const RATE: u64 = 60_000;
+const BURST: u64 = 60_000;
+const SLACK: f64 = 120_000.0;
+const WORD_MS: u64 = 500;
+const SILENCE_MS: u64 = 2_500;
+/// A daemon is asked at most so often for one request.
+const QUESTIONS: usize = 4;
+
+/// How the quota is kept.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// One daemon keeps it, the others lease from it.
+    Ledger,
+    /// Each daemon has the same part.
+    EvenParts,
+}
+
+/// What happens to daemons and messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    /// Messages that are lost, in a hundred.
+    pub lost: u32,
+    /// When so many of the daemons, in a hundred, start again.
+    pub restart: Option<(u64, u32)>,
+    /// From when until when a quarter of the daemons is cut off from the others.
+    pub cut_ms: Option<(u64, u64)>,
+    /// From when until when the daemon in charge stands still.
+    pub freeze_ms: Option<(u64, u64)>,
+    /// When the quota becomes so many times smaller.
+    pub lower: Option<(u64, u64)>,
+}
+
+struct Daemon {
+    host: HostId,
+    leased: LeasedCredit,
+    ledger: Ledger,
+    part: Bucket,
+    heard_ms: Vec<Option<u64>>,
+    silent: Vec<Silence>,
+}
+
+pub struct World {
+    way: Way,
+    trouble: Trouble,
+    partner: PartnerId,
+    /// Daemons in the order in which they are asked.
+    ranked: Vec<usize>,
+    daemons: Vec<Daemon>,
+    settings: LedgerSettings,
+    rng: StdRng,
+    ideal: Bucket,
+    /// When how much was spent.
+    pub spent: Vec<(u64, Credit)>,
+    /// What was asked for within the quota.
+    pub within: Credit,
+    /// What was refused of it.
+    pub refused_within: Credit,
+}
+
+fn settings(divisor: u64) -> LedgerSettings {
+    let unit = QuotaUnit::Tokens { plain: Tokens(200) };
+    let quota =
+        Quota { unit, rate: CreditPerSecond(RATE * 1_000 / divisor), burst: Credit(BURST * 1_000 / divisor) };
+    let bounds = QuotaBounds { window_ms: Millis(WINDOW_MS), overshoot: 0.1, slack: SLACK };
+    LedgerSettings { quota, bounds }
+}
+
+fn clock(at_ms: u64) -> MonoTime {
+    MonoTime::default() + Millis(at_ms)
+}
+
+impl World {
+    pub fn new(way: Way, daemons: usize, trouble: Trouble, seed: u64) -> Self {
+        let settings = settings(1);
+        let quota = settings.quota;
+        let part = Bucket::new(
+            clock(0),
+            CreditPerSecond(quota.rate.0 / daemons as u64),
+            Credit(quota.burst.0 / daemons as u64),
+            Credit(0),
+        );
+        let daemon = |number: usize| Daemon {
+            host: format!("h-{number}").parse().unwrap(),
+            leased: LeasedCredit::default(),
+            ledger: Ledger::new(settings),
+            part,
+            heard_ms: vec![Some(0); daemons],
+            silent: vec![Silence::default(); daemons],
+        };
+        let partner = "org".parse().unwrap();
+        let hosts = (0..daemons).map(|number| format!("h-{number}").parse().unwrap()).collect();
+        let number = |host: &HostId| host.as_str()[2..].parse().unwrap();
+        Self {
+            way,
+            trouble,
+            ranked: candidates(&partner, hosts).iter().map(number).collect(),
+            partner,
+            daemons: (0..daemons).map(daemon).collect(),
+            settings,
+            rng: StdRng::seed_from_u64(seed),
+            ideal: Bucket::new(clock(0), quota.rate, quota.burst, quota.burst),
+            spent: Vec::new(),
+            within: Credit::ZERO,
+            refused_within: Credit::ZERO,
+        }
+    }
+
+    /// Plays `end_ms`, with requests that come to `load` times the quota, through the daemons that some callers reach.
+    pub fn play(&mut self, end_ms: u64, load: impl Fn(u64) -> f64) {
+        let callers: Vec<usize> = (0..5).map(|_| self.rng.random_range(0..self.daemons.len())).collect();
+        for at_ms in 0..end_ms {
+            self.pass(at_ms);
+            // One request in ten is for a model.
+            let mean = 0.1 * 3_300.0 + 0.9 * 200.0;
+            let mut expected = load(at_ms) * RATE as f64 / 1_000.0 / mean;
+            while expected > 0.0 {
+                if self.rng.random_bool(expected.min(1.0)) {
+                    let tokens = if self.rng.random_bool(0.1) { 3_300 } else { 200 };
+                    let at = callers[self.rng.random_range(0..callers.len())];
+                    self.request(at_ms, at, Credit(tokens * 1_000));
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    fn pass(&mut self, at_ms: u64) {
+        let Trouble { restart, lower, .. } = self.trouble;
+        if let Some((_, percent)) = restart.filter(|(when_ms, _)| *when_ms == at_ms) {
+            let count = self.daemons.len() * percent as usize / 100;
+            for number in 0..count {
+                self.restart(at_ms, number);
+            }
+        }
+        if let Some((_, divisor)) = lower.filter(|(when_ms, _)| *when_ms == at_ms) {
+            self.settings = settings(divisor);
+            let quota = self.settings.quota;
+            self.ideal.configure(clock(at_ms), quota.rate, quota.burst);
+            for daemon in &mut self.daemons {
+                daemon.ledger.configure(self.settings);
+            }
+        }
+        if at_ms.is_multiple_of(WORD_MS) {
+            for from in 0..self.daemons.len() {
+                for to in 0..self.daemons.len() {
+                    if from != to && self.reaches(at_ms, from, to) {
+                        self.hear(at_ms, to, from);
+                    }
+                }
+            }
+        }
+    }
+
+    fn restart(&mut self, at_ms: u64, number: usize) {
+        let daemon = &mut self.daemons[number];
+        daemon.leased = LeasedCredit::default();
+        daemon.ledger = Ledger::new(self.settings);
+        daemon.heard_ms = vec![None; daemon.heard_ms.len()];
+        daemon.silent = vec![Silence::default(); daemon.silent.len()];
+        let quota = self.settings.quota;
+        let daemons = self.daemons.len() as u64;
+        let (rate, burst) = (CreditPerSecond(quota.rate.0 / daemons), Credit(quota.burst.0 / daemons));
+        self.daemons[number].part = Bucket::new(clock(at_ms), rate, burst, Credit(0));
+    }
+
+    fn hear(&mut self, at_ms: u64, to: usize, from: usize) {
+        let (partner, host) = (self.partner.clone(), self.daemons[from].host.clone());
+        let daemon = &mut self.daemons[to];
+        let is_new = daemon.heard_ms[from].is_none_or(|heard_ms| at_ms >= heard_ms + SILENCE_MS);
+        daemon.heard_ms[from] = Some(at_ms);
+        if is_new && outranks(&partner, &host, &daemon.host) {
+            daemon.ledger.yield_charge();
+        }
+    }
+
+    fn reaches(&mut self, at_ms: u64, from: usize, to: usize) -> bool {
+        let is_during = |span: Option<(u64, u64)>| span.is_some_and(|(a, b)| (a..b).contains(&at_ms));
+        let is_far = |number: usize| number.is_multiple_of(4);
+        if is_during(self.trouble.cut_ms) && is_far(from) != is_far(to) {
+            return false;
+        }
+        let first = self.ranked[0];
+        if is_during(self.trouble.freeze_ms) && (first == to || first == from) {
+            return false;
+        }
+        !self.rng.random_ratio(self.trouble.lost, 100)
+    }
+
+    /// The daemons that `at` knows to live, in the order in which they are asked.
+    fn live(&self, at_ms: u64, at: usize) -> impl Iterator<Item = usize> + '_ {
+        let heard = &self.daemons[at].heard_ms;
+        let is_live = move |number: &usize| {
+            *number == at || heard[*number].is_some_and(|heard_ms| at_ms < heard_ms + SILENCE_MS)
+        };
+        self.ranked.iter().copied().filter(is_live)
+    }
+
+    fn request(&mut self, at_ms: u64, at: usize, cost: Credit) {
+        let is_within = self.ideal.take(clock(at_ms), cost);
+        let is_served = match self.way {
+            Way::Ledger => self.lease(at_ms, at, cost),
+            Way::EvenParts => self.daemons[at].part.take(clock(at_ms), cost),
+        };
+        if is_within {
+            self.within += cost;
+        }
+        if is_served {
+            self.spent.push((at_ms, cost));
+        } else if is_within {
+            self.refused_within += cost;
+        }
+    }
+
+    fn lease(&mut self, at_ms: u64, at: usize, cost: Credit) -> bool {
+        for _ in 0..QUESTIONS {
+            if self.daemons[at].leased.spend(clock(at_ms), cost) {
+                return true;
+            }
+            if self.daemons[at].leased.denied_ms(clock(at_ms), cost).is_some() {
+                return false;
+            }
+            let is_silent = |number: usize| self.daemons[at].silent[number].is_passed_over(clock(at_ms));
+            let asked = self.live(at_ms, at).find(|number| !is_silent(*number));
+            let Some(asked) = asked else {
+                return false;
+            };
+            if asked != at && !(self.reaches(at_ms, at, asked) && self.reaches(at_ms, asked, at)) {
+                self.daemons[at].silent[asked].note(clock(at_ms));
+                continue;
+            }
+            self.daemons[at].silent[asked] = Silence::default();
+            match self.grant(at_ms, asked, at, cost) {
+                Grant::Granted(credit) => self.daemons[at].leased.add(clock(at_ms), credit),
+                Grant::Denied { retry_after_ms } => {
+                    self.daemons[at].leased.deny(clock(at_ms), cost, retry_after_ms.min(Millis(100)));
+                    return false;
+                }
+            }
+        }
+        self.daemons[at].leased.spend(clock(at_ms), cost)
+    }
+
+    fn grant(&mut self, at_ms: u64, at: usize, asker: usize, cost: Credit) -> Grant {
+        let likely = self.daemons[asker].leased.likely(clock(at_ms));
+        let is_in_charge = self.live(at_ms, at).next() == Some(at);
+        let duty = if is_in_charge { Duty::InCharge } else { Duty::StandIn };
+        let live = self.live(at_ms, at).count() as u64;
+        let coverage = Coverage { live, all: self.daemons.len() as u64 };
+        self.daemons[at].ledger.grant(clock(at_ms), duty, coverage, cost, likely)
+    }
+
+    /// The most that was spent in a window, as a part of what is tolerated there.
+    pub fn worst_window(&self, settled_ms: u64) -> f64 {
+        let LedgerSettings { quota, bounds } = self.settings;
+        let allowed = quota.rate.0 * WINDOW_MS / 1_000 + quota.burst.0 + bounds.tolerance(&quota).0;
+        let (mut worst, mut sum, mut first) = (0, 0, 0);
+        let spent: Vec<(u64, Credit)> =
+            self.spent.iter().filter(|(at_ms, _)| *at_ms >= settled_ms).copied().collect();
+        for &(at_ms, credit) in &spent {
+            sum += credit.0;
+            while spent[first].0 + WINDOW_MS <= at_ms {
+                sum -= spent[first].1.0;
+                first += 1;
+            }
+            worst = worst.max(sum);
+        }
+        worst as f64 / allowed as f64
+    }
+
+    /// What was refused within the quota, as a part of what was asked for within it.
+    pub fn refused_part(&self) -> f64 {
+        self.refused_within.0 as f64 / self.within.0.max(1) as f64
+    }
+}
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -15,7 +15,7 @@
 use hibiscusvale_core::ids::{
     BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
 };
-use hibiscusvale_core::units::{Millis, Tokens};
+use hibiscusvale_core::units::{Credit, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
@@ -169,10 +169,8 @@
 
     /// A relayed request ended.
     pub fn relayed(&self, line: RelayLine<'_>) {
-        match self.lines.take(clock::now()) {
-            Line::Write { left_out: 0 } => {}
-            Line::Write { left_out } => self.changed("request lines left out", &left_out),
-            Line::LeaveOut => return,
+        if !self.takes_request_line() {
+            return;
         }
         spdlog::info!(logger: self.logger, "request relayed", kv: {
             request_id: = line.request_id,
@@ -191,6 +189,38 @@
         });
     }
 
+    /// A request was refused for its organisation's quota.
+    pub fn refused_by_quota<Reason>(
+        &self,
+        call: &dyn fmt::Display,
+        partner: &PartnerId,
+        reason: Reason,
+        credit: Credit,
+    ) where
+        Reason: Label,
+    {
+        if self.takes_request_line() {
+            spdlog::info!(logger: self.logger, "request refused by quota", kv: {
+                call: = call,
+                partner: = partner,
+                reason = reason.label(),
+                credit = credit.0,
+            });
+        }
+    }
+
+    /// Whether one more line of a request may be written. Notes how many were left out before.
+    fn takes_request_line(&self) -> bool {
+        match self.lines.take(clock::now()) {
+            Line::Write { left_out: 0 } => true,
+            Line::Write { left_out } => {
+                self.changed("request lines left out", &left_out);
+                true
+            }
+            Line::LeaveOut => false,
+        }
+    }
+
     /// A table of routes came into force.
     pub fn table_in_force(&self, version: u64) {
         spdlog::info!(logger: self.logger, "routes in force", kv: { version = version });
--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -52,6 +52,14 @@
     }
 }
 
+impl RelayState {
+    /// Puts the quotas of the routes in force.
+    pub fn configure_quotas(&self) {
+        let bounds = self.bounds.lock().quota();
+        self.quotas.configure(&self.table.load(), bounds);
+    }
+}
+
 /// This daemon's part, in exact fractions: whole tries would be none or one for each of some hundred daemons.
 fn allowance(bounds: &BoundSettings, daemons: u64) -> AllowanceSettings {
     AllowanceSettings {
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::RequestId;
-use hibiscusvale_core::relay::partners::UnknownCaller;
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::relay::partners::{Partner, UnknownCaller};
+use hibiscusvale_core::units::{Credit, Millis};
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming as CallerBody};
@@ -161,6 +161,11 @@
         Ok(_) => {}
         Err(refusal) => {
             incoming.note_end(refusal.reason.label());
+            if let Some(partner) = &incoming.partner
+                && refusal.is_not_run()
+            {
+                state.quotas.put_back(state, partner, incoming.charged);
+            }
             state.patience.lock().refused(clock::now(), &incoming.route.name);
         }
     }
@@ -200,12 +205,14 @@
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
     let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
+    let charged = charge(state, &call, partner).await?;
     let waited_ms = state.patience.lock().waited(clock::now(), &route.name, call.wait_ms);
     state.open.fetch_add(1, Ordering::Relaxed);
     Ok(Incoming {
         request_id,
         call,
         partner: partner.map(|partner| partner.id.clone()),
+        charged,
         route,
         service,
         path: parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
@@ -220,6 +227,21 @@
     })
 }
 
+/// Takes a request out of its organisation's quota; says what it took.
+async fn charge(state: &RelayState, call: &Call, partner: Option<&Partner>) -> Result<Credit, Refusal> {
+    let limited = partner.and_then(|partner| Some((&partner.id, partner.quota?)));
+    let Some((partner, quota)) = limited else {
+        return Ok(Credit::ZERO);
+    };
+    let tokens = call.generation.as_ref().map(|it| it.prompt_tokens + it.answer_tokens_max);
+    let credit = quota.cost(tokens);
+    let charged = state.quotas.charge(state, partner, credit).await;
+    if let Err(refusal) = &charged {
+        state.log.refused_by_quota(&call.id, partner, refusal.reason, credit);
+    }
+    charged.map(|()| credit)
+}
+
 /// A key that this daemon does not know may be newer than its table. While it cannot tell, the caller is asked to come
 /// back: after 401 it would not.
 fn unknown_caller(state: &RelayState, unknown: UnknownCaller) -> Refusal {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -24,6 +24,7 @@
 use super::news::News;
 use super::orders::Orders;
 use super::peers::{self, Peers};
+use super::quotas::QuotaHub;
 use super::settings::RelaySettings;
 use super::state::RelayState;
 use super::status::{self, Purpose};
@@ -94,6 +95,7 @@
         let traffic = runtime("traffic")?;
         let control = runtime("control")?;
         let (asks, asked) = Asks::channel();
+        let (quotas, outgoing) = QuotaHub::new(settings.host.id.clone());
         let state = Arc::new(RelayState {
             wire: edges.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
@@ -114,6 +116,7 @@
             patience: Mutex::default(),
             news: News::default(),
             peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
+            quotas,
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
             sequence: AtomicU64::new(0),
@@ -140,7 +143,7 @@
         control.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
         control.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
         let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
-        let telling = peers::run(own.peer_address, own.host.clone(), asked, Arc::clone(&state));
+        let telling = peers::run(own.peer_address, own.host.clone(), asked, outgoing, Arc::clone(&state));
         let log = state.log.clone();
         control.spawn(async move {
             if let Err(error) = telling.await {
@@ -193,6 +196,7 @@
             Ok(settings) => {
                 *self.state.bounds.lock() = settings.bounds.clone();
                 self.state.share_budget();
+                self.state.configure_quotas();
                 self.state.log.changed("settings reloaded", &settings.host.id);
                 self.settings = settings;
             }
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -13,6 +13,7 @@
 use super::freshness::Stamp;
 use super::loans::{LoanAnswer, LoanQuestion, Spares};
 use super::news::ServerChange;
+use super::quotas::{QuotaAnswer, QuotaQuestion, QuotaReturn};
 
 /// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
 pub const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
@@ -26,6 +27,12 @@
     LoanQuestion(LoanQuestion),
     /// It gives one.
     LoanAnswer(LoanAnswer),
+    /// It asks for credit of an organisation's quota.
+    QuotaQuestion(QuotaQuestion),
+    /// It grants some, or denies it.
+    QuotaAnswer(QuotaAnswer),
+    /// It gives back what it did not spend.
+    QuotaReturn(QuotaReturn),
 }
 
 /// What a daemon says of itself.
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod passing;
 mod peers;
 mod plain;
+mod quotas;
 mod refusal;
 mod settings;
 mod state;
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -4,9 +4,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
+use hibiscusvale_core::quota::Coverage;
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
@@ -17,6 +19,7 @@
 use super::loans::{self, Spares};
 use super::message::{Datagram, MESSAGE_LIMIT_BYTES, Message, Told};
 use super::pace::{Pace, Urgency, listen_pause};
+use super::quotas::Outgoing;
 use super::state::RelayState;
 use super::watch;
 use crate::clock;
@@ -29,6 +32,12 @@
 /// Pause between messages to a daemon that was not heard of: hosts that are gone for good stay registered.
 const CALL_AGAIN: Duration = Duration::from_secs(3);
 
+/// A daemon that was not heard of for so long is taken to be gone for good, not cut off.
+const FORGET: Duration = Duration::from_mins(10);
+
+/// Daemons that may be at work while the register could not be read.
+const UNREAD_REGISTER_DAEMONS: u64 = 64;
+
 /// Shortest pause between looks at the register. A daemon that starts reads it and calls all others, who know it from then on;
 /// the look only mends what lost datagrams left. Waiting for news instead would have each of 87 daemons call the store
 /// again whenever one of the others starts: 19,000 calls in a day on which all were restarted in turn.
@@ -44,6 +53,8 @@
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    /// When it was last seen in the register for the first time, or heard of.
+    seen: Instant,
     heard: Option<Heard>,
     called: Option<Instant>,
 }
@@ -56,6 +67,12 @@
     reaches_store: bool,
 }
 
+impl Peer {
+    fn new(address: SocketAddr, now: Instant) -> Self {
+        Self { address, seen: now, heard: None, called: None }
+    }
+}
+
 /// What a message is among those of its sender.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Hearing {
@@ -73,6 +90,8 @@
     known: Mutex<HashMap<HostId, Peer>>,
     /// Where to ask when nobody else is known.
     seeds: Vec<SocketAddr>,
+    /// Whether the register was read: before that there may be any number of daemons.
+    register_read: AtomicBool,
     pace: Pace,
 }
 
@@ -123,18 +142,38 @@
         self.known.lock().len() as u64 + 1
     }
 
+    /// Hosts of the daemons that were heard of lately.
+    pub fn live_hosts(&self) -> Vec<HostId> {
+        let now = Instant::now();
+        let known = self.known.lock();
+        known.iter().filter(|(_, peer)| is_live(peer, now)).map(|(host, _)| host.clone()).collect()
+    }
+
+    /// The daemons that this one can reach, of those that may be at work.
+    pub fn coverage(&self) -> Coverage {
+        let now = Instant::now();
+        let known = self.known.lock();
+        let count = |is: &dyn Fn(&Peer) -> bool| known.values().filter(|peer| is(peer)).count() as u64 + 1;
+        let live = count(&|peer| is_live(peer, now));
+        let all = count(&|peer| now < peer.seen + FORGET);
+        let least = if self.register_read.load(Ordering::Relaxed) { 0 } else { UNREAD_REGISTER_DAEMONS };
+        Coverage { live, all: all.max(least) }
+    }
+
     fn learn(&self, own: &HostId, entries: Vec<DaemonEntry>) {
+        let now = Instant::now();
         let mut known = self.known.lock();
         for DaemonEntry { host, peer_address } in entries {
             if host == *own {
                 continue;
             }
-            let peer = known.entry(host).or_insert(Peer { address: peer_address, heard: None, called: None });
+            let peer = known.entry(host).or_insert(Peer::new(peer_address, now));
             if peer.address != peer_address && peer.heard.is_none() {
                 peer.address = peer_address;
                 peer.called = None;
             }
         }
+        self.register_read.store(true, Ordering::Relaxed);
     }
 
     /// Whom to send a message now.
@@ -157,8 +196,7 @@
     /// Takes note of a message.
     fn hear(&self, now: Instant, from: SocketAddr, message: &Message) -> Hearing {
         let mut known = self.known.lock();
-        let new = Peer { address: from, heard: None, called: None };
-        let peer = known.entry(message.host.clone()).or_insert(new);
+        let peer = known.entry(message.host.clone()).or_insert(Peer::new(from, now));
         let next = (message.incarnation, message.sequence);
         if peer.heard.is_some_and(|heard| next <= (heard.incarnation, heard.sequence)) {
             return Hearing::Old;
@@ -167,6 +205,7 @@
         let Message { incarnation, sequence, reaches_store, .. } = *message;
         *peer = Peer {
             address: from,
+            seen: now,
             heard: Some(Heard { at: now, incarnation, sequence, reaches_store }),
             called: peer.called,
         };
@@ -225,6 +264,7 @@
     address: SocketAddr,
     host: HostId,
     asks: mpsc::UnboundedReceiver<ServiceAsk>,
+    outgoing: mpsc::UnboundedReceiver<Outgoing>,
     state: Arc<RelayState>,
 ) -> io::Result<()> {
     let socket = UdpSocket::bind(address).await?;
@@ -233,12 +273,22 @@
         tell(&socket, &host, &state),
         hear(&socket, &host, &state),
         loans::ask(&socket, asks, &state),
+        send_all(&socket, outgoing),
         handover::serve(Arc::clone(&state), handing_on),
         handover::learn(Arc::clone(&state)),
     );
     Ok(())
 }
 
+async fn send_all(socket: &UdpSocket, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
+    while let Some((to, datagram)) = outgoing.recv().await {
+        if let Ok(bytes) = postcard::to_stdvec(&datagram) {
+            // What is lost is sent again by whoever needs an answer.
+            let _ = socket.send_to(&bytes, to).await;
+        }
+    }
+}
+
 async fn tell(socket: &UdpSocket, host: &HostId, state: &RelayState) {
     let mut sequence = 0;
     let mut last = Instant::now();
@@ -296,6 +346,9 @@
         Ok(Datagram::Message(message)) if message.host != *own => heard(*message, from, state),
         Ok(Datagram::LoanQuestion(question)) => loans::answer(socket, from, question, state).await,
         Ok(Datagram::LoanAnswer(answer)) => loans::take(&answer, state),
+        Ok(Datagram::QuotaQuestion(question)) => state.quotas.answer(state, from, &question),
+        Ok(Datagram::QuotaAnswer(answer)) => state.quotas.take(state, &answer),
+        Ok(Datagram::QuotaReturn(returned)) => state.quotas.returned(&returned),
         // Its own word, through a seed; or bytes of somebody else.
         Ok(Datagram::Message(_)) | Err(_) => {}
     }
@@ -307,6 +360,7 @@
         Hearing::First => {
             state.log.changed("daemon heard", &message.host);
             state.share_budget();
+            state.quotas.host_came(&message.host);
         }
         Hearing::Next => {}
     }
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -29,6 +29,10 @@
     UnknownKey,
     /// This daemon knows no routes yet, or cannot know whether the ones that it knows are still in force.
     NoTable,
+    /// The organisation's quota is used up.
+    OverQuota,
+    /// No daemon that keeps the organisation's quota could be asked.
+    QuotaUnknown,
     /// No server of the service takes requests.
     NoServer,
     /// It would wait longer than it is worth.
@@ -51,6 +55,8 @@
             Self::NoKey => "no-key",
             Self::UnknownKey => "unknown-key",
             Self::NoTable => "no-table",
+            Self::OverQuota => "over-quota",
+            Self::QuotaUnknown => "quota-unknown",
             Self::NoServer => "no-server",
             Self::WouldWaitTooLong => "would-wait-too-long",
             Self::ServersFull => "servers-full",
@@ -69,9 +75,12 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             // These say that the request has not run and never will.
-            Self::NoTable | Self::NoServer | Self::WouldWaitTooLong | Self::ServersFull => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoTable
+            | Self::NoServer
+            | Self::WouldWaitTooLong
+            | Self::ServersFull
+            | Self::QuotaUnknown => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             // These promise nothing.
             Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
             Self::NoAnswer => StatusCode::BAD_GATEWAY,
@@ -128,6 +137,11 @@
         Self { reason, retry_after_ms: Some(retry_after_ms) }
     }
 
+    /// Whether it promises that the request has not run and never will.
+    pub fn is_not_run(self) -> bool {
+        matches!(self.reason.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+    }
+
     /// The answer that tells the caller.
     pub fn into_response(self, wire: &dyn Wire) -> Response<AnswerBody> {
         let text = Bytes::from_static(self.reason.label().as_bytes());
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+use hibiscusvale_core::quota::QuotaBounds;
+use hibiscusvale_core::units::Millis;
 use serde::Deserialize;
 
 use crate::settings::check::check_number;
@@ -64,6 +66,9 @@
             ("bounds.retry_ratio", bounds.retry_ratio, RETRY_RATIO),
             ("bounds.retry_slack", bounds.retry_slack, RETRY_SLACK),
             ("bounds.retry_window_s", bounds.retry_window_s, RETRY_WINDOW_S),
+            ("bounds.quota_window_s", bounds.quota_window_s, QUOTA_WINDOW_S),
+            ("bounds.quota_overshoot", bounds.quota_overshoot, QUOTA_OVERSHOOT),
+            ("bounds.quota_slack", bounds.quota_slack, QUOTA_SLACK),
             ("capacity.descriptors", capacity.descriptors, DESCRIPTORS),
         ] {
             check_number(text, key, value, range, &mut problems);
@@ -84,6 +89,15 @@
 /// Below, word of what was spent would come too late; above, a daemon would have to remember tries for hours.
 const RETRY_WINDOW_S: RangeInclusive<f64> = 1.0..=3_600.0;
 
+/// Below, a quota would have to be kept more exactly than daemons can agree.
+const QUOTA_WINDOW_S: RangeInclusive<f64> = 1.0..=3_600.0;
+
+/// More than the whole quota beyond the quota is no limit any more.
+const QUOTA_OVERSHOOT: RangeInclusive<f64> = 0.0..=1.0;
+
+/// Requests or tokens beyond that, of all daemons.
+const QUOTA_SLACK: RangeInclusive<f64> = 0.0..=1e12;
+
 /// With fewer, callers and servers could not be connected at the same time.
 const DESCRIPTORS: RangeInclusive<f64> = 256.0..=1_000_000.0;
 
@@ -131,9 +145,25 @@
     pub retry_slack: f64,
     /// Length of that window, in seconds.
     pub retry_window_s: f64,
+    /// Length of the window in which quotas are counted, in seconds.
+    pub quota_window_s: f64,
+    /// Part of a quota that may be sent beyond it in a window.
+    pub quota_overshoot: f64,
+    /// Requests or tokens that may be sent beyond that in a window.
+    pub quota_slack: f64,
 }
 
 impl BoundSettings {
+    /// How exactly quotas have to be kept.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
+    pub fn quota(&self) -> QuotaBounds {
+        QuotaBounds {
+            window_ms: Millis((self.quota_window_s * 1_000.0) as u64),
+            overshoot: self.quota_overshoot,
+            slack: self.quota_slack,
+        }
+    }
+
     /// Time between SIGTERM and SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
@@ -147,7 +177,15 @@
 
 impl Default for BoundSettings {
     fn default() -> Self {
-        Self { grace_s: 8.0, retry_ratio: 0.1, retry_slack: 20.0, retry_window_s: 10.0 }
+        Self {
+            grace_s: 8.0,
+            retry_ratio: 0.1,
+            retry_slack: 20.0,
+            retry_window_s: 10.0,
+            quota_window_s: 8.0,
+            quota_overshoot: 0.0,
+            quota_slack: 0.0,
+        }
     }
 }
 
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -9,7 +9,7 @@
 use hibiscusvale_core::ids::{BackendServerId, Incarnation, PartnerId, RequestId, ServiceId};
 use hibiscusvale_core::relay::patience::Patience;
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
-use hibiscusvale_core::units::{Millis, Tokens};
+use hibiscusvale_core::units::{Credit, Millis, Tokens};
 use http::{HeaderMap, Method};
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -20,6 +20,7 @@
 use super::metrics::{Ended, RelayMetrics};
 use super::news::News;
 use super::peers::Peers;
+use super::quotas::QuotaHub;
 use super::settings::BoundSettings;
 use super::story::{Step, Story};
 use crate::backend::BackendHttp;
@@ -36,6 +37,8 @@
     pub call: Call,
     /// The organisation whose caller sent it; `None` where callers need no key.
     pub partner: Option<PartnerId>,
+    /// What it took out of the organisation's quota.
+    pub charged: Credit,
     /// Its route, with the organisation's rank.
     pub route: Route,
     /// The service that it goes to.
@@ -163,6 +166,8 @@
     pub news: News,
     /// The other daemons.
     pub peers: Peers,
+    /// What organisations may send.
+    pub quotas: QuotaHub,
     /// What the installation allows.
     pub bounds: Mutex<BoundSettings>,
     /// This daemon's life.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -70,6 +70,7 @@
     state.engine_hub.configure(&table);
     state.patience.lock().retain(|route| table.has(route));
     state.table.store(Arc::new(table));
+    state.configure_quotas();
     true
 }
 
