Compare lists of servers by version, and have routes from other daemons

Change: a version of the list that is known is no news; servers that differ at the same version are looked at again after three seconds. Whoever hears of newer routes asks the daemon that has them.

--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -13,6 +13,7 @@
 
 use super::state::RelayState;
 use crate::clock;
+use crate::directory::Listing;
 
 /// Least pause between two reads of the routes, where one ends early.
 const TABLE_PERIOD_MS: Millis = Millis(50);
@@ -37,10 +38,30 @@
 pub struct Stamp {
     /// Version of its routes, and their age.
     table: Option<(u64, Micros)>,
-    /// What its servers come to, and their age.
-    servers: Option<(u64, Micros)>,
+    /// Its servers, and their age.
+    servers: Option<(ListState, Micros)>,
 }
 
+/// What a daemon knows of the list of servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+pub struct ListState {
+    /// Version of the list.
+    version: u64,
+    /// What the servers come to that it uses. Daemons that read the same version may differ for a while: each keeps what
+    /// vanished from the list until that proves something.
+    digest: u64,
+}
+
+impl ListState {
+    /// Of a listing.
+    pub fn of(listing: &Listing) -> Self {
+        Self { version: listing.version, digest: listing.servers.digest() }
+    }
+}
+
+/// How long a daemon uses other servers than one that knows the same version before it looks again.
+const DIFFERS_MS: Millis = Millis(3_000);
+
 /// How old this daemon's knowledge is.
 #[derive(Debug)]
 pub struct Freshness {
@@ -53,7 +74,9 @@
 struct Readings {
     table: Reading,
     servers: Reading,
-    servers_digest: u64,
+    list: ListState,
+    /// Since when another daemon makes something else of the same version.
+    differs_since_us: Option<MonoTime>,
     /// When the store last failed this daemon, until it answers again.
     failed_us: Option<MonoTime>,
     /// Who told last of newer routes, and of newer servers.
@@ -61,6 +84,23 @@
     servers_teller: Option<SocketAddr>,
 }
 
+impl Readings {
+    /// Takes what another daemon says of its servers; returns whether this one has to read.
+    ///
+    /// Load: a cut heals, and servers that vanished from the list come back one by one, while each daemon keeps other ones
+    /// of them. Harm prevented: if each difference had a daemon read, every read would be newer than what the others know
+    /// and have them read in turn, twenty times a second each. So a version that is known is no news.
+    fn heard_servers(&mut self, now_us: MonoTime, told: ListState, age_us: Micros) -> bool {
+        if told.version == self.list.version && told.digest != self.list.digest {
+            let since_us = *self.differs_since_us.get_or_insert(now_us);
+            let is_lasting = now_us >= since_us + DIFFERS_MS;
+            return self.servers.heard(now_us, Told { is_same: !is_lasting, age_us });
+        }
+        let is_known = told.version <= self.list.version;
+        self.servers.heard(now_us, Told { is_same: is_known, age_us })
+    }
+}
+
 impl Default for Freshness {
     fn default() -> Self {
         let settings = ReadingSettings::default();
@@ -72,7 +112,8 @@
         let readings = Readings {
             table,
             servers,
-            servers_digest: 0,
+            list: ListState::default(),
+            differs_since_us: None,
             failed_us: None,
             table_teller: None,
             servers_teller: None,
@@ -87,7 +128,7 @@
         let readings = self.readings.lock();
         Stamp {
             table: readings.table.read_age_us(now_us).map(|age_us| (table.0, age_us)),
-            servers: readings.servers.read_age_us(now_us).map(|age_us| (readings.servers_digest, age_us)),
+            servers: readings.servers.read_age_us(now_us).map(|age_us| (readings.list, age_us)),
         }
     }
 
@@ -98,12 +139,13 @@
         readings.failed_us = None;
     }
 
-    /// The daemon's own read of the servers came through; they come to `digest`. Returns whether that is news.
-    pub fn servers_read(&self, begun_us: MonoTime, digest: u64) -> bool {
+    /// The daemon's own read of the servers came through. Returns whether it brought other servers.
+    pub fn servers_read(&self, begun_us: MonoTime, list: ListState) -> bool {
         let mut readings = self.readings.lock();
         readings.servers.done(begun_us);
         readings.failed_us = None;
-        std::mem::replace(&mut readings.servers_digest, digest) != digest
+        readings.differs_since_us = None;
+        std::mem::replace(&mut readings.list, list).digest != list.digest
     }
 
     /// A read did not come through.
@@ -124,13 +166,18 @@
         self.readings.lock().failed_us.is_none_or(|failed_us| now_us >= failed_us + STEP_ASIDE_MS)
     }
 
-    /// Another daemon's word has brought the servers to `digest`.
-    pub fn servers_told(&self, digest: u64) {
+    /// Another daemon's word has brought the servers so far.
+    pub fn servers_told(&self, list: ListState) {
         let mut readings = self.readings.lock();
-        readings.servers_digest = digest;
+        readings.list = list;
         readings.servers.caught_up();
     }
 
+    /// Whoever told last of newer routes than are known here.
+    pub fn table_teller(&self) -> Option<SocketAddr> {
+        self.readings.lock().table_teller.take()
+    }
+
     /// Whoever told last of something newer than what is known here.
     pub fn teller(&self) -> Option<SocketAddr> {
         let mut readings = self.readings.lock();
@@ -151,22 +198,21 @@
         self.readings.lock().servers.age_us(now_us)
     }
 
-    /// Takes servers that another daemon knew `age_us` before `now_us`, and what they come to; false when they are no
-    /// newer than those that are known.
-    pub fn handed_servers(&self, now_us: MonoTime, age_us: Micros, digest: u64) -> bool {
+    /// Takes servers that another daemon knew `age_us` before `now_us`; false when they are no newer than those that are
+    /// known.
+    pub fn handed_servers(&self, now_us: MonoTime, age_us: Micros, list: ListState) -> bool {
         let mut readings = self.readings.lock();
         if !readings.servers.is_older(now_us, age_us) {
             return false;
         }
         readings.servers.handed(now_us, age_us);
-        readings.servers_digest = digest;
+        readings.list = list;
         true
     }
 
     /// Takes what another daemon says of its knowledge.
     pub fn heard(&self, now_us: MonoTime, table: TableVersion, stamp: Stamp, from: SocketAddr) {
         let mut readings = self.readings.lock();
-        let digest = readings.servers_digest;
         if let Some((version, age_us)) = stamp.table
             && version >= table.0
             && readings.table.heard(now_us, told_of_table(version, table, age_us))
@@ -175,7 +221,7 @@
             self.table_due.notify_one();
         }
         if let Some((told, age_us)) = stamp.servers
-            && readings.servers.heard(now_us, Told { is_same: told == digest, age_us })
+            && readings.heard_servers(now_us, told, age_us)
         {
             readings.servers_teller = Some(from);
             self.servers_due.notify_one();
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -14,18 +14,23 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
+use super::freshness::ListState;
 use super::state::RelayState;
 use super::{status, watch};
 use crate::backend::{Trust, read_body, uri};
 use crate::clock;
 use crate::directory::{BackendServer, Listing};
 
-/// Where a daemon asks another one.
+/// Where a daemon asks another one for all that it knows.
 const PATH: &str = "/v1/knowledge";
 
+/// Where it asks for the routes alone.
+const TABLE_PATH: &str = "/v1/knowledge/routes";
+
 /// Time for the whole answer, inside a region.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -54,8 +59,9 @@
 fn answer(state: &RelayState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let is_known = state.table.load().is_known() && state.directory.listing().version > 0;
     let (status, body) = match (request.method(), request.uri().path()) {
-        (&Method::GET, PATH) if is_known => encode(state),
-        (&Method::GET, PATH) => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        (&Method::GET, PATH) if is_known => encode(state, &knowledge(state)),
+        (&Method::GET, TABLE_PATH) if is_known => encode(state, &**state.table.load()),
+        (&Method::GET, PATH | TABLE_PATH) => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
@@ -63,15 +69,21 @@
     response
 }
 
-fn encode(state: &RelayState) -> (StatusCode, Vec<u8>) {
+fn knowledge(state: &RelayState) -> Knowledge {
     let listing = state.directory.listing();
-    let knowledge = Knowledge {
+    Knowledge {
         table: state.table.load().as_ref().clone(),
         version: listing.version,
         servers: listing.servers.values().map(|server| server.as_ref().clone()).collect(),
         servers_age_us: state.freshness.servers_age_us(clock::now()),
-    };
-    match postcard::to_stdvec(&knowledge) {
+    }
+}
+
+fn encode<Value>(state: &RelayState, value: &Value) -> (StatusCode, Vec<u8>)
+where
+    Value: Serialize,
+{
+    match postcard::to_stdvec(value) {
         Ok(body) => (StatusCode::OK, body),
         Err(error) => {
             state.log.fault("knowledge not encoded", &error);
@@ -98,21 +110,35 @@
 /// Asks one daemon, and takes what is newer than what is known here.
 pub async fn learn_from(state: &RelayState, address: SocketAddr) {
     let asked_us = clock::now();
-    if let Some(knowledge) = ask(state, address).await {
+    if let Some(knowledge) = ask(state, address, PATH).await {
         adopt(state, asked_us, knowledge, address);
     }
 }
 
-async fn ask(state: &RelayState, address: SocketAddr) -> Option<Knowledge> {
+/// Asks one daemon for its routes; says whether they are newer than those in force here.
+///
+/// Load: operators publish several versions in a row. Harm prevented: each daemon reads each of them from the store, whose
+/// calls are limited and paid for.
+pub async fn learn_table_from(state: &RelayState, address: SocketAddr) -> bool {
+    match ask(state, address, TABLE_PATH).await {
+        Some(table) => watch::adopt_table(state, table),
+        None => false,
+    }
+}
+
+async fn ask<Answer>(state: &RelayState, address: SocketAddr, path: &str) -> Option<Answer>
+where
+    Answer: DeserializeOwned,
+{
     let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = uri(address, PATH).ok()?;
+    *request.uri_mut() = uri(address, path).ok()?;
     let response = state.http.send(Trust::Fresh, request, TIMEOUT).await.ok()?;
     if response.status() != StatusCode::OK {
         return None;
     }
     let body = read_body(response.into_body(), LIMIT_BYTES, TIMEOUT).await.ok()?;
     match postcard::from_bytes(&body) {
-        Ok(knowledge) => Some(knowledge),
+        Ok(answer) => Some(answer),
         Err(error) => {
             state.log.fault("knowledge of another daemon not understood", &error);
             None
@@ -129,7 +155,7 @@
     let listing = Listing { version: knowledge.version, servers, ..Listing::default() };
     let age_us = knowledge.servers_age_us.unwrap_or(Micros(u64::MAX));
     let is_newer = listing.version >= before.version
-        && state.freshness.handed_servers(asked_us, age_us, listing.servers.digest());
+        && state.freshness.handed_servers(asked_us, age_us, ListState::of(&listing));
     if is_newer {
         state.directory.adopt(listing);
         watch::servers_changed(state, &before);
--- a/crates/router/src/relay/news.rs
+++ b/crates/router/src/relay/news.rs
@@ -1,8 +1,8 @@
 //! Changes of the servers, told from daemon to daemon.
 //!
 //! Hundreds of times a day servers come, go or change their role, and with 87 daemons each change would cost 87 calls
-//! to the store. So whoever read a change puts it into its next messages, with what the servers come to after it. Whoever
-//! comes to the same by it is up to date; any other daemon notices that it is behind and reads.
+//! to the store. So whoever read a change puts it into its next messages, with the versions that it leads from and to.
+//! Whoever knew the first is up to date by it; any other daemon notices that it is behind and reads.
 
 use std::sync::Arc;
 
@@ -25,10 +25,10 @@
 /// One change of the servers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerChange {
-    /// What the servers come to now.
+    /// Version of the list before.
+    from: u64,
+    /// Version of the list now.
     to: u64,
-    /// Version of the list.
-    version: u64,
     set: Vec<BackendServer>,
     removed: Vec<BackendServerId>,
 }
@@ -40,9 +40,9 @@
         let set: Vec<BackendServer> = changed.map(|server| server.as_ref().clone()).collect();
         let removed: Vec<BackendServerId> = after.servers.gone_since(&before.servers).cloned().collect();
         let named = set.len() + removed.len();
-        (1..=SERVERS_MAX).contains(&named).then(|| Self {
-            to: after.servers.digest(),
-            version: after.version,
+        (1..=SERVERS_MAX).contains(&named).then_some(Self {
+            from: before.version,
+            to: after.version,
             set,
             removed,
         })
@@ -53,25 +53,29 @@
         self.set.len() + self.removed.len()
     }
 
-    /// The listing after `changes`, oldest first; `None` when they do not lead from `known` to what their reader knows.
+    /// The listing after `changes`, oldest first; `None` when they bring nothing, or go on from something that is not known
+    /// here.
     ///
     /// The listing need not be the one that the reader had before: a daemon that read the store in between knows a part of
     /// a change already, and would otherwise have to read again after each one. What it read later than the reader is not
     /// taken back.
     pub fn applied(changes: Vec<Self>, known: &Listing) -> Option<Listing> {
-        let reached = changes.last()?.to;
-        if known.version == 0 || known.servers.digest() == reached {
-            return None;
-        }
         let mut listing = known.clone();
-        for change in changes.into_iter().filter(|change| change.version >= known.version) {
-            for id in &change.removed {
-                listing.servers.remove(id);
+        for change in changes {
+            if (change.from..=change.to).contains(&listing.version) {
+                change.apply(&mut listing);
             }
-            listing.servers.extend(change.set.into_iter().map(Arc::new));
-            listing.version = change.version;
         }
-        (listing.servers.digest() == reached).then_some(listing)
+        let is_news = listing.version > known.version || listing.servers.digest() != known.servers.digest();
+        (known.version > 0 && is_news).then_some(listing)
+    }
+
+    fn apply(self, listing: &mut Listing) {
+        for id in &self.removed {
+            listing.servers.remove(id);
+        }
+        listing.servers.extend(self.set.into_iter().map(Arc::new));
+        listing.version = self.to;
     }
 }
 
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -11,7 +11,7 @@
 use hibiscusvale_core::units::Millis;
 
 use super::edge::TableSource;
-use super::freshness::{Followed, due};
+use super::freshness::{Followed, ListState, due};
 use super::handover;
 use super::news::ServerChange;
 use super::pace::Urgency;
@@ -32,6 +32,12 @@
     let mut link = Link::new("routes lost", "routes regained");
     loop {
         let begun_us = due(&state, &own, Followed::Table).await;
+        if let Some(teller) = state.freshness.table_teller()
+            && handover::learn_table_from(&state, teller).await
+        {
+            state.peers.touch(Urgency::Soon);
+            continue;
+        }
         match source.next(TABLE_WAIT_MS).await {
             Ok(table) => {
                 link.regained(&state);
@@ -87,7 +93,7 @@
                 let before = state.directory.listing();
                 take(&state, &mut lapses, page);
                 let after = state.directory.listing();
-                if state.freshness.servers_read(begun_us, after.servers.digest()) {
+                if state.freshness.servers_read(begun_us, ListState::of(&after)) {
                     if let Some(change) =
                         ServerChange::between(&before, &after).filter(|_| before.version > 0)
                     {
@@ -132,7 +138,7 @@
 pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>) {
     let before = state.directory.listing();
     if let Some(listing) = ServerChange::applied(changes, &before) {
-        state.freshness.servers_told(listing.servers.digest());
+        state.freshness.servers_told(ListState::of(&listing));
         state.directory.adopt(listing);
         servers_changed(state, &before);
     }
