Do not read routes that have come into force meanwhile

Cause: a daemon that was told of newer routes took them from another one, was told of the same version by others while it did, asked again, got nothing newer and read the store.

Change: the version that was told of is kept with who told it; when it is in force by then, nothing is read.

--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -80,7 +80,7 @@
     /// When the store last failed this daemon, until it answers again.
     failed_us: Option<MonoTime>,
     /// Who told last of newer routes, and of newer servers.
-    table_teller: Option<SocketAddr>,
+    table_teller: Option<(TableVersion, SocketAddr)>,
     servers_teller: Option<SocketAddr>,
 }
 
@@ -173,16 +173,20 @@
         readings.servers.caught_up();
     }
 
-    /// Whoever told last of newer routes than are known here.
-    pub fn table_teller(&self) -> Option<SocketAddr> {
-        self.readings.lock().table_teller.take()
+    /// What another daemon told last of newer routes, with those in force here known to be of version `known`.
+    pub fn newer_table(&self, known: TableVersion) -> NewerTable {
+        match self.readings.lock().table_teller.take() {
+            Some((version, _)) if version <= known => NewerTable::InForce,
+            Some((_, teller)) => NewerTable::At(teller),
+            None => NewerTable::Untold,
+        }
     }
 
     /// Whoever told last of something newer than what is known here.
     pub fn teller(&self) -> Option<SocketAddr> {
         let mut readings = self.readings.lock();
         let servers = readings.servers_teller.take();
-        readings.table_teller.take().or(servers)
+        readings.table_teller.take().map(|(_, teller)| teller).or(servers)
     }
 
     /// Whether there may be newer routes than those that are known here: another daemon has some, or nobody has
@@ -217,7 +221,7 @@
             && version >= table.0
             && readings.table.heard(now_us, told_of_table(version, table, age_us))
         {
-            readings.table_teller = Some(from);
+            readings.table_teller = Some((TableVersion(version), from));
             self.table_due.notify_one();
         }
         if let Some((told, age_us)) = stamp.servers
@@ -235,6 +239,17 @@
     Told { is_same, age_us: if is_same { age_us } else { Micros(0) } }
 }
 
+/// Where newer routes are to be had.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NewerTable {
+    /// From this daemon.
+    At(SocketAddr),
+    /// Those that were told of have come into force since.
+    InForce,
+    /// Nobody told of any.
+    Untold,
+}
+
 /// Which of the two things that are followed.
 #[derive(Clone, Copy, Debug)]
 pub enum Followed {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -11,7 +11,7 @@
 use hibiscusvale_core::units::Millis;
 
 use super::edge::TableSource;
-use super::freshness::{Followed, ListState, due};
+use super::freshness::{Followed, ListState, NewerTable, due};
 use super::handover;
 use super::news::ServerChange;
 use super::pace::Urgency;
@@ -32,10 +32,12 @@
     let mut link = Link::new("routes lost", "routes regained");
     loop {
         let begun_us = due(&state, &own, Followed::Table).await;
-        if let Some(teller) = state.freshness.table_teller()
-            && handover::learn_table_from(&state, teller).await
-        {
-            state.peers.touch(Urgency::Soon);
+        let is_in_force = match state.freshness.newer_table(state.table.load().version()) {
+            NewerTable::At(teller) => handover::learn_table_from(&state, teller).await,
+            NewerTable::InForce => true,
+            NewerTable::Untold => false,
+        };
+        if is_in_force {
             continue;
         }
         match source.next(TABLE_WAIT_MS).await {
