Ask at once for newer routes, also after an outage of the store

After an outage each daemon had failed four reads and waited 0.8 s between looks; since routes come from other daemons, a look that found nothing newer ended without a read, and the failures were never forgotten. Words of the same version counted as newer ones besides.

Change: only a newer version makes a daemon ask; the question does not wait for the store's back-off; routes that another daemon told end the back-off.

--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -82,9 +82,11 @@
         self.is_behind = false;
     }
 
-    /// Another daemon told the very change that this one was behind by.
+    /// Another daemon told the very change that this one was behind by. Reads that failed before say nothing of the store
+    /// any more: somebody has read it since.
     pub fn caught_up(&mut self) {
         self.is_behind = false;
+        self.failures = 0;
     }
 
     /// Whether knowledge of this age is newer than what is known here.
@@ -139,6 +141,11 @@
         retry_us.max(as_of_us + self.settings.stale_ms).max(tried_us + self.settings.period_ms)
     }
 
+    /// When to ask another daemon that knows something newer. The store's failures are no reason to wait for that.
+    pub fn next_ask_us(&self) -> MonoTime {
+        self.tried_us.map_or(MonoTime::default(), |tried_us| tried_us + BEHIND_PAUSE_MS)
+    }
+
     /// Pause after reads that failed.
     fn retry_ms(&self) -> Millis {
         let doublings = self.failures.saturating_sub(1).min(MOST_DOUBLINGS);
--- a/crates/core/tests/relay/knowledge.rs
+++ b/crates/core/tests/relay/knowledge.rs
@@ -134,6 +134,24 @@
     assert_eq!(reading.next_us(false), at(5_500));
 }
 
+/// The store was away, and is back: another daemon has read newer routes there. A daemon that went on waiting as after its
+/// own failures put them in force four seconds late.
+#[test]
+fn what_another_daemon_told_ends_the_pause_after_failures() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    read(&mut reading, 0);
+    for now_ms in (2_000..6_000).step_by(1_000) {
+        reading.begin(at(now_ms));
+        reading.failed();
+    }
+    assert_eq!(reading.next_us(false), at(5_800));
+    assert!(reading.heard(at(5_010), told(false, 0)));
+    assert_eq!(reading.next_ask_us(), at(5_050));
+    reading.begin(at(5_050));
+    reading.caught_up();
+    assert!(reading.next_us(false) <= at(5_550), "it knows nothing as of the outage's end yet");
+}
+
 #[test]
 fn two_of_all_daemons_read_and_all_agree_on_them() {
     let settings = ReadingSettings::default();
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -85,6 +85,15 @@
 }
 
 impl Readings {
+    /// When a read is due, or a question to a daemon that has newer routes.
+    fn next_us(&mut self, followed: Followed, is_reader: bool) -> MonoTime {
+        let read_us = reading(self, followed).next_us(is_reader);
+        match followed {
+            Followed::Table if self.table_teller.is_some() => read_us.min(self.table.next_ask_us()),
+            Followed::Table | Followed::Servers => read_us,
+        }
+    }
+
     /// Takes what another daemon says of its servers; returns whether this one has to read.
     ///
     /// Load: a cut heals, and servers that vanished from the list come back one by one, while each daemon keeps other ones
@@ -182,6 +191,11 @@
         }
     }
 
+    /// Routes that another daemon told of are in force.
+    pub fn table_told(&self) {
+        self.readings.lock().table.caught_up();
+    }
+
     /// Whoever told last of something newer than what is known here.
     pub fn teller(&self) -> Option<SocketAddr> {
         let mut readings = self.readings.lock();
@@ -220,6 +234,7 @@
         if let Some((version, age_us)) = stamp.table
             && version >= table.0
             && readings.table.heard(now_us, told_of_table(version, table, age_us))
+            && version > table.0
         {
             readings.table_teller = Some((TableVersion(version), from));
             self.table_due.notify_one();
@@ -272,7 +287,7 @@
         let live = state.peers.hosts_at_store();
         let reaches_store = state.freshness.reaches_store(clock::now());
         let is_reader = reaches_store && is_reader(&ReadingSettings::default(), own, live.iter());
-        let next_us = reading(&mut state.freshness.readings.lock(), followed).next_us(is_reader);
+        let next_us = state.freshness.readings.lock().next_us(followed, is_reader);
         let now_us = clock::now();
         if now_us >= next_us {
             reading(&mut state.freshness.readings.lock(), followed).begin(now_us);
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -38,6 +38,7 @@
             NewerTable::Untold => false,
         };
         if is_in_force {
+            state.freshness.table_told();
             continue;
         }
         match source.next(TABLE_WAIT_MS).await {
