Wait an earlier lease out before there is anything to order

In the worse ones the engines that read were replaced and no other was ordered to read for 25 s; half of the streams were late. The daemon whose turn it was had restarted, and began to wait out the time of an earlier holder of the lease only when it first had something to order. Found with a trial that prints each look at the split.

Change: the daemon whose turn it is reads the lease's records at its first look.

--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -54,7 +54,9 @@
     host: HostId,
     lease: Lease,
     fold: LeaseFold,
-    /// When the lease's records were first read to their end, if there had been any.
+    /// Whether the lease's records were read to their end.
+    has_read: bool,
+    /// When they first were, if there had been any.
     waits_from_us: Option<MonoTime>,
 }
 
@@ -63,7 +65,7 @@
     pub fn new(log: Arc<dyn Log>, state: Arc<RelayState>, host: HostId, scope: DataCentreId) -> Self {
         let me = LeaseHolder { host: host.clone(), incarnation: state.incarnation };
         let (lease, fold) = (Lease::new(LEASE, scope, me), LeaseFold::default());
-        Self { log, state, host, lease, fold, waits_from_us: None }
+        Self { log, state, host, lease, fold, has_read: false, waits_from_us: None }
     }
 
     /// Looks again and again, for as long as the daemon runs.
@@ -81,6 +83,11 @@
         if !is_turn || !is_reader(&one, &self.host, live.iter()) || !self.state.is_ready() {
             return;
         }
+        // An earlier holder's time is waited out from the first look on: begun only when there is something to order, the
+        // wait would keep a wrong split for its ten seconds.
+        if !self.has_read && self.read().await.is_err() {
+            return;
+        }
         for _ in 0..ORDERS_AT_ONCE {
             let shifts = self.state.engine_hub.next_shifts();
             if shifts.is_empty() {
@@ -100,12 +107,7 @@
         if let Some(held) = self.lease.held(clock::now()) {
             return Some(held);
         }
-        if let Err(failure) = self.read_log().await {
-            self.state.log.changed("lease not read", &failure);
-            self.state.freshness.store_failed(clock::now());
-            self.state.peers.touch(Urgency::Soon);
-            return None;
-        }
+        self.read().await.ok()?;
         // Records are kept for a while only. Where there have been any, an earlier holder may still act whose record
         // is gone: its time is waited out from the first look on.
         let waits = self.waits_from_us.is_some_and(|from_us| clock::now() < from_us + LEASE.takeover_ms());
@@ -131,6 +133,17 @@
         self.log.append(Stream::Leases, vec![Bytes::from(bytes)]).await.map(drop)
     }
 
+    /// Reads the lease's records; when that fails, another daemon is to give the orders.
+    async fn read(&mut self) -> Result<(), LogFailure> {
+        let read = self.read_log().await;
+        if let Err(failure) = &read {
+            self.state.log.changed("lease not read", failure);
+            self.state.freshness.store_failed(clock::now());
+            self.state.peers.touch(Urgency::Soon);
+        }
+        read
+    }
+
     async fn read_log(&mut self) -> Result<(), LogFailure> {
         loop {
             let from = self.fold.next();
@@ -144,6 +157,7 @@
                 self.fold.apply(clock::now(), record.offset, read.as_ref());
             }
             if page.records.is_empty() || self.fold.next() >= page.next_offset {
+                self.has_read = true;
                 return Ok(());
             }
         }
