Use the field's terms for quotas and lists, and count who is turned away

Primary and standby in place of daemons in charge and standing in, suspicion in place of passing over, learned in place of told. Requests that are refused before they are taken in (unknown key, quota, no route) are counted by reason. Behaviour is unchanged otherwise.

--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -13,29 +13,29 @@
 /// Part of the tolerance that is added to the burst: a request within the tolerance is not refused for a short peak.
 const BURST_PART: f64 = 0.4;
 
-/// Part of the tolerance that a daemon hands out at once when it takes charge.
+/// Part of the tolerance that a daemon grants at once when it becomes primary.
 const TAKEOVER_PART: f64 = 0.1;
 
-/// Part of the tolerance of a window that a daemon may grant while another one is in charge.
-const STAND_IN_RATE_PART: f64 = 0.3;
+/// Part of the tolerance of a window that a standby may grant.
+const STANDBY_RATE_PART: f64 = 0.3;
 
-/// Part of the tolerance that such a daemon may grant at once.
-const STAND_IN_BURST_PART: f64 = 0.2;
+/// Part of the tolerance that a standby may grant at once.
+const STANDBY_BURST_PART: f64 = 0.2;
 
 /// Wait stated where the quota says nothing of when there will be credit again.
 const NO_RATE_WAIT_MS: Millis = Millis(1_000);
 
-/// Daemons that this one can reach, itself among them, of those that there are.
+/// The daemons that this one reaches, of all that may be granting.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Coverage {
-    /// Daemons that live, as far as is known here.
+    /// Live daemons, this one included.
     pub live: u64,
-    /// Daemons that may be spending.
+    /// Daemons that are live, or may be on the other side of a partition.
     pub all: u64,
 }
 
 impl Coverage {
-    /// The part of a quota that is granted on this side of a cut.
+    /// The part of a quota that is granted on this side of a partition.
     fn part(self) -> f64 {
         (self.live as f64 / self.all.max(1) as f64).min(1.0)
     }
@@ -43,11 +43,11 @@
 
 /// Why a daemon grants credit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Duty {
-    /// It is the first of the daemons that live.
-    InCharge,
-    /// The one in charge does not answer somebody.
-    StandIn,
+pub enum LedgerRole {
+    /// It is the first of the live daemons.
+    Primary,
+    /// The primary does not answer somebody.
+    Standby,
 }
 
 /// The answer to a question for credit.
@@ -74,20 +74,20 @@
 /// Grants credit of one organisation's quota, on one daemon.
 ///
 /// Load: an organisation sends several times its quota through many daemons, some of which die, freeze or are cut off
-/// from the others. Harm prevented: each side of a cut, or each new life of a daemon, would grant the whole quota
-/// again. So a side grants the part of the daemons that it can reach, a daemon that takes charge begins with next to
-/// nothing, and one that only stands in lives on a part of the tolerance.
+/// from the others. Harm prevented: each side of a partition, or each restart, would grant the whole quota again. So a
+/// side grants in proportion to the daemons that it reaches, a new primary begins with an almost empty bucket, and a
+/// standby grants a part of the tolerance only.
 #[derive(Clone, Debug)]
 pub struct Ledger {
     settings: LedgerSettings,
-    in_charge: Option<Bucket>,
-    stand_in: Option<Bucket>,
+    primary: Option<Bucket>,
+    standby: Option<Bucket>,
 }
 
 impl Ledger {
-    /// A ledger of a daemon that is not in charge yet.
+    /// A ledger that has granted nothing yet.
     pub fn new(settings: LedgerSettings) -> Self {
-        Self { settings, in_charge: None, stand_in: None }
+        Self { settings, primary: None, standby: None }
     }
 
     /// Changes the limits; what was granted stays so.
@@ -95,32 +95,32 @@
         self.settings = settings;
     }
 
-    /// Another daemon is in charge now.
-    pub fn yield_charge(&mut self) {
-        self.in_charge = None;
+    /// Another daemon is primary now.
+    pub fn step_down(&mut self) {
+        self.primary = None;
     }
 
     /// Answers a question for `needs`, and for `likely` beyond that if there is plenty.
     pub fn grant(
         &mut self,
         now_us: MonoTime,
-        duty: Duty,
+        role: LedgerRole,
         coverage: Coverage,
         needs: Credit,
         likely: Credit,
     ) -> Grant {
         let half_burst = self.settings.quota.burst.0 / 2;
-        let bucket = match duty {
-            Duty::InCharge => self.charged(now_us, coverage),
-            Duty::StandIn => self.standing_in(now_us, coverage),
+        let bucket = match role {
+            LedgerRole::Primary => self.primary_bucket(now_us, coverage),
+            LedgerRole::Standby => self.standby_bucket(now_us, coverage),
         };
         if !bucket.take(now_us, needs) {
             let retry_after_ms = bucket.wait_ms(now_us, needs).unwrap_or(NO_RATE_WAIT_MS);
             return Grant::Denied { retry_after_ms };
         }
-        let plenty = match duty {
-            Duty::InCharge => Credit(bucket.level(now_us).0.saturating_sub(half_burst) / 2),
-            Duty::StandIn => Credit::ZERO,
+        let plenty = match role {
+            LedgerRole::Primary => Credit(bucket.level(now_us).0.saturating_sub(half_burst) / 2),
+            LedgerRole::Standby => Credit::ZERO,
         };
         let extra = likely.min(plenty);
         bucket.take(now_us, extra);
@@ -129,31 +129,31 @@
 
     /// Takes back what was granted and not spent.
     pub fn put_back(&mut self, now_us: MonoTime, credit: Credit) {
-        if let Some(bucket) = &mut self.in_charge {
+        if let Some(bucket) = &mut self.primary {
             bucket.put_back(now_us, credit);
         }
     }
 
-    fn charged(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
-        self.stand_in = None;
+    fn primary_bucket(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
+        self.standby = None;
         let LedgerSettings { quota, bounds } = self.settings;
         let tolerance = bounds.tolerance(&quota);
         let rate = CreditPerSecond(scaled(Credit(quota.rate.0), coverage.part()).0);
         let burst = scaled(quota.burst + scaled(tolerance, BURST_PART), coverage.part());
         let begins_with = scaled(tolerance, TAKEOVER_PART * coverage.part());
-        let bucket = self.in_charge.get_or_insert_with(|| Bucket::new(now_us, rate, burst, begins_with));
+        let bucket = self.primary.get_or_insert_with(|| Bucket::new(now_us, rate, burst, begins_with));
         bucket.configure(now_us, rate, burst);
         bucket
     }
 
-    fn standing_in(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
-        self.in_charge = None;
+    fn standby_bucket(&mut self, now_us: MonoTime, coverage: Coverage) -> &mut Bucket {
+        self.primary = None;
         let LedgerSettings { quota, bounds } = self.settings;
         let tolerance = bounds.tolerance(&quota);
-        let burst = scaled(tolerance, STAND_IN_BURST_PART * coverage.part());
+        let burst = scaled(tolerance, STANDBY_BURST_PART * coverage.part());
         let window_s = bounds.window_ms.0.max(1) as f64 / 1_000.0;
-        let rate = CreditPerSecond(scaled(tolerance, STAND_IN_RATE_PART * coverage.part() / window_s).0);
-        let bucket = self.stand_in.get_or_insert_with(|| Bucket::new(now_us, rate, burst, burst));
+        let rate = CreditPerSecond(scaled(tolerance, STANDBY_RATE_PART * coverage.part() / window_s).0);
+        let bucket = self.standby.get_or_insert_with(|| Bucket::new(now_us, rate, burst, burst));
         bucket.configure(now_us, rate, burst);
         bucket
     }
@@ -164,8 +164,8 @@
     Credit((credit.0 as f64 * part) as u64)
 }
 
-/// The daemons to ask for credit of `partner`, the one in charge first: rendezvous hashing, so that all agree without a
-/// word, and only what a lost daemon kept moves.
+/// The daemons to ask for credit of `partner`, the primary first. Rendezvous hashing: all daemons agree without a
+/// message, and only what a lost daemon kept moves.
 pub fn candidates(partner: &PartnerId, mut hosts: Vec<HostId>) -> Vec<HostId> {
     hosts.sort_by_cached_key(|host| (weight(partner, host), host.clone()));
     hosts
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -1,22 +1,21 @@
 //! Quotas of organisations, enforced over all daemons together.
 //!
-//! For each organisation one daemon keeps the token bucket; the others lease credit from it. Weighed against a part of the
-//! quota for each daemon: callers reach few of the daemons, so most parts would stand unused while requests within the
-//! quota are refused.
+//! For each organisation one daemon, the primary, keeps the token bucket; the others lease credit from it. An equal part of
+//! the quota for each daemon would stand mostly unused, because an organisation's callers reach few of the daemons.
 //!
-//! - [`Bucket`] is the token bucket itself.
-//! - [`Ledger`] decides what is granted, on the daemon that is in charge and on one that stands in for it.
-//! - [`LeasedCredit`] is what a daemon has leased and not used.
-//! - [`candidates`] tells whom to ask, and [`Silence`] whom to pass over.
+//! - [`Bucket`]: the token bucket.
+//! - [`Ledger`]: grants credit, as primary or as standby.
+//! - [`LeasedCredit`]: credit that a daemon has leased and not spent.
+//! - [`candidates`] and [`Suspicion`]: which daemon to ask.
 
 mod bucket;
 mod lease;
 mod ledger;
 mod limit;
-mod silence;
+mod suspicion;
 
 pub use bucket::Bucket;
 pub use lease::{LEASE_LIFE_MS, LeasedCredit};
-pub use ledger::{Coverage, Duty, Grant, Ledger, LedgerSettings, candidates, outranks};
+pub use ledger::{Coverage, Grant, Ledger, LedgerRole, LedgerSettings, candidates, outranks};
 pub use limit::{Quota, QuotaBounds, QuotaUnit};
-pub use silence::Silence;
+pub use suspicion::Suspicion;
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -2,8 +2,8 @@
 
 use hibiscusvale_core::ids::{HostId, PartnerId};
 use hibiscusvale_core::quota::{
-    Bucket, Coverage, Duty, Grant, LeasedCredit, Ledger, LedgerSettings, Quota, QuotaBounds, QuotaUnit,
-    Silence, candidates, outranks,
+    Bucket, Coverage, Grant, LeasedCredit, Ledger, LedgerRole, LedgerSettings, Quota, QuotaBounds, QuotaUnit,
+    Suspicion, candidates, outranks,
 };
 use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, MonoTime, Tokens};
 use rand::rngs::StdRng;
@@ -48,7 +48,7 @@
     ledger: Ledger,
     part: Bucket,
     heard_ms: Vec<Option<u64>>,
-    silent: Vec<Silence>,
+    silent: Vec<Suspicion>,
 }
 
 pub struct World {
@@ -97,7 +97,7 @@
             ledger: Ledger::new(settings),
             part,
             heard_ms: vec![Some(0); daemons],
-            silent: vec![Silence::default(); daemons],
+            silent: vec![Suspicion::default(); daemons],
         };
         let partner = "org".parse().unwrap();
         let hosts = (0..daemons).map(|number| format!("h-{number}").parse().unwrap()).collect();
@@ -168,7 +168,7 @@
         daemon.leased = LeasedCredit::default();
         daemon.ledger = Ledger::new(self.settings);
         daemon.heard_ms = vec![None; daemon.heard_ms.len()];
-        daemon.silent = vec![Silence::default(); daemon.silent.len()];
+        daemon.silent = vec![Suspicion::default(); daemon.silent.len()];
         let quota = self.settings.quota;
         let daemons = self.daemons.len() as u64;
         let (rate, burst) = (CreditPerSecond(quota.rate.0 / daemons), Credit(quota.burst.0 / daemons));
@@ -181,7 +181,7 @@
         let is_new = daemon.heard_ms[from].is_none_or(|heard_ms| at_ms >= heard_ms + SILENCE_MS);
         daemon.heard_ms[from] = Some(at_ms);
         if is_new && outranks(&partner, &host, &daemon.host) {
-            daemon.ledger.yield_charge();
+            daemon.ledger.step_down();
         }
     }
 
@@ -231,16 +231,16 @@
             if self.daemons[at].leased.denied_ms(clock(at_ms), cost).is_some() {
                 return false;
             }
-            let is_silent = |number: usize| self.daemons[at].silent[number].is_passed_over(clock(at_ms));
+            let is_silent = |number: usize| self.daemons[at].silent[number].is_suspected(clock(at_ms));
             let asked = self.live(at_ms, at).find(|number| !is_silent(*number));
             let Some(asked) = asked else {
                 return false;
             };
             if asked != at && !(self.reaches(at_ms, at, asked) && self.reaches(at_ms, asked, at)) {
-                self.daemons[at].silent[asked].note(clock(at_ms));
+                self.daemons[at].silent[asked].note_timeout(clock(at_ms));
                 continue;
             }
-            self.daemons[at].silent[asked] = Silence::default();
+            self.daemons[at].silent[asked] = Suspicion::default();
             match self.grant(at_ms, asked, at, cost) {
                 Grant::Granted(credit) => self.daemons[at].leased.add(clock(at_ms), credit),
                 Grant::Denied { retry_after_ms } => {
@@ -254,11 +254,11 @@
 
     fn grant(&mut self, at_ms: u64, at: usize, asker: usize, cost: Credit) -> Grant {
         let likely = self.daemons[asker].leased.likely(clock(at_ms));
-        let is_in_charge = self.live(at_ms, at).next() == Some(at);
-        let duty = if is_in_charge { Duty::InCharge } else { Duty::StandIn };
+        let is_primary = self.live(at_ms, at).next() == Some(at);
+        let role = if is_primary { LedgerRole::Primary } else { LedgerRole::Standby };
         let live = self.live(at_ms, at).count() as u64;
         let coverage = Coverage { live, all: self.daemons.len() as u64 };
-        self.daemons[at].ledger.grant(clock(at_ms), duty, coverage, cost, likely)
+        self.daemons[at].ledger.grant(clock(at_ms), role, coverage, cost, likely)
     }
 
     /// The most that was spent in a window, as a part of what is tolerated there.
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -146,7 +146,8 @@
     state: &Arc<RelayState>,
     request: Request<CallerBody>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let incoming = Arc::new(read(state, request).await?);
+    let read = read(state, request).await;
+    let incoming = Arc::new(read.inspect_err(|refusal| state.metrics.turned_away(refusal.reason.label()))?);
     let is_stream = incoming.route.kind.is_stream();
     let answered = if is_stream {
         stream::relay(state, &incoming).await
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -94,12 +94,12 @@
         }
     }
 
-    /// Takes what another daemon says of its servers; returns whether this one has to read.
+    /// Compares another daemon's list with the own one; returns whether this daemon has to read.
     ///
-    /// Load: a cut heals, and servers that vanished from the list come back one by one, while each daemon keeps other ones
-    /// of them. Harm prevented: if each difference had a daemon read, every read would be newer than what the others know
-    /// and have them read in turn, twenty times a second each. So a version that is known is no news.
-    fn heard_servers(&mut self, now_us: MonoTime, told: ListState, age_us: Micros) -> bool {
+    /// Load: a partition heals, and servers that had vanished from the list come back one by one, while daemons differ in
+    /// which of them they keep. Harm prevented: if each difference caused a read, every read would be newer than what the
+    /// others know and cause theirs in turn. So a version that is known here causes none.
+    fn compare_servers(&mut self, now_us: MonoTime, told: ListState, age_us: Micros) -> bool {
         if told.version == self.list.version && told.digest != self.list.digest {
             let since_us = *self.differs_since_us.get_or_insert(now_us);
             let is_lasting = now_us >= since_us + DIFFERS_MS;
@@ -175,24 +175,24 @@
         self.readings.lock().failed_us.is_none_or(|failed_us| now_us >= failed_us + STEP_ASIDE_MS)
     }
 
-    /// Another daemon's word has brought the servers so far.
-    pub fn servers_told(&self, list: ListState) {
+    /// Changes of another daemon have brought the list to this state.
+    pub fn servers_learned(&self, list: ListState) {
         let mut readings = self.readings.lock();
         readings.list = list;
         readings.servers.caught_up();
     }
 
-    /// What another daemon told last of newer routes, with those in force here known to be of version `known`.
+    /// The newer routes that were announced last, when version `known` is in force here.
     pub fn newer_table(&self, known: TableVersion) -> NewerTable {
         match self.readings.lock().table_teller.take() {
             Some((version, _)) if version <= known => NewerTable::InForce,
             Some((_, teller)) => NewerTable::At(teller),
-            None => NewerTable::Untold,
+            None => NewerTable::Unannounced,
         }
     }
 
-    /// Routes that another daemon told of are in force.
-    pub fn table_told(&self) {
+    /// Routes of another daemon have come into force.
+    pub fn table_learned(&self) {
         self.readings.lock().table.caught_up();
     }
 
@@ -240,7 +240,7 @@
             self.table_due.notify_one();
         }
         if let Some((told, age_us)) = stamp.servers
-            && readings.heard_servers(now_us, told, age_us)
+            && readings.compare_servers(now_us, told, age_us)
         {
             readings.servers_teller = Some(from);
             self.servers_due.notify_one();
@@ -254,15 +254,15 @@
     Told { is_same, age_us: if is_same { age_us } else { Micros(0) } }
 }
 
-/// Where newer routes are to be had.
+/// What is known of routes newer than those in force.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NewerTable {
-    /// From this daemon.
+    /// This daemon has them.
     At(SocketAddr),
-    /// Those that were told of have come into force since.
+    /// They have come into force since they were announced.
     InForce,
-    /// Nobody told of any.
-    Untold,
+    /// No daemon has announced any.
+    Unannounced,
 }
 
 /// Which of the two things that are followed.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -18,6 +18,7 @@
 pub struct RelayMetrics {
     metrics: Metrics,
     requests: Counter<u64>,
+    turned_away: Counter<u64>,
     steps: Counter<u64>,
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
@@ -52,6 +53,7 @@
             |name: &'static str| meter.f64_histogram(name).with_boundaries(WAIT_BOUNDS_MS.to_vec()).build();
         Ok(Self {
             requests: meter.u64_counter("hibiscusvale_relay_requests").build(),
+            turned_away: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
             answer_ms: histogram("hibiscusvale_relay_answer_ms"),
             first_event_ms: histogram("hibiscusvale_relay_first_event_ms"),
@@ -71,6 +73,11 @@
         }
     }
 
+    /// Counts a request that was refused before it was taken in.
+    pub fn turned_away(&self, reason: &'static str) {
+        self.turned_away.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a step of a request at a backend server.
     pub fn step(&self, what: &'static str, cause: &'static str) {
         self.steps.add(1, &[KeyValue::new("step", what), KeyValue::new("cause", cause)]);
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -360,7 +360,7 @@
         Hearing::First => {
             state.log.changed("daemon heard", &message.host);
             state.share_budget();
-            state.quotas.host_came(&message.host);
+            state.quotas.host_joined(&message.host);
         }
         Hearing::Next => {}
     }
--- a/crates/router/src/relay/quotas.rs
+++ b/crates/router/src/relay/quotas.rs
@@ -10,7 +10,7 @@
 
 use hibiscusvale_core::ids::{HostId, Incarnation, PartnerId};
 use hibiscusvale_core::quota::{
-    Duty, Grant, LEASE_LIFE_MS, LeasedCredit, Ledger, LedgerSettings, Quota, QuotaBounds, Silence,
+    Grant, LEASE_LIFE_MS, LeasedCredit, Ledger, LedgerRole, LedgerSettings, Quota, QuotaBounds, Suspicion,
     candidates, outranks,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
@@ -32,7 +32,7 @@
     Duration::from_millis(25),
 ];
 
-/// When to come back after nobody could be asked: by then the daemons have noticed who is gone.
+/// Retry-After when no daemon answers: membership shows soon after who is gone.
 const UNKNOWN_RETRY_MS: Millis = Millis(500);
 
 /// Longest time for which a denial is remembered: credit may come back sooner than was expected.
@@ -88,7 +88,7 @@
     accounts: Mutex<HashMap<PartnerId, Account>>,
     questions: Mutex<HashMap<u64, Question>>,
     asked: AtomicU64,
-    silent: Mutex<HashMap<HostId, Silence>>,
+    silent: Mutex<HashMap<HostId, Suspicion>>,
     outgoing: mpsc::UnboundedSender<Outgoing>,
 }
 
@@ -125,7 +125,7 @@
         }
     }
 
-    /// Takes `credit` out of an organisation's quota, asking the daemon that keeps it where too little is leased here.
+    /// Takes `credit` out of an organisation's quota; leases more from its primary where too little is leased here.
     ///
     /// # Errors
     ///
@@ -162,7 +162,7 @@
             .unwrap_or(Err(Refusal::retry_after(Reason::QuotaUnknown, UNKNOWN_RETRY_MS)))
     }
 
-    /// Decides without asking anybody, if that can be decided.
+    /// Decides from what is leased and denied already, if that suffices.
     fn settle(&self, state: &RelayState, partner: &PartnerId, credit: Credit) -> Option<Result<(), Refusal>> {
         let now_us = clock::now();
         let mut accounts = self.accounts.lock();
@@ -181,14 +181,14 @@
         }
     }
 
-    /// The first daemon by rank that answers.
+    /// The first candidate that is not suspected.
     fn whom_to_ask(&self, state: &RelayState, partner: &PartnerId) -> Option<HostId> {
         let now_us = clock::now();
         let silent = self.silent.lock();
-        let is_passed_over =
-            |host: &HostId| silent.get(host).is_some_and(|silence| silence.is_passed_over(now_us));
+        let is_suspected =
+            |host: &HostId| silent.get(host).is_some_and(|silence| silence.is_suspected(now_us));
         let ranked = candidates(partner, self.reachable(state));
-        ranked.into_iter().find(|host| !is_passed_over(host))
+        ranked.into_iter().find(|host| !is_suspected(host))
     }
 
     fn reachable(&self, state: &RelayState) -> Vec<HostId> {
@@ -220,7 +220,7 @@
             silent.remove(host);
             return grant;
         }
-        silent.entry(host.clone()).or_default().note(clock::now());
+        silent.entry(host.clone()).or_default().note_timeout(clock::now());
         None
     }
 
@@ -260,7 +260,7 @@
         }
     }
 
-    /// Gives back what a request was charged that has not run.
+    /// Gives back the charge of a request that has not run, or credit whose lease expired.
     pub fn put_back(&self, state: &RelayState, partner: &PartnerId, credit: Credit) {
         if credit == Credit::ZERO {
             return;
@@ -277,22 +277,22 @@
         }
     }
 
-    /// Another daemon has come: it takes charge of what it is first for.
-    pub fn host_came(&self, host: &HostId) {
+    /// Another daemon has joined; it is primary for what it comes first for.
+    pub fn host_joined(&self, host: &HostId) {
         for (partner, account) in self.accounts.lock().iter_mut() {
             if outranks(partner, host, &self.host) {
-                account.ledger.yield_charge();
+                account.ledger.step_down();
             }
         }
     }
 
     fn grant(&self, state: &RelayState, partner: &PartnerId, needs: Credit, likely: Credit) -> Option<Grant> {
-        let is_in_charge = candidates(partner, self.reachable(state)).first() == Some(&self.host);
-        let duty = if is_in_charge { Duty::InCharge } else { Duty::StandIn };
+        let is_primary = candidates(partner, self.reachable(state)).first() == Some(&self.host);
+        let role = if is_primary { LedgerRole::Primary } else { LedgerRole::Standby };
         let coverage = state.peers.coverage();
         let mut accounts = self.accounts.lock();
         let account = accounts.get_mut(partner)?;
-        Some(account.ledger.grant(clock::now(), duty, coverage, needs, likely))
+        Some(account.ledger.grant(clock::now(), role, coverage, needs, likely))
     }
 
     fn lease(&self, partner: &PartnerId, asked_us: MonoTime, credit: Credit) {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -35,10 +35,10 @@
         let is_in_force = match state.freshness.newer_table(state.table.load().version()) {
             NewerTable::At(teller) => handover::learn_table_from(&state, teller).await,
             NewerTable::InForce => true,
-            NewerTable::Untold => false,
+            NewerTable::Unannounced => false,
         };
         if is_in_force {
-            state.freshness.table_told();
+            state.freshness.table_learned();
             continue;
         }
         match source.next(TABLE_WAIT_MS).await {
@@ -141,7 +141,7 @@
 pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>) {
     let before = state.directory.listing();
     if let Some(listing) = ServerChange::applied(changes, &before) {
-        state.freshness.servers_told(ListState::of(&listing));
+        state.freshness.servers_learned(ListState::of(&listing));
         state.directory.adopt(listing);
         servers_changed(state, &before);
     }
