--- a/crates/router/src/relay/quotas.rs
+++ b/crates/router/src/relay/quotas.rs
@@ -71,7 +71,6 @@
 struct Account {
     leased: LeasedCredit,
     ledger: Ledger,
-    quota: Quota,
 }
 
 #[derive(Debug)]
@@ -118,9 +117,7 @@
             let account = accounts.entry(partner.clone()).or_insert_with(|| Account {
                 leased: LeasedCredit::default(),
                 ledger: Ledger::new(settings),
-                quota,
             });
-            account.quota = quota;
             account.ledger.configure(settings);
         }
     }
