--- a/crates/core/src/quota/lease.rs
+++ b/crates/core/src/quota/lease.rs
@@ -70,8 +70,8 @@
         self.denied = Some(Lease { credit, until_us: now_us + wait_ms });
     }
 
-    /// How long `credit` is known not to be had. Asking again for each request of a surge would load the daemon that
-    /// is in charge without any of them being served.
+    /// How long `credit` is known not to be had. Asking again for each request of a surge would load the primary
+    /// without any of them being served.
     pub fn denied_ms(&self, now_us: MonoTime, credit: Credit) -> Option<Millis> {
         let denied = self.denied.filter(|denied| now_us < denied.until_us && credit >= denied.credit)?;
         Some(denied.until_us.since(now_us).to_millis_ceil())
