Name a request that comes again, and a server that crashed, in the log

Lines of two requests could not be told to be one request that came again under another id, and "broken" was said of a server that ended as of a connection that broke. A request's line now carries a fingerprint, a hash of caller, method, host, path and body. A broken sending is followed by one attempt to connect: a host that refuses it has lost its process, and the line "server crashed" says so. Nothing is decided by either yet.

A caller's key does not reach the log: an organisation stands for it, or the hash that it goes into.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod order;
 pub mod orphan;
 pub mod outcome;
+pub mod quarantine;
 pub mod quota;
 pub mod relay;
 pub mod sched;
--- /dev/null
+++ b/crates/core/tests/quarantine/fingerprint.rs
@@ -0,0 +1,51 @@
+//! What counts as the same request.
+
+use hibiscusvale_core::ids::PartnerId;
+use hibiscusvale_core::quarantine::{CallerIdentity, Fingerprint, RequestIdentity};
+use rstest::rstest;
+
+const REQUEST: RequestIdentity<'static> = RequestIdentity {
+    caller: CallerIdentity::Anonymous,
+    method: "POST",
+    host: "shop.example",
+    path: "/page/a?b=c",
+    body: b"body",
+};
+
+/// The name of a host has no case.
+#[test]
+fn the_same_request_has_the_same_fingerprint() {
+    let again = RequestIdentity { host: "Shop.Example", ..REQUEST };
+    assert_eq!(Fingerprint::of(&REQUEST), Fingerprint::of(&again));
+}
+
+/// An innocent request must not be taken for one that crashes servers.
+#[rstest]
+#[case(RequestIdentity { method: "GET", ..REQUEST })]
+#[case(RequestIdentity { host: "other.example", ..REQUEST })]
+#[case(RequestIdentity { path: "/page/a", ..REQUEST })]
+#[case(RequestIdentity { body: b"bod", ..REQUEST })]
+#[case(RequestIdentity { path: "/page/a?b=cb", body: b"ody", ..REQUEST })]
+#[case(RequestIdentity { caller: CallerIdentity::Credentials(b"x"), ..REQUEST })]
+#[case(RequestIdentity { caller: CallerIdentity::Credentials(b""), ..REQUEST })]
+fn another_request_has_another_fingerprint(#[case] other: RequestIdentity<'_>) {
+    assert_ne!(Fingerprint::of(&REQUEST), Fingerprint::of(&other));
+}
+
+/// Two organisations may send the same body.
+#[test]
+fn each_organisation_has_its_own() {
+    let [one, other]: [PartnerId; 2] = ["one", "other"].map(|name| name.parse().unwrap());
+    let of =
+        |partner| Fingerprint::of(&RequestIdentity { caller: CallerIdentity::Partner(partner), ..REQUEST });
+    assert_ne!(of(&one), of(&other));
+}
+
+#[test]
+fn a_fingerprint_is_read_as_it_is_written() {
+    let fingerprint = Fingerprint::of(&REQUEST);
+    assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
+    for text in ["0123".to_owned(), "zz".repeat(16)] {
+        assert!(text.parse::<Fingerprint>().err().is_some(), "{text}");
+    }
+}
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -15,6 +15,7 @@
 use hibiscusvale_core::ids::{
     BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
 };
+use hibiscusvale_core::quarantine::Fingerprint;
 use hibiscusvale_core::units::{Credit, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
@@ -85,6 +86,8 @@
     pub outcome: &'a str,
     /// What was tried.
     pub steps: &'a str,
+    /// By which it is recognised when it comes again.
+    pub fingerprint: Fingerprint,
     /// Tokens of its prompt, of the longest answer, of the likely one, and events that its caller got.
     pub generation: Option<[Tokens; 4]>,
     /// How long its caller says that it will wait; zero where it does not say.
@@ -180,6 +183,7 @@
             version = line.version,
             outcome = line.outcome,
             steps = line.steps,
+            fingerprint: = line.fingerprint,
             generation:? = line.generation.map(|counts| counts.map(|count| count.0)).unwrap_or_default(),
             stated_wait_ms = line.stated_wait_ms.0,
             waited_ms = line.waited_ms.0,
@@ -209,6 +213,24 @@
         }
     }
 
+    /// A server crashed while it had a request.
+    pub fn server_crashed(
+        &self,
+        server: &BackendServerId,
+        request_id: RequestId,
+        fingerprint: Fingerprint,
+        in_flight_ms: Millis,
+    ) {
+        if self.takes_request_line() {
+            spdlog::info!(logger: self.logger, "server crashed", kv: {
+                server: = server,
+                request_id: = request_id,
+                fingerprint: = fingerprint,
+                in_flight_ms = in_flight_ms.0,
+            });
+        }
+    }
+
     /// Whether one more line of a request may be written. Notes how many were left out before.
     fn takes_request_line(&self) -> bool {
         match self.lines.take(clock::now()) {
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -9,9 +9,11 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::RequestId;
+use hibiscusvale_core::quarantine::{CallerIdentity, Fingerprint, RequestIdentity};
 use hibiscusvale_core::relay::partners::{Partner, UnknownCaller};
 use hibiscusvale_core::units::{Credit, Millis};
-use http::{HeaderValue, Request, Response, header};
+use http::uri::PathAndQuery;
+use http::{HeaderValue, Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming as CallerBody};
 use hyper::server::conn::http1;
@@ -197,6 +199,7 @@
     let partner = table.partners().authenticate(call.credentials, route.allows_anonymous);
     let partner = partner.map_err(|unknown| unknown_caller(state, unknown))?;
     route.priority = partner.and_then(|partner| partner.priority).unwrap_or(route.priority);
+    let credentials = parts.headers.get(header::AUTHORIZATION).cloned();
     if !table.partners().is_empty() {
         // From here on nothing can pass a caller's key on, or write it down.
         parts.headers.remove(header::AUTHORIZATION);
@@ -206,6 +209,7 @@
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
     let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
+    let fingerprint = fingerprint(&parts, credentials.as_ref(), partner, &body);
     let charged = charge(state, &call, partner).await?;
     let waited_ms = state.patience.lock().waited(clock::now(), &route.name, call.wait_ms);
     state.open.fetch_add(1, Ordering::Relaxed);
@@ -214,9 +218,10 @@
         call,
         partner: partner.map(|partner| partner.id.clone()),
         charged,
+        fingerprint,
         route,
         service,
-        path: parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
+        path: path_of(&parts).to_owned(),
         method: parts.method,
         headers: parts.headers,
         body,
@@ -228,6 +233,31 @@
     })
 }
 
+fn path_of(parts: &request::Parts) -> &str {
+    parts.uri.path_and_query().map_or("/", PathAndQuery::as_str)
+}
+
+fn fingerprint(
+    parts: &request::Parts,
+    credentials: Option<&HeaderValue>,
+    partner: Option<&Partner>,
+    body: &[u8],
+) -> Fingerprint {
+    let caller = match (partner, credentials) {
+        (Some(partner), _) => CallerIdentity::Partner(&partner.id),
+        (None, Some(credentials)) => CallerIdentity::Credentials(credentials.as_bytes()),
+        (None, None) => CallerIdentity::Anonymous,
+    };
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    Fingerprint::of(&RequestIdentity {
+        caller,
+        method: parts.method.as_str(),
+        host: host.unwrap_or_default(),
+        path: path_of(parts),
+        body,
+    })
+}
+
 /// Takes a request out of its organisation's quota; says what it took.
 async fn charge(state: &RelayState, call: &Call, partner: Option<&Partner>) -> Result<Credit, Refusal> {
     let limited = partner.and_then(|partner| Some((&partner.id, partner.quota?)));
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod callers;
+mod crashes;
 mod daemon;
 pub mod edge;
 mod engine_hub;
--- a/crates/router/src/relay/passing.rs
+++ b/crates/router/src/relay/passing.rs
@@ -97,6 +97,7 @@
     async fn go_on(&mut self, cause: FailureCause) -> Result<(), BodyBroken> {
         // The connection goes first: two engines must not write for one request.
         self.body = None;
+        self.run.broke_off(cause);
         if !self.run.may_repeat() || self.run.incoming.left().is_zero() {
             return Err(self.broken(cause));
         }
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -9,6 +9,7 @@
 use hibiscusvale_core::units::Millis;
 use http::Response;
 
+use super::crashes::{self, Sending};
 use super::edge::Task;
 use super::hop::{self, WholeReply};
 use super::refusal::{Reason, Refusal};
@@ -112,10 +113,12 @@
 ) -> Result<WholeReply, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
     let hop = incoming.hop(server, Task::Run);
+    let sending = Sending::new(server, to);
     let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, trust, timeout).await;
     let reply = match reply {
         Ok(reply) => reply,
         Err(cause) => {
+            crashes::check(incoming, &sending, cause);
             if cause == FailureCause::Leaving {
                 state.plain_hub.sign(server, Sign::Leaving);
             }
@@ -125,5 +128,5 @@
     if let Some(load) = reply.head.load {
         state.plain_hub.load(server, load.running + load.waiting, load.slots);
     }
-    reply.whole(timeout).await
+    reply.whole(timeout).await.inspect_err(|cause| crashes::check(incoming, &sending, *cause))
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use hibiscusvale_core::ids::{BackendServerId, Incarnation, PartnerId, RequestId, ServiceId};
+use hibiscusvale_core::quarantine::Fingerprint;
 use hibiscusvale_core::relay::patience::Patience;
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
 use hibiscusvale_core::units::{Credit, Millis, Tokens};
@@ -39,6 +40,8 @@
     pub partner: Option<PartnerId>,
     /// What it took out of the organisation's quota.
     pub charged: Credit,
+    /// By which it is recognised when it comes again.
+    pub fingerprint: Fingerprint,
     /// Its route, with the organisation's rank.
     pub route: Route,
     /// The service that it goes to.
@@ -85,6 +88,7 @@
             version: self.state.table.load().version().0,
             outcome: story.how(),
             steps: story.steps(),
+            fingerprint: self.fingerprint,
             generation: self.call.generation.as_ref().map(|generation| {
                 let hint = generation.answer_tokens_hint.unwrap_or_default();
                 [generation.prompt_tokens, generation.answer_tokens_max, hint, Tokens(story.last_event())]
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming as ServerBody;
 use tokio::net::TcpStream;
 
+use super::crashes::{self, Sending};
 use super::edge::{EventId, Generation, Hop, PromptRead, Reservation, Task};
 use super::engine_hub::{EngineHub, OpenRequest};
 use super::hop::{self, Reply, WholeReply};
@@ -53,7 +54,7 @@
         open,
         read: None,
         reserved: None,
-        writing_at: None,
+        writing: None,
         last: incoming.call.after_event,
         failed: None,
     };
@@ -126,8 +127,8 @@
     pub(super) open: OpenRequest,
     read: Option<Kept>,
     reserved: Option<Reserved>,
-    /// The engine that writes.
-    writing_at: Option<SocketAddr>,
+    /// The sending of the request whose answer is under way.
+    writing: Option<Sending>,
     /// The last event that the caller has.
     pub(super) last: Option<EventId>,
     /// The answer of an engine that failed, which the caller gets when there is no better one.
@@ -212,8 +213,12 @@
         let hop = incoming.hop(reader, Task::ReadPrompt);
         let timeout = incoming.left().min(Duration::from(timeout_ms));
         // Reading a prompt twice does no harm, so any connection will do.
-        let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
-        let whole = reply.whole(timeout).await?;
+        let sending = Sending::new(reader, at);
+        let whole = async {
+            let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
+            reply.whole(timeout).await
+        };
+        let whole = whole.await.inspect_err(|cause| crashes::check(incoming, &sending, *cause))?;
         let prompt = state.wire.read_prompt(&whole.body).ok_or(FailureCause::Broken)?;
         Ok(Kept { at, prompt })
     }
@@ -222,7 +227,8 @@
         let at = self.state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         // Sent with the request it is used up, whatever becomes of that.
         let reserved = self.reserved.take().map(Reserved::into_name);
-        self.writing_at = Some(at);
+        let sending = Sending::new(writer, at);
+        self.writing = Some(sending.clone());
         let Self { state, incoming, .. } = &*self;
         let task = match source {
             Some(Kept { at, prompt }) => Task::Write { source: at, handle: prompt.handle },
@@ -231,7 +237,8 @@
         let hop =
             Hop { reservation: reserved.as_ref(), after_event: self.last, ..incoming.hop(writer, task) };
         let trust = if self.may_repeat() { Trust::Pooled } else { Trust::Fresh };
-        let reply = hop::send(&state.http, &*state.wire, incoming, at, &hop, trust, incoming.left()).await?;
+        let reply = hop::send(&state.http, &*state.wire, incoming, at, &hop, trust, incoming.left()).await;
+        let reply = reply.inspect_err(|cause| crashes::check(incoming, &sending, *cause))?;
         if reply.status.is_server_error() && self.may_repeat() {
             self.failed = Some(reply.whole(incoming.left()).await?);
             return Err(FailureCause::Refused);
@@ -241,10 +248,10 @@
 
     /// Whether the engine that writes takes another connection.
     pub(super) async fn engine_lives(&self) -> bool {
-        let Some(at) = self.writing_at else {
+        let Some(sending) = &self.writing else {
             return false;
         };
-        matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(at)).await, Ok(Ok(_)))
+        matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(sending.address())).await, Ok(Ok(_)))
     }
 
     pub(super) fn finished(&self) -> EngineEvent {
@@ -258,6 +265,13 @@
         self.incoming.route.kind.repeatability() == Repeatability::Repeatable
     }
 
+    /// The engine's answer broke off.
+    pub(super) fn broke_off(&self, cause: FailureCause) {
+        if let Some(sending) = &self.writing {
+            crashes::check(&self.incoming, sending, cause);
+        }
+    }
+
     /// Goes on behind the last event at another engine.
     pub(super) async fn resumed(&mut self, cause: FailureCause) -> Result<ServerBody, BodyBroken> {
         let request_id = self.incoming.request_id;
