Put requests that crash servers in quarantine, on all daemons

Cause: a request was known by the id of its caller's try. When a server ended, the server was set aside and the request went on to the next one, on each daemon anew; nothing kept what the ended servers had had in common.

Why this works: a daemon whose sending broke, at a server whose host refuses connections, reports the request's fingerprint and the server to all daemons, at once and in three messages; a digest in each message has whoever missed them ask. Three servers put the request in quarantine: no daemon sends it any more, and its callers get 503 at once with the time until the evidence is old. Requests that were at the same servers are not to blame: one that a server ran and outlived is cleared everywhere, a run of a second or more counts as that, servers that leave do not count, and crashes that a request in quarantine accounts for count against nobody else.

Evidence is lost when all daemons end at once.

--- a/crates/core/src/sched/events.rs
+++ b/crates/core/src/sched/events.rs
@@ -68,6 +68,11 @@
 }
 
 impl FailureCause {
+    /// Whether a request that was sent whole to one server may have run there.
+    pub fn may_have_run(self) -> bool {
+        self.proves() == AttemptEnd::MayHaveRun
+    }
+
     /// What it proves of a try at a request that is sent whole to one server.
     pub(crate) fn proves(self) -> AttemptEnd {
         match self {
--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -2,3 +2,5 @@
 #![allow(clippy::pedantic, reason = "fakes and expectations in short form")]
 
 mod fingerprint;
+mod harm;
+mod world;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -15,7 +15,7 @@
 use hibiscusvale_core::ids::{
     BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
 };
-use hibiscusvale_core::quarantine::Fingerprint;
+use hibiscusvale_core::quarantine::{Fingerprint, Verdict};
 use hibiscusvale_core::units::{Credit, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
@@ -231,6 +231,26 @@
         }
     }
 
+    /// A request was put in quarantine or let out of it.
+    pub fn judged(&self, verdict: &Verdict) {
+        spdlog::info!(logger: self.logger, "quarantine", kv: {
+            fingerprint: = verdict.fingerprint,
+            is_quarantined = verdict.is_quarantined,
+            crashes = verdict.crashes,
+        });
+    }
+
+    /// A request was refused for it is in quarantine.
+    pub fn refused_in_quarantine(&self, call: &dyn fmt::Display, fingerprint: Fingerprint, left: Millis) {
+        if self.takes_request_line() {
+            spdlog::info!(logger: self.logger, "request refused in quarantine", kv: {
+                call: = call,
+                fingerprint: = fingerprint,
+                left_ms = left.0,
+            });
+        }
+    }
+
     /// Whether one more line of a request may be written. Notes how many were left out before.
     fn takes_request_line(&self) -> bool {
         match self.lines.take(clock::now()) {
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -210,6 +210,10 @@
     let limit_bytes = table.limits().body_bytes.0;
     let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
     let fingerprint = fingerprint(&parts, credentials.as_ref(), partner, &body);
+    state.quarantine.admit(fingerprint).inspect_err(|refusal| {
+        let left_ms = refusal.retry_after_ms.unwrap_or_default();
+        state.log.refused_in_quarantine(&call.id, fingerprint, left_ms);
+    })?;
     let charged = charge(state, &call, partner).await?;
     let waited_ms = state.patience.lock().waited(clock::now(), &route.name, call.wait_ms);
     state.open.fetch_add(1, Ordering::Relaxed);
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -24,6 +24,7 @@
 use super::news::News;
 use super::orders::Orders;
 use super::peers::{self, Peers};
+use super::quarantine::QuarantineHub;
 use super::quotas::QuotaHub;
 use super::settings::RelaySettings;
 use super::state::RelayState;
@@ -117,6 +118,7 @@
             news: News::default(),
             peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
             quotas,
+            quarantine: QuarantineHub::new(incarnation),
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
             sequence: AtomicU64::new(0),
--- a/crates/router/src/relay/loans.rs
+++ b/crates/router/src/relay/loans.rs
@@ -10,6 +10,7 @@
 
 use super::message::Datagram;
 use super::pace::Urgency;
+use super::peers::send;
 use super::state::RelayState;
 use crate::dispatch::ServiceAsk;
 
@@ -84,10 +85,3 @@
     state.engine_hub.told_spares(host, spares);
     state.plain_hub.told_spares(host, spares);
 }
-
-async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
-    if let Ok(bytes) = postcard::to_stdvec(datagram) {
-        // What is lost is asked for again.
-        let _ = socket.send_to(&bytes, to).await;
-    }
-}
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
+use hibiscusvale_core::quarantine::{Fingerprint, Gossip, ReportPage};
 use hibiscusvale_core::relay::engines::{Holdings, Seen};
 use serde::{Deserialize, Serialize};
 
@@ -16,7 +17,7 @@
 use super::quotas::{QuotaAnswer, QuotaQuestion, QuotaReturn};
 
 /// Largest message: some hundred engines. It fits a datagram on loopback and on links of today.
-pub const MESSAGE_LIMIT_BYTES: usize = 8 << 10;
+pub const MESSAGE_LIMIT_BYTES: usize = 10 << 10;
 
 /// What daemons send each other.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -33,6 +34,10 @@
     QuotaAnswer(QuotaAnswer),
     /// It gives back what it did not spend.
     QuotaReturn(QuotaReturn),
+    /// It asks for reports of crashed servers, of all requests or of those behind a fingerprint.
+    ReportQuestion(Option<Fingerprint>),
+    /// It answers with some.
+    ReportPage(ReportPage),
 }
 
 /// What a daemon says of itself.
@@ -54,6 +59,8 @@
     pub holdings: Vec<(String, Holdings)>,
     /// What it could lend of its further tries, by service; absent where that is what it told before.
     pub spares: Option<Spares>,
+    /// What it knows of requests that crash servers.
+    pub crashes: Gossip,
 }
 
 /// One message in so many is whole: whoever missed one that was not learns the rest within some seconds.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -96,6 +96,12 @@
             state.directory.listing().servers.len() as u64
         });
         observe_gauge(&meter, "hibiscusvale_relay_daemons_live", state, |state| state.peers.live().into());
+        observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
+            state.quarantine.counts().0 as u64
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_quarantined", state, |state| {
+            state.quarantine.counts().1 as u64
+        });
         observe_gauge(&meter, "hibiscusvale_relay_engine_retries", state, |state| {
             state.engine_hub.counters().iter().map(|counters| counters.retries).sum()
         });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod passing;
 mod peers;
 mod plain;
+mod quarantine;
 mod quotas;
 mod refusal;
 mod settings;
--- a/crates/router/src/relay/passing.rs
+++ b/crates/router/src/relay/passing.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Frame, Incoming as ServerBody};
 use tokio::time::Instant;
 
+use super::crashes;
 use super::edge::EventId;
 use super::events::EventCutter;
 use super::story::cause_label;
@@ -84,6 +85,7 @@
                 Ok(None) => {
                     self.body = None;
                     self.run.incoming.note_end("answered");
+                    crashes::survived(&self.run.incoming);
                     self.run.open.feed(self.run.finished());
                     let rest = self.cutter.rest();
                     return Ok((!rest.is_empty()).then_some(rest));
@@ -97,7 +99,7 @@
     async fn go_on(&mut self, cause: FailureCause) -> Result<(), BodyBroken> {
         // The connection goes first: two engines must not write for one request.
         self.body = None;
-        self.run.broke_off(cause);
+        self.run.broke_off(cause).await;
         if !self.run.may_repeat() || self.run.incoming.left().is_zero() {
             return Err(self.broken(cause));
         }
@@ -121,6 +123,7 @@
     fn note_progress(&mut self, last: Option<EventId>) {
         if let Some(EventId(number)) = last {
             self.run.incoming.note_last_event(number);
+            self.run.note_event();
             let request_id = self.run.incoming.request_id;
             if self.run.last == self.run.incoming.call.after_event {
                 self.run.open.feed(EngineEvent::Started { request_id });
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -282,10 +282,7 @@
 
 async fn send_all(socket: &UdpSocket, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
     while let Some((to, datagram)) = outgoing.recv().await {
-        if let Ok(bytes) = postcard::to_stdvec(&datagram) {
-            // What is lost is sent again by whoever needs an answer.
-            let _ = socket.send_to(&bytes, to).await;
-        }
+        send(socket, to, &datagram).await;
     }
 }
 
@@ -307,6 +304,7 @@
             changes: state.news.next(),
             holdings,
             spares,
+            crashes: state.quarantine.gossip(state),
         };
         let Ok(bytes) = postcard::to_stdvec(&Datagram::Message(Box::new(message))) else {
             continue;
@@ -343,20 +341,38 @@
 
 async fn take(socket: &UdpSocket, bytes: &[u8], from: SocketAddr, own: &HostId, state: &RelayState) {
     match postcard::from_bytes(bytes) {
-        Ok(Datagram::Message(message)) if message.host != *own => heard(*message, from, state),
+        Ok(Datagram::Message(message)) if message.host != *own => {
+            if let Some(question) = heard(*message, from, state) {
+                send(socket, from, &question).await;
+            }
+        }
         Ok(Datagram::LoanQuestion(question)) => loans::answer(socket, from, question, state).await,
         Ok(Datagram::LoanAnswer(answer)) => loans::take(&answer, state),
         Ok(Datagram::QuotaQuestion(question)) => state.quotas.answer(state, from, &question),
         Ok(Datagram::QuotaAnswer(answer)) => state.quotas.take(state, &answer),
         Ok(Datagram::QuotaReturn(returned)) => state.quotas.returned(&returned),
+        Ok(Datagram::ReportQuestion(after)) => send(socket, from, &state.quarantine.page(after)).await,
+        Ok(Datagram::ReportPage(page)) => {
+            if let Some(question) = state.quarantine.take_page(state, page) {
+                send(socket, from, &question).await;
+            }
+        }
         // Its own word, through a seed; or bytes of somebody else.
         Ok(Datagram::Message(_)) | Err(_) => {}
     }
 }
 
-fn heard(message: Message, from: SocketAddr, state: &RelayState) {
+/// Sends one datagram; what is lost is asked for or said again.
+pub(super) async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+    if let Ok(bytes) = postcard::to_stdvec(datagram) {
+        let _ = socket.send_to(&bytes, to).await;
+    }
+}
+
+/// Takes a message in; says what to ask its sender.
+fn heard(message: Message, from: SocketAddr, state: &RelayState) -> Option<Datagram> {
     match state.peers.hear(Instant::now(), from, &message) {
-        Hearing::Old => return,
+        Hearing::Old => return None,
         Hearing::First => {
             state.log.changed("daemon heard", &message.host);
             state.share_budget();
@@ -371,4 +387,5 @@
         loans::told(&message.host, &spares, state);
     }
     state.engine_hub.peer(&message.host, message.holdings);
+    state.quarantine.heard(state, message.crashes)
 }
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -36,21 +36,37 @@
     let request_id = incoming.request_id;
     // The answer of a server that failed, which the caller gets when there is no better one.
     let mut failed: Option<WholeReply> = None;
-    while let Some(action) = open.step().await {
+    let mut may_have_run = false;
+    loop {
+        let step = tokio::select! {
+            biased;
+            refusal = state.quarantine.refused(incoming.fingerprint) => {
+                return Err(refusal.unless_run(may_have_run));
+            }
+            step = open.step() => step,
+        };
+        let Some(action) = step else { break };
         match action {
             PlainAction::Dispatch { server, timeout_ms, fresh_connection, .. } => {
                 let trust = if fresh_connection { Trust::Fresh } else { Trust::Pooled };
                 let tried = attempt(state, incoming, server.clone(), timeout_ms, trust).await;
                 match &tried {
                     Ok(_) => incoming.note(Step::Answered, &server),
-                    Err(cause) => incoming.note(Step::Failed(*cause), &server),
+                    Err(cause) => {
+                        may_have_run |= cause.may_have_run();
+                        incoming.note(Step::Failed(*cause), &server);
+                    }
                 }
                 match tried {
                     Ok(reply) if reply.status.is_server_error() && is_repeatable(incoming) => {
+                        may_have_run = true;
                         failed = Some(reply);
                         open.feed(PlainEvent::Failed { request_id, cause: FailureCause::Refused });
                     }
                     Ok(reply) => {
+                        if reply.status.is_success() {
+                            crashes::survived(incoming);
+                        }
                         open.feed(PlainEvent::Done { request_id });
                         return Ok(reply.into_response(&*state.wire));
                     }
@@ -118,7 +134,7 @@
     let reply = match reply {
         Ok(reply) => reply,
         Err(cause) => {
-            crashes::check(incoming, &sending, cause);
+            crashes::check(incoming, &sending, cause).await;
             if cause == FailureCause::Leaving {
                 state.plain_hub.sign(server, Sign::Leaving);
             }
@@ -128,5 +144,9 @@
     if let Some(load) = reply.head.load {
         state.plain_hub.load(server, load.running + load.waiting, load.slots);
     }
-    reply.whole(timeout).await.inspect_err(|cause| crashes::check(incoming, &sending, *cause))
+    let whole = reply.whole(timeout).await;
+    if let Err(cause) = &whole {
+        crashes::check(incoming, &sending, *cause).await;
+    }
+    whole
 }
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -39,6 +39,8 @@
     WouldWaitTooLong,
     /// Every server that was asked refused.
     ServersFull,
+    /// Servers crashed under it wherever it was sent.
+    CrashesServers,
     /// A server had it and gave no answer in time.
     NoAnswerInTime,
     /// A server had it and gave no usable answer.
@@ -60,6 +62,7 @@
             Self::NoServer => "no-server",
             Self::WouldWaitTooLong => "would-wait-too-long",
             Self::ServersFull => "servers-full",
+            Self::CrashesServers => "crashes-servers",
             Self::NoAnswerInTime => "no-answer-in-time",
             Self::NoAnswer => "no-answer",
         }
@@ -79,6 +82,7 @@
             | Self::NoServer
             | Self::WouldWaitTooLong
             | Self::ServersFull
+            | Self::CrashesServers
             | Self::QuotaUnknown => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             // These promise nothing.
@@ -142,6 +146,12 @@
         matches!(self.reason.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
     }
 
+    /// The same for a request that a server may have run: then there is no promise that it has not.
+    #[must_use]
+    pub fn unless_run(self, may_have_run: bool) -> Self {
+        if may_have_run { Self::new(Reason::NoAnswer) } else { self }
+    }
+
     /// The answer that tells the caller.
     pub fn into_response(self, wire: &dyn Wire) -> Response<AnswerBody> {
         let text = Bytes::from_static(self.reason.label().as_bytes());
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -21,6 +21,7 @@
 use super::metrics::{Ended, RelayMetrics};
 use super::news::News;
 use super::peers::Peers;
+use super::quarantine::QuarantineHub;
 use super::quotas::QuotaHub;
 use super::settings::BoundSettings;
 use super::story::{Step, Story};
@@ -172,6 +173,8 @@
     pub peers: Peers,
     /// What organisations may send.
     pub quotas: QuotaHub,
+    /// Requests that crash servers.
+    pub quarantine: QuarantineHub,
     /// What the installation allows.
     pub bounds: Mutex<BoundSettings>,
     /// This daemon's life.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -55,6 +55,7 @@
         read: None,
         reserved: None,
         writing: None,
+        outcome_unknown: false,
         last: incoming.call.after_event,
         failed: None,
     };
@@ -129,6 +130,8 @@
     reserved: Option<Reserved>,
     /// The sending of the request whose answer is under way.
     writing: Option<Sending>,
+    /// Whether an engine may have run it.
+    outcome_unknown: bool,
     /// The last event that the caller has.
     pub(super) last: Option<EventId>,
     /// The answer of an engine that failed, which the caller gets when there is no better one.
@@ -139,7 +142,15 @@
     /// Follows the pool's steps until an engine answers.
     async fn opened(&mut self) -> Result<Reply, Refusal> {
         let request_id = self.incoming.request_id;
-        while let Some(action) = self.open.step().await {
+        loop {
+            let step = tokio::select! {
+                biased;
+                refusal = self.state.quarantine.refused(self.incoming.fingerprint) => {
+                    return Err(refusal.unless_run(self.outcome_unknown));
+                }
+                step = self.open.step() => step,
+            };
+            let Some(action) = step else { break };
             match action {
                 EngineAction::Reserve { writer, tokens, keep_ms, timeout_ms, .. } => {
                     let event = match self.reserve(&writer, tokens, keep_ms, timeout_ms).await {
@@ -177,6 +188,7 @@
                             return Ok(reply);
                         }
                         Err(cause) => {
+                            self.outcome_unknown |= cause.may_have_run();
                             self.incoming.note(Step::WriteFailed(cause), &writer);
                             self.open.feed(EngineEvent::WriteFailed { request_id, cause });
                         }
@@ -218,7 +230,11 @@
             let reply = hop::send_read(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
             reply.whole(timeout).await
         };
-        let whole = whole.await.inspect_err(|cause| crashes::check(incoming, &sending, *cause))?;
+        let whole = whole.await;
+        if let Err(cause) = &whole {
+            crashes::check(incoming, &sending, *cause).await;
+        }
+        let whole = whole?;
         let prompt = state.wire.read_prompt(&whole.body).ok_or(FailureCause::Broken)?;
         Ok(Kept { at, prompt })
     }
@@ -238,7 +254,10 @@
             Hop { reservation: reserved.as_ref(), after_event: self.last, ..incoming.hop(writer, task) };
         let trust = if self.may_repeat() { Trust::Pooled } else { Trust::Fresh };
         let reply = hop::send(&state.http, &*state.wire, incoming, at, &hop, trust, incoming.left()).await;
-        let reply = reply.inspect_err(|cause| crashes::check(incoming, &sending, *cause))?;
+        if let Err(cause) = &reply {
+            crashes::check(incoming, &sending, *cause).await;
+        }
+        let reply = reply?;
         if reply.status.is_server_error() && self.may_repeat() {
             self.failed = Some(reply.whole(incoming.left()).await?);
             return Err(FailureCause::Refused);
@@ -254,6 +273,13 @@
         matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(sending.address())).await, Ok(Ok(_)))
     }
 
+    /// An event of the engine's answer came.
+    pub(super) fn note_event(&mut self) {
+        if let Some(sending) = &mut self.writing {
+            sending.note_event(&self.incoming);
+        }
+    }
+
     pub(super) fn finished(&self) -> EngineEvent {
         let request_id = self.incoming.request_id;
         let begun = self.incoming.call.after_event.unwrap_or_default().0;
@@ -266,9 +292,10 @@
     }
 
     /// The engine's answer broke off.
-    pub(super) fn broke_off(&self, cause: FailureCause) {
+    pub(super) async fn broke_off(&mut self, cause: FailureCause) {
+        self.outcome_unknown = true;
         if let Some(sending) = &self.writing {
-            crashes::check(&self.incoming, sending, cause);
+            crashes::check(&self.incoming, sending, cause).await;
         }
     }
 
