Read the limits that servers state, and name them in the log

Each answer of a server is now looked at for one, on reading, reserving and reporting as well and on failures; the newest statement counts, changes go to the other daemons in three messages, and each change is a line "server limit". Nothing is decided by it yet.

--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -6,16 +6,19 @@
 //! - [`Bucket`]: the token bucket.
 //! - [`Ledger`]: grants credit, as primary or as standby.
 //! - [`LeasedCredit`]: credit that a daemon has leased and not spent.
+//! - [`ServerLimits`]: what servers state that they take from all daemons together.
 //! - [`candidates`] and [`Suspicion`]: which daemon to ask.
 
 mod bucket;
 mod lease;
 mod ledger;
 mod limit;
+mod server_limits;
 mod suspicion;
 
 pub use bucket::Bucket;
 pub use lease::{LEASE_LIFE_MS, LeasedCredit};
 pub use ledger::{Coverage, Grant, Ledger, LedgerRole, LedgerSettings, candidates, outranks};
 pub use limit::{Quota, QuotaBounds, QuotaUnit};
+pub use server_limits::{LimitStatement, ServerLimits};
 pub use suspicion::Suspicion;
--- /dev/null
+++ b/crates/core/src/quota/server_limits.rs
@@ -0,0 +1,112 @@
+//! Limits that backend servers state in their answers.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::BackendServerId;
+use crate::units::{CreditPerSecond, Micros, Millis, MonoTime};
+
+/// Messages to the other daemons that carry a change; a daemon that misses all of them learns it from its own answers.
+const TELLINGS: u8 = 3;
+
+/// Changes in one message. A message fits a datagram beside what else it holds.
+const GOSSIP_MAX: usize = 16;
+
+/// What a server said, as it travels between daemons.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct LimitStatement {
+    /// The server.
+    pub server: BackendServerId,
+    /// Requests that it takes from all daemons together, in thousandths; no limit where it is absent.
+    pub rate: Option<CreditPerSecond>,
+    /// How long ago it said so.
+    pub age_ms: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stated {
+    rate: Option<CreditPerSecond>,
+    at_us: MonoTime,
+}
+
+/// The newest statement of each server that has ever stated a limit.
+///
+/// Load: servers in need that state, change and withdraw limits within seconds. Harm prevented: an older answer, or
+/// another daemon's older word, that takes a newer statement back. So the newest counts, and a withdrawn limit is
+/// remembered as long as its server is listed.
+#[derive(Clone, Debug, Default)]
+pub struct ServerLimits {
+    stated: HashMap<BackendServerId, Stated>,
+    untold: Vec<(u8, BackendServerId)>,
+}
+
+impl ServerLimits {
+    /// A server answered this daemon, with a limit or without. Says whether that is a change.
+    pub fn answered(
+        &mut self,
+        now_us: MonoTime,
+        server: &BackendServerId,
+        rate: Option<CreditPerSecond>,
+    ) -> bool {
+        if rate.is_none() && !self.stated.contains_key(server) {
+            return false;
+        }
+        let is_change = self.take(server, Stated { rate, at_us: now_us });
+        if is_change {
+            self.untold.retain(|(_, known)| known != server);
+            self.untold.push((TELLINGS, server.clone()));
+        }
+        is_change
+    }
+
+    /// Takes what another daemon says of a server. Says whether that is a change.
+    pub fn heard(&mut self, now_us: MonoTime, statement: &LimitStatement) -> bool {
+        let LimitStatement { ref server, rate, age_ms } = *statement;
+        let at_us = MonoTime(now_us.0.saturating_sub(Micros::from(age_ms).0));
+        let is_older = self.stated.get(server).is_some_and(|known| known.at_us >= at_us);
+        !is_older && self.take(server, Stated { rate, at_us })
+    }
+
+    /// The limit of a server, if it states one.
+    pub fn rate(&self, server: &BackendServerId) -> Option<CreditPerSecond> {
+        self.stated.get(server)?.rate
+    }
+
+    /// The newest statement of a server, for telling others of it.
+    pub fn statement(&self, now_us: MonoTime, server: &BackendServerId) -> Option<LimitStatement> {
+        let stated = self.stated.get(server)?;
+        let age_ms = now_us.since(stated.at_us).to_millis_ceil();
+        Some(LimitStatement { server: server.clone(), rate: stated.rate, age_ms })
+    }
+
+    /// Servers that state a limit now.
+    pub fn limited(&self) -> usize {
+        self.stated.values().filter(|stated| stated.rate.is_some()).count()
+    }
+
+    /// What goes into the next message to the other daemons.
+    pub fn gossip(&mut self, now_us: MonoTime) -> Vec<LimitStatement> {
+        let mut due: Vec<BackendServerId> = Vec::new();
+        for (left, server) in self.untold.iter_mut().take(GOSSIP_MAX) {
+            *left -= 1;
+            due.push(server.clone());
+        }
+        self.untold.retain(|(left, _)| *left > 0);
+        due.iter().filter_map(|server| self.statement(now_us, server)).collect()
+    }
+
+    /// Forgets servers that are gone.
+    pub fn retain<IsListed>(&mut self, is_listed: IsListed)
+    where
+        IsListed: Fn(&BackendServerId) -> bool,
+    {
+        self.stated.retain(|server, _| is_listed(server));
+        self.untold.retain(|(_, server)| is_listed(server));
+    }
+
+    fn take(&mut self, server: &BackendServerId, stated: Stated) -> bool {
+        let before = self.stated.insert(server.clone(), stated);
+        before.and_then(|before| before.rate) != stated.rate
+    }
+}
--- a/crates/core/tests/quota/main.rs
+++ b/crates/core/tests/quota/main.rs
@@ -3,4 +3,5 @@
 
 mod bucket;
 mod keeping;
+mod server_limits;
 mod world;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -16,7 +16,7 @@
     BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
 };
 use hibiscusvale_core::quarantine::{Fingerprint, Verdict};
-use hibiscusvale_core::units::{Credit, Millis, Tokens};
+use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
@@ -231,6 +231,21 @@
         }
     }
 
+    /// A server stated another limit than before, or none any more; `source` is who said so.
+    pub fn server_limited(
+        &self,
+        server: &BackendServerId,
+        rate: Option<CreditPerSecond>,
+        source: &'static str,
+    ) {
+        spdlog::info!(logger: self.logger, "server limit", kv: {
+            server: = server,
+            is_limited = rate.is_some(),
+            requests_per_1000_s = rate.unwrap_or_default().0,
+            source = source,
+        });
+    }
+
     /// A request was put in quarantine or let out of it.
     pub fn judged(&self, verdict: &Verdict) {
         spdlog::info!(logger: self.logger, "quarantine", kv: {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -20,6 +20,7 @@
 use super::edge::{DaemonEntry, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::freshness::Freshness;
+use super::limits::LimitHub;
 use super::metrics::RelayMetrics;
 use super::news::News;
 use super::orders::Orders;
@@ -118,6 +119,7 @@
             news: News::default(),
             peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
             quotas,
+            limits: LimitHub::default(),
             quarantine: QuarantineHub::new(incarnation),
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -12,7 +12,7 @@
 use hibiscusvale_core::relay::engines::{Role, ToldLoad};
 use hibiscusvale_core::relay::partners::Credentials;
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::units::{Millis, Tokens};
+use hibiscusvale_core::units::{CreditPerSecond, Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, request};
 use serde::{Deserialize, Serialize};
 
@@ -210,6 +210,8 @@
     pub encoded: bool,
     /// The server's load.
     pub load: Option<ToldLoad>,
+    /// Requests that it takes from all daemons together, in thousandths; absent where it sets no limit.
+    pub limit: Option<CreditPerSecond>,
 }
 
 /// How callers and backend servers speak.
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::sched::FailureCause;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
 use super::edge::{EngineCall, Hop, ReplyHead, Wire};
-use super::state::Incoming as Arrived;
+use super::state::{Incoming as Arrived, RelayState};
 use crate::backend::{BackendHttp, CallFailure, KnownReply, Trust, read_body, uri};
 use crate::callers::AnswerBody;
 
@@ -135,6 +136,7 @@
     let status = known.response.status();
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.read_reply(status, &headers);
+    note_limit(&arrived.state, hop.server, status, &head);
     Ok(Reply { status, headers, head, known })
 }
 
@@ -144,7 +146,8 @@
 ///
 /// [`CallFailure`]; only `NotSent` proves that it had no effect.
 pub async fn exchange_call(
-    http: &BackendHttp,
+    state: &RelayState,
+    server: &BackendServerId,
     to: SocketAddr,
     call: EngineCall,
     timeout: Duration,
@@ -153,8 +156,9 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = uri(to, &call.path)?;
     *request.headers_mut() = call.headers;
-    let response = http.send(Trust::Pooled, request, timeout).await?;
+    let response = state.http.send(Trust::Pooled, request, timeout).await?;
     let status = response.status();
+    note_limit(state, server, status, &state.wire.read_reply(status, response.headers()));
     Ok((status, read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await?))
 }
 
@@ -164,12 +168,13 @@
 ///
 /// [`FailureCause`]; `NoRoom` where the engine refuses.
 pub async fn call(
-    http: &BackendHttp,
+    state: &RelayState,
+    server: &BackendServerId,
     to: SocketAddr,
     call: EngineCall,
     timeout: Duration,
 ) -> Result<Bytes, FailureCause> {
-    let (status, body) = exchange_call(http, to, call, timeout).await.map_err(cause_of)?;
+    let (status, body) = exchange_call(state, server, to, call, timeout).await.map_err(cause_of)?;
     match status {
         StatusCode::OK => Ok(body),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FailureCause::NoRoom),
@@ -178,6 +183,13 @@
     }
 }
 
+/// Takes note of the limit that an answer states. One that says that it is another server tells nothing of this one.
+fn note_limit(state: &RelayState, server: &BackendServerId, status: StatusCode, head: &ReplyHead) {
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        state.limits.answered(state, server, head.limit);
+    }
+}
+
 fn request_of(
     wire: &dyn Wire,
     arrived: &Arrived,
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -8,6 +8,7 @@
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
 use hibiscusvale_core::quarantine::{Fingerprint, Gossip, ReportPage};
+use hibiscusvale_core::quota::LimitStatement;
 use hibiscusvale_core::relay::engines::{Holdings, Seen};
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +62,8 @@
     pub spares: Option<Spares>,
     /// What it knows of requests that crash servers.
     pub crashes: Gossip,
+    /// Limits of servers that have changed.
+    pub limits: Vec<LimitStatement>,
 }
 
 /// One message in so many is whole: whoever missed one that was not learns the rest within some seconds.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -96,6 +96,9 @@
             state.directory.listing().servers.len() as u64
         });
         observe_gauge(&meter, "hibiscusvale_relay_daemons_live", state, |state| state.peers.live().into());
+        observe_gauge(&meter, "hibiscusvale_relay_limited_servers", state, |state| {
+            state.limits.limited() as u64
+        });
         observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
             state.quarantine.counts().0 as u64
         });
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -171,7 +171,8 @@
             return;
         };
         let report =
-            hop::exchange_call(&state.http, at, state.wire.report(&shift.server), CALL_TIMEOUT).await;
+            hop::exchange_call(&state, &shift.server, at, state.wire.report(&shift.server), CALL_TIMEOUT)
+                .await;
         let report = report.ok().filter(|(status, _)| *status == StatusCode::OK);
         let Some(report) = report.and_then(|(_, body)| state.wire.read_report(&body)) else {
             return;
@@ -191,7 +192,7 @@
             after_orders: report.orders,
         };
         let call = state.wire.order(&shift.server, &order);
-        let answer = hop::exchange_call(&state.http, at, call, CALL_TIMEOUT).await;
+        let answer = hop::exchange_call(&state, &shift.server, at, call, CALL_TIMEOUT).await;
         let status = answer.map(|(status, _)| status);
         state.log.ordered(&shift.server, role_label(shift.role), order.fencing, &describe(status));
         match status {
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -305,6 +305,7 @@
             holdings,
             spares,
             crashes: state.quarantine.gossip(state),
+            limits: state.limits.gossip(),
         };
         let Ok(bytes) = postcard::to_stdvec(&Datagram::Message(Box::new(message))) else {
             continue;
@@ -387,5 +388,6 @@
         loans::told(&message.host, &spares, state);
     }
     state.engine_hub.peer(&message.host, message.holdings);
+    state.limits.heard(state, &message.limits);
     state.quarantine.heard(state, message.crashes)
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -18,6 +18,7 @@
 use super::edge::{Call, Hop, Task, Wire};
 use super::engine_hub::EngineHub;
 use super::freshness::Freshness;
+use super::limits::LimitHub;
 use super::metrics::{Ended, RelayMetrics};
 use super::news::News;
 use super::peers::Peers;
@@ -173,6 +174,8 @@
     pub peers: Peers,
     /// What organisations may send.
     pub quotas: QuotaHub,
+    /// Limits that servers state.
+    pub limits: LimitHub,
     /// Requests that crash servers.
     pub quarantine: QuarantineHub,
     /// What the installation allows.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -98,6 +98,7 @@
 
 /// What an engine keeps for a request; dropped unused, it is given back.
 struct Reserved {
+    server: BackendServerId,
     at: SocketAddr,
     name: Reservation,
     state: Arc<RelayState>,
@@ -112,11 +113,11 @@
 
 impl Drop for Reserved {
     fn drop(&mut self) {
-        let (state, at) = (Arc::clone(&self.state), self.at);
+        let (state, server, at) = (Arc::clone(&self.state), self.server.clone(), self.at);
         let call = state.wire.drop_reservation(&self.name);
         tokio::spawn(async move {
             // One that is not given back ends by itself within the time that it was asked for.
-            let _ = hop::call(&state.http, at, call, GIVE_BACK_TIMEOUT).await;
+            let _ = hop::call(&state, &server, at, call, GIVE_BACK_TIMEOUT).await;
         });
     }
 }
@@ -214,9 +215,9 @@
         let Self { state, .. } = self;
         let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         let call = state.wire.reserve(writer, tokens, keep_ms);
-        let body = hop::call(&state.http, at, call, Duration::from(timeout_ms)).await?;
+        let body = hop::call(state, writer, at, call, Duration::from(timeout_ms)).await?;
         let name = state.wire.read_reservation(&body).ok_or(FailureCause::Refused)?;
-        Ok(Reserved { at, name, state: Arc::clone(state) })
+        Ok(Reserved { server: writer.clone(), at, name, state: Arc::clone(state) })
     }
 
     async fn read(&self, reader: &BackendServerId, timeout_ms: Millis) -> Result<Kept, FailureCause> {
