Keep each time that a scheduler asks the alarm for

What callers saw: retries, refusals and expiries of a quiet service up to a second late; a request that was to be refused after 0.75 s was refused after 1.0 to 1.7 s.

Cause: the alarm kept the earliest time only, and forgot all others when that had come. A scheduler asks for its next time once and believes that it is set; the schedulers of all services of a daemon share the alarm. The longest sleep of one second hid it, as any other event of the service did.

Evidence: the new test got one tick of two before; the lines of such requests showed no step between their last try and a refusal one second later. Found in a test with servers that state limits, whose queues are quiet.

Why this works: all times are kept, ordered, until they have come.

--- a/crates/router/src/dispatch/alarm.rs
+++ b/crates/router/src/dispatch/alarm.rs
@@ -1,53 +1,60 @@
-//! The next time at which a scheduler wants to be told that time has passed.
+//! The times at which schedulers want to be told that time has passed.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hibiscusvale_core::units::MonoTime;
-use tokio::sync::watch;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::clock;
 
 /// The longest sleep; a tick without need is harmless.
 const LONGEST_SLEEP: Duration = Duration::from_secs(1);
 
-/// Nothing is wanted.
-const NEVER: MonoTime = MonoTime(u64::MAX);
-
-/// Set from any thread, waited for by one task.
+/// Set from any thread, waited for by one task. Each scheduler asks for its next time once, so a time is kept until it
+/// has come, whatever comes before it.
 #[derive(Debug)]
 pub(crate) struct Alarm {
-    at_us: watch::Sender<MonoTime>,
+    wanted_us: Mutex<BTreeSet<MonoTime>>,
+    sooner: Notify,
 }
 
 impl Alarm {
     pub(crate) fn new() -> Self {
-        Self { at_us: watch::Sender::new(NEVER) }
+        Self { wanted_us: Mutex::default(), sooner: Notify::new() }
     }
 
-    /// Goes off at `at_us`, or earlier if that was wanted before.
+    /// Goes off at `at_us`.
     pub(crate) fn set(&self, at_us: MonoTime) {
-        self.at_us.send_if_modified(|known_us| {
-            let sooner = at_us < *known_us;
-            *known_us = at_us.min(*known_us);
-            sooner
-        });
+        let mut wanted_us = self.wanted_us.lock();
+        let is_sooner = wanted_us.first().is_none_or(|first_us| at_us < *first_us);
+        wanted_us.insert(at_us);
+        if is_sooner {
+            self.sooner.notify_one();
+        }
     }
 
-    /// Calls `tick` whenever the time has come, for as long as the daemon runs.
+    /// Calls `tick` whenever a time has come, for as long as the daemon runs.
     pub(crate) async fn run<Tick>(&self, tick: Tick)
     where
         Tick: Fn(),
     {
-        let mut wanted_us = self.at_us.subscribe();
         loop {
-            let wait = Duration::from(wanted_us.borrow_and_update().since(clock::now())).min(LONGEST_SLEEP);
+            let next_us = self.wanted_us.lock().first().copied();
+            let wait = next_us.map_or(LONGEST_SLEEP, |at_us| Duration::from(at_us.since(clock::now())));
             tokio::select! {
-                () = tokio::time::sleep(wait) => {
-                    self.at_us.send_replace(NEVER);
+                () = tokio::time::sleep(wait.min(LONGEST_SLEEP)) => {
+                    let now_us = clock::now();
+                    self.wanted_us.lock().retain(|at_us| *at_us > now_us);
                     tick();
                 }
-                changed = wanted_us.changed() => if changed.is_err() { return },
+                () = self.sooner.notified() => {}
             }
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/alarm.rs"]
+mod tests;
