Keep the limits that servers state, over all daemons together

What callers saw: a server in need that asked for 5.5 requests a second got 16 and more; a server that is not spared ends.

Cause: nobody read the limit. A plain instance was chosen by time of an answer and requests under way, an engine by memory and slots; neither knows a rate, and no daemon knows what the others send.

Why this works: credit for a server with a limit is leased before anything is sent there, from the ledger that quotas have: one daemon keeps the bucket of a server, the others lease for 0.4 s, parts by reach behind a cut, an almost empty bucket after a change of the daemon in charge. The question carries what the server said last, so that the daemon in charge knows it. A reservation costs two requests, for the one that follows it as well. A server whose limit is used up counts as without room until it takes one more, and the request goes to another one without any cost to the allowance of further tries. Where all instances of a service are like that, a request whose turn would come after a quarter of its time is refused at once, with that time, reckoned by what the limits left to this daemon lately.

--- a/crates/core/src/quota/ledger.rs
+++ b/crates/core/src/quota/ledger.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostId, PartnerId};
+use crate::ids::HostId;
 use crate::units::{Credit, CreditPerSecond, Millis, MonoTime};
 
 use super::bucket::Bucket;
@@ -164,20 +164,20 @@
     Credit((credit.0 as f64 * part) as u64)
 }
 
-/// The daemons to ask for credit of `partner`, the primary first. Rendezvous hashing: all daemons agree without a
+/// The daemons to ask for credit of `owner`, the primary first. Rendezvous hashing: all daemons agree without a
 /// message, and only what a lost daemon kept moves.
-pub fn candidates(partner: &PartnerId, mut hosts: Vec<HostId>) -> Vec<HostId> {
-    hosts.sort_by_cached_key(|host| (weight(partner, host), host.clone()));
+pub fn candidates(owner: &str, mut hosts: Vec<HostId>) -> Vec<HostId> {
+    hosts.sort_by_cached_key(|host| (weight(owner, host), host.clone()));
     hosts
 }
 
-/// Whether `host` is asked for credit of `partner` before `other` is.
-pub fn outranks(partner: &PartnerId, host: &HostId, other: &HostId) -> bool {
-    (weight(partner, host), host) < (weight(partner, other), other)
+/// Whether `host` is asked for credit of `owner` before `other` is.
+pub fn outranks(owner: &str, host: &HostId, other: &HostId) -> bool {
+    (weight(owner, host), host) < (weight(owner, other), other)
 }
 
-fn weight(partner: &PartnerId, host: &HostId) -> u64 {
+fn weight(owner: &str, host: &HostId) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (partner.as_str(), host.as_str()).hash(&mut hasher);
+    (owner, host.as_str()).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -1,4 +1,4 @@
-//! Quotas of organisations, enforced over all daemons together.
+//! Quotas of organisations and limits of servers, enforced over all daemons together.
 //!
 //! For each organisation one daemon, the primary, keeps the token bucket; the others lease credit from it. An equal part of
 //! the quota for each daemon would stand mostly unused, because an organisation's callers reach few of the daemons.
@@ -19,6 +19,6 @@
 pub use bucket::Bucket;
 pub use lease::{LEASE_LIFE_MS, LeasedCredit};
 pub use ledger::{Coverage, Grant, Ledger, LedgerRole, LedgerSettings, candidates, outranks};
-pub use limit::{Quota, QuotaBounds, QuotaUnit};
-pub use server_limits::{LimitStatement, ServerLimits};
+pub use limit::{Quota, QuotaBounds, QuotaUnit, UNIT};
+pub use server_limits::{LimitStatement, ServerLimits, server_limit};
 pub use suspicion::Suspicion;
--- a/crates/core/src/quota/server_limits.rs
+++ b/crates/core/src/quota/server_limits.rs
@@ -4,8 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::ledger::LedgerSettings;
+use super::limit::{Quota, QuotaBounds, QuotaUnit};
 use crate::ids::BackendServerId;
-use crate::units::{CreditPerSecond, Micros, Millis, MonoTime};
+use crate::units::{Credit, CreditPerSecond, Micros, Millis, MonoTime};
 
 /// Messages to the other daemons that carry a change; a daemon that misses all of them learns it from its own answers.
 const TELLINGS: u8 = 3;
@@ -13,6 +15,23 @@
 /// Changes in one message. A message fits a datagram beside what else it holds.
 const GOSSIP_MAX: usize = 16;
 
+/// Window in which the requests at a server are counted.
+const WINDOW_MS: Millis = Millis(4_000);
+
+/// Part of the limit that may reach the server beyond it in a window.
+const OVERSHOOT: f64 = 0.5;
+
+/// Requests that may reach it beyond that in a window.
+const SLACK: f64 = 5.0;
+
+/// How a server's limit is kept, in the terms of a quota: it has no burst of its own.
+pub fn server_limit(rate: CreditPerSecond) -> LedgerSettings {
+    LedgerSettings {
+        quota: Quota { unit: QuotaUnit::Requests, rate, burst: Credit::ZERO },
+        bounds: QuotaBounds { window_ms: WINDOW_MS, overshoot: OVERSHOOT, slack: SLACK },
+    }
+}
+
 /// What a server said, as it travels between daemons.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct LimitStatement {
--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -62,7 +62,18 @@
         let within_ms =
             if self.is_late(now_us, open, backlog) { open.patience_ms() } else { open.demand.target_ms };
         let limit_us = Micros::from(within_ms.saturating_sub(reading_ms + START_MARGIN_MS));
-        self.expected_wait_us(now_us, open.room).is_none_or(|wait_us| wait_us > limit_us)
+        let is_limited = self.limited_wait(now_us).is_some_and(|wait_us| wait_us > limit_us);
+        is_limited || self.expected_wait_us(now_us, open.room).is_none_or(|wait_us| wait_us > limit_us)
+    }
+
+    /// Time until a writer takes one more request, where all have used up the limits that they state.
+    pub(super) fn limited_wait(&self, now_us: MonoTime) -> Option<Micros> {
+        let mut opens_us: Option<MonoTime> = None;
+        for writer in self.engines.iter().filter(|engine| engine.is_writer(now_us)) {
+            let until_us = writer.instance.limited_until(now_us)?;
+            opens_us = Some(opens_us.map_or(until_us, |known_us| known_us.min(until_us)));
+        }
+        opens_us.map(|opens_us| opens_us.since(now_us))
     }
 
     /// Time until there is room for one more request behind all that wait at all daemons; `None` while no writer takes
--- a/crates/core/src/relay/engines/ending.rs
+++ b/crates/core/src/relay/engines/ending.rs
@@ -48,12 +48,14 @@
             return;
         };
         open.stage = Stage::Waiting;
-        open.failed_at = Some(reader);
+        if cause != FailureCause::Limited {
+            open.failed_at = Some(reader);
+        }
         let prompt_tokens = open.demand.prompt_tokens;
         self.engines[reader].end_reading(prompt_tokens);
         self.engines[reader].instance.fail(now_us, cause, true);
         // It has reached the engine, or may have: that counts although it was not accepted.
-        if cause != FailureCause::NotSent {
+        if !matches!(cause, FailureCause::NotSent | FailureCause::Limited) {
             self.budget.charge(now_us);
             self.counters.retries += 1;
         }
@@ -127,7 +129,9 @@
         open.progress = None;
         // What a failed try brought is never a whole answer.
         let _ = open.tries.end(cause.proves());
-        open.failed_at = Some(writer);
+        if cause != FailureCause::Limited {
+            open.failed_at = Some(writer);
+        }
         self.give_back(now_us, writer, request_id, cause);
         self.wait_again(now_us, request_id, actions);
     }
@@ -196,7 +200,8 @@
         let hundredths = SPREAD_FROM + request_id.sequence.wrapping_mul(SPREAD_STEP) % SPREAD_WIDTH;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
         let answer_us = self.usual_hold_us() as u64 * hundredths / WHOLE;
-        (wait_us + Micros(answer_us)).to_millis_ceil()
+        let limited_us = self.limited_wait(now_us).unwrap_or_default();
+        (wait_us.max(limited_us) + Micros(answer_us)).to_millis_ceil()
     }
 
     /// Forgets a request and gives back what was reserved for it.
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -7,7 +7,7 @@
 use crate::allowance::Ask;
 use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::outcome::Repeatability;
-use crate::sched::FailureCause;
+use crate::sched::{FailureCause, LimitReached};
 use crate::units::{Credit, Micros, Millis, MonoTime, Tokens};
 
 /// What an engine does.
@@ -181,6 +181,13 @@
         /// What it has.
         holdings: Holdings,
     },
+    /// The limit that an engine states is used up.
+    Limited {
+        /// Which engine.
+        server: BackendServerId,
+        /// The limit, and for how long.
+        reached: LimitReached,
+    },
     /// Another daemon answered a question for a loan.
     Lent {
         /// The question.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -144,6 +144,11 @@
             EngineEvent::Engines(list) => self.adopt(now_us, list),
             EngineEvent::Peer { host, holdings } => self.hear(now_us, host, holdings),
             EngineEvent::Lent { number, credit, spare } => self.budget.lent(now_us, number, credit, spare),
+            EngineEvent::Limited { server, reached } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.engines[index].instance.limited(now_us, reached);
+                }
+            }
             EngineEvent::Tick => {}
         }
         if self.waiting.is_empty() {
--- a/crates/core/src/sched/events.rs
+++ b/crates/core/src/sched/events.rs
@@ -53,6 +53,8 @@
 pub enum FailureCause {
     /// The server could not be reached; nothing was sent.
     NotSent,
+    /// The server takes no more requests for now, by the limit that it states; nothing was sent.
+    Limited,
     /// No answer in time, or a stream gone silent.
     Timeout,
     /// The connection broke.
@@ -76,7 +78,7 @@
     /// What it proves of a try at a request that is sent whole to one server.
     pub(crate) fn proves(self) -> AttemptEnd {
         match self {
-            Self::NotSent => AttemptEnd::NotSent,
+            Self::NotSent | Self::Limited => AttemptEnd::NotSent,
             Self::NoRoom | Self::Leaving => AttemptEnd::Declined,
             Self::Timeout | Self::Broken | Self::Gone | Self::Refused => AttemptEnd::MayHaveRun,
         }
--- a/crates/core/src/sched/failing.rs
+++ b/crates/core/src/sched/failing.rs
@@ -249,8 +249,10 @@
     match cause {
         FailureCause::Timeout => GrantOutcome::TimedOut,
         FailureCause::Broken | FailureCause::NotSent => GrantOutcome::Failed,
-        FailureCause::NoRoom | FailureCause::Leaving | FailureCause::Gone | FailureCause::Refused => {
-            GrantOutcome::Abandoned
-        }
+        FailureCause::NoRoom
+        | FailureCause::Limited
+        | FailureCause::Leaving
+        | FailureCause::Gone
+        | FailureCause::Refused => GrantOutcome::Abandoned,
     }
 }
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -1,11 +1,20 @@
 //! What one daemon knows of one instance of a plain service.
 
 use crate::ids::BackendServerId;
-use crate::units::{Micros, Millis, MonoTime};
+use crate::units::{CreditPerSecond, Micros, Millis, MonoTime};
 
 use super::directory::Sign;
 use super::events::FailureCause;
 
+/// The limit that a server states is used up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LimitReached {
+    /// The limit, in thousandths of a request.
+    pub rate: CreditPerSecond,
+    /// Time until it takes one more request.
+    pub wait_ms: Millis,
+}
+
 /// How instances are judged.
 #[derive(Clone, Copy, Debug)]
 pub struct InstanceSettings {
@@ -56,6 +65,9 @@
 /// Weight of a new latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// Longest time for which a limit counts as used up: other daemons give back what they did not use.
+const LIMITED_MS_MAX: Millis = Millis(1_000);
+
 /// A load report older than this says nothing about the others' calls any more.
 const REPORT_LIFE_MS: Millis = Millis(2_000);
 
@@ -74,6 +86,8 @@
     strikes: u32,
     standing: Standing,
     aside_ms: Millis,
+    /// Until when the limit that it states is used up, and that limit.
+    limited: Option<(MonoTime, CreditPerSecond)>,
 }
 
 /// Whether an instance gets calls.
@@ -108,6 +122,7 @@
             strikes: 0,
             standing: Standing::Good,
             aside_ms: settings.aside_ms,
+            limited: None,
         }
     }
 
@@ -134,6 +149,22 @@
         }
     }
 
+    /// The limit that it states is used up for so long.
+    pub(crate) fn limited(&mut self, now_us: MonoTime, limited: LimitReached) {
+        let wait_ms = limited.wait_ms.min(LIMITED_MS_MAX);
+        self.limited = Some((now_us + wait_ms, limited.rate));
+    }
+
+    /// Until when the limit that it states is used up.
+    pub(crate) fn limited_until(&self, now_us: MonoTime) -> Option<MonoTime> {
+        self.limited.map(|(until_us, _)| until_us).filter(|&until_us| now_us < until_us)
+    }
+
+    /// The limit that it states, where that was used up just now.
+    pub(crate) fn limit_rate(&self, now_us: MonoTime) -> Option<CreditPerSecond> {
+        self.limited.filter(|(until_us, _)| now_us < *until_us + LIMITED_MS_MAX).map(|(_, rate)| rate)
+    }
+
     pub(crate) fn report(&mut self, now_us: MonoTime, in_flight: u32, capacity: u32, age_us: Micros) {
         let as_of_us = MonoTime(now_us.0.saturating_sub(age_us.0));
         self.capacity = capacity;
@@ -152,6 +183,9 @@
     /// Room for one more call. The other daemons' calls are known from the report, which lags; the
     /// instance refuses what is too much, and such a refusal proves that nothing ran.
     pub(crate) fn has_room(&self, now_us: MonoTime) -> bool {
+        if self.limited_until(now_us).is_some() {
+            return false;
+        }
         if self.is_set_aside() && !self.wants_trial(now_us, true) {
             return false;
         }
@@ -257,12 +291,16 @@
 
     /// A call failed; true when the instance was set aside for it.
     pub(crate) fn fail(&mut self, now_us: MonoTime, cause: FailureCause, may_set_aside: bool) -> bool {
+        if cause == FailureCause::Limited {
+            self.abandon(now_us);
+            return false;
+        }
         self.in_flight = self.in_flight.saturating_sub(1);
         let was_trial = self.end_trial();
         match cause {
             FailureCause::Leaving => self.leaving_until_us = now_us + self.settings.sign_life_ms,
             FailureCause::Timeout | FailureCause::Broken | FailureCause::NotSent => self.strikes += 1,
-            FailureCause::NoRoom | FailureCause::Gone | FailureCause::Refused => {}
+            FailureCause::NoRoom | FailureCause::Limited | FailureCause::Gone | FailureCause::Refused => {}
         }
         let struck = self.strikes >= self.settings.strikes_max;
         let aside = was_trial || (struck && may_set_aside && !self.is_set_aside());
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -26,7 +26,7 @@
 pub use counters::{Counters, FailReason, RedoCause, RefusalReason};
 pub use directory::{Directory, ServerRecord, ServerState, Sign};
 pub use events::{Action, Arrival, Attempt, Event, FailureCause, WorkStage};
-pub use instance::InstanceSettings;
+pub use instance::{InstanceSettings, LimitReached};
 pub use plain::{PlainScheduler, PlainSettings};
 pub use plain_events::{PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainRefusal};
 pub use retry::RetryBudget;
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -4,7 +4,7 @@
 //! nothing to reserve: a call takes milliseconds, and asking a watcher first would double it. So each daemon
 //! decides by itself from what its own calls showed, and from the instances' load reports.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -12,6 +12,7 @@
 use crate::allowance::{ASK_AGAIN_MS, Allowance, AllowanceSettings, LOAN_WAIT_MS};
 use crate::ids::{BackendServerId, PartnerId, RequestId};
 use crate::outcome::{Attempts, NoRetry, Outcome, Repeatability};
+use crate::quota::UNIT;
 use crate::slots::{FairQueue, QueueSettings, Waiting};
 use crate::units::{Micros, Millis, MonoTime};
 
@@ -95,6 +96,8 @@
     unpaid: Vec<Unpaid>,
     counters: PlainCounters,
     wake_us: Option<MonoTime>,
+    /// When instances with a limit that is used up took calls, the newest last.
+    limited_starts: VecDeque<MonoTime>,
 }
 
 impl PlainScheduler {
@@ -115,6 +118,7 @@
             unpaid: Vec::new(),
             counters: PlainCounters::default(),
             wake_us: None,
+            limited_starts: VecDeque::new(),
         }
     }
 
@@ -171,6 +175,11 @@
                     allowance.lent(now_us, number, credit, spare);
                 }
             }
+            PlainEvent::Limited { server, reached } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.instances[index].limited(now_us, reached);
+                }
+            }
             PlainEvent::Tick => {}
         }
         self.pay(now_us, actions);
@@ -228,6 +237,8 @@
             self.refuse(request_id, PlainRefusal::NoInstance, patience_us, actions);
         } else if let Some(opens_us) = self.nobody_until(now_us) {
             self.refuse(request_id, PlainRefusal::NoInstance, opens_us.since(now_us), actions);
+        } else if let Some(limited_us) = self.limited_wait(now_us).filter(|wait_us| *wait_us > patience_us) {
+            self.refuse(request_id, PlainRefusal::WouldWaitTooLong, limited_us, actions);
         } else if wait_us > patience_us {
             let after_us = wait_us.saturating_sub(patience_us);
             self.refuse(request_id, PlainRefusal::WouldWaitTooLong, after_us, actions);
@@ -236,6 +247,41 @@
         }
     }
 
+    /// Time until a call behind all that wait is sent, where all instances keep using up the limits that they state.
+    ///
+    /// Load: a service in need, each instance of which states a limit. Harm prevented: callers wait for a place that they
+    /// cannot get in time, one behind the other, instead of being told when to come back. Other daemons take their part
+    /// of the limits, so what this one got lately says how long its queue takes.
+    fn limited_wait(&self, now_us: MonoTime) -> Option<Micros> {
+        let mut rate = 0;
+        let mut opens_us: Option<MonoTime> = None;
+        for instance in self.instances.iter().filter(|instance| instance.is_listed_live(now_us)) {
+            let aside_us = instance.opens_at(now_us);
+            match instance.limit_rate(now_us) {
+                Some(limit) => rate += limit.0,
+                None if aside_us.is_some() => {}
+                None => return None,
+            }
+            let until_us = instance.limited_until(now_us).or(aside_us).unwrap_or(now_us);
+            opens_us = Some(opens_us.map_or(until_us, |known_us| known_us.min(until_us)));
+        }
+        let ahead = self.queue.len() as u64;
+        let lately = self.limited_starts.iter().filter(|at_us| now_us < **at_us + STARTS_WINDOW_MS).count();
+        let behind_us = match lately as u64 {
+            0 => ahead * UNIT.0 * MICROS_PER_SECOND / rate.max(1),
+            lately => ahead * Micros::from(STARTS_WINDOW_MS).0 / lately,
+        };
+        Some(opens_us?.since(now_us) + Micros(behind_us))
+    }
+
+    /// Notes that an instance took a call, for reckoning what a limit leaves to this daemon.
+    fn note_start(&mut self, at_us: MonoTime) {
+        if self.limited_starts.len() == STARTS_MAX {
+            self.limited_starts.pop_front();
+        }
+        self.limited_starts.push_back(at_us);
+    }
+
     fn waiting(&self, now_us: MonoTime, arrival: &PlainArrival) -> Waiting<()> {
         let work_us = Micros(self.usual_latency_us());
         Waiting {
@@ -350,6 +396,9 @@
         };
         self.counters.answered += 1;
         if let Some((index, since_us)) = call.at {
+            if self.instances[index].limit_rate(now_us).is_some() {
+                self.note_start(since_us);
+            }
             self.instances[index].finish(now_us.since(since_us));
             self.judge(now_us, index);
         }
@@ -403,13 +452,19 @@
         let Some((index, _)) = call.at.take() else {
             return;
         };
-        call.failed_at = Some(index);
+        if cause != FailureCause::Limited {
+            call.failed_at = Some(index);
+        }
         // What a failed try brought is never an answer for the caller.
         let _ = call.tries.end(cause.proves());
         if self.instances[index].fail(now_us, cause, may_set_aside) {
             self.counters.ejected_mute += 1;
         }
-        self.retry(now_us, request_id, actions);
+        if cause == FailureCause::Limited {
+            self.retry_soon(now_us, request_id);
+        } else {
+            self.retry(now_us, request_id, actions);
+        }
     }
 
     /// Retries, or ends the call. A call that may have run and may not be repeated is never sent again:
@@ -526,7 +581,8 @@
             if self.may_have_run(entry.request_id) {
                 self.unknown(entry.request_id, actions);
             } else {
-                self.refuse(entry.request_id, PlainRefusal::WouldWaitTooLong, entry.work_us, actions);
+                let wait_us = self.limited_wait(now_us).unwrap_or(entry.work_us);
+                self.refuse(entry.request_id, PlainRefusal::WouldWaitTooLong, wait_us, actions);
             }
         }
     }
@@ -563,7 +619,12 @@
         let retry_us = self.retries.iter().map(|&(at_us, _)| at_us).min();
         let expiry_us = self.queue.first_expiry();
         let reopen_us = (!self.queue.is_empty())
-            .then(|| self.instances.iter().filter_map(|instance| instance.opens_at(now_us)).min())
+            .then(|| {
+                let opens = |instance: &Instance| {
+                    [instance.opens_at(now_us), instance.limited_until(now_us)].into_iter().flatten().min()
+                };
+                self.instances.iter().filter_map(opens).min()
+            })
             .flatten();
         let ask_us = (!self.unpaid.is_empty()).then(|| now_us + ASK_AGAIN_MS);
         let Some(at_us) = [retry_us, expiry_us, reopen_us, ask_us].into_iter().flatten().min() else {
@@ -576,6 +637,14 @@
     }
 }
 
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// Time over which the calls are counted that limits leave to this daemon.
+const STARTS_WINDOW_MS: Millis = Millis(2_000);
+
+/// Such calls that are remembered.
+const STARTS_MAX: usize = 256;
+
 /// Instances looked at for one call.
 const SAMPLE: usize = 4;
 
--- a/crates/core/src/sched/plain_events.rs
+++ b/crates/core/src/sched/plain_events.rs
@@ -6,6 +6,7 @@
 
 use super::directory::Sign;
 use super::events::FailureCause;
+use super::instance::LimitReached;
 
 /// A call for a plain service.
 #[derive(Clone, Debug)]
@@ -84,6 +85,13 @@
         /// What it has left.
         spare: Credit,
     },
+    /// The limit that an instance states is used up.
+    Limited {
+        /// Which instance.
+        server: BackendServerId,
+        /// The limit, and for how long.
+        reached: LimitReached,
+    },
     /// Time passed.
     Tick,
 }
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -99,13 +99,13 @@
             heard_ms: vec![Some(0); daemons],
             silent: vec![Suspicion::default(); daemons],
         };
-        let partner = "org".parse().unwrap();
+        let partner: PartnerId = "org".parse().unwrap();
         let hosts = (0..daemons).map(|number| format!("h-{number}").parse().unwrap()).collect();
         let number = |host: &HostId| host.as_str()[2..].parse().unwrap();
         Self {
             way,
             trouble,
-            ranked: candidates(&partner, hosts).iter().map(number).collect(),
+            ranked: candidates(partner.as_str(), hosts).iter().map(number).collect(),
             partner,
             daemons: (0..daemons).map(daemon).collect(),
             settings,
@@ -180,7 +180,7 @@
         let daemon = &mut self.daemons[to];
         let is_new = daemon.heard_ms[from].is_none_or(|heard_ms| at_ms >= heard_ms + SILENCE_MS);
         daemon.heard_ms[from] = Some(at_ms);
-        if is_new && outranks(&partner, &host, &daemon.host) {
+        if is_new && outranks(partner.as_str(), &host, &daemon.host) {
             daemon.ledger.step_down();
         }
     }
--- a/crates/router/src/dispatch/plain_hub.rs
+++ b/crates/router/src/dispatch/plain_hub.rs
@@ -5,7 +5,8 @@
 
 use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
 use hibiscusvale_core::sched::{
-    PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler, PlainSettings, Sign,
+    LimitReached, PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler,
+    PlainSettings, Sign,
 };
 use hibiscusvale_core::units::{Credit, Micros};
 use parking_lot::Mutex;
@@ -126,6 +127,11 @@
         self.feed_all(&PlainEvent::Load { server: server.clone(), in_flight, capacity, age_us });
     }
 
+    /// Tells the schedulers that the limit which a server states is used up.
+    pub fn limited(&self, server: &BackendServerId, reached: LimitReached) {
+        self.feed_all(&PlainEvent::Limited { server: server.clone(), reached });
+    }
+
     /// What this daemon could lend of its further tries, by service.
     pub fn spares(&self) -> Vec<(String, Credit)> {
         let now_us = clock::now();
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -28,6 +28,7 @@
 
 use super::edge::Call;
 use super::plain;
+use super::quotas::QuotaOwner;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
 use super::story::Story;
@@ -167,7 +168,7 @@
             if let Some(partner) = &incoming.partner
                 && refusal.is_not_run()
             {
-                state.quotas.put_back(state, partner, incoming.charged);
+                state.quotas.put_back(state, &QuotaOwner::Partner(partner.clone()), incoming.charged);
             }
             state.patience.lock().refused(clock::now(), &incoming.route.name);
         }
@@ -270,7 +271,7 @@
     };
     let tokens = call.generation.as_ref().map(|it| it.prompt_tokens + it.answer_tokens_max);
     let credit = quota.cost(tokens);
-    let charged = state.quotas.charge(state, partner, credit).await;
+    let charged = state.quotas.charge(state, &QuotaOwner::Partner(partner.clone()), credit).await;
     if let Err(refusal) = &charged {
         state.log.refused_by_quota(&call.id, partner, refusal.reason, credit);
     }
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -4,12 +4,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{HostId, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
     Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holdings,
     ListedEngine, Role, Shift,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
+use hibiscusvale_core::sched::LimitReached;
 use hibiscusvale_core::units::{Credit, Tokens};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -83,6 +84,7 @@
         | EngineEvent::CallerLeft { .. }
         | EngineEvent::Engines(_)
         | EngineEvent::Peer { .. }
+        | EngineEvent::Limited { .. }
         | EngineEvent::Lent { .. }
         | EngineEvent::Tick => Urgency::Soon,
     }
@@ -217,6 +219,11 @@
         }
     }
 
+    /// Tells the pools that the limit which an engine states is used up.
+    pub fn limited(&self, server: &BackendServerId, reached: LimitReached) {
+        self.feed_all(&EngineEvent::Limited { server: server.clone(), reached });
+    }
+
     /// What this daemon could lend of its further tries, by service.
     pub fn spares(&self) -> Vec<(String, Credit)> {
         let now_us = clock::now();
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -1,11 +1,13 @@
 //! Limits that backend servers state in their answers.
 
 use hibiscusvale_core::ids::BackendServerId;
-use hibiscusvale_core::quota::{LimitStatement, ServerLimits};
-use hibiscusvale_core::units::CreditPerSecond;
+use hibiscusvale_core::quota::{LimitStatement, ServerLimits, UNIT};
+use hibiscusvale_core::sched::LimitReached;
+use hibiscusvale_core::units::{Credit, CreditPerSecond};
 use parking_lot::Mutex;
 
 use super::pace::Urgency;
+use super::quotas::QuotaOwner;
 use super::state::RelayState;
 use crate::clock;
 use crate::servers::Servers;
@@ -20,16 +22,40 @@
     /// A server answered, with a limit or without.
     pub fn answered(&self, state: &RelayState, server: &BackendServerId, rate: Option<CreditPerSecond>) {
         if self.limits.lock().answered(clock::now(), server, rate) {
-            state.log.server_limited(server, rate, "answer");
+            Self::changed(state, server, rate, "answer");
             state.peers.touch(Urgency::Soon);
         }
     }
 
+    /// Takes so many requests out of a server's limit, if it states one.
+    ///
+    /// # Errors
+    ///
+    /// The limit, and when it takes one more, where it is used up; nothing may be sent.
+    pub async fn admit(
+        &self,
+        state: &RelayState,
+        server: &BackendServerId,
+        requests: u64,
+    ) -> Result<(), LimitReached> {
+        let Some(rate) = self.limits.lock().rate(server) else {
+            return Ok(());
+        };
+        let owner = QuotaOwner::Server(server.clone());
+        let charged = state.quotas.charge(state, &owner, Credit(UNIT.0 * requests)).await;
+        charged.map_err(|refusal| LimitReached { rate, wait_ms: refusal.retry_after_ms.unwrap_or_default() })
+    }
+
+    /// What a server said last.
+    pub fn statement(&self, server: &BackendServerId) -> Option<LimitStatement> {
+        self.limits.lock().statement(clock::now(), server)
+    }
+
     /// Takes what another daemon says of servers.
     pub fn heard(&self, state: &RelayState, statements: &[LimitStatement]) {
         for statement in statements {
             if self.limits.lock().heard(clock::now(), statement) {
-                state.log.server_limited(&statement.server, statement.rate, "daemon");
+                Self::changed(state, &statement.server, statement.rate, "daemon");
             }
         }
     }
@@ -45,7 +71,20 @@
     }
 
     /// Forgets servers that are not listed any more.
-    pub fn adopt(&self, listed: &Servers) {
+    pub fn adopt(&self, state: &RelayState, listed: &Servers) {
         self.limits.lock().retain(|server| listed.contains_key(server));
+        state.quotas.retain_servers(|server| listed.contains_key(server));
+    }
+
+    fn changed(
+        state: &RelayState,
+        server: &BackendServerId,
+        rate: Option<CreditPerSecond>,
+        source: &'static str,
+    ) {
+        state.log.server_limited(server, rate, source);
+        if let Some(rate) = rate {
+            state.quotas.configure_server(server, rate);
+        }
     }
 }
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -128,6 +128,10 @@
     timeout: Duration,
 ) -> Result<WholeReply, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
+    if let Err(reached) = state.limits.admit(state, server, 1).await {
+        state.plain_hub.limited(server, reached);
+        return Err(FailureCause::Limited);
+    }
     let hop = incoming.hop(server, Task::Run);
     let sending = Sending::new(server, to);
     let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, trust, timeout).await;
--- a/crates/router/src/relay/quotas.rs
+++ b/crates/router/src/relay/quotas.rs
@@ -1,4 +1,5 @@
-//! Quotas of organisations: credit is leased before a request is passed on, and granted to daemons that ask for it.
+//! Quotas of organisations and limits of servers: credit is leased before a request is passed on, and granted to daemons
+//! that ask for it.
 //!
 //! The decisions are those of [`hibiscusvale_core::quota`]. Questions and answers are datagrams: one that comes late is of no
 //! use any more, and a question that got no answer is asked again.
@@ -8,13 +9,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use hibiscusvale_core::ids::{HostId, Incarnation, PartnerId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, PartnerId};
 use hibiscusvale_core::quota::{
-    Grant, LEASE_LIFE_MS, LeasedCredit, Ledger, LedgerRole, LedgerSettings, Quota, QuotaBounds, Suspicion,
-    candidates, outranks,
+    Grant, LEASE_LIFE_MS, LeasedCredit, Ledger, LedgerRole, LedgerSettings, LimitStatement, Quota,
+    QuotaBounds, Suspicion, candidates, outranks, server_limit,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::units::{Credit, Millis, MonoTime};
+use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, MonoTime};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
@@ -38,15 +39,35 @@
 /// Longest time for which a denial is remembered: credit may come back sooner than was expected.
 const DENIAL_MS_MAX: Millis = Millis(100);
 
+/// Whose credit is granted and leased.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub enum QuotaOwner {
+    /// An organisation with a quota.
+    Partner(PartnerId),
+    /// A backend server that states a limit.
+    Server(BackendServerId),
+}
+
+impl QuotaOwner {
+    fn as_str(&self) -> &str {
+        match self {
+            Self::Partner(partner) => partner.as_str(),
+            Self::Server(server) => server.as_str(),
+        }
+    }
+}
+
 /// A daemon asks for credit.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct QuotaQuestion {
     /// Life of the daemon that asks: a later one counts its questions anew.
     incarnation: Incarnation,
     number: u64,
-    partner: PartnerId,
+    owner: QuotaOwner,
     needs: Credit,
     likely: Credit,
+    /// What the server said last, where it is one that states a limit: who is asked may not have heard of it.
+    limit: Option<LimitStatement>,
 }
 
 /// The answer.
@@ -60,7 +81,7 @@
 /// Credit that was granted and not spent.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct QuotaReturn {
-    partner: PartnerId,
+    owner: QuotaOwner,
     credit: Credit,
 }
 
@@ -75,7 +96,7 @@
 
 #[derive(Debug)]
 struct Question {
-    partner: PartnerId,
+    owner: QuotaOwner,
     asked_us: MonoTime,
     answered: oneshot::Sender<Grant>,
 }
@@ -84,7 +105,7 @@
 #[derive(Debug)]
 pub struct QuotaHub {
     host: HostId,
-    accounts: Mutex<HashMap<PartnerId, Account>>,
+    accounts: Mutex<HashMap<QuotaOwner, Account>>,
     questions: Mutex<HashMap<u64, Question>>,
     asked: AtomicU64,
     silent: Mutex<HashMap<HostId, Suspicion>>,
@@ -111,66 +132,82 @@
         let mut accounts = self.accounts.lock();
         let limited = table.partners().iter().filter_map(|partner| Some((&partner.id, partner.quota?)));
         let limited: HashMap<&PartnerId, Quota> = limited.collect();
-        accounts.retain(|partner, _| limited.contains_key(partner));
+        accounts.retain(|owner, _| match owner {
+            QuotaOwner::Partner(partner) => limited.contains_key(partner),
+            QuotaOwner::Server(_) => true,
+        });
         for (partner, quota) in limited {
-            let settings = LedgerSettings { quota, bounds };
-            let account = accounts.entry(partner.clone()).or_insert_with(|| Account {
-                leased: LeasedCredit::default(),
-                ledger: Ledger::new(settings),
-            });
-            account.ledger.configure(settings);
+            let owner = QuotaOwner::Partner(partner.clone());
+            configure_account(&mut accounts, owner, LedgerSettings { quota, bounds });
         }
     }
 
-    /// Takes `credit` out of an organisation's quota; leases more from its primary where too little is leased here.
+    /// Takes the limit that a server states. What was granted and leased stays so.
+    pub fn configure_server(&self, server: &BackendServerId, rate: CreditPerSecond) {
+        let owner = QuotaOwner::Server(server.clone());
+        configure_account(&mut self.accounts.lock(), owner, server_limit(rate));
+    }
+
+    /// Forgets the limits of servers that are gone.
+    pub fn retain_servers<IsListed>(&self, is_listed: IsListed)
+    where
+        IsListed: Fn(&BackendServerId) -> bool,
+    {
+        self.accounts.lock().retain(|owner, _| match owner {
+            QuotaOwner::Partner(_) => true,
+            QuotaOwner::Server(server) => is_listed(server),
+        });
+    }
+
+    /// Takes `credit` out of a quota or a server's limit; leases more from its primary where too little is leased here.
     ///
     /// # Errors
     ///
-    /// The refusal: `OverQuota` when the quota is used up, `QuotaUnknown` when nobody answers.
+    /// The refusal: `OverQuota` when it is used up, `QuotaUnknown` when nobody answers.
     pub async fn charge(
         &self,
         state: &RelayState,
-        partner: &PartnerId,
+        owner: &QuotaOwner,
         credit: Credit,
     ) -> Result<(), Refusal> {
         for timeout in ANSWER_TIMEOUTS {
-            if let Some(settled) = self.settle(state, partner, credit) {
+            if let Some(settled) = self.settle(state, owner, credit) {
                 return settled;
             }
-            let Some(host) = self.whom_to_ask(state, partner) else {
+            let Some(host) = self.whom_to_ask(state, owner) else {
                 break;
             };
             let grant = if host == self.host {
-                self.grant(state, partner, credit, Credit::ZERO)
+                self.grant(state, owner, credit, Credit::ZERO)
             } else {
-                self.ask(state, &host, partner, credit, timeout).await
+                self.ask(state, &host, owner, credit, timeout).await
             };
             if let Some(Grant::Granted(granted)) = grant
                 && host == self.host
             {
-                self.lease(partner, clock::now(), granted);
+                self.lease(owner, clock::now(), granted);
             }
             if let Some(Grant::Denied { retry_after_ms }) = grant {
-                self.deny(partner, credit, retry_after_ms);
+                self.deny(owner, credit, retry_after_ms);
                 return Err(Refusal::retry_after(Reason::OverQuota, retry_after_ms));
             }
         }
-        self.settle(state, partner, credit)
+        self.settle(state, owner, credit)
             .unwrap_or(Err(Refusal::retry_after(Reason::QuotaUnknown, UNKNOWN_RETRY_MS)))
     }
 
     /// Decides from what is leased and denied already, if that suffices.
-    fn settle(&self, state: &RelayState, partner: &PartnerId, credit: Credit) -> Option<Result<(), Refusal>> {
+    fn settle(&self, state: &RelayState, owner: &QuotaOwner, credit: Credit) -> Option<Result<(), Refusal>> {
         let now_us = clock::now();
         let mut accounts = self.accounts.lock();
-        let Some(account) = accounts.get_mut(partner) else {
+        let Some(account) = accounts.get_mut(owner) else {
             return Some(Ok(()));
         };
         let expired = account.leased.take_expired(now_us);
         let is_paid = account.leased.spend(now_us, credit);
         let denied_ms = account.leased.denied_ms(now_us, credit);
         drop(accounts);
-        self.put_back(state, partner, expired);
+        self.put_back(state, owner, expired);
         match denied_ms {
             _ if is_paid => Some(Ok(())),
             Some(wait_ms) => Some(Err(Refusal::retry_after(Reason::OverQuota, wait_ms))),
@@ -179,12 +216,12 @@
     }
 
     /// The first candidate that is not suspected.
-    fn whom_to_ask(&self, state: &RelayState, partner: &PartnerId) -> Option<HostId> {
+    fn whom_to_ask(&self, state: &RelayState, owner: &QuotaOwner) -> Option<HostId> {
         let now_us = clock::now();
         let silent = self.silent.lock();
         let is_suspected =
             |host: &HostId| silent.get(host).is_some_and(|silence| silence.is_suspected(now_us));
-        let ranked = candidates(partner, self.reachable(state));
+        let ranked = candidates(owner.as_str(), self.reachable(state));
         ranked.into_iter().find(|host| !is_suspected(host))
     }
 
@@ -198,18 +235,22 @@
         &self,
         state: &RelayState,
         host: &HostId,
-        partner: &PartnerId,
+        owner: &QuotaOwner,
         needs: Credit,
         timeout: Duration,
     ) -> Option<Grant> {
         let address = state.peers.address_of(host)?;
         let now_us = clock::now();
-        let likely = self.accounts.lock().get_mut(partner)?.leased.likely(now_us);
+        let likely = self.accounts.lock().get_mut(owner)?.leased.likely(now_us);
         let number = self.asked.fetch_add(1, Ordering::Relaxed);
         let (answered, answer) = oneshot::channel();
-        self.remember(now_us, number, Question { partner: partner.clone(), asked_us: now_us, answered });
+        self.remember(now_us, number, Question { owner: owner.clone(), asked_us: now_us, answered });
         let incarnation = state.incarnation;
-        let question = QuotaQuestion { incarnation, number, partner: partner.clone(), needs, likely };
+        let limit = match owner {
+            QuotaOwner::Partner(_) => None,
+            QuotaOwner::Server(server) => state.limits.statement(server),
+        };
+        let question = QuotaQuestion { incarnation, number, owner: owner.clone(), needs, likely, limit };
         self.send(address, Datagram::QuotaQuestion(question));
         let grant = tokio::time::timeout(timeout, answer).await.ok().and_then(Result::ok);
         let mut silent = self.silent.lock();
@@ -229,8 +270,11 @@
 
     /// Answers another daemon's question. Nothing is said of an organisation that is not known here yet.
     pub fn answer(&self, state: &RelayState, from: SocketAddr, question: &QuotaQuestion) {
-        let &QuotaQuestion { incarnation, number, ref partner, needs, likely } = question;
-        if let Some(grant) = self.grant(state, partner, needs, likely) {
+        let &QuotaQuestion { incarnation, number, ref owner, needs, likely, ref limit } = question;
+        if let Some(limit) = limit {
+            state.limits.heard(state, std::slice::from_ref(limit));
+        }
+        if let Some(grant) = self.grant(state, owner, needs, likely) {
             self.send(from, Datagram::QuotaAnswer(QuotaAnswer { incarnation, number, grant }));
         }
     }
@@ -244,7 +288,7 @@
             return;
         };
         if let Grant::Granted(credit) = answer.grant {
-            self.lease(&question.partner, question.asked_us, credit);
+            self.lease(&question.owner, question.asked_us, credit);
         }
         // Whoever asked may have given up.
         let _ = question.answered.send(answer.grant);
@@ -252,18 +296,18 @@
 
     /// Takes back what another daemon did not spend.
     pub fn returned(&self, returned: &QuotaReturn) {
-        if let Some(account) = self.accounts.lock().get_mut(&returned.partner) {
+        if let Some(account) = self.accounts.lock().get_mut(&returned.owner) {
             account.ledger.put_back(clock::now(), returned.credit);
         }
     }
 
     /// Gives back the charge of a request that has not run, or credit whose lease expired.
-    pub fn put_back(&self, state: &RelayState, partner: &PartnerId, credit: Credit) {
+    pub fn put_back(&self, state: &RelayState, owner: &QuotaOwner, credit: Credit) {
         if credit == Credit::ZERO {
             return;
         }
-        let returned = QuotaReturn { partner: partner.clone(), credit };
-        match self.whom_to_ask(state, partner) {
+        let returned = QuotaReturn { owner: owner.clone(), credit };
+        match self.whom_to_ask(state, owner) {
             Some(host) if host == self.host => self.returned(&returned),
             Some(host) => {
                 if let Some(address) = state.peers.address_of(&host) {
@@ -276,30 +320,36 @@
 
     /// Another daemon has joined; it is primary for what it comes first for.
     pub fn host_joined(&self, host: &HostId) {
-        for (partner, account) in self.accounts.lock().iter_mut() {
-            if outranks(partner, host, &self.host) {
+        for (owner, account) in self.accounts.lock().iter_mut() {
+            if outranks(owner.as_str(), host, &self.host) {
                 account.ledger.step_down();
             }
         }
     }
 
-    fn grant(&self, state: &RelayState, partner: &PartnerId, needs: Credit, likely: Credit) -> Option<Grant> {
-        let is_primary = candidates(partner, self.reachable(state)).first() == Some(&self.host);
+    fn grant(&self, state: &RelayState, owner: &QuotaOwner, needs: Credit, likely: Credit) -> Option<Grant> {
+        if let QuotaOwner::Server(server) = owner
+            && state.limits.statement(server).is_some_and(|limit| limit.rate.is_none())
+        {
+            // It was withdrawn, which the other daemon does not know yet.
+            return Some(Grant::Granted(needs));
+        }
+        let is_primary = candidates(owner.as_str(), self.reachable(state)).first() == Some(&self.host);
         let role = if is_primary { LedgerRole::Primary } else { LedgerRole::Standby };
         let coverage = state.peers.coverage();
         let mut accounts = self.accounts.lock();
-        let account = accounts.get_mut(partner)?;
+        let account = accounts.get_mut(owner)?;
         Some(account.ledger.grant(clock::now(), role, coverage, needs, likely))
     }
 
-    fn lease(&self, partner: &PartnerId, asked_us: MonoTime, credit: Credit) {
-        if let Some(account) = self.accounts.lock().get_mut(partner) {
+    fn lease(&self, owner: &QuotaOwner, asked_us: MonoTime, credit: Credit) {
+        if let Some(account) = self.accounts.lock().get_mut(owner) {
             account.leased.add(asked_us, credit);
         }
     }
 
-    fn deny(&self, partner: &PartnerId, credit: Credit, wait_ms: Millis) {
-        if let Some(account) = self.accounts.lock().get_mut(partner) {
+    fn deny(&self, owner: &QuotaOwner, credit: Credit, wait_ms: Millis) {
+        if let Some(account) = self.accounts.lock().get_mut(owner) {
             account.leased.deny(clock::now(), credit, wait_ms.min(DENIAL_MS_MAX));
         }
     }
@@ -309,3 +359,14 @@
         let _ = self.outgoing.send((to, datagram));
     }
 }
+
+fn configure_account(
+    accounts: &mut HashMap<QuotaOwner, Account>,
+    owner: QuotaOwner,
+    settings: LedgerSettings,
+) {
+    let account = accounts
+        .entry(owner)
+        .or_insert_with(|| Account { leased: LeasedCredit::default(), ledger: Ledger::new(settings) });
+    account.ledger.configure(settings);
+}
--- a/crates/router/src/relay/story.rs
+++ b/crates/router/src/relay/story.rs
@@ -124,6 +124,7 @@
 pub fn cause_label(cause: FailureCause) -> &'static str {
     match cause {
         FailureCause::NotSent => "not-sent",
+        FailureCause::Limited => "limited",
         FailureCause::Timeout => "timeout",
         FailureCause::Broken => "broken",
         FailureCause::NoRoom => "no-room",
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -32,6 +32,9 @@
 /// Times its target that a caller stays without an event, less one for what is still to come: callers leave after four.
 const PATIENCE_FACTOR: u64 = 3;
 
+/// A reservation and the request that it is for: both reach the engine.
+const RESERVED_REQUESTS: u64 = 2;
+
 /// Time for giving a reservation back.
 const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -90,6 +93,14 @@
     }
 }
 
+/// Takes requests out of the limit that an engine states; tells the pool where that is used up.
+async fn admit(state: &RelayState, engine: &BackendServerId, requests: u64) -> Result<(), FailureCause> {
+    state.limits.admit(state, engine, requests).await.map_err(|reached| {
+        state.engine_hub.limited(engine, reached);
+        FailureCause::Limited
+    })
+}
+
 /// A prompt that was read, and where.
 struct Kept {
     at: SocketAddr,
@@ -214,6 +225,7 @@
     ) -> Result<Reserved, FailureCause> {
         let Self { state, .. } = self;
         let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
+        admit(state, writer, RESERVED_REQUESTS).await?;
         let call = state.wire.reserve(writer, tokens, keep_ms);
         let body = hop::call(state, writer, at, call, Duration::from(timeout_ms)).await?;
         let name = state.wire.read_reservation(&body).ok_or(FailureCause::Refused)?;
@@ -223,6 +235,7 @@
     async fn read(&self, reader: &BackendServerId, timeout_ms: Millis) -> Result<Kept, FailureCause> {
         let Self { state, incoming, .. } = self;
         let at = state.directory.address_of(reader).ok_or(FailureCause::NotSent)?;
+        admit(state, reader, 1).await?;
         let hop = incoming.hop(reader, Task::ReadPrompt);
         let timeout = incoming.left().min(Duration::from(timeout_ms));
         // Reading a prompt twice does no harm, so any connection will do.
@@ -242,6 +255,9 @@
 
     async fn write(&mut self, writer: &BackendServerId, source: Option<Kept>) -> Result<Reply, FailureCause> {
         let at = self.state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
+        if self.reserved.is_none() {
+            admit(&self.state, writer, 1).await?;
+        }
         // Sent with the request it is used up, whatever becomes of that.
         let reserved = self.reserved.take().map(Reserved::into_name);
         let sending = Sending::new(writer, at);
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -151,7 +151,7 @@
 pub fn servers_changed(state: &RelayState, before: &Listing) {
     let listing = state.directory.listing();
     state.log.servers_changed(&before.servers, &listing.servers);
-    state.limits.adopt(&listing.servers);
+    state.limits.adopt(state, &listing.servers);
     state.plain_hub.adopt(&listing);
     state.engine_hub.adopt(&listing);
     state.engine_hub.configure(&state.table.load());
