Limits of servers in virtual time, and less for daemons that stand in

4 to 413 daemons before one server that states 0.5, 5 and 50 requests a second and is asked for four times as much: calm, a tenth and a third of the messages lost, a third and all daemons restarted, a quarter cut off, the daemon in charge standing still. The check is the stated aim, one and a half times the limit in four seconds and five requests.

--- a/crates/core/src/quota/server_limits.rs
+++ b/crates/core/src/quota/server_limits.rs
@@ -18,8 +18,9 @@
 /// Window in which the requests at a server are counted.
 const WINDOW_MS: Millis = Millis(4_000);
 
-/// Part of the limit that may reach the server beyond it in a window.
-const OVERSHOOT: f64 = 0.5;
+/// Part of the limit that daemons who stand in for the one in charge may grant beyond it in a window. Half of it may
+/// reach the server; several may stand in at once.
+const OVERSHOOT: f64 = 0.3;
 
 /// Requests that may reach it beyond that in a window.
 const SLACK: f64 = 5.0;
--- a/crates/core/tests/quota/server_limits.rs
+++ b/crates/core/tests/quota/server_limits.rs
@@ -2,7 +2,10 @@
 
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::quota::{LimitStatement, ServerLimits};
-use hibiscusvale_core::units::{CreditPerSecond, Millis, MonoTime};
+use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, MonoTime};
+use rstest::rstest;
+
+use crate::world::{Trouble, World};
 
 fn server() -> BackendServerId {
     "i-1".parse().unwrap()
@@ -65,3 +68,53 @@
     limits.retain(|_| false);
     assert_eq!(limits.rate(&server()), None);
 }
+
+const SURGE: f64 = 4.0;
+
+/// From when on a limit has to be kept, after it was stated first.
+const CONTACT_MS: u64 = 3_000;
+
+/// One and a half times the limit in four seconds, and five requests.
+fn allowed(rate: u64) -> Credit {
+    Credit(rate * 4 * 3 / 2 + 5_000)
+}
+
+fn surge(daemons: usize, rate: u64, trouble: Trouble, seed: u64) -> World {
+    let mut world = World::before_server(daemons, CreditPerSecond(rate), trouble, seed);
+    world.play(20_000, |_| SURGE);
+    world
+}
+
+/// All daemons send to one server that states a limit, four times as much as it takes.
+#[rstest]
+#[case::calm(Trouble::default())]
+#[case::lossy(Trouble { lost: 10, ..Trouble::default() })]
+#[case::very_lossy(Trouble { lost: 33, ..Trouble::default() })]
+#[case::some_restart(Trouble { restart: Some((9_000, 30)), ..Trouble::default() })]
+#[case::all_restart(Trouble { restart: Some((9_000, 100)), ..Trouble::default() })]
+#[case::cut(Trouble { cut_ms: Some((7_000, 13_000)), ..Trouble::default() })]
+#[case::frozen(Trouble { freeze_ms: Some((7_000, 12_000)), ..Trouble::default() })]
+#[case::restart_in_a_cut(Trouble { cut_ms: Some((7_000, 13_000)), restart: Some((8_500, 100)), ..Trouble::default() })]
+fn a_limit_is_kept(
+    #[case] trouble: Trouble,
+    #[values(4, 9, 58, 195)] daemons: usize,
+    #[values(500, 5_000, 50_000)] rate: u64,
+) {
+    for seed in 0..3 {
+        let worst = surge(daemons, rate, trouble, seed).most_in_window(CONTACT_MS);
+        assert!(worst <= allowed(rate), "{worst} of {}, seed {seed}", allowed(rate));
+    }
+}
+
+#[test]
+fn a_limit_is_kept_by_hundreds_of_daemons() {
+    let world = surge(413, 5_000, Trouble { lost: 10, ..Trouble::default() }, 1);
+    assert!(world.most_in_window(CONTACT_MS) <= allowed(5_000), "{}", world.most_in_window(CONTACT_MS));
+}
+
+/// Callers are refused while the limit stands unused.
+#[rstest]
+fn a_limit_is_used(#[values(4, 9, 58, 195, 413)] daemons: usize, #[values(500, 5_000, 50_000)] rate: u64) {
+    let used = surge(daemons, rate, Trouble::default(), 2).used_part();
+    assert!(used >= 0.85, "{used:.3} used");
+}
--- a/crates/core/tests/quota/world.rs
+++ b/crates/core/tests/quota/world.rs
@@ -3,7 +3,7 @@
 use hibiscusvale_core::ids::{HostId, PartnerId};
 use hibiscusvale_core::quota::{
     Bucket, Coverage, Grant, LeasedCredit, Ledger, LedgerRole, LedgerSettings, Quota, QuotaBounds, QuotaUnit,
-    Suspicion, candidates, outranks,
+    Suspicion, candidates, outranks, server_limit,
 };
 use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, MonoTime, Tokens};
 use rand::rngs::StdRng;
@@ -42,6 +42,33 @@
     pub lower: Option<(u64, u64)>,
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+enum Demand {
+    /// An organisation's requests through a few daemons, one in ten of them for a model.
+    Organisation,
+    /// Requests to one server through all daemons.
+    Server,
+}
+
+impl Demand {
+    /// Tokens or requests of one request.
+    fn draw(self, rng: &mut StdRng) -> u64 {
+        match self {
+            Self::Organisation if rng.random_bool(0.1) => 3_300,
+            Self::Organisation => 200,
+            Self::Server => 1,
+        }
+    }
+
+    fn mean(self) -> f64 {
+        match self {
+            Self::Organisation => 0.1 * 3_300.0 + 0.9 * 200.0,
+            Self::Server => 1.0,
+        }
+    }
+}
+
 struct Daemon {
     host: HostId,
     leased: LeasedCredit,
@@ -53,6 +80,8 @@
 
 pub struct World {
     way: Way,
+    demand: Demand,
+    played_ms: u64,
     trouble: Trouble,
     partner: PartnerId,
     /// Daemons in the order in which they are asked.
@@ -83,7 +112,22 @@
 
 impl World {
     pub fn new(way: Way, daemons: usize, trouble: Trouble, seed: u64) -> Self {
-        let settings = settings(1);
+        Self::with_settings(way, Demand::Organisation, settings(1), daemons, trouble, seed)
+    }
+
+    /// Daemons before a server that states a limit, in thousandths of a request.
+    pub fn before_server(daemons: usize, rate: CreditPerSecond, trouble: Trouble, seed: u64) -> Self {
+        Self::with_settings(Way::Ledger, Demand::Server, server_limit(rate), daemons, trouble, seed)
+    }
+
+    fn with_settings(
+        way: Way,
+        demand: Demand,
+        settings: LedgerSettings,
+        daemons: usize,
+        trouble: Trouble,
+        seed: u64,
+    ) -> Self {
         let quota = settings.quota;
         let part = Bucket::new(
             clock(0),
@@ -104,6 +148,8 @@
         let number = |host: &HostId| host.as_str()[2..].parse().unwrap();
         Self {
             way,
+            demand,
+            played_ms: 0,
             trouble,
             ranked: candidates(partner.as_str(), hosts).iter().map(number).collect(),
             partner,
@@ -119,17 +165,20 @@
 
     /// Plays `end_ms`, with requests that come to `load` times the quota, through the daemons that some callers reach.
     pub fn play(&mut self, end_ms: u64, load: impl Fn(u64) -> f64) {
-        let callers: Vec<usize> = (0..5).map(|_| self.rng.random_range(0..self.daemons.len())).collect();
+        let callers: Vec<usize> = match self.demand {
+            Demand::Organisation => (0..5).map(|_| self.rng.random_range(0..self.daemons.len())).collect(),
+            Demand::Server => (0..self.daemons.len()).collect(),
+        };
+        self.played_ms = end_ms;
         for at_ms in 0..end_ms {
             self.pass(at_ms);
-            // One request in ten is for a model.
-            let mean = 0.1 * 3_300.0 + 0.9 * 200.0;
-            let mut expected = load(at_ms) * RATE as f64 / 1_000.0 / mean;
+            let rate_per_ms = self.settings.quota.rate.0 as f64 / 1_000_000.0;
+            let mut expected = load(at_ms) * rate_per_ms / self.demand.mean();
             while expected > 0.0 {
                 if self.rng.random_bool(expected.min(1.0)) {
-                    let tokens = if self.rng.random_bool(0.1) { 3_300 } else { 200 };
+                    let amount = self.demand.draw(&mut self.rng);
                     let at = callers[self.rng.random_range(0..callers.len())];
-                    self.request(at_ms, at, Credit(tokens * 1_000));
+                    self.request(at_ms, at, Credit(amount * 1_000));
                 }
                 expected -= 1.0;
             }
@@ -264,19 +313,32 @@
     /// The most that was spent in a window, as a part of what is tolerated there.
     pub fn worst_window(&self, settled_ms: u64) -> f64 {
         let LedgerSettings { quota, bounds } = self.settings;
-        let allowed = quota.rate.0 * WINDOW_MS / 1_000 + quota.burst.0 + bounds.tolerance(&quota).0;
+        let window_ms = bounds.window_ms.0;
+        let allowed = quota.rate.0 * window_ms / 1_000 + quota.burst.0 + bounds.tolerance(&quota).0;
+        self.most_in_window(settled_ms).0 as f64 / allowed as f64
+    }
+
+    /// The most that was spent in a window.
+    pub fn most_in_window(&self, settled_ms: u64) -> Credit {
+        let window_ms = self.settings.bounds.window_ms.0;
         let (mut worst, mut sum, mut first) = (0, 0, 0);
         let spent: Vec<(u64, Credit)> =
             self.spent.iter().filter(|(at_ms, _)| *at_ms >= settled_ms).copied().collect();
         for &(at_ms, credit) in &spent {
             sum += credit.0;
-            while spent[first].0 + WINDOW_MS <= at_ms {
+            while spent[first].0 + window_ms <= at_ms {
                 sum -= spent[first].1.0;
                 first += 1;
             }
             worst = worst.max(sum);
         }
-        worst as f64 / allowed as f64
+        Credit(worst)
+    }
+
+    /// What was spent, as a part of what could have been.
+    pub fn used_part(&self) -> f64 {
+        let spent: u64 = self.spent.iter().map(|(_, credit)| credit.0).sum();
+        spent as f64 * 1_000.0 / (self.settings.quota.rate.0 * self.played_ms) as f64
     }
 
     /// What was refused within the quota, as a part of what was asked for within it.
