--- a/crates/core/tests/quarantine/fingerprint.rs
+++ b/crates/core/tests/quarantine/fingerprint.rs
@@ -1,7 +1,10 @@
 //! What counts as the same request.
 
-use hibiscusvale_core::ids::PartnerId;
-use hibiscusvale_core::quarantine::{CallerIdentity, Fingerprint, RequestIdentity};
+use hibiscusvale_core::ids::{Incarnation, PartnerId};
+use hibiscusvale_core::quarantine::{
+    CallerIdentity, Finding, Fingerprint, Gossip, Report, ReportId, RequestIdentity,
+};
+use hibiscusvale_core::units::Millis;
 use rstest::rstest;
 
 const REQUEST: RequestIdentity<'static> = RequestIdentity {
@@ -49,3 +52,16 @@
         assert!(text.parse::<Fingerprint>().err().is_some(), "{text}");
     }
 }
+
+/// Reports go to hundreds of daemons.
+#[test]
+fn a_report_is_small() {
+    let report = Report {
+        id: ReportId { incarnation: Incarnation::new(1_800_000_000_000, 7), sequence: 300 },
+        fingerprint: Fingerprint::of(&REQUEST),
+        finding: Finding::Crashed { server: "i-0123456789".parse().unwrap(), in_flight_ms: Millis(900) },
+        age_ms: Millis(900_000),
+    };
+    assert!(postcard::to_stdvec(&report).unwrap().len() < 64);
+    assert_eq!(postcard::to_stdvec(&Gossip::default()).unwrap().len(), 2);
+}
--- a/crates/core/tests/quota/server_limits.rs
+++ b/crates/core/tests/quota/server_limits.rs
@@ -69,6 +69,14 @@
     assert_eq!(limits.rate(&server()), None);
 }
 
+/// Changes go to hundreds of daemons.
+#[test]
+fn a_statement_is_small() {
+    let statement =
+        LimitStatement { server: "i-0123456789".parse().unwrap(), rate: limit(50), age_ms: Millis(900_000) };
+    assert!(postcard::to_stdvec(&statement).unwrap().len() < 32);
+}
+
 const SURGE: f64 = 4.0;
 
 /// From when on a limit has to be kept, after it was stated first.
