Keep the evidence against requests in quarantine on the platform

What callers saw: after all daemons had ended at once, a request in quarantine took three servers again.

Cause: the evidence lived in the daemons' memory only. No host has a disk, so what has to last belongs on the platform.

Why this works: the daemon that made the last of the reports writes them, one record for each request, and tries again until the store has taken it; a daemon reads what is kept once when it starts, adds the time that has passed to the ages, and drops up to eight records that have become old. One call more at each start. While others live they know all of it anyway: the reports keep their ids, so nothing counts twice.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -2,7 +2,7 @@
 
 use super::Fingerprint;
 use super::report::{Finding, Report, ReportId};
-use crate::ids::BackendServerId;
+use crate::ids::{BackendServerId, Incarnation};
 use crate::units::{Millis, MonoTime};
 
 /// Reports of one server within this time are of one crash; a server that crashed is back after some seconds.
@@ -72,6 +72,11 @@
         self.crashes.is_empty() && self.survived.is_none()
     }
 
+    /// The life of the daemon that reported the newest crash.
+    pub(super) fn newest_incarnation(&self) -> Option<Incarnation> {
+        Some(self.crashes.last()?.id.incarnation)
+    }
+
     pub(super) fn newest_us(&self) -> Option<MonoTime> {
         let survived_us = self.survived.map(|(_, at_us)| at_us);
         self.crashes.iter().map(|crash| crash.at_us).chain(survived_us).max()
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -66,6 +66,8 @@
     pub is_quarantined: bool,
     /// Servers that crashed under it, as far as that counts.
     pub crashes: usize,
+    /// Whether this daemon made the newest of the reports.
+    pub is_witness: bool,
 }
 
 /// What follows from what another daemon said.
@@ -164,6 +166,17 @@
         Some((decisive.at_us + self.settings.evidence_ms).since(self.reckoned(now_us)).to_millis_ceil())
     }
 
+    /// What is held against a request, for keeping it beyond the life of this daemon.
+    pub fn reports(&self, now_us: MonoTime, fingerprint: Fingerprint) -> Vec<Report> {
+        let evidence = self.suspects.get(&fingerprint);
+        evidence.map(|evidence| evidence.reports(self.reckoned(now_us), fingerprint)).unwrap_or_default()
+    }
+
+    /// Takes reports that were kept.
+    pub fn restore(&mut self, now_us: MonoTime, reports: Vec<Report>) -> Vec<Verdict> {
+        if self.take_all(now_us, reports) { self.judge() } else { Vec::new() }
+    }
+
     /// Requests with evidence against them, and those of them in quarantine.
     pub fn counts(&self) -> (usize, usize) {
         let quarantined = self.suspects.values().filter(|evidence| evidence.is_quarantined).count();
@@ -306,7 +319,9 @@
             let crashes = evidence.distinct(|_| true).len();
             if evidence.is_quarantined && crashes < self.settings.crashes {
                 evidence.is_quarantined = false;
-                verdicts.push(Verdict { fingerprint: *fingerprint, is_quarantined: false, crashes });
+                let verdict =
+                    Verdict { fingerprint: *fingerprint, is_quarantined: false, crashes, is_witness: false };
+                verdicts.push(verdict);
             }
         }
         for (fingerprint, crashes) in self.accused() {
@@ -319,7 +334,8 @@
             }
             if let Some(evidence) = self.suspects.get_mut(&fingerprint) {
                 evidence.is_quarantined = true;
-                verdicts.push(Verdict { fingerprint, is_quarantined: true, crashes });
+                let is_witness = evidence.newest_incarnation() == Some(self.incarnation);
+                verdicts.push(Verdict { fingerprint, is_quarantined: true, crashes, is_witness });
             }
         }
         verdicts
--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -7,7 +7,9 @@
 use gumdrop::Options;
 use hibiscusvale::daemon::new_incarnation;
 use hibiscusvale::relay::{RelayDaemon, RelayEdges, RelaySettings};
-use hibiscusvale_platform::{PlatformWire, Store, StoreLog, StoreRegister, StoreServers, StoreTables};
+use hibiscusvale_platform::{
+    PlatformWire, Store, StoreEvidence, StoreLog, StoreRegister, StoreServers, StoreTables,
+};
 
 use crate::signals::{self, Asked};
 
@@ -36,6 +38,7 @@
             register: Arc::new(StoreRegister::new(store.clone())),
             log: Arc::new(StoreLog::new(store.clone())),
             servers: Arc::new(StoreServers::new(store.clone(), settings.host.region.clone())),
+            evidence: Arc::new(StoreEvidence::new(store.clone())),
         };
         let mut daemon = RelayDaemon::start(settings, edges, new_incarnation())?;
         loop {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -17,9 +17,10 @@
 
 use super::budget::{self, UNKNOWN_DAEMONS};
 use super::callers;
-use super::edge::{DaemonEntry, Register, TableSource, Wire};
+use super::edge::{DaemonEntry, EvidenceStore, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::freshness::Freshness;
+use super::keeping;
 use super::limits::LimitHub;
 use super::metrics::RelayMetrics;
 use super::news::News;
@@ -66,6 +67,8 @@
     pub log: Arc<dyn RecordLog>,
     /// Where servers are listed.
     pub servers: Arc<dyn HostList>,
+    /// Where evidence against requests outlives the daemons.
+    pub evidence: Arc<dyn EvidenceStore>,
 }
 
 /// A running daemon.
@@ -98,6 +101,7 @@
         let control = runtime("control")?;
         let (asks, asked) = Asks::channel();
         let (quotas, outgoing) = QuotaHub::new(settings.host.id.clone());
+        let (quarantine, evidence_due) = QuarantineHub::new(incarnation);
         let state = Arc::new(RelayState {
             wire: edges.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
@@ -120,7 +124,7 @@
             peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
             quotas,
             limits: LimitHub::default(),
-            quarantine: QuarantineHub::new(incarnation),
+            quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
             sequence: AtomicU64::new(0),
@@ -155,6 +159,7 @@
             }
         });
         control.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
+        control.spawn(keeping::run(edges.evidence, evidence_due, Arc::clone(&state)));
         // One lease for all engines of the region.
         match settings.host.region.as_str().parse() {
             Ok(scope) => {
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use hibiscusvale_core::ids::{BackendServerId, FencingNumber, HostId, ModelId, PartnerId};
+use hibiscusvale_core::quarantine::{Fingerprint, Report};
 use hibiscusvale_core::relay::engines::{Role, ToldLoad};
 use hibiscusvale_core::relay::partners::Credentials;
 use hibiscusvale_core::relay::routes::RouteTable;
@@ -295,6 +296,29 @@
     fn entries(&self) -> BoxFuture<'_, Result<Vec<DaemonEntry>, TableFailure>>;
 }
 
+/// The evidence against a request in quarantine, as it is kept.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct KeptEvidence {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The reports; their ages are those of the time at which they were kept.
+    pub reports: Vec<Report>,
+    /// That time, by the clock of the daemon that kept them.
+    pub kept_unix_ms: u64,
+}
+
+/// Where evidence outlives the daemons.
+pub trait EvidenceStore: Debug + Send + Sync + 'static {
+    /// Keeps the evidence against a request, in place of what was kept before.
+    fn keep(&self, evidence: KeptEvidence) -> BoxFuture<'_, Result<(), TableFailure>>;
+
+    /// Drops what is kept of a request.
+    fn drop_kept(&self, fingerprint: Fingerprint) -> BoxFuture<'_, Result<(), TableFailure>>;
+
+    /// All that is kept.
+    fn kept(&self) -> BoxFuture<'_, Result<Vec<KeptEvidence>, TableFailure>>;
+}
+
 /// Where operators publish the table of routes.
 pub trait TableSource: Debug + Send + Sync + 'static {
     /// The newest table, waiting up to `wait_ms` for one that this source has not returned before; `None` when there
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod freshness;
 mod handover;
 mod hop;
+mod keeping;
 mod limits;
 mod loans;
 mod message;
--- a/crates/router/src/relay/quarantine.rs
+++ b/crates/router/src/relay/quarantine.rs
@@ -6,8 +6,9 @@
 };
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
+use super::edge::KeptEvidence;
 use super::message::Datagram;
 use super::pace::Urgency;
 use super::refusal::{Reason, Refusal};
@@ -20,13 +21,34 @@
     quarantine: Mutex<Quarantine>,
     /// Counts the verdicts; requests that wait for a server look again with each.
     verdicts: watch::Sender<u64>,
+    /// Requests whose evidence is to be kept.
+    keep: mpsc::UnboundedSender<Fingerprint>,
 }
 
 impl QuarantineHub {
-    /// No evidence.
-    pub fn new(incarnation: Incarnation) -> Self {
+    /// No evidence, and the end where requests come out whose evidence is to be kept.
+    pub fn new(incarnation: Incarnation) -> (Self, mpsc::UnboundedReceiver<Fingerprint>) {
         let quarantine = Quarantine::new(QuarantineSettings::default(), incarnation);
-        Self { quarantine: Mutex::new(quarantine), verdicts: watch::Sender::new(0) }
+        let (keep, due) = mpsc::unbounded_channel();
+        (Self { quarantine: Mutex::new(quarantine), verdicts: watch::Sender::new(0), keep }, due)
+    }
+
+    /// The evidence against a request in quarantine, for keeping it.
+    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<KeptEvidence> {
+        let quarantine = self.quarantine.lock();
+        quarantine.is_quarantined(fingerprint).then(|| KeptEvidence {
+            fingerprint,
+            reports: quarantine.reports(clock::now(), fingerprint),
+            kept_unix_ms: clock::unix_ms(),
+        })
+    }
+
+    /// Takes evidence that was kept; says whether it still counts.
+    pub fn restore(&self, state: &RelayState, evidence: KeptEvidence) -> bool {
+        let fingerprint = evidence.fingerprint;
+        let verdicts = self.quarantine.lock().restore(clock::now(), evidence.aged().reports);
+        self.publish(state, &verdicts);
+        self.quarantine.lock().is_quarantined(fingerprint)
     }
 
     /// Refuses a request that is in quarantine.
@@ -125,6 +147,10 @@
     fn publish(&self, state: &RelayState, verdicts: &[Verdict]) {
         for verdict in verdicts {
             state.log.judged(verdict);
+            if verdict.is_quarantined && verdict.is_witness {
+                // Without anybody who keeps it, it lives as long as the daemons do.
+                let _ = self.keep.send(verdict.fingerprint);
+            }
         }
         if !verdicts.is_empty() {
             self.verdicts.send_modify(|count| *count += 1);
