Take a stream that ends without any event for a broken one

What callers saw: where the end of a connection is the end of an answer, a stream of an engine that crashed before its first event was passed on as complete and empty; and the request that had crashed it counted as one that an engine had outlived, which cleared it.

Why this works: no answer of a model is empty, so an end without any event is taken as the break that it is: the stream is resumed elsewhere where that is allowed, and the server is looked at. An end after the last event that a resuming caller has is complete as before. Only an answer with events counts as outlived.

--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -49,6 +49,13 @@
             survived(incoming);
         }
     }
+
+    /// Its answer is complete. One without any event may be what a crash left of it.
+    pub fn note_end(&self, incoming: &Incoming) {
+        if self.first_event.is_some() {
+            survived(incoming);
+        }
+    }
 }
 
 /// A server has run the request and lives.
--- a/crates/router/src/relay/passing.rs
+++ b/crates/router/src/relay/passing.rs
@@ -12,7 +12,6 @@
 use hyper::body::{Frame, Incoming as ServerBody};
 use tokio::time::Instant;
 
-use super::crashes;
 use super::edge::EventId;
 use super::events::EventCutter;
 use super::story::cause_label;
@@ -82,10 +81,12 @@
                         return Ok(Some(events.bytes));
                     }
                 }
+                // Where the end of the connection is the end of the answer, a crash looks like one.
+                Ok(None) if !self.run.has_events() => self.go_on(FailureCause::Broken).await?,
                 Ok(None) => {
                     self.body = None;
                     self.run.incoming.note_end("answered");
-                    crashes::survived(&self.run.incoming);
+                    self.run.answered();
                     self.run.open.feed(self.run.finished());
                     let rest = self.cutter.rest();
                     return Ok((!rest.is_empty()).then_some(rest));
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -297,6 +297,18 @@
         }
     }
 
+    /// Whether its caller has any event, with those of earlier tries.
+    pub(super) fn has_events(&self) -> bool {
+        self.last.is_some()
+    }
+
+    /// The engine's answer is complete.
+    pub(super) fn answered(&self) {
+        if let Some(sending) = &self.writing {
+            sending.note_end(&self.incoming);
+        }
+    }
+
     pub(super) fn finished(&self) -> EngineEvent {
         let request_id = self.incoming.request_id;
         let begun = self.incoming.call.after_event.unwrap_or_default().0;
