Withdraw a server's limit only by an answer to a request

What callers saw: nothing yet. A server that states its limit in answers to requests, and not in those to reservations and reports, would have had its limit forgotten with each of these.

Evidence: stand-ins that state nothing in answers to our own calls; the tests of limits pass with them. Lines of changes are bounded like those of requests, as a server may state and withdraw many times a second.

Why this works: an answer to one of our own calls, a failure, and an answer with another id may state a limit, but never withdraw one.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -238,12 +238,14 @@
         rate: Option<CreditPerSecond>,
         source: &'static str,
     ) {
-        spdlog::info!(logger: self.logger, "server limit", kv: {
-            server: = server,
-            is_limited = rate.is_some(),
-            requests_per_1000_s = rate.unwrap_or_default().0,
-            source = source,
-        });
+        if self.takes_request_line() {
+            spdlog::info!(logger: self.logger, "server limit", kv: {
+                server: = server,
+                is_limited = rate.is_some(),
+                requests_per_1000_s = rate.unwrap_or_default().0,
+                source = source,
+            });
+        }
     }
 
     /// A request was put in quarantine or let out of it.
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -136,7 +136,7 @@
     let status = known.response.status();
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.read_reply(status, &headers);
-    note_limit(&arrived.state, hop.server, status, &head);
+    note_limit(arrived, hop.server, status, &head);
     Ok(Reply { status, headers, head, known })
 }
 
@@ -158,7 +158,10 @@
     *request.headers_mut() = call.headers;
     let response = state.http.send(Trust::Pooled, request, timeout).await?;
     let status = response.status();
-    note_limit(state, server, status, &state.wire.read_reply(status, response.headers()));
+    // Only answers to requests say that there is no limit any more.
+    if let Some(rate) = state.wire.read_reply(status, response.headers()).limit {
+        state.limits.answered(state, server, Some(rate));
+    }
     Ok((status, read_body(response.into_body(), WHOLE_ANSWER_BYTES, timeout).await?))
 }
 
@@ -183,10 +186,12 @@
     }
 }
 
-/// Takes note of the limit that an answer states. One that says that it is another server tells nothing of this one.
-fn note_limit(state: &RelayState, server: &BackendServerId, status: StatusCode, head: &ReplyHead) {
-    if status != StatusCode::MISDIRECTED_REQUEST {
-        state.limits.answered(state, server, head.limit);
+/// Takes note of the limit that an answer states, or states no more. A failure may come from what is in front of the
+/// server, and a refusal for its id from another server: those withdraw nothing.
+fn note_limit(arrived: &Arrived, server: &BackendServerId, status: StatusCode, head: &ReplyHead) {
+    let is_its_own = status.is_success() && head.id.as_deref() == Some(arrived.call.id.as_str());
+    if is_its_own || (head.limit.is_some() && status != StatusCode::MISDIRECTED_REQUEST) {
+        arrived.state.limits.answered(&arrived.state, server, head.limit);
     }
 }
 
