Name things by the field's terms in what is new

A saved record is removed when nothing of it counts any more, not when its request is out of quarantine for the moment: evidence that another request accounts for may be needed again.

Behaviour is otherwise unchanged; tests of core, router and platform pass.

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -15,4 +15,4 @@
 
 pub use fingerprint::{CallerIdentity, Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use report::{Finding, Gossip, Report, ReportId, ReportPage};
-pub use state::{Heard, Quarantine, QuarantineSettings, Verdict};
+pub use state::{Quarantine, QuarantineSettings, Received, Verdict};
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -11,7 +11,7 @@
 use crate::units::{Micros, Millis, MonoTime};
 
 /// Messages that carry a report; whoever misses all of them notices by the digest.
-const TELLINGS: u8 = 3;
+const TRANSMISSIONS: u8 = 3;
 
 /// Reports in one message. A message fits a datagram beside what else it holds.
 const GOSSIP_REPORTS_MAX: usize = 12;
@@ -39,7 +39,7 @@
     pub own_crashes: usize,
     /// For how long a crash counts.
     pub evidence_ms: Millis,
-    /// Requests with evidence against them that are kept.
+    /// Requests with evidence against them that are remembered.
     pub suspects_max: usize,
     /// Requests that are remembered to have run without harm.
     pub survivors_max: usize,
@@ -67,12 +67,12 @@
     /// Servers that crashed under it, as far as that counts.
     pub crashes: usize,
     /// Whether this daemon made the newest of the reports.
-    pub is_witness: bool,
+    pub is_reporter: bool,
 }
 
 /// What follows from what another daemon said.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Heard {
+pub struct Received {
     /// What changed.
     pub verdicts: Vec<Verdict>,
     /// Whether to ask that daemon for its reports, and behind which fingerprint.
@@ -92,7 +92,7 @@
     reports_made: u64,
     suspects: HashMap<Fingerprint, Evidence>,
     survivors: Survivors,
-    untold: Vec<Untold>,
+    pending: Vec<Pending>,
     digest: u64,
     ask_at_us: MonoTime,
     /// Behind which fingerprint to ask next.
@@ -101,7 +101,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Untold {
+struct Pending {
     left: u8,
     fingerprint: Fingerprint,
     id: ReportId,
@@ -116,7 +116,7 @@
             reports_made: 0,
             suspects: HashMap::new(),
             survivors: Survivors::new(settings.survivors_max),
-            untold: Vec::new(),
+            pending: Vec::new(),
             digest: 0,
             ask_at_us: MonoTime::default(),
             asked_after: None,
@@ -166,15 +166,15 @@
         Some((decisive.at_us + self.settings.evidence_ms).since(self.reckoned(now_us)).to_millis_ceil())
     }
 
-    /// What is held against a request, for keeping it beyond the life of this daemon.
+    /// The reports of a request, for saving them.
     pub fn reports(&self, now_us: MonoTime, fingerprint: Fingerprint) -> Vec<Report> {
         let evidence = self.suspects.get(&fingerprint);
         evidence.map(|evidence| evidence.reports(self.reckoned(now_us), fingerprint)).unwrap_or_default()
     }
 
-    /// Takes reports that were kept.
+    /// Takes reports that were saved.
     pub fn restore(&mut self, now_us: MonoTime, reports: Vec<Report>) -> Vec<Verdict> {
-        if self.take_all(now_us, reports) { self.judge() } else { Vec::new() }
+        if self.take_all(now_us, reports) { self.evaluate() } else { Vec::new() }
     }
 
     /// Requests with evidence against them, and those of them in quarantine.
@@ -194,32 +194,32 @@
             evidence.expire(now_us);
         }
         self.suspects.retain(|_, evidence| !evidence.is_empty());
-        self.judge()
+        self.evaluate()
     }
 
     /// What goes into the next message to the other daemons.
     pub fn gossip(&mut self, now_us: MonoTime) -> Gossip {
         let reckoned_us = self.reckoned(now_us);
         let mut reports = Vec::new();
-        for untold in self.untold.iter_mut().rev().take(GOSSIP_REPORTS_MAX) {
-            untold.left -= 1;
-            let evidence = self.suspects.get(&untold.fingerprint);
-            let known = evidence.map(|evidence| evidence.reports(reckoned_us, untold.fingerprint));
-            reports.extend(known.into_iter().flatten().find(|report| report.id == untold.id));
+        for pending in self.pending.iter_mut().rev().take(GOSSIP_REPORTS_MAX) {
+            pending.left -= 1;
+            let evidence = self.suspects.get(&pending.fingerprint);
+            let known = evidence.map(|evidence| evidence.reports(reckoned_us, pending.fingerprint));
+            reports.extend(known.into_iter().flatten().find(|report| report.id == pending.id));
         }
-        self.untold.retain(|untold| untold.left > 0);
+        self.pending.retain(|pending| pending.left > 0);
         Gossip { reports, digest: self.digest }
     }
 
     /// Takes what came with a message of another daemon.
-    pub fn heard(&mut self, now_us: MonoTime, gossip: Gossip) -> Heard {
+    pub fn receive(&mut self, now_us: MonoTime, gossip: Gossip) -> Received {
         let is_news = self.take_all(now_us, gossip.reports);
-        let verdicts = if is_news { self.judge() } else { Vec::new() };
+        let verdicts = if is_news { self.evaluate() } else { Vec::new() };
         let asks = gossip.digest != self.digest && now_us >= self.ask_at_us;
         if asks {
             self.ask_at_us = now_us + ASK_PAUSE_MS;
         }
-        Heard { verdicts, ask: asks.then_some(self.asked_after) }
+        Received { verdicts, ask: asks.then_some(self.asked_after) }
     }
 
     /// Answers a daemon that asks for the reports behind a fingerprint.
@@ -244,14 +244,14 @@
     }
 
     /// Takes an answer to such a question.
-    pub fn take_page(&mut self, now_us: MonoTime, page: ReportPage) -> Heard {
+    pub fn receive_page(&mut self, now_us: MonoTime, page: ReportPage) -> Received {
         let is_news = self.take_all(now_us, page.reports);
         self.asked_after = page.more_after;
         if !is_news {
             self.ask_at_us = now_us + ASK_PAUSE_NO_NEWS_MS;
-            return Heard::default();
+            return Received::default();
         }
-        Heard { verdicts: self.judge(), ask: page.more_after.map(Some) }
+        Received { verdicts: self.evaluate(), ask: page.more_after.map(Some) }
     }
 
     /// A time in this daemon's own reckoning, in which what was seen before the process started has a time as well.
@@ -265,8 +265,8 @@
         if !self.take(now_us, Report { id, fingerprint, finding, age_ms: Millis::ZERO }) {
             return Vec::new();
         }
-        self.untold.push(Untold { left: TELLINGS, fingerprint, id });
-        self.judge()
+        self.pending.push(Pending { left: TRANSMISSIONS, fingerprint, id });
+        self.evaluate()
     }
 
     fn take_all(&mut self, now_us: MonoTime, reports: Vec<Report>) -> bool {
@@ -312,7 +312,7 @@
     }
 
     /// Decides anew who is in quarantine; says what changed.
-    fn judge(&mut self) -> Vec<Verdict> {
+    fn evaluate(&mut self) -> Vec<Verdict> {
         self.digest = self.suspects.values().flat_map(Evidence::ids).fold(0, |sum, id| sum ^ id.digest());
         let mut verdicts = Vec::new();
         for (fingerprint, evidence) in &mut self.suspects {
@@ -320,11 +320,11 @@
             if evidence.is_quarantined && crashes < self.settings.crashes {
                 evidence.is_quarantined = false;
                 let verdict =
-                    Verdict { fingerprint: *fingerprint, is_quarantined: false, crashes, is_witness: false };
+                    Verdict { fingerprint: *fingerprint, is_quarantined: false, crashes, is_reporter: false };
                 verdicts.push(verdict);
             }
         }
-        for (fingerprint, crashes) in self.accused() {
+        for (fingerprint, crashes) in self.candidates() {
             let own = {
                 let evidence = &self.suspects[&fingerprint];
                 evidence.distinct(|crash| !self.is_explained(crash)).len()
@@ -334,8 +334,8 @@
             }
             if let Some(evidence) = self.suspects.get_mut(&fingerprint) {
                 evidence.is_quarantined = true;
-                let is_witness = evidence.newest_incarnation() == Some(self.incarnation);
-                verdicts.push(Verdict { fingerprint, is_quarantined: true, crashes, is_witness });
+                let is_reporter = evidence.newest_incarnation() == Some(self.incarnation);
+                verdicts.push(Verdict { fingerprint, is_quarantined: true, crashes, is_reporter });
             }
         }
         verdicts
@@ -343,17 +343,17 @@
 
     /// Requests outside of quarantine with enough crashes, those that most likely cause them first: the most crashes,
     /// then the shortest time at the servers.
-    fn accused(&self) -> Vec<(Fingerprint, usize)> {
+    fn candidates(&self) -> Vec<(Fingerprint, usize)> {
         let open = self.suspects.iter().filter(|(_, evidence)| !evidence.is_quarantined);
         let counted = open.map(|(fingerprint, evidence)| {
             (*fingerprint, evidence.distinct(|_| true).len(), evidence.in_flight_ms())
         });
-        let mut accused: Vec<_> =
+        let mut candidates: Vec<_> =
             counted.filter(|(_, crashes, _)| *crashes >= self.settings.crashes).collect();
-        accused.sort_unstable_by_key(|(fingerprint, crashes, in_flight_ms)| {
+        candidates.sort_unstable_by_key(|(fingerprint, crashes, in_flight_ms)| {
             (Reverse(*crashes), *in_flight_ms, *fingerprint)
         });
-        accused.into_iter().map(|(fingerprint, crashes, _)| (fingerprint, crashes)).collect()
+        candidates.into_iter().map(|(fingerprint, crashes, _)| (fingerprint, crashes)).collect()
     }
 
     /// Whether a request in quarantine was at the server as well.
--- a/crates/core/src/quota/server_limits.rs
+++ b/crates/core/src/quota/server_limits.rs
@@ -10,7 +10,7 @@
 use crate::units::{Credit, CreditPerSecond, Micros, Millis, MonoTime};
 
 /// Messages to the other daemons that carry a change; a daemon that misses all of them learns it from its own answers.
-const TELLINGS: u8 = 3;
+const TRANSMISSIONS: u8 = 3;
 
 /// Changes in one message. A message fits a datagram beside what else it holds.
 const GOSSIP_MAX: usize = 16;
@@ -58,7 +58,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
     stated: HashMap<BackendServerId, Stated>,
-    untold: Vec<(u8, BackendServerId)>,
+    pending: Vec<(u8, BackendServerId)>,
 }
 
 impl ServerLimits {
@@ -74,14 +74,14 @@
         }
         let is_change = self.take(server, Stated { rate, at_us: now_us });
         if is_change {
-            self.untold.retain(|(_, known)| known != server);
-            self.untold.push((TELLINGS, server.clone()));
+            self.pending.retain(|(_, known)| known != server);
+            self.pending.push((TRANSMISSIONS, server.clone()));
         }
         is_change
     }
 
     /// Takes what another daemon says of a server. Says whether that is a change.
-    pub fn heard(&mut self, now_us: MonoTime, statement: &LimitStatement) -> bool {
+    pub fn merge(&mut self, now_us: MonoTime, statement: &LimitStatement) -> bool {
         let LimitStatement { ref server, rate, age_ms } = *statement;
         let at_us = MonoTime(now_us.0.saturating_sub(Micros::from(age_ms).0));
         let is_older = self.stated.get(server).is_some_and(|known| known.at_us >= at_us);
@@ -108,11 +108,11 @@
     /// What goes into the next message to the other daemons.
     pub fn gossip(&mut self, now_us: MonoTime) -> Vec<LimitStatement> {
         let mut due: Vec<BackendServerId> = Vec::new();
-        for (left, server) in self.untold.iter_mut().take(GOSSIP_MAX) {
+        for (left, server) in self.pending.iter_mut().take(GOSSIP_MAX) {
             *left -= 1;
             due.push(server.clone());
         }
-        self.untold.retain(|(left, _)| *left > 0);
+        self.pending.retain(|(left, _)| *left > 0);
         due.iter().filter_map(|server| self.statement(now_us, server)).collect()
     }
 
@@ -122,7 +122,7 @@
         IsListed: Fn(&BackendServerId) -> bool,
     {
         self.stated.retain(|server, _| is_listed(server));
-        self.untold.retain(|(_, server)| is_listed(server));
+        self.pending.retain(|(_, server)| is_listed(server));
     }
 
     fn take(&mut self, server: &BackendServerId, stated: Stated) -> bool {
--- a/crates/core/tests/quarantine/world.rs
+++ b/crates/core/tests/quarantine/world.rs
@@ -250,9 +250,9 @@
         for (_, from, to, datagram) in due {
             let now_us = self.daemons[to].clock(at_ms);
             let quarantine = &mut self.daemons[to].quarantine;
-            let heard = match datagram {
-                Datagram::Gossip(gossip) => quarantine.heard(now_us, gossip),
-                Datagram::Page(page) => quarantine.take_page(now_us, page),
+            let received = match datagram {
+                Datagram::Gossip(gossip) => quarantine.receive(now_us, gossip),
+                Datagram::Page(page) => quarantine.receive_page(now_us, page),
                 Datagram::Ask(after) => {
                     let page = quarantine.page(now_us, after);
                     self.bytes += postcard::to_stdvec(&page).unwrap().len();
@@ -260,7 +260,7 @@
                     continue;
                 }
             };
-            if let Some(after) = heard.ask {
+            if let Some(after) = received.ask {
                 self.send(at_ms, to, from, Datagram::Ask(after));
             }
         }
--- a/crates/core/tests/quota/server_limits.rs
+++ b/crates/core/tests/quota/server_limits.rs
@@ -41,9 +41,9 @@
     let mut limits = ServerLimits::default();
     limits.answered(at(1_000), &server(), limit(5));
     limits.answered(at(1_500), &server(), None);
-    assert!(!limits.heard(at(2_000), &statement(5, 900)));
+    assert!(!limits.merge(at(2_000), &statement(5, 900)));
     assert_eq!(limits.rate(&server()), None);
-    assert!(limits.heard(at(2_000), &statement(4, 100)));
+    assert!(limits.merge(at(2_000), &statement(4, 100)));
     assert_eq!(limits.rate(&server()), limit(4));
 }
 
@@ -51,9 +51,9 @@
 #[test]
 fn a_word_from_before_the_start_is_the_oldest() {
     let mut limits = ServerLimits::default();
-    assert!(limits.heard(at(100), &statement(4, 9_000)));
+    assert!(limits.merge(at(100), &statement(4, 9_000)));
     limits.answered(at(200), &server(), limit(6));
-    assert!(!limits.heard(at(300), &statement(4, 9_000)));
+    assert!(!limits.merge(at(300), &statement(4, 9_000)));
     assert_eq!(limits.rate(&server()), limit(6));
 }
 
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -249,7 +249,7 @@
     }
 
     /// A request was put in quarantine or let out of it.
-    pub fn judged(&self, verdict: &Verdict) {
+    pub fn quarantine_changed(&self, verdict: &Verdict) {
         spdlog::info!(logger: self.logger, "quarantine", kv: {
             fingerprint: = verdict.fingerprint,
             is_quarantined = verdict.is_quarantined,
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -20,12 +20,12 @@
 use super::edge::{DaemonEntry, EvidenceStore, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
 use super::freshness::Freshness;
-use super::keeping;
 use super::limits::LimitHub;
 use super::metrics::RelayMetrics;
 use super::news::News;
 use super::orders::Orders;
 use super::peers::{self, Peers};
+use super::persistence;
 use super::quarantine::QuarantineHub;
 use super::quotas::QuotaHub;
 use super::settings::RelaySettings;
@@ -159,7 +159,7 @@
             }
         });
         control.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
-        control.spawn(keeping::run(edges.evidence, evidence_due, Arc::clone(&state)));
+        control.spawn(persistence::run(edges.evidence, evidence_due, Arc::clone(&state)));
         // One lease for all engines of the region.
         match settings.host.region.as_str().parse() {
             Ok(scope) => {
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -296,27 +296,27 @@
     fn entries(&self) -> BoxFuture<'_, Result<Vec<DaemonEntry>, TableFailure>>;
 }
 
-/// The evidence against a request in quarantine, as it is kept.
+/// The evidence against a request in quarantine, as it is saved.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct KeptEvidence {
+pub struct SavedEvidence {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// The reports; their ages are those of the time at which they were kept.
+    /// The reports; their ages are those of the time at which they were saved.
     pub reports: Vec<Report>,
-    /// That time, by the clock of the daemon that kept them.
-    pub kept_unix_ms: u64,
+    /// That time, by the clock of the daemon that saved them.
+    pub saved_unix_ms: u64,
 }
 
 /// Where evidence outlives the daemons.
 pub trait EvidenceStore: Debug + Send + Sync + 'static {
-    /// Keeps the evidence against a request, in place of what was kept before.
-    fn keep(&self, evidence: KeptEvidence) -> BoxFuture<'_, Result<(), TableFailure>>;
+    /// Saves the evidence against a request, in place of what was saved before.
+    fn save(&self, evidence: SavedEvidence) -> BoxFuture<'_, Result<(), TableFailure>>;
 
-    /// Drops what is kept of a request.
-    fn drop_kept(&self, fingerprint: Fingerprint) -> BoxFuture<'_, Result<(), TableFailure>>;
+    /// Removes what is saved of a request.
+    fn remove(&self, fingerprint: Fingerprint) -> BoxFuture<'_, Result<(), TableFailure>>;
 
-    /// All that is kept.
-    fn kept(&self) -> BoxFuture<'_, Result<Vec<KeptEvidence>, TableFailure>>;
+    /// All that is saved.
+    fn load(&self) -> BoxFuture<'_, Result<Vec<SavedEvidence>, TableFailure>>;
 }
 
 /// Where operators publish the table of routes.
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -52,9 +52,9 @@
     }
 
     /// Takes what another daemon says of servers.
-    pub fn heard(&self, state: &RelayState, statements: &[LimitStatement]) {
+    pub fn merge(&self, state: &RelayState, statements: &[LimitStatement]) {
         for statement in statements {
-            if self.limits.lock().heard(clock::now(), statement) {
+            if self.limits.lock().merge(clock::now(), statement) {
                 Self::changed(state, &statement.server, statement.rate, "daemon");
             }
         }
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -354,7 +354,7 @@
         Ok(Datagram::QuotaReturn(returned)) => state.quotas.returned(&returned),
         Ok(Datagram::ReportQuestion(after)) => send(socket, from, &state.quarantine.page(after)).await,
         Ok(Datagram::ReportPage(page)) => {
-            if let Some(question) = state.quarantine.take_page(state, page) {
+            if let Some(question) = state.quarantine.receive_page(state, page) {
                 send(socket, from, &question).await;
             }
         }
@@ -388,6 +388,6 @@
         loans::told(&message.host, &spares, state);
     }
     state.engine_hub.peer(&message.host, message.holdings);
-    state.limits.heard(state, &message.limits);
-    state.quarantine.heard(state, message.crashes)
+    state.limits.merge(state, &message.limits);
+    state.quarantine.receive(state, message.crashes)
 }
--- a/crates/router/src/relay/keeping.rs
+++ b/crates/router/src/relay/persistence.rs
@@ -1,4 +1,4 @@
-//! Requests in quarantine, kept on the platform: when all daemons end at once nobody is left who knows them.
+//! Evidence against requests in quarantine, saved on the platform for when all daemons end at once.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,58 +7,58 @@
 use hibiscusvale_core::units::Millis;
 use tokio::sync::mpsc;
 
-use super::edge::{EvidenceStore, KeptEvidence, TableFailure};
+use super::edge::{EvidenceStore, SavedEvidence, TableFailure};
 use super::state::RelayState;
 use crate::clock;
 
 /// Pause after a failed call.
 const RETRY: Duration = Duration::from_secs(1);
 
-/// Requests whose evidence has become old that one daemon drops when it starts.
-const DROPPED_MAX: usize = 8;
+/// Records whose evidence has become old that one daemon removes when it starts.
+const REMOVED_MAX: usize = 8;
 
-/// Restores what is kept, and keeps what comes, for as long as the daemon runs.
+/// Restores what was saved, and saves what comes, for as long as the daemon runs.
 pub async fn run(
     store: Arc<dyn EvidenceStore>,
     due: mpsc::UnboundedReceiver<Fingerprint>,
     state: Arc<RelayState>,
 ) {
-    tokio::join!(restore(&*store, &state), keep(&*store, due, &state));
+    tokio::join!(restore(&*store, &state), save(&*store, due, &state));
 }
 
 async fn restore(store: &dyn EvidenceStore, state: &RelayState) {
     let mut failure: Option<TableFailure> = None;
-    let kept = loop {
-        match store.kept().await {
-            Ok(kept) => break kept,
+    let saved = loop {
+        match store.load().await {
+            Ok(saved) => break saved,
             Err(error) => note(state, "evidence not restored", &mut failure, error),
         }
         tokio::time::sleep(RETRY).await;
     };
-    state.log.changed("evidence restored", &kept.len());
+    state.log.changed("evidence restored", &saved.len());
     let mut old = Vec::new();
-    for evidence in kept {
+    for evidence in saved {
         let fingerprint = evidence.fingerprint;
         if !state.quarantine.restore(state, evidence) {
             old.push(fingerprint);
         }
     }
-    for fingerprint in old.into_iter().take(DROPPED_MAX) {
-        // What is not dropped now is dropped by a daemon that starts later.
-        let _ = store.drop_kept(fingerprint).await;
+    for fingerprint in old.into_iter().take(REMOVED_MAX) {
+        // A record that stays is removed by a daemon that starts later.
+        let _ = store.remove(fingerprint).await;
     }
 }
 
-async fn keep(store: &dyn EvidenceStore, mut due: mpsc::UnboundedReceiver<Fingerprint>, state: &RelayState) {
+async fn save(store: &dyn EvidenceStore, mut due: mpsc::UnboundedReceiver<Fingerprint>, state: &RelayState) {
     while let Some(fingerprint) = due.recv().await {
         let mut failure: Option<TableFailure> = None;
         while let Some(evidence) = state.quarantine.evidence(fingerprint) {
-            match store.keep(evidence).await {
+            match store.save(evidence).await {
                 Ok(()) => {
-                    state.log.changed("evidence kept", &fingerprint);
+                    state.log.changed("evidence saved", &fingerprint);
                     break;
                 }
-                Err(error) => note(state, "evidence not kept", &mut failure, error),
+                Err(error) => note(state, "evidence not saved", &mut failure, error),
             }
             tokio::time::sleep(RETRY).await;
         }
@@ -73,10 +73,10 @@
     }
 }
 
-impl KeptEvidence {
+impl SavedEvidence {
     /// The same with the time that has passed since added to the ages.
     pub(super) fn aged(mut self) -> Self {
-        let passed_ms = Millis(clock::unix_ms().saturating_sub(self.kept_unix_ms));
+        let passed_ms = Millis(clock::unix_ms().saturating_sub(self.saved_unix_ms));
         for report in &mut self.reports {
             report.age_ms += passed_ms;
         }
--- a/crates/router/src/relay/quarantine.rs
+++ b/crates/router/src/relay/quarantine.rs
@@ -2,13 +2,13 @@
 
 use hibiscusvale_core::ids::{BackendServerId, Incarnation};
 use hibiscusvale_core::quarantine::{
-    Fingerprint, Gossip, Heard, Quarantine, QuarantineSettings, ReportPage, Verdict,
+    Fingerprint, Gossip, Quarantine, QuarantineSettings, Received, ReportPage, Verdict,
 };
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, watch};
 
-use super::edge::KeptEvidence;
+use super::edge::SavedEvidence;
 use super::message::Datagram;
 use super::pace::Urgency;
 use super::refusal::{Reason, Refusal};
@@ -21,34 +21,34 @@
     quarantine: Mutex<Quarantine>,
     /// Counts the verdicts; requests that wait for a server look again with each.
     verdicts: watch::Sender<u64>,
-    /// Requests whose evidence is to be kept.
-    keep: mpsc::UnboundedSender<Fingerprint>,
+    /// Requests whose evidence is to be saved.
+    save: mpsc::UnboundedSender<Fingerprint>,
 }
 
 impl QuarantineHub {
-    /// No evidence, and the end where requests come out whose evidence is to be kept.
+    /// No evidence, and the end where requests come out whose evidence is to be saved.
     pub fn new(incarnation: Incarnation) -> (Self, mpsc::UnboundedReceiver<Fingerprint>) {
         let quarantine = Quarantine::new(QuarantineSettings::default(), incarnation);
-        let (keep, due) = mpsc::unbounded_channel();
-        (Self { quarantine: Mutex::new(quarantine), verdicts: watch::Sender::new(0), keep }, due)
+        let (save, due) = mpsc::unbounded_channel();
+        (Self { quarantine: Mutex::new(quarantine), verdicts: watch::Sender::new(0), save }, due)
     }
 
-    /// The evidence against a request in quarantine, for keeping it.
-    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<KeptEvidence> {
+    /// The evidence against a request in quarantine, for saving it.
+    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<SavedEvidence> {
         let quarantine = self.quarantine.lock();
-        quarantine.is_quarantined(fingerprint).then(|| KeptEvidence {
+        quarantine.is_quarantined(fingerprint).then(|| SavedEvidence {
             fingerprint,
             reports: quarantine.reports(clock::now(), fingerprint),
-            kept_unix_ms: clock::unix_ms(),
+            saved_unix_ms: clock::unix_ms(),
         })
     }
 
-    /// Takes evidence that was kept; says whether it still counts.
-    pub fn restore(&self, state: &RelayState, evidence: KeptEvidence) -> bool {
+    /// Takes evidence that was saved; says whether any of it still counts.
+    pub fn restore(&self, state: &RelayState, evidence: SavedEvidence) -> bool {
         let fingerprint = evidence.fingerprint;
         let verdicts = self.quarantine.lock().restore(clock::now(), evidence.aged().reports);
         self.publish(state, &verdicts);
-        self.quarantine.lock().is_quarantined(fingerprint)
+        self.is_suspect(fingerprint)
     }
 
     /// Refuses a request that is in quarantine.
@@ -123,15 +123,15 @@
     }
 
     /// Takes what came with a message of another daemon; says what to send it.
-    pub fn heard(&self, state: &RelayState, gossip: Gossip) -> Option<Datagram> {
-        let heard = self.quarantine.lock().heard(clock::now(), gossip);
-        self.take(state, &heard)
+    pub fn receive(&self, state: &RelayState, gossip: Gossip) -> Option<Datagram> {
+        let received = self.quarantine.lock().receive(clock::now(), gossip);
+        self.take(state, &received)
     }
 
     /// Takes a page of another daemon's reports; says what to send it.
-    pub fn take_page(&self, state: &RelayState, page: ReportPage) -> Option<Datagram> {
-        let heard = self.quarantine.lock().take_page(clock::now(), page);
-        self.take(state, &heard)
+    pub fn receive_page(&self, state: &RelayState, page: ReportPage) -> Option<Datagram> {
+        let received = self.quarantine.lock().receive_page(clock::now(), page);
+        self.take(state, &received)
     }
 
     /// The answer to a daemon that asks for the reports behind a fingerprint.
@@ -139,17 +139,17 @@
         Datagram::ReportPage(self.quarantine.lock().page(clock::now(), after))
     }
 
-    fn take(&self, state: &RelayState, heard: &Heard) -> Option<Datagram> {
-        self.publish(state, &heard.verdicts);
-        heard.ask.map(Datagram::ReportQuestion)
+    fn take(&self, state: &RelayState, received: &Received) -> Option<Datagram> {
+        self.publish(state, &received.verdicts);
+        received.ask.map(Datagram::ReportQuestion)
     }
 
     fn publish(&self, state: &RelayState, verdicts: &[Verdict]) {
         for verdict in verdicts {
-            state.log.judged(verdict);
-            if verdict.is_quarantined && verdict.is_witness {
-                // Without anybody who keeps it, it lives as long as the daemons do.
-                let _ = self.keep.send(verdict.fingerprint);
+            state.log.quarantine_changed(verdict);
+            if verdict.is_quarantined && verdict.is_reporter {
+                // While the daemon stops nobody receives it any more; the other daemons have the evidence.
+                let _ = self.save.send(verdict.fingerprint);
             }
         }
         if !verdicts.is_empty() {
--- a/crates/router/src/relay/quotas.rs
+++ b/crates/router/src/relay/quotas.rs
@@ -272,7 +272,7 @@
     pub fn answer(&self, state: &RelayState, from: SocketAddr, question: &QuotaQuestion) {
         let &QuotaQuestion { incarnation, number, ref owner, needs, likely, ref limit } = question;
         if let Some(limit) = limit {
-            state.limits.heard(state, std::slice::from_ref(limit));
+            state.limits.merge(state, std::slice::from_ref(limit));
         }
         if let Some(grant) = self.grant(state, owner, needs, likely) {
             self.send(from, Datagram::QuotaAnswer(QuotaAnswer { incarnation, number, grant }));
