Repeat news in several messages by one piece of code

Changes of the servers, reports of crashed servers and changes of servers' limits each kept their own list with a count of messages left. Repeats keeps it for all three, oldest or newest first as each had it.

--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -8,11 +8,9 @@
 use super::report::{Finding, Gossip, Report, ReportId, ReportPage};
 use super::survivors::Survivors;
 use crate::ids::{BackendServerId, Incarnation};
+use crate::repeats::Repeats;
 use crate::units::{Micros, Millis, MonoTime};
 
-/// Messages that carry a report; whoever misses all of them notices by the digest.
-const TRANSMISSIONS: u8 = 3;
-
 /// Reports in one message. A message fits a datagram beside what else it holds.
 const GOSSIP_REPORTS_MAX: usize = 12;
 
@@ -92,7 +90,8 @@
     reports_made: u64,
     suspects: HashMap<Fingerprint, Evidence>,
     survivors: Survivors,
-    pending: Vec<Pending>,
+    /// Reports of this daemon for the next messages; whoever misses all of them notices by the digest.
+    pending: Repeats<Pending>,
     digest: u64,
     ask_at_us: MonoTime,
     /// Behind which fingerprint to ask next.
@@ -102,7 +101,6 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Pending {
-    left: u8,
     fingerprint: Fingerprint,
     id: ReportId,
 }
@@ -116,7 +114,7 @@
             reports_made: 0,
             suspects: HashMap::new(),
             survivors: Survivors::new(settings.survivors_max),
-            pending: Vec::new(),
+            pending: Repeats::default(),
             digest: 0,
             ask_at_us: MonoTime::default(),
             asked_after: None,
@@ -201,13 +199,11 @@
     pub fn gossip(&mut self, now_us: MonoTime) -> Gossip {
         let reckoned_us = self.reckoned(now_us);
         let mut reports = Vec::new();
-        for pending in self.pending.iter_mut().rev().take(GOSSIP_REPORTS_MAX) {
-            pending.left -= 1;
+        for pending in self.pending.newest(GOSSIP_REPORTS_MAX) {
             let evidence = self.suspects.get(&pending.fingerprint);
             let known = evidence.map(|evidence| evidence.reports(reckoned_us, pending.fingerprint));
             reports.extend(known.into_iter().flatten().find(|report| report.id == pending.id));
         }
-        self.pending.retain(|pending| pending.left > 0);
         Gossip { reports, digest: self.digest }
     }
 
@@ -265,7 +261,7 @@
         if !self.take(now_us, Report { id, fingerprint, finding, age_ms: Millis::ZERO }) {
             return Vec::new();
         }
-        self.pending.push(Pending { left: TRANSMISSIONS, fingerprint, id });
+        self.pending.push(Pending { fingerprint, id });
         self.evaluate()
     }
 
--- a/crates/core/src/quota/server_limits.rs
+++ b/crates/core/src/quota/server_limits.rs
@@ -7,11 +7,9 @@
 use super::ledger::LedgerSettings;
 use super::limit::{Quota, QuotaBounds, QuotaUnit};
 use crate::ids::BackendServerId;
+use crate::repeats::Repeats;
 use crate::units::{Credit, CreditPerSecond, Micros, Millis, MonoTime};
 
-/// Messages to the other daemons that carry a change; a daemon that misses all of them learns it from its own answers.
-const TRANSMISSIONS: u8 = 3;
-
 /// Changes in one message. A message fits a datagram beside what else it holds.
 const GOSSIP_MAX: usize = 16;
 
@@ -58,7 +56,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
     stated: HashMap<BackendServerId, Stated>,
-    pending: Vec<(u8, BackendServerId)>,
+    /// Changes for the next messages; a daemon that misses all of them learns them from its own answers.
+    pending: Repeats<BackendServerId>,
 }
 
 impl ServerLimits {
@@ -74,8 +73,8 @@
         }
         let is_change = self.take(server, Stated { rate, at_us: now_us });
         if is_change {
-            self.pending.retain(|(_, known)| known != server);
-            self.pending.push((TRANSMISSIONS, server.clone()));
+            self.pending.retain(|known| known != server);
+            self.pending.push(server.clone());
         }
         is_change
     }
@@ -107,12 +106,7 @@
 
     /// What goes into the next message to the other daemons.
     pub fn gossip(&mut self, now_us: MonoTime) -> Vec<LimitStatement> {
-        let mut due: Vec<BackendServerId> = Vec::new();
-        for (left, server) in self.pending.iter_mut().take(GOSSIP_MAX) {
-            *left -= 1;
-            due.push(server.clone());
-        }
-        self.pending.retain(|(left, _)| *left > 0);
+        let due = self.pending.oldest(GOSSIP_MAX);
         due.iter().filter_map(|server| self.statement(now_us, server)).collect()
     }
 
@@ -122,7 +116,7 @@
         IsListed: Fn(&BackendServerId) -> bool,
     {
         self.stated.retain(|server, _| is_listed(server));
-        self.pending.retain(|(_, server)| is_listed(server));
+        self.pending.retain(is_listed);
     }
 
     fn take(&mut self, server: &BackendServerId, stated: Stated) -> bool {
--- a/crates/router/src/relay/news.rs
+++ b/crates/router/src/relay/news.rs
@@ -7,14 +7,12 @@
 use std::sync::Arc;
 
 use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::repeats::Repeats;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 use crate::directory::{BackendServer, Listing};
 
-/// Messages that tell a change. One in some hundred is lost; whoever missed all of them reads the store.
-const TELLINGS: u8 = 3;
-
 /// Servers that one change may name. Beyond, a message to each daemon costs the links more than their reads cost the
 /// store.
 const SERVERS_MAX: usize = 24;
@@ -79,30 +77,24 @@
     }
 }
 
-/// Changes that are still to be told.
+/// Changes for the next messages; whoever misses all of them reads the store.
 #[derive(Debug, Default)]
 pub struct News {
-    untold: Mutex<Vec<(u8, ServerChange)>>,
+    pending: Mutex<Repeats<ServerChange>>,
 }
 
 impl News {
     /// Takes a change that was read here.
     pub fn note(&self, change: ServerChange) {
-        let mut untold = self.untold.lock();
-        let named: usize = untold.iter().map(|(_, change)| change.named()).sum();
+        let mut pending = self.pending.lock();
+        let named: usize = pending.iter().map(ServerChange::named).sum();
         if named + change.named() <= SERVERS_TOLD_MAX {
-            untold.push((TELLINGS, change));
+            pending.push(change);
         }
     }
 
     /// What goes into the next message, oldest first.
     pub fn next(&self) -> Vec<ServerChange> {
-        let mut untold = self.untold.lock();
-        let next = untold.iter().map(|(_, change)| change.clone()).collect();
-        for (left, _) in untold.iter_mut() {
-            *left -= 1;
-        }
-        untold.retain(|(left, _)| *left > 0);
-        next
+        self.pending.lock().oldest(usize::MAX)
     }
 }
