Look whether a server takes connections in one place

A silent engine and a server that may have crashed were each looked at by an attempt to connect of 300 ms of its own. One probe says whether the server takes connections, its host refuses them, or nothing is known. Behaviour is unchanged.

--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -1,6 +1,5 @@
 //! Telling a server that crashed under a request from a connection that broke.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,15 +7,12 @@
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::Millis;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use super::probe::{Probe, probe};
 use super::state::Incoming;
 use crate::external::ListedState;
 
-/// The host of a crashed process refuses a connection within a round trip.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// A server that has written for so long does not crash for what it runs: that ends it when the run begins.
 const SURVIVED: Duration = Duration::from_secs(1);
 
@@ -74,7 +70,7 @@
     let (state, sending) = (Arc::clone(&incoming.state), sending.clone());
     let is_suspect = state.quarantine.is_suspect(fingerprint);
     let report = async move {
-        if refuses_connections(sending.address).await {
+        if probe(sending.address).await == Probe::Refuses {
             state.log.server_crashed(&sending.server, request_id, fingerprint, in_flight_ms);
             state.quarantine.crashed(&state, fingerprint, sending.server, in_flight_ms);
         }
@@ -91,10 +87,3 @@
     let listing = incoming.state.directory.listing();
     listing.servers.get(server).is_none_or(|listed| listed.listed == ListedState::Leaving)
 }
-
-async fn refuses_connections(address: SocketAddr) -> bool {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod persistence;
 mod plain;
+mod probe;
 mod quarantine;
 mod quotas;
 mod refusal;
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -13,22 +13,19 @@
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::Response;
 use hyper::body::Incoming as ServerBody;
-use tokio::net::TcpStream;
 
 use super::crashes::{self, Sending};
 use super::edge::{EventId, Generation, Hop, PromptRead, Reservation, Task};
 use super::engine_hub::{EngineHub, OpenRequest};
 use super::hop::{self, Reply, WholeReply};
 use super::passing;
+use super::probe::{Probe, probe};
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
 use super::story::Step;
 use crate::backend::Trust;
 use crate::callers::{AnswerBody, BodyBroken};
 
-/// Time for that other connection: many round trips inside a region.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Times its target that a caller stays without an event, less one for what is still to come: callers leave after four.
 const PATIENCE_FACTOR: u64 = 3;
 
@@ -287,7 +284,7 @@
         let Some(sending) = &self.writing else {
             return false;
         };
-        matches!(tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(sending.address())).await, Ok(Ok(_)))
+        probe(sending.address()).await == Probe::Accepts
     }
 
     /// An event of the engine's answer came.
