Log a lost and regained evidence store as other dependencies

Link has its own module now and serves all three. One outage is one line and its end another; before, another kind of failure within the same outage was a further line, and the end was none.

--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod handover;
 mod hop;
 mod limits;
+mod link;
 mod loans;
 mod message;
 mod metrics;
--- a/crates/router/src/relay/persistence.rs
+++ b/crates/router/src/relay/persistence.rs
@@ -7,7 +7,8 @@
 use hibiscusvale_core::units::Millis;
 use tokio::sync::mpsc;
 
-use super::edge::{EvidenceStore, SavedEvidence, TableFailure};
+use super::edge::{EvidenceStore, SavedEvidence};
+use super::link::Link;
 use super::state::RelayState;
 use crate::clock;
 
@@ -27,14 +28,15 @@
 }
 
 async fn restore(store: &dyn EvidenceStore, state: &RelayState) {
-    let mut failure: Option<TableFailure> = None;
+    let mut link = Link::new("evidence not restored", "saved evidence is read again");
     let saved = loop {
         match store.load().await {
             Ok(saved) => break saved,
-            Err(error) => note(state, "evidence not restored", &mut failure, error),
+            Err(failure) => link.lost(state, &failure),
         }
         tokio::time::sleep(RETRY).await;
     };
+    link.regained(state);
     state.log.changed("evidence restored", &saved.len());
     let mut old = Vec::new();
     for evidence in saved {
@@ -50,29 +52,22 @@
 }
 
 async fn save(store: &dyn EvidenceStore, mut due: mpsc::UnboundedReceiver<Fingerprint>, state: &RelayState) {
+    let mut link = Link::new("evidence not saved", "evidence is saved again");
     while let Some(fingerprint) = due.recv().await {
-        let mut failure: Option<TableFailure> = None;
         while let Some(evidence) = state.quarantine.evidence(fingerprint) {
             match store.save(evidence).await {
                 Ok(()) => {
+                    link.regained(state);
                     state.log.changed("evidence saved", &fingerprint);
                     break;
                 }
-                Err(error) => note(state, "evidence not saved", &mut failure, error),
+                Err(failure) => link.lost(state, &failure),
             }
             tokio::time::sleep(RETRY).await;
         }
     }
 }
 
-/// Writes a failure when it is another one than before.
-fn note(state: &RelayState, what: &'static str, before: &mut Option<TableFailure>, failure: TableFailure) {
-    if before.as_ref() != Some(&failure) {
-        state.log.changed(what, &failure);
-        *before = Some(failure);
-    }
-}
-
 impl SavedEvidence {
     /// The same with the time that has passed since added to the ages.
     pub(super) fn aged(mut self) -> Self {
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,7 +1,6 @@
 //! Follows the routes and the servers, and knows how old its knowledge is.
 
 use std::collections::BTreeSet;
-use std::fmt::Display;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -13,6 +12,7 @@
 use super::edge::TableSource;
 use super::freshness::{Followed, ListState, NewerTable, due};
 use super::handover;
+use super::link::Link;
 use super::news::ServerChange;
 use super::pace::Urgency;
 use super::state::RelayState;
@@ -157,28 +157,3 @@
     state.engine_hub.configure(&state.table.load());
     state.servers_adopted.store(true, Ordering::Relaxed);
 }
-
-/// Tells once that a dependency was lost, and once that it is back.
-struct Link {
-    is_lost: bool,
-    lost: &'static str,
-    regained: &'static str,
-}
-
-impl Link {
-    fn new(lost: &'static str, regained: &'static str) -> Self {
-        Self { is_lost: false, lost, regained }
-    }
-
-    fn lost(&mut self, state: &RelayState, failure: &dyn Display) {
-        if !std::mem::replace(&mut self.is_lost, true) {
-            state.log.changed(self.lost, failure);
-        }
-    }
-
-    fn regained(&mut self, state: &RelayState) {
-        if std::mem::take(&mut self.is_lost) {
-            state.log.changed(self.regained, &"");
-        }
-    }
-}
