Wait for a verdict once for each request, and reckon limited waits without running variables

Each step of a request subscribed to verdicts and looked itself up anew; one wait lasts over all its steps now. The two reckonings of how long limits keep a request waiting carried an earliest time and a rate through a loop with early returns; they collect what each instance says and take the minimum and the sum. Behaviour is unchanged: the first server without a limit ends the look as before.

--- a/crates/core/src/relay/engines/admitting.rs
+++ b/crates/core/src/relay/engines/admitting.rs
@@ -68,12 +68,10 @@
 
     /// Time until a writer takes one more request, where all have used up the limits that they state.
     pub(super) fn limited_wait(&self, now_us: MonoTime) -> Option<Micros> {
-        let mut opens_us: Option<MonoTime> = None;
-        for writer in self.engines.iter().filter(|engine| engine.is_writer(now_us)) {
-            let until_us = writer.instance.limited_until(now_us)?;
-            opens_us = Some(opens_us.map_or(until_us, |known_us| known_us.min(until_us)));
-        }
-        opens_us.map(|opens_us| opens_us.since(now_us))
+        let writers = self.engines.iter().filter(|engine| engine.is_writer(now_us));
+        let opens_us: Option<Vec<MonoTime>> =
+            writers.map(|writer| writer.instance.limited_until(now_us)).collect();
+        Some(opens_us?.into_iter().min()?.since(now_us))
     }
 
     /// Time until there is room for one more request behind all that wait at all daemons; `None` while no writer takes
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -253,25 +253,25 @@
     /// cannot get in time, one behind the other, instead of being told when to come back. Other daemons take their part
     /// of the limits, so what this one got lately says how long its queue takes.
     fn limited_wait(&self, now_us: MonoTime) -> Option<Micros> {
-        let mut rate = 0;
-        let mut opens_us: Option<MonoTime> = None;
-        for instance in self.instances.iter().filter(|instance| instance.is_listed_live(now_us)) {
-            let aside_us = instance.opens_at(now_us);
-            match instance.limit_rate(now_us) {
-                Some(limit) => rate += limit.0,
-                None if aside_us.is_some() => {}
-                None => return None,
-            }
-            let until_us = instance.limited_until(now_us).or(aside_us).unwrap_or(now_us);
-            opens_us = Some(opens_us.map_or(until_us, |known_us| known_us.min(until_us)));
-        }
+        let live = self.instances.iter().filter(|instance| instance.is_listed_live(now_us));
+        let closed: Option<Vec<(MonoTime, u64)>> = live
+            .map(|instance| {
+                let (rate, aside_us) = (instance.limit_rate(now_us), instance.opens_at(now_us));
+                let is_closed = rate.is_some() || aside_us.is_some();
+                let until_us = instance.limited_until(now_us).or(aside_us).unwrap_or(now_us);
+                is_closed.then(|| (until_us, rate.unwrap_or_default().0))
+            })
+            .collect();
+        let closed = closed?;
+        let opens_us = closed.iter().map(|(until_us, _)| *until_us).min()?;
+        let rate: u64 = closed.iter().map(|(_, rate)| rate).sum();
         let ahead = self.queue.len() as u64;
         let lately = self.limited_starts.iter().filter(|at_us| now_us < **at_us + STARTS_WINDOW_MS).count();
         let behind_us = match lately as u64 {
             0 => ahead * UNIT.0 * MICROS_PER_SECOND / rate.max(1),
             lately => ahead * Micros::from(STARTS_WINDOW_MS).0 / lately,
         };
-        Some(opens_us?.since(now_us) + Micros(behind_us))
+        Some(opens_us.since(now_us) + Micros(behind_us))
     }
 
     /// Notes that an instance took a call, for reckoning what a limit leaves to this daemon.
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -1,5 +1,6 @@
 //! One request for a plain service.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,10 +38,11 @@
     // The answer of a server that failed, which the caller gets when there is no better one.
     let mut failed: Option<WholeReply> = None;
     let mut may_have_run = false;
+    let mut refused = pin!(state.quarantine.refused(incoming.fingerprint));
     loop {
         let step = tokio::select! {
             biased;
-            refusal = state.quarantine.refused(incoming.fingerprint) => {
+            refusal = &mut refused => {
                 return Err(refusal.unless_run(may_have_run));
             }
             step = open.step() => step,
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -3,6 +3,7 @@
 
 use std::mem::ManuallyDrop;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -151,10 +152,12 @@
     /// Follows the pool's steps until an engine answers.
     async fn opened(&mut self) -> Result<Reply, Refusal> {
         let request_id = self.incoming.request_id;
+        let state = Arc::clone(&self.state);
+        let mut refused = pin!(state.quarantine.refused(self.incoming.fingerprint));
         loop {
             let step = tokio::select! {
                 biased;
-                refusal = self.state.quarantine.refused(self.incoming.fingerprint) => {
+                refusal = &mut refused => {
                     return Err(refusal.unless_run(self.outcome_unknown));
                 }
                 step = self.open.step() => step,
