--- a/crates/core/tests/quarantine/harm.rs
+++ b/crates/core/tests/quarantine/harm.rs
@@ -2,23 +2,13 @@
 
 use rstest::rstest;
 
-use crate::world::{Trouble, World};
+use crate::world::{CALM, Trouble, World};
 
 /// Times that a crashing request may be sent to servers by daemons that had the time to know.
 const SENT_LATE_MAX: usize = 3;
 
 const SECOND_MS: u64 = 1_000;
 
-const CALM: Trouble = Trouble {
-    lost: 0,
-    cut_ms: None,
-    restart_ms: None,
-    kill_each_ms: None,
-    crashing: 1,
-    comes_each_ms: 400,
-    from_ms: 1_000,
-};
-
 fn play(daemons: usize, servers: usize, trouble: Trouble, seed: u64, end_ms: u64) -> World {
     let mut world = World::new(daemons, servers, trouble, seed);
     world.play(end_ms);
--- a/crates/core/tests/quarantine/world.rs
+++ b/crates/core/tests/quarantine/world.rs
@@ -51,19 +51,16 @@
     pub from_ms: u64,
 }
 
-impl Default for Trouble {
-    fn default() -> Self {
-        Self {
-            lost: 0,
-            cut_ms: None,
-            restart_ms: None,
-            kill_each_ms: None,
-            crashing: 1,
-            comes_each_ms: 400,
-            from_ms: 1_000,
-        }
-    }
-}
+/// One request that crashes servers, and nothing else.
+pub const CALM: Trouble = Trouble {
+    lost: 0,
+    cut_ms: None,
+    restart_ms: None,
+    kill_each_ms: None,
+    crashing: 1,
+    comes_each_ms: 400,
+    from_ms: 1_000,
+};
 
 struct Daemon {
     quarantine: Quarantine,
