--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -37,7 +37,7 @@
 }
 
 impl Evidence {
-    /// Takes a crash; says whether that was news.
+    /// Adds a crash; returns whether it was new.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
         let is_known = self.crashes.iter().any(|known| known.id == crash.id);
         let is_cleared = self.survived.is_some_and(|(_, at_us)| crash.at_us <= at_us);
@@ -82,7 +82,7 @@
         self.crashes.iter().map(|crash| crash.at_us).chain(survived_us).max()
     }
 
-    /// Crashes that `counts` says yes to, newest first; reports of one crash count once.
+    /// Crashes for which `counts` holds, newest first; reports of one crash count once.
     pub(super) fn distinct<Counts>(&self, counts: Counts) -> Vec<&Crash>
     where
         Counts: Fn(&Crash) -> bool,
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -4,7 +4,7 @@
 //! quarantine: it reaches no further server until the evidence is old.
 //!
 //! - [`Fingerprint`]: recognises a request that comes again under another id.
-//! - [`Report`]: what one daemon saw, and tells all others.
+//! - [`Report`]: what one daemon saw and sends to all others.
 //! - [`Quarantine`]: the evidence of one daemon, and what follows from it.
 
 mod evidence;
--- a/crates/core/src/quarantine/report.rs
+++ b/crates/core/src/quarantine/report.rs
@@ -1,4 +1,4 @@
-//! What daemons tell each other of crashed servers.
+//! Reports of crashed servers, as daemons exchange them.
 
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -68,7 +68,7 @@
     pub is_reporter: bool,
 }
 
-/// What follows from what another daemon said.
+/// What follows from a message of another daemon.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Received {
     /// What changed.
@@ -273,7 +273,7 @@
         is_news
     }
 
-    /// Takes one report; says whether that was news.
+    /// Takes one report; returns whether it was new.
     fn take(&mut self, now_us: MonoTime, report: Report) -> bool {
         let Report { id, fingerprint, finding, age_ms } = report;
         if age_ms >= self.settings.evidence_ms {
@@ -307,7 +307,7 @@
         }
     }
 
-    /// Decides anew who is in quarantine; says what changed.
+    /// Decides anew which requests are in quarantine; returns what changed.
     fn evaluate(&mut self) -> Vec<Verdict> {
         self.digest = self.suspects.values().flat_map(Evidence::ids).fold(0, |sum, id| sum ^ id.digest());
         let mut verdicts = Vec::new();
--- a/crates/core/src/quota/server_limits.rs
+++ b/crates/core/src/quota/server_limits.rs
@@ -31,14 +31,14 @@
     }
 }
 
-/// What a server said, as it travels between daemons.
+/// The newest statement of a server, as daemons exchange it.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct LimitStatement {
     /// The server.
     pub server: BackendServerId,
     /// Requests that it takes from all daemons together, in thousandths; no limit where it is absent.
     pub rate: Option<CreditPerSecond>,
-    /// How long ago it said so.
+    /// Time since the server answered with it.
     pub age_ms: Millis,
 }
 
@@ -61,7 +61,7 @@
 }
 
 impl ServerLimits {
-    /// A server answered this daemon, with a limit or without. Says whether that is a change.
+    /// A server answered this daemon, with a limit or without. Returns whether the limit changed.
     pub fn answered(
         &mut self,
         now_us: MonoTime,
@@ -79,7 +79,7 @@
         is_change
     }
 
-    /// Takes what another daemon says of a server. Says whether that is a change.
+    /// Merges a statement from another daemon. Returns whether the limit changed.
     pub fn merge(&mut self, now_us: MonoTime, statement: &LimitStatement) -> bool {
         let LimitStatement { ref server, rate, age_ms } = *statement;
         let at_us = MonoTime(now_us.0.saturating_sub(Micros::from(age_ms).0));
--- a/crates/core/src/repeats.rs
+++ b/crates/core/src/repeats.rs
@@ -43,7 +43,7 @@
         self.pending.iter().map(|(_, item)| item)
     }
 
-    /// Sends no more of those that `keeps` says no to.
+    /// Drops the items for which `keeps` does not hold.
     pub fn retain<Keeps>(&mut self, keeps: Keeps)
     where
         Keeps: Fn(&Item) -> bool,
--- a/crates/router/src/dispatch/alarm.rs
+++ b/crates/router/src/dispatch/alarm.rs
@@ -1,4 +1,4 @@
-//! The times at which schedulers want to be told that time has passed.
+//! The times at which schedulers want a tick.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -158,7 +158,7 @@
     *request.headers_mut() = call.headers;
     let response = state.http.send(Trust::Pooled, request, timeout).await?;
     let status = response.status();
-    // Only answers to requests say that there is no limit any more.
+    // Only answers to requests withdraw a limit.
     if let Some(rate) = state.wire.read_reply(status, response.headers()).limit {
         state.limits.answered(state, server, Some(rate));
     }
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -46,12 +46,12 @@
         charged.map_err(|refusal| LimitReached { rate, wait_ms: refusal.retry_after_ms.unwrap_or_default() })
     }
 
-    /// What a server said last.
+    /// The newest statement of a server.
     pub fn statement(&self, server: &BackendServerId) -> Option<LimitStatement> {
         self.limits.lock().statement(clock::now(), server)
     }
 
-    /// Takes what another daemon says of servers.
+    /// Merges statements from another daemon.
     pub fn merge(&self, state: &RelayState, statements: &[LimitStatement]) {
         for statement in statements {
             if self.limits.lock().merge(clock::now(), statement) {
--- a/crates/router/src/relay/quarantine.rs
+++ b/crates/router/src/relay/quarantine.rs
@@ -1,4 +1,4 @@
-//! Requests that crash servers: what this daemon saw of them, and what the others say.
+//! Requests that crash servers: the evidence of this daemon and its exchange with the others.
 
 use hibiscusvale_core::ids::{BackendServerId, Incarnation};
 use hibiscusvale_core::quarantine::{
@@ -43,7 +43,7 @@
         })
     }
 
-    /// Takes evidence that was saved; says whether any of it still counts.
+    /// Takes evidence that was saved; returns whether any of it still counts.
     pub fn restore(&self, state: &RelayState, evidence: SavedEvidence) -> bool {
         let fingerprint = evidence.fingerprint;
         let verdicts = self.quarantine.lock().restore(clock::now(), evidence.aged().reports);
@@ -122,13 +122,13 @@
         gossip
     }
 
-    /// Takes what came with a message of another daemon; says what to send it.
+    /// Takes what came with a message of another daemon; returns what to send it.
     pub fn receive(&self, state: &RelayState, gossip: Gossip) -> Option<Datagram> {
         let received = self.quarantine.lock().receive(clock::now(), gossip);
         self.take(state, &received)
     }
 
-    /// Takes a page of another daemon's reports; says what to send it.
+    /// Takes a page of another daemon's reports; returns what to send it.
     pub fn receive_page(&self, state: &RelayState, page: ReportPage) -> Option<Datagram> {
         let received = self.quarantine.lock().receive_page(clock::now(), page);
         self.take(state, &received)
