Show innocent requests in quarantine where crashes coincide

Not traced: crashes under other requests coincide with three of an innocent one, and nothing clears it when it is popular.

--- a/crates/core/tests/quarantine/harm.rs
+++ b/crates/core/tests/quarantine/harm.rs
@@ -81,6 +81,13 @@
     assert_eq!(refused, 0);
 }
 
+/// The same with so many kills and crashing requests at once that crashes coincide.
+#[rstest]
+fn innocent_requests_are_served_while_crashes_coincide(#[values(67, 128, 235, 457)] seed: u64) {
+    let trouble = Trouble { kill_each_ms: Some(900), crashing: 4, lost: 3, ..CALM };
+    assert_eq!(play(9, 11, trouble, seed, 30 * SECOND_MS).innocent_refused, 0);
+}
+
 /// Several requests crash servers at once; each is found.
 #[test]
 fn several_at_once_are_each_found() {
