Hand on changes of the servers to daemons that ask for them

A release of the whole fleet replaces 33 servers and a scale-in takes 200, so each of 986 daemons reads.

Change: each daemon keeps the changes that it read or was sent, up to 2,048 servers, and answers with those since a version over the connection that hands on routes. A later version of the list is news whatever its age, so whoever adopted a change can tell of it. A version without a change is passed on as well, for otherwise the next change does not go on from what is known. A daemon hands on one megabyte a second; whoever asks beyond that is refused at once and asks another one.

What is too large for a message was "read by all" by a test; it is now asked for, and the test has become one that takes 400 servers that way, as strict. Its other half, that nothing is no news, stays.

Measured: tests only (a change of 399 servers, versions without changes, gaps, the bound on what is kept). Small fleets keep their way: where the answer fails they read the store as before.

--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -121,6 +121,7 @@
             freshness: Freshness::default(),
             patience: Mutex::default(),
             news: News::default(),
+            handed_on: Mutex::default(),
             peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
             quotas,
             limits: LimitHub::default(),
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -36,10 +36,14 @@
 /// What a daemon says of its knowledge.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Stamp {
-    /// Version of its routes, and their age.
-    table: Option<(u64, Micros)>,
-    /// Its servers, and their age.
-    servers: Option<(ListState, Micros)>,
+    /// Version of its routes; zero before it knows any.
+    table: u64,
+    /// Age of its own last read of the routes, if there was any.
+    table_age_us: Option<Micros>,
+    /// Its servers.
+    servers: ListState,
+    /// Age of its own last read of the servers, if there was any.
+    servers_age_us: Option<Micros>,
 }
 
 /// What a daemon knows of the list of servers.
@@ -81,32 +85,40 @@
     failed_us: Option<MonoTime>,
     /// Who told last of newer routes, and of newer servers.
     table_teller: Option<(TableVersion, SocketAddr)>,
-    servers_teller: Option<SocketAddr>,
+    servers_teller: Option<(u64, SocketAddr)>,
 }
 
 impl Readings {
-    /// When a read is due, or a question to a daemon that has newer routes.
+    /// When a read is due, or a question to a daemon that knows something newer.
     fn next_us(&mut self, followed: Followed, is_reader: bool) -> MonoTime {
-        let read_us = reading(self, followed).next_us(is_reader);
-        match followed {
-            Followed::Table if self.table_teller.is_some() => read_us.min(self.table.next_ask_us()),
-            Followed::Table | Followed::Servers => read_us,
-        }
+        let is_told = match followed {
+            Followed::Table => self.table_teller.is_some(),
+            Followed::Servers => self.servers_teller.is_some(),
+        };
+        let reading = reading(self, followed);
+        let read_us = reading.next_us(is_reader);
+        if is_told { read_us.min(reading.next_ask_us()) } else { read_us }
     }
 
-    /// Compares another daemon's list with the own one; returns whether this daemon has to read.
+    /// Compares another daemon's list with the own one; returns whether this daemon has to catch up. A later version is
+    /// news whatever its age; an equal one counts only where its age is known.
     ///
     /// Load: a partition heals, and servers that had vanished from the list come back one by one, while daemons differ in
     /// which of them they keep. Harm prevented: if each difference caused a read, every read would be newer than what the
     /// others know and cause theirs in turn. So a version that is known here causes none.
-    fn compare_servers(&mut self, now_us: MonoTime, told: ListState, age_us: Micros) -> bool {
+    fn compare_servers(&mut self, now_us: MonoTime, told: ListState, age_us: Option<Micros>) -> bool {
+        if told.version > self.list.version {
+            return self.servers.heard(now_us, Told { is_same: false, age_us: Micros(0) });
+        }
+        let Some(age_us) = age_us.filter(|_| told.version > 0) else {
+            return false;
+        };
         if told.version == self.list.version && told.digest != self.list.digest {
             let since_us = *self.differs_since_us.get_or_insert(now_us);
             let is_lasting = now_us >= since_us + DIFFERS_MS;
             return self.servers.heard(now_us, Told { is_same: !is_lasting, age_us });
         }
-        let is_known = told.version <= self.list.version;
-        self.servers.heard(now_us, Told { is_same: is_known, age_us })
+        self.servers.heard(now_us, Told { is_same: true, age_us })
     }
 }
 
@@ -136,8 +148,10 @@
     pub fn stamp(&self, now_us: MonoTime, table: TableVersion) -> Stamp {
         let readings = self.readings.lock();
         Stamp {
-            table: readings.table.read_age_us(now_us).map(|age_us| (table.0, age_us)),
-            servers: readings.servers.read_age_us(now_us).map(|age_us| (readings.list, age_us)),
+            table: table.0,
+            table_age_us: readings.table.read_age_us(now_us),
+            servers: readings.list,
+            servers_age_us: readings.servers.read_age_us(now_us),
         }
     }
 
@@ -191,6 +205,12 @@
         }
     }
 
+    /// Who told last of newer servers than those of `known`.
+    pub fn newer_servers(&self, known: u64) -> Option<SocketAddr> {
+        let (version, teller) = self.readings.lock().servers_teller.take()?;
+        (version > known).then_some(teller)
+    }
+
     /// Routes of another daemon have come into force.
     pub fn table_learned(&self) {
         self.readings.lock().table.caught_up();
@@ -199,7 +219,7 @@
     /// Whoever told last of something newer than what is known here.
     pub fn teller(&self) -> Option<SocketAddr> {
         let mut readings = self.readings.lock();
-        let servers = readings.servers_teller.take();
+        let servers = readings.servers_teller.take().map(|(_, teller)| teller);
         readings.table_teller.take().map(|(_, teller)| teller).or(servers)
     }
 
@@ -220,7 +240,7 @@
     /// known.
     pub fn handed_servers(&self, now_us: MonoTime, age_us: Micros, list: ListState) -> bool {
         let mut readings = self.readings.lock();
-        if !readings.servers.is_older(now_us, age_us) {
+        if list.version <= readings.list.version && !readings.servers.is_older(now_us, age_us) {
             return false;
         }
         readings.servers.handed(now_us, age_us);
@@ -231,29 +251,22 @@
     /// Takes what another daemon says of its knowledge.
     pub fn heard(&self, now_us: MonoTime, table: TableVersion, stamp: Stamp, from: SocketAddr) {
         let mut readings = self.readings.lock();
-        if let Some((version, age_us)) = stamp.table
-            && version >= table.0
-            && readings.table.heard(now_us, told_of_table(version, table, age_us))
-            && version > table.0
-        {
-            readings.table_teller = Some((TableVersion(version), from));
+        if stamp.table > table.0 {
+            readings.table.heard(now_us, Told { is_same: false, age_us: Micros(0) });
+            readings.table_teller = Some((TableVersion(stamp.table), from));
             self.table_due.notify_one();
-        }
-        if let Some((told, age_us)) = stamp.servers
-            && readings.compare_servers(now_us, told, age_us)
+        } else if stamp.table == table.0
+            && let Some(age_us) = stamp.table_age_us
         {
-            readings.servers_teller = Some(from);
+            readings.table.heard(now_us, Told { is_same: true, age_us });
+        }
+        if readings.compare_servers(now_us, stamp.servers, stamp.servers_age_us) {
+            readings.servers_teller = Some((stamp.servers.version, from));
             self.servers_due.notify_one();
         }
     }
 }
 
-/// Versions tell by themselves which routes are newer: those that were handed on say nothing of their age.
-fn told_of_table(version: u64, known: TableVersion, age_us: Micros) -> Told {
-    let is_same = version == known.0;
-    Told { is_same, age_us: if is_same { age_us } else { Micros(0) } }
-}
-
 /// What is known of routes newer than those in force.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NewerTable {
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::units::{Micros, MonoTime};
+use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -19,6 +19,7 @@
 use tokio::net::TcpListener;
 
 use super::freshness::ListState;
+use super::news::ServerChange;
 use super::state::RelayState;
 use super::{status, watch};
 use crate::backend::{Trust, read_body, uri};
@@ -31,16 +32,42 @@
 /// Where it asks for the routes alone.
 const TABLE_PATH: &str = "/v1/knowledge/routes";
 
+/// Where it asks for the changes of the servers since a version, which follows.
+const CHANGES_PATH: &str = "/v1/knowledge/changes/";
+
 /// Time for the whole answer, inside a region.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Largest answer that is read: some thousand routes and servers.
 const LIMIT_BYTES: usize = 16 << 20;
 
-/// Pause between two questions, to another daemon each time. The store is asked all the while, and usually answers
-/// before this has passed once.
+/// Pause between two questions, to another daemon each time. Where the store is asked as well, it usually answers before
+/// this has passed once.
 const PAUSE: Duration = Duration::from_millis(700);
 
+/// Bytes that a daemon hands on in a second; whoever asks for more is refused. When hundreds ask at once, each that was
+/// answered answers others, and nobody's link is blocked by one who answers all.
+const BYTES_PER_S: usize = 1 << 20;
+
+/// What was handed on in the present second.
+#[derive(Debug, Default)]
+pub struct HandedOn {
+    since_us: MonoTime,
+    bytes: usize,
+}
+
+impl HandedOn {
+    /// Whether one more answer may be given; one may exceed the limit, or the largest could never be given.
+    fn may_answer(&mut self, now_us: MonoTime) -> bool {
+        if now_us >= self.since_us + SECOND_MS {
+            *self = Self { since_us: now_us, bytes: 0 };
+        }
+        self.bytes < BYTES_PER_S
+    }
+}
+
+const SECOND_MS: Millis = Millis(1_000);
+
 #[derive(Debug, Deserialize, Serialize)]
 struct Knowledge {
     table: RouteTable,
@@ -58,17 +85,30 @@
 
 fn answer(state: &RelayState, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let is_known = state.table.load().is_known() && state.directory.listing().version > 0;
-    let (status, body) = match (request.method(), request.uri().path()) {
-        (&Method::GET, PATH) if is_known => encode(state, &knowledge(state)),
-        (&Method::GET, TABLE_PATH) if is_known => encode(state, &**state.table.load()),
-        (&Method::GET, PATH | TABLE_PATH) => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+    let is_busy = !state.handed_on.lock().may_answer(clock::now());
+    let path = request.uri().path();
+    let (status, body) = match (request.method(), path) {
+        (&Method::GET, _) if is_busy || !is_known => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+        (&Method::GET, PATH) => encode(state, &knowledge(state)),
+        (&Method::GET, TABLE_PATH) => encode(state, &**state.table.load()),
+        (&Method::GET, _) => match changes_since(state, path) {
+            Some(changes) => encode(state, &changes),
+            None => (StatusCode::NOT_FOUND, Vec::new()),
+        },
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     };
+    state.handed_on.lock().bytes += body.len();
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
 
+/// The changes that a question names; `None` where they are not known that far back.
+fn changes_since(state: &RelayState, path: &str) -> Option<Vec<ServerChange>> {
+    let version = path.strip_prefix(CHANGES_PATH)?.parse().ok()?;
+    state.news.since(version)
+}
+
 fn knowledge(state: &RelayState) -> Knowledge {
     let listing = state.directory.listing();
     Knowledge {
@@ -97,21 +137,23 @@
     let mut turn = 0_usize;
     while !state.is_ready() {
         tokio::time::sleep(PAUSE).await;
+        if state.is_ready() {
+            break;
+        }
         let addresses = state.peers.addresses();
-        if state.is_ready() || addresses.is_empty() {
-            continue;
+        if let Some(address) = addresses.get(turn % addresses.len().max(1)) {
+            learn_from(&state, *address).await;
         }
-        let address = addresses[turn % addresses.len()];
         turn += 1;
-        learn_from(&state, address).await;
     }
 }
 
-/// Asks one daemon, and takes what is newer than what is known here.
-pub async fn learn_from(state: &RelayState, address: SocketAddr) {
+/// Asks one daemon, and takes what is newer than what is known here; says whether anything was.
+pub async fn learn_from(state: &RelayState, address: SocketAddr) -> bool {
     let asked_us = clock::now();
-    if let Some(knowledge) = ask(state, address, PATH).await {
-        adopt(state, asked_us, knowledge, address);
+    match ask(state, address, PATH).await {
+        Some(knowledge) => adopt(state, asked_us, knowledge, address),
+        None => false,
     }
 }
 
@@ -126,6 +168,18 @@
     }
 }
 
+/// Asks one daemon for the changes of the servers since those that are known here, and for all that it knows where it cannot
+/// tell them any more; says whether they are known now.
+///
+/// Load: a change of hundreds of servers. Harm prevented: it does not fit the messages, and each daemon reads the store.
+pub async fn learn_servers_from(state: &RelayState, address: SocketAddr) -> bool {
+    let version = state.directory.listing().version;
+    match ask(state, address, &format!("{CHANGES_PATH}{version}")).await {
+        Some(changes) => watch::adopt_changes(state, changes),
+        None => learn_from(state, address).await,
+    }
+}
+
 async fn ask<Answer>(state: &RelayState, address: SocketAddr, path: &str) -> Option<Answer>
 where
     Answer: DeserializeOwned,
@@ -148,7 +202,7 @@
 
 /// Takes what is newer than what is known here. Ages are counted from before the question, so that nothing counts as
 /// younger than it is.
-fn adopt(state: &RelayState, asked_us: MonoTime, knowledge: Knowledge, from: SocketAddr) {
+fn adopt(state: &RelayState, asked_us: MonoTime, knowledge: Knowledge, from: SocketAddr) -> bool {
     let is_news = watch::adopt_table(state, knowledge.table);
     let before = state.directory.listing();
     let servers = knowledge.servers.into_iter().map(Arc::new).collect();
@@ -163,4 +217,5 @@
     if is_news || is_newer {
         state.log.changed("learned from another daemon", &from);
     }
+    is_news || is_newer
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -18,6 +18,7 @@
 use super::edge::{Call, Hop, Task, Wire};
 use super::engine_hub::EngineHub;
 use super::freshness::Freshness;
+use super::handover::HandedOn;
 use super::limits::LimitHub;
 use super::metrics::{Ended, RelayMetrics};
 use super::news::News;
@@ -168,8 +169,10 @@
     pub freshness: Freshness,
     /// How long callers wait.
     pub patience: Mutex<Patience>,
-    /// Changes of the servers that the other daemons are to be told.
+    /// Changes of the servers, for the other daemons.
     pub news: News,
+    /// What was handed on to other daemons lately.
+    pub handed_on: Mutex<HandedOn>,
     /// The other daemons.
     pub peers: Peers,
     /// What organisations may send.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -32,14 +32,16 @@
     let mut link = Link::new("routes lost", "routes regained");
     loop {
         let begun_us = due(&state, &own, Followed::Table).await;
-        let is_in_force = match state.freshness.newer_table(state.table.load().version()) {
-            NewerTable::At(teller) => handover::learn_table_from(&state, teller).await,
-            NewerTable::InForce => true,
-            NewerTable::Unannounced => false,
-        };
-        if is_in_force {
-            state.freshness.table_learned();
-            continue;
+        match state.freshness.newer_table(state.table.load().version()) {
+            NewerTable::At(teller) if handover::learn_table_from(&state, teller).await => {
+                state.freshness.table_learned();
+                continue;
+            }
+            NewerTable::InForce => {
+                state.freshness.table_learned();
+                continue;
+            }
+            NewerTable::At(_) | NewerTable::Unannounced => {}
         }
         match source.next(TABLE_WAIT_MS).await {
             Ok(table) => {
@@ -89,6 +91,11 @@
     let mut lapses = Lapses::default();
     loop {
         let begun_us = due(&state, &own, Followed::Servers).await;
+        if let Some(teller) = state.freshness.newer_servers(state.directory.listing().version)
+            && handover::learn_servers_from(&state, teller).await
+        {
+            continue;
+        }
         match list.read(state.directory.listing().version, LIST_WAIT_MS).await {
             Ok(page) => {
                 link.regained(&state);
@@ -96,12 +103,10 @@
                 let before = state.directory.listing();
                 take(&state, &mut lapses, page);
                 let after = state.directory.listing();
+                if let Some(change) = ServerChange::between(&before, &after).filter(|_| before.version > 0) {
+                    state.news.note(change);
+                }
                 if state.freshness.servers_read(begun_us, ListState::of(&after)) {
-                    if let Some(change) =
-                        ServerChange::between(&before, &after).filter(|_| before.version > 0)
-                    {
-                        state.news.note(change);
-                    }
                     servers_changed(&state, &before);
                 }
                 state.peers.touch(Urgency::Soon);
@@ -137,14 +142,20 @@
     state.directory.take(HostListPage { version: page.version, change });
 }
 
-/// Takes changes that another daemon read, if they lead to what that one knows.
-pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>) {
-    let before = state.directory.listing();
-    if let Some(listing) = ServerChange::applied(changes, &before) {
-        state.freshness.servers_learned(ListState::of(&listing));
-        state.directory.adopt(listing);
-        servers_changed(state, &before);
+/// Takes changes that another daemon read, if they lead to what that one knows; says whether they brought anything.
+pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>) -> bool {
+    if changes.is_empty() {
+        return false;
     }
+    let before = state.directory.listing();
+    let Some(listing) = ServerChange::applied(&changes, &before) else {
+        return false;
+    };
+    state.news.keep(changes, before.version);
+    state.freshness.servers_learned(ListState::of(&listing));
+    state.directory.adopt(listing);
+    servers_changed(state, &before);
+    true
 }
 
 /// Tells the schedulers of the servers that the directory has now.
--- a/crates/router/tests/ops/relay_news.rs
+++ b/crates/router/tests/ops/relay_news.rs
@@ -41,7 +41,7 @@
     let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-2", "i-3"]));
     let change = ServerChange::between(&before, &after).unwrap();
     // The same servers, read at another time.
-    let other = ServerChange::applied(vec![change], &listing(7, &["i-1", "i-2"])).unwrap();
+    let other = ServerChange::applied(&[change], &listing(7, &["i-1", "i-2"])).unwrap();
     assert_eq!((names(&other), other.version), (vec!["i-2", "i-3"], 9));
 }
 
@@ -51,7 +51,7 @@
     let before = listing(5, &["i-1", "i-2"]);
     let leaving = before.changed(6, vec![plain("i-1", ListedState::Leaving)], &[]);
     let change = ServerChange::between(&before, &leaving).unwrap();
-    let told = ServerChange::applied(vec![change], &before).unwrap();
+    let told = ServerChange::applied(&[change], &before).unwrap();
     assert_eq!(told.servers[&"i-1".parse().unwrap()].listed, ListedState::Leaving);
 }
 
@@ -61,11 +61,11 @@
 fn a_change_of_something_else_is_not_taken() {
     let (first, second, third) = (listing(1, &["i-1"]), listing(2, &["i-2"]), listing(3, &["i-2", "i-3"]));
     let change = ServerChange::between(&second, &third).unwrap();
-    assert!(ServerChange::applied(vec![change], &first).is_none());
+    assert!(ServerChange::applied(&[change], &first).is_none());
     let nothing_known = Listing::default();
     let first_of_all = ServerChange::between(&nothing_known, &first).unwrap();
     assert!(
-        ServerChange::applied(vec![first_of_all], &nothing_known).is_none(),
+        ServerChange::applied(&[first_of_all], &nothing_known).is_none(),
         "a daemon that knows nothing reads"
     );
 }
@@ -78,7 +78,7 @@
         ServerChange::between(&first, &second).unwrap(),
         ServerChange::between(&second, &third).unwrap(),
     ];
-    assert_eq!(names(&ServerChange::applied(changes, &first).unwrap()), ["i-2", "i-3"]);
+    assert_eq!(names(&ServerChange::applied(&changes, &first).unwrap()), ["i-2", "i-3"]);
 }
 
 /// Thousands of servers change several times a second, and a daemon read the store between two reads of the reader. If it
@@ -89,7 +89,7 @@
     let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-2", "i-3"]));
     let change = ServerChange::between(&before, &after).unwrap();
     let in_between = listing(7, &["i-1", "i-2", "i-3"]);
-    assert_eq!(names(&ServerChange::applied(vec![change], &in_between).unwrap()), ["i-2", "i-3"]);
+    assert_eq!(names(&ServerChange::applied(&[change], &in_between).unwrap()), ["i-2", "i-3"]);
 }
 
 /// A daemon read that a server leaves, and hears of a change that is older. Taken, it would send requests there again.
@@ -98,21 +98,66 @@
     let (before, after) = (listing(5, &["i-1"]), listing(9, &["i-1", "i-2"]));
     let change = ServerChange::between(&before, &after).unwrap();
     let later = after.changed(11, vec![plain("i-2", ListedState::Leaving)], &[]);
-    assert!(ServerChange::applied(vec![change], &later).is_none());
+    assert!(ServerChange::applied(&[change], &later).is_none());
 }
 
-/// A whole list is news. In messages to every daemon it would fill the links of small hosts for seconds.
+/// Hundreds of servers leave at once. In messages to every daemon they would fill the links of small hosts for seconds; left
+/// to the store, each daemon would read them there.
 #[test]
-fn what_is_too_much_for_a_message_is_read_by_all() {
-    let many: Vec<String> = (0..40).map(|number| format!("i-{number}")).collect();
+fn what_is_too_much_for_a_message_is_handed_on_when_asked_for() {
+    let many: Vec<String> = (0..400).map(|number| format!("i-{number}")).collect();
     let many: Vec<&str> = many.iter().map(String::as_str).collect();
-    assert!(ServerChange::between(&listing(1, &["i-0"]), &listing(2, &many)).is_none());
+    let (before, after) = (listing(1, &many), listing(2, &["i-0"]));
+    let news = News::default();
+    news.note(ServerChange::between(&before, &after).unwrap());
+    assert!(news.next().is_empty(), "no message has it");
+    let changes = news.since(1).unwrap();
+    assert_eq!(names(&ServerChange::applied(&changes, &before).unwrap()), ["i-0"]);
+}
+
+/// The list is written again without any change. A daemon that missed that version would ask for the whole list when the
+/// next change comes.
+#[test]
+fn a_version_without_a_change_is_passed_on() {
+    let news = News::default();
+    news.note(ServerChange::between(&listing(1, &["i-0"]), &listing(2, &["i-0"])).unwrap());
+    news.note(ServerChange::between(&listing(2, &["i-0"]), &listing(3, &["i-0", "i-1"])).unwrap());
+    let known = listing(1, &["i-0"]);
+    assert_eq!(names(&ServerChange::applied(&news.since(1).unwrap(), &known).unwrap()), ["i-0", "i-1"]);
     assert!(
-        ServerChange::between(&listing(1, &["i-0"]), &listing(2, &["i-0"])).is_none(),
+        ServerChange::between(&listing(1, &["i-0"]), &listing(1, &["i-0"])).is_none(),
         "nothing is no news"
     );
 }
 
+/// A daemon missed a change, and what it has of later ones does not go on from what it knows. Handed on as if it did, servers
+/// that are gone would stay in use at whoever takes it.
+#[test]
+fn changes_behind_a_gap_are_not_handed_on() {
+    let news = News::default();
+    let change = |from: u64, to: u64| {
+        ServerChange::between(&listing(from, &["i-0"]), &listing(to, &["i-0", "i-1"])).unwrap()
+    };
+    news.note(change(1, 2));
+    news.note(change(5, 6));
+    assert_eq!(news.since(1), None);
+    assert_eq!(news.since(5).map(|changes| changes.len()), Some(1));
+}
+
+/// A daemon runs for months. What it keeps of changes has an end, and the newest stay.
+#[test]
+fn kept_changes_are_bounded() {
+    let news = News::default();
+    let many: Vec<String> = (0..100).map(|number| format!("i-{number}")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    for version in 1..200 {
+        news.note(ServerChange::between(&listing(version, &["i-0"]), &listing(version + 1, &many)).unwrap());
+    }
+    assert_eq!(news.since(1), None);
+    let kept = (1..200).find_map(|version| news.since(version)).unwrap();
+    assert!((10..=30).contains(&kept.len()), "{} changes of 99 servers are kept", kept.len());
+}
+
 /// Messages get lost one by one. A change is told in three of them, and no more: hosts have ten megabits.
 #[test]
 fn a_change_is_told_three_times() {
