Send messages inside data centres, and over a few links between them

The duties to read went to two daemons of all; the other 984 are only as fresh as the word of these two, and read the store whenever it is late.

Change: beyond 256 daemons messages go to the daemons of the own data centre and to one link in each other one; whoever is used as a link answers. Who reads is chosen in each data centre, so a cut leaves each its readers; orders come from the first data centre that is heard of and reaches the store, under the lease as before. Of other data centres all daemons count as live while any of theirs is heard, so quotas and their coverage keep one ledger. Up to 256 daemons nothing changes. The module that held the table of daemons and the talk with them is two now: peers, exchange.

Conclusion: cost goes with the daemons of a data centre, no more with all. It still grows with these.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! Classes know what a request says; here only its route and its organisation are known, and for a model's requests the
 //! size of prompt and answer that the caller states.
 
+pub mod audience;
 pub mod engines;
 pub mod lapses;
 pub mod partners;
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -19,12 +19,13 @@
 use super::callers;
 use super::edge::{DaemonEntry, EvidenceStore, Register, TableSource, Wire};
 use super::engine_hub::EngineHub;
+use super::exchange;
 use super::freshness::Freshness;
 use super::limits::LimitHub;
 use super::metrics::RelayMetrics;
 use super::news::News;
 use super::orders::Orders;
-use super::peers::{self, Peers};
+use super::peers::Peers;
 use super::persistence;
 use super::quarantine::QuarantineHub;
 use super::quotas::QuotaHub;
@@ -122,7 +123,7 @@
             patience: Mutex::default(),
             news: News::default(),
             handed_on: Mutex::default(),
-            peers: Peers::new(settings.listen.peers, &settings.peers.seeds),
+            peers: Peers::new(&settings.host, settings.listen.peers, &settings.peers.seeds),
             quotas,
             limits: LimitHub::default(),
             quarantine,
@@ -151,15 +152,19 @@
         let host = settings.host.id.clone();
         control.spawn(watch::follow_table(edges.tables, host.clone(), Arc::clone(&state)));
         control.spawn(watch::follow_servers(edges.servers, host, Arc::clone(&state)));
-        let own = DaemonEntry { host: settings.host.id.clone(), peer_address: settings.listen.peers };
-        let telling = peers::run(own.peer_address, own.host.clone(), asked, outgoing, Arc::clone(&state));
+        let own = DaemonEntry {
+            host: settings.host.id.clone(),
+            data_centre: settings.host.data_centre.clone(),
+            peer_address: settings.listen.peers,
+        };
+        let telling = exchange::run(own.peer_address, own.host.clone(), asked, outgoing, Arc::clone(&state));
         let log = state.log.clone();
         control.spawn(async move {
             if let Err(error) = telling.await {
                 log.fault("daemons are not told anything: the address for them cannot be bound", &error);
             }
         });
-        control.spawn(peers::follow_register(edges.register, own, Arc::clone(&state)));
+        control.spawn(exchange::follow_register(edges.register, own, Arc::clone(&state)));
         control.spawn(persistence::run(edges.evidence, evidence_due, Arc::clone(&state)));
         // One lease for all engines of the region.
         match settings.host.region.as_str().parse() {
--- a/crates/router/src/relay/edge.rs
+++ b/crates/router/src/relay/edge.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, FencingNumber, HostId, ModelId, PartnerId};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, FencingNumber, HostId, ModelId, PartnerId};
 use hibiscusvale_core::quarantine::{Fingerprint, Report};
 use hibiscusvale_core::relay::engines::{Role, ToldLoad};
 use hibiscusvale_core::relay::partners::Credentials;
@@ -283,6 +283,8 @@
 pub struct DaemonEntry {
     /// Its host.
     pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
     /// Where it takes messages of other daemons.
     pub peer_address: SocketAddr,
 }
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -46,6 +46,13 @@
     servers_age_us: Option<Micros>,
 }
 
+impl Stamp {
+    /// Version of its list of servers; zero before it knows any.
+    pub fn list_version(&self) -> u64 {
+        self.servers.version
+    }
+}
+
 /// What a daemon knows of the list of servers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ListState {
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -140,6 +140,10 @@
         if state.is_ready() {
             break;
         }
+        if let Some(address) = state.peers.address_with_list(1) {
+            learn_from(&state, address).await;
+            continue;
+        }
         let addresses = state.peers.addresses();
         if let Some(address) = addresses.get(turn % addresses.len().max(1)) {
             learn_from(&state, *address).await;
--- a/crates/router/src/relay/loans.rs
+++ b/crates/router/src/relay/loans.rs
@@ -8,9 +8,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
+use super::exchange::send;
 use super::message::Datagram;
 use super::pace::Urgency;
-use super::peers::send;
 use super::state::RelayState;
 use crate::dispatch::ServiceAsk;
 
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use hibiscusvale_core::ids::{HostId, Incarnation};
+use hibiscusvale_core::ids::{DataCentreId, HostId, Incarnation};
 use hibiscusvale_core::quarantine::{Fingerprint, Gossip, ReportPage};
 use hibiscusvale_core::quota::LimitStatement;
 use hibiscusvale_core::relay::engines::{Holdings, Seen};
@@ -46,6 +46,8 @@
 pub struct Message {
     /// Who says it.
     pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
     /// Its life.
     pub incarnation: Incarnation,
     /// Counts its messages: an older one that comes late is passed over.
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod edge;
 mod engine_hub;
 pub mod events;
+mod exchange;
 mod freshness;
 mod handover;
 mod hop;
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -80,6 +80,7 @@
         let live = self.state.peers.hosts_at_store();
         let is_turn = self.state.freshness.reaches_store(clock::now());
         let one = ReadingSettings { readers: 1, ..ReadingSettings::default() };
+        let is_turn = is_turn && self.state.peers.is_first_data_centre();
         if !is_turn || !is_reader(&one, &self.host, live.iter()) || !self.state.is_ready() {
             return;
         }
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -1,29 +1,22 @@
-//! The other daemons: which there are, which were heard of lately, and the talk with them.
+//! The other daemons: which there are, which were heard of lately, and who of them gets messages.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use hibiscusvale_core::ids::{HostId, Incarnation};
+use hibiscusvale_core::ids::{DataCentreId, HostId, Incarnation};
 use hibiscusvale_core::quota::Coverage;
+use hibiscusvale_core::relay::audience::{Audience, Reach};
 use parking_lot::Mutex;
-use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc;
+use rand::seq::SliceRandom;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::edge::{DaemonEntry, Register};
-use super::handover;
-use super::loans::{self, Spares};
-use super::message::{Datagram, MESSAGE_LIMIT_BYTES, Message, Told};
-use super::pace::{Pace, Urgency, listen_pause};
-use super::quotas::Outgoing;
-use super::state::RelayState;
-use super::watch;
-use crate::clock;
-use crate::dispatch::ServiceAsk;
+use super::edge::DaemonEntry;
+use super::message::Message;
+use super::pace::{Pace, Urgency};
+use crate::settings::HostSettings;
 
 /// A daemon that was not heard of for so long has no requests any more, or cannot tell: engines say themselves when
 /// they are full.
@@ -38,21 +31,10 @@
 /// Daemons that may be at work while the register could not be read.
 const UNREAD_REGISTER_DAEMONS: u64 = 64;
 
-/// Shortest pause between looks at the register. A daemon that starts reads it and calls all others, who know it from then on;
-/// the look only mends what lost datagrams left. Waiting for news instead would have each of 87 daemons call the store
-/// again whenever one of the others starts: 19,000 calls in a day on which all were restarted in turn.
-const REGISTER_PERIOD: Duration = Duration::from_secs(30);
-
-/// Looks of all daemons together in a second, at most. With hundreds of them a look of each every half minute would
-/// be more calls to the store than all that the readers make.
-const REGISTER_LOOKS_PER_S: u64 = 3;
-
-/// Pause after a failed call to the register.
-const REGISTER_RETRY: Duration = Duration::from_secs(1);
-
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
+    data_centre: DataCentreId,
     /// When it was last seen in the register for the first time, or heard of.
     seen: Instant,
     heard: Option<Heard>,
@@ -65,17 +47,28 @@
     incarnation: Incarnation,
     sequence: u64,
     reaches_store: bool,
+    /// Version of its list of servers; zero before it knows any.
+    list_version: u64,
 }
 
 impl Peer {
-    fn new(address: SocketAddr, now: Instant) -> Self {
-        Self { address, seen: now, heard: None, called: None }
+    fn new(address: SocketAddr, data_centre: DataCentreId, now: Instant) -> Self {
+        Self { address, data_centre, seen: now, heard: None, called: None }
+    }
+
+    fn is_heard(&self, now: Instant) -> bool {
+        self.heard.is_some_and(|heard| now < heard.at + SILENCE)
+    }
+
+    /// Whether a message may go to it: one that is silent is called only now and then.
+    fn is_due(&self, now: Instant) -> bool {
+        self.is_heard(now) || self.called.is_none_or(|called| now >= called + CALL_AGAIN)
     }
 }
 
 /// What a message is among those of its sender.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Hearing {
+pub enum Hearing {
     /// It is older than one that was heard.
     Old,
     /// The first of a daemon that was not heard of, or not for a while.
@@ -84,22 +77,77 @@
     Next,
 }
 
-/// The other daemons.
+/// What is known of another data centre.
+#[derive(Clone, Copy, Debug, Default)]
+struct Remote {
+    heard: Option<Instant>,
+    /// When one of its daemons was last heard of that could do for all what needs the store.
+    heard_at_store: Option<Instant>,
+}
+
 #[derive(Debug, Default)]
+struct Table {
+    known: HashMap<HostId, Peer>,
+    remotes: HashMap<DataCentreId, Remote>,
+    audience: Audience,
+    /// Whether daemons were added since the audience was made.
+    is_audience_old: bool,
+}
+
+impl Table {
+    /// Whether a daemon was heard of lately. From another data centre only some of its daemons are heard; the others count
+    /// with them.
+    fn is_live(&self, host: &Host, peer: &Peer, now: Instant) -> bool {
+        if self.audience.reach == Reach::Everyone || peer.data_centre == host.data_centre {
+            return peer.is_heard(now);
+        }
+        let heard = self.remotes.get(&peer.data_centre).and_then(|remote| remote.heard);
+        peer.is_heard(now) || heard.is_some_and(|heard| now < heard + SILENCE)
+    }
+
+    fn live<'a>(&'a self, host: &'a Host, now: Instant) -> impl Iterator<Item = (&'a HostId, &'a Peer)> {
+        self.known.iter().filter(move |(_, peer)| self.is_live(host, peer, now))
+    }
+}
+
+/// Who this daemon is among the others.
+#[derive(Clone, Debug)]
+struct Host {
+    id: HostId,
+    data_centre: DataCentreId,
+}
+
+/// The other daemons.
+#[derive(Debug)]
 pub struct Peers {
-    known: Mutex<HashMap<HostId, Peer>>,
+    host: Host,
+    table: Mutex<Table>,
     /// Where to ask when nobody else is known.
     seeds: Vec<SocketAddr>,
     /// Whether the register was read: before that there may be any number of daemons.
-    register_read: AtomicBool,
+    register_read: watch::Sender<bool>,
+    /// Daemons that got the last message.
+    partners: AtomicU32,
     pace: Pace,
 }
 
 impl Peers {
-    /// No daemon is known yet; this one is on `own`.
-    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    /// No daemon is known yet; this one is `host` and listens on `own`.
+    pub fn new(host: &HostSettings, own: SocketAddr, seeds: &[SocketAddr]) -> Self {
         let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
-        Self { seeds: seeds.filter(|seed| *seed != own).collect(), ..Self::default() }
+        Self {
+            host: Host { id: host.id.clone(), data_centre: host.data_centre.clone() },
+            table: Mutex::default(),
+            seeds: seeds.filter(|seed| *seed != own).collect(),
+            register_read: watch::Sender::new(false),
+            partners: AtomicU32::new(0),
+            pace: Pace::default(),
+        }
+    }
+
+    /// The data centre of this daemon.
+    pub fn data_centre(&self) -> &DataCentreId {
+        &self.host.data_centre
     }
 
     /// Something that the others should know has changed.
@@ -107,115 +155,190 @@
         self.pace.touch(Instant::now(), urgency);
     }
 
+    /// Waits until a message is due after the one that went at `last`.
+    pub async fn next_message(&self, last: Instant) {
+        self.pace.due(last, self.partners()).await;
+    }
+
+    /// Daemons that get this daemon's messages, and send it theirs.
+    pub fn partners(&self) -> u32 {
+        self.partners.load(Ordering::Relaxed)
+    }
+
+    /// How far messages go.
+    pub fn reach(&self) -> Reach {
+        self.table.lock().audience.reach
+    }
+
     /// Daemons that were heard of lately.
     pub fn live(&self) -> u32 {
-        let now = Instant::now();
-        let live = self.known.lock().values().filter(|peer| is_live(peer, now)).count();
-        u32::try_from(live).unwrap_or(u32::MAX)
+        let table = self.table.lock();
+        u32::try_from(table.live(&self.host, Instant::now()).count()).unwrap_or(u32::MAX)
     }
 
-    /// Hosts of those among them that can do for all what needs the store.
+    /// Hosts of the daemons that share with this one what is done once for all that exchange messages: those that were heard
+    /// of lately and reach the store.
     pub fn hosts_at_store(&self) -> Vec<HostId> {
         let now = Instant::now();
-        let known = self.known.lock();
-        let is_at_store =
-            |peer: &Peer| is_live(peer, now) && peer.heard.is_some_and(|heard| heard.reaches_store);
-        known.iter().filter(|(_, peer)| is_at_store(peer)).map(|(host, _)| host.clone()).collect()
+        let table = self.table.lock();
+        let shares = |peer: &Peer| {
+            let is_near =
+                table.audience.reach == Reach::Everyone || peer.data_centre == self.host.data_centre;
+            is_near && peer.is_heard(now) && peer.heard.is_some_and(|heard| heard.reaches_store)
+        };
+        table.known.iter().filter(|(_, peer)| shares(peer)).map(|(host, _)| host.clone()).collect()
+    }
+
+    /// Whether this daemon's data centre does what one daemon of the region does for all. Where messages reach everyone there
+    /// is no need to choose among data centres.
+    pub fn is_first_data_centre(&self) -> bool {
+        let now = Instant::now();
+        let table = self.table.lock();
+        let at_store = |remote: &Remote| remote.heard_at_store.is_some_and(|heard| now < heard + SILENCE);
+        table.audience.reach == Reach::Everyone
+            || !table.remotes.iter().any(|(name, remote)| at_store(remote) && *name < self.host.data_centre)
     }
 
-    /// Addresses of the daemons that were heard of lately, and of all others behind them.
+    /// Addresses of the daemons that were heard of lately, those of the own data centre first, and of all others behind them;
+    /// otherwise in no order, so that not all daemons ask the same one.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let now = Instant::now();
-        let known = self.known.lock();
-        let mut peers: Vec<&Peer> = known.values().collect();
-        peers.sort_by_key(|peer| (!is_live(peer, now), peer.address));
+        let table = self.table.lock();
+        let mut peers: Vec<&Peer> = table.known.values().collect();
+        peers.shuffle(&mut rand::rng());
+        peers.sort_by_key(|peer| (!peer.is_heard(now), peer.data_centre != self.host.data_centre));
         peers.iter().map(|peer| peer.address).chain(self.seeds.iter().copied()).collect()
     }
 
+    /// Where a daemon listens whose list of servers is at least of this version, one of the own data centre if there is any.
+    pub fn address_with_list(&self, version: u64) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let table = self.table.lock();
+        let knows = |peer: &&Peer| {
+            peer.is_heard(now) && peer.heard.is_some_and(|heard| heard.list_version >= version)
+        };
+        let mut peers: Vec<&Peer> = table.known.values().filter(knows).collect();
+        peers.shuffle(&mut rand::rng());
+        let nearest = peers.iter().min_by_key(|peer| peer.data_centre != self.host.data_centre)?;
+        Some(nearest.address)
+    }
+
     /// Where the daemon on `host` listens.
     pub fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
-        Some(self.known.lock().get(host)?.address)
+        Some(self.table.lock().known.get(host)?.address)
     }
 
     /// Daemons that are registered or were heard of, this one among them.
     pub fn registered(&self) -> u64 {
-        self.known.lock().len() as u64 + 1
+        self.table.lock().known.len() as u64 + 1
     }
 
     /// Hosts of the daemons that were heard of lately.
     pub fn live_hosts(&self) -> Vec<HostId> {
-        let now = Instant::now();
-        let known = self.known.lock();
-        known.iter().filter(|(_, peer)| is_live(peer, now)).map(|(host, _)| host.clone()).collect()
+        let table = self.table.lock();
+        table.live(&self.host, Instant::now()).map(|(host, _)| host.clone()).collect()
     }
 
     /// The daemons that this one can reach, of those that may be at work.
     pub fn coverage(&self) -> Coverage {
         let now = Instant::now();
-        let known = self.known.lock();
-        let count = |is: &dyn Fn(&Peer) -> bool| known.values().filter(|peer| is(peer)).count() as u64 + 1;
-        let live = count(&|peer| is_live(peer, now));
-        let all = count(&|peer| now < peer.seen + FORGET);
-        let least = if self.register_read.load(Ordering::Relaxed) { 0 } else { UNREAD_REGISTER_DAEMONS };
+        let table = self.table.lock();
+        let live = table.live(&self.host, now).count() as u64 + 1;
+        let all = table.known.values().filter(|peer| now < peer.seen + FORGET).count() as u64 + 1;
+        let least = if *self.register_read.borrow() { 0 } else { UNREAD_REGISTER_DAEMONS };
         Coverage { live, all: all.max(least) }
     }
 
-    fn learn(&self, own: &HostId, entries: Vec<DaemonEntry>) {
+    /// Takes entries of the register.
+    pub fn learn(&self, entries: Vec<DaemonEntry>) {
         let now = Instant::now();
-        let mut known = self.known.lock();
-        for DaemonEntry { host, peer_address } in entries {
-            if host == *own {
-                continue;
-            }
-            let peer = known.entry(host).or_insert(Peer::new(peer_address, now));
+        let mut table = self.table.lock();
+        let others = entries.into_iter().filter(|entry| entry.host != self.host.id);
+        for DaemonEntry { host, data_centre, peer_address } in others {
+            let peer = table.known.entry(host).or_insert(Peer::new(peer_address, data_centre, now));
             if peer.address != peer_address && peer.heard.is_none() {
                 peer.address = peer_address;
                 peer.called = None;
             }
         }
-        self.register_read.store(true, Ordering::Relaxed);
+        Self::renew(&self.host, &mut table);
+        drop(table);
+        self.register_read.send_replace(true);
     }
 
-    /// Whom to send a message now.
-    fn targets(&self, now: Instant) -> Vec<SocketAddr> {
-        let mut known = self.known.lock();
-        let due = |peer: &&mut Peer| {
-            is_live(peer, now) || peer.called.is_none_or(|called| now >= called + CALL_AGAIN)
+    fn renew(host: &Host, table: &mut Table) {
+        let others = table.known.iter().map(|(host, peer)| (host, &peer.data_centre));
+        table.audience = Audience::of(&host.id, &host.data_centre, others);
+        table.is_audience_old = false;
+    }
+
+    /// Whom to send a message now: all members of the audience, one link to each other data centre, and whoever uses this
+    /// daemon as its link. Each message goes to a part of the daemons anyway, so one look at all of them adds little to it.
+    pub fn targets(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut table = self.table.lock();
+        let table = &mut *table;
+        if table.is_audience_old {
+            Self::renew(&self.host, table);
+        }
+        let Audience { reach, ref links, .. } = table.audience;
+        let mut linked = Vec::new();
+        for hosts in links.values() {
+            let known = || hosts.iter().filter_map(|host| table.known.get(host).map(|peer| (host, peer)));
+            if !known().any(|(_, peer)| peer.is_heard(now)) {
+                linked.extend(known().find(|(_, peer)| peer.is_due(now)).map(|(host, _)| host.clone()));
+            }
+        }
+        let is_target = |host: &HostId, peer: &Peer| {
+            let is_member = reach == Reach::Everyone || peer.data_centre == self.host.data_centre;
+            if is_member { peer.is_due(now) } else { peer.is_heard(now) || linked.contains(host) }
         };
-        let called = known.values_mut().filter(due).map(|peer| {
-            peer.called = Some(now);
-            peer.address
-        });
-        let called: Vec<SocketAddr> = called.collect();
-        if known.values().any(|peer| is_live(peer, now)) {
-            return called;
+        let targets = table.known.iter_mut().filter(|(host, peer)| is_target(host, peer));
+        let mut addresses: Vec<SocketAddr> = targets
+            .map(|(_, peer)| {
+                peer.called = Some(now);
+                peer.address
+            })
+            .collect();
+        self.partners.store(u32::try_from(addresses.len()).unwrap_or(u32::MAX), Ordering::Relaxed);
+        if !table.known.values().any(|peer| peer.is_heard(now)) {
+            addresses.extend(&self.seeds);
         }
-        called.into_iter().chain(self.seeds.iter().copied()).collect()
+        addresses
     }
 
     /// Takes note of a message.
-    fn hear(&self, now: Instant, from: SocketAddr, message: &Message) -> Hearing {
-        let mut known = self.known.lock();
-        let peer = known.entry(message.host.clone()).or_insert(Peer::new(from, now));
+    pub fn hear(&self, now: Instant, from: SocketAddr, message: &Message) -> Hearing {
+        let mut table = self.table.lock();
+        let table = &mut *table;
+        let data_centre = &message.data_centre;
+        let peer = table.known.entry(message.host.clone()).or_insert_with(|| {
+            table.is_audience_old = true;
+            Peer::new(from, data_centre.clone(), now)
+        });
         let next = (message.incarnation, message.sequence);
         if peer.heard.is_some_and(|heard| next <= (heard.incarnation, heard.sequence)) {
             return Hearing::Old;
         }
         let hearing = if peer.heard.is_some() { Hearing::Next } else { Hearing::First };
         let Message { incarnation, sequence, reaches_store, .. } = *message;
-        *peer = Peer {
-            address: from,
-            seen: now,
-            heard: Some(Heard { at: now, incarnation, sequence, reaches_store }),
-            called: peer.called,
-        };
+        let list_version = message.stamp.list_version();
+        peer.address = from;
+        peer.seen = now;
+        peer.heard = Some(Heard { at: now, incarnation, sequence, reaches_store, list_version });
+        if *data_centre != self.host.data_centre {
+            let remote = table.remotes.entry(data_centre.clone()).or_default();
+            remote.heard = Some(now);
+            if reaches_store {
+                remote.heard_at_store = Some(now);
+            }
+        }
         hearing
     }
 
     /// Hosts that fell silent since the last look.
-    fn fallen_silent(&self, now: Instant) -> Vec<HostId> {
-        let mut known = self.known.lock();
-        let silent = known.iter_mut().filter(|(_, peer)| peer.heard.is_some() && !is_live(peer, now));
+    pub fn fallen_silent(&self, now: Instant) -> Vec<HostId> {
+        let mut table = self.table.lock();
+        let silent = table.known.iter_mut().filter(|(_, peer)| peer.heard.is_some() && !peer.is_heard(now));
         silent
             .map(|(host, peer)| {
                 peer.heard = None;
@@ -224,170 +347,3 @@
             .collect()
     }
 }
-
-fn is_live(peer: &Peer, now: Instant) -> bool {
-    peer.heard.is_some_and(|heard| now < heard.at + SILENCE)
-}
-
-/// Registers this daemon and learns of the others, for as long as it runs.
-pub async fn follow_register(register: Arc<dyn Register>, own: DaemonEntry, state: Arc<RelayState>) {
-    let mut tries = 0_u32;
-    while let Err(failure) = register.announce(own.clone()).await {
-        tries += 1;
-        if tries == 1 {
-            state.log.changed("could not register", &failure);
-        }
-        tokio::time::sleep(REGISTER_RETRY).await;
-    }
-    state.log.changed("registered, failed tries before", &tries);
-    loop {
-        let pause = match register.entries().await {
-            Ok(entries) => {
-                state.peers.learn(&own.host, entries);
-                state.share_budget();
-                state.peers.touch(Urgency::Soon);
-                REGISTER_PERIOD.max(Duration::from_secs(state.peers.registered() / REGISTER_LOOKS_PER_S))
-            }
-            Err(_) => REGISTER_RETRY,
-        };
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// Tells the others what this daemon has, and hears them, for as long as it runs. Over TCP on the same port it hands
-/// on what it knows.
-///
-/// # Errors
-///
-/// The system's error when the address cannot be bound.
-pub async fn run(
-    address: SocketAddr,
-    host: HostId,
-    asks: mpsc::UnboundedReceiver<ServiceAsk>,
-    outgoing: mpsc::UnboundedReceiver<Outgoing>,
-    state: Arc<RelayState>,
-) -> io::Result<()> {
-    let socket = UdpSocket::bind(address).await?;
-    let handing_on = TcpListener::bind(socket.local_addr()?).await?;
-    tokio::join!(
-        tell(&socket, &host, &state),
-        hear(&socket, &host, &state),
-        loans::ask(&socket, asks, &state),
-        send_all(&socket, outgoing),
-        handover::serve(Arc::clone(&state), handing_on),
-        handover::learn(Arc::clone(&state)),
-    );
-    Ok(())
-}
-
-async fn send_all(socket: &UdpSocket, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
-    while let Some((to, datagram)) = outgoing.recv().await {
-        send(socket, to, &datagram).await;
-    }
-}
-
-async fn tell(socket: &UdpSocket, host: &HostId, state: &RelayState) {
-    let mut sequence = 0;
-    let mut last = Instant::now();
-    let mut told = Told::default();
-    loop {
-        state.peers.pace.due(last, state.peers.live()).await;
-        last = Instant::now();
-        sequence += 1;
-        let (holdings, spares) = told.news(sequence, state.engine_hub.holdings(), loans::spares(state));
-        let message = Message {
-            host: host.clone(),
-            incarnation: state.incarnation,
-            sequence,
-            stamp: state.freshness.stamp(clock::now(), state.table.load().version()),
-            reaches_store: state.freshness.reaches_store(clock::now()),
-            changes: state.news.next(),
-            holdings,
-            spares,
-            crashes: state.quarantine.gossip(state),
-            limits: state.limits.gossip(),
-        };
-        let Ok(bytes) = postcard::to_stdvec(&Datagram::Message(Box::new(message))) else {
-            continue;
-        };
-        for target in state.peers.targets(Instant::now()) {
-            // What is lost is said again.
-            let _ = socket.send_to(&bytes, target).await;
-        }
-        for silent in state.peers.fallen_silent(Instant::now()) {
-            state.log.changed("daemon silent", &silent);
-            loans::told(&silent, &Spares::new(), state);
-            state.engine_hub.peer_gone(&silent);
-        }
-    }
-}
-
-async fn hear(socket: &UdpSocket, own: &HostId, state: &RelayState) {
-    let mut bytes = vec![0; MESSAGE_LIMIT_BYTES];
-    loop {
-        // A host that is gone shows as an error of the socket; the others are still heard.
-        let _ = socket.readable().await;
-        loop {
-            match socket.try_recv_from(&mut bytes) {
-                Ok((length, from)) => take(socket, &bytes[..length], from, own, state).await,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => {}
-            }
-        }
-        if let Some(pause) = listen_pause(state.peers.live()) {
-            tokio::time::sleep(pause).await;
-        }
-    }
-}
-
-async fn take(socket: &UdpSocket, bytes: &[u8], from: SocketAddr, own: &HostId, state: &RelayState) {
-    match postcard::from_bytes(bytes) {
-        Ok(Datagram::Message(message)) if message.host != *own => {
-            if let Some(question) = heard(*message, from, state) {
-                send(socket, from, &question).await;
-            }
-        }
-        Ok(Datagram::LoanQuestion(question)) => loans::answer(socket, from, question, state).await,
-        Ok(Datagram::LoanAnswer(answer)) => loans::take(&answer, state),
-        Ok(Datagram::QuotaQuestion(question)) => state.quotas.answer(state, from, &question),
-        Ok(Datagram::QuotaAnswer(answer)) => state.quotas.take(state, &answer),
-        Ok(Datagram::QuotaReturn(returned)) => state.quotas.returned(&returned),
-        Ok(Datagram::ReportQuestion(after)) => send(socket, from, &state.quarantine.page(after)).await,
-        Ok(Datagram::ReportPage(page)) => {
-            if let Some(question) = state.quarantine.receive_page(state, page) {
-                send(socket, from, &question).await;
-            }
-        }
-        // Its own word, through a seed; or bytes of somebody else.
-        Ok(Datagram::Message(_)) | Err(_) => {}
-    }
-}
-
-/// Sends one datagram; what is lost is asked for or said again.
-pub(super) async fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
-    if let Ok(bytes) = postcard::to_stdvec(datagram) {
-        let _ = socket.send_to(&bytes, to).await;
-    }
-}
-
-/// Takes a message in; says what to ask its sender.
-fn heard(message: Message, from: SocketAddr, state: &RelayState) -> Option<Datagram> {
-    match state.peers.hear(Instant::now(), from, &message) {
-        Hearing::Old => return None,
-        Hearing::First => {
-            state.log.changed("daemon heard", &message.host);
-            state.share_budget();
-            state.quotas.host_joined(&message.host);
-        }
-        Hearing::Next => {}
-    }
-    // Before its stamp: with the changes taken this daemon is as far as that one.
-    watch::adopt_changes(state, message.changes);
-    state.freshness.heard(clock::now(), state.table.load().version(), message.stamp, from);
-    if let Some(spares) = message.spares {
-        loans::told(&message.host, &spares, state);
-    }
-    state.engine_hub.peer(&message.host, message.holdings);
-    state.limits.merge(state, &message.limits);
-    state.quarantine.receive(state, message.crashes)
-}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use hibiscusvale_core::ids::HostId;
+use hibiscusvale_core::relay::audience::Reach;
 use hibiscusvale_core::relay::lapses::Lapses;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::Millis;
@@ -37,6 +38,9 @@
                 state.freshness.table_learned();
                 continue;
             }
+            // It is asked by hundreds at once. Another one will tell of the same; if not, this daemon reads when what it
+            // knows is too old.
+            NewerTable::At(_) if state.peers.reach() == Reach::DataCentre => continue,
             NewerTable::InForce => {
                 state.freshness.table_learned();
                 continue;
@@ -92,7 +96,8 @@
     loop {
         let begun_us = due(&state, &own, Followed::Servers).await;
         if let Some(teller) = state.freshness.newer_servers(state.directory.listing().version)
-            && handover::learn_servers_from(&state, teller).await
+            && (handover::learn_servers_from(&state, teller).await
+                || state.peers.reach() == Reach::DataCentre)
         {
             continue;
         }
