Leave the first reads of a large fleet to its readers

A list of 10,002 servers is 51 pages of 200: 986 daemons that start together make 50,000 calls.

Change: a daemon waits for the register, at most 1.5 s. Beyond 256 daemons only the readers of each data centre, chosen among those registered until the living are known, read at once; all others take routes and list from a daemon that has them, and read by themselves 5 to 8 s after the start if nobody had any. At the first start of all, which the platform tells, the register is read 0.4 s after the own entry was written, when it holds the others as well.

Conclusion: small fleets wait for the register's answer, some milliseconds, and read as before.

--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -50,12 +50,30 @@
     failures: u32,
     /// Whether another daemon knows something newer.
     is_behind: bool,
+    /// Until when the first read is left to those that read for all.
+    left_until_us: MonoTime,
 }
 
 impl Reading {
     /// Nothing is known yet.
     pub fn new(settings: ReadingSettings) -> Self {
-        Self { settings, as_of_us: None, read_us: None, tried_us: None, failures: 0, is_behind: false }
+        Self {
+            settings,
+            as_of_us: None,
+            read_us: None,
+            tried_us: None,
+            failures: 0,
+            is_behind: false,
+            left_until_us: MonoTime::default(),
+        }
+    }
+
+    /// Leaves the first read until then to those that read for all.
+    ///
+    /// Load: hundreds of daemons start together. Harm prevented: each reads the whole list, page by page, and the store turns
+    /// them away.
+    pub fn leave_first_read(&mut self, until_us: MonoTime) {
+        self.left_until_us = until_us;
     }
 
     /// A read begins.
@@ -126,11 +144,15 @@
     /// When to read next.
     pub fn next_us(&self, is_reader: bool) -> MonoTime {
         let Some(tried_us) = self.tried_us else {
-            return MonoTime::default();
+            let is_left = !is_reader && self.left_until_us > MonoTime::default();
+            let as_of_us = self.as_of_us.filter(|_| is_left);
+            let left_until_us = if is_left { self.left_until_us } else { MonoTime::default() };
+            return as_of_us.map_or(left_until_us, |as_of_us| as_of_us + self.settings.stale_ms);
         };
         let retry_us = tried_us + self.retry_ms();
         let Some(as_of_us) = self.as_of_us else {
-            return retry_us.max(tried_us + self.settings.period_ms);
+            let left_until_us = if is_reader { MonoTime::default() } else { self.left_until_us };
+            return retry_us.max(tried_us + self.settings.period_ms).max(left_until_us);
         };
         if is_reader {
             return retry_us.max(tried_us + self.settings.period_ms);
--- a/crates/core/tests/relay/knowledge.rs
+++ b/crates/core/tests/relay/knowledge.rs
@@ -29,6 +29,35 @@
     assert_eq!(Reading::new(ReadingSettings::default()).next_us(false), at(0));
 }
 
+/// A fleet starts at once. Each of hundreds of daemons read the list of ten thousand servers, page by page, and the store
+/// turned them away.
+#[test]
+fn first_reads_are_left_to_the_readers_for_a_while() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    reading.leave_first_read(at(5_000));
+    assert_eq!(reading.next_us(true), at(0), "a reader reads at once");
+    assert_eq!(reading.next_us(false), at(5_000), "the others when nobody has handed on anything");
+    reading.begin(at(1_000));
+    assert_eq!(
+        reading.next_us(false),
+        at(5_000),
+        "a question to another daemon that was in vain changes nothing"
+    );
+    reading.handed(at(1_200), Micros::from(Millis(300)));
+    assert!(reading.next_us(false) < at(5_000), "from then on it goes by the age of what it knows");
+}
+
+/// It was told what is in force before it has read anything. Reading all the same, each of hundreds would make 51 calls.
+#[test]
+fn whoever_was_told_before_its_first_read_does_not_read() {
+    let mut reading = Reading::new(ReadingSettings::default());
+    reading.leave_first_read(at(5_000));
+    for now_ms in (500..20_000).step_by(500) {
+        reading.heard(at(now_ms), told(true, 3));
+        assert!(reading.next_us(false) > at(now_ms + 500), "at {now_ms} ms");
+    }
+}
+
 #[test]
 fn a_reader_reads_again_and_again() {
     let mut reading = Reading::new(ReadingSettings::default());
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -164,7 +164,12 @@
                 log.fault("daemons are not told anything: the address for them cannot be bound", &error);
             }
         });
-        control.spawn(exchange::follow_register(edges.register, own, Arc::clone(&state)));
+        control.spawn(exchange::follow_register(
+            edges.register,
+            own,
+            settings.peers.first_start,
+            Arc::clone(&state),
+        ));
         control.spawn(persistence::run(edges.evidence, evidence_due, Arc::clone(&state)));
         // One lease for all engines of the region.
         match settings.host.region.as_str().parse() {
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -31,11 +31,21 @@
 /// be more calls to the store than all that the readers make.
 const REGISTER_LOOKS_PER_S: u64 = 3;
 
+/// Time in which all daemons register that are started together.
+const REGISTER_FILLS: Duration = Duration::from_millis(400);
+
 /// Pause after a failed call to the register.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
 /// Registers this daemon and learns of the others, for as long as it runs.
-pub async fn follow_register(register: Arc<dyn Register>, own: DaemonEntry, state: Arc<RelayState>) {
+///
+/// At the `first_start` of all daemons the register fills while it is read, so that is put off a little.
+pub async fn follow_register(
+    register: Arc<dyn Register>,
+    own: DaemonEntry,
+    first_start: bool,
+    state: Arc<RelayState>,
+) {
     let mut tries = 0_u32;
     while let Err(failure) = register.announce(own.clone()).await {
         tries += 1;
@@ -45,6 +55,9 @@
         tokio::time::sleep(REGISTER_RETRY).await;
     }
     state.log.changed("registered, failed tries before", &tries);
+    if first_start {
+        tokio::time::sleep(REGISTER_FILLS).await;
+    }
     loop {
         let pause = match register.entries().await {
             Ok(entries) => {
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -151,6 +151,13 @@
 }
 
 impl Freshness {
+    /// Leaves the first reads to others until then: they hand on what they read.
+    pub fn leave_first_reads(&self, until_us: MonoTime) {
+        let mut readings = self.readings.lock();
+        readings.table.leave_first_read(until_us);
+        readings.servers.leave_first_read(until_us);
+    }
+
     /// What to say of this daemon's knowledge.
     pub fn stamp(&self, now_us: MonoTime, table: TableVersion) -> Stamp {
         let readings = self.readings.lock();
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -28,6 +28,12 @@
 /// A daemon that was not heard of for so long is taken to be gone for good, not cut off.
 const FORGET: Duration = Duration::from_mins(10);
 
+/// Longest time for which a daemon that starts waits for the register.
+const REGISTER_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time after the start within which daemons are heard of that live.
+const SETTLE: Duration = Duration::from_secs(2);
+
 /// Daemons that may be at work while the register could not be read.
 const UNREAD_REGISTER_DAEMONS: u64 = 64;
 
@@ -124,6 +130,7 @@
     table: Mutex<Table>,
     /// Where to ask when nobody else is known.
     seeds: Vec<SocketAddr>,
+    started: Instant,
     /// Whether the register was read: before that there may be any number of daemons.
     register_read: watch::Sender<bool>,
     /// Daemons that got the last message.
@@ -139,6 +146,7 @@
             host: Host { id: host.id.clone(), data_centre: host.data_centre.clone() },
             table: Mutex::default(),
             seeds: seeds.filter(|seed| *seed != own).collect(),
+            started: Instant::now(),
             register_read: watch::Sender::new(false),
             partners: AtomicU32::new(0),
             pace: Pace::default(),
@@ -177,14 +185,19 @@
     }
 
     /// Hosts of the daemons that share with this one what is done once for all that exchange messages: those that were heard
-    /// of lately and reach the store.
+    /// of lately and reach the store. Just after the start nobody was heard yet, and whoever is registered counts.
     pub fn hosts_at_store(&self) -> Vec<HostId> {
         let now = Instant::now();
         let table = self.table.lock();
         let shares = |peer: &Peer| {
             let is_near =
                 table.audience.reach == Reach::Everyone || peer.data_centre == self.host.data_centre;
-            is_near && peer.is_heard(now) && peer.heard.is_some_and(|heard| heard.reaches_store)
+            let may_be_there = table.audience.reach == Reach::DataCentre && now < self.started + SETTLE;
+            is_near
+                && match peer.heard {
+                    Some(heard) => peer.is_heard(now) && heard.reaches_store,
+                    None => may_be_there,
+                }
         };
         table.known.iter().filter(|(_, peer)| shares(peer)).map(|(host, _)| host.clone()).collect()
     }
@@ -249,6 +262,13 @@
         Coverage { live, all: all.max(least) }
     }
 
+    /// Waits until the register was read, or until that is not worth waiting for.
+    pub async fn register_known(&self) {
+        let mut read = self.register_read.subscribe();
+        // Without the register all is read from the store, as by the only daemon.
+        let _ = tokio::time::timeout_at(self.started + REGISTER_WAIT, read.wait_for(|read| *read)).await;
+    }
+
     /// Takes entries of the register.
     pub fn learn(&self, entries: Vec<DaemonEntry>) {
         let now = Instant::now();
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -131,6 +131,8 @@
     /// Some hosts with daemons; they may be gone by now. The port does not count: daemons listen to each other on the
     /// same port everywhere.
     pub seeds: Vec<SocketAddr>,
+    /// Whether all daemons of the installation start for the first time.
+    pub first_start: bool,
 }
 
 /// What the installation allows. Figures of an installation that was scaled down or up are fractions.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -1,6 +1,7 @@
 //! Follows the routes and the servers, and knows how old its knowledge is.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -10,6 +11,8 @@
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::Millis;
 
+use rand::RngExt;
+
 use super::edge::TableSource;
 use super::freshness::{Followed, ListState, NewerTable, due};
 use super::handover;
@@ -25,12 +28,26 @@
 /// second, and a connection that went silent is noticed by the end of it.
 const TABLE_WAIT_MS: Millis = Millis(1_000);
 
+/// For how long the first reads are left to others.
+const FIRST_READ_LEFT_MS: RangeInclusive<u64> = 5_000..=8_000;
+
 /// The list of servers is never without news for long, and is read at intervals: nothing is held back.
 const LIST_WAIT_MS: Millis = Millis(0);
 
+/// Waits for the register. In a large fleet the first reads are left to the readers of the data centre for a while, which
+/// differs so that not all daemons read at once where that was in vain.
+async fn start(state: &RelayState) {
+    state.peers.register_known().await;
+    if state.peers.reach() == Reach::DataCentre {
+        let left_ms = rand::rng().random_range(FIRST_READ_LEFT_MS);
+        state.freshness.leave_first_reads(clock::now() + Millis(left_ms));
+    }
+}
+
 /// Keeps the newest routes in force for as long as the daemon runs. While the source is away the last ones stay.
 pub async fn follow_table(source: Arc<dyn TableSource>, own: HostId, state: Arc<RelayState>) {
     let mut link = Link::new("routes lost", "routes regained");
+    start(&state).await;
     loop {
         let begun_us = due(&state, &own, Followed::Table).await;
         match state.freshness.newer_table(state.table.load().version()) {
@@ -93,6 +110,7 @@
 pub async fn follow_servers(list: Arc<dyn HostList>, own: HostId, state: Arc<RelayState>) {
     let mut link = Link::new("servers lost", "servers regained");
     let mut lapses = Lapses::default();
+    start(&state).await;
     loop {
         let begun_us = due(&state, &own, Followed::Servers).await;
         if let Some(teller) = state.freshness.newer_servers(state.directory.listing().version)
