Prefer engines of the own data centre in a large fleet

Cause: since messages stay inside a data centre, a daemon is not told what daemons elsewhere have at the engines there. Choosing among all engines, daemons of several data centres would fill the same ones without knowing of each other, and prompts and answers cross data centres for nothing.

Measured: a test with full engines here and empty ones there.

Conclusion: what a daemon knows of its first choices is complete; elsewhere the engine's own word decides.

--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -20,6 +20,8 @@
     /// Whether it lives, takes work and does well.
     pub(super) instance: Instance,
     pub(super) role: Role,
+    /// Whether it is in the daemon's data centre.
+    pub(super) near: bool,
     /// Prompt tokens that it reads for this daemon.
     pub(super) reading: Tokens,
     /// Memory that requests of this daemon take, and as of when.
@@ -41,6 +43,7 @@
     pub(super) fn new(settings: InstanceSettings, listed: ListedEngine) -> Self {
         Self {
             role: listed.role,
+            near: listed.near,
             rank: Rank::of_engine(&listed.server),
             instance: Instance::new(settings, listed.server, listed.slots, listed.leaving),
             reading: Tokens::ZERO,
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -30,6 +30,8 @@
     pub slots: u32,
     /// Whether the list shows it as leaving.
     pub leaving: bool,
+    /// Whether it is in the daemon's data centre.
+    pub near: bool,
 }
 
 /// A request for a model.
--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -214,10 +214,21 @@
             (running == 0 || peak <= limit).then_some((peak, running, index))
         });
         let mut filled: Vec<_> = filled.collect();
+        if filled.iter().any(|(_, _, index)| !self.is_second_choice(*index)) {
+            filled.retain(|(_, _, index)| !self.is_second_choice(*index));
+        }
         filled.sort_unstable();
         filled.into_iter().map(|(_, _, index)| index).collect()
     }
 
+    /// Whether an engine is used only where none of the own data centre is left.
+    ///
+    /// Load: a fleet whose daemons are told only what those of their own data centre have at the engines. Harm prevented:
+    /// daemons of several data centres fill the same engines without knowing of each other.
+    pub(super) fn is_second_choice(&self, index: usize) -> bool {
+        self.settings.near_first && !self.engines[index].near
+    }
+
     /// One of the writers that have room.
     ///
     /// Load: many daemons, each of which hears of the others' choices some milliseconds late. Harm prevented: all of them
--- a/crates/core/src/relay/engines/reading.rs
+++ b/crates/core/src/relay/engines/reading.rs
@@ -92,7 +92,9 @@
         };
         let count = self.engines.len().max(1);
         let order = (0..self.engines.len()).map(|step| (step + self.turn) % count);
-        order.filter(fits).min_by_key(|&index| self.engines[index].reading_all())
+        let fitting = order.filter(fits);
+        let first = |index: &usize| (self.is_second_choice(*index), self.engines[*index].reading_all());
+        fitting.min_by_key(first)
     }
 
     /// A reader has read `prompt`, with `ahead` before it and in it. Only what was read alone tells its pace: of the prompts
--- a/crates/core/src/relay/engines/settings.rs
+++ b/crates/core/src/relay/engines/settings.rs
@@ -29,6 +29,9 @@
     pub read_slack_ms: Millis,
     /// What this daemon may spend on further tries.
     pub retries: AllowanceSettings,
+    /// Whether engines of the own data centre go before all others: of those elsewhere this daemon is not told what the
+    /// daemons there have at them.
+    pub near_first: bool,
 }
 
 impl Default for EnginePoolSettings {
@@ -44,6 +47,7 @@
             waiting_max: 256,
             read_slack_ms: Millis(1_000),
             retries: AllowanceSettings::default(),
+            near_first: false,
         }
     }
 }
--- a/crates/core/tests/relay/cost.rs
+++ b/crates/core/tests/relay/cost.rs
@@ -33,6 +33,7 @@
             role: if number.is_multiple_of(READERS_DIVISOR) { Role::Prefill } else { Role::Decode },
             slots: 12,
             leaving: false,
+            near: true,
         };
         let list = (0..engines).map(listed).collect();
         pool.handle(MonoTime(0), EngineEvent::Engines(list), &mut Vec::new());
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -4,7 +4,8 @@
 use hibiscusvale_core::ids::RequestId;
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineEvent, EnginePoolSettings, EngineRefusal, Growth, Holding, Holdings, Role,
+    Demand, EngineAction, EngineEvent, EnginePoolSettings, EngineRefusal, Growth, Holding, Holdings,
+    ListedEngine, Role,
 };
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, Tokens};
@@ -95,6 +96,29 @@
     assert!(freed.iter().any(is_reserve), "{freed:?}");
 }
 
+/// Engines of two data centres, where daemons of the other one are not heard: sent to the emptiest engine anywhere, requests
+/// of both would meet at engines that neither knows to be full.
+#[test]
+fn engines_of_the_own_data_centre_go_first_and_others_when_they_are_full() {
+    let mut bench = Bench::new(EnginePoolSettings { near_first: true, ..settings() }, &[]);
+    let far = |name: &str, role: Role| ListedEngine { near: false, ..listed(name, role) };
+    let engines = vec![
+        far("far-r", Role::Prefill),
+        far("far-w", Role::Decode),
+        listed("near-r", Role::Prefill),
+        listed("near-w", Role::Decode),
+    ];
+    bench.feed(EngineEvent::Engines(engines));
+    for sequence in 1..5 {
+        assert_eq!(writer_of(&bench.arrive(demand(sequence, 4_000, 4_000))), "near-w");
+        let read = bench.reserved(sequence);
+        assert!(matches!(&*read, [EngineAction::Read { reader, .. }] if reader.as_str() == "near-r"));
+    }
+    let holdings = Holdings { engines: vec![full("near-w")], ..Holdings::default() };
+    bench.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), holdings });
+    assert_eq!(writer_of(&bench.arrive(demand(5, 4_000, 4_000))), "far-w");
+}
+
 fn is_reserve(action: &EngineAction) -> bool {
     matches!(action, EngineAction::Reserve { .. })
 }
--- a/crates/core/tests/relay/world.rs
+++ b/crates/core/tests/relay/world.rs
@@ -32,7 +32,7 @@
 }
 
 pub fn listed(name: &str, role: Role) -> ListedEngine {
-    ListedEngine { server: server(name), role, slots: 12, leaving: false }
+    ListedEngine { server: server(name), role, slots: 12, leaving: false, near: true }
 }
 
 pub fn settings() -> EnginePoolSettings {
--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -4,6 +4,7 @@
 //! registered, not those that are seen: one that is cut off goes on spending.
 
 use hibiscusvale_core::allowance::{AllowanceSettings, TRY};
+use hibiscusvale_core::relay::audience::Reach;
 use hibiscusvale_core::relay::engines::EnginePoolSettings;
 use hibiscusvale_core::sched::{InstanceSettings, PlainSettings};
 use hibiscusvale_core::units::{Credit, Millis};
@@ -34,10 +35,11 @@
 }
 
 /// Limits of the pools of engines.
-pub fn engines(bounds: &BoundSettings, daemons: u64) -> EnginePoolSettings {
+pub fn engines(bounds: &BoundSettings, daemons: u64, reach: Reach) -> EnginePoolSettings {
     EnginePoolSettings {
         retries: allowance(bounds, daemons),
         instance: INSTANCES,
+        near_first: reach == Reach::DataCentre,
         ..EnginePoolSettings::default()
     }
 }
@@ -47,7 +49,7 @@
     pub fn share_budget(&self) {
         let (bounds, daemons) = (self.bounds.lock().clone(), self.peers.registered());
         self.plain_hub.configure(plain(&bounds, daemons));
-        self.engine_hub.set_budget(engines(&bounds, daemons));
+        self.engine_hub.set_budget(engines(&bounds, daemons, self.peers.reach()));
         self.engine_hub.configure(&self.table.load());
     }
 }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::Incarnation;
+use hibiscusvale_core::relay::audience::Reach;
 use hibiscusvale_core::relay::routes::{RouteTable, TableVersion};
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
@@ -114,8 +115,8 @@
                 asks.clone(),
             ),
             engine_hub: EngineHub::new(
-                budget::engines(&settings.bounds, UNKNOWN_DAEMONS),
-                settings.host.id.clone(),
+                budget::engines(&settings.bounds, UNKNOWN_DAEMONS, Reach::default()),
+                &settings.host,
                 incarnation.seed(),
                 asks,
             ),
--- a/crates/router/src/relay/engine_hub.rs
+++ b/crates/router/src/relay/engine_hub.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
     Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, Holdings,
     ListedEngine, Role, Shift,
@@ -23,6 +23,7 @@
 use crate::dispatch::alarm::Alarm;
 use crate::dispatch::ask::spare_of;
 use crate::external::{EngineRole, ListedState};
+use crate::settings::HostSettings;
 
 #[derive(Debug)]
 struct Service {
@@ -37,6 +38,7 @@
     alarm: Alarm,
     settings: Mutex<EnginePoolSettings>,
     host: HostId,
+    data_centre: DataCentreId,
     seed: u64,
     asks: Asks,
 }
@@ -103,9 +105,16 @@
 
 impl EngineHub {
     /// A hub that knows no services.
-    pub fn new(settings: EnginePoolSettings, host: HostId, seed: u64, asks: Asks) -> Self {
-        let (services, settings) = (Mutex::default(), Mutex::new(settings));
-        Self { services, alarm: Alarm::new(), settings, host, seed, asks }
+    pub fn new(settings: EnginePoolSettings, host: &HostSettings, seed: u64, asks: Asks) -> Self {
+        Self {
+            services: Mutex::default(),
+            alarm: Alarm::new(),
+            settings: Mutex::new(settings),
+            host: host.id.clone(),
+            data_centre: host.data_centre.clone(),
+            seed,
+            asks,
+        }
     }
 
     /// Takes a request in. `None` when the service has no engines.
@@ -134,6 +143,7 @@
                 },
                 slots: *slots_total,
                 leaving: server.listed == ListedState::Leaving,
+                near: server.data_centre == self.data_centre,
             });
         }
         let names = {
