Learn of the other daemons from those that are heard of

Logs of twelve daemons show "routes lost, no answer in time" from 2 s after the start on, and never regained in 28 s: the store sent 23 MB a second all the while. Each daemon reads the register whole when it starts, 986 entries of about 200 bytes: 194 MB, the square of the daemons. Whoever gave up waiting for it took itself for one of few daemons and read the whole list of 10,002 servers as well, and all of them asked again and again.

Change: a daemon asks a seed for the daemons that it knows; one that is heard of next; and reads the register after a random wait of up to 1.5 s only if nobody was heard. Failed reads are followed by pauses that differ. Who knows nobody yet leaves the first reads of routes and list to others. The decision stands alone in core (joining).

Measured in virtual time, a store that sends 80 MB a second: with all reading at their start 169 of 194 MB are sent to 986 daemons and 752 of 800 MB to 2,000 (the test fails); with the change less than a quarter, and all know each other within 5 s.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod audience;
 pub mod engines;
+pub mod joining;
 pub mod lapses;
 pub mod partners;
 pub mod patience;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -3,6 +3,7 @@
 
 mod audience;
 mod engines;
+mod joining;
 mod knowledge;
 mod load;
 mod packing;
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::HostId;
+use hibiscusvale_core::relay::joining::{Joining, JoiningSettings, JoiningStep};
+use hibiscusvale_core::units::Millis;
+use rand::RngExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -31,10 +34,13 @@
 /// be more calls to the store than all that the readers make.
 const REGISTER_LOOKS_PER_S: u64 = 3;
 
+/// Pause between looks whether another daemon was heard that can be asked instead.
+const REGISTER_LOOK: Duration = Duration::from_millis(50);
+
 /// Time in which all daemons register that are started together.
-const REGISTER_FILLS: Duration = Duration::from_millis(400);
+const REGISTER_FILLS_MS: Millis = Millis(400);
 
-/// Pause after a failed call to the register.
+/// Shortest pause after a failed call to the register; the longest is twice that.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
 /// Registers this daemon and learns of the others, for as long as it runs.
@@ -52,26 +58,66 @@
         if tries == 1 {
             state.log.changed("could not register", &failure);
         }
-        tokio::time::sleep(REGISTER_RETRY).await;
+        tokio::time::sleep(up_to_twice(REGISTER_RETRY)).await;
     }
     state.log.changed("registered, failed tries before", &tries);
+    learn_of_others(&*register, first_start, &state).await;
+    loop {
+        let pause = REGISTER_PERIOD.max(Duration::from_secs(state.peers.registered() / REGISTER_LOOKS_PER_S));
+        tokio::time::sleep(pause).await;
+        while let Err(failure) = register.entries().await.map(|entries| adopt_entries(&state, entries)) {
+            state.log.changed("register not read", &failure);
+            tokio::time::sleep(up_to_twice(REGISTER_RETRY)).await;
+        }
+    }
+}
+
+/// Learns of the others from a seed, from a daemon that is heard of, or from the register.
+async fn learn_of_others(register: &dyn Register, first_start: bool, state: &RelayState) {
+    if let Some(entries) = handover::entries_of_seed(state).await {
+        return adopt_entries(state, entries);
+    }
+    let mut settings = JoiningSettings::default();
     if first_start {
-        tokio::time::sleep(REGISTER_FILLS).await;
+        settings.fills_ms = REGISTER_FILLS_MS;
     }
+    if state.peers.seed().is_none() {
+        settings.spread_ms = Millis::ZERO;
+    }
+    let mut joining = Joining::new(settings, clock::now(), rand::rng().random());
     loop {
-        let pause = match register.entries().await {
-            Ok(entries) => {
-                state.peers.learn(entries);
-                state.share_budget();
-                state.peers.touch(Urgency::Soon);
-                REGISTER_PERIOD.max(Duration::from_secs(state.peers.registered() / REGISTER_LOOKS_PER_S))
+        let entries = match joining.step(clock::now(), state.peers.is_any_heard()) {
+            JoiningStep::AskPeer => handover::entries_of_peer(state).await,
+            JoiningStep::ReadRegister => match register.entries().await {
+                Ok(entries) => Some(entries),
+                Err(failure) => {
+                    state.log.changed("register not read", &failure);
+                    joining.failed(clock::now(), rand::rng().random());
+                    None
+                }
+            },
+            JoiningStep::Wait => {
+                tokio::time::sleep(REGISTER_LOOK).await;
+                None
             }
-            Err(_) => REGISTER_RETRY,
         };
-        tokio::time::sleep(pause).await;
+        if let Some(entries) = entries {
+            return adopt_entries(state, entries);
+        }
     }
 }
 
+fn adopt_entries(state: &RelayState, entries: Vec<DaemonEntry>) {
+    state.peers.learn(entries);
+    state.share_budget();
+    state.peers.touch(Urgency::Soon);
+}
+
+/// A pause that differs between daemons, so that those who failed together do not ask again together.
+fn up_to_twice(pause: Duration) -> Duration {
+    pause + pause.mul_f64(rand::rng().random())
+}
+
 /// Tells the others what this daemon has, and hears them, for as long as it runs. Over TCP on the same port it hands
 /// on what it knows.
 ///
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
+use super::edge::DaemonEntry;
 use super::freshness::ListState;
 use super::news::ServerChange;
 use super::state::RelayState;
@@ -32,6 +33,9 @@
 /// Where it asks for the routes alone.
 const TABLE_PATH: &str = "/v1/knowledge/routes";
 
+/// Where it asks for the other daemons.
+const DAEMONS_PATH: &str = "/v1/knowledge/daemons";
+
 /// Where it asks for the changes of the servers since a version, which follows.
 const CHANGES_PATH: &str = "/v1/knowledge/changes/";
 
@@ -88,6 +92,9 @@
     let is_busy = !state.handed_on.lock().may_answer(clock::now());
     let path = request.uri().path();
     let (status, body) = match (request.method(), path) {
+        (&Method::GET, DAEMONS_PATH) if !is_busy && state.peers.is_register_read() => {
+            encode(state, &state.peers.entries())
+        }
         (&Method::GET, _) if is_busy || !is_known => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         (&Method::GET, PATH) => encode(state, &knowledge(state)),
         (&Method::GET, TABLE_PATH) => encode(state, &**state.table.load()),
@@ -152,6 +159,16 @@
     }
 }
 
+/// The daemons that a seed knows.
+pub async fn entries_of_seed(state: &RelayState) -> Option<Vec<DaemonEntry>> {
+    ask(state, state.peers.seed()?, DAEMONS_PATH).await
+}
+
+/// The daemons that one knows which was heard of.
+pub async fn entries_of_peer(state: &RelayState) -> Option<Vec<DaemonEntry>> {
+    ask(state, state.peers.address_with_list(0)?, DAEMONS_PATH).await
+}
+
 /// Asks one daemon, and takes what is newer than what is known here; says whether anything was.
 pub async fn learn_from(state: &RelayState, address: SocketAddr) -> bool {
     let asked_us = clock::now();
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -9,7 +9,7 @@
 use hibiscusvale_core::quota::Coverage;
 use hibiscusvale_core::relay::audience::{Audience, Reach};
 use parking_lot::Mutex;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -29,7 +29,7 @@
 const FORGET: Duration = Duration::from_mins(10);
 
 /// Longest time for which a daemon that starts waits for the register.
-const REGISTER_WAIT: Duration = Duration::from_millis(1_500);
+const REGISTER_WAIT: Duration = Duration::from_secs(3);
 
 /// Time after the start within which daemons are heard of that live.
 const SETTLE: Duration = Duration::from_secs(2);
@@ -265,10 +265,37 @@
     /// Waits until the register was read, or until that is not worth waiting for.
     pub async fn register_known(&self) {
         let mut read = self.register_read.subscribe();
-        // Without the register all is read from the store, as by the only daemon.
+        // Without the register the first reads are left to others for longer.
         let _ = tokio::time::timeout_at(self.started + REGISTER_WAIT, read.wait_for(|read| *read)).await;
     }
 
+    /// Whether this daemon knows of all others that are registered.
+    pub fn is_register_read(&self) -> bool {
+        *self.register_read.borrow()
+    }
+
+    /// Whether any daemon was heard of lately.
+    pub fn is_any_heard(&self) -> bool {
+        let now = Instant::now();
+        self.table.lock().known.values().any(|peer| peer.is_heard(now))
+    }
+
+    /// Some host that had a daemon when the settings were written.
+    pub fn seed(&self) -> Option<SocketAddr> {
+        self.seeds.choose(&mut rand::rng()).copied()
+    }
+
+    /// The daemons that are known here, as entries of the register.
+    pub fn entries(&self) -> Vec<DaemonEntry> {
+        let table = self.table.lock();
+        let entry = |(host, peer): (&HostId, &Peer)| DaemonEntry {
+            host: host.clone(),
+            data_centre: peer.data_centre.clone(),
+            peer_address: peer.address,
+        };
+        table.known.iter().map(entry).collect()
+    }
+
     /// Takes entries of the register.
     pub fn learn(&self, entries: Vec<DaemonEntry>) {
         let now = Instant::now();
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -38,7 +38,7 @@
 /// differs so that not all daemons read at once where that was in vain.
 async fn start(state: &RelayState) {
     state.peers.register_known().await;
-    if state.peers.reach() == Reach::DataCentre {
+    if state.peers.reach() == Reach::DataCentre || !state.peers.is_register_read() {
         let left_ms = rand::rng().random_range(FIRST_READ_LEFT_MS);
         state.freshness.leave_first_reads(clock::now() + Millis(left_ms));
     }
