Stand in for late readers one after the other, and read with one of each data centre

And each reader has the store send every renewal of every entry: versions move all the time without any change, and about 1.3 MB a second go to each of twelve readers.

Reads that fail are repeated up to 6.4 s apart by those that do not read for others.

--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -141,15 +141,20 @@
         Some(now_us.since(self.read_us?))
     }
 
-    /// When to read next.
-    pub fn next_us(&self, is_reader: bool) -> MonoTime {
+    /// When to read next, at this place among the daemons that read for all.
+    ///
+    /// Load: hundreds of daemons whose readers are late. Harm prevented: all of them read at once, the store is late for that
+    /// reason, and they never stop. So in a large fleet they stand in one after the other, and whoever hears of a read that
+    /// came through stays quiet.
+    pub fn next_us(&self, place: usize) -> MonoTime {
+        let is_reader = place < self.readers();
         let Some(tried_us) = self.tried_us else {
             let is_left = !is_reader && self.left_until_us > MonoTime::default();
             let as_of_us = self.as_of_us.filter(|_| is_left);
             let left_until_us = if is_left { self.left_until_us } else { MonoTime::default() };
-            return as_of_us.map_or(left_until_us, |as_of_us| as_of_us + self.settings.stale_ms);
+            return as_of_us.map_or(left_until_us, |as_of_us| as_of_us + self.stale_ms(place));
         };
-        let retry_us = tried_us + self.retry_ms();
+        let retry_us = tried_us + self.retry_ms(is_reader);
         let Some(as_of_us) = self.as_of_us else {
             let left_until_us = if is_reader { MonoTime::default() } else { self.left_until_us };
             return retry_us.max(tried_us + self.settings.period_ms).max(left_until_us);
@@ -160,7 +165,20 @@
         if self.is_behind {
             return retry_us.max(tried_us + BEHIND_PAUSE_MS);
         }
-        retry_us.max(as_of_us + self.settings.stale_ms).max(tried_us + self.settings.period_ms)
+        retry_us.max(as_of_us + self.stale_ms(place)).max(tried_us + self.settings.period_ms)
+    }
+
+    /// Daemons that read for all. Where others stand in one after the other, the second one need not read all the while: each
+    /// reader has the store send every renewal of every server's entry.
+    fn readers(&self) -> usize {
+        if self.left_until_us > MonoTime::default() { READERS_LEFT } else { self.settings.readers }
+    }
+
+    /// Age of its knowledge at which a daemon at this place reads.
+    fn stale_ms(&self, place: usize) -> Millis {
+        let is_left = self.left_until_us > MonoTime::default();
+        let before = if is_left { place.saturating_sub(self.readers()) as u64 } else { 0 };
+        self.settings.stale_ms + Millis(STAND_IN_MS.0 * before)
     }
 
     /// When to ask another daemon that knows something newer. The store's failures are no reason to wait for that.
@@ -169,29 +187,49 @@
     }
 
     /// Pause after reads that failed.
-    fn retry_ms(&self) -> Millis {
-        let doublings = self.failures.saturating_sub(1).min(MOST_DOUBLINGS);
+    fn retry_ms(&self, is_reader: bool) -> Millis {
+        let is_left = !is_reader && self.left_until_us > MonoTime::default();
+        let most = if is_left { MOST_DOUBLINGS_LEFT } else { MOST_DOUBLINGS };
+        let doublings = self.failures.saturating_sub(1).min(most);
         if self.failures == 0 { Millis::ZERO } else { Millis(RETRY_MS.0 << doublings) }
     }
 }
 
+/// Daemons of a data centre that read for all where others stand in for them.
+const READERS_LEFT: usize = 1;
+
+/// Time between two daemons of a data centre that stand in for readers who are late.
+const STAND_IN_MS: Millis = Millis(100);
+
 /// Pause after the first read that failed; doubled with each further one.
 const RETRY_MS: Millis = Millis(100);
 
 /// Longest pause 0.8 s: entries are back two seconds after the store is, and have to be known by then.
 const MOST_DOUBLINGS: u32 = 3;
 
+/// Longest pause 6.4 s where readers read for hundreds: if all of these asked a store in need as often as their readers do,
+/// it would never get over it.
+const MOST_DOUBLINGS_LEFT: u32 = 6;
+
 /// Least pause between two reads of a daemon that is behind: what it was told of may not be readable at once.
 const BEHIND_PAUSE_MS: Millis = Millis(50);
 
 /// Whether the daemon on `own` reads for all, given the `others` that live: the first few by the hash of their names,
 /// so that all agree without a word and the duty moves by itself.
 pub fn is_reader<'a, Others>(settings: &ReadingSettings, own: &HostId, others: Others) -> bool
+where
+    Others: Iterator<Item = &'a HostId>,
+{
+    place(own, others) < settings.readers
+}
+
+/// How many of the `others` read for all before the daemon on `own`.
+pub fn place<'a, Others>(own: &HostId, others: Others) -> usize
 where
     Others: Iterator<Item = &'a HostId>,
 {
     let rank = rank(own);
-    others.filter(|other| self::rank(other) < rank).count() < settings.readers
+    others.filter(|other| self::rank(other) < rank).count()
 }
 
 fn rank(host: &HostId) -> (u64, &str) {
--- a/crates/core/tests/relay/knowledge.rs
+++ b/crates/core/tests/relay/knowledge.rs
@@ -7,6 +7,10 @@
 
 use crate::world::server;
 
+/// Place of a daemon that reads for others, and of the first that does not.
+const READER: usize = 0;
+const OTHER: usize = 2;
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::default() + Millis(ms)
 }
@@ -26,7 +30,7 @@
 
 #[test]
 fn a_new_daemon_reads_at_once() {
-    assert_eq!(Reading::new(ReadingSettings::default()).next_us(false), at(0));
+    assert_eq!(Reading::new(ReadingSettings::default()).next_us(OTHER), at(0));
 }
 
 /// A fleet starts at once. Each of hundreds of daemons read the list of ten thousand servers, page by page, and the store
@@ -35,16 +39,16 @@
 fn first_reads_are_left_to_the_readers_for_a_while() {
     let mut reading = Reading::new(ReadingSettings::default());
     reading.leave_first_read(at(5_000));
-    assert_eq!(reading.next_us(true), at(0), "a reader reads at once");
-    assert_eq!(reading.next_us(false), at(5_000), "the others when nobody has handed on anything");
+    assert_eq!(reading.next_us(READER), at(0), "a reader reads at once");
+    assert_eq!(reading.next_us(OTHER), at(5_000), "the others when nobody has handed on anything");
     reading.begin(at(1_000));
     assert_eq!(
-        reading.next_us(false),
+        reading.next_us(OTHER),
         at(5_000),
         "a question to another daemon that was in vain changes nothing"
     );
     reading.handed(at(1_200), Micros::from(Millis(300)));
-    assert!(reading.next_us(false) < at(5_000), "from then on it goes by the age of what it knows");
+    assert!(reading.next_us(OTHER) < at(5_000), "from then on it goes by the age of what it knows");
 }
 
 /// It was told what is in force before it has read anything. Reading all the same, each of hundreds would make 51 calls.
@@ -54,7 +58,7 @@
     reading.leave_first_read(at(5_000));
     for now_ms in (500..20_000).step_by(500) {
         reading.heard(at(now_ms), told(true, 3));
-        assert!(reading.next_us(false) > at(now_ms + 500), "at {now_ms} ms");
+        assert!(reading.next_us(OTHER) > at(now_ms + 500), "at {now_ms} ms");
     }
 }
 
@@ -62,7 +66,7 @@
 fn a_reader_reads_again_and_again() {
     let mut reading = Reading::new(ReadingSettings::default());
     read(&mut reading, 1_000);
-    assert_eq!(reading.next_us(true), at(1_500));
+    assert_eq!(reading.next_us(READER), at(1_500));
 }
 
 #[test]
@@ -71,7 +75,7 @@
     read(&mut reading, 1_000);
     for now_ms in (1_500..20_000).step_by(500) {
         assert!(!reading.heard(at(now_ms), told(true, 3)));
-        assert!(reading.next_us(false) > at(now_ms + 500));
+        assert!(reading.next_us(OTHER) > at(now_ms + 500));
     }
 }
 
@@ -82,8 +86,8 @@
     let mut reading = Reading::new(ReadingSettings::default());
     read(&mut reading, 1_000);
     reading.heard(at(5_000), told(true, 500));
-    assert!(reading.next_us(false) <= at(4_500 + 1_500));
-    assert!(reading.next_us(false) > at(5_500));
+    assert!(reading.next_us(OTHER) <= at(4_500 + 1_500));
+    assert!(reading.next_us(OTHER) > at(5_500));
 }
 
 /// The store turns both readers away, and nobody reads any more. The others tell each other what they know every few
@@ -97,7 +101,7 @@
         read(reading, 1_000);
     }
     let mut now_ms = 1_000;
-    while daemons.iter().all(|reading| reading.next_us(false) > at(now_ms)) {
+    while daemons.iter().all(|reading| reading.next_us(OTHER) > at(now_ms)) {
         let told_us: Vec<_> = daemons.iter().map(|reading| reading.read_age_us(at(now_ms))).collect();
         now_ms += LATENCY_MS;
         for age_us in told_us.into_iter().flatten() {
@@ -122,7 +126,7 @@
     reading.heard(at(1_010), told(false, 0));
     let mut tries = 0;
     for now_ms in 1_010..11_010 {
-        if reading.next_us(true) <= at(now_ms) {
+        if reading.next_us(READER) <= at(now_ms) {
             tries += 1;
             reading.begin(at(now_ms));
             reading.failed();
@@ -130,7 +134,7 @@
     }
     assert!((10..=16).contains(&tries), "{tries} tries in ten seconds");
     read(&mut reading, 12_000);
-    assert_eq!(reading.next_us(true), at(12_050), "once it answers, the pause is as before");
+    assert_eq!(reading.next_us(READER), at(12_050), "once it answers, the pause is as before");
 }
 
 /// A reader knows of a change. Waiting for its own turn a daemon would send requests to a server that is leaving.
@@ -139,7 +143,45 @@
     let mut reading = Reading::new(ReadingSettings::default());
     read(&mut reading, 1_000);
     assert!(reading.heard(at(1_200), told(false, 10)));
-    assert!(reading.next_us(false) <= at(1_200));
+    assert!(reading.next_us(OTHER) <= at(1_200));
+}
+
+/// Both readers of a data centre with 164 daemons are late. When all others read at once, the store was late for that reason,
+/// for the rest of the day; one after the other, the first that comes through keeps the rest quiet.
+#[test]
+fn daemons_stand_in_for_late_readers_one_after_the_other() {
+    let due = |place: usize| {
+        let mut reading = Reading::new(ReadingSettings::default());
+        reading.leave_first_read(at(500));
+        reading.heard(at(1_000), told(true, 0));
+        reading.next_us(place)
+    };
+    let due: Vec<MonoTime> = (2..164).map(due).collect();
+    assert!(due[0] <= at(2_500), "the first is in time for a leaving server");
+    for (one, next) in due.iter().zip(&due[1..]) {
+        assert!(next.since(*one) >= Micros::from(Millis(50)), "no two at once");
+    }
+}
+
+/// The store is in need, and hundreds of daemons could not read it. As long as all of them asked as often as the readers, it
+/// never recovered.
+#[test]
+fn whoever_does_not_read_for_others_asks_a_failing_store_seldom() {
+    let tries = |place: usize| {
+        let mut reading = Reading::new(ReadingSettings::default());
+        reading.leave_first_read(at(1_000));
+        let mut tries = 0;
+        for now_ms in 1_000..31_000 {
+            if reading.next_us(place) <= at(now_ms) {
+                tries += 1;
+                reading.begin(at(now_ms));
+                reading.failed();
+            }
+        }
+        tries
+    };
+    assert!(tries(READER) >= 30, "a reader has to know soon that the store is back");
+    assert!(tries(OTHER) <= 10, "{} tries in half a minute", tries(OTHER));
 }
 
 /// A daemon that is behind itself says something else than this one. Believing it would make everybody read for as long
@@ -149,7 +191,7 @@
     let mut reading = Reading::new(ReadingSettings::default());
     read(&mut reading, 9_000);
     assert!(!reading.heard(at(9_100), told(false, 4_000)));
-    assert!(reading.next_us(false) > at(10_000));
+    assert!(reading.next_us(OTHER) > at(10_000));
 }
 
 /// The store is down and each read fails. Daemons ask again at the readers' pace, not in a circle.
@@ -157,10 +199,10 @@
 fn failed_reads_are_not_repeated_in_a_circle() {
     let mut reading = Reading::new(ReadingSettings::default());
     reading.begin(at(100));
-    assert_eq!(reading.next_us(false), at(600));
+    assert_eq!(reading.next_us(OTHER), at(600));
     read(&mut reading, 600);
     reading.begin(at(5_000));
-    assert_eq!(reading.next_us(false), at(5_500));
+    assert_eq!(reading.next_us(OTHER), at(5_500));
 }
 
 /// The store was away, and is back: another daemon has read newer routes there. A daemon that went on waiting as after its
@@ -173,12 +215,12 @@
         reading.begin(at(now_ms));
         reading.failed();
     }
-    assert_eq!(reading.next_us(false), at(5_800));
+    assert_eq!(reading.next_us(OTHER), at(5_800));
     assert!(reading.heard(at(5_010), told(false, 0)));
     assert_eq!(reading.next_ask_us(), at(5_050));
     reading.begin(at(5_050));
     reading.caught_up();
-    assert!(reading.next_us(false) <= at(5_550), "it knows nothing as of the outage's end yet");
+    assert!(reading.next_us(OTHER) <= at(5_550), "it knows nothing as of the outage's end yet");
 }
 
 #[test]
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::HostId;
-use hibiscusvale_core::relay::reading::{Reading, ReadingSettings, Told, is_reader};
+use hibiscusvale_core::relay::reading::{Reading, ReadingSettings, Told, place};
 use hibiscusvale_core::relay::routes::TableVersion;
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use parking_lot::Mutex;
@@ -30,6 +30,9 @@
 /// would be answered.
 const STEP_ASIDE_MS: Millis = Millis(5_000);
 
+/// Place of a daemon that does not read for others.
+const LAST_PLACE: usize = 16;
+
 /// The longest sleep between looks at what is due.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -97,13 +100,13 @@
 
 impl Readings {
     /// When a read is due, or a question to a daemon that knows something newer.
-    fn next_us(&mut self, followed: Followed, is_reader: bool) -> MonoTime {
+    fn next_us(&mut self, followed: Followed, place: usize) -> MonoTime {
         let is_told = match followed {
             Followed::Table => self.table_teller.is_some(),
             Followed::Servers => self.servers_teller.is_some(),
         };
         let reading = reading(self, followed);
-        let read_us = reading.next_us(is_reader);
+        let read_us = reading.next_us(place);
         if is_told { read_us.min(reading.next_ask_us()) } else { read_us }
     }
 
@@ -313,8 +316,10 @@
     loop {
         let live = state.peers.hosts_at_store();
         let reaches_store = state.freshness.reaches_store(clock::now());
-        let is_reader = reaches_store && is_reader(&ReadingSettings::default(), own, live.iter());
-        let next_us = state.freshness.readings.lock().next_us(followed, is_reader);
+        // One that cannot read, or does not know who else there is, comes after all others.
+        let may_read = reaches_store && state.peers.is_register_read();
+        let place = if may_read { place(own, live.iter()) } else { live.len().max(LAST_PLACE) };
+        let next_us = state.freshness.readings.lock().next_us(followed, place);
         let now_us = clock::now();
         if now_us >= next_us {
             reading(&mut state.freshness.readings.lock(), followed).begin(now_us);
