Wait for the register by the size of the installation, and for no seed

Change: the seed is asked while the daemon looks for others, and the wait is 1.5 ms for each further try that all daemons may make together, at most 3 s: that grows with the installation and is known before its daemons are.

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -35,7 +35,7 @@
 const REGISTER_LOOKS_PER_S: u64 = 3;
 
 /// Pause between looks whether another daemon was heard that can be asked instead.
-const REGISTER_LOOK: Duration = Duration::from_millis(50);
+const REGISTER_LOOK: Duration = Duration::from_millis(20);
 
 /// Time in which all daemons register that are started together.
 const REGISTER_FILLS_MS: Millis = Millis(400);
@@ -72,37 +72,43 @@
     }
 }
 
-/// Learns of the others from a seed, from a daemon that is heard of, or from the register.
+/// Learns of the others from a seed, from a daemon that is heard of, or from the register, whichever answers first.
 async fn learn_of_others(register: &dyn Register, first_start: bool, state: &RelayState) {
-    if let Some(entries) = handover::entries_of_seed(state).await {
-        return adopt_entries(state, entries);
-    }
-    let mut settings = JoiningSettings::default();
-    if first_start {
-        settings.fills_ms = REGISTER_FILLS_MS;
-    }
-    if state.peers.seed().is_none() {
-        settings.spread_ms = Millis::ZERO;
-    }
+    let spread_ms = match state.peers.seed() {
+        Some(_) => state.bounds.lock().joining_spread(),
+        None => Millis::ZERO,
+    };
+    let fills_ms = if first_start { REGISTER_FILLS_MS } else { Millis::ZERO };
+    let settings = JoiningSettings { fills_ms, spread_ms, ..JoiningSettings::default() };
+    // A seed that is gone answers late or never; nobody waits for it.
+    let entries = tokio::select! {
+        Some(entries) = handover::entries_of_seed(state) => entries,
+        entries = look_for_others(register, settings, state) => entries,
+    };
+    adopt_entries(state, entries);
+}
+
+async fn look_for_others(
+    register: &dyn Register,
+    settings: JoiningSettings,
+    state: &RelayState,
+) -> Vec<DaemonEntry> {
     let mut joining = Joining::new(settings, clock::now(), rand::rng().random());
     loop {
-        let entries = match joining.step(clock::now(), state.peers.is_any_heard()) {
-            JoiningStep::AskPeer => handover::entries_of_peer(state).await,
+        match joining.step(clock::now(), state.peers.is_any_heard()) {
+            JoiningStep::AskPeer => {
+                if let Some(entries) = handover::entries_of_peer(state).await {
+                    return entries;
+                }
+            }
             JoiningStep::ReadRegister => match register.entries().await {
-                Ok(entries) => Some(entries),
+                Ok(entries) => return entries,
                 Err(failure) => {
                     state.log.changed("register not read", &failure);
                     joining.failed(clock::now(), rand::rng().random());
-                    None
                 }
             },
-            JoiningStep::Wait => {
-                tokio::time::sleep(REGISTER_LOOK).await;
-                None
-            }
-        };
-        if let Some(entries) = entries {
-            return adopt_entries(state, entries);
+            JoiningStep::Wait => tokio::time::sleep(REGISTER_LOOK).await,
         }
     }
 }
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -77,6 +77,12 @@
     }
 }
 
+/// Milliseconds over which reads of the register are spread, for each further try of all daemons.
+const SPREAD_MS_PER_TRY: f64 = 1.5;
+
+/// Longest such time: callers wait for daemons that start.
+const SPREAD_MS_MAX: f64 = 3_000.0;
+
 /// Below, no answer could end after the balancer has looked elsewhere; above, a host could not be taken out of use.
 const GRACE_S: RangeInclusive<f64> = 1.0..=600.0;
 
@@ -166,6 +172,13 @@
         }
     }
 
+    /// Time over which daemons that start together spread their reads of the register. How many daemons there are is what
+    /// they do not know yet; the further tries that all of them may make together tell the size of the installation.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "bounded")]
+    pub fn joining_spread(&self) -> Millis {
+        Millis((self.retry_slack * SPREAD_MS_PER_TRY).min(SPREAD_MS_MAX) as u64)
+    }
+
     /// Time between SIGTERM and SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
