Take no renewal of a server's entry for news

Cause: servers renew their entries, and each renewal moves the version of the list. A daemon that heard of a later version asked for it although the servers were the same, each adopted version rebuilt the tables of the schedulers, and each was kept for daemons that ask.

Change: a later version with the same digest is no news; one that is adopted without a change touches no table; renewals in a row are kept as one.

Measured: a test with 10,000 renewals, kept as one change (each was kept before).

--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -111,13 +111,13 @@
     }
 
     /// Compares another daemon's list with the own one; returns whether this daemon has to catch up. A later version is
-    /// news whatever its age; an equal one counts only where its age is known.
+    /// news whatever its age unless it lists the same servers: entries are renewed all the time.
     ///
     /// Load: a partition heals, and servers that had vanished from the list come back one by one, while daemons differ in
     /// which of them they keep. Harm prevented: if each difference caused a read, every read would be newer than what the
     /// others know and cause theirs in turn. So a version that is known here causes none.
     fn compare_servers(&mut self, now_us: MonoTime, told: ListState, age_us: Option<Micros>) -> bool {
-        if told.version > self.list.version {
+        if told.version > self.list.version && told.digest != self.list.digest {
             return self.servers.heard(now_us, Told { is_same: false, age_us: Micros(0) });
         }
         let Some(age_us) = age_us.filter(|_| told.version > 0) else {
--- a/crates/router/src/relay/news.rs
+++ b/crates/router/src/relay/news.rs
@@ -112,7 +112,11 @@
             if kept.back().is_some_and(|last| change.from > last.to) {
                 kept.clear();
             }
-            kept.push_back(change);
+            match kept.back_mut() {
+                // Renewals change nothing but the version, several times a second.
+                Some(last) if change.named() == 0 => last.to = change.to,
+                _ => kept.push_back(change),
+            }
         }
         let mut named: usize = kept.iter().map(ServerChange::named).sum();
         while named > SERVERS_KEPT_MAX
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -176,8 +176,11 @@
     };
     state.news.keep(changes, before.version);
     state.freshness.servers_learned(ListState::of(&listing));
+    let is_other = listing.servers.digest() != before.servers.digest();
     state.directory.adopt(listing);
-    servers_changed(state, &before);
+    if is_other {
+        servers_changed(state, &before);
+    }
     true
 }
 
--- a/crates/router/tests/ops/relay_news.rs
+++ b/crates/router/tests/ops/relay_news.rs
@@ -167,3 +167,19 @@
     let told: Vec<usize> = (0..5).map(|_| news.next().len()).collect();
     assert_eq!(told, [1, 1, 1, 0, 0]);
 }
+
+/// Entries are renewed all the time, and each renewal is a version of its own. Kept one by one they would fill the memory, and
+/// a daemon that missed some of them would be given the whole list.
+#[test]
+fn versions_without_a_change_take_no_room() {
+    let news = News::default();
+    news.note(ServerChange::between(&listing(1, &["i-0"]), &listing(2, &["i-0", "i-1"])).unwrap());
+    for version in 2..10_000 {
+        let same = |version| listing(version, &["i-0", "i-1"]);
+        news.note(ServerChange::between(&same(version), &same(version + 1)).unwrap());
+    }
+    let changes = news.since(1).unwrap();
+    assert_eq!(changes.len(), 1);
+    let known = ServerChange::applied(&changes, &listing(1, &["i-0"])).unwrap();
+    assert_eq!((names(&known), known.version), (vec!["i-0", "i-1"], 10_000));
+}
