--- a/crates/core/src/relay/engines/placing.rs
+++ b/crates/core/src/relay/engines/placing.rs
@@ -223,7 +223,7 @@
 
     /// Whether an engine is used only where none of the own data centre is left.
     ///
-    /// Load: a fleet whose daemons are told only what those of their own data centre have at the engines. Harm prevented:
+    /// Load: a fleet whose daemons receive only messages of their own data centre. Harm prevented:
     /// daemons of several data centres fill the same engines without knowing of each other.
     pub(super) fn is_second_choice(&self, index: usize) -> bool {
         self.settings.near_first && !self.engines[index].near
--- a/crates/core/src/relay/engines/settings.rs
+++ b/crates/core/src/relay/engines/settings.rs
@@ -29,8 +29,8 @@
     pub read_slack_ms: Millis,
     /// What this daemon may spend on further tries.
     pub retries: AllowanceSettings,
-    /// Whether engines of the own data centre go before all others: of those elsewhere this daemon is not told what the
-    /// daemons there have at them.
+    /// Whether engines of the own data centre go before all others: the daemons of other data centres send
+    /// no messages about theirs.
     pub near_first: bool,
 }
 
--- a/crates/core/src/relay/joining.rs
+++ b/crates/core/src/relay/joining.rs
@@ -22,7 +22,7 @@
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JoiningStep {
-    /// Ask a daemon that was heard of for the others.
+    /// Ask a daemon whose messages arrive for the others.
     AskPeer,
     /// Read the register.
     ReadRegister,
@@ -34,7 +34,7 @@
 ///
 /// Load: hundreds of daemons start together. Harm prevented: each reads all entries, the store cannot send the square of
 /// their number in the time that they wait for it, they ask again and again, and nothing else is read from the store either.
-/// So each waits a random time, and whoever hears of another daemon meanwhile asks that one.
+/// So each waits a random time, and whoever receives a message of another daemon meanwhile asks that one.
 #[derive(Clone, Copy, Debug)]
 pub struct Joining {
     settings: JoiningSettings,
--- a/crates/core/src/relay/reading.rs
+++ b/crates/core/src/relay/reading.rs
@@ -144,8 +144,8 @@
     /// When to read next, at this place among the daemons that read for all.
     ///
     /// Load: hundreds of daemons whose readers are late. Harm prevented: all of them read at once, the store is late for that
-    /// reason, and they never stop. So in a large fleet they stand in one after the other, and whoever hears of a read that
-    /// came through stays quiet.
+    /// reason, and they never stop. So in a large fleet they stand in one after the other, and a read that
+    /// came through keeps the rest quiet.
     pub fn next_us(&self, place: usize) -> MonoTime {
         let is_reader = place < self.readers();
         let Some(tried_us) = self.tried_us else {
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -34,7 +34,7 @@
 /// be more calls to the store than all that the readers make.
 const REGISTER_LOOKS_PER_S: u64 = 3;
 
-/// Pause between looks whether another daemon was heard that can be asked instead.
+/// Pause between looks for another daemon that can be asked instead.
 const REGISTER_LOOK: Duration = Duration::from_millis(20);
 
 /// Time in which all daemons register that are started together.
@@ -72,7 +72,7 @@
     }
 }
 
-/// Learns of the others from a seed, from a daemon that is heard of, or from the register, whichever answers first.
+/// Learns of the others from a seed, from a live daemon, or from the register, whichever answers first.
 async fn learn_of_others(register: &dyn Register, first_start: bool, state: &RelayState) {
     let spread_ms = match state.peers.seed() {
         Some(_) => state.bounds.lock().joining_spread(),
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -99,7 +99,7 @@
 }
 
 impl Readings {
-    /// When a read is due, or a question to a daemon that knows something newer.
+    /// When a read is due, or a question to a daemon that has announced something newer.
     fn next_us(&mut self, followed: Followed, place: usize) -> MonoTime {
         let is_told = match followed {
             Followed::Table => self.table_teller.is_some(),
@@ -222,7 +222,7 @@
         }
     }
 
-    /// Who told last of newer servers than those of `known`.
+    /// The daemon that last announced a list newer than version `known`.
     pub fn newer_servers(&self, known: u64) -> Option<SocketAddr> {
         let (version, teller) = self.readings.lock().servers_teller.take()?;
         (version > known).then_some(teller)
--- a/crates/router/src/relay/handover.rs
+++ b/crates/router/src/relay/handover.rs
@@ -159,17 +159,17 @@
     }
 }
 
-/// The daemons that a seed knows.
+/// Asks a seed for the other daemons.
 pub async fn entries_of_seed(state: &RelayState) -> Option<Vec<DaemonEntry>> {
     ask(state, state.peers.seed()?, DAEMONS_PATH).await
 }
 
-/// The daemons that one knows which was heard of.
+/// Asks a live daemon for the other daemons.
 pub async fn entries_of_peer(state: &RelayState) -> Option<Vec<DaemonEntry>> {
     ask(state, state.peers.address_with_list(0)?, DAEMONS_PATH).await
 }
 
-/// Asks one daemon, and takes what is newer than what is known here; says whether anything was.
+/// Asks one daemon, and takes what is newer than what is known here; returns whether anything was.
 pub async fn learn_from(state: &RelayState, address: SocketAddr) -> bool {
     let asked_us = clock::now();
     match ask(state, address, PATH).await {
@@ -189,8 +189,8 @@
     }
 }
 
-/// Asks one daemon for the changes of the servers since those that are known here, and for all that it knows where it cannot
-/// tell them any more; says whether they are known now.
+/// Asks one daemon for the changes of the servers since those that are known here, or for its whole list where it does
+/// not keep them any more; returns whether that brought anything.
 ///
 /// Load: a change of hundreds of servers. Harm prevented: it does not fit the messages, and each daemon reads the store.
 pub async fn learn_servers_from(state: &RelayState, address: SocketAddr) -> bool {
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -1,4 +1,4 @@
-//! The other daemons: which there are, which were heard of lately, and who of them gets messages.
+//! The other daemons: which there are, which of them are live, and who gets messages.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 /// Longest time for which a daemon that starts waits for the register.
 const REGISTER_WAIT: Duration = Duration::from_secs(3);
 
-/// Time after the start within which daemons are heard of that live.
+/// Time after the start within which messages of all live daemons arrive.
 const SETTLE: Duration = Duration::from_secs(2);
 
 /// Daemons that may be at work while the register could not be read.
