Answer a crash report with the run that refutes it

Callers of a frequent, harmless request got 503 crashes-servers for up to 15 minutes when three servers crashed within a tenth of a second while requests of a daemon that had never run it were in flight there.

Cause: a run without a crash was reported only for a request that was already suspected, so only the daemons that had run it knew. They ignored their own crashes of it but counted reported ones and contradicted none.

A daemon that ran the request now answers the report with its run, ahead of its next regular message, and a run refutes crashes up to ten seconds later on every daemon alike, whatever the order of arrival. A deterministic crash has no run to refute it, so a crashing request is held as before. The daemon's own runs counted for good until now: a request that begins to crash servers after a release was never held by those that had run it; they count for the same ten seconds.

--- a/crates/core/src/quarantine/cleared.rs
+++ b/crates/core/src/quarantine/cleared.rs
@@ -1,35 +1,37 @@
 //! Requests that recently ran without crashing a server.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 use super::fingerprint::Fingerprint;
+use crate::units::MonoTime;
 
-/// Most recent requests that ran without a crash, up to `capacity`.
+/// Requests that ran without a crash and the times of their last such runs, up to `capacity` requests.
 #[derive(Clone, Debug)]
 pub(super) struct ClearedRequests {
     oldest_first: VecDeque<Fingerprint>,
-    known: HashSet<Fingerprint>,
+    survived_us: HashMap<Fingerprint, MonoTime>,
     capacity: usize,
 }
 
 impl ClearedRequests {
     pub(super) fn new(capacity: usize) -> Self {
-        Self { oldest_first: VecDeque::new(), known: HashSet::new(), capacity }
+        Self { oldest_first: VecDeque::new(), survived_us: HashMap::new(), capacity }
     }
 
-    pub(super) fn record(&mut self, fingerprint: Fingerprint) {
-        if !self.known.insert(fingerprint) {
+    pub(super) fn record(&mut self, fingerprint: Fingerprint, at_us: MonoTime) {
+        if self.survived_us.insert(fingerprint, at_us).is_some() {
             return;
         }
         self.oldest_first.push_back(fingerprint);
         if self.oldest_first.len() > self.capacity
             && let Some(oldest) = self.oldest_first.pop_front()
         {
-            self.known.remove(&oldest);
+            self.survived_us.remove(&oldest);
         }
     }
 
-    pub(super) fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.known.contains(&fingerprint)
+    /// When a server last ran the request without crashing.
+    pub(super) fn last_survived_us(&self, fingerprint: Fingerprint) -> Option<MonoTime> {
+        self.survived_us.get(&fingerprint).copied()
     }
 }
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -9,6 +9,15 @@
 /// return.
 const SAME_CRASH_WINDOW_MS: Millis = Millis(1_000);
 
+/// Time after a run without a crash within which crashes do not count against a request. A request that is at
+/// several crashing servers by chance is repeated so often that it ran elsewhere within this time.
+const CLEARANCE_MS: Millis = Millis(10_000);
+
+/// Whether a run without a crash at `survived_us` refutes a crash at `crashed_us`.
+pub(super) fn is_refuted(crashed_us: MonoTime, survived_us: MonoTime) -> bool {
+    crashed_us <= survived_us + CLEARANCE_MS
+}
+
 /// Maximum number of crash reports kept per request; several daemons may report the same crash.
 const CRASHES_MAX: usize = 32;
 
@@ -38,10 +47,10 @@
 }
 
 impl Evidence {
-    /// Adds a crash report. Returns false if it is known, or older than a run that cleared the request.
+    /// Adds a crash report. Returns false if it is known, or refuted by a run that cleared the request.
     pub(super) fn add(&mut self, crash: Crash) -> bool {
         let is_known = self.crashes.iter().any(|known| known.id == crash.id);
-        let is_cleared = self.cleared.is_some_and(|(_, at_us)| crash.at_us <= at_us);
+        let is_cleared = self.cleared.is_some_and(|(_, survived_us)| is_refuted(crash.at_us, survived_us));
         if is_known || is_cleared {
             return false;
         }
@@ -53,17 +62,22 @@
         true
     }
 
-    /// Records that a server ran the request without crashing, which discards earlier crashes. Returns false
-    /// if a run at least as recent is known.
+    /// Records that a server ran the request without crashing, which discards the crashes that it refutes.
+    /// Returns false if a run at least as recent is known.
     pub(super) fn clear(&mut self, id: ReportId, at_us: MonoTime) -> bool {
         if self.cleared.is_some_and(|(_, known_us)| known_us >= at_us) {
             return false;
         }
         self.cleared = Some((id, at_us));
-        self.crashes.retain(|crash| crash.at_us > at_us);
+        self.crashes.retain(|crash| !is_refuted(crash.at_us, at_us));
         true
     }
 
+    /// Whether a run without a crash at `survived_us` refutes a crash that is counted against the request.
+    pub(super) fn has_crash_refuted_by(&self, survived_us: MonoTime) -> bool {
+        self.crashes.iter().any(|crash| is_refuted(crash.at_us, survived_us))
+    }
+
     /// Drops evidence from `oldest_us` or earlier.
     pub(super) fn expire(&mut self, oldest_us: MonoTime) {
         self.crashes.retain(|crash| crash.at_us > oldest_us);
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -15,4 +15,4 @@
 
 pub use fingerprint::{CallerIdentity, Fingerprint, ParseFingerprintError, RequestIdentity};
 pub use report::{Finding, Gossip, Report, ReportId, ReportPage};
-pub use state::{Quarantine, QuarantineSettings, ReceiveOutcome, Verdict};
+pub use state::{Quarantine, QuarantineSettings, ReceiveOutcome, Refutation, Verdict};
--- a/crates/core/src/quarantine/state.rs
+++ b/crates/core/src/quarantine/state.rs
@@ -5,7 +5,7 @@
 
 use super::Fingerprint;
 use super::cleared::ClearedRequests;
-use super::evidence::{Crash, Evidence};
+use super::evidence::{Crash, Evidence, is_refuted};
 use super::report::{Finding, Gossip, Report, ReportId, ReportPage};
 use crate::ids::{BackendServerId, Incarnation};
 use crate::retransmit::RetransmitQueue;
@@ -76,6 +76,24 @@
     /// Request for the reports of that daemon, with the fingerprint after which they start (`None`: from the
     /// beginning). `None` if no request is to be sent.
     pub pull_after: Option<Option<Fingerprint>>,
+    /// Reports that this daemon refuted; the next message to the others says so and should be sent soon.
+    pub refutations: Vec<Refutation>,
+}
+
+/// A crash that does not count against a request because a server of this daemon recently ran it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refutation {
+    /// Request that the crash was reported for.
+    pub fingerprint: Fingerprint,
+    /// Time since a server last ran the request without crashing.
+    pub survival_age_ms: Millis,
+}
+
+/// Result of adding reports of another daemon.
+#[derive(Debug, Default)]
+struct AddedReports {
+    is_any_new: bool,
+    refutations: Vec<Refutation>,
 }
 
 /// Crash evidence of one daemon.
@@ -133,7 +151,9 @@
         server: BackendServerId,
         in_flight_ms: Millis,
     ) -> Vec<Verdict> {
-        if self.cleared.contains(fingerprint) {
+        let is_refuted =
+            self.cleared.last_survived_us(fingerprint).is_some_and(|at_us| is_refuted(now_us, at_us));
+        if is_refuted {
             return Vec::new();
         }
         self.create_report(now_us, fingerprint, Finding::Crashed { server, in_flight_ms })
@@ -141,7 +161,7 @@
 
     /// Records that a server ran the request without crashing.
     pub fn record_survival(&mut self, now_us: MonoTime, fingerprint: Fingerprint) -> Vec<Verdict> {
-        self.cleared.record(fingerprint);
+        self.cleared.record(fingerprint, now_us);
         if self.suspects.get(&fingerprint).is_none_or(|evidence| evidence.crashes.is_empty()) {
             return Vec::new();
         }
@@ -175,7 +195,7 @@
 
     /// Adds saved reports.
     pub fn restore(&mut self, now_us: MonoTime, reports: Vec<Report>) -> Vec<Verdict> {
-        if self.add_reports(now_us, reports) { self.evaluate() } else { Vec::new() }
+        if self.add_reports(now_us, reports).is_any_new { self.evaluate() } else { Vec::new() }
     }
 
     /// Numbers of requests with evidence and of requests in quarantine.
@@ -212,13 +232,13 @@
 
     /// Processes the reports and the digest of another daemon's message.
     pub fn receive(&mut self, now_us: MonoTime, gossip: Gossip) -> ReceiveOutcome {
-        let is_new = self.add_reports(now_us, gossip.reports);
-        let verdicts = if is_new { self.evaluate() } else { Vec::new() };
+        let AddedReports { is_any_new, refutations } = self.add_reports(now_us, gossip.reports);
+        let verdicts = if is_any_new { self.evaluate() } else { Vec::new() };
         let is_pull_due = gossip.digest != self.digest && now_us >= self.next_pull_us;
         if is_pull_due {
             self.next_pull_us = now_us + PULL_INTERVAL_MS;
         }
-        ReceiveOutcome { verdicts, pull_after: is_pull_due.then_some(self.pull_cursor) }
+        ReceiveOutcome { verdicts, pull_after: is_pull_due.then_some(self.pull_cursor), refutations }
     }
 
     /// Reports after a fingerprint, or from the beginning, for a daemon that requests them.
@@ -244,13 +264,13 @@
 
     /// Processes a page of reports from another daemon.
     pub fn receive_page(&mut self, now_us: MonoTime, page: ReportPage) -> ReceiveOutcome {
-        let is_new = self.add_reports(now_us, page.reports);
+        let AddedReports { is_any_new, refutations } = self.add_reports(now_us, page.reports);
         self.pull_cursor = page.more_after;
-        if !is_new {
+        if !is_any_new {
             self.next_pull_us = now_us + PULL_BACKOFF_MS;
             return ReceiveOutcome::default();
         }
-        ReceiveOutcome { verdicts: self.evaluate(), pull_after: page.more_after.map(Some) }
+        ReceiveOutcome { verdicts: self.evaluate(), pull_after: page.more_after.map(Some), refutations }
     }
 
     /// Shifts a time by `evidence_ms`, so that findings from before the start of the process have a valid
@@ -265,21 +285,53 @@
         fingerprint: Fingerprint,
         finding: Finding,
     ) -> Vec<Verdict> {
+        if self.add_own_report(now_us, fingerprint, finding, Millis::ZERO) {
+            self.evaluate()
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// Adds a report of this daemon and schedules it for sending; returns whether it was new.
+    fn add_own_report(
+        &mut self,
+        now_us: MonoTime,
+        fingerprint: Fingerprint,
+        finding: Finding,
+        age_ms: Millis,
+    ) -> bool {
         let id = ReportId { incarnation: self.incarnation, sequence: self.reports_created };
         self.reports_created += 1;
-        if !self.add_report(now_us, Report { id, fingerprint, finding, age_ms: Millis::ZERO }) {
-            return Vec::new();
+        let is_new = self.add_report(now_us, Report { id, fingerprint, finding, age_ms });
+        if is_new {
+            self.pending.push(Pending { fingerprint, id });
         }
-        self.pending.push(Pending { fingerprint, id });
-        self.evaluate()
+        is_new
     }
 
-    fn add_reports(&mut self, now_us: MonoTime, reports: Vec<Report>) -> bool {
-        let mut is_new = false;
+    fn add_reports(&mut self, now_us: MonoTime, reports: Vec<Report>) -> AddedReports {
+        let mut added = AddedReports::default();
         for report in reports {
-            is_new |= self.add_report(now_us, report);
+            let fingerprint = report.fingerprint;
+            if self.add_report(now_us, report) {
+                added.is_any_new = true;
+                added.refutations.extend(self.refute(now_us, fingerprint));
+            }
         }
-        is_new
+        added
+    }
+
+    /// Reports that a server of this daemon recently ran the request, if that refutes a crash counted against it.
+    /// A daemon that has not run the request itself would attribute crashes to it that coincide by chance.
+    fn refute(&mut self, now_us: MonoTime, fingerprint: Fingerprint) -> Option<Refutation> {
+        let survived_us = self.cleared.last_survived_us(fingerprint)?;
+        let evidence = self.suspects.get(&fingerprint)?;
+        if !evidence.has_crash_refuted_by(self.evidence_time(survived_us)) {
+            return None;
+        }
+        let survival_age_ms = now_us.since(survived_us).to_millis_ceil();
+        let is_new = self.add_own_report(now_us, fingerprint, Finding::Survived, survival_age_ms);
+        is_new.then_some(Refutation { fingerprint, survival_age_ms })
     }
 
     /// Adds one report; returns whether it was new.
--- a/crates/core/tests/quarantine/main.rs
+++ b/crates/core/tests/quarantine/main.rs
@@ -4,3 +4,4 @@
 mod fingerprint;
 mod harm;
 mod simulation;
+mod survival;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -15,7 +15,7 @@
 use hibiscusvale_core::ids::{
     BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
 };
-use hibiscusvale_core::quarantine::{Fingerprint, Verdict};
+use hibiscusvale_core::quarantine::{Fingerprint, Refutation, Verdict};
 use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
@@ -257,6 +257,16 @@
         });
     }
 
+    /// Logs that a crash reported by another daemon does not count because a server here ran the request.
+    pub fn crash_refuted(&self, refutation: &Refutation) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "crash refuted", kv: {
+                fingerprint: = refutation.fingerprint,
+                survival_age_ms = refutation.survival_age_ms.0,
+            });
+        }
+    }
+
     /// Logs a request that was refused because its fingerprint is in quarantine for another `remaining` milliseconds.
     pub fn request_refused_in_quarantine(
         &self,
--- a/crates/router/src/relay/quarantine.rs
+++ b/crates/router/src/relay/quarantine.rs
@@ -141,6 +141,12 @@
 
     fn apply(&self, state: &RelayState, received: &ReceiveOutcome) -> Option<Datagram> {
         self.publish(state, &received.verdicts);
+        for refutation in &received.refutations {
+            state.log.crash_refuted(refutation);
+        }
+        if !received.refutations.is_empty() {
+            state.peers.schedule_message(Urgency::Soon);
+        }
         received.pull_after.map(Datagram::ReportRequest)
     }
 
