--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -40,6 +40,7 @@
             log: Arc::new(StoreLog::new(store.clone())),
             servers: Arc::new(StoreServers::new(store.clone(), settings.host.region.clone())),
             evidence: Arc::new(StoreEvidence::new(store.clone())),
+            store_traffic: Arc::clone(store.traffic()),
         };
         let mut daemon = RelayDaemon::start(settings, adapters, new_incarnation())?;
         loop {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -33,6 +33,7 @@
 use super::settings::RelaySettings;
 use super::state::RelayState;
 use super::status::{self, Purpose};
+use super::store_traffic::StoreTraffic;
 use super::watch;
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
@@ -72,6 +73,8 @@
     pub servers: Arc<dyn HostList>,
     /// Store for crash evidence that outlives the daemons.
     pub evidence: Arc<dyn EvidenceStore>,
+    /// Totals of the calls that these adapters make to the store.
+    pub store_traffic: Arc<StoreTraffic>,
 }
 
 /// A running daemon in relay mode.
@@ -148,6 +151,7 @@
         let serving =
             traffic.spawn(callers::serve(Arc::clone(&state), socket, connections, stop_listening.clone()));
         state.metrics.observe(&state);
+        state.metrics.observe_store(&adapters.store_traffic);
         traffic.spawn(status::serve(Arc::clone(&state), settings.listen.readiness, Purpose::Readiness));
         if let Some(address) = settings.listen.metrics {
             traffic.spawn(status::serve(Arc::clone(&state), address, Purpose::Metrics));
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
 use super::state::RelayState;
+use super::store_traffic::{StoreTotals, StoreTraffic};
 use crate::metrics::{Metrics, MetricsError};
 
 /// Histogram bounds in ms around targets of 0.15 to 0.9 s and timeouts of several seconds.
@@ -120,6 +121,21 @@
         });
     }
 
+    /// Registers counters of the calls to the store, by kind of call and topic.
+    pub fn observe_store(&self, traffic: &Arc<StoreTraffic>) {
+        let meter = self.metrics.meter();
+        observe_store_counter(&meter, "hibiscusvale_relay_store_calls", traffic, |totals| totals.calls);
+        observe_store_counter(&meter, "hibiscusvale_relay_store_failed_calls", traffic, |totals| {
+            totals.failed_calls
+        });
+        observe_store_counter(&meter, "hibiscusvale_relay_store_sent_bytes", traffic, |totals| {
+            totals.sent_bytes.0
+        });
+        observe_store_counter(&meter, "hibiscusvale_relay_store_received_bytes", traffic, |totals| {
+            totals.received_bytes.0
+        });
+    }
+
     /// All metrics in the text format for scraping.
     pub fn render(&self) -> String {
         self.metrics.render()
@@ -138,6 +154,24 @@
         .build();
 }
 
+fn observe_store_counter(
+    meter: &Meter,
+    name: &'static str,
+    traffic: &Arc<StoreTraffic>,
+    read: fn(&StoreTotals) -> u64,
+) {
+    let traffic = Arc::clone(traffic);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |observer| {
+            for (call, topic, totals) in traffic.totals() {
+                let labels = [KeyValue::new("call", call.name()), KeyValue::new("topic", topic)];
+                observer.observe(read(&totals), &labels);
+            }
+        })
+        .build();
+}
+
 fn millis(span: Duration) -> f64 {
     span.as_secs_f64() * 1_000.0
 }
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -35,6 +35,7 @@
 mod state;
 mod state_transfer;
 mod status;
+pub mod store_traffic;
 mod stream;
 mod trace;
 mod watch;
