Send frames to other daemons without nng's push sockets

A daemon ended with "panic: pthread_mutex_lock: Invalid argument" or a segmentation fault; each request that it had in hand was lost with it, also those of callers that did nothing.

Cause: nng's push socket keeps connections that can take a message in a list. One whose send completes while its peer closes it stays in the list after it is freed; the next send or the next connection accesses it. Evidence: survives_peers_that_close_during_sends, 48 peers that greet, read up to 2 KB and close, for 4 s. No sender there closes a socket, so the order of our calls does not matter.

Daemons of either build understand each other, since the bytes on the wire are the same.

--- a/crates/router/src/meter.rs
+++ b/crates/router/src/meter.rs
@@ -1,7 +1,7 @@
 //! Resource usage of the control plane: CPU time of its threads, memory, and bytes sent.
 //!
-//! Control threads are recognised by name: the control thread, the thread that receives frames from other daemons,
-//! and the threads of the transport library. The kernel accounts CPU time per thread.
+//! Control threads are recognised by name: the control thread, the threads that exchange frames with other
+//! daemons, and the threads of the transport library. The kernel accounts CPU time per thread.
 
 use std::fs;
 use std::path::Path;
@@ -13,7 +13,7 @@
 use hibiscusvale_core::units::{Bytes, Micros, Millis};
 
 use crate::clock;
-use crate::peer::{NngLink, RECEIVE_THREAD};
+use crate::peer::{NngLink, RECEIVE_THREAD, SEND_THREAD};
 
 /// Name of the thread that runs the control services.
 pub const CONTROL_THREAD: &str = "control";
@@ -25,7 +25,7 @@
 const BYTES_PER_KIB: u64 = 1_024;
 
 fn is_control(name: &str) -> bool {
-    name == CONTROL_THREAD || name == RECEIVE_THREAD || name.starts_with(TRANSPORT_THREADS)
+    [CONTROL_THREAD, RECEIVE_THREAD, SEND_THREAD].contains(&name) || name.starts_with(TRANSPORT_THREADS)
 }
 
 /// CPU time of one control thread: the first field of its `schedstat`, in nanoseconds. `None` for other threads.
--- a/crates/router/src/peer/link.rs
+++ b/crates/router/src/peer/link.rs
@@ -1,8 +1,8 @@
-//! The link between daemons over nng: one listening socket, and one sending socket per address.
+//! The link between daemons over nng: one listening socket, and one outgoing connection per address.
 //!
-//! nng reconnects by itself when a connection breaks. A half-open connection, whose state a device on the path has
+//! A connection that breaks is reconnected at once. A half-open connection, whose state a device on the path has
 //! lost, does not break and would swallow messages for about 15 minutes. Therefore each address is expected to
-//! send something after it was written to; otherwise it is probed, and if the probe gets no reply, the socket is
+//! send something after it was written to; otherwise it is probed, and if the probe gets no reply, it is
 //! closed and a new one is dialled.
 
 use std::collections::HashMap;
@@ -14,19 +14,18 @@
 
 use hibiscusvale_core::ids::{HostId, Incarnation};
 use hibiscusvale_core::membership::MembersView;
-use nng::options::transport::tcp::{BoundPort, NoDelay};
-use nng::options::{
-    Options, ReconnectMaxTime, ReconnectMinTime, RecvBufferSize, RecvMaxSize, SendBufferSize,
-};
+use nng::options::transport::tcp::BoundPort;
+use nng::options::{Options, RecvBufferSize, RecvMaxSize};
 use nng::{Listener, ListenerBuilder, Protocol, Socket};
 use parking_lot::Mutex;
+use tokio::runtime::{Builder, Handle, Runtime};
 
 use super::codec::{Frame, FrameError, MAX_FRAME_BYTES, Payload, PeerKey, decode, encode};
+use super::counters::{Counters, LinkCounts, add};
+use super::outbound::Outbound;
 use super::replay::{ReplayGuard, StaleFrame};
 use super::{Inbound, PeerBody, PeerLink, PeerMessage};
 
-/// Maximum number of frames queued on a connection.
-const SEND_BUFFER_FRAMES: i32 = 32;
 /// Maximum number of received frames waiting to be handled.
 const RECEIVE_BUFFER_FRAMES: i32 = 1_024;
 /// Header bytes that the transport adds to each frame.
@@ -34,10 +33,10 @@
 /// Maximum number of open connections; beyond it, the least recently used one is closed. A daemon talks to all
 /// daemons of its data centre and to a few others.
 const MAX_CONNECTIONS: usize = 128;
-const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(100);
-const MAX_RECONNECT_DELAY: Duration = Duration::from_secs(2);
 /// Name of the receiving thread; the meter counts it as control.
 pub const RECEIVE_THREAD: &str = "peer-recv";
+/// Name of the sending thread; the meter counts it as control.
+pub const SEND_THREAD: &str = "peer-send";
 
 /// Settings of the link of a daemon.
 #[derive(Clone, Debug)]
@@ -79,79 +78,14 @@
     /// The listening address could not be bound.
     #[error("could not listen for other daemons: {0}")]
     Listen(nng::Error),
-    /// The receiving thread could not be started.
-    #[error("could not start the receiving thread")]
+    /// The receiving or the sending thread could not be started.
+    #[error("could not start a thread of the link")]
     Thread,
 }
 
-macro_rules! counts {
-    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
-        /// Counters of a link since its start.
-        #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-        pub struct LinkCounts {
-            $($(#[$doc])* pub $name: u64,)*
-        }
-
-        #[derive(Debug, Default)]
-        struct Counters {
-            $($name: AtomicU64,)*
-        }
-
-        impl Counters {
-            fn read(&self) -> LinkCounts {
-                LinkCounts { $($name: self.$name.load(Ordering::Relaxed),)* }
-            }
-        }
-
-        impl LinkCounts {
-            /// Counters by name, for metrics.
-            pub fn by_name(&self) -> impl Iterator<Item = (&'static str, u64)> {
-                [$((stringify!($name), self.$name),)*].into_iter()
-            }
-        }
-    };
-}
-
-counts!(
-    /// Bytes sent for control: membership, spreading and probes, including transport headers.
-    control_bytes,
-    /// Frames sent for control.
-    control_frames,
-    /// Bytes sent on behalf of requests: slots and claims, including transport headers.
-    request_bytes,
-    /// Frames sent on behalf of requests.
-    request_frames,
-    /// Bytes received, including transport headers.
-    received_bytes,
-    /// Frames received.
-    received_frames,
-    /// Messages dropped because the address of the receiver is unknown.
-    dropped_no_address,
-    /// Messages dropped because the connection could not be opened or its queue was full.
-    dropped_busy,
-    /// Messages dropped because they exceed the maximum frame size.
-    dropped_too_long,
-    /// Received frames that cannot be decoded, are too long, or have an unknown version.
-    refused_malformed,
-    /// Received frames with a wrong authentication code.
-    refused_forged,
-    /// Received frames that were already received before.
-    refused_replayed,
-    /// Received frames from an old incarnation of the sender.
-    refused_old_life,
-    /// Probes sent.
-    probes,
-    /// Connections redialled because they were silent.
-    redialled,
-);
-
-fn add(counter: &AtomicU64, amount: u64) {
-    counter.fetch_add(amount, Ordering::Relaxed);
-}
-
 #[derive(Debug)]
 struct Connection {
-    socket: Socket,
+    outbound: Outbound,
     last_used: Instant,
     /// Since when a sent message has been unanswered, and how long that is allowed to last.
     unanswered: Option<(Instant, Duration)>,
@@ -172,7 +106,8 @@
     settings: LinkSettings,
     incarnation: Incarnation,
     sequence: AtomicU64,
-    counters: Counters,
+    counters: Arc<Counters>,
+    sender: Handle,
     state: Mutex<State>,
     inbound: Inbound,
 }
@@ -181,6 +116,8 @@
 pub struct NngLink {
     shared: Arc<Shared>,
     socket: Socket,
+    /// Runtime of the outgoing connections; `None` once the link is stopped.
+    sender: Mutex<Option<Runtime>>,
     local_address: SocketAddr,
 }
 
@@ -203,11 +140,18 @@
     ) -> Result<Arc<Self>, LinkError> {
         let socket = Socket::new(Protocol::Pull0).map_err(LinkError::Listen)?;
         let local_address = listen(&socket, settings.listen).map_err(LinkError::Listen)?;
+        let sender = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name(SEND_THREAD)
+            .enable_all()
+            .build()
+            .map_err(|_| LinkError::Thread)?;
         let shared = Arc::new(Shared {
             settings,
             incarnation,
             sequence: AtomicU64::new(0),
-            counters: Counters::default(),
+            counters: Arc::default(),
+            sender: sender.handle().clone(),
             state: Mutex::new(State::default()),
             inbound,
         });
@@ -216,7 +160,7 @@
             .name(RECEIVE_THREAD.to_owned())
             .spawn(move || receive_loop(&receiver.0, &receiver.1))
             .map_err(|_| LinkError::Thread)?;
-        Ok(Arc::new(Self { shared, socket, local_address }))
+        Ok(Arc::new(Self { shared, socket, sender: Mutex::new(Some(sender)), local_address }))
     }
 
     /// Bound address; the actual port if the settings specify port 0.
@@ -250,6 +194,9 @@
     pub fn stop(&self) {
         self.socket.close();
         self.shared.state.lock().connections.clear();
+        if let Some(sender) = self.sender.lock().take() {
+            sender.shutdown_background();
+        }
     }
 }
 
@@ -296,19 +243,9 @@
     format!("tcp://{address}")
 }
 
-fn dial(address: SocketAddr) -> Result<Socket, nng::Error> {
-    let socket = Socket::new(Protocol::Push0)?;
-    socket.set_opt::<SendBufferSize>(SEND_BUFFER_FRAMES)?;
-    socket.set_opt::<ReconnectMinTime>(Some(MIN_RECONNECT_DELAY))?;
-    socket.set_opt::<ReconnectMaxTime>(Some(MAX_RECONNECT_DELAY))?;
-    socket.set_opt::<NoDelay>(true)?;
-    socket.dial_async(&url(address))?;
-    Ok(socket)
-}
-
 impl Connection {
-    fn open(now: Instant, address: SocketAddr) -> Result<Self, nng::Error> {
-        Ok(Self { socket: dial(address)?, last_used: now, unanswered: None, probed_at: None, redials: 0 })
+    fn new(now: Instant, outbound: Outbound) -> Self {
+        Self { outbound, last_used: now, unanswered: None, probed_at: None, redials: 0 }
     }
 
     fn is_silent(&self, now: Instant) -> bool {
@@ -319,6 +256,10 @@
 }
 
 impl Shared {
+    fn open(&self, address: SocketAddr) -> Outbound {
+        Outbound::open(&self.sender, address, Arc::clone(&self.counters))
+    }
+
     fn send(&self, to: Option<&HostId>, address: SocketAddr, payload: Payload) {
         let mut state = self.state.lock();
         self.send_locked(&mut state, Instant::now(), to, address, payload);
@@ -345,14 +286,11 @@
             add(&self.counters.dropped_too_long, 1);
             return;
         };
-        let Some(connection) = state.connection(now, address) else {
-            add(&self.counters.dropped_busy, 1);
-            return;
-        };
+        let connection = state.connection(now, address, || self.open(address));
         connection.last_used = now;
         let (since, known) = connection.unanswered.unwrap_or((now, silence_timeout));
         connection.unanswered = Some((since, known.min(silence_timeout)));
-        if connection.socket.try_send(bytes.as_slice()).is_err() {
+        if connection.outbound.try_send(&bytes).is_err() {
             add(&self.counters.dropped_busy, 1);
             return;
         }
@@ -380,10 +318,8 @@
             Some(probed_at) if now.duration_since(probed_at) > self.settings.probe_timeout => {
                 add(&self.counters.redialled, 1);
                 let (last_used, redials) = (connection.last_used, connection.redials + 1);
-                state.connections.remove(&address);
-                if let Ok(connection) = Connection::open(now, address) {
-                    state.connections.insert(address, Connection { last_used, redials, ..connection });
-                }
+                let redialled = Connection::new(now, self.open(address));
+                state.connections.insert(address, Connection { last_used, redials, ..redialled });
             }
             Some(_) => {}
         }
@@ -436,15 +372,14 @@
 }
 
 impl State {
-    fn connection(&mut self, now: Instant, address: SocketAddr) -> Option<&mut Connection> {
-        if !self.connections.contains_key(&address) {
-            if self.connections.len() >= MAX_CONNECTIONS {
-                self.close_least_recently_used();
-            }
-            let connection = Connection::open(now, address).ok()?;
-            self.connections.insert(address, connection);
+    fn connection<Open>(&mut self, now: Instant, address: SocketAddr, open: Open) -> &mut Connection
+    where
+        Open: FnOnce() -> Outbound,
+    {
+        if !self.connections.contains_key(&address) && self.connections.len() >= MAX_CONNECTIONS {
+            self.close_least_recently_used();
         }
-        self.connections.get_mut(&address)
+        self.connections.entry(address).or_insert_with(|| Connection::new(now, open()))
     }
 
     fn close_least_recently_used(&mut self) {
--- a/crates/router/src/peer/mod.rs
+++ b/crates/router/src/peer/mod.rs
@@ -1,8 +1,10 @@
 //! Messages between daemons, and the link that carries them.
 
 mod codec;
+mod counters;
 mod link;
 pub mod memory;
+mod outbound;
 mod replay;
 
 use std::fmt::Debug;
@@ -19,7 +21,8 @@
 use crate::listing_service::ListingMessage;
 
 pub use self::codec::{FrameError, MAX_FRAME_BYTES, ParsePeerKeyError, PeerKey};
-pub use self::link::{LinkCounts, LinkError, LinkSettings, NngLink, RECEIVE_THREAD};
+pub use self::counters::LinkCounts;
+pub use self::link::{LinkError, LinkSettings, NngLink, RECEIVE_THREAD, SEND_THREAD};
 
 /// A message body, by the service that handles it.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
--- a/crates/router/tests/peer/main.rs
+++ b/crates/router/tests/peer/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the link between daemons over the loopback interface.
 
+mod closing_peers;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/standins/src/slopes/procs.rs
+++ b/crates/standins/src/slopes/procs.rs
@@ -65,7 +65,7 @@
         let thread = read("comm");
         let thread = thread.trim();
         all += nanos / 1_000.0;
-        if thread == "control" || thread == "peer-recv" || thread.starts_with("nng:") {
+        if ["control", "peer-recv", "peer-send"].contains(&thread) || thread.starts_with("nng:") {
             control += nanos / 1_000.0;
         }
     }
