--- a/crates/standins/src/load/caller.rs
+++ b/crates/standins/src/load/caller.rs
@@ -20,6 +20,7 @@
 use crate::load::balancer::Balancer;
 use crate::load::schedule::{PlannedRequest, schedule};
 use crate::load::settings::{Flow, FlowKind, LoadPlan};
+use crate::load::starvation::StarvationMeter;
 
 /// Range of the random back-off before a retry when the daemon sends no `retry-after`.
 const BACKOFF_RANGE_MS: (u64, u64) = (20, 200);
@@ -85,6 +86,23 @@
     client: HttpClient,
     balancer: Balancer,
     flow: Flow,
+    starvation: StarvationMeter,
+    run_start: Instant,
+}
+
+/// A request without an outcome within the caller's time limit, as written to standard error.
+#[derive(Serialize)]
+struct LostRequest<'a> {
+    lost: &'a str,
+    class: &'a str,
+    daemon: SocketAddr,
+    /// Number of calls made before this one.
+    earlier_calls: usize,
+    /// Time of the call since the start of the run.
+    called_ms: u128,
+    time_limit_ms: u64,
+    /// Time within the call in which this process was not scheduled.
+    starved_ms: u128,
 }
 
 #[derive(Serialize)]
@@ -102,14 +120,21 @@
     // Retries inside the HTTP client would hide failures of the daemons.
     let client = Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
     let balancer = Balancer::start(&plan.daemons);
+    let starvation = StarvationMeter::start();
+    let start = Instant::now();
     let callers = plan.flows.iter().map(|flow| {
-        Arc::new(Caller { client: client.clone(), balancer: balancer.clone(), flow: flow.clone() })
+        Arc::new(Caller {
+            client: client.clone(),
+            balancer: balancer.clone(),
+            flow: flow.clone(),
+            starvation: starvation.clone(),
+            run_start: start,
+        })
     });
     let callers: Vec<_> = callers.collect();
-    let start = Instant::now();
     let requests = schedule(plan, &run_prefix()).into_iter().map(|planned| {
         let caller = Arc::clone(&callers[planned.flow]);
-        tokio::spawn(async move { caller.run(planned, start).await })
+        tokio::spawn(async move { caller.run(planned).await })
     });
     let ended = join_all(requests.collect::<Vec<_>>()).await;
     ended.into_iter().flatten().collect()
@@ -121,8 +146,8 @@
 }
 
 impl Caller {
-    async fn run(&self, planned: PlannedRequest, start: Instant) -> Record {
-        sleep_until(start + planned.at).await;
+    async fn run(&self, planned: PlannedRequest) -> Record {
+        sleep_until(self.run_start + planned.at).await;
         let sent_at = Instant::now();
         let disconnect_after = planned.disconnect_after;
         let mut record = Record { planned, sent_at, calls: Vec::new() };
@@ -141,7 +166,7 @@
         let mut daemon = self.balancer.pick(&mut rng, None);
         let mut refused = 0;
         while record.calls.len() < self.flow.attempts && refused < MAX_REFUSED_CONNECTIONS {
-            let call = self.call(&record.planned, daemon).await;
+            let call = self.call(record, daemon).await;
             let Some(call) = call else {
                 refused += 1;
                 sleep(CONNECT_RETRY_DELAY).await;
@@ -164,11 +189,29 @@
     }
 
     /// Makes one call; `None` if the connection was refused.
-    async fn call(&self, planned: &PlannedRequest, daemon: SocketAddr) -> Option<Call> {
+    async fn call(&self, record: &Record, daemon: SocketAddr) -> Option<Call> {
         let limit = Duration::from_millis(self.flow.timeout_ms);
-        match timeout(limit, self.exchange(planned, daemon)).await {
-            Ok(call) => call,
-            Err(_) => Some(Call::without_head(Outcome::Lost(Flaw::NoOutcome))),
+        let called_at = Instant::now();
+        if let Ok(call) = timeout(limit, self.exchange(&record.planned, daemon)).await {
+            return call;
+        }
+        self.report_lost(record, daemon, called_at);
+        Some(Call::without_head(Outcome::Lost(Flaw::NoOutcome)))
+    }
+
+    /// Names a lost request, so that its lines in the logs of the daemons can be found.
+    fn report_lost(&self, record: &Record, daemon: SocketAddr, called_at: Instant) {
+        let lost = LostRequest {
+            lost: &record.planned.name,
+            class: &self.flow.class,
+            daemon,
+            earlier_calls: record.calls.len(),
+            called_ms: called_at.duration_since(self.run_start).as_millis(),
+            time_limit_ms: self.flow.timeout_ms,
+            starved_ms: self.starvation.starved_since(called_at.into_std()).as_millis(),
+        };
+        if let Ok(line) = serde_json::to_string(&lost) {
+            eprintln!("{line}");
         }
     }
 
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -12,3 +12,4 @@
 pub mod report;
 pub mod schedule;
 pub mod settings;
+pub mod starvation;
