Count connections to something else than a pull socket apart

A peer address that another program answers looked like a host that is down. refused_greeting counts it; no failure of the typed errors is left uncounted. No behaviour changes besides; the tests of the link pass (10).

--- a/crates/router/src/peer/counters.rs
+++ b/crates/router/src/peer/counters.rs
@@ -47,6 +47,8 @@
     dropped_no_address,
     /// Attempts to connect that failed.
     connect_failed,
+    /// Connections closed because the peer did not greet as a pull socket.
+    refused_greeting,
     /// Frames lost because the connection broke while they were written.
     dropped_broken,
     /// Messages dropped because the queue of the connection was full.
--- a/crates/router/src/peer/outbound.rs
+++ b/crates/router/src/peer/outbound.rs
@@ -90,9 +90,8 @@
                     add(&counters.dropped_broken, 1);
                 }
             }
-            Err(_) => {
-                add(&counters.connect_failed, 1);
-            }
+            Err(ConnectError::NotPull(_)) => add(&counters.refused_greeting, 1),
+            Err(ConnectError::Io(_) | ConnectError::Timeout) => add(&counters.connect_failed, 1),
         }
         tokio::time::sleep(delay).await;
         delay = (delay * 2).min(MAX_RECONNECT_DELAY);
