Log and count what servers state about their availability

All answers, to requests of callers and to calls of the router itself, are now parsed for both at one place. Nothing decides by them yet.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -248,6 +248,26 @@
         }
     }
 
+    /// Logs what a server stated in an answer with `status` to a request of the kind `path`.
+    pub fn server_stated(
+        &self,
+        server: &BackendServerId,
+        statement: &'static str,
+        rest_ms: Option<Millis>,
+        path: &'static str,
+        status: u16,
+    ) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "server stated", kv: {
+                server: = server,
+                statement = statement,
+                rest_ms = rest_ms.unwrap_or_default().0,
+                path = path,
+                status = status,
+            });
+        }
+    }
+
     /// Logs that a fingerprint entered or left quarantine.
     pub fn quarantine_changed(&self, verdict: &Verdict) {
         spdlog::info!(logger: self.logger, "quarantine", kv: {
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -12,6 +12,7 @@
 
 use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
 use super::state::{Incoming as IncomingRequest, RelayState};
+use super::statements::{self, Path};
 use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
 
@@ -136,6 +137,7 @@
     let status = known.response.status();
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.parse_reply(status, &headers);
+    statements::record(&incoming.state, hop.server, Path::of(&hop.task), status, &head);
     record_limit(incoming, hop.server, status, &head);
     Ok(Reply { status, headers, head, known })
 }
@@ -158,8 +160,10 @@
     *request.headers_mut() = call.headers;
     let response = state.http.send(ConnectionReuse::Pooled, request, timeout).await?;
     let status = response.status();
+    let head = state.wire.parse_reply(status, response.headers());
+    statements::record(state, server, Path::Router, status, &head);
     // Only answers to requests can withdraw a limit.
-    if let Some(rate) = state.wire.parse_reply(status, response.headers()).limit {
+    if let Some(rate) = head.limit {
         state.limits.record_answer(state, server, Some(rate));
     }
     Ok((status, read_body(response.into_body(), BUFFERED_ANSWER_BYTES_MAX, timeout).await?))
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -198,6 +198,24 @@
     pub after_event: Option<EventId>,
 }
 
+/// Time for which a server asks to get no requests from this daemon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rest {
+    /// From the answer on.
+    For(Millis),
+    /// The time cannot be parsed.
+    Malformed,
+}
+
+/// What a server states about its availability in an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Availability {
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// The rest that it asks for; `None` if it asks for none.
+    pub rest: Option<Rest>,
+}
+
 /// Parsed head of a server's answer.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReplyHead {
@@ -214,6 +232,8 @@
     /// Request rate limit of the server for all daemons together, in thousandths of a request per second;
     /// `None` if it states no limit.
     pub limit: Option<CreditPerSecond>,
+    /// What the server states about its availability.
+    pub availability: Availability,
 }
 
 /// Protocol of callers and backend servers.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -22,6 +22,7 @@
     requests: Counter<u64>,
     rejected: Counter<u64>,
     steps: Counter<u64>,
+    statements: Counter<u64>,
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
     pause_ms: Histogram<f64>,
@@ -57,6 +58,7 @@
             requests: meter.u64_counter("hibiscusvale_relay_requests").build(),
             rejected: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
+            statements: meter.u64_counter("hibiscusvale_relay_server_statements").build(),
             answer_ms: histogram("hibiscusvale_relay_answer_ms"),
             first_event_ms: histogram("hibiscusvale_relay_first_event_ms"),
             pause_ms: histogram("hibiscusvale_relay_longest_pause_ms"),
@@ -85,6 +87,11 @@
         self.steps.add(1, &[KeyValue::new("step", what), KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a statement of a backend server in an answer.
+    pub fn record_statement(&self, statement: &'static str) {
+        self.statements.add(1, &[KeyValue::new("statement", statement)]);
+    }
+
     /// Registers gauges that read the daemon's state at every scrape.
     pub fn observe(&self, state: &Arc<RelayState>) {
         let meter = self.metrics.meter();
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod state;
 mod state_transfer;
+mod statements;
 mod status;
 pub mod store_traffic;
 mod stream;
