Send no requests to servers that state that they are leaving

Callers saw requests go to a server that was about to exit, and broke off or failed with it. Behind it stood two more: a refusal with 421 marks an instance for a fixed time only, and nothing looked at a server again between its choice and the sending of a request.

Every answer, of callers' requests and of the router's own calls, is recorded at one place, and every request is checked there before it is sent, so a new path cannot leave it out. A statement holds until the list takes it back: by an entry that was leaving and is ready again. No time ends it, nor an entry that vanishes and comes back. When no server is left, queued requests are refused at once as well.

FailureCause::Limited becomes Held, which names the reason.

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -145,13 +145,15 @@
             .any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
     }
 
-    /// Refuses requests whose maximum wait is over, and late ones while others can still be in time.
+    /// Refuses requests whose maximum wait is over, late ones while others can still be in time, and those that
+    /// no engine is left for. An interrupted answer waits for a new engine instead.
     ///
     /// In a burst a late request yields to all others and gets no slot before the burst is over; refused at
     /// once, its caller can retry by then.
     pub(super) fn refuse_expired(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
         let backlog = self.least_backlog(now_us);
         let in_time_tokens = self.waiting_tokens(now_us) + self.peers.waiting();
+        let has_engine = self.has_decode_engine(now_us);
         let expired: Vec<RequestId> = self
             .waiting
             .iter()
@@ -159,7 +161,8 @@
                 let open = &self.open[*request_id];
                 let not_run = open.attempts.outcome() == Outcome::NotRun;
                 let yields = not_run && in_time_tokens > Tokens::ZERO && self.is_late(now_us, open, backlog);
-                yields || now_us >= open.waits_since_us + open.max_wait_ms()
+                let is_unservable = !has_engine && !open.has_started;
+                yields || is_unservable || now_us >= open.waits_since_us + open.max_wait_ms()
             })
             .copied()
             .collect();
@@ -167,6 +170,8 @@
             let ran = self.open[&request_id].attempts.outcome() != Outcome::NotRun;
             if ran {
                 self.give_up(now_us, request_id, actions);
+            } else if !has_engine {
+                self.refuse(now_us, request_id, EngineRefusal::NoEngine, actions);
             } else {
                 self.refuse(now_us, request_id, EngineRefusal::WouldWaitTooLong, actions);
             }
--- a/crates/core/src/relay/engines/completion.rs
+++ b/crates/core/src/relay/engines/completion.rs
@@ -48,14 +48,14 @@
             return;
         };
         open.stage = Stage::Waiting;
-        if cause != FailureCause::Limited {
+        if !cause.is_held() {
             open.failed_at = Some(prefill_engine);
         }
         let prompt_tokens = open.demand.prompt_tokens;
         self.engines[prefill_engine].remove_prefill(prompt_tokens);
         self.engines[prefill_engine].instance.fail(now_us, cause, true);
         // The request has reached the engine, or may have, so it counts although it was not accepted.
-        if !matches!(cause, FailureCause::NotSent | FailureCause::Limited) {
+        if !matches!(cause, FailureCause::NotSent | FailureCause::Held(_)) {
             self.budget.charge(now_us);
             self.counters.retries += 1;
         }
@@ -130,7 +130,7 @@
         open.progress = None;
         // A failed attempt never brings a whole answer.
         let _ = open.attempts.end(cause.attempt_end());
-        if cause != FailureCause::Limited {
+        if !cause.is_held() {
             open.failed_at = Some(decode_engine);
         }
         self.undo_placement(now_us, decode_engine, request_id, cause);
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -7,7 +7,7 @@
 use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::outcome::Repeatability;
 use crate::retry_budget::LoanRequest;
-use crate::sched::{FailureCause, LimitReached};
+use crate::sched::{FailureCause, Hold, LimitReached};
 use crate::units::{Credit, Micros, Millis, MonoTime, Tokens};
 
 /// Role of an engine.
@@ -184,6 +184,18 @@
         /// Its usage.
         usage: PoolUsage,
     },
+    /// A statement of an engine: it gets no requests for a time.
+    Hold {
+        /// Name of the engine.
+        server: BackendServerId,
+        /// The period without requests.
+        hold: Hold,
+    },
+    /// The statements of an engine no longer hold.
+    Release {
+        /// Name of the engine.
+        server: BackendServerId,
+    },
     /// The limit stated by an engine is used up.
     Limited {
         /// Name of the engine.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -143,6 +143,16 @@
             EngineEvent::Engines(list) => self.update_engines(now_us, list),
             EngineEvent::Peer { host, usage } => self.update_peer(now_us, host, usage),
             EngineEvent::Lent { number, credit, left } => self.budget.receive(now_us, number, credit, left),
+            EngineEvent::Hold { server, hold } => {
+                if let Some(&index) = self.index_by_name.get(&server) {
+                    self.engines[index].instance.hold(hold);
+                }
+            }
+            EngineEvent::Release { server } => {
+                if let Some(&index) = self.index_by_name.get(&server) {
+                    self.engines[index].instance.release_holds();
+                }
+            }
             EngineEvent::Limited { server, reached } => {
                 if let Some(&index) = self.index_by_name.get(&server) {
                     self.engines[index].instance.limited(now_us, reached);
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -11,4 +11,5 @@
 pub mod prior_wait;
 pub mod recipients;
 pub mod routes;
+pub mod server_statements;
 pub mod store_refresh;
--- a/crates/core/src/sched/events.rs
+++ b/crates/core/src/sched/events.rs
@@ -8,6 +8,7 @@
 use super::affinity::CacheEvent;
 use super::counters::{FailReason, RefusalReason, WasteCause};
 use super::directory::{ServerRecord, StatusUpdate};
+use super::hold::HoldReason;
 
 /// Attempt number of a request. Results that carry the number of an earlier attempt are ignored.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -52,8 +53,8 @@
 pub enum FailureCause {
     /// The server was unreachable; nothing was sent.
     NotSent,
-    /// The server's published rate limit is used up; nothing was sent.
-    Limited,
+    /// The server gets no requests at present; nothing was sent.
+    Held(HoldReason),
     /// No answer in time, or a stream that stalled.
     Timeout,
     /// The connection was lost.
@@ -74,10 +75,15 @@
         self.attempt_end() == AttemptOutcome::MayHaveRun
     }
 
+    /// Whether nothing was sent because the server gets no requests at present.
+    pub(crate) fn is_held(self) -> bool {
+        matches!(self, Self::Held(_))
+    }
+
     /// What the failure proves about an attempt that was sent whole to one server.
     pub(crate) fn attempt_end(self) -> AttemptOutcome {
         match self {
-            Self::NotSent | Self::Limited => AttemptOutcome::NotSent,
+            Self::NotSent | Self::Held(_) => AttemptOutcome::NotSent,
             Self::NoRoom | Self::Leaving => AttemptOutcome::Declined,
             Self::Timeout | Self::Broken | Self::Gone | Self::Refused => AttemptOutcome::MayHaveRun,
         }
--- a/crates/core/src/sched/failing.rs
+++ b/crates/core/src/sched/failing.rs
@@ -260,7 +260,7 @@
         FailureCause::Timeout => GrantOutcome::TimedOut,
         FailureCause::Broken | FailureCause::NotSent => GrantOutcome::Failed,
         FailureCause::NoRoom
-        | FailureCause::Limited
+        | FailureCause::Held(_)
         | FailureCause::Leaving
         | FailureCause::Gone
         | FailureCause::Refused => GrantOutcome::Abandoned,
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -5,6 +5,7 @@
 
 use super::directory::StatusUpdate;
 use super::events::FailureCause;
+use super::hold::{Hold, HoldReason};
 
 /// Report that a server's published rate limit is used up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -81,6 +82,8 @@
     capacity: u32,
     listed: bool,
     leaving: bool,
+    /// Whether it has stated that it is leaving.
+    states_leaving: bool,
     leaving_until_us: MonoTime,
     in_flight: u32,
     other_in_flight: Option<(MonoTime, u32)>,
@@ -117,6 +120,7 @@
             capacity,
             listed: true,
             leaving,
+            states_leaving: false,
             leaving_until_us: MonoTime(0),
             in_flight: 0,
             other_in_flight: None,
@@ -152,6 +156,19 @@
         }
     }
 
+    /// Applies a statement of the server.
+    pub(crate) fn hold(&mut self, hold: Hold) {
+        match hold.reason {
+            HoldReason::Leaving => self.states_leaving = true,
+            HoldReason::RateLimited => {}
+        }
+    }
+
+    /// Ends the holds that follow from statements of the server.
+    pub(crate) fn release_holds(&mut self) {
+        self.states_leaving = false;
+    }
+
     /// Records that the published limit is used up for the given time.
     pub(crate) fn limited(&mut self, now_us: MonoTime, limited: LimitReached) {
         let wait_ms = limited.wait_ms.min(LIMITED_MAX_MS);
@@ -175,7 +192,7 @@
     }
 
     pub(crate) fn is_listed_live(&self, now_us: MonoTime) -> bool {
-        self.listed && !self.leaving && now_us >= self.leaving_until_us
+        self.listed && !self.leaving && !self.states_leaving && now_us >= self.leaving_until_us
     }
 
     /// Number of calls that this daemon may have in flight.
@@ -296,7 +313,7 @@
 
     /// Records a failed call; returns true if the instance was ejected for it.
     pub(crate) fn fail(&mut self, now_us: MonoTime, cause: FailureCause, may_eject: bool) -> bool {
-        if cause == FailureCause::Limited {
+        if cause.is_held() {
             self.cancel(now_us);
             return false;
         }
@@ -305,7 +322,7 @@
         match cause {
             FailureCause::Leaving => self.leaving_until_us = now_us + self.settings.status_ttl_ms,
             FailureCause::Timeout | FailureCause::Broken | FailureCause::NotSent => self.failure_streak += 1,
-            FailureCause::NoRoom | FailureCause::Limited | FailureCause::Gone | FailureCause::Refused => {}
+            FailureCause::NoRoom | FailureCause::Held(_) | FailureCause::Gone | FailureCause::Refused => {}
         }
         let streak_too_long = self.failure_streak >= self.settings.failure_streak_max;
         let ejected = was_probe || (streak_too_long && may_eject && !self.is_ejected());
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -165,6 +165,16 @@
                     self.instances[index].apply_status(now_us, update);
                 }
             }
+            PlainEvent::Hold { server, hold } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.instances[index].hold(hold);
+                }
+            }
+            PlainEvent::Release { server } => {
+                if let Some(&index) = self.names.get(&server) {
+                    self.instances[index].release_holds();
+                }
+            }
             PlainEvent::Load { server, in_flight, capacity, age_us } => {
                 if let Some(&index) = self.names.get(&server) {
                     self.instances[index].update_load(now_us, in_flight, capacity, age_us);
@@ -185,6 +195,7 @@
         self.fund_retries(now_us, actions);
         self.requeue_due(now_us);
         self.expire(now_us, actions);
+        self.refuse_unservable(now_us, actions);
         self.dispatch_queued(now_us, actions);
         self.schedule_wake(now_us, actions);
     }
@@ -466,7 +477,7 @@
         let Some((index, _)) = call.dispatched.take() else {
             return;
         };
-        if cause != FailureCause::Limited {
+        if !cause.is_held() {
             call.failed_at = Some(index);
         }
         // The result of a failed attempt is never an answer for the caller.
@@ -474,7 +485,7 @@
         if self.instances[index].fail(now_us, cause, may_eject) {
             self.counters.ejected_unresponsive += 1;
         }
-        if cause == FailureCause::Limited {
+        if cause.is_held() {
             self.schedule_retry(now_us, request_id);
         } else {
             self.retry(now_us, request_id, actions);
@@ -604,6 +615,21 @@
         }
     }
 
+    /// Ends the queued calls when no instance is left that could serve them: all are leaving or gone.
+    fn refuse_unservable(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
+        if self.queue.is_empty() || self.instances.iter().any(|instance| instance.is_listed_live(now_us)) {
+            return;
+        }
+        while let Some(entry) = self.queue.pop(now_us) {
+            if self.may_have_run(entry.request_id) {
+                self.end_unknown(entry.request_id, actions);
+            } else {
+                let max_wait_us = entry.latest_us.map_or(Micros::ZERO, |latest_us| latest_us.since(now_us));
+                self.refuse(entry.request_id, PlainRefusal::NoInstance, max_wait_us, actions);
+            }
+        }
+    }
+
     fn refuse(
         &mut self,
         request_id: RequestId,
--- a/crates/core/src/sched/plain_events.rs
+++ b/crates/core/src/sched/plain_events.rs
@@ -6,6 +6,7 @@
 
 use super::directory::StatusUpdate;
 use super::events::FailureCause;
+use super::hold::Hold;
 use super::instance::LimitReached;
 
 /// Newly received call for a plain service.
@@ -65,6 +66,18 @@
         /// Observed state.
         update: StatusUpdate,
     },
+    /// A statement of an instance: it gets no calls for a time.
+    Hold {
+        /// Server name.
+        server: BackendServerId,
+        /// The period without calls.
+        hold: Hold,
+    },
+    /// The statements of an instance no longer hold.
+    Release {
+        /// Server name.
+        server: BackendServerId,
+    },
     /// Load report of an instance.
     Load {
         /// Server name.
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -67,7 +67,7 @@
 }
 
 /// Usage reported by a daemon that has filled a decode engine.
-fn full(decode_engine: &str) -> EngineUsage {
+pub fn full(decode_engine: &str) -> EngineUsage {
     let growth = Growth { now: Tokens(10_000), end: Tokens(10_900), answer: Tokens(5_000), is_growing: true };
     EngineUsage {
         server: server(decode_engine),
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -9,5 +9,6 @@
 mod prior_wait;
 mod recipients;
 mod routes;
+mod server_statements;
 mod simulation;
 mod store_refresh;
--- a/crates/router/src/dispatch/observe.rs
+++ b/crates/router/src/dispatch/observe.rs
@@ -40,7 +40,7 @@
             Self::NoRoom => "no-room",
             Self::Leaving => "leaving",
             Self::Gone => "gone",
-            Self::Limited => "limited",
+            Self::Held(reason) => reason.label(),
             Self::Refused => "refused",
         }
     }
--- a/crates/router/src/dispatch/plain_schedulers.rs
+++ b/crates/router/src/dispatch/plain_schedulers.rs
@@ -5,7 +5,7 @@
 
 use hibiscusvale_core::ids::{BackendServerId, HostId, RequestId};
 use hibiscusvale_core::sched::{
-    LimitReached, PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler,
+    Hold, LimitReached, PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainScheduler,
     PlainSettings, StatusUpdate,
 };
 use hibiscusvale_core::units::{Credit, Micros};
@@ -128,6 +128,16 @@
         self.feed_all(&PlainEvent::StatusUpdate { server: server.clone(), update });
     }
 
+    /// Passes a statement of a server to the schedulers.
+    pub fn hold(&self, server: &BackendServerId, hold: Hold) {
+        self.feed_all(&PlainEvent::Hold { server: server.clone(), hold });
+    }
+
+    /// Tells the schedulers that the statements of a server no longer hold.
+    pub fn release(&self, server: &BackendServerId) {
+        self.feed_all(&PlainEvent::Release { server: server.clone() });
+    }
+
     /// Passes a load report that an instance has just sent to the schedulers.
     pub fn load(&self, server: &BackendServerId, in_flight: u32, capacity: u32) {
         let age_us = Micros::ZERO;
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -32,6 +32,7 @@
 use super::server_changes::ServerChangeLog;
 use super::settings::RelaySettings;
 use super::state::RelayState;
+use super::statements::SharedStatements;
 use super::status::{self, Purpose};
 use super::store_traffic::StoreTraffic;
 use super::watch;
@@ -132,6 +133,7 @@
             peers: Peers::new(&settings.host, settings.listen.peers, &settings.peers.seeds),
             quotas,
             limits: StatedLimits::default(),
+            statements: SharedStatements::default(),
             quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -10,7 +10,7 @@
     PoolUsage, Role, RoleChange,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::sched::LimitReached;
+use hibiscusvale_core::sched::{Hold, LimitReached};
 use hibiscusvale_core::units::{Credit, Tokens};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -86,6 +86,8 @@
         | EngineEvent::CallerLeft { .. }
         | EngineEvent::Engines(_)
         | EngineEvent::Peer { .. }
+        | EngineEvent::Hold { .. }
+        | EngineEvent::Release { .. }
         | EngineEvent::Limited { .. }
         | EngineEvent::Lent { .. }
         | EngineEvent::Tick => Urgency::Soon,
@@ -236,6 +238,16 @@
         }
     }
 
+    /// Passes a statement of an engine to the pools.
+    pub fn hold(&self, server: &BackendServerId, hold: Hold) {
+        self.feed_all(&EngineEvent::Hold { server: server.clone(), hold });
+    }
+
+    /// Tells the pools that the statements of an engine no longer hold.
+    pub fn release(&self, server: &BackendServerId) {
+        self.feed_all(&EngineEvent::Release { server: server.clone() });
+    }
+
     /// Tells the pools that the rate limit stated by an engine is used up.
     pub fn limited(&self, server: &BackendServerId, reached: LimitReached) {
         self.feed_all(&EngineEvent::Limited { server: server.clone(), reached });
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -12,7 +12,7 @@
 
 use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
 use super::state::{Incoming as IncomingRequest, RelayState};
-use super::statements::{self, Path};
+use super::statements::{CallKind, Path};
 use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
 
@@ -76,7 +76,7 @@
 ///
 /// # Errors
 ///
-/// [`FailureCause`]: `NotSent`, `NoRoom` and `Leaving` prove that the request did not run and never will.
+/// [`FailureCause`]: `Held`, `NotSent`, `NoRoom` and `Leaving` prove that the request did not run and never will.
 pub async fn send(
     http: &BackendHttp,
     wire: &dyn Wire,
@@ -132,12 +132,13 @@
     reuse: ConnectionReuse,
     timeout: Duration,
 ) -> Result<Reply, FailureCause> {
+    incoming.state.statements.check(hop.server, CallKind::Work)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
     let mut known = http.send_tracked(reuse, request, timeout).await.map_err(failure_cause)?;
     let status = known.response.status();
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.parse_reply(status, &headers);
-    statements::record(&incoming.state, hop.server, Path::of(&hop.task), status, &head);
+    incoming.state.statements.record(&incoming.state, hop.server, Path::of(&hop.task), status, &head);
     record_limit(incoming, hop.server, status, &head);
     Ok(Reply { status, headers, head, known })
 }
@@ -146,8 +147,19 @@
 ///
 /// # Errors
 ///
-/// [`CallFailure`]; only `NotSent` proves that the call had no effect.
+/// [`FailureCause`]; only `Held` and `NotSent` prove that the call had no effect.
 pub async fn send_call(
+    state: &RelayState,
+    server: &BackendServerId,
+    to: SocketAddr,
+    (kind, call): (CallKind, EngineCall),
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), FailureCause> {
+    state.statements.check(server, kind)?;
+    exchange_call(state, server, to, call, timeout).await.map_err(failure_cause)
+}
+
+async fn exchange_call(
     state: &RelayState,
     server: &BackendServerId,
     to: SocketAddr,
@@ -161,7 +173,7 @@
     let response = state.http.send(ConnectionReuse::Pooled, request, timeout).await?;
     let status = response.status();
     let head = state.wire.parse_reply(status, response.headers());
-    statements::record(state, server, Path::Router, status, &head);
+    state.statements.record(state, server, Path::Router, status, &head);
     // Only answers to requests can withdraw a limit.
     if let Some(rate) = head.limit {
         state.limits.record_answer(state, server, Some(rate));
@@ -178,10 +190,10 @@
     state: &RelayState,
     server: &BackendServerId,
     to: SocketAddr,
-    call: EngineCall,
+    call: (CallKind, EngineCall),
     timeout: Duration,
 ) -> Result<Bytes, FailureCause> {
-    let (status, body) = send_call(state, server, to, call, timeout).await.map_err(failure_cause)?;
+    let (status, body) = send_call(state, server, to, call, timeout).await?;
     match status {
         StatusCode::OK => Ok(body),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FailureCause::NoRoom),
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -108,6 +108,9 @@
         observe_gauge(&meter, "hibiscusvale_relay_limited_servers", state, |state| {
             state.limits.limited() as u64
         });
+        observe_gauge(&meter, "hibiscusvale_relay_leaving_servers", state, |state| {
+            state.statements.leaving_count() as u64
+        });
         observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
             state.quarantine.counts().0 as u64
         });
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -14,6 +14,7 @@
 use hibiscusvale_core::lease::{HeldLease, Lease, LeaseFold, LeaseHolder, LeaseRecord, LeaseSettings};
 use hibiscusvale_core::relay::engines::{Role, RoleChange};
 use hibiscusvale_core::relay::store_refresh::{RefreshSettings, is_reader};
+use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, MonoTime};
 use http::StatusCode;
 
@@ -21,6 +22,8 @@
 use super::interfaces::EngineOrder;
 use super::pacing::Urgency;
 use super::state::RelayState;
+use super::statements::CallKind;
+use super::trace::cause_label;
 use crate::clock;
 use crate::external::{AppendError, Log, LogFailure, Stream};
 
@@ -176,8 +179,8 @@
         let Some(at) = state.directory.address_of(&shift.server) else {
             return;
         };
-        let report =
-            hop::send_call(&state, &shift.server, at, state.wire.report(&shift.server), CALL_TIMEOUT).await;
+        let report = (CallKind::Work, state.wire.report(&shift.server));
+        let report = hop::send_call(&state, &shift.server, at, report, CALL_TIMEOUT).await;
         let report = report.ok().filter(|(status, _)| *status == StatusCode::OK);
         let Some(report) = report.and_then(|(_, body)| state.wire.parse_report(&body)) else {
             return;
@@ -197,13 +200,14 @@
             fencing: FencingNumber(held.fencing.0 + 1),
             after_orders: report.orders,
         };
-        let call = state.wire.order(&shift.server, &order);
+        let call = (CallKind::Work, state.wire.order(&shift.server, &order));
         let answer = hop::send_call(&state, &shift.server, at, call, CALL_TIMEOUT).await;
         let status = answer.map(|(status, _)| status);
         state.log.engine_ordered(&shift.server, role_label(shift.role), order.fencing, &describe(status));
         match status {
             Ok(StatusCode::PRECONDITION_FAILED) => self.lease = self.lease.without_lease(),
             // A conflict means that the engine is executing something else; a failed call, that it may be.
+            Err(FailureCause::Held(_)) => {}
             Ok(StatusCode::ACCEPTED | StatusCode::OK | StatusCode::CONFLICT) | Err(_) => {
                 state.engine_pools.shifted(service, shift);
                 state.peers.schedule_message(Urgency::Soon);
@@ -220,9 +224,9 @@
     }
 }
 
-fn describe(answer: Result<StatusCode, crate::backend::CallFailure>) -> String {
+fn describe(answer: Result<StatusCode, FailureCause>) -> String {
     match answer {
         Ok(status) => status.as_u16().to_string(),
-        Err(failure) => failure.to_string(),
+        Err(cause) => cause_label(cause).to_owned(),
     }
 }
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -15,6 +15,7 @@
 use super::interfaces::Task;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
+use super::statements;
 use super::trace::Step;
 use crate::backend::ConnectionReuse;
 use crate::callers::AnswerBody;
@@ -133,10 +134,7 @@
     timeout: Duration,
 ) -> Result<BufferedReply, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
-    if let Err(reached) = state.limits.admit(state, server, 1).await {
-        state.plain_schedulers.limited(server, reached);
-        return Err(FailureCause::Limited);
-    }
+    statements::admit(state, server, 1).await?;
     let hop = incoming.hop(server, Task::Run);
     let attempt = Attempt::new(server, to);
     let reply = hop::send(&state.http, &*state.wire, incoming, to, &hop, reuse, timeout).await;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -26,6 +26,7 @@
 use super::server_changes::ServerChangeLog;
 use super::settings::BoundSettings;
 use super::state_transfer::TransferBudget;
+use super::statements::SharedStatements;
 use super::trace::{RequestTrace, Step};
 use crate::backend::BackendHttp;
 use crate::directory::Directory;
@@ -179,6 +180,8 @@
     pub quotas: QuotaAccounts,
     /// Limits that servers state.
     pub limits: StatedLimits,
+    /// What servers state about their availability.
+    pub statements: SharedStatements,
     /// Requests that crash servers.
     pub quarantine: SharedQuarantine,
     /// Limits of the installation.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -23,6 +23,7 @@
 use super::probe::{Probe, probe};
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
+use super::statements::{self, CallKind};
 use super::trace::Step;
 use crate::backend::ConnectionReuse;
 use crate::callers::{AnswerBody, BodyBroken};
@@ -93,14 +94,6 @@
     }
 }
 
-/// Charges requests to the limit that an engine states; tells the pool when it is used up.
-async fn admit(state: &RelayState, engine: &BackendServerId, requests: u64) -> Result<(), FailureCause> {
-    state.limits.admit(state, engine, requests).await.map_err(|reached| {
-        state.engine_pools.limited(engine, reached);
-        FailureCause::Limited
-    })
-}
-
 /// A prefilled prompt and the address of its engine.
 struct PrefilledPrompt {
     at: SocketAddr,
@@ -125,7 +118,7 @@
 impl Drop for HeldReservation {
     fn drop(&mut self) {
         let (state, server, at) = (Arc::clone(&self.state), self.server.clone(), self.at);
-        let call = state.wire.release_reservation(&self.name);
+        let call = (CallKind::Cleanup, state.wire.release_reservation(&self.name));
         tokio::spawn(async move {
             // A reservation that is not released expires after the time that was requested for it.
             let _ = hop::call(&state, &server, at, call, RELEASE_TIMEOUT).await;
@@ -227,8 +220,8 @@
     ) -> Result<HeldReservation, FailureCause> {
         let Self { state, .. } = self;
         let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
-        admit(state, writer, RESERVED_REQUESTS).await?;
-        let call = state.wire.reserve(writer, tokens, keep_ms);
+        statements::admit(state, writer, RESERVED_REQUESTS).await?;
+        let call = (CallKind::Work, state.wire.reserve(writer, tokens, keep_ms));
         let body = hop::call(state, writer, at, call, Duration::from(timeout_ms)).await?;
         let name = state.wire.parse_reservation(&body).ok_or(FailureCause::Refused)?;
         Ok(HeldReservation { server: writer.clone(), at, name, state: Arc::clone(state) })
@@ -241,7 +234,7 @@
     ) -> Result<PrefilledPrompt, FailureCause> {
         let Self { state, incoming, .. } = self;
         let at = state.directory.address_of(reader).ok_or(FailureCause::NotSent)?;
-        admit(state, reader, 1).await?;
+        statements::admit(state, reader, 1).await?;
         let hop = incoming.hop(reader, Task::Prefill);
         let timeout = incoming.left().min(Duration::from(timeout_ms));
         // A repeated prefill is harmless, so any connection will do.
@@ -266,7 +259,11 @@
     ) -> Result<Reply, FailureCause> {
         let at = self.state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         if self.reservation.is_none() {
-            admit(&self.state, writer, 1).await?;
+            statements::admit(&self.state, writer, 1).await?;
+        } else if let Err(held) = self.state.statements.check(writer, CallKind::Work) {
+            // The request goes to another engine, which makes a reservation of its own.
+            self.reservation = None;
+            return Err(held);
         }
         // Once sent with the request the reservation is consumed, whatever the result.
         let reservation = self.reservation.take().map(HeldReservation::into_name);
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -124,7 +124,7 @@
 pub fn cause_label(cause: FailureCause) -> &'static str {
     match cause {
         FailureCause::NotSent => "not-sent",
-        FailureCause::Limited => "limited",
+        FailureCause::Held(reason) => reason.label(),
         FailureCause::Timeout => "timeout",
         FailureCause::Broken => "broken",
         FailureCause::NoRoom => "no-room",
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -197,5 +197,7 @@
     state.plain_schedulers.adopt(&listing);
     state.engine_pools.adopt(&listing);
     state.engine_pools.configure(&state.table.load());
+    // After the schedulers know all listed servers.
+    state.statements.adopt(state, &listing.servers);
     state.servers_adopted.store(true, Ordering::Relaxed);
 }
