Give servers the rest that they ask for

Callers were refused as servers-full, or their request cost a retry, because a server that turned everything away for a while stayed first choice: a refusal without work counts neither against its latency nor as a failure, so it drew up to three times its share. It said how long it wanted nothing (503 with Retry-After), and no code read it.

A rest is a hold like the one of a leaving server: recorded from every answer, checked before every request, the router's own calls included. In the schedulers it is an ejection whose end the server sets. No other answer ends it early, the latest end of all rests counts, and after it one call probes the server, preferably a repeatable one, at a time spread over the daemons. When all servers of a service rest, requests are refused at once, also queued ones, as servers-resting with the time of the first end. A malformed time is counted and ignored, one beyond an hour is cut to it.

Virtual-time tests cover overlapping rests, successes during a rest, its end, and absurd values.

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -41,6 +41,8 @@
         self.open.insert(request_id, open);
         if !self.has_decode_engine(now_us) {
             self.refuse(now_us, request_id, EngineRefusal::NoEngine, actions);
+        } else if self.all_resting_until(now_us).is_some() {
+            self.refuse(now_us, request_id, EngineRefusal::Resting, actions);
         } else if self.waiting.len() >= self.settings.waiting_max
             || self.would_miss_target(now_us, request_id)
         {
@@ -145,15 +147,29 @@
             .any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
     }
 
+    /// End of the first rest, if all decode engines have asked for one.
+    pub(super) fn all_resting_until(&self, now_us: MonoTime) -> Option<MonoTime> {
+        let live = self
+            .engines
+            .iter()
+            .filter(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us));
+        let ends: Option<Vec<MonoTime>> = live.map(|engine| engine.instance.resting_until(now_us)).collect();
+        ends?.into_iter().min()
+    }
+
     /// Refuses requests whose maximum wait is over, late ones while others can still be in time, and those that
-    /// no engine is left for. An interrupted answer waits for a new engine instead.
+    /// no engine can serve. An interrupted answer waits for an engine instead.
     ///
     /// In a burst a late request yields to all others and gets no slot before the burst is over; refused at
     /// once, its caller can retry by then.
     pub(super) fn refuse_expired(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
         let backlog = self.least_backlog(now_us);
         let in_time_tokens = self.waiting_tokens(now_us) + self.peers.waiting();
-        let has_engine = self.has_decode_engine(now_us);
+        let unservable = if self.has_decode_engine(now_us) {
+            self.all_resting_until(now_us).map(|_| EngineRefusal::Resting)
+        } else {
+            Some(EngineRefusal::NoEngine)
+        };
         let expired: Vec<RequestId> = self
             .waiting
             .iter()
@@ -161,7 +177,7 @@
                 let open = &self.open[*request_id];
                 let not_run = open.attempts.outcome() == Outcome::NotRun;
                 let yields = not_run && in_time_tokens > Tokens::ZERO && self.is_late(now_us, open, backlog);
-                let is_unservable = !has_engine && !open.has_started;
+                let is_unservable = unservable.is_some() && !open.has_started;
                 yields || is_unservable || now_us >= open.waits_since_us + open.max_wait_ms()
             })
             .copied()
@@ -170,10 +186,9 @@
             let ran = self.open[&request_id].attempts.outcome() != Outcome::NotRun;
             if ran {
                 self.give_up(now_us, request_id, actions);
-            } else if !has_engine {
-                self.refuse(now_us, request_id, EngineRefusal::NoEngine, actions);
             } else {
-                self.refuse(now_us, request_id, EngineRefusal::WouldWaitTooLong, actions);
+                let reason = unservable.unwrap_or(EngineRefusal::WouldWaitTooLong);
+                self.refuse(now_us, request_id, reason, actions);
             }
         }
     }
--- a/crates/core/src/relay/engines/completion.rs
+++ b/crates/core/src/relay/engines/completion.rs
@@ -83,6 +83,7 @@
         }
         self.engines[decode_engine].remove_prefill(own_prefill_tokens);
         self.engines[decode_engine].start_growth(now_us, request_id);
+        self.engines[decode_engine].instance.answer_started();
     }
 
     /// Tracks the memory and decode rate of a running answer.
@@ -195,6 +196,9 @@
         let Some(open) = self.open.get(&request_id) else {
             return RETRY_AFTER_MS;
         };
+        if let Some(until_us) = self.all_resting_until(now_us) {
+            return until_us.since(now_us).to_millis_ceil();
+        }
         let Some(wait_us) = self.expected_wait_us(now_us, open.final_tokens) else {
             return RETRY_AFTER_MS;
         };
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -223,6 +223,8 @@
     WouldWaitTooLong,
     /// No engine accepts requests.
     NoEngine,
+    /// All decode engines have asked for a rest.
+    Resting,
     /// The attempts of the request or the retry budget of the service are used up; no attempt ran.
     RetriesExhausted,
 }
--- a/crates/core/src/relay/engines/role_balance.rs
+++ b/crates/core/src/relay/engines/role_balance.rs
@@ -102,6 +102,7 @@
             let engine = &self.engines[*index];
             engine.role != role
                 && engine.instance.is_listed_live(now_us)
+                && engine.instance.resting_until(now_us).is_none()
                 && !engine.is_changing_role(now_us)
                 && engine
                     .last_ordered_us
--- a/crates/core/src/relay/server_statements.rs
+++ b/crates/core/src/relay/server_statements.rs
@@ -1,29 +1,40 @@
 //! What backend servers state about their availability in answers to this daemon.
 //!
-//! A statement is newer than the server list, which can lag for as long as the store is unavailable, so it holds
-//! until something proves that it no longer does: never the mere passage of time, and never a list that merely
-//! repeats an older state.
+//! A statement is newer than the server list, which can lag for as long as the store is unavailable. That a server
+//! is leaving holds until something proves that it no longer is: never the mere passage of time, and never a list
+//! that merely repeats an older state. A rest holds until its end, whatever other answers arrive meanwhile.
 
 use std::collections::HashMap;
 
 use crate::ids::BackendServerId;
 use crate::sched::{Hold, HoldReason};
-use crate::units::MonoTime;
+use crate::units::{Millis, MonoTime};
 
 /// Maximum number of remembered servers that are no longer listed. An entry can return after an outage of the
 /// store, so statements outlive it.
 const UNLISTED_MAX: usize = 1_024;
 
+/// Longest rest that a server is given. Without a bound, one absurd value would put a server out of use for ever.
+pub const REST_MAX_MS: Millis = Millis(3_600_000);
+
 /// Latest statements of each server that has made one.
 #[derive(Clone, Debug, Default)]
 pub struct ServerStatements {
-    leaving: HashMap<BackendServerId, Leaving>,
+    servers: HashMap<BackendServerId, Stated>,
+}
+
+/// Statements of one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stated {
+    /// When it made its latest statement.
+    at_us: MonoTime,
+    leaving: Option<Leaving>,
+    resting_until_us: MonoTime,
 }
 
 /// Statement of a server that it is leaving.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
-    since_us: MonoTime,
     /// Whether the list has shown the server as leaving since the statement, or did at its time.
     is_listed_leaving: bool,
 }
@@ -35,6 +46,16 @@
     pub is_leaving: bool,
 }
 
+impl Stated {
+    fn hold(&self, now_us: MonoTime) -> Option<Hold> {
+        if self.leaving.is_some() {
+            return Some(Hold { reason: HoldReason::Leaving, until_us: None });
+        }
+        let is_resting = now_us < self.resting_until_us;
+        is_resting.then_some(Hold { reason: HoldReason::Resting, until_us: Some(self.resting_until_us) })
+    }
+}
+
 impl ServerStatements {
     /// Records that a server stated that it is leaving. Returns the hold if the statement is new.
     pub fn leaving(
@@ -43,48 +64,63 @@
         server: &BackendServerId,
         listed: ListedAvailability,
     ) -> Option<Hold> {
-        if self.leaving.contains_key(server) {
+        let stated = self.servers.entry(server.clone()).or_default();
+        stated.at_us = now_us;
+        if stated.leaving.is_some() {
+            return None;
+        }
+        stated.leaving = Some(Leaving { is_listed_leaving: listed.is_leaving });
+        Some(Hold { reason: HoldReason::Leaving, until_us: None })
+    }
+
+    /// Records that a server asked for a rest of `rest_ms` from now on. Returns the hold if it ends later than the
+    /// rests that the server asked for before.
+    pub fn rest(&mut self, now_us: MonoTime, server: &BackendServerId, rest_ms: Millis) -> Option<Hold> {
+        let until_us = now_us + rest_ms.min(REST_MAX_MS);
+        let stated = self.servers.entry(server.clone()).or_default();
+        stated.at_us = now_us;
+        if until_us <= stated.resting_until_us.max(now_us) {
             return None;
         }
-        let statement = Leaving { since_us: now_us, is_listed_leaving: listed.is_leaving };
-        self.leaving.insert(server.clone(), statement);
-        self.hold(server)
+        stated.resting_until_us = until_us;
+        Some(Hold { reason: HoldReason::Resting, until_us: Some(until_us) })
     }
 
-    /// The hold that follows from a server's statements.
-    pub fn hold(&self, server: &BackendServerId) -> Option<Hold> {
-        let is_leaving = self.leaving.contains_key(server);
-        is_leaving.then_some(Hold { reason: HoldReason::Leaving, until_us: None })
+    /// The hold that follows from a server's statements: that it is leaving, or else the end of its rest.
+    pub fn hold(&self, now_us: MonoTime, server: &BackendServerId) -> Option<Hold> {
+        self.servers.get(server)?.hold(now_us)
     }
 
     /// All servers with a hold.
-    pub fn holds(&self) -> Vec<(BackendServerId, Hold)> {
-        self.leaving.keys().filter_map(|server| Some((server.clone(), self.hold(server)?))).collect()
+    pub fn holds(&self, now_us: MonoTime) -> Vec<(BackendServerId, Hold)> {
+        let servers = self.servers.iter();
+        servers.filter_map(|(server, stated)| Some((server.clone(), stated.hold(now_us)?))).collect()
     }
 
-    /// Number of servers that have stated that they are leaving.
-    pub fn leaving_count(&self) -> usize {
-        self.leaving.len()
+    /// Number of servers with a hold for this reason.
+    pub fn count(&self, now_us: MonoTime, reason: HoldReason) -> usize {
+        let holds = self.servers.values().filter_map(|stated| stated.hold(now_us));
+        holds.filter(|hold| hold.reason == reason).count()
     }
 
     /// Applies a newer list. Returns the servers whose statements no longer hold: the list has shown them as
     /// leaving since, and no longer does, so their shutdown was called off.
-    pub fn adopt<List>(&mut self, list: List) -> Vec<BackendServerId>
+    pub fn adopt<List>(&mut self, now_us: MonoTime, list: List) -> Vec<BackendServerId>
     where
         List: Fn(&BackendServerId) -> Option<ListedAvailability>,
     {
         let mut available = Vec::new();
-        self.leaving.retain(|server, statement| {
-            let Some(listed) = list(server) else {
-                return true;
+        for (server, stated) in &mut self.servers {
+            let (Some(listed), Some(leaving)) = (list(server), &mut stated.leaving) else {
+                continue;
             };
-            statement.is_listed_leaving |= listed.is_leaving;
-            let is_called_off = statement.is_listed_leaving && !listed.is_leaving;
-            if is_called_off {
+            leaving.is_listed_leaving |= listed.is_leaving;
+            if leaving.is_listed_leaving && !listed.is_leaving {
+                stated.leaving = None;
                 available.push(server.clone());
             }
-            !is_called_off
-        });
+        }
+        self.servers.retain(|_, stated| stated.hold(now_us).is_some());
         self.drop_oldest_unlisted(|server| list(server).is_some());
         available
     }
@@ -93,13 +129,13 @@
     where
         IsListed: Fn(&BackendServerId) -> bool,
     {
-        let unlisted = self.leaving.iter().filter(|(server, _)| !is_listed(server));
+        let unlisted = self.servers.iter().filter(|(server, _)| !is_listed(server));
         let mut unlisted: Vec<(MonoTime, BackendServerId)> =
-            unlisted.map(|(server, statement)| (statement.since_us, server.clone())).collect();
+            unlisted.map(|(server, stated)| (stated.at_us, server.clone())).collect();
         let excess = unlisted.len().saturating_sub(UNLISTED_MAX);
         unlisted.sort_unstable();
         for (_, server) in unlisted.drain(..excess) {
-            self.leaving.remove(&server);
+            self.servers.remove(&server);
         }
     }
 }
--- a/crates/core/src/sched/hold.rs
+++ b/crates/core/src/sched/hold.rs
@@ -9,6 +9,8 @@
     Leaving,
     /// Its published rate limit is used up.
     RateLimited,
+    /// It asked for a rest.
+    Resting,
 }
 
 impl HoldReason {
@@ -17,6 +19,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::RateLimited => "limited",
+            Self::Resting => "resting",
         }
     }
 }
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -92,6 +92,8 @@
     failure_streak: u32,
     health: Health,
     ejection_ms: Millis,
+    /// End of the last rest that it asked for.
+    resting_until_us: MonoTime,
     /// Time until which the published limit is used up, and the limit.
     limited: Option<(MonoTime, CreditPerSecond)>,
 }
@@ -102,9 +104,17 @@
     /// Gets calls up to its capacity.
     Healthy,
     /// Gets no calls until the given time.
-    Ejected { until_us: MonoTime, unresponsive: bool },
+    Ejected { until_us: MonoTime, cause: EjectionCause },
     /// A single probe call is in flight.
-    Probing,
+    Probing { cause: EjectionCause },
+}
+
+/// Why an instance was ejected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EjectionCause {
+    Resting,
+    Slow,
+    Unresponsive,
 }
 
 impl Instance {
@@ -129,6 +139,7 @@
             failure_streak: 0,
             health: Health::Healthy,
             ejection_ms: settings.ejection_ms,
+            resting_until_us: MonoTime(0),
             limited: None,
         }
     }
@@ -152,21 +163,44 @@
         match update {
             StatusUpdate::Leaving => self.leaving_until_us = now_us + self.settings.status_ttl_ms,
             StatusUpdate::Live => self.leaving_until_us = MonoTime(0),
-            StatusUpdate::Unresponsive => self.eject(now_us, true),
+            StatusUpdate::Unresponsive => self.eject(now_us, EjectionCause::Unresponsive),
         }
     }
 
     /// Applies a statement of the server.
     pub(crate) fn hold(&mut self, hold: Hold) {
-        match hold.reason {
-            HoldReason::Leaving => self.states_leaving = true,
-            HoldReason::RateLimited => {}
+        match (hold.reason, hold.until_us) {
+            (HoldReason::Leaving, _) => self.states_leaving = true,
+            (HoldReason::Resting, Some(until_us)) => self.rest(until_us),
+            (HoldReason::Resting, None) | (HoldReason::RateLimited, _) => {}
         }
     }
 
     /// Ends the holds that follow from statements of the server.
     pub(crate) fn release_holds(&mut self) {
         self.states_leaving = false;
+        self.resting_until_us = MonoTime(0);
+        if matches!(self.health, Health::Ejected { cause: EjectionCause::Resting, .. }) {
+            self.health = Health::Healthy;
+        }
+    }
+
+    /// Ejects the instance until the end of a rest. Afterwards a single call probes it, so that the calls that
+    /// wait at all daemons do not reach it at once.
+    fn rest(&mut self, until_us: MonoTime) {
+        self.resting_until_us = self.resting_until_us.max(until_us);
+        let is_ejected_longer = matches!(
+            self.health,
+            Health::Ejected { until_us, .. } if until_us >= self.resting_until_us
+        );
+        if !is_ejected_longer {
+            self.health = Health::Ejected { until_us: self.resting_until_us, cause: EjectionCause::Resting };
+        }
+    }
+
+    /// End of the rest that it asked for.
+    pub(crate) fn resting_until(&self, now_us: MonoTime) -> Option<MonoTime> {
+        Some(self.resting_until_us).filter(|&until_us| now_us < until_us)
     }
 
     /// Records that the published limit is used up for the given time.
@@ -241,17 +275,39 @@
         !matches!(self.health, Health::Healthy)
     }
 
-    /// Whether the ejection time is over and one call may probe the instance. A call that must not be
-    /// repeated probes an unresponsive instance only `ejection_max_ms` later; without that, an instance that
-    /// gets only such calls would never be seen to have recovered.
+    /// Whether a call probes it after a rest: it is likely to be available within the time of an answer.
+    pub(crate) fn is_probed_after_rest(&self) -> bool {
+        matches!(self.health, Health::Probing { cause: EjectionCause::Resting })
+    }
+
+    /// Whether the ejection time is over and one call may probe the instance.
     pub(crate) fn is_probe_due(&self, now_us: MonoTime, repeatable: bool) -> bool {
-        let Health::Ejected { until_us, unresponsive } = self.health else {
+        let Health::Ejected { until_us, cause } = self.health else {
             return false;
         };
-        let wait_ms = if unresponsive && !repeatable { self.settings.ejection_max_ms } else { Millis::ZERO };
+        let wait_ms = if repeatable { Millis::ZERO } else { self.unrepeatable_probe_wait(cause) };
         now_us >= until_us + wait_ms
     }
 
+    /// Additional wait of a probe by a call that must not be repeated: at an unresponsive instance its outcome may
+    /// stay unknown, and another refusal by a rested one may use up its attempts. Without such probes, an
+    /// instance that gets only such calls would never be seen to have recovered.
+    fn unrepeatable_probe_wait(&self, cause: EjectionCause) -> Millis {
+        match cause {
+            EjectionCause::Resting => self.settings.ejection_ms,
+            EjectionCause::Slow => Millis::ZERO,
+            EjectionCause::Unresponsive => self.settings.ejection_max_ms,
+        }
+    }
+
+    /// Next time at which a call may probe the instance: first a repeatable one, then any.
+    pub(crate) fn next_probe(&self, now_us: MonoTime) -> Option<MonoTime> {
+        let Health::Ejected { until_us, cause } = self.health else {
+            return None;
+        };
+        [until_us, until_us + self.unrepeatable_probe_wait(cause)].into_iter().find(|&at_us| now_us < at_us)
+    }
+
     pub(crate) fn ejected_until(&self, now_us: MonoTime) -> Option<MonoTime> {
         let Health::Ejected { until_us, .. } = self.health else {
             return None;
@@ -260,8 +316,10 @@
     }
 
     pub(crate) fn start(&mut self, now_us: MonoTime) {
-        if self.is_probe_due(now_us, true) {
-            self.health = Health::Probing;
+        if let Health::Ejected { cause, .. } = self.health
+            && self.is_probe_due(now_us, true)
+        {
+            self.health = Health::Probing { cause };
         }
         self.in_flight += 1;
     }
@@ -270,12 +328,17 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         if self.end_probe() {
             // The probe gave no result; the next call may probe again.
-            self.health = Health::Ejected { until_us: now_us, unresponsive: true };
+            self.health = Health::Ejected { until_us: now_us, cause: EjectionCause::Unresponsive };
         }
     }
 
+    /// Ends a probe when its answer begins; the answer itself may take seconds.
+    pub(crate) fn answer_started(&mut self) {
+        self.end_probe();
+    }
+
     fn end_probe(&mut self) -> bool {
-        let was_probe = matches!(self.health, Health::Probing);
+        let was_probe = matches!(self.health, Health::Probing { .. });
         if was_probe {
             self.health = Health::Healthy;
         }
@@ -299,7 +362,9 @@
         let slow = self.latency_us().is_some_and(|latency_us| latency_us > limit_us);
         if !slow {
             self.slow_answers = 0;
-            self.health = Health::Healthy;
+            if self.resting_until(now_us).is_none() {
+                self.health = Health::Healthy;
+            }
             self.ejection_ms = self.settings.ejection_ms;
             return false;
         }
@@ -307,7 +372,7 @@
         if self.slow_answers < self.settings.slow_answers {
             return false;
         }
-        self.eject(now_us, false);
+        self.eject(now_us, EjectionCause::Slow);
         true
     }
 
@@ -327,13 +392,14 @@
         let streak_too_long = self.failure_streak >= self.settings.failure_streak_max;
         let ejected = was_probe || (streak_too_long && may_eject && !self.is_ejected());
         if ejected {
-            self.eject(now_us, true);
+            self.eject(now_us, EjectionCause::Unresponsive);
         }
         ejected
     }
 
-    fn eject(&mut self, now_us: MonoTime, unresponsive: bool) {
-        self.health = Health::Ejected { until_us: now_us + self.ejection_ms, unresponsive };
+    fn eject(&mut self, now_us: MonoTime, cause: EjectionCause) {
+        let until_us = (now_us + self.ejection_ms).max(self.resting_until_us);
+        self.health = Health::Ejected { until_us, cause };
         self.ejection_ms = Millis((self.ejection_ms.0 * 2).min(self.settings.ejection_max_ms.0));
     }
 }
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -254,6 +254,8 @@
             self.refuse(request_id, PlainRefusal::QueueFull, wait_us, actions);
         } else if !self.instances.iter().any(|instance| instance.is_listed_live(now_us)) {
             self.refuse(request_id, PlainRefusal::NoInstance, max_wait_us, actions);
+        } else if let Some(available_us) = self.all_resting_until(now_us) {
+            self.refuse(request_id, PlainRefusal::Resting, available_us.since(now_us), actions);
         } else if let Some(available_us) = self.all_ejected_until(now_us) {
             self.refuse(request_id, PlainRefusal::NoInstance, available_us.since(now_us), actions);
         } else if let Some(limited_us) = self.limited_wait(now_us).filter(|wait_us| *wait_us > max_wait_us) {
@@ -370,7 +372,7 @@
             return true;
         };
         if call.attempts.begin().is_err() {
-            self.end_without_retry(request_id, actions);
+            self.end_without_retry(now_us, request_id, actions);
             return true;
         }
         call.dispatched = Some((index, now_us));
@@ -449,11 +451,19 @@
         (ejected + 1) * 2 <= live
     }
 
+    /// End of the first rest, if all instances have asked for one.
+    fn all_resting_until(&self, now_us: MonoTime) -> Option<MonoTime> {
+        let live = self.instances.iter().filter(|instance| instance.is_listed_live(now_us));
+        let ends: Option<Vec<MonoTime>> = live.map(|instance| instance.resting_until(now_us)).collect();
+        ends?.into_iter().min()
+    }
+
     /// Time at which the first instance may be probed, if all are ejected.
     fn all_ejected_until(&self, now_us: MonoTime) -> Option<MonoTime> {
         let live = || self.instances.iter().filter(|instance| instance.is_listed_live(now_us));
-        let is_unavailable =
-            |instance: &Instance| instance.is_ejected() && !instance.is_probe_due(now_us, true);
+        let is_unavailable = |instance: &Instance| {
+            instance.is_ejected() && !instance.is_probe_due(now_us, true) && !instance.is_probed_after_rest()
+        };
         if !live().all(is_unavailable) {
             return None;
         }
@@ -504,7 +514,7 @@
         }
         if call.attempts.may_begin().is_err() {
             self.counters.retries_denied += 1;
-            self.end_without_retry(request_id, actions);
+            self.end_without_retry(now_us, request_id, actions);
             return;
         }
         // An attempt that reached no server cost the servers nothing. If it needed budget, callers beside a
@@ -527,7 +537,7 @@
             self.unfunded.push(UnfundedRetry { request_id, until_us: now_us + LOAN_TIMEOUT_MS });
         } else {
             self.counters.retries_denied += 1;
-            self.end_without_retry(request_id, actions);
+            self.end_without_retry(now_us, request_id, actions);
         }
     }
 
@@ -564,14 +574,16 @@
         }
         for UnfundedRetry { request_id, .. } in denied {
             self.counters.retries_denied += 1;
-            self.end_without_retry(request_id, actions);
+            self.end_without_retry(now_us, request_id, actions);
         }
     }
 
     /// Ends a call without a further attempt; the outcome follows from what its attempts prove.
-    fn end_without_retry(&mut self, request_id: RequestId, actions: &mut Vec<PlainAction>) {
+    fn end_without_retry(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<PlainAction>) {
         if self.may_have_run(request_id) {
             self.end_unknown(request_id, actions);
+        } else if let Some(until_us) = self.all_resting_until(now_us) {
+            self.refuse(request_id, PlainRefusal::Resting, until_us.since(now_us), actions);
         } else {
             self.refuse(request_id, PlainRefusal::RetriesExhausted, Micros::ZERO, actions);
         }
@@ -615,14 +627,18 @@
         }
     }
 
-    /// Ends the queued calls when no instance is left that could serve them: all are leaving or gone.
+    /// Ends the queued calls when no instance can serve them: all are leaving, gone or resting.
     fn refuse_unservable(&mut self, now_us: MonoTime, actions: &mut Vec<PlainAction>) {
-        if self.queue.is_empty() || self.instances.iter().any(|instance| instance.is_listed_live(now_us)) {
+        let resting_until_us = self.all_resting_until(now_us);
+        let is_any_live = self.instances.iter().any(|instance| instance.is_listed_live(now_us));
+        if self.queue.is_empty() || (is_any_live && resting_until_us.is_none()) {
             return;
         }
         while let Some(entry) = self.queue.pop(now_us) {
             if self.may_have_run(entry.request_id) {
                 self.end_unknown(entry.request_id, actions);
+            } else if let Some(until_us) = resting_until_us {
+                self.refuse(entry.request_id, PlainRefusal::Resting, until_us.since(now_us), actions);
             } else {
                 let max_wait_us = entry.latest_us.map_or(Micros::ZERO, |latest_us| latest_us.since(now_us));
                 self.refuse(entry.request_id, PlainRefusal::NoInstance, max_wait_us, actions);
@@ -639,7 +655,15 @@
     ) {
         self.calls.remove(&request_id);
         self.counters.refused += 1;
-        let retry_after_ms = clamp_retry_after(wait_us.to_millis_ceil());
+        let forecast_ms = wait_us.to_millis_ceil();
+        let retry_after_ms = match reason {
+            // The time is known, however long it is.
+            PlainRefusal::Resting => forecast_ms,
+            PlainRefusal::WouldWaitTooLong
+            | PlainRefusal::QueueFull
+            | PlainRefusal::NoInstance
+            | PlainRefusal::RetriesExhausted => clamp_retry_after(forecast_ms),
+        };
         actions.push(PlainAction::Refuse { request_id, reason, retry_after_ms });
     }
 
@@ -664,10 +688,7 @@
         let available_us = (!self.queue.is_empty())
             .then(|| {
                 let available_at = |instance: &Instance| {
-                    [instance.ejected_until(now_us), instance.limited_until(now_us)]
-                        .into_iter()
-                        .flatten()
-                        .min()
+                    [instance.next_probe(now_us), instance.limited_until(now_us)].into_iter().flatten().min()
                 };
                 self.instances.iter().filter_map(available_at).min()
             })
--- a/crates/core/src/sched/plain_events.rs
+++ b/crates/core/src/sched/plain_events.rs
@@ -118,6 +118,8 @@
     QueueFull,
     /// No instance accepts calls.
     NoInstance,
+    /// All instances have asked for a rest.
+    Resting,
     /// The attempts of the call or the retries of its partner are used up, and no attempt ran.
     RetriesExhausted,
 }
--- a/crates/core/tests/relay/server_statements.rs
+++ b/crates/core/tests/relay/server_statements.rs
@@ -2,17 +2,20 @@
 
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::relay::engines::{EngineAction, EngineEvent, EngineRefusal, PoolUsage, Role};
-use hibiscusvale_core::relay::server_statements::{ListedAvailability, ServerStatements};
+use hibiscusvale_core::relay::server_statements::{ListedAvailability, REST_MAX_MS, ServerStatements};
 use hibiscusvale_core::sched::{FailureCause, Hold, HoldReason};
 use hibiscusvale_core::units::{Millis, MonoTime};
 use rstest::rstest;
 
 use crate::engines::full;
-use crate::simulation::{Harness, demand, server, settings};
+use crate::simulation::{Harness, demand, request_id, server, settings};
 
 const LEAVING: ListedAvailability = ListedAvailability { is_leaving: true };
 const READY: ListedAvailability = ListedAvailability { is_leaving: false };
 
+/// An hour and a half after the statements.
+const NOW: MonoTime = MonoTime(5_400_000_000);
+
 /// A server that stated that it is leaving while the list showed it as `listed`.
 fn leaving(listed: ListedAvailability) -> (ServerStatements, BackendServerId) {
     let mut statements = ServerStatements::default();
@@ -22,7 +25,7 @@
 }
 
 fn adopt(statements: &mut ServerStatements, listed: Option<ListedAvailability>) -> bool {
-    !statements.adopt(|_| listed).is_empty()
+    !statements.adopt(NOW, |_| listed).is_empty()
 }
 
 /// The store is unavailable, or the list late: it shows the server as ready for hours after its statement.
@@ -35,7 +38,7 @@
     let (mut statements, server) = leaving(READY);
     for listed in lists {
         assert!(!adopt(&mut statements, *listed));
-        assert_eq!(statements.hold(&server).map(|hold| hold.reason), Some(HoldReason::Leaving));
+        assert_eq!(statements.hold(NOW, &server).map(|hold| hold.reason), Some(HoldReason::Leaving));
     }
 }
 
@@ -53,7 +56,7 @@
         assert!(!adopt(&mut statements, *listed));
     }
     assert!(adopt(&mut statements, Some(READY)));
-    assert_eq!(statements.hold(&server), None);
+    assert_eq!(statements.hold(NOW, &server), None);
 }
 
 /// Thousands of servers come and go; the statements of those that are gone must not accumulate.
@@ -64,9 +67,11 @@
         let server = server(&format!("i-{number}"));
         statements.leaving(MonoTime(number), &server, READY);
     }
-    statements.adopt(|server| (server.as_str() == "i-0").then_some(READY));
-    assert_eq!(statements.leaving_count(), 1_025);
-    assert!(statements.hold(&server("i-0")).is_some() && statements.hold(&server("i-4999")).is_some());
+    statements.adopt(NOW, |server| (server.as_str() == "i-0").then_some(READY));
+    assert_eq!(statements.count(NOW, HoldReason::Leaving), 1_025);
+    assert!(
+        statements.hold(NOW, &server("i-0")).is_some() && statements.hold(NOW, &server("i-4999")).is_some()
+    );
 }
 
 fn hold(name: &str) -> EngineEvent {
@@ -118,3 +123,62 @@
     let later = harness.arrive(demand(2, 100, 100));
     assert!(matches!(&*later, [EngineAction::Reserve { decode_engine, .. }] if decode_engine == second));
 }
+
+fn rest_until(name: &str, until_us: u64) -> EngineEvent {
+    let hold = Hold { reason: HoldReason::Resting, until_us: Some(MonoTime(until_us)) };
+    EngineEvent::Hold { server: server(name), hold }
+}
+
+/// Several answers ask for rests of different length; each binds from its own time on.
+#[test]
+fn the_latest_end_of_all_rests_counts() {
+    let mut statements = ServerStatements::default();
+    let server = server("i-1");
+    let until_us = |hold: Option<Hold>| hold.and_then(|hold| hold.until_us);
+    let first = statements.rest(MonoTime(0), &server, Millis(3_000));
+    assert_eq!(until_us(first), Some(MonoTime(3_000_000)));
+    assert_eq!(statements.rest(MonoTime(500_000), &server, Millis(1_000)), None);
+    assert_eq!(statements.rest(MonoTime(500_000), &server, Millis::ZERO), None);
+    let longer = statements.rest(MonoTime(1_000_000), &server, Millis(3_000));
+    assert_eq!(until_us(longer), Some(MonoTime(4_000_000)));
+    assert_eq!(until_us(statements.hold(MonoTime(3_999_999), &server)), Some(MonoTime(4_000_000)));
+    assert_eq!(statements.hold(MonoTime(4_000_000), &server), None);
+}
+
+/// A server asks for a rest of a hundred years. It must not be out of use for ever.
+#[test]
+fn a_rest_is_bounded() {
+    let mut statements = ServerStatements::default();
+    let server = server("i-1");
+    statements.rest(MonoTime(1_000_000), &server, Millis(u64::MAX));
+    let end_us = MonoTime(1_000_000) + REST_MAX_MS;
+    assert!(statements.hold(MonoTime(end_us.0 - 1), &server).is_some());
+    assert_eq!(statements.hold(end_us, &server), None);
+}
+
+/// All decode engines rest. A request is refused at once with the end of the first rest; after it, one request probes the
+/// engine, and its first event lets the others follow.
+#[test]
+fn a_rested_engine_is_used_fully_after_the_first_event() {
+    let mut harness = Harness::new(settings(), &[("w-1", Role::Decode), ("w-2", Role::Decode)]);
+    harness.feed(rest_until("w-1", 3_000_000));
+    harness.feed(rest_until("w-2", 9_000_000));
+    let refused = harness.after(1_000).arrive(demand(1, 100, 100));
+    assert!(
+        matches!(
+            &*refused,
+            [EngineAction::Refuse { reason: EngineRefusal::Resting, retry_after_ms: Millis(2_000), .. }]
+        ),
+        "{refused:?}"
+    );
+    assert!(matches!(&*harness.after(2_000).arrive(demand(2, 100, 100)), [EngineAction::Reserve { .. }]));
+    assert!(
+        !harness
+            .arrive(demand(3, 100, 100))
+            .iter()
+            .any(|action| matches!(action, EngineAction::Reserve { .. }))
+    );
+    harness.reserved(2);
+    harness.feed(EngineEvent::Started { request_id: request_id(2) });
+    assert!(matches!(&*harness.arrive(demand(4, 100, 100)), [EngineAction::Reserve { .. }, ..]));
+}
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -6,8 +6,8 @@
 use hibiscusvale_core::ids::{Incarnation, RequestId};
 use hibiscusvale_core::retry_budget::SharedRetryBudgetSettings;
 use hibiscusvale_core::sched::{
-    FailureCause, PlainAction, PlainArrival, PlainEvent, PlainInstance, PlainRefusal, PlainScheduler,
-    PlainSettings,
+    FailureCause, Hold, HoldReason, PlainAction, PlainArrival, PlainEvent, PlainInstance, PlainRefusal,
+    PlainScheduler, PlainSettings,
 };
 use hibiscusvale_core::units::{Credit, Micros, Millis, MonoTime};
 use rstest::rstest;
@@ -284,3 +284,58 @@
     }
     assert!(refused >= 30, "{refused} refused at once, {queued} queued");
 }
+
+// All instances ask for a rest at the same moment, one for less than the others. Meanwhile calls are refused at once and told
+// the end of the shorter rest; after it a single call probes that instance, and the others follow its answer.
+#[test]
+fn rested_instance_is_probed_by_one_call() {
+    let mut scheduler = PlainScheduler::new(PlainSettings::default(), 3);
+    let mut handle = |now_us, event| {
+        let mut actions = Vec::new();
+        scheduler.handle(MonoTime(now_us), event, &mut actions);
+        actions
+    };
+    let instance = |name: &str| PlainInstance { server: name.parse().unwrap(), capacity: 8, leaving: false };
+    handle(0, PlainEvent::Instances(vec![instance("s0"), instance("s1")]));
+    for (server, until_us) in [("s0", 3_000_000), ("s1", 60_000_000)] {
+        let hold = Hold { reason: HoldReason::Resting, until_us: Some(MonoTime(until_us)) };
+        handle(1, PlainEvent::Hold { server: server.parse().unwrap(), hold });
+    }
+    let dispatched = |actions: &[PlainAction]| {
+        actions.iter().filter(|action| matches!(action, PlainAction::Dispatch { .. })).count()
+    };
+    let arrival = |sequence| PlainArrival {
+        request_id: RequestId { incarnation: Incarnation(9_u64.into()), sequence },
+        partner: "a".parse().unwrap(),
+        repeatable: true,
+        attempts_max: 3,
+        max_wait_ms: Millis(100),
+    };
+    let refused = handle(2_900_000, PlainEvent::Arrive(arrival(0)));
+    assert!(
+        matches!(
+            refused[..],
+            [PlainAction::Refuse { reason: PlainRefusal::Resting, retry_after_ms: Millis(100), .. }]
+        ),
+        "{refused:?}"
+    );
+    let at_end: usize =
+        (1..5).map(|number| dispatched(&handle(3_000_000, PlainEvent::Arrive(arrival(number))))).sum();
+    assert_eq!(at_end, 1, "calls at the end of the rest");
+    let done = PlainEvent::Done { request_id: arrival(1).request_id };
+    assert_eq!(dispatched(&handle(3_010_000, done)), 3);
+}
+
+// An instance answers while it rests: a call that was under way succeeds. The rest is not shortened.
+#[test]
+fn success_does_not_end_a_rest() {
+    let mut service = FakeService::new(&[Kind::Good, Kind::Good]);
+    service.calls("a", 1, 0, 4_000_000, 2_000, true);
+    let hold = Hold { reason: HoldReason::Resting, until_us: Some(MonoTime(3_000_000)) };
+    service.schedule(1_000_500, PlainEvent::Hold { server: "s0".parse().unwrap(), hold });
+    let results = service.run();
+    let sent = |second| results.sent.get(&("s0".to_owned(), second)).copied().unwrap_or(0);
+    assert!(sent(0) > 50 && sent(3) > 50, "{:?}", results.sent);
+    assert!(sent(1) <= 1 && sent(2) == 0, "{:?}", results.sent);
+    assert_eq!(results.answered["a"], 2_000);
+}
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -153,7 +153,7 @@
     match reason {
         PlainRefusal::WouldWaitTooLong => RefusalReason::TargetUnreachable,
         PlainRefusal::QueueFull => RefusalReason::QueueFull,
-        PlainRefusal::NoInstance => RefusalReason::NoBackendServer,
+        PlainRefusal::NoInstance | PlainRefusal::Resting => RefusalReason::NoBackendServer,
         PlainRefusal::RetriesExhausted => RefusalReason::RetriesExhausted,
     }
 }
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hibiscusvale_core::sched::HoldReason;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
@@ -109,7 +110,10 @@
             state.limits.limited() as u64
         });
         observe_gauge(&meter, "hibiscusvale_relay_leaving_servers", state, |state| {
-            state.statements.leaving_count() as u64
+            state.statements.count(HoldReason::Leaving) as u64
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_resting_servers", state, |state| {
+            state.statements.count(HoldReason::Resting) as u64
         });
         observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
             state.quarantine.counts().0 as u64
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -35,6 +35,8 @@
     QuotaUnknown,
     /// No server of the service accepts requests.
     NoServer,
+    /// All servers of the service have asked for a rest.
+    ServersResting,
     /// The request would have to queue for too long.
     WouldWaitTooLong,
     /// Every server that was tried refused.
@@ -60,6 +62,7 @@
             Self::OverQuota => "over-quota",
             Self::QuotaUnknown => "quota-unknown",
             Self::NoServer => "no-server",
+            Self::ServersResting => "servers-resting",
             Self::WouldWaitTooLong => "would-wait-too-long",
             Self::ServersFull => "servers-full",
             Self::CrashesServers => "crashes-servers",
@@ -80,6 +83,7 @@
             // These statuses promise that the request has not run and never will.
             Self::NoTable
             | Self::NoServer
+            | Self::ServersResting
             | Self::WouldWaitTooLong
             | Self::ServersFull
             | Self::CrashesServers
@@ -106,6 +110,7 @@
         match refusal {
             PlainRefusal::WouldWaitTooLong | PlainRefusal::QueueFull => Self::WouldWaitTooLong,
             PlainRefusal::NoInstance => Self::NoServer,
+            PlainRefusal::Resting => Self::ServersResting,
             PlainRefusal::RetriesExhausted => Self::ServersFull,
         }
     }
@@ -116,6 +121,7 @@
         match refusal {
             EngineRefusal::WouldWaitTooLong => Self::WouldWaitTooLong,
             EngineRefusal::NoEngine => Self::NoServer,
+            EngineRefusal::Resting => Self::ServersResting,
             EngineRefusal::RetriesExhausted => Self::ServersFull,
         }
     }
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -4,10 +4,12 @@
 //! Decisions are made in [`hibiscusvale_core::relay::server_statements`].
 
 use hibiscusvale_core::ids::BackendServerId;
-use hibiscusvale_core::relay::server_statements::{ListedAvailability, ServerStatements};
+use hibiscusvale_core::relay::server_statements::{ListedAvailability, REST_MAX_MS, ServerStatements};
 use hibiscusvale_core::sched::{FailureCause, Hold, HoldReason};
+use hibiscusvale_core::units::Millis;
 use http::StatusCode;
 use parking_lot::Mutex;
+use rand::RngExt;
 
 use super::interfaces::{ReplyHead, Rest, Task};
 use super::state::RelayState;
@@ -16,6 +18,13 @@
 use crate::external::ListedState;
 use crate::servers::Servers;
 
+/// Divisor of a rest: the quotient is the maximum time by which its end is delayed at random, because the server may
+/// have asked all daemons at the same moment.
+const REST_SPREAD_DIVISOR: u64 = 8;
+
+/// Maximum of that time.
+const REST_SPREAD_MS_MAX: u64 = 300;
+
 /// Kind of request that a server answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Path {
@@ -82,8 +91,14 @@
         }
         match head.availability.rest {
             Some(Rest::For(rest_ms)) => {
-                state.metrics.record_statement("rest");
-                state.log.server_stated(server, "rest", Some(rest_ms), path.label(), status.as_u16());
+                let statement = if rest_ms > REST_MAX_MS { "clamped-rest" } else { "rest" };
+                state.metrics.record_statement(statement);
+                let spread_ms = Millis(rand::rng().random_range(0..=max_spread_ms(rest_ms)));
+                let hold = self.servers.lock().rest(clock::now(), server, rest_ms + spread_ms);
+                if let Some(hold) = hold {
+                    state.log.server_stated(server, statement, Some(rest_ms), path.label(), status.as_u16());
+                    apply(state, server, hold);
+                }
             }
             Some(Rest::Malformed) => {
                 state.metrics.record_statement("malformed-rest");
@@ -99,23 +114,28 @@
     ///
     /// [`FailureCause::Held`] with the reason why it may not.
     pub fn check(&self, server: &BackendServerId, kind: CallKind) -> Result<(), FailureCause> {
-        match (kind, self.servers.lock().hold(server)) {
-            (CallKind::Work, Some(hold)) => Err(FailureCause::Held(hold.reason)),
-            (CallKind::Cleanup, Some(_)) | (_, None) => Ok(()),
+        let Some(hold) = self.servers.lock().hold(clock::now(), server) else {
+            return Ok(());
+        };
+        match (kind, hold.reason) {
+            (CallKind::Cleanup, HoldReason::Leaving) => Ok(()),
+            (CallKind::Work | CallKind::Cleanup, reason) => Err(FailureCause::Held(reason)),
         }
     }
 
-    /// Number of servers that have stated that they are leaving.
-    pub fn leaving_count(&self) -> usize {
-        self.servers.lock().leaving_count()
+    /// Number of servers that get no requests for this reason.
+    pub fn count(&self, reason: HoldReason) -> usize {
+        self.servers.lock().count(clock::now(), reason)
     }
 
     /// Applies a newer server list.
     pub fn adopt(&self, state: &RelayState, listed: &Servers) {
         let (available, held) = {
             let mut servers = self.servers.lock();
-            let available = servers.adopt(|server| availability(listed.get(server).map(AsRef::as_ref)));
-            (available, servers.holds())
+            let now_us = clock::now();
+            let available =
+                servers.adopt(now_us, |server| availability(listed.get(server).map(AsRef::as_ref)));
+            (available, servers.holds(now_us))
         };
         for (server, hold) in held {
             apply(state, &server, hold);
@@ -142,6 +162,10 @@
     })
 }
 
+fn max_spread_ms(rest_ms: Millis) -> u64 {
+    (rest_ms.0 / REST_SPREAD_DIVISOR).min(REST_SPREAD_MS_MAX)
+}
+
 fn apply(state: &RelayState, server: &BackendServerId, hold: Hold) {
     state.plain_schedulers.hold(server, hold);
     state.engine_pools.hold(server, hold);
