End a server's statements with the run that made them

A replica may start again under its id, with a later start time in its entry, and has stated nothing then. Without this a server that was leaving, or had asked for a long rest, stayed unused by every daemon that had been told, until those restarted. The list now carries the run of a server; statements belong to the run that was listed when they were made, and a late list that shows the same or an earlier run does not end them.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -293,3 +293,21 @@
         self.0.fmt(f)
     }
 }
+
+/// One run of a backend server under its id: the time of its start in ms since the Unix epoch, by its own clock.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+pub struct Lifetime(pub u64);
+
+impl fmt::Display for Lifetime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Lifetime {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self).map_err(|_| ParseIdError::Number { kind: "lifetime" })
+    }
+}
--- a/crates/core/src/relay/server_statements.rs
+++ b/crates/core/src/relay/server_statements.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use crate::ids::BackendServerId;
+use crate::ids::{BackendServerId, Lifetime};
 use crate::sched::{Hold, HoldReason};
 use crate::units::{Millis, MonoTime};
 
@@ -28,6 +28,8 @@
 struct Stated {
     /// When it made its latest statement.
     at_us: MonoTime,
+    /// The run that made the statements, as listed at that time.
+    lifetime: Option<Lifetime>,
     leaving: Option<Leaving>,
     resting_until_us: MonoTime,
 }
@@ -42,11 +44,18 @@
 /// State of a server in the list.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ListedAvailability {
+    /// Its current run; `None` where an id is never used again.
+    pub lifetime: Option<Lifetime>,
     /// Whether the list shows it as leaving.
     pub is_leaving: bool,
 }
 
 impl Stated {
+    /// Whether the list shows a later run of the server, which has stated nothing yet.
+    fn is_outlived(&self, listed: ListedAvailability) -> bool {
+        matches!((self.lifetime, listed.lifetime), (Some(stated), Some(current)) if stated < current)
+    }
+
     fn hold(&self, now_us: MonoTime) -> Option<Hold> {
         if self.leaving.is_some() {
             return Some(Hold { reason: HoldReason::Leaving, until_us: None });
@@ -64,8 +73,7 @@
         server: &BackendServerId,
         listed: ListedAvailability,
     ) -> Option<Hold> {
-        let stated = self.servers.entry(server.clone()).or_default();
-        stated.at_us = now_us;
+        let stated = self.stated(now_us, server, listed);
         if stated.leaving.is_some() {
             return None;
         }
@@ -75,10 +83,15 @@
 
     /// Records that a server asked for a rest of `rest_ms` from now on. Returns the hold if it ends later than the
     /// rests that the server asked for before.
-    pub fn rest(&mut self, now_us: MonoTime, server: &BackendServerId, rest_ms: Millis) -> Option<Hold> {
+    pub fn rest(
+        &mut self,
+        now_us: MonoTime,
+        server: &BackendServerId,
+        listed: ListedAvailability,
+        rest_ms: Millis,
+    ) -> Option<Hold> {
         let until_us = now_us + rest_ms.min(REST_MAX_MS);
-        let stated = self.servers.entry(server.clone()).or_default();
-        stated.at_us = now_us;
+        let stated = self.stated(now_us, server, listed);
         if until_us <= stated.resting_until_us.max(now_us) {
             return None;
         }
@@ -86,6 +99,18 @@
         Some(Hold { reason: HoldReason::Resting, until_us: Some(until_us) })
     }
 
+    fn stated(
+        &mut self,
+        now_us: MonoTime,
+        server: &BackendServerId,
+        listed: ListedAvailability,
+    ) -> &mut Stated {
+        let stated = self.servers.entry(server.clone()).or_default();
+        stated.at_us = now_us;
+        stated.lifetime = stated.lifetime.max(listed.lifetime);
+        stated
+    }
+
     /// The hold that follows from a server's statements: that it is leaving, or else the end of its rest.
     pub fn hold(&self, now_us: MonoTime, server: &BackendServerId) -> Option<Hold> {
         self.servers.get(server)?.hold(now_us)
@@ -103,15 +128,22 @@
         holds.filter(|hold| hold.reason == reason).count()
     }
 
-    /// Applies a newer list. Returns the servers whose statements no longer hold: the list has shown them as
-    /// leaving since, and no longer does, so their shutdown was called off.
+    /// Applies a newer list. Returns the servers whose statements no longer hold: they have started anew, or the
+    /// list has shown them as leaving since, and no longer does, so their shutdown was called off.
     pub fn adopt<List>(&mut self, now_us: MonoTime, list: List) -> Vec<BackendServerId>
     where
         List: Fn(&BackendServerId) -> Option<ListedAvailability>,
     {
         let mut available = Vec::new();
         for (server, stated) in &mut self.servers {
-            let (Some(listed), Some(leaving)) = (list(server), &mut stated.leaving) else {
+            let Some(listed) = list(server) else {
+                continue;
+            };
+            if stated.is_outlived(listed) {
+                *stated = Stated::default();
+                available.push(server.clone());
+            }
+            let Some(leaving) = &mut stated.leaving else {
                 continue;
             };
             leaving.is_listed_leaving |= listed.is_leaving;
--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -179,6 +179,7 @@
     /// Ends the holds that follow from statements of the server.
     pub(crate) fn release_holds(&mut self) {
         self.states_leaving = false;
+        self.leaving_until_us = MonoTime(0);
         self.resting_until_us = MonoTime(0);
         if matches!(self.health, Health::Ejected { cause: EjectionCause::Resting, .. }) {
             self.health = Health::Healthy;
--- a/crates/core/tests/relay/server_statements.rs
+++ b/crates/core/tests/relay/server_statements.rs
@@ -1,6 +1,6 @@
 //! How long statements of servers hold.
 
-use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::ids::{BackendServerId, Lifetime};
 use hibiscusvale_core::relay::engines::{EngineAction, EngineEvent, EngineRefusal, PoolUsage, Role};
 use hibiscusvale_core::relay::server_statements::{ListedAvailability, REST_MAX_MS, ServerStatements};
 use hibiscusvale_core::sched::{FailureCause, Hold, HoldReason};
@@ -10,8 +10,8 @@
 use crate::engines::full;
 use crate::simulation::{Harness, demand, request_id, server, settings};
 
-const LEAVING: ListedAvailability = ListedAvailability { is_leaving: true };
-const READY: ListedAvailability = ListedAvailability { is_leaving: false };
+const LEAVING: ListedAvailability = ListedAvailability { lifetime: None, is_leaving: true };
+const READY: ListedAvailability = ListedAvailability { lifetime: None, is_leaving: false };
 
 /// An hour and a half after the statements.
 const NOW: MonoTime = MonoTime(5_400_000_000);
@@ -135,11 +135,11 @@
     let mut statements = ServerStatements::default();
     let server = server("i-1");
     let until_us = |hold: Option<Hold>| hold.and_then(|hold| hold.until_us);
-    let first = statements.rest(MonoTime(0), &server, Millis(3_000));
+    let first = statements.rest(MonoTime(0), &server, READY, Millis(3_000));
     assert_eq!(until_us(first), Some(MonoTime(3_000_000)));
-    assert_eq!(statements.rest(MonoTime(500_000), &server, Millis(1_000)), None);
-    assert_eq!(statements.rest(MonoTime(500_000), &server, Millis::ZERO), None);
-    let longer = statements.rest(MonoTime(1_000_000), &server, Millis(3_000));
+    assert_eq!(statements.rest(MonoTime(500_000), &server, READY, Millis(1_000)), None);
+    assert_eq!(statements.rest(MonoTime(500_000), &server, READY, Millis::ZERO), None);
+    let longer = statements.rest(MonoTime(1_000_000), &server, READY, Millis(3_000));
     assert_eq!(until_us(longer), Some(MonoTime(4_000_000)));
     assert_eq!(until_us(statements.hold(MonoTime(3_999_999), &server)), Some(MonoTime(4_000_000)));
     assert_eq!(statements.hold(MonoTime(4_000_000), &server), None);
@@ -150,7 +150,7 @@
 fn a_rest_is_bounded() {
     let mut statements = ServerStatements::default();
     let server = server("i-1");
-    statements.rest(MonoTime(1_000_000), &server, Millis(u64::MAX));
+    statements.rest(MonoTime(1_000_000), &server, READY, Millis(u64::MAX));
     let end_us = MonoTime(1_000_000) + REST_MAX_MS;
     assert!(statements.hold(MonoTime(end_us.0 - 1), &server).is_some());
     assert_eq!(statements.hold(end_us, &server), None);
@@ -182,3 +182,23 @@
     harness.feed(EngineEvent::Started { request_id: request_id(2) });
     assert!(matches!(&*harness.arrive(demand(4, 100, 100)), [EngineAction::Reserve { .. }, ..]));
 }
+
+fn run(lifetime: u64) -> ListedAvailability {
+    ListedAvailability { lifetime: Some(Lifetime(lifetime)), is_leaving: false }
+}
+
+/// A server starts again under its id. Its statements end with the run that made them, and not by a late list that still
+/// shows an earlier run.
+#[test]
+fn statements_end_with_the_run_that_made_them() {
+    let mut statements = ServerStatements::default();
+    let server = server("i-1");
+    statements.leaving(MonoTime(0), &server, run(7));
+    statements.rest(MonoTime(0), &server, run(7), REST_MAX_MS);
+    for listed in [run(7), run(6), READY] {
+        assert_eq!(statements.adopt(MonoTime(1), |_| Some(listed)), []);
+    }
+    assert!(statements.hold(MonoTime(1), &server).is_some());
+    assert_eq!(statements.adopt(MonoTime(2), |_| Some(run(8))), std::slice::from_ref(&server));
+    assert_eq!(statements.hold(MonoTime(2), &server), None);
+}
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, ModelId, RegionId};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Lifetime, ModelId, RegionId};
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,8 @@
 pub struct BackendServer {
     /// Name.
     pub id: BackendServerId,
+    /// Its current run; `None` where an id is never used again.
+    pub lifetime: Option<Lifetime>,
     /// Address for requests.
     pub address: SocketAddr,
     /// Data centre.
@@ -165,6 +167,7 @@
         };
         let server = BackendServer {
             id: entry.id,
+            lifetime: entry.lifetime,
             address: entry.address,
             data_centre: entry.data_centre,
             region: entry.region,
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, ModelId, Offset, PartnerId, RegionId};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, Lifetime, ModelId, Offset, PartnerId, RegionId};
 use hibiscusvale_core::units::{Bytes as ByteCount, BytesPerSecond, Millis};
 use serde::{Deserialize, Serialize};
 
@@ -128,6 +128,9 @@
 pub struct ListedHost {
     /// Name of the host.
     pub id: BackendServerId,
+    /// Its current run; `None` where an id is never used again.
+    #[serde(default)]
+    pub lifetime: Option<Lifetime>,
     /// Kind of service that runs on it.
     pub kind: ListedKind,
     /// Address for requests.
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 
-use super::interfaces::{ReplyHead, Rest, Task};
+use super::interfaces::{Availability, ReplyHead, Rest, Task};
 use super::state::RelayState;
 use crate::clock;
 use crate::directory::BackendServer;
@@ -80,10 +80,14 @@
         status: StatusCode,
         head: &ReplyHead,
     ) {
+        if head.availability == Availability::default() {
+            return;
+        }
+        let listed = availability(state.directory.listing().servers.get(server).map(AsRef::as_ref));
+        let listed = listed.unwrap_or_default();
         if head.availability.is_leaving {
             state.metrics.record_statement("leaving");
-            let listed = availability(state.directory.listing().servers.get(server).map(AsRef::as_ref));
-            let hold = self.servers.lock().leaving(clock::now(), server, listed.unwrap_or_default());
+            let hold = self.servers.lock().leaving(clock::now(), server, listed);
             if let Some(hold) = hold {
                 state.log.server_stated(server, "leaving", None, path.label(), status.as_u16());
                 apply(state, server, hold);
@@ -94,7 +98,7 @@
                 let statement = if rest_ms > REST_MAX_MS { "clamped-rest" } else { "rest" };
                 state.metrics.record_statement(statement);
                 let spread_ms = Millis(rand::rng().random_range(0..=max_spread_ms(rest_ms)));
-                let hold = self.servers.lock().rest(clock::now(), server, rest_ms + spread_ms);
+                let hold = self.servers.lock().rest(clock::now(), server, listed, rest_ms + spread_ms);
                 if let Some(hold) = hold {
                     state.log.server_stated(server, statement, Some(rest_ms), path.label(), status.as_u16());
                     apply(state, server, hold);
@@ -141,7 +145,7 @@
             apply(state, &server, hold);
         }
         for server in available {
-            state.log.state_changed("server no longer leaving", &server);
+            state.log.state_changed("server available again", &server);
             state.plain_schedulers.release(&server);
             state.engine_pools.release(&server);
         }
@@ -172,5 +176,8 @@
 }
 
 fn availability(server: Option<&BackendServer>) -> Option<ListedAvailability> {
-    server.map(|server| ListedAvailability { is_leaving: server.listed == ListedState::Leaving })
+    server.map(|server| ListedAvailability {
+        lifetime: server.lifetime,
+        is_leaving: server.listed == ListedState::Leaving,
+    })
 }
--- a/crates/router/tests/ops/directory.rs
+++ b/crates/router/tests/ops/directory.rs
@@ -13,6 +13,7 @@
 fn plain(name: &str, state: ListedState) -> ListedHost {
     ListedHost {
         id: id(name),
+        lifetime: None,
         kind: ListedKind::Plain,
         address: "127.0.0.1:1".parse().expect("address"),
         peer_address: None,
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -9,6 +9,7 @@
 fn plain(name: &str, state: ListedState) -> ListedHost {
     ListedHost {
         id: name.parse().unwrap(),
+        lifetime: None,
         kind: ListedKind::Plain,
         address: "10.1.0.9:80".parse().unwrap(),
         peer_address: None,
