End a server's limit with the run that stated it

A server that started again under its id kept the limit of its earlier run. With a limit of zero nothing is sent to it, so no answer could ever withdraw it, and callers were refused although the server was up.

--- a/crates/core/src/quota/server_limits.rs
+++ b/crates/core/src/quota/server_limits.rs
@@ -111,6 +111,17 @@
         batch.iter().filter_map(|server| self.statement(now_us, server)).collect()
     }
 
+    /// Whether a server has ever stated a limit, even if it was withdrawn.
+    pub fn has_stated(&self, server: &BackendServerId) -> bool {
+        self.known.contains_key(server)
+    }
+
+    /// Removes the limit of a server that has started anew.
+    pub fn forget(&mut self, server: &BackendServerId) {
+        self.known.remove(server);
+        self.pending.retain(|pending| pending != server);
+    }
+
     /// Removes servers that are no longer listed.
     pub fn retain<IsListed>(&mut self, is_listed: IsListed)
     where
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -70,10 +70,16 @@
         self.limits.lock().limited()
     }
 
-    /// Removes servers that are no longer listed.
-    pub fn adopt(&self, state: &RelayState, listed: &Servers) {
-        self.limits.lock().retain(|server| listed.contains_key(server));
-        state.quotas.retain_servers(|server| listed.contains_key(server));
+    /// Removes the limits of servers that are no longer listed or have started anew.
+    pub fn adopt(&self, state: &RelayState, before: &Servers, listed: &Servers) {
+        let mut limits = self.limits.lock();
+        for server in listed.changed_since(before) {
+            if before.get(&server.id).is_some_and(|before| before.lifetime != server.lifetime) {
+                limits.forget(&server.id);
+            }
+        }
+        limits.retain(|server| listed.contains_key(server));
+        state.quotas.retain_servers(|server| limits.has_stated(server));
     }
 
     fn apply(
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -193,7 +193,7 @@
 pub fn servers_changed(state: &RelayState, before: &Listing) {
     let listing = state.directory.listing();
     state.log.servers_changed(&before.servers, &listing.servers);
-    state.limits.adopt(state, &listing.servers);
+    state.limits.adopt(state, &before.servers, &listing.servers);
     state.plain_schedulers.adopt(&listing);
     state.engine_pools.adopt(&listing);
     state.engine_pools.configure(&state.table.load());
