Count no crash when a server exits that stated its leaving

Callers of a harmless request were refused as crashes-servers for minutes: three servers that had stated their leaving exited while the request ran there, and as the list showed them as ready their exits counted as crashes. Found by asking who else has to know of a leaving; only the list was asked. exit_of_a_leaving_replica_is_no_crash failed before and passes.

--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -90,9 +90,12 @@
     }
 }
 
-/// Whether the server is leaving or no longer listed: it closes its open connections at the end of its drain
-/// period.
+/// Whether the server is leaving, by its own statement or the list, or no longer listed: it closes its open
+/// connections at the end of its drain period.
 fn is_leaving(incoming: &Incoming, server: &BackendServerId) -> bool {
+    if incoming.state.statements.is_leaving(server) {
+        return true;
+    }
     let listing = incoming.state.directory.listing();
     listing.servers.get(server).is_none_or(|listed| listed.listed == ListedState::Leaving)
 }
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Whether a server has stated that it is leaving.
+    pub fn is_leaving(&self, server: &BackendServerId) -> bool {
+        self.check(server, CallKind::Work) == Err(FailureCause::Held(HoldReason::Leaving))
+    }
+
     /// Number of servers that get no requests for this reason.
     pub fn count(&self, reason: HoldReason) -> usize {
         self.servers.lock().count(clock::now(), reason)
