--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -12,7 +12,7 @@
 
 use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
 use super::state::{Incoming as IncomingRequest, RelayState};
-use super::statements::{CallKind, Path};
+use super::statements::{CallKind, RequestPath};
 use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
 
@@ -138,7 +138,7 @@
     let status = known.response.status();
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.parse_reply(status, &headers);
-    incoming.state.statements.record(&incoming.state, hop.server, Path::of(&hop.task), status, &head);
+    incoming.state.statements.record(&incoming.state, hop.server, RequestPath::of(&hop.task), status, &head);
     record_limit(incoming, hop.server, status, &head);
     Ok(Reply { status, headers, head, known })
 }
@@ -173,7 +173,7 @@
     let response = state.http.send(ConnectionReuse::Pooled, request, timeout).await?;
     let status = response.status();
     let head = state.wire.parse_reply(status, response.headers());
-    state.statements.record(state, server, Path::Router, status, &head);
+    state.statements.record(state, server, RequestPath::Router, status, &head);
     // Only answers to requests can withdraw a limit.
     if let Some(rate) = head.limit {
         state.limits.record_answer(state, server, Some(rate));
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -27,7 +27,7 @@
 
 /// Kind of request that a server answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Path {
+pub enum RequestPath {
     /// A caller's request that the server runs.
     Run,
     /// The prefill of a caller's prompt.
@@ -36,7 +36,7 @@
     Router,
 }
 
-impl Path {
+impl RequestPath {
     /// The kind of a request with `task`.
     pub fn of(task: &Task) -> Self {
         match task {
@@ -76,7 +76,7 @@
         &self,
         state: &RelayState,
         server: &BackendServerId,
-        path: Path,
+        path: RequestPath,
         status: StatusCode,
         head: &ReplyHead,
     ) {
