--- a/crates/core/tests/relay/server_statements.rs
+++ b/crates/core/tests/relay/server_statements.rs
@@ -124,6 +124,32 @@
     assert!(matches!(&*later, [EngineAction::Reserve { decode_engine, .. }] if decode_engine == second));
 }
 
+/// A stream breaks off after its first event. It must not be handed over to an engine that is leaving.
+#[test]
+fn an_interrupted_stream_is_not_handed_over_to_a_leaving_engine() {
+    let engines = [("w-1", Role::Decode), ("w-2", Role::Decode), ("w-3", Role::Decode)];
+    let mut harness = Harness::new(settings(), &engines);
+    // Earns the credit for a retry.
+    for sequence in 100..120 {
+        harness.arrive(demand(sequence, 10, 10));
+        harness.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    let [EngineAction::Reserve { decode_engine: first, .. }] = &*harness.arrive(demand(1, 4_000, 4_000))
+    else {
+        panic!("no reservation");
+    };
+    harness.reserved(1);
+    harness.feed(EngineEvent::Started { request_id: request_id(1) });
+    let others: Vec<&str> =
+        engines.iter().map(|(name, _)| *name).filter(|name| *name != first.as_str()).collect();
+    harness.feed(hold(others[0]));
+    let resumed = harness.decode_failed(1, FailureCause::Broken);
+    assert!(
+        matches!(&*resumed, [EngineAction::Reserve { decode_engine, .. }] if decode_engine.as_str() == others[1]),
+        "{resumed:?}"
+    );
+}
+
 fn rest_until(name: &str, until_us: u64) -> EngineEvent {
     let hold = Hold { reason: HoldReason::Resting, until_us: Some(MonoTime(until_us)) };
     EngineEvent::Hold { server: server(name), hold }
