Log the stage in which a request for a model ended

A caller that left after 15 s with "attempts 0" could have waited for a turn, for a slot, for the end of a back-off or for a watcher; the line did not tell, nor since when. The scheduler now states what an open request waits for and since when, and "request finished" and "request refused" carry both as stage and stage_ms. Nothing that decides has changed.

--- a/crates/core/src/sched/events.rs
+++ b/crates/core/src/sched/events.rs
@@ -9,6 +9,7 @@
 use super::counters::{FailReason, RefusalReason, WasteCause};
 use super::directory::{ServerRecord, StatusUpdate};
 use super::hold::HoldReason;
+use super::request::StageEntry;
 
 /// Attempt number of a request. Results that carry the number of an earlier attempt are ignored.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -253,6 +254,8 @@
         reason: RefusalReason,
         /// Time after which a retry is useful.
         retry_after_ms: Millis,
+        /// Stage in which the request was refused.
+        entry: StageEntry,
     },
     /// Fail the request: the answer cannot be started or completed.
     Fail {
@@ -260,6 +263,8 @@
         request_id: RequestId,
         /// Reason.
         reason: FailReason,
+        /// Stage in which the request failed.
+        entry: StageEntry,
     },
     /// Send [`Event::Tick`] at this time.
     Wake {
--- a/crates/core/src/sched/failing.rs
+++ b/crates/core/src/sched/failing.rs
@@ -244,9 +244,11 @@
     }
 
     pub(super) fn fail(&mut self, request_id: RequestId, reason: FailReason, actions: &mut Vec<Action>) {
-        self.close(request_id, GrantOutcome::Abandoned, actions);
+        let Some(request) = self.close(request_id, GrantOutcome::Abandoned, actions) else {
+            return;
+        };
         self.counters.failed += 1;
-        actions.push(Action::Fail { request_id, reason });
+        actions.push(Action::Fail { request_id, reason, entry: request.stage_entry() });
     }
 }
 
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -31,6 +31,7 @@
 pub use instance::{InstanceSettings, LimitReached};
 pub use plain::{PlainScheduler, PlainSettings};
 pub use plain_events::{PlainAction, PlainArrival, PlainCounters, PlainEvent, PlainInstance, PlainRefusal};
+pub use request::{Stage, StageEntry};
 pub use retry::PartnerRetryBudget;
 pub use scheduler::Scheduler;
 pub use settings::{PrefillStart, SchedulerSettings};
--- a/crates/core/src/sched/request.rs
+++ b/crates/core/src/sched/request.rs
@@ -9,7 +9,7 @@
 
 /// Stage of a request, named after what it waits for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Stage {
+pub enum Stage {
     /// The end of the back-off.
     Backoff,
     /// A turn at a prefill server.
@@ -26,6 +26,30 @@
     Decoding,
 }
 
+impl Stage {
+    /// Name in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Backoff => "backoff",
+            Self::AwaitTurn => "await-turn",
+            Self::AwaitSlot => "await-slot",
+            Self::Prefilling => "prefilling",
+            Self::AwaitTransfer => "await-transfer",
+            Self::Importing => "importing",
+            Self::Decoding => "decoding",
+        }
+    }
+}
+
+/// What an open request waits for, and since when.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StageEntry {
+    /// Current stage.
+    pub stage: Stage,
+    /// Time at which the request entered it.
+    pub since_us: MonoTime,
+}
+
 /// Grant request that was sent and not yet granted or denied.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct OpenGrantRequest {
@@ -122,6 +146,10 @@
         self.stage_since_us = now_us;
     }
 
+    pub(super) fn stage_entry(&self) -> StageEntry {
+        StageEntry { stage: self.stage, since_us: self.stage_since_us }
+    }
+
     /// Whether any work on the request was started.
     pub(super) fn has_run(&self) -> bool {
         self.attempt > Attempt(0)
--- a/crates/core/src/sched/scheduler.rs
+++ b/crates/core/src/sched/scheduler.rs
@@ -14,7 +14,7 @@
 use super::counters::{Counters, RefusalReason, clamp_retry_after};
 use super::directory::{Directory, ServerIndex, StatusUpdate};
 use super::events::{Action, Arrival, Event};
-use super::request::{Hold, Request, Stage};
+use super::request::{Hold, Request, Stage, StageEntry};
 use super::retry::PartnerRetryBudget;
 use super::settings::SchedulerSettings;
 
@@ -89,6 +89,11 @@
         self.requests.values().filter(|request| waits(request.stage)).count()
     }
 
+    /// What an open request waits for; `None` once it has ended.
+    pub fn stage_entry(&self, request_id: RequestId) -> Option<StageEntry> {
+        self.requests.get(&request_id).map(Request::stage_entry)
+    }
+
     /// Handles an event and appends the resulting actions.
     pub fn handle(&mut self, now_us: MonoTime, event: Event, actions: &mut Vec<Action>) {
         match event {
@@ -213,10 +218,12 @@
         retry_after_ms: Millis,
         actions: &mut Vec<Action>,
     ) {
-        self.close(request_id, GrantOutcome::Unused, actions);
+        let Some(request) = self.close(request_id, GrantOutcome::Unused, actions) else {
+            return;
+        };
         self.counters.count_refusal(reason);
         let retry_after_ms = clamp_retry_after(retry_after_ms);
-        actions.push(Action::Refuse { request_id, reason, retry_after_ms });
+        actions.push(Action::Refuse { request_id, reason, retry_after_ms, entry: request.stage_entry() });
     }
 
     /// Removes a request and releases everything it holds.
--- a/crates/core/tests/sched/baseline.rs
+++ b/crates/core/tests/sched/baseline.rs
@@ -4,7 +4,7 @@
 
 use hibiscusvale_core::ids::RequestId;
 use hibiscusvale_core::sched::{
-    Action, Arrival, Attempt, Event, FailureCause, RefusalReason, WasteCause, WorkStage,
+    Action, Arrival, Attempt, Event, FailureCause, RefusalReason, Stage, StageEntry, WasteCause, WorkStage,
 };
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime, Tokens};
 
@@ -264,12 +264,14 @@
             let target_us = open.arrival.first_token_target_ms.0 * 1_000;
             let spent_us = now_us.0 - open.arrived_us;
             if open.attempt.0 == 0 && spent_us + load.wait_us + work_us * 2 > target_us {
+                let since_us = MonoTime(open.arrived_us);
                 self.open.remove(&request_id);
                 let reason = RefusalReason::WouldMissTarget;
                 actions.push(BaselineAction::Perform(Action::Refuse {
                     request_id,
                     reason,
                     retry_after_ms: Millis(1_000),
+                    entry: StageEntry { stage: Stage::AwaitTurn, since_us },
                 }));
                 return;
             }
--- a/crates/router/src/dispatch/language.rs
+++ b/crates/router/src/dispatch/language.rs
@@ -157,9 +157,10 @@
             Next::Ended(ended) => ended,
             Next::Left | Next::Step(_) | Next::Done(_) => Ended::Left,
         };
-        // Has no effect when the scheduler has ended the request itself.
-        language_scheduler.feed(Event::CallerLeft { request_id });
-        language_scheduler.close(request_id);
+        // `None` when the scheduler has ended the request itself.
+        if let Some(entry) = language_scheduler.caller_left(request_id) {
+            self.observed.ends_in(entry);
+        }
         ended
     }
 
@@ -217,11 +218,13 @@
                 self.observed.decode_starts(&server, resume);
                 Next::Done(self.decode(attempt, &server, resume, token_timeout_ms).await)
             }
-            Action::Refuse { reason, retry_after_ms, .. } => {
+            Action::Refuse { reason, retry_after_ms, entry, .. } => {
+                self.observed.ends_in(entry);
                 self.refuse(Refusal::not_run(reason.into()).retry_after(retry_after_ms)).await
             }
             // Work had started, so the outcome cannot be reported as not run.
-            Action::Fail { .. } => {
+            Action::Fail { entry, .. } => {
+                self.observed.ends_in(entry);
                 self.refuse(Refusal::unknown(RefusalReason::RetriesExhausted).retry_after(RETRY_AFTER_MS))
                     .await
             }
--- a/crates/router/src/dispatch/language_scheduler.rs
+++ b/crates/router/src/dispatch/language_scheduler.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 
 use hibiscusvale_core::ids::{AttemptId, BackendServerId, RequestId};
-use hibiscusvale_core::sched::{Action, Arrival, Attempt, Counters, Event, Scheduler, SchedulerSettings};
+use hibiscusvale_core::sched::{
+    Action, Arrival, Attempt, Counters, Event, Scheduler, SchedulerSettings, StageEntry,
+};
 use hibiscusvale_core::slots::SlotMessage;
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -71,9 +73,13 @@
         inbox
     }
 
-    /// Removes a request that [`LanguageScheduler::arrive`] added; later actions for it are dropped.
-    pub fn close(&self, request_id: RequestId) {
+    /// Removes a request that [`LanguageScheduler::arrive`] added and ends it if it is still open. Later actions
+    /// for it are dropped. Returns the stage of an open request.
+    pub fn caller_left(&self, request_id: RequestId) -> Option<StageEntry> {
+        let entry = self.state.lock().scheduler.stage_entry(request_id);
+        self.feed(Event::CallerLeft { request_id });
         self.state.lock().open.remove(&request_id);
+        entry
     }
 
     /// Passes an event to the scheduler and carries out the resulting actions.
--- a/crates/router/src/dispatch/observe.rs
+++ b/crates/router/src/dispatch/observe.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use hibiscusvale_core::ids::{BackendServerId, ClassName, PartnerId, RequestId};
-use hibiscusvale_core::sched::{FailureCause, RefusalReason as SchedulerRefusal, WasteCause};
+use hibiscusvale_core::sched::{FailureCause, RefusalReason as SchedulerRefusal, StageEntry, WasteCause};
 use hibiscusvale_core::units::{Micros, Millis, MonoTime, Tokens};
 
 use crate::callers::{LanguageRequest, Outcome, PlainRequest, Refusal, RefusalReason};
 use crate::clock;
 use crate::dispatch::LanguageTarget;
-use crate::logging::{Log, RequestLine};
+use crate::logging::{LastStage, Log, RequestLine};
 use crate::metrics::{ClassMetrics, Label, Metrics};
 use crate::operators::{RecentRequests, RequestRecord, RequestStep};
 
@@ -112,6 +112,7 @@
             outcome: refusal.outcome,
             took_ms: Millis::ZERO,
             attempts: 0,
+            last_stage: None,
         };
         self.log.request_refused(line, refusal.reason);
     }
@@ -138,6 +139,7 @@
             first_token_us: None,
             attempts: 0,
             prefilled_tokens: Tokens::ZERO,
+            stage_entry: None,
             has_ended: false,
         }
     }
@@ -172,6 +174,7 @@
     attempts: u32,
     /// Tokens prefilled in the current attempt, until its first token is sent.
     prefilled_tokens: Tokens,
+    stage_entry: Option<StageEntry>,
     has_ended: bool,
 }
 
@@ -239,6 +242,11 @@
         self.record_step("first-token", None);
     }
 
+    /// Records the stage in which the scheduler ends the request.
+    pub fn ends_in(&mut self, entry: StageEntry) {
+        self.stage_entry = Some(entry);
+    }
+
     fn record_step(&mut self, what: &'static str, server: Option<&BackendServerId>) {
         if self.steps.len() < MAX_STEPS {
             let after_ms = clock::now().since(self.arrived_us).to_millis_ceil();
@@ -317,6 +325,10 @@
             outcome,
             took_ms: now_us.since(self.arrived_us).to_millis_ceil(),
             attempts: self.attempts,
+            last_stage: self.stage_entry.map(|entry| LastStage {
+                stage: entry.stage,
+                lasted_ms: now_us.since(entry.since_us).to_millis_ceil(),
+            }),
         }
     }
 }
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -16,6 +16,7 @@
     BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, RequestId,
 };
 use hibiscusvale_core::quarantine::{Fingerprint, Refutation, Verdict};
+use hibiscusvale_core::sched::Stage;
 use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
@@ -67,6 +68,17 @@
     pub took_ms: Millis,
     /// Number of attempts at backend servers.
     pub attempts: u32,
+    /// Stage in which the request ended; `None` for requests that are not scheduled in stages.
+    pub last_stage: Option<LastStage>,
+}
+
+/// Stage in which a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LastStage {
+    /// What the request waited for.
+    pub stage: Stage,
+    /// Time from entering the stage to the end of the request.
+    pub lasted_ms: Millis,
 }
 
 /// Log fields of a finished relayed request.
@@ -150,6 +162,8 @@
             outcome = line.outcome.label(),
             took_ms = line.took_ms.0,
             attempts = line.attempts,
+            stage = or_empty(line.last_stage.map(|last| last.stage.as_str())),
+            stage_ms = line.last_stage.map_or(0, |last| last.lasted_ms.0),
         });
     }
 
@@ -167,6 +181,8 @@
             reason = reason.label(),
             took_ms = line.took_ms.0,
             attempts = line.attempts,
+            stage = or_empty(line.last_stage.map(|last| last.stage.as_str())),
+            stage_ms = line.last_stage.map_or(0, |last| last.lasted_ms.0),
         });
     }
 
--- a/crates/router/tests/ops/observe.rs
+++ b/crates/router/tests/ops/observe.rs
@@ -3,12 +3,13 @@
 use std::io::{self, Write};
 use std::sync::Arc;
 
-use hibiscusvale::logging::{Log, RequestLine};
+use hibiscusvale::logging::{LastStage, Log, RequestLine};
 use hibiscusvale::member_log::{MemberChange, MemberEvent, changes};
 use hibiscusvale::metrics::{Gauge, Label, MAX_CLASS_SERIES, Metrics};
 use hibiscusvale::settings::LogLevel;
 use hibiscusvale_core::ids::{ClassName, Incarnation, PartnerId, RequestId};
 use hibiscusvale_core::membership::{MemberState, MembersView};
+use hibiscusvale_core::sched::Stage;
 use hibiscusvale_core::units::{Micros, Millis, Tokens};
 use parking_lot::Mutex;
 
@@ -64,6 +65,7 @@
         outcome: TestLabel::Answered,
         took_ms: Millis(12),
         attempts: 1,
+        last_stage: Some(LastStage { stage: Stage::AwaitTurn, lasted_ms: Millis(11) }),
     };
     log.request_finished(line);
     log.request_refused(line, TestLabel::QueueFull);
@@ -78,6 +80,8 @@
     assert_eq!(lines[0]["kv"]["partner"], "nadifa");
     assert_eq!(lines[0]["kv"]["class"], "summary");
     assert_eq!(lines[0]["kv"]["outcome"], "answered");
+    assert_eq!(lines[0]["kv"]["stage"], "await-turn");
+    assert_eq!(lines[0]["kv"]["stage_ms"], 11);
     assert_eq!(lines[1]["kv"]["reason"], "queue-full");
 }
 
