Bound the time from the arrival of a plain call to its outcome

What callers would see: a page whose instances do not answer is tried up to three times, each for up to 10 s, after waits of up to 30 s, and a booking waits for its claim and for 10 s besides.

A call now ends when its caller's stated limit does; without one, after the wait that its class allows and one attempt of the longest duration. A call that may be repeated ends as unknown if an attempt was started and as not run otherwise, and the attempt is cancelled without counting against its instance. One that may not be repeated runs on: its caller gets in-progress and, with the same key or ticket, the answer on its next attempt. A forwarded ticket waits for its issuer no longer than the caller does.

--- a/crates/router/src/dispatch/forward.rs
+++ b/crates/router/src/dispatch/forward.rs
@@ -12,13 +12,14 @@
 
 use super::Dispatcher;
 use crate::backend::{ConnectionReuse, strip_hop_by_hop_headers, uri};
-use crate::callers::{AnswerBody, BodyBroken, Refusal, RefusalReason};
+use crate::callers::{AnswerBody, BodyBroken, Refusal, RefusalReason, outcome_due};
+use crate::clock;
 
 /// Marks a forwarded request, so that daemons with different host lists never forward it in a loop.
 const FORWARDED_HEADER: &str = "x-forwarded-by-host";
 
-/// Time-out for the head of the issuer's answer: the longest time that a plain call or a first token may
-/// take.
+/// Time-out for the head of the issuer's answer when the caller does not state how long it waits: the longest time
+/// that a plain call or a first token may take.
 const ISSUER_TIMEOUT: Duration = Duration::from_mins(1);
 
 impl Dispatcher {
@@ -46,6 +47,9 @@
         let issuer = listing.entry_hosts.iter().find(|entry| entry.id == ticket.host).ok_or(ticket_void)?;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut headers = parts.headers;
+        let now_us = clock::now();
+        let due_us = outcome_due(&headers, now_us);
+        let time_out = due_us.map_or(ISSUER_TIMEOUT, |due_us| Duration::from_micros(due_us.since(now_us).0));
         strip_hop_by_hop_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::HOST);
@@ -55,7 +59,7 @@
         *request.uri_mut() = uri(issuer.callers_address, path).map_err(|_| ticket_void)?;
         *request.headers_mut() = headers;
         let answer =
-            self.http.send(ConnectionReuse::Fresh, request, ISSUER_TIMEOUT).await.map_err(|_| ticket_void)?;
+            self.http.send(ConnectionReuse::Fresh, request, time_out).await.map_err(|_| ticket_void)?;
         let (mut parts, body) = answer.into_parts();
         strip_hop_by_hop_headers(&mut parts.headers);
         Ok(Response::from_parts(parts, body.map_err(|_| BodyBroken).boxed_unsync()))
--- a/crates/router/src/dispatch/plain.rs
+++ b/crates/router/src/dispatch/plain.rs
@@ -1,11 +1,14 @@
 //! Runs one request for a plain service. It is repeated only when it is proven that it did not run.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::BackendServerId;
-use hibiscusvale_core::sched::{FailureCause, PlainAction, PlainArrival, PlainEvent, PlainRefusal};
-use hibiscusvale_core::units::{Millis, Tokens};
+use hibiscusvale_core::sched::{
+    FailureCause, InstanceSettings, PlainAction, PlainArrival, PlainEvent, PlainRefusal,
+};
+use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use tokio_util::task::AbortOnDropHandle;
@@ -41,14 +44,66 @@
         response_ms: Millis,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let lost = Refusal::unknown(RefusalReason::NoAnswer);
-        let at_most_once = request.runs_at_most_once();
-        let task = self.tasks.spawn_on(run(Arc::clone(self), request, response_ms), &self.runtime);
-        if at_most_once {
-            // A call that must not be repeated runs to its end even when its caller has left: the answer is
-            // stored for the caller's next attempt with the same key.
-            return task.await.unwrap_or(Err(lost));
+        let (request_id, limits) = (request.request_id, Limits::new(clock::now(), &request, response_ms));
+        if limits.time_left(clock::now()) == Duration::ZERO {
+            let refusal = Refusal::not_run(RefusalReason::TimeLimit);
+            self.observer.refused_early(request_id, refusal);
+            return Err(refusal);
+        }
+        let is_named = request.head.key.is_some() || request.head.ticket.is_some();
+        let task = run(Arc::clone(self), request, response_ms, limits);
+        let task = self.tasks.spawn_on(task, &self.runtime);
+        if !limits.is_at_most_once {
+            return AbortOnDropHandle::new(task).await.unwrap_or(Err(lost));
+        }
+        // A call that must not be repeated runs to its end even when its caller has left: the answer is
+        // stored for the caller's next attempt with the same key.
+        match tokio::time::timeout(limits.time_left(clock::now()), task).await {
+            Ok(ended) => ended.unwrap_or(Err(lost)),
+            Err(_elapsed) => {
+                let refusal =
+                    if is_named { STILL_RUNNING } else { Refusal::unknown(RefusalReason::TimeLimit) };
+                self.observer.refused_early(request_id, refusal);
+                Err(refusal)
+            }
         }
-        AbortOnDropHandle::new(task).await.unwrap_or(Err(lost))
+    }
+}
+
+/// Refusal of a call that runs on, so that the caller's next attempt with the same key or ticket gets its answer.
+const STILL_RUNNING: Refusal = Refusal {
+    reason: RefusalReason::InProgress,
+    outcome: Outcome::Unknown,
+    retry_after_ms: Some(Millis(1_000)),
+};
+
+/// Bounds on the time from the arrival of a call to its outcome.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    is_at_most_once: bool,
+    /// Longest wait for an instance.
+    max_wait_ms: Millis,
+    /// Time at which the outcome has to be sent.
+    ends_at_us: MonoTime,
+}
+
+impl Limits {
+    /// A caller that does not state how long it waits is taken to wait for an instance and for one attempt of the
+    /// longest duration; repeated attempts could otherwise take several times as long.
+    fn new(now_us: MonoTime, request: &PlainRequest, response_ms: Millis) -> Self {
+        let (shortest, longest) = MAX_WAIT_RANGE_MS;
+        let wait_ms = Millis(response_ms.0.saturating_mul(MAX_WAIT_FACTOR).clamp(shortest, longest));
+        let attempt_ms = InstanceSettings::DEFAULT.timeout_ceiling_ms;
+        let time_left_ms = request.head.time_left_ms(now_us).unwrap_or(wait_ms + attempt_ms);
+        Self {
+            is_at_most_once: request.runs_at_most_once(),
+            max_wait_ms: wait_ms.min(time_left_ms),
+            ends_at_us: now_us + time_left_ms,
+        }
+    }
+
+    fn time_left(&self, now_us: MonoTime) -> Duration {
+        Duration::from_micros(self.ends_at_us.since(now_us).0)
     }
 }
 
@@ -56,9 +111,10 @@
     dispatcher: Arc<Dispatcher>,
     request: PlainRequest,
     response_ms: Millis,
+    limits: Limits,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut observed = dispatcher.observer.plain(&request, response_ms, clock::now());
-    let result = admit_and_call(&dispatcher, &request, response_ms, &mut observed).await;
+    let result = admit_and_call(&dispatcher, &request, limits, &mut observed).await;
     match &result {
         Ok(_) => observed.answered(clock::now(), Tokens::ZERO),
         Err(refusal) => observed.refused(clock::now(), *refusal),
@@ -69,26 +125,45 @@
 async fn admit_and_call(
     dispatcher: &Dispatcher,
     request: &PlainRequest,
-    response_ms: Millis,
+    limits: Limits,
     observed: &mut Observed,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let permit = match dispatcher.admit_plain(request).await? {
         Admission::Run(permit) => permit,
         Admission::Answered(answer) => return Ok(super::at_most_once::replay(request.request_id, &answer)),
     };
-    let result = call(dispatcher, request, &permit, response_ms, observed).await;
+    let result = call_within(dispatcher, request, &permit, limits, observed).await;
     permit.settle_plain(&result);
     result.map(|reply| response_of(request, reply, dispatcher.key_retention(request)))
 }
 
+/// Ends a call that may be repeated when its time is over. One that may not be repeated runs on.
+async fn call_within(
+    dispatcher: &Dispatcher,
+    request: &PlainRequest,
+    permit: &Permit,
+    limits: Limits,
+    observed: &mut Observed,
+) -> Result<PlainReply, Refusal> {
+    if limits.is_at_most_once {
+        return call(dispatcher, request, permit, limits, observed).await;
+    }
+    let time_left = limits.time_left(clock::now());
+    match tokio::time::timeout(time_left, call(dispatcher, request, permit, limits, observed)).await {
+        Ok(result) => result,
+        Err(_elapsed) if observed.has_attempted() => Err(Refusal::unknown(RefusalReason::TimeLimit)),
+        Err(_elapsed) => Err(Refusal::not_run(RefusalReason::TimeLimit)),
+    }
+}
+
 async fn call(
     dispatcher: &Dispatcher,
     request: &PlainRequest,
     permit: &Permit,
-    response_ms: Millis,
+    limits: Limits,
     observed: &mut Observed,
 ) -> Result<PlainReply, Refusal> {
-    let arrival = arrival_of(request, response_ms);
+    let arrival = arrival_of(request, limits);
     let no_route = Refusal::not_run(RefusalReason::NoRoute);
     let mut open = dispatcher.plain_schedulers.arrive(&request.service, arrival).ok_or(no_route)?;
     let request_id = request.request_id;
@@ -137,15 +212,13 @@
     result
 }
 
-fn arrival_of(request: &PlainRequest, response_ms: Millis) -> PlainArrival {
-    let (shortest, longest) = MAX_WAIT_RANGE_MS;
-    let wait_ms = response_ms.0.saturating_mul(MAX_WAIT_FACTOR).clamp(shortest, longest);
+fn arrival_of(request: &PlainRequest, limits: Limits) -> PlainArrival {
     PlainArrival {
         request_id: request.request_id,
         partner: request.partner.clone(),
-        repeatable: !request.runs_at_most_once(),
+        repeatable: !limits.is_at_most_once,
         attempts_max: MAX_ATTEMPTS,
-        max_wait_ms: Millis(wait_ms),
+        max_wait_ms: limits.max_wait_ms,
     }
 }
 
