--- a/crates/standins/src/load/flow_stats.rs
+++ b/crates/standins/src/load/flow_stats.rs
@@ -11,6 +11,20 @@
 use crate::load::caller::Record;
 use crate::load::settings::{Flow, FlowKind};
 
+/// Prefix of the problem types of refusals.
+const REFUSAL_PREFIX: &str = "urn:hibiscusvale:refusal:";
+
+/// Reasons of refusals that no retry can resolve.
+const WRONG_REQUEST: [&str; 7] = [
+    "bad-body",
+    "bad-header",
+    "no-route",
+    "unauthenticated",
+    "unknown-class",
+    "unknown-model",
+    "wrong-class",
+];
+
 /// Precision of the histograms; the table shows no more digits.
 const SIGNIFICANT_DIGITS: u8 = 3;
 const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -107,6 +121,13 @@
         flow_stats
     }
 
+    /// Whether a call was refused for what the plan says of it: the daemons or the plan have the wrong configuration.
+    pub fn is_refused_as_wrong(&self) -> bool {
+        self.refusals.keys().any(|kind| {
+            kind.strip_prefix(REFUSAL_PREFIX).is_some_and(|reason| WRONG_REQUEST.contains(&reason))
+        })
+    }
+
     fn add(&mut self, flow: &Flow, record: &Record, audit: &Audit) {
         self.sent += 1;
         self.calls += record.calls.len();
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -16,7 +16,7 @@
 pub struct Report {
     /// Seed of the run.
     pub seed: u64,
-    /// All requests are counted, none is lost or executed twice, and no engine holds a request.
+    /// All requests are counted, none is lost, executed twice or refused as wrong, and no engine holds a request.
     pub clean: bool,
     /// One row per flow.
     pub rows: Vec<FlowStats>,
@@ -36,7 +36,8 @@
             .collect();
         let planned: usize = plan.flows.iter().map(|flow| flow.count).sum();
         let counted: usize = rows.iter().map(|row| row.sent).sum();
-        let no_faults = rows.iter().all(|row| row.lost == 0 && row.doubled == 0);
+        let no_faults =
+            rows.iter().all(|row| row.lost == 0 && row.doubled == 0 && !row.is_refused_as_wrong());
         Self {
             seed: plan.seed,
             clean: no_faults && counted == planned && audit.engines.held == 0,
--- a/crates/standins/tests/standins/load.rs
+++ b/crates/standins/tests/standins/load.rs
@@ -29,6 +29,7 @@
     TruncatesAnswer,
     DuplicatesToken,
     OmitsOutcome,
+    RefusesClass,
 }
 
 struct FaultyProxy {
@@ -43,6 +44,13 @@
     response
 }
 
+fn unknown_class() -> Response<Body> {
+    let problem = json!({"type": "urn:hibiscusvale:refusal:unknown-class"});
+    let mut response = answer("not-run", problem.to_string().into());
+    *response.status_mut() = StatusCode::FORBIDDEN;
+    response
+}
+
 impl FaultyProxy {
     async fn forward(&self, request: Request<Incoming>) -> Bytes {
         let (mut parts, body) = request.into_parts();
@@ -92,7 +100,9 @@
 impl Handler for FaultyProxy {
     fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
-            if request.uri().path() == "/v1/completions" {
+            if matches!(self.fault, ProxyFault::RefusesClass) {
+                unknown_class()
+            } else if request.uri().path() == "/v1/completions" {
                 self.completion(request).await
             } else {
                 self.plain(request).await
@@ -143,3 +153,12 @@
     assert_eq!(report.clean, lost == (0, 0) && doubled == 0);
     assert_eq!(once.first_token.p50_ms > 0.0, once.answered > 0);
 }
+
+/// All requests are refused because they reached a daemon that does not know their class. Each has a true outcome, but
+/// the run must not pass.
+#[tokio::test]
+async fn requests_refused_as_wrong_are_detected() {
+    let (report, _service) = report(ProxyFault::RefusesClass).await;
+    assert_eq!(report.rows.iter().map(|row| row.not_run).sum::<usize>(), 2, "{report}");
+    assert!(!report.clean, "{report}");
+}
--- a/crates/standins/tests/standins/main.rs
+++ b/crates/standins/tests/standins/main.rs
@@ -3,3 +3,4 @@
 mod engine;
 mod load;
 mod platform;
+mod ports;
