--- a/crates/core/src/sched/failing.rs
+++ b/crates/core/src/sched/failing.rs
@@ -229,7 +229,7 @@
             return;
         };
         if now_us >= request.waits_until_us {
-            self.end_for_time(now_us, request_id, actions);
+            self.expire(now_us, request_id, actions);
             return;
         }
         if request.attempt.0 >= self.settings.attempts_max {
--- a/crates/core/src/sched/placing.rs
+++ b/crates/core/src/sched/placing.rs
@@ -47,12 +47,13 @@
             request.answer_us = self.answer_us(now_us, &request);
         }
         let candidates = self.turn_candidates(now_us, &request);
-        let best = candidates.map(|scored| scored.filter(|scored| self.may_end(now_us, &request, scored)));
+        let best =
+            candidates.map(|scored| scored.filter(|scored| self.can_end_in_time(now_us, &request, scored)));
         let is_too_late = now_us >= request.waits_until_us
             || (candidates.iter().any(Option::is_some) && best.iter().all(Option::is_none));
         if is_too_late {
             self.requests.insert(request_id, request);
-            self.end_for_time(now_us, request_id, actions);
+            self.expire(now_us, request_id, actions);
             return;
         }
         let best = self.prefer_on_time(now_us, &request, best);
@@ -70,7 +71,7 @@
     }
 
     /// Whether an attempt that starts at this server now can end within the caller's limit.
-    fn may_end(&self, now_us: MonoTime, request: &Request, scored: &Scored) -> bool {
+    fn can_end_in_time(&self, now_us: MonoTime, request: &Request, scored: &Scored) -> bool {
         let default_us = self.settings.prefill_token_us;
         let work_us = self.directory.work_us(scored.server, scored.uncached_tokens, default_us);
         self.wait_left(now_us, request, scored.server, work_us).is_some()
--- a/crates/core/src/sched/time_limits.rs
+++ b/crates/core/src/sched/time_limits.rs
@@ -76,18 +76,13 @@
             let is_over = request.ends_at_us.is_some_and(|ends_at_us| now_us >= ends_at_us);
             let has_waited = request.is_waiting() && now_us >= request.waits_until_us;
             if is_over || has_waited {
-                self.end_for_time(now_us, request_id, actions);
+                self.expire(now_us, request_id, actions);
             }
         }
     }
 
-    /// Ends a request that has no time left for another attempt. The caller is told when its turn would come.
-    pub(super) fn end_for_time(
-        &mut self,
-        now_us: MonoTime,
-        request_id: RequestId,
-        actions: &mut Vec<Action>,
-    ) {
+    /// Ends a request that has no time left to wait or for another attempt.
+    pub(super) fn expire(&mut self, now_us: MonoTime, request_id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&request_id).cloned() else {
             return;
         };
