--- a/crates/core/tests/sched/time_limits.rs
+++ b/crates/core/tests/sched/time_limits.rs
@@ -47,16 +47,6 @@
     let scenario = slow_engines(slow_all, 0.9, answer);
     let outcome =
         Simulation::run(Scenario { seed, caller_limit_ms: Some(limit_ms), states_limit: true, ..scenario });
-    eprintln!(
-        "SIM {limit_ms} {slow_all} {answer} {seed} without {} arrivals {} answered {} good {} refused {} failed {} wasted {}",
-        outcome.without_outcome,
-        outcome.arrivals(),
-        outcome.partners.iter().map(|p| p.answered).sum::<u64>(),
-        outcome.good(),
-        outcome.refused(),
-        outcome.failed(),
-        outcome.wasted()
-    );
     assert_outcomes_in_time(&outcome);
 }
 
