--- a/crates/core/tests/sched/time_limits.rs
+++ b/crates/core/tests/sched/time_limits.rs
@@ -64,3 +64,13 @@
     });
     assert_outcomes_in_time(&outcome);
 }
+
+/// The watchers of the servers die with their queues. What waited there must have an outcome all the same.
+#[rstest]
+fn dead_watchers_do_not_extend_the_wait(#[values(71, 72, 73)] seed: u64) {
+    let scenario = slow_engines(3, 0.9, SHORT_ANSWER);
+    let faults = Faults { replace_at: Some(20), ..scenario.faults };
+    let outcome =
+        Simulation::run(Scenario { seed, faults, caller_limit_ms: Some(USUAL_LIMIT_MS), ..scenario });
+    assert_outcomes_in_time(&outcome);
+}
