Log how an answer was delimited, and what was left of an event at its end

'answered' was all that a line told of an answer's end, so that an engine that framed its end, one whose connection ended inside an event, and bytes lost by the daemon looked alike. 'request relayed' has framing and partial_event_bytes now, and hibiscusvale_relay_answers counts both. Behaviour is unchanged.

--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod engine_http;
+mod framing;
 mod http;
 mod plain;
 
@@ -10,6 +11,7 @@
     HeldRequest, HeldStage, ImportCall, Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
 };
 pub use engine_http::HttpEngineClient;
+pub use framing::Framing;
 pub use http::{BackendHttp, CallFailure, ConnectionReuse, TrackedReply, read_body, uri};
 pub use plain::{
     HttpPlainClient, PlainCall, PlainClient, PlainFailure, PlainReply, strip_hop_by_hop_headers,
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -17,7 +17,7 @@
 };
 use hibiscusvale_core::quarantine::{Fingerprint, Refutation, Verdict};
 use hibiscusvale_core::sched::Stage;
-use hibiscusvale_core::units::{Credit, CreditPerSecond, Millis, Tokens};
+use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
@@ -110,6 +110,10 @@
     pub first_event_ms: Option<u64>,
     /// Longest time between two events of the stream, in milliseconds.
     pub longest_pause_ms: u64,
+    /// Framing of the last answer of a server; empty if none answered.
+    pub framing: &'a str,
+    /// Bytes that followed the last complete event when an answer ended.
+    pub partial_event_bytes: Bytes,
     /// Time from arrival to completion.
     pub took_ms: Millis,
 }
@@ -205,6 +209,8 @@
             waited_ms = line.waited_ms.0,
             first_event_ms = line.first_event_ms.unwrap_or_default(),
             longest_pause_ms = line.longest_pause_ms,
+            framing = line.framing,
+            partial_event_bytes = line.partial_event_bytes.0,
             took_ms = line.took_ms.0,
         });
     }
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -90,6 +90,7 @@
                     self.request.record_end();
                     self.request.open.feed(self.request.finished_event());
                     let remainder = self.splitter.remainder();
+                    self.request.incoming.record_partial_event(remainder.len());
                     return Ok((!remainder.is_empty()).then_some(remainder));
                 }
                 Err(cause) => self.fail_over(cause).await?,
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::sched::HoldReason;
+use hibiscusvale_core::units::Bytes;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, Meter};
 
@@ -21,6 +22,7 @@
 pub struct RelayMetrics {
     metrics: Metrics,
     requests: Counter<u64>,
+    answers: Counter<u64>,
     rejected: Counter<u64>,
     steps: Counter<u64>,
     statements: Counter<u64>,
@@ -42,6 +44,10 @@
     pub first_event_ms: Option<u64>,
     /// Longest time between two events of a stream.
     pub longest_pause_ms: u64,
+    /// Framing of the last answer of a server; empty if none answered.
+    pub framing: &'static str,
+    /// Bytes that followed the last complete event when an answer ended.
+    pub partial_event_bytes: Bytes,
 }
 
 impl RelayMetrics {
@@ -57,6 +63,7 @@
             |name: &'static str| meter.f64_histogram(name).with_boundaries(WAIT_BOUNDS_MS.to_vec()).build();
         Ok(Self {
             requests: meter.u64_counter("hibiscusvale_relay_requests").build(),
+            answers: meter.u64_counter("hibiscusvale_relay_answers").build(),
             rejected: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
             statements: meter.u64_counter("hibiscusvale_relay_server_statements").build(),
@@ -71,6 +78,11 @@
     pub fn record_request(&self, summary: RequestSummary<'_>) {
         let service = KeyValue::new("service", summary.service.to_owned());
         self.requests.add(1, &[service.clone(), KeyValue::new("outcome", summary.outcome)]);
+        if !summary.framing.is_empty() {
+            let is_partial = summary.partial_event_bytes > Bytes::ZERO;
+            let end = if is_partial { "inside-event" } else { "" };
+            self.answers.add(1, &[KeyValue::new("framing", summary.framing), KeyValue::new("end", end)]);
+        }
         self.answer_ms.record(millis(summary.took), std::slice::from_ref(&service));
         if let Some(first_ms) = summary.first_event_ms {
             self.first_event_ms.record(first_ms as f64, std::slice::from_ref(&service));
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -28,7 +28,7 @@
 use super::state_transfer::TransferBudget;
 use super::statements::SharedStatements;
 use super::trace::{RequestTrace, Step};
-use crate::backend::BackendHttp;
+use crate::backend::{BackendHttp, Framing};
 use crate::directory::Directory;
 use crate::dispatch::PlainSchedulers;
 use crate::logging::{Log, RelayLine};
@@ -83,6 +83,8 @@
             took,
             first_event_ms: trace.first_event_ms(),
             longest_pause_ms: trace.longest_pause_ms(),
+            framing: trace.framing(),
+            partial_event_bytes: trace.partial_event_bytes(),
         });
         self.state.log.request_relayed(RelayLine {
             request_id: self.request_id,
@@ -101,6 +103,8 @@
             waited_ms: self.waited_ms,
             longest_pause_ms: trace.longest_pause_ms(),
             first_event_ms: trace.first_event_ms(),
+            framing: trace.framing(),
+            partial_event_bytes: trace.partial_event_bytes(),
             took_ms: Millis(u64::try_from(took.as_millis()).unwrap_or(u64::MAX)),
         });
     }
@@ -123,6 +127,16 @@
         self.trace.lock().record_event(self.arrived.elapsed(), last);
     }
 
+    /// Records how the last answer of a server is delimited.
+    pub fn record_framing(&self, framing: Framing) {
+        self.trace.lock().record_framing(framing);
+    }
+
+    /// Records the bytes that followed the last complete event when the answer ended.
+    pub fn record_partial_event(&self, size: usize) {
+        self.trace.lock().record_partial_event(size);
+    }
+
     /// Records the outcome.
     pub fn set_outcome(&self, outcome: &'static str) {
         self.trace.lock().set_outcome(outcome);
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -5,6 +5,10 @@
 
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::Bytes;
+
+use crate::backend::Framing;
+use crate::metrics::Label as _;
 
 /// A step of a request at a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,6 +65,8 @@
     last_event: u64,
     last_event_at: Option<Duration>,
     longest_pause: Duration,
+    framing: Option<Framing>,
+    partial_event: Bytes,
 }
 
 impl RequestTrace {
@@ -99,6 +105,26 @@
         self.last_event
     }
 
+    /// Records how the last answer of a server is delimited.
+    pub fn record_framing(&mut self, framing: Framing) {
+        self.framing = Some(framing);
+    }
+
+    /// Records the bytes that followed the last complete event when an answer ended.
+    pub fn record_partial_event(&mut self, size: usize) {
+        self.partial_event = Bytes(size as u64);
+    }
+
+    /// Label of the framing of the last answer; empty if no server answered.
+    pub fn framing(&self) -> &'static str {
+        self.framing.map_or("", Framing::label)
+    }
+
+    /// Bytes that followed the last complete event when an answer ended.
+    pub fn partial_event_bytes(&self) -> Bytes {
+        self.partial_event
+    }
+
     /// Records the outcome; only the first call counts.
     pub fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome.get_or_insert(outcome);
