Break off a stream that ends inside an event

Seen: a stream whose engine had broken off inside an event reached its caller as complete, half an event included.

Cause: an answer without a length ends with its connection, and the forwarder took each end without an error for the end of the answer; what was left of an event was sent on, and the router's own last chunk completed it. A resumable stream was not resumed.

Change: the splitter reads lines and tells whether it is inside an event: a field without the event's empty line, or a line without an end. Such an end is a break: resumed after the last whole event where that is allowed, else the caller's connection ends without the last chunk, the outcome is 'broken', and the pool and the crash check see a break. Whole comment lines at the end are passed on. Lines end with LF, CR LF or CR as the format allows; before, streams with CR were held until their end.

--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -30,6 +30,20 @@
     held: BytesMut,
     /// Bytes of `held` that were already searched for an event end.
     searched: usize,
+    line: Line,
+    /// Whether the current event has a complete line that is not a comment.
+    has_fields: bool,
+    /// Whether the last byte was a carriage return: a line feed after it belongs to the same line end.
+    after_cr: bool,
+}
+
+/// Content of the current line so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Line {
+    #[default]
+    Empty,
+    Comment,
+    Field,
 }
 
 impl EventSplitter {
@@ -41,32 +55,57 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Events>, NotEventStream> {
         self.held.extend_from_slice(bytes);
         let Some(end) = self.last_event_end() else {
-            self.searched = self.held.len().saturating_sub(1);
             return if self.held.len() > EVENT_LIMIT_BYTES { Err(NotEventStream) } else { Ok(None) };
         };
         let bytes = self.held.split_to(end).freeze();
-        self.searched = 0;
+        self.searched = self.held.len();
         let last = last_id(&bytes);
         Ok(Some(Events { bytes, last }))
     }
 
+    /// Whether a stream that ends here was cut: inside an event, or inside a line. An event without its empty
+    /// line may lack further lines.
+    pub fn is_inside_event(&self) -> bool {
+        self.has_fields || self.line != Line::Empty
+    }
+
     /// Bytes after the last complete event, at the end of the stream.
     pub fn remainder(&mut self) -> Bytes {
-        self.searched = 0;
-        let mut remainder = std::mem::take(&mut self.held);
+        let mut remainder = std::mem::take(self).held;
         remainder.copy_to_bytes(remainder.len())
     }
 
-    /// End offset of the last complete event, after its empty line.
-    fn last_event_end(&self) -> Option<usize> {
-        let unsearched = &self.held[self.searched..];
-        let at = unsearched.windows(2).rposition(|pair| pair == b"\n\n");
-        at.map(|at| self.searched + at + 2)
+    /// Searches the new bytes; returns the end offset of the last complete event, after its empty line.
+    fn last_event_end(&mut self) -> Option<usize> {
+        let mut end = None;
+        for (at, &byte) in self.held.iter().enumerate().skip(self.searched) {
+            let follows_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+            match (byte, self.line) {
+                (b'\n', _) if follows_cr => {
+                    if end == Some(at) {
+                        end = Some(at + 1);
+                    }
+                }
+                (b'\n' | b'\r', Line::Empty) => {
+                    self.has_fields = false;
+                    end = Some(at + 1);
+                }
+                (b'\n' | b'\r', line) => {
+                    self.has_fields |= line == Line::Field;
+                    self.line = Line::Empty;
+                }
+                (b':', Line::Empty) => self.line = Line::Comment,
+                (_, Line::Empty) => self.line = Line::Field,
+                (_, Line::Comment | Line::Field) => {}
+            }
+        }
+        self.searched = self.held.len();
+        end
     }
 }
 
 fn last_id(bytes: &[u8]) -> Option<EventId> {
-    let lines = bytes.rsplit(|&byte| byte == b'\n');
+    let lines = bytes.rsplit(|&byte| byte == b'\n' || byte == b'\r');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     ids.find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -82,6 +82,10 @@
                         return Ok(Some(events.bytes));
                     }
                 }
+                Ok(None) if self.splitter.is_inside_event() => {
+                    self.request.incoming.record_partial_event(self.splitter.remainder().len());
+                    self.fail_over(FailureCause::Broken).await?;
+                }
                 // Where the answer is delimited by the end of the connection, a crash looks like an end.
                 Ok(None) if !self.request.has_events() => self.fail_over(FailureCause::Broken).await?,
                 Ok(None) => {
@@ -90,7 +94,6 @@
                     self.request.record_end();
                     self.request.open.feed(self.request.finished_event());
                     let remainder = self.splitter.remainder();
-                    self.request.incoming.record_partial_event(remainder.len());
                     return Ok((!remainder.is_empty()).then_some(remainder));
                 }
                 Err(cause) => self.fail_over(cause).await?,
