Take the end of a connection for an answer's end only while its server is alive

Seen by callers: a page, or a stream cut between two events, whose server had exited came with a fresh Content-Length or with the last chunk of the router, complete by its framing. A half page of a booking counted as its answer.

Cause: an answer with neither a length nor chunks ends with its connection, and a process that exits closes its connections in the same way. Nothing asked which of the two it was.

Change: BackendHttp returns bodies that know how they are delimited. One that is delimited by its connection ends without a failure only if its server still accepts connections; a host that refuses proves that the process has exited. All clients read through this type: plain services, prefill and decode engines, orders, reservations and the store, at both interfaces. A broken answer takes the usual way: repeated or resumed where allowed, else the outcome is unknown; the crash check and the scheduler see a break. An engine that ends such an answer without having sent an event of its own counts as broken off also after a resumption.

Weighed: handing such an answer on without a length. By RFC 9112, section 6.3, its caller would take the end for complete all the same, and it would cost each caller its connection. The check costs one connect for each such answer, whose connection is lost anyway, and none for others.

--- a/crates/router/src/backend/engine_http.rs
+++ b/crates/router/src/backend/engine_http.rs
@@ -11,10 +11,10 @@
 use hibiscusvale_core::units::{BytesPerSecond, Millis, Tokens};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::{DeserializeOwned, IgnoredAny};
 
+use super::body::ServerBody;
 use super::engine::{
     CachePage, DecodeCall, EngineClient, EngineFailure, EngineLoad, HeldMemory, ImportCall, Imported, Owner,
     PrefillCall, Prefilled, StreamPart, TokenStream,
@@ -55,7 +55,7 @@
         body: &Body,
         reuse: ConnectionReuse,
         timeout: Duration,
-    ) -> Result<Incoming, EngineFailure>
+    ) -> Result<ServerBody, EngineFailure>
     where
         Body: Serialize + Sync,
     {
@@ -293,14 +293,14 @@
 }
 
 /// Splits a stream into parts, one line of JSON each.
-fn stream_parts(incoming: Incoming) -> impl Stream<Item = Result<StreamPart, CallFailure>> {
+fn stream_parts(incoming: ServerBody) -> impl Stream<Item = Result<StreamPart, CallFailure>> {
     stream::try_unfold((incoming, BytesMut::new()), |(mut incoming, mut buffer)| async move {
         Ok(next_part(&mut incoming, &mut buffer).await?.map(|part| (part, (incoming, buffer))))
     })
 }
 
 async fn next_part(
-    incoming: &mut Incoming,
+    incoming: &mut ServerBody,
     buffer: &mut BytesMut,
 ) -> Result<Option<StreamPart>, CallFailure> {
     loop {
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -16,6 +15,8 @@
 use tower::util::AndThen;
 use tower::{BoxError, ServiceExt};
 
+use super::body::ServerBody;
+
 /// Time-out of a connection attempt. The slowest link takes 3 ms within a region and some 300 ms between
 /// regions, so a host that takes longer is treated as unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -120,13 +121,15 @@
         reuse: ConnectionReuse,
         request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<Response<Incoming>, CallFailure> {
+    ) -> Result<Response<ServerBody>, CallFailure> {
+        let server = request.uri().authority().and_then(|authority| authority.as_str().parse().ok());
+        let server = server.ok_or(CallFailure::Malformed)?;
         let client = match reuse {
             ConnectionReuse::Pooled => &self.pooled,
             ConnectionReuse::Fresh => &self.fresh,
         };
         match tokio::time::timeout(timeout, client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => Ok(ServerBody::wrap(response, server)),
             Ok(Err(error)) if error.is_connect() => Err(CallFailure::NotSent),
             Ok(Err(_)) => Err(CallFailure::Broken),
             Err(_) => Err(CallFailure::Timeout),
@@ -164,7 +167,7 @@
 #[derive(Debug)]
 pub struct TrackedReply {
     /// Head of the answer; the body has not been read.
-    pub response: Response<Incoming>,
+    pub response: Response<ServerBody>,
     connection: CaptureConnection,
 }
 
@@ -182,7 +185,11 @@
 /// # Errors
 ///
 /// [`CallFailure::Timeout`], or [`CallFailure::Broken`] when the body ends early or is larger.
-pub async fn read_body(body: Incoming, limit_bytes: usize, timeout: Duration) -> Result<Bytes, CallFailure> {
+pub async fn read_body(
+    body: ServerBody,
+    limit_bytes: usize,
+    timeout: Duration,
+) -> Result<Bytes, CallFailure> {
     match tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(_)) => Err(CallFailure::Broken),
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -1,18 +1,20 @@
 //! Clients for backend servers: model engines and plain services.
 
+mod body;
 mod engine;
 mod engine_http;
-mod framing;
 mod http;
 mod plain;
+mod probe;
 
+pub use body::{BodyFailure, Framing, ServerBody};
 pub use engine::{
     CacheChange, CacheChangeKind, CachePage, DecodeCall, EngineClient, EngineFailure, EngineLoad, HeldMemory,
     HeldRequest, HeldStage, ImportCall, Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
 };
 pub use engine_http::HttpEngineClient;
-pub use framing::Framing;
 pub use http::{BackendHttp, CallFailure, ConnectionReuse, TrackedReply, read_body, uri};
 pub use plain::{
     HttpPlainClient, PlainCall, PlainClient, PlainFailure, PlainReply, strip_hop_by_hop_headers,
 };
+pub use probe::{Probe, probe};
--- a/crates/router/src/backend/plain.rs
+++ b/crates/router/src/backend/plain.rs
@@ -10,8 +10,9 @@
 use hibiscusvale_core::units::Millis;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::Full;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 
+use super::body::ServerBody;
 use super::http::{BackendHttp, CallFailure, ConnectionReuse, read_body, uri};
 
 /// Answers up to this size are read completely before the answer to the caller starts, so that its outcome
@@ -72,7 +73,7 @@
         /// Headers without the hop-by-hop ones.
         headers: HeaderMap,
         /// The body, which has not been read.
-        body: Incoming,
+        body: ServerBody,
     },
 }
 
--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -9,8 +9,8 @@
 use hibiscusvale_core::units::Millis;
 use tokio::time::Instant;
 
-use super::probe::{Probe, probe};
 use super::state::Incoming;
+use crate::backend::{Probe, probe};
 use crate::external::ListedState;
 
 /// A server that has streamed events for this long is taken to have survived the request: a request that
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -9,13 +9,14 @@
 use hibiscusvale_core::units::Millis;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming as ServerBody};
+use hyper::body::Frame;
 use tokio::time::Instant;
 
 use super::events::EventSplitter;
 use super::interfaces::EventId;
 use super::stream::StreamedRequest;
 use super::trace::cause_label;
+use crate::backend::{Framing, ServerBody};
 use crate::callers::{AnswerBody, BodyBroken};
 
 /// Silence of an engine after which it is probed with another connection. It is several times the longest
@@ -38,6 +39,8 @@
     body: Option<ServerBody>,
     splitter: EventSplitter,
     progress: Progress,
+    /// Whether the current engine has sent a complete event with an id.
+    has_events: bool,
 }
 
 /// Progress reports to the pool while an answer is streamed.
@@ -86,8 +89,7 @@
                     self.request.incoming.record_partial_event(self.splitter.remainder().len());
                     self.fail_over(FailureCause::Broken).await?;
                 }
-                // Where the answer is delimited by the end of the connection, a crash looks like an end.
-                Ok(None) if !self.request.has_events() => self.fail_over(FailureCause::Broken).await?,
+                Ok(None) if !self.has_answered() => self.fail_over(FailureCause::Broken).await?,
                 Ok(None) => {
                     self.body = None;
                     self.request.incoming.set_outcome("answered");
@@ -102,6 +104,13 @@
         Ok(None)
     }
 
+    /// Whether the end of the answer may be that of a complete one. A crash before the first event looks like an
+    /// end where the connection delimits the answer.
+    fn has_answered(&self) -> bool {
+        let is_delimited = self.body.as_ref().is_some_and(|body| body.framing() != Framing::Connection);
+        self.has_events || (is_delimited && self.request.has_events())
+    }
+
     async fn fail_over(&mut self, cause: FailureCause) -> Result<(), BodyBroken> {
         // Close the connection first: two engines must not decode for one request.
         self.body = None;
@@ -110,6 +119,7 @@
             return Err(self.abort(cause));
         }
         self.splitter = EventSplitter::default();
+        self.has_events = false;
         match self.request.resume(cause).await {
             Ok(body) => {
                 self.body = Some(body);
@@ -128,6 +138,7 @@
 
     fn record_progress(&mut self, last: Option<EventId>) {
         if let Some(EventId(number)) = last {
+            self.has_events = true;
             self.request.incoming.record_last_event(number);
             self.request.record_event();
             let request_id = self.request.incoming.request_id;
@@ -184,6 +195,7 @@
         body: Some(body),
         splitter: EventSplitter::default(),
         progress: Progress::new(),
+        has_events: false,
     };
     let events = stream::try_unfold(forwarder, |mut forwarder| async move {
         let next = forwarder.next().await?;
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -8,12 +8,11 @@
 use hibiscusvale_core::sched::FailureCause;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 
 use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
 use super::state::{Incoming as IncomingRequest, RelayState};
 use super::statements::{CallKind, RequestPath};
-use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, Framing, TrackedReply, read_body, uri};
+use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, ServerBody, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
 
 /// Answers up to this size are buffered before the caller's answer starts, so that one that breaks off can be
@@ -56,7 +55,7 @@
 
 impl Reply {
     /// The body, for an answer that is streamed to the caller.
-    pub fn into_body(self) -> Incoming {
+    pub fn into_body(self) -> ServerBody {
         self.known.response.into_body()
     }
 
@@ -136,7 +135,7 @@
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
     let mut known = http.send_tracked(reuse, request, timeout).await.map_err(failure_cause)?;
     let status = known.response.status();
-    incoming.record_framing(Framing::of(&known.response));
+    incoming.record_framing(known.response.body().framing());
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.parse_reply(status, &headers);
     incoming.state.statements.record(&incoming.state, hop.server, RequestPath::of(&hop.task), status, &head);
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -26,7 +26,6 @@
 mod peers;
 mod persistence;
 mod plain;
-mod probe;
 mod quarantine;
 mod quotas;
 mod refusal;
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -13,19 +13,17 @@
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::Response;
-use hyper::body::Incoming as ServerBody;
 
 use super::crashes::{self, Attempt};
 use super::engine_pools::{EnginePools, OpenRequest};
 use super::forwarding;
 use super::hop::{self, BufferedReply, Reply};
 use super::interfaces::{EventId, Generation, Hop, PrefillResult, Reservation, Task};
-use super::probe::{Probe, probe};
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
 use super::statements::{self, CallKind};
 use super::trace::Step;
-use crate::backend::ConnectionReuse;
+use crate::backend::{ConnectionReuse, Probe, ServerBody, probe};
 use crate::callers::{AnswerBody, BodyBroken};
 
 /// Maximum queueing time as a multiple of the first-event target. Callers leave after four times the target,
--- a/crates/router/tests/ops/backend_http.rs
+++ b/crates/router/tests/ops/backend_http.rs
@@ -1,13 +1,18 @@
-//! Calls to backend servers that time out.
+//! Calls to backend servers that time out, and answers that end with their connection.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 use bytes::Bytes;
-use hibiscusvale::backend::{BackendHttp, CallFailure, ConnectionReuse, uri};
-use http::{Method, Request};
-use http_body_util::Full;
+use hibiscusvale::backend::{
+    BackendHttp, CallFailure, ConnectionReuse, HttpPlainClient, PlainCall, PlainClient, PlainReply,
+    read_body, uri,
+};
+use hibiscusvale_core::ids::{Incarnation, RequestId};
+use hibiscusvale_core::units::Millis;
+use http::{HeaderMap, Method, Request};
+use http_body_util::{BodyExt, Collected, Full};
 use rstest::rstest;
 use socket2::SockRef;
 
@@ -49,3 +54,73 @@
     assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
     assert!(read_bytes < BODY_BYTES, "{read_bytes} bytes reached the server");
 }
+
+/// Answers one request without a length, and closes the connection. A server that exits closes its listener first.
+async fn answer_without_length(server: TcpListener, exits: bool) {
+    let answered = tokio::task::spawn_blocking(move || {
+        let (mut stream, _) = server.accept().expect("a connection");
+        let mut head = [0; 1_024];
+        let _ = stream.read(&mut head).expect("a request");
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npage").expect("an open connection");
+        if exits {
+            drop(server);
+            return None;
+        }
+        Some(server)
+    });
+    let listening = answered.await.expect("the server ends");
+    // Keeps the listener of a live server open while the answer is read.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    drop(listening);
+}
+
+/// The end of a connection completes an answer without a length only while its server is alive: a process that exits
+/// closes its connections in the same way, and the page may be cut short.
+#[rstest]
+#[case::live_server(false, Ok("page"))]
+#[case::exited_server(true, Err(CallFailure::Broken))]
+#[tokio::test]
+async fn answer_without_a_length_is_complete_while_its_server_is_alive(
+    #[case] exits: bool,
+    #[case] expected: Result<&'static str, CallFailure>,
+) {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let address = server.local_addr().expect("an address");
+    let call = async {
+        let request = Request::builder().uri(uri(address, "/").expect("a path"));
+        let request = request.body(Full::default()).expect("a request");
+        let sent = BackendHttp::new().send(ConnectionReuse::Pooled, request, Duration::from_secs(3)).await;
+        read_body(sent?.into_body(), 1_024, Duration::from_secs(3)).await
+    };
+    let (read, ()) = tokio::join!(call, answer_without_length(server, exits));
+    assert_eq!(read, expected.map(Bytes::from));
+}
+
+/// The same for an answer of a plain service that is passed on while it arrives.
+#[rstest]
+#[case::live_server(false)]
+#[case::exited_server(true)]
+#[tokio::test]
+async fn streamed_answer_of_an_exited_server_is_broken_off(#[case] exits: bool) {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let address = server.local_addr().expect("an address");
+    let call = PlainCall {
+        request_id: RequestId { incarnation: Incarnation::default(), sequence: 1 },
+        key: None,
+        method: Method::GET,
+        path: "/".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        timeout_ms: Millis(3_000),
+        reuse: ConnectionReuse::Pooled,
+    };
+    let call = async {
+        let client = HttpPlainClient::new(BackendHttp::new());
+        let PlainReply::Streamed { body, .. } = client.call(address, call).await.expect("an answer") else {
+            panic!("an answer without a length is not buffered");
+        };
+        body.collect().await.map(Collected::to_bytes).ok()
+    };
+    let (read, ()) = tokio::join!(call, answer_without_length(server, exits));
+    assert_eq!(read, (!exits).then(|| Bytes::from_static(b"page")));
+}
