Reset the connection of an HTTP/1.0 caller whose answer was broken off

Seen: such a caller has no chunks, so its answer ends with its connection, and the router closed that in the ordinary way also where it broke the answer off: complete by its framing.

Change: each caller's connection can be told to end with a reset; an aborted body does so for HTTP/1.0. Both interfaces. Callers of HTTP/1.1 see the missing last chunk as before, and get no reset, which could cost them bytes on the way.

--- a/crates/router/src/callers/listener.rs
+++ b/crates/router/src/callers/listener.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::TryFutureExt;
 use futures_util::future::BoxFuture;
 use hibiscusvale_core::units::{Bytes, Millis};
 use http::{Request, Response};
@@ -23,6 +24,7 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::response::AnswerBody;
 use super::service::{CallerService, CallerState};
+use super::stream::{CallerStream, ResetFlag};
 
 /// Concurrent streams of one HTTP/2 connection. The balancer in front opens few connections with many
 /// requests each; without a bound a single connection could take the whole capacity of a host.
@@ -220,6 +222,12 @@
         service: BoxedService,
         watcher: Watcher,
     ) -> BoxFuture<'static, Result<(), BoxError>> {
+        let reset = ResetFlag::default();
+        let stream = CallerStream::new(stream, reset.clone());
+        let service = tower::service_fn(move |request: Request<Incoming>| {
+            let (reset, version) = (reset.clone(), request.version());
+            service.clone().oneshot(request).map_ok(move |response| reset.guard(version, response))
+        });
         let service = TowerToHyperService::new(service);
         let connection = self.builder.serve_connection(TokioIo::new(stream), service);
         Box::pin(watcher.watch(connection.into_owned()))
--- a/crates/router/src/callers/mod.rs
+++ b/crates/router/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod response;
 mod service;
+mod stream;
 
 pub use auth::Tokens as PartnerTokens;
 pub use body::{BodyReader, HeldBody};
@@ -20,3 +21,4 @@
 pub use refusal::{OUTCOME_HEADER, Outcome, Refusal, RefusalReason};
 pub use response::{AnswerBody, BodyBroken, REQUEST_ID_HEADER};
 pub use service::{CallerService, CallerState};
+pub use stream::{CallerStream, ResetFlag};
--- /dev/null
+++ b/crates/router/src/callers/stream.rs
@@ -0,0 +1,96 @@
+//! Connections of callers, which can be closed with a reset.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use http::{Response, Version};
+use http_body_util::BodyExt;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::response::AnswerBody;
+
+/// Tells whether a connection has to be closed with a reset.
+#[derive(Clone, Debug, Default)]
+pub struct ResetFlag(Arc<AtomicBool>);
+
+impl ResetFlag {
+    /// Makes an answer whose body is aborted reset its connection if nothing else shows that it is incomplete:
+    /// HTTP/1.0 has no chunks, and an ordinary close is the end of a complete answer.
+    pub fn guard(&self, version: Version, response: Response<AnswerBody>) -> Response<AnswerBody> {
+        if version != Version::HTTP_10 {
+            return response;
+        }
+        let flag = self.clone();
+        response.map(|body| body.map_err(move |broken| flag.set(broken)).boxed_unsync())
+    }
+
+    fn set<Failure>(&self, failure: Failure) -> Failure {
+        self.0.store(true, Ordering::Relaxed);
+        failure
+    }
+}
+
+/// A caller's connection.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    reset: ResetFlag,
+}
+
+impl CallerStream {
+    /// Wraps a connection that is reset when it is closed with `reset` set.
+    pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
+        Self { stream, reset }
+    }
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.reset.0.load(Ordering::Relaxed) {
+            // Fails only if the connection has ended already.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -33,7 +33,7 @@
 use super::state::{Incoming, RelayState};
 use super::stream;
 use super::trace::RequestTrace;
-use crate::callers::AnswerBody;
+use crate::callers::{AnswerBody, CallerStream, ResetFlag};
 use crate::clock;
 use crate::metrics::Label;
 
@@ -114,15 +114,18 @@
     let limits = state.table.load().limits();
     let head_bytes = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
     let service_state = Arc::clone(state);
-    let service = service_fn(move |request| {
-        let state = Arc::clone(&service_state);
-        async move { Ok::<_, Infallible>(handle_request(&state, request).await) }
+    let reset = ResetFlag::default();
+    let service_reset = reset.clone();
+    let service = service_fn(move |request: Request<CallerBody>| {
+        let (state, reset) = (Arc::clone(&service_state), service_reset.clone());
+        let version = request.version();
+        async move { Ok::<_, Infallible>(reset.guard(version, handle_request(&state, request).await)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(limits.idle_timeout_ms))
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, reset)), service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
         // A caller may abort its connection at any time; nothing depends on the result.
--- a/crates/standins/tests/e2e/main.rs
+++ b/crates/standins/tests/e2e/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests over sockets: daemons in front of mock servers, in one process on free ports.
 
+mod answer_ends;
 mod bad_input;
 mod cluster;
 mod config;
