Log when a daemon reaches no server of a service, and when it does again

A cut and an outage of the servers looked alike, and both like a busy service: no-server and would-wait-too-long had no steps, and no line told that a daemon reached nobody. Now each answer and each failure of a request, a prefill and a call of the router itself is recorded in one place by service; three failures in a row at two servers with no answer between write 'servers out of reach', and two accepted checks in a row 'servers in reach'. Checks are plain connects, made only while servers are out of reach. hibiscusvale_relay_services_out_of_reach counts them. Requests are placed as before.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,6 +9,7 @@
 pub mod joining;
 pub mod partners;
 pub mod prior_wait;
+pub mod reach;
 pub mod recipients;
 pub mod routes;
 pub mod server_statements;
--- /dev/null
+++ b/crates/core/src/relay/reach.rs
@@ -0,0 +1,185 @@
+//! Whether a daemon reaches the servers of a service, by the results of its own requests.
+//!
+//! A single failure says something about one server. Failures at several servers in a row, with no answer of
+//! any server between them, say that the daemon has lost its links to all of them, or that all are down.
+
+use std::collections::{BTreeSet, HashMap};
+
+use crate::ids::BackendServerId;
+use crate::sched::FailureCause;
+use crate::units::{Millis, MonoTime};
+
+/// Limits for detecting that the servers of a service are out of reach.
+#[derive(Clone, Copy, Debug)]
+pub struct ReachSettings {
+    /// Failures in a row.
+    pub failures_min: u32,
+    /// Number of servers among which they are, if the service has as many.
+    pub servers_min: usize,
+    /// Checks in a row that servers have to accept to be in reach again.
+    pub accepted_checks_min: u32,
+    /// Age up to which an answer shows that the servers are in reach.
+    pub answer_ttl_ms: Millis,
+}
+
+impl ReachSettings {
+    /// Default limits.
+    pub const DEFAULT: Self =
+        Self { failures_min: 3, servers_min: 2, accepted_checks_min: 2, answer_ttl_ms: Millis(2_000) };
+}
+
+impl Default for ReachSettings {
+    fn default() -> Self {
+        Self::DEFAULT
+    }
+}
+
+/// A change of what is known of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ReachChange {
+    /// Its servers are out of reach.
+    Lost {
+        /// Servers that gave no answer.
+        servers: Vec<BackendServerId>,
+        /// Failures since the last answer.
+        failures: u32,
+        /// Cause of the last failure.
+        cause: FailureCause,
+        /// Time since the last answer of any server; `None` if there was none.
+        last_answer_ms: Option<Millis>,
+    },
+    /// Its servers are in reach again.
+    Regained {
+        /// How long they were out of reach.
+        lost_ms: Millis,
+    },
+}
+
+/// What a daemon knows about its way to the servers of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reached {
+    /// A server answered recently, and no request has failed since.
+    Yes,
+    /// Nothing recent is known, or requests have failed since the last answer.
+    Unknown,
+    /// No server is reached.
+    No,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServiceReach {
+    last_answer_us: Option<MonoTime>,
+    failures: u32,
+    failed_servers: BTreeSet<BackendServerId>,
+    lost: Option<Lost>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    since_us: MonoTime,
+    accepted_checks: u32,
+}
+
+/// What a daemon knows about its way to the servers of each service.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    settings: ReachSettings,
+    services: HashMap<String, ServiceReach>,
+}
+
+impl Reach {
+    /// Creates a table with other limits.
+    pub fn new(settings: ReachSettings) -> Self {
+        Self { settings, services: HashMap::new() }
+    }
+
+    /// Records that a server of `service` answered, whatever it answered.
+    ///
+    /// While the servers are out of reach an answer changes nothing: it may have been under way, or come over a
+    /// connection that is still open while no new one can be made.
+    pub fn answered(&mut self, now_us: MonoTime, service: &str) {
+        let reach = self.service(service);
+        reach.last_answer_us = Some(now_us);
+        if reach.lost.is_none() {
+            reach.failures = 0;
+            reach.failed_servers.clear();
+        }
+    }
+
+    /// Records that a server of `service`, which has `listed` servers, gave no answer.
+    pub fn failed(
+        &mut self,
+        now_us: MonoTime,
+        service: &str,
+        server: &BackendServerId,
+        cause: FailureCause,
+        listed: usize,
+    ) -> Option<ReachChange> {
+        let ReachSettings { failures_min, servers_min, .. } = self.settings;
+        let reach = self.service(service);
+        if reach.lost.is_some() {
+            return None;
+        }
+        reach.failures += 1;
+        reach.failed_servers.insert(server.clone());
+        let is_lost =
+            reach.failures >= failures_min && reach.failed_servers.len() >= servers_min.min(listed).max(1);
+        if !is_lost {
+            return None;
+        }
+        reach.lost = Some(Lost { since_us: now_us, accepted_checks: 0 });
+        Some(ReachChange::Lost {
+            servers: reach.failed_servers.iter().cloned().collect(),
+            failures: reach.failures,
+            cause,
+            last_answer_ms: reach.last_answer_us.map(|at_us| now_us.since(at_us).to_millis_ceil()),
+        })
+    }
+
+    /// Records the result of a check whether servers of `service` that is out of reach accept connections.
+    pub fn checked(&mut self, now_us: MonoTime, service: &str, accepts: bool) -> Option<ReachChange> {
+        let accepted_checks_min = self.settings.accepted_checks_min;
+        let reach = self.services.get_mut(service)?;
+        let lost = reach.lost.as_mut()?;
+        lost.accepted_checks = if accepts { lost.accepted_checks + 1 } else { 0 };
+        if lost.accepted_checks < accepted_checks_min {
+            return None;
+        }
+        let lost_ms = now_us.since(lost.since_us).to_millis_ceil();
+        *reach = ServiceReach { last_answer_us: reach.last_answer_us, ..ServiceReach::default() };
+        Some(ReachChange::Regained { lost_ms })
+    }
+
+    /// Whether the servers of `service` are reached.
+    pub fn reached(&self, now_us: MonoTime, service: &str) -> Reached {
+        let Some(reach) = self.services.get(service) else {
+            return Reached::Unknown;
+        };
+        let is_recent =
+            reach.last_answer_us.is_some_and(|at_us| now_us < at_us + self.settings.answer_ttl_ms);
+        match (reach.lost, reach.failures, is_recent) {
+            (Some(_), ..) => Reached::No,
+            (None, 0, true) => Reached::Yes,
+            (None, ..) => Reached::Unknown,
+        }
+    }
+
+    /// Whether a request to a server of `service` has failed since the last answer.
+    pub fn is_doubtful(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|reach| reach.failures > 0)
+    }
+
+    /// Services whose servers are out of reach.
+    pub fn lost(&self) -> impl Iterator<Item = &str> {
+        let lost = self.services.iter().filter(|(_, reach)| reach.lost.is_some());
+        lost.map(|(service, _)| service.as_str())
+    }
+
+    fn service(&mut self, service: &str) -> &mut ServiceReach {
+        // Services are few, and each is inserted once: most calls must not allocate.
+        if self.services.contains_key(service) {
+            return self.services.get_mut(service).expect("the service is in the table");
+        }
+        self.services.entry(service.to_owned()).or_default()
+    }
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod partners;
 mod prior_wait;
+mod reach;
 mod recipients;
 mod routes;
 mod server_statements;
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -62,6 +62,16 @@
     },
 }
 
+impl BackendKind {
+    /// Service that it belongs to; `None` for an engine that is not routed to by service.
+    pub fn service(&self) -> Option<&str> {
+        match self {
+            Self::Engine { service, .. } => service.as_deref(),
+            Self::Plain { service, .. } => Some(service),
+        }
+    }
+}
+
 /// A backend server in the platform's list.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
 pub struct BackendServer {
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -290,6 +290,34 @@
         }
     }
 
+    /// Logs that no server of a service is reached. `last_answer_ms` is the time since the last answer of any of
+    /// them, `None` if there was none.
+    pub fn servers_out_of_reach(
+        &self,
+        service: &str,
+        servers: &[BackendServerId],
+        failures: u32,
+        cause: &'static str,
+        last_answer_ms: Option<Millis>,
+    ) {
+        let servers: Vec<&str> = servers.iter().map(BackendServerId::as_str).collect();
+        spdlog::info!(logger: self.logger, "servers out of reach", kv: {
+            service = service,
+            servers = servers.join(" "),
+            failures = failures,
+            cause = cause,
+            last_answer_ms = last_answer_ms.unwrap_or_default().0,
+        });
+    }
+
+    /// Logs that the servers of a service are reached again after `lost_ms`.
+    pub fn servers_in_reach(&self, service: &str, lost_ms: Millis) {
+        spdlog::info!(logger: self.logger, "servers in reach", kv: {
+            service = service,
+            lost_ms = lost_ms.0,
+        });
+    }
+
     /// Logs that a fingerprint entered or left quarantine.
     pub fn quarantine_changed(&self, verdict: &Verdict) {
         spdlog::info!(logger: self.logger, "quarantine", kv: {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -29,6 +29,7 @@
 use super::persistence;
 use super::quarantine::SharedQuarantine;
 use super::quotas::QuotaAccounts;
+use super::reach::{self, SharedReach};
 use super::server_changes::ServerChangeLog;
 use super::settings::RelaySettings;
 use super::state::RelayState;
@@ -134,6 +135,7 @@
             quotas,
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
+            reach: SharedReach::default(),
             quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
             incarnation,
@@ -180,6 +182,7 @@
             settings.peers.first_start,
             Arc::clone(&state),
         ));
+        control.spawn(reach::run_checks(Arc::clone(&state)));
         control.spawn(persistence::run(adapters.evidence, evidence_due, Arc::clone(&state)));
         // One lease covers all engines of the region.
         match settings.host.region.as_str().parse() {
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -133,7 +133,10 @@
 ) -> Result<Reply, FailureCause> {
     incoming.state.statements.check(hop.server, CallKind::Work)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
-    let mut known = http.send_tracked(reuse, request, timeout).await.map_err(failure_cause)?;
+    let known = http.send_tracked(reuse, request, timeout).await.map_err(failure_cause);
+    let answered = known.as_ref().map(|_| ()).map_err(|cause| *cause);
+    incoming.state.reach.record(&incoming.state, hop.server, timeout, answered);
+    let mut known = known?;
     let status = known.response.status();
     incoming.record_framing(known.response.body().framing());
     let headers = std::mem::take(known.response.headers_mut());
@@ -170,7 +173,10 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = uri(to, &call.path)?;
     *request.headers_mut() = call.headers;
-    let response = state.http.send(ConnectionReuse::Pooled, request, timeout).await?;
+    let response = state.http.send(ConnectionReuse::Pooled, request, timeout).await;
+    let answered = response.as_ref().map(|_| ()).map_err(|failure| failure_cause(*failure));
+    state.reach.record(state, server, timeout, answered);
+    let response = response?;
     let status = response.status();
     let head = state.wire.parse_reply(status, response.headers());
     state.statements.record(state, server, RequestPath::Router, status, &head);
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -127,6 +127,9 @@
         observe_gauge(&meter, "hibiscusvale_relay_resting_servers", state, |state| {
             state.statements.count(HoldReason::Resting) as u64
         });
+        observe_gauge(&meter, "hibiscusvale_relay_services_out_of_reach", state, |state| {
+            state.reach.lost() as u64
+        });
         observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
             state.quarantine.counts().0 as u64
         });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -28,6 +28,7 @@
 mod plain;
 mod quarantine;
 mod quotas;
+mod reach;
 mod refusal;
 pub mod server_changes;
 mod settings;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -23,6 +23,7 @@
 use super::peers::Peers;
 use super::quarantine::SharedQuarantine;
 use super::quotas::QuotaAccounts;
+use super::reach::SharedReach;
 use super::server_changes::ServerChangeLog;
 use super::settings::BoundSettings;
 use super::state_transfer::TransferBudget;
@@ -196,6 +197,8 @@
     pub limits: StatedLimits,
     /// What servers state about their availability.
     pub statements: SharedStatements,
+    /// Which services' servers this daemon reaches.
+    pub reach: SharedReach,
     /// Requests that crash servers.
     pub quarantine: SharedQuarantine,
     /// Limits of the installation.
