Confirm by checks that no server is in reach, and refuse only then

Read in the code: crashes of three servers in a row count as lost reach, a check wanted two servers drawn at random to answer, and until then each request that may run once was refused, although other servers were up.

Now a check asks four servers, and one answer shows that servers are in reach. A loss that no check has confirmed makes no refusal: requests go to a daemon that had answers, else to the servers as before. Besides: which daemon a request goes to is chosen in core; the first requests after a loss wait up to 60 ms for the first reply; a daemon asks the others for two seconds after a failure, not until the next answer; a request that is refused for lack of room is not forwarded unless an attempt of its own failed. hibiscusvale_relay_taken_over counts requests run for other daemons.

--- a/crates/core/src/relay/reach.rs
+++ b/crates/core/src/relay/reach.rs
@@ -5,9 +5,11 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::BackendServerId;
+use crate::ids::{BackendServerId, DataCentreId, HostId};
 use crate::sched::FailureCause;
 use crate::units::{Millis, MonoTime};
 
@@ -22,12 +24,19 @@
     pub answered_checks_min: u32,
     /// Age up to which an answer shows that the servers are in reach.
     pub answer_ttl_ms: Millis,
+    /// Time after a failure for which the other daemons are asked what they reach.
+    pub doubt_ttl_ms: Millis,
 }
 
 impl ReachSettings {
     /// Default limits.
-    pub const DEFAULT: Self =
-        Self { failures_min: 3, servers_min: 2, answered_checks_min: 2, answer_ttl_ms: Millis(2_000) };
+    pub const DEFAULT: Self = Self {
+        failures_min: 3,
+        servers_min: 2,
+        answered_checks_min: 2,
+        answer_ttl_ms: Millis(2_000),
+        doubt_ttl_ms: Millis(2_000),
+    };
 }
 
 impl Default for ReachSettings {
@@ -70,9 +79,58 @@
     No,
 }
 
+/// What another daemon says about itself.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct HelperState {
+    /// Its host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// What it knows about its way to the servers of each service that it was asked about.
+    pub reached: Vec<(String, Reached)>,
+    /// Number of its open requests.
+    pub open_requests: u64,
+}
+
+impl HelperState {
+    fn reaches(&self, service: &str, wanted: Reached) -> bool {
+        self.reached.iter().any(|(name, reached)| name == service && *reached == wanted)
+    }
+}
+
+/// Number of daemons among which the one with the fewest open requests is chosen: daemons that choose at the same
+/// time, by states of the same age, must not all choose the same one.
+const SAMPLED_HELPERS: usize = 3;
+
+/// Open requests by which a daemon of the own data centre may exceed one of another.
+const REMOTE_PENALTY: u64 = 4;
+
+/// Chooses the daemon to which a request for `service` is forwarded from the data centre `own`; those on `tried` are
+/// left out. A daemon without recent requests to the service is chosen only if no other has had answers.
+pub fn choose_helper<'a, States, Random>(
+    states: States,
+    service: &str,
+    own: &DataCentreId,
+    tried: &[HostId],
+    rng: &mut Random,
+) -> Option<&'a HelperState>
+where
+    States: Iterator<Item = &'a HelperState>,
+    Random: Rng,
+{
+    let untried: Vec<&HelperState> = states.filter(|state| !tried.contains(&state.host)).collect();
+    let with = |wanted| untried.iter().copied().filter(move |state| state.reaches(service, wanted));
+    let wanted = if with(Reached::Yes).next().is_some() { Reached::Yes } else { Reached::Unknown };
+    let load = |state: &&HelperState| {
+        state.open_requests + if state.data_centre == *own { 0 } else { REMOTE_PENALTY }
+    };
+    with(wanted).sample(rng, SAMPLED_HELPERS).into_iter().min_by_key(load)
+}
+
 #[derive(Clone, Debug, Default)]
 struct ServiceReach {
     last_answer_us: Option<MonoTime>,
+    last_failure_us: MonoTime,
     failures: u32,
     failed_servers: BTreeSet<BackendServerId>,
     lost: Option<Lost>,
@@ -82,6 +140,8 @@
 struct Lost {
     since_us: MonoTime,
     answered_checks: u32,
+    /// Whether a check got no answer either.
+    is_confirmed: bool,
 }
 
 /// What a daemon knows about its way to the servers of each service.
@@ -125,13 +185,14 @@
             return None;
         }
         reach.failures += 1;
+        reach.last_failure_us = now_us;
         reach.failed_servers.insert(server.clone());
         let is_lost =
             reach.failures >= failures_min && reach.failed_servers.len() >= servers_min.min(listed).max(1);
         if !is_lost {
             return None;
         }
-        reach.lost = Some(Lost { since_us: now_us, answered_checks: 0 });
+        reach.lost = Some(Lost { since_us: now_us, answered_checks: 0, is_confirmed: false });
         Some(ReachChange::Lost {
             servers: reach.failed_servers.iter().cloned().collect(),
             failures: reach.failures,
@@ -146,6 +207,7 @@
         let reach = self.services.get_mut(service)?;
         let lost = reach.lost.as_mut()?;
         lost.answered_checks = if answers { lost.answered_checks + 1 } else { 0 };
+        lost.is_confirmed |= !answers;
         if lost.answered_checks < answered_checks_min {
             return None;
         }
@@ -169,15 +231,26 @@
         }
     }
 
+    /// Whether checks, too, got no answer of servers of `service`.
+    pub fn is_confirmed_lost(&self, service: &str) -> bool {
+        let lost = self.services.get(service).and_then(|reach| reach.lost);
+        lost.is_some_and(|lost| lost.is_confirmed)
+    }
+
     /// Services whose servers are out of reach.
     pub fn lost(&self) -> impl Iterator<Item = &str> {
         let lost = self.services.iter().filter(|(_, reach)| reach.lost.is_some());
         lost.map(|(service, _)| service.as_str())
     }
 
-    /// Services with failures since their last answer, those out of reach included.
-    pub fn doubted(&self) -> impl Iterator<Item = &str> {
-        let doubted = self.services.iter().filter(|(_, reach)| reach.failures > 0);
+    /// Services with recent failures and no answer since, and those out of reach.
+    pub fn doubted(&self, now_us: MonoTime) -> impl Iterator<Item = &str> {
+        let doubt_ttl_ms = self.settings.doubt_ttl_ms;
+        let is_doubted = move |reach: &ServiceReach| {
+            let is_recent = now_us < reach.last_failure_us + doubt_ttl_ms;
+            reach.lost.is_some() || (reach.failures > 0 && is_recent)
+        };
+        let doubted = self.services.iter().filter(move |(_, reach)| is_doubted(reach));
         doubted.map(|(service, _)| service.as_str())
     }
 
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -110,6 +110,7 @@
 ) -> Forwarded {
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
     let mut may_have_run = false;
+    incoming.state.reach.wait_for_reply(incoming.service.as_str()).await;
     for _ in 0..HELPERS_MAX {
         let Some(helper) = incoming.state.reach.helper(&incoming.state, incoming.service.as_str(), tried)
         else {
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -10,12 +10,12 @@
 use hibiscusvale_core::quarantine::{Fingerprint, Gossip, ReportPage};
 use hibiscusvale_core::quota::LimitStatement;
 use hibiscusvale_core::relay::engines::{PoolUsage, WorkloadStats};
+use hibiscusvale_core::relay::reach::HelperState;
 use serde::{Deserialize, Serialize};
 
 use super::freshness::Stamp;
 use super::loans::{LendableCredits, LoanReply, LoanRequest};
 use super::quotas::{QuotaReply, QuotaRequest, QuotaReturn};
-use super::reach::ReachReply;
 use super::server_changes::ServerChange;
 
 /// Maximum size of a message: several hundred engines. It fits into a UDP datagram on loopback and on current
@@ -44,7 +44,7 @@
     /// Question which services' servers the recipient reaches.
     ReachRequest(Vec<String>),
     /// What it reaches.
-    ReachReply(ReachReply),
+    ReachReply(HelperState),
 }
 
 /// State of a daemon.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -22,6 +22,7 @@
 pub struct RelayMetrics {
     metrics: Metrics,
     requests: Counter<u64>,
+    taken_over: Counter<u64>,
     answers: Counter<u64>,
     rejected: Counter<u64>,
     steps: Counter<u64>,
@@ -63,6 +64,7 @@
             |name: &'static str| meter.f64_histogram(name).with_boundaries(WAIT_BOUNDS_MS.to_vec()).build();
         Ok(Self {
             requests: meter.u64_counter("hibiscusvale_relay_requests").build(),
+            taken_over: meter.u64_counter("hibiscusvale_relay_taken_over").build(),
             answers: meter.u64_counter("hibiscusvale_relay_answers").build(),
             rejected: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
@@ -90,6 +92,12 @@
         }
     }
 
+    /// Counts a completed request that another daemon forwarded.
+    pub fn record_taken_over(&self, service: &str, outcome: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.taken_over.add(1, &[service, KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a request that was rejected before it was admitted.
     pub fn record_rejected(&self, reason: &'static str) {
         self.rejected.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -36,13 +36,13 @@
     state: &Arc<RelayState>,
     incoming: &Arc<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    if incoming.is_server_lost() {
-        match relay_through_daemon(incoming).await {
-            Some(answered) => return answered,
-            // Its outcome could stay unknown at a server that is out of reach.
-            None if !is_repeatable(incoming) => return Err(reach::nobody_reaches_servers()),
-            None => {}
-        }
+    if incoming.is_server_lost()
+        && let Some(answered) = relay_through_daemon(incoming).await
+    {
+        return answered;
+    }
+    if incoming.awaits_reach() {
+        return Err(reach::nobody_reaches_servers());
     }
     match relay_to_server(state, incoming).await {
         Err(refusal) if refusal.is_not_run() && incoming.is_server_doubtful() => {
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -9,15 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId};
-use hibiscusvale_core::relay::reach::{Reach, ReachChange, Reached};
+use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::relay::reach::{self, HelperState, Reach, ReachChange, Reached};
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::Millis;
 use http::Request;
 use http_body_util::Full;
 use parking_lot::Mutex;
-use rand::seq::{IndexedRandom, IteratorRandom};
-use serde::{Deserialize, Serialize};
+use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -35,9 +34,8 @@
 /// Interval of the checks whether servers that are out of reach accept connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of servers of a service that one check asks. All have to answer: while a single server is in reach, it
-/// would have to bear all requests of this daemon.
-const CHECKED_SERVERS: usize = 2;
+/// Number of servers of a service that one check asks.
+const CHECKED_SERVERS: usize = 4;
 
 /// Time within which a checked server has to answer.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -51,11 +49,8 @@
 /// Age at which the reply of another daemon is no longer used.
 const REPLY_TTL: Duration = Duration::from_secs(1);
 
-/// Number of daemons among which the one with the fewest open requests is chosen.
-const SAMPLED_HELPERS: usize = 3;
-
-/// Open requests by which a daemon of the own data centre may exceed one of another.
-const REMOTE_PENALTY: u64 = 4;
+/// Longest wait for the first reply: several round trips inside a region.
+const REPLY_WAIT: Duration = Duration::from_millis(60);
 
 /// Shortest time-out that shows something about a server.
 const TIMEOUT_MIN: Duration = Duration::from_millis(100);
@@ -63,7 +58,7 @@
 /// Retry-After while no daemon reaches the servers: two checks, after which they are in reach again at the earliest.
 const OUTAGE_RETRY_MS: Millis = Millis(1_000);
 
-/// The refusal of a request that must not be used to find out whether servers are in reach again.
+/// The refusal of a request while checks find out when servers are in reach again.
 pub fn nobody_reaches_servers() -> Refusal {
     Refusal::retry_after(Reason::NoServer, OUTAGE_RETRY_MS)
 }
@@ -76,31 +71,15 @@
     replies: Mutex<HashMap<HostId, ReceivedReply>>,
     /// Signals that a request got no answer.
     doubted: Notify,
-}
-
-/// What another daemon reaches.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct ReachReply {
-    host: HostId,
-    data_centre: DataCentreId,
-    /// For each service asked about.
-    reached: Vec<(String, Reached)>,
-    /// Number of its open requests.
-    open: u64,
+    /// Signals a reply.
+    replied: Notify,
 }
 
 #[derive(Debug)]
 struct ReceivedReply {
     at: Instant,
     address: SocketAddr,
-    reply: ReachReply,
-}
-
-impl ReceivedReply {
-    fn reached(&self, service: &str) -> Option<Reached> {
-        let mut reached = self.reply.reached.iter();
-        reached.find(|(name, _)| name == service).map(|(_, reached)| *reached)
-    }
+    state: HelperState,
 }
 
 /// A daemon to which requests can be forwarded.
@@ -141,38 +120,55 @@
         self.services.lock().reached(clock::now(), service)
     }
 
+    /// Whether checks, too, got no answer of servers of a service.
+    pub fn is_confirmed_lost(&self, service: &str) -> bool {
+        self.services.lock().is_confirmed_lost(service)
+    }
+
     /// Stores the reply of another daemon.
-    pub fn receive(&self, now: Instant, address: SocketAddr, reply: ReachReply) {
+    pub fn receive(&self, now: Instant, address: SocketAddr, state: HelperState) {
         let mut replies = self.replies.lock();
         replies.retain(|_, known| now < known.at + REPLY_TTL);
-        replies.insert(reply.host.clone(), ReceivedReply { at: now, address, reply });
+        replies.insert(state.host.clone(), ReceivedReply { at: now, address, state });
+        drop(replies);
+        self.replied.notify_waiters();
+    }
+
+    /// Waits until another daemon has said whether it reaches `service`. Several requests may fail at the same moment,
+    /// and the next ones come before any daemon can have replied.
+    pub async fn wait_for_reply(&self, service: &str) {
+        let replied = async {
+            loop {
+                let notified = self.replied.notified();
+                if self.has_reply(service) {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        // Without a reply the request is treated as if no daemon reached the service.
+        let _ = tokio::time::timeout(REPLY_WAIT, replied).await;
     }
 
-    /// A daemon that reaches the servers of `service`, except those on `tried`. One without recent requests to the
-    /// service is chosen only if no other has had answers.
+    fn has_reply(&self, service: &str) -> bool {
+        let now = Instant::now();
+        let replies = self.replies.lock();
+        let mut fresh = replies.values().filter(|known| now < known.at + REPLY_TTL);
+        fresh.any(|known| known.state.reached.iter().any(|(name, _)| name == service))
+    }
+
+    /// A daemon that reaches the servers of `service`, except those on `tried`.
     pub fn helper(&self, state: &RelayState, service: &str, tried: &[HostId]) -> Option<Helper> {
         let now = Instant::now();
         let replies = self.replies.lock();
-        let with = |wanted: Reached| -> Vec<&ReceivedReply> {
-            let usable = replies.values().filter(|known| now < known.at + REPLY_TTL);
-            let usable = usable.filter(|known| known.reached(service) == Some(wanted));
-            usable.filter(|known| !tried.contains(&known.reply.host)).collect()
-        };
-        let mut candidates = with(Reached::Yes);
-        if candidates.is_empty() {
-            candidates = with(Reached::Unknown);
-        }
-        let load = |known: &ReceivedReply| {
-            let is_remote = known.reply.data_centre != *state.peers.data_centre();
-            known.reply.open + if is_remote { REMOTE_PENALTY } else { 0 }
-        };
-        let sampled = candidates.sample(&mut rand::rng(), SAMPLED_HELPERS);
-        let chosen = sampled.min_by_key(|known| load(known))?;
-        Some(Helper { host: chosen.reply.host.clone(), address: chosen.address })
+        let usable = replies.values().filter(|known| now < known.at + REPLY_TTL).map(|known| &known.state);
+        let own = state.peers.data_centre();
+        let chosen = reach::choose_helper(usable, service, own, tried, &mut rand::rng())?;
+        Some(Helper { host: chosen.host.clone(), address: replies.get(&chosen.host)?.address })
     }
 
     fn doubted_services(&self) -> Vec<String> {
-        self.services.lock().doubted().map(str::to_owned).collect()
+        self.services.lock().doubted(clock::now()).map(str::to_owned).collect()
     }
 
     /// Number of services whose servers are out of reach.
@@ -202,21 +198,22 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         let lost: Vec<String> = state.reach.services.lock().lost().map(str::to_owned).collect();
         for service in lost {
-            let answers = do_servers_answer(&state, &service).await;
+            let answers = does_any_answer(&state, &service).await;
             let change = state.reach.services.lock().checked(clock::now(), &service, answers);
             log_change(&state, &service, change);
         }
     }
 }
 
-/// Whether servers of a service answer over new connections, whatever they answer. A service without servers is
-/// not out of reach.
-async fn do_servers_answer(state: &RelayState, service: &str) -> bool {
+/// Whether any of some servers of a service answers over a new connection, whatever it answers. Others may be down.
+/// A service without servers is not out of reach.
+async fn does_any_answer(state: &RelayState, service: &str) -> bool {
     let listing = state.directory.listing();
     let in_use = listing.servers.values().filter(|listed| is_in_use(listed, service));
     let checked = in_use.sample(&mut rand::rng(), CHECKED_SERVERS);
     let answers = checked.into_iter().map(|server| does_server_answer(state, server));
-    futures_util::future::join_all(answers).await.into_iter().all(|answers| answers)
+    let answers = futures_util::future::join_all(answers).await;
+    answers.is_empty() || answers.contains(&true)
 }
 
 async fn does_server_answer(state: &RelayState, server: &BackendServer) -> bool {
@@ -249,16 +246,16 @@
 }
 
 /// The reply to another daemon's question.
-pub fn reply(state: &RelayState, own: &HostId, services: Vec<String>) -> ReachReply {
+pub fn reply(state: &RelayState, own: &HostId, services: Vec<String>) -> HelperState {
     let is_stopping = state.stopping.load(Ordering::Relaxed);
     let reached = services.into_iter().map(|service| {
         let reached = if is_stopping { Reached::No } else { state.reach.reached(&service) };
         (service, reached)
     });
-    ReachReply {
+    HelperState {
         host: own.clone(),
         data_centre: state.peers.data_centre().clone(),
         reached: reached.collect(),
-        open: state.open.load(Ordering::Relaxed),
+        open_requests: state.open.load(Ordering::Relaxed),
     }
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -83,7 +83,9 @@
         let trace = self.trace.get_mut();
         let took = self.arrived.elapsed();
         // Each request is counted by the daemon that its caller sent it to.
-        if self.forwarded_by.is_none() {
+        if self.forwarded_by.is_some() {
+            self.state.metrics.record_taken_over(self.service.as_str(), trace.outcome());
+        } else {
             self.state.metrics.record_request(RequestSummary {
                 service: self.service.as_str(),
                 outcome: trace.outcome(),
@@ -151,15 +153,25 @@
         self.trace.lock().set_outcome(outcome);
     }
 
-    /// Whether this daemon reaches no server of the service, and may forward the request.
+    /// Whether no server of the service is in reach, and the request may be forwarded.
     pub fn is_server_lost(&self) -> bool {
         self.forwarded_by.is_none() && self.state.reach.reached(self.service.as_str()) == Reached::No
     }
 
-    /// Whether requests to the service have failed since a server answered, and this one may be forwarded.
+    /// Whether checks show that no server of the service is in reach; they find out when one is again.
+    pub fn awaits_reach(&self) -> bool {
+        self.forwarded_by.is_none() && self.state.reach.is_confirmed_lost(self.service.as_str())
+    }
+
+    /// Whether no server may be in reach, and the request may be forwarded: one of its own attempts failed, and no
+    /// server has answered another request since.
     pub fn is_server_doubtful(&self) -> bool {
-        let reached = self.state.reach.reached(self.service.as_str());
-        self.forwarded_by.is_none() && matches!(reached, Reached::Doubtful | Reached::No)
+        self.forwarded_by.is_none()
+            && match self.state.reach.reached(self.service.as_str()) {
+                Reached::No => true,
+                Reached::Doubtful => !self.trace.lock().steps().is_empty(),
+                Reached::Yes | Reached::Unknown => false,
+            }
     }
 
     /// An attempt to send it to `server`.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -157,15 +157,13 @@
     /// Runs the request until an engine answers this daemon or another one; returns the answer with headers for
     /// the caller.
     async fn run_until_answered(&mut self) -> Result<Response<ServerBody>, Refusal> {
-        if self.incoming.is_server_lost() {
-            match self.forward().await {
-                Some(answered) => return answered,
-                // Its outcome could stay unknown at an engine that is out of reach.
-                None if !self.is_repeatable() => {
-                    return Err(reach::nobody_reaches_servers().unless_run(self.outcome_unknown));
-                }
-                None => {}
-            }
+        if self.incoming.is_server_lost()
+            && let Some(answered) = self.forward().await
+        {
+            return answered;
+        }
+        if self.incoming.awaits_reach() {
+            return Err(reach::nobody_reaches_servers().unless_run(self.outcome_unknown));
         }
         match self.run_at_engines().await {
             Err(refusal) if refusal.is_not_run() && self.incoming.is_server_doubtful() => {
