--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -110,10 +110,10 @@
 ) -> Forwarded {
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
     let mut may_have_run = false;
-    incoming.state.reach.wait_for_reply(incoming.service.as_str()).await;
+    let state = &incoming.state;
+    state.reach.wait_for_reply(state, incoming.service.as_str()).await;
     for _ in 0..HELPERS_MAX {
-        let Some(helper) = incoming.state.reach.helper(&incoming.state, incoming.service.as_str(), tried)
-        else {
+        let Some(helper) = state.reach.helper(state, incoming.service.as_str(), tried) else {
             break;
         };
         tried.push(helper.host.clone());
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -34,8 +34,8 @@
 /// Interval of the checks whether servers that are out of reach accept connections.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of servers of a service that one check asks.
-const CHECKED_SERVERS: usize = 4;
+/// Number of servers of a service that one check asks: if half of many are down, one of these is not.
+const CHECKED_SERVERS: usize = 8;
 
 /// Time within which a checked server has to answer.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -136,7 +136,10 @@
 
     /// Waits until another daemon has said whether it reaches `service`. Several requests may fail at the same moment,
     /// and the next ones come before any daemon can have replied.
-    pub async fn wait_for_reply(&self, service: &str) {
+    pub async fn wait_for_reply(&self, state: &RelayState, service: &str) {
+        if !state.peers.is_any_heard() {
+            return;
+        }
         let replied = async {
             loop {
                 let notified = self.replied.notified();
