Take help of a daemon beside a server that is down

One of its four servers was down, so that its last request had often failed when it was asked; it said "doubtful" and was not chosen. A daemon with an answer within two seconds counts as reaching them in part now, and is chosen if there is no better one.

--- a/crates/core/src/relay/reach.rs
+++ b/crates/core/src/relay/reach.rs
@@ -71,9 +71,11 @@
 pub enum Reached {
     /// A server answered recently, and no request has failed since.
     Yes,
+    /// A server answered recently, and requests have failed since.
+    Partly,
     /// Nothing recent is known.
     Unknown,
-    /// Requests have failed since the last answer.
+    /// Requests have failed, and the last answer is not recent.
     Doubtful,
     /// No server is reached.
     No,
@@ -106,7 +108,8 @@
 const REMOTE_PENALTY: u64 = 4;
 
 /// Chooses the daemon to which a request for `service` is forwarded from the data centre `own`; those on `tried` are
-/// left out. A daemon without recent requests to the service is chosen only if no other has had answers.
+/// left out. A daemon whose last request failed, or without recent requests to the service, is chosen only if there is no
+/// better one.
 pub fn choose_helper<'a, States, Random>(
     states: States,
     service: &str,
@@ -120,7 +123,9 @@
 {
     let untried: Vec<&HelperState> = states.filter(|state| !tried.contains(&state.host)).collect();
     let with = |wanted| untried.iter().copied().filter(move |state| state.reaches(service, wanted));
-    let wanted = if with(Reached::Yes).next().is_some() { Reached::Yes } else { Reached::Unknown };
+    // A daemon beside a server that is down has failures now and then.
+    let preferred = [Reached::Yes, Reached::Partly, Reached::Unknown];
+    let wanted = preferred.into_iter().find(|reached| with(*reached).next().is_some())?;
     let load = |state: &&HelperState| {
         state.open_requests + if state.data_centre == *own { 0 } else { REMOTE_PENALTY }
     };
@@ -227,7 +232,8 @@
             (Some(_), ..) => Reached::No,
             (None, 0, true) => Reached::Yes,
             (None, 0, false) => Reached::Unknown,
-            (None, ..) => Reached::Doubtful,
+            (None, _, true) => Reached::Partly,
+            (None, _, false) => Reached::Doubtful,
         }
     }
 
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod partners;
 mod prior_wait;
 mod reach;
+mod reach_simulation;
 mod recipients;
 mod routes;
 mod server_statements;
--- /dev/null
+++ b/crates/core/tests/relay/reach_simulation.rs
@@ -0,0 +1,335 @@
+//! A fleet in virtual time: daemons lose their links to the servers of one service or of both, in series and most of them at
+//! once, beside daemons that are killed and servers that crash.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::relay::reach::{HelperState, Reach, Reached, choose_helper};
+use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::{Millis, MonoTime};
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+
+const DAEMONS: usize = 6;
+const SERVICES: [&str; 2] = ["app", "llm"];
+const SERVERS: usize = 4;
+const LENGTH_MS: u64 = 40_000;
+const REQUEST_INTERVAL_MS: u64 = 60;
+const ANSWER_MS: u64 = 5;
+const CONNECT_TIMEOUT_MS: u64 = 300;
+const LOCAL_ATTEMPTS: u32 = 3;
+const CHECK_INTERVAL_MS: u64 = 500;
+const CHECKED_SERVERS: usize = 8;
+const ASK_INTERVAL_MS: u64 = 250;
+const REPLY_TTL_MS: u64 = 1_000;
+/// Time from a cut until callers have to be served, and from its end until nothing is out of reach.
+const CONTACT_MS: u64 = 3_000;
+/// Requests that may fail beside cuts: the cut of a helper is not known at once. The platform's rule allows as many.
+const FAILED_MAX: usize = 10;
+/// One request in this many more may fail.
+const FAILED_SHARE: usize = 50;
+/// Time in which a request is refused once it is known that nobody reaches the servers.
+const REFUSAL_MS: u64 = 100;
+
+/// What happens to a daemon (`server` is `None`) or to a server, from a time to another.
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    from_ms: u64,
+    until_ms: u64,
+    service: usize,
+    daemon: Option<usize>,
+    server: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive {
+        daemon: usize,
+        service: usize,
+    },
+    /// The end of a local attempt: its request's arrival, its number, and whether the server answered.
+    Attempted {
+        daemon: usize,
+        service: usize,
+        server: usize,
+        arrived_ms: u64,
+        attempt: u32,
+        is_answered: bool,
+    },
+    Check {
+        daemon: usize,
+    },
+    Ask {
+        daemon: usize,
+    },
+}
+
+/// A request that ended.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    daemon: usize,
+    service: usize,
+    arrived_ms: u64,
+    took_ms: u64,
+    is_served: bool,
+}
+
+struct Simulation {
+    rng: StdRng,
+    now_ms: u64,
+    events: BinaryHeap<Reverse<(u64, Event)>>,
+    reach: Vec<Reach>,
+    /// Replies that each daemon has, and when they came.
+    replies: Vec<Vec<(u64, HelperState)>>,
+    cuts: Vec<Fault>,
+    kills: Vec<Fault>,
+    crashes: Vec<Fault>,
+    ended: Vec<Ended>,
+}
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::default() + Millis(ms)
+}
+
+fn is_active(faults: &[Fault], now_ms: u64, is_meant: impl Fn(&Fault) -> bool) -> bool {
+    faults.iter().any(|fault| (fault.from_ms..fault.until_ms).contains(&now_ms) && is_meant(fault))
+}
+
+fn server_id(service: usize, server: usize) -> BackendServerId {
+    format!("i-{service}-{server}").parse().unwrap()
+}
+
+fn host(daemon: usize) -> HostId {
+    format!("entry-{daemon}").parse().unwrap()
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fault = |from_ms: u64, daemon, server| {
+            let until_ms = from_ms + rng.random_range(1_000..8_000);
+            Fault { from_ms, until_ms, service: rng.random_range(0..SERVICES.len()), daemon, server }
+        };
+        let (mut cuts, mut kills, mut crashes) = (Vec::new(), Vec::new(), Vec::new());
+        for from_ms in [2_000, 9_000, 17_000, 24_000] {
+            let drawn = fault(from_ms, None, None);
+            let mut rng = StdRng::seed_from_u64(seed * 31 + from_ms);
+            let daemons = (0..DAEMONS).sample(&mut rng, 1 + (seed as usize + from_ms as usize) % DAEMONS);
+            let both = rng.random();
+            for daemon in daemons {
+                for service in 0..SERVICES.len() {
+                    if both || service == drawn.service {
+                        cuts.push(Fault { daemon: Some(daemon), service, ..drawn });
+                    }
+                }
+            }
+            let killed = rng.random_range(0..DAEMONS);
+            let until_ms = from_ms + 1_500;
+            kills.push(Fault { from_ms: from_ms + 500, until_ms, daemon: Some(killed), ..drawn });
+            crashes.push(Fault { server: Some(rng.random_range(0..SERVERS)), ..drawn });
+        }
+        let mut simulation = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            events: BinaryHeap::new(),
+            reach: vec![Reach::default(); DAEMONS],
+            replies: vec![Vec::new(); DAEMONS],
+            cuts,
+            kills,
+            crashes,
+            ended: Vec::new(),
+        };
+        for daemon in 0..DAEMONS {
+            for service in 0..SERVICES.len() {
+                simulation.schedule(daemon as u64 * 7, Event::Arrive { daemon, service });
+            }
+            simulation.schedule(CHECK_INTERVAL_MS, Event::Check { daemon });
+            simulation.schedule(ASK_INTERVAL_MS, Event::Ask { daemon });
+        }
+        simulation
+    }
+
+    fn schedule(&mut self, after_ms: u64, event: Event) {
+        self.events.push(Reverse((self.now_ms + after_ms, event)));
+    }
+
+    fn is_up(&self, daemon: usize) -> bool {
+        !is_active(&self.kills, self.now_ms, |fault| fault.daemon == Some(daemon))
+    }
+
+    fn does_reach(&self, daemon: usize, service: usize, server: usize) -> bool {
+        let is_cut = |fault: &Fault| fault.daemon == Some(daemon) && fault.service == service;
+        let is_crashed = |fault: &Fault| fault.server == Some(server) && fault.service == service;
+        !is_active(&self.cuts, self.now_ms, is_cut) && !is_active(&self.crashes, self.now_ms, is_crashed)
+    }
+
+    fn run(mut self) -> Self {
+        while let Some(Reverse((at_ms, event))) = self.events.pop() {
+            if at_ms >= LENGTH_MS {
+                break;
+            }
+            self.now_ms = at_ms;
+            self.handle(event);
+        }
+        self
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { daemon, service } => {
+                self.schedule(REQUEST_INTERVAL_MS, event);
+                if !self.is_up(daemon) {
+                    self.reach[daemon] = Reach::default();
+                    return;
+                }
+                let arrived_ms = self.now_ms;
+                let name = SERVICES[service];
+                if self.reach[daemon].reached(at(self.now_ms), name) == Reached::No
+                    && self.forward(daemon, service, arrived_ms)
+                {
+                    return;
+                }
+                if self.reach[daemon].is_confirmed_lost(name) {
+                    return self.end(daemon, service, arrived_ms, 0, false);
+                }
+                self.attempt(daemon, service, arrived_ms, 1);
+            }
+            Event::Attempted { daemon, service, server, arrived_ms, attempt, is_answered } => {
+                let (now_us, name) = (at(self.now_ms), SERVICES[service]);
+                if is_answered {
+                    self.reach[daemon].answered(now_us, name);
+                    return self.end(daemon, service, arrived_ms, 0, true);
+                }
+                let id = server_id(service, server);
+                self.reach[daemon].failed(now_us, name, &id, FailureCause::NotSent, SERVERS);
+                if attempt < LOCAL_ATTEMPTS {
+                    self.attempt(daemon, service, arrived_ms, attempt + 1);
+                } else if !self.forward(daemon, service, arrived_ms) {
+                    self.end(daemon, service, arrived_ms, 0, false);
+                }
+            }
+            Event::Check { daemon } => {
+                self.schedule(CHECK_INTERVAL_MS, event);
+                let lost: Vec<String> = self.reach[daemon].lost().map(str::to_owned).collect();
+                for name in lost {
+                    let service = SERVICES.iter().position(|service| *service == name).unwrap();
+                    let checked = (0..SERVERS).sample(&mut self.rng, CHECKED_SERVERS);
+                    let answers = checked.into_iter().any(|server| self.does_reach(daemon, service, server));
+                    self.reach[daemon].checked(at(self.now_ms), &name, answers);
+                }
+            }
+            Event::Ask { daemon } => {
+                self.schedule(ASK_INTERVAL_MS, event);
+                let asked: Vec<String> =
+                    self.reach[daemon].doubted(at(self.now_ms)).map(str::to_owned).collect();
+                if asked.is_empty() {
+                    return;
+                }
+                let others = (0..DAEMONS).filter(|other| *other != daemon && self.is_up(*other));
+                let state = |other: usize| HelperState {
+                    host: host(other),
+                    data_centre: "z-1".parse().unwrap(),
+                    reached: asked
+                        .iter()
+                        .map(|name| (name.clone(), self.reach[other].reached(at(self.now_ms), name)))
+                        .collect(),
+                    open_requests: 0,
+                };
+                self.replies[daemon] = others.map(|other| (self.now_ms, state(other))).collect();
+            }
+        }
+    }
+
+    fn attempt(&mut self, daemon: usize, service: usize, arrived_ms: u64, attempt: u32) {
+        let server = self.rng.random_range(0..SERVERS);
+        let is_answered = self.does_reach(daemon, service, server);
+        let took_ms = if is_answered { ANSWER_MS } else { CONNECT_TIMEOUT_MS };
+        let ended = Event::Attempted { daemon, service, server, arrived_ms, attempt, is_answered };
+        self.schedule(took_ms, ended);
+    }
+
+    /// Forwards a request, to up to three daemons one after the other; whether one took it.
+    fn forward(&mut self, daemon: usize, service: usize, arrived_ms: u64) -> bool {
+        let mut tried = Vec::new();
+        for _ in 0..3 {
+            let fresh =
+                self.replies[daemon].iter().filter(|(came_ms, _)| self.now_ms < came_ms + REPLY_TTL_MS);
+            let own = "z-1".parse().unwrap();
+            let fresh = fresh.map(|(_, state)| state);
+            let Some(helper) = choose_helper(fresh, SERVICES[service], &own, &tried, &mut self.rng) else {
+                return false;
+            };
+            tried.push(helper.host.clone());
+            let other = (0..DAEMONS).find(|other| host(*other) == helper.host).unwrap();
+            // The other daemon tries servers until one answers, and does not forward.
+            let reaches = (0..SERVERS).any(|server| self.does_reach(other, service, server));
+            if self.is_up(other) && reaches {
+                self.end(daemon, service, arrived_ms, ANSWER_MS, true);
+                return true;
+            }
+        }
+        false
+    }
+
+    fn end(&mut self, daemon: usize, service: usize, arrived_ms: u64, further_ms: u64, is_served: bool) {
+        let took_ms = self.now_ms + further_ms - arrived_ms;
+        self.ended.push(Ended { daemon, service, arrived_ms, took_ms, is_served });
+    }
+
+    /// Whether some daemon was up and reached servers of a service all the time around a request.
+    fn is_reached_by_any(&self, service: usize, around_ms: u64) -> bool {
+        let period = around_ms.saturating_sub(CONTACT_MS)..around_ms + REFUSAL_MS;
+        (0..DAEMONS).any(|daemon| {
+            let touches = |fault: &Fault| fault.from_ms < period.end && fault.until_ms > period.start;
+            let is_cut = |fault: &Fault| fault.daemon == Some(daemon) && fault.service == service;
+            !self.cuts.iter().any(|fault| is_cut(fault) && touches(fault))
+                && !self.kills.iter().any(|fault| fault.daemon == Some(daemon) && touches(fault))
+        })
+    }
+
+    /// Cuts at a daemon for which a request at `arrived_ms` came later than the contact time after their start.
+    fn settled_cut(&self, ended: &Ended) -> bool {
+        let is_up = !self.kills.iter().any(|fault| {
+            fault.daemon == Some(ended.daemon)
+                && fault.from_ms < ended.arrived_ms
+                && ended.arrived_ms < fault.until_ms + CONTACT_MS
+        });
+        is_up
+            && self.cuts.iter().any(|fault| {
+                fault.daemon == Some(ended.daemon)
+                    && fault.service == ended.service
+                    && (fault.from_ms + CONTACT_MS..fault.until_ms).contains(&ended.arrived_ms)
+            })
+    }
+}
+
+/// Callers of daemons that are cut off must be served as long as one daemon reaches the servers, and refused at once
+/// otherwise; afterwards nothing may count as out of reach.
+#[test]
+fn cut_off_daemons_serve_while_any_daemon_reaches_the_servers() {
+    let (mut settled, mut outages) = (0, 0);
+    for seed in 0..150 {
+        let simulation = Simulation::new(seed).run();
+        let settled_cuts: Vec<&Ended> =
+            simulation.ended.iter().filter(|ended| simulation.settled_cut(ended)).collect();
+        let (reached, outage): (Vec<&Ended>, Vec<&Ended>) = settled_cuts
+            .into_iter()
+            .partition(|ended| simulation.is_reached_by_any(ended.service, ended.arrived_ms));
+        let failed = reached.iter().filter(|ended| !ended.is_served).count();
+        let allowed = FAILED_MAX + reached.len() / FAILED_SHARE;
+        assert!(failed <= allowed, "seed {seed}: {failed} of {} are not served", reached.len());
+        settled += reached.len();
+        for refused in outage.iter().filter(|ended| !ended.is_served) {
+            assert!(refused.took_ms <= REFUSAL_MS, "seed {seed}: {refused:?}");
+            outages += 1;
+        }
+        let last_ms = simulation.cuts.iter().chain(&simulation.crashes).map(|fault| fault.until_ms).max();
+        let calm_ms = last_ms.unwrap() + CONTACT_MS;
+        let late: Vec<&Ended> = simulation.ended.iter().filter(|ended| ended.arrived_ms >= calm_ms).collect();
+        assert!(late.iter().all(|ended| ended.is_served && ended.took_ms == ANSWER_MS), "seed {seed}");
+        assert_eq!(simulation.reach.iter().flat_map(Reach::lost).count(), 0, "seed {seed}");
+    }
+    assert!(settled > 10_000 && outages > 100, "{settled} requests beside cuts, {outages} in outages");
+}
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -169,7 +169,7 @@
         self.forwarded_by.is_none()
             && match self.state.reach.reached(self.service.as_str()) {
                 Reached::No => true,
-                Reached::Doubtful => !self.trace.lock().steps().is_empty(),
+                Reached::Doubtful | Reached::Partly => !self.trace.lock().steps().is_empty(),
                 Reached::Yes | Reached::Unknown => false,
             }
     }
