--- a/crates/standins/tests/e2e/main.rs
+++ b/crates/standins/tests/e2e/main.rs
@@ -10,6 +10,7 @@
 mod models;
 mod once;
 mod path;
+mod reach;
 mod stalled;
 mod streams;
 mod time_limits;
