Check servers that rest or state a limit by a connect only

Read in the code: while servers are out of reach, checks send them requests, also to one that has asked for a rest or states a limit, against which a request would count. Such a server is checked by whether it accepts a connection.

--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -25,8 +25,9 @@
 use super::message::Datagram;
 use super::refusal::{Reason, Refusal};
 use super::state::RelayState;
+use super::statements::CallKind;
 use super::trace::cause_label;
-use crate::backend::{ConnectionReuse, uri};
+use crate::backend::{ConnectionReuse, Probe, probe, uri};
 use crate::clock;
 use crate::directory::BackendServer;
 use crate::external::ListedState;
@@ -220,6 +221,11 @@
 }
 
 async fn does_server_answer(state: &RelayState, server: &BackendServer) -> bool {
+    let is_limited = state.limits.statement(&server.id).is_some();
+    if is_limited || state.statements.check(&server.id, CallKind::Work).is_err() {
+        // A request would count against its limit, or disturb its rest.
+        return probe(server.address).await == Probe::Accepts;
+    }
     let call = state.wire.report(&server.id);
     let Ok(target) = uri(server.address, &call.path) else {
         return false;
