Log software versions of servers, and which requests take a stream up again

`servers changed` names versions, `request relayed` has versions, after_event and resumes.

It is the version of the software, not that of the weights, and a type of its own.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -73,6 +73,10 @@
     c.is_ascii_graphic()
 }
 
+fn is_version_character(c: char) -> bool {
+    !c.is_control()
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $limit:expr, $allowed:expr) => {
         $(#[$doc])*
@@ -150,6 +154,10 @@
     /// A service that routes refer to: engines of one kind, or instances of one plain service.
     ServiceId, "service", MAX_NAME_BYTES, is_name_character
 );
+text_id!(
+    /// Version of a backend server's software. Versions have no order; two of them are the same or different.
+    SoftwareVersion, "software version", MAX_NAME_BYTES, is_version_character
+);
 text_id!(
     /// A caller's identifier for a request that must not be executed twice. Unique per partner.
     IdempotencyKey, "idempotency key", MAX_IDEMPOTENCY_KEY_BYTES, is_key_character
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Lifetime, ModelId, RegionId};
+use hibiscusvale_core::ids::{
+    BackendServerId, DataCentreId, HostId, Lifetime, ModelId, RegionId, SoftwareVersion,
+};
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -79,6 +81,8 @@
     pub id: BackendServerId,
     /// Its current run; `None` where an id is never used again.
     pub lifetime: Option<Lifetime>,
+    /// Version of the software of that run; `None` if it states none.
+    pub version: Option<SoftwareVersion>,
     /// Address for requests.
     pub address: SocketAddr,
     /// Data centre.
@@ -92,6 +96,11 @@
 }
 
 impl BackendServer {
+    /// Software version, for logs.
+    pub fn version_label(&self) -> &str {
+        self.version.as_ref().map_or("unstated", SoftwareVersion::as_str)
+    }
+
     /// Role or leaving state, for logs.
     pub fn state_label(&self) -> &'static str {
         match (&self.kind, self.listed) {
@@ -178,6 +187,7 @@
         let server = BackendServer {
             id: entry.id,
             lifetime: entry.lifetime,
+            version: entry.version,
             address: entry.address,
             data_centre: entry.data_centre,
             region: entry.region,
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -9,7 +9,9 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, Lifetime, ModelId, Offset, PartnerId, RegionId};
+use hibiscusvale_core::ids::{
+    BackendServerId, DataCentreId, Lifetime, ModelId, Offset, PartnerId, RegionId, SoftwareVersion,
+};
 use hibiscusvale_core::units::{Bytes as ByteCount, BytesPerSecond, Millis};
 use serde::{Deserialize, Serialize};
 
@@ -131,6 +133,9 @@
     /// Its current run; `None` where an id is never used again.
     #[serde(default)]
     pub lifetime: Option<Lifetime>,
+    /// Version of the software that it runs; `None` if it states none.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// Kind of service that runs on it.
     pub kind: ListedKind,
     /// Address for requests.
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -100,6 +100,12 @@
     pub outcome: &'a str,
     /// Steps taken to serve it.
     pub steps: &'a str,
+    /// Software versions of the engines that sent events, in order, separated by spaces.
+    pub versions: &'a str,
+    /// The last event that the caller had; zero if it did not resume a stream.
+    pub after_event: u64,
+    /// The attempt that brought the first event, as named by a caller that resumes a stream; empty if it named none.
+    pub resumes: &'a str,
     /// Fingerprint by which repeated submissions are recognised.
     pub fingerprint: Fingerprint,
     /// Prompt tokens, maximum output tokens, expected output tokens, and events sent to the caller.
@@ -206,6 +212,9 @@
             version = line.version,
             outcome = line.outcome,
             steps = line.steps,
+            versions = line.versions,
+            after_event = line.after_event,
+            resumes = line.resumes,
             fingerprint: = line.fingerprint,
             generation:? = line.generation.map(|counts| counts.map(|count| count.0)).unwrap_or_default(),
             stated_wait_ms = line.stated_wait_ms.0,
@@ -379,13 +388,14 @@
             ids.sort_unstable();
             ids.join(" ")
         };
-        let added = after.keys().filter(|id| !before.contains_key(id)).map(BackendServerId::as_str);
+        let added = after.values().filter(|now| !before.contains_key(&now.id));
+        let added: Vec<String> = added.map(|now| format!("{}:{}", now.id, now.version_label())).collect();
         let removed = after.removed_since(before).map(BackendServerId::as_str);
         let changed = after.changed_since(before).filter(|now| before.contains_key(&now.id));
-        let changed = changed.map(|now| format!("{}:{}", now.id, now.state_label()));
+        let changed = changed.map(|now| format!("{}:{}:{}", now.id, now.version_label(), now.state_label()));
         let changed: Vec<String> = changed.collect();
         spdlog::info!(logger: self.logger, "servers changed", kv: {
-            came = names(added.collect()),
+            came = names(added.iter().map(String::as_str).collect()),
             changed = names(changed.iter().map(String::as_str).collect()),
             gone = names(removed.collect()),
         });
--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// The server.
+    pub fn server(&self) -> &BackendServerId {
+        &self.server
+    }
+
     /// The server's address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -142,6 +142,9 @@
 
     fn record_progress(&mut self, last: Option<EventId>) {
         if let Some(EventId(number)) = last {
+            if !self.has_events {
+                self.request.record_version();
+            }
             self.has_events = true;
             self.request.incoming.record_last_event(number);
             self.request.record_event();
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -73,6 +73,8 @@
     pub credentials: Credentials,
     /// The last event received, when the caller resumes a stream.
     pub after_event: Option<EventId>,
+    /// The attempt that brought the first event of a stream that the caller resumes; `None` if it names none.
+    pub resumes: Option<CallId>,
 }
 
 /// What a caller states about a request to a model.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -19,7 +19,7 @@
 
 use super::engine_pools::EnginePools;
 use super::freshness::Freshness;
-use super::interfaces::{Call, Hop, Task, Wire};
+use super::interfaces::{Call, CallId, Hop, Task, Wire};
 use super::limits::StatedLimits;
 use super::metrics::{RelayMetrics, RequestSummary};
 use super::peers::Peers;
@@ -105,6 +105,9 @@
             version: self.state.table.load().version().0,
             outcome: trace.outcome(),
             steps: trace.steps(),
+            versions: trace.versions(),
+            after_event: self.call.after_event.unwrap_or_default().0,
+            resumes: self.call.resumes.as_ref().map_or("", CallId::as_str),
             fingerprint: self.fingerprint,
             generation: self.call.generation.as_ref().map(|generation| {
                 let hint = generation.answer_tokens_hint.unwrap_or_default();
@@ -133,6 +136,11 @@
         self.trace.lock().record_first_event(self.arrived.elapsed());
     }
 
+    /// Records the software version of an engine that begins to send events.
+    pub fn record_version(&self, version: &str) {
+        self.trace.lock().record_version(version);
+    }
+
     /// Records the id of the last event sent to the caller.
     pub fn record_last_event(&self, last: u64) {
         self.trace.lock().record_event(self.arrived.elapsed(), last);
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -381,6 +381,13 @@
         }
     }
 
+    /// Records the software version of the engine that answers.
+    pub(super) fn record_version(&self) {
+        let listing = self.state.directory.listing();
+        let server = self.decode_attempt.as_ref().and_then(|attempt| listing.servers.get(attempt.server()));
+        self.incoming.record_version(server.map_or("unlisted", |server| server.version_label()));
+    }
+
     /// Whether the caller has received any event, including those of earlier attempts.
     pub(super) fn has_events(&self) -> bool {
         self.last_event.is_some()
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -67,6 +67,8 @@
     text: String,
     outcome: Option<&'static str>,
     first_event: Option<Duration>,
+    /// Software versions of the engines that sent events, in order, separated by spaces.
+    versions: String,
     last_event: u64,
     last_event_at: Option<Duration>,
     longest_pause: Duration,
@@ -100,6 +102,20 @@
         self.last_event = last;
     }
 
+    /// Records the software version of an engine that begins to send events.
+    pub fn record_version(&mut self, version: &str) {
+        if self.versions.rsplit(' ').next() != Some(version) {
+            let gap = if self.versions.is_empty() { "" } else { " " };
+            // Writing to a string cannot fail.
+            let _ = write!(self.versions, "{gap}{version}");
+        }
+    }
+
+    /// Software versions of the engines that sent events, in order, separated by spaces.
+    pub fn versions(&self) -> &str {
+        &self.versions
+    }
+
     /// Longest time between two events.
     pub fn longest_pause_ms(&self) -> u64 {
         u64::try_from(self.longest_pause.as_millis()).unwrap_or(u64::MAX)
--- a/crates/router/tests/ops/directory.rs
+++ b/crates/router/tests/ops/directory.rs
@@ -14,6 +14,7 @@
     ListedHost {
         id: id(name),
         lifetime: None,
+        version: None,
         kind: ListedKind::Plain,
         address: "127.0.0.1:1".parse().expect("address"),
         peer_address: None,
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -10,6 +10,7 @@
     ListedHost {
         id: name.parse().unwrap(),
         lifetime: None,
+        version: None,
         kind: ListedKind::Plain,
         address: "10.1.0.9:80".parse().unwrap(),
         peer_address: None,
