--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -214,6 +214,18 @@
         self.state.is_ready()
     }
 
+    /// Number of other daemons heard from recently.
+    pub fn live_peers(&self) -> u32 {
+        self.state.peers.live()
+    }
+
+    /// Ends the daemon without completing its open requests, as a kill of its process would.
+    pub fn abort(self) {
+        let Self { traffic, control, .. } = self;
+        control.shutdown_background();
+        traffic.shutdown_background();
+    }
+
     /// Version of the route table in force.
     pub fn routes_version(&self) -> TableVersion {
         self.state.table.load().version()
