--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -154,10 +154,6 @@
     /// A service that routes refer to: engines of one kind, or instances of one plain service.
     ServiceId, "service", MAX_NAME_BYTES, is_name_character
 );
-text_id!(
-    /// Version of a backend server's software. Versions have no order; two of them are the same or different.
-    SoftwareVersion, "software version", MAX_NAME_BYTES, is_version_character
-);
 text_id!(
     /// A caller's identifier for a request that must not be executed twice. Unique per partner.
     IdempotencyKey, "idempotency key", MAX_IDEMPOTENCY_KEY_BYTES, is_key_character
@@ -319,3 +315,45 @@
         text.parse().map(Self).map_err(|_| ParseIdError::Number { kind: "lifetime" })
     }
 }
+
+/// Version of a backend server's software. Versions have no order: two of them are the same or different. The default
+/// is that of servers that state none, which count as one version.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "Option<String>", into = "Option<String>")]
+pub struct SoftwareVersion(Option<Arc<str>>);
+
+impl SoftwareVersion {
+    /// The version as text, or `unstated`.
+    pub fn as_str(&self) -> &str {
+        self.0.as_deref().unwrap_or("unstated")
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        check_text("software version", text, MAX_NAME_BYTES, is_version_character)?;
+        Ok(Self(Some(Arc::from(text))))
+    }
+}
+
+impl TryFrom<Option<String>> for SoftwareVersion {
+    type Error = ParseIdError;
+
+    fn try_from(text: Option<String>) -> Result<Self, Self::Error> {
+        text.map_or(Ok(Self(None)), |text| text.parse())
+    }
+}
+
+impl From<SoftwareVersion> for Option<String> {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0.map(|text| text.as_ref().to_owned())
+    }
+}
--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -2,10 +2,10 @@
 
 use super::EnginePool;
 use super::engine::Engine;
-use super::events::{Demand, EngineAction, EngineRefusal, Role};
+use super::events::{Demand, EngineAction, EngineRefusal, VersionBinding};
 use super::open_request::{OpenRequest, Payment, Stage};
 use super::prefill::START_MARGIN_MS;
-use crate::ids::RequestId;
+use crate::ids::{RequestId, SoftwareVersion};
 use crate::outcome::{Attempts, Outcome};
 use crate::retry_budget::LENDER_TIMEOUT_MS;
 use crate::units::{Micros, Millis, MonoTime, Tokens};
@@ -35,14 +35,13 @@
             prefills: 0,
             prefilled: None,
             failed_at: None,
+            decode_version: SoftwareVersion::default(),
             payment: Payment::None,
             progress: None,
         };
         self.open.insert(request_id, open);
-        if !self.has_decode_engine(now_us) {
-            self.refuse(now_us, request_id, EngineRefusal::NoEngine, actions);
-        } else if self.all_resting_until(now_us).is_some() {
-            self.refuse(now_us, request_id, EngineRefusal::Resting, actions);
+        if let Some(reason) = self.unservable(now_us, &self.open[&request_id].demand.binding) {
+            self.refuse(now_us, request_id, reason, actions);
         } else if self.waiting.len() >= self.settings.waiting_max
             || self.would_miss_target(now_us, request_id)
         {
@@ -64,25 +63,35 @@
         let within_ms =
             if self.is_late(now_us, open, backlog) { open.max_wait_ms() } else { open.demand.target_ms };
         let limit_us = Micros::from(within_ms.saturating_sub(prefill_ms + START_MARGIN_MS));
-        let is_limited = self.limited_wait(now_us).is_some_and(|wait_us| wait_us > limit_us);
-        is_limited
-            || self.expected_wait_us(now_us, open.final_tokens).is_none_or(|wait_us| wait_us > limit_us)
+        let binding = &open.demand.binding;
+        let is_limited = self.limited_wait(now_us, binding).is_some_and(|wait_us| wait_us > limit_us);
+        let wait_us = self.expected_wait_us(now_us, open.final_tokens, binding);
+        is_limited || wait_us.is_none_or(|wait_us| wait_us > limit_us)
     }
 
-    /// Time until a decode engine accepts one more request, if all of them have used up the limits that they
-    /// state; `None` if at least one has not.
-    pub(super) fn limited_wait(&self, now_us: MonoTime) -> Option<Micros> {
-        let decode_engines = self.engines.iter().filter(|engine| engine.accepts_decodes(now_us));
+    /// Time until a decode engine accepts one more request with this binding, if all of them have used up the
+    /// limits that they state; `None` if at least one has not.
+    pub(super) fn limited_wait(&self, now_us: MonoTime, binding: &VersionBinding) -> Option<Micros> {
+        let decode_engines = self
+            .engines
+            .iter()
+            .filter(|engine| engine.accepts_decodes(now_us) && binding.allows(&engine.version));
         let opens_us: Option<Vec<MonoTime>> =
             decode_engines.map(|decode_engine| decode_engine.instance.limited_until(now_us)).collect();
         Some(opens_us?.into_iter().min()?.since(now_us))
     }
 
-    /// Time until there is room for one more request behind all that wait at any daemon; `None` while no
-    /// decode engine accepts requests, since nothing known tells when one will.
-    pub(super) fn expected_wait_us(&self, now_us: MonoTime, final_tokens: Tokens) -> Option<Micros> {
+    /// Time until there is room for one more request with this binding behind all that wait at any daemon; `None`
+    /// while no decode engine accepts such requests, since nothing known tells when one will.
+    pub(super) fn expected_wait_us(
+        &self,
+        now_us: MonoTime,
+        final_tokens: Tokens,
+        binding: &VersionBinding,
+    ) -> Option<Micros> {
         let limit = self.memory_limit();
-        let decode_engines = || self.engines.iter().filter(|engine| engine.accepts_decodes(now_us));
+        let is_usable = |engine: &&Engine| engine.accepts_decodes(now_us) && binding.allows(&engine.version);
+        let decode_engines = || self.engines.iter().filter(is_usable);
         let peak = |decode_engine: &Engine| decode_engine.peak(now_us, &self.fleet_stats, None);
         let count = decode_engines().count();
         if count == 0 {
@@ -141,18 +150,25 @@
         Tokens(expected.min(longest) as u64)
     }
 
-    pub(super) fn has_decode_engine(&self, now_us: MonoTime) -> bool {
-        self.engines
-            .iter()
-            .any(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us))
+    pub(super) fn has_decode_engine(&self, now_us: MonoTime, binding: &VersionBinding) -> bool {
+        self.engines.iter().any(|engine| engine.decodes_for(now_us, binding))
     }
 
-    /// End of the first rest, if all decode engines have asked for one.
-    pub(super) fn all_resting_until(&self, now_us: MonoTime) -> Option<MonoTime> {
-        let live = self
-            .engines
-            .iter()
-            .filter(|engine| engine.role == Role::Decode && engine.instance.is_listed_live(now_us));
+    /// Why no engine can serve a request with this binding; `None` if one can.
+    fn unservable(&self, now_us: MonoTime, binding: &VersionBinding) -> Option<EngineRefusal> {
+        if self.has_decode_engine(now_us, binding) {
+            return self.all_resting_until(now_us, binding).map(|_| EngineRefusal::Resting);
+        }
+        if self.has_decode_engine(now_us, &VersionBinding::Any) {
+            Some(EngineRefusal::VersionGone)
+        } else {
+            Some(EngineRefusal::NoEngine)
+        }
+    }
+
+    /// End of the first rest, if all decode engines for requests with this binding have asked for one.
+    pub(super) fn all_resting_until(&self, now_us: MonoTime, binding: &VersionBinding) -> Option<MonoTime> {
+        let live = self.engines.iter().filter(|engine| engine.decodes_for(now_us, binding));
         let ends: Option<Vec<MonoTime>> = live.map(|engine| engine.instance.resting_until(now_us)).collect();
         ends?.into_iter().min()
     }
@@ -165,24 +181,25 @@
     pub(super) fn refuse_expired(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
         let backlog = self.least_backlog(now_us);
         let in_time_tokens = self.waiting_tokens(now_us) + self.peers.waiting();
-        let unservable = if self.has_decode_engine(now_us) {
-            self.all_resting_until(now_us).map(|_| EngineRefusal::Resting)
-        } else {
-            Some(EngineRefusal::NoEngine)
-        };
-        let expired: Vec<RequestId> = self
+        let expired: Vec<(RequestId, Option<EngineRefusal>)> = self
             .waiting
             .iter()
-            .filter(|request_id| {
-                let open = &self.open[*request_id];
+            .filter_map(|request_id| {
+                let open = &self.open[request_id];
+                let unservable = self.unservable(now_us, &open.demand.binding);
                 let not_run = open.attempts.outcome() == Outcome::NotRun;
                 let yields = not_run && in_time_tokens > Tokens::ZERO && self.is_late(now_us, open, backlog);
-                let is_unservable = unservable.is_some() && !open.has_started;
-                yields || is_unservable || now_us >= open.waits_since_us + open.max_wait_ms()
+                let is_unservable = match unservable {
+                    // An interrupted answer waits for an engine, except where none of its version is left.
+                    Some(EngineRefusal::VersionGone) => true,
+                    Some(_) => !open.has_started,
+                    None => false,
+                };
+                let is_over = yields || is_unservable || now_us >= open.waits_since_us + open.max_wait_ms();
+                is_over.then_some((*request_id, unservable))
             })
-            .copied()
             .collect();
-        for request_id in expired {
+        for (request_id, unservable) in expired {
             let ran = self.open[&request_id].attempts.outcome() != Outcome::NotRun;
             if ran {
                 self.give_up(now_us, request_id, actions);
--- a/crates/core/src/relay/engines/completion.rs
+++ b/crates/core/src/relay/engines/completion.rs
@@ -67,12 +67,20 @@
         self.requeue(now_us, request_id, actions);
     }
 
+    /// Binds a request to the software version of its decode engine.
+    pub(super) fn bind(&mut self, request_id: RequestId) {
+        if let Some(open) = self.open.get_mut(&request_id) {
+            open.bind();
+        }
+    }
+
     pub(super) fn started(&mut self, now_us: MonoTime, request_id: RequestId) {
         let Some(open) = self.open.get_mut(&request_id) else {
             return;
         };
         open.prefilled = None;
         open.has_started = true;
+        open.bind();
         let Stage::Decoding { decode_engine, since_us, own_prefill_tokens } = &mut open.stage else {
             return;
         };
@@ -151,8 +159,11 @@
         if open.has_started {
             open.waits_since_us = now_us;
         }
-        match open.attempts.may_begin() {
-            Ok(()) if self.has_decode_engine(now_us) => self.waiting.push(request_id),
+        let may_begin = open.attempts.may_begin();
+        match may_begin {
+            Ok(()) if self.has_decode_engine(now_us, &self.open[&request_id].demand.binding) => {
+                self.waiting.push(request_id);
+            }
             Ok(()) | Err(RetryRefusal::Exhausted | RetryRefusal::MayHaveRun | RetryRefusal::Reported) => {
                 self.give_up(now_us, request_id, actions);
             }
@@ -196,17 +207,18 @@
         let Some(open) = self.open.get(&request_id) else {
             return RETRY_AFTER_MS;
         };
-        if let Some(until_us) = self.all_resting_until(now_us) {
+        let binding = &open.demand.binding;
+        if let Some(until_us) = self.all_resting_until(now_us, binding) {
             return until_us.since(now_us).to_millis_ceil();
         }
-        let Some(wait_us) = self.expected_wait_us(now_us, open.final_tokens) else {
+        let Some(wait_us) = self.expected_wait_us(now_us, open.final_tokens, binding) else {
             return RETRY_AFTER_MS;
         };
         let percent = RETRY_SPREAD_MIN_PERCENT
             + request_id.sequence.wrapping_mul(RETRY_SPREAD_STEP_PERCENT) % RETRY_SPREAD_WIDTH_PERCENT;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
         let answer_us = self.typical_hold_us() as u64 * percent / PERCENT;
-        let limited_us = self.limited_wait(now_us).unwrap_or_default();
+        let limited_us = self.limited_wait(now_us, binding).unwrap_or_default();
         (wait_us.max(limited_us) + Micros(answer_us)).to_millis_ceil()
     }
 
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashMap;
 
-use super::events::{EngineUsage, ListedEngine, Role};
+use super::events::{EngineUsage, ListedEngine, Role, VersionBinding};
 use super::memory::{Growth, headroom, peak};
 use super::peers::{NodeHash, PeerIndex};
 use super::stats::WorkloadStats;
-use crate::ids::RequestId;
+use crate::ids::{RequestId, SoftwareVersion};
 use crate::sched::InstanceSettings;
 use crate::sched::instance::Instance;
 use crate::units::{Millis, MonoTime, Tokens};
@@ -20,6 +20,8 @@
     /// Liveness, drain state and health.
     pub(super) instance: Instance,
     pub(super) role: Role,
+    /// Version of its software.
+    pub(super) version: SoftwareVersion,
     /// Whether it is in the daemon's data centre.
     pub(super) is_local: bool,
     /// Prompt tokens that it is prefilling for this daemon.
@@ -43,6 +45,7 @@
     pub(super) fn new(settings: InstanceSettings, listed: ListedEngine) -> Self {
         Self {
             role: listed.role,
+            version: listed.version,
             is_local: listed.is_local,
             node_hash: NodeHash::of_engine(&listed.server),
             instance: Instance::new(settings, listed.server, listed.slots, listed.leaving),
@@ -62,6 +65,7 @@
         if !self.is_changing_role(now_us) {
             self.role = listed.role;
         }
+        self.version.clone_from(&listed.version);
         self.instance.relist(listed.slots, listed.leaving);
     }
 
@@ -99,6 +103,11 @@
         self.instance.in_flight() + self.peer_usage.load.running
     }
 
+    /// Whether it is a listed decode engine at which a request with this binding may run.
+    pub(super) fn decodes_for(&self, now_us: MonoTime, binding: &VersionBinding) -> bool {
+        self.role == Role::Decode && self.instance.is_listed_live(now_us) && binding.allows(&self.version)
+    }
+
     /// Whether it accepts requests to decode. An engine that was set aside does as soon as it may be tried
     /// again: if all of them are set aside, requests still have to be admitted to find out that they are
     /// back.
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -4,7 +4,7 @@
 
 use super::memory::Growth;
 use super::stats::WorkloadStats;
-use crate::ids::{BackendServerId, HostId, RequestId};
+use crate::ids::{BackendServerId, HostId, RequestId, SoftwareVersion};
 use crate::outcome::Repeatability;
 use crate::retry_budget::LoanRequest;
 use crate::sched::{FailureCause, Hold, LimitReached};
@@ -19,11 +19,34 @@
     Decode,
 }
 
+/// Software versions at which a request may run. What two versions write does not fit together, so an answer of
+/// which the caller has a part may go on only at the version that began it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum VersionBinding {
+    /// Any version: the caller has no event of the answer.
+    #[default]
+    Any,
+    /// Only this version.
+    Only(SoftwareVersion),
+}
+
+impl VersionBinding {
+    /// Whether the request may run at an engine of this version.
+    pub fn allows(&self, version: &SoftwareVersion) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(bound) => bound == version,
+        }
+    }
+}
+
 /// An engine as listed by the platform.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedEngine {
     /// Name of the engine.
     pub server: BackendServerId,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Its role.
     pub role: Role,
     /// Number of requests that it runs at once.
@@ -59,6 +82,8 @@
     pub max_wait_ms: Millis,
     /// Priority; smaller values go first.
     pub priority: u8,
+    /// Software versions at which it may run.
+    pub binding: VersionBinding,
 }
 
 /// Load that an engine reports with an answer.
@@ -142,6 +167,11 @@
         /// Cause of the failure.
         cause: FailureCause,
     },
+    /// The request may go on only at the software version of its decode engine, although no event has arrived.
+    Bound {
+        /// The request.
+        request_id: RequestId,
+    },
     /// The first event of the answer arrived.
     Started {
         /// The request.
@@ -223,6 +253,8 @@
     WouldWaitTooLong,
     /// No engine accepts requests.
     NoEngine,
+    /// No engine of the software version that began the answer accepts requests.
+    VersionGone,
     /// All decode engines have asked for a rest.
     Resting,
     /// The attempts of the request or the retry budget of the service are used up; no attempt ran.
@@ -262,6 +294,8 @@
         decode_engine: BackendServerId,
         /// Engine that holds the KV cache to fetch; absent if the decode engine prefills the prompt itself.
         prefill_engine: Option<BackendServerId>,
+        /// Software version of the decode engine.
+        version: SoftwareVersion,
     },
     /// Tell the caller that the request did not run.
     Refuse {
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -18,6 +18,7 @@
 mod role_balance;
 mod settings;
 mod stats;
+mod versions;
 
 use std::collections::HashMap;
 
@@ -28,7 +29,7 @@
 use engine::Engine;
 pub use events::{
     Demand, EngineAction, EngineCounters, EngineEvent, EngineRefusal, EngineUsage, ListedEngine, PoolUsage,
-    ReportedLoad, Role,
+    ReportedLoad, Role, VersionBinding,
 };
 pub use memory::{Growth, headroom, peak};
 use open_request::OpenRequest;
@@ -38,6 +39,7 @@
 pub use settings::EnginePoolSettings;
 use stats::DecayingStats;
 pub use stats::WorkloadStats;
+use versions::ListedVersions;
 
 /// Places one daemon's requests for one service of engines.
 #[derive(Debug)]
@@ -59,6 +61,8 @@
     peers: Peers,
     /// State for judging the split between prefill and decode engines.
     role_balance: RoleBalance,
+    /// Software versions of the listed engines.
+    versions: ListedVersions,
     /// Start position of the search for an engine, so that equal engines are used in turn.
     rotation: usize,
 }
@@ -80,6 +84,7 @@
             fleet_stats: WorkloadStats::default(),
             peers: Peers::default(),
             role_balance: RoleBalance::default(),
+            versions: ListedVersions::default(),
             rotation,
         }
     }
@@ -129,6 +134,7 @@
             EngineEvent::PrefillFailed { request_id, cause } => {
                 self.prefill_failed(now_us, request_id, cause, actions);
             }
+            EngineEvent::Bound { request_id } => self.bind(request_id),
             EngineEvent::Started { request_id } => self.started(now_us, request_id),
             EngineEvent::Progress { request_id, events, longest_pause_ms } => {
                 self.progress(now_us, request_id, events, longest_pause_ms);
@@ -206,6 +212,7 @@
     }
 
     fn update_engines(&mut self, now_us: MonoTime, list: Vec<ListedEngine>) {
+        self.versions = ListedVersions::of(&list);
         for engine in &mut self.engines {
             engine.instance.unlist();
         }
--- a/crates/core/src/relay/engines/open_request.rs
+++ b/crates/core/src/relay/engines/open_request.rs
@@ -1,7 +1,8 @@
 //! A request that has not ended.
 
-use super::events::Demand;
+use super::events::{Demand, VersionBinding};
 use super::memory::Growth;
+use crate::ids::SoftwareVersion;
 use crate::outcome::Attempts;
 use crate::units::{Millis, MonoTime, Tokens};
 
@@ -65,6 +66,13 @@
         if self.has_started { demand.max_wait_ms } else { demand.max_wait_ms.min(demand.target_ms) }
     }
 
+    /// Binds it to the software version of its last decode attempt, unless it is bound already.
+    pub(super) fn bind(&mut self) {
+        if self.demand.binding == VersionBinding::Any {
+            self.demand.binding = VersionBinding::Only(self.decode_version.clone());
+        }
+    }
+
     /// Its memory on a decode engine before the answer begins.
     pub(super) fn growth(&self) -> Growth {
         let prompt = self.demand.prompt_tokens;
@@ -94,6 +102,8 @@
     /// Engine that prefilled the prompt, and when, as long as the KV cache may still be held.
     pub(super) prefilled: Option<(usize, MonoTime)>,
     pub(super) failed_at: Option<usize>,
+    /// Software version of the engine of the last decode attempt.
+    pub(super) decode_version: SoftwareVersion,
     /// Whether the next attempt was paid for, and until when it waits for credit.
     pub(super) payment: Payment,
     /// Number of events of the answer at the last progress report, and when that was.
--- a/crates/core/src/relay/engines/placement.rs
+++ b/crates/core/src/relay/engines/placement.rs
@@ -1,7 +1,7 @@
 //! Choice of the engines for a request.
 
 use super::EnginePool;
-use super::events::{EngineAction, Role};
+use super::events::{EngineAction, Role, VersionBinding};
 use super::memory::Growth;
 use super::open_request::{Payment, Stage};
 use crate::ids::RequestId;
@@ -11,21 +11,28 @@
 impl EnginePool {
     /// Places queued requests, the most urgent first, as long as there is room.
     pub(super) fn place_waiting(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
-        while let Some(position) = self.most_urgent(now_us) {
-            let request_id = self.waiting[position];
-            if !self.place(now_us, request_id, actions) {
+        let mut blocked = Vec::new();
+        while let Some(request_id) = self.most_urgent(now_us, &blocked) {
+            if self.place(now_us, request_id, actions) {
+                self.waiting.retain(|&waiting| waiting != request_id);
+                continue;
+            }
+            // Engines of other versions may still have room for the requests behind it.
+            if self.open[&request_id].demand.binding == VersionBinding::Any {
                 return;
             }
-            self.waiting.retain(|&waiting| waiting != request_id);
+            blocked.push(request_id);
         }
     }
 
     /// Interrupted answers go first: half an answer is worthless to its caller. Next, requests that can still
     /// be in time go before late ones: a slot given to a late request makes the next one late as well. Ties
     /// are broken by priority, then by arrival.
-    fn most_urgent(&self, now_us: MonoTime) -> Option<usize> {
-        let placeable = |position: &usize| !self.open[&self.waiting[*position]].needs_payment();
-        if !(0..self.waiting.len()).any(|position| placeable(&position)) {
+    fn most_urgent(&self, now_us: MonoTime, blocked: &[RequestId]) -> Option<RequestId> {
+        let placeable = |request_id: &&RequestId| {
+            !self.open[*request_id].needs_payment() && !blocked.contains(request_id)
+        };
+        if !self.waiting.iter().any(|request_id| placeable(&request_id)) {
             return None;
         }
         let backlog = self.least_backlog(now_us);
@@ -39,7 +46,7 @@
                 *request_id,
             )
         };
-        (0..self.waiting.len()).filter(placeable).min_by_key(|&position| key(&self.waiting[position]))
+        self.waiting.iter().filter(placeable).min_by_key(|request_id| key(request_id)).copied()
     }
 
     /// Chooses engines for a request; returns false if there is no room for it.
@@ -48,8 +55,9 @@
         let (growth, failed_at) = (open.growth(), open.failed_at);
         let is_late = !open.has_started && self.is_late(now_us, open, self.least_backlog(now_us));
         let limit = if is_late { self.late_limit() } else { self.memory_limit() };
-        let eligible = self.eligible_decode_engines(now_us, growth, limit, failed_at);
-        let Some(decode_engine) = self.choose_decode_engine(&eligible) else {
+        let eligible = self.eligible_decode_engines(now_us, growth, limit, failed_at, &open.demand.binding);
+        let is_bound = open.demand.binding != VersionBinding::Any;
+        let Some(decode_engine) = self.choose_decode_engine(&eligible, is_bound) else {
             return false;
         };
         self.engines[decode_engine].hold(now_us, request_id, growth);
@@ -130,15 +138,21 @@
         };
         let (prompt_tokens, failed_at, prefilled) =
             (open.demand.prompt_tokens, open.failed_at, open.prefilled);
-        let held = prefilled.filter(|&(_, prefilled_us)| now_us < prefilled_us + self.settings.hold_ms);
+        let version = self.engines[decode_engine].version.clone();
+        let held = prefilled.filter(|&(prefill_engine, prefilled_us)| {
+            now_us < prefilled_us + self.settings.hold_ms && self.engines[prefill_engine].version == version
+        });
         // A repeated prefill and a repeated decode are charged one each, and so is a refused prefill. If the
         // budget does not cover that, the decode engine prefills the prompt: slower, but free.
         let price = u64::from(open.prefills > 0) + u64::from(open.needs_payment());
         let can_pay = self.budget.can_afford(now_us, price);
         let prefill_engine = match held {
-            None if can_pay => self.choose_prefill_engine(now_us, failed_at).filter(|&prefill_engine| {
-                !self.should_prefill_on_decode_engine(now_us, decode_engine, prefill_engine, open)
-            }),
+            None if can_pay => {
+                let chosen = self.choose_prefill_engine(now_us, failed_at, &VersionBinding::Only(version));
+                chosen.filter(|&prefill_engine| {
+                    !self.should_prefill_on_decode_engine(now_us, decode_engine, prefill_engine, open)
+                })
+            }
             Some(_) | None => None,
         };
         let Some(open) = self.open.get_mut(&request_id) else {
@@ -181,6 +195,7 @@
         let own_prefill_tokens =
             if prefill_engine.is_some() { Tokens::ZERO } else { open.demand.prompt_tokens };
         open.stage = Stage::Decoding { decode_engine, since_us: now_us, own_prefill_tokens };
+        open.decode_version.clone_from(&self.engines[decode_engine].version);
         self.engines[decode_engine].add_prefill(own_prefill_tokens);
         let is_further = open.attempts.made() > 0;
         let is_paid = !open.needs_payment() || self.budget.try_withdraw(now_us);
@@ -196,6 +211,7 @@
             decode_engine: self.engines[decode_engine].instance.server().clone(),
             prefill_engine: prefill_engine
                 .map(|prefill_engine| self.engines[prefill_engine].instance.server().clone()),
+            version: self.engines[decode_engine].version.clone(),
         });
     }
 
@@ -207,11 +223,23 @@
         growth: Growth,
         limit: Tokens,
         failed_at: Option<usize>,
+        binding: &VersionBinding,
     ) -> Vec<usize> {
+        // The last engine of a version is tried again: an answer cannot go on anywhere else.
+        let is_last = |failed_at: &usize| {
+            *binding != VersionBinding::Any
+                && !self
+                    .engines
+                    .iter()
+                    .enumerate()
+                    .any(|(index, engine)| index != *failed_at && engine.decodes_for(now_us, binding))
+        };
+        let excluded = failed_at.filter(|failed_at| !is_last(failed_at));
         let accepts = |index: &usize| {
             let engine = &self.engines[*index];
             engine.role == Role::Decode
-                && Some(*index) != failed_at
+                && Some(*index) != excluded
+                && binding.allows(&engine.version)
                 && !engine.is_full(now_us)
                 && engine.has_slot(now_us)
         };
@@ -243,13 +271,17 @@
     /// Daemons learn of each other's choices some milliseconds late, so many of them would pick the emptiest
     /// engine, or one that has just become free, and it would run out of memory. So while requests wait at
     /// other daemons too, an engine goes to the daemon that its rendezvous hash selects; otherwise the least
-    /// filled ones are used in turn.
-    fn choose_decode_engine(&mut self, eligible: &[usize]) -> Option<usize> {
+    /// filled ones are used in turn, those of versions that serve best first. A request that is bound to a version has
+    /// too few engines to wait for its own one.
+    fn choose_decode_engine(&mut self, eligible: &[usize], is_bound: bool) -> Option<usize> {
         self.rotation = self.rotation.wrapping_add(1);
         let contenders = self.peers.contenders();
-        if contenders.is_empty() {
-            let least_full = eligible.len().div_ceil(LEAST_FULL_DIVISOR).max(1);
-            return eligible.get(self.rotation % least_full).copied();
+        if contenders.is_empty() || is_bound {
+            let least_full = &eligible[..eligible.len().div_ceil(LEAST_FULL_DIVISOR)];
+            let rank = |index: &usize| self.versions.rank(&self.engines[*index].version);
+            let best = least_full.iter().map(rank).min()?;
+            let count = least_full.iter().filter(|index| rank(index) == best).count();
+            return least_full.iter().filter(|index| rank(index) == best).nth(self.rotation % count).copied();
         }
         let is_own = |index: &&usize| {
             let engine = self.engines[**index].node_hash;
--- a/crates/core/src/relay/engines/prefill.rs
+++ b/crates/core/src/relay/engines/prefill.rs
@@ -1,7 +1,7 @@
 //! Where a prompt is prefilled: on a prefill engine, or on the engine that decodes the answer.
 
 use super::EnginePool;
-use super::events::{Demand, Role};
+use super::events::{Demand, Role, VersionBinding};
 use super::open_request::OpenRequest;
 use crate::units::{Micros, Millis, MonoTime, Tokens};
 
@@ -57,7 +57,7 @@
 
     /// Smallest backlog of any prefill engine; `None` if there is none.
     pub(super) fn least_backlog(&self, now_us: MonoTime) -> Option<Tokens> {
-        self.choose_prefill_engine(now_us, None)
+        self.choose_prefill_engine(now_us, None, &VersionBinding::Any)
             .map(|prefill_engine| self.engines[prefill_engine].prefill_backlog())
     }
 
@@ -86,12 +86,19 @@
         }
     }
 
-    /// The prefill engine with the smallest backlog.
-    pub(super) fn choose_prefill_engine(&self, now_us: MonoTime, failed_at: Option<usize>) -> Option<usize> {
+    /// The prefill engine with the smallest backlog among those that `binding` allows. A KV cache is read at the
+    /// version that wrote it only.
+    pub(super) fn choose_prefill_engine(
+        &self,
+        now_us: MonoTime,
+        failed_at: Option<usize>,
+        binding: &VersionBinding,
+    ) -> Option<usize> {
         let is_eligible = |index: &usize| {
             let engine = &self.engines[*index];
             engine.role == Role::Prefill
                 && Some(*index) != failed_at
+                && binding.allows(&engine.version)
                 && !engine.is_full(now_us)
                 && engine.has_slot(now_us)
         };
--- a/crates/core/tests/relay/cost.rs
+++ b/crates/core/tests/relay/cost.rs
@@ -1,6 +1,6 @@
 //! Cost of one message of another daemon for an engine pool, in a loop to be counted by a tool.
 
-use hibiscusvale_core::ids::HostId;
+use hibiscusvale_core::ids::{HostId, SoftwareVersion};
 use hibiscusvale_core::relay::engines::{
     EngineAction, EngineEvent, EnginePool, EnginePoolSettings, EngineUsage, Growth, ListedEngine, PoolUsage,
     Role,
@@ -31,6 +31,7 @@
         let mut pool = EnginePool::new(settings, &"entry-own".parse().unwrap(), 0);
         let listed = |number: usize| ListedEngine {
             server: format!("engine-{number}").parse().unwrap(),
+            version: SoftwareVersion::default(),
             role: if number.is_multiple_of(PREFILL_DIVISOR) { Role::Prefill } else { Role::Decode },
             slots: 12,
             leaving: false,
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,3 +14,4 @@
 mod server_statements;
 mod simulation;
 mod store_refresh;
+mod versions;
--- a/crates/core/tests/relay/simulation.rs
+++ b/crates/core/tests/relay/simulation.rs
@@ -3,10 +3,10 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
-use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, RequestId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, RequestId, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, Role,
+    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, Role, VersionBinding,
 };
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
@@ -32,7 +32,14 @@
 }
 
 pub fn listed(name: &str, role: Role) -> ListedEngine {
-    ListedEngine { server: server(name), role, slots: 12, leaving: false, is_local: true }
+    ListedEngine {
+        server: server(name),
+        version: SoftwareVersion::default(),
+        role,
+        slots: 12,
+        leaving: false,
+        is_local: true,
+    }
 }
 
 pub fn settings() -> EnginePoolSettings {
@@ -57,6 +64,7 @@
         gap_target_ms: Some(Millis(300)),
         max_wait_ms: Millis(2_700),
         priority: 1,
+        binding: VersionBinding::Any,
     }
 }
 
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -81,8 +81,8 @@
     pub id: BackendServerId,
     /// Its current run; `None` where an id is never used again.
     pub lifetime: Option<Lifetime>,
-    /// Version of the software of that run; `None` if it states none.
-    pub version: Option<SoftwareVersion>,
+    /// Version of the software of that run.
+    pub version: SoftwareVersion,
     /// Address for requests.
     pub address: SocketAddr,
     /// Data centre.
@@ -96,11 +96,6 @@
 }
 
 impl BackendServer {
-    /// Software version, for logs.
-    pub fn version_label(&self) -> &str {
-        self.version.as_ref().map_or("unstated", SoftwareVersion::as_str)
-    }
-
     /// Role or leaving state, for logs.
     pub fn state_label(&self) -> &'static str {
         match (&self.kind, self.listed) {
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -133,9 +133,9 @@
     /// Its current run; `None` where an id is never used again.
     #[serde(default)]
     pub lifetime: Option<Lifetime>,
-    /// Version of the software that it runs; `None` if it states none.
+    /// Version of the software that it runs.
     #[serde(default)]
-    pub version: Option<SoftwareVersion>,
+    pub version: SoftwareVersion,
     /// Kind of service that runs on it.
     pub kind: ListedKind,
     /// Address for requests.
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -389,10 +389,10 @@
             ids.join(" ")
         };
         let added = after.values().filter(|now| !before.contains_key(&now.id));
-        let added: Vec<String> = added.map(|now| format!("{}:{}", now.id, now.version_label())).collect();
+        let added: Vec<String> = added.map(|now| format!("{}:{}", now.id, now.version)).collect();
         let removed = after.removed_since(before).map(BackendServerId::as_str);
         let changed = after.changed_since(before).filter(|now| before.contains_key(&now.id));
-        let changed = changed.map(|now| format!("{}:{}:{}", now.id, now.version_label(), now.state_label()));
+        let changed = changed.map(|now| format!("{}:{}:{}", now.id, now.version, now.state_label()));
         let changed: Vec<String> = changed.collect();
         spdlog::info!(logger: self.logger, "servers changed", kv: {
             came = names(added.iter().map(String::as_str).collect()),
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hibiscusvale_core::ids::RequestId;
 use hibiscusvale_core::quarantine::{CallerIdentity, Fingerprint, RequestIdentity};
+use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::relay::partners::{Partner, UnknownCaller};
 use hibiscusvale_core::relay::routes::Route;
 use hibiscusvale_core::units::{Credit, Millis};
@@ -257,6 +258,7 @@
         fingerprint,
         route,
         service,
+        binding: VersionBinding::Any,
         path: path_of(&parts).to_owned(),
         method: parts.method,
         headers: parts.headers,
@@ -301,6 +303,7 @@
         fingerprint: head.fingerprint,
         route,
         service,
+        binding: head.binding,
         path: path_of(&parts).to_owned(),
         method: parts.method,
         headers: parts.headers,
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -74,9 +74,10 @@
 /// How soon the other daemons need to learn of the change that an event causes.
 fn urgency_of(event: &EngineEvent) -> Urgency {
     match event {
-        EngineEvent::Prefilled { .. } | EngineEvent::Started { .. } | EngineEvent::Progress { .. } => {
-            Urgency::Later
-        }
+        EngineEvent::Prefilled { .. }
+        | EngineEvent::Bound { .. }
+        | EngineEvent::Started { .. }
+        | EngineEvent::Progress { .. } => Urgency::Later,
         EngineEvent::Arrived(_)
         | EngineEvent::Reserved { .. }
         | EngineEvent::ReserveFailed { .. }
@@ -144,6 +145,7 @@
             };
             lists.entry(service.clone()).or_default().push(ListedEngine {
                 server: server.id.clone(),
+                version: server.version.clone(),
                 role: match role {
                     EngineRole::Prefill => Role::Prefill,
                     EngineRole::Decode => Role::Decode,
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -14,9 +14,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hibiscusvale_core::ids::{HostId, PartnerId, RequestId};
+use hibiscusvale_core::ids::{HostId, PartnerId, RequestId, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::quarantine::Fingerprint;
+use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::Millis;
 use http::header::HeaderName;
@@ -33,6 +34,7 @@
 use super::reach::Helper;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
+use super::stream::AnswerVersion;
 use super::trace::Step;
 use super::{callers, hop, state_transfer};
 use crate::backend::{ConnectionReuse, ServerBody, strip_hop_by_hop_headers, uri};
@@ -42,6 +44,13 @@
 /// Header of a forwarded request: a [`ForwardedHead`] as JSON.
 const FORWARDED_HEADER: HeaderName = HeaderName::from_static("x-relay-forwarded");
 
+/// Header of a forwarded request that is bound to a software version: a [`ForwardedHead`] as JSON. A daemon that does not
+/// know bindings refuses the request instead of running it at any version.
+const FORWARDED_BOUND_HEADER: HeaderName = HeaderName::from_static("x-relay-forwarded-bound");
+
+/// Header of the answer to a forwarded request: the software version to which the stream is bound, as JSON.
+const VERSION_HEADER: HeaderName = HeaderName::from_static("x-relay-version");
+
 /// Header of the answer to a forwarded request: a [`ForwardedEnd`] as JSON.
 const END_HEADER: HeaderName = HeaderName::from_static("x-relay-end");
 
@@ -77,6 +86,9 @@
     pub waited_ms: Millis,
     /// The last event that the caller has, when a stream is resumed.
     pub after_event: Option<u64>,
+    /// Software versions at which it may run.
+    #[serde(default)]
+    pub binding: VersionBinding,
 }
 
 /// How a forwarded request ended at the other daemon.
@@ -93,8 +105,8 @@
 /// Result of forwarding a request.
 #[derive(Debug)]
 pub enum Forwarded {
-    /// The answer, with headers for the caller.
-    Answered(Response<ServerBody>),
+    /// The answer, with headers for the caller, and the software version of its engine; `None` if that is not known.
+    Answered(Box<Response<ServerBody>>, Option<SoftwareVersion>),
     /// The refusal for the caller.
     Refused(Refusal),
     /// No other daemon took it, and it has not run.
@@ -106,6 +118,7 @@
 pub async fn forward(
     incoming: &Incoming,
     after_event: Option<EventId>,
+    binding: &VersionBinding,
     tried: &mut Vec<HostId>,
 ) -> Forwarded {
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
@@ -117,7 +130,7 @@
             break;
         };
         tried.push(helper.host.clone());
-        let (response, end) = match send(incoming, &helper, after_event, is_repeatable).await {
+        let (mut response, end) = match send(incoming, &helper, after_event, binding, is_repeatable).await {
             Ok(answered) => answered,
             Err(cause) => {
                 incoming.record_step(Step::ForwardFailed(cause), &helper.host);
@@ -131,7 +144,9 @@
         match end {
             ForwardedEnd::Answered => {
                 incoming.record_step(Step::Forwarded, &helper.host);
-                return Forwarded::Answered(response);
+                let version = response.headers_mut().remove(&VERSION_HEADER);
+                let version = version.and_then(|version| serde_json::from_slice(version.as_bytes()).ok());
+                return Forwarded::Answered(Box::new(response), version);
             }
             ForwardedEnd::Refused { reason, retry_after_ms } => {
                 incoming.record_step(Step::ForwardFailed(FailureCause::Refused), &helper.host);
@@ -154,9 +169,10 @@
     incoming: &Incoming,
     helper: &Helper,
     after_event: Option<EventId>,
+    binding: &VersionBinding,
     is_repeatable: bool,
 ) -> Result<(Response<ServerBody>, ForwardedEnd), FailureCause> {
-    let request = request_of(incoming, helper, after_event).ok_or(FailureCause::NotSent)?;
+    let request = request_of(incoming, helper, after_event, binding).ok_or(FailureCause::NotSent)?;
     // An idle connection may have gone silent.
     let reuse = if is_repeatable { ConnectionReuse::Pooled } else { ConnectionReuse::Fresh };
     let http = &incoming.state.http;
@@ -174,6 +190,7 @@
     incoming: &Incoming,
     helper: &Helper,
     after_event: Option<EventId>,
+    binding: &VersionBinding,
 ) -> Option<Request<Full<Bytes>>> {
     let head = ForwardedHead {
         from: incoming.state.peers.host().clone(),
@@ -184,6 +201,7 @@
         left_ms: incoming.left_ms().saturating_sub(WAY_MS),
         waited_ms: incoming.waited_ms,
         after_event: after_event.map(|event| event.0),
+        binding: binding.clone(),
     };
     let mut request = Request::new(Full::new(incoming.body.clone()));
     *request.method_mut() = incoming.method.clone();
@@ -193,7 +211,12 @@
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     // Replaces what a caller may have set itself.
-    headers.insert(FORWARDED_HEADER, json(&head)?);
+    remove_mark(&mut headers);
+    let mark = match binding {
+        VersionBinding::Any => FORWARDED_HEADER,
+        VersionBinding::Only(_) => FORWARDED_BOUND_HEADER,
+    };
+    headers.insert(mark, json(&head)?);
     *request.headers_mut() = headers;
     Some(request)
 }
@@ -235,7 +258,9 @@
 }
 
 async fn respond(state: &Arc<RelayState>, mut request: Request<DaemonBody>) -> Response<AnswerBody> {
-    let Some(head) = request.headers_mut().remove(&FORWARDED_HEADER) else {
+    let headers = request.headers_mut();
+    let bound = headers.remove(&FORWARDED_BOUND_HEADER);
+    let Some(head) = headers.remove(&FORWARDED_HEADER).or(bound) else {
         return state_transfer::respond(state, &request).map(boxed);
     };
     let Ok(head) = serde_json::from_slice::<ForwardedHead>(head.as_bytes()) else {
@@ -258,6 +283,11 @@
     if let Some(end) = json(&end) {
         response.headers_mut().insert(END_HEADER, end);
     }
+    if let Some(AnswerVersion(version)) = response.extensions_mut().remove()
+        && let Some(version) = json(&version)
+    {
+        response.headers_mut().insert(VERSION_HEADER, version);
+    }
     response
 }
 
@@ -265,7 +295,8 @@
     body.map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Removes the header that marks a forwarded request, which a caller may have set.
+/// Removes the headers that mark a forwarded request, which a caller may have set.
 pub fn remove_mark(headers: &mut HeaderMap) {
     headers.remove(&FORWARDED_HEADER);
+    headers.remove(&FORWARDED_BOUND_HEADER);
 }
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -85,6 +85,10 @@
                         return Err(self.abort(FailureCause::Broken));
                     };
                     if let Some(events) = events {
+                        if let Err(cause) = self.check_version(events.last) {
+                            self.fail_over(cause).await?;
+                            continue;
+                        }
                         self.record_progress(events.last);
                         return Ok(Some(events.bytes));
                     }
@@ -140,11 +144,20 @@
         BodyBroken
     }
 
+    /// Checks that the events come from the software version that began the stream.
+    fn check_version(&mut self, last: Option<EventId>) -> Result<(), FailureCause> {
+        match last {
+            Some(_) if !self.has_events => self.request.begin_events(),
+            Some(_) => {
+                self.request.check_version();
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
     fn record_progress(&mut self, last: Option<EventId>) {
         if let Some(EventId(number)) = last {
-            if !self.has_events {
-                self.request.record_version();
-            }
             self.has_events = true;
             self.request.incoming.record_last_event(number);
             self.request.record_event();
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -6,6 +6,7 @@
 
 use hibiscusvale_core::ids::{BackendServerId, PartnerId};
 use hibiscusvale_core::outcome::Repeatability;
+use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::sched::{FailureCause, PlainAction, PlainArrival, PlainEvent, StatusUpdate};
 use hibiscusvale_core::units::Millis;
 use http::Response;
@@ -54,11 +55,14 @@
 
 /// Forwards a request to another daemon; `None` if none took it, and it has not run.
 async fn relay_through_daemon(incoming: &Incoming) -> Option<Result<Response<AnswerBody>, Refusal>> {
-    let response = match forward::forward(incoming, incoming.call.after_event, &mut Vec::new()).await {
-        Forwarded::Answered(response) => response,
-        Forwarded::Refused(refusal) => return Some(Err(refusal)),
-        Forwarded::NotTaken => return None,
-    };
+    let response =
+        match forward::forward(incoming, incoming.call.after_event, &VersionBinding::Any, &mut Vec::new())
+            .await
+        {
+            Forwarded::Answered(response, _) => *response,
+            Forwarded::Refused(refusal) => return Some(Err(refusal)),
+            Forwarded::NotTaken => return None,
+        };
     let (parts, body) = response.into_parts();
     let buffered = hop::buffer(body, incoming.left()).await;
     let body = buffered.map(|body| Full::new(body).map_err(|never| match never {}).boxed_unsync());
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -35,6 +35,10 @@
     QuotaUnknown,
     /// No server of the service accepts requests.
     NoServer,
+    /// The caller resumes a stream, and it is not known at which software version the stream began.
+    VersionUnknown,
+    /// No server of the software version that began the stream accepts requests.
+    VersionGone,
     /// All servers of the service have asked for a rest.
     ServersResting,
     /// The request would have to queue for too long.
@@ -62,6 +66,8 @@
             Self::OverQuota => "over-quota",
             Self::QuotaUnknown => "quota-unknown",
             Self::NoServer => "no-server",
+            Self::VersionUnknown => "version-unknown",
+            Self::VersionGone => "version-gone",
             Self::ServersResting => "servers-resting",
             Self::WouldWaitTooLong => "would-wait-too-long",
             Self::ServersFull => "servers-full",
@@ -74,7 +80,7 @@
 
 impl Reason {
     /// All reasons.
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 18] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::BodyIncomplete,
@@ -85,6 +91,8 @@
         Self::OverQuota,
         Self::QuotaUnknown,
         Self::NoServer,
+        Self::VersionUnknown,
+        Self::VersionGone,
         Self::ServersResting,
         Self::WouldWaitTooLong,
         Self::ServersFull,
@@ -108,6 +116,8 @@
             // These statuses promise that the request has not run and never will.
             Self::NoTable
             | Self::NoServer
+            | Self::VersionUnknown
+            | Self::VersionGone
             | Self::ServersResting
             | Self::WouldWaitTooLong
             | Self::ServersFull
@@ -146,6 +156,7 @@
         match refusal {
             EngineRefusal::WouldWaitTooLong => Self::WouldWaitTooLong,
             EngineRefusal::NoEngine => Self::NoServer,
+            EngineRefusal::VersionGone => Self::VersionGone,
             EngineRefusal::Resting => Self::ServersResting,
             EngineRefusal::RetriesExhausted => Self::ServersFull,
         }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, PartnerId, RequestId, ServiceId};
 use hibiscusvale_core::quarantine::Fingerprint;
+use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::relay::prior_wait::PriorWaits;
 use hibiscusvale_core::relay::reach::Reached;
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
@@ -53,6 +54,8 @@
     pub route: Route,
     /// Destination service.
     pub service: ServiceId,
+    /// Software versions at which it may run.
+    pub binding: VersionBinding,
     /// Method as received.
     pub method: Method,
     /// Path and query as received.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::ids::{BackendServerId, HostId, Lifetime, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
-use hibiscusvale_core::relay::engines::{Demand, EngineAction, EngineEvent};
+use hibiscusvale_core::relay::engines::{Demand, EngineAction, EngineEvent, EngineRefusal, VersionBinding};
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::Response;
@@ -28,6 +28,7 @@
 use super::trace::Step;
 use crate::backend::{ConnectionReuse, Probe, ServerBody, probe};
 use crate::callers::{AnswerBody, BodyBroken};
+use crate::directory::BackendServer;
 
 /// Maximum queueing time as a multiple of the first-event target. Callers leave after four times the target,
 /// and one is left for the steps still to come.
@@ -60,6 +61,8 @@
         prefilled: None,
         reservation: None,
         decode_attempt: None,
+        answering: None,
+        version: incoming.binding.clone().into(),
         outcome_unknown: false,
         last_event: incoming.call.after_event,
         failed: None,
@@ -77,9 +80,19 @@
         let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
         return Ok(Response::from_parts(parts, body));
     }
-    Ok(forwarding::streamed(parts.status, parts.headers, request, body))
+    // The daemon that forwarded the request learns the version from the head of the answer, before any event.
+    let version = if incoming.forwarded_by.is_some() { request.bind_to_answer() } else { None };
+    let mut response = forwarding::streamed(parts.status, parts.headers, request, body);
+    if let Some(version) = version {
+        response.extensions_mut().insert(AnswerVersion(version));
+    }
+    Ok(response)
 }
 
+/// Extension of the answer to a forwarded request: the software version to which it is bound.
+#[derive(Clone, Debug)]
+pub struct AnswerVersion(pub SoftwareVersion);
+
 fn demand_of(incoming: &Incoming, generation: &Generation) -> Demand {
     Demand {
         request_id: incoming.request_id,
@@ -93,6 +106,7 @@
         gap_target_ms: incoming.route.gap_target_ms,
         max_wait_ms: Millis(incoming.route.target_ms.0 * QUEUE_WAIT_FACTOR).min(incoming.left_ms()),
         priority: incoming.route.priority,
+        binding: incoming.binding.clone(),
     }
 }
 
@@ -132,6 +146,34 @@
     }
 }
 
+/// Software version of the engine that answers.
+struct AnsweringVersion {
+    version: SoftwareVersion,
+    /// Run of the engine that the version belongs to, as listed when the request was sent; `None` where an engine never
+    /// starts again under its id.
+    lifetime: Option<Lifetime>,
+}
+
+/// Software version at which a stream began.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum StreamVersion {
+    /// The caller has no event.
+    NotBegun,
+    /// The version that sent the first event.
+    Known(SoftwareVersion),
+    /// An engine sent events, and it is not known which software it ran.
+    Unknown,
+}
+
+impl From<VersionBinding> for StreamVersion {
+    fn from(binding: VersionBinding) -> Self {
+        match binding {
+            VersionBinding::Any => Self::NotBegun,
+            VersionBinding::Only(version) => Self::Known(version),
+        }
+    }
+}
+
 /// A request on its way through the engines.
 pub(super) struct StreamedRequest {
     state: Arc<RelayState>,
@@ -145,6 +187,10 @@
     reservation: Option<HeldReservation>,
     /// The attempt whose answer is being streamed.
     decode_attempt: Option<Attempt>,
+    /// Software version of the engine whose answer is being streamed; `None` if it is not known.
+    answering: Option<AnsweringVersion>,
+    /// Software version at which the stream began.
+    version: StreamVersion,
     /// Whether an engine may have run the request.
     outcome_unknown: bool,
     /// The last event that the caller has received.
@@ -184,10 +230,16 @@
     async fn forward(&mut self) -> Option<Result<Response<ServerBody>, Refusal>> {
         // The pool of the other daemon places it; this one must not hold a place for it.
         self.open = None;
-        match forward::forward(&self.incoming, self.last_event, &mut self.helpers).await {
-            Forwarded::Answered(response) => {
+        let binding = match &self.version {
+            StreamVersion::NotBegun => VersionBinding::Any,
+            StreamVersion::Known(version) => VersionBinding::Only(version.clone()),
+            StreamVersion::Unknown => return None,
+        };
+        match forward::forward(&self.incoming, self.last_event, &binding, &mut self.helpers).await {
+            Forwarded::Answered(response, version) => {
                 self.decode_attempt = None;
-                Some(Ok(response))
+                self.answering = version.map(|version| AnsweringVersion { version, lifetime: None });
+                Some(Ok(*response))
             }
             Forwarded::Refused(refusal) => Some(Err(refusal.unless_run(self.outcome_unknown))),
             Forwarded::NotTaken => None,
@@ -256,9 +308,9 @@
                     };
                     self.feed(event);
                 }
-                EngineAction::Decode { decode_engine, prefill_engine, .. } => {
+                EngineAction::Decode { decode_engine, prefill_engine, version, .. } => {
                     let source = prefill_engine.and_then(|_| self.prefilled.take());
-                    match self.decode(&decode_engine, source).await {
+                    match self.decode(&decode_engine, source, version).await {
                         Ok(reply) => {
                             self.incoming.record_step(Step::Decoding, &decode_engine);
                             return Ok(reply);
@@ -270,6 +322,10 @@
                         }
                     }
                 }
+                // No time can be given after which engines of that version are back.
+                EngineAction::Refuse { reason: EngineRefusal::VersionGone, .. } => {
+                    return Err(Refusal::new(Reason::VersionGone));
+                }
                 EngineAction::Refuse { reason, retry_after_ms, .. } => {
                     return Err(Refusal::retry_after(reason.into(), retry_after_ms));
                 }
@@ -325,8 +381,14 @@
         &mut self,
         writer: &BackendServerId,
         source: Option<PrefilledPrompt>,
+        version: SoftwareVersion,
     ) -> Result<Reply, FailureCause> {
-        let at = self.state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
+        let listing = self.state.directory.listing();
+        let listed = listing.servers.get(writer).filter(|listed| listed.version == version);
+        // An engine that has another version by now was chosen by an older list.
+        let listed = listed.ok_or(FailureCause::NotSent)?;
+        let at = listed.address;
+        self.answering = Some(AnsweringVersion { version, lifetime: listed.lifetime });
         if self.reservation.is_none() {
             statements::admit(&self.state, writer, 1).await?;
         } else if let Err(held) = self.state.statements.check(writer, CallKind::Work) {
@@ -381,11 +443,54 @@
         }
     }
 
-    /// Records the software version of the engine that answers.
-    pub(super) fn record_version(&self) {
+    /// Checks the software version of the engine that begins to send events, and binds the stream to it.
+    ///
+    /// # Errors
+    ///
+    /// [`FailureCause::Broken`] if the engine may run another version than the one that began the stream; no event of
+    /// it may reach the caller.
+    pub(super) fn begin_events(&mut self) -> Result<(), FailureCause> {
+        let answering = self.answering_version().cloned();
+        let label = answering.as_ref().map_or("unknown", SoftwareVersion::as_str);
+        match (&self.version, &answering) {
+            (StreamVersion::NotBegun, _) => {}
+            (StreamVersion::Known(began), Some(version)) if began == version => {}
+            (StreamVersion::Known(_) | StreamVersion::Unknown, _) => return Err(FailureCause::Broken),
+        }
+        self.incoming.record_version(label);
+        self.version = answering.map_or(StreamVersion::Unknown, StreamVersion::Known);
+        Ok(())
+    }
+
+    /// Checks that the engine that sends events still runs as the list showed it when they began. The list may lag: an
+    /// engine that had started again before is noticed only now, and its stream can go on nowhere else.
+    pub(super) fn check_version(&mut self) {
+        if self.answering_version().is_none() {
+            self.version = StreamVersion::Unknown;
+        }
+    }
+
+    /// Software version of the engine that answers, if it has not started again since the request was sent.
+    fn answering_version(&self) -> Option<&SoftwareVersion> {
+        let answering = self.answering.as_ref()?;
+        let Some(attempt) = &self.decode_attempt else {
+            return Some(&answering.version);
+        };
         let listing = self.state.directory.listing();
-        let server = self.decode_attempt.as_ref().and_then(|attempt| listing.servers.get(attempt.server()));
-        self.incoming.record_version(server.map_or("unlisted", |server| server.version_label()));
+        // An engine that has left the list may still complete its answers.
+        let is_same = |listed: &Arc<BackendServer>| listed.lifetime == answering.lifetime;
+        let is_unchanged = listing.servers.get(attempt.server()).is_none_or(is_same);
+        is_unchanged.then_some(&answering.version)
+    }
+
+    /// Binds the stream to the version of the engine that answers, although no event has arrived.
+    fn bind_to_answer(&mut self) -> Option<SoftwareVersion> {
+        let version = self.answering_version()?.clone();
+        if self.version == StreamVersion::NotBegun {
+            self.version = StreamVersion::Known(version.clone());
+            self.feed_without_message(EngineEvent::Bound { request_id: self.incoming.request_id });
+        }
+        Some(version)
     }
 
     /// Whether the caller has received any event, including those of earlier attempts.
@@ -421,6 +526,9 @@
 
     /// Resumes the stream at another engine after the last event.
     pub(super) async fn resume(&mut self, cause: FailureCause) -> Result<ServerBody, BodyBroken> {
+        if self.version == StreamVersion::Unknown {
+            return Err(BodyBroken);
+        }
         let request_id = self.incoming.request_id;
         self.feed(EngineEvent::DecodeFailed { request_id, cause });
         let deadline = self.incoming.deadline;
--- a/crates/router/tests/ops/directory.rs
+++ b/crates/router/tests/ops/directory.rs
@@ -3,7 +3,7 @@
 
 use hibiscusvale::directory::Directory;
 use hibiscusvale::external::{HostListChange, HostListPage, ListedHost, ListedKind, ListedState};
-use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::ids::{BackendServerId, SoftwareVersion};
 use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
 
 fn id(name: &str) -> BackendServerId {
@@ -14,7 +14,7 @@
     ListedHost {
         id: id(name),
         lifetime: None,
-        version: None,
+        version: SoftwareVersion::default(),
         kind: ListedKind::Plain,
         address: "127.0.0.1:1".parse().expect("address"),
         peer_address: None,
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -3,14 +3,14 @@
 use hibiscusvale::directory::Listing;
 use hibiscusvale::external::{ListedHost, ListedKind, ListedState};
 use hibiscusvale::relay::server_changes::{ServerChange, ServerChangeLog};
-use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::ids::{BackendServerId, SoftwareVersion};
 use hibiscusvale_core::units::BytesPerSecond;
 
 fn plain(name: &str, state: ListedState) -> ListedHost {
     ListedHost {
         id: name.parse().unwrap(),
         lifetime: None,
-        version: None,
+        version: SoftwareVersion::default(),
         kind: ListedKind::Plain,
         address: "10.1.0.9:80".parse().unwrap(),
         peer_address: None,
