Hold streams that callers take up to the software version that began them

The daemon that a caller reaches did not know where the stream had begun, and nobody told it.

The daemon that passes on the first event sends a record (hash of caller, host and attempt; service; version) to others before the event: to all where there are up to 16, else to two of its data centre and two of all, by a hash of the stream. Who does not know a stream asks the same ones, three of each, for up to 150 ms. Where no record exists, or the caller names no attempt, a stream goes on only if one version alone has served for a minute, by the own list without a gap, by another daemon's, or by the platform's history of the list from its first entry on. Else it is refused before it runs, with Retry-After only where a daemon that is silent may know, or the list is old. Records that contradict each other, and an engine that turns out to have started again, make a stream ambiguous. A split route leads a stream back to the service that began it.

--- a/crates/core/src/quarantine/fingerprint.rs
+++ b/crates/core/src/quarantine/fingerprint.rs
@@ -46,27 +46,33 @@
     pub body: &'a [u8],
 }
 
-impl Fingerprint {
-    /// Computes the fingerprint of a request.
-    pub fn of(request: &RequestIdentity<'_>) -> Self {
-        let (kind, caller): (u8, &[u8]) = match request.caller {
-            CallerIdentity::Partner(partner) => (0, partner.as_str().as_bytes()),
-            CallerIdentity::Credentials(credentials) => (1, credentials),
-            CallerIdentity::Anonymous => (2, &[]),
+impl CallerIdentity<'_> {
+    /// Digest of the caller and of further fields. Different sequences of fields have different digests.
+    pub fn digest<const FIELDS: usize>(self, fields: [&[u8]; FIELDS]) -> blake3::OutputReader {
+        let (kind, caller): (u8, &[u8]) = match self {
+            Self::Partner(partner) => (0, partner.as_str().as_bytes()),
+            Self::Credentials(credentials) => (1, credentials),
+            Self::Anonymous => (2, &[]),
         };
         let mut hasher = blake3::Hasher::new();
         hasher.update(&[kind]);
-        let host = request.host.to_ascii_lowercase();
-        let fields =
-            [caller, request.method.as_bytes(), host.as_bytes(), request.path.as_bytes(), request.body];
-        for field in fields {
+        for field in [caller].into_iter().chain(fields) {
             // The length prefix keeps adjacent fields from hashing alike when bytes move from one to the
             // next.
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field);
         }
+        hasher.finalize_xof()
+    }
+}
+
+impl Fingerprint {
+    /// Computes the fingerprint of a request.
+    pub fn of(request: &RequestIdentity<'_>) -> Self {
+        let host = request.host.to_ascii_lowercase();
+        let fields = [request.method.as_bytes(), host.as_bytes(), request.path.as_bytes(), request.body];
         let mut bytes = [0; FINGERPRINT_BYTES];
-        hasher.finalize_xof().fill(&mut bytes);
+        request.caller.digest(fields).fill(&mut bytes);
         Self(bytes)
     }
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -14,3 +14,4 @@
 pub mod routes;
 pub mod server_statements;
 pub mod store_refresh;
+pub mod stream_versions;
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -113,6 +113,20 @@
     }
 }
 
+impl Route {
+    /// Whether requests may go to `service`.
+    pub fn leads_to(&self, service: &ServiceId) -> bool {
+        self.destinations.iter().any(|to| to.weight > 0 && to.service == *service)
+    }
+
+    /// The service that all requests go to; `None` if there are several.
+    pub fn only_destination(&self) -> Option<&ServiceId> {
+        let mut used = self.destinations.iter().filter(|to| to.weight > 0);
+        let only = used.next()?;
+        used.next().is_none().then_some(&only.service)
+    }
+}
+
 /// Configuration of a service.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ServiceSpec {
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,4 +14,5 @@
 mod server_statements;
 mod simulation;
 mod store_refresh;
+mod stream_versions;
 mod versions;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -126,6 +126,27 @@
     pub took_ms: Millis,
 }
 
+/// Log fields of a stream that its caller resumes.
+#[derive(Clone, Copy, Debug)]
+pub struct ResumeLine<'a> {
+    /// Id assigned by the caller.
+    pub call: &'a str,
+    /// The attempt that brought the first event, as named by the caller; empty if it named none.
+    pub resumes: &'a str,
+    /// Service that began the stream; empty if it is not known.
+    pub service: &'a str,
+    /// Software version that began the stream; empty if it is not known.
+    pub version: &'a str,
+    /// How the version is known, or why it is not.
+    pub source: &'a str,
+    /// Age of the record at this daemon; zero if there is none.
+    pub record_age_ms: Millis,
+    /// Number of other daemons that were asked.
+    pub asked: usize,
+    /// Number of those that replied.
+    pub replied: usize,
+}
+
 impl Log {
     /// Creates a log that writes to standard output from a background thread.
     ///
@@ -247,6 +268,22 @@
         }
     }
 
+    /// Logs that a caller resumes a stream.
+    pub fn stream_resumed(&self, line: &ResumeLine<'_>) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "stream resumed", kv: {
+                call = line.call,
+                resumes = line.resumes,
+                service = line.service,
+                version = line.version,
+                source = line.source,
+                record_age_ms = line.record_age_ms.0,
+                asked = line.asked,
+                replied = line.replied,
+            });
+        }
+    }
+
     /// Logs a server crash while a request was in flight.
     pub fn server_crashed(
         &self,
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hibiscusvale_core::ids::RequestId;
+use hibiscusvale_core::ids::{RequestId, ServiceId};
 use hibiscusvale_core::quarantine::{CallerIdentity, Fingerprint, RequestIdentity};
 use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::relay::partners::{Partner, UnknownCaller};
-use hibiscusvale_core::relay::routes::Route;
+use hibiscusvale_core::relay::routes::{Route, RouteKind};
+use hibiscusvale_core::relay::stream_versions::StreamKey;
 use hibiscusvale_core::units::{Credit, Millis};
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, header, request};
@@ -29,12 +30,13 @@
 use tokio_util::sync::CancellationToken;
 
 use super::forward::{self, ForwardedHead};
-use super::interfaces::{Call, EventId};
+use super::interfaces::{Call, CallId, EventId};
 use super::plain;
 use super::quotas::QuotaOwner;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
 use super::stream;
+use super::stream_versions;
 use super::trace::RequestTrace;
 use crate::callers::{AnswerBody, CallerStream, ResetFlag};
 use crate::clock;
@@ -226,8 +228,8 @@
     if !table.is_known() {
         return Err(Refusal::retry_after(Reason::NoTable, NO_TABLE_RETRY_MS));
     }
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let mut route = table.find(host, parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
+    let mut route =
+        table.find(host_of(&parts), parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
     let partner = table.partners().authenticate(call.credentials, route.allows_anonymous);
     let partner = partner.map_err(|unknown| unknown_caller(state, unknown))?;
     route.priority = partner.and_then(|partner| partner.priority).unwrap_or(route.priority);
@@ -246,6 +248,9 @@
         let left_ms = refusal.retry_after_ms.unwrap_or_default();
         state.log.request_refused_in_quarantine(&call.id, fingerprint, left_ms);
     })?;
+    let caller = caller_identity(partner, credentials.as_ref());
+    let host = host_of(&parts);
+    let (service, stream, binding) = resolve_stream(state, &call, &route, service, caller, host).await?;
     let charged = charge(state, &call, partner).await?;
     let waited_ms = state.caller_waits.lock().estimate(clock::now(), &route.name, call.wait_ms);
     state.open.fetch_add(1, Ordering::Relaxed);
@@ -258,7 +263,8 @@
         fingerprint,
         route,
         service,
-        binding: VersionBinding::Any,
+        stream,
+        binding,
         path: path_of(&parts).to_owned(),
         method: parts.method,
         headers: parts.headers,
@@ -284,8 +290,7 @@
     if !table.is_known() {
         return Err(Refusal::retry_after(Reason::NoTable, NO_TABLE_RETRY_MS));
     }
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = table.find(host, parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
+    let route = table.find(host_of(&parts), parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
     let route = Route { priority: head.priority, ..route };
     let service = route.destination(routing_hash(head.request_id));
     let service = service.ok_or(Refusal::new(Reason::NoServer))?.clone();
@@ -303,6 +308,7 @@
         fingerprint: head.fingerprint,
         route,
         service,
+        stream: head.stream,
         binding: head.binding,
         path: path_of(&parts).to_owned(),
         method: parts.method,
@@ -316,6 +322,10 @@
     })
 }
 
+fn host_of(parts: &request::Parts) -> &str {
+    parts.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default()
+}
+
 fn path_of(parts: &request::Parts) -> &str {
     parts.uri.path_and_query().map_or("/", PathAndQuery::as_str)
 }
@@ -326,21 +336,52 @@
     partner: Option<&Partner>,
     body: &[u8],
 ) -> Fingerprint {
-    let caller = match (partner, credentials) {
-        (Some(partner), _) => CallerIdentity::Partner(&partner.id),
-        (None, Some(credentials)) => CallerIdentity::Credentials(credentials.as_bytes()),
-        (None, None) => CallerIdentity::Anonymous,
-    };
-    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let caller = caller_identity(partner, credentials);
     Fingerprint::of(&RequestIdentity {
         caller,
         method: parts.method.as_str(),
-        host: host.unwrap_or_default(),
+        host: host_of(parts),
         path: path_of(parts),
         body,
     })
 }
 
+fn caller_identity<'a>(
+    partner: Option<&'a Partner>,
+    credentials: Option<&'a HeaderValue>,
+) -> CallerIdentity<'a> {
+    match (partner, credentials) {
+        (Some(partner), _) => CallerIdentity::Partner(&partner.id),
+        (None, Some(credentials)) => CallerIdentity::Credentials(credentials.as_bytes()),
+        (None, None) => CallerIdentity::Anonymous,
+    }
+}
+
+/// Service, stream and software versions for a request. A stream that its caller resumes goes on at the service and the
+/// version that began it, whatever the split of its route draws.
+async fn resolve_stream(
+    state: &RelayState,
+    call: &Call,
+    route: &Route,
+    drawn: ServiceId,
+    caller: CallerIdentity<'_>,
+    host: &str,
+) -> Result<(ServiceId, Option<StreamKey>, VersionBinding), Refusal> {
+    if route.kind != (RouteKind::Stream { resumable: true }) {
+        return Ok((drawn, None, VersionBinding::Any));
+    }
+    let key = |attempt: &CallId| StreamKey::of(caller, host, attempt.as_str());
+    if call.after_event.is_none() {
+        return Ok((drawn, Some(key(&call.id)), VersionBinding::Any));
+    }
+    let named = call.resumes.as_ref().map(key);
+    let origin = stream_versions::resolve(state, call, route, named).await?;
+    if !route.leads_to(&origin.service) {
+        return Err(Refusal::new(Reason::VersionGone));
+    }
+    Ok((origin.service, named, VersionBinding::Only(origin.version)))
+}
+
 /// Charges a request to its organisation's quota and returns the amount charged.
 async fn charge(state: &RelayState, call: &Call, partner: Option<&Partner>) -> Result<Credit, Refusal> {
     let limited = partner.and_then(|partner| Some((&partner.id, partner.quota?)));
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -36,6 +36,7 @@
 use super::statements::SharedStatements;
 use super::status::{self, Purpose};
 use super::store_traffic::StoreTraffic;
+use super::stream_versions::SharedStreamVersions;
 use super::watch;
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
@@ -135,6 +136,7 @@
             quotas,
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
+            stream_versions: SharedStreamVersions::new(Arc::clone(&adapters.servers)),
             reach: SharedReach::default(),
             quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -140,7 +140,10 @@
     traffic: Handle,
     state: Arc<RelayState>,
 ) -> io::Result<()> {
-    let socket = UdpSocket::bind(address).await?;
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    state.stream_versions.set_socket(socket.try_clone()?);
+    let socket = UdpSocket::from_std(socket)?;
     let listener = TcpListener::bind(socket.local_addr()?).await?.into_std()?;
     traffic.spawn(forward::serve(Arc::clone(&state), listener));
     tokio::join!(
@@ -149,6 +152,7 @@
         loans::send_requests(&socket, loan_requests, &state),
         send_queued(&socket, outgoing),
         reach::ask_daemons(&socket, &state),
+        state.stream_versions.run(&state),
         state_transfer::bootstrap(Arc::clone(&state)),
     );
     Ok(())
@@ -238,6 +242,11 @@
         Ok(Datagram::ReachRequest(services)) => {
             send(socket, from, &Datagram::ReachReply(reach::reply(state, own, services))).await;
         }
+        Ok(Datagram::StreamRecords(records)) => state.stream_versions.receive_records(&records),
+        Ok(Datagram::StreamQuestion(question)) => {
+            send(socket, from, &Datagram::StreamReply(state.stream_versions.reply(&question))).await;
+        }
+        Ok(Datagram::StreamReply(reply)) => state.stream_versions.receive_reply(from, reply),
         Ok(Datagram::ReachReply(reply)) => state.reach.receive(Instant::now(), from, reply),
         Ok(Datagram::ReportPage(page)) => {
             if let Some(request) = state.quarantine.receive_page(state, page) {
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -18,6 +18,7 @@
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::quarantine::Fingerprint;
 use hibiscusvale_core::relay::engines::VersionBinding;
+use hibiscusvale_core::relay::stream_versions::StreamKey;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::Millis;
 use http::header::HeaderName;
@@ -86,6 +87,9 @@
     pub waited_ms: Millis,
     /// The last event that the caller has, when a stream is resumed.
     pub after_event: Option<u64>,
+    /// The stream that it begins or resumes; `None` if it may not be resumed.
+    #[serde(default)]
+    pub stream: Option<StreamKey>,
     /// Software versions at which it may run.
     #[serde(default)]
     pub binding: VersionBinding,
@@ -201,6 +205,7 @@
         left_ms: incoming.left_ms().saturating_sub(WAY_MS),
         waited_ms: incoming.waited_ms,
         after_event: after_event.map(|event| event.0),
+        stream: incoming.stream,
         binding: binding.clone(),
     };
     let mut request = Request::new(Full::new(incoming.body.clone()));
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -11,12 +11,14 @@
 use hibiscusvale_core::quota::LimitStatement;
 use hibiscusvale_core::relay::engines::{PoolUsage, WorkloadStats};
 use hibiscusvale_core::relay::reach::HelperState;
+use hibiscusvale_core::relay::stream_versions::StreamRecord;
 use serde::{Deserialize, Serialize};
 
 use super::freshness::Stamp;
 use super::loans::{LendableCredits, LoanReply, LoanRequest};
 use super::quotas::{QuotaReply, QuotaRequest, QuotaReturn};
 use super::server_changes::ServerChange;
+use super::stream_versions::{StreamQuestion, StreamReply};
 
 /// Maximum size of a message: several hundred engines. It fits into a UDP datagram on loopback and on current
 /// links.
@@ -45,6 +47,12 @@
     ReachRequest(Vec<String>),
     /// What it reaches.
     ReachReply(HelperState),
+    /// Software versions at which streams began.
+    StreamRecords(Vec<StreamRecord>),
+    /// Question at which version a stream began.
+    StreamQuestion(StreamQuestion),
+    /// What the recipient knows of it.
+    StreamReply(StreamReply),
 }
 
 /// State of a daemon.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -27,6 +27,7 @@
     rejected: Counter<u64>,
     steps: Counter<u64>,
     statements: Counter<u64>,
+    resumed: Counter<u64>,
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
     pause_ms: Histogram<f64>,
@@ -69,6 +70,7 @@
             rejected: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
             statements: meter.u64_counter("hibiscusvale_relay_server_statements").build(),
+            resumed: meter.u64_counter("hibiscusvale_relay_resumed_streams").build(),
             answer_ms: histogram("hibiscusvale_relay_answer_ms"),
             first_event_ms: histogram("hibiscusvale_relay_first_event_ms"),
             pause_ms: histogram("hibiscusvale_relay_longest_pause_ms"),
@@ -113,6 +115,11 @@
         self.statements.add(1, &[KeyValue::new("statement", statement)]);
     }
 
+    /// Counts a stream that its caller resumes, by how its version is known or why it is not.
+    pub fn record_resumed(&self, version: &'static str) {
+        self.resumed.add(1, &[KeyValue::new("version", version)]);
+    }
+
     /// Registers gauges that read the daemon's state at every scrape.
     pub fn observe(&self, state: &Arc<RelayState>) {
         let meter = self.metrics.meter();
@@ -138,6 +145,9 @@
         observe_gauge(&meter, "hibiscusvale_relay_services_out_of_reach", state, |state| {
             state.reach.lost() as u64
         });
+        observe_gauge(&meter, "hibiscusvale_relay_known_streams", state, |state| {
+            state.stream_versions.known() as u64
+        });
         observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
             state.quarantine.counts().0 as u64
         });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -39,6 +39,7 @@
 mod status;
 pub mod store_traffic;
 mod stream;
+mod stream_versions;
 mod trace;
 mod watch;
 
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -8,6 +8,7 @@
 use hibiscusvale_core::ids::{DataCentreId, HostId, Incarnation};
 use hibiscusvale_core::quota::Coverage;
 use hibiscusvale_core::relay::recipients::{BroadcastScope, Recipients};
+use hibiscusvale_core::relay::stream_versions::{self, StreamKey};
 use parking_lot::Mutex;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::sync::watch;
@@ -28,6 +29,9 @@
 /// Silence after which a daemon is taken to be decommissioned rather than partitioned.
 const FORGET_AFTER: Duration = Duration::from_mins(10);
 
+/// Time after which a silent daemon is not expected back soon.
+const NEWLY_SILENT: Duration = Duration::from_secs(5);
+
 /// Maximum time that a starting daemon waits for the register.
 const REGISTER_WAIT: Duration = Duration::from_secs(3);
 
@@ -258,6 +262,30 @@
         peers.into_iter().take(count).map(|peer| peer.address).collect()
     }
 
+    /// Addresses of the daemons that keep the record of a stream, or are asked for it. Of those that exchange messages
+    /// with this one, only live ones.
+    pub fn keepers(&self, key: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let table = self.table.lock();
+        let is_candidate = |peer: &Peer| {
+            let is_remote = table.audience.scope == BroadcastScope::DataCentre
+                && peer.data_centre != self.host.data_centre;
+            is_remote || peer.is_heard(now)
+        };
+        let candidates = table.known.iter().filter(|(_, peer)| is_candidate(peer));
+        let candidates = candidates.map(|(host, peer)| (host, &peer.data_centre));
+        let keepers = stream_versions::keepers(key, &self.host.data_centre, candidates, count);
+        keepers.into_iter().filter_map(|host| table.known.get(host).map(|peer| peer.address)).collect()
+    }
+
+    /// Whether a daemon has fallen silent so recently that it may only be cut off, or starting.
+    pub fn is_any_newly_silent(&self) -> bool {
+        let now = Instant::now();
+        let table = self.table.lock();
+        let mut silent = table.known.values().filter(|peer| !peer.is_heard(now));
+        silent.any(|peer| now < peer.last_seen + NEWLY_SILENT)
+    }
+
     /// Address of the daemon on `host`.
     pub fn address_of(&self, host: &HostId) -> Option<SocketAddr> {
         Some(self.table.lock().known.get(host)?.address)
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -7,12 +7,15 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, PartnerId, RequestId, ServiceId};
+use hibiscusvale_core::ids::{
+    BackendServerId, HostId, Incarnation, PartnerId, RequestId, ServiceId, SoftwareVersion,
+};
 use hibiscusvale_core::quarantine::Fingerprint;
 use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::relay::prior_wait::PriorWaits;
 use hibiscusvale_core::relay::reach::Reached;
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
+use hibiscusvale_core::relay::stream_versions::{StreamKey, StreamOrigin};
 use hibiscusvale_core::units::{Credit, Millis, Tokens};
 use http::{HeaderMap, Method};
 use parking_lot::Mutex;
@@ -31,6 +34,7 @@
 use super::settings::BoundSettings;
 use super::state_transfer::TransferBudget;
 use super::statements::SharedStatements;
+use super::stream_versions::SharedStreamVersions;
 use super::trace::{RequestTrace, Step};
 use crate::backend::{BackendHttp, Framing};
 use crate::directory::Directory;
@@ -54,6 +58,8 @@
     pub route: Route,
     /// Destination service.
     pub service: ServiceId,
+    /// The stream that it begins or resumes; `None` if it may not be resumed.
+    pub stream: Option<StreamKey>,
     /// Software versions at which it may run.
     pub binding: VersionBinding,
     /// Method as received.
@@ -144,6 +150,15 @@
         self.trace.lock().record_version(version);
     }
 
+    /// Records at other daemons where its stream began; `None` if that is not known.
+    pub fn record_origin(&self, version: Option<&SoftwareVersion>) {
+        if let Some(key) = self.stream {
+            let origin = version
+                .map(|version| StreamOrigin { service: self.service.clone(), version: version.clone() });
+            self.state.stream_versions.record(&self.state, key, origin);
+        }
+    }
+
     /// Records the id of the last event sent to the caller.
     pub fn record_last_event(&self, last: u64) {
         self.trace.lock().record_event(self.arrived.elapsed(), last);
@@ -239,6 +254,8 @@
     pub limits: StatedLimits,
     /// What servers state about their availability.
     pub statements: SharedStatements,
+    /// Software versions at which streams began.
+    pub stream_versions: SharedStreamVersions,
     /// Which services' servers this daemon reaches.
     pub reach: SharedReach,
     /// Requests that crash servers.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -458,6 +458,7 @@
             (StreamVersion::Known(_) | StreamVersion::Unknown, _) => return Err(FailureCause::Broken),
         }
         self.incoming.record_version(label);
+        self.incoming.record_origin(answering.as_ref());
         self.version = answering.map_or(StreamVersion::Unknown, StreamVersion::Known);
         Ok(())
     }
@@ -465,8 +466,9 @@
     /// Checks that the engine that sends events still runs as the list showed it when they began. The list may lag: an
     /// engine that had started again before is noticed only now, and its stream can go on nowhere else.
     pub(super) fn check_version(&mut self) {
-        if self.answering_version().is_none() {
+        if self.version != StreamVersion::Unknown && self.answering_version().is_none() {
             self.version = StreamVersion::Unknown;
+            self.incoming.record_origin(None);
         }
     }
 
--- /dev/null
+++ b/crates/router/src/relay/stream_versions.rs
@@ -0,0 +1,455 @@
+//! Software versions at which streams began: records here and at other daemons, and questions about them.
+//!
+//! Decisions are made in [`hibiscusvale_core::relay::stream_versions`].
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use hibiscusvale_core::ids::ServiceId;
+use hibiscusvale_core::relay::routes::Route;
+use hibiscusvale_core::relay::stream_versions::{
+    SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions, VersionHistory,
+    only_version,
+};
+use hibiscusvale_core::units::{Micros, Millis};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use super::interfaces::{Call, CallId};
+use super::message::Datagram;
+use super::refusal::{Reason, Refusal};
+use super::state::RelayState;
+use crate::clock;
+use crate::directory::{BackendKind, Listing};
+use crate::external::HostList;
+use crate::logging::ResumeLine;
+
+/// Maximum number of streams whose records are kept: some megabytes.
+const STREAMS_MAX: usize = 1 << 16;
+
+/// Daemons of the own data centre, and of all, that get the record of a stream.
+const KEEPERS: usize = 2;
+
+/// Daemons of the own data centre, and of all, that are asked about a stream. More than get the record, since the
+/// daemon that asks may know other daemons than the one that sent it.
+const ASKED_KEEPERS: usize = 3;
+
+/// Time for replies of other daemons, several round trips inside a region.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time after which daemons that have not replied are asked again.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(50);
+
+/// Time for reading from the platform which versions were listed earlier.
+const HISTORY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Interval at which records are sent a second time, and the age of the server list is observed.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum number of records in a datagram.
+const RECORDS_PER_DATAGRAM: usize = 64;
+
+/// Age of the server list up to which it shows every version that has begun streams.
+const CURRENT_LIST_MS: Millis = Millis(3_000);
+
+/// Retry-After where a daemon that is silent may know the stream: silent daemons are heard again by then, or are gone.
+const SILENT_RETRY_MS: Millis = Millis(1_000);
+
+/// Question to another daemon about a stream and the versions of its service.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StreamQuestion {
+    number: u64,
+    key: Option<StreamKey>,
+    /// Service whose versions are asked for.
+    service: Option<ServiceId>,
+}
+
+/// Reply to a [`StreamQuestion`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StreamReply {
+    number: u64,
+    /// Record of the stream; `None` if there is none.
+    record: Option<StreamRecord>,
+    seen: SeenVersions,
+}
+
+/// How the version of a stream became known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// A record at this daemon.
+    Record,
+    /// A record at another daemon.
+    Peer,
+    /// Only one version has served since before the stream can have begun.
+    OnlyVersion,
+}
+
+impl Source {
+    /// Label in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Record => "record",
+            Self::Peer => "peer",
+            Self::OnlyVersion => "only-version",
+        }
+    }
+}
+
+/// Why the version of a stream is not known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Gap {
+    /// Records contradict each other, or the server may have run other software than listed.
+    Ambiguous,
+    /// No daemon that can be reached has a record, and others may have one.
+    DaemonsSilent,
+    /// The server list is too old to tell which versions have served.
+    ListOld,
+    /// No daemon has a record, and several versions have served or may have.
+    NoRecord,
+}
+
+impl Gap {
+    /// Label in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Ambiguous => "ambiguous",
+            Self::DaemonsSilent => "daemons-silent",
+            Self::ListOld => "list-old",
+            Self::NoRecord => "no-record",
+        }
+    }
+
+    fn refusal(self) -> Refusal {
+        match self {
+            Self::DaemonsSilent | Self::ListOld => {
+                Refusal::retry_after(Reason::VersionUnknown, SILENT_RETRY_MS)
+            }
+            Self::Ambiguous | Self::NoRecord => Refusal::new(Reason::VersionUnknown),
+        }
+    }
+}
+
+/// How a question about a stream ended, for the log.
+#[derive(Clone, Debug, Default)]
+pub struct Inquiry {
+    /// Age of the record at this daemon.
+    pub age_us: Option<Micros>,
+    /// Number of daemons asked.
+    pub asked: usize,
+    /// Number of daemons that replied.
+    pub replied: usize,
+}
+
+/// Software versions of streams as far as this daemon knows them.
+#[derive(Debug)]
+pub struct SharedStreamVersions {
+    streams: Mutex<StreamVersions>,
+    history: Mutex<VersionHistory>,
+    /// Source of the server list, which may tell earlier versions.
+    list: Arc<dyn HostList>,
+    is_reading_history: tokio::sync::Mutex<()>,
+    questions: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, StreamReply)>>>,
+    next_number: AtomicU64,
+    /// Socket for messages to other daemons. Records are sent by the thread that passes on the first event, so that
+    /// they are under way before it.
+    socket: OnceLock<UdpSocket>,
+    /// Records to be sent a second time.
+    repeats: Mutex<Vec<StreamRecord>>,
+}
+
+impl SharedStreamVersions {
+    /// Creates an empty table; `list` is the source of the server list.
+    pub fn new(list: Arc<dyn HostList>) -> Self {
+        Self {
+            streams: Mutex::new(StreamVersions::new(STREAMS_MAX)),
+            history: Mutex::default(),
+            list,
+            is_reading_history: tokio::sync::Mutex::default(),
+            questions: Mutex::default(),
+            next_number: AtomicU64::new(0),
+            socket: OnceLock::new(),
+            repeats: Mutex::default(),
+        }
+    }
+
+    /// Sets the socket for messages to other daemons; without one, records stay here.
+    pub fn set_socket(&self, socket: UdpSocket) {
+        // A daemon binds its address once.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Number of streams whose versions are recorded here.
+    pub fn known(&self) -> usize {
+        self.streams.lock().len()
+    }
+
+    /// Applies a newer server list.
+    pub fn adopt(&self, listing: &Listing) {
+        let engines = listing.servers.values().filter_map(|server| match &server.kind {
+            BackendKind::Engine { service, .. } => Some((service.as_deref()?, &server.version)),
+            BackendKind::Plain { .. } => None,
+        });
+        self.history.lock().adopt(clock::now(), engines);
+    }
+
+    /// Records where a stream began, here and at other daemons; `None` if that is not known.
+    pub fn record(&self, state: &RelayState, key: StreamKey, origin: Option<StreamOrigin>) {
+        let record = StreamRecord { key, origin };
+        self.streams.lock().record(clock::now(), &record);
+        self.send(state, key, std::slice::from_ref(&record));
+        self.repeats.lock().push(record);
+    }
+
+    /// Applies records of another daemon.
+    pub fn receive_records(&self, records: &[StreamRecord]) {
+        let now_us = clock::now();
+        let mut streams = self.streams.lock();
+        for record in records {
+            streams.record(now_us, record);
+        }
+    }
+
+    fn send(&self, state: &RelayState, key: StreamKey, records: &[StreamRecord]) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let Ok(bytes) = postcard::to_stdvec(&Datagram::StreamRecords(records.to_vec())) else {
+            return;
+        };
+        for keeper in state.peers.keepers(key, KEEPERS) {
+            // A full send buffer is as good as a lost datagram: the record is sent again.
+            let _ = socket.send_to(&bytes, keeper);
+        }
+    }
+
+    /// The reply to another daemon's question.
+    pub fn reply(&self, question: &StreamQuestion) -> StreamReply {
+        let now_us = clock::now();
+        let record = question.key.and_then(|key| match self.streams.lock().find(now_us, key).0 {
+            StreamLookup::Known(origin) => Some(StreamRecord { key, origin: Some(origin) }),
+            StreamLookup::Ambiguous => Some(StreamRecord { key, origin: None }),
+            StreamLookup::Unknown => None,
+        });
+        let service = question.service.as_ref();
+        let seen = service.map(|service| self.history.lock().seen(now_us, service.as_str()));
+        StreamReply { number: question.number, record, seen: seen.unwrap_or_default() }
+    }
+
+    /// Passes on the reply of another daemon.
+    pub fn receive_reply(&self, from: SocketAddr, reply: StreamReply) {
+        if let Some(question) = self.questions.lock().get(&reply.number) {
+            // The request may have ended.
+            let _ = question.send((from, reply));
+        }
+    }
+
+    /// Finds out where a stream of `route` began. `key` is `None` if its caller named no attempt.
+    async fn origin_of(
+        &self,
+        state: &RelayState,
+        key: Option<StreamKey>,
+        route: &Route,
+        inquiry: &mut Inquiry,
+    ) -> Result<(StreamOrigin, Source), Gap> {
+        if let Some(key) = key {
+            let now_us = clock::now();
+            let (lookup, recorded_us) = self.streams.lock().find(now_us, key);
+            inquiry.age_us = recorded_us.map(|recorded_us| now_us.since(recorded_us));
+            match lookup {
+                StreamLookup::Known(origin) => return Ok((origin, Source::Record)),
+                StreamLookup::Ambiguous => return Err(Gap::Ambiguous),
+                StreamLookup::Unknown => {}
+            }
+        }
+        // Of a route with several destinations it is not known which service began the stream.
+        let service = route.only_destination();
+        let only = |replies: &[SeenVersions]| {
+            let service = service?;
+            let own = self.history.lock().seen(clock::now(), service.as_str());
+            let version = only_version(replies.iter().chain([&own]))?;
+            Some((StreamOrigin { service: service.clone(), version }, Source::OnlyVersion))
+        };
+        if is_list_current(state)
+            && let Some(found) = only(&[])
+        {
+            return Ok(found);
+        }
+        let replies = self.ask(state, key, service, inquiry).await;
+        let records = || replies.iter().filter_map(|reply| reply.record.as_ref());
+        if let Some(key) = key
+            && let Some(record) = records().next()
+        {
+            let mut streams = self.streams.lock();
+            for record in records() {
+                streams.record(clock::now(), record);
+            }
+            drop(streams);
+            let is_agreed = records().all(|other| other.origin == record.origin);
+            return match &record.origin {
+                Some(origin) if is_agreed && record.key == key => Ok((origin.clone(), Source::Peer)),
+                Some(_) | None => Err(Gap::Ambiguous),
+            };
+        }
+        let is_answered = inquiry.replied == inquiry.asked;
+        if !is_list_current(state) && (inquiry.asked == 0 || !is_answered) {
+            return Err(Gap::ListOld);
+        }
+        let seen: Vec<SeenVersions> = replies.into_iter().map(|reply| reply.seen).collect();
+        if !seen.iter().any(|seen| seen.is_complete) {
+            self.read_history(state).await;
+        }
+        if let Some(found) = only(&seen) {
+            return Ok(found);
+        }
+        if is_answered && !state.peers.is_any_newly_silent() {
+            Err(Gap::NoRecord)
+        } else {
+            Err(Gap::DaemonsSilent)
+        }
+    }
+
+    /// Asks the daemons that would have a record of the stream, until one has or all have replied.
+    async fn ask(
+        &self,
+        state: &RelayState,
+        key: Option<StreamKey>,
+        service: Option<&ServiceId>,
+        inquiry: &mut Inquiry,
+    ) -> Vec<StreamReply> {
+        let Some(socket) = self.socket.get() else {
+            return Vec::new();
+        };
+        let mut unanswered = match key {
+            Some(key) => state.peers.keepers(key, ASKED_KEEPERS),
+            None => state.peers.heard(ASKED_KEEPERS),
+        };
+        inquiry.asked = unanswered.len();
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let question = Datagram::StreamQuestion(StreamQuestion { number, key, service: service.cloned() });
+        let Ok(bytes) = postcard::to_stdvec(&question) else {
+            return Vec::new();
+        };
+        let (sender, mut incoming) = mpsc::unbounded_channel();
+        self.questions.lock().insert(number, sender);
+        let mut replies: Vec<StreamReply> = Vec::new();
+        let asking = async {
+            while !unanswered.is_empty() {
+                for address in &unanswered {
+                    // A lost question is followed by another one.
+                    let _ = socket.send_to(&bytes, address);
+                }
+                let asked = tokio::time::Instant::now();
+                while !unanswered.is_empty() {
+                    let reply = tokio::time::timeout_at(asked + ASK_AGAIN_AFTER, incoming.recv()).await;
+                    let Ok(Some((from, reply))) = reply else { break };
+                    if !unanswered.contains(&from) {
+                        continue;
+                    }
+                    unanswered.retain(|address| *address != from);
+                    let is_found = reply.record.is_some();
+                    replies.push(reply);
+                    if is_found {
+                        return;
+                    }
+                }
+            }
+        };
+        // Without a reply the stream counts as unknown to that daemon.
+        let _ = tokio::time::timeout(REPLY_TIMEOUT, asking).await;
+        self.questions.lock().remove(&number);
+        inquiry.replied = replies.len();
+        replies
+    }
+
+    /// Reads from the platform which versions were listed before this daemon's first list.
+    async fn read_history(&self, state: &RelayState) {
+        let _reading = self.is_reading_history.lock().await;
+        self.observe_list(state);
+        if self.history.lock().is_complete(clock::now()) {
+            return;
+        }
+        // The versions stay unknown if the platform does not answer, or does not keep its lists that long.
+        if let Ok(Ok(Some(earlier))) =
+            tokio::time::timeout(HISTORY_TIMEOUT, self.list.listed_versions()).await
+        {
+            self.history.lock().adopt_earlier(clock::now(), earlier.into_iter());
+        }
+    }
+
+    /// Sends records a second time and observes the age of the server list, for as long as the daemon runs.
+    pub async fn run(&self, state: &RelayState) {
+        loop {
+            tokio::time::sleep(REPEAT_INTERVAL).await;
+            self.observe_list(state);
+            self.repeat(state);
+        }
+    }
+
+    fn observe_list(&self, state: &RelayState) {
+        let now_us = clock::now();
+        self.history.lock().observe(now_us, state.freshness.servers_age_us(now_us));
+    }
+
+    fn repeat(&self, state: &RelayState) {
+        let records = std::mem::take(&mut *self.repeats.lock());
+        let Some(socket) = self.socket.get().filter(|_| !records.is_empty()) else {
+            return;
+        };
+        let mut by_keeper: HashMap<SocketAddr, Vec<StreamRecord>> = HashMap::new();
+        for record in records {
+            for keeper in state.peers.keepers(record.key, KEEPERS) {
+                by_keeper.entry(keeper).or_default().push(record.clone());
+            }
+        }
+        for (keeper, records) in by_keeper {
+            for records in records.chunks(RECORDS_PER_DATAGRAM) {
+                if let Ok(bytes) = postcard::to_stdvec(&Datagram::StreamRecords(records.to_vec())) {
+                    // Daemons that miss both records ask others.
+                    let _ = socket.send_to(&bytes, keeper);
+                }
+            }
+        }
+    }
+}
+
+fn is_list_current(state: &RelayState) -> bool {
+    let age_us = state.freshness.servers_age_us(clock::now());
+    age_us.is_some_and(|age_us| age_us < Micros::from(CURRENT_LIST_MS))
+}
+
+/// Finds out where a stream of `route` began that a caller resumes, and logs how that is known. `key` is `None` if the
+/// caller named no attempt.
+///
+/// # Errors
+///
+/// The refusal if it is not known.
+pub async fn resolve(
+    state: &RelayState,
+    call: &Call,
+    route: &Route,
+    key: Option<StreamKey>,
+) -> Result<StreamOrigin, Refusal> {
+    let mut inquiry = Inquiry::default();
+    let found = state.stream_versions.origin_of(state, key, route, &mut inquiry).await;
+    let label = match &found {
+        Ok((_, source)) => source.label(),
+        Err(gap) => gap.label(),
+    };
+    state.metrics.record_resumed(label);
+    let origin = found.as_ref().ok().map(|(origin, _)| origin);
+    state.log.stream_resumed(&ResumeLine {
+        call: call.id.as_str(),
+        resumes: call.resumes.as_ref().map_or("", CallId::as_str),
+        service: origin.map_or("", |origin| origin.service.as_str()),
+        version: origin.map_or("", |origin| origin.version.as_str()),
+        source: label,
+        record_age_ms: inquiry.age_us.unwrap_or_default().to_millis_ceil(),
+        asked: inquiry.asked,
+        replied: inquiry.replied,
+    });
+    found.map(|(origin, _)| origin).map_err(Gap::refusal)
+}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -196,6 +196,7 @@
     state.limits.adopt(state, &before.servers, &listing.servers);
     state.plain_schedulers.adopt(&listing);
     state.engine_pools.adopt(&listing);
+    state.stream_versions.adopt(&listing);
     state.engine_pools.configure(&state.table.load());
     // After the schedulers know all listed servers.
     state.statements.adopt(state, &listing.servers);
