Save which versions of a service have served, for when all daemons end at once

A daemon that starts an installation for the first time knows that no stream can have begun before. One daemon saves the versions of each service, when they change, under a key in a topic of ours; a daemon that has not seen a whole minute, and finds no other that has, reads them once. Two calls to the platform where two services serve, and one more for each release.

--- a/crates/core/src/relay/stream_versions.rs
+++ b/crates/core/src/relay/stream_versions.rs
@@ -5,7 +5,7 @@
 //! that does not know a stream asks the same daemons. A stream that none of them knows may still be resumed if only
 //! one version has served since before it can have begun.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use serde::{Deserialize, Serialize};
@@ -211,41 +211,51 @@
     Until(MonoTime),
 }
 
+impl LastListed {
+    /// Whether a stream that began while it was listed can still be resumed.
+    fn is_recent(self, now_us: MonoTime) -> bool {
+        match self {
+            Self::Now => true,
+            Self::Until(until_us) => now_us < until_us + STREAM_TTL_MS,
+        }
+    }
+}
+
 /// Software versions that the server list has shown, by service.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
-    services: BTreeMap<String, BTreeMap<SoftwareVersion, LastListed>>,
+    services: BTreeMap<ServiceId, BTreeMap<SoftwareVersion, LastListed>>,
     /// Since when the list has been current without a gap; `None` while it is not.
     current_since_us: Option<MonoTime>,
     /// When the age of the list was last observed.
     observed_us: Option<MonoTime>,
-    /// Whether all versions are known that were listed before that.
-    has_earlier: bool,
+    /// Whether no stream can have begun before that.
+    is_first: bool,
+    /// Services whose versions before that are known.
+    earlier_known: BTreeSet<ServiceId>,
 }
 
 impl VersionHistory {
+    /// Creates an empty history. `is_first` tells that no stream can have begun before it.
+    pub fn new(is_first: bool) -> Self {
+        Self { is_first, ..Self::default() }
+    }
+
     /// Applies a list: the versions of each service, with repetitions.
     pub fn adopt<'a, Listed>(&mut self, now_us: MonoTime, listed: Listed)
     where
         Listed: Iterator<Item = (&'a str, &'a SoftwareVersion)>,
     {
         for versions in self.services.values_mut() {
-            versions.retain(|_, last| match last {
-                LastListed::Now => true,
-                LastListed::Until(until_us) => now_us < *until_us + STREAM_TTL_MS,
-            });
+            versions.retain(|_, last| last.is_recent(now_us));
             for last in versions.values_mut().filter(|last| **last == LastListed::Now) {
                 *last = LastListed::Until(now_us);
             }
         }
         for (service, version) in listed {
-            let known = self.services.get_mut(service).and_then(|versions| versions.get_mut(version));
-            if let Some(last) = known {
-                *last = LastListed::Now;
-            } else {
-                let versions = self.services.entry(service.to_owned()).or_default();
-                versions.insert(version.clone(), LastListed::Now);
-            }
+            // A service whose name is too long has no routes.
+            let Ok(service) = service.parse() else { continue };
+            self.services.entry(service).or_default().insert(version.clone(), LastListed::Now);
         }
     }
 
@@ -254,40 +264,47 @@
     pub fn observe(&mut self, now_us: MonoTime, list_age_us: Option<Micros>) {
         let has_paused = self.observed_us.is_some_and(|before_us| now_us >= before_us + LIST_AGE_MAX_MS);
         self.observed_us = Some(now_us);
-        if has_paused || list_age_us.is_none_or(|age_us| age_us >= Micros::from(LIST_AGE_MAX_MS)) {
+        let is_old = list_age_us.is_none_or(|age_us| age_us >= Micros::from(LIST_AGE_MAX_MS));
+        let was_current = self.current_since_us.is_some();
+        if has_paused || (is_old && was_current) {
+            self.is_first = false;
+            self.earlier_known.clear();
+        }
+        if has_paused || is_old {
             self.current_since_us = None;
-            self.has_earlier = false;
         } else {
             self.current_since_us.get_or_insert(now_us);
         }
     }
 
-    /// Adds the versions that were listed at any time before now.
-    pub fn adopt_earlier<Listed>(&mut self, now_us: MonoTime, earlier: Listed)
-    where
-        Listed: Iterator<Item = (String, SoftwareVersion)>,
-    {
-        for (service, version) in earlier {
-            let versions = self.services.entry(service).or_default();
-            versions.entry(version).or_insert(LastListed::Until(now_us));
+    /// Adds the versions of a service that were listed before now, as another daemon has saved them.
+    pub fn adopt_earlier(&mut self, now_us: MonoTime, service: &ServiceId, earlier: &[SoftwareVersion]) {
+        let versions = self.services.entry(service.clone()).or_default();
+        for version in earlier {
+            versions.entry(version.clone()).or_insert(LastListed::Until(now_us));
+        }
+        if self.current_since_us.is_some() {
+            self.earlier_known.insert(service.clone());
         }
-        self.has_earlier = self.current_since_us.is_some();
     }
 
-    /// Whether the versions of the whole lifetime of a stream are known.
-    pub fn is_complete(&self, now_us: MonoTime) -> bool {
-        self.current_since_us.is_some_and(|since_us| self.has_earlier || now_us >= since_us + STREAM_TTL_MS)
+    /// Whether the versions of a service are known for the whole lifetime of a stream.
+    pub fn is_complete(&self, now_us: MonoTime, service: &ServiceId) -> bool {
+        self.current_since_us.is_some_and(|since_us| {
+            self.is_first || self.earlier_known.contains(service) || now_us >= since_us + STREAM_TTL_MS
+        })
     }
 
     /// The versions of a service that were listed within the lifetime of a stream.
-    pub fn seen(&self, now_us: MonoTime, service: &str) -> SeenVersions {
-        let is_recent = |last: &LastListed| match last {
-            LastListed::Now => true,
-            LastListed::Until(until_us) => now_us < *until_us + STREAM_TTL_MS,
-        };
+    pub fn seen(&self, now_us: MonoTime, service: &ServiceId) -> SeenVersions {
         let versions = self.services.get(service).into_iter().flatten();
-        let recent = versions.filter(|(_, last)| is_recent(last)).map(|(version, _)| version.clone());
-        SeenVersions { versions: recent.collect(), is_complete: self.is_complete(now_us) }
+        let recent = versions.filter(|(_, last)| last.is_recent(now_us)).map(|(version, _)| version.clone());
+        SeenVersions { versions: recent.collect(), is_complete: self.is_complete(now_us, service) }
+    }
+
+    /// All services and their versions.
+    pub fn all_seen(&self, now_us: MonoTime) -> impl Iterator<Item = (&ServiceId, SeenVersions)> {
+        self.services.keys().map(move |service| (service, self.seen(now_us, service)))
     }
 }
 
--- a/crates/core/tests/relay/stream_versions.rs
+++ b/crates/core/tests/relay/stream_versions.rs
@@ -1,6 +1,6 @@
 //! Records of streams, and what the server list has shown of versions.
 
-use hibiscusvale_core::ids::{DataCentreId, HostId, PartnerId, SoftwareVersion};
+use hibiscusvale_core::ids::{DataCentreId, HostId, PartnerId, ServiceId, SoftwareVersion};
 use hibiscusvale_core::quarantine::CallerIdentity;
 use hibiscusvale_core::relay::stream_versions::{
     STREAM_TTL_MS, SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions,
@@ -21,6 +21,10 @@
     StreamRecord { key: StreamKey(key), origin: Some(origin(version)) }
 }
 
+fn llm() -> ServiceId {
+    "llm".parse().unwrap()
+}
+
 fn version(text: &str) -> SoftwareVersion {
     text.parse().unwrap()
 }
@@ -117,7 +121,7 @@
 }
 
 fn only(history: &VersionHistory, now_ms: u64) -> Option<SoftwareVersion> {
-    only_version([&history.seen(at(now_ms), "llm")].into_iter())
+    only_version([&history.seen(at(now_ms), &llm())].into_iter())
 }
 
 #[rstest]
@@ -160,26 +164,40 @@
     assert_eq!(only(&history, 80_000), None);
 }
 
-/// A daemon that has just started learns from the platform which versions were listed before.
+/// A daemon that has just started learns which versions were listed before.
 #[test]
-fn earlier_versions_complete_the_history_of_a_new_daemon() {
+fn saved_versions_complete_the_history_of_a_new_daemon() {
     let mut new = history(&[(0, &["v1"][..])], 0, 1_000);
-    new.adopt_earlier(at(1_000), [("llm".to_owned(), version("v1"))].into_iter());
+    new.adopt_earlier(at(1_000), &llm(), &[version("v1")]);
     assert_eq!(only(&new, 1_000), Some(version("v1")));
     let mut after_release = history(&[(0, &["v1"][..])], 0, 1_000);
-    let earlier = [("llm".to_owned(), version("v1")), ("llm".to_owned(), version("v0"))];
-    after_release.adopt_earlier(at(1_000), earlier.into_iter());
+    after_release.adopt_earlier(at(1_000), &llm(), &[version("v1"), version("v0")]);
     assert_eq!(only(&after_release, 1_000), None);
+    let mut of_another_service = history(&[(0, &["v1"][..])], 0, 1_000);
+    of_another_service.adopt_earlier(at(1_000), &"other".parse().unwrap(), &[version("v1")]);
+    assert_eq!(only(&of_another_service, 1_000), None);
 }
 
-/// What is read of earlier versions while the list is not current proves nothing.
+/// What was saved proves nothing while the list is not current.
 #[test]
-fn earlier_versions_do_not_complete_an_old_list() {
+fn saved_versions_do_not_complete_an_old_list() {
     let mut history = history(&[(0, &["v1"][..])], 10_000, 1_000);
-    history.adopt_earlier(at(1_000), [("llm".to_owned(), version("v1"))].into_iter());
+    history.adopt_earlier(at(1_000), &llm(), &[version("v1")]);
     assert_eq!(only(&history, 1_000), None);
 }
 
+/// Before the first daemon of an installation no stream can have begun.
+#[test]
+fn history_of_the_first_daemon_is_complete_until_a_gap() {
+    let mut first = VersionHistory::new(true);
+    first.observe(at(0), None);
+    first.adopt(at(100), [("llm", &version("v1"))].into_iter());
+    first.observe(at(250), Some(Micros(0)));
+    assert_eq!(only(&first, 250), Some(version("v1")));
+    first.observe(at(9_000), Some(Micros(0)));
+    assert_eq!(only(&first, 9_000), None);
+}
+
 #[test]
 fn another_daemon_completes_what_a_new_one_has_seen() {
     let seen = |versions: &[&str], is_complete| SeenVersions {
@@ -203,12 +221,7 @@
     (0..data_centres * each).map(daemon).collect()
 }
 
-fn keepers_at<'a>(
-    daemons: &'a [(HostId, DataCentreId)],
-    own: usize,
-    key: u64,
-    count: usize,
-) -> Vec<&'a HostId> {
+fn keepers_at(daemons: &[(HostId, DataCentreId)], own: usize, key: u64, count: usize) -> Vec<&HostId> {
     let others = daemons.iter().enumerate().filter(|(number, _)| *number != own);
     let others = others.map(|(_, (host, data_centre))| (host, data_centre));
     keepers(StreamKey(key), &daemons[own].1, others, count)
--- a/crates/daemon/src/cmd/relay.rs
+++ b/crates/daemon/src/cmd/relay.rs
@@ -8,7 +8,7 @@
 use hibiscusvale::daemon::new_incarnation;
 use hibiscusvale::relay::{RelayAdapters, RelayDaemon, RelaySettings};
 use hibiscusvale_platform::{
-    PlatformWire, Store, StoreEvidence, StoreLog, StoreRegister, StoreServers, StoreTables,
+    PlatformWire, Store, StoreEvidence, StoreLog, StoreRegister, StoreServers, StoreTables, StoreVersions,
 };
 
 use crate::signals::{self, LifecycleRequest};
@@ -40,6 +40,7 @@
             log: Arc::new(StoreLog::new(store.clone())),
             servers: Arc::new(StoreServers::new(store.clone(), settings.host.region.clone())),
             evidence: Arc::new(StoreEvidence::new(store.clone())),
+            versions: Arc::new(StoreVersions::new(store.clone())),
             store_traffic: Arc::clone(store.traffic()),
         };
         let mut daemon = RelayDaemon::start(settings, adapters, new_incarnation())?;
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -229,17 +229,8 @@
     /// Returns the changes since version `after`, waiting up to `wait_ms` for one. A reader that is too far behind gets
     /// the complete list.
     fn read(&self, after: u64, wait_ms: Millis) -> BoxFuture<'_, Result<HostListPage, PlatformFailure>>;
-
-    /// Returns services and software versions of all hosts that were ever listed, with repetitions; `None` if the
-    /// platform does not keep its lists that long.
-    fn listed_versions(&self) -> BoxFuture<'_, Result<Option<ListedVersions>, PlatformFailure>> {
-        Box::pin(async { Ok(None) })
-    }
 }
 
-/// Services and software versions of listed hosts.
-pub type ListedVersions = Vec<(String, SoftwareVersion)>;
-
 /// Model in the weight store.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct StoredModel {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -21,7 +21,7 @@
 use super::engine_pools::EnginePools;
 use super::exchange;
 use super::freshness::Freshness;
-use super::interfaces::{DaemonEntry, EvidenceStore, Register, TableSource, Wire};
+use super::interfaces::{DaemonEntry, EvidenceStore, Register, TableSource, VersionStore, Wire};
 use super::limits::StatedLimits;
 use super::metrics::RelayMetrics;
 use super::orders::Orders;
@@ -76,6 +76,8 @@
     pub servers: Arc<dyn HostList>,
     /// Store for crash evidence that outlives the daemons.
     pub evidence: Arc<dyn EvidenceStore>,
+    /// Store for the software versions of services that outlives the daemons.
+    pub versions: Arc<dyn VersionStore>,
     /// Totals of the calls that these adapters make to the store.
     pub store_traffic: Arc<StoreTraffic>,
 }
@@ -136,7 +138,7 @@
             quotas,
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
-            stream_versions: SharedStreamVersions::new(Arc::clone(&adapters.servers)),
+            stream_versions: SharedStreamVersions::new(adapters.versions, settings.peers.first_start),
             reach: SharedReach::default(),
             quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
@@ -186,6 +188,8 @@
             Arc::clone(&state),
         ));
         control.spawn(reach::run_checks(Arc::clone(&state)));
+        let saving = Arc::clone(&state);
+        control.spawn(async move { saving.stream_versions.run_saves(&saving).await });
         control.spawn(persistence::run(adapters.evidence, evidence_due, Arc::clone(&state)));
         // One lease covers all engines of the region.
         match settings.host.region.as_str().parse() {
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use hibiscusvale_core::ids::{BackendServerId, DataCentreId, FencingNumber, HostId, ModelId, PartnerId};
+use hibiscusvale_core::ids::{
+    BackendServerId, DataCentreId, FencingNumber, HostId, ModelId, PartnerId, ServiceId, SoftwareVersion,
+};
 use hibiscusvale_core::quarantine::{Fingerprint, Report};
 use hibiscusvale_core::relay::engines::{ReportedLoad, Role};
 use hibiscusvale_core::relay::partners::Credentials;
@@ -344,6 +346,24 @@
     fn load(&self) -> BoxFuture<'_, Result<Vec<SavedEvidence>, StoreError>>;
 }
 
+/// Software versions of a service at which streams may have begun that can still be resumed, as saved.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct SavedVersions {
+    /// The service.
+    pub service: ServiceId,
+    /// The versions.
+    pub versions: Vec<SoftwareVersion>,
+}
+
+/// Store for the software versions of services that outlives the daemons.
+pub trait VersionStore: Debug + Send + Sync + 'static {
+    /// Saves the versions of a service and replaces what was saved before.
+    fn save(&self, versions: SavedVersions) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// The saved versions of all services.
+    fn load(&self) -> BoxFuture<'_, Result<Vec<SavedVersions>, StoreError>>;
+}
+
 /// Source of the route table that operators publish.
 pub trait TableSource: Debug + Send + Sync + 'static {
     /// The newest table, waiting up to `wait_ms` for one that this source has not returned before; `None` if
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -8,8 +8,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use hibiscusvale_core::ids::ServiceId;
+use hibiscusvale_core::ids::{ServiceId, SoftwareVersion};
 use hibiscusvale_core::relay::routes::Route;
+use hibiscusvale_core::relay::store_refresh::reader_rank;
 use hibiscusvale_core::relay::stream_versions::{
     SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions, VersionHistory,
     only_version,
@@ -19,13 +20,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
-use super::interfaces::{Call, CallId};
+use super::interfaces::{Call, CallId, SavedVersions, VersionStore};
 use super::message::Datagram;
 use super::refusal::{Reason, Refusal};
 use super::state::RelayState;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
-use crate::external::HostList;
 use crate::logging::ResumeLine;
 
 /// Maximum number of streams whose records are kept: some megabytes.
@@ -44,8 +44,14 @@
 /// Time after which daemons that have not replied are asked again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(50);
 
-/// Time for reading from the platform which versions were listed earlier.
-const HISTORY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of reading the saved versions, for which a caller waits.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Timeout of saving versions.
+const SAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval at which changed versions are saved.
+const SAVE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which records are sent a second time, and the age of the server list is observed.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -149,9 +155,11 @@
 pub struct SharedStreamVersions {
     streams: Mutex<StreamVersions>,
     history: Mutex<VersionHistory>,
-    /// Source of the server list, which may tell earlier versions.
-    list: Arc<dyn HostList>,
-    is_reading_history: tokio::sync::Mutex<()>,
+    /// Store for the versions that the list has shown, for when all daemons end at once.
+    store: Arc<dyn VersionStore>,
+    is_loading: tokio::sync::Mutex<()>,
+    /// What this daemon has saved there.
+    saved: Mutex<HashMap<ServiceId, Vec<SoftwareVersion>>>,
     questions: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, StreamReply)>>>,
     next_number: AtomicU64,
     /// Socket for messages to other daemons. Records are sent by the thread that passes on the first event, so that
@@ -162,13 +170,14 @@
 }
 
 impl SharedStreamVersions {
-    /// Creates an empty table; `list` is the source of the server list.
-    pub fn new(list: Arc<dyn HostList>) -> Self {
+    /// Creates an empty table. `is_first` tells that no stream can have begun before.
+    pub fn new(store: Arc<dyn VersionStore>, is_first: bool) -> Self {
         Self {
             streams: Mutex::new(StreamVersions::new(STREAMS_MAX)),
-            history: Mutex::default(),
-            list,
-            is_reading_history: tokio::sync::Mutex::default(),
+            history: Mutex::new(VersionHistory::new(is_first)),
+            store,
+            is_loading: tokio::sync::Mutex::default(),
+            saved: Mutex::default(),
             questions: Mutex::default(),
             next_number: AtomicU64::new(0),
             socket: OnceLock::new(),
@@ -235,7 +244,7 @@
             StreamLookup::Unknown => None,
         });
         let service = question.service.as_ref();
-        let seen = service.map(|service| self.history.lock().seen(now_us, service.as_str()));
+        let seen = service.map(|service| self.history.lock().seen(now_us, service));
         StreamReply { number: question.number, record, seen: seen.unwrap_or_default() }
     }
 
@@ -269,7 +278,7 @@
         let service = route.only_destination();
         let only = |replies: &[SeenVersions]| {
             let service = service?;
-            let own = self.history.lock().seen(clock::now(), service.as_str());
+            let own = self.history.lock().seen(clock::now(), service);
             let version = only_version(replies.iter().chain([&own]))?;
             Some((StreamOrigin { service: service.clone(), version }, Source::OnlyVersion))
         };
@@ -299,8 +308,8 @@
             return Err(Gap::ListOld);
         }
         let seen: Vec<SeenVersions> = replies.into_iter().map(|reply| reply.seen).collect();
-        if !seen.iter().any(|seen| seen.is_complete) {
-            self.read_history(state).await;
+        if let Some(service) = service.filter(|_| !seen.iter().any(|seen| seen.is_complete)) {
+            self.load(state, service).await;
         }
         if let Some(found) = only(&seen) {
             return Ok(found);
@@ -365,18 +374,48 @@
         replies
     }
 
-    /// Reads from the platform which versions were listed before this daemon's first list.
-    async fn read_history(&self, state: &RelayState) {
-        let _reading = self.is_reading_history.lock().await;
+    /// Reads which versions of a service other daemons have saved.
+    async fn load(&self, state: &RelayState, service: &ServiceId) {
+        let _loading = self.is_loading.lock().await;
         self.observe_list(state);
-        if self.history.lock().is_complete(clock::now()) {
+        if self.history.lock().is_complete(clock::now(), service) {
             return;
         }
-        // The versions stay unknown if the platform does not answer, or does not keep its lists that long.
-        if let Ok(Ok(Some(earlier))) =
-            tokio::time::timeout(HISTORY_TIMEOUT, self.list.listed_versions()).await
-        {
-            self.history.lock().adopt_earlier(clock::now(), earlier.into_iter());
+        // The versions stay unknown if the platform does not answer.
+        let Ok(Ok(saved)) = tokio::time::timeout(LOAD_TIMEOUT, self.store.load()).await else {
+            return;
+        };
+        let mut history = self.history.lock();
+        for saved in saved {
+            history.adopt_earlier(clock::now(), &saved.service, &saved.versions);
+        }
+    }
+
+    /// Saves the versions that have changed, if this daemon does so for all.
+    async fn save(&self, state: &RelayState) {
+        let live = state.peers.hosts_reaching_store();
+        if !state.freshness.reaches_store(clock::now()) || reader_rank(state.peers.host(), live.iter()) > 0 {
+            self.saved.lock().clear();
+            return;
+        }
+        let seen: Vec<(ServiceId, SeenVersions)> = {
+            let history = self.history.lock();
+            let all = history.all_seen(clock::now());
+            all.map(|(service, seen)| (service.clone(), seen)).collect()
+        };
+        for (service, seen) in seen {
+            if !seen.is_complete {
+                self.load(state, &service).await;
+                continue;
+            }
+            if self.saved.lock().get(&service) == Some(&seen.versions) {
+                continue;
+            }
+            let versions = SavedVersions { service: service.clone(), versions: seen.versions.clone() };
+            // A failed call is made again at the next interval.
+            if let Ok(Ok(())) = tokio::time::timeout(SAVE_TIMEOUT, self.store.save(versions)).await {
+                self.saved.lock().insert(service, seen.versions);
+            }
         }
     }
 
@@ -389,6 +428,14 @@
         }
     }
 
+    /// Saves versions for as long as the daemon runs.
+    pub async fn run_saves(&self, state: &RelayState) {
+        loop {
+            tokio::time::sleep(SAVE_INTERVAL).await;
+            self.save(state).await;
+        }
+    }
+
     fn observe_list(&self, state: &RelayState) {
         let now_us = clock::now();
         self.history.lock().observe(now_us, state.freshness.servers_age_us(now_us));
