Confirm that an engine is the listed run before a bound answer goes on there

An engine may start again under its id with other software while the list still shows the run before. The router then sent a stream on to the wrong version, with an id and an address that both matched. For a request that is bound to a version, the run that the engine reports after it has begun to answer is compared with the listed one: the connection of the answer is older than the report, and no run comes back. Costs one report for each bound attempt, only where entries state a start. Streams that send events for long are recorded again every 20 s, so that their records do not expire.

--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use hibiscusvale_core::ids::{
-    BackendServerId, DataCentreId, FencingNumber, HostId, ModelId, PartnerId, ServiceId, SoftwareVersion,
+    BackendServerId, DataCentreId, FencingNumber, HostId, Lifetime, ModelId, PartnerId, ServiceId,
+    SoftwareVersion,
 };
 use hibiscusvale_core::quarantine::{Fingerprint, Report};
 use hibiscusvale_core::relay::engines::{ReportedLoad, Role};
@@ -170,6 +171,8 @@
     pub is_busy: bool,
     /// Number of orders accepted since the engine started.
     pub orders: u64,
+    /// Its current run; `None` if not reported.
+    pub lifetime: Option<Lifetime>,
 }
 
 /// An order to an engine to change its role.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -14,6 +14,7 @@
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::Response;
 use http_body_util::{BodyExt, Full};
+use tokio::time::Instant;
 
 use super::crashes::{self, Attempt};
 use super::engine_pools::{EnginePools, OpenRequest};
@@ -38,6 +39,13 @@
 /// both reach the engine.
 const RESERVED_REQUESTS: u64 = 2;
 
+/// Interval at which the origin of a stream is recorded again while it sends events; records are kept for a few times as
+/// long.
+const RECORD_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Timeout of the report that confirms the run of an engine; callers wait for it.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Timeout of the call that releases a reservation.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -63,6 +71,7 @@
         decode_attempt: None,
         answering: None,
         version: incoming.binding.clone().into(),
+        recorded: None,
         outcome_unknown: false,
         last_event: incoming.call.after_event,
         failed: None,
@@ -191,6 +200,8 @@
     answering: Option<AnsweringVersion>,
     /// Software version at which the stream began.
     version: StreamVersion,
+    /// When that was last recorded.
+    recorded: Option<Instant>,
     /// Whether an engine may have run the request.
     outcome_unknown: bool,
     /// The last event that the caller has received.
@@ -416,6 +427,9 @@
             crashes::check_for_crash(incoming, &attempt, *cause).await;
         }
         let reply = reply?;
+        if let (StreamVersion::Known(_), Some(lifetime)) = (&self.version, listed.lifetime) {
+            self.confirm_run(writer, at, lifetime).await?;
+        }
         if reply.status.is_server_error() && self.is_repeatable() {
             self.failed = Some(reply.into_buffered(incoming.left()).await?);
             return Err(FailureCause::Refused);
@@ -423,6 +437,26 @@
         Ok(reply)
     }
 
+    /// Confirms that the engine that has begun to answer a bound request is the listed run and not a later one, which may
+    /// have other software. The connection of the answer is older than the report, and no run comes back.
+    async fn confirm_run(
+        &self,
+        writer: &BackendServerId,
+        at: SocketAddr,
+        listed: Lifetime,
+    ) -> Result<(), FailureCause> {
+        let call = (CallKind::Work, self.state.wire.report(writer));
+        let timeout = REPORT_TIMEOUT.min(self.incoming.left());
+        let body = hop::call(&self.state, writer, at, call, timeout).await?;
+        let report = self.state.wire.parse_report(&body).ok_or(FailureCause::Broken)?;
+        // An engine that reports no run cannot be told apart from a later one; it is taken as listed.
+        if report.lifetime.is_none_or(|lifetime| lifetime == listed) {
+            Ok(())
+        } else {
+            Err(FailureCause::Broken)
+        }
+    }
+
     /// Whether another daemon passes the answer on.
     pub(super) fn is_forwarded(&self) -> bool {
         self.decode_attempt.is_none()
@@ -458,7 +492,7 @@
             (StreamVersion::Known(_) | StreamVersion::Unknown, _) => return Err(FailureCause::Broken),
         }
         self.incoming.record_version(label);
-        self.incoming.record_origin(answering.as_ref());
+        self.record_origin(answering.as_ref());
         self.version = answering.map_or(StreamVersion::Unknown, StreamVersion::Known);
         Ok(())
     }
@@ -466,12 +500,23 @@
     /// Checks that the engine that sends events still runs as the list showed it when they began. The list may lag: an
     /// engine that had started again before is noticed only now, and its stream can go on nowhere else.
     pub(super) fn check_version(&mut self) {
-        if self.version != StreamVersion::Unknown && self.answering_version().is_none() {
+        let StreamVersion::Known(version) = &self.version else {
+            return;
+        };
+        if self.answering_version().is_none() {
             self.version = StreamVersion::Unknown;
-            self.incoming.record_origin(None);
+            self.record_origin(None);
+        } else if self.recorded.is_none_or(|recorded| recorded.elapsed() >= RECORD_INTERVAL) {
+            let version = version.clone();
+            self.record_origin(Some(&version));
         }
     }
 
+    fn record_origin(&mut self, version: Option<&SoftwareVersion>) {
+        self.recorded = Some(Instant::now());
+        self.incoming.record_origin(version);
+    }
+
     /// Software version of the engine that answers, if it has not started again since the request was sent.
     fn answering_version(&self) -> Option<&SoftwareVersion> {
         let answering = self.answering.as_ref()?;
