Log where streams began while several versions serve, for when all daemons end at once

While a service runs several versions, one daemon appends the records that all of them have to a topic of ours, twice a second at most, and a daemon that has started reads it once, when a stream is named that no live daemon knows. While one version serves, nothing is appended.

--- a/crates/router/src/counted_log.rs
+++ b/crates/router/src/counted_log.rs
@@ -19,6 +19,7 @@
     ClaimsAppended,
     ConfigAppended,
     LeaseAppended,
+    StreamOriginsAppended,
     AppendRefused,
     AppendUnknown,
     ReadFailed,
@@ -30,6 +31,7 @@
             Self::ClaimsAppended => "log-append-claims",
             Self::ConfigAppended => "log-append-config",
             Self::LeaseAppended => "log-append-lease",
+            Self::StreamOriginsAppended => "log-append-stream-origins",
             Self::AppendRefused => "log-append-refused",
             Self::AppendUnknown => "log-append-unknown",
             Self::ReadFailed => "log-read-failed",
@@ -59,6 +61,7 @@
                 (Ok(_), Stream::Claims(_)) => LogCallResult::ClaimsAppended,
                 (Ok(_), Stream::Config) => LogCallResult::ConfigAppended,
                 (Ok(_), Stream::Leases) => LogCallResult::LeaseAppended,
+                (Ok(_), Stream::StreamOrigins) => LogCallResult::StreamOriginsAppended,
                 (Err(AppendError::NotAppended { .. }), _) => LogCallResult::AppendRefused,
                 (Err(AppendError::Unknown { .. }), _) => LogCallResult::AppendUnknown,
             });
--- a/crates/router/src/external/log.rs
+++ b/crates/router/src/external/log.rs
@@ -169,6 +169,7 @@
         Stream::Config => "config".to_owned(),
         Stream::Claims(partition) => format!("claims-{partition}"),
         Stream::Leases => "leases".to_owned(),
+        Stream::StreamOrigins => "stream-origins".to_owned(),
     }
 }
 
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -29,6 +29,8 @@
     Claims(u16),
     /// Leases for the right to send orders to engines.
     Leases,
+    /// Software versions at which streams began, while several serve.
+    StreamOrigins,
 }
 
 /// Record read from the log.
@@ -41,7 +43,7 @@
 }
 
 /// Result of one read.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LogPage {
     /// Oldest retained offset.
     pub start_offset: Offset,
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -36,7 +36,7 @@
 use super::statements::SharedStatements;
 use super::status::{self, Purpose};
 use super::store_traffic::StoreTraffic;
-use super::stream_versions::SharedStreamVersions;
+use super::stream_versions::{self, SharedStreamVersions};
 use super::watch;
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
@@ -113,6 +113,7 @@
         let control = runtime("control")?;
         let (loan_sender, loan_requests) = LoanRequestSender::channel();
         let (quotas, outgoing) = QuotaAccounts::new(settings.host.id.clone());
+        let is_first = settings.peers.first_start;
         let (quarantine, evidence_due) = SharedQuarantine::new(incarnation);
         let state = Arc::new(RelayState {
             wire: adapters.wire,
@@ -138,7 +139,7 @@
             quotas,
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
-            stream_versions: SharedStreamVersions::new(adapters.versions, settings.peers.first_start),
+            stream_versions: SharedStreamVersions::new(is_first, adapters.versions, &adapters.log),
             reach: SharedReach::default(),
             quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
@@ -188,8 +189,7 @@
             Arc::clone(&state),
         ));
         control.spawn(reach::run_checks(Arc::clone(&state)));
-        let saving = Arc::clone(&state);
-        control.spawn(async move { saving.stream_versions.run_saves(&saving).await });
+        control.spawn(stream_versions::run_saves(Arc::clone(&state)));
         control.spawn(persistence::run(adapters.evidence, evidence_due, Arc::clone(&state)));
         // One lease covers all engines of the region.
         match settings.host.region.as_str().parse() {
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -2,20 +2,22 @@
 //!
 //! Decisions are made in [`hibiscusvale_core::relay::stream_versions`].
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use hibiscusvale_core::ids::{ServiceId, SoftwareVersion};
+use bytes::Bytes;
+use hibiscusvale_core::ids::{Offset, ServiceId, SoftwareVersion};
+use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::routes::Route;
 use hibiscusvale_core::relay::store_refresh::reader_rank;
 use hibiscusvale_core::relay::stream_versions::{
     SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions, VersionHistory,
     only_version,
 };
-use hibiscusvale_core::units::{Micros, Millis};
+use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -26,6 +28,7 @@
 use super::state::RelayState;
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
+use crate::external::{Log as RecordLog, LogFailure, Stream};
 use crate::logging::ResumeLine;
 
 /// Maximum number of streams whose records are kept: some megabytes.
@@ -50,7 +53,16 @@
 /// Timeout of saving versions.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Interval at which changed versions are saved.
+/// Time for which a record is kept for the log. The daemon that appends for all is replaced within it when it ends.
+const UNSAVED_TTL_MS: Millis = Millis(4_000);
+
+/// Maximum number of records that are kept for the log.
+const UNSAVED_MAX: usize = 4_096;
+
+/// Maximum number of log records in a page.
+const READ_PAGE_RECORDS: u32 = 256;
+
+/// Interval at which records and changed versions are saved.
 const SAVE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Interval at which records are sent a second time, and the age of the server list is observed.
@@ -90,6 +102,8 @@
     Record,
     /// A record at another daemon.
     Peer,
+    /// A record in the log, from before this daemon started.
+    Log,
     /// Only one version has served since before the stream can have begun.
     OnlyVersion,
 }
@@ -100,6 +114,7 @@
         match self {
             Self::Record => "record",
             Self::Peer => "peer",
+            Self::Log => "log",
             Self::OnlyVersion => "only-version",
         }
     }
@@ -112,6 +127,8 @@
     Ambiguous,
     /// No daemon that can be reached has a record, and others may have one.
     DaemonsSilent,
+    /// The log of streams could not be read.
+    LogUnread,
     /// The server list is too old to tell which versions have served.
     ListOld,
     /// No daemon has a record, and several versions have served or may have.
@@ -124,6 +141,7 @@
         match self {
             Self::Ambiguous => "ambiguous",
             Self::DaemonsSilent => "daemons-silent",
+            Self::LogUnread => "log-unread",
             Self::ListOld => "list-old",
             Self::NoRecord => "no-record",
         }
@@ -131,7 +149,7 @@
 
     fn refusal(self) -> Refusal {
         match self {
-            Self::DaemonsSilent | Self::ListOld => {
+            Self::DaemonsSilent | Self::LogUnread | Self::ListOld => {
                 Refusal::retry_after(Reason::VersionUnknown, SILENT_RETRY_MS)
             }
             Self::Ambiguous | Self::NoRecord => Refusal::new(Reason::VersionUnknown),
@@ -160,6 +178,12 @@
     is_loading: tokio::sync::Mutex<()>,
     /// What this daemon has saved there.
     saved: Mutex<HashMap<ServiceId, Vec<SoftwareVersion>>>,
+    /// Log for the records of streams of services that run several versions, for when all daemons end at once.
+    log: Arc<dyn RecordLog>,
+    /// Records for that log that this daemon knows of, each with the time from which it is left to others.
+    unsaved: Mutex<VecDeque<(MonoTime, StreamRecord)>>,
+    /// Whether the log was read.
+    is_log_read: AtomicBool,
     questions: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, StreamReply)>>>,
     next_number: AtomicU64,
     /// Socket for messages to other daemons. Records are sent by the thread that passes on the first event, so that
@@ -171,13 +195,16 @@
 
 impl SharedStreamVersions {
     /// Creates an empty table. `is_first` tells that no stream can have begun before.
-    pub fn new(store: Arc<dyn VersionStore>, is_first: bool) -> Self {
+    pub fn new(is_first: bool, store: Arc<dyn VersionStore>, log: &Arc<dyn RecordLog>) -> Self {
         Self {
             streams: Mutex::new(StreamVersions::new(STREAMS_MAX)),
             history: Mutex::new(VersionHistory::new(is_first)),
             store,
             is_loading: tokio::sync::Mutex::default(),
             saved: Mutex::default(),
+            log: Arc::clone(log),
+            unsaved: Mutex::default(),
+            is_log_read: AtomicBool::new(is_first),
             questions: Mutex::default(),
             next_number: AtomicU64::new(0),
             socket: OnceLock::new(),
@@ -210,9 +237,27 @@
         let record = StreamRecord { key, origin };
         self.streams.lock().record(clock::now(), &record);
         self.send(state, key, std::slice::from_ref(&record));
+        self.enqueue(std::slice::from_ref(&record));
         self.repeats.lock().push(record);
     }
 
+    /// Keeps records for the log if their service runs several versions. While it runs one, the version of a stream is
+    /// known without its record.
+    fn enqueue(&self, records: &[StreamRecord]) {
+        let now_us = clock::now();
+        let mut unsaved = self.unsaved.lock();
+        while unsaved.front().is_some_and(|(until_us, _)| *until_us <= now_us) {
+            unsaved.pop_front();
+        }
+        let history = self.history.lock();
+        for record in records {
+            let Some(origin) = &record.origin else { continue };
+            if history.seen(now_us, &origin.service).versions.len() > 1 && unsaved.len() < UNSAVED_MAX {
+                unsaved.push_back((now_us + UNSAVED_TTL_MS, record.clone()));
+            }
+        }
+    }
+
     /// Applies records of another daemon.
     pub fn receive_records(&self, records: &[StreamRecord]) {
         let now_us = clock::now();
@@ -220,6 +265,8 @@
         for record in records {
             streams.record(now_us, record);
         }
+        drop(streams);
+        self.enqueue(records);
     }
 
     fn send(&self, state: &RelayState, key: StreamKey, records: &[StreamRecord]) {
@@ -264,44 +311,31 @@
         route: &Route,
         inquiry: &mut Inquiry,
     ) -> Result<(StreamOrigin, Source), Gap> {
-        if let Some(key) = key {
-            let now_us = clock::now();
-            let (lookup, recorded_us) = self.streams.lock().find(now_us, key);
-            inquiry.age_us = recorded_us.map(|recorded_us| now_us.since(recorded_us));
-            match lookup {
-                StreamLookup::Known(origin) => return Ok((origin, Source::Record)),
-                StreamLookup::Ambiguous => return Err(Gap::Ambiguous),
-                StreamLookup::Unknown => {}
-            }
+        if let Some(key) = key
+            && let Some(found) = self.find(key, inquiry)
+        {
+            return found.map(|origin| (origin, Source::Record));
         }
         // Of a route with several destinations it is not known which service began the stream.
         let service = route.only_destination();
-        let only = |replies: &[SeenVersions]| {
-            let service = service?;
-            let own = self.history.lock().seen(clock::now(), service);
-            let version = only_version(replies.iter().chain([&own]))?;
-            Some((StreamOrigin { service: service.clone(), version }, Source::OnlyVersion))
-        };
         if is_list_current(state)
-            && let Some(found) = only(&[])
+            && let Some(found) = self.only_version(service, &[])
         {
             return Ok(found);
         }
         let replies = self.ask(state, key, service, inquiry).await;
-        let records = || replies.iter().filter_map(|reply| reply.record.as_ref());
-        if let Some(key) = key
-            && let Some(record) = records().next()
-        {
-            let mut streams = self.streams.lock();
-            for record in records() {
-                streams.record(clock::now(), record);
+        let mut is_log_read = true;
+        if let Some(key) = key {
+            self.receive_records(
+                &replies.iter().filter_map(|reply| reply.record.clone()).collect::<Vec<_>>(),
+            );
+            if let Some(found) = self.find(key, &mut Inquiry::default()) {
+                return found.map(|origin| (origin, Source::Peer));
+            }
+            is_log_read = self.load_records().await;
+            if let Some(found) = self.find(key, &mut Inquiry::default()) {
+                return found.map(|origin| (origin, Source::Log));
             }
-            drop(streams);
-            let is_agreed = records().all(|other| other.origin == record.origin);
-            return match &record.origin {
-                Some(origin) if is_agreed && record.key == key => Ok((origin.clone(), Source::Peer)),
-                Some(_) | None => Err(Gap::Ambiguous),
-            };
         }
         let is_answered = inquiry.replied == inquiry.asked;
         if !is_list_current(state) && (inquiry.asked == 0 || !is_answered) {
@@ -311,16 +345,38 @@
         if let Some(service) = service.filter(|_| !seen.iter().any(|seen| seen.is_complete)) {
             self.load(state, service).await;
         }
-        if let Some(found) = only(&seen) {
-            return Ok(found);
+        match self.only_version(service, &seen) {
+            Some(found) => Ok(found),
+            None if !is_log_read => Err(Gap::LogUnread),
+            None if !is_answered || state.peers.is_any_newly_silent() => Err(Gap::DaemonsSilent),
+            None => Err(Gap::NoRecord),
         }
-        if is_answered && !state.peers.is_any_newly_silent() {
-            Err(Gap::NoRecord)
-        } else {
-            Err(Gap::DaemonsSilent)
+    }
+
+    /// The origin of a stream by the records at this daemon; `None` if there is none.
+    fn find(&self, key: StreamKey, inquiry: &mut Inquiry) -> Option<Result<StreamOrigin, Gap>> {
+        let now_us = clock::now();
+        let (lookup, recorded_us) = self.streams.lock().find(now_us, key);
+        inquiry.age_us = recorded_us.map(|recorded_us| now_us.since(recorded_us));
+        match lookup {
+            StreamLookup::Known(origin) => Some(Ok(origin)),
+            StreamLookup::Ambiguous => Some(Err(Gap::Ambiguous)),
+            StreamLookup::Unknown => None,
         }
     }
 
+    /// The only version at which a stream of `service` can have begun, by what this daemon and others have seen.
+    fn only_version(
+        &self,
+        service: Option<&ServiceId>,
+        replies: &[SeenVersions],
+    ) -> Option<(StreamOrigin, Source)> {
+        let service = service?;
+        let own = self.history.lock().seen(clock::now(), service);
+        let version = only_version(replies.iter().chain([&own]))?;
+        Some((StreamOrigin { service: service.clone(), version }, Source::OnlyVersion))
+    }
+
     /// Asks the daemons that would have a record of the stream, until one has or all have replied.
     async fn ask(
         &self,
@@ -391,6 +447,57 @@
         }
     }
 
+    /// Appends the records that this daemon knows of to the log. In a fleet of many data centres no daemon knows all
+    /// records, and not all daemons end at once.
+    async fn save_records(&self, state: &RelayState) {
+        if state.peers.reach() != BroadcastScope::AllDaemons {
+            return;
+        }
+        let records: Vec<StreamRecord> = self.unsaved.lock().drain(..).map(|(_, record)| record).collect();
+        let Ok(bytes) = postcard::to_stdvec(&records) else {
+            return;
+        };
+        if !records.is_empty() {
+            // Records that are lost are known to the daemons as long as one of them lives.
+            let append = self.log.append(Stream::StreamOrigins, vec![Bytes::from(bytes)]);
+            let _ = tokio::time::timeout(SAVE_TIMEOUT, append).await;
+        }
+    }
+
+    /// Reads once the records that were saved before this daemon started; returns whether they are read.
+    async fn load_records(&self) -> bool {
+        let _loading = self.is_loading.lock().await;
+        if self.is_log_read.load(Ordering::Relaxed) {
+            return true;
+        }
+        let is_read =
+            tokio::time::timeout(LOAD_TIMEOUT, self.read_log()).await.is_ok_and(|read| read.is_ok());
+        self.is_log_read.store(is_read, Ordering::Relaxed);
+        is_read
+    }
+
+    async fn read_log(&self) -> Result<(), LogFailure> {
+        let mut from = Offset::default();
+        loop {
+            let page = self.log.read(Stream::StreamOrigins, from, READ_PAGE_RECORDS, Millis::ZERO).await?;
+            let Some(last) = page.records.last() else {
+                return Ok(());
+            };
+            from = last.offset.next();
+            let mut streams = self.streams.lock();
+            for saved in &page.records {
+                // Skips records that do not decode: they are of another build.
+                let records: Vec<StreamRecord> = postcard::from_bytes(&saved.data).unwrap_or_default();
+                for record in &records {
+                    streams.record(clock::now(), record);
+                }
+            }
+            if from >= page.next_offset {
+                return Ok(());
+            }
+        }
+    }
+
     /// Saves the versions that have changed, if this daemon does so for all.
     async fn save(&self, state: &RelayState) {
         let live = state.peers.hosts_reaching_store();
@@ -398,6 +505,7 @@
             self.saved.lock().clear();
             return;
         }
+        self.save_records(state).await;
         let seen: Vec<(ServiceId, SeenVersions)> = {
             let history = self.history.lock();
             let all = history.all_seen(clock::now());
@@ -428,14 +536,6 @@
         }
     }
 
-    /// Saves versions for as long as the daemon runs.
-    pub async fn run_saves(&self, state: &RelayState) {
-        loop {
-            tokio::time::sleep(SAVE_INTERVAL).await;
-            self.save(state).await;
-        }
-    }
-
     fn observe_list(&self, state: &RelayState) {
         let now_us = clock::now();
         self.history.lock().observe(now_us, state.freshness.servers_age_us(now_us));
@@ -463,6 +563,14 @@
     }
 }
 
+/// Saves versions and records for as long as the daemon runs.
+pub async fn run_saves(state: Arc<RelayState>) {
+    loop {
+        tokio::time::sleep(SAVE_INTERVAL).await;
+        state.stream_versions.save(&state).await;
+    }
+}
+
 fn is_list_current(state: &RelayState) -> bool {
     let age_us = state.freshness.servers_age_us(clock::now());
     age_us.is_some_and(|age_us| age_us < Micros::from(CURRENT_LIST_MS))
