--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -15,4 +15,5 @@
 mod simulation;
 mod store_refresh;
 mod stream_versions;
+mod stream_versions_simulation;
 mod versions;
