--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are made in [`hibiscusvale_core::relay::stream_versions`].
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -229,7 +229,9 @@
             BackendKind::Engine { service, .. } => Some((service.as_deref()?, &server.version)),
             BackendKind::Plain { .. } => None,
         });
-        self.history.lock().adopt(clock::now(), engines);
+        // A fleet lists thousands of engines of few services and versions.
+        let distinct: HashSet<(&str, &SoftwareVersion)> = engines.collect();
+        self.history.lock().adopt(clock::now(), distinct.into_iter());
     }
 
     /// Records where a stream began, here and at other daemons; `None` if that is not known.
