--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -242,7 +242,7 @@
         Ok(Datagram::ReachRequest(services)) => {
             send(socket, from, &Datagram::ReachReply(reach::reply(state, own, services))).await;
         }
-        Ok(Datagram::StreamRecords(records)) => state.stream_versions.receive_records(&records),
+        Ok(Datagram::StreamRecord(record)) => state.stream_versions.receive_records(&[record]),
         Ok(Datagram::StreamQuestion(question)) => {
             send(socket, from, &Datagram::StreamReply(state.stream_versions.reply(&question))).await;
         }
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -47,8 +47,8 @@
     ReachRequest(Vec<String>),
     /// What it reaches.
     ReachReply(HelperState),
-    /// Software versions at which streams began.
-    StreamRecords(Vec<StreamRecord>),
+    /// Software version at which a stream began.
+    StreamRecord(StreamRecord),
     /// Question at which version a stream began.
     StreamQuestion(StreamQuestion),
     /// What the recipient knows of it.
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -65,11 +65,8 @@
 /// Interval at which records and changed versions are saved.
 const SAVE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Interval at which records are sent a second time, and the age of the server list is observed.
-const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Maximum number of records in a datagram.
-const RECORDS_PER_DATAGRAM: usize = 64;
+/// Interval at which the age of the server list is observed.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Age of the server list up to which it shows every version that has begun streams.
 const CURRENT_LIST_MS: Millis = Millis(3_000);
@@ -189,8 +186,6 @@
     /// Socket for messages to other daemons. Records are sent by the thread that passes on the first event, so that
     /// they are under way before it.
     socket: OnceLock<UdpSocket>,
-    /// Records to be sent a second time.
-    repeats: Mutex<Vec<StreamRecord>>,
 }
 
 impl SharedStreamVersions {
@@ -208,7 +203,6 @@
             questions: Mutex::default(),
             next_number: AtomicU64::new(0),
             socket: OnceLock::new(),
-            repeats: Mutex::default(),
         }
     }
 
@@ -238,9 +232,8 @@
     pub fn record(&self, state: &RelayState, key: StreamKey, origin: Option<StreamOrigin>) {
         let record = StreamRecord { key, origin };
         self.streams.lock().record(clock::now(), &record);
-        self.send(state, key, std::slice::from_ref(&record));
         self.enqueue(std::slice::from_ref(&record));
-        self.repeats.lock().push(record);
+        self.send(state, record);
     }
 
     /// Keeps records for the log if their service runs several versions. While it runs one, the version of a stream is
@@ -260,7 +253,7 @@
         }
     }
 
-    /// Applies records of another daemon.
+    /// Applies records of other daemons.
     pub fn receive_records(&self, records: &[StreamRecord]) {
         let now_us = clock::now();
         let mut streams = self.streams.lock();
@@ -271,15 +264,16 @@
         self.enqueue(records);
     }
 
-    fn send(&self, state: &RelayState, key: StreamKey, records: &[StreamRecord]) {
+    fn send(&self, state: &RelayState, record: StreamRecord) {
         let Some(socket) = self.socket.get() else {
             return;
         };
-        let Ok(bytes) = postcard::to_stdvec(&Datagram::StreamRecords(records.to_vec())) else {
+        let key = record.key;
+        let Ok(bytes) = postcard::to_stdvec(&Datagram::StreamRecord(record)) else {
             return;
         };
         for keeper in state.peers.keepers(key, KEEPERS) {
-            // A full send buffer is as good as a lost datagram: the record is sent again.
+            // A lost record is at other daemons too.
             let _ = socket.send_to(&bytes, keeper);
         }
     }
@@ -529,12 +523,11 @@
         }
     }
 
-    /// Sends records a second time and observes the age of the server list, for as long as the daemon runs.
+    /// Observes the age of the server list for as long as the daemon runs.
     pub async fn run(&self, state: &RelayState) {
         loop {
-            tokio::time::sleep(REPEAT_INTERVAL).await;
+            tokio::time::sleep(OBSERVE_INTERVAL).await;
             self.observe_list(state);
-            self.repeat(state);
         }
     }
 
@@ -542,27 +535,6 @@
         let now_us = clock::now();
         self.history.lock().observe(now_us, state.freshness.servers_age_us(now_us));
     }
-
-    fn repeat(&self, state: &RelayState) {
-        let records = std::mem::take(&mut *self.repeats.lock());
-        let Some(socket) = self.socket.get().filter(|_| !records.is_empty()) else {
-            return;
-        };
-        let mut by_keeper: HashMap<SocketAddr, Vec<StreamRecord>> = HashMap::new();
-        for record in records {
-            for keeper in state.peers.keepers(record.key, KEEPERS) {
-                by_keeper.entry(keeper).or_default().push(record.clone());
-            }
-        }
-        for (keeper, records) in by_keeper {
-            for records in records.chunks(RECORDS_PER_DATAGRAM) {
-                if let Ok(bytes) = postcard::to_stdvec(&Datagram::StreamRecords(records.to_vec())) {
-                    // Daemons that miss both records ask others.
-                    let _ = socket.send_to(&bytes, keeper);
-                }
-            }
-        }
-    }
 }
 
 /// Saves versions and records for as long as the daemon runs.
