Judge the split of roles for the engines of each software version

A KV cache is fetched from engines of the same version only, but the split between prefill and decode engines was judged over all of them. A version without prefill engines then has its decode engines prefill, at half the speed and between the tokens of others.

Where several versions are listed, the engines of each are judged by themselves, the largest group first; those of a version that is being replaced are left alone. With one version nothing changes but that the two seconds for which a split must have been wrong begin anew when it is wrong the other way.

Tests: core/tests/relay/versions.rs, three more.

--- a/crates/core/src/relay/engines/role_balance.rs
+++ b/crates/core/src/relay/engines/role_balance.rs
@@ -4,8 +4,11 @@
 //! was assumed, and engines come and go. With a wrong split, bursts are refused for lack of decode engines
 //! while prefill engines are idle, or the reverse.
 
+use std::cmp::Ordering;
+
 use super::EnginePool;
-use super::events::Role;
+use super::engine::Engine;
+use super::events::{Role, VersionBinding};
 use crate::ids::BackendServerId;
 use crate::units::{Micros, Millis, MonoTime};
 
@@ -48,9 +51,10 @@
 }
 
 /// State for judging the split.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct RoleBalance {
-    unbalanced_since_us: Option<MonoTime>,
+    /// Engines whose split is wrong, the role of which there are too few, and since when.
+    unbalanced: Option<(VersionBinding, Role, MonoTime)>,
 }
 
 /// Rates and capacities of a single engine.
@@ -87,20 +91,24 @@
     /// The engine to order next, if the split has been wrong for long enough.
     pub fn next_role_change(&mut self, now_us: MonoTime) -> Option<RoleChange> {
         self.refresh_stats(now_us);
-        let (prefill_engines, live) = self.count_live(now_us);
-        let target = self.target_prefill_engines(now_us, prefill_engines, live)?;
-        if prefill_engines == target {
-            self.role_balance.unbalanced_since_us = None;
+        let Some((binding, role)) = self.wrong_split(now_us) else {
+            self.role_balance.unbalanced = None;
             return None;
-        }
-        let since_us = *self.role_balance.unbalanced_since_us.get_or_insert(now_us);
+        };
+        let since_us = match &self.role_balance.unbalanced {
+            Some((before, before_role, since_us)) if *before == binding && *before_role == role => *since_us,
+            Some(_) | None => {
+                self.role_balance.unbalanced = Some((binding.clone(), role, now_us));
+                now_us
+            }
+        };
         if now_us < since_us + UNBALANCED_MIN_MS {
             return None;
         }
-        let role = if prefill_engines > target { Role::Decode } else { Role::Prefill };
         let is_eligible = |index: &usize| {
             let engine = &self.engines[*index];
             engine.role != role
+                && binding.allows(&engine.version)
                 && engine.instance.is_listed_live(now_us)
                 && engine.instance.resting_until(now_us).is_none()
                 && !engine.is_changing_role(now_us)
@@ -127,17 +135,44 @@
         }
     }
 
-    /// Number of live prefill engines and of all live engines; an engine that changes counts with its new
-    /// role.
-    fn count_live(&self, now_us: MonoTime) -> (usize, usize) {
-        let live = || self.engines.iter().filter(|engine| engine.instance.is_listed_live(now_us));
+    /// The engines whose split is wrong, and the role of which there are too few. KV caches are not fetched across
+    /// software versions, so the engines of each version are judged by themselves, the largest group first.
+    fn wrong_split(&self, now_us: MonoTime) -> Option<(VersionBinding, Role)> {
+        let groups = self.versions.groups().map(|binding| (self.count_live(now_us, &binding), binding));
+        let wrong = groups.filter_map(|((prefill_engines, live), binding)| {
+            let target = self.target_prefill_engines(now_us, prefill_engines, live, &binding)?;
+            let role = match prefill_engines.cmp(&target) {
+                Ordering::Less => Role::Prefill,
+                Ordering::Equal => return None,
+                Ordering::Greater => Role::Decode,
+            };
+            Some((live, binding, role))
+        });
+        let (_, binding, role) = wrong.max_by_key(|(live, _, _)| *live)?;
+        Some((binding, role))
+    }
+
+    /// Number of live prefill engines and of all live engines that `binding` allows; an engine that changes counts with
+    /// its new role.
+    fn count_live(&self, now_us: MonoTime, binding: &VersionBinding) -> (usize, usize) {
+        let is_live =
+            |engine: &&Engine| engine.instance.is_listed_live(now_us) && binding.allows(&engine.version);
+        let live = || self.engines.iter().filter(is_live);
         (live().filter(|engine| engine.role == Role::Prefill).count(), live().count())
     }
 
     /// Number of prefill engines that serves the most requests over the horizon, less what is lost while
     /// engines change their roles.
-    fn target_prefill_engines(&self, now_us: MonoTime, prefill_engines: usize, live: usize) -> Option<usize> {
-        if live <= PREFILL_ENGINES_MIN || self.fleet_stats.prompts() < PROMPTS_MIN {
+    fn target_prefill_engines(
+        &self,
+        now_us: MonoTime,
+        prefill_engines: usize,
+        live: usize,
+        binding: &VersionBinding,
+    ) -> Option<usize> {
+        // The few engines of one of several versions may have to prefill their prompts themselves.
+        let least = if *binding == VersionBinding::Any { PREFILL_ENGINES_MIN } else { 0 };
+        if live <= least || self.fleet_stats.prompts() < PROMPTS_MIN {
             return None;
         }
         let rates = self.engine_rates(now_us)?;
@@ -148,7 +183,7 @@
             let served = rates.served_per_ms(target, live - target) * HORIZON_MS.0 as f64;
             served - lost_per_change * target.abs_diff(prefill_engines) as f64
         };
-        (PREFILL_ENGINES_MIN..live).max_by(|&one, &other| {
+        (least..live).max_by(|&one, &other| {
             let nearer = other.abs_diff(prefill_engines).cmp(&one.abs_diff(prefill_engines));
             gain(one).total_cmp(&gain(other)).then(nearer)
         })
--- a/crates/core/src/relay/engines/versions.rs
+++ b/crates/core/src/relay/engines/versions.rs
@@ -1,6 +1,6 @@
 //! Software versions of the listed engines, for the choice among engines of several versions.
 
-use super::events::{ListedEngine, Role};
+use super::events::{ListedEngine, Role, VersionBinding};
 use crate::ids::SoftwareVersion;
 
 /// Software versions of the listed engines.
@@ -33,6 +33,15 @@
         Self { list }
     }
 
+    /// Groups of engines that do not share KV caches: those of each version, without versions that are probably being
+    /// replaced; all engines if there is only one version.
+    pub(super) fn groups(&self) -> impl Iterator<Item = VersionBinding> {
+        let are_several = self.list.len() > 1;
+        let staying = self.list.iter().filter(move |listed| are_several && !listed.is_leaving);
+        let each = staying.map(|listed| VersionBinding::Only(listed.version.clone()));
+        each.chain((!are_several).then_some(VersionBinding::Any))
+    }
+
     /// Rank of a version among engines that are about equally filled; smaller values are better. Engines of a version
     /// without prefill engines have to prefill prompts themselves, which is slow. An answer that breaks off after the
     /// last engine of its version has left cannot go on, so versions of which engines leave come last.
--- a/crates/core/tests/relay/engines.rs
+++ b/crates/core/tests/relay/engines.rs
@@ -357,6 +357,12 @@
         .collect();
     let engines: Vec<(&str, Role)> = names.iter().map(|(name, role)| (name.as_str(), *role)).collect();
     let mut harness = Harness::new(settings(), &engines);
+    observe_load(&mut harness);
+    harness
+}
+
+/// Runs enough requests to judge the split.
+pub fn observe_load(harness: &mut Harness) {
     for sequence in 0..20 {
         harness.arrive(demand(sequence, 5_000, 6_000));
         harness.reserved(sequence);
@@ -366,7 +372,6 @@
         harness.after(3_200).progress(sequence, 64);
         harness.feed(EngineEvent::Finished { request_id: request_id(sequence), events: 70 });
     }
-    harness
 }
 
 /// A third of the engines are prefill engines and mostly idle, while bursts are refused for lack of decode
--- a/crates/core/tests/relay/versions.rs
+++ b/crates/core/tests/relay/versions.rs
@@ -1,10 +1,11 @@
 //! Engines of several software versions in one pool.
 
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineEvent, EngineRefusal, ListedEngine, Role, VersionBinding,
+    Demand, EngineAction, EngineEvent, EngineRefusal, ListedEngine, Role, RoleChange, VersionBinding,
 };
 use hibiscusvale_core::sched::FailureCause;
 
+use crate::engines::observe_load;
 use crate::simulation::{Harness, demand, listed, request_id, settings};
 
 fn engine(name: &str, role: Role, version: &str) -> ListedEngine {
@@ -234,3 +235,44 @@
         assert_eq!(version_of(&at), "v2");
     }
 }
+
+/// Engines of two versions that have observed enough load, after the time for which a split must have been wrong.
+fn first_role_change(list: Vec<ListedEngine>) -> Option<RoleChange> {
+    let mut harness = Harness::new(settings(), &[]);
+    harness.feed(EngineEvent::Engines(list));
+    observe_load(&mut harness);
+    harness.pool.next_role_change(harness.now_us);
+    harness.after(2_500);
+    harness.pool.next_role_change(harness.now_us)
+}
+
+fn of(version: &str, role: Role, count: usize) -> impl Iterator<Item = ListedEngine> {
+    let name = if role == Role::Prefill { "r" } else { "w" };
+    (0..count).map(move |number| engine(&format!("{version}-{name}{number}"), role, version))
+}
+
+/// One version has all prefill engines. The split of all engines together is right, but prompts of the other version are
+/// prefilled by its decode engines, slowly.
+#[test]
+fn version_without_prefill_engines_gets_one() {
+    let list = of("v1", Role::Prefill, 1).chain(of("v1", Role::Decode, 4)).chain(of("v2", Role::Decode, 6));
+    let change = first_role_change(list.collect()).expect("a change of role");
+    assert_eq!((version_of(change.server.as_str()), change.role), ("v2", Role::Prefill));
+}
+
+/// The only engine of a version is a prefill engine, which serves nobody.
+#[test]
+fn lone_prefill_engine_of_a_version_decodes() {
+    let list = of("v1", Role::Prefill, 1).chain(of("v1", Role::Decode, 5)).chain(of("v2", Role::Prefill, 1));
+    let change = first_role_change(list.collect()).expect("a change of role");
+    assert_eq!((change.server.as_str(), change.role), ("v2-r0", Role::Decode));
+}
+
+/// The engines of a version that is being replaced leave soon; a change of role would not pay.
+#[test]
+fn version_that_is_being_replaced_changes_no_role() {
+    let leaving = ListedEngine { leaving: true, ..engine("v2-w9", Role::Decode, "v2") };
+    let list = of("v1", Role::Prefill, 1).chain(of("v1", Role::Decode, 5));
+    let list = list.chain(of("v2", Role::Decode, 6)).chain([leaving]);
+    assert_eq!(first_role_change(list.collect()), None);
+}
