Forward a stream of a split route with its service

The daemon that helps drew the service of a split route anew, by the id of the request, and so sent a resumed stream to another service than the one that began it. The head of a forwarded request names the service; a daemon of the build before does not send it, and the draw of both is the same then.

--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -292,8 +292,9 @@
     }
     let route = table.find(host_of(&parts), parts.uri.path()).ok_or(Refusal::new(Reason::NoRoute))?.clone();
     let route = Route { priority: head.priority, ..route };
-    let service = route.destination(routing_hash(head.request_id));
-    let service = service.ok_or(Refusal::new(Reason::NoServer))?.clone();
+    let named = head.service.filter(|service| route.leads_to(service));
+    let service = named.or_else(|| route.destination(routing_hash(head.request_id)).cloned());
+    let service = service.ok_or(Refusal::new(Reason::NoServer))?;
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
     let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hibiscusvale_core::ids::{HostId, PartnerId, RequestId, SoftwareVersion};
+use hibiscusvale_core::ids::{HostId, PartnerId, RequestId, ServiceId, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::quarantine::Fingerprint;
 use hibiscusvale_core::relay::engines::VersionBinding;
@@ -87,6 +87,9 @@
     pub waited_ms: Millis,
     /// The last event that the caller has, when a stream is resumed.
     pub after_event: Option<u64>,
+    /// Destination service. A stream that is resumed keeps its own, whatever the split of its route draws.
+    #[serde(default)]
+    pub service: Option<ServiceId>,
     /// The stream that it begins or resumes; `None` if it may not be resumed.
     #[serde(default)]
     pub stream: Option<StreamKey>,
@@ -205,6 +208,7 @@
         left_ms: incoming.left_ms().saturating_sub(WAY_MS),
         waited_ms: incoming.waited_ms,
         after_event: after_event.map(|event| event.0),
+        service: Some(incoming.service.clone()),
         stream: incoming.stream,
         binding: binding.clone(),
     };
