Read what is saved of versions and streams at most once in two seconds

A caller that resumes streams which nobody knows caused a call to the platform for each, and a daemon that saves for all one each half second until it had seen a minute.

--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -50,6 +50,9 @@
 /// Timeout of reading the saved versions, for which a caller waits.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Minimum interval between two reads of the saved versions, and of the log.
+const READ_INTERVAL_MS: Millis = Millis(2_000);
+
 /// Timeout of saving versions.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -165,6 +168,13 @@
     pub replied: usize,
 }
 
+/// Times of the last reads of what is kept on the platform.
+#[derive(Debug, Default)]
+struct LastReads {
+    versions_us: Option<MonoTime>,
+    log_us: Option<MonoTime>,
+}
+
 /// Software versions of streams as far as this daemon knows them.
 #[derive(Debug)]
 pub struct SharedStreamVersions {
@@ -172,7 +182,8 @@
     history: Mutex<VersionHistory>,
     /// Store for the versions that the list has shown, for when all daemons end at once.
     store: Arc<dyn VersionStore>,
-    is_loading: tokio::sync::Mutex<()>,
+    /// When the saved versions, and the log, were last read. Held while they are read.
+    last_reads: tokio::sync::Mutex<LastReads>,
     /// What this daemon has saved there.
     saved: Mutex<HashMap<ServiceId, Vec<SoftwareVersion>>>,
     /// Log for the records of streams of services that run several versions, for when all daemons end at once.
@@ -195,7 +206,7 @@
             streams: Mutex::new(StreamVersions::new(STREAMS_MAX)),
             history: Mutex::new(VersionHistory::new(is_first)),
             store,
-            is_loading: tokio::sync::Mutex::default(),
+            last_reads: tokio::sync::Mutex::default(),
             saved: Mutex::default(),
             log: Arc::clone(log),
             unsaved: Mutex::default(),
@@ -428,9 +439,12 @@
 
     /// Reads which versions of a service other daemons have saved.
     async fn load(&self, state: &RelayState, service: &ServiceId) {
-        let _loading = self.is_loading.lock().await;
+        let mut last_reads = self.last_reads.lock().await;
         self.observe_list(state);
-        if self.history.lock().is_complete(clock::now(), service) {
+        let now_us = clock::now();
+        if self.history.lock().is_complete(now_us, service)
+            || !is_read_due(now_us, &mut last_reads.versions_us)
+        {
             return;
         }
         // The versions stay unknown if the platform does not answer.
@@ -462,10 +476,13 @@
 
     /// Reads once the records that were saved before this daemon started; returns whether they are read.
     async fn load_records(&self) -> bool {
-        let _loading = self.is_loading.lock().await;
+        let mut last_reads = self.last_reads.lock().await;
         if self.is_log_read.load(Ordering::Relaxed) {
             return true;
         }
+        if !is_read_due(clock::now(), &mut last_reads.log_us) {
+            return false;
+        }
         let is_read =
             tokio::time::timeout(LOAD_TIMEOUT, self.read_log()).await.is_ok_and(|read| read.is_ok());
         self.is_log_read.store(is_read, Ordering::Relaxed);
@@ -545,6 +562,16 @@
     }
 }
 
+/// Whether the platform may be read again, since the last time `last_us`. Callers that resume streams which nobody knows
+/// must not cause a call each.
+fn is_read_due(now_us: MonoTime, last_us: &mut Option<MonoTime>) -> bool {
+    let is_due = last_us.is_none_or(|last_us| now_us >= last_us + READ_INTERVAL_MS);
+    if is_due {
+        *last_us = Some(now_us);
+    }
+    is_due
+}
+
 fn is_list_current(state: &RelayState) -> bool {
     let age_us = state.freshness.servers_age_us(clock::now());
     age_us.is_some_and(|age_us| age_us < Micros::from(CURRENT_LIST_MS))
