--- a/crates/core/examples/stream_record_cost.rs
+++ b/crates/core/examples/stream_record_cost.rs
@@ -1,4 +1,4 @@
-//! Prints what it costs to tell other daemons at which version a stream began, by the number of daemons.
+//! Prints the cost of records of streams, by the number of daemons.
 #![allow(clippy::pedantic, reason = "a table for a page")]
 
 use std::time::Instant;
@@ -24,7 +24,7 @@
     let record = |key: u64| StreamRecord { key: StreamKey(key), origin: Some(origin.clone()) };
     let bytes = postcard::to_stdvec(&record(u64::MAX)).unwrap().len() + 1 + DATAGRAM_OVERHEAD_BYTES;
     println!("one record in a datagram: {bytes} bytes");
-    println!("daemons, told of each stream, bytes/s told, bytes/s if all were told, us to select");
+    println!("daemons, recipients of each record, bytes/s, bytes/s to all daemons, us to select");
     for count in [6, 9, 58, 300, 986] {
         let daemons: Vec<(HostId, DataCentreId)> = (0..count - 1)
             .map(|number| {
@@ -35,12 +35,13 @@
         let own: DataCentreId = "z-0".parse().unwrap();
         let others = || daemons.iter().map(|(host, data_centre)| (host, data_centre));
         let started = Instant::now();
-        let told: usize = (0..SELECTIONS).map(|key| keepers(StreamKey(key), &own, others(), 2).len()).sum();
+        let recipients: usize =
+            (0..SELECTIONS).map(|key| keepers(StreamKey(key), &own, others(), 2).len()).sum();
         let took = started.elapsed().as_micros() as f64 / SELECTIONS as f64;
-        let told = told as f64 / SELECTIONS as f64;
-        let per_s = |recipients: f64| recipients * (bytes * STREAMS_PER_S) as f64;
+        let recipients = recipients as f64 / SELECTIONS as f64;
+        let per_s = |count: f64| count * (bytes * STREAMS_PER_S) as f64;
         let all = per_s((count - 1) as f64);
-        println!("{count}, {told:.1}, {:.0}, {all:.0}, {took:.1}", per_s(told));
+        println!("{count}, {recipients:.1}, {:.0}, {all:.0}, {took:.1}", per_s(recipients));
     }
     let mut streams = StreamVersions::new(1 << 16);
     let started = Instant::now();
--- a/crates/core/src/relay/stream_versions.rs
+++ b/crates/core/src/relay/stream_versions.rs
@@ -236,7 +236,7 @@
 }
 
 impl VersionHistory {
-    /// Creates an empty history. `is_first` tells that no stream can have begun before it.
+    /// Creates an empty history; with `is_first`, no stream can have begun before it.
     pub fn new(is_first: bool) -> Self {
         Self { is_first, ..Self::default() }
     }
--- a/crates/core/tests/relay/stream_versions.rs
+++ b/crates/core/tests/relay/stream_versions.rs
@@ -233,20 +233,20 @@
     assert_eq!(keepers_at(&daemons, 4, 1, 2).len(), 8);
 }
 
-/// The number of records must not grow with the fleet, and each daemon has to ask those that were told.
+/// The number of records must not grow with the fleet, and each daemon has to ask those that got it.
 #[rstest]
 #[case(4, 75)]
 #[case(6, 164)]
 fn daemons_ask_those_that_keep_the_record(#[case] data_centres: usize, #[case] each: usize) {
     let daemons = daemons(data_centres, each);
     for key in 0..200 {
-        let told = keepers_at(&daemons, 0, key, 2);
-        assert!((2..=4).contains(&told.len()));
+        let recipients = keepers_at(&daemons, 0, key, 2);
+        assert!((2..=4).contains(&recipients.len()));
         let is_local = |host: &&&HostId| daemons.iter().any(|(it, at)| it == **host && *at == daemons[0].1);
-        assert!(told.iter().filter(is_local).count() >= 2);
+        assert!(recipients.iter().filter(is_local).count() >= 2);
         for asker in [data_centres, 2 * data_centres, 1, 2] {
             let asked = keepers_at(&daemons, asker, key, 3);
-            let shared = told.iter().filter(|host| asked.contains(host) || daemons[asker].0 == ***host);
+            let shared = recipients.iter().filter(|host| asked.contains(host) || daemons[asker].0 == ***host);
             assert!(shared.count() >= 1, "daemon {asker} finds nobody who knows stream {key}");
         }
     }
--- a/crates/core/tests/relay/stream_versions_simulation.rs
+++ b/crates/core/tests/relay/stream_versions_simulation.rs
@@ -71,7 +71,7 @@
     is_named: bool,
     /// The daemon that began it.
     at: usize,
-    /// Whether that daemon could tell others of it.
+    /// Whether that daemon could send its record to others.
     began_in_touch: bool,
     data_centre: DataCentreId,
 }
@@ -273,7 +273,7 @@
         let now = self.now;
         self.daemons[at].streams.record(now, &record);
         let keepers = self.keepers_of(at, key, 2);
-        let told: Vec<HostId> = keepers
+        let recipients: Vec<HostId> = keepers
             .into_iter()
             .filter(|host| {
                 let to = self.daemons.iter().position(|daemon| daemon.host == *host).unwrap();
@@ -281,9 +281,9 @@
             })
             .collect();
         if self.mutant == Mutant::RecordsLate {
-            self.late.push((now + Millis(20_000), told, record.clone()));
+            self.late.push((now + Millis(20_000), recipients, record.clone()));
         } else {
-            self.tell(&told, &record);
+            self.deliver(&recipients, &record);
         }
         if listed.len() > 1 && !self.daemons[at].is_cut && self.mutant != Mutant::RecordsLate {
             self.log.push(record);
@@ -303,7 +303,7 @@
         });
     }
 
-    fn tell(&mut self, hosts: &[HostId], record: &StreamRecord) {
+    fn deliver(&mut self, hosts: &[HostId], record: &StreamRecord) {
         let now = self.now;
         for daemon in self.daemons.iter_mut().filter(|daemon| daemon.is_up && hosts.contains(&daemon.host)) {
             daemon.streams.record(now, record);
@@ -315,7 +315,7 @@
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.late).into_iter().partition(|(at, _, _)| *at <= now);
         self.late = later;
-        due.into_iter().for_each(|(_, hosts, record)| self.tell(&hosts, &record));
+        due.into_iter().for_each(|(_, hosts, record)| self.deliver(&hosts, &record));
     }
 
     fn resume_due(&mut self) {
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -220,7 +220,7 @@
         self.state.is_ready()
     }
 
-    /// Number of other daemons heard from recently.
+    /// Number of other live daemons.
     pub fn live_peers(&self) -> u32 {
         self.state.peers.live()
     }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -449,7 +449,7 @@
         let timeout = REPORT_TIMEOUT.min(self.incoming.left());
         let body = hop::call(&self.state, writer, at, call, timeout).await?;
         let report = self.state.wire.parse_report(&body).ok_or(FailureCause::Broken)?;
-        // An engine that reports no run cannot be told apart from a later one; it is taken as listed.
+        // An engine that reports no run is taken to be the listed one.
         if report.lifetime.is_none_or(|lifetime| lifetime == listed) {
             Ok(())
         } else {
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -74,7 +74,7 @@
 /// Age of the server list up to which it shows every version that has begun streams.
 const CURRENT_LIST_MS: Millis = Millis(3_000);
 
-/// Retry-After where a daemon that is silent may know the stream: silent daemons are heard again by then, or are gone.
+/// Retry-After where a daemon that is silent may know the stream. One that still runs sends messages again by then.
 const SILENT_RETRY_MS: Millis = Millis(1_000);
 
 /// Question to another daemon about a stream and the versions of its service.
@@ -129,7 +129,7 @@
     DaemonsSilent,
     /// The log of streams could not be read.
     LogUnread,
-    /// The server list is too old to tell which versions have served.
+    /// The server list is too old to show which versions have served.
     ListOld,
     /// No daemon has a record, and several versions have served or may have.
     NoRecord,
@@ -200,7 +200,7 @@
 }
 
 impl SharedStreamVersions {
-    /// Creates an empty table. `is_first` tells that no stream can have begun before.
+    /// Creates an empty table; with `is_first`, no stream can have begun before.
     pub fn new(is_first: bool, store: Arc<dyn VersionStore>, log: &Arc<dyn RecordLog>) -> Self {
         Self {
             streams: Mutex::new(StreamVersions::new(STREAMS_MAX)),
