--- a/crates/core/src/relay/reach.rs
+++ b/crates/core/src/relay/reach.rs
@@ -86,6 +86,13 @@
     No,
 }
 
+impl Reached {
+    /// Whether a request may be sent to a daemon that says this about itself.
+    pub fn is_possible(self) -> bool {
+        matches!(self, Self::Yes | Self::Partly | Self::Unknown)
+    }
+}
+
 /// What another daemon says about itself.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct HelperState {
@@ -100,11 +107,23 @@
 }
 
 impl HelperState {
-    fn reaches(&self, service: &str, wanted: Reached) -> bool {
-        self.reached.iter().any(|(name, reached)| name == service && *reached == wanted)
+    /// What it knows about its way to the servers of `service`; `None` if it was not asked about it.
+    pub fn reached_of(&self, service: &str) -> Option<Reached> {
+        self.reached.iter().find(|(name, _)| name == service).map(|(_, reached)| *reached)
     }
 }
 
+/// What is known of the daemons to which a request could be forwarded.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HelperCounts {
+    /// Daemons that were last asked.
+    pub asked: usize,
+    /// Daemons with a fresh reply about the service.
+    pub replied: usize,
+    /// Daemons among these that do not rule out that they reach it.
+    pub reaching: usize,
+}
+
 /// Number of daemons among which the one with the fewest open requests is chosen: daemons that choose at the same
 /// time, by states of the same age, must not all choose the same one.
 const SAMPLED_HELPERS: usize = 3;
@@ -127,7 +146,8 @@
     Random: Rng,
 {
     let untried: Vec<&HelperState> = states.filter(|state| !tried.contains(&state.host)).collect();
-    let with = |wanted| untried.iter().copied().filter(move |state| state.reaches(service, wanted));
+    let with =
+        |wanted| untried.iter().copied().filter(move |state| state.reached_of(service) == Some(wanted));
     // A daemon beside a server that is down has failures now and then.
     let preferred = [Reached::Yes, Reached::Partly, Reached::Unknown];
     let wanted = preferred.into_iter().find(|reached| with(*reached).next().is_some())?;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -18,6 +18,7 @@
 use hibiscusvale_core::quarantine::{
     Fingerprint, FingerprintKind, Fingerprints, Refusal, Refutation, Verdict,
 };
+use hibiscusvale_core::relay::reach::HelperCounts;
 use hibiscusvale_core::sched::Stage;
 use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
@@ -104,6 +105,8 @@
     pub steps: &'a str,
     /// What the daemon knew about its way to the servers of the service when the request ended.
     pub reached: &'a str,
+    /// What was known of the daemons to which it could be forwarded, when it was last to be forwarded.
+    pub helpers: HelperCounts,
     /// Software versions of the engines that sent events, in order, separated by spaces.
     pub versions: &'a str,
     /// The last event that the caller had; zero if it did not resume a stream.
@@ -238,6 +241,9 @@
             outcome = line.outcome,
             steps = line.steps,
             reached = line.reached,
+            helpers_asked = line.helpers.asked,
+            helpers_replied = line.helpers.replied,
+            helpers_reaching = line.helpers.reaching,
             versions = line.versions,
             after_event = line.after_event,
             resumes = line.resumes,
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -7,7 +7,7 @@
 
 use hibiscusvale_core::ids::HostId;
 use hibiscusvale_core::relay::joining::{Joining, JoiningSettings, JoiningStep};
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Bytes, Millis};
 use rand::RngExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::runtime::Handle;
@@ -190,7 +190,9 @@
         let Ok(bytes) = postcard::to_stdvec(&Datagram::Message(Box::new(message))) else {
             continue;
         };
-        for target in state.peers.targets(Instant::now()) {
+        let targets = state.peers.targets(Instant::now());
+        state.metrics.record_message(Bytes(bytes.len() as u64), targets.len() as u64);
+        for target in targets {
             // A lost message is superseded by the next one.
             let _ = socket.send_to(&bytes, target).await;
         }
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -132,6 +132,7 @@
     let mut may_have_run = false;
     let state = &incoming.state;
     state.reach.wait_for_reply(state, incoming.service.as_str()).await;
+    incoming.record_helpers(state.reach.helper_counts(incoming.service.as_str()));
     for _ in 0..HELPERS_MAX {
         let Some(helper) = state.reach.helper(state, incoming.service.as_str(), tried) else {
             break;
@@ -156,8 +157,8 @@
                 return Forwarded::Answered(Box::new(response), version);
             }
             ForwardedEnd::Refused { reason, retry_after_ms } => {
-                incoming.record_step(Step::ForwardFailed(FailureCause::Refused), &helper.host);
                 let reason = Reason::from_label(&reason).unwrap_or(Reason::NoAnswer);
+                incoming.record_step(Step::ForwardRefused(reason), &helper.host);
                 let refusal = Refusal { reason, retry_after_ms };
                 may_have_run |= !refusal.is_not_run();
                 if !matches!(reason, Reason::NoServer | Reason::NoTable) {
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -28,6 +28,8 @@
     steps: Counter<u64>,
     statements: Counter<u64>,
     resumed: Counter<u64>,
+    messages: Counter<u64>,
+    message_bytes: Counter<u64>,
     answer_ms: Histogram<f64>,
     first_event_ms: Histogram<f64>,
     pause_ms: Histogram<f64>,
@@ -71,6 +73,8 @@
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
             statements: meter.u64_counter("hibiscusvale_relay_server_statements").build(),
             resumed: meter.u64_counter("hibiscusvale_relay_resumed_streams").build(),
+            messages: meter.u64_counter("hibiscusvale_relay_messages").build(),
+            message_bytes: meter.u64_counter("hibiscusvale_relay_message_bytes").build(),
             answer_ms: histogram("hibiscusvale_relay_answer_ms"),
             first_event_ms: histogram("hibiscusvale_relay_first_event_ms"),
             pause_ms: histogram("hibiscusvale_relay_longest_pause_ms"),
@@ -120,6 +124,12 @@
         self.resumed.add(1, &[KeyValue::new("version", version)]);
     }
 
+    /// Counts a message of `size` that was sent to this many daemons.
+    pub fn record_message(&self, size: Bytes, daemons: u64) {
+        self.messages.add(daemons, &[]);
+        self.message_bytes.add(size.0 * daemons, &[]);
+    }
+
     /// Registers gauges that read the daemon's state at every scrape.
     pub fn observe(&self, state: &Arc<RelayState>) {
         let meter = self.metrics.meter();
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -5,12 +5,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::{BackendServerId, HostId};
-use hibiscusvale_core::relay::reach::{self, DueCheck, HelperState, Reach, ReachChange, Reached};
+use hibiscusvale_core::relay::reach::{
+    self, DueCheck, HelperCounts, HelperState, Reach, ReachChange, Reached,
+};
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::Millis;
 use http::Request;
@@ -74,6 +76,8 @@
     services: Mutex<Reach>,
     /// Latest replies of other daemons.
     replies: Mutex<HashMap<HostId, ReceivedReply>>,
+    /// Number of daemons that were last asked.
+    asked: AtomicUsize,
     /// Signals to the task that asks other daemons that a request got no answer.
     doubted: Notify,
     /// Signals to the task that checks servers that a request got no answer.
@@ -161,6 +165,21 @@
         fresh.any(|known| known.state.reached.iter().any(|(name, _)| name == service))
     }
 
+    /// What is known of the daemons to which a request for `service` could be forwarded.
+    pub fn helper_counts(&self, service: &str) -> HelperCounts {
+        let now = Instant::now();
+        let replies = self.replies.lock();
+        let fresh = replies.values().filter(|known| now < known.at + REPLY_TTL);
+        let about = fresh.filter_map(|known| known.state.reached_of(service));
+        let mut counts =
+            HelperCounts { asked: self.asked.load(Ordering::Relaxed), ..HelperCounts::default() };
+        for reached in about {
+            counts.replied += 1;
+            counts.reaching += usize::from(reached.is_possible());
+        }
+        counts
+    }
+
     /// A daemon that reaches the servers of `service`, except those on `tried`.
     pub fn helper(&self, state: &RelayState, service: &str, tried: &[HostId]) -> Option<Helper> {
         let now = Instant::now();
@@ -277,7 +296,9 @@
             continue;
         }
         let request = Datagram::ReachRequest(services);
-        for address in state.peers.heard(ASKED_DAEMONS) {
+        let asked = state.peers.heard(ASKED_DAEMONS);
+        state.reach.asked.store(asked.len(), Ordering::Relaxed);
+        for address in asked {
             // A lost question is followed by the next one.
             send(socket, address, &request).await;
         }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -13,7 +13,7 @@
 use hibiscusvale_core::quarantine::Fingerprints;
 use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::relay::prior_wait::PriorWaits;
-use hibiscusvale_core::relay::reach::Reached;
+use hibiscusvale_core::relay::reach::{HelperCounts, Reached};
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
 use hibiscusvale_core::relay::stream_versions::{StreamKey, StreamOrigin};
 use hibiscusvale_core::units::{Credit, Millis, Tokens};
@@ -116,6 +116,7 @@
             outcome: trace.outcome(),
             steps: trace.steps(),
             reached: self.state.reach.reached(self.service.as_str()).label(),
+            helpers: trace.helpers(),
             versions: trace.versions(),
             after_event: self.call.after_event.unwrap_or_default().0,
             resumes: self.call.resumes.as_ref().map_or("", CallId::as_str),
@@ -142,6 +143,11 @@
         self.trace.lock().record_step(self.arrived.elapsed(), step, peer);
     }
 
+    /// Records what is known of the daemons to which it could be forwarded.
+    pub fn record_helpers(&self, helpers: HelperCounts) {
+        self.trace.lock().record_helpers(helpers);
+    }
+
     /// Records that the first event was sent to the caller.
     pub fn record_first_event(&self) {
         self.trace.lock().record_first_event(self.arrived.elapsed());
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -3,9 +3,11 @@
 use std::fmt::{Display, Write as _};
 use std::time::Duration;
 
+use hibiscusvale_core::relay::reach::HelperCounts;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::Bytes;
 
+use super::refusal::Reason;
 use crate::backend::Framing;
 use crate::metrics::Label as _;
 
@@ -30,6 +32,8 @@
     Forwarded,
     /// Another daemon did not answer.
     ForwardFailed(FailureCause),
+    /// Another daemon refused.
+    ForwardRefused(Reason),
 }
 
 impl Step {
@@ -40,7 +44,7 @@
             Self::ReserveFailed(_) => "reserve",
             Self::Prefilled | Self::PrefillFailed(_) => "read",
             Self::Decoding | Self::DecodeFailed(_) => "write",
-            Self::Forwarded | Self::ForwardFailed(_) => "forward",
+            Self::Forwarded | Self::ForwardFailed(_) | Self::ForwardRefused(_) => "forward",
         }
     }
 
@@ -53,6 +57,7 @@
             | Self::PrefillFailed(cause)
             | Self::DecodeFailed(cause)
             | Self::ForwardFailed(cause) => cause_label(cause),
+            Self::ForwardRefused(reason) => reason.label(),
         }
     }
 }
@@ -74,6 +79,7 @@
     longest_pause: Duration,
     framing: Option<Framing>,
     partial_event: Bytes,
+    helpers: HelperCounts,
 }
 
 impl RequestTrace {
@@ -136,6 +142,16 @@
         self.partial_event = Bytes(size as u64);
     }
 
+    /// Records what was known of the daemons that could take the request.
+    pub fn record_helpers(&mut self, helpers: HelperCounts) {
+        self.helpers = helpers;
+    }
+
+    /// What was known of the daemons that could take the request, when it was last to be forwarded.
+    pub fn helpers(&self) -> HelperCounts {
+        self.helpers
+    }
+
     /// Label of the framing of the last answer; empty if no server answered.
     pub fn framing(&self) -> &'static str {
         self.framing.map_or("", Framing::label)
