Ask all daemons for help, evenly over the data centres

What callers see: where all daemons of a data centre with more than 16 are cut off from the servers, none of their requests is served, though daemons of other data centres reach all servers.

Cause: sixteen daemons were asked, those of the own data centre first, and always among the same ones. The sample was all of one kind.

The search now goes through all live daemons, the data centres in turn, 16 at a time; those that reach the servers are asked again before their replies expire, and daemons that search name to each other the ones that they have found. In virtual time each of 983 cut-off daemons of 986 finds one of three others in four rounds, 0.75 s, with 1,127 questions at the busiest of the three; with the own data centre alone none finds one.

Tests: cases reset and open connections of the cut-off data centre pass, silent too; one way is still listed.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod engines;
 pub mod expired_entries;
+pub mod helper_search;
 pub mod joining;
 pub mod partners;
 pub mod prior_wait;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::pedantic, reason = "fakes and expectations in short form")]
 
 mod engines;
+mod helper_search;
 mod joining;
 mod load;
 mod memory;
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -242,14 +242,15 @@
         Ok(Datagram::QuotaReturn(returned)) => state.quotas.accept_return(&returned),
         Ok(Datagram::ReportRequest(after)) => send(socket, from, &state.quarantine.page(after)).await,
         Ok(Datagram::ReachRequest(services)) => {
-            send(socket, from, &Datagram::ReachReply(reach::reply(state, own, services))).await;
+            reach::reply(socket, from, state, own, services).await;
         }
         Ok(Datagram::StreamRecord(record)) => state.stream_versions.receive_records(&[record]),
         Ok(Datagram::StreamQuestion(question)) => {
             send(socket, from, &Datagram::StreamReply(state.stream_versions.reply(&question))).await;
         }
         Ok(Datagram::StreamReply(reply)) => state.stream_versions.receive_reply(from, reply),
-        Ok(Datagram::ReachReply(reply)) => state.reach.receive(Instant::now(), from, reply),
+        Ok(Datagram::ReachReply(reply)) => state.reach.receive(clock::now(), reply),
+        Ok(Datagram::HelpersKnown(hosts)) => state.reach.receive_named(clock::now(), hosts),
         Ok(Datagram::ReportPage(page)) => {
             if let Some(request) = state.quarantine.receive_page(state, page) {
                 send(socket, from, &request).await;
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -131,7 +131,7 @@
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
     let mut may_have_run = false;
     let state = &incoming.state;
-    state.reach.wait_for_reply(state, incoming.service.as_str()).await;
+    state.reach.wait_for_helper(state, incoming.service.as_str(), incoming.left()).await;
     incoming.record_helpers(state.reach.helper_counts(incoming.service.as_str()));
     for _ in 0..HELPERS_MAX {
         let Some(helper) = state.reach.helper(state, incoming.service.as_str(), tried) else {
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -53,6 +53,8 @@
     StreamQuestion(StreamQuestion),
     /// What the recipient knows of it.
     StreamReply(StreamReply),
+    /// Daemons that reach servers which the sender does not reach.
+    HelpersKnown(Vec<HostId>),
 }
 
 /// State of a daemon.
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -70,6 +70,10 @@
         self.heard.is_some_and(|heard| now < heard.at + PEER_TIMEOUT)
     }
 
+    fn entry((host, peer): (&HostId, &Self)) -> DaemonEntry {
+        DaemonEntry { host: host.clone(), data_centre: peer.data_centre.clone(), peer_address: peer.address }
+    }
+
     /// Whether a message may be sent to it: a silent daemon gets one only now and then.
     fn is_due(&self, now: Instant) -> bool {
         self.is_heard(now) || self.last_sent.is_none_or(|last_sent| now >= last_sent + SILENT_PEER_INTERVAL)
@@ -252,6 +256,12 @@
         Some(nearest.address)
     }
 
+    /// The live daemons.
+    pub fn live_daemons(&self) -> Vec<DaemonEntry> {
+        let table = self.table.lock();
+        table.live(&self.host, Instant::now()).map(Peer::entry).collect()
+    }
+
     /// Up to `count` daemons that were heard from recently, in random order, those of the own data centre first.
     pub fn heard(&self, count: usize) -> Vec<SocketAddr> {
         let now = Instant::now();
@@ -338,12 +348,7 @@
     /// The known daemons, as register entries.
     pub fn entries(&self) -> Vec<DaemonEntry> {
         let table = self.table.lock();
-        let entry = |(host, peer): (&HostId, &Peer)| DaemonEntry {
-            host: host.clone(),
-            data_centre: peer.data_centre.clone(),
-            peer_address: peer.address,
-        };
-        table.known.iter().map(entry).collect()
+        table.known.iter().map(Peer::entry).collect()
     }
 
     /// Adds daemons from register entries.
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -5,23 +5,23 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::relay::helper_search::{Candidate, HelperSearch};
 use hibiscusvale_core::relay::reach::{
     self, DueCheck, HelperCounts, HelperState, Reach, ReachChange, Reached,
 };
 use hibiscusvale_core::sched::FailureCause;
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Millis, MonoTime};
 use http::Request;
 use http_body_util::Full;
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use super::exchange::send;
 use super::message::Datagram;
@@ -50,14 +50,17 @@
 /// Interval at which other daemons are asked what they reach, while this one has doubts.
 const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Number of daemons that are asked.
-const ASKED_DAEMONS: usize = 16;
-
 /// Age at which the reply of another daemon is no longer used.
-const REPLY_TTL: Duration = Duration::from_secs(1);
+const REPLY_TTL_MS: Millis = Millis(1_000);
+
+/// Time after which a question counts as not replied to: several round trips inside a region.
+const REPLY_WAIT_MS: Millis = Millis(60);
+
+/// Maximum time that a request waits while daemons are being asked.
+const SEARCH_WAIT_MS: Millis = Millis(400);
 
-/// Longest wait for the first reply: several round trips inside a region.
-const REPLY_WAIT: Duration = Duration::from_millis(60);
+/// Number of daemons that are named to another one as reaching a service.
+const NAMED_DAEMONS: usize = 3;
 
 /// Shortest time-out that shows something about a server.
 const TIMEOUT_MIN: Duration = Duration::from_millis(100);
@@ -74,25 +77,17 @@
 #[derive(Debug, Default)]
 pub struct SharedReach {
     services: Mutex<Reach>,
-    /// Latest replies of other daemons.
-    replies: Mutex<HashMap<HostId, ReceivedReply>>,
-    /// Number of daemons that were last asked.
-    asked: AtomicUsize,
+    /// Latest replies of other daemons, and when they came.
+    replies: Mutex<HashMap<HostId, (MonoTime, HelperState)>>,
+    search: Mutex<HelperSearch>,
     /// Signals to the task that asks other daemons that a request got no answer.
     doubted: Notify,
     /// Signals to the task that checks servers that a request got no answer.
     suspected: Notify,
-    /// Signals a reply.
+    /// Signals replies and questions.
     replied: Notify,
 }
 
-#[derive(Debug)]
-struct ReceivedReply {
-    at: Instant,
-    address: SocketAddr,
-    state: HelperState,
-}
-
 /// A daemon to which requests can be forwarded.
 #[derive(Clone, Debug)]
 pub struct Helper {
@@ -131,49 +126,53 @@
     }
 
     /// Stores the reply of another daemon.
-    pub fn receive(&self, now: Instant, address: SocketAddr, state: HelperState) {
+    pub fn receive(&self, now_us: MonoTime, state: HelperState) {
         let mut replies = self.replies.lock();
-        replies.retain(|_, known| now < known.at + REPLY_TTL);
-        replies.insert(state.host.clone(), ReceivedReply { at: now, address, state });
+        replies.retain(|_, (at_us, _)| now_us < *at_us + REPLY_TTL_MS);
+        replies.insert(state.host.clone(), (now_us, state));
         drop(replies);
         self.replied.notify_waiters();
     }
 
-    /// Waits until another daemon has said whether it reaches `service`. Several requests may fail at the same moment,
-    /// and the next ones come before any daemon can have replied.
-    pub async fn wait_for_reply(&self, state: &RelayState, service: &str) {
-        if !state.peers.is_any_heard() {
-            return;
-        }
-        let replied = async {
+    /// Records daemons that another one names as reaching a service.
+    pub fn receive_named(&self, now_us: MonoTime, hosts: Vec<HostId>) {
+        self.search.lock().named(now_us, hosts);
+    }
+
+    /// Waits until a daemon has said that it reaches `service`, or all have been asked and had time to reply, for at most
+    /// half of the time `left`. Several requests may fail at the same moment, and the next ones come before any daemon can
+    /// have replied.
+    pub async fn wait_for_helper(&self, state: &RelayState, service: &str, left: Duration) {
+        let wait = Duration::from(SEARCH_WAIT_MS).min(left / 2);
+        let waiting = async {
             loop {
                 let notified = self.replied.notified();
-                if self.has_reply(service) {
+                if !state.peers.is_any_heard() || self.helper(state, service, &[]).is_some() {
                     return;
                 }
-                notified.await;
+                let replies_end_us =
+                    self.search.lock().covered_us(service).map(|at_us| at_us + REPLY_WAIT_MS);
+                let now_us = clock::now();
+                match replies_end_us {
+                    Some(end_us) if now_us >= end_us => return,
+                    Some(end_us) => {
+                        // Either the time is over, or there is a reply to look at.
+                        let _ = tokio::time::timeout(Duration::from(end_us.since(now_us)), notified).await;
+                    }
+                    None => notified.await,
+                }
             }
         };
-        // Without a reply the request is treated as if no daemon reached the service.
-        let _ = tokio::time::timeout(REPLY_WAIT, replied).await;
-    }
-
-    fn has_reply(&self, service: &str) -> bool {
-        let now = Instant::now();
-        let replies = self.replies.lock();
-        let mut fresh = replies.values().filter(|known| now < known.at + REPLY_TTL);
-        fresh.any(|known| known.state.reached.iter().any(|(name, _)| name == service))
+        // Without a helper the request is refused.
+        let _ = tokio::time::timeout(wait, waiting).await;
     }
 
     /// What is known of the daemons to which a request for `service` could be forwarded.
     pub fn helper_counts(&self, service: &str) -> HelperCounts {
-        let now = Instant::now();
+        let now_us = clock::now();
+        let mut counts = HelperCounts { asked: self.search.lock().asked(service), ..HelperCounts::default() };
         let replies = self.replies.lock();
-        let fresh = replies.values().filter(|known| now < known.at + REPLY_TTL);
-        let about = fresh.filter_map(|known| known.state.reached_of(service));
-        let mut counts =
-            HelperCounts { asked: self.asked.load(Ordering::Relaxed), ..HelperCounts::default() };
-        for reached in about {
+        for reached in fresh(&replies, now_us).filter_map(|reply| reply.reached_of(service)) {
             counts.replied += 1;
             counts.reaching += usize::from(reached.is_possible());
         }
@@ -182,12 +181,33 @@
 
     /// A daemon that reaches the servers of `service`, except those on `tried`.
     pub fn helper(&self, state: &RelayState, service: &str, tried: &[HostId]) -> Option<Helper> {
-        let now = Instant::now();
         let replies = self.replies.lock();
-        let usable = replies.values().filter(|known| now < known.at + REPLY_TTL).map(|known| &known.state);
+        let usable = fresh(&replies, clock::now());
         let own = state.peers.data_centre();
         let chosen = reach::choose_helper(usable, service, own, tried, &mut rand::rng())?;
-        Some(Helper { host: chosen.host.clone(), address: replies.get(&chosen.host)?.address })
+        Some(Helper { host: chosen.host.clone(), address: state.peers.address_of(&chosen.host)? })
+    }
+
+    /// Some daemons that reach any of `services`, which this one does not reach.
+    fn known_helpers(&self, services: &[String]) -> Vec<HostId> {
+        let lost: Vec<&String> =
+            services.iter().filter(|service| self.reached(service) == Reached::No).collect();
+        let replies = self.replies.lock();
+        let helping = fresh(&replies, clock::now())
+            .filter(|reply| lost.iter().any(|service| reply.reached_of(service) == Some(Reached::Yes)));
+        helping.map(|reply| reply.host.clone()).sample(&mut rand::rng(), NAMED_DAEMONS)
+    }
+
+    /// The daemons to ask now about services in doubt.
+    fn next_asked(&self, state: &RelayState, services: &[String]) -> Vec<SocketAddr> {
+        let live = state.peers.live_daemons();
+        let candidates: Vec<Candidate<'_>> = live
+            .iter()
+            .map(|daemon| Candidate { host: &daemon.host, data_centre: &daemon.data_centre })
+            .collect();
+        let replies = self.replies.lock();
+        let asked = self.search.lock().next(clock::now(), services, &candidates, &replies, &mut rand::rng());
+        asked.into_iter().filter_map(|host| state.peers.address_of(host)).collect()
     }
 
     fn doubted_services(&self) -> Vec<String> {
@@ -205,6 +225,14 @@
     }
 }
 
+fn fresh(
+    replies: &HashMap<HostId, (MonoTime, HelperState)>,
+    now_us: MonoTime,
+) -> impl Iterator<Item = &HelperState> {
+    let is_fresh = move |(at_us, _): &&(MonoTime, HelperState)| now_us < *at_us + REPLY_TTL_MS;
+    replies.values().filter(is_fresh).map(|(_, reply)| reply)
+}
+
 impl Label for Reached {
     fn label(self) -> &'static str {
         match self {
@@ -292,22 +320,37 @@
     loop {
         let services = state.reach.doubted_services();
         if services.is_empty() {
+            state.reach.search.lock().end();
             state.reach.doubted.notified().await;
             continue;
         }
+        let asked = state.reach.next_asked(state, &services);
         let request = Datagram::ReachRequest(services);
-        let asked = state.peers.heard(ASKED_DAEMONS);
-        state.reach.asked.store(asked.len(), Ordering::Relaxed);
         for address in asked {
             // A lost question is followed by the next one.
             send(socket, address, &request).await;
         }
+        state.reach.replied.notify_waiters();
         tokio::time::sleep(ASK_INTERVAL).await;
     }
 }
 
-/// The reply to another daemon's question.
-pub fn reply(state: &RelayState, own: &HostId, services: Vec<String>) -> HelperState {
+/// Replies to another daemon's question, and names daemons that reach what this one does not.
+pub async fn reply(
+    socket: &UdpSocket,
+    to: SocketAddr,
+    state: &RelayState,
+    own: &HostId,
+    services: Vec<String>,
+) {
+    let named = state.reach.known_helpers(&services);
+    send(socket, to, &Datagram::ReachReply(own_state(state, own, services))).await;
+    if !named.is_empty() {
+        send(socket, to, &Datagram::HelpersKnown(named)).await;
+    }
+}
+
+fn own_state(state: &RelayState, own: &HostId, services: Vec<String>) -> HelperState {
     let is_stopping = state.stopping.load(Ordering::Relaxed);
     let reached = services.into_iter().map(|service| {
         let reached = if is_stopping { Reached::No } else { state.reach.reached(&service) };
