Leave three quarters of a host's link to callers

What callers see: where few daemons reach the servers, these take over the callers of all others, and for seconds at a time nobody is served by them.

Cause: each change of a daemon's state goes to all others, up to 60 times a second. A daemon that takes over streams changes its state all the time; among 67 daemons that is 4,000 datagrams a second, 20 Mbit/s where the host's link carries 10. The same happens to a small daemon that gets most callers.

The interval between messages now grows with their size, so that they take a quarter of the link at most, which the settings state (capacity.link_mbps).

--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -135,7 +135,7 @@
             caller_waits: Mutex::default(),
             server_changes: ServerChangeLog::default(),
             transfer_budget: Mutex::default(),
-            peers: Peers::new(&settings.host, settings.listen.peers, &settings.peers.seeds),
+            peers: Peers::new(&settings),
             quotas,
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -166,10 +166,10 @@
 
 async fn send_messages(socket: &UdpSocket, host: &HostId, state: &RelayState) {
     let mut sequence = 0;
-    let mut last = Instant::now();
+    let (mut last, mut last_size) = (Instant::now(), Bytes::ZERO);
     let mut advertised = AdvertisedState::default();
     loop {
-        state.peers.next_message(last).await;
+        state.peers.next_message(last, last_size).await;
         last = Instant::now();
         sequence += 1;
         let (holdings, lendable) =
@@ -191,7 +191,8 @@
             continue;
         };
         let targets = state.peers.targets(Instant::now());
-        state.metrics.record_message(Bytes(bytes.len() as u64), targets.len() as u64);
+        last_size = Bytes(bytes.len() as u64);
+        state.metrics.record_message(last_size, targets.len() as u64);
         for target in targets {
             // A lost message is superseded by the next one.
             let _ = socket.send_to(&bytes, target).await;
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -44,4 +44,4 @@
 mod watch;
 
 pub use daemon::{RelayAdapters, RelayDaemon};
-pub use settings::RelaySettings;
+pub use settings::{CapacitySettings, RelaySettings};
--- a/crates/router/src/relay/pacing.rs
+++ b/crates/router/src/relay/pacing.rs
@@ -4,10 +4,12 @@
 //! other daemons. With hundreds of daemons, every host would spend its share of a core on sending and
 //! receiving, most of all in a burst, and callers would wait. So changes that happen close together are
 //! batched, changes that nobody waits for go with the next message, and the interval between messages grows
-//! with the number of recipients.
+//! with the number of recipients. It also grows with the size of the messages where they would fill the host's link:
+//! a daemon that serves the callers of many others changes its state all the time.
 
 use std::time::Duration;
 
+use hibiscusvale_core::units::{Bytes, BytesPerSecond};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -52,14 +54,34 @@
 /// Shortest pause that is made; timers are not finer.
 const RECEIVE_PAUSE_MIN: Duration = Duration::from_millis(1);
 
+/// Bytes of the headers of a datagram (IPv4 and UDP).
+const DATAGRAM_HEADER: Bytes = Bytes(28);
+
+/// A message that was sent to a number of daemons.
+#[derive(Clone, Copy, Debug)]
+pub struct SentMessage {
+    /// When.
+    pub at: Instant,
+    /// Number of recipients.
+    pub daemons: u32,
+    /// Size of the message.
+    pub size: Bytes,
+}
+
 /// Schedules the messages to the other daemons.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MessagePacer {
+    rate: BytesPerSecond,
     wanted: Mutex<Option<Instant>>,
     rescheduled: Notify,
 }
 
 impl MessagePacer {
+    /// Creates a pacer for messages that may take `rate` of the link.
+    pub fn new(rate: BytesPerSecond) -> Self {
+        Self { rate, wanted: Mutex::default(), rescheduled: Notify::new() }
+    }
+
     /// Schedules a message for a change that the others need to learn of.
     pub fn schedule(&self, now: Instant, urgency: Urgency) {
         let at = now + urgency.window();
@@ -70,11 +92,11 @@
         }
     }
 
-    /// Waits until a message is due after the one sent at `last`, with `daemons` recipients.
-    pub async fn due(&self, last: Instant, daemons: u32) {
+    /// Waits until a message is due after the `last` one.
+    pub async fn due(&self, last: SentMessage) {
         loop {
             let wanted = *self.wanted.lock();
-            let at = next_send_at(wanted, last, daemons);
+            let at = next_send_at(wanted, last, self.rate);
             tokio::select! {
                 () = tokio::time::sleep_until(at) => break,
                 () = self.rescheduled.notified() => {}
@@ -84,10 +106,15 @@
     }
 }
 
-/// Time of the next message after the one sent at `last`, if one is `wanted` at some time.
-pub fn next_send_at(wanted: Option<Instant>, last: Instant, daemons: u32) -> Instant {
-    let latest = last + MESSAGE_INTERVAL_MAX;
-    wanted.map_or(latest, |wanted| wanted.min(latest)).max(last + SEND_INTERVAL_PER_DAEMON * daemons)
+/// Time of the next message after the `last` one, if one is `wanted` at some time, where messages may take `rate` of the link.
+pub fn next_send_at(wanted: Option<Instant>, last: SentMessage, rate: BytesPerSecond) -> Instant {
+    let latest = last.at + MESSAGE_INTERVAL_MAX;
+    let bytes = (last.size + DATAGRAM_HEADER).0 * u64::from(last.daemons);
+    let sending = Duration::from_secs_f64(bytes as f64 / rate.0.max(1) as f64);
+    // Others take a daemon without messages for dead, however slow its link.
+    let sending = sending.min(MESSAGE_INTERVAL_MAX);
+    let pause = sending.max(SEND_INTERVAL_PER_DAEMON * last.daemons);
+    wanted.map_or(latest, |wanted| wanted.min(latest)).max(last.at + pause)
 }
 
 /// Pause after reading messages of `daemons` senders, so that one read takes several; `None` where a pause
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -9,6 +9,7 @@
 use hibiscusvale_core::quota::Coverage;
 use hibiscusvale_core::relay::recipients::{BroadcastScope, Recipients};
 use hibiscusvale_core::relay::stream_versions::{self, StreamKey};
+use hibiscusvale_core::units::Bytes;
 use parking_lot::Mutex;
 use rand::seq::{IndexedRandom, SliceRandom};
 use tokio::sync::watch;
@@ -16,8 +17,8 @@
 
 use super::interfaces::DaemonEntry;
 use super::message::Message;
-use super::pacing::{MessagePacer, Urgency};
-use crate::settings::HostSettings;
+use super::pacing::{MessagePacer, SentMessage, Urgency};
+use super::settings::RelaySettings;
 
 /// Silence after which a daemon is not counted as live. Either it has no requests any more or it cannot
 /// announce them; engines themselves refuse when they are full.
@@ -147,9 +148,11 @@
 }
 
 impl Peers {
-    /// Creates a table without daemons; this one is `host` and listens on `own`.
-    pub fn new(host: &HostSettings, own: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
+    /// Creates a table without daemons.
+    pub fn new(settings: &RelaySettings) -> Self {
+        let RelaySettings { host, listen, peers, capacity, .. } = settings;
+        let own = listen.peers;
+        let seeds = peers.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
         Self {
             host: Host { id: host.id.clone(), data_centre: host.data_centre.clone() },
             table: Mutex::default(),
@@ -157,7 +160,7 @@
             started: Instant::now(),
             register_read: watch::Sender::new(false),
             recipients: AtomicU32::new(0),
-            pacer: MessagePacer::default(),
+            pacer: MessagePacer::new(capacity.message_rate()),
         }
     }
 
@@ -176,9 +179,9 @@
         self.pacer.schedule(Instant::now(), urgency);
     }
 
-    /// Waits until a message is due after the one sent at `last`.
-    pub async fn next_message(&self, last: Instant) {
-        self.pacer.due(last, self.recipients()).await;
+    /// Waits until a message is due after the one of `size` sent at `at`.
+    pub async fn next_message(&self, at: Instant, size: Bytes) {
+        self.pacer.due(SentMessage { at, daemons: self.recipients(), size }).await;
     }
 
     /// Number of daemons that exchange messages with this one.
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::quota::QuotaBounds;
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{BytesPerSecond, Millis};
 use serde::Deserialize;
 
 use crate::settings::check::check_number;
@@ -70,6 +70,7 @@
             ("bounds.quota_overshoot", bounds.quota_overshoot, QUOTA_OVERSHOOT),
             ("bounds.quota_slack", bounds.quota_slack, QUOTA_SLACK),
             ("capacity.descriptors", capacity.descriptors, DESCRIPTORS),
+            ("capacity.link_mbps", capacity.link_mbps, LINK_MBPS),
         ] {
             check_number(text, key, value, range, &mut problems);
         }
@@ -109,6 +110,9 @@
 /// With fewer than 256, callers and servers could not be connected at the same time.
 const DESCRIPTORS: RangeInclusive<f64> = 256.0..=1_000_000.0;
 
+/// Below 1 Mbit/s, the messages between daemons alone would take longer than their timeout.
+const LINK_MBPS: RangeInclusive<f64> = 1.0..=1_000_000.0;
+
 /// Listen addresses of a daemon in relay mode.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -212,13 +216,29 @@
 pub struct CapacitySettings {
     /// Limit of file descriptors; a fraction is rounded down.
     pub descriptors: f64,
+    /// Bandwidth of the host's network link in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// Fraction of the file descriptors available to callers. The rest is for connections to servers, the store
 /// and other daemons.
 const CALLERS_FRACTION: f64 = 0.75;
 
+/// Part of the link that the messages to other daemons may take. The rest is for requests and answers, each of which
+/// passes the link twice.
+const MESSAGES_FRACTION: f64 = 0.25;
+
+/// Bytes per second in a Mbit/s.
+const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
+
 impl CapacitySettings {
+    /// Maximum rate of messages to other daemons.
+    pub fn message_rate(&self) -> BytesPerSecond {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
+        let rate = (self.link_mbps * BYTES_PER_S_PER_MBPS * MESSAGES_FRACTION) as u64;
+        BytesPerSecond(rate)
+    }
+
     /// Maximum number of open caller connections.
     pub fn caller_connections(&self) -> usize {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
@@ -229,6 +249,6 @@
 
 impl Default for CapacitySettings {
     fn default() -> Self {
-        Self { descriptors: 4_096.0 }
+        Self { descriptors: 4_096.0, link_mbps: 1_000.0 }
     }
 }
--- a/crates/router/tests/ops/relay_pacing.rs
+++ b/crates/router/tests/ops/relay_pacing.rs
@@ -2,18 +2,28 @@
 
 use std::time::Duration;
 
-use hibiscusvale::relay::pacing::{next_send_at, receive_pause};
+use hibiscusvale::relay::CapacitySettings;
+use hibiscusvale::relay::pacing::{SentMessage, next_send_at, receive_pause};
+use hibiscusvale_core::units::{Bytes, BytesPerSecond};
+use rstest::rstest;
 use tokio::time::Instant;
 
 const MS: Duration = Duration::from_millis(1);
 
+/// Rate of messages of a host with a link of 10 Gbit/s.
+const FAST: BytesPerSecond = BytesPerSecond(312_500_000);
+
+fn sent(at: Instant, daemons: u32) -> SentMessage {
+    SentMessage { at, daemons, size: Bytes(600) }
+}
+
 /// Among few daemons a change is sent as soon as it is wanted: otherwise two daemons would pick the same free
 /// decode engine.
 #[test]
 fn few_daemons_get_changes_immediately() {
     let last = Instant::now();
     let wanted = last + 5 * MS;
-    assert_eq!(next_send_at(Some(wanted), last, 8), wanted);
+    assert_eq!(next_send_at(Some(wanted), sent(last, 8), FAST), wanted);
     assert_eq!(receive_pause(8), None);
 }
 
@@ -24,12 +34,12 @@
 fn a_burst_among_hundreds_of_daemons_does_not_overload_hosts() {
     let daemons = 412;
     let begun = Instant::now();
-    let (mut last, mut sent) = (begun, 0_u32);
+    let (mut last, mut count) = (begun, 0_u32);
     while last < begun + Duration::from_secs(10) {
-        last = next_send_at(Some(last + MS), last, daemons);
-        sent += 1;
+        last = next_send_at(Some(last + MS), sent(last, daemons), FAST);
+        count += 1;
     }
-    let per_s = sent * daemons / 10;
+    let per_s = count * daemons / 10;
     assert!(per_s <= 4_200, "{per_s} messages a second");
 }
 
@@ -38,12 +48,41 @@
 #[test]
 fn a_daemon_without_changes_sends_messages() {
     let last = Instant::now();
-    assert!(next_send_at(None, last, 412) <= last + Duration::from_millis(800));
+    assert!(next_send_at(None, sent(last, 412), FAST) <= last + Duration::from_millis(800));
 }
 
 /// A change that may be sent late does not delay the periodic message.
 #[test]
 fn a_late_change_does_not_delay_the_periodic_message() {
     let last = Instant::now();
-    assert!(next_send_at(Some(last + Duration::from_secs(5)), last, 8) <= last + Duration::from_millis(800));
+    assert!(
+        next_send_at(Some(last + Duration::from_secs(5)), sent(last, 8), FAST)
+            <= last + Duration::from_millis(800)
+    );
+}
+
+/// A daemon that serves the callers of many others changes its state all the time: its own messages must not fill its link.
+#[rstest]
+#[case::small_host(10.0, 66)]
+#[case::small_host_in_a_large_fleet(10.0, 255)]
+#[case::larger_host(200.0, 255)]
+fn messages_leave_the_link_to_callers(#[case] link_mbps: f64, #[case] daemons: u32) {
+    let rate = CapacitySettings { link_mbps, ..CapacitySettings::default() }.message_rate();
+    let begun = Instant::now();
+    let (mut last, mut bytes) = (begun, 0.0);
+    while last < begun + Duration::from_secs(10) {
+        last = next_send_at(Some(last + MS), sent(last, daemons), rate);
+        bytes += f64::from(daemons) * 628.0;
+    }
+    let mbps = bytes * 8.0 / 1e6 / (last - begun).as_secs_f64();
+    assert!(mbps <= link_mbps / 3.0, "{mbps} Mbit/s of {link_mbps}");
+}
+
+/// However slow the link, others must not take a daemon for dead.
+#[test]
+fn a_slow_link_does_not_delay_the_periodic_message() {
+    let rate = CapacitySettings { link_mbps: 1.0, ..CapacitySettings::default() }.message_rate();
+    let last = Instant::now();
+    let message = SentMessage { size: Bytes(9_000), ..sent(last, 255) };
+    assert!(next_send_at(None, message, rate) <= last + Duration::from_millis(800));
 }
--- a/crates/router/tests/ops/relay_settings.rs
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -29,6 +29,7 @@
 #[case("[bounds]\nretry_slack = -1", "bounds.retry_slack is -1, allowed is 0 to 100000")]
 #[case("[bounds]\nretry_window_s = 0", "bounds.retry_window_s is 0, allowed is 1 to 3600")]
 #[case("[capacity]\ndescriptors = 12", "capacity.descriptors is 12")]
+#[case("[capacity]\nlink_mbps = 0", "capacity.link_mbps is 0, allowed is 1 to 1000000")]
 #[case("[bounds]\ngrace = 8", "unknown field")]
 fn out_of_range_settings_are_refused(#[case] addition: &str, #[case] expected: &str) {
     let error = RelaySettings::parse(&format!("{MINIMAL}{addition}\n")).unwrap_err().to_string();
