Check the links when another daemon asks, and say yes only after a check

What callers see: for seconds after a cut a daemon that gets few requests, or whose open connections live on, takes its servers for reached. Its first callers wait, and streams that others forward to it spend up to 2.7 s on reservations that time out and are refused.

Cause: what a daemon says of itself rests on the requests that happened to pass.

A daemon that is asked now checks over new connections, unless it did within two seconds, and replies again after the check; only an answered check is a yes. The question tells daemons without requests that they are cut off. A loss has services checked that had no request yet, and a failed check begins the search.

daemons_that_do_not_know_are_asked_again is replaced by daemons_that_help_are_asked_again, whose case does_not_know asks for the opposite, as the second reply comes by itself.

Tests: cut_off_daemons_learn_it_from_others and all cases of the cut-off data centre pass.

--- a/crates/core/src/relay/helper_search.rs
+++ b/crates/core/src/relay/helper_search.rs
@@ -47,7 +47,7 @@
 /// How promising it is to ask a daemon, the most promising first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Rank {
-    /// Its reply, that it reaches the servers or does not know yet, has to be renewed.
+    /// Its reply, that it reaches the servers, has to be renewed.
     Renewed,
     /// Another daemon names it, and it was not asked since.
     Named,
@@ -85,7 +85,7 @@
         now_us: MonoTime,
         services: &[String],
         candidates: &[Candidate<'a>],
-        replies: &HashMap<HostId, (MonoTime, HelperState)>,
+        replies: &BTreeMap<HostId, (MonoTime, HelperState)>,
         rng: &mut Random,
     ) -> Vec<&'a HostId>
     where
@@ -115,7 +115,7 @@
         now_us: MonoTime,
         services: &[String],
         candidates: &[Candidate<'a>],
-        replies: &HashMap<HostId, (MonoTime, HelperState)>,
+        replies: &BTreeMap<HostId, (MonoTime, HelperState)>,
         rng: &mut Random,
     ) -> Vec<&'a HostId>
     where
@@ -157,15 +157,10 @@
         let Some((at_us, state)) = reply else {
             return if is_named { Rank::Named } else { Rank::Other };
         };
-        let reached = services.iter().filter_map(|service| state.reached_of(service));
         let is_old = now_us >= *at_us + self.settings.renew_after_ms;
-        let is_renewed = reached.into_iter().any(|reached| match reached {
-            Reached::Yes | Reached::Partly => is_old,
-            // Having been asked, it finds out.
-            Reached::Unknown => true,
-            Reached::Doubtful | Reached::No => false,
-        });
-        if is_renewed { Rank::Renewed } else { Rank::Other }
+        // The others reply once more when they have found out.
+        let helps = services.iter().any(|service| state.reached_of(service) == Some(Reached::Yes));
+        if helps && is_old { Rank::Renewed } else { Rank::Other }
     }
 
     /// Ends the search, since no service is in doubt.
--- a/crates/core/src/relay/reach.rs
+++ b/crates/core/src/relay/reach.rs
@@ -55,7 +55,7 @@
 pub enum ReachChange {
     /// Its servers are out of reach.
     Lost {
-        /// Servers at which requests failed; none if links to another service were found to be lost.
+        /// Servers at which requests failed; none if another service was found to be lost, or another daemon asked.
         servers: Vec<BackendServerId>,
         /// Failures since the last answered check.
         failures: u32,
@@ -160,6 +160,8 @@
 #[derive(Clone, Debug, Default)]
 struct ServiceReach {
     last_answer_us: Option<MonoTime>,
+    /// When a check was last answered.
+    verified_us: Option<MonoTime>,
     last_failure_us: MonoTime,
     last_cause: Option<FailureCause>,
     failures: u32,
@@ -172,6 +174,14 @@
     lost: Option<Lost>,
 }
 
+impl ServiceReach {
+    /// Forgets failures.
+    fn clear(&mut self) {
+        let Self { last_answer_us, verified_us, .. } = *self;
+        *self = Self { last_answer_us, verified_us, ..Self::default() };
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Lost {
     since_us: MonoTime,
@@ -218,6 +228,27 @@
         }
     }
 
+    /// Records that another daemon asks whether the servers of `service` are reached, so that a check is due unless one was
+    /// answered recently. A daemon without requests of its own, or whose answers come over open connections, would not
+    /// notice that it is cut off, and take requests that it can't serve.
+    pub fn asked(&mut self, now_us: MonoTime, service: &str) {
+        let is_verified = self.is_verified(now_us, service);
+        let reach = self.service(service);
+        if reach.lost.is_none() && !is_verified {
+            reach.is_suspected = true;
+        }
+    }
+
+    /// Includes services to which no request was sent yet in what is checked after a loss.
+    pub fn include<'a, Services>(&mut self, services: Services)
+    where
+        Services: Iterator<Item = &'a str>,
+    {
+        services.for_each(|service| {
+            self.service(service);
+        });
+    }
+
     /// Checks that are due. Each is due again after its result or, without one, after the interval of checks.
     pub fn due_checks(&mut self, now_us: MonoTime) -> Vec<DueCheck> {
         let interval_ms = self.settings.check_interval_ms;
@@ -244,6 +275,7 @@
         if answers {
             reach.failed_checks = 0;
             reach.last_answer_us = Some(now_us);
+            reach.verified_us = Some(now_us);
         } else {
             reach.failed_checks += 1;
         }
@@ -263,10 +295,9 @@
         let ReachSettings { failed_checks_min, check_interval_ms, recheck_ms, .. } = self.settings;
         let reach = self.services.get_mut(service)?;
         if answers {
-            let last_answer_us = reach.last_answer_us;
-            *reach = ServiceReach { last_answer_us, ..ServiceReach::default() };
+            self.verified_series += u64::from(reach.failures > 0);
+            reach.clear();
             reach.next_check_us = now_us + check_interval_ms;
-            self.verified_series += 1;
             return None;
         }
         if reach.failed_checks < failed_checks_min {
@@ -305,7 +336,7 @@
             return None;
         }
         let lost_ms = now_us.since(lost.since_us).to_millis_ceil();
-        *reach = ServiceReach { last_answer_us: reach.last_answer_us, ..ServiceReach::default() };
+        reach.clear();
         Some(ReachChange::Regained { lost_ms })
     }
 
@@ -316,15 +347,31 @@
         };
         let is_recent =
             reach.last_answer_us.is_some_and(|at_us| now_us < at_us + self.settings.answer_ttl_ms);
-        match (reach.lost, reach.failures, is_recent) {
+        let has_failed = reach.failures > 0 || reach.failed_checks > 0;
+        match (reach.lost, has_failed, is_recent) {
             (Some(_), ..) => Reached::No,
-            (None, 0, true) => Reached::Yes,
-            (None, 0, false) => Reached::Unknown,
-            (None, _, true) => Reached::Partly,
-            (None, _, false) => Reached::Doubtful,
+            (None, false, true) => Reached::Yes,
+            (None, false, false) => Reached::Unknown,
+            (None, true, true) => Reached::Partly,
+            (None, true, false) => Reached::Doubtful,
         }
     }
 
+    /// What another daemon is told that asks whether the servers of `service` are reached. Only an answered check shows that
+    /// they are: other answers may come over connections that outlive the links.
+    pub fn reached_for_others(&self, now_us: MonoTime, service: &str) -> Reached {
+        match self.reached(now_us, service) {
+            Reached::Yes if !self.is_verified(now_us, service) => Reached::Partly,
+            reached => reached,
+        }
+    }
+
+    /// Whether a check of the servers of `service` was answered recently.
+    pub fn is_verified(&self, now_us: MonoTime, service: &str) -> bool {
+        let verified_us = self.services.get(service).and_then(|reach| reach.verified_us);
+        verified_us.is_some_and(|at_us| now_us < at_us + self.settings.answer_ttl_ms)
+    }
+
     /// Number of series of failures after which a check was answered, over all services.
     pub fn verified_series(&self) -> u64 {
         self.verified_series
@@ -336,12 +383,12 @@
         lost.map(|(service, _)| service.as_str())
     }
 
-    /// Services with recent failures and no answer since, and those out of reach.
+    /// Services with recent failures or checks without an answer and no answer since, and those out of reach.
     pub fn doubted(&self, now_us: MonoTime) -> impl Iterator<Item = &str> {
         let doubt_ttl_ms = self.settings.doubt_ttl_ms;
         let is_doubted = move |reach: &ServiceReach| {
             let is_recent = now_us < reach.last_failure_us + doubt_ttl_ms;
-            reach.lost.is_some() || (reach.failures > 0 && is_recent)
+            reach.lost.is_some() || reach.failed_checks > 0 || (reach.failures > 0 && is_recent)
         };
         let doubted = self.services.iter().filter(move |(_, reach)| is_doubted(reach));
         doubted.map(|(service, _)| service.as_str())
--- a/crates/core/tests/relay/helper_search.rs
+++ b/crates/core/tests/relay/helper_search.rs
@@ -1,6 +1,6 @@
 //! The search for daemons that reach the servers of a service.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use hibiscusvale_core::ids::{DataCentreId, HostId};
 use hibiscusvale_core::relay::helper_search::{Candidate, HelperSearch, HelperSearchSettings};
@@ -74,11 +74,11 @@
             last.take(of_last_data_centre).sample(&mut rng, helping).into_iter().collect();
         let fleet = Fleet::new(daemons, data_centres, helping);
         let mut searches = vec![HelperSearch::default(); daemons];
-        let mut replies: Vec<HashMap<HostId, (MonoTime, HelperState)>> = vec![HashMap::new(); daemons];
+        let mut replies: Vec<BTreeMap<HostId, (MonoTime, HelperState)>> = vec![BTreeMap::new(); daemons];
         let mut questions = vec![0; daemons];
         let services = [SERVICE.to_owned()];
-        let unaided = |replies: &[HashMap<HostId, (MonoTime, HelperState)>]| {
-            let has_helper = |known: &HashMap<HostId, _>| {
+        let unaided = |replies: &[BTreeMap<HostId, (MonoTime, HelperState)>]| {
+            let has_helper = |known: &BTreeMap<HostId, _>| {
                 known.keys().any(|host| fleet.helping.contains(&fleet.number(host)))
             };
             let searching = (0..daemons).filter(|daemon| !fleet.helping.contains(daemon));
@@ -121,7 +121,7 @@
 #[test]
 fn search_ends_when_all_were_asked() {
     let fleet = Fleet::new(40, 4, BTreeSet::new());
-    let (mut search, replies, services) = (HelperSearch::default(), HashMap::new(), [SERVICE.to_owned()]);
+    let (mut search, replies, services) = (HelperSearch::default(), BTreeMap::new(), [SERVICE.to_owned()]);
     let mut rng = StdRng::seed_from_u64(1);
     for now_ms in [0, 250, 500] {
         assert_eq!(search.covered_us(SERVICE), None);
@@ -136,7 +136,7 @@
 #[test]
 fn each_service_is_searched_for() {
     let fleet = Fleet::new(16, 1, BTreeSet::new());
-    let (mut search, replies) = (HelperSearch::default(), HashMap::new());
+    let (mut search, replies) = (HelperSearch::default(), BTreeMap::new());
     let mut rng = StdRng::seed_from_u64(1);
     search.next(at(0), &["app".to_owned()], &fleet.candidates(0), &replies, &mut rng);
     assert_eq!(search.covered_us("app"), Some(at(0)));
@@ -145,19 +145,25 @@
     assert_eq!((search.covered_us("app"), search.covered_us(SERVICE)), (Some(at(0)), Some(at(250))));
 }
 
-/// A daemon that knows nothing of its links finds out when it is asked: it has to be asked again.
-#[test]
-fn daemons_that_do_not_know_are_asked_again() {
+/// The replies of daemons that help must not expire while the search goes on through all others; those of daemons that do not
+/// know yet whether they could help must not hold it up.
+#[rstest]
+#[case::helps(Reached::Yes, true)]
+#[case::does_not_know(Reached::Unknown, false)]
+#[case::has_failures(Reached::Partly, false)]
+fn daemons_that_help_are_asked_again(#[case] reached: Reached, #[case] is_asked_again: bool) {
     let fleet = Fleet::new(60, 1, BTreeSet::new());
     let mut search = HelperSearch::default();
     let mut rng = StdRng::seed_from_u64(1);
-    let mut reply = fleet.reply(7);
-    reply.reached[0].1 = Reached::Unknown;
-    let replies = HashMap::from([(reply.host.clone(), (at(0), reply.clone()))]);
     let services = [SERVICE.to_owned()];
-    for now_ms in [250, 500] {
+    let asked = search.next(at(0), &services, &fleet.candidates(0), &BTreeMap::new(), &mut rng);
+    let mut reply = fleet.reply(fleet.number(asked[0]));
+    reply.reached[0].1 = reached;
+    let replies = BTreeMap::from([(reply.host.clone(), (at(0), reply.clone()))]);
+    let is_asked = |search: &mut HelperSearch, now_ms: u64, rng: &mut StdRng| {
         let candidates = fleet.candidates(0);
-        let asked = search.next(at(now_ms), &services, &candidates, &replies, &mut rng);
-        assert!(asked.contains(&&reply.host));
-    }
+        search.next(at(now_ms), &services, &candidates, &replies, rng).contains(&&reply.host)
+    };
+    assert!(!is_asked(&mut search, 250, &mut rng));
+    assert_eq!(is_asked(&mut search, 500, &mut rng), is_asked_again);
 }
--- a/crates/core/tests/relay/reach.rs
+++ b/crates/core/tests/relay/reach.rs
@@ -215,3 +215,54 @@
     let busy = [helper(1, "z-1", Reached::Yes, 9), helper(2, "z-2", Reached::Yes, 0)];
     assert_eq!(chosen(&busy, &[], 1), Some(busy[1].host.clone()));
 }
+
+/// A daemon that is asked by others must find out whether it reaches the servers, without a request of its own.
+#[test]
+fn question_of_another_daemon_is_followed_by_a_check() {
+    let mut reach = Reach::default();
+    reach.asked(at(1_000), SERVICE);
+    assert_eq!(reach.reached(at(1_000), SERVICE), Reached::Unknown);
+    assert_eq!(due(&mut reach, 1_000), [(SERVICE.to_owned(), true)]);
+    reach.checked(at(1_400), SERVICE, false);
+    assert_eq!(reach.reached(at(1_400), SERVICE), Reached::Doubtful);
+    assert_eq!(due(&mut reach, 1_500), [(SERVICE.to_owned(), false)]);
+    reach.checked(at(1_900), SERVICE, false);
+    assert_eq!(reach.reached(at(1_900), SERVICE), Reached::No);
+}
+
+/// Answers over open connections must not keep a daemon that is asked from checking new ones.
+#[test]
+fn answers_do_not_replace_the_check_that_a_question_asks_for() {
+    let mut reach = Reach::default();
+    reach.answered(at(900), SERVICE);
+    reach.asked(at(1_000), SERVICE);
+    assert_eq!(due(&mut reach, 1_000), [(SERVICE.to_owned(), true)]);
+    assert_eq!(reach.reached_for_others(at(1_000), SERVICE), Reached::Partly);
+    reach.checked(at(1_010), SERVICE, true);
+    assert_eq!(reach.reached_for_others(at(1_010), SERVICE), Reached::Yes);
+}
+
+/// Many daemons may ask at a time: servers are checked only now and then.
+#[test]
+fn questions_do_not_flood_servers_with_checks() {
+    let mut reach = Reach::default();
+    let mut checks = 0;
+    for now_ms in (1_000..11_000).step_by(10) {
+        reach.asked(at(now_ms), SERVICE);
+        for _ in due(&mut reach, now_ms) {
+            checks += 1;
+            reach.checked(at(now_ms), SERVICE, true);
+        }
+    }
+    assert!(checks <= 5, "{checks} checks in 10 s");
+}
+
+/// A loss is followed by checks of services that had no request yet, too.
+#[test]
+fn loss_of_one_service_has_unused_ones_checked() {
+    let mut reach = failed_at(&[1]);
+    reach.include(["unused"].into_iter());
+    reach.checked(at(1_800), SERVICE, false);
+    reach.checked(at(1_900), SERVICE, false);
+    assert!(due(&mut reach, 1_950).iter().any(|(service, _)| service == "unused"));
+}
--- a/crates/core/tests/relay/reach_simulation.rs
+++ b/crates/core/tests/relay/reach_simulation.rs
@@ -2,9 +2,10 @@
 //! once, beside daemons that are killed and servers that crash.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 
-use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId};
+use hibiscusvale_core::relay::helper_search::{Candidate, HelperSearch};
 use hibiscusvale_core::relay::reach::{HelperState, Reach, Reached, choose_helper};
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, MonoTime};
@@ -23,6 +24,7 @@
 const CHECK_TIMEOUT_MS: u64 = 400;
 const ASK_INTERVAL_MS: u64 = 250;
 const REPLY_TTL_MS: u64 = 1_000;
+const NAMED_DAEMONS: usize = 3;
 /// Time from a cut until callers have to be served, and from its end until nothing is out of reach.
 const CONTACT_MS: u64 = 3_000;
 /// Requests that may fail beside cuts: the cut of a helper is not known at once. The platform's rule allows as many.
@@ -38,13 +40,39 @@
 #[derive(Clone, Copy, Debug)]
 struct Fleet {
     daemons: usize,
+    data_centres: usize,
     request_interval_ms: [u64; 2],
+    asked: Asked,
 }
 
-const SMALL: Fleet = Fleet { daemons: 6, request_interval_ms: [60, 60] };
+/// Which daemons are asked for help.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Asked {
+    All,
+    /// Those of the own data centre.
+    OwnDataCentre,
+}
+
+const SMALL: Fleet = Fleet { daemons: 6, data_centres: 1, request_interval_ms: [60, 60], asked: Asked::All };
+
+/// Many daemons, each of which gets few requests of one service, in data centres with more than are asked at a time.
+const LARGE: Fleet =
+    Fleet { daemons: 87, data_centres: 4, request_interval_ms: [300, 2_000], asked: Asked::All };
 
-/// Many daemons, each of which gets few requests of one service.
-const LARGE: Fleet = Fleet { daemons: 87, request_interval_ms: [300, 2_000] };
+impl Fleet {
+    fn data_centre(self, daemon: usize) -> DataCentreId {
+        format!("z-{}", daemon % self.data_centres).parse().unwrap()
+    }
+
+    /// The daemons that a cut takes: any number of them, or all of one data centre.
+    fn cut_daemons(self, rng: &mut StdRng, count: usize) -> Vec<usize> {
+        if self.data_centres > 1 && rng.random_ratio(1, 2) {
+            let lost = rng.random_range(0..self.data_centres);
+            return (0..self.daemons).filter(|daemon| daemon % self.data_centres == lost).collect();
+        }
+        (0..self.daemons).sample(rng, count)
+    }
+}
 
 /// What happens to a daemon (`server` is `None`) or to a server, from a time to another.
 #[derive(Clone, Copy, Debug)]
@@ -105,7 +133,10 @@
     events: BinaryHeap<Reverse<(u64, Event)>>,
     reach: Vec<Reach>,
     /// Replies that each daemon has, and when they came.
-    replies: Vec<Vec<(u64, HelperState)>>,
+    replies: Vec<BTreeMap<HostId, (MonoTime, HelperState)>>,
+    search: Vec<HelperSearch>,
+    candidates: Vec<(HostId, DataCentreId)>,
+    numbers: HashMap<HostId, usize>,
     cuts: Vec<Fault>,
     kills: Vec<Fault>,
     crashes: Vec<Fault>,
@@ -143,7 +174,7 @@
             let drawn = fault(from_ms, None, None);
             let mut rng = StdRng::seed_from_u64(seed * 31 + from_ms);
             let count = 1 + (seed as usize + from_ms as usize) % fleet.daemons;
-            let daemons = (0..fleet.daemons).sample(&mut rng, count);
+            let daemons = fleet.cut_daemons(&mut rng, count);
             let both = rng.random();
             let is_new_only = rng.random_ratio(1, 3);
             for daemon in daemons {
@@ -164,7 +195,10 @@
             now_ms: 0,
             events: BinaryHeap::new(),
             reach: vec![Reach::default(); fleet.daemons],
-            replies: vec![Vec::new(); fleet.daemons],
+            replies: vec![BTreeMap::new(); fleet.daemons],
+            search: vec![HelperSearch::default(); fleet.daemons],
+            candidates: (0..fleet.daemons).map(|daemon| (host(daemon), fleet.data_centre(daemon))).collect(),
+            numbers: (0..fleet.daemons).map(|daemon| (host(daemon), daemon)).collect(),
             cuts,
             kills,
             crashes,
@@ -258,23 +292,55 @@
             }
             Event::Ask { daemon } => {
                 self.schedule(ASK_INTERVAL_MS, event);
-                let asked: Vec<String> =
-                    self.reach[daemon].doubted(at(self.now_ms)).map(str::to_owned).collect();
-                if asked.is_empty() {
-                    return;
+                self.ask(daemon);
+            }
+        }
+    }
+
+    fn ask(&mut self, daemon: usize) {
+        let now_us = at(self.now_ms);
+        let services: Vec<String> = self.reach[daemon].doubted(now_us).map(str::to_owned).collect();
+        if services.is_empty() || !self.is_up(daemon) {
+            return self.search[daemon].end();
+        }
+        let own = self.fleet.data_centre(daemon);
+        let is_candidate = |other: usize| match self.fleet.asked {
+            Asked::All => self.is_up(other),
+            Asked::OwnDataCentre => self.is_up(other) && self.fleet.data_centre(other) == own,
+        };
+        let others = (0..self.fleet.daemons).filter(|other| *other != daemon && is_candidate(*other));
+        let candidates = others.map(|other| &self.candidates[other]);
+        let candidates: Vec<Candidate<'_>> =
+            candidates.map(|(host, data_centre)| Candidate { host, data_centre }).collect();
+        self.replies[daemon].retain(|_, (came_us, _)| now_us < *came_us + Millis(REPLY_TTL_MS));
+        let replies = &self.replies[daemon];
+        let asked = self.search[daemon].next(now_us, &services, &candidates, replies, &mut self.rng);
+        let asked: Vec<usize> = asked.into_iter().map(|host| self.numbers[host]).collect();
+        for other in asked {
+            for service in &services {
+                self.reach[other].asked(now_us, service);
+                let number = SERVICES.iter().position(|name| name == service).unwrap();
+                let is_lost = self.reach[other].reached(now_us, service) == Reached::No;
+                // An answered check takes milliseconds, and a second reply follows it.
+                if !is_lost && (0..SERVERS).any(|server| self.does_reach(other, number, server, false)) {
+                    self.reach[other].checked(now_us, service, true);
                 }
-                let others = (0..self.fleet.daemons).filter(|other| *other != daemon && self.is_up(*other));
-                let state = |other: usize| HelperState {
-                    host: host(other),
-                    data_centre: "z-1".parse().unwrap(),
-                    reached: asked
-                        .iter()
-                        .map(|name| (name.clone(), self.reach[other].reached(at(self.now_ms), name)))
-                        .collect(),
-                    open_requests: 0,
-                };
-                self.replies[daemon] = others.map(|other| (self.now_ms, state(other))).collect();
             }
+            let reached = |name: &String| (name.clone(), self.reach[other].reached_for_others(now_us, name));
+            let state = HelperState {
+                host: host(other),
+                data_centre: self.fleet.data_centre(other),
+                reached: services.iter().map(reached).collect(),
+                open_requests: 0,
+            };
+            let known = self.replies[other].values().map(|(_, state)| state);
+            let is_helping = |state: &&HelperState| {
+                services.iter().any(|name| state.reached_of(name) == Some(Reached::Yes))
+            };
+            let named: Vec<HostId> =
+                known.filter(is_helping).map(|state| state.host.clone()).sample(&mut self.rng, NAMED_DAEMONS);
+            self.search[daemon].named(now_us, named);
+            self.replies[daemon].insert(host(other), (now_us, state));
         }
     }
 
@@ -291,15 +357,16 @@
     fn forward(&mut self, daemon: usize, service: usize, arrived_ms: u64) -> bool {
         let mut tried = Vec::new();
         for _ in 0..3 {
-            let fresh =
-                self.replies[daemon].iter().filter(|(came_ms, _)| self.now_ms < came_ms + REPLY_TTL_MS);
-            let own = "z-1".parse().unwrap();
+            let now_us = at(self.now_ms);
+            let fresh = self.replies[daemon].values();
+            let fresh = fresh.filter(|(came_us, _)| now_us < *came_us + Millis(REPLY_TTL_MS));
+            let own = self.fleet.data_centre(daemon);
             let fresh = fresh.map(|(_, state)| state);
             let Some(helper) = choose_helper(fresh, SERVICES[service], &own, &tried, &mut self.rng) else {
                 return false;
             };
             tried.push(helper.host.clone());
-            let other = (0..self.fleet.daemons).find(|other| host(*other) == helper.host).unwrap();
+            let other = self.numbers[&helper.host];
             // The other daemon tries servers until one answers, and does not forward.
             let reaches = (0..SERVERS).any(|server| self.does_reach(other, service, server, false));
             if self.is_up(other) && reaches {
@@ -327,6 +394,12 @@
         })
     }
 
+    /// Requests of cut-off daemons after the contact time: those that another daemon could serve, and those in an outage.
+    fn settled_requests(&self) -> (Vec<&Ended>, Vec<&Ended>) {
+        let settled = self.ended.iter().filter(|ended| self.settled_cut(ended));
+        settled.partition(|ended| self.is_reached_by_any(ended.service, ended.arrived_ms))
+    }
+
     /// Cuts at a daemon for which a request at `arrived_ms` came later than the contact time after their start.
     fn settled_cut(&self, ended: &Ended) -> bool {
         let is_up = !self.kills.iter().any(|fault| {
@@ -347,7 +420,7 @@
 /// otherwise; afterwards nothing may count as out of reach.
 #[rstest]
 #[case::small(SMALL, 150, 10_000)]
-#[case::large(LARGE, 8, 5_000)]
+#[case::large(LARGE, 24, 10_000)]
 fn cut_off_daemons_serve_while_any_daemon_reaches_the_servers(
     #[case] fleet: Fleet,
     #[case] seeds: u64,
@@ -356,11 +429,7 @@
     let (mut settled, mut outages) = (0, 0);
     for seed in 0..seeds {
         let simulation = Simulation::new(fleet, seed).run();
-        let settled_cuts: Vec<&Ended> =
-            simulation.ended.iter().filter(|ended| simulation.settled_cut(ended)).collect();
-        let (reached, outage): (Vec<&Ended>, Vec<&Ended>) = settled_cuts
-            .into_iter()
-            .partition(|ended| simulation.is_reached_by_any(ended.service, ended.arrived_ms));
+        let (reached, outage) = simulation.settled_requests();
         let failed = reached.iter().filter(|ended| !ended.is_served).count();
         let allowed = FAILED_MAX + reached.len() / FAILED_SHARE;
         assert!(failed <= allowed, "seed {seed}: {failed} of {} are not served", reached.len());
@@ -381,3 +450,16 @@
     assert!(settled > settled_min, "{settled} requests beside cuts");
     assert!(outages > 100 || fleet.daemons > SMALL.daemons, "{outages} in outages");
 }
+
+/// The simulation must find daemons that ask only their own data centre for help.
+#[test]
+fn search_in_the_own_data_centre_alone_is_found() {
+    let fleet = Fleet { asked: Asked::OwnDataCentre, ..LARGE };
+    let is_broken = |seed| {
+        let simulation = Simulation::new(fleet, seed).run();
+        let (reached, _) = simulation.settled_requests();
+        let failed = reached.iter().filter(|ended| !ended.is_served).count();
+        failed > FAILED_MAX + reached.len() / FAILED_SHARE
+    };
+    assert!((0..4).any(is_broken));
+}
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -143,6 +143,7 @@
     let socket = std::net::UdpSocket::bind(address)?;
     socket.set_nonblocking(true)?;
     state.stream_versions.set_socket(socket.try_clone()?);
+    state.reach.set_socket(socket.try_clone()?);
     let socket = UdpSocket::from_std(socket)?;
     let listener = TcpListener::bind(socket.local_addr()?).await?.into_std()?;
     traffic.spawn(forward::serve(Arc::clone(&state), listener));
@@ -243,7 +244,7 @@
         Ok(Datagram::QuotaReturn(returned)) => state.quotas.accept_return(&returned),
         Ok(Datagram::ReportRequest(after)) => send(socket, from, &state.quarantine.page(after)).await,
         Ok(Datagram::ReachRequest(services)) => {
-            reach::reply(socket, from, state, own, services).await;
+            reach::reply(socket, from, state, services).await;
         }
         Ok(Datagram::StreamRecord(record)) => state.stream_versions.receive_records(&[record]),
         Ok(Datagram::StreamQuestion(question)) => {
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -2,10 +2,10 @@
 //!
 //! Decisions are made in [`hibiscusvale_core::relay::reach`].
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +59,9 @@
 /// Maximum time that a request waits while daemons are being asked.
 const SEARCH_WAIT_MS: Millis = Millis(400);
 
+/// Maximum number of questions that wait for a check.
+const WAITING_QUESTIONS_MAX: usize = 1_024;
+
 /// Number of daemons that are named to another one as reaching a service.
 const NAMED_DAEMONS: usize = 3;
 
@@ -78,8 +81,12 @@
 pub struct SharedReach {
     services: Mutex<Reach>,
     /// Latest replies of other daemons, and when they came.
-    replies: Mutex<HashMap<HostId, (MonoTime, HelperState)>>,
+    replies: Mutex<BTreeMap<HostId, (MonoTime, HelperState)>>,
     search: Mutex<HelperSearch>,
+    /// Questions of other daemons that a check has to answer first, by their address.
+    questions: Mutex<BTreeMap<SocketAddr, Vec<String>>>,
+    /// Socket for the replies to them.
+    socket: OnceLock<std::net::UdpSocket>,
     /// Signals to the task that asks other daemons that a request got no answer.
     doubted: Notify,
     /// Signals to the task that checks servers that a request got no answer.
@@ -120,6 +127,12 @@
         self.suspected.notify_one();
     }
 
+    /// Sets the socket for replies that follow a check.
+    pub fn set_socket(&self, socket: std::net::UdpSocket) {
+        // It is set once, before any question arrives.
+        let _ = self.socket.set(socket);
+    }
+
     /// Whether the servers of a service are reached.
     pub fn reached(&self, service: &str) -> Reached {
         self.services.lock().reached(clock::now(), service)
@@ -188,6 +201,28 @@
         Some(Helper { host: chosen.host.clone(), address: state.peers.address_of(&chosen.host)? })
     }
 
+    /// Has the servers of services checked about which another daemon asks, unless they were recently. Returns whether a
+    /// check has to come first.
+    fn check_asked(&self, state: &RelayState, asked: &[String]) -> bool {
+        let listing = state.directory.listing();
+        let is_listed = |service: &&String| {
+            listing.servers.values().any(|listed| listed.kind.service() == Some(service.as_str()))
+        };
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let mut is_check_needed = false;
+        for service in asked.iter().filter(is_listed) {
+            services.asked(now_us, service);
+            let is_lost = services.reached(now_us, service) == Reached::No;
+            is_check_needed |= !is_lost && !services.is_verified(now_us, service);
+        }
+        drop(services);
+        if is_check_needed {
+            self.suspected.notify_one();
+        }
+        is_check_needed
+    }
+
     /// Some daemons that reach any of `services`, which this one does not reach.
     fn known_helpers(&self, services: &[String]) -> Vec<HostId> {
         let lost: Vec<&String> =
@@ -226,7 +261,7 @@
 }
 
 fn fresh(
-    replies: &HashMap<HostId, (MonoTime, HelperState)>,
+    replies: &BTreeMap<HostId, (MonoTime, HelperState)>,
     now_us: MonoTime,
 ) -> impl Iterator<Item = &HelperState> {
     let is_fresh = move |(at_us, _): &&(MonoTime, HelperState)| now_us < *at_us + REPLY_TTL_MS;
@@ -275,10 +310,36 @@
     }
 }
 
+/// Replies to the questions of other daemons that have waited for a check of `service`.
+fn reply_after_check(state: &RelayState, service: &str) {
+    let Some(socket) = state.reach.socket.get() else {
+        return;
+    };
+    let mut waiting = state.reach.questions.lock();
+    let is_answered = |asked: &[String]| asked.iter().any(|name| name == service);
+    let answered: Vec<_> = waiting.extract_if(.., |_, asked| is_answered(asked)).collect();
+    drop(waiting);
+    for (to, services) in answered {
+        if let Ok(bytes) = postcard::to_stdvec(&Datagram::ReachReply(own_state(state, services))) {
+            // A daemon that does not get it asks again.
+            let _ = socket.send_to(&bytes, to);
+        }
+    }
+}
+
 async fn run_check(state: &RelayState, check: DueCheck) {
     let answers = does_any_answer(state, &check).await;
-    let change = state.reach.services.lock().checked(clock::now(), &check.service, answers);
+    let listing = state.directory.listing();
+    let listed = listing.servers.values().filter_map(|listed| listed.kind.service());
+    let mut services = state.reach.services.lock();
+    services.include(listed);
+    let change = services.checked(clock::now(), &check.service, answers);
+    drop(services);
+    if !answers {
+        state.reach.doubted.notify_one();
+    }
     log_change(state, &check.service, change);
+    reply_after_check(state, &check.service);
 }
 
 /// Whether any of some servers of a service answers over a new connection, whatever it answers. Others may be down.
@@ -335,29 +396,32 @@
     }
 }
 
-/// Replies to another daemon's question, and names daemons that reach what this one does not.
-pub async fn reply(
-    socket: &UdpSocket,
-    to: SocketAddr,
-    state: &RelayState,
-    own: &HostId,
-    services: Vec<String>,
-) {
+/// Replies to another daemon's question, and names daemons that reach what this one does not. If a check has to answer the
+/// question, a second reply follows it.
+pub async fn reply(socket: &UdpSocket, to: SocketAddr, state: &RelayState, services: Vec<String>) {
+    if state.reach.check_asked(state, &services) {
+        let mut questions = state.reach.questions.lock();
+        if questions.len() < WAITING_QUESTIONS_MAX {
+            questions.insert(to, services.clone());
+        }
+    }
     let named = state.reach.known_helpers(&services);
-    send(socket, to, &Datagram::ReachReply(own_state(state, own, services))).await;
+    send(socket, to, &Datagram::ReachReply(own_state(state, services))).await;
     if !named.is_empty() {
         send(socket, to, &Datagram::HelpersKnown(named)).await;
     }
 }
 
-fn own_state(state: &RelayState, own: &HostId, services: Vec<String>) -> HelperState {
+fn own_state(state: &RelayState, services: Vec<String>) -> HelperState {
     let is_stopping = state.stopping.load(Ordering::Relaxed);
+    let now_us = clock::now();
+    let known = state.reach.services.lock();
     let reached = services.into_iter().map(|service| {
-        let reached = if is_stopping { Reached::No } else { state.reach.reached(&service) };
+        let reached = if is_stopping { Reached::No } else { known.reached_for_others(now_us, &service) };
         (service, reached)
     });
     HelperState {
-        host: own.clone(),
+        host: state.peers.host().clone(),
         data_centre: state.peers.data_centre().clone(),
         reached: reached.collect(),
         open_requests: state.open.load(Ordering::Relaxed),
