Ask another daemon when one is too busy to help

What callers see: a request of a cut-off daemon is refused because the daemon that was asked first has too much to do, while others have room.

Reason::is_of_one_daemon tells these four; up to three daemons are asked as before, and the caller gets the refusal that lets it come back first. What may have run is not sent on, as before.

--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -130,6 +130,7 @@
 ) -> Forwarded {
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
     let mut may_have_run = false;
+    let mut refused: Option<Refusal> = None;
     let state = &incoming.state;
     state.reach.wait_for_helper(state, incoming.service.as_str(), incoming.left()).await;
     incoming.record_helpers(state.reach.helper_counts(incoming.service.as_str()));
@@ -161,16 +162,26 @@
                 incoming.record_step(Step::ForwardRefused(reason), &helper.host);
                 let refusal = Refusal { reason, retry_after_ms };
                 may_have_run |= !refusal.is_not_run();
-                if !matches!(reason, Reason::NoServer | Reason::NoTable) {
+                if !reason.is_of_one_daemon() {
                     return Forwarded::Refused(refusal.unless_run(may_have_run));
                 }
+                // The caller may come back when the first of them can take it.
+                let is_sooner =
+                    refused.is_none_or(|known: Refusal| refusal.retry_after_ms < known.retry_after_ms);
+                if !matches!(reason, Reason::NoServer | Reason::NoTable) && is_sooner {
+                    refused = Some(refusal);
+                }
             }
             ForwardedEnd::Stopping => {
                 incoming.record_step(Step::ForwardFailed(FailureCause::Leaving), &helper.host);
             }
         }
     }
-    if may_have_run { Forwarded::Refused(Refusal::new(Reason::NoAnswer)) } else { Forwarded::NotTaken }
+    match refused {
+        _ if may_have_run => Forwarded::Refused(Refusal::new(Reason::NoAnswer)),
+        Some(refusal) => Forwarded::Refused(refusal),
+        None => Forwarded::NotTaken,
+    }
 }
 
 async fn send(
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -106,6 +106,12 @@
         Self::ALL.into_iter().find(|reason| reason.label() == label)
     }
 
+    /// Whether another daemon may take a request that one refuses for this reason: it has other servers in reach, other
+    /// requests waiting, or its own share of what servers and budgets allow.
+    pub fn is_of_one_daemon(self) -> bool {
+        matches!(self, Self::NoServer | Self::NoTable | Self::WouldWaitTooLong | Self::ServersFull)
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
