--- a/crates/core/src/relay/recipients.rs
+++ b/crates/core/src/relay/recipients.rs
@@ -66,3 +66,26 @@
         recipients
     }
 }
+
+/// Orders daemons so that the first few of them are spread over the data centres: one of each in turn, the `own` one first.
+/// Faults often concern all daemons of a data centre, so that several of one may be all of a kind.
+pub fn spread<Daemon, DataCentre>(
+    own: &DataCentreId,
+    mut daemons: Vec<Daemon>,
+    data_centre: DataCentre,
+) -> Vec<Daemon>
+where
+    DataCentre: Fn(&Daemon) -> DataCentreId,
+{
+    let mut turns: BTreeMap<DataCentreId, usize> = BTreeMap::new();
+    let turn_of = |daemon: &Daemon| {
+        let name = data_centre(daemon);
+        let turn = turns.entry(name.clone()).or_default();
+        *turn += 1;
+        (*turn, name != *own)
+    };
+    let keys: Vec<(usize, bool)> = daemons.iter().map(turn_of).collect();
+    let mut keyed: Vec<_> = keys.into_iter().zip(daemons.drain(..)).collect();
+    keyed.sort_by_key(|(key, _)| *key);
+    keyed.into_iter().map(|(_, daemon)| daemon).collect()
+}
--- a/crates/core/tests/relay/recipients.rs
+++ b/crates/core/tests/relay/recipients.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use hibiscusvale_core::ids::{DataCentreId, HostId};
-use hibiscusvale_core::relay::recipients::{BroadcastScope, Recipients};
+use hibiscusvale_core::relay::recipients::{self, BroadcastScope, Recipients};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -284,3 +284,13 @@
     assert_eq!((recipients.scope, recipients.members.len()), (BroadcastScope::AllDaemons, 194));
     assert!(recipients.links.is_empty());
 }
+
+/// Several daemons must not all be of one data centre, which one fault may take.
+#[test]
+fn first_daemons_are_of_different_data_centres() {
+    let own: DataCentreId = "z-1".parse().unwrap();
+    let daemons = vec![("a", "z-1"), ("b", "z-1"), ("c", "z-2"), ("d", "z-1"), ("e", "z-3"), ("f", "z-2")];
+    let spread = recipients::spread(&own, daemons, |(_, data_centre)| data_centre.parse().unwrap());
+    let hosts: Vec<&str> = spread.into_iter().map(|(host, _)| host).collect();
+    assert_eq!(hosts, ["a", "c", "e", "b", "f", "d"]);
+}
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -96,12 +96,14 @@
     state: &RelayState,
 ) -> Vec<DaemonEntry> {
     let mut joining = Joining::new(settings, clock::now(), rand::rng().random());
+    let mut asked = 0;
     loop {
         match joining.step(clock::now(), state.peers.is_any_heard()) {
             JoiningStep::AskPeer => {
-                if let Some(entries) = state_transfer::fetch_entries_from_peer(state).await {
+                if let Some(entries) = state_transfer::fetch_entries_from_peer(state, asked).await {
                     return entries;
                 }
+                asked += 1;
             }
             JoiningStep::ReadRegistry => match register.entries().await {
                 Ok(entries) => return entries,
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -7,7 +7,7 @@
 
 use hibiscusvale_core::ids::{DataCentreId, HostId, Incarnation};
 use hibiscusvale_core::quota::Coverage;
-use hibiscusvale_core::relay::recipients::{BroadcastScope, Recipients};
+use hibiscusvale_core::relay::recipients::{self, BroadcastScope, Recipients};
 use hibiscusvale_core::relay::stream_versions::{self, StreamKey};
 use hibiscusvale_core::units::Bytes;
 use parking_lot::Mutex;
@@ -245,9 +245,9 @@
         peers.iter().map(|peer| peer.address).chain(self.seeds.iter().copied()).collect()
     }
 
-    /// Address of a live daemon whose server list has at least this version, in the own data centre if
-    /// possible.
-    pub fn address_with_list(&self, version: u64) -> Option<SocketAddr> {
+    /// Address of a live daemon whose server list has at least this version, for the given attempt: in the own data centre if
+    /// possible at the first one, then in any.
+    pub fn address_with_list(&self, version: u64, attempt: usize) -> Option<SocketAddr> {
         let now = Instant::now();
         let table = self.table.lock();
         let has_list = |peer: &&Peer| {
@@ -255,8 +255,8 @@
         };
         let mut peers: Vec<&Peer> = table.known.values().filter(has_list).collect();
         peers.shuffle(&mut rand::rng());
-        let nearest = peers.iter().min_by_key(|peer| peer.data_centre != self.host.data_centre)?;
-        Some(nearest.address)
+        let spread = recipients::spread(&self.host.data_centre, peers, |peer| peer.data_centre.clone());
+        spread.get(attempt % spread.len().max(1)).map(|peer| peer.address)
     }
 
     /// The live daemons.
@@ -265,14 +265,14 @@
         table.live(&self.host, Instant::now()).map(Peer::entry).collect()
     }
 
-    /// Up to `count` daemons that were heard from recently, in random order, those of the own data centre first.
+    /// Up to `count` daemons that were heard from recently, at random, spread over the data centres.
     pub fn heard(&self, count: usize) -> Vec<SocketAddr> {
         let now = Instant::now();
         let table = self.table.lock();
         let mut peers: Vec<&Peer> = table.known.values().filter(|peer| peer.is_heard(now)).collect();
         peers.shuffle(&mut rand::rng());
-        peers.sort_by_key(|peer| peer.data_centre != self.host.data_centre);
-        peers.into_iter().take(count).map(|peer| peer.address).collect()
+        let spread = recipients::spread(&self.host.data_centre, peers, |peer| peer.data_centre.clone());
+        spread.into_iter().take(count).map(|peer| peer.address).collect()
     }
 
     /// Addresses of the daemons that keep the record of a stream, or are asked for it. Of those that exchange messages
--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -138,21 +138,16 @@
 /// Requests snapshots from other daemons until this daemon has routes and servers, from the store or from
 /// them.
 pub async fn bootstrap(state: Arc<RelayState>) {
-    let mut attempts = 0_usize;
-    while !state.is_ready() {
+    for attempt in 0.. {
         tokio::time::sleep(RETRY_INTERVAL).await;
         if state.is_ready() {
             break;
         }
-        if let Some(address) = state.peers.address_with_list(1) {
-            fetch_snapshot(&state, address).await;
-            continue;
-        }
         let addresses = state.peers.addresses();
-        if let Some(address) = addresses.get(attempts % addresses.len().max(1)) {
-            fetch_snapshot(&state, *address).await;
+        let any = || addresses.get(attempt % addresses.len().max(1)).copied();
+        if let Some(address) = state.peers.address_with_list(1, attempt).or_else(any) {
+            fetch_snapshot(&state, address).await;
         }
-        attempts += 1;
     }
 }
 
@@ -161,9 +156,9 @@
     fetch(state, state.peers.seed()?, DAEMONS_PATH).await
 }
 
-/// Fetches the list of daemons from a live daemon.
-pub async fn fetch_entries_from_peer(state: &RelayState) -> Option<Vec<DaemonEntry>> {
-    fetch(state, state.peers.address_with_list(0)?, DAEMONS_PATH).await
+/// Fetches the list of daemons from a live daemon, at the given attempt.
+pub async fn fetch_entries_from_peer(state: &RelayState, attempt: usize) -> Option<Vec<DaemonEntry>> {
+    fetch(state, state.peers.address_with_list(0, attempt)?, DAEMONS_PATH).await
 }
 
 /// Fetches a snapshot from one daemon and adopts what is newer; returns whether anything was.
