--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -30,7 +30,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::forward::{self, ForwardedHead};
+use super::forward::{self, ForwardedHead, ForwardedRefusal};
 use super::interfaces::{Call, CallId, EventId};
 use super::plain;
 use super::quotas::QuotaOwner;
@@ -186,9 +186,11 @@
     state: &Arc<RelayState>,
     request: Request<CallerBody>,
     head: ForwardedHead,
-) -> Result<Response<AnswerBody>, Refusal> {
-    let incoming = read_forwarded(state, request, head).await?;
-    run(state, &Arc::new(incoming)).await
+) -> Result<Response<AnswerBody>, ForwardedRefusal> {
+    let read = read_forwarded(state, request, head).await;
+    let incoming = Arc::new(read.map_err(|refusal| ForwardedRefusal { refusal, is_attempted: false })?);
+    let answered = run(state, &incoming).await;
+    answered.map_err(|refusal| ForwardedRefusal { refusal, is_attempted: incoming.is_attempted() })
 }
 
 async fn run(state: &Arc<RelayState>, incoming: &Arc<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -104,11 +104,31 @@
     /// A server answered.
     Answered,
     /// The daemon refused it.
-    Refused { reason: String, retry_after_ms: Option<Millis> },
+    Refused {
+        reason: String,
+        retry_after_ms: Option<Millis>,
+        /// Whether it made attempts at servers before.
+        #[serde(default = "is_attempted_by_default")]
+        is_attempted: bool,
+    },
     /// The daemon is stopping, and the request has not run.
     Stopping,
 }
 
+/// A daemon of a build that does not tell may have made attempts.
+fn is_attempted_by_default() -> bool {
+    true
+}
+
+/// The refusal of a forwarded request, for the daemon that forwarded it.
+#[derive(Clone, Copy, Debug)]
+pub struct ForwardedRefusal {
+    /// The refusal.
+    pub refusal: Refusal,
+    /// Whether attempts at servers were made before.
+    pub is_attempted: bool,
+}
+
 /// Result of forwarding a request.
 #[derive(Debug)]
 pub enum Forwarded {
@@ -157,12 +177,14 @@
                 let version = version.and_then(|version| serde_json::from_slice(version.as_bytes()).ok());
                 return Forwarded::Answered(Box::new(response), version);
             }
-            ForwardedEnd::Refused { reason, retry_after_ms } => {
+            ForwardedEnd::Refused { reason, retry_after_ms, is_attempted } => {
                 let reason = Reason::from_label(&reason).unwrap_or(Reason::NoAnswer);
                 incoming.record_step(Step::ForwardRefused(reason), &helper.host);
                 let refusal = Refusal { reason, retry_after_ms };
                 may_have_run |= !refusal.is_not_run();
-                if !reason.is_of_one_daemon() {
+                // A first attempt elsewhere is not charged to a retry budget.
+                let is_unpaid = is_attempted && !matches!(reason, Reason::NoServer | Reason::NoTable);
+                if is_unpaid || !reason.is_of_one_daemon() {
                     return Forwarded::Refused(refusal.unless_run(may_have_run));
                 }
                 // The caller may come back when the first of them can take it.
@@ -294,9 +316,10 @@
     } else {
         match callers::relay_forwarded(state, request, head).await {
             Ok(response) => (response, ForwardedEnd::Answered),
-            Err(refusal) => {
-                let reason = refusal.reason.label().to_owned();
-                let end = ForwardedEnd::Refused { reason, retry_after_ms: refusal.retry_after_ms };
+            Err(ForwardedRefusal { refusal, is_attempted }) => {
+                let Refusal { reason, retry_after_ms } = refusal;
+                let end =
+                    ForwardedEnd::Refused { reason: reason.label().to_owned(), retry_after_ms, is_attempted };
                 (Response::new(boxed(Full::default())), end)
             }
         }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -187,18 +187,25 @@
         self.trace.lock().set_outcome(outcome);
     }
 
+    /// Whether attempts at servers were made.
+    pub fn is_attempted(&self) -> bool {
+        !self.trace.lock().steps().is_empty()
+    }
+
     /// Whether no server of the service is in reach, and the request may be forwarded.
     pub fn is_server_lost(&self) -> bool {
         self.forwarded_by.is_none() && self.state.reach.reached(self.service.as_str()) == Reached::No
     }
 
-    /// Whether no server may be in reach, and the request may be forwarded: one of its own attempts failed, and no
-    /// server has answered another request since.
+    /// Whether no server may be in reach, and the request may be forwarded: its own attempts failed, and no server has
+    /// answered any of them. After an answer, another attempt is a retry and needs retry budget.
     pub fn is_server_doubtful(&self) -> bool {
         self.forwarded_by.is_none()
             && match self.state.reach.reached(self.service.as_str()) {
                 Reached::No => true,
-                Reached::Doubtful | Reached::Partly => !self.trace.lock().steps().is_empty(),
+                Reached::Doubtful | Reached::Partly => {
+                    self.is_attempted() && !self.trace.lock().has_reached_server()
+                }
                 Reached::Yes | Reached::Unknown => false,
             }
     }
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -48,6 +48,26 @@
         }
     }
 
+    /// Whether a server answered, if only with a refusal, so that it was reached.
+    fn shows_server(self) -> bool {
+        match self {
+            Self::Answered | Self::Prefilled | Self::Decoding => true,
+            Self::Failed(cause)
+            | Self::ReserveFailed(cause)
+            | Self::PrefillFailed(cause)
+            | Self::DecodeFailed(cause) => match cause {
+                FailureCause::NoRoom | FailureCause::Leaving | FailureCause::Gone | FailureCause::Refused => {
+                    true
+                }
+                FailureCause::NotSent
+                | FailureCause::Held(_)
+                | FailureCause::Timeout
+                | FailureCause::Broken => false,
+            },
+            Self::Forwarded | Self::ForwardFailed(_) | Self::ForwardRefused(_) => false,
+        }
+    }
+
     /// Cause of the failure; empty for a success.
     pub fn cause(self) -> &'static str {
         match self {
@@ -70,6 +90,7 @@
 pub struct RequestTrace {
     steps: usize,
     text: String,
+    has_reached_server: bool,
     outcome: Option<&'static str>,
     first_event: Option<Duration>,
     /// Software versions of the engines that sent events, in order, separated by spaces.
@@ -86,6 +107,7 @@
     /// Adds a step at a server or daemon that ended `at` after the request's arrival.
     pub fn record_step(&mut self, at: Duration, step: Step, peer: &dyn Display) {
         self.steps += 1;
+        self.has_reached_server |= step.shows_server();
         if self.steps > STEPS_MAX {
             return;
         }
@@ -177,6 +199,11 @@
         &self.text
     }
 
+    /// Whether a server answered one of its attempts, if only with a refusal.
+    pub fn has_reached_server(&self) -> bool {
+        self.has_reached_server
+    }
+
     /// Time from arrival to the first event; `None` before it.
     pub fn first_event_ms(&self) -> Option<u64> {
         self.first_event.map(|at| u64::try_from(at.as_millis()).unwrap_or(u64::MAX))
