Let rare messages burst over a slow link

Cause: the interval grew after each message, so that the second change of a request waited 0.15 s though the link was idle; others chose engines by old holdings.

Messages may now fill their quarter of the link a second in advance, and wait only beyond that.

--- a/crates/router/src/relay/pacing.rs
+++ b/crates/router/src/relay/pacing.rs
@@ -4,8 +4,8 @@
 //! other daemons. With hundreds of daemons, every host would spend its share of a core on sending and
 //! receiving, most of all in a burst, and callers would wait. So changes that happen close together are
 //! batched, changes that nobody waits for go with the next message, and the interval between messages grows
-//! with the number of recipients. It also grows with the size of the messages where they would fill the host's link:
-//! a daemon that serves the callers of many others changes its state all the time.
+//! with the number of recipients. It also grows where messages would fill the host's link for long: a daemon that
+//! serves the callers of many others changes its state all the time.
 
 use std::time::Duration;
 
@@ -68,10 +68,41 @@
     pub size: Bytes,
 }
 
+/// Time for which messages may fill the rate in advance: a few changes in a row go out at once, as long as they are rare.
+const BURST: Duration = Duration::from_secs(1);
+
+/// What the messages to the other daemons have taken of the host's link.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkUse {
+    rate: BytesPerSecond,
+    /// When the messages sent so far will have passed at the rate.
+    passed_at: Instant,
+}
+
+impl LinkUse {
+    /// Nothing was sent yet; messages may take `rate`.
+    pub fn new(now: Instant, rate: BytesPerSecond) -> Self {
+        Self { rate, passed_at: now }
+    }
+
+    /// Records a message.
+    pub fn record(&mut self, sent: SentMessage) {
+        let bytes = (sent.size + DATAGRAM_HEADER).0 * u64::from(sent.daemons);
+        let passing = Duration::from_secs_f64(bytes as f64 / self.rate.0.max(1) as f64);
+        // Periodic messages go out whatever the rate.
+        self.passed_at = (self.passed_at.max(sent.at) + passing).min(sent.at + BURST + MESSAGE_INTERVAL_MAX);
+    }
+
+    /// Whether the next message has to wait, and until when.
+    fn busy_until(&self) -> Option<Instant> {
+        self.passed_at.checked_sub(BURST)
+    }
+}
+
 /// Schedules the messages to the other daemons.
 #[derive(Debug)]
 pub struct MessagePacer {
-    rate: BytesPerSecond,
+    link_use: Mutex<LinkUse>,
     wanted: Mutex<Option<Instant>>,
     rescheduled: Notify,
 }
@@ -79,7 +110,8 @@
 impl MessagePacer {
     /// Creates a pacer for messages that may take `rate` of the link.
     pub fn new(rate: BytesPerSecond) -> Self {
-        Self { rate, wanted: Mutex::default(), rescheduled: Notify::new() }
+        let link_use = Mutex::new(LinkUse::new(Instant::now(), rate));
+        Self { link_use, wanted: Mutex::default(), rescheduled: Notify::new() }
     }
 
     /// Schedules a message for a change that the others need to learn of.
@@ -94,9 +126,14 @@
 
     /// Waits until a message is due after the `last` one.
     pub async fn due(&self, last: SentMessage) {
+        let link_use = {
+            let mut link_use = self.link_use.lock();
+            link_use.record(last);
+            *link_use
+        };
         loop {
             let wanted = *self.wanted.lock();
-            let at = next_send_at(wanted, last, self.rate);
+            let at = next_send_at(wanted, last, &link_use);
             tokio::select! {
                 () = tokio::time::sleep_until(at) => break,
                 () = self.rescheduled.notified() => {}
@@ -106,15 +143,13 @@
     }
 }
 
-/// Time of the next message after the `last` one, if one is `wanted` at some time, where messages may take `rate` of the link.
-pub fn next_send_at(wanted: Option<Instant>, last: SentMessage, rate: BytesPerSecond) -> Instant {
+/// Time of the next message after the `last` one, if one is `wanted` at some time.
+pub fn next_send_at(wanted: Option<Instant>, last: SentMessage, link_use: &LinkUse) -> Instant {
     let latest = last.at + MESSAGE_INTERVAL_MAX;
-    let bytes = (last.size + DATAGRAM_HEADER).0 * u64::from(last.daemons);
-    let sending = Duration::from_secs_f64(bytes as f64 / rate.0.max(1) as f64);
+    let earliest = last.at + SEND_INTERVAL_PER_DAEMON * last.daemons;
     // Others take a daemon without messages for dead, however slow its link.
-    let sending = sending.min(MESSAGE_INTERVAL_MAX);
-    let pause = sending.max(SEND_INTERVAL_PER_DAEMON * last.daemons);
-    wanted.map_or(latest, |wanted| wanted.min(latest)).max(last.at + pause)
+    let earliest = link_use.busy_until().map_or(earliest, |busy_until| earliest.max(busy_until.min(latest)));
+    wanted.map_or(latest, |wanted| wanted.min(latest)).max(earliest)
 }
 
 /// Pause after reading messages of `daemons` senders, so that one read takes several; `None` where a pause
--- a/crates/router/tests/ops/relay_pacing.rs
+++ b/crates/router/tests/ops/relay_pacing.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hibiscusvale::relay::CapacitySettings;
-use hibiscusvale::relay::pacing::{SentMessage, next_send_at, receive_pause};
+use hibiscusvale::relay::pacing::{LinkUse, SentMessage, next_send_at, receive_pause};
 use hibiscusvale_core::units::{Bytes, BytesPerSecond};
 use rstest::rstest;
 use tokio::time::Instant;
@@ -13,6 +13,11 @@
 /// Rate of messages of a host with a link of 10 Gbit/s.
 const FAST: BytesPerSecond = BytesPerSecond(312_500_000);
 
+/// Nothing was sent over such a link.
+fn unused(now: Instant) -> LinkUse {
+    LinkUse::new(now, FAST)
+}
+
 fn sent(at: Instant, daemons: u32) -> SentMessage {
     SentMessage { at, daemons, size: Bytes(600) }
 }
@@ -23,7 +28,7 @@
 fn few_daemons_get_changes_immediately() {
     let last = Instant::now();
     let wanted = last + 5 * MS;
-    assert_eq!(next_send_at(Some(wanted), sent(last, 8), FAST), wanted);
+    assert_eq!(next_send_at(Some(wanted), sent(last, 8), &unused(last)), wanted);
     assert_eq!(receive_pause(8), None);
 }
 
@@ -36,7 +41,7 @@
     let begun = Instant::now();
     let (mut last, mut count) = (begun, 0_u32);
     while last < begun + Duration::from_secs(10) {
-        last = next_send_at(Some(last + MS), sent(last, daemons), FAST);
+        last = next_send_at(Some(last + MS), sent(last, daemons), &unused(last));
         count += 1;
     }
     let per_s = count * daemons / 10;
@@ -48,7 +53,7 @@
 #[test]
 fn a_daemon_without_changes_sends_messages() {
     let last = Instant::now();
-    assert!(next_send_at(None, sent(last, 412), FAST) <= last + Duration::from_millis(800));
+    assert!(next_send_at(None, sent(last, 412), &unused(last)) <= last + Duration::from_millis(800));
 }
 
 /// A change that may be sent late does not delay the periodic message.
@@ -56,7 +61,7 @@
 fn a_late_change_does_not_delay_the_periodic_message() {
     let last = Instant::now();
     assert!(
-        next_send_at(Some(last + Duration::from_secs(5)), sent(last, 8), FAST)
+        next_send_at(Some(last + Duration::from_secs(5)), sent(last, 8), &unused(last))
             <= last + Duration::from_millis(800)
     );
 }
@@ -70,8 +75,10 @@
     let rate = CapacitySettings { link_mbps, ..CapacitySettings::default() }.message_rate();
     let begun = Instant::now();
     let (mut last, mut bytes) = (begun, 0.0);
-    while last < begun + Duration::from_secs(10) {
-        last = next_send_at(Some(last + MS), sent(last, daemons), rate);
+    let mut link_use = LinkUse::new(begun, rate);
+    while last < begun + Duration::from_secs(30) {
+        link_use.record(sent(last, daemons));
+        last = next_send_at(Some(last + MS), sent(last, daemons), &link_use);
         bytes += f64::from(daemons) * 628.0;
     }
     let mbps = bytes * 8.0 / 1e6 / (last - begun).as_secs_f64();
@@ -84,5 +91,24 @@
     let rate = CapacitySettings { link_mbps: 1.0, ..CapacitySettings::default() }.message_rate();
     let last = Instant::now();
     let message = SentMessage { size: Bytes(9_000), ..sent(last, 255) };
-    assert!(next_send_at(None, message, rate) <= last + Duration::from_millis(800));
+    let mut link_use = LinkUse::new(last, rate);
+    link_use.record(message);
+    assert!(next_send_at(None, message, &link_use) <= last + Duration::from_millis(800));
+}
+
+/// A daemon with few requests must announce each change at once, though its link is slow: others choose engines by it.
+#[test]
+fn rare_changes_are_not_delayed_by_a_slow_link() {
+    let rate = CapacitySettings { link_mbps: 10.0, ..CapacitySettings::default() }.message_rate();
+    let mut last = Instant::now();
+    let mut link_use = LinkUse::new(last, rate);
+    for _request in 0..10 {
+        for _change in 0..5 {
+            link_use.record(sent(last, 66));
+            let wanted = last + 20 * MS;
+            assert_eq!(next_send_at(Some(wanted), sent(last, 66), &link_use), wanted);
+            last = wanted;
+        }
+        last += Duration::from_secs(2);
+    }
 }
