--- a/crates/core/src/relay/helper_search.rs
+++ b/crates/core/src/relay/helper_search.rs
@@ -61,15 +61,17 @@
     settings: HelperSearchSettings,
     /// When each daemon was last asked.
     asked_us: HashMap<HostId, MonoTime>,
-    /// Since when each service has been in doubt, and when all daemons had been asked since.
+    /// The services in doubt.
     services: HashMap<String, Progress>,
     /// Daemons that others name as reaching a service, and when.
     named_us: HashMap<HostId, MonoTime>,
 }
 
+/// How far the search for one service has come.
 #[derive(Clone, Copy, Debug)]
 struct Progress {
     since_us: MonoTime,
+    /// When all daemons had been asked since then.
     covered_us: Option<MonoTime>,
 }
 
@@ -169,7 +171,7 @@
     }
 
     /// Number of daemons asked since `service` was in doubt.
-    pub fn asked(&self, service: &str) -> usize {
+    pub fn asked_count(&self, service: &str) -> usize {
         let Some(progress) = self.services.get(service) else {
             return 0;
         };
--- a/crates/core/src/relay/reach.rs
+++ b/crates/core/src/relay/reach.rs
@@ -116,7 +116,7 @@
 /// What is known of the daemons to which a request could be forwarded.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct HelperCounts {
-    /// Daemons that were last asked.
+    /// Daemons asked since the service was in doubt.
     pub asked: usize,
     /// Daemons with a fresh reply about the service.
     pub replied: usize,
--- a/crates/core/src/relay/recipients.rs
+++ b/crates/core/src/relay/recipients.rs
@@ -71,7 +71,7 @@
 /// Faults often concern all daemons of a data centre, so that several of one may be all of a kind.
 pub fn spread<Daemon, DataCentre>(
     own: &DataCentreId,
-    mut daemons: Vec<Daemon>,
+    daemons: Vec<Daemon>,
     data_centre: DataCentre,
 ) -> Vec<Daemon>
 where
@@ -85,7 +85,7 @@
         (*turn, name != *own)
     };
     let keys: Vec<(usize, bool)> = daemons.iter().map(turn_of).collect();
-    let mut keyed: Vec<_> = keys.into_iter().zip(daemons.drain(..)).collect();
+    let mut keyed: Vec<_> = keys.into_iter().zip(daemons).collect();
     keyed.sort_by_key(|(key, _)| *key);
     keyed.into_iter().map(|(_, daemon)| daemon).collect()
 }
--- a/crates/core/tests/relay/helper_search.rs
+++ b/crates/core/tests/relay/helper_search.rs
@@ -127,7 +127,7 @@
         assert_eq!(search.covered_us(SERVICE), None);
         search.next(at(now_ms), &services, &fleet.candidates(0), &replies, &mut rng);
     }
-    assert_eq!((search.covered_us(SERVICE), search.asked(SERVICE)), (Some(at(500)), 39));
+    assert_eq!((search.covered_us(SERVICE), search.asked_count(SERVICE)), (Some(at(500)), 39));
     search.end();
     assert_eq!(search.covered_us(SERVICE), None);
 }
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -183,7 +183,8 @@
     /// What is known of the daemons to which a request for `service` could be forwarded.
     pub fn helper_counts(&self, service: &str) -> HelperCounts {
         let now_us = clock::now();
-        let mut counts = HelperCounts { asked: self.search.lock().asked(service), ..HelperCounts::default() };
+        let mut counts =
+            HelperCounts { asked: self.search.lock().asked_count(service), ..HelperCounts::default() };
         let replies = self.replies.lock();
         for reached in fresh(&replies, now_us).filter_map(|reply| reply.reached_of(service)) {
             counts.replied += 1;
