Report load by organisation between daemons, and admit plain requests by share

One organisation that sends several times its usual rate through all daemons takes the capacity of the others: plain requests are served in order of arrival, and each daemon sees only a hundredth of the load. Daemons now append a load report to their messages. While servers of a plain service are congested, a request of an organisation is admitted with the probability that its weighted max-min share is of its demand, both summed over all daemons.

The reports of memory and of engine speeds are defined and still empty.

--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -3,11 +3,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::memory::Growth;
+use super::order::MemoryReport;
+use super::speeds::SpeedSample;
 use super::stats::WorkloadStats;
 use crate::ids::{BackendServerId, HostId, RequestId, SoftwareVersion};
 use crate::outcome::Repeatability;
 use crate::retry_budget::LoanRequest;
 use crate::sched::{FailureCause, Hold, LimitReached};
+use crate::shares::OrganisationKey;
 use crate::units::{Credit, Micros, Millis, MonoTime, Tokens};
 
 /// Role of an engine.
@@ -84,6 +87,8 @@
     pub priority: u8,
     /// Software versions at which it may run.
     pub binding: VersionBinding,
+    /// Organisation of the caller; absent where callers need no key.
+    pub organisation: Option<OrganisationKey>,
 }
 
 /// Load that an engine reports with an answer.
@@ -214,6 +219,15 @@
         /// Its usage.
         usage: PoolUsage,
     },
+    /// Memory that another daemon's requests hold and wait for.
+    PeerMemory {
+        /// Host of the daemon.
+        host: HostId,
+        /// Its report.
+        report: MemoryReport,
+    },
+    /// Speeds that another daemon observed.
+    PeerSpeeds(Vec<SpeedSample>),
     /// A statement of an engine: it gets no requests for a time.
     Hold {
         /// Name of the engine.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod memory;
 mod open_request;
+mod order;
 mod peers;
 mod placement;
 mod prefill;
@@ -17,6 +18,7 @@
 mod retry_payment;
 mod role_balance;
 mod settings;
+mod speeds;
 mod stats;
 mod versions;
 
@@ -24,6 +26,7 @@
 
 use crate::ids::{BackendServerId, HostId, RequestId};
 use crate::retry_budget::SharedRetryBudget;
+use crate::shares::OrganisationKey;
 use crate::units::MonoTime;
 
 use engine::Engine;
@@ -33,10 +36,12 @@
 };
 pub use memory::{Growth, headroom, peak};
 use open_request::OpenRequest;
+pub use order::{MemoryReport, OrganisationMemory, WaitingClass};
 use peers::{NodeHash, Peers};
 use role_balance::RoleBalance;
 pub use role_balance::RoleChange;
 pub use settings::EnginePoolSettings;
+pub use speeds::SpeedSample;
 use stats::DecayingStats;
 pub use stats::WorkloadStats;
 use versions::ListedVersions;
@@ -108,6 +113,22 @@
         }
     }
 
+    /// Memory that this daemon's requests hold and wait for; `None` where all requests have the same rank.
+    #[expect(clippy::unused_self, reason = "not implemented yet")]
+    pub fn memory_report(&self, _now_us: MonoTime) -> Option<MemoryReport> {
+        None
+    }
+
+    /// Speeds observed since the previous call.
+    #[expect(clippy::unused_self, reason = "not implemented yet")]
+    pub fn take_speed_samples(&mut self) -> Vec<SpeedSample> {
+        Vec::new()
+    }
+
+    /// Replaces the weights of organisations; those without one count as 1.
+    #[expect(clippy::unused_self, reason = "not implemented yet")]
+    pub fn set_weights(&mut self, _weights: &HashMap<OrganisationKey, f64>) {}
+
     /// Replaces the settings; earlier decisions stand.
     pub fn configure(&mut self, settings: EnginePoolSettings) {
         self.budget.configure(settings.retries);
@@ -164,7 +185,7 @@
                     self.engines[index].instance.limited(now_us, reached);
                 }
             }
-            EngineEvent::Tick => {}
+            EngineEvent::PeerMemory { .. } | EngineEvent::PeerSpeeds(_) | EngineEvent::Tick => {}
         }
         if self.waiting.is_empty() {
             return;
--- a/crates/core/src/relay/engines/settings.rs
+++ b/crates/core/src/relay/engines/settings.rs
@@ -32,6 +32,8 @@
     /// Whether engines of the own data centre go before all others; set where daemons of other data centres
     /// send no messages about theirs.
     pub prefer_local: bool,
+    /// Whether the speeds of single engines are learned and used.
+    pub engine_speeds: bool,
 }
 
 impl Default for EnginePoolSettings {
@@ -48,6 +50,7 @@
             prefill_slack_ms: Millis(1_000),
             retries: SharedRetryBudgetSettings::default(),
             prefer_local: false,
+            engine_speeds: false,
         }
     }
 }
--- a/crates/core/tests/relay/simulation.rs
+++ b/crates/core/tests/relay/simulation.rs
@@ -65,6 +65,7 @@
         max_wait_ms: Millis(2_700),
         priority: 1,
         binding: VersionBinding::Any,
+        organisation: None,
     }
 }
 
--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -63,6 +63,7 @@
     pub fn configure_quotas(&self) {
         let bounds = self.bounds.lock().quota();
         self.quotas.configure(&self.table.load(), bounds);
+        self.configure_shares();
     }
 }
 
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -32,6 +32,7 @@
 use super::reach::{self, SharedReach};
 use super::server_changes::ServerChangeLog;
 use super::settings::RelaySettings;
+use super::shares::SharedShares;
 use super::state::RelayState;
 use super::statements::SharedStatements;
 use super::status::{self, Purpose};
@@ -137,6 +138,7 @@
             transfer_budget: Mutex::default(),
             peers: Peers::new(&settings),
             quotas,
+            shares: SharedShares::default(),
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
             stream_versions: SharedStreamVersions::new(is_first, adapters.versions, &adapters.log),
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -7,10 +7,11 @@
 use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
     Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine,
-    PoolUsage, Role, RoleChange,
+    MemoryReport, PoolUsage, Role, RoleChange, SpeedSample,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::sched::{Hold, LimitReached};
+use hibiscusvale_core::shares::OrganisationKey;
 use hibiscusvale_core::units::{Credit, Tokens};
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
@@ -87,6 +88,8 @@
         | EngineEvent::CallerLeft { .. }
         | EngineEvent::Engines(_)
         | EngineEvent::Peer { .. }
+        | EngineEvent::PeerMemory { .. }
+        | EngineEvent::PeerSpeeds(_)
         | EngineEvent::Hold { .. }
         | EngineEvent::Release { .. }
         | EngineEvent::Limited { .. }
@@ -214,6 +217,46 @@
         }
     }
 
+    /// Memory that this daemon's requests hold and wait for, by service.
+    pub fn memory_reports(&self) -> Vec<(String, MemoryReport)> {
+        let now_us = clock::now();
+        let services = self.services.lock();
+        let reports = services.iter();
+        reports
+            .filter_map(|(name, service)| Some((name.clone(), service.pool.memory_report(now_us)?)))
+            .collect()
+    }
+
+    /// Speeds observed since the previous call, by service.
+    pub fn take_speed_samples(&self) -> Vec<(String, Vec<SpeedSample>)> {
+        let mut services = self.services.lock();
+        let samples =
+            services.iter_mut().map(|(name, service)| (name.clone(), service.pool.take_speed_samples()));
+        samples.filter(|(_, samples)| !samples.is_empty()).collect()
+    }
+
+    /// Applies what another daemon reports of memory and speeds.
+    pub fn receive_report(
+        &self,
+        host: &HostId,
+        memory: Vec<(String, MemoryReport)>,
+        speeds: Vec<(String, Vec<SpeedSample>)>,
+    ) {
+        for (name, report) in memory {
+            self.feed(&name, EngineEvent::PeerMemory { host: host.clone(), report });
+        }
+        for (name, samples) in speeds {
+            self.feed(&name, EngineEvent::PeerSpeeds(samples));
+        }
+    }
+
+    /// Replaces the weights of organisations.
+    pub fn set_weights(&self, weights: &HashMap<OrganisationKey, f64>) {
+        for service in self.services.lock().values_mut() {
+            service.pool.set_weights(weights);
+        }
+    }
+
     /// Removes what another daemon holds after it timed out.
     pub fn peer_gone(&self, host: &HostId) {
         let names: Vec<String> = self.services.lock().keys().cloned().collect();
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use super::interfaces::{DaemonEntry, Register};
+use super::load_report;
 use super::loans::{self, LendableCredits};
 use super::message::{AdvertisedState, Datagram, MESSAGE_LIMIT_BYTES, Message};
 use super::pacing::{Urgency, receive_pause};
@@ -190,7 +191,8 @@
             crashes: state.quarantine.gossip(state),
             limits: state.limits.gossip(),
         };
-        let Ok(bytes) = postcard::to_stdvec(&Datagram::Message(Box::new(message))) else {
+        let Ok(bytes) = load_report::encode(&Datagram::Message(Box::new(message)), &state.load_report())
+        else {
             continue;
         };
         let targets = state.peers.targets(Instant::now());
@@ -204,6 +206,7 @@
             state.log.state_changed("daemon silent", &silent);
             loans::update_lender(&silent, &LendableCredits::new(), state);
             state.engine_pools.peer_gone(&silent);
+            state.shares.peer_gone(&silent);
         }
     }
 }
@@ -233,35 +236,41 @@
     own: &HostId,
     state: &RelayState,
 ) {
-    match postcard::from_bytes(bytes) {
-        Ok(Datagram::Message(message)) if message.host != *own => {
+    let Ok((datagram, report)) = load_report::decode(bytes) else {
+        return;
+    };
+    match datagram {
+        Datagram::Message(message) if message.host != *own => {
+            if let Some(report) = report {
+                state.receive_load_report(&message.host, report);
+            }
             if let Some(request) = handle_message(*message, from, state) {
                 send(socket, from, &request).await;
             }
         }
-        Ok(Datagram::LoanRequest(request)) => loans::handle_request(socket, from, request, state).await,
-        Ok(Datagram::LoanReply(reply)) => loans::handle_reply(&reply, state),
-        Ok(Datagram::QuotaRequest(request)) => state.quotas.handle_request(state, from, &request),
-        Ok(Datagram::QuotaReply(reply)) => state.quotas.handle_reply(state, &reply),
-        Ok(Datagram::QuotaReturn(returned)) => state.quotas.accept_return(&returned),
-        Ok(Datagram::ReportRequest(after)) => send(socket, from, &state.quarantine.page(after)).await,
-        Ok(Datagram::ReachRequest(services)) => {
+        Datagram::LoanRequest(request) => loans::handle_request(socket, from, request, state).await,
+        Datagram::LoanReply(reply) => loans::handle_reply(&reply, state),
+        Datagram::QuotaRequest(request) => state.quotas.handle_request(state, from, &request),
+        Datagram::QuotaReply(reply) => state.quotas.handle_reply(state, &reply),
+        Datagram::QuotaReturn(returned) => state.quotas.accept_return(&returned),
+        Datagram::ReportRequest(after) => send(socket, from, &state.quarantine.page(after)).await,
+        Datagram::ReachRequest(services) => {
             reach::reply(socket, from, state, services).await;
         }
-        Ok(Datagram::StreamRecord(record)) => state.stream_versions.receive_records(&[record]),
-        Ok(Datagram::StreamQuestion(question)) => {
+        Datagram::StreamRecord(record) => state.stream_versions.receive_records(&[record]),
+        Datagram::StreamQuestion(question) => {
             send(socket, from, &Datagram::StreamReply(state.stream_versions.reply(&question))).await;
         }
-        Ok(Datagram::StreamReply(reply)) => state.stream_versions.receive_reply(from, reply),
-        Ok(Datagram::ReachReply(reply)) => state.reach.receive(clock::now(), reply),
-        Ok(Datagram::HelpersKnown(hosts)) => state.reach.receive_named(clock::now(), hosts),
-        Ok(Datagram::ReportPage(page)) => {
+        Datagram::StreamReply(reply) => state.stream_versions.receive_reply(from, reply),
+        Datagram::ReachReply(reply) => state.reach.receive(clock::now(), reply),
+        Datagram::HelpersKnown(hosts) => state.reach.receive_named(clock::now(), hosts),
+        Datagram::ReportPage(page) => {
             if let Some(request) = state.quarantine.receive_page(state, page) {
                 send(socket, from, &request).await;
             }
         }
         // This daemon's own message, sent via a seed, or foreign bytes.
-        Ok(Datagram::Message(_)) | Err(_) => {}
+        Datagram::Message(_) => {}
     }
 }
 
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -70,6 +70,10 @@
     state: &Arc<RelayState>,
     incoming: &Arc<Incoming>,
 ) -> Result<Response<AnswerBody>, Refusal> {
+    // A daemon that forwards a request has admitted it.
+    if incoming.forwarded_by.is_none() {
+        state.shares.admit(incoming.service.as_str(), incoming.partner.as_ref())?;
+    }
     let arrival = arrival_of(incoming);
     let mut open = state
         .plain_schedulers
@@ -93,6 +97,8 @@
             PlainAction::Dispatch { server, timeout_ms, fresh_connection, .. } => {
                 let reuse = if fresh_connection { ConnectionReuse::Fresh } else { ConnectionReuse::Pooled };
                 let result = run_attempt(state, incoming, server.clone(), timeout_ms, reuse).await;
+                let ended = result.as_ref().map(|_| ()).map_err(|cause| *cause);
+                state.shares.record_attempt(incoming.service.as_str(), ended);
                 match &result {
                     Ok(_) => incoming.record_step(Step::Answered, &server),
                     Err(cause) => {
@@ -187,6 +193,7 @@
     };
     if let Some(load) = reply.head.load {
         state.plain_schedulers.load(server, load.running + load.waiting, load.slots);
+        state.shares.record_load(incoming.service.as_str(), load.waiting, load.slots);
     }
     let buffered = reply.into_buffered(timeout).await;
     if let Err(cause) = &buffered {
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -31,6 +31,8 @@
     NoTable,
     /// The organisation's quota is used up.
     OverQuota,
+    /// The organisation asks for more than its share of a service whose capacity is short.
+    OverShare,
     /// No daemon that manages the organisation's quota replied.
     QuotaUnknown,
     /// No server of the service accepts requests.
@@ -64,6 +66,7 @@
             Self::UnknownKey => "unknown-key",
             Self::NoTable => "no-table",
             Self::OverQuota => "over-quota",
+            Self::OverShare => "over-share",
             Self::QuotaUnknown => "quota-unknown",
             Self::NoServer => "no-server",
             Self::VersionUnknown => "version-unknown",
@@ -80,7 +83,7 @@
 
 impl Reason {
     /// All reasons.
-    const ALL: [Self; 18] = [
+    const ALL: [Self; 19] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::BodyIncomplete,
@@ -89,6 +92,7 @@
         Self::UnknownKey,
         Self::NoTable,
         Self::OverQuota,
+        Self::OverShare,
         Self::QuotaUnknown,
         Self::NoServer,
         Self::VersionUnknown,
@@ -128,6 +132,7 @@
             | Self::WouldWaitTooLong
             | Self::ServersFull
             | Self::CrashesServers
+            | Self::OverShare
             | Self::QuotaUnknown => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             // These statuses promise nothing about execution.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -32,6 +32,7 @@
 use super::reach::SharedReach;
 use super::server_changes::ServerChangeLog;
 use super::settings::BoundSettings;
+use super::shares::SharedShares;
 use super::state_transfer::TransferBudget;
 use super::statements::SharedStatements;
 use super::stream_versions::SharedStreamVersions;
@@ -260,6 +261,8 @@
     pub peers: Peers,
     /// Quotas of organisations and credit of server limits.
     pub quotas: QuotaAccounts,
+    /// Shares of organisations in plain services.
+    pub shares: SharedShares,
     /// Limits that servers state.
     pub limits: StatedLimits,
     /// What servers state about their availability.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -11,6 +11,7 @@
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{Demand, EngineAction, EngineEvent, EngineRefusal, VersionBinding};
 use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::shares::OrganisationKey;
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::Response;
 use http_body_util::{BodyExt, Full};
@@ -116,6 +117,7 @@
         max_wait_ms: Millis(incoming.route.target_ms.0 * QUEUE_WAIT_FACTOR).min(incoming.left_ms()),
         priority: incoming.route.priority,
         binding: incoming.binding.clone(),
+        organisation: incoming.partner.as_ref().map(OrganisationKey::of),
     }
 }
 
