Limit the bytes that a daemon in relay mode holds

Callers and servers that are slow keep bodies and answers in a daemon's memory for as long as they like, and a host of the smallest size has 88 MB. A daemon that exceeds them is killed with every request that it holds.

With capacity.memory_mb a quarter of it may be held, a half of that in request bodies and a half in answers: a body is held until its answer is complete, so bodies that fill everything would wait for answers without room. One holder may take half of what the others leave free, or anything if nobody else holds any; so small requests are served beside many slow callers. Bodies are refused unread as no-memory, forwarded ones too; answers stay at their servers until there is room, and such a server counts as free meanwhile. Events of streams are counted until they are written. The memory is tied to the bytes themselves and released with their last copy. A caller that takes nothing for the idle time of the route table is disconnected. Read buffers of connections to servers are limited to 32 KiB where memory is; by default they grow to 400 KB each.

Without the setting there is no limit and no time limit of writes.

--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -83,13 +83,14 @@
 impl BackendHttp {
     /// Creates a client with an empty pool.
     pub fn new() -> Self {
-        Self::with_connect_timeout(CONNECT_TIMEOUT)
+        Self::with_limits(CONNECT_TIMEOUT, None)
     }
 
-    /// Creates a client whose connection attempts time out after `limit`.
-    pub fn with_connect_timeout(limit: Duration) -> Self {
+    /// Creates a client whose connection attempts time out after `connect_timeout`. The read buffer of a connection has
+    /// at most `buffer_bytes`, and a head of an answer as well; `None` for the library's default of 400 KB.
+    pub fn with_limits(connect_timeout: Duration, buffer_bytes: Option<usize>) -> Self {
         let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(limit));
+        connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
         // A connection that has gone silent while its host is alive shows no other symptom: a request or a
         // stream on it would wait for the full time-out.
@@ -99,7 +100,11 @@
         connector.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES));
         let connector = connector.and_then(reset_on_close as fn(_) -> _);
         let build = |idle_connections: usize| {
-            Client::builder(TokioExecutor::new())
+            let mut builder = Client::builder(TokioExecutor::new());
+            if let Some(buffer_bytes) = buffer_bytes {
+                builder.http1_max_buf_size(buffer_bytes);
+            }
+            builder
                 .pool_timer(TokioTimer::new())
                 .pool_idle_timeout(POOL_IDLE_TIMEOUT)
                 .pool_max_idle_per_host(idle_connections)
--- a/crates/router/src/callers/stream.rs
+++ b/crates/router/src/callers/stream.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use http::{Response, Version};
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 use super::response::AnswerBody;
 
@@ -41,12 +42,56 @@
 pub struct CallerStream {
     stream: TcpStream,
     reset: ResetFlag,
+    stall: Option<WriteStall>,
+}
+
+/// Ends a connection to which nothing can be written for a time.
+#[derive(Debug)]
+struct WriteStall {
+    timeout: Duration,
+    /// Runs while a write is pending.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl WriteStall {
+    /// Applies the time limit to the result of a write.
+    fn limit<Written>(
+        &mut self,
+        written: Poll<io::Result<Written>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<Written>> {
+        if written.is_ready() {
+            self.timer = None;
+            return written;
+        }
+        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(self.timeout)));
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
 }
 
 impl CallerStream {
     /// Wraps a connection that is reset when it is closed with `reset` set.
     pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
-        Self { stream, reset }
+        Self { stream, reset, stall: None }
+    }
+
+    /// Makes writes fail once the caller has taken nothing for `timeout`.
+    #[must_use]
+    pub fn with_write_timeout(mut self, timeout: Duration) -> Self {
+        self.stall = Some(WriteStall { timeout, timer: None });
+        self
+    }
+
+    fn limit<Written>(
+        &mut self,
+        written: Poll<io::Result<Written>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<Written>> {
+        match &mut self.stall {
+            Some(stall) => stall.limit(written, cx),
+            None => written,
+        }
     }
 }
 
@@ -71,7 +116,8 @@
 
 impl AsyncWrite for CallerStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.limit(written, cx)
     }
 
     fn poll_write_vectored(
@@ -79,7 +125,8 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.limit(written, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -14,11 +14,11 @@
 use hibiscusvale_core::relay::partners::{Partner, UnknownCaller};
 use hibiscusvale_core::relay::routes::{Route, RouteKind};
 use hibiscusvale_core::relay::stream_versions::StreamKey;
-use hibiscusvale_core::units::{Credit, Millis};
+use hibiscusvale_core::units::{Bytes as ByteCount, Credit, Millis};
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Request, Response, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming as CallerBody};
+use hyper::body::{Body as _, Frame, Incoming as CallerBody};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -32,6 +32,7 @@
 
 use super::forward::{self, ForwardedHead, ForwardedRefusal};
 use super::interfaces::{Call, CallId, EventId};
+use super::memory_limit::{HeldBuffer, HeldMemory, NoMemory};
 use super::plain;
 use super::quotas::QuotaOwner;
 use super::refusal::{Reason, Refusal};
@@ -46,6 +47,9 @@
 /// Retry-After while the daemon has no route table; a starting daemon obtains one within a second.
 const NO_TABLE_RETRY_MS: Millis = Millis(500);
 
+/// Retry-After while other requests hold the memory; most bodies are held for less than a second.
+const NO_MEMORY_RETRY_MS: Millis = Millis(500);
+
 /// Pause after a failed `accept`, usually for lack of file descriptors.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -128,11 +132,16 @@
         let version = request.version();
         async move { Ok::<_, Infallible>(reset.guard(version, handle_request(&state, request).await)) }
     });
+    let mut stream = CallerStream::new(stream, reset);
+    if state.memory.max().is_some() {
+        // A caller that takes nothing would hold its answer for good.
+        stream = stream.with_write_timeout(Duration::from(limits.idle_timeout_ms));
+    }
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from(limits.idle_timeout_ms))
         .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(CallerStream::new(stream, reset)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
         // A caller may abort its connection at any time; nothing depends on the result.
@@ -246,7 +255,8 @@
     let service = route.destination(routing_hash(request_id)).ok_or(Refusal::new(Reason::NoServer))?.clone();
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
-    let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
+    let limit_bytes = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
+    let body = read_body(state.memory.body(), body, limit_bytes, deadline).await?;
     let fingerprint = fingerprint(&parts, credentials.as_ref(), partner, &body);
     let fingerprints = Fingerprints::new(fingerprint, &call.shared_prompt_parts);
     state.quarantine.admit(state, &call.id, &fingerprints)?;
@@ -299,7 +309,8 @@
     let service = service.ok_or(Refusal::new(Reason::NoServer))?;
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
-    let body = read_body(body, usize::try_from(limit_bytes).unwrap_or(usize::MAX), deadline).await?;
+    let limit_bytes = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
+    let body = read_body(state.memory.body(), body, limit_bytes, deadline).await?;
     let fingerprints = Fingerprints::new(head.fingerprint, &call.shared_prompt_parts);
     state.quarantine.admit(state, &call.id, &fingerprints)?;
     state.open.fetch_add(1, Ordering::Relaxed);
@@ -414,14 +425,40 @@
     call.wait_ms.unwrap_or(DEFAULT_WAIT_MS).min(route_ms)
 }
 
-async fn read_body(body: CallerBody, limit_bytes: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+/// Reads a body of at most `limit_bytes`, which holds `memory` from then on.
+async fn read_body(
+    mut memory: HeldMemory,
+    body: CallerBody,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
     // Refuse by the announced length, before reading any of the body.
-    if body.size_hint().lower() > limit_bytes as u64 {
+    let announced_bytes = body.size_hint().lower();
+    if announced_bytes > limit_bytes as u64 {
         return Err(Refusal::new(Reason::BodyTooLarge));
     }
-    match tokio::time::timeout_at(deadline, Limited::new(body, limit_bytes).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::new(Reason::BodyTooLarge)),
-        Ok(Err(_)) | Err(_) => Err(Refusal::new(Reason::BodyIncomplete)),
-    }
+    memory.try_grow(ByteCount(announced_bytes)).map_err(no_memory)?;
+    let mut body = Limited::new(body, limit_bytes);
+    let mut held = HeldBuffer::new(memory);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            match frame.map(Frame::into_data) {
+                Ok(Ok(data)) => held.try_extend(&data).map_err(no_memory)?,
+                Ok(Err(_trailers)) => {}
+                Err(error) if error.is::<LengthLimitError>() => {
+                    return Err(Refusal::new(Reason::BodyTooLarge));
+                }
+                Err(_) => return Err(Refusal::new(Reason::BodyIncomplete)),
+            }
+        }
+        Ok(())
+    };
+    tokio::time::timeout_at(deadline, read)
+        .await
+        .unwrap_or(Err(Refusal::new(Reason::BodyIncomplete)))
+        .map(|()| held.into_bytes())
+}
+
+fn no_memory(NoMemory: NoMemory) -> Refusal {
+    Refusal::retry_after(Reason::NoMemory, NO_MEMORY_RETRY_MS)
 }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -23,6 +23,7 @@
 use super::freshness::Freshness;
 use super::interfaces::{DaemonEntry, EvidenceStore, Register, TableSource, VersionStore, Wire};
 use super::limits::StatedLimits;
+use super::memory_limit::MemoryLimit;
 use super::metrics::RelayMetrics;
 use super::orders::Orders;
 use super::peers::Peers;
@@ -31,7 +32,7 @@
 use super::quotas::QuotaAccounts;
 use super::reach::{self, SharedReach};
 use super::server_changes::ServerChangeLog;
-use super::settings::RelaySettings;
+use super::settings::{CapacitySettings, RelaySettings};
 use super::shares::SharedShares;
 use super::state::RelayState;
 use super::statements::SharedStatements;
@@ -59,6 +60,10 @@
 /// that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest read buffer of a connection to a server where memory is limited. By default buffers grow to 400 KB, which with
+/// a hundred streams is more than a small host has.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Interval at which open requests are checked while stopping.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -120,7 +125,7 @@
             wire: adapters.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
-            http: BackendHttp::with_connect_timeout(CONNECT_TIMEOUT),
+            http: backend_http(&settings.capacity),
             plain_schedulers: PlainSchedulers::new(
                 budget::plain(&settings.bounds, ASSUMED_DAEMONS),
                 incarnation.seed(),
@@ -134,6 +139,7 @@
             ),
             freshness: Freshness::default(),
             caller_waits: Mutex::default(),
+            memory: MemoryLimit::new(settings.capacity.held_bytes_max()),
             server_changes: ServerChangeLog::default(),
             transfer_budget: Mutex::default(),
             peers: Peers::new(&settings),
@@ -205,10 +211,7 @@
                     .fault("role-change orders disabled: the region name is not a valid lease scope", &error);
             }
         }
-        let timers = Arc::clone(&state);
-        traffic.spawn(async move {
-            tokio::join!(timers.plain_schedulers.run_timers(), timers.engine_pools.run_timers())
-        });
+        traffic.spawn(run_timers(Arc::clone(&state)));
         Ok(Self { state, traffic, control, stop_listening, serving, settings, callers_address })
     }
 
@@ -286,6 +289,15 @@
     }
 }
 
+/// Client for servers, with small read buffers where memory is limited.
+fn backend_http(capacity: &CapacitySettings) -> BackendHttp {
+    BackendHttp::with_limits(CONNECT_TIMEOUT, capacity.memory_mb.map(|_| READ_BUFFER_BYTES))
+}
+
+async fn run_timers(state: Arc<RelayState>) {
+    tokio::join!(state.plain_schedulers.run_timers(), state.engine_pools.run_timers());
+}
+
 async fn log_failure<Messaging>(messaging: Messaging, log: Log)
 where
     Messaging: Future<Output = io::Result<()>>,
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -320,7 +320,11 @@
                 let Refusal { reason, retry_after_ms } = refusal;
                 let end =
                     ForwardedEnd::Refused { reason: reason.label().to_owned(), retry_after_ms, is_attempted };
-                (Response::new(boxed(Full::default())), end)
+                let mut response = Response::new(boxed(Full::default()));
+                if refusal.leaves_body_unread() {
+                    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                (response, end)
             }
         }
     };
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -6,7 +6,7 @@
 use futures_util::stream;
 use hibiscusvale_core::relay::engines::EngineEvent;
 use hibiscusvale_core::sched::FailureCause;
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Bytes as ByteCount, Millis};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -14,6 +14,7 @@
 
 use super::events::EventSplitter;
 use super::interfaces::EventId;
+use super::memory_limit::HeldMemory;
 use super::stream::StreamedRequest;
 use super::trace::cause_label;
 use crate::backend::{Framing, ServerBody};
@@ -42,6 +43,8 @@
     request: StreamedRequest,
     body: Option<ServerBody>,
     splitter: EventSplitter,
+    /// Memory of the bytes in `splitter`.
+    memory: HeldMemory,
     progress: Progress,
     /// Whether the current engine has sent a complete event with an id.
     has_events: bool,
@@ -81,6 +84,9 @@
         while let Some(body) = &mut self.body {
             match next_chunk(body, &self.request).await {
                 Ok(Some(bytes)) => {
+                    if !self.hold(bytes.len()).await {
+                        return Err(self.abort(FailureCause::Timeout));
+                    }
                     let Ok(events) = self.splitter.push(&bytes) else {
                         return Err(self.abort(FailureCause::Broken));
                     };
@@ -90,7 +96,7 @@
                             continue;
                         }
                         self.record_progress(events.last);
-                        return Ok(Some(events.bytes));
+                        return Ok(Some(self.release(events.bytes)));
                     }
                 }
                 Ok(None) if self.splitter.is_inside_event() => {
@@ -104,7 +110,7 @@
                     self.request.record_end();
                     self.request.feed(self.request.finished_event());
                     let remainder = self.splitter.remainder();
-                    return Ok((!remainder.is_empty()).then_some(remainder));
+                    return Ok((!remainder.is_empty()).then(|| self.release(remainder)));
                 }
                 Err(cause) => self.fail_over(cause).await?,
             }
@@ -112,6 +118,19 @@
         Ok(None)
     }
 
+    /// Counts `size` bytes that have arrived. Nothing more is read from the engine until there is memory for them; `false`
+    /// if there is none before the deadline.
+    async fn hold(&mut self, size: usize) -> bool {
+        let deadline = self.request.incoming.deadline;
+        let held = self.memory.grow(ByteCount(size as u64));
+        tokio::time::timeout_at(deadline, held).await.is_ok()
+    }
+
+    /// Bytes for the caller, whose memory is held until they are written to its connection.
+    fn release(&mut self, bytes: Bytes) -> Bytes {
+        self.memory.split(ByteCount(bytes.len() as u64)).attach(bytes)
+    }
+
     /// Whether the end of the answer may be that of a complete one. A crash before the first event looks like an
     /// end where the connection delimits the answer.
     fn has_answered(&self) -> bool {
@@ -127,6 +146,7 @@
             return Err(self.abort(cause));
         }
         self.splitter = EventSplitter::default();
+        self.memory.shrink_to(ByteCount::ZERO);
         self.has_events = false;
         match self.request.resume(cause).await {
             Ok(body) => {
@@ -213,8 +233,10 @@
     request: StreamedRequest,
     body: ServerBody,
 ) -> Response<AnswerBody> {
+    let memory = request.incoming.state.memory.answer();
     let forwarder = StreamForwarder {
         request,
+        memory,
         body: Some(body),
         splitter: EventSplitter::default(),
         progress: Progress::new(),
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -6,10 +6,13 @@
 use bytes::Bytes;
 use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::Bytes as ByteCount;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body as _;
 
 use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
+use super::memory_limit::{HeldBuffer, HeldMemory, NoMemory};
 use super::state::{Incoming as IncomingRequest, RelayState};
 use super::statements::{CallKind, RequestPath};
 use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, ServerBody, TrackedReply, read_body, uri};
@@ -59,25 +62,82 @@
         self.known.response.into_body()
     }
 
-    /// Buffers the rest of the answer.
+    /// Memory for the whole answer; `None` if there is none now.
+    pub fn try_hold(&self, incoming: &IncomingRequest) -> Option<HeldMemory> {
+        let mut memory = incoming.state.memory.answer();
+        memory.try_grow(buffered_size(self.known.response.body())).ok().map(|()| memory)
+    }
+
+    /// Buffers the rest of the answer in `memory`, which holds as much as [`Self::try_hold`] says.
+    ///
+    /// # Errors
+    ///
+    /// [`FailureCause`]; the request has run.
+    pub async fn into_buffered_in(
+        self,
+        memory: HeldMemory,
+        timeout: Duration,
+    ) -> Result<BufferedReply, FailureCause> {
+        let Self { status, headers, known, .. } = self;
+        let body = read_held(known.response.into_body(), memory, timeout).await?;
+        Ok(BufferedReply { status, headers, body })
+    }
+
+    /// Buffers the rest of the answer once there is memory for it, as [`buffer`] does.
     ///
     /// # Errors
     ///
     /// [`FailureCause`]; the request has run.
-    pub async fn into_buffered(self, timeout: Duration) -> Result<BufferedReply, FailureCause> {
+    pub async fn into_buffered(
+        self,
+        incoming: &IncomingRequest,
+        timeout: Duration,
+    ) -> Result<BufferedReply, FailureCause> {
         let Self { status, headers, known, .. } = self;
-        let body = buffer(known.response.into_body(), timeout).await?;
+        let body = buffer(incoming, known.response.into_body(), timeout).await?;
         Ok(BufferedReply { status, headers, body })
     }
 }
 
-/// Buffers the body of an answer.
+/// Buffers the body of an answer, which is read within `timeout` once there is memory for it.
+///
+/// Memory is awaited until the deadline of the request, since the request has run. It is taken for the whole answer at
+/// once: answers that wait for each other in the middle would all be late.
 ///
 /// # Errors
 ///
 /// [`FailureCause`]; the request has run.
-pub async fn buffer(body: ServerBody, timeout: Duration) -> Result<Bytes, FailureCause> {
-    read_body(body, BUFFERED_ANSWER_BYTES_MAX, timeout).await.map_err(failure_cause)
+pub async fn buffer(
+    incoming: &IncomingRequest,
+    body: ServerBody,
+    timeout: Duration,
+) -> Result<Bytes, FailureCause> {
+    let mut memory = incoming.state.memory.answer();
+    let waited = tokio::time::timeout_at(incoming.deadline, memory.grow(buffered_size(&body))).await;
+    waited.map_err(|_elapsed| FailureCause::Timeout)?;
+    read_held(body, memory, timeout).await
+}
+
+/// Largest size of the buffered body.
+fn buffered_size(body: &ServerBody) -> ByteCount {
+    let largest = BUFFERED_ANSWER_BYTES_MAX as u64;
+    ByteCount(body.size_hint().exact().unwrap_or(largest).min(largest))
+}
+
+async fn read_held(body: ServerBody, memory: HeldMemory, timeout: Duration) -> Result<Bytes, FailureCause> {
+    let mut body = Limited::new(body, BUFFERED_ANSWER_BYTES_MAX);
+    let mut held = HeldBuffer::new(memory);
+    let read = async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| FailureCause::Broken)?;
+            if let Ok(data) = frame.into_data() {
+                held.try_extend(&data).map_err(|NoMemory| FailureCause::Broken)?;
+            }
+        }
+        Ok(())
+    };
+    tokio::time::timeout(timeout, read).await.unwrap_or(Err(FailureCause::Timeout))?;
+    Ok(held.into_bytes())
 }
 
 /// Sends a request and waits for the head of the answer.
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -139,6 +139,10 @@
         observe_gauge(&meter, "hibiscusvale_relay_open_requests", state, |state| {
             state.open.load(std::sync::atomic::Ordering::Relaxed)
         });
+        observe_gauge(&meter, "hibiscusvale_relay_held_bytes", state, |state| state.memory.held().0);
+        observe_gauge(&meter, "hibiscusvale_relay_held_bytes_max", state, |state| {
+            state.memory.max().unwrap_or_default().0
+        });
         observe_gauge(&meter, "hibiscusvale_relay_servers", state, |state| {
             state.directory.listing().servers.len() as u64
         });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod load_report;
 mod loans;
+pub mod memory_limit;
 mod message;
 mod metrics;
 mod orders;
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -14,7 +14,7 @@
 
 use super::crashes::{self, Attempt};
 use super::forward::{self, Forwarded};
-use super::hop::{self, BufferedReply};
+use super::hop::{self, BufferedReply, Reply};
 use super::interfaces::Task;
 use super::reach;
 use super::refusal::{Reason, Refusal};
@@ -60,7 +60,7 @@
             Forwarded::NotTaken => return None,
         };
     let (parts, body) = response.into_parts();
-    let buffered = hop::buffer(body, incoming.left()).await;
+    let buffered = hop::buffer(incoming, body, incoming.left()).await;
     let body = buffered.map(|body| Full::new(body).map_err(|never| match never {}).boxed_unsync());
     let answered = body.map(|body| Response::from_parts(parts, body));
     Some(answered.map_err(|_| Refusal::new(Reason::NoAnswer)))
@@ -107,12 +107,19 @@
                     }
                 }
                 match result {
-                    Ok(reply) if reply.status.is_server_error() && is_repeatable(incoming) => {
+                    Ok(Answer::Unread(reply, attempt)) => {
+                        // The server is free: it has answered, and this daemon alone delays the answer.
+                        open.feed(PlainEvent::Done { request_id });
+                        return answer_late(state, incoming, *reply, &attempt).await;
+                    }
+                    Ok(Answer::Buffered(reply))
+                        if reply.status.is_server_error() && is_repeatable(incoming) =>
+                    {
                         may_have_run = true;
                         failed = Some(reply);
                         open.feed(PlainEvent::Failed { request_id, cause: FailureCause::Refused });
                     }
-                    Ok(reply) => {
+                    Ok(Answer::Buffered(reply)) => {
                         if reply.status.is_success() {
                             crashes::record_survival(incoming);
                         }
@@ -132,6 +139,27 @@
     failed.map(|reply| reply.into_response(&*state.wire)).ok_or(Refusal::new(Reason::NoAnswer))
 }
 
+/// Delivers an answer once there is memory for it. Its request has run and is not sent again.
+async fn answer_late(
+    state: &RelayState,
+    incoming: &Incoming,
+    reply: Reply,
+    attempt: &Attempt,
+) -> Result<Response<AnswerBody>, Refusal> {
+    match reply.into_buffered(incoming, incoming.left()).await {
+        Ok(reply) => {
+            if reply.status.is_success() {
+                crashes::record_survival(incoming);
+            }
+            Ok(reply.into_response(&*state.wire))
+        }
+        Err(cause) => {
+            crashes::check_for_crash(incoming, attempt, cause).await;
+            Err(Refusal::new(Reason::NoAnswer))
+        }
+    }
+}
+
 fn is_repeatable(incoming: &Incoming) -> bool {
     incoming.route.kind.repeatability() == Repeatability::Repeatable
 }
@@ -151,6 +179,13 @@
     "callers".parse().expect("the literal is a valid partner id")
 }
 
+/// The answer of a server.
+enum Answer {
+    Buffered(BufferedReply),
+    /// There is no memory for it yet. Nothing is read from the server.
+    Unread(Box<Reply>, Attempt),
+}
+
 /// Makes one attempt. A request that must not be repeated runs to its end even if its caller leaves: if it
 /// were aborted, its outcome would be unknown.
 async fn run_attempt(
@@ -159,7 +194,7 @@
     server: BackendServerId,
     timeout_ms: Millis,
     reuse: ConnectionReuse,
-) -> Result<BufferedReply, FailureCause> {
+) -> Result<Answer, FailureCause> {
     let left = incoming.left();
     if is_repeatable(incoming) {
         return exchange(state, incoming, &server, reuse, left.min(Duration::from(timeout_ms))).await;
@@ -175,7 +210,7 @@
     server: &BackendServerId,
     reuse: ConnectionReuse,
     timeout: Duration,
-) -> Result<BufferedReply, FailureCause> {
+) -> Result<Answer, FailureCause> {
     let to = state.directory.address_of(server).ok_or(FailureCause::NotSent)?;
     statements::admit(state, server, 1).await?;
     let hop = incoming.hop(server, Task::Run);
@@ -195,9 +230,12 @@
         state.plain_schedulers.load(server, load.running + load.waiting, load.slots);
         state.shares.record_load(incoming.service.as_str(), load.waiting, load.slots);
     }
-    let buffered = reply.into_buffered(timeout).await;
+    let Some(memory) = reply.try_hold(incoming) else {
+        return Ok(Answer::Unread(Box::new(reply), attempt));
+    };
+    let buffered = reply.into_buffered_in(memory, timeout).await;
     if let Err(cause) = &buffered {
         crashes::check_for_crash(incoming, &attempt, *cause).await;
     }
-    buffered
+    buffered.map(Answer::Buffered)
 }
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -21,6 +21,8 @@
     BodyTooLarge,
     /// The body did not arrive in time or broke off.
     BodyIncomplete,
+    /// Other requests hold the memory that its body would take.
+    NoMemory,
     /// No route matches the host and path.
     NoRoute,
     /// The request carries no key, and its route requires one.
@@ -61,6 +63,7 @@
             Self::BadRequest => "bad-request",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyIncomplete => "body-incomplete",
+            Self::NoMemory => "no-memory",
             Self::NoRoute => "no-route",
             Self::NoKey => "no-key",
             Self::UnknownKey => "unknown-key",
@@ -83,10 +86,11 @@
 
 impl Reason {
     /// All reasons.
-    const ALL: [Self; 19] = [
+    const ALL: [Self; 20] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::BodyIncomplete,
+        Self::NoMemory,
         Self::NoRoute,
         Self::NoKey,
         Self::UnknownKey,
@@ -111,9 +115,12 @@
     }
 
     /// Whether another daemon may take a request that one refuses for this reason: it has other servers in reach, other
-    /// requests waiting, or its own share of what servers and budgets allow.
+    /// requests waiting, or its own share of what servers, budgets and its memory allow.
     pub fn is_of_one_daemon(self) -> bool {
-        matches!(self, Self::NoServer | Self::NoTable | Self::WouldWaitTooLong | Self::ServersFull)
+        matches!(
+            self,
+            Self::NoMemory | Self::NoServer | Self::NoTable | Self::WouldWaitTooLong | Self::ServersFull
+        )
     }
 
     fn status(self) -> StatusCode {
@@ -124,7 +131,8 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey | Self::UnknownKey => StatusCode::UNAUTHORIZED,
             // These statuses promise that the request has not run and never will.
-            Self::NoTable
+            Self::NoMemory
+            | Self::NoTable
             | Self::NoServer
             | Self::VersionUnknown
             | Self::VersionGone
@@ -205,6 +213,11 @@
         if may_have_run { Self::new(Reason::NoAnswer) } else { self }
     }
 
+    /// Whether bytes of the body may follow on the connection, which then takes no further request.
+    pub fn leaves_body_unread(self) -> bool {
+        matches!(self.reason, Reason::BodyIncomplete | Reason::NoMemory)
+    }
+
     /// Converts it into the answer to the caller.
     pub fn into_response(self, wire: &dyn Wire) -> Response<AnswerBody> {
         let text = Bytes::from_static(self.reason.label().as_bytes());
@@ -218,7 +231,7 @@
         if matches!(self.reason, Reason::NoKey | Reason::UnknownKey) {
             headers.insert(header::WWW_AUTHENTICATE, wire.credentials_scheme());
         }
-        if self.reason == Reason::BodyIncomplete {
+        if self.leaves_body_unread() {
             headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::quota::QuotaBounds;
-use hibiscusvale_core::units::{BytesPerSecond, Millis};
+use hibiscusvale_core::units::{Bytes, BytesPerSecond, Millis};
 use serde::Deserialize;
 
 use crate::settings::check::check_number;
@@ -74,6 +74,9 @@
         ] {
             check_number(text, key, value, range, &mut problems);
         }
+        if let Some(memory_mb) = capacity.memory_mb {
+            check_number(text, "capacity.memory_mb", memory_mb, MEMORY_MB, &mut problems);
+        }
         problems
     }
 }
@@ -113,6 +116,9 @@
 /// Below 1 Mbit/s, the messages between daemons alone would take longer than their timeout.
 const LINK_MBPS: RangeInclusive<f64> = 1.0..=1_000_000.0;
 
+/// With less than 4 MB, the part for answers would not hold the largest one that is buffered.
+const MEMORY_MB: RangeInclusive<f64> = 4.0..=1_000_000.0;
+
 /// Listen addresses of a daemon in relay mode.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -218,6 +224,8 @@
     pub descriptors: f64,
     /// Bandwidth of the host's network link in Mbit/s.
     pub link_mbps: f64,
+    /// Memory of the host in MB, of which a part may be held in bodies and answers; without it there is no limit.
+    pub memory_mb: Option<f64>,
 }
 
 /// Fraction of the file descriptors available to callers. The rest is for connections to servers, the store
@@ -228,6 +236,13 @@
 /// passes the link twice.
 const MESSAGES_FRACTION: f64 = 0.25;
 
+/// Part of the memory that bodies and answers may take together. The daemon itself takes 8 to 28 MB, and the buffers of
+/// a few hundred connections about as much.
+const HELD_FRACTION: f64 = 0.25;
+
+/// Bytes in a MB.
+const BYTES_PER_MB: f64 = 1e6;
+
 /// Bytes per second in a Mbit/s.
 const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
 
@@ -239,6 +254,13 @@
         BytesPerSecond(rate)
     }
 
+    /// Maximum size of all bodies and answers that are held; `None` if there is no limit.
+    pub fn held_bytes_max(&self) -> Option<Bytes> {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
+        let bytes = |memory_mb: f64| (memory_mb * BYTES_PER_MB * HELD_FRACTION) as u64;
+        self.memory_mb.map(bytes).map(Bytes)
+    }
+
     /// Maximum number of open caller connections.
     pub fn caller_connections(&self) -> usize {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
@@ -249,6 +271,6 @@
 
 impl Default for CapacitySettings {
     fn default() -> Self {
-        Self { descriptors: 4_096.0, link_mbps: 1_000.0 }
+        Self { descriptors: 4_096.0, link_mbps: 1_000.0, memory_mb: None }
     }
 }
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -25,6 +25,7 @@
 use super::freshness::Freshness;
 use super::interfaces::{Call, CallId, Hop, Task, Wire};
 use super::limits::StatedLimits;
+use super::memory_limit::MemoryLimit;
 use super::metrics::{RelayMetrics, RequestSummary};
 use super::peers::Peers;
 use super::quarantine::SharedQuarantine;
@@ -70,7 +71,7 @@
     pub path: String,
     /// Headers as received, without a key that is meant for the router alone.
     pub headers: HeaderMap,
-    /// Body as received.
+    /// Body as received; its copies hold the memory counted for it.
     pub body: Bytes,
     /// Host of the daemon that forwarded it; `None` if its caller sent it here.
     pub forwarded_by: Option<HostId>,
@@ -253,6 +254,8 @@
     pub freshness: Freshness,
     /// Waiting times of callers by route.
     pub caller_waits: Mutex<PriorWaits>,
+    /// Memory that bodies and answers hold.
+    pub memory: MemoryLimit,
     /// Server changes for other daemons.
     pub server_changes: ServerChangeLog,
     /// Budget of state transfer to other daemons.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -86,7 +86,8 @@
     };
     let (parts, body) = answer.into_parts();
     if !parts.status.is_success() {
-        let body = hop::buffer(body, incoming.left()).await.map_err(|_| Refusal::new(Reason::NoAnswer))?;
+        let buffered = hop::buffer(incoming, body, incoming.left()).await;
+        let body = buffered.map_err(|_| Refusal::new(Reason::NoAnswer))?;
         let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
         return Ok(Response::from_parts(parts, body));
     }
@@ -376,7 +377,7 @@
         let attempt = Attempt::new(reader, at);
         let buffered = async {
             let reply = hop::send_prefill(&state.http, &*state.wire, incoming, at, &hop, timeout).await?;
-            reply.into_buffered(timeout).await
+            reply.into_buffered(incoming, timeout).await
         };
         let buffered = buffered.await;
         if let Err(cause) = &buffered {
@@ -430,7 +431,7 @@
             self.confirm_run(writer, at, lifetime).await?;
         }
         if reply.status.is_server_error() && self.is_repeatable() {
-            self.failed = Some(reply.into_buffered(incoming.left()).await?);
+            self.failed = Some(reply.into_buffered(incoming, incoming.left()).await?);
             return Err(FailureCause::Refused);
         }
         Ok(reply)
--- a/crates/router/tests/ops/main.rs
+++ b/crates/router/tests/ops/main.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod platform;
 mod relay_events;
+mod relay_memory;
 mod relay_pacing;
 mod relay_server_changes;
 mod relay_settings;
--- a/crates/router/tests/ops/relay_settings.rs
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -17,6 +17,7 @@
     assert_eq!(settings.bounds.grace(), Duration::from_secs(8));
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.listen.metrics, None);
+    assert_eq!(settings.capacity.held_bytes_max(), None);
 }
 
 /// A typing error would show only in a failure; instead it prevents the start, and the error names the key,
@@ -30,6 +31,8 @@
 #[case("[bounds]\nretry_window_s = 0", "bounds.retry_window_s is 0, allowed is 1 to 3600")]
 #[case("[capacity]\ndescriptors = 12", "capacity.descriptors is 12")]
 #[case("[capacity]\nlink_mbps = 0", "capacity.link_mbps is 0, allowed is 1 to 1000000")]
+#[case("[capacity]\nmemory_mb = 3.5", "line 6: capacity.memory_mb is 3.5, allowed is 4 to 1000000")]
+#[case("[capacity]\nmemory_mb = nan", "capacity.memory_mb is NaN")]
 #[case("[bounds]\ngrace = 8", "unknown field")]
 fn out_of_range_settings_are_refused(#[case] addition: &str, #[case] expected: &str) {
     let error = RelaySettings::parse(&format!("{MINIMAL}{addition}\n")).unwrap_err().to_string();
