Keep keys of organisations stable, and small weights beside large ones

OrganisationKey was made by the standard library's default hasher, whose algorithm may change between compiler releases: daemons of two versions would then not recognise each other's organisations in reports. It is the start of the BLAKE3 hash now. max_min_level subtracted weights from their sum, which loses a small weight beside a large one and can divide by zero; it adds them up from the end now.

--- a/crates/core/src/shares/level.rs
+++ b/crates/core/src/shares/level.rs
@@ -18,15 +18,18 @@
     }
     let mut sorted: Vec<Claim> = claims.iter().copied().filter(|claim| claim.weight > 0.0).collect();
     sorted.sort_by(|one, other| (one.need / one.weight).total_cmp(&(other.need / other.weight)));
+    // Sums from the end: subtraction from the sum of all would lose small weights beside large ones.
+    let mut weights: Vec<f64> = sorted.iter().map(|claim| claim.weight).collect();
+    for index in (1..weights.len()).rev() {
+        weights[index - 1] += weights[index];
+    }
     let mut left = capacity.max(0.0);
-    let mut weight: f64 = sorted.iter().map(|claim| claim.weight).sum();
-    for claim in sorted {
+    for (claim, weight) in sorted.iter().zip(weights) {
         let level = left / weight;
         if claim.need / claim.weight > level {
             return level;
         }
-        left -= claim.need;
-        weight -= claim.weight;
+        left = (left - claim.need).max(0.0);
     }
     f64::INFINITY
 }
--- a/crates/core/src/shares/mod.rs
+++ b/crates/core/src/shares/mod.rs
@@ -7,8 +7,6 @@
 mod level;
 mod rates;
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use serde::{Deserialize, Serialize};
 
 use crate::ids::PartnerId;
@@ -16,7 +14,7 @@
 pub use level::{Claim, max_min_level};
 pub use rates::{OrganisationUsage, OverShare, RateReport, RateShareSettings, RateShares, ShareDecision};
 
-/// Maximum number of organisations in a report; the rest is summed up.
+/// Maximum number of organisations in a report; some of them stand for the rest.
 pub const REPORTED_ORGANISATIONS_MAX: usize = 32;
 
 /// Hash of an organisation's name. A collision merges the shares of two organisations; among 400 it is one in
@@ -25,12 +23,9 @@
 pub struct OrganisationKey(u32);
 
 impl OrganisationKey {
-    /// Key of `partner`, the same at all daemons.
+    /// Key of `partner`, the same at all daemons, whichever version they run.
     pub fn of(partner: &PartnerId) -> Self {
-        let mut hasher = DefaultHasher::new();
-        partner.as_str().hash(&mut hasher);
-        #[expect(clippy::cast_possible_truncation, reason = "the lower half of the hash is the key")]
-        let key = hasher.finish() as u32;
-        Self(key)
+        let [first, second, third, fourth, ..] = *blake3::hash(partner.as_str().as_bytes()).as_bytes();
+        Self(u32::from_le_bytes([first, second, third, fourth]))
     }
 }
