Bound the load report in messages between daemons

Cause: a report with many services or organisations made a message longer than the receivers' buffer, which loses the whole datagram with its heartbeat. Among hundreds of daemons full reports would also fill a slow link, since periodic messages go out whatever the rate. A late message overwrote the reports of a newer one.

Change: the report takes at most half of what messages may take of the link at the longest interval, and no more than the receiver's buffer has left. Beyond that it has fewer organisations per service, the rest summed up, then fewer services in turn. The message is never cut. A report is decoded after a message only, and applied only if the message is not stale.

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::interfaces::{DaemonEntry, Register};
-use super::load_report;
+use super::load_report::{self, LoadReport};
 use super::loans::{self, LendableCredits};
 use super::message::{AdvertisedState, Datagram, MESSAGE_LIMIT_BYTES, Message};
 use super::pacing::{Urgency, receive_pause};
@@ -191,8 +191,10 @@
             crashes: state.quarantine.gossip(state),
             limits: state.limits.gossip(),
         };
-        let Ok(bytes) = load_report::encode(&Datagram::Message(Box::new(message)), &state.load_report())
-        else {
+        let datagram = Datagram::Message(Box::new(message));
+        let report_limit = state.peers.report_limit();
+        let encoded = load_report::encode(&datagram, &state.load_report(), report_limit, sequence);
+        let Ok(bytes) = encoded else {
             continue;
         };
         let targets = state.peers.targets(Instant::now());
@@ -241,10 +243,7 @@
     };
     match datagram {
         Datagram::Message(message) if message.host != *own => {
-            if let Some(report) = report {
-                state.receive_load_report(&message.host, report);
-            }
-            if let Some(request) = handle_message(*message, from, state) {
+            if let Some(request) = handle_message(*message, report, from, state) {
                 send(socket, from, &request).await;
             }
         }
@@ -282,7 +281,12 @@
 }
 
 /// Handles a message and returns a request to its sender, if any.
-fn handle_message(message: Message, from: SocketAddr, state: &RelayState) -> Option<Datagram> {
+fn handle_message(
+    message: Message,
+    report: Option<LoadReport>,
+    from: SocketAddr,
+    state: &RelayState,
+) -> Option<Datagram> {
     match state.peers.receive(Instant::now(), from, &message) {
         Reception::Stale => return None,
         Reception::First => {
@@ -299,6 +303,9 @@
         loans::update_lender(&message.host, &lendable, state);
     }
     state.engine_pools.peer(&message.host, message.holdings);
+    if let Some(report) = report {
+        state.receive_load_report(&message.host, report);
+    }
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
 }
--- a/crates/router/src/relay/load_report.rs
+++ b/crates/router/src/relay/load_report.rs
@@ -3,11 +3,20 @@
 //! The report follows the message in the same datagram. Daemons of earlier versions ignore trailing bytes, and
 //! a datagram without a report is valid, so that daemons of both versions work together.
 
+use std::cmp::Reverse;
+
 use hibiscusvale_core::relay::engines::{MemoryReport, SpeedSample};
 use hibiscusvale_core::shares::RateReport;
+use hibiscusvale_core::units::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::message::Datagram;
+use super::message::{Datagram, MESSAGE_LIMIT_BYTES};
+
+/// Numbers of entries per service to which a report is cut, in this order, until it fits.
+const CUT_ENTRIES: [usize; 5] = [16, 8, 4, 2, 1];
+
+/// Bytes for the lengths of the three lists, each of fewer than 2^14 entries.
+const LIST_LENGTH_BYTES: usize = 6;
 
 /// Load of the services as one daemon sees it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
@@ -25,29 +34,120 @@
     pub fn is_empty(&self) -> bool {
         self.rates.is_empty() && self.memory.is_empty() && self.speeds.is_empty()
     }
+
+    /// The same report with at most `count` organisations and engines per service: those with the highest rates and
+    /// the most memory. The rates of the others are summed up.
+    fn cut_entries(&self, count: usize) -> Self {
+        let mut report = self.clone();
+        for (_, rates) in &mut report.rates {
+            rates.demand.sort_by(|(_, one), (_, other)| other.total_cmp(one));
+            let beyond = rates.demand.split_off(rates.demand.len().min(count));
+            rates.other_demand += beyond.iter().map(|(_, rate)| rate).sum::<f32>();
+        }
+        for (_, memory) in &mut report.memory {
+            memory.organisations.sort_by_key(|it| Reverse(it.held.0.saturating_add(it.waiting.0)));
+            memory.organisations.truncate(count);
+        }
+        for (_, samples) in &mut report.speeds {
+            samples.truncate(count);
+        }
+        report
+    }
+
+    /// The services that fit into `room` bytes, of each kind in turn. `turn` selects the first one, so that successive
+    /// messages report different services.
+    fn cut_services(&self, room: usize, turn: usize) -> Result<Self, postcard::Error> {
+        let mut report = Self::default();
+        let mut left = room.saturating_sub(LIST_LENGTH_BYTES);
+        let longest = self.rates.len().max(self.memory.len()).max(self.speeds.len());
+        for at in 0..longest {
+            move_if_fits(&self.rates, &mut report.rates, at, turn, &mut left)?;
+            move_if_fits(&self.memory, &mut report.memory, at, turn, &mut left)?;
+            move_if_fits(&self.speeds, &mut report.speeds, at, turn, &mut left)?;
+        }
+        Ok(report)
+    }
+}
+
+/// Copies the entry that is at `at` after a rotation by `turn`, if it fits into the bytes `left`.
+fn move_if_fits<Entry>(
+    from: &[Entry],
+    to: &mut Vec<Entry>,
+    at: usize,
+    turn: usize,
+    left: &mut usize,
+) -> Result<(), postcard::Error>
+where
+    Entry: Clone + Serialize,
+{
+    if at < from.len() {
+        let entry = &from[at.wrapping_add(turn) % from.len()];
+        let size = postcard::to_stdvec(entry)?.len();
+        if size <= *left {
+            *left -= size;
+            to.push(entry.clone());
+        }
+    }
+    Ok(())
+}
+
+/// Encodes a report in at most `room` bytes; `None` if nothing is left of it.
+fn encode_report(report: &LoadReport, room: usize, turn: usize) -> Result<Option<Vec<u8>>, postcard::Error> {
+    if report.is_empty() {
+        return Ok(None);
+    }
+    let bytes = postcard::to_stdvec(report)?;
+    if bytes.len() <= room {
+        return Ok(Some(bytes));
+    }
+    for count in CUT_ENTRIES {
+        let bytes = postcard::to_stdvec(&report.cut_entries(count))?;
+        if bytes.len() <= room {
+            return Ok(Some(bytes));
+        }
+    }
+    let report = report.cut_entries(1).cut_services(room, turn)?;
+    if report.is_empty() { Ok(None) } else { postcard::to_stdvec(&report).map(Some) }
 }
 
 /// Encodes a datagram, followed by the report unless it is empty.
 ///
+/// The report takes at most `report_limit`, and no more than a receiver's buffer has left: among hundreds of daemons
+/// with many services or organisations the report is cut, not the message. `turn` is to differ between successive
+/// messages; it selects the services that are left out.
+///
 /// # Errors
 ///
 /// The error of the encoder.
-pub fn encode(datagram: &Datagram, report: &LoadReport) -> Result<Vec<u8>, postcard::Error> {
+pub fn encode(
+    datagram: &Datagram,
+    report: &LoadReport,
+    report_limit: Bytes,
+    turn: u64,
+) -> Result<Vec<u8>, postcard::Error> {
     let mut bytes = postcard::to_stdvec(datagram)?;
-    if !report.is_empty() {
-        bytes.extend(postcard::to_stdvec(report)?);
+    let limit = usize::try_from(report_limit.0).unwrap_or(usize::MAX);
+    let room = MESSAGE_LIMIT_BYTES.saturating_sub(bytes.len() + 1).min(limit);
+    let turn = usize::try_from(turn).unwrap_or_default();
+    if let Some(report) = encode_report(report, room, turn)? {
+        bytes.extend(report);
     }
     Ok(bytes)
 }
 
-/// Decodes a datagram and the report that follows it. A report that cannot be decoded is dropped: the message
-/// before it is valid.
+/// Decodes a datagram and the report that follows a message. A report that cannot be decoded is dropped: the message
+/// before it is valid. Bytes after the report are those of a later version and are ignored.
 ///
 /// # Errors
 ///
 /// The error of the decoder if the datagram itself is not valid.
 pub fn decode(bytes: &[u8]) -> Result<(Datagram, Option<LoadReport>), postcard::Error> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let report = if rest.is_empty() { None } else { postcard::from_bytes(rest).ok() };
+    let has_report = matches!(datagram, Datagram::Message(_)) && !rest.is_empty();
+    let report = if has_report { postcard::from_bytes(rest).ok() } else { None };
     Ok((datagram, report))
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/relay_load_report.rs"]
+mod tests;
--- a/crates/router/src/relay/pacing.rs
+++ b/crates/router/src/relay/pacing.rs
@@ -102,6 +102,7 @@
 /// Schedules the messages to the other daemons.
 #[derive(Debug)]
 pub struct MessagePacer {
+    rate: BytesPerSecond,
     link_use: Mutex<LinkUse>,
     wanted: Mutex<Option<Instant>>,
     rescheduled: Notify,
@@ -111,7 +112,12 @@
     /// Creates a pacer for messages that may take `rate` of the link.
     pub fn new(rate: BytesPerSecond) -> Self {
         let link_use = Mutex::new(LinkUse::new(Instant::now(), rate));
-        Self { link_use, wanted: Mutex::default(), rescheduled: Notify::new() }
+        Self { rate, link_use, wanted: Mutex::default(), rescheduled: Notify::new() }
+    }
+
+    /// Maximum size of the report of load in a message to this many daemons.
+    pub fn report_limit(&self, daemons: u32) -> Bytes {
+        report_limit(self.rate, daemons)
     }
 
     /// Schedules a message for a change that the others need to learn of.
@@ -152,6 +158,18 @@
     wanted.map_or(latest, |wanted| wanted.min(latest)).max(earliest)
 }
 
+/// Maximum size of the report of load in a message to `daemons` recipients. Periodic messages go out whatever the rate,
+/// so that a full report to each of 985 daemons would fill a link of 10 Mbit/s; reports get at most half of what
+/// messages may take of the link, and the rest of a message the other half.
+pub fn report_limit(rate: BytesPerSecond, daemons: u32) -> Bytes {
+    let interval_ms = u64::try_from(MESSAGE_INTERVAL_MAX.as_millis()).unwrap_or(u64::MAX);
+    let bytes = rate.0.saturating_mul(interval_ms) / 1_000 / REPORT_DIVISOR;
+    Bytes(bytes / u64::from(daemons.max(1)))
+}
+
+/// Divisor of the bytes that periodic messages may take: the quotient is left to the reports of load.
+const REPORT_DIVISOR: u64 = 2;
+
 /// Pause after reading messages of `daemons` senders, so that one read takes several; `None` where a pause
 /// would be too short.
 pub fn receive_pause(daemons: u32) -> Option<Duration> {
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -184,6 +184,11 @@
         self.pacer.due(SentMessage { at, daemons: self.recipients(), size }).await;
     }
 
+    /// Maximum size of the report of load in a message.
+    pub fn report_limit(&self) -> Bytes {
+        self.pacer.report_limit(self.recipients())
+    }
+
     /// Number of daemons that exchange messages with this one.
     pub fn recipients(&self) -> u32 {
         self.recipients.load(Ordering::Relaxed)
--- /dev/null
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -0,0 +1,165 @@
+//! Tests of the load report that follows a message.
+
+use hibiscusvale_core::ids::{Incarnation, PartnerId};
+use hibiscusvale_core::quarantine::Gossip;
+use hibiscusvale_core::relay::engines::{OrganisationMemory, PoolUsage};
+use hibiscusvale_core::relay::routes::TableVersion;
+use hibiscusvale_core::shares::OrganisationKey;
+use hibiscusvale_core::units::{MonoTime, Tokens};
+use rstest::rstest;
+
+use super::*;
+use crate::relay::freshness::Freshness;
+use crate::relay::message::Message;
+use crate::relay::pacing;
+
+/// More than any message needs.
+const NO_LIMIT: Bytes = Bytes(1 << 20);
+
+fn key(number: usize) -> OrganisationKey {
+    let partner: PartnerId = format!("organisation-{number}").parse().unwrap();
+    OrganisationKey::of(&partner)
+}
+
+fn message(holdings: usize) -> Datagram {
+    let holdings = (0..holdings).map(|number| (format!("service-{number}"), PoolUsage::default()));
+    Datagram::Message(Box::new(Message {
+        host: "entry-1".parse().unwrap(),
+        data_centre: "z-1".parse().unwrap(),
+        incarnation: Incarnation::new(1_000, 1),
+        sequence: 7,
+        stamp: Freshness::default().stamp(MonoTime(0), TableVersion(1)),
+        reaches_store: true,
+        changes: Vec::new(),
+        holdings: holdings.collect(),
+        lendable: None,
+        crashes: Gossip::default(),
+        limits: Vec::new(),
+    }))
+}
+
+fn rates(organisations: usize) -> RateReport {
+    let demand = (0..organisations).map(|number| (key(number), (organisations - number) as f32));
+    RateReport { demand: demand.collect(), answered: 100.0, ..RateReport::default() }
+}
+
+fn report(services: usize, organisations: usize) -> LoadReport {
+    let memory = (0..organisations).map(|number| OrganisationMemory {
+        organisation: key(number),
+        held: Tokens(16_000),
+        waiting: Tokens(5_200),
+    });
+    let memory = MemoryReport { organisations: memory.collect(), waiting: Vec::new() };
+    let sample = |number| SpeedSample {
+        server: format!("engine-{number}").parse().unwrap(),
+        prefill_tokens: 5_200.0,
+        prefill_ms: 900.0,
+        decode_tokens: 0.0,
+        decode_ms: 0.0,
+    };
+    let services = || (0..services).map(|number| format!("service-{number}"));
+    LoadReport {
+        rates: services().map(|name| (name, rates(organisations))).collect(),
+        memory: services().map(|name| (name, memory.clone())).collect(),
+        speeds: services().map(|name| (name, (0..organisations).map(sample).collect())).collect(),
+    }
+}
+
+fn host(datagram: &Datagram) -> &str {
+    let Datagram::Message(message) = datagram else { panic!("{datagram:?}") };
+    message.host.as_str()
+}
+
+#[rstest]
+#[case::empty(LoadReport::default(), None)]
+#[case::with_load(report(2, 3), Some(report(2, 3)))]
+fn report_is_received_as_sent(#[case] sent: LoadReport, #[case] received: Option<LoadReport>) {
+    let bytes = encode(&message(1), &sent, NO_LIMIT, 0).unwrap();
+    let (datagram, report) = decode(&bytes).unwrap();
+    assert_eq!((host(&datagram), report), ("entry-1", received));
+}
+
+/// Daemons of the previous version decode the datagram alone. If they failed on the bytes after it, daemons would take
+/// each other for dead during an update.
+#[test]
+fn previous_version_ignores_the_report() {
+    let bytes = encode(&message(1), &report(2, 3), NO_LIMIT, 0).unwrap();
+    assert_eq!(host(&postcard::from_bytes::<Datagram>(&bytes).unwrap()), "entry-1");
+}
+
+/// A later version may append to the report. The report before it still counts.
+#[test]
+fn bytes_after_the_report_are_ignored() {
+    let mut bytes = encode(&message(1), &report(2, 3), NO_LIMIT, 0).unwrap();
+    bytes.extend([3, 1, 4, 1, 5]);
+    assert_eq!(decode(&bytes).unwrap().1, Some(report(2, 3)));
+}
+
+/// A report that cannot be decoded must not take the message with it: the sender would count as dead.
+#[rstest]
+#[case::foreign(vec![0xff; 40])]
+#[case::cut(postcard::to_stdvec(&report(2, 3)).unwrap()[..30].to_vec())]
+fn malformed_report_is_dropped_and_the_message_kept(#[case] rest: Vec<u8>) {
+    let mut bytes = encode(&message(1), &LoadReport::default(), NO_LIMIT, 0).unwrap();
+    bytes.extend(rest);
+    let (datagram, report) = decode(&bytes).unwrap();
+    assert_eq!((host(&datagram), report), ("entry-1", None));
+}
+
+/// Receivers read into a buffer of the limit: a longer datagram would be lost whole, with the heartbeat in it.
+#[rstest]
+#[case::organisations(message(1), report(4, 32))]
+#[case::services(message(1), report(2_000, 32))]
+#[case::long_message(message(350), report(40, 32))]
+fn report_is_cut_and_not_the_message(#[case] datagram: Datagram, #[case] report: LoadReport) {
+    let alone = postcard::to_stdvec(&datagram).unwrap();
+    assert!(alone.len() < MESSAGE_LIMIT_BYTES, "{}", alone.len());
+    let bytes = encode(&datagram, &report, NO_LIMIT, 0).unwrap();
+    assert!(bytes.len() < MESSAGE_LIMIT_BYTES, "{}", bytes.len());
+    assert_eq!(bytes[..alone.len()], alone);
+    let received = decode(&bytes).unwrap().1.expect("a report");
+    assert!(!received.rates.is_empty() && !received.memory.is_empty(), "{received:?}");
+}
+
+/// The demand of organisations that are cut must still be in the sum, or the others would get too large a share.
+#[test]
+fn cut_organisations_stay_in_the_sum() {
+    let sent = LoadReport { rates: vec![("app".to_owned(), rates(32))], ..LoadReport::default() };
+    let bytes = encode(&message(1), &sent, Bytes(120), 0).unwrap();
+    let received = decode(&bytes).unwrap().1.expect("a report");
+    let [(_, received)] = &*received.rates else { panic!("{received:?}") };
+    let total = received.demand.iter().map(|(_, rate)| rate).sum::<f32>() + received.other_demand;
+    assert!((1..32).contains(&received.demand.len()), "{received:?}");
+    assert!((total - 528.0).abs() < 0.01, "{total}");
+    assert_eq!(received.demand[0], (key(0), 32.0));
+}
+
+/// Services that do not fit into one message must be in a later one, or their shares would rest on this daemon's
+/// requests being unknown.
+#[test]
+fn successive_messages_report_different_services() {
+    let sent = LoadReport { memory: Vec::new(), speeds: Vec::new(), ..report(8, 32) };
+    let mut reported: Vec<String> = (0..8)
+        .filter_map(|turn| decode(&encode(&message(1), &sent, Bytes(150), turn).unwrap()).unwrap().1)
+        .flat_map(|report| report.rates.into_iter().map(|(name, _)| name))
+        .collect();
+    reported.sort_unstable();
+    reported.dedup();
+    assert_eq!(reported.len(), 8, "{reported:?}");
+}
+
+/// Periodic messages go out whatever the rate, so reports must not fill a slow link by themselves: 2.5 of its 10 Mbit/s
+/// are for messages, of which reports may take half.
+#[rstest]
+#[case(90)]
+#[case(412)]
+#[case(985)]
+fn reports_to_all_daemons_fit_into_the_link(#[case] daemons: u32) {
+    let rate = hibiscusvale_core::units::BytesPerSecond(312_500);
+    let limit = pacing::report_limit(rate, daemons);
+    let alone = postcard::to_stdvec(&message(1)).unwrap().len();
+    let bytes = encode(&message(1), &report(3, 32), limit, 0).unwrap();
+    let bytes_per_s = (bytes.len() - alone) as f64 * f64::from(daemons) / 0.7;
+    assert!(bytes_per_s <= 156_250.0, "{bytes_per_s}");
+    assert!(decode(&bytes).unwrap().1.is_some_and(|report| !report.rates.is_empty()));
+}
