--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -26,6 +26,7 @@
 use super::memory_limit::MemoryLimit;
 use super::metrics::RelayMetrics;
 use super::orders::Orders;
+use super::organisations::OrganisationOutcomes;
 use super::peers::Peers;
 use super::persistence;
 use super::quarantine::SharedQuarantine;
@@ -145,6 +146,7 @@
             peers: Peers::new(&settings),
             quotas,
             shares: SharedShares::default(),
+            organisations: OrganisationOutcomes::default(),
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
             stream_versions: SharedStreamVersions::new(is_first, adapters.versions, &adapters.log),
@@ -176,11 +178,7 @@
         let host = settings.host.id.clone();
         control.spawn(watch::follow_table(adapters.tables, host.clone(), Arc::clone(&state)));
         control.spawn(watch::follow_servers(adapters.servers, host, Arc::clone(&state)));
-        let own = DaemonEntry {
-            host: settings.host.id.clone(),
-            data_centre: settings.host.data_centre.clone(),
-            peer_address: settings.listen.peers,
-        };
+        let own = own_entry(&settings);
         let messaging = exchange::run(
             own.peer_address,
             own.host.clone(),
@@ -298,6 +296,15 @@
     tokio::join!(state.plain_schedulers.run_timers(), state.engine_pools.run_timers());
 }
 
+/// Entry of this daemon in the register.
+fn own_entry(settings: &RelaySettings) -> DaemonEntry {
+    DaemonEntry {
+        host: settings.host.id.clone(),
+        data_centre: settings.host.data_centre.clone(),
+        peer_address: settings.listen.peers,
+    }
+}
+
 async fn log_failure<Messaging>(messaging: Messaging, log: Log)
 where
     Messaging: Future<Output = io::Result<()>>,
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod message;
 mod metrics;
 mod orders;
+mod organisations;
 pub mod pacing;
 mod peers;
 mod persistence;
