Learn the speeds of engines and place requests by them

Engines of one service may differ by more than a factor of two, but all counted as equal: in a burst prompts waited behind slow prefill engines while fast ones were idle. Daemons now measure prefill and decode rates of each engine, report them to each other and add them up with a half-life of 5 s, combined with the mean of the pool. Prefills go to the engine that finishes first; expected prefill times, time-outs, growth of memory and expected waits use the same speeds; among about equally empty decode engines that are at most half full the fastest is taken; the slowest engine leaves its role first. Only with EnginePoolSettings::engine_speeds and speeds that differ by a quarter.

The simulation now prefills each prompt for a time in proportion to its length instead of 5,200 tokens for all.

With equal speeds all actions are the same. Each test was seen to fail with the code broken: - equal speeds: fast_engines_relieve_slow_ones_in_a_burst (all cases), half_of_the_samples_are_enough, fast_engines_are_chosen_first, memory_grows_at_the_speed_of_the_engine, the_slowest_engine_leaves_its_role - no shrinkage: samples_that_prove_nothing_change_nothing (one_fast_request, empty_engine) - prefill by backlog alone: ..._in_a_burst (91), fast_engines_are_chosen_first - any decode engine: fast_engines_are_chosen_first - growth at the mean rate: memory_grows_at_the_speed_of_the_engine - samples not checked: implausible_samples_are_dropped (all cases) - speeds kept when an engine leaves: an_engine_that_left_the_list_is_unknown - role changes by load alone: the_slowest_engine_leaves_its_role - no bound of a report: observations_are_reported_once_and_in_parts - prefills counted beside those of other daemons: equal_speeds_change_no_decision (413) - fast decode engines preferred up to four fifths: ..._in_a_burst (413), filled beyond its memory

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -104,7 +104,9 @@
         });
         let ahead = self.waiting_tokens(now_us) + self.peers.waiting() + final_tokens;
         let missing = ahead.saturating_sub(free);
-        let freed_per_us = (count as u64 * limit.0) as f64 / self.typical_hold_us();
+        // An engine of twice the mean speed frees its memory twice as fast.
+        let speeds: f64 = decode_engines().map(|decode_engine| decode_engine.speed.decode).sum();
+        let freed_per_us = speeds * limit.0 as f64 / self.typical_hold_us();
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
         Some(Micros((missing.0 as f64 / freed_per_us.max(f64::MIN_POSITIVE)) as u64))
     }
--- a/crates/core/src/relay/engines/completion.rs
+++ b/crates/core/src/relay/engines/completion.rs
@@ -30,7 +30,7 @@
         let prompt_tokens = open.demand.prompt_tokens;
         self.engines[prefill_engine].remove_prefill(prompt_tokens);
         self.engines[prefill_engine].instance.finish(Micros::ZERO);
-        self.record_prefill(prompt_tokens, ahead, now_us.since(since_us));
+        self.record_prefill(now_us, prefill_engine, prompt_tokens, ahead, now_us.since(since_us));
         self.start_decode(now_us, request_id, decode_engine, Some(prefill_engine), actions);
     }
 
@@ -117,6 +117,7 @@
         if let Some((before_us, before)) = open.progress.replace((now_us, events)) {
             let tokens = Tokens(events.saturating_sub(before) * self.settings.event_tokens);
             self.own_stats.stats.record_decoded(tokens, now_us.since(before_us));
+            self.observe_decode(decode_engine, tokens, now_us.since(before_us));
             self.record_pause(now_us, decode_engine, before_us, longest_pause_ms);
         }
     }
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -5,6 +5,7 @@
 use super::events::{EngineUsage, ListedEngine, Role, VersionBinding};
 use super::memory::{Growth, headroom, peak};
 use super::peers::{NodeHash, PeerIndex};
+use super::speeds::SpeedFactors;
 use super::stats::WorkloadStats;
 use crate::ids::{RequestId, SoftwareVersion};
 use crate::sched::InstanceSettings;
@@ -24,12 +25,16 @@
     pub(super) version: SoftwareVersion,
     /// Whether it is in the daemon's data centre.
     pub(super) is_local: bool,
+    /// Its speeds relative to the mean of the pool.
+    pub(super) speed: SpeedFactors,
     /// Prompt tokens that it is prefilling for this daemon.
     pub(super) prefill_tokens: Tokens,
     /// Memory taken by this daemon's requests, and as of when.
     held: HashMap<RequestId, (MonoTime, Growth)>,
     /// What the other daemons use of it.
     peer_usage: PeerUsage,
+    /// When another daemon last reported that it prefills a prompt for it.
+    pub(super) peer_prefill_us: Option<MonoTime>,
     /// Decides which daemon gets the engine when several want it.
     pub(super) node_hash: NodeHash,
     full_until_us: MonoTime,
@@ -49,9 +54,11 @@
             is_local: listed.is_local,
             node_hash: NodeHash::of_engine(&listed.server),
             instance: Instance::new(settings, listed.server, listed.slots, listed.leaving),
+            speed: SpeedFactors::default(),
             prefill_tokens: Tokens::ZERO,
             held: HashMap::new(),
             peer_usage: PeerUsage::default(),
+            peer_prefill_us: None,
             full_until_us: MonoTime::default(),
             last_own_prefill_us: None,
             role_change_until_us: MonoTime::default(),
@@ -71,12 +78,16 @@
 
     /// Replaces what another daemon uses of this engine; `None` clears it.
     pub(super) fn set_peer_usage(&mut self, now_us: MonoTime, peer: PeerIndex, usage: Option<EngineUsage>) {
+        if usage.as_ref().is_some_and(|usage| usage.prefill_tokens > Tokens::ZERO) {
+            self.peer_prefill_us = Some(now_us);
+        }
         self.peer_usage.replace(peer, usage.map(|usage| (now_us, usage)));
     }
 
-    /// Memory of each request of all daemons.
+    /// Memory of each request of all daemons, which grows at `tokens_per_ms` on an engine of mean speed.
     pub(super) fn growths(&self, now_us: MonoTime, tokens_per_ms: f64) -> impl Iterator<Item = Growth> {
         let own = self.held.values().copied();
+        let tokens_per_ms = tokens_per_ms * self.speed.decode;
         own.chain(self.peer_usage.growths())
             .map(move |(as_of_us, growth)| growth.after(now_us.since(as_of_us), tokens_per_ms))
     }
@@ -128,6 +139,7 @@
     /// What this daemon uses of it; `None` if nothing.
     pub(super) fn usage(&self, now_us: MonoTime, tokens_per_ms: f64) -> Option<EngineUsage> {
         let running = self.instance.in_flight();
+        let tokens_per_ms = tokens_per_ms * self.speed.decode;
         let grown =
             |(as_of_us, growth): &(MonoTime, Growth)| growth.after(now_us.since(*as_of_us), tokens_per_ms);
         (running > 0 || !self.held.is_empty() || self.prefill_tokens > Tokens::ZERO).then(|| EngineUsage {
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -41,6 +41,7 @@
 use role_balance::RoleBalance;
 pub use role_balance::RoleChange;
 pub use settings::EnginePoolSettings;
+use speeds::EngineSpeeds;
 pub use speeds::SpeedSample;
 use stats::DecayingStats;
 pub use stats::WorkloadStats;
@@ -66,6 +67,8 @@
     peers: Peers,
     /// State for judging the split between prefill and decode engines.
     role_balance: RoleBalance,
+    /// Speeds of single engines.
+    speeds: EngineSpeeds,
     /// Software versions of the listed engines.
     versions: ListedVersions,
     /// Start position of the search for an engine, so that equal engines are used in turn.
@@ -89,6 +92,7 @@
             fleet_stats: WorkloadStats::default(),
             peers: Peers::default(),
             role_balance: RoleBalance::default(),
+            speeds: EngineSpeeds::default(),
             versions: ListedVersions::default(),
             rotation,
         }
@@ -118,9 +122,9 @@
         None
     }
 
-    /// Speeds observed since the previous call.
+    /// Speeds observed since the previous call, of 32 engines at most.
     pub fn take_speed_samples(&mut self) -> Vec<SpeedSample> {
-        Vec::new()
+        self.take_unsent_speeds()
     }
 
     /// Replaces the weights of organisations; those without one count as 1.
@@ -130,6 +134,7 @@
     pub fn configure(&mut self, settings: EnginePoolSettings) {
         self.budget.configure(settings.retries);
         self.settings = settings;
+        self.configure_speeds();
     }
 
     /// Budget of this daemon for retries.
@@ -139,6 +144,12 @@
 
     /// Handles an event and appends the resulting actions.
     pub fn handle(&mut self, now_us: MonoTime, event: EngineEvent, actions: &mut Vec<EngineAction>) {
+        // Placing what waits needs no decision on new speeds, which arrive with the message that is handled
+        // just before.
+        if let EngineEvent::PeerSpeeds(samples) = &event {
+            self.receive_speeds(now_us, samples);
+            return;
+        }
         if !matches!(event, EngineEvent::Peer { .. }) {
             self.refresh_stats(now_us);
         }
@@ -222,6 +233,7 @@
     fn refresh_stats(&mut self, now_us: MonoTime) {
         self.own_stats.decay(now_us);
         self.fleet_stats = self.own_stats.stats.and(self.peers.stats());
+        self.refresh_speeds(now_us);
     }
 
     /// Time for which a request typically holds memory on a decode engine.
@@ -234,14 +246,18 @@
         for engine in &mut self.engines {
             engine.instance.unlist();
         }
+        let mut is_same = vec![false; self.engines.len()];
         for listed in list {
             if let Some(&index) = self.index_by_name.get(&listed.server) {
+                is_same[index] = self.engines[index].version == listed.version;
                 self.engines[index].relist(now_us, &listed);
             } else {
                 self.index_by_name.insert(listed.server.clone(), self.engines.len());
                 self.engines.push(Engine::new(self.settings.instance, listed));
             }
         }
+        let others = is_same.iter().enumerate().filter(|(_, is_same)| !**is_same);
+        others.for_each(|(index, _)| self.speeds.forget(index));
     }
 }
 
--- a/crates/core/src/relay/engines/placement.rs
+++ b/crates/core/src/relay/engines/placement.rs
@@ -4,6 +4,7 @@
 use super::events::{EngineAction, Role, VersionBinding};
 use super::memory::Growth;
 use super::open_request::{Payment, Stage};
+use super::speeds::DecodeRequest;
 use crate::ids::RequestId;
 use crate::sched::FailureCause;
 use crate::units::{Millis, MonoTime, Tokens};
@@ -57,7 +58,8 @@
         let limit = if is_late { self.late_limit() } else { self.memory_limit() };
         let eligible = self.eligible_decode_engines(now_us, growth, limit, failed_at, &open.demand.binding);
         let is_bound = open.demand.binding != VersionBinding::Any;
-        let Some(decode_engine) = self.choose_decode_engine(&eligible, is_bound) else {
+        let request = DecodeRequest { growth, gap_target_ms: open.demand.gap_target_ms };
+        let Some(decode_engine) = self.choose_decode_engine(now_us, &eligible, is_bound, request) else {
             return false;
         };
         self.engines[decode_engine].hold(now_us, request_id, growth);
@@ -148,7 +150,8 @@
         let can_pay = self.budget.can_afford(now_us, price);
         let prefill_engine = match held {
             None if can_pay => {
-                let chosen = self.choose_prefill_engine(now_us, failed_at, &VersionBinding::Only(version));
+                let binding = VersionBinding::Only(version);
+                let chosen = self.choose_prefill_engine(now_us, prompt_tokens, failed_at, &binding);
                 chosen.filter(|&prefill_engine| {
                     !self.should_prefill_on_decode_engine(now_us, decode_engine, prefill_engine, open)
                 })
@@ -163,7 +166,7 @@
             self.engines[prefill_engine].instance.start(now_us);
             let ahead = self.engines[prefill_engine].prefill_backlog();
             open.stage = Stage::Prefilling { prefill_engine, decode_engine, since_us: now_us, ahead };
-            let expected_ms = self.prefill_ms(ahead);
+            let expected_ms = self.prefill_ms(ahead, self.engines[prefill_engine].speed.prefill);
             actions.push(EngineAction::Prefill {
                 request_id,
                 prefill_engine: self.engines[prefill_engine].instance.server().clone(),
@@ -271,17 +274,24 @@
     /// Daemons learn of each other's choices some milliseconds late, so many of them would pick the emptiest
     /// engine, or one that has just become free, and it would run out of memory. So while requests wait at
     /// other daemons too, an engine goes to the daemon that its rendezvous hash selects; otherwise the least
-    /// filled ones are used in turn, those of versions that serve best first. A request that is bound to a version has
+    /// filled ones are used in turn, those of versions that serve best first, then the fastest. A request that is bound to a version has
     /// too few engines to wait for its own one.
-    fn choose_decode_engine(&mut self, eligible: &[usize], is_bound: bool) -> Option<usize> {
+    fn choose_decode_engine(
+        &mut self,
+        now_us: MonoTime,
+        eligible: &[usize],
+        is_bound: bool,
+        request: DecodeRequest,
+    ) -> Option<usize> {
         self.rotation = self.rotation.wrapping_add(1);
         let contenders = self.peers.contenders();
         if contenders.is_empty() || is_bound {
             let least_full = &eligible[..eligible.len().div_ceil(LEAST_FULL_DIVISOR)];
             let rank = |index: &usize| self.versions.rank(&self.engines[*index].version);
             let best = least_full.iter().map(rank).min()?;
-            let count = least_full.iter().filter(|index| rank(index) == best).count();
-            return least_full.iter().filter(|index| rank(index) == best).nth(self.rotation % count).copied();
+            let equal = least_full.iter().filter(|index| rank(index) == best).copied().collect();
+            let fastest = self.fastest_decode_engines(now_us, equal, request);
+            return fastest.get(self.rotation % fastest.len().max(1)).copied();
         }
         let is_own = |index: &&usize| {
             let engine = self.engines[**index].node_hash;
--- a/crates/core/src/relay/engines/prefill.rs
+++ b/crates/core/src/relay/engines/prefill.rs
@@ -1,6 +1,7 @@
 //! Where a prompt is prefilled: on a prefill engine, or on the engine that decodes the answer.
 
 use super::EnginePool;
+use super::engine::Engine;
 use super::events::{Demand, Role, VersionBinding};
 use super::open_request::OpenRequest;
 use crate::units::{Micros, Millis, MonoTime, Tokens};
@@ -21,7 +22,8 @@
         open: &OpenRequest,
     ) -> bool {
         let prompt = open.demand.prompt_tokens;
-        let prefill_engine_ms = self.prefill_ms(self.engines[prefill_engine].prefill_backlog() + prompt);
+        let backlog = self.engines[prefill_engine].prefill_backlog();
+        let prefill_engine_ms = self.prefill_ms(backlog + prompt, self.engines[prefill_engine].speed.prefill);
         let decode_engine_ms =
             self.decode_engine_prefill_ms(self.engines[decode_engine].prefill_backlog() + prompt);
         let target_ms = open.demand.target_ms;
@@ -29,25 +31,38 @@
         let meets_target = decode_engine_ms <= left_ms && prefill_engine_ms > left_ms;
         let relieves_backlog = decode_engine_ms < prefill_engine_ms && prefill_engine_ms > target_ms;
         (meets_target || relieves_backlog)
-            && self.decode_engines_may_prefill(&open.demand, self.engines[decode_engine].prefill_backlog())
+            && self.decode_engines_may_prefill(
+                &open.demand,
+                self.engines[decode_engine].prefill_backlog(),
+                self.engines[decode_engine].speed.decode,
+            )
     }
 
-    /// Whether the pauses of answers on a decode engine stay within their target while it prefills a prompt
-    /// behind its backlog.
-    fn decode_engines_may_prefill(&self, demand: &Demand, ahead: Tokens) -> bool {
+    /// Whether the pauses of answers on a decode engine of this relative `speed` stay within their target while
+    /// it prefills a prompt behind its backlog.
+    fn decode_engines_may_prefill(&self, demand: &Demand, ahead: Tokens, speed: f64) -> bool {
         let prefill_ms = self.decode_engine_prefill_ms(ahead + demand.prompt_tokens).0 as f64;
-        let pause_ms = self.typical_pause_ms() + prefill_ms * self.fleet_stats.stall();
+        let pause_ms = self.typical_pause_ms(speed) + prefill_ms * self.fleet_stats.stall();
         demand.gap_target_ms.is_some_and(|gap_ms| pause_ms <= gap_ms.0 as f64 * PAUSE_SHARE)
     }
 
-    /// Pause between two events of an answer on a decode engine that prefills nothing.
-    fn typical_pause_ms(&self) -> f64 {
-        self.settings.event_tokens as f64 / self.fleet_stats.decode_rate()
+    /// Whether the pauses of a further answer on a decode engine stay within their target while the engine
+    /// prefills its backlog.
+    pub(super) fn keeps_pauses(&self, decode_engine: usize, gap_target_ms: Option<Millis>) -> bool {
+        let engine = &self.engines[decode_engine];
+        let prefill_ms = self.decode_engine_prefill_ms(engine.prefill_backlog()).0 as f64;
+        let pause_ms = self.typical_pause_ms(engine.speed.decode) + prefill_ms * self.fleet_stats.stall();
+        gap_target_ms.is_none_or(|gap_ms| pause_ms <= gap_ms.0 as f64 * PAUSE_SHARE)
     }
 
-    /// Time that a prefill engine takes to prefill `tokens`.
-    pub(super) fn prefill_ms(&self, tokens: Tokens) -> Millis {
-        span_ms(tokens, self.fleet_stats.prefill_tokens_per_ms())
+    /// Pause between two events of an answer on a decode engine of this relative `speed` that prefills nothing.
+    fn typical_pause_ms(&self, speed: f64) -> f64 {
+        self.settings.event_tokens as f64 / (self.fleet_stats.decode_rate() * speed)
+    }
+
+    /// Time that a prefill engine of this relative `speed` takes to prefill `tokens`.
+    pub(super) fn prefill_ms(&self, tokens: Tokens, speed: f64) -> Millis {
+        span_ms(tokens, self.fleet_stats.prefill_tokens_per_ms() * speed)
     }
 
     /// Time that a decode engine takes to prefill `tokens` beside its answers.
@@ -55,10 +70,14 @@
         span_ms(tokens, self.fleet_stats.decode_engine_prefill_tokens_per_ms())
     }
 
-    /// Smallest backlog of any prefill engine; `None` if there is none.
-    pub(super) fn least_backlog(&self, now_us: MonoTime) -> Option<Tokens> {
-        self.choose_prefill_engine(now_us, None, &VersionBinding::Any)
-            .map(|prefill_engine| self.engines[prefill_engine].prefill_backlog())
+    /// Backlog of the prefill engine that would finish a typical prompt first; `None` if there is none.
+    pub(super) fn least_backlog(&self, now_us: MonoTime) -> Option<PrefillBacklog> {
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive count")]
+        let typical = Tokens(self.fleet_stats.prompt().unwrap_or_default() as u64);
+        self.choose_prefill_engine(now_us, typical, None, &VersionBinding::Any).map(|prefill_engine| {
+            let engine = &self.engines[prefill_engine];
+            PrefillBacklog { tokens: engine.prefill_backlog(), speed: engine.speed.prefill }
+        })
     }
 
     /// Whether a request placed now would be late: the time needed before its first event exceeds what is
@@ -67,30 +86,36 @@
     /// In bursts of some seconds beyond the capacity of the engines, requests placed in order of arrival have
     /// used two thirds of their target; all of them become late during prefill, and none of those behind them
     /// is in time either.
-    pub(super) fn is_late(&self, now_us: MonoTime, open: &OpenRequest, backlog: Option<Tokens>) -> bool {
+    pub(super) fn is_late(
+        &self,
+        now_us: MonoTime,
+        open: &OpenRequest,
+        backlog: Option<PrefillBacklog>,
+    ) -> bool {
         open.is_late(now_us, self.expected_prefill_ms(&open.demand, backlog) + START_MARGIN_MS)
     }
 
     /// Time until a prompt that arrives now would be prefilled, by a prefill engine with this `backlog` or by
     /// a decode engine.
-    pub(super) fn expected_prefill_ms(&self, demand: &Demand, backlog: Option<Tokens>) -> Millis {
+    pub(super) fn expected_prefill_ms(&self, demand: &Demand, backlog: Option<PrefillBacklog>) -> Millis {
         let decode_engine_ms = self.decode_engine_prefill_ms(demand.prompt_tokens);
         let Some(backlog) = backlog else {
             return decode_engine_ms;
         };
-        let prefill_engine_ms = self.prefill_ms(backlog + demand.prompt_tokens);
-        if self.decode_engines_may_prefill(demand, Tokens::ZERO) {
+        let prefill_engine_ms = self.prefill_ms(backlog.tokens + demand.prompt_tokens, backlog.speed);
+        if self.decode_engines_may_prefill(demand, Tokens::ZERO, 1.0) {
             prefill_engine_ms.min(decode_engine_ms)
         } else {
             prefill_engine_ms
         }
     }
 
-    /// The prefill engine with the smallest backlog among those that `binding` allows. A KV cache is read at the
-    /// version that wrote it only.
+    /// The prefill engine that finishes a prompt first among those that `binding` allows. A KV cache is read at
+    /// the version that wrote it only.
     pub(super) fn choose_prefill_engine(
         &self,
         now_us: MonoTime,
+        prompt: Tokens,
         failed_at: Option<usize>,
         binding: &VersionBinding,
     ) -> Option<usize> {
@@ -105,15 +130,29 @@
         let count = self.engines.len().max(1);
         let order = (0..self.engines.len()).map(|step| (step + self.rotation) % count);
         let eligible = order.filter(is_eligible);
-        let first = |index: &usize| (self.is_remote_fallback(*index), self.engines[*index].prefill_backlog());
+        // The time until it finishes, as the tokens that an engine of mean speed would prefill by then.
+        let finishes = |engine: &Engine| {
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive count")]
+            let tokens = ((engine.prefill_backlog() + prompt).0 as f64 / engine.speed.prefill) as u64;
+            Tokens(tokens)
+        };
+        let first = |index: &usize| (self.is_remote_fallback(*index), finishes(&self.engines[*index]));
         eligible.min_by_key(first)
     }
 
     /// Records the duration of a prefill. Only a prompt that was prefilled alone shows the rate: how far the
     /// prompts of other daemons were is not known.
-    pub(super) fn record_prefill(&mut self, prompt: Tokens, ahead: Tokens, span_us: Micros) {
+    pub(super) fn record_prefill(
+        &mut self,
+        now_us: MonoTime,
+        prefill_engine: usize,
+        prompt: Tokens,
+        ahead: Tokens,
+        span_us: Micros,
+    ) {
         if ahead == prompt {
             self.own_stats.stats.record_prefill(prompt, span_us);
+            self.observe_prefill(now_us, prefill_engine, prompt, span_us);
         }
     }
 
@@ -147,12 +186,22 @@
         if from_us < before_us || to_us > now_us {
             return;
         }
-        let stalled_ms = (pause_ms.0 as f64 - self.typical_pause_ms()).max(0.0);
+        let typical_ms = self.typical_pause_ms(self.engines[decode_engine].speed.decode);
+        let stalled_ms = (pause_ms.0 as f64 - typical_ms).max(0.0);
         let prefill_ms = to_us.since(from_us).0 as f64 / 1_000.0;
         self.own_stats.stats.record_stall(stalled_ms.min(prefill_ms), prefill_ms);
     }
 }
 
+/// Backlog of a prefill engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrefillBacklog {
+    /// Prompt tokens that it has to prefill.
+    tokens: Tokens,
+    /// Its speed relative to the mean of the pool.
+    speed: f64,
+}
+
 fn span_ms(tokens: Tokens, per_ms: f64) -> Millis {
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a positive span")]
     Millis((tokens.0 as f64 / per_ms.max(f64::MIN_POSITIVE)) as u64)
--- a/crates/core/src/relay/engines/ratio.rs
+++ b/crates/core/src/relay/engines/ratio.rs
@@ -32,6 +32,23 @@
         Self { sum: self.sum / 2.0, weight: self.weight / 2.0 }
     }
 
+    /// Both sums multiplied by a factor.
+    #[must_use]
+    pub(super) fn scaled(self, by: f64) -> Self {
+        #[expect(clippy::cast_possible_truncation, reason = "seven digits are plenty for a mean")]
+        let by = by as f32;
+        Self { sum: self.sum * by, weight: self.weight * by }
+    }
+
+    /// The two sums, the weight second.
+    pub(super) fn sums(self) -> (f32, f32) {
+        (self.sum, self.weight)
+    }
+
+    pub(super) fn sum(self) -> f64 {
+        f64::from(self.sum)
+    }
+
     pub(super) fn weight(self) -> f64 {
         f64::from(self.weight)
     }
--- a/crates/core/src/relay/engines/role_balance.rs
+++ b/crates/core/src/relay/engines/role_balance.rs
@@ -75,9 +75,8 @@
     /// Request rate that this many engines serve: the lower of what prefill engines prefill and decode
     /// engines hold; beyond the capacity of the prefill engines, as much as decode engines can both prefill
     /// and hold.
-    fn served_per_ms(&self, prefill_engines: usize, decode_engines: usize) -> f64 {
-        let (prefill_engines, held) =
-            (prefill_engines as f64, decode_engines as f64 * self.concurrent * DECODE_MEMORY_LOAD);
+    fn served_per_ms(&self, prefill_engines: f64, decode_engines: f64) -> f64 {
+        let held = decode_engines * self.concurrent * DECODE_MEMORY_LOAD;
         let prefilled = prefill_engines * self.prefills_per_ms;
         let decoded = held / self.held_ms;
         if prefilled >= decoded {
@@ -117,12 +116,46 @@
                     .is_none_or(|last_ordered_us| now_us >= last_ordered_us + REORDER_PAUSE_MS)
         };
         let candidates = (0..self.engines.len()).filter(is_eligible);
-        let index = candidates.min_by_key(|&index| {
-            (self.engines[index].prefill_backlog(), self.engines[index].final_tokens())
-        })?;
+        let served = self.served_after_change(now_us, role, &binding);
+        let preference = |&one: &usize, &other: &usize| {
+            let (one, other) = (&self.engines[one], &self.engines[other]);
+            let load = |engine: &Engine| (engine.prefill_backlog(), engine.final_tokens());
+            let more = served(other).total_cmp(&served(one));
+            let slower = speed_in_role(one).total_cmp(&speed_in_role(other));
+            more.then(slower).then(load(one).cmp(&load(other)))
+        };
+        let index = candidates.min_by(preference)?;
         Some(RoleChange { server: self.engines[index].instance.server().clone(), role })
     }
 
+    /// Request rate that the engines that `binding` allows serve after one of them has changed to `role`, by
+    /// their speeds; 0 while it is unknown.
+    ///
+    /// If the emptiest engine changed, a fast one could go to a role that needs it less.
+    fn served_after_change(
+        &self,
+        now_us: MonoTime,
+        role: Role,
+        binding: &VersionBinding,
+    ) -> impl Fn(&Engine) -> f64 {
+        let live = self.engines.iter().filter(|engine| is_live(now_us, engine, binding));
+        let (mut prefill, mut decode) = (0.0, 0.0);
+        for engine in live {
+            match engine.role {
+                Role::Prefill => prefill += engine.speed.prefill,
+                Role::Decode => decode += engine.speed.decode,
+            }
+        }
+        let rates = self.engine_rates(now_us);
+        move |engine| {
+            let (prefill, decode) = match role {
+                Role::Prefill => (prefill + engine.speed.prefill, decode - engine.speed.decode),
+                Role::Decode => (prefill - engine.speed.prefill, decode + engine.speed.decode),
+            };
+            rates.map_or(0.0, |rates| rates.served_per_ms(prefill.max(0.0), decode.max(0.0)))
+        }
+    }
+
     /// Records that the engine was ordered to change its role, or may have been: it gets no requests until it
     /// is back.
     pub fn role_change_ordered(&mut self, now_us: MonoTime, change: &RoleChange) {
@@ -155,9 +188,7 @@
     /// Number of live prefill engines and of all live engines that `binding` allows; an engine that changes counts with
     /// its new role.
     fn count_live(&self, now_us: MonoTime, binding: &VersionBinding) -> (usize, usize) {
-        let is_live =
-            |engine: &&Engine| engine.instance.is_listed_live(now_us) && binding.allows(&engine.version);
-        let live = || self.engines.iter().filter(is_live);
+        let live = || self.engines.iter().filter(|engine| is_live(now_us, engine, binding));
         (live().filter(|engine| engine.role == Role::Prefill).count(), live().count())
     }
 
@@ -177,10 +208,10 @@
         }
         let rates = self.engine_rates(now_us)?;
         let change_ms = (self.settings.role_change_ms + LIST_LAG_MS).0 as f64;
-        let served_now = rates.served_per_ms(prefill_engines, live - prefill_engines);
+        let served_now = rates.served_per_ms(prefill_engines as f64, (live - prefill_engines) as f64);
         let lost_per_change = served_now / live as f64 * change_ms;
         let gain = |target: usize| {
-            let served = rates.served_per_ms(target, live - target) * HORIZON_MS.0 as f64;
+            let served = rates.served_per_ms(target as f64, (live - target) as f64) * HORIZON_MS.0 as f64;
             served - lost_per_change * target.abs_diff(prefill_engines) as f64
         };
         (least..live).max_by(|&one, &other| {
@@ -222,3 +253,16 @@
             .collect()
     }
 }
+
+/// Whether the engine accepts requests and `binding` allows it.
+fn is_live(now_us: MonoTime, engine: &Engine, binding: &VersionBinding) -> bool {
+    engine.instance.is_listed_live(now_us) && binding.allows(&engine.version)
+}
+
+/// Speed of an engine in its present role, relative to the mean of the pool.
+fn speed_in_role(engine: &Engine) -> f64 {
+    match engine.role {
+        Role::Prefill => engine.speed.prefill,
+        Role::Decode => engine.speed.decode,
+    }
+}
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod server_statements;
 mod simulation;
+mod speeds;
 mod store_refresh;
 mod stream_versions;
 mod stream_versions_simulation;
--- a/crates/core/tests/relay/simulation.rs
+++ b/crates/core/tests/relay/simulation.rs
@@ -6,7 +6,8 @@
 use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, RequestId, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, Role, VersionBinding,
+    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, PoolUsage, Role,
+    SpeedSample, VersionBinding,
 };
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
@@ -138,6 +139,7 @@
     prompt: u64,
     answer: u64,
     started_ms: Option<u64>,
+    speed_percent: u64,
 }
 
 impl Run {
@@ -145,14 +147,15 @@
         let Some(started_ms) = self.started_ms else {
             return self.reserved;
         };
-        let decoded = at_ms.saturating_sub(started_ms) * DECODE_TOKENS_PER_MS_HUNDREDTHS / 100;
+        let decoded =
+            at_ms.saturating_sub(started_ms) * DECODE_TOKENS_PER_MS_HUNDREDTHS * self.speed_percent / 10_000;
         self.prompt + decoded.min(self.answer)
     }
 }
 
 /// Actual state of an engine.
-#[derive(Default)]
 struct Engine {
+    speed_percent: u64,
     prefill_until_ms: u64,
     held: HashMap<RequestId, Run>,
 }
@@ -173,6 +176,8 @@
 enum Event {
     Arrived { daemon: usize, demand: Demand, answer_tokens: u64 },
     Feed { daemon: usize, event: EngineEvent },
+    Send { daemon: usize },
+    Deliver { daemon: usize, usage: PoolUsage, samples: Vec<SpeedSample> },
     Finish { daemon: usize, decode_engine: BackendServerId, request_id: RequestId, events: u64 },
 }
 
@@ -185,6 +190,12 @@
     next_event: u64,
     answers: HashMap<RequestId, Expected>,
     shares_usage: bool,
+    /// Least time between two messages of a daemon; 0 if each change is sent at once.
+    message_interval_ms: u64,
+    /// Whether the speeds that every second daemon reports are lost.
+    pub loses_speeds: bool,
+    /// When each daemon may send its next message, and whether one is scheduled.
+    messages: Vec<(u64, bool)>,
     memory_tokens: u64,
     /// Outcome of each request.
     pub outcomes: HashMap<RequestId, Outcome>,
@@ -192,28 +203,51 @@
     pub peak_tokens: u64,
     /// Number of reservations that engines refused.
     pub refused_reservations: u64,
+    /// What the daemons decided: time, daemon, action.
+    pub log: Vec<(u64, usize, EngineAction)>,
 }
 
 impl Simulation {
     pub fn new(daemons: usize, engines: &[(&str, Role)], shares_usage: bool) -> Self {
-        let list: Vec<ListedEngine> = engines.iter().map(|&(name, role)| listed(name, role)).collect();
+        let engines: Vec<(String, Role, u64)> =
+            engines.iter().map(|&(name, role)| (name.to_owned(), role, 100)).collect();
+        Self { shares_usage, ..Self::with_speeds(settings(), daemons, &engines, 0) }
+    }
+
+    /// Daemons in front of engines with a speed in percent each, which send at most one message in each interval.
+    pub fn with_speeds(
+        settings: EnginePoolSettings,
+        daemons: usize,
+        engines: &[(String, Role, u64)],
+        message_interval_ms: u64,
+    ) -> Self {
+        let list: Vec<ListedEngine> = engines.iter().map(|(name, role, _)| listed(name, *role)).collect();
         let pool = |index| {
-            let mut pool = EnginePool::new(settings(), &format!("entry-{index}").parse().unwrap(), index);
+            let mut pool = EnginePool::new(settings, &format!("entry-{index}").parse().unwrap(), index);
             pool.handle(MonoTime::default(), EngineEvent::Engines(list.clone()), &mut Vec::new());
             pool
         };
         Self {
             daemons: (0..daemons).map(pool).collect(),
-            engines: engines.iter().map(|&(name, _)| (server(name), Engine::default())).collect(),
+            engines: engines
+                .iter()
+                .map(|&(ref name, _, speed_percent)| {
+                    (server(name), Engine { speed_percent, prefill_until_ms: 0, held: HashMap::new() })
+                })
+                .collect(),
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             next_event: 0,
             answers: HashMap::new(),
-            shares_usage,
-            memory_tokens: settings().memory_tokens.0,
+            shares_usage: true,
+            message_interval_ms,
+            loses_speeds: false,
+            messages: vec![(0, false); daemons],
+            memory_tokens: settings.memory_tokens.0,
             outcomes: HashMap::new(),
             peak_tokens: 0,
             refused_reservations: 0,
+            log: Vec::new(),
         }
     }
 
@@ -237,6 +271,10 @@
                     self.feed(at_ms, daemon, EngineEvent::Arrived(demand));
                 }
                 Some(Event::Feed { daemon, event }) => self.feed(at_ms, daemon, event),
+                Some(Event::Send { daemon }) => self.send(at_ms, daemon),
+                Some(Event::Deliver { daemon, usage, samples }) => {
+                    self.deliver(at_ms, daemon, &usage, &samples);
+                }
                 Some(Event::Finish { daemon, decode_engine, request_id, events }) => {
                     let engine = self.engines.get_mut(&decode_engine).unwrap();
                     // Memory is largest just before a request ends.
@@ -251,14 +289,43 @@
 
     fn feed(&mut self, at_ms: u64, daemon: usize, event: EngineEvent) {
         let now_us = MonoTime::default() + Millis(at_ms);
-        let is_update = !matches!(event, EngineEvent::Peer { .. } | EngineEvent::Tick);
+        let is_update =
+            !matches!(event, EngineEvent::Peer { .. } | EngineEvent::PeerSpeeds(_) | EngineEvent::Tick);
         let mut actions = Vec::new();
         self.daemons[daemon].handle(now_us, event, &mut actions);
         for action in actions {
+            if !matches!(action, EngineAction::Wake { .. }) {
+                self.log.push((at_ms, daemon, action.clone()));
+            }
             self.execute(at_ms, daemon, action);
         }
         if is_update && self.shares_usage {
-            self.share_usage(at_ms, daemon);
+            match self.messages[daemon] {
+                _ if self.message_interval_ms == 0 => self.share_usage(at_ms, daemon),
+                (_, true) => {}
+                (next_ms, false) => {
+                    self.messages[daemon].1 = true;
+                    self.schedule(at_ms.max(next_ms), Event::Send { daemon });
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, at_ms: u64, daemon: usize) {
+        self.messages[daemon] = (at_ms + self.message_interval_ms, false);
+        let usage = self.daemons[daemon].usage(MonoTime::default() + Millis(at_ms));
+        let samples = self.daemons[daemon].take_speed_samples();
+        self.schedule(at_ms + MESSAGE_MS, Event::Deliver { daemon, usage, samples });
+    }
+
+    fn deliver(&mut self, at_ms: u64, from: usize, usage: &PoolUsage, samples: &[SpeedSample]) {
+        let host: HostId = format!("entry-{from}").parse().unwrap();
+        for other in (0..self.daemons.len()).filter(|&other| other != from) {
+            let is_lost = self.loses_speeds && from % 2 == 1;
+            if !samples.is_empty() && !is_lost {
+                self.feed(at_ms, other, EngineEvent::PeerSpeeds(samples.to_vec()));
+            }
+            self.feed(at_ms, other, EngineEvent::Peer { host: host.clone(), usage: usage.clone() });
         }
     }
 
@@ -281,7 +348,13 @@
                 let taken = engine.tokens(at_ms);
                 let event = if taken + tokens.0 <= self.memory_tokens && engine.held.len() < 12 {
                     let Expected { prompt, answer, .. } = self.answers[&request_id];
-                    let run = Run { reserved: tokens.0, prompt, answer, started_ms: None };
+                    let run = Run {
+                        reserved: tokens.0,
+                        prompt,
+                        answer,
+                        started_ms: None,
+                        speed_percent: engine.speed_percent,
+                    };
                     engine.held.insert(request_id, run);
                     self.peak_tokens = self.peak_tokens.max(taken + tokens.0);
                     EngineEvent::Reserved { request_id }
@@ -294,7 +367,9 @@
             EngineAction::Prefill { request_id, prefill_engine, .. } => {
                 let engine = self.engines.get_mut(&prefill_engine).unwrap();
                 let starts_ms = engine.prefill_until_ms.max(at_ms + MESSAGE_MS);
-                engine.prefill_until_ms = starts_ms + 5_200 / PREFILL_TOKENS_PER_MS;
+                let prompt = self.answers[&request_id].prompt;
+                engine.prefill_until_ms =
+                    starts_ms + prompt * 100 / (PREFILL_TOKENS_PER_MS * engine.speed_percent);
                 let at_ms = engine.prefill_until_ms + MESSAGE_MS;
                 self.schedule(at_ms, Event::Feed { daemon, event: EngineEvent::Prefilled { request_id } });
             }
@@ -302,16 +377,17 @@
                 let Expected { arrived_ms, answer, .. } = self.answers[&request_id];
                 let first_ms = at_ms + 2 * MESSAGE_MS;
                 let engine = self.engines.get_mut(&decode_engine).unwrap();
+                let rate = DECODE_TOKENS_PER_MS_HUNDREDTHS * engine.speed_percent;
                 if let Some(run) = engine.held.get_mut(&request_id) {
                     run.started_ms = Some(first_ms);
                 }
                 let outcome = if first_ms <= arrived_ms + 900 { Outcome::InTime } else { Outcome::Late };
                 self.outcomes.insert(request_id, outcome);
                 self.schedule(first_ms, Event::Feed { daemon, event: EngineEvent::Started { request_id } });
-                let ends_ms = first_ms + answer * 100 / DECODE_TOKENS_PER_MS_HUNDREDTHS;
+                let ends_ms = first_ms + answer * 10_000 / rate;
                 let mut events = 1;
                 while events < answer / 86 {
-                    let at_ms = first_ms + events * 86 * 100 / DECODE_TOKENS_PER_MS_HUNDREDTHS;
+                    let at_ms = first_ms + events * 86 * 10_000 / rate;
                     let event = EngineEvent::Progress { request_id, events, longest_pause_ms: EVENT_MS };
                     self.schedule(at_ms, Event::Feed { daemon, event });
                     events *= 2;
