--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -8,7 +8,6 @@
 
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::Incarnation;
-use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::routes::{RouteTable, TableVersion};
 use hibiscusvale_core::units::Millis;
 use parking_lot::Mutex;
@@ -115,21 +114,19 @@
         let (loan_sender, loan_requests) = LoanRequestSender::channel();
         let (quotas, outgoing) = QuotaAccounts::new(settings.host.id.clone());
         let is_first = settings.peers.first_start;
+        let initial_plain = budget::plain(&settings.bounds, ASSUMED_DAEMONS);
+        let seed = incarnation.seed();
         let (quarantine, evidence_due) = SharedQuarantine::new(incarnation);
         let state = Arc::new(RelayState {
             wire: adapters.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
             http: BackendHttp::with_connect_timeout(CONNECT_TIMEOUT),
-            plain_schedulers: PlainSchedulers::new(
-                budget::plain(&settings.bounds, ASSUMED_DAEMONS),
-                incarnation.seed(),
-                loan_sender.clone(),
-            ),
+            plain_schedulers: PlainSchedulers::new(initial_plain, seed, loan_sender.clone()),
             engine_pools: EnginePools::new(
-                budget::engines(&settings.bounds, ASSUMED_DAEMONS, BroadcastScope::default()),
+                budget::initial_engines(&settings),
                 &settings.host,
-                incarnation.seed(),
+                seed,
                 loan_sender,
             ),
             freshness: Freshness::default(),
@@ -145,6 +142,7 @@
             reach: SharedReach::default(),
             quarantine,
             bounds: Mutex::new(settings.bounds.clone()),
+            scheduling: Mutex::new(settings.scheduling),
             incarnation,
             sequence: AtomicU64::new(0),
             open: AtomicU64::new(0),
@@ -251,6 +249,7 @@
             Ok(settings) if settings == self.settings => {}
             Ok(settings) => {
                 *self.state.bounds.lock() = settings.bounds.clone();
+                *self.state.scheduling.lock() = settings.scheduling;
                 self.state.share_budget();
                 self.state.configure_quotas();
                 self.state.log.state_changed("settings reloaded", &settings.host.id);
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -28,6 +28,9 @@
     /// Limits of the installation.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Optional behaviour of the scheduler.
+    #[serde(default)]
+    pub scheduling: SchedulingSettings,
     /// Resources of the host.
     #[serde(default)]
     pub capacity: CapacitySettings,
@@ -210,6 +213,15 @@
     }
 }
 
+/// Optional behaviour of the scheduler.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SchedulingSettings {
+    /// Whether the speeds of single engines are measured, reported to other daemons and used for placement. As
+    /// long as measured speeds differ by less than a quarter, it changes nothing.
+    pub engine_speeds: bool,
+}
+
 /// Resources of the process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -31,7 +31,7 @@
 use super::quotas::QuotaAccounts;
 use super::reach::SharedReach;
 use super::server_changes::ServerChangeLog;
-use super::settings::BoundSettings;
+use super::settings::{BoundSettings, SchedulingSettings};
 use super::shares::SharedShares;
 use super::state_transfer::TransferBudget;
 use super::statements::SharedStatements;
@@ -275,6 +275,8 @@
     pub quarantine: SharedQuarantine,
     /// Limits of the installation.
     pub bounds: Mutex<BoundSettings>,
+    /// Optional behaviour of the scheduler.
+    pub scheduling: Mutex<SchedulingSettings>,
     /// Incarnation of this daemon.
     pub incarnation: Incarnation,
     /// Number of requests admitted in this incarnation.
--- a/crates/router/tests/ops/relay_settings.rs
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -17,6 +17,7 @@
     assert_eq!(settings.bounds.grace(), Duration::from_secs(8));
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.listen.metrics, None);
+    assert!(!settings.scheduling.engine_speeds);
 }
 
 /// A typing error would show only in a failure; instead it prevents the start, and the error names the key,
@@ -31,6 +32,8 @@
 #[case("[capacity]\ndescriptors = 12", "capacity.descriptors is 12")]
 #[case("[capacity]\nlink_mbps = 0", "capacity.link_mbps is 0, allowed is 1 to 1000000")]
 #[case("[bounds]\ngrace = 8", "unknown field")]
+#[case("[scheduling]\nengine_speed = true", "unknown field")]
+#[case("[scheduling]\nengine_speeds = 1", "invalid type")]
 fn out_of_range_settings_are_refused(#[case] addition: &str, #[case] expected: &str) {
     let error = RelaySettings::parse(&format!("{MINIMAL}{addition}\n")).unwrap_err().to_string();
     assert!(error.contains(expected), "{error}");
