--- a/crates/router/tests/ops/relay_settings.rs
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -18,6 +18,7 @@
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.listen.metrics, None);
     assert_eq!(settings.capacity.held_bytes_max(), None);
+    assert!(!settings.scheduling.engine_speeds);
 }
 
 /// A typing error would show only in a failure; instead it prevents the start, and the error names the key,
@@ -34,6 +35,8 @@
 #[case("[capacity]\nmemory_mb = 3.5", "line 6: capacity.memory_mb is 3.5, allowed is 4 to 1000000")]
 #[case("[capacity]\nmemory_mb = nan", "capacity.memory_mb is NaN")]
 #[case("[bounds]\ngrace = 8", "unknown field")]
+#[case("[scheduling]\nengine_speed = true", "unknown field")]
+#[case("[scheduling]\nengine_speeds = 1", "invalid type")]
 fn out_of_range_settings_are_refused(#[case] addition: &str, #[case] expected: &str) {
     let error = RelaySettings::parse(&format!("{MINIMAL}{addition}\n")).unwrap_err().to_string();
     assert!(error.contains(expected), "{error}");
