Count requests that a server holds without an answer as capacity that was used

With one of two plain servers hanging, requests that timed out there or whose callers left did not count as answered. Such attempts count now, also when their callers leave first.

--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -20,6 +20,7 @@
 use super::interfaces::Task;
 use super::reach;
 use super::refusal::{Reason, Refusal};
+use super::shares::ShareAttempt;
 use super::state::{Incoming, RelayState};
 use super::statements;
 use super::trace::Step;
@@ -96,9 +97,9 @@
         match action {
             PlainAction::Dispatch { server, timeout_ms, fresh_connection, .. } => {
                 let reuse = if fresh_connection { ConnectionReuse::Fresh } else { ConnectionReuse::Pooled };
+                let attempt = ShareAttempt::new(state, incoming.service.as_str());
                 let result = run_attempt(state, incoming, server.clone(), timeout_ms, reuse).await;
-                let ended = result.as_ref().map(|_| ()).map_err(|cause| *cause);
-                state.record_share_attempt(incoming.service.as_str(), ended);
+                attempt.end(result.as_ref().map(|_| ()).map_err(|cause| *cause));
                 match &result {
                     Ok(_) => incoming.record_step(Step::Answered, &server),
                     Err(cause) => {
--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -143,9 +143,15 @@
         }
         let rates = &mut shares.service(service).shares;
         match ended {
-            Ok(()) => rates.answered(now_us),
+            // A server that gives no answer in time has had the request: if only answers counted, one server that
+            // hangs would make the capacity of the others look smaller with each request that it takes.
+            Ok(()) | Err(FailureCause::Timeout | FailureCause::Broken | FailureCause::Refused) => {
+                rates.answered(now_us);
+            }
             Err(FailureCause::NoRoom) => rates.refused_full(now_us),
-            Err(_) => return false,
+            Err(
+                FailureCause::NotSent | FailureCause::Held(_) | FailureCause::Leaving | FailureCause::Gone,
+            ) => return false,
         }
         shares.is_message_due(now_us, service)
     }
@@ -234,6 +240,35 @@
     by_quota.unwrap_or_else(|| partners().map(|partner| (OrganisationKey::of(&partner.id), 1.0)).collect())
 }
 
+/// An attempt at a server. If its caller leaves before it ends, it has taken capacity all the same.
+#[derive(Debug)]
+pub struct ShareAttempt<'a> {
+    state: &'a RelayState,
+    service: &'a str,
+    is_ended: bool,
+}
+
+impl<'a> ShareAttempt<'a> {
+    /// An attempt that begins.
+    pub fn new(state: &'a RelayState, service: &'a str) -> Self {
+        Self { state, service, is_ended: false }
+    }
+
+    /// Records how it ended.
+    pub fn end(mut self, ended: Result<(), FailureCause>) {
+        self.is_ended = true;
+        self.state.record_share_attempt(self.service, ended);
+    }
+}
+
+impl Drop for ShareAttempt<'_> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.state.record_share_attempt(self.service, Err(FailureCause::Timeout));
+        }
+    }
+}
+
 impl RelayState {
     /// Admits a request to a plain service. The daemon that accepted it decides, also if another one will run it.
     ///
