--- a/crates/core/tests/relay/simulation.rs
+++ b/crates/core/tests/relay/simulation.rs
@@ -6,10 +6,11 @@
 use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, RequestId, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, PoolUsage, Role,
-    SpeedSample, VersionBinding,
+    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, MemoryReport, PoolUsage,
+    Role, SpeedSample, VersionBinding,
 };
 use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::shares::OrganisationKey;
 use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
 
 /// Tokens that a prefill engine prefills per millisecond.
@@ -176,11 +177,40 @@
 enum Event {
     Arrived { daemon: usize, demand: Demand, answer_tokens: u64 },
     Feed { daemon: usize, event: EngineEvent },
-    Send { daemon: usize },
-    Deliver { daemon: usize, usage: PoolUsage, samples: Vec<SpeedSample> },
+    Deliver { daemon: usize, message: Box<Message> },
     Finish { daemon: usize, decode_engine: BackendServerId, request_id: RequestId, events: u64 },
+    Message { daemon: usize },
+    Sample,
 }
 
+/// What daemons tell each other.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sharing {
+    /// Whether they send their usage.
+    pub usage: bool,
+    /// Whether they send memory reports with it.
+    pub memory: bool,
+    /// Least time between two messages of a daemon.
+    pub interval_ms: u64,
+    /// One report in this many is lost; none if 0.
+    pub lost_one_in: u64,
+    /// Whether the speeds that every second daemon reports are lost.
+    pub loses_speeds: bool,
+}
+
+/// A message between daemons.
+struct Message {
+    usage: PoolUsage,
+    report: Option<MemoryReport>,
+    samples: Vec<SpeedSample>,
+}
+
+/// Interval at which idle room is looked for.
+const SAMPLE_MS: u64 = 10;
+
+/// Memory that the pools keep free for answers that grow longer than expected, at most.
+const HEADROOM_TOKENS: u64 = 25_000;
+
 /// Several daemons in front of the same engines.
 pub struct Simulation {
     daemons: Vec<EnginePool>,
@@ -189,14 +219,17 @@
     events: HashMap<u64, Event>,
     next_event: u64,
     answers: HashMap<RequestId, Expected>,
-    shares_usage: bool,
-    /// Least time between two messages of a daemon; 0 if each change is sent at once.
-    message_interval_ms: u64,
-    /// Whether the speeds that every second daemon reports are lost.
-    pub loses_speeds: bool,
-    /// When each daemon may send its next message, and whether one is scheduled.
-    messages: Vec<(u64, bool)>,
+    pub sharing: Sharing,
+    /// Whether each daemon has a message scheduled, and when it may send the next.
+    messages: Vec<(bool, u64)>,
+    reports_sent: u64,
+    /// Sizes of the requests that wait for an engine.
+    waiting: HashMap<RequestId, u64>,
+    /// Since when each decode engine has had room for a request that waits.
+    idle_since_ms: HashMap<BackendServerId, u64>,
     memory_tokens: u64,
+    /// Longest time for which a decode engine had room while a request that fits waited.
+    pub longest_idle_ms: u64,
     /// Outcome of each request.
     pub outcomes: HashMap<RequestId, Outcome>,
     /// Largest memory used on any decode engine, in tokens.
@@ -209,17 +242,21 @@
 
 impl Simulation {
     pub fn new(daemons: usize, engines: &[(&str, Role)], shares_usage: bool) -> Self {
+        Self::with_sharing(daemons, engines, Sharing { usage: shares_usage, ..Sharing::default() })
+    }
+
+    pub fn with_sharing(daemons: usize, engines: &[(&str, Role)], sharing: Sharing) -> Self {
         let engines: Vec<(String, Role, u64)> =
             engines.iter().map(|&(name, role)| (name.to_owned(), role, 100)).collect();
-        Self { shares_usage, ..Self::with_speeds(settings(), daemons, &engines, 0) }
+        Self::with_speeds(settings(), daemons, &engines, sharing)
     }
 
-    /// Daemons in front of engines with a speed in percent each, which send at most one message in each interval.
+    /// Daemons in front of engines with a speed in percent each.
     pub fn with_speeds(
         settings: EnginePoolSettings,
         daemons: usize,
         engines: &[(String, Role, u64)],
-        message_interval_ms: u64,
+        sharing: Sharing,
     ) -> Self {
         let list: Vec<ListedEngine> = engines.iter().map(|(name, role, _)| listed(name, *role)).collect();
         let pool = |index| {
@@ -239,10 +276,12 @@
             events: HashMap::new(),
             next_event: 0,
             answers: HashMap::new(),
-            shares_usage: true,
-            message_interval_ms,
-            loses_speeds: false,
-            messages: vec![(0, false); daemons],
+            sharing,
+            messages: vec![(false, 0); daemons],
+            reports_sent: 0,
+            waiting: HashMap::new(),
+            idle_since_ms: HashMap::new(),
+            longest_idle_ms: 0,
             memory_tokens: settings.memory_tokens.0,
             outcomes: HashMap::new(),
             peak_tokens: 0,
@@ -261,6 +300,37 @@
         self.schedule(at_ms, Event::Arrived { daemon, demand, answer_tokens });
     }
 
+    pub fn set_weights(&mut self, weights: &HashMap<OrganisationKey, f64>) {
+        self.daemons.iter_mut().for_each(|pool| pool.set_weights(weights));
+    }
+
+    /// Looks for idle room from `from_ms` to `to_ms`.
+    pub fn sample_idle_room(&mut self, from_ms: u64, to_ms: u64) {
+        for at_ms in (from_ms..to_ms).step_by(SAMPLE_MS as usize) {
+            self.schedule(at_ms, Event::Sample);
+        }
+    }
+
+    fn sample(&mut self, at_ms: u64) {
+        let Some(smallest) = self.waiting.values().copied().min() else {
+            self.idle_since_ms.clear();
+            return;
+        };
+        for (name, engine) in &self.engines {
+            let size = |run: &Run| run.prompt + run.answer * 5 / 4;
+            let taken: u64 = engine.held.values().map(size).sum();
+            let has_room = name.as_str().starts_with('w')
+                && engine.held.len() < 12
+                && taken + smallest + HEADROOM_TOKENS <= self.memory_tokens;
+            if has_room {
+                let since_ms = *self.idle_since_ms.entry(name.clone()).or_insert(at_ms);
+                self.longest_idle_ms = self.longest_idle_ms.max(at_ms - since_ms);
+            } else {
+                self.idle_since_ms.remove(name);
+            }
+        }
+    }
+
     pub fn run(&mut self) {
         while let Some(Reverse((at_ms, number))) = self.queue.pop() {
             match self.events.remove(&number) {
@@ -268,13 +338,11 @@
                     let prompt = demand.prompt_tokens.0;
                     let expected = Expected { arrived_ms: at_ms, prompt, answer: answer_tokens };
                     self.answers.insert(demand.request_id, expected);
+                    self.waiting.insert(demand.request_id, prompt + answer_tokens * 5 / 4);
                     self.feed(at_ms, daemon, EngineEvent::Arrived(demand));
                 }
                 Some(Event::Feed { daemon, event }) => self.feed(at_ms, daemon, event),
-                Some(Event::Send { daemon }) => self.send(at_ms, daemon),
-                Some(Event::Deliver { daemon, usage, samples }) => {
-                    self.deliver(at_ms, daemon, &usage, &samples);
-                }
+                Some(Event::Deliver { daemon, message }) => self.deliver(at_ms, daemon, &message),
                 Some(Event::Finish { daemon, decode_engine, request_id, events }) => {
                     let engine = self.engines.get_mut(&decode_engine).unwrap();
                     // Memory is largest just before a request ends.
@@ -282,6 +350,8 @@
                     engine.held.remove(&request_id);
                     self.feed(at_ms, daemon, EngineEvent::Finished { request_id, events });
                 }
+                Some(Event::Message { daemon }) => self.send_message(at_ms, daemon),
+                Some(Event::Sample) => self.sample(at_ms),
                 None => {}
             }
         }
@@ -289,61 +359,67 @@
 
     fn feed(&mut self, at_ms: u64, daemon: usize, event: EngineEvent) {
         let now_us = MonoTime::default() + Millis(at_ms);
-        let is_update =
-            !matches!(event, EngineEvent::Peer { .. } | EngineEvent::PeerSpeeds(_) | EngineEvent::Tick);
+        let is_update = !matches!(
+            event,
+            EngineEvent::Peer { .. }
+                | EngineEvent::PeerMemory { .. }
+                | EngineEvent::PeerSpeeds(_)
+                | EngineEvent::Tick
+        );
         let mut actions = Vec::new();
         self.daemons[daemon].handle(now_us, event, &mut actions);
         for action in actions {
-            if !matches!(action, EngineAction::Wake { .. }) {
-                self.log.push((at_ms, daemon, action.clone()));
-            }
             self.execute(at_ms, daemon, action);
         }
-        if is_update && self.shares_usage {
-            match self.messages[daemon] {
-                _ if self.message_interval_ms == 0 => self.share_usage(at_ms, daemon),
-                (_, true) => {}
-                (next_ms, false) => {
-                    self.messages[daemon].1 = true;
-                    self.schedule(at_ms.max(next_ms), Event::Send { daemon });
-                }
+        if is_update && self.sharing.usage {
+            let (is_due, next_ms) = self.messages[daemon];
+            if self.sharing.interval_ms == 0 || (!is_due && at_ms >= next_ms) {
+                self.send_message(at_ms, daemon);
+            } else if !is_due {
+                self.messages[daemon].0 = true;
+                self.schedule(next_ms, Event::Message { daemon });
             }
         }
     }
 
-    fn send(&mut self, at_ms: u64, daemon: usize) {
-        self.messages[daemon] = (at_ms + self.message_interval_ms, false);
-        let usage = self.daemons[daemon].usage(MonoTime::default() + Millis(at_ms));
-        let samples = self.daemons[daemon].take_speed_samples();
-        self.schedule(at_ms + MESSAGE_MS, Event::Deliver { daemon, usage, samples });
+    fn send_message(&mut self, at_ms: u64, daemon: usize) {
+        self.messages[daemon] = (false, at_ms + self.sharing.interval_ms);
+        let now_us = MonoTime::default() + Millis(at_ms);
+        let pool = &mut self.daemons[daemon];
+        let message = Message {
+            usage: pool.usage(now_us),
+            report: self.sharing.memory.then(|| pool.memory_report(now_us)).flatten(),
+            samples: pool.take_speed_samples(),
+        };
+        self.schedule(at_ms + MESSAGE_MS, Event::Deliver { daemon, message: Box::new(message) });
     }
 
-    fn deliver(&mut self, at_ms: u64, from: usize, usage: &PoolUsage, samples: &[SpeedSample]) {
+    fn deliver(&mut self, at_ms: u64, from: usize, message: &Message) {
         let host: HostId = format!("entry-{from}").parse().unwrap();
         for other in (0..self.daemons.len()).filter(|&other| other != from) {
-            let is_lost = self.loses_speeds && from % 2 == 1;
-            if !samples.is_empty() && !is_lost {
-                self.feed(at_ms, other, EngineEvent::PeerSpeeds(samples.to_vec()));
+            if let Some(report) = message.report.clone() {
+                self.reports_sent += 1;
+                let lost_one_in = self.sharing.lost_one_in;
+                if lost_one_in == 0 || !self.reports_sent.is_multiple_of(lost_one_in) {
+                    self.feed(at_ms, other, EngineEvent::PeerMemory { host: host.clone(), report });
+                }
             }
-            self.feed(at_ms, other, EngineEvent::Peer { host: host.clone(), usage: usage.clone() });
-        }
-    }
-
-    fn share_usage(&mut self, at_ms: u64, daemon: usize) {
-        let usage = self.daemons[daemon].usage(MonoTime::default() + Millis(at_ms));
-        let host: HostId = format!("entry-{daemon}").parse().unwrap();
-        for other in (0..self.daemons.len()).filter(|&other| other != daemon) {
-            let event = EngineEvent::Peer { host: host.clone(), usage: usage.clone() };
-            self.schedule(at_ms + MESSAGE_MS, Event::Feed { daemon: other, event });
+            if !message.samples.is_empty() && !(self.sharing.loses_speeds && from % 2 == 1) {
+                self.feed(at_ms, other, EngineEvent::PeerSpeeds(message.samples.clone()));
+            }
+            let usage = message.usage.clone();
+            self.feed(at_ms, other, EngineEvent::Peer { host: host.clone(), usage });
         }
     }
 
     fn execute(&mut self, at_ms: u64, daemon: usize, action: EngineAction) {
+        self.log.push((at_ms, daemon, action.clone()));
         match action {
             EngineAction::Wake { at_us } => {
                 self.schedule(at_us.0.div_ceil(1_000), Event::Feed { daemon, event: EngineEvent::Tick });
             }
             EngineAction::Reserve { request_id, decode_engine, tokens, .. } => {
+                self.waiting.remove(&request_id);
                 let engine = self.engines.get_mut(&decode_engine).unwrap();
                 let taken = engine.tokens(at_ms);
                 let event = if taken + tokens.0 <= self.memory_tokens && engine.held.len() < 12 {
@@ -360,6 +436,8 @@
                     EngineEvent::Reserved { request_id }
                 } else {
                     self.refused_reservations += 1;
+                    let Expected { prompt, answer, .. } = self.answers[&request_id];
+                    self.waiting.insert(request_id, prompt + answer * 5 / 4);
                     EngineEvent::ReserveFailed { request_id, cause: FailureCause::NoRoom }
                 };
                 self.schedule(at_ms + 2 * MESSAGE_MS, Event::Feed { daemon, event });
@@ -398,6 +476,7 @@
             // No daemon here reports credit that it could lend.
             EngineAction::Borrow(_) => {}
             EngineAction::Refuse { request_id, .. } | EngineAction::Unknown { request_id } => {
+                self.waiting.remove(&request_id);
                 let arrived_ms = self.answers[&request_id].arrived_ms;
                 self.outcomes.insert(request_id, Outcome::Refused { at_ms: at_ms - arrived_ms });
             }
--- a/crates/core/tests/relay/speeds.rs
+++ b/crates/core/tests/relay/speeds.rs
@@ -8,7 +8,9 @@
 use rstest::rstest;
 
 use crate::engines::{full, observe_load};
-use crate::simulation::{Harness, Outcome, Simulation, demand, listed, request_id, server, settings};
+use crate::simulation::{
+    Harness, Outcome, Sharing, Simulation, demand, listed, request_id, server, settings,
+};
 
 /// A pool of 32 engines, of which one in four has `fast_percent` of the speed of the others.
 fn engines(fast_percent: u64) -> Vec<(String, Role, u64)> {
@@ -28,8 +30,8 @@
 fn prepare(daemons: usize, fast_percent: u64, usual_per_s: u64, engine_speeds: bool) -> Simulation {
     let settings = EnginePoolSettings { engine_speeds, ..settings() };
     // The shortest interval that the page allows: 0.25 ms for each recipient.
-    let interval_ms = daemons.div_ceil(4) as u64;
-    let mut simulation = Simulation::with_speeds(settings, daemons, &engines(fast_percent), interval_ms);
+    let sharing = Sharing { usage: true, interval_ms: daemons.div_ceil(4) as u64, ..Sharing::default() };
+    let mut simulation = Simulation::with_speeds(settings, daemons, &engines(fast_percent), sharing);
     let mut rng = StdRng::seed_from_u64(7);
     let (usual, burst) = (4 * usual_per_s, 4 * usual_per_s * 16 / 10);
     for number in 0..usual + burst {
@@ -76,7 +78,7 @@
 fn half_of_the_samples_are_enough() {
     let equal = run(91, 220, 42, false);
     let mut by_speed = prepare(91, 220, 42, true);
-    by_speed.loses_speeds = true;
+    by_speed.sharing.loses_speeds = true;
     by_speed.run();
     let in_time = |simulation| share(simulation, |outcome| *outcome == Outcome::InTime);
     assert!(
