--- a/crates/core/tests/relay/simulation.rs
+++ b/crates/core/tests/relay/simulation.rs
@@ -404,7 +404,8 @@
                     self.feed(at_ms, other, EngineEvent::PeerMemory { host: host.clone(), report });
                 }
             }
-            if !message.samples.is_empty() && !(self.sharing.loses_speeds && from % 2 == 1) {
+            let is_lost = self.sharing.loses_speeds && from % 2 == 1;
+            if !message.samples.is_empty() && !is_lost {
                 self.feed(at_ms, other, EngineEvent::PeerSpeeds(message.samples.clone()));
             }
             let usage = message.usage.clone();
