Apply a load report before the usage of its message, and give new pools their weights

The engine pools act on a report of memory with the usage that follows it; applied after it, each report took effect one message late. A pool that first appears after the route table had no weights until the next change of the table.

--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -38,6 +38,8 @@
     services: Mutex<HashMap<String, Service>>,
     wake_timer: WakeTimer,
     settings: Mutex<EnginePoolSettings>,
+    /// Weights of organisations, for pools that appear after the route table.
+    weights: Mutex<HashMap<OrganisationKey, f64>>,
     host: HostId,
     data_centre: DataCentreId,
     seed: u64,
@@ -121,6 +123,7 @@
             services: Mutex::default(),
             wake_timer: WakeTimer::new(),
             settings: Mutex::new(settings),
+            weights: Mutex::default(),
             host: host.id.clone(),
             data_centre: host.data_centre.clone(),
             seed,
@@ -163,9 +166,10 @@
             let mut services = self.services.lock();
             for name in lists.keys() {
                 let offset = usize::try_from(self.seed % OFFSET_RANGE).unwrap_or_default();
-                services.entry(name.clone()).or_insert_with(|| Service {
-                    pool: EnginePool::new(settings, &self.host, offset),
-                    open: HashMap::new(),
+                services.entry(name.clone()).or_insert_with(|| {
+                    let mut pool = EnginePool::new(settings, &self.host, offset);
+                    pool.set_weights(&self.weights.lock());
+                    Service { pool, open: HashMap::new() }
                 });
             }
             services.keys().cloned().collect::<Vec<_>>()
@@ -252,6 +256,7 @@
 
     /// Replaces the weights of organisations.
     pub fn set_weights(&self, weights: &HashMap<OrganisationKey, f64>) {
+        self.weights.lock().clone_from(weights);
         for service in self.services.lock().values_mut() {
             service.pool.set_weights(weights);
         }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -302,10 +302,11 @@
     if let Some(lendable) = message.lendable {
         loans::update_lender(&message.host, &lendable, state);
     }
-    state.engine_pools.peer(&message.host, message.holdings);
+    // The engine pools act on a report when the usage of the same message follows.
     if let Some(report) = report {
         state.receive_load_report(&message.host, report);
     }
+    state.engine_pools.peer(&message.host, message.holdings);
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
 }
