--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -83,7 +83,8 @@
         Some(opens_us?.into_iter().min()?.since(now_us))
     }
 
-    /// Time until there is room for `ahead`, a request with this binding and all that goes before it; `None` while no decode engine accepts such requests, since nothing known tells when one will.
+    /// Time until there is room for `ahead`, a request with this binding and all that goes before it; `None`
+    /// while no decode engine accepts such requests, since nothing known tells when one will.
     pub(super) fn expected_wait_us(
         &self,
         now_us: MonoTime,
@@ -187,7 +188,7 @@
     pub(super) fn refuse_expired(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
         let backlog = self.least_backlog(now_us);
         let in_time_tokens = self.waiting_tokens(now_us) + self.peers.waiting();
-        let hopeless = self.take_hopeless(now_us, backlog);
+        let unplaceable = self.take_unplaceable(now_us, backlog);
         let expired: Vec<(RequestId, Option<EngineRefusal>)> = self
             .waiting
             .iter()
@@ -202,9 +203,9 @@
                     Some(_) => !open.has_started,
                     None => false,
                 };
-                let is_hopeless = hopeless.contains(request_id);
+                let is_unplaceable = unplaceable.contains(request_id);
                 let is_over = yields
-                    || is_hopeless
+                    || is_unplaceable
                     || is_unservable
                     || now_us >= open.waits_since_us + open.max_wait_ms();
                 is_over.then_some((*request_id, unservable))
--- a/crates/core/src/relay/engines/completion.rs
+++ b/crates/core/src/relay/engines/completion.rs
@@ -203,7 +203,8 @@
     }
 
     /// When a retry is worthwhile: once everything that waits now has been placed, plus 0.5 to 1.5 times the
-    /// duration of an answer; for an organisation beyond its share of the memory, not before that is free. The spread keeps callers that were refused together from returning together.
+    /// duration of an answer; for an organisation beyond its share of the memory, not before that is free. The
+    /// spread keeps callers that were refused together from returning together.
     fn retry_delay_ms(&self, now_us: MonoTime, request_id: RequestId) -> Millis {
         let Some(open) = self.open.get(&request_id) else {
             return RETRY_AFTER_MS;
--- a/crates/core/src/relay/engines/order.rs
+++ b/crates/core/src/relay/engines/order.rs
@@ -482,7 +482,7 @@
     /// Queued requests that will not be placed in time: the memory that becomes free in the time left to them is less
     /// than what goes before them. Refused at once, their callers can retry elsewhere or later; waiting only delays
     /// the refusal.
-    pub(super) fn take_hopeless(
+    pub(super) fn take_unplaceable(
         &mut self,
         now_us: MonoTime,
         backlog: Option<PrefillBacklog>,
@@ -496,7 +496,7 @@
         let mut in_order: Vec<(Rank, MonoTime, RequestId)> =
             in_time.map(|(request_id, open)| (self.rank(open), open.arrived_us, *request_id)).collect();
         in_order.sort_unstable();
-        let mut hopeless = Vec::new();
+        let mut unplaceable = Vec::new();
         let mut own_ahead = Tokens::ZERO;
         for (rank, _, request_id) in in_order {
             let open = &self.open[&request_id];
@@ -511,12 +511,12 @@
                 && open.demand.binding == VersionBinding::Any
                 && open.attempts.outcome() == Outcome::NotRun;
             if is_checked && wait_us > left_us {
-                hopeless.push(request_id);
+                unplaceable.push(request_id);
             } else {
                 own_ahead += open.final_tokens;
             }
         }
-        hopeless
+        unplaceable
     }
 
     /// Time until the share of an organisation that holds more is free: what it holds beyond the share, at the rate at
--- a/crates/core/src/relay/engines/placement.rs
+++ b/crates/core/src/relay/engines/placement.rs
@@ -281,8 +281,8 @@
     /// Daemons learn of each other's choices some milliseconds late, so many of them would pick the emptiest
     /// engine, or one that has just become free, and it would run out of memory. So while requests wait at
     /// other daemons too, an engine goes to the daemon that its rendezvous hash selects; otherwise the least
-    /// filled ones are used in turn, those of versions that serve best first, then the fastest. A request that is bound to a version has
-    /// too few engines to wait for its own one.
+    /// filled ones are used in turn, those of versions that serve best first, then the fastest. A request that is
+    /// bound to a version has too few engines to wait for its own one.
     ///
     /// A request with a `rank` does not wait for daemons that have only worse-ranked ones: it gets the engine that
     /// its daemon wins against all, if there is one, and else one of those that are left to what goes before it, `ahead`,
