--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -19,9 +19,8 @@
 use crate::clock;
 use crate::logging::OverShareLine;
 
-/// Interval between messages while a service is congested. Demand is averaged over half a second, so shorter
-/// intervals add little; a host with 0.12 cores spends about a fiftieth of its time on five messages a second to
-/// 90 daemons.
+/// Interval between messages while a service is congested. Demand is averaged over a longer time, so shorter
+/// intervals add little, and each message is received by all other daemons.
 const CONGESTED_MESSAGE_MS: Millis = Millis(200);
 
 /// Decision about a request, and whether the other daemons need a message now.
