Treat servers that share their hosts as uneven, and limit overload without organisations

Engine speeds were in use in all deployments, since one settings file serves them all. Servers that share their hosts with others state how long work takes there; the settings engine_speeds and server_loads now take "stated" and apply to services with such a server only.

--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -91,15 +91,19 @@
     pub organisation: Option<OrganisationKey>,
 }
 
-/// Load that an engine reports with an answer.
+/// Load that a server reports with an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReportedLoad {
-    /// Requests running at the engine.
+    /// Requests running at the server.
     pub running: u32,
-    /// Requests queued at the engine.
+    /// Requests queued at the server.
     pub waiting: u32,
     /// Number of requests that it runs at once.
     pub slots: u32,
+    /// Time that work takes at this moment, in percent of the usual time. Only servers that share their hosts with
+    /// others state it. It changes within less than the interval between two answers, so that it shows that the
+    /// speeds of servers vary, and not what the next request will take.
+    pub work_time_percent: Option<u32>,
 }
 
 /// What one daemon uses of one engine.
--- a/crates/core/tests/shares/scenarios.rs
+++ b/crates/core/tests/shares/scenarios.rs
@@ -133,3 +133,19 @@
     assert_eq!(outcome.over_share(4_000, 5_000), 0, "refusals later than 1 s after the surge");
     assert_eq!(outcome.over_share(0, 1_000), 0, "refusals before the surge");
 }
+
+/// Guards against servers that answer late because their queues stay full in an overload, where requests have no
+/// organisation: each daemon must refuse the excess at once, also while one server is slower than the others.
+#[rstest]
+#[case::equal_servers(anonymous(vec![]))]
+#[case::slow_server(anonymous(vec![(1_500, Change::Slow(0, 2.5))]))]
+#[case::many_daemons(Scenario { daemons: 413, servers: 14, end_ms: 3_200, ..anonymous(vec![]) })]
+fn overload_without_organisations_is_refused_at_once(#[case] scenario: Scenario) {
+    let end_ms = scenario.end_ms;
+    assert_busy(&scenario.run(), 2_000, end_ms - 200);
+}
+
+/// From 1 s on, callers without a key ask for twice the capacity.
+fn anonymous(changes: Vec<(u64, Change)>) -> Scenario {
+    Scenario { organisations: 1, anonymous: Some(0), factor: twice, changes, ..Scenario::default() }
+}
--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -10,7 +10,7 @@
 use hibiscusvale_core::sched::{InstanceSettings, PlainSettings};
 use hibiscusvale_core::units::{Credit, Millis};
 
-use super::settings::{BoundSettings, RelaySettings, SchedulingSettings};
+use super::settings::{BoundSettings, RelaySettings};
 use super::state::RelayState;
 
 /// Number of daemons assumed until the register has been read.
@@ -39,14 +39,8 @@
 }
 
 /// Settings of the engine pools.
-pub fn engines(
-    bounds: &BoundSettings,
-    scheduling: SchedulingSettings,
-    daemons: u64,
-    reach: BroadcastScope,
-) -> EnginePoolSettings {
+pub fn engines(bounds: &BoundSettings, daemons: u64, reach: BroadcastScope) -> EnginePoolSettings {
     EnginePoolSettings {
-        engine_speeds: scheduling.engine_speeds,
         retries: retry_budget_settings(bounds, daemons),
         instance: INSTANCE_SETTINGS,
         prefer_local: reach == BroadcastScope::DataCentre,
@@ -56,17 +50,21 @@
 
 /// Settings of the engine pools until the register has been read.
 pub fn initial_engines(settings: &RelaySettings) -> EnginePoolSettings {
-    engines(&settings.bounds, settings.scheduling, ASSUMED_DAEMONS, BroadcastScope::default())
+    engines(&settings.bounds, ASSUMED_DAEMONS, BroadcastScope::default())
 }
 
 impl RelayState {
+    /// Applies the engine settings of the current route table.
+    pub fn configure_engines(&self) {
+        self.engine_pools.configure(&self.table.load(), |service| self.uses_engine_speeds(service));
+    }
+
     /// Divides the retry budget among the daemons that are registered now.
     pub fn share_budget(&self) {
         let (bounds, daemons) = (self.bounds.lock().clone(), self.peers.registered());
         self.plain_schedulers.configure(plain(&bounds, daemons));
-        let scheduling = *self.scheduling.lock();
-        self.engine_pools.set_budget(engines(&bounds, scheduling, daemons, self.peers.reach()));
-        self.engine_pools.configure(&self.table.load());
+        self.engine_pools.set_budget(engines(&bounds, daemons, self.peers.reach()));
+        self.configure_engines();
     }
 }
 
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -39,6 +39,7 @@
 use super::status::{self, Purpose};
 use super::store_traffic::StoreTraffic;
 use super::stream_versions::{self, SharedStreamVersions};
+use super::uneven_servers::UnevenServices;
 use super::watch;
 use crate::backend::BackendHttp;
 use crate::daemon::StartError;
@@ -143,6 +144,7 @@
             peers: Peers::new(&settings),
             quotas,
             shares: SharedShares::default(),
+            uneven_services: UnevenServices::default(),
             organisations: OrganisationOutcomes::default(),
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -180,8 +180,12 @@
         }
     }
 
-    /// Applies the engine settings of the route table.
-    pub fn configure(&self, table: &RouteTable) {
+    /// Applies the engine settings of the route table. `uses_speeds` tells for which services the speeds of single
+    /// engines are used.
+    pub fn configure<UsesSpeeds>(&self, table: &RouteTable, uses_speeds: UsesSpeeds)
+    where
+        UsesSpeeds: Fn(&str) -> bool,
+    {
         let settings = *self.settings.lock();
         let mut services = self.services.lock();
         for (name, spec) in table.services() {
@@ -194,6 +198,7 @@
                 reserve_ms_max: engine.reserve_ms_max,
                 role_change_ms: engine.role_change_ms,
                 hold_ms: engine.hold_ms,
+                engine_speeds: uses_speeds(name.as_str()),
                 ..settings
             });
         }
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -212,6 +212,9 @@
     let head = wire.parse_reply(status, &headers);
     incoming.state.statements.record(&incoming.state, hop.server, RequestPath::of(&hop.task), status, &head);
     record_limit(incoming, hop.server, status, &head);
+    if let Some(load) = head.load {
+        incoming.state.record_server_load(incoming.service.as_str(), load);
+    }
     Ok(Reply { status, headers, head, known })
 }
 
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -45,7 +45,8 @@
 mod stream;
 mod stream_versions;
 mod trace;
+mod uneven_servers;
 mod watch;
 
 pub use daemon::{RelayAdapters, RelayDaemon};
-pub use settings::{CapacitySettings, RelaySettings};
+pub use settings::{CapacitySettings, RelaySettings, UnevenServers};
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -223,9 +223,36 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct SchedulingSettings {
-    /// Whether the speeds of single engines are measured, reported to other daemons and used for placement. As
-    /// long as measured speeds differ by less than a quarter, it changes nothing.
-    pub engine_speeds: bool,
+    /// For which services the speeds of single engines are measured, reported to other daemons and used for
+    /// placement. As long as measured speeds differ by less than a quarter, it changes nothing.
+    pub engine_speeds: UnevenServers,
+    /// For which plain services daemons report the loads of servers to each other, choose servers by them, and
+    /// refuse at once what the servers cannot answer. Services with organisations have shares in any case.
+    pub server_loads: UnevenServers,
+}
+
+/// Services whose servers are treated as uneven.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum UnevenServers {
+    /// None.
+    #[default]
+    Off,
+    /// Those with a server that states how long work takes on its shared host.
+    Stated,
+    /// All.
+    Always,
+}
+
+impl UnevenServers {
+    /// Whether a service is treated so; `is_stated` tells whether one of its servers has stated the time of work.
+    pub fn applies(self, is_stated: bool) -> bool {
+        match self {
+            Self::Off => false,
+            Self::Stated => is_stated,
+            Self::Always => true,
+        }
+    }
 }
 
 /// Resources of the process.
--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -43,11 +43,15 @@
     pub organisations: Vec<(Option<PartnerId>, OrganisationUsage)>,
 }
 
-/// Shares of organisations in the plain services. Inactive while the route table has no organisations.
+/// Shares of organisations in the plain services. Inactive while the route table has no organisations, except for
+/// services with uneven servers.
 ///
 /// One organisation sends several times its usual rate through all daemons. Each daemon compares the sums over all
 /// daemons with the capacity before a request is queued, so that the requests of the other organisations are not
 /// refused along with those of the one that surges.
+///
+/// Without organisations, all callers of such a service have one share: its capacity. A burst of twice the capacity
+/// would otherwise fill the queues of all servers, and most answers would be late.
 #[derive(Debug, Default)]
 pub struct SharedShares(Mutex<Shares>);
 
@@ -57,6 +61,8 @@
     names: HashMap<OrganisationKey, PartnerId>,
     /// Services in the route table; those that only other daemons name are ignored.
     listed: HashSet<String>,
+    /// Services that have a common share for all callers while there are no organisations.
+    limited: HashSet<String>,
     services: HashMap<String, Service>,
     last_message_us: Option<MonoTime>,
 }
@@ -69,8 +75,8 @@
 }
 
 impl Shares {
-    fn is_active(&self) -> bool {
-        !self.weights.is_empty()
+    fn is_active(&self, service: &str) -> bool {
+        !self.weights.is_empty() || self.limited.contains(service)
     }
 
     fn service(&mut self, name: &str) -> &mut Service {
@@ -99,15 +105,24 @@
 impl SharedShares {
     /// Takes the organisations of `table` with their weights, and returns the weights. They weigh as much as the
     /// rates of their quotas; without a quota for each of them, or with quotas in different units, all weigh the
-    /// same.
-    pub fn configure(&self, table: &RouteTable) -> HashMap<OrganisationKey, f64> {
+    /// same. `is_limited` tells which services have a common share without organisations.
+    pub fn configure<IsLimited>(
+        &self,
+        table: &RouteTable,
+        is_limited: IsLimited,
+    ) -> HashMap<OrganisationKey, f64>
+    where
+        IsLimited: Fn(&str) -> bool,
+    {
         let mut shares = self.0.lock();
         shares.weights = weights_of(table);
         shares.names =
             table.partners().iter().map(|it| (OrganisationKey::of(&it.id), it.id.clone())).collect();
         shares.listed = table.services().map(|(name, _)| name.as_str().to_owned()).collect();
-        let Shares { weights, listed, services, .. } = &mut *shares;
-        services.retain(|name, _| !weights.is_empty() && listed.contains(name));
+        shares.limited = shares.listed.iter().filter(|name| is_limited(name)).cloned().collect();
+        let Shares { weights, listed, limited, services, .. } = &mut *shares;
+        let is_kept = |name: &str| listed.contains(name) && (!weights.is_empty() || limited.contains(name));
+        services.retain(|name, _| is_kept(name));
         for service in services.values_mut() {
             service.shares.set_weights(weights.clone());
         }
@@ -123,7 +138,7 @@
         draw: f64,
     ) -> Admission {
         let mut shares = self.0.lock();
-        if !shares.is_active() {
+        if !shares.is_active(service) {
             return Admission { decision: ShareDecision::Admit, is_message_due: false };
         }
         let organisation = partner.map(OrganisationKey::of);
@@ -137,7 +152,7 @@
     #[must_use]
     pub fn record_attempt(&self, now_us: MonoTime, service: &str, ended: Result<(), FailureCause>) -> bool {
         let mut shares = self.0.lock();
-        if !shares.is_active() {
+        if !shares.is_active(service) {
             return false;
         }
         let rates = &mut shares.service(service).shares;
@@ -159,7 +174,7 @@
     #[must_use]
     pub fn record_load(&self, now_us: MonoTime, service: &str, waiting: u32, slots: u32) -> bool {
         let mut shares = self.0.lock();
-        if !shares.is_active() {
+        if !shares.is_active(service) {
             return false;
         }
         shares.service(service).shares.server_load(now_us, waiting, slots);
@@ -182,11 +197,8 @@
     /// daemon cannot make this one keep any number of them.
     pub fn receive(&self, now_us: MonoTime, host: &HostId, reports: Vec<(String, RateReport)>) {
         let mut shares = self.0.lock();
-        if !shares.is_active() {
-            return;
-        }
         for (name, report) in reports {
-            if shares.listed.contains(&name) {
+            if shares.is_active(&name) && shares.listed.contains(&name) {
                 shares.service(&name).shares.receive(now_us, host, report);
             }
         }
@@ -325,7 +337,7 @@
     /// Applies the organisations of the route table in force.
     pub fn configure_shares(&self) {
         let table = self.table.load();
-        let weights = self.shares.configure(&table);
+        let weights = self.shares.configure(&table, |service| self.uses_server_loads(service));
         self.engine_pools.set_weights(&weights);
         self.organisations.retain_services(&table);
         self.peers.schedule_message(Urgency::Later);
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -39,6 +39,7 @@
 use super::statements::SharedStatements;
 use super::stream_versions::SharedStreamVersions;
 use super::trace::{RequestTrace, Step};
+use super::uneven_servers::UnevenServices;
 use crate::backend::{BackendHttp, Framing};
 use crate::directory::Directory;
 use crate::dispatch::PlainSchedulers;
@@ -271,6 +272,8 @@
     pub quotas: QuotaAccounts,
     /// Shares of organisations in plain services.
     pub shares: SharedShares,
+    /// Services with servers that share their hosts.
+    pub uneven_services: UnevenServices,
     /// Outcomes of requests by organisation.
     pub organisations: OrganisationOutcomes,
     /// Limits that servers state.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -102,7 +102,7 @@
         return false;
     }
     state.log.routes_in_force(table.version().0);
-    state.engine_pools.configure(&table);
+    state.engine_pools.configure(&table, |service| state.uses_engine_speeds(service));
     state.caller_waits.lock().retain(|route| table.has(route));
     state.table.store(Arc::new(table));
     state.configure_quotas();
@@ -197,7 +197,7 @@
     state.plain_schedulers.adopt(&listing);
     state.engine_pools.adopt(&listing);
     state.stream_versions.adopt(&listing);
-    state.engine_pools.configure(&state.table.load());
+    state.configure_engines();
     // After the schedulers know all listed servers.
     state.statements.adopt(state, &listing.servers);
     state.servers_adopted.store(true, Ordering::Relaxed);
--- a/crates/router/tests/ops/relay_settings.rs
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hibiscusvale::relay::RelaySettings;
+use hibiscusvale::relay::{RelaySettings, UnevenServers};
 use rstest::rstest;
 
 const MINIMAL: &str = r#"
@@ -18,7 +18,8 @@
     assert!(settings.peers.seeds.is_empty());
     assert_eq!(settings.listen.metrics, None);
     assert_eq!(settings.capacity.held_bytes_max(), None);
-    assert!(!settings.scheduling.engine_speeds);
+    assert_eq!(settings.scheduling.engine_speeds, UnevenServers::Off);
+    assert_eq!(settings.scheduling.server_loads, UnevenServers::Off);
 }
 
 /// A typing error would show only in a failure; instead it prevents the start, and the error names the key,
@@ -36,7 +37,8 @@
 #[case("[capacity]\nmemory_mb = nan", "capacity.memory_mb is NaN")]
 #[case("[bounds]\ngrace = 8", "unknown field")]
 #[case("[scheduling]\nengine_speed = true", "unknown field")]
-#[case("[scheduling]\nengine_speeds = 1", "invalid type")]
+#[case("[scheduling]\nengine_speeds = true", "invalid type")]
+#[case("[scheduling]\nserver_loads = \"some\"", "unknown variant")]
 fn out_of_range_settings_are_refused(#[case] addition: &str, #[case] expected: &str) {
     let error = RelaySettings::parse(&format!("{MINIMAL}{addition}\n")).unwrap_err().to_string();
     assert!(error.contains(expected), "{error}");
--- a/crates/router/tests/unit/relay_shares.rs
+++ b/crates/router/tests/unit/relay_shares.rs
@@ -40,7 +40,7 @@
 /// Shares without quotas for `large` and `small`.
 fn shares() -> SharedShares {
     let shares = SharedShares::default();
-    shares.configure(&table(&[("large", None), ("small", None)]));
+    shares.configure(&table(&[("large", None), ("small", None)]), |_| false);
     shares
 }
 
@@ -80,7 +80,8 @@
 #[case::one_without([Some(quota(TOKENS, 6_000)), None], 1.0)]
 #[case::different_units([Some(quota(TOKENS, 6_000)), Some(quota(QuotaUnit::Requests, 2_000))], 1.0)]
 fn weights_follow_quotas(#[case] quotas: [Option<Quota>; 2], #[case] expected: f64) {
-    let weights = SharedShares::default().configure(&table(&[("large", quotas[0]), ("small", quotas[1])]));
+    let weights =
+        SharedShares::default().configure(&table(&[("large", quotas[0]), ("small", quotas[1])]), |_| false);
     let [large, small] = ["large", "small"].map(|name| weights[&OrganisationKey::of(&partner(name))]);
     assert!((large / small - expected).abs() < 1e-9, "{large} {small}");
 }
@@ -91,7 +92,7 @@
     let shares = SharedShares::default();
     let quotas =
         |large| table(&[("large", Some(quota(TOKENS, large))), ("small", Some(quota(TOKENS, 1_000)))]);
-    shares.configure(&quotas(1_000));
+    shares.configure(&quotas(1_000), |_| false);
     run(&shares, 5, 5, 12);
     let now_us = START + Millis(2_000);
     let share = || {
@@ -100,10 +101,10 @@
         over.share_per_s
     };
     let equal = share();
-    shares.configure(&quotas(3_000));
+    shares.configure(&quotas(3_000), |_| false);
     let larger = share();
     assert!((larger / equal - 1.5).abs() < 0.05, "{equal} {larger}");
-    let removed = shares.configure(&table(&[("small", None)]));
+    let removed = shares.configure(&table(&[("small", None)]), |_| false);
     assert_eq!(removed.into_keys().collect::<Vec<_>>(), [OrganisationKey::of(&partner("small"))]);
     assert_eq!(shares.name(OrganisationKey::of(&partner("large"))), None);
 }
@@ -112,16 +113,39 @@
 #[test]
 fn nothing_changes_without_organisations() {
     let shares = SharedShares::default();
-    shares.configure(&table(&[]));
+    shares.configure(&table(&[]), |_| false);
     assert_eq!(run(&shares, 2, 100, 24), ([Vec::new(), Vec::new()], 0));
     assert!(shares.reports(START + Millis(2_000)).is_empty());
     let congested = self::shares();
     run(&congested, 2, 100, 24);
-    congested.configure(&table(&[]));
+    congested.configure(&table(&[]), |_| false);
     assert!(congested.reports(START + Millis(2_000)).is_empty());
     assert_eq!(congested.congested(START + Millis(2_000)), 0);
 }
 
+/// A service with uneven servers has no organisations: in an overload its queues must not fill, and the excess must be
+/// refused at once. Other services are served as before.
+#[test]
+fn a_limited_service_without_organisations_refuses_its_excess() {
+    let refused = |limited: &'static str| {
+        let shares = SharedShares::default();
+        shares.configure(&table(&[]), |service| service == limited);
+        let is_refused = |at_ms: u64| {
+            let now_us = START + Millis(at_ms);
+            let draw = (at_ms * 37 % 100) as f64 / 100.0;
+            let decision = shares.admit(now_us, "app", None, draw).decision;
+            if at_ms % 5 == 0 {
+                let _ = shares.record_attempt(now_us, "app", Ok(()));
+                let _ = shares.record_load(now_us, "app", 12, 6);
+            }
+            decision != ShareDecision::Admit
+        };
+        (0..2_000).filter(|&at_ms| is_refused(at_ms)).count()
+    };
+    assert!(refused("app") > 1_000, "{}", refused("app"));
+    assert_eq!(refused("other"), 0);
+}
+
 /// While servers queue, the organisation that sends 500 of 510 requests a second is refused, and the other one is not.
 /// While they do not, nobody is.
 #[test]
