Let the connection of a timed-out call close before its server reads

The same happens in both cases each time if the runtime's thread is blocked between the time-out and the read (trial): the task that closes the connection has not run yet. The test now lets it run first; without the reset on close it still fails.

--- a/crates/router/tests/ops/backend_http.rs
+++ b/crates/router/tests/ops/backend_http.rs
@@ -45,6 +45,9 @@
         .expect("a request");
     let timed_out = BackendHttp::new().send(reuse, request, Duration::from_millis(300)).await;
     assert_eq!(timed_out.err(), Some(CallFailure::Timeout));
+    // The connection is closed by its own task, which has to run once before the server begins to read. On a machine
+    // without a free core the server was sometimes first and read everything.
+    tokio::time::sleep(Duration::from_millis(50)).await;
     let read = tokio::task::spawn_blocking(move || {
         let (mut stream, _) = server.accept().expect("a connection");
         let mut bytes = Vec::new();
