Name in server changes what their reader withholds, and remove kept entries when due

The daemon itself also removed servers that had registered again, and removed what was due only with its next read.

A change now names all that vanished, each daemon decides by the age that its own list had, changes of others update what is kept, and kept entries are removed when they are due.

--- a/crates/core/src/relay/expired_entries.rs
+++ b/crates/core/src/relay/expired_entries.rs
@@ -4,15 +4,22 @@
 //! Applied as it is, the list after an outage would take every server out of use until it has registered
 //! again, and all callers would be refused for two seconds. So vanished servers are kept for that long; those
 //! still missing then are gone.
+//!
+//! A daemon that is cut off from the store cannot tell this from an outage. Other daemons that read the list meanwhile
+//! can: for them a vanished server is gone at once. So whoever reads a change passes on what vanished, also what it
+//! keeps itself, and each daemon decides by the age that its own list had.
 
 use std::collections::BTreeMap;
 
 use crate::ids::BackendServerId;
-use crate::units::{Millis, MonoTime};
+use crate::units::{Micros, Millis, MonoTime};
 
 /// Time after the store's return within which live servers have registered again.
 const REREGISTRATION_GRACE_MS: Millis = Millis(2_000);
 
+/// Shortest outage in which entries can expire: servers renew them each 1.2 s, and they live for three such intervals.
+const OUTAGE_MIN_MS: Millis = Millis(2_000);
+
 /// Vanished entries that do not count as gone yet.
 #[derive(Clone, Debug, Default)]
 pub struct ExpiredEntries {
@@ -28,14 +35,31 @@
         self.is_store_down = true;
     }
 
-    /// Records that a read of the list succeeded.
-    pub fn read_succeeded(&mut self, now_us: MonoTime) {
+    /// Records that a read of the list succeeded; `age_us` is the age of the list before.
+    pub fn read_succeeded(&mut self, now_us: MonoTime, age_us: Option<Micros>) {
         if std::mem::take(&mut self.is_store_down) {
+            self.learned(now_us, age_us);
+        }
+    }
+
+    /// Records that another daemon brought changes of the list; `age_us` is the age of the list before.
+    pub fn learned(&mut self, now_us: MonoTime, age_us: Option<Micros>) {
+        if age_us.is_some_and(|age_us| age_us >= Micros::from(OUTAGE_MIN_MS)) {
             self.grace_until_us = now_us + REREGISTRATION_GRACE_MS;
         }
     }
 
-    /// Applies the result of a read; returns which of the `vanished` servers are gone now. Those `listed`
+    /// When the first vanished entry counts as gone.
+    pub fn next_due_us(&self) -> Option<MonoTime> {
+        self.pending.values().min().copied()
+    }
+
+    /// Forgets the vanished entries: the list of another daemon has replaced this one.
+    pub fn replaced(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Applies a read, or changes of another daemon; returns which of the `vanished` servers are gone now. Those `listed`
     /// again are no longer pending.
     pub fn confirm_gone<'a, Listed>(
         &mut self,
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -140,6 +140,7 @@
             caller_waits: Mutex::default(),
             memory: MemoryLimit::new(settings.capacity.held_bytes_max()),
             server_changes: ServerChangeLog::default(),
+            expired_entries: Mutex::default(),
             transfer_budget: Mutex::default(),
             peers: Peers::new(&settings),
             quotas,
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -218,6 +218,11 @@
         readings.servers.caught_up();
     }
 
+    /// Records that the list has this state at the same version, since entries that were kept are removed.
+    pub fn servers_kept(&self, list: ListState) {
+        self.readings.lock().list = list;
+    }
+
     /// The newer routes that were announced last, relative to version `known` in force.
     pub fn newer_table(&self, known: TableVersion) -> NewerTable {
         match self.readings.lock().table_announcer.take() {
--- a/crates/router/src/relay/server_changes.rs
+++ b/crates/router/src/relay/server_changes.rs
@@ -51,6 +51,19 @@
         Some(Self { from: before.version, to: after.version, set, removed })
     }
 
+    /// The same change with further servers removed: those that vanished from the store's list, but that the daemon which
+    /// read it keeps for a while.
+    #[must_use]
+    pub fn with_removed(mut self, withheld: Vec<BackendServerId>) -> Self {
+        self.removed.extend(withheld);
+        self
+    }
+
+    /// Servers that it names as listed.
+    pub fn listed(&self) -> impl Iterator<Item = &BackendServerId> {
+        self.set.iter().map(|server| &server.id)
+    }
+
     /// Number of servers that it names.
     fn server_count(&self) -> usize {
         self.set.len() + self.removed.len()
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -12,6 +12,7 @@
 };
 use hibiscusvale_core::quarantine::Fingerprints;
 use hibiscusvale_core::relay::engines::VersionBinding;
+use hibiscusvale_core::relay::expired_entries::ExpiredEntries;
 use hibiscusvale_core::relay::prior_wait::PriorWaits;
 use hibiscusvale_core::relay::reach::{HelperCounts, Reached};
 use hibiscusvale_core::relay::routes::{Route, RouteTable};
@@ -264,6 +265,8 @@
     pub memory: MemoryLimit,
     /// Server changes for other daemons.
     pub server_changes: ServerChangeLog,
+    /// Servers that vanished from the list and do not count as gone yet.
+    pub expired_entries: Mutex<ExpiredEntries>,
     /// Budget of state transfer to other daemons.
     pub transfer_budget: Mutex<TransferBudget>,
     /// The other daemons.
--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -225,6 +225,7 @@
     let is_list_newer = listing.version >= before.version
         && state.freshness.servers_transferred(requested_us, age_us, ListState::of(&listing));
     if is_list_newer {
+        state.expired_entries.lock().replaced();
         state.directory.adopt(listing);
         watch::servers_changed(state, &before);
     }
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -4,9 +4,9 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use hibiscusvale_core::ids::HostId;
-use hibiscusvale_core::relay::expired_entries::ExpiredEntries;
+use hibiscusvale_core::ids::{BackendServerId, HostId};
 use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::Millis;
@@ -21,7 +21,7 @@
 use super::state::RelayState;
 use super::state_transfer;
 use crate::clock;
-use crate::directory::Listing;
+use crate::directory::{BackendServer, Listing};
 use crate::external::{HostList, HostListChange, HostListPage};
 
 /// Long-poll timeout of the route source: one call of a reader then covers a second, and a dead connection is
@@ -112,10 +112,15 @@
 /// Keeps the server list up to date for as long as the daemon runs.
 pub async fn follow_servers(list: Arc<dyn HostList>, own: HostId, state: Arc<RelayState>) {
     let mut dependency = Dependency::new("servers lost", "servers regained");
-    let mut expired = ExpiredEntries::default();
     delay_first_reads(&state).await;
     loop {
-        let begun_us = wait_until_due(&state, &own, Feed::Servers).await;
+        let begun_us = tokio::select! {
+            begun_us = wait_until_due(&state, &own, Feed::Servers) => begun_us,
+            () = wait_for_expired_entry(&state) => {
+                remove_expired_entries(&state);
+                continue;
+            }
+        };
         if let Some(announcer) = state.freshness.newer_servers(state.directory.listing().version)
             && (state_transfer::fetch_server_changes(&state, announcer).await
                 || state.peers.reach() == BroadcastScope::DataCentre)
@@ -125,12 +130,11 @@
         match list.read(state.directory.listing().version, LIST_WAIT_MS).await {
             Ok(page) => {
                 dependency.report_success(&state);
-                expired.read_succeeded(clock::now());
                 let before = state.directory.listing();
-                apply_page(&state, &mut expired, page);
+                let withheld = apply_page(&state, page);
                 let after = state.directory.listing();
                 if let Some(change) = ServerChange::between(&before, &after).filter(|_| before.version > 0) {
-                    state.server_changes.record(change);
+                    state.server_changes.record(change.with_removed(withheld));
                 }
                 if state.freshness.servers_read(begun_us, ListState::of(&after)) {
                     servers_changed(&state, &before);
@@ -138,7 +142,7 @@
                 state.peers.schedule_message(Urgency::Soon);
             }
             Err(failure) => {
-                expired.read_failed();
+                state.expired_entries.lock().read_failed();
                 dependency.report_failure(&state, &failure);
                 state.freshness.failed(clock::now(), Feed::Servers);
                 catch_up(&state).await;
@@ -147,16 +151,46 @@
     }
 }
 
-/// Applies a page to the directory; vanished entries are kept until their absence is conclusive.
-fn apply_page(state: &RelayState, expired: &mut ExpiredEntries, page: HostListPage) {
+/// Interval at which is checked whether a kept entry is due; others may be added meanwhile.
+const EXPIRED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waits until a vanished entry has been kept long enough.
+async fn wait_for_expired_entry(state: &RelayState) {
+    let is_due = || state.expired_entries.lock().next_due_us().is_some_and(|due_us| due_us <= clock::now());
+    while !is_due() {
+        tokio::time::sleep(EXPIRED_CHECK_INTERVAL).await;
+    }
+}
+
+/// Removes the vanished entries that were kept long enough. A daemon that neither reads nor learns of changes for a while
+/// would otherwise go on sending requests to servers that have left.
+fn remove_expired_entries(state: &RelayState) {
+    let gone = state.expired_entries.lock().confirm_gone(clock::now(), Vec::new(), std::iter::empty());
+    let before = state.directory.listing();
+    let mut listing = Listing::clone(&before);
+    for id in &gone {
+        listing.servers.remove(id);
+    }
+    state.freshness.servers_kept(ListState::of(&listing));
+    state.directory.adopt(listing);
+    servers_changed(state, &before);
+}
+
+/// Applies a page to the directory; vanished entries are kept until their absence is conclusive. Returns those that
+/// vanished with this page and are kept.
+fn apply_page(state: &RelayState, page: HostListPage) -> Vec<BackendServerId> {
+    let now_us = clock::now();
+    let mut expired = state.expired_entries.lock();
+    expired.read_succeeded(now_us, state.freshness.servers_age_us(now_us));
     let known = state.directory.listing();
     let (set, vanished) = match page.change {
         HostListChange::Full(hosts) if known.version == 0 => {
-            return state.directory.apply(HostListPage { change: HostListChange::Full(hosts), ..page });
+            state.directory.apply(HostListPage { change: HostListChange::Full(hosts), ..page });
+            return Vec::new();
         }
         // Ignore an empty list: a store that has lost its contents would take every server out of service at
         // once.
-        HostListChange::Full(hosts) if hosts.is_empty() => return,
+        HostListChange::Full(hosts) if hosts.is_empty() => return Vec::new(),
         HostListChange::Full(hosts) => {
             let listed: BTreeSet<_> = hosts.iter().map(|host| host.id.clone()).collect();
             let vanished = known.servers.keys().filter(|id| !listed.contains(id)).cloned().collect();
@@ -164,9 +198,11 @@
         }
         HostListChange::Some { set, remove } => (set, remove),
     };
-    let gone = expired.confirm_gone(clock::now(), vanished, set.iter().map(|host| &host.id));
+    let gone = expired.confirm_gone(now_us, vanished.clone(), set.iter().map(|host| &host.id));
+    let withheld = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
     let change = HostListChange::Some { set, remove: gone };
     state.directory.apply(HostListPage { version: page.version, change });
+    withheld
 }
 
 /// Applies changes that another daemon read, if they continue from the local list; returns whether they
@@ -176,9 +212,10 @@
         return false;
     }
     let before = state.directory.listing();
-    let Some(listing) = ServerChange::applied(&changes, &before) else {
+    let Some(mut listing) = ServerChange::applied(&changes, &before) else {
         return false;
     };
+    confirm_gone(state, &changes, &before, &mut listing);
     state.server_changes.append(changes, before.version);
     state.freshness.servers_learned(ListState::of(&listing));
     let is_changed = listing.servers.digest() != before.servers.digest();
@@ -189,6 +226,25 @@
     true
 }
 
+/// Keeps in `listing` the servers that vanished with `changes` after this daemon's own list was out of date, and removes
+/// those that it has kept long enough.
+fn confirm_gone(state: &RelayState, changes: &[ServerChange], before: &Listing, listing: &mut Listing) {
+    let now_us = clock::now();
+    let mut expired = state.expired_entries.lock();
+    if listing.version > before.version {
+        expired.learned(now_us, state.freshness.servers_age_us(now_us));
+    }
+    let vanished: Vec<BackendServerId> = listing.servers.removed_since(&before.servers).cloned().collect();
+    let listed = changes.iter().flat_map(ServerChange::listed);
+    let gone = expired.confirm_gone(now_us, vanished.clone(), listed);
+    let kept = vanished.iter().filter(|id| !gone.contains(id));
+    let kept: Vec<Arc<BackendServer>> = kept.filter_map(|id| before.servers.get(id).cloned()).collect();
+    listing.servers.extend(kept);
+    for id in &gone {
+        listing.servers.remove(id);
+    }
+}
+
 /// Updates the schedulers from the server list in the directory.
 pub fn servers_changed(state: &RelayState, before: &Listing) {
     let listing = state.directory.listing();
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -189,3 +189,14 @@
     let known = ServerChange::applied(&changes, &listing(1, &["i-0"])).unwrap();
     assert_eq!((names(&known), known.version), (vec!["i-0", "i-1"], 10_000));
 }
+
+/// A daemon that comes back from a cut keeps a vanished server for a while. Its change must name the server all the same:
+/// daemons that were not cut off would never hear of it otherwise, since the next change begins at a later version.
+#[test]
+fn what_the_reader_keeps_is_removed_at_the_others() {
+    let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-1", "i-2", "i-3"]));
+    let change = ServerChange::between(&before, &after).unwrap().with_removed(vec!["i-2".parse().unwrap()]);
+    assert_eq!(change.listed().map(ToString::to_string).collect::<Vec<_>>(), ["i-3"]);
+    let other = ServerChange::applied(&[change], &listing(7, &["i-1", "i-2"])).unwrap();
+    assert_eq!(names(&other), ["i-1", "i-3"]);
+}
