Ignore impossible loads of plain servers in shares

A server that stated a queue of 2^32 - 1 requests in one answer made the daemon's mean queue per slot exceed 1,000. Loads above the bound of a report are dropped now.

The new test impossible_load_of_a_server_is_ignored failed before.

--- a/crates/core/src/shares/rates.rs
+++ b/crates/core/src/shares/rates.rs
@@ -290,10 +290,14 @@
         self.recent_refused.record(now_us, 1.0);
     }
 
-    /// Records the load that a server reports.
+    /// Records the load that a server reports; an impossible one is dropped. It would make the mean of this daemon
+    /// impossible for some seconds, and the other daemons would drop its reports.
     pub fn server_load(&mut self, now_us: MonoTime, waiting: u32, slots: u32) {
         let time_constant_us = self.time_constant_us();
         let queue_per_slot = f64::from(waiting) / f64::from(slots.max(1));
+        if queue_per_slot > f64::from(QUEUE_MAX) {
+            return;
+        }
         self.queue.record(now_us, queue_per_slot, time_constant_us);
         self.load_reports.record(now_us, 1.0, time_constant_us);
         self.recent_queue.record(now_us, queue_per_slot);
@@ -551,7 +555,7 @@
 /// Largest rate that a report may state, per second.
 const RATE_MAX: f32 = 1_000_000.0;
 
-/// Longest queue that a report may state, in requests per slot.
+/// Longest queue that a report or a server may state, in requests per slot.
 const QUEUE_MAX: f32 = 1_000.0;
 
 /// Rate, per second, below which an organisation counts as without requests.
--- a/crates/core/tests/shares/reports.rs
+++ b/crates/core/tests/shares/reports.rs
@@ -87,3 +87,21 @@
     assert!((largest / reports - 100.0).abs() < 5.0, "{}", largest / reports);
     assert!((other / reports - 300.0).abs() < 15.0, "{}", other / reports);
 }
+
+/// Guards against a single server that states an impossible queue: the mean of the daemon would be impossible as well,
+/// so that all other daemons drop its reports, and most of the capacity would count as lost for seconds.
+#[test]
+fn impossible_load_of_a_server_is_ignored() {
+    let (mut shares, mut other) = (RateShares::default(), RateShares::default());
+    for call in 0..400_u64 {
+        let now_us = MonoTime(1_000_000 + call * 5_000);
+        shares.arrived(now_us, Some(key(1)));
+        shares.answered(now_us);
+        shares.server_load(now_us, 0, 6);
+    }
+    let now_us = MonoTime(3_000_000);
+    shares.server_load(now_us, u32::MAX, 1);
+    assert!(!shares.is_congested(now_us + Millis(20)), "no server queues");
+    other.receive(now_us, &"host".parse().unwrap(), shares.report(now_us).unwrap());
+    assert_eq!(other.usage(now_us).len(), 1, "the report was dropped");
+}
