Deliver answers whose server states an impossible load

The running and waiting requests of a load header were added without a bound. A server that stated 2^32 - 1 of each made the task of the request panic with overflow checks on, so that the caller got no answer to a request that had run; without the checks the sum wrapped and a full server counted as idle. The sum saturates now.

The new end-to-end test answers_with_impossible_loads_are_delivered failed before ("no answer") and passes.

--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -233,7 +233,7 @@
         }
     };
     if let Some(load) = reply.head.load {
-        state.plain_schedulers.load(server, load.running + load.waiting, load.slots);
+        state.plain_schedulers.load(server, load.running.saturating_add(load.waiting), load.slots);
         state.record_share_load(incoming.service.as_str(), load);
     }
     let Some(memory) = reply.try_hold(incoming) else {
