Test the capacity after daemons are gone

No test failed when the answers of daemons whose reports end stayed in the capacity (remove_answers broken on purpose): with one of two daemons gone, 786 requests a second instead of about 395. The new test fails for this, for reports that do not expire and for peer_gone without effect, and passes on the code as it is.

--- a/crates/core/tests/shares/reports.rs
+++ b/crates/core/tests/shares/reports.rs
@@ -134,3 +134,32 @@
     other.receive(now_us, &"host".parse().unwrap(), shares.report(now_us).unwrap());
     assert_eq!(other.usage(now_us).len(), 1, "the report was dropped");
 }
+
+/// Guards against a capacity that still counts the answers of daemons that are gone: the demand of those that are left
+/// would seem to fit, and the queues of the servers would stay full until the memory of the capacity has faded.
+#[rstest]
+#[case::gone(true)]
+#[case::expired(false)]
+fn capacity_falls_with_the_reports_of_daemons_that_are_gone(#[case] is_gone: bool) {
+    let (mut shares, now_us) = congested(overloaded());
+    let second: HostId = "host-2".parse().unwrap();
+    shares.receive(now_us, &second, overloaded());
+    let capacity_per_s = |shares: &mut RateShares, now_us: MonoTime| {
+        let ShareDecision::OverShare(over) = shares.decide(now_us, Some(key(0)), 0.999) else {
+            panic!("the organisation asks for three times its share")
+        };
+        over.capacity_per_s
+    };
+    let of_two = capacity_per_s(&mut shares, now_us + Millis(20));
+    assert!((720.0..=840.0).contains(&of_two), "{of_two}");
+    let later_us = if is_gone {
+        shares.peer_gone(&second);
+        now_us + Millis(50)
+    } else {
+        shares.receive(now_us + Millis(1_700), &"host".parse().unwrap(), overloaded());
+        capacity_per_s(&mut shares, now_us + Millis(1_900));
+        now_us + Millis(2_050)
+    };
+    let of_one = capacity_per_s(&mut shares, later_us);
+    assert!((360.0..=420.0).contains(&of_one), "{of_one} of one daemon, {of_two} of two");
+}
