Test what counts as capacity, the first message, and uneven services

Three breakages on purpose passed all tests of the router: requests without an answer that do not count as capacity (record_attempt), no message when congestion begins just after another one, and services that never become uneven.

--- a/crates/router/src/relay/uneven_servers.rs
+++ b/crates/router/src/relay/uneven_servers.rs
@@ -48,3 +48,7 @@
         self.scheduling.lock().server_loads.applies(self.uneven_services.contains(service))
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/relay_uneven_servers.rs"]
+mod tests;
--- a/crates/router/tests/unit/relay_shares.rs
+++ b/crates/router/tests/unit/relay_shares.rs
@@ -167,6 +167,41 @@
     assert!((8..=11).contains(&messages), "{messages}");
 }
 
+/// The beginning of congestion is stated at once, also just after another message: until the others know of it, they
+/// admit everything.
+#[test]
+fn a_message_is_due_when_congestion_begins() {
+    let shares = shares();
+    run(&shares, 20, 20, 0);
+    let now_us = START + Millis(2_000);
+    shares.reports(now_us);
+    let due = (0..100).find(|&at_ms| shares.record_load(now_us + Millis(at_ms), "app", 60, 6));
+    assert!(due.is_some(), "no message within 100 ms");
+}
+
+/// What counts as capacity: a request that a server has had, with whatever result. If only answers counted, one server
+/// that hangs would make the capacity of the others look smaller with each request that it takes. A request that no
+/// server has had tells nothing.
+#[rstest]
+#[case::answered(Ok(()), [1, 0])]
+#[case::timeout(Err(FailureCause::Timeout), [1, 0])]
+#[case::broken(Err(FailureCause::Broken), [1, 0])]
+#[case::refused(Err(FailureCause::Refused), [1, 0])]
+#[case::no_room(Err(FailureCause::NoRoom), [0, 1])]
+#[case::not_sent(Err(FailureCause::NotSent), [0, 0])]
+#[case::leaving(Err(FailureCause::Leaving), [0, 0])]
+#[case::gone(Err(FailureCause::Gone), [0, 0])]
+fn attempts_count_by_what_the_server_did(
+    #[case] ended: Result<(), FailureCause>,
+    #[case] expected: [u32; 2],
+) {
+    let shares = shares();
+    let _ = shares.admit(START, "app", Some(&partner("small")), 0.0);
+    let _ = shares.record_attempt(START, "app", ended);
+    let [(_, report)] = &*shares.reports(START) else { panic!("one service") };
+    assert_eq!([report.answered, report.refused_full].map(|rate| u32::from(rate > 0.0)), expected);
+}
+
 /// Another daemon must not be able to fill the memory of this one with services that the route table lacks.
 #[test]
 fn reports_of_unlisted_services_are_ignored() {
