Test decay, lone prefills, pauses and fill of engine speeds, and bounds of the order

Breakages on purpose that passed the tests of order and speeds (small fleets): observations that never fade, prefills behind those of other daemons that count, a fast engine that is preferred whatever its pauses or beyond half of its memory, weights that are ignored, a Retry-After without the share, and classes beyond the maximum that are left out of the report. Each fails one of the new tests now, and these pass on the code as it is.

--- a/crates/core/tests/relay/order.rs
+++ b/crates/core/tests/relay/order.rs
@@ -332,3 +332,59 @@
     let actions = harness.arrive(patient);
     assert!(matches!(actions[..], [EngineAction::Reserve { .. }]), "{actions:?}");
 }
+
+/// A report is bounded. What waits beyond its classes must still be in it, and must not seem better than it is: other
+/// daemons would keep room for it.
+#[test]
+fn classes_beyond_the_maximum_are_reported_as_the_worst() {
+    let mut harness = full_pool(None);
+    for sequence in 20..32 {
+        let priority = sequence as u8 - 20;
+        let patient = Demand {
+            target_ms: Millis(60_000),
+            max_wait_ms: Millis(60_000),
+            priority,
+            ..demand(sequence, 9_000, 4_000)
+        };
+        assert_eq!(harness.arrive(patient), Vec::new());
+    }
+    let report = harness.pool.memory_report(harness.now_us).unwrap();
+    let priorities: Vec<u8> = report.waiting.iter().map(|class| class.priority).collect();
+    assert_eq!(priorities, [0, 1, 2, 3, 4, 5, 6, 11]);
+    let tokens = report.waiting.iter().fold(Tokens::ZERO, |sum, class| sum + class.tokens);
+    assert_eq!(tokens, harness.pool.usage(harness.now_us).waiting);
+}
+
+/// An organisation that is told to return before its share is free is refused again, and its attempts cost others time.
+/// Its share follows its weight.
+#[test]
+fn retry_after_lasts_until_the_share_is_free() {
+    let retry_after = |weight: f64| {
+        let mut harness = Harness::new(settings(), &[("r-1", Role::Prefill), ("w-1", Role::Decode)]);
+        harness.pool.set_weights(&HashMap::from([(organisation(1), weight), (organisation(2), 1.0)]));
+        let of_one = |sequence, prompt, answer| Demand {
+            organisation: Some(organisation(1)),
+            ..demand(sequence, prompt, answer)
+        };
+        for sequence in 0..5 {
+            harness.arrive(of_one(sequence, 9_000, 4_000));
+            harness.reserved(sequence);
+        }
+        let mut report = class(1, 40_000);
+        report.organisations.push(OrganisationMemory {
+            organisation: organisation(2),
+            held: Tokens::ZERO,
+            waiting: Tokens(40_000),
+        });
+        let host = || "entry-1".parse().unwrap();
+        harness.feed(EngineEvent::PeerMemory { host: host(), report });
+        let usage = PoolUsage { waiting: Tokens(40_000), ..PoolUsage::default() };
+        harness.feed(EngineEvent::Peer { host: host(), usage });
+        // Shares are computed at intervals of 20 ms.
+        let actions = harness.after(50).arrive(of_one(20, 1_500, 500));
+        let [EngineAction::Refuse { retry_after_ms, .. }] = actions[..] else { panic!("{actions:?}") };
+        retry_after_ms
+    };
+    let (small, large) = (retry_after(0.1), retry_after(10.0));
+    assert!(small > large, "{small} with a small share, {large} with a large one");
+}
--- a/crates/core/tests/relay/speeds.rs
+++ b/crates/core/tests/relay/speeds.rs
@@ -1,8 +1,9 @@
 //! Engines of different speeds.
 
 use hibiscusvale_core::relay::engines::{
-    EngineAction, EngineEvent, EnginePoolSettings, PoolUsage, Role, SpeedSample,
+    EngineAction, EngineEvent, EnginePoolSettings, EngineUsage, Growth, PoolUsage, Role, SpeedSample,
 };
+use hibiscusvale_core::units::Tokens;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -272,3 +273,73 @@
     let change = harness.pool.next_role_change(harness.now_us).unwrap();
     assert_eq!((change.server, change.role), (server("w-6"), Role::Prefill));
 }
+
+/// An engine that was slow a minute ago, on a host that was busy then, must not be avoided for good.
+#[test]
+fn old_observations_fade() {
+    let chosen_after_a_minute = |engine_speeds: bool| {
+        let mut harness = harness(engine_speeds);
+        harness.feed(EngineEvent::PeerSpeeds(fast_second_engines()));
+        harness.after(60_000);
+        let equal = ENGINES.iter().map(|(name, _)| sample(name, 20.0, 100.0));
+        harness.feed(EngineEvent::PeerSpeeds(equal.collect()));
+        chosen(&mut harness)
+    };
+    assert_eq!(chosen_after_a_minute(true), chosen_after_a_minute(false));
+}
+
+/// A prompt that waited behind that of another daemon seems to have been prefilled slowly. With messages that take as long
+/// as a prefill, equal engines would seem to differ.
+#[rstest]
+#[case::alone(false)]
+#[case::behind_another(true)]
+fn only_prefills_alone_at_their_engine_are_observed(#[case] is_behind: bool) {
+    let engines = [("r-1", Role::Prefill), ("w-1", Role::Decode)];
+    let mut harness = Harness::new(EnginePoolSettings { engine_speeds: true, ..settings() }, &engines);
+    harness.after(1_000).arrive(demand(0, 5_000, 6_000));
+    harness.reserved(0);
+    harness.after(50);
+    if is_behind {
+        let prefilling =
+            EngineUsage { growths: Vec::new(), prefill_tokens: Tokens(5_000), running: 1, ..full("r-1") };
+        let usage = PoolUsage { engines: vec![prefilling], ..PoolUsage::default() };
+        harness.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), usage });
+    }
+    harness.after(50).prefilled(0);
+    let samples = harness.pool.take_speed_samples();
+    let tokens: f32 = samples.iter().map(|sample| sample.prefill_tokens).sum();
+    assert_eq!(tokens, if is_behind { 0.0 } else { 5_000.0 });
+}
+
+/// Daemons that do not know yet of each other's choice would overfill the fastest engine. So it is preferred only while it
+/// is at most half full.
+#[rstest]
+#[case::a_quarter_full(2, true)]
+#[case::more_than_half_full(4, false)]
+fn a_fast_engine_is_preferred_until_it_is_half_full(#[case] requests: usize, #[case] is_preferred: bool) {
+    let mut harness = harness(true);
+    harness.feed(EngineEvent::PeerSpeeds(fast_second_engines()));
+    let growth = Growth { is_growing: false, ..full("w-1").growths[0] };
+    let filled =
+        |name: &str| EngineUsage { growths: vec![growth; requests], running: requests as u32, ..full(name) };
+    let engines = ENGINES[2..].iter().map(|(name, _)| filled(name)).collect();
+    let usage = PoolUsage { engines, ..PoolUsage::default() };
+    harness.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), usage });
+    let chosen: Vec<String> = chosen(&mut harness).into_iter().map(|(_, engine)| engine).collect();
+    assert_eq!(chosen.iter().all(|engine| engine == "w-2"), is_preferred, "{chosen:?}");
+}
+
+/// Engines that prefill prompts beside their answers pause them. A fast engine must not get all answers where their pauses
+/// would be too long.
+#[test]
+fn a_fast_engine_whose_pauses_are_too_long_is_not_preferred() {
+    let mut harness = harness(true);
+    harness.feed(EngineEvent::PeerSpeeds(fast_second_engines()));
+    let prefilling =
+        |name| EngineUsage { growths: Vec::new(), prefill_tokens: Tokens(40_000), running: 1, ..full(name) };
+    let engines = ENGINES[2..].iter().map(|(name, _)| prefilling(name)).collect();
+    let usage = PoolUsage { engines, ..PoolUsage::default() };
+    harness.feed(EngineEvent::Peer { host: "entry-2".parse().unwrap(), usage });
+    let chosen: Vec<String> = chosen(&mut harness).into_iter().map(|(_, engine)| engine).collect();
+    assert!(chosen.iter().any(|engine| engine != "w-2"), "{chosen:?}");
+}
