--- a/crates/core/src/shares/rates.rs
+++ b/crates/core/src/shares/rates.rs
@@ -234,7 +234,8 @@
     /// Correction of the capacity that ends a lasting excess or lack in the queues, as where the demand of many
     /// small organisations is known badly and too many of their requests are admitted.
     trim: f64,
-    congested_since_us: MonoTime,
+    /// Time from which on shares are in force while there is congestion.
+    in_force_from_us: MonoTime,
     congested_until_us: MonoTime,
     /// View as of a moment ago: a division for each request would take more time than the request.
     view: Option<View>,
@@ -290,10 +291,14 @@
         self.recent_refused.record(now_us, 1.0);
     }
 
-    /// Records the load that a server reports.
+    /// Records the load that a server reports; an impossible one is dropped. It would make the mean of this daemon
+    /// impossible for some seconds, and the other daemons would drop its reports.
     pub fn server_load(&mut self, now_us: MonoTime, waiting: u32, slots: u32) {
         let time_constant_us = self.time_constant_us();
         let queue_per_slot = f64::from(waiting) / f64::from(slots.max(1));
+        if queue_per_slot > f64::from(QUEUE_MAX) {
+            return;
+        }
         self.queue.record(now_us, queue_per_slot, time_constant_us);
         self.load_reports.record(now_us, 1.0, time_constant_us);
         self.recent_queue.record(now_us, queue_per_slot);
@@ -351,7 +356,9 @@
             Some(queue_per_slot) => (queue_per_slot / self.settings.queue_target - 1.0, QUEUE_GAIN),
             None => (refused_fraction / REFUSED_FRACTION - 1.0, REFUSED_GAIN),
         };
-        let seconds = passed_us.0 as f64 / MICROS_PER_S;
+        // Of a longer time without a look, the queues at its end tell nothing.
+        let looked_us = passed_us.min(self.settings.congested_ms.into());
+        let seconds = looked_us.0 as f64 / MICROS_PER_S;
         let trim = self.trim - seconds * TRIM_GAIN_PER_S * excess.clamp(-1.0, 1.0);
         self.trim = trim.clamp(TRIM_MIN, TRIM_MAX);
         let factor = 1.0 - excess * if excess < 0.0 { SLACK_GAIN } else { gain };
@@ -383,6 +390,7 @@
         let mut totals = self.peer_totals.clone();
         totals.add(&self.own(now_us), 1.0);
         totals.demand.retain(|_, rate| *rate > f64::from(RATE_MIN));
+        let is_first = self.computed_us == MonoTime::default();
         let passed_us = now_us.since(self.computed_us);
         self.computed_us = now_us;
         self.follow_answers(passed_us, totals.answered);
@@ -392,13 +400,14 @@
         let is_queued = queue_per_slot.is_some_and(|queue| queue > self.settings.queue_target);
         if is_known && (is_queued || totals.refused_fraction() > REFUSED_FRACTION) {
             if now_us >= self.congested_until_us {
-                self.congested_since_us = now_us;
+                // A daemon with less than one request a second does not look often enough to see congestion begin.
+                let was_looking = passed_us < Micros::from(self.settings.congested_ms);
+                let onset_ms = if is_first || was_looking { self.settings.onset_ms } else { Millis::ZERO };
+                self.in_force_from_us = now_us + onset_ms;
             }
             self.congested_until_us = now_us + self.settings.congested_ms;
         }
-        let is_in_force = is_known
-            && now_us < self.congested_until_us
-            && now_us >= self.congested_since_us + self.settings.onset_ms;
+        let is_in_force = is_known && now_us < self.congested_until_us && now_us >= self.in_force_from_us;
         if !is_in_force {
             self.trim = 1.0;
         }
@@ -551,7 +560,7 @@
 /// Largest rate that a report may state, per second.
 const RATE_MAX: f32 = 1_000_000.0;
 
-/// Longest queue that a report may state, in requests per slot.
+/// Longest queue that a report or a server may state, in requests per slot.
 const QUEUE_MAX: f32 = 1_000.0;
 
 /// Rate, per second, below which an organisation counts as without requests.
--- a/crates/core/tests/shares/reports.rs
+++ b/crates/core/tests/shares/reports.rs
@@ -87,3 +87,79 @@
     assert!((largest / reports - 100.0).abs() < 5.0, "{}", largest / reports);
     assert!((other / reports - 300.0).abs() < 15.0, "{}", other / reports);
 }
+
+/// Guards against a daemon that admits every request because it has less than one a second: the signs of congestion in
+/// the reports of the others would be forgotten between its requests, and shares would never be in force there. In a
+/// fleet of 413 daemons that serves 200 calls a second, most daemons are such ones. The first request after a start is
+/// admitted, as at all daemons.
+#[test]
+fn shares_are_in_force_at_a_daemon_with_few_requests() {
+    let (mut shares, host) = (RateShares::default(), "host".parse::<HostId>().unwrap());
+    let mut decisions = Vec::new();
+    for at_ms in (0..20_000_u64).step_by(100) {
+        let now_us = MonoTime(1_000_000) + Millis(at_ms);
+        if at_ms % 200 == 0 {
+            shares.receive(now_us, &host, overloaded());
+        }
+        if at_ms % 700 == 0 {
+            shares.report(now_us);
+        }
+        if at_ms % 2_500 == 0 && at_ms >= 2_500 {
+            shares.arrived(now_us, Some(key(0)));
+            decisions.push(shares.decide(now_us, Some(key(0)), 0.999));
+        }
+    }
+    assert_eq!((decisions.len(), decisions[0]), (7, ShareDecision::Admit));
+    for decision in &decisions[1..] {
+        let ShareDecision::OverShare(over) = decision else { panic!("{decisions:?}") };
+        // All daemons get 400 answers a second, and the servers queue a little more than they should.
+        assert!((360.0..=400.0).contains(&over.capacity_per_s), "{over:?}");
+    }
+}
+
+/// Guards against a single server that states an impossible queue: the mean of the daemon would be impossible as well,
+/// so that all other daemons drop its reports, and most of the capacity would count as lost for seconds.
+#[test]
+fn impossible_load_of_a_server_is_ignored() {
+    let (mut shares, mut other) = (RateShares::default(), RateShares::default());
+    for call in 0..400_u64 {
+        let now_us = MonoTime(1_000_000 + call * 5_000);
+        shares.arrived(now_us, Some(key(1)));
+        shares.answered(now_us);
+        shares.server_load(now_us, 0, 6);
+    }
+    let now_us = MonoTime(3_000_000);
+    shares.server_load(now_us, u32::MAX, 1);
+    assert!(!shares.is_congested(now_us + Millis(20)), "no server queues");
+    other.receive(now_us, &"host".parse().unwrap(), shares.report(now_us).unwrap());
+    assert_eq!(other.usage(now_us).len(), 1, "the report was dropped");
+}
+
+/// Guards against a capacity that still counts the answers of daemons that are gone: the demand of those that are left
+/// would seem to fit, and the queues of the servers would stay full until the memory of the capacity has faded.
+#[rstest]
+#[case::gone(true)]
+#[case::expired(false)]
+fn capacity_falls_with_the_reports_of_daemons_that_are_gone(#[case] is_gone: bool) {
+    let (mut shares, now_us) = congested(overloaded());
+    let second: HostId = "host-2".parse().unwrap();
+    shares.receive(now_us, &second, overloaded());
+    let capacity_per_s = |shares: &mut RateShares, now_us: MonoTime| {
+        let ShareDecision::OverShare(over) = shares.decide(now_us, Some(key(0)), 0.999) else {
+            panic!("the organisation asks for three times its share")
+        };
+        over.capacity_per_s
+    };
+    let of_two = capacity_per_s(&mut shares, now_us + Millis(20));
+    assert!((720.0..=840.0).contains(&of_two), "{of_two}");
+    let later_us = if is_gone {
+        shares.peer_gone(&second);
+        now_us + Millis(50)
+    } else {
+        shares.receive(now_us + Millis(1_700), &"host".parse().unwrap(), overloaded());
+        capacity_per_s(&mut shares, now_us + Millis(1_900));
+        now_us + Millis(2_050)
+    };
+    let of_one = capacity_per_s(&mut shares, later_us);
+    assert!((360.0..=420.0).contains(&of_one), "{of_one} of one daemon, {of_two} of two");
+}
