Test in virtual time that a server that hangs leaves the others busy

The rule of, that requests which a server holds without an answer count as capacity that was used, was in the router, and no test of the shares covered it. It moves to RateShares::attempt_ended, and the simulated fleet gets a server that accepts requests and answers none. Whether an attempt counts whose caller leaves first (ShareAttempt in the router) has no test yet.

--- a/crates/core/src/shares/rates.rs
+++ b/crates/core/src/shares/rates.rs
@@ -6,6 +6,7 @@
 
 use super::{Claim, OrganisationKey, REPORTED_ORGANISATIONS_MAX, max_min_level};
 use crate::ids::HostId;
+use crate::sched::FailureCause;
 use crate::units::{Micros, Millis, MonoTime};
 
 /// Settings of [`RateShares`].
@@ -276,20 +277,40 @@
         rate.record(now_us, 1.0, time_constant_us);
     }
 
-    /// Records an answer of a server.
-    pub fn answered(&mut self, now_us: MonoTime) {
+    fn answered(&mut self, now_us: MonoTime) {
         let time_constant_us = self.time_constant_us();
         self.answered.record(now_us, 1.0, time_constant_us);
         self.recent_refused.record(now_us, 0.0);
     }
 
-    /// Records a refusal by a server for lack of room.
-    pub fn refused_full(&mut self, now_us: MonoTime) {
+    fn refused_full(&mut self, now_us: MonoTime) {
         let time_constant_us = self.time_constant_us();
         self.refused_full.record(now_us, 1.0, time_constant_us);
         self.recent_refused.record(now_us, 1.0);
     }
 
+    /// Records the end of an attempt at a server, and returns whether it tells of the capacity.
+    ///
+    /// One of several servers hangs: a request that it holds until the time limit, or until its caller leaves, counts like
+    /// an answer. With answers alone, each request that it takes would lower the estimated capacity, and requests would
+    /// be refused while the other servers are idle.
+    #[must_use]
+    pub fn attempt_ended(&mut self, now_us: MonoTime, ended: Result<(), FailureCause>) -> bool {
+        match ended {
+            Ok(()) | Err(FailureCause::Timeout | FailureCause::Broken | FailureCause::Refused) => {
+                self.answered(now_us);
+                true
+            }
+            Err(FailureCause::NoRoom) => {
+                self.refused_full(now_us);
+                true
+            }
+            Err(
+                FailureCause::NotSent | FailureCause::Held(_) | FailureCause::Leaving | FailureCause::Gone,
+            ) => false,
+        }
+    }
+
     /// Records the load that a server reports.
     pub fn server_load(&mut self, now_us: MonoTime, waiting: u32, slots: u32) {
         let time_constant_us = self.time_constant_us();
--- a/crates/core/tests/shares/fleet.rs
+++ b/crates/core/tests/shares/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 use hibiscusvale_core::ids::HostId;
+use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::shares::{OrganisationKey, RateReport, RateShareSettings, RateShares, ShareDecision};
 use hibiscusvale_core::units::MonoTime;
 use rand::rngs::StdRng;
@@ -35,6 +36,8 @@
     Slow(usize, f64),
     /// The last server is gone.
     LoseServer,
+    /// A server accepts all requests and answers none.
+    Hang(usize),
 }
 
 /// One run. Times are in ms.
@@ -112,7 +115,7 @@
 /// What callers and servers saw.
 pub struct Outcome {
     pub calls: Vec<Call>,
-    /// Slot time used and there, in us, per 10 ms.
+    /// Slot time used and there, in us, per 10 ms. The slots of a server that hangs do not count.
     busy: Vec<(f64, f64)>,
     pub report_bytes: Vec<usize>,
 }
@@ -155,6 +158,7 @@
     Next(usize),
     Attempt(usize),
     Finish { server: usize, call: usize, daemon: usize },
+    TimeOut { daemon: usize },
     Send(usize),
     Deliver { from: usize, report: RateReport },
     Change(Change),
@@ -166,6 +170,7 @@
     queue: VecDeque<(usize, usize)>,
     /// Multiple of the usual time for a call; 0 stands for 1.
     slow: f64,
+    hangs: bool,
 }
 
 struct Fleet {
@@ -245,10 +250,11 @@
     fn run(mut self) -> Outcome {
         while let Some(Reverse((at_us, number))) = self.queue.pop() {
             let passed_us = (at_us - self.now_us) as f64;
-            let running: usize = self.servers.iter().map(|server| server.running).sum();
+            let alive = || self.servers.iter().filter(|server| !server.hangs);
+            let running: usize = alive().map(|server| server.running).sum();
             let busy = &mut self.outcome.busy[self.now_us as usize / 10_000];
             busy.0 += running as f64 * passed_us;
-            busy.1 += (self.servers.len() * SLOTS) as f64 * passed_us;
+            busy.1 += (alive().count() * SLOTS) as f64 * passed_us;
             self.now_us = at_us;
             let event = self.events[number].take().expect("each event is handled once");
             self.handle(event);
@@ -288,6 +294,7 @@
             }
             Event::Attempt(call) => self.attempt(call),
             Event::Finish { server, call, daemon } => self.finish(server, call, daemon),
+            Event::TimeOut { daemon } => self.end(daemon, Err(FailureCause::Timeout)),
             Event::Send(daemon) => self.send(daemon),
             Event::Deliver { from, report } => self.deliver(from, &report),
             Event::Change(change) => self.change(change),
@@ -311,17 +318,28 @@
         let mut choice = [first, (first + 1) % count];
         choice.sort_by_key(|server| known[*server]);
         for server in choice {
+            if self.servers[server].hangs {
+                return self.schedule(self.now_us + TIME_LIMIT_US, Event::TimeOut { daemon });
+            }
             if self.servers[server].running < SLOTS {
                 return self.begin(server, call, daemon);
             }
             if self.servers[server].queue.len() < QUEUE {
                 return self.servers[server].queue.push_back((call, daemon));
             }
-            self.shares[daemon].refused_full(now_us);
+            self.end(daemon, Err(FailureCause::NoRoom));
         }
         self.retry(call);
     }
 
+    /// Ends an attempt of a daemon.
+    fn end(&mut self, daemon: usize, ended: Result<(), FailureCause>) {
+        let now_us = self.now();
+        if daemon < self.alive {
+            let _ = self.shares[daemon].attempt_ended(now_us, ended);
+        }
+    }
+
     fn retry(&mut self, call: usize) {
         let again_us = self.now_us + RETRY_US;
         if self.scenario.is_impatient && again_us < self.outcome.calls[call].at_us + TIME_LIMIT_US {
@@ -339,6 +357,10 @@
         if server >= self.servers.len() {
             return;
         }
+        if self.servers[server].hangs {
+            let at_us = self.outcome.calls[call].attempted_us + TIME_LIMIT_US;
+            return self.schedule(at_us, Event::TimeOut { daemon });
+        }
         self.servers[server].running -= 1;
         if let Some((call, daemon)) = self.servers[server].queue.pop_front() {
             self.begin(server, call, daemon);
@@ -348,8 +370,8 @@
         }
         let call = &mut self.outcome.calls[call];
         call.answered_after_us = Some(self.now_us - call.attempted_us);
+        self.end(daemon, Ok(()));
         let (now_us, shares) = (self.now(), &mut self.shares[daemon]);
-        shares.answered(now_us);
         if self.scenario.has_load_reports {
             let waiting = self.servers[server].queue.len() as u32;
             shares.server_load(now_us, waiting, SLOTS as u32);
@@ -393,6 +415,13 @@
             Change::LoseServer => {
                 self.servers.pop();
             }
+            Change::Hang(server) => {
+                self.servers[server].hangs = true;
+                for (call, daemon) in std::mem::take(&mut self.servers[server].queue) {
+                    let at_us = self.outcome.calls[call].attempted_us + TIME_LIMIT_US;
+                    self.schedule(at_us, Event::TimeOut { daemon });
+                }
+            }
         }
     }
 }
--- a/crates/core/tests/shares/scenarios.rs
+++ b/crates/core/tests/shares/scenarios.rs
@@ -112,6 +112,24 @@
     }
 }
 
+/// Guards against a server that hangs and makes the capacity of the others look smaller with each request that it takes:
+/// they were idle while requests were refused over their share.
+#[rstest]
+#[case::one_of_two(2)]
+#[case::one_of_three(3)]
+fn server_that_hangs_leaves_the_others_busy(#[case] servers: usize) {
+    // The server that hangs goes on taking its part of the requests. All ask for three times the capacity, so that the
+    // others have enough of them.
+    let factor = |_, at_ms| if at_ms >= 1_000 { 6.0 } else { 1.0 };
+    let changes = vec![(1_500, Change::Hang(0))];
+    let scenario = Scenario { servers, factor, changes, end_ms: 8_000, ..Scenario::default() };
+    let outcomes = [1, 2, 3].map(|seed| Scenario { seed, ..scenario.clone() }.run());
+    let idle = outcomes.iter().map(|outcome| outcome.idle(3_500, 7_500)).sum::<f64>() / 3.0;
+    println!("idle {idle:.3}");
+    assert!(outcomes.iter().all(|outcome| outcome.over_share(3_500, 7_500) > 0), "shares are not in force");
+    assert!(idle <= IDLE_MAX, "{idle:.3} of the capacity is idle while requests are refused");
+}
+
 /// Guards against a limit on an organisation that nobody else competes with.
 #[test]
 fn organisation_alone_gets_all_capacity() {
--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -156,18 +156,7 @@
             return false;
         }
         let rates = &mut shares.service(service).shares;
-        match ended {
-            // A server that gives no answer in time has had the request: if only answers counted, one server that
-            // hangs would make the capacity of the others look smaller with each request that it takes.
-            Ok(()) | Err(FailureCause::Timeout | FailureCause::Broken | FailureCause::Refused) => {
-                rates.answered(now_us);
-            }
-            Err(FailureCause::NoRoom) => rates.refused_full(now_us),
-            Err(
-                FailureCause::NotSent | FailureCause::Held(_) | FailureCause::Leaving | FailureCause::Gone,
-            ) => return false,
-        }
-        shares.is_message_due(now_us, service)
+        rates.attempt_ended(now_us, ended) && shares.is_message_due(now_us, service)
     }
 
     /// Records the load that a server reports; returns whether a message to the other daemons is due.
