Average the demand of small organisations where reports are shortened

With 400 organisations at 9 daemons the entries of a shortened report stand for several organisations each. Where reports are shortened, the demand of small organisations is averaged over 3 s now, with one entry more assumed for each; their sum stays that of the moment. The variation of the demand counts just below the share, too.

--- a/crates/core/src/shares/rates.rs
+++ b/crates/core/src/shares/rates.rs
@@ -31,6 +31,8 @@
     pub capacity_memory_ms: Millis,
     /// Rate of answers, per second, below which nothing is known of the capacity.
     pub answered_least: f64,
+    /// Time constant of the demand of small organisations: long enough for some requests of each of several hundred.
+    pub small_demand_ms: Millis,
 }
 
 impl Default for RateShareSettings {
@@ -43,6 +45,7 @@
             congested_ms: Millis(1_000),
             capacity_memory_ms: Millis(2_000),
             answered_least: 20.0,
+            small_demand_ms: Millis(3_000),
         }
     }
 }
@@ -163,6 +166,8 @@
     refused_full: f64,
     queue: f64,
     load_reports: f64,
+    /// Rates that a sampled entry stands for, summed over the reports.
+    steps: f64,
 }
 
 impl Totals {
@@ -177,6 +182,7 @@
         self.refused_full += sign * f64::from(report.refused_full);
         self.queue += sign * f64::from(report.queue_per_slot) * f64::from(report.load_reports);
         self.load_reports += sign * f64::from(report.load_reports);
+        self.steps += sign * sampled_step(&report.demand).unwrap_or_default();
     }
 
     /// Mean queue of the servers; `None` if none of them reported.
@@ -195,6 +201,8 @@
 struct View {
     as_of_us: MonoTime,
     totals: Totals,
+    /// Rate below which the demand of an organisation is averaged over a longer time.
+    small_per_s: f64,
     /// Rate at which the service can answer.
     capacity_per_s: f64,
     /// Level of the shares; `None` while they are not in force.
@@ -235,6 +243,8 @@
     /// Correction of the capacity that ends a lasting excess or lack in the queues, as where the demand of many
     /// small organisations is known badly and too many of their requests are admitted.
     trim: f64,
+    /// Demand of each organisation, averaged over a longer time.
+    long_demand: BTreeMap<OrganisationKey, f64>,
     congested_since_us: MonoTime,
     congested_until_us: MonoTime,
     /// View as of a moment ago: a division for each request would take more time than the request.
@@ -341,9 +351,9 @@
         let share_per_s = demand_per_s.min(level * weight);
         // The demand is known from single requests and varies around its mean, so the mean of its inverse is too large.
         // Without the last term, of 400 organisations with some requests a second each too many were admitted.
-        let unit_per_s = MICROS_PER_S / time_constant_us;
-        let admitted =
-            if share_per_s < demand_per_s { share_per_s / (demand_per_s + unit_per_s / 2.0) } else { 1.0 };
+        let is_averaged = demand_per_s < view.small_per_s;
+        let variation = if is_averaged { 0.0 } else { MICROS_PER_S / time_constant_us / 2.0 };
+        let admitted = (level * weight / (demand_per_s + variation)).min(1.0);
         if draw < admitted {
             return ShareDecision::Admit;
         }
@@ -406,6 +416,8 @@
         totals.demand.retain(|_, rate| *rate > f64::from(RATE_MIN));
         let passed_us = now_us.since(self.computed_us);
         self.computed_us = now_us;
+        let small_per_s = self.small_rate(&totals);
+        self.average_small(passed_us, small_per_s, &mut totals.demand);
         self.follow_answers(passed_us, totals.answered);
         let queue_per_slot = totals.queue_per_slot().map(|earlier| self.recent_queue.mean(now_us, earlier));
         let refused_fraction = self.recent_refused.mean(now_us, totals.refused_fraction());
@@ -426,7 +438,52 @@
         let correction = self.correction(passed_us, queue_per_slot, refused_fraction);
         let capacity_per_s = self.answered_peak * correction;
         let level = is_in_force.then(|| self.level(capacity_per_s, &totals));
-        View { as_of_us: now_us, totals, capacity_per_s, level }
+        View { as_of_us: now_us, totals, small_per_s, capacity_per_s, level }
+    }
+
+    /// Rate below which the demand of an organisation is known from a few entries of reports that stand for several
+    /// organisations each; zero while no report is shortened.
+    fn small_rate(&self, totals: &Totals) -> f64 {
+        SMALL_UNITS * totals.steps.max(0.0) / self.peers.len().max(1) as f64
+    }
+
+    /// Replaces the demand of small organisations by their average over a longer time, and keeps its sum.
+    ///
+    /// Hundreds of organisations send some requests a second each to a few daemons. In the reports of a moment most of
+    /// them do not appear. An organisation without known demand is admitted: a third of the requests came from such
+    /// ones in a burst, were half of those admitted, and kept the queues of the servers full.
+    fn average_small(
+        &mut self,
+        passed_us: Micros,
+        small_per_s: f64,
+        demand: &mut BTreeMap<OrganisationKey, f64>,
+    ) {
+        let small_us = Micros::from(self.settings.small_demand_ms).0 as f64;
+        let kept = (-(passed_us.0 as f64) / small_us).exp();
+        for rate in self.long_demand.values_mut() {
+            *rate *= kept;
+        }
+        // Rounding errors of the sums are no steps.
+        let has_samples = small_per_s > f64::from(RATE_MIN);
+        for (organisation, rate) in demand.iter().filter(|_| has_samples) {
+            *self.long_demand.entry(*organisation).or_default() += rate * (1.0 - kept);
+        }
+        self.long_demand.retain(|_, rate| *rate > LONG_RATE_MIN);
+        if !has_samples {
+            return;
+        }
+        // An entry stands for the requests of the time until the next report. One more of each organisation is assumed, so that
+        // the mean of the inverse is right, and what is seen of one after another at first counts little.
+        let entry_per_s = (small_per_s / SMALL_UNITS * REPORT_INTERVAL_S).max(1.0) * MICROS_PER_S / small_us;
+        let small = self.long_demand.iter().filter(|(_, rate)| **rate < small_per_s);
+        let small = small.map(|(organisation, rate)| (*organisation, rate + entry_per_s));
+        let sums = small.clone().fold((0.0, 0.0), |(now, long), (organisation, rate)| {
+            (now + demand.get(&organisation).copied().unwrap_or_default(), long + rate)
+        });
+        let ratio = sums.0 / sums.1.max(f64::MIN_POSITIVE);
+        for (organisation, rate) in small.filter(|(_, rate)| rate * ratio > LONG_RATE_MIN) {
+            demand.insert(organisation, rate * ratio);
+        }
     }
 
     fn follow_answers(&mut self, passed_us: Micros, answered: f64) {
@@ -556,6 +613,19 @@
     }
 }
 
+/// The rate that a sampled entry of a shortened report stands for; `None` for a report that is not shortened.
+fn sampled_step(demand: &[(OrganisationKey, f32)]) -> Option<f64> {
+    let sampled = demand.get(REPORTED_ORGANISATIONS_MAX - SAMPLED_ORGANISATIONS..)?;
+    let sum: f64 = sampled.iter().map(|(_, rate)| f64::from(*rate)).sum();
+    let step = sum / SAMPLED_ORGANISATIONS as f64;
+    // Sampled entries are multiples of the step; rates of requests are not.
+    let is_multiple = |rate: f32| {
+        let entries = f64::from(rate) / step;
+        entries > 0.5 && (entries - entries.round()).abs() < 0.001
+    };
+    (step > 0.0 && sampled.iter().all(|(_, rate)| is_multiple(*rate))).then_some(step)
+}
+
 /// Time until the share of an organisation has covered what it asks for now, spread by half so that callers
 /// refused together do not return together. `draw` lies above the admitted fraction.
 fn retry_after(admitted: f64, draw: f64) -> Millis {
@@ -578,6 +648,16 @@
 /// Rate, per second, below which an organisation counts as without requests.
 const RATE_MIN: f32 = 0.05;
 
+/// Averaged rate, per second, below which an organisation is forgotten.
+const LONG_RATE_MIN: f64 = 0.005;
+
+/// Sampled entries in the reports of a moment from which on the demand of an organisation is known well: with four its
+/// standard error is half of it.
+const SMALL_UNITS: f64 = 4.0;
+
+/// Mean interval between the reports of a daemon, in s: they are sent with messages, at most 700 ms apart.
+const REPORT_INTERVAL_S: f64 = 0.4;
+
 /// Weight of all requests without an organisation together, relative to the mean of the organisations.
 const OTHER_WEIGHT: f64 = 1.0;
 
--- a/crates/core/tests/shares/scenarios.rs
+++ b/crates/core/tests/shares/scenarios.rs
@@ -91,6 +91,19 @@
     assert_busy(&outcome, from_ms, to_ms);
 }
 
+/// Guards against a small organisation whose surge is seen late, as the demand of small ones is averaged over a longer time:
+/// the others would be refused along with it.
+#[rstest]
+fn surge_of_a_small_organisation_leaves_the_others_their_share(#[values(9, 91)] daemons: usize) {
+    // The organisation of the lowest rate asks for one and a half times the capacity.
+    let factor = |organisation, at_ms| if organisation == 399 && at_ms >= 1_000 { 1_400.0 } else { 1.0 };
+    let outcome = Scenario { daemons, organisations: 400, factor, ..Scenario::default() }.run();
+    let served = outcome.served(2_300, 4_500, |organisation| organisation != 399);
+    println!("others {served:.3}");
+    assert!(served >= SERVED_MIN, "the others are served to {served:.3}");
+    assert_busy(&outcome, 2_300, 4_500);
+}
+
 /// Guards against a general burst that is charged to a few organisations, and against servers whose queues stay full
 /// because many small organisations are each within their share of a moment.
 #[rstest]
