--- a/crates/core/tests/shares/reports.rs
+++ b/crates/core/tests/shares/reports.rs
@@ -125,7 +125,7 @@
     for call in 0..400_u64 {
         let now_us = MonoTime(1_000_000 + call * 5_000);
         shares.arrived(now_us, Some(key(1)));
-        shares.answered(now_us);
+        assert!(shares.attempt_ended(now_us, Ok(())));
         shares.server_load(now_us, 0, 6);
     }
     let now_us = MonoTime(3_000_000);
--- a/crates/core/tests/shares/scenarios.rs
+++ b/crates/core/tests/shares/scenarios.rs
@@ -91,6 +91,19 @@
     assert_busy(&outcome, from_ms, to_ms);
 }
 
+/// Guards against a small organisation whose surge is seen late, as the demand of small ones is averaged over a longer time:
+/// the others would be refused along with it.
+#[rstest]
+fn surge_of_a_small_organisation_leaves_the_others_their_share(#[values(9, 91)] daemons: usize) {
+    // The organisation of the lowest rate asks for one and a half times the capacity.
+    let factor = |organisation, at_ms| if organisation == 399 && at_ms >= 1_000 { 1_400.0 } else { 1.0 };
+    let outcome = Scenario { daemons, organisations: 400, factor, ..Scenario::default() }.run();
+    let served = outcome.served(2_300, 4_500, |organisation| organisation != 399);
+    println!("others {served:.3}");
+    assert!(served >= SERVED_MIN, "the others are served to {served:.3}");
+    assert_busy(&outcome, 2_300, 4_500);
+}
+
 /// Guards against a general burst that is charged to a few organisations, and against servers whose queues stay full
 /// because many small organisations are each within their share of a moment.
 #[rstest]
@@ -112,6 +125,24 @@
     }
 }
 
+/// Guards against a server that hangs and makes the capacity of the others look smaller with each request that it takes:
+/// they were idle while requests were refused over their share.
+#[rstest]
+#[case::one_of_two(2)]
+#[case::one_of_three(3)]
+fn server_that_hangs_leaves_the_others_busy(#[case] servers: usize) {
+    // The server that hangs goes on taking its part of the requests. All ask for three times the capacity, so that the
+    // others have enough of them.
+    let factor = |_, at_ms| if at_ms >= 1_000 { 6.0 } else { 1.0 };
+    let changes = vec![(1_500, Change::Hang(0))];
+    let scenario = Scenario { servers, factor, changes, end_ms: 8_000, ..Scenario::default() };
+    let outcomes = [1, 2, 3].map(|seed| Scenario { seed, ..scenario.clone() }.run());
+    let idle = outcomes.iter().map(|outcome| outcome.idle(3_500, 7_500)).sum::<f64>() / 3.0;
+    println!("idle {idle:.3}");
+    assert!(outcomes.iter().all(|outcome| outcome.over_share(3_500, 7_500) > 0), "shares are not in force");
+    assert!(idle <= IDLE_MAX, "{idle:.3} of the capacity is idle while requests are refused");
+}
+
 /// Guards against a limit on an organisation that nobody else competes with.
 #[test]
 fn organisation_alone_gets_all_capacity() {
