Test what unreported and overstated waiting memory counts as

Two breakages on purpose passed the tests of the order: waiting memory that a daemon does not report by class and that then counts as nothing, and classes that count beyond the waiting memory of their daemon. The new tests fail for them and pass on the code as it is.

--- a/crates/core/tests/relay/order.rs
+++ b/crates/core/tests/relay/order.rs
@@ -388,3 +388,37 @@
     let (small, large) = (retry_after(0.1), retry_after(10.0));
     assert!(small > large, "{small} with a small share, {large} with a large one");
 }
+
+/// Usage of another daemon with this much waiting memory.
+fn waiting_usage(tokens: u64) -> PoolUsage {
+    PoolUsage { waiting: Tokens(tokens), ..PoolUsage::default() }
+}
+
+/// A request of one service may wait at a daemon of an earlier version, which states no classes. It must neither hold up
+/// urgent requests nor be passed by those of low priority for good.
+#[rstest]
+#[case::urgent(0, false)]
+#[case::low(2, true)]
+fn what_is_not_reported_has_middle_priority(#[case] priority: u8, #[case] expected: bool) {
+    let mut harness = full_pool(None);
+    let host = || "entry-2".parse().unwrap();
+    harness.feed(EngineEvent::PeerMemory { host: host(), report: class(1, 10) });
+    harness.feed(EngineEvent::Peer { host: host(), usage: waiting_usage(10) });
+    let request = Demand { priority, ..demand(20, 1_500, 500) };
+    assert_eq!(is_refused(&harness.arrive(request)), expected);
+}
+
+/// A daemon must not hold up the others with more in its classes than it has waiting.
+#[rstest]
+#[case::as_stated(80_000, true)]
+#[case::beyond_its_usage(10, false)]
+fn classes_count_up_to_the_waiting_memory(#[case] waiting: u64, #[case] expected: bool) {
+    let mut harness = full_pool(None);
+    for (host, report, waiting) in [("entry-1", class(0, 80_000), waiting), ("entry-2", class(1, 10), 10)] {
+        harness.feed(EngineEvent::PeerMemory { host: host.parse().unwrap(), report });
+        let usage = waiting_usage(waiting);
+        harness.feed(EngineEvent::Peer { host: host.parse().unwrap(), usage });
+    }
+    let urgent = Demand { priority: 0, ..demand(20, 1_500, 500) };
+    assert_eq!(is_refused(&harness.arrive(urgent)), expected);
+}
