Test the rank of interrupted answers in reports

A breakage on purpose, interrupted answers that are reported with their own priority, passed the tests of the order. The new test fails for it and passes on the code as it is.

--- a/crates/core/tests/relay/order.rs
+++ b/crates/core/tests/relay/order.rs
@@ -6,13 +6,15 @@
 use hibiscusvale_core::relay::engines::{
     Demand, EngineAction, EngineEvent, MemoryReport, OrganisationMemory, PoolUsage, Role, WaitingClass,
 };
+use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::shares::OrganisationKey;
 use hibiscusvale_core::units::{Millis, Tokens};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 
-use crate::simulation::{Harness, Outcome, Sharing, Simulation, demand, settings};
+use crate::engines::full;
+use crate::simulation::{Harness, Outcome, Sharing, Simulation, demand, request_id, settings};
 
 fn organisation(number: usize) -> OrganisationKey {
     OrganisationKey::of(&format!("organisation-{number}").parse().unwrap())
@@ -422,3 +424,25 @@
     let urgent = Demand { priority: 0, ..demand(20, 1_500, 500) };
     assert_eq!(is_refused(&harness.arrive(urgent)), expected);
 }
+
+/// Half an answer is worthless to its caller. Other daemons must leave room for an interrupted one as for an urgent request,
+/// whatever its priority was.
+#[test]
+fn interrupted_answers_are_reported_as_urgent() {
+    let mut harness = Harness::new(settings(), &[("w-1", Role::Decode), ("w-2", Role::Decode)]);
+    // Earns the credit for a retry.
+    for sequence in 100..120 {
+        harness.arrive(demand(sequence, 10, 10));
+        harness.feed(EngineEvent::CallerLeft { request_id: request_id(sequence) });
+    }
+    harness.arrive(Demand { priority: 2, ..demand(0, 5_000, 6_000) });
+    harness.reserved(0);
+    harness.feed(EngineEvent::Started { request_id: request_id(0) });
+    harness.progress(0, 1);
+    let usage = PoolUsage { engines: vec![full("w-1"), full("w-2")], ..PoolUsage::default() };
+    harness.feed(EngineEvent::Peer { host: "entry-1".parse().unwrap(), usage });
+    assert_eq!(harness.after(200).decode_failed(0, FailureCause::Broken), Vec::new());
+    let report = harness.pool.memory_report(harness.now_us).unwrap();
+    let priorities: Vec<u8> = report.waiting.iter().map(|class| class.priority).collect();
+    assert_eq!(priorities, [0], "{report:?}");
+}
