Report loads of plain servers between daemons

Cause: a daemon's own answers are too few to know the loads of servers.

Change: a ServerReport follows the LoadReport in the same datagram, within the same limit. The setting scheduling.server_loads now also turns on the choice by loads. Gauge hibiscusvale_relay_server_expected_ms and log line "server loads in use". Without samples the bytes of a message are those of the previous version.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -19,7 +19,7 @@
     Fingerprint, FingerprintKind, Fingerprints, Refusal, Refutation, Verdict,
 };
 use hibiscusvale_core::relay::reach::HelperCounts;
-use hibiscusvale_core::sched::Stage;
+use hibiscusvale_core::sched::{ServerLoadUse, Stage};
 use hibiscusvale_core::shares::OverShare;
 use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
@@ -311,6 +311,17 @@
         }
     }
 
+    /// Logs that servers of a plain service are chosen by their loads from now on, or no longer.
+    pub fn server_loads_in_use(&self, service: &str, load_use: &ServerLoadUse) {
+        spdlog::info!(logger: self.logger, "server loads in use", kv: {
+            service = service,
+            is_in_use = load_use.is_in_use,
+            servers = load_use.servers,
+            slowest_ms = load_use.slowest_ms.0,
+            fastest_ms = load_use.fastest_ms.0,
+        });
+    }
+
     /// Logs that a caller resumes a stream.
     pub fn stream_resumed(&self, line: &ResumeLine<'_>) {
         if self.admit_request_line() {
--- a/crates/router/src/relay/budget.rs
+++ b/crates/router/src/relay/budget.rs
@@ -65,6 +65,7 @@
         self.plain_schedulers.configure(plain(&bounds, daemons));
         self.engine_pools.set_budget(engines(&bounds, daemons, self.peers.reach()));
         self.configure_engines();
+        self.configure_server_loads();
     }
 }
 
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::interfaces::{DaemonEntry, Register};
-use super::load_report::{self, LoadReport};
+use super::load_report::{self, Reports};
 use super::loans::{self, LendableCredits};
 use super::message::{AdvertisedState, Datagram, MESSAGE_LIMIT_BYTES, Message};
 use super::pacing::{Urgency, receive_pause};
@@ -193,7 +193,8 @@
         };
         let datagram = Datagram::Message(Box::new(message));
         let report_limit = state.peers.report_limit();
-        let encoded = load_report::encode(&datagram, &state.load_report(), report_limit, sequence);
+        let reports = Reports { load: state.load_report(), servers: state.server_report() };
+        let encoded = load_report::encode(&datagram, &reports, report_limit, sequence);
         let Ok(bytes) = encoded else {
             continue;
         };
@@ -238,12 +239,12 @@
     own: &HostId,
     state: &RelayState,
 ) {
-    let Ok((datagram, report)) = load_report::decode(bytes) else {
+    let Ok((datagram, reports)) = load_report::decode(bytes) else {
         return;
     };
     match datagram {
         Datagram::Message(message) if message.host != *own => {
-            if let Some(request) = handle_message(*message, report, from, state) {
+            if let Some(request) = handle_message(*message, reports, from, state) {
                 send(socket, from, &request).await;
             }
         }
@@ -283,7 +284,7 @@
 /// Handles a message and returns a request to its sender, if any.
 fn handle_message(
     message: Message,
-    report: Option<LoadReport>,
+    reports: Reports,
     from: SocketAddr,
     state: &RelayState,
 ) -> Option<Datagram> {
@@ -303,9 +304,8 @@
         loans::update_lender(&message.host, &lendable, state);
     }
     // The engine pools act on a report when the usage of the same message follows.
-    if let Some(report) = report {
-        state.receive_load_report(&message.host, report);
-    }
+    state.receive_load_report(&message.host, reports.load);
+    state.plain_schedulers.receive_server_samples(&reports.servers.servers);
     state.engine_pools.peer(&message.host, message.holdings);
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -213,7 +213,7 @@
     incoming.state.statements.record(&incoming.state, hop.server, RequestPath::of(&hop.task), status, &head);
     record_limit(incoming, hop.server, status, &head);
     if let Some(load) = head.load {
-        incoming.state.record_server_load(incoming.service.as_str(), load);
+        incoming.state.record_server_load(incoming.service.as_str(), hop.server, load);
     }
     Ok(Reply { status, headers, head, known })
 }
--- a/crates/router/src/relay/load_report.rs
+++ b/crates/router/src/relay/load_report.rs
@@ -1,11 +1,13 @@
 //! Load that a daemon reports to the others with each message.
 //!
-//! The report follows the message in the same datagram. Daemons of earlier versions ignore trailing bytes, and
-//! a datagram without a report is valid, so that daemons of both versions work together.
+//! The reports follow the message in the same datagram, first that of rates and memory, then that of plain servers.
+//! Daemons of earlier versions ignore trailing bytes, and a datagram without a report is valid, so that daemons of all
+//! versions work together.
 
 use std::cmp::Reverse;
 
 use hibiscusvale_core::relay::engines::{MemoryReport, SpeedSample};
+use hibiscusvale_core::sched::ServerSample;
 use hibiscusvale_core::shares::RateReport;
 use hibiscusvale_core::units::Bytes;
 use serde::{Deserialize, Serialize};
@@ -18,6 +20,9 @@
 /// Bytes for the lengths of the three lists, each of fewer than 2^14 entries.
 const LIST_LENGTH_BYTES: usize = 6;
 
+/// Bytes for the length of a list or name in the report of servers, of fewer than 2^14 entries.
+const SERVER_LENGTH_BYTES: usize = 2;
+
 /// Load of the services as one daemon sees it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct LoadReport {
@@ -29,6 +34,22 @@
     pub speeds: Vec<(String, Vec<SpeedSample>)>,
 }
 
+/// Observations of plain servers since the previous message, by service.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct ServerReport {
+    /// Services with their servers.
+    pub servers: Vec<(String, Vec<ServerSample>)>,
+}
+
+/// What follows a message.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Reports {
+    /// Rates, memory and engine speeds.
+    pub load: LoadReport,
+    /// Loads and speeds of plain servers.
+    pub servers: ServerReport,
+}
+
 impl LoadReport {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
@@ -110,10 +131,38 @@
     if report.is_empty() { Ok(None) } else { postcard::to_stdvec(&report).map(Some) }
 }
 
-/// Encodes a datagram, followed by the report unless it is empty.
+/// The samples that fit into `room` bytes; `None` if there are none. `turn` selects the first one, so that successive
+/// messages report different servers.
+fn encode_servers(
+    report: &ServerReport,
+    room: usize,
+    turn: usize,
+) -> Result<Option<Vec<u8>>, postcard::Error> {
+    let samples = report.servers.iter().flat_map(|(name, samples)| samples.iter().map(move |it| (name, it)));
+    let samples: Vec<(&String, &ServerSample)> = samples.collect();
+    let first = turn.checked_rem(samples.len()).unwrap_or_default();
+    let mut cut = ServerReport::default();
+    let mut left = room.saturating_sub(SERVER_LENGTH_BYTES);
+    for (name, sample) in samples[first..].iter().chain(&samples[..first]) {
+        let known = cut.servers.iter().position(|(known, _)| known == *name);
+        let name_size = if known.is_some() { 0 } else { name.len() + 2 * SERVER_LENGTH_BYTES };
+        let size = postcard::to_stdvec(sample)?.len() + name_size;
+        if size > left {
+            continue;
+        }
+        left -= size;
+        match known {
+            Some(at) => cut.servers[at].1.push((*sample).clone()),
+            None => cut.servers.push(((*name).clone(), vec![(*sample).clone()])),
+        }
+    }
+    if cut.servers.is_empty() { Ok(None) } else { postcard::to_stdvec(&cut).map(Some) }
+}
+
+/// Encodes a datagram, followed by the reports that are not empty.
 ///
-/// The report takes at most `report_limit`, and no more than a receiver's buffer has left: among hundreds of daemons
-/// with many services or organisations the report is cut, not the message. `turn` is to differ between successive
+/// The reports together take at most `report_limit`, and no more than a receiver's buffer has left: among hundreds of daemons
+/// with many services or organisations the reports are cut, not the message; that of servers gets what the other leaves. `turn` is to differ between successive
 /// messages; it selects the services that are left out.
 ///
 /// # Errors
@@ -121,7 +170,7 @@
 /// The error of the encoder.
 pub fn encode(
     datagram: &Datagram,
-    report: &LoadReport,
+    reports: &Reports,
     report_limit: Bytes,
     turn: u64,
 ) -> Result<Vec<u8>, postcard::Error> {
@@ -129,23 +178,34 @@
     let limit = usize::try_from(report_limit.0).unwrap_or(usize::MAX);
     let room = MESSAGE_LIMIT_BYTES.saturating_sub(bytes.len() + 1).min(limit);
     let turn = usize::try_from(turn).unwrap_or_default();
-    if let Some(report) = encode_report(report, room, turn)? {
-        bytes.extend(report);
+    let load = encode_report(&reports.load, room, turn)?;
+    // A report of servers is found behind that of the load, even if that is empty.
+    let before_servers = load.clone().map_or_else(|| postcard::to_stdvec(&LoadReport::default()), Ok)?;
+    let left = room.saturating_sub(before_servers.len());
+    if let Some(servers) = encode_servers(&reports.servers, left, turn)? {
+        bytes.extend(before_servers);
+        bytes.extend(servers);
+    } else {
+        bytes.extend(load.unwrap_or_default());
     }
     Ok(bytes)
 }
 
-/// Decodes a datagram and the report that follows a message. A report that cannot be decoded is dropped: the message
-/// before it is valid. Bytes after the report are those of a later version and are ignored.
+/// Decodes a datagram and the reports that follow a message; those that are missing are empty. A report that cannot be
+/// decoded is dropped with what follows it: the message before it is valid. Bytes after the reports are those of a later
+/// version and are ignored.
 ///
 /// # Errors
 ///
 /// The error of the decoder if the datagram itself is not valid.
-pub fn decode(bytes: &[u8]) -> Result<(Datagram, Option<LoadReport>), postcard::Error> {
+pub fn decode(bytes: &[u8]) -> Result<(Datagram, Reports), postcard::Error> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let has_report = matches!(datagram, Datagram::Message(_)) && !rest.is_empty();
-    let report = if has_report { postcard::from_bytes(rest).ok() } else { None };
-    Ok((datagram, report))
+    let is_message = matches!(datagram, Datagram::Message(_));
+    let Ok((load, rest)) = postcard::take_from_bytes(if is_message { rest } else { &[] }) else {
+        return Ok((datagram, Reports::default()));
+    };
+    let servers = postcard::from_bytes(rest).unwrap_or_default();
+    Ok((datagram, Reports { load, servers }))
 }
 
 #[cfg(test)]
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -184,6 +184,7 @@
         observe_organisations(&meter, "hibiscusvale_relay_share_requests_per_1000_s", state, |view| {
             view.share_per_1000_s
         });
+        observe_expected(&meter, "hibiscusvale_relay_server_expected_ms", state);
         observe_gauge(&meter, "hibiscusvale_relay_suspects", state, |state| {
             state.quarantine.counts().0 as u64
         });
@@ -260,6 +261,23 @@
         .build();
 }
 
+/// Registers a gauge with the expected response time of each server that is chosen by its load.
+fn observe_expected(meter: &Meter, name: &'static str, state: &Arc<RelayState>) {
+    let state = Arc::downgrade(state);
+    meter
+        .u64_observable_gauge(name)
+        .with_callback(move |observer| {
+            let Some(state) = state.upgrade() else { return };
+            for (service, servers) in state.plain_schedulers.expected_response_times() {
+                for (server, expected_ms) in servers {
+                    let service = KeyValue::new("service", service.clone());
+                    observer.observe(expected_ms.0, &[service, KeyValue::new("server", server.to_string())]);
+                }
+            }
+        })
+        .build();
+}
+
 fn observe_store_counter(
     meter: &Meter,
     name: &'static str,
--- a/crates/router/src/relay/uneven_servers.rs
+++ b/crates/router/src/relay/uneven_servers.rs
@@ -2,9 +2,11 @@
 
 use std::collections::HashSet;
 
+use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::relay::engines::ReportedLoad;
 use parking_lot::RwLock;
 
+use super::load_report::ServerReport;
 use super::state::RelayState;
 
 /// Services of which a server has stated how long work takes on its host.
@@ -31,7 +33,9 @@
 impl RelayState {
     /// Records the load that a server of `service` reports, and applies the settings for uneven servers when the first
     /// one states how long work takes.
-    pub fn record_server_load(&self, service: &str, load: ReportedLoad) {
+    pub fn record_server_load(&self, service: &str, server: &BackendServerId, load: ReportedLoad) {
+        let held = load.running.saturating_add(load.waiting);
+        self.plain_schedulers.server_stated_load(service, server, held, load.slots);
         if self.uneven_services.record(service, load) {
             self.share_budget();
             self.configure_shares();
@@ -43,6 +47,20 @@
         self.scheduling.lock().engine_speeds.applies(self.uneven_services.contains(service))
     }
 
+    /// Applies the setting for loads of plain servers to all listed services.
+    pub fn configure_server_loads(&self) {
+        self.plain_schedulers.use_server_loads(|service| self.uses_server_loads(service));
+    }
+
+    /// What this daemon observed of plain servers since the previous message. Logs where the choice by loads has begun
+    /// or ended since.
+    pub fn server_report(&self) -> ServerReport {
+        for (service, load_use) in self.plain_schedulers.take_server_load_changes() {
+            self.log.server_loads_in_use(&service, &load_use);
+        }
+        ServerReport { servers: self.plain_schedulers.take_server_samples() }
+    }
+
     /// Whether the loads of the servers of the plain service `service` are used.
     pub fn uses_server_loads(&self, service: &str) -> bool {
         self.scheduling.lock().server_loads.applies(self.uneven_services.contains(service))
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -198,6 +198,7 @@
     state.engine_pools.adopt(&listing);
     state.stream_versions.adopt(&listing);
     state.configure_engines();
+    state.configure_server_loads();
     // After the schedulers know all listed servers.
     state.statements.adopt(state, &listing.servers);
     state.servers_adopted.store(true, Ordering::Relaxed);
--- a/crates/router/tests/unit/relay_load_report.rs
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -16,6 +16,23 @@
 /// More than any message needs.
 const NO_LIMIT: Bytes = Bytes(1 << 20);
 
+/// Encodes a message with a report of the load only.
+fn encode(
+    datagram: &Datagram,
+    load: &LoadReport,
+    report_limit: Bytes,
+    turn: u64,
+) -> Result<Vec<u8>, postcard::Error> {
+    let reports = Reports { load: load.clone(), ..Reports::default() };
+    super::encode(datagram, &reports, report_limit, turn)
+}
+
+/// Decodes a message and the report of the load, if there is one.
+fn decode(bytes: &[u8]) -> Result<(Datagram, Option<LoadReport>), postcard::Error> {
+    let (datagram, reports) = super::decode(bytes)?;
+    Ok((datagram, Some(reports.load).filter(|load| !load.is_empty())))
+}
+
 fn key(number: usize) -> OrganisationKey {
     let partner: PartnerId = format!("organisation-{number}").parse().unwrap();
     OrganisationKey::of(&partner)
@@ -163,3 +180,82 @@
     assert!(bytes_per_s <= 156_250.0, "{bytes_per_s}");
     assert!(decode(&bytes).unwrap().1.is_some_and(|report| !report.rates.is_empty()));
 }
+
+fn server_report(services: usize, servers: usize) -> ServerReport {
+    let sample = |number| ServerSample {
+        server: format!("server-{number}").parse().unwrap(),
+        answers: 3,
+        busy_ms: 180.0,
+        in_flight: 7,
+        slots: 6,
+        age_ms: 40,
+    };
+    let service = |number| (format!("app-{number}"), (0..servers).map(sample).collect());
+    ServerReport { servers: (0..services).map(service).collect() }
+}
+
+/// Samples of servers reach the others whether or not there is other load to report, and daemons of the previous
+/// version still decode what comes before them.
+#[rstest]
+#[case::alone(LoadReport::default())]
+#[case::behind_load(report(2, 3))]
+fn server_report_is_received_as_sent(#[case] load: LoadReport) {
+    let sent = Reports { load, servers: server_report(2, 3) };
+    let bytes = super::encode(&message(1), &sent, NO_LIMIT, 0).unwrap();
+    let (datagram, received) = super::decode(&bytes).unwrap();
+    assert_eq!((host(&datagram), &received), ("entry-1", &sent));
+    let (_, rest) = postcard::take_from_bytes::<Datagram>(&bytes).unwrap();
+    assert_eq!(postcard::from_bytes::<LoadReport>(rest).unwrap(), sent.load);
+}
+
+/// Without samples the bytes are those of the previous version.
+#[rstest]
+#[case::without_load(LoadReport::default())]
+#[case::with_load(report(2, 3))]
+fn message_without_server_samples_is_unchanged(#[case] load: LoadReport) {
+    let datagram = message(1);
+    let mut previous = postcard::to_stdvec(&datagram).unwrap();
+    if !load.is_empty() {
+        previous.extend(postcard::to_stdvec(&load).unwrap());
+    }
+    assert_eq!(encode(&datagram, &load, NO_LIMIT, 0).unwrap(), previous);
+}
+
+/// Bytes that cannot be decoded after the load must not take the load with them.
+#[test]
+fn malformed_server_report_is_dropped_and_the_load_kept() {
+    let mut bytes = encode(&message(1), &report(2, 3), NO_LIMIT, 0).unwrap();
+    bytes.extend([0xff; 20]);
+    let (_, received) = super::decode(&bytes).unwrap();
+    assert_eq!(received, Reports { load: report(2, 3), ..Reports::default() });
+}
+
+/// Both reports together stay below the limit, or a message could fill a slow link or exceed the buffers of receivers.
+#[rstest]
+#[case::with_load(report(2, 8), 400)]
+#[case::alone(LoadReport::default(), 120)]
+#[case::buffer(report(4, 32), 1 << 20)]
+fn both_reports_stay_within_the_limit(#[case] load: LoadReport, #[case] limit: u64) {
+    let sent = Reports { load, servers: server_report(4_000, 32) };
+    let alone = postcard::to_stdvec(&message(1)).unwrap().len();
+    let bytes = super::encode(&message(1), &sent, Bytes(limit), 0).unwrap();
+    assert!(bytes.len() < MESSAGE_LIMIT_BYTES, "{}", bytes.len());
+    assert!((bytes.len() - alone) as u64 <= limit, "{}", bytes.len() - alone);
+}
+
+/// Servers that do not fit into one message must be in a later one, or nobody would know their loads.
+#[test]
+fn successive_messages_report_different_servers() {
+    let sent = Reports { servers: server_report(2, 8), ..Reports::default() };
+    let mut reported = std::collections::BTreeSet::new();
+    for turn in 0..16 {
+        let bytes = super::encode(&message(1), &sent, Bytes(100), turn).unwrap();
+        let received = super::decode(&bytes).unwrap().1.servers;
+        assert!(!received.servers.is_empty());
+        let servers = received.servers.iter();
+        reported.extend(servers.flat_map(|(name, samples)| {
+            samples.iter().map(move |sample| (name.clone(), sample.server.clone()))
+        }));
+    }
+    assert_eq!(reported.len(), 16);
+}
