--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -227,7 +227,9 @@
     /// placement. As long as measured speeds differ by less than a quarter, it changes nothing.
     pub engine_speeds: UnevenServers,
     /// For which plain services daemons report the loads of servers to each other, choose servers by them, and
-    /// refuse at once what the servers cannot answer. Services with organisations have shares in any case.
+    /// refuse at once what the servers cannot answer. Services with organisations have shares in any case. Servers are
+    /// chosen as without the setting while their speeds differ by less than a quarter and their loads by less than a
+    /// half, and where a server states no load.
     pub server_loads: UnevenServers,
 }
 
