--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -335,7 +335,7 @@
             language_scheduler: Arc::new(language_scheduler),
             plain_schedulers: Arc::new(PlainSchedulers::new(
                 PlainSettings::default(),
-                settings.host.data_centre.clone(),
+                &settings.host,
                 seed,
                 LoanRequestSender::default(),
             )),
--- a/crates/router/src/dispatch/plain_schedulers.rs
+++ b/crates/router/src/dispatch/plain_schedulers.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::directory::{BackendKind, Listing};
 use crate::external::ListedState;
+use crate::settings::HostSettings;
 
 #[derive(Debug)]
 struct Service {
@@ -71,7 +72,7 @@
     /// Creates a set without services, whose schedulers make their random choices from `seed`.
     pub fn new(
         settings: PlainSettings,
-        data_centre: DataCentreId,
+        host: &HostSettings,
         seed: u64,
         loan_requests: LoanRequestSender,
     ) -> Self {
@@ -79,7 +80,7 @@
             services: Mutex::default(),
             wake_timer: WakeTimer::new(),
             settings: Mutex::new(settings),
-            data_centre,
+            data_centre: host.data_centre.clone(),
             seed,
             loan_requests,
         }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -129,12 +129,7 @@
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
             http: backend_http(&settings.capacity),
-            plain_schedulers: PlainSchedulers::new(
-                initial_plain,
-                settings.host.data_centre.clone(),
-                seed,
-                loan_sender.clone(),
-            ),
+            plain_schedulers: PlainSchedulers::new(initial_plain, &settings.host, seed, loan_sender.clone()),
             engine_pools: EnginePools::new(
                 budget::initial_engines(&settings),
                 &settings.host,
