Write a check of divisibility as clippy asks

clippy warned of the test a_limited_service_without_organisations_refuses_its_excess (manual_is_multiple_of). It is unchanged otherwise and passes.

--- a/crates/router/tests/unit/relay_shares.rs
+++ b/crates/router/tests/unit/relay_shares.rs
@@ -134,7 +134,7 @@
             let now_us = START + Millis(at_ms);
             let draw = (at_ms * 37 % 100) as f64 / 100.0;
             let decision = shares.admit(now_us, "app", None, draw).decision;
-            if at_ms % 5 == 0 {
+            if at_ms.is_multiple_of(5) {
                 let _ = shares.record_attempt(now_us, "app", Ok(()));
                 let _ = shares.record_load(now_us, "app", 12, 6);
             }
