Follow reports of server loads on daemons without calls

Cause: observations decayed and the use of loads was checked only at events of calls. A daemon without calls reported no expected response times, and its first calls would have been sent by old figures.

Change: they are also refreshed when reports are sent and received.

--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -183,9 +183,12 @@
 
     /// What this daemon observed of the instances since the previous call, for the other daemons.
     pub fn take_server_samples(&mut self, now_us: MonoTime) -> Vec<ServerSample> {
-        let instances = &self.instances;
-        let samples = self.server_loads.as_mut();
-        samples.map(|loads| loads.take_unsent(now_us, |index| instances[index].server())).unwrap_or_default()
+        let Some(loads) = &mut self.server_loads else {
+            return Vec::new();
+        };
+        // A daemon without calls has no other events by which observations would decay.
+        loads.refresh(now_us);
+        loads.take_unsent(now_us, |index| self.instances[index].server())
     }
 
     /// Adds what another daemon observed of listed instances.
@@ -193,6 +196,7 @@
         let Some(loads) = &mut self.server_loads else {
             return;
         };
+        loads.refresh(now_us);
         for sample in samples {
             let index = self.names.get(&sample.server);
             if let Some(&index) = index.filter(|&&index| self.instances[index].is_listed_live(now_us)) {
--- a/crates/core/tests/server_loads/knowledge.rs
+++ b/crates/core/tests/server_loads/knowledge.rs
@@ -133,6 +133,19 @@
     assert_eq!(daemon.expected_ms(), before);
 }
 
+/// A daemon without calls must follow the reports of others: its metrics would be missing, and its first calls would be
+/// sent by old figures.
+#[test]
+fn daemon_without_calls_follows_reports() {
+    let mut daemon = Daemon::new(2);
+    for _ in 0..4 {
+        daemon.receive(&[sample(0, 100, 50.0, 3), sample(1, 100, 100.0, 3)]);
+        daemon.now_us += 300_000;
+    }
+    let expected = daemon.expected_ms();
+    assert!(matches!(expected[..], [(_, fast), (_, slow)] if fast < slow), "{expected:?}");
+}
+
 /// A server that restarts under its id may be on another host; one that left must not be remembered when it returns.
 #[rstest]
 #[case::restarted(&[2])]
