Spill over between data centres by load in large fleets

In fleets of more than 256 daemons messages stay within a data centre. Each daemon now spills over the share of what waits that the others can spare. Daemons tell each other the room and the queue of their data centre, the engines that are open to others, and what daemons of other data centres use there. An engine gets one request of another data centre per load, from one data centre. Prompts are prefilled where they are decoded. Where all daemons exchange messages nothing changes.

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -92,17 +92,23 @@
         binding: &VersionBinding,
     ) -> Option<Micros> {
         let limit = self.memory_limit();
-        let is_usable = |engine: &&Engine| engine.accepts_decodes(now_us) && binding.allows(&engine.version);
-        let decode_engines = || self.engines.iter().filter(is_usable);
+        let is_usable = |(index, engine): &(usize, &Engine)| {
+            engine.accepts_decodes(now_us)
+                && binding.allows(&engine.version)
+                && !self.is_left_to_spill_over(now_us, *index, binding)
+        };
+        let decode_engines =
+            || self.engines.iter().enumerate().filter(is_usable).map(|(_, decode_engine)| decode_engine);
+        let spare = self.spare_elsewhere(binding);
         let peak = |decode_engine: &Engine| decode_engine.peak(now_us, &self.fleet_stats, None);
         let count = decode_engines().count();
-        if count == 0 {
+        if count == 0 && spare == Tokens::ZERO {
             return None;
         }
         let free = decode_engines().fold(Tokens::ZERO, |sum, decode_engine| {
             sum + self.whole_requests(limit.saturating_sub(peak(decode_engine)))
         });
-        let missing = ahead.saturating_sub(free);
+        let missing = ahead.saturating_sub(free + spare);
         // An engine of twice the mean speed frees its memory twice as fast.
         let speeds: f64 = decode_engines().map(|decode_engine| decode_engine.speed.decode).sum();
         let freed_per_us = speeds * limit.0 as f64 / self.typical_hold_us();
--- a/crates/core/src/relay/engines/engine.rs
+++ b/crates/core/src/relay/engines/engine.rs
@@ -7,7 +7,7 @@
 use super::peers::{NodeHash, PeerIndex};
 use super::speeds::SpeedFactors;
 use super::stats::WorkloadStats;
-use crate::ids::{RequestId, SoftwareVersion};
+use crate::ids::{DataCentreId, RequestId, SoftwareVersion};
 use crate::sched::InstanceSettings;
 use crate::sched::instance::Instance;
 use crate::units::{Millis, MonoTime, Tokens};
@@ -23,6 +23,7 @@
     pub(super) role: Role,
     /// Version of its software.
     pub(super) version: SoftwareVersion,
+    pub(super) data_centre: DataCentreId,
     /// Whether it is in the daemon's data centre.
     pub(super) is_local: bool,
     /// Its speeds relative to the mean of the pool.
@@ -42,6 +43,8 @@
     pub(super) last_own_prefill_us: Option<(MonoTime, MonoTime)>,
     /// Until when it changes its role and accepts no requests.
     pub(super) role_change_until_us: MonoTime,
+    /// When a request that this daemon knows of was last placed there.
+    pub(super) last_placed_us: Option<MonoTime>,
     /// When this daemon last ordered it to change its role.
     pub(super) last_ordered_us: Option<MonoTime>,
 }
@@ -51,6 +54,7 @@
         Self {
             role: listed.role,
             version: listed.version,
+            data_centre: listed.data_centre,
             is_local: listed.is_local,
             node_hash: NodeHash::of_engine(&listed.server),
             instance: Instance::new(settings, listed.server, listed.slots, listed.leaving),
@@ -62,6 +66,7 @@
             full_until_us: MonoTime::default(),
             last_own_prefill_us: None,
             role_change_until_us: MonoTime::default(),
+            last_placed_us: None,
             last_ordered_us: None,
         }
     }
@@ -81,6 +86,9 @@
         if usage.as_ref().is_some_and(|usage| usage.prefill_tokens > Tokens::ZERO) {
             self.peer_prefill_us = Some(now_us);
         }
+        if usage.as_ref().is_some_and(|usage| usage.running > self.peer_running(peer)) {
+            self.last_placed_us = Some(now_us);
+        }
         self.peer_usage.replace(peer, usage.map(|usage| (now_us, usage)));
     }
 
@@ -150,8 +158,28 @@
         })
     }
 
+    /// Number of another daemon's requests running there.
+    pub(super) fn peer_running(&self, peer: PeerIndex) -> u32 {
+        let known = self.peer_usage.list.iter().find(|(known, ..)| *known == peer);
+        known.map_or(0, |(_, _, usage)| usage.running)
+    }
+
+    /// What another daemon uses of it, as of now; `None` if nothing.
+    pub(super) fn peer_usage(
+        &self,
+        now_us: MonoTime,
+        peer: PeerIndex,
+        tokens_per_ms: f64,
+    ) -> Option<EngineUsage> {
+        let (_, reported_us, usage) = self.peer_usage.list.iter().find(|(known, ..)| *known == peer)?;
+        let span_us = now_us.since(*reported_us);
+        let grown = |growth: &Growth| growth.after(span_us, tokens_per_ms * self.speed.decode);
+        Some(EngineUsage { growths: usage.growths.iter().map(grown).collect(), ..usage.clone() })
+    }
+
     pub(super) fn hold(&mut self, now_us: MonoTime, request_id: RequestId, growth: Growth) {
         self.held.insert(request_id, (now_us, growth));
+        self.last_placed_us = Some(now_us);
     }
 
     pub(super) fn release(&mut self, request_id: RequestId) {
--- a/crates/core/src/relay/engines/events.rs
+++ b/crates/core/src/relay/engines/events.rs
@@ -5,8 +5,9 @@
 use super::memory::Growth;
 use super::order::MemoryReport;
 use super::speeds::SpeedSample;
+use super::spill_over::DataCentreReport;
 use super::stats::WorkloadStats;
-use crate::ids::{BackendServerId, HostId, RequestId, SoftwareVersion};
+use crate::ids::{BackendServerId, DataCentreId, HostId, RequestId, SoftwareVersion};
 use crate::outcome::Repeatability;
 use crate::retry_budget::LoanRequest;
 use crate::sched::{FailureCause, Hold, LimitReached};
@@ -56,6 +57,8 @@
     pub slots: u32,
     /// Whether the list shows it as leaving.
     pub leaving: bool,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
     /// Whether it is in the daemon's data centre.
     pub is_local: bool,
 }
@@ -232,6 +235,15 @@
     },
     /// Speeds that another daemon observed.
     PeerSpeeds(Vec<SpeedSample>),
+    /// What another daemon tells of its data centre and others.
+    PeerDataCentre {
+        /// Host of the daemon.
+        host: HostId,
+        /// Data centre of the daemon.
+        data_centre: DataCentreId,
+        /// Its report.
+        report: DataCentreReport,
+    },
     /// A statement of an engine: it gets no requests for a time.
     Hold {
         /// Name of the engine.
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -19,6 +19,7 @@
 mod role_balance;
 mod settings;
 mod speeds;
+mod spill_over;
 mod stats;
 mod versions;
 
@@ -38,12 +39,14 @@
 use open_request::OpenRequest;
 use order::WaitingOrder;
 pub use order::{MemoryReport, OrganisationMemory, WaitingClass};
-use peers::{NodeHash, Peers};
+use peers::{NodeHash, PeerIndex, Peers};
 use role_balance::RoleBalance;
 pub use role_balance::RoleChange;
 pub use settings::EnginePoolSettings;
 use speeds::EngineSpeeds;
 pub use speeds::SpeedSample;
+use spill_over::DataCentreLoads;
+pub use spill_over::{DataCentreLoad, DataCentreReport, Guest, OpenEngines, SpillOver};
 use stats::DecayingStats;
 pub use stats::WorkloadStats;
 use versions::ListedVersions;
@@ -74,6 +77,8 @@
     speeds: EngineSpeeds,
     /// Software versions of the listed engines.
     versions: ListedVersions,
+    /// Loads of the other data centres.
+    data_centres: DataCentreLoads,
     /// Start position of the search for an engine, so that equal engines are used in turn.
     rotation: usize,
 }
@@ -98,6 +103,7 @@
             role_balance: RoleBalance::default(),
             speeds: EngineSpeeds::default(),
             versions: ListedVersions::default(),
+            data_centres: DataCentreLoads::default(),
             rotation,
         }
     }
@@ -155,6 +161,10 @@
             self.receive_memory(peer, report);
             return;
         }
+        if let EngineEvent::PeerDataCentre { host, data_centre, report } = event {
+            self.receive_data_centre(now_us, host, &data_centre, report);
+            return;
+        }
         if !matches!(event, EngineEvent::Peer { .. }) {
             self.refresh_stats(now_us);
         }
@@ -198,7 +208,10 @@
                     self.engines[index].instance.limited(now_us, reached);
                 }
             }
-            EngineEvent::PeerMemory { .. } | EngineEvent::PeerSpeeds(_) | EngineEvent::Tick => {}
+            EngineEvent::PeerMemory { .. }
+            | EngineEvent::PeerSpeeds(_)
+            | EngineEvent::PeerDataCentre { .. }
+            | EngineEvent::Tick => {}
         }
         if self.waiting.is_empty() {
             return;
@@ -214,11 +227,25 @@
     /// Applies the reported usage of another daemon.
     fn update_peer(&mut self, now_us: MonoTime, host: HostId, usage: PoolUsage) {
         let peer = self.peers.index_of(host);
-        self.peers.update(peer, usage.waiting, usage.stats);
+        // What waits at a daemon of another data centre is a part of its load, and waits for the engines there.
+        let is_linked = self.data_centres.is_linked(peer);
+        let waiting = if is_linked { Tokens::ZERO } else { usage.waiting };
+        self.peers.update(peer, waiting, usage.stats);
         let is_cleared = usage.engines.is_empty() && usage.waiting == Tokens::ZERO;
-        self.order.update_usage(peer, usage.waiting, is_cleared);
-        let mut indices = Vec::with_capacity(usage.engines.len());
-        for engine_usage in usage.engines {
+        self.order.update_usage(peer, waiting, is_cleared);
+        self.set_peer_engines(now_us, peer, usage.engines);
+        for (server, role, left_us) in usage.role_changes {
+            if let Some(&index) = self.index_by_name.get(&server) {
+                self.engines[index].start_role_change(now_us + left_us, role);
+            }
+        }
+    }
+
+    /// Replaces what another daemon uses of the engines.
+    fn set_peer_engines(&mut self, now_us: MonoTime, peer: PeerIndex, usage: Vec<EngineUsage>) {
+        self.note_guests(peer, &usage);
+        let mut indices = Vec::with_capacity(usage.len());
+        for engine_usage in usage {
             if let Some(&index) = self.index_by_name.get(&engine_usage.server) {
                 self.engines[index].set_peer_usage(now_us, peer, Some(engine_usage));
                 indices.push(index);
@@ -230,11 +257,6 @@
             }
         }
         self.peers.set_engines(peer, indices);
-        for (server, role, left_us) in usage.role_changes {
-            if let Some(&index) = self.index_by_name.get(&server) {
-                self.engines[index].start_role_change(now_us + left_us, role);
-            }
-        }
     }
 
     /// Updates the statistics of recent requests, own and fleet-wide.
@@ -242,6 +264,7 @@
         self.own_stats.decay(now_us);
         self.fleet_stats = self.own_stats.stats.and(self.peers.stats());
         self.refresh_speeds(now_us);
+        self.refresh_spill_plan(now_us);
     }
 
     /// Time for which a request typically holds memory on a decode engine.
@@ -251,6 +274,7 @@
 
     fn update_engines(&mut self, now_us: MonoTime, list: Vec<ListedEngine>) {
         self.versions = ListedVersions::of(&list);
+        let names = list.clone();
         for engine in &mut self.engines {
             engine.instance.unlist();
         }
@@ -266,6 +290,7 @@
         }
         let others = is_same.iter().enumerate().filter(|(_, is_same)| !**is_same);
         others.for_each(|(index, _)| self.speeds.forget(index));
+        self.set_positions(&names);
     }
 }
 
--- a/crates/core/src/relay/engines/peers.rs
+++ b/crates/core/src/relay/engines/peers.rs
@@ -4,7 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use super::stats::WorkloadStats;
-use crate::ids::{BackendServerId, HostId};
+use crate::ids::{BackendServerId, DataCentreId, HostId};
 use crate::units::Tokens;
 
 /// Index of a known daemon.
@@ -113,6 +113,11 @@
         Self(hash(server.as_str()))
     }
 
+    /// Hash of a data centre.
+    pub(super) fn of_data_centre(name: &DataCentreId) -> Self {
+        Self(hash(name.as_str()))
+    }
+
     /// Rendezvous hash of a daemon and an engine; the daemon with the smallest value gets the engine.
     pub(super) fn rendezvous_hash(self, engine: Self) -> u64 {
         hash((self.0, engine.0))
--- a/crates/core/src/relay/engines/placement.rs
+++ b/crates/core/src/relay/engines/placement.rs
@@ -14,6 +14,7 @@
 impl EnginePool {
     /// Places queued requests, the most urgent first, as long as there is room.
     pub(super) fn place_waiting(&mut self, now_us: MonoTime, actions: &mut Vec<EngineAction>) {
+        self.spill_waiting(now_us, actions);
         let mut blocked = Vec::new();
         while let Some(request_id) = self.most_urgent(now_us, &blocked) {
             if self.place(now_us, request_id, actions) {
@@ -69,14 +70,28 @@
         else {
             return false;
         };
+        self.reserve_at(now_us, request_id, decode_engine, actions);
+        true
+    }
+
+    /// Begins the way of a request to its decode engine.
+    pub(super) fn reserve_at(
+        &mut self,
+        now_us: MonoTime,
+        request_id: RequestId,
+        decode_engine: usize,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let Some(open) = self.open.get_mut(&request_id) else {
+            return;
+        };
+        let growth = open.growth();
+        open.stage = Stage::Reserving { decode_engine };
         self.engines[decode_engine].hold(now_us, request_id, growth);
         self.engines[decode_engine].instance.start(now_us);
         if self.settings.reserve_ms_max == Millis::ZERO {
             self.start_prefill(now_us, request_id, decode_engine, actions);
-            return true;
-        }
-        if let Some(open) = self.open.get_mut(&request_id) {
-            open.stage = Stage::Reserving { decode_engine };
+            return;
         }
         actions.push(EngineAction::Reserve {
             request_id,
@@ -85,7 +100,6 @@
             keep_ms: self.settings.reserve_ms_max,
             timeout_ms: RESERVE_TIMEOUT_MS,
         });
-        true
     }
 
     pub(super) fn reserved(
@@ -158,7 +172,10 @@
         let prefill_engine = match held {
             None if can_pay => {
                 let binding = VersionBinding::Only(version);
-                let chosen = self.choose_prefill_engine(now_us, prompt_tokens, failed_at, &binding);
+                let spills_over = self.is_left_to_spill_over(now_us, decode_engine, &open.demand.binding);
+                let data_centre = spills_over.then_some(&self.engines[decode_engine].data_centre);
+                let chosen =
+                    self.choose_prefill_engine_in(now_us, prompt_tokens, failed_at, &binding, data_centre);
                 chosen.filter(|&prefill_engine| {
                     !self.should_prefill_on_decode_engine(now_us, decode_engine, prefill_engine, open)
                 })
@@ -252,6 +269,7 @@
                 && binding.allows(&engine.version)
                 && !engine.is_full(now_us)
                 && engine.has_slot(now_us)
+                && !self.is_left_to_spill_over(now_us, *index, binding)
         };
         let filled = (0..self.engines.len()).filter(accepts).filter_map(|index| {
             let engine = &self.engines[index];
@@ -325,7 +343,7 @@
 }
 
 /// The first quarter of the decode engines with room are about equally empty.
-const LEAST_FULL_DIVISOR: usize = 4;
+pub(super) const LEAST_FULL_DIVISOR: usize = 4;
 
 /// An engine answers a reservation within two round trips; waiting for an unresponsive one must not make a
 /// request miss its target.
--- a/crates/core/src/relay/engines/prefill.rs
+++ b/crates/core/src/relay/engines/prefill.rs
@@ -4,6 +4,7 @@
 use super::engine::Engine;
 use super::events::{Demand, Role, VersionBinding};
 use super::open_request::OpenRequest;
+use crate::ids::DataCentreId;
 use crate::units::{Micros, Millis, MonoTime, Tokens};
 
 impl EnginePool {
@@ -118,10 +119,26 @@
         prompt: Tokens,
         failed_at: Option<usize>,
         binding: &VersionBinding,
+    ) -> Option<usize> {
+        self.choose_prefill_engine_in(now_us, prompt, failed_at, binding, None)
+    }
+
+    /// The prefill engine that finishes a prompt first among those of a data centre, or of any.
+    ///
+    /// A request that spills over has its prompt prefilled in the data centre that decodes its answer: the KV cache is
+    /// larger than all else of the request, and bytes between data centres are priced.
+    pub(super) fn choose_prefill_engine_in(
+        &self,
+        now_us: MonoTime,
+        prompt: Tokens,
+        failed_at: Option<usize>,
+        binding: &VersionBinding,
+        data_centre: Option<&DataCentreId>,
     ) -> Option<usize> {
         let is_eligible = |index: &usize| {
             let engine = &self.engines[*index];
             engine.role == Role::Prefill
+                && data_centre.is_none_or(|data_centre| engine.data_centre == *data_centre)
                 && Some(*index) != failed_at
                 && binding.allows(&engine.version)
                 && !engine.is_full(now_us)
--- a/crates/core/tests/relay/cost.rs
+++ b/crates/core/tests/relay/cost.rs
@@ -35,6 +35,7 @@
             role: if number.is_multiple_of(PREFILL_DIVISOR) { Role::Prefill } else { Role::Decode },
             slots: 12,
             leaving: false,
+            data_centre: "dc-0".parse().unwrap(),
             is_local: true,
         };
         let list = (0..engines).map(listed).collect();
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod server_statements;
 mod simulation;
 mod speeds;
+mod spill_over;
 mod store_refresh;
 mod stream_versions;
 mod stream_versions_simulation;
--- a/crates/core/tests/relay/simulation.rs
+++ b/crates/core/tests/relay/simulation.rs
@@ -3,12 +3,15 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 
-use hibiscusvale_core::ids::{BackendServerId, HostId, Incarnation, RequestId, SoftwareVersion};
+use hibiscusvale_core::ids::{
+    BackendServerId, DataCentreId, HostId, Incarnation, RequestId, SoftwareVersion,
+};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine, MemoryReport, PoolUsage,
-    Role, SpeedSample, VersionBinding,
+    DataCentreReport, Demand, EngineAction, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine,
+    MemoryReport, PoolUsage, Role, SpeedSample, VersionBinding,
 };
+use hibiscusvale_core::relay::recipients::Recipients;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::shares::OrganisationKey;
 use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
@@ -40,6 +43,7 @@
         role,
         slots: 12,
         leaving: false,
+        data_centre: "dc-0".parse().unwrap(),
         is_local: true,
     }
 }
@@ -167,6 +171,10 @@
     }
 }
 
+fn role_of(server: &BackendServerId) -> Role {
+    if server.as_str().starts_with('w') { Role::Decode } else { Role::Prefill }
+}
+
 /// A request as sent by its caller, and the length that its answer will have.
 struct Expected {
     arrived_ms: u64,
@@ -180,6 +188,7 @@
     Deliver { daemon: usize, message: Box<Message> },
     Finish { daemon: usize, decode_engine: BackendServerId, request_id: RequestId, events: u64 },
     Message { daemon: usize },
+    Heartbeat { daemon: usize },
     Sample,
 }
 
@@ -198,9 +207,71 @@
     pub loses_speeds: bool,
 }
 
+/// Fleet in several data centres, in which messages stay within a data centre except for links.
+pub struct DataCentres {
+    count: usize,
+    /// Recipients of the messages of each daemon.
+    recipients: Vec<Vec<usize>>,
+    /// Whether daemons tell each other the loads of data centres.
+    pub reports: bool,
+    /// Data centre that is cut off from the others, and from when to when.
+    pub cut_ms: Option<(usize, u64, u64)>,
+}
+
+impl DataCentres {
+    /// Daemons and engines are in the data centres in turn, by number.
+    fn new(daemons: usize, count: usize) -> Self {
+        let places: Vec<(HostId, DataCentreId)> =
+            (0..daemons).map(|number| (host(number), data_centre(number % count))).collect();
+        let numbers: HashMap<&HostId, usize> =
+            places.iter().enumerate().map(|(number, (host, _))| (host, number)).collect();
+        let mut recipients = vec![Vec::new(); daemons];
+        for (number, (own, at)) in places.iter().enumerate() {
+            let others = places.iter().filter(|(host, _)| host != own).map(|(host, at)| (host, at));
+            let selected = Recipients::select(own, at, others);
+            recipients[number].extend(selected.members.iter().map(|host| numbers[host]));
+            for link in selected.links.values().filter_map(|hosts| hosts.first()) {
+                // A daemon sends to those that use it as their link as well.
+                recipients[number].push(numbers[link]);
+                recipients[numbers[link]].push(number);
+            }
+        }
+        for recipients in &mut recipients {
+            recipients.sort_unstable();
+            recipients.dedup();
+        }
+        Self { count, recipients, reports: true, cut_ms: None }
+    }
+
+    fn is_cut(&self, at_ms: u64, one: usize, other: usize) -> bool {
+        let (one, other) = (one % self.count, other % self.count);
+        one != other
+            && self.cut_ms.is_some_and(|(cut, from_ms, to_ms)| {
+                (one == cut || other == cut) && (from_ms..to_ms).contains(&at_ms)
+            })
+    }
+}
+
+fn host(number: usize) -> HostId {
+    format!("entry-{number}").parse().unwrap()
+}
+
+pub fn data_centre(number: usize) -> DataCentreId {
+    format!("dc-{number}").parse().unwrap()
+}
+
+/// Data centre of an engine, by the number in its name.
+pub fn engine_place(server: &BackendServerId, count: usize) -> usize {
+    server.as_str().rsplit('-').next().unwrap().parse::<usize>().unwrap() % count
+}
+
+/// Longest time between two messages of a daemon.
+const HEARTBEAT_MS: u64 = 700;
+
 /// A message between daemons.
 struct Message {
     usage: PoolUsage,
+    data_centres: Option<DataCentreReport>,
     report: Option<MemoryReport>,
     samples: Vec<SpeedSample>,
 }
@@ -220,6 +291,9 @@
     next_event: u64,
     answers: HashMap<RequestId, Expected>,
     pub sharing: Sharing,
+    pub data_centres: Option<DataCentres>,
+    /// When each daemon last sent a message.
+    last_sent_ms: Vec<u64>,
     /// Whether each daemon has a message scheduled, and when it may send the next.
     messages: Vec<(bool, u64)>,
     reports_sent: u64,
@@ -277,6 +351,8 @@
             next_event: 0,
             answers: HashMap::new(),
             sharing,
+            data_centres: None,
+            last_sent_ms: vec![0; daemons],
             messages: vec![(false, 0); daemons],
             reports_sent: 0,
             waiting: HashMap::new(),
@@ -290,6 +366,32 @@
         }
     }
 
+    /// Puts daemons and engines into data centres in turn, by number. Daemons send messages until `to_ms` at least.
+    pub fn split_into_data_centres(&mut self, settings: EnginePoolSettings, count: usize, to_ms: u64) {
+        let settings = EnginePoolSettings { prefer_local: true, ..settings };
+        for number in 0..self.daemons.len() {
+            let place = number % count;
+            let list = self.engines.keys().map(|name| {
+                let engine_place = engine_place(name, count);
+                ListedEngine {
+                    data_centre: data_centre(engine_place),
+                    is_local: engine_place == place,
+                    ..listed(name.as_str(), role_of(name))
+                }
+            });
+            let mut list: Vec<ListedEngine> = list.collect();
+            list.sort_by(|one, other| one.server.cmp(&other.server));
+            let mut pool = EnginePool::new(settings, &host(number), number);
+            pool.set_data_centre(data_centre(place));
+            pool.handle(MonoTime::default(), EngineEvent::Engines(list), &mut Vec::new());
+            self.daemons[number] = pool;
+            for at_ms in (number as u64 * 7 % HEARTBEAT_MS..to_ms).step_by(HEARTBEAT_MS as usize) {
+                self.schedule(at_ms, Event::Heartbeat { daemon: number });
+            }
+        }
+        self.data_centres = Some(DataCentres::new(self.daemons.len(), count));
+    }
+
     fn schedule(&mut self, at_ms: u64, event: Event) {
         self.next_event += 1;
         self.events.insert(self.next_event, event);
@@ -351,8 +453,13 @@
                     self.feed(at_ms, daemon, EngineEvent::Finished { request_id, events });
                 }
                 Some(Event::Message { daemon }) => self.send_message(at_ms, daemon),
+                Some(Event::Heartbeat { daemon })
+                    if at_ms >= self.last_sent_ms[daemon] + HEARTBEAT_MS / 2 =>
+                {
+                    self.send_message(at_ms, daemon);
+                }
                 Some(Event::Sample) => self.sample(at_ms),
-                None => {}
+                Some(Event::Heartbeat { .. }) | None => {}
             }
         }
     }
@@ -364,6 +471,7 @@
             EngineEvent::Peer { .. }
                 | EngineEvent::PeerMemory { .. }
                 | EngineEvent::PeerSpeeds(_)
+                | EngineEvent::PeerDataCentre { .. }
                 | EngineEvent::Tick
         );
         let mut actions = Vec::new();
@@ -371,6 +479,7 @@
         for action in actions {
             self.execute(at_ms, daemon, action);
         }
+        let is_update = is_update || self.daemons[daemon].take_guest_report_due();
         if is_update && self.sharing.usage {
             let (is_due, next_ms) = self.messages[daemon];
             if self.sharing.interval_ms == 0 {
@@ -385,18 +494,36 @@
     fn send_message(&mut self, at_ms: u64, daemon: usize) {
         self.messages[daemon] = (false, at_ms + self.sharing.interval_ms);
         let now_us = MonoTime::default() + Millis(at_ms);
+        self.last_sent_ms[daemon] = at_ms;
+        let reports_loads = self.data_centres.as_ref().is_some_and(|it| it.reports);
         let pool = &mut self.daemons[daemon];
         let message = Message {
             usage: pool.usage(now_us),
             report: self.sharing.memory.then(|| pool.memory_report(now_us)).flatten(),
             samples: pool.take_speed_samples(),
+            data_centres: reports_loads.then(|| pool.data_centre_report(now_us)).flatten(),
         };
         self.schedule(at_ms + MESSAGE_MS, Event::Deliver { daemon, message: Box::new(message) });
     }
 
     fn deliver(&mut self, at_ms: u64, from: usize, message: &Message) {
-        let host: HostId = format!("entry-{from}").parse().unwrap();
-        for other in (0..self.daemons.len()).filter(|&other| other != from) {
+        let host = host(from);
+        let recipients = match &self.data_centres {
+            Some(data_centres) => data_centres.recipients[from].clone(),
+            None => (0..self.daemons.len()).filter(|&other| other != from).collect(),
+        };
+        for other in recipients {
+            if self.data_centres.as_ref().is_some_and(|it| it.is_cut(at_ms, from, other)) {
+                continue;
+            }
+            if let (Some(data_centres), Some(report)) = (&self.data_centres, &message.data_centres) {
+                let event = EngineEvent::PeerDataCentre {
+                    host: host.clone(),
+                    data_centre: data_centre(from % data_centres.count),
+                    report: report.clone(),
+                };
+                self.feed(at_ms, other, event);
+            }
             if let Some(report) = message.report.clone() {
                 self.reports_sent += 1;
                 let lost_one_in = self.sharing.lost_one_in;
@@ -419,8 +546,18 @@
             EngineAction::Wake { at_us } => {
                 self.schedule(at_us.0.div_ceil(1_000), Event::Feed { daemon, event: EngineEvent::Tick });
             }
-            EngineAction::Reserve { request_id, decode_engine, tokens, .. } => {
+            EngineAction::Reserve { request_id, decode_engine, tokens, timeout_ms, .. } => {
                 self.waiting.remove(&request_id);
+                if let Some(data_centres) = &self.data_centres {
+                    let place = engine_place(&decode_engine, data_centres.count);
+                    if data_centres.is_cut(at_ms, daemon, place) {
+                        let Expected { prompt, answer, .. } = self.answers[&request_id];
+                        self.waiting.insert(request_id, prompt + answer * 5 / 4);
+                        let event = EngineEvent::ReserveFailed { request_id, cause: FailureCause::Timeout };
+                        self.schedule(at_ms + timeout_ms.0, Event::Feed { daemon, event });
+                        return;
+                    }
+                }
                 let engine = self.engines.get_mut(&decode_engine).unwrap();
                 let taken = engine.tokens(at_ms);
                 let event = if taken + tokens.0 <= self.memory_tokens && engine.held.len() < 12 {
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -6,8 +6,8 @@
 
 use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, RequestId};
 use hibiscusvale_core::relay::engines::{
-    Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings, ListedEngine,
-    MemoryReport, PoolUsage, Role, RoleChange, SpeedSample,
+    DataCentreReport, Demand, EngineAction, EngineCounters, EngineEvent, EnginePool, EnginePoolSettings,
+    ListedEngine, MemoryReport, PoolUsage, Role, RoleChange, SpeedSample, SpillOver,
 };
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::sched::{Hold, LimitReached};
@@ -92,6 +92,7 @@
         | EngineEvent::Peer { .. }
         | EngineEvent::PeerMemory { .. }
         | EngineEvent::PeerSpeeds(_)
+        | EngineEvent::PeerDataCentre { .. }
         | EngineEvent::Hold { .. }
         | EngineEvent::Release { .. }
         | EngineEvent::Limited { .. }
@@ -158,6 +159,7 @@
                 },
                 slots: *slots_total,
                 leaving: server.listed == ListedState::Leaving,
+                data_centre: server.data_centre.clone(),
                 is_local: server.data_centre == self.data_centre,
             });
         }
@@ -169,6 +171,7 @@
                 services.entry(name.clone()).or_insert_with(|| {
                     let mut pool = EnginePool::new(settings, &self.host, offset);
                     pool.set_weights(&self.weights.lock());
+                    pool.set_data_centre(self.data_centre.clone());
                     Service { pool, open: HashMap::new() }
                 });
             }
@@ -259,6 +262,55 @@
         }
     }
 
+    /// What to tell other daemons of data centres, by service; empty where messages reach all daemons.
+    pub fn data_centre_reports(&self) -> Vec<(String, DataCentreReport)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let reports = services.iter_mut();
+        reports
+            .filter_map(|(name, service)| Some((name.clone(), service.pool.data_centre_report(now_us)?)))
+            .collect()
+    }
+
+    /// Applies what another daemon tells of data centres. Its holdings follow.
+    pub fn receive_data_centres(
+        &self,
+        host: &HostId,
+        data_centre: &DataCentreId,
+        reports: Vec<(String, DataCentreReport)>,
+    ) {
+        for (name, report) in reports {
+            let (host, data_centre) = (host.clone(), data_centre.clone());
+            self.feed(&name, EngineEvent::PeerDataCentre { host, data_centre, report });
+        }
+    }
+
+    /// Whether other daemons need to learn soon of what daemons of other data centres hold here; asked once.
+    pub fn take_guest_report_due(&self) -> bool {
+        let mut services = self.services.lock();
+        services.values_mut().fold(false, |is_due, service| service.pool.take_guest_report_due() || is_due)
+    }
+
+    /// Extent of spill-over, by service; empty where messages reach all daemons.
+    pub fn spill_over(&self) -> Vec<(String, SpillOver)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let spill_over = services.iter_mut();
+        spill_over
+            .filter_map(|(name, service)| Some((name.clone(), service.pool.spill_over(now_us)?)))
+            .collect()
+    }
+
+    /// Services for which spill-over has begun or ended since the previous call.
+    pub fn take_spill_over_changes(&self) -> Vec<(String, SpillOver)> {
+        let now_us = clock::now();
+        let mut services = self.services.lock();
+        let changes = services.iter_mut();
+        changes
+            .filter_map(|(name, service)| Some((name.clone(), service.pool.take_spill_over_change(now_us)?)))
+            .collect()
+    }
+
     /// Replaces the weights of organisations.
     pub fn set_weights(&self, weights: &HashMap<OrganisationKey, f64>) {
         self.weights.lock().clone_from(weights);
