Exchange the loads of data centres, and show spill-over to operators

The loads follow the LoadReport in the same datagram as a part with its kind and length, so that decoders skip kinds that they do not know; kind 1 is left for the loads of plain servers. They take what the report leaves of its size limit. Daemons of the previous version ignore these bytes. A daemon that hears of other use of its engines by daemons of another data centre sends its next message soon.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -13,11 +13,13 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{
-    BackendServerId, ClassName, FencingNumber, HostId, Offset, PartnerId, PromptPartId, RequestId,
+    BackendServerId, ClassName, DataCentreId, FencingNumber, HostId, Offset, PartnerId, PromptPartId,
+    RequestId,
 };
 use hibiscusvale_core::quarantine::{
     Fingerprint, FingerprintKind, Fingerprints, Refusal, Refutation, Verdict,
 };
+use hibiscusvale_core::relay::engines::SpillOver;
 use hibiscusvale_core::relay::reach::HelperCounts;
 use hibiscusvale_core::sched::Stage;
 use hibiscusvale_core::shares::OverShare;
@@ -414,6 +416,18 @@
         });
     }
 
+    /// Logs that requests for a service begin to spill over to other data centres, or no longer do.
+    pub fn spill_over_changed(&self, service: &str, spill_over: &SpillOver) {
+        spdlog::info!(logger: self.logger, "spill-over", kv: {
+            service = service,
+            is_active = spill_over.is_active,
+            target = or_empty(spill_over.target.as_ref().map(DataCentreId::as_str)),
+            waiting_tokens = spill_over.waiting.0,
+            room_tokens = spill_over.room.0,
+            share_per_1000 = spill_over.share_per_1000,
+        });
+    }
+
     /// Logs that a fingerprint entered or left quarantine.
     pub fn quarantine_changed(&self, verdict: &Verdict) {
         spdlog::info!(logger: self.logger, "quarantine", kv: {
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::interfaces::{DaemonEntry, Register};
-use super::load_report::{self, LoadReport};
+use super::load_report::{self, Extensions, LoadReport};
 use super::loans::{self, LendableCredits};
 use super::message::{AdvertisedState, Datagram, MESSAGE_LIMIT_BYTES, Message};
 use super::pacing::{Urgency, receive_pause};
@@ -193,7 +193,9 @@
         };
         let datagram = Datagram::Message(Box::new(message));
         let report_limit = state.peers.report_limit();
-        let encoded = load_report::encode(&datagram, &state.load_report(), report_limit, sequence);
+        let (report, extensions) = (state.load_report(), state.report_extensions());
+        let encoded =
+            load_report::encode_with_extensions(&datagram, &report, &extensions, report_limit, sequence);
         let Ok(bytes) = encoded else {
             continue;
         };
@@ -204,6 +206,7 @@
             // A lost message is superseded by the next one.
             let _ = socket.send_to(&bytes, target).await;
         }
+        state.log_spill_over();
         for silent in state.peers.take_timed_out(Instant::now()) {
             state.log.state_changed("daemon silent", &silent);
             loans::update_lender(&silent, &LendableCredits::new(), state);
@@ -238,12 +241,12 @@
     own: &HostId,
     state: &RelayState,
 ) {
-    let Ok((datagram, report)) = load_report::decode(bytes) else {
+    let Ok((datagram, report, extensions)) = load_report::decode_with_extensions(bytes) else {
         return;
     };
     match datagram {
         Datagram::Message(message) if message.host != *own => {
-            if let Some(request) = handle_message(*message, report, from, state) {
+            if let Some(request) = handle_message(*message, (report, extensions), from, state) {
                 send(socket, from, &request).await;
             }
         }
@@ -283,7 +286,7 @@
 /// Handles a message and returns a request to its sender, if any.
 fn handle_message(
     message: Message,
-    report: Option<LoadReport>,
+    (report, extensions): (Option<LoadReport>, Extensions),
     from: SocketAddr,
     state: &RelayState,
 ) -> Option<Datagram> {
@@ -306,7 +309,12 @@
     if let Some(report) = report {
         state.receive_load_report(&message.host, report);
     }
+    state.engine_pools.receive_data_centres(&message.host, &message.data_centre, extensions.data_centres);
     state.engine_pools.peer(&message.host, message.holdings);
+    // What daemons of other data centres use of the engines here is known only to those that hear them.
+    if state.engine_pools.take_guest_report_due() {
+        state.peers.schedule_message(Urgency::Soon);
+    }
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
 }
--- a/crates/router/src/relay/load_report.rs
+++ b/crates/router/src/relay/load_report.rs
@@ -2,10 +2,12 @@
 //!
 //! The report follows the message in the same datagram. Daemons of earlier versions ignore trailing bytes, and
 //! a datagram without a report is valid, so that daemons of both versions work together.
+//!
+//! Parts follow the report, each with its kind and its length. A decoder skips the kinds that it does not know.
 
 use std::cmp::Reverse;
 
-use hibiscusvale_core::relay::engines::{MemoryReport, SpeedSample};
+use hibiscusvale_core::relay::engines::{DataCentreReport, MemoryReport, SpeedSample};
 use hibiscusvale_core::shares::RateReport;
 use hibiscusvale_core::units::Bytes;
 use serde::{Deserialize, Serialize};
@@ -18,6 +20,9 @@
 /// Bytes for the lengths of the three lists, each of fewer than 2^14 entries.
 const LIST_LENGTH_BYTES: usize = 6;
 
+/// Bytes for the length of the list of services, fewer than 2^14.
+const SERVICES_LENGTH_BYTES: usize = 2;
+
 /// Load of the services as one daemon sees it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct LoadReport {
@@ -29,6 +34,27 @@
     pub speeds: Vec<(String, Vec<SpeedSample>)>,
 }
 
+/// What follows the load report.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Extensions {
+    /// Engine services in fleets whose messages stay within a data centre: loads of data centres.
+    pub data_centres: Vec<(String, DataCentreReport)>,
+}
+
+/// A part that follows the load report.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Part {
+    /// Kind of its content. Numbers are not reused.
+    kind: u16,
+    content: Vec<u8>,
+}
+
+/// Kind of the part with the loads of data centres. Kind 1 is reserved for the loads of plain servers.
+const DATA_CENTRES_KIND: u16 = 2;
+
+/// Bytes of a part beside its content: its kind, and a length below 2^14.
+const PART_HEADER_BYTES: usize = 3;
+
 impl LoadReport {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
@@ -135,6 +161,84 @@
     Ok(bytes)
 }
 
+/// Encodes a datagram, followed by the report and the extensions. These take what the report leaves of its limit; services
+/// that do not fit are left out, others in each message.
+///
+/// # Errors
+///
+/// The error of the encoder.
+pub fn encode_with_extensions(
+    datagram: &Datagram,
+    report: &LoadReport,
+    extensions: &Extensions,
+    report_limit: Bytes,
+    turn: u64,
+) -> Result<Vec<u8>, postcard::Error> {
+    let mut bytes = encode(datagram, report, report_limit, turn)?;
+    if extensions.data_centres.is_empty() {
+        return Ok(bytes);
+    }
+    let alone = postcard::to_stdvec(datagram)?.len();
+    if bytes.len() == alone {
+        bytes.extend(postcard::to_stdvec(&LoadReport::default())?);
+    }
+    let limit = usize::try_from(report_limit.0).unwrap_or(usize::MAX).saturating_add(alone);
+    let room = limit.min(MESSAGE_LIMIT_BYTES - 1).saturating_sub(bytes.len() + PART_HEADER_BYTES);
+    let turn = usize::try_from(turn).unwrap_or_default();
+    if let Some(content) = encode_data_centres(&extensions.data_centres, room, turn)? {
+        bytes.extend(postcard::to_stdvec(&Part { kind: DATA_CENTRES_KIND, content })?);
+    }
+    Ok(bytes)
+}
+
+/// Encodes the services that fit into `room` bytes, the one at `turn` first; `None` if none does. Of a service with too
+/// many guests the loads go alone: nothing spills over without them.
+fn encode_data_centres(
+    services: &[(String, DataCentreReport)],
+    room: usize,
+    turn: usize,
+) -> Result<Option<Vec<u8>>, postcard::Error> {
+    let mut left = room.saturating_sub(SERVICES_LENGTH_BYTES);
+    let mut fitting = Vec::with_capacity(services.len());
+    for at in 0..services.len() {
+        let (name, report) = &services[at.wrapping_add(turn) % services.len()];
+        let loads_only = DataCentreReport { guests: Vec::new(), ..report.clone() };
+        for candidate in [report.clone(), loads_only] {
+            let entry = (name.clone(), candidate);
+            let size = postcard::to_stdvec(&entry)?.len();
+            if size <= left {
+                left -= size;
+                fitting.push(entry);
+                break;
+            }
+        }
+    }
+    if fitting.is_empty() { Ok(None) } else { postcard::to_stdvec(&fitting).map(Some) }
+}
+
+/// Decodes what [`encode_with_extensions`] has encoded. Parts that are not known or not valid are skipped.
+///
+/// # Errors
+///
+/// The error of the decoder if the datagram itself is not valid.
+pub fn decode_with_extensions(
+    bytes: &[u8],
+) -> Result<(Datagram, Option<LoadReport>, Extensions), postcard::Error> {
+    let (datagram, report) = decode(bytes)?;
+    let mut extensions = Extensions::default();
+    if report.is_some() {
+        let (_, rest): (Datagram, _) = postcard::take_from_bytes(bytes)?;
+        let mut rest = postcard::take_from_bytes::<LoadReport>(rest).map_or(&[][..], |(_, rest)| rest);
+        while let Ok((part, next)) = postcard::take_from_bytes::<Part>(rest) {
+            rest = next;
+            if part.kind == DATA_CENTRES_KIND {
+                extensions.data_centres = postcard::from_bytes(&part.content).unwrap_or_default();
+            }
+        }
+    }
+    Ok((datagram, report, extensions))
+}
+
 /// Decodes a datagram and the report that follows a message. A report that cannot be decoded is dropped: the message
 /// before it is valid. Bytes after the report are those of a later version and are ignored.
 ///
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -179,6 +179,7 @@
         observe_gauge(&meter, "hibiscusvale_relay_congested_services", state, |state| {
             state.shares.congested(clock::now()) as u64
         });
+        observe_spill_over(&meter, state);
         let demand = |view: &OrganisationView| Some(view.demand_per_1000_s);
         observe_organisations(&meter, "hibiscusvale_relay_demand_requests_per_1000_s", state, demand);
         observe_organisations(&meter, "hibiscusvale_relay_share_requests_per_1000_s", state, |view| {
@@ -237,6 +238,20 @@
         .build();
 }
 
+/// Registers the gauge of the part of what waits that spills over, in thousandths, by service.
+fn observe_spill_over(meter: &Meter, state: &Arc<RelayState>) {
+    let state = Arc::downgrade(state);
+    meter
+        .u64_observable_gauge("hibiscusvale_relay_spill_over_per_1000")
+        .with_callback(move |observer| {
+            let Some(state) = state.upgrade() else { return };
+            for (service, spill_over) in state.engine_pools.spill_over() {
+                observer.observe(spill_over.share_per_1000, &[KeyValue::new("service", service)]);
+            }
+        })
+        .build();
+}
+
 /// Registers a gauge with a value for each organisation that uses a plain service.
 fn observe_organisations(
     meter: &Meter,
--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 
-use super::load_report::LoadReport;
+use super::load_report::{Extensions, LoadReport};
 use super::pacing::Urgency;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
@@ -328,6 +328,18 @@
         }
     }
 
+    /// What follows the report of this daemon's load.
+    pub fn report_extensions(&self) -> Extensions {
+        Extensions { data_centres: self.engine_pools.data_centre_reports() }
+    }
+
+    /// Logs for which services spill-over has begun or ended.
+    pub fn log_spill_over(&self) {
+        for (service, spill_over) in self.engine_pools.take_spill_over_changes() {
+            self.log.spill_over_changed(&service, &spill_over);
+        }
+    }
+
     /// Applies another daemon's report.
     pub fn receive_load_report(&self, host: &HostId, report: LoadReport) {
         self.shares.receive(clock::now(), host, report.rates);
--- a/crates/router/tests/unit/relay_load_report.rs
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -2,10 +2,12 @@
 
 use hibiscusvale_core::ids::{Incarnation, PartnerId};
 use hibiscusvale_core::quarantine::Gossip;
-use hibiscusvale_core::relay::engines::{OrganisationMemory, PoolUsage};
+use hibiscusvale_core::relay::engines::{
+    DataCentreLoad, EngineUsage, Growth, Guest, OpenEngines, OrganisationMemory, PoolUsage,
+};
 use hibiscusvale_core::relay::routes::TableVersion;
 use hibiscusvale_core::shares::OrganisationKey;
-use hibiscusvale_core::units::{MonoTime, Tokens};
+use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
 use rstest::rstest;
 
 use super::*;
@@ -163,3 +165,76 @@
     assert!(bytes_per_s <= 156_250.0, "{bytes_per_s}");
     assert!(decode(&bytes).unwrap().1.is_some_and(|report| !report.rates.is_empty()));
 }
+
+fn extensions(services: usize, guests: usize) -> Extensions {
+    let load = |number| DataCentreLoad {
+        data_centre: format!("z-{number}").parse().unwrap(),
+        room: Tokens(400_000),
+        waiting: Tokens(120_000),
+        open: OpenEngines { for_one: 0x3ff, for_two: 0x30 },
+        age_ms: Millis(900),
+    };
+    let growth = Growth { now: Tokens(5_000), end: Tokens(9_000), answer: Tokens(4_000), is_growing: true };
+    let guest = |number| Guest {
+        host: format!("entry-{number}").parse().unwrap(),
+        engines: vec![EngineUsage {
+            server: "engine-1".parse().unwrap(),
+            growths: vec![growth],
+            prefill_tokens: Tokens::ZERO,
+            running: 1,
+        }],
+    };
+    let report =
+        || DataCentreReport { loads: (0..4).map(load).collect(), guests: (0..guests).map(guest).collect() };
+    Extensions { data_centres: (0..services).map(|number| (format!("service-{number}"), report())).collect() }
+}
+
+/// Loads of data centres must arrive whether or not there is a report before them, and daemons of earlier versions must
+/// still decode the report.
+#[rstest]
+#[case::without_report(LoadReport::default())]
+#[case::with_report(report(2, 3))]
+fn extensions_are_received_as_sent(#[case] sent: LoadReport) {
+    let bytes = encode_with_extensions(&message(1), &sent, &extensions(2, 3), NO_LIMIT, 0).unwrap();
+    let (datagram, report, received) = decode_with_extensions(&bytes).unwrap();
+    assert_eq!((host(&datagram), report.as_ref(), &received), ("entry-1", Some(&sent), &extensions(2, 3)));
+    assert_eq!(decode(&bytes).unwrap().1, Some(sent));
+    let alone =
+        encode_with_extensions(&message(1), &LoadReport::default(), &Extensions::default(), NO_LIMIT, 0);
+    assert_eq!(alone.unwrap(), postcard::to_stdvec(&message(1)).unwrap());
+}
+
+/// A daemon of another version sends parts that this one does not know, before or after the loads of data centres. If
+/// these were lost, nothing would spill over during an update.
+#[test]
+fn unknown_and_malformed_parts_are_skipped() {
+    let mut bytes = encode(&message(1), &report(2, 3), NO_LIMIT, 0).unwrap();
+    let known = postcard::to_stdvec(&extensions(1, 1).data_centres).unwrap();
+    for (kind, content) in [(1, vec![7; 20]), (DATA_CENTRES_KIND, known), (900, vec![0xff; 300])] {
+        bytes.extend(postcard::to_stdvec(&Part { kind, content }).unwrap());
+    }
+    assert_eq!(decode_with_extensions(&bytes).unwrap().2, extensions(1, 1));
+    bytes.extend([2, 0xff, 0xff]);
+    assert_eq!(decode_with_extensions(&bytes).unwrap().2, extensions(1, 1), "cut part");
+}
+
+/// Extensions take what the report leaves of its limit: beyond it, periodic messages would fill a slow link. Loads go
+/// before guests, and services that do not fit are in later messages.
+#[test]
+fn extensions_stay_within_the_limit() {
+    let alone = postcard::to_stdvec(&message(1)).unwrap().len();
+    let (sent, limit) = (extensions(8, 16), Bytes(300));
+    let mut reported = Vec::new();
+    for turn in 0..8 {
+        let bytes = encode_with_extensions(&message(1), &LoadReport::default(), &sent, limit, turn).unwrap();
+        assert!(bytes.len() <= alone + 300, "{} bytes", bytes.len() - alone);
+        let received = decode_with_extensions(&bytes).unwrap().2;
+        assert!(received.data_centres.iter().all(|(_, report)| report.loads.len() == 4), "{received:?}");
+        reported.extend(received.data_centres.into_iter().map(|(name, _)| name));
+    }
+    reported.sort_unstable();
+    reported.dedup();
+    assert_eq!(reported.len(), 8, "{reported:?}");
+    let long = encode_with_extensions(&message(350), &report(40, 32), &sent, NO_LIMIT, 0).unwrap();
+    assert!(long.len() < MESSAGE_LIMIT_BYTES, "{}", long.len());
+}
