--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -193,7 +193,11 @@
         };
         let datagram = Datagram::Message(Box::new(message));
         let report_limit = state.peers.report_limit();
-        let reports = Reports { load: state.load_report(), servers: state.server_report() };
+        let reports = Reports {
+            load: state.load_report(),
+            servers: state.server_report(),
+            data_centres: state.engine_pools.data_centre_reports(),
+        };
         let encoded = load_report::encode(&datagram, &reports, report_limit, sequence);
         let Ok(bytes) = encoded else {
             continue;
@@ -205,6 +209,7 @@
             // A lost message is superseded by the next one.
             let _ = socket.send_to(&bytes, target).await;
         }
+        state.log_spill_over();
         for silent in state.peers.take_timed_out(Instant::now()) {
             state.log.state_changed("daemon silent", &silent);
             loans::update_lender(&silent, &LendableCredits::new(), state);
@@ -306,7 +311,12 @@
     // The engine pools act on a report when the usage of the same message follows.
     state.receive_load_report(&message.host, reports.load);
     state.plain_schedulers.receive_server_samples(&reports.servers.servers);
+    state.engine_pools.receive_data_centres(&message.host, &message.data_centre, reports.data_centres);
     state.engine_pools.peer(&message.host, message.holdings);
+    // What daemons of other data centres use of the engines here is known only to those that hear them.
+    if state.engine_pools.take_guest_report_due() {
+        state.peers.schedule_message(Urgency::Soon);
+    }
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
 }
--- a/crates/router/src/relay/load_report.rs
+++ b/crates/router/src/relay/load_report.rs
@@ -1,12 +1,12 @@
 //! Load that a daemon reports to the others with each message.
 //!
-//! The reports follow the message in the same datagram, first that of rates and memory, then that of plain servers.
-//! Daemons of earlier versions ignore trailing bytes, and a datagram without a report is valid, so that daemons of all
-//! versions work together.
+//! The report of rates and memory follows the message in the same datagram, and further parts follow it, each with its
+//! kind and its length. Daemons of earlier versions ignore trailing bytes, a decoder skips the kinds that it does not know,
+//! and a datagram without a report is valid, so that daemons of all versions work together.
 
 use std::cmp::Reverse;
 
-use hibiscusvale_core::relay::engines::{MemoryReport, SpeedSample};
+use hibiscusvale_core::relay::engines::{DataCentreReport, MemoryReport, SpeedSample};
 use hibiscusvale_core::sched::ServerSample;
 use hibiscusvale_core::shares::RateReport;
 use hibiscusvale_core::units::Bytes;
@@ -20,8 +20,8 @@
 /// Bytes for the lengths of the three lists, each of fewer than 2^14 entries.
 const LIST_LENGTH_BYTES: usize = 6;
 
-/// Bytes for the length of a list or name in the report of servers, of fewer than 2^14 entries.
-const SERVER_LENGTH_BYTES: usize = 2;
+/// Bytes for the length of a list or name in a part, of fewer than 2^14 entries.
+const LENGTH_BYTES: usize = 2;
 
 /// Load of the services as one daemon sees it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
@@ -48,8 +48,27 @@
     pub load: LoadReport,
     /// Loads and speeds of plain servers.
     pub servers: ServerReport,
+    /// Engine services in fleets whose messages stay within a data centre: loads of data centres.
+    pub data_centres: Vec<(String, DataCentreReport)>,
 }
 
+/// A part that follows the load report.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Part {
+    /// Kind of its content. Numbers are not reused.
+    kind: u16,
+    content: Vec<u8>,
+}
+
+/// Kind of the part with the loads of plain servers.
+const SERVERS_KIND: u16 = 1;
+
+/// Kind of the part with the loads of data centres.
+const DATA_CENTRES_KIND: u16 = 2;
+
+/// Bytes of a part beside its content: its kind, and a length below 2^14.
+const PART_HEADER_BYTES: usize = 3;
+
 impl LoadReport {
     /// Whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
@@ -142,10 +161,10 @@
     let samples: Vec<(&String, &ServerSample)> = samples.collect();
     let first = turn.checked_rem(samples.len()).unwrap_or_default();
     let mut cut = ServerReport::default();
-    let mut left = room.saturating_sub(SERVER_LENGTH_BYTES);
+    let mut left = room.saturating_sub(LENGTH_BYTES);
     for (name, sample) in samples[first..].iter().chain(&samples[..first]) {
         let known = cut.servers.iter().position(|(known, _)| known == *name);
-        let name_size = if known.is_some() { 0 } else { name.len() + 2 * SERVER_LENGTH_BYTES };
+        let name_size = if known.is_some() { 0 } else { name.len() + 2 * LENGTH_BYTES };
         let size = postcard::to_stdvec(sample)?.len() + name_size;
         if size > left {
             continue;
@@ -159,11 +178,37 @@
     if cut.servers.is_empty() { Ok(None) } else { postcard::to_stdvec(&cut).map(Some) }
 }
 
+/// Encodes the services that fit into `room` bytes, the one at `turn` first; `None` if none does. Of a service with too
+/// many guests the loads go alone: nothing spills over without them.
+fn encode_data_centres(
+    services: &[(String, DataCentreReport)],
+    room: usize,
+    turn: usize,
+) -> Result<Option<Vec<u8>>, postcard::Error> {
+    let mut left = room.saturating_sub(LENGTH_BYTES);
+    let mut fitting = Vec::with_capacity(services.len());
+    for at in 0..services.len() {
+        let (name, report) = &services[at.wrapping_add(turn) % services.len()];
+        let loads_only = DataCentreReport { guests: Vec::new(), ..report.clone() };
+        for candidate in [report.clone(), loads_only] {
+            let entry = (name.clone(), candidate);
+            let size = postcard::to_stdvec(&entry)?.len();
+            if size <= left {
+                left -= size;
+                fitting.push(entry);
+                break;
+            }
+        }
+    }
+    if fitting.is_empty() { Ok(None) } else { postcard::to_stdvec(&fitting).map(Some) }
+}
+
 /// Encodes a datagram, followed by the reports that are not empty.
 ///
-/// The reports together take at most `report_limit`, and no more than a receiver's buffer has left: among hundreds of daemons
-/// with many services or organisations the reports are cut, not the message; that of servers gets what the other leaves. `turn` is to differ between successive
-/// messages; it selects the services that are left out.
+/// The reports together take at most `report_limit`, and no more than a receiver's buffer has left: among hundreds of
+/// daemons with many services or organisations the reports are cut, not the message. Loads of data centres and of plain
+/// servers get what the report of rates and memory leaves. `turn` is to differ between successive messages; it selects what
+/// is left out.
 ///
 /// # Errors
 ///
@@ -179,21 +224,29 @@
     let room = MESSAGE_LIMIT_BYTES.saturating_sub(bytes.len() + 1).min(limit);
     let turn = usize::try_from(turn).unwrap_or_default();
     let load = encode_report(&reports.load, room, turn)?;
-    // A report of servers is found behind that of the load, even if that is empty.
-    let before_servers = load.clone().map_or_else(|| postcard::to_stdvec(&LoadReport::default()), Ok)?;
-    let left = room.saturating_sub(before_servers.len());
-    if let Some(servers) = encode_servers(&reports.servers, left, turn)? {
-        bytes.extend(before_servers);
-        bytes.extend(servers);
-    } else {
+    // Parts are found behind the report of the load, even if that is empty.
+    let before_parts = load.clone().map_or_else(|| postcard::to_stdvec(&LoadReport::default()), Ok)?;
+    let mut left = room.saturating_sub(before_parts.len());
+    let mut parts = Vec::new();
+    let content = encode_data_centres(&reports.data_centres, left.saturating_sub(PART_HEADER_BYTES), turn)?;
+    if let Some(content) = content {
+        parts.extend(postcard::to_stdvec(&Part { kind: DATA_CENTRES_KIND, content })?);
+    }
+    left = left.saturating_sub(parts.len());
+    if let Some(content) = encode_servers(&reports.servers, left.saturating_sub(PART_HEADER_BYTES), turn)? {
+        parts.extend(postcard::to_stdvec(&Part { kind: SERVERS_KIND, content })?);
+    }
+    if parts.is_empty() {
         bytes.extend(load.unwrap_or_default());
+    } else {
+        bytes.extend(before_parts);
+        bytes.extend(parts);
     }
     Ok(bytes)
 }
 
-/// Decodes a datagram and the reports that follow a message; those that are missing are empty. A report that cannot be
-/// decoded is dropped with what follows it: the message before it is valid. Bytes after the reports are those of a later
-/// version and are ignored.
+/// Decodes a datagram and the reports that follow a message; those that are missing are empty. What cannot be decoded is
+/// dropped: the message before it is valid. Parts of a kind that is not known are skipped.
 ///
 /// # Errors
 ///
@@ -201,11 +254,21 @@
 pub fn decode(bytes: &[u8]) -> Result<(Datagram, Reports), postcard::Error> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
     let is_message = matches!(datagram, Datagram::Message(_));
-    let Ok((load, rest)) = postcard::take_from_bytes(if is_message { rest } else { &[] }) else {
+    let Ok((load, mut rest)) = postcard::take_from_bytes(if is_message { rest } else { &[] }) else {
         return Ok((datagram, Reports::default()));
     };
-    let servers = postcard::from_bytes(rest).unwrap_or_default();
-    Ok((datagram, Reports { load, servers }))
+    let mut reports = Reports { load, ..Reports::default() };
+    while let Ok((part, next)) = postcard::take_from_bytes::<Part>(rest) {
+        rest = next;
+        match part.kind {
+            SERVERS_KIND => reports.servers = postcard::from_bytes(&part.content).unwrap_or_default(),
+            DATA_CENTRES_KIND => {
+                reports.data_centres = postcard::from_bytes(&part.content).unwrap_or_default();
+            }
+            _ => {}
+        }
+    }
+    Ok((datagram, reports))
 }
 
 #[cfg(test)]
--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -317,6 +317,13 @@
         }
     }
 
+    /// Logs for which services spill-over has begun or ended.
+    pub fn log_spill_over(&self) {
+        for (service, spill_over) in self.engine_pools.take_spill_over_changes() {
+            self.log.spill_over_changed(&service, &spill_over);
+        }
+    }
+
     /// Applies another daemon's report.
     pub fn receive_load_report(&self, host: &HostId, report: LoadReport) {
         self.shares.receive(clock::now(), host, report.rates);
--- a/crates/router/tests/unit/relay_load_report.rs
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -2,10 +2,12 @@
 
 use hibiscusvale_core::ids::{Incarnation, PartnerId};
 use hibiscusvale_core::quarantine::Gossip;
-use hibiscusvale_core::relay::engines::{OrganisationMemory, PoolUsage};
+use hibiscusvale_core::relay::engines::{
+    DataCentreLoad, EngineUsage, Growth, Guest, OpenEngines, OrganisationMemory, PoolUsage,
+};
 use hibiscusvale_core::relay::routes::TableVersion;
 use hibiscusvale_core::shares::OrganisationKey;
-use hibiscusvale_core::units::{MonoTime, Tokens};
+use hibiscusvale_core::units::{Millis, MonoTime, Tokens};
 use rstest::rstest;
 
 use super::*;
@@ -200,7 +202,7 @@
 #[case::alone(LoadReport::default())]
 #[case::behind_load(report(2, 3))]
 fn server_report_is_received_as_sent(#[case] load: LoadReport) {
-    let sent = Reports { load, servers: server_report(2, 3) };
+    let sent = Reports { load, servers: server_report(2, 3), ..Reports::default() };
     let bytes = super::encode(&message(1), &sent, NO_LIMIT, 0).unwrap();
     let (datagram, received) = super::decode(&bytes).unwrap();
     assert_eq!((host(&datagram), &received), ("entry-1", &sent));
@@ -236,7 +238,7 @@
 #[case::alone(LoadReport::default(), 120)]
 #[case::buffer(report(4, 32), 1 << 20)]
 fn both_reports_stay_within_the_limit(#[case] load: LoadReport, #[case] limit: u64) {
-    let sent = Reports { load, servers: server_report(4_000, 32) };
+    let sent = Reports { load, servers: server_report(4_000, 32), ..Reports::default() };
     let alone = postcard::to_stdvec(&message(1)).unwrap().len();
     let bytes = super::encode(&message(1), &sent, Bytes(limit), 0).unwrap();
     assert!(bytes.len() < MESSAGE_LIMIT_BYTES, "{}", bytes.len());
@@ -259,3 +261,80 @@
     }
     assert_eq!(reported.len(), 16);
 }
+
+fn data_centres(services: usize, guests: usize) -> Reports {
+    let load = |number| DataCentreLoad {
+        data_centre: format!("z-{number}").parse().unwrap(),
+        room: Tokens(400_000),
+        waiting: Tokens(120_000),
+        open: OpenEngines { for_one: 0x3ff, for_two: 0x30 },
+        age_ms: Millis(900),
+    };
+    let growth = Growth { now: Tokens(5_000), end: Tokens(9_000), answer: Tokens(4_000), is_growing: true };
+    let guest = |number| Guest {
+        host: format!("entry-{number}").parse().unwrap(),
+        engines: vec![EngineUsage {
+            server: "engine-1".parse().unwrap(),
+            growths: vec![growth],
+            prefill_tokens: Tokens::ZERO,
+            running: 1,
+        }],
+    };
+    let report =
+        || DataCentreReport { loads: (0..4).map(load).collect(), guests: (0..guests).map(guest).collect() };
+    let data_centres = (0..services).map(|number| (format!("service-{number}"), report())).collect();
+    Reports { data_centres, ..Reports::default() }
+}
+
+/// Loads of data centres must arrive whether or not there is a report before them, and daemons of earlier versions must
+/// still decode the report.
+#[rstest]
+#[case::without_report(LoadReport::default())]
+#[case::with_report(report(2, 3))]
+fn loads_of_data_centres_are_received_as_sent(#[case] load: LoadReport) {
+    let sent = Reports { load, servers: server_report(1, 2), ..data_centres(2, 3) };
+    let bytes = super::encode(&message(1), &sent, NO_LIMIT, 0).unwrap();
+    let (datagram, received) = super::decode(&bytes).unwrap();
+    assert_eq!((host(&datagram), &received), ("entry-1", &sent));
+    let (_, rest) = postcard::take_from_bytes::<Datagram>(&bytes).unwrap();
+    assert_eq!(postcard::from_bytes::<LoadReport>(rest).unwrap(), sent.load);
+}
+
+/// A daemon of another version sends parts that this one does not know, before or after the loads of data centres. If
+/// these were lost, nothing would spill over during an update.
+#[test]
+fn unknown_and_malformed_parts_are_skipped() {
+    let mut bytes = encode(&message(1), &report(2, 3), NO_LIMIT, 0).unwrap();
+    let known = postcard::to_stdvec(&data_centres(1, 1).data_centres).unwrap();
+    for (kind, content) in
+        [(SERVERS_KIND, vec![0xff; 20]), (DATA_CENTRES_KIND, known), (900, vec![0xff; 300])]
+    {
+        bytes.extend(postcard::to_stdvec(&Part { kind, content }).unwrap());
+    }
+    let expected = Reports { load: report(2, 3), ..data_centres(1, 1) };
+    assert_eq!(super::decode(&bytes).unwrap().1, expected);
+    bytes.extend([2, 0xff, 0xff]);
+    assert_eq!(super::decode(&bytes).unwrap().1, expected, "cut part");
+}
+
+/// Loads of data centres take what the report leaves of its limit: beyond it, periodic messages would fill a slow link. Loads go
+/// before guests, and services that do not fit are in later messages.
+#[test]
+fn loads_of_data_centres_stay_within_the_limit() {
+    let alone = postcard::to_stdvec(&message(1)).unwrap().len();
+    let (sent, limit) = (data_centres(8, 16), Bytes(300));
+    let mut reported = Vec::new();
+    for turn in 0..8 {
+        let bytes = super::encode(&message(1), &sent, limit, turn).unwrap();
+        assert!(bytes.len() <= alone + 300, "{} bytes", bytes.len() - alone);
+        let received = super::decode(&bytes).unwrap().1;
+        assert!(received.data_centres.iter().all(|(_, report)| report.loads.len() == 4), "{received:?}");
+        reported.extend(received.data_centres.into_iter().map(|(name, _)| name));
+    }
+    reported.sort_unstable();
+    reported.dedup();
+    assert_eq!(reported.len(), 8, "{reported:?}");
+    let sent = Reports { load: report(40, 32), ..sent };
+    let long = super::encode(&message(350), &sent, NO_LIMIT, 0).unwrap();
+    assert!(long.len() < MESSAGE_LIMIT_BYTES, "{}", long.len());
+}
