--- a/crates/core/src/sched/server_loads.rs
+++ b/crates/core/src/sched/server_loads.rs
@@ -255,10 +255,10 @@
     ///
     /// The time spent waiting for a slot is removed by the load that the server states with the answer: a fast server
     /// with a queue would otherwise be taken for a slow one, and would be avoided after its queue is empty.
-    pub(super) fn answered(&mut self, now_us: MonoTime, index: usize, is_local: bool, response_us: Micros) {
+    pub(super) fn answered(&mut self, now_us: MonoTime, index: usize, is_local: bool, elapsed_us: Micros) {
         let known = self.known(index);
         let way_ms = if is_local { 0.0 } else { REMOTE_ROUND_TRIP_MS };
-        let response_ms = (response_us.0 as f64 / 1_000.0 - way_ms).max(0.0);
+        let response_ms = (elapsed_us.0 as f64 / 1_000.0 - way_ms).max(0.0);
         let header = known.header.filter(|header| now_us < header.as_of_us + HEADER_AGE_MAX_MS);
         let waiting = header.map_or(1.0, |it| waiting_factor(f64::from(it.held), it.slots));
         let busy_ms = response_ms / waiting;
