Give room to waiting requests in the order that all daemons know

Cause: among equal ranks the rendezvous hash chose the daemon, whatever the age of its requests; a request acted on a better rank before others knew of it, so several daemons filled one engine. Change: each daemon gives the known room to the reported requests by rank and age; requests are reported one by one (up to eight classes), and keep the reported rank; a daemon places when it can report the placement at once; requests are accepted if they are expected to wait for at most 0.4 of the time left. Where requests do not differ nothing changes.

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -37,6 +37,7 @@
             failed_at: None,
             decode_version: SoftwareVersion::default(),
             payment: Payment::None,
+            reported: None,
             progress: None,
         };
         self.open.insert(request_id, open);
@@ -64,6 +65,9 @@
         let within_ms =
             if self.is_late(now_us, open, backlog) { open.max_wait_ms() } else { open.demand.target_ms };
         let limit_us = Micros::from(within_ms.saturating_sub(prefill_ms + START_MARGIN_MS));
+        // Requests of better rank arrive later and go before this one.
+        let limit_us =
+            if self.order.is_ranked { Micros(limit_us.0 * RANKED_WAIT_PERCENT / 100) } else { limit_us };
         let binding = &open.demand.binding;
         let is_limited = self.limited_wait(now_us, binding).is_some_and(|wait_us| wait_us > limit_us);
         let ahead = self.waiting_before(now_us, open) + open.final_tokens;
@@ -231,7 +235,9 @@
         let needs_payment = self.waiting.iter().any(|request_id| self.open[request_id].needs_payment());
         let recheck_ms = if needs_payment { LENDER_TIMEOUT_MS } else { RECHECK_MS };
         let retry_us = (!self.waiting.is_empty()).then(|| now_us + recheck_ms);
-        let Some(at_us) = [expiry_us, retry_us].into_iter().flatten().min() else {
+        let reportable_us = Some(self.reportable_us())
+            .filter(|at_us| self.order.is_ranked && !self.waiting.is_empty() && *at_us > now_us);
+        let Some(at_us) = [expiry_us, retry_us, reportable_us].into_iter().flatten().min() else {
             return;
         };
         if self.wake_us.is_none_or(|known_us| known_us <= now_us || at_us < known_us) {
@@ -245,6 +251,10 @@
 /// prefilling it again costs more than the margin.
 const ANSWER_MARGIN: f64 = 1.25;
 
+/// Part of the time left to a request that it may be expected to wait where requests differ in rank, in percent. Where
+/// it was all of it, refused requests had waited 0.3 to 0.5 s, as later ones of better rank went before them.
+const RANKED_WAIT_PERCENT: u64 = 40;
+
 /// Interval for rechecking engines that were full by their reported load: that knowledge goes stale by
 /// itself.
 const RECHECK_MS: Millis = Millis(50);
--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -152,7 +152,7 @@
         }
         if let EngineEvent::PeerMemory { host, report } = event {
             let peer = self.peers.index_of(host);
-            self.receive_memory(peer, report);
+            self.receive_memory(now_us, peer, report);
             return;
         }
         if !matches!(event, EngineEvent::Peer { .. }) {
--- a/crates/core/src/relay/engines/open_request.rs
+++ b/crates/core/src/relay/engines/open_request.rs
@@ -2,6 +2,7 @@
 
 use super::events::{Demand, VersionBinding};
 use super::memory::Growth;
+use super::order::ReportedRank;
 use crate::ids::SoftwareVersion;
 use crate::outcome::Attempts;
 use crate::units::{Millis, MonoTime, Tokens};
@@ -106,6 +107,8 @@
     pub(super) decode_version: SoftwareVersion,
     /// Whether the next attempt was paid for, and until when it waits for credit.
     pub(super) payment: Payment,
+    /// What the other daemons were told of it while it waits.
+    pub(super) reported: Option<ReportedRank>,
     /// Number of events of the answer at the last progress report, and when that was.
     pub(super) progress: Option<(MonoTime, u64)>,
 }
--- a/crates/core/src/relay/engines/order.rs
+++ b/crates/core/src/relay/engines/order.rs
@@ -8,6 +8,7 @@
 //!
 //! Where all known requests have one rank, nothing here applies.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
@@ -15,7 +16,7 @@
 use super::EnginePool;
 use super::events::{Role, VersionBinding};
 use super::open_request::{OpenRequest, Stage};
-use super::peers::PeerIndex;
+use super::peers::{NodeHash, PeerIndex};
 use super::prefill::{PrefillBacklog, START_MARGIN_MS};
 use crate::ids::RequestId;
 use crate::outcome::Outcome;
@@ -88,6 +89,22 @@
     const UNREPORTED: Self = Self { is_over_share: false, priority: UNREPORTED_PRIORITY };
 }
 
+/// What the other daemons were told of a queued request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReportedRank {
+    rank: Rank,
+    /// When it was first reported.
+    first_us: MonoTime,
+}
+
+/// Place of a queued request among those of all daemons; smaller values go first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Precedence {
+    rank: Rank,
+    /// When it arrived, by the clock of this daemon.
+    arrived_us: MonoTime,
+}
+
 /// Memory of one organisation's requests.
 #[derive(Clone, Copy, Debug, Default)]
 struct OrganisationSum {
@@ -107,8 +124,18 @@
     report: MemoryReport,
     /// Whether it belongs to the usage that comes next. A message without a report makes the previous one invalid.
     is_new: bool,
+    received_us: MonoTime,
     /// What of it is part of the sums: no more than the daemon's queued memory.
-    counted: Vec<(Rank, Tokens)>,
+    counted: Vec<(Precedence, Tokens)>,
+}
+
+/// Room at a decode engine.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    index: usize,
+    left: Tokens,
+    /// Whether a request that goes before is expected to take of it.
+    is_wanted: bool,
 }
 
 /// Figures that take a pass over all engines or organisations, and are computed at intervals.
@@ -140,10 +167,13 @@
     /// Sums of this daemon.
     own: HashMap<OrganisationKey, OrganisationSum>,
     /// Whether the known requests differ in rank.
+    differ: bool,
+    /// Whether they do or did a short time ago.
     pub(super) is_ranked: bool,
+    ranked_until_us: MonoTime,
+    /// When the last message was sent.
+    reported_us: Option<MonoTime>,
     figures: Option<Figures>,
-    /// Organisations of this daemon that were beyond their share, and when last. Requests without one are `None`.
-    over_share: HashMap<Option<OrganisationKey>, MonoTime>,
     /// Whether queued requests are to be checked against new figures.
     is_check_due: bool,
 }
@@ -161,9 +191,15 @@
     }
 
     /// Stores what a daemon reports; its usage, which belongs to the same message, follows.
-    pub(super) fn receive(&mut self, peer: PeerIndex, report: MemoryReport, waiting: Tokens) {
+    pub(super) fn receive(
+        &mut self,
+        now_us: MonoTime,
+        peer: PeerIndex,
+        report: MemoryReport,
+        waiting: Tokens,
+    ) {
         self.discount(peer);
-        let memory = PeerMemory { report, is_new: true, counted: Vec::new() };
+        let memory = PeerMemory { report, is_new: true, received_us: now_us, counted: Vec::new() };
         self.peers.insert(peer, memory);
         self.count(peer, waiting);
     }
@@ -194,7 +230,7 @@
         };
         let mut left = waiting;
         let mut classes = memory.report.waiting.clone();
-        classes.sort_by_key(|class| (class.is_over_share, class.priority));
+        classes.sort_by_key(|class| (class.is_over_share, class.priority, Reverse(class.oldest_ms)));
         for class in classes {
             let tokens = class.tokens.min(left);
             if tokens == Tokens::ZERO {
@@ -202,7 +238,9 @@
             }
             left -= tokens;
             let rank = Rank { is_over_share: class.is_over_share, priority: class.priority };
-            memory.counted.push((rank, tokens));
+            let age_us = Micros::from(class.oldest_ms).0;
+            let arrived_us = MonoTime(memory.received_us.0.saturating_sub(age_us));
+            memory.counted.push((Precedence { rank, arrived_us }, tokens));
             *self.waiting.entry(rank).or_default() += tokens;
         }
         for reported in &memory.report.organisations {
@@ -216,7 +254,8 @@
         let Some(memory) = self.peers.get_mut(&peer) else {
             return;
         };
-        for (rank, counted) in memory.counted.drain(..) {
+        for (precedence, counted) in memory.counted.drain(..) {
+            let rank = precedence.rank;
             if let Some(sum) = self.waiting.get_mut(&rank) {
                 *sum -= counted;
                 if *sum == Tokens::ZERO {
@@ -245,12 +284,21 @@
         if goes_before(Rank::UNREPORTED) { selected + unreported } else { selected }
     }
 
-    /// Whether a daemon with `waiting` queued memory has requests of `rank` or a better one.
-    fn contends(&self, peer: PeerIndex, waiting: Tokens, rank: Rank) -> bool {
-        let counted: &[(Rank, Tokens)] = self.peers.get(&peer).map_or(&[], |memory| &memory.counted);
+    /// Memory that requests at the other daemons wait for and that goes before `precedence`.
+    fn waiting_ahead(&self, total: Tokens, precedence: Precedence) -> Tokens {
+        let reported = self.waiting.values().fold(Tokens::ZERO, |sum, tokens| sum + *tokens);
+        let unreported = total.saturating_sub(reported);
+        let queued = self.peers.values().flat_map(|memory| &memory.counted);
+        let ahead = queued.filter(|(other, _)| *other < precedence);
+        let ahead = ahead.fold(Tokens::ZERO, |sum, (_, tokens)| sum + *tokens);
+        if Rank::UNREPORTED <= precedence.rank { ahead + unreported } else { ahead }
+    }
+
+    /// Queued requests of a daemon that it reported, and the rest of its `waiting` memory.
+    fn queued_at(&self, peer: PeerIndex, waiting: Tokens) -> (&[(Precedence, Tokens)], Tokens) {
+        let counted: &[(Precedence, Tokens)] = self.peers.get(&peer).map_or(&[], |memory| &memory.counted);
         let reported = counted.iter().fold(Tokens::ZERO, |sum, (_, tokens)| sum + *tokens);
-        counted.iter().any(|(counted_rank, _)| *counted_rank <= rank)
-            || (waiting > reported && Rank::UNREPORTED <= rank)
+        (counted, waiting.saturating_sub(reported))
     }
 
     fn sum(&self, organisation: OrganisationKey) -> OrganisationSum {
@@ -274,17 +322,6 @@
             .is_some_and(|(sum, share)| sum.held.0 as f64 >= share && sum.need().0 as f64 > share)
     }
 
-    fn refresh_over_share(&mut self, now_us: MonoTime) {
-        self.over_share.retain(|_, since_us| now_us < *since_us + SETTLING_MS);
-        let organisations: Vec<Option<OrganisationKey>> =
-            self.own.keys().copied().map(Some).chain([None]).collect();
-        for organisation in organisations {
-            if self.is_over_share(organisation) {
-                self.over_share.insert(organisation, now_us);
-            }
-        }
-    }
-
     /// Level of the max-min fair division of `capacity`, which is what all requests hold and the room left.
     fn level(&self, capacity: Tokens, other: OrganisationSum) -> f64 {
         let own_only = self.own.keys().filter(|organisation| !self.organisations.contains_key(organisation));
@@ -303,18 +340,19 @@
 }
 
 impl EnginePool {
-    /// Rank of a request among those that are in time.
+    /// Rank of a request among those that are in time: the one that the other daemons know.
     ///
-    /// A request whose organisation was beyond its share a moment ago ranks as if it still were: until the other
-    /// daemons know that it no longer is, they do not count with it, and would place requests at the same engine.
+    /// An organisation that surges is beyond its share at one moment and within it at the next. If a daemon acted on
+    /// the better rank before it reported it, requests of that organisation at several daemons would each go before
+    /// all others, and fill the same engine.
     pub(super) fn rank(&self, open: &OpenRequest) -> Rank {
-        let rank = self.reported_rank(open);
-        let was_over_share = self.order.over_share.contains_key(&open.demand.organisation);
-        Rank { is_over_share: rank.is_over_share || (!open.has_started && was_over_share), ..rank }
+        match open.reported {
+            Some(reported) if !open.has_started => reported.rank,
+            Some(_) | None => self.current_rank(open),
+        }
     }
 
-    /// Rank of a request without regard to what other daemons know of it.
-    fn reported_rank(&self, open: &OpenRequest) -> Rank {
+    fn current_rank(&self, open: &OpenRequest) -> Rank {
         if open.has_started {
             return Rank::STARTED;
         }
@@ -322,13 +360,18 @@
         Rank { is_over_share, priority: open.demand.priority }
     }
 
+    /// Whether the other daemons take a request into account. Until then they place theirs without regard to it.
+    fn is_known(&self, now_us: MonoTime, open: &OpenRequest) -> bool {
+        open.has_started || open.reported.is_some_and(|reported| now_us >= reported.first_us + DELIVERY_MS)
+    }
+
     /// Stores the report of another daemon, unless its figures are not possible.
-    pub(super) fn receive_memory(&mut self, peer: PeerIndex, report: MemoryReport) {
+    pub(super) fn receive_memory(&mut self, now_us: MonoTime, peer: PeerIndex, report: MemoryReport) {
         let memory = self.settings.memory_tokens.0;
         let held_max = Tokens(self.engines.len() as u64 * memory * HELD_FACTOR_MAX);
         let waiting_max = Tokens(self.settings.waiting_max as u64 * memory);
         if report.is_plausible(held_max, waiting_max) {
-            self.order.receive(peer, report, self.peers.waiting_at(peer));
+            self.order.receive(now_us, peer, report, self.peers.waiting_at(peer));
         } else {
             self.order.remove(peer);
         }
@@ -349,14 +392,17 @@
                 }
             }
         }
-        self.order.is_ranked = self.are_ranks_different();
+        self.order.differ = self.are_ranks_different();
+        if self.order.differ {
+            self.order.ranked_until_us = now_us + RANKED_TTL_MS;
+        }
+        self.order.is_ranked = now_us < self.order.ranked_until_us;
         if !self.order.is_ranked {
             self.order.figures = None;
         } else if self.order.figures.is_none_or(|figures| now_us >= figures.as_of_us + FIGURES_TTL_MS) {
             self.order.figures = Some(self.order_figures(now_us));
             self.order.is_check_due = true;
         }
-        self.order.refresh_over_share(now_us);
     }
 
     /// Whether the known requests differ in rank: an organisation is known, or several priorities wait.
@@ -422,61 +468,91 @@
         ahead + self.order.waiting_where(self.peers.waiting(), |other| other <= rank)
     }
 
-    /// Decode engines among `eligible` that a request may take while better-ranked requests wait at other daemons: as
-    /// much room as those need is left to them, and what they cannot use is not kept from anyone.
-    pub(super) fn leaving_room(
+    /// Chooses one of the `eligible` decode engines for a request while others wait at other daemons.
+    ///
+    /// A burst takes all memory, and what becomes free is wanted by requests of several ranks at hundreds of daemons,
+    /// each of which learns of the others' choices one message interval late. If each daemon took what suits its own
+    /// request, urgent and old requests would wait behind others, and an engine would be filled by several daemons at
+    /// once. So each daemon gives the known room to the known requests in the order of their precedence, and takes for its
+    /// own what is left. All daemons compute nearly the same. What the others do not need is used.
+    pub(super) fn choose_in_order(
         &self,
         now_us: MonoTime,
         open: &OpenRequest,
         is_late: bool,
-        mut eligible: Vec<usize>,
-    ) -> Vec<usize> {
-        if !self.order.is_ranked || open.has_started || eligible.is_empty() {
-            return eligible;
+        eligible: &[usize],
+    ) -> Option<usize> {
+        if !open.has_started && now_us < self.reportable_us() {
+            return None;
         }
-        let rank = self.rank(open);
-        let waiting = self.peers.waiting();
-        let better = if is_late { waiting } else { self.order.waiting_where(waiting, |other| other < rank) };
-        if better > Tokens::ZERO {
-            let kept = self.first_with_room(now_us, better);
-            eligible.retain(|index| !kept.contains(index));
+        let own = Precedence { rank: self.rank(open), arrived_us: open.arrived_us };
+        let is_known = self.is_known(now_us, open);
+        let goes_before = |other: Precedence| is_late || !is_known || other < own;
+        let (mut ahead, mut unreported) = (Vec::new(), Vec::new());
+        for (peer, node_hash) in self.peers.contenders() {
+            let (queued, rest) = self.order.queued_at(peer, self.peers.waiting_at(peer));
+            let queued = queued.iter().filter(|(precedence, _)| goes_before(*precedence));
+            ahead.extend(queued.map(|(precedence, tokens)| (*precedence, node_hash, *tokens)));
+            if rest > Tokens::ZERO && (is_late || Rank::UNREPORTED <= own.rank) {
+                unreported.push(node_hash);
+            }
         }
-        eligible
+        ahead.sort_unstable();
+        let left = self.room_left(now_us, &ahead);
+        let is_own = |index: usize| {
+            let engine = self.engines[index].node_hash;
+            let own = self.node_hash.rendezvous_hash(engine);
+            unreported.iter().all(|contender| own < contender.rendezvous_hash(engine))
+        };
+        let is_free = |index: &usize| {
+            let room = left.iter().find(|room| room.index == *index);
+            room.is_some_and(|room| !room.is_wanted || room.left >= open.final_tokens) && is_own(*index)
+        };
+        let free = eligible.iter().copied().filter(is_free);
+        free.min_by_key(|index| self.node_hash.rendezvous_hash(self.engines[*index].node_hash))
     }
 
-    /// The decode engines that have room for `tokens`, in an order that is the same at all daemons.
-    ///
-    /// Better-ranked requests that do not get an engine by the rendezvous hash of all daemons take one of these, and
-    /// worse-ranked ones leave them alone. If the two could choose the same engine, it would outgrow its memory: in
-    /// simulations without this, engines took up to a third more than they have.
-    pub(super) fn first_with_room(&self, now_us: MonoTime, tokens: Tokens) -> Vec<usize> {
-        // Requests differ in size by about two; a gap of less than half of the typical size is of use to few.
-        let unit = (self.typical_final_tokens() / 2).max(1);
+    /// When a placement can be reported at once: one message interval after the previous report.
+    pub(super) fn reportable_us(&self) -> MonoTime {
+        let interval_us =
+            (self.peers.count() as u64 * MESSAGE_INTERVAL_PER_DAEMON_US).min(MESSAGE_INTERVAL_MAX_US);
+        self.order.reported_us.map_or(MonoTime::default(), |reported_us| reported_us + Micros(interval_us))
+    }
+
+    /// Room at the decode engines that the requests `ahead` leave, each at the engine that its daemon prefers.
+    fn room_left(&self, now_us: MonoTime, ahead: &[(Precedence, NodeHash, Tokens)]) -> Vec<Room> {
         let limit = self.memory_limit();
-        let is_usable = |index: &usize| {
-            let engine = &self.engines[*index];
+        let usable = self.engines.iter().enumerate().filter(|(_, engine)| {
             engine.role == Role::Decode && !engine.is_full(now_us) && engine.has_slot(now_us)
-        };
-        let mut usable: Vec<usize> = (0..self.engines.len()).filter(is_usable).collect();
-        usable.sort_unstable_by_key(|&index| self.engines[index].node_hash);
-        let mut first = Vec::new();
-        let mut found = Tokens::ZERO;
-        for index in usable {
-            if found >= tokens {
+        });
+        let mut rooms: Vec<Room> = usable
+            .map(|(index, engine)| Room {
+                index,
+                left: limit.saturating_sub(engine.peak(now_us, &self.fleet_stats, None)),
+                is_wanted: false,
+            })
+            .collect();
+        // Requests differ in size by about two; a gap of less than half of the typical size is of use to few.
+        let unit = Tokens((self.typical_final_tokens() / 2).max(1));
+        for (precedence, node_hash, tokens) in ahead {
+            let is_strict = now_us >= precedence.arrived_us + PASSED_OVER_MS;
+            let usable = rooms.iter_mut().filter(|room| room.left >= unit);
+            let preferred = usable.min_by_key(|room| {
+                let preference = node_hash.rendezvous_hash(self.engines[room.index].node_hash);
+                let missing = tokens.saturating_sub(room.left);
+                (missing, preference)
+            });
+            let Some(room) = preferred.filter(|room| !is_strict || room.left >= *tokens) else {
+                rooms.iter_mut().for_each(|room| {
+                    room.is_wanted = true;
+                    room.left = Tokens::ZERO;
+                });
                 break;
-            }
-            let room = limit.saturating_sub(self.engines[index].peak(now_us, &self.fleet_stats, None));
-            if room.0 >= unit {
-                found += Tokens(room.0 / unit * unit);
-                first.push(index);
-            }
+            };
+            room.left = room.left.saturating_sub(*tokens);
+            room.is_wanted = true;
         }
-        first
-    }
-
-    /// Whether the other daemon has queued requests of `rank` or a better one.
-    pub(super) fn contends(&self, peer: PeerIndex, rank: Rank) -> bool {
-        self.order.contends(peer, self.peers.waiting_at(peer), rank)
+        rooms
     }
 
     /// Queued requests that will not be placed in time: the memory that becomes free in the time left to them is less
@@ -500,7 +576,8 @@
         let mut own_ahead = Tokens::ZERO;
         for (rank, _, request_id) in in_order {
             let open = &self.open[&request_id];
-            let others = self.order.waiting_where(self.peers.waiting(), |other| other <= rank);
+            let precedence = Precedence { rank, arrived_us: open.arrived_us };
+            let others = self.order.waiting_ahead(self.peers.waiting(), precedence);
             let missing = (own_ahead + others + open.final_tokens).saturating_sub(figures.free);
             let wait_us = missing.0 as f64 / figures.freed_per_us.max(f64::MIN_POSITIVE);
             let needed_ms =
@@ -532,7 +609,7 @@
     }
 
     /// Memory that this daemon's requests hold and wait for; `None` where nothing distinguishes them.
-    pub fn memory_report(&self, now_us: MonoTime) -> Option<MemoryReport> {
+    pub fn memory_report(&mut self, now_us: MonoTime) -> Option<MemoryReport> {
         let mut organisations: HashMap<OrganisationKey, OrganisationSum> = HashMap::new();
         for open in self.open.values() {
             let Some(organisation) = open.demand.organisation else {
@@ -545,9 +622,11 @@
                 sum.held += open.final_tokens;
             }
         }
+        self.order.reported_us = Some(now_us);
+        self.record_reported_ranks(now_us);
         let waiting = self.waiting_classes(now_us);
         let is_default = |class: &WaitingClass| class.priority == UNREPORTED_PRIORITY;
-        if organisations.is_empty() && !self.order.is_ranked && waiting.iter().all(is_default) {
+        if organisations.is_empty() && !self.order.differ && waiting.iter().all(is_default) {
             return None;
         }
         let mut organisations: Vec<OrganisationMemory> = organisations
@@ -566,6 +645,17 @@
         Some(MemoryReport { organisations, waiting })
     }
 
+    fn record_reported_ranks(&mut self, now_us: MonoTime) {
+        for index in 0..self.waiting.len() {
+            let request_id = self.waiting[index];
+            let rank = self.current_rank(&self.open[&request_id]);
+            if let Some(open) = self.open.get_mut(&request_id) {
+                let first_us = open.reported.map_or(now_us, |reported| reported.first_us);
+                open.reported = Some(ReportedRank { rank, first_us });
+            }
+        }
+    }
+
     /// Queued requests by rank, best first. If there are too many ranks, the last ones are reported as the worst of
     /// them: nobody keeps room for a request that would yield.
     fn waiting_classes(&self, now_us: MonoTime) -> Vec<WaitingClass> {
@@ -573,32 +663,37 @@
             return Vec::new();
         }
         let backlog = self.least_backlog(now_us);
-        let mut by_rank: BTreeMap<Rank, (Millis, Tokens)> = BTreeMap::new();
-        for open in self.waiting.iter().map(|request_id| &self.open[request_id]) {
-            if self.is_late(now_us, open, backlog) {
-                continue;
-            }
-            let (oldest_ms, tokens) = by_rank.entry(self.reported_rank(open)).or_default();
-            *oldest_ms = (*oldest_ms).max(now_us.since(open.arrived_us).to_millis_ceil());
-            *tokens += open.final_tokens;
-        }
-        let mut classes: Vec<WaitingClass> = by_rank
+        let waiting = self.waiting.iter().map(|request_id| &self.open[request_id]);
+        let in_time = waiting.filter(|open| !self.is_late(now_us, open, backlog));
+        let mut in_order: Vec<(Precedence, Tokens)> = in_time
+            .map(|open| {
+                let rank = self.rank(open);
+                (Precedence { rank, arrived_us: open.arrived_us }, open.final_tokens)
+            })
+            .collect();
+        in_order.sort_unstable();
+        let mut classes: Vec<WaitingClass> = in_order
             .into_iter()
-            .map(|(rank, (oldest_ms, tokens))| WaitingClass {
+            .map(|(Precedence { rank, arrived_us }, tokens)| WaitingClass {
                 is_over_share: rank.is_over_share,
                 priority: rank.priority,
-                oldest_ms,
+                oldest_ms: now_us.since(arrived_us).to_millis_ceil(),
                 tokens,
             })
             .collect();
         while classes.len() > CLASSES_MAX {
-            if let (Some(worst), Some(next)) = (classes.pop(), classes.last_mut()) {
-                *next = WaitingClass {
-                    oldest_ms: next.oldest_ms.max(worst.oldest_ms),
-                    tokens: next.tokens + worst.tokens,
-                    ..worst
-                };
-            }
+            let has_rank_of_previous = |index: &usize| {
+                let (previous, class) = (&classes[index - 1], &classes[*index]);
+                (previous.is_over_share, previous.priority) == (class.is_over_share, class.priority)
+            };
+            let index = (1..classes.len()).rev().find(has_rank_of_previous).unwrap_or(classes.len() - 1);
+            let merged = classes.remove(index);
+            let previous = &mut classes[index - 1];
+            *previous = WaitingClass {
+                oldest_ms: previous.oldest_ms.max(merged.oldest_ms),
+                tokens: previous.tokens + merged.tokens,
+                ..merged
+            };
         }
         classes
     }
@@ -621,5 +716,19 @@
 /// another daemon arrives every millisecond.
 const FIGURES_TTL_MS: Millis = Millis(20);
 
-/// Time after which the other daemons know the rank of a request: the interval of messages in a fleet of 400.
-const SETTLING_MS: Millis = Millis(100);
+/// Time after which a message has reached the other daemons; they read messages in batches.
+const DELIVERY_MS: Millis = Millis(5);
+
+/// Time for which requests are placed in order after the last that differ. In a burst of several priorities, there are
+/// moments at which those of one wait alone; if they were placed by hash then, old ones would be passed over.
+const RANKED_TTL_MS: Millis = Millis(5_000);
+
+/// Least interval between two messages of a daemon, per recipient.
+const MESSAGE_INTERVAL_PER_DAEMON_US: u64 = 250;
+
+/// Longest interval between two messages of a daemon.
+const MESSAGE_INTERVAL_MAX_US: u64 = 700_000;
+
+/// Age from which a request that finds no engine with enough room is not passed over by smaller ones; large requests would
+/// wait for all of their target otherwise.
+const PASSED_OVER_MS: Millis = Millis(50);
--- a/crates/core/src/relay/engines/peers.rs
+++ b/crates/core/src/relay/engines/peers.rs
@@ -91,6 +91,11 @@
         self.list[index.0].waiting
     }
 
+    /// Number of known daemons.
+    pub(super) fn count(&self) -> usize {
+        self.list.len()
+    }
+
     /// Daemons that have queued requests.
     pub(super) fn contenders(&self) -> Vec<(PeerIndex, NodeHash)> {
         let waiting = self.list.iter().enumerate().filter(|(_, peer)| peer.waiting > Tokens::ZERO);
--- a/crates/core/src/relay/engines/placement.rs
+++ b/crates/core/src/relay/engines/placement.rs
@@ -4,8 +4,6 @@
 use super::events::{EngineAction, Role, VersionBinding};
 use super::memory::Growth;
 use super::open_request::{Payment, Stage};
-use super::order::Rank;
-use super::peers::{NodeHash, PeerIndex};
 use super::speeds::DecodeRequest;
 use crate::ids::RequestId;
 use crate::sched::FailureCause;
@@ -60,13 +58,15 @@
         let is_late = !open.has_started && self.is_late(now_us, open, self.least_backlog(now_us));
         let limit = if is_late { self.late_limit() } else { self.memory_limit() };
         let eligible = self.eligible_decode_engines(now_us, growth, limit, failed_at, &open.demand.binding);
-        let eligible = self.leaving_room(now_us, open, is_late, eligible);
         let is_bound = open.demand.binding != VersionBinding::Any;
         let request = DecodeRequest { growth, gap_target_ms: open.demand.gap_target_ms };
-        let rank =
-            (self.order.is_ranked && !is_late).then(|| (self.rank(open), self.waiting_before(now_us, open)));
-        let Some(decode_engine) = self.choose_decode_engine(now_us, &eligible, is_bound, request, rank)
-        else {
+        let is_ordered = self.order.is_ranked && !is_bound && self.peers.waiting() > Tokens::ZERO;
+        let chosen = if is_ordered {
+            self.choose_in_order(now_us, open, is_late, &eligible)
+        } else {
+            self.choose_decode_engine(now_us, &eligible, is_bound, request)
+        };
+        let Some(decode_engine) = chosen else {
             return false;
         };
         self.engines[decode_engine].hold(now_us, request_id, growth);
@@ -283,17 +283,12 @@
     /// other daemons too, an engine goes to the daemon that its rendezvous hash selects; otherwise the least
     /// filled ones are used in turn, those of versions that serve best first, then the fastest. A request that is
     /// bound to a version has too few engines to wait for its own one.
-    ///
-    /// A request with a `rank` does not wait for daemons that have only worse-ranked ones: it gets the engine that
-    /// its daemon wins against all, if there is one, and else one of those that are left to what goes before it, `ahead`,
-    /// against the daemons that have equal or better ones.
     fn choose_decode_engine(
         &mut self,
         now_us: MonoTime,
         eligible: &[usize],
         is_bound: bool,
         request: DecodeRequest,
-        rank: Option<(Rank, Tokens)>,
     ) -> Option<usize> {
         self.rotation = self.rotation.wrapping_add(1);
         let contenders = self.peers.contenders();
@@ -305,22 +300,12 @@
             let fastest = self.fastest_decode_engines(now_us, equal, request);
             return fastest.get(self.rotation % fastest.len().max(1)).copied();
         }
-        let is_own = |index: &&usize, contenders: &[(PeerIndex, NodeHash)]| {
+        let is_own = |index: &&usize| {
             let engine = self.engines[**index].node_hash;
             let own = self.node_hash.rendezvous_hash(engine);
             contenders.iter().all(|(_, contender)| own < contender.rendezvous_hash(engine))
         };
-        let own = eligible.iter().find(|index| is_own(index, &contenders)).copied();
-        let Some((rank, ahead)) = rank.filter(|_| own.is_none() && !eligible.is_empty()) else {
-            return own;
-        };
-        let mut equal = contenders.clone();
-        equal.retain(|(peer, _)| self.contends(*peer, rank));
-        if equal.len() == contenders.len() {
-            return None;
-        }
-        let left = self.first_with_room(now_us, ahead);
-        eligible.iter().filter(|index| left.contains(index)).find(|index| is_own(index, &equal)).copied()
+        eligible.iter().find(is_own).copied()
     }
 }
 
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -229,8 +229,8 @@
     /// Memory that this daemon's requests hold and wait for, by service.
     pub fn memory_reports(&self) -> Vec<(String, MemoryReport)> {
         let now_us = clock::now();
-        let services = self.services.lock();
-        let reports = services.iter();
+        let mut services = self.services.lock();
+        let reports = services.iter_mut();
         reports
             .filter_map(|(name, service)| Some((name.clone(), service.pool.memory_report(now_us)?)))
             .collect()
