--- a/crates/core/src/relay/engines/mod.rs
+++ b/crates/core/src/relay/engines/mod.rs
@@ -158,7 +158,7 @@
         }
         if let EngineEvent::PeerMemory { host, report } = event {
             let peer = self.peers.index_of(host);
-            self.receive_memory(peer, report);
+            self.receive_memory(now_us, peer, report);
             return;
         }
         if let EngineEvent::PeerDataCentre { host, data_centre, report } = event {
--- a/crates/router/src/relay/engine_pools.rs
+++ b/crates/router/src/relay/engine_pools.rs
@@ -232,8 +232,8 @@
     /// Memory that this daemon's requests hold and wait for, by service.
     pub fn memory_reports(&self) -> Vec<(String, MemoryReport)> {
         let now_us = clock::now();
-        let services = self.services.lock();
-        let reports = services.iter();
+        let mut services = self.services.lock();
+        let reports = services.iter_mut();
         reports
             .filter_map(|(name, service)| Some((name.clone(), service.pool.memory_report(now_us)?)))
             .collect()
@@ -288,7 +288,11 @@
     /// Whether other daemons need to learn soon of what daemons of other data centres hold here; asked once.
     pub fn take_guest_report_due(&self) -> bool {
         let mut services = self.services.lock();
-        services.values_mut().fold(false, |is_due, service| service.pool.take_guest_report_due() || is_due)
+        let mut is_due = false;
+        for service in services.values_mut() {
+            is_due |= service.pool.take_guest_report_due();
+        }
+        is_due
     }
 
     /// Extent of spill-over, by service; empty where messages reach all daemons.
