--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -226,11 +226,12 @@
     /// For which services the speeds of single engines are measured, reported to other daemons and used for
     /// placement. As long as measured speeds differ by less than a quarter, it changes nothing.
     pub engine_speeds: UnevenServers,
-    /// For which plain services daemons report the loads of servers to each other, choose servers by them, and
-    /// refuse at once what the servers cannot answer. Services with organisations have shares in any case. Servers are
-    /// chosen as without the setting while their speeds differ by less than a quarter and their loads by less than a
-    /// half, and where a server states no load.
+    /// For which plain services daemons report the loads of servers to each other and choose servers by them. In
+    /// virtual time with 73 daemons and one slow server no more calls were in time than without it.
     pub server_loads: UnevenServers,
+    /// For which plain services without organisations daemons refuse at once what the servers cannot answer, instead of
+    /// filling their queues. Services with organisations have shares in any case.
+    pub overload_limit: UnevenServers,
 }
 
 /// Services whose servers are treated as uneven.
--- a/crates/router/src/relay/shares.rs
+++ b/crates/router/src/relay/shares.rs
@@ -333,7 +333,7 @@
     /// Applies the organisations of the route table in force.
     pub fn configure_shares(&self) {
         let table = self.table.load();
-        let weights = self.shares.configure(&table, |service| self.uses_server_loads(service));
+        let weights = self.shares.configure(&table, |service| self.limits_overload(service));
         self.engine_pools.set_weights(&weights);
         self.organisations.retain_services(&table);
         self.peers.schedule_message(Urgency::Later);
--- a/crates/router/src/relay/uneven_servers.rs
+++ b/crates/router/src/relay/uneven_servers.rs
@@ -61,6 +61,11 @@
         ServerReport { servers: self.plain_schedulers.take_server_samples() }
     }
 
+    /// Whether the excess of requests for the plain service `service` is refused at once without organisations.
+    pub fn limits_overload(&self, service: &str) -> bool {
+        self.scheduling.lock().overload_limit.applies(self.uneven_services.contains(service))
+    }
+
     /// Whether the loads of the servers of the plain service `service` are used.
     pub fn uses_server_loads(&self, service: &str) -> bool {
         self.scheduling.lock().server_loads.applies(self.uneven_services.contains(service))
--- a/crates/router/tests/ops/relay_settings.rs
+++ b/crates/router/tests/ops/relay_settings.rs
@@ -20,6 +20,7 @@
     assert_eq!(settings.capacity.held_bytes_max(), None);
     assert_eq!(settings.scheduling.engine_speeds, UnevenServers::Off);
     assert_eq!(settings.scheduling.server_loads, UnevenServers::Off);
+    assert_eq!(settings.scheduling.overload_limit, UnevenServers::Off);
 }
 
 /// A typing error would show only in a failure; instead it prevents the start, and the error names the key,
