Keep vanished servers after an outage also where another daemon has confirmed the list

Whether a list was old is now observed ten times a second and counts for 2.5 s, and a daemon whose own reads failed keeps vanished servers for 2 s as before.

--- a/crates/core/src/relay/expired_entries.rs
+++ b/crates/core/src/relay/expired_entries.rs
@@ -7,7 +7,7 @@
 //!
 //! A daemon that is cut off from the store cannot tell this from an outage. Other daemons that read the list meanwhile
 //! can: for them a vanished server is gone at once. So whoever reads a change passes on what vanished, also what it
-//! keeps itself, and each daemon decides by the age that its own list had.
+//! keeps itself, and each daemon decides by whether its own reads failed or its own list was old a moment ago.
 
 use std::collections::BTreeMap;
 
@@ -20,6 +20,9 @@
 /// Shortest outage in which entries can expire: servers renew them each 1.2 s, and they live for three such intervals.
 const OUTAGE_MIN_MS: Millis = Millis(2_000);
 
+/// Time between the return of the store and the last moment at which the list is still seen to be old.
+const OBSERVED_LATE_MS: Millis = Millis(500);
+
 /// Vanished entries that do not count as gone yet.
 #[derive(Clone, Debug, Default)]
 pub struct ExpiredEntries {
@@ -35,17 +38,19 @@
         self.is_store_down = true;
     }
 
-    /// Records that a read of the list succeeded; `age_us` is the age of the list before.
-    pub fn read_succeeded(&mut self, now_us: MonoTime, age_us: Option<Micros>) {
+    /// Records that a read of the list succeeded.
+    pub fn read_succeeded(&mut self, now_us: MonoTime) {
         if std::mem::take(&mut self.is_store_down) {
-            self.learned(now_us, age_us);
+            self.grace_until_us = self.grace_until_us.max(now_us + REREGISTRATION_GRACE_MS);
         }
     }
 
-    /// Records that another daemon brought changes of the list; `age_us` is the age of the list before.
-    pub fn learned(&mut self, now_us: MonoTime, age_us: Option<Micros>) {
+    /// Records the age of the list; to be called several times a second. A list that others confirm is young again at
+    /// once after an outage, while its entries have not been registered again yet: so what counts is whether it was old
+    /// a moment ago.
+    pub fn observe_age(&mut self, now_us: MonoTime, age_us: Option<Micros>) {
         if age_us.is_some_and(|age_us| age_us >= Micros::from(OUTAGE_MIN_MS)) {
-            self.grace_until_us = now_us + REREGISTRATION_GRACE_MS;
+            self.grace_until_us = now_us + REREGISTRATION_GRACE_MS + OBSERVED_LATE_MS;
         }
     }
 
--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -262,7 +262,7 @@
 #[test]
 fn an_entry_that_vanishes_in_normal_operation_is_gone() {
     let mut expired = ExpiredEntries::default();
-    expired.read_succeeded(at(1_000), OLD);
+    expired.read_succeeded(at(1_000));
     assert_eq!(gone(&mut expired, 1_000, &["w-1"], &[]), ["w-1"]);
 }
 
@@ -272,9 +272,9 @@
 fn entries_that_expired_in_an_outage_are_kept_until_servers_can_register_again() {
     let mut expired = ExpiredEntries::default();
     expired.read_failed();
-    expired.read_succeeded(at(10_000), OLD);
+    expired.read_succeeded(at(10_000));
     assert!(gone(&mut expired, 10_000, &["w-1", "w-2"], &[]).is_empty());
-    expired.read_succeeded(at(11_000), OLD);
+    expired.read_succeeded(at(11_000));
     assert!(gone(&mut expired, 11_000, &[], &["w-1"]).is_empty());
     assert!(gone(&mut expired, 11_900, &[], &[]).is_empty());
     assert_eq!(gone(&mut expired, 12_000, &[], &[]), ["w-2"]);
@@ -286,7 +286,7 @@
 fn an_entry_still_missing_after_the_grace_period_is_gone() {
     let mut expired = ExpiredEntries::default();
     expired.read_failed();
-    expired.read_succeeded(at(10_000), OLD);
+    expired.read_succeeded(at(10_000));
     gone(&mut expired, 10_000, &["w-1"], &[]);
     assert_eq!(gone(&mut expired, 12_500, &[], &[]), ["w-1"]);
     assert!(gone(&mut expired, 13_000, &[], &[]).is_empty());
@@ -298,31 +298,33 @@
 #[test]
 fn a_server_that_vanished_while_another_daemon_was_cut_off_is_gone_at_once() {
     let mut expired = ExpiredEntries::default();
-    expired.learned(at(10_400), CURRENT);
+    expired.observe_age(at(10_400), CURRENT);
     assert_eq!(gone(&mut expired, 10_400, &["w-1"], &[]), ["w-1"]);
 }
 
 /// After an outage of the store one daemon reads for all. The others have not read themselves, and must not take all
-/// servers out of use with its change either.
+/// servers out of use with its change either, also if another daemon has confirmed their lists just before.
 #[test]
 fn entries_that_expired_in_an_outage_are_kept_by_daemons_that_did_not_read() {
     let mut expired = ExpiredEntries::default();
-    expired.learned(at(10_000), OLD);
-    assert!(gone(&mut expired, 10_000, &["w-1", "w-2"], &[]).is_empty());
-    assert_eq!(expired.next_due_us(), Some(at(12_000)));
-    expired.learned(at(11_000), CURRENT);
+    expired.observe_age(at(10_000), OLD);
+    expired.observe_age(at(10_100), CURRENT);
+    assert!(gone(&mut expired, 10_100, &["w-1", "w-2"], &[]).is_empty());
+    assert_eq!(expired.next_due_us(), Some(at(12_500)));
     assert!(gone(&mut expired, 11_000, &[], &["w-1"]).is_empty());
-    expired.learned(at(12_000), CURRENT);
-    assert_eq!(gone(&mut expired, 12_000, &[], &[]), ["w-2"]);
+    assert_eq!(gone(&mut expired, 12_500, &[], &[]), ["w-2"]);
 }
 
-/// A daemon that the store rejected while other daemons told it the changes must not keep a server that has left.
+/// After an outage another daemon read first and confirmed the list, which is young since. The own first read must keep
+/// what has vanished all the same: on a hunted day 73 daemons took all servers out of use at once.
 #[test]
-fn a_rejected_daemon_that_learned_all_changes_keeps_nothing() {
+fn a_confirmed_list_does_not_end_the_grace_period() {
     let mut expired = ExpiredEntries::default();
     expired.read_failed();
-    expired.read_succeeded(at(5_000), CURRENT);
-    assert_eq!(gone(&mut expired, 5_000, &["w-1"], &[]), ["w-1"]);
+    expired.observe_age(at(9_900), CURRENT);
+    expired.read_succeeded(at(10_000));
+    assert!(gone(&mut expired, 10_000, &["w-1"], &[]).is_empty());
+    assert_eq!(gone(&mut expired, 12_000, &[], &[]), ["w-1"]);
 }
 
 /// The whole list of another daemon replaced the own one. Servers that it has must not be removed later because they had
@@ -330,7 +332,7 @@
 #[test]
 fn entries_of_a_replaced_list_are_not_pending_any_more() {
     let mut expired = ExpiredEntries::default();
-    expired.learned(at(10_000), OLD);
+    expired.observe_age(at(10_000), OLD);
     gone(&mut expired, 10_000, &["w-1"], &[]);
     expired.replaced();
     assert!(gone(&mut expired, 12_500, &[], &[]).is_empty());
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -151,13 +151,22 @@
     }
 }
 
-/// Interval at which is checked whether a kept entry is due; others may be added meanwhile.
+/// Interval at which the age of the list is observed, and whether a kept entry is due.
 const EXPIRED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Waits until a vanished entry has been kept long enough.
+/// Waits until a vanished entry has been kept long enough, and observes the age of the list meanwhile.
 async fn wait_for_expired_entry(state: &RelayState) {
-    let is_due = || state.expired_entries.lock().next_due_us().is_some_and(|due_us| due_us <= clock::now());
-    while !is_due() {
+    loop {
+        let now_us = clock::now();
+        let age_us = state.freshness.servers_age_us(now_us);
+        let next_due_us = {
+            let mut expired = state.expired_entries.lock();
+            expired.observe_age(now_us, age_us);
+            expired.next_due_us()
+        };
+        if next_due_us.is_some_and(|due_us| due_us <= now_us) {
+            return;
+        }
         tokio::time::sleep(EXPIRED_CHECK_INTERVAL).await;
     }
 }
@@ -181,7 +190,7 @@
 fn apply_page(state: &RelayState, page: HostListPage) -> Vec<BackendServerId> {
     let now_us = clock::now();
     let mut expired = state.expired_entries.lock();
-    expired.read_succeeded(now_us, state.freshness.servers_age_us(now_us));
+    expired.read_succeeded(now_us);
     let known = state.directory.listing();
     let (set, vanished) = match page.change {
         HostListChange::Full(hosts) if known.version == 0 => {
@@ -231,9 +240,7 @@
 fn confirm_gone(state: &RelayState, changes: &[ServerChange], before: &Listing, listing: &mut Listing) {
     let now_us = clock::now();
     let mut expired = state.expired_entries.lock();
-    if listing.version > before.version {
-        expired.learned(now_us, state.freshness.servers_age_us(now_us));
-    }
+    expired.observe_age(now_us, state.freshness.servers_age_us(now_us));
     let vanished: Vec<BackendServerId> = listing.servers.removed_since(&before.servers).cloned().collect();
     let listed = changes.iter().flat_map(ServerChange::listed);
     let gone = expired.confirm_gone(now_us, vanished.clone(), listed);
