Measure the load of the host: link, new connections to servers, lateness of tasks

A daemon that gets all callers answers next to nobody, and no line or metric told whether its link, its processor or limits of past load give way; lines of requests are left out by the hundred then. Bytes are counted by the kind of peer and direction, connections to servers are timed, and each tenth of a second is assessed: a host is congested if the fastest new connection takes longer than before by an eighth of the strictest target, if the link is nine tenths full, or if tasks are late. Lines 'host congested', one a second at most, and gauges show it.

--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -238,6 +238,11 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The strictest target of all routes; `None` without routes.
+    pub fn strictest_target(&self) -> Option<Millis> {
+        self.routes.values().flatten().map(|route| route.target_ms).min()
+    }
+
     /// Whether a route of this name exists.
     pub fn has(&self, name: &str) -> bool {
         self.routes.values().flatten().any(|route| route.name == name)
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -1,10 +1,14 @@
 //! HTTP client for backend servers. Failures are classified by what they prove about the request.
 
-use std::future::{Ready, ready};
+use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt};
+use hibiscusvale_core::units::Micros;
 use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
@@ -12,10 +16,10 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tower::util::AndThen;
-use tower::{BoxError, ServiceExt};
+use tower::{BoxError, Service};
 
 use super::body::ServerBody;
+use crate::link_meter::{LinkMeter, LinkPeer, MeteredStream};
 
 /// Time-out of a connection attempt. The slowest link takes 3 ms within a region and some 300 ms between
 /// regions, so a host that takes longer is treated as unreachable.
@@ -61,17 +65,69 @@
     Fresh,
 }
 
-/// A connection, or the reason why it cannot be used.
-type ConnectResult = Ready<Result<TokioIo<TcpStream>, BoxError>>;
+/// Opens connections that are measured, and reset when they are closed.
+#[derive(Clone, Debug)]
+struct ServerConnector {
+    connector: HttpConnector,
+    meter: Arc<LinkMeter>,
+}
+
+impl Service<Uri> for ServerConnector {
+    type Response = TokioIo<MeteredStream>;
+    type Error = BoxError;
+    type Future = BoxFuture<'static, Result<Self::Response, BoxError>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), BoxError>> {
+        self.connector.poll_ready(cx).map_err(BoxError::from)
+    }
 
-/// Opens connections that are reset when they are closed.
-type ResettingConnector = AndThen<HttpConnector, fn(TokioIo<TcpStream>) -> ConnectResult>;
+    fn call(&mut self, server: Uri) -> Self::Future {
+        let meter = Arc::clone(&self.meter);
+        let started_at = Instant::now();
+        let connecting = self.connector.call(server);
+        async move {
+            let stream = connecting.await?.into_inner();
+            let took_us = u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+            meter.record_connect(Micros(took_us));
+            discard_on_close(&stream)?;
+            Ok(TokioIo::new(MeteredStream::new(stream, LinkPeer::Servers, meter)))
+        }
+        .boxed()
+    }
+}
+
+/// Makes the operating system discard undelivered data when a connection is closed.
+///
+/// A call that times out closes its connection. After an ordinary close the system keeps sending the request
+/// for as long as it takes: one that was held up by a cut link reaches its server seconds after its caller
+/// was told that it has not run, and after the server has said that it is leaving. A reset discards it.
+fn discard_on_close(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Settings of [`BackendHttp`].
+#[derive(Clone, Debug)]
+pub struct HttpSettings {
+    /// Time-out of connection attempts.
+    pub connect_timeout: Duration,
+    /// Maximum size of the read buffer of a connection, and of the head of an answer; `None` for the library's default
+    /// of 400 KB.
+    pub buffer_bytes: Option<usize>,
+    /// Measures the connections.
+    pub meter: Arc<LinkMeter>,
+}
+
+impl Default for HttpSettings {
+    fn default() -> Self {
+        Self { connect_timeout: CONNECT_TIMEOUT, buffer_bytes: None, meter: Arc::default() }
+    }
+}
 
 /// HTTP client for backend servers.
 #[derive(Clone, Debug)]
 pub struct BackendHttp {
-    pooled: Client<ResettingConnector, Full<Bytes>>,
-    fresh: Client<ResettingConnector, Full<Bytes>>,
+    pooled: Client<ServerConnector, Full<Bytes>>,
+    fresh: Client<ServerConnector, Full<Bytes>>,
 }
 
 impl Default for BackendHttp {
@@ -83,12 +139,12 @@
 impl BackendHttp {
     /// Creates a client with an empty pool.
     pub fn new() -> Self {
-        Self::with_limits(CONNECT_TIMEOUT, None)
+        Self::with_settings(HttpSettings::default())
     }
 
-    /// Creates a client whose connection attempts time out after `connect_timeout`. The read buffer of a connection has
-    /// at most `buffer_bytes`, and a head of an answer as well; `None` for the library's default of 400 KB.
-    pub fn with_limits(connect_timeout: Duration, buffer_bytes: Option<usize>) -> Self {
+    /// Creates a client with an empty pool and these settings.
+    pub fn with_settings(settings: HttpSettings) -> Self {
+        let HttpSettings { connect_timeout, buffer_bytes, meter } = settings;
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
@@ -98,7 +154,7 @@
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES));
-        let connector = connector.and_then(reset_on_close as fn(_) -> _);
+        let connector = ServerConnector { connector, meter };
         let build = |idle_connections: usize| {
             let mut builder = Client::builder(TokioExecutor::new());
             if let Some(buffer_bytes) = buffer_bytes {
@@ -158,16 +214,6 @@
     }
 }
 
-/// Makes the operating system discard undelivered data when a connection is closed.
-///
-/// A call that times out closes its connection. After an ordinary close the system keeps sending the request
-/// for as long as it takes: one that was held up by a cut link reaches its server seconds after its caller
-/// was told that it has not run, and after the server has said that it is leaving. A reset discards it.
-fn reset_on_close(connection: TokioIo<TcpStream>) -> ConnectResult {
-    let lingering = SockRef::from(connection.inner()).set_linger(Some(Duration::ZERO));
-    ready(lingering.map(|()| connection).map_err(BoxError::from))
-}
-
 /// An answer together with the connection that it arrived on.
 #[derive(Debug)]
 pub struct TrackedReply {
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -13,7 +13,7 @@
     HeldRequest, HeldStage, ImportCall, Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
 };
 pub use engine_http::HttpEngineClient;
-pub use http::{BackendHttp, CallFailure, ConnectionReuse, TrackedReply, read_body, uri};
+pub use http::{BackendHttp, CallFailure, ConnectionReuse, HttpSettings, TrackedReply, read_body, uri};
 pub use plain::{
     HttpPlainClient, PlainCall, PlainClient, PlainFailure, PlainReply, strip_hop_by_hop_headers,
 };
--- a/crates/router/src/callers/listener.rs
+++ b/crates/router/src/callers/listener.rs
@@ -25,6 +25,7 @@
 use super::response::AnswerBody;
 use super::service::{CallerService, CallerState};
 use super::stream::{CallerStream, ResetFlag};
+use crate::link_meter::{LinkMeter, LinkPeer, MeteredStream};
 
 /// Concurrent streams of one HTTP/2 connection. The balancer in front opens few connections with many
 /// requests each; without a bound a single connection could take the whole capacity of a host.
@@ -108,6 +109,7 @@
             builder: self.connection_builder(),
             state: Arc::clone(&state),
             head_timeout: Duration::from(self.settings.head_timeout_ms),
+            meter: Arc::default(),
         });
         let graceful = GracefulShutdown::new();
         let overloaded = Arc::clone(&state);
@@ -195,6 +197,7 @@
     builder: auto::Builder<TokioExecutor>,
     state: Arc<CallerState>,
     head_timeout: Duration,
+    meter: Arc<LinkMeter>,
 }
 
 impl Connections {
@@ -223,6 +226,7 @@
         watcher: Watcher,
     ) -> BoxFuture<'static, Result<(), BoxError>> {
         let reset = ResetFlag::default();
+        let stream = MeteredStream::new(stream, LinkPeer::Callers, Arc::clone(&self.meter));
         let stream = CallerStream::new(stream, reset.clone());
         let service = tower::service_fn(move |request: Request<Incoming>| {
             let (reset, version) = (reset.clone(), request.version());
--- a/crates/router/src/callers/stream.rs
+++ b/crates/router/src/callers/stream.rs
@@ -11,10 +11,10 @@
 use http_body_util::BodyExt;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 use super::response::AnswerBody;
+use crate::link_meter::MeteredStream;
 
 /// Tells whether a connection has to be closed with a reset.
 #[derive(Clone, Debug, Default)]
@@ -40,7 +40,7 @@
 /// A caller's connection.
 #[derive(Debug)]
 pub struct CallerStream {
-    stream: TcpStream,
+    stream: MeteredStream,
     reset: ResetFlag,
     stall: Option<WriteStall>,
 }
@@ -72,7 +72,7 @@
 
 impl CallerStream {
     /// Wraps a connection that is reset when it is closed with `reset` set.
-    pub fn new(stream: TcpStream, reset: ResetFlag) -> Self {
+    pub fn new(stream: MeteredStream, reset: ResetFlag) -> Self {
         Self { stream, reset, stall: None }
     }
 
@@ -99,7 +99,7 @@
     fn drop(&mut self) {
         if self.reset.0.load(Ordering::Relaxed) {
             // Fails only if the connection has ended already.
-            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            let _ = SockRef::from(self.stream.socket()).set_linger(Some(Duration::ZERO));
         }
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod external;
 pub mod inbound;
 pub mod leases;
+pub mod link_meter;
 pub mod listing_service;
 pub mod logging;
 pub mod member_log;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -19,11 +19,12 @@
 use hibiscusvale_core::quarantine::{
     Fingerprint, FingerprintKind, Fingerprints, Refusal, Refutation, Verdict,
 };
+use hibiscusvale_core::relay::congestion::HostLoad;
 use hibiscusvale_core::relay::engines::SpillOver;
 use hibiscusvale_core::relay::reach::HelperCounts;
 use hibiscusvale_core::sched::{ServerLoadUse, Stage};
 use hibiscusvale_core::shares::OverShare;
-use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Millis, Tokens};
+use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Micros, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
@@ -87,6 +88,17 @@
     pub lasted_ms: Millis,
 }
 
+/// Log fields of the load of a host.
+#[derive(Clone, Copy, Debug)]
+pub struct HostLoadLine {
+    /// The assessment.
+    pub load: HostLoad,
+    /// Delay of the host's queues that is tolerated.
+    pub tolerated_us: Micros,
+    /// Number of open requests and streams.
+    pub open: u64,
+}
+
 /// Log fields of a finished relayed request.
 #[derive(Clone, Copy, Debug)]
 pub struct RelayLine<'a> {
@@ -427,6 +439,26 @@
         });
     }
 
+    /// Logs the load of a host that is congested.
+    pub fn host_congested(&self, line: &HostLoadLine) {
+        let HostLoadLine { load, tolerated_us, open } = line;
+        spdlog::info!(logger: self.logger, "host congested", kv: {
+            bottleneck = load.bottleneck.label(),
+            pressure_per_1000 = load.pressure_per_1000,
+            connect_delay_ms = load.connect_delay_us.unwrap_or_default().to_millis_floor().0,
+            tolerated_ms = tolerated_us.to_millis_floor().0,
+            received_per_1000 = load.received_per_1000,
+            sent_per_1000 = load.sent_per_1000,
+            late_ms = load.late_us.to_millis_floor().0,
+            open = *open,
+        });
+    }
+
+    /// Logs that the host is no longer congested, after `lasted_ms`.
+    pub fn host_relieved(&self, lasted_ms: Millis) {
+        spdlog::info!(logger: self.logger, "host no longer congested", kv: { lasted_ms = lasted_ms.0 });
+    }
+
     /// Logs that requests for a service begin to spill over to other data centres, or no longer do.
     pub fn spill_over_changed(&self, service: &str, spill_over: &SpillOver) {
         spdlog::info!(logger: self.logger, "spill-over", kv: {
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -42,6 +42,7 @@
 use super::trace::RequestTrace;
 use crate::callers::{AnswerBody, CallerStream, ResetFlag};
 use crate::clock;
+use crate::link_meter::{LinkPeer, MeteredStream};
 use crate::metrics::Label;
 
 /// Retry-After while the daemon has no route table; a starting daemon obtains one within a second.
@@ -85,7 +86,10 @@
             continue;
         };
         match Arc::clone(&permits).try_acquire_owned() {
-            Ok(permit) => serve_connection(&state, stream, permit, &graceful),
+            Ok(permit) => {
+                state.metrics.record_caller_connection();
+                serve_connection(&state, stream, permit, &graceful);
+            }
             Err(_) => refuse_unread(&state, stream, "connection-limit"),
         }
     }
@@ -132,6 +136,7 @@
         let version = request.version();
         async move { Ok::<_, Infallible>(reset.guard(version, handle_request(&state, request).await)) }
     });
+    let stream = MeteredStream::new(stream, LinkPeer::Callers, Arc::clone(&state.meter));
     let mut stream = CallerStream::new(stream, reset);
     if state.memory.max().is_some() {
         // A caller that takes nothing would hold its answer for good.
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -20,6 +20,7 @@
 use super::engine_pools::EnginePools;
 use super::exchange;
 use super::freshness::Freshness;
+use super::host_load::{self, SharedHostLoad};
 use super::interfaces::{DaemonEntry, EvidenceStore, Register, TableSource, VersionStore, Wire};
 use super::limits::StatedLimits;
 use super::memory_limit::MemoryLimit;
@@ -41,11 +42,12 @@
 use super::stream_versions::{self, SharedStreamVersions};
 use super::uneven_servers::UnevenServices;
 use super::watch;
-use crate::backend::BackendHttp;
+use crate::backend::{BackendHttp, HttpSettings};
 use crate::daemon::StartError;
 use crate::directory::Directory;
 use crate::dispatch::{LoanRequestSender, PlainSchedulers};
 use crate::external::{HostList, Log as RecordLog};
+use crate::link_meter::LinkMeter;
 use crate::logging::Log;
 use crate::settings::SettingsError;
 
@@ -124,11 +126,12 @@
         let initial_plain = budget::plain(&settings.bounds, ASSUMED_DAEMONS);
         let seed = incarnation.seed();
         let (quarantine, evidence_due) = SharedQuarantine::new(incarnation);
+        let meter = Arc::<LinkMeter>::default();
         let state = Arc::new(RelayState {
             wire: adapters.wire,
             table: ArcSwap::from_pointee(RouteTable::default()),
             directory: Arc::new(Directory::default()),
-            http: backend_http(&settings.capacity),
+            http: backend_http(&settings.capacity, Arc::clone(&meter)),
             plain_schedulers: PlainSchedulers::new(initial_plain, &settings.host, seed, loan_sender.clone()),
             engine_pools: EnginePools::new(
                 budget::initial_engines(&settings),
@@ -160,6 +163,8 @@
             servers_adopted: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             log,
+            meter,
+            host_load: SharedHostLoad::default(),
             metrics: RelayMetrics::new()?,
         });
         state.log.state_changed("started", &incarnation);
@@ -211,6 +216,7 @@
             }
         }
         traffic.spawn(run_timers(Arc::clone(&state)));
+        traffic.spawn(host_load::run(Arc::clone(&state), settings.capacity.link_rate()));
         Ok(Self { state, traffic, control, stop_listening, serving, settings, callers_address })
     }
 
@@ -290,8 +296,9 @@
 }
 
 /// Client for servers, with small read buffers where memory is limited.
-fn backend_http(capacity: &CapacitySettings) -> BackendHttp {
-    BackendHttp::with_limits(CONNECT_TIMEOUT, capacity.memory_mb.map(|_| READ_BUFFER_BYTES))
+fn backend_http(capacity: &CapacitySettings, meter: Arc<LinkMeter>) -> BackendHttp {
+    let buffer_bytes = capacity.memory_mb.map(|_| READ_BUFFER_BYTES);
+    BackendHttp::with_settings(HttpSettings { connect_timeout: CONNECT_TIMEOUT, buffer_bytes, meter })
 }
 
 async fn run_timers(state: Arc<RelayState>) {
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -40,6 +40,7 @@
 use super::{callers, hop, state_transfer};
 use crate::backend::{ConnectionReuse, ServerBody, strip_hop_by_hop_headers, uri};
 use crate::callers::AnswerBody;
+use crate::link_meter::{LinkPeer, MeteredStream};
 use crate::metrics::Label as _;
 
 /// Header of a forwarded request: a [`ForwardedHead`] as JSON.
@@ -284,12 +285,13 @@
         };
         // A delayed segment would delay an event; without the option they are only slower.
         let _ = stream.set_nodelay(true);
-        let state = Arc::clone(&state);
+        let (state, meter) = (Arc::clone(&state), Arc::clone(&state.meter));
         tokio::spawn(async move {
             let service = service_fn(move |request| {
                 let state = Arc::clone(&state);
                 async move { Ok::<_, Infallible>(respond(&state, request).await) }
             });
+            let stream = MeteredStream::new(stream, LinkPeer::Daemons, meter);
             // A daemon whose connection fails asks again or asks another one.
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -13,6 +13,7 @@
 use super::state::RelayState;
 use super::store_traffic::{StoreTotals, StoreTraffic};
 use crate::clock;
+use crate::link_meter::{LinkPeer, LinkTotals};
 use crate::metrics::{Metrics, MetricsError};
 
 /// Histogram bounds in ms around targets of 0.15 to 0.9 s and timeouts of several seconds.
@@ -27,6 +28,7 @@
     taken_over: Counter<u64>,
     answers: Counter<u64>,
     rejected: Counter<u64>,
+    caller_connections: Counter<u64>,
     steps: Counter<u64>,
     statements: Counter<u64>,
     resumed: Counter<u64>,
@@ -73,6 +75,7 @@
             taken_over: meter.u64_counter("hibiscusvale_relay_taken_over").build(),
             answers: meter.u64_counter("hibiscusvale_relay_answers").build(),
             rejected: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
+            caller_connections: meter.u64_counter("hibiscusvale_relay_caller_connections").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
             statements: meter.u64_counter("hibiscusvale_relay_server_statements").build(),
             resumed: meter.u64_counter("hibiscusvale_relay_resumed_streams").build(),
@@ -113,6 +116,11 @@
         self.rejected.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a connection of a caller that was accepted.
+    pub fn record_caller_connection(&self) {
+        self.caller_connections.add(1, &[]);
+    }
+
     /// Counts a step of a request at a backend server.
     pub fn record_step(&self, what: &'static str, cause: &'static str) {
         self.steps.add(1, &[KeyValue::new("step", what), KeyValue::new("cause", cause)]);
@@ -179,6 +187,9 @@
         observe_gauge(&meter, "hibiscusvale_relay_congested_services", state, |state| {
             state.shares.congested(clock::now()) as u64
         });
+        observe_host_load(&meter, state);
+        observe_link(&meter, "hibiscusvale_relay_received_bytes", state, |totals| totals.received);
+        observe_link(&meter, "hibiscusvale_relay_sent_bytes", state, |totals| totals.sent);
         observe_spill_over(&meter, state);
         let demand = |view: &OrganisationView| Some(view.demand_per_1000_s);
         observe_organisations(&meter, "hibiscusvale_relay_demand_requests_per_1000_s", state, demand);
@@ -239,6 +250,40 @@
         .build();
 }
 
+/// Registers gauges of the host's load as last assessed.
+fn observe_host_load(meter: &Meter, state: &Arc<RelayState>) {
+    observe_gauge(meter, "hibiscusvale_relay_connect_delay_us", state, |state| {
+        state.host_load.get().and_then(|load| load.connect_delay_us).unwrap_or_default().0
+    });
+    observe_gauge(meter, "hibiscusvale_relay_task_lateness_us", state, |state| {
+        state.host_load.get().map(|load| load.late_us).unwrap_or_default().0
+    });
+    observe_gauge(meter, "hibiscusvale_relay_link_received_per_1000", state, |state| {
+        state.host_load.get().map(|load| load.received_per_1000).unwrap_or_default()
+    });
+    observe_gauge(meter, "hibiscusvale_relay_link_sent_per_1000", state, |state| {
+        state.host_load.get().map(|load| load.sent_per_1000).unwrap_or_default()
+    });
+    observe_gauge(meter, "hibiscusvale_relay_host_congested", state, |state| {
+        state.host_load.get().is_some_and(|load| load.is_congested()).into()
+    });
+}
+
+/// Registers a counter of bytes by the kind of peer.
+fn observe_link(meter: &Meter, name: &'static str, state: &Arc<RelayState>, read: fn(&LinkTotals) -> Bytes) {
+    let state = Arc::downgrade(state);
+    meter
+        .u64_observable_counter(name)
+        .with_callback(move |observer| {
+            let Some(state) = state.upgrade() else { return };
+            for peer in LinkPeer::ALL {
+                let totals = state.meter.totals(peer);
+                observer.observe(read(&totals).0, &[KeyValue::new("peer", peer.label())]);
+            }
+        })
+        .build();
+}
+
 /// Registers the gauge of the part of what waits that spills over, in thousandths, by service.
 fn observe_spill_over(meter: &Meter, state: &Arc<RelayState>) {
     let state = Arc::downgrade(state);
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod forwarding;
 mod freshness;
 mod hop;
+mod host_load;
 pub mod interfaces;
 mod limits;
 mod load_report;
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -289,10 +289,19 @@
 const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
 
 impl CapacitySettings {
+    /// Rate of the host's link in each direction.
+    pub fn link_rate(&self) -> BytesPerSecond {
+        self.part_of_link(1.0)
+    }
+
     /// Maximum rate of messages to other daemons.
     pub fn message_rate(&self) -> BytesPerSecond {
+        self.part_of_link(MESSAGES_FRACTION)
+    }
+
+    fn part_of_link(&self, part: f64) -> BytesPerSecond {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
-        let rate = (self.link_mbps * BYTES_PER_S_PER_MBPS * MESSAGES_FRACTION) as u64;
+        let rate = (self.link_mbps * BYTES_PER_S_PER_MBPS * part) as u64;
         BytesPerSecond(rate)
     }
 
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -24,6 +24,7 @@
 
 use super::engine_pools::EnginePools;
 use super::freshness::Freshness;
+use super::host_load::SharedHostLoad;
 use super::interfaces::{Call, CallId, Hop, Task, Wire};
 use super::limits::StatedLimits;
 use super::memory_limit::MemoryLimit;
@@ -44,6 +45,7 @@
 use crate::backend::{BackendHttp, Framing};
 use crate::directory::Directory;
 use crate::dispatch::PlainSchedulers;
+use crate::link_meter::LinkMeter;
 use crate::logging::{Log, RelayLine};
 use crate::metrics::Label as _;
 
@@ -305,6 +307,10 @@
     pub stopping: AtomicBool,
     /// Log output.
     pub log: Log,
+    /// Measures connections.
+    pub meter: Arc<LinkMeter>,
+    /// Load of the host, as last assessed.
+    pub host_load: SharedHostLoad,
     /// Metrics.
     pub metrics: RelayMetrics,
 }
