--- a/crates/core/src/relay/congestion.rs
+++ b/crates/core/src/relay/congestion.rs
@@ -2,7 +2,7 @@
 //!
 //! A host that takes in more than it can pass on finishes nothing in time, since everything that it has accepted waits
 //! in the same queues. What shows it early is the delay that these queues add to work that takes next to no time
-//! elsewhere: opening a connection to a server, and running a task that is due. As in CoDel (RFC 8289) the smallest
+//! elsewhere: opening a connection to a server, and running a task that is due. As in `CoDel` (RFC 8289) the smallest
 //! delay of an interval counts, which a burst or a single slow server does not raise. Where the rate of the link is
 //! known, the bytes that pass it show the same.
 
@@ -110,20 +110,19 @@
 #[derive(Clone, Copy, Debug)]
 struct ConnectBase {
     since_us: MonoTime,
-    current_us: Micros,
-    previous_us: Micros,
+    fastest_us: [Micros; 2],
 }
 
 impl ConnectBase {
     fn update(&mut self, now_us: MonoTime, fastest_us: Micros) {
         if now_us >= self.since_us + BASE_SPAN_MS {
-            *self = Self { since_us: now_us, current_us: fastest_us, previous_us: self.current_us };
+            *self = Self { since_us: now_us, fastest_us: [fastest_us, self.fastest_us[0]] };
         }
-        self.current_us = self.current_us.min(fastest_us);
+        self.fastest_us[0] = self.fastest_us[0].min(fastest_us);
     }
 
     fn delay(&self, fastest_us: Micros) -> Micros {
-        fastest_us.saturating_sub(self.current_us.min(self.previous_us))
+        fastest_us.saturating_sub(self.fastest_us[0].min(self.fastest_us[1]))
     }
 }
 
@@ -221,11 +220,7 @@
         }
         self.connects = None;
         let fastest_us = connects.fastest_us;
-        let base = self.base.get_or_insert(ConnectBase {
-            since_us: now_us,
-            current_us: fastest_us,
-            previous_us: fastest_us,
-        });
+        let base = self.base.get_or_insert(ConnectBase { since_us: now_us, fastest_us: [fastest_us; 2] });
         base.update(now_us, fastest_us);
         self.delay = Some((now_us, base.delay(fastest_us)));
         true
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -81,10 +81,10 @@
         self.connector.poll_ready(cx).map_err(BoxError::from)
     }
 
-    fn call(&mut self, server: Uri) -> Self::Future {
+    fn call(&mut self, req: Uri) -> Self::Future {
         let meter = Arc::clone(&self.meter);
         let started_at = Instant::now();
-        let connecting = self.connector.call(server);
+        let connecting = self.connector.call(req);
         async move {
             let stream = connecting.await?.into_inner();
             let took_us = u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX);
