Limit what a daemon takes in while its host is the bottleneck

Callers saw: while a daemon gets most new connections, next to nobody who reaches it is answered in time, for as long as it lasts. Cause: a daemon read whatever arrived, up to three quarters of its descriptors. On a full link everything that has been read waits for the same bytes, answers time out at servers' side, and then limits and checks refuse the rest; nothing tells a daemon how much it can bear before it reads.

The daemon learns a limit on requests whose answer has not begun (AIMD by the assessments of the host). While as many are open, its listener is closed, so that a refusal costs a packet and callers try another daemon at once; it opens again with room, and after half a second at the latest. There is no limit while the host is not congested, so that a slow server sets none. Answers then close their connections, since kept ones pass by the listener. A delay that stays with eight requests open is not the daemon's own and becomes the measure.

In virtual time: link known and unknown, short processor, pages to streams and back, slow server, large host, end of the flood; mutants that never close, never open, or close for 4 s are found.

--- a/crates/core/src/relay/congestion.rs
+++ b/crates/core/src/relay/congestion.rs
@@ -11,11 +11,11 @@
 /// Interval between two assessments.
 pub const ASSESSMENT_INTERVAL_MS: Millis = Millis(100);
 
-/// Connections that an assessment of their delay needs; the fastest of fewer may be a slow one.
+/// Connections that a long delay needs to count; the fastest of fewer may be a slow one. A short one counts alone.
 const CONNECTS_MIN: u32 = 4;
 
 /// Age after which measured connections no longer count.
-const CONNECTS_AGE_MAX_MS: Millis = Millis(1_000);
+const CONNECTS_AGE_MAX_MS: Millis = Millis(300);
 
 /// Time over which the delay without queues is remembered at least, and half of the time at most.
 const BASE_SPAN_MS: Millis = Millis(10_000);
@@ -153,6 +153,12 @@
         }
     }
 
+    /// Takes the present delay of new connections for that without queues.
+    pub fn forget_base(&mut self) {
+        self.base = None;
+        self.delay = None;
+    }
+
     /// Assesses the interval since the call before, where queues may delay a round trip by `tolerated_us`.
     pub fn assess(&mut self, now_us: MonoTime, sample: HostSample, tolerated_us: Micros) -> HostLoad {
         let interval_us = self.assessed_us.map_or(Micros::ZERO, |assessed_us| now_us.since(assessed_us));
@@ -165,7 +171,7 @@
         self.late_us.rotate_left(1);
         self.late_us[LATENESS_SAMPLES - 1] = sample.late_us;
         let late_us = self.late_us.into_iter().min().unwrap_or_default();
-        let is_fresh = self.assess_connects(now_us, sample);
+        let is_fresh = self.assess_connects(now_us, sample, tolerated_us);
         let connect_delay_us = self.delay.map(|(_, delay_us)| delay_us);
         let against = |value: u64, tolerated: u64| value * PRESSURE_MAX_PER_1000 / tolerated.max(1);
         let connecting = connect_delay_us.unwrap_or_default().0;
@@ -196,7 +202,7 @@
     }
 
     /// Whether the delay of connections is known of now, or there is none to know.
-    fn assess_connects(&mut self, now_us: MonoTime, sample: HostSample) -> bool {
+    fn assess_connects(&mut self, now_us: MonoTime, sample: HostSample, tolerated_us: Micros) -> bool {
         if let Some(fastest_us) = sample.fastest_connect_us {
             let unknown = Connects { since_us: now_us, count: 0, fastest_us };
             let connects = self.connects.get_or_insert(unknown);
@@ -211,7 +217,8 @@
             return is_old;
         };
         let is_old = now_us >= connects.since_us + CONNECTS_AGE_MAX_MS;
-        if connects.count < CONNECTS_MIN {
+        let is_short = self.base.is_some_and(|base| base.delay(connects.fastest_us) <= tolerated_us);
+        if connects.count < CONNECTS_MIN && !is_short {
             if is_old {
                 self.connects = None;
                 self.delay = None;
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! Unlike a request of a class, whose content is known, an opaque request shows only its route and its
 //! organisation and, for a model, the sizes of prompt and answer that the caller states.
 
+pub mod admission;
 pub mod congestion;
 pub mod engines;
 pub mod expired_entries;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Decisions for opaque requests.
 #![allow(clippy::pedantic, reason = "fakes and expectations in short form")]
 
+mod admission;
 mod congestion;
 mod engines;
 mod helper_search;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -95,8 +95,14 @@
     pub load: HostLoad,
     /// Delay of the host's queues that is tolerated.
     pub tolerated_us: Micros,
-    /// Number of open requests and streams.
-    pub open: u64,
+    /// Number of open requests of callers, and of connections that have not sent their first one.
+    pub open: u32,
+    /// Limit on these; `None` if there is none.
+    pub limit: Option<u32>,
+    /// How often the listener for callers was closed since the start.
+    pub closings: u64,
+    /// For how long it was closed in all.
+    pub closed_ms: Millis,
 }
 
 /// Log fields of a finished relayed request.
@@ -441,7 +447,7 @@
 
     /// Logs the load of a host that is congested.
     pub fn host_congested(&self, line: &HostLoadLine) {
-        let HostLoadLine { load, tolerated_us, open } = line;
+        let HostLoadLine { load, tolerated_us, open, limit, closings, closed_ms } = line;
         spdlog::info!(logger: self.logger, "host congested", kv: {
             bottleneck = load.bottleneck.label(),
             pressure_per_1000 = load.pressure_per_1000,
@@ -451,6 +457,9 @@
             sent_per_1000 = load.sent_per_1000,
             late_ms = load.late_us.to_millis_floor().0,
             open = *open,
+            limit = limit.unwrap_or_default(),
+            closings = *closings,
+            closed_ms = closed_ms.0,
         });
     }
 
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hibiscusvale_core::ids::{RequestId, ServiceId};
 use hibiscusvale_core::quarantine::{CallerIdentity, Fingerprint, Fingerprints, RequestIdentity};
+use hibiscusvale_core::relay::admission::CLOSED_MAX_MS;
 use hibiscusvale_core::relay::engines::VersionBinding;
 use hibiscusvale_core::relay::partners::{Partner, UnknownCaller};
 use hibiscusvale_core::relay::routes::{Route, RouteKind};
@@ -57,6 +59,9 @@
 /// Smallest read buffer that hyper accepts.
 const MIN_HEAD_BYTES: usize = 8_192;
 
+/// Time for which a connection without a request counts as one that is about to send it.
+const NEW_CONNECTION_MAX: Duration = Duration::from_secs(1);
+
 /// Deadline of requests whose caller states none.
 const DEFAULT_WAIT_MS: Millis = Millis(30_000);
 
@@ -64,6 +69,9 @@
 /// connections finish. Callers beyond the limit are refused with their requests unread, so that they try another daemon: a
 /// host that runs out of file descriptors could not connect to servers either.
 ///
+/// While the host is a bottleneck, the listener is closed whenever enough requests are open. Connections that are accepted
+/// and reset would still bring their requests over its link.
+///
 /// # Errors
 ///
 /// The I/O error when the socket cannot be used.
@@ -73,9 +81,13 @@
     connections: usize,
     stop: CancellationToken,
 ) -> io::Result<()> {
-    let socket = TcpListener::from_std(socket)?;
-    let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(connections));
+    let address = socket.local_addr()?;
+    let mut socket = TcpListener::from_std(socket)?;
+    let connections = Connections {
+        state,
+        graceful: GracefulShutdown::new(),
+        permits: Arc::new(Semaphore::new(connections)),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = socket.accept() => accepted,
@@ -85,17 +97,70 @@
             tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
             continue;
         };
-        match Arc::clone(&permits).try_acquire_owned() {
+        connections.take_in(stream);
+        if !connections.state.admission.admits() {
+            connections.take_in_pending(&socket);
+            drop(socket);
+            socket = tokio::select! {
+                reopened = reopen(&connections.state, address) => reopened?,
+                () = stop.cancelled() => return connections.finish().await,
+            };
+        }
+    }
+    drop(socket);
+    connections.finish().await
+}
+
+/// Connections of callers.
+struct Connections {
+    state: Arc<RelayState>,
+    graceful: GracefulShutdown,
+    permits: Arc<Semaphore>,
+}
+
+impl Connections {
+    fn take_in(&self, stream: TcpStream) {
+        match Arc::clone(&self.permits).try_acquire_owned() {
             Ok(permit) => {
-                state.metrics.record_caller_connection();
-                serve_connection(&state, stream, permit, &graceful);
+                self.state.metrics.record_caller_connection();
+                serve_connection(&self.state, stream, permit, &self.graceful);
             }
-            Err(_) => refuse_unread(&state, stream, "connection-limit"),
+            Err(_) => refuse_unread(&self.state, stream, "connection-limit"),
         }
     }
-    drop(socket);
-    graceful.shutdown().await;
-    Ok(())
+
+    /// Takes in connections that the operating system has accepted already: their requests cross the link in any case.
+    /// The others are reset when the listener is closed.
+    fn take_in_pending(&self, socket: &TcpListener) {
+        while self.state.admission.admits_pending()
+            && let Some(Ok((stream, _))) = socket.accept().now_or_never()
+        {
+            self.take_in(stream);
+        }
+    }
+
+    async fn finish(self) -> io::Result<()> {
+        self.graceful.shutdown().await;
+        Ok(())
+    }
+}
+
+/// Listens again once callers may open more requests.
+async fn reopen(state: &RelayState, address: SocketAddr) -> io::Result<TcpListener> {
+    let closed_at = Instant::now();
+    state.admission.wait_for_room(Duration::from(CLOSED_MAX_MS)).await;
+    let socket = loop {
+        match bind(address) {
+            Ok(socket) => break socket,
+            Err(error) => {
+                state.log.fault("the address for callers could not be bound again", &error);
+                tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    };
+    let closed_ms = u64::try_from(closed_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+    state.admission.record_closed(Millis(closed_ms));
+    TcpListener::from_std(socket)
 }
 
 /// Binds the listen address for callers.
@@ -131,10 +196,18 @@
     let service_state = Arc::clone(state);
     let reset = ResetFlag::default();
     let service_reset = reset.clone();
+    // Counts the connection until its first request does.
+    let new_connection = Arc::new(Mutex::new(Some(state.admission.enter())));
+    let first_slot = Arc::clone(&new_connection);
     let service = service_fn(move |request: Request<CallerBody>| {
         let (state, reset) = (Arc::clone(&service_state), service_reset.clone());
+        let slot = first_slot.lock().take().unwrap_or_else(|| state.admission.enter());
         let version = request.version();
-        async move { Ok::<_, Infallible>(reset.guard(version, handle_request(&state, request).await)) }
+        async move {
+            let response = handle_request(&state, request).await;
+            drop(slot);
+            Ok::<_, Infallible>(reset.guard(version, response))
+        }
     });
     let stream = MeteredStream::new(stream, LinkPeer::Callers, Arc::clone(&state.meter));
     let mut stream = CallerStream::new(stream, reset);
@@ -149,8 +222,16 @@
         .serve_connection(TokioIo::new(stream), service);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
-        // A caller may abort its connection at any time; nothing depends on the result.
-        let _ = watched.await;
+        let unused = async {
+            tokio::time::sleep(NEW_CONNECTION_MAX).await;
+            drop(new_connection.lock().take());
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            // A caller may abort its connection at any time; nothing depends on the result.
+            _ = watched => {}
+            () = unused => {}
+        }
         drop(permit);
     });
 }
@@ -165,7 +246,10 @@
     // by the length: what follows on the connection would then be a smuggled request. hyper frames by the
     // encoding and hides the length, so the connection is closed after any chunked body (RFC 9112, section
     // 6.1).
-    if is_chunked || state.stopping.load(Ordering::Relaxed) {
+    //
+    // While there is a limit, the next request has to come over a new connection, which the listener can refuse.
+    let is_limited = state.admission.limit().is_some();
+    if is_chunked || is_limited || state.stopping.load(Ordering::Relaxed) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::Incarnation;
 use hibiscusvale_core::relay::routes::{RouteTable, TableVersion};
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{BytesPerSecond, Millis};
 use parking_lot::Mutex;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
@@ -164,6 +164,7 @@
             stopping: AtomicBool::new(false),
             log,
             meter,
+            admission: Arc::default(),
             host_load: SharedHostLoad::default(),
             metrics: RelayMetrics::new()?,
         });
@@ -215,8 +216,7 @@
                     .fault("role-change orders disabled: the region name is not a valid lease scope", &error);
             }
         }
-        traffic.spawn(run_timers(Arc::clone(&state)));
-        traffic.spawn(host_load::run(Arc::clone(&state), settings.capacity.link_rate()));
+        traffic.spawn(run_timers(Arc::clone(&state), settings.capacity.link_rate()));
         Ok(Self { state, traffic, control, stop_listening, serving, settings, callers_address })
     }
 
@@ -301,8 +301,12 @@
     BackendHttp::with_settings(HttpSettings { connect_timeout: CONNECT_TIMEOUT, buffer_bytes, meter })
 }
 
-async fn run_timers(state: Arc<RelayState>) {
-    tokio::join!(state.plain_schedulers.run_timers(), state.engine_pools.run_timers());
+async fn run_timers(state: Arc<RelayState>, link: BytesPerSecond) {
+    tokio::join!(
+        state.plain_schedulers.run_timers(),
+        state.engine_pools.run_timers(),
+        host_load::run(Arc::clone(&state), link),
+    );
 }
 
 /// Entry of this daemon in the register.
--- a/crates/router/src/relay/host_load.rs
+++ b/crates/router/src/relay/host_load.rs
@@ -1,9 +1,10 @@
-//! Measures the load of the host in intervals and logs when it is a bottleneck.
+//! Measures the load of the host in intervals, adapts the limit on what callers have open, and logs when the host is a
+//! bottleneck.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hibiscusvale_core::relay::admission::Verdict;
 use hibiscusvale_core::relay::congestion::{
     ASSESSMENT_INTERVAL_MS, Bottleneck, CongestionDetector, HostLoad, HostSample, tolerated_delay,
 };
@@ -89,6 +90,9 @@
         let tolerated_us = self.tolerated_us(state);
         let load = self.detector.assess(now_us, sample, tolerated_us);
         *state.host_load.0.lock() = Some(load);
+        if state.admission.update(now_us, &load) == Verdict::NotOwnDelay {
+            self.detector.forget_base();
+        }
         self.log(state, now_us, load);
     }
 
@@ -105,8 +109,15 @@
             self.congested_us.get_or_insert((now_us, now_us)).1 = now_us;
             if self.logged_us.is_none_or(|logged_us| now_us >= logged_us + LINE_INTERVAL_MS) {
                 self.logged_us = Some(now_us);
-                let open = state.open.load(Ordering::Relaxed);
-                state.log.host_congested(&HostLoadLine { load, tolerated_us: self.tolerated.1, open });
+                let (closings, closed_ms) = state.admission.closed();
+                state.log.host_congested(&HostLoadLine {
+                    load,
+                    tolerated_us: self.tolerated.1,
+                    open: state.admission.open(),
+                    limit: state.admission.limit(),
+                    closings,
+                    closed_ms,
+                });
             }
         } else if let Some((since_us, last_us)) = self.congested_us
             && now_us >= last_us + LINE_INTERVAL_MS
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -188,6 +188,7 @@
             state.shares.congested(clock::now()) as u64
         });
         observe_host_load(&meter, state);
+        observe_admission(&meter, state);
         observe_link(&meter, "hibiscusvale_relay_received_bytes", state, |totals| totals.received);
         observe_link(&meter, "hibiscusvale_relay_sent_bytes", state, |totals| totals.sent);
         observe_spill_over(&meter, state);
@@ -269,6 +270,18 @@
     });
 }
 
+/// Registers what callers have open, its limit, and how long the listener was closed.
+fn observe_admission(meter: &Meter, state: &Arc<RelayState>) {
+    observe_gauge(meter, "hibiscusvale_relay_admitted", state, |state| state.admission.open().into());
+    observe_gauge(meter, "hibiscusvale_relay_admission_limit", state, |state| {
+        state.admission.limit().unwrap_or_default().into()
+    });
+    observe_gauge(meter, "hibiscusvale_relay_listener_closings", state, |state| state.admission.closed().0);
+    observe_gauge(meter, "hibiscusvale_relay_listener_closed_ms", state, |state| {
+        state.admission.closed().1.0
+    });
+}
+
 /// Registers a counter of bytes by the kind of peer.
 fn observe_link(meter: &Meter, name: &'static str, state: &Arc<RelayState>, read: fn(&LinkTotals) -> Bytes) {
     let state = Arc::downgrade(state);
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! scheduler that also serves partners' classes. The protocols of external systems are implemented behind the
 //! traits of [`interfaces`].
 
+mod admission;
 mod budget;
 mod callers;
 mod crashes;
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -22,6 +22,7 @@
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
+use super::admission::Admission;
 use super::engine_pools::EnginePools;
 use super::freshness::Freshness;
 use super::host_load::SharedHostLoad;
@@ -309,6 +310,8 @@
     pub log: Log,
     /// Measures connections.
     pub meter: Arc<LinkMeter>,
+    /// What callers have open, and its limit.
+    pub admission: Arc<Admission>,
     /// Load of the host, as last assessed.
     pub host_load: SharedHostLoad,
     /// Metrics.
