Resume a stream elsewhere whose engine sends bytes without events

Callers saw: a stream broke off although it may be resumed, when its engine was in trouble and sent bytes without end that are no events. The size limit of an event ended the stream instead of the attempt. It is now a break of that engine like any other, and the stream goes on at another one.

a_stream_without_events_goes_on_at_another_engine failed before (an incomplete answer). Beside it tests that hold without a change: servers whose header line, headers, interim answers, chunks, chunk size, chunk extension, trailers, body without a length, bytes beyond the length, or refusal do not end (a sound server answers in time, held memory stays in its bound, the connection is closed), and the store's header, body and chunk extension.

--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -88,7 +88,8 @@
                         return Err(self.abort(FailureCause::Timeout));
                     }
                     let Ok(events) = self.splitter.push(&bytes) else {
-                        return Err(self.abort(FailureCause::Broken));
+                        self.fail_over(FailureCause::Broken).await?;
+                        continue;
                     };
                     if let Some(events) = events {
                         if let Err(cause) = self.check_version(events.last) {
