Attribute the delay of new connections to others only where streams are few as well

Read in the code after streams that have begun no longer count: with eight requests or fewer that have not begun, a delay that stays for a second was taken for not the daemon's own, although a hundred streams may fill its link; the limit would go and the daemon be flooded again. All open requests have to be few.

--- a/crates/core/src/relay/admission.rs
+++ b/crates/core/src/relay/admission.rs
@@ -1,13 +1,13 @@
 //! Limits what a daemon takes in while its host is the bottleneck.
 //!
-//! Load: a balancer sends a daemon more new connections than its link or processor can serve. Harm: every request that it
-//! reads waits behind all others, and none is answered in time, while other daemons have room. A caller whose
-//! connection is refused tries another daemon at once, so the daemon takes in only as many requests as keep its queues
-//! short, and refuses further connections before it reads from them.
+//! Load: a balancer sends a daemon more new connections than its link or processor can serve. Harm: every request
+//! that it reads waits behind all others, and none is answered in time, while other daemons have room. A caller whose
+//! connection is refused tries another daemon at once, so the daemon takes in only as many requests as keep its
+//! queues short, and refuses further connections before it reads from them.
 //!
-//! The limit is on requests whose answer has not begun, since a stream that has begun takes little for long. It is learned
-//! from [`HostLoad`], so that it fits any link, processor and mix of requests. There is none while the host is not a
-//! bottleneck: slow servers alone do not set one.
+//! The limit is on requests whose answer has not begun, since a stream that has begun takes little for long. It is
+//! learned from [`HostLoad`], so that it fits any link, processor and mix of requests. There is none while the host
+//! is not a bottleneck: slow servers alone do not set one.
 
 use super::congestion::{Bottleneck, HostLoad, PRESSURE_MAX_PER_1000};
 use crate::units::{Millis, MonoTime};
@@ -21,6 +21,13 @@
 /// Divisor of the limit for an increase.
 const INCREASE_DIVISOR: u32 = 16;
 
+/// Divisor of the limit for the connections beyond it that the operating system has accepted.
+const PENDING_DIVISOR: u32 = 4;
+
+/// Divisor of the limit for the room that is awaited before the listener opens again, so that it does not open for
+/// each single connection.
+const REOPEN_DIVISOR: u32 = 4;
+
 /// Time after which a limit that was not reached is lifted.
 const UNREACHED_MAX_MS: Millis = Millis(2_000);
 
@@ -41,13 +48,22 @@
     few_since_us: Option<MonoTime>,
 }
 
-/// What follows from an update beside the limit.
+/// Requests of callers at one moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OpenRequests {
+    /// Those whose answer has not begun, and new connections.
+    pub not_begun: u32,
+    /// All, with the streams that have begun.
+    pub all: u64,
+}
+
+/// Whose doing the delay of new connections is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// Nothing.
-    Limited,
-    /// The delay of new connections is not the daemon's doing, and counts as that without queues from now on.
-    NotOwnDelay,
+pub enum Attribution {
+    /// That of the daemon, as far as is known.
+    Own,
+    /// Not that of the daemon: it counts as the delay without queues from now on.
+    NotOwn,
 }
 
 impl AdmissionLimit {
@@ -63,39 +79,39 @@
         admits
     }
 
-    /// Whether a connection that the operating system has accepted may be taken in beside `open` requests, beyond the limit.
+    /// Whether a connection that the operating system has accepted may be taken in beside `open` requests. That may be
+    /// beyond the limit.
     pub fn admits_pending(&self, open: u32) -> bool {
         self.limit.is_none_or(|limit| open < limit + limit / PENDING_DIVISOR)
     }
 
-    /// Whether connections may be taken in again after some were refused: some room is awaited, so that the listener does not open
-    /// for each single one.
+    /// Whether connections may be taken in again after some were refused.
     pub fn admits_again(&mut self, open: u32) -> bool {
         self.admits(open) && self.limit.is_none_or(|limit| open + limit / REOPEN_DIVISOR < limit)
     }
 
-    /// Adapts the limit to an assessment of the host, with `open` requests now.
-    pub fn update(&mut self, now_us: MonoTime, load: &HostLoad, open: u32) -> Verdict {
+    /// Adapts the limit to an assessment of the host, with the requests that are `open` now.
+    pub fn update(&mut self, now_us: MonoTime, load: &HostLoad, open: OpenRequests) -> Attribution {
         if !load.is_fresh {
-            return Verdict::Limited;
+            return Attribution::Own;
         }
         let is_reached = std::mem::take(&mut self.is_reached);
         if load.is_congested() {
             self.unreached_since_us = None;
-            self.decrease(load, open);
-            return self.attribute(now_us, load, open);
+            self.decrease(load, open.not_begun);
+            return self.attribute(now_us, load, open.all);
         }
         self.few_since_us = None;
-        let Some(limit) = self.limit else { return Verdict::Limited };
+        let Some(limit) = self.limit else { return Attribution::Own };
         if is_reached {
             self.unreached_since_us = None;
             // Kept connections may open more requests than the limit while the queues are short.
-            let reached = limit.max(open);
+            let reached = limit.max(open.not_begun);
             self.limit = Some(reached + (reached / INCREASE_DIVISOR).max(1));
         } else if now_us >= *self.unreached_since_us.get_or_insert(now_us) + UNREACHED_MAX_MS {
             *self = Self::default();
         }
-        Verdict::Limited
+        Attribution::Own
     }
 
     /// Keeps a part of the open requests. Until they have fallen to the limit, the host shows no effect of the decrease
@@ -111,21 +127,15 @@
         self.limit = Some(self.limit.map_or(kept, |limit| limit.min(kept)));
     }
 
-    fn attribute(&mut self, now_us: MonoTime, load: &HostLoad, open: u32) -> Verdict {
-        if open > LIMIT_MIN || load.bottleneck != Bottleneck::Connecting {
+    fn attribute(&mut self, now_us: MonoTime, load: &HostLoad, all: u64) -> Attribution {
+        if all > LIMIT_MIN.into() || load.bottleneck != Bottleneck::Connecting {
             self.few_since_us = None;
-            return Verdict::Limited;
+            return Attribution::Own;
         }
         if now_us < *self.few_since_us.get_or_insert(now_us) + NOT_OWN_MS {
-            return Verdict::Limited;
+            return Attribution::Own;
         }
         *self = Self::default();
-        Verdict::NotOwnDelay
+        Attribution::NotOwn
     }
 }
-
-/// Divisor of the limit for the connections beyond it that the operating system has accepted.
-const PENDING_DIVISOR: u32 = 4;
-
-/// Divisor of the limit for the room that is awaited.
-const REOPEN_DIVISOR: u32 = 4;
--- a/crates/core/tests/relay/admission.rs
+++ b/crates/core/tests/relay/admission.rs
@@ -6,7 +6,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use hibiscusvale_core::relay::admission::{AdmissionLimit, CLOSED_MAX_MS, Verdict};
+use hibiscusvale_core::relay::admission::{AdmissionLimit, Attribution, CLOSED_MAX_MS, OpenRequests};
 use hibiscusvale_core::relay::congestion::{
     ASSESSMENT_INTERVAL_MS, CongestionDetector, HostSample, tolerated_delay,
 };
@@ -151,7 +151,7 @@
     let (mut detector, mut limit) = (CongestionDetector::new(host.known_link), AdmissionLimit::default());
     let mut events = BinaryHeap::from([Reverse((0, Event::Connect)), Reverse((0, Event::Assess))]);
     let mut outcome = Outcome::default();
-    let (mut open, mut is_closed, mut taken_us) = (0_u32, false, 0);
+    let (mut open, mut all, mut is_closed, mut taken_us) = (0_u32, 0_u64, false, 0);
     let (mut connects, mut fastest_us, mut before) = (0, None::<Micros>, (0, 0));
     let end_us = periods.last().unwrap().until_s * 1_000_000;
     while let Some(Reverse((now_us, event))) = events.pop() {
@@ -180,6 +180,7 @@
                 }
                 taken_us = now_us;
                 open += 1;
+                all += 1;
                 let is_stream = rng.random_range(0..100) < period.streams;
                 let read_us = inward.pass(now_us, if is_stream { PROMPT_BYTES } else { PAGE_BYTES });
                 processor_free_us = processor_free_us.max(read_us) + host.request_us;
@@ -219,6 +220,7 @@
                 }
             }
             Event::Answered { sent_us, is_stream, first_us } => {
+                all -= 1;
                 let took_us = first_us - sent_us;
                 let timeout_us = if is_stream { STREAM_TIMEOUT_US } else { PAGE_TIMEOUT_US };
                 outcome.read.push((sent_us, took_us < timeout_us));
@@ -241,7 +243,8 @@
                 };
                 before = passed;
                 let load = detector.assess(MonoTime(now_us + 1), sample, tolerated_delay(Some(PAGE_TARGET)));
-                if limit.update(MonoTime(now_us + 1), &load, open) == Verdict::NotOwnDelay {
+                let requests = OpenRequests { not_begun: open, all };
+                if limit.update(MonoTime(now_us + 1), &load, requests) == Attribution::NotOwn {
                     detector.forget_base();
                 }
             }
@@ -337,9 +340,8 @@
     assert!(!violations(&outcome).is_empty(), "limit {:?}", outcome.limit_at_end);
 }
 
-/// A delay that stays while next to nothing is open must not keep callers out.
-#[test]
-fn a_delay_that_is_not_its_own_does_not_keep_callers_out() {
+/// Connections refused in 8 s in which new connections to servers are slow while this is open.
+fn refused_while_slow(open: OpenRequests) -> usize {
     let mut limit = AdmissionLimit::default();
     let mut detector = CongestionDetector::new(SMALL.known_link);
     let mut now_us = MonoTime(1);
@@ -350,10 +352,19 @@
         let sample =
             HostSample { connects: 5, fastest_connect_us: Some(Micros(connect_us)), ..HostSample::default() };
         let load = detector.assess(now_us, sample, tolerated_delay(Some(PAGE_TARGET)));
-        if limit.update(now_us, &load, 6) == Verdict::NotOwnDelay {
+        if limit.update(now_us, &load, open) == Attribution::NotOwn {
             detector.forget_base();
         }
-        refused += usize::from(!limit.admits(6));
+        refused += usize::from(!limit.admits(open.not_begun));
     }
-    assert_eq!((refused, limit.get()), (0, None));
+    refused
+}
+
+/// A delay that stays while next to nothing is open must not keep callers out, and one under many streams must.
+#[rstest]
+#[case::few_requests(OpenRequests { not_begun: 6, all: 6 }, 0)]
+#[case::many_requests(OpenRequests { not_begun: 60, all: 60 }, 80)]
+#[case::many_streams(OpenRequests { not_begun: 8, all: 60 }, 80)]
+fn only_an_own_delay_keeps_callers_out(#[case] open: OpenRequests, #[case] refused: usize) {
+    assert_eq!(refused_while_slow(open), refused);
 }
--- a/crates/router/src/relay/admission.rs
+++ b/crates/router/src/relay/admission.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
-use hibiscusvale_core::relay::admission::{AdmissionLimit, Verdict};
+use hibiscusvale_core::relay::admission::{AdmissionLimit, Attribution, OpenRequests};
 use hibiscusvale_core::relay::congestion::HostLoad;
 use hibiscusvale_core::units::{Millis, MonoTime};
 use parking_lot::Mutex;
@@ -64,11 +64,12 @@
         let _ = tokio::time::timeout(longest, room).await;
     }
 
-    /// Adapts the limit to an assessment of the host.
-    pub fn update(&self, now_us: MonoTime, load: &HostLoad) -> Verdict {
-        let verdict = self.limit.lock().update(now_us, load, self.open());
+    /// Adapts the limit to an assessment of the host, where `all` requests are open, with the streams that have begun.
+    pub fn update(&self, now_us: MonoTime, load: &HostLoad, all: u64) -> Attribution {
+        let open = OpenRequests { not_begun: self.open(), all };
+        let attribution = self.limit.lock().update(now_us, load, open);
         self.room.notify_one();
-        verdict
+        attribution
     }
 
     /// Counts a time for which the listener was closed.
--- a/crates/router/src/relay/host_load.rs
+++ b/crates/router/src/relay/host_load.rs
@@ -2,9 +2,10 @@
 //! bottleneck.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use hibiscusvale_core::relay::admission::Verdict;
+use hibiscusvale_core::relay::admission::Attribution;
 use hibiscusvale_core::relay::congestion::{
     ASSESSMENT_INTERVAL_MS, Bottleneck, CongestionDetector, HostLoad, HostSample, tolerated_delay,
 };
@@ -90,7 +91,8 @@
         let tolerated_us = self.tolerated_us(state);
         let load = self.detector.assess(now_us, sample, tolerated_us);
         *state.host_load.0.lock() = Some(load);
-        if state.admission.update(now_us, &load) == Verdict::NotOwnDelay {
+        let all = state.open.load(Ordering::Relaxed);
+        if state.admission.update(now_us, &load, all) == Attribution::NotOwn {
             self.detector.forget_base();
         }
         self.log(state, now_us, load);
