Take a link whose rate is not stated for unknown

Settings without capacity.link_mbps counted as 1,000 Mbit/s, which a hundred uploads over loopback exceed, so that the link counted as full. Without the setting the bytes say nothing now; messages between daemons assume 1,000 Mbit/s as before.

--- a/crates/core/src/relay/congestion.rs
+++ b/crates/core/src/relay/congestion.rs
@@ -74,9 +74,9 @@
 pub struct HostLoad {
     /// Delay of new connections beyond that without queues; `None` if too few were opened.
     pub connect_delay_us: Option<Micros>,
-    /// Fill of the link with bytes received, in thousandths.
+    /// Fill of the link with bytes received, in thousandths; zero if its rate is not known.
     pub received_per_1000: u64,
-    /// Fill of the link with bytes sent, in thousandths.
+    /// Fill of the link with bytes sent, in thousandths; zero if its rate is not known.
     pub sent_per_1000: u64,
     /// Smallest lateness of tasks.
     pub late_us: Micros,
@@ -129,7 +129,7 @@
 /// Assesses the load of a host in intervals.
 #[derive(Clone, Debug)]
 pub struct CongestionDetector {
-    link: BytesPerSecond,
+    link: Option<BytesPerSecond>,
     assessed_us: Option<MonoTime>,
     /// Bytes received and sent, and the length, of the interval before.
     previous: (Bytes, Bytes, Micros),
@@ -140,8 +140,8 @@
 }
 
 impl CongestionDetector {
-    /// Creates a detector for a host with a link of this rate in each direction.
-    pub fn new(link: BytesPerSecond) -> Self {
+    /// Creates a detector for a host with a link of this rate in each direction; `None` if it is not known.
+    pub fn new(link: Option<BytesPerSecond>) -> Self {
         Self {
             link,
             assessed_us: None,
@@ -196,7 +196,8 @@
     }
 
     fn fill(&self, bytes: Bytes, span_us: Micros) -> u64 {
-        let capacity = u128::from(self.link.0) * u128::from(span_us.0) / MICROS_PER_S;
+        let Some(link) = self.link else { return 0 };
+        let capacity = u128::from(link.0) * u128::from(span_us.0) / MICROS_PER_S;
         let fill = u128::from(bytes.0) * 1_000 / capacity.max(1);
         if span_us == Micros::ZERO { 0 } else { u64::try_from(fill).unwrap_or(u64::MAX) }
     }
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -301,7 +301,7 @@
     BackendHttp::with_settings(HttpSettings { connect_timeout: CONNECT_TIMEOUT, buffer_bytes, meter })
 }
 
-async fn run_timers(state: Arc<RelayState>, link: BytesPerSecond) {
+async fn run_timers(state: Arc<RelayState>, link: Option<BytesPerSecond>) {
     tokio::join!(
         state.plain_schedulers.run_timers(),
         state.engine_pools.run_timers(),
--- a/crates/router/src/relay/host_load.rs
+++ b/crates/router/src/relay/host_load.rs
@@ -46,7 +46,7 @@
 }
 
 /// Assesses the host's load for as long as the daemon runs. Belongs on the runtime whose lateness counts.
-pub async fn run(state: Arc<RelayState>, link: BytesPerSecond) {
+pub async fn run(state: Arc<RelayState>, link: Option<BytesPerSecond>) {
     let mut assessor = Assessor::new(link);
     loop {
         let due = Instant::now() + Duration::from(ASSESSMENT_INTERVAL_MS);
@@ -67,7 +67,7 @@
 }
 
 impl Assessor {
-    fn new(link: BytesPerSecond) -> Self {
+    fn new(link: Option<BytesPerSecond>) -> Self {
         Self {
             detector: CongestionDetector::new(link),
             totals: LinkTotals::default(),
--- a/crates/router/src/relay/settings.rs
+++ b/crates/router/src/relay/settings.rs
@@ -73,10 +73,12 @@
             ("bounds.quota_overshoot", bounds.quota_overshoot, QUOTA_OVERSHOOT),
             ("bounds.quota_slack", bounds.quota_slack, QUOTA_SLACK),
             ("capacity.descriptors", capacity.descriptors, DESCRIPTORS),
-            ("capacity.link_mbps", capacity.link_mbps, LINK_MBPS),
         ] {
             check_number(text, key, value, range, &mut problems);
         }
+        if let Some(link_mbps) = capacity.link_mbps {
+            check_number(text, "capacity.link_mbps", link_mbps, LINK_MBPS, &mut problems);
+        }
         if let Some(memory_mb) = capacity.memory_mb {
             check_number(text, "capacity.memory_mb", memory_mb, MEMORY_MB, &mut problems);
         }
@@ -264,8 +266,8 @@
 pub struct CapacitySettings {
     /// Limit of file descriptors; a fraction is rounded down.
     pub descriptors: f64,
-    /// Bandwidth of the host's network link in Mbit/s.
-    pub link_mbps: f64,
+    /// Bandwidth of the host's network link in Mbit/s; `None` if it is not known.
+    pub link_mbps: Option<f64>,
     /// Memory of the host in MB, of which a part may be held in bodies and answers; without it there is no limit.
     pub memory_mb: Option<f64>,
 }
@@ -288,21 +290,24 @@
 /// Bytes per second in a Mbit/s.
 const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
 
+/// Bandwidth that messages count on where the link's is not known.
+const ASSUMED_LINK_MBPS: f64 = 1_000.0;
+
+fn link_part(link_mbps: f64, part: f64) -> BytesPerSecond {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
+    let rate = (link_mbps * BYTES_PER_S_PER_MBPS * part) as u64;
+    BytesPerSecond(rate)
+}
+
 impl CapacitySettings {
-    /// Rate of the host's link in each direction.
-    pub fn link_rate(&self) -> BytesPerSecond {
-        self.part_of_link(1.0)
+    /// Rate of the host's link in each direction; `None` if it is not known.
+    pub fn link_rate(&self) -> Option<BytesPerSecond> {
+        self.link_mbps.map(|link_mbps| link_part(link_mbps, 1.0))
     }
 
     /// Maximum rate of messages to other daemons.
     pub fn message_rate(&self) -> BytesPerSecond {
-        self.part_of_link(MESSAGES_FRACTION)
-    }
-
-    fn part_of_link(&self, part: f64) -> BytesPerSecond {
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked to be in range")]
-        let rate = (self.link_mbps * BYTES_PER_S_PER_MBPS * part) as u64;
-        BytesPerSecond(rate)
+        link_part(self.link_mbps.unwrap_or(ASSUMED_LINK_MBPS), MESSAGES_FRACTION)
     }
 
     /// Maximum size of all bodies and answers that are held; `None` if there is no limit.
@@ -322,6 +327,6 @@
 
 impl Default for CapacitySettings {
     fn default() -> Self {
-        Self { descriptors: 4_096.0, link_mbps: 1_000.0, memory_mb: None }
+        Self { descriptors: 4_096.0, link_mbps: None, memory_mb: None }
     }
 }
