Keep serving callers if the listener cannot be registered again

Read in the code: a socket that is bound again and cannot be registered with the runtime ended the task that accepts callers, and the daemon would have gone on without any. It is tried again like a failed bind. Comments of the congestion module say how long the shortest time counts.

--- a/crates/core/src/relay/congestion.rs
+++ b/crates/core/src/relay/congestion.rs
@@ -17,7 +17,8 @@
 /// Age after which measured connections no longer count.
 const CONNECTS_AGE_MAX_MS: Millis = Millis(300);
 
-/// Time over which the delay without queues is remembered at least, and half of the time at most.
+/// Length of a span over which the shortest time of a connection is kept. The current span and the one before count, so
+/// that it is forgotten after one to two spans.
 const BASE_SPAN_MS: Millis = Millis(10_000);
 
 /// Assessments whose smallest lateness counts.
@@ -30,7 +31,8 @@
 /// the connection to a server, and the answer.
 const ROUND_TRIPS: u64 = 4;
 
-/// Bounds of the tolerated delay: timers are accurate to a few milliseconds, and beyond a tenth of a second callers notice.
+/// Bounds of the tolerated delay: timers are accurate to a few milliseconds, and callers notice more than a tenth of a
+/// second.
 const DELAY_MAX_US: std::ops::RangeInclusive<Micros> = Micros(5_000)..=Micros(100_000);
 
 /// Delay of the host's queues that is tolerated where the strictest route has `target_ms`: a request may spend half
@@ -202,7 +204,7 @@
         if span_us == Micros::ZERO { 0 } else { u64::try_from(fill).unwrap_or(u64::MAX) }
     }
 
-    /// Whether the delay of connections is known of now, or there is none to know.
+    /// Updates the delay of connections; returns whether it is of now, or none were opened lately.
     fn assess_connects(&mut self, now_us: MonoTime, sample: HostSample, tolerated_us: Micros) -> bool {
         if let Some(fastest_us) = sample.fastest_connect_us {
             let unknown = Connects { since_us: now_us, count: 0, fastest_us };
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -102,7 +102,7 @@
             connections.take_in_pending(&socket);
             drop(socket);
             socket = tokio::select! {
-                reopened = reopen(&connections.state, address) => reopened?,
+                reopened = reopen(&connections.state, address) => reopened,
                 () = stop.cancelled() => return connections.finish().await,
             };
         }
@@ -146,11 +146,11 @@
 }
 
 /// Listens again once callers may open more requests.
-async fn reopen(state: &RelayState, address: SocketAddr) -> io::Result<TcpListener> {
+async fn reopen(state: &RelayState, address: SocketAddr) -> TcpListener {
     let closed_at = Instant::now();
     state.admission.wait_for_room(Duration::from(CLOSED_MAX_MS)).await;
     let socket = loop {
-        match bind(address) {
+        match bind(address).and_then(TcpListener::from_std) {
             Ok(socket) => break socket,
             Err(error) => {
                 state.log.fault("the address for callers could not be bound again", &error);
@@ -160,7 +160,7 @@
     };
     let closed_ms = u64::try_from(closed_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     state.admission.record_closed(Millis(closed_ms));
-    TcpListener::from_std(socket)
+    socket
 }
 
 /// Binds the listen address for callers.
