Log which vanished servers stay in use, and by how old a list requests are sent

Requests reached servers that had left (DRAIN). A daemon that keeps a server which vanished from the list, one that never learned of its leaving, and one that chose it earlier and sent later left the same lines: 'servers changed' some seconds late, or none.

New: 'vanished servers kept' (which, who read it, age of the list, for how long), 'kept servers removed', list_age_ms of each request (the age of the list as it is sent), gauges of kept servers and of the age of the list. No logic changes.

--- a/crates/core/src/relay/expired_entries.rs
+++ b/crates/core/src/relay/expired_entries.rs
@@ -59,6 +59,16 @@
         self.pending.values().min().copied()
     }
 
+    /// Number of vanished entries that are kept.
+    pub fn pending_count(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Until when entries that vanish now are kept.
+    pub fn grace_until_us(&self) -> MonoTime {
+        self.grace_until_us
+    }
+
     /// Forgets the vanished entries: the list of another daemon has replaced this one.
     pub fn replaced(&mut self) {
         self.pending.clear();
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -124,6 +124,8 @@
     pub outcome: &'a str,
     /// Steps taken to serve it.
     pub steps: &'a str,
+    /// Largest age of the server list by which it was sent to a server.
+    pub list_age_ms: Millis,
     /// What the daemon knew about its way to the servers of the service when the request ended.
     pub reached: &'a str,
     /// What was known of the daemons to which it could be forwarded, when it was last to be forwarded.
@@ -154,6 +156,19 @@
     pub took_ms: Millis,
 }
 
+/// Log fields of servers that vanished from the list and stay in use for now.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptLine<'a> {
+    /// The servers.
+    pub servers: &'a [BackendServerId],
+    /// Who read the list without them: this daemon (`own`) or another one (`other`).
+    pub read_by: &'static str,
+    /// Age of the list that showed them, as of the change.
+    pub list_age_ms: Millis,
+    /// Time for which they are kept at most.
+    pub until_ms: Millis,
+}
+
 /// Log fields of a request that is refused because its organisation exceeds its share.
 #[derive(Clone, Copy, Debug)]
 pub struct OverShareLine<'a> {
@@ -274,6 +289,7 @@
             version = line.version,
             outcome = line.outcome,
             steps = line.steps,
+            list_age_ms = line.list_age_ms.0,
             reached = line.reached,
             helpers_asked = line.helpers.asked,
             helpers_replied = line.helpers.replied,
@@ -551,6 +567,21 @@
         });
     }
 
+    /// Logs servers that vanished from the list and stay in use for now.
+    pub fn vanished_servers_kept(&self, line: &KeptLine<'_>) {
+        spdlog::info!(logger: self.logger, "vanished servers kept", kv: {
+            servers = sorted_names(line.servers),
+            read_by = line.read_by,
+            list_age_ms = line.list_age_ms.0,
+            until_ms = line.until_ms.0,
+        });
+    }
+
+    /// Logs servers that vanished from the list earlier, were kept, and are out of use now.
+    pub fn kept_servers_removed(&self, servers: &[BackendServerId]) {
+        spdlog::info!(logger: self.logger, "kept servers removed", kv: { servers = sorted_names(servers) });
+    }
+
     /// Logs a state change of the daemon or its environment, such as start, stop, or a dependency lost or regained.
     pub fn state_changed(&self, what: &'static str, detail: &dyn fmt::Display) {
         spdlog::info!(logger: self.logger, "changed", kv: { what = what, detail: = detail });
@@ -638,3 +669,9 @@
         LogLevel::Error => Level::Error,
     }
 }
+
+fn sorted_names(servers: &[BackendServerId]) -> String {
+    let mut names: Vec<&str> = servers.iter().map(BackendServerId::as_str).collect();
+    names.sort_unstable();
+    names.join(" ")
+}
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -202,6 +202,7 @@
 ) -> Result<Reply, FailureCause> {
     incoming.state.statements.check(hop.server, CallKind::Work)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
+    incoming.record_list_age();
     let known = http.send_tracked(reuse, request, timeout).await.map_err(failure_cause);
     let answered = known.as_ref().map(|_| ()).map_err(|cause| *cause);
     incoming.state.reach.record(&incoming.state, hop.server, timeout, answered);
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -165,6 +165,13 @@
         observe_gauge(&meter, "hibiscusvale_relay_servers", state, |state| {
             state.directory.listing().servers.len() as u64
         });
+        observe_gauge(&meter, "hibiscusvale_relay_kept_servers", state, |state| {
+            state.expired_entries.lock().pending_count() as u64
+        });
+        observe_gauge(&meter, "hibiscusvale_relay_server_list_age_ms", state, |state| {
+            let age_us = state.freshness.servers_age_us(clock::now());
+            age_us.unwrap_or_default().to_millis_ceil().0
+        });
         observe_gauge(&meter, "hibiscusvale_relay_daemons_live", state, |state| state.peers.live().into());
         observe_gauge(&meter, "hibiscusvale_relay_limited_servers", state, |state| {
             state.limits.limited() as u64
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -44,6 +44,7 @@
 use super::trace::{RequestTrace, Step};
 use super::uneven_servers::UnevenServices;
 use crate::backend::{BackendHttp, Framing};
+use crate::clock;
 use crate::directory::Directory;
 use crate::dispatch::PlainSchedulers;
 use crate::link_meter::LinkMeter;
@@ -127,6 +128,7 @@
             version: self.state.table.load().version().0,
             outcome: trace.outcome(),
             steps: trace.steps(),
+            list_age_ms: trace.oldest_list().to_millis_ceil(),
             reached: self.state.reach.reached(self.service.as_str()).label(),
             helpers: trace.helpers(),
             versions: trace.versions(),
@@ -184,6 +186,13 @@
         self.trace.lock().record_event(self.arrived.elapsed(), last);
     }
 
+    /// Records the age of the server list by which it is sent to a server.
+    pub fn record_list_age(&self) {
+        if let Some(age_us) = self.state.freshness.servers_age_us(clock::now()) {
+            self.trace.lock().record_list_age(age_us);
+        }
+    }
+
     /// Records how the last answer of a server is delimited.
     pub fn record_framing(&self, framing: Framing) {
         self.trace.lock().record_framing(framing);
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -5,7 +5,7 @@
 
 use hibiscusvale_core::relay::reach::HelperCounts;
 use hibiscusvale_core::sched::FailureCause;
-use hibiscusvale_core::units::Bytes;
+use hibiscusvale_core::units::{Bytes, Micros};
 
 use super::refusal::Reason;
 use crate::backend::Framing;
@@ -101,6 +101,7 @@
     framing: Option<Framing>,
     partial_event: Bytes,
     helpers: HelperCounts,
+    oldest_list: Micros,
 }
 
 impl RequestTrace {
@@ -174,6 +175,16 @@
         self.helpers
     }
 
+    /// Records the age of the server list by which it is sent to a server.
+    pub fn record_list_age(&mut self, age_us: Micros) {
+        self.oldest_list = self.oldest_list.max(age_us);
+    }
+
+    /// Largest age of the server list by which it was sent to a server.
+    pub fn oldest_list(&self) -> Micros {
+        self.oldest_list
+    }
+
     /// Label of the framing of the last answer; empty if no server answered.
     pub fn framing(&self) -> &'static str {
         self.framing.map_or("", Framing::label)
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -9,7 +9,7 @@
 use hibiscusvale_core::ids::{BackendServerId, HostId};
 use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::routes::RouteTable;
-use hibiscusvale_core::units::Millis;
+use hibiscusvale_core::units::{Millis, MonoTime};
 
 use rand::RngExt;
 
@@ -23,6 +23,7 @@
 use crate::clock;
 use crate::directory::{BackendServer, Listing};
 use crate::external::{HostList, HostListChange, HostListPage};
+use crate::logging::KeptLine;
 
 /// Long-poll timeout of the route source: one call of a reader then covers a second, and a dead connection is
 /// noticed at its end.
@@ -175,6 +176,7 @@
 /// would otherwise go on sending requests to servers that have left.
 fn remove_expired_entries(state: &RelayState) {
     let gone = state.expired_entries.lock().confirm_gone(clock::now(), Vec::new(), std::iter::empty());
+    state.log.kept_servers_removed(&gone);
     let before = state.directory.listing();
     let mut listing = Listing::clone(&before);
     for id in &gone {
@@ -208,7 +210,9 @@
         HostListChange::Some { set, remove } => (set, remove),
     };
     let gone = expired.confirm_gone(now_us, vanished.clone(), set.iter().map(|host| &host.id));
-    let withheld = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
+    log_removed(state, &gone, &vanished);
+    let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
+    log_kept(state, now_us, &withheld, "own", expired.grace_until_us());
     let change = HostListChange::Some { set, remove: gone };
     state.directory.apply(HostListPage { version: page.version, change });
     withheld
@@ -244,14 +248,45 @@
     let vanished: Vec<BackendServerId> = listing.servers.removed_since(&before.servers).cloned().collect();
     let listed = changes.iter().flat_map(ServerChange::listed);
     let gone = expired.confirm_gone(now_us, vanished.clone(), listed);
-    let kept = vanished.iter().filter(|id| !gone.contains(id));
-    let kept: Vec<Arc<BackendServer>> = kept.filter_map(|id| before.servers.get(id).cloned()).collect();
+    log_removed(state, &gone, &vanished);
+    let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
+    log_kept(state, now_us, &withheld, "other", expired.grace_until_us());
+    let kept: Vec<Arc<BackendServer>> =
+        withheld.iter().filter_map(|id| before.servers.get(id).cloned()).collect();
     listing.servers.extend(kept);
     for id in &gone {
         listing.servers.remove(id);
     }
 }
 
+fn log_kept(
+    state: &RelayState,
+    now_us: MonoTime,
+    servers: &[BackendServerId],
+    read_by: &'static str,
+    until_us: MonoTime,
+) {
+    if servers.is_empty() {
+        return;
+    }
+    let list_age_us = state.freshness.servers_age_us(now_us).unwrap_or_default();
+    state.log.vanished_servers_kept(&KeptLine {
+        servers,
+        read_by,
+        list_age_ms: list_age_us.to_millis_ceil(),
+        until_ms: until_us.since(now_us).to_millis_ceil(),
+    });
+}
+
+/// Logs which of the servers that are `gone` had vanished before this change.
+fn log_removed(state: &RelayState, gone: &[BackendServerId], vanished: &[BackendServerId]) {
+    let kept = gone.iter().filter(|id| !vanished.contains(id));
+    let kept: Vec<BackendServerId> = kept.cloned().collect();
+    if !kept.is_empty() {
+        state.log.kept_servers_removed(&kept);
+    }
+}
+
 /// Updates the schedulers from the server list in the directory.
 pub fn servers_changed(state: &RelayState, before: &Listing) {
     let listing = state.directory.listing();
