--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -337,3 +337,14 @@
     expired.replaced();
     assert!(gone(&mut expired, 12_500, &[], &[]).is_empty());
 }
+
+/// Another daemon's change comes first and the own first read later, which must not keep an entry past its time.
+#[test]
+fn an_entry_that_is_due_is_gone_whatever_is_read_meanwhile() {
+    let mut expired = ExpiredEntries::default();
+    expired.read_failed();
+    expired.observe_age(at(10_000), OLD);
+    assert!(gone(&mut expired, 10_100, &["w-1"], &[]).is_empty());
+    expired.read_succeeded(at(11_000));
+    assert_eq!(gone(&mut expired, 12_500, &[], &[]), ["w-1"]);
+}
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -176,7 +176,7 @@
 /// would otherwise go on sending requests to servers that have left.
 fn remove_expired_entries(state: &RelayState) {
     let gone = state.expired_entries.lock().confirm_gone(clock::now(), Vec::new(), std::iter::empty());
-    state.log.kept_servers_removed(&gone);
+    log_removed(state, &gone, &[]);
     let before = state.directory.listing();
     let mut listing = Listing::clone(&before);
     for id in &gone {
