--- a/crates/core/src/relay/expired_entries.rs
+++ b/crates/core/src/relay/expired_entries.rs
@@ -51,6 +51,8 @@
     pub fn observe_age(&mut self, now_us: MonoTime, age_us: Option<Micros>) {
         if age_us.is_some_and(|age_us| age_us >= Micros::from(OUTAGE_MIN_MS)) {
             self.grace_until_us = now_us + REREGISTRATION_GRACE_MS + OBSERVED_LATE_MS;
+            // No server can register again before the store is back.
+            self.pending.values_mut().for_each(|until_us| *until_us = self.grace_until_us);
         }
     }
 
@@ -88,13 +90,17 @@
         for server in listed {
             self.pending.remove(server);
         }
-        if now_us < self.grace_until_us {
+        let mut gone = if now_us < self.grace_until_us {
             for server in vanished {
                 self.pending.entry(server).or_insert(self.grace_until_us);
             }
-            return Vec::new();
-        }
-        let mut gone = vanished;
+            Vec::new()
+        } else {
+            for server in &vanished {
+                self.pending.remove(server);
+            }
+            vanished
+        };
         let is_due = |_: &BackendServerId, until_us: &mut MonoTime| *until_us <= now_us;
         gone.extend(self.pending.extract_if(.., is_due).map(|(server, _)| server));
         gone
