Keep no vanished servers where another daemon's list was current all the while

Cause: a daemon that was cut off can't tell a cut from an outage of the store, and kept what had vanished for 2 to 2.5 s from the moment at which it noticed the end, which may itself be late.

Each message tells for how long its sender's list has been current without a gap. An outage, if there was one, ended before that; so servers are kept from then on for 2.5 s, and not from when this daemon notices, which after a cut is not at all. Reports older than 1.5 s don't count, and a daemon reports nothing while its list is old or after it was stopped. After an outage of the store for all, no report reaches back before its end, and servers are kept as before.

--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -4,6 +4,7 @@
 use hibiscusvale_core::relay::expired_entries::ExpiredEntries;
 use hibiscusvale_core::relay::store_refresh::{PeerReport, RefreshSchedule, RefreshSettings, is_reader};
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
+use rstest::rstest;
 
 use crate::simulation::server;
 
@@ -310,7 +311,7 @@
     expired.observe_age(at(10_000), OLD);
     expired.observe_age(at(10_100), CURRENT);
     assert!(gone(&mut expired, 10_100, &["w-1", "w-2"], &[]).is_empty());
-    assert_eq!(expired.next_due_us(), Some(at(12_500)));
+    assert_eq!(expired.next_due_us(at(10_100)), Some(at(12_500)));
     assert!(gone(&mut expired, 11_000, &[], &["w-1"]).is_empty());
     assert_eq!(gone(&mut expired, 12_500, &[], &[]), ["w-2"]);
 }
@@ -348,3 +349,65 @@
     expired.read_succeeded(at(11_000));
     assert_eq!(gone(&mut expired, 12_500, &[], &[]), ["w-1"]);
 }
+
+/// A daemon was cut off while others read the list all the time, and kept servers that had left for 2.5 s after the cut.
+#[test]
+fn a_daemon_that_was_cut_off_alone_keeps_no_server() {
+    let mut expired = ExpiredEntries::default();
+    expired.read_failed();
+    expired.observe_age(at(10_000), OLD);
+    expired.other_is_current(at(10_050), Micros(60_000_000));
+    expired.read_succeeded(at(10_100));
+    assert_eq!(gone(&mut expired, 10_100, &["w-1"], &[]), ["w-1"]);
+}
+
+/// The report of another daemon arrives after the own read.
+#[test]
+fn kept_servers_are_gone_once_another_daemon_reports_that_there_was_no_outage() {
+    let mut expired = ExpiredEntries::default();
+    expired.observe_age(at(10_000), OLD);
+    assert!(gone(&mut expired, 10_100, &["w-1"], &[]).is_empty());
+    expired.other_is_current(at(10_300), Micros(60_000_000));
+    assert!(expired.next_due_us(at(10_300)).is_some_and(|due_us| due_us <= at(10_300)));
+    assert_eq!(gone(&mut expired, 10_300, &[], &[]), ["w-1"]);
+}
+
+/// A daemon learned of the end of an outage three seconds late, and kept servers for as long again as all others had.
+#[test]
+fn servers_are_kept_from_the_end_of_an_outage_and_not_from_when_it_is_noticed() {
+    let mut expired = ExpiredEntries::default();
+    expired.observe_age(at(13_000), OLD);
+    expired.other_is_current(at(13_050), Micros(1_050_000));
+    assert!(gone(&mut expired, 13_100, &["w-1"], &[]).is_empty());
+    expired.other_is_current(at(14_000), Micros(2_000_000));
+    assert!(gone(&mut expired, 14_400, &[], &[]).is_empty());
+    assert_eq!(gone(&mut expired, 14_500, &[], &[]), ["w-1"]);
+}
+
+/// Others read the list until the store failed for all. What they reported before must not take live servers out of use.
+#[test]
+fn reports_from_before_an_outage_do_not_end_the_grace_period() {
+    let mut expired = ExpiredEntries::default();
+    expired.other_is_current(at(5_000), Micros(60_000_000));
+    expired.observe_age(at(10_000), OLD);
+    assert!(gone(&mut expired, 10_100, &["w-1"], &[]).is_empty());
+    expired.other_is_current(at(10_200), Micros(200_000));
+    assert_eq!(gone(&mut expired, 11_000, &[], &["w-1"]), [""; 0]);
+    assert_eq!(expired.next_due_us(at(11_000)), None);
+}
+
+/// What a daemon reports of its own list: nothing while it is old, and nothing of the time before it was old or unobserved.
+#[rstest]
+#[case::old(&[(1_000, CURRENT), (1_500, OLD)], 1_500, None)]
+#[case::current_again(&[(1_000, CURRENT), (1_500, OLD), (2_000, CURRENT), (2_100, CURRENT)], 2_400, Some(400_000))]
+#[case::process_stopped(&[(1_000, CURRENT), (4_000, CURRENT)], 4_100, Some(100_000))]
+#[case::message_after_a_stop(&[(1_000, CURRENT)], 4_000, None)]
+fn a_gap_ends_the_time_for_which_a_list_is_reported_current(
+    #[case] observed: &[(u64, Option<Micros>)],
+    #[case] at_ms: u64,
+    #[case] reported: Option<u64>,
+) {
+    let mut expired = ExpiredEntries::default();
+    observed.iter().for_each(|(at_ms, age_us)| expired.observe_age(at(*at_ms), *age_us));
+    assert_eq!(expired.current_for_us(at(at_ms)), reported.map(Micros));
+}
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -183,6 +183,7 @@
             data_centre: state.peers.data_centre().clone(),
             incarnation: state.incarnation,
             sequence,
+            list_current_us: state.expired_entries.lock().current_for_us(clock::now()),
             stamp: state.freshness.stamp(clock::now(), state.table.load().version()),
             reaches_store: state.freshness.reaches_store(clock::now()),
             changes: state.server_changes.next_batch(),
@@ -302,6 +303,10 @@
         }
         Reception::Next => {}
     }
+    // Before the changes are adopted: it decides whether servers that they remove are kept.
+    if let Some(current_us) = message.list_current_us {
+        state.expired_entries.lock().other_is_current(clock::now(), current_us);
+    }
     // Before the stamp is evaluated: with the changes applied this daemon is as current as the sender.
     watch::adopt_changes(state, message.changes);
     state.freshness.receive_stamp(clock::now(), state.table.load().version(), message.stamp, from);
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -12,6 +12,7 @@
 use hibiscusvale_core::relay::engines::{PoolUsage, WorkloadStats};
 use hibiscusvale_core::relay::reach::HelperState;
 use hibiscusvale_core::relay::stream_versions::StreamRecord;
+use hibiscusvale_core::units::Micros;
 use serde::{Deserialize, Serialize};
 
 use super::freshness::Stamp;
@@ -70,6 +71,8 @@
     pub sequence: u64,
     /// Versions and ages of its routes and servers.
     pub stamp: Stamp,
+    /// For how long its server list has been current without a gap; `None` while it is old.
+    pub list_current_us: Option<Micros>,
     /// Whether it can perform shared duties that need the store.
     pub reaches_store: bool,
     /// Server changes that it has just read.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -163,7 +163,7 @@
         let next_due_us = {
             let mut expired = state.expired_entries.lock();
             expired.observe_age(now_us, age_us);
-            expired.next_due_us()
+            expired.next_due_us(now_us)
         };
         if next_due_us.is_some_and(|due_us| due_us <= now_us) {
             return;
@@ -212,7 +212,7 @@
     let gone = expired.confirm_gone(now_us, vanished.clone(), set.iter().map(|host| &host.id));
     log_removed(state, &gone, &vanished);
     let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
-    log_kept(state, now_us, &withheld, "own", expired.grace_until_us());
+    log_kept(state, now_us, &withheld, "own", expired.grace_until_us(now_us));
     let change = HostListChange::Some { set, remove: gone };
     state.directory.apply(HostListPage { version: page.version, change });
     withheld
@@ -250,7 +250,7 @@
     let gone = expired.confirm_gone(now_us, vanished.clone(), listed);
     log_removed(state, &gone, &vanished);
     let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
-    log_kept(state, now_us, &withheld, "other", expired.grace_until_us());
+    log_kept(state, now_us, &withheld, "other", expired.grace_until_us(now_us));
     let kept: Vec<Arc<BackendServer>> =
         withheld.iter().filter_map(|id| before.servers.get(id).cloned()).collect();
     listing.servers.extend(kept);
--- a/crates/router/tests/unit/relay_load_report.rs
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -47,6 +47,7 @@
         data_centre: "z-1".parse().unwrap(),
         incarnation: Incarnation::new(1_000, 1),
         sequence: 7,
+        list_current_us: None,
         stamp: Freshness::default().stamp(MonoTime(0), TableVersion(1)),
         reaches_store: true,
         changes: Vec::new(),
