Pass on a server list together with which servers are only kept

Cause: a daemon passed on its list with the servers that it only kept for a while; the recipient took them for listed, and no later change names them.

The list is passed on with the time that each kept server has left, and the recipient keeps it for that long.

--- a/crates/core/src/relay/expired_entries.rs
+++ b/crates/core/src/relay/expired_entries.rs
@@ -126,9 +126,16 @@
         self.due_us(now_us, self.grace_until_us)
     }
 
-    /// Forgets the vanished entries: the list of another daemon has replaced this one.
-    pub fn replaced(&mut self) {
-        self.pending.clear();
+    /// The vanished entries that are kept, each with the time until it counts as gone.
+    pub fn kept(&self, now_us: MonoTime) -> impl Iterator<Item = (&BackendServerId, Micros)> {
+        self.pending
+            .iter()
+            .map(move |(server, until_us)| (server, self.due_us(now_us, *until_us).since(now_us)))
+    }
+
+    /// The list of another daemon has replaced this one. The entries that it keeps count as gone when they do there.
+    pub fn replaced(&mut self, now_us: MonoTime, kept: Vec<(BackendServerId, Micros)>) {
+        self.pending = kept.into_iter().map(|(server, left_us)| (server, now_us + left_us)).collect();
     }
 
     /// Applies a read, or changes of another daemon; returns which of the `vanished` servers are gone now. Those `listed`
--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -335,7 +335,7 @@
     let mut expired = ExpiredEntries::default();
     expired.observe_age(at(10_000), OLD);
     gone(&mut expired, 10_000, &["w-1"], &[]);
-    expired.replaced();
+    expired.replaced(at(10_100), Vec::new());
     assert!(gone(&mut expired, 12_500, &[], &[]).is_empty());
 }
 
@@ -411,3 +411,17 @@
     observed.iter().for_each(|(at_ms, age_us)| expired.observe_age(at(*at_ms), *age_us));
     assert_eq!(expired.current_for_us(at(at_ms)), reported.map(Micros));
 }
+
+/// A list was passed on with servers that its sender only kept, and the recipient took them for listed for good.
+#[test]
+fn servers_that_the_sender_of_a_list_keeps_are_kept_as_long_by_its_recipient() {
+    let mut sender = ExpiredEntries::default();
+    sender.observe_age(at(10_000), OLD);
+    gone(&mut sender, 10_100, &["w-1", "w-2"], &[]);
+    let kept = sender.kept(at(11_000)).map(|(id, left_us)| (id.clone(), left_us)).collect();
+    // The clocks of two daemons have nothing in common.
+    let mut recipient = ExpiredEntries::default();
+    recipient.replaced(at(500), kept);
+    assert!(gone(&mut recipient, 1_000, &[], &["w-2"]).is_empty());
+    assert_eq!(gone(&mut recipient, 2_000, &[], &[]), ["w-1"]);
+}
--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use http::{Method, Request, Response, StatusCode};
@@ -78,6 +79,8 @@
     /// Version of the server list in the store.
     version: u64,
     servers: Vec<BackendServer>,
+    /// Those among them that the list has lost, each with the time until it counts as gone.
+    kept: Vec<(BackendServerId, Micros)>,
     /// Age of the server list when the snapshot was made; `None` if unknown.
     servers_age_us: Option<Micros>,
 }
@@ -113,12 +116,16 @@
 }
 
 fn snapshot(state: &RelayState) -> Snapshot {
+    let now_us = clock::now();
+    // First the kept ones: one that is removed in between is missing among the servers.
+    let kept = state.expired_entries.lock().kept(now_us).map(|(id, left_us)| (id.clone(), left_us)).collect();
     let listing = state.directory.listing();
     Snapshot {
         table: state.table.load().as_ref().clone(),
         version: listing.version,
         servers: listing.servers.values().map(|server| server.as_ref().clone()).collect(),
-        servers_age_us: state.freshness.servers_age_us(clock::now()),
+        kept,
+        servers_age_us: state.freshness.servers_age_us(now_us),
     }
 }
 
@@ -225,7 +232,7 @@
     let is_list_newer = listing.version >= before.version
         && state.freshness.servers_transferred(requested_us, age_us, ListState::of(&listing));
     if is_list_newer {
-        state.expired_entries.lock().replaced();
+        state.expired_entries.lock().replaced(clock::now(), snapshot.kept);
         state.directory.adopt(listing);
         watch::servers_changed(state, &before);
     }
