Check again whether a server leaves just before a request is sent to it

Class of fault: a choice is checked when it is made, and not when it is carried out.

Every request and call for new work passes one check at the point of sending, by what the server has stated and by the list as it is now; and while a connection is being opened, the request is withdrawn if its server leaves. Reports that confirm a run, and calls that free memory, still go to leaving engines. A request that finds its engine gone after its prompt waits anew: it was refused at once as would-wait-too-long after a long prompt, although another engine was free.

A new test of the HTTP client opens a connection to a full queue, withdraws the request, and sees that nothing arrives; the client could not withdraw one before.

--- a/crates/core/src/relay/engines/completion.rs
+++ b/crates/core/src/relay/engines/completion.rs
@@ -140,7 +140,10 @@
         open.progress = None;
         // A failed attempt never brings a whole answer.
         let _ = open.attempts.end(cause.attempt_end());
-        if !cause.is_held() {
+        if cause.is_held() {
+            // Its prompt may have taken as long as it may wait, and its engine left meanwhile.
+            open.waits_since_us = now_us;
+        } else {
             open.failed_at = Some(decode_engine);
         }
         self.undo_placement(now_us, decode_engine, request_id, cause);
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
@@ -197,19 +198,40 @@
         }
     }
 
-    /// Like [`Self::send`], and also returns the connection that carried the request.
+    /// Like [`Self::send`], and also returns the connection that carried the request. Nothing is sent if `withdrawn`
+    /// completes before there is a connection.
     ///
     /// # Errors
     ///
-    /// As for [`Self::send`].
-    pub async fn send_tracked(
+    /// As for [`Self::send`]; [`CallFailure::NotSent`] if the request was withdrawn.
+    pub async fn send_tracked<Withdrawn>(
         &self,
         reuse: ConnectionReuse,
         mut request: Request<Full<Bytes>>,
         timeout: Duration,
-    ) -> Result<TrackedReply, CallFailure> {
-        let connection = capture_connection(&mut request);
-        let response = self.send(reuse, request, timeout).await?;
+        withdrawn: Withdrawn,
+    ) -> Result<TrackedReply, CallFailure>
+    where
+        Withdrawn: Future<Output = ()>,
+    {
+        let mut connection = capture_connection(&mut request);
+        let mut sending = pin!(self.send(reuse, request, timeout));
+        let answered = {
+            let connected = async {
+                connection.wait_for_connection_metadata().await;
+            };
+            // The request is written as soon as there is a connection, so this is polled before the others.
+            tokio::select! {
+                biased;
+                response = &mut sending => Some(response),
+                () = connected => None,
+                () = withdrawn => return Err(CallFailure::NotSent),
+            }
+        };
+        let response = match answered {
+            Some(response) => response?,
+            None => sending.await?,
+        };
         Ok(TrackedReply { response, connection })
     }
 }
--- a/crates/router/src/relay/crashes.rs
+++ b/crates/router/src/relay/crashes.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use super::state::Incoming;
+use super::statements;
 use crate::backend::{Probe, probe};
-use crate::external::ListedState;
 
 /// A server that has streamed events for this long is taken to have survived the request: a request that
 /// crashes servers does so when its execution begins.
@@ -75,7 +75,10 @@
 /// Checks whether the server crashed when an attempt failed. A request that is already a crash suspect waits
 /// for the result, so that it is not retried in the meantime.
 pub async fn check_for_crash(incoming: &Incoming, attempt: &Attempt, cause: FailureCause) {
-    if cause != FailureCause::Broken || attempt.has_survived || is_leaving(incoming, &attempt.server) {
+    if cause != FailureCause::Broken
+        || attempt.has_survived
+        || statements::is_leaving(&incoming.state, &attempt.server)
+    {
         return;
     }
     let in_flight_ms = Millis(u64::try_from(attempt.started.elapsed().as_millis()).unwrap_or(u64::MAX));
@@ -96,13 +99,3 @@
         tokio::spawn(report);
     }
 }
-
-/// Whether the server is leaving, by its own statement or the list, or no longer listed: it closes its open
-/// connections at the end of its drain period.
-fn is_leaving(incoming: &Incoming, server: &BackendServerId) -> bool {
-    if incoming.state.statements.is_leaving(server) {
-        return true;
-    }
-    let listing = incoming.state.directory.listing();
-    listing.servers.get(server).is_none_or(|listed| listed.listed == ListedState::Leaving)
-}
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::BackendServerId;
-use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::sched::{FailureCause, HoldReason};
 use hibiscusvale_core::units::Bytes as ByteCount;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,7 +14,7 @@
 use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
 use super::memory_limit::{HeldBuffer, HeldMemory, NoMemory};
 use super::state::{Incoming as IncomingRequest, RelayState};
-use super::statements::{CallKind, RequestPath};
+use super::statements::{self, CallKind, RequestPath};
 use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, ServerBody, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
 
@@ -200,11 +200,16 @@
     reuse: ConnectionReuse,
     timeout: Duration,
 ) -> Result<Reply, FailureCause> {
-    incoming.state.statements.check(hop.server, CallKind::Work)?;
+    let state = &incoming.state;
+    statements::check(state, hop.server, CallKind::Work)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
     incoming.record_list_age();
-    let known = http.send_tracked(reuse, request, timeout).await.map_err(failure_cause);
+    let withdrawn = statements::wait_until_leaving(state, hop.server);
+    let known = http.send_tracked(reuse, request, timeout, withdrawn).await.map_err(failure_cause);
     let answered = known.as_ref().map(|_| ()).map_err(|cause| *cause);
+    if answered == Err(FailureCause::NotSent) && statements::is_leaving(state, hop.server) {
+        return Err(FailureCause::Held(HoldReason::Leaving));
+    }
     incoming.state.reach.record(&incoming.state, hop.server, timeout, answered);
     let mut known = known?;
     let status = known.response.status();
@@ -231,7 +236,7 @@
     (kind, call): (CallKind, EngineCall),
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), FailureCause> {
-    state.statements.check(server, kind)?;
+    statements::check(state, server, kind)?;
     exchange_call(state, server, to, call, timeout).await.map_err(failure_cause)
 }
 
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -27,7 +27,7 @@
 use super::message::Datagram;
 use super::refusal::{Reason, Refusal};
 use super::state::RelayState;
-use super::statements::CallKind;
+use super::statements::{self, CallKind};
 use super::trace::cause_label;
 use crate::backend::{ConnectionReuse, Probe, probe, uri};
 use crate::clock;
@@ -362,7 +362,7 @@
 
 async fn does_server_answer(state: &RelayState, server: &BackendServer) -> bool {
     let is_limited = state.limits.statement(&server.id).is_some();
-    if is_limited || state.statements.check(&server.id, CallKind::Work).is_err() {
+    if is_limited || statements::check(state, &server.id, CallKind::Work).is_err() {
         // A request would count against its limit, or disturb its rest.
         return probe(server.address).await == Probe::Accepts;
     }
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -62,6 +62,8 @@
     Work,
     /// To free what it holds for a request.
     Cleanup,
+    /// To tell its state, while it serves a request.
+    Report,
 }
 
 /// What servers have stated in their answers to this daemon.
@@ -112,26 +114,23 @@
         }
     }
 
-    /// Checks that a server may be sent a request.
+    /// Checks that a server may be sent a request, by what it has stated.
     ///
     /// # Errors
     ///
     /// [`FailureCause::Held`] with the reason why it may not.
-    pub fn check(&self, server: &BackendServerId, kind: CallKind) -> Result<(), FailureCause> {
+    fn check(&self, server: &BackendServerId, kind: CallKind) -> Result<(), FailureCause> {
         let Some(hold) = self.servers.lock().hold(clock::now(), server) else {
             return Ok(());
         };
         match (kind, hold.reason) {
-            (CallKind::Cleanup, HoldReason::Leaving) => Ok(()),
-            (CallKind::Work | CallKind::Cleanup, reason) => Err(FailureCause::Held(reason)),
+            (CallKind::Cleanup | CallKind::Report, HoldReason::Leaving) => Ok(()),
+            (CallKind::Work | CallKind::Cleanup | CallKind::Report, reason) => {
+                Err(FailureCause::Held(reason))
+            }
         }
     }
 
-    /// Whether a server has stated that it is leaving.
-    pub fn is_leaving(&self, server: &BackendServerId) -> bool {
-        self.check(server, CallKind::Work) == Err(FailureCause::Held(HoldReason::Leaving))
-    }
-
     /// Number of servers that get no requests for this reason.
     pub fn count(&self, reason: HoldReason) -> usize {
         self.servers.lock().count(clock::now(), reason)
@@ -157,13 +156,49 @@
     }
 }
 
+/// Checks that a server may be sent a request now, by what it has stated and by the list. It was chosen earlier: before
+/// its prompt was prefilled, or before the request waited.
+///
+/// # Errors
+///
+/// [`FailureCause::Held`] with the reason why it may not.
+pub fn check(state: &RelayState, server: &BackendServerId, kind: CallKind) -> Result<(), FailureCause> {
+    state.statements.check(server, kind)?;
+    match kind {
+        CallKind::Work if is_list_without(state, server) => Err(FailureCause::Held(HoldReason::Leaving)),
+        CallKind::Work | CallKind::Cleanup | CallKind::Report => Ok(()),
+    }
+}
+
+/// Whether a server is leaving or gone, by its own statement or the list.
+pub fn is_leaving(state: &RelayState, server: &BackendServerId) -> bool {
+    let stated = state.statements.check(server, CallKind::Work);
+    stated == Err(FailureCause::Held(HoldReason::Leaving)) || is_list_without(state, server)
+}
+
+fn is_list_without(state: &RelayState, server: &BackendServerId) -> bool {
+    let listing = state.directory.listing();
+    listing.servers.get(server).is_none_or(|listed| listed.listed == ListedState::Leaving)
+}
+
+/// Waits until a server is leaving or gone.
+pub async fn wait_until_leaving(state: &RelayState, server: &BackendServerId) {
+    let mut changes = state.directory.changes();
+    while !is_leaving(state, server) {
+        if changes.changed().await.is_err() {
+            // The directory lives as long as the state.
+            return std::future::pending().await;
+        }
+    }
+}
+
 /// Checks that a server may be sent new work, and charges `requests` to the limit that it states.
 ///
 /// # Errors
 ///
 /// [`FailureCause::Held`] with the reason why nothing may be sent.
 pub async fn admit(state: &RelayState, server: &BackendServerId, requests: u64) -> Result<(), FailureCause> {
-    state.statements.check(server, CallKind::Work)?;
+    check(state, server, CallKind::Work)?;
     state.limits.admit(state, server, requests).await.map_err(|reached| {
         state.plain_schedulers.limited(server, reached);
         state.engine_pools.limited(server, reached);
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -402,7 +402,7 @@
         self.answering = Some(AnsweringVersion { version, lifetime: listed.lifetime });
         if self.reservation.is_none() {
             statements::admit(&self.state, writer, 1).await?;
-        } else if let Err(held) = self.state.statements.check(writer, CallKind::Work) {
+        } else if let Err(held) = statements::check(&self.state, writer, CallKind::Work) {
             // The request goes to another engine, which makes a reservation of its own.
             self.reservation = None;
             return Err(held);
@@ -445,7 +445,7 @@
         at: SocketAddr,
         listed: Lifetime,
     ) -> Result<(), FailureCause> {
-        let call = (CallKind::Work, self.state.wire.report(writer));
+        let call = (CallKind::Report, self.state.wire.report(writer));
         let timeout = REPORT_TIMEOUT.min(self.incoming.left());
         let body = hop::call(&self.state, writer, at, call, timeout).await?;
         let report = self.state.wire.parse_report(&body).ok_or(FailureCause::Broken)?;
--- a/crates/router/tests/ops/backend_http.rs
+++ b/crates/router/tests/ops/backend_http.rs
@@ -1,7 +1,7 @@
 //! Calls to backend servers that time out, and answers that end with their connection.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -127,3 +127,38 @@
     let (read, ()) = tokio::join!(call, answer_without_length(server, exits));
     assert_eq!(read, (!exits).then(|| Bytes::from_static(b"page")));
 }
+
+/// A server leaves while a connection to it is being opened; the request must not reach it once there is one.
+#[tokio::test]
+async fn request_that_is_withdrawn_before_there_is_a_connection_is_not_sent() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a free port");
+    socket.listen(0).expect("a listener");
+    let server = TcpListener::from(socket);
+    let address = server.local_addr().expect("an address");
+    // Further connections wait until the queue of the listener has room.
+    let waiting: Vec<TcpStream> =
+        std::iter::from_fn(|| TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok())
+            .take(16)
+            .collect();
+    assert!(waiting.len() < 16, "the queue of the listener has no end");
+    let request = Request::builder().uri(uri(address, "/").expect("a path")).body(Full::default());
+    let (http, withdrawn) = (BackendHttp::new(), tokio::time::sleep(Duration::from_millis(100)));
+    let sent = http.send_tracked(
+        ConnectionReuse::Pooled,
+        request.expect("a request"),
+        Duration::from_secs(3),
+        withdrawn,
+    );
+    assert_eq!(sent.await.err(), Some(CallFailure::NotSent));
+    server.set_nonblocking(true).expect("a listener");
+    drop(waiting);
+    for _ in 0..40 {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        while let Ok((mut stream, _)) = server.accept() {
+            stream.set_read_timeout(Some(Duration::from_millis(20))).expect("a connection");
+            assert_eq!(stream.read(&mut [0; 64]).unwrap_or(0), 0, "a request reached the server");
+        }
+    }
+}
