Name in a change of servers also those that came and went between two reads

Cause: the change that another daemon announced was the difference of its list before and after its read, in which that server came and went; the daemon that had read in between took the change for complete, and no later read names the server. The same cause lost a server for good whose entry went and came back.

A change from an incremental read names all that the read removed, and what was listed again. A read of the whole list doesn't show what happened in between, so its change applies only to the version before it; a daemon in between asks for the whole list.

Changes in relay_server_changes are built as reads build them; that of a whole list in what_the_reader_keeps_is_removed_at_the_others applies to version 5, since it may not to version 7 any more, and the same is asked of an incremental one at 7.

--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -202,7 +202,7 @@
     Some {
         /// New or changed entries.
         set: Vec<ListedHost>,
-        /// Names of removed entries.
+        /// Names of removed entries; those in `set` as well were removed and listed again.
         remove: Vec<BackendServerId>,
     },
     /// Complete list.
--- a/crates/router/src/relay/server_changes.rs
+++ b/crates/router/src/relay/server_changes.rs
@@ -36,11 +36,12 @@
     to: u64,
     set: Vec<BackendServer>,
     removed: Vec<BackendServerId>,
+    /// Whether servers that came and went between the two versions may be missing.
+    is_net: bool,
 }
 
 impl ServerChange {
-    /// The change between two listings, possibly of the version only; `None` when the version did not
-    /// advance.
+    /// The difference of two listings, possibly of the version only; `None` when the version did not advance.
     pub fn between(before: &Listing, after: &Listing) -> Option<Self> {
         if after.version <= before.version {
             return None;
@@ -48,7 +49,34 @@
         let changed = after.servers.changed_since(&before.servers);
         let set: Vec<BackendServer> = changed.map(|server| server.as_ref().clone()).collect();
         let removed: Vec<BackendServerId> = after.servers.removed_since(&before.servers).cloned().collect();
-        Some(Self { from: before.version, to: after.version, set, removed })
+        Some(Self { from: before.version, to: after.version, set, removed, is_net: true })
+    }
+
+    /// The change that an incremental read up to `version` brought, possibly of the version only; `None` when the version did
+    /// not advance. `listed` and `removed` are all that the read listed and removed; those in both were listed again.
+    ///
+    /// It also names servers that came and went between two reads of this daemon, since another one may have read in
+    /// between.
+    pub fn of_read(
+        before: &Listing,
+        after: &Listing,
+        version: u64,
+        listed: &[BackendServerId],
+        removed: Vec<BackendServerId>,
+    ) -> Option<Self> {
+        if version <= before.version {
+            return None;
+        }
+        let is_changed =
+            |id: &&BackendServerId| removed.contains(id) || after.servers.get(id) != before.servers.get(id);
+        let set = listed.iter().filter(is_changed).filter_map(|id| after.servers.get(id));
+        let set = set.map(|server| server.as_ref().clone()).collect();
+        Some(Self { from: before.version, to: version, set, removed, is_net: false })
+    }
+
+    /// Whether it brings a list of this version up to date. One that names all servers does so for each version in between.
+    fn applies_to(&self, version: u64) -> bool {
+        if self.is_net { version == self.from } else { (self.from..=self.to).contains(&version) }
     }
 
     /// The same change with further servers removed: those that vanished from the store's list, but that the daemon which
@@ -78,7 +106,7 @@
     pub fn applied(changes: &[Self], known: &Listing) -> Option<Listing> {
         let mut listing = known.clone();
         for change in changes {
-            if (change.from..=change.to).contains(&listing.version) {
+            if change.applies_to(listing.version) {
                 change.apply(&mut listing);
             }
         }
@@ -135,7 +163,7 @@
             }
             match history.back_mut() {
                 // Renewals advance only the version, several times a second.
-                Some(last) if change.server_count() == 0 => last.to = change.to,
+                Some(last) if change.server_count() == 0 && !last.is_net => last.to = change.to,
                 _ => history.push_back(change),
             }
         }
@@ -151,7 +179,7 @@
     pub fn since(&self, version: u64) -> Option<Vec<ServerChange>> {
         let history = self.history.lock();
         let later: Vec<ServerChange> = history.iter().filter(|change| change.to > version).cloned().collect();
-        let reaches = later.first().is_some_and(|first| first.from <= version);
+        let reaches = later.first().is_some_and(|first| first.applies_to(version));
         reaches.then_some(later)
     }
 }
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -132,10 +132,10 @@
             Ok(page) => {
                 dependency.report_success(&state);
                 let before = state.directory.listing();
-                let withheld = apply_page(&state, page);
+                let change = apply_page(&state, &before, page);
                 let after = state.directory.listing();
-                if let Some(change) = ServerChange::between(&before, &after).filter(|_| before.version > 0) {
-                    state.server_changes.record(change.with_removed(withheld));
+                if let Some(change) = change.filter(|_| before.version > 0) {
+                    state.server_changes.record(change);
                 }
                 if state.freshness.servers_read(begun_us, ListState::of(&after)) {
                     servers_changed(&state, &before);
@@ -187,21 +187,21 @@
     servers_changed(state, &before);
 }
 
-/// Applies a page to the directory; vanished entries are kept until their absence is conclusive. Returns those that
-/// vanished with this page and are kept.
-fn apply_page(state: &RelayState, page: HostListPage) -> Vec<BackendServerId> {
+/// Applies a page to the directory; vanished entries are kept until their absence is conclusive. Returns the change for the
+/// other daemons, which decide for themselves what they keep.
+fn apply_page(state: &RelayState, known: &Listing, page: HostListPage) -> Option<ServerChange> {
     let now_us = clock::now();
     let mut expired = state.expired_entries.lock();
     expired.read_succeeded(now_us);
-    let known = state.directory.listing();
-    let (set, vanished) = match page.change {
+    let is_full = matches!(page.change, HostListChange::Full(_));
+    let (set, removed): (_, Vec<BackendServerId>) = match page.change {
         HostListChange::Full(hosts) if known.version == 0 => {
             state.directory.apply(HostListPage { change: HostListChange::Full(hosts), ..page });
-            return Vec::new();
+            return None;
         }
         // Ignore an empty list: a store that has lost its contents would take every server out of service at
         // once.
-        HostListChange::Full(hosts) if hosts.is_empty() => return Vec::new(),
+        HostListChange::Full(hosts) if hosts.is_empty() => return None,
         HostListChange::Full(hosts) => {
             let listed: BTreeSet<_> = hosts.iter().map(|host| host.id.clone()).collect();
             let vanished = known.servers.keys().filter(|id| !listed.contains(id)).cloned().collect();
@@ -209,13 +209,21 @@
         }
         HostListChange::Some { set, remove } => (set, remove),
     };
-    let gone = expired.confirm_gone(now_us, vanished.clone(), set.iter().map(|host| &host.id));
+    let listed: Vec<BackendServerId> = set.iter().map(|host| host.id.clone()).collect();
+    let vanished: Vec<BackendServerId> =
+        removed.iter().filter(|id| known.servers.contains_key(id) && !listed.contains(id)).cloned().collect();
+    let gone = expired.confirm_gone(now_us, vanished.clone(), listed.iter());
     log_removed(state, &gone, &vanished);
     let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
     log_kept(state, now_us, &withheld, "own", expired.grace_until_us(now_us));
     let change = HostListChange::Some { set, remove: gone };
     state.directory.apply(HostListPage { version: page.version, change });
-    withheld
+    let after = state.directory.listing();
+    if is_full {
+        ServerChange::between(known, &after).map(|change| change.with_removed(withheld))
+    } else {
+        ServerChange::of_read(known, &after, page.version, &listed, removed)
+    }
 }
 
 /// Applies changes that another daemon read, if they continue from the local list; returns whether they
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -37,12 +37,19 @@
     names
 }
 
+/// The change of an incremental read that saw each server's last record.
+fn read(before: &Listing, after: &Listing) -> Option<ServerChange> {
+    let listed: Vec<BackendServerId> = after.servers.keys().cloned().collect();
+    let removed = after.servers.removed_since(&before.servers).cloned().collect();
+    ServerChange::of_read(before, after, after.version, &listed, removed)
+}
+
 /// One server is added and one removed. A daemon at the version before the change gets both from it and needs
 /// no call to the store.
 #[test]
 fn a_change_brings_other_daemons_up_to_date() {
     let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-2", "i-3"]));
-    let change = ServerChange::between(&before, &after).unwrap();
+    let change = read(&before, &after).unwrap();
     // The same servers at a version in between.
     let other = ServerChange::applied(&[change], &listing(7, &["i-1", "i-2"])).unwrap();
     assert_eq!((names(&other), other.version), (vec!["i-2", "i-3"], 9));
@@ -54,7 +61,7 @@
 fn a_leaving_server_is_announced() {
     let before = listing(5, &["i-1", "i-2"]);
     let leaving = before.changed(6, vec![plain("i-1", ListedState::Leaving)], &[]);
-    let change = ServerChange::between(&before, &leaving).unwrap();
+    let change = read(&before, &leaving).unwrap();
     let sent = ServerChange::applied(&[change], &before).unwrap();
     assert_eq!(sent.servers[&"i-1".parse().unwrap()].listed, ListedState::Leaving);
 }
@@ -64,10 +71,10 @@
 #[test]
 fn a_change_from_an_unknown_version_is_not_applied() {
     let (first, second, third) = (listing(1, &["i-1"]), listing(2, &["i-2"]), listing(3, &["i-2", "i-3"]));
-    let change = ServerChange::between(&second, &third).unwrap();
+    let change = read(&second, &third).unwrap();
     assert!(ServerChange::applied(&[change], &first).is_none());
     let nothing_known = Listing::default();
-    let first_of_all = ServerChange::between(&nothing_known, &first).unwrap();
+    let first_of_all = read(&nothing_known, &first).unwrap();
     assert!(
         ServerChange::applied(&[first_of_all], &nothing_known).is_none(),
         "a daemon without a list cannot apply a change"
@@ -78,10 +85,7 @@
 #[test]
 fn a_repeated_change_replaces_a_lost_one() {
     let (first, second, third) = (listing(1, &["i-1"]), listing(2, &["i-2"]), listing(3, &["i-2", "i-3"]));
-    let changes = vec![
-        ServerChange::between(&first, &second).unwrap(),
-        ServerChange::between(&second, &third).unwrap(),
-    ];
+    let changes = vec![read(&first, &second).unwrap(), read(&second, &third).unwrap()];
     assert_eq!(names(&ServerChange::applied(&changes, &first).unwrap()), ["i-2", "i-3"]);
 }
 
@@ -91,7 +95,7 @@
 #[test]
 fn a_change_applies_to_a_list_read_in_between() {
     let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-2", "i-3"]));
-    let change = ServerChange::between(&before, &after).unwrap();
+    let change = read(&before, &after).unwrap();
     let in_between = listing(7, &["i-1", "i-2", "i-3"]);
     assert_eq!(names(&ServerChange::applied(&[change], &in_between).unwrap()), ["i-2", "i-3"]);
 }
@@ -101,7 +105,7 @@
 #[test]
 fn an_older_change_does_not_revert_a_later_read() {
     let (before, after) = (listing(5, &["i-1"]), listing(9, &["i-1", "i-2"]));
-    let change = ServerChange::between(&before, &after).unwrap();
+    let change = read(&before, &after).unwrap();
     let later = after.changed(11, vec![plain("i-2", ListedState::Leaving)], &[]);
     assert!(ServerChange::applied(&[change], &later).is_none());
 }
@@ -114,7 +118,7 @@
     let many: Vec<&str> = many.iter().map(String::as_str).collect();
     let (before, after) = (listing(1, &many), listing(2, &["i-0"]));
     let log = ServerChangeLog::default();
-    log.record(ServerChange::between(&before, &after).unwrap());
+    log.record(read(&before, &after).unwrap());
     assert!(log.next_batch().is_empty(), "a change of 400 servers is not put into messages");
     let changes = log.since(1).unwrap();
     assert_eq!(names(&ServerChange::applied(&changes, &before).unwrap()), ["i-0"]);
@@ -125,14 +129,11 @@
 #[test]
 fn a_version_without_a_change_is_kept_in_the_history() {
     let log = ServerChangeLog::default();
-    log.record(ServerChange::between(&listing(1, &["i-0"]), &listing(2, &["i-0"])).unwrap());
-    log.record(ServerChange::between(&listing(2, &["i-0"]), &listing(3, &["i-0", "i-1"])).unwrap());
+    log.record(read(&listing(1, &["i-0"]), &listing(2, &["i-0"])).unwrap());
+    log.record(read(&listing(2, &["i-0"]), &listing(3, &["i-0", "i-1"])).unwrap());
     let known = listing(1, &["i-0"]);
     assert_eq!(names(&ServerChange::applied(&log.since(1).unwrap(), &known).unwrap()), ["i-0", "i-1"]);
-    assert!(
-        ServerChange::between(&listing(1, &["i-0"]), &listing(1, &["i-0"])).is_none(),
-        "the same version is no change"
-    );
+    assert!(read(&listing(1, &["i-0"]), &listing(1, &["i-0"])).is_none(), "the same version is no change");
 }
 
 /// A daemon missed a change, so its later changes do not continue from the version before the gap. If it
@@ -140,9 +141,7 @@
 #[test]
 fn changes_after_a_gap_are_not_served() {
     let log = ServerChangeLog::default();
-    let change = |from: u64, to: u64| {
-        ServerChange::between(&listing(from, &["i-0"]), &listing(to, &["i-0", "i-1"])).unwrap()
-    };
+    let change = |from: u64, to: u64| read(&listing(from, &["i-0"]), &listing(to, &["i-0", "i-1"])).unwrap();
     log.record(change(1, 2));
     log.record(change(5, 6));
     assert_eq!(log.since(1), None);
@@ -156,7 +155,7 @@
     let many: Vec<String> = (0..100).map(|number| format!("i-{number}")).collect();
     let many: Vec<&str> = many.iter().map(String::as_str).collect();
     for version in 1..200 {
-        log.record(ServerChange::between(&listing(version, &["i-0"]), &listing(version + 1, &many)).unwrap());
+        log.record(read(&listing(version, &["i-0"]), &listing(version + 1, &many)).unwrap());
     }
     assert_eq!(log.since(1), None);
     let kept = (1..200).find_map(|version| log.since(version)).unwrap();
@@ -168,7 +167,7 @@
 #[test]
 fn a_change_is_sent_in_three_messages() {
     let log = ServerChangeLog::default();
-    let change = ServerChange::between(&listing(1, &["i-1"]), &listing(2, &["i-2"])).unwrap();
+    let change = read(&listing(1, &["i-1"]), &listing(2, &["i-2"])).unwrap();
     log.record(change.clone());
     let sent: Vec<usize> = (0..5).map(|_| log.next_batch().len()).collect();
     assert_eq!(sent, [1, 1, 1, 0, 0]);
@@ -179,10 +178,10 @@
 #[test]
 fn versions_without_a_change_are_merged_in_the_history() {
     let log = ServerChangeLog::default();
-    log.record(ServerChange::between(&listing(1, &["i-0"]), &listing(2, &["i-0", "i-1"])).unwrap());
+    log.record(read(&listing(1, &["i-0"]), &listing(2, &["i-0", "i-1"])).unwrap());
     for version in 2..10_000 {
         let same = |version| listing(version, &["i-0", "i-1"]);
-        log.record(ServerChange::between(&same(version), &same(version + 1)).unwrap());
+        log.record(read(&same(version), &same(version + 1)).unwrap());
     }
     let changes = log.since(1).unwrap();
     assert_eq!(changes.len(), 1);
@@ -195,8 +194,47 @@
 #[test]
 fn what_the_reader_keeps_is_removed_at_the_others() {
     let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-1", "i-2", "i-3"]));
-    let change = ServerChange::between(&before, &after).unwrap().with_removed(vec!["i-2".parse().unwrap()]);
-    assert_eq!(change.listed().map(ToString::to_string).collect::<Vec<_>>(), ["i-3"]);
+    let kept: BackendServerId = "i-2".parse().unwrap();
+    let listed: BackendServerId = "i-3".parse().unwrap();
+    let whole = ServerChange::between(&before, &after).unwrap().with_removed(vec![kept.clone()]);
+    let incremental = ServerChange::of_read(&before, &after, 9, &[listed], vec![kept]).unwrap();
+    for (change, version) in [(whole, 5), (incremental, 7)] {
+        assert_eq!(change.listed().map(ToString::to_string).collect::<Vec<_>>(), ["i-3"]);
+        let other = ServerChange::applied(&[change], &listing(version, &["i-1", "i-2"])).unwrap();
+        assert_eq!(names(&other), ["i-1", "i-3"]);
+    }
+}
+
+/// A server came and went between two reads of one daemon, and another daemon had read in between. It kept the server for
+/// good, since the change did not name it and no later one does.
+#[test]
+fn server_that_came_and_went_between_two_reads_is_gone_at_a_daemon_that_read_in_between() {
+    let (before, after) = (listing(5, &["i-1"]), listing(9, &["i-1"]));
+    let change = ServerChange::of_read(&before, &after, 9, &[], vec!["i-2".parse().unwrap()]).unwrap();
     let other = ServerChange::applied(&[change], &listing(7, &["i-1", "i-2"])).unwrap();
-    assert_eq!(names(&other), ["i-1", "i-3"]);
+    assert_eq!((names(&other), other.version), (vec!["i-1"], 9));
+}
+
+/// The same the other way round: an entry expired and the server registered again between two reads.
+#[test]
+fn server_that_went_and_came_between_two_reads_is_back_at_a_daemon_that_read_in_between() {
+    let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-1", "i-2"]));
+    let id: BackendServerId = "i-2".parse().unwrap();
+    let change =
+        ServerChange::of_read(&before, &after, 9, std::slice::from_ref(&id), vec![id.clone()]).unwrap();
+    let other = ServerChange::applied(&[change], &listing(7, &["i-1"])).unwrap();
+    assert_eq!((names(&other), other.version), (vec!["i-1", "i-2"], 9));
+}
+
+/// A read of the whole list does not show what came and went since the read before. Applied to a list in between, it would
+/// keep such a server in use; the daemon that has one needs the whole list too.
+#[test]
+fn change_of_a_whole_list_applies_only_to_the_version_before_it() {
+    let (before, after) = (listing(5, &["i-1"]), listing(9, &["i-1", "i-3"]));
+    let log = ServerChangeLog::default();
+    log.record(ServerChange::between(&before, &after).unwrap());
+    let in_between = listing(7, &["i-1", "i-2"]);
+    assert!(ServerChange::applied(&log.next_batch(), &in_between).is_none());
+    assert_eq!(log.since(7), None);
+    assert_eq!(names(&ServerChange::applied(&log.since(5).unwrap(), &before).unwrap()), ["i-1", "i-3"]);
 }
