Save that a version serves before the first stream begins there

Cause: daemons that start take the saved versions for all that served, and versions were saved at intervals, after streams had begun; moreover the versions of a service were one record, which each daemon that counted itself first overwrote by what it had seen.

The first stream of a version waits until that is saved, 300 ms at most, if the daemon doesn't know that it is; the daemon that saves for all does so as soon as it lists a version, and tells the others. Each version is a record of its own. Where no version of a service is saved, none is added by a daemon that may have missed earlier ones. Records of the build before are not read: streams that nobody knows are refused for a minute after such an update of all daemons at once.

Where the store does not answer within 300 ms the stream begins all the same, with a log line.

--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -190,6 +190,7 @@
             holdings,
             lendable,
             crashes: state.quarantine.gossip(state),
+            saved_versions: state.stream_versions.saved_for_all(),
             limits: state.limits.gossip(),
         };
         let datagram = Datagram::Message(Box::new(message));
@@ -322,6 +323,7 @@
     if state.engine_pools.take_guest_report_due() {
         state.peers.schedule_message(Urgency::Soon);
     }
+    state.stream_versions.receive_saved(message.saved_versions);
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
 }
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -351,22 +351,25 @@
     fn load(&self) -> BoxFuture<'_, Result<Vec<SavedEvidence>, StoreError>>;
 }
 
-/// Software versions of a service at which streams may have begun that can still be resumed, as saved.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
-pub struct SavedVersions {
+/// Software version of a service at which streams may have begun that can still be resumed, as saved.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SavedVersion {
     /// The service.
     pub service: ServiceId,
-    /// The versions.
-    pub versions: Vec<SoftwareVersion>,
+    /// The version.
+    pub version: SoftwareVersion,
 }
 
 /// Store for the software versions of services that outlives the daemons.
 pub trait VersionStore: Debug + Send + Sync + 'static {
-    /// Saves the versions of a service and replaces what was saved before.
-    fn save(&self, versions: SavedVersions) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Saves a version. Versions are saved one by one, so that no daemon overwrites what another one has saved.
+    fn save(&self, version: SavedVersion) -> BoxFuture<'_, Result<(), StoreError>>;
+
+    /// Removes a version.
+    fn remove(&self, version: SavedVersion) -> BoxFuture<'_, Result<(), StoreError>>;
 
     /// The saved versions of all services.
-    fn load(&self) -> BoxFuture<'_, Result<Vec<SavedVersions>, StoreError>>;
+    fn load(&self) -> BoxFuture<'_, Result<Vec<SavedVersion>, StoreError>>;
 }
 
 /// Source of the route table that operators publish.
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::freshness::Stamp;
+use super::interfaces::SavedVersion;
 use super::loans::{LendableCredits, LoanReply, LoanRequest};
 use super::quotas::{QuotaReply, QuotaRequest, QuotaReturn};
 use super::server_changes::ServerChange;
@@ -83,6 +84,8 @@
     pub lendable: Option<LendableCredits>,
     /// Evidence of requests that crash servers.
     pub crashes: Gossip,
+    /// Saved software versions of services; empty unless it saves them for all.
+    pub saved_versions: Vec<SavedVersion>,
     /// Server limits that changed.
     pub limits: Vec<LimitStatement>,
 }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -430,6 +430,13 @@
         if let (StreamVersion::Known(_), Some(lifetime)) = (&self.version, listed.lifetime) {
             self.confirm_run(writer, at, lifetime).await?;
         }
+        if self.version == StreamVersion::NotBegun
+            && self.incoming.stream.is_some()
+            && reply.status.is_success()
+            && let Some(answering) = &self.answering
+        {
+            state.stream_versions.save_first(state, &incoming.service, &answering.version).await;
+        }
         if reply.status.is_server_error() && self.is_repeatable() {
             self.failed = Some(reply.into_buffered(incoming, incoming.left()).await?);
             return Err(FailureCause::Refused);
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are made in [`hibiscusvale_core::relay::stream_versions`].
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -20,10 +20,11 @@
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
-use super::interfaces::{Call, CallId, SavedVersions, VersionStore};
+use super::interfaces::{Call, CallId, SavedVersion, StoreError, VersionStore};
 use super::message::Datagram;
+use super::pacing::Urgency;
 use super::refusal::{Reason, Refusal};
 use super::state::RelayState;
 use crate::clock;
@@ -56,6 +57,12 @@
 /// Timeout of saving versions.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for which the first stream of a version waits until that is saved.
+const FIRST_SAVE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after a failed save for which streams of that version begin without one.
+const FIRST_SAVE_PAUSE_MS: Millis = Millis(1_000);
+
 /// Time for which a record is kept for the log. The daemon that appends for all is replaced within it when it ends.
 const UNSAVED_TTL_MS: Millis = Millis(4_000);
 
@@ -175,6 +182,16 @@
     log_us: Option<MonoTime>,
 }
 
+/// The saved versions, as far as a daemon knows.
+#[derive(Debug, Default)]
+struct KnownSaved {
+    versions: BTreeSet<SavedVersion>,
+    /// Whether this daemon saves for all and has read what was saved before.
+    is_complete: bool,
+    /// When a version could last not be saved for a stream that began.
+    failed_us: Option<MonoTime>,
+}
+
 /// Software versions of streams as far as this daemon knows them.
 #[derive(Debug)]
 pub struct SharedStreamVersions {
@@ -184,8 +201,12 @@
     store: Arc<dyn VersionStore>,
     /// When the saved versions, and the log, were last read. Held while they are read.
     last_reads: tokio::sync::Mutex<LastReads>,
-    /// What this daemon has saved there.
-    saved: Mutex<HashMap<ServiceId, Vec<SoftwareVersion>>>,
+    /// The versions saved there, as far as this daemon knows.
+    saved: Mutex<KnownSaved>,
+    /// Held while a stream waits until its version is saved.
+    first_save: tokio::sync::Mutex<()>,
+    /// Wakes the daemon that saves for all when versions are to be saved.
+    save_due: Notify,
     /// Log for the records of streams of services that run several versions, for when all daemons end at once.
     log: Arc<dyn RecordLog>,
     /// Records for that log that this daemon knows of, each with the time from which it is left to others.
@@ -208,6 +229,8 @@
             store,
             last_reads: tokio::sync::Mutex::default(),
             saved: Mutex::default(),
+            first_save: tokio::sync::Mutex::default(),
+            save_due: Notify::new(),
             log: Arc::clone(log),
             unsaved: Mutex::default(),
             is_log_read: AtomicBool::new(is_first),
@@ -236,7 +259,74 @@
         });
         // A fleet lists thousands of engines of few services and versions.
         let distinct: HashSet<(&str, &SoftwareVersion)> = engines.collect();
+        let is_saved = {
+            let saved = self.saved.lock();
+            let is_saved = |(service, version): &(&str, &SoftwareVersion)| {
+                let same =
+                    |saved: &SavedVersion| saved.service.as_str() == *service && saved.version == **version;
+                saved.versions.iter().any(same)
+            };
+            distinct.iter().all(is_saved)
+        };
         self.history.lock().adopt(clock::now(), distinct.into_iter());
+        if !is_saved {
+            self.save_due.notify_one();
+        }
+    }
+
+    /// What this daemon knows to be saved, for the other daemons; empty unless it saves for all.
+    pub fn saved_for_all(&self) -> Vec<SavedVersion> {
+        let saved = self.saved.lock();
+        if saved.is_complete { saved.versions.iter().cloned().collect() } else { Vec::new() }
+    }
+
+    /// Applies what the daemon that saves for all knows to be saved.
+    pub fn receive_saved(&self, versions: Vec<SavedVersion>) {
+        let mut saved = self.saved.lock();
+        if !versions.is_empty() && !saved.is_complete {
+            saved.versions = versions.into_iter().collect();
+        }
+    }
+
+    /// Saves that a stream begins at a version, unless that is saved already. Daemons that start after all have ended must
+    /// know that there were such streams. A store that does not answer delays a stream only briefly.
+    pub async fn save_first(&self, state: &RelayState, service: &ServiceId, version: &SoftwareVersion) {
+        let begun = SavedVersion { service: service.clone(), version: version.clone() };
+        if !self.is_first_save_due(&begun) {
+            return;
+        }
+        let saving = async {
+            let _one_at_a_time = self.first_save.lock().await;
+            if self.is_first_save_due(&begun) { self.add_saved(&begun).await } else { Ok(()) }
+        };
+        if !matches!(tokio::time::timeout(FIRST_SAVE_TIMEOUT, saving).await, Ok(Ok(()))) {
+            self.saved.lock().failed_us = Some(clock::now());
+            state.log.state_changed("stream begins at a version that could not be saved", version);
+        }
+    }
+
+    fn is_first_save_due(&self, begun: &SavedVersion) -> bool {
+        let saved = self.saved.lock();
+        let may_try = saved.failed_us.is_none_or(|failed_us| clock::now() >= failed_us + FIRST_SAVE_PAUSE_MS);
+        may_try && !saved.versions.contains(begun)
+    }
+
+    /// Adds a version to the saved ones of its service. Where none is saved, earlier ones may be missing, so that one alone
+    /// would be taken for the only one; without any, no daemon concludes anything.
+    async fn add_saved(&self, begun: &SavedVersion) -> Result<(), StoreError> {
+        let has_saved =
+            |known: &KnownSaved| known.versions.iter().any(|saved| saved.service == begun.service);
+        if !has_saved(&self.saved.lock()) {
+            let saved = self.store.load().await?;
+            self.saved.lock().versions.extend(saved);
+        }
+        if has_saved(&self.saved.lock()) || self.history.lock().is_complete(clock::now(), &begun.service) {
+            self.store.save(begun.clone()).await?;
+            self.saved.lock().versions.insert(begun.clone());
+        } else {
+            self.saved.lock().failed_us = Some(clock::now());
+        }
+        Ok(())
     }
 
     /// Records where a stream began, here and at other daemons; `None` if that is not known.
@@ -451,9 +541,16 @@
         let Ok(Ok(saved)) = tokio::time::timeout(LOAD_TIMEOUT, self.store.load()).await else {
             return;
         };
+        self.adopt_saved(&saved);
+    }
+
+    fn adopt_saved(&self, saved: &[SavedVersion]) {
         let mut history = self.history.lock();
-        for saved in saved {
-            history.adopt_earlier(clock::now(), &saved.service, &saved.versions);
+        let services: BTreeSet<&ServiceId> = saved.iter().map(|saved| &saved.service).collect();
+        for service in services {
+            let versions = saved.iter().filter(|saved| saved.service == *service);
+            let versions: Vec<SoftwareVersion> = versions.map(|saved| saved.version.clone()).collect();
+            history.adopt_earlier(clock::now(), service, &versions);
         }
     }
 
@@ -515,10 +612,20 @@
     async fn save(&self, state: &RelayState) {
         let live = state.peers.hosts_reaching_store();
         if !state.freshness.reaches_store(clock::now()) || reader_rank(state.peers.host(), live.iter()) > 0 {
-            self.saved.lock().clear();
+            self.saved.lock().is_complete = false;
             return;
         }
         self.save_records(state).await;
+        if !self.saved.lock().is_complete {
+            // What cannot be read now is read at the next interval.
+            let Ok(Ok(saved)) = tokio::time::timeout(LOAD_TIMEOUT, self.store.load()).await else {
+                return;
+            };
+            self.adopt_saved(&saved);
+            let mut known = self.saved.lock();
+            known.versions = saved.into_iter().collect();
+            known.is_complete = true;
+        }
         let seen: Vec<(ServiceId, SeenVersions)> = {
             let history = self.history.lock();
             let all = history.all_seen(clock::now());
@@ -527,15 +634,33 @@
         for (service, seen) in seen {
             if !seen.is_complete {
                 self.load(state, &service).await;
-                continue;
-            }
-            if self.saved.lock().get(&service) == Some(&seen.versions) {
-                continue;
             }
-            let versions = SavedVersions { service: service.clone(), versions: seen.versions.clone() };
+            self.save_versions(state, &service, &seen).await;
+        }
+    }
+
+    /// Saves the versions of a service that are not saved yet, and removes those at which no stream can have begun any more.
+    async fn save_versions(&self, state: &RelayState, service: &ServiceId, seen: &SeenVersions) {
+        let of =
+            |version: &SoftwareVersion| SavedVersion { service: service.clone(), version: version.clone() };
+        let listed: BTreeSet<SavedVersion> = seen.versions.iter().map(of).collect();
+        let saved: BTreeSet<SavedVersion> = {
+            let known = self.saved.lock();
+            known.versions.iter().filter(|saved| saved.service == *service).cloned().collect()
+        };
+        // Where none is saved, earlier ones may be missing: see `add_saved`.
+        for version in listed.difference(&saved).filter(|_| seen.is_complete || !saved.is_empty()) {
             // A failed call is made again at the next interval.
-            if let Ok(Ok(())) = tokio::time::timeout(SAVE_TIMEOUT, self.store.save(versions)).await {
-                self.saved.lock().insert(service, seen.versions);
+            let save = self.store.save(version.clone());
+            if let Ok(Ok(())) = tokio::time::timeout(SAVE_TIMEOUT, save).await {
+                self.saved.lock().versions.insert(version.clone());
+                state.peers.schedule_message(Urgency::Soon);
+            }
+        }
+        for version in saved.difference(&listed).filter(|_| seen.is_complete) {
+            let remove = self.store.remove(version.clone());
+            if let Ok(Ok(())) = tokio::time::timeout(SAVE_TIMEOUT, remove).await {
+                self.saved.lock().versions.remove(version);
             }
         }
     }
@@ -557,7 +682,8 @@
 /// Saves versions and records for as long as the daemon runs.
 pub async fn run_saves(state: Arc<RelayState>) {
     loop {
-        tokio::time::sleep(SAVE_INTERVAL).await;
+        // A new version is saved at once, and records at intervals.
+        let _ = tokio::time::timeout(SAVE_INTERVAL, state.stream_versions.save_due.notified()).await;
         state.stream_versions.save(&state).await;
     }
 }
--- a/crates/router/tests/unit/relay_load_report.rs
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -48,6 +48,7 @@
         incarnation: Incarnation::new(1_000, 1),
         sequence: 7,
         list_current_us: None,
+        saved_versions: Vec::new(),
         stamp: Freshness::default().stamp(MonoTime(0), TableVersion(1)),
         reaches_store: true,
         changes: Vec::new(),
