Keep records of streams that began before a release for the log

Cause: records are kept for the log only while a service has several versions, and a stream that began before had none. When a second version is listed, each daemon keeps what it knows of the service's streams for the log, and streams that are open are recorded again. Beyond 16 other daemons the one that appends for all was mostly not among those that get a record; it gets each now while several versions serve. While one version serves nothing is appended, as before.

--- a/crates/core/src/relay/store_refresh.rs
+++ b/crates/core/src/relay/store_refresh.rs
@@ -242,6 +242,14 @@
     others.filter(|other| self::host_hash(other) < host_hash).count()
 }
 
+/// The daemon of `hosts` that ranks first as a reader.
+pub fn first_reader<'a, Hosts>(hosts: Hosts) -> Option<&'a HostId>
+where
+    Hosts: Iterator<Item = &'a HostId>,
+{
+    hosts.min_by_key(|host| host_hash(host))
+}
+
 fn host_hash(host: &HostId) -> (u64, &str) {
     let mut hasher = DefaultHasher::new();
     host.as_str().hash(&mut hasher);
--- a/crates/core/src/relay/stream_versions.rs
+++ b/crates/core/src/relay/stream_versions.rs
@@ -171,6 +171,19 @@
         }
     }
 
+    /// The records of the streams that a service began.
+    pub fn records_of<'a>(
+        &'a self,
+        now_us: MonoTime,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = StreamRecord> + 'a {
+        let recent = self.streams.iter().filter(move |(_, known)| now_us < known.recorded_us + STREAM_TTL_MS);
+        recent.filter_map(move |(key, known)| {
+            let origin = &self.origins[known.origin? as usize];
+            (origin.service == *service).then(|| StreamRecord { key: *key, origin: Some(origin.clone()) })
+        })
+    }
+
     fn index_of(&mut self, origin: &StreamOrigin) -> u32 {
         let index = self.origins.iter().position(|known| known == origin).unwrap_or_else(|| {
             self.origins.push(origin.clone());
@@ -302,6 +315,15 @@
         SeenVersions { versions: recent.collect(), is_complete: self.is_complete(now_us, service) }
     }
 
+    /// The services with several versions.
+    pub fn services_with_several(&self, now_us: MonoTime) -> BTreeSet<ServiceId> {
+        let several = self
+            .services
+            .iter()
+            .filter(|(_, versions)| versions.values().filter(|last| last.is_recent(now_us)).nth(1).is_some());
+        several.map(|(service, _)| service.clone()).collect()
+    }
+
     /// All services and their versions.
     pub fn all_seen(&self, now_us: MonoTime) -> impl Iterator<Item = (&ServiceId, SeenVersions)> {
         self.services.keys().map(move |service| (service, self.seen(now_us, service)))
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -8,6 +8,7 @@
 use hibiscusvale_core::ids::{DataCentreId, HostId, Incarnation};
 use hibiscusvale_core::quota::Coverage;
 use hibiscusvale_core::relay::recipients::{self, BroadcastScope, Recipients};
+use hibiscusvale_core::relay::store_refresh;
 use hibiscusvale_core::relay::stream_versions::{self, StreamKey};
 use hibiscusvale_core::units::Bytes;
 use parking_lot::Mutex;
@@ -296,6 +297,13 @@
         keepers.into_iter().filter_map(|host| table.known.get(host).map(|peer| peer.address)).collect()
     }
 
+    /// Address of the daemon that performs duties at the store for all; `None` if it is this one.
+    pub fn first_reader(&self) -> Option<SocketAddr> {
+        let candidates = self.hosts_reaching_store();
+        let first = store_refresh::first_reader(candidates.iter().chain([&self.host.id]))?;
+        self.address_of(first)
+    }
+
     /// Whether a daemon has fallen silent so recently that it may only be cut off, or starting.
     pub fn is_any_newly_silent(&self) -> bool {
         let now = Instant::now();
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -203,8 +203,8 @@
     answering: Option<AnsweringVersion>,
     /// Software version at which the stream began.
     version: StreamVersion,
-    /// When that was last recorded.
-    recorded: Option<Instant>,
+    /// When that was last recorded, and how often a service had come to have several versions by then.
+    recorded: Option<(Instant, u64)>,
     /// Whether an engine may have run the request.
     outcome_unknown: bool,
     /// The last event that the caller has received.
@@ -513,14 +513,20 @@
         if self.answering_version().is_none() {
             self.version = StreamVersion::Unknown;
             self.record_origin(None);
-        } else if self.recorded.is_none_or(|recorded| recorded.elapsed() >= RECORD_INTERVAL) {
+        } else if self.is_record_due() {
             let version = version.clone();
             self.record_origin(Some(&version));
         }
     }
 
+    fn is_record_due(&self) -> bool {
+        let releases = self.state.stream_versions.releases();
+        self.recorded
+            .is_none_or(|(recorded, known)| recorded.elapsed() >= RECORD_INTERVAL || known != releases)
+    }
+
     fn record_origin(&mut self, version: Option<&SoftwareVersion>) {
-        self.recorded = Some(Instant::now());
+        self.recorded = Some((Instant::now(), self.state.stream_versions.releases()));
         self.incoming.record_origin(version);
     }
 
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -211,6 +211,8 @@
     log: Arc<dyn RecordLog>,
     /// Records for that log that this daemon knows of, each with the time from which it is left to others.
     unsaved: Mutex<VecDeque<(MonoTime, StreamRecord)>>,
+    /// How often a service came to have several versions.
+    releases: AtomicU64,
     /// Whether the log was read.
     is_log_read: AtomicBool,
     questions: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, StreamReply)>>>,
@@ -233,6 +235,7 @@
             save_due: Notify::new(),
             log: Arc::clone(log),
             unsaved: Mutex::default(),
+            releases: AtomicU64::new(0),
             is_log_read: AtomicBool::new(is_first),
             questions: Mutex::default(),
             next_number: AtomicU64::new(0),
@@ -268,12 +271,34 @@
             };
             distinct.iter().all(is_saved)
         };
-        self.history.lock().adopt(clock::now(), distinct.into_iter());
+        let now_us = clock::now();
+        let mut history = self.history.lock();
+        let before = history.services_with_several(now_us);
+        history.adopt(now_us, distinct.into_iter());
+        let released = history.services_with_several(now_us);
+        drop(history);
+        for service in released.difference(&before) {
+            self.released(service);
+        }
         if !is_saved {
             self.save_due.notify_one();
         }
     }
 
+    /// Keeps the records of the streams that began while `service` had one version for the log: from now on the version of a
+    /// stream is not known without its record.
+    fn released(&self, service: &ServiceId) {
+        self.releases.fetch_add(1, Ordering::Relaxed);
+        let records: Vec<StreamRecord> = self.streams.lock().records_of(clock::now(), service).collect();
+        self.enqueue(&records);
+    }
+
+    /// How often a service came to have several versions. Streams that are open then are recorded again, since the daemon
+    /// that keeps records for the log may not have theirs.
+    pub fn releases(&self) -> u64 {
+        self.releases.load(Ordering::Relaxed)
+    }
+
     /// What this daemon knows to be saved, for the other daemons; empty unless it saves for all.
     pub fn saved_for_all(&self) -> Vec<SavedVersion> {
         let saved = self.saved.lock();
@@ -370,15 +395,27 @@
             return;
         };
         let key = record.key;
+        let is_logged = record.origin.as_ref().is_some_and(|origin| self.has_several(&origin.service));
         let Ok(bytes) = postcard::to_stdvec(&Datagram::StreamRecord(record)) else {
             return;
         };
-        for keeper in state.peers.keepers(key, KEEPERS) {
+        let mut keepers = state.peers.keepers(key, KEEPERS);
+        if is_logged
+            && let Some(saver) = state.peers.first_reader()
+            && !keepers.contains(&saver)
+        {
+            keepers.push(saver);
+        }
+        for keeper in keepers {
             // A lost record is at other daemons too.
             let _ = socket.send_to(&bytes, keeper);
         }
     }
 
+    fn has_several(&self, service: &ServiceId) -> bool {
+        self.history.lock().seen(clock::now(), service).versions.len() > 1
+    }
+
     /// The reply to another daemon's question.
     pub fn reply(&self, question: &StreamQuestion) -> StreamReply {
         let now_us = clock::now();
