Check which run of an engine has begun a stream, before the stream goes on elsewhere

Cause: the version of a stream that begins was taken from the list alone, which lags and may never show such a run; only bound streams asked the engine. Where engines can start again under their ids, the engine is asked for its run once the first event is there, which delays nothing: another run, or none known, makes the stream's version unknown, so that it is neither resumed nor taken up elsewhere. It costs one report a stream there.

--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use hibiscusvale_core::units::{Millis, Tokens};
 use http::Response;
 use http_body_util::{BodyExt, Full};
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use super::crashes::{self, Attempt};
@@ -47,6 +48,10 @@
 /// Timeout of the report that confirms the run of an engine; callers wait for it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Number of reports that are asked for while none arrives, and the pause between them.
+const REPORTS_MAX: u32 = 3;
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Timeout of the call that releases a reservation.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -72,6 +77,7 @@
         decode_attempt: None,
         answering: None,
         version: incoming.binding.clone().into(),
+        run_check: None,
         recorded: None,
         outcome_unknown: false,
         last_event: incoming.call.after_event,
@@ -186,6 +192,47 @@
     }
 }
 
+/// Which run of an engine answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RunCheck {
+    /// The listed one.
+    Listed,
+    /// Another one, or it is not known which.
+    Other,
+}
+
+/// Asks an engine for its run. One that reports none is taken to be the listed one.
+async fn reported_run(
+    state: &RelayState,
+    server: &BackendServerId,
+    at: SocketAddr,
+    listed: Lifetime,
+    timeout: Duration,
+) -> Result<RunCheck, FailureCause> {
+    let call = (CallKind::Report, state.wire.report(server));
+    let body = hop::call(state, server, at, call, timeout).await?;
+    let report = state.wire.parse_report(&body).ok_or(FailureCause::Broken)?;
+    let is_listed = report.lifetime.is_none_or(|lifetime| lifetime == listed);
+    Ok(if is_listed { RunCheck::Listed } else { RunCheck::Other })
+}
+
+/// Checks after the first event of a stream that the listed run of the engine has begun it. The list lags behind an engine
+/// that starts again, and may never show a run that crashes at once.
+async fn check_first_run(incoming: Arc<Incoming>, attempt: Attempt, listed: Lifetime) -> RunCheck {
+    for _ in 0..REPORTS_MAX {
+        let (server, at) = (attempt.server(), attempt.address());
+        if let Ok(run) = reported_run(&incoming.state, server, at, listed, REPORT_TIMEOUT).await {
+            if run == RunCheck::Other {
+                incoming.record_origin(None);
+            }
+            return run;
+        }
+        tokio::time::sleep(REPORT_PAUSE).await;
+    }
+    incoming.record_origin(None);
+    RunCheck::Other
+}
+
 /// A request on its way through the engines.
 pub(super) struct StreamedRequest {
     state: Arc<RelayState>,
@@ -203,6 +250,9 @@
     answering: Option<AnsweringVersion>,
     /// Software version at which the stream began.
     version: StreamVersion,
+    /// Check that the engine which began the stream was the listed run; `None` where an engine never starts again under its
+    /// id, and after the check was used.
+    run_check: Option<JoinHandle<RunCheck>>,
     /// When that was last recorded, and how often a service had come to have several versions by then.
     recorded: Option<(Instant, u64)>,
     /// Whether an engine may have run the request.
@@ -452,15 +502,10 @@
         at: SocketAddr,
         listed: Lifetime,
     ) -> Result<(), FailureCause> {
-        let call = (CallKind::Report, self.state.wire.report(writer));
         let timeout = REPORT_TIMEOUT.min(self.incoming.left());
-        let body = hop::call(&self.state, writer, at, call, timeout).await?;
-        let report = self.state.wire.parse_report(&body).ok_or(FailureCause::Broken)?;
-        // An engine that reports no run is taken to be the listed one.
-        if report.lifetime.is_none_or(|lifetime| lifetime == listed) {
-            Ok(())
-        } else {
-            Err(FailureCause::Broken)
+        match reported_run(&self.state, writer, at, listed, timeout).await? {
+            RunCheck::Listed => Ok(()),
+            RunCheck::Other => Err(FailureCause::Broken),
         }
     }
 
@@ -500,10 +545,21 @@
         }
         self.incoming.record_version(label);
         self.record_origin(answering.as_ref());
+        if self.version == StreamVersion::NotBegun {
+            self.start_run_check();
+        }
         self.version = answering.map_or(StreamVersion::Unknown, StreamVersion::Known);
         Ok(())
     }
 
+    fn start_run_check(&mut self) {
+        let lifetime = self.answering.as_ref().and_then(|answering| answering.lifetime);
+        if let (Some(lifetime), Some(attempt)) = (lifetime, &self.decode_attempt) {
+            let check = check_first_run(Arc::clone(&self.incoming), attempt.clone(), lifetime);
+            self.run_check = Some(tokio::spawn(check));
+        }
+    }
+
     /// Checks that the engine that sends events still runs as the list showed it when they began. The list may lag: an
     /// engine that had started again before is noticed only now, and its stream can go on nowhere else.
     pub(super) fn check_version(&mut self) {
@@ -586,6 +642,12 @@
 
     /// Resumes the stream at another engine after the last event.
     pub(super) async fn resume(&mut self, cause: FailureCause) -> Result<ServerBody, BodyBroken> {
+        if let Some(check) = self.run_check.take() {
+            let checked = tokio::time::timeout(REPORT_TIMEOUT, check).await;
+            if !matches!(checked, Ok(Ok(RunCheck::Listed))) {
+                self.version = StreamVersion::Unknown;
+            }
+        }
         if self.version == StreamVersion::Unknown {
             return Err(BodyBroken);
         }
