Let streams that their callers resume go before new requests

Cause: a request that resumes a stream was admitted as a new one, and its caller has mostly waited longer than a new one may; it yielded to all that could be in time, although half an answer is worth nothing without the rest.

It now waits and is placed like an answer that was interrupted within this daemon; only other such streams go before it, and it is refused at once if it would wait longer than its caller does. stream_that_its_caller_resumes_goes_before_new_requests was refused as would-wait-too-long before.

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -24,12 +24,14 @@
         }
         let attempts = Attempts::new(demand.repeatability, demand.attempts_max);
         let final_tokens = demand.prompt_tokens + self.expected_answer(&demand);
+        // The caller resumes a stream.
+        let has_started = demand.binding != VersionBinding::Any;
         let open = OpenRequest {
             demand,
             final_tokens,
             arrived_us: now_us,
             waits_since_us: now_us,
-            has_started: false,
+            has_started,
             stage: Stage::Waiting,
             attempts,
             prefills: 0,
@@ -60,6 +62,9 @@
     /// while the others are answered in time.
     fn would_miss_target(&self, now_us: MonoTime, request_id: RequestId) -> bool {
         let open = &self.open[&request_id];
+        if open.has_started {
+            return self.would_wait_beyond(now_us, open, open.max_wait_ms().into());
+        }
         let backlog = self.least_backlog(now_us);
         let prefill_ms = self.expected_prefill_ms(&open.demand, backlog);
         let within_ms =
@@ -75,6 +80,15 @@
         is_limited || wait_us.is_none_or(|wait_us| wait_us > limit_us)
     }
 
+    /// Whether a stream that goes on would wait for longer than `limit_us`. Only other such streams go before it.
+    fn would_wait_beyond(&self, now_us: MonoTime, open: &OpenRequest, limit_us: Micros) -> bool {
+        let waiting = self.waiting.iter().map(|request_id| &self.open[request_id]);
+        let ahead = waiting.filter(|other| other.has_started).map(|other| other.final_tokens);
+        let ahead = ahead.fold(open.final_tokens, |sum, tokens| sum + tokens);
+        let wait_us = self.expected_wait_us(now_us, ahead, &open.demand.binding);
+        wait_us.is_none_or(|wait_us| wait_us > limit_us)
+    }
+
     /// Time until a decode engine accepts one more request with this binding, if all of them have used up the
     /// limits that they state; `None` if at least one has not.
     pub(super) fn limited_wait(&self, now_us: MonoTime, binding: &VersionBinding) -> Option<Micros> {
@@ -206,7 +220,10 @@
                 let open = &self.open[request_id];
                 let unservable = self.unservable(now_us, &open.demand.binding);
                 let not_run = open.attempts.outcome() == Outcome::NotRun;
-                let yields = not_run && in_time_tokens > Tokens::ZERO && self.is_late(now_us, open, backlog);
+                let yields = not_run
+                    && !open.has_started
+                    && in_time_tokens > Tokens::ZERO
+                    && self.is_late(now_us, open, backlog);
                 let is_unservable = match unservable {
                     // An interrupted answer waits for an engine, except where none of its version is left.
                     Some(EngineRefusal::VersionGone) => true,
--- a/crates/core/tests/relay/versions.rs
+++ b/crates/core/tests/relay/versions.rs
@@ -4,6 +4,7 @@
     Demand, EngineAction, EngineEvent, EngineRefusal, ListedEngine, Role, RoleChange, VersionBinding,
 };
 use hibiscusvale_core::sched::FailureCause;
+use hibiscusvale_core::units::Millis;
 
 use crate::engines::observe_load;
 use crate::simulation::{Harness, demand, listed, request_id, settings};
@@ -276,3 +277,30 @@
     let list = list.chain(of("v2", Role::Decode, 6)).chain([leaving]);
     assert_eq!(first_role_change(list.collect()), None);
 }
+
+/// A caller comes back with its stream while new requests wait. It has waited for longer than a new request may, and was
+/// refused although an engine of its version was about to be free.
+#[test]
+fn stream_that_its_caller_resumes_goes_before_new_requests() {
+    let mut harness = harness(engines());
+    let mut running = Vec::new();
+    for sequence in 1..100 {
+        let placed = harness.arrive(demand(sequence, 30_000, 4_000));
+        if placed.is_empty() {
+            break;
+        }
+        running.push((sequence, reserved_at(&placed)));
+    }
+    let binding = VersionBinding::Only("v1".parse().unwrap());
+    let resumed = Demand { waited_ms: Millis(1_500), binding, ..demand(200, 30_000, 4_000) };
+    let refused = refusals(&harness.arrive(resumed));
+    assert!(refused.is_empty(), "{refused:?}");
+    let ended = running.iter().find(|(_, engine)| version_of(engine) == "v1");
+    let request_id = request_id(ended.map(|(sequence, _)| *sequence).unwrap());
+    let placed = harness.feed(EngineEvent::CallerLeft { request_id });
+    let reserved = placed.iter().find_map(|action| match action {
+        EngineAction::Reserve { request_id, .. } => Some(request_id.sequence),
+        _ => None,
+    });
+    assert_eq!(reserved, Some(200));
+}
