--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -2,7 +2,9 @@
 
 use hibiscusvale_core::ids::{BackendServerId, HostId};
 use hibiscusvale_core::relay::expired_entries::ExpiredEntries;
-use hibiscusvale_core::relay::store_refresh::{PeerReport, RefreshSchedule, RefreshSettings, is_reader};
+use hibiscusvale_core::relay::store_refresh::{
+    PeerReport, RefreshSchedule, RefreshSettings, first_reader, is_reader, reader_rank,
+};
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use rstest::rstest;
 
@@ -238,6 +240,16 @@
     }
 }
 
+/// Records of streams are sent to the daemon that keeps them for the log, which is the one that counts itself first.
+#[test]
+fn first_reader_is_the_daemon_before_which_no_other_ranks() {
+    for count in [1, 2, 6, 90] {
+        let hosts: Vec<HostId> = (0..count).map(host).collect();
+        let first = first_reader(hosts.iter()).unwrap();
+        assert_eq!(reader_rank(first, hosts.iter().filter(|other| *other != first)), 0);
+    }
+}
+
 #[test]
 fn another_daemon_takes_over_when_a_reader_is_gone() {
     let settings = RefreshSettings::default();
--- a/crates/core/tests/relay/stream_versions.rs
+++ b/crates/core/tests/relay/stream_versions.rs
@@ -251,3 +251,31 @@
         }
     }
 }
+
+/// A second version comes, and the records of streams from before must reach the log: those of this service that can still be
+/// resumed, and none whose version is not known.
+#[test]
+fn records_of_a_service_are_those_that_can_still_be_resumed() {
+    let mut streams = StreamVersions::new(10);
+    let other = StreamOrigin { service: "other".parse().unwrap(), version: version("v1") };
+    streams.record(at(0), &record(1, "v1"));
+    streams.record(at(30_000), &record(2, "v1"));
+    streams.record(at(30_000), &record(3, "v1"));
+    streams.record(at(30_001), &StreamRecord { key: StreamKey(3), origin: None });
+    streams.record(at(30_001), &StreamRecord { key: StreamKey(4), origin: Some(other) });
+    let found: Vec<StreamRecord> = streams.records_of(at(70_000), &llm()).collect();
+    assert_eq!(found, [record(2, "v1")]);
+}
+
+/// A release begins with its second version, and is over a minute after the first one has left.
+#[test]
+fn service_has_several_versions_until_no_stream_of_the_first_can_be_resumed() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut history = VersionHistory::new(true);
+    history.adopt(at(0), [("llm", &v1)].into_iter());
+    assert!(history.services_with_several(at(1)).is_empty());
+    history.adopt(at(1_000), [("llm", &v1), ("llm", &v2)].into_iter());
+    history.adopt(at(2_000), [("llm", &v2)].into_iter());
+    assert!(history.services_with_several(at(61_999)).contains(&llm()));
+    assert!(history.services_with_several(at(62_000)).is_empty());
+}
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -166,7 +166,7 @@
     /// Age of the list that showed them, as of the change.
     pub list_age_ms: Millis,
     /// Time for which they are kept at most.
-    pub until_ms: Millis,
+    pub for_ms: Millis,
 }
 
 /// Log fields of a request that is refused because its organisation exceeds its share.
@@ -573,7 +573,7 @@
             servers = sorted_names(line.servers),
             read_by = line.read_by,
             list_age_ms = line.list_age_ms.0,
-            until_ms = line.until_ms.0,
+            for_ms = line.for_ms.0,
         });
     }
 
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -165,7 +165,9 @@
 pub fn check(state: &RelayState, server: &BackendServerId, kind: CallKind) -> Result<(), FailureCause> {
     state.statements.check(server, kind)?;
     match kind {
-        CallKind::Work if is_list_without(state, server) => Err(FailureCause::Held(HoldReason::Leaving)),
+        CallKind::Work if is_leaving_or_unlisted(state, server) => {
+            Err(FailureCause::Held(HoldReason::Leaving))
+        }
         CallKind::Work | CallKind::Cleanup | CallKind::Report => Ok(()),
     }
 }
@@ -173,10 +175,10 @@
 /// Whether a server is leaving or gone, by its own statement or the list.
 pub fn is_leaving(state: &RelayState, server: &BackendServerId) -> bool {
     let stated = state.statements.check(server, CallKind::Work);
-    stated == Err(FailureCause::Held(HoldReason::Leaving)) || is_list_without(state, server)
+    stated == Err(FailureCause::Held(HoldReason::Leaving)) || is_leaving_or_unlisted(state, server)
 }
 
-fn is_list_without(state: &RelayState, server: &BackendServerId) -> bool {
+fn is_leaving_or_unlisted(state: &RelayState, server: &BackendServerId) -> bool {
     let listing = state.directory.listing();
     listing.servers.get(server).is_none_or(|listed| listed.listed == ListedState::Leaving)
 }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -48,8 +48,10 @@
 /// Timeout of the report that confirms the run of an engine; callers wait for it.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Number of reports that are asked for while none arrives, and the pause between them.
+/// Number of reports that are asked for while none arrives.
 const REPORTS_MAX: u32 = 3;
+
+/// Pause between them.
 const REPORT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Timeout of the call that releases a reservation.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -282,7 +282,7 @@
         servers,
         read_by,
         list_age_ms: list_age_us.to_millis_ceil(),
-        until_ms: until_us.since(now_us).to_millis_ceil(),
+        for_ms: until_us.since(now_us).to_millis_ceil(),
     });
 }
 
