Name servers that were kept and are listed again to the other daemons

A change names the servers that its reader had kept and that are listed again.

server_that_the_reader_kept_and_that_is_listed_again_is_named_to_the_others can't be built before.

--- a/crates/core/src/relay/expired_entries.rs
+++ b/crates/core/src/relay/expired_entries.rs
@@ -133,6 +133,11 @@
             .map(move |(server, until_us)| (server, self.due_us(now_us, *until_us).since(now_us)))
     }
 
+    /// Whether a vanished entry is kept.
+    pub fn is_kept(&self, server: &BackendServerId) -> bool {
+        self.pending.contains_key(server)
+    }
+
     /// The list of another daemon has replaced this one. The entries that it keeps count as gone when they do there.
     pub fn replaced(&mut self, now_us: MonoTime, kept: Vec<(BackendServerId, Micros)>) {
         self.pending = kept.into_iter().map(|(server, left_us)| (server, now_us + left_us)).collect();
--- a/crates/router/src/relay/server_changes.rs
+++ b/crates/router/src/relay/server_changes.rs
@@ -87,6 +87,17 @@
         self
     }
 
+    /// The same change, which also names these servers of `after` as listed: those that the daemon which read the list had kept,
+    /// and that are listed again. Nothing has changed for it, but other daemons keep them, or have removed them.
+    #[must_use]
+    pub fn with_listed(mut self, after: &Listing, returned: &[BackendServerId]) -> Self {
+        let unnamed = returned.iter().filter(|id| !self.set.iter().any(|server| server.id == **id));
+        let unnamed = unnamed.filter_map(|id| after.servers.get(id)).map(|server| server.as_ref().clone());
+        let unnamed: Vec<BackendServer> = unnamed.collect();
+        self.set.extend(unnamed);
+        self
+    }
+
     /// Servers that it names as listed.
     pub fn listed(&self) -> impl Iterator<Item = &BackendServerId> {
         self.set.iter().map(|server| &server.id)
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -212,6 +212,7 @@
     let listed: Vec<BackendServerId> = set.iter().map(|host| host.id.clone()).collect();
     let vanished: Vec<BackendServerId> =
         removed.iter().filter(|id| known.servers.contains_key(id) && !listed.contains(id)).cloned().collect();
+    let returned: Vec<BackendServerId> = listed.iter().filter(|id| expired.is_kept(id)).cloned().collect();
     let gone = expired.confirm_gone(now_us, vanished.clone(), listed.iter());
     log_removed(state, &gone, &vanished);
     let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
@@ -219,11 +220,12 @@
     let change = HostListChange::Some { set, remove: gone };
     state.directory.apply(HostListPage { version: page.version, change });
     let after = state.directory.listing();
-    if is_full {
+    let change = if is_full {
         ServerChange::between(known, &after).map(|change| change.with_removed(withheld))
     } else {
         ServerChange::of_read(known, &after, page.version, &listed, removed)
-    }
+    };
+    change.map(|change| change.with_listed(&after, &returned))
 }
 
 /// Applies changes that another daemon read, if they continue from the local list; returns whether they
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -238,3 +238,16 @@
     assert_eq!(log.since(7), None);
     assert_eq!(names(&ServerChange::applied(&log.since(5).unwrap(), &before).unwrap()), ["i-1", "i-3"]);
 }
+
+/// After an outage of the store all daemons keep the servers. The one that reads sees them listed again without a change of
+/// its list; the others removed all of them for good as their time was over, and refused every caller.
+#[test]
+fn server_that_the_reader_kept_and_that_is_listed_again_is_named_to_the_others() {
+    let (before, after) = (listing(5, &["i-1", "i-2"]), listing(9, &["i-1", "i-2"]));
+    let returned: BackendServerId = "i-2".parse().unwrap();
+    let change = ServerChange::of_read(&before, &after, 9, std::slice::from_ref(&returned), Vec::new());
+    let change = change.unwrap().with_listed(&after, &[returned]);
+    assert_eq!(change.listed().map(ToString::to_string).collect::<Vec<_>>(), ["i-2"]);
+    let other = ServerChange::applied(&[change], &listing(7, &["i-1"])).unwrap();
+    assert_eq!(names(&other), ["i-1", "i-2"]);
+}
