Admit streams that their callers resume like new requests

The fault that mended was that the time since the first event made a resumed stream late, so that it yielded to all.

--- a/crates/core/src/relay/engines/admission.rs
+++ b/crates/core/src/relay/engines/admission.rs
@@ -13,7 +13,13 @@
 impl EnginePool {
     /// Accepts a request or refuses it. In bursts of several times the mean load, callers are refused at once
     /// when no engine can become free for them in time.
-    pub(super) fn arrive(&mut self, now_us: MonoTime, demand: Demand, actions: &mut Vec<EngineAction>) {
+    ///
+    /// A stream that its caller resumes counts as a new request: its first event was there, and what its caller has
+    /// waited since must not make it yield to all others.
+    pub(super) fn arrive(&mut self, now_us: MonoTime, mut demand: Demand, actions: &mut Vec<EngineAction>) {
+        if demand.binding != VersionBinding::Any {
+            demand.waited_ms = Millis::ZERO;
+        }
         self.counters.arrivals += 1;
         self.budget.deposit();
         let hinted = demand.answer_tokens_hint.unwrap_or(Tokens(demand.answer_tokens_max.0 / 2));
@@ -24,14 +30,12 @@
         }
         let attempts = Attempts::new(demand.repeatability, demand.attempts_max);
         let final_tokens = demand.prompt_tokens + self.expected_answer(&demand);
-        // The caller resumes a stream.
-        let has_started = demand.binding != VersionBinding::Any;
         let open = OpenRequest {
             demand,
             final_tokens,
             arrived_us: now_us,
             waits_since_us: now_us,
-            has_started,
+            has_started: false,
             stage: Stage::Waiting,
             attempts,
             prefills: 0,
@@ -62,9 +66,6 @@
     /// while the others are answered in time.
     fn would_miss_target(&self, now_us: MonoTime, request_id: RequestId) -> bool {
         let open = &self.open[&request_id];
-        if open.has_started {
-            return self.would_wait_beyond(now_us, open, open.max_wait_ms().into());
-        }
         let backlog = self.least_backlog(now_us);
         let prefill_ms = self.expected_prefill_ms(&open.demand, backlog);
         let within_ms =
@@ -80,15 +81,6 @@
         is_limited || wait_us.is_none_or(|wait_us| wait_us > limit_us)
     }
 
-    /// Whether a stream that goes on would wait for longer than `limit_us`. Only other such streams go before it.
-    fn would_wait_beyond(&self, now_us: MonoTime, open: &OpenRequest, limit_us: Micros) -> bool {
-        let waiting = self.waiting.iter().map(|request_id| &self.open[request_id]);
-        let ahead = waiting.filter(|other| other.has_started).map(|other| other.final_tokens);
-        let ahead = ahead.fold(open.final_tokens, |sum, tokens| sum + tokens);
-        let wait_us = self.expected_wait_us(now_us, ahead, &open.demand.binding);
-        wait_us.is_none_or(|wait_us| wait_us > limit_us)
-    }
-
     /// Time until a decode engine accepts one more request with this binding, if all of them have used up the
     /// limits that they state; `None` if at least one has not.
     pub(super) fn limited_wait(&self, now_us: MonoTime, binding: &VersionBinding) -> Option<Micros> {
@@ -220,10 +212,7 @@
                 let open = &self.open[request_id];
                 let unservable = self.unservable(now_us, &open.demand.binding);
                 let not_run = open.attempts.outcome() == Outcome::NotRun;
-                let yields = not_run
-                    && !open.has_started
-                    && in_time_tokens > Tokens::ZERO
-                    && self.is_late(now_us, open, backlog);
+                let yields = not_run && in_time_tokens > Tokens::ZERO && self.is_late(now_us, open, backlog);
                 let is_unservable = match unservable {
                     // An interrupted answer waits for an engine, except where none of its version is left.
                     Some(EngineRefusal::VersionGone) => true,
