Write a line for each request that is still open when the process ends

The log was flushed before the tasks of the requests were dropped, so those cut at the end of a stop left nothing but their number.

--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -58,6 +58,9 @@
 /// Part of the grace period kept in reserve: the process must exit before it is killed.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time for the tasks to be dropped when the process ends. It is part of [`EXIT_RESERVE`].
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Connect timeout to servers. A server in the region accepts within milliseconds. A lost SYN is
 /// retransmitted only after a second, too late for page latency targets, so another server is tried before
 /// that.
@@ -162,6 +165,7 @@
             open: AtomicU64::new(0),
             servers_adopted: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            has_ended: AtomicBool::new(false),
             log,
             meter,
             admission: Arc::default(),
@@ -289,9 +293,11 @@
         });
         let left = state.open.load(Ordering::Relaxed);
         state.log.state_changed(if ended.is_ok() { "stopped" } else { "stopped with open requests" }, &left);
-        state.log.flush();
+        state.has_ended.store(true, Ordering::Relaxed);
         control.shutdown_background();
-        traffic.shutdown_background();
+        // Drops the tasks; each request that is still open writes its line.
+        traffic.shutdown_timeout(SHUTDOWN_TIMEOUT);
+        state.log.flush();
     }
 }
 
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -100,6 +100,9 @@
     fn drop(&mut self) {
         self.state.open.fetch_sub(1, Ordering::Relaxed);
         let trace = self.trace.get_mut();
+        if self.state.has_ended.load(Ordering::Relaxed) {
+            trace.set_outcome("cut-by-stop");
+        }
         let took = self.arrived.elapsed();
         // Each request is counted by the daemon that its caller sent it to.
         if self.forwarded_by.is_some() {
@@ -315,6 +318,8 @@
     pub servers_adopted: AtomicBool,
     /// Whether the daemon is stopping.
     pub stopping: AtomicBool,
+    /// Whether the process ends now, with whatever is still open.
+    pub has_ended: AtomicBool,
     /// Log output.
     pub log: Log,
     /// Measures connections.
