Refuse requests that cannot end before a stopping daemon does

Callers saw: requests read late in the grace period of a stop were passed on and cut at its end without an answer, among them requests that may not be repeated.

Cause: nothing compared what was left of the grace period with the time that a request needs, and its end was no event for the requests in hand. A request was passed on until the moment at which the process ended, whether it had just been read, had waited in a queue or was tried a second time.

The end of the grace period is now a deadline of every request of a stopping daemon. How long a run takes is known by service and route from the last 32 that ended, and taken to be the route's target while none has. A request that could not end in time is refused as not run (503, `stopping`, Connection: close, Retry-After 0.1 s: other daemons take it at once), before it is passed on: while its body is read, when it has been read, in a queue, and before another attempt. What a server still has when the last answers are due, 150 ms before the process ends, is answered 504 (`stop-over`: unknown). Handing it on to another daemon would not help: that answer too has to pass through this one.

Whole requests alone were answered before, and are.

--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -19,6 +19,7 @@
 mod simulation;
 mod speeds;
 mod spill_over;
+mod stopping;
 mod store_refresh;
 mod stream_versions;
 mod stream_versions_simulation;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -22,6 +22,7 @@
 use hibiscusvale_core::relay::congestion::HostLoad;
 use hibiscusvale_core::relay::engines::SpillOver;
 use hibiscusvale_core::relay::reach::HelperCounts;
+use hibiscusvale_core::relay::stopping::{RunTimeSource, WouldNotEnd};
 use hibiscusvale_core::sched::{ServerLoadUse, Stage};
 use hibiscusvale_core::shares::OverShare;
 use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Micros, Millis, Tokens};
@@ -329,6 +330,23 @@
         }
     }
 
+    /// Logs a request that was refused because the daemon stops before it could end.
+    pub fn request_refused_by_stop(&self, call: &dyn fmt::Display, route: &str, would_not_end: &WouldNotEnd) {
+        if self.admit_request_line() {
+            let WouldNotEnd { left_ms, run } = would_not_end;
+            spdlog::info!(logger: self.logger, "request refused by stop", kv: {
+                call: = call,
+                route = route,
+                left_ms = left_ms.0,
+                run_ms = run.expected_us.to_millis_ceil().0,
+                run_known = match run.source {
+                    RunTimeSource::Ended => "ended",
+                    RunTimeSource::Assumed => "assumed",
+                },
+            });
+        }
+    }
+
     /// Logs a request that was refused because its organisation exceeded its share of a congested service.
     pub fn request_refused_over_share(&self, line: &OverShareLine<'_>) {
         if self.admit_request_line() {
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -39,6 +39,7 @@
 use super::quotas::QuotaOwner;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
+use super::stop::{self, RunClass};
 use super::stream;
 use super::stream_versions;
 use super::trace::RequestTrace;
@@ -297,9 +298,13 @@
         stream::relay(state, incoming).await
     } else {
         let answered = plain::relay(state, incoming);
-        tokio::time::timeout_at(incoming.deadline, answered)
-            .await
-            .unwrap_or(Err(Refusal::new(Reason::NoAnswerInTime)))
+        tokio::select! {
+            biased;
+            answered = tokio::time::timeout_at(incoming.deadline, answered) => {
+                answered.unwrap_or(Err(Refusal::new(Reason::NoAnswerInTime)))
+            }
+            () = state.stop.answers_due() => Err(Refusal::new(Reason::StopOver)),
+        }
     };
     match &answered {
         Ok(response) if !is_stream || !response.status().is_success() => incoming.set_outcome("answered"),
@@ -349,7 +354,12 @@
         let partner = partner.map(|partner| &partner.id);
         state.record_organisation_outcome(service.as_str(), partner, refusal.reason.label());
     };
-    let body = read_body(state.memory.body(), body, limit_bytes, deadline).await;
+    let class = RunClass { call: &call.id, service: service.as_str(), route: &route };
+    let body = tokio::select! {
+        biased;
+        body = read_body(state.memory.body(), body, limit_bytes, deadline) => body,
+        refusal = stop::too_late(state, class) => Err(refusal),
+    };
     let body = body.inspect_err(count_refusal)?;
     let fingerprint = fingerprint(&parts, credentials.as_ref(), partner, &body);
     let fingerprints = Fingerprints::new(fingerprint, &call.shared_prompt_parts);
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -9,7 +9,8 @@
 use arc_swap::ArcSwap;
 use hibiscusvale_core::ids::Incarnation;
 use hibiscusvale_core::relay::routes::{RouteTable, TableVersion};
-use hibiscusvale_core::units::{BytesPerSecond, Millis};
+use hibiscusvale_core::relay::stopping::StopDeadline;
+use hibiscusvale_core::units::{BytesPerSecond, Micros, Millis, MonoTime};
 use parking_lot::Mutex;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
@@ -38,11 +39,13 @@
 use super::state::RelayState;
 use super::statements::SharedStatements;
 use super::status::{self, Purpose};
+use super::stop::Stop;
 use super::store_traffic::StoreTraffic;
 use super::stream_versions::{self, SharedStreamVersions};
 use super::uneven_servers::UnevenServices;
 use super::watch;
 use crate::backend::{BackendHttp, HttpSettings};
+use crate::clock;
 use crate::daemon::StartError;
 use crate::directory::Directory;
 use crate::dispatch::{LoanRequestSender, PlainSchedulers};
@@ -58,6 +61,9 @@
 /// Part of the grace period kept in reserve: the process must exit before it is killed.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time in which the last answers reach their callers before the process ends.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
 /// Time for the tasks to be dropped when the process ends. It is part of [`EXIT_RESERVE`].
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -165,7 +171,7 @@
             open: AtomicU64::new(0),
             servers_adopted: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            has_ended: AtomicBool::new(false),
+            stop: Stop::default(),
             log,
             meter,
             admission: Arc::default(),
@@ -208,18 +214,7 @@
         control.spawn(reach::run_checks(Arc::clone(&state)));
         control.spawn(stream_versions::run_saves(Arc::clone(&state)));
         control.spawn(persistence::run(adapters.evidence, evidence_due, Arc::clone(&state)));
-        // One lease covers all engines of the region.
-        match settings.host.region.as_str().parse() {
-            Ok(scope) => {
-                let host = settings.host.id.clone();
-                control.spawn(Orders::new(adapters.log, Arc::clone(&state), host, scope).run());
-            }
-            Err(error) => {
-                state
-                    .log
-                    .fault("role-change orders disabled: the region name is not a valid lease scope", &error);
-            }
-        }
+        start_orders(&control, adapters.log, &state, &settings);
         traffic.spawn(run_timers(Arc::clone(&state), settings.capacity.link_rate()));
         Ok(Self { state, traffic, control, stop_listening, serving, settings, callers_address })
     }
@@ -280,6 +275,7 @@
         state.log.state_changed("stopping", &state.open.load(Ordering::Relaxed));
         state.stopping.store(true, Ordering::Relaxed);
         let grace = settings.bounds.grace().saturating_sub(EXIT_RESERVE);
+        state.stop.begin(deadline(clock::now(), grace));
         let ended = traffic.block_on(async {
             tokio::time::timeout(grace, async {
                 tokio::time::sleep(Duration::from(DRAIN_DELAY_MS)).await;
@@ -293,7 +289,7 @@
         });
         let left = state.open.load(Ordering::Relaxed);
         state.log.state_changed(if ended.is_ok() { "stopped" } else { "stopped with open requests" }, &left);
-        state.has_ended.store(true, Ordering::Relaxed);
+        state.stop.end();
         control.shutdown_background();
         // Drops the tasks; each request that is still open writes its line.
         traffic.shutdown_timeout(SHUTDOWN_TIMEOUT);
@@ -301,12 +297,38 @@
     }
 }
 
+/// When the answers of a process that ends `left` from now are due.
+fn deadline(now_us: MonoTime, left: Duration) -> StopDeadline {
+    let left = left.saturating_sub(ANSWER_RESERVE);
+    StopDeadline { answers_due_us: now_us + Micros(u64::try_from(left.as_micros()).unwrap_or(u64::MAX)) }
+}
+
 /// Client for servers, with small read buffers where memory is limited.
 fn backend_http(capacity: &CapacitySettings, meter: Arc<LinkMeter>) -> BackendHttp {
     let buffer_bytes = capacity.memory_mb.map(|_| READ_BUFFER_BYTES);
     BackendHttp::with_settings(HttpSettings { connect_timeout: CONNECT_TIMEOUT, buffer_bytes, meter })
 }
 
+/// Starts the orders to engines. One lease covers all engines of the region.
+fn start_orders(
+    control: &Runtime,
+    log: Arc<dyn RecordLog>,
+    state: &Arc<RelayState>,
+    settings: &RelaySettings,
+) {
+    match settings.host.region.as_str().parse() {
+        Ok(scope) => {
+            let host = settings.host.id.clone();
+            control.spawn(Orders::new(log, Arc::clone(state), host, scope).run());
+        }
+        Err(error) => {
+            state
+                .log
+                .fault("role-change orders disabled: the region name is not a valid lease scope", &error);
+        }
+    }
+}
+
 async fn run_timers(state: Arc<RelayState>, link: Option<BytesPerSecond>) {
     tokio::join!(
         state.plain_schedulers.run_timers(),
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -43,6 +43,7 @@
 mod state_transfer;
 mod statements;
 mod status;
+mod stop;
 pub mod store_traffic;
 mod stream;
 mod stream_versions;
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -13,6 +13,7 @@
 use hibiscusvale_core::units::Millis;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use tokio::time::Instant;
 
 use super::crashes::{self, Attempt};
 use super::forward::{self, Forwarded};
@@ -23,6 +24,7 @@
 use super::shares::ShareAttempt;
 use super::state::{Incoming, RelayState};
 use super::statements;
+use super::stop;
 use super::trace::Step;
 use crate::backend::ConnectionReuse;
 use crate::callers::AnswerBody;
@@ -85,12 +87,17 @@
     let mut failed: Option<BufferedReply> = None;
     let mut may_have_run = false;
     let mut refused = pin!(state.quarantine.refused(state, &incoming.call.id, &incoming.fingerprints));
+    let mut too_late = pin!(stop::too_late(state, incoming.run_class()));
     loop {
         let step = tokio::select! {
             biased;
             refusal = &mut refused => {
                 return Err(refusal.unless_run(may_have_run));
             }
+            refusal = &mut too_late => {
+                let failed = failed.map(|reply| reply.into_response(&*state.wire));
+                return failed.ok_or(refusal.unless_run(may_have_run));
+            }
             step = open.step() => step,
         };
         let Some(action) = step else { break };
@@ -98,6 +105,7 @@
             PlainAction::Dispatch { server, timeout_ms, fresh_connection, .. } => {
                 let reuse = if fresh_connection { ConnectionReuse::Fresh } else { ConnectionReuse::Pooled };
                 let attempt = ShareAttempt::new(state, incoming.service.as_str());
+                let began = Instant::now();
                 let result = run_attempt(state, incoming, server.clone(), timeout_ms, reuse).await;
                 attempt.end(result.as_ref().map(|_| ()).map_err(|cause| *cause));
                 match &result {
@@ -123,6 +131,7 @@
                     Ok(Answer::Buffered(reply)) => {
                         if reply.status.is_success() {
                             crashes::record_survival(incoming);
+                            state.stop.record_run(incoming.run_class(), began.elapsed());
                         }
                         open.feed(end_of(request_id, reply.status));
                         return Ok(reply.into_response(&*state.wire));
--- a/crates/router/src/relay/refusal.rs
+++ b/crates/router/src/relay/refusal.rs
@@ -51,6 +51,10 @@
     ServersFull,
     /// The request is quarantined: servers crashed under it.
     CrashesServers,
+    /// The daemon stops, and the request could not end before the process does.
+    Stopping,
+    /// The daemon stops, and a server had not answered the request when the last answers were due.
+    StopOver,
     /// A server received the request and did not answer in time.
     NoAnswerInTime,
     /// A server received the request and gave no usable answer.
@@ -78,6 +82,8 @@
             Self::WouldWaitTooLong => "would-wait-too-long",
             Self::ServersFull => "servers-full",
             Self::CrashesServers => "crashes-servers",
+            Self::Stopping => "stopping",
+            Self::StopOver => "stop-over",
             Self::NoAnswerInTime => "no-answer-in-time",
             Self::NoAnswer => "no-answer",
         }
@@ -86,7 +92,7 @@
 
 impl Reason {
     /// All reasons.
-    const ALL: [Self; 20] = [
+    const ALL: [Self; 22] = [
         Self::BadRequest,
         Self::BodyTooLarge,
         Self::BodyIncomplete,
@@ -105,6 +111,8 @@
         Self::WouldWaitTooLong,
         Self::ServersFull,
         Self::CrashesServers,
+        Self::Stopping,
+        Self::StopOver,
         Self::NoAnswerInTime,
         Self::NoAnswer,
     ];
@@ -119,7 +127,12 @@
     pub fn is_of_one_daemon(self) -> bool {
         matches!(
             self,
-            Self::NoMemory | Self::NoServer | Self::NoTable | Self::WouldWaitTooLong | Self::ServersFull
+            Self::NoMemory
+                | Self::NoServer
+                | Self::NoTable
+                | Self::WouldWaitTooLong
+                | Self::ServersFull
+                | Self::Stopping
         )
     }
 
@@ -140,11 +153,12 @@
             | Self::WouldWaitTooLong
             | Self::ServersFull
             | Self::CrashesServers
+            | Self::Stopping
             | Self::OverShare
             | Self::QuotaUnknown => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             // These statuses promise nothing about execution.
-            Self::NoAnswerInTime => StatusCode::GATEWAY_TIMEOUT,
+            Self::NoAnswerInTime | Self::StopOver => StatusCode::GATEWAY_TIMEOUT,
             Self::NoAnswer => StatusCode::BAD_GATEWAY,
         }
     }
@@ -215,7 +229,7 @@
 
     /// Whether bytes of the body may follow on the connection, which then takes no further request.
     pub fn leaves_body_unread(self) -> bool {
-        matches!(self.reason, Reason::BodyIncomplete | Reason::NoMemory)
+        matches!(self.reason, Reason::BodyIncomplete | Reason::NoMemory | Reason::Stopping)
     }
 
     /// Converts it into the answer to the caller.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -40,6 +40,7 @@
 use super::shares::SharedShares;
 use super::state_transfer::TransferBudget;
 use super::statements::SharedStatements;
+use super::stop::{RunClass, Stop};
 use super::stream_versions::SharedStreamVersions;
 use super::trace::{RequestTrace, Step};
 use super::uneven_servers::UnevenServices;
@@ -100,7 +101,7 @@
     fn drop(&mut self) {
         self.state.open.fetch_sub(1, Ordering::Relaxed);
         let trace = self.trace.get_mut();
-        if self.state.has_ended.load(Ordering::Relaxed) {
+        if self.state.stop.has_ended() {
             trace.set_outcome("cut-by-stop");
         }
         let took = self.arrived.elapsed();
@@ -246,6 +247,11 @@
         }
     }
 
+    /// What determines the time of its run.
+    pub fn run_class(&self) -> RunClass<'_> {
+        RunClass { call: &self.call.id, service: self.service.as_str(), route: &self.route }
+    }
+
     /// Time until the deadline.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -318,8 +324,8 @@
     pub servers_adopted: AtomicBool,
     /// Whether the daemon is stopping.
     pub stopping: AtomicBool,
-    /// Whether the process ends now, with whatever is still open.
-    pub has_ended: AtomicBool,
+    /// The stop and its deadline.
+    pub stop: Stop,
     /// Log output.
     pub log: Log,
     /// Measures connections.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -105,6 +105,7 @@
     state.log.routes_in_force(table.version().0);
     state.engine_pools.configure(&table, |service| state.uses_engine_speeds(service));
     state.caller_waits.lock().retain(|route| table.has(route));
+    state.stop.retain_routes(|route| table.has(route));
     state.table.store(Arc::new(table));
     state.configure_quotas();
     true
