Answer callers whose heads are incomplete when a stop ends

Callers saw: a connection with a part of a head outlived the listener and was cut at the end of the grace period without an answer; one that was kept open after a request was closed without an answer 2.5 s after SIGTERM, with a part of the next head read.

Cause: the connections ended as the library's graceful shutdown ends them. It waits for a first head as long as the table's idle timeout, without regard to the grace period, and takes a kept connection for idle whatever it has read.

Each connection now sees the stop. When the last answers are due, or the listener closes for a kept connection, a caller whose head is incomplete gets 503 (`stopping`, Connection: close, Retry-After): the request has not been read and is not run. Nothing is written on a connection with an unfinished answer.

--- a/crates/router/src/callers/mod.rs
+++ b/crates/router/src/callers/mod.rs
@@ -21,4 +21,4 @@
 pub use refusal::{OUTCOME_HEADER, Outcome, Refusal, RefusalReason};
 pub use response::{AnswerBody, BodyBroken, REQUEST_ID_HEADER};
 pub use service::{CallerService, CallerState};
-pub use stream::{CallerStream, ResetFlag};
+pub use stream::{CallerStream, PendingWrites, ResetFlag};
--- a/crates/router/src/callers/stream.rs
+++ b/crates/router/src/callers/stream.rs
@@ -37,11 +37,23 @@
     }
 }
 
+/// Tells whether a connection has bytes to write that it has not taken.
+#[derive(Clone, Debug, Default)]
+pub struct PendingWrites(Arc<AtomicBool>);
+
+impl PendingWrites {
+    /// Whether there are any.
+    pub fn is_any(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// A caller's connection.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: MeteredStream,
     reset: ResetFlag,
+    pending: PendingWrites,
     stall: Option<WriteStall>,
 }
 
@@ -73,7 +85,14 @@
 impl CallerStream {
     /// Wraps a connection that is reset when it is closed with `reset` set.
     pub fn new(stream: MeteredStream, reset: ResetFlag) -> Self {
-        Self { stream, reset, stall: None }
+        Self { stream, reset, pending: PendingWrites::default(), stall: None }
+    }
+
+    /// Tells in `pending` whether bytes are to be written.
+    #[must_use]
+    pub fn with_pending_writes(mut self, pending: PendingWrites) -> Self {
+        self.pending = pending;
+        self
     }
 
     /// Makes writes fail once the caller has taken nothing for `timeout`.
@@ -88,6 +107,7 @@
         written: Poll<io::Result<Written>>,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<Written>> {
+        self.pending.0.store(written.is_pending(), Ordering::Relaxed);
         match &mut self.stall {
             Some(stall) => stall.limit(written, cx),
             None => written,
--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -24,14 +24,15 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
+use super::caller_connection::{self, ConnectionUse};
 use super::forward::{self, ForwardedHead, ForwardedRefusal};
 use super::interfaces::{Call, CallId, EventId};
 use super::memory_limit::{HeldBuffer, HeldMemory, NoMemory};
@@ -86,7 +87,8 @@
     let mut socket = TcpListener::from_std(socket)?;
     let connections = Connections {
         state,
-        graceful: GracefulShutdown::new(),
+        closing: CancellationToken::new(),
+        open: TaskTracker::new(),
         permits: Arc::new(Semaphore::new(connections)),
     };
     loop {
@@ -115,7 +117,9 @@
 /// Connections of callers.
 struct Connections {
     state: Arc<RelayState>,
-    graceful: GracefulShutdown,
+    /// Fires once no further request is taken.
+    closing: CancellationToken,
+    open: TaskTracker,
     permits: Arc<Semaphore>,
 }
 
@@ -124,7 +128,7 @@
         match Arc::clone(&self.permits).try_acquire_owned() {
             Ok(permit) => {
                 self.state.metrics.record_caller_connection();
-                serve_connection(&self.state, stream, permit, &self.graceful);
+                self.serve(stream, permit);
             }
             Err(_) => refuse_unread(&self.state, stream, "connection-limit"),
         }
@@ -140,8 +144,59 @@
         }
     }
 
+    fn serve(&self, stream: TcpStream, permit: OwnedSemaphorePermit) {
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let state = Arc::clone(&self.state);
+        let limits = state.table.load().limits();
+        let head_bytes = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
+        let (reset, usage) = (ResetFlag::default(), ConnectionUse::default());
+        let stream = MeteredStream::new(stream, LinkPeer::Callers, Arc::clone(&state.meter));
+        let mut stream = CallerStream::new(stream, reset.clone()).with_pending_writes(usage.writes.clone());
+        if state.memory.max().is_some() {
+            // A caller that takes nothing would hold its answer for good.
+            stream = stream.with_write_timeout(Duration::from(limits.idle_timeout_ms));
+        }
+        // Counts the connection until its first request does.
+        let new_connection = Arc::new(Mutex::new(Some(state.admission.enter())));
+        let (service_state, service_usage) = (Arc::clone(&state), usage.clone());
+        let first_slot = Arc::clone(&new_connection);
+        let service = service_fn(move |request: Request<CallerBody>| {
+            let (state, reset) = (Arc::clone(&service_state), reset.clone());
+            let slot = first_slot.lock().take().unwrap_or_else(|| state.admission.enter());
+            let in_use = service_usage.begin();
+            let version = request.version();
+            async move {
+                let response = handle_request(&state, request).await;
+                drop(slot);
+                Ok::<_, Infallible>(in_use.until_end_of(reset.guard(version, response)))
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from(limits.idle_timeout_ms))
+            .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        let closing = self.closing.clone();
+        self.open.spawn(async move {
+            let unused = async {
+                tokio::time::sleep(NEW_CONNECTION_MAX).await;
+                drop(new_connection.lock().take());
+                std::future::pending::<()>().await;
+            };
+            tokio::select! {
+                () = caller_connection::serve(state, connection, usage, closing) => {}
+                () = unused => {}
+            }
+            drop(permit);
+        });
+    }
+
     async fn finish(self) -> io::Result<()> {
-        self.graceful.shutdown().await;
+        self.closing.cancel();
+        self.open.close();
+        self.open.wait().await;
         Ok(())
     }
 }
@@ -183,60 +238,6 @@
     state.metrics.record_rejected(reason);
 }
 
-fn serve_connection(
-    state: &Arc<RelayState>,
-    stream: TcpStream,
-    permit: OwnedSemaphorePermit,
-    graceful: &GracefulShutdown,
-) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let limits = state.table.load().limits();
-    let head_bytes = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
-    let service_state = Arc::clone(state);
-    let reset = ResetFlag::default();
-    let service_reset = reset.clone();
-    // Counts the connection until its first request does.
-    let new_connection = Arc::new(Mutex::new(Some(state.admission.enter())));
-    let first_slot = Arc::clone(&new_connection);
-    let service = service_fn(move |request: Request<CallerBody>| {
-        let (state, reset) = (Arc::clone(&service_state), service_reset.clone());
-        let slot = first_slot.lock().take().unwrap_or_else(|| state.admission.enter());
-        let version = request.version();
-        async move {
-            let response = handle_request(&state, request).await;
-            drop(slot);
-            Ok::<_, Infallible>(reset.guard(version, response))
-        }
-    });
-    let stream = MeteredStream::new(stream, LinkPeer::Callers, Arc::clone(&state.meter));
-    let mut stream = CallerStream::new(stream, reset);
-    if state.memory.max().is_some() {
-        // A caller that takes nothing would hold its answer for good.
-        stream = stream.with_write_timeout(Duration::from(limits.idle_timeout_ms));
-    }
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from(limits.idle_timeout_ms))
-        .max_buf_size(head_bytes.max(MIN_HEAD_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(connection);
-    tokio::spawn(async move {
-        let unused = async {
-            tokio::time::sleep(NEW_CONNECTION_MAX).await;
-            drop(new_connection.lock().take());
-            std::future::pending::<()>().await;
-        };
-        tokio::select! {
-            // A caller may abort its connection at any time; nothing depends on the result.
-            _ = watched => {}
-            () = unused => {}
-        }
-        drop(permit);
-    });
-}
-
 async fn handle_request(state: &Arc<RelayState>, request: Request<CallerBody>) -> Response<AnswerBody> {
     let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match relay(state, request).await {
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod budget;
+mod caller_connection;
 mod callers;
 mod crashes;
 mod daemon;
