Refuse streams that cannot end before a stopping daemon does

Callers saw: streams that began late in the grace period of a stop broke off at its end, among them such as may not be resumed.

A stream that has begun goes on, at another engine if need be, until the last answers are due. Without a head by then its caller is told 503 if no engine was to decode it, else 504; one in the middle ends incomplete, so that its caller can resume it.

--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream to its caller and fails over to another engine when it breaks off.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,10 +16,12 @@
 use super::events::EventSplitter;
 use super::interfaces::EventId;
 use super::memory_limit::HeldMemory;
+use super::refusal::Reason;
 use super::stream::StreamedRequest;
 use super::trace::cause_label;
 use crate::backend::{Framing, ServerBody};
 use crate::callers::{AnswerBody, BodyBroken};
+use crate::metrics::Label as _;
 
 /// Silence of an engine after which it is probed with another connection. It is several times the longest
 /// pause that meets the targets; an engine that accepts the probe is alive, and its answer is awaited however
@@ -244,7 +247,15 @@
         has_events: false,
     };
     let events = stream::try_unfold(forwarder, |mut forwarder| async move {
-        let next = forwarder.next().await?;
+        let state = Arc::clone(&forwarder.request.incoming.state);
+        let next = tokio::select! {
+            biased;
+            next = forwarder.next() => next?,
+            () = state.stop.answers_due() => {
+                forwarder.request.incoming.set_outcome(Reason::StopOver.label());
+                return Err(BodyBroken);
+            }
+        };
         Ok::<_, BodyBroken>(next.map(|bytes| (Frame::data(bytes), forwarder)))
     });
     let mut response = Response::new(StreamBody::new(events).boxed_unsync());
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -28,6 +28,7 @@
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
 use super::statements::{self, CallKind};
+use super::stop::{self, STOPPING_RETRY_MS};
 use super::trace::Step;
 use crate::backend::{ConnectionReuse, Probe, ServerBody, probe};
 use crate::callers::{AnswerBody, BodyBroken};
@@ -74,6 +75,7 @@
         demand,
         open: None,
         helpers: Vec::new(),
+        began: None,
         prefilled: None,
         reservation: None,
         decode_attempt: None,
@@ -85,7 +87,15 @@
         last_event: incoming.call.after_event,
         failed: None,
     };
-    let answer = match tokio::time::timeout_at(incoming.deadline, request.run_until_answered()).await {
+    let answered = tokio::select! {
+        biased;
+        answered = tokio::time::timeout_at(incoming.deadline, request.run_until_answered()) => Some(answered),
+        () = state.stop.answers_due() => None,
+    };
+    let Some(answered) = answered else {
+        return Err(request.refusal_at_end_of_stop());
+    };
+    let answer = match answered {
         Ok(Ok(answer)) => answer,
         Ok(Err(refusal)) => {
             return request.failed.take().map(|reply| reply.into_response(&*state.wire)).ok_or(refusal);
@@ -244,6 +254,8 @@
     open: Option<OpenRequest>,
     /// Daemons to which it was forwarded.
     helpers: Vec<HostId>,
+    /// When the first attempt at an engine or at another daemon began.
+    began: Option<Instant>,
     prefilled: Option<PrefilledPrompt>,
     reservation: Option<HeldReservation>,
     /// The attempt whose answer is being streamed.
@@ -292,6 +304,7 @@
     async fn forward(&mut self) -> Option<Result<Response<ServerBody>, Refusal>> {
         // The pool of the other daemon places it; this one must not hold a place for it.
         self.open = None;
+        self.began.get_or_insert_with(Instant::now);
         let binding = match &self.version {
             StreamVersion::NotBegun => VersionBinding::Any,
             StreamVersion::Known(version) => VersionBinding::Only(version.clone()),
@@ -308,6 +321,12 @@
         }
     }
 
+    /// Whether no run has begun at engines, or it has failed before its first event.
+    fn is_at_rest(&self) -> bool {
+        let has_no_event = self.last_event == self.incoming.call.after_event;
+        has_no_event && self.reservation.is_none() && self.prefilled.is_none()
+    }
+
     /// Passes an event to this daemon's pool, if the request is there.
     pub(super) fn feed(&self, event: EngineEvent) {
         if let Some(open) = &self.open {
@@ -333,15 +352,21 @@
         let state = Arc::clone(&self.state);
         let incoming = Arc::clone(&self.incoming);
         let mut refused = pin!(state.quarantine.refused(&state, &incoming.call.id, &incoming.fingerprints));
+        let mut too_late = pin!(stop::too_late(&state, incoming.run_class()));
         loop {
             let step = tokio::select! {
                 biased;
                 refusal = &mut refused => {
                     return Err(refusal.unless_run(self.outcome_unknown));
                 }
+                // A run that has begun was expected to end in time.
+                refusal = &mut too_late, if self.is_at_rest() => {
+                    return Err(refusal.unless_run(self.outcome_unknown));
+                }
                 step = next_step(&mut self.open) => step,
             };
             let Some(action) = step else { break };
+            self.began.get_or_insert_with(Instant::now);
             match action {
                 EngineAction::Reserve { decode_engine, tokens, keep_ms, timeout_ms, .. } => {
                     let event = match self.reserve(&decode_engine, tokens, keep_ms, timeout_ms).await {
@@ -511,6 +536,14 @@
         }
     }
 
+    /// What the caller is told if no engine has answered when the last answers of a stop are due.
+    fn refusal_at_end_of_stop(&self) -> Refusal {
+        if self.outcome_unknown || self.decode_attempt.is_some() || !self.helpers.is_empty() {
+            return Refusal::new(Reason::StopOver);
+        }
+        Refusal::retry_after(Reason::Stopping, STOPPING_RETRY_MS)
+    }
+
     /// Whether another daemon passes the answer on.
     pub(super) fn is_forwarded(&self) -> bool {
         self.decode_attempt.is_none()
@@ -618,6 +651,10 @@
 
     /// Records the end of the engine's answer.
     pub(super) fn record_end(&self) {
+        // A run that begins behind an event is shorter than others.
+        if let (Some(began), None) = (self.began, self.incoming.call.after_event) {
+            self.state.stop.record_run(self.incoming.run_class(), began.elapsed());
+        }
         if let Some(attempt) = &self.decode_attempt {
             attempt.record_end(&self.incoming);
         }
