Refuse requests that a stopping daemon would forward too late

Callers saw: a daemon that reaches no server and stops passed late requests on to another daemon, and cut them together with its own.

The answer has to come back through the daemon that stops, so its end is a deadline of forwarded requests as well: checked before a request is sent to another daemon, and again before the next one is asked. At the daemon that takes a request over, a body that ends too late is refused as not run, and told as a stop to the daemon that asked, which tries another one.

--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -356,11 +356,7 @@
         state.record_organisation_outcome(service.as_str(), partner, refusal.reason.label());
     };
     let class = RunClass { call: &call.id, service: service.as_str(), route: &route };
-    let body = tokio::select! {
-        biased;
-        body = read_body(state.memory.body(), body, limit_bytes, deadline) => body,
-        refusal = stop::too_late(state, class) => Err(refusal),
-    };
+    let body = read_body(state, class, body, limit_bytes, deadline).await;
     let body = body.inspect_err(count_refusal)?;
     let fingerprint = fingerprint(&parts, credentials.as_ref(), partner, &body);
     let fingerprints = Fingerprints::new(fingerprint, &call.shared_prompt_parts);
@@ -417,7 +413,8 @@
     let deadline = arrived + Duration::from(wait_ms(&call, route.timeout_ms));
     let limit_bytes = table.limits().body_bytes.0;
     let limit_bytes = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
-    let body = read_body(state.memory.body(), body, limit_bytes, deadline).await?;
+    let class = RunClass { call: &call.id, service: service.as_str(), route: &route };
+    let body = read_body(state, class, body, limit_bytes, deadline).await?;
     let fingerprints = Fingerprints::new(head.fingerprint, &call.shared_prompt_parts);
     state.quarantine.admit(state, &call.id, &fingerprints)?;
     state.open.fetch_add(1, Ordering::Relaxed);
@@ -532,8 +529,23 @@
     call.wait_ms.unwrap_or(DEFAULT_WAIT_MS).min(route_ms)
 }
 
-/// Reads a body of at most `limit_bytes`, which holds `memory` from then on.
+/// Reads a body of at most `limit_bytes`, which is held in memory from then on. The request is refused once the daemon stops
+/// too soon for it.
 async fn read_body(
+    state: &RelayState,
+    class: RunClass<'_>,
+    body: CallerBody,
+    limit_bytes: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    tokio::select! {
+        biased;
+        body = collect_body(state.memory.body(), body, limit_bytes, deadline) => body,
+        refusal = stop::too_late(state, class) => Err(refusal),
+    }
+}
+
+async fn collect_body(
     mut memory: HeldMemory,
     body: CallerBody,
     limit_bytes: usize,
--- a/crates/router/src/relay/forward.rs
+++ b/crates/router/src/relay/forward.rs
@@ -9,11 +9,13 @@
 //! them has no meaning at the callers' port.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hibiscusvale_core::ids::{HostId, PartnerId, RequestId, ServiceId, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::quarantine::Fingerprint;
@@ -35,6 +37,7 @@
 use super::reach::Helper;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
+use super::stop;
 use super::stream::AnswerVersion;
 use super::trace::Step;
 use super::{callers, hop, state_transfer};
@@ -153,9 +156,19 @@
     let mut may_have_run = false;
     let mut refused: Option<Refusal> = None;
     let state = &incoming.state;
-    state.reach.wait_for_helper(state, incoming.service.as_str(), incoming.left()).await;
+    // A stream that has begun goes on.
+    let has_begun = after_event != incoming.call.after_event;
+    let mut too_late = pin!(stop::too_late(state, incoming.run_class()));
+    tokio::select! {
+        biased;
+        refusal = &mut too_late, if !has_begun => return Forwarded::Refused(refusal),
+        () = state.reach.wait_for_helper(state, incoming.service.as_str(), incoming.left()) => {}
+    }
     incoming.record_helpers(state.reach.helper_counts(incoming.service.as_str()));
     for _ in 0..HELPERS_MAX {
+        if !has_begun && let Some(refusal) = too_late.as_mut().now_or_never() {
+            return Forwarded::Refused(refusal.unless_run(may_have_run));
+        }
         let Some(helper) = state.reach.helper(state, incoming.service.as_str(), tried) else {
             break;
         };
@@ -320,8 +333,11 @@
             Ok(response) => (response, ForwardedEnd::Answered),
             Err(ForwardedRefusal { refusal, is_attempted }) => {
                 let Refusal { reason, retry_after_ms } = refusal;
-                let end =
-                    ForwardedEnd::Refused { reason: reason.label().to_owned(), retry_after_ms, is_attempted };
+                let end = if reason == Reason::Stopping && !is_attempted {
+                    ForwardedEnd::Stopping
+                } else {
+                    ForwardedEnd::Refused { reason: reason.label().to_owned(), retry_after_ms, is_attempted }
+                };
                 let mut response = Response::new(boxed(Full::default()));
                 if refusal.leaves_body_unread() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -58,6 +58,7 @@
 
 /// Forwards a request to another daemon; `None` if none took it, and it has not run.
 async fn relay_through_daemon(incoming: &Incoming) -> Option<Result<Response<AnswerBody>, Refusal>> {
+    let began = Instant::now();
     let response =
         match forward::forward(incoming, incoming.call.after_event, &VersionBinding::Any, &mut Vec::new())
             .await
@@ -69,6 +70,9 @@
     let (parts, body) = response.into_parts();
     let buffered = hop::buffer(incoming, body, incoming.left()).await;
     let body = buffered.map(|body| Full::new(body).map_err(|never| match never {}).boxed_unsync());
+    if body.is_ok() && parts.status.is_success() {
+        incoming.state.stop.record_run(incoming.run_class(), began.elapsed());
+    }
     let answered = body.map(|body| Response::from_parts(parts, body));
     Some(answered.map_err(|_| Refusal::new(Reason::NoAnswer)))
 }
