Tell in the request line and a counter how an answer's end was judged

An answer that is ended by its connection counts as complete by a check at its end, and neither lines nor metrics told what it asked and found. The line has end_asked, end_answered, end_judged and end_check_ms now, and hibiscusvale_relay_connection_ends counts by the first three.

--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
+use hibiscusvale_core::units::Millis;
 use http::{Response, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
@@ -58,6 +60,69 @@
     ServerExited,
 }
 
+/// What was asked at the end of an answer that is delimited by its connection, and what the server answered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndEvidence {
+    /// Whether its listener accepts connections.
+    Listener(Probe),
+}
+
+impl EndEvidence {
+    /// Whether the answer counts as complete.
+    pub fn is_complete(self) -> bool {
+        match self {
+            Self::Listener(probe) => probe != Probe::Refuses,
+        }
+    }
+
+    /// Label of what was asked.
+    pub fn asked(self) -> &'static str {
+        match self {
+            Self::Listener(_) => "listener",
+        }
+    }
+
+    /// Label of what the server answered.
+    pub fn answered(self) -> &'static str {
+        match self {
+            Self::Listener(Probe::Accepts) => "accepts",
+            Self::Listener(Probe::Refuses) => "refuses",
+            Self::Listener(Probe::Unreachable) => "unreachable",
+        }
+    }
+}
+
+/// Check of the end of an answer that is delimited by its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EndCheck {
+    /// What decided.
+    pub evidence: EndEvidence,
+    /// Time that the check took.
+    pub took: Duration,
+}
+
+impl EndCheck {
+    /// Asks whether the server at `server` accepts connections.
+    pub async fn of_listener(server: SocketAddr) -> Self {
+        let started_at = Instant::now();
+        let evidence = EndEvidence::Listener(probe(server).await);
+        Self { evidence, took: started_at.elapsed() }
+    }
+
+    /// Time that the check took.
+    pub fn took_ms(self) -> Millis {
+        Millis(u64::try_from(self.took.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Label of the judgement.
+    pub fn judged(self) -> &'static str {
+        if self.evidence.is_complete() { "complete" } else { "broken" }
+    }
+}
+
+/// Starts the check of an answer's end.
+type EndChecker = Box<dyn FnOnce() -> BoxFuture<'static, EndCheck> + Send>;
+
 /// Body of an answer. It ends without a failure only if the answer is complete.
 ///
 /// A process that exits closes its connections as one does that has finished an answer without a length and
@@ -65,14 +130,13 @@
 pub struct ServerBody {
     incoming: Incoming,
     framing: Framing,
-    server: SocketAddr,
     end: End,
 }
 
 /// Progress at the end of an answer that is delimited by its connection.
 enum End {
-    NotReached,
-    Checking(BoxFuture<'static, Probe>),
+    NotReached(Option<EndChecker>),
+    Checking(BoxFuture<'static, EndCheck>),
     Complete,
 }
 
@@ -80,7 +144,17 @@
     /// Wraps the body of an answer of the server at `server`.
     pub(super) fn wrap(response: Response<Incoming>, server: SocketAddr) -> Response<Self> {
         let framing = Framing::of(&response);
-        response.map(|incoming| Self { incoming, framing, server, end: End::NotReached })
+        let checker: EndChecker = Box::new(move || EndCheck::of_listener(server).boxed());
+        response.map(|incoming| Self { incoming, framing, end: End::NotReached(Some(checker)) })
+    }
+
+    /// Checks the end with `checker` if the connection delimits the answer.
+    pub fn check_end_with<Checker, Check>(&mut self, checker: Checker)
+    where
+        Checker: FnOnce() -> Check + Send + 'static,
+        Check: Future<Output = EndCheck> + Send + 'static,
+    {
+        self.end = End::NotReached(Some(Box::new(move || checker().boxed())));
     }
 
     /// How the body is delimited.
@@ -100,22 +174,23 @@
     type Error = BodyFailure;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFailure>>> {
+        let Self { incoming, framing, end } = self.get_mut();
         loop {
-            match &mut self.end {
-                End::NotReached => {
-                    let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
-                    if frame.is_some() || self.framing != Framing::Connection {
+            match end {
+                End::NotReached(checker) => {
+                    let frame = ready!(Pin::new(&mut *incoming).poll_frame(cx));
+                    if frame.is_some() || *framing != Framing::Connection {
                         return Poll::Ready(frame.map(|frame| frame.map_err(BodyFailure::Broken)));
                     }
-                    self.end = End::Checking(probe(self.server).boxed());
+                    *end = checker.take().map_or(End::Complete, |checker| End::Checking(checker()));
                 }
                 End::Checking(check) => {
-                    let result = ready!(check.poll_unpin(cx));
-                    self.end = End::Complete;
-                    if result == Probe::Refuses {
+                    let check = ready!(check.poll_unpin(cx));
+                    *end = End::Complete;
+                    if !check.evidence.is_complete() {
                         return Poll::Ready(Some(Err(BodyFailure::ServerExited)));
                     }
                 }
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -30,6 +30,7 @@
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
 
+use crate::backend::EndCheck;
 use crate::clock;
 use crate::logging::background::BackgroundWriter;
 use crate::logging::budget::{LineBudget, LineDecision};
@@ -151,6 +152,8 @@
     pub longest_pause_ms: u64,
     /// Framing of the last answer of a server; empty if none answered.
     pub framing: &'a str,
+    /// How the end of the last answer that is delimited by its connection was judged; `None` if there was none.
+    pub end_check: Option<EndCheck>,
     /// Bytes that followed the last complete event when an answer ended.
     pub partial_event_bytes: Bytes,
     /// Time from arrival to completion.
@@ -305,6 +308,10 @@
             first_event_ms = line.first_event_ms.unwrap_or_default(),
             longest_pause_ms = line.longest_pause_ms,
             framing = line.framing,
+            end_asked = line.end_check.map_or("", |check| check.evidence.asked()),
+            end_answered = line.end_check.map_or("", |check| check.evidence.answered()),
+            end_judged = line.end_check.map_or("", EndCheck::judged),
+            end_check_ms = line.end_check.map_or(0, |check| check.took_ms().0),
             partial_event_bytes = line.partial_event_bytes.0,
             took_ms = line.took_ms.0,
         });
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -1,6 +1,7 @@
 //! One attempt to send a request to a backend server, and what the answer proves.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +16,9 @@
 use super::memory_limit::{HeldBuffer, HeldMemory, NoMemory};
 use super::state::{Incoming as IncomingRequest, RelayState};
 use super::statements::{self, CallKind, RequestPath};
-use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, ServerBody, TrackedReply, read_body, uri};
+use crate::backend::{
+    BackendHttp, CallFailure, ConnectionReuse, EndCheck, ServerBody, TrackedReply, read_body, uri,
+};
 use crate::callers::AnswerBody;
 
 /// Answers up to this size are buffered before the caller's answer starts, so that one that breaks off can be
@@ -148,7 +151,7 @@
 pub async fn send(
     http: &BackendHttp,
     wire: &dyn Wire,
-    incoming: &IncomingRequest,
+    incoming: &Arc<IncomingRequest>,
     to: SocketAddr,
     hop: &Hop<'_>,
     reuse: ConnectionReuse,
@@ -174,7 +177,7 @@
 pub async fn send_prefill(
     http: &BackendHttp,
     wire: &dyn Wire,
-    incoming: &IncomingRequest,
+    incoming: &Arc<IncomingRequest>,
     to: SocketAddr,
     hop: &Hop<'_>,
     timeout: Duration,
@@ -194,7 +197,7 @@
 async fn exchange(
     http: &BackendHttp,
     wire: &dyn Wire,
-    incoming: &IncomingRequest,
+    incoming: &Arc<IncomingRequest>,
     to: SocketAddr,
     hop: &Hop<'_>,
     reuse: ConnectionReuse,
@@ -214,6 +217,7 @@
     let mut known = known?;
     let status = known.response.status();
     incoming.record_framing(known.response.body().framing());
+    check_end(incoming, known.response.body_mut(), to);
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.parse_reply(status, &headers);
     incoming.state.statements.record(&incoming.state, hop.server, RequestPath::of(&hop.task), status, &head);
@@ -224,6 +228,16 @@
     Ok(Reply { status, headers, head, known })
 }
 
+/// Records how the end of the answer is judged if its connection delimits it.
+fn check_end(incoming: &Arc<IncomingRequest>, body: &mut ServerBody, to: SocketAddr) {
+    let incoming = Arc::clone(incoming);
+    body.check_end_with(async move || {
+        let check = EndCheck::of_listener(to).await;
+        incoming.record_end_check(check);
+        check
+    });
+}
+
 /// Sends a call of the router itself to an engine and reads the answer, whatever its status.
 ///
 /// # Errors
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -12,6 +12,7 @@
 use super::organisations::OrganisationView;
 use super::state::RelayState;
 use super::store_traffic::{StoreTotals, StoreTraffic};
+use crate::backend::EndCheck;
 use crate::clock;
 use crate::link_meter::{LinkPeer, LinkTotals};
 use crate::metrics::{Metrics, MetricsError};
@@ -27,6 +28,7 @@
     requests: Counter<u64>,
     taken_over: Counter<u64>,
     answers: Counter<u64>,
+    end_checks: Counter<u64>,
     rejected: Counter<u64>,
     caller_connections: Counter<u64>,
     steps: Counter<u64>,
@@ -74,6 +76,7 @@
             requests: meter.u64_counter("hibiscusvale_relay_requests").build(),
             taken_over: meter.u64_counter("hibiscusvale_relay_taken_over").build(),
             answers: meter.u64_counter("hibiscusvale_relay_answers").build(),
+            end_checks: meter.u64_counter("hibiscusvale_relay_connection_ends").build(),
             rejected: meter.u64_counter("hibiscusvale_relay_turned_away").build(),
             caller_connections: meter.u64_counter("hibiscusvale_relay_caller_connections").build(),
             steps: meter.u64_counter("hibiscusvale_relay_steps").build(),
@@ -105,6 +108,13 @@
         }
     }
 
+    /// Counts an answer that ended with its connection.
+    pub fn record_end_check(&self, check: EndCheck) {
+        let asked = KeyValue::new("asked", check.evidence.asked());
+        let answered = KeyValue::new("answered", check.evidence.answered());
+        self.end_checks.add(1, &[asked, answered, KeyValue::new("judged", check.judged())]);
+    }
+
     /// Counts a completed request that another daemon forwarded.
     pub fn record_taken_over(&self, service: &str, outcome: &'static str) {
         let service = KeyValue::new("service", service.to_owned());
--- a/crates/router/src/relay/plain.rs
+++ b/crates/router/src/relay/plain.rs
@@ -235,7 +235,7 @@
 
 async fn exchange(
     state: &RelayState,
-    incoming: &Incoming,
+    incoming: &Arc<Incoming>,
     server: &BackendServerId,
     reuse: ConnectionReuse,
     timeout: Duration,
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -44,7 +44,7 @@
 use super::stream_versions::SharedStreamVersions;
 use super::trace::{RequestTrace, Step};
 use super::uneven_servers::UnevenServices;
-use crate::backend::{BackendHttp, Framing};
+use crate::backend::{BackendHttp, EndCheck, Framing};
 use crate::clock;
 use crate::directory::Directory;
 use crate::dispatch::PlainSchedulers;
@@ -148,6 +148,7 @@
             longest_pause_ms: trace.longest_pause_ms(),
             first_event_ms: trace.first_event_ms(),
             framing: trace.framing(),
+            end_check: trace.end_check(),
             partial_event_bytes: trace.partial_event_bytes(),
             took_ms: Millis(u64::try_from(took.as_millis()).unwrap_or(u64::MAX)),
         });
@@ -202,6 +203,12 @@
         self.trace.lock().record_framing(framing);
     }
 
+    /// Records how the end of an answer that is delimited by its connection was judged.
+    pub fn record_end_check(&self, check: EndCheck) {
+        self.state.metrics.record_end_check(check);
+        self.trace.lock().record_end_check(check);
+    }
+
     /// Records the bytes that followed the last complete event when the answer ended.
     pub fn record_partial_event(&self, size: usize) {
         self.trace.lock().record_partial_event(size);
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -8,7 +8,7 @@
 use hibiscusvale_core::units::{Bytes, Micros};
 
 use super::refusal::Reason;
-use crate::backend::Framing;
+use crate::backend::{EndCheck, Framing};
 use crate::metrics::Label as _;
 
 /// A step of a request at a backend server.
@@ -99,6 +99,7 @@
     last_event_at: Option<Duration>,
     longest_pause: Duration,
     framing: Option<Framing>,
+    end_check: Option<EndCheck>,
     partial_event: Bytes,
     helpers: HelperCounts,
     oldest_list: Micros,
@@ -160,6 +161,16 @@
         self.framing = Some(framing);
     }
 
+    /// Records how the end of an answer that is delimited by its connection was judged.
+    pub fn record_end_check(&mut self, check: EndCheck) {
+        self.end_check = Some(check);
+    }
+
+    /// How the end of the last answer that is delimited by its connection was judged; `None` if there was none.
+    pub fn end_check(&self) -> Option<EndCheck> {
+        self.end_check
+    }
+
     /// Records the bytes that followed the last complete event when an answer ended.
     pub fn record_partial_event(&mut self, size: usize) {
         self.partial_event = Bytes(size as u64);
