Let a server confirm the end of an answer without a length

Callers got streams as complete that had stopped after three of eight events, and pages cut in the middle with status 200, when the process of their server ended, started again at once, or was replaced at its address, and the answer had neither a length nor chunks.

Cause: at the end of such a connection the router asked whether the address accepts connections. A process that starts again accepts, a listener that closes last accepts, and so does the next process at the address.

The end counts now only if the run that was sent the request answers a report sent after it: a process that has ended answers nothing, another server answers 421, another run reports another start. One report serves all answers of a server that ended before it was sent. An unconfirmed end is a broken connection like any other: the stream is resumed or broken off, the page repeated or its outcome unknown.

--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -55,9 +55,22 @@
     /// The connection broke.
     #[error("connection broken")]
     Broken(#[source] hyper::Error),
-    /// The connection ended and the server refuses new ones: its process has exited.
-    #[error("server exited during its answer")]
-    ServerExited,
+    /// The connection ended, and nothing shows that the answer did.
+    #[error("end of the answer not confirmed by the server")]
+    Unconfirmed,
+}
+
+/// Run of a server that answers a call sent after the end of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerRun {
+    /// The one that was sent the request.
+    Same,
+    /// Another one, or another server at its address.
+    Other,
+    /// None answers.
+    Silent,
+    /// The server asks to get no calls now.
+    NotAsked,
 }
 
 /// What was asked at the end of an answer that is delimited by its connection, and what the server answered.
@@ -65,6 +78,8 @@
 pub enum EndEvidence {
     /// Whether its listener accepts connections.
     Listener(Probe),
+    /// Its report.
+    Report(ServerRun),
 }
 
 impl EndEvidence {
@@ -72,6 +87,7 @@
     pub fn is_complete(self) -> bool {
         match self {
             Self::Listener(probe) => probe != Probe::Refuses,
+            Self::Report(run) => run == ServerRun::Same,
         }
     }
 
@@ -79,6 +95,7 @@
     pub fn asked(self) -> &'static str {
         match self {
             Self::Listener(_) => "listener",
+            Self::Report(_) => "report",
         }
     }
 
@@ -88,6 +105,10 @@
             Self::Listener(Probe::Accepts) => "accepts",
             Self::Listener(Probe::Refuses) => "refuses",
             Self::Listener(Probe::Unreachable) => "unreachable",
+            Self::Report(ServerRun::Same) => "same-run",
+            Self::Report(ServerRun::Other) => "other-run",
+            Self::Report(ServerRun::Silent) => "no-answer",
+            Self::Report(ServerRun::NotAsked) => "not-asked",
         }
     }
 }
@@ -126,7 +147,7 @@
 /// Body of an answer. It ends without a failure only if the answer is complete.
 ///
 /// A process that exits closes its connections as one does that has finished an answer without a length and
-/// without chunks. Such an answer is complete only if its server still accepts connections.
+/// without chunks. Such an answer is complete only if its server confirms it afterwards.
 pub struct ServerBody {
     incoming: Incoming,
     framing: Framing,
@@ -191,7 +212,7 @@
                     let check = ready!(check.poll_unpin(cx));
                     *end = End::Complete;
                     if !check.evidence.is_complete() {
-                        return Poll::Ready(Some(Err(BodyFailure::ServerExited)));
+                        return Poll::Ready(Some(Err(BodyFailure::Unconfirmed)));
                     }
                 }
                 End::Complete => return Poll::Ready(None),
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -7,7 +7,7 @@
 mod plain;
 mod probe;
 
-pub use body::{BodyFailure, EndCheck, EndEvidence, Framing, ServerBody};
+pub use body::{BodyFailure, EndCheck, EndEvidence, Framing, ServerBody, ServerRun};
 pub use engine::{
     CacheChange, CacheChangeKind, CachePage, DecodeCall, EngineClient, EngineFailure, EngineLoad, HeldMemory,
     HeldRequest, HeldStage, ImportCall, Imported, Owner, PrefillCall, Prefilled, StreamPart, TokenStream,
--- /dev/null
+++ b/crates/router/src/relay/end_checks.rs
@@ -0,0 +1,161 @@
+//! Checks whether answers that are delimited by their connection are complete.
+//!
+//! A process that ends closes its connections like one that has finished its answers, and its address may be in use
+//! again at once. The end of a connection counts as the end of the answer only if the same run of the server answers a
+//! call that is sent after it. One call serves all answers of a server that ended before it was sent.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hibiscusvale_core::ids::{BackendServerId, Lifetime};
+use hibiscusvale_core::sched::FailureCause;
+use http::StatusCode;
+use parking_lot::Mutex;
+
+use super::hop;
+use super::state::RelayState;
+use super::statements::CallKind;
+use crate::backend::{EndCheck, EndEvidence, ServerRun};
+use crate::directory::{BackendKind, BackendServer};
+
+/// Timeout of one call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after which a server that has not answered is not called again: its streams fail over to another one while their
+/// callers wait.
+const SILENCE_MAX: Duration = Duration::from_millis(700);
+
+/// Pause after a call without an answer. A busy server may reset a new connection.
+const CALL_PAUSE: Duration = Duration::from_millis(100);
+
+/// The run of a server that was sent a request.
+#[derive(Clone, Debug)]
+pub struct ExpectedRun {
+    server: BackendServerId,
+    at: SocketAddr,
+    /// Run as listed when the request was sent; `None` where an id is never used again.
+    lifetime: Option<Lifetime>,
+    is_engine: bool,
+}
+
+impl ExpectedRun {
+    /// The run of `server` at `at` as listed now.
+    pub fn listed(state: &RelayState, server: &BackendServerId, at: SocketAddr) -> Self {
+        let listing = state.directory.listing();
+        let listed: Option<&BackendServer> = listing.servers.get(server).map(AsRef::as_ref);
+        Self {
+            server: server.clone(),
+            at,
+            lifetime: listed.and_then(|listed| listed.lifetime),
+            is_engine: listed.is_some_and(|listed| matches!(listed.kind, BackendKind::Engine { .. })),
+        }
+    }
+}
+
+/// What a server has answered to a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reply {
+    /// The server that was meant; its run if it reports one.
+    Server(Option<Lifetime>),
+    /// Another server.
+    OtherServer,
+    /// None, or none of the server itself.
+    None,
+    /// The server must not be called now.
+    Held,
+}
+
+/// The last call to a server.
+type LastCall = tokio::sync::Mutex<Option<(Instant, Reply)>>;
+
+/// Calls to servers whose answers have ended.
+#[derive(Debug, Default)]
+pub struct SharedEndChecks {
+    calls: Mutex<HashMap<(BackendServerId, SocketAddr), Arc<LastCall>>>,
+}
+
+impl SharedEndChecks {
+    /// What a server answers to a call that is sent from now on. Calls to one server are made one after another.
+    async fn reply(&self, state: &RelayState, run: &ExpectedRun) -> Reply {
+        let asked_from = Instant::now();
+        let key = (run.server.clone(), run.at);
+        let last = Arc::clone(self.calls.lock().entry(key.clone()).or_default());
+        let reply = {
+            let mut last = last.lock().await;
+            match *last {
+                Some((sent_at, reply)) if sent_at >= asked_from => reply,
+                Some(_) | None => {
+                    let sent_at = Instant::now();
+                    let reply = call_until_answered(state, run).await;
+                    *last = Some((sent_at, reply));
+                    reply
+                }
+            }
+        };
+        // The map and this function hold one reference each; others that wait hold their own.
+        let mut calls = self.calls.lock();
+        if Arc::strong_count(&last) <= 2 {
+            calls.remove(&key);
+        }
+        reply
+    }
+}
+
+/// Checks, at the end of an answer, whether the run that was sent the request goes on.
+pub async fn check(state: &RelayState, run: &ExpectedRun) -> EndCheck {
+    let started_at = Instant::now();
+    let found = match state.statements.end_checks.reply(state, run).await {
+        Reply::Server(reported) => match (run.lifetime, reported) {
+            (Some(expected), Some(reported)) if expected != reported => ServerRun::Other,
+            (Some(_) | None, _) => ServerRun::Same,
+        },
+        Reply::OtherServer => ServerRun::Other,
+        Reply::None => ServerRun::Silent,
+        Reply::Held => ServerRun::NotAsked,
+    };
+    EndCheck { evidence: EndEvidence::Report(found), took: started_at.elapsed() }
+}
+
+async fn call_until_answered(state: &RelayState, run: &ExpectedRun) -> Reply {
+    let started_at = Instant::now();
+    loop {
+        let reply = call(state, run).await;
+        if !matches!(reply, Ok(Reply::None) | Err(FailureCause::Broken | FailureCause::Timeout))
+            || started_at.elapsed() + CALL_PAUSE >= SILENCE_MAX
+        {
+            return reply.unwrap_or_else(|cause| match cause {
+                FailureCause::Held(_) => Reply::Held,
+                FailureCause::NotSent
+                | FailureCause::Timeout
+                | FailureCause::Broken
+                | FailureCause::NoRoom
+                | FailureCause::Leaving
+                | FailureCause::Gone
+                | FailureCause::Refused => Reply::None,
+            });
+        }
+        tokio::time::sleep(CALL_PAUSE).await;
+    }
+}
+
+/// Asks a server for its report. Plain servers have none; whatever they answer comes from the server that the call
+/// names, unless it is status 421.
+async fn call(state: &RelayState, run: &ExpectedRun) -> Result<Reply, FailureCause> {
+    let call = (CallKind::Report, state.wire.report(&run.server));
+    let (status, body) = hop::send_call(state, &run.server, run.at, call, CALL_TIMEOUT).await?;
+    Ok(match status {
+        StatusCode::MISDIRECTED_REQUEST => Reply::OtherServer,
+        // Answers of a proxy on the way.
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Reply::None,
+        StatusCode::OK => match state.wire.parse_report(&body) {
+            Some(report) => Reply::Server(report.lifetime),
+            None if run.is_engine && run.lifetime.is_some() => Reply::None,
+            None => Reply::Server(None),
+        },
+        // A report needs no slot. A run that has just started may refuse it, and does not tell that it is another one.
+        _ if run.is_engine && run.lifetime.is_some() => Reply::None,
+        _ => Reply::Server(None),
+    })
+}
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -12,13 +12,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body as _;
 
-use super::interfaces::{EngineCall, Hop, ReplyHead, Wire};
+use super::end_checks::{self, ExpectedRun};
+use super::interfaces::{EngineCall, Hop, ReplyHead, Task, Wire};
 use super::memory_limit::{HeldBuffer, HeldMemory, NoMemory};
 use super::state::{Incoming as IncomingRequest, RelayState};
 use super::statements::{self, CallKind, RequestPath};
-use crate::backend::{
-    BackendHttp, CallFailure, ConnectionReuse, EndCheck, ServerBody, TrackedReply, read_body, uri,
-};
+use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, ServerBody, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
 
 /// Answers up to this size are buffered before the caller's answer starts, so that one that breaks off can be
@@ -207,6 +206,7 @@
     statements::check(state, hop.server, CallKind::Work)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
     incoming.record_list_age();
+    let expected = ExpectedRun::listed(state, hop.server, to);
     let withdrawn = statements::wait_until_leaving(state, hop.server);
     let known = http.send_tracked(reuse, request, timeout, withdrawn).await.map_err(failure_cause);
     let answered = known.as_ref().map(|_| ()).map_err(|cause| *cause);
@@ -217,7 +217,10 @@
     let mut known = known?;
     let status = known.response.status();
     incoming.record_framing(known.response.body().framing());
-    check_end(incoming, known.response.body_mut(), to);
+    // The content of an answer to a prefill tells whether it is complete.
+    if hop.task != Task::Prefill {
+        check_end(incoming, known.response.body_mut(), expected);
+    }
     let headers = std::mem::take(known.response.headers_mut());
     let head = wire.parse_reply(status, &headers);
     incoming.state.statements.record(&incoming.state, hop.server, RequestPath::of(&hop.task), status, &head);
@@ -228,11 +231,11 @@
     Ok(Reply { status, headers, head, known })
 }
 
-/// Records how the end of the answer is judged if its connection delimits it.
-fn check_end(incoming: &Arc<IncomingRequest>, body: &mut ServerBody, to: SocketAddr) {
+/// Lets the server confirm the end of the answer if its connection delimits it.
+fn check_end(incoming: &Arc<IncomingRequest>, body: &mut ServerBody, run: ExpectedRun) {
     let incoming = Arc::clone(incoming);
     body.check_end_with(async move || {
-        let check = EndCheck::of_listener(to).await;
+        let check = end_checks::check(&incoming.state, &run).await;
         incoming.record_end_check(check);
         check
     });
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod crashes;
 mod daemon;
 mod dependency;
+mod end_checks;
 mod engine_pools;
 pub mod events;
 mod exchange;
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 
+use super::end_checks::SharedEndChecks;
 use super::interfaces::{Availability, ReplyHead, Rest, Task};
 use super::state::RelayState;
 use crate::clock;
@@ -69,6 +70,8 @@
 /// What servers have stated in their answers to this daemon.
 #[derive(Debug, Default)]
 pub struct SharedStatements {
+    /// What they state of their run once an answer has ended.
+    pub end_checks: SharedEndChecks,
     servers: Mutex<ServerStatements>,
 }
 
