Count what an answer takes, and name those that do not end

A server that sends 1xx answers, header lines or chunk sizes without end showed up as an ordinary failure or a time limit, and nothing told its bytes from those of other servers. Each connection counts what its current answer has read and what brought no content; a failed call with more than 64 KB of either, and an answer beyond the size that its reader allows, are counted by part (hibiscusvale_relay_answers_without_end) and named in a line with server, address, bytes and time. No change of what calls do.

--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -4,6 +4,7 @@
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 use http::{Response, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use super::answer_reading::AnswerReading;
 use super::probe::{Probe, probe};
 use crate::metrics::Label;
 
@@ -152,6 +154,7 @@
     incoming: Incoming,
     framing: Framing,
     end: End,
+    reading: Option<Arc<AnswerReading>>,
 }
 
 /// Progress at the end of an answer that is delimited by its connection.
@@ -165,8 +168,12 @@
     /// Wraps the body of an answer of the server at `server`.
     pub(super) fn wrap(response: Response<Incoming>, server: SocketAddr) -> Response<Self> {
         let framing = Framing::of(&response);
+        let reading: Option<Arc<AnswerReading>> = response.extensions().get().cloned();
+        if let Some(reading) = &reading {
+            reading.head_read();
+        }
         let checker: EndChecker = Box::new(move || EndCheck::of_listener(server).boxed());
-        response.map(|incoming| Self { incoming, framing, end: End::NotReached(Some(checker)) })
+        response.map(|incoming| Self { incoming, framing, end: End::NotReached(Some(checker)), reading })
     }
 
     /// Checks the end with `checker` if the connection delimits the answer.
@@ -178,6 +185,11 @@
         self.end = End::NotReached(Some(Box::new(move || checker().boxed())));
     }
 
+    /// What is read of the answer.
+    pub(super) fn reading(&self) -> Option<Arc<AnswerReading>> {
+        self.reading.clone()
+    }
+
     /// How the body is delimited.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -198,11 +210,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFailure>>> {
-        let Self { incoming, framing, end } = self.get_mut();
+        let Self { incoming, framing, end, reading } = self.get_mut();
         loop {
             match end {
                 End::NotReached(checker) => {
                     let frame = ready!(Pin::new(&mut *incoming).poll_frame(cx));
+                    count(reading.as_deref(), frame.as_ref());
                     if frame.is_some() || *framing != Framing::Connection {
                         return Poll::Ready(frame.map(|frame| frame.map_err(BodyFailure::Broken)));
                     }
@@ -231,3 +244,12 @@
         self.incoming.size_hint()
     }
 }
+
+/// Counts a part of a body, or its failure.
+fn count(reading: Option<&AnswerReading>, frame: Option<&Result<Frame<Bytes>, hyper::Error>>) {
+    match (reading, frame) {
+        (Some(reading), Some(Ok(_))) => reading.content_read(),
+        (Some(reading), Some(Err(_))) => reading.given_up(),
+        (Some(_), None) | (None, _) => {}
+    }
+}
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
 use hibiscusvale_core::units::Micros;
-use http::{Request, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Extensions, Request, Response, Uri};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tower::{BoxError, Service};
 
+use super::answer_reading::{AnswerPart, AnswerReading, AnswerStream};
 use super::body::ServerBody;
 use crate::link_meter::{LinkMeter, LinkPeer, MeteredStream};
 
@@ -74,7 +75,7 @@
 }
 
 impl Service<Uri> for ServerConnector {
-    type Response = TokioIo<MeteredStream>;
+    type Response = TokioIo<AnswerStream>;
     type Error = BoxError;
     type Future = BoxFuture<'static, Result<Self::Response, BoxError>>;
 
@@ -91,7 +92,9 @@
             let took_us = u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX);
             meter.record_connect(Micros(took_us));
             discard_on_close(&stream)?;
-            Ok(TokioIo::new(MeteredStream::new(stream, LinkPeer::Servers, meter)))
+            let reading = AnswerReading::new(stream.peer_addr()?, Arc::clone(&meter));
+            let stream = MeteredStream::new(stream, LinkPeer::Servers, meter);
+            Ok(TokioIo::new(AnswerStream::new(stream, reading)))
         }
         .boxed()
     }
@@ -179,10 +182,21 @@
     ///
     /// A [`CallFailure`]; only [`CallFailure::NotSent`] proves that the request did not run.
     pub async fn send(
+        &self,
+        reuse: ConnectionReuse,
+        mut request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Response<ServerBody>, CallFailure> {
+        let connection = capture_connection(&mut request);
+        self.send_captured(reuse, request, timeout, connection).await
+    }
+
+    async fn send_captured(
         &self,
         reuse: ConnectionReuse,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+        mut connection: CaptureConnection,
     ) -> Result<Response<ServerBody>, CallFailure> {
         let server = request.uri().authority().and_then(|authority| authority.as_str().parse().ok());
         let server = server.ok_or(CallFailure::Malformed)?;
@@ -190,12 +204,32 @@
             ConnectionReuse::Pooled => &self.pooled,
             ConnectionReuse::Fresh => &self.fresh,
         };
-        match tokio::time::timeout(timeout, client.request(request)).await {
-            Ok(Ok(response)) => Ok(ServerBody::wrap(response, server)),
-            Ok(Err(error)) if error.is_connect() => Err(CallFailure::NotSent),
-            Ok(Err(_)) => Err(CallFailure::Broken),
-            Err(_) => Err(CallFailure::Timeout),
+        let exchange = async {
+            let mut sending = pin!(client.request(request));
+            let connected = async {
+                connection.wait_for_connection_metadata().await;
+            };
+            // The library sends the request as soon as there is a connection, which may carry its second call.
+            tokio::select! {
+                biased;
+                response = &mut sending => return response,
+                () = connected => {}
+            }
+            if let Some(reading) = reading_of(&connection) {
+                reading.begin();
+            }
+            sending.await
+        };
+        let failure = match tokio::time::timeout(timeout, exchange).await {
+            Ok(Ok(response)) => return Ok(ServerBody::wrap(response, server)),
+            Ok(Err(error)) if error.is_connect() => return Err(CallFailure::NotSent),
+            Ok(Err(_)) => CallFailure::Broken,
+            Err(_) => CallFailure::Timeout,
+        };
+        if let Some(reading) = reading_of(&connection) {
+            reading.given_up();
         }
+        Err(failure)
     }
 
     /// Like [`Self::send`], and also returns the connection that carried the request. Nothing is sent if `withdrawn`
@@ -215,7 +249,7 @@
         Withdrawn: Future<Output = ()>,
     {
         let mut connection = capture_connection(&mut request);
-        let mut sending = pin!(self.send(reuse, request, timeout));
+        let mut sending = pin!(self.send_captured(reuse, request, timeout, connection.clone()));
         let answered = {
             let connected = async {
                 connection.wait_for_connection_metadata().await;
@@ -236,6 +270,13 @@
     }
 }
 
+/// The answers on a connection; `None` if there is none yet.
+fn reading_of(connection: &CaptureConnection) -> Option<Arc<AnswerReading>> {
+    let mut extensions = Extensions::new();
+    connection.connection_metadata().as_ref()?.get_extras(&mut extensions);
+    extensions.remove()
+}
+
 /// An answer together with the connection that it arrived on.
 #[derive(Debug)]
 pub struct TrackedReply {
@@ -263,10 +304,21 @@
     limit_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, CallFailure> {
+    let reading = body.reading();
     match tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(CallFailure::Broken),
-        Err(_) => Err(CallFailure::Timeout),
+        Ok(Err(error)) => {
+            if let Some(reading) = reading.filter(|_| error.is::<LengthLimitError>()) {
+                reading.report(AnswerPart::Body);
+            }
+            Err(CallFailure::Broken)
+        }
+        Err(_) => {
+            if let Some(reading) = reading {
+                reading.given_up();
+            }
+            Err(CallFailure::Timeout)
+        }
     }
 }
 
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -1,5 +1,6 @@
 //! Clients for backend servers: model engines and plain services.
 
+mod answer_reading;
 mod body;
 mod engine;
 mod engine_http;
@@ -7,6 +8,7 @@
 mod plain;
 mod probe;
 
+pub use answer_reading::{AnswerPart, EndlessAnswer};
 pub use body::{BodyFailure, EndCheck, EndEvidence, Framing, ServerBody, ServerRun};
 pub use engine::{
     CacheChange, CacheChangeKind, CachePage, DecodeCall, EngineClient, EngineFailure, EngineLoad, HeldMemory,
--- a/crates/router/src/link_meter.rs
+++ b/crates/router/src/link_meter.rs
@@ -12,6 +12,8 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::backend::{AnswerPart, EndlessAnswer};
+
 /// Peers whose bytes are counted apart.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkPeer {
@@ -58,12 +60,24 @@
     pub fastest_us: Option<Micros>,
 }
 
+/// Maximum number of answers without end that are kept for lines.
+const ENDLESS_KEPT_MAX: usize = 16;
+
+/// Answers that were given up because a part of them did not end.
+#[derive(Debug, Default)]
+struct EndlessAnswers {
+    counts: [u64; AnswerPart::ALL.len()],
+    /// Those since the last line.
+    latest: Vec<EndlessAnswer>,
+}
+
 /// Bytes and connections of a daemon.
 #[derive(Debug, Default)]
 pub struct LinkMeter {
     received: [AtomicU64; LINK_PEERS],
     sent: [AtomicU64; LINK_PEERS],
     connects: Mutex<ConnectTimes>,
+    endless: Mutex<EndlessAnswers>,
 }
 
 impl LinkMeter {
@@ -93,6 +107,25 @@
         std::mem::take(&mut *self.connects.lock())
     }
 
+    /// Records an answer that was given up because a part of it did not end.
+    pub fn record_endless(&self, answer: EndlessAnswer) {
+        let mut endless = self.endless.lock();
+        endless.counts[answer.part as usize] += 1;
+        if endless.latest.len() < ENDLESS_KEPT_MAX {
+            endless.latest.push(answer);
+        }
+    }
+
+    /// Number of answers of which `part` did not end, since the start.
+    pub fn endless(&self, part: AnswerPart) -> u64 {
+        self.endless.lock().counts[part as usize]
+    }
+
+    /// Answers without end since the call before; the first ones if there were many.
+    pub fn take_endless(&self) -> Vec<EndlessAnswer> {
+        std::mem::take(&mut self.endless.lock().latest)
+    }
+
     fn count(counters: &[AtomicU64; LINK_PEERS], peer: LinkPeer, bytes: usize) {
         counters[peer as usize].fetch_add(bytes as u64, Ordering::Relaxed);
     }
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -30,7 +30,7 @@
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
 
-use crate::backend::EndCheck;
+use crate::backend::{EndCheck, EndlessAnswer};
 use crate::clock;
 use crate::logging::background::BackgroundWriter;
 use crate::logging::budget::{LineBudget, LineDecision};
@@ -504,6 +504,18 @@
         });
     }
 
+    /// Logs that an answer was given up because a part of it did not end. `server` is `None` if the address is not that of
+    /// a listed server.
+    pub fn answer_without_end(&self, server: Option<&BackendServerId>, answer: &EndlessAnswer) {
+        spdlog::info!(logger: self.logger, "answer without end", kv: {
+            server = or_empty(server.map(BackendServerId::as_str)),
+            address: = answer.server,
+            part = answer.part.label(),
+            read_bytes = answer.read.0,
+            after_ms = u64::try_from(answer.after.as_millis()).unwrap_or(u64::MAX),
+        });
+    }
+
     /// Logs that the host is no longer congested, after `lasted_ms`.
     pub fn host_relieved(&self, lasted_ms: Millis) {
         spdlog::info!(logger: self.logger, "host no longer congested", kv: { lasted_ms = lasted_ms.0 });
--- a/crates/router/src/relay/metrics.rs
+++ b/crates/router/src/relay/metrics.rs
@@ -12,10 +12,10 @@
 use super::organisations::OrganisationView;
 use super::state::RelayState;
 use super::store_traffic::{StoreTotals, StoreTraffic};
-use crate::backend::EndCheck;
+use crate::backend::{AnswerPart, EndCheck};
 use crate::clock;
 use crate::link_meter::{LinkPeer, LinkTotals};
-use crate::metrics::{Metrics, MetricsError};
+use crate::metrics::{Label as _, Metrics, MetricsError};
 
 /// Histogram bounds in ms around targets of 0.15 to 0.9 s and timeouts of several seconds.
 const WAIT_BOUNDS_MS: [f64; 12] =
@@ -208,6 +208,7 @@
         observe_admission(&meter, state);
         observe_link(&meter, "hibiscusvale_relay_received_bytes", state, |totals| totals.received);
         observe_link(&meter, "hibiscusvale_relay_sent_bytes", state, |totals| totals.sent);
+        observe_endless(&meter, state);
         observe_spill_over(&meter, state);
         let demand = |view: &OrganisationView| Some(view.demand_per_1000_s);
         observe_organisations(&meter, "hibiscusvale_relay_demand_requests_per_1000_s", state, demand);
@@ -314,6 +315,20 @@
         .build();
 }
 
+/// Registers the counter of answers that were given up because a part of them did not end.
+fn observe_endless(meter: &Meter, state: &Arc<RelayState>) {
+    let state = Arc::downgrade(state);
+    meter
+        .u64_observable_counter("hibiscusvale_relay_answers_without_end")
+        .with_callback(move |observer| {
+            let Some(state) = state.upgrade() else { return };
+            for part in AnswerPart::ALL {
+                observer.observe(state.meter.endless(part), &[KeyValue::new("part", part.label())]);
+            }
+        })
+        .build();
+}
+
 /// Registers the gauge of the part of what waits that spills over, in thousandths, by service.
 fn observe_spill_over(meter: &Meter, state: &Arc<RelayState>) {
     let state = Arc::downgrade(state);
