Log what a daemon knew when a caller took a stream up

The line tells how the version became known and how many daemons replied, but not how old the list was, which versions the daemon had seen, and how many daemons it knew beside those that it asked: a daemon that takes an old list for a current one can't be told from one that asks daemons that know no more.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -205,6 +205,12 @@
     pub asked: usize,
     /// Number of those that replied.
     pub replied: usize,
+    /// Number of other daemons that are known.
+    pub daemons: u64,
+    /// Age of the server list; `None` if there is none.
+    pub list_age_ms: Option<Millis>,
+    /// Software versions of the service that this daemon has seen, separated by commas.
+    pub seen: &'a str,
 }
 
 impl Log {
@@ -395,6 +401,9 @@
                 record_age_ms = line.record_age_ms.0,
                 asked = line.asked,
                 replied = line.replied,
+                daemons = line.daemons,
+                list_age_ms = line.list_age_ms.map_or(-1, |age_ms| i64::try_from(age_ms.0).unwrap_or(i64::MAX)),
+                seen = line.seen,
             });
         }
     }
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -413,7 +413,12 @@
     }
 
     fn has_several(&self, service: &ServiceId) -> bool {
-        self.history.lock().seen(clock::now(), service).versions.len() > 1
+        self.seen(clock::now(), service).versions.len() > 1
+    }
+
+    /// The versions of a service that this daemon has seen.
+    fn seen(&self, now_us: MonoTime, service: &ServiceId) -> SeenVersions {
+        self.history.lock().seen(now_us, service)
     }
 
     /// The reply to another daemon's question.
@@ -754,6 +759,10 @@
 ) -> Result<StreamOrigin, Refusal> {
     let mut inquiry = Inquiry::default();
     let found = state.stream_versions.origin_of(state, key, route, &mut inquiry).await;
+    let now_us = clock::now();
+    let seen = route.only_destination().map(|service| state.stream_versions.seen(now_us, service));
+    let seen: Vec<String> =
+        seen.unwrap_or_default().versions.iter().map(SoftwareVersion::to_string).collect();
     let label = match &found {
         Ok((_, source)) => source.label(),
         Err(gap) => gap.label(),
@@ -769,6 +778,9 @@
         record_age_ms: inquiry.age_us.unwrap_or_default().to_millis_ceil(),
         asked: inquiry.asked,
         replied: inquiry.replied,
+        daemons: state.peers.registered().saturating_sub(1),
+        list_age_ms: state.freshness.servers_age_us(now_us).map(Micros::to_millis_ceil),
+        seen: &seen.join(","),
     });
     found.map(|(origin, _)| origin).map_err(Gap::refusal)
 }
