Pass on no event twice when an engine takes a stream up

Callers got events again, from the first or from their last one, when an engine that took their stream up ignored Last-Event-Id or began one event too early: ids went back, within one answer and in an answer to a caller that took the stream up itself.

Cause: ids of events were recorded and never compared. A resume was taken to begin where it was asked to.

The first id behind a resume has to be larger than the last one that the caller has; otherwise the engine's answer is broken, and the stream goes on elsewhere or is broken off. Ids of a stream that is not resumed are not checked, and a gap cannot be told, since ids may jump.

streams::resumed_stream_repeats_no_event failed before in both cases, for the resume by the daemon and, tried alone, for the one by the caller: 11 and 9 events instead of 3. Both pass now, with the 8 other tests of streams and 112 of answer ends and versions.

--- a/crates/router/src/relay/events.rs
+++ b/crates/router/src/relay/events.rs
@@ -20,6 +20,8 @@
 pub struct Events {
     /// Bytes of the events, unchanged.
     pub bytes: Bytes,
+    /// Id of the first event that has one; `None` if no event has one.
+    pub first: Option<EventId>,
     /// Id of the last event; `None` if no event has one.
     pub last: Option<EventId>,
 }
@@ -59,8 +61,8 @@
         };
         let bytes = self.held.split_to(end).freeze();
         self.searched = self.held.len();
-        let last = last_id(&bytes);
-        Ok(Some(Events { bytes, last }))
+        let (first, last) = (ids(&bytes).next(), ids(&bytes).next_back());
+        Ok(Some(Events { bytes, first, last }))
     }
 
     /// Whether a stream that ends here was cut: inside an event, or inside a line. An event without its empty
@@ -104,8 +106,9 @@
     }
 }
 
-fn last_id(bytes: &[u8]) -> Option<EventId> {
-    let lines = bytes.rsplit(|&byte| byte == b'\n' || byte == b'\r');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    ids.find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
+/// Ids of the events in `bytes`, in order.
+fn ids(bytes: &[u8]) -> impl DoubleEndedIterator<Item = EventId> {
+    let lines = bytes.split(|&byte| byte == b'\n' || byte == b'\r');
+    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -95,7 +95,7 @@
                         continue;
                     };
                     if let Some(events) = events {
-                        if let Err(cause) = self.check_version(events.last) {
+                        if let Err(cause) = self.check_beginning(events.first) {
                             self.fail_over(cause).await?;
                             continue;
                         }
@@ -168,9 +168,11 @@
         BodyBroken
     }
 
-    /// Checks that the events come from the software version that began the stream.
-    fn check_version(&mut self, last: Option<EventId>) -> Result<(), FailureCause> {
-        match last {
+    /// Checks that the events come from the software version that began the stream, and that an engine that takes it up
+    /// begins behind the last event that the caller has.
+    fn check_beginning(&mut self, first: Option<EventId>) -> Result<(), FailureCause> {
+        match first {
+            Some(_) if !self.has_events && first <= self.request.last_event => Err(FailureCause::Broken),
             Some(_) if !self.has_events => self.request.begin_events(),
             Some(_) => {
                 self.request.check_version();
