Ask before a stream goes on at the only version that a daemon has seen

During a release, streams that had begun at engines of a new version through other daemons went on at the version before, at a daemon that was cut off from the other daemons and from the store, or that had stood still.

A daemon took its own list, up to 3 s old, for all that had served until now, and asked nobody. A version can join, begin a stream and break it off within that time.

Now a daemon that has no record asks, and takes one version for the only one if all other daemons have replied (up to 16), or if the saved versions were read from the platform after the caller came back: a version is saved before its first stream begins.

The simulation gets releases beside cuts, callers that come back at once, and restarts of all daemons within a release.

--- a/crates/core/src/relay/stream_versions.rs
+++ b/crates/core/src/relay/stream_versions.rs
@@ -3,7 +3,7 @@
 //! What two versions write does not fit together, and servers do not check it. The daemon that passes on the first
 //! event of a stream sends a record of its version to some other daemons, selected by a hash of the stream. A daemon
 //! that does not know a stream asks the same daemons. A stream that none of them knows may still be resumed if only
-//! one version has served since before it can have begun.
+//! one version has served since before it can have begun, and until it was resumed.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -54,7 +54,7 @@
 }
 
 /// Largest number of other daemons at which all of them keep the record of each stream.
-const ALL_KEEPERS_MAX: usize = 16;
+pub const ALL_KEEPERS_MAX: usize = 16;
 
 /// The daemons among `daemons`, which are all others, that keep the record of a stream: up to `count` of the own data
 /// centre, which are reached when it is cut off, and up to `count` of all, at which callers in other data centres find
@@ -330,12 +330,23 @@
     }
 }
 
+/// What confirms that no version has come unseen before a caller resumed a stream. What a daemon has seen itself ends at the
+/// last confirmation of its list, and the stream may have begun, and broken off, after that.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Confirmation {
+    /// All other daemons have replied since then: the one that began the stream has seen its version.
+    AllDaemons,
+    /// The saved versions were read since then: a version is saved before its first stream begins.
+    Saved,
+}
+
 /// The only version at which a stream of a service can have begun, by what several daemons have seen; `None` if there
 /// were several, or if some may be missing.
-pub fn only_version<'a, Seen>(seen: Seen) -> Option<SoftwareVersion>
+pub fn only_version<'a, Seen>(confirmation: Option<Confirmation>, seen: Seen) -> Option<SoftwareVersion>
 where
     Seen: Iterator<Item = &'a SeenVersions> + Clone,
 {
+    confirmation?;
     if !seen.clone().any(|seen| seen.is_complete) {
         return None;
     }
--- a/crates/core/tests/relay/stream_versions.rs
+++ b/crates/core/tests/relay/stream_versions.rs
@@ -3,8 +3,8 @@
 use hibiscusvale_core::ids::{DataCentreId, HostId, PartnerId, ServiceId, SoftwareVersion};
 use hibiscusvale_core::quarantine::CallerIdentity;
 use hibiscusvale_core::relay::stream_versions::{
-    STREAM_TTL_MS, SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions,
-    VersionHistory, keepers, only_version,
+    Confirmation, STREAM_TTL_MS, SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord,
+    StreamVersions, VersionHistory, keepers, only_version,
 };
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use rstest::rstest;
@@ -121,7 +121,7 @@
 }
 
 fn only(history: &VersionHistory, now_ms: u64) -> Option<SoftwareVersion> {
-    only_version([&history.seen(at(now_ms), &llm())].into_iter())
+    only_version(Some(Confirmation::AllDaemons), [&history.seen(at(now_ms), &llm())].into_iter())
 }
 
 #[rstest]
@@ -204,13 +204,24 @@
         versions: versions.iter().map(|text| version(text)).collect(),
         is_complete,
     };
+    let only = |seen: &[&SeenVersions]| only_version(Some(Confirmation::AllDaemons), seen.iter().copied());
     let (new, old) = (seen(&["v1"], false), seen(&["v1"], true));
-    assert_eq!(only_version([&new, &old].into_iter()), Some(version("v1")));
-    assert_eq!(only_version([&new].into_iter()), None);
+    assert_eq!(only(&[&new, &old]), Some(version("v1")));
+    assert_eq!(only(&[&new]), None);
     let released = seen(&["v1", "v2"], true);
-    assert_eq!(only_version([&new, &released].into_iter()), None);
-    assert_eq!(only_version([&seen(&["v2"], false), &old].into_iter()), None);
-    assert_eq!(only_version([&seen(&[], true)].into_iter()), None);
+    assert_eq!(only(&[&new, &released]), None);
+    assert_eq!(only(&[&seen(&["v2"], false), &old]), None);
+    assert_eq!(only(&[&seen(&[], true)]), None);
+}
+
+/// A list that was current a moment ago does not show a version that has come since.
+#[test]
+fn versions_seen_prove_nothing_without_a_confirmation() {
+    let seen = SeenVersions { versions: vec![version("v1")], is_complete: true };
+    assert_eq!(only_version(None, [&seen].into_iter()), None);
+    for confirmation in [Confirmation::AllDaemons, Confirmation::Saved] {
+        assert_eq!(only_version(Some(confirmation), [&seen].into_iter()), Some(version("v1")));
+    }
 }
 
 fn daemons(data_centres: usize, each: usize) -> Vec<(HostId, DataCentreId)> {
--- a/crates/core/tests/relay/stream_versions_simulation.rs
+++ b/crates/core/tests/relay/stream_versions_simulation.rs
@@ -1,15 +1,15 @@
 //! Daemons in virtual time that record streams, forget them at restarts, are cut off, and are asked to resume them.
 //!
-//! Each step has the order of the router: own record, versions seen, records of others, versions that others have seen.
+//! Each step has the order of the router: own record, records of others, versions that all have seen or that are saved.
 
 use std::collections::{BTreeSet, HashMap};
 
 use hibiscusvale_core::ids::{DataCentreId, HostId, ServiceId, SoftwareVersion};
 use hibiscusvale_core::relay::stream_versions::{
-    SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions, VersionHistory,
-    keepers, only_version,
+    ALL_KEEPERS_MAX, Confirmation, SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord,
+    StreamVersions, VersionHistory, keepers, only_version,
 };
-use hibiscusvale_core::units::{Millis, MonoTime};
+use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
@@ -17,12 +17,22 @@
 /// Step of the simulation. Messages between daemons arrive within one.
 const STEP_MS: u64 = 50;
 
+/// Interval at which the daemon that saves versions does so.
+const SAVE_INTERVAL_MS: u64 = 500;
+
 /// Length of a run.
 const RUN_MS: u64 = 90_000;
 
 /// Time during which a stream is resumed after its first event.
 const RESUME_MS: std::ops::Range<u64> = 0..14_000;
 
+/// The same for callers that come back at once.
+const RESUME_AT_ONCE_MS: std::ops::Range<u64> = 0..1_000;
+
+/// Share of these callers, and of the cuts in which a version joins, per thousand.
+const AT_ONCE_PER_MILLE: u32 = 300;
+const JOIN_PER_MILLE: u32 = 300;
+
 /// Time for which a daemon must have run undisturbed for its answers to count.
 const CONTACT_MS: u64 = 3_000;
 
@@ -49,6 +59,21 @@
     Guesses,
     /// A new daemon takes its own list for all that has ever served.
     TrustsShortHistory,
+    /// A daemon takes a list that was current a moment ago for all that has served until now.
+    TrustsOwnList,
+    /// A daemon takes the replies of those that it reaches for those of all.
+    TrustsReachable,
+}
+
+/// How versions come and go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Regime {
+    /// Several serve most of the time, and come back.
+    Churn,
+    /// One serves, until another one replaces it or is taken back.
+    Releases,
+    /// As above, within moments, and nothing is wrong but that all daemons end at once.
+    Restarts,
 }
 
 struct Daemon {
@@ -90,6 +115,7 @@
 struct Simulation {
     rng: StdRng,
     mutant: Mutant,
+    regime: Regime,
     now: MonoTime,
     daemons: Vec<Daemon>,
     serving: BTreeSet<SoftwareVersion>,
@@ -125,7 +151,7 @@
 }
 
 impl Simulation {
-    fn new(seed: u64, daemons: usize, data_centres: usize, mutant: Mutant) -> Self {
+    fn new(seed: u64, daemons: usize, data_centres: usize, regime: Regime, mutant: Mutant) -> Self {
         let daemon = |number: usize| Daemon {
             host: format!("entry-{number}").parse().unwrap(),
             data_centre: format!("z-{}", number % data_centres).parse().unwrap(),
@@ -139,6 +165,7 @@
         Self {
             rng: StdRng::seed_from_u64(seed),
             mutant,
+            regime,
             now: MonoTime::default(),
             daemons: (0..daemons).map(daemon).collect(),
             serving: BTreeSet::from([version(0)]),
@@ -168,8 +195,39 @@
         self.rng.random_range(0..1_000) < per_mille
     }
 
-    /// Versions come and go, and come back.
     fn change_versions(&mut self) {
+        match (self.regime, self.serving.len()) {
+            (Regime::Churn, _) => self.churn(),
+            (Regime::Releases | Regime::Restarts, 1) => {
+                if self.chance(if self.regime == Regime::Restarts { 3 } else { 1 }) {
+                    self.release();
+                }
+            }
+            (Regime::Releases | Regime::Restarts, _) => {
+                if self.chance(if self.regime == Regime::Restarts { 200 } else { 20 }) {
+                    let is_taken_back = self.chance(200);
+                    if is_taken_back {
+                        self.serving.pop_last()
+                    } else {
+                        self.serving.pop_first()
+                    };
+                }
+            }
+        }
+    }
+
+    /// A new version joins the only one.
+    fn release(&mut self) {
+        let number = (0..).find(|number| self.serving.iter().all(|serving| *serving < version(*number)));
+        self.serving.extend(number.map(version));
+        // From now on the version of a stream is not known without its record.
+        let (now, service) = (self.now, service());
+        for daemon in self.daemons.iter().filter(|daemon| daemon.is_up && !daemon.is_cut) {
+            self.log.extend(daemon.streams.records_of(now, &service));
+        }
+    }
+
+    fn churn(&mut self) {
         if self.chance(4) {
             let number = self.rng.random_range(0..4);
             if self.serving.len() > 1 && self.chance(500) {
@@ -181,11 +239,14 @@
     }
 
     fn disturb(&mut self) {
-        if self.chance(1) && self.chance(300) {
+        if self.chance(1) && (self.regime == Regime::Restarts || self.chance(300)) {
             // All processes end at once.
             let now = self.now;
             self.daemons.iter_mut().for_each(|daemon| daemon.start(now, false));
         }
+        if self.regime == Regime::Restarts {
+            return;
+        }
         for at in 0..self.daemons.len() {
             let is_struck = self.chance(2);
             let now = self.now;
@@ -203,6 +264,10 @@
                 _ => {
                     daemon.is_cut = !daemon.is_cut;
                     daemon.disturbed = now;
+                    let is_single = self.serving.len() == 1;
+                    if self.regime == Regime::Releases && is_single && self.chance(JOIN_PER_MILLE) {
+                        self.release();
+                    }
                 }
             }
         }
@@ -217,7 +282,10 @@
             }
             daemon.history.observe(now, Some(now.since(daemon.list_at)));
         }
-        // One daemon saves for all.
+        // One daemon saves for all, at intervals.
+        if !now.since(MonoTime::default()).0.is_multiple_of(Micros::from(Millis(SAVE_INTERVAL_MS)).0) {
+            return;
+        }
         let saver = self.daemons.iter_mut().find(|daemon| daemon.is_up && !daemon.is_cut);
         if let Some(saver) = saver {
             if let Some(saved) = &self.saved
@@ -285,10 +353,23 @@
         } else {
             self.deliver(&recipients, &record);
         }
-        if listed.len() > 1 && !self.daemons[at].is_cut && self.mutant != Mutant::RecordsLate {
+        // In a small fleet the daemon that saves for all has each record, and may know of versions before.
+        let saver = self.daemons.iter().find(|daemon| daemon.is_up && !daemon.is_cut);
+        let saver = saver.filter(|_| self.daemons.len() <= ALL_KEEPERS_MAX + 1);
+        let is_release_known = listed.len() > 1
+            || saver.is_some_and(|saver| saver.history.seen(now, &service()).versions.len() > 1);
+        if is_release_known && !self.daemons[at].is_cut && self.mutant != Mutant::RecordsLate {
             self.log.push(record);
         }
-        let resume_after = self.rng.random_range(RESUME_MS);
+        // A version is saved before its first stream begins.
+        if !self.daemons[at].is_cut
+            && let Some(saved) = &mut self.saved
+            && !saved.contains(&version)
+        {
+            saved.push(version.clone());
+        }
+        let is_at_once = self.chance(AT_ONCE_PER_MILLE);
+        let resume_after = self.rng.random_range(if is_at_once { RESUME_AT_ONCE_MS } else { RESUME_MS });
         let is_named = self.chance(800);
         let data_centre = self.daemons[at].data_centre.clone();
         self.streams.push(Stream {
@@ -361,13 +442,19 @@
             return found;
         }
         let is_current = now < self.daemons[at].list_at + Millis(CURRENT_LIST_MS);
-        let own = self.seen(at);
-        if is_current && let Some(only) = only_version([&own].into_iter()) {
+        if self.mutant == Mutant::TrustsOwnList
+            && is_current
+            && let Some(only) = only_version(Some(Confirmation::AllDaemons), [&self.seen(at)].into_iter())
+        {
             return Some(only);
         }
+        let is_small = self.daemons.len() <= ALL_KEEPERS_MAX + 1;
         let asked: Vec<usize> = match key {
             Some(key) => self.keepers_of(at, key, 3),
-            None => self.daemons.iter().map(|daemon| daemon.host.clone()).take(4).collect(),
+            None => {
+                let count = if is_small { self.daemons.len() } else { 4 };
+                self.daemons.iter().map(|daemon| daemon.host.clone()).take(count).collect()
+            }
         }
         .into_iter()
         .filter_map(|host| self.daemons.iter().position(|daemon| daemon.host == host))
@@ -385,18 +472,22 @@
         if self.mutant == Mutant::Guesses {
             return self.serving.first().cloned();
         }
-        if !is_current && (replied.is_empty() || replied.len() < asked.len()) {
-            return None;
-        }
+        let is_everyone = is_small && replied.len() == asked.len() && !replied.is_empty();
+        let trusts_reachable = self.mutant == Mutant::TrustsReachable && !replied.is_empty();
+        let mut confirmation = (is_everyone || trusts_reachable).then_some(Confirmation::AllDaemons);
         let mut seen: Vec<SeenVersions> = replied.iter().map(|to| self.seen(*to)).collect();
-        if !seen.iter().any(|seen| seen.is_complete)
+        seen.push(self.seen(at));
+        if (confirmation.is_none() || !seen.iter().any(|seen| seen.is_complete))
+            && is_current
             && !self.daemons[at].is_cut
             && let Some(saved) = &self.saved
         {
+            confirmation = Some(Confirmation::Saved);
+            seen.push(SeenVersions { versions: saved.clone(), is_complete: false });
             self.daemons[at].history.adopt_earlier(now, &service, saved);
+            seen.push(self.seen(at));
         }
-        seen.push(self.seen(at));
-        only_version(seen.iter())
+        only_version(confirmation, seen.iter())
     }
 
     fn seen(&self, at: usize) -> SeenVersions {
@@ -410,9 +501,10 @@
     mutant: Mutant,
     daemons: usize,
     data_centres: usize,
+    regime: Regime,
     seeds: std::ops::Range<u64>,
 ) -> Vec<Outcome> {
-    seeds.map(|seed| Simulation::new(seed, daemons, data_centres, mutant).run()).collect()
+    seeds.map(|seed| Simulation::new(seed, daemons, data_centres, regime, mutant).run()).collect()
 }
 
 /// Number of seeds at which more streams were mixed than the users tolerate, at which less than half of those went on that
@@ -438,7 +530,7 @@
     #[case] data_centres: usize,
     #[case] seeds: std::ops::Range<u64>,
 ) {
-    let outcomes = outcomes(Mutant::None, daemons, data_centres, seeds);
+    let outcomes = outcomes(Mutant::None, daemons, data_centres, Regime::Churn, seeds);
     let none = HashMap::from([("mixed", 0), ("lost", 0), ("orphaned", 0)]);
     assert_eq!(broken(&outcomes), none, "{outcomes:?}");
     let sum = |count: fn(&Outcome) -> usize| outcomes.iter().map(count).sum::<usize>();
@@ -446,14 +538,49 @@
     assert!(orphaned > 10 && refused > 10, "{orphaned} streams lost their daemon, {refused} were refused");
 }
 
+/// As above, while one version replaces another one: a daemon that is cut off has a list that was current a moment ago.
+#[rstest]
+#[case(Regime::Releases, 9, 3, 0..80)]
+#[case(Regime::Releases, 58, 4, 0..6)]
+#[case(Regime::Releases, 300, 4, 0..2)]
+#[case(Regime::Restarts, 9, 3, 0..40)]
+fn no_stream_goes_on_at_the_version_before_a_release(
+    #[case] regime: Regime,
+    #[case] daemons: usize,
+    #[case] data_centres: usize,
+    #[case] seeds: std::ops::Range<u64>,
+) {
+    let outcomes = outcomes(Mutant::None, daemons, data_centres, regime, seeds);
+    assert_eq!(mixed(&outcomes), 0, "{outcomes:?}");
+    assert_eq!(broken(&outcomes)["lost"], 0, "{outcomes:?}");
+    // Streams that begin between two ends of all daemons need not be in the log yet.
+    if regime != Regime::Restarts {
+        assert_eq!(broken(&outcomes)["orphaned"], 0, "{outcomes:?}");
+    }
+}
+
+fn mixed(outcomes: &[Outcome]) -> usize {
+    outcomes.iter().map(|outcome| outcome.mixed).sum()
+}
+
 /// The checks have to find each of these faults.
 #[rstest]
 #[case(Mutant::RecordsLate, "orphaned")]
 #[case(Mutant::ForgetsEarly, "lost")]
 #[case(Mutant::WrongVersion, "mixed")]
 #[case(Mutant::Guesses, "mixed")]
-#[case(Mutant::TrustsShortHistory, "mixed")]
 fn faults_in_the_design_are_found(#[case] mutant: Mutant, #[case] check: &str) {
-    let found = broken(&outcomes(mutant, 9, 3, 0..40));
+    let found = broken(&outcomes(mutant, 9, 3, Regime::Churn, 0..40));
     assert!(found[check] > 0, "{mutant:?} is not found: {found:?}");
 }
+
+/// The check of releases has to find each of these faults.
+#[rstest]
+#[case(Mutant::TrustsOwnList, Regime::Releases)]
+#[case(Mutant::TrustsReachable, Regime::Releases)]
+#[case(Mutant::TrustsShortHistory, Regime::Restarts)]
+fn faults_around_releases_are_found(#[case] mutant: Mutant, #[case] regime: Regime) {
+    let found = mixed(&outcomes(mutant, 9, 3, regime, 0..80));
+    println!("{mutant:?}: {found} mixed");
+    assert!(found > 0, "{mutant:?} is not found");
+}
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -93,6 +93,15 @@
     Next,
 }
 
+/// Daemons to ask about a stream.
+#[derive(Clone, Debug)]
+pub struct Questioned {
+    /// Their addresses.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether these are all other daemons.
+    pub is_everyone: bool,
+}
+
 /// State of another data centre.
 #[derive(Clone, Copy, Debug, Default)]
 struct Remote {
@@ -297,6 +306,19 @@
         keepers.into_iter().filter_map(|host| table.known.get(host).map(|peer| peer.address)).collect()
     }
 
+    /// The daemons to ask about a stream, or about what has served where its caller named none. In a small fleet these are
+    /// all that were heard from recently.
+    pub fn questioned(&self, key: Option<StreamKey>, count: usize) -> Questioned {
+        let others = self.table.lock().known.len();
+        let is_small = others <= stream_versions::ALL_KEEPERS_MAX;
+        let addresses = match key {
+            Some(key) => self.keepers(key, count),
+            None => self.heard(if is_small { others } else { count }),
+        };
+        let is_everyone = addresses.len() == others && self.is_register_read();
+        Questioned { addresses, is_everyone }
+    }
+
     /// Address of the daemon that performs duties at the store for all; `None` if it is this one.
     pub fn first_reader(&self) -> Option<SocketAddr> {
         let candidates = self.hosts_reaching_store();
--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -14,8 +14,8 @@
 use hibiscusvale_core::relay::routes::Route;
 use hibiscusvale_core::relay::store_refresh::reader_rank;
 use hibiscusvale_core::relay::stream_versions::{
-    SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions, VersionHistory,
-    only_version,
+    Confirmation, SeenVersions, StreamKey, StreamLookup, StreamOrigin, StreamRecord, StreamVersions,
+    VersionHistory, only_version,
 };
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use parking_lot::Mutex;
@@ -51,9 +51,16 @@
 /// Timeout of reading the saved versions, for which a caller waits.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Minimum interval between two reads of the saved versions, and of the log.
+/// Minimum interval between two reads of the log, and of the saved versions to save those that are missing.
 const READ_INTERVAL_MS: Millis = Millis(2_000);
 
+/// Minimum interval between two reads of the saved versions for callers that resume streams which nobody knows.
+const SHARED_READ_INTERVAL_MS: Millis = Millis(100);
+
+/// That interval for each daemon of a large fleet, which all may read at once, and its maximum.
+const READ_INTERVAL_PER_DAEMON_MS: Millis = Millis(3);
+const SHARED_READ_INTERVAL_MAX_MS: Millis = Millis(1_000);
+
 /// Timeout of saving versions.
 const SAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -138,6 +145,8 @@
     LogUnread,
     /// The server list is too old to show which versions have served.
     ListOld,
+    /// The saved versions could not be read, and there are daemons that were not asked.
+    VersionsUnread,
     /// No daemon has a record, and several versions have served or may have.
     NoRecord,
 }
@@ -150,13 +159,14 @@
             Self::DaemonsSilent => "daemons-silent",
             Self::LogUnread => "log-unread",
             Self::ListOld => "list-old",
+            Self::VersionsUnread => "versions-unread",
             Self::NoRecord => "no-record",
         }
     }
 
     fn refusal(self) -> Refusal {
         match self {
-            Self::DaemonsSilent | Self::LogUnread | Self::ListOld => {
+            Self::DaemonsSilent | Self::LogUnread | Self::ListOld | Self::VersionsUnread => {
                 Refusal::retry_after(Reason::VersionUnknown, SILENT_RETRY_MS)
             }
             Self::Ambiguous | Self::NoRecord => Refusal::new(Reason::VersionUnknown),
@@ -175,9 +185,18 @@
     pub replied: usize,
 }
 
-/// Times of the last reads of what is kept on the platform.
+/// A read of the saved versions for callers that resume streams.
+#[derive(Debug)]
+struct SharedRead {
+    begun_us: MonoTime,
+    /// `None` if the platform did not answer.
+    saved: Option<Vec<SavedVersion>>,
+}
+
+/// The last reads of what is kept on the platform.
 #[derive(Debug, Default)]
 struct LastReads {
+    shared: Option<SharedRead>,
     versions_us: Option<MonoTime>,
     log_us: Option<MonoTime>,
 }
@@ -455,14 +474,11 @@
         {
             return found.map(|origin| (origin, Source::Record));
         }
+        let resumed_us = clock::now();
         // Of a route with several destinations it is not known which service began the stream.
         let service = route.only_destination();
-        if is_list_current(state)
-            && let Some(found) = self.only_version(service, &[])
-        {
-            return Ok(found);
-        }
-        let replies = self.ask(state, key, service, inquiry).await;
+        let questioned = state.peers.questioned(key, ASKED_KEEPERS);
+        let replies = self.ask(&questioned.addresses, key, service, inquiry).await;
         let mut is_log_read = true;
         if let Some(key) = key {
             self.receive_records(
@@ -477,18 +493,32 @@
             }
         }
         let is_answered = inquiry.replied == inquiry.asked;
-        if !is_list_current(state) && (inquiry.asked == 0 || !is_answered) {
-            return Err(Gap::ListOld);
-        }
-        let seen: Vec<SeenVersions> = replies.into_iter().map(|reply| reply.seen).collect();
-        if let Some(service) = service.filter(|_| !seen.iter().any(|seen| seen.is_complete)) {
-            self.load(state, service).await;
+        let is_confirmed =
+            questioned.is_everyone && is_answered && (inquiry.asked > 0 || is_list_current(state));
+        let mut confirmation = is_confirmed.then_some(Confirmation::AllDaemons);
+        let mut seen: Vec<SeenVersions> = replies.into_iter().map(|reply| reply.seen).collect();
+        if let Some(service) = service {
+            seen.push(self.seen(clock::now(), service));
+            let is_complete = seen.iter().any(|seen| seen.is_complete);
+            if !has_several(&seen)
+                && (confirmation.is_none() || !is_complete)
+                && is_list_current(state)
+                && let Some(saved) = self.saved_since(state, resumed_us).await
+            {
+                confirmation = Some(Confirmation::Saved);
+                // What was saved may also complete what this daemon has seen.
+                seen.extend([versions_saved(&saved, service), self.seen(clock::now(), service)]);
+            }
         }
-        match self.only_version(service, &seen) {
-            Some(found) => Ok(found),
-            None if !is_log_read => Err(Gap::LogUnread),
-            None if !is_answered || state.peers.is_any_newly_silent() => Err(Gap::DaemonsSilent),
-            None => Err(Gap::NoRecord),
+        match (service, only_version(confirmation, seen.iter())) {
+            (Some(service), Some(version)) => {
+                Ok((StreamOrigin { service: service.clone(), version }, Source::OnlyVersion))
+            }
+            _ if !is_log_read => Err(Gap::LogUnread),
+            _ if !is_list_current(state) && !is_answered => Err(Gap::ListOld),
+            _ if !is_answered || state.peers.is_any_newly_silent() => Err(Gap::DaemonsSilent),
+            _ if confirmation.is_none() => Err(Gap::VersionsUnread),
+            _ => Err(Gap::NoRecord),
         }
     }
 
@@ -504,34 +534,19 @@
         }
     }
 
-    /// The only version at which a stream of `service` can have begun, by what this daemon and others have seen.
-    fn only_version(
-        &self,
-        service: Option<&ServiceId>,
-        replies: &[SeenVersions],
-    ) -> Option<(StreamOrigin, Source)> {
-        let service = service?;
-        let own = self.history.lock().seen(clock::now(), service);
-        let version = only_version(replies.iter().chain([&own]))?;
-        Some((StreamOrigin { service: service.clone(), version }, Source::OnlyVersion))
-    }
-
-    /// Asks the daemons that would have a record of the stream, until one has or all have replied.
+    /// Asks daemons about a stream, until one has a record of it or all have replied.
     async fn ask(
         &self,
-        state: &RelayState,
+        daemons: &[SocketAddr],
         key: Option<StreamKey>,
         service: Option<&ServiceId>,
         inquiry: &mut Inquiry,
     ) -> Vec<StreamReply> {
+        let mut unanswered = daemons.to_vec();
+        inquiry.asked = unanswered.len();
         let Some(socket) = self.socket.get() else {
             return Vec::new();
         };
-        let mut unanswered = match key {
-            Some(key) => state.peers.keepers(key, ASKED_KEEPERS),
-            None => state.peers.heard(ASKED_KEEPERS),
-        };
-        inquiry.asked = unanswered.len();
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let question = Datagram::StreamQuestion(StreamQuestion { number, key, service: service.cloned() });
         let Ok(bytes) = postcard::to_stdvec(&question) else {
@@ -586,6 +601,30 @@
         self.adopt_saved(&saved);
     }
 
+    /// The versions that are saved, as read from the platform after `since_us`; `None` if they could not be read. One read
+    /// serves all callers that wait for it.
+    async fn saved_since(&self, state: &RelayState, since_us: MonoTime) -> Option<Vec<SavedVersion>> {
+        let mut last_reads = self.last_reads.lock().await;
+        if let Some(read) = last_reads.shared.as_ref().filter(|read| read.begun_us >= since_us) {
+            return read.saved.clone();
+        }
+        let interval_ms =
+            SHARED_READ_INTERVAL_MS.0.max(READ_INTERVAL_PER_DAEMON_MS.0 * state.peers.registered());
+        if let Some(read) = &last_reads.shared {
+            let next_us = read.begun_us + Millis(interval_ms.min(SHARED_READ_INTERVAL_MAX_MS.0));
+            tokio::time::sleep(Duration::from(next_us.since(clock::now()))).await;
+        }
+        let begun_us = clock::now();
+        let loaded = tokio::time::timeout(LOAD_TIMEOUT, self.store.load()).await;
+        let saved = loaded.ok().and_then(Result::ok);
+        if let Some(saved) = &saved {
+            self.observe_list(state);
+            self.adopt_saved(saved);
+        }
+        last_reads.shared = Some(SharedRead { begun_us, saved: saved.clone() });
+        saved
+    }
+
     fn adopt_saved(&self, saved: &[SavedVersion]) {
         let mut history = self.history.lock();
         let services: BTreeSet<&ServiceId> = saved.iter().map(|saved| &saved.service).collect();
@@ -730,6 +769,19 @@
     }
 }
 
+/// The saved versions of a service, which alone prove nothing: a version is not saved while the platform does not answer.
+fn versions_saved(saved: &[SavedVersion], service: &ServiceId) -> SeenVersions {
+    let versions = saved.iter().filter(|saved| saved.service == *service);
+    let versions: Vec<SoftwareVersion> = versions.map(|saved| saved.version.clone()).collect();
+    SeenVersions { versions, is_complete: false }
+}
+
+fn has_several(seen: &[SeenVersions]) -> bool {
+    let mut versions = seen.iter().flat_map(|seen| &seen.versions);
+    let first = versions.next();
+    versions.any(|version| Some(version) != first)
+}
+
 /// Whether the platform may be read again, since the last time `last_us`. Callers that resume streams which nobody knows
 /// must not cause a call each.
 fn is_read_due(now_us: MonoTime, last_us: &mut Option<MonoTime>) -> bool {
