Ask daemons that were not heard from lately about a stream

After a cut or a pause callers who took streams up were refused for up to 2.8 s more, though a question takes some ms.

A daemon asked only those that it had heard from within 2.5 s. After a longer cut that is nobody: the others write to a silent daemon only each 3 s, and it to them. But it is the daemon that was cut off which hasn't heard, and the others reply at once.

--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -306,17 +306,23 @@
         keepers.into_iter().filter_map(|host| table.known.get(host).map(|peer| peer.address)).collect()
     }
 
-    /// The daemons to ask about a stream, or about what has served where its caller named none. In a small fleet these are
-    /// all that were heard from recently.
+    /// The daemons to ask about a stream, or about what has served where its caller named none.
+    ///
+    /// In a small fleet these are all, also those that were not heard from lately: after a pause or a cut it is this daemon
+    /// that has heard nobody, and they reply at once.
     pub fn questioned(&self, key: Option<StreamKey>, count: usize) -> Questioned {
-        let others = self.table.lock().known.len();
-        let is_small = others <= stream_versions::ALL_KEEPERS_MAX;
+        {
+            let table = self.table.lock();
+            if table.known.len() <= stream_versions::ALL_KEEPERS_MAX {
+                let addresses = table.known.values().map(|peer| peer.address).collect();
+                return Questioned { addresses, is_everyone: *self.register_read.borrow() };
+            }
+        }
         let addresses = match key {
             Some(key) => self.keepers(key, count),
-            None => self.heard(if is_small { others } else { count }),
+            None => self.heard(count),
         };
-        let is_everyone = addresses.len() == others && self.is_register_read();
-        Questioned { addresses, is_everyone }
+        Questioned { addresses, is_everyone: false }
     }
 
     /// Address of the daemon that performs duties at the store for all; `None` if it is this one.
