Await engines that hold a silent stream for as long as callers do

Cause: after 1.9 s of silence a daemon closed its connection to an engine whose listener accepted. An engine that has paused a stream for want of memory accepts as well, and goes on 2.8 to 3.2 s after the last event.

The engine is asked what it holds after a second of silence. If its report lists the request with no further event, has requests that wait, or counts some without a list, the stream is awaited until shortly before callers leave; if it shows that the connection is lost, says nothing of requests, or does not come, for 1.9 s as before; an unreachable engine is left at once, as before. The decision is core/relay/silence.rs; steps of the request line tell the state.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod recipients;
 pub mod routes;
 pub mod server_statements;
+pub mod silence;
 pub mod stopping;
 pub mod store_refresh;
 pub mod stream_versions;
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod recipients;
 mod routes;
 mod server_statements;
+mod silence;
 mod simulation;
 mod speeds;
 mod spill_over;
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hibiscusvale_core::relay::engines::EngineEvent;
+use hibiscusvale_core::relay::silence;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Bytes as ByteCount, Millis};
 use http::{HeaderMap, Response, StatusCode};
@@ -23,18 +24,12 @@
 use crate::callers::{AnswerBody, BodyBroken};
 use crate::metrics::Label as _;
 
-/// Silence of an engine after which it is probed with another connection. It is several times the longest
-/// pause that meets the targets; an engine that accepts the probe is alive, and its answer is awaited however
-/// slow it is.
-const PROBE_AFTER: Duration = Duration::from_secs(1);
+/// Interval at which an engine that sends nothing is asked for its state.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Further silence of a live engine after which a resumable stream fails over: a middlebox may have dropped
-/// the open connection, and callers leave after two seconds at the earliest.
-const FAILOVER_AFTER: Duration = Duration::from_millis(900);
-
-/// Silence after which a forwarded stream fails over. The other daemon has failed over to another engine before that,
-/// so it is cut off itself or stands still.
-const FORWARDED_SILENCE_MAX: Duration = Duration::from_millis(2_500);
+/// Time after which callers leave for which a forwarded stream is awaited. The other daemon has failed over to another
+/// engine before that, so it is cut off itself or stands still.
+const FORWARDED_SLACK: Duration = Duration::from_millis(500);
 
 /// Progress is reported to the pool at the first event and at each doubling of the event number after it:
 /// early on, while the decoding speed is unknown, and seven times for an answer of a hundred events.
@@ -204,17 +199,36 @@
 /// The next bytes of an answer. Silence ends only a resumable stream, and immediately only if the engine is
 /// unreachable.
 async fn next_chunk(body: &mut ServerBody, request: &StreamedRequest) -> Result<Option<Bytes>, FailureCause> {
+    let left = request.incoming.left();
     if !request.is_repeatable() {
-        return chunk_within(body, request.incoming.left()).await;
+        return chunk_within(body, left).await;
     }
+    let route = &request.incoming.route;
     if request.is_forwarded() {
-        return chunk_within(body, FORWARDED_SILENCE_MAX.min(request.incoming.left())).await;
+        let leave_ms = silence::callers_leave_ms(route.target_ms, route.gap_target_ms);
+        return chunk_within(body, left.min(Duration::from(leave_ms) + FORWARDED_SLACK)).await;
     }
-    let first = chunk_within(body, PROBE_AFTER.min(request.incoming.left())).await;
-    if first != Err(FailureCause::Timeout) || !request.is_engine_reachable().await {
-        return first;
+    let silent_since = Instant::now();
+    let mut limit = left.min(Duration::from(silence::ASK_AFTER_MS));
+    loop {
+        let next = chunk_within(body, limit).await;
+        if next != Err(FailureCause::Timeout) || request.incoming.left().is_zero() {
+            return next;
+        }
+        let engine = tokio::select! {
+            biased;
+            next = chunk_within(body, request.incoming.left()) => return next,
+            engine = request.silent_engine() => engine,
+        };
+        let last_event = request.last_event.unwrap_or_default().0;
+        request.record_silence(engine, last_event);
+        let awaited = Duration::from(engine.awaited_ms(last_event, route.target_ms, route.gap_target_ms));
+        let rest = awaited.saturating_sub(silent_since.elapsed()).min(request.incoming.left());
+        if rest.is_zero() {
+            return next;
+        }
+        limit = rest.min(ASK_INTERVAL);
     }
-    chunk_within(body, FAILOVER_AFTER.min(request.incoming.left())).await
 }
 
 async fn chunk_within(body: &mut ServerBody, limit: Duration) -> Result<Option<Bytes>, FailureCause> {
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -16,6 +16,7 @@
 use hibiscusvale_core::relay::engines::{ReportedLoad, Role};
 use hibiscusvale_core::relay::partners::Credentials;
 use hibiscusvale_core::relay::routes::RouteTable;
+use hibiscusvale_core::relay::silence::ReportedRun;
 use hibiscusvale_core::units::{CreditPerSecond, Millis, Tokens};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, request};
 use serde::{Deserialize, Serialize};
@@ -278,6 +279,9 @@
     /// Parses the state that an engine reports; `None` if malformed.
     fn parse_report(&self, body: &[u8]) -> Option<EngineReport>;
 
+    /// Parses what an engine reports of the request `id`; `None` if malformed, or if it tells nothing of requests.
+    fn parse_reported_run(&self, body: &[u8], id: &CallId) -> Option<ReportedRun>;
+
     /// Call that sends an order to the engine `server`.
     fn order(&self, server: &BackendServerId, order: &EngineOrder) -> EngineCall;
 
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -7,9 +7,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hibiscusvale_core::ids::{BackendServerId, HostId, Lifetime, SoftwareVersion};
 use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::relay::engines::{Demand, EngineAction, EngineEvent, EngineRefusal, VersionBinding};
+use hibiscusvale_core::relay::silence::SilentEngine;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::shares::OrganisationKey;
 use hibiscusvale_core::units::{Millis, Tokens};
@@ -549,12 +551,29 @@
         self.decode_attempt.is_none()
     }
 
-    /// Whether the decode engine accepts another connection.
-    pub(super) async fn is_engine_reachable(&self) -> bool {
+    /// Asks the decode engine, which has fallen silent, for its state.
+    pub(super) async fn silent_engine(&self) -> SilentEngine {
         let Some(attempt) = &self.decode_attempt else {
-            return false;
+            return SilentEngine::Unreachable;
         };
-        probe(attempt.address()).await == Probe::Accepts
+        let (state, server, at) = (&self.state, attempt.server(), attempt.address());
+        let call = (CallKind::Report, state.wire.report(server));
+        let report = hop::call(state, server, at, call, REPORT_TIMEOUT.min(self.incoming.left())).await;
+        let parse = |body: &Bytes| state.wire.parse_reported_run(body, &self.incoming.call.id);
+        match report.as_ref().map(parse) {
+            Ok(Some(run)) => SilentEngine::Reported(run),
+            // Another server has the address.
+            Err(FailureCause::Leaving) => SilentEngine::Unreachable,
+            Ok(None) | Err(_) if probe(at).await == Probe::Accepts => SilentEngine::NoReport,
+            Ok(None) | Err(_) => SilentEngine::Unreachable,
+        }
+    }
+
+    /// Records what is known of an engine that sends nothing.
+    pub(super) fn record_silence(&self, engine: SilentEngine, last_event: u64) {
+        if let Some(attempt) = &self.decode_attempt {
+            self.incoming.record_step(Step::Silent(engine.label(last_event)), attempt.server());
+        }
     }
 
     /// Records an event of the engine's answer.
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -28,6 +28,8 @@
     Decoding,
     /// An engine did not begin to answer.
     DecodeFailed(FailureCause),
+    /// An engine has sent nothing for a while; its state.
+    Silent(&'static str),
     /// Another daemon answered.
     Forwarded,
     /// Another daemon did not answer.
@@ -44,6 +46,7 @@
             Self::ReserveFailed(_) => "reserve",
             Self::Prefilled | Self::PrefillFailed(_) => "read",
             Self::Decoding | Self::DecodeFailed(_) => "write",
+            Self::Silent(_) => "silence",
             Self::Forwarded | Self::ForwardFailed(_) | Self::ForwardRefused(_) => "forward",
         }
     }
@@ -64,7 +67,7 @@
                 | FailureCause::Timeout
                 | FailureCause::Broken => false,
             },
-            Self::Forwarded | Self::ForwardFailed(_) | Self::ForwardRefused(_) => false,
+            Self::Silent(_) | Self::Forwarded | Self::ForwardFailed(_) | Self::ForwardRefused(_) => false,
         }
     }
 
@@ -77,6 +80,7 @@
             | Self::PrefillFailed(cause)
             | Self::DecodeFailed(cause)
             | Self::ForwardFailed(cause) => cause_label(cause),
+            Self::Silent(state) => state,
             Self::ForwardRefused(reason) => reason.label(),
         }
     }
