Bound what an answer may take, and leave servers without end alone

Callers saw: beside one server that sent 1xx answers or zeros before a chunk size without end, callers of sound servers were not answered for seconds; a daemon without a memory limit stood still for 10 to 20 s. Cause: the library bounds lines and buffers, not calls, so an answer that fills no buffer was read as fast as it came for as long as the call might last, on the thread of all others; nothing was remembered, so the next request or poll began the same again.

Each connection now bounds the bytes of a head with its 1xx answers and those between two parts of a body's content (64 KB each), and the whole of a body that is read whole. Calls of the router itself are suspended apart, since an engine whose reports do not end may serve requests. A server that starts at the address is not suspended. Answers to calls of the router are at most 64 KB (256 KB before).

--- a/crates/router/src/backend/answer_reading.rs
+++ b/crates/router/src/backend/answer_reading.rs
@@ -1,4 +1,7 @@
-//! Counts what the answer that arrives on a connection to a server has taken.
+//! Bounds what the answer that arrives on a connection to a server may take.
+//!
+//! The library bounds single lines and buffers. An answer of many 1xx answers, or of zeros in front of a chunk size, fills
+//! none of them, and would be read as fast as it comes for as long as the call may last.
 
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
@@ -12,15 +15,36 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use super::suspension::{CallScope, Suspensions};
 use crate::link_meter::{LinkMeter, MeteredStream};
 use crate::metrics::Label;
 
-/// Size of the head of an answer, with the 1xx answers before it.
+/// Maximum size of the head of an answer, with the 1xx answers before it.
 const HEAD_BYTES_MAX: u64 = 64 << 10;
 
-/// Bytes of a body between two parts of its content, such as chunk sizes.
+/// Maximum number of bytes of a body between two parts of its content, such as chunk sizes.
 const FRAMING_BYTES_MAX: u64 = 64 << 10;
 
+/// Maximum size of a read. Up to two reads of content may be waiting for their reader, which then do not count as framing.
+const READ_BYTES_MAX: usize = 16 << 10;
+
+/// Bytes of a head, and between two parts of a body's content, after which an answer that is given up counts as one without
+/// end, such as when its time is over.
+const GIVEN_UP_HEAD_BYTES: u64 = 16 << 10;
+const GIVEN_UP_FRAMING_BYTES: u64 = 48 << 10;
+
+/// Size of a head beyond which bytes count for the body.
+const USUAL_HEAD_BYTES: u64 = 4 << 10;
+
+/// Bytes after the last content of a body that breaks off, from which on it counts as one without end. The library gives up
+/// chunk extensions and trailers of 16 KB, and reads 8 KB at first.
+const FAILED_FRAMING_BYTES: u64 = 4 << 10;
+
+/// The answer takes more than its bound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the answer of the server does not end")]
+struct WithoutEnd;
+
 /// Part of an answer that did not end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AnswerPart {
@@ -58,6 +82,10 @@
     pub read: Bytes,
     /// Time since the request.
     pub after: Duration,
+    /// Calls that the server gets none of for `pause`.
+    pub scope: CallScope,
+    /// How long it is suspended from now on.
+    pub pause: Duration,
 }
 
 /// The answer that arrives on a connection. Calls follow one another on it.
@@ -65,51 +93,78 @@
 pub struct AnswerReading {
     server: SocketAddr,
     meter: Arc<LinkMeter>,
+    suspensions: Arc<Suspensions>,
     progress: Mutex<Progress>,
 }
 
 #[derive(Debug)]
 struct Progress {
     began_at: Instant,
+    scope: CallScope,
     is_head_read: bool,
     is_reported: bool,
     read: u64,
     /// Bytes since the last part of the content.
     without_content: u64,
+    /// Maximum of `read`.
+    read_max: u64,
 }
 
 impl Progress {
-    fn new(began_at: Instant) -> Self {
-        Self { began_at, is_head_read: false, is_reported: false, read: 0, without_content: 0 }
+    fn new(began_at: Instant, scope: CallScope) -> Self {
+        Self {
+            began_at,
+            scope,
+            is_head_read: false,
+            is_reported: false,
+            read: 0,
+            without_content: 0,
+            read_max: u64::MAX,
+        }
+    }
+
+    /// The part that is being read.
+    fn part(&self) -> AnswerPart {
+        if self.is_head_read { AnswerPart::Framing } else { AnswerPart::Head }
+    }
+
+    /// Whether the answer would not have ended with more time.
+    fn is_endless(&self) -> bool {
+        let limit = if self.is_head_read { GIVEN_UP_FRAMING_BYTES } else { GIVEN_UP_HEAD_BYTES };
+        self.without_content >= limit || self.read >= self.read_max
     }
 
-    /// The part that takes more than its bound.
-    fn endless_part(&self) -> Option<AnswerPart> {
-        let (part, limit) = if self.is_head_read {
-            (AnswerPart::Framing, FRAMING_BYTES_MAX)
-        } else {
-            (AnswerPart::Head, HEAD_BYTES_MAX)
-        };
-        (self.without_content >= limit).then_some(part)
+    /// Bytes that may still be read before the head ends, or more content comes.
+    fn room(&self) -> u64 {
+        let limit = if self.is_head_read { FRAMING_BYTES_MAX } else { HEAD_BYTES_MAX };
+        limit.saturating_sub(self.without_content).min(self.read_max.saturating_sub(self.read))
     }
 }
 
 impl AnswerReading {
     /// Counts the answers of the server at `server`.
-    pub fn new(server: SocketAddr, meter: Arc<LinkMeter>) -> Arc<Self> {
-        Arc::new(Self { server, meter, progress: Mutex::new(Progress::new(Instant::now())) })
+    pub fn new(server: SocketAddr, meter: Arc<LinkMeter>, suspensions: Arc<Suspensions>) -> Arc<Self> {
+        let progress = Mutex::new(Progress::new(Instant::now(), CallScope::default()));
+        Arc::new(Self { server, meter, suspensions, progress })
     }
 
     /// A request begins.
-    pub fn begin(&self) {
-        *self.progress.lock() = Progress::new(Instant::now());
+    pub fn begin(&self, scope: CallScope) {
+        *self.progress.lock() = Progress::new(Instant::now(), scope);
+    }
+
+    /// Bounds the rest of the answer, whose content may take `content_bytes`.
+    pub fn bound(&self, content_bytes: usize) {
+        let mut progress = self.progress.lock();
+        progress.read_max = progress.read.saturating_add(content_bytes as u64 + FRAMING_BYTES_MAX);
     }
 
     /// The head of the answer is complete.
     pub fn head_read(&self) {
         let mut progress = self.progress.lock();
         progress.is_head_read = true;
-        progress.without_content = 0;
+        // What was read beyond the head is not known.
+        progress.without_content = progress.read.saturating_sub(USUAL_HEAD_BYTES);
     }
 
     /// A part of the content was read.
@@ -117,23 +172,33 @@
         self.progress.lock().without_content = 0;
     }
 
-    /// The answer was given up. Reports it if a part did not end.
+    /// The body broke off, or its time was over, after all content that came was read. Suspends the server if that was long ago.
+    pub fn content_failed(&self) {
+        if self.progress.lock().without_content >= FAILED_FRAMING_BYTES {
+            self.suspend(AnswerPart::Framing);
+        }
+    }
+
+    /// The answer was given up. Suspends the server if a part did not end.
     pub fn given_up(&self) {
-        let part = self.progress.lock().endless_part();
-        if let Some(part) = part {
-            self.report(part);
+        let progress = self.progress.lock();
+        let (part, is_endless) = (progress.part(), progress.is_endless());
+        drop(progress);
+        if is_endless {
+            self.suspend(part);
         }
     }
 
-    /// Reports, once for an answer, that `part` did not end.
-    pub fn report(&self, part: AnswerPart) {
+    /// Suspends the server, since `part` did not end.
+    pub fn suspend(&self, part: AnswerPart) {
         let mut progress = self.progress.lock();
         if std::mem::replace(&mut progress.is_reported, true) {
             return;
         }
-        let (read, after) = (Bytes(progress.read), progress.began_at.elapsed());
+        let (read, after, scope) = (Bytes(progress.read), progress.began_at.elapsed(), progress.scope);
         drop(progress);
-        self.meter.record_endless(EndlessAnswer { server: self.server, part, read, after });
+        let pause = self.suspensions.suspend(Instant::now(), self.server, scope);
+        self.meter.record_endless(EndlessAnswer { server: self.server, part, read, after, scope, pause });
     }
 
     fn count(&self, bytes: usize) {
@@ -163,9 +228,16 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.reading.count(buf.filled().len() - before);
+        let room = usize::try_from(self.reading.progress.lock().room()).unwrap_or(usize::MAX);
+        if room == 0 {
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, WithoutEnd)));
+        }
+        let size = room.min(buf.remaining()).min(READ_BYTES_MAX);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let count = part.filled().len();
+        buf.advance(count);
+        self.reading.count(count);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -190,12 +190,27 @@
         self.reading.clone()
     }
 
+    /// Bounds what a body of at most `content_bytes` may take.
+    pub fn bound(&self, content_bytes: usize) {
+        if let Some(reading) = &self.reading {
+            reading.bound(content_bytes);
+        }
+    }
+
     /// How the body is delimited.
     pub fn framing(&self) -> Framing {
         self.framing
     }
 }
 
+impl Drop for ServerBody {
+    fn drop(&mut self) {
+        if let Some(reading) = &self.reading {
+            reading.content_failed();
+        }
+    }
+}
+
 impl Debug for ServerBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("ServerBody").field("framing", &self.framing).finish_non_exhaustive()
@@ -249,7 +264,7 @@
 fn count(reading: Option<&AnswerReading>, frame: Option<&Result<Frame<Bytes>, hyper::Error>>) {
     match (reading, frame) {
         (Some(reading), Some(Ok(_))) => reading.content_read(),
-        (Some(reading), Some(Err(_))) => reading.given_up(),
+        (Some(reading), Some(Err(_))) => reading.content_failed(),
         (Some(_), None) | (None, _) => {}
     }
 }
--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -1,5 +1,6 @@
 //! HTTP client for backend servers. Failures are classified by what they prove about the request.
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -21,6 +22,7 @@
 
 use super::answer_reading::{AnswerPart, AnswerReading, AnswerStream};
 use super::body::ServerBody;
+use super::suspension::{CallScope, Suspensions};
 use crate::link_meter::{LinkMeter, LinkPeer, MeteredStream};
 
 /// Time-out of a connection attempt. The slowest link takes 3 ms within a region and some 300 ms between
@@ -43,7 +45,7 @@
 /// Why a call failed, by what is known about its effect.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, thiserror::Error)]
 pub enum CallFailure {
-    /// No connection was established, so no byte was written: the request did not run.
+    /// No connection was established, or the server is suspended, so no byte was written: the request did not run.
     #[error("no connection")]
     NotSent,
     /// The connection broke after the request may have been written.
@@ -72,6 +74,7 @@
 struct ServerConnector {
     connector: HttpConnector,
     meter: Arc<LinkMeter>,
+    suspensions: Arc<Suspensions>,
 }
 
 impl Service<Uri> for ServerConnector {
@@ -85,6 +88,7 @@
 
     fn call(&mut self, req: Uri) -> Self::Future {
         let meter = Arc::clone(&self.meter);
+        let suspensions = Arc::clone(&self.suspensions);
         let started_at = Instant::now();
         let connecting = self.connector.call(req);
         async move {
@@ -92,7 +96,7 @@
             let took_us = u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX);
             meter.record_connect(Micros(took_us));
             discard_on_close(&stream)?;
-            let reading = AnswerReading::new(stream.peer_addr()?, Arc::clone(&meter));
+            let reading = AnswerReading::new(stream.peer_addr()?, Arc::clone(&meter), suspensions);
             let stream = MeteredStream::new(stream, LinkPeer::Servers, meter);
             Ok(TokioIo::new(AnswerStream::new(stream, reading)))
         }
@@ -128,8 +132,13 @@
 }
 
 /// HTTP client for backend servers.
+///
+/// An answer may take a bounded number of bytes until its head is complete and between two parts of its body. A server that
+/// exceeds them is suspended: it gets no calls for some seconds.
 #[derive(Clone, Debug)]
 pub struct BackendHttp {
+    suspensions: Arc<Suspensions>,
+    scope: CallScope,
     pooled: Client<ServerConnector, Full<Bytes>>,
     fresh: Client<ServerConnector, Full<Bytes>>,
 }
@@ -158,7 +167,8 @@
         connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
         connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
         connector.set_tcp_user_timeout(Some(KEEPALIVE_INTERVAL * KEEPALIVE_RETRIES));
-        let connector = ServerConnector { connector, meter };
+        let suspensions = Arc::new(Suspensions::default());
+        let connector = ServerConnector { connector, meter, suspensions: Arc::clone(&suspensions) };
         let build = |idle_connections: usize| {
             let mut builder = Client::builder(TokioExecutor::new());
             if let Some(buffer_bytes) = buffer_bytes {
@@ -173,7 +183,23 @@
                 .retry_canceled_requests(false)
                 .build(connector.clone())
         };
-        Self { pooled: build(usize::MAX), fresh: build(0) }
+        Self { suspensions, scope: CallScope::default(), pooled: build(usize::MAX), fresh: build(0) }
+    }
+
+    /// A client over the same connections for the calls of `scope`.
+    #[must_use]
+    pub fn scoped(&self, scope: CallScope) -> Self {
+        Self { scope, ..self.clone() }
+    }
+
+    /// Whether a server gets no calls for now, since an answer of it did not end.
+    pub fn is_suspended(&self, server: SocketAddr) -> bool {
+        self.suspensions.is_suspended(Instant::now(), server, self.scope)
+    }
+
+    /// Ends the suspension of an address that another server has taken over.
+    pub fn forget_suspension(&self, server: SocketAddr) {
+        self.suspensions.forget(server);
     }
 
     /// Sends `request` and waits up to `timeout` for the head of the answer.
@@ -200,6 +226,9 @@
     ) -> Result<Response<ServerBody>, CallFailure> {
         let server = request.uri().authority().and_then(|authority| authority.as_str().parse().ok());
         let server = server.ok_or(CallFailure::Malformed)?;
+        if self.is_suspended(server) {
+            return Err(CallFailure::NotSent);
+        }
         let client = match reuse {
             ConnectionReuse::Pooled => &self.pooled,
             ConnectionReuse::Fresh => &self.fresh,
@@ -216,14 +245,19 @@
                 () = connected => {}
             }
             if let Some(reading) = reading_of(&connection) {
-                reading.begin();
+                reading.begin(self.scope);
             }
             sending.await
         };
         let failure = match tokio::time::timeout(timeout, exchange).await {
             Ok(Ok(response)) => return Ok(ServerBody::wrap(response, server)),
             Ok(Err(error)) if error.is_connect() => return Err(CallFailure::NotSent),
-            Ok(Err(_)) => CallFailure::Broken,
+            Ok(Err(error)) => {
+                if let Some(reading) = reading_of(&connection).filter(|_| is_head_too_large(&error)) {
+                    reading.suspend(AnswerPart::Head);
+                }
+                CallFailure::Broken
+            }
             Err(_) => CallFailure::Timeout,
         };
         if let Some(reading) = reading_of(&connection) {
@@ -270,6 +304,18 @@
     }
 }
 
+/// Whether the library gave up a head for its size.
+fn is_head_too_large(error: &(dyn Error + 'static)) -> bool {
+    let mut failure = Some(error);
+    while let Some(error) = failure {
+        if error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse_too_large) {
+            return true;
+        }
+        failure = error.source();
+    }
+    false
+}
+
 /// The answers on a connection; `None` if there is none yet.
 fn reading_of(connection: &CaptureConnection) -> Option<Arc<AnswerReading>> {
     let mut extensions = Extensions::new();
@@ -304,18 +350,19 @@
     limit_bytes: usize,
     timeout: Duration,
 ) -> Result<Bytes, CallFailure> {
+    body.bound(limit_bytes);
     let reading = body.reading();
     match tokio::time::timeout(timeout, Limited::new(body, limit_bytes).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) => {
             if let Some(reading) = reading.filter(|_| error.is::<LengthLimitError>()) {
-                reading.report(AnswerPart::Body);
+                reading.suspend(AnswerPart::Body);
             }
             Err(CallFailure::Broken)
         }
         Err(_) => {
             if let Some(reading) = reading {
-                reading.given_up();
+                reading.content_failed();
             }
             Err(CallFailure::Timeout)
         }
--- a/crates/router/src/backend/mod.rs
+++ b/crates/router/src/backend/mod.rs
@@ -7,6 +7,7 @@
 mod http;
 mod plain;
 mod probe;
+mod suspension;
 
 pub use answer_reading::{AnswerPart, EndlessAnswer};
 pub use body::{BodyFailure, EndCheck, EndEvidence, Framing, ServerBody, ServerRun};
@@ -20,3 +21,4 @@
     HttpPlainClient, PlainCall, PlainClient, PlainFailure, PlainReply, strip_hop_by_hop_headers,
 };
 pub use probe::{Probe, probe};
+pub use suspension::CallScope;
--- a/crates/router/src/link_meter.rs
+++ b/crates/router/src/link_meter.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::backend::{AnswerPart, EndlessAnswer};
 
@@ -61,7 +62,7 @@
 }
 
 /// Maximum number of answers without end that are kept for lines.
-const ENDLESS_KEPT_MAX: usize = 16;
+const ENDLESS_KEPT_MAX: usize = 64;
 
 /// Answers that were given up because a part of them did not end.
 #[derive(Debug, Default)]
@@ -78,6 +79,7 @@
     sent: [AtomicU64; LINK_PEERS],
     connects: Mutex<ConnectTimes>,
     endless: Mutex<EndlessAnswers>,
+    endless_recorded: Notify,
 }
 
 impl LinkMeter {
@@ -114,6 +116,8 @@
         if endless.latest.len() < ENDLESS_KEPT_MAX {
             endless.latest.push(answer);
         }
+        drop(endless);
+        self.endless_recorded.notify_one();
     }
 
     /// Number of answers of which `part` did not end, since the start.
@@ -121,8 +125,9 @@
         self.endless.lock().counts[part as usize]
     }
 
-    /// Answers without end since the call before; the first ones if there were many.
-    pub fn take_endless(&self) -> Vec<EndlessAnswer> {
+    /// Waits for answers without end. Returns those since the call before; the first ones if there were many.
+    pub async fn take_endless(&self) -> Vec<EndlessAnswer> {
+        self.endless_recorded.notified().await;
         std::mem::take(&mut self.endless.lock().latest)
     }
 
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -30,7 +30,7 @@
 use spdlog::sink::WriteSink;
 use spdlog::{Level, LevelFilter, Logger};
 
-use crate::backend::{EndCheck, EndlessAnswer};
+use crate::backend::{CallScope, EndCheck, EndlessAnswer};
 use crate::clock;
 use crate::logging::background::BackgroundWriter;
 use crate::logging::budget::{LineBudget, LineDecision};
@@ -522,6 +522,8 @@
             part = answer.part.label(),
             read_bytes = answer.read.0,
             after_ms = u64::try_from(answer.after.as_millis()).unwrap_or(u64::MAX),
+            pause_ms = u64::try_from(answer.pause.as_millis()).unwrap_or(u64::MAX),
+            holds_requests = answer.scope == CallScope::Requests,
         });
     }
 
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -18,6 +18,7 @@
 
 use super::budget::{self, ASSUMED_DAEMONS};
 use super::callers;
+use super::endless;
 use super::engine_pools::EnginePools;
 use super::exchange;
 use super::freshness::Freshness;
@@ -334,6 +335,7 @@
         state.plain_schedulers.run_timers(),
         state.engine_pools.run_timers(),
         host_load::run(Arc::clone(&state), link),
+        endless::run(Arc::clone(&state)),
     );
 }
 
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -24,6 +24,10 @@
 /// retried or reported as a failure.
 const BUFFERED_ANSWER_BYTES_MAX: usize = 256 << 10;
 
+/// Maximum size of the answer to a call of the router itself. The report of an engine with a thousand requests takes some
+/// 40 KB.
+const ROUTER_ANSWER_BYTES_MAX: usize = 64 << 10;
+
 /// A server's answer with a valid head.
 #[derive(Debug)]
 pub struct Reply {
@@ -127,6 +131,7 @@
 }
 
 async fn read_held(body: ServerBody, memory: HeldMemory, timeout: Duration) -> Result<Bytes, FailureCause> {
+    body.bound(BUFFERED_ANSWER_BYTES_MAX);
     let mut body = Limited::new(body, BUFFERED_ANSWER_BYTES_MAX);
     let mut held = HeldBuffer::new(memory);
     let read = async {
@@ -204,6 +209,7 @@
 ) -> Result<Reply, FailureCause> {
     let state = &incoming.state;
     statements::check(state, hop.server, CallKind::Work)?;
+    check_suspension(http, to)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
     incoming.record_list_age();
     let expected = ExpectedRun::listed(state, hop.server, to);
@@ -254,6 +260,7 @@
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), FailureCause> {
     statements::check(state, server, kind)?;
+    check_suspension(&state.router_http(), to)?;
     exchange_call(state, server, to, call, timeout).await.map_err(failure_cause)
 }
 
@@ -268,7 +275,7 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = uri(to, &call.path)?;
     *request.headers_mut() = call.headers;
-    let response = state.http.send(ConnectionReuse::Pooled, request, timeout).await;
+    let response = state.router_http().send(ConnectionReuse::Pooled, request, timeout).await;
     let answered = response.as_ref().map(|_| ()).map_err(|failure| failure_cause(*failure));
     state.reach.record(state, server, timeout, answered);
     let response = response?;
@@ -279,7 +286,7 @@
     if let Some(rate) = head.limit {
         state.limits.record_answer(state, server, Some(rate));
     }
-    Ok((status, read_body(response.into_body(), BUFFERED_ANSWER_BYTES_MAX, timeout).await?))
+    Ok((status, read_body(response.into_body(), ROUTER_ANSWER_BYTES_MAX, timeout).await?))
 }
 
 /// Sends a call of the router itself to an engine and reads a successful answer.
@@ -303,6 +310,11 @@
     }
 }
 
+/// A server whose answer did not end gets nothing for now.
+fn check_suspension(http: &BackendHttp, to: SocketAddr) -> Result<(), FailureCause> {
+    if http.is_suspended(to) { Err(FailureCause::Held(HoldReason::Resting)) } else { Ok(()) }
+}
+
 /// Records the limit that an answer states or withdraws. A failure may come from a proxy in front of the
 /// server, and a refusal of the server id from another server; neither withdraws a limit.
 fn record_limit(incoming: &IncomingRequest, server: &BackendServerId, status: StatusCode, head: &ReplyHead) {
--- a/crates/router/src/relay/host_load.rs
+++ b/crates/router/src/relay/host_load.rs
@@ -53,19 +53,6 @@
         tokio::time::sleep_until(due).await;
         let late_us = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
         assessor.assess(&state, clock::now(), Micros(late_us));
-        log_endless(&state);
-    }
-}
-
-fn log_endless(state: &RelayState) {
-    let endless = state.meter.take_endless();
-    if endless.is_empty() {
-        return;
-    }
-    let listing = state.directory.listing();
-    for answer in endless {
-        let server = listing.servers.values().find(|listed| listed.address == answer.server);
-        state.log.answer_without_end(server.map(|listed| &listed.id), &answer);
     }
 }
 
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod daemon;
 mod dependency;
 mod end_checks;
+mod endless;
 mod engine_pools;
 pub mod events;
 mod exchange;
--- a/crates/router/src/relay/reach.rs
+++ b/crates/router/src/relay/reach.rs
@@ -362,8 +362,9 @@
 
 async fn does_server_answer(state: &RelayState, server: &BackendServer) -> bool {
     let is_limited = state.limits.statement(&server.id).is_some();
-    if is_limited || statements::check(state, &server.id, CallKind::Work).is_err() {
-        // A request would count against its limit, or disturb its rest.
+    let is_suspended = state.router_http().is_suspended(server.address);
+    if is_limited || is_suspended || statements::check(state, &server.id, CallKind::Work).is_err() {
+        // A request would count against its limit, disturb its rest, or get an answer without end again.
         return probe(server.address).await == Probe::Accepts;
     }
     let call = state.wire.report(&server.id);
@@ -374,7 +375,7 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = target;
     *request.headers_mut() = call.headers;
-    state.http.send(ConnectionReuse::Fresh, request, CHECK_TIMEOUT).await.is_ok()
+    state.router_http().send(ConnectionReuse::Fresh, request, CHECK_TIMEOUT).await.is_ok()
 }
 
 /// Asks other daemons what they reach while this one has doubts, for as long as it runs.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -44,7 +44,7 @@
 use super::stream_versions::SharedStreamVersions;
 use super::trace::{RequestTrace, Step};
 use super::uneven_servers::UnevenServices;
-use crate::backend::{BackendHttp, EndCheck, Framing};
+use crate::backend::{BackendHttp, CallScope, EndCheck, Framing};
 use crate::clock;
 use crate::directory::Directory;
 use crate::dispatch::PlainSchedulers;
@@ -346,6 +346,11 @@
 }
 
 impl RelayState {
+    /// The HTTP client for calls of the router itself.
+    pub fn router_http(&self) -> BackendHttp {
+        self.http.scoped(CallScope::Router)
+    }
+
     /// A unique request id.
     pub fn next_id(&self) -> RequestId {
         RequestId { incarnation: self.incarnation, sequence: self.sequence.fetch_add(1, Ordering::Relaxed) }
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -117,6 +117,15 @@
         }
     }
 
+    /// Keeps requests from a server for `pause_ms`, as if it had asked for a rest.
+    pub fn hold_for(&self, state: &RelayState, server: &BackendServerId, pause_ms: Millis) {
+        let listed = availability(state.directory.listing().servers.get(server).map(AsRef::as_ref));
+        let hold = self.servers.lock().rest(clock::now(), server, listed.unwrap_or_default(), pause_ms);
+        if let Some(hold) = hold {
+            apply(state, server, hold);
+        }
+    }
+
     /// Checks that a server may be sent a request, by what it has stated.
     ///
     /// # Errors
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -303,6 +303,7 @@
     let listing = state.directory.listing();
     state.log.servers_changed(&before.servers, &listing.servers);
     state.limits.adopt(state, &before.servers, &listing.servers);
+    forget_suspensions(state, before, &listing);
     state.plain_schedulers.adopt(&listing);
     state.engine_pools.adopt(&listing);
     state.stream_versions.adopt(&listing);
@@ -312,3 +313,13 @@
     state.statements.adopt(state, &listing.servers);
     state.servers_adopted.store(true, Ordering::Relaxed);
 }
+
+/// Ends the suspensions of addresses at which a server has started.
+fn forget_suspensions(state: &RelayState, before: &Listing, listing: &Listing) {
+    for listed in listing.servers.values() {
+        let known = before.servers.get(&listed.id);
+        if known.is_none_or(|known| (known.lifetime, known.address) != (listed.lifetime, listed.address)) {
+            state.http.forget_suspension(listed.address);
+        }
+    }
+}
--- a/crates/router/tests/ops/backend_http.rs
+++ b/crates/router/tests/ops/backend_http.rs
@@ -2,7 +2,10 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hibiscusvale::backend::{
@@ -162,3 +165,102 @@
         }
     }
 }
+
+/// Accepts connections for as long as the test runs, reads a request from each, and sends `head` and then `again` without end.
+/// Returns its address, and the number of connections and of bytes sent.
+fn endless_server(
+    head: &'static [u8],
+    again: &'static [u8],
+) -> (SocketAddr, Arc<AtomicUsize>, Arc<AtomicUsize>) {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    SockRef::from(&server).set_send_buffer_size(16 << 10).expect("a small buffer");
+    let address = server.local_addr().expect("an address");
+    let (connections, sent) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (accepted, written) = (Arc::clone(&connections), Arc::clone(&sent));
+    thread::spawn(move || {
+        for mut stream in server.incoming().filter_map(Result::ok) {
+            accepted.fetch_add(1, Ordering::Relaxed);
+            let written = Arc::clone(&written);
+            thread::spawn(move || {
+                let mut request = [0; 1_024];
+                let _ = stream.read(&mut request).expect("a request");
+                let mut result = stream.write_all(head);
+                while result.is_ok() {
+                    written.fetch_add(again.len(), Ordering::Relaxed);
+                    result = stream.write_all(again);
+                }
+            });
+        }
+    });
+    (address, connections, sent)
+}
+
+async fn get(http: &BackendHttp, address: SocketAddr, timeout: Duration) -> Result<(), CallFailure> {
+    let request = Request::builder().uri(uri(address, "/")?).body(Full::default()).expect("a request");
+    let response = http.send(ConnectionReuse::Pooled, request, timeout).await?;
+    read_body(response.into_body(), 16 << 10, timeout).await.map(drop)
+}
+
+/// An answer whose head or framing never ends must be given up after some bytes, long before the time limit, and its server must be
+/// left alone for a while: a poll would begin the same again at once.
+#[rstest]
+#[case::status_line(b"HTTP/1.1 200 ", b"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")]
+#[case::header_line(b"HTTP/1.1 200 OK\r\nX-A: ", b"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")]
+#[case::headers(b"HTTP/1.1 200 OK\r\n", b"X-A: aaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n")]
+#[case::interim_answers(b"", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")]
+#[case::chunk_size(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"00000000000000000000000000000000"
+)]
+#[case::chunk_extension(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+    b"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+)]
+#[case::body(b"HTTP/1.1 200 OK\r\n\r\n", b"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_without_end_are_given_up_and_not_asked_for_again(
+    #[case] head: &'static [u8],
+    #[case] again: &'static [u8],
+) {
+    let (address, connections, sent) = endless_server(head, again.repeat(64).leak());
+    let (http, limit) = (BackendHttp::new(), Duration::from_secs(8));
+    let started_at = Instant::now();
+    assert_eq!(get(&http, address, limit).await, Err(CallFailure::Broken));
+    assert!(started_at.elapsed() < limit / 2, "{:?}", started_at.elapsed());
+    // Most of it may be in the buffers of the system.
+    assert!(sent.load(Ordering::Relaxed) < 8 << 20, "{sent:?} bytes");
+    for _ in 0..10 {
+        assert_eq!(get(&http, address, limit).await, Err(CallFailure::NotSent));
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), 1);
+}
+
+/// An answer that is large, and comes in small chunks, must not count as one without end.
+#[rstest]
+#[case::small_chunks(16, 4_096)]
+#[case::large_chunks(64 << 10, 64)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_answers_in_chunks_are_read_to_their_end(#[case] chunk_bytes: usize, #[case] chunks: usize) {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let address = server.local_addr().expect("an address");
+    let chunk = format!("{chunk_bytes:x}\r\n{}\r\n", "a".repeat(chunk_bytes));
+    thread::spawn(move || {
+        for mut stream in server.incoming().filter_map(Result::ok) {
+            let mut request = [0; 1_024];
+            while stream.read(&mut request).is_ok_and(|count| count > 0) {
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let answer = [head, &chunk.repeat(chunks), "0\r\n\r\n"].concat();
+                stream.write_all(answer.as_bytes()).expect("an open connection");
+            }
+        }
+    });
+    let http = BackendHttp::new();
+    for _ in 0..3 {
+        let request = Request::builder().uri(uri(address, "/").expect("a path")).body(Full::default());
+        let sent =
+            http.send(ConnectionReuse::Pooled, request.expect("a request"), Duration::from_secs(5)).await;
+        let size = chunk_bytes * chunks;
+        let body = read_body(sent.expect("an answer").into_body(), size, Duration::from_secs(20)).await;
+        assert_eq!(body.map(|body| body.len()), Ok(size));
+    }
+}
