Suspend no server for an answer whose content nobody read

Callers saw: after an answer of 40 KB that belonged to another request, the only server of their service got nothing for 2 s, and they were refused as servers-resting.

Cause: a body that is dropped counted all bytes since the last content that was taken as framing, although up to two reads of content wait for a reader that is gone. A dropped body counts as one without end only beyond 48 KB now, like a call that is given up; one that breaks off while it is read keeps the narrower bound.

a_large_answer_that_nobody_reads_suspends_no_server failed before (503, servers-resting) and passes; the 34 tests of endless answers pass as before.

--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -205,8 +205,9 @@
 
 impl Drop for ServerBody {
     fn drop(&mut self) {
+        // Content may be left that nobody wants any more.
         if let Some(reading) = &self.reading {
-            reading.content_failed();
+            reading.given_up();
         }
     }
 }
