Drop the last checks of servers that were given up

A check whose caller left before it ended kept its entry for good, since only a check that ends removed it. Each check removes all entries now that no other one holds. Read in the code; no run shows the growth.

--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -80,8 +80,7 @@
     /// What a server answers to a call that is sent from now on. Calls to one server are made one after another.
     async fn reply(&self, state: &RelayState, run: &ExpectedRun) -> Reply {
         let asked_from = Instant::now();
-        let key = (run.server.clone(), run.at);
-        let last = Arc::clone(self.calls.lock().entry(key.clone()).or_default());
+        let last = Arc::clone(self.calls.lock().entry((run.server.clone(), run.at)).or_default());
         let reply = {
             let mut last = last.lock().await;
             match *last {
@@ -94,11 +93,9 @@
                 }
             }
         };
-        // The map and this function hold one reference each; others that wait hold their own.
-        let mut calls = self.calls.lock();
-        if Arc::strong_count(&last) <= 2 {
-            calls.remove(&key);
-        }
+        drop(last);
+        // Also removes what was left by checks that were given up.
+        self.calls.lock().retain(|_, last| Arc::strong_count(last) > 1);
         reply
     }
 }
