Resume a stream elsewhere when its engine sends only comments

Callers saw: beside an engine that sent event-stream comments without events, neither an event nor an end until the time limit of the request. Cause: each chunk counted as life, so that the silence which makes a stream go on elsewhere never began.

A stream that may be resumed now goes on at another engine once it was awaited for as long as its caller waits for an event (two seconds, four times the objective or eight times the pause), less the objective for the other engine's first event, or after 64 KB of comments without an event. A slow engine that sends comments is awaited until then, longer than one that is silent. Streams that may not be resumed, and those that another daemon runs, stay as they were. Time in which the caller does not read does not count.

--- a/crates/core/src/relay/silence.rs
+++ b/crates/core/src/relay/silence.rs
@@ -87,3 +87,9 @@
     let by_gap = Millis(gap_target_ms.unwrap_or_default().0.saturating_mul(GAP_FACTOR));
     CALLERS_LEAVE_MS.max(by_target).max(by_gap)
 }
+
+/// Time after which a stream is resumed elsewhere whose engine sends comments and no events. It leaves the other engine the
+/// target of a first event before callers leave.
+pub fn without_events_ms(target_ms: Millis, gap_target_ms: Option<Millis>) -> Millis {
+    Millis(callers_leave_ms(target_ms, gap_target_ms).0.saturating_sub(target_ms.0)).max(RESUME_AFTER_MS)
+}
--- a/crates/core/tests/relay/silence.rs
+++ b/crates/core/tests/relay/silence.rs
@@ -1,6 +1,6 @@
 //! How long silent engines are awaited.
 
-use hibiscusvale_core::relay::silence::{ReportedRun, SilentEngine, callers_leave_ms};
+use hibiscusvale_core::relay::silence::{ReportedRun, SilentEngine, callers_leave_ms, without_events_ms};
 use hibiscusvale_core::units::Millis;
 use rstest::rstest;
 
@@ -37,3 +37,11 @@
     let got = callers_leave_ms(Millis(target_ms), gap_target_ms.map(Millis));
     assert_eq!(got, Millis(leave_ms));
 }
+
+#[rstest]
+#[case::short_target(100, 1_900)]
+#[case::usual(900, 2_700)]
+#[case::long_target(3_000, 9_000)]
+fn another_engine_has_time_for_its_first_event(#[case] target_ms: u64, #[case] awaited_ms: u64) {
+    assert_eq!(without_events_ms(Millis(target_ms), None), Millis(awaited_ms));
+}
--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -31,6 +31,9 @@
 /// engine before that, so it is cut off itself or stands still.
 const FORWARDED_SLACK: Duration = Duration::from_millis(500);
 
+/// Maximum size of the comments between two events. Those that keep a connection open take a few bytes a second.
+const COMMENT_BYTES_MAX: usize = 64 << 10;
+
 /// Progress is reported to the pool at the first event and at each doubling of the event number after it:
 /// early on, while the decoding speed is unknown, and seven times for an answer of a hundred events.
 const REPORT_FACTOR: u64 = 2;
@@ -46,6 +49,23 @@
     progress: Progress,
     /// Whether the current engine has sent a complete event with an id.
     has_events: bool,
+    eventless: Eventless,
+}
+
+/// What an engine has sent since its last event.
+#[derive(Debug, Default)]
+struct Eventless {
+    /// Time in which its bytes were awaited.
+    waited: Duration,
+    comment_bytes: usize,
+}
+
+impl Eventless {
+    /// Whether another engine has to go on. One that sends only comments is alive, and is awaited until its caller would be
+    /// about to leave.
+    fn is_over(&self, limit: Duration) -> bool {
+        self.waited >= limit || self.comment_bytes > COMMENT_BYTES_MAX
+    }
 }
 
 /// Progress reports to the pool while an answer is streamed.
@@ -79,8 +99,16 @@
 impl StreamForwarder {
     /// The next complete events; `None` at the end of the answer.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyBroken> {
+        let limit = event_limit(&self.request);
         while let Some(body) = &mut self.body {
-            match next_chunk(body, &self.request).await {
+            let begun_at = Instant::now();
+            let chunk = if limit.is_some_and(|limit| self.eventless.is_over(limit)) {
+                Err(FailureCause::Timeout)
+            } else {
+                next_chunk(body, &self.request).await
+            };
+            self.eventless.waited += begun_at.elapsed();
+            match chunk {
                 Ok(Some(bytes)) => {
                     if !self.hold(bytes.len()).await {
                         return Err(self.abort(FailureCause::Timeout));
@@ -94,6 +122,11 @@
                             self.fail_over(cause).await?;
                             continue;
                         }
+                        if events.last.is_some() {
+                            self.eventless = Eventless::default();
+                        } else {
+                            self.eventless.comment_bytes += events.bytes.len();
+                        }
                         self.record_progress(events.last);
                         return Ok(Some(self.release(events.bytes)));
                     }
@@ -147,6 +180,7 @@
         self.splitter = EventSplitter::default();
         self.memory.shrink_to(ByteCount::ZERO);
         self.has_events = false;
+        self.eventless = Eventless::default();
         match self.request.resume(cause).await {
             Ok(body) => {
                 self.body = Some(body);
@@ -196,6 +230,16 @@
     }
 }
 
+/// Time without an event after which a stream goes on at another engine; `None` if it may not, or if another daemon ensures
+/// that.
+fn event_limit(request: &StreamedRequest) -> Option<Duration> {
+    if !request.is_repeatable() || request.is_forwarded() {
+        return None;
+    }
+    let route = &request.incoming.route;
+    Some(silence::without_events_ms(route.target_ms, route.gap_target_ms).into())
+}
+
 /// The next bytes of an answer. Silence ends only a resumable stream, and immediately only if the engine is
 /// unreachable.
 async fn next_chunk(body: &mut ServerBody, request: &StreamedRequest) -> Result<Option<Bytes>, FailureCause> {
@@ -261,6 +305,7 @@
         splitter: EventSplitter::default(),
         progress: Progress::new(),
         has_events: false,
+        eventless: Eventless::default(),
     };
     let events = stream::try_unfold(forwarder, |mut forwarder| async move {
         let state = Arc::clone(&forwarder.request.incoming.state);
