Ask for the report that confirms an end over a new connection

The check before, a connect, had told that case.

The report goes over a new connection now, so that a listener that refuses stays evidence.

--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -137,11 +137,11 @@
     }
 }
 
-/// Asks a server for its report. Plain servers have none; whatever they answer comes from the server that the call
+/// Asks a server for its report over a new connection, which a process that stops serving accepts no longer. Plain servers have none; whatever they answer comes from the server that the call
 /// names, unless it is status 421.
 async fn call(state: &RelayState, run: &ExpectedRun) -> Result<Reply, FailureCause> {
     let call = (CallKind::Report, state.wire.report(&run.server));
-    let (status, body) = hop::send_call(state, &run.server, run.at, call, CALL_TIMEOUT).await?;
+    let (status, body) = hop::send_fresh_call(state, &run.server, run.at, call, CALL_TIMEOUT).await?;
     Ok(match status {
         StatusCode::MISDIRECTED_REQUEST => Reply::OtherServer,
         // Answers of a proxy on the way.
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -261,7 +261,26 @@
 ) -> Result<(StatusCode, Bytes), FailureCause> {
     statements::check(state, server, kind)?;
     check_suspension(&state.router_http(), to)?;
-    exchange_call(state, server, to, call, timeout).await.map_err(failure_cause)
+    let reuse = ConnectionReuse::Pooled;
+    exchange_call(state, server, to, call, reuse, timeout).await.map_err(failure_cause)
+}
+
+/// Like [`send_call`], over a new connection.
+///
+/// # Errors
+///
+/// As for [`send_call`].
+pub async fn send_fresh_call(
+    state: &RelayState,
+    server: &BackendServerId,
+    to: SocketAddr,
+    (kind, call): (CallKind, EngineCall),
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), FailureCause> {
+    statements::check(state, server, kind)?;
+    check_suspension(&state.router_http(), to)?;
+    let reuse = ConnectionReuse::Fresh;
+    exchange_call(state, server, to, call, reuse, timeout).await.map_err(failure_cause)
 }
 
 async fn exchange_call(
@@ -269,13 +288,14 @@
     server: &BackendServerId,
     to: SocketAddr,
     call: EngineCall,
+    reuse: ConnectionReuse,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), CallFailure> {
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method;
     *request.uri_mut() = uri(to, &call.path)?;
     *request.headers_mut() = call.headers;
-    let response = state.router_http().send(ConnectionReuse::Pooled, request, timeout).await;
+    let response = state.router_http().send(reuse, request, timeout).await;
     let answered = response.as_ref().map(|_| ()).map_err(|failure| failure_cause(*failure));
     state.reach.record(state, server, timeout, answered);
     let response = response?;
