Charge reports that confirm an end to a server's limit

Reports that confirm ends count there like any request.

They are charged to the limit now. Where it is used up, or the server asks for a rest, its listener is asked instead, as the check of a cut does.

--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -71,8 +71,6 @@
     Other,
     /// None answers.
     Silent,
-    /// The server asks to get no calls now.
-    NotAsked,
 }
 
 /// What was asked at the end of an answer that is delimited by its connection, and what the server answered.
@@ -110,7 +108,6 @@
             Self::Report(ServerRun::Same) => "same-run",
             Self::Report(ServerRun::Other) => "other-run",
             Self::Report(ServerRun::Silent) => "no-answer",
-            Self::Report(ServerRun::NotAsked) => "not-asked",
         }
     }
 }
--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -110,7 +110,8 @@
         },
         Reply::OtherServer => ServerRun::Other,
         Reply::None => ServerRun::Silent,
-        Reply::Held => ServerRun::NotAsked,
+        // A call would count against its limit, or disturb its rest.
+        Reply::Held => return EndCheck::of_listener(run.at).await,
     };
     EndCheck { evidence: EndEvidence::Report(found), took: started_at.elapsed() }
 }
@@ -140,6 +141,9 @@
 /// Asks a server for its report over a new connection, which a process that stops serving accepts no longer. Plain servers have none; whatever they answer comes from the server that the call
 /// names, unless it is status 421.
 async fn call(state: &RelayState, run: &ExpectedRun) -> Result<Reply, FailureCause> {
+    if state.limits.admit(state, &run.server, 1).await.is_err() {
+        return Ok(Reply::Held);
+    }
     let call = (CallKind::Report, state.wire.report(&run.server));
     let (status, body) = hop::send_fresh_call(state, &run.server, run.at, call, CALL_TIMEOUT).await?;
     Ok(match status {
