Answer callers whose request is still being admitted when a stop ends

Callers saw: streams that they took up late in the grace period of a stop ended without a byte, although no server had been sent anything: 6 of 12 in the test, those whose heads ended 3.02 s into a stop of 3.6 s and later.

Cause: the end of the grace period was a deadline of the body and of the run of a request, not of what is between them. There a request may wait for other daemons, and for what the platform has saved.

The whole admission ends when the last answers are due, with 503 (stopping): nothing has been sent to a server. The same for requests that another daemon forwards.

streams_taken_up_late_in_a_stop_are_answered failed before (6 of 12 without an answer) and passes.

--- a/crates/router/src/relay/callers.rs
+++ b/crates/router/src/relay/callers.rs
@@ -40,7 +40,7 @@
 use super::quotas::QuotaOwner;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
-use super::stop::{self, RunClass};
+use super::stop::{self, RunClass, STOPPING_RETRY_MS};
 use super::stream;
 use super::stream_versions;
 use super::trace::RequestTrace;
@@ -261,7 +261,7 @@
     state: &Arc<RelayState>,
     request: Request<CallerBody>,
 ) -> Result<Response<AnswerBody>, Refusal> {
-    let read = read_request(state, request).await;
+    let read = read_until_stop(state, read_request(state, request)).await;
     let incoming =
         Arc::new(read.inspect_err(|refusal| state.metrics.record_rejected(refusal.reason.label()))?);
     let answered = run(state, &incoming).await;
@@ -287,12 +287,24 @@
     request: Request<CallerBody>,
     head: ForwardedHead,
 ) -> Result<Response<AnswerBody>, ForwardedRefusal> {
-    let read = read_forwarded(state, request, head).await;
+    let read = read_until_stop(state, read_forwarded(state, request, head)).await;
     let incoming = Arc::new(read.map_err(|refusal| ForwardedRefusal { refusal, is_attempted: false })?);
     let answered = run(state, &incoming).await;
     answered.map_err(|refusal| ForwardedRefusal { refusal, is_attempted: incoming.is_attempted() })
 }
 
+/// Reads a request, or refuses it when the last answers of a stop are due. It has been sent to no server.
+async fn read_until_stop<Read>(state: &RelayState, read: Read) -> Result<Incoming, Refusal>
+where
+    Read: Future<Output = Result<Incoming, Refusal>>,
+{
+    tokio::select! {
+        biased;
+        read = read => read,
+        () = state.stop.answers_due() => Err(Refusal::retry_after(Reason::Stopping, STOPPING_RETRY_MS)),
+    }
+}
+
 async fn run(state: &Arc<RelayState>, incoming: &Arc<Incoming>) -> Result<Response<AnswerBody>, Refusal> {
     let is_stream = incoming.route.kind.is_stream();
     let answered = if is_stream {
