Check the stop again before a prefilled stream is decoded

A stream was checked against the end of a stop until its prompt was prefilled, and not after that. One whose prefill took longer than usual was sent to its decode engine shortly before the end, and was cut there although no engine had to begin it.

The rest of its run, at least half of the expected time, is checked before it is sent to a decode engine; it is refused as not run otherwise.

--- a/crates/core/src/relay/stopping.rs
+++ b/crates/core/src/relay/stopping.rs
@@ -35,6 +35,16 @@
     pub source: RunTimeSource,
 }
 
+impl RunTime {
+    /// Expected rest of a run of which `spent_us` has passed. A run that has not begun to be answered has at least half of
+    /// its time ahead.
+    #[must_use]
+    pub fn rest_after(self, spent_us: Micros) -> Self {
+        let rest_us = self.expected_us.0.saturating_sub(spent_us.0).max(self.expected_us.0 / 2);
+        Self { expected_us: Micros(rest_us), ..self }
+    }
+}
+
 /// The last runs of a class.
 #[derive(Clone, Debug, Default)]
 struct RecentRuns {
--- a/crates/router/src/relay/stop.rs
+++ b/crates/router/src/relay/stop.rs
@@ -106,6 +106,25 @@
     }
 }
 
+/// Checks that the rest of a run, of which `spent` has passed, can end before the process does.
+///
+/// # Errors
+///
+/// The refusal of a request that no server works on.
+pub fn check_rest(state: &RelayState, class: RunClass<'_>, spent: Duration) -> Result<(), Refusal> {
+    let Some(deadline) = *state.stop.deadline.borrow() else {
+        return Ok(());
+    };
+    let run = state.stop.run_time(class);
+    let spent_us = Micros(u64::try_from(spent.as_micros()).unwrap_or(u64::MAX));
+    let would_not_end = match deadline.check(clock::now(), run.rest_after(spent_us)) {
+        Ok(()) => return Ok(()),
+        Err(would_not_end) => would_not_end,
+    };
+    state.log.request_refused_by_stop(class.call, &class.route.name, &would_not_end);
+    Err(Refusal::retry_after(Reason::Stopping, STOPPING_RETRY_MS))
+}
+
 async fn sleep_until(at_us: MonoTime) {
     tokio::time::sleep(at_us.since(clock::now()).into()).await;
 }
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -399,6 +399,7 @@
                     self.feed(event);
                 }
                 EngineAction::Decode { decode_engine, prefill_engine, version, .. } => {
+                    self.check_stop()?;
                     let source = prefill_engine.and_then(|_| self.prefilled.take());
                     match self.decode(&decode_engine, source, version).await {
                         Ok(reply) => {
@@ -538,7 +539,19 @@
         }
     }
 
-    /// What the caller is told if no engine has answered when the last answers of a stop are due.
+    /// Checks that a stream that no engine decodes yet can end before the process does: its prefill may have taken longer
+    /// than usual.
+    fn check_stop(&self) -> Result<(), Refusal> {
+        let has_begun = self.decode_attempt.is_some() || self.last_event != self.incoming.call.after_event;
+        let spent = self.began.map(|began| began.elapsed()).unwrap_or_default();
+        if has_begun {
+            return Ok(());
+        }
+        stop::check_rest(&self.state, self.incoming.run_class(), spent)
+            .map_err(|refusal| refusal.unless_run(self.outcome_unknown))
+    }
+
+    /// Refusal of a request that no engine has answered when the last answers of a stop are due.
     fn refusal_at_end_of_stop(&self) -> Refusal {
         if self.outcome_unknown || self.decode_attempt.is_some() || !self.helpers.is_empty() {
             return Refusal::new(Reason::StopOver);
