Ask a busy server for longer before a whole answer counts as broken

Callers saw: a whole page that may run once was answered 502, and a whole stream that may not be resumed was broken off, where their server had as many connections as it takes and reset new ones for a second.

Cause: a server that doesn't answer the call which confirms an end was given up after 0.7 s, as if its answers could go on elsewhere.

Answers that can't be repeated wait for up to 3 s now. A process that has gone refuses connections and is given up at once, as before.

whole_answer_of_a_server_that_resets_new_connections_is_complete failed before in both cases (502, and incomplete with all 8 events) and passes.

--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -23,10 +23,13 @@
 /// Timeout of one call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time after which a server that has not answered is not called again: its streams fail over to another one while their
-/// callers wait.
+/// Time after which a server that accepts connections and has not answered is not called again, for answers that can go on
+/// elsewhere while their callers wait.
 const SILENCE_MAX: Duration = Duration::from_millis(700);
 
+/// The same for answers that cannot. A busy server resets new connections for a while.
+const LAST_SILENCE_MAX: Duration = Duration::from_secs(3);
+
 /// Pause after a call without an answer. A busy server may reset a new connection.
 const CALL_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,11 +41,13 @@
     /// Run as listed when the request was sent; `None` where an id is never used again.
     lifetime: Option<Lifetime>,
     is_engine: bool,
+    /// Time for which it is called until it answers.
+    silence_max: Duration,
 }
 
 impl ExpectedRun {
-    /// The run of `server` at `at` as listed now.
-    pub fn listed(state: &RelayState, server: &BackendServerId, at: SocketAddr) -> Self {
+    /// The run of `server` at `at` as listed now, for an answer that can go on elsewhere if `is_repeatable`.
+    pub fn listed(state: &RelayState, server: &BackendServerId, at: SocketAddr, is_repeatable: bool) -> Self {
         let listing = state.directory.listing();
         let listed: Option<&BackendServer> = listing.servers.get(server).map(AsRef::as_ref);
         Self {
@@ -50,6 +55,7 @@
             at,
             lifetime: listed.and_then(|listed| listed.lifetime),
             is_engine: listed.is_some_and(|listed| matches!(listed.kind, BackendKind::Engine { .. })),
+            silence_max: if is_repeatable { SILENCE_MAX } else { LAST_SILENCE_MAX },
         }
     }
 }
@@ -121,7 +127,7 @@
     loop {
         let reply = call(state, run).await;
         if !matches!(reply, Ok(Reply::None) | Err(FailureCause::Broken | FailureCause::Timeout))
-            || started_at.elapsed() + CALL_PAUSE >= SILENCE_MAX
+            || started_at.elapsed() + CALL_PAUSE >= run.silence_max
         {
             return reply.unwrap_or_else(|cause| match cause {
                 FailureCause::Held(_) => Reply::Held,
@@ -138,8 +144,8 @@
     }
 }
 
-/// Asks a server for its report over a new connection, which a process that stops serving accepts no longer. Plain servers have none; whatever they answer comes from the server that the call
-/// names, unless it is status 421.
+/// Asks a server for its report over a new connection, which a process that stops serving accepts no longer. Plain servers
+/// have none; whatever they answer comes from the server that the call names, unless it is status 421.
 async fn call(state: &RelayState, run: &ExpectedRun) -> Result<Reply, FailureCause> {
     if state.limits.admit(state, &run.server, 1).await.is_err() {
         return Ok(Reply::Held);
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::outcome::Repeatability;
 use hibiscusvale_core::sched::{FailureCause, HoldReason};
 use hibiscusvale_core::units::Bytes as ByteCount;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -212,7 +213,8 @@
     check_suspension(http, to)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
     incoming.record_list_age();
-    let expected = ExpectedRun::listed(state, hop.server, to);
+    let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
+    let expected = ExpectedRun::listed(state, hop.server, to, is_repeatable);
     let withdrawn = statements::wait_until_leaving(state, hop.server);
     let known = http.send_tracked(reuse, request, timeout, withdrawn).await.map_err(failure_cause);
     let answered = known.as_ref().map(|_| ()).map_err(|cause| *cause);
