Answer no cut page of a plain server that is listed anew

Callers saw: a page that was cut by the restart of its server in place, under its id, arrived as complete. Plain servers report no run, and one that answers anything counted as the one that was sent the request.

The list is compared as well: a later run there than the one that was sent the request does not confirm the end. A restart that the list doesn't show yet can't be told.

Found by a review.

--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -112,6 +112,7 @@
     let found = match state.statements.end_checks.reply(state, run).await {
         Reply::Server(reported) => match (run.lifetime, reported) {
             (Some(expected), Some(reported)) if expected != reported => ServerRun::Other,
+            (Some(expected), None) if is_listed_anew(state, run, expected) => ServerRun::Other,
             (Some(_) | None, _) => ServerRun::Same,
         },
         Reply::OtherServer => ServerRun::Other,
@@ -122,6 +123,13 @@
     EndCheck { evidence: EndEvidence::Report(found), took: started_at.elapsed() }
 }
 
+/// Whether the list shows a later run of a server that reports none.
+fn is_listed_anew(state: &RelayState, run: &ExpectedRun, expected: Lifetime) -> bool {
+    let listing = state.directory.listing();
+    let listed = listing.servers.get(&run.server).and_then(|listed| listed.lifetime);
+    listed.is_some_and(|listed| listed != expected)
+}
+
 async fn call_until_answered(state: &RelayState, run: &ExpectedRun) -> Reply {
     let started_at = Instant::now();
     loop {
