--- a/crates/router/src/relay/forwarding.rs
+++ b/crates/router/src/relay/forwarding.rs
@@ -27,9 +27,9 @@
 /// Interval at which an engine that sends nothing is asked for its state.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time after which callers leave for which a forwarded stream is awaited. The other daemon has failed over to another
-/// engine before that, so it is cut off itself or stands still.
-const FORWARDED_SLACK: Duration = Duration::from_millis(500);
+/// Silence after which a forwarded stream fails over. The other daemon has failed over to another engine before that,
+/// unless it awaits a paused one, so it is cut off itself or stands still.
+const FORWARDED_SILENCE_MAX: Duration = Duration::from_millis(2_500);
 
 /// Maximum size of the comments between two events. Those that keep a connection open take a few bytes a second.
 const COMMENT_BYTES_MAX: usize = 64 << 10;
@@ -249,8 +249,7 @@
     }
     let route = &request.incoming.route;
     if request.is_forwarded() {
-        let leave_ms = silence::callers_leave_ms(route.target_ms, route.gap_target_ms);
-        return chunk_within(body, left.min(Duration::from(leave_ms) + FORWARDED_SLACK)).await;
+        return chunk_within(body, left.min(FORWARDED_SILENCE_MAX)).await;
     }
     let silent_since = Instant::now();
     let mut limit = left.min(Duration::from(silence::ASK_AFTER_MS));
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -572,6 +572,9 @@
         let (state, server, at) = (&self.state, attempt.server(), attempt.address());
         let call = (CallKind::Report, state.wire.report(server));
         let report = hop::call(state, server, at, call, REPORT_TIMEOUT.min(self.incoming.left())).await;
+        if report.as_ref().is_ok_and(|body| self.is_other_run(body)) {
+            return SilentEngine::Unreachable;
+        }
         let parse = |body: &Bytes| state.wire.parse_reported_run(body, &self.incoming.call.id);
         match report.as_ref().map(parse) {
             Ok(Some(run)) => SilentEngine::Reported(run),
@@ -582,6 +585,13 @@
         }
     }
 
+    /// Whether a report comes from a later run of the engine than the one that was sent the request.
+    fn is_other_run(&self, report: &[u8]) -> bool {
+        let reported = self.state.wire.parse_report(report).and_then(|report| report.lifetime);
+        let listed = self.answering.as_ref().and_then(|answering| answering.lifetime);
+        listed.zip(reported).is_some_and(|(listed, reported)| listed != reported)
+    }
+
     /// Records what is known of an engine that sends nothing.
     pub(super) fn record_silence(&self, engine: SilentEngine, last_event: u64) {
         if let Some(attempt) = &self.decode_attempt {
