Believe that only one version has served if all daemons have seen it all along

All other daemons' replies confirmed that only one version has served, also that of a daemon that had started since and forgotten what it had begun, if any other daemon's history was complete. Each reply has to be complete now; the saved versions are read otherwise. Read in the code by a review; no test failed before.

--- a/crates/router/src/relay/stream_versions.rs
+++ b/crates/router/src/relay/stream_versions.rs
@@ -493,8 +493,12 @@
             }
         }
         let is_answered = inquiry.replied == inquiry.asked;
-        let is_confirmed =
-            questioned.is_everyone && is_answered && (inquiry.asked > 0 || is_list_current(state));
+        // A daemon that has started since may have begun the stream, and does not know.
+        let are_complete = replies.iter().all(|reply| reply.seen.is_complete);
+        let is_confirmed = questioned.is_everyone
+            && is_answered
+            && are_complete
+            && (inquiry.asked > 0 || is_list_current(state));
         let mut confirmation = is_confirmed.then_some(Confirmation::AllDaemons);
         let mut seen: Vec<SeenVersions> = replies.into_iter().map(|reply| reply.seen).collect();
         if let Some(service) = service {
