Ask no daemons about streams that are gone for good

Daemons are kept in the table for good. After one had gone, a stream without a record waited 150 ms for its reply each time, and could never be confirmed by all daemons. Those that have been silent for ten minutes are left out, as elsewhere. Read in the code by a review; no test failed before.

--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -313,8 +313,10 @@
     pub fn questioned(&self, key: Option<StreamKey>, count: usize) -> Questioned {
         {
             let table = self.table.lock();
-            if table.known.len() <= stream_versions::ALL_KEEPERS_MAX {
-                let addresses = table.known.values().map(|peer| peer.address).collect();
+            let now = Instant::now();
+            let known = || table.known.values().filter(|peer| now < peer.last_seen + FORGET_AFTER);
+            if known().count() <= stream_versions::ALL_KEEPERS_MAX {
+                let addresses = known().map(|peer| peer.address).collect();
                 return Questioned { addresses, is_everyone: *self.register_read.borrow() };
             }
         }
