Count a body whose time ended while it was read as one without end

A body that is being read when its time is over keeps the narrower bound: nothing of its content waits for a reader.

--- a/crates/router/src/backend/body.rs
+++ b/crates/router/src/backend/body.rs
@@ -154,6 +154,19 @@
     reading: Option<Arc<AnswerReading>>,
 }
 
+/// A body whose content is read as it comes.
+#[derive(Debug)]
+pub struct UnfinishedBody(Option<Arc<AnswerReading>>);
+
+impl UnfinishedBody {
+    /// The time for the answer is over.
+    pub fn time_is_over(&self) {
+        if let Some(reading) = &self.0 {
+            reading.content_failed();
+        }
+    }
+}
+
 /// Progress at the end of an answer that is delimited by its connection.
 enum End {
     NotReached(Option<EndChecker>),
@@ -187,6 +200,11 @@
         self.reading.clone()
     }
 
+    /// Records the end of its time while it is read.
+    pub fn unfinished(&self) -> UnfinishedBody {
+        UnfinishedBody(self.reading.clone())
+    }
+
     /// Bounds what a body of at most `content_bytes` may take.
     pub fn bound(&self, content_bytes: usize) {
         if let Some(reading) = &self.reading {
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -133,6 +133,7 @@
 
 async fn read_held(body: ServerBody, memory: HeldMemory, timeout: Duration) -> Result<Bytes, FailureCause> {
     body.bound(BUFFERED_ANSWER_BYTES_MAX);
+    let unfinished = body.unfinished();
     let mut body = Limited::new(body, BUFFERED_ANSWER_BYTES_MAX);
     let mut held = HeldBuffer::new(memory);
     let read = async {
@@ -144,7 +145,11 @@
         }
         Ok(())
     };
-    tokio::time::timeout(timeout, read).await.unwrap_or(Err(FailureCause::Timeout))?;
+    let Ok(read) = tokio::time::timeout(timeout, read).await else {
+        unfinished.time_is_over();
+        return Err(FailureCause::Timeout);
+    };
+    read?;
     Ok(held.into_bytes())
 }
 
