Limit answers to the router's own calls to 48 KB

One engine whose report has a body without end took 987 kB in 3 s, 937 kB allowed: eight streams asked for it at once, before the first answer was given up. The report of an engine with a thousand requests takes some 40 KB.

--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -27,7 +27,7 @@
 
 /// Maximum size of the answer to a call of the router itself. The report of an engine with a thousand requests takes some
 /// 40 KB.
-const ROUTER_ANSWER_BYTES_MAX: usize = 64 << 10;
+const ROUTER_ANSWER_BYTES_MAX: usize = 48 << 10;
 
 /// A server's answer with a valid head.
 #[derive(Debug)]
