Go on calling the platform's services whatever their answers took

A daemon left the store alone for 2 to 16 s once an answer of it had not ended, or its time was over while bytes of it waited for their reader, as with a large answer over a slow link. No other service can take its place, and routes and servers would grow old meanwhile. The bounds on what an answer may take hold for it as before.

--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -138,6 +138,8 @@
 #[derive(Clone, Debug)]
 pub struct BackendHttp {
     suspensions: Arc<Suspensions>,
+    /// Whether suspended servers are called all the same.
+    calls_suspended: bool,
     scope: CallScope,
     pooled: Client<ServerConnector, Full<Bytes>>,
     fresh: Client<ServerConnector, Full<Bytes>>,
@@ -155,6 +157,11 @@
         Self::with_settings(HttpSettings::default())
     }
 
+    /// Creates a client for a service of the platform. There is no other one to call meanwhile, so it is never suspended.
+    pub fn for_platform() -> Self {
+        Self { calls_suspended: true, ..Self::new() }
+    }
+
     /// Creates a client with an empty pool and these settings.
     pub fn with_settings(settings: HttpSettings) -> Self {
         let HttpSettings { connect_timeout, buffer_bytes, meter } = settings;
@@ -183,7 +190,13 @@
                 .retry_canceled_requests(false)
                 .build(connector.clone())
         };
-        Self { suspensions, scope: CallScope::default(), pooled: build(usize::MAX), fresh: build(0) }
+        Self {
+            suspensions,
+            calls_suspended: false,
+            scope: CallScope::default(),
+            pooled: build(usize::MAX),
+            fresh: build(0),
+        }
     }
 
     /// A client over the same connections for the calls of `scope`.
@@ -194,7 +207,7 @@
 
     /// Whether a server gets no calls for now, since an answer of it did not end.
     pub fn is_suspended(&self, server: SocketAddr) -> bool {
-        self.suspensions.is_suspended(Instant::now(), server, self.scope)
+        !self.calls_suspended && self.suspensions.is_suspended(Instant::now(), server, self.scope)
     }
 
     /// Ends the suspension of an address that another server has taken over.
--- a/crates/router/src/external/host_list.rs
+++ b/crates/router/src/external/host_list.rs
@@ -39,7 +39,7 @@
 impl HttpHostList {
     /// Creates a client for the host list at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { http: BackendHttp::new(), address }
+        Self { http: BackendHttp::for_platform(), address }
     }
 
     async fn fetch(&self, after: u64, wait_ms: Millis) -> Result<HostListPage, CallFailure> {
--- a/crates/router/src/external/log.rs
+++ b/crates/router/src/external/log.rs
@@ -76,7 +76,7 @@
 impl HttpLog {
     /// Creates a client for the log at `address`.
     pub fn new(address: SocketAddr, settings: HttpLogSettings) -> Self {
-        Self { http: BackendHttp::new(), address, settings, bypasses_pool: AtomicBool::new(false) }
+        Self { http: BackendHttp::for_platform(), address, settings, bypasses_pool: AtomicBool::new(false) }
     }
 
     /// Appends over a new connection. An append must not be retried blindly, and a dead pooled connection would
--- a/crates/router/src/external/weight_store.rs
+++ b/crates/router/src/external/weight_store.rs
@@ -34,7 +34,7 @@
 impl HttpWeightStore {
     /// Creates a client for the weight store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { http: BackendHttp::new(), address }
+        Self { http: BackendHttp::for_platform(), address }
     }
 
     async fn fetch(&self) -> Result<WeightStoreInfo, CallFailure> {
--- a/crates/router/tests/ops/backend_http.rs
+++ b/crates/router/tests/ops/backend_http.rs
@@ -264,3 +264,15 @@
         assert_eq!(body.map(|body| body.len()), Ok(size));
     }
 }
+
+/// A service of the platform whose answer did not end must be called again: no other one can take its place.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn services_of_the_platform_are_called_again() {
+    let interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n".repeat(64).leak();
+    let (address, connections, _) = endless_server(b"", interim);
+    let http = BackendHttp::for_platform();
+    for _ in 0..3 {
+        assert_eq!(get(&http, address, Duration::from_secs(8)).await, Err(CallFailure::Broken));
+    }
+    assert_eq!(connections.load(Ordering::Relaxed), 3);
+}
