--- a/crates/core/src/relay/silence.rs
+++ b/crates/core/src/relay/silence.rs
@@ -3,7 +3,7 @@
 //! An engine that is short of memory pauses its newest streams and goes on with them once there is room. A stream that
 //! is resumed elsewhere in the meantime is decoded by two engines if the first one does not notice the close, and is lost if
 //! no further attempt is allowed. A connection that a middlebox has dropped is just as silent, and its stream has to be
-//! resumed before the caller leaves. What the engine reports tells the two apart where it can.
+//! resumed before the caller leaves. The report of the engine distinguishes the two where it can.
 
 use crate::units::Millis;
 
--- a/crates/core/src/relay/stopping.rs
+++ b/crates/core/src/relay/stopping.rs
@@ -113,7 +113,7 @@
 /// When the answers of a stopping daemon are due.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopDeadline {
-    /// Time of the last answers, including those that tell that the outcome is unknown.
+    /// Time of the last answers, including those with an unknown outcome.
     pub answers_due_us: MonoTime,
 }
 
--- a/crates/router/src/relay/caller_connection.rs
+++ b/crates/router/src/relay/caller_connection.rs
@@ -77,7 +77,7 @@
 }
 
 /// Serves a connection. Once `closing` fires, a connection that is kept open takes no further request. When the last answers
-/// of a stop are due, no connection does. The caller is told if a request whose head is incomplete is not run.
+/// of a stop are due, no connection does. A request whose head is incomplete is refused as not run.
 pub async fn serve<Service>(
     state: Arc<RelayState>,
     mut connection: http1::Connection<TokioIo<CallerStream>, Service>,
--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -17,7 +17,7 @@
 use super::hop;
 use super::state::RelayState;
 use super::statements::CallKind;
-use crate::backend::{EndCheck, EndEvidence, ServerRun};
+use crate::backend::{ConnectionReuse, EndCheck, EndEvidence, ServerRun};
 use crate::directory::{BackendKind, BackendServer};
 
 /// Timeout of one call.
@@ -159,7 +159,8 @@
         return Ok(Reply::Held);
     }
     let call = (CallKind::Report, state.wire.report(&run.server));
-    let (status, body) = hop::send_fresh_call(state, &run.server, run.at, call, CALL_TIMEOUT).await?;
+    let (status, body) =
+        hop::send_call(state, &run.server, run.at, call, ConnectionReuse::Fresh, CALL_TIMEOUT).await?;
     Ok(match status {
         StatusCode::MISDIRECTED_REQUEST => Reply::OtherServer,
         // Answers of a proxy on the way.
@@ -169,7 +170,7 @@
             None if run.is_engine && run.lifetime.is_some() => Reply::None,
             None => Reply::Server(None),
         },
-        // A report needs no slot. A run that has just started may refuse it, and does not tell that it is another one.
+        // A report needs no slot. A run that has just started may refuse it, without stating that it is another one.
         _ if run.is_engine && run.lifetime.is_some() => Reply::None,
         _ => Reply::Server(None),
     })
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -230,7 +230,7 @@
     let mut known = known?;
     let status = known.response.status();
     incoming.record_framing(known.response.body().framing());
-    // The content of an answer to a prefill tells whether it is complete.
+    // The content of an answer to a prefill shows whether it is complete.
     if hop.task != Task::Prefill {
         check_end(incoming, known.response.body_mut(), expected);
     }
@@ -264,29 +264,11 @@
     server: &BackendServerId,
     to: SocketAddr,
     (kind, call): (CallKind, EngineCall),
+    reuse: ConnectionReuse,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), FailureCause> {
     statements::check(state, server, kind)?;
     check_suspension(&state.router_http(), to)?;
-    let reuse = ConnectionReuse::Pooled;
-    exchange_call(state, server, to, call, reuse, timeout).await.map_err(failure_cause)
-}
-
-/// Like [`send_call`], over a new connection.
-///
-/// # Errors
-///
-/// As for [`send_call`].
-pub async fn send_fresh_call(
-    state: &RelayState,
-    server: &BackendServerId,
-    to: SocketAddr,
-    (kind, call): (CallKind, EngineCall),
-    timeout: Duration,
-) -> Result<(StatusCode, Bytes), FailureCause> {
-    statements::check(state, server, kind)?;
-    check_suspension(&state.router_http(), to)?;
-    let reuse = ConnectionReuse::Fresh;
     exchange_call(state, server, to, call, reuse, timeout).await.map_err(failure_cause)
 }
 
@@ -328,7 +310,7 @@
     call: (CallKind, EngineCall),
     timeout: Duration,
 ) -> Result<Bytes, FailureCause> {
-    let (status, body) = send_call(state, server, to, call, timeout).await?;
+    let (status, body) = send_call(state, server, to, call, ConnectionReuse::Pooled, timeout).await?;
     match status {
         StatusCode::OK => Ok(body),
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(FailureCause::NoRoom),
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -279,7 +279,7 @@
     /// Parses the state that an engine reports; `None` if malformed.
     fn parse_report(&self, body: &[u8]) -> Option<EngineReport>;
 
-    /// Parses what an engine reports of the request `id`; `None` if malformed, or if it tells nothing of requests.
+    /// Parses what an engine reports of the request `id`; `None` if malformed, or if it lists and counts no requests.
     fn parse_reported_run(&self, body: &[u8], id: &CallId) -> Option<ReportedRun>;
 
     /// Call that sends an order to the engine `server`.
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -24,6 +24,7 @@
 use super::state::RelayState;
 use super::statements::CallKind;
 use super::trace::cause_label;
+use crate::backend::ConnectionReuse;
 use crate::clock;
 use crate::external::{AppendError, Log, LogFailure, Stream};
 
@@ -180,7 +181,8 @@
             return;
         };
         let report = (CallKind::Work, state.wire.report(&shift.server));
-        let report = hop::send_call(&state, &shift.server, at, report, CALL_TIMEOUT).await;
+        let report =
+            hop::send_call(&state, &shift.server, at, report, ConnectionReuse::Pooled, CALL_TIMEOUT).await;
         let report = report.ok().filter(|(status, _)| *status == StatusCode::OK);
         let Some(report) = report.and_then(|(_, body)| state.wire.parse_report(&body)) else {
             return;
@@ -201,7 +203,8 @@
             after_orders: report.orders,
         };
         let call = (CallKind::Work, state.wire.order(&shift.server, &order));
-        let answer = hop::send_call(&state, &shift.server, at, call, CALL_TIMEOUT).await;
+        let answer =
+            hop::send_call(&state, &shift.server, at, call, ConnectionReuse::Pooled, CALL_TIMEOUT).await;
         let status = answer.map(|(status, _)| status);
         state.log.engine_ordered(&shift.server, role_label(shift.role), order.fencing, &describe(status));
         match status {
--- a/crates/router/src/relay/peers.rs
+++ b/crates/router/src/relay/peers.rs
@@ -308,8 +308,8 @@
 
     /// The daemons to ask about a stream, or about what has served where its caller named none.
     ///
-    /// In a small fleet these are all, also those that were not heard from lately: after a pause or a cut it is this daemon
-    /// that has heard nobody, and they reply at once.
+    /// In a small fleet these are all, also those from which no message has come lately: after a pause or a cut of this
+    /// daemon they reply at once.
     pub fn questioned(&self, key: Option<StreamKey>, count: usize) -> Questioned {
         {
             let table = self.table.lock();
