Log when the server list is old, and when it differs from another daemon's

A daemon that learns its list from others after an outage logged that it had lost the servers and never that it had them again, so that its log looked like that of a daemon without a current list. No line told either that two daemons have different lists at one version. Now the age of the list is logged as it passes two seconds, in both directions, and a lasting difference with the host and the version.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -635,6 +635,13 @@
         spdlog::info!(logger: self.logger, "changed", kv: { what = what, detail: = detail });
     }
 
+    /// Logs that the server list of another daemon has differed for long from the own one at the same version.
+    pub fn server_list_differs(&self, host: &HostId, version: u64) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "server list differs", kv: { host: = host, version = version });
+        }
+    }
+
     /// Logs an order to an engine to change its role, and the engine's response.
     pub fn engine_ordered(
         &self,
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -310,7 +310,10 @@
     }
     // Before the stamp is evaluated: with the changes applied this daemon is as current as the sender.
     watch::adopt_changes(state, message.changes);
-    state.freshness.receive_stamp(clock::now(), state.table.load().version(), message.stamp, from);
+    let table = state.table.load().version();
+    if state.freshness.receive_stamp(clock::now(), table, message.stamp, from) {
+        state.log.server_list_differs(&message.host, message.stamp.list_version());
+    }
     if let Some(lendable) = message.lendable {
         loans::update_lender(&message.host, &lendable, state);
     }
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -77,6 +77,18 @@
 /// reads the list again.
 const DIVERGENCE_TOLERANCE_MS: Millis = Millis(3_000);
 
+/// Age from which the server list is reported as old: by then a leaving server may not be known.
+const LIST_OLD_MS: Millis = Millis(2_000);
+
+/// What has changed about the age of the server list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListAgeChange {
+    /// It is old.
+    Old,
+    /// It is current again, after this time.
+    Current(Micros),
+}
+
 /// Age of this daemon's routes and server list.
 #[derive(Debug)]
 pub struct Freshness {
@@ -92,6 +104,10 @@
     list: ListState,
     /// Since when another daemon has had a different digest for the same version.
     diverged_since_us: Option<MonoTime>,
+    /// Whether that is to be reported.
+    has_diverged_for_long: bool,
+    /// Since when the server list has been old.
+    old_since_us: Option<MonoTime>,
     /// When a call to the store last failed; `None` once a call has succeeded again.
     store_failed_us: Option<MonoTime>,
     /// The daemons that last announced newer routes and newer servers.
@@ -128,6 +144,7 @@
         if announced.version == self.list.version && announced.digest != self.list.digest {
             let since_us = *self.diverged_since_us.get_or_insert(now_us);
             let is_lasting = now_us >= since_us + DIVERGENCE_TOLERANCE_MS;
+            self.has_diverged_for_long |= is_lasting;
             return self.servers.peer_reported(now_us, PeerReport { is_same: !is_lasting, age_us });
         }
         self.servers.peer_reported(now_us, PeerReport { is_same: true, age_us })
@@ -147,6 +164,8 @@
             servers,
             list: ListState::default(),
             diverged_since_us: None,
+            has_diverged_for_long: false,
+            old_since_us: None,
             store_failed_us: None,
             table_announcer: None,
             servers_announcer: None,
@@ -263,6 +282,23 @@
         self.readings.lock().servers.age_us(now_us)
     }
 
+    /// Whether the server list has become old, or current again, since the last call.
+    pub fn take_list_age_change(&self, now_us: MonoTime) -> Option<ListAgeChange> {
+        let mut readings = self.readings.lock();
+        let is_old = readings.servers.age_us(now_us)? >= Micros::from(LIST_OLD_MS);
+        match (is_old, readings.old_since_us) {
+            (true, None) => {
+                readings.old_since_us = Some(now_us);
+                Some(ListAgeChange::Old)
+            }
+            (false, Some(since_us)) => {
+                readings.old_since_us = None;
+                Some(ListAgeChange::Current(now_us.since(since_us)))
+            }
+            (true, Some(_)) | (false, None) => None,
+        }
+    }
+
     /// Records a server list that another daemon had `age_us` before `now_us`; returns false when it is no
     /// newer than the current one.
     pub fn servers_transferred(&self, now_us: MonoTime, age_us: Micros, list: ListState) -> bool {
@@ -275,8 +311,15 @@
         true
     }
 
-    /// Evaluates the stamp of another daemon's message.
-    pub fn receive_stamp(&self, now_us: MonoTime, table: TableVersion, stamp: Stamp, from: SocketAddr) {
+    /// Evaluates the stamp of another daemon's message. Returns whether its server list has now differed for long from the
+    /// one here at the same version.
+    pub fn receive_stamp(
+        &self,
+        now_us: MonoTime,
+        table: TableVersion,
+        stamp: Stamp,
+        from: SocketAddr,
+    ) -> bool {
         let mut readings = self.readings.lock();
         if stamp.table > table.0 {
             readings.table.peer_reported(now_us, PeerReport { is_same: false, age_us: Micros(0) });
@@ -291,6 +334,7 @@
             readings.servers_announcer = Some((stamp.servers.version, from));
             self.servers_due.notify_one();
         }
+        std::mem::take(&mut readings.has_diverged_for_long)
     }
 }
 
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -14,7 +14,7 @@
 use rand::RngExt;
 
 use super::dependency::Dependency;
-use super::freshness::{Feed, ListState, NewerTable, wait_until_due};
+use super::freshness::{Feed, ListAgeChange, ListState, NewerTable, wait_until_due};
 use super::interfaces::TableSource;
 use super::pacing::Urgency;
 use super::server_changes::ServerChange;
@@ -161,6 +161,15 @@
     loop {
         let now_us = clock::now();
         let age_us = state.freshness.servers_age_us(now_us);
+        match state.freshness.take_list_age_change(now_us) {
+            Some(ListAgeChange::Old) => {
+                state.log.state_changed("server list old, version", &state.directory.listing().version);
+            }
+            Some(ListAgeChange::Current(after_us)) => {
+                state.log.state_changed("server list current again, after ms", &after_us.to_millis_ceil().0);
+            }
+            None => {}
+        }
         let next_due_us = {
             let mut expired = state.expired_entries.lock();
             expired.observe_age(now_us, age_us);
