Keep no server that stated its leaving before its entry was removed in an outage

Callers: requests reach a server that has left for 2 to 2.9 s after the store is back, where it stated that it leaves just before the outage and its entry was removed meanwhile.

Cause: a read after the outage brings both records at once. Only the last one of each key was looked at, so that the removal was taken for the expiry of an entry that its server could not renew, and the server was kept as ready. Class: the last record of a key is taken for all that is known, and what came before it is lost.

A change of the list now names the removed servers that stated their leaving before, also in messages to other daemons, and these are not kept.

A server whose entry is only removed is still kept.

--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -240,7 +240,7 @@
         match page.change {
             HostListChange::Full(entries) if entries.is_empty() && known.version > 0 => {}
             HostListChange::Full(entries) => self.adopt(Listing::new(page.version, entries)),
-            HostListChange::Some { set, remove } => {
+            HostListChange::Some { set, remove, .. } => {
                 if !(set.is_empty() && remove.is_empty()) {
                     self.adopt(known.changed(page.version, set, &remove));
                 }
--- a/crates/router/src/relay/server_changes.rs
+++ b/crates/router/src/relay/server_changes.rs
@@ -36,6 +36,8 @@
     to: u64,
     set: Vec<BackendServer>,
     removed: Vec<BackendServerId>,
+    /// Those in `removed` that stated before that they leave, so that their entries have not merely expired.
+    left: Vec<BackendServerId>,
     /// Whether servers that came and went between the two versions may be missing.
     is_net: bool,
 }
@@ -49,7 +51,7 @@
         let changed = after.servers.changed_since(&before.servers);
         let set: Vec<BackendServer> = changed.map(|server| server.as_ref().clone()).collect();
         let removed: Vec<BackendServerId> = after.servers.removed_since(&before.servers).cloned().collect();
-        Some(Self { from: before.version, to: after.version, set, removed, is_net: true })
+        Some(Self { from: before.version, to: after.version, set, removed, left: Vec::new(), is_net: true })
     }
 
     /// The change that an incremental read up to `version` brought, possibly of the version only; `None` when the version did
@@ -71,7 +73,7 @@
             |id: &&BackendServerId| removed.contains(id) || after.servers.get(id) != before.servers.get(id);
         let set = listed.iter().filter(is_changed).filter_map(|id| after.servers.get(id));
         let set = set.map(|server| server.as_ref().clone()).collect();
-        Some(Self { from: before.version, to: version, set, removed, is_net: false })
+        Some(Self { from: before.version, to: version, set, removed, left: Vec::new(), is_net: false })
     }
 
     /// Whether it brings a list of this version up to date. One that names all servers does so for each version in between.
@@ -87,6 +89,18 @@
         self
     }
 
+    /// The same change, in which these of the removed servers stated before that they leave.
+    #[must_use]
+    pub fn with_left(mut self, left: Vec<BackendServerId>) -> Self {
+        self.left = left;
+        self
+    }
+
+    /// Servers that stated that they leave before they were removed.
+    pub fn left(&self) -> impl Iterator<Item = &BackendServerId> {
+        self.left.iter()
+    }
+
     /// The same change, which also names these servers of `after` as listed: those that the daemon which read the list had kept,
     /// and that are listed again. Nothing has changed for it, but other daemons keep them, or have removed them.
     #[must_use]
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hibiscusvale_core::ids::{BackendServerId, HostId};
+use hibiscusvale_core::relay::expired_entries::ExpiredEntries;
 use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::{Millis, MonoTime};
@@ -204,7 +205,7 @@
     let mut expired = state.expired_entries.lock();
     expired.read_succeeded(now_us);
     let is_full = matches!(page.change, HostListChange::Full(_));
-    let (set, removed): (_, Vec<BackendServerId>) = match page.change {
+    let (set, removed, left): (_, Vec<BackendServerId>, Vec<BackendServerId>) = match page.change {
         HostListChange::Full(hosts) if known.version == 0 => {
             state.directory.apply(HostListPage { change: HostListChange::Full(hosts), ..page });
             return None;
@@ -215,25 +216,26 @@
         HostListChange::Full(hosts) => {
             let listed: BTreeSet<_> = hosts.iter().map(|host| host.id.clone()).collect();
             let vanished = known.servers.keys().filter(|id| !listed.contains(id)).cloned().collect();
-            (hosts, vanished)
+            (hosts, vanished, Vec::new())
         }
-        HostListChange::Some { set, remove } => (set, remove),
+        HostListChange::Some { set, remove, left } => (set, remove, left),
     };
     let listed: Vec<BackendServerId> = set.iter().map(|host| host.id.clone()).collect();
     let vanished: Vec<BackendServerId> =
         removed.iter().filter(|id| known.servers.contains_key(id) && !listed.contains(id)).cloned().collect();
     let returned: Vec<BackendServerId> = listed.iter().filter(|id| expired.is_kept(id)).cloned().collect();
-    let gone = expired.confirm_gone(now_us, vanished.clone(), listed.iter());
+    let gone = confirm_gone(&mut expired, now_us, &vanished, &left, listed.iter());
     log_removed(state, &gone, &vanished);
     let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
     log_kept(state, now_us, &withheld, "own", expired.grace_until_us(now_us));
-    let change = HostListChange::Some { set, remove: gone };
+    let change = HostListChange::Some { set, remove: gone, left: Vec::new() };
     state.directory.apply(HostListPage { version: page.version, change });
     let after = state.directory.listing();
     let change = if is_full {
         ServerChange::between(known, &after).map(|change| change.with_removed(withheld))
     } else {
         ServerChange::of_read(known, &after, page.version, &listed, removed)
+            .map(|change| change.with_left(left))
     };
     change.map(|change| change.with_listed(&after, &returned))
 }
@@ -248,7 +250,7 @@
     let Some(mut listing) = ServerChange::applied(&changes, &before) else {
         return false;
     };
-    confirm_gone(state, &changes, &before, &mut listing);
+    keep_expired(state, &changes, &before, &mut listing);
     state.server_changes.append(changes, before.version);
     state.freshness.servers_learned(ListState::of(&listing));
     let is_changed = listing.servers.digest() != before.servers.digest();
@@ -259,15 +261,34 @@
     true
 }
 
+/// The `vanished` servers that are gone, and those kept long enough. One that `left` is never kept: its entry did not
+/// expire.
+fn confirm_gone<'a, Listed>(
+    expired: &mut ExpiredEntries,
+    now_us: MonoTime,
+    vanished: &[BackendServerId],
+    left: &[BackendServerId],
+    listed: Listed,
+) -> Vec<BackendServerId>
+where
+    Listed: Iterator<Item = &'a BackendServerId>,
+{
+    let (left, unstated): (Vec<_>, Vec<_>) = vanished.iter().cloned().partition(|id| left.contains(id));
+    let mut gone = expired.confirm_gone(now_us, unstated, listed);
+    gone.extend(left);
+    gone
+}
+
 /// Keeps in `listing` the servers that vanished with `changes` after this daemon's own list was out of date, and removes
 /// those that it has kept long enough.
-fn confirm_gone(state: &RelayState, changes: &[ServerChange], before: &Listing, listing: &mut Listing) {
+fn keep_expired(state: &RelayState, changes: &[ServerChange], before: &Listing, listing: &mut Listing) {
     let now_us = clock::now();
     let mut expired = state.expired_entries.lock();
     expired.observe_age(now_us, state.freshness.servers_age_us(now_us));
     let vanished: Vec<BackendServerId> = listing.servers.removed_since(&before.servers).cloned().collect();
     let listed = changes.iter().flat_map(ServerChange::listed);
-    let gone = expired.confirm_gone(now_us, vanished.clone(), listed);
+    let left: Vec<BackendServerId> = changes.iter().flat_map(ServerChange::left).cloned().collect();
+    let gone = confirm_gone(&mut expired, now_us, &vanished, &left, listed);
     log_removed(state, &gone, &vanished);
     let withheld: Vec<BackendServerId> = vanished.into_iter().filter(|id| !gone.contains(id)).collect();
     log_kept(state, now_us, &withheld, "other", expired.grace_until_us(now_us));
--- a/crates/router/tests/ops/directory.rs
+++ b/crates/router/tests/ops/directory.rs
@@ -51,7 +51,11 @@
 #[test]
 fn incremental_change_keeps_other_servers() {
     let directory = directory_of_two();
-    let change = HostListChange::Some { set: vec![plain("c", ListedState::Live)], remove: vec![id("a")] };
+    let change = HostListChange::Some {
+        set: vec![plain("c", ListedState::Live)],
+        remove: vec![id("a")],
+        left: Vec::new(),
+    };
     directory.apply(page(2, change));
     assert_eq!(names(&directory), ["b", "c"]);
     assert_eq!(directory.listing().version, 2);
