Ask servers whether they leave while the list cannot tell

Callers: a server that states its leaving just before the store goes away gets requests until the store is back, up to 10 s later, although it says in each answer, its health and its report that it leaves; and one whose entry is removed as the store returns gets them 2.5 s longer.

Cause: only the list and one header counted. Class: an outside source is trusted for longer than it is current, while a nearer one is not asked.

An answer that closes its connection, or refuses a request, is now a reason to ask its server, since sound ones do so now and then; it is asked while the list is older than 1.2 s, or keeps the server after it vanished. An engine's report needs no slot; a plain server is asked for its health. What it replies holds like a statement of the list and is told to daemons whose lists are old, until a later reply, or until the list has been current for 2.5 s. A report's state counts wherever a report is read. The decisions are in core, without I/O.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod expired_entries;
 pub mod helper_search;
 pub mod joining;
+pub mod leaving_checks;
 pub mod partners;
 pub mod prior_wait;
 pub mod reach;
--- a/crates/core/src/relay/routes.rs
+++ b/crates/core/src/relay/routes.rs
@@ -132,6 +132,8 @@
 pub struct ServiceSpec {
     /// Connections that one of its servers accepts from all callers together.
     pub connections_max: u32,
+    /// Path at which its servers state whether they are healthy; `None` if there is none.
+    pub health_path: Option<String>,
     /// Engine parameters; absent if its servers are not model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/core/src/relay/server_statements.rs
+++ b/crates/core/src/relay/server_statements.rs
@@ -37,6 +37,8 @@
 /// Statement of a server that it is leaving.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
+    /// Whether the server was asked, so that a later reply withdraws it.
+    is_reply: bool,
     /// Whether the list has shown the server as leaving since the statement, or did at its time.
     is_listed_leaving: bool,
 }
@@ -72,12 +74,42 @@
         now_us: MonoTime,
         server: &BackendServerId,
         listed: ListedAvailability,
+    ) -> Option<Hold> {
+        self.state_leaving(now_us, server, listed, false)
+    }
+
+    /// Records that a server that was asked replied that it is leaving, until [`Self::withdraw_reply`]. Returns the hold if it
+    /// is new.
+    pub fn replied_leaving(
+        &mut self,
+        now_us: MonoTime,
+        server: &BackendServerId,
+        listed: ListedAvailability,
+    ) -> Option<Hold> {
+        self.state_leaving(now_us, server, listed, true)
+    }
+
+    /// Records that a reply that a server is leaving no longer holds. Returns whether the server is available for that.
+    pub fn withdraw_reply(&mut self, server: &BackendServerId) -> bool {
+        let Some(stated) = self.servers.get_mut(server) else {
+            return false;
+        };
+        stated.leaving.take_if(|leaving| leaving.is_reply).is_some()
+    }
+
+    fn state_leaving(
+        &mut self,
+        now_us: MonoTime,
+        server: &BackendServerId,
+        listed: ListedAvailability,
+        is_reply: bool,
     ) -> Option<Hold> {
         let stated = self.stated(now_us, server, listed);
-        if stated.leaving.is_some() {
+        if let Some(leaving) = &mut stated.leaving {
+            leaving.is_reply &= is_reply;
             return None;
         }
-        stated.leaving = Some(Leaving { is_listed_leaving: listed.is_leaving });
+        stated.leaving = Some(Leaving { is_reply, is_listed_leaving: listed.is_leaving });
         Some(Hold { reason: HoldReason::Leaving, until_us: None })
     }
 
--- a/crates/core/tests/relay/main.rs
+++ b/crates/core/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod engines;
 mod helper_search;
 mod joining;
+mod leaving_checks;
 mod load;
 mod memory;
 mod order;
--- a/crates/router/src/relay/daemon.rs
+++ b/crates/router/src/relay/daemon.rs
@@ -24,6 +24,7 @@
 use super::freshness::Freshness;
 use super::host_load::{self, SharedHostLoad};
 use super::interfaces::{DaemonEntry, EvidenceStore, Register, TableSource, VersionStore, Wire};
+use super::leaving_checks::{self, SharedLeavingChecks};
 use super::limits::StatedLimits;
 use super::memory_limit::MemoryLimit;
 use super::metrics::RelayMetrics;
@@ -162,6 +163,7 @@
             organisations: OrganisationOutcomes::default(),
             limits: StatedLimits::default(),
             statements: SharedStatements::default(),
+            leaving_checks: SharedLeavingChecks::default(),
             stream_versions: SharedStreamVersions::new(is_first, adapters.versions, &adapters.log),
             reach: SharedReach::default(),
             quarantine,
@@ -213,6 +215,7 @@
             Arc::clone(&state),
         ));
         control.spawn(reach::run_checks(Arc::clone(&state)));
+        control.spawn(leaving_checks::run(Arc::clone(&state)));
         control.spawn(stream_versions::run_saves(Arc::clone(&state)));
         control.spawn(persistence::run(adapters.evidence, evidence_due, Arc::clone(&state)));
         start_orders(&control, adapters.log, &state, &settings);
--- a/crates/router/src/relay/end_checks.rs
+++ b/crates/router/src/relay/end_checks.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 
 use super::hop;
+use super::leaving_checks;
 use super::state::RelayState;
 use super::statements::CallKind;
 use crate::backend::{ConnectionReuse, EndCheck, EndEvidence, ServerRun};
@@ -165,7 +166,7 @@
         StatusCode::MISDIRECTED_REQUEST => Reply::OtherServer,
         // Answers of a proxy on the way.
         StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Reply::None,
-        StatusCode::OK => match state.wire.parse_report(&body) {
+        StatusCode::OK => match leaving_checks::parse_report(state, &run.server, &body) {
             Some(report) => Reply::Server(report.lifetime),
             None if run.is_engine && run.lifetime.is_some() => Reply::None,
             None => Reply::Server(None),
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -191,6 +191,7 @@
             lendable,
             crashes: state.quarantine.gossip(state),
             saved_versions: state.stream_versions.saved_for_all(),
+            leaving: state.leaving_checks.found(),
             limits: state.limits.gossip(),
         };
         let datagram = Datagram::Message(Box::new(message));
@@ -327,6 +328,7 @@
         state.peers.schedule_message(Urgency::Soon);
     }
     state.stream_versions.receive_saved(message.saved_versions);
+    state.leaving_checks.receive(state, &message.leaving);
     state.limits.merge(state, &message.limits);
     state.quarantine.receive(state, message.crashes)
 }
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -267,6 +267,23 @@
     reuse: ConnectionReuse,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), FailureCause> {
+    let reply = send_call_for_head(state, server, to, (kind, call), reuse, timeout).await;
+    reply.map(|(status, _, body)| (status, body))
+}
+
+/// Like [`send_call`], and also returns the parsed head of the answer.
+///
+/// # Errors
+///
+/// As for [`send_call`].
+pub async fn send_call_for_head(
+    state: &RelayState,
+    server: &BackendServerId,
+    to: SocketAddr,
+    (kind, call): (CallKind, EngineCall),
+    reuse: ConnectionReuse,
+    timeout: Duration,
+) -> Result<(StatusCode, ReplyHead, Bytes), FailureCause> {
     statements::check(state, server, kind)?;
     check_suspension(&state.router_http(), to)?;
     exchange_call(state, server, to, call, reuse, timeout).await.map_err(failure_cause)
@@ -279,7 +296,7 @@
     call: EngineCall,
     reuse: ConnectionReuse,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), CallFailure> {
+) -> Result<(StatusCode, ReplyHead, Bytes), CallFailure> {
     let mut request = Request::new(Full::new(call.body));
     *request.method_mut() = call.method;
     *request.uri_mut() = uri(to, &call.path)?;
@@ -295,7 +312,7 @@
     if let Some(rate) = head.limit {
         state.limits.record_answer(state, server, Some(rate));
     }
-    Ok((status, read_body(response.into_body(), ROUTER_ANSWER_BYTES_MAX, timeout).await?))
+    Ok((status, head, read_body(response.into_body(), ROUTER_ANSWER_BYTES_MAX, timeout).await?))
 }
 
 /// Sends a call of the router itself to an engine and reads a successful answer.
--- a/crates/router/src/relay/interfaces.rs
+++ b/crates/router/src/relay/interfaces.rs
@@ -14,6 +14,7 @@
 };
 use hibiscusvale_core::quarantine::{Fingerprint, Report};
 use hibiscusvale_core::relay::engines::{ReportedLoad, Role};
+use hibiscusvale_core::relay::leaving_checks::ServerState;
 use hibiscusvale_core::relay::partners::Credentials;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::relay::silence::ReportedRun;
@@ -176,6 +177,8 @@
     pub orders: u64,
     /// Its current run; `None` if not reported.
     pub lifetime: Option<Lifetime>,
+    /// Whether it is leaving; `None` if not reported.
+    pub state: Option<ServerState>,
 }
 
 /// An order to an engine to change its role.
@@ -222,6 +225,8 @@
 pub struct Availability {
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// Whether it closes the connection after the answer, as leaving servers do, and sound ones now and then.
+    pub closes_connection: bool,
     /// The rest that it asks for; `None` if it asks for none.
     pub rest: Option<Rest>,
 }
@@ -273,6 +278,9 @@
     /// Parses an engine's answer to a reservation; `None` if malformed.
     fn parse_reservation(&self, body: &[u8]) -> Option<Reservation>;
 
+    /// Call that asks whether `server` is healthy, at the path of its service.
+    fn health(&self, server: &BackendServerId, path: &str) -> EngineCall;
+
     /// Call that requests the state of the engine `server`.
     fn report(&self, server: &BackendServerId) -> EngineCall;
 
--- a/crates/router/src/relay/message.rs
+++ b/crates/router/src/relay/message.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use hibiscusvale_core::ids::{DataCentreId, HostId, Incarnation};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, Incarnation};
 use hibiscusvale_core::quarantine::{Fingerprint, Gossip, ReportPage};
 use hibiscusvale_core::quota::LimitStatement;
 use hibiscusvale_core::relay::engines::{PoolUsage, WorkloadStats};
@@ -86,6 +86,8 @@
     pub crashes: Gossip,
     /// Saved software versions of services; empty unless it saves them for all.
     pub saved_versions: Vec<SavedVersion>,
+    /// Servers that it has found to be leaving by their replies.
+    pub leaving: Vec<BackendServerId>,
     /// Server limits that changed.
     pub limits: Vec<LimitStatement>,
 }
--- a/crates/router/src/relay/mod.rs
+++ b/crates/router/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod hop;
 mod host_load;
 pub mod interfaces;
+mod leaving_checks;
 mod limits;
 mod load_report;
 mod loans;
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -20,6 +20,7 @@
 
 use super::hop;
 use super::interfaces::EngineOrder;
+use super::leaving_checks;
 use super::pacing::Urgency;
 use super::state::RelayState;
 use super::statements::CallKind;
@@ -184,7 +185,9 @@
         let report =
             hop::send_call(&state, &shift.server, at, report, ConnectionReuse::Pooled, CALL_TIMEOUT).await;
         let report = report.ok().filter(|(status, _)| *status == StatusCode::OK);
-        let Some(report) = report.and_then(|(_, body)| state.wire.parse_report(&body)) else {
+        let Some(report) =
+            report.and_then(|(_, body)| leaving_checks::parse_report(&state, &shift.server, &body))
+        else {
             return;
         };
         if report.is_busy || report.role == Some(shift.role) {
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -27,6 +27,7 @@
 use super::freshness::Freshness;
 use super::host_load::SharedHostLoad;
 use super::interfaces::{Call, CallId, Hop, Task, Wire};
+use super::leaving_checks::SharedLeavingChecks;
 use super::limits::StatedLimits;
 use super::memory_limit::MemoryLimit;
 use super::metrics::{RelayMetrics, RequestSummary};
@@ -311,6 +312,8 @@
     pub limits: StatedLimits,
     /// What servers state about their availability.
     pub statements: SharedStatements,
+    /// Servers that may be leaving while the list cannot tell.
+    pub leaving_checks: SharedLeavingChecks,
     /// Software versions at which streams began.
     pub stream_versions: SharedStreamVersions,
     /// Which services' servers this daemon reaches.
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -85,6 +85,7 @@
         status: StatusCode,
         head: &ReplyHead,
     ) {
+        state.leaving_checks.record(server, head);
         if head.availability == Availability::default() {
             return;
         }
@@ -117,6 +118,34 @@
         }
     }
 
+    /// Records that a server that was asked is leaving, by its own reply or that of another daemon.
+    pub fn replied_leaving(&self, state: &RelayState, server: &BackendServerId, path: &'static str) {
+        let listed = availability(state.directory.listing().servers.get(server).map(AsRef::as_ref));
+        let hold = self.servers.lock().replied_leaving(clock::now(), server, listed.unwrap_or_default());
+        if let Some(hold) = hold {
+            state.metrics.record_statement("leaving");
+            state.log.server_stated(server, "leaving", None, path, StatusCode::OK.as_u16());
+            apply(state, server, hold);
+        }
+    }
+
+    /// Records that what a server replied about its leaving holds no longer.
+    pub fn withdraw_reply(&self, state: &RelayState, server: &BackendServerId) {
+        let rest = {
+            let mut servers = self.servers.lock();
+            if !servers.withdraw_reply(server) {
+                return;
+            }
+            servers.hold(clock::now(), server)
+        };
+        state.log.state_changed("server available again", server);
+        state.plain_schedulers.release(server);
+        state.engine_pools.release(server);
+        if let Some(rest) = rest {
+            apply(state, server, rest);
+        }
+    }
+
     /// Keeps requests from a server for `pause_ms`, as if it had asked for a rest.
     pub fn hold_for(&self, state: &RelayState, server: &BackendServerId, pause_ms: Millis) {
         let listed = availability(state.directory.listing().servers.get(server).map(AsRef::as_ref));
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -26,6 +26,7 @@
 use super::forwarding;
 use super::hop::{self, BufferedReply, Reply};
 use super::interfaces::{EventId, Generation, Hop, PrefillResult, Reservation, Task};
+use super::leaving_checks;
 use super::reach;
 use super::refusal::{Reason, Refusal};
 use super::state::{Incoming, RelayState};
@@ -225,7 +226,7 @@
 ) -> Result<RunCheck, FailureCause> {
     let call = (CallKind::Report, state.wire.report(server));
     let body = hop::call(state, server, at, call, timeout).await?;
-    let report = state.wire.parse_report(&body).ok_or(FailureCause::Broken)?;
+    let report = leaving_checks::parse_report(state, server, &body).ok_or(FailureCause::Broken)?;
     let is_listed = report.lifetime.is_none_or(|lifetime| lifetime == listed);
     Ok(if is_listed { RunCheck::Listed } else { RunCheck::Other })
 }
--- a/crates/router/tests/unit/relay_load_report.rs
+++ b/crates/router/tests/unit/relay_load_report.rs
@@ -55,6 +55,7 @@
         holdings: holdings.collect(),
         lendable: None,
         crashes: Gossip::default(),
+        leaving: Vec::new(),
         limits: Vec::new(),
     }))
 }
--- a/crates/router/tests/unit/relay_shares.rs
+++ b/crates/router/tests/unit/relay_shares.rs
@@ -25,7 +25,7 @@
 }
 
 fn table(quotas: &[(&str, Option<Quota>)]) -> RouteTable {
-    let spec = ServiceSpec { connections_max: 10, engine: None };
+    let spec = ServiceSpec { connections_max: 10, health_path: None, engine: None };
     let services = BTreeMap::from([("app".parse().unwrap(), spec)]);
     let partners = quotas.iter().map(|(name, quota)| Partner {
         id: partner(name),
