Take answers with a status beyond 599 for malformed

Callers got 600, 777 and 999 of a server in trouble as answers, with its body. The HTTP parser accepts any three digits from 100 on, and only statuses with a meaning were classified. They fail in the client of backend servers now, so that our own interface and the router's own calls treat them alike; callers get 502.

--- a/crates/router/src/backend/http.rs
+++ b/crates/router/src/backend/http.rs
@@ -42,6 +42,9 @@
 /// link that loses three in a hundred.
 const KEEPALIVE_RETRIES: u32 = 3;
 
+/// First number beyond the statuses that HTTP has.
+const STATUSES_END: u16 = 600;
+
 /// Why a call failed, by what is known about its effect.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, thiserror::Error)]
 pub enum CallFailure {
@@ -263,6 +266,8 @@
             sending.await
         };
         let failure = match tokio::time::timeout(timeout, exchange).await {
+            // The parser accepts any three digits.
+            Ok(Ok(response)) if response.status().as_u16() >= STATUSES_END => CallFailure::Malformed,
             Ok(Ok(response)) => return Ok(ServerBody::wrap(response, server)),
             Ok(Err(error)) if error.is_connect() => return Err(CallFailure::NotSent),
             Ok(Err(error)) => {
--- a/crates/router/tests/ops/backend_http.rs
+++ b/crates/router/tests/ops/backend_http.rs
@@ -31,6 +31,25 @@
     (server, address)
 }
 
+/// An answer whose status HTTP does not have is no answer, whoever calls.
+#[rstest]
+#[case::least(600, false)]
+#[case::greatest(999, false)]
+#[case::last_of_http(599, true)]
+#[tokio::test]
+async fn status_that_http_does_not_have_is_malformed(#[case] status: u16, #[case] is_answer: bool) {
+    let server = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let address = server.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = server.accept().expect("a connection");
+        let _ = stream.read(&mut [0; 1_024]).expect("a request");
+        write!(stream, "HTTP/1.1 {status} Odd\r\nContent-Length: 2\r\n\r\nok").expect("an open connection");
+    });
+    let request = Request::get(uri(address, "/").expect("a path")).body(Full::default()).expect("a request");
+    let answer = BackendHttp::new().send(ConnectionReuse::Fresh, request, Duration::from_secs(2)).await;
+    assert_eq!(answer.map(|answer| answer.status().as_u16()).ok(), is_answer.then_some(status));
+}
+
 /// A call that timed out must not reach its server later. When a link is cut, the daemon gives the call up
 /// and refuses the request, but after an ordinary close the operating system keeps retransmitting: once the
 /// link heals, the request would reach a server that may have said that it is leaving, after the caller was
