Read the whole list where it differs from another daemon's at one version

A daemon whose list lacks a change, while it has the version of the change, would lack it until the same server changes again: daemons read and pass on changes only, and take lists of one version for the same.

Each other daemon whose list differs at the same version for three seconds is now remembered, and the next read fetches the whole list, at most once in ten seconds; not in a large fleet, where hundreds of daemons would read thousands of servers. Before, a difference with any daemon counted, was forgotten with each read, and led to a read of what follows the version, which never brings the change.

--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -1,5 +1,6 @@
 //! Tracks the age of this daemon's routes and server list and decides when to read them from the store.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -77,6 +78,59 @@
 /// reads the list again.
 const DIVERGENCE_TOLERANCE_MS: Millis = Millis(3_000);
 
+/// Minimum interval between two reads of the whole list because of such a difference.
+const WHOLE_READ_INTERVAL_MS: Millis = Millis(10_000);
+
+/// Maximum number of daemons whose lists are known to differ.
+const DIVERGED_MAX: usize = 64;
+
+/// Daemons whose server lists differ from the own one at the same version.
+///
+/// Daemons read and pass on changes only, so that one which lacks a change would lack it until the same server changes
+/// again. A read of the whole list ends that.
+#[derive(Debug, Default)]
+struct Divergence {
+    /// Since when each differs.
+    since_us: HashMap<SocketAddr, MonoTime>,
+    is_new: bool,
+    is_whole_read_due: bool,
+    whole_read_us: Option<MonoTime>,
+}
+
+impl Divergence {
+    /// Records whether the list of the daemon at `from` is the same at the same version. Returns whether it has differed for
+    /// long.
+    fn compare(&mut self, now_us: MonoTime, from: SocketAddr, is_same: bool) -> bool {
+        if is_same {
+            self.since_us.remove(&from);
+            return false;
+        }
+        if !self.since_us.contains_key(&from) && self.since_us.len() >= DIVERGED_MAX {
+            return false;
+        }
+        let since_us = *self.since_us.entry(from).or_insert(now_us);
+        let is_lasting = now_us >= since_us + DIVERGENCE_TOLERANCE_MS;
+        if is_lasting && self.whole_read_us.is_none_or(|read_us| now_us >= read_us + WHOLE_READ_INTERVAL_MS) {
+            self.is_new |= !self.is_whole_read_due;
+            self.is_whole_read_due = true;
+        }
+        is_lasting
+    }
+
+    fn take_new(&mut self) -> bool {
+        std::mem::take(&mut self.is_new)
+    }
+
+    fn take_whole_read_due(&mut self, now_us: MonoTime) -> bool {
+        let is_due = std::mem::take(&mut self.is_whole_read_due);
+        if is_due {
+            self.whole_read_us = Some(now_us);
+            self.since_us.clear();
+        }
+        is_due
+    }
+}
+
 /// Age from which the server list is reported as old: by then a leaving server may not be known.
 const LIST_OLD_MS: Millis = Millis(2_000);
 
@@ -102,10 +156,7 @@
     table: RefreshSchedule,
     servers: RefreshSchedule,
     list: ListState,
-    /// Since when another daemon has had a different digest for the same version.
-    diverged_since_us: Option<MonoTime>,
-    /// Whether that is to be reported.
-    has_diverged_for_long: bool,
+    divergence: Divergence,
     /// Since when the server list has been old.
     old_since_us: Option<MonoTime>,
     /// When a call to the store last failed; `None` once a call has succeeded again.
@@ -134,17 +185,21 @@
     /// Guards against a read storm. When a partition heals, vanished servers return one by one and daemons
     /// differ in which of them they keep. If each difference caused a read, every read would be newer than
     /// what the others have and cause reads in turn. So a version that is known here causes no read at once.
-    fn compare_servers(&mut self, now_us: MonoTime, announced: ListState, age_us: Option<Micros>) -> bool {
+    fn compare_servers(
+        &mut self,
+        now_us: MonoTime,
+        announced: ListState,
+        age_us: Option<Micros>,
+        from: SocketAddr,
+    ) -> bool {
         if announced.version > self.list.version && announced.digest != self.list.digest {
             return self.servers.peer_reported(now_us, PeerReport { is_same: false, age_us: Micros(0) });
         }
         let Some(age_us) = age_us.filter(|_| announced.version > 0) else {
             return false;
         };
-        if announced.version == self.list.version && announced.digest != self.list.digest {
-            let since_us = *self.diverged_since_us.get_or_insert(now_us);
-            let is_lasting = now_us >= since_us + DIVERGENCE_TOLERANCE_MS;
-            self.has_diverged_for_long |= is_lasting;
+        if announced.version == self.list.version {
+            let is_lasting = self.divergence.compare(now_us, from, announced.digest == self.list.digest);
             return self.servers.peer_reported(now_us, PeerReport { is_same: !is_lasting, age_us });
         }
         self.servers.peer_reported(now_us, PeerReport { is_same: true, age_us })
@@ -163,8 +218,7 @@
             table,
             servers,
             list: ListState::default(),
-            diverged_since_us: None,
-            has_diverged_for_long: false,
+            divergence: Divergence::default(),
             old_since_us: None,
             store_failed_us: None,
             table_announcer: None,
@@ -205,10 +259,14 @@
         let mut readings = self.readings.lock();
         readings.servers.read_succeeded(begun_us);
         readings.store_failed_us = None;
-        readings.diverged_since_us = None;
         std::mem::replace(&mut readings.list, list).digest != list.digest
     }
 
+    /// Whether the next read has to fetch the whole list, since the list differs from another daemon's at the same version.
+    pub fn take_whole_read_due(&self, now_us: MonoTime) -> bool {
+        self.readings.lock().divergence.take_whole_read_due(now_us)
+    }
+
     /// Records a failed read.
     pub fn failed(&self, now_us: MonoTime, feed: Feed) {
         reading(&mut self.readings.lock(), feed).read_failed();
@@ -330,11 +388,11 @@
         {
             readings.table.peer_reported(now_us, PeerReport { is_same: true, age_us });
         }
-        if readings.compare_servers(now_us, stamp.servers, stamp.servers_age_us) {
+        if readings.compare_servers(now_us, stamp.servers, stamp.servers_age_us, from) {
             readings.servers_announcer = Some((stamp.servers.version, from));
             self.servers_due.notify_one();
         }
-        std::mem::take(&mut readings.has_diverged_for_long)
+        readings.divergence.take_new()
     }
 }
 
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -130,7 +130,11 @@
         {
             continue;
         }
-        match list.read(state.directory.listing().version, LIST_WAIT_MS).await {
+        // In a large fleet, hundreds of daemons would read thousands of servers.
+        let is_whole = state.peers.reach() != BroadcastScope::DataCentre
+            && state.freshness.take_whole_read_due(begun_us);
+        let after = if is_whole { 0 } else { state.directory.listing().version };
+        match list.read(after, LIST_WAIT_MS).await {
             Ok(page) => {
                 dependency.report_success(&state);
                 let before = state.directory.listing();
