Probe no second instance with a call that has failed

Callers: where many plain servers failed together, since their answers did not end, their rests ended together, and a page was sent to one of them and then to another one, and answered 502, although a sound server was free.

Cause: an instance whose rest is over gets one call as its probe, before instances that are known to be sound, and a call that had just failed as such a probe was used as the next one. Now it goes to a sound instance; only without one it probes again.

--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -508,7 +508,7 @@
     /// Least-connections alone favours an instance that fails fast, and lowest-latency alone sends all calls
     /// to one instance; the product of calls in flight and latency balances both. An ejected instance gets a
     /// single probe call. At an unresponsive instance that call is likely to be lost, so a repeatable call is
-    /// used.
+    /// used, and none that has failed at another instance, unless there is no other one.
     ///
     /// Where instances are uneven and daemons report their loads, it is chosen by these instead.
     fn choose(&mut self, now_us: MonoTime, request: Request) -> Option<usize> {
@@ -523,8 +523,9 @@
         let sampled = (0..count.min(SAMPLE_SIZE)).map(|step| (start + step) % count);
         let eligible = |&index: &usize| Some(index) != failed_at && self.has_room(now_us, index);
         let probe_due = |&index: &usize| self.instances[index].is_probe_due(now_us, repeatable);
-        if let Some(index) = sampled.clone().filter(eligible).find(probe_due) {
-            return Some(index);
+        let probed = sampled.clone().filter(eligible).find(probe_due);
+        if probed.is_some() && failed_at.is_none() {
+            return probed;
         }
         let healthy = |&index: &usize| eligible(&index) && !self.instances[index].is_ejected();
         let candidate = |index: usize| Candidate {
@@ -535,10 +536,11 @@
         if self.server_loads_in_use().is_some() {
             let candidates: Vec<Candidate> = (0..count).filter(healthy).map(candidate).collect();
             let loads = self.server_loads.as_ref()?;
-            return loads.choose(now_us, &candidates, target_left_ms, &mut self.rng);
+            return loads.choose(now_us, &candidates, target_left_ms, &mut self.rng).or(probed);
         }
         let best = |index: &usize| self.instances[*index].score(median_us);
-        sampled.filter(healthy).min_by_key(best).or_else(|| (0..count).filter(healthy).min_by_key(best))
+        let chosen = sampled.filter(healthy).min_by_key(best);
+        chosen.or_else(|| (0..count).filter(healthy).min_by_key(best)).or(probed)
     }
 
     /// Whether an instance may get one more call. Where instances are chosen by their loads, a call may wait in the
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -346,6 +346,64 @@
     assert_eq!(dispatched(&handle(3_010_000, done)), 3);
 }
 
+// Many instances fail together, and their rests end together. A call that probed one of them and got no answer was the
+// probe of another one, and failed although a sound instance was free.
+#[test]
+fn call_that_failed_probes_no_other_instance() {
+    for seed in 0..50 {
+        let mut scheduler = PlainScheduler::new(PlainSettings::default(), seed);
+        let mut handle = |now_us, event| {
+            let mut actions = Vec::new();
+            scheduler.handle(MonoTime(now_us), event, &mut actions);
+            actions
+        };
+        let instance = |number: usize| PlainInstance {
+            server: format!("s{number}").parse().unwrap(),
+            capacity: 8,
+            leaving: false,
+            is_local: true,
+            lifetime: None,
+        };
+        handle(0, PlainEvent::Instances((0..4).map(instance).collect()));
+        let arrival = |sequence| PlainArrival {
+            request_id: RequestId { incarnation: Incarnation(9_u64.into()), sequence },
+            partner: "a".parse().unwrap(),
+            repeatable: true,
+            attempts_max: 2,
+            max_wait_ms: Millis(100),
+            target_ms: None,
+        };
+        // Calls that succeed fill the retry budget.
+        for sequence in 0..100 {
+            let request_id = arrival(sequence).request_id;
+            handle(sequence * 10_000, PlainEvent::Arrive(arrival(sequence)));
+            handle(sequence * 10_000 + 5_000, PlainEvent::Done { request_id });
+        }
+        for number in 1..4 {
+            let hold = Hold { reason: HoldReason::Resting, until_us: Some(MonoTime(2_000_000)) };
+            handle(1_000_000, PlainEvent::Hold { server: format!("s{number}").parse().unwrap(), hold });
+        }
+        let request_id = arrival(100).request_id;
+        let servers = |actions: Vec<PlainAction>| -> Vec<String> {
+            let dispatched = actions.into_iter().filter_map(|action| match action {
+                PlainAction::Dispatch { server, .. } => Some(server.to_string()),
+                _ => None,
+            });
+            dispatched.collect()
+        };
+        let first = servers(handle(2_000_000, PlainEvent::Arrive(arrival(100))));
+        assert_eq!(first.len(), 1, "{first:?}");
+        if first == ["s0"] {
+            continue;
+        }
+        let cause = FailureCause::Broken;
+        handle(2_010_000, PlainEvent::Failed { request_id, cause });
+        // The retry follows a short pause.
+        let second = servers(handle(2_100_000, PlainEvent::Tick));
+        assert_eq!(second, ["s0"], "seed {seed}: after {first:?}");
+    }
+}
+
 // An instance answers while it rests: a call that was under way succeeds. The rest is not shortened.
 #[test]
 fn success_does_not_end_a_rest() {
