Bound the questions to servers that may be leaving

In an outage of the store under overload, engines refuse requests since they are full, and each refusal was a reason to ask: 400 daemons could ask each of hundreds of engines twice a second. A refusal with a load that fills the server explains itself now, and a daemon asks four servers at a time, forty a second, those first that it has not asked for longest.

Not measured at that size.

--- a/crates/core/src/relay/leaving_checks.rs
+++ b/crates/core/src/relay/leaving_checks.rs
@@ -29,6 +29,10 @@
 /// Time for which a finding of another daemon holds without being repeated.
 const OTHER_TTL_MS: Millis = Millis(3_000);
 
+/// Maximum number of servers that are asked at once. In an outage under overload, hundreds of daemons have a reason to ask
+/// thousands of servers.
+const ASKED_MAX: usize = 4;
+
 /// Maximum number of servers that a daemon names to the others.
 const NAMED_MAX: usize = 16;
 
@@ -125,27 +129,25 @@
     where
         IsKept: Fn(&BackendServerId) -> bool,
     {
-        let mut due = Vec::new();
-        for (server, suspect) in &mut self.servers {
-            if !list.is_stale() && !is_kept(server) {
-                continue;
+        let is_due = |suspect: &Suspect| match suspect.held {
+            Some(Held { is_own: true, .. }) => is_past(now_us, suspect.asked_us, RECHECK_INTERVAL_MS),
+            Some(Held { is_own: false, stated_us }) => {
+                now_us >= stated_us + OTHER_TTL_MS && is_past(now_us, suspect.asked_us, RECHECK_INTERVAL_MS)
             }
-            let is_due = match suspect.held {
-                Some(Held { is_own: true, .. }) => is_past(now_us, suspect.asked_us, RECHECK_INTERVAL_MS),
-                Some(Held { is_own: false, stated_us }) => {
-                    now_us >= stated_us + OTHER_TTL_MS
-                        && is_past(now_us, suspect.asked_us, RECHECK_INTERVAL_MS)
-                }
-                None => {
-                    suspect.hinted_us > suspect.asked_us && is_past(now_us, suspect.asked_us, ASK_INTERVAL_MS)
-                }
-            };
-            if is_due {
-                suspect.asked_us = Some(now_us);
-                due.push(server.clone());
+            None => {
+                suspect.hinted_us > suspect.asked_us && is_past(now_us, suspect.asked_us, ASK_INTERVAL_MS)
             }
+        };
+        let is_unsure = |server: &BackendServerId| list.is_stale() || is_kept(server);
+        let due = self.servers.iter_mut().filter(|(server, suspect)| is_due(suspect) && is_unsure(server));
+        let mut due: Vec<(&BackendServerId, &mut Suspect)> = due.collect();
+        // Those that were not asked for longest come first.
+        due.sort_unstable_by_key(|(_, suspect)| suspect.asked_us);
+        due.truncate(ASKED_MAX);
+        for (_, suspect) in &mut due {
+            suspect.asked_us = Some(now_us);
         }
-        due
+        due.into_iter().map(|(server, _)| server.clone()).collect()
     }
 
     /// Records a server's reply, to a question or in a report.
--- a/crates/core/tests/relay/leaving_checks.rs
+++ b/crates/core/tests/relay/leaving_checks.rs
@@ -74,6 +74,24 @@
     assert_eq!(asked, 5);
 }
 
+/// In an outage under overload, each of hundreds of daemons has a reason to ask each of thousands of servers.
+#[test]
+fn questions_of_a_moment_are_bounded_and_reach_all_in_turn() {
+    let mut checks = LeavingChecks::default();
+    let servers: Vec<BackendServerId> =
+        (0..40).map(|number| format!("i-{number}").parse().unwrap()).collect();
+    servers.iter().for_each(|server| checks.hinted(at(0), server));
+    let mut asked = Vec::new();
+    for tick in 0..10 {
+        let due = checks.due(at(1 + tick * 100), &STALE, |_| false);
+        assert!(due.len() <= 4, "{due:?}");
+        asked.extend(due);
+    }
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), servers.len());
+}
+
 /// A server whose health check failed for a moment, or whose shutdown was called off, must not be lost for the whole outage.
 #[test]
 fn server_that_serves_again_is_released() {
--- a/crates/router/src/relay/leaving_checks.rs
+++ b/crates/router/src/relay/leaving_checks.rs
@@ -31,10 +31,11 @@
 pub struct SharedLeavingChecks(Mutex<LeavingChecks>);
 
 impl SharedLeavingChecks {
-    /// Records the head of an answer that may mean that its server leaves: it closes the connection or does not run a
-    /// request.
+    /// Records the head of an answer that may mean that its server leaves: it closes the connection, or refuses a request
+    /// although it does not state that it is full.
     pub fn record(&self, server: &BackendServerId, head: &ReplyHead) {
-        if head.availability.closes_connection || head.not_run {
+        let is_full = head.load.is_some_and(|load| load.running.saturating_add(load.waiting) >= load.slots);
+        if head.availability.closes_connection || (head.not_run && !is_full) {
             self.0.lock().hinted(clock::now(), server);
         }
     }
