Ask no limited server beyond its limit, and read refused questions with their load

Questions to servers that may be leaving count to the limits that these state, like the report at the end of an answer. A plain server that turns the question away with a load that leaves slots free is leaving, as one is that answers 503 without stating that the question was not run.

Evidence: `leaving_unread`, a plain server that refuses its health check like any request, with its load: both cases failed before.

--- a/crates/router/src/relay/leaving_checks.rs
+++ b/crates/router/src/relay/leaving_checks.rs
@@ -34,8 +34,7 @@
     /// Records the head of an answer that may mean that its server leaves: it closes the connection, or refuses a request
     /// although it does not state that it is full.
     pub fn record(&self, server: &BackendServerId, head: &ReplyHead) {
-        let is_full = head.load.is_some_and(|load| load.running.saturating_add(load.waiting) >= load.slots);
-        if head.availability.closes_connection || (head.not_run && !is_full) {
+        if head.availability.closes_connection || (head.not_run && has_free_slots(head) != Some(false)) {
             self.0.lock().hinted(clock::now(), server);
         }
     }
@@ -141,6 +140,7 @@
             state.wire.health(server, spec.health_path.as_deref()?)
         }
     };
+    state.limits.admit(state, server, 1).await.ok()?;
     let call = (CallKind::Report, call);
     let reply =
         hop::send_call_for_head(state, server, listed.address, call, ConnectionReuse::Pooled, TIMEOUT);
@@ -160,11 +160,17 @@
     }
 }
 
+/// Whether the load of the server leaves slots free; `None` if it states none.
+fn has_free_slots(head: &ReplyHead) -> Option<bool> {
+    head.load.map(|load| load.running.saturating_add(load.waiting) < load.slots)
+}
+
 /// A server that is full turns the question away like any request, which says nothing about its leaving.
 fn health_state(status: StatusCode, head: &ReplyHead) -> Option<ServerState> {
+    let may_be_full = head.not_run && has_free_slots(head) != Some(true);
     match status {
         StatusCode::OK => Some(ServerState::Serving),
-        StatusCode::SERVICE_UNAVAILABLE if !head.not_run => Some(ServerState::Leaving),
+        StatusCode::SERVICE_UNAVAILABLE if !may_be_full => Some(ServerState::Leaving),
         StatusCode::MISDIRECTED_REQUEST => Some(ServerState::Leaving),
         _ => None,
     }
