Compare lists of servers without their region

Each daemon sets its own region for servers of which the platform states none, so that lists of daemons in two regions always differed at one version.

Evidence: `lists_of_two_regions_are_the_same` failed before. Read in the code; no deployment that is in force has two regions.

--- a/crates/router/src/servers.rs
+++ b/crates/router/src/servers.rs
@@ -119,9 +119,11 @@
     }
 }
 
-/// Hash of one server. It is identical in all daemons of the same build.
+/// Hash of one server. It is identical in all daemons of the same build; the region is left out, since each daemon sets its
+/// own for servers of which the platform states none.
 fn server_hash(server: &BackendServer) -> u64 {
+    let BackendServer { id, lifetime, version, address, data_centre, listed, kind, .. } = server;
     let mut hasher = DefaultHasher::new();
-    server.hash(&mut hasher);
+    (id, lifetime, version, address, data_centre, listed, kind).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -251,3 +251,15 @@
     let other = ServerChange::applied(&[change], &listing(7, &["i-1"])).unwrap();
     assert_eq!(names(&other), ["i-1", "i-2"]);
 }
+
+/// Daemons of two regions set their own region for the same servers. If that made their lists differ, each would read the whole
+/// list again and again.
+#[test]
+fn lists_of_two_regions_are_the_same() {
+    let listed = |region: &str, state| {
+        let host = ListedHost { region: region.parse().unwrap(), ..plain("i-1", state) };
+        Listing::new(5, vec![host]).servers.digest()
+    };
+    assert_eq!(listed("r", ListedState::Live), listed("s", ListedState::Live));
+    assert_ne!(listed("r", ListedState::Live), listed("r", ListedState::Leaving));
+}
