Keep shares in force while a small service answers less for a moment

A daemon's metrics showed a congested service, the demands and no share.

Cause: shares were in force only while the rate of answers of the moment was at least 20 a second. The server of the test answers some 35 to 50 a second, less on a busy machine, so that the rate, averaged over 0.3 s, falls below 20 now and then in the middle of a surge; all requests are admitted for that moment. The capacity itself is remembered for 2 s and did not fall. Class of fault: two conditions on one quantity that are averaged over different times.

Change: the remembered rate counts here as well.

Evidence: the new test of the core fails before and passes after.

--- a/crates/core/src/shares/rates.rs
+++ b/crates/core/src/shares/rates.rs
@@ -29,7 +29,7 @@
     /// Time constant with which a lower rate of answers lowers the capacity: longer than the moments for which
     /// servers slow down, since the queues already show those.
     pub capacity_memory_ms: Millis,
-    /// Rate of answers, per second, below which nothing is known of the capacity.
+    /// Rate of answers, per second, below which nothing is known of the capacity. The rate is remembered like the capacity.
     pub answered_least: f64,
     /// Time constant of the demand of small organisations: long enough for some requests of each of several hundred.
     pub small_demand_ms: Millis,
@@ -429,7 +429,7 @@
         self.follow_answers(passed_us, totals.answered);
         let queue_per_slot = totals.queue_per_slot().map(|earlier| self.recent_queue.mean(now_us, earlier));
         let refused_fraction = self.recent_refused.mean(now_us, totals.refused_fraction());
-        let is_known = totals.answered >= self.settings.answered_least;
+        let is_known = self.answered_peak >= self.settings.answered_least;
         let is_queued = queue_per_slot.is_some_and(|queue| queue > self.settings.queue_target);
         if is_known && (is_queued || totals.refused_fraction() > REFUSED_FRACTION) {
             if now_us >= self.congested_until_us {
--- a/crates/core/tests/shares/reports.rs
+++ b/crates/core/tests/shares/reports.rs
@@ -117,6 +117,23 @@
     }
 }
 
+/// Guards against shares that lapse whenever a small service answers a little less for a moment: all that the surging
+/// organisation sends would be admitted then, although the servers queue as before.
+#[test]
+fn shares_stay_in_force_while_a_small_service_answers_less_for_a_moment() {
+    let demand = vec![(key(0), 240.0), (key(1), 10.0)];
+    let report =
+        |answered| RateReport { demand: demand.clone(), answered, load_reports: answered, ..overloaded() };
+    let (mut shares, now_us) = congested(report(35.0));
+    assert!(matches!(shares.decide(now_us, Some(key(0)), 0.999), ShareDecision::OverShare(_)));
+    for at_ms in (0..500).step_by(100) {
+        let now_us = now_us + Millis(50 + at_ms);
+        shares.receive(now_us, &"host".parse().unwrap(), report(19.0));
+        let decision = shares.decide(now_us, Some(key(0)), 0.999);
+        assert!(matches!(decision, ShareDecision::OverShare(_)), "after {at_ms} ms");
+    }
+}
+
 /// Guards against a single server that states an impossible queue: the mean of the daemon would be impossible as well,
 /// so that all other daemons drop its reports, and most of the capacity would count as lost for seconds.
 #[test]
