Log that a daemon which announced newer servers or routes did not answer

A daemon that is behind asks the one that announced the newer version.

Two lines of the kind `changed` name the address. They are written when the other daemon gave no reply, not when its reply brought nothing new.

--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -182,10 +182,11 @@
 /// When operators publish several versions in a row, this keeps each daemon from reading each of them from
 /// the store, whose calls are rate-limited and billed.
 pub async fn fetch_table(state: &RelayState, address: SocketAddr) -> bool {
-    match fetch(state, address, TABLE_PATH).await {
-        Some(table) => watch::adopt_table(state, table),
-        None => false,
-    }
+    let Some(table) = fetch(state, address, TABLE_PATH).await else {
+        state.log.state_changed("no reply about newer routes, from", &address);
+        return false;
+    };
+    watch::adopt_table(state, table)
 }
 
 /// Fetches the server changes since the version known here from one daemon, or its full snapshot when its
@@ -195,10 +196,15 @@
 /// the store.
 pub async fn fetch_server_changes(state: &RelayState, address: SocketAddr) -> bool {
     let version = state.directory.listing().version;
-    match fetch(state, address, &format!("{CHANGES_PATH}{version}")).await {
-        Some(changes) => watch::adopt_changes(state, changes),
-        None => fetch_snapshot(state, address).await,
+    if let Some(changes) = fetch(state, address, &format!("{CHANGES_PATH}{version}")).await {
+        return watch::adopt_changes(state, changes);
     }
+    let requested_us = clock::now();
+    let Some(snapshot) = fetch(state, address, SNAPSHOT_PATH).await else {
+        state.log.state_changed("no reply about newer servers, from", &address);
+        return false;
+    };
+    adopt(state, requested_us, snapshot, address)
 }
 
 async fn fetch<Reply>(state: &RelayState, address: SocketAddr, path: &str) -> Option<Reply>
