Read the store when the daemon that announced newer servers is silent

Seen: requests reached servers more than 2 s after the store had acknowledged that they leave, from daemons that had lost nothing (the first reported case fits, without being shown to be this one).

Cause: a daemon that is behind asks the one that announced the newer list for the changes, then for the whole list, a second each, and reads the store only after that. If the other daemon stands still after its last message, or its answers are lost, the list comes 2 s late on top of the interval between reads, and its own reads wait meanwhile. Class of fault: one source is waited for while another one would answer.

Change: the question for servers or routes takes 0.4 s at most where the store is read instead. In large fleets, where the store is not read instead, nothing changes.

Evidence: list_is_read_while_the_daemon_that_announced_it_is_silent, red before: 83 requests reached servers that leave more than 1 s after the question, the last after 1.997 s.

--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::routes::RouteTable;
 use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 use http::{Method, Request, Response, StatusCode};
@@ -43,6 +44,10 @@
 /// Timeout of a whole reply, inside a region.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which another daemon is asked for newer routes or servers where the store can be read instead. With the
+/// interval between reads and a read it stays below the two seconds within which changes have to be known.
+const UPDATE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Largest reply that is read: several thousand routes and servers.
 const REPLY_BYTES_MAX: usize = 16 << 20;
 
@@ -182,7 +187,7 @@
 /// When operators publish several versions in a row, this keeps each daemon from reading each of them from
 /// the store, whose calls are rate-limited and billed.
 pub async fn fetch_table(state: &RelayState, address: SocketAddr) -> bool {
-    let Some(table) = fetch(state, address, TABLE_PATH).await else {
+    let Some(table) = limited(state, fetch(state, address, TABLE_PATH)).await else {
         state.log.state_changed("no reply about newer routes, from", &address);
         return false;
     };
@@ -196,15 +201,34 @@
 /// the store.
 pub async fn fetch_server_changes(state: &RelayState, address: SocketAddr) -> bool {
     let version = state.directory.listing().version;
-    if let Some(changes) = fetch(state, address, &format!("{CHANGES_PATH}{version}")).await {
-        return watch::adopt_changes(state, changes);
-    }
-    let requested_us = clock::now();
-    let Some(snapshot) = fetch(state, address, SNAPSHOT_PATH).await else {
+    let update = async {
+        if let Some(changes) = fetch(state, address, &format!("{CHANGES_PATH}{version}")).await {
+            return Some(watch::adopt_changes(state, changes));
+        }
+        let requested_us = clock::now();
+        let snapshot = fetch(state, address, SNAPSHOT_PATH).await?;
+        Some(adopt(state, requested_us, snapshot, address))
+    };
+    let Some(is_new) = limited(state, update).await else {
         state.log.state_changed("no reply about newer servers, from", &address);
         return false;
     };
-    adopt(state, requested_us, snapshot, address)
+    is_new
+}
+
+/// Awaits what another daemon is asked for, but no longer than [`UPDATE_TIMEOUT`] where the store is read instead.
+///
+/// A daemon announces newer servers and stands still. The daemons that ask it would know the change only when they have
+/// waited for all replies, and send requests to servers that have left meanwhile.
+async fn limited<Update, Reply>(state: &RelayState, update: Update) -> Option<Reply>
+where
+    Update: Future<Output = Option<Reply>>,
+{
+    match state.peers.reach() {
+        BroadcastScope::AllDaemons => tokio::time::timeout(UPDATE_TIMEOUT, update).await.ok().flatten(),
+        // Hundreds of daemons ask one, so that replies take longer, and none of them reads the store instead.
+        BroadcastScope::DataCentre => update.await,
+    }
 }
 
 async fn fetch<Reply>(state: &RelayState, address: SocketAddr, path: &str) -> Option<Reply>
