Log that routes and servers are regained from other daemons

Seen: in the reported logs, `routes lost` and `servers lost` are not followed by `regained` for up to a minute, so that a daemon which is up to date can't be told from one that isn't.

Cause: the line was written only when the daemon read the store itself again. After an outage most daemons learn from those that read for all, and need no read of their own.

Change: a failed read is remembered until an own one succeeds; when another daemon confirms the copy as of a later time, a line says so, once.

Evidence: the soak checks the logs of its daemons after the store's return.

--- a/crates/core/src/relay/store_refresh.rs
+++ b/crates/core/src/relay/store_refresh.rs
@@ -137,6 +137,11 @@
         Some(now_us.since(self.as_of_us?))
     }
 
+    /// Whether the copy was read, or confirmed by another daemon, later than at `at_us`.
+    pub fn is_confirmed_since(&self, at_us: MonoTime) -> bool {
+        self.as_of_us > Some(at_us)
+    }
+
     /// Age of this daemon's last successful read, which it reports to other daemons. It does not forward ages
     /// from other daemons, because they lack the transit time of the message: if daemons forward them to each
     /// other, the age stops growing, and once the readers have failed no daemon reads the store. Among 67
--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -36,6 +36,22 @@
     assert_eq!(RefreshSchedule::new(RefreshSettings::default()).next_read_us(OTHER), at(0));
 }
 
+/// Guards against a daemon that reports its copy as lost for as long as others keep it up to date, and against one that
+/// counts a confirmation of before the failure.
+#[test]
+fn copy_is_confirmed_since_a_failure_by_a_later_report() {
+    let mut schedule = RefreshSchedule::new(RefreshSettings::default());
+    read(&mut schedule, 1_000);
+    schedule.read_failed();
+    assert!(!schedule.is_confirmed_since(at(1_500)));
+    schedule.peer_reported(at(2_000), report(true, 600));
+    assert!(!schedule.is_confirmed_since(at(1_500)), "the report is of before the failure");
+    schedule.peer_reported(at(2_000), report(false, 0));
+    assert!(!schedule.is_confirmed_since(at(1_500)), "the other daemon has another copy");
+    schedule.peer_reported(at(2_000), report(true, 400));
+    assert!(schedule.is_confirmed_since(at(1_500)));
+}
+
 /// A fleet starts at once. Each of hundreds of daemons read the list of ten thousand servers page by page,
 /// and the store refused them.
 #[test]
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -151,10 +151,20 @@
     servers_due: Notify,
 }
 
+/// Failed reads of one feed, until one succeeds.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    since_us: MonoTime,
+    /// Whether another daemon has confirmed the copy since then.
+    is_made_up: bool,
+}
+
 #[derive(Debug)]
 struct Readings {
     table: RefreshSchedule,
     servers: RefreshSchedule,
+    table_loss: Option<Loss>,
+    servers_loss: Option<Loss>,
     list: ListState,
     divergence: Divergence,
     /// Since when the server list has been old.
@@ -217,6 +227,8 @@
         let readings = Readings {
             table,
             servers,
+            table_loss: None,
+            servers_loss: None,
             list: ListState::default(),
             divergence: Divergence::default(),
             old_since_us: None,
@@ -251,6 +263,7 @@
     pub fn table_read(&self, as_of_us: MonoTime) {
         let mut readings = self.readings.lock();
         readings.table.read_succeeded(as_of_us);
+        readings.table_loss = None;
         readings.store_failed_us = None;
     }
 
@@ -258,6 +271,7 @@
     pub fn servers_read(&self, begun_us: MonoTime, list: ListState) -> bool {
         let mut readings = self.readings.lock();
         readings.servers.read_succeeded(begun_us);
+        readings.servers_loss = None;
         readings.store_failed_us = None;
         std::mem::replace(&mut readings.list, list).digest != list.digest
     }
@@ -269,8 +283,29 @@
 
     /// Records a failed read.
     pub fn failed(&self, now_us: MonoTime, feed: Feed) {
-        reading(&mut self.readings.lock(), feed).read_failed();
-        self.store_failed(now_us);
+        let mut readings = self.readings.lock();
+        reading(&mut readings, feed).read_failed();
+        let loss = match feed {
+            Feed::Table => &mut readings.table_loss,
+            Feed::Servers => &mut readings.servers_loss,
+        };
+        loss.get_or_insert(Loss { since_us: now_us, is_made_up: false });
+        readings.store_failed_us = Some(now_us);
+    }
+
+    /// Whether other daemons have made up for failed reads of this feed since the last call.
+    pub fn take_made_up(&self, feed: Feed) -> bool {
+        let mut readings = self.readings.lock();
+        let Readings { table, servers, table_loss, servers_loss, .. } = &mut *readings;
+        let (schedule, loss) = match feed {
+            Feed::Table => (table, table_loss),
+            Feed::Servers => (servers, servers_loss),
+        };
+        let Some(loss) = loss.as_mut().filter(|loss| !loss.is_made_up) else {
+            return false;
+        };
+        loss.is_made_up = schedule.is_confirmed_since(loss.since_us);
+        loss.is_made_up
     }
 
     /// Records a failed call to the store.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -158,6 +158,12 @@
     }
 }
 
+/// Log texts for feeds that this daemon can't read, but that others have confirmed since.
+const REGAINED_FROM_OTHERS: [(Feed, &str); 2] = [
+    (Feed::Table, "routes regained from other daemons"),
+    (Feed::Servers, "servers regained from other daemons"),
+];
+
 /// Interval at which the age of the list is observed, and whether a kept entry is due.
 const EXPIRED_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -175,6 +181,11 @@
             }
             None => {}
         }
+        for (feed, regained) in REGAINED_FROM_OTHERS {
+            if state.freshness.take_made_up(feed) {
+                state.log.state_changed(regained, &"");
+            }
+        }
         let next_due_us = {
             let mut expired = state.expired_entries.lock();
             expired.observe_age(now_us, age_us);
