Forget the response times of a plain server that starts anew

Calls go to the server with the lowest average response time times its open calls. One that was measured slower, here by chance on a busy machine, gets nothing at a low load, and the average outlived the process. Class of fault: what one process showed is attributed to the next one. Loads that servers report were forgotten at a restart already.

Change: the average and the count of slow answers are dropped when the list shows another run.

Evidence: instance_that_starts_anew_is_not_judged_by_its_former_answers, red before. Without a restart, a server that was slow once still gets nothing while the others are faster; that is not changed.

--- a/crates/core/src/sched/instance.rs
+++ b/crates/core/src/sched/instance.rs
@@ -159,6 +159,12 @@
         self.leaving = leaving;
     }
 
+    /// Drops the measured latency: another process answers now.
+    pub(crate) fn forget_latency(&mut self) {
+        self.latency_us = None;
+        self.slow_answers = 0;
+    }
+
     pub(crate) fn apply_status(&mut self, now_us: MonoTime, update: StatusUpdate) {
         match update {
             StatusUpdate::Leaving => self.leaving_until_us = now_us + self.settings.status_ttl_ms,
--- a/crates/core/src/sched/plain.rs
+++ b/crates/core/src/sched/plain.rs
@@ -311,8 +311,11 @@
             let known = &mut self.listed[index];
             let is_restarted = known.lifetime != listed.lifetime;
             *known = Listed { is_local: listed.is_local, lifetime: listed.lifetime };
-            if let Some(loads) = self.server_loads.as_mut().filter(|_| is_restarted) {
-                loads.forget(index);
+            if is_restarted {
+                self.instances[index].forget_latency();
+                if let Some(loads) = &mut self.server_loads {
+                    loads.forget(index);
+                }
             }
         }
         if let Some(loads) = &mut self.server_loads {
--- a/crates/core/tests/sched/plain.rs
+++ b/crates/core/tests/sched/plain.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-use hibiscusvale_core::ids::{Incarnation, RequestId};
+use hibiscusvale_core::ids::{Incarnation, Lifetime, RequestId};
 use hibiscusvale_core::retry_budget::SharedRetryBudgetSettings;
 use hibiscusvale_core::sched::{
     FailureCause, Hold, HoldReason, PlainAction, PlainArrival, PlainEvent, PlainInstance, PlainRefusal,
@@ -404,6 +404,55 @@
     }
 }
 
+// A process answers slowly, and another one starts under its id. It has no answers of its own yet, and got no calls: at a low load
+// the other instance seemed faster for ever.
+#[test]
+fn instance_that_starts_anew_is_not_judged_by_its_former_answers() {
+    let mut scheduler = PlainScheduler::new(PlainSettings::default(), 3);
+    let listed = |started: u64| {
+        let instance = |name: &str| PlainInstance {
+            server: name.parse().unwrap(),
+            capacity: CAPACITY,
+            leaving: false,
+            is_local: true,
+            lifetime: Some(Lifetime(started)),
+        };
+        PlainEvent::Instances(vec![instance("s0"), instance("s1")])
+    };
+    // One call after the other; returns how many of them s0 got. It answers in 3 ms, s1 in 2 ms.
+    let mut play = |from: u64, list: PlainEvent| {
+        scheduler.handle(MonoTime(from * 20_000), list, &mut Vec::new());
+        let mut at_first = 0;
+        for sequence in from..from + 50 {
+            let now_us = MonoTime(sequence * 20_000);
+            let request_id = RequestId { incarnation: Incarnation(7), sequence };
+            let arrival = PlainArrival {
+                request_id,
+                partner: "nadifa".parse().unwrap(),
+                repeatable: true,
+                attempts_max: 2,
+                max_wait_ms: Millis(500),
+                target_ms: None,
+            };
+            let mut actions = Vec::new();
+            scheduler.handle(now_us, PlainEvent::Arrive(arrival), &mut actions);
+            let server = actions.iter().find_map(|action| match action {
+                PlainAction::Dispatch { server, .. } => Some(server.to_string()),
+                _ => None,
+            });
+            let is_first = server.as_deref() == Some("s0");
+            at_first += u32::from(is_first);
+            let took_us = if is_first { 3_000 } else { 2_000 };
+            let done_us = MonoTime(now_us.0 + took_us);
+            scheduler.handle(done_us, PlainEvent::Done { request_id }, &mut Vec::new());
+        }
+        at_first
+    };
+    play(1, listed(1));
+    assert_eq!(play(51, listed(1)), 0, "the slower one gets no calls");
+    assert!(play(101, listed(2)) > 0, "the new process got no calls");
+}
+
 // An instance answers while it rests: a call that was under way succeeds. The rest is not shortened.
 #[test]
 fn success_does_not_end_a_rest() {
