--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -128,6 +128,8 @@
     pub steps: &'a str,
     /// Largest age of the server list by which it was sent to a server.
     pub list_age_ms: Millis,
+    /// Version of the server list by which it was last sent to a server; zero if it was sent to none.
+    pub list_version: u64,
     /// What the daemon knew about its way to the servers of the service when the request ended.
     pub reached: &'a str,
     /// What was known of the daemons to which it could be forwarded, when it was last to be forwarded.
@@ -300,6 +302,7 @@
             outcome = line.outcome,
             steps = line.steps,
             list_age_ms = line.list_age_ms.0,
+            list_version = line.list_version,
             reached = line.reached,
             helpers_asked = line.helpers.asked,
             helpers_replied = line.helpers.replied,
@@ -596,8 +599,8 @@
         spdlog::info!(logger: self.logger, "routes in force", kv: { version = version });
     }
 
-    /// Logs servers that were added, changed (such as their role, or leaving) or removed.
-    pub fn servers_changed(&self, before: &Servers, after: &Servers) {
+    /// Logs servers that were added, changed (such as their role, or leaving) or removed as of `version` of the list.
+    pub fn servers_changed(&self, version: u64, before: &Servers, after: &Servers) {
         let names = |mut ids: Vec<&str>| {
             ids.sort_unstable();
             ids.join(" ")
@@ -609,6 +612,7 @@
         let changed = changed.map(|now| format!("{}:{}:{}", now.id, now.version, now.state_label()));
         let changed: Vec<String> = changed.collect();
         spdlog::info!(logger: self.logger, "servers changed", kv: {
+            version = version,
             came = names(added.iter().map(String::as_str).collect()),
             changed = names(changed.iter().map(String::as_str).collect()),
             gone = names(removed.collect()),
@@ -642,6 +646,16 @@
         }
     }
 
+    /// Logs that a read of the server list ended at an older version than the list had reached meanwhile.
+    pub fn server_list_read_late(&self, read_version: u64, version: u64) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "server list read late", kv: {
+                read_version = read_version,
+                version = version,
+            });
+        }
+    }
+
     /// Logs an order to an engine to change its role, and the engine's response.
     pub fn engine_ordered(
         &self,
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -217,7 +217,7 @@
     statements::check(state, hop.server, CallKind::Work)?;
     check_suspension(http, to)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
-    incoming.record_list_age();
+    incoming.record_list();
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
     let expected = ExpectedRun::listed(state, hop.server, to, is_repeatable);
     let withdrawn = statements::wait_until_leaving(state, hop.server);
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -134,6 +134,7 @@
             outcome: trace.outcome(),
             steps: trace.steps(),
             list_age_ms: trace.oldest_list().to_millis_ceil(),
+            list_version: trace.list_version(),
             reached: self.state.reach.reached(self.service.as_str()).label(),
             helpers: trace.helpers(),
             versions: trace.versions(),
@@ -192,11 +193,10 @@
         self.trace.lock().record_event(self.arrived.elapsed(), last);
     }
 
-    /// Records the age of the server list by which it is sent to a server.
-    pub fn record_list_age(&self) {
-        if let Some(age_us) = self.state.freshness.servers_age_us(clock::now()) {
-            self.trace.lock().record_list_age(age_us);
-        }
+    /// Records version and age of the server list by which it is sent to a server.
+    pub fn record_list(&self) {
+        let version = self.state.directory.listing().version;
+        self.trace.lock().record_list(version, self.state.freshness.servers_age_us(clock::now()));
     }
 
     /// Records how the last answer of a server is delimited.
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -107,6 +107,7 @@
     partial_event: Bytes,
     helpers: HelperCounts,
     oldest_list: Micros,
+    list_version: u64,
 }
 
 impl RequestTrace {
@@ -190,9 +191,15 @@
         self.helpers
     }
 
-    /// Records the age of the server list by which it is sent to a server.
-    pub fn record_list_age(&mut self, age_us: Micros) {
-        self.oldest_list = self.oldest_list.max(age_us);
+    /// Records the version of the server list by which it is sent to a server, and its age if known.
+    pub fn record_list(&mut self, version: u64, age_us: Option<Micros>) {
+        self.oldest_list = self.oldest_list.max(age_us.unwrap_or_default());
+        self.list_version = version;
+    }
+
+    /// Version of the server list by which it was last sent to a server; zero if it was sent to none.
+    pub fn list_version(&self) -> u64 {
+        self.list_version
     }
 
     /// Largest age of the server list by which it was sent to a server.
--- a/crates/router/src/relay/watch.rs
+++ b/crates/router/src/relay/watch.rs
@@ -138,6 +138,9 @@
             Ok(page) => {
                 dependency.report_success(&state);
                 let before = state.directory.listing();
+                if page.version < before.version {
+                    state.log.server_list_read_late(page.version, before.version);
+                }
                 let change = apply_page(&state, &before, page);
                 let after = state.directory.listing();
                 if let Some(change) = change.filter(|_| before.version > 0) {
@@ -346,7 +349,7 @@
 /// Updates the schedulers from the server list in the directory.
 pub fn servers_changed(state: &RelayState, before: &Listing) {
     let listing = state.directory.listing();
-    state.log.servers_changed(&before.servers, &listing.servers);
+    state.log.servers_changed(listing.version, &before.servers, &listing.servers);
     state.limits.adopt(state, &before.servers, &listing.servers);
     forget_suspensions(state, before, &listing);
     state.plain_schedulers.adopt(&listing);
