--- a/crates/router/tests/ops/relay_server_changes.rs
+++ b/crates/router/tests/ops/relay_server_changes.rs
@@ -1,7 +1,7 @@
 //! Propagation of server changes from daemon to daemon.
 
-use hibiscusvale::directory::Listing;
-use hibiscusvale::external::{ListedHost, ListedKind, ListedState};
+use hibiscusvale::directory::{Directory, Listing};
+use hibiscusvale::external::{HostListChange, HostListPage, ListedHost, ListedKind, ListedState};
 use hibiscusvale::relay::server_changes::{ServerChange, ServerChangeLog};
 use hibiscusvale_core::ids::{BackendServerId, SoftwareVersion};
 use hibiscusvale_core::units::BytesPerSecond;
@@ -263,3 +263,32 @@
     assert_eq!(listed("r", ListedState::Live), listed("s", ListedState::Live));
     assert_ne!(listed("r", ListedState::Live), listed("r", ListedState::Leaving));
 }
+
+/// A read of this daemon ends at an older version than a change of another daemon that it adopted meanwhile. The list must
+/// not fall back, and the next change that it tells the others must hold the leaving.
+#[test]
+fn late_read_does_not_hide_a_leaving() {
+    let ready = plain("i-1", ListedState::Live);
+    let leaving = plain("i-1", ListedState::Leaving);
+    let directory = Directory::default();
+    directory.adopt(listing(105, &["i-1"]));
+    let other = directory.listing().changed(112, vec![leaving.clone()], &[]);
+    let change = read(&directory.listing(), &other).unwrap();
+    directory.adopt(ServerChange::applied(&[change], &directory.listing()).unwrap());
+
+    let late = HostListChange::Some { set: vec![ready], remove: Vec::new(), left: Vec::new() };
+    directory.apply(HostListPage { version: 108, change: late });
+    let id: BackendServerId = "i-1".parse().unwrap();
+    let known = directory.listing();
+    assert_eq!((known.version, known.servers[&id].listed), (112, ListedState::Leaving));
+}
+
+/// The change that the next read brings begins at the version of the list, and lacks what was read before.
+#[test]
+fn read_of_removals_that_are_kept_advances_the_version() {
+    let directory = Directory::default();
+    directory.adopt(listing(5, &["i-1"]));
+    let kept = HostListChange::Some { set: Vec::new(), remove: Vec::new(), left: Vec::new() };
+    directory.apply(HostListPage { version: 9, change: kept });
+    assert_eq!((names(&directory.listing()), directory.listing().version), (vec!["i-1"], 9));
+}
