--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod retransmit;
 pub mod retry_budget;
 pub mod sched;
+pub mod servers;
 pub mod shares;
 pub mod slots;
 pub mod spread;
--- a/crates/router/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -1,14 +1,106 @@
-//! Backend servers by name, with an incrementally maintained digest.
+//! Backend servers as the platform lists them, and sets of them with an incrementally maintained digest.
 
 use std::collections::HashMap;
 use std::collections::hash_map::{Keys, Values};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::ops::Index;
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::BackendServerId;
+use serde::{Deserialize, Serialize};
 
-use crate::directory::BackendServer;
+use crate::ids::{BackendServerId, DataCentreId, Lifetime, ModelId, RegionId, SoftwareVersion};
+use crate::units::BytesPerSecond;
+
+/// Whether a listed host accepts new work.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    /// Accepts new work.
+    Live,
+    /// Finishes its current work and accepts no more.
+    Leaving,
+}
+
+/// Role of an engine.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EngineRole {
+    /// Processes prompts.
+    Prefill,
+    /// Generates tokens.
+    Decode,
+}
+
+/// Kind of a backend server.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub enum BackendKind {
+    /// A model engine.
+    Engine {
+        /// Service that it belongs to; set if requests are routed by service.
+        service: Option<String>,
+        /// Its role.
+        role: EngineRole,
+        /// Loaded models.
+        models: Vec<ModelId>,
+        /// Decode slots.
+        slots_total: u32,
+        /// Bandwidth of its transfer link.
+        link_bytes_per_s: BytesPerSecond,
+        /// Whether it rejects orders with an old fencing number.
+        checks_fencing: bool,
+    },
+    /// An instance of a plain service.
+    Plain {
+        /// Name of the service.
+        service: String,
+        /// Maximum number of concurrent requests.
+        capacity: u32,
+    },
+}
+
+impl BackendKind {
+    /// Service that it belongs to; `None` for an engine that is not routed to by service.
+    pub fn service(&self) -> Option<&str> {
+        match self {
+            Self::Engine { service, .. } => service.as_deref(),
+            Self::Plain { service, .. } => Some(service),
+        }
+    }
+}
+
+/// A backend server in the platform's list.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
+pub struct BackendServer {
+    /// Name.
+    pub id: BackendServerId,
+    /// Its current run; `None` where an id is never used again.
+    pub lifetime: Option<Lifetime>,
+    /// Version of the software of that run.
+    pub version: SoftwareVersion,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Region.
+    pub region: RegionId,
+    /// State according to the list.
+    pub listed: ListedState,
+    /// Kind of server, with its properties.
+    pub kind: BackendKind,
+}
+
+impl BackendServer {
+    /// Role or leaving state, for logs.
+    pub fn state_label(&self) -> &'static str {
+        match (&self.kind, self.listed) {
+            (_, ListedState::Leaving) => "leaving",
+            (BackendKind::Engine { role: EngineRole::Prefill, .. }, _) => "prefill",
+            (BackendKind::Engine { role: EngineRole::Decode, .. }, _) => "decode",
+            (BackendKind::Plain { .. }, _) => "plain",
+        }
+    }
+}
 
 /// Backend servers by name, with a digest that is updated on each change.
 ///
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -11,10 +11,10 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hibiscusvale_core::ids::{
-    BackendServerId, DataCentreId, HostId, Lifetime, ModelId, RegionId, SoftwareVersion,
-};
-use hibiscusvale_core::units::{BytesPerSecond, Millis, MonoTime};
+use hibiscusvale_core::ids::{BackendServerId, DataCentreId, HostId, ModelId, RegionId};
+use hibiscusvale_core::servers::Servers;
+pub use hibiscusvale_core::servers::{BackendKind, BackendServer};
+use hibiscusvale_core::units::{Millis, MonoTime};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -22,7 +22,6 @@
 use crate::external::{
     EngineRole, HostList, HostListChange, HostListPage, ListedHost, ListedKind, ListedState,
 };
-use crate::servers::Servers;
 
 /// Long-poll wait for a list read without changes.
 const LIST_WAIT_MS: Millis = Millis(5_000);
@@ -37,76 +36,6 @@
 /// server that is restarted under the same name within this time receives no work until the time has passed.
 const LEAVING_TTL_MS: Millis = Millis(30_000);
 
-/// Kind of a backend server.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
-pub enum BackendKind {
-    /// A model engine.
-    Engine {
-        /// Service that it belongs to; set if requests are routed by service.
-        service: Option<String>,
-        /// Its role.
-        role: EngineRole,
-        /// Loaded models.
-        models: Vec<ModelId>,
-        /// Decode slots.
-        slots_total: u32,
-        /// Bandwidth of its transfer link.
-        link_bytes_per_s: BytesPerSecond,
-        /// Whether it rejects orders with an old fencing number.
-        checks_fencing: bool,
-    },
-    /// An instance of a plain service.
-    Plain {
-        /// Name of the service.
-        service: String,
-        /// Maximum number of concurrent requests.
-        capacity: u32,
-    },
-}
-
-impl BackendKind {
-    /// Service that it belongs to; `None` for an engine that is not routed to by service.
-    pub fn service(&self) -> Option<&str> {
-        match self {
-            Self::Engine { service, .. } => service.as_deref(),
-            Self::Plain { service, .. } => Some(service),
-        }
-    }
-}
-
-/// A backend server in the platform's list.
-#[derive(Clone, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
-pub struct BackendServer {
-    /// Name.
-    pub id: BackendServerId,
-    /// Its current run; `None` where an id is never used again.
-    pub lifetime: Option<Lifetime>,
-    /// Version of the software of that run.
-    pub version: SoftwareVersion,
-    /// Address for requests.
-    pub address: SocketAddr,
-    /// Data centre.
-    pub data_centre: DataCentreId,
-    /// Region.
-    pub region: RegionId,
-    /// State according to the list.
-    pub listed: ListedState,
-    /// Kind of server, with its properties.
-    pub kind: BackendKind,
-}
-
-impl BackendServer {
-    /// Role or leaving state, for logs.
-    pub fn state_label(&self) -> &'static str {
-        match (&self.kind, self.listed) {
-            (_, ListedState::Leaving) => "leaving",
-            (BackendKind::Engine { role: EngineRole::Prefill, .. }, _) => "prefill",
-            (BackendKind::Engine { role: EngineRole::Decode, .. }, _) => "decode",
-            (BackendKind::Plain { .. }, _) => "plain",
-        }
-    }
-}
-
 /// An entry host in the platform's list.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct EntryHost {
--- a/crates/router/src/external/mod.rs
+++ b/crates/router/src/external/mod.rs
@@ -12,6 +12,7 @@
 use hibiscusvale_core::ids::{
     BackendServerId, DataCentreId, Lifetime, ModelId, Offset, PartnerId, RegionId, SoftwareVersion,
 };
+pub use hibiscusvale_core::servers::{EngineRole, ListedState};
 use hibiscusvale_core::units::{Bytes as ByteCount, BytesPerSecond, Millis};
 use serde::{Deserialize, Serialize};
 
@@ -107,26 +108,6 @@
     ) -> BoxFuture<'_, Result<LogPage, LogFailure>>;
 }
 
-/// Whether a listed host accepts new work.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ListedState {
-    /// Accepts new work.
-    Live,
-    /// Finishes its current work and accepts no more.
-    Leaving,
-}
-
-/// Role of an engine.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum EngineRole {
-    /// Processes prompts.
-    Prefill,
-    /// Generates tokens.
-    Decode,
-}
-
 /// Entry of the platform's host list. See `docs/INTERFACES.md`.
 #[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
 pub struct ListedHost {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,7 +28,6 @@
 pub mod peer;
 pub mod relay;
 pub mod server_status;
-pub mod servers;
 pub mod service_registry;
 pub mod settings;
 pub mod slot_route;
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -35,8 +35,8 @@
 use crate::logging::background::BackgroundWriter;
 use crate::logging::budget::{LineBudget, LineDecision};
 use crate::metrics::Label;
-use crate::servers::Servers;
 use crate::settings::LogLevel;
+use hibiscusvale_core::servers::Servers;
 
 /// Interval between flushes of buffered lines. Buffering avoids a system call per request.
 const FLUSH_PERIOD: Duration = Duration::from_millis(250);
--- a/crates/router/src/relay/limits.rs
+++ b/crates/router/src/relay/limits.rs
@@ -10,7 +10,7 @@
 use super::quotas::QuotaOwner;
 use super::state::RelayState;
 use crate::clock;
-use crate::servers::Servers;
+use hibiscusvale_core::servers::Servers;
 
 /// Limits that servers have stated to this daemon or to others.
 #[derive(Debug, Default)]
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -17,7 +17,7 @@
 use crate::clock;
 use crate::directory::BackendServer;
 use crate::external::ListedState;
-use crate::servers::Servers;
+use hibiscusvale_core::servers::Servers;
 
 /// Divisor of a rest: the quotient is the maximum time by which its end is delayed at random, because the server may
 /// have asked all daemons at the same moment.
