--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -170,7 +170,7 @@
             HostListChange::Full(entries) if entries.is_empty() && known.version > 0 => {}
             HostListChange::Full(entries) => self.adopt(Listing::new(page.version, entries)),
             HostListChange::Some { set, remove, .. } => {
-                if !(set.is_empty() && remove.is_empty()) {
+                if !(set.is_empty() && remove.is_empty() && page.version == known.version) {
                     self.adopt(known.changed(page.version, set, &remove));
                 }
             }
