--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -47,6 +47,10 @@
 /// Minimum pause after a failed call to the register; jitter up to doubles it.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
+/// Pauses after which a daemon that has discovered others asks one of them again.
+const COMPLETION_PAUSES: [Duration; 4] =
+    [Duration::from_millis(500), Duration::from_secs(1), Duration::from_secs(2), Duration::from_secs(4)];
+
 /// Registers this daemon and discovers the others, for as long as it runs.
 ///
 /// At the `first_start` of an installation the register is still filling up, so its first read is delayed.
@@ -66,6 +70,7 @@
     }
     state.log.state_changed("registered, failed tries before", &attempts);
     discover_daemons(&*register, first_start, &state).await;
+    complete_daemons(&state).await;
     loop {
         let pause = REGISTER_PERIOD.max(Duration::from_secs(state.peers.registered() / REGISTER_READS_PER_S));
         tokio::time::sleep(pause).await;
@@ -92,6 +97,19 @@
     adopt_entries(state, entries);
 }
 
+/// Asks live daemons, one after another, for those that they know.
+///
+/// Daemons that start together discover the others from ones that have started shortly before and know a part of them. Two
+/// that are not named to each other would exchange no message until the register is read again.
+async fn complete_daemons(state: &RelayState) {
+    for (attempt, pause) in COMPLETION_PAUSES.into_iter().enumerate() {
+        tokio::time::sleep(with_jitter(pause)).await;
+        if let Some(entries) = state_transfer::fetch_entries_from_peer(state, attempt).await {
+            adopt_entries(state, entries);
+        }
+    }
+}
+
 async fn poll_for_daemons(
     register: &dyn Register,
     settings: JoiningSettings,
