--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -320,35 +320,17 @@
             }
             return self.settle(now_us, before, &affected);
         }
-        let listed: BTreeSet<BackendServerId> =
-            records.iter().map(|record| record.entry.id().clone()).collect();
-        let vanished = self.listed.values().filter(|server| !listed.contains(&server.id));
-        let vanished = vanished.map(|server| {
-            let has_left = server.listed == ListedState::Leaving;
-            ServerRecord { version, entry: ServerEntry::Removed { id: server.id.clone(), has_left } }
-        });
-        let vanished: Vec<ServerRecord> = vanished.collect();
         let mut named = Vec::new();
-        for record in records.into_iter().chain(vanished) {
+        let missing = self.missing_in(version, &records);
+        for record in records.into_iter().chain(missing) {
             let id = record.entry.id();
             // The own list may show what a list at its version lacks.
-            let is_ahead = self.ahead.contains_key(id);
-            if is_ahead || !record.entry.is_same(self.listed.get(id)) {
+            if self.ahead.contains_key(id) || !record.entry.is_same(self.listed.get(id)) {
                 named.push(record.clone());
             }
             // Of a server without a record ahead, the read has the newest one, whatever the version covers.
-            self.ahead.entry(id.clone()).or_default();
             self.merge_newer(record, &mut affected);
         }
-        // A server that was removed ahead of the own version, and is not in the read, is gone for the others too.
-        let unnamed = self.ahead.keys().filter(|id| !listed.contains(*id) && !self.listed.contains_key(id));
-        let unnamed = unnamed.filter(|id| !named.iter().any(|record| record.entry.id() == *id));
-        let removed = unnamed.map(|id| ServerRecord {
-            version,
-            entry: ServerEntry::Removed { id: id.clone(), has_left: false },
-        });
-        let removed: Vec<ServerRecord> = removed.collect();
-        named.extend(removed);
         self.advance_to(version);
         // The others can apply the difference only if both lists show just what their versions cover.
         let is_difference_exact = before >= self.exact_from && version >= end;
@@ -359,6 +341,17 @@
         self.settle(now_us, before, &affected)
     }
 
+    /// Removals, as of `version`, of the servers that a whole list lacks.
+    fn missing_in(&self, version: u64, records: &[ServerRecord]) -> Vec<ServerRecord> {
+        let read: BTreeSet<&BackendServerId> = records.iter().map(|record| record.entry.id()).collect();
+        let known: BTreeSet<&BackendServerId> = self.listed.keys().chain(self.ahead.keys()).collect();
+        let removal = |id: &&BackendServerId| {
+            let has_left = self.listed.get(id).is_some_and(|server| server.listed == ListedState::Leaving);
+            ServerRecord { version, entry: ServerEntry::Removed { id: (*id).clone(), has_left } }
+        };
+        known.difference(&read).map(removal).collect()
+    }
+
     /// Applies changes of another daemon, oldest first.
     pub fn apply_changes(&mut self, now_us: MonoTime, changes: Vec<ServerChange>) -> Update {
         let before = self.version;
