--- a/crates/core/src/relay/server_list/expired_entries.rs
+++ b/crates/core/src/relay/server_list/expired_entries.rs
@@ -60,10 +60,16 @@
         self.is_store_down = true;
     }
 
-    /// Records that a read of the list succeeded.
+    /// Records that a read of the list succeeded. If reads failed before, the store may have been away until now, but not
+    /// since the list has been current without a gap.
     pub fn read_succeeded(&mut self, now_us: MonoTime) {
         if std::mem::take(&mut self.is_store_down) {
-            self.grace_until_us = self.grace_until_us.max(now_us + REREGISTRATION_GRACE_MS);
+            let current_since_us = self.current_since_us.filter(|_| !self.is_unobserved(now_us));
+            let until_us = now_us + REREGISTRATION_GRACE_MS;
+            let until_us = current_since_us.map_or(until_us, |since_us| {
+                until_us.min(since_us + REREGISTRATION_GRACE_MS + OBSERVED_LATE_MS)
+            });
+            self.grace_until_us = self.grace_until_us.max(until_us);
         }
     }
 
--- a/crates/core/tests/relay/store_refresh.rs
+++ b/crates/core/tests/relay/store_refresh.rs
@@ -356,6 +356,23 @@
     assert_eq!(gone(&mut expired, 12_000, &[], &[]), ["w-1"]);
 }
 
+/// A read fails, others go on confirming the list, and this daemon reads again when a reader has stopped, seconds later or at
+/// once. It must not keep servers that leave just then, since the list was current all the while.
+#[rstest]
+#[case::at_once(10_300)]
+#[case::long_after(29_000)]
+fn a_failed_read_beside_a_current_list_is_no_outage(#[case] read_at_ms: u64) {
+    let mut expired = ExpiredEntries::default();
+    for at_ms in (1_000..=read_at_ms).step_by(100) {
+        expired.observe_age(at(at_ms), CURRENT);
+        if at_ms == 10_000 {
+            expired.read_failed();
+        }
+    }
+    expired.read_succeeded(at(read_at_ms));
+    assert_eq!(gone(&mut expired, read_at_ms, &["w-1"], &[]), ["w-1"]);
+}
+
 /// The whole list of another daemon replaced the own one. Servers that it has must not be removed later because they had
 /// vanished before.
 #[test]
--- a/crates/router/src/relay/server_list.rs
+++ b/crates/router/src/relay/server_list.rs
@@ -76,7 +76,9 @@
     if read.version < list.version() {
         state.log.server_list_read_late(read.version, list.version());
     }
-    let update = list.apply_read(clock::now(), read);
+    let now_us = clock::now();
+    list.observe_age(now_us, state.freshness.servers_age_us(now_us));
+    let update = list.apply_read(now_us, read);
     state.freshness.servers_read(begun_us);
     put_in_force(state, list, &update, "own");
 }
