--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -117,7 +117,7 @@
     Newer,
     /// They differ at the same version: one of them lacks a change.
     Differs {
-        /// Whether that was not known.
+        /// Whether the next read therefore fetches the whole list, which it did not before.
         is_new: bool,
     },
     /// The other daemon has no list.
@@ -198,6 +198,22 @@
     whole_read_us: Option<MonoTime>,
 }
 
+impl Divergence {
+    /// Records that the lists differ. Returns whether a read of the whole list is due now, and was not before.
+    fn found(&mut self, now_us: MonoTime) -> bool {
+        let was_read = self.whole_read_us.is_some_and(|read_us| now_us < read_us + WHOLE_READ_INTERVAL_MS);
+        !was_read && !std::mem::replace(&mut self.is_whole_read_due, true)
+    }
+
+    fn take_whole_read_due(&mut self, now_us: MonoTime) -> bool {
+        let is_due = std::mem::take(&mut self.is_whole_read_due);
+        if is_due {
+            self.whole_read_us = Some(now_us);
+        }
+        is_due
+    }
+}
+
 /// Servers that an update has listed, and those that it has removed.
 #[derive(Debug, Default)]
 struct Affected {
@@ -423,7 +439,7 @@
 
     /// Compares the list with another daemon's. A newer one with the same servers shows that nothing has changed up to its
     /// version, to which this list then rises.
-    pub fn compare(&mut self, other: ListState) -> Comparison {
+    pub fn compare(&mut self, now_us: MonoTime, other: ListState) -> Comparison {
         let own = self.state();
         let is_same = match (own.digest, other.digest) {
             (Some(own), Some(other)) => Some(own == other),
@@ -432,8 +448,7 @@
         match (other.version, is_same) {
             (0, _) => Comparison::Unknown,
             (version, Some(false)) if version == own.version => {
-                let is_new = !std::mem::replace(&mut self.divergence.is_whole_read_due, true);
-                Comparison::Differs { is_new }
+                Comparison::Differs { is_new: self.divergence.found(now_us) }
             }
             (version, Some(true)) if version > own.version && own.version > 0 => {
                 self.changes.append(ServerChange::net(own.version, version, Vec::new()));
@@ -447,15 +462,7 @@
 
     /// Whether the next read has to fetch the whole list, since this one differs from another daemon's at the same version.
     pub fn take_whole_read_due(&mut self, now_us: MonoTime) -> bool {
-        let Divergence { is_whole_read_due, whole_read_us } = &mut self.divergence;
-        if !*is_whole_read_due
-            || whole_read_us.is_some_and(|read_us| now_us < read_us + WHOLE_READ_INTERVAL_MS)
-        {
-            return false;
-        }
-        *is_whole_read_due = false;
-        *whole_read_us = Some(now_us);
-        true
+        self.divergence.take_whole_read_due(now_us)
     }
 
     /// The changes for the next message, oldest first.
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -8,7 +8,7 @@
     ServerRecord,
 };
 use hibiscusvale_core::servers::{BackendKind, BackendServer, ListedState};
-use hibiscusvale_core::units::{Micros, MonoTime};
+use hibiscusvale_core::units::{Micros, Millis, MonoTime};
 
 /// A time long after any outage.
 const NOW: MonoTime = MonoTime(60_000_000);
@@ -459,15 +459,15 @@
 fn lists_are_compared_by_version_and_digest() {
     let mut own = list(7, &["i-1"]);
     let state = |version, names: &[&str]| list(version, names).state();
-    assert_eq!(own.compare(ListState::default()), Comparison::Unknown);
-    assert_eq!(own.compare(state(6, &["i-1", "i-2"])), Comparison::Covered);
-    assert_eq!(own.compare(state(7, &["i-1"])), Comparison::Covered);
-    assert_eq!(own.compare(state(9, &["i-2"])), Comparison::Newer);
-    assert_eq!(own.compare(ListState { version: 9, digest: None }), Comparison::Newer);
+    assert_eq!(own.compare(NOW, ListState::default()), Comparison::Unknown);
+    assert_eq!(own.compare(NOW, state(6, &["i-1", "i-2"])), Comparison::Covered);
+    assert_eq!(own.compare(NOW, state(7, &["i-1"])), Comparison::Covered);
+    assert_eq!(own.compare(NOW, state(9, &["i-2"])), Comparison::Newer);
+    assert_eq!(own.compare(NOW, ListState { version: 9, digest: None }), Comparison::Newer);
     assert_eq!(own.version(), 7);
-    assert_eq!(own.compare(state(8, &["i-1"])), Comparison::Covered);
+    assert_eq!(own.compare(NOW, state(8, &["i-1"])), Comparison::Covered);
     assert_eq!(own.version(), 8, "nothing has changed up to it");
-    assert_eq!(ServerList::default().compare(state(8, &["i-1"])), Comparison::Newer);
+    assert_eq!(ServerList::default().compare(NOW, state(8, &["i-1"])), Comparison::Newer);
 }
 
 /// A list that lacks a change is read whole at once, but not again and again.
@@ -476,15 +476,18 @@
     let mut own = list(7, &["i-1"]);
     assert!(!own.take_whole_read_due(NOW));
     let other = list(7, &["i-1", "i-2"]).state();
-    assert_eq!(own.compare(other), Comparison::Differs { is_new: true });
-    assert_eq!(own.compare(other), Comparison::Differs { is_new: false });
+    assert_eq!(own.compare(NOW, other), Comparison::Differs { is_new: true });
+    assert_eq!(own.compare(NOW, other), Comparison::Differs { is_new: false });
     assert!(own.take_whole_read_due(NOW));
     own.begin_read();
     own.apply_read(NOW, whole(7, vec![ready(3, "i-1"), ready(4, "i-2")]));
-    assert_eq!(own.compare(other), Comparison::Covered);
-    assert_eq!(own.compare(list(7, &["i-3"]).state()), Comparison::Differs { is_new: true });
-    assert!(!own.take_whole_read_due(MonoTime(NOW.0 + 9_000_000)));
-    assert!(own.take_whole_read_due(MonoTime(NOW.0 + 10_000_000)));
+    assert_eq!(own.compare(NOW, other), Comparison::Covered);
+    let third = list(7, &["i-3"]).state();
+    for (after_ms, is_new) in [(0, false), (9_999, false), (10_000, true), (10_001, false)] {
+        let now = NOW + Millis(after_ms);
+        assert_eq!(own.compare(now, third), Comparison::Differs { is_new }, "after {after_ms} ms");
+    }
+    assert!(own.take_whole_read_due(NOW + Millis(10_100)));
 }
 
 /// Daemons of two regions set their own region for the same servers. If that made their lists differ, each would read the whole
--- a/crates/core/tests/relay/server_list_simulation.rs
+++ b/crates/core/tests/relay/server_list_simulation.rs
@@ -294,7 +294,7 @@
             Message::State { from, changes, state, read_at } => {
                 let list = &mut self.daemons[at].list;
                 list.apply_changes(now, changes.clone());
-                let compared = list.compare(state);
+                let compared = list.compare(now, state);
                 let version = list.version();
                 if compared == Comparison::Covered && state.version > 0 {
                     assert!(version >= read_at, "a list at {version} counts as read at {read_at}");
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -336,7 +336,7 @@
     }
     // Before the stamp is evaluated: with the changes applied this daemon is as current as the sender.
     server_list::adopt_changes(state, message.changes);
-    let comparison = state.server_list.lock().compare(message.stamp.servers);
+    let comparison = state.server_list.lock().compare(clock::now(), message.stamp.servers);
     if comparison == (Comparison::Differs { is_new: true }) {
         state.log.server_list_differs(&message.host, message.stamp.servers.version);
     }
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -129,7 +129,10 @@
         let newer = PeerReport { is_same: false, age_us: Micros(0) };
         match servers {
             Comparison::Newer => self.servers.peer_reported(now_us, newer),
-            Comparison::Differs { .. } if may_read_whole => self.servers.peer_reported(now_us, newer),
+            // One read for each difference: lists that go on differing would cause one after each message.
+            Comparison::Differs { is_new: true } if may_read_whole => {
+                self.servers.peer_reported(now_us, newer)
+            }
             Comparison::Covered => age_us.is_some_and(|age_us| {
                 self.servers.peer_reported(now_us, PeerReport { is_same: true, age_us })
             }),
