--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -83,7 +83,7 @@
 }
 
 /// A read ends at an older version than a change of another daemon that was adopted meanwhile. The list must not fall back,
-/// and the next change that this daemon tells the others must hold the leaving.
+/// and the next change that this daemon sends to the others must hold the leaving.
 #[test]
 fn late_read_does_not_hide_a_leaving() {
     let mut reader = list(105, &["i-1"]);
@@ -332,7 +332,7 @@
     assert_eq!((names(&other), other.version()), (vec!["i-1", "i-3"], 9));
 }
 
-/// A daemon that has a later record of a server reads the whole list, which shows the same. The change that it tells the others
+/// A daemon that has a later record of a server reads the whole list, which shows the same. The change that it sends to the others
 /// must name that server, since their lists may lack the record.
 #[test]
 fn change_of_a_whole_list_names_what_was_known_ahead_of_it() {
--- a/crates/core/tests/relay/server_list_simulation.rs
+++ b/crates/core/tests/relay/server_list_simulation.rs
@@ -34,7 +34,7 @@
     RecordsCountFromTheBegin,
     /// Reads go on where the last one ended, whatever became of it.
     ReaderKeepsItsPlace,
-    /// A digest is told although records ahead of the version are among the servers.
+    /// A digest is sent although records ahead of the version are among the servers.
     DigestIgnoresRecordsAhead,
 }
 
--- a/spec/list.pml
+++ b/spec/list.pml
@@ -1,8 +1,8 @@
-/* Versions of the server list at daemons that read a log of records, and tell each other what they read.
+/* Versions of the server list at daemons that read a log of records, and announce to each other what they read.
  *
  * The records concern one server; those of different servers are independent. A read begins at the version of the list, is
  * answered by the store at any later time, and the answer arrives at any time after that, so that changes of other daemons
- * may be applied in between. Any change that was told may arrive at any daemon at any time, any number of times or never.
+ * may be applied in between. Any change that was sent may arrive at any daemon at any time, any number of times or never.
  * Any daemon may read for the others; each may restart at any time and forget everything.
  *
  * Invariant: a list at a version shows the server as the log does at that version, or at the later one of which it has
@@ -14,7 +14,7 @@
 #define RECORDS 4        /* maximum number of records in the log */
 #endif
 #ifndef CHANGES
-#define CHANGES 2        /* maximum number of changes told */
+#define CHANGES 2        /* maximum number of changes sent */
 #endif
 #ifndef RESTARTS
 #define RESTARTS 1
@@ -52,7 +52,7 @@
 byte read_to[DAEMONS];
 bool touched[DAEMONS];   /* the server may have been shown otherwise when the read began */
 
-byte told = 0;
+byte sent = 0;
 byte from[CHANGES];
 byte to[CHANGES];
 bool is_net[CHANGES];
@@ -117,14 +117,14 @@
     fi
 }
 
-inline tell(f, t, n, net) {
+inline announce(f, t, n, net) {
     if
-    :: told < CHANGES && t > f ->
-        from[told] = f;
-        to[told] = t;
-        named[told] = n;
-        is_net[told] = net;
-        told = told + 1
+    :: sent < CHANGES && t > f ->
+        from[sent] = f;
+        to[sent] = t;
+        named[sent] = n;
+        is_net[sent] = net;
+        sent = sent + 1
     :: else
     fi
 }
@@ -156,9 +156,9 @@
         :: else
         fi;
 #ifdef NET_COUNTS_AS_COMPLETE
-        tell(version[d], end, newest, false);
+        announce(version[d], end, newest, false);
 #else
-        tell(version[d], end, newest, true);
+        announce(version[d], end, newest, true);
 #endif
         shown[d] = log[end];
         advance(d, end);
@@ -231,16 +231,16 @@
         :: same -> newest = 0
         :: else
         fi;
-        tell(since[d], read_to[d], newest, false);
+        announce(since[d], read_to[d], newest, false);
         end_read(d);
         check(d)
     }
     /* A change of any daemon arrives. */
     :: atomic {
-        told > 0 && version[d] > 0 ->
+        sent > 0 && version[d] > 0 ->
         index = 0;
         do
-        :: index < told - 1 -> index = index + 1
+        :: index < sent - 1 -> index = index + 1
         :: break
         od;
         same = (!is_net[index] && from[index] <= version[d] && version[d] <= to[index]) || (is_net[index] && from[index] == version[d] && ahead[d] == 0);
@@ -274,7 +274,7 @@
         KEEP_PLACE(d, 0);
         end_read(d)
     }
-    :: end > RECORDS - 1 && told == CHANGES -> break
+    :: end > RECORDS - 1 && sent == CHANGES -> break
     od
 }
 
