--- a/crates/core/src/relay/server_list/change.rs
+++ b/crates/core/src/relay/server_list/change.rs
@@ -4,6 +4,10 @@
 //! platform. So a daemon that read a change puts it into its next messages, with the versions before and after it. A daemon
 //! at the version before is up to date with it; any other notices that it is behind and requests the changes since its own
 //! version.
+//!
+//! A change from a read of records is complete: it brings each list between its versions up to date. One from a whole list, or
+//! from two lists that turn out to be the same, is net: it is the difference of the two ends, and what happened in between and
+//! was undone is unknown.
 
 use std::collections::VecDeque;
 
@@ -45,6 +49,11 @@
         Self { from, to, records, is_net: true }
     }
 
+    /// Version of the list before the change.
+    pub fn from(&self) -> u64 {
+        self.from
+    }
+
     /// Version of the list after the change.
     pub fn to(&self) -> u64 {
         self.to
@@ -60,6 +69,11 @@
         &self.records
     }
 
+    /// Whether it names servers, so that it is more than a newer version.
+    pub fn names_servers(&self) -> bool {
+        !self.records.is_empty()
+    }
+
     /// Whether it brings a list of this version up to date.
     pub fn applies_to(&self, version: u64) -> bool {
         if self.is_net { version == self.from } else { (self.from..=self.to).contains(&version) }
--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -10,6 +10,8 @@
 
 mod change;
 mod expired_entries;
+mod record;
+mod statements;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -18,6 +20,8 @@
 
 pub use change::{ServerChange, ServerChangeLog};
 pub use expired_entries::ExpiredEntries;
+pub use record::{ListRead, ReadContents, ServerEntry, ServerRecord};
+pub use statements::StatementOrder;
 
 use crate::ids::BackendServerId;
 use crate::servers::{BackendServer, ListedState, Servers};
@@ -26,79 +30,6 @@
 /// Minimum interval between two reads of the whole list because it differs from another daemon's.
 const WHOLE_READ_INTERVAL_MS: Millis = Millis(10_000);
 
-/// State of one server from a version of the list on.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ServerRecord {
-    /// The first version of the list that covers it.
-    pub version: u64,
-    /// What the list shows from then on.
-    pub entry: ServerEntry,
-}
-
-/// What the list shows of a server.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum ServerEntry {
-    /// It is listed.
-    Listed(Arc<BackendServer>),
-    /// It is not listed.
-    Removed {
-        /// Its name.
-        id: BackendServerId,
-        /// Whether it had stated that it leaves, so that its entry has not merely expired.
-        has_left: bool,
-    },
-}
-
-impl ServerEntry {
-    /// Name of the server.
-    pub fn id(&self) -> &BackendServerId {
-        match self {
-            Self::Listed(server) => &server.id,
-            Self::Removed { id, .. } => id,
-        }
-    }
-
-    fn is_leaving(&self) -> bool {
-        match self {
-            Self::Listed(server) => server.listed == ListedState::Leaving,
-            Self::Removed { has_left, .. } => *has_left,
-        }
-    }
-
-    /// Whether it shows the server as it is `known`.
-    fn is_same(&self, known: Option<&Arc<BackendServer>>) -> bool {
-        match (self, known) {
-            (Self::Listed(server), Some(known)) => server.is_same_entry(known),
-            (Self::Removed { .. }, None) => true,
-            (Self::Listed(_), None) | (Self::Removed { .. }, Some(_)) => false,
-        }
-    }
-}
-
-/// Result of a read of the platform's list.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListRead {
-    /// The read covers all records up to this version.
-    pub version: u64,
-    /// What it brought.
-    pub contents: ReadContents,
-}
-
-/// Records that a read brought. Removals have `has_left` unset, since a record does not tell what was before it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ReadContents {
-    /// The newest record of each listed server. The pages of a list are read one after another, so that a later one may show
-    /// more than the version covers.
-    Whole {
-        /// The records.
-        records: Vec<ServerRecord>,
-        /// Version of the list when its last page was read.
-        end: u64,
-    },
-    /// All records after the version that was asked for, oldest first.
-    Later(Vec<ServerRecord>),
-}
-
 /// Version and digest of a list, for comparison with another daemon's.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ListState {
@@ -153,6 +84,10 @@
     pub kept: Vec<BackendServerId>,
     /// Servers that had vanished before and are out of use now.
     pub released: Vec<BackendServerId>,
+    /// The change that an own read brought, if it names servers; the other daemons get it.
+    pub read: Option<ServerChange>,
+    /// A change of another daemon that does not go on from the version, so that the list lacks one before it.
+    pub missed: Option<ServerChange>,
 }
 
 /// A read in progress.
@@ -314,10 +249,12 @@
         }
         // It goes on from a version that the list has reached.
         self.advance_to(version);
+        let mut update = self.settle(now_us, before, &affected);
         if version > since {
+            update.read = Some(change.clone()).filter(ServerChange::names_servers);
             self.changes.record(change);
         }
-        self.settle(now_us, before, &affected)
+        update
     }
 
     fn apply_whole(
@@ -351,10 +288,13 @@
         // The others can apply the difference only if both lists show just what their versions cover.
         let is_difference_exact = before >= self.exact_from && version >= end;
         self.exact_from = end;
+        let mut update = self.settle(now_us, before, &affected);
         if before > 0 && version > before && is_difference_exact {
-            self.changes.record(ServerChange::net(before, version, named));
+            let change = ServerChange::net(before, version, named);
+            update.read = Some(change.clone()).filter(ServerChange::names_servers);
+            self.changes.record(change);
         }
-        self.settle(now_us, before, &affected)
+        update
     }
 
     /// Removals, as of `version`, of the servers that a whole list lacks.
@@ -363,7 +303,11 @@
         let known: BTreeSet<&BackendServerId> = self.listed.keys().chain(self.ahead.keys()).collect();
         let removal = |id: &&BackendServerId| {
             let has_left = self.listed.get(id).is_some_and(|server| server.listed == ListedState::Leaving);
-            ServerRecord { version, entry: ServerEntry::Removed { id: (*id).clone(), has_left } }
+            ServerRecord {
+                version,
+                statement: None,
+                entry: ServerEntry::Removed { id: (*id).clone(), has_left },
+            }
         };
         known.difference(&read).map(removal).collect()
     }
@@ -374,7 +318,7 @@
         if before == 0 {
             return Update::default();
         }
-        let mut affected = Affected::default();
+        let (mut affected, mut missed) = (Affected::default(), None);
         for change in changes.into_iter().filter(|change| change.to() > before) {
             // A net change does not undo what the list knows ahead of its version.
             let applies = change.applies_to(self.version) && (!change.is_net() || self.is_exact());
@@ -384,9 +328,11 @@
             if applies {
                 self.advance_to(change.to());
                 self.changes.append(change);
+            } else if change.to() > self.version && change.names_servers() {
+                missed = Some(change);
             }
         }
-        self.settle(now_us, before, &affected)
+        Update { missed, ..self.settle(now_us, before, &affected) }
     }
 
     /// Applies the whole list of another daemon. Its vanished servers count as gone when they do there.
@@ -562,6 +508,7 @@
             is_newer: self.version > version_before,
             kept,
             released,
+            ..Update::default()
         }
     }
 }
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -27,7 +27,7 @@
 }
 
 fn listed(version: u64, name: &str, state: ListedState) -> ServerRecord {
-    ServerRecord { version, entry: ServerEntry::Listed(Arc::new(server(name, state))) }
+    ServerRecord { version, statement: None, entry: ServerEntry::Listed(Arc::new(server(name, state))) }
 }
 
 fn ready(version: u64, name: &str) -> ServerRecord {
@@ -39,7 +39,11 @@
 }
 
 fn removed(version: u64, name: &str) -> ServerRecord {
-    ServerRecord { version, entry: ServerEntry::Removed { id: name.parse().unwrap(), has_left: false } }
+    ServerRecord {
+        version,
+        statement: None,
+        entry: ServerEntry::Removed { id: name.parse().unwrap(), has_left: false },
+    }
 }
 
 fn whole(version: u64, records: Vec<ServerRecord>) -> ListRead {
@@ -499,7 +503,7 @@
         let entry = ServerEntry::Listed(Arc::new(BackendServer { region, ..server("i-1", listed) }));
         let mut list = ServerList::default();
         list.begin_read();
-        list.apply_read(NOW, whole(5, vec![ServerRecord { version: 4, entry }]));
+        list.apply_read(NOW, whole(5, vec![ServerRecord { version: 4, statement: None, entry }]));
         list.state().digest
     };
     assert_eq!(list_of("r", ListedState::Live), list_of("s", ListedState::Live));
--- a/crates/core/tests/relay/server_list_simulation.rs
+++ b/crates/core/tests/relay/server_list_simulation.rs
@@ -199,7 +199,11 @@
         let shown = self.shown(version).clone();
         let newest = |number: usize| {
             let place = self.log.iter().rposition(|(logged, _)| *logged == number).unwrap();
-            ServerRecord { version: place as u64 + 2, entry: entry(number, self.log[place].1) }
+            ServerRecord {
+                version: place as u64 + 2,
+                statement: None,
+                entry: entry(number, self.log[place].1),
+            }
         };
         let page = |numbers: Range<usize>| {
             numbers.filter(|number| shown.contains_key(number)).map(newest).collect::<Vec<_>>()
@@ -227,6 +231,7 @@
                         Mutant::RecordsCountFromTheBegin => reading.after + 1,
                         _ => place as u64 + 2,
                     },
+                    statement: None,
                     entry: entry(*number, *record),
                 });
                 let contents = ReadContents::Later(records.collect());
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -22,8 +22,10 @@
 use hibiscusvale_core::relay::congestion::HostLoad;
 use hibiscusvale_core::relay::engines::SpillOver;
 use hibiscusvale_core::relay::reach::HelperCounts;
+use hibiscusvale_core::relay::server_list::{ServerChange, ServerEntry, ServerRecord};
 use hibiscusvale_core::relay::stopping::{RunTimeSource, WouldNotEnd};
 use hibiscusvale_core::sched::{ServerLoadUse, Stage};
+use hibiscusvale_core::servers::Servers;
 use hibiscusvale_core::shares::OverShare;
 use hibiscusvale_core::units::{Bytes, Credit, CreditPerSecond, Micros, Millis, Tokens};
 use spdlog::formatter::JsonFormatter;
@@ -36,7 +38,9 @@
 use crate::logging::budget::{LineBudget, LineDecision};
 use crate::metrics::Label;
 use crate::settings::LogLevel;
-use hibiscusvale_core::servers::Servers;
+
+/// Maximum number of servers of a change that a line names.
+const LOGGED_RECORDS_MAX: usize = 24;
 
 /// Interval between flushes of buffered lines. Buffering avoids a system call per request.
 const FLUSH_PERIOD: Duration = Duration::from_millis(250);
@@ -599,8 +603,15 @@
         spdlog::info!(logger: self.logger, "routes in force", kv: { version = version });
     }
 
-    /// Logs servers that were added, changed (such as their role, or leaving) or removed as of `version` of the list.
-    pub fn servers_changed(&self, version: u64, before: &Servers, after: &Servers) {
+    /// Logs servers that were added, changed (such as their role, or leaving) or removed as of `version` of the list, and which
+    /// daemon that comes from.
+    pub fn servers_changed(
+        &self,
+        version: u64,
+        before: &Servers,
+        after: &Servers,
+        origin: &dyn fmt::Display,
+    ) {
         let names = |mut ids: Vec<&str>| {
             ids.sort_unstable();
             ids.join(" ")
@@ -613,6 +624,7 @@
         let changed: Vec<String> = changed.collect();
         spdlog::info!(logger: self.logger, "servers changed", kv: {
             version = version,
+            from: = origin,
             came = names(added.iter().map(String::as_str).collect()),
             changed = names(changed.iter().map(String::as_str).collect()),
             gone = names(removed.collect()),
@@ -646,6 +658,49 @@
         }
     }
 
+    /// Logs a change of the server list that this daemon has read and sends to the others.
+    pub fn server_list_read(&self, change: &ServerChange) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "server list read", kv: {
+                after = change.from(),
+                version = change.to(),
+                whole = change.is_net(),
+                servers = record_texts(change),
+            });
+        }
+    }
+
+    /// Logs a change from another daemon that does not go on from `version`, so that this list lacks an earlier one.
+    pub fn server_change_missed(&self, version: u64, change: &ServerChange, from: &dyn fmt::Display) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "server change missed", kv: {
+                version = version,
+                from: = from,
+                next_after = change.from(),
+                next_version = change.to(),
+                servers = record_texts(change),
+            });
+        }
+    }
+
+    /// Logs a call of the router itself to a server that leaves or is not listed, by a list of this version and age.
+    pub fn call_to_leaving_server(
+        &self,
+        server: &BackendServerId,
+        kind: &'static str,
+        list_version: u64,
+        list_age_ms: Millis,
+    ) {
+        if self.admit_request_line() {
+            spdlog::info!(logger: self.logger, "call to leaving server", kv: {
+                server = server.as_str(),
+                kind = kind,
+                list_version = list_version,
+                list_age_ms = list_age_ms.0,
+            });
+        }
+    }
+
     /// Logs that a read of the server list ended at an older version than the list had reached meanwhile.
     pub fn server_list_read_late(&self, read_version: u64, version: u64) {
         if self.admit_request_line() {
@@ -726,6 +781,20 @@
     (per_s * 1_000.0).round() as u64
 }
 
+/// The first servers that a change names, each with the state that it brings and the place of its statement.
+fn record_texts(change: &ServerChange) -> String {
+    let state = |entry: &ServerEntry| match entry {
+        ServerEntry::Listed(server) => server.state_label(),
+        ServerEntry::Removed { has_left: true, .. } => "left",
+        ServerEntry::Removed { has_left: false, .. } => "gone",
+    };
+    let records = change.records().iter().take(LOGGED_RECORDS_MAX);
+    let place = |record: &ServerRecord| record.statement.map_or(String::new(), |place| format!(":{place}"));
+    let texts =
+        records.map(|record| format!("{}:{}{}", record.entry.id(), state(&record.entry), place(record)));
+    texts.collect::<Vec<_>>().join(" ")
+}
+
 fn or_empty(value: Option<&str>) -> &str {
     value.unwrap_or("")
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -335,7 +335,7 @@
         state.server_list.lock().other_is_current(clock::now(), current_us);
     }
     // Before the stamp is evaluated: with the changes applied this daemon is as current as the sender.
-    server_list::adopt_changes(state, message.changes);
+    server_list::adopt_changes(state, message.changes, &message.host);
     let comparison = state.server_list.lock().compare(clock::now(), message.stamp.servers);
     if comparison == (Comparison::Differs { is_new: true }) {
         state.log.server_list_differs(&message.host, message.stamp.servers.version);
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -20,6 +20,7 @@
 use super::statements::{self, CallKind, RequestPath};
 use crate::backend::{BackendHttp, CallFailure, ConnectionReuse, ServerBody, TrackedReply, read_body, uri};
 use crate::callers::AnswerBody;
+use crate::clock;
 
 /// Answers up to this size are buffered before the caller's answer starts, so that one that breaks off can be
 /// retried or reported as a failure.
@@ -286,6 +287,11 @@
 ) -> Result<(StatusCode, ReplyHead, Bytes), FailureCause> {
     statements::check(state, server, kind)?;
     check_suspension(&state.router_http(), to)?;
+    if statements::is_leaving(state, server) {
+        let age_us = state.freshness.servers_age_us(clock::now()).unwrap_or_default();
+        let version = state.directory.listing().version;
+        state.log.call_to_leaving_server(server, kind.label(), version, age_us.to_millis_ceil());
+    }
     exchange_call(state, server, to, call, reuse, timeout).await.map_err(failure_cause)
 }
 
--- a/crates/router/src/relay/server_list.rs
+++ b/crates/router/src/relay/server_list.rs
@@ -2,6 +2,8 @@
 //!
 //! Decisions are made in [`hibiscusvale_core::relay::server_list`].
 
+use std::fmt::{self, Display};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -22,6 +24,34 @@
 use crate::directory::Listing;
 use crate::logging::KeptLine;
 
+/// Where an update of the list comes from.
+#[derive(Clone, Copy)]
+enum Origin<'a> {
+    /// This daemon has read it, or its time is over.
+    OwnRead,
+    /// Another daemon, by its host or address.
+    Daemon(&'a dyn Display),
+}
+
+impl Origin<'_> {
+    /// Label in logs.
+    fn label(self) -> &'static str {
+        match self {
+            Self::OwnRead => "own",
+            Self::Daemon(_) => "other",
+        }
+    }
+}
+
+impl Display for Origin<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::OwnRead => f.write_str("own"),
+            Self::Daemon(daemon) => daemon.fmt(f),
+        }
+    }
+}
+
 /// Keeps the server list up to date for as long as the daemon runs.
 pub async fn follow_servers(source: Arc<dyn ServerSource>, own: HostId, state: Arc<RelayState>) {
     let mut dependency = Dependency::new("servers lost", "servers regained");
@@ -80,7 +110,10 @@
     list.observe_age(now_us, state.freshness.servers_age_us(now_us));
     let update = list.apply_read(now_us, read);
     state.freshness.servers_read(begun_us);
-    put_in_force(state, list, &update, "own");
+    if let Some(change) = &update.read {
+        state.log.server_list_read(change);
+    }
+    put_in_force(state, list, &update, Origin::OwnRead);
 }
 
 /// Log texts for feeds that this daemon can't read, but that others have confirmed since.
@@ -128,11 +161,11 @@
 fn release_expired(state: &RelayState) {
     let mut list = state.server_list.lock();
     let update = list.release_expired(clock::now());
-    put_in_force(state, list, &update, "own");
+    put_in_force(state, list, &update, Origin::OwnRead);
 }
 
-/// Adopts changes that another daemon read; returns whether they brought anything new.
-pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>) -> bool {
+/// Adopts changes that the daemon `from`, a host or an address, has sent; returns whether they brought anything new.
+pub fn adopt_changes(state: &RelayState, changes: Vec<ServerChange>, from: &dyn Display) -> bool {
     if changes.is_empty() {
         return false;
     }
@@ -144,35 +177,34 @@
     if update.is_newer {
         state.freshness.servers_learned();
     }
-    put_in_force(state, list, &update, "other");
+    if let Some(change) = &update.missed {
+        state.log.server_change_missed(list.version(), change, from);
+    }
+    put_in_force(state, list, &update, Origin::Daemon(from));
     update.is_newer || update.is_changed
 }
 
-/// Adopts the list that another daemon had `age_us` before `as_of_us`; returns whether it is newer.
+/// Adopts the list that the daemon at `from` had `age_us` before `as_of_us`; returns whether it is newer.
 pub fn adopt_snapshot(
     state: &RelayState,
     as_of_us: MonoTime,
     age_us: Option<Micros>,
     snapshot: ListSnapshot,
+    from: SocketAddr,
 ) -> bool {
     let mut list = state.server_list.lock();
     let is_covering = snapshot.version() >= list.version();
     let update = list.apply_snapshot(clock::now(), snapshot);
     let age_us = age_us.unwrap_or(Micros(u64::MAX));
     let is_younger = is_covering && state.freshness.servers_transferred(as_of_us, age_us);
-    put_in_force(state, list, &update, "other");
+    put_in_force(state, list, &update, Origin::Daemon(&from));
     update.is_newer || is_younger
 }
 
 /// Puts the servers in use in force after an update, and logs what it has kept and released.
-fn put_in_force(
-    state: &RelayState,
-    list: MutexGuard<'_, ServerList>,
-    update: &Update,
-    read_by: &'static str,
-) {
+fn put_in_force(state: &RelayState, list: MutexGuard<'_, ServerList>, update: &Update, origin: Origin<'_>) {
     let now_us = clock::now();
-    log_kept(state, now_us, &update.kept, read_by, list.expired().grace_until_us(now_us));
+    log_kept(state, now_us, &update.kept, origin, list.expired().grace_until_us(now_us));
     if !update.released.is_empty() {
         state.log.kept_servers_removed(&update.released);
     }
@@ -184,7 +216,7 @@
     state.directory.adopt(listing);
     drop(list);
     if update.is_changed {
-        servers_changed(state, &before);
+        servers_changed(state, &before, origin);
     }
 }
 
@@ -192,7 +224,7 @@
     state: &RelayState,
     now_us: MonoTime,
     servers: &[BackendServerId],
-    read_by: &'static str,
+    origin: Origin<'_>,
     until_us: MonoTime,
 ) {
     if servers.is_empty() {
@@ -201,16 +233,16 @@
     let list_age_us = state.freshness.servers_age_us(now_us).unwrap_or_default();
     state.log.vanished_servers_kept(&KeptLine {
         servers,
-        read_by,
+        read_by: origin.label(),
         list_age_ms: list_age_us.to_millis_ceil(),
         for_ms: until_us.since(now_us).to_millis_ceil(),
     });
 }
 
 /// Updates the schedulers from the server list in the directory.
-fn servers_changed(state: &RelayState, before: &Listing) {
+fn servers_changed(state: &RelayState, before: &Listing, origin: Origin<'_>) {
     let listing = state.directory.listing();
-    state.log.servers_changed(listing.version, &before.servers, &listing.servers);
+    state.log.servers_changed(listing.version, &before.servers, &listing.servers, &origin);
     state.limits.adopt(state, &before.servers, &listing.servers);
     forget_suspensions(state, before, &listing);
     state.plain_schedulers.adopt(&listing);
--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -193,7 +193,7 @@
     let version = state.server_list.lock().version();
     let update = async {
         if let Some(changes) = fetch(state, address, &format!("{CHANGES_PATH}{version}")).await {
-            return Some(server_list::adopt_changes(state, changes));
+            return Some(server_list::adopt_changes(state, changes, &address));
         }
         let requested_us = clock::now();
         let snapshot = fetch(state, address, SNAPSHOT_PATH).await?;
@@ -246,7 +246,7 @@
 fn adopt(state: &RelayState, requested_us: MonoTime, snapshot: Snapshot, from: SocketAddr) -> bool {
     let Snapshot { table, servers, servers_age_us } = snapshot;
     let is_table_newer = watch::adopt_table(state, table);
-    let is_list_newer = server_list::adopt_snapshot(state, requested_us, servers_age_us, servers);
+    let is_list_newer = server_list::adopt_snapshot(state, requested_us, servers_age_us, servers, from);
     if is_table_newer || is_list_newer {
         state.log.state_changed("learned from another daemon", &from);
     }
--- a/crates/router/src/relay/statements.rs
+++ b/crates/router/src/relay/statements.rs
@@ -67,6 +67,17 @@
     Report,
 }
 
+impl CallKind {
+    /// Label in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Work => "work",
+            Self::Cleanup => "cleanup",
+            Self::Report => "report",
+        }
+    }
+}
+
 /// What servers have stated in their answers to this daemon.
 #[derive(Debug, Default)]
 pub struct SharedStatements {
