Let only the same list confirm another daemon's, and read it whole in large fleets too

A list counted as current by any daemon's message at its version or below, also where one of the two showed more than its version covers, and by a whole list that was older. Only the same list confirms now. A read of the whole list that fails is repeated.

--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -6,29 +6,32 @@
 //! beyond it applies at once and is remembered as ahead, so that no older one replaces it. The version rises only when all
 //! records up to the new one are known, and never falls.
 //!
-//! Two lists at one version without records ahead are therefore equal, and their digests show whether that is true.
+//! Two lists at one version that show no more than it covers are therefore equal, and their digests show whether that is
+//! true. Only then does one confirm the other. A list shows more while it has records ahead, or after its pages were read one
+//! after another, until the version reaches what they show.
 
 mod change;
+mod divergence;
 mod expired_entries;
 mod record;
 mod statements;
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 pub use change::{ServerChange, ServerChangeLog};
+use divergence::Divergence;
 pub use expired_entries::ExpiredEntries;
 pub use record::{ListRead, ReadContents, ServerEntry, ServerRecord};
 pub use statements::StatementOrder;
 
-use crate::ids::BackendServerId;
+use super::recipients::BroadcastScope;
+use crate::ids::{BackendServerId, HostId};
 use crate::servers::{BackendServer, ListedState, Servers};
-use crate::units::{Micros, Millis, MonoTime};
-
-/// Minimum interval between two reads of the whole list because it differs from another daemon's.
-const WHOLE_READ_INTERVAL_MS: Millis = Millis(10_000);
+use crate::units::{Micros, MonoTime};
 
 /// Version and digest of a list, for comparison with another daemon's.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -42,8 +45,8 @@
 /// How another daemon's list compares with the own one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Comparison {
-    /// The own list has all that the other one has, so it is as current.
-    Covered,
+    /// They are the same, so that the own one is as current as the other one.
+    Same,
     /// The other one is newer.
     Newer,
     /// They differ at the same version: one of them lacks a change.
@@ -51,7 +54,7 @@
         /// Whether the next read therefore fetches the whole list, which it did not before.
         is_new: bool,
     },
-    /// The other daemon has no list.
+    /// The other one is older or missing, or one of them shows more than its version covers. That confirms nothing.
     Unknown,
 }
 
@@ -67,9 +70,11 @@
 }
 
 impl ListSnapshot {
-    /// Version of the list.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Version and digest of the list.
+    pub fn state(&self) -> ListState {
+        let is_exact = self.ahead.is_empty() && self.version >= self.exact_from;
+        let digest = is_exact.then(|| self.listed.iter().cloned().collect::<Servers>().digest());
+        ListState { version: self.version, digest }
     }
 }
 
@@ -126,29 +131,6 @@
     divergence: Divergence,
 }
 
-/// Whether the list differs from another daemon's at the same version.
-#[derive(Clone, Copy, Debug, Default)]
-struct Divergence {
-    is_whole_read_due: bool,
-    whole_read_us: Option<MonoTime>,
-}
-
-impl Divergence {
-    /// Records that the lists differ. Returns whether a read of the whole list is due now, and was not before.
-    fn found(&mut self, now_us: MonoTime) -> bool {
-        let was_read = self.whole_read_us.is_some_and(|read_us| now_us < read_us + WHOLE_READ_INTERVAL_MS);
-        !was_read && !std::mem::replace(&mut self.is_whole_read_due, true)
-    }
-
-    fn take_whole_read_due(&mut self, now_us: MonoTime) -> bool {
-        let is_due = std::mem::take(&mut self.is_whole_read_due);
-        if is_due {
-            self.whole_read_us = Some(now_us);
-        }
-        is_due
-    }
-}
-
 /// Servers that an update has listed, and those that it has removed.
 #[derive(Debug, Default)]
 struct Affected {
@@ -215,7 +197,12 @@
             ReadContents::Whole { records, .. } if records.is_empty() && self.version > 0 => {
                 Update::default()
             }
-            ReadContents::Whole { records, end } => self.apply_whole(now_us, version, end, records),
+            ReadContents::Whole { records, end } => {
+                if version >= self.version {
+                    self.divergence.whole_read(now_us);
+                }
+                self.apply_whole(now_us, version, end, records)
+            }
             ReadContents::Later(records) => self.apply_later(now_us, version, records),
         }
     }
@@ -383,32 +370,42 @@
         })
     }
 
-    /// Compares the list with another daemon's. A newer one with the same servers shows that nothing has changed up to its
-    /// version, to which this list then rises.
-    pub fn compare(&mut self, now_us: MonoTime, other: ListState) -> Comparison {
+    /// Compares the list with that of the daemon on `from`. A newer one with the same servers shows that nothing has changed
+    /// up to its version, to which this list then rises.
+    pub fn compare(
+        &mut self,
+        now_us: MonoTime,
+        from: &HostId,
+        other: ListState,
+        scope: BroadcastScope,
+    ) -> Comparison {
         let own = self.state();
         let is_same = match (own.digest, other.digest) {
             (Some(own), Some(other)) => Some(own == other),
             (None, _) | (_, None) => None,
         };
-        match (other.version, is_same) {
-            (0, _) => Comparison::Unknown,
-            (version, Some(false)) if version == own.version => {
-                Comparison::Differs { is_new: self.divergence.found(now_us) }
+        match (other.version.cmp(&own.version), is_same) {
+            _ if other.version == 0 => Comparison::Unknown,
+            (Ordering::Less, _) | (Ordering::Equal, None) => Comparison::Unknown,
+            (Ordering::Equal, Some(true)) => {
+                self.divergence.compared(now_us, from, true, scope);
+                Comparison::Same
+            }
+            (Ordering::Equal, Some(false)) => {
+                Comparison::Differs { is_new: self.divergence.compared(now_us, from, false, scope) }
             }
-            (version, Some(true)) if version > own.version && own.version > 0 => {
-                self.changes.append(ServerChange::net(own.version, version, Vec::new()));
-                self.advance_to(version);
-                Comparison::Covered
+            (Ordering::Greater, Some(true)) if own.version > 0 => {
+                self.changes.append(ServerChange::net(own.version, other.version, Vec::new()));
+                self.advance_to(other.version);
+                Comparison::Same
             }
-            (version, _) if version > own.version => Comparison::Newer,
-            _ => Comparison::Covered,
+            (Ordering::Greater, _) => Comparison::Newer,
         }
     }
 
     /// Whether the next read has to fetch the whole list, since this one differs from another daemon's at the same version.
-    pub fn take_whole_read_due(&mut self, now_us: MonoTime) -> bool {
-        self.divergence.take_whole_read_due(now_us)
+    pub fn is_whole_read_due(&self) -> bool {
+        self.divergence.is_whole_read_due
     }
 
     /// The changes for the next message, oldest first.
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{BackendServerId, RegionId, SoftwareVersion};
+use hibiscusvale_core::ids::{BackendServerId, HostId, RegionId, SoftwareVersion};
+use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::server_list::{
     Comparison, ListRead, ListState, ReadContents, ServerChange, ServerChangeLog, ServerEntry, ServerList,
     ServerRecord,
@@ -86,6 +87,15 @@
     list.in_use().get(&name.parse().unwrap()).map(|server| server.listed)
 }
 
+/// Compares a list with another daemon's in a small fleet.
+fn compare(list: &mut ServerList, now: MonoTime, other: ListState) -> Comparison {
+    list.compare(now, &host(2), other, BroadcastScope::AllDaemons)
+}
+
+fn host(number: usize) -> HostId {
+    format!("entry-{number}").parse().unwrap()
+}
+
 /// A read ends at an older version than a change of another daemon that was adopted meanwhile. The list must not fall back,
 /// and the next change that this daemon sends to the others must hold the leaving.
 #[test]
@@ -458,40 +468,73 @@
     assert_eq!(own.version(), 9);
 }
 
-/// A daemon may count its list as current by another one's only if it has all that the other one has.
+/// A daemon may count its list as current by another one's only if the two are the same.
 #[test]
-fn lists_are_compared_by_version_and_digest() {
+fn lists_that_may_differ_do_not_confirm_each_other() {
     let mut own = list(7, &["i-1"]);
     let state = |version, names: &[&str]| list(version, names).state();
-    assert_eq!(own.compare(NOW, ListState::default()), Comparison::Unknown);
-    assert_eq!(own.compare(NOW, state(6, &["i-1", "i-2"])), Comparison::Covered);
-    assert_eq!(own.compare(NOW, state(7, &["i-1"])), Comparison::Covered);
-    assert_eq!(own.compare(NOW, state(9, &["i-2"])), Comparison::Newer);
-    assert_eq!(own.compare(NOW, ListState { version: 9, digest: None }), Comparison::Newer);
+    assert_eq!(compare(&mut own, NOW, ListState::default()), Comparison::Unknown);
+    assert_eq!(compare(&mut own, NOW, state(6, &["i-1"])), Comparison::Unknown, "an older list");
+    assert_eq!(compare(&mut own, NOW, state(6, &["i-1", "i-2"])), Comparison::Unknown);
+    assert_eq!(compare(&mut own, NOW, state(7, &["i-1"])), Comparison::Same);
+    assert_eq!(compare(&mut own, NOW, ListState { version: 7, digest: None }), Comparison::Unknown);
+    assert_eq!(compare(&mut own, NOW, state(9, &["i-2"])), Comparison::Newer);
+    assert_eq!(compare(&mut own, NOW, ListState { version: 9, digest: None }), Comparison::Newer);
     assert_eq!(own.version(), 7);
-    assert_eq!(own.compare(NOW, state(8, &["i-1"])), Comparison::Covered);
+    assert_eq!(compare(&mut own, NOW, state(8, &["i-1"])), Comparison::Same);
     assert_eq!(own.version(), 8, "nothing has changed up to it");
-    assert_eq!(ServerList::default().compare(NOW, state(8, &["i-1"])), Comparison::Newer);
+    assert_eq!(compare(&mut ServerList::default(), NOW, state(8, &["i-1"])), Comparison::Newer);
+
+    let ahead = ServerChange::complete(9, 10, vec![ready(10, "i-2")]);
+    let mut own = after(list(8, &["i-1"]), vec![ahead]);
+    assert_eq!(compare(&mut own, NOW, state(8, &["i-1"])), Comparison::Unknown);
+    assert_eq!(compare(&mut own, NOW, state(9, &["i-1", "i-2"])), Comparison::Newer);
 }
 
-/// A list that lacks a change is read whole at once, but not again and again.
+/// A list that lacks a change is read whole at once, and again after a read that failed, but not again and again.
 #[test]
 fn list_that_differs_at_one_version_is_read_whole() {
     let mut own = list(7, &["i-1"]);
-    assert!(!own.take_whole_read_due(NOW));
+    assert!(!own.is_whole_read_due());
     let other = list(7, &["i-1", "i-2"]).state();
-    assert_eq!(own.compare(NOW, other), Comparison::Differs { is_new: true });
-    assert_eq!(own.compare(NOW, other), Comparison::Differs { is_new: false });
-    assert!(own.take_whole_read_due(NOW));
+    assert_eq!(compare(&mut own, NOW, other), Comparison::Differs { is_new: true });
+    assert_eq!(compare(&mut own, NOW, other), Comparison::Differs { is_new: false });
+    assert!(own.is_whole_read_due());
+    own.begin_read();
+    own.read_failed();
+    assert!(own.is_whole_read_due(), "the read has failed");
+    own.begin_read();
+    own.apply_read(NOW, whole(6, vec![ready(3, "i-1")]));
+    assert!(own.is_whole_read_due(), "the read is older than the list");
     own.begin_read();
     own.apply_read(NOW, whole(7, vec![ready(3, "i-1"), ready(4, "i-2")]));
-    assert_eq!(own.compare(NOW, other), Comparison::Covered);
+    assert!(!own.is_whole_read_due());
+    assert_eq!(compare(&mut own, NOW, other), Comparison::Same);
     let third = list(7, &["i-3"]).state();
     for (after_ms, is_new) in [(0, false), (9_999, false), (10_000, true), (10_001, false)] {
         let now = NOW + Millis(after_ms);
-        assert_eq!(own.compare(now, third), Comparison::Differs { is_new }, "after {after_ms} ms");
+        assert_eq!(compare(&mut own, now, third), Comparison::Differs { is_new }, "after {after_ms} ms");
+    }
+}
+
+/// In a large fleet the list of one daemon lacks a change. That daemon reads the whole list, and the hundreds of others do not.
+#[test]
+fn in_a_large_fleet_the_daemon_that_differs_from_most_reads_the_whole_list() {
+    let scope = BroadcastScope::DataCentre;
+    let right = list(7, &["i-1", "i-2"]);
+    let mut wrong = list(7, &["i-1"]);
+    let differs = |is_new| Comparison::Differs { is_new };
+    assert_eq!(wrong.compare(NOW, &host(2), right.state(), scope), differs(true));
+    assert!(wrong.is_whole_read_due());
+    let mut other = right.clone();
+    for number in 2..5 {
+        assert_eq!(other.compare(NOW, &host(number), right.state(), scope), Comparison::Same);
     }
-    assert!(own.take_whole_read_due(NOW + Millis(10_100)));
+    assert_eq!(other.compare(NOW, &host(1), wrong.state(), scope), differs(false));
+    assert!(!other.is_whole_read_due());
+    // Comparisons of long ago do not count.
+    let later = NOW + Millis(2_000);
+    assert_eq!(other.compare(later, &host(1), wrong.state(), scope), differs(true));
 }
 
 /// Daemons of two regions set their own region for the same servers. If that made their lists differ, each would read the whole
--- a/crates/core/tests/relay/server_list_simulation.rs
+++ b/crates/core/tests/relay/server_list_simulation.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use hibiscusvale_core::ids::BackendServerId;
+use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::server_list::{
     Comparison, ListRead, ListSnapshot, ListState, ReadContents, ServerChange, ServerEntry, ServerList,
     ServerRecord,
@@ -30,6 +31,8 @@
     None,
     /// A whole list counts as of its last page.
     WholeListCountsFromItsEnd,
+    /// A whole list counts as read at one moment, although its pages were read one after another.
+    PagesCountAsOne,
     /// Records are taken to hold from the version before the read.
     RecordsCountFromTheBegin,
     /// Reads go on where the last one ended, whatever became of it.
@@ -178,7 +181,7 @@
     }
 
     fn begin_read(&mut self, at: usize) {
-        let (begun_at, now, is_whole) = (self.version(), self.now, self.rng.random_ratio(1, 8));
+        let (begun_at, is_whole) = (self.version(), self.rng.random_ratio(1, 8));
         let daemon = &mut self.daemons[at];
         if daemon.reading.is_some() {
             return;
@@ -187,7 +190,7 @@
         if self.mutant == Mutant::ReaderKeepsItsPlace {
             after = after.max(daemon.place);
         }
-        if is_whole || daemon.list.take_whole_read_due(now) {
+        if is_whole || daemon.list.is_whole_read_due() {
             after = 0;
         }
         daemon.reading = Some(Reading { after, begun_at, first_page: None, answer: None });
@@ -217,7 +220,8 @@
             (None, Some((first, mut records))) => {
                 records.extend(page(SERVERS / 2..SERVERS));
                 let read = if mutant == Mutant::WholeListCountsFromItsEnd { version } else { first };
-                let contents = ReadContents::Whole { records, end: version };
+                let end = if mutant == Mutant::PagesCountAsOne { first } else { version };
+                let contents = ReadContents::Whole { records, end };
                 reading.answer = Some(ListRead { version: read, contents });
                 *place = version;
             }
@@ -299,9 +303,11 @@
             Message::State { from, changes, state, read_at } => {
                 let list = &mut self.daemons[at].list;
                 list.apply_changes(now, changes.clone());
-                let compared = list.compare(now, state);
+                let scope = if at % 2 == 0 { BroadcastScope::AllDaemons } else { BroadcastScope::DataCentre };
+                let host = format!("entry-{from}").parse().unwrap();
+                let compared = list.compare(now, &host, state, scope);
                 let version = list.version();
-                if compared == Comparison::Covered && state.version > 0 {
+                if compared == Comparison::Same {
                     assert!(version >= read_at, "a list at {version} counts as read at {read_at}");
                 }
                 if compared == Comparison::Newer {
@@ -404,6 +410,7 @@
 
 #[rstest]
 #[case(Mutant::WholeListCountsFromItsEnd)]
+#[case(Mutant::PagesCountAsOne)]
 #[case(Mutant::RecordsCountFromTheBegin)]
 #[case(Mutant::ReaderKeepsItsPlace)]
 #[case(Mutant::DigestIgnoresRecordsAhead)]
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -336,13 +336,14 @@
     }
     // Before the stamp is evaluated: with the changes applied this daemon is as current as the sender.
     server_list::adopt_changes(state, message.changes, &message.host);
-    let comparison = state.server_list.lock().compare(clock::now(), message.stamp.servers);
-    if comparison == (Comparison::Differs { is_new: true }) {
+    let now_us = clock::now();
+    let scope = state.peers.reach();
+    let servers = state.server_list.lock().compare(now_us, &message.host, message.stamp.servers, scope);
+    if servers == (Comparison::Differs { is_new: true }) {
         state.log.server_list_differs(&message.host, message.stamp.servers.version);
     }
-    let received = ReceivedStamp { stamp: message.stamp, servers: comparison, from };
-    let may_read_whole = server_list::may_read_whole(state);
-    state.freshness.receive_stamp(clock::now(), state.table.load().version(), received, may_read_whole);
+    let received = ReceivedStamp { stamp: message.stamp, servers, from };
+    state.freshness.receive_stamp(now_us, state.table.load().version(), received);
     if let Some(lendable) = message.lendable {
         loans::update_lender(&message.host, &lendable, state);
     }
--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -117,26 +117,17 @@
 
     /// Evaluates how another daemon's server list, which it read `age_us` ago, compares with this one. Returns whether this
     /// daemon has to catch up.
-    ///
-    /// A daemon whose list is covered has read nothing that this one lacks, so that this list is as current.
-    fn servers_compared(
-        &mut self,
-        now_us: MonoTime,
-        servers: Comparison,
-        age_us: Option<Micros>,
-        may_read_whole: bool,
-    ) -> bool {
+    fn servers_compared(&mut self, now_us: MonoTime, servers: Comparison, age_us: Option<Micros>) -> bool {
         let newer = PeerReport { is_same: false, age_us: Micros(0) };
         match servers {
-            Comparison::Newer => self.servers.peer_reported(now_us, newer),
+            Comparison::Same => age_us.is_some_and(|age_us| {
+                self.servers.peer_reported(now_us, PeerReport { is_same: true, age_us })
+            }),
             // One read for each difference: lists that go on differing would cause one after each message.
-            Comparison::Differs { is_new: true } if may_read_whole => {
+            Comparison::Newer | Comparison::Differs { is_new: true } => {
                 self.servers.peer_reported(now_us, newer)
             }
-            Comparison::Covered => age_us.is_some_and(|age_us| {
-                self.servers.peer_reported(now_us, PeerReport { is_same: true, age_us })
-            }),
-            Comparison::Differs { .. } | Comparison::Unknown => false,
+            Comparison::Differs { is_new: false } | Comparison::Unknown => false,
         }
     }
 }
@@ -311,15 +302,8 @@
         is_younger
     }
 
-    /// Evaluates the stamp of another daemon's message. `may_read_whole` tells whether this daemon reads the whole server list
-    /// if the two differ.
-    pub fn receive_stamp(
-        &self,
-        now_us: MonoTime,
-        table: TableVersion,
-        received: ReceivedStamp,
-        may_read_whole: bool,
-    ) {
+    /// Evaluates the stamp of another daemon's message.
+    pub fn receive_stamp(&self, now_us: MonoTime, table: TableVersion, received: ReceivedStamp) {
         let ReceivedStamp { stamp, servers, from } = received;
         let mut readings = self.readings.lock();
         if stamp.table > table.0 {
@@ -331,7 +315,7 @@
         {
             readings.table.peer_reported(now_us, PeerReport { is_same: true, age_us });
         }
-        if readings.servers_compared(now_us, servers, stamp.servers_age_us, may_read_whole) {
+        if readings.servers_compared(now_us, servers, stamp.servers_age_us) {
             readings.servers_announcer = Some((stamp.servers.version, from));
             self.servers_due.notify_one();
         }
--- a/crates/router/src/relay/server_list.rs
+++ b/crates/router/src/relay/server_list.rs
@@ -71,7 +71,7 @@
         {
             continue;
         }
-        let after = begin_read(&state, begun_us);
+        let after = begin_read(&state);
         match source.read(after).await {
             Ok(read) => {
                 dependency.report_success(&state);
@@ -89,16 +89,10 @@
 }
 
 /// Begins a read; returns the version after which records are to be read, zero for the whole list.
-fn begin_read(state: &RelayState, now_us: MonoTime) -> u64 {
+fn begin_read(state: &RelayState) -> u64 {
     let mut list = state.server_list.lock();
     let after = list.begin_read();
-    if may_read_whole(state) && list.take_whole_read_due(now_us) { 0 } else { after }
-}
-
-/// Whether this daemon may read the whole list because it differs from another one's. In a large fleet, hundreds of daemons
-/// would read thousands of servers.
-pub fn may_read_whole(state: &RelayState) -> bool {
-    state.peers.reach() != BroadcastScope::DataCentre
+    if list.is_whole_read_due() { 0 } else { after }
 }
 
 fn adopt_read(state: &RelayState, begun_us: MonoTime, read: ListRead) {
@@ -184,7 +178,8 @@
     update.is_newer || update.is_changed
 }
 
-/// Adopts the list that the daemon at `from` had `age_us` before `as_of_us`; returns whether it is newer.
+/// Adopts the list that the daemon at `from` had `age_us` before `as_of_us`; returns whether it is newer, or the same and
+/// younger.
 pub fn adopt_snapshot(
     state: &RelayState,
     as_of_us: MonoTime,
@@ -193,10 +188,11 @@
     from: SocketAddr,
 ) -> bool {
     let mut list = state.server_list.lock();
-    let is_covering = snapshot.version() >= list.version();
+    let sent = snapshot.state();
     let update = list.apply_snapshot(clock::now(), snapshot);
+    let is_same = sent.digest.is_some() && sent == list.state();
     let age_us = age_us.unwrap_or(Micros(u64::MAX));
-    let is_younger = is_covering && state.freshness.servers_transferred(as_of_us, age_us);
+    let is_younger = (update.is_newer || is_same) && state.freshness.servers_transferred(as_of_us, age_us);
     put_in_force(state, list, &update, Origin::Daemon(&from));
     update.is_newer || is_younger
 }
