Do not pass over records of the list that can still be read

A daemon that starts reads the whole list, which shows the newest record of each server only. If that is a late renewal, it hides the leaving before it. Other daemons that had not read the leaving yet then took that list over in three ways: they rose to its version since the servers were the same, they replaced theirs by it since the daemon that had started keeps no history, or they applied the difference of two whole lists that was read because lists differed.

A list says from which version on it knows all records, and another one rises to its version only if that covers what it lacks. In a fleet whose daemons may read the store they do so rather than take a list without its history. A whole list that is read because two differ is not announced.

--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -44,6 +44,8 @@
     pub version: u64,
     /// Digest of the listed servers; `None` while they show more than the version covers.
     pub digest: Option<u64>,
+    /// Version from which on all records are known. What came before may have been read as a whole.
+    pub complete_from: u64,
 }
 
 /// How another daemon's list compares with the own one.
@@ -58,7 +60,8 @@
         /// Whether the next read therefore fetches the whole list, which it did not before.
         is_new: bool,
     },
-    /// The other one is older or missing, or one of them shows more than its version covers. That confirms nothing.
+    /// The other one is older or missing, or one of them shows more than its version covers, or the other one does not know
+    /// the records in between. That confirms nothing.
     Unknown,
 }
 
@@ -69,6 +72,7 @@
     listed: Vec<Arc<BackendServer>>,
     ahead: Vec<(BackendServerId, u64)>,
     exact_from: u64,
+    complete_from: u64,
     /// Vanished servers that are still in use, each with the time until it counts as gone.
     kept: Vec<(Arc<BackendServer>, Micros)>,
     statements: Vec<(BackendServerId, KnownStatement)>,
@@ -79,7 +83,7 @@
     pub fn state(&self) -> ListState {
         let is_exact = self.ahead.is_empty() && self.version >= self.exact_from;
         let digest = is_exact.then(|| self.listed.iter().cloned().collect::<Servers>().digest());
-        ListState { version: self.version, digest }
+        ListState { version: self.version, digest, complete_from: self.complete_from }
     }
 }
 
@@ -132,6 +136,8 @@
     ahead: BTreeMap<BackendServerId, u64>,
     /// Below this version, servers may be missing that were removed only after it.
     exact_from: u64,
+    /// Version from which on all records are known.
+    complete_from: u64,
     /// The listed servers, and the vanished ones that do not count as gone yet.
     in_use: Servers,
     statements: Statements,
@@ -203,7 +209,11 @@
 
     /// Version and digest.
     pub fn state(&self) -> ListState {
-        ListState { version: self.version, digest: self.is_exact().then(|| self.listed.digest()) }
+        ListState {
+            version: self.version,
+            digest: self.is_exact().then(|| self.listed.digest()),
+            complete_from: self.complete_from,
+        }
     }
 
     /// Whether the list shows just what its version covers.
@@ -233,10 +243,12 @@
                 Update::default()
             }
             ReadContents::Whole { records, end } => {
+                // The others can still read the records, which show more than the difference of two lists.
+                let is_announced = !self.divergence.is_whole_read_due;
                 if version >= self.version {
                     self.divergence.whole_read(now_us);
                 }
-                self.apply_whole(now_us, version, end, records)
+                self.apply_whole(now_us, version, end, records, is_announced)
             }
             ReadContents::Later(records) => self.apply_later(now_us, version, records),
         }
@@ -295,6 +307,7 @@
         version: u64,
         end: u64,
         records: Vec<ServerRecord>,
+        is_announced: bool,
     ) -> Update {
         let before = self.version;
         let mut affected = Affected::default();
@@ -325,8 +338,9 @@
         // The others can apply the difference only if both lists show just what their versions cover.
         let is_difference_exact = before >= self.exact_from && version >= end;
         self.exact_from = end;
+        self.complete_from = end;
         let mut update = self.settle(now_us, before, affected);
-        if before > 0 && version > before && is_difference_exact {
+        if is_announced && before > 0 && version > before && is_difference_exact {
             let change = ServerChange::net(before, version, named);
             update.read = Some(change.clone()).filter(ServerChange::names_servers);
             self.changes.record(change);
@@ -367,6 +381,9 @@
             }
             if applies {
                 self.advance_to(change.to());
+                if change.is_net() {
+                    self.complete_from = change.to();
+                }
                 self.changes.append(change);
             } else if change.to() > self.version && change.names_servers() {
                 missed = Some(change);
@@ -378,7 +395,7 @@
     /// Applies the whole list of another daemon. Its vanished servers count as gone when they do there. Of a list that is not
     /// newer, only the later statements of servers count.
     pub fn apply_snapshot(&mut self, now_us: MonoTime, snapshot: ListSnapshot) -> Update {
-        let ListSnapshot { version, listed, ahead, exact_from, kept, statements } = snapshot;
+        let ListSnapshot { version, listed, ahead, exact_from, complete_from, kept, statements } = snapshot;
         let theirs = Statements::of_other(now_us, statements);
         let before = self.version;
         if version <= before {
@@ -415,6 +432,7 @@
         self.statements.adopt(theirs, &servers, u64::MAX);
         self.listed = servers;
         self.exact_from = exact_from;
+        self.complete_from = complete_from;
         self.reading.are_all_touched = true;
         self.advance_to(version);
         let digest = self.in_use.digest();
@@ -480,13 +498,15 @@
             listed: self.listed.values().cloned().collect(),
             ahead: self.ahead.iter().map(|(id, version)| (id.clone(), *version)).collect(),
             exact_from: self.exact_from,
+            complete_from: self.complete_from,
             kept: kept.collect(),
             statements: self.statements.known(now_us),
         })
     }
 
     /// Compares the list with that of the daemon on `from`. A newer one with the same servers shows that nothing has changed
-    /// up to its version, to which this list then rises.
+    /// up to its version, to which this list then rises. It does not if it does not know the records in between: a server may
+    /// have left, and its late renewal may have hidden that.
     pub fn compare(
         &mut self,
         now_us: MonoTime,
@@ -509,6 +529,9 @@
             (Ordering::Equal, Some(false)) => {
                 Comparison::Differs { is_new: self.divergence.compared(now_us, from, false, scope) }
             }
+            (Ordering::Greater, Some(true)) if own.version > 0 && other.complete_from > own.version => {
+                Comparison::Unknown
+            }
             (Ordering::Greater, Some(true)) if own.version > 0 => {
                 self.changes.append(ServerChange::net(own.version, other.version, Vec::new()));
                 self.advance_to(other.version);
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -604,11 +604,15 @@
     assert_eq!(compare(&mut own, NOW, state(6, &["i-1"])), Comparison::Unknown, "an older list");
     assert_eq!(compare(&mut own, NOW, state(6, &["i-1", "i-2"])), Comparison::Unknown);
     assert_eq!(compare(&mut own, NOW, state(7, &["i-1"])), Comparison::Same);
-    assert_eq!(compare(&mut own, NOW, ListState { version: 7, digest: None }), Comparison::Unknown);
+    assert_eq!(compare(&mut own, NOW, ListState { version: 7, ..ListState::default() }), Comparison::Unknown);
     assert_eq!(compare(&mut own, NOW, state(9, &["i-2"])), Comparison::Newer);
-    assert_eq!(compare(&mut own, NOW, ListState { version: 9, digest: None }), Comparison::Newer);
+    assert_eq!(compare(&mut own, NOW, ListState { version: 9, ..ListState::default() }), Comparison::Newer);
     assert_eq!(own.version(), 7);
-    assert_eq!(compare(&mut own, NOW, state(8, &["i-1"])), Comparison::Same);
+    assert_eq!(compare(&mut own, NOW, state(8, &["i-1"])), Comparison::Unknown, "it was read as a whole");
+    assert_eq!(own.version(), 7, "a late renewal may have hidden a leaving");
+    let mut other = list(7, &["i-1"]);
+    read(&mut other, later(8, Vec::new()));
+    assert_eq!(compare(&mut own, NOW, other.state()), Comparison::Same);
     assert_eq!(own.version(), 8, "nothing has changed up to it");
     assert_eq!(compare(&mut ServerList::default(), NOW, state(8, &["i-1"])), Comparison::Newer);
 
--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -200,7 +200,7 @@
     watch::adopt_table(state, table)
 }
 
-/// Fetches the server changes since the version known here from one daemon, or its full snapshot when its
+/// Fetches the server changes since the version known here from one daemon, or in a large fleet its full snapshot when its
 /// history does not reach back that far; returns whether that brought anything new.
 ///
 /// A change of hundreds of servers does not fit into messages; this keeps each daemon from reading it from
@@ -211,6 +211,10 @@
         if let Some(changes) = fetch(state, address, &format!("{CHANGES_PATH}{version}")).await {
             return Some(server_list::adopt_changes(state, changes, &address));
         }
+        // A list without its history would hide records that can still be read.
+        if version > 0 && state.peers.reach() == BroadcastScope::AllDaemons {
+            return None;
+        }
         let requested_us = clock::now();
         let snapshot = fetch(state, address, SNAPSHOT_PATH).await?;
         Some(adopt(state, requested_us, snapshot, address))
