--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -456,13 +456,12 @@
         now_us: MonoTime,
         their_version: u64,
         listed: &Servers,
-        theirs: Statements,
+        mut theirs: Statements,
     ) -> Update {
         let version = self.version;
         let mut affected = Affected::default();
         for own in latest_records(&self.listed, &self.statements) {
-            let is_first_renewal = theirs.is_first_renewal(now_us, &own);
-            if !(is_first_renewal || theirs.is_outdated(now_us, &own)) {
+            if !theirs.is_late(now_us, &own) {
                 continue;
             }
             let id = own.entry.id().clone();
@@ -474,14 +473,19 @@
                 None => ServerEntry::Removed { id, has_left: theirs.has_stated_leaving(own.entry.id()) },
             };
             let record = ServerRecord { version: known_at.max(version), statement, entry };
+            let id = own.entry.id();
             self.merge(now_us, record, &mut affected);
+            // The list has it from the version on, but the late record follows it in the log.
+            self.statements.replace(id, &theirs);
         }
         for other in latest_records(listed, &theirs) {
             // An older list does not show that the server has left again since.
             if their_version == version && self.statements.is_registered_anew(now_us, &other) {
                 // What the version covers without it is not ahead.
+                let id = other.entry.id().clone();
                 let record = ServerRecord { version: other.version.max(version), ..other };
                 self.merge(now_us, record, &mut affected);
+                self.statements.replace(&id, &theirs);
             }
         }
         self.advance_to(version);
--- a/crates/core/src/relay/server_list/statements.rs
+++ b/crates/core/src/relay/server_list/statements.rs
@@ -262,6 +262,13 @@
         }
     }
 
+    /// Copies what `other` knows of a server, instead of what is known of it here.
+    pub fn replace(&mut self, server: &BackendServerId, other: &Self) {
+        self.listed.remove(server);
+        self.removed.remove(server);
+        self.keep(server, other);
+    }
+
     /// Copies all that `other` knows of servers of which nothing is known here.
     pub fn keep_all(&mut self, other: &Self) {
         for server in other.listed.keys().chain(other.removed.keys()) {
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -168,6 +168,11 @@
     starts.apply_snapshot(NOW, of_knows);
     knows.apply_snapshot(NOW, of_starts);
     assert_eq!((state(&starts, "i-1"), state(&knows, "i-1")), (expected, expected));
+    for list in [&mut starts, &mut knows] {
+        list.begin_read();
+        list.apply_read(NOW, whole(8, vec![stated(ready(4, "i-1"), 41), ready(2, "i-2")]));
+        assert_eq!(state(list, "i-1"), expected, "a whole list shows the late record again");
+    }
 }
 
 /// An entry that expired, or that another writer removed, is renewed again and again. Only the first renewal may be a late one.
