Ask for what others know again once they have read as far, and take lists without history where reads fail

A daemon that starts asked one other daemon for the statements that it knows. If that had not read the leaving yet, it learned nothing until the lists were compared, up to two seconds later. It asks once more, for a list as new as its own first one. A daemon whose reads of the servers fail takes a list without its history again, as before, instead of waiting for the store.

--- a/crates/router/src/relay/freshness.rs
+++ b/crates/router/src/relay/freshness.rs
@@ -231,6 +231,11 @@
             .is_none_or(|store_failed_us| now_us >= store_failed_us + STORE_BACKOFF_MS)
     }
 
+    /// Whether the last read of the server list has succeeded.
+    pub fn reads_servers(&self) -> bool {
+        self.readings.lock().servers_loss.is_none()
+    }
+
     /// Records that changes from another daemon have brought the list to a newer version.
     pub fn servers_learned(&self) {
         self.readings.lock().servers.caught_up();
--- a/crates/router/src/relay/state_transfer.rs
+++ b/crates/router/src/relay/state_transfer.rs
@@ -52,8 +52,10 @@
 /// before this has passed once.
 const RETRY_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Number of daemons that a starting daemon asks for their lists beside its own reads.
-const STATEMENTS_ATTEMPTS: usize = 4;
+/// Number of tries to find another daemon to ask for its list beside own reads, and the pause between two of them. Daemons
+/// announce their lists each half second, and read as far as another one within two.
+const STATEMENTS_ATTEMPTS: usize = 20;
+const STATEMENTS_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Bytes of replies per second; further requests are refused. When hundreds of daemons ask at once, each one
 /// that was answered can answer others, and no single daemon saturates its link by answering all.
@@ -156,18 +158,19 @@
     }
 }
 
-/// Requests the list of another daemon until one has answered, for a daemon that has read its first list itself. What it read
-/// shows neither which servers have left nor which records the store has written late.
+/// Requests the lists of other daemons, for one that has read its first list itself. What it read shows neither which servers
+/// have left nor which records the store has written late. Another daemon may know that now, or once it has read as far.
 pub async fn learn_statements(state: Arc<RelayState>) {
-    for attempt in 0..STATEMENTS_ATTEMPTS {
-        let addresses = state.peers.addresses();
-        let any = || addresses.get(attempt % addresses.len().max(1)).copied();
-        if let Some(address) = state.peers.address_with_list(1, attempt).or_else(any)
-            && fetch_snapshot(&state, address).await.is_some()
-        {
-            break;
+    let version = state.server_list.lock().version();
+    for least_version in [1, version] {
+        for attempt in 0..STATEMENTS_ATTEMPTS {
+            if let Some(address) = state.peers.address_with_list(least_version, attempt)
+                && fetch_snapshot(&state, address).await.is_some()
+            {
+                break;
+            }
+            tokio::time::sleep(STATEMENTS_RETRY_INTERVAL).await;
         }
-        tokio::time::sleep(RETRY_INTERVAL).await;
     }
 }
 
@@ -200,8 +203,8 @@
     watch::adopt_table(state, table)
 }
 
-/// Fetches the server changes since the version known here from one daemon, or in a large fleet its full snapshot when its
-/// history does not reach back that far; returns whether that brought anything new.
+/// Fetches the server changes since the version known here from one daemon, or its full snapshot when its history does not
+/// reach back that far and this daemon does not read the store instead; returns whether that brought anything new.
 ///
 /// A change of hundreds of servers does not fit into messages; this keeps each daemon from reading it from
 /// the store.
@@ -212,7 +215,9 @@
             return Some(server_list::adopt_changes(state, changes, &address));
         }
         // A list without its history would hide records that can still be read.
-        if version > 0 && state.peers.reach() == BroadcastScope::AllDaemons {
+        let reads_store =
+            state.peers.reach() == BroadcastScope::AllDaemons && state.freshness.reads_servers();
+        if version > 0 && reads_store {
             return None;
         }
         let requested_us = clock::now();
