--- a/spec/list.pml
+++ b/spec/list.pml
@@ -111,6 +111,20 @@
     same = false
 }
 
+/* Without LATE the last record counts, and what tells late ones is not kept, so that more can be explored. */
+#ifdef LATE
+#define KNOW(d, v) known[d] = v
+#define COMPLETE_FROM(d, v) complete[d] = v
+#define MISLEAD(d, m) misled[d] = m
+#define IS_LATER(v, d) (num[v] > num[known[d]])
+#else
+#define KNOW(d, v) skip
+#define COMPLETE_FROM(d, v) skip
+#define MISLEAD(d, m) skip
+#define IS_LATER(v, d) false
+#define LOG_ORDER_DECIDES
+#endif
+
 /* Whether the record of version v holds an earlier statement than that of version other. */
 #ifdef LOG_ORDER_DECIDES
 #define IS_EARLIER(v, other) false
@@ -175,14 +189,14 @@
 #ifdef OLDER_RECORD_APPLIES
     :: v >= ahead[d] || ahead[d] == 0 ->
 #else
-    :: v > version[d] && (v >= ahead[d] || num[v] > num[known[d]]) && !IS_LATE(d, v) ->
+    :: v > version[d] && (v >= ahead[d] || IS_LATER(v, d)) && !IS_LATE(d, v) ->
 #endif
         if
         :: reading[d] && shown[d] != log[v] -> touched[d] = true
         :: else
         fi;
         shown[d] = log[v];
-        known[d] = v;
+        KNOW(d, v);
         if
         :: v > version[d] && v > ahead[d] -> ahead[d] = v
         :: else
@@ -228,9 +242,9 @@
         version[d] = end;
         KEEP_PLACE(d, end);
         shown[d] = log[end];
-        known[d] = end;
-        complete[d] = end;
-        misled[d] = (best[end] != end);
+        KNOW(d, end);
+        COMPLETE_FROM(d, end);
+        MISLEAD(d, (best[end] != end));
         ahead[d] = 0;
         check(d)
     }
@@ -241,8 +255,8 @@
         :: !IS_LATE(d, end) && (ahead[d] > 0 || shown[d] != log[end]) -> newest = end
         :: else
         fi;
-        same = (num[best[end]] > num[known[d]] && best[end] != end);
-        misled[d] = misled[d] || same;
+        same = (IS_LATER(best[end], d) && best[end] != end);
+        MISLEAD(d, (misled[d] || same));
 #ifdef NET_COUNTS_AS_COMPLETE
         announce(version[d], end, newest, false, misled[d]);
 #else
@@ -250,10 +264,10 @@
 #endif
         same = false;
         if
-        :: !IS_LATE(d, end) -> shown[d] = log[end]; known[d] = end
+        :: !IS_LATE(d, end) -> shown[d] = log[end]; KNOW(d, end)
         :: else
         fi;
-        complete[d] = end;
+        COMPLETE_FROM(d, end);
         advance(d, end);
         KEEP_PLACE(d, end);
         newest = 0;
@@ -317,7 +331,6 @@
         :: newest > 0 -> shown[d] = log[newest]
         :: true
         fi;
-        known[d] = (newest > 0 -> newest : known[d]);
         version[d] = read_to[d];
         ahead[d] = 0;
 #else
@@ -359,8 +372,8 @@
             advance(d, to[index]);
             if
             :: is_net[index] ->
-                complete[d] = to[index];
-                misled[d] = misled[d] || misleads[index]
+                COMPLETE_FROM(d, to[index]);
+                MISLEAD(d, (misled[d] || misleads[index]))
             :: else
             fi
         :: else
@@ -381,9 +394,9 @@
         restarts = restarts + 1;
         version[d] = 0;
         shown[d] = READY;
-        known[d] = 0;
-        complete[d] = 0;
-        misled[d] = false;
+        KNOW(d, 0);
+        COMPLETE_FROM(d, 0);
+        MISLEAD(d, false);
         ahead[d] = 0;
         KEEP_PLACE(d, 0);
         end_read(d)
