--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -651,6 +651,7 @@
         let now = NOW + Millis(after_ms);
         assert_eq!(compare(&mut own, now, third), Comparison::Differs { is_new }, "after {after_ms} ms");
     }
+    assert!(own.is_whole_read_due());
 }
 
 /// In a large fleet the list of one daemon lacks a change. That daemon reads the whole list, and the hundreds of others do not.
