Log by which list each run, prefill and hold was sent to which server

The line of a request told the version of the list by its last send only, and nothing of holds apart; an order told none. Together with servers changed (version, from whom, when) a late call can be followed to the moment at which its daemon learned of the leaving, or to the list that lacked it.

--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -134,6 +134,8 @@
     pub list_age_ms: Millis,
     /// Version of the server list by which it was last sent to a server; zero if it was sent to none.
     pub list_version: u64,
+    /// What was sent to servers and by which list, each as `KIND:SERVER:LIST_VERSION:LIST_AGE_MS@MS`.
+    pub sent: &'a str,
     /// What the daemon knew about its way to the servers of the service when the request ended.
     pub reached: &'a str,
     /// What was known of the daemons to which it could be forwarded, when it was last to be forwarded.
@@ -307,6 +309,7 @@
             steps = line.steps,
             list_age_ms = line.list_age_ms.0,
             list_version = line.list_version,
+            sent = line.sent,
             reached = line.reached,
             helpers_asked = line.helpers.asked,
             helpers_replied = line.helpers.replied,
@@ -732,12 +735,14 @@
         role: &'static str,
         fencing: FencingNumber,
         answer: &str,
+        list_version: u64,
     ) {
         spdlog::info!(logger: self.logger, "engine ordered", kv: {
             server: = server,
             role = role,
             fencing = fencing.0,
             answer = answer,
+            list_version = list_version,
         });
     }
 
--- a/crates/router/src/relay/hop.rs
+++ b/crates/router/src/relay/hop.rs
@@ -218,7 +218,7 @@
     statements::check(state, hop.server, CallKind::Work)?;
     check_suspension(http, to)?;
     let request = request_of(wire, incoming, to, hop).map_err(|_| FailureCause::NotSent)?;
-    incoming.record_list();
+    incoming.record_sent(RequestPath::of(&hop.task).label(), hop.server);
     let is_repeatable = incoming.route.kind.repeatability() == Repeatability::Repeatable;
     let expected = ExpectedRun::listed(state, hop.server, to, is_repeatable);
     let withdrawn = statements::wait_until_leaving(state, hop.server);
--- a/crates/router/src/relay/orders.rs
+++ b/crates/router/src/relay/orders.rs
@@ -209,7 +209,9 @@
         let answer =
             hop::send_call(&state, &shift.server, at, call, ConnectionReuse::Pooled, CALL_TIMEOUT).await;
         let status = answer.map(|(status, _)| status);
-        state.log.engine_ordered(&shift.server, role_label(shift.role), order.fencing, &describe(status));
+        let list_version = state.directory.listing().version;
+        let (role, answer) = (role_label(shift.role), describe(status));
+        state.log.engine_ordered(&shift.server, role, order.fencing, list_version, &answer);
         match status {
             Ok(StatusCode::PRECONDITION_FAILED) => self.lease = self.lease.without_lease(),
             // A conflict means that the engine is executing something else; a failed call, that it may be.
--- a/crates/router/src/relay/state.rs
+++ b/crates/router/src/relay/state.rs
@@ -42,7 +42,7 @@
 use super::statements::SharedStatements;
 use super::stop::{RunClass, Stop};
 use super::stream_versions::SharedStreamVersions;
-use super::trace::{RequestTrace, Step};
+use super::trace::{RequestTrace, Sent, Step};
 use super::uneven_servers::UnevenServices;
 use crate::backend::{BackendHttp, CallScope, EndCheck, Framing};
 use crate::clock;
@@ -134,6 +134,7 @@
             steps: trace.steps(),
             list_age_ms: trace.oldest_list().to_millis_ceil(),
             list_version: trace.list_version(),
+            sent: trace.sent(),
             reached: self.state.reach.reached(self.service.as_str()).label(),
             helpers: trace.helpers(),
             versions: trace.versions(),
@@ -192,10 +193,12 @@
         self.trace.lock().record_event(self.arrived.elapsed(), last);
     }
 
-    /// Records version and age of the server list by which it is sent to a server.
-    pub fn record_list(&self) {
-        let version = self.state.directory.listing().version;
-        self.trace.lock().record_list(version, self.state.freshness.servers_age_us(clock::now()));
+    /// Records that it, or a step towards it, is sent to a server by the list in force.
+    pub fn record_sent(&self, kind: &'static str, server: &BackendServerId) {
+        let list_version = self.state.directory.listing().version;
+        let list_age_us = self.state.freshness.servers_age_us(clock::now());
+        let sent = Sent { kind, server, list_version, list_age_us };
+        self.trace.lock().record_sent(self.arrived.elapsed(), sent);
     }
 
     /// Records how the last answer of a server is delimited.
--- a/crates/router/src/relay/stream.rs
+++ b/crates/router/src/relay/stream.rs
@@ -438,7 +438,7 @@
         let Self { state, incoming, .. } = self;
         let at = state.directory.address_of(writer).ok_or(FailureCause::NotSent)?;
         statements::admit(state, writer, RESERVED_REQUESTS).await?;
-        incoming.record_list();
+        incoming.record_sent("hold", writer);
         let call = (CallKind::Work, state.wire.reserve(writer, tokens, keep_ms));
         let body = hop::call(state, writer, at, call, Duration::from(timeout_ms)).await?;
         let name = state.wire.parse_reservation(&body).ok_or(FailureCause::Refused)?;
--- a/crates/router/src/relay/trace.rs
+++ b/crates/router/src/relay/trace.rs
@@ -3,6 +3,7 @@
 use std::fmt::{Display, Write as _};
 use std::time::Duration;
 
+use hibiscusvale_core::ids::BackendServerId;
 use hibiscusvale_core::relay::reach::HelperCounts;
 use hibiscusvale_core::sched::FailureCause;
 use hibiscusvale_core::units::{Bytes, Micros};
@@ -108,6 +109,21 @@
     helpers: HelperCounts,
     oldest_list: Micros,
     list_version: u64,
+    sent: String,
+    sent_count: usize,
+}
+
+/// A request, or a step towards it, that is sent to a server by a version of the server list.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent<'a> {
+    /// What is sent: `run`, `prefill`, `hold`.
+    pub kind: &'static str,
+    /// Its recipient.
+    pub server: &'a BackendServerId,
+    /// Version of the list.
+    pub list_version: u64,
+    /// Age of the list; `None` if unknown.
+    pub list_age_us: Option<Micros>,
 }
 
 impl RequestTrace {
@@ -191,10 +207,24 @@
         self.helpers
     }
 
-    /// Records the version of the server list by which it is sent to a server, and its age if known.
-    pub fn record_list(&mut self, version: u64, age_us: Option<Micros>) {
-        self.oldest_list = self.oldest_list.max(age_us.unwrap_or_default());
-        self.list_version = version;
+    /// Records what is sent to a server `at` after the request's arrival.
+    pub fn record_sent(&mut self, at: Duration, sent: Sent<'_>) {
+        let Sent { kind, server, list_version, list_age_us } = sent;
+        let age_us = list_age_us.unwrap_or_default();
+        self.oldest_list = self.oldest_list.max(age_us);
+        self.list_version = list_version;
+        self.sent_count += 1;
+        if self.sent_count <= STEPS_MAX {
+            let gap = if self.sent.is_empty() { "" } else { " " };
+            let age = age_us.to_millis_ceil().0;
+            // Writing to a string cannot fail.
+            let _ = write!(self.sent, "{gap}{kind}:{server}:{list_version}:{age}@{}", at.as_millis());
+        }
+    }
+
+    /// What was sent to servers, each as `KIND:SERVER:LIST_VERSION:LIST_AGE_MS@MS`.
+    pub fn sent(&self) -> &str {
+        &self.sent
     }
 
     /// Version of the server list by which it was last sent to a server; zero if it was sent to none.
