Ask about each difference of two lists, not about one in ten seconds

A daemon whose list differed from another one's asked for that list only where it also read the whole list, which it does once in ten seconds. A second difference within that time stood for up to ten seconds, longer than the two within which a leaving has to be known. The question costs no read, so that its own interval is a second. another_daemon_is_asked_about_each_difference is new; before, a question and a whole read were one.

--- a/crates/core/src/relay/server_list/mod.rs
+++ b/crates/core/src/relay/server_list/mod.rs
@@ -399,6 +399,11 @@
         }
     }
 
+    /// Whether the daemon whose list differed at the last comparison is to be asked for it now.
+    pub fn take_request_due(&mut self) -> bool {
+        std::mem::take(&mut self.divergence.is_request_due)
+    }
+
     /// Whether the next read has to fetch the whole list, since this one differs from another daemon's at the same version.
     pub fn is_whole_read_due(&self) -> bool {
         self.divergence.is_whole_read_due
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -686,6 +686,21 @@
         list.apply_read(NOW, whole(5, vec![ServerRecord { version: 4, statement: None, entry }]));
         list.state().digest
     };
+/// A difference that follows soon after another one is mended by the other daemon's list, which costs no read.
+#[test]
+fn another_daemon_is_asked_about_each_difference() {
+    let mut own = list(7, &["i-1"]);
+    let other = list(7, &["i-1", "i-2"]).state();
+    for (after_ms, is_due) in [(0, true), (1, false), (999, false), (1_000, true), (1_500, false)] {
+        compare(&mut own, NOW + Millis(after_ms), other);
+        assert_eq!(own.take_request_due(), is_due, "after {after_ms} ms");
+        assert!(!own.take_request_due());
+    }
+    let same = own.state();
+    compare(&mut own, NOW + Millis(9_000), same);
+    assert!(!own.take_request_due());
+}
+
     assert_eq!(list_of("r", ListedState::Live), list_of("s", ListedState::Live));
     assert_ne!(list_of("r", ListedState::Live), list_of("r", ListedState::Leaving));
 }
--- a/crates/router/src/relay/exchange.rs
+++ b/crates/router/src/relay/exchange.rs
@@ -338,9 +338,15 @@
     server_list::adopt_changes(state, message.changes, &message.host);
     let now_us = clock::now();
     let scope = state.peers.reach();
-    let servers = state.server_list.lock().compare(now_us, &message.host, message.stamp.servers, scope);
+    let (servers, is_request_due) = {
+        let mut list = state.server_list.lock();
+        let servers = list.compare(now_us, &message.host, message.stamp.servers, scope);
+        (servers, list.take_request_due())
+    };
     if servers == (Comparison::Differs { is_new: true }) {
         state.log.server_list_differs(&message.host, message.stamp.servers.version);
+    }
+    if is_request_due {
         // A read does not show which records the store has written late; the other daemon may know.
         let state = Arc::clone(state);
         tokio::spawn(async move { state_transfer::fetch_snapshot(&state, from).await });
