Let no entry without a comparable number bring back a server that stated its leaving

An entry of another writer without a number, or without the run that the server names, cannot be compared, and the log's order decided: a server that had stated its leaving was in use again. So it was by an invented number. For 30 s such an entry is no reason to use a server that has stated that it leaves; a number counts as invented if it is over 1,000 higher, which no server reaches in that time. A later run counts as before, and entries of servers that have not stated their leaving do.

--- a/crates/core/src/relay/server_list/statements.rs
+++ b/crates/core/src/relay/server_list/statements.rs
@@ -20,6 +20,9 @@
 /// Longest time for which the store may still carry out a call that had no answer.
 const LATE_CALL_MAX_MS: Millis = Millis(30_000);
 
+/// Largest difference of two numbers within [`LATE_CALL_MAX_MS`]: servers renew their entries about every second.
+const NUMBERS_MAX: u64 = 1_000;
+
 /// Maximum number of removed servers that are remembered.
 const REMOVED_MAX: usize = 1_024;
 
@@ -57,16 +60,16 @@
 pub struct OutdatedRecord {
     /// Name of the server.
     pub server: BackendServerId,
-    /// Place of the statement that it holds.
-    pub statement: StatementOrder,
+    /// Place of the statement that it holds; `None` if it states none.
+    pub statement: Option<StatementOrder>,
     /// Place of the latest statement that is known.
     pub known: StatementOrder,
 }
 
 impl OutdatedRecord {
-    /// The record, while a statement at `known` is known. `None` if one of the two has no place.
+    /// The record, while a statement at `known` is known; `None` if none is.
     pub fn new(record: &ServerRecord, known: Option<StatementOrder>) -> Option<Self> {
-        Some(Self { server: record.entry.id().clone(), statement: record.statement?, known: known? })
+        Some(Self { server: record.entry.id().clone(), statement: record.statement, known: known? })
     }
 }
 
@@ -87,6 +90,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Latest {
     order: StatementOrder,
+    /// Whether it states that the server leaves.
+    is_leaving: bool,
     /// Version of its record, or of that of the removal.
     version: u64,
     as_of_us: MonoTime,
@@ -98,6 +103,14 @@
         now_us < self.as_of_us + LATE_CALL_MAX_MS
     }
 
+    /// Whether the server can have made a statement at `order` after it.
+    fn may_precede(&self, order: Option<StatementOrder>) -> bool {
+        order.is_some_and(|order| {
+            let is_same_run = order.lifetime == self.order.lifetime;
+            self.order < order && !(is_same_run && order.seq - self.order.seq > NUMBERS_MAX)
+        })
+    }
+
     /// Whether a record follows it in the log, early enough to be a late call. One before it is only older.
     fn is_followed_by(&self, now_us: MonoTime, record: &ServerRecord) -> bool {
         record.version >= self.version && self.is_recent(now_us)
@@ -118,6 +131,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct KnownStatement {
     order: StatementOrder,
+    is_leaving: bool,
     version: u64,
     age_us: Micros,
     /// How the removal of its entry is understood, and whether a renewal has come since; `None` while it is listed.
@@ -150,16 +164,22 @@
     }
 
     /// Whether a record is older than what is known, wherever it stands in the log. Only entries are: a removal does not state
-    /// what it removes.
+    /// what it removes. One whose place is unknown or cannot be is no reason to use a server that has stated that it leaves.
     pub fn is_outdated(&self, now_us: MonoTime, record: &ServerRecord) -> bool {
-        let (ServerEntry::Listed(server), Some(order)) = (&record.entry, record.statement) else {
+        let ServerEntry::Listed(server) = &record.entry else {
             return false;
         };
-        if let Some(removed) = self.removed.get(&server.id) {
-            return removed.latest.is_followed_by(now_us, record) && order <= removed.latest.order;
-        }
-        let listed = self.listed.get(&server.id);
-        listed.is_some_and(|latest| latest.is_followed_by(now_us, record) && order < latest.order)
+        let removed = self.removed.get(&server.id);
+        let Some(latest) = removed.map(|removed| &removed.latest).or_else(|| self.listed.get(&server.id))
+        else {
+            return false;
+        };
+        let undoes_leaving = latest.is_leaving && (removed.is_some() || !record.entry.is_leaving());
+        let is_earlier = record.statement.is_some_and(|order| {
+            if removed.is_some() { order <= latest.order } else { order < latest.order }
+        });
+        let is_odd = undoes_leaving && !latest.may_precede(record.statement);
+        latest.is_followed_by(now_us, record) && (is_earlier || is_odd)
     }
 
     /// Whether a record is newer than what is known, wherever it stands in the log.
@@ -220,7 +240,8 @@
     /// Records the statement that a record holds, or that it removes an entry, which is to be understood as `removal`.
     pub fn record(&mut self, now_us: MonoTime, record: &ServerRecord, removal: Removal) {
         let ServerRecord { version, statement, entry } = record;
-        let latest = |order| Latest { order, version: *version, as_of_us: now_us };
+        let is_leaving = entry.is_leaving();
+        let latest = |order| Latest { order, is_leaving, version: *version, as_of_us: now_us };
         match entry {
             ServerEntry::Listed(server) => {
                 self.removed.remove(&server.id);
@@ -242,7 +263,8 @@
                     let removed = removed.or_insert(Removed { latest, removal, is_renewed: false });
                     if removed.latest.version < *version {
                         removed.is_renewed &= removed.latest.order >= order;
-                        removed.latest = latest;
+                        let is_leaving = latest.is_leaving || removed.latest.is_leaving;
+                        removed.latest = Latest { is_leaving, ..latest };
                     }
                 }
             }
@@ -293,6 +315,7 @@
     pub fn known(&self, now_us: MonoTime) -> Vec<(BackendServerId, KnownStatement)> {
         let known = |latest: &Latest, removal| KnownStatement {
             order: latest.order,
+            is_leaving: latest.is_leaving,
             version: latest.version,
             age_us: now_us.since(latest.as_of_us),
             removal,
@@ -327,10 +350,10 @@
     /// What another daemon knows.
     pub fn of_other(now_us: MonoTime, known: Vec<(BackendServerId, KnownStatement)>) -> Self {
         let mut statements = Self::default();
-        for (server, KnownStatement { order, version, age_us, removal }) in known {
+        for (server, KnownStatement { order, is_leaving, version, age_us, removal }) in known {
             // It is as old here as there, so that it is not kept for longer by being passed on.
             let as_of_us = MonoTime(now_us.0.saturating_sub(age_us.0));
-            let latest = Latest { order, version, as_of_us };
+            let latest = Latest { order, is_leaving, version, as_of_us };
             match removal {
                 Some((removal, is_renewed)) => {
                     statements.removed.insert(server, Removed { latest, removal, is_renewed });
--- a/crates/core/tests/relay/server_list.rs
+++ b/crates/core/tests/relay/server_list.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hibiscusvale_core::ids::{BackendServerId, HostId, RegionId, SoftwareVersion};
+use hibiscusvale_core::ids::{BackendServerId, HostId, Lifetime, RegionId, SoftwareVersion};
 use hibiscusvale_core::relay::recipients::BroadcastScope;
 use hibiscusvale_core::relay::server_list::{
     Comparison, ListRead, ListState, ReadContents, ServerChange, ServerChangeLog, ServerEntry, ServerList,
@@ -214,6 +214,38 @@
     }
 }
 
+/// An entry whose place among the server's statements is unknown, or cannot be, does not bring back a server that stated its
+/// leaving. Nor is it ignored for ever.
+#[rstest]
+#[case::no_number(None)]
+#[case::no_run(Some(StatementOrder { lifetime: None, seq: 50 }))]
+#[case::invented_number(Some(StatementOrder { lifetime: Some(Lifetime(7)), seq: u64::MAX }))]
+fn odd_entry_brings_no_leaving_server_back(
+    #[case] statement: Option<StatementOrder>,
+    #[values(true, false)] is_removed: bool,
+    #[values(true, false)] is_whole: bool,
+) {
+    let of_run = |record: ServerRecord, seq| {
+        let statement = Some(StatementOrder { lifetime: Some(Lifetime(7)), seq });
+        ServerRecord { statement, ..record }
+    };
+    let mut reader = ServerList::default();
+    reader.begin_read();
+    reader.apply_read(NOW, whole(2, vec![of_run(ready(2, "i-1"), 40), ready(2, "i-2")]));
+    let mut records = vec![of_run(leaving(3, "i-1"), 42)];
+    records.extend(is_removed.then(|| removed(4, "i-1")));
+    read(&mut reader, later(4, records));
+    let expected = state(&reader, "i-1");
+    for (version, after_ms, expected) in [(5, 1_000, expected), (6, 30_000, Some(ListedState::Live))] {
+        let odd = ServerRecord { statement, ..ready(version, "i-1") };
+        let read =
+            if is_whole { whole(version, vec![odd, ready(2, "i-2")]) } else { later(version, vec![odd]) };
+        reader.begin_read();
+        reader.apply_read(NOW + Millis(after_ms), read);
+        assert_eq!(state(&reader, "i-1"), expected, "after {after_ms} ms");
+    }
+}
+
 /// A shutdown that is called off has a higher number, and counts.
 #[rstest]
 fn leaving_that_is_called_off_is_undone(#[values(1, 2, 3)] read_at_once: usize) {
@@ -654,6 +686,21 @@
     assert!(own.is_whole_read_due());
 }
 
+/// A difference that follows soon after another one is mended by the other daemon's list, which costs no read.
+#[test]
+fn another_daemon_is_asked_about_each_difference() {
+    let mut own = list(7, &["i-1"]);
+    let other = list(7, &["i-1", "i-2"]).state();
+    for (after_ms, is_due) in [(0, true), (1, false), (999, false), (1_000, true), (1_500, false)] {
+        compare(&mut own, NOW + Millis(after_ms), other);
+        assert_eq!(own.take_request_due(), is_due, "after {after_ms} ms");
+        assert!(!own.take_request_due());
+    }
+    let same = own.state();
+    compare(&mut own, NOW + Millis(9_000), same);
+    assert!(!own.take_request_due());
+}
+
 /// In a large fleet the list of one daemon lacks a change. That daemon reads the whole list, and the hundreds of others do not.
 #[test]
 fn in_a_large_fleet_the_daemon_that_differs_from_most_reads_the_whole_list() {
@@ -686,21 +733,6 @@
         list.apply_read(NOW, whole(5, vec![ServerRecord { version: 4, statement: None, entry }]));
         list.state().digest
     };
-/// A difference that follows soon after another one is mended by the other daemon's list, which costs no read.
-#[test]
-fn another_daemon_is_asked_about_each_difference() {
-    let mut own = list(7, &["i-1"]);
-    let other = list(7, &["i-1", "i-2"]).state();
-    for (after_ms, is_due) in [(0, true), (1, false), (999, false), (1_000, true), (1_500, false)] {
-        compare(&mut own, NOW + Millis(after_ms), other);
-        assert_eq!(own.take_request_due(), is_due, "after {after_ms} ms");
-        assert!(!own.take_request_due());
-    }
-    let same = own.state();
-    compare(&mut own, NOW + Millis(9_000), same);
-    assert!(!own.take_request_due());
-}
-
     assert_eq!(list_of("r", ListedState::Live), list_of("s", ListedState::Live));
     assert_ne!(list_of("r", ListedState::Live), list_of("r", ListedState::Leaving));
 }
--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -689,10 +689,11 @@
     /// Logs records of the server list that came later than a later statement of the same server, and count for nothing.
     pub fn server_records_outdated(&self, records: &[OutdatedRecord], from: &dyn fmt::Display) {
         if !records.is_empty() && self.admit_request_line() {
-            let texts = records
-                .iter()
-                .take(LOGGED_RECORDS_MAX)
-                .map(|OutdatedRecord { server, statement, known }| format!("{server}:{statement}:{known}"));
+            let texts =
+                records.iter().take(LOGGED_RECORDS_MAX).map(|OutdatedRecord { server, statement, known }| {
+                    let statement = statement.map_or("none".to_owned(), |statement| statement.to_string());
+                    format!("{server}:{statement}:{known}")
+                });
             spdlog::info!(logger: self.logger, "server records outdated", kv: {
                 from: = from,
                 servers = texts.collect::<Vec<_>>().join(" "),
@@ -734,15 +735,15 @@
         server: &BackendServerId,
         role: &'static str,
         fencing: FencingNumber,
-        answer: &str,
         list_version: u64,
+        answer: &str,
     ) {
         spdlog::info!(logger: self.logger, "engine ordered", kv: {
             server: = server,
             role = role,
             fencing = fencing.0,
-            answer = answer,
             list_version = list_version,
+            answer = answer,
         });
     }
 
